--- /dev/null
+++ b/lib/clock/fake.go
@@ -0,0 +1,32 @@
+package clock
+
+import (
+	"sync"
+	"time"
+)
+
+// Fake is a clock that moves only when it is told to. It is safe for
+// concurrent use.
+type Fake struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+// NewFake returns a clock that stands at start.
+func NewFake(start time.Time) *Fake {
+	return &Fake{now: start}
+}
+
+// Now returns the time that the clock was last set to.
+func (f *Fake) Now() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now
+}
+
+// Advance moves the clock forward by d.
+func (f *Fake) Advance(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.now = f.now.Add(d)
+}
--- /dev/null
+++ b/lib/eventlog/catalogue.go
@@ -0,0 +1,10 @@
+package eventlog
+
+import "slices"
+
+// Catalogue returns all events by number.
+func Catalogue() []Event {
+	all := slices.Concat(processEvents, configEvents, weightEvents, requestEvents, memberEvents, platformEvents)
+	slices.SortFunc(all, func(a, b Event) int { return a.Number - b.Number })
+	return all
+}
--- /dev/null
+++ b/lib/eventlog/events_request.go
@@ -0,0 +1,24 @@
+package eventlog
+
+// Events 4000 to 4999: requests.
+var (
+	RequestNotRun        = Event{4001, Info, "request was not run", "Nothing unless frequent; the reason says which limit."}
+	RequestUnknown       = Event{4002, Warn, "request may have run and has no complete answer", "Nothing; the caller was told."}
+	RequestInvalid       = Event{4003, Info, "request was malformed", "Nothing; the caller was told what and where."}
+	GateMismatch         = Event{4101, Info, "agent refused a request for weights that are not loaded", "Nothing unless it lasts beyond a rollout."}
+	ClaimWithoutResult   = Event{4301, Warn, "idempotency key is claimed and has no result", "Ask the service whether the request ran."}
+	ClaimReleased        = Event{4302, Info, "claim released: its request was proved not run", "Nothing."}
+	RequestQuarantined   = Event{4401, Warn, "request is quarantined: backend servers crashed while they ran it", "Find the content by its fingerprint and tell its caller."}
+	BackendServerCrashed = Event{4402, Warn, "backend server died with requests in flight", "Nothing unless it repeats."}
+)
+
+var requestEvents = []Event{
+	RequestNotRun,
+	RequestUnknown,
+	RequestInvalid,
+	GateMismatch,
+	ClaimWithoutResult,
+	ClaimReleased,
+	RequestQuarantined,
+	BackendServerCrashed,
+}
--- /dev/null
+++ b/lib/eventlog/logger.go
@@ -0,0 +1,27 @@
+package eventlog
+
+import "github.com/go-kit/log"
+
+// Logger writes events. It is safe for concurrent use if the underlying logger
+// is.
+type Logger struct {
+	base log.Logger
+}
+
+// New returns a Logger that adds the given key-value pairs to each event.
+func New(base log.Logger, keyvals ...any) *Logger {
+	return &Logger{base: log.With(base, keyvals...)}
+}
+
+// Discard returns a Logger that writes nothing.
+func Discard() *Logger { return New(log.NewNopLogger()) }
+
+// With returns a Logger that adds more key-value pairs.
+func (l *Logger) With(keyvals ...any) *Logger { return New(l.base, keyvals...) }
+
+// Log writes one event. A failed write is dropped: logging never stops a
+// request.
+func (l *Logger) Log(e Event, keyvals ...any) {
+	fields := append([]any{"event", e.Number, "level", string(e.Level), "msg", e.Message}, keyvals...)
+	_ = l.base.Log(fields...)
+}
--- /dev/null
+++ b/lib/model/digest.go
@@ -0,0 +1,54 @@
+package model
+
+import (
+	"encoding/hex"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/zeebo/blake3"
+)
+
+// DigestSize is the length of a Digest in bytes.
+const DigestSize = 32
+
+// Digest is a BLAKE3-256 hash. It identifies chunks, manifests and
+// configuration revisions.
+type Digest [DigestSize]byte
+
+// Sum returns the digest of data.
+func Sum(data []byte) Digest { return blake3.Sum256(data) }
+
+// ParseDigest reads the hexadecimal form that String returns.
+func ParseDigest(s string) (Digest, error) {
+	var d Digest
+	b, err := hex.DecodeString(s)
+	if err != nil {
+		return d, merry.Prependf(err, "digest %q", s)
+	}
+	if len(b) != DigestSize {
+		return d, merry.Errorf("digest %q has %d bytes, want %d", s, len(b), DigestSize)
+	}
+	copy(d[:], b)
+	return d, nil
+}
+
+// String returns the digest in hexadecimal.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// Short returns the first eight hexadecimal digits, for logs and tables.
+func (d Digest) Short() string { return hex.EncodeToString(d[:4]) }
+
+// IsZero reports whether the digest was never set.
+func (d Digest) IsZero() bool { return d == Digest{} }
+
+// MarshalText encodes the digest in hexadecimal.
+func (d Digest) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// UnmarshalText reads the hexadecimal form.
+func (d *Digest) UnmarshalText(text []byte) error {
+	parsed, err := ParseDigest(string(text))
+	if err != nil {
+		return err
+	}
+	*d = parsed
+	return nil
+}
--- /dev/null
+++ b/lib/weights/manifest.go
@@ -0,0 +1,93 @@
+// Package weights describes sets of weights as content-addressed chunks and
+// holds the chunks of one instance.
+package weights
+
+import (
+	"github.com/ansel1/merry/v2"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/auburnbend/auburnbend/lib/model"
+)
+
+// MaxChunkSize bounds a chunk so that it fits into one frame between processes.
+const MaxChunkSize = 4 << 20
+
+// MaxChunks bounds the length of a manifest: 64 TiB of 4 MiB chunks would not
+// fit, 4 TiB do, which is beyond any model in use.
+const MaxChunks = 1 << 20
+
+// Chunk is one piece of a set of weights.
+type Chunk struct {
+	Digest model.Digest `msgpack:"d"`
+	// Size is the length in bytes.
+	Size uint32 `msgpack:"s"`
+}
+
+// Manifest lists the chunks of one version of a model or adapter in order.
+type Manifest struct {
+	// Object is the name under which the origin and the weight store serve the
+	// concatenated chunks.
+	Object string `msgpack:"o"`
+	// Base is the manifest digest of the base model of an adapter; it is zero
+	// for a base model.
+	Base   model.Digest `msgpack:"b"`
+	Chunks []Chunk      `msgpack:"c"`
+}
+
+// Total returns the sum of the chunk sizes in bytes.
+func (m *Manifest) Total() int64 {
+	var total int64
+	for _, c := range m.Chunks {
+		total += int64(c.Size)
+	}
+	return total
+}
+
+// Offset returns the position of a chunk in the object in bytes.
+func (m *Manifest) Offset(index int) int64 {
+	var offset int64
+	for _, c := range m.Chunks[:index] {
+		offset += int64(c.Size)
+	}
+	return offset
+}
+
+// Encode returns the canonical encoding, over which Digest is computed.
+func (m *Manifest) Encode() ([]byte, error) { return msgpack.Marshal(m) }
+
+// Digest returns the identity of the version.
+func (m *Manifest) Digest() (model.Digest, error) {
+	b, err := m.Encode()
+	if err != nil {
+		return model.Digest{}, err
+	}
+	return model.Sum(b), nil
+}
+
+// Decode reads an encoded manifest and checks it against the expected digest
+// and against the limits of the format.
+func Decode(data []byte, want model.Digest) (*Manifest, error) {
+	if got := model.Sum(data); got != want {
+		return nil, merry.Wrap(ErrManifestDigest, merry.AppendMessagef("got %s, want %s", got.Short(), want.Short()))
+	}
+	var m Manifest
+	if err := msgpack.Unmarshal(data, &m); err != nil {
+		return nil, merry.Wrap(ErrManifestInvalid, merry.WithCause(err))
+	}
+	return &m, m.validate()
+}
+
+func (m *Manifest) validate() error {
+	if m.Object == "" {
+		return merry.Wrap(ErrManifestInvalid, merry.AppendMessage("object is empty"))
+	}
+	if len(m.Chunks) == 0 || len(m.Chunks) > MaxChunks {
+		return merry.Wrap(ErrManifestInvalid, merry.AppendMessagef("%d chunks, allowed are 1 to %d", len(m.Chunks), MaxChunks))
+	}
+	for i, c := range m.Chunks {
+		if c.Size == 0 || c.Size > MaxChunkSize {
+			return merry.Wrap(ErrManifestInvalid, merry.AppendMessagef("chunk %d has %d bytes, allowed are 1 to %d", i, c.Size, MaxChunkSize))
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/lib/wire/conn.go
@@ -0,0 +1,141 @@
+package wire
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+const (
+	// readBuffer is the size of a connection's read buffer in bytes.
+	readBuffer = 64 << 10
+	// defaultQueue is the number of encoded frames that may wait for the writer.
+	defaultQueue = 256
+	// writeTimeout bounds one write, so that a silent path cannot hold the
+	// writer forever.
+	writeTimeout = 10 * time.Second
+)
+
+// Conn sends and receives messages over one connection. Send may be called
+// from any goroutine; Receive belongs to one reader goroutine. Conn owns the
+// underlying connection.
+type Conn struct {
+	nc     net.Conn
+	reader *bufio.Reader
+	queue  chan []byte
+	done   chan struct{}
+	once   sync.Once
+	sent   atomic.Int64
+	read   atomic.Int64
+}
+
+// NewConn takes over nc and starts its writer goroutine.
+func NewConn(nc net.Conn) *Conn {
+	c := &Conn{
+		nc:    nc,
+		queue: make(chan []byte, defaultQueue),
+		done:  make(chan struct{}),
+	}
+	c.reader = bufio.NewReaderSize(&countingReader{nc: nc, count: &c.read}, readBuffer)
+	go c.write()
+	return c
+}
+
+// Send queues a message. It blocks while the queue is full, which passes
+// backpressure on to the sender, and returns ErrClosed after Close.
+func (c *Conn) Send(m Message) error {
+	frame, err := Append(nil, m)
+	if err != nil {
+		return err
+	}
+	select {
+	case c.queue <- frame:
+		return nil
+	case <-c.done:
+		return merry.Wrap(ErrClosed)
+	}
+}
+
+// TrySend queues a message, or returns ErrQueueFull at once. Heartbeats and
+// hints use it: a late one is worth less than a blocked sender.
+func (c *Conn) TrySend(m Message) error {
+	frame, err := Append(nil, m)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-c.done:
+		return merry.Wrap(ErrClosed)
+	default:
+	}
+	select {
+	case c.queue <- frame:
+		return nil
+	default:
+		return merry.Wrap(ErrQueueFull)
+	}
+}
+
+// Receive returns the next message.
+func (c *Conn) Receive() (Message, error) { return Read(c.reader) }
+
+// SetReadDeadline bounds Receive; the zero time removes the bound.
+func (c *Conn) SetReadDeadline(t time.Time) error { return c.nc.SetReadDeadline(t) }
+
+// Close ends the connection and unblocks Send and Receive. Queued messages are
+// dropped.
+func (c *Conn) Close() error {
+	err := error(nil)
+	c.once.Do(func() {
+		close(c.done)
+		err = c.nc.Close()
+	})
+	return err
+}
+
+// Done is closed when the connection is closed by this side or its writer fails.
+func (c *Conn) Done() <-chan struct{} { return c.done }
+
+// Bytes returns the bytes sent and received so far.
+func (c *Conn) Bytes() (sent, received int64) { return c.sent.Load(), c.read.Load() }
+
+// RemoteAddr returns the peer's address.
+func (c *Conn) RemoteAddr() net.Addr { return c.nc.RemoteAddr() }
+
+func (c *Conn) write() {
+	w := bufio.NewWriterSize(c.nc, readBuffer)
+	for {
+		select {
+		case <-c.done:
+			return
+		case frame := <-c.queue:
+			if !c.writeFrames(w, frame) {
+				_ = c.Close()
+				return
+			}
+		}
+	}
+}
+
+// writeFrames writes one frame and all that are queued behind it, then flushes,
+// so that a burst of frames costs one system call.
+func (c *Conn) writeFrames(w *bufio.Writer, frame []byte) bool {
+	if c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)) != nil {
+		return false
+	}
+	for {
+		if _, err := w.Write(frame); err != nil {
+			return false
+		}
+		c.sent.Add(int64(len(frame)))
+		select {
+		case frame = <-c.queue:
+		default:
+			return w.Flush() == nil
+		}
+	}
+}
--- /dev/null
+++ b/lib/wire/counting_reader.go
@@ -0,0 +1,18 @@
+package wire
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// countingReader counts the bytes that are read from a connection.
+type countingReader struct {
+	nc    net.Conn
+	count *atomic.Int64
+}
+
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.nc.Read(p)
+	r.count.Add(int64(n))
+	return n, err
+}
