--- /dev/null
+++ b/entry/caller/answer.go
@@ -0,0 +1,17 @@
+package caller
+
+// Answer receives the answer to one request. Its methods are called by one
+// goroutine: Write any number of times, then End once.
+type Answer interface {
+	// Write passes on a piece of the answer. An error means that the caller has
+	// gone.
+	Write(contentType string, data []byte) error
+	// Delivered reports whether a piece has reached the caller, after which the
+	// answer cannot be started again.
+	Delivered() bool
+	// Reset drops the pieces of an earlier attempt that have not reached the
+	// caller.
+	Reset()
+	// End closes the answer with its outcome.
+	End(r Result)
+}
--- /dev/null
+++ b/entry/caller/headers.go
@@ -0,0 +1,14 @@
+package caller
+
+// Headers of the callers' protocol.
+const (
+	HeaderRequestID      = "X-Request-Id"
+	HeaderTenant         = "X-Tenant"
+	HeaderClass          = "X-Class"
+	HeaderDeadlineMillis = "X-Deadline-Ms"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderOutcome        = "X-Outcome"
+	HeaderReason         = "X-Reason"
+	HeaderDigest         = "X-Answer-Digest"
+	headerRetryAfter     = "Retry-After"
+)
--- /dev/null
+++ b/entry/caller/parse.go
@@ -0,0 +1,126 @@
+package caller
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/outcome"
+)
+
+const (
+	// maxDeadline bounds the deadline that a caller may ask for.
+	maxDeadline = 10 * time.Minute
+	// maxIDLength bounds request ids and idempotency keys in bytes.
+	maxIDLength = 128
+	// maxBodyBytes bounds a body so that it fits into one frame to an agent.
+	maxBodyBytes = 4 << 20
+	// defaultTimeout applies where neither caller nor service names one.
+	defaultTimeout = time.Minute
+)
+
+// rawRequest is what a caller sent.
+type rawRequest struct {
+	service        string
+	requestID      string
+	tenant         string
+	class          string
+	deadlineMillis string
+	idempotencyKey string
+	contentType    string
+	body           []byte
+}
+
+// refusal says why a request is invalid.
+type refusal struct {
+	reason outcome.Reason
+	detail string
+}
+
+func refuse(reason outcome.Reason, format string, args ...any) *refusal {
+	return &refusal{reason: reason, detail: fmt.Sprintf(format, args...)}
+}
+
+// parse checks a request against the configuration in force.
+func parse(raw rawRequest, cfg *config.Config, now time.Time) (*Request, *refusal) {
+	service, ok := cfg.FindService(model.Service(raw.service))
+	if !ok {
+		return nil, refuse(outcome.ReasonUnknownService, "service %q is not declared", raw.service)
+	}
+	tenant, ok := cfg.FindTenant(model.Tenant(raw.tenant))
+	if !ok {
+		return nil, refuse(outcome.ReasonUnknownTenant, "header %s: tenant %q is not declared", HeaderTenant, raw.tenant)
+	}
+	class, bad := parseClass(raw.class, cfg)
+	if bad != nil {
+		return nil, bad
+	}
+	timeout, bad := parseDeadline(raw.deadlineMillis, service)
+	if bad != nil {
+		return nil, bad
+	}
+	if len(raw.requestID) > maxIDLength {
+		return nil, refuse(outcome.ReasonInvalid, "header %s has %d bytes, allowed are %d", HeaderRequestID, len(raw.requestID), maxIDLength)
+	}
+	if len(raw.idempotencyKey) > maxIDLength {
+		return nil, refuse(outcome.ReasonInvalid, "header %s has %d bytes, allowed are %d", HeaderIdempotencyKey, len(raw.idempotencyKey), maxIDLength)
+	}
+	if limit := bodyLimit(service); int64(len(raw.body)) > limit {
+		return nil, refuse(outcome.ReasonTooLarge, "body has %d bytes, service %q allows %d", len(raw.body), service.Name, limit)
+	}
+	if raw.requestID == "" {
+		raw.requestID = uuid.NewString()
+	}
+	return &Request{
+		ID:             model.RequestID(raw.requestID),
+		Tenant:         tenant,
+		Class:          class,
+		Service:        service,
+		Received:       now,
+		Deadline:       now.Add(timeout),
+		IdempotencyKey: raw.idempotencyKey,
+		ContentType:    raw.contentType,
+		Body:           raw.body,
+	}, nil
+}
+
+func bodyLimit(service config.Service) int64 {
+	if service.MaxBodyBytes > 0 && service.MaxBodyBytes < maxBodyBytes {
+		return service.MaxBodyBytes
+	}
+	return maxBodyBytes
+}
+
+// parseClass returns the named class, or the first declared one where the
+// caller names none.
+func parseClass(name string, cfg *config.Config) (config.Class, *refusal) {
+	if name == "" {
+		if len(cfg.Classes) == 0 {
+			return config.Class{Name: "default"}, nil
+		}
+		return cfg.Classes[0], nil
+	}
+	class, ok := cfg.FindClass(model.Class(name))
+	if !ok {
+		return config.Class{}, refuse(outcome.ReasonInvalid, "header %s: class %q is not declared", HeaderClass, name)
+	}
+	return class, nil
+}
+
+func parseDeadline(value string, service config.Service) (time.Duration, *refusal) {
+	if value == "" {
+		if service.Timeout > 0 {
+			return service.Timeout, nil
+		}
+		return defaultTimeout, nil
+	}
+	millis, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || millis < 1 || millis > maxDeadline.Milliseconds() {
+		return 0, refuse(outcome.ReasonInvalid, "header %s: %q is not a number of milliseconds from 1 to %d", HeaderDeadlineMillis, value, maxDeadline.Milliseconds())
+	}
+	return time.Duration(millis) * time.Millisecond, nil
+}
--- /dev/null
+++ b/entry/caller/server.go
@@ -0,0 +1,134 @@
+// Package caller serves callers over HTTP: it checks each request against the
+// configuration in force, hands it to a Handler, and writes the answer as a
+// stream of events or as one body. The outcome stands in a header or in the
+// final event.
+package caller
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	hertzconfig "github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network/netpoll"
+
+	"github.com/auburnbend/auburnbend/lib/clock"
+	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/outcome"
+)
+
+// Handler runs a request and ends its answer exactly once. ctx ends when the
+// caller goes away.
+type Handler interface {
+	Handle(ctx context.Context, r *Request, a Answer)
+}
+
+// InvalidCounter counts requests that were refused as invalid.
+type InvalidCounter interface {
+	CountInvalid(reason outcome.Reason)
+}
+
+// Config sets up a Server.
+type Config struct {
+	Listener net.Listener
+	Clock    clock.Clock
+	// Current returns the configuration in force, or nil before there is one.
+	Current func() *config.Config
+	Handler Handler
+	Invalid InvalidCounter
+	// DrainTimeout bounds Shutdown.
+	DrainTimeout time.Duration
+}
+
+// Server serves callers. It is safe for concurrent use.
+type Server struct {
+	cfg      Config
+	hertz    *server.Hertz
+	draining atomic.Bool
+}
+
+// NewServer returns a server that serves when Run is called.
+func NewServer(cfg Config) *Server {
+	s := &Server{cfg: cfg}
+	options := []hertzconfig.Option{
+		server.WithListener(cfg.Listener),
+		server.WithTransport(netpoll.NewTransporter),
+		server.WithSenseClientDisconnection(true),
+		// Bodies over the limit are read so far that the refusal can name it.
+		server.WithMaxRequestBodySize(maxBodyBytes + 1<<20),
+		server.WithExitWaitTime(cfg.DrainTimeout),
+		server.WithDisablePrintRoute(true),
+	}
+	s.hertz = server.New(options...)
+	s.hertz.POST("/v1/services/:service", s.serve)
+	s.hertz.GET("/ready", s.ready)
+	return s
+}
+
+// Run serves until Shutdown.
+func (s *Server) Run() error { return s.hertz.Run() }
+
+// SetDraining makes the readiness check fail, so that the balancer stops
+// sending; requests that still arrive are served.
+func (s *Server) SetDraining() { s.draining.Store(true) }
+
+// Shutdown stops accepting connections and waits for running requests until
+// ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error { return s.hertz.Shutdown(ctx) }
+
+func (s *Server) ready(_ context.Context, ctx *app.RequestContext) {
+	switch {
+	case s.draining.Load():
+		ctx.String(http.StatusServiceUnavailable, "draining\n")
+	case s.cfg.Current() == nil:
+		ctx.String(http.StatusServiceUnavailable, "no configuration\n")
+	default:
+		ctx.String(http.StatusOK, "ready\n")
+	}
+}
+
+func (s *Server) serve(c context.Context, ctx *app.RequestContext) {
+	raw := readRaw(ctx)
+	answer := newAnswer(ctx, raw.requestID)
+	current := s.cfg.Current()
+	if current == nil {
+		answer.End(Result{Outcome: outcome.NotRun, Reason: outcome.ReasonNoBackendServer, RetryAfter: time.Second, Detail: "no configuration is in force yet"})
+		return
+	}
+	request, bad := parse(raw, current, s.cfg.Clock.Now())
+	if bad != nil {
+		s.cfg.Invalid.CountInvalid(bad.reason)
+		answer.End(Result{Outcome: outcome.NotRun, Reason: bad.reason, Detail: bad.detail})
+		return
+	}
+	s.cfg.Handler.Handle(c, request, newAnswer(ctx, string(request.ID)))
+}
+
+// readRaw copies what it takes: hertz reuses its buffers after the handler
+// returns, and an attempt may still be on its way to an agent then.
+func readRaw(ctx *app.RequestContext) rawRequest {
+	header := func(name string) string { return strings.Clone(string(ctx.GetHeader(name))) }
+	body := ctx.Request.Body()
+	return rawRequest{
+		service:        strings.Clone(ctx.Param("service")),
+		requestID:      header(HeaderRequestID),
+		tenant:         header(HeaderTenant),
+		class:          header(HeaderClass),
+		deadlineMillis: header(HeaderDeadlineMillis),
+		idempotencyKey: header(HeaderIdempotencyKey),
+		contentType:    header("Content-Type"),
+		body:           append([]byte(nil), body...),
+	}
+}
+
+func newAnswer(ctx *app.RequestContext, request string) Answer {
+	if strings.Contains(string(ctx.GetHeader("Accept")), "text/event-stream") {
+		return newStreamAnswer(ctx, request)
+	}
+	return newBufferedAnswer(ctx, request)
+}
--- /dev/null
+++ b/entry/caller/server_test.go
@@ -0,0 +1,144 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/lib/clock"
+	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/outcome"
+)
+
+// script is what a fakeHandler answers.
+type script struct {
+	pieces []string
+	result Result
+}
+
+// fakeHandler holds its script in an atomic pointer: the server runs handlers
+// on goroutines of its own.
+type fakeHandler struct{ script atomic.Pointer[script] }
+
+func (f *fakeHandler) Handle(_ context.Context, _ *Request, a Answer) {
+	s := f.script.Load()
+	for _, p := range s.pieces {
+		if a.Write("text/plain", []byte(p)) != nil {
+			return
+		}
+	}
+	a.End(s.result)
+}
+
+type fakeInvalid struct{ reasons chan outcome.Reason }
+
+func (f *fakeInvalid) CountInvalid(r outcome.Reason) { f.reasons <- r }
+
+var _ = Describe("Server", func() {
+	var (
+		handler *fakeHandler
+		invalid *fakeInvalid
+		server  *Server
+		client  *http.Client
+		base    string
+	)
+
+	BeforeEach(func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		handler = &fakeHandler{}
+		// Idle connections would hold up the shutdown of each spec.
+		client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+		invalid = &fakeInvalid{reasons: make(chan outcome.Reason, 4)}
+		cfg := &config.Config{
+			Services: []config.Service{{Name: "draft"}},
+			Tenants:  []config.Tenant{{Name: "huye"}},
+		}
+		server = NewServer(Config{
+			Listener: listener, Clock: clock.System{}, Current: func() *config.Config { return cfg },
+			Handler: handler, Invalid: invalid, DrainTimeout: time.Second,
+		})
+		go func() { _ = server.Run() }()
+		base = "http://" + listener.Addr().String()
+		Eventually(func() error {
+			response, err := client.Get(base + "/ready")
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			return err
+		}).Should(Succeed())
+		DeferCleanup(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_ = server.Shutdown(ctx)
+		})
+	})
+
+	send := func(service, accept string) (*http.Response, string) {
+		request, err := http.NewRequest(http.MethodPost, base+"/v1/services/"+service, strings.NewReader("hello"))
+		Expect(err).NotTo(HaveOccurred())
+		request.Header.Set(HeaderTenant, "huye")
+		request.Header.Set("Accept", accept)
+		response, err := client.Do(request)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = response.Body.Close() }()
+		body, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		return response, string(body)
+	}
+
+	It("streams pieces and names the outcome in the final event", func() {
+		handler.script.Store(&script{
+			pieces: []string{"a", "b"},
+			result: Result{Outcome: outcome.Completed, Frames: 2, Digest: model.Sum([]byte("ab"))},
+		})
+		_, body := send("draft", "text/event-stream")
+		var events []string
+		for scan := bufio.NewScanner(strings.NewReader(body)); scan.Scan(); {
+			if event, ok := strings.CutPrefix(scan.Text(), "event: "); ok {
+				events = append(events, event)
+			}
+		}
+		Expect(events).To(Equal([]string{EventChunk, EventChunk, EventEnd}))
+		Expect(body).To(ContainSubstring(`"outcome":"completed"`))
+	})
+
+	// Guards against a truncated answer that looks like a success.
+	It("does not pass on a buffered answer that did not complete", func() {
+		handler.script.Store(&script{
+			pieces: []string{"partial"},
+			result: Result{Outcome: outcome.Unknown, Reason: outcome.ReasonConnectionLost},
+		})
+		response, body := send("draft", "*/*")
+		Expect(response.StatusCode).To(Equal(http.StatusGatewayTimeout))
+		Expect(response.Header.Get(HeaderOutcome)).To(Equal("unknown"))
+		Expect(body).NotTo(ContainSubstring("partial"))
+	})
+
+	It("gives a request that was not run its status, reason and retry time", func() {
+		handler.script.Store(&script{
+			result: Result{Outcome: outcome.NotRun, Reason: outcome.ReasonOverloaded, RetryAfter: 1500 * time.Millisecond},
+		})
+		for _, accept := range []string{"*/*", "text/event-stream"} {
+			response, _ := send("draft", accept)
+			Expect(response.StatusCode).To(Equal(http.StatusTooManyRequests))
+			Expect(response.Header.Get(HeaderOutcome)).To(Equal("not_run"))
+			Expect(response.Header.Get("Retry-After")).To(Equal("2"))
+		}
+	})
+
+	It("counts invalid requests", func() {
+		response, _ := send("nothing", "*/*")
+		Expect(response.StatusCode).To(Equal(http.StatusNotFound))
+		Expect(invalid.reasons).To(Receive(Equal(outcome.ReasonUnknownService)))
+	})
+})
--- /dev/null
+++ b/entry/caller/status.go
@@ -0,0 +1,50 @@
+package caller
+
+import (
+	"net/http"
+
+	"github.com/auburnbend/auburnbend/lib/outcome"
+)
+
+// HTTPStatus maps a result to the status of the caller's response. The outcome
+// header is authoritative; the status serves clients that look at nothing else.
+func HTTPStatus(r Result) int {
+	switch r.Outcome {
+	case outcome.Completed:
+		if r.Status == 0 {
+			return http.StatusOK
+		}
+		return r.Status
+	case outcome.NotRun:
+		return notRunStatus(r.Reason)
+	case outcome.Failed:
+		if r.Status >= http.StatusBadRequest {
+			return r.Status
+		}
+		return http.StatusBadGateway
+	default:
+		if r.Reason == outcome.ReasonAlreadyClaimed {
+			return http.StatusConflict
+		}
+		return http.StatusGatewayTimeout
+	}
+}
+
+func notRunStatus(reason outcome.Reason) int {
+	switch reason {
+	case outcome.ReasonInvalid:
+		return http.StatusBadRequest
+	case outcome.ReasonUnknownTenant:
+		return http.StatusForbidden
+	case outcome.ReasonUnknownService:
+		return http.StatusNotFound
+	case outcome.ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case outcome.ReasonOverloaded, outcome.ReasonQueueFull, outcome.ReasonRetryBudget:
+		return http.StatusTooManyRequests
+	case outcome.ReasonQuarantined:
+		return http.StatusUnprocessableEntity
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
