--- /dev/null
+++ b/lib/attempt/budget.go
@@ -0,0 +1,134 @@
+package attempt
+
+import (
+	"sync"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/model"
+)
+
+const (
+	// defaultRetryShare is the share of successful requests that may be retried.
+	defaultRetryShare = 0.1
+	// defaultTenantFloor lets a tenant without successes retry now and then, in
+	// retries per second, so that a budget never deadlocks at zero.
+	defaultTenantFloor = 0.5
+	// defaultDeploymentFloor is the same for all tenants of an entry together.
+	defaultDeploymentFloor = 2
+	// defaultTenantBurst and defaultDeploymentBurst bound saved-up retries.
+	defaultTenantBurst     = 10
+	defaultDeploymentBurst = 50
+)
+
+// BudgetConfig holds the limits of a Budget. Zero values take defaults.
+type BudgetConfig struct {
+	// Share is the share of a tenant's successful requests that may be retried,
+	// for tenants that SetShare does not name.
+	Share float64
+	// DeploymentShare is the same for all tenants together.
+	DeploymentShare float64
+	// TenantFloor and DeploymentFloor are in retries per second.
+	TenantFloor     float64
+	DeploymentFloor float64
+	// TenantBurst and DeploymentBurst are the sizes of the buckets in retries.
+	TenantBurst     float64
+	DeploymentBurst float64
+}
+
+func (c BudgetConfig) applyDefaults() BudgetConfig {
+	set := func(v *float64, fallback float64) {
+		if *v <= 0 {
+			*v = fallback
+		}
+	}
+	set(&c.Share, defaultRetryShare)
+	set(&c.DeploymentShare, defaultRetryShare)
+	set(&c.TenantFloor, defaultTenantFloor)
+	set(&c.DeploymentFloor, defaultDeploymentFloor)
+	set(&c.TenantBurst, defaultTenantBurst)
+	set(&c.DeploymentBurst, defaultDeploymentBurst)
+	return c
+}
+
+// Budget limits retries to a share of successful requests, per tenant and for
+// the whole entry, so that a fault does not multiply the load. All requests of
+// an entry share it: it is safe for concurrent use. Tenants are declared ones,
+// which bounds its size.
+type Budget struct {
+	config BudgetConfig
+
+	mu         sync.Mutex
+	deployment bucket
+	tenants    map[model.Tenant]*bucket
+	shares     map[model.Tenant]float64
+}
+
+// NewBudget returns a budget whose buckets are full.
+func NewBudget(config BudgetConfig) *Budget {
+	config = config.applyDefaults()
+	return &Budget{
+		config:     config,
+		deployment: bucket{tokens: config.DeploymentBurst},
+		tenants:    make(map[model.Tenant]*bucket),
+		shares:     make(map[model.Tenant]float64),
+	}
+}
+
+// SetShare sets the declared retry share of a tenant, 0 to 1.
+func (b *Budget) SetShare(tenant model.Tenant, share float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.shares[tenant] = share
+}
+
+// Forget drops a tenant that is no longer declared.
+func (b *Budget) Forget(tenant model.Tenant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.tenants, tenant)
+	delete(b.shares, tenant)
+}
+
+// take spends one retry of the tenant and of the deployment, or neither.
+func (b *Budget) take(tenant model.Tenant, now time.Time) bool {
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.tenant(tenant)
+	t.fill(now, b.config.TenantFloor, b.config.TenantBurst)
+	b.deployment.fill(now, b.config.DeploymentFloor, b.config.DeploymentBurst)
+	if t.tokens < 1 || b.deployment.tokens < 1 {
+		return false
+	}
+	t.tokens--
+	b.deployment.tokens--
+	return true
+}
+
+func (b *Budget) success(tenant model.Tenant, now time.Time) {
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	share, ok := b.shares[tenant]
+	if !ok {
+		share = b.config.Share
+	}
+	t := b.tenant(tenant)
+	t.fill(now, b.config.TenantFloor, b.config.TenantBurst)
+	t.tokens = min(b.config.TenantBurst, t.tokens+share)
+	b.deployment.fill(now, b.config.DeploymentFloor, b.config.DeploymentBurst)
+	b.deployment.tokens = min(b.config.DeploymentBurst, b.deployment.tokens+b.config.DeploymentShare)
+}
+
+func (b *Budget) tenant(tenant model.Tenant) *bucket {
+	t, ok := b.tenants[tenant]
+	if !ok {
+		t = &bucket{tokens: b.config.TenantBurst}
+		b.tenants[tenant] = t
+	}
+	return t
+}
