--- /dev/null
+++ b/lib/member/config.go
@@ -0,0 +1,62 @@
+package member
+
+import "time"
+
+const (
+	// BusyInterval is the heartbeat interval with requests in flight.
+	BusyInterval = time.Second
+	// IdleInterval is the heartbeat interval without requests in flight. It is
+	// also the bound on how long a leaving instance gets new work when the
+	// pushed notification is lost, because the next heartbeat carries the state.
+	IdleInterval = 3 * time.Second
+	// SendMargin is how much earlier than the interval a sender sends, so that
+	// scheduling delays do not make a healthy connection overdue.
+	SendMargin = 200 * time.Millisecond
+	// MissedLimit is the number of missed heartbeats after which a connection
+	// is silent.
+	MissedLimit = 3
+)
+
+// Config holds the limits of a View. Zero fields take the defaults.
+type Config struct {
+	// ProbeTimeout is how long a member without a working connection is tried
+	// before it is judged gone.
+	ProbeTimeout time.Duration
+	// ProbeFailures is the number of failed new connections after which a
+	// member is judged gone.
+	ProbeFailures int
+	// FaultWindow is the time within which connections that go silent count as
+	// going silent at once.
+	FaultWindow time.Duration
+	// FaultShare is the share of connections that go silent at once in a path
+	// fault.
+	FaultShare float64
+	// FaultMin is the least number of connections in a path fault.
+	FaultMin int
+}
+
+func (c *Config) applyDefaults() {
+	if c.ProbeTimeout <= 0 {
+		c.ProbeTimeout = 2 * time.Second
+	}
+	if c.ProbeFailures <= 0 {
+		c.ProbeFailures = 2
+	}
+	if c.FaultWindow <= 0 {
+		c.FaultWindow = 3 * time.Second
+	}
+	if c.FaultShare <= 0 {
+		c.FaultShare = 0.3
+	}
+	if c.FaultMin <= 0 {
+		c.FaultMin = 3
+	}
+}
+
+// SendInterval returns when a process sends its next heartbeat on a connection.
+func SendInterval(requestsInFlight int) time.Duration {
+	if requestsInFlight > 0 {
+		return BusyInterval - SendMargin
+	}
+	return IdleInterval - SendMargin
+}
--- /dev/null
+++ b/lib/rendezvous/rendezvous.go
@@ -0,0 +1,64 @@
+// Package rendezvous assigns keys to members by highest random weight, so that
+// all processes with the same members agree without talking to each other, and
+// a change of one member moves only the keys of that member.
+//
+// All functions are pure and safe for concurrent use.
+package rendezvous
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Hash returns the hash of a key or member that Combine takes. Callers that
+// score often keep it.
+func Hash(s string) uint64 { return xxhash.Sum64String(s) }
+
+// Combine returns the weight of a member for a key from their hashes. The
+// multipliers are those of the splitmix64 finalizer, which spreads each input
+// bit over the whole word.
+func Combine(key, member uint64) uint64 {
+	x := key ^ (member*0x9e3779b97f4a7c15 + 0x632be59bd9b4e019)
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
+
+// Owner returns the member with the highest weight for key, or false when there
+// are no members.
+func Owner[M ~string](key string, members []M) (M, bool) {
+	ranked := Rank(key, members, 1)
+	if len(ranked) == 0 {
+		var none M
+		return none, false
+	}
+	return ranked[0], true
+}
+
+// Rank returns up to n members in falling order of their weight for key. The
+// order of members does not matter; equal weights are ordered by name.
+func Rank[M ~string](key string, members []M, n int) []M {
+	type weighted struct {
+		member M
+		weight uint64
+	}
+	keyHash := Hash(key)
+	all := make([]weighted, len(members))
+	for i, m := range members {
+		all[i] = weighted{m, Combine(keyHash, Hash(string(m)))}
+	}
+	slices.SortFunc(all, func(a, b weighted) int {
+		if c := cmp.Compare(b.weight, a.weight); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.member, b.member)
+	})
+	n = min(n, len(all))
+	out := make([]M, n)
+	for i := range out {
+		out[i] = all[i].member
+	}
+	return out
+}
