Add the process settings of both daemons

Cause: both daemons need identity, addresses, transport security, backend server and drain settings before they can reach anything else.

Change: lib/settings reads INI files with typed values and units. All faults of a file are listed at once with file, line, section, key, value and what is allowed; unknown and repeated keys and conflicting settings are refused.

--- /dev/null
+++ b/lib/settings/agent.go
@@ -0,0 +1,33 @@
+package settings
+
+// Agent holds the settings of an agent daemon.
+type Agent struct {
+	Instance  Instance
+	Listen    Listen
+	Platform  Platform
+	Backend   Backend
+	Transfer  Transfer
+	Transport Transport
+	Log       Log
+	Drain     Drain
+}
+
+// ParseAgent reads the text of a settings file; name is used in faults. The
+// error is an *InvalidError.
+func ParseAgent(name, text string) (*Agent, error) {
+	r, err := newReader(name, text)
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{
+		Instance:  r.instance(),
+		Listen:    r.listen(false),
+		Platform:  r.platform(false),
+		Backend:   r.backend(),
+		Transport: r.transport(),
+		Log:       r.log(),
+		Drain:     r.drain(),
+	}
+	a.Transfer = r.transfer(a.Backend.Kind)
+	return a, r.finish()
+}
--- /dev/null
+++ b/lib/settings/instance.go
@@ -0,0 +1,23 @@
+package settings
+
+import "github.com/auburnbend/auburnbend/lib/model"
+
+// Instance identifies the instance that a process runs on.
+type Instance struct {
+	ID            model.InstanceID
+	Region        model.Region
+	FailureDomain model.FailureDomain
+}
+
+// Location returns where the instance stands.
+func (i Instance) Location() model.Location {
+	return model.Location{Region: i.Region, FailureDomain: i.FailureDomain}
+}
+
+func (r *reader) instance() Instance {
+	return Instance{
+		ID:            model.InstanceID(r.label("instance", "id")),
+		Region:        model.Region(r.label("instance", "region")),
+		FailureDomain: model.FailureDomain(r.label("instance", "failure_domain")),
+	}
+}
