Number connections of links as the membership view does

The view judges connections by id, so a link names each connection that it opens. Heartbeats follow the interval of the view: one each second with requests in flight, fewer without.

--- a/entry/link/link.go
+++ b/entry/link/link.go
@@ -11,6 +11,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/cenkalti/backoff/v5"
 
+	"github.com/auburnbend/auburnbend/lib/member"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
@@ -46,10 +47,7 @@
 			continue
 		}
 		retry.Reset()
-		l.attach(conn, peer)
 		l.serve(ctx, conn, peer)
-		l.detach(conn)
-		l.handler.Disconnected(peer)
 		sleep(ctx, l.cfg.MinBackoff)
 	}
 }
@@ -68,32 +66,43 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	defer func() { _ = conn.Close() }()
+	id := l.cfg.NextConn()
+	if l.handler.Connected(id, peer) != nil {
+		return
+	}
+	defer l.handler.Disconnected(id, peer)
+	l.attach(conn, peer)
+	defer l.detach(conn)
 	go l.sendHeartbeats(conn)
-	l.handler.Connected(peer)
 	for {
 		m, err := conn.Receive()
 		if err != nil {
 			return
 		}
-		if id, ok := wire.AttemptOf(m); ok {
-			l.deliver(id, m)
+		if attempt, ok := wire.AttemptOf(m); ok {
+			l.handler.Heard(id)
+			l.deliver(attempt, m)
 			continue
 		}
-		l.handler.Message(peer, m, conn.Send)
+		l.handler.Message(id, peer, m, conn.Send)
 	}
 }
 
+// sendHeartbeats sends one heartbeat each second while requests are in flight
+// and fewer otherwise: 60 idle connections would spend an entry's 8 KB/s.
 func (l *Link) sendHeartbeats(conn *wire.Conn) {
-	ticker := time.NewTicker(l.cfg.HeartbeatInterval)
+	ticker := time.NewTicker(member.SendInterval(1))
 	defer ticker.Stop()
 	var sequence uint64
-	for tick := 0; ; tick++ {
-		if tick%l.cfg.IdleFactor == 0 || l.InFlight() > 0 {
+	var last time.Time
+	for {
+		if now := time.Now(); now.Sub(last) >= member.SendInterval(l.InFlight()) {
+			last = now
 			beat := l.cfg.Heartbeat()
 			beat.Sequence = sequence
 			sequence++
-			// A full queue means that the peer does not read; the silence is
-			// judged by the owner, so the heartbeat is dropped.
+			// A full queue means that the peer does not read; the owner judges
+			// the silence, so the heartbeat is dropped.
 			_ = conn.TrySend(&beat)
 		}
 		select {
