Add the weights store and the distribution decisions

Cause: trackers, agents and operators need one set of decisions about chunks. The protocol gains HolderSummary, Announce.Active and GrantFailure.Busy.

--- /dev/null
+++ b/lib/distribute/downloader_config.go
@@ -0,0 +1,56 @@
+package distribute
+
+import (
+	"math/rand"
+	"time"
+)
+
+// DownloaderConfig holds the settings of a Downloader. Zero values get defaults.
+type DownloaderConfig struct {
+	// Self is the peer address of the instance.
+	Self string
+	// Rand draws jitter and breaks ties.
+	Rand *rand.Rand
+	// Window is the number of chunks that are fetched at one time. It bounds
+	// memory together with the chunk size.
+	Window int
+	// AnnounceEvery bounds the frequency of announcements.
+	AnnounceEvery time.Duration
+	// Heartbeat is the time after which an announcement is repeated although
+	// nothing has changed.
+	Heartbeat time.Duration
+	// MinStall is the lower bound of the progress deadline, and MaxStall the
+	// deadline until a rate has been observed.
+	MinStall, MaxStall time.Duration
+	// OriginStep is the wait for each rank in the rendezvous order of a chunk
+	// before an agent without a tracker takes the chunk from the origin.
+	OriginStep time.Duration
+	// SoloCopies is the budget of copies that the agents of a failure domain
+	// without a tracker take from the origin together.
+	SoloCopies float64
+	// SoloAgents is the number of agents that are expected to share the budget
+	// while fewer peers are known.
+	SoloAgents int
+	// SoloPeriod is the time over which an agent without a tracker regains its
+	// share of the budget, so that a lone agent completes in the end.
+	SoloPeriod time.Duration
+	// Backoff and MaxBackoff bound the wait for a source that throttles.
+	Backoff, MaxBackoff time.Duration
+}
+
+func (c *DownloaderConfig) applyDefaults() {
+	defaultTo(&c.Window, 4)
+	defaultTo(&c.AnnounceEvery, 20*time.Millisecond)
+	defaultTo(&c.Heartbeat, time.Second)
+	defaultTo(&c.MinStall, 300*time.Millisecond)
+	defaultTo(&c.MaxStall, 3*time.Second)
+	defaultTo(&c.OriginStep, 2*time.Second)
+	defaultTo(&c.SoloCopies, 1.1)
+	defaultTo(&c.SoloAgents, 8)
+	defaultTo(&c.SoloPeriod, 2*time.Minute)
+	defaultTo(&c.Backoff, 200*time.Millisecond)
+	defaultTo(&c.MaxBackoff, 10*time.Second)
+	if c.Rand == nil {
+		c.Rand = rand.New(rand.NewSource(1))
+	}
+}
--- /dev/null
+++ b/lib/distribute/downloader_next.go
@@ -0,0 +1,119 @@
+package distribute
+
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/weights"
+	"github.com/auburnbend/auburnbend/lib/wire"
+)
+
+// Next returns what to do now. It is called after each event and a few times
+// per second.
+func (d *Downloader) Next(now time.Time) Actions {
+	var a Actions
+	if d.manifest == nil {
+		return a
+	}
+	d.cancelStalled(now, &a)
+	d.cancelHeld(&a)
+	d.startAssigned(now, &a)
+	if !d.tracked && d.missing > 0 {
+		d.startSolo(now, &a)
+	}
+	d.announce(now, &a)
+	a.Done = d.missing == 0
+	return a
+}
+
+// stallAfter is the time without progress after which a fetch is given up. It
+// follows from the observed time for a whole chunk, because the bytes of a
+// chunk arrive unevenly when a link is shared.
+func (d *Downloader) stallAfter() time.Duration {
+	return d.chunkTime.deadline(d.cfg.MinStall, d.cfg.MaxStall, d.cfg.MaxStall)
+}
+
+func (d *Downloader) cancelStalled(now time.Time, a *Actions) {
+	limit := d.stallAfter()
+	for _, id := range sortedKeys(d.active) {
+		f := d.active[id]
+		if now.Sub(f.progress) < limit {
+			continue
+		}
+		a.Cancel = append(a.Cancel, id)
+		a.StalledSources = append(a.StalledSources, f.Source)
+		d.Finished(now, id, f.Want.Digest, Stalled, 0)
+	}
+}
+
+// cancelHeld ends duplicates of chunks that another source has delivered.
+func (d *Downloader) cancelHeld(a *Actions) {
+	for _, id := range sortedKeys(d.active) {
+		if f := d.active[id]; d.held[f.Want.Digest] {
+			a.Cancel = append(a.Cancel, id)
+			d.forget(f)
+		}
+	}
+}
+
+func (d *Downloader) startAssigned(now time.Time, a *Actions) {
+	keep := d.queue[:0]
+	for _, as := range d.queue {
+		switch {
+		case d.held[as.chunk.Digest]:
+			d.dirty = true
+		case !now.Before(as.deadline):
+			// The tracker has granted the chunk again; a process that was paused
+			// must not start on the old grant.
+			d.giveUp(as.grant, Busy)
+		case as.source == Origin && now.Before(d.originUntil):
+			if d.originUntil.After(as.deadline) {
+				d.giveUp(as.grant, Throttled)
+			} else {
+				keep = append(keep, as)
+			}
+		case len(d.active) >= d.cfg.Window:
+			keep = append(keep, as)
+		default:
+			a.Start = append(a.Start, d.start(now, as.chunk, as.source, as.grant))
+		}
+	}
+	d.queue = keep
+}
+
+func (d *Downloader) start(now time.Time, c weights.Chunk, source string, grant uint64) Fetch {
+	d.lastID++
+	f := &fetching{
+		Fetch:   Fetch{ID: d.lastID, Object: d.manifest.Object, Offset: d.offsets[c.Digest], Want: c, Source: source},
+		grant:   grant,
+		started: now, progress: now,
+	}
+	if source == Origin {
+		f.Attempt = d.attempts[c.Digest]
+		d.attempts[c.Digest]++
+	}
+	d.active[f.ID] = f
+	d.byChunk[c.Digest]++
+	return f.Fetch
+}
+
+func (d *Downloader) announce(now time.Time, a *Actions) {
+	since := now.Sub(d.announced)
+	if since < d.cfg.AnnounceEvery || !d.dirty && since < d.cfg.Heartbeat {
+		return
+	}
+	busy := len(d.active) + len(d.queue)
+	a.Announce = &wire.Announce{
+		Manifest: d.digest,
+		Have:     d.Have(),
+		Failed:   d.failures,
+		Active:   busy,
+	}
+	if d.missing > 0 {
+		a.Announce.Slots = max(d.cfg.Window-busy, 0)
+	}
+	d.failures, d.dirty, d.announced = nil, false, now
+}
+
+// Resend makes the next announcement immediate: another tracker needs the whole
+// state.
+func (d *Downloader) Resend() { d.dirty, d.announced = true, time.Time{} }
--- /dev/null
+++ b/lib/distribute/policy.go
@@ -0,0 +1,45 @@
+package distribute
+
+import (
+	"github.com/auburnbend/auburnbend/lib/model"
+)
+
+// Policy is the part of a plan that trackers follow: which failure domains
+// take which chunks from the origin.
+type Policy struct {
+	// Domains lists the failure domains that get the weights.
+	Domains []model.Location
+	// Copies is the number of failure domains that may take one chunk from the
+	// origin. The others take it over inter-region links.
+	Copies int
+}
+
+// Rank returns the position of a failure domain among those that may take a
+// chunk from the origin. All trackers compute the same ranks, so domains divide
+// the chunks without exchanging messages. The best domain of each region comes
+// first, so that each region gets a copy before a second domain of a region.
+func (p Policy) Rank(chunk model.Digest, domain model.FailureDomain) int {
+	names := make([]string, 0, len(p.Domains))
+	regions := make(map[string]model.Region, len(p.Domains))
+	for _, l := range p.Domains {
+		names = append(names, string(l.FailureDomain))
+		regions[string(l.FailureDomain)] = l.Region
+	}
+	order := Rendezvous(chunk, names)
+	seen := make(map[model.Region]bool, len(p.Domains))
+	first, rest := make([]string, 0, len(order)), make([]string, 0, len(order))
+	for _, name := range order {
+		if seen[regions[name]] {
+			rest = append(rest, name)
+			continue
+		}
+		seen[regions[name]] = true
+		first = append(first, name)
+	}
+	for i, name := range append(first, rest...) {
+		if name == string(domain) {
+			return i
+		}
+	}
+	return 0 // a domain outside the plan takes what it needs
+}
--- /dev/null
+++ b/lib/distribute/rateshare.go
@@ -0,0 +1,63 @@
+package distribute
+
+import "time"
+
+// RateShareConfig holds the settings of a RateShare. Zero values get defaults.
+type RateShareConfig struct {
+	// Min and Max bound the share of the link, over 0 and up to 1. Min keeps a
+	// transfer moving while live requests are slow for another reason.
+	Min, Max float64
+	// Target is the time to first token that live requests must keep.
+	Target time.Duration
+	// Near is the part of Target from which on the share falls.
+	Near float64
+	// Decrease multiplies the share when the target is near.
+	Decrease float64
+	// Increase is added to the share otherwise.
+	Increase float64
+	// Every is the time between two steps: a step's effect must be visible in
+	// the observed times before the next one.
+	Every time.Duration
+}
+
+func (c *RateShareConfig) applyDefaults() {
+	defaultTo(&c.Min, 0.05)
+	defaultTo(&c.Max, 0.8)
+	defaultTo(&c.Target, 1400*time.Millisecond)
+	defaultTo(&c.Near, 0.8)
+	defaultTo(&c.Decrease, 0.5)
+	defaultTo(&c.Increase, 0.05)
+	defaultTo(&c.Every, time.Second)
+}
+
+// RateShare sets the share of a link that transfers use, so that they yield to
+// live requests.
+type RateShare struct {
+	cfg   RateShareConfig
+	share float64
+	last  time.Time
+}
+
+// NewRateShare returns a RateShare that starts at its maximum.
+func NewRateShare(cfg RateShareConfig) *RateShare {
+	cfg.applyDefaults()
+	return &RateShare{cfg: cfg, share: cfg.Max}
+}
+
+// Observe takes the recent time to first token, or 0 if no live requests ran,
+// and returns the share to use from now on.
+func (r *RateShare) Observe(now time.Time, firstToken time.Duration) float64 {
+	if !r.last.IsZero() && now.Sub(r.last) < r.cfg.Every {
+		return r.share
+	}
+	r.last = now
+	if firstToken >= time.Duration(r.cfg.Near*float64(r.cfg.Target)) {
+		r.share = max(r.share*r.cfg.Decrease, r.cfg.Min)
+	} else {
+		r.share = min(r.share+r.cfg.Increase, r.cfg.Max)
+	}
+	return r.share
+}
+
+// Share returns the share in use.
+func (r *RateShare) Share() float64 { return r.share }
--- /dev/null
+++ b/lib/distribute/tracker.go
@@ -0,0 +1,238 @@
+package distribute
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/weights"
+	"github.com/auburnbend/auburnbend/lib/wire"
+)
+
+// maxPeersNamed bounds the addresses in Assign.Peers.
+const maxPeersNamed = 16
+
+// Notice is what an announcement showed that operators may want to know.
+type Notice struct {
+	// Corrupt lists the sources of chunks that did not match their digest.
+	Corrupt []string
+	// Stalled lists the sources of transfers that failed otherwise.
+	Stalled []string
+	// Outdated counts results of grants that had expired. They are used: the
+	// agent verified the chunk.
+	Outdated int
+}
+
+// Stats counts what a tracker did.
+type Stats struct {
+	OriginGrants int
+	Expired      int
+}
+
+// Directed is a message for one agent, named by its address.
+type Directed struct {
+	Address string
+	Assign  *wire.Assign
+}
+
+// Tracker decides which agent of one failure domain takes which chunk of one
+// version from where. All its state is soft: it is rebuilt from announcements.
+type Tracker struct {
+	cfg   TrackerConfig
+	ranks []int // position of this domain in the policy, for each chunk
+	order []int // chunks in random order of rank, for origin fetches
+
+	peers     map[string]*peer
+	sorted    []*peer // by address; nil after a change
+	grants    map[uint64]*grant
+	overdue   map[uint64]*grant // expired, kept to recognise late results
+	lastGrant uint64
+	holders   []int // agents that hold each chunk
+	inFlight  []int // active grants of each chunk
+
+	originActive int
+	originTime   average
+	remoteTime   average
+	peerTime     average
+	remote       map[model.FailureDomain]*remoteDomain
+	regions      map[model.Region]*remoteRegion
+	lastRemote   time.Time // last chunk that came from another failure domain
+	stats        Stats
+}
+
+// NewTracker returns a tracker without peers. Grant numbers start at a random
+// number, so that numbers of an earlier tracker are not taken for its own.
+func NewTracker(now time.Time, cfg TrackerConfig) *Tracker {
+	cfg.applyDefaults()
+	n := len(cfg.Manifest.Chunks)
+	t := &Tracker{
+		cfg:        cfg,
+		ranks:      make([]int, n),
+		peers:      make(map[string]*peer),
+		grants:     make(map[uint64]*grant),
+		overdue:    make(map[uint64]*grant),
+		lastGrant:  uint64(cfg.Rand.Uint32()) << 20,
+		holders:    make([]int, n),
+		inFlight:   make([]int, n),
+		remote:     make(map[model.FailureDomain]*remoteDomain),
+		regions:    make(map[model.Region]*remoteRegion),
+		lastRemote: now,
+	}
+	for i, c := range cfg.Manifest.Chunks {
+		t.ranks[i] = cfg.Policy.Rank(c.Digest, cfg.Location.FailureDomain)
+	}
+	t.order = cfg.Rand.Perm(n)
+	slices.SortStableFunc(t.order, func(a, b int) int { return cmp.Compare(t.ranks[a], t.ranks[b]) })
+	return t
+}
+
+// Announce takes an agent's report. Assignments follow from Schedule.
+func (t *Tracker) Announce(now time.Time, from model.Identity, a *wire.Announce) Notice {
+	p, ok := t.peers[from.Address]
+	if ok && p.generation != from.Generation {
+		t.Lost(from.Address) // another process under the same address
+		ok = false
+	}
+	if !ok {
+		p = newPeer(from.Address, from.Generation, len(t.holders))
+		t.peers[from.Address] = p
+		t.sorted = nil
+	}
+	p.seen = now
+	var n Notice
+	for _, f := range a.Failed {
+		t.failed(now, p, f, &n)
+	}
+	t.update(now, p, a.Have, &n)
+	// Grants that the agent had not seen when it announced count as well.
+	p.window = a.Slots + a.Active
+	return n
+}
+
+func (t *Tracker) failed(now time.Time, p *peer, f wire.GrantFailure, n *Notice) {
+	g, ok := t.grants[f.Grant]
+	if !ok || g.to != p {
+		if f.Grant != 0 {
+			n.Outdated++
+		}
+		return
+	}
+	t.release(g)
+	address := g.sourceAddress()
+	switch {
+	case f.Corrupt:
+		n.Corrupt = append(n.Corrupt, address)
+		if g.from != nil {
+			g.from.sentCorrupt(now, t.cfg.AvoidFor)
+			p.bad[g.chunk] = address
+		}
+	case f.Busy:
+		p.blocked[address] = now.Add(t.cfg.Retry)
+	default:
+		n.Stalled = append(n.Stalled, address)
+		p.blocked[address] = now.Add(t.cfg.AvoidFor)
+	}
+}
+
+// update compares the announced bitmap with the known one. A chunk that is no
+// longer held was found damaged in the staging area.
+func (t *Tracker) update(now time.Time, p *peer, have weights.Bitmap, n *Notice) {
+	for i := range t.holders {
+		was, is := p.have.Get(i), have.Get(i)
+		switch {
+		case is && !was:
+			p.have.Set(i)
+			t.holders[i]++
+			t.arrived(now, p, i, n)
+		case was && !is:
+			p.have.Clear(i)
+			t.holders[i]--
+		}
+	}
+}
+
+func (t *Tracker) arrived(now time.Time, p *peer, chunk int, n *Notice) {
+	delete(p.bad, chunk)
+	for _, number := range slices.Clone(p.active[chunk]) {
+		g := t.grants[number]
+		t.times(g).add(now.Sub(g.issued))
+		if g.from != nil {
+			g.from.delivered()
+		}
+		if g.remote != nil {
+			t.lastRemote = now
+		}
+		t.release(g)
+	}
+	for number, g := range t.overdue {
+		if g.to == p && g.chunk == chunk {
+			t.times(g).add(now.Sub(g.issued)) // the next grants get more time
+			delete(t.overdue, number)
+			n.Outdated++
+		}
+	}
+}
+
+// Lost forgets an agent: grants to it are free at once, and so are the slots of
+// grants that name it as source; their holders report the failure.
+func (t *Tracker) Lost(address string) {
+	p, ok := t.peers[address]
+	if !ok {
+		return
+	}
+	delete(t.peers, address)
+	t.sorted = nil
+	for i := range t.holders {
+		if p.have.Get(i) {
+			t.holders[i]--
+		}
+	}
+	for _, g := range t.grants {
+		if g.to == p {
+			t.release(g)
+		}
+	}
+}
+
+// Tick forgets agents that have not announced for PeerTimeout and returns their
+// addresses. It is called a few times per second.
+func (t *Tracker) Tick(now time.Time) []string {
+	var lost []string
+	for _, p := range t.sortedPeers() {
+		if now.Sub(p.seen) > t.cfg.PeerTimeout {
+			t.Lost(p.address)
+			lost = append(lost, p.address)
+		}
+	}
+	return lost
+}
+
+// Stats returns the counters.
+func (t *Tracker) Stats() Stats { return t.stats }
+
+// Peers returns the number of known agents.
+func (t *Tracker) Peers() int { return len(t.peers) }
+
+func (t *Tracker) sortedPeers() []*peer {
+	if t.sorted == nil {
+		t.sorted = make([]*peer, 0, len(t.peers))
+		for _, address := range sortedKeys(t.peers) {
+			t.sorted = append(t.sorted, t.peers[address])
+		}
+	}
+	return t.sorted
+}
+
+func (t *Tracker) sortedRemote() []*remoteDomain {
+	out := make([]*remoteDomain, 0, len(t.remote))
+	for _, name := range sortedKeys(t.remote) {
+		out = append(out, t.remote[name])
+	}
+	return out
+}
+
+// sortedKeys makes decisions independent of map order, so that a seed
+// reproduces them.
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
--- /dev/null
+++ b/lib/distribute/tracker_schedule.go
@@ -0,0 +1,180 @@
+package distribute
+
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/wire"
+)
+
+// Schedule returns new assignments for agents that want more. It is called
+// after announcements and ticks. Agents get one assignment per round, in random
+// order, so that none waits while another fills its window.
+func (t *Tracker) Schedule(now time.Time) []Directed {
+	t.expire(now)
+	var hungry []*peer
+	for _, p := range t.sortedPeers() {
+		if p.hungry() {
+			hungry = append(hungry, p)
+		}
+	}
+	messages := make(map[*peer]*wire.Assign)
+	var out []Directed
+	for len(hungry) > 0 {
+		t.cfg.Rand.Shuffle(len(hungry), func(i, j int) { hungry[i], hungry[j] = hungry[j], hungry[i] })
+		left := hungry[:0]
+		for _, p := range hungry {
+			g := t.next(now, p)
+			if g == nil {
+				continue
+			}
+			m, ok := messages[p]
+			if !ok {
+				m = &wire.Assign{Manifest: t.cfg.Digest, RetryMillis: t.cfg.Retry.Milliseconds()}
+				messages[p] = m
+				out = append(out, Directed{Address: p.address, Assign: m})
+			}
+			m.Assignments = append(m.Assignments, wire.Assignment{
+				Grant: g.number, Chunk: g.chunk, Source: g.sourceAddress(),
+				DeadlineMillis: g.deadline.Sub(now).Milliseconds(),
+			})
+			if p.hungry() {
+				left = append(left, p)
+			}
+		}
+		hungry = left
+	}
+	return out
+}
+
+// Reply returns the acknowledgement of an announcement: it shows the agent that
+// the tracker lives and names peers for use without a tracker.
+func (t *Tracker) Reply(address string) *wire.Assign {
+	a := &wire.Assign{Manifest: t.cfg.Digest, RetryMillis: t.cfg.Retry.Milliseconds()}
+	peers := t.sortedPeers()
+	start := t.cfg.Rand.Intn(len(peers) + 1)
+	for i := range peers {
+		p := peers[(start+i)%len(peers)]
+		if p.address != address && len(a.Peers) < maxPeersNamed {
+			a.Peers = append(a.Peers, p.address)
+		}
+	}
+	return a
+}
+
+// next grants one chunk to an agent: one that the failure domain lacks, if a
+// stream is free, else the rarest that another agent holds, else a duplicate of
+// one of its last chunks.
+func (t *Tracker) next(now time.Time, p *peer) *grant {
+	if g := t.fresh(now, p); g != nil {
+		return g
+	}
+	if g := t.rarest(now, p); g != nil {
+		return g
+	}
+	return t.endgame(now, p)
+}
+
+// fresh grants a chunk that no agent of the failure domain holds or is
+// fetching. Origin fetches go by rank, remote ones in the opposite direction,
+// so that they don't compete.
+func (t *Tracker) fresh(now time.Time, p *peer) *grant {
+	if len(t.remote) > 0 {
+		for i := len(t.order) - 1; i >= 0; i-- {
+			chunk := t.order[i]
+			if t.holders[chunk] > 0 || t.inFlight[chunk] > 0 || !p.needs(chunk) {
+				continue
+			}
+			if s, region := t.remoteSource(now, p, chunk); s != nil {
+				return t.issue(now, p, chunk, s, region)
+			}
+		}
+	}
+	if t.originActive >= t.cfg.OriginStreams || !p.accepts(now, Origin, -1) {
+		return nil
+	}
+	for _, chunk := range t.order {
+		if t.holders[chunk] > 0 || t.inFlight[chunk] > 0 || !p.needs(chunk) {
+			continue
+		}
+		if t.ranks[chunk] < t.cfg.Policy.Copies || now.Sub(t.lastRemote) > t.cfg.FallbackAfter {
+			return t.issue(now, p, chunk, nil, nil)
+		}
+	}
+	return nil
+}
+
+// rarest grants the chunk with the fewest copies, held or on their way, from
+// the source with the fewest uploads.
+func (t *Tracker) rarest(now time.Time, p *peer) *grant {
+	best, copies, ties := -1, 0, 0
+	var from *source
+	for chunk := range t.holders {
+		if t.holders[chunk] == 0 || !p.needs(chunk) {
+			continue
+		}
+		n := t.holders[chunk] + t.inFlight[chunk]
+		if best >= 0 && n > copies {
+			continue
+		}
+		if best >= 0 && n == copies {
+			if ties++; t.cfg.Rand.Intn(ties+1) != 0 {
+				continue
+			}
+		}
+		s := t.uploader(now, p, chunk)
+		if s == nil {
+			continue
+		}
+		if best < 0 || n < copies {
+			ties = 0
+		}
+		best, copies, from = chunk, n, s
+	}
+	if best < 0 {
+		return nil
+	}
+	return t.issue(now, p, best, from, nil)
+}
+
+// uploader returns the least loaded agent that holds a chunk, at random among
+// equals. Avoided sources are used only if no other agent holds the chunk.
+func (t *Tracker) uploader(now time.Time, to *peer, chunk int) *source {
+	var best *source
+	ties, avoided := 0, false
+	for _, p := range t.sortedPeers() {
+		if p == to || !p.have.Get(chunk) || p.uploads >= t.cfg.UploadSlots || !to.accepts(now, p.address, chunk) {
+			continue
+		}
+		bad := !p.usable(now)
+		switch {
+		case best == nil, avoided && !bad, avoided == bad && p.uploads < best.uploads:
+			best, avoided, ties = &p.source, bad, 0
+		case avoided == bad && p.uploads == best.uploads:
+			if ties++; t.cfg.Rand.Intn(ties+1) == 0 {
+				best = &p.source
+			}
+		}
+	}
+	return best
+}
+
+// endgame grants a second copy of a chunk that an agent waits for, when it has
+// no others left to ask for and the first copy is late.
+func (t *Tracker) endgame(now time.Time, p *peer) *grant {
+	missing := len(t.holders) - p.have.Count()
+	if missing > t.cfg.Endgame || missing != len(p.active) {
+		return nil
+	}
+	for _, chunk := range sortedKeys(p.active) {
+		numbers := p.active[chunk]
+		g := t.grants[numbers[0]]
+		if len(numbers) > 1 || now.Sub(g.issued) < 2*t.times(g).value {
+			continue
+		}
+		if s := t.uploader(now, p, chunk); s != nil && s != g.from {
+			return t.issue(now, p, chunk, s, nil)
+		}
+	}
+	return nil
+}
+
--- a/lib/weights/errors.go
+++ b/lib/weights/errors.go
@@ -11,4 +11,6 @@
 	ErrChunkCorrupt = merry.New("chunk digest mismatch")
 	// ErrIncomplete means that chunks of a manifest are missing.
 	ErrIncomplete = merry.New("weights incomplete")
+	// ErrStoreFull means that the bound of the staging area leaves no room.
+	ErrStoreFull = merry.New("chunk store full")
 )
--- /dev/null
+++ b/lib/weights/sink_memory.go
@@ -0,0 +1,47 @@
+package weights
+
+import (
+	"sync"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/auburnbend/auburnbend/lib/model"
+)
+
+// MemorySink keeps chunks in memory.
+type MemorySink struct {
+	mu     sync.RWMutex
+	chunks map[model.Digest][]byte
+}
+
+// NewMemorySink returns an empty sink.
+func NewMemorySink() *MemorySink {
+	return &MemorySink{chunks: make(map[model.Digest][]byte)}
+}
+
+// Put keeps data, which must not be modified afterwards.
+func (s *MemorySink) Put(digest model.Digest, data []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.chunks[digest] = data
+	return nil
+}
+
+// Get returns the bytes of a chunk.
+func (s *MemorySink) Get(digest model.Digest) ([]byte, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	data, ok := s.chunks[digest]
+	if !ok {
+		return nil, merry.Wrap(ErrIncomplete, merry.AppendMessagef("no chunk %s", digest.Short()))
+	}
+	return data, nil
+}
+
+// Remove frees a chunk.
+func (s *MemorySink) Remove(digest model.Digest) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.chunks, digest)
+	return nil
+}
--- /dev/null
+++ b/lib/weights/store.go
@@ -0,0 +1,218 @@
+package weights
+
+import (
+	"io"
+	"sync"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/auburnbend/auburnbend/lib/model"
+)
+
+// DefaultMaxBytes bounds a store whose settings name no bound: 64 GiB.
+const DefaultMaxBytes = 64 << 30
+
+// StoreConfig holds the settings of a Store.
+type StoreConfig struct {
+	// Sink keeps the bytes; a MemorySink when nil.
+	Sink Sink
+	// MaxBytes bounds the sum of the chunk sizes.
+	MaxBytes int64
+}
+
+func (c *StoreConfig) applyDefaults() {
+	if c.Sink == nil {
+		c.Sink = NewMemorySink()
+	}
+	if c.MaxBytes <= 0 {
+		c.MaxBytes = DefaultMaxBytes
+	}
+}
+
+// Store holds the verified chunks of one instance by digest, so that versions
+// and adapters share chunks. It is safe for concurrent use: uploads read while
+// downloads write. The lock covers the index only, not the sink.
+type Store struct {
+	cfg StoreConfig
+
+	mu     sync.Mutex
+	sizes  map[model.Digest]uint32
+	wanted map[model.Digest]struct{}
+	bytes  int64
+}
+
+// NewStore returns an empty store.
+func NewStore(cfg StoreConfig) *Store {
+	cfg.applyDefaults()
+	return &Store{
+		cfg:    cfg,
+		sizes:  make(map[model.Digest]uint32),
+		wanted: make(map[model.Digest]struct{}),
+	}
+}
+
+// Want replaces the set of manifests whose chunks must be kept. Other chunks
+// stay until Prune or until their space is needed, so that a version change
+// that is taken back costs no second transfer.
+func (s *Store) Want(manifests ...*Manifest) {
+	wanted := make(map[model.Digest]struct{})
+	for _, m := range manifests {
+		for _, c := range m.Chunks {
+			wanted[c.Digest] = struct{}{}
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wanted = wanted
+}
+
+// Prune drops all chunks that no wanted manifest needs.
+func (s *Store) Prune() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.evict(s.bytes)
+}
+
+// Put verifies a chunk and keeps it. It returns ErrChunkCorrupt if the bytes
+// don't have the digest, and ErrStoreFull if the bound leaves no room.
+func (s *Store) Put(c Chunk, data []byte) error {
+	if len(data) != int(c.Size) || model.Sum(data) != c.Digest {
+		return merry.Wrap(ErrChunkCorrupt, merry.AppendMessagef("chunk %s, %d bytes", c.Digest.Short(), len(data)))
+	}
+	held, err := s.reserve(c)
+	if err != nil || held {
+		return err
+	}
+	if err := s.cfg.Sink.Put(c.Digest, data); err != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.bytes -= int64(c.Size)
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.sizes[c.Digest]; ok {
+		s.bytes -= int64(c.Size) // a concurrent Put of the same chunk counted it too
+	}
+	s.sizes[c.Digest] = c.Size
+	return nil
+}
+
+// reserve counts the bytes of a chunk that is about to be written, or reports
+// that it is held already.
+func (s *Store) reserve(c Chunk) (held bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.sizes[c.Digest]; ok {
+		return true, nil
+	}
+	if over := s.bytes + int64(c.Size) - s.cfg.MaxBytes; over > 0 {
+		if err := s.evict(over); err != nil {
+			return false, err
+		}
+	}
+	if s.bytes+int64(c.Size) > s.cfg.MaxBytes {
+		return false, merry.Wrap(ErrStoreFull, merry.AppendMessagef("%d of %d bytes used", s.bytes, s.cfg.MaxBytes))
+	}
+	s.bytes += int64(c.Size)
+	return false, nil
+}
+
+// evict drops unwanted chunks until the given number of bytes is free. The
+// caller holds the lock.
+func (s *Store) evict(need int64) error {
+	for digest, size := range s.sizes {
+		if need <= 0 {
+			return nil
+		}
+		if _, ok := s.wanted[digest]; ok {
+			continue
+		}
+		if err := s.cfg.Sink.Remove(digest); err != nil {
+			return err
+		}
+		delete(s.sizes, digest)
+		s.bytes -= int64(size)
+		need -= int64(size)
+	}
+	return nil
+}
+
+// Has reports whether a chunk is held.
+func (s *Store) Has(digest model.Digest) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.sizes[digest]
+	return ok
+}
+
+// Bytes returns the sum of the sizes of the held chunks.
+func (s *Store) Bytes() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.bytes
+}
+
+// Get returns the bytes of a held chunk.
+func (s *Store) Get(digest model.Digest) ([]byte, error) {
+	if !s.Has(digest) {
+		return nil, merry.Wrap(ErrIncomplete, merry.AppendMessagef("no chunk %s", digest.Short()))
+	}
+	return s.cfg.Sink.Get(digest)
+}
+
+// Have returns which chunks of a manifest are held.
+func (s *Store) Have(m *Manifest) Bitmap {
+	have := NewBitmap(len(m.Chunks))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, c := range m.Chunks {
+		if _, ok := s.sizes[c.Digest]; ok {
+			have.Set(i)
+		}
+	}
+	return have
+}
+
+// Verify reads the whole set and checks each chunk against the manifest. It is
+// called right before a load, so that damage after the transfer is found too:
+// a damaged chunk is dropped and ErrChunkCorrupt returned; the transfer then
+// fetches it again. A missing chunk gives ErrIncomplete.
+func (s *Store) Verify(m *Manifest) error { return s.each(m, func([]byte) error { return nil }) }
+
+// Assemble writes the concatenated chunks in the order of the manifest and
+// verifies each one as it goes. After an error the output is invalid.
+func (s *Store) Assemble(m *Manifest, w io.Writer) error {
+	return s.each(m, func(data []byte) error {
+		_, err := w.Write(data)
+		return merry.Wrap(err)
+	})
+}
+
+func (s *Store) each(m *Manifest, visit func([]byte) error) error {
+	for i, c := range m.Chunks {
+		data, err := s.Get(c.Digest)
+		if err != nil {
+			s.drop(c.Digest) // the staging area may have lost its bytes
+			return merry.Prependf(err, "chunk %d of %d", i, len(m.Chunks))
+		}
+		if len(data) != int(c.Size) || model.Sum(data) != c.Digest {
+			s.drop(c.Digest)
+			return merry.Wrap(ErrChunkCorrupt, merry.AppendMessagef("chunk %d of %d", i, len(m.Chunks)))
+		}
+		if err := visit(data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Store) drop(digest model.Digest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if size, ok := s.sizes[digest]; ok {
+		delete(s.sizes, digest)
+		s.bytes -= int64(size)
+		_ = s.cfg.Sink.Remove(digest)
+	}
+}
--- a/lib/wire/messages.go
+++ b/lib/wire/messages.go
@@ -170,12 +170,18 @@
 	Uploads int `msgpack:"u"`
 	// Slots is the number of further chunks that the agent wants assigned.
 	Slots int `msgpack:"s"`
+	// Active is the number of assignments that the agent has not finished. The
+	// tracker subtracts from Slots those that crossed with this message.
+	Active int `msgpack:"a"`
 }
 
 // GrantFailure reports an assignment that did not deliver its chunk.
 type GrantFailure struct {
 	Grant   uint64 `msgpack:"g"`
 	Corrupt bool   `msgpack:"c"`
+	// Busy means that the source had no free slot or asked to come back later,
+	// which says nothing against the link to it.
+	Busy bool `msgpack:"b"`
 }
 
 // Assignment tells an agent where to take one chunk from.
@@ -278,6 +284,21 @@
 	RetryMillis int64        `msgpack:"r"`
 }
 
+// HolderSummary tells the tracker of another failure domain which of its agents
+// hold which chunks, so that chunks can be forwarded between domains.
+type HolderSummary struct {
+	Manifest model.Digest   `msgpack:"m"`
+	Location model.Location `msgpack:"l"`
+	Holders  []Holder       `msgpack:"h"`
+}
+
+// Holder is one agent in a HolderSummary.
+type Holder struct {
+	Address string `msgpack:"a"`
+	// Have is a bitmap of verified chunks, least significant bit first.
+	Have []byte `msgpack:"h"`
+}
+
 // RolloutFetch asks an entry for what its trackers know.
 type RolloutFetch struct{}
 
--- a/lib/wire/registry.go
+++ b/lib/wire/registry.go
@@ -59,6 +59,8 @@
 		return new(RolloutReport)
 	case TypeConnectionReject:
 		return new(ConnectionReject)
+	case TypeHolderSummary:
+		return new(HolderSummary)
 	default:
 		return nil
 	}
@@ -147,3 +149,6 @@
 
 // Type returns TypeConnectionReject.
 func (*ConnectionReject) Type() Type { return TypeConnectionReject }
+
+// Type returns TypeHolderSummary.
+func (*HolderSummary) Type() Type { return TypeHolderSummary }
--- a/lib/wire/type.go
+++ b/lib/wire/type.go
@@ -33,4 +33,5 @@
 	TypeRolloutFetch     Type = 26
 	TypeRolloutReport    Type = 27
 	TypeConnectionReject Type = 28
+	TypeHolderSummary    Type = 29
 )
