lib/claim: add at-most-once records over the table service

Cause: a non-repeatable request must run at most once although entries die, pause and lose the store's replies. A claim whose outcome stays unknown is never dispatched and is swept, and its caller gets a proof.

--- /dev/null
+++ b/lib/claim/backlog.go
@@ -0,0 +1,112 @@
+package claim
+
+import (
+	"sync"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/model"
+)
+
+// update is a release, or a result when result is set, that the store has not
+// confirmed.
+type update struct {
+	key     Key
+	attempt model.AttemptID
+	now     time.Time
+	result  *Result
+}
+
+type updateID struct {
+	key     Key
+	attempt model.AttemptID
+}
+
+func (u update) id() updateID { return updateID{u.key, u.attempt} }
+
+func (u update) size() int {
+	if u.result == nil {
+		return 0
+	}
+	return len(u.result.Body)
+}
+
+// backlog keeps unconfirmed updates in bounded memory. It is safe for
+// concurrent use.
+type backlog struct {
+	limit     int
+	byteLimit int
+
+	mu      sync.Mutex
+	updates map[updateID]update
+	order   []updateID
+	bytes   int
+}
+
+func newBacklog(limit, byteLimit int) *backlog {
+	return &backlog{limit: limit, byteLimit: byteLimit, updates: make(map[updateID]update)}
+}
+
+// full is true from half of the limit on: claims in progress may still need a
+// place each.
+func (b *backlog) full() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.updates) >= b.limit/2
+}
+
+func (b *backlog) add(u update) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old, exists := b.updates[u.id()]
+	if !exists && len(b.updates) >= b.limit || b.bytes-old.size()+u.size() > b.byteLimit {
+		return ErrBacklog
+	}
+	if !exists {
+		b.order = append(b.order, u.id())
+	}
+	b.bytes += u.size() - old.size()
+	b.updates[u.id()] = u
+	return nil
+}
+
+// releases reports whether the attempt is known here never to have run.
+func (b *backlog) releases(key Key, attempt model.AttemptID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u, ok := b.updates[updateID{key, attempt}]
+	return ok && u.result == nil
+}
+
+// oldest returns up to n updates in the order in which they were added.
+func (b *backlog) oldest(n int) []update {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]update, 0, min(n, len(b.order)))
+	for _, id := range b.order[:min(n, len(b.order))] {
+		out = append(out, b.updates[id])
+	}
+	return out
+}
+
+func (b *backlog) remove(u update) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	id := u.id()
+	if _, ok := b.updates[id]; !ok {
+		return
+	}
+	b.bytes -= b.updates[id].size()
+	delete(b.updates, id)
+	for i, other := range b.order {
+		if other == id {
+			b.order = append(b.order[:i], b.order[i+1:]...)
+			break
+		}
+	}
+}
+
+func (b *backlog) len() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.updates)
+}
--- /dev/null
+++ b/lib/claim/ledger.go
@@ -0,0 +1,112 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/platform"
+)
+
+// Writer applies one conditional write. It returns what
+// platform.TableService.Commit returns. Batcher implements it.
+type Writer interface {
+	Write(ctx context.Context, w platform.Write) error
+}
+
+// Ledger claims, completes and releases keys.
+type Ledger struct {
+	config  Config
+	table   platform.TableService
+	writer  Writer
+	pending *backlog
+}
+
+// New returns a ledger over a table service. Writes go through writer; nil
+// commits each on its own.
+func New(config Config, table platform.TableService, writer Writer) *Ledger {
+	config = config.applyDefaults()
+	if writer == nil {
+		writer = single{table}
+	}
+	return &Ledger{
+		config:  config,
+		table:   table,
+		writer:  writer,
+		pending: newBacklog(config.MaxPending, config.MaxPendingBytes),
+	}
+}
+
+// single commits each write in a transaction of its own.
+type single struct{ table platform.TableService }
+
+func (s single) Write(ctx context.Context, w platform.Write) error {
+	return classify(s.table.Commit(ctx, platform.Transaction{Writes: []platform.Write{w}}))
+}
+
+// classify keeps the errors that say what happened and takes any other for a
+// lost reply.
+func classify(err error) error {
+	var conflict *platform.ConflictError
+	if err == nil || errors.As(err, &conflict) || errors.Is(err, platform.ErrNotApplied) {
+		return err
+	}
+	if errors.Is(err, platform.ErrUnknown) {
+		return err
+	}
+	return errors.Join(platform.ErrUnknown, err)
+}
+
+func isConflict(err error) bool {
+	var conflict *platform.ConflictError
+	return errors.As(err, &conflict)
+}
+
+// Claim tries to become the one attempt that may run the request of a key. now
+// is wall-clock time.
+func (l *Ledger) Claim(ctx context.Context, now time.Time, key Key, in Intent) Answer {
+	if l.pending.full() {
+		// Without room to remember an unconfirmed claim none may be made.
+		return l.answer(StatusNotRun)
+	}
+	t := claiming{ledger: l, now: now, key: key, in: in}
+	for range l.config.Tries {
+		if a, done := t.try(ctx); done {
+			return a
+		}
+		l.config.Pause(ctx)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return t.giveUp()
+}
+
+// Lookup returns what is stored under a key without claiming it: a result, a
+// claim without a result, StatusNotRun when no claim stands, or StatusUnknown
+// when the store does not answer.
+func (l *Ledger) Lookup(ctx context.Context, now time.Time, key Key) Answer {
+	row, err := l.table.Get(ctx, Table, key.row())
+	if errors.Is(err, platform.ErrNotFound) {
+		return l.answer(StatusNotRun)
+	}
+	if err != nil {
+		return l.answer(StatusUnknown)
+	}
+	r, err := decodeRecord(row.Value)
+	switch {
+	case err != nil:
+		return l.answer(StatusUnknown)
+	case r.olderThan(now, l.config.Retention) || r.Phase == phaseReleased:
+		return l.answer(StatusNotRun)
+	case r.Phase == phaseCompleted:
+		return Answer{Status: StatusEarlierResult, Result: r.Result}
+	default:
+		return l.answer(StatusNoResult)
+	}
+}
+
+func writeOf(key Key, r record) (platform.Write, error) {
+	value, err := r.encode()
+	return platform.Write{Table: Table, Key: key.row(), Condition: platform.IfAbsent, Value: value}, err
+}
--- /dev/null
+++ b/lib/claim/prune.go
@@ -0,0 +1,40 @@
+package claim
+
+import (
+	"context"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/platform"
+)
+
+// Prune deletes rows that are older than the retention and its margin. It scans
+// up to limit rows after the row key from and returns where to go on, which is
+// empty at the end of the table. Several entries may prune at once.
+func (l *Ledger) Prune(ctx context.Context, now time.Time, from string, limit int) (next string, deleted int, err error) {
+	rows, err := l.table.Scan(ctx, Table, "", from, limit)
+	if err != nil {
+		return from, 0, err
+	}
+	var writes []platform.Write
+	for _, row := range rows {
+		r, err := decodeRecord(row.Value)
+		if err == nil && !r.olderThan(now, l.config.Retention+l.config.PruneMargin) {
+			continue
+		}
+		if err != nil {
+			continue // Not a row of this version of the program.
+		}
+		writes = append(writes, platform.Write{
+			Table: Table, Key: row.Key, Condition: platform.IfVersion, Version: row.Version, Delete: true,
+		})
+	}
+	for _, err := range commitAll(ctx, l.table, writes) {
+		if err == nil {
+			deleted++
+		}
+	}
+	if len(rows) < limit {
+		return "", deleted, nil
+	}
+	return rows[len(rows)-1].Key, deleted, nil
+}
--- /dev/null
+++ b/lib/claim/result.go
@@ -0,0 +1,15 @@
+package claim
+
+import "github.com/auburnbend/auburnbend/lib/outcome"
+
+// Result is the stored answer of a request that ran.
+type Result struct {
+	Outcome     outcome.Outcome `msgpack:"o"`
+	Reason      outcome.Reason  `msgpack:"r"`
+	Status      int             `msgpack:"s"` // HTTP status of the backend server
+	ContentType string          `msgpack:"c"`
+	Body        []byte          `msgpack:"b"`
+	// BodyOmitted says that the body was over the limit and was not stored: the
+	// outcome is known, the answer cannot be given again.
+	BodyOmitted bool `msgpack:"x"`
+}
--- /dev/null
+++ b/lib/claim/settle.go
@@ -0,0 +1,114 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/platform"
+)
+
+// Complete stores the result of the attempt that holds the key. It returns
+// ErrFenced when another attempt holds it, ErrPending when the store did not
+// confirm and Sweep will try again, and ErrBacklog when Sweep will not.
+func (l *Ledger) Complete(ctx context.Context, now time.Time, key Key, attempt model.AttemptID, result Result) error {
+	if len(result.Body) > l.config.MaxResult {
+		result.Body, result.BodyOmitted = nil, true
+	}
+	return l.settle(ctx, update{key: key, attempt: attempt, now: now, result: &result})
+}
+
+// Release frees the key of an attempt that was proved not run. Its errors are
+// those of Complete.
+func (l *Ledger) Release(ctx context.Context, now time.Time, key Key, attempt model.AttemptID) error {
+	return l.settle(ctx, update{key: key, attempt: attempt, now: now})
+}
+
+// Sweep tries up to limit unconfirmed updates again and returns how many remain.
+func (l *Ledger) Sweep(ctx context.Context, limit int) int {
+	for _, u := range l.pending.oldest(limit) {
+		if ctx.Err() != nil {
+			break
+		}
+		if done, _ := l.apply(ctx, u); done {
+			l.pending.remove(u)
+		}
+	}
+	return l.pending.len()
+}
+
+// Pending returns the number of updates that the store has not confirmed.
+func (l *Ledger) Pending() int { return l.pending.len() }
+
+func (l *Ledger) settle(ctx context.Context, u update) error {
+	for try := range l.config.Tries {
+		if try > 0 {
+			l.config.Pause(ctx)
+		}
+		if done, err := l.apply(ctx, u); done {
+			return err
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if err := l.pending.add(u); err != nil {
+		return merry.Wrap(err)
+	}
+	return merry.Wrap(ErrPending)
+}
+
+// apply reads the row and writes the update on condition of what it read. It
+// returns done when the store has settled the matter. A write whose reply is
+// lost is resolved by the next apply, which finds the row as it left it.
+func (l *Ledger) apply(ctx context.Context, u update) (done bool, err error) {
+	row, err := l.table.Get(ctx, Table, u.key.row())
+	if errors.Is(err, platform.ErrNotFound) {
+		if u.result != nil {
+			// Only pruning removes a claimed row: the result came too late to count.
+			return true, merry.Wrap(ErrFenced)
+		}
+		// The claim's own write may still be on its way: a released row stops it.
+		return l.write(ctx, u, record{}, platform.IfAbsent, 0)
+	}
+	if err != nil {
+		return false, err
+	}
+	r, err := decodeRecord(row.Value)
+	if err != nil {
+		return true, merry.Wrap(ErrFenced, merry.WithCause(err))
+	}
+	switch {
+	case r.Attempt != u.attempt:
+		return true, merry.Wrap(ErrFenced)
+	case r.Phase == u.phase():
+		return true, nil
+	case r.Phase != phaseClaimed:
+		return true, merry.Wrap(ErrFenced)
+	}
+	return l.write(ctx, u, r, platform.IfVersion, row.Version)
+}
+
+func (l *Ledger) write(ctx context.Context, u update, r record, c platform.Condition, version uint64) (bool, error) {
+	r.Phase, r.Attempt, r.Result = u.phase(), u.attempt, u.result
+	if c == platform.IfAbsent {
+		r.ClaimedAt = u.now.UnixMilli()
+	}
+	w, err := writeOf(u.key, r)
+	if err != nil {
+		return true, err
+	}
+	w.Condition, w.Version = c, version
+	err = l.writer.Write(ctx, w)
+	return err == nil, err
+}
+
+func (u update) phase() phase {
+	if u.result != nil {
+		return phaseCompleted
+	}
+	return phaseReleased
+}
