--- /dev/null
+++ b/lib/poison/monitor.go
@@ -0,0 +1,179 @@
+package poison
+
+import (
+	"slices"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/outcome"
+	"github.com/auburnbend/auburnbend/lib/wire"
+)
+
+// Monitor is one entry's view of suspects. Times are of the entry's own clock.
+type Monitor struct {
+	config   Config
+	self     entryID
+	suspects map[model.Fingerprint]*suspect
+	flights  map[model.Fingerprint]*flight
+}
+
+// New returns the monitor of one generation of an entry.
+func New(config Config, instance model.InstanceID, generation model.Generation) *Monitor {
+	return &Monitor{
+		config:   config.applyDefaults(),
+		self:     entryID{instance, generation},
+		suspects: make(map[model.Fingerprint]*suspect),
+		flights:  make(map[model.Fingerprint]*flight),
+	}
+}
+
+// Started records a dispatch. It is called before the RequestStart is sent, and
+// only after Verdict allowed it. The update, when not nil, is sent to all peers
+// at once, as are those of all other methods.
+func (m *Monitor) Started(now time.Time, finger model.Fingerprint, instance model.InstanceID) *wire.SuspectUpdate {
+	f, ok := m.flights[finger]
+	if !ok {
+		f = newFlight()
+		m.flights[finger] = f
+	}
+	f.running[instance]++
+	return m.announceOwn(now, finger)
+}
+
+// Finished records the end of a dispatch. An answer of the backend server, even
+// an error, shows that it survived and clears the fingerprint.
+func (m *Monitor) Finished(now time.Time, finger model.Fingerprint, instance model.InstanceID, o outcome.Outcome) *wire.SuspectUpdate {
+	f, ok := m.flights[finger]
+	if !ok {
+		return nil
+	}
+	f.finish(instance)
+	s := m.suspects[finger]
+	switch {
+	case o == outcome.Completed || o == outcome.Failed:
+		if s != nil && s.clear() {
+			s.intendsSince = time.Time{}
+		}
+	case o == outcome.Unknown && !m.crashKnown(now, s, instance):
+		f.lose(instance, now.Add(m.config.LostHold))
+	}
+	update := m.announceOwn(now, finger)
+	m.dropFlight(now, finger)
+	return update
+}
+
+// Withdraw says that this entry will not run a suspect for which Verdict
+// answered Hold: its request has gone.
+func (m *Monitor) Withdraw(now time.Time, finger model.Fingerprint) *wire.SuspectUpdate {
+	s, ok := m.suspects[finger]
+	if !ok || s.intendsSince.IsZero() {
+		return nil
+	}
+	s.intendsSince = time.Time{}
+	return m.announceOwn(now, finger)
+}
+
+// crashKnown reports whether the crash of the instance was reported already, so
+// that a lost attempt on it needs no further hold.
+func (m *Monitor) crashKnown(now time.Time, s *suspect, instance model.InstanceID) bool {
+	if s == nil {
+		return false
+	}
+	crashed, _ := s.crashed(now, m.config.TTL)
+	return contains(crashed, instance)
+}
+
+// Crashed records an agent's report about its backend server.
+func (m *Monitor) Crashed(now time.Time, agent model.InstanceID, generation model.Generation, report wire.CrashReport) *wire.SuspectUpdate {
+	var changed []model.Fingerprint
+	id := incidentID{agent, generation, report.Incarnation}
+	for _, finger := range report.InFlight {
+		if f, ok := m.flights[finger]; ok {
+			delete(f.lost, agent)
+		}
+		if m.suspect(now, finger).add(now, id, now, false) {
+			changed = append(changed, finger)
+		}
+	}
+	return m.updateOf(now, changed)
+}
+
+// Merge takes a peer's update. The result, when not nil, carries what was news
+// and this entry's own runs; it is sent to all peers.
+func (m *Monitor) Merge(now time.Time, update wire.SuspectUpdate) *wire.SuspectUpdate {
+	var changed []model.Fingerprint
+	for _, in := range update.Suspects {
+		if m.mergeSuspect(now, in) {
+			changed = append(changed, in.Finger)
+		}
+	}
+	return m.updateOf(now, changed)
+}
+
+func (m *Monitor) mergeSuspect(now time.Time, in wire.Suspect) (changed bool) {
+	for _, c := range in.Incidents {
+		first := now.Add(-time.Duration(c.AgeMillis) * time.Millisecond)
+		if now.Sub(first) > m.config.TTL {
+			continue
+		}
+		id := incidentID{c.Instance, c.Generation, c.Incarnation}
+		changed = m.suspect(now, in.Finger).add(now, id, first, c.Cleared) || changed
+	}
+	s, ok := m.suspects[in.Finger]
+	if !ok {
+		return changed
+	}
+	for _, r := range in.Runs {
+		id := entryID{r.Entry, r.Generation}
+		known, ok := s.runs[id]
+		if id == m.self || ok && known.sequence >= r.Sequence || !ok && len(s.runs) >= maxRuns {
+			continue
+		}
+		running := slices.Clone(r.Running)
+		s.runs[id] = &run{sequence: r.Sequence, intends: r.Intends, running: running, seen: now}
+		changed = true
+	}
+	return changed
+}
+
+// Tick drops what has expired and repeats this entry's announcements. It is
+// called every few seconds.
+func (m *Monitor) Tick(now time.Time) *wire.SuspectUpdate {
+	for finger := range m.flights {
+		m.dropFlight(now, finger)
+	}
+	var own []model.Fingerprint
+	for finger, s := range m.suspects {
+		if !s.intendsSince.IsZero() && now.Sub(s.intendsSince) > m.config.RunTTL {
+			s.intendsSince = time.Time{} // Its request has gone.
+		}
+		if !s.expire(now, m.config) {
+			delete(m.suspects, finger)
+			continue
+		}
+		m.refreshOwn(now, finger, s)
+		if s.own.intends || len(s.own.running) > 0 {
+			s.own.sequence++
+			own = append(own, finger)
+		}
+	}
+	return m.updateOf(now, own)
+}
+
+// Snapshot returns all that is known, for a new peer, or nil.
+func (m *Monitor) Snapshot(now time.Time) *wire.SuspectUpdate {
+	all := make([]model.Fingerprint, 0, len(m.suspects))
+	for finger := range m.suspects {
+		all = append(all, finger)
+	}
+	return m.updateOf(now, all)
+}
+
+// Suspects returns the number of fingerprints that are remembered.
+func (m *Monitor) Suspects() int { return len(m.suspects) }
+
+func (m *Monitor) dropFlight(now time.Time, finger model.Fingerprint) {
+	if f, ok := m.flights[finger]; ok && !f.expire(now) {
+		delete(m.flights, finger)
+	}
+}
--- /dev/null
+++ b/lib/poison/run.go
@@ -0,0 +1,29 @@
+package poison
+
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/model"
+)
+
+// entryID is one generation of an entry.
+type entryID struct {
+	instance   model.InstanceID
+	generation model.Generation
+}
+
+// before orders entries that intend to run the same suspect.
+func (e entryID) before(other entryID) bool {
+	if e.instance != other.instance {
+		return e.instance < other.instance
+	}
+	return e.generation < other.generation
+}
+
+// run is the last announcement of one entry about a suspect.
+type run struct {
+	sequence uint64
+	intends  bool
+	running  []model.InstanceID
+	seen     time.Time // when it was received
+}
--- /dev/null
+++ b/lib/poison/suspect.go
@@ -0,0 +1,98 @@
+package poison
+
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/model"
+)
+
+// suspect is the record of one fingerprint.
+type suspect struct {
+	incidents map[incidentID]*incident
+	runs      map[entryID]*run
+
+	// known is when this entry last heard of a new crash.
+	known time.Time
+	// intendsSince is when this entry announced that it intends a run; zero when
+	// it does not.
+	intendsSince time.Time
+	// own is this entry's last announcement.
+	own run
+}
+
+func newSuspect(now time.Time) *suspect {
+	return &suspect{
+		incidents: make(map[incidentID]*incident),
+		runs:      make(map[entryID]*run),
+		known:     now,
+	}
+}
+
+// crashed returns the different instances that crashed and when the last of
+// these crashes was reported.
+func (s *suspect) crashed(now time.Time, ttl time.Duration) (instances []model.InstanceID, last time.Time) {
+	for id, in := range s.incidents {
+		if in.cleared || now.Sub(in.first) > ttl {
+			continue
+		}
+		if in.first.After(last) {
+			last = in.first
+		}
+		if !contains(instances, id.instance) {
+			instances = append(instances, id.instance)
+		}
+	}
+	return instances, last
+}
+
+// add records a crash and reports whether that was news.
+func (s *suspect) add(now time.Time, id incidentID, first time.Time, cleared bool) bool {
+	in, ok := s.incidents[id]
+	if !ok {
+		if len(s.incidents) >= maxIncidents {
+			return false
+		}
+		s.incidents[id] = &incident{first: first, cleared: cleared}
+		s.known = now
+		return true
+	}
+	changed := cleared && !in.cleared
+	in.cleared = in.cleared || cleared
+	if first.Before(in.first) {
+		in.first = first
+	}
+	return changed
+}
+
+// clear marks every known crash as not caused by this fingerprint.
+func (s *suspect) clear() (changed bool) {
+	for _, in := range s.incidents {
+		changed = changed || !in.cleared
+		in.cleared = true
+	}
+	return changed
+}
+
+// expire drops what is too old and reports whether anything is left.
+func (s *suspect) expire(now time.Time, c Config) bool {
+	for id, in := range s.incidents {
+		if now.Sub(in.first) > c.TTL {
+			delete(s.incidents, id)
+		}
+	}
+	for id, r := range s.runs {
+		if now.Sub(r.seen) > c.RunTTL {
+			delete(s.runs, id)
+		}
+	}
+	return len(s.incidents) > 0
+}
+
+func contains(list []model.InstanceID, id model.InstanceID) bool {
+	for _, other := range list {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
--- a/lib/wire/messages.go
+++ b/lib/wire/messages.go
@@ -135,6 +135,32 @@
 type Suspect struct {
 	Finger  model.Fingerprint  `msgpack:"f"`
 	Crashes []model.InstanceID `msgpack:"c"`
+	// Incidents are the same crashes one by one, so that updates merge in any
+	// order and a success clears exactly the crashes before it.
+	Incidents []Incident `msgpack:"i"`
+	// Runs say which entries run the request or are about to.
+	Runs []SuspectRun `msgpack:"r"`
+}
+
+// Incident is one crash of a backend server with a suspect in flight.
+type Incident struct {
+	Instance    model.InstanceID `msgpack:"i"`
+	Generation  model.Generation `msgpack:"g"`
+	Incarnation uint64           `msgpack:"n"`
+	// Cleared is set for good once a later run of the request succeeded.
+	Cleared bool `msgpack:"c"`
+	// AgeMillis is the time since the crash was first reported, in milliseconds.
+	AgeMillis int64 `msgpack:"a"`
+}
+
+// SuspectRun is one entry's state of running a suspect. The highest sequence
+// number of an entry's generation counts.
+type SuspectRun struct {
+	Entry      model.InstanceID   `msgpack:"e"`
+	Generation model.Generation   `msgpack:"g"`
+	Sequence   uint64             `msgpack:"s"`
+	Intends    bool               `msgpack:"x"`
+	Running    []model.InstanceID `msgpack:"r"`
 }
 
 // SuspectUpdate passes crash attribution between entries.
