agent/gate: add the gate in front of a backend server

Cause: requests must meet exactly the weights they name, run once per attempt id and keep their answer when the entry's connection is lost.

--- /dev/null
+++ b/agent/gate/shell.go
@@ -0,0 +1,199 @@
+package gate
+
+import (
+	"context"
+	"sync"
+
+	"github.com/auburnbend/auburnbend/lib/clock"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/wire"
+)
+
+// Shell runs a Core: it owns the goroutines of the attempts and the order in
+// which answers are sent. No message is sent while its mutex is held.
+type Shell struct {
+	clock   clock.Clock
+	backend Backend
+	loader  Loader
+
+	mu      sync.Mutex
+	core    *Core
+	runners map[model.AttemptID]*runner
+	conns   map[Sender]struct{}
+	// idle is closed when no attempt runs; nil while nobody waits.
+	idle chan struct{}
+	// empty is closed when the gate drains and is empty.
+	empty       chan struct{}
+	emptyClosed bool
+}
+
+// New returns a shell that serves no weights yet.
+func New(config Config, clk clock.Clock, backend Backend, loader Loader, quarantine Quarantine) *Shell {
+	return &Shell{
+		clock:   clk,
+		backend: backend,
+		loader:  loader,
+		core:    NewCore(config, quarantine),
+		runners: make(map[model.AttemptID]*runner),
+		conns:   make(map[Sender]struct{}),
+		empty:   make(chan struct{}),
+	}
+}
+
+// Connect adds an entry's connection, before its first message is handled.
+// Crash reports go to all connections.
+func (s *Shell) Connect(c Sender) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+}
+
+// Disconnect removes a dead connection. Attempts that it answered wait for a
+// Reattach.
+func (s *Shell) Disconnect(c Sender) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	for _, r := range s.runners {
+		if r.sender == c {
+			s.detach(r)
+		}
+	}
+}
+
+// Handle takes a message of an entry and reports whether it is one of the
+// gate's. It sends answers to it over c and may block while c does.
+func (s *Shell) Handle(c Sender, m wire.Message) bool {
+	var reply wire.Message
+	switch m := m.(type) {
+	case *wire.RequestStart:
+		reply = s.start(c, m)
+	case *wire.Reattach:
+		reply = s.reattach(c, m)
+	case *wire.ResponseAck:
+		s.ack(m)
+	case *wire.RequestCancel:
+		s.cancel(m)
+	default:
+		return false
+	}
+	if reply != nil {
+		// A lost refusal is asked for again by Reattach.
+		_ = c.Send(reply)
+	}
+	return true
+}
+
+// Tick cancels attempts that nobody waits for and forgets old answers. It is
+// called about once a second.
+func (s *Shell) Tick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range s.core.Expire(s.clock.Now()) {
+		if r, ok := s.runners[id]; ok {
+			r.cancel()
+		}
+	}
+	for _, r := range s.runners {
+		signal(r.space) // Emit gives up on an answer that nobody takes.
+	}
+	s.sweep()
+}
+
+// SetLive sets the weights that are served, for instance when the backend
+// server reports at the start what it has loaded.
+func (s *Shell) SetLive(live []model.Weights) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.core.SetLive(live)
+}
+
+// Live returns the weights that requests are admitted for now.
+func (s *Shell) Live() []model.Weights {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Live()
+}
+
+// Running returns the number of attempts on the backend server.
+func (s *Shell) Running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Running()
+}
+
+// Drain refuses new requests. The returned channel is closed when no attempt
+// runs and every answer is confirmed or given up.
+func (s *Shell) Drain() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.core.Drain()
+	s.sweep()
+	return s.empty
+}
+
+// Draining reports whether Drain was called.
+func (s *Shell) Draining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Draining()
+}
+
+// Crashed tells all entries what was in flight when the backend server died.
+// Incarnation numbers its starts.
+func (s *Shell) Crashed(incarnation uint64) {
+	s.mu.Lock()
+	report := s.core.Crash(s.clock.Now(), incarnation)
+	conns := make([]Sender, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	s.mu.Unlock()
+	var sent sync.WaitGroup
+	for _, c := range conns {
+		// A connection that blocks must not delay the report to the others.
+		sent.Go(func() { _ = c.Send(report) })
+	}
+	sent.Wait()
+}
+
+// Switch replaces the loaded weights: it refuses new requests, waits until none
+// runs, calls the loader and admits what the loader says is live. Requests of
+// the old weights never run while the loader does. When ctx ends before the
+// load has begun, the old weights are admitted again.
+func (s *Shell) Switch(ctx context.Context, to model.Weights) error {
+	s.mu.Lock()
+	if s.core.Switching() {
+		s.mu.Unlock()
+		return ErrSwitching
+	}
+	s.core.StopAdmitting()
+	idle := make(chan struct{})
+	s.idle = idle
+	s.notifyIdle()
+	s.mu.Unlock()
+
+	select {
+	case <-idle:
+	case <-ctx.Done():
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.idle = nil
+		s.core.ResumeAdmitting()
+		return ctx.Err()
+	}
+	live, err := s.loader.Load(ctx, to)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.core.SetLive(live)
+	s.core.ResumeAdmitting()
+	return err
+}
+
+// notifyIdle wakes the switch that waits for the last attempt; s.mu is held.
+func (s *Shell) notifyIdle() {
+	if s.idle != nil && s.core.Running() == 0 {
+		close(s.idle)
+		s.idle = nil
+	}
+}
--- a/lib/poison/monitor.go
+++ b/lib/poison/monitor.go
@@ -151,9 +151,12 @@
 			delete(m.suspects, finger)
 			continue
 		}
+		before := s.own.sequence
 		m.refreshOwn(now, finger, s)
 		if s.own.intends || len(s.own.running) > 0 {
 			s.own.sequence++
+		}
+		if s.own.sequence != before {
 			own = append(own, finger)
 		}
 	}
--- a/lib/reservation/window.go
+++ b/lib/reservation/window.go
@@ -13,8 +13,6 @@
 	return &window{bits: make([]uint64, (size+wordBits-1)/wordBits)}
 }
 
-func (w *window) size() uint64 { return uint64(len(w.bits)) * wordBits }
-
 // use marks a number. The bitmap slides by whole words, so it remembers at
 // least size - wordBits numbers below the highest.
 func (w *window) use(seq uint64) Verdict {
