Add the picker, the tenant queues and the concurrency limiter

Cause: an entry must decide which instance gets a request and when. Change: lib/route (filter, score, prefix index, ejection, slow start) and lib/admit (start-time fair queueing, shedding by start time, adaptive limit).

--- /dev/null
+++ b/lib/admit/config.go
@@ -0,0 +1,84 @@
+package admit
+
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/model"
+)
+
+// Config holds the limits of a Queue. Zero fields take the defaults.
+type Config struct {
+	// MaxQueued bounds the requests that wait in the queue.
+	MaxQueued int
+	// TenantMaxQueued bounds the requests of a tenant that declares no bound.
+	TenantMaxQueued int
+	// PriorityLead is how many tokens of service a request may go ahead of
+	// other tenants' requests per step of priority. It is a bounded advantage,
+	// so no class starves.
+	PriorityLead float64
+	// PriorityRatio is the ratio between the weights of two classes of one
+	// tenant that are one step of priority apart.
+	PriorityRatio float64
+	// MaxPriority bounds the priority steps that count.
+	MaxPriority int
+	// MaxTries bounds the tenants whose first request Next offers for placing
+	// before it gives up.
+	MaxTries int
+	// RateWindow is the time over which the rate of service is averaged.
+	RateWindow time.Duration
+	// MinRetryAfter and MaxRetryAfter bound the advice in refusals.
+	MinRetryAfter, MaxRetryAfter time.Duration
+}
+
+func (c *Config) applyDefaults() {
+	if c.MaxQueued <= 0 {
+		c.MaxQueued = 2000
+	}
+	if c.TenantMaxQueued <= 0 {
+		c.TenantMaxQueued = 500
+	}
+	if c.PriorityLead <= 0 {
+		c.PriorityLead = 1000
+	}
+	if c.PriorityRatio <= 1 {
+		c.PriorityRatio = 4
+	}
+	if c.MaxPriority <= 0 {
+		c.MaxPriority = 4
+	}
+	if c.MaxTries <= 0 {
+		c.MaxTries = 4
+	}
+	if c.RateWindow <= 0 {
+		c.RateWindow = 3 * time.Second
+	}
+	if c.MinRetryAfter <= 0 {
+		c.MinRetryAfter = 200 * time.Millisecond
+	}
+	if c.MaxRetryAfter <= 0 {
+		c.MaxRetryAfter = 30 * time.Second
+	}
+}
+
+// TenantLimits is what is declared for one tenant.
+type TenantLimits struct {
+	// Share is the tenant's weight, at least 1.
+	Share int
+	// MaxQueued bounds the tenant's waiting requests; 0 takes the default.
+	MaxQueued int
+}
+
+// Request is one request that waits for a backend server.
+type Request struct {
+	ID     model.RequestID
+	Tenant model.Tenant
+	Class  model.Class
+	// Priority is that of the class; higher goes first.
+	Priority int
+	// Tokens is the estimated cost, prompt and answer, at least 1.
+	Tokens int
+	// StartBy is when the request must start at the latest to be in time: the
+	// earlier of its deadline and its target for the first token, less the time
+	// that a backend server needs for it. Zero means that it waits for ever.
+	StartBy time.Time
+}
--- /dev/null
+++ b/lib/admit/flow.go
@@ -0,0 +1,19 @@
+package admit
+
+// flow is the state of one flow in start-time fair queueing (Goyal, Vin and
+// Cheng, 1996). Tags are in tokens per unit of weight.
+type flow struct {
+	weight float64
+	finish float64 // finish tag of the last request that was served
+}
+
+// start returns the start tag of the flow's first waiting request. A flow that
+// was idle begins at the virtual time: it saves up no claim.
+func (f *flow) start(virtual float64) float64 { return max(f.finish, virtual) }
+
+// serve charges a request and returns its start tag, the new virtual time.
+func (f *flow) serve(virtual float64, tokens int) float64 {
+	s := f.start(virtual)
+	f.finish = s + float64(tokens)/f.weight
+	return s
+}
--- /dev/null
+++ b/lib/admit/limiter_config.go
@@ -0,0 +1,52 @@
+package admit
+
+import "time"
+
+// LimiterConfig holds the parameters of a Limiter. Zero fields take the
+// defaults.
+type LimiterConfig struct {
+	// FirstToken and BetweenTokens are the targets that 95 in 100 answers keep.
+	FirstToken, BetweenTokens time.Duration
+	// Min and Max bound the limit; Initial is where it starts.
+	Min, Max, Initial int
+	// Aim is the share of the targets that the limiter steers to. The rest is
+	// room for the spread around the mean.
+	Aim float64
+	// Interval is the least time between two changes.
+	Interval time.Duration
+	// MinSamples is the least number of observations for a change.
+	MinSamples int
+	// Backoff bounds the factor of one decrease.
+	Backoff float64
+}
+
+func (c *LimiterConfig) applyDefaults() {
+	if c.FirstToken <= 0 {
+		c.FirstToken = 1400 * time.Millisecond
+	}
+	if c.BetweenTokens <= 0 {
+		c.BetweenTokens = 53 * time.Millisecond
+	}
+	if c.Min <= 0 {
+		c.Min = 1
+	}
+	if c.Max <= 0 {
+		c.Max = 256
+	}
+	if c.Initial <= 0 {
+		c.Initial = 8
+	}
+	c.Initial = min(max(c.Initial, c.Min), c.Max)
+	if c.Aim <= 0 {
+		c.Aim = 0.9
+	}
+	if c.Interval <= 0 {
+		c.Interval = 500 * time.Millisecond
+	}
+	if c.MinSamples <= 0 {
+		c.MinSamples = 4
+	}
+	if c.Backoff <= 0 {
+		c.Backoff = 0.7
+	}
+}
--- /dev/null
+++ b/lib/admit/queue.go
@@ -0,0 +1,179 @@
+// Package admit decides which request starts next and how many a backend server
+// gets at once.
+//
+// Queue and Limiter are not safe for concurrent use; their owner is one
+// goroutine or a mutex of the assembly. Times of successive calls must not go
+// back.
+package admit
+
+import (
+	"container/heap"
+	"math"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/outcome"
+)
+
+// Queue holds the requests that wait for one pool of backend servers.
+//
+// Tenants share the pool by start-time fair queueing over estimated tokens,
+// weighted by their shares. While two tenants i and j both have requests
+// waiting, the tokens W that they were given in any interval differ by at most
+//
+//	|Wi/Si - Wj/Sj| <= Li/Si + Lj/Sj + P
+//
+// where S is the share, L the largest request in tokens, and P the largest lead
+// by priority: Config.PriorityLead times the difference of the priorities. So a
+// tenant within its share waits for its own requests and a bounded number of
+// tokens of others, however many requests another tenant sends.
+//
+// Within a tenant, classes share in the same way with weights that grow by
+// Config.PriorityRatio per priority, and requests of a class stay in order.
+type Queue struct {
+	cfg     Config
+	limits  map[model.Tenant]TenantLimits
+	tenants map[model.Tenant]*tenantQueue
+	order   []*tenantQueue // in order of first arrival, for stable decisions
+	byID    map[model.RequestID]*item
+	starts  startHeap
+	virtual float64
+	served  rate
+	skip    []*tenantQueue // reused by Next
+}
+
+// New returns an empty queue.
+func New(cfg Config) *Queue {
+	cfg.applyDefaults()
+	return &Queue{
+		cfg:     cfg,
+		limits:  make(map[model.Tenant]TenantLimits),
+		tenants: make(map[model.Tenant]*tenantQueue),
+		byID:    make(map[model.RequestID]*item),
+	}
+}
+
+// SetTenant declares the limits of a tenant. Tenants that are not declared have
+// a share of 1 and the default bound.
+func (q *Queue) SetTenant(name model.Tenant, limits TenantLimits) {
+	q.limits[name] = limits
+	if t, ok := q.tenants[name]; ok {
+		q.applyLimits(t)
+	}
+}
+
+func (q *Queue) applyLimits(t *tenantQueue) {
+	limits := q.limits[t.name]
+	t.weight = float64(max(1, limits.Share))
+	t.maxQueued = limits.MaxQueued
+	if t.maxQueued <= 0 {
+		t.maxQueued = q.cfg.TenantMaxQueued
+	}
+}
+
+// Len returns the number of waiting requests.
+func (q *Queue) Len() int { return len(q.byID) }
+
+// Queued returns the number of waiting requests of a tenant.
+func (q *Queue) Queued(name model.Tenant) int {
+	if t, ok := q.tenants[name]; ok {
+		return t.queued
+	}
+	return 0
+}
+
+// Offer takes a request into the queue, or returns why it is refused: a bound
+// is reached, it would start too late, or its id is already waiting.
+func (q *Queue) Offer(now time.Time, r Request) (Shed, bool) {
+	r.Tokens = max(1, r.Tokens)
+	if _, ok := q.byID[r.ID]; ok {
+		return Shed{Request: r, Reason: outcome.ReasonDuplicate}, false
+	}
+	t := q.tenant(r.Tenant)
+	q.served.advance(now, q.cfg.RateWindow)
+	wait := q.expectedWait(t, r)
+	if len(q.byID) >= q.cfg.MaxQueued || t.queued >= t.maxQueued {
+		return Shed{Request: r, Reason: outcome.ReasonQueueFull, RetryAfter: q.advice(wait)}, false
+	}
+	if !r.StartBy.IsZero() {
+		if late := now.Add(wait).Sub(r.StartBy); late > 0 {
+			return Shed{Request: r, Reason: outcome.ReasonOverloaded, RetryAfter: q.advice(late)}, false
+		}
+	}
+	it := &item{Request: r, heap: -1}
+	priority := min(max(r.Priority, 0), q.cfg.MaxPriority)
+	c := t.class(r.Class, priority, math.Pow(q.cfg.PriorityRatio, float64(priority)))
+	c.items = append(c.items, it)
+	t.queued++
+	t.tokens += r.Tokens
+	q.byID[r.ID] = it
+	if !r.StartBy.IsZero() {
+		heap.Push(&q.starts, it)
+	}
+	q.served.busy(now)
+	return Shed{}, true
+}
+
+func (q *Queue) tenant(name model.Tenant) *tenantQueue {
+	t, ok := q.tenants[name]
+	if !ok {
+		t = &tenantQueue{name: name}
+		q.applyLimits(t)
+		q.tenants[name] = t
+		q.order = append(q.order, t)
+	}
+	return t
+}
+
+// Cancel removes a waiting request. It returns false when the request does not
+// wait.
+func (q *Queue) Cancel(now time.Time, id model.RequestID) bool {
+	it, ok := q.byID[id]
+	if ok {
+		q.served.advance(now, q.cfg.RateWindow)
+		q.remove(it)
+	}
+	return ok
+}
+
+// remove takes an item out of all counts. Its class list drops it when it is
+// first.
+func (q *Queue) remove(it *item) {
+	it.done = true
+	delete(q.byID, it.ID)
+	if it.heap >= 0 {
+		heap.Remove(&q.starts, it.heap)
+	}
+	t := q.tenants[it.Tenant]
+	t.queued--
+	t.tokens -= it.Tokens
+	if len(q.byID) == 0 {
+		q.served.idle()
+	}
+}
+
+// Expire removes the requests that can no longer start in time. The caller
+// answers them at once. It is called when NextExpiry is reached and before Next.
+func (q *Queue) Expire(now time.Time) []Shed {
+	var out []Shed
+	for len(q.starts) > 0 && now.After(q.starts[0].StartBy) {
+		it := q.starts[0]
+		q.served.advance(now, q.cfg.RateWindow)
+		wait := q.expectedWait(q.tenants[it.Tenant], it.Request)
+		q.remove(it)
+		out = append(out, Shed{Request: it.Request, Reason: outcome.ReasonDeadline, RetryAfter: q.advice(wait)})
+	}
+	return out
+}
+
+// NextExpiry returns when the next waiting request becomes too late.
+func (q *Queue) NextExpiry() (time.Time, bool) {
+	if len(q.starts) == 0 {
+		return time.Time{}, false
+	}
+	return q.starts[0].StartBy, true
+}
+
+func (q *Queue) advice(d time.Duration) time.Duration {
+	return min(max(d, q.cfg.MinRetryAfter), q.cfg.MaxRetryAfter)
+}
--- /dev/null
+++ b/lib/route/config.go
@@ -0,0 +1,106 @@
+package route
+
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/model"
+)
+
+// Config holds the parameters of a Picker. Zero fields take the defaults. Loads
+// and penalties are in shares of an instance's capacity.
+type Config struct {
+	// Domain is the failure domain of the entry, Region its region.
+	Domain model.FailureDomain
+	Region model.Region
+	// FreshFor is how old an instance's last report may be. Instances with an
+	// older one are picked only when there is no other.
+	FreshFor time.Duration
+	// ReportHalfLife is the age at which a load report counts half.
+	ReportHalfLife time.Duration
+	// DefaultCapacity is used for instances that report none.
+	DefaultCapacity int
+	// BestSlack is how much worse than the best score an instance may be to
+	// take part in the random choice.
+	BestSlack float64
+	// CacheBonus is the value of a cached prefix that covers the whole prompt.
+	CacheBonus float64
+	// AffinityBonus is the value of being the prefix's rendezvous choice.
+	AffinityBonus float64
+	// BoundedLoad is the factor over the mean load up to which an instance may
+	// be a rendezvous choice.
+	BoundedLoad float64
+	// PrefixTTL is the age at which a prefix entry no longer counts.
+	PrefixTTL time.Duration
+	// MaxPrefixes bounds the blocks in the prefix index: at most twice as many
+	// are kept.
+	MaxPrefixes int
+	// SpillThreshold is the load of the best instance of the entry's own domain
+	// from which other domains are considered.
+	SpillThreshold float64
+	// DomainPenalty and RegionPenalty are added to the score of instances in
+	// other domains of the region and in other regions. They express the
+	// measured cost of the detour in time to first token.
+	DomainPenalty, RegionPenalty float64
+	// SlowStart is the time in which a new instance, or one that has just
+	// loaded other weights, comes to its full share.
+	SlowStart time.Duration
+	// SlowStartShare is the share with which it begins.
+	SlowStartShare float64
+	// EjectAfter is the number of consecutive errors that eject an instance.
+	EjectAfter int
+	// EjectFor is the time of the first ejection. It doubles with each further
+	// one, up to EjectMax.
+	EjectFor, EjectMax time.Duration
+	// MaxEjectedShare is the largest share of a pool that is ejected.
+	MaxEjectedShare float64
+	// RetryAfter is the advice in refusals that no known event will end.
+	RetryAfter time.Duration
+}
+
+func (c *Config) applyDefaults() {
+	durations := []struct {
+		field *time.Duration
+		value time.Duration
+	}{
+		{&c.FreshFor, 3 * time.Second},
+		{&c.ReportHalfLife, 2 * time.Second},
+		{&c.PrefixTTL, 2 * time.Minute},
+		{&c.SlowStart, 10 * time.Second},
+		{&c.EjectFor, 5 * time.Second},
+		{&c.EjectMax, time.Minute},
+		{&c.RetryAfter, time.Second},
+	}
+	for _, d := range durations {
+		if *d.field <= 0 {
+			*d.field = d.value
+		}
+	}
+	shares := []struct {
+		field *float64
+		value float64
+	}{
+		{&c.BestSlack, 0.02},
+		{&c.CacheBonus, 0.3},
+		{&c.AffinityBonus, 0.1},
+		{&c.BoundedLoad, 1.25},
+		{&c.SpillThreshold, 0.9},
+		{&c.DomainPenalty, 0.05},
+		{&c.RegionPenalty, 0.15},
+		{&c.SlowStartShare, 0.1},
+		{&c.MaxEjectedShare, 0.34},
+	}
+	for _, s := range shares {
+		if *s.field <= 0 {
+			*s.field = s.value
+		}
+	}
+	if c.DefaultCapacity <= 0 {
+		c.DefaultCapacity = 16
+	}
+	if c.MaxPrefixes <= 0 {
+		c.MaxPrefixes = 1 << 16
+	}
+	if c.EjectAfter <= 0 {
+		c.EjectAfter = 5
+	}
+}
--- /dev/null
+++ b/lib/route/instance.go
@@ -0,0 +1,54 @@
+package route
+
+import (
+	"github.com/auburnbend/auburnbend/lib/model"
+)
+
+// Role says which part of a generation an engine runs.
+type Role uint8
+
+const (
+	// RoleAny runs prefill and decode, or is a plain service.
+	RoleAny Role = iota
+	// RolePrefill runs prefill only.
+	RolePrefill
+	// RoleDecode runs decode only.
+	RoleDecode
+)
+
+// serves reports whether an instance of this role can take work for another.
+func (r Role) serves(wanted Role) bool { return r == RoleAny || r == wanted }
+
+// Instance is what the Picker knows of one backend server instance.
+type Instance struct {
+	ID         model.InstanceID
+	Generation model.Generation
+	Location   model.Location
+	Pool       string
+	Role       Role
+	// Live holds the weights that the instance may serve; it is empty for plain
+	// services, which serve requests without weights.
+	Live     []model.Weights
+	Draining bool
+}
+
+// Key names one generation of an instance.
+type Key struct {
+	Instance   model.InstanceID
+	Generation model.Generation
+}
+
+// Key returns the key of the instance.
+func (i *Instance) Key() Key { return Key{i.ID, i.Generation} }
+
+func (i *Instance) hasWeights(w model.Weights) bool {
+	if w.IsZero() {
+		return true
+	}
+	for n := range i.Live {
+		if i.Live[n] == w {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/lib/route/pick.go
@@ -0,0 +1,159 @@
+package route
+
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/outcome"
+	"github.com/auburnbend/auburnbend/lib/rendezvous"
+)
+
+// scored is a candidate of one Pick.
+type scored struct {
+	slot  *slot
+	busy  float64
+	score float64
+	local bool
+}
+
+// Pick returns the instance for a request, or a *Refusal. It changes nothing
+// that later picks depend on except the random source; the caller confirms the
+// choice with Started.
+func (p *Picker) Pick(now time.Time, r *Request) (Choice, error) {
+	matching := p.filter(now, r)
+	if len(p.best) == 0 {
+		if matching {
+			return Choice{}, &Refusal{Reason: outcome.ReasonOverloaded, RetryAfter: p.cfg.RetryAfter}
+		}
+		return Choice{}, &Refusal{Reason: outcome.ReasonNoBackendServer, RetryAfter: p.cfg.RetryAfter}
+	}
+	p.keepLocal()
+	p.score(now, r)
+	c := p.twoChoices()
+	return Choice{Key: c.slot.Key(), Spilled: !c.local, CachedBlocks: p.prefix.depth(c.slot.number)}, nil
+}
+
+// filter collects the candidates into p.best. It reports whether any instance
+// serves the request at all, be it full or excluded now. Instances without a
+// fresh report are kept only when there is no other.
+func (p *Picker) filter(now time.Time, r *Request) (matching bool) {
+	p.best = p.best[:0]
+	fresh := 0
+	for _, s := range p.slots {
+		if s == nil || s.Pool != r.Pool || s.Draining || !s.Role.serves(r.Role) || !s.hasWeights(r.Weights) {
+			continue
+		}
+		matching = true
+		if s.outlier.ejected(now) || (r.Allowed != nil && !r.Allowed(s.Key())) {
+			continue
+		}
+		c := scored{slot: s, busy: s.busy(now, &p.cfg), local: s.Location.FailureDomain == p.cfg.Domain}
+		p.best = append(p.best, c)
+		if now.Sub(s.heard) <= p.cfg.FreshFor {
+			// Fresh candidates are kept in front.
+			last := len(p.best) - 1
+			p.best[fresh], p.best[last] = p.best[last], p.best[fresh]
+			fresh++
+		}
+	}
+	if fresh > 0 {
+		p.best = p.best[:fresh]
+	}
+	return matching
+}
+
+// keepLocal drops candidates of other failure domains unless all local ones
+// are loaded past the threshold or there is none.
+func (p *Picker) keepLocal() {
+	best, locals := 0.0, 0
+	for i := range p.best {
+		if c := &p.best[i]; c.local {
+			if locals == 0 || c.busy < best {
+				best = c.busy
+			}
+			locals++
+		}
+	}
+	if locals == 0 || locals == len(p.best) || best > p.cfg.SpillThreshold {
+		return
+	}
+	kept := p.best[:0]
+	for _, c := range p.best {
+		if c.local {
+			kept = append(kept, c)
+		}
+	}
+	p.best = kept
+}
+
+// score rates the candidates; lower is better. The unit is the share of the
+// capacity that the request would find in use.
+func (p *Picker) score(now time.Time, r *Request) {
+	p.prefix.match(now, r.Prefix)
+	preferred := p.preferred(r)
+	for i := range p.best {
+		c := &p.best[i]
+		c.score = c.busy
+		if !c.local {
+			c.score += p.cfg.DomainPenalty
+			if c.slot.Location.Region != p.cfg.Region {
+				c.score += p.cfg.RegionPenalty - p.cfg.DomainPenalty
+			}
+		}
+		if cached := p.prefix.depth(c.slot.number); cached > 0 {
+			c.score -= p.cfg.CacheBonus * float64(cached) / float64(len(r.Prefix))
+		}
+		if c.slot == preferred {
+			c.score -= p.cfg.AffinityBonus
+		}
+	}
+}
+
+// preferred returns the rendezvous choice for the request's prefix among the
+// candidates whose load is within the bound, so that one popular prefix does
+// not overload one instance.
+func (p *Picker) preferred(r *Request) *slot {
+	key, ok := r.affinityKey()
+	if !ok {
+		return nil
+	}
+	sum := 0.0
+	for i := range p.best {
+		sum += p.best[i].busy
+	}
+	bound := p.cfg.BoundedLoad * sum / float64(len(p.best))
+	var choice *slot
+	var highest uint64
+	for i := range p.best {
+		c := &p.best[i]
+		if c.busy > bound {
+			continue
+		}
+		if weight := rendezvous.Combine(key, c.slot.hash); choice == nil || weight > highest {
+			choice, highest = c.slot, weight
+		}
+	}
+	return choice
+}
+
+// twoChoices draws two of the candidates that are about as good as the best and
+// takes the less loaded one. Entries see the same lagging reports; without the
+// random choice all of them would send to the same instance.
+func (p *Picker) twoChoices() scored {
+	best := p.best[0].score
+	for i := range p.best {
+		best = min(best, p.best[i].score)
+	}
+	n := 0
+	for i := range p.best {
+		if p.best[i].score <= best+p.cfg.BestSlack {
+			p.best[n], p.best[i] = p.best[i], p.best[n]
+			n++
+		}
+	}
+	first := p.best[p.rng.IntN(n)]
+	second := p.best[p.rng.IntN(n)]
+	if second.score < first.score {
+		return second
+	}
+	return first
+}
--- /dev/null
+++ b/lib/route/picker.go
@@ -0,0 +1,167 @@
+// Package route picks the backend server instance for a request.
+//
+// A Picker takes instance updates, load reports, cache events, and the starts
+// and results of requests, and returns one instance or a typed refusal. It is
+// not safe for concurrent use; its owner is one goroutine or a mutex of the
+// assembly. Times of successive calls must not go back.
+package route
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Picker picks instances.
+type Picker struct {
+	cfg    Config
+	rng    *rand.Rand
+	slots  []*slot // by number; nil where free
+	byKey  map[Key]*slot
+	prefix *prefixIndex
+	best   []scored // reused by Pick
+}
+
+// New returns a Picker without instances. The random source must not be shared
+// with concurrent users.
+func New(cfg Config, rng *rand.Rand) *Picker {
+	cfg.applyDefaults()
+	return &Picker{
+		cfg:    cfg,
+		rng:    rng,
+		byKey:  make(map[Key]*slot),
+		prefix: newPrefixIndex(cfg.PrefixTTL, cfg.MaxPrefixes),
+	}
+}
+
+// Update adds an instance or takes new facts about one. A generation that is
+// draining stays so. The caller removes a generation that was replaced.
+func (p *Picker) Update(now time.Time, in Instance) {
+	if s, ok := p.byKey[in.Key()]; ok {
+		if s.update(now, in) {
+			p.prefix.removeAll(s.number)
+		}
+		return
+	}
+	s := newSlot(now, in, p.cfg.DefaultCapacity)
+	s.number = len(p.slots)
+	for n, other := range p.slots {
+		if other == nil {
+			s.number = n
+			break
+		}
+	}
+	if s.number == len(p.slots) {
+		p.slots = append(p.slots, nil)
+	}
+	p.slots[s.number] = s
+	p.byKey[in.Key()] = s
+}
+
+// Remove forgets a generation that has left. The cap on ejections is kept by
+// readmitting instances of the smaller pool.
+func (p *Picker) Remove(now time.Time, key Key) {
+	s, ok := p.byKey[key]
+	if !ok {
+		return
+	}
+	delete(p.byKey, key)
+	p.slots[s.number] = nil
+	p.prefix.removeAll(s.number)
+	p.keepEjectionCap(now, s.Pool)
+}
+
+// Drain marks a generation as leaving. It is not picked again.
+func (p *Picker) Drain(key Key) {
+	if s, ok := p.byKey[key]; ok {
+		s.Draining = true
+	}
+}
+
+// Report is an instance's lagging load report. It counts as a sign of life.
+type Report struct {
+	Running, Queued int
+	// Capacity is the number of requests that the backend server runs at once;
+	// 0 leaves what is known.
+	Capacity int
+	// Age is the time since the report was taken on the instance.
+	Age time.Duration
+}
+
+// Report takes a load report.
+func (p *Picker) Report(now time.Time, key Key, r Report) {
+	if s, ok := p.byKey[key]; ok {
+		s.heard = now
+		s.load.report(now, r.Running, r.Queued, r.Capacity, r.Age)
+	}
+}
+
+// Cache takes one cache event. When it returns true the caller fetches a
+// snapshot and hands it to CacheSync; until then events are ignored.
+func (p *Picker) Cache(now time.Time, key Key, e CacheEvent) (resync bool) {
+	s, ok := p.byKey[key]
+	if !ok {
+		return false
+	}
+	wasUnsynced := s.cache.unsynced
+	switch s.cache.next(e.Sequence) {
+	case cacheApply:
+		p.prefix.remove(s.number, e.Removed)
+		p.prefix.add(now, s.number, e.Stored)
+	case cacheGap:
+		if !wasUnsynced {
+			// What was removed in the gap is unknown. A wrong hint overloads one
+			// instance for nothing; a missing one costs one prefill.
+			p.prefix.removeAll(s.number)
+		}
+		return true
+	case cacheIgnore:
+	}
+	return false
+}
+
+// CacheSync replaces what is known of an instance's cache. A snapshot older
+// than the events applied so far is ignored.
+func (p *Picker) CacheSync(now time.Time, key Key, snapshot CacheSnapshot) {
+	s, ok := p.byKey[key]
+	if !ok || snapshot.Sequence < s.cache.lastSeq {
+		return
+	}
+	s.cache = cacheSync{lastSeq: snapshot.Sequence}
+	p.prefix.removeAll(s.number)
+	p.prefix.add(now, s.number, snapshot.Blocks)
+}
+
+// Started tells that a request was sent to an instance. The instance will have
+// cached the request's prefix when it is done with the prefill.
+func (p *Picker) Started(now time.Time, key Key, prefix []uint64) {
+	if s, ok := p.byKey[key]; ok {
+		s.load.add(now, 1)
+		p.prefix.add(now, s.number, prefix)
+	}
+}
+
+// Finished tells how a started request ended. It returns true when the instance
+// was ejected for it.
+func (p *Picker) Finished(now time.Time, key Key, r Result) (ejected bool) {
+	s, ok := p.byKey[key]
+	if !ok {
+		return false
+	}
+	s.load.add(now, -1)
+	if !s.outlier.result(r, p.cfg.EjectAfter) || s.outlier.ejected(now) {
+		return false
+	}
+	if p.ejected(now, s.Pool)+1 > p.ejectionCap(s.Pool) {
+		return false
+	}
+	s.outlier.eject(now, p.cfg.EjectAfter, p.cfg.EjectFor, p.cfg.EjectMax)
+	return true
+}
+
+// Outstanding returns the requests that this entry has on an instance.
+func (p *Picker) Outstanding(key Key) int {
+	if s, ok := p.byKey[key]; ok {
+		return s.load.outstanding
+	}
+	return 0
+}
