Add a model of callers, entries and engines in simulated time

Cause: routing and admission are judged by goodput, so the real Picker, Queue and Limiter have to run against engines that batch and cache. Change: internal/measure/fleet with round robin and retries as the baseline.

--- /dev/null
+++ b/internal/measure/fleet/block_cache.go
@@ -0,0 +1,78 @@
+package fleet
+
+import "container/list"
+
+// blockCache is a prefix cache of limited size with least recently used
+// eviction. It records changes for cache events.
+type blockCache struct {
+	limit  int
+	order  *list.List // of uint64, most recently used in front
+	blocks map[uint64]*list.Element
+	log    []cacheChange
+}
+
+// cacheChange is one block that was stored or removed.
+type cacheChange struct {
+	block   uint64
+	removed bool
+}
+
+// changesAfter returns the net changes since a position in the log.
+func (c *blockCache) changesAfter(position int) (stored, removed []uint64) {
+	seen := make(map[uint64]bool)
+	for _, ch := range c.log[position:] {
+		if seen[ch.block] {
+			continue
+		}
+		seen[ch.block] = true
+		if c.blocks[ch.block] != nil {
+			stored = append(stored, ch.block)
+		} else {
+			removed = append(removed, ch.block)
+		}
+	}
+	return stored, removed
+}
+
+func newBlockCache(limit int) *blockCache {
+	return &blockCache{limit: limit, order: list.New(), blocks: make(map[uint64]*list.Element)}
+}
+
+// lookup returns how many leading blocks are cached and marks them as used,
+// tail first, so that a chain is evicted from its tail.
+func (c *blockCache) lookup(blocks []uint64) int {
+	n := 0
+	for n < len(blocks) && c.blocks[blocks[n]] != nil {
+		n++
+	}
+	for i := n - 1; i >= 0; i-- {
+		c.order.MoveToFront(c.blocks[blocks[i]])
+	}
+	return n
+}
+
+func (c *blockCache) store(blocks []uint64) {
+	for i := len(blocks) - 1; i >= 0; i-- {
+		b := blocks[i]
+		if el := c.blocks[b]; el != nil {
+			c.order.MoveToFront(el)
+			continue
+		}
+		c.blocks[b] = c.order.PushFront(b)
+		c.log = append(c.log, cacheChange{block: b})
+	}
+	for len(c.blocks) > c.limit {
+		last := c.order.Back()
+		b := c.order.Remove(last).(uint64)
+		delete(c.blocks, b)
+		c.log = append(c.log, cacheChange{block: b, removed: true})
+	}
+}
+
+func (c *blockCache) all() []uint64 {
+	out := make([]uint64, 0, len(c.blocks))
+	for el := c.order.Front(); el != nil; el = el.Next() {
+		out = append(out, el.Value.(uint64))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/measure/fleet/entry.go
@@ -0,0 +1,157 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/admit"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/route"
+)
+
+// Network delays between entry and engine and the timer of an entry.
+const (
+	oneWay    = time.Millisecond
+	entryTick = 50 * time.Millisecond
+)
+
+// pool is the only pool of the model.
+const pool = "model"
+
+// entry runs the real Queue, Limiter and Picker.
+type entry struct {
+	sim      *simulation
+	queue    *admit.Queue
+	picker   *route.Picker
+	limiters map[route.Key]*admit.Limiter
+	engines  map[route.Key]*engine
+	keys     []route.Key
+	estimate admit.StartEstimator
+	jobs     map[model.RequestID]*job
+}
+
+func newEntry(s *simulation, number int) *entry {
+	seed := s.cfg.Seed*1000 + uint64(number)
+	e := &entry{
+		sim:      s,
+		queue:    admit.New(admit.Config{}),
+		picker:   route.New(route.Config{}, rand.New(rand.NewPCG(seed, seed))),
+		limiters: make(map[route.Key]*admit.Limiter),
+		engines:  make(map[route.Key]*engine),
+		jobs:     make(map[model.RequestID]*job),
+	}
+	for i, eng := range s.engines {
+		key := route.Key{Instance: model.InstanceID("runner-" + string(requestID(uint64(i)))), Generation: 1}
+		e.keys = append(e.keys, key)
+		e.engines[key] = eng
+		e.limiters[key] = admit.NewLimiter(admit.LimiterConfig{})
+		e.picker.Update(s.time.now, route.Instance{ID: key.Instance, Generation: key.Generation, Pool: pool})
+	}
+	return e
+}
+
+// start begins the timers of the entry and of the reports to it.
+func (e *entry) start() {
+	var tick func()
+	tick = func() {
+		e.pump()
+		e.sim.time.after(entryTick, tick)
+	}
+	tick()
+	for i, key := range e.keys {
+		// Engines report at different times.
+		offset := e.sim.cfg.Engine.ReportEvery * time.Duration(i) / time.Duration(len(e.keys))
+		e.sim.time.after(offset, func() { e.reports(key) })
+	}
+	if !e.sim.cfg.NoAffinity {
+		e.cacheEvents()
+	}
+}
+
+// reports samples an engine's load and delivers it late.
+func (e *entry) reports(key route.Key) {
+	cfg, eng := e.sim.cfg.Engine, e.engines[key]
+	r := route.Report{Running: len(eng.running), Queued: len(eng.waiting), Capacity: cfg.Slots, Age: cfg.ReportLag}
+	e.sim.time.after(cfg.ReportLag, func() { e.picker.Report(e.sim.time.now, key, r) })
+	e.sim.time.after(cfg.ReportEvery, func() { e.reports(key) })
+}
+
+// arrive takes a request from the balancer.
+func (e *entry) arrive(j *job) {
+	now := e.sim.time.now
+	r := admit.Request{
+		ID: j.id, Tenant: j.tenant, Class: "interactive", Tokens: estimatedTokens,
+		StartBy: e.estimate.StartBy(now, FirstTokenTarget),
+	}
+	if _, ok := e.queue.Offer(now, r); !ok {
+		e.sim.refused(j)
+		return
+	}
+	e.jobs[j.id] = j
+	e.pump()
+}
+
+// pump starts what can start now and answers what is too late.
+func (e *entry) pump() {
+	now := e.sim.time.now
+	for _, shed := range e.queue.Expire(now) {
+		e.sim.refused(e.take(shed.Request.ID))
+	}
+	for {
+		r, ok := e.queue.Next(now, e.place)
+		if !ok {
+			return
+		}
+		e.take(r.ID)
+	}
+}
+
+func (e *entry) take(id model.RequestID) *job {
+	j := e.jobs[id]
+	delete(e.jobs, id)
+	return j
+}
+
+// place picks an engine and sends the request to it.
+func (e *entry) place(r admit.Request) bool {
+	now, j := e.sim.time.now, e.jobs[r.ID]
+	request := route.Request{Pool: pool, Allowed: func(k route.Key) bool { return e.limiters[k].Free() }}
+	if !e.sim.cfg.NoAffinity {
+		request.Prefix, request.AffinityBlocks = j.blocks[:sharedBlocks], sharedBlocks
+	}
+	choice, err := e.picker.Pick(now, &request)
+	if err != nil {
+		return false
+	}
+	e.limiters[choice.Key].Acquire()
+	e.picker.Started(now, choice.Key, request.Prefix)
+	e.sim.time.after(oneWay, func() { e.send(choice.Key, j, now) })
+	return true
+}
+
+func (e *entry) send(key route.Key, j *job, dispatched time.Time) {
+	limiter := e.limiters[key]
+	q := &sequence{job: j}
+	later := func(f func()) { e.sim.time.after(oneWay, f) }
+	q.onFirst = func() {
+		later(func() {
+			now := e.sim.time.now
+			e.estimate.Observe(now.Sub(dispatched))
+			limiter.ObserveFirstToken(now, now.Sub(dispatched))
+		})
+	}
+	q.onProgress = func(tokens int, took time.Duration) {
+		later(func() { limiter.ObserveBetweenTokens(e.sim.time.now, took/time.Duration(tokens)) })
+	}
+	q.onDone = func() {
+		later(func() {
+			now := e.sim.time.now
+			limiter.Release()
+			e.picker.Finished(now, key, route.ResultOK)
+			e.queue.Settle(j.tenant, estimatedTokens, j.promptTokens+j.answerTokens)
+			e.sim.answered(j, q.firstAt.Add(oneWay), q.lastAt.Add(oneWay))
+			e.pump()
+		})
+	}
+	e.engines[key].submit(q)
+}
--- a/lib/admit/item.go
+++ b/lib/admit/item.go
@@ -4,8 +4,9 @@
 // StartBy, in the heap.
 type item struct {
 	Request
-	done bool // taken, cancelled or shed; still in the list until it is first
-	heap int  // position in the heap, -1 when not in it
+	class *classQueue
+	done  bool // taken, cancelled or shed; still in the list until it is first
+	heap  int  // position in the heap, -1 when not in it
 }
 
 // startHeap orders items by StartBy, for container/heap.
--- a/lib/admit/queue.go
+++ b/lib/admit/queue.go
@@ -100,10 +100,10 @@
 			return Shed{Request: r, Reason: outcome.ReasonOverloaded, RetryAfter: q.advice(late)}, false
 		}
 	}
-	it := &item{Request: r, heap: -1}
 	priority := min(max(r.Priority, 0), q.cfg.MaxPriority)
 	c := t.class(r.Class, priority, math.Pow(q.cfg.PriorityRatio, float64(priority)))
-	c.items = append(c.items, it)
+	it := &item{Request: r, class: c, heap: -1}
+	c.add(it)
 	t.queued++
 	t.tokens += r.Tokens
 	q.byID[r.ID] = it
@@ -140,6 +140,7 @@
 // first.
 func (q *Queue) remove(it *item) {
 	it.done = true
+	it.class.waiting--
 	delete(q.byID, it.ID)
 	if it.heap >= 0 {
 		heap.Remove(&q.starts, it.heap)
