Leave most of the first-token target to the queue of the entry

Cause: the limiter let engines use the whole target for the first token, so requests waited inside engines, unshed, and came late. Change: LimiterConfig.EngineShare, 0.3 of the target.

--- a/lib/admit/limiter_config.go
+++ b/lib/admit/limiter_config.go
@@ -12,6 +12,10 @@
 	// Aim is the share of the targets that the limiter steers to. The rest is
 	// room for the spread around the mean.
 	Aim float64
+	// EngineShare is the part of the first-token target that a backend server may
+	// use. The rest is left for the queue of the entry, which is fair and sheds
+	// early; a queue inside the engine does neither.
+	EngineShare float64
 	// Interval is the least time between two changes.
 	Interval time.Duration
 	// MinSamples is the least number of observations for a change.
@@ -40,6 +44,9 @@
 	if c.Aim <= 0 {
 		c.Aim = 0.9
 	}
+	if c.EngineShare <= 0 {
+		c.EngineShare = 0.3
+	}
 	if c.Interval <= 0 {
 		c.Interval = 500 * time.Millisecond
 	}
