Add in-memory stand-ins of the platform and their HTTP handlers

A digest took 66 bytes in a msgpack frame because the codec found only MarshalText; with MarshalBinary it takes 34. Heartbeats carry the age of the configuration, so that a domain that only reaches a peer knows how fresh its copy is.

--- a/lib/model/digest.go
+++ b/lib/model/digest.go
@@ -52,3 +52,16 @@
 	*d = parsed
 	return nil
 }
+
+// MarshalBinary returns the 32 bytes. The msgpack codec prefers it over
+// MarshalText, which would double the size of every digest in a frame.
+func (d Digest) MarshalBinary() ([]byte, error) { return d[:], nil }
+
+// UnmarshalBinary reads the form that MarshalBinary returns.
+func (d *Digest) UnmarshalBinary(data []byte) error {
+	if len(data) != DigestSize {
+		return merry.Errorf("digest has %d bytes, want %d", len(data), DigestSize)
+	}
+	copy(d[:], data)
+	return nil
+}
--- a/lib/wire/messages.go
+++ b/lib/wire/messages.go
@@ -55,7 +55,10 @@
 	Sequence       uint64       `msgpack:"s"`
 	ConfigRevision uint64       `msgpack:"c"`
 	ConfigDigest   model.Digest `msgpack:"d"`
-	Draining       bool         `msgpack:"x"`
+	// ConfigAgeMillis is the time since the store confirmed, directly or through
+	// peers, that ConfigRevision was the newest, in milliseconds.
+	ConfigAgeMillis int64 `msgpack:"g"`
+	Draining        bool  `msgpack:"x"`
 	// Live holds the weights that the instance may serve; empty from entries.
 	Live []model.Weights `msgpack:"w"`
 	Load Load            `msgpack:"l"`
--- /dev/null
+++ b/standin/instances/handler.go
@@ -0,0 +1,39 @@
+package instances
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/standin/reply"
+)
+
+// Handler serves the list over HTTP: GET /instances, PUT /instances with one
+// platform.Instance, DELETE /instances/{id}, and GET and PUT of /faults.
+func (l *List) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /instances", func(w http.ResponseWriter, r *http.Request) {
+		listed, err := l.List(r.Context())
+		if err != nil {
+			reply.Error(w, err)
+			return
+		}
+		reply.JSON(w, listed)
+	})
+	mux.HandleFunc("PUT /instances", func(w http.ResponseWriter, r *http.Request) {
+		var instance platform.Instance
+		if err := json.NewDecoder(r.Body).Decode(&instance); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		l.Set(instance)
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("DELETE /instances/{id}", func(w http.ResponseWriter, r *http.Request) {
+		l.Remove(model.InstanceID(r.PathValue("id")))
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.Handle("/faults", &l.Faults)
+	return mux
+}
