--- /dev/null
+++ b/lib/config/delta_test.go
@@ -0,0 +1,50 @@
+package config_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/auburnbend/auburnbend/lib/config"
+)
+
+// Guards against deltas that lose, keep or reorder objects, and against
+// declaration files that do not read back as what was accepted.
+func TestDeltaAndDeclarationRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from, to := drawConfig(t, "from"), drawConfig(t, "to")
+		if err := to.Validate(); err != nil {
+			t.Fatal(err)
+		}
+		delta, err := config.NewDelta(from, to)
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, err := delta.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		decoded, err := config.DecodeDelta(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := decoded.Apply(from.Canonical())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d := config.Diff(got, to); len(d) != 0 {
+			t.Fatalf("delta leads elsewhere: %v", d)
+		}
+		parsed, err := config.Parse(config.Format(to))
+		if err != nil {
+			t.Fatal(err)
+		}
+		want, _ := to.State()
+		if state, _ := parsed.State(); state != want {
+			t.Fatalf("declaration reads back as\n%s", config.Format(parsed))
+		}
+		if delta.Empty() != (len(config.Diff(from, to)) == 0) {
+			t.Fatal("delta and diff disagree about whether anything changes")
+		}
+	})
+}
--- /dev/null
+++ b/lib/config/diff.go
@@ -0,0 +1,57 @@
+package config
+
+import "fmt"
+
+// Difference is one changed value. Old is empty for an added object, New for a
+// removed one.
+type Difference struct {
+	// Object names the section of the declaration file.
+	Object string
+	Key    string
+	Old    string
+	New    string
+}
+
+// String returns the difference as one line.
+func (d Difference) String() string {
+	switch {
+	case d.Old == "":
+		return fmt.Sprintf("+ [%s] %s = %s", d.Object, d.Key, d.New)
+	case d.New == "":
+		return fmt.Sprintf("- [%s] %s = %s", d.Object, d.Key, d.Old)
+	default:
+		return fmt.Sprintf("~ [%s] %s = %s (was %s)", d.Object, d.Key, d.New, d.Old)
+	}
+}
+
+// Diff returns what changes from one configuration to another, in the order of
+// the declaration file: changed and added values, then removed ones.
+func Diff(from, to *Config) []Difference {
+	type position struct{ object, key string }
+	before := make(map[position]string)
+	old := from.sections()
+	for _, s := range old {
+		for _, f := range s.fields {
+			before[position{s.name, f.key}] = f.value
+		}
+	}
+	var differences []Difference
+	kept := make(map[position]bool)
+	for _, s := range to.sections() {
+		for _, f := range s.fields {
+			p := position{s.name, f.key}
+			kept[p] = true
+			if was := before[p]; was != f.value {
+				differences = append(differences, Difference{Object: s.name, Key: f.key, Old: was, New: f.value})
+			}
+		}
+	}
+	for _, s := range old {
+		for _, f := range s.fields {
+			if !kept[position{s.name, f.key}] {
+				differences = append(differences, Difference{Object: s.name, Key: f.key, Old: f.value})
+			}
+		}
+	}
+	return differences
+}
--- /dev/null
+++ b/lib/config/replica.go
@@ -0,0 +1,174 @@
+package config
+
+import (
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Replica is a process's copy of the accepted configuration. It takes what the
+// store, peers and agents offer and applies only higher revisions that continue
+// its digest chain, so that no stale source can lower it. Current may be called
+// from any goroutine; all other methods belong to one owner.
+type Replica struct {
+	cfg   ReplicaConfig
+	start time.Time
+	view  atomic.Pointer[View]
+
+	// settled is false while a new replica collects offers.
+	settled bool
+	// candidate is the highest offer while not settled, and otherwise the
+	// state that view shows.
+	state     replicaState
+	confirmed time.Time
+	retained  []retainedRevision
+	bytes     int
+}
+
+// replicaState is a configuration with what is needed to send it as a snapshot.
+type replicaState struct {
+	head     Head
+	config   *Config
+	revision Revision
+	previous Head
+	accepted time.Time
+}
+
+// retainedRevision is one encoded delta kept for others.
+type retainedRevision struct {
+	number uint64
+	data   []byte
+}
+
+// NewReplica returns a replica without a configuration.
+func NewReplica(cfg ReplicaConfig, now time.Time) *Replica {
+	cfg.applyDefaults()
+	return &Replica{cfg: cfg, start: now, state: replicaState{config: &Config{}}}
+}
+
+// Current returns the configuration in force, or nil before the first one. It
+// is safe for concurrent use.
+func (r *Replica) Current() *View { return r.view.Load() }
+
+// Head returns the highest revision that the replica holds.
+func (r *Replica) Head() Head { return r.state.head }
+
+// Age returns the time since the store confirmed, directly or through peers,
+// that the replica's revision was the newest.
+func (r *Replica) Age(now time.Time) time.Duration {
+	if r.confirmed.IsZero() {
+		return now.Sub(r.start)
+	}
+	return max(0, now.Sub(r.confirmed))
+}
+
+// Observe takes the head that a source reports, with the age of the source's
+// own confirmation (0 for the store). It reports whether revisions are to be
+// fetched from the source, and returns ErrChain if the source holds another
+// history.
+func (r *Replica) Observe(head Head, age time.Duration, now time.Time) (behind bool, err error) {
+	if head.Number > r.state.head.Number {
+		return true, nil
+	}
+	if head.Number < r.state.head.Number {
+		return false, nil
+	}
+	if head.Digest != r.state.head.Digest {
+		return false, merry.Wrap(ErrChain, merry.AppendMessagef("revision %d is %s here and %s at the source", head.Number, r.state.head.Digest.Short(), head.Digest.Short()))
+	}
+	if at := now.Add(-age); at.After(r.confirmed) {
+		r.confirmed = at
+	}
+	return false, nil
+}
+
+// Offer takes encoded revisions in order. It applies those that are higher and
+// continue the chain, and reports how many. On an error the earlier ones stay
+// applied: ErrMalformed and ErrChain mean damaged data, ErrGap that revisions
+// before it are missing.
+func (r *Replica) Offer(encoded [][]byte, now time.Time) (applied int, err error) {
+	for _, data := range encoded {
+		revision, err := DecodeRevision(data)
+		if err != nil {
+			return applied, err
+		}
+		ok, err := r.take(revision, now)
+		if err != nil {
+			return applied, err
+		}
+		if ok {
+			applied++
+		}
+	}
+	r.Tick(now)
+	return applied, nil
+}
+
+// Tick ends the start window when its time is over and something was offered.
+func (r *Replica) Tick(now time.Time) {
+	if !r.settled && now.Sub(r.start) >= r.cfg.StartWindow {
+		r.Settle()
+	}
+}
+
+// Settle ends the start window early. The assembly calls it when every known
+// source has answered.
+func (r *Replica) Settle() {
+	if r.settled || r.state.head.Number == 0 {
+		return
+	}
+	r.settled = true
+	r.publish()
+}
+
+// take applies one revision if it is higher.
+func (r *Replica) take(revision Revision, now time.Time) (bool, error) {
+	if revision.Number <= r.state.head.Number {
+		return false, nil
+	}
+	next := replicaState{head: revision.Head(), revision: revision, previous: r.state.head}
+	var err error
+	switch {
+	case revision.Number == r.state.head.Number+1:
+		next.config, err = revision.Continue(r.state.head, r.state.config)
+	case revision.IsSnapshot():
+		// A snapshot over a gap proves that its state belongs to its digest, not
+		// that the digest continues this replica's. It comes from the store or
+		// an authorised peer, which accept only what the store committed.
+		next.config, err = revision.Open()
+		next.previous = Head{Number: revision.Number - 1}
+		if err == nil {
+			next.previous.Digest = *revision.Previous
+			r.retained, r.bytes = nil, 0
+		}
+	default:
+		err = merry.Wrap(ErrGap, merry.AppendMessagef("revision %d offered, %d held", revision.Number, r.state.head.Number))
+	}
+	if err != nil {
+		return false, err
+	}
+	change, err := revision.Decode()
+	if err != nil {
+		return false, err
+	}
+	next.accepted = change.Time()
+	r.state = next
+	r.retain(revision)
+	if r.settled || now.Sub(r.start) >= r.cfg.StartWindow {
+		r.settled = true
+		r.publish()
+	}
+	return true, nil
+}
+
+func (r *Replica) publish() {
+	r.view.Store(&View{Config: r.state.config, Head: r.state.head, Accepted: r.state.accepted})
+}
+
+// IsDamaged reports whether an error of Offer or Observe means that the source
+// holds a damaged or foreign copy.
+func IsDamaged(err error) bool {
+	return errors.Is(err, ErrChain) || errors.Is(err, ErrMalformed)
+}
--- /dev/null
+++ b/lib/config/replica_config.go
@@ -0,0 +1,35 @@
+package config
+
+import "time"
+
+const (
+	// defaultStartWindow is how long a new replica collects offers before it
+	// takes the highest: heartbeats arrive every second.
+	defaultStartWindow = 1500 * time.Millisecond
+	// defaultRetained is the number of revisions kept to send as deltas: at
+	// 6,000 changes a day about two hours.
+	defaultRetained = 512
+	// defaultRetainedBytes bounds the memory of the kept revisions.
+	defaultRetainedBytes = 1 << 20
+)
+
+// ReplicaConfig holds the limits of a Replica.
+type ReplicaConfig struct {
+	// StartWindow is the time during which a new replica collects offers.
+	StartWindow time.Duration
+	// Retained and RetainedBytes bound the revisions kept for others.
+	Retained      int
+	RetainedBytes int
+}
+
+func (c *ReplicaConfig) applyDefaults() {
+	if c.StartWindow == 0 {
+		c.StartWindow = defaultStartWindow
+	}
+	if c.Retained == 0 {
+		c.Retained = defaultRetained
+	}
+	if c.RetainedBytes == 0 {
+		c.RetainedBytes = defaultRetainedBytes
+	}
+}
--- /dev/null
+++ b/lib/config/tables.go
@@ -0,0 +1,31 @@
+package config
+
+import (
+	"fmt"
+	"math"
+)
+
+const (
+	// Table holds the head, the revisions and the snapshots.
+	Table = "config"
+	// OperationTable holds one row per operation id.
+	OperationTable = "config-operations"
+	// SnapshotEvery is the number of revisions between two snapshots.
+	SnapshotEvery = 64
+
+	headKey        = "head"
+	revisionPrefix = "revision/"
+	snapshotPrefix = "snapshot/"
+
+	// pollPage is the number of revisions that one poll reads at most.
+	pollPage = 128
+)
+
+// revisionKey sorts revisions in ascending order.
+func revisionKey(number uint64) string { return fmt.Sprintf("%s%020d", revisionPrefix, number) }
+
+// snapshotKey sorts snapshots in descending order, so that the first row of a
+// scan is the newest.
+func snapshotKey(number uint64) string {
+	return fmt.Sprintf("%s%020d", snapshotPrefix, math.MaxUint64-number)
+}
