Add the HTTP clients of the platform and auburnbend-standins

Processes reach the platform over HTTP. A write is reported as not applied only when no connection was obtained or the service marks its answer; every other broken end is unknown.

--- /dev/null
+++ b/cmd/auburnbend-standins/main.go
@@ -0,0 +1,74 @@
+// Command auburnbend-standins serves the stand-ins of the platform on one
+// address, for tests and first trials.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/auburnbend/auburnbend/standin/platform"
+)
+
+// shutdownTimeout bounds the end of running calls.
+const shutdownTimeout = 3 * time.Second
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := newCommand().ExecuteContext(ctx); err != nil {
+		os.Exit(1)
+	}
+}
+
+func newCommand() *cobra.Command {
+	var cfg platform.Config
+	listen := "127.0.0.1:7400"
+	cmd := &cobra.Command{
+		Use:   "auburnbend-standins",
+		Short: "Serve stand-ins of the platform for tests and first trials",
+		Long: `Serve stand-ins of the platform: table service, object store, origin, weight
+store and instance list. Each has its fault switches at <path>/faults.`,
+		Example: `  auburnbend-standins --listen 127.0.0.1:7400
+  curl -X PUT -d '{"down":true}' http://127.0.0.1:7400/table/faults`,
+		Args:         cobra.NoArgs,
+		SilenceUsage: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return serve(cmd, listen, cfg)
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&listen, "listen", listen, "IP address and port; port 0 picks a free one")
+	flags.Int64Var(&cfg.OriginLink, "origin-link", 0, "bytes per second of the origin's link; 0 is unlimited")
+	flags.Int64Var(&cfg.WeightStoreRate, "weight-store-rate", 0, "bytes per second that the weight store admits; 0 is unlimited")
+	flags.DurationVar(&cfg.InstanceLag, "instance-lag", 0, "time after which the instance list shows a change")
+	return cmd
+}
+
+func serve(cmd *cobra.Command, listen string, cfg platform.Config) error {
+	listener, err := net.Listen("tcp", listen)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(cmd.OutOrStdout(), "listening on http://%s\n", listener.Addr()); err != nil {
+		return err
+	}
+	server := &http.Server{Handler: platform.New(cfg).Handler(), ReadHeaderTimeout: shutdownTimeout}
+	go func() {
+		<-cmd.Context().Done()
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		_ = server.Shutdown(ctx)
+	}()
+	if err := server.Serve(listener); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
--- a/lib/config/suite_test.go
+++ b/lib/config/suite_test.go
@@ -1,6 +1,7 @@
 package config_test
 
 import (
+	"flag"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -11,3 +12,10 @@
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "config")
 }
+
+// A fixed seed gives every run the same verdict.
+func init() {
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+}
--- /dev/null
+++ b/lib/platform/httpplatform/object.go
@@ -0,0 +1,34 @@
+package httpplatform
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/auburnbend/auburnbend/lib/platform"
+)
+
+// Objects is the client of the object store. It is safe for concurrent use.
+type Objects struct{ caller caller }
+
+// NewObjects returns a client of the object store.
+func NewObjects(cfg Config) *Objects { return &Objects{caller: newCaller(cfg)} }
+
+// Get implements platform.ObjectStore.
+func (o *Objects) Get(ctx context.Context, name string) ([]byte, error) {
+	a, err := o.caller.read(ctx, objectPath(name))
+	return a.body, err
+}
+
+// PutIfAbsent implements platform.ObjectStore.
+func (o *Objects) PutIfAbsent(ctx context.Context, name string, data []byte) error {
+	a, err := o.caller.write(ctx, http.MethodPut, objectPath(name), data)
+	if err != nil {
+		return err
+	}
+	if a.status == http.StatusConflict {
+		return merry.Wrap(platform.ErrExists)
+	}
+	return nil
+}
--- /dev/null
+++ b/lib/platform/httpplatform/table.go
@@ -0,0 +1,62 @@
+package httpplatform
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/auburnbend/auburnbend/lib/platform"
+)
+
+// Table is the client of the table service. It is safe for concurrent use.
+type Table struct{ caller caller }
+
+// NewTable returns a client of the table service.
+func NewTable(cfg Config) *Table { return &Table{caller: newCaller(cfg)} }
+
+// Get implements platform.TableService.
+func (t *Table) Get(ctx context.Context, table, key string) (platform.Row, error) {
+	a, err := t.caller.read(ctx, "/row?"+url.Values{"table": {table}, "key": {key}}.Encode())
+	if err != nil {
+		return platform.Row{}, err
+	}
+	var row platform.Row
+	return row, a.decode(&row)
+}
+
+// Scan implements platform.TableService.
+func (t *Table) Scan(ctx context.Context, table, prefix, after string, limit int) ([]platform.Row, error) {
+	query := url.Values{"table": {table}, "prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
+	a, err := t.caller.read(ctx, "/rows?"+query.Encode())
+	if err != nil {
+		return nil, err
+	}
+	var rows []platform.Row
+	return rows, a.decode(&rows)
+}
+
+// Commit implements platform.TableService.
+func (t *Table) Commit(ctx context.Context, tx platform.Transaction) error {
+	body, err := json.Marshal(tx)
+	if err != nil {
+		return merry.Wrap(platform.ErrNotApplied, merry.WithCause(err))
+	}
+	a, err := t.caller.write(ctx, http.MethodPost, "/commit", body)
+	if err != nil {
+		return err
+	}
+	if a.status != http.StatusConflict {
+		return nil
+	}
+	var conflict struct {
+		Index int `json:"index"`
+	}
+	if err := json.Unmarshal(a.body, &conflict); err != nil {
+		return merry.Wrap(platform.ErrUnknown, merry.WithCause(err))
+	}
+	return merry.Wrap(&platform.ConflictError{Index: conflict.Index})
+}
--- a/standin/origin/handler.go
+++ b/standin/origin/handler.go
@@ -59,7 +59,7 @@
 	defer func() { _ = body.Close() }()
 	w.Header().Set("Content-Length", strconv.FormatInt(last-first+1, 10))
 	w.WriteHeader(status)
-	if _, err := io.Copy(w, body); err != nil {
+	if _, err := io.Copy(flushWriter{w, http.NewResponseController(w)}, body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 }
