Follow the configuration and keep the fleet view of an entry

An entry needs one owner for membership, connections, load, health and suspects, and both daemons need one way to take configuration from the store and from peers. lib/follow serializes the replica and its peers; entry/fleet serializes the decision packages of routing.

--- a/entry/caller/answer.go
+++ b/entry/caller/answer.go
@@ -5,7 +5,7 @@
 type Answer interface {
 	// Write passes on a piece of the answer. An error means that the caller has
 	// gone.
-	Write(contentType string, data []byte) error
+	Write(data []byte) error
 	// Delivered reports whether a piece has reached the caller, after which the
 	// answer cannot be started again.
 	Delivered() bool
--- a/entry/caller/buffered_answer.go
+++ b/entry/caller/buffered_answer.go
@@ -18,10 +18,9 @@
 
 // bufferedAnswer collects the answer and passes it on only when it is whole.
 type bufferedAnswer struct {
-	ctx         *app.RequestContext
-	request     string
-	contentType string
-	data        []byte
+	ctx     *app.RequestContext
+	request string
+	data    []byte
 }
 
 func newBufferedAnswer(ctx *app.RequestContext, request string) *bufferedAnswer {
@@ -32,11 +31,10 @@
 
 func (a *bufferedAnswer) Reset() { a.data = a.data[:0] }
 
-func (a *bufferedAnswer) Write(contentType string, data []byte) error {
+func (a *bufferedAnswer) Write(data []byte) error {
 	if len(a.data)+len(data) > maxBufferedAnswer {
 		return merry.Wrap(errAnswerTooLarge)
 	}
-	a.contentType = contentType
 	a.data = append(a.data, data...)
 	return nil
 }
@@ -51,7 +49,7 @@
 	if r.Outcome == outcome.Completed {
 		a.ctx.Response.Header.Set(HeaderDigest, r.Digest.String())
 	}
-	contentType := a.contentType
+	contentType := r.ContentType
 	if contentType == "" {
 		contentType = "text/plain; charset=utf-8"
 	}
--- a/entry/caller/result.go
+++ b/entry/caller/result.go
@@ -13,6 +13,8 @@
 	Reason  outcome.Reason
 	// Status is the HTTP status of the backend server, where it answered.
 	Status int
+	// ContentType is that of a whole answer.
+	ContentType string
 	// RetryAfter tells the caller when to come back; zero gives no advice.
 	RetryAfter time.Duration
 	// Frames and Digest are the checked length and digest of the answer.
--- a/entry/caller/server_test.go
+++ b/entry/caller/server_test.go
@@ -32,7 +32,7 @@
 func (f *fakeHandler) Handle(_ context.Context, _ *Request, a Answer) {
 	s := f.script.Load()
 	for _, p := range s.pieces {
-		if a.Write("text/plain", []byte(p)) != nil {
+		if a.Write([]byte(p)) != nil {
 			return
 		}
 	}
--- a/entry/caller/stream_answer.go
+++ b/entry/caller/stream_answer.go
@@ -44,7 +44,7 @@
 
 func (a *streamAnswer) Reset() {}
 
-func (a *streamAnswer) Write(_ string, data []byte) error {
+func (a *streamAnswer) Write(data []byte) error {
 	if a.writer == nil {
 		a.ctx.Response.Header.Set(HeaderRequestID, a.request)
 		a.writer = sse.NewWriter(a.ctx)
--- /dev/null
+++ b/entry/fleet/config.go
@@ -0,0 +1,63 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/admit"
+	"github.com/auburnbend/auburnbend/lib/clock"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/follow"
+	"github.com/auburnbend/auburnbend/lib/member"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/route"
+	"github.com/auburnbend/auburnbend/lib/subset"
+	"github.com/auburnbend/auburnbend/lib/wire"
+)
+
+const (
+	defaultListInterval = 5 * time.Second
+	defaultTick         = 100 * time.Millisecond
+	// entryPeers bounds the entries of its own failure domain that an entry
+	// connects to.
+	entryPeers = 4
+)
+
+// Dial opens a connection and exchanges Hello messages.
+type Dial func(ctx context.Context, address string) (*wire.Conn, wire.Hello, error)
+
+// Config sets up a Fleet.
+type Config struct {
+	Identity model.Identity
+	Clock    clock.Clock
+	Rand     *rand.Rand
+	Log      *eventlog.Logger
+	// Dial opens connections to agents and to other entries.
+	Dial     Dial
+	List     platform.InstanceList
+	Follower *follow.Follower
+	Member   member.Config
+	Subset   subset.Config
+	Route    route.Config
+	Limiter  admit.LimiterConfig
+	// ListInterval is the time between two reads of the instance list.
+	ListInterval time.Duration
+	// Tick is the time between two checks of silent connections.
+	Tick time.Duration
+	// Draining reports whether this entry is leaving.
+	Draining func() bool
+}
+
+func (c Config) applyDefaults() Config {
+	if c.ListInterval == 0 {
+		c.ListInterval = defaultListInterval
+	}
+	if c.Tick == 0 {
+		c.Tick = defaultTick
+	}
+	c.Route.Domain = c.Identity.Location.FailureDomain
+	c.Route.Region = c.Identity.Location.Region
+	return c
+}
--- /dev/null
+++ b/entry/fleet/handler.go
@@ -0,0 +1,158 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/entry/link"
+	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/member"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/route"
+	"github.com/auburnbend/auburnbend/lib/wire"
+)
+
+// linkHandler passes what a link reports on to the fleet.
+type linkHandler struct{ fleet *Fleet }
+
+var _ link.Handler = linkHandler{}
+
+func (h linkHandler) Connected(id member.ConnID, peer wire.Hello) error {
+	f := h.fleet
+	f.mu.Lock()
+	l := f.linkOf(peer.Identity.Instance)
+	f.mu.Unlock()
+	if l == nil {
+		return link.ErrNotSent
+	}
+	return f.connected(&connection{id: id, hello: peer, send: l.Send, drop: l.Drop, link: l})
+}
+
+func (h linkHandler) Disconnected(id member.ConnID, _ wire.Hello) { h.fleet.disconnected(id) }
+
+func (h linkHandler) ConnectFailed(instance model.InstanceID, _ error) {
+	f := h.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.apply(f.view.DialFailed(f.cfg.Clock.Now(), instance))
+}
+
+func (h linkHandler) Heard(id member.ConnID) {
+	f := h.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.apply(f.view.Heard(f.cfg.Clock.Now(), id))
+}
+
+func (h linkHandler) Message(id member.ConnID, peer wire.Hello, m wire.Message, reply func(wire.Message) error) {
+	h.fleet.message(id, peer, m, reply)
+}
+
+func (f *Fleet) connected(c *connection) error {
+	f.mu.Lock()
+	events, err := f.view.Connected(f.cfg.Clock.Now(), c.id, c.hello)
+	if err != nil {
+		f.mu.Unlock()
+		return err
+	}
+	f.conns[c.id] = c
+	f.apply(events)
+	if c.hello.Role == wire.RoleAgent {
+		f.addAgent(c.hello)
+		_ = c.send(f.entryAddresses())
+	} else if news := f.monitor.Snapshot(f.cfg.Clock.Now()); news != nil {
+		_ = c.send(news)
+	}
+	f.mu.Unlock()
+	f.cfg.Follower.Connected(peerID(c.hello), c.send)
+	return nil
+}
+
+// addAgent makes an agent known to the picker. What it serves comes with its
+// first heartbeat. The caller holds the mutex.
+func (f *Fleet) addAgent(hello wire.Hello) {
+	known := f.agents[hello.Identity.Instance]
+	if known.Generation == hello.Identity.Generation {
+		return
+	}
+	instance := route.Instance{
+		ID:         hello.Identity.Instance,
+		Generation: hello.Identity.Generation,
+		Location:   hello.Identity.Location,
+		Pool:       hello.Pool,
+	}
+	f.agents[instance.ID] = instance
+	f.picker.Update(f.cfg.Clock.Now(), instance)
+	f.cfg.Log.Log(eventlog.AgentJoined, "instance", instance.ID, "pool", instance.Pool)
+}
+
+func (f *Fleet) disconnected(id member.ConnID) {
+	f.mu.Lock()
+	c := f.conns[id]
+	delete(f.conns, id)
+	f.apply(f.view.Closed(f.cfg.Clock.Now(), id))
+	f.mu.Unlock()
+	if c != nil {
+		f.cfg.Follower.Lost(peerID(c.hello))
+	}
+}
+
+func (f *Fleet) message(id member.ConnID, peer wire.Hello, m wire.Message, reply func(wire.Message) error) {
+	switch m := m.(type) {
+	case *wire.Heartbeat:
+		f.heartbeatFrom(id, peer, m)
+	case *wire.ConfigFetch:
+		f.cfg.Follower.Answer(m, reply)
+	case *wire.ConfigDelta:
+		f.cfg.Follower.Delta(peerID(peer), m)
+	case *wire.CrashReport:
+		f.crashed(peer, m)
+	case *wire.SuspectUpdate:
+		f.mu.Lock()
+		f.broadcast(f.monitor.Merge(f.cfg.Clock.Now(), *m))
+		f.mu.Unlock()
+	}
+}
+
+func (f *Fleet) heartbeatFrom(id member.ConnID, peer wire.Hello, beat *wire.Heartbeat) {
+	f.cfg.Follower.Heartbeat(peerID(peer), beat)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.cfg.Clock.Now()
+	f.apply(f.view.Heartbeat(now, id, *beat))
+	if peer.Role != wire.RoleAgent {
+		return
+	}
+	instance, ok := f.agents[peer.Identity.Instance]
+	if !ok || instance.Generation != peer.Identity.Generation {
+		return
+	}
+	instance.Live = beat.Live
+	instance.Draining = beat.Draining
+	f.agents[instance.ID] = instance
+	f.picker.Update(now, instance)
+	f.picker.Report(now, instance.Key(), route.Report{
+		Running:  beat.Load.Running,
+		Queued:   beat.Load.Queued,
+		Capacity: beat.Load.Capacity,
+		Age:      time.Duration(beat.Load.AgeMillis) * time.Millisecond,
+	})
+	f.wake()
+}
+
+func (f *Fleet) crashed(peer wire.Hello, report *wire.CrashReport) {
+	f.cfg.Log.Log(eventlog.BackendServerCrashed, "instance", peer.Identity.Instance, "in_flight", len(report.InFlight))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.cfg.Clock.Now()
+	f.broadcast(f.monitor.Crashed(now, peer.Identity.Instance, peer.Identity.Generation, *report))
+	for _, finger := range report.InFlight {
+		if f.monitor.Quarantined(now, finger) {
+			f.cfg.Log.Log(eventlog.RequestQuarantined, "fingerprint", finger)
+		}
+	}
+}
+
+func peerID(hello wire.Hello) config.PeerID {
+	return config.PeerID{Instance: hello.Identity.Instance, Generation: hello.Identity.Generation}
+}
--- /dev/null
+++ b/entry/fleet/place.go
@@ -0,0 +1,146 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/auburnbend/auburnbend/entry/link"
+	"github.com/auburnbend/auburnbend/lib/admit"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/outcome"
+	"github.com/auburnbend/auburnbend/lib/poison"
+	"github.com/auburnbend/auburnbend/lib/route"
+)
+
+// maxPlacements bounds the instances that are tried for one suspect at a time.
+const maxPlacements = 8
+
+// ErrQuarantined means that the request crashed several backend servers.
+var ErrQuarantined = merry.New("request is quarantined")
+
+// Wish says what instance a request needs.
+type Wish struct {
+	Pool    string
+	Weights model.Weights
+	Finger  model.Fingerprint
+	// Prefix is the hash of the prompt's beginning; zero means no affinity.
+	Prefix uint64
+	// Avoid lists instances of earlier attempts.
+	Avoid []model.InstanceID
+}
+
+// Place is an instance that was reserved for a request. Finish gives it back.
+type Place struct {
+	Key    route.Key
+	Link   *link.Link
+	Prefix []uint64
+	finger model.Fingerprint
+}
+
+// Reserve picks an instance and takes a place on it. It returns nil when no
+// instance can take the request now, and ErrQuarantined when none ever will.
+func (f *Fleet) Reserve(w *Wish) (*Place, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.cfg.Clock.Now()
+	if f.monitor.Quarantined(now, w.Finger) {
+		return nil, merry.Wrap(ErrQuarantined)
+	}
+	request := f.routeRequest(now, w)
+	for range maxPlacements {
+		choice, err := f.picker.Pick(now, request)
+		if err != nil {
+			return nil, nil
+		}
+		verdict := f.monitor.Verdict(now, w.Finger, choice.Key.Instance)
+		f.broadcast(verdict.Update)
+		switch verdict.Decision {
+		case poison.Run, poison.RunAlone:
+			return f.reserve(now, w, request, choice.Key), nil
+		case poison.Quarantined:
+			return nil, merry.Wrap(ErrQuarantined)
+		case poison.Hold:
+			return nil, nil
+		case poison.RunElsewhere:
+			w.Avoid = append(w.Avoid, choice.Key.Instance)
+		}
+	}
+	return nil, nil
+}
+
+func (f *Fleet) routeRequest(now time.Time, w *Wish) *route.Request {
+	request := &route.Request{Pool: w.Pool, Weights: w.Weights}
+	if w.Prefix != 0 {
+		request.Prefix = []uint64{w.Prefix}
+		request.AffinityBlocks = 1
+	}
+	request.Allowed = func(key route.Key) bool {
+		for _, avoided := range w.Avoid {
+			if avoided == key.Instance {
+				return false
+			}
+		}
+		m, ok := f.view.Member(key.Instance)
+		if !ok || !m.Usable(now) || f.linkOf(key.Instance) == nil {
+			return false
+		}
+		return f.limiter(key).Free()
+	}
+	return request
+}
+
+func (f *Fleet) reserve(now time.Time, w *Wish, request *route.Request, key route.Key) *Place {
+	f.limiter(key).Acquire()
+	f.picker.Started(now, key, request.Prefix)
+	f.broadcast(f.monitor.Started(now, w.Finger, key.Instance))
+	return &Place{Key: key, Link: f.linkOf(key.Instance), Prefix: request.Prefix, finger: w.Finger}
+}
+
+func (f *Fleet) limiter(key route.Key) *admit.Limiter {
+	l := f.limiters[key]
+	if l == nil {
+		l = admit.NewLimiter(f.cfg.Limiter)
+		f.limiters[key] = l
+	}
+	return l
+}
+
+// Finish gives a place back and tells how its attempt ended.
+func (f *Fleet) Finish(p *Place, o outcome.Outcome, result route.Result) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.cfg.Clock.Now()
+	f.limiter(p.Key).Release()
+	f.picker.Finished(now, p.Key, result)
+	f.broadcast(f.monitor.Finished(now, p.finger, p.Key.Instance, o))
+	f.wake()
+}
+
+// ObserveFirstToken takes the time from dispatch to the first frame.
+func (f *Fleet) ObserveFirstToken(p *Place, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.limiter(p.Key).ObserveFirstToken(f.cfg.Clock.Now(), d)
+}
+
+// ObserveBetweenTokens takes the mean time between the frames of an answer.
+func (f *Fleet) ObserveBetweenTokens(p *Place, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.limiter(p.Key).ObserveBetweenTokens(f.cfg.Clock.Now(), d)
+}
+
+// ObserveRefusal takes a refusal for lack of capacity.
+func (f *Fleet) ObserveRefusal(p *Place) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.limiter(p.Key).ObserveRefusal(f.cfg.Clock.Now())
+}
+
+// Withdraw says that a suspect that was held is no longer wanted.
+func (f *Fleet) Withdraw(finger model.Fingerprint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.broadcast(f.monitor.Withdraw(f.cfg.Clock.Now(), finger))
+}
--- /dev/null
+++ b/lib/follow/follower.go
@@ -0,0 +1,188 @@
+// Package follow keeps the configuration replica of one process up to date from
+// the store and from its connections to other processes. Entries and agents use
+// it alike; only entries poll the store.
+package follow
+
+import (
+	"math/rand"
+	"sync"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/clock"
+	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/wire"
+)
+
+// Send sends a message to a peer without blocking.
+type Send func(wire.Message) error
+
+// Config sets up a Follower.
+type Config struct {
+	Clock clock.Clock
+	Rand  *rand.Rand
+	Log   *eventlog.Logger
+	// Beat returns a heartbeat of the process without the configuration fields.
+	// It is sent out of turn to peers that do not know a new revision yet.
+	Beat func() wire.Heartbeat
+}
+
+// Follower is safe for concurrent use.
+type Follower struct {
+	cfg     Config
+	replica *config.Replica
+
+	mu       sync.Mutex
+	peers    *config.Peers
+	sends    map[config.PeerID]Send
+	watchers []func(*config.View)
+}
+
+// New returns a follower without a configuration.
+func New(cfg Config) *Follower {
+	return &Follower{
+		cfg:     cfg,
+		replica: config.NewReplica(config.ReplicaConfig{}, cfg.Clock.Now()),
+		peers:   config.NewPeers(config.PeersConfig{}, cfg.Rand),
+		sends:   make(map[config.PeerID]Send),
+	}
+}
+
+// Current returns the configuration in force, or nil before the first one.
+func (f *Follower) Current() *config.View { return f.replica.Current() }
+
+// Age returns the time since the revision in force was last confirmed.
+func (f *Follower) Age() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.replica.Age(f.cfg.Clock.Now())
+}
+
+// Watch calls fn after each change of the configuration in force, one call at
+// a time. It is called before the first connection.
+func (f *Follower) Watch(fn func(*config.View)) { f.watchers = append(f.watchers, fn) }
+
+// Stamp sets the configuration fields of a heartbeat.
+func (f *Follower) Stamp(beat *wire.Heartbeat) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stamp(beat)
+}
+
+func (f *Follower) stamp(beat *wire.Heartbeat) {
+	head := f.replica.Head()
+	beat.ConfigRevision = head.Number
+	beat.ConfigDigest = head.Digest
+	beat.ConfigAgeMillis = f.replica.Age(f.cfg.Clock.Now()).Milliseconds()
+}
+
+// Connected adds a peer.
+func (f *Follower) Connected(id config.PeerID, send Send) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sends[id] = send
+}
+
+// Lost removes a peer whose connection ended.
+func (f *Follower) Lost(id config.PeerID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.sends, id)
+	f.peers.Lost(id)
+}
+
+// Heartbeat takes the configuration fields of a peer's heartbeat.
+func (f *Follower) Heartbeat(id config.PeerID, beat *wire.Heartbeat) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.cfg.Clock.Now()
+	head := config.Head{Number: beat.ConfigRevision, Digest: beat.ConfigDigest}
+	age := time.Duration(beat.ConfigAgeMillis) * time.Millisecond
+	if _, err := f.replica.Observe(head, age, now); err != nil {
+		f.refuse(id, err)
+		return
+	}
+	f.peers.Heard(id, head)
+	f.fetch(now)
+}
+
+func (f *Follower) refuse(id config.PeerID, err error) {
+	f.peers.Refused(id)
+	f.cfg.Log.Log(eventlog.ConfigRejected, "peer", id.Instance, "err", err)
+}
+
+// fetch asks the best peer for revisions that this process lacks.
+func (f *Follower) fetch(now time.Time) {
+	head := f.replica.Head()
+	id, ok := f.peers.ToFetch(head, now)
+	if !ok {
+		return
+	}
+	if send := f.sends[id]; send != nil {
+		_ = send(&wire.ConfigFetch{After: head.Number})
+	}
+}
+
+// Answer sends a peer the revisions that it lacks.
+func (f *Follower) Answer(m *wire.ConfigFetch, send Send) {
+	f.mu.Lock()
+	revisions, err := f.replica.After(m.After)
+	f.mu.Unlock()
+	if err == nil {
+		_ = send(&wire.ConfigDelta{Revisions: revisions})
+	}
+}
+
+// Delta takes revisions that a peer sent.
+func (f *Follower) Delta(id config.PeerID, m *wire.ConfigDelta) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.cfg.Clock.Now()
+	f.peers.Answered(id)
+	before := f.replica.Current()
+	if _, err := f.replica.Offer(m.Revisions, now); err != nil && config.IsDamaged(err) {
+		f.refuse(id, err)
+	}
+	f.spread(before, now)
+	f.fetch(now)
+}
+
+// Tick advances time-driven work; it is called a few times per second.
+func (f *Follower) Tick() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.cfg.Clock.Now()
+	before := f.replica.Current()
+	f.replica.Tick(now)
+	f.spread(before, now)
+	f.announce(now)
+	f.fetch(now)
+}
+
+// spread tells watchers and peers about a configuration that has just come in
+// force.
+func (f *Follower) spread(before *config.View, now time.Time) {
+	view := f.replica.Current()
+	if view == nil || view == before {
+		return
+	}
+	f.cfg.Log.Log(eventlog.ConfigApplied, "revision", view.Head.Number, "digest", view.Head.Digest.Short())
+	for _, watch := range f.watchers {
+		watch(view)
+	}
+	f.announce(now)
+}
+
+func (f *Follower) announce(now time.Time) {
+	head := f.replica.Head()
+	for _, id := range f.peers.ToAnnounce(head, now) {
+		send := f.sends[id]
+		if send == nil {
+			continue
+		}
+		beat := f.cfg.Beat()
+		f.stamp(&beat)
+		_ = send(&beat)
+		f.peers.Announced(id, head, now)
+	}
+}
--- /dev/null
+++ b/lib/follow/store_poll.go
@@ -0,0 +1,87 @@
+package follow
+
+import (
+	"context"
+	"math/rand"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+)
+
+// pollTimeout bounds one poll of the store.
+const pollTimeout = 3 * time.Second
+
+// PollStore reads the store until ctx ends. Fleet tells how many entries share
+// the store's budget of reads.
+func (f *Follower) PollStore(ctx context.Context, store *config.Store, fleet func() config.Fleet, rng *rand.Rand) {
+	poller := config.NewPoller(config.PollerConfig{}, fleet(), rng, f.cfg.Clock.Now())
+	timer := time.NewTimer(poller.Next().Sub(f.cfg.Clock.Now()))
+	defer timer.Stop()
+	available := true
+	for {
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return
+		}
+		more, err := f.pollOnce(ctx, store)
+		available = f.logAvailability(available, err)
+		poller.Done(err, more, fleet(), f.cfg.Clock.Now())
+		timer.Reset(poller.Next().Sub(f.cfg.Clock.Now()))
+	}
+}
+
+func (f *Follower) pollOnce(ctx context.Context, store *config.Store) (more bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	f.mu.Lock()
+	head := f.replica.Head()
+	f.mu.Unlock()
+	poll, err := store.Poll(ctx, head)
+	if err != nil {
+		return false, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.cfg.Clock.Now()
+	before := f.replica.Current()
+	if _, err := f.replica.Offer(poll.Encoded, now); err != nil && config.IsDamaged(err) {
+		f.cfg.Log.Log(eventlog.ConfigRejected, "source", "store", "err", err)
+		return false, merry.Wrap(err)
+	}
+	if poll.Head.Number > 0 {
+		if _, err := f.replica.Observe(poll.Head, 0, now); err != nil {
+			f.cfg.Log.Log(eventlog.ConfigRejected, "source", "store", "err", err)
+		}
+	}
+	f.spread(before, now)
+	return poll.More, nil
+}
+
+func (f *Follower) logAvailability(before bool, err error) bool {
+	switch {
+	case err != nil && before:
+		f.cfg.Log.Log(eventlog.StoreUnavailable, "err", err)
+	case err == nil && !before:
+		f.cfg.Log.Log(eventlog.StoreRecovered)
+	}
+	return err == nil
+}
+
+// Applied hands a revision that this process has just had accepted to the
+// replica, so that it need not be polled.
+func (f *Follower) Applied(encoded []byte) {
+	if encoded == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.cfg.Clock.Now()
+	before := f.replica.Current()
+	// A gap means that other revisions came first; the next poll reads them.
+	_, _ = f.replica.Offer([][]byte{encoded}, now)
+	f.spread(before, now)
+}
