--- /dev/null
+++ b/agent/transfer/status.go
@@ -0,0 +1,30 @@
+package transfer
+
+import "sync/atomic"
+
+// Progress reports the transfer of the wanted version. Bytes count since the
+// service started; bytes of corrupt and abandoned transfers are included.
+type Progress struct {
+	Chunks, Held int
+	OriginBytes  int64
+	StoreBytes   int64
+	PeerBytes    int64
+	UploadBytes  int64
+	// Tracked is false while the agent works without a tracker.
+	Tracked bool
+}
+
+type counters struct {
+	origin, store, peer, upload atomic.Int64
+	chunks, held                atomic.Int64
+	tracked                     atomic.Bool
+}
+
+func (c *counters) progress() Progress {
+	return Progress{
+		Chunks: int(c.chunks.Load()), Held: int(c.held.Load()),
+		OriginBytes: c.origin.Load(), StoreBytes: c.store.Load(),
+		PeerBytes: c.peer.Load(), UploadBytes: c.upload.Load(),
+		Tracked: c.tracked.Load(),
+	}
+}
--- /dev/null
+++ b/cmd/auburnbend-measure/main.go
@@ -0,0 +1,25 @@
+// Command auburnbend-measure runs the project's experiments, one subcommand
+// each, and prints their figures as JSON lines.
+package main
+
+import (
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/auburnbend/auburnbend/internal/measure/distribute"
+)
+
+func main() {
+	root := &cobra.Command{
+		Use:          "auburnbend-measure",
+		Short:        "Run experiments and print their figures as JSON lines",
+		SilenceUsage: true,
+	}
+	root.AddCommand(
+		distribute.New(),
+	)
+	if root.Execute() != nil {
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/measure/distribute/baselines.go
@@ -0,0 +1,132 @@
+package distribute
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/wire"
+)
+
+const (
+	// treeFanOut is the number of children of an instance in the fixed tree.
+	treeFanOut = 2
+	// treePoll is the wait before a child asks its parent again for a chunk that
+	// the parent does not hold yet.
+	treePoll = 5 * time.Millisecond
+	// originOnlyLimit bounds the slowest baseline.
+	originOnlyLimit = 110 * time.Second
+)
+
+// originOnly lets each instance read everything from the origin.
+func originOnly(o *Options) (*result, error) {
+	return baseline(o, "origin only", originOnlyLimit, func(ctx context.Context, fl *fleet, i int) error {
+		return readAll(ctx, fl, fl.agents[i], 0, 1)
+	})
+}
+
+// tree passes the weights down a fixed binary tree in each failure domain.
+// Parents pass each chunk on as soon as they hold it.
+func tree(o *Options) (*result, error) {
+	return baseline(o, "fixed tree", runLimit*2, func(ctx context.Context, fl *fleet, i int) error {
+		a := fl.agents[i]
+		position := i / o.Domains // in its failure domain
+		var wg sync.WaitGroup
+		errs := make([]error, o.Streams)
+		for s := range o.Streams {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				if position == 0 {
+					errs[s] = readAll(ctx, fl, a, s, o.Streams)
+					return
+				}
+				parent := fl.agents[(position-1)/treeFanOut*o.Domains+i%o.Domains]
+				errs[s] = pullAll(ctx, fl, a, parent, s, o.Streams)
+			}()
+		}
+		wg.Wait()
+		for _, err := range errs {
+			if err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+func baseline(o *Options, name string, limit time.Duration, fetch func(context.Context, *fleet, int) error) (*result, error) {
+	fl, err := newFleet(o, 1, faults{}, false)
+	if err != nil {
+		return nil, err
+	}
+	defer fl.close()
+	ctx, cancel := context.WithTimeout(fl.ctx, limit)
+	defer cancel()
+	start := time.Now()
+	var wg sync.WaitGroup
+	for i, a := range fl.agents {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			a.err = fetch(ctx, fl, i)
+			a.finished = time.Now()
+		}()
+	}
+	wg.Wait()
+	return newResult(name, start, fl), nil
+}
+
+// readAll reads each chunk whose index is first modulo step from the origin.
+func readAll(ctx context.Context, fl *fleet, a *agent, first, step int) error {
+	for i := first; i < len(fl.manifest.Chunks); i += step {
+		c := fl.manifest.Chunks[i]
+		r, err := (originFor{fl.origin, a.node}).ReadRange(ctx, weightsObject, fl.manifest.Offset(i), int64(c.Size))
+		if err != nil {
+			return err
+		}
+		var buf bytes.Buffer
+		if _, err := io.Copy(&buf, r); err != nil {
+			return err
+		}
+		if err := a.chunks.Put(c, buf.Bytes()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// pullAll takes each chunk whose index is first modulo step from the parent.
+func pullAll(ctx context.Context, fl *fleet, a, parent *agent, first, step int) error {
+	conn, err := a.dial(ctx, fl, parent)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	for i := first; i < len(fl.manifest.Chunks); {
+		c := fl.manifest.Chunks[i]
+		if err := conn.Send(&wire.ChunkFetch{Request: uint64(i), Chunk: c.Digest}); err != nil {
+			return err
+		}
+		m, err := conn.Receive()
+		if err != nil {
+			return err
+		}
+		data, ok := m.(*wire.ChunkData)
+		if !ok {
+			select {
+			case <-time.After(treePoll):
+				continue
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+		if err := a.chunks.Put(c, data.Data); err != nil {
+			return err
+		}
+		i += step
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/measure/distribute/options.go
@@ -0,0 +1,67 @@
+package distribute
+
+import (
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+// Options are the flags of the experiment.
+type Options struct {
+	Agents, Domains   int
+	Size, ChunkSize   int
+	Window            time.Duration
+	OriginCopies      float64
+	InstanceCopies    float64
+	InterRegionCopies float64
+	LinkShare         float64
+	TimeWeight        float64
+	Kill              float64
+	Corrupt           float64
+	Stall             float64
+	Seed              int64
+	Plot              string
+	Only              string
+	Streams           int
+	UploadSlots       int
+	OriginStreams     int
+	RemoteStreams     int
+}
+
+func (o *Options) flags(cmd *cobra.Command) {
+	f := cmd.Flags()
+	f.IntVar(&o.Agents, "agents", 60, "number of instances")
+	f.IntVar(&o.Domains, "domains", 3, "number of failure domains, each in a region of its own")
+	f.IntVar(&o.Size, "size", 8<<20, "size of the weights in bytes")
+	f.IntVar(&o.ChunkSize, "chunk-size", 32<<10, "size of a chunk in bytes")
+	f.DurationVar(&o.Window, "window", 6*time.Second, "distribution window, from which link rates follow")
+	f.Float64Var(&o.OriginCopies, "origin-copies", 4, "copies that the origin's link carries in a window")
+	f.Float64Var(&o.InstanceCopies, "instance-copies", 2, "copies that an instance's link carries in a window, in each direction")
+	f.Float64Var(&o.InterRegionCopies, "inter-region-copies", 0.5, "copies that the link between two regions carries in a window, in each direction")
+	f.Float64Var(&o.LinkShare, "link-share", 0.8, "share of the links between regions that transfers use")
+	f.Float64Var(&o.TimeWeight, "time-weight", 1, "weight of time against origin bytes in the disturbed run, 0 to 1")
+	f.Float64Var(&o.Kill, "kill", 0.10, "share of instances killed at random times in the disturbed run")
+	f.Float64Var(&o.Corrupt, "corrupt", 0.05, "share of chunk transfers that arrive corrupt in the disturbed run")
+	f.Float64Var(&o.Stall, "stall", 0.10, "share of directed links between two instances, or the origin and one, that stall for good in the disturbed run")
+	f.Int64Var(&o.Seed, "seed", 1, "seed of all random choices")
+	f.StringVar(&o.Plot, "plot", "", "file for an SVG of complete instances over time")
+	f.StringVar(&o.Only, "only", "", "comma-separated runs: time, bytes, faults, origin, tree; all when empty")
+	f.IntVar(&o.Streams, "streams", 4, "chunks that an instance fetches at one time")
+	f.IntVar(&o.UploadSlots, "upload-slots", 4, "assignments that name one instance as source at one time")
+	f.IntVar(&o.OriginStreams, "origin-streams", 3, "origin fetches of a failure domain at one time")
+	f.IntVar(&o.RemoteStreams, "remote-streams", 4, "fetches of a failure domain from one other region at one time")
+}
+
+// rate converts copies per window to bytes per second.
+func (o *Options) rate(copies float64) float64 {
+	return copies * float64(o.Size) / o.Window.Seconds()
+}
+
+// lowerBound is the time that no method can beat:
+// max(size/origin, size/download, N*size/(origin+uploads)).
+func (o *Options) lowerBound() time.Duration {
+	origin, link := o.rate(o.OriginCopies), o.rate(o.InstanceCopies)
+	size, n := float64(o.Size), float64(o.Agents)
+	s := max(size/origin, size/link, n*size/(origin+n*link))
+	return time.Duration(s * float64(time.Second))
+}
--- /dev/null
+++ b/internal/measure/distribute/origin.go
@@ -0,0 +1,74 @@
+package distribute
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+
+	"golang.org/x/time/rate"
+
+	"github.com/auburnbend/auburnbend/lib/platform"
+)
+
+// originName names the origin in directed links.
+const originName = "origin"
+
+// origin serves objects over its one link.
+type origin struct {
+	n       *network
+	up      *rate.Limiter
+	objects map[string][]byte
+	bytes   atomic.Int64
+}
+
+// originFor is the origin as one instance sees it.
+type originFor struct {
+	*origin
+	to *node
+}
+
+// ReadRange opens a range; reads beyond the end find nothing.
+func (o originFor) ReadRange(ctx context.Context, object string, offset, length int64) (io.ReadCloser, error) {
+	data, ok := o.objects[object]
+	if !ok {
+		return nil, platform.ErrNotFound
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	offset = min(offset, int64(len(data)))
+	r := &originReader{o: o, ctx: ctx, cancel: cancel, data: data[offset:min(offset+length, int64(len(data)))]}
+	if length > 0 && o.n.corrupts() && len(r.data) > 0 {
+		r.data = append([]byte(nil), r.data...)
+		r.data[len(r.data)/2] ^= 0x55
+	}
+	return r, nil
+}
+
+type originReader struct {
+	o      originFor
+	ctx    context.Context
+	cancel context.CancelFunc
+	data   []byte
+}
+
+func (r *originReader) Read(p []byte) (int, error) {
+	if len(r.data) == 0 {
+		return 0, io.EOF
+	}
+	if r.o.n.stalled(originName, r.o.to.name) {
+		<-r.ctx.Done()
+		return 0, r.ctx.Err()
+	}
+	n := min(len(p), slice, len(r.data))
+	if err := pass(r.ctx, n, r.o.up, r.o.to.down); err != nil {
+		return 0, err
+	}
+	copy(p, r.data[:n])
+	r.data = r.data[n:]
+	r.o.bytes.Add(int64(n))
+	return n, nil
+}
+
+func (r *originReader) Close() error {
+	r.cancel()
+	return nil
+}
--- a/lib/distribute/downloader.go
+++ b/lib/distribute/downloader.go
@@ -210,3 +210,6 @@
 
 // Target returns the wanted version.
 func (d *Downloader) Target() model.Digest { return d.digest }
+
+// SetWindow changes the number of chunks that are fetched at one time.
+func (d *Downloader) SetWindow(chunks int) { d.cfg.Window = max(1, chunks) }
--- a/lib/distribute/tracker_schedule.go
+++ b/lib/distribute/tracker_schedule.go
@@ -177,4 +177,3 @@
 	}
 	return nil
 }
-
--- a/lib/wire/conn.go
+++ b/lib/wire/conn.go
@@ -26,18 +26,25 @@
 type Conn struct {
 	nc     net.Conn
 	reader *bufio.Reader
-	queue  chan []byte
+	queue  chan outgoing
 	done   chan struct{}
 	once   sync.Once
 	sent   atomic.Int64
 	read   atomic.Int64
 }
 
+// outgoing is an encoded frame that waits for the writer. A non-nil written is
+// closed once the frame was handed to the operating system.
+type outgoing struct {
+	frame   []byte
+	written chan struct{}
+}
+
 // NewConn takes over nc and starts its writer goroutine.
 func NewConn(nc net.Conn) *Conn {
 	c := &Conn{
 		nc:    nc,
-		queue: make(chan []byte, defaultQueue),
+		queue: make(chan outgoing, defaultQueue),
 		done:  make(chan struct{}),
 	}
 	c.reader = bufio.NewReaderSize(&countingReader{nc: nc, count: &c.read}, readBuffer)
@@ -53,7 +60,28 @@
 		return err
 	}
 	select {
-	case c.queue <- frame:
+	case c.queue <- outgoing{frame: frame}:
+		return nil
+	case <-c.done:
+		return merry.Wrap(ErrClosed)
+	}
+}
+
+// SendWritten queues a message and waits until it was handed to the operating
+// system, so that a sender of large frames keeps one of them in memory.
+func (c *Conn) SendWritten(m Message) error {
+	frame, err := Append(nil, m)
+	if err != nil {
+		return err
+	}
+	out := outgoing{frame: frame, written: make(chan struct{})}
+	select {
+	case c.queue <- out:
+	case <-c.done:
+		return merry.Wrap(ErrClosed)
+	}
+	select {
+	case <-out.written:
 		return nil
 	case <-c.done:
 		return merry.Wrap(ErrClosed)
@@ -73,7 +101,7 @@
 	default:
 	}
 	select {
-	case c.queue <- frame:
+	case c.queue <- outgoing{frame: frame}:
 		return nil
 	default:
 		return merry.Wrap(ErrQueueFull)
@@ -123,19 +151,30 @@
 
 // writeFrames writes one frame and all that are queued behind it, then flushes,
 // so that a burst of frames costs one system call.
-func (c *Conn) writeFrames(w *bufio.Writer, frame []byte) bool {
+func (c *Conn) writeFrames(w *bufio.Writer, next outgoing) bool {
 	if c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)) != nil {
 		return false
 	}
+	var waiting []chan struct{}
 	for {
-		if _, err := w.Write(frame); err != nil {
+		if _, err := w.Write(next.frame); err != nil {
 			return false
 		}
-		c.sent.Add(int64(len(frame)))
+		c.sent.Add(int64(len(next.frame)))
+		if next.written != nil {
+			waiting = append(waiting, next.written)
+		}
 		select {
-		case frame = <-c.queue:
+		case next = <-c.queue:
+			continue
 		default:
-			return w.Flush() == nil
 		}
+		if w.Flush() != nil {
+			return false
+		}
+		for _, written := range waiting {
+			close(written)
+		}
+		return true
 	}
 }
--- a/lib/wire/messages.go
+++ b/lib/wire/messages.go
@@ -282,6 +282,12 @@
 	Manifest    model.Digest `msgpack:"m"`
 	Granted     bool         `msgpack:"g"`
 	RetryMillis int64        `msgpack:"r"`
+	// Number and ExpiryMillis belong to a granted permit: its holder checks the
+	// expiry on its monotonic clock before it stops admitting requests.
+	Number       uint64 `msgpack:"n"`
+	ExpiryMillis int64  `msgpack:"e"`
+	// Reason says why no permit was given.
+	Reason string `msgpack:"w"`
 }
 
 // HolderSummary tells the tracker of another failure domain which of its agents
