Let requests wait for a full instance that has their prefix cached

Cause: near capacity the only free instance is the one whose answer ended last, so requests of any kind went there and the hit share fell. Change: Picker refuses while fewer than half of the instances are free and a full one scores better by 0.1, for at most 600 ms after the first offer.

--- a/internal/measure/fleet/entry.go
+++ b/internal/measure/fleet/entry.go
@@ -115,7 +115,10 @@
 // place picks an engine and sends the request to it.
 func (e *entry) place(r admit.Request) bool {
 	now, j := e.sim.time.now, e.jobs[r.ID]
-	request := route.Request{Pool: pool, Allowed: func(k route.Key) bool { return e.limiters[k].Free() }}
+	request := route.Request{
+		Pool: pool, Offered: r.Offered,
+		Free: func(k route.Key) bool { return e.limiters[k].Free() },
+	}
 	if !e.sim.cfg.NoAffinity {
 		request.Prefix, request.AffinityBlocks = j.blocks[:sharedBlocks], sharedBlocks
 	}
--- a/lib/admit/config.go
+++ b/lib/admit/config.go
@@ -47,7 +47,7 @@
 		c.MaxPriority = 4
 	}
 	if c.MaxTries <= 0 {
-		c.MaxTries = 4
+		c.MaxTries = 16
 	}
 	if c.RateWindow <= 0 {
 		c.RateWindow = 3 * time.Second
@@ -81,4 +81,7 @@
 	// earlier of its deadline and its target for the first token, less the time
 	// that a backend server needs for it. Zero means that it waits for ever.
 	StartBy time.Time
+	// Offered is when Next first offered the request for placing. The Queue
+	// sets it.
+	Offered time.Time
 }
--- a/lib/admit/next.go
+++ b/lib/admit/next.go
@@ -22,6 +22,9 @@
 		if it == nil {
 			break
 		}
+		if it.Offered.IsZero() {
+			it.Offered = now
+		}
 		if !place(it.Request) {
 			q.skip = append(q.skip, t)
 			continue
--- a/lib/route/config.go
+++ b/lib/route/config.go
@@ -29,6 +29,16 @@
 	// BoundedLoad is the factor over the mean load up to which an instance may
 	// be a rendezvous choice.
 	BoundedLoad float64
+	// ChoiceShare is the share of instances that must be free for a request to
+	// take one without its prefix. When nearly all are full, the only free one
+	// is the one whose answer ended last: without waiting, it gets a request of
+	// any kind, and prefix caches lose their use just when they matter most.
+	ChoiceShare float64
+	// WaitGain is how much better the score of a full instance must be for a
+	// request to wait for it.
+	WaitGain float64
+	// Patience bounds that wait.
+	Patience time.Duration
 	// PrefixTTL is the age at which a prefix entry no longer counts.
 	PrefixTTL time.Duration
 	// MaxPrefixes bounds the blocks in the prefix index: at most twice as many
@@ -64,6 +74,7 @@
 	}{
 		{&c.FreshFor, 3 * time.Second},
 		{&c.ReportHalfLife, 2 * time.Second},
+		{&c.Patience, 600 * time.Millisecond},
 		{&c.PrefixTTL, 2 * time.Minute},
 		{&c.SlowStart, 10 * time.Second},
 		{&c.EjectFor, 5 * time.Second},
@@ -83,6 +94,8 @@
 		{&c.CacheBonus, 0.3},
 		{&c.AffinityBonus, 0.1},
 		{&c.BoundedLoad, 1.25},
+		{&c.ChoiceShare, 0.5},
+		{&c.WaitGain, 0.1},
 		{&c.SpillThreshold, 0.9},
 		{&c.DomainPenalty, 0.05},
 		{&c.RegionPenalty, 0.15},
--- a/lib/route/pick.go
+++ b/lib/route/pick.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/outcome"
@@ -13,6 +14,7 @@
 	busy  float64
 	score float64
 	local bool
+	free  bool
 }
 
 // Pick returns the instance for a request, or a *Refusal. It changes nothing
@@ -28,6 +30,9 @@
 	}
 	p.keepLocal()
 	p.score(now, r)
+	if !p.keepFree(now, r) {
+		return Choice{}, &Refusal{Reason: outcome.ReasonOverloaded, RetryAfter: p.cfg.RetryAfter}
+	}
 	c := p.twoChoices()
 	return Choice{Key: c.slot.Key(), Spilled: !c.local, CachedBlocks: p.prefix.depth(c.slot.number)}, nil
 }
@@ -46,7 +51,12 @@
 		if s.outlier.ejected(now) || (r.Allowed != nil && !r.Allowed(s.Key())) {
 			continue
 		}
-		c := scored{slot: s, busy: s.busy(now, &p.cfg), local: s.Location.FailureDomain == p.cfg.Domain}
+		c := scored{
+			slot:  s,
+			busy:  s.busy(now, &p.cfg),
+			local: s.Location.FailureDomain == p.cfg.Domain,
+			free:  r.Free == nil || r.Free(s.Key()),
+		}
 		p.best = append(p.best, c)
 		if now.Sub(s.heard) <= p.cfg.FreshFor {
 			// Fresh candidates are kept in front.
@@ -61,16 +71,41 @@
 	return matching
 }
 
+// keepFree drops the candidates that are full. It returns false when none is
+// free, or when the request should wait for a better one that is full: delay
+// scheduling (Zaharia et al., 2010).
+func (p *Picker) keepFree(now time.Time, r *Request) bool {
+	best, bestFree := math.Inf(1), math.Inf(1)
+	all := len(p.best)
+	kept := p.best[:0]
+	for _, c := range p.best {
+		best = min(best, c.score)
+		if c.free {
+			bestFree = min(bestFree, c.score)
+			kept = append(kept, c)
+		}
+	}
+	p.best = kept
+	if len(kept) == 0 {
+		return false
+	}
+	patient := now.Sub(r.Offered) < p.cfg.Patience
+	few := float64(len(kept)) < p.cfg.ChoiceShare*float64(all)
+	return !patient || !few || bestFree-best < p.cfg.WaitGain
+}
+
 // keepLocal drops candidates of other failure domains unless all local ones
-// are loaded past the threshold or there is none.
+// are full, or loaded past the threshold, or there is none.
 func (p *Picker) keepLocal() {
-	best, locals := 0.0, 0
+	best, locals := math.Inf(1), 0
 	for i := range p.best {
-		if c := &p.best[i]; c.local {
-			if locals == 0 || c.busy < best {
-				best = c.busy
-			}
-			locals++
+		c := &p.best[i]
+		if !c.local {
+			continue
+		}
+		locals++
+		if c.free {
+			best = min(best, c.busy)
 		}
 	}
 	if locals == 0 || locals == len(p.best) || best > p.cfg.SpillThreshold {
--- a/lib/route/request.go
+++ b/lib/route/request.go
@@ -1,6 +1,10 @@
 package route
 
-import "github.com/auburnbend/auburnbend/lib/model"
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/model"
+)
 
 // Request says what an instance is picked for.
 type Request struct {
@@ -15,10 +19,16 @@
 	// share. The last of them is the key of the rendezvous choice; 0 means no
 	// affinity.
 	AffinityBlocks int
-	// Allowed excludes instances: those that are full by their concurrency
-	// limit, that already failed this request, or that run another suspect. Nil
-	// allows all.
+	// Allowed excludes instances for this request: those that already failed
+	// it, or that run another suspect. Nil allows all.
 	Allowed func(Key) bool
+	// Free excludes instances that are full by their concurrency limit. Nil
+	// means that none is full.
+	Free func(Key) bool
+	// Offered is when the request was first offered for placing. Until
+	// Config.Patience after it, the request waits for an instance that has its
+	// prefix if few instances are free. Zero means that it does not wait.
+	Offered time.Time
 }
 
 func (r *Request) affinityKey() (uint64, bool) {
