Add peers' exchange of revisions and a simulation of a whole deployment

A domain that cannot reach the store has to learn of changes from peers within 9 s, which heartbeats of 3 s alone do not achieve over several processes. Peers decides whom to tell early and whom to ask.

--- /dev/null
+++ b/internal/configsim/changes.go
@@ -0,0 +1,85 @@
+package configsim
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/model"
+)
+
+// Operator makes changes to a configuration of typical size.
+type Operator struct {
+	store *config.Store
+	next  *config.Config
+	// Accepted is when each revision was accepted; index 0 is unused.
+	Accepted []time.Time
+	// Encoded is the last accepted revision.
+	Encoded []byte
+}
+
+// Typical sizes of a deployment: ten teams, a few models with adapters and a
+// pool in each failure domain.
+const (
+	typicalModels  = 12
+	typicalTenants = 10
+)
+
+// NewOperator returns an operator of the simulated deployment.
+func (s *Sim) NewOperator() *Operator {
+	return &Operator{
+		store:    config.NewStore(s.Table, config.StoreConfig{Clock: s.clock}),
+		next:     typical(s.cfg.Domains),
+		Accepted: make([]time.Time, 1),
+	}
+}
+
+// Change accepts one revision that alters one value.
+func (o *Operator) Change(s *Sim) error {
+	number := uint64(len(o.Accepted))
+	next := *o.next
+	next.Tenants = append([]config.Tenant(nil), next.Tenants...)
+	next.Tenants[int(number)%len(next.Tenants)].MaxQueued = 100 + int(number)
+	result, err := o.store.Apply(context.Background(), config.Request{
+		Config: &next, Expected: number - 1, Operation: fmt.Sprintf("change-%d", number), Author: "operator",
+	})
+	if err != nil {
+		return err
+	}
+	o.next, o.Encoded = &next, result.Encoded
+	o.Accepted = append(o.Accepted, s.Now())
+	return nil
+}
+
+// Submit makes a change through an entry, which takes over the accepted
+// revision at once.
+func (o *Operator) Submit(s *Sim, entry *Node) error {
+	err := o.Change(s)
+	if err == nil {
+		entry.offer([][]byte{o.Encoded})
+	}
+	return err
+}
+
+func typical(domains int) *config.Config {
+	c := &config.Config{Deployment: config.Deployment{TimeWeight: 0.5, OriginCopies: 2, TransferShare: 0.5, ClaimRetention: 24 * time.Hour}}
+	for i := range typicalModels {
+		name := fmt.Sprintf("model-%d", i)
+		c.Models = append(c.Models, config.Model{
+			Name: name, Version: "v1", Manifest: model.Sum([]byte(name)), ManifestObject: "manifests/" + name, Bytes: 14 << 30,
+		})
+		for d := range domains {
+			c.Placements = append(c.Placements, config.Placement{
+				Model: name, Version: "v1", FailureDomain: model.FailureDomain(fmt.Sprintf("domain-%d", d)), Pool: name, Replicas: 40, MinLive: 30,
+			})
+		}
+		c.Services = append(c.Services, config.Service{
+			Name: model.Service(name), Kind: config.KindModel, Model: name, Version: "v1", Pool: name, Timeout: 30 * time.Second, MaxBodyBytes: 1 << 20,
+		})
+	}
+	for i := range typicalTenants {
+		c.Tenants = append(c.Tenants, config.Tenant{Name: model.Tenant(fmt.Sprintf("team-%d", i)), Share: 1, MaxQueued: 100, RetryShare: 0.1})
+	}
+	return c
+}
--- /dev/null
+++ b/internal/configsim/config.go
@@ -0,0 +1,54 @@
+// Package configsim runs the spread of the configuration over a whole
+// deployment in simulated time: store, entries, agents, outages and cuts. Tests
+// and measurements share it.
+package configsim
+
+import "time"
+
+// Config holds the shape of a simulated deployment.
+type Config struct {
+	// Domains is the number of failure domains.
+	Domains int
+	// Entries and Agents are numbers per failure domain.
+	Entries int
+	Agents  int
+	// PeersInside and PeersOutside are the connections that each entry opens to
+	// entries of its own and of other domains.
+	PeersInside  int
+	PeersOutside int
+	// AgentEntries is the number of entries that each agent connects to.
+	AgentEntries int
+	// Heartbeat is the time between two heartbeats of an idle connection.
+	Heartbeat time.Duration
+	// StoreLatency is the time of a read from an entry in any domain.
+	StoreLatency time.Duration
+	// StoreTimeout is the time after which an entry gives up a read.
+	StoreTimeout time.Duration
+	// FixedPace polls and retries at fixed intervals, as a baseline.
+	FixedPace bool
+	// WholeSnapshots sends the whole configuration in place of deltas, as a
+	// baseline.
+	WholeSnapshots bool
+	Seed           int64
+}
+
+func (c *Config) applyDefaults() {
+	if c.PeersInside == 0 {
+		c.PeersInside = 2
+	}
+	if c.PeersOutside == 0 {
+		c.PeersOutside = 1
+	}
+	if c.AgentEntries == 0 {
+		c.AgentEntries = 3
+	}
+	if c.Heartbeat == 0 {
+		c.Heartbeat = 3 * time.Second
+	}
+	if c.StoreLatency == 0 {
+		c.StoreLatency = 5 * time.Millisecond
+	}
+	if c.StoreTimeout == 0 {
+		c.StoreTimeout = 2 * time.Second
+	}
+}
--- /dev/null
+++ b/internal/configsim/link.go
@@ -0,0 +1,70 @@
+package configsim
+
+import (
+	"context"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/auburnbend/auburnbend/lib/platform"
+)
+
+// StoreState is the condition of the store.
+type StoreState uint8
+
+// Conditions of the store.
+const (
+	// StoreUp answers after the configured latency.
+	StoreUp StoreState = iota
+	// StoreDown refuses connections.
+	StoreDown
+	// StoreSlow takes half a second to four seconds per read, so that about
+	// half of the reads miss the timeout of 2 s.
+	StoreSlow
+)
+
+// link is the path of one node to the store. It counts reads that reach the
+// store, and adds up the time that they take.
+type link struct {
+	platform.TableService
+	sim  *Sim
+	node *Node
+	took time.Duration
+}
+
+// Get implements platform.TableService.
+func (l *link) Get(ctx context.Context, table, key string) (platform.Row, error) {
+	if err := l.read(); err != nil {
+		return platform.Row{}, err
+	}
+	return l.TableService.Get(ctx, table, key)
+}
+
+// Scan implements platform.TableService.
+func (l *link) Scan(ctx context.Context, table, prefix, after string, limit int) ([]platform.Row, error) {
+	if err := l.read(); err != nil {
+		return nil, err
+	}
+	return l.TableService.Scan(ctx, table, prefix, after, limit)
+}
+
+func (l *link) read() error {
+	if l.sim.CutFromStore[l.node.domain] {
+		l.took += l.sim.cfg.StoreTimeout
+		return merry.Wrap(platform.ErrUnavailable)
+	}
+	l.sim.countRead()
+	switch l.sim.Store {
+	case StoreDown:
+		return merry.Wrap(platform.ErrUnavailable)
+	case StoreSlow:
+		d := 500*time.Millisecond + time.Duration(l.sim.rng.Int63n(int64(3500*time.Millisecond)))
+		l.took += min(d, l.sim.cfg.StoreTimeout)
+		if d > l.sim.cfg.StoreTimeout {
+			return merry.Wrap(platform.ErrUnavailable)
+		}
+	default:
+		l.took += l.sim.cfg.StoreLatency
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/configsim/node.go
@@ -0,0 +1,203 @@
+package configsim
+
+import (
+	"context"
+	"math/rand"
+	"strconv"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/wire"
+)
+
+// tick is how often a node looks for timed-out fetches and due announcements.
+const tick = 250 * time.Millisecond
+
+// Node is one entry or agent.
+type Node struct {
+	sim    *Sim
+	id     config.PeerID
+	domain int
+	agent  bool
+	conns  []*Node
+	rng    *rand.Rand
+
+	// Up is false while the process is stopped.
+	Up      bool
+	Replica *config.Replica
+	peers   *config.Peers
+	store   *config.Store
+	link    *link
+	pace    pace
+	// inForce is when each revision came into force, by number.
+	inForce map[uint64]time.Time
+
+	// Sent counts the bytes that the spread of the configuration cost.
+	Sent int64
+}
+
+// Domain returns the failure domain of the node.
+func (n *Node) Domain() int { return n.domain }
+
+// start begins a new incarnation with empty state.
+func (n *Node) start() {
+	now := n.sim.Now()
+	n.id.Generation++
+	n.Up = true
+	n.Replica = config.NewReplica(config.ReplicaConfig{}, now)
+	n.peers = config.NewPeers(config.PeersConfig{}, n.rng)
+	n.inForce = make(map[uint64]time.Time)
+	generation := n.id.Generation
+	if !n.agent {
+		n.link = &link{TableService: n.sim.Table, sim: n.sim, node: n}
+		n.store = config.NewStore(n.link, config.StoreConfig{Clock: n.sim.clock})
+		n.pace = n.newPace(now)
+		n.schedulePoll(generation)
+	}
+	for _, other := range n.conns {
+		n.heartbeat(other)
+		other.heartbeat(n)
+	}
+	n.repeat(generation, time.Duration(n.rng.Int63n(int64(tick))), tick, n.act)
+	n.repeat(generation, time.Duration(n.rng.Int63n(int64(n.sim.cfg.Heartbeat))), n.sim.cfg.Heartbeat, func() {
+		for _, other := range n.conns {
+			n.heartbeat(other)
+		}
+	})
+}
+
+func (n *Node) newPace(now time.Time) pace {
+	if n.sim.cfg.FixedPace {
+		return &fixedPace{next: now.Add(time.Duration(n.rng.Int63n(int64(fixedInterval))))}
+	}
+	return config.NewPoller(config.PollerConfig{}, n.sim.fleet(), n.rng, now)
+}
+
+// stop ends the incarnation; its peers notice at once.
+func (n *Node) stop() {
+	n.Up = false
+	for _, other := range n.conns {
+		if other.Up {
+			other.peers.Lost(n.id)
+		}
+	}
+}
+
+// repeat runs f periodically while the incarnation lives.
+func (n *Node) repeat(generation model.Generation, first, every time.Duration, f func()) {
+	n.sim.after(first, func() {
+		if !n.Up || n.id.Generation != generation {
+			return
+		}
+		f()
+		n.repeat(generation, every, every, f)
+	})
+}
+
+func (n *Node) schedulePoll(generation model.Generation) {
+	n.sim.after(n.pace.Next().Sub(n.sim.Now()), func() {
+		if !n.Up || n.id.Generation != generation {
+			return
+		}
+		n.link.took = 0
+		poll, err := n.store.Poll(context.Background(), n.Replica.Head())
+		n.sim.after(n.link.took, func() {
+			if !n.Up || n.id.Generation != generation {
+				return
+			}
+			now := n.sim.Now()
+			if err == nil {
+				n.offer(poll.Encoded)
+				if !poll.More {
+					_, _ = n.Replica.Observe(poll.Head, 0, now)
+				}
+			}
+			n.pace.Done(err, poll.More, n.sim.fleet(), now)
+			n.schedulePoll(generation)
+		})
+	})
+}
+
+// offer applies revisions, notes when they came into force and announces them.
+func (n *Node) offer(encoded [][]byte) {
+	now := n.sim.Now()
+	_, err := n.Replica.Offer(encoded, now)
+	if err != nil && config.IsDamaged(err) {
+		n.sim.Damaged++
+	}
+	n.act()
+}
+
+// act sends what is due and notes a settled configuration.
+func (n *Node) act() {
+	now := n.sim.Now()
+	n.Replica.Tick(now)
+	if view := n.Replica.Current(); view != nil {
+		for number := view.Head.Number; number > 0 && n.inForce[number].IsZero(); number-- {
+			n.inForce[number] = now
+		}
+	}
+	head := n.Replica.Head()
+	for _, id := range n.peers.ToAnnounce(head, now) {
+		other := n.sim.byID[id.Instance]
+		n.heartbeat(other)
+		n.Sent += n.sim.heartbeatBytes
+	}
+	if id, ok := n.peers.ToFetch(head, now); ok {
+		n.fetch(n.sim.byID[id.Instance], id, head.Number)
+	}
+}
+
+func (n *Node) heartbeat(to *Node) {
+	now := n.sim.Now()
+	head, age := n.Replica.Head(), n.Replica.Age(now)
+	if to.Up {
+		n.peers.Announced(to.id, head, now)
+	}
+	from := n.id
+	n.sim.send(n, to, func() {
+		if n.id != from || !n.Up {
+			return
+		}
+		if _, err := to.Replica.Observe(head, age, to.sim.Now()); err != nil {
+			to.peers.Refused(from)
+			return
+		}
+		to.peers.Heard(from, head)
+		to.act()
+	})
+}
+
+// fetch asks a peer for revisions and applies its answer.
+func (n *Node) fetch(from *Node, id config.PeerID, after uint64) {
+	n.Sent += frameBytes(&wire.ConfigFetch{After: after})
+	n.sim.send(n, from, func() {
+		request := after
+		if from.sim.cfg.WholeSnapshots {
+			request = 0
+		}
+		encoded, err := from.Replica.After(request)
+		if err != nil || from.id != id {
+			return
+		}
+		from.Sent += frameBytes(&wire.ConfigDelta{Revisions: encoded})
+		asker := n.id
+		n.sim.send(from, n, func() {
+			if n.id == asker {
+				n.peers.Answered(id)
+				n.offer(encoded)
+			}
+		})
+	})
+}
+
+func frameBytes(m wire.Message) int64 {
+	frame, err := wire.Append(nil, m)
+	if err != nil {
+		panic(err)
+	}
+	return int64(len(frame))
+}
+
+func instanceName(i int) model.InstanceID { return model.InstanceID("node-" + strconv.Itoa(i)) }
--- /dev/null
+++ b/internal/configsim/pace.go
@@ -0,0 +1,34 @@
+package configsim
+
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/config"
+)
+
+const (
+	// fixedInterval and fixedRetry are the baseline: the interval of a small
+	// deployment at any size, and a retry each second after a failure.
+	fixedInterval = 2 * time.Second
+	fixedRetry    = time.Second
+)
+
+// pace says when an entry polls the store.
+type pace interface {
+	Next() time.Time
+	Done(err error, more bool, fleet config.Fleet, now time.Time)
+}
+
+// fixedPace polls at fixed intervals without jitter or backoff.
+type fixedPace struct{ next time.Time }
+
+// Next implements pace.
+func (f *fixedPace) Next() time.Time { return f.next }
+
+// Done implements pace.
+func (f *fixedPace) Done(err error, _ bool, _ config.Fleet, now time.Time) {
+	f.next = now.Add(fixedInterval)
+	if err != nil {
+		f.next = now.Add(fixedRetry)
+	}
+}
--- /dev/null
+++ b/internal/configsim/spread_test.go
@@ -0,0 +1,96 @@
+package configsim_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/internal/configsim"
+)
+
+const (
+	// inForceBound is the time within which an accepted revision is in force in
+	// every reachable failure domain.
+	inForceBound = 9 * time.Second
+	// readBound is a tenth of the store's 2,000 reads/s.
+	readBound = 200
+)
+
+var _ = Describe("the spread of the configuration", func() {
+	// Guards against entries that keep asking a store that is down, and that
+	// all return at the same moment.
+	It("keeps 600 entries within 200 reads/s while the store is down, slow and back", func() {
+		s := configsim.New(configsim.Config{Domains: 15, Entries: 40, Seed: 1})
+		o := s.NewOperator()
+		Expect(o.Change(s)).To(Succeed())
+		s.Boot()
+		s.Run(time.Minute)
+		s.Store = configsim.StoreDown
+		s.Run(10 * time.Minute)
+		s.Store = configsim.StoreSlow
+		s.Run(2 * time.Minute)
+		s.Store = configsim.StoreUp
+		back := s.Second()
+		Expect(o.Change(s)).To(Succeed())
+		s.Run(2 * time.Minute)
+		GinkgoWriter.Printf("peak reads/s: %d in the whole run, %d after the return\n", s.PeakReads(0), s.PeakReads(back))
+		Expect(s.PeakReads(0)).To(BeNumerically("<=", readBound))
+		slowest, missing := s.InForce(2, o.Accepted[2], nil)
+		Expect(missing).To(BeZero())
+		Expect(slowest).To(BeNumerically("<=", inForceBound))
+	})
+
+	// Guards against domains that stay behind: none of the entries that accept
+	// is told directly, so every change has to be found by polling.
+	DescribeTable("brings each change into force within 9 s",
+		func(cfg configsim.Config, every time.Duration, changes int) {
+			const cut = 1
+			s := configsim.New(cfg)
+			o := s.NewOperator()
+			Expect(o.Change(s)).To(Succeed())
+			s.Boot()
+			s.Run(20 * time.Second)
+			s.CutFromStore[cut] = true
+			for range changes {
+				Expect(o.Change(s)).To(Succeed())
+				s.Run(every)
+			}
+			s.Run(inForceBound)
+			worst := time.Duration(0)
+			for number := 2; number < len(o.Accepted); number++ {
+				slowest, missing := s.InForce(uint64(number), o.Accepted[number], nil)
+				Expect(missing).To(BeZero())
+				worst = max(worst, slowest)
+			}
+
+			s.CutFromPeers[cut] = true
+			Expect(o.Change(s)).To(Succeed())
+			s.Run(time.Minute)
+			isCut := func(n *configsim.Node) bool { return n.Domain() == cut }
+			last := uint64(len(o.Accepted) - 1)
+			_, missing := s.InForce(last, s.Now(), isCut)
+			Expect(missing).To(Equal(cfg.Entries + cfg.Agents))
+			for _, n := range s.Nodes {
+				if isCut(n) {
+					Expect(n.Replica.Age(s.Now())).To(BeNumerically(">", 50*time.Second))
+				} else {
+					Expect(n.Replica.Age(s.Now())).To(BeNumerically("<", 30*time.Second))
+				}
+			}
+			healed := s.Now()
+			s.CutFromPeers[cut], s.CutFromStore[cut] = false, false
+			s.Run(inForceBound)
+			slowest, missing := s.InForce(last, healed, isCut)
+			GinkgoWriter.Printf("slowest %s, after healing %s, peak reads/s %d\n", worst, slowest, s.PeakReads(0))
+			Expect(missing).To(BeZero())
+			Expect(worst).To(BeNumerically("<=", inForceBound))
+			Expect(s.PeakReads(0)).To(BeNumerically("<=", readBound))
+			Expect(s.Damaged).To(BeZero())
+		},
+		Entry("today's size at 6,000 changes a day", configsim.Config{Domains: 3, Entries: 3, Agents: 5, Seed: 2}, 14400*time.Millisecond, 20),
+		Entry("today's size in a burst of 50 within 10 s", configsim.Config{Domains: 3, Entries: 2, Agents: 5, Seed: 3}, 200*time.Millisecond, 50),
+		Entry("600 entries at 6,000 changes a day", configsim.Config{Domains: 15, Entries: 40, Agents: 10, Seed: 4}, 14400*time.Millisecond, 5),
+		Entry("600 entries in a burst of 50 within 10 s", configsim.Config{Domains: 15, Entries: 40, Agents: 10, Seed: 5}, 200*time.Millisecond, 50),
+	)
+})
--- /dev/null
+++ b/lib/config/peers.go
@@ -0,0 +1,145 @@
+package config
+
+import (
+	"cmp"
+	"math/rand"
+	"slices"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/model"
+)
+
+// PeerID names one connection to another process.
+type PeerID struct {
+	Instance   model.InstanceID
+	Generation model.Generation
+}
+
+// peer is what is known about the other end of a connection.
+type peer struct {
+	head      Head
+	announced Head
+	at        time.Time // of the last announcement
+	failed    time.Time // of the last fetch without an answer
+}
+
+// Peers decides which peers are told about a new revision before their next
+// heartbeat, and from which one revisions are fetched. Heartbeats alone, at up
+// to 3 s on an idle connection, would take longer than 9 s over several
+// processes. It belongs to one owner.
+type Peers struct {
+	cfg     PeersConfig
+	rng     *rand.Rand
+	peers   map[PeerID]*peer
+	fetch   PeerID
+	fetched time.Time // when the outstanding fetch was sent; zero if none
+}
+
+// NewPeers returns Peers without connections.
+func NewPeers(cfg PeersConfig, rng *rand.Rand) *Peers {
+	cfg.applyDefaults()
+	return &Peers{cfg: cfg, rng: rng, peers: make(map[PeerID]*peer)}
+}
+
+// Heard takes the head in a heartbeat of a peer. A damaged or foreign history,
+// for which Replica.Observe returns ErrChain, is reported with Refused instead.
+func (p *Peers) Heard(id PeerID, head Head) { p.peer(id).head = head }
+
+// Refused makes Fetch pass over a peer until it reports another head.
+func (p *Peers) Refused(id PeerID) {
+	if known := p.peers[id]; known != nil {
+		known.head = Head{}
+	}
+	p.Answered(id)
+}
+
+// Lost forgets a peer whose connection ended.
+func (p *Peers) Lost(id PeerID) {
+	delete(p.peers, id)
+	p.Answered(id)
+}
+
+// Answered ends the outstanding fetch from a peer.
+func (p *Peers) Answered(id PeerID) {
+	if p.fetch == id {
+		p.fetch, p.fetched = PeerID{}, time.Time{}
+	}
+}
+
+// Announced notes that a heartbeat with the head was sent to a peer.
+func (p *Peers) Announced(id PeerID, head Head, now time.Time) {
+	known := p.peer(id)
+	known.announced, known.at = head, now
+}
+
+// ToAnnounce returns the peers that do not know the head and may be sent a
+// heartbeat now. The caller reports each with Announced.
+func (p *Peers) ToAnnounce(head Head, now time.Time) []PeerID {
+	var ids []PeerID
+	for id, known := range p.peers {
+		if known.head.Number < head.Number && known.announced != head && now.Sub(known.at) >= p.cfg.AnnounceEvery {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, comparePeers)
+	return ids
+}
+
+// ToFetch returns a peer to send a ConfigFetch to, if one holds a higher
+// revision and no fetch is outstanding.
+func (p *Peers) ToFetch(head Head, now time.Time) (PeerID, bool) {
+	if !p.fetched.IsZero() {
+		if now.Sub(p.fetched) < p.cfg.FetchTimeout {
+			return PeerID{}, false
+		}
+		if known := p.peers[p.fetch]; known != nil {
+			known.failed = now
+		}
+	}
+	id, ok := p.best(head, now)
+	if ok {
+		p.fetch, p.fetched = id, now
+	}
+	return id, ok
+}
+
+// best picks the highest head, and among equals at random, so that not all
+// processes fetch from the one that announced first. Peers that just failed to
+// answer come last.
+func (p *Peers) best(head Head, now time.Time) (PeerID, bool) {
+	var ids []PeerID
+	var highest uint64
+	for _, failed := range []bool{false, true} {
+		for id, known := range p.peers {
+			recent := !known.failed.IsZero() && now.Sub(known.failed) < 3*p.cfg.FetchTimeout
+			if recent != failed || known.head.Number <= head.Number || known.head.Number < highest {
+				continue
+			}
+			if known.head.Number > highest {
+				ids, highest = ids[:0], known.head.Number
+			}
+			ids = append(ids, id)
+		}
+		if len(ids) > 0 {
+			break
+		}
+	}
+	if len(ids) == 0 {
+		return PeerID{}, false
+	}
+	slices.SortFunc(ids, comparePeers)
+	return ids[p.rng.Intn(len(ids))], true
+}
+
+func (p *Peers) peer(id PeerID) *peer {
+	known := p.peers[id]
+	if known == nil {
+		known = &peer{}
+		p.peers[id] = known
+	}
+	return known
+}
+
+func comparePeers(a, b PeerID) int {
+	return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Generation, b.Generation))
+}
--- a/lib/config/replica.go
+++ b/lib/config/replica.go
@@ -23,8 +23,10 @@
 	// state that view shows.
 	state     replicaState
 	confirmed time.Time
-	retained  []retainedRevision
-	bytes     int
+	// highest is the highest revision that any source reported.
+	highest  uint64
+	retained []retainedRevision
+	bytes    int
 }
 
 // replicaState is a configuration with what is needed to send it as a snapshot.
@@ -69,6 +71,7 @@
 // fetched from the source, and returns ErrChain if the source holds another
 // history.
 func (r *Replica) Observe(head Head, age time.Duration, now time.Time) (behind bool, err error) {
+	r.highest = max(r.highest, head.Number)
 	if head.Number > r.state.head.Number {
 		return true, nil
 	}
@@ -94,7 +97,7 @@
 		if err != nil {
 			return applied, err
 		}
-		ok, err := r.take(revision, now)
+		ok, err := r.take(revision)
 		if err != nil {
 			return applied, err
 		}
@@ -106,9 +109,14 @@
 	return applied, nil
 }
 
-// Tick ends the start window when its time is over and something was offered.
+// Tick ends the start window when its time is over, or later while a reported
+// higher revision is still being fetched.
 func (r *Replica) Tick(now time.Time) {
-	if !r.settled && now.Sub(r.start) >= r.cfg.StartWindow {
+	if r.settled {
+		return
+	}
+	elapsed := now.Sub(r.start)
+	if elapsed >= startPatience*r.cfg.StartWindow || elapsed >= r.cfg.StartWindow && r.state.head.Number >= r.highest {
 		r.Settle()
 	}
 }
@@ -124,7 +132,7 @@
 }
 
 // take applies one revision if it is higher.
-func (r *Replica) take(revision Revision, now time.Time) (bool, error) {
+func (r *Replica) take(revision Revision) (bool, error) {
 	if revision.Number <= r.state.head.Number {
 		return false, nil
 	}
@@ -156,8 +164,7 @@
 	next.accepted = change.Time()
 	r.state = next
 	r.retain(revision)
-	if r.settled || now.Sub(r.start) >= r.cfg.StartWindow {
-		r.settled = true
+	if r.settled {
 		r.publish()
 	}
 	return true, nil
--- a/lib/config/replica_config.go
+++ b/lib/config/replica_config.go
@@ -6,6 +6,9 @@
 	// defaultStartWindow is how long a new replica collects offers before it
 	// takes the highest: heartbeats arrive every second.
 	defaultStartWindow = 1500 * time.Millisecond
+	// startPatience bounds the wait for a reported higher revision that does not
+	// arrive, as a multiple of the start window.
+	startPatience = 3
 	// defaultRetained is the number of revisions kept to send as deltas: at
 	// 6,000 changes a day about two hours.
 	defaultRetained = 512
