Run callers' requests at an entry

The dispatcher drives the attempt machine over the fleet: it queues a request, claims the key of a non-repeatable one, reserves an instance, sends the attempt, reattaches after a lost connection and gives one final answer. A service without a version is served by any declared version of its model, the placed one first, because a service bound to the new version alone would have no instance until the first one has switched. Not run end to end yet.

--- a/entry/caller/answer.go
+++ b/entry/caller/answer.go
@@ -6,9 +6,9 @@
 	// Write passes on a piece of the answer. An error means that the caller has
 	// gone.
 	Write(data []byte) error
-	// Delivered reports whether a piece has reached the caller, after which the
-	// answer cannot be started again.
-	Delivered() bool
+	// Buffered reports whether pieces reach the caller only at the end, so that
+	// an answer can be started again.
+	Buffered() bool
 	// Reset drops the pieces of an earlier attempt that have not reached the
 	// caller.
 	Reset()
--- a/entry/caller/buffered_answer.go
+++ b/entry/caller/buffered_answer.go
@@ -27,7 +27,7 @@
 	return &bufferedAnswer{ctx: ctx, request: request}
 }
 
-func (a *bufferedAnswer) Delivered() bool { return false }
+func (a *bufferedAnswer) Buffered() bool { return true }
 
 func (a *bufferedAnswer) Reset() { a.data = a.data[:0] }
 
@@ -63,6 +63,9 @@
 	if r.Reason != outcome.ReasonNone {
 		h.Set(HeaderReason, string(r.Reason))
 	}
+	if r.ClaimProof != "" {
+		h.Set(HeaderClaimProof, r.ClaimProof)
+	}
 	if r.RetryAfter > 0 {
 		h.Set(headerRetryAfter, strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
 	}
--- a/entry/caller/headers.go
+++ b/entry/caller/headers.go
@@ -7,6 +7,7 @@
 	HeaderClass          = "X-Class"
 	HeaderDeadlineMillis = "X-Deadline-Ms"
 	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderClaimProof     = "X-Claim-Proof"
 	HeaderOutcome        = "X-Outcome"
 	HeaderReason         = "X-Reason"
 	HeaderDigest         = "X-Answer-Digest"
--- a/entry/caller/parse.go
+++ b/entry/caller/parse.go
@@ -31,6 +31,7 @@
 	class          string
 	deadlineMillis string
 	idempotencyKey string
+	claimProof     string
 	contentType    string
 	body           []byte
 }
@@ -63,11 +64,8 @@
 	if bad != nil {
 		return nil, bad
 	}
-	if len(raw.requestID) > maxIDLength {
-		return nil, refuse(outcome.ReasonInvalid, "header %s has %d bytes, allowed are %d", HeaderRequestID, len(raw.requestID), maxIDLength)
-	}
-	if len(raw.idempotencyKey) > maxIDLength {
-		return nil, refuse(outcome.ReasonInvalid, "header %s has %d bytes, allowed are %d", HeaderIdempotencyKey, len(raw.idempotencyKey), maxIDLength)
+	if bad := checkLengths(raw); bad != nil {
+		return nil, bad
 	}
 	if limit := bodyLimit(service); int64(len(raw.body)) > limit {
 		return nil, refuse(outcome.ReasonTooLarge, "body has %d bytes, service %q allows %d", len(raw.body), service.Name, limit)
@@ -83,11 +81,25 @@
 		Received:       now,
 		Deadline:       now.Add(timeout),
 		IdempotencyKey: raw.idempotencyKey,
+		ClaimProof:     raw.claimProof,
 		ContentType:    raw.contentType,
 		Body:           raw.body,
 	}, nil
 }
 
+func checkLengths(raw rawRequest) *refusal {
+	for _, header := range []struct{ name, value string }{
+		{HeaderRequestID, raw.requestID},
+		{HeaderIdempotencyKey, raw.idempotencyKey},
+		{HeaderClaimProof, raw.claimProof},
+	} {
+		if len(header.value) > maxIDLength {
+			return refuse(outcome.ReasonInvalid, "header %s has %d bytes, allowed are %d", header.name, len(header.value), maxIDLength)
+		}
+	}
+	return nil
+}
+
 func bodyLimit(service config.Service) int64 {
 	if service.MaxBodyBytes > 0 && service.MaxBodyBytes < maxBodyBytes {
 		return service.MaxBodyBytes
--- a/entry/caller/request.go
+++ b/entry/caller/request.go
@@ -17,6 +17,9 @@
 	Deadline       time.Time
 	Received       time.Time
 	IdempotencyKey string
-	ContentType    string
-	Body           []byte
+	// ClaimProof is what an earlier answer gave the caller to present when it
+	// asks again with the same key.
+	ClaimProof  string
+	ContentType string
+	Body        []byte
 }
--- a/entry/caller/result.go
+++ b/entry/caller/result.go
@@ -20,6 +20,9 @@
 	// Frames and Digest are the checked length and digest of the answer.
 	Frames uint64
 	Digest model.Digest
+	// ClaimProof is for the caller to present when it asks again with the same
+	// idempotency key.
+	ClaimProof string
 	// Detail says in words what was wrong with an invalid request.
 	Detail string
 }
--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -121,6 +121,7 @@
 		class:          header(HeaderClass),
 		deadlineMillis: header(HeaderDeadlineMillis),
 		idempotencyKey: header(HeaderIdempotencyKey),
+		claimProof:     header(HeaderClaimProof),
 		contentType:    header("Content-Type"),
 		body:           append([]byte(nil), body...),
 	}
--- a/entry/caller/stream_answer.go
+++ b/entry/caller/stream_answer.go
@@ -40,7 +40,7 @@
 	return &streamAnswer{ctx: ctx, request: request}
 }
 
-func (a *streamAnswer) Delivered() bool { return a.writer != nil }
+func (a *streamAnswer) Buffered() bool { return false }
 
 func (a *streamAnswer) Reset() {}
 
--- /dev/null
+++ b/entry/dispatch/claims.go
@@ -0,0 +1,112 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/auburnbend/auburnbend/entry/caller"
+	"github.com/auburnbend/auburnbend/lib/claim"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/outcome"
+)
+
+const (
+	sweepInterval = time.Second
+	// sweepLimit bounds the claim updates that are tried again at one time.
+	sweepLimit = 32
+)
+
+// claim takes the key of a non-repeatable request. It returns false when the
+// request has its final answer.
+func (r *run) claim(ctx context.Context) bool {
+	if r.request.Service.Repeatable || r.request.IdempotencyKey == "" {
+		return true
+	}
+	d := r.dispatcher
+	ctx, cancel := context.WithTimeout(ctx, d.cfg.ClaimTimeout)
+	defer cancel()
+	r.key = claim.Key{
+		Service:     r.request.Service.Name,
+		Tenant:      r.request.Tenant.Name,
+		Idempotency: r.request.IdempotencyKey,
+	}
+	answer := d.cfg.Ledger.Claim(ctx, d.cfg.Clock.Now(), r.key, claim.Intent{
+		Attempt:     r.claimID,
+		Fingerprint: r.finger,
+		Proof:       model.AttemptID(r.request.ClaimProof),
+	})
+	switch answer.Status {
+	case claim.StatusHeld:
+		r.claimed = true
+		return true
+	case claim.StatusEarlierResult:
+		r.replay(answer.Result)
+		return false
+	case claim.StatusNoResult:
+		d.cfg.Log.Log(eventlog.ClaimWithoutResult, "service", r.key.Service, "tenant", r.key.Tenant)
+	}
+	d.end(r.request, r.answer, caller.Result{
+		Outcome:    answer.Outcome,
+		Reason:     answer.Reason,
+		RetryAfter: answer.RetryAfter,
+		ClaimProof: string(answer.Proof),
+	})
+	return false
+}
+
+// replay gives the stored answer of the run under the same key.
+func (r *run) replay(stored *claim.Result) {
+	result := caller.Result{
+		Outcome:     stored.Outcome,
+		Reason:      stored.Reason,
+		Status:      stored.Status,
+		ContentType: stored.ContentType,
+	}
+	if stored.BodyOmitted {
+		result.Detail = "the request ran; its answer was too large to be stored"
+	} else if r.answer.Write(stored.Body) != nil {
+		return
+	}
+	r.dispatcher.end(r.request, r.answer, result)
+}
+
+// recordClaim stores what became of a claimed request.
+func (r *run) recordClaim(o outcome.Outcome, reason outcome.Reason, status int, contentType string) {
+	if !r.claimed || o == outcome.Unknown {
+		return
+	}
+	r.claimed = false
+	d := r.dispatcher
+	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.ClaimTimeout)
+	defer cancel()
+	var err error
+	if o == outcome.NotRun {
+		err = d.cfg.Ledger.Release(ctx, d.cfg.Clock.Now(), r.key, r.claimID)
+		d.cfg.Log.Log(eventlog.ClaimReleased, "service", r.key.Service, "tenant", r.key.Tenant)
+	} else {
+		err = d.cfg.Ledger.Complete(ctx, d.cfg.Clock.Now(), r.key, r.claimID, claim.Result{
+			Outcome: o, Reason: reason, Status: status, ContentType: contentType, Body: r.body,
+		})
+	}
+	if err != nil && errors.Is(err, claim.ErrPending) {
+		d.cfg.Log.Log(eventlog.StoreReplyLost, "service", r.key.Service, "tenant", r.key.Tenant)
+	}
+}
+
+// sweepClaims tries unconfirmed claim updates again until ctx ends.
+func (d *Dispatcher) sweepClaims(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if d.cfg.Ledger.Pending() > 0 {
+			d.cfg.Ledger.Sweep(ctx, sweepLimit)
+		}
+	}
+}
--- /dev/null
+++ b/entry/dispatch/metrics.go
@@ -0,0 +1,17 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/outcome"
+)
+
+// Metrics takes the measurements of requests. Implementations are safe for
+// concurrent use and do not block.
+type Metrics interface {
+	QueueTime(tenant model.Tenant, class model.Class, d time.Duration)
+	FirstToken(tenant model.Tenant, class model.Class, d time.Duration)
+	BetweenTokens(tenant model.Tenant, class model.Class, d time.Duration)
+	Total(tenant model.Tenant, class model.Class, d time.Duration, o outcome.Outcome, reason outcome.Reason)
+}
--- /dev/null
+++ b/entry/dispatch/run_events.go
@@ -0,0 +1,128 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/auburnbend/auburnbend/entry/link"
+	"github.com/auburnbend/auburnbend/lib/attempt"
+	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/outcome"
+	"github.com/auburnbend/auburnbend/lib/route"
+	"github.com/auburnbend/auburnbend/lib/wire"
+)
+
+const (
+	// ackEvery is the number of frames after which the agent may free its replay
+	// buffer; ackBytes is the same in bytes.
+	ackEvery = 16
+	ackBytes = 32 << 10
+)
+
+// await takes the next event of the current attempt.
+func (r *run) await(ctx context.Context) attempt.Step {
+	e, err := r.inbox.Next(ctx)
+	if err != nil {
+		return r.interrupted(ctx)
+	}
+	switch e.Kind {
+	case link.ConnectionLost:
+		return r.machine.ConnectionLost(r.now(), r.attempt)
+	case link.Replaced:
+		return r.crashed()
+	case link.Received:
+		return r.receive(e.Message)
+	default:
+		return attempt.Step{}
+	}
+}
+
+func (r *run) crashed() attempt.Step {
+	r.result, r.fate = route.ResultNeutral, outcome.Unknown
+	return r.machine.ServerCrashed(r.now(), r.attempt)
+}
+
+func (r *run) interrupted(ctx context.Context) attempt.Step {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return r.machine.DeadlinePassed(r.now())
+	}
+	return r.machine.Canceled(r.now())
+}
+
+func (r *run) receive(m wire.Message) attempt.Step {
+	switch m := m.(type) {
+	case *wire.RequestRefused:
+		r.fate = outcome.NotRun
+		if m.Reason == outcome.ReasonOverloaded {
+			r.dispatcher.cfg.Fleet.ObserveRefusal(r.place)
+		}
+		return r.machine.Refused(r.now(), r.attempt, m.Reason, time.Duration(m.RetryAfterMillis)*time.Millisecond)
+	case *wire.ResponseFrame:
+		return r.frame(m)
+	case *wire.ResponseEnd:
+		r.end = m
+		r.judge(m)
+		step := r.machine.End(r.now(), m)
+		if step.Action == attempt.ActionFinish || step.Action == attempt.ActionRecord {
+			_ = r.place.Link.Send(&wire.ResponseAck{Attempt: r.attempt, Next: m.Frames + 1})
+		}
+		return step
+	default:
+		return attempt.Step{}
+	}
+}
+
+// judge notes what an end says about the backend server.
+func (r *run) judge(m *wire.ResponseEnd) {
+	r.fate = m.Outcome
+	switch {
+	case m.Outcome == outcome.Completed:
+		r.result = route.ResultOK
+	case m.Reason == outcome.ReasonBackendCrashed || m.Status >= http.StatusInternalServerError:
+		r.result = route.ResultError
+	}
+}
+
+// frame passes a piece of the answer on.
+func (r *run) frame(m *wire.ResponseFrame) attempt.Step {
+	step := r.machine.Frame(r.now(), m.Attempt, m.Sequence, m.Data)
+	if !step.Forward {
+		return step
+	}
+	r.measureFrame()
+	r.acknowledge(len(m.Data))
+	piece := m.Data[step.Skip:]
+	if r.claimed {
+		r.body = append(r.body, piece...)
+	}
+	if !r.answered && r.answer.Write(piece) != nil {
+		return r.machine.Canceled(r.now())
+	}
+	return step
+}
+
+func (r *run) acknowledge(size int) {
+	r.unacked++
+	r.unackedB += size
+	if r.unacked >= ackEvery || r.unackedB >= ackBytes {
+		_ = r.place.Link.Send(&wire.ResponseAck{Attempt: r.attempt, Next: r.machine.Next()})
+		r.unacked, r.unackedB = 0, 0
+	}
+}
+
+func (r *run) measureFrame() {
+	d := r.dispatcher
+	tenant, class := r.request.Tenant.Name, r.request.Class.Name
+	gap, first := r.timing.frame(r.now())
+	if !first {
+		d.cfg.Metrics.BetweenTokens(tenant, class, gap)
+		return
+	}
+	d.cfg.Metrics.FirstToken(tenant, class, r.now().Sub(r.request.Received))
+	if r.request.Service.Kind == config.KindModel {
+		d.cfg.Fleet.ObserveFirstToken(r.place, gap)
+		d.admission.observeStart(r.request.Service.Pool, gap)
+	}
+}
--- /dev/null
+++ b/entry/dispatch/timing.go
@@ -0,0 +1,35 @@
+package dispatch
+
+import "time"
+
+// timing measures one attempt.
+type timing struct {
+	dispatched time.Time
+	first      time.Time
+	last       time.Time
+	frames     int
+}
+
+func (t *timing) start(now time.Time) { *t = timing{dispatched: now} }
+
+// frame takes the arrival of a frame. It returns the time since the dispatch
+// for the first frame, and since the frame before for others.
+func (t *timing) frame(now time.Time) (gap time.Duration, first bool) {
+	t.frames++
+	if t.frames == 1 {
+		t.first, t.last = now, now
+		return now.Sub(t.dispatched), true
+	}
+	gap = now.Sub(t.last)
+	t.last = now
+	return gap, false
+}
+
+// betweenFrames returns the mean time between frames; ok is false with fewer
+// than two.
+func (t *timing) betweenFrames() (mean time.Duration, ok bool) {
+	if t.frames < 2 {
+		return 0, false
+	}
+	return t.last.Sub(t.first) / time.Duration(t.frames-1), true
+}
--- /dev/null
+++ b/entry/dispatch/waiter.go
@@ -0,0 +1,25 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/entry/fleet"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/outcome"
+)
+
+// grant is what a waiting request gets: a place, or why there is none.
+type grant struct {
+	place      *fleet.Place
+	reason     outcome.Reason
+	retryAfter time.Duration
+}
+
+// waiter is one request in a queue.
+type waiter struct {
+	id   model.RequestID
+	pool string
+	wish fleet.Wish
+	// granted has room for one grant, so that the queue never blocks on it.
+	granted chan grant
+}
--- a/entry/fleet/place.go
+++ b/entry/fleet/place.go
@@ -21,8 +21,10 @@
 
 // Wish says what instance a request needs.
 type Wish struct {
-	Pool    string
-	Weights model.Weights
+	Pool string
+	// Weights are the weights that may serve the request, in order of
+	// preference. It holds the zero value for plain services.
+	Weights []model.Weights
 	Finger  model.Fingerprint
 	// Prefix is the hash of the prompt's beginning; zero means no affinity.
 	Prefix uint64
@@ -32,10 +34,10 @@
 
 // Place is an instance that was reserved for a request. Finish gives it back.
 type Place struct {
-	Key    route.Key
-	Link   *link.Link
-	Prefix []uint64
-	finger model.Fingerprint
+	Key     route.Key
+	Link    *link.Link
+	Weights model.Weights
+	finger  model.Fingerprint
 }
 
 // Reserve picks an instance and takes a place on it. It returns nil when no
@@ -47,7 +49,17 @@
 	if f.monitor.Quarantined(now, w.Finger) {
 		return nil, merry.Wrap(ErrQuarantined)
 	}
-	request := f.routeRequest(now, w)
+	for _, weights := range w.Weights {
+		place, err := f.reserveFor(now, w, weights)
+		if place != nil || err != nil {
+			return place, err
+		}
+	}
+	return nil, nil
+}
+
+func (f *Fleet) reserveFor(now time.Time, w *Wish, weights model.Weights) (*Place, error) {
+	request := f.routeRequest(now, w, weights)
 	for range maxPlacements {
 		choice, err := f.picker.Pick(now, request)
 		if err != nil {
@@ -69,8 +81,8 @@
 	return nil, nil
 }
 
-func (f *Fleet) routeRequest(now time.Time, w *Wish) *route.Request {
-	request := &route.Request{Pool: w.Pool, Weights: w.Weights}
+func (f *Fleet) routeRequest(now time.Time, w *Wish, weights model.Weights) *route.Request {
+	request := &route.Request{Pool: w.Pool, Weights: weights}
 	if w.Prefix != 0 {
 		request.Prefix = []uint64{w.Prefix}
 		request.AffinityBlocks = 1
@@ -94,7 +106,7 @@
 	f.limiter(key).Acquire()
 	f.picker.Started(now, key, request.Prefix)
 	f.broadcast(f.monitor.Started(now, w.Finger, key.Instance))
-	return &Place{Key: key, Link: f.linkOf(key.Instance), Prefix: request.Prefix, finger: w.Finger}
+	return &Place{Key: key, Link: f.linkOf(key.Instance), Weights: request.Weights, finger: w.Finger}
 }
 
 func (f *Fleet) limiter(key route.Key) *admit.Limiter {
--- a/lib/config/config.go
+++ b/lib/config/config.go
@@ -77,7 +77,9 @@
 type Service struct {
 	Name model.Service `msgpack:"name" json:"name"`
 	Kind ServiceKind   `msgpack:"kind" json:"kind"`
-	// Model and Version name the weights of a model service.
+	// Model and Version name the weights of a model service. Without a version
+	// any declared version of the model serves, the placed one first, so that
+	// requests keep being answered while a rollout is under way.
 	Model   string `msgpack:"model" json:"model"`
 	Version string `msgpack:"version" json:"version"`
 	// Pool names the instances that run the service.
--- a/lib/config/validate_objects.go
+++ b/lib/config/validate_objects.go
@@ -77,16 +77,7 @@
 func (v *validator) route(object string, s Service) {
 	switch s.Kind {
 	case KindModel:
-		if _, ok := v.config.FindModel(s.Model, s.Version); !ok {
-			v.fault(object, "model", s.Model+" "+s.Version, "a declared model and version")
-			return
-		}
-		for _, p := range v.config.Placements {
-			if p.Pool == s.Pool && p.Model == s.Model && p.Version == s.Version {
-				return
-			}
-		}
-		v.fault(object, "pool", s.Pool, fmt.Sprintf("a pool with a placement of %s %s", s.Model, s.Version))
+		v.modelRoute(object, s)
 	case KindPlain:
 		if s.Model != "" || s.Version != "" {
 			v.fault(object, "model", s.Model+" "+s.Version, "no model and no version when kind is plain")
@@ -102,6 +93,19 @@
 	}
 }
 
+func (v *validator) modelRoute(object string, s Service) {
+	if len(v.config.Routes(s)) == 0 {
+		v.fault(object, "model", s.Model+" "+s.Version, "a declared model and version, or a model without a version")
+		return
+	}
+	for _, p := range v.config.Placements {
+		if p.Pool == s.Pool && p.Model == s.Model && (s.Version == "" || p.Version == s.Version) {
+			return
+		}
+	}
+	v.fault(object, "pool", s.Pool, fmt.Sprintf("a pool with a placement of %s %s", s.Model, s.Version))
+}
+
 func (v *validator) tenants() {
 	duplicates(v, "tenant", v.config.Tenants, tenantKey)
 	for _, t := range v.config.Tenants {
