Add the plain-service stand-in and tests of the order guard

Change: a changed incarnation decides nothing by itself; an order whose reply was lost always waits until it shows up or the settle time has passed. The plain-service stand-in counts runs per key and can refuse, fail, drop or cut its reply.

--- a/lib/engine/guard.go
+++ b/lib/engine/guard.go
@@ -148,26 +148,29 @@
 	}
 }
 
+// stateAfter judges an order that the engine answered, or had time to take on.
+// A restart alone decides nothing: it may have come between the read of state
+// and the send, and then the new incarnation runs the order.
 func (g *Guard) stateAfter(now time.Time, s State) {
 	switch {
-	case s.Incarnation != g.before.Incarnation:
-		g.done(s, merry.Wrap(ErrOrderLost, merry.AppendMessage("engine restarted after the order")))
-	case s.Accepted != g.fence:
-		g.done(s, merry.Wrap(ErrSuperseded, merry.AppendMessagef("engine accepted %s after %s", s.Accepted, g.fence)))
-	case s.Busy:
+	case s.Accepted == g.fence && s.Busy:
 		g.wake = now.Add(g.cfg.Poll)
-	default:
+	case s.Accepted == g.fence:
 		g.done(s, g.check(s))
+	case s.Incarnation != g.before.Incarnation:
+		g.done(s, merry.Wrap(ErrOrderLost, merry.AppendMessage("engine restarted")))
+	case s.Accepted == g.before.Accepted:
+		g.done(s, merry.Wrap(ErrOrderLost, merry.AppendMessage("engine did not take the order on")))
+	default:
+		g.done(s, merry.Wrap(ErrSuperseded, merry.AppendMessagef("engine accepted %s after %s", s.Accepted, g.fence)))
 	}
 }
 
+// stateResolve waits until an order whose reply was lost shows up, or can no
+// longer arrive.
 func (g *Guard) stateResolve(now time.Time, s State) {
-	if s.Incarnation == g.before.Incarnation && s.Accepted == g.before.Accepted {
-		if now.Before(g.lostAt.Add(g.cfg.Settle)) {
-			g.wake = now.Add(g.cfg.Poll)
-			return
-		}
-		g.done(s, merry.Wrap(ErrOrderLost, merry.AppendMessage("engine did not take the order on")))
+	if s.Accepted != g.fence && now.Before(g.lostAt.Add(g.cfg.Settle)) {
+		g.wake = now.Add(g.cfg.Poll)
 		return
 	}
 	g.stateAfter(now, s)
--- /dev/null
+++ b/lib/engine/guard_test.go
@@ -0,0 +1,172 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/auburnbend/auburnbend/lib/engine"
+	"github.com/auburnbend/auburnbend/lib/model"
+	standin "github.com/auburnbend/auburnbend/standin/engine"
+)
+
+var _ = Describe("Guard against a real engine", func() {
+	DescribeTable("resolves a lost reply by reading the state", func(cfg standin.Config) {
+		server, client, guard, _ := loaded(cfg, "v1")
+		server.SetFaults(standin.Faults{DropReplies: 1})
+		place, content := stage("v2", 4)
+		result := order(client, guard, engine.Order{Kind: engine.OrderLoad, Weights: weightsOf("v2"), Base: place})
+		Expect(result.Err).NotTo(HaveOccurred())
+		Expect(server.Content()).To(Equal(content))
+		atOnce, outdated := server.OrderFaults()
+		Expect(atOnce).To(Equal(1))
+		Expect(outdated).To(Equal(0))
+		Expect(server.Orders()).To(HaveLen(2))
+	},
+		Entry("from an engine that checks fencing", standin.Config{}),
+		Entry("from an engine that ignores fencing", standin.Config{IgnoreFencing: true}),
+	)
+
+	It("reports a crash in the middle of a load", func() {
+		server, client, guard, _ := loaded(standin.Config{RestartDelay: time.Second}, "v1")
+		server.SetFaults(standin.Faults{CrashLoads: 1})
+		place, _ := stage("v2", 4)
+		result := order(client, guard, engine.Order{Kind: engine.OrderLoad, Weights: weightsOf("v2"), Base: place})
+		Expect(errors.Is(result.Err, engine.ErrOrderLost)).To(BeTrue())
+		Expect(result.State.Weights.IsZero()).To(BeTrue())
+	})
+
+	It("stops an older agent generation", func() {
+		_, client, old, _ := loaded(standin.Config{IgnoreFencing: true}, "v1")
+		place, _ := stage("v2", 4)
+		load := engine.Order{Kind: engine.OrderLoad, Weights: weightsOf("v2"), Base: place}
+		next := engine.NewGuard(engine.GuardConfig{Start: old.Fence().Start + 1})
+		Expect(order(client, next, load).Err).NotTo(HaveOccurred())
+		Expect(errors.Is(order(client, old, load).Err, engine.ErrSuperseded)).To(BeTrue())
+	})
+
+	It("refuses an old number at an engine that checks it", func() {
+		_, client, _, _ := loaded(standin.Config{}, "v1")
+		_, err := client.Order(context.Background(), engine.Order{Kind: engine.OrderRole, Role: engine.RoleDecode})
+		refused, ok := engine.Refusal(err)
+		Expect(ok).To(BeTrue())
+		Expect(refused.Reason).To(Equal(engine.RefusalFenced))
+	})
+})
+
+// guardModel is an engine that ignores fencing, seen through a network that
+// loses replies and delivers orders late.
+type guardModel struct {
+	state     engine.State
+	running   *engine.Order
+	inFlight  *engine.Order
+	sent, ran int
+	lastRead  engine.State
+}
+
+func (m *guardModel) deliver() {
+	if m.inFlight != nil {
+		m.running, m.inFlight = m.inFlight, nil
+		m.state.Accepted, m.state.Busy, m.state.Weights = m.running.Fence, true, model.Weights{}
+	}
+}
+
+// finish ends the running order; one that fails leaves nothing loaded and, as
+// some engines do, reports no failure.
+func (m *guardModel) finish(fails bool) {
+	if m.running == nil {
+		return
+	}
+	m.state.Busy = false
+	if !fails {
+		m.state.Weights = m.running.Weights
+	}
+	m.running = nil
+	m.ran++
+}
+
+// TestGuard checks that no order is sent while an earlier one runs or is in
+// flight, and that a success means that the engine reports what was ordered.
+func TestGuard(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const settle = 3 * time.Second
+		now := time.Unix(1_700_000_000, 0)
+		g := engine.NewGuard(engine.GuardConfig{Settle: settle})
+		m := &guardModel{state: engine.State{Incarnation: 1}}
+		if rapid.Bool().Draw(t, "order of an earlier agent") {
+			m.inFlight, m.sent = &engine.Order{Fence: engine.Fence{Start: 7, Sequence: 3}, Weights: weightsOf("old")}, 1
+			m.deliver()
+		}
+		var lostAt time.Time
+		versions := []string{"a", "b", "c"}
+		step := func(t *rapid.T) {
+			switch step := g.Next(now); step.Kind {
+			case engine.StepReadState:
+				if rapid.Bool().Draw(t, "state lost") {
+					g.OnState(now, engine.State{}, engine.ErrUnavailable)
+					return
+				}
+				m.lastRead = m.state
+				g.OnState(now, m.state, nil)
+			case engine.StepSend:
+				if m.running != nil || m.inFlight != nil {
+					t.Fatalf("order %s sent while another runs", step.Order.Fence)
+				}
+				m.sent++
+				o := step.Order
+				switch rapid.IntRange(0, 3).Draw(t, "send") {
+				case 0:
+					g.OnReply(now, engine.Reply{}, engine.ErrNotStarted)
+				case 1: // lost on the way, may arrive late
+					m.inFlight, lostAt = &o, now
+					g.OnReply(now, engine.Reply{}, engine.ErrMayHaveRun)
+				case 2: // never arrives
+					g.OnReply(now, engine.Reply{}, engine.ErrMayHaveRun)
+				case 3:
+					m.inFlight = &o
+					m.deliver()
+					m.finish(rapid.IntRange(0, 4).Draw(t, "fails") == 0)
+					g.OnReply(now, engine.Reply{}, nil)
+				}
+			case engine.StepDone:
+				if step.Result.Err == nil && (m.lastRead.Busy || m.lastRead.Weights != step.Result.Order.Weights) {
+					t.Fatalf("success for %s, engine reported %s", step.Result.Order.Weights, m.lastRead.Weights)
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"step": step, "step again": step, "step once more": step,
+			"submit": func(t *rapid.T) {
+				err := g.Submit(engine.Order{Kind: engine.OrderLoad, Weights: weightsOf(rapid.SampledFrom(versions).Draw(t, "version"))})
+				if (err == nil) == errors.Is(err, engine.ErrOrderOutstanding) {
+					t.Fatalf("submit: %v", err)
+				}
+			},
+			"deliver": func(*rapid.T) { m.deliver() },
+			"finish":  func(t *rapid.T) { m.finish(rapid.IntRange(0, 4).Draw(t, "fails") == 0) },
+			"crash": func(t *rapid.T) {
+				if rapid.IntRange(0, 9).Draw(t, "rare") > 0 {
+					return
+				}
+				m.running, m.inFlight = nil, nil
+				m.state = engine.State{Incarnation: m.state.Incarnation + 1}
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 1000).Draw(t, "ms")) * time.Millisecond)
+				// An order that was not read within the settle time is gone
+				// with its connection.
+				if m.inFlight != nil && now.Sub(lostAt) >= settle {
+					m.inFlight = nil
+				}
+			},
+		})
+		if m.ran > m.sent {
+			t.Fatalf("%d orders ran, %d were sent", m.ran, m.sent)
+		}
+	})
+}
--- /dev/null
+++ b/lib/engine/plain_client_test.go
@@ -0,0 +1,76 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/lib/engine"
+	"github.com/auburnbend/auburnbend/standin/service"
+)
+
+var _ = Describe("PlainClient", func() {
+	var server *service.Server
+	var client *engine.PlainClient
+	ctx := context.Background()
+	req := engine.PlainRequest{ID: "r1", Service: "orders", IdempotencyKey: "k1", ContentType: "application/json", Body: []byte(`{"sign":3}`)}
+
+	BeforeEach(func() {
+		var err error
+		server, err = service.Start(service.Config{})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(server.Close)
+		client, err = engine.NewPlain(engine.Config{Address: server.URL()})
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("returns the one answer to its key", func() {
+		a, err := client.Call(ctx, req)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.Status).To(Equal(200))
+		Expect(a.ContentType).To(HavePrefix("application/json"))
+		Expect(a.Body).To(Equal(service.ExpectedAnswer("/orders", "k1", req.Body)))
+	})
+
+	// Each of these decides whether a call that must not be repeated is.
+	DescribeTable("judges a failure", func(f service.Faults, notStarted bool, runs int) {
+		server.SetFaults(f)
+		_, err := client.Call(ctx, req)
+		Expect(err).To(HaveOccurred())
+		Expect(engine.NotStarted(err)).To(Equal(notStarted))
+		Expect(server.Runs("k1")).To(Equal(runs))
+	},
+		Entry("refused before the run", service.Faults{Refuse: 1}, true, 0),
+		Entry("reply dropped after the run", service.Faults{DropReply: 1}, false, 1),
+		Entry("reply cut in the middle", service.Faults{CutReply: 1}, false, 1),
+	)
+
+	It("passes an error of the service on as its answer", func() {
+		server.SetFaults(service.Faults{Fail: 1})
+		a, err := client.Call(ctx, req)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.Status).To(Equal(500))
+	})
+
+	It("never sends a call twice over a connection that died idle", func() {
+		for range 20 {
+			_, err := client.Call(ctx, req)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		server.SetFaults(service.Faults{DropReply: 1})
+		_, err := client.Call(ctx, req)
+		Expect(errors.Is(err, engine.ErrMayHaveRun)).To(BeTrue())
+		Expect(server.Runs("k1")).To(Equal(21))
+	})
+
+	It("leaves a slow call open at its deadline", func() {
+		server.SetFaults(service.Faults{Delay: time.Second})
+		short, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
+		defer cancel()
+		_, err := client.Call(short, req)
+		Expect(errors.Is(err, engine.ErrMayHaveRun)).To(BeTrue())
+	})
+})
--- a/lib/engine/suite_test.go
+++ b/lib/engine/suite_test.go
@@ -8,8 +8,13 @@
 	. "github.com/onsi/gomega"
 )
 
-// init fixes the seed of property tests; -rapid.seed still overrides it.
-func init() { _ = flag.Set("rapid.seed", "1") }
+// init fixes the seed of property tests; -rapid.seed still overrides it. The
+// default of 100 runs seldom reaches a lost reply followed by a second order.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "3000")
+	_ = flag.Set("rapid.steps", "60")
+}
 
 func TestEngine(t *testing.T) {
 	RegisterFailHandler(Fail)
