Assemble the entry and agent daemons

Both daemons need one accept loop, one heartbeat sender and one owner for each decision package. lib/listen and lib/heartbeat are shared; agent and entry wire the parts together. The agent asks the tracker for a load permit before it leaves the version that it serves. Not run end to end yet.

--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,176 @@
+// Package agent is the process beside one backend server: it stands in front of
+// its requests, moves weights to and from its instance, orders its engine to load
+// them, and announces when it leaves.
+package agent
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/auburnbend/auburnbend/agent/gate"
+	"github.com/auburnbend/auburnbend/agent/transfer"
+	"github.com/auburnbend/auburnbend/lib/engine"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/follow"
+	"github.com/auburnbend/auburnbend/lib/listen"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/settings"
+	"github.com/auburnbend/auburnbend/lib/weights"
+	"github.com/auburnbend/auburnbend/lib/wire"
+)
+
+// Role is the role in which a peer acts.
+type Role = wire.Role
+
+// Agent runs beside one backend server.
+type Agent struct {
+	cfg      Config
+	follower *follow.Follower
+	gate     *gate.Shell
+	server   backendServer
+	// transfer and versions are nil for plain services.
+	transfer *transfer.Service
+	versions *versions
+	sessions *sessions
+}
+
+// New returns an agent that starts when Run is called.
+func New(cfg Config) (*Agent, error) {
+	a := &Agent{cfg: cfg.applyDefaults(), sessions: newSessions()}
+	a.follower = follow.New(follow.Config{Clock: cfg.Clock, Rand: cfg.Rand, Log: cfg.Log, Beat: a.beat})
+	var err error
+	if cfg.Kind == settings.BackendPlain {
+		err = a.setUpPlain()
+	} else {
+		err = a.setUpEngine()
+	}
+	return a, err
+}
+
+func (a *Agent) setUpPlain() error {
+	client, err := engine.NewPlain(engine.Config{Address: a.cfg.BackendURL})
+	if err != nil {
+		return err
+	}
+	a.server = &plainServer{client: client, capacity: a.cfg.Capacity}
+	a.gate = gate.New(a.cfg.Gate, a.cfg.Clock, a.server, nil, nil)
+	a.gate.SetLive([]model.Weights{{}})
+	return nil
+}
+
+func (a *Agent) setUpEngine() error {
+	client, err := engine.New(engine.Config{Address: a.cfg.BackendURL})
+	if err != nil {
+		return err
+	}
+	sink, err := weights.NewDirectorySink(a.cfg.Staging)
+	if err != nil {
+		return err
+	}
+	chunks := weights.NewStore(weights.StoreConfig{Sink: sink, MaxBytes: a.cfg.StagingBytes})
+	a.transfer = transfer.New(transfer.Config{
+		Clock:        a.cfg.Clock,
+		Seed:         a.cfg.Rand.Int63(),
+		Log:          a.cfg.Log,
+		Identity:     a.cfg.Identity,
+		Pool:         a.cfg.Pool,
+		Dial:         a.cfg.Dial,
+		Origin:       a.cfg.Origin,
+		WeightStore:  a.cfg.WeightStore,
+		Chunks:       chunks,
+		Downloader:   a.cfg.Downloader,
+		UploadSlots:  a.cfg.UploadSlots,
+		UploadRate:   a.cfg.LinkRate,
+		DownloadRate: a.cfg.LinkRate,
+	})
+	server := newEngineServer(client, a.cfg, a.crashed)
+	a.server = server
+	a.versions = newVersions(a, client)
+	a.gate = gate.New(a.cfg.Gate, a.cfg.Clock, a.server, a.versions, nil)
+	a.follower.Watch(a.versions.configured)
+	return nil
+}
+
+// crashed is called when the engine died while it ran requests.
+func (a *Agent) crashed(incarnation uint64) {
+	a.cfg.Log.Log(eventlog.BackendServerCrashed, "incarnation", incarnation)
+	a.gate.Crashed(incarnation)
+	a.gate.SetLive(nil)
+	a.sessions.beat()
+	a.versions.wake()
+}
+
+// Run serves until ctx ends, then drains and returns.
+func (a *Agent) Run(ctx context.Context) {
+	a.cfg.Log.Log(eventlog.ProcessStarted, "pool", a.cfg.Pool, "peers", a.cfg.Listener.Addr())
+	serving, stop := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	server := listen.New(listen.Config{
+		Listener:  a.cfg.Listener,
+		Hello:     a.hello,
+		Authorize: a.authorize(),
+		Serve:     a.serve,
+		Log:       a.cfg.Log,
+	})
+	tasks.Go(func() { server.Run(serving) })
+	tasks.Go(func() { a.tick(serving) })
+	tasks.Go(func() { a.server.observe(serving) })
+	if a.versions != nil {
+		tasks.Go(func() { a.versions.run(serving) })
+	}
+	<-ctx.Done()
+	a.drain()
+	stop()
+	tasks.Wait()
+	if a.transfer != nil {
+		a.transfer.Close()
+	}
+	a.cfg.Log.Log(eventlog.ProcessStopped)
+}
+
+// drain tells all entries at once that the instance is leaving and waits for
+// running requests.
+func (a *Agent) drain() {
+	a.cfg.Log.Log(eventlog.ProcessStopping)
+	empty := a.gate.Drain()
+	a.sessions.beat()
+	timeout := time.NewTimer(a.cfg.DrainTimeout)
+	defer timeout.Stop()
+	select {
+	case <-empty:
+	case <-timeout.C:
+	}
+}
+
+// tick drives what depends on time.
+func (a *Agent) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			a.gate.Tick()
+			a.follower.Tick()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// tickInterval is the time between two looks at deadlines and announcements.
+const tickInterval = 250 * time.Millisecond
+
+func (a *Agent) hello() wire.Hello {
+	return wire.Hello{Role: wire.RoleAgent, Identity: a.cfg.Identity, Pool: a.cfg.Pool}
+}
+
+func (a *Agent) authorize() func(net.Conn, wire.Role) error { return a.cfg.Authorize }
+
+// beat returns a heartbeat without its configuration fields.
+func (a *Agent) beat() wire.Heartbeat {
+	load := a.server.load()
+	load.Running = max(load.Running, a.gate.Running())
+	return wire.Heartbeat{Draining: a.gate.Draining(), Live: a.gate.Live(), Load: load}
+}
--- /dev/null
+++ b/agent/config.go
@@ -0,0 +1,74 @@
+package agent
+
+import (
+	"context"
+	"math/rand"
+	"net"
+	"time"
+
+	"github.com/auburnbend/auburnbend/agent/gate"
+	"github.com/auburnbend/auburnbend/lib/clock"
+	"github.com/auburnbend/auburnbend/lib/distribute"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/settings"
+)
+
+const (
+	defaultReconcile    = time.Second
+	defaultDrainTimeout = 5 * time.Minute
+)
+
+// Config sets up an Agent.
+type Config struct {
+	Identity model.Identity
+	Pool     string
+	Clock    clock.Clock
+	Rand     *rand.Rand
+	Log      *eventlog.Logger
+	// Listener accepts connections of entries and of other agents.
+	Listener net.Listener
+	// Dial opens a connection to a peer, with TLS where configured.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Authorize checks that the certificate behind a connection may act in the
+	// role of its Hello; nil allows all.
+	Authorize func(nc net.Conn, role Role) error
+
+	// Kind and BackendURL describe the backend server.
+	Kind       settings.BackendKind
+	BackendURL string
+	// Capacity is the number of requests that run at once.
+	Capacity int
+
+	// Origin and WeightStore are the sources of weights; WeightStore is optional.
+	Origin, WeightStore platform.WeightSource
+	// Staging is the directory from which the engine loads.
+	Staging      string
+	StagingBytes int64
+	// LinkRate is the instance's link rate in bytes per second; 0 means
+	// unlimited.
+	LinkRate    float64
+	UploadSlots int
+	Downloader  distribute.DownloaderConfig
+	Gate        gate.Config
+
+	// Reconcile is the time between two comparisons of what is live with what
+	// the configuration wants.
+	Reconcile time.Duration
+	// DrainTimeout bounds the drain.
+	DrainTimeout time.Duration
+}
+
+func (c Config) applyDefaults() Config {
+	if c.Reconcile == 0 {
+		c.Reconcile = defaultReconcile
+	}
+	if c.DrainTimeout == 0 {
+		c.DrainTimeout = defaultDrainTimeout
+	}
+	if c.Gate.Capacity == 0 {
+		c.Gate.Capacity = c.Capacity
+	}
+	return c
+}
--- /dev/null
+++ b/agent/plain_server.go
@@ -0,0 +1,48 @@
+package agent
+
+import (
+	"context"
+	"errors"
+
+	"github.com/auburnbend/auburnbend/agent/gate"
+	"github.com/auburnbend/auburnbend/lib/engine"
+	"github.com/auburnbend/auburnbend/lib/wire"
+)
+
+// plainServer runs requests on a plain service.
+type plainServer struct {
+	client   *engine.PlainClient
+	capacity int
+}
+
+func (p *plainServer) Run(ctx context.Context, start wire.RequestStart, emit func([]byte) error) (int, string, error) {
+	answer, err := p.client.Call(ctx, engine.PlainRequest{
+		ID:              start.Request,
+		Service:         start.Service,
+		IdempotencyKey:  start.IdempotencyKey,
+		ContentType:     start.ContentType,
+		RemainingMillis: start.Remaining,
+		Body:            start.Body,
+	})
+	if err != nil {
+		return 0, "", backendError(err)
+	}
+	if len(answer.Body) > 0 {
+		if err := emit(answer.Body); err != nil {
+			return 0, "", err
+		}
+	}
+	return answer.Status, answer.ContentType, nil
+}
+
+func (p *plainServer) observe(ctx context.Context) { <-ctx.Done() }
+
+func (p *plainServer) load() wire.Load { return wire.Load{Capacity: p.capacity} }
+
+// backendError marks errors that prove that nothing ran.
+func backendError(err error) error {
+	if engine.NotStarted(err) {
+		return errors.Join(gate.ErrNotStarted, err)
+	}
+	return err
+}
--- a/agent/transfer/run.go
+++ b/agent/transfer/run.go
@@ -28,6 +28,7 @@
 	checking bool
 	complete bool
 	seeds    []*seed
+	permit   *permitRequest
 	reported time.Time
 	phase    wire.Phase
 }
@@ -71,6 +72,8 @@
 			r.retarget(t)
 		case e := <-r.links:
 			r.linkEvent(e)
+		case p := <-s.permits:
+			r.askPermit(p)
 		case m := <-s.status:
 			r.report(m)
 		case res := <-r.results:
@@ -158,6 +161,7 @@
 	switch m := e.message.(type) {
 	case nil:
 		r.conn = e.conn
+		r.answerPermit(permitAnswer{err: ErrNoTracker})
 		if e.conn == nil {
 			if r.s.counters.tracked.Swap(false) {
 				r.s.cfg.Log.Log(eventlog.TrackerUnreachable)
@@ -170,6 +174,8 @@
 		r.d.Resend()
 	case *wire.Assign:
 		r.d.Assigned(now, m)
+	case *wire.LoadPermit:
+		r.answerPermit(permitAnswer{permit: *m})
 	case *wire.ManifestFetch:
 		_ = e.conn.TrySend(r.s.manifestReply(m.Manifest))
 	}
--- a/agent/transfer/service.go
+++ b/agent/transfer/service.go
@@ -26,6 +26,7 @@
 	slots    chan struct{}
 	targets  chan *target
 	status   chan *wire.TransferStatus
+	permits  chan permitRequest
 
 	mu        sync.Mutex
 	rand      *rand.Rand
@@ -54,6 +55,7 @@
 		slots:     make(chan struct{}, cfg.UploadSlots),
 		targets:   make(chan *target),
 		status:    make(chan *wire.TransferStatus, 8),
+		permits:   make(chan permitRequest),
 		rand:      rand.New(rand.NewSource(cfg.Seed)),
 		changed:   make(chan struct{}),
 		manifests: make(map[model.Digest]*known),
--- /dev/null
+++ b/entry/config.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/auburnbend/auburnbend/entry/dispatch"
+	"github.com/auburnbend/auburnbend/entry/fleet"
+	"github.com/auburnbend/auburnbend/lib/clock"
+	"github.com/auburnbend/auburnbend/lib/distribute"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/outcome"
+	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/rollout"
+	"github.com/auburnbend/auburnbend/lib/wire"
+)
+
+const (
+	defaultDrainTimeout = 5 * time.Minute
+	// defaultBalancerLag is the time that an entry serves on after its readiness
+	// check fails, because the balancer still sends.
+	defaultBalancerLag = 3 * time.Second
+)
+
+// Metrics takes the measurements of an entry.
+type Metrics interface {
+	dispatch.Metrics
+	CountInvalid(reason outcome.Reason)
+}
+
+// Config sets up an Entry.
+type Config struct {
+	Identity model.Identity
+	Clock    clock.Clock
+	Rand     *rand.Rand
+	Log      *eventlog.Logger
+	Metrics  Metrics
+
+	// Callers, Peers and Operators are the listeners. Operators may be nil.
+	Callers, Peers, Operators net.Listener
+	// Dial opens a connection to a peer, with TLS where configured.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Authorize checks that the certificate behind a connection may act in the
+	// role of its Hello; nil allows all.
+	Authorize func(nc net.Conn, role wire.Role) error
+
+	Table platform.TableService
+	List  platform.InstanceList
+
+	Fleet    fleet.Config
+	Dispatch dispatch.Config
+	Tracker  distribute.TrackerConfig
+	Waves    rollout.Config
+	// DrainTimeout bounds the drain; BalancerLag is the time between the failed
+	// readiness check and the end of accepting.
+	DrainTimeout, BalancerLag time.Duration
+}
+
+func (c Config) applyDefaults() Config {
+	if c.DrainTimeout == 0 {
+		c.DrainTimeout = defaultDrainTimeout
+	}
+	if c.BalancerLag == 0 {
+		c.BalancerLag = defaultBalancerLag
+	}
+	return c
+}
--- /dev/null
+++ b/entry/fleet/accept.go
@@ -0,0 +1,30 @@
+package fleet
+
+import (
+	"github.com/auburnbend/auburnbend/lib/heartbeat"
+	"github.com/auburnbend/auburnbend/lib/wire"
+)
+
+// ServePeer handles a connection that another entry opened, until it fails.
+func (f *Fleet) ServePeer(conn *wire.Conn, peer wire.Hello, other func(wire.Message)) {
+	id := f.newConnID()
+	c := &connection{id: id, hello: peer, send: conn.TrySend, drop: func() { _ = conn.Close() }}
+	if f.connected(c) != nil {
+		return
+	}
+	defer f.disconnected(id)
+	beats := heartbeat.Sender{Conn: conn, Beat: f.heartbeat, InFlight: func() int { return 0 }}
+	go beats.Run()
+	for {
+		m, err := conn.Receive()
+		if err != nil {
+			return
+		}
+		switch m.(type) {
+		case *wire.HolderSummary, *wire.RolloutFetch, *wire.RolloutReport:
+			other(m)
+		default:
+			f.message(id, peer, m, conn.TrySend)
+		}
+	}
+}
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/lib/poison"
+	"github.com/auburnbend/auburnbend/lib/rollout"
 	"github.com/auburnbend/auburnbend/lib/route"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
@@ -35,6 +36,7 @@
 	peers    map[model.InstanceID]*peer
 	conns    map[member.ConnID]*connection
 	nextConn member.ConnID
+	required []model.InstanceID
 	tasks    sync.WaitGroup
 }
 
@@ -171,6 +173,47 @@
 	return size
 }
 
+// Entries returns the other entries that are not gone.
+func (f *Fleet) Entries() []member.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.present(platform.RoleEntry)
+}
+
+// Send sends a message to an entry that this one is connected to. It reports
+// whether there was a connection.
+func (f *Fleet) Send(to model.InstanceID, m wire.Message) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.conns {
+		if c.hello.Identity.Instance == to {
+			return c.send(m) == nil
+		}
+	}
+	return false
+}
+
+// Group returns the state of a pool in the failure domain of this entry, as far
+// as it is connected to its instances.
+func (f *Fleet) Group(pool string) rollout.Group {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var g rollout.Group
+	for _, m := range f.view.Members(platform.RoleAgent) {
+		if m.Pool != pool || m.State != member.StateLive || m.Identity.Location != f.cfg.Identity.Location {
+			continue
+		}
+		load := m.Heartbeat.Load
+		g.Running += load.Running
+		g.Queued += load.Queued
+		if len(m.Heartbeat.Live) > 0 && !m.Draining {
+			g.Live++
+			g.Capacity += load.Capacity
+		}
+	}
+	return g
+}
+
 // Beat returns a heartbeat of this entry without its configuration fields.
 func (f *Fleet) Beat() wire.Heartbeat {
 	return wire.Heartbeat{Draining: f.cfg.Draining()}
--- a/entry/fleet/reconnect.go
+++ b/entry/fleet/reconnect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/auburnbend/auburnbend/entry/link"
 	"github.com/auburnbend/auburnbend/lib/member"
@@ -47,18 +48,31 @@
 	for _, group := range byDomain(outside(entries, location)) {
 		chosen = append(chosen, rendezvous.Rank(string(own), ids(group), 1)...)
 	}
+	chosen = append(chosen, f.required...)
 	byID := make(map[model.InstanceID]member.Member)
 	for _, m := range append(entries, agents...) {
 		byID[m.Identity.Instance] = m
 	}
 	for _, id := range chosen {
-		if id != own {
-			wanted[id] = byID[id]
+		if m, ok := byID[id]; ok {
+			wanted[id] = m
 		}
 	}
 	return wanted
 }
 
+// Require keeps connections to the given members besides those that the entry
+// has anyway.
+func (f *Fleet) Require(ctx context.Context, members []model.InstanceID) {
+	f.mu.Lock()
+	same := slices.Equal(f.required, members)
+	f.required = members
+	f.mu.Unlock()
+	if !same {
+		f.reconnect(ctx)
+	}
+}
+
 // present returns the members of a role that are not gone, without this entry.
 func (f *Fleet) present(role platform.InstanceRole) []member.Member {
 	var present []member.Member
--- a/entry/link/link.go
+++ b/entry/link/link.go
@@ -11,7 +11,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/cenkalti/backoff/v5"
 
-	"github.com/auburnbend/auburnbend/lib/member"
+	"github.com/auburnbend/auburnbend/lib/heartbeat"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
@@ -73,7 +73,8 @@
 	defer l.handler.Disconnected(id, peer)
 	l.attach(conn, peer)
 	defer l.detach(conn)
-	go l.sendHeartbeats(conn)
+	beats := heartbeat.Sender{Conn: conn, Beat: l.cfg.Heartbeat, InFlight: l.InFlight}
+	go beats.Run()
 	for {
 		m, err := conn.Receive()
 		if err != nil {
@@ -88,31 +89,6 @@
 	}
 }
 
-// sendHeartbeats sends one heartbeat each second while requests are in flight
-// and fewer otherwise: 60 idle connections would spend an entry's 8 KB/s.
-func (l *Link) sendHeartbeats(conn *wire.Conn) {
-	ticker := time.NewTicker(member.SendInterval(1))
-	defer ticker.Stop()
-	var sequence uint64
-	var last time.Time
-	for {
-		if now := time.Now(); now.Sub(last) >= member.SendInterval(l.InFlight()) {
-			last = now
-			beat := l.cfg.Heartbeat()
-			beat.Sequence = sequence
-			sequence++
-			// A full queue means that the peer does not read; the owner judges
-			// the silence, so the heartbeat is dropped.
-			_ = conn.TrySend(&beat)
-		}
-		select {
-		case <-ticker.C:
-		case <-conn.Done():
-			return
-		}
-	}
-}
-
 // attach makes the connection current and tells waiting attempts whether they
 // can be reattached.
 func (l *Link) attach(conn *wire.Conn, peer wire.Hello) {
--- a/lib/weights/sink_directory.go
+++ b/lib/weights/sink_directory.go
@@ -66,5 +66,8 @@
 }
 
 func (s *DirectorySink) name(digest model.Digest) string {
-	return filepath.Join(s.path, digest.String()+".chunk")
+	return filepath.Join(s.path, ChunkFile(digest))
 }
+
+// ChunkFile returns the name of a chunk's file in a staging directory.
+func ChunkFile(digest model.Digest) string { return digest.String() + ".chunk" }
