Add telemetry with bounded labels and a local text endpoint

Cause: operators need times per tenant and class and outcomes per reason, and a caller that invents names must not grow the memory of an entry.

Change: lib/telemetry holds OpenTelemetry histograms and counters behind a Prometheus text endpoint. Names that are not declared count under "other". lib/outcome lists its reasons.

--- a/lib/outcome/reason.go
+++ b/lib/outcome/reason.go
@@ -29,3 +29,14 @@
 	ReasonUnknownTenant    Reason = "unknown_tenant"
 	ReasonTooLarge         Reason = "body_too_large"
 )
+
+// Reasons returns all reasons other than ReasonNone.
+func Reasons() []Reason {
+	return []Reason{
+		ReasonDraining, ReasonWeightsMismatch, ReasonDeadline, ReasonOverloaded, ReasonQueueFull,
+		ReasonNoBackendServer, ReasonDuplicate, ReasonAlreadyClaimed, ReasonStoreUnavailable,
+		ReasonQuarantined, ReasonConnectionLost, ReasonBackendCrashed, ReasonBackendError,
+		ReasonIncomplete, ReasonCanceled, ReasonRetryBudget, ReasonHopLimit, ReasonInvalid,
+		ReasonUnknownService, ReasonUnknownTenant, ReasonTooLarge,
+	}
+}
--- /dev/null
+++ b/lib/telemetry/metrics.go
@@ -0,0 +1,156 @@
+package telemetry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/outcome"
+)
+
+// scope names the instruments.
+const scope = "github.com/auburnbend/auburnbend"
+
+// Metrics holds the instruments of one process.
+type Metrics struct {
+	registry *prometheus.Registry
+	provider *sdk.MeterProvider
+
+	queue, firstToken, betweenTokens, total metric.Float64Histogram
+
+	transfer      metric.Float64Histogram
+	transferBytes metric.Int64Counter
+	ended         metric.Int64Counter
+	invalid       metric.Int64Counter
+
+	tenants, classes, models, reasons *names
+	requests                          sync.Map // requestKey to *RequestMetrics
+	outcomes                          sync.Map // outcomeKey to []metric.AddOption
+	invalidOptions                    [invalidKinds][]metric.AddOption
+}
+
+type requestKey struct {
+	tenant model.Tenant
+	class  model.Class
+}
+
+// New returns instruments that only its own text endpoint shows.
+func New(cfg Config) (*Metrics, error) {
+	cfg.applyDefaults()
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo(), otelprom.WithNamespace("auburnbend"))
+	if err != nil {
+		return nil, merry.Prepend(err, "metrics exporter")
+	}
+	m := &Metrics{
+		registry: registry,
+		provider: sdk.NewMeterProvider(sdk.WithReader(exporter), sdk.WithCardinalityLimit(seriesPerInstrument)),
+		tenants:  newNames(cfg.MaxNames), classes: newNames(cfg.MaxNames), models: newNames(cfg.MaxNames),
+		reasons: newNames(cfg.MaxNames),
+	}
+	for _, r := range outcome.Reasons() {
+		m.reasons.declare([]string{string(r)})
+	}
+	if err := m.instruments(); err != nil {
+		return nil, merry.Prepend(err, "metrics instruments")
+	}
+	for i := range invalidKinds {
+		m.invalidOptions[i] = []metric.AddOption{metric.WithAttributeSet(attribute.NewSet(attribute.String("input", i.String())))}
+	}
+	return m, nil
+}
+
+func (m *Metrics) instruments() error {
+	meter := m.provider.Meter(scope)
+	seconds := func(name, description string, buckets []float64) (metric.Float64Histogram, error) {
+		return meter.Float64Histogram(name, metric.WithUnit("s"), metric.WithDescription(description), metric.WithExplicitBucketBoundaries(buckets...))
+	}
+	var errs [8]error
+	m.queue, errs[0] = seconds("request.queue_time", "Time that a request waited before it was dispatched.", requestBuckets)
+	m.firstToken, errs[1] = seconds("request.first_token", "Time from arrival to the first token.", requestBuckets)
+	m.betweenTokens, errs[2] = seconds("request.between_tokens", "Time between two tokens.", requestBuckets)
+	m.total, errs[3] = seconds("request.total_time", "Time from arrival to the end of the answer.", requestBuckets)
+	m.transfer, errs[4] = seconds("transfer.time", "Time from the wish for a version to all of its chunks verified.", transferBuckets)
+	m.transferBytes, errs[5] = meter.Int64Counter("transfer.bytes", metric.WithUnit("By"), metric.WithDescription("Bytes of weights received, by source."))
+	m.ended, errs[6] = meter.Int64Counter("request.outcomes", metric.WithDescription("Requests that ended, by outcome and reason."))
+	m.invalid, errs[7] = meter.Int64Counter("input.invalid", metric.WithDescription("Malformed input, by kind."))
+	return errors.Join(errs[:]...)
+}
+
+// Declare gives labels to the names of a configuration. It is called for each
+// configuration that comes into force.
+func (m *Metrics) Declare(c *config.Config) {
+	tenants, classes, models := []string{}, []string{}, []string{}
+	for _, t := range c.Tenants {
+		tenants = append(tenants, string(t.Name))
+	}
+	for _, cl := range c.Classes {
+		classes = append(classes, string(cl.Name))
+	}
+	for _, md := range c.Models {
+		models = append(models, md.Name)
+	}
+	m.tenants.declare(tenants)
+	m.classes.declare(classes)
+	m.models.declare(models)
+}
+
+// Request returns the recorder for a tenant and class.
+func (m *Metrics) Request(tenant model.Tenant, class model.Class) *RequestMetrics {
+	key := requestKey{model.Tenant(m.tenants.label(string(tenant))), model.Class(m.classes.label(string(class)))}
+	if r, ok := m.requests.Load(key); ok {
+		return r.(*RequestMetrics) //nolint:forcetypeassert // one type is stored
+	}
+	base := []attribute.KeyValue{attribute.String("tenant", string(key.tenant)), attribute.String("class", string(key.class))}
+	r := &RequestMetrics{m: m, base: base, options: []metric.RecordOption{metric.WithAttributeSet(attribute.NewSet(base...))}}
+	stored, _ := m.requests.LoadOrStore(key, r)
+	return stored.(*RequestMetrics) //nolint:forcetypeassert // one type is stored
+}
+
+// Transferred records a version whose chunks are all verified.
+func (m *Metrics) Transferred(modelName string, d time.Duration) {
+	m.transfer.Record(context.Background(), d.Seconds(), metric.WithAttributes(attribute.String("model", m.models.label(modelName))))
+}
+
+// TransferBytes counts received bytes of weights.
+func (m *Metrics) TransferBytes(modelName string, source Source, n int64) {
+	m.transferBytes.Add(context.Background(), n, metric.WithAttributes(
+		attribute.String("model", m.models.label(modelName)), attribute.String("source", source.String())))
+}
+
+// InvalidInput counts one malformed input.
+func (m *Metrics) InvalidInput(kind Invalid) {
+	if kind < invalidKinds {
+		m.invalid.Add(context.Background(), 1, m.invalidOptions[kind]...)
+	}
+}
+
+// Meter returns a meter for further instruments of a daemon.
+func (m *Metrics) Meter() metric.Meter { return m.provider.Meter(scope) }
+
+// Handler serves the text format.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Close flushes and stops the provider.
+func (m *Metrics) Close(ctx context.Context) error { return m.provider.Shutdown(ctx) }
+
+func (m *Metrics) reason(r outcome.Reason) string {
+	if r == outcome.ReasonNone {
+		return "none"
+	}
+	return m.reasons.label(string(r))
+}
--- /dev/null
+++ b/lib/telemetry/metrics_test.go
@@ -0,0 +1,120 @@
+package telemetry_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/outcome"
+	"github.com/auburnbend/auburnbend/lib/telemetry"
+)
+
+func declared() *config.Config {
+	return &config.Config{
+		Tenants: []config.Tenant{{Name: "hauliers"}},
+		Classes: []config.Class{{Name: "interactive"}},
+		Models:  []config.Model{{Name: "drafter"}},
+	}
+}
+
+var _ = Describe("Metrics", func() {
+	ctx := context.Background()
+
+	It("shows what was recorded in the text format", func() {
+		m, err := telemetry.New(telemetry.Config{})
+		Expect(err).NotTo(HaveOccurred())
+		m.Declare(declared())
+		r := m.Request("hauliers", "interactive")
+		r.Queue(3 * time.Millisecond)
+		r.FirstToken(900 * time.Millisecond)
+		r.BetweenTokens(40 * time.Millisecond)
+		r.Total(2 * time.Second)
+		r.Outcome(outcome.Completed, outcome.ReasonNone)
+		r.Outcome(outcome.NotRun, outcome.ReasonDeadline)
+		r.Outcome(outcome.NotRun, "invented by a peer")
+		m.Transferred("drafter", 80*time.Second)
+		m.TransferBytes("drafter", telemetry.SourcePeer, 4096)
+		m.InvalidInput(telemetry.InvalidFrame)
+		e, err := m.Listen("127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		resp, err := http.Get("http://" + e.Address() + "/metrics")
+		Expect(err).NotTo(HaveOccurred())
+		text, err := io.ReadAll(resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Body.Close()).To(Succeed())
+		Expect(e.Close(ctx)).To(Succeed())
+		for _, line := range []string{
+			`auburnbend_request_first_token_seconds_bucket{class="interactive",tenant="hauliers",le="1.4"} 1`,
+			`auburnbend_request_first_token_seconds_bucket{class="interactive",tenant="hauliers",le="0.75"} 0`,
+			`auburnbend_request_between_tokens_seconds_bucket{class="interactive",tenant="hauliers",le="0.053"} 1`,
+			`auburnbend_request_queue_time_seconds_count{class="interactive",tenant="hauliers"} 1`,
+			`auburnbend_request_total_time_seconds_sum{class="interactive",tenant="hauliers"} 2`,
+			`auburnbend_request_outcomes_total{class="interactive",outcome="not_run",reason="deadline_exceeded",tenant="hauliers"} 1`,
+			`auburnbend_request_outcomes_total{class="interactive",outcome="not_run",reason="other",tenant="hauliers"} 1`,
+			`auburnbend_transfer_time_seconds_count{model="drafter"} 1`,
+			`auburnbend_transfer_bytes_total{model="drafter",source="peer"} 4096`,
+			`auburnbend_input_invalid_total{input="frame"} 1`,
+		} {
+			Expect(string(text)).To(ContainSubstring(line))
+		}
+	})
+
+	// A caller that invents tenant names must not grow the memory of an entry.
+	It("counts undeclared names under other", func() {
+		m, err := telemetry.New(telemetry.Config{MaxNames: 1})
+		Expect(err).NotTo(HaveOccurred())
+		m.Declare(declared())
+		m.Declare(&config.Config{Tenants: []config.Tenant{{Name: "one-too-many"}}})
+		for i := range 1000 {
+			m.Request(model.Tenant(fmt.Sprint("t", i)), "x").Queue(time.Millisecond)
+		}
+		m.Request("one-too-many", "x").Queue(time.Millisecond)
+		rec := &recorder{}
+		m.Handler().ServeHTTP(rec, &http.Request{Method: http.MethodGet})
+		Expect(strings.Count(rec.String(), "auburnbend_request_queue_time_seconds_count")).To(Equal(1))
+		Expect(rec.String()).To(ContainSubstring(`auburnbend_request_queue_time_seconds_count{class="other",tenant="other"} 1001`))
+	})
+})
+
+// recorder keeps a response in memory.
+type recorder struct{ strings.Builder }
+
+func (*recorder) Header() http.Header { return http.Header{} }
+func (*recorder) WriteHeader(int)     {}
+
+// BenchmarkRecord is the cost of one recorded token.
+func BenchmarkRecord(b *testing.B) {
+	m, err := telemetry.New(telemetry.Config{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	m.Declare(declared())
+	r := m.Request("hauliers", "interactive")
+	b.Run("between tokens", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			r.BetweenTokens(40 * time.Millisecond)
+		}
+	})
+	b.Run("outcome", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			r.Outcome(outcome.NotRun, outcome.ReasonDeadline)
+		}
+	})
+	b.Run("lookup", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			m.Request("hauliers", "interactive")
+		}
+	})
+}
