--- /dev/null
+++ b/lib/security/policy_test.go
@@ -0,0 +1,124 @@
+package security_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/lib/security"
+	"github.com/auburnbend/auburnbend/lib/settings"
+	"github.com/auburnbend/auburnbend/standin/pki"
+)
+
+// policy returns the policy of a process with a certificate for name.
+func policy(a *pki.Authority, name string) *security.Policy {
+	f, err := a.Write(GinkgoT().TempDir(), name)
+	Expect(err).NotTo(HaveOccurred())
+	p, err := security.New(settings.Transport{
+		Kind: settings.TransportTLS, Certificate: f.Certificate, Key: f.Key, CA: f.CA,
+		EntryNames: []string{"entry.x"}, AgentNames: []string{"agent.x"}, OperatorNames: []string{"ops.x"},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return p
+}
+
+// connect lets client dial a server that accepts the given roles, as a server
+// of the given role, and returns the error of each side.
+func connect(server, client *security.Policy, as security.Role, accepts ...security.Role) (roles []security.Role, atServer, atClient error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = ln.Close() }()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		nc, err := ln.Accept()
+		if err != nil {
+			atServer = err
+			return
+		}
+		var conn net.Conn
+		if conn, roles, atServer = server.Accept(nc, accepts...); atServer == nil {
+			_, _ = conn.Write([]byte("x"))
+			_ = conn.Close()
+		}
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	conn, err := client.Dial(ctx, ln.Addr().String(), as)
+	if err == nil {
+		// TLS 1.3 reports a refusal by the server with the first read.
+		_, err = conn.Read(make([]byte, 1))
+		_ = conn.Close()
+	}
+	<-done
+	return roles, atServer, err
+}
+
+var _ = Describe("Policy", func() {
+	var authority *pki.Authority
+
+	BeforeEach(func() {
+		var err error
+		authority, err = pki.New()
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("connects authorised names and tells their roles", func() {
+		roles, atServer, atClient := connect(policy(authority, "entry.x"), policy(authority, "agent.x"), security.RoleEntry, security.RoleEntry, security.RoleAgent)
+		Expect(atServer).NotTo(HaveOccurred())
+		Expect(atClient).NotTo(HaveOccurred())
+		Expect(roles).To(Equal([]security.Role{security.RoleAgent}))
+	})
+
+	It("refuses a client whose name may not act in the role", func() {
+		_, atServer, atClient := connect(policy(authority, "entry.x"), policy(authority, "agent.x"), security.RoleEntry, security.RoleOperator)
+		Expect(errors.Is(atServer, security.ErrUnauthorised)).To(BeTrue())
+		Expect(atClient).To(HaveOccurred())
+	})
+
+	It("refuses a server whose name may not act in the role", func() {
+		_, atServer, atClient := connect(policy(authority, "stranger.x"), policy(authority, "agent.x"), security.RoleEntry, security.RoleAgent)
+		Expect(errors.Is(atClient, security.ErrUnauthorised)).To(BeTrue())
+		Expect(atServer).To(HaveOccurred())
+	})
+
+	It("refuses authorised names of another authority", func() {
+		other, err := pki.New()
+		Expect(err).NotTo(HaveOccurred())
+		_, atServer, atClient := connect(policy(authority, "entry.x"), policy(other, "agent.x"), security.RoleEntry, security.RoleAgent)
+		Expect(errors.Is(atClient, security.ErrUnauthorised)).To(BeTrue())
+		Expect(atServer).To(HaveOccurred())
+		_, atServer, _ = connect(policy(authority, "entry.x"), policy(other, "agent.x"), security.RoleEntry, security.RoleAgent)
+		Expect(atServer).To(HaveOccurred())
+	})
+
+	It("refuses a client without TLS", func() {
+		plain, err := security.New(settings.Transport{Kind: settings.TransportPlaintext})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(plain.Plaintext()).To(BeTrue())
+		Expect(plain.Server(security.RoleEntry)).To(BeNil())
+		server := policy(authority, "entry.x")
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(ln.Close)
+		go func() {
+			defer GinkgoRecover()
+			conn, err := plain.Dial(context.Background(), ln.Addr().String(), security.RoleEntry)
+			Expect(err).NotTo(HaveOccurred())
+			_, _ = conn.Write([]byte("plain text"))
+		}()
+		nc, err := ln.Accept()
+		Expect(err).NotTo(HaveOccurred())
+		_, _, err = server.Accept(nc, security.RoleAgent)
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("takes plain text only when it is named", func() {
+		_, err := security.New(settings.Transport{})
+		Expect(err).To(MatchError(ContainSubstring("neither tls nor plaintext")))
+	})
+})
