--- /dev/null
+++ b/lib/eventlog/generate.go
@@ -0,0 +1,3 @@
+package eventlog
+
+//go:generate go run ../../cmd/internal/eventdoc -out ../../docs/events.md
--- a/lib/eventlog/logger.go
+++ b/lib/eventlog/logger.go
@@ -6,6 +6,8 @@
 // is.
 type Logger struct {
 	base log.Logger
+	// least is the severity below which events are dropped.
+	least int
 }
 
 // New returns a Logger that adds the given key-value pairs to each event.
@@ -17,11 +19,16 @@
 func Discard() *Logger { return New(log.NewNopLogger()) }
 
 // With returns a Logger that adds more key-value pairs.
-func (l *Logger) With(keyvals ...any) *Logger { return New(l.base, keyvals...) }
+func (l *Logger) With(keyvals ...any) *Logger {
+	return &Logger{base: log.With(l.base, keyvals...), least: l.least}
+}
 
 // Log writes one event. A failed write is dropped: logging never stops a
 // request.
 func (l *Logger) Log(e Event, keyvals ...any) {
+	if e.Level.severity() < l.least {
+		return
+	}
 	fields := append([]any{"event", e.Number, "level", string(e.Level), "msg", e.Message}, keyvals...)
 	_ = l.base.Log(fields...)
 }
