Run the whole path in one process and test it

internal/deployment starts the stand-ins, entries and agents on loopback. The link is attached first now, and agents of the failure domain are told when the list changes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -21,9 +20,6 @@
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
-// Role is the role in which a peer acts.
-type Role = wire.Role
-
 // Agent runs beside one backend server.
 type Agent struct {
 	cfg      Config
@@ -108,11 +104,11 @@
 	serving, stop := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
 	server := listen.New(listen.Config{
-		Listener:  a.cfg.Listener,
-		Hello:     a.hello,
-		Authorize: a.authorize(),
-		Serve:     a.serve,
-		Log:       a.cfg.Log,
+		Listener: a.cfg.Listener,
+		Hello:    a.hello,
+		Policy:   a.cfg.Policy,
+		Serve:    a.serve,
+		Log:      a.cfg.Log,
 	})
 	tasks.Go(func() { server.Run(serving) })
 	tasks.Go(func() { a.tick(serving) })
@@ -144,6 +140,9 @@
 	}
 }
 
+// Live returns the weights that requests are admitted for now.
+func (a *Agent) Live() []model.Weights { return a.gate.Live() }
+
 // tick drives what depends on time.
 func (a *Agent) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
@@ -166,8 +165,6 @@
 	return wire.Hello{Role: wire.RoleAgent, Identity: a.cfg.Identity, Pool: a.cfg.Pool}
 }
 
-func (a *Agent) authorize() func(net.Conn, wire.Role) error { return a.cfg.Authorize }
-
 // beat returns a heartbeat without its configuration fields.
 func (a *Agent) beat() wire.Heartbeat {
 	load := a.server.load()
--- a/agent/config.go
+++ b/agent/config.go
@@ -10,8 +10,10 @@
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/distribute"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/listen"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/security"
 	"github.com/auburnbend/auburnbend/lib/settings"
 )
 
@@ -29,11 +31,11 @@
 	Log      *eventlog.Logger
 	// Listener accepts connections of entries and of other agents.
 	Listener net.Listener
-	// Dial opens a connection to a peer, with TLS where configured.
+	// Dial replaces the way in which connections to peers are opened; tests use
+	// it to inject faults.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
-	// Authorize checks that the certificate behind a connection may act in the
-	// role of its Hello; nil allows all.
-	Authorize func(nc net.Conn, role Role) error
+	// Policy says who may connect in which role; nil means plain text.
+	Policy *security.Policy
 
 	// Kind and BackendURL describe the backend server.
 	Kind       settings.BackendKind
@@ -70,5 +72,10 @@
 	if c.Gate.Capacity == 0 {
 		c.Gate.Capacity = c.Capacity
 	}
+	if c.Dial == nil {
+		c.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return listen.Dial(ctx, c.Policy, address)
+		}
+	}
 	return c
 }
--- a/entry/caller/server_test.go
+++ b/entry/caller/server_test.go
@@ -112,6 +112,19 @@
 		Expect(body).To(ContainSubstring(`"outcome":"completed"`))
 	})
 
+	// Guards against answers that are damaged because a piece ends inside a
+	// character, or because a service answers with bytes that are no text.
+	It("passes on every byte whatever the pieces are", func() {
+		handler.script.Store(&script{
+			pieces: []string{"caf\xc3", "\xa9", "\xff\xfe"},
+			result: Result{Outcome: outcome.Completed},
+		})
+		_, body := send("draft", "text/event-stream")
+		Expect(body).To(ContainSubstring("data: \"caf\""))
+		Expect(body).To(ContainSubstring("data: \"é\""))
+		Expect(body).To(ContainSubstring("event: binary\ndata: \"//4=\""))
+	})
+
 	// Guards against a truncated answer that looks like a success.
 	It("does not pass on a buffered answer that did not complete", func() {
 		handler.script.Store(&script{
--- a/entry/caller/stream_answer.go
+++ b/entry/caller/stream_answer.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"strconv"
+	"unicode/utf8"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/protocol/sse"
@@ -12,8 +13,11 @@
 
 // Names of server-sent events.
 const (
+	// EventChunk carries a piece of text as a JSON string.
 	EventChunk = "chunk"
-	EventEnd   = "end"
+	// EventBinary carries a piece that is not UTF-8 as a JSON string in base64.
+	EventBinary = "binary"
+	EventEnd    = "end"
 )
 
 // StreamEnd is the data of the final event. A stream without it is incomplete.
@@ -34,6 +38,8 @@
 	request string
 	writer  *sse.Writer
 	next    uint64
+	// held are the first bytes of a character that is not complete yet.
+	held []byte
 }
 
 func newStreamAnswer(ctx *app.RequestContext, request string) *streamAnswer {
@@ -49,13 +55,42 @@
 		a.ctx.Response.Header.Set(HeaderRequestID, a.request)
 		a.writer = sse.NewWriter(a.ctx)
 	}
-	encoded, err := json.Marshal(string(data))
+	// A piece may end inside a character, whose bytes wait for the next piece.
+	data = append(a.held, data...)
+	whole := len(data) - incompleteTail(data)
+	a.held = append([]byte(nil), data[whole:]...)
+	return a.writePiece(data[:whole])
+}
+
+func (a *streamAnswer) writePiece(data []byte) error {
+	if len(data) == 0 {
+		return nil
+	}
+	event, value := EventChunk, any(string(data))
+	if !utf8.Valid(data) {
+		event, value = EventBinary, data
+	}
+	encoded, err := json.Marshal(value)
 	if err != nil {
 		return err
 	}
 	id := strconv.FormatUint(a.next, 10)
 	a.next++
-	return a.writer.WriteEvent(id, EventChunk, encoded)
+	return a.writer.WriteEvent(id, event, encoded)
+}
+
+// incompleteTail returns the number of bytes at the end of data that begin a
+// character without ending it.
+func incompleteTail(data []byte) int {
+	for n := 1; n < utf8.UTFMax && n <= len(data); n++ {
+		if b := data[len(data)-n]; utf8.RuneStart(b) {
+			if b >= utf8.RuneSelf && !utf8.FullRune(data[len(data)-n:]) {
+				return n
+			}
+			return 0
+		}
+	}
+	return 0
 }
 
 func (a *streamAnswer) End(r Result) {
@@ -67,6 +102,9 @@
 		a.ctx.Response.Header.Set(HeaderRequestID, a.request)
 		a.writer = sse.NewWriter(a.ctx)
 	}
+	if a.writePiece(a.held) != nil {
+		return
+	}
 	encoded, err := json.Marshal(streamEnd(a.request, r))
 	if err == nil {
 		_ = a.writer.WriteEvent("", EventEnd, encoded)
--- a/entry/config.go
+++ b/entry/config.go
@@ -11,11 +11,12 @@
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/distribute"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/listen"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/outcome"
 	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/lib/rollout"
-	"github.com/auburnbend/auburnbend/lib/wire"
+	"github.com/auburnbend/auburnbend/lib/security"
 )
 
 const (
@@ -41,11 +42,11 @@
 
 	// Callers, Peers and Operators are the listeners. Operators may be nil.
 	Callers, Peers, Operators net.Listener
-	// Dial opens a connection to a peer, with TLS where configured.
+	// Dial replaces the way in which connections to peers are opened; tests use
+	// it to inject faults.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
-	// Authorize checks that the certificate behind a connection may act in the
-	// role of its Hello; nil allows all.
-	Authorize func(nc net.Conn, role wire.Role) error
+	// Policy says who may connect in which role; nil means plain text.
+	Policy *security.Policy
 
 	Table platform.TableService
 	List  platform.InstanceList
@@ -66,5 +67,10 @@
 	if c.BalancerLag == 0 {
 		c.BalancerLag = defaultBalancerLag
 	}
+	if c.Dial == nil {
+		c.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return listen.Dial(ctx, c.Policy, address)
+		}
+	}
 	return c
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -87,6 +87,10 @@
 	return c
 }
 
+// Watch calls fn after each change of the configuration in force. It is called
+// before Run.
+func (e *Entry) Watch(fn func(*config.View)) { e.follower.Watch(fn) }
+
 // Current returns the configuration in force, or nil before the first one.
 func (e *Entry) Current() *config.Config {
 	if v := e.follower.Current(); v != nil {
@@ -115,11 +119,11 @@
 	serving, stop := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
 	peers := listen.New(listen.Config{
-		Listener:  e.cfg.Peers,
-		Hello:     e.hello,
-		Authorize: e.cfg.Authorize,
-		Serve:     e.serve,
-		Log:       e.cfg.Log,
+		Listener: e.cfg.Peers,
+		Hello:    e.hello,
+		Policy:   e.cfg.Policy,
+		Serve:    e.serve,
+		Log:      e.cfg.Log,
 	})
 	tasks.Go(func() { peers.Run(serving) })
 	tasks.Go(func() { e.fleet.Run(serving) })
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -37,7 +37,9 @@
 	conns    map[member.ConnID]*connection
 	nextConn member.ConnID
 	required []model.InstanceID
-	tasks    sync.WaitGroup
+	// entries is the last list of entries that agents were sent.
+	entries []string
+	tasks   sync.WaitGroup
 }
 
 // New returns a fleet that connects when Run is called.
@@ -110,6 +112,7 @@
 	}
 	f.apply(f.view.Tick(now))
 	f.broadcast(f.monitor.Tick(now))
+	f.sendEntries()
 	f.wake()
 }
 
--- a/entry/fleet/reconnect.go
+++ b/entry/fleet/reconnect.go
@@ -166,3 +166,18 @@
 	}
 	return list
 }
+
+// sendEntries tells the agents of the failure domain when its live entries have
+// changed: one of them may be a tracker. The caller holds the mutex.
+func (f *Fleet) sendEntries() {
+	list := f.entryAddresses()
+	if slices.Equal(list.Addresses, f.entries) {
+		return
+	}
+	f.entries = list.Addresses
+	for _, c := range f.conns {
+		if c.hello.Role == wire.RoleAgent && c.hello.Identity.Location == f.cfg.Identity.Location {
+			_ = c.send(list)
+		}
+	}
+}
--- a/entry/link/link.go
+++ b/entry/link/link.go
@@ -67,12 +67,13 @@
 	defer stop()
 	defer func() { _ = conn.Close() }()
 	id := l.cfg.NextConn()
+	// The handler sends its first messages through the link.
+	l.attach(conn, peer)
+	defer l.detach(conn)
 	if l.handler.Connected(id, peer) != nil {
 		return
 	}
 	defer l.handler.Disconnected(id, peer)
-	l.attach(conn, peer)
-	defer l.detach(conn)
 	beats := heartbeat.Sender{Conn: conn, Beat: l.cfg.Heartbeat, InFlight: l.InFlight}
 	go beats.Run()
 	for {
--- /dev/null
+++ b/entry/telemetry.go
@@ -0,0 +1,41 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/outcome"
+	"github.com/auburnbend/auburnbend/lib/telemetry"
+)
+
+// telemetryMetrics records an entry's measurements with OpenTelemetry.
+type telemetryMetrics struct{ metrics *telemetry.Metrics }
+
+// TelemetryMetrics returns Metrics that record with OpenTelemetry.
+func TelemetryMetrics(m *telemetry.Metrics) Metrics { return telemetryMetrics{m} }
+
+func (t telemetryMetrics) QueueTime(tenant model.Tenant, class model.Class, d time.Duration) {
+	t.metrics.Request(tenant, class).Queue(d)
+}
+
+func (t telemetryMetrics) FirstToken(tenant model.Tenant, class model.Class, d time.Duration) {
+	t.metrics.Request(tenant, class).FirstToken(d)
+}
+
+func (t telemetryMetrics) BetweenTokens(tenant model.Tenant, class model.Class, d time.Duration) {
+	t.metrics.Request(tenant, class).BetweenTokens(d)
+}
+
+func (t telemetryMetrics) Total(tenant model.Tenant, class model.Class, d time.Duration, o outcome.Outcome, reason outcome.Reason) {
+	r := t.metrics.Request(tenant, class)
+	r.Total(d)
+	r.Outcome(o, reason)
+}
+
+func (t telemetryMetrics) CountInvalid(reason outcome.Reason) {
+	kind := telemetry.InvalidHeader
+	if reason == outcome.ReasonTooLarge {
+		kind = telemetry.InvalidBody
+	}
+	t.metrics.InvalidInput(kind)
+}
--- /dev/null
+++ b/internal/deployment/agent_process.go
@@ -0,0 +1,136 @@
+package deployment
+
+import (
+	"context"
+	"math/rand"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/auburnbend/auburnbend/agent"
+	"github.com/auburnbend/auburnbend/lib/clock"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/settings"
+	"github.com/auburnbend/auburnbend/standin/engine"
+	"github.com/auburnbend/auburnbend/standin/service"
+)
+
+// AgentProcess is one running agent and its backend server.
+type AgentProcess struct {
+	Identity model.Identity
+	Pool     string
+	Agent    *agent.Agent
+	// Engine is nil for plain services, Service for engines.
+	Engine  *engine.Server
+	Service *service.Server
+
+	deployment *Deployment
+	cancel     context.CancelFunc
+	done       chan struct{}
+	stopped    atomic.Bool
+	closing    sync.Once
+	listener   *cutListener
+}
+
+// StartAgent starts a backend server and its agent.
+func (d *Deployment) StartAgent(domain model.FailureDomain, name, pool string) error {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	listener := &cutListener{Listener: tcp}
+	p := &AgentProcess{
+		Identity: d.identity(domain, name, tcp), Pool: pool,
+		deployment: d, done: make(chan struct{}), listener: listener,
+	}
+	cfg := agent.Config{
+		Identity:     p.Identity,
+		Pool:         pool,
+		Clock:        clock.System{},
+		Rand:         rand.New(rand.NewSource(d.rand.Int63())),
+		Log:          d.log.With("instance", p.Identity.Instance),
+		Listener:     listener,
+		Dial:         listener.dial,
+		Capacity:     engineCapacity,
+		Origin:       d.Origin,
+		LinkRate:     d.Options.linkRate(),
+		DrainTimeout: drainTimeout,
+	}
+	if err := p.startBackend(&cfg); err != nil {
+		return err
+	}
+	if p.Agent, err = agent.New(cfg); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(d.ctx)
+	p.cancel = cancel
+	go func() {
+		defer close(p.done)
+		p.Agent.Run(ctx)
+	}()
+	d.Agents = append(d.Agents, p)
+	d.List.Set(platform.Instance{ID: p.Identity.Instance, Role: platform.RoleAgent, Location: p.Identity.Location, Address: p.Identity.Address})
+	return nil
+}
+
+func (p *AgentProcess) startBackend(cfg *agent.Config) (err error) {
+	o := p.deployment.Options
+	if p.Pool == OrderPool {
+		cfg.Kind = settings.BackendPlain
+		if p.Service, err = service.Start(service.Config{}); err != nil {
+			return err
+		}
+		cfg.BackendURL = p.Service.URL()
+		return nil
+	}
+	cfg.Kind = settings.BackendEngine
+	if cfg.Staging, err = p.deployment.stagingOf(string(p.Identity.Instance)); err != nil {
+		return err
+	}
+	p.Engine, err = engine.Start(engine.Config{
+		Scale: o.EngineScale, Capacity: engineCapacity, RestartDelay: o.EngineRestart,
+		// Every third engine ignores fencing numbers, as some in use do.
+		IgnoreFencing: p.Identity.Generation%3 == 0,
+	})
+	if err != nil {
+		return err
+	}
+	cfg.BackendURL = p.Engine.URL()
+	return nil
+}
+
+func (p *AgentProcess) serves(w model.Weights) bool { return slices.Contains(p.Agent.Live(), w) }
+
+// Stopped reports whether the agent was told to stop or was killed.
+func (p *AgentProcess) Stopped() bool { return p.stopped.Load() }
+
+// Stop sends the agent the equivalent of SIGTERM and returns a channel that is
+// closed when it has exited.
+func (p *AgentProcess) Stop() <-chan struct{} {
+	p.stopped.Store(true)
+	p.deployment.List.Remove(p.Identity.Instance)
+	p.cancel()
+	return p.done
+}
+
+// Kill ends the instance at once, engine included: all its connections break.
+func (p *AgentProcess) Kill() {
+	p.stopped.Store(true)
+	p.deployment.List.Remove(p.Identity.Instance)
+	p.listener.cut()
+	p.closeBackend()
+	p.cancel()
+}
+
+func (p *AgentProcess) closeBackend() {
+	p.closing.Do(func() {
+		if p.Engine != nil {
+			_ = p.Engine.Close()
+		}
+		if p.Service != nil {
+			_ = p.Service.Close()
+		}
+	})
+}
--- /dev/null
+++ b/internal/deployment/callers.go
@@ -0,0 +1,142 @@
+package deployment
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/auburnbend/auburnbend/entry/caller"
+	"github.com/auburnbend/auburnbend/standin/engine"
+)
+
+// Answer is what a caller got.
+type Answer struct {
+	Request string
+	Outcome string
+	Reason  string
+	Body    []byte
+	// FirstByte is the time to the first piece of the answer.
+	FirstByte time.Duration
+	// Entry is the index of the entry that answered.
+	Entry int
+}
+
+// Outcomes that a caller sees beside those of the system.
+const (
+	outcomeBroken    = "connection_broken"
+	outcomeCompleted = "completed"
+	outcomeNotRun    = "not_run"
+)
+
+// Client sends requests as callers do. It is safe for concurrent use.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient returns a client.
+func NewClient() *Client {
+	return &Client{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Call is one request of a caller.
+type Call struct {
+	Service string
+	Tenant  string
+	// Request is the caller's id, Key the idempotency key or empty.
+	Request, Key string
+	Body         []byte
+	Stream       bool
+}
+
+// Send sends a call to an entry and waits for its end.
+func (c *Client) Send(ctx context.Context, url string, call Call) Answer {
+	a := Answer{Request: call.Request, Outcome: outcomeBroken}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/services/"+call.Service, bytes.NewReader(call.Body))
+	if err != nil {
+		return a
+	}
+	r.Header.Set(caller.HeaderTenant, call.Tenant)
+	r.Header.Set(caller.HeaderRequestID, call.Request)
+	if call.Key != "" {
+		r.Header.Set(caller.HeaderIdempotencyKey, call.Key)
+	}
+	if call.Stream {
+		r.Header.Set("Accept", "text/event-stream")
+	}
+	sent := time.Now()
+	response, err := c.http.Do(r)
+	if err != nil {
+		return a
+	}
+	defer func() { _ = response.Body.Close() }()
+	if o := response.Header.Get(caller.HeaderOutcome); o != "" {
+		a.Reason = response.Header.Get(caller.HeaderReason)
+		if a.Body, err = io.ReadAll(response.Body); err == nil {
+			a.Outcome = o
+		}
+		return a
+	}
+	readStream(response.Body, sent, &a)
+	return a
+}
+
+// readStream reads events until the final one. Without it the answer stays
+// broken.
+func readStream(r io.Reader, sent time.Time, a *Answer) {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, 1<<20)
+	event := ""
+	for scanner.Scan() {
+		line := scanner.Text()
+		if name, ok := strings.CutPrefix(line, "event: "); ok {
+			event = name
+			continue
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if a.FirstByte == 0 {
+			a.FirstByte = time.Since(sent)
+		}
+		switch event {
+		case caller.EventChunk:
+			var piece string
+			if json.Unmarshal([]byte(data), &piece) == nil {
+				a.Body = append(a.Body, piece...)
+			}
+		case caller.EventEnd:
+			var end caller.StreamEnd
+			if json.Unmarshal([]byte(data), &end) == nil {
+				a.Outcome, a.Reason = end.Outcome, end.Reason
+			}
+			return
+		}
+	}
+}
+
+// DraftBody returns the body of a request for a draft.
+func DraftBody(rng *rand.Rand, tokens int) []byte {
+	return fmt.Appendf(nil, `{"max_tokens":%d,"prompt":"%s %016x"}`, tokens, strings.Repeat("blazon ", 1+rng.Intn(8)), rng.Uint64())
+}
+
+// VersionOf returns the version that gave a whole answer to body, or false when
+// the answer is that of no published version.
+func (d *Deployment) VersionOf(answer, body []byte) (Version, bool) {
+	for _, v := range d.Versions {
+		if bytes.Equal(answer, engine.ExpectedAnswer(v.Content, body)) {
+			return v, true
+		}
+	}
+	return Version{}, false
+}
--- /dev/null
+++ b/internal/deployment/deployment.go
@@ -0,0 +1,217 @@
+// Package deployment runs a whole deployment in one process on loopback: the
+// stand-ins of the platform, of engines and of plain services, and the real
+// entries and agents. The demo and the tests of the whole path use it.
+package deployment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/clock"
+	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/weights"
+	"github.com/auburnbend/auburnbend/standin/engine"
+	"github.com/auburnbend/auburnbend/standin/instances"
+	"github.com/auburnbend/auburnbend/standin/origin"
+	"github.com/auburnbend/auburnbend/standin/table"
+)
+
+// Deployment is a running deployment. Its methods are called by one goroutine.
+type Deployment struct {
+	Options Options
+	Table   *table.Service
+	Origin  *origin.Source
+	List    *instances.List
+	Store   *config.Store
+	Entries []*EntryProcess
+	Agents  []*AgentProcess
+	// Versions are the published versions of the model in order.
+	Versions []Version
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	rand   *rand.Rand
+	log    *eventlog.Logger
+}
+
+// Version is one published version of the model.
+type Version struct {
+	Name    string
+	Digest  model.Digest
+	Weights model.Weights
+	// Content is the digest that answers of an engine with exactly this version
+	// carry.
+	Content model.Digest
+}
+
+// Start starts the stand-ins, entries and agents.
+func Start(o Options, log *eventlog.Logger) (*Deployment, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &Deployment{
+		Options: o,
+		Table:   table.New(),
+		Origin:  origin.New(origin.Config{LinkBytesPerSecond: o.originRate(), Clock: clock.System{}}),
+		List:    instances.New(instances.Config{Lag: o.ListLag, Clock: clock.System{}}),
+		ctx:     ctx,
+		cancel:  cancel,
+		rand:    rand.New(rand.NewSource(o.Seed)),
+		log:     log,
+	}
+	d.Store = config.NewStore(d.Table, config.StoreConfig{Clock: clock.System{}})
+	for _, domain := range o.Domains {
+		if err := d.startDomain(domain); err != nil {
+			d.Close()
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+func (d *Deployment) startDomain(domain model.FailureDomain) error {
+	for i := range d.Options.Entries {
+		if err := d.startEntry(domain, i); err != nil {
+			return err
+		}
+	}
+	for i := range d.Options.Agents {
+		if err := d.StartAgent(domain, fmt.Sprintf("%s-runner-%d", domain, i), ModelPool); err != nil {
+			return err
+		}
+	}
+	for i := range d.Options.Services {
+		if err := d.StartAgent(domain, fmt.Sprintf("%s-order-%d", domain, i), OrderPool); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Close stops everything at once.
+func (d *Deployment) Close() {
+	d.cancel()
+	for _, e := range d.Entries {
+		<-e.done
+	}
+	for _, a := range d.Agents {
+		<-a.done
+		a.closeBackend()
+	}
+}
+
+// Publish makes a new version, puts it at the origin and returns it.
+func (d *Deployment) Publish(name string) (Version, error) {
+	data := make([]byte, d.Options.ModelBytes)
+	d.rand.Read(data)
+	object := "weights/" + name
+	m, err := weights.BuildBytes(data, object, model.Digest{}, d.Options.ChunkBytes)
+	if err != nil {
+		return Version{}, err
+	}
+	encoded, err := m.Encode()
+	if err != nil {
+		return Version{}, err
+	}
+	digest := model.Sum(encoded)
+	d.Origin.Put(object, data)
+	d.Origin.Put(manifestObject(name), encoded)
+	files := make([]model.Digest, 0, len(m.Chunks))
+	for _, c := range m.Chunks {
+		files = append(files, c.Digest)
+	}
+	v := Version{
+		Name:    name,
+		Digest:  digest,
+		Weights: model.Weights{Base: digest},
+		Content: engine.ContentDigest(files...),
+	}
+	d.Versions = append(d.Versions, v)
+	return v, nil
+}
+
+func manifestObject(version string) string { return "manifests/" + version }
+
+// Declare returns the configuration that places a version in all domains.
+func (d *Deployment) Declare(placed string) *config.Config {
+	c := &config.Config{
+		Deployment: config.Deployment{TimeWeight: 1, OriginCopies: len(d.Options.Domains), TransferShare: 0.8, ClaimRetention: 24 * time.Hour},
+		Services: []config.Service{
+			{Name: DraftService, Kind: config.KindModel, Model: ModelName, Pool: ModelPool, Repeatable: true, Timeout: 20 * time.Second, MaxBodyBytes: 64 << 10},
+			{Name: OrderService, Kind: config.KindPlain, Pool: OrderPool, Timeout: 10 * time.Second, MaxBodyBytes: 64 << 10},
+		},
+		Tenants: []config.Tenant{
+			{Name: TenantLarge, Share: 4, MaxQueued: 256, RetryShare: 0.1},
+			{Name: TenantSmall, Share: 1, MaxQueued: 256, RetryShare: 0.1},
+		},
+		Classes: []config.Class{
+			{Name: "interactive", Priority: 2, FirstToken: 1400 * time.Millisecond},
+			{Name: "batch", Priority: 1, FirstToken: 10 * time.Second},
+		},
+	}
+	for _, v := range d.Versions {
+		c.Models = append(c.Models, config.Model{
+			Name: ModelName, Version: v.Name, Manifest: v.Digest,
+			ManifestObject: manifestObject(v.Name), Bytes: d.Options.ModelBytes,
+		})
+	}
+	for _, domain := range d.Options.Domains {
+		c.Placements = append(c.Placements, config.Placement{
+			Model: ModelName, Version: placed, FailureDomain: domain, Pool: ModelPool, MinLive: d.Options.Agents / 2,
+		})
+	}
+	return c
+}
+
+// Live returns the number of running model agents that serve a version.
+func (d *Deployment) Live(v Version) int {
+	live := 0
+	for _, a := range d.Agents {
+		if a.Pool == ModelPool && !a.Stopped() && a.serves(v.Weights) {
+			live++
+		}
+	}
+	return live
+}
+
+// Running returns the number of model agents that have not been stopped.
+func (d *Deployment) Running() int {
+	running := 0
+	for _, a := range d.Agents {
+		if a.Pool == ModelPool && !a.Stopped() {
+			running++
+		}
+	}
+	return running
+}
+
+// WaitLive waits until all running model agents serve a version. Progress is
+// called about every tick.
+func (d *Deployment) WaitLive(ctx context.Context, v Version, tick time.Duration, progress func(live, of int)) error {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		live, of := d.Live(v), d.Running()
+		if progress != nil {
+			progress(live, of)
+		}
+		if live == of {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.Join(ctx.Err(), fmt.Errorf("%d of %d instances serve %s", live, of, v.Name))
+		}
+	}
+}
+
+func (d *Deployment) stagingOf(instance string) (string, error) {
+	path := filepath.Join(d.Options.Directory, instance)
+	return path, os.MkdirAll(path, 0o750)
+}
--- /dev/null
+++ b/internal/deployment/entry_process.go
@@ -0,0 +1,75 @@
+package deployment
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+
+	"github.com/auburnbend/auburnbend/entry"
+	"github.com/auburnbend/auburnbend/lib/clock"
+	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/telemetry"
+)
+
+// EntryProcess is one running entry.
+type EntryProcess struct {
+	Entry   *entry.Entry
+	URL     string
+	cancel  context.CancelFunc
+	done    chan struct{}
+	Metrics *telemetry.Metrics
+}
+
+func (d *Deployment) startEntry(domain model.FailureDomain, index int) error {
+	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	peers, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	metrics, err := telemetry.New(telemetry.Config{})
+	if err != nil {
+		return err
+	}
+	identity := d.identity(domain, fmt.Sprintf("%s-entry-%d", domain, index), peers)
+	e := entry.New(entry.Config{
+		Identity:     identity,
+		Clock:        clock.System{},
+		Rand:         rand.New(rand.NewPCG(uint64(d.rand.Int63()), 0)),
+		Log:          d.log.With("instance", identity.Instance),
+		Metrics:      entry.TelemetryMetrics(metrics),
+		Callers:      callers,
+		Peers:        peers,
+		Table:        d.Table,
+		List:         d.List,
+		BalancerLag:  balancerLag,
+		DrainTimeout: drainTimeout,
+	})
+	e.Watch(func(v *config.View) { metrics.Declare(v.Config) })
+	ctx, cancel := context.WithCancel(d.ctx)
+	p := &EntryProcess{
+		Entry: e, URL: "http://" + callers.Addr().String(),
+		cancel: cancel, done: make(chan struct{}), Metrics: metrics,
+	}
+	go func() {
+		defer close(p.done)
+		e.Run(ctx)
+	}()
+	d.Entries = append(d.Entries, p)
+	d.List.Set(platform.Instance{ID: identity.Instance, Role: platform.RoleEntry, Location: identity.Location, Address: identity.Address})
+	return nil
+}
+
+func (d *Deployment) identity(domain model.FailureDomain, name string, peers net.Listener) model.Identity {
+	return model.Identity{
+		Instance:   model.InstanceID(name),
+		Generation: model.Generation(d.rand.Uint64()),
+		Location:   model.Location{Region: model.Region(domain), FailureDomain: domain},
+		Address:    peers.Addr().String(),
+	}
+}
--- /dev/null
+++ b/internal/deployment/options.go
@@ -0,0 +1,59 @@
+package deployment
+
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/model"
+)
+
+// Options describes a deployment on loopback.
+type Options struct {
+	// Domains names the failure domains; each is a region of its own.
+	Domains []model.FailureDomain
+	// Entries and Agents are the instances of each failure domain.
+	Entries, Agents int
+	// Services is the number of plain-service instances of each failure domain.
+	Services int
+	// ModelBytes and ChunkBytes are the sizes of a version and of its chunks.
+	ModelBytes int64
+	ChunkBytes int
+	// Window is the time in which the origin's link carries four copies and an
+	// instance's link two.
+	Window time.Duration
+	// ListLag is the delay of the instance list.
+	ListLag time.Duration
+	// EngineScale multiplies the times of the engine stand-ins.
+	EngineScale float64
+	// EngineRestart is the time from a crash of an engine to its return.
+	EngineRestart time.Duration
+	// Directory holds the staging areas.
+	Directory string
+	Seed      int64
+}
+
+// Names of what the deployment declares.
+const (
+	ModelPool    = "drafting"
+	OrderPool    = "orders"
+	ModelName    = "crest"
+	DraftService = "draft"
+	OrderService = "order"
+	TenantLarge  = "kigali-desk"
+	TenantSmall  = "huye-bench"
+)
+
+const (
+	originCopies   = 4
+	instanceCopies = 2
+	engineCapacity = 16
+	balancerLag    = 300 * time.Millisecond
+	drainTimeout   = 20 * time.Second
+)
+
+func (o Options) originRate() int64 {
+	return int64(originCopies * float64(o.ModelBytes) / o.Window.Seconds())
+}
+
+func (o Options) linkRate() float64 {
+	return instanceCopies * float64(o.ModelBytes) / o.Window.Seconds()
+}
--- a/lib/listen/server.go
+++ b/lib/listen/server.go
@@ -7,10 +7,12 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/security"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
@@ -23,9 +25,8 @@
 	Listener net.Listener
 	// Hello returns what this process sends first.
 	Hello func() wire.Hello
-	// Authorize checks the certificate behind a connection against the role that
-	// the peer names; nil allows all, for plain text.
-	Authorize func(nc net.Conn, role wire.Role) error
+	// Policy says who may connect in which role; nil means plain text.
+	Policy *security.Policy
 	// Serve handles a connection until it fails. It closes the connection when
 	// ctx ends.
 	Serve func(ctx context.Context, conn *wire.Conn, peer wire.Hello)
@@ -62,19 +63,43 @@
 
 func (s *Server) handle(ctx context.Context, nc net.Conn) {
 	remote := nc.RemoteAddr()
+	nc, roles, err := s.secure(nc)
+	if err != nil {
+		s.cfg.Log.Log(eventlog.PeerRefused, "remote", remote, "err", err)
+		return
+	}
 	conn, peer, err := wire.Handshake(nc, s.cfg.Hello())
 	if err != nil {
 		s.cfg.Log.Log(eventlog.PeerRefused, "remote", remote, "err", err)
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	if s.cfg.Authorize != nil {
-		if err := s.cfg.Authorize(nc, peer.Role); err != nil {
-			s.cfg.Log.Log(eventlog.PeerRefused, "remote", remote, "instance", peer.Identity.Instance, "err", err)
-			return
-		}
+	if !mayAct(roles, peer.Role) {
+		s.cfg.Log.Log(eventlog.PeerRefused, "remote", remote, "instance", peer.Identity.Instance, "role", peer.Role)
+		_ = conn.Send(&wire.ConnectionReject{Reason: "certificate does not allow the role"})
+		return
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	s.cfg.Serve(ctx, conn, peer)
 }
+
+func (s *Server) secure(nc net.Conn) (net.Conn, []security.Role, error) {
+	if s.cfg.Policy == nil {
+		return nc, []security.Role{security.RoleEntry, security.RoleAgent}, nil
+	}
+	return s.cfg.Policy.Accept(nc, security.RoleEntry, security.RoleAgent)
+}
+
+// mayAct reports whether the roles of a certificate include the one that the
+// peer names in its Hello.
+func mayAct(roles []security.Role, claimed wire.Role) bool {
+	switch claimed {
+	case wire.RoleEntry:
+		return slices.Contains(roles, security.RoleEntry)
+	case wire.RoleAgent:
+		return slices.Contains(roles, security.RoleAgent)
+	default:
+		return false
+	}
+}
