Make the tracker's choice of fresh chunks cheap and survive silent trackers

Cause: at the start every chunk is missing everywhere, and each assignment sorted all remote holders once per chunk; the origin's link idled at 25 to 40% for the first second. Agents behind a path that carries one direction only kept reconnecting to the same tracker. Change: list fresh chunks once per Schedule and open links once per assignment; pass over entries that accept and stay silent; use peers directly after 1 s without an answer; let trackers of one failure domain exchange summaries.

--- a/agent/transfer/errors.go
+++ b/agent/transfer/errors.go
@@ -8,8 +8,6 @@
 	ErrReplaced = merry.New("wanted version replaced")
 	// ErrClosed means that the service was closed.
 	ErrClosed = merry.New("transfer service closed")
-	// errNoTracker means that no entry of the list answers.
-	errNoTracker = merry.New("no tracker is reachable")
 	// errNoSource means that neither an origin nor a weight store is configured.
 	errNoSource = merry.New("no source of weights configured")
 )
--- a/agent/transfer/link.go
+++ b/agent/transfer/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/distribute"
@@ -30,6 +29,22 @@
 	events chan<- linkEvent
 }
 
+// silence says how long an entry that sent nothing is passed over.
+type silence struct {
+	until time.Time
+	wait  time.Duration
+}
+
+// again doubles the wait, which ends with the first message of the entry.
+func (s silence) again(first time.Duration) silence {
+	s.wait = min(max(s.wait*2, first), maxSilence)
+	s.until = time.Now().Add(s.wait)
+	return s
+}
+
+// maxSilence bounds the wait before a silent entry is tried again.
+const maxSilence = time.Minute
+
 // linkRetry is the wait after a round over all entries failed.
 const linkRetry = 500 * time.Millisecond
 
@@ -47,9 +62,10 @@
 // run connects to the first entry in rendezvous order that answers, and tries
 // earlier ones from time to time.
 func (l *link) run(ctx context.Context) {
+	silent := make(map[string]silence)
 	for ctx.Err() == nil {
 		order, changed := l.order()
-		conn, rank := l.connect(ctx, order)
+		conn, rank := l.connect(ctx, order, silent)
 		if conn == nil {
 			l.emit(ctx, linkEvent{link: l})
 			select {
@@ -60,7 +76,14 @@
 			continue
 		}
 		for conn != nil {
-			conn, rank = l.use(ctx, conn, order, rank)
+			address := order[rank]
+			var answered bool
+			conn, rank, answered = l.use(ctx, conn, order, rank, silent)
+			if answered {
+				delete(silent, address)
+			} else {
+				silent[address] = silent[address].again(l.s.cfg.ReturnEvery)
+			}
 		}
 	}
 }
@@ -71,8 +94,14 @@
 	return rendezvous(l.digest, l.s.entries), l.s.changed
 }
 
-func (l *link) connect(ctx context.Context, order []string) (*wire.Conn, int) {
+// connect returns a connection to the first entry that accepts one. Entries that
+// accepted one and then sent nothing are passed over for a time: a path that
+// carries only one direction lets a handshake pass.
+func (l *link) connect(ctx context.Context, order []string, silent map[string]silence) (*wire.Conn, int) {
 	for rank, address := range order {
+		if time.Now().Before(silent[address].until) {
+			continue
+		}
 		if conn, err := l.s.dial(ctx, address); err == nil {
 			return conn, rank
 		}
@@ -83,7 +112,7 @@
 // use reads from a connection until it fails or is silent. Each announcement is
 // answered and repeated every second, so a silent tracker is a dead one. If an
 // earlier entry answers meanwhile, its connection is returned.
-func (l *link) use(ctx context.Context, conn *wire.Conn, order []string, rank int) (next *wire.Conn, nextRank int) {
+func (l *link) use(ctx context.Context, conn *wire.Conn, order []string, rank int, silent map[string]silence) (next *wire.Conn, nextRank int, answered bool) {
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
@@ -98,7 +127,7 @@
 			defer l.s.wg.Done()
 			defer close(better)
 			var c *wire.Conn
-			if c, nextRank = l.findBetter(try, order[:rank]); c != nil {
+			if c, nextRank = l.findBetter(try, order[:rank], silent); c != nil {
 				better <- c
 				_ = conn.Close()
 			}
@@ -111,20 +140,21 @@
 		if err != nil {
 			break
 		}
+		answered = true
 		l.emit(ctx, linkEvent{link: l, conn: conn, message: m})
 	}
 	cancel()
-	return <-better, nextRank
+	return <-better, nextRank, answered
 }
 
-func (l *link) findBetter(ctx context.Context, order []string) (*wire.Conn, int) {
+func (l *link) findBetter(ctx context.Context, order []string, silent map[string]silence) (*wire.Conn, int) {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil, 0
 		case <-time.After(l.s.jitter(l.s.cfg.ReturnEvery)):
 		}
-		if conn, rank := l.connect(ctx, slices.Clone(order)); conn != nil {
+		if conn, rank := l.connect(ctx, order, silent); conn != nil {
 			return conn, rank
 		}
 	}
--- a/entry/tracker/service.go
+++ b/entry/tracker/service.go
@@ -91,7 +91,7 @@
 	c := s.sessions[from.Address]
 	switch m := m.(type) {
 	case *wire.HolderSummary:
-		return s.summary(m), true
+		return s.summary(from, m), true
 	case *wire.Announce:
 		if c != nil {
 			return s.announce(c, m), true
@@ -149,7 +149,7 @@
 	n := v.tracker.Announce(now, c.identity, a)
 	s.notice(c, n)
 	out := s.schedule(v)
-	reply := &wire.Assign{Manifest: a.Manifest}
+	reply := &wire.Assign{Manifest: a.Manifest, RetryMillis: v.tracker.Retry().Milliseconds()}
 	i := slices.IndexFunc(out, func(o outgoing) bool { return o.to == c })
 	if i < 0 {
 		out = append(out, outgoing{c, reply})
@@ -205,10 +205,11 @@
 	s.send(out)
 }
 
-// Summaries returns what the trackers of other failure domains need to know.
-// The daemon sends each, a few times per second, to the entry that comes first
-// in the rendezvous order of the manifest among the entries of each other
-// failure domain.
+// Summaries returns what other trackers need to know. The daemon sends each, a
+// few times per second, to the entry that comes first in the rendezvous order
+// of the manifest among the entries of each other failure domain, and to the
+// first two of its own other than itself: agents that cannot reach the first
+// announce to the second, which must not fetch everything from the origin again.
 func (s *Service) Summaries() []*wire.HolderSummary {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -221,14 +222,14 @@
 	return out
 }
 
-// summary takes the summary of another failure domain. A version that no agent
-// of this one has announced needs none.
-func (s *Service) summary(m *wire.HolderSummary) []outgoing {
+// summary takes the summary of another tracker. A version that no agent has
+// announced here needs none.
+func (s *Service) summary(from model.Identity, m *wire.HolderSummary) []outgoing {
 	v, ok := s.versions[m.Manifest]
 	if !ok || v.tracker == nil {
 		return nil
 	}
-	v.tracker.Remote(s.cfg.Clock.Now(), m)
+	v.tracker.Remote(s.cfg.Clock.Now(), from.Address, m)
 	return s.schedule(v)
 }
 
--- a/internal/measure/distribute/fleet.go
+++ b/internal/measure/distribute/fleet.go
@@ -115,21 +115,22 @@
 }
 
 func (fl *fleet) startEntries() error {
-	for d := range fl.o.Domains {
+	for i := range fl.o.Domains * fl.o.Entries {
+		d := i % fl.o.Domains
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			return merry.Wrap(err)
 		}
 		e := &entry{address: l.Addr().String(), location: locationOf(d), listener: l}
 		e.service = tracker.New(tracker.Config{
-			Seed: fl.o.Seed + int64(d), Location: e.location,
+			Seed: fl.o.Seed + int64(i), Location: e.location,
 			Tracker: decide.TrackerConfig{
 				UploadSlots: fl.o.UploadSlots, OriginStreams: fl.o.OriginStreams, RemoteStreams: fl.o.RemoteStreams,
 				RemoteRate: int64(fl.o.rate(fl.o.InterRegionCopies) * fl.o.LinkShare),
 			},
 			Policy: func(model.Digest) decide.Policy { return fl.plan.Policy },
 		})
-		fl.net.add(e.address, &node{name: e.address, location: e.location})
+		fl.net.add(e.address, &node{name: fmt.Sprintf("entry-%d", i), location: e.location})
 		fl.entries = append(fl.entries, e)
 		fl.accept(fl.ctx, l, fl.net.node(e.address), wire.Hello{Role: wire.RoleEntry}, e.service.Serve)
 	}
@@ -192,11 +193,13 @@
 			return fl.net.wrap(nc, a.node, fl.net.node(address), fl.o.ChunkSize), nil
 		},
 	})
+	var addresses []string
 	for _, e := range fl.entries {
 		if e.location == location {
-			a.service.SetEntries([]string{e.address})
+			addresses = append(addresses, e.address)
 		}
 	}
+	a.service.SetEntries(addresses)
 	fl.agents = append(fl.agents, a)
 	fl.accept(a.ctx, l, a.node, wire.Hello{Role: wire.RoleAgent, Identity: identity}, func(c *wire.Conn, _ wire.Hello) error {
 		return a.service.ServePeer(c)
--- a/internal/measure/distribute/network.go
+++ b/internal/measure/distribute/network.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"hash/fnv"
 	"math/rand"
 	"net"
 	"os"
@@ -40,6 +42,7 @@
 	between float64
 	faults  faults
 	stalls  map[[2]string]*stall
+	seed    int64
 	rand    *rand.Rand
 }
 
@@ -53,14 +56,13 @@
 
 // stall is the state of a directed pair of nodes.
 type stall struct {
-	at   time.Time // zero for never
-	dead atomic.Bool
+	at time.Time // zero for never
 }
 
 func newNetwork(between float64, f faults, seed int64) *network {
 	return &network{
 		nodes: make(map[string]*node), regions: make(map[[2]model.Region]*rate.Limiter),
-		between: between, faults: f, stalls: make(map[[2]string]*stall), rand: rand.New(rand.NewSource(seed)),
+		between: between, faults: f, stalls: make(map[[2]string]*stall), seed: seed, rand: rand.New(rand.NewSource(seed)),
 	}
 }
 
@@ -76,7 +78,7 @@
 	return n.nodes[address]
 }
 
-// between returns the bucket from one region to another, or nil within one.
+// interRegion returns the bucket from one region to another, or nil within one.
 func (n *network) interRegion(from, to model.Region) *rate.Limiter {
 	if from == to || from == "" || to == "" {
 		return nil
@@ -102,9 +104,13 @@
 	key := [2]string{from, to}
 	s, ok := n.stalls[key]
 	if !ok {
+		// The draw depends on the pair only, not on which pair is used first.
+		h := fnv.New64a()
+		_, _ = fmt.Fprintf(h, "%d %s %s", n.seed, from, to)
+		draw := rand.New(rand.NewSource(int64(h.Sum64())))
 		s = new(stall)
-		if n.rand.Float64() < n.faults.stall {
-			s.at = n.faults.start.Add(time.Duration(n.rand.Int63n(int64(n.faults.within))))
+		if draw.Float64() < n.faults.stall {
+			s.at = n.faults.start.Add(time.Duration(draw.Int63n(int64(n.faults.within))))
 		}
 		n.stalls[key] = s
 	}
--- a/internal/measure/distribute/options.go
+++ b/internal/measure/distribute/options.go
@@ -9,6 +9,7 @@
 // Options are the flags of the experiment.
 type Options struct {
 	Agents, Domains   int
+	Entries           int
 	Size, ChunkSize   int
 	Window            time.Duration
 	OriginCopies      float64
@@ -32,6 +33,7 @@
 	f := cmd.Flags()
 	f.IntVar(&o.Agents, "agents", 60, "number of instances")
 	f.IntVar(&o.Domains, "domains", 3, "number of failure domains, each in a region of its own")
+	f.IntVar(&o.Entries, "entries", 2, "entries in each failure domain")
 	f.IntVar(&o.Size, "size", 8<<20, "size of the weights in bytes")
 	f.IntVar(&o.ChunkSize, "chunk-size", 32<<10, "size of a chunk in bytes")
 	f.DurationVar(&o.Window, "window", 6*time.Second, "distribution window, from which link rates follow")
--- a/lib/distribute/downloader.go
+++ b/lib/distribute/downloader.go
@@ -30,6 +30,7 @@
 	chunkTime average
 	tracked   bool
 	heard     time.Time // last message of a tracker
+	retry     time.Duration
 	dirty     bool
 	announced time.Time
 
@@ -96,6 +97,9 @@
 		return
 	}
 	d.tracked, d.heard = true, now
+	if a.RetryMillis > 0 {
+		d.retry = time.Duration(a.RetryMillis) * time.Millisecond
+	}
 	d.solo.addPeers(a.Peers, d.cfg.Self)
 	for _, as := range a.Assignments {
 		if as.Chunk < 0 || as.Chunk >= len(d.manifest.Chunks) {
--- a/lib/distribute/downloader_config.go
+++ b/lib/distribute/downloader_config.go
@@ -19,6 +19,9 @@
 	// Heartbeat is the time after which an announcement is repeated although
 	// nothing has changed.
 	Heartbeat time.Duration
+	// TrackerSilence is the time without an answer of the tracker after which
+	// peers are used directly. It is several announcements long.
+	TrackerSilence time.Duration
 	// MinStall is the lower bound of the progress deadline, and MaxStall the
 	// deadline until a rate has been observed.
 	MinStall, MaxStall time.Duration
@@ -42,6 +45,7 @@
 	defaultTo(&c.Window, 4)
 	defaultTo(&c.AnnounceEvery, 20*time.Millisecond)
 	defaultTo(&c.Heartbeat, time.Second)
+	defaultTo(&c.TrackerSilence, time.Second)
 	defaultTo(&c.MinStall, 300*time.Millisecond)
 	defaultTo(&c.MaxStall, 3*time.Second)
 	defaultTo(&c.OriginStep, 2*time.Second)
--- a/lib/distribute/downloader_next.go
+++ b/lib/distribute/downloader_next.go
@@ -17,7 +17,9 @@
 	d.cancelStalled(now, &a)
 	d.cancelHeld(&a)
 	d.startAssigned(now, &a)
-	if !d.tracked && d.missing > 0 {
+	// Each announcement is answered. While the answers stay away, peers are used
+	// directly; the origin only once the tracker counts as lost.
+	if d.missing > 0 && (!d.tracked || now.Sub(d.heard) > d.cfg.TrackerSilence) {
 		d.startSolo(now, &a)
 	}
 	d.announce(now, &a)
@@ -98,7 +100,11 @@
 
 func (d *Downloader) announce(now time.Time, a *Actions) {
 	since := now.Sub(d.announced)
-	if since < d.cfg.AnnounceEvery || !d.dirty && since < d.cfg.Heartbeat {
+	repeat := d.cfg.Heartbeat
+	if d.missing > 0 && d.retry > 0 {
+		repeat = min(repeat, d.retry)
+	}
+	if since < d.cfg.AnnounceEvery || !d.dirty && since < repeat {
 		return
 	}
 	busy := len(d.active) + len(d.queue)
--- a/lib/distribute/downloader_solo.go
+++ b/lib/distribute/downloader_solo.go
@@ -104,7 +104,7 @@
 		}
 		if peer, held := d.soloPeerFor(now, i, c.Digest); peer != "" {
 			a.Start = append(a.Start, d.start(now, c, peer, 0))
-		} else if !held && d.soloOrigin(now, c, names) {
+		} else if !held && !d.tracked && d.soloOrigin(now, c, names) {
 			a.Start = append(a.Start, d.start(now, c, Origin, 0))
 		}
 	}
--- a/lib/distribute/tracker.go
+++ b/lib/distribute/tracker.go
@@ -49,6 +49,7 @@
 	grants    map[uint64]*grant
 	overdue   map[uint64]*grant // expired, kept to recognise late results
 	lastGrant uint64
+	fresh     []int // scratch list of Schedule
 	holders   []int // agents that hold each chunk
 	inFlight  []int // active grants of each chunk
 
@@ -56,7 +57,7 @@
 	originTime   average
 	remoteTime   average
 	peerTime     average
-	remote       map[model.FailureDomain]*remoteDomain
+	remote       map[string]*remoteDomain // by address of the other tracker
 	regions      map[model.Region]*remoteRegion
 	lastRemote   time.Time // last chunk that came from another failure domain
 	stats        Stats
@@ -76,7 +77,7 @@
 		lastGrant:  uint64(cfg.Rand.Uint32()) << 20,
 		holders:    make([]int, n),
 		inFlight:   make([]int, n),
-		remote:     make(map[model.FailureDomain]*remoteDomain),
+		remote:     make(map[string]*remoteDomain),
 		regions:    make(map[model.Region]*remoteRegion),
 		lastRemote: now,
 	}
@@ -144,10 +145,12 @@
 		switch {
 		case is && !was:
 			p.have.Set(i)
+			p.held++
 			t.holders[i]++
 			t.arrived(now, p, i, n)
 		case was && !is:
 			p.have.Clear(i)
+			p.held--
 			t.holders[i]--
 		}
 	}
@@ -212,6 +215,9 @@
 // Stats returns the counters.
 func (t *Tracker) Stats() Stats { return t.stats }
 
+// Retry is the time after which an agent announces again at the latest.
+func (t *Tracker) Retry() time.Duration { return t.cfg.Retry }
+
 // Peers returns the number of known agents.
 func (t *Tracker) Peers() int { return len(t.peers) }
 
@@ -225,14 +231,6 @@
 	return t.sorted
 }
 
-func (t *Tracker) sortedRemote() []*remoteDomain {
-	out := make([]*remoteDomain, 0, len(t.remote))
-	for _, name := range sortedKeys(t.remote) {
-		out = append(out, t.remote[name])
-	}
-	return out
-}
-
 // sortedKeys makes decisions independent of map order, so that a seed
 // reproduces them.
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
--- a/lib/distribute/tracker_peer.go
+++ b/lib/distribute/tracker_peer.go
@@ -41,6 +41,7 @@
 type peer struct {
 	source
 	generation model.Generation
+	held       int // marks in have
 	seen       time.Time
 	// window is the number of assignments that the agent wants at one time.
 	window int
--- a/lib/distribute/tracker_remote.go
+++ b/lib/distribute/tracker_remote.go
@@ -21,11 +21,22 @@
 	nearStreams = 4
 )
 
-// remoteDomain is another failure domain as its tracker describes it.
+// remoteDomain is what another tracker says about its agents.
 type remoteDomain struct {
 	location model.Location
+	region   *remoteRegion
 	seen     time.Time
-	holders  map[string]*source
+	holders  []*source // by address
+}
+
+// holder returns what is known about an agent, or nil.
+func (d *remoteDomain) holder(address string) *source {
+	for _, s := range d.holders {
+		if s.address == address {
+			return s
+		}
+	}
+	return nil
 }
 
 // remoteRegion accounts for the use of the link from one other region.
@@ -78,73 +89,79 @@
 	return n
 }
 
-// Remote takes the summary of another failure domain.
-func (t *Tracker) Remote(now time.Time, s *wire.HolderSummary) {
-	if s.Location.FailureDomain == t.cfg.Location.FailureDomain {
-		return
-	}
-	d, ok := t.remote[s.Location.FailureDomain]
+// Remote takes the summary of the tracker with an address: one of another
+// failure domain, or a second one of the same failure domain while some agents
+// cannot reach the first.
+func (t *Tracker) Remote(now time.Time, tracker string, s *wire.HolderSummary) {
+	r, ok := t.regions[s.Location.Region]
 	if !ok {
-		d = &remoteDomain{location: s.Location, holders: make(map[string]*source)}
-		t.remote[s.Location.FailureDomain] = d
+		r = &remoteRegion{near: s.Location.Region == t.cfg.Location.Region, updated: now}
+		t.regions[s.Location.Region] = r
 	}
-	d.seen = now
-	if _, ok := t.regions[s.Location.Region]; !ok {
-		t.regions[s.Location.Region] = &remoteRegion{near: s.Location.Region == t.cfg.Location.Region, updated: now}
+	d, ok := t.remote[tracker]
+	if !ok {
+		d = &remoteDomain{}
+		t.remote[tracker] = d
 	}
-	named := make(map[string]bool, len(s.Holders))
+	holders := make([]*source, 0, len(s.Holders))
 	for _, h := range s.Holders {
-		named[h.Address] = true
-		src, ok := d.holders[h.Address]
-		if !ok {
+		if _, own := t.peers[h.Address]; own {
+			continue // it has changed over to this tracker
+		}
+		src := d.holder(h.Address)
+		if src == nil {
 			src = &source{address: h.Address}
-			d.holders[h.Address] = src
 		}
 		src.have = h.Have
+		holders = append(holders, src)
 	}
-	for address := range d.holders {
-		if !named[address] {
-			delete(d.holders, address)
-		}
-	}
+	d.location, d.region, d.seen, d.holders = s.Location, r, now, holders
 }
 
-// remoteSource returns a source in another failure domain that holds a chunk
-// and may be used now.
-func (t *Tracker) remoteSource(now time.Time, to *peer, chunk int) (*source, *remoteRegion) {
-	var best *source
-	var from *remoteRegion
-	ties := 0
-	for _, d := range t.sortedRemote() {
-		r := t.regions[d.location.Region]
+// openRemote returns the other trackers whose agents may be used now: their
+// summary is recent and the link from their region has a free share.
+func (t *Tracker) openRemote(now time.Time) []*remoteDomain {
+	var out []*remoteDomain
+	for _, name := range sortedKeys(t.remote) {
+		d := t.remote[name]
 		streams := t.cfg.RemoteStreams
-		if r.near {
+		if d.region.near {
 			streams *= nearStreams
 		}
-		if now.Sub(d.seen) > t.cfg.RemoteTimeout || r.active >= streams {
+		if now.Sub(d.seen) > t.cfg.RemoteTimeout || d.region.active >= streams {
 			continue
 		}
-		if !r.near && t.cfg.RemoteRate > 0 {
-			r.refill(now, t.cfg.RemoteRate, creditChunks*float64(t.cfg.Manifest.Chunks[0].Size))
-			if r.credit < 0 {
+		if !d.region.near && t.cfg.RemoteRate > 0 {
+			d.region.refill(now, t.cfg.RemoteRate, creditChunks*float64(t.cfg.Manifest.Chunks[0].Size))
+			if d.region.credit < 0 {
 				continue
 			}
 		}
-		for _, address := range sortedKeys(d.holders) {
-			s := d.holders[address]
-			if !s.have.Get(chunk) || s.uploads >= t.cfg.UploadSlots || !s.usable(now) || !to.accepts(now, address, chunk) {
+		out = append(out, d)
+	}
+	return out
+}
+
+// remoteSource returns the least loaded source among other trackers' agents that
+// holds a chunk, at random among equals.
+func (t *Tracker) remoteSource(now time.Time, open []*remoteDomain, to *peer, chunk int) (*source, *remoteRegion) {
+	var best *source
+	var region *remoteRegion
+	ties := 0
+	for _, d := range open {
+		for _, s := range d.holders {
+			if !s.have.Get(chunk) || s.uploads >= t.cfg.UploadSlots || !s.usable(now) || !to.accepts(now, s.address, chunk) {
 				continue
 			}
-			if best != nil && s.uploads == best.uploads {
-				ties++
-			}
-			if best == nil || s.uploads < best.uploads || s.uploads == best.uploads && t.cfg.Rand.Intn(ties+1) == 0 {
-				if best != nil && s.uploads < best.uploads {
-					ties = 0
+			switch {
+			case best == nil, s.uploads < best.uploads:
+				best, region, ties = s, d.region, 0
+			case s.uploads == best.uploads:
+				if ties++; t.cfg.Rand.Intn(ties+1) == 0 {
+					best, region = s, d.region
 				}
-				best, from = s, r
 			}
 		}
 	}
-	return best, from
+	return best, region
 }
--- a/lib/distribute/tracker_schedule.go
+++ b/lib/distribute/tracker_schedule.go
@@ -6,6 +6,10 @@
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
+// maxBusyChunks bounds the chunks without a free source that are looked at for
+// one assignment.
+const maxBusyChunks = 256
+
 // Schedule returns new assignments for agents that want more. It is called
 // after announcements and ticks. Agents get one assignment per round, in random
 // order, so that none waits while another fills its window.
@@ -17,6 +21,9 @@
 			hungry = append(hungry, p)
 		}
 	}
+	if len(hungry) > 0 {
+		t.listFresh()
+	}
 	messages := make(map[*peer]*wire.Assign)
 	var out []Directed
 	for len(hungry) > 0 {
@@ -65,7 +72,7 @@
 // stream is free, else the rarest that another agent holds, else a duplicate of
 // one of its last chunks.
 func (t *Tracker) next(now time.Time, p *peer) *grant {
-	if g := t.fresh(now, p); g != nil {
+	if g := t.freshFor(now, p); g != nil {
 		return g
 	}
 	if g := t.rarest(now, p); g != nil {
@@ -74,26 +81,24 @@
 	return t.endgame(now, p)
 }
 
-// fresh grants a chunk that no agent of the failure domain holds or is
+// freshFor grants a chunk that no agent of the failure domain holds or is
 // fetching. Origin fetches go by rank, remote ones in the opposite direction,
 // so that they don't compete.
-func (t *Tracker) fresh(now time.Time, p *peer) *grant {
-	if len(t.remote) > 0 {
-		for i := len(t.order) - 1; i >= 0; i-- {
-			chunk := t.order[i]
-			if t.holders[chunk] > 0 || t.inFlight[chunk] > 0 || !p.needs(chunk) {
-				continue
-			}
-			if s, region := t.remoteSource(now, p, chunk); s != nil {
-				return t.issue(now, p, chunk, s, region)
+func (t *Tracker) freshFor(now time.Time, p *peer) *grant {
+	if open := t.openRemote(now); len(open) > 0 {
+		for i := len(t.fresh) - 1; i >= 0; i-- {
+			if chunk := t.fresh[i]; t.isFresh(chunk) && p.needs(chunk) {
+				if s, region := t.remoteSource(now, open, p, chunk); s != nil {
+					return t.issue(now, p, chunk, s, region)
+				}
 			}
 		}
 	}
 	if t.originActive >= t.cfg.OriginStreams || !p.accepts(now, Origin, -1) {
 		return nil
 	}
-	for _, chunk := range t.order {
-		if t.holders[chunk] > 0 || t.inFlight[chunk] > 0 || !p.needs(chunk) {
+	for _, chunk := range t.fresh {
+		if !t.isFresh(chunk) || !p.needs(chunk) {
 			continue
 		}
 		if t.ranks[chunk] < t.cfg.Policy.Copies || now.Sub(t.lastRemote) > t.cfg.FallbackAfter {
@@ -103,32 +108,65 @@
 	return nil
 }
 
+func (t *Tracker) isFresh(chunk int) bool { return t.holders[chunk] == 0 && t.inFlight[chunk] == 0 }
+
+// listFresh collects the chunks that no agent holds or fetches, in the order of
+// origin fetches.
+func (t *Tracker) listFresh() {
+	t.fresh = t.fresh[:0]
+	for _, chunk := range t.order {
+		if t.isFresh(chunk) {
+			t.fresh = append(t.fresh, chunk)
+		}
+	}
+}
+
+// freeUploads reports whether any agent has a free upload slot.
+func (t *Tracker) freeUploads() bool {
+	for _, p := range t.sortedPeers() {
+		if p.uploads < t.cfg.UploadSlots && p.held > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // rarest grants the chunk with the fewest copies, held or on their way, from
 // the source with the fewest uploads.
 func (t *Tracker) rarest(now time.Time, p *peer) *grant {
-	best, copies, ties := -1, 0, 0
+	best, copies, ties, busy := -1, 0, 0, 0
 	var from *source
-	for chunk := range t.holders {
+	if !t.freeUploads() {
+		return nil
+	}
+	n := len(t.holders)
+	start := t.cfg.Rand.Intn(n)
+	for i := range n {
+		chunk := (start + i) % n
 		if t.holders[chunk] == 0 || !p.needs(chunk) {
 			continue
 		}
-		n := t.holders[chunk] + t.inFlight[chunk]
-		if best >= 0 && n > copies {
+		have := t.holders[chunk] + t.inFlight[chunk]
+		if best >= 0 && have > copies {
 			continue
 		}
-		if best >= 0 && n == copies {
+		if best >= 0 && have == copies {
 			if ties++; t.cfg.Rand.Intn(ties+1) != 0 {
 				continue
 			}
 		}
 		s := t.uploader(now, p, chunk)
 		if s == nil {
+			// Bounds the work when most agents are busy; the next event tries again.
+			if busy++; busy >= maxBusyChunks {
+				break
+			}
 			continue
 		}
-		if best < 0 || n < copies {
+		if best < 0 || have < copies {
 			ties = 0
 		}
-		best, copies, from = chunk, n, s
+		best, copies, from = chunk, have, s
 	}
 	if best < 0 {
 		return nil
@@ -161,7 +199,7 @@
 // endgame grants a second copy of a chunk that an agent waits for, when it has
 // no others left to ask for and the first copy is late.
 func (t *Tracker) endgame(now time.Time, p *peer) *grant {
-	missing := len(t.holders) - p.have.Count()
+	missing := len(t.holders) - p.held
 	if missing > t.cfg.Endgame || missing != len(p.active) {
 		return nil
 	}
