Measure routing and overload, and make a pick cheaper

Change: the Picker counts time from a base and numbers weights and pools. internal/measure/route and internal/measure/overload print the figures.

--- /dev/null
+++ b/internal/measure/overload/command.go
@@ -0,0 +1,86 @@
+// Package overload measures admission: goodput past capacity, and the answers
+// of tenants within their share while another sends a multiple of its own,
+// against round robin with unlimited queues and three retries.
+package overload
+
+import (
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"github.com/auburnbend/auburnbend/internal/measure/fleet"
+)
+
+// Stated targets.
+const (
+	overloadFactor   = 1.5
+	goodputTarget    = 0.9
+	aggressorFactor  = 10
+	withinShareLimit = 0.95
+)
+
+// searchStep is the precision of the capacity search in requests per second.
+const searchStep = 2
+
+// New returns the subcommand.
+func New() *cobra.Command {
+	var seed uint64
+	cmd := &cobra.Command{
+		Use:   "overload",
+		Short: "Measure goodput and fairness past capacity",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return run(cmd.OutOrStdout(), seed)
+		},
+	}
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the measurement")
+	return cmd
+}
+
+func run(w io.Writer, seed uint64) error {
+	capacity := fleet.Capacity(fleet.Config{}, fleet.SearchSeeds(seed), searchStep)
+	figures := append(goodput(seed, capacity), fairness(seed, capacity)...)
+	return fleet.Print(w, figures...)
+}
+
+// goodput compares the answers in time at and past capacity.
+func goodput(seed uint64, capacity float64) []fleet.Figure {
+	at := func(rate float64, baseline bool) fleet.Result {
+		return fleet.Run(fleet.Config{Seed: seed, Rates: fleet.EvenRates(rate), Baseline: baseline})
+	}
+	full, over := at(capacity, false), at(capacity*overloadFactor, false)
+	plainFull, plainOver := at(capacity, true), at(capacity*overloadFactor, true)
+	refusal := float64(fleet.Quantile(over.RefusalDelay, 0.99).Microseconds()) / 1000
+	total := over.Total()
+	return []fleet.Figure{
+		fleet.Figure{Name: "overload.goodput_at_capacity", Value: full.Goodput(), Unit: "answers/s"}.Against(plainFull.Goodput()),
+		fleet.Figure{Name: "overload.goodput_at_1.5x", Value: over.Goodput(), Unit: "answers/s"}.Against(plainOver.Goodput()),
+		fleet.Figure{Name: "overload.goodput_ratio", Value: over.Goodput() / full.Goodput(), Unit: "share", Bound: fleet.AtLeast(goodputTarget)}.Against(plainOver.Goodput() / full.Goodput()),
+		{Name: "overload.late_share_at_1.5x", Value: float64(total.Late) / float64(total.Offered), Unit: "share"},
+		{Name: "overload.refusal_delay_p99", Value: refusal, Unit: "ms"},
+		{Name: "overload.prefix_hit_share_at_1.5x", Value: over.HitShare, Unit: "share"},
+	}
+}
+
+// fairness has one tenant send a multiple of its share while all others send
+// exactly theirs.
+func fairness(seed uint64, capacity float64) []fleet.Figure {
+	rates := fleet.EvenRates(capacity)
+	rates[fleet.Tenant(0)] *= aggressorFactor
+	lowest := func(baseline bool) (least, mean float64) {
+		r := fleet.Run(fleet.Config{Seed: seed, Rates: rates, Baseline: baseline})
+		least = 1
+		for n := 1; n < fleet.Tenants; n++ {
+			share := r.Tenants[fleet.Tenant(n)].InTimeShare()
+			least = min(least, share)
+			mean += share / (fleet.Tenants - 1)
+		}
+		return least, mean
+	}
+	least, mean := lowest(false)
+	plainLeast, plainMean := lowest(true)
+	return []fleet.Figure{
+		fleet.Figure{Name: "overload.within_share_in_time_min", Value: least, Unit: "share", Bound: fleet.AtLeast(withinShareLimit)}.Against(plainLeast),
+		fleet.Figure{Name: "overload.within_share_in_time_mean", Value: mean, Unit: "share"}.Against(plainMean),
+	}
+}
--- /dev/null
+++ b/internal/measure/route/command.go
@@ -0,0 +1,68 @@
+// Package route measures where requests go: prefix cache hits, imbalance and
+// latency at capacity against round robin, the cost of a pick, and the
+// connections of entries.
+package route
+
+import (
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"github.com/auburnbend/auburnbend/internal/measure/fleet"
+)
+
+// New returns the subcommand.
+func New() *cobra.Command {
+	var seed uint64
+	cmd := &cobra.Command{
+		Use:   "route",
+		Short: "Measure routing at capacity and the subsets of connections",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return run(cmd.OutOrStdout(), seed)
+		},
+	}
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of the measurement")
+	return cmd
+}
+
+// searchStep is the precision of the capacity search in requests per second.
+const searchStep = 2
+
+func run(w io.Writer, seed uint64) error {
+	figures := atCapacity(seed)
+	figures = append(figures, pickTime(seed))
+	figures = append(figures, subsets(seed)...)
+	return fleet.Print(w, figures...)
+}
+
+// atCapacity runs the system and both baselines at the system's capacity.
+func atCapacity(seed uint64) []fleet.Figure {
+	seeds := fleet.SearchSeeds(seed)
+	capacity := fleet.Capacity(fleet.Config{}, seeds, searchStep)
+	plain := fleet.Capacity(fleet.Config{Baseline: true}, seeds, searchStep)
+	rates := fleet.EvenRates(capacity)
+	system := fleet.Run(fleet.Config{Seed: seed, Rates: rates})
+	baseline := fleet.Run(fleet.Config{Seed: seed, Rates: rates, Baseline: true})
+	blind := fleet.Run(fleet.Config{Seed: seed, Rates: rates, NoAffinity: true})
+
+	millis := func(r fleet.Result, between bool) float64 {
+		values := r.FirstToken
+		if between {
+			values = r.BetweenTokens
+		}
+		return float64(fleet.Quantile(values, fleet.InTimeTarget).Microseconds()) / 1000
+	}
+	first := float64(fleet.FirstTokenTarget.Milliseconds())
+	between := float64(fleet.BetweenTokensTarget.Milliseconds())
+	return []fleet.Figure{
+		fleet.Figure{Name: "route.capacity", Value: capacity, Unit: "requests/s"}.Against(plain),
+		fleet.Figure{Name: "route.in_time_at_capacity", Value: system.Total().InTimeShare(), Unit: "share", Bound: fleet.AtLeast(fleet.InTimeTarget)}.Against(baseline.Total().InTimeShare()),
+		fleet.Figure{Name: "route.first_token_p95_at_capacity", Value: millis(system, false), Unit: "ms", Bound: fleet.AtMost(first)}.Against(millis(baseline, false)),
+		fleet.Figure{Name: "route.between_tokens_p95_at_capacity", Value: millis(system, true), Unit: "ms", Bound: fleet.AtMost(between)}.Against(millis(baseline, true)),
+		fleet.Figure{Name: "route.prefix_hit_share", Value: system.HitShare, Unit: "share"}.Against(baseline.HitShare),
+		fleet.Figure{Name: "route.prefix_hit_share_without_affinity", Value: blind.HitShare, Unit: "share"}.Against(baseline.HitShare),
+		fleet.Figure{Name: "route.in_time_without_affinity", Value: blind.Total().InTimeShare(), Unit: "share"}.Against(baseline.Total().InTimeShare()),
+		fleet.Figure{Name: "route.imbalance", Value: system.Imbalance, Unit: "max/mean"}.Against(baseline.Imbalance),
+	}
+}
--- /dev/null
+++ b/internal/measure/route/pick_time.go
@@ -0,0 +1,51 @@
+package route
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/auburnbend/auburnbend/internal/measure/fleet"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/route"
+)
+
+const (
+	pickInstances = 60
+	pickRounds    = 200_000
+	pickBlocks    = 16
+	pickKinds     = 64
+	// pickBudget is the aim for one pick in microseconds.
+	pickBudget = 5
+)
+
+// pickTime measures the mean time of one Pick and Started with 60 instances.
+func pickTime(seed uint64) fleet.Figure {
+	p := route.New(route.Config{}, rand.New(rand.NewPCG(seed, seed)))
+	now := time.Unix(0, 0)
+	weights := model.Weights{Base: model.Sum([]byte("base"))}
+	for i := range pickInstances {
+		id := model.InstanceID(strconv.Itoa(i))
+		p.Update(now, route.Instance{ID: id, Generation: 1, Pool: "model", Live: []model.Weights{weights}})
+		p.Report(now, route.Key{Instance: id, Generation: 1}, route.Report{Running: i % 16, Capacity: 64})
+	}
+	requests := make([]route.Request, pickKinds)
+	for k := range requests {
+		requests[k] = route.Request{Pool: "model", Weights: weights, AffinityBlocks: pickBlocks}
+		for b := range uint64(pickBlocks) {
+			requests[k].Prefix = append(requests[k].Prefix, uint64(k)<<32|b)
+		}
+	}
+	begin := time.Now()
+	for i := range pickRounds {
+		r := &requests[i%pickKinds]
+		choice, err := p.Pick(now, r)
+		if err != nil {
+			continue
+		}
+		p.Started(now, choice.Key, r.Prefix)
+		p.Finished(now, choice.Key, route.ResultOK)
+	}
+	micros := float64(time.Since(begin).Nanoseconds()) / 1000 / pickRounds
+	return fleet.Figure{Name: "route.pick_time", Value: micros, Unit: "us", Bound: fleet.AtMost(pickBudget)}
+}
--- /dev/null
+++ b/internal/measure/route/subsets.go
@@ -0,0 +1,137 @@
+package route
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strconv"
+
+	"github.com/auburnbend/auburnbend/internal/measure/fleet"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/subset"
+)
+
+// Sizes of one of 15 failure domains of the design size.
+const (
+	domainEntries = 40
+	domainAgents  = 667
+	// domainChanges is the number of changes over which movement is averaged.
+	// Entries change in proportion to their number.
+	domainChanges = 300
+)
+
+// pools and the share of agents in each.
+var pools = []struct {
+	name  string
+	share float64
+}{{"large", 0.7}, {"small", 0.25}, {"booking", 0.05}}
+
+// domain is the changing membership of one failure domain.
+type domain struct {
+	rng     *rand.Rand
+	serial  int
+	entries []model.InstanceID
+	agents  []subset.Agent
+}
+
+func newDomain(seed uint64) *domain {
+	d := &domain{rng: rand.New(rand.NewPCG(seed, 3))}
+	for range domainEntries {
+		d.addEntry()
+	}
+	for range domainAgents {
+		d.addAgent()
+	}
+	return d
+}
+
+func (d *domain) name(kind string) model.InstanceID {
+	d.serial++
+	return model.InstanceID(kind + strconv.Itoa(d.serial))
+}
+
+func (d *domain) addEntry() { d.entries = append(d.entries, d.name("entry-")) }
+
+func (d *domain) addAgent() {
+	x, pool := d.rng.Float64(), pools[0].name
+	for _, p := range pools {
+		pool = p.name
+		if x -= p.share; x < 0 {
+			break
+		}
+	}
+	d.agents = append(d.agents, subset.Agent{ID: d.name("agent-"), Pool: pool})
+}
+
+// change adds or removes one member, keeping the sizes about the same.
+func (d *domain) change(step int) {
+	isEntry := d.rng.IntN(domainEntries+domainAgents) < domainEntries
+	switch {
+	case isEntry && step%2 == 0:
+		i := d.rng.IntN(len(d.entries))
+		d.entries = slices.Delete(d.entries, i, i+1)
+	case isEntry:
+		d.addEntry()
+	case step%2 == 0:
+		i := d.rng.IntN(len(d.agents))
+		d.agents = slices.Delete(d.agents, i, i+1)
+	default:
+		d.addAgent()
+	}
+}
+
+// rehash is the baseline: members are dealt in order of their position, so a
+// change shifts all that follow.
+func (d *domain) rehash() map[[2]model.InstanceID]bool {
+	pairs := make(map[[2]model.InstanceID]bool)
+	for i, a := range d.agents {
+		for k := range subset.DefaultMinPerAgent {
+			pairs[[2]model.InstanceID{d.entries[(i*subset.DefaultMinPerAgent+k)%len(d.entries)], a.ID}] = true
+		}
+	}
+	return pairs
+}
+
+// subsets measures connections and their movement.
+func subsets(seed uint64) []fleet.Figure {
+	d := newDomain(seed)
+	plan := subset.Assign(subset.Config{}, d.entries, d.agents)
+	dealt := d.rehash()
+	most, fewest := 0, len(d.entries)
+	moved, dealtMoved := 0, 0
+	for step := range domainChanges {
+		old := make(map[model.InstanceID]bool)
+		for _, e := range d.entries {
+			old[e] = true
+		}
+		for _, a := range d.agents {
+			old[a.ID] = true
+		}
+		d.change(step)
+		next := subset.Assign(subset.Config{}, d.entries, d.agents)
+		moved += next.Moved(plan, func(id model.InstanceID) bool { return !old[id] })
+		plan = next
+		now := d.rehash()
+		for pair := range now {
+			if !dealt[pair] && old[pair[0]] && old[pair[1]] {
+				dealtMoved++
+			}
+		}
+		dealt = now
+		reached := make(map[model.InstanceID]int)
+		for _, e := range d.entries {
+			most = max(most, len(plan.Agents(e)))
+			for _, a := range plan.Agents(e) {
+				reached[a]++
+			}
+		}
+		for _, a := range d.agents {
+			fewest = min(fewest, reached[a.ID])
+		}
+	}
+	per := func(n int) float64 { return float64(n) / domainChanges }
+	return []fleet.Figure{
+		{Name: "subset.connections_per_entry_max", Value: float64(most), Unit: "connections", Bound: fleet.AtMost(subset.DefaultMaxPerEntry)},
+		{Name: "subset.entries_per_agent_min", Value: float64(fewest), Unit: "entries", Bound: fleet.AtLeast(subset.DefaultMinPerAgent)},
+		fleet.Figure{Name: "subset.moved_per_change", Value: per(moved), Unit: "connections", Bound: fleet.AtMost(2)}.Against(per(dealtMoved)),
+	}
+}
--- a/lib/route/ejection.go
+++ b/lib/route/ejection.go
@@ -5,10 +5,10 @@
 // Ejected returns the number of ejected instances of a pool and the largest
 // number allowed now.
 func (p *Picker) Ejected(now time.Time, pool string) (ejected, limit int) {
-	return p.ejected(now, pool), p.ejectionCap(pool)
+	return p.ejected(p.instant(now), pool), p.ejectionCap(pool)
 }
 
-func (p *Picker) ejected(now time.Time, pool string) int {
+func (p *Picker) ejected(now instant, pool string) int {
 	n := 0
 	for _, s := range p.slots {
 		if s != nil && s.Pool == pool && s.outlier.ejected(now) {
@@ -30,14 +30,14 @@
 
 // keepEjectionCap readmits the instances whose ejection ends first until the
 // cap holds.
-func (p *Picker) keepEjectionCap(now time.Time, pool string) {
+func (p *Picker) keepEjectionCap(now instant, pool string) {
 	for p.ejected(now, pool) > p.ejectionCap(pool) {
 		var first *slot
 		for _, s := range p.slots {
 			if s == nil || s.Pool != pool || !s.outlier.ejected(now) {
 				continue
 			}
-			if first == nil || s.outlier.until.Before(first.outlier.until) {
+			if first == nil || s.outlier.until < first.outlier.until {
 				first = s
 			}
 		}
--- a/lib/route/instance.go
+++ b/lib/route/instance.go
@@ -40,15 +40,3 @@
 
 // Key returns the key of the instance.
 func (i *Instance) Key() Key { return Key{i.ID, i.Generation} }
-
-func (i *Instance) hasWeights(w model.Weights) bool {
-	if w.IsZero() {
-		return true
-	}
-	for n := range i.Live {
-		if i.Live[n] == w {
-			return true
-		}
-	}
-	return false
-}
--- a/lib/route/load.go
+++ b/lib/route/load.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"math"
 	"time"
 )
 
@@ -17,9 +16,8 @@
 type loadTracker struct {
 	outstanding int
 	capacity    int
-	others      float64   // reported load that is not the entry's own
-	sampledAt   time.Time // when the report was taken on the instance
-	receivedAt  time.Time
+	others      float64 // reported load that is not the entry's own
+	sampledAt   instant // when the report was taken on the instance
 
 	history [historySize]historyPoint
 	newest  int
@@ -27,13 +25,13 @@
 
 // historyPoint is the own outstanding count just before a time.
 type historyPoint struct {
-	at          time.Time
+	at          instant
 	outstanding int
 }
 
 // add changes the own outstanding count.
-func (l *loadTracker) add(now time.Time, n int) {
-	if now.Sub(l.history[l.newest].at) >= historyStep {
+func (l *loadTracker) add(now instant, n int) {
+	if now.sub(l.history[l.newest].at) >= historyStep {
 		l.newest = (l.newest + 1) % historySize
 		l.history[l.newest] = historyPoint{now, l.outstanding}
 	}
@@ -41,11 +39,11 @@
 }
 
 // outstandingAt returns the own count at an earlier time, as far as known.
-func (l *loadTracker) outstandingAt(at time.Time) int {
+func (l *loadTracker) outstandingAt(at instant) int {
 	count := l.outstanding
 	for i := range historySize {
 		p := l.history[(l.newest-i+historySize)%historySize]
-		if p.at.IsZero() || p.at.Before(at) {
+		if p.at < at {
 			break
 		}
 		count = p.outstanding
@@ -54,23 +52,24 @@
 }
 
 // report takes a load report that the instance sampled age ago.
-func (l *loadTracker) report(now time.Time, running, queued, capacity int, age time.Duration) {
-	sampled := now.Add(-age)
-	if sampled.Before(l.sampledAt) {
+func (l *loadTracker) report(now instant, running, queued, capacity int, age time.Duration) {
+	sampled := now.add(-age)
+	if sampled < l.sampledAt {
 		return
 	}
-	l.sampledAt, l.receivedAt = sampled, now
+	l.sampledAt = sampled
 	l.others = float64(max(0, running+queued-l.outstandingAt(sampled)))
 	if capacity > 0 {
 		l.capacity = capacity
 	}
 }
 
-// requests estimates how many requests the instance has.
-func (l *loadTracker) requests(now time.Time, halfLife time.Duration) float64 {
+// requests estimates how many requests the instance has. A report counts half at
+// the age of halfLife; the hyperbola costs less than an exponential.
+func (l *loadTracker) requests(now instant, halfLife time.Duration) float64 {
 	if l.others == 0 {
 		return float64(l.outstanding)
 	}
-	age := float64(now.Sub(l.sampledAt)) / float64(halfLife)
-	return float64(l.outstanding) + l.others*math.Exp2(-age)
+	age := now.sub(l.sampledAt)
+	return float64(l.outstanding) + l.others*float64(halfLife)/float64(halfLife+age)
 }
--- a/lib/route/outlier.go
+++ b/lib/route/outlier.go
@@ -6,10 +6,10 @@
 type outlier struct {
 	consecutive int
 	ejections   int
-	until       time.Time
+	until       instant
 }
 
-func (o *outlier) ejected(now time.Time) bool { return now.Before(o.until) }
+func (o *outlier) ejected(now instant) bool { return now < o.until }
 
 // result counts one result and reports whether the instance should be ejected.
 func (o *outlier) result(r Result, limit int) bool {
@@ -28,12 +28,12 @@
 
 // eject takes the instance out until the returned time. One error after the
 // end ejects it again.
-func (o *outlier) eject(now time.Time, limit int, first, longest time.Duration) {
+func (o *outlier) eject(now instant, limit int, first, longest time.Duration) {
 	d := first
 	for range min(o.ejections, 16) {
 		d = min(2*d, longest)
 	}
 	o.ejections++
-	o.until = now.Add(d)
+	o.until = now.add(d)
 	o.consecutive = limit - 1
 }
--- a/lib/route/pick.go
+++ b/lib/route/pick.go
@@ -21,7 +21,8 @@
 // that later picks depend on except the random source; the caller confirms the
 // choice with Started.
 func (p *Picker) Pick(now time.Time, r *Request) (Choice, error) {
-	matching := p.filter(now, r)
+	at := p.instant(now)
+	matching := p.filter(at, r)
 	if len(p.best) == 0 {
 		if matching {
 			return Choice{}, &Refusal{Reason: outcome.ReasonOverloaded, RetryAfter: p.cfg.RetryAfter}
@@ -40,11 +41,16 @@
 // filter collects the candidates into p.best. It reports whether any instance
 // serves the request at all, be it full or excluded now. Instances without a
 // fresh report are kept only when there is no other.
-func (p *Picker) filter(now time.Time, r *Request) (matching bool) {
+func (p *Picker) filter(now instant, r *Request) (matching bool) {
 	p.best = p.best[:0]
 	fresh := 0
+	pool := p.pools.of(r.Pool)
+	var weights uint32
+	if !r.Weights.IsZero() {
+		weights = p.live.of(r.Weights)
+	}
 	for _, s := range p.slots {
-		if s == nil || s.Pool != r.Pool || s.Draining || !s.Role.serves(r.Role) || !s.hasWeights(r.Weights) {
+		if s == nil || s.pool != pool || s.Draining || !s.Role.serves(r.Role) || !s.hasWeights(weights) {
 			continue
 		}
 		matching = true
@@ -58,10 +64,11 @@
 			free:  r.Free == nil || r.Free(s.Key()),
 		}
 		p.best = append(p.best, c)
-		if now.Sub(s.heard) <= p.cfg.FreshFor {
+		if now.sub(s.heard) <= p.cfg.FreshFor {
 			// Fresh candidates are kept in front.
-			last := len(p.best) - 1
-			p.best[fresh], p.best[last] = p.best[last], p.best[fresh]
+			if last := len(p.best) - 1; fresh != last {
+				p.best[fresh], p.best[last] = p.best[last], p.best[fresh]
+			}
 			fresh++
 		}
 	}
@@ -181,7 +188,9 @@
 	n := 0
 	for i := range p.best {
 		if p.best[i].score <= best+p.cfg.BestSlack {
-			p.best[n], p.best[i] = p.best[i], p.best[n]
+			if n != i {
+				p.best[n], p.best[i] = p.best[i], p.best[n]
+			}
 			n++
 		}
 	}
--- a/lib/route/picker.go
+++ b/lib/route/picker.go
@@ -8,16 +8,22 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
+
+	"github.com/auburnbend/auburnbend/lib/model"
 )
 
 // Picker picks instances.
 type Picker struct {
 	cfg    Config
 	rng    *rand.Rand
-	slots  []*slot // by number; nil where free
+	base   time.Time // of instants
+	slots  []*slot   // by number; nil where free
 	byKey  map[Key]*slot
 	prefix *prefixIndex
+	pools  numbering[string]
+	live   numbering[model.Weights]
 	best   []scored // reused by Pick
 }
 
@@ -29,6 +35,8 @@
 		cfg:    cfg,
 		rng:    rng,
 		byKey:  make(map[Key]*slot),
+		pools:  make(numbering[string]),
+		live:   make(numbering[model.Weights]),
 		prefix: newPrefixIndex(cfg.PrefixTTL, cfg.MaxPrefixes),
 	}
 }
@@ -37,12 +45,15 @@
 // draining stays so. The caller removes a generation that was replaced.
 func (p *Picker) Update(now time.Time, in Instance) {
 	if s, ok := p.byKey[in.Key()]; ok {
-		if s.update(now, in) {
+		in.Draining = in.Draining || s.Draining
+		if p.describe(s, in) {
+			s.warmSince = p.instant(now)
 			p.prefix.removeAll(s.number)
 		}
 		return
 	}
-	s := newSlot(now, in, p.cfg.DefaultCapacity)
+	s := newSlot(p.instant(now), in, p.cfg.DefaultCapacity)
+	p.describe(s, in)
 	s.number = len(p.slots)
 	for n, other := range p.slots {
 		if other == nil {
@@ -57,6 +68,21 @@
 	p.byKey[in.Key()] = s
 }
 
+// describe takes the facts about an instance and reports whether it has loaded
+// weights that it did not have.
+func (p *Picker) describe(s *slot, in Instance) (loaded bool) {
+	live := make([]uint32, len(in.Live))
+	for i, w := range in.Live {
+		live[i] = p.live.of(w)
+		loaded = loaded || !s.hasWeights(live[i])
+	}
+	s.Instance = in
+	s.Live = slices.Clone(in.Live)
+	s.live = live
+	s.pool = p.pools.of(in.Pool)
+	return loaded
+}
+
 // Remove forgets a generation that has left. The cap on ejections is kept by
 // readmitting instances of the smaller pool.
 func (p *Picker) Remove(now time.Time, key Key) {
@@ -67,7 +93,7 @@
 	delete(p.byKey, key)
 	p.slots[s.number] = nil
 	p.prefix.removeAll(s.number)
-	p.keepEjectionCap(now, s.Pool)
+	p.keepEjectionCap(p.instant(now), s.Pool)
 }
 
 // Drain marks a generation as leaving. It is not picked again.
@@ -90,8 +116,8 @@
 // Report takes a load report.
 func (p *Picker) Report(now time.Time, key Key, r Report) {
 	if s, ok := p.byKey[key]; ok {
-		s.heard = now
-		s.load.report(now, r.Running, r.Queued, r.Capacity, r.Age)
+		s.heard = p.instant(now)
+		s.load.report(s.heard, r.Running, r.Queued, r.Capacity, r.Age)
 	}
 }
 
@@ -135,7 +161,7 @@
 // cached the request's prefix when it is done with the prefill.
 func (p *Picker) Started(now time.Time, key Key, prefix []uint64) {
 	if s, ok := p.byKey[key]; ok {
-		s.load.add(now, 1)
+		s.load.add(p.instant(now), 1)
 		p.prefix.add(now, s.number, prefix)
 	}
 }
@@ -147,14 +173,15 @@
 	if !ok {
 		return false
 	}
-	s.load.add(now, -1)
-	if !s.outlier.result(r, p.cfg.EjectAfter) || s.outlier.ejected(now) {
+	at := p.instant(now)
+	s.load.add(at, -1)
+	if !s.outlier.result(r, p.cfg.EjectAfter) || s.outlier.ejected(at) {
 		return false
 	}
-	if p.ejected(now, s.Pool)+1 > p.ejectionCap(s.Pool) {
+	if p.ejected(at, s.Pool)+1 > p.ejectionCap(s.Pool) {
 		return false
 	}
-	s.outlier.eject(now, p.cfg.EjectAfter, p.cfg.EjectFor, p.cfg.EjectMax)
+	s.outlier.eject(at, p.cfg.EjectAfter, p.cfg.EjectFor, p.cfg.EjectMax)
 	return true
 }
 
--- a/lib/route/slot.go
+++ b/lib/route/slot.go
@@ -1,27 +1,28 @@
 package route
 
 import (
-	"time"
+	"slices"
 
-	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/rendezvous"
 )
 
 // slot is the state of one instance in a Picker.
 type slot struct {
 	Instance
-	number  int // position in Picker.slots and in the prefix index
+	pool    uint32   // number in Picker.pools
+	live    []uint32 // numbers in Picker.live
+	number  int      // position in Picker.slots and in the prefix index
 	hash    uint64
 	load    loadTracker
 	outlier outlier
 	cache   cacheSync
 	// warmSince is when the instance joined, loaded other weights, or came back
 	// from an ejection: the begin of its slow start.
-	warmSince time.Time
-	heard     time.Time // when the last report arrived
+	warmSince instant
+	heard     instant // when the last report arrived
 }
 
-func newSlot(now time.Time, in Instance, capacity int) *slot {
+func newSlot(now instant, in Instance, capacity int) *slot {
 	return &slot{
 		Instance:  in,
 		hash:      rendezvous.Hash(string(in.ID)),
@@ -30,28 +31,15 @@
 	}
 }
 
-// update takes new facts about the same generation and reports whether it has
-// loaded weights that it did not have, which begins a slow start.
-func (s *slot) update(now time.Time, in Instance) (loaded bool) {
-	for i := range in.Live {
-		loaded = loaded || !s.hasWeights(in.Live[i])
-	}
-	if loaded {
-		s.warmSince = now
-	}
-	in.Draining = in.Draining || s.Draining
-	in.Live = append([]model.Weights(nil), in.Live...)
-	s.Instance = in
-	return loaded
+// hasWeights reports whether the instance may serve weights with a number of
+// Picker.live. Number 0 stands for a request without weights.
+func (s *slot) hasWeights(number uint32) bool {
+	return number == 0 || slices.Contains(s.live, number)
 }
 
 // warmth returns the share of its full work that the instance may get.
-func (s *slot) warmth(now time.Time, cfg *Config) float64 {
-	from := s.warmSince
-	if s.outlier.until.After(from) {
-		from = s.outlier.until
-	}
-	age := now.Sub(from)
+func (s *slot) warmth(now instant, cfg *Config) float64 {
+	age := now.sub(max(s.warmSince, s.outlier.until))
 	if age >= cfg.SlowStart {
 		return 1
 	}
@@ -60,6 +48,6 @@
 }
 
 // busy returns the share of the capacity that one more request would fill.
-func (s *slot) busy(now time.Time, cfg *Config) float64 {
+func (s *slot) busy(now instant, cfg *Config) float64 {
 	return (s.load.requests(now, cfg.ReportHalfLife) + 1) / (float64(s.load.capacity) * s.warmth(now, cfg))
 }
