Add the shared command line and life cycle of both daemons

Cause: both daemons need the same flags, signals, graceful end and exit codes.

The first SIGTERM or SIGINT starts the drain; a second one or the drain timeout ends it. Exit codes tell a clean end, a failure, invalid settings and unfinished work apart.

--- /dev/null
+++ b/lib/daemon/daemon_test.go
@@ -0,0 +1,114 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"os"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/lib/daemon"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/settings"
+)
+
+// process is a daemon that drains when it is told to.
+type process struct {
+	drained chan error
+	failed  chan error
+	closed  bool
+}
+
+func (p *process) Drain(ctx context.Context) error {
+	select {
+	case err := <-p.drained:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+func (p *process) Close() error         { p.closed = true; return nil }
+func (p *process) Failed() <-chan error { return p.failed }
+
+var _ = Describe("Execute", func() {
+	var p *process
+	var signals chan os.Signal
+	var out, errs *bytes.Buffer
+	var program daemon.Program[string]
+	timeout := time.Minute
+
+	BeforeEach(func() {
+		p = &process{drained: make(chan error, 1), failed: make(chan error, 1)}
+		signals = make(chan os.Signal, 2)
+		out, errs = &bytes.Buffer{}, &bytes.Buffer{}
+		timeout = time.Minute
+		program = daemon.Program[string]{
+			Name: "auburnbend-x", Short: "x", Version: "v1.2.3", Example: "  auburnbend-x --config x.ini",
+			Load: func(path string) (string, error) {
+				if path == "bad.ini" {
+					return "", errors.New("bad.ini:3: [log] level: unknown")
+				}
+				return path, nil
+			},
+			Common: func(string) daemon.Common {
+				return daemon.Common{Drain: settings.Drain{Timeout: timeout}, Identity: settings.Instance{ID: "i1"}}
+			},
+			Start: func(_ context.Context, s string, _ *eventlog.Logger) (daemon.Process, error) {
+				if s == "busy.ini" {
+					return nil, errors.New("address in use")
+				}
+				return p, nil
+			},
+		}
+	})
+
+	execute := func(args ...string) int { return daemon.Execute(program, args, signals, out, errs) }
+
+	It("drains at a signal and ends with 0", func() {
+		signals <- syscall.SIGTERM
+		p.drained <- nil
+		Expect(execute("--config", "x.ini")).To(Equal(daemon.ExitStopped))
+		Expect(p.closed).To(BeTrue())
+		Expect(errs.String()).To(ContainSubstring("instance=i1 event=1002"))
+	})
+
+	It("ends at a second signal", func() {
+		signals <- syscall.SIGTERM
+		signals <- syscall.SIGINT
+		Expect(execute("--config", "x.ini")).To(Equal(daemon.ExitUnfinished))
+		Expect(p.closed).To(BeTrue())
+	})
+
+	It("ends at the drain timeout", func() {
+		timeout = time.Millisecond
+		signals <- syscall.SIGTERM
+		Expect(execute("--config", "x.ini")).To(Equal(daemon.ExitUnfinished))
+		Expect(errs.String()).To(ContainSubstring("event=1007"))
+	})
+
+	It("ends when the process fails or does not start", func() {
+		p.failed <- errors.New("listener broke")
+		Expect(execute("--config", "x.ini")).To(Equal(daemon.ExitFailed))
+		Expect(execute("--config", "busy.ini")).To(Equal(daemon.ExitFailed))
+		Expect(errs.String()).To(ContainSubstring("address in use"))
+	})
+
+	DescribeTable("answers the command line", func(code int, output string, args ...string) {
+		Expect(execute(args...)).To(Equal(code))
+		Expect(out.String() + errs.String()).To(ContainSubstring(output))
+	},
+		Entry("check of valid settings", daemon.ExitStopped, "settings are valid", "--check", "--config", "x.ini"),
+		Entry("check of invalid settings", daemon.ExitUsage, "bad.ini:3: [log] level: unknown", "--check", "--config", "bad.ini"),
+		Entry("invalid settings", daemon.ExitUsage, "bad.ini:3", "--config", "bad.ini"),
+		Entry("no settings", daemon.ExitUsage, "required flag(s) \"config\" not set"),
+		Entry("unknown flag", daemon.ExitUsage, "unknown flag", "--colour"),
+		Entry("unexpected argument", daemon.ExitUsage, "unknown command", "x.ini"),
+		Entry("version", daemon.ExitStopped, "auburnbend-x v1.2.3", "--version"),
+		Entry("help", daemon.ExitStopped, "auburnbend-x --config x.ini", "--help"),
+		Entry("completion", daemon.ExitStopped, "bash completion", "completion", "bash"),
+	)
+})
--- /dev/null
+++ b/lib/daemon/exit.go
@@ -0,0 +1,15 @@
+package daemon
+
+// Exit codes of a daemon. Service managers tell a fault that a restart may
+// cure (1) from one that it does not (2).
+const (
+	// ExitStopped means that the process ended as asked, with no work left.
+	ExitStopped = 0
+	// ExitFailed means that the process could not start or go on.
+	ExitFailed = 1
+	// ExitUsage means that the command line or the settings are invalid.
+	ExitUsage = 2
+	// ExitUnfinished means that work was cut off by the drain timeout or by a
+	// second signal.
+	ExitUnfinished = 3
+)
