--- a/agent/agent.go
+++ b/agent/agent.go
@@ -30,9 +30,11 @@
 	transfer *transfer.Service
 	versions *versions
 	sessions *sessions
+	stop     context.CancelFunc
+	tasks    sync.WaitGroup
 }
 
-// New returns an agent that starts when Run is called.
+// New returns an agent that Start starts.
 func New(cfg Config) (*Agent, error) {
 	a := &Agent{cfg: cfg.applyDefaults(), sessions: newSessions()}
 	a.follower = follow.New(follow.Config{Clock: cfg.Clock, Rand: cfg.Rand, Log: cfg.Log, Beat: a.beat})
@@ -98,11 +100,10 @@
 	a.versions.wake()
 }
 
-// Run serves until ctx ends, then drains and returns.
-func (a *Agent) Run(ctx context.Context) {
-	a.cfg.Log.Log(eventlog.ProcessStarted, "pool", a.cfg.Pool, "peers", a.cfg.Listener.Addr())
+// Start starts all tasks. It returns at once; Close ends them.
+func (a *Agent) Start() {
 	serving, stop := context.WithCancel(context.Background())
-	var tasks sync.WaitGroup
+	a.stop = stop
 	server := listen.New(listen.Config{
 		Listener: a.cfg.Listener,
 		Hello:    a.hello,
@@ -110,36 +111,37 @@
 		Serve:    a.serve,
 		Log:      a.cfg.Log,
 	})
-	tasks.Go(func() { server.Run(serving) })
-	tasks.Go(func() { a.tick(serving) })
-	tasks.Go(func() { a.server.observe(serving) })
+	a.tasks.Go(func() { server.Run(serving) })
+	a.tasks.Go(func() { a.tick(serving) })
+	a.tasks.Go(func() { a.server.observe(serving) })
 	if a.versions != nil {
-		tasks.Go(func() { a.versions.run(serving) })
+		a.tasks.Go(func() { a.versions.run(serving) })
 	}
-	<-ctx.Done()
-	a.drain()
-	stop()
-	tasks.Wait()
-	if a.transfer != nil {
-		a.transfer.Close()
-	}
-	a.cfg.Log.Log(eventlog.ProcessStopped)
 }
 
-// drain tells all entries at once that the instance is leaving and waits for
-// running requests.
-func (a *Agent) drain() {
-	a.cfg.Log.Log(eventlog.ProcessStopping)
+// Drain tells all entries at once that the instance is leaving, finishes what
+// runs and returns nil when nothing is left, or an error when ctx ends first.
+func (a *Agent) Drain(ctx context.Context) error {
 	empty := a.gate.Drain()
 	a.sessions.beat()
-	timeout := time.NewTimer(a.cfg.DrainTimeout)
-	defer timeout.Stop()
 	select {
 	case <-empty:
-	case <-timeout.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
 }
 
+// Close ends all tasks at once.
+func (a *Agent) Close() error {
+	a.stop()
+	a.tasks.Wait()
+	if a.transfer != nil {
+		a.transfer.Close()
+	}
+	return nil
+}
+
 // Live returns the weights that requests are admitted for now.
 func (a *Agent) Live() []model.Weights { return a.gate.Live() }
 
--- a/agent/config.go
+++ b/agent/config.go
@@ -17,10 +17,7 @@
 	"github.com/auburnbend/auburnbend/lib/settings"
 )
 
-const (
-	defaultReconcile    = time.Second
-	defaultDrainTimeout = 5 * time.Minute
-)
+const defaultReconcile = time.Second
 
 // Config sets up an Agent.
 type Config struct {
@@ -58,17 +55,12 @@
 	// Reconcile is the time between two comparisons of what is live with what
 	// the configuration wants.
 	Reconcile time.Duration
-	// DrainTimeout bounds the drain.
-	DrainTimeout time.Duration
 }
 
 func (c Config) applyDefaults() Config {
 	if c.Reconcile == 0 {
 		c.Reconcile = defaultReconcile
 	}
-	if c.DrainTimeout == 0 {
-		c.DrainTimeout = defaultDrainTimeout
-	}
 	if c.Gate.Capacity == 0 {
 		c.Gate.Capacity = c.Capacity
 	}
--- /dev/null
+++ b/agent/program.go
@@ -0,0 +1,120 @@
+package agent
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	mathrand "math/rand"
+	"net"
+
+	"github.com/auburnbend/auburnbend/lib/clock"
+	"github.com/auburnbend/auburnbend/lib/daemon"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/platform/httpplatform"
+	"github.com/auburnbend/auburnbend/lib/security"
+	"github.com/auburnbend/auburnbend/lib/settings"
+	"github.com/auburnbend/auburnbend/lib/telemetry"
+)
+
+// bitsPerByte converts the link rate of the settings.
+const bitsPerByte = 8
+
+// Program returns the daemon of a backend server instance.
+func Program() daemon.Program[*settings.Agent] {
+	return daemon.Program[*settings.Agent]{
+		Name:    "auburnbend-agent",
+		Short:   "Stands in front of one backend server",
+		Long:    "auburnbend-agent runs beside each backend server. It passes requests on, moves\nweights to and from the instance, and orders the engine to load them.",
+		Example: "  auburnbend-agent --config agent.ini --check\n  auburnbend-agent --config agent.ini",
+		Load:    settings.LoadAgent,
+		Check: func(s *settings.Agent) error {
+			_, err := security.New(s.Transport)
+			return err
+		},
+		Common: func(s *settings.Agent) daemon.Common {
+			return daemon.Common{Log: s.Log, Drain: s.Drain, Identity: s.Instance}
+		},
+		Start: start,
+	}
+}
+
+// process is an agent with its metrics endpoint.
+type process struct {
+	*Agent
+	metrics  *telemetry.Metrics
+	endpoint *telemetry.Endpoint
+}
+
+// Failed never delivers: an agent goes on without its backend server.
+func (p *process) Failed() <-chan error { return nil }
+
+// Close ends the agent and its endpoint.
+func (p *process) Close() error {
+	err := p.Agent.Close()
+	ctx := context.Background()
+	if p.endpoint != nil {
+		_ = p.endpoint.Close(ctx)
+	}
+	_ = p.metrics.Close(ctx)
+	return err
+}
+
+func start(_ context.Context, s *settings.Agent, log *eventlog.Logger) (daemon.Process, error) {
+	policy, err := security.New(s.Transport)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", s.Listen.Peers)
+	if err != nil {
+		return nil, err
+	}
+	p := &process{}
+	if p.metrics, err = telemetry.New(telemetry.Config{}); err != nil {
+		return nil, err
+	}
+	if s.Listen.Metrics != "" {
+		if p.endpoint, err = p.metrics.Listen(s.Listen.Metrics); err != nil {
+			return nil, err
+		}
+	}
+	generation, seed := randomSeed()
+	cfg := Config{
+		Identity: model.Identity{
+			Instance:   s.Instance.ID,
+			Generation: model.Generation(generation),
+			Location:   s.Instance.Location(),
+			Address:    s.Listen.Advertise,
+		},
+		Pool:         s.Backend.Pool,
+		Clock:        clock.System{},
+		Rand:         mathrand.New(mathrand.NewSource(seed)),
+		Log:          log,
+		Listener:     listener,
+		Policy:       policy,
+		Kind:         s.Backend.Kind,
+		BackendURL:   s.Backend.Address,
+		Capacity:     s.Backend.Capacity,
+		Origin:       httpplatform.NewSource(httpplatform.Config{URL: s.Platform.Origin}),
+		Staging:      s.Transfer.Staging,
+		StagingBytes: int64(s.Transfer.StagingBytes),
+		LinkRate:     float64(s.Transfer.LinkRate) / bitsPerByte,
+		UploadSlots:  s.Transfer.UploadSlots,
+	}
+	if s.Platform.WeightStore != "" {
+		cfg.WeightStore = httpplatform.NewSource(httpplatform.Config{URL: s.Platform.WeightStore})
+	}
+	if p.Agent, err = New(cfg); err != nil {
+		return nil, err
+	}
+	p.Start()
+	return p, nil
+}
+
+// randomSeed returns numbers that differ between processes that start at once.
+func randomSeed() (generation uint64, seed int64) {
+	var b [16]byte
+	// Read never fails: the runtime stops the process instead.
+	_, _ = rand.Read(b[:])
+	return binary.LittleEndian.Uint64(b[:8]), int64(binary.LittleEndian.Uint64(b[8:]))
+}
--- /dev/null
+++ b/cmd/auburnbend-entry/main.go
@@ -0,0 +1,9 @@
+// Command auburnbend-entry is the daemon of entry instances.
+package main
+
+import (
+	"github.com/auburnbend/auburnbend/entry"
+	"github.com/auburnbend/auburnbend/lib/daemon"
+)
+
+func main() { daemon.Main(entry.Program()) }
--- a/entry/config.go
+++ b/entry/config.go
@@ -20,7 +20,6 @@
 )
 
 const (
-	defaultDrainTimeout = 5 * time.Minute
 	// defaultBalancerLag is the time that an entry serves on after its readiness
 	// check fails, because the balancer still sends.
 	defaultBalancerLag = 3 * time.Second
@@ -55,15 +54,12 @@
 	Dispatch dispatch.Config
 	Tracker  distribute.TrackerConfig
 	Waves    rollout.Config
-	// DrainTimeout bounds the drain; BalancerLag is the time between the failed
+	// DrainTimeout bounds the drain. BalancerLag is the time between the failed
 	// readiness check and the end of accepting.
 	DrainTimeout, BalancerLag time.Duration
 }
 
 func (c Config) applyDefaults() Config {
-	if c.DrainTimeout == 0 {
-		c.DrainTimeout = defaultDrainTimeout
-	}
 	if c.BalancerLag == 0 {
 		c.BalancerLag = defaultBalancerLag
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,7 +16,6 @@
 	"github.com/auburnbend/auburnbend/entry/tracker"
 	"github.com/auburnbend/auburnbend/lib/claim"
 	"github.com/auburnbend/auburnbend/lib/config"
-	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/follow"
 	"github.com/auburnbend/auburnbend/lib/listen"
 	"github.com/auburnbend/auburnbend/lib/wire"
@@ -35,11 +34,14 @@
 	trackers   *tracker.Service
 	callers    *caller.Server
 	draining   atomic.Bool
+	stop       context.CancelFunc
+	tasks      sync.WaitGroup
+	failed     chan error
 }
 
-// New returns an entry that starts when Run is called.
+// New returns an entry that Start starts.
 func New(cfg Config) *Entry {
-	e := &Entry{cfg: cfg.applyDefaults()}
+	e := &Entry{cfg: cfg.applyDefaults(), failed: make(chan error, 1)}
 	cfg = e.cfg
 	e.store = config.NewStore(cfg.Table, config.StoreConfig{Clock: cfg.Clock})
 	e.follower = follow.New(follow.Config{
@@ -88,7 +90,7 @@
 }
 
 // Watch calls fn after each change of the configuration in force. It is called
-// before Run.
+// before Start.
 func (e *Entry) Watch(fn func(*config.View)) { e.follower.Watch(fn) }
 
 // Current returns the configuration in force, or nil before the first one.
@@ -113,11 +115,10 @@
 	return wire.Handshake(nc, e.hello())
 }
 
-// Run serves until ctx ends, then drains and returns.
-func (e *Entry) Run(ctx context.Context) {
-	e.cfg.Log.Log(eventlog.ProcessStarted, "callers", e.cfg.Callers.Addr(), "peers", e.cfg.Peers.Addr())
+// Start starts all tasks. It returns at once; Close ends them.
+func (e *Entry) Start() {
 	serving, stop := context.WithCancel(context.Background())
-	var tasks sync.WaitGroup
+	e.stop = stop
 	peers := listen.New(listen.Config{
 		Listener: e.cfg.Peers,
 		Hello:    e.hello,
@@ -125,34 +126,44 @@
 		Serve:    e.serve,
 		Log:      e.cfg.Log,
 	})
-	tasks.Go(func() { peers.Run(serving) })
-	tasks.Go(func() { e.fleet.Run(serving) })
-	tasks.Go(func() { e.dispatcher.Run(serving) })
-	tasks.Go(func() { e.tick(serving) })
-	tasks.Go(func() {
-		e.follower.PollStore(serving, e.store, e.fleet.Size, rand.New(rand.NewSource(time.Now().UnixNano())))
-	})
-	tasks.Go(func() {
-		if err := e.callers.Run(); err != nil {
-			e.cfg.Log.Log(eventlog.ListenFailed, "err", err)
+	e.tasks.Go(func() { peers.Run(serving) })
+	e.tasks.Go(func() { e.fleet.Run(serving) })
+	e.tasks.Go(func() { e.dispatcher.Run(serving) })
+	e.tasks.Go(func() { e.tick(serving) })
+	random := rand.New(rand.NewSource(e.cfg.Rand.Int64()))
+	e.tasks.Go(func() { e.follower.PollStore(serving, e.store, e.fleet.Size, random) })
+	e.tasks.Go(func() {
+		if err := e.callers.Run(); err != nil && serving.Err() == nil {
+			e.failed <- err
 		}
 	})
-	<-ctx.Done()
-	e.drain()
-	stop()
-	tasks.Wait()
-	e.cfg.Log.Log(eventlog.ProcessStopped)
 }
 
-// drain serves what the balancer still sends and finishes what runs.
-func (e *Entry) drain() {
-	e.cfg.Log.Log(eventlog.ProcessStopping)
+// Failed delivers an error when the entry cannot go on serving callers.
+func (e *Entry) Failed() <-chan error { return e.failed }
+
+// Drain serves what the balancer still sends, finishes what runs and returns
+// nil when nothing is left, or an error when ctx ends first.
+func (e *Entry) Drain(ctx context.Context) error {
 	e.draining.Store(true)
 	e.callers.SetDraining()
-	time.Sleep(e.cfg.BalancerLag)
-	ctx, cancel := context.WithTimeout(context.Background(), e.cfg.DrainTimeout)
-	defer cancel()
-	_ = e.callers.Shutdown(ctx)
+	lag := time.NewTimer(e.cfg.BalancerLag)
+	defer lag.Stop()
+	select {
+	case <-lag.C:
+	case <-ctx.Done():
+	}
+	return e.callers.Shutdown(ctx)
+}
+
+// Close ends all tasks at once.
+func (e *Entry) Close() error {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = e.callers.Shutdown(ended)
+	e.stop()
+	e.tasks.Wait()
+	return nil
 }
 
 // serve handles a connection that a peer opened.
--- a/internal/deployment/agent_process.go
+++ b/internal/deployment/agent_process.go
@@ -27,8 +27,6 @@
 	Service *service.Server
 
 	deployment *Deployment
-	cancel     context.CancelFunc
-	done       chan struct{}
 	stopped    atomic.Bool
 	closing    sync.Once
 	listener   *cutListener
@@ -43,20 +41,19 @@
 	listener := &cutListener{Listener: tcp}
 	p := &AgentProcess{
 		Identity: d.identity(domain, name, tcp), Pool: pool,
-		deployment: d, done: make(chan struct{}), listener: listener,
+		deployment: d, listener: listener,
 	}
 	cfg := agent.Config{
-		Identity:     p.Identity,
-		Pool:         pool,
-		Clock:        clock.System{},
-		Rand:         rand.New(rand.NewSource(d.rand.Int63())),
-		Log:          d.log.With("instance", p.Identity.Instance),
-		Listener:     listener,
-		Dial:         listener.dial,
-		Capacity:     engineCapacity,
-		Origin:       d.Origin,
-		LinkRate:     d.Options.linkRate(),
-		DrainTimeout: drainTimeout,
+		Identity: p.Identity,
+		Pool:     pool,
+		Clock:    clock.System{},
+		Rand:     rand.New(rand.NewSource(d.rand.Int63())),
+		Log:      d.log.With("instance", p.Identity.Instance),
+		Listener: listener,
+		Dial:     listener.dial,
+		Capacity: engineCapacity,
+		Origin:   d.Origin,
+		LinkRate: d.Options.linkRate(),
 	}
 	if err := p.startBackend(&cfg); err != nil {
 		return err
@@ -64,12 +61,7 @@
 	if p.Agent, err = agent.New(cfg); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(d.ctx)
-	p.cancel = cancel
-	go func() {
-		defer close(p.done)
-		p.Agent.Run(ctx)
-	}()
+	p.Agent.Start()
 	d.Agents = append(d.Agents, p)
 	d.List.Set(platform.Instance{ID: p.Identity.Instance, Role: platform.RoleAgent, Location: p.Identity.Location, Address: p.Identity.Address})
 	return nil
@@ -106,13 +98,13 @@
 // Stopped reports whether the agent was told to stop or was killed.
 func (p *AgentProcess) Stopped() bool { return p.stopped.Load() }
 
-// Stop sends the agent the equivalent of SIGTERM and returns a channel that is
-// closed when it has exited.
-func (p *AgentProcess) Stop() <-chan struct{} {
+// Stop drains the agent as SIGTERM does and returns when it has ended.
+func (p *AgentProcess) Stop(ctx context.Context) error {
 	p.stopped.Store(true)
 	p.deployment.List.Remove(p.Identity.Instance)
-	p.cancel()
-	return p.done
+	err := p.Agent.Drain(ctx)
+	p.close()
+	return err
 }
 
 // Kill ends the instance at once, engine included: all its connections break.
@@ -120,12 +112,12 @@
 	p.stopped.Store(true)
 	p.deployment.List.Remove(p.Identity.Instance)
 	p.listener.cut()
-	p.closeBackend()
-	p.cancel()
+	p.close()
 }
 
-func (p *AgentProcess) closeBackend() {
+func (p *AgentProcess) close() {
 	p.closing.Do(func() {
+		_ = p.Agent.Close()
 		if p.Engine != nil {
 			_ = p.Engine.Close()
 		}
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -10,6 +10,7 @@
 	"math/rand"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/clock"
@@ -35,10 +36,8 @@
 	// Versions are the published versions of the model in order.
 	Versions []Version
 
-	ctx    context.Context
-	cancel context.CancelFunc
-	rand   *rand.Rand
-	log    *eventlog.Logger
+	rand *rand.Rand
+	log  *eventlog.Logger
 }
 
 // Version is one published version of the model.
@@ -53,14 +52,11 @@
 
 // Start starts the stand-ins, entries and agents.
 func Start(o Options, log *eventlog.Logger) (*Deployment, error) {
-	ctx, cancel := context.WithCancel(context.Background())
 	d := &Deployment{
 		Options: o,
 		Table:   table.New(),
 		Origin:  origin.New(origin.Config{LinkBytesPerSecond: o.originRate(), Clock: clock.System{}}),
 		List:    instances.New(instances.Config{Lag: o.ListLag, Clock: clock.System{}}),
-		ctx:     ctx,
-		cancel:  cancel,
 		rand:    rand.New(rand.NewSource(o.Seed)),
 		log:     log,
 	}
@@ -95,14 +91,14 @@
 
 // Close stops everything at once.
 func (d *Deployment) Close() {
-	d.cancel()
-	for _, e := range d.Entries {
-		<-e.done
-	}
+	var ends sync.WaitGroup
 	for _, a := range d.Agents {
-		<-a.done
-		a.closeBackend()
+		ends.Go(a.close)
 	}
+	for _, e := range d.Entries {
+		ends.Go(func() { _ = e.Entry.Close() })
+	}
+	ends.Wait()
 }
 
 // Publish makes a new version, puts it at the origin and returns it.
@@ -215,3 +211,34 @@
 	path := filepath.Join(d.Options.Directory, instance)
 	return path, os.MkdirAll(path, 0o750)
 }
+
+// ModelAgents returns the agents of model engines, stopped ones included.
+func (d *Deployment) ModelAgents() []*AgentProcess {
+	var found []*AgentProcess
+	for _, a := range d.Agents {
+		if a.Pool == ModelPool {
+			found = append(found, a)
+		}
+	}
+	return found
+}
+
+// DraftRuns returns how often a request started to run on any engine.
+func (d *Deployment) DraftRuns(request string) int {
+	runs := 0
+	for _, a := range d.ModelAgents() {
+		runs += a.Engine.Runs(model.RequestID(request))
+	}
+	return runs
+}
+
+// OrderRuns returns how often the order with a key ran on any plain service.
+func (d *Deployment) OrderRuns(key string) int {
+	runs := 0
+	for _, a := range d.Agents {
+		if a.Service != nil {
+			runs += a.Service.Runs(key)
+		}
+	}
+	return runs
+}
--- a/internal/deployment/entry_process.go
+++ b/internal/deployment/entry_process.go
@@ -1,7 +1,6 @@
 package deployment
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -18,8 +17,6 @@
 type EntryProcess struct {
 	Entry   *entry.Entry
 	URL     string
-	cancel  context.CancelFunc
-	done    chan struct{}
 	Metrics *telemetry.Metrics
 }
 
@@ -51,15 +48,8 @@
 		DrainTimeout: drainTimeout,
 	})
 	e.Watch(func(v *config.View) { metrics.Declare(v.Config) })
-	ctx, cancel := context.WithCancel(d.ctx)
-	p := &EntryProcess{
-		Entry: e, URL: "http://" + callers.Addr().String(),
-		cancel: cancel, done: make(chan struct{}), Metrics: metrics,
-	}
-	go func() {
-		defer close(p.done)
-		e.Run(ctx)
-	}()
+	e.Start()
+	p := &EntryProcess{Entry: e, URL: "http://" + callers.Addr().String(), Metrics: metrics}
 	d.Entries = append(d.Entries, p)
 	d.List.Set(platform.Instance{ID: identity.Instance, Role: platform.RoleEntry, Location: identity.Location, Address: identity.Address})
 	return nil
