Announce a switch of weights at once and redirect without retry budget

An instance told its entries only with its next heartbeat that it had stopped admitting, and each refusal took retry budget although it adds no load anywhere. The gate now reports changes at once and refusals that only redirect are bounded by the attempts alone.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -37,6 +37,7 @@
 // New returns an agent that Start starts.
 func New(cfg Config) (*Agent, error) {
 	a := &Agent{cfg: cfg.applyDefaults(), sessions: newSessions()}
+	a.cfg.Gate.Changed = a.sessions.beat
 	a.follower = follow.New(follow.Config{Clock: cfg.Clock, Rand: cfg.Rand, Log: cfg.Log, Beat: a.beat})
 	var err error
 	if cfg.Kind == settings.BackendPlain {
--- a/agent/gate/config.go
+++ b/agent/gate/config.go
@@ -36,6 +36,9 @@
 	Reattach    time.Duration
 	Retain      time.Duration
 	RetryAfter  time.Duration
+	// Changed is called without locks after what the gate admits has changed, so
+	// that entries can be told before their next heartbeat. It may be nil.
+	Changed func()
 }
 
 func (c Config) applyDefaults() Config {
@@ -49,6 +52,9 @@
 			*v = fallback
 		}
 	}
+	if c.Changed == nil {
+		c.Changed = func() {}
+	}
 	ints(&c.Capacity, defaultCapacity)
 	ints(&c.ReplayBytes, defaultReplayBytes)
 	ints(&c.WindowSize, defaultWindowSize)
--- a/agent/gate/shell.go
+++ b/agent/gate/shell.go
@@ -15,6 +15,7 @@
 	clock   clock.Clock
 	backend Backend
 	loader  Loader
+	changed func()
 
 	mu      sync.Mutex
 	core    *Core
@@ -31,6 +32,7 @@
 func New(config Config, clk clock.Clock, backend Backend, loader Loader, quarantine Quarantine) *Shell {
 	return &Shell{
 		clock:   clk,
+		changed: config.applyDefaults().Changed,
 		backend: backend,
 		loader:  loader,
 		core:    NewCore(config, quarantine),
@@ -172,22 +174,26 @@
 	s.idle = idle
 	s.notifyIdle()
 	s.mu.Unlock()
+	s.changed()
+	defer s.changed()
 
 	select {
 	case <-idle:
 	case <-ctx.Done():
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.idle = nil
-		s.core.ResumeAdmitting()
+		s.resume(func() { s.idle = nil })
 		return ctx.Err()
 	}
 	live, err := s.loader.Load(ctx, to)
+	s.resume(func() { s.core.SetLive(live) })
+	return err
+}
+
+// resume ends a switch.
+func (s *Shell) resume(with func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.core.SetLive(live)
+	with()
 	s.core.ResumeAdmitting()
-	return err
 }
 
 // notifyIdle wakes the switch that waits for the last attempt; s.mu is held.
--- a/agent/versions.go
+++ b/agent/versions.go
@@ -156,7 +156,6 @@
 		return err
 	}
 	t.Report(last.Manifest, wire.PhaseLive)
-	v.agent.sessions.beat()
 	v.agent.cfg.Log.Log(eventlog.VersionLive, "weights", target.weights)
 	return nil
 }
--- a/internal/demo/tally.go
+++ b/internal/demo/tally.go
@@ -38,7 +38,9 @@
 	t.drafts[outcomeOf(a)]++
 	switch a.Outcome {
 	case "completed":
-		t.firstByte = append(t.firstByte, a.FirstByte)
+		if a.FirstByte > 0 {
+			t.firstByte = append(t.firstByte, a.FirstByte)
+		}
 		if !whole {
 			t.wrong++
 			return
--- a/lib/attempt/machine.go
+++ b/lib/attempt/machine.go
@@ -111,7 +111,7 @@
 		return m.finish(reason, retryAfter)
 	case m.Hop() >= m.config.MaxHops:
 		return m.finish(outcome.ReasonHopLimit, retryAfter)
-	case !m.budget.take(m.req.Tenant, m.event.now):
+	case (ran || !redirects(reason)) && !m.budget.take(m.req.Tenant, m.event.now):
 		return m.finish(outcome.ReasonRetryBudget, retryAfter)
 	}
 	m.step.Action = ActionDispatch
--- a/lib/attempt/reason.go
+++ b/lib/attempt/reason.go
@@ -36,3 +36,16 @@
 		return true
 	}
 }
+
+// redirects says whether a refusal means only that the entry's view of the
+// instance was old. Going elsewhere then adds no load to any backend server, so
+// it costs no retry budget; MaxAttempts bounds it. During a rollout every
+// instance refuses for a moment, which would use up the budget otherwise.
+func redirects(r outcome.Reason) bool {
+	switch r {
+	case outcome.ReasonDraining, outcome.ReasonWeightsMismatch, outcome.ReasonNoBackendServer:
+		return true
+	default:
+		return false
+	}
+}
