Test the whole path under failures

Seven specs run the assembled deployment: rollout, graceful stop, silent connections, a poison request, a store outage, lost store replies with repeated orders, and the death of an entry.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -93,6 +93,9 @@
 // before Start.
 func (e *Entry) Watch(fn func(*config.View)) { e.follower.Watch(fn) }
 
+// Usable returns the number of agents that this entry may send work to.
+func (e *Entry) Usable() int { return e.fleet.Usable() }
+
 // Current returns the configuration in force, or nil before the first one.
 func (e *Entry) Current() *config.Config {
 	if v := e.follower.Current(); v != nil {
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -247,3 +247,16 @@
 	}
 	return nil
 }
+
+// Usable returns the number of agents that this entry may send work to.
+func (f *Fleet) Usable() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	usable := 0
+	for _, m := range f.view.Members(platform.RoleAgent) {
+		if m.Usable(f.cfg.Clock.Now()) {
+			usable++
+		}
+	}
+	return usable
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -52,7 +52,7 @@
 	defer func() { _ = os.RemoveAll(directory) }()
 	logger := eventlog.Discard()
 	if o.ShowEvents {
-		logger = eventlog.New(log.NewLogfmtLogger(log.NewSyncWriter(out)))
+		logger = eventlog.New(log.NewLogfmtLogger(log.NewSyncWriter(out)), "ts", log.DefaultTimestampUTC)
 	}
 	run := &demo{options: o, out: out, tally: newTally(), rng: rand.New(rand.NewSource(o.Seed)), started: time.Now()}
 	run.print("starting %d failure domains with %d entries, %d model runners and 1 order runner each", len(domains), o.Entries, o.Agents)
--- a/internal/deployment/cut_listener.go
+++ b/internal/deployment/cut_listener.go
@@ -6,12 +6,13 @@
 	"sync"
 )
 
-// cutListener can break all connections of an instance, in both directions.
+// cutListener holds all connections of an instance, in both directions, and can
+// break or silence them.
 type cutListener struct {
 	net.Listener
 
 	mu    sync.Mutex
-	conns []net.Conn
+	conns []*silentConn
 	dead  bool
 }
 
@@ -40,8 +41,9 @@
 		_ = nc.Close()
 		return nil, net.ErrClosed
 	}
-	l.conns = append(l.conns, nc)
-	return nc, nil
+	kept := newSilentConn(nc)
+	l.conns = append(l.conns, kept)
+	return kept, nil
 }
 
 // cut closes the listener and all connections for good.
@@ -54,3 +56,14 @@
 		_ = nc.Close()
 	}
 }
+
+// silence makes all open connections of the instance go silent for good; new
+// ones work.
+func (l *cutListener) silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, nc := range l.conns {
+		nc.silent.Store(true)
+	}
+	l.conns = nil
+}
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -96,7 +96,7 @@
 		ends.Go(a.close)
 	}
 	for _, e := range d.Entries {
-		ends.Go(func() { _ = e.Entry.Close() })
+		ends.Go(e.close)
 	}
 	ends.Wait()
 }
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand"
 	"time"
 
@@ -13,6 +14,15 @@
 	"github.com/auburnbend/auburnbend/lib/config"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/standin/engine"
+	"github.com/auburnbend/auburnbend/standin/fault"
+)
+
+const (
+	completed = "completed"
+	// settleTime bounds the wait for a state that the deployment reaches by
+	// itself; it decides no bound of the product.
+	settleTime = 20 * time.Second
 )
 
 var _ = Describe("A deployment", func() {
@@ -21,8 +31,50 @@
 		client *deployment.Client
 		ctx    context.Context
 		rng    *rand.Rand
+		calls  int
 	)
 
+	apply := func(version string) {
+		head, err := d.Store.Head(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = d.Store.Apply(ctx, config.Request{
+			Config: d.Declare(version), Expected: head.Number, Operation: "place-" + version, Author: "test",
+		})
+		Expect(err).NotTo(HaveOccurred())
+	}
+
+	rollOut := func(name string) deployment.Version {
+		v, err := d.Publish(name)
+		Expect(err).NotTo(HaveOccurred())
+		apply(name)
+		Expect(d.WaitLive(ctx, v, 50*time.Millisecond, nil)).To(Succeed())
+		return v
+	}
+
+	draft := func(entry int, body []byte) deployment.Answer {
+		calls++
+		return client.Send(ctx, d.Entries[entry].URL, deployment.Call{
+			Service: deployment.DraftService, Tenant: deployment.TenantSmall,
+			Request: fmt.Sprintf("draft-%d", calls), Body: body, Stream: true,
+		})
+	}
+
+	order := func(entry int, key string) deployment.Answer {
+		calls++
+		return client.Send(ctx, d.Entries[entry].URL, deployment.Call{
+			Service: deployment.OrderService, Tenant: deployment.TenantSmall,
+			Request: fmt.Sprintf("order-%d", calls), Key: key, Body: []byte(`{"plate":"` + key + `"}`),
+		})
+	}
+
+	// ready waits until an entry answers drafts and orders.
+	ready := func(entry int) {
+		Eventually(func() string { return draft(entry, deployment.DraftBody(rng, 2)).Outcome }).
+			WithTimeout(settleTime).Should(Equal(completed))
+		Eventually(func() string { return order(entry, fmt.Sprintf("ready-%d", calls)).Outcome }).
+			WithTimeout(settleTime).Should(Equal(completed))
+	}
+
 	BeforeEach(func() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(context.Background(), time.Minute)
@@ -31,7 +83,7 @@
 		var err error
 		d, err = deployment.Start(deployment.Options{
 			Domains: []model.FailureDomain{"kigali", "huye"}, Entries: 2, Agents: 3, Services: 1,
-			ModelBytes: 1 << 20, ChunkBytes: 64 << 10, Window: 2 * time.Second,
+			ModelBytes: 1 << 20, ChunkBytes: 64 << 10, Window: time.Second,
 			EngineScale: 0.05, EngineRestart: 200 * time.Millisecond,
 			Directory: GinkgoT().TempDir(), Seed: 1,
 		}, eventlog.New(log.NewLogfmtLogger(log.NewSyncWriter(GinkgoWriter))))
@@ -39,36 +91,133 @@
 		DeferCleanup(d.Close)
 		client = deployment.NewClient()
 		DeferCleanup(client.Close)
+		rollOut("v1")
+		for i := range d.Entries {
+			ready(i)
+		}
 	})
 
-	apply := func(version string) {
-		head, err := d.Store.Head(ctx)
-		Expect(err).NotTo(HaveOccurred())
-		_, err = d.Store.Apply(ctx, config.Request{
-			Config: d.Declare(version), Expected: head.Number, Operation: "place-" + version, Author: "test",
-		})
-		Expect(err).NotTo(HaveOccurred())
-	}
-
 	// Guards against parts that work alone but not together: the whole path from
-	// a declared version to a whole answer.
-	It("brings a version to all instances and answers callers from it", func() {
-		v1, err := d.Publish("v1")
-		Expect(err).NotTo(HaveOccurred())
-		apply("v1")
-		Expect(d.WaitLive(ctx, v1, 50*time.Millisecond, nil)).To(Succeed())
-		for _, e := range d.Entries {
+	// a declared version to a whole answer of one digest.
+	It("answers callers through every entry from the placed version", func() {
+		rollOut("v2")
+		for i := range d.Entries {
 			body := deployment.DraftBody(rng, 20)
-			var a deployment.Answer
-			Eventually(func() string {
-				a = client.Send(ctx, e.URL, deployment.Call{
-					Service: deployment.DraftService, Tenant: deployment.TenantSmall, Request: "r", Body: body, Stream: true,
+			a := draft(i, body)
+			Expect(a.Outcome).To(Equal(completed))
+			version, whole := d.VersionOf(a.Body, body)
+			Expect(whole).To(BeTrue())
+			Expect(version.Name).To(Equal("v2"))
+		}
+	})
+
+	// Guards against requests that are cut off by a graceful shutdown.
+	It("cuts off no request when an agent is stopped", func() {
+		outcomes := make(chan deployment.Answer, 24)
+		for i := range cap(outcomes) {
+			go func() {
+				outcomes <- client.Send(ctx, d.Entries[i%len(d.Entries)].URL, deployment.Call{
+					Service: deployment.DraftService, Tenant: deployment.TenantSmall,
+					Request: fmt.Sprintf("long-%d", i), Body: deployment.DraftBody(rand.New(rand.NewSource(int64(i))), 200), Stream: true,
 				})
-				return a.Outcome
-			}).WithTimeout(10 * time.Second).Should(Equal("completed"))
-			version, ok := d.VersionOf(a.Body, body)
-			Expect(ok).To(BeTrue())
-			Expect(version.Name).To(Equal("v1"))
+			}()
+		}
+		Eventually(func() int { return d.DraftRuns("long-0") }).WithTimeout(settleTime).Should(Equal(1))
+		Expect(d.ModelAgents()[0].Stop(ctx)).To(Succeed())
+		Expect(d.ModelAgents()[3].Stop(ctx)).To(Succeed())
+		for range cap(outcomes) {
+			Expect((<-outcomes).Outcome).To(Equal(completed))
 		}
 	})
+
+	// Guards against backend servers that are judged by a broken path, and
+	// against streams that stay open for ever on a connection that lost its state.
+	It("succeeds over new connections within 5 s when all open ones go silent", func() {
+		body := deployment.DraftBody(rng, 8)
+		silenced := time.Now()
+		for _, e := range d.Entries {
+			e.Silence()
+		}
+		var a deployment.Answer
+		Eventually(func() string {
+			a = draft(0, body)
+			return a.Outcome
+		}).WithTimeout(settleTime).WithPolling(50 * time.Millisecond).Should(Equal(completed))
+		Expect(time.Since(silenced)).To(BeNumerically("<", 5*time.Second))
+		_, whole := d.VersionOf(a.Body, body)
+		Expect(whole).To(BeTrue())
+		Eventually(func() int { return d.Entries[0].Entry.Usable() }).
+			WithTimeout(settleTime).Should(Equal(len(d.Agents)))
+	})
+
+	// Guards against one request that takes down backend server after backend
+	// server while its caller sends it again under new ids to other entries.
+	It("loses at most two backend servers to a request that crashes them", func() {
+		body := []byte(`{"max_tokens":5,"prompt":"` + engine.DefaultCrashMarker + `"}`)
+		for i := range 12 {
+			a := draft(i%len(d.Entries), body)
+			Expect(a.Outcome).NotTo(Equal(completed))
+		}
+		crashed := 0
+		for _, agent := range d.ModelAgents() {
+			if agent.Engine.State().Incarnation > 1 {
+				crashed++
+			}
+		}
+		Expect(crashed).To(BeNumerically("<=", 2))
+		Eventually(func() string { return draft(1, deployment.DraftBody(rng, 3)).Outcome }).
+			WithTimeout(settleTime).Should(Equal(completed))
+	})
+
+	// Guards against orders that run without a record while the store is down,
+	// and against an outage that stops what does not need the store.
+	It("refuses keyed orders and serves drafts while the table service is down", func() {
+		d.Table.Faults.Set(fault.Faults{Down: true})
+		a := order(0, "outage")
+		Expect(a.Outcome).To(Equal("not_run"))
+		Expect(d.OrderRuns("outage")).To(BeZero())
+		Expect(draft(1, deployment.DraftBody(rng, 5)).Outcome).To(Equal(completed))
+		d.Table.Faults.Set(fault.Faults{})
+		Eventually(func() string { return order(0, "outage").Outcome }).
+			WithTimeout(settleTime).Should(Equal(completed))
+		Expect(d.OrderRuns("outage")).To(Equal(1))
+	})
+
+	// Guards against a second run when the reply to a claim is lost or the caller
+	// asks again at another entry.
+	It("runs an order once whatever its callers and the store do", func() {
+		for i := range 8 {
+			key := fmt.Sprintf("plate-%d", i)
+			d.Table.Faults.Set(fault.Faults{LoseAfter: i % 3})
+			answers := make(chan deployment.Answer, 3)
+			for n := range cap(answers) {
+				go func() {
+					answers <- client.Send(ctx, d.Entries[(i+n)%len(d.Entries)].URL, deployment.Call{
+						Service: deployment.OrderService, Tenant: deployment.TenantLarge,
+						Request: fmt.Sprintf("%s-%d", key, n), Key: key, Body: []byte(key),
+					})
+				}()
+			}
+			for range cap(answers) {
+				<-answers
+			}
+			Expect(d.OrderRuns(key)).To(BeNumerically("<=", 1))
+		}
+		d.Table.Faults.Set(fault.Faults{})
+		Eventually(func() string { return order(2, "plate-after").Outcome }).
+			WithTimeout(settleTime).Should(Equal(completed))
+	})
+
+	// Guards against an entry whose death takes its failure domain with it.
+	It("goes on through the other entries when one dies", func() {
+		v2, err := d.Publish("v2")
+		Expect(err).NotTo(HaveOccurred())
+		d.Entries[0].Kill()
+		apply("v2")
+		Expect(d.WaitLive(ctx, v2, 50*time.Millisecond, nil)).To(Succeed())
+		Expect(draft(1, deployment.DraftBody(rng, 5)).Outcome).To(Equal(completed))
+		a := order(1, "after-death")
+		Expect(a.Outcome).To(Equal(completed))
+		Expect(d.OrderRuns("after-death")).To(Equal(1))
+	})
 })
--- a/internal/deployment/entry_process.go
+++ b/internal/deployment/entry_process.go
@@ -1,9 +1,11 @@
 package deployment
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync"
 
 	"github.com/auburnbend/auburnbend/entry"
 	"github.com/auburnbend/auburnbend/lib/clock"
@@ -18,6 +20,34 @@
 	Entry   *entry.Entry
 	URL     string
 	Metrics *telemetry.Metrics
+
+	identity   model.Identity
+	deployment *Deployment
+	peers      *cutListener
+	closing    sync.Once
+}
+
+// Silence makes all open connections to agents and other entries go silent for
+// good; new ones work.
+func (p *EntryProcess) Silence() { p.peers.silence() }
+
+// Kill ends the entry at once: all its connections break.
+func (p *EntryProcess) Kill() {
+	p.deployment.List.Remove(p.identity.Instance)
+	p.peers.cut()
+	p.close()
+}
+
+// Stop drains the entry as SIGTERM does.
+func (p *EntryProcess) Stop(ctx context.Context) error {
+	p.deployment.List.Remove(p.identity.Instance)
+	err := p.Entry.Drain(ctx)
+	p.close()
+	return err
+}
+
+func (p *EntryProcess) close() {
+	p.closing.Do(func() { _ = p.Entry.Close() })
 }
 
 func (d *Deployment) startEntry(domain model.FailureDomain, index int) error {
@@ -25,10 +55,11 @@
 	if err != nil {
 		return err
 	}
-	peers, err := net.Listen("tcp", "127.0.0.1:0")
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
+	peers := &cutListener{Listener: tcp}
 	metrics, err := telemetry.New(telemetry.Config{})
 	if err != nil {
 		return err
@@ -42,6 +73,7 @@
 		Metrics:      entry.TelemetryMetrics(metrics),
 		Callers:      callers,
 		Peers:        peers,
+		Dial:         peers.dial,
 		Table:        d.Table,
 		List:         d.List,
 		BalancerLag:  balancerLag,
@@ -49,7 +81,10 @@
 	})
 	e.Watch(func(v *config.View) { metrics.Declare(v.Config) })
 	e.Start()
-	p := &EntryProcess{Entry: e, URL: "http://" + callers.Addr().String(), Metrics: metrics}
+	p := &EntryProcess{
+		Entry: e, URL: "http://" + callers.Addr().String(), Metrics: metrics,
+		identity: identity, deployment: d, peers: peers,
+	}
 	d.Entries = append(d.Entries, p)
 	d.List.Set(platform.Instance{ID: identity.Instance, Role: platform.RoleEntry, Location: identity.Location, Address: identity.Address})
 	return nil
