Probe the other connections when a busy one misses a heartbeat

With all connections silent the first success took 8.4 s against a target of 5 s: each retry went over one more silent connection and cost another 3 s of detection, because idle connections are judged after 9 s only. The view now asks for a sign of life on all connections as soon as a busy one has missed a heartbeat, and judges those that did not answer together with it.

--- a/agent/session.go
+++ b/agent/session.go
@@ -75,6 +75,9 @@
 	switch m := m.(type) {
 	case *wire.Heartbeat:
 		a.follower.Heartbeat(id, m)
+		if m.Probe {
+			s.wake()
+		}
 	case *wire.ConfigFetch:
 		a.follower.Answer(m, s.conn.TrySend)
 	case *wire.ConfigDelta:
--- a/entry/fleet/accept.go
+++ b/entry/fleet/accept.go
@@ -13,18 +13,32 @@
 		return
 	}
 	defer f.disconnected(id)
-	beats := heartbeat.Sender{Conn: conn, Beat: f.heartbeat, InFlight: func() int { return 0 }}
+	wake := make(chan struct{}, 1)
+	beats := heartbeat.Sender{Conn: conn, Beat: f.heartbeat, InFlight: func() int { return 0 }, Wake: wake}
 	go beats.Run()
 	for {
 		m, err := conn.Receive()
 		if err != nil {
 			return
 		}
-		switch m.(type) {
+		switch m := m.(type) {
 		case *wire.HolderSummary, *wire.RolloutFetch, *wire.RolloutReport:
 			other(m)
+		case *wire.Heartbeat:
+			if m.Probe {
+				wakeUp(wake)
+			}
+			f.message(id, peer, m, conn.TrySend)
 		default:
 			f.message(id, peer, m, conn.TrySend)
 		}
 	}
 }
+
+// wakeUp asks for a heartbeat unless one is asked for already.
+func wakeUp(wake chan<- struct{}) {
+	select {
+	case wake <- struct{}{}:
+	default:
+	}
+}
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -133,6 +133,12 @@
 			if c := f.conns[e.Conn]; c != nil {
 				c.drop()
 			}
+		case member.Probe:
+			if c := f.conns[e.Conn]; c != nil {
+				beat := f.heartbeat()
+				beat.Probe = true
+				_ = c.send(&beat)
+			}
 		case member.PathFault:
 			f.cfg.Log.Log(eventlog.PathFault)
 		case member.Joined, member.Restored:
--- a/lib/member/event.go
+++ b/lib/member/event.go
@@ -30,11 +30,14 @@
 	// PathFault reports that many connections went silent at once while new
 	// ones work. No backend server is to be ejected for it.
 	PathFault
+	// Probe asks the assembly to send a heartbeat on a connection that the peer
+	// answers at once: another connection has missed one.
+	Probe
 )
 
 // String returns the name for logs and tests.
 func (k EventKind) String() string {
-	names := [...]string{"invalid", "listed", "joined", "left", "draining", "silent", "disconnected", "restored", "path_fault"}
+	names := [...]string{"invalid", "listed", "joined", "left", "draining", "silent", "disconnected", "restored", "path_fault", "probe"}
 	if int(k) < len(names) {
 		return names[k]
 	}
@@ -47,6 +50,6 @@
 	// Instance and Generation are empty for PathFault.
 	Instance   model.InstanceID
 	Generation model.Generation
-	// Conn is set for Silent.
+	// Conn is set for Silent and Probe.
 	Conn ConnID
 }
--- a/lib/member/signs.go
+++ b/lib/member/signs.go
@@ -41,6 +41,7 @@
 	}
 	e := v.members[c.instance]
 	c.heard = now
+	c.probedAt = time.Time{}
 	if !c.silent {
 		return nil, c, e
 	}
--- a/lib/member/tick.go
+++ b/lib/member/tick.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -10,6 +11,12 @@
 func (v *View) Tick(now time.Time) []Event {
 	var events []Event
 	events = append(events, v.silence(now, func(c *connection) bool { return !now.Before(c.deadline()) })...)
+	if len(events) > 0 {
+		// A retry over one more silent connection would cost another detection
+		// time, so connections that failed a probe go with the first silent one.
+		events = append(events, v.silence(now, func(c *connection) bool { return c.failsProbe(now) })...)
+	}
+	events = append(events, v.probe(now)...)
 	if v.fault.suspected(now, v.cfg, len(v.conns)) {
 		// In a path fault the other connections are not trusted for their full
 		// time: a retry over one more silent connection would cost another
@@ -56,3 +63,26 @@
 	}
 	return events
 }
+
+// probe asks for a sign of life on all connections once a busy one has missed a
+// heartbeat: if they are silent too, that is known when the busy one is judged.
+func (v *View) probe(now time.Time) []Event {
+	suspicious := false
+	for _, c := range v.conns {
+		if !c.silent && !c.busySince.IsZero() && c.overdue(now) {
+			suspicious = true
+		}
+	}
+	if !suspicious {
+		return nil
+	}
+	var events []Event
+	for id, c := range v.conns {
+		if !c.silent && c.probedAt.IsZero() && now.Sub(c.heard) > BusyInterval {
+			c.probedAt = now
+			events = append(events, Event{Kind: Probe, Instance: c.instance, Generation: c.generation, Conn: id})
+		}
+	}
+	slices.SortFunc(events, func(a, b Event) int { return cmp.Compare(a.Conn, b.Conn) })
+	return events
+}
--- a/lib/wire/messages.go
+++ b/lib/wire/messages.go
@@ -59,6 +59,8 @@
 	// peers, that ConfigRevision was the newest, in milliseconds.
 	ConfigAgeMillis int64 `msgpack:"g"`
 	Draining        bool  `msgpack:"x"`
+	// Probe asks the receiver for a heartbeat at once.
+	Probe bool `msgpack:"p,omitempty"`
 	// Live holds the weights that the instance may serve; empty from entries.
 	Live []model.Weights `msgpack:"w"`
 	Load Load            `msgpack:"l"`
