--- a/agent/transfer/link.go
+++ b/agent/transfer/link.go
@@ -135,7 +135,7 @@
 	}
 	l.emit(ctx, linkEvent{link: l, conn: conn})
 	for {
-		_ = conn.SetReadDeadline(time.Now().Add(l.s.cfg.SilentAfter))
+		_ = conn.SetReadDeadline(time.Now().Add(l.s.silentAfter()))
 		m, err := conn.Receive()
 		if err != nil {
 			break
@@ -166,3 +166,13 @@
 	case <-ctx.Done():
 	}
 }
+
+// silentAfter is the time without a message after which a tracker counts as
+// dead. While an agent fetches it repeats announcements several times a second,
+// so it notices sooner than when it only offers what it holds.
+func (s *Service) silentAfter() time.Duration {
+	if s.fetching.Load() {
+		return s.cfg.SilentAfter / 2
+	}
+	return s.cfg.SilentAfter
+}
--- a/agent/transfer/run.go
+++ b/agent/transfer/run.go
@@ -211,6 +211,7 @@
 	}
 	r.s.counters.chunks.Store(int64(len(r.target.known.manifest.Chunks)))
 	r.s.counters.held.Store(int64(len(r.target.known.manifest.Chunks) - r.d.Missing()))
+	r.s.fetching.Store(!a.Done)
 	if now.Sub(r.reported) >= reportEvery {
 		r.report(&wire.TransferStatus{Manifest: r.target.digest, Phase: r.phase})
 	}
--- a/agent/transfer/serve.go
+++ b/agent/transfer/serve.go
@@ -71,7 +71,16 @@
 		return err
 	}
 	s.counters.upload.Add(int64(len(data)))
-	return conn.SendWritten(&wire.ChunkData{Request: m.Request, Data: data})
+	// A receiver behind a stalled link must not keep the slot: the connection is
+	// closed well before the write times out.
+	started := time.Now()
+	timer := time.AfterFunc(s.sendTimes.limit(), func() { _ = conn.Close() })
+	defer timer.Stop()
+	if err := conn.SendWritten(&wire.ChunkData{Request: m.Request, Data: data}); err != nil {
+		return err
+	}
+	s.sendTimes.add(time.Since(started))
+	return nil
 }
 
 // acquireSlot takes an upload slot. It waits a little, because a slot that the
--- a/agent/transfer/service.go
+++ b/agent/transfer/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/distribute"
@@ -24,6 +25,10 @@
 	limits   *limits
 	pool     *connPool
 	slots    chan struct{}
+	// sendTimes bounds how long a stalled receiver keeps a slot.
+	sendTimes sendTimes
+	// fetching is true while the wanted version is incomplete.
+	fetching atomic.Bool
 	targets  chan *target
 	status   chan *wire.TransferStatus
 
--- a/entry/tracker/service.go
+++ b/entry/tracker/service.go
@@ -156,9 +156,12 @@
 	} else {
 		reply = out[i].message.(*wire.Assign)
 	}
-	if now.Sub(c.peersSent) >= s.cfg.PeersEvery {
-		c.peersSent = now
-		reply.Peers = v.tracker.Reply(c.identity.Address).Peers
+	// New peers are named soon: an agent that loses its tracker early in a
+	// transfer needs them.
+	known := v.tracker.Peers()
+	if since := now.Sub(c.peersSent); since >= s.cfg.PeersEvery || known > c.peersKnown && since >= s.cfg.PeersEvery/10 {
+		c.peersSent, c.peersKnown = now, known
+		reply.Peers = v.tracker.PeersFor(c.identity.Address)
 	}
 	return out
 }
--- a/entry/tracker/session.go
+++ b/entry/tracker/session.go
@@ -14,6 +14,8 @@
 	sender   Sender
 	// peersSent is when the agent last got a list of peers.
 	peersSent time.Time
+	// peersKnown is the number of agents that the tracker knew then.
+	peersKnown int
 }
 
 // outgoing is a message that is sent after the lock is released.
--- a/lib/distribute/downloader.go
+++ b/lib/distribute/downloader.go
@@ -106,6 +106,9 @@
 			continue
 		}
 		c := d.manifest.Chunks[as.Chunk]
+		if as.Source != Origin {
+			d.solo.addPeers([]string{as.Source}, d.cfg.Self)
+		}
 		if d.held[c.Digest] {
 			d.dirty = true
 			continue
--- a/lib/distribute/tracker_schedule.go
+++ b/lib/distribute/tracker_schedule.go
@@ -53,19 +53,18 @@
 	return out
 }
 
-// Reply returns the acknowledgement of an announcement: it shows the agent that
-// the tracker lives and names peers for use without a tracker.
-func (t *Tracker) Reply(address string) *wire.Assign {
-	a := &wire.Assign{Manifest: t.cfg.Digest, RetryMillis: t.cfg.Retry.Milliseconds()}
+// PeersFor names agents that an agent may use without a tracker.
+func (t *Tracker) PeersFor(address string) []string {
 	peers := t.sortedPeers()
 	start := t.cfg.Rand.Intn(len(peers) + 1)
+	var out []string
 	for i := range peers {
 		p := peers[(start+i)%len(peers)]
-		if p.address != address && len(a.Peers) < maxPeersNamed {
-			a.Peers = append(a.Peers, p.address)
+		if p.address != address && len(out) < maxPeersNamed {
+			out = append(out, p.address)
 		}
 	}
-	return a
+	return out
 }
 
 // next grants one chunk to an agent: one that the failure domain lacks, if a
