--- a/agent/transfer/link.go
+++ b/agent/transfer/link.go
@@ -154,12 +154,31 @@
 			return nil, 0
 		case <-time.After(l.s.jitter(l.s.cfg.ReturnEvery)):
 		}
-		if conn, rank := l.connect(ctx, order, silent); conn != nil {
+		conn, rank := l.connect(ctx, order, silent)
+		switch {
+		case conn == nil:
+		case l.answers(conn):
 			return conn, rank
+		default:
+			silent[order[rank]] = silent[order[rank]].again(l.s.cfg.ReturnEvery)
 		}
 	}
 }
 
+// answers probes a new connection with an empty announcement, so that a working
+// tracker is not given up for a silent one. It closes a silent connection.
+func (l *link) answers(conn *wire.Conn) bool {
+	_ = conn.SetReadDeadline(time.Now().Add(l.s.cfg.DialTimeout))
+	err := conn.Send(&wire.Announce{Manifest: l.digest})
+	if err == nil {
+		_, err = conn.Receive()
+	}
+	if err != nil {
+		_ = conn.Close()
+	}
+	return err == nil
+}
+
 func (l *link) emit(ctx context.Context, e linkEvent) {
 	select {
 	case l.events <- e:
--- a/agent/transfer/manifest.go
+++ b/agent/transfer/manifest.go
@@ -23,6 +23,8 @@
 	// manifestWait bounds the wait for one peer or tracker. It is longer than
 	// the time that a tracker gives to the agent that reads the origin.
 	manifestWait = 3 * time.Second
+	// manifestHedge is the wait for one source before the next is asked as well.
+	manifestHedge = 500 * time.Millisecond
 )
 
 // fetchManifest gets a manifest from the tracker, else from peers, else from the
@@ -32,14 +34,7 @@
 		if k := s.known(digest); k != nil {
 			return k, nil
 		}
-		for _, address := range s.manifestPeers(digest) {
-			if k, err := s.manifestFrom(ctx, address, digest); err == nil {
-				return k, nil
-			} else if errors.Is(err, errAbsent) {
-				break // the tracker sends this agent to the origin
-			}
-		}
-		k, err := s.manifestFromOrigin(ctx, digest, object, attempt)
+		k, err := s.manifestRound(ctx, digest, object, attempt)
 		if err == nil {
 			return k, nil
 		}
@@ -54,6 +49,49 @@
 	}
 }
 
+// manifestRound asks entries and peers one after the other and the origin last.
+// A source that has not answered after manifestHedge is left running while the
+// next one is asked; a tracker's refusal sends this agent to the origin at once.
+func (s *Service) manifestRound(ctx context.Context, digest model.Digest, object string, attempt int) (*known, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type answer struct {
+		known *known
+		err   error
+	}
+	sources := s.manifestPeers(digest)
+	answers := make(chan answer, len(sources)+1)
+	running := 0
+	for next := 0; ; {
+		if next <= len(sources) {
+			ask := func() (*known, error) { return s.manifestFromOrigin(ctx, digest, object, attempt) }
+			if next < len(sources) {
+				address := sources[next]
+				ask = func() (*known, error) { return s.manifestFrom(ctx, address, digest) }
+			}
+			next++
+			running++
+			go func() {
+				k, err := ask()
+				answers <- answer{k, err}
+			}()
+		}
+		select {
+		case a := <-answers:
+			if running--; a.err == nil {
+				return a.known, nil
+			}
+			if errors.Is(a.err, errAbsent) {
+				next = max(next, len(sources))
+			}
+			if running == 0 && next > len(sources) || ctx.Err() != nil {
+				return nil, a.err
+			}
+		case <-time.After(manifestHedge):
+		}
+	}
+}
+
 func (s *Service) manifestPeers(digest model.Digest) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -101,7 +139,9 @@
 		}
 		n := int64(0)
 		if err == nil {
+			stop := context.AfterFunc(ctx, func() { _ = r.Close() })
 			n, _ = io.Copy(&buf, io.LimitReader(r, int64(maxManifest-buf.Len())))
+			stop()
 			_ = r.Close()
 			count.Add(n)
 		}
