--- a/agent/transfer/link.go
+++ b/agent/transfer/link.go
@@ -135,12 +135,14 @@
 	}
 	l.emit(ctx, linkEvent{link: l, conn: conn})
 	for {
-		_ = conn.SetReadDeadline(time.Now().Add(l.s.silentAfter()))
+		_ = conn.SetReadDeadline(time.Now().Add(l.s.cfg.SilentAfter))
 		m, err := conn.Receive()
 		if err != nil {
 			break
 		}
-		answered = true
+		if a, ok := m.(*wire.Assign); ok && a.Sequence > 0 {
+			answered = true
+		}
 		l.emit(ctx, linkEvent{link: l, conn: conn, message: m})
 	}
 	cancel()
@@ -169,9 +171,9 @@
 // tracker is not given up for a silent one. It closes a silent connection.
 func (l *link) answers(conn *wire.Conn) bool {
 	_ = conn.SetReadDeadline(time.Now().Add(l.s.cfg.DialTimeout))
-	err := conn.Send(&wire.Announce{Manifest: l.digest})
+	err := conn.Send(&wire.Announce{Manifest: l.digest, Sequence: 1})
 	if err == nil {
-		_, err = conn.Receive()
+		_, err = conn.Receive() // nothing is pushed before the first announcement
 	}
 	if err != nil {
 		_ = conn.Close()
@@ -185,13 +187,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// silentAfter is the time without a message after which a tracker counts as
-// dead. While an agent fetches it repeats announcements several times a second,
-// so it notices sooner than when it only offers what it holds.
-func (s *Service) silentAfter() time.Duration {
-	if s.fetching.Load() {
-		return s.cfg.SilentAfter / 2
-	}
-	return s.cfg.SilentAfter
-}
--- a/agent/transfer/run.go
+++ b/agent/transfer/run.go
@@ -167,7 +167,7 @@
 			return
 		}
 		r.s.counters.tracked.Store(true)
-		r.d.Resend()
+		r.d.Connected()
 	case *wire.Assign:
 		r.d.Assigned(now, m)
 	case *wire.ManifestFetch:
@@ -211,7 +211,11 @@
 	}
 	r.s.counters.chunks.Store(int64(len(r.target.known.manifest.Chunks)))
 	r.s.counters.held.Store(int64(len(r.target.known.manifest.Chunks) - r.d.Missing()))
-	r.s.fetching.Store(!a.Done)
+	if r.conn != nil && r.d.Silence(now) > r.s.cfg.SilentAfter/2 {
+		// Announcements are repeated several times a second and answered. The path
+		// may still carry what the tracker sends.
+		_ = r.conn.Close()
+	}
 	if now.Sub(r.reported) >= reportEvery {
 		r.report(&wire.TransferStatus{Manifest: r.target.digest, Phase: r.phase})
 	}
--- a/agent/transfer/seed.go
+++ b/agent/transfer/seed.go
@@ -63,7 +63,7 @@
 		case <-ticker.C:
 		}
 		if conn != nil {
-			_ = conn.TrySend(&wire.Announce{Manifest: t.digest, Have: s.cfg.Chunks.Have(t.known.manifest)})
+			_ = conn.TrySend(&wire.Announce{Manifest: t.digest, Sequence: 1, Have: s.cfg.Chunks.Have(t.known.manifest)})
 		}
 	}
 }
--- a/agent/transfer/service.go
+++ b/agent/transfer/service.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/distribute"
@@ -27,10 +26,8 @@
 	slots    chan struct{}
 	// sendTimes bounds how long a stalled receiver keeps a slot.
 	sendTimes sendTimes
-	// fetching is true while the wanted version is incomplete.
-	fetching atomic.Bool
-	targets  chan *target
-	status   chan *wire.TransferStatus
+	targets   chan *target
+	status    chan *wire.TransferStatus
 
 	mu        sync.Mutex
 	rand      *rand.Rand
--- a/entry/tracker/manifest.go
+++ b/entry/tracker/manifest.go
@@ -9,7 +9,7 @@
 
 // manifestFetch answers with the manifest. If it is unknown, one agent at a time
 // is refused, which sends it to the origin; the others wait for its result.
-func (s *Service) manifestFetch(c *session, digest model.Digest) []outgoing {
+func (s *Service) manifestFetch(c *Session, digest model.Digest) []outgoing {
 	v := s.version(digest)
 	if v.encoded != nil {
 		return []outgoing{{c, &wire.ManifestData{Manifest: digest, Data: v.encoded}}}
@@ -42,7 +42,7 @@
 	v.waiting = nil
 	now := s.cfg.Clock.Now()
 	for address, a := range v.pending {
-		if c, ok := s.sessions[address]; ok {
+		if c, ok := v.members[address]; ok {
 			s.notice(c, v.tracker.Announce(now, c.identity, a))
 		}
 	}
--- a/entry/tracker/rollout.go
+++ b/entry/tracker/rollout.go
@@ -10,13 +10,11 @@
 )
 
 // status records how far an instance is and moves its load permit on.
-func (s *Service) status(from model.Identity, c *session, m *wire.TransferStatus) {
+func (s *Service) status(c *Session, m *wire.TransferStatus) {
+	from := c.identity
 	s.version(m.Manifest).status[from.Instance] = wire.InstanceStatus{
 		Instance: from.Instance, Domain: from.Location.FailureDomain, Status: *m,
 	}
-	if c == nil {
-		return
-	}
 	w := s.wave(c.pool)
 	switch m.Phase {
 	case wire.PhaseQuiescing, wire.PhaseLoading:
@@ -26,7 +24,7 @@
 	}
 }
 
-func (s *Service) permit(c *session, manifest model.Digest) *wire.LoadPermit {
+func (s *Service) permit(c *Session, manifest model.Digest) *wire.LoadPermit {
 	s.version(manifest)
 	w := s.wave(c.pool)
 	now := s.cfg.Clock.Now()
--- a/entry/tracker/service.go
+++ b/entry/tracker/service.go
@@ -19,7 +19,6 @@
 
 	mu       sync.Mutex
 	rand     *rand.Rand
-	sessions map[string]*session // by peer address
 	versions map[model.Digest]*version
 	waves    map[string]*rollout.Waves // by pool
 }
@@ -30,96 +29,84 @@
 	return &Service{
 		cfg:      cfg,
 		rand:     rand.New(rand.NewSource(cfg.Seed)),
-		sessions: make(map[string]*session),
 		versions: make(map[model.Digest]*version),
 		waves:    make(map[string]*rollout.Waves),
 	}
 }
 
-// Serve handles an agent's connection until it fails. The handshake is done.
+// Serve handles a connection until it fails. The handshake is done.
 func (s *Service) Serve(conn *wire.Conn, hello wire.Hello) error {
-	s.Attach(hello, conn)
-	defer s.Detach(hello.Identity, conn)
+	c := s.Attach(hello, conn)
+	defer c.Detach()
 	for {
 		m, err := conn.Receive()
 		if err != nil {
 			return err
 		}
-		s.Handle(hello.Identity, m)
+		c.Handle(m)
 	}
 }
 
-// Attach registers an agent's connection. A newer one replaces it.
-func (s *Service) Attach(hello wire.Hello, sender Sender) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.sessions[hello.Identity.Address] = &session{identity: hello.Identity, pool: hello.Pool, sender: sender}
+// Attach registers a connection whose handshake is done, for callers that read
+// the connection themselves.
+func (s *Service) Attach(hello wire.Hello, sender Sender) *Session {
+	return &Session{service: s, identity: hello.Identity, pool: hello.Pool, sender: sender}
 }
 
-// Detach forgets an agent whose connection ended, unless a newer one has
-// replaced it.
-func (s *Service) Detach(identity model.Identity, sender Sender) {
+func (s *Service) detach(c *Session) {
 	s.mu.Lock()
 	var out []outgoing
-	if c, ok := s.sessions[identity.Address]; ok && c.sender == sender {
-		delete(s.sessions, identity.Address)
-		for _, v := range s.versions {
-			delete(v.pending, identity.Address)
-			if v.tracker != nil {
-				v.tracker.Lost(identity.Address)
-				out = append(out, s.schedule(v)...)
-			}
+	for _, v := range s.versions {
+		if v.members[c.identity.Address] != c {
+			continue // a newer connection has replaced it
+		}
+		delete(v.members, c.identity.Address)
+		delete(v.pending, c.identity.Address)
+		if v.tracker != nil {
+			v.tracker.Lost(c.identity.Address)
+			out = append(out, s.schedule(v)...)
 		}
-		s.cfg.Log.Log(eventlog.TransferPeerLost, "instance", identity.Instance)
+		s.cfg.Log.Log(eventlog.TransferPeerLost, "instance", c.identity.Instance)
 	}
 	s.mu.Unlock()
 	s.send(out)
 }
 
-// Handle takes one message of an attached agent or, for HolderSummary and
-// RolloutFetch, of another entry. It reports whether the message is one that
-// belongs to the tracker.
-func (s *Service) Handle(from model.Identity, m wire.Message) bool {
+func (s *Service) handleLocked(c *Session, m wire.Message) bool {
 	s.mu.Lock()
-	out, ok := s.handle(from, m)
+	out, ok := s.handle(c, m)
 	s.mu.Unlock()
 	s.send(out)
 	return ok
 }
 
-func (s *Service) handle(from model.Identity, m wire.Message) ([]outgoing, bool) {
-	c := s.sessions[from.Address]
+func (s *Service) handle(c *Session, m wire.Message) ([]outgoing, bool) {
 	switch m := m.(type) {
 	case *wire.HolderSummary:
-		return s.summary(from, m), true
+		return s.summary(c, m), true
 	case *wire.Announce:
-		if c != nil {
-			return s.announce(c, m), true
-		}
+		return s.announce(c, m), true
 	case *wire.ManifestFetch:
-		if c != nil {
-			return s.manifestFetch(c, m.Manifest), true
-		}
+		return s.manifestFetch(c, m.Manifest), true
 	case *wire.ManifestData:
 		return s.manifestData(m), true
-	case *wire.ManifestRefused:
 	case *wire.TransferStatus:
-		s.status(from, c, m)
+		s.status(c, m)
+		return nil, true
 	case *wire.LoadPermitFetch:
-		if c != nil {
-			return []outgoing{{c, s.permit(c, m.Manifest)}}, true
-		}
+		return []outgoing{{c, s.permit(c, m.Manifest)}}, true
+	case *wire.ManifestRefused:
+		return nil, true
 	default:
 		return nil, false
 	}
-	return nil, true
 }
 
 func (s *Service) send(out []outgoing) {
 	for _, o := range out {
 		if err := o.to.sender.TrySend(o.message); err != nil {
 			// The agent does not read. Its grants must not wait for expiry.
-			s.Detach(o.to.identity, o.to.sender)
+			o.to.Detach()
 		}
 	}
 }
@@ -131,6 +118,7 @@
 		v = &version{
 			digest:  digest,
 			pending: make(map[string]*wire.Announce),
+			members: make(map[string]*Session),
 			status:  make(map[model.InstanceID]wire.InstanceStatus),
 		}
 		s.versions[digest] = v
@@ -139,8 +127,10 @@
 	return v
 }
 
-func (s *Service) announce(c *session, a *wire.Announce) []outgoing {
+func (s *Service) announce(c *Session, a *wire.Announce) []outgoing {
 	v := s.version(a.Manifest)
+	v.members[c.identity.Address] = c
+	c.sequence = a.Sequence
 	if v.tracker == nil {
 		v.pending[c.identity.Address] = a
 		return []outgoing{{c, &wire.ManifestFetch{Manifest: a.Manifest}}}
@@ -149,7 +139,7 @@
 	n := v.tracker.Announce(now, c.identity, a)
 	s.notice(c, n)
 	out := s.schedule(v)
-	reply := &wire.Assign{Manifest: a.Manifest, RetryMillis: v.tracker.Retry().Milliseconds()}
+	reply := &wire.Assign{Manifest: a.Manifest, RetryMillis: v.tracker.Retry().Milliseconds(), Sequence: c.sequence}
 	i := slices.IndexFunc(out, func(o outgoing) bool { return o.to == c })
 	if i < 0 {
 		out = append(out, outgoing{c, reply})
@@ -166,7 +156,7 @@
 	return out
 }
 
-func (s *Service) notice(c *session, n distribute.Notice) {
+func (s *Service) notice(c *Session, n distribute.Notice) {
 	for _, source := range n.Corrupt {
 		s.cfg.Log.Log(eventlog.ChunkCorrupt, "instance", c.identity.Instance, "source", source)
 	}
@@ -181,7 +171,8 @@
 func (s *Service) schedule(v *version) []outgoing {
 	var out []outgoing
 	for _, d := range v.tracker.Schedule(s.cfg.Clock.Now()) {
-		if c, ok := s.sessions[d.Address]; ok {
+		if c, ok := v.members[d.Address]; ok {
+			d.Assign.Sequence = c.sequence
 			out = append(out, outgoing{c, d.Assign})
 		}
 	}
@@ -200,7 +191,9 @@
 			continue
 		}
 		if v.tracker != nil {
-			v.tracker.Tick(now)
+			for _, address := range v.tracker.Tick(now) {
+				delete(v.members, address)
+			}
 			out = append(out, s.schedule(v)...)
 		}
 	}
@@ -227,12 +220,12 @@
 
 // summary takes the summary of another tracker. A version that no agent has
 // announced here needs none.
-func (s *Service) summary(from model.Identity, m *wire.HolderSummary) []outgoing {
+func (s *Service) summary(c *Session, m *wire.HolderSummary) []outgoing {
 	v, ok := s.versions[m.Manifest]
 	if !ok || v.tracker == nil {
 		return nil
 	}
-	v.tracker.Remote(s.cfg.Clock.Now(), from.Address, m)
+	v.tracker.Remote(s.cfg.Clock.Now(), c.identity.Address, m)
 	return s.schedule(v)
 }
 
--- a/entry/tracker/version.go
+++ b/entry/tracker/version.go
@@ -19,8 +19,10 @@
 	// origin has run out of time.
 	fetchUntil time.Time
 	// waiting holds agents that asked for the manifest meanwhile.
-	waiting []*session
+	waiting []*Session
 	// pending holds announcements that came before the manifest, by address.
 	pending map[string]*wire.Announce
+	// members holds the connections on which agents announced, by peer address.
+	members map[string]*Session
 	status  map[model.InstanceID]wire.InstanceStatus
 }
--- a/internal/measure/distribute/fleet.go
+++ b/internal/measure/distribute/fleet.go
@@ -143,6 +143,14 @@
 // summaries to the trackers of the other failure domains.
 func (fl *fleet) tick() {
 	defer fl.wg.Done()
+	// Entries of a run share a process, so summaries skip the connection.
+	sessions := make(map[[2]*entry]*tracker.Session)
+	for _, from := range fl.entries {
+		for _, to := range fl.entries {
+			hello := wire.Hello{Role: wire.RoleEntry, Identity: model.Identity{Address: from.address, Location: from.location}}
+			sessions[[2]*entry{from, to}] = to.service.Attach(hello, nil)
+		}
+	}
 	ticker := time.NewTicker(50 * time.Millisecond)
 	defer ticker.Stop()
 	for {
@@ -156,7 +164,7 @@
 			for _, s := range e.service.Summaries() {
 				for _, other := range fl.entries {
 					if other != e {
-						other.service.Handle(model.Identity{Address: e.address}, s)
+						sessions[[2]*entry{e, other}].Handle(s)
 					}
 				}
 			}
--- a/lib/distribute/downloader.go
+++ b/lib/distribute/downloader.go
@@ -29,7 +29,9 @@
 
 	chunkTime average
 	tracked   bool
-	heard     time.Time // last message of a tracker
+	sequence  uint64    // of the last announcement
+	answered  uint64    // last announcement that the tracker has answered
+	waiting   time.Time // since when an announcement is unanswered; zero if none is
 	retry     time.Duration
 	dirty     bool
 	announced time.Time
@@ -96,7 +98,14 @@
 	if d.manifest == nil || a.Manifest != d.digest {
 		return
 	}
-	d.tracked, d.heard = true, now
+	switch {
+	case a.Sequence == d.sequence:
+		d.waiting = time.Time{}
+	case a.Sequence > d.answered:
+		d.waiting = now
+	}
+	d.answered = a.Sequence
+	d.tracked = true
 	if a.RetryMillis > 0 {
 		d.retry = time.Duration(a.RetryMillis) * time.Millisecond
 	}
@@ -129,6 +138,14 @@
 	d.tracked = false
 }
 
+// Silence is the time for which the tracker has not answered an announcement.
+func (d *Downloader) Silence(now time.Time) time.Duration {
+	if d.waiting.IsZero() {
+		return 0
+	}
+	return now.Sub(d.waiting)
+}
+
 // Progress says how many bytes of a fetch have arrived.
 func (d *Downloader) Progress(now time.Time, id uint64, received int64) {
 	if f, ok := d.active[id]; ok && received > f.received {
--- a/lib/distribute/downloader_next.go
+++ b/lib/distribute/downloader_next.go
@@ -19,7 +19,7 @@
 	d.startAssigned(now, &a)
 	// Each announcement is answered. While the answers stay away, peers are used
 	// directly; the origin only once the tracker counts as lost.
-	if d.missing > 0 && (!d.tracked || now.Sub(d.heard) > d.cfg.TrackerSilence) {
+	if d.missing > 0 && (!d.tracked || d.Silence(now) > d.cfg.TrackerSilence) {
 		d.startSolo(now, &a)
 	}
 	d.announce(now, &a)
@@ -108,11 +108,16 @@
 		return
 	}
 	busy := len(d.active) + len(d.queue)
+	d.sequence++
+	if d.waiting.IsZero() {
+		d.waiting = now
+	}
 	a.Announce = &wire.Announce{
 		Manifest: d.digest,
 		Have:     d.Have(),
 		Failed:   d.failures,
 		Active:   busy,
+		Sequence: d.sequence,
 	}
 	if d.missing > 0 {
 		a.Announce.Slots = max(d.cfg.Window-busy, 0)
@@ -120,6 +125,9 @@
 	d.failures, d.dirty, d.announced = nil, false, now
 }
 
-// Resend makes the next announcement immediate: another tracker needs the whole
-// state.
-func (d *Downloader) Resend() { d.dirty, d.announced = true, time.Time{} }
+// Connected says that the connection to a tracker is new. The next announcement
+// is immediate: it needs the whole state.
+func (d *Downloader) Connected() {
+	d.dirty, d.announced = true, time.Time{}
+	d.waiting, d.answered = time.Time{}, 0
+}
--- a/lib/wire/messages.go
+++ b/lib/wire/messages.go
@@ -173,6 +173,8 @@
 	// Active is the number of assignments that the agent has not finished. The
 	// tracker subtracts from Slots those that crossed with this message.
 	Active int `msgpack:"a"`
+	// Sequence numbers the announcements on one connection from 1.
+	Sequence uint64 `msgpack:"q"`
 }
 
 // GrantFailure reports an assignment that did not deliver its chunk.
@@ -202,6 +204,9 @@
 	RetryMillis int64 `msgpack:"r"`
 	// Peers are addresses of agents that hold chunks, for use without a tracker.
 	Peers []string `msgpack:"p"`
+	// Sequence is that of the last Announce on the connection. Assignments are
+	// also pushed, so only this shows that announcements arrive.
+	Sequence uint64 `msgpack:"q"`
 }
 
 // ManifestFetch asks for an encoded manifest.
