--- a/entry/tracker/service.go
+++ b/entry/tracker/service.go
@@ -129,6 +129,10 @@
 
 func (s *Service) announce(c *Session, a *wire.Announce) []outgoing {
 	v := s.version(a.Manifest)
+	if old, ok := v.members[c.identity.Address]; ok && old != c && v.tracker != nil {
+		// What was granted over the earlier connection may not have arrived.
+		v.tracker.Lost(c.identity.Address)
+	}
 	v.members[c.identity.Address] = c
 	c.sequence = a.Sequence
 	if v.tracker == nil {
--- a/lib/distribute/downloader_config.go
+++ b/lib/distribute/downloader_config.go
@@ -46,7 +46,7 @@
 	defaultTo(&c.AnnounceEvery, 20*time.Millisecond)
 	defaultTo(&c.Heartbeat, time.Second)
 	defaultTo(&c.TrackerSilence, time.Second)
-	defaultTo(&c.MinStall, 300*time.Millisecond)
+	defaultTo(&c.MinStall, 500*time.Millisecond)
 	defaultTo(&c.MaxStall, 3*time.Second)
 	defaultTo(&c.OriginStep, 2*time.Second)
 	defaultTo(&c.SoloCopies, 1.1)
--- a/lib/distribute/tracker.go
+++ b/lib/distribute/tracker.go
@@ -130,10 +130,10 @@
 			p.bad[g.chunk] = address
 		}
 	case f.Busy:
-		p.blocked[address] = now.Add(t.cfg.Retry)
+		p.block(now, address, t.cfg.Retry)
 	default:
 		n.Stalled = append(n.Stalled, address)
-		p.blocked[address] = now.Add(t.cfg.AvoidFor)
+		p.block(now, address, t.cfg.AvoidFor)
 	}
 }
 
@@ -158,26 +158,43 @@
 
 func (t *Tracker) arrived(now time.Time, p *peer, chunk int, n *Notice) {
 	delete(p.bad, chunk)
-	for _, number := range slices.Clone(p.active[chunk]) {
-		g := t.grants[number]
-		t.times(g).add(now.Sub(g.issued))
-		if g.from != nil {
-			g.from.delivered()
-		}
-		if g.remote != nil {
-			t.lastRemote = now
+	var late []*grant
+	for _, number := range sortedKeys(t.overdue) {
+		if g := t.overdue[number]; g.to == p && g.chunk == chunk {
+			late = append(late, g)
+			delete(t.overdue, number)
 		}
+	}
+	active := slices.Clone(p.active[chunk])
+	for _, number := range active {
+		g := t.grants[number]
 		t.release(g)
+		t.delivered(now, g, len(active)+len(late) == 1)
 	}
-	for number, g := range t.overdue {
-		if g.to == p && g.chunk == chunk {
-			t.times(g).add(now.Sub(g.issued)) // the next grants get more time
-			delete(t.overdue, number)
+	if len(active) == 0 {
+		for _, g := range late {
 			n.Outdated++
+			t.delivered(now, g, len(late) == 1) // the next grants get more time
 		}
 	}
 }
 
+// delivered notes that a grant's chunk has arrived. With several grants for one
+// chunk it is not known which of them delivered, so nothing is learnt.
+func (t *Tracker) delivered(now time.Time, g *grant, only bool) {
+	if !only {
+		return
+	}
+	t.times(g).add(now.Sub(g.issued))
+	delete(g.to.blocked, g.sourceAddress())
+	if g.from != nil {
+		g.from.delivered()
+	}
+	if g.remote != nil {
+		t.lastRemote = now
+	}
+}
+
 // Lost forgets an agent: grants to it are free at once, and so are the slots of
 // grants that name it as source; their holders report the failure.
 func (t *Tracker) Lost(address string) {
--- a/lib/distribute/tracker_config.go
+++ b/lib/distribute/tracker_config.go
@@ -60,7 +60,7 @@
 	defaultTo(&c.OriginStreams, 3)
 	defaultTo(&c.RemoteStreams, 4)
 	defaultTo(&c.GrantTimeout, 5*time.Second)
-	defaultTo(&c.MinGrant, 500*time.Millisecond)
+	defaultTo(&c.MinGrant, time.Second)
 	defaultTo(&c.MaxGrant, time.Minute)
 	defaultTo(&c.Retry, 250*time.Millisecond)
 	defaultTo(&c.AvoidFor, 10*time.Second)
--- a/lib/distribute/tracker_grant.go
+++ b/lib/distribute/tracker_grant.go
@@ -98,7 +98,7 @@
 		t.release(g)
 		t.stats.Expired++
 		t.overdue[g.number] = g
-		g.to.blocked[g.sourceAddress()] = now.Add(t.cfg.AvoidFor)
+		g.to.block(now, g.sourceAddress(), t.cfg.AvoidFor)
 	}
 	for number, g := range t.overdue {
 		if now.Sub(g.deadline) > t.cfg.AvoidFor {
--- a/lib/distribute/tracker_peer.go
+++ b/lib/distribute/tracker_peer.go
@@ -37,6 +37,25 @@
 
 func (s *source) usable(now time.Time) bool { return !now.Before(s.avoidedUntil) }
 
+// firstBlock is how long a source is left out after its first failure. A busy
+// machine causes failures too, so only repeated ones count for long.
+const firstBlock = time.Second
+
+// block is a source that failed for one agent.
+type block struct {
+	until time.Time
+	wait  time.Duration
+}
+
+// block leaves a source out for this agent. The time doubles up to most with
+// each failure in a row.
+func (p *peer) block(now time.Time, address string, most time.Duration) {
+	b := p.blocked[address]
+	b.wait = min(max(2*b.wait, firstBlock), most)
+	b.until = now.Add(b.wait)
+	p.blocked[address] = b
+}
+
 // peer is an agent of the tracker's failure domain.
 type peer struct {
 	source
@@ -52,7 +71,7 @@
 	origin int
 	// blocked holds sources that failed for this agent, such as one behind a
 	// stalled link, until the time at which they may be tried again.
-	blocked map[string]time.Time
+	blocked map[string]block
 	// bad holds the last source that sent a corrupt copy of a chunk.
 	bad map[int]string
 }
@@ -62,7 +81,7 @@
 		source:     source{address: address, have: weights.NewBitmap(chunks)},
 		generation: generation,
 		active:     make(map[int][]uint64),
-		blocked:    make(map[string]time.Time),
+		blocked:    make(map[string]block),
 		bad:        make(map[int]string),
 	}
 }
@@ -73,7 +92,7 @@
 
 // accepts reports whether the agent may take a chunk from a source.
 func (p *peer) accepts(now time.Time, address string, chunk int) bool {
-	if until, ok := p.blocked[address]; ok && now.Before(until) {
+	if now.Before(p.blocked[address].until) {
 		return false
 	}
 	bad, ok := p.bad[chunk]
--- a/lib/distribute/tracker_remote.go
+++ b/lib/distribute/tracker_remote.go
@@ -65,8 +65,9 @@
 				best, gain = i, g
 			}
 		}
-		if gain == 0 && len(s.Holders) >= 2 {
-			break
+		if gain == 0 {
+			// The rest are spares, for sources behind a stalled link.
+			best = t.cfg.Rand.Intn(len(left))
 		}
 		p := left[best]
 		left = append(left[:best], left[best+1:]...)
--- a/lib/distribute/tracker_schedule.go
+++ b/lib/distribute/tracker_schedule.go
@@ -77,9 +77,44 @@
 	if g := t.rarest(now, p); g != nil {
 		return g
 	}
+	if g := t.stranded(now, p); g != nil {
+		return g
+	}
 	return t.endgame(now, p)
 }
 
+// stranded grants a chunk whose local holders all failed for this agent, as
+// behind stalled links, from another tracker's agents or the origin.
+func (t *Tracker) stranded(now time.Time, p *peer) *grant {
+	if len(p.blocked) == 0 && len(p.bad) == 0 {
+		return nil
+	}
+	open := t.openRemote(now)
+	for _, chunk := range t.order {
+		if t.holders[chunk] == 0 || !p.needs(chunk) || t.reachable(now, p, chunk) {
+			continue
+		}
+		if s, region := t.remoteSource(now, open, p, chunk); s != nil {
+			return t.issue(now, p, chunk, s, region)
+		}
+		if t.originActive < t.cfg.OriginStreams && p.accepts(now, Origin, -1) {
+			return t.issue(now, p, chunk, nil, nil)
+		}
+	}
+	return nil
+}
+
+// reachable reports whether an agent accepts a chunk from any local holder, now
+// or when a slot is free.
+func (t *Tracker) reachable(now time.Time, to *peer, chunk int) bool {
+	for _, p := range t.sortedPeers() {
+		if p != to && p.have.Get(chunk) && to.accepts(now, p.address, chunk) {
+			return true
+		}
+	}
+	return false
+}
+
 // freshFor grants a chunk that no agent of the failure domain holds or is
 // fetching. Origin fetches go by rank, remote ones in the opposite direction,
 // so that they don't compete.
