--- a/entry/entry.go
+++ b/entry/entry.go
@@ -175,7 +175,9 @@
 		_ = e.trackers.Serve(conn, peer)
 		return
 	}
-	e.fleet.ServePeer(conn, peer, func(m wire.Message) { e.trackers.Handle(peer.Identity, m) })
+	session := e.trackers.Attach(peer, conn)
+	defer session.Detach()
+	e.fleet.ServePeer(conn, peer, func(m wire.Message) { session.Handle(m) })
 }
 
 func (e *Entry) tick(ctx context.Context) {
