--- /dev/null
+++ b/internal/tabletest/table.go
@@ -0,0 +1,150 @@
+// Package tabletest is an in-memory platform.TableService for tests, with the
+// faults that the platform's one has: outages, replies lost before or after the
+// write took effect, and writes that take effect late.
+package tabletest
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/auburnbend/auburnbend/lib/platform"
+)
+
+// Fault is what happens to one call.
+type Fault uint8
+
+const (
+	// None answers as the platform does on a good day.
+	None Fault = iota
+	// Down refuses a write as not applied and leaves a read unanswered.
+	Down
+	// LostBefore loses a write before it takes effect.
+	LostBefore
+	// LostAfter loses the reply of a write that took effect.
+	LostAfter
+	// Late loses the reply; the write takes effect at the next Land, if its
+	// conditions hold then.
+	Late
+)
+
+// Table is the table service. It is safe for concurrent use.
+type Table struct {
+	// Fault, when set, says what happens to each call.
+	Fault func(write bool) Fault
+
+	mu      sync.Mutex
+	rows    map[string]platform.Row
+	version uint64
+	late    []platform.Transaction
+	commits int
+}
+
+// New returns an empty table service.
+func New() *Table { return &Table{rows: make(map[string]platform.Row)} }
+
+func id(table, key string) string { return table + "\x00" + key }
+
+func (t *Table) fault(write bool) Fault {
+	if t.Fault == nil {
+		return None
+	}
+	return t.Fault(write)
+}
+
+// Get returns a row.
+func (t *Table) Get(_ context.Context, table, key string) (platform.Row, error) {
+	if t.fault(false) != None {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row, ok := t.rows[id(table, key)]
+	if !ok {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+// Scan returns rows in key order.
+func (t *Table) Scan(_ context.Context, table, prefix, after string, limit int) ([]platform.Row, error) {
+	if t.fault(false) != None {
+		return nil, platform.ErrUnavailable
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var rows []platform.Row
+	for _, row := range t.rows {
+		if row.Table == table && strings.HasPrefix(row.Key, prefix) && row.Key > after {
+			rows = append(rows, row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	return rows[:min(limit, len(rows))], nil
+}
+
+// Commit applies all writes or none.
+func (t *Table) Commit(_ context.Context, tx platform.Transaction) error {
+	f := t.fault(true)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.commits++
+	switch f {
+	case Down:
+		return platform.ErrNotApplied
+	case LostBefore:
+		return platform.ErrUnknown
+	case LostAfter:
+		_ = t.apply(tx)
+		return platform.ErrUnknown
+	case Late:
+		t.late = append(t.late, tx)
+		return platform.ErrUnknown
+	default:
+		return t.apply(tx)
+	}
+}
+
+// Land lets all late writes take effect.
+func (t *Table) Land() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, tx := range t.late {
+		_ = t.apply(tx)
+	}
+	t.late = nil
+}
+
+// Commits returns the number of transactions so far, whatever their outcome.
+func (t *Table) Commits() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.commits
+}
+
+// Rows returns the number of rows.
+func (t *Table) Rows() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.rows)
+}
+
+func (t *Table) apply(tx platform.Transaction) error {
+	for i, w := range tx.Writes {
+		row, exists := t.rows[id(w.Table, w.Key)]
+		if w.Condition == platform.IfAbsent && exists ||
+			w.Condition == platform.IfVersion && (!exists || row.Version != w.Version) {
+			return &platform.ConflictError{Index: i}
+		}
+	}
+	for _, w := range tx.Writes {
+		if w.Delete {
+			delete(t.rows, id(w.Table, w.Key))
+			continue
+		}
+		t.version++
+		t.rows[id(w.Table, w.Key)] = platform.Row{Table: w.Table, Key: w.Key, Version: t.version, Value: w.Value}
+	}
+	return nil
+}
--- a/lib/claim/answer.go
+++ b/lib/claim/answer.go
@@ -51,9 +51,10 @@
 	Outcome    outcome.Outcome
 	Reason     outcome.Reason
 	RetryAfter time.Duration
-	// Proof is set for StatusAbandoned. A caller that sends it with the same key
-	// is not held up by the row that the abandoned attempt may have left.
-	Proof model.AttemptID
+	// Proofs is set for StatusAbandoned: this attempt, after those that the
+	// caller presented. A caller that sends them with the same key is not held up
+	// by the row that one of these attempts may have left.
+	Proofs []model.AttemptID
 }
 
 func (l *Ledger) answer(s Status) Answer {
--- a/lib/claim/claim.go
+++ b/lib/claim/claim.go
@@ -16,9 +16,9 @@
 //   - Sweep replaces the row by a released one, or inserts a released row where
 //     there is none, so that the delayed write fails.
 //   - The same entry writes over the row when it is asked again before that.
-//   - Answer.Proof is handed to the caller. A caller that presents it at any
-//     entry may write over the row, even when the first entry is gone. Attempt
-//     ids are random and shown to callers in this case only.
+//   - Answer.Proofs is handed to the caller. A caller that presents all that it
+//     was given under the key may write over the row, even when the first entry
+//     is gone. Attempt ids are random and shown to callers in this case only.
 //
 // When the entry dies before its sweep and the caller presents no proof, the
 // key answers unknown until the retention ends.
--- a/lib/claim/claiming.go
+++ b/lib/claim/claiming.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/platform"
 )
 
+// maxProofs bounds the proofs that a caller carries for one key.
+const maxProofs = 8
+
 // claiming is one Claim in progress.
 type claiming struct {
 	ledger *Ledger
@@ -93,7 +97,7 @@
 	case r.olderThan(t.now, t.ledger.config.Retention), r.Phase == phaseReleased:
 		return true
 	case r.Phase == phaseClaimed:
-		return r.Attempt == t.in.Proof && t.in.Proof != "" || t.ledger.pending.releases(t.key, r.Attempt)
+		return slices.Contains(t.in.Proofs, r.Attempt) || t.ledger.pending.releases(t.key, r.Attempt)
 	default:
 		return false
 	}
@@ -122,7 +126,8 @@
 	case t.uncertain:
 		t.dropUncertain()
 		a := t.ledger.answer(StatusAbandoned)
-		a.Proof = t.in.Attempt
+		a.Proofs = append(slices.Clone(t.in.Proofs), t.in.Attempt)
+		a.Proofs = a.Proofs[max(0, len(a.Proofs)-maxProofs):]
 		return a
 	case t.foreign:
 		return t.ledger.answer(StatusUnknown)
--- a/lib/claim/intent.go
+++ b/lib/claim/intent.go
@@ -8,6 +8,6 @@
 	// stays the claim's id when a proved not-run attempt is followed by others.
 	Attempt     model.AttemptID
 	Fingerprint model.Fingerprint
-	// Proof is what the caller presents from an earlier Answer, or empty.
-	Proof model.AttemptID
+	// Proofs is what the caller presents from the last Answer under this key.
+	Proofs []model.AttemptID
 }
