--- /dev/null
+++ b/lib/claim/batcher_test.go
@@ -0,0 +1,119 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/internal/tabletest"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/platform"
+)
+
+// never is a delay that does not end.
+func never(time.Duration) <-chan time.Time { return nil }
+
+func writeAll(b *Batcher, writes []platform.Write) []error {
+	errs := make([]error, len(writes))
+	var wg sync.WaitGroup
+	for i, w := range writes {
+		wg.Go(func() { errs[i] = b.Write(context.Background(), w) })
+	}
+	wg.Wait()
+	return errs
+}
+
+func inserts(n int) (out []platform.Write) {
+	for i := range n {
+		out = append(out, platform.Write{Table: Table, Key: fmt.Sprint(i), Condition: platform.IfAbsent})
+	}
+	return out
+}
+
+var _ = Describe("Batcher", func() {
+	// Guards against one caller's conflict that fails the claims of others.
+	It("fails a conflicting write alone", func() {
+		table := tabletest.New()
+		taken := inserts(8)[3]
+		Expect(table.Commit(context.Background(), platform.Transaction{Writes: []platform.Write{taken}})).To(Succeed())
+		errs := writeAll(NewBatcher(BatcherConfig{Size: 8, After: never}, table), inserts(8))
+		for i, err := range errs {
+			if i == 3 {
+				Expect(isConflict(err)).To(BeTrue())
+			} else {
+				Expect(err).NotTo(HaveOccurred())
+			}
+		}
+		Expect(table.Commits()).To(Equal(1 + 2))
+	})
+
+	It("tells every writer of a lost reply", func() {
+		table := tabletest.New()
+		table.Fault = func(bool) tabletest.Fault { return tabletest.LostAfter }
+		for _, err := range writeAll(NewBatcher(BatcherConfig{Size: 4, After: never}, table), inserts(4)) {
+			Expect(err).To(MatchError(platform.ErrUnknown))
+		}
+	})
+
+	It("keeps two writes of a row apart and lets one win", func() {
+		table := tabletest.New()
+		b := NewBatcher(BatcherConfig{Size: 8, Delay: time.Millisecond}, table)
+		errs := writeAll(b, append(inserts(1), inserts(1)...))
+		Expect(errs).To(ContainElement(BeNil()))
+		Expect(errs).To(ContainElement(Satisfy(isConflict)))
+	})
+
+	// Guards against a withdrawn request that takes the group down with it.
+	It("commits for the others when the leader's context ends", func() {
+		table := tabletest.New()
+		b := NewBatcher(BatcherConfig{Size: 2, After: never}, table)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		w := inserts(2)
+		done := make(chan error)
+		go func() { done <- b.Write(ctx, w[0]) }()
+		Expect(b.Write(context.Background(), w[1])).To(Succeed())
+		<-done
+		Expect(table.Rows()).To(Equal(2))
+	})
+})
+
+// BenchmarkClaim is one claim and its result, with and without grouping.
+func BenchmarkClaim(b *testing.B) {
+	now := time.Now()
+	body := make([]byte, 200)
+	run := func(b *testing.B, writer func(*tabletest.Table) Writer) {
+		table := tabletest.New()
+		l := New(Config{}, table, writer(table))
+		var n int64
+		var mu sync.Mutex
+		b.ReportAllocs()
+		b.SetParallelism(32)
+		b.RunParallel(func(pb *testing.PB) {
+			for pb.Next() {
+				mu.Lock()
+				n++
+				id := fmt.Sprint(n)
+				mu.Unlock()
+				key := Key{Service: "orders", Tenant: "t", Idempotency: id}
+				a := l.Claim(context.Background(), now, key, Intent{Attempt: model.AttemptID(id)})
+				if a.Status != StatusHeld {
+					b.Error(a.Status)
+				}
+				if err := l.Complete(context.Background(), now, key, model.AttemptID(id), Result{Body: body}); err != nil {
+					b.Error(err)
+				}
+			}
+		})
+		b.ReportMetric(float64(table.Commits())/float64(n), "transactions/op")
+	}
+	b.Run("single", func(b *testing.B) { run(b, func(*tabletest.Table) Writer { return nil }) })
+	b.Run("batched", func(b *testing.B) {
+		run(b, func(t *tabletest.Table) Writer { return NewBatcher(BatcherConfig{Delay: time.Millisecond}, t) })
+	})
+}
--- /dev/null
+++ b/lib/claim/ledger_test.go
@@ -0,0 +1,177 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/internal/tabletest"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/outcome"
+)
+
+var _ = Describe("Ledger", func() {
+	ctx := context.Background()
+	now := time.Unix(1_800_000_000, 0)
+	key := Key{Service: "orders", Tenant: "umurage", Idempotency: "k"}
+	result := Result{Outcome: outcome.Completed, Status: 201, Body: []byte("order 17")}
+	var table *tabletest.Table
+	var faults []tabletest.Fault // of the next writes
+	var readsFail bool
+	open := func() *Ledger { return New(Config{Tries: 2, Pause: func(context.Context) {}}, table, nil) }
+	intent := func(id model.AttemptID, proofs ...model.AttemptID) Intent { return Intent{Attempt: id, Proofs: proofs} }
+
+	BeforeEach(func() {
+		table, faults, readsFail = tabletest.New(), nil, false
+		table.Fault = func(write bool) tabletest.Fault {
+			if !write && readsFail {
+				return tabletest.Down
+			}
+			if !write || len(faults) == 0 {
+				return tabletest.None
+			}
+			f := faults[0]
+			faults = faults[1:]
+			return f
+		}
+	})
+
+	// Guards against a second run when a caller asks again.
+	It("answers a second claim with what the first came to", func() {
+		l := open()
+		Expect(l.Claim(ctx, now, key, intent("a1")).Status).To(Equal(StatusHeld))
+		Expect(open().Claim(ctx, now, key, intent("a2")).Status).To(Equal(StatusNoResult))
+		Expect(l.Complete(ctx, now, key, "a1", result)).To(Succeed())
+		Expect(open().Claim(ctx, now, key, intent("a3")).Result).To(Equal(&result))
+		Expect(open().Lookup(ctx, now, key).Result).To(Equal(&result))
+		other := Intent{Attempt: "a4", Fingerprint: model.FingerprintOf("t", "s", []byte("other"))}
+		Expect(open().Claim(ctx, now, key, other).Status).To(Equal(StatusKeyReused))
+	})
+
+	// Guards against a claim that is taken for lost although it was written.
+	DescribeTable("resolves a lost reply by reading back", func(f tabletest.Fault) {
+		faults = []tabletest.Fault{f}
+		Expect(open().Claim(ctx, now, key, intent("a1")).Status).To(Equal(StatusHeld))
+		table.Land()
+		Expect(open().Claim(ctx, now, key, intent("a2")).Status).To(Equal(StatusNoResult))
+	},
+		Entry("after the write", tabletest.LostAfter),
+		Entry("before the write", tabletest.LostBefore),
+		Entry("and the write lands late", tabletest.Late),
+	)
+
+	It("is not run when the store certainly has no claim", func() {
+		faults = []tabletest.Fault{tabletest.Down, tabletest.Down}
+		a := open().Claim(ctx, now, key, intent("a1"))
+		Expect(a.Status).To(Equal(StatusNotRun))
+		Expect(a.Outcome).To(Equal(outcome.NotRun))
+		Expect(a.RetryAfter).To(BeNumerically(">", 0))
+	})
+
+	It("is unknown when another attempt's row exists and cannot be read", func() {
+		open().Claim(ctx, now, key, intent("a1"))
+		readsFail = true
+		Expect(open().Claim(ctx, now, key, intent("a2")).Outcome).To(Equal(outcome.Unknown))
+	})
+
+	// Guards against a key that is refused for ever after its caller was told
+	// not_run, in each of the ways that the package comment names.
+	Describe("after an abandoned claim", func() {
+		var first *Ledger
+		abandon := func(f tabletest.Fault) {
+			first = open()
+			readsFail, faults = true, []tabletest.Fault{f, f}
+			a := first.Claim(ctx, now, key, intent("a1"))
+			Expect(a.Status).To(Equal(StatusAbandoned))
+			Expect(a.Proofs).To(Equal([]model.AttemptID{"a1"}))
+			readsFail = false
+		}
+		DescribeTable("the sweep frees the key", func(f tabletest.Fault) {
+			abandon(f)
+			Expect(first.Sweep(ctx, 10)).To(BeZero())
+			table.Land()
+			Expect(open().Claim(ctx, now, key, intent("a2")).Status).To(Equal(StatusHeld))
+		},
+			Entry("when the row exists", tabletest.LostAfter),
+			Entry("when it does not", tabletest.LostBefore),
+			Entry("when it appears after the sweep", tabletest.Late),
+		)
+		It("the same entry writes over the row", func() {
+			abandon(tabletest.LostAfter)
+			Expect(first.Claim(ctx, now, key, intent("a2")).Status).To(Equal(StatusHeld))
+			Expect(first.Sweep(ctx, 10)).To(BeZero())
+			Expect(open().Claim(ctx, now, key, intent("a3")).Status).To(Equal(StatusNoResult))
+		})
+		It("the caller's proof frees the key when the entry is gone", func() {
+			abandon(tabletest.LostAfter)
+			Expect(open().Claim(ctx, now, key, intent("a2")).Status).To(Equal(StatusNoResult))
+			Expect(open().Claim(ctx, now, key, intent("a3", "a1")).Status).To(Equal(StatusHeld))
+		})
+	})
+
+	// Guards against a release or a result of one attempt that hits another's row.
+	It("fences releases and results by the attempt id", func() {
+		l := open()
+		l.Claim(ctx, now, key, intent("a1"))
+		Expect(l.Release(ctx, now, key, "a0")).To(MatchError(ErrFenced))
+		Expect(l.Release(ctx, now, key, "a1")).To(Succeed())
+		Expect(l.Claim(ctx, now, key, intent("a2")).Status).To(Equal(StatusHeld))
+		Expect(l.Release(ctx, now, key, "a1")).To(MatchError(ErrFenced))
+		Expect(l.Complete(ctx, now, key, "a1", result)).To(MatchError(ErrFenced))
+		Expect(l.Complete(ctx, now, key, "a2", result)).To(Succeed())
+		Expect(l.Release(ctx, now, key, "a2")).To(MatchError(ErrFenced))
+	})
+
+	// Guards against a result that is lost in an outage.
+	It("keeps a result until the store takes it", func() {
+		l := open()
+		l.Claim(ctx, now, key, intent("a1"))
+		readsFail = true
+		Expect(l.Complete(ctx, now, key, "a1", result)).To(MatchError(ErrPending))
+		Expect(l.Sweep(ctx, 10)).To(Equal(1))
+		readsFail, faults = false, []tabletest.Fault{tabletest.LostAfter}
+		l.Sweep(ctx, 10)
+		Expect(l.Sweep(ctx, 10)).To(BeZero())
+		Expect(open().Claim(ctx, now, key, intent("a2")).Result).To(Equal(&result))
+	})
+
+	It("makes no claim without room to remember it", func() {
+		l := New(Config{Tries: 1, MaxPending: 2}, table, nil)
+		readsFail, faults = true, []tabletest.Fault{tabletest.LostBefore}
+		Expect(l.Claim(ctx, now, key, intent("a1")).Status).To(Equal(StatusAbandoned))
+		commits := table.Commits()
+		Expect(l.Claim(ctx, now, Key{Idempotency: "other"}, intent("a2")).Status).To(Equal(StatusNotRun))
+		Expect(table.Commits()).To(Equal(commits))
+	})
+
+	It("treats a key as new after the retention, and prunes later", func() {
+		l := open()
+		l.Claim(ctx, now, key, intent("a1"))
+		later := now.Add(24*time.Hour + time.Minute)
+		_, deleted, err := l.Prune(ctx, later, "", 100)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(deleted).To(BeZero())
+		Expect(l.Claim(ctx, later, key, intent("a2")).Status).To(Equal(StatusHeld))
+		next, deleted, err := l.Prune(ctx, later.Add(25*time.Hour), "", 1)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(deleted).To(Equal(1))
+		Expect(next).NotTo(BeEmpty())
+		Expect(table.Rows()).To(BeZero())
+	})
+
+	It("keeps the outcome and omits a body that is too large", func() {
+		l := New(Config{MaxResult: 4}, table, nil)
+		l.Claim(ctx, now, key, intent("a1"))
+		Expect(l.Complete(ctx, now, key, "a1", result)).To(Succeed())
+		got := l.Lookup(ctx, now, key).Result
+		Expect(got.BodyOmitted).To(BeTrue())
+		Expect(got.Outcome).To(Equal(outcome.Completed))
+	})
+
+	It("takes an error that says nothing for a lost reply", func() {
+		Expect(classify(errors.New("reset"))).To(MatchError(ContainSubstring("unknown")))
+	})
+})
