lib/poison: hold after a lost attempt, settle quarantines; measure poison

Cause: the simulation showed a third lost backend server, because a retry left before the crash report arrived, and innocents held to be guilty: two entries put two suspects on one instance at the same time, and a cleared crash was counted while the update was on its way. Change: a fingerprint whose attempt was just lost waits for Settle; quarantine waits for Settle after the last crash; RequestStart.Suspect lets the agent refuse a second suspect. internal/measure/poison simulates entries, agents and callers.

--- a/agent/gate/core.go
+++ b/agent/gate/core.go
@@ -91,6 +91,7 @@
 		attempt:    start.Attempt,
 		finger:     start.Finger,
 		repeatable: start.Repeatable,
+		suspect:    start.Suspect,
 		deadline:   now.Add(time.Duration(start.Remaining) * time.Millisecond),
 		hash:       blake3.New(),
 		running:    true,
@@ -109,6 +110,9 @@
 		return outcome.ReasonWeightsMismatch, 0
 	case c.quarantine != nil && c.quarantine.Quarantined(now, start.Finger):
 		return outcome.ReasonQuarantined, 0
+	case start.Suspect && c.runsSuspect():
+		// Entries may pick the same instance for two suspects at the same time.
+		return outcome.ReasonOverloaded, c.config.RetryAfter
 	case c.running >= c.config.Capacity || c.window.full():
 		return outcome.ReasonOverloaded, c.config.RetryAfter
 	default:
@@ -116,6 +120,15 @@
 	}
 }
 
+func (c *Core) runsSuspect() bool {
+	for _, r := range c.records {
+		if r.running && r.suspect {
+			return true
+		}
+	}
+	return false
+}
+
 func refusal(attempt model.AttemptID, reason outcome.Reason, retryAfter time.Duration) Admission {
 	return Admission{Decision: Refuse, Refusal: &wire.RequestRefused{
 		Attempt: attempt, Reason: reason, RetryAfterMillis: retryAfter.Milliseconds(),
--- a/agent/gate/record.go
+++ b/agent/gate/record.go
@@ -15,6 +15,7 @@
 	attempt    model.AttemptID
 	finger     model.Fingerprint
 	repeatable bool
+	suspect    bool
 	deadline   time.Time
 
 	replay  replay
--- /dev/null
+++ b/internal/measure/poison/simulate.go
@@ -0,0 +1,229 @@
+package poison
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/outcome"
+	"github.com/auburnbend/auburnbend/lib/poison"
+	"github.com/auburnbend/auburnbend/lib/wire"
+)
+
+// simulation is one run in simulated time.
+type simulation struct {
+	Params
+	rng     *rand.Rand
+	now     time.Time
+	start   time.Time
+	queue   schedule
+	entries []*poison.Monitor
+	agents  []*server
+	result  Result
+}
+
+// server is one backend server with its agent.
+type server struct {
+	id          model.InstanceID
+	incarnation uint64
+	down        bool
+	running     map[*request]int // value: entry
+	entries     []int            // that the agent is connected to, besides dispatchers
+}
+
+// request is one sending of a request.
+type request struct {
+	finger  model.Fingerprint
+	poison  bool
+	suspect bool // of the current dispatch
+	begun   time.Time
+	retries int
+	done    func(outcome.Outcome)
+}
+
+// runsSuspect is the check of the agent's gate.
+func (a *server) runsSuspect() bool {
+	for r := range a.running {
+		if r.suspect {
+			return true
+		}
+	}
+	return false
+}
+
+// Simulate runs one simulation.
+func Simulate(p Params) Result {
+	s := &simulation{Params: p, rng: rand.New(rand.NewPCG(p.Seed, 0)), start: time.Unix(1_800_000_000, 0)}
+	s.now = s.start
+	for i := range p.Entries {
+		s.entries = append(s.entries, poison.New(poison.Config{Settle: p.Settle}, model.InstanceID(fmt.Sprintf("entry-%d", i)), model.Generation(i+1)))
+	}
+	for i := range p.Agents {
+		a := &server{id: model.InstanceID(fmt.Sprintf("agent-%d", i)), running: make(map[*request]int)}
+		a.entries = []int{s.rng.IntN(p.Entries), s.rng.IntN(p.Entries)}
+		s.agents = append(s.agents, a)
+	}
+	s.after(0, s.innocent)
+	s.after(time.Second, func() {
+		for range max(p.Callers, 1) {
+			s.sendPoison(p.Sends)
+		}
+	})
+	for s.queue.Len() > 0 {
+		e := s.queue.next()
+		if e.at.Sub(s.start) > duration {
+			break
+		}
+		s.now = e.at
+		e.do()
+	}
+	return s.result
+}
+
+func (s *simulation) after(d time.Duration, do func()) { s.queue.add(s.now.Add(d), do) }
+
+func (s *simulation) upTo(d time.Duration) time.Duration {
+	return time.Duration(s.rng.Int64N(int64(d))) + 1
+}
+
+func (s *simulation) innocent() {
+	if s.now.Sub(s.start) < duration-giveUpAfter-innocentRun {
+		s.after(s.upTo(2*innocentEvery), s.innocent)
+	}
+	body := fmt.Appendf(nil, "content %d", s.rng.IntN(contents))
+	s.result.Innocents++
+	r := &request{finger: model.FingerprintOf("t", "s", body), begun: s.now}
+	r.done = func(o outcome.Outcome) {
+		if o == outcome.Completed {
+			s.result.Answered++
+			s.result.MaxDelay = max(s.result.MaxDelay, s.now.Sub(r.begun))
+		}
+	}
+	s.try(s.rng.IntN(s.Entries), r)
+}
+
+// sendPoison is a caller that sends its request again as soon as it has the
+// answer to the last sending.
+func (s *simulation) sendPoison(left int) {
+	if left == 0 {
+		return
+	}
+	r := &request{finger: model.FingerprintOf("t", "s", []byte("poison")), poison: true, begun: s.now}
+	r.done = func(outcome.Outcome) { s.after(s.upTo(2*latency), func() { s.sendPoison(left - 1) }) }
+	s.try(s.rng.IntN(s.Entries), r)
+}
+
+// try dispatches a request at an entry, or asks again when it is held.
+func (s *simulation) try(entry int, r *request) {
+	if s.now.Sub(r.begun) > giveUpAfter {
+		s.broadcast(entry, s.entries[entry].Withdraw(s.now, r.finger))
+		r.done(outcome.NotRun)
+		return
+	}
+	for _, i := range s.rng.Perm(len(s.agents)) {
+		a := s.agents[i]
+		if a.down || len(a.running) >= slots {
+			continue
+		}
+		v := poison.Verdict{}
+		if !s.Plain {
+			v = s.entries[entry].Verdict(s.now, r.finger, a.id)
+			s.broadcast(entry, v.Update)
+		}
+		switch v.Decision {
+		case poison.Run, poison.RunAlone:
+			r.suspect = v.Decision == poison.RunAlone
+			s.dispatch(entry, a, r)
+			return
+		case poison.Hold:
+			s.queue.add(v.Until, func() { s.try(entry, r) })
+			return
+		case poison.Quarantined:
+			if !r.poison {
+				s.result.Quarantined++
+			}
+			r.done(outcome.NotRun)
+			return
+		}
+	}
+	s.after(latency, func() { s.try(entry, r) })
+}
+
+func (s *simulation) dispatch(entry int, a *server, r *request) {
+	s.broadcast(entry, s.entries[entry].Started(s.now, r.finger, a.id))
+	if r.suspect && a.runsSuspect() {
+		s.after(s.upTo(2*latency), func() { s.finish(entry, a, r, outcome.NotRun) })
+		return
+	}
+	a.running[r] = entry
+	if r.poison && !r.suspect {
+		s.result.Unsuspected++
+	}
+	incarnation := a.incarnation
+	if r.poison {
+		s.after(s.upTo(crashAfter), func() {
+			if _, running := a.running[r]; running && a.incarnation == incarnation {
+				s.result.Lost++
+				s.crash(a)
+			}
+		})
+		return
+	}
+	s.after(s.upTo(innocentRun), func() {
+		if _, running := a.running[r]; running && a.incarnation == incarnation {
+			delete(a.running, r)
+			s.after(s.upTo(latency), func() { s.finish(entry, a, r, outcome.Completed) })
+		}
+	})
+}
+
+// crash ends everything on a backend server. Each entry hears of the end of its
+// attempts and of the crash itself in any order.
+func (s *simulation) crash(a *server) {
+	report := wire.CrashReport{Incarnation: a.incarnation}
+	entries := make(map[int]bool)
+	for _, e := range a.entries {
+		entries[e] = true
+	}
+	for r, entry := range a.running {
+		report.InFlight = append(report.InFlight, r.finger)
+		entries[entry] = true
+		s.after(s.upTo(latency), func() { s.finish(entry, a, r, outcome.Unknown) })
+	}
+	for e := range s.Entries {
+		if entries[e] && !s.Plain {
+			s.after(s.upTo(latency), func() { s.broadcast(e, s.entries[e].Crashed(s.now, a.id, 1, report)) })
+		}
+	}
+	a.running = make(map[*request]int)
+	a.incarnation++
+	a.down = true
+	s.after(restartTime, func() { a.down = false })
+}
+
+func (s *simulation) finish(entry int, a *server, r *request, o outcome.Outcome) {
+	s.broadcast(entry, s.entries[entry].Finished(s.now, r.finger, a.id, o))
+	if o == outcome.Completed || s.Plain && r.retries >= plainRetries {
+		r.done(o)
+		return
+	}
+	r.retries++
+	s.try(entry, r)
+}
+
+// broadcast sends an update to all other entries, each after its own latency.
+func (s *simulation) broadcast(from int, update *wire.SuspectUpdate) {
+	if update == nil || s.Plain {
+		return
+	}
+	delay := latency
+	if s.SlowUpdates {
+		delay = s.Settle / 2
+	}
+	for to := range s.entries {
+		if to != from {
+			s.after(s.upTo(delay), func() { s.broadcast(to, s.entries[to].Merge(s.now, *update)) })
+		}
+	}
+}
--- a/lib/poison/decide.go
+++ b/lib/poison/decide.go
@@ -11,12 +11,16 @@
 func (m *Monitor) Verdict(now time.Time, finger model.Fingerprint, instance model.InstanceID) Verdict {
 	s, ok := m.suspects[finger]
 	if !ok {
-		return Verdict{Decision: Run}
+		return m.unsuspected(now, finger)
 	}
 	crashed, last := s.crashed(now, m.config.TTL)
+	settledCrash := s.known.Add(m.config.Settle)
 	switch {
 	case len(crashed) == 0:
-		return Verdict{Decision: Run}
+		return m.unsuspected(now, finger)
+	case len(crashed) >= quarantineCrashes && now.Before(settledCrash):
+		// A peer may have cleared one of the crashes and its update be on its way.
+		return Verdict{Decision: Hold, Until: settledCrash}
 	case len(crashed) >= quarantineCrashes:
 		return Verdict{Decision: Quarantined, Until: last.Add(m.config.TTL)}
 	case contains(crashed, instance) || m.otherSuspectOn(now, finger, instance):
@@ -39,6 +43,16 @@
 	return Verdict{Decision: RunAlone}
 }
 
+// unsuspected decides about a fingerprint without known crashes. One whose
+// attempt was just lost waits for the crash report that may be on its way.
+func (m *Monitor) unsuspected(now time.Time, finger model.Fingerprint) Verdict {
+	f, ok := m.flights[finger]
+	if !ok || !now.Before(f.lastLost.Add(m.config.Settle)) {
+		return Verdict{Decision: Run}
+	}
+	return Verdict{Decision: Hold, Until: f.lastLost.Add(m.config.Settle)}
+}
+
 // Quarantined reports whether the fingerprint must not run on any instance.
 func (m *Monitor) Quarantined(now time.Time, finger model.Fingerprint) bool {
 	s, ok := m.suspects[finger]
@@ -46,7 +60,7 @@
 		return false
 	}
 	crashed, _ := s.crashed(now, m.config.TTL)
-	return len(crashed) >= quarantineCrashes
+	return len(crashed) >= quarantineCrashes && !now.Before(s.known.Add(m.config.Settle))
 }
 
 // inFlight reports whether this or another entry runs the suspect.
--- a/lib/poison/flight.go
+++ b/lib/poison/flight.go
@@ -12,17 +12,20 @@
 	// lost holds instances where an attempt was lost, and until when it counts
 	// as running.
 	lost map[model.InstanceID]time.Time
+	// lastLost is when the last attempt was lost.
+	lastLost time.Time
 }
 
 func newFlight() *flight {
 	return &flight{running: make(map[model.InstanceID]int, 1)}
 }
 
-func (f *flight) lose(instance model.InstanceID, until time.Time) {
+func (f *flight) lose(instance model.InstanceID, now, until time.Time) {
 	if f.lost == nil {
 		f.lost = make(map[model.InstanceID]time.Time, 1)
 	}
 	f.lost[instance] = until
+	f.lastLost = now
 }
 
 func (f *flight) finish(instance model.InstanceID) {
--- a/lib/poison/monitor.go
+++ b/lib/poison/monitor.go
@@ -55,7 +55,7 @@
 			s.intendsSince = time.Time{}
 		}
 	case o == outcome.Unknown && !m.crashKnown(now, s, instance):
-		f.lose(instance, now.Add(m.config.LostHold))
+		f.lose(instance, now, now.Add(m.config.LostHold))
 	}
 	update := m.announceOwn(now, finger)
 	m.dropFlight(now, finger)
--- a/lib/poison/poison.go
+++ b/lib/poison/poison.go
@@ -17,8 +17,8 @@
 //
 // # Guarantee
 //
-// Let d be the number of dispatches of a fingerprint that start before the first
-// crash report reaches their entries. No coordination precedes the first crash,
+// Let d be the number of dispatches of a fingerprint that start before a crash
+// report or the loss of an attempt of their own reaches their entries. No coordination precedes the first crash,
 // so up to d backend servers may be lost to them. As long as updates between
 // live entries arrive within half of Config.Settle, at most max(2, d) backend
 // servers are lost in all. For a caller that waits for its answer before it
--- a/lib/poison/verdict.go
+++ b/lib/poison/verdict.go
@@ -12,7 +12,9 @@
 const (
 	// Run allows it without conditions.
 	Run Decision = iota
-	// RunAlone allows it, as the only suspect on that backend server.
+	// RunAlone allows it, as the only suspect on that backend server. The entry
+	// sets RequestStart.Suspect, so that the agent refuses a second one that
+	// another entry sends at the same time.
 	RunAlone
 	// RunElsewhere means that another instance must be picked: this one runs
 	// another suspect or has crashed with this one.
--- a/lib/wire/messages.go
+++ b/lib/wire/messages.go
@@ -77,6 +77,9 @@
 	// server after a failure that may have run it.
 	Repeatable  bool   `msgpack:"e"`
 	ContentType string `msgpack:"y"`
+	// Suspect says that the request was in flight when a backend server crashed.
+	// The agent runs one suspect at a time.
+	Suspect bool `msgpack:"u"`
 	// IdempotencyKey is passed on to plain services that understand it.
 	IdempotencyKey string `msgpack:"k"`
 	Body           []byte `msgpack:"b"`
