--- /dev/null
+++ b/agent/gate/core_test.go
@@ -0,0 +1,167 @@
+package gate
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/outcome"
+	"github.com/auburnbend/auburnbend/lib/wire"
+)
+
+var (
+	v1 = model.Weights{Base: model.Sum([]byte("v1"))}
+	v2 = model.Weights{Base: model.Sum([]byte("v2"))}
+)
+
+func startOf(id model.AttemptID) *wire.RequestStart {
+	return &wire.RequestStart{Attempt: id, Weights: v1, Remaining: 60_000, Finger: model.FingerprintOf("t", "s", []byte(id))}
+}
+
+type quarantineAll struct{}
+
+func (quarantineAll) Quarantined(time.Time, model.Fingerprint) bool { return true }
+
+var _ = Describe("Core", func() {
+	now := time.Unix(1_800_000_000, 0)
+	var c *Core
+	BeforeEach(func() {
+		c = NewCore(Config{Capacity: 2, ReplayBytes: 10, WindowSize: 64}, nil)
+		c.SetLive([]model.Weights{v1})
+	})
+	reason := func(a Admission) outcome.Reason {
+		if a.Decision != Refuse {
+			return "not refused"
+		}
+		return a.Refusal.Reason
+	}
+
+	It("refuses with the reason that applies", func() {
+		other := startOf("a")
+		other.Weights = v2
+		Expect(reason(c.Admit(now, other))).To(Equal(outcome.ReasonWeightsMismatch))
+		late := startOf("b")
+		late.Remaining = 0
+		Expect(reason(c.Admit(now, late))).To(Equal(outcome.ReasonDeadline))
+		for _, id := range []model.AttemptID{"c", "d"} {
+			Expect(c.Admit(now, startOf(id)).Decision).To(Equal(Admit))
+		}
+		Expect(reason(c.Admit(now, startOf("e")))).To(Equal(outcome.ReasonOverloaded))
+		c.Drain()
+		Expect(reason(c.Admit(now, startOf("f")))).To(Equal(outcome.ReasonDraining))
+		q := NewCore(Config{}, quarantineAll{})
+		q.SetLive([]model.Weights{v1})
+		Expect(reason(q.Admit(now, startOf("g")))).To(Equal(outcome.ReasonQuarantined))
+	})
+
+	// Guards against a run after the refusal that proved there was none, and
+	// against a refusal of an attempt that runs or has run.
+	It("refuses a refused id for good and never answers a duplicate of an admitted one", func() {
+		c.Drain()
+		c.Admit(now, startOf("a"))
+		c.draining = false
+		Expect(reason(c.Admit(now, startOf("a")))).To(Equal(outcome.ReasonDraining))
+		Expect(c.Admit(now, startOf("b")).Decision).To(Equal(Admit))
+		Expect(c.Admit(now, startOf("b")).Decision).To(Equal(Ignore))
+		c.End(now, "b", outcome.Completed, "", 200, "")
+		c.Ack("b", 1)
+		Expect(c.Known("b")).To(BeFalse())
+		Expect(c.Admit(now, startOf("b")).Decision).To(Equal(Ignore))
+		Expect(c.Reattach(now, &wire.Reattach{Attempt: "b"})).To(BeAssignableToTypeOf(&wire.ResponseEnd{}))
+	})
+
+	It("marks ids that it hears of before their start", func() {
+		Expect(c.Reattach(now, &wire.Reattach{Attempt: "a"})).To(BeAssignableToTypeOf(&wire.RequestRefused{}))
+		c.Cancel(now, "b")
+		Expect(reason(c.Admit(now, startOf("a")))).To(Equal(outcome.ReasonConnectionLost))
+		Expect(reason(c.Admit(now, startOf("b")))).To(Equal(outcome.ReasonCanceled))
+	})
+
+	// Guards against a proof that the gate could not keep.
+	It("says nothing when it has no room to remember a refusal", func() {
+		c.Drain()
+		refused := 0
+		for i := range 100 {
+			if c.Admit(now, startOf(model.AttemptID(fmt.Sprint(i)))).Decision == Refuse {
+				refused++
+			}
+		}
+		Expect(refused).To(Equal(64))
+		Expect(reason(c.Admit(now.Add(11*time.Minute), startOf("later")))).To(Equal(outcome.ReasonDraining))
+	})
+
+	It("holds frames back until they are confirmed and replays the rest", func() {
+		c.Admit(now, startOf("a"))
+		Expect(c.Emit(now, "a", []byte("12345678"))).To(BeTrue())
+		Expect(c.Emit(now, "a", []byte("abc"))).To(BeFalse())
+		c.Ack("a", 1)
+		Expect(c.Emit(now, "a", []byte("abc"))).To(BeTrue())
+		Expect(c.Frame("a", 0)).To(HaveField("Outcome", outcome.Unknown), "the frame is gone")
+		Expect(c.Frame("a", 1)).To(HaveField("Data", []byte("abc")))
+		c.End(now, "a", outcome.Completed, "", 200, "text/plain")
+		Expect(c.Frame("a", 2)).To(HaveField("Digest", model.Sum([]byte("12345678abc"))))
+	})
+
+	// Guards against a non-repeatable call that waits for ever, or is cancelled,
+	// because its entry is gone.
+	It("cancels only repeatable attempts whose entry does not come back", func() {
+		repeatable := startOf("a")
+		repeatable.Repeatable = true
+		c.Admit(now, repeatable)
+		c.Admit(now, startOf("b"))
+		c.Detach(now, "a")
+		c.Detach(now, "b")
+		c.Emit(now, "b", []byte("1234567890"))
+		Expect(c.Expire(now.Add(9 * time.Second))).To(BeEmpty())
+		Expect(c.Emit(now.Add(9*time.Second), "b", []byte("x"))).To(BeFalse())
+		Expect(c.Expire(now.Add(10 * time.Second))).To(Equal([]model.AttemptID{"a"}))
+		Expect(c.Emit(now.Add(10*time.Second), "b", []byte("x"))).To(BeTrue())
+		c.End(now, "b", outcome.Completed, "", 200, "")
+		Expect(c.Frame("b", 1)).To(HaveField("Outcome", outcome.Unknown), "the answer is truncated")
+	})
+
+	It("runs one suspect at a time", func() {
+		a, b := startOf("a"), startOf("b")
+		a.Suspect, b.Suspect = true, true
+		Expect(c.Admit(now, a).Decision).To(Equal(Admit))
+		Expect(reason(c.Admit(now, b))).To(Equal(outcome.ReasonOverloaded))
+	})
+
+	// Guards against attempts that end with the backend server and are left out of
+	// the report because it is written later.
+	It("reports what was in flight when the backend server died", func() {
+		c.Admit(now, startOf("a"))
+		c.Admit(now, startOf("b"))
+		c.End(now, "a", outcome.Unknown, outcome.ReasonBackendCrashed, 0, "")
+		Expect(c.Crash(now, 3).InFlight).To(ConsistOf(startOf("a").Finger, startOf("b").Finger))
+		Expect(c.Crash(now, 4).InFlight).To(Equal([]model.Fingerprint{startOf("b").Finger}))
+	})
+})
+
+// BenchmarkAttempt is one admitted attempt with 100 frames of 20 bytes, each
+// confirmed.
+func BenchmarkAttempt(b *testing.B) {
+	c := NewCore(Config{Window: time.Second}, nil)
+	c.SetLive([]model.Weights{v1})
+	now := time.Now()
+	piece := make([]byte, 20)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Millisecond)
+		id := model.AttemptID(fmt.Sprint(i))
+		if c.Admit(now, startOf(id)).Decision != Admit {
+			b.Fatal("not admitted")
+		}
+		for seq := range uint64(100) {
+			c.Emit(now, id, piece)
+			_ = c.Frame(id, seq)
+			c.Ack(id, seq+1)
+		}
+		c.End(now, id, outcome.Completed, "", 200, "")
+		c.Ack(id, 101)
+	}
+}
