--- a/lib/claim/ledger_test.go
+++ b/lib/claim/ledger_test.go
@@ -171,6 +171,13 @@
 		Expect(got.Outcome).To(Equal(outcome.Completed))
 	})
 
+	It("reads the proofs that it formats", func() {
+		proofs := []model.AttemptID{"a1", "a2"}
+		Expect(ParseProofs(FormatProofs(proofs))).To(Equal(proofs))
+		Expect(ParseProofs(" a1 ,, a2,")).To(Equal(proofs))
+		Expect(ParseProofs("")).To(BeEmpty())
+	})
+
 	It("takes an error that says nothing for a lost reply", func() {
 		Expect(classify(errors.New("reset"))).To(MatchError(ContainSubstring("unknown")))
 	})
