Bound how far tenants overtake requests that wait for a cached prefix

Cause: a waiting first request let other tenants' requests pass without limit. Shares are relative to the mean share, and a tenant keeps up to 15,000 tokens of its share while it is idle.

--- a/internal/measure/fleet/entry.go
+++ b/internal/measure/fleet/entry.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -113,7 +114,7 @@
 }
 
 // place picks an engine and sends the request to it.
-func (e *entry) place(r admit.Request) bool {
+func (e *entry) place(r admit.Request) admit.Placement {
 	now, j := e.sim.time.now, e.jobs[r.ID]
 	request := route.Request{
 		Pool: pool, Offered: r.Offered,
@@ -124,12 +125,15 @@
 	}
 	choice, err := e.picker.Pick(now, &request)
 	if err != nil {
-		return false
+		if refusal := new(route.Refusal); errors.As(err, &refusal) && refusal.Waits {
+			return admit.Waits
+		}
+		return admit.Blocked
 	}
 	e.limiters[choice.Key].Acquire()
 	e.picker.Started(now, choice.Key, request.Prefix)
 	e.sim.time.after(oneWay, func() { e.send(choice.Key, j, now) })
-	return true
+	return admit.Placed
 }
 
 func (e *entry) send(key route.Key, j *job, dispatched time.Time) {
--- a/lib/admit/config.go
+++ b/lib/admit/config.go
@@ -12,10 +12,19 @@
 	MaxQueued int
 	// TenantMaxQueued bounds the requests of a tenant that declares no bound.
 	TenantMaxQueued int
-	// PriorityLead is how many tokens of service a request may go ahead of
-	// other tenants' requests per step of priority. It is a bounded advantage,
-	// so no class starves.
+	// PriorityLead is how many tokens of service a request of a tenant with a
+	// mean share may go ahead of other tenants' requests per step of priority.
+	// It is a bounded advantage, so no class starves.
 	PriorityLead float64
+	// Burst is how many tokens of its share a tenant with a mean share keeps
+	// while it sends nothing. Without it, a tenant that sends its share on
+	// average loses what its pauses leave to a tenant that always has requests
+	// waiting, and its bursts are refused.
+	Burst float64
+	// Overtake is how many tokens of a mean share may be served ahead of a
+	// request that waits for a better place. Without the bound, a tenant that
+	// always has requests waiting takes the turns of those that wait.
+	Overtake float64
 	// PriorityRatio is the ratio between the weights of two classes of one
 	// tenant that are one step of priority apart.
 	PriorityRatio float64
@@ -40,6 +49,12 @@
 	if c.PriorityLead <= 0 {
 		c.PriorityLead = 1000
 	}
+	if c.Burst <= 0 {
+		c.Burst = 15_000
+	}
+	if c.Overtake <= 0 {
+		c.Overtake = 12000
+	}
 	if c.PriorityRatio <= 1 {
 		c.PriorityRatio = 4
 	}
--- a/lib/admit/flow.go
+++ b/lib/admit/flow.go
@@ -8,12 +8,12 @@
 }
 
 // start returns the start tag of the flow's first waiting request. A flow that
-// was idle begins at the virtual time: it saves up no claim.
-func (f *flow) start(virtual float64) float64 { return max(f.finish, virtual) }
+// was idle keeps at most burst of what it did not use.
+func (f *flow) start(virtual, burst float64) float64 { return max(f.finish, virtual-burst) }
 
-// serve charges a request and returns its start tag, the new virtual time.
-func (f *flow) serve(virtual float64, tokens int) float64 {
-	s := f.start(virtual)
+// serve charges a request and returns its start tag.
+func (f *flow) serve(virtual, burst float64, tokens int) float64 {
+	s := f.start(virtual, burst)
 	f.finish = s + float64(tokens)/f.weight
 	return s
 }
--- a/lib/admit/next.go
+++ b/lib/admit/next.go
@@ -1,50 +1,57 @@
 package admit
 
 import (
+	"math"
 	"slices"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/model"
 )
 
-// Next offers the request whose turn it is to place, which tries to start it
-// and reports whether it did. A request that place accepts leaves the queue and
-// is returned. When place refuses, the first requests of up to
-// Config.MaxTries - 1 other tenants are offered in their turn, so that a
-// request which only few backend servers may run does not hold up the others.
-// Requests that are too late are not offered; Expire removes them.
+// Next offers the request whose turn it is to place, which tries to start it. A
+// request that place starts leaves the queue and is returned. Otherwise the
+// first requests of up to Config.MaxTries - 1 other tenants are offered in their
+// turn: those that wait may be overtaken by a bounded amount of service, and
+// those that are blocked do not hold up the others. Requests that are too late
+// are not offered; Expire removes them.
 //
 // place must not call the Queue.
-func (q *Queue) Next(now time.Time, place func(Request) bool) (Request, bool) {
+func (q *Queue) Next(now time.Time, place func(Request) Placement) (Request, bool) {
 	q.skip = q.skip[:0]
+	last := math.Inf(1)
 	for range q.cfg.MaxTries {
-		t, c, it := q.turn(now)
-		if it == nil {
+		turn, ok := q.turn(now)
+		if !ok || turn.tag > last {
 			break
 		}
+		it := turn.item
 		if it.Offered.IsZero() {
 			it.Offered = now
 		}
-		if !place(it.Request) {
-			q.skip = append(q.skip, t)
-			continue
+		switch place(it.Request) {
+		case Placed:
+			q.charge(now, turn)
+			q.remove(it)
+			return it.Request, true
+		case Waits:
+			last = min(last, turn.tag+q.cfg.Overtake)
+		case Blocked:
 		}
-		q.served.advance(now, q.cfg.RateWindow)
-		q.served.took(it.Tokens)
-		t.virtual = max(t.virtual, c.serve(t.virtual, it.Tokens))
-		q.virtual = max(q.virtual, t.serve(q.virtual, it.Tokens))
-		q.remove(it)
-		return it.Request, true
+		q.skip = append(q.skip, turn.tenant)
 	}
 	return Request{}, false
 }
 
-// turn returns the tenant, class and item whose turn it is.
-func (q *Queue) turn(now time.Time) (*tenantQueue, *classQueue, *item) {
-	var bestTenant *tenantQueue
-	var bestClass *classQueue
-	var bestItem *item
-	var bestTag float64
+// turn is the first request of a tenant with what decides on its turn.
+type turn struct {
+	tenant *tenantQueue
+	class  *classQueue
+	item   *item
+	tag    float64
+}
+
+// turn returns the request whose turn it is among the tenants not skipped.
+func (q *Queue) turn(now time.Time) (best turn, ok bool) {
 	for _, t := range q.order {
 		if t.queued == 0 || slices.Contains(q.skip, t) {
 			continue
@@ -53,12 +60,22 @@
 		if it == nil || (!it.StartBy.IsZero() && now.After(it.StartBy)) {
 			continue
 		}
-		tag := t.start(q.virtual) - q.cfg.PriorityLead*float64(c.priority)
-		if bestTenant == nil || tag < bestTag {
-			bestTenant, bestClass, bestItem, bestTag = t, c, it, tag
+		tag := t.start(q.virtual, q.cfg.Burst) - q.cfg.PriorityLead*float64(c.priority)
+		if !ok || tag < best.tag {
+			best, ok = turn{t, c, it, tag}, true
 		}
 	}
-	return bestTenant, bestClass, bestItem
+	return best, ok
+}
+
+// charge accounts for a request that was started.
+func (q *Queue) charge(now time.Time, next turn) {
+	tokens := next.item.Tokens
+	q.served.advance(now, q.cfg.RateWindow)
+	q.served.took(tokens)
+	t := next.tenant
+	t.virtual = max(t.virtual, next.class.serve(t.virtual, 0, tokens))
+	q.virtual = max(q.virtual, t.serve(q.virtual, q.cfg.Burst, tokens))
 }
 
 // Settle corrects the charge of a request that has ended: the estimate was
@@ -70,20 +87,19 @@
 	}
 }
 
-// expectedWait estimates how long a new request of a tenant waits. Under fair
-// queueing it is served after what waits of its own tenant and, of each other
-// tenant, at most the same amount in proportion to the shares.
-func (q *Queue) expectedWait(t *tenantQueue, r Request) time.Duration {
+// expectedWait estimates how long a new request of a tenant waits: until all is
+// served that has a smaller start tag.
+func (q *Queue) expectedWait(t *tenantQueue) time.Duration {
 	perSecond, ok := q.served.perSecond()
 	if !ok {
 		return 0
 	}
-	debt := max(0, t.finish-q.virtual) * t.weight
-	own := debt + float64(t.tokens)
 	tokens := float64(t.tokens)
+	tag := t.start(q.virtual, q.cfg.Burst) + tokens/t.weight
 	for _, other := range q.order {
 		if other != t && other.queued > 0 {
-			tokens += min(float64(other.tokens), (own+float64(r.Tokens))*other.weight/t.weight)
+			ahead := (tag - other.start(q.virtual, q.cfg.Burst)) * other.weight
+			tokens += min(float64(other.tokens), max(0, ahead))
 		}
 	}
 	return time.Duration(tokens / perSecond * float64(time.Second))
--- a/lib/admit/queue.go
+++ b/lib/admit/queue.go
@@ -8,6 +8,7 @@
 
 import (
 	"container/heap"
+	"maps"
 	"math"
 	"time"
 
@@ -21,12 +22,15 @@
 // weighted by their shares. While two tenants i and j both have requests
 // waiting, the tokens W that they were given in any interval differ by at most
 //
-//	|Wi/Si - Wj/Sj| <= Li/Si + Lj/Sj + P
+//	|Wi/Si - Wj/Sj| <= Li/Si + Lj/Sj + P + B + O
 //
-// where S is the share, L the largest request in tokens, and P the largest lead
-// by priority: Config.PriorityLead times the difference of the priorities. So a
-// tenant within its share waits for its own requests and a bounded number of
-// tokens of others, however many requests another tenant sends.
+// where S is the share relative to the mean share, L the largest request in
+// tokens, P the largest lead by priority (Config.PriorityLead times the
+// difference of the priorities), B is Config.Burst and O Config.Overtake. Requests
+// that are blocked do not count as waiting. So a tenant within its
+// share waits for its own requests and a bounded number of tokens of others,
+// however many requests another tenant sends. B favours the tenant that sent
+// less before.
 //
 // Within a tenant, classes share in the same way with weights that grow by
 // Config.PriorityRatio per priority, and requests of a class stay in order.
@@ -38,8 +42,10 @@
 	byID    map[model.RequestID]*item
 	starts  startHeap
 	virtual float64
-	served  rate
-	skip    []*tenantQueue // reused by Next
+	// meanShare makes weights independent of the unit of the declared shares.
+	meanShare float64
+	served    rate
+	skip      []*tenantQueue // reused by Next
 }
 
 // New returns an empty queue.
@@ -50,21 +56,37 @@
 		limits:  make(map[model.Tenant]TenantLimits),
 		tenants: make(map[model.Tenant]*tenantQueue),
 		byID:    make(map[model.RequestID]*item),
+
+		meanShare: 1,
 	}
 }
 
-// SetTenant declares the limits of a tenant. Tenants that are not declared have
-// a share of 1 and the default bound.
-func (q *Queue) SetTenant(name model.Tenant, limits TenantLimits) {
-	q.limits[name] = limits
-	if t, ok := q.tenants[name]; ok {
+// SetTenants declares the limits of all tenants. Tenants that are not declared
+// have a share of 1 and the default bound. All tenants start equal after a
+// change of the mean share, because tags before and after cannot be compared.
+func (q *Queue) SetTenants(limits map[model.Tenant]TenantLimits) {
+	q.limits = maps.Clone(limits)
+	sum := 0
+	for _, l := range limits {
+		sum += max(1, l.Share)
+	}
+	mean := float64(max(1, sum)) / float64(max(1, len(limits)))
+	changed := mean != q.meanShare
+	q.meanShare = mean
+	if changed {
+		q.virtual = 0
+	}
+	for _, t := range q.order {
+		if changed {
+			t.finish = 0
+		}
 		q.applyLimits(t)
 	}
 }
 
 func (q *Queue) applyLimits(t *tenantQueue) {
 	limits := q.limits[t.name]
-	t.weight = float64(max(1, limits.Share))
+	t.weight = float64(max(1, limits.Share)) / q.meanShare
 	t.maxQueued = limits.MaxQueued
 	if t.maxQueued <= 0 {
 		t.maxQueued = q.cfg.TenantMaxQueued
@@ -91,7 +113,7 @@
 	}
 	t := q.tenant(r.Tenant)
 	q.served.advance(now, q.cfg.RateWindow)
-	wait := q.expectedWait(t, r)
+	wait := q.expectedWait(t)
 	if len(q.byID) >= q.cfg.MaxQueued || t.queued >= t.maxQueued {
 		return Shed{Request: r, Reason: outcome.ReasonQueueFull, RetryAfter: q.advice(wait)}, false
 	}
@@ -160,7 +182,7 @@
 	for len(q.starts) > 0 && now.After(q.starts[0].StartBy) {
 		it := q.starts[0]
 		q.served.advance(now, q.cfg.RateWindow)
-		wait := q.expectedWait(q.tenants[it.Tenant], it.Request)
+		wait := q.expectedWait(q.tenants[it.Tenant])
 		q.remove(it)
 		out = append(out, Shed{Request: it.Request, Reason: outcome.ReasonDeadline, RetryAfter: q.advice(wait)})
 	}
--- a/lib/admit/tenant_queue.go
+++ b/lib/admit/tenant_queue.go
@@ -48,7 +48,7 @@
 
 // before orders classes by start tag, then by priority.
 func (c *classQueue) before(other *classQueue, virtual float64) bool {
-	a, b := c.start(virtual), other.start(virtual)
+	a, b := c.start(virtual, 0), other.start(virtual, 0)
 	if a != b {
 		return a < b
 	}
--- a/lib/route/pick.go
+++ b/lib/route/pick.go
@@ -31,8 +31,8 @@
 	}
 	p.keepLocal()
 	p.score(now, r)
-	if !p.keepFree(now, r) {
-		return Choice{}, &Refusal{Reason: outcome.ReasonOverloaded, RetryAfter: p.cfg.RetryAfter}
+	if wait := p.keepFree(now, r); wait || len(p.best) == 0 {
+		return Choice{}, &Refusal{Reason: outcome.ReasonOverloaded, RetryAfter: p.cfg.RetryAfter, Waits: wait}
 	}
 	c := p.twoChoices()
 	return Choice{Key: c.slot.Key(), Spilled: !c.local, CachedBlocks: p.prefix.depth(c.slot.number)}, nil
@@ -78,10 +78,10 @@
 	return matching
 }
 
-// keepFree drops the candidates that are full. It returns false when none is
-// free, or when the request should wait for a better one that is full: delay
-// scheduling (Zaharia et al., 2010).
-func (p *Picker) keepFree(now time.Time, r *Request) bool {
+// keepFree drops the candidates that are full. It reports whether the request
+// should wait for a better one that is full: delay scheduling (Zaharia et al.,
+// 2010).
+func (p *Picker) keepFree(now time.Time, r *Request) (wait bool) {
 	best, bestFree := math.Inf(1), math.Inf(1)
 	all := len(p.best)
 	kept := p.best[:0]
@@ -98,7 +98,7 @@
 	}
 	patient := now.Sub(r.Offered) < p.cfg.Patience
 	few := float64(len(kept)) < p.cfg.ChoiceShare*float64(all)
-	return !patient || !few || bestFree-best < p.cfg.WaitGain
+	return patient && few && bestFree-best >= p.cfg.WaitGain
 }
 
 // keepLocal drops candidates of other failure domains unless all local ones
--- a/lib/route/refusal.go
+++ b/lib/route/refusal.go
@@ -11,6 +11,9 @@
 type Refusal struct {
 	Reason     outcome.Reason
 	RetryAfter time.Duration
+	// Waits is true when an instance is free, but the request should wait for a
+	// better one.
+	Waits bool
 }
 
 // Error returns the reason.
