Make room for small pools only at full entries that lack one

Change: only full entries without any agent of a pool give up a place. The bound gives way exactly when an agent could be refused by all entries.

--- a/lib/subset/matching.go
+++ b/lib/subset/matching.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"github.com/auburnbend/auburnbend/lib/model"
@@ -31,7 +30,8 @@
 	agentHashes []uint64
 	proposers   []proposer
 	accepted    [][]candidate // by entry: agents in falling order of weight
-	capacity    int
+	capacities  []int         // by entry
+	pending     []int         // agents that may have to propose
 }
 
 func newMatching(cfg Config, entries []model.InstanceID, agents []Agent) *matching {
@@ -40,12 +40,10 @@
 	m.agents = slices.Clone(agents)
 	slices.SortFunc(m.agents, func(a, b Agent) int { return cmp.Compare(a.ID, b.ID) })
 	m.agents = slices.CompactFunc(m.agents, func(a, b Agent) bool { return a.ID == b.ID })
-	poolSizes := make(map[string]int)
-	for _, a := range m.agents {
-		poolSizes[a.Pool]++
-	}
-	m.capacity = capacity(cfg, len(m.entries), poolSizes)
 	m.accepted = make([][]candidate, len(m.entries))
+	for range m.entries {
+		m.capacities = append(m.capacities, capacity(cfg, len(m.entries), len(m.agents)))
+	}
 	for _, e := range m.entries {
 		m.entryHashes = append(m.entryHashes, rendezvous.Hash(string(e)))
 	}
@@ -59,6 +57,7 @@
 		slices.SortFunc(ranking, byWeight)
 		wanted := degree(cfg, len(m.entries), len(m.agents), hash)
 		m.proposers = append(m.proposers, proposer{ranking: ranking, missing: wanted})
+		m.pending = append(m.pending, len(m.pending))
 	}
 	return m
 }
@@ -66,75 +65,35 @@
 // match runs proposals until each agent has the connections that it wants or
 // has been refused by all entries.
 func (m *matching) match() {
-	pending := make([]int, len(m.agents))
-	for i := range pending {
-		pending[i] = i
-	}
-	for len(pending) > 0 {
-		agent := pending[len(pending)-1]
+	for len(m.pending) > 0 {
+		agent := m.pending[len(m.pending)-1]
 		p := &m.proposers[agent]
 		if p.missing == 0 || p.next == len(p.ranking) {
-			pending = pending[:len(pending)-1]
+			m.pending = m.pending[:len(m.pending)-1]
 			continue
 		}
 		proposal := p.ranking[p.next]
 		p.next++
 		p.missing--
-		if displaced := m.offer(proposal.index, candidate{agent, proposal.weight}); displaced >= 0 {
-			m.proposers[displaced].missing++
-			pending = append(pending, displaced)
-		}
+		entry := proposal.index
+		list := m.accepted[entry]
+		c := candidate{agent, proposal.weight}
+		at, _ := slices.BinarySearchFunc(list, c, byWeight)
+		m.accepted[entry] = slices.Insert(list, at, c)
+		m.shrink(entry)
 	}
 }
 
-// offer gives an entry one more agent and returns the agent that it drops, or
-// -1.
-func (m *matching) offer(entry int, c candidate) int {
+// shrink drops the agents that an entry has over its capacity.
+func (m *matching) shrink(entry int) {
 	list := m.accepted[entry]
-	at, _ := slices.BinarySearchFunc(list, c, byWeight)
-	list = slices.Insert(list, at, c)
-	dropped := -1
-	if len(list) > m.capacity {
-		dropped = list[len(list)-1].index
+	for len(list) > m.capacities[entry] {
+		last := list[len(list)-1].index
 		list = list[:len(list)-1]
+		m.proposers[last].missing++
+		m.pending = append(m.pending, last)
 	}
 	m.accepted[entry] = list
-	return dropped
-}
-
-// fillPools adds connections to pools of which an entry has too few agents, in
-// the room that capacity leaves.
-func (m *matching) fillPools() {
-	pools := make(map[string][]int)
-	for i, a := range m.agents {
-		pools[a.Pool] = append(pools[a.Pool], i)
-	}
-	for entry := range m.entries {
-		have := make(map[string]int)
-		held := make(map[int]bool, len(m.accepted[entry]))
-		for _, c := range m.accepted[entry] {
-			have[m.agents[c.index].Pool]++
-			held[c.index] = true
-		}
-		for _, pool := range slices.Sorted(maps.Keys(pools)) {
-			members := pools[pool]
-			missing := min(m.cfg.MinPerPool, len(members)) - have[pool]
-			if room := m.cfg.MaxPerEntry - len(m.accepted[entry]); missing > room {
-				missing = max(room, 1-have[pool])
-			}
-			if missing <= 0 {
-				continue
-			}
-			var free []candidate
-			for _, i := range members {
-				if !held[i] {
-					free = append(free, candidate{i, rendezvous.Combine(m.agentHashes[i], m.entryHashes[entry])})
-				}
-			}
-			slices.SortFunc(free, byWeight)
-			m.accepted[entry] = append(m.accepted[entry], free[:missing]...)
-		}
-	}
 }
 
 func (m *matching) plan() Plan {
--- /dev/null
+++ b/lib/subset/pool_fill.go
@@ -0,0 +1,80 @@
+package subset
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/auburnbend/auburnbend/lib/rendezvous"
+)
+
+// makeRoom lowers the capacity of full entries that have no agent of some pool,
+// so that fillPools can add one within the bound. Keeping the room at all
+// entries would displace more connections with each change.
+func (m *matching) makeRoom() {
+	pools := m.pools()
+	for changed := true; changed; {
+		changed = false
+		for entry := range m.entries {
+			absent := len(pools) - len(m.poolCounts(entry))
+			room := max(0, m.cfg.MaxPerEntry-absent)
+			if absent > 0 && len(m.accepted[entry]) > room && m.capacities[entry] == m.cfg.MaxPerEntry {
+				m.capacities[entry] = room
+				m.shrink(entry)
+				m.match()
+				changed = true
+			}
+		}
+	}
+}
+
+// fillPools adds connections to pools of which an entry has too few agents.
+func (m *matching) fillPools() {
+	pools := m.pools()
+	names := slices.Sorted(maps.Keys(pools))
+	for entry := range m.entries {
+		have := m.poolCounts(entry)
+		// The first agent of each pool goes before the second of any.
+		for wanted := 1; wanted <= m.cfg.MinPerPool; wanted++ {
+			for _, name := range names {
+				full := wanted > 1 && len(m.accepted[entry]) >= m.cfg.MaxPerEntry
+				if have[name] >= min(wanted, len(pools[name])) || full {
+					continue
+				}
+				m.accepted[entry] = append(m.accepted[entry], m.preferred(entry, pools[name]))
+				have[name]++
+			}
+		}
+	}
+}
+
+// preferred returns the agent with the highest weight among those that the
+// entry does not have.
+func (m *matching) preferred(entry int, agents []int) candidate {
+	best := candidate{index: -1}
+	for _, i := range agents {
+		c := candidate{i, rendezvous.Combine(m.agentHashes[i], m.entryHashes[entry])}
+		held := slices.ContainsFunc(m.accepted[entry], func(a candidate) bool { return a.index == i })
+		if !held && (best.index < 0 || byWeight(c, best) < 0) {
+			best = c
+		}
+	}
+	return best
+}
+
+// pools returns the agents of each pool.
+func (m *matching) pools() map[string][]int {
+	pools := make(map[string][]int)
+	for i, a := range m.agents {
+		pools[a.Pool] = append(pools[a.Pool], i)
+	}
+	return pools
+}
+
+// poolCounts returns how many agents of each pool an entry has.
+func (m *matching) poolCounts(entry int) map[string]int {
+	have := make(map[string]int)
+	for _, c := range m.accepted[entry] {
+		have[m.agents[c.index].Pool]++
+	}
+	return have
+}
--- a/lib/subset/subset.go
+++ b/lib/subset/subset.go
@@ -13,16 +13,6 @@
 	"github.com/auburnbend/auburnbend/lib/rendezvous"
 )
 
-// spareCapacity is the room that entries have beyond the mean where the bound
-// has to give way. Without room, each change would displace a long chain of
-// connections; with more, the bound would give way earlier.
-const spareCapacity = 1.03
-
-// smallPoolFactor tells small pools: those of which an entry gets fewer than
-// this many times Config.MinPerPool agents on average. In larger pools the
-// share of entries with too few is negligible.
-const smallPoolFactor = 6
-
 // Assign calculates the connections of one failure domain.
 //
 // Agents and entries are matched by deferred acceptance (Gale and Shapley,
@@ -38,6 +28,7 @@
 	cfg.applyDefaults()
 	m := newMatching(cfg, entries, agents)
 	m.match()
+	m.makeRoom()
 	m.fillPools()
 	return m.plan()
 }
@@ -84,23 +75,16 @@
 	return min(whole, entries)
 }
 
-// capacity returns how many agents an entry accepts. It leaves room under the
-// bound for one agent of each pool so small that entries may get none of it.
-// Each place less lengthens the chains of displaced connections.
-func capacity(cfg Config, entries int, poolSizes map[string]int) int {
+// capacity returns how many agents an entry accepts. An agent that is refused
+// by all entries has fewer than the least number of connections, so all but at
+// most least-1 entries are full. The bound gives way before that can happen.
+func capacity(cfg Config, entries, agents int) int {
 	if entries == 0 {
 		return 0
 	}
-	room, agents := 0, 0
 	least := min(cfg.MinPerAgent, entries)
-	for _, size := range poolSizes {
-		agents += size
-		if size*least < smallPoolFactor*cfg.MinPerPool*entries {
-			room++
-		}
-	}
-	needed := int(math.Ceil(float64(least*agents) / float64(entries) * spareCapacity))
-	return max(cfg.MaxPerEntry-room, needed)
+	needed := int(math.Ceil(float64(least*agents) / float64(entries-least+1)))
+	return max(cfg.MaxPerEntry, min(needed, agents))
 }
 
 // byWeight orders candidates by falling weight, then by index.
