--- a/lib/member/event.go
+++ b/lib/member/event.go
@@ -10,7 +10,8 @@
 
 const (
 	// Listed reports a member that the platform lists and that has no
-	// connection: the assembly may open one.
+	// connection: the assembly may open one. It repeats for members that are
+	// gone.
 	Listed EventKind = iota + 1
 	// Joined reports a generation that connected for the first time.
 	Joined
--- a/lib/member/member.go
+++ b/lib/member/member.go
@@ -55,4 +55,5 @@
 	conns         int // connections that are not silent
 	probeSince    time.Time
 	probeFailures int
+	goneAt        time.Time
 }
--- a/lib/member/signs.go
+++ b/lib/member/signs.go
@@ -95,7 +95,7 @@
 		return nil
 	}
 	if e.Draining && event.Kind == Disconnected {
-		return v.leave(e)
+		return v.leave(now, e)
 	}
 	e.State = StateProbing
 	e.HeartbeatAt = time.Time{}
@@ -116,12 +116,12 @@
 	if e.probeFailures < v.cfg.ProbeFailures || !v.reaches(now) {
 		return nil
 	}
-	return v.leave(e)
+	return v.leave(now, e)
 }
 
 // leave judges a member gone. Its connections are forgotten: silent ones may
 // still be open.
-func (v *View) leave(e *entry) []Event {
+func (v *View) leave(now time.Time, e *entry) []Event {
 	id, generation := e.Identity.Instance, e.Identity.Generation
 	for conn, c := range v.conns {
 		if c.instance == id {
@@ -129,6 +129,6 @@
 		}
 	}
 	e.conns = 0
-	e.State = StateGone
+	e.State, e.goneAt = StateGone, now
 	return []Event{{Kind: Left, Instance: id, Generation: generation}}
 }
--- a/lib/member/tick.go
+++ b/lib/member/tick.go
@@ -19,7 +19,7 @@
 	for _, id := range v.sortedMembers() {
 		e := v.members[id]
 		if e.State == StateProbing && now.Sub(e.probeSince) >= v.cfg.ProbeTimeout && v.reaches(now) {
-			events = append(events, v.leave(e)...)
+			events = append(events, v.leave(now, e)...)
 		}
 	}
 	v.retired.prune(now)
--- a/lib/member/view.go
+++ b/lib/member/view.go
@@ -79,10 +79,11 @@
 // Seed takes the platform's list. It adds members that are not known and
 // removes listed members that it no longer shows. It changes nothing about a
 // member with a working connection: the list may be older than what the
-// connections tell. A member that is gone, or has no working connection and was
-// on the list before, is forgotten when the list does not show it. An instance
-// that the list shows as leaving is not added.
-func (v *View) Seed(instances []platform.Instance) []Event {
+// connections tell. A member that has no working connection and was on the list
+// before is gone when the list does not show it. A member that is gone and still
+// listed is reported each time: the assembly may try a new connection. An
+// instance that the list shows as leaving is not added.
+func (v *View) Seed(now time.Time, instances []platform.Instance) []Event {
 	var events []Event
 	shown := make(map[model.InstanceID]bool, len(instances))
 	for _, in := range instances {
@@ -94,6 +95,9 @@
 				e.Draining = e.Draining || (in.Leaving && e.State == StateListed)
 			}
 			e.listed = true
+			if e.State == StateGone && !in.Leaving {
+				events = append(events, Event{Kind: Listed, Instance: in.ID})
+			}
 			continue
 		}
 		if in.Leaving {
@@ -110,10 +114,12 @@
 			continue
 		}
 		if e.State == StateProbing && e.listed {
-			events = append(events, v.leave(e)...)
+			events = append(events, v.leave(now, e)...)
 		}
 		e.listed = false
-		if e.State == StateListed || e.State == StateGone {
+		// The generation of a member that is gone is kept for a while, so that it
+		// is known as replaced when another one connects.
+		if e.State == StateListed || (e.State == StateGone && now.Sub(e.goneAt) > retiredFor) {
 			delete(v.members, id)
 		}
 	}
@@ -200,7 +206,7 @@
 		if e.State != StateListed {
 			v.retire(now, e)
 		}
-		e.State = StateGone
+		e.State, e.goneAt = StateGone, now
 	}
 	sortEvents(events)
 	return events
--- /dev/null
+++ b/lib/subset/subset_test.go
@@ -0,0 +1,100 @@
+package subset_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/subset"
+)
+
+func entryIDs(n int) []model.InstanceID {
+	var out []model.InstanceID
+	for i := range n {
+		out = append(out, model.InstanceID(fmt.Sprint("entry-", i)))
+	}
+	return out
+}
+
+func agentsOf(n, pools int) []subset.Agent {
+	var out []subset.Agent
+	for i := range n {
+		out = append(out, subset.Agent{ID: model.InstanceID(fmt.Sprint("agent-", i)), Pool: fmt.Sprint(i * i % pools)})
+	}
+	return out
+}
+
+var _ = Describe("Assign", func() {
+	It("connects all to all at small sizes", func() {
+		plan := subset.Assign(subset.Config{}, entryIDs(8), agentsOf(30, 3))
+		Expect(plan.Connections()).To(Equal(8 * 30))
+	})
+
+	It("keeps its guarantees for all sizes and any order of the input", func() {
+		// Guards against agents that too few entries reach, entries without a
+		// pool, and processes that disagree on the connections.
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			entries := entryIDs(rapid.IntRange(1, 60).Draw(t, "entries"))
+			pools := rapid.IntRange(1, 4).Draw(t, "pools")
+			agents := agentsOf(rapid.IntRange(1, 300).Draw(t, "agents"), pools)
+			plan := subset.Assign(subset.Config{}, entries, agents)
+			rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+			rng.Shuffle(len(agents), func(i, j int) { agents[i], agents[j] = agents[j], agents[i] })
+			rng.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
+			again := subset.Assign(subset.Config{}, entries, agents)
+			reached := make(map[model.InstanceID]int)
+			poolOf := make(map[model.InstanceID]string)
+			present := make(map[string]bool)
+			for _, a := range agents {
+				poolOf[a.ID] = a.Pool
+				present[a.Pool] = true
+			}
+			feasible := 3*len(agents) <= subset.DefaultMaxPerEntry*(len(entries)-2)
+			for _, e := range entries {
+				got := plan.Agents(e)
+				if fmt.Sprint(got) != fmt.Sprint(again.Agents(e)) {
+					t.Fatalf("entry %s depends on the order of the input", e)
+				}
+				have := make(map[string]bool)
+				for i, a := range got {
+					if i > 0 && got[i-1] == a {
+						t.Fatalf("entry %s has %s twice", e, a)
+					}
+					reached[a]++
+					have[poolOf[a]] = true
+				}
+				if len(have) != len(present) {
+					t.Fatalf("entry %s reaches %d of %d pools", e, len(have), len(present))
+				}
+				if feasible && len(got) > subset.DefaultMaxPerEntry {
+					t.Fatalf("entry %s has %d connections", e, len(got))
+				}
+			}
+			for _, a := range agents {
+				if reached[a.ID] < min(3, len(entries)) {
+					t.Fatalf("agent %s is reached by %d entries of %d", a.ID, reached[a.ID], len(entries))
+				}
+			}
+		})
+	})
+})
+
+var _ = Describe("Spill", func() {
+	It("is bounded and covers all pools of other domains", func() {
+		got := subset.Spill(subset.Config{}, "entry-1", agentsOf(200, 3))
+		Expect(got).To(HaveLen(subset.DefaultSpillConnections))
+		pools := make(map[string]bool)
+		for _, a := range agentsOf(200, 3) {
+			for _, id := range got {
+				if id == a.ID {
+					pools[a.Pool] = true
+				}
+			}
+		}
+		Expect(pools).To(HaveLen(2)) // i*i%3 gives two pools
+	})
+})
