--- /dev/null
+++ b/lib/admit/fuzz_test.go
@@ -0,0 +1,144 @@
+package admit_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	"pgregory.net/rapid"
+
+	"github.com/auburnbend/auburnbend/lib/admit"
+	"github.com/auburnbend/auburnbend/lib/model"
+)
+
+// flowKey is one first-in-first-out order that the queue has to keep.
+type flowKey struct {
+	tenant model.Tenant
+	class  model.Class
+}
+
+// reference keeps the waiting requests as plain lists.
+type reference struct {
+	waiting map[flowKey][]admit.Request
+	tenants map[model.Tenant]int
+	total   int
+}
+
+func (r *reference) remove(t *rapid.T, req admit.Request, mustBeFirst bool) {
+	key := flowKey{req.Tenant, req.Class}
+	list := r.waiting[key]
+	for i, w := range list {
+		if w.ID != req.ID {
+			continue
+		}
+		if mustBeFirst && i > 0 {
+			t.Fatalf("%s left before %s of the same tenant and class", req.ID, list[0].ID)
+		}
+		r.waiting[key] = append(append([]admit.Request{}, list[:i]...), list[i+1:]...)
+		r.tenants[req.Tenant]--
+		r.total--
+		return
+	}
+	t.Fatalf("%s left the queue but did not wait in it", req.ID)
+}
+
+var _ = Describe("Queue under any order of events", func() {
+	It("never loses, duplicates or reorders, and keeps its bounds", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			const maxQueued, tenantMax = 9, 6
+			q := admit.New(admit.Config{MaxQueued: maxQueued, TenantMaxQueued: tenantMax})
+			ref := &reference{waiting: map[flowKey][]admit.Request{}, tenants: map[model.Tenant]int{}}
+			now := time.Unix(0, 0)
+			serial := 0
+			tenants := rapid.SampledFrom([]model.Tenant{"a", "b", "c"})
+			shed := func(s admit.Shed) {
+				if s.RetryAfter <= 0 || s.Reason == "" {
+					t.Fatalf("refusal without advice or reason: %+v", s)
+				}
+			}
+			expire := func() {
+				for _, s := range q.Expire(now) {
+					shed(s)
+					if !now.After(s.Request.StartBy) {
+						t.Fatalf("%s was refused before its time", s.Request.ID)
+					}
+					ref.remove(t, s.Request, false)
+				}
+			}
+			t.Repeat(map[string]func(*rapid.T){
+				"": func(t *rapid.T) {
+					if q.Len() != ref.total || ref.total > maxQueued {
+						t.Fatalf("queue holds %d, reference %d, bound %d", q.Len(), ref.total, maxQueued)
+					}
+					for name, n := range ref.tenants {
+						if q.Queued(name) != n || n > tenantMax {
+							t.Fatalf("queue holds %d of %s, reference %d, bound %d", q.Queued(name), name, n, tenantMax)
+						}
+					}
+				},
+				"offer": func(t *rapid.T) {
+					serial++
+					r := admit.Request{
+						ID: model.RequestID(fmt.Sprint(serial)), Tenant: tenants.Draw(t, "tenant"),
+						Tokens: rapid.IntRange(0, 3000).Draw(t, "tokens"), Priority: rapid.IntRange(0, 2).Draw(t, "priority"),
+					}
+					r.Class = model.Class(fmt.Sprint("p", r.Priority))
+					if rapid.Bool().Draw(t, "bounded") {
+						r.StartBy = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+					}
+					s, ok := q.Offer(now, r)
+					full := ref.total == maxQueued || ref.tenants[r.Tenant] == tenantMax
+					if !ok {
+						shed(s)
+						if r.StartBy.IsZero() && !full {
+							t.Fatalf("%+v was refused without need: %s", r, s.Reason)
+						}
+						return
+					}
+					key := flowKey{r.Tenant, r.Class}
+					ref.waiting[key] = append(ref.waiting[key], r)
+					ref.tenants[r.Tenant]++
+					ref.total++
+				},
+				"next": func(t *rapid.T) {
+					expire()
+					offered := 0
+					placement := rapid.SampledFrom([]admit.Placement{admit.Placed, admit.Placed, admit.Waits, admit.Blocked})
+					r, ok := q.Next(now, func(admit.Request) admit.Placement {
+						offered++
+						return placement.Draw(t, "placement")
+					})
+					if ok {
+						ref.remove(t, r, true)
+					} else if offered == 0 && ref.total > 0 {
+						t.Fatalf("%d wait, none was offered", ref.total)
+					}
+				},
+				"cancel": func(t *rapid.T) {
+					id := model.RequestID(fmt.Sprint(rapid.IntRange(1, serial+1).Draw(t, "id")))
+					for _, list := range ref.waiting {
+						for _, r := range list {
+							if r.ID == id {
+								ref.remove(t, r, false)
+								if !q.Cancel(now, id) {
+									t.Fatalf("%s waits and was not cancelled", id)
+								}
+								return
+							}
+						}
+					}
+					if q.Cancel(now, id) {
+						t.Fatalf("%s does not wait and was cancelled", id)
+					}
+				},
+				"wait": func(t *rapid.T) {
+					now = now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond)
+					expire()
+				},
+				"settle": func(t *rapid.T) {
+					q.Settle(tenants.Draw(t, "tenant"), 100, rapid.IntRange(0, 500).Draw(t, "actual"))
+				},
+			})
+		})
+	})
+})
--- /dev/null
+++ b/lib/admit/queue_test.go
@@ -0,0 +1,145 @@
+package admit_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/lib/admit"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/outcome"
+)
+
+var start = time.Unix(0, 0)
+
+func place(admit.Request) admit.Placement { return admit.Placed }
+
+// backlog keeps requests of a tenant waiting.
+type backlog struct {
+	tenant   model.Tenant
+	class    model.Class
+	priority int
+	maxSize  int
+}
+
+// serve keeps all backlogs waiting and starts n requests. It calls each after
+// each with the tokens served so far by backlog.
+func serve(q *admit.Queue, seed uint64, n int, each func(served map[backlog]float64), all ...backlog) map[backlog]float64 {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	served := make(map[backlog]float64)
+	owner := make(map[model.RequestID]backlog)
+	offer := func(b backlog) {
+		id := model.RequestID(fmt.Sprint(len(owner)))
+		owner[id] = b
+		_, ok := q.Offer(start, admit.Request{ID: id, Tenant: b.tenant, Class: b.class, Priority: b.priority, Tokens: 1 + rng.IntN(b.maxSize)})
+		Expect(ok).To(BeTrue())
+	}
+	for _, b := range all {
+		offer(b)
+		offer(b)
+	}
+	for range n {
+		r, ok := q.Next(start, place)
+		Expect(ok).To(BeTrue())
+		b := owner[r.ID]
+		served[b] += float64(r.Tokens)
+		offer(b)
+		each(served)
+	}
+	return served
+}
+
+var _ = Describe("Queue", func() {
+	It("keeps the stated bound between two tenants over all intervals", func() {
+		// Guards against a large tenant that starves a small one.
+		for seed := range uint64(20) {
+			q := admit.New(admit.Config{PriorityLead: 700, Burst: 2000})
+			q.SetTenants(map[model.Tenant]admit.TenantLimits{"large": {Share: 3}, "small": {Share: 1}})
+			large := backlog{"large", "interactive", 2, 4000}
+			small := backlog{"small", "batch", 0, 1500}
+			const meanShare = 2.0
+			wi, wj := 3/meanShare, 1/meanShare
+			bound := 4000/wi + 1500/wj + 2*700 + 2000
+			low, high := 0.0, 0.0
+			serve(q, seed, 3000, func(served map[backlog]float64) {
+				d := served[large]/wi - served[small]/wj
+				low, high = min(low, d), max(high, d)
+			}, large, small)
+			Expect(high-low).To(BeNumerically("<=", bound), "seed %d", seed)
+		}
+	})
+
+	It("does not starve the lower class of a tenant", func() {
+		q := admit.New(admit.Config{PriorityRatio: 4})
+		high, low := backlog{"a", "interactive", 1, 1000}, backlog{"a", "batch", 0, 1000}
+		served := serve(q, 1, 4000, func(map[backlog]float64) {}, high, low)
+		Expect(served[high] / served[low]).To(BeNumerically("~", 4, 0.3))
+	})
+
+	It("serves a small tenant's request soon behind a flood of another's", func() {
+		q := admit.New(admit.Config{})
+		for i := range 400 {
+			q.Offer(start, admit.Request{ID: model.RequestID(fmt.Sprint(i)), Tenant: "large", Tokens: 1000})
+		}
+		for range 100 {
+			q.Next(start, place)
+		}
+		q.Offer(start, admit.Request{ID: "small", Tenant: "small", Tokens: 1000})
+		r, _ := q.Next(start, place)
+		Expect(r.ID).To(Equal(model.RequestID("small")))
+	})
+
+	It("refuses at arrival what would start too late, and tells when to come back", func() {
+		q := admit.New(admit.Config{})
+		now := start
+		offer := func(id string, tenant model.Tenant, within time.Duration) (admit.Shed, bool) {
+			return q.Offer(now, admit.Request{ID: model.RequestID(id), Tenant: tenant, Tokens: 100, StartBy: now.Add(within)})
+		}
+		for i := range 40 {
+			_, ok := offer(fmt.Sprint(i), "a", time.Minute)
+			Expect(ok).To(BeTrue())
+		}
+		// 10 requests of 100 tokens each second.
+		for range 20 {
+			now = now.Add(100 * time.Millisecond)
+			q.Next(now, place)
+		}
+		shed, ok := offer("late", "a", time.Second)
+		Expect(ok).To(BeFalse())
+		Expect(shed.Reason).To(Equal(outcome.ReasonOverloaded))
+		Expect(shed.RetryAfter).To(BeNumerically("~", time.Second, 300*time.Millisecond))
+		// The wait of another tenant does not depend on a's queue.
+		_, ok = offer("other", "b", time.Second)
+		Expect(ok).To(BeTrue())
+	})
+
+	It("bounds how far others overtake a request that waits, not one that is blocked", func() {
+		for _, answer := range []admit.Placement{admit.Waits, admit.Blocked} {
+			q := admit.New(admit.Config{Overtake: 1000})
+			q.Offer(start, admit.Request{ID: "first", Tenant: "a", Tokens: 100})
+			for i := range 50 {
+				q.Offer(start, admit.Request{ID: model.RequestID(fmt.Sprint(i)), Tenant: "b", Tokens: 100})
+			}
+			passed := 0
+			for range 50 {
+				_, ok := q.Next(start, func(r admit.Request) admit.Placement {
+					if r.Tenant == "a" {
+						return answer
+					}
+					return admit.Placed
+				})
+				if ok {
+					passed++
+				}
+			}
+			if answer == admit.Waits {
+				Expect(passed).To(BeNumerically("<=", 1000/100+1))
+			} else {
+				Expect(passed).To(Equal(50))
+			}
+		}
+	})
+})
--- a/lib/route/fuzz_test.go
+++ b/lib/route/fuzz_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -55,7 +57,7 @@
 			roles := rapid.SampledFrom([]route.Role{route.RoleAny, route.RolePrefill, route.RoleDecode})
 			key := func() route.Key {
 				return route.Key{
-					Instance:   model.InstanceID(fmt.Sprint("i", rapid.IntRange(0, 7).Draw(t, "instance"))),
+					Instance:   model.InstanceID(fmt.Sprint("i", rapid.IntRange(0, 5).Draw(t, "instance"))),
 					Generation: model.Generation(rapid.IntRange(1, 2).Draw(t, "generation")),
 				}
 			}
@@ -101,11 +103,18 @@
 					now = now.Add(time.Duration(rapid.IntRange(1, 9000).Draw(t, "ms")) * time.Millisecond)
 				},
 				"finish": func(t *rapid.T) {
-					k := key()
-					s := state[k]
-					if s == nil || s.started == 0 {
+					var busy []route.Key
+					for k, s := range state {
+						if s.started > 0 {
+							busy = append(busy, k)
+						}
+					}
+					if len(busy) == 0 {
 						return
 					}
+					slices.SortFunc(busy, func(a, b route.Key) int { return strings.Compare(fmt.Sprint(a), fmt.Sprint(b)) })
+					k := rapid.SampledFrom(busy).Draw(t, "key")
+					s := state[k]
 					s.started--
 					result := rapid.SampledFrom([]route.Result{route.ResultOK, route.ResultError, route.ResultError, route.ResultNeutral}).Draw(t, "result")
 					if p.Finished(now, k, result) {
--- a/lib/route/suite_test.go
+++ b/lib/route/suite_test.go
@@ -10,8 +10,10 @@
 
 func TestSuite(t *testing.T) {
 	RegisterFailHandler(Fail)
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		t.Fatal(err)
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "200", "rapid.steps": "150"} {
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
 	}
 	RunSpecs(t, "route")
 }
--- a/lib/subset/subset_test.go
+++ b/lib/subset/subset_test.go
@@ -28,6 +28,41 @@
 	return out
 }
 
+// faultOf returns which guarantee a plan breaks, or nothing.
+func faultOf(plan subset.Plan, entries []model.InstanceID, agents []subset.Agent) string {
+	reached := make(map[model.InstanceID]int)
+	poolOf := make(map[model.InstanceID]string)
+	pools := make(map[string]bool)
+	for _, a := range agents {
+		poolOf[a.ID] = a.Pool
+		pools[a.Pool] = true
+	}
+	feasible := 3*len(agents) <= subset.DefaultMaxPerEntry*(len(entries)-2)
+	for _, e := range entries {
+		got := plan.Agents(e)
+		have := make(map[string]bool)
+		for i, a := range got {
+			if i > 0 && got[i-1] == a {
+				return fmt.Sprintf("entry %s has %s twice", e, a)
+			}
+			reached[a]++
+			have[poolOf[a]] = true
+		}
+		if len(have) != len(pools) {
+			return fmt.Sprintf("entry %s reaches %d of %d pools", e, len(have), len(pools))
+		}
+		if feasible && len(got) > subset.DefaultMaxPerEntry {
+			return fmt.Sprintf("entry %s has %d connections", e, len(got))
+		}
+	}
+	for _, a := range agents {
+		if reached[a.ID] < min(3, len(entries)) {
+			return fmt.Sprintf("%d of %d entries reach agent %s", reached[a.ID], len(entries), a.ID)
+		}
+	}
+	return ""
+}
+
 var _ = Describe("Assign", func() {
 	It("connects all to all at small sizes", func() {
 		plan := subset.Assign(subset.Config{}, entryIDs(8), agentsOf(30, 3))
@@ -38,49 +73,36 @@
 		// Guards against agents that too few entries reach, entries without a
 		// pool, and processes that disagree on the connections.
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
-			entries := entryIDs(rapid.IntRange(1, 60).Draw(t, "entries"))
+			entries := entryIDs(rapid.IntRange(1, 30).Draw(t, "entries"))
 			pools := rapid.IntRange(1, 4).Draw(t, "pools")
-			agents := agentsOf(rapid.IntRange(1, 300).Draw(t, "agents"), pools)
+			agents := agentsOf(rapid.IntRange(1, 20*len(entries)).Draw(t, "agents"), pools)
 			plan := subset.Assign(subset.Config{}, entries, agents)
 			rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 			rng.Shuffle(len(agents), func(i, j int) { agents[i], agents[j] = agents[j], agents[i] })
 			rng.Shuffle(len(entries), func(i, j int) { entries[i], entries[j] = entries[j], entries[i] })
 			again := subset.Assign(subset.Config{}, entries, agents)
-			reached := make(map[model.InstanceID]int)
-			poolOf := make(map[model.InstanceID]string)
-			present := make(map[string]bool)
-			for _, a := range agents {
-				poolOf[a.ID] = a.Pool
-				present[a.Pool] = true
-			}
-			feasible := 3*len(agents) <= subset.DefaultMaxPerEntry*(len(entries)-2)
 			for _, e := range entries {
-				got := plan.Agents(e)
-				if fmt.Sprint(got) != fmt.Sprint(again.Agents(e)) {
+				if fmt.Sprint(plan.Agents(e)) != fmt.Sprint(again.Agents(e)) {
 					t.Fatalf("entry %s depends on the order of the input", e)
 				}
-				have := make(map[string]bool)
-				for i, a := range got {
-					if i > 0 && got[i-1] == a {
-						t.Fatalf("entry %s has %s twice", e, a)
-					}
-					reached[a]++
-					have[poolOf[a]] = true
-				}
-				if len(have) != len(present) {
-					t.Fatalf("entry %s reaches %d of %d pools", e, len(have), len(present))
-				}
-				if feasible && len(got) > subset.DefaultMaxPerEntry {
-					t.Fatalf("entry %s has %d connections", e, len(got))
-				}
 			}
-			for _, a := range agents {
-				if reached[a.ID] < min(3, len(entries)) {
-					t.Fatalf("agent %s is reached by %d entries of %d", a.ID, reached[a.ID], len(entries))
-				}
+			if fault := faultOf(plan, entries, agents); fault != "" {
+				t.Fatal(fault)
 			}
 		})
 	})
+
+	It("keeps its guarantees at the design size with one small pool and lost entries", func() {
+		// A full entry has to give up an agent to reach the small pool.
+		agents := agentsOf(667, 1)
+		for i := range 12 {
+			agents[i*50].Pool = "booking"
+		}
+		for n := 36; n <= 42; n++ {
+			plan := subset.Assign(subset.Config{}, entryIDs(n), agents)
+			Expect(faultOf(plan, entryIDs(n), agents)).To(BeEmpty(), "%d entries", n)
+		}
+	})
 })
 
 var _ = Describe("Spill", func() {
