Refuse more of what cannot start in time at arrival

Cause: the expected wait left out requests that arrive later and go ahead of a tenant over its share: two thirds of the refusals came after 0.95 s of waiting. Change: for tenants that are not clearly under their share, the wait is at least the tenant's queue over its own measured rate of service.

--- a/lib/admit/next.go
+++ b/lib/admit/next.go
@@ -71,9 +71,10 @@
 // charge accounts for a request that was started.
 func (q *Queue) charge(now time.Time, next turn) {
 	tokens := next.item.Tokens
-	q.served.advance(now, q.cfg.RateWindow)
-	q.served.took(tokens)
 	t := next.tenant
+	q.advance(now, t)
+	q.served.took(tokens)
+	t.served.took(tokens)
 	t.virtual = max(t.virtual, next.class.serve(t.virtual, 0, tokens))
 	q.virtual = max(q.virtual, t.serve(q.virtual, q.cfg.Burst, tokens))
 }
@@ -88,7 +89,8 @@
 }
 
 // expectedWait estimates how long a new request of a tenant waits: until all is
-// served that has a smaller start tag.
+// served that has a smaller start tag. For a tenant over its share it is at least
+// as long as the tenant's own rate of service tells.
 func (q *Queue) expectedWait(t *tenantQueue) time.Duration {
 	perSecond, ok := q.served.perSecond()
 	if !ok {
@@ -102,5 +104,12 @@
 			tokens += min(float64(other.tokens), max(0, ahead))
 		}
 	}
-	return time.Duration(tokens / perSecond * float64(time.Second))
+	seconds := tokens / perSecond
+	// Requests of others that arrive later also go ahead of a tenant that is
+	// over its share, and its own rate of service includes them. For a tenant
+	// clearly under its share the rate of its few requests would say too little.
+	if own, ok := t.served.perSecond(); ok && t.finish > q.virtual-q.cfg.Overtake {
+		seconds = max(seconds, float64(t.tokens)/own)
+	}
+	return time.Duration(seconds * float64(time.Second))
 }
--- a/lib/admit/queue.go
+++ b/lib/admit/queue.go
@@ -112,7 +112,7 @@
 		return Shed{Request: r, Reason: outcome.ReasonDuplicate}, false
 	}
 	t := q.tenant(r.Tenant)
-	q.served.advance(now, q.cfg.RateWindow)
+	q.advance(now, t)
 	wait := q.expectedWait(t)
 	if len(q.byID) >= q.cfg.MaxQueued || t.queued >= t.maxQueued {
 		return Shed{Request: r, Reason: outcome.ReasonQueueFull, RetryAfter: q.advice(wait)}, false
@@ -133,6 +133,7 @@
 		heap.Push(&q.starts, it)
 	}
 	q.served.busy(now)
+	t.served.busy(now)
 	return Shed{}, true
 }
 
@@ -152,12 +153,18 @@
 func (q *Queue) Cancel(now time.Time, id model.RequestID) bool {
 	it, ok := q.byID[id]
 	if ok {
-		q.served.advance(now, q.cfg.RateWindow)
+		q.advance(now, q.tenants[it.Tenant])
 		q.remove(it)
 	}
 	return ok
 }
 
+// advance counts the time since the last call in the rates of service.
+func (q *Queue) advance(now time.Time, t *tenantQueue) {
+	q.served.advance(now, q.cfg.RateWindow)
+	t.served.advance(now, q.cfg.RateWindow)
+}
+
 // remove takes an item out of all counts. Its class list drops it when it is
 // first.
 func (q *Queue) remove(it *item) {
@@ -170,6 +177,9 @@
 	t := q.tenants[it.Tenant]
 	t.queued--
 	t.tokens -= it.Tokens
+	if t.queued == 0 {
+		t.served.idle()
+	}
 	if len(q.byID) == 0 {
 		q.served.idle()
 	}
@@ -181,8 +191,9 @@
 	var out []Shed
 	for len(q.starts) > 0 && now.After(q.starts[0].StartBy) {
 		it := q.starts[0]
-		q.served.advance(now, q.cfg.RateWindow)
-		wait := q.expectedWait(q.tenants[it.Tenant])
+		t := q.tenants[it.Tenant]
+		q.advance(now, t)
+		wait := q.expectedWait(t)
 		q.remove(it)
 		out = append(out, Shed{Request: it.Request, Reason: outcome.ReasonDeadline, RetryAfter: q.advice(wait)})
 	}
