Start warm at entries that have just started, and spill by load alone

Cause: at the start of an entry all instances looked new, so the slow start made the local ones look loaded and requests spilled to other domains.

--- a/lib/route/pick.go
+++ b/lib/route/pick.go
@@ -11,7 +11,7 @@
 // scored is a candidate of one Pick.
 type scored struct {
 	slot  *slot
-	busy  float64
+	busy  float64 // share of the warm capacity that the request would fill
 	score float64
 	local bool
 	free  bool
@@ -29,7 +29,7 @@
 		}
 		return Choice{}, &Refusal{Reason: outcome.ReasonNoBackendServer, RetryAfter: p.cfg.RetryAfter}
 	}
-	p.keepLocal()
+	p.keepLocal(at)
 	p.score(now, r)
 	if wait := p.keepFree(now, r); wait || len(p.best) == 0 {
 		return Choice{}, &Refusal{Reason: outcome.ReasonOverloaded, RetryAfter: p.cfg.RetryAfter, Waits: wait}
@@ -103,7 +103,7 @@
 
 // keepLocal drops candidates of other failure domains unless all local ones
 // are full, or loaded past the threshold, or there is none.
-func (p *Picker) keepLocal() {
+func (p *Picker) keepLocal(at instant) {
 	best, locals := math.Inf(1), 0
 	for i := range p.best {
 		c := &p.best[i]
@@ -112,7 +112,8 @@
 		}
 		locals++
 		if c.free {
-			best = min(best, c.busy)
+			// A slow start is no lack of capacity.
+			best = min(best, c.busy*c.slot.warmth(at, &p.cfg))
 		}
 	}
 	if locals == 0 || locals == len(p.best) || best > p.cfg.SpillThreshold {
--- a/lib/route/picker.go
+++ b/lib/route/picker.go
@@ -54,6 +54,10 @@
 	}
 	s := newSlot(p.instant(now), in, p.cfg.DefaultCapacity)
 	p.describe(s, in)
+	if s.warmSince < instant(baseAge).add(p.cfg.SlowStart) {
+		// An entry that has just started does not know which instances are new.
+		s.warmSince = s.warmSince.add(-p.cfg.SlowStart)
+	}
 	s.number = len(p.slots)
 	for n, other := range p.slots {
 		if other == nil {
--- a/lib/route/picker_test.go
+++ b/lib/route/picker_test.go
@@ -138,6 +138,28 @@
 		Expect(choice.Key).To(Equal(keyOf("i5")))
 	})
 
+	It("does not spill because all local instances have just loaded", func() {
+		p := newPicker(route.Config{})
+		far := instance("far", oldWeights)
+		far.Location.FailureDomain = "d2"
+		p.Update(start, far)
+		now := start.Add(time.Minute)
+		p.Update(now, instance("near", oldWeights))
+		Expect(shares(p, now, request(), 8)).To(Equal(map[model.InstanceID]int{"near": 8}))
+	})
+
+	It("ejects nothing for lost connections, whichever number of them", func() {
+		// Guards against a path fault that takes healthy backend servers out.
+		p := newPicker(route.Config{})
+		for _, id := range []string{"a", "b", "c", "d"} {
+			p.Update(start, instance(id, oldWeights))
+		}
+		for range 100 {
+			p.Started(start, keyOf("a"), nil)
+			Expect(p.Finished(start, keyOf("a"), route.ResultNeutral)).To(BeFalse())
+		}
+	})
+
 	It("readmits an ejected instance with a slow start", func() {
 		p := newPicker(route.Config{})
 		for _, id := range []string{"a", "b", "c", "d"} {
