--- a/lib/admit/tenant_queue.go
+++ b/lib/admit/tenant_queue.go
@@ -13,6 +13,7 @@
 	classes   []*classQueue
 	names     []model.Class
 	queued    int
+	served    rate // while requests of the tenant wait
 	tokens    int // estimated tokens of the waiting requests
 }
 
@@ -48,7 +49,7 @@
 
 // before orders classes by start tag, then by priority.
 func (c *classQueue) before(other *classQueue, virtual float64) bool {
-	a, b := c.start(virtual), other.start(virtual)
+	a, b := c.start(virtual, 0), other.start(virtual, 0)
 	if a != b {
 		return a < b
 	}
--- a/lib/route/pick.go
+++ b/lib/route/pick.go
@@ -11,7 +11,7 @@
 // scored is a candidate of one Pick.
 type scored struct {
 	slot  *slot
-	busy  float64
+	busy  float64 // share of the warm capacity that the request would fill
 	score float64
 	local bool
 	free  bool
@@ -29,10 +29,10 @@
 		}
 		return Choice{}, &Refusal{Reason: outcome.ReasonNoBackendServer, RetryAfter: p.cfg.RetryAfter}
 	}
-	p.keepLocal()
+	p.keepLocal(at)
 	p.score(now, r)
-	if !p.keepFree(now, r) {
-		return Choice{}, &Refusal{Reason: outcome.ReasonOverloaded, RetryAfter: p.cfg.RetryAfter}
+	if wait := p.keepFree(now, r); wait || len(p.best) == 0 {
+		return Choice{}, &Refusal{Reason: outcome.ReasonOverloaded, RetryAfter: p.cfg.RetryAfter, Waits: wait}
 	}
 	c := p.twoChoices()
 	return Choice{Key: c.slot.Key(), Spilled: !c.local, CachedBlocks: p.prefix.depth(c.slot.number)}, nil
@@ -78,10 +78,10 @@
 	return matching
 }
 
-// keepFree drops the candidates that are full. It returns false when none is
-// free, or when the request should wait for a better one that is full: delay
-// scheduling (Zaharia et al., 2010).
-func (p *Picker) keepFree(now time.Time, r *Request) bool {
+// keepFree drops the candidates that are full. It reports whether the request
+// should wait for a better one that is full: delay scheduling (Zaharia et al.,
+// 2010).
+func (p *Picker) keepFree(now time.Time, r *Request) (wait bool) {
 	best, bestFree := math.Inf(1), math.Inf(1)
 	all := len(p.best)
 	kept := p.best[:0]
@@ -98,12 +98,12 @@
 	}
 	patient := now.Sub(r.Offered) < p.cfg.Patience
 	few := float64(len(kept)) < p.cfg.ChoiceShare*float64(all)
-	return !patient || !few || bestFree-best < p.cfg.WaitGain
+	return patient && few && bestFree-best >= p.cfg.WaitGain
 }
 
 // keepLocal drops candidates of other failure domains unless all local ones
 // are full, or loaded past the threshold, or there is none.
-func (p *Picker) keepLocal() {
+func (p *Picker) keepLocal(at instant) {
 	best, locals := math.Inf(1), 0
 	for i := range p.best {
 		c := &p.best[i]
@@ -112,7 +112,8 @@
 		}
 		locals++
 		if c.free {
-			best = min(best, c.busy)
+			// A slow start is no lack of capacity.
+			best = min(best, c.busy*c.slot.warmth(at, &p.cfg))
 		}
 	}
 	if locals == 0 || locals == len(p.best) || best > p.cfg.SpillThreshold {
@@ -167,7 +168,9 @@
 	var highest uint64
 	for i := range p.best {
 		c := &p.best[i]
-		if c.busy > bound {
+		// One request more is always within the bound: with few requests, any
+		// instance that has one is far over the mean.
+		if c.busy-1/float64(c.slot.load.capacity) > bound {
 			continue
 		}
 		if weight := rendezvous.Combine(key, c.slot.hash); choice == nil || weight > highest {
