Add the operators' RPC server, client library and auburnctl

Operators change and watch the configuration over gRPC. The client repeats a change whose reply was lost with the same operation id at the next entry, and reports an unknown outcome only when no entry tells. auburnctl ends with a code of its own for usage, invalid, conflict, unknown, unavailable and not found.

--- /dev/null
+++ b/cmd/auburnctl/main.go
@@ -0,0 +1,21 @@
+// Command auburnctl is the operators' command line.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/auburnbend/auburnbend/operator/cli"
+)
+
+// version is set by the linker.
+var version = "development"
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := cli.Report(os.Stderr, cli.New(version).ExecuteContext(ctx))
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/operator/cli/cli_test.go
@@ -0,0 +1,178 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/grpc"
+
+	"github.com/auburnbend/auburnbend/entry/operatorrpc"
+	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/wire"
+	"github.com/auburnbend/auburnbend/operator/cli"
+	"github.com/auburnbend/auburnbend/standin/fault"
+	"github.com/auburnbend/auburnbend/standin/table"
+)
+
+const declaration = `[deployment]
+time_weight = 0.25
+[service orders]
+kind = plain
+pool = orders
+[tenant engravers]
+share = SHARE
+`
+
+// fakeEntry is the part of an entry behind the operators' interface.
+type fakeEntry struct {
+	mu      sync.Mutex
+	replica *config.Replica
+	polls   int
+}
+
+func (f *fakeEntry) InForce() (*config.View, time.Duration) {
+	return f.replica.Current(), 1500 * time.Millisecond
+}
+
+func (f *fakeEntry) Accepted(encoded []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, err := f.replica.Offer([][]byte{encoded}, time.Now()); err != nil {
+		panic(err)
+	}
+	f.replica.Settle()
+}
+
+func (f *fakeEntry) Domains() []operatorrpc.DomainStatus {
+	return []operatorrpc.DomainStatus{{Domain: "kigali", Highest: config.Head{Number: 2}, Processes: 3}}
+}
+
+// Rollouts makes progress with each call and is complete at the third.
+func (f *fakeEntry) Rollouts() []operatorrpc.Rollout {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.polls++
+	r := operatorrpc.Rollout{Model: "crest", Version: "v4", Domain: "kigali", Wanted: 2, TotalBytes: 3 << 20, PeerBytes: int64(f.polls) << 20}
+	r.Phases = map[wire.Phase]int{wire.PhaseFetching: 2}
+	if f.polls >= 3 {
+		r.Phases = map[wire.Phase]int{wire.PhaseLive: 2}
+	}
+	return []operatorrpc.Rollout{r}
+}
+
+func (f *fakeEntry) Instances() []operatorrpc.Instance {
+	location := model.Location{Region: "west", FailureDomain: "kigali"}
+	return []operatorrpc.Instance{
+		{Identity: model.Identity{Instance: "a1", Location: location}, Role: wire.RoleAgent, Pool: "crest", State: "live"},
+		{Identity: model.Identity{Instance: "a2", Location: location}, Role: wire.RoleAgent, Pool: "orders", State: "draining"},
+	}
+}
+
+var _ = Describe("auburnctl", func() {
+	var (
+		rows    *table.Service
+		address string
+		file    string
+	)
+	BeforeEach(func() {
+		rows = table.New()
+		store := config.NewStore(rows, config.StoreConfig{Wait: func(context.Context, time.Duration) error { return nil }})
+		entry := &fakeEntry{replica: config.NewReplica(config.ReplicaConfig{}, time.Now())}
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		server := grpc.NewServer()
+		operatorrpc.New(operatorrpc.Config{}, store, entry, entry).Register(server)
+		go func() { _ = server.Serve(listener) }()
+		DeferCleanup(server.Stop)
+		address = listener.Addr().String()
+		file = filepath.Join(GinkgoT().TempDir(), "deployment.ini")
+	})
+	declare := func(share string) {
+		Expect(os.WriteFile(file, []byte(strings.ReplaceAll(declaration, "SHARE", share)), 0o600)).To(Succeed())
+	}
+	run := func(arguments ...string) (int, string) {
+		var out bytes.Buffer
+		cmd := cli.New("v0")
+		cmd.SetOut(&out)
+		cmd.SetErr(&out)
+		cmd.SetArgs(append([]string{"--address", address, "--plaintext", "--author", "ops"}, arguments...))
+		return cli.Report(&out, cmd.Execute()), out.String()
+	}
+	must := func(arguments ...string) string {
+		code, out := run(arguments...)
+		ExpectWithOffset(1, code).To(BeZero(), out)
+		return out
+	}
+
+	It("applies, shows, compares and rolls back", func() {
+		declare("1")
+		Expect(must("config", "apply", file, "--expect", "0")).To(ContainSubstring("accepted as revision 1"))
+		declare("7")
+		Expect(must("config", "apply", file, "--expect", "1", "--dry-run")).To(ContainSubstring("~ [tenant engravers] share = 7 (was 1)"))
+		must("config", "apply", file, "--expect", "1")
+		shown := must("config", "get")
+		Expect(os.WriteFile(file, []byte(shown), 0o600)).To(Succeed())
+		Expect(must("config", "apply", file, "--expect", "2")).To(ContainSubstring("unchanged, revision 2"))
+		Expect(must("config", "diff", "1")).To(ContainSubstring("share = 7 (was 1)"))
+		must("config", "rollback", "1", "--expect", "2")
+		Expect(must("config", "history")).To(MatchRegexp(`(?s)3 .*tenant engravers.*\n1 .*deployment`))
+		Expect(must("config", "get", "-o", "json")).To(ContainSubstring(`"timeWeight":0.25`))
+		Expect(must("config", "status")).To(ContainSubstring("revision 3, age 1.5s"))
+		rows.Faults.Set(fault.Faults{Down: true})
+		Expect(must("config", "get", "--in-force")).To(ContainSubstring("share = 1"))
+	})
+
+	// Guards against scripts that cannot tell the ends of a change apart.
+	It("ends with a code for each kind of failure", func() {
+		expect := func(code int, mention string, arguments ...string) {
+			got, out := run(arguments...)
+			ExpectWithOffset(1, got).To(Equal(code), out)
+			ExpectWithOffset(1, out).To(ContainSubstring(mention))
+		}
+		declare("0")
+		expect(3, "line 7: tenant engravers: share", "config", "apply", file, "--expect", "0")
+		declare("1")
+		must("config", "apply", file, "--expect", "0", "--operation", "first")
+		declare("2")
+		expect(4, "current is 1 by ops", "config", "apply", file, "--expect", "0")
+		expect(4, "already used", "config", "apply", file, "--expect", "1", "--operation", "first")
+		expect(7, "not found", "config", "get", "--revision", "9")
+		expect(2, "expect", "config", "apply", file)
+		expect(2, "unknown command", "deploy")
+		expect(2, "unknown flag", "instances", "--zone", "x")
+		rows.Faults.Set(fault.Faults{Down: true})
+		expect(6, "unavailable", "config", "get")
+		expect(5, "auburnctl operation status second", "config", "apply", file, "--expect", "1", "--operation", "second")
+		rows.Faults.Set(fault.Faults{})
+		Expect(must("operation", "status", "second")).To(ContainSubstring("not found"))
+		Expect(must("operation", "status", "second", "--settle")).To(ContainSubstring("abandoned"))
+		Expect(must("operation", "status", "first")).To(ContainSubstring("applied as revision 1"))
+		address = "127.0.0.1:1"
+		expect(6, "unavailable", "config", "apply", file, "--expect", "1")
+	})
+
+	It("refuses plain text unless it is asked for", func() {
+		var out bytes.Buffer
+		cmd := cli.New("v0")
+		cmd.SetOut(&out)
+		cmd.SetArgs([]string{"--address", address, "config", "get"})
+		Expect(cli.Report(&out, cmd.Execute())).To(Equal(6))
+	})
+
+	It("follows a rollout until it is complete and lists instances", func() {
+		out := must("rollout", "status", "--until-complete", "--interval", "100ms", "-o", "json")
+		Expect(strings.Count(out, "\n")).To(Equal(3))
+		Expect(out).To(ContainSubstring(`"complete":true`))
+		Expect(must("rollout", "status")).To(ContainSubstring("live:2"))
+		Expect(must("instances", "--pool", "orders")).To(And(ContainSubstring("a2"), Not(ContainSubstring("a1"))))
+	})
+})
--- /dev/null
+++ b/operator/cli/config_command.go
@@ -0,0 +1,167 @@
+package cli
+
+import (
+	"io"
+	"os"
+	"strconv"
+
+	"github.com/spf13/cobra"
+
+	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/operator"
+	"github.com/auburnbend/auburnbend/schema/convert"
+	pb "github.com/auburnbend/auburnbend/schema/operatorpb"
+)
+
+func newConfigCommand(o *options) *cobra.Command {
+	cmd := &cobra.Command{Use: "config", Short: "Read and change the accepted configuration"}
+	cmd.AddCommand(newApplyCommand(o), newGetCommand(o), newDiffCommand(o), newHistoryCommand(o), newRollbackCommand(o), newConfigStatusCommand(o))
+	return cmd
+}
+
+// change holds the flags of commands that make a revision.
+type change struct {
+	expect    uint64
+	operation string
+	dryRun    bool
+}
+
+func (c *change) addFlags(cmd *cobra.Command) {
+	flags := cmd.Flags()
+	flags.Uint64Var(&c.expect, "expect", 0, "revision that the change was made from; 0 before the first one")
+	flags.StringVar(&c.operation, "operation", "", "operation id; give the id of an unknown outcome to send the same change again")
+	flags.BoolVar(&c.dryRun, "dry-run", false, "validate and compare without a change")
+	_ = cmd.MarkFlagRequired("expect")
+}
+
+func (c *change) request() config.Request {
+	req := config.Request{Expected: c.expect, Operation: c.operation, DryRun: c.dryRun}
+	if req.Operation == "" {
+		req.Operation = operator.NewOperation()
+	}
+	return req
+}
+
+func (c *change) show(p *printer, req config.Request, result config.Result) error {
+	m := &pb.ApplyResponse{
+		Revision: convert.HeadToMessage(result.Head), Differences: convert.DifferencesToMessage(result.Differences),
+		Unchanged: result.Unchanged, Replayed: result.Replayed,
+	}
+	return p.message(m, func() {
+		p.differences(result.Differences)
+		switch {
+		case result.Unchanged:
+			p.line("unchanged, revision %d", result.Head.Number)
+		case c.dryRun:
+			p.line("dry run against revision %d, nothing changed", result.Head.Number)
+		default:
+			p.line("accepted as revision %d, operation %s", result.Head.Number, req.Operation)
+		}
+	})
+}
+
+func newApplyCommand(o *options) *cobra.Command {
+	c := &change{}
+	cmd := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Make a declaration file the next revision",
+		Long:  "Make a declaration file the next revision. FILE - reads the standard input.",
+		Example: `  auburnctl config apply deployment.ini --expect 41 --dry-run
+  auburnctl config apply deployment.ini --expect 41`,
+		Args: args(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, files []string) error {
+			declared, err := readDeclaration(cmd.InOrStdin(), files[0])
+			if err != nil {
+				return err
+			}
+			return o.run(cmd, func(client *operator.Client, p *printer) error {
+				req := c.request()
+				req.Config = declared
+				result, err := client.Apply(cmd.Context(), req)
+				if err != nil {
+					return err
+				}
+				return c.show(p, req, result)
+			})
+		},
+	}
+	c.addFlags(cmd)
+	return cmd
+}
+
+func readDeclaration(stdin io.Reader, file string) (*config.Config, error) {
+	var data []byte
+	var err error
+	if file == "-" {
+		data, err = io.ReadAll(stdin)
+	} else {
+		data, err = os.ReadFile(file)
+	}
+	if err != nil {
+		return nil, usagef("%v", err)
+	}
+	return config.Parse(data)
+}
+
+func newRollbackCommand(o *options) *cobra.Command {
+	c := &change{}
+	cmd := &cobra.Command{
+		Use:     "rollback REVISION",
+		Short:   "Make the configuration of an earlier revision the next one",
+		Example: "  auburnctl config rollback 40 --expect 42",
+		Args:    args(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, values []string) error {
+			to, err := revision(values[0])
+			if err != nil {
+				return err
+			}
+			return o.run(cmd, func(client *operator.Client, p *printer) error {
+				req := c.request()
+				result, err := client.Rollback(cmd.Context(), to, req)
+				if err != nil {
+					return err
+				}
+				return c.show(p, req, result)
+			})
+		},
+	}
+	c.addFlags(cmd)
+	return cmd
+}
+
+func newGetCommand(o *options) *cobra.Command {
+	var number uint64
+	var inForce bool
+	cmd := &cobra.Command{
+		Use:   "get",
+		Short: "Print a revision as a declaration file",
+		Example: `  auburnctl config get > deployment.ini
+  auburnctl config get --revision 40
+  auburnctl config get --in-force     # also while the store is down`,
+		Args: args(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return o.run(cmd, func(client *operator.Client, p *printer) error {
+				view, err := client.Get(cmd.Context(), number, inForce)
+				if err != nil {
+					return err
+				}
+				m := &pb.GetResponse{Revision: convert.HeadToMessage(view.Head), Config: convert.ConfigToMessage(view.Config)}
+				return p.message(m, func() {
+					p.line("# revision %d, digest %s, accepted %s\n", view.Head.Number, view.Head.Digest, formatTime(view.Accepted))
+					_, _ = p.out.Write(config.Format(view.Config))
+				})
+			})
+		},
+	}
+	cmd.Flags().Uint64Var(&number, "revision", 0, "revision; 0 is the newest")
+	cmd.Flags().BoolVar(&inForce, "in-force", false, "ask for what the entry has in force, without the store")
+	return cmd
+}
+
+func revision(text string) (uint64, error) {
+	number, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || number == 0 {
+		return 0, usagef("revision %q, allowed: a whole number from 1 on", text)
+	}
+	return number, nil
+}
--- /dev/null
+++ b/operator/cli/options.go
@@ -0,0 +1,95 @@
+package cli
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"github.com/auburnbend/auburnbend/operator"
+)
+
+// defaultAddress is the operators' address of an entry on this machine.
+const defaultAddress = "127.0.0.1:7300"
+
+// options are the flags that all commands share.
+type options struct {
+	addresses  []string
+	plaintext  bool
+	ca         string
+	cert       string
+	key        string
+	serverName string
+	author     string
+	timeout    time.Duration
+	output     string
+}
+
+func (o *options) addFlags(flags *pflag.FlagSet) {
+	flags.StringSliceVar(&o.addresses, "address", []string{defaultAddress}, "address of an entry; repeat it to name several")
+	flags.BoolVar(&o.plaintext, "plaintext", false, "connect without TLS")
+	flags.StringVar(&o.ca, "ca", "", "file with the certificates that sign those of entries")
+	flags.StringVar(&o.cert, "cert", "", "file with the operator's certificate")
+	flags.StringVar(&o.key, "key", "", "file with the key of the operator's certificate")
+	flags.StringVar(&o.serverName, "server-name", "", "name that the entry's certificate must have; default: the host of the address")
+	flags.StringVar(&o.author, "author", os.Getenv("USER"), "name in the history where the connection has no certificate")
+	flags.DurationVar(&o.timeout, "timeout", 10*time.Second, "limit of one attempt at one entry")
+	flags.StringVarP(&o.output, "output", "o", "table", "table or json")
+}
+
+// connect checks the shared flags and returns a client.
+func (o *options) connect() (*operator.Client, error) {
+	if o.output != "table" && o.output != "json" {
+		return nil, usagef("--output %q, allowed: table, json", o.output)
+	}
+	cfg := operator.Config{Addresses: o.addresses, Plaintext: o.plaintext, Timeout: o.timeout, Author: o.author}
+	if !o.plaintext {
+		settings, err := o.tls()
+		if err != nil {
+			return nil, err
+		}
+		cfg.TLS = settings
+	} else if o.ca != "" || o.cert != "" || o.key != "" {
+		return nil, usagef("--plaintext cannot be combined with --ca, --cert or --key")
+	}
+	return operator.New(cfg)
+}
+
+func (o *options) tls() (*tls.Config, error) {
+	settings := &tls.Config{MinVersion: tls.VersionTLS13, ServerName: o.serverName}
+	if o.ca != "" {
+		pem, err := os.ReadFile(o.ca)
+		if err != nil {
+			return nil, usagef("--ca: %v", err)
+		}
+		settings.RootCAs = x509.NewCertPool()
+		if !settings.RootCAs.AppendCertsFromPEM(pem) {
+			return nil, usagef("--ca: %s holds no certificate", o.ca)
+		}
+	}
+	if (o.cert == "") != (o.key == "") {
+		return nil, usagef("--cert and --key belong together")
+	}
+	if o.cert != "" {
+		pair, err := tls.LoadX509KeyPair(o.cert, o.key)
+		if err != nil {
+			return nil, usagef("--cert and --key: %v", err)
+		}
+		settings.Certificates = []tls.Certificate{pair}
+	}
+	return settings, nil
+}
+
+// run connects and calls f.
+func (o *options) run(cmd *cobra.Command, f func(*operator.Client, *printer) error) error {
+	client, err := o.connect()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = client.Close() }()
+	return merry.Wrap(f(client, &printer{out: cmd.OutOrStdout(), json: o.output == "json"}))
+}
--- /dev/null
+++ b/schema/convert/errors.go
@@ -0,0 +1,90 @@
+package convert
+
+import (
+	"errors"
+
+	"github.com/ansel1/merry/v2"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/protoadapt"
+
+	"github.com/auburnbend/auburnbend/lib/config"
+	pb "github.com/auburnbend/auburnbend/schema/operatorpb"
+)
+
+// ErrorToStatus maps an error of lib/config to the status of a call.
+func ErrorToStatus(err error) error {
+	var invalid *config.InvalidError
+	var conflict *config.RevisionConflictError
+	var unknown *config.UnknownOutcomeError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &invalid):
+		detail := &pb.Invalid{}
+		for _, f := range invalid.Faults {
+			detail.Faults = append(detail.Faults, &pb.Fault{Path: f.Path, Value: f.Value, Allowed: f.Allowed})
+		}
+		return withDetail(codes.InvalidArgument, invalid.Error(), detail)
+	case errors.As(err, &conflict):
+		return withDetail(codes.FailedPrecondition, conflict.Error(), &pb.Conflict{
+			Expected: conflict.Expected, Current: HeadToMessage(conflict.Current),
+			Author: conflict.Author, Operation: conflict.Operation,
+			Differences: DifferencesToMessage(conflict.Differences),
+		})
+	case errors.As(err, &unknown):
+		return withDetail(codes.Unknown, unknown.Error(), &pb.UnknownOutcome{Operation: unknown.Operation})
+	case errors.Is(err, config.ErrOperationReused):
+		return status.Error(codes.AlreadyExists, err.Error())
+	case errors.Is(err, config.ErrRevisionNotFound):
+		return status.Error(codes.NotFound, err.Error())
+	case errors.Is(err, config.ErrStoreUnavailable):
+		return status.Error(codes.Unavailable, err.Error())
+	default:
+		return status.Error(codes.Internal, err.Error())
+	}
+}
+
+// ErrorFromStatus maps the status of a call back to an error of lib/config.
+// Statuses without a counterpart are returned unchanged.
+func ErrorFromStatus(err error) error {
+	s, ok := status.FromError(err)
+	if err == nil || !ok {
+		return err
+	}
+	for _, detail := range s.Details() {
+		switch d := detail.(type) {
+		case *pb.Invalid:
+			invalid := &config.InvalidError{}
+			for _, f := range d.GetFaults() {
+				invalid.Faults = append(invalid.Faults, config.Fault{Path: f.GetPath(), Value: f.GetValue(), Allowed: f.GetAllowed()})
+			}
+			return merry.Wrap(invalid)
+		case *pb.Conflict:
+			return merry.Wrap(&config.RevisionConflictError{
+				Expected: d.GetExpected(), Current: HeadFromMessage(d.GetCurrent()), Author: d.GetAuthor(),
+				Operation: d.GetOperation(), Differences: DifferencesFromMessage(d.GetDifferences()),
+			})
+		case *pb.UnknownOutcome:
+			return merry.Wrap(&config.UnknownOutcomeError{Operation: d.GetOperation(), Cause: err})
+		}
+	}
+	switch s.Code() {
+	case codes.AlreadyExists:
+		return merry.Wrap(config.ErrOperationReused, merry.AppendMessage(s.Message()))
+	case codes.NotFound:
+		return merry.Wrap(config.ErrRevisionNotFound, merry.AppendMessage(s.Message()))
+	case codes.Unavailable:
+		return merry.Wrap(config.ErrStoreUnavailable, merry.AppendMessage(s.Message()), merry.WithCause(err))
+	default:
+		return err
+	}
+}
+
+func withDetail(code codes.Code, message string, detail protoadapt.MessageV1) error {
+	s, err := status.New(code, message).WithDetails(detail)
+	if err != nil {
+		return status.Error(code, message)
+	}
+	return s.Err()
+}
