--- a/lib/wire/messages.go
+++ b/lib/wire/messages.go
@@ -59,6 +59,8 @@
 	// peers, that ConfigRevision was the newest, in milliseconds.
 	ConfigAgeMillis int64 `msgpack:"g"`
 	Draining        bool  `msgpack:"x"`
+	// Probe asks the receiver for a heartbeat at once.
+	Probe bool `msgpack:"p,omitempty"`
 	// Live holds the weights that the instance may serve; empty from entries.
 	Live []model.Weights `msgpack:"w"`
 	Load Load            `msgpack:"l"`
@@ -138,6 +140,32 @@
 type Suspect struct {
 	Finger  model.Fingerprint  `msgpack:"f"`
 	Crashes []model.InstanceID `msgpack:"c"`
+	// Incidents are the same crashes one by one, so that updates merge in any
+	// order and a success clears exactly the crashes before it.
+	Incidents []Incident `msgpack:"i"`
+	// Runs say which entries run the request or are about to.
+	Runs []SuspectRun `msgpack:"r"`
+}
+
+// Incident is one crash of a backend server with a suspect in flight.
+type Incident struct {
+	Instance    model.InstanceID `msgpack:"i"`
+	Generation  model.Generation `msgpack:"g"`
+	Incarnation uint64           `msgpack:"n"`
+	// Cleared is set for good once a later run of the request succeeded.
+	Cleared bool `msgpack:"c"`
+	// AgeMillis is the time since the crash was first reported, in milliseconds.
+	AgeMillis int64 `msgpack:"a"`
+}
+
+// SuspectRun is one entry's state of running a suspect. The highest sequence
+// number of an entry's generation counts.
+type SuspectRun struct {
+	Entry      model.InstanceID   `msgpack:"e"`
+	Generation model.Generation   `msgpack:"g"`
+	Sequence   uint64             `msgpack:"s"`
+	Intends    bool               `msgpack:"x"`
+	Running    []model.InstanceID `msgpack:"r"`
 }
 
 // SuspectUpdate passes crash attribution between entries.
@@ -173,12 +201,18 @@
 	Uploads int `msgpack:"u"`
 	// Slots is the number of further chunks that the agent wants assigned.
 	Slots int `msgpack:"s"`
+	// Active is the number of assignments that the agent has not finished. The
+	// tracker subtracts from Slots those that crossed with this message.
+	Active int `msgpack:"a"`
 }
 
 // GrantFailure reports an assignment that did not deliver its chunk.
 type GrantFailure struct {
 	Grant   uint64 `msgpack:"g"`
 	Corrupt bool   `msgpack:"c"`
+	// Busy means that the source had no free slot or asked to come back later,
+	// which says nothing against the link to it.
+	Busy bool `msgpack:"b"`
 }
 
 // Assignment tells an agent where to take one chunk from.
@@ -279,6 +313,27 @@
 	Manifest    model.Digest `msgpack:"m"`
 	Granted     bool         `msgpack:"g"`
 	RetryMillis int64        `msgpack:"r"`
+	// Number and ExpiryMillis belong to a granted permit: its holder checks the
+	// expiry on its monotonic clock before it stops admitting requests.
+	Number       uint64 `msgpack:"n"`
+	ExpiryMillis int64  `msgpack:"e"`
+	// Reason says why no permit was given.
+	Reason string `msgpack:"w"`
+}
+
+// HolderSummary tells the tracker of another failure domain which of its agents
+// hold which chunks, so that chunks can be forwarded between domains.
+type HolderSummary struct {
+	Manifest model.Digest   `msgpack:"m"`
+	Location model.Location `msgpack:"l"`
+	Holders  []Holder       `msgpack:"h"`
+}
+
+// Holder is one agent in a HolderSummary.
+type Holder struct {
+	Address string `msgpack:"a"`
+	// Have is a bitmap of verified chunks, least significant bit first.
+	Have []byte `msgpack:"h"`
 }
 
 // RolloutFetch asks an entry for what its trackers know.
