Withdraw unsent orders and resolve outstanding ones before the next

Cause: an order whose context ended stayed in the guard; the next Run failed with ErrOrderOutstanding, and an unsent order of a replaced version could have been sent later. An older order that an engine without fencing ran late looked like another agent generation.

Change: Guard.Withdraw takes back an order that was not sent. Run withdraws at the end of its context and resolves a sent order before its own. ErrSuperseded is kept for higher numbers; an older late order makes the result ErrOrderLost.

--- a/lib/engine/guard.go
+++ b/lib/engine/guard.go
@@ -48,7 +48,8 @@
 // Outstanding reports whether an order has not ended yet.
 func (g *Guard) Outstanding() bool { return g.phase != phaseIdle }
 
-// Fence returns the number of the last order that was sent.
+// Fence returns the number of the last order that was sent. Its start is 0
+// until the first state was read, unless the settings gave it.
 func (g *Guard) Fence() Fence { return g.fence }
 
 // Submit makes an order the outstanding one; its number is set by the guard.
@@ -61,6 +62,15 @@
 	return nil
 }
 
+// Withdraw takes back an order that was not sent yet, for instance because
+// another version is wanted now. It reports whether no order is outstanding.
+func (g *Guard) Withdraw() bool {
+	if g.phase == phaseBefore || g.phase == phaseSend {
+		g.phase = phaseIdle
+	}
+	return g.phase == phaseIdle
+}
+
 // Next returns what to do now. StepReadState and StepSend are returned once for
 // each read or send: the owner reports the result before it calls Next again.
 func (g *Guard) Next(now time.Time) Step {
@@ -157,12 +167,15 @@
 		g.wake = now.Add(g.cfg.Poll)
 	case s.Accepted == g.fence:
 		g.done(s, g.check(s))
+	case g.fence.Before(s.Accepted):
+		g.done(s, merry.Wrap(ErrSuperseded, merry.AppendMessagef("engine accepted %s after %s", s.Accepted, g.fence)))
 	case s.Incarnation != g.before.Incarnation:
 		g.done(s, merry.Wrap(ErrOrderLost, merry.AppendMessage("engine restarted")))
 	case s.Accepted == g.before.Accepted:
 		g.done(s, merry.Wrap(ErrOrderLost, merry.AppendMessage("engine did not take the order on")))
 	default:
-		g.done(s, merry.Wrap(ErrSuperseded, merry.AppendMessagef("engine accepted %s after %s", s.Accepted, g.fence)))
+		// Only an engine that ignores fencing takes on an older order.
+		g.done(s, merry.Wrap(ErrOrderLost, merry.AppendMessagef("engine accepted the older order %s", s.Accepted)))
 	}
 }
 
--- a/lib/engine/guard_run.go
+++ b/lib/engine/guard_run.go
@@ -14,9 +14,14 @@
 }
 
 // Run carries out one order from submission to its result. When ctx ends
-// before that, the order stays outstanding in the guard and Resolve continues
-// it.
+// before that, an order that was not sent is withdrawn. One that was sent stays
+// outstanding in the guard; the next Run resolves it before it submits its own.
 func Run(ctx context.Context, c clock.Clock, api Orders, g *Guard, order Order) (Result, error) {
+	if g.Outstanding() {
+		if _, err := Resolve(ctx, c, api, g); err != nil {
+			return Result{}, err
+		}
+	}
 	if err := g.Submit(order); err != nil {
 		return Result{}, err
 	}
@@ -34,15 +39,14 @@
 			r, err := api.Order(ctx, step.Order)
 			g.OnReply(c.Now(), r, err)
 		case StepWait:
-			if err := sleep(ctx, step.Until.Sub(c.Now())); err != nil {
-				return Result{}, err
-			}
+			_ = sleep(ctx, step.Until.Sub(c.Now()))
 		case StepDone:
 			return step.Result, nil
 		case StepIdle:
 			return Result{}, ctx.Err()
 		}
-		if err := ctx.Err(); err != nil && g.Outstanding() && g.phase != phaseDone {
+		if err := ctx.Err(); err != nil && g.phase != phaseDone {
+			g.Withdraw()
 			return Result{}, err
 		}
 	}
--- a/lib/engine/guard_test.go
+++ b/lib/engine/guard_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/engine"
 	"github.com/auburnbend/auburnbend/lib/model"
 	standin "github.com/auburnbend/auburnbend/standin/engine"
@@ -41,6 +42,31 @@
 		Expect(result.State.Weights.IsZero()).To(BeTrue())
 	})
 
+	// A version that was replaced while its order waited must not be loaded
+	// later, and an order that was sent must be resolved before the next.
+	It("withdraws an unsent order and resolves a sent one", func() {
+		server, client, guard, _ := loaded(standin.Config{LoadTime: 10 * time.Second}, "v1")
+		place, _ := stage("v2", 4)
+		other, content := stage("v3", 4)
+		load := engine.Order{Kind: engine.OrderLoad, Weights: weightsOf("v2"), Base: place}
+		canceled, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err := engine.Run(canceled, clock.System{}, client, guard, load)
+		Expect(err).To(MatchError(context.Canceled))
+		Expect(guard.Outstanding()).To(BeFalse())
+
+		short, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+		defer cancel()
+		_, err = engine.Run(short, clock.System{}, client, guard, load)
+		Expect(err).To(MatchError(context.DeadlineExceeded))
+		Expect(guard.Outstanding()).To(BeTrue())
+		result := order(client, guard, engine.Order{Kind: engine.OrderLoad, Weights: weightsOf("v3"), Base: other})
+		Expect(result.Err).NotTo(HaveOccurred())
+		Expect(server.Content()).To(Equal(content))
+		atOnce, _ := server.OrderFaults()
+		Expect(atOnce).To(Equal(1))
+	})
+
 	It("stops an older agent generation", func() {
 		_, client, old, _ := loaded(standin.Config{IgnoreFencing: true}, "v1")
 		place, _ := stage("v2", 4)
@@ -147,8 +173,9 @@
 					t.Fatalf("submit: %v", err)
 				}
 			},
-			"deliver": func(*rapid.T) { m.deliver() },
-			"finish":  func(t *rapid.T) { m.finish(rapid.IntRange(0, 4).Draw(t, "fails") == 0) },
+			"withdraw": func(*rapid.T) { g.Withdraw() },
+			"deliver":  func(*rapid.T) { m.deliver() },
+			"finish":   func(t *rapid.T) { m.finish(rapid.IntRange(0, 4).Draw(t, "fails") == 0) },
 			"crash": func(t *rapid.T) {
 				if rapid.IntRange(0, 9).Draw(t, "rare") > 0 {
 					return
