Add the state machine of an instance's weights

Cause: an instance must serve a version only while its engine reports exactly that version, across crashes, lost replies, engines that ignore fencing, and versions that change or change back in any phase.

Change: agent/backend holds a pure machine from fetching to live with typed actions. It confirms what is live by incarnation, order number and weights, and drives all orders through engine.Guard. The property test found three faults on the way, fixed here: a first order could overlap an unread order of an earlier agent (the guard now waits out the settle time once, unless fencing is checked); the start number was taken before such an order arrived; and a change of role hid a restart of the engine.

--- /dev/null
+++ b/agent/backend/config.go
@@ -0,0 +1,56 @@
+package backend
+
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/engine"
+)
+
+const (
+	// defaultWatch is the interval between two reads of the engine's state.
+	// Half a second is the longest time for which a restart goes unnoticed
+	// when no request runs into it.
+	defaultWatch = 500 * time.Millisecond
+	// defaultRetry is the first wait after a failed fetch or load.
+	defaultRetry = time.Second
+	// defaultMaxRetry bounds the wait, which doubles with each failure.
+	defaultMaxRetry = time.Minute
+	// defaultPermitRetry is the wait for a permit whose answer named no time.
+	defaultPermitRetry = time.Second
+	// defaultMissed is the number of state reads that may fail in a row before
+	// the weights count as not live. A single slow answer proves nothing.
+	defaultMissed = 3
+)
+
+// Config holds the settings of a Machine.
+type Config struct {
+	Guard       engine.GuardConfig
+	Watch       time.Duration
+	Retry       time.Duration
+	MaxRetry    time.Duration
+	PermitRetry time.Duration
+	// Adopt is how long the engine must report the same weights before an
+	// agent that did not load them counts them as live. An order of an earlier
+	// agent may still be unread within that time.
+	Adopt time.Duration
+	// Missed is the number of failed state reads in a row that end live.
+	Missed int
+}
+
+func (c *Config) applyDefaults() {
+	defaultTo(&c.Watch, defaultWatch)
+	defaultTo(&c.Retry, defaultRetry)
+	defaultTo(&c.MaxRetry, defaultMaxRetry)
+	defaultTo(&c.PermitRetry, defaultPermitRetry)
+	defaultTo(&c.Guard.Settle, 3*time.Second)
+	defaultTo(&c.Adopt, c.Guard.Settle)
+	if c.Missed <= 0 {
+		c.Missed = defaultMissed
+	}
+}
+
+func defaultTo(d *time.Duration, value time.Duration) {
+	if *d <= 0 {
+		*d = value
+	}
+}
--- a/lib/engine/guard.go
+++ b/lib/engine/guard.go
@@ -29,6 +29,8 @@
 type Guard struct {
 	cfg   GuardConfig
 	fence Fence
+	// seen is when the state was first read.
+	seen time.Time
 
 	phase  phase
 	order  Order
@@ -92,12 +94,16 @@
 }
 
 // OnState reports a read of state. A failed read is repeated: an order is
-// neither sent nor given up on a guess.
+// neither sent nor given up on a guess. Reads without an outstanding order are
+// welcome; the first one starts the wait for orders of an earlier agent.
 func (g *Guard) OnState(now time.Time, s State, err error) {
 	if err != nil {
 		g.wake = now.Add(g.cfg.Poll)
 		return
 	}
+	if g.seen.IsZero() {
+		g.seen = now
+	}
 	switch g.phase {
 	case phaseBefore:
 		g.stateBefore(now, s)
@@ -109,7 +115,9 @@
 }
 
 func (g *Guard) stateBefore(now time.Time, s State) {
-	if g.fence.Start == 0 {
+	if g.cfg.Start == 0 && g.fence.Sequence == 0 {
+		// Taken again at each read until the first order is sent: an order of
+		// an earlier agent may arrive between two reads.
 		g.fence.Start = s.Accepted.Start + 1
 	}
 	switch {
@@ -118,6 +126,8 @@
 	case s.Busy:
 		// An order of an earlier agent generation still runs.
 		g.wake = now.Add(g.cfg.Poll)
+	case !g.cfg.Checked && now.Before(g.seen.Add(g.cfg.Settle)):
+		g.wake = g.seen.Add(g.cfg.Settle)
 	case !g.order.fits(s):
 		g.done(s, merry.Wrap(ErrWeightsMismatch, merry.AppendMessagef("engine has %s", s.Weights)))
 	default:
--- a/lib/engine/guard_test.go
+++ b/lib/engine/guard_test.go
@@ -123,12 +123,14 @@
 		const settle = 3 * time.Second
 		now := time.Unix(1_700_000_000, 0)
 		g := engine.NewGuard(engine.GuardConfig{Settle: settle})
+		var lostAt time.Time
 		m := &guardModel{state: engine.State{Incarnation: 1}}
 		if rapid.Bool().Draw(t, "order of an earlier agent") {
-			m.inFlight, m.sent = &engine.Order{Fence: engine.Fence{Start: 7, Sequence: 3}, Weights: weightsOf("old")}, 1
-			m.deliver()
+			m.inFlight, m.sent, lostAt = &engine.Order{Fence: engine.Fence{Start: 7, Sequence: 3}, Weights: weightsOf("old")}, 1, now
+			if rapid.Bool().Draw(t, "read already") {
+				m.deliver()
+			}
 		}
-		var lostAt time.Time
 		versions := []string{"a", "b", "c"}
 		step := func(t *rapid.T) {
 			switch step := g.Next(now); step.Kind {
