Follow the queue's placements and the proofs of abandoned claims

The queue tells requests that wait for a better instance from those that none can take, and a caller may hold several proofs. The dispatcher passes both on.

--- a/entry/caller/parse.go
+++ b/entry/caller/parse.go
@@ -17,6 +17,8 @@
 	maxDeadline = 10 * time.Minute
 	// maxIDLength bounds request ids and idempotency keys in bytes.
 	maxIDLength = 128
+	// maxProofLength bounds the proofs of a caller in bytes.
+	maxProofLength = 1024
 	// maxBodyBytes bounds a body so that it fits into one frame to an agent.
 	maxBodyBytes = 4 << 20
 	// defaultTimeout applies where neither caller nor service names one.
@@ -91,12 +93,14 @@
 	for _, header := range []struct{ name, value string }{
 		{HeaderRequestID, raw.requestID},
 		{HeaderIdempotencyKey, raw.idempotencyKey},
-		{HeaderClaimProof, raw.claimProof},
 	} {
 		if len(header.value) > maxIDLength {
 			return refuse(outcome.ReasonInvalid, "header %s has %d bytes, allowed are %d", header.name, len(header.value), maxIDLength)
 		}
 	}
+	if len(raw.claimProof) > maxProofLength {
+		return refuse(outcome.ReasonInvalid, "header %s has %d bytes, allowed are %d", HeaderClaimProof, len(raw.claimProof), maxProofLength)
+	}
 	return nil
 }
 
--- a/entry/dispatch/admission.go
+++ b/entry/dispatch/admission.go
@@ -73,9 +73,11 @@
 }
 
 func declare(q *admit.Queue, tenants []config.Tenant) {
+	limits := make(map[model.Tenant]admit.TenantLimits, len(tenants))
 	for _, t := range tenants {
-		q.SetTenant(t.Name, admit.TenantLimits{Share: t.Share, MaxQueued: t.MaxQueued})
+		limits[t.Name] = admit.TenantLimits{Share: t.Share, MaxQueued: t.MaxQueued}
 	}
+	q.SetTenants(limits)
 }
 
 // startBy returns when a request must be dispatched to be in time.
@@ -181,24 +183,25 @@
 	}
 }
 
-// place tries to start one request. It returns true when the request leaves the
-// queue.
-func (a *admission) place(r admit.Request) bool {
+// place tries to start one request.
+func (a *admission) place(r admit.Request) admit.Placement {
 	w := a.waiters[r.ID]
 	if w == nil {
-		return true
+		return admit.Placed
 	}
+	w.wish.Offered = r.Offered
 	place, err := a.placer.Reserve(&w.wish)
 	switch {
+	case err == nil:
+		a.grant(w, grant{place: place})
 	case errors.Is(err, fleet.ErrQuarantined):
 		a.grant(w, grant{reason: outcome.ReasonQuarantined})
-		return true
-	case place == nil:
-		return false
+	case errors.Is(err, fleet.ErrWaits):
+		return admit.Waits
 	default:
-		a.grant(w, grant{place: place})
-		return true
+		return admit.Blocked
 	}
+	return admit.Placed
 }
 
 func (a *admission) grant(w *waiter, g grant) {
--- a/entry/dispatch/claims.go
+++ b/entry/dispatch/claims.go
@@ -8,7 +8,6 @@
 	"github.com/auburnbend/auburnbend/entry/caller"
 	"github.com/auburnbend/auburnbend/lib/claim"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
-	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/outcome"
 )
 
@@ -35,7 +34,7 @@
 	answer := d.cfg.Ledger.Claim(ctx, d.cfg.Clock.Now(), r.key, claim.Intent{
 		Attempt:     r.claimID,
 		Fingerprint: r.finger,
-		Proof:       model.AttemptID(r.request.ClaimProof),
+		Proofs:      claim.ParseProofs(r.request.ClaimProof),
 	})
 	switch answer.Status {
 	case claim.StatusHeld:
@@ -51,7 +50,7 @@
 		Outcome:    answer.Outcome,
 		Reason:     answer.Reason,
 		RetryAfter: answer.RetryAfter,
-		ClaimProof: string(answer.Proof),
+		ClaimProof: claim.FormatProofs(answer.Proofs),
 	})
 	return false
 }
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -98,7 +98,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.apply(f.view.Seed(instances))
+	f.apply(f.view.Seed(f.cfg.Clock.Now(), instances))
 }
 
 func (f *Fleet) tick() {
--- a/entry/fleet/place.go
+++ b/entry/fleet/place.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"errors"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -16,8 +17,15 @@
 // maxPlacements bounds the instances that are tried for one suspect at a time.
 const maxPlacements = 8
 
-// ErrQuarantined means that the request crashed several backend servers.
-var ErrQuarantined = merry.New("request is quarantined")
+var (
+	// ErrQuarantined means that the request crashed several backend servers.
+	ErrQuarantined = merry.New("request is quarantined")
+	// ErrWaits means that an instance is free, but that the request should wait
+	// for a better one.
+	ErrWaits = merry.New("request waits for a better instance")
+	// ErrBlocked means that no instance can take the request now.
+	ErrBlocked = merry.New("no instance can take the request")
+)
 
 // Wish says what instance a request needs.
 type Wish struct {
@@ -30,6 +38,8 @@
 	Prefix uint64
 	// Avoid lists instances of earlier attempts.
 	Avoid []model.InstanceID
+	// Offered is when the request was first offered for placing.
+	Offered time.Time
 }
 
 // Place is an instance that was reserved for a request. Finish gives it back.
@@ -40,8 +50,8 @@
 	finger  model.Fingerprint
 }
 
-// Reserve picks an instance and takes a place on it. It returns nil when no
-// instance can take the request now, and ErrQuarantined when none ever will.
+// Reserve picks an instance and takes a place on it, or returns one of the
+// errors of this package.
 func (f *Fleet) Reserve(w *Wish) (*Place, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -49,13 +59,19 @@
 	if f.monitor.Quarantined(now, w.Finger) {
 		return nil, merry.Wrap(ErrQuarantined)
 	}
+	refusal := merry.Wrap(ErrBlocked)
 	for _, weights := range w.Weights {
 		place, err := f.reserveFor(now, w, weights)
-		if place != nil || err != nil {
-			return place, err
+		switch {
+		case err == nil:
+			return place, nil
+		case errors.Is(err, ErrQuarantined):
+			return nil, err
+		case errors.Is(err, ErrWaits):
+			refusal = err
 		}
 	}
-	return nil, nil
+	return nil, refusal
 }
 
 func (f *Fleet) reserveFor(now time.Time, w *Wish, weights model.Weights) (*Place, error) {
@@ -63,7 +79,10 @@
 	for range maxPlacements {
 		choice, err := f.picker.Pick(now, request)
 		if err != nil {
-			return nil, nil
+			if refusal := new(route.Refusal); errors.As(err, &refusal) && refusal.Waits {
+				return nil, merry.Wrap(ErrWaits)
+			}
+			return nil, merry.Wrap(ErrBlocked)
 		}
 		verdict := f.monitor.Verdict(now, w.Finger, choice.Key.Instance)
 		f.broadcast(verdict.Update)
@@ -73,16 +92,16 @@
 		case poison.Quarantined:
 			return nil, merry.Wrap(ErrQuarantined)
 		case poison.Hold:
-			return nil, nil
+			return nil, merry.Wrap(ErrBlocked)
 		case poison.RunElsewhere:
 			w.Avoid = append(w.Avoid, choice.Key.Instance)
 		}
 	}
-	return nil, nil
+	return nil, merry.Wrap(ErrBlocked)
 }
 
 func (f *Fleet) routeRequest(now time.Time, w *Wish, weights model.Weights) *route.Request {
-	request := &route.Request{Pool: w.Pool, Weights: weights}
+	request := &route.Request{Pool: w.Pool, Weights: weights, Offered: w.Offered}
 	if w.Prefix != 0 {
 		request.Prefix = []uint64{w.Prefix}
 		request.AffinityBlocks = 1
@@ -94,11 +113,9 @@
 			}
 		}
 		m, ok := f.view.Member(key.Instance)
-		if !ok || !m.Usable(now) || f.linkOf(key.Instance) == nil {
-			return false
-		}
-		return f.limiter(key).Free()
+		return ok && m.Usable(now) && f.linkOf(key.Instance) != nil
 	}
+	request.Free = func(key route.Key) bool { return f.limiter(key).Free() }
 	return request
 }
 
