Serve the operators' interface from the entry

Operators' calls are answered by every entry: configuration through the store, status from the fleet view, rollouts from the trackers of all failure domains, whose reports are fetched only while an operator asks.

--- a/entry/distribution.go
+++ b/entry/distribution.go
@@ -10,6 +10,7 @@
 	"github.com/auburnbend/auburnbend/lib/member"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/rollout"
+	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
 // policy divides the origin's chunks of a version between the failure domains
@@ -77,32 +78,65 @@
 	return g
 }
 
-// sendSummaries tells the trackers of other failure domains which chunks the
-// agents of this one hold.
-func (e *Entry) sendSummaries(ctx context.Context) {
-	summaries := e.trackers.Summaries()
-	if len(summaries) == 0 {
-		e.fleet.Require(ctx, nil)
-		return
-	}
+// exchange talks to the trackers of other failure domains: it tells them which
+// chunks the agents of this one hold and, while an operator asks, fetches their
+// reports.
+func (e *Entry) exchange(ctx context.Context) {
 	domains := make(map[model.Location][]member.Member)
 	for _, m := range e.fleet.Entries() {
-		if m.Identity.Location != e.cfg.Identity.Location {
-			domains[m.Identity.Location] = append(domains[m.Identity.Location], m)
-		}
+		domains[m.Identity.Location] = append(domains[m.Identity.Location], m)
 	}
 	var required []model.InstanceID
-	for _, summary := range summaries {
-		for _, entries := range domains {
-			to := trackerOf(summary.Manifest, entries)
+	send := func(manifest model.Digest, elsewhere bool, message wire.Message) {
+		for location, entries := range domains {
+			if elsewhere && location == e.cfg.Identity.Location {
+				continue
+			}
+			to := trackerOf(manifest, entries)
 			required = append(required, to)
-			e.fleet.Send(to, summary)
+			e.fleet.Send(to, message)
+		}
+	}
+	for _, summary := range e.trackers.Summaries() {
+		send(summary.Manifest, true, summary)
+	}
+	if c := e.Current(); c != nil && e.reports.wanted() {
+		for _, manifest := range placedManifests(c) {
+			send(manifest, false, &wire.RolloutFetch{})
 		}
 	}
 	slices.Sort(required)
 	e.fleet.Require(ctx, slices.Compact(required))
 }
 
+func placedManifests(c *config.Config) []model.Digest {
+	var manifests []model.Digest
+	for _, p := range c.Placements {
+		if m, ok := c.FindModel(p.Model, p.Version); ok && !slices.Contains(manifests, m.Manifest) {
+			manifests = append(manifests, m.Manifest)
+		}
+	}
+	return manifests
+}
+
+// peerMessage takes messages of other entries that do not concern the fleet.
+func (e *Entry) peerMessage(peer wire.Hello, m wire.Message, reply func(wire.Message) error) {
+	switch m := m.(type) {
+	case *wire.HolderSummary:
+		e.trackers.Attach(peer, replier(reply)).Handle(m)
+	case *wire.RolloutFetch:
+		_ = reply(e.trackers.Report())
+	case *wire.RolloutReport:
+		e.reports.put(peer.Identity.Instance, m)
+	}
+}
+
+// replier sends on the connection that a message came from.
+type replier func(wire.Message) error
+
+// TrySend implements tracker.Sender.
+func (r replier) TrySend(m wire.Message) error { return r(m) }
+
 // trackerOf returns the entry that comes first in the rendezvous order of a
 // manifest, as agents compute it from the addresses.
 func trackerOf(manifest model.Digest, entries []member.Member) model.InstanceID {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,14 +10,19 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
 	"github.com/auburnbend/auburnbend/entry/caller"
 	"github.com/auburnbend/auburnbend/entry/dispatch"
 	"github.com/auburnbend/auburnbend/entry/fleet"
+	"github.com/auburnbend/auburnbend/entry/operatorrpc"
 	"github.com/auburnbend/auburnbend/entry/tracker"
 	"github.com/auburnbend/auburnbend/lib/claim"
 	"github.com/auburnbend/auburnbend/lib/config"
 	"github.com/auburnbend/auburnbend/lib/follow"
 	"github.com/auburnbend/auburnbend/lib/listen"
+	"github.com/auburnbend/auburnbend/lib/security"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
@@ -33,6 +38,8 @@
 	dispatcher *dispatch.Dispatcher
 	trackers   *tracker.Service
 	callers    *caller.Server
+	operators  *grpc.Server
+	reports    *reports
 	draining   atomic.Bool
 	stop       context.CancelFunc
 	tasks      sync.WaitGroup
@@ -41,7 +48,7 @@
 
 // New returns an entry that Start starts.
 func New(cfg Config) *Entry {
-	e := &Entry{cfg: cfg.applyDefaults(), failed: make(chan error, 1)}
+	e := &Entry{cfg: cfg.applyDefaults(), failed: make(chan error, 2), reports: newReports(cfg.Clock)}
 	cfg = e.cfg
 	e.store = config.NewStore(cfg.Table, config.StoreConfig{Clock: cfg.Clock})
 	e.follower = follow.New(follow.Config{
@@ -71,6 +78,7 @@
 		DrainTimeout: cfg.DrainTimeout,
 	})
 	e.follower.Watch(func(v *config.View) { e.dispatcher.Configure(v.Config) })
+	e.setUpOperators()
 	return e
 }
 
@@ -78,6 +86,7 @@
 	c := e.cfg.Fleet
 	c.Identity, c.Clock, c.Rand, c.Log = e.cfg.Identity, e.cfg.Clock, e.cfg.Rand, e.cfg.Log
 	c.List, c.Follower, c.Dial, c.Draining = e.cfg.List, e.follower, e.dial, e.draining.Load
+	c.Other = e.peerMessage
 	return c
 }
 
@@ -135,6 +144,13 @@
 	e.tasks.Go(func() { e.tick(serving) })
 	random := rand.New(rand.NewSource(e.cfg.Rand.Int64()))
 	e.tasks.Go(func() { e.follower.PollStore(serving, e.store, e.fleet.Size, random) })
+	if e.operators != nil {
+		e.tasks.Go(func() {
+			if err := e.operators.Serve(e.cfg.Operators); err != nil && serving.Err() == nil {
+				e.failed <- err
+			}
+		})
+	}
 	e.tasks.Go(func() {
 		if err := e.callers.Run(); err != nil && serving.Err() == nil {
 			e.failed <- err
@@ -142,6 +158,19 @@
 	})
 }
 
+// setUpOperators prepares the operators' interface where it has a listener.
+func (e *Entry) setUpOperators() {
+	if e.cfg.Operators == nil {
+		return
+	}
+	var options []grpc.ServerOption
+	if e.cfg.Policy != nil && !e.cfg.Policy.Plaintext() {
+		options = append(options, grpc.Creds(credentials.NewTLS(e.cfg.Policy.Server(security.RoleOperator))))
+	}
+	e.operators = grpc.NewServer(options...)
+	operatorrpc.New(operatorrpc.Config{Clock: e.cfg.Clock, Log: e.cfg.Log}, e.store, status{e}, status{e}).Register(e.operators)
+}
+
 // Failed delivers an error when the entry cannot go on serving callers.
 func (e *Entry) Failed() <-chan error { return e.failed }
 
@@ -165,6 +194,9 @@
 	cancel()
 	_ = e.callers.Shutdown(ended)
 	e.stop()
+	if e.operators != nil {
+		e.operators.Stop()
+	}
 	e.tasks.Wait()
 	return nil
 }
@@ -175,9 +207,7 @@
 		_ = e.trackers.Serve(conn, peer)
 		return
 	}
-	session := e.trackers.Attach(peer, conn)
-	defer session.Detach()
-	e.fleet.ServePeer(conn, peer, func(m wire.Message) { session.Handle(m) })
+	e.fleet.ServePeer(conn, peer)
 }
 
 func (e *Entry) tick(ctx context.Context) {
@@ -188,7 +218,7 @@
 		case <-ticker.C:
 			e.follower.Tick()
 			e.trackers.Tick()
-			e.sendSummaries(ctx)
+			e.exchange(ctx)
 		case <-ctx.Done():
 			return
 		}
--- a/entry/fleet/accept.go
+++ b/entry/fleet/accept.go
@@ -6,7 +6,7 @@
 )
 
 // ServePeer handles a connection that another entry opened, until it fails.
-func (f *Fleet) ServePeer(conn *wire.Conn, peer wire.Hello, other func(wire.Message)) {
+func (f *Fleet) ServePeer(conn *wire.Conn, peer wire.Hello) {
 	id := f.newConnID()
 	c := &connection{id: id, hello: peer, send: conn.TrySend, drop: func() { _ = conn.Close() }}
 	if f.connected(c) != nil {
@@ -21,17 +21,10 @@
 		if err != nil {
 			return
 		}
-		switch m := m.(type) {
-		case *wire.HolderSummary, *wire.RolloutFetch, *wire.RolloutReport:
-			other(m)
-		case *wire.Heartbeat:
-			if m.Probe {
-				wakeUp(wake)
-			}
-			f.message(id, peer, m, conn.TrySend)
-		default:
-			f.message(id, peer, m, conn.TrySend)
+		if beat, ok := m.(*wire.Heartbeat); ok && beat.Probe {
+			wakeUp(wake)
 		}
+		f.message(id, peer, m, conn.TrySend)
 	}
 }
 
--- a/entry/fleet/config.go
+++ b/entry/fleet/config.go
@@ -46,6 +46,8 @@
 	ListInterval time.Duration
 	// Tick is the time between two checks of silent connections.
 	Tick time.Duration
+	// Other takes messages of entries that do not concern the fleet.
+	Other func(peer wire.Hello, m wire.Message, reply func(wire.Message) error)
 	// Draining reports whether this entry is leaving.
 	Draining func() bool
 }
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -182,6 +183,16 @@
 	return size
 }
 
+// Members returns all other processes that this entry knows.
+func (f *Fleet) Members() []member.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	members := append(f.view.Members(platform.RoleEntry), f.view.Members(platform.RoleAgent)...)
+	return slices.DeleteFunc(members, func(m member.Member) bool {
+		return m.Identity.Instance == f.cfg.Identity.Instance
+	})
+}
+
 // Entries returns the other entries that are not gone.
 func (f *Fleet) Entries() []member.Member {
 	f.mu.Lock()
--- a/entry/fleet/handler.go
+++ b/entry/fleet/handler.go
@@ -111,6 +111,8 @@
 		f.mu.Lock()
 		f.broadcast(f.monitor.Merge(f.cfg.Clock.Now(), *m))
 		f.mu.Unlock()
+	default:
+		f.cfg.Other(peer, m, reply)
 	}
 }
 
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,163 @@
+package entry
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/auburnbend/auburnbend/entry/operatorrpc"
+	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/member"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/wire"
+)
+
+// status shows operators what this entry knows.
+type status struct{ entry *Entry }
+
+var (
+	_ operatorrpc.Status  = status{}
+	_ operatorrpc.Replica = status{}
+)
+
+// InForce implements operatorrpc.Replica.
+func (s status) InForce() (*config.View, time.Duration) {
+	return s.entry.follower.Current(), s.entry.follower.Age()
+}
+
+// Accepted implements operatorrpc.Replica.
+func (s status) Accepted(encoded []byte) { s.entry.follower.Applied(encoded) }
+
+// Domains implements operatorrpc.Status.
+func (s status) Domains() []operatorrpc.DomainStatus {
+	now := s.entry.cfg.Clock.Now()
+	domains := make(map[model.FailureDomain]*operatorrpc.DomainStatus)
+	note := func(domain model.FailureDomain, head config.Head, age, heard time.Duration) {
+		d := domains[domain]
+		if d == nil {
+			d = &operatorrpc.DomainStatus{Domain: domain, Lowest: head, Highest: head, Age: age, Heard: heard}
+			domains[domain] = d
+		}
+		d.Processes++
+		d.Heard = min(d.Heard, heard)
+		if head.Number < d.Lowest.Number {
+			d.Lowest = head
+		}
+		if head.Number > d.Highest.Number || head == d.Highest && age < d.Age {
+			d.Highest, d.Age = head, age
+		}
+	}
+	if view, age := s.InForce(); view != nil {
+		note(s.entry.cfg.Identity.Location.FailureDomain, view.Head, age, 0)
+	}
+	for _, m := range s.entry.fleet.Members() {
+		if m.HeartbeatAt.IsZero() {
+			continue
+		}
+		heard := now.Sub(m.HeartbeatAt)
+		head := config.Head{Number: m.Heartbeat.ConfigRevision, Digest: m.Heartbeat.ConfigDigest}
+		age := time.Duration(m.Heartbeat.ConfigAgeMillis)*time.Millisecond + heard
+		note(m.Identity.Location.FailureDomain, head, age, heard)
+	}
+	return sorted(domains)
+}
+
+func sorted(domains map[model.FailureDomain]*operatorrpc.DomainStatus) []operatorrpc.DomainStatus {
+	list := make([]operatorrpc.DomainStatus, 0, len(domains))
+	for _, d := range domains {
+		list = append(list, *d)
+	}
+	slices.SortFunc(list, func(a, b operatorrpc.DomainStatus) int { return cmp.Compare(a.Domain, b.Domain) })
+	return list
+}
+
+// Instances implements operatorrpc.Status.
+func (s status) Instances() []operatorrpc.Instance {
+	now := s.entry.cfg.Clock.Now()
+	var list []operatorrpc.Instance
+	for _, m := range s.entry.fleet.Members() {
+		i := operatorrpc.Instance{
+			Identity: m.Identity,
+			Role:     wire.RoleAgent,
+			Pool:     m.Pool,
+			State:    stateName(m),
+			Revision: m.Heartbeat.ConfigRevision,
+			Weights:  m.Heartbeat.Live,
+			Running:  m.Heartbeat.Load.Running,
+			Queued:   m.Heartbeat.Load.Queued,
+		}
+		if m.Role == platform.RoleEntry {
+			i.Role = wire.RoleEntry
+		}
+		if !m.HeartbeatAt.IsZero() {
+			i.Heard = now.Sub(m.HeartbeatAt)
+		}
+		list = append(list, i)
+	}
+	return list
+}
+
+func stateName(m member.Member) string {
+	switch {
+	case m.Draining:
+		return "draining"
+	case m.State == member.StateLive:
+		return "live"
+	case m.State == member.StateProbing:
+		return "silent"
+	case m.State == member.StateGone:
+		return "gone"
+	default:
+		return "not_connected"
+	}
+}
+
+// Rollouts implements operatorrpc.Status. Reports of other entries arrive after
+// the first call; the view of a watch is whole from its second one.
+func (s status) Rollouts() []operatorrpc.Rollout {
+	e := s.entry
+	e.reports.want()
+	c := e.Current()
+	if c == nil {
+		return nil
+	}
+	statuses := e.reports.all(e.trackers.Report())
+	var list []operatorrpc.Rollout
+	for _, p := range c.Placements {
+		m, ok := c.FindModel(p.Model, p.Version)
+		if !ok {
+			continue
+		}
+		r := operatorrpc.Rollout{
+			Model: p.Model, Version: p.Version, Domain: p.FailureDomain, Pool: p.Pool,
+			Wanted: e.wanted(p), Phases: make(map[wire.Phase]int),
+		}
+		for _, i := range statuses {
+			if i.Domain != p.FailureDomain || i.Status.Manifest != m.Manifest {
+				continue
+			}
+			r.Phases[i.Status.Phase]++
+			r.OriginBytes += i.Status.OriginBytes
+			r.PeerBytes += i.Status.PeerBytes
+		}
+		r.TotalBytes = int64(r.Wanted) * m.Bytes
+		list = append(list, r)
+	}
+	return list
+}
+
+// wanted returns the number of instances that a placement asks for.
+func (e *Entry) wanted(p config.Placement) int {
+	if p.Replicas > 0 {
+		return p.Replicas
+	}
+	wanted := 0
+	for _, m := range e.fleet.Members() {
+		if m.Role == platform.RoleAgent && m.Pool == p.Pool && !m.Draining &&
+			m.Identity.Location.FailureDomain == p.FailureDomain && m.State != member.StateGone {
+			wanted++
+		}
+	}
+	return wanted
+}
