--- a/lib/admit/tenant_queue.go
+++ b/lib/admit/tenant_queue.go
@@ -14,7 +14,7 @@
 	names     []model.Class
 	queued    int
 	served    rate // while requests of the tenant wait
-	tokens    int // estimated tokens of the waiting requests
+	tokens    int  // estimated tokens of the waiting requests
 }
 
 // class returns the queue of a class. It takes over a changed priority.
