Reuse connections for reads of engine state and load

Cause: each read of state opened a connection, because the body was always ended by closing it.

Change: a body that was read to its end goes back to its pool when nobody else can close it any more. Requests that run work keep a connection of their own.

--- a/lib/engine/exchange.go
+++ b/lib/engine/exchange.go
@@ -120,8 +120,12 @@
 		return x.resp.Body(), nil
 	}
 	stop := context.AfterFunc(ctx, x.close)
-	defer stop()
 	data, err := io.ReadAll(io.LimitReader(x.resp.BodyStream(), limit+1))
+	if stop() && err == nil && int64(len(data)) <= limit {
+		// Nobody else can close the body now, so it may go back to its pool and
+		// the connection of a read serves the next one.
+		_ = x.resp.CloseBodyStream()
+	}
 	if err != nil {
 		return nil, because(ErrIncomplete, err)
 	}
