--- a/agent/transfer/service.go
+++ b/agent/transfer/service.go
@@ -24,9 +24,11 @@
 	limits   *limits
 	pool     *connPool
 	slots    chan struct{}
-	targets  chan *target
-	status   chan *wire.TransferStatus
-	permits  chan permitRequest
+	// sendTimes bounds how long a stalled receiver keeps a slot.
+	sendTimes sendTimes
+	targets   chan *target
+	status    chan *wire.TransferStatus
+	permits   chan permitRequest
 
 	mu        sync.Mutex
 	rand      *rand.Rand
--- a/entry/config.go
+++ b/entry/config.go
@@ -11,15 +11,15 @@
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/distribute"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/listen"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/outcome"
 	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/lib/rollout"
-	"github.com/auburnbend/auburnbend/lib/wire"
+	"github.com/auburnbend/auburnbend/lib/security"
 )
 
 const (
-	defaultDrainTimeout = 5 * time.Minute
 	// defaultBalancerLag is the time that an entry serves on after its readiness
 	// check fails, because the balancer still sends.
 	defaultBalancerLag = 3 * time.Second
@@ -41,11 +41,11 @@
 
 	// Callers, Peers and Operators are the listeners. Operators may be nil.
 	Callers, Peers, Operators net.Listener
-	// Dial opens a connection to a peer, with TLS where configured.
+	// Dial replaces the way in which connections to peers are opened; tests use
+	// it to inject faults.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
-	// Authorize checks that the certificate behind a connection may act in the
-	// role of its Hello; nil allows all.
-	Authorize func(nc net.Conn, role wire.Role) error
+	// Policy says who may connect in which role; nil means plain text.
+	Policy *security.Policy
 
 	Table platform.TableService
 	List  platform.InstanceList
@@ -54,17 +54,19 @@
 	Dispatch dispatch.Config
 	Tracker  distribute.TrackerConfig
 	Waves    rollout.Config
-	// DrainTimeout bounds the drain; BalancerLag is the time between the failed
+	// DrainTimeout bounds the drain. BalancerLag is the time between the failed
 	// readiness check and the end of accepting.
 	DrainTimeout, BalancerLag time.Duration
 }
 
 func (c Config) applyDefaults() Config {
-	if c.DrainTimeout == 0 {
-		c.DrainTimeout = defaultDrainTimeout
-	}
 	if c.BalancerLag == 0 {
 		c.BalancerLag = defaultBalancerLag
 	}
+	if c.Dial == nil {
+		c.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return listen.Dial(ctx, c.Policy, address)
+		}
+	}
 	return c
 }
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -37,7 +37,9 @@
 	conns    map[member.ConnID]*connection
 	nextConn member.ConnID
 	required []model.InstanceID
-	tasks    sync.WaitGroup
+	// entries is the last list of entries that agents were sent.
+	entries []string
+	tasks   sync.WaitGroup
 }
 
 // New returns a fleet that connects when Run is called.
@@ -110,6 +112,7 @@
 	}
 	f.apply(f.view.Tick(now))
 	f.broadcast(f.monitor.Tick(now))
+	f.sendEntries()
 	f.wake()
 }
 
@@ -130,6 +133,12 @@
 			if c := f.conns[e.Conn]; c != nil {
 				c.drop()
 			}
+		case member.Probe:
+			if c := f.conns[e.Conn]; c != nil {
+				beat := f.heartbeat()
+				beat.Probe = true
+				_ = c.send(&beat)
+			}
 		case member.PathFault:
 			f.cfg.Log.Log(eventlog.PathFault)
 		case member.Joined, member.Restored:
@@ -244,3 +253,16 @@
 	}
 	return nil
 }
+
+// Usable returns the number of agents that this entry may send work to.
+func (f *Fleet) Usable() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	usable := 0
+	for _, m := range f.view.Members(platform.RoleAgent) {
+		if m.Usable(f.cfg.Clock.Now()) {
+			usable++
+		}
+	}
+	return usable
+}
--- /dev/null
+++ b/internal/deployment/entry_process.go
@@ -0,0 +1,100 @@
+package deployment
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+
+	"github.com/auburnbend/auburnbend/entry"
+	"github.com/auburnbend/auburnbend/lib/clock"
+	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/telemetry"
+)
+
+// EntryProcess is one running entry.
+type EntryProcess struct {
+	Entry   *entry.Entry
+	URL     string
+	Metrics *telemetry.Metrics
+
+	identity   model.Identity
+	deployment *Deployment
+	peers      *cutListener
+	closing    sync.Once
+}
+
+// Silence makes all open connections to agents and other entries go silent for
+// good; new ones work.
+func (p *EntryProcess) Silence() { p.peers.silence() }
+
+// Kill ends the entry at once: all its connections break.
+func (p *EntryProcess) Kill() {
+	p.deployment.List.Remove(p.identity.Instance)
+	p.peers.cut()
+	p.close()
+}
+
+// Stop drains the entry as SIGTERM does.
+func (p *EntryProcess) Stop(ctx context.Context) error {
+	p.deployment.List.Remove(p.identity.Instance)
+	err := p.Entry.Drain(ctx)
+	p.close()
+	return err
+}
+
+func (p *EntryProcess) close() {
+	p.closing.Do(func() { _ = p.Entry.Close() })
+}
+
+func (d *Deployment) startEntry(domain model.FailureDomain, index int) error {
+	callers, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	peers := &cutListener{Listener: tcp}
+	metrics, err := telemetry.New(telemetry.Config{})
+	if err != nil {
+		return err
+	}
+	identity := d.identity(domain, fmt.Sprintf("%s-entry-%d", domain, index), peers)
+	e := entry.New(entry.Config{
+		Identity:     identity,
+		Clock:        clock.System{},
+		Rand:         rand.New(rand.NewPCG(uint64(d.rand.Int63()), 0)),
+		Log:          d.log.With("instance", identity.Instance),
+		Metrics:      entry.TelemetryMetrics(metrics),
+		Callers:      callers,
+		Peers:        peers,
+		Dial:         peers.dial,
+		Table:        d.Table,
+		List:         d.List,
+		BalancerLag:  balancerLag,
+		DrainTimeout: drainTimeout,
+	})
+	e.Watch(func(v *config.View) { metrics.Declare(v.Config) })
+	e.Start()
+	p := &EntryProcess{
+		Entry: e, URL: "http://" + callers.Addr().String(), Metrics: metrics,
+		identity: identity, deployment: d, peers: peers,
+	}
+	d.Entries = append(d.Entries, p)
+	d.List.Set(platform.Instance{ID: identity.Instance, Role: platform.RoleEntry, Location: identity.Location, Address: identity.Address})
+	return nil
+}
+
+func (d *Deployment) identity(domain model.FailureDomain, name string, peers net.Listener) model.Identity {
+	return model.Identity{
+		Instance:   model.InstanceID(name),
+		Generation: model.Generation(d.rand.Uint64()),
+		Location:   model.Location{Region: model.Region(domain), FailureDomain: domain},
+		Address:    peers.Addr().String(),
+	}
+}
--- a/lib/distribute/downloader_next.go
+++ b/lib/distribute/downloader_next.go
@@ -17,7 +17,9 @@
 	d.cancelStalled(now, &a)
 	d.cancelHeld(&a)
 	d.startAssigned(now, &a)
-	if !d.tracked && d.missing > 0 {
+	// Each announcement is answered. While the answers stay away, peers are used
+	// directly; the origin only once the tracker counts as lost.
+	if d.missing > 0 && (!d.tracked || d.Silence(now) > d.cfg.TrackerSilence) {
 		d.startSolo(now, &a)
 	}
 	d.announce(now, &a)
@@ -98,15 +100,24 @@
 
 func (d *Downloader) announce(now time.Time, a *Actions) {
 	since := now.Sub(d.announced)
-	if since < d.cfg.AnnounceEvery || !d.dirty && since < d.cfg.Heartbeat {
+	repeat := d.cfg.Heartbeat
+	if d.missing > 0 && d.retry > 0 {
+		repeat = min(repeat, d.retry)
+	}
+	if since < d.cfg.AnnounceEvery || !d.dirty && since < repeat {
 		return
 	}
 	busy := len(d.active) + len(d.queue)
+	d.sequence++
+	if d.waiting.IsZero() {
+		d.waiting = now
+	}
 	a.Announce = &wire.Announce{
 		Manifest: d.digest,
 		Have:     d.Have(),
 		Failed:   d.failures,
 		Active:   busy,
+		Sequence: d.sequence,
 	}
 	if d.missing > 0 {
 		a.Announce.Slots = max(d.cfg.Window-busy, 0)
@@ -114,6 +125,9 @@
 	d.failures, d.dirty, d.announced = nil, false, now
 }
 
-// Resend makes the next announcement immediate: another tracker needs the whole
-// state.
-func (d *Downloader) Resend() { d.dirty, d.announced = true, time.Time{} }
+// Connected says that the connection to a tracker is new. The next announcement
+// is immediate: it needs the whole state.
+func (d *Downloader) Connected() {
+	d.dirty, d.announced = true, time.Time{}
+	d.waiting, d.answered = time.Time{}, 0
+}
--- a/lib/distribute/tracker.go
+++ b/lib/distribute/tracker.go
@@ -49,6 +49,7 @@
 	grants    map[uint64]*grant
 	overdue   map[uint64]*grant // expired, kept to recognise late results
 	lastGrant uint64
+	fresh     []int // scratch list of Schedule
 	holders   []int // agents that hold each chunk
 	inFlight  []int // active grants of each chunk
 
@@ -56,7 +57,7 @@
 	originTime   average
 	remoteTime   average
 	peerTime     average
-	remote       map[model.FailureDomain]*remoteDomain
+	remote       map[string]*remoteDomain // by address of the other tracker
 	regions      map[model.Region]*remoteRegion
 	lastRemote   time.Time // last chunk that came from another failure domain
 	stats        Stats
@@ -76,7 +77,7 @@
 		lastGrant:  uint64(cfg.Rand.Uint32()) << 20,
 		holders:    make([]int, n),
 		inFlight:   make([]int, n),
-		remote:     make(map[model.FailureDomain]*remoteDomain),
+		remote:     make(map[string]*remoteDomain),
 		regions:    make(map[model.Region]*remoteRegion),
 		lastRemote: now,
 	}
@@ -129,10 +130,10 @@
 			p.bad[g.chunk] = address
 		}
 	case f.Busy:
-		p.blocked[address] = now.Add(t.cfg.Retry)
+		p.block(now, address, t.cfg.Retry)
 	default:
 		n.Stalled = append(n.Stalled, address)
-		p.blocked[address] = now.Add(t.cfg.AvoidFor)
+		p.block(now, address, t.cfg.AvoidFor)
 	}
 }
 
@@ -144,10 +145,12 @@
 		switch {
 		case is && !was:
 			p.have.Set(i)
+			p.held++
 			t.holders[i]++
 			t.arrived(now, p, i, n)
 		case was && !is:
 			p.have.Clear(i)
+			p.held--
 			t.holders[i]--
 		}
 	}
@@ -155,26 +158,43 @@
 
 func (t *Tracker) arrived(now time.Time, p *peer, chunk int, n *Notice) {
 	delete(p.bad, chunk)
-	for _, number := range slices.Clone(p.active[chunk]) {
-		g := t.grants[number]
-		t.times(g).add(now.Sub(g.issued))
-		if g.from != nil {
-			g.from.delivered()
-		}
-		if g.remote != nil {
-			t.lastRemote = now
+	var late []*grant
+	for _, number := range sortedKeys(t.overdue) {
+		if g := t.overdue[number]; g.to == p && g.chunk == chunk {
+			late = append(late, g)
+			delete(t.overdue, number)
 		}
+	}
+	active := slices.Clone(p.active[chunk])
+	for _, number := range active {
+		g := t.grants[number]
 		t.release(g)
+		t.delivered(now, g, len(active)+len(late) == 1)
 	}
-	for number, g := range t.overdue {
-		if g.to == p && g.chunk == chunk {
-			t.times(g).add(now.Sub(g.issued)) // the next grants get more time
-			delete(t.overdue, number)
+	if len(active) == 0 {
+		for _, g := range late {
 			n.Outdated++
+			t.delivered(now, g, len(late) == 1) // the next grants get more time
 		}
 	}
 }
 
+// delivered notes that a grant's chunk has arrived. With several grants for one
+// chunk it is not known which of them delivered, so nothing is learnt.
+func (t *Tracker) delivered(now time.Time, g *grant, only bool) {
+	if !only {
+		return
+	}
+	t.times(g).add(now.Sub(g.issued))
+	delete(g.to.blocked, g.sourceAddress())
+	if g.from != nil {
+		g.from.delivered()
+	}
+	if g.remote != nil {
+		t.lastRemote = now
+	}
+}
+
 // Lost forgets an agent: grants to it are free at once, and so are the slots of
 // grants that name it as source; their holders report the failure.
 func (t *Tracker) Lost(address string) {
@@ -212,6 +232,9 @@
 // Stats returns the counters.
 func (t *Tracker) Stats() Stats { return t.stats }
 
+// Retry is the time after which an agent announces again at the latest.
+func (t *Tracker) Retry() time.Duration { return t.cfg.Retry }
+
 // Peers returns the number of known agents.
 func (t *Tracker) Peers() int { return len(t.peers) }
 
@@ -225,14 +248,6 @@
 	return t.sorted
 }
 
-func (t *Tracker) sortedRemote() []*remoteDomain {
-	out := make([]*remoteDomain, 0, len(t.remote))
-	for _, name := range sortedKeys(t.remote) {
-		out = append(out, t.remote[name])
-	}
-	return out
-}
-
 // sortedKeys makes decisions independent of map order, so that a seed
 // reproduces them.
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
--- a/lib/route/pick.go
+++ b/lib/route/pick.go
@@ -11,7 +11,7 @@
 // scored is a candidate of one Pick.
 type scored struct {
 	slot  *slot
-	busy  float64
+	busy  float64 // share of the warm capacity that the request would fill
 	score float64
 	local bool
 	free  bool
@@ -21,17 +21,18 @@
 // that later picks depend on except the random source; the caller confirms the
 // choice with Started.
 func (p *Picker) Pick(now time.Time, r *Request) (Choice, error) {
-	matching := p.filter(now, r)
+	at := p.instant(now)
+	matching := p.filter(at, r)
 	if len(p.best) == 0 {
 		if matching {
 			return Choice{}, &Refusal{Reason: outcome.ReasonOverloaded, RetryAfter: p.cfg.RetryAfter}
 		}
 		return Choice{}, &Refusal{Reason: outcome.ReasonNoBackendServer, RetryAfter: p.cfg.RetryAfter}
 	}
-	p.keepLocal()
+	p.keepLocal(at)
 	p.score(now, r)
-	if !p.keepFree(now, r) {
-		return Choice{}, &Refusal{Reason: outcome.ReasonOverloaded, RetryAfter: p.cfg.RetryAfter}
+	if wait := p.keepFree(now, r); wait || len(p.best) == 0 {
+		return Choice{}, &Refusal{Reason: outcome.ReasonOverloaded, RetryAfter: p.cfg.RetryAfter, Waits: wait}
 	}
 	c := p.twoChoices()
 	return Choice{Key: c.slot.Key(), Spilled: !c.local, CachedBlocks: p.prefix.depth(c.slot.number)}, nil
@@ -40,11 +41,16 @@
 // filter collects the candidates into p.best. It reports whether any instance
 // serves the request at all, be it full or excluded now. Instances without a
 // fresh report are kept only when there is no other.
-func (p *Picker) filter(now time.Time, r *Request) (matching bool) {
+func (p *Picker) filter(now instant, r *Request) (matching bool) {
 	p.best = p.best[:0]
 	fresh := 0
+	pool := p.pools.of(r.Pool)
+	var weights uint32
+	if !r.Weights.IsZero() {
+		weights = p.live.of(r.Weights)
+	}
 	for _, s := range p.slots {
-		if s == nil || s.Pool != r.Pool || s.Draining || !s.Role.serves(r.Role) || !s.hasWeights(r.Weights) {
+		if s == nil || s.pool != pool || s.Draining || !s.Role.serves(r.Role) || !s.hasWeights(weights) {
 			continue
 		}
 		matching = true
@@ -58,10 +64,11 @@
 			free:  r.Free == nil || r.Free(s.Key()),
 		}
 		p.best = append(p.best, c)
-		if now.Sub(s.heard) <= p.cfg.FreshFor {
+		if now.sub(s.heard) <= p.cfg.FreshFor {
 			// Fresh candidates are kept in front.
-			last := len(p.best) - 1
-			p.best[fresh], p.best[last] = p.best[last], p.best[fresh]
+			if last := len(p.best) - 1; fresh != last {
+				p.best[fresh], p.best[last] = p.best[last], p.best[fresh]
+			}
 			fresh++
 		}
 	}
@@ -71,10 +78,10 @@
 	return matching
 }
 
-// keepFree drops the candidates that are full. It returns false when none is
-// free, or when the request should wait for a better one that is full: delay
-// scheduling (Zaharia et al., 2010).
-func (p *Picker) keepFree(now time.Time, r *Request) bool {
+// keepFree drops the candidates that are full. It reports whether the request
+// should wait for a better one that is full: delay scheduling (Zaharia et al.,
+// 2010).
+func (p *Picker) keepFree(now time.Time, r *Request) (wait bool) {
 	best, bestFree := math.Inf(1), math.Inf(1)
 	all := len(p.best)
 	kept := p.best[:0]
@@ -91,12 +98,12 @@
 	}
 	patient := now.Sub(r.Offered) < p.cfg.Patience
 	few := float64(len(kept)) < p.cfg.ChoiceShare*float64(all)
-	return !patient || !few || bestFree-best < p.cfg.WaitGain
+	return patient && few && bestFree-best >= p.cfg.WaitGain
 }
 
 // keepLocal drops candidates of other failure domains unless all local ones
 // are full, or loaded past the threshold, or there is none.
-func (p *Picker) keepLocal() {
+func (p *Picker) keepLocal(at instant) {
 	best, locals := math.Inf(1), 0
 	for i := range p.best {
 		c := &p.best[i]
@@ -105,7 +112,8 @@
 		}
 		locals++
 		if c.free {
-			best = min(best, c.busy)
+			// A slow start is no lack of capacity.
+			best = min(best, c.busy*c.slot.warmth(at, &p.cfg))
 		}
 	}
 	if locals == 0 || locals == len(p.best) || best > p.cfg.SpillThreshold {
@@ -160,7 +168,9 @@
 	var highest uint64
 	for i := range p.best {
 		c := &p.best[i]
-		if c.busy > bound {
+		// One request more is always within the bound: with few requests, any
+		// instance that has one is far over the mean.
+		if c.busy-1/float64(c.slot.load.capacity) > bound {
 			continue
 		}
 		if weight := rendezvous.Combine(key, c.slot.hash); choice == nil || weight > highest {
@@ -181,7 +191,9 @@
 	n := 0
 	for i := range p.best {
 		if p.best[i].score <= best+p.cfg.BestSlack {
-			p.best[n], p.best[i] = p.best[i], p.best[n]
+			if n != i {
+				p.best[n], p.best[i] = p.best[i], p.best[n]
+			}
 			n++
 		}
 	}
