Drive the instance's weights with the state machine of agent/backend

The agent had a short loop of its own for fetch, permit, quiesce and load. The state machine handles what that loop did not: a version that changes in each phase, orders of unknown outcome, an engine that restarts while it loads.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -5,9 +5,11 @@
 
 import (
 	"context"
+	"math/rand"
 	"sync"
 	"time"
 
+	"github.com/auburnbend/auburnbend/agent/backend"
 	"github.com/auburnbend/auburnbend/agent/gate"
 	"github.com/auburnbend/auburnbend/agent/transfer"
 	"github.com/auburnbend/auburnbend/lib/engine"
@@ -26,9 +28,9 @@
 	follower *follow.Follower
 	gate     *gate.Shell
 	server   backendServer
-	// transfer and versions are nil for plain services.
+	// transfer and weights are nil for plain services.
 	transfer *transfer.Service
-	versions *versions
+	weights  *backend.Runner
 	sessions *sessions
 	stop     context.CancelFunc
 	tasks    sync.WaitGroup
@@ -54,8 +56,8 @@
 		return err
 	}
 	a.server = &plainServer{client: client, capacity: a.cfg.Capacity}
-	a.gate = gate.New(a.cfg.Gate, a.cfg.Clock, a.server, nil, nil)
-	a.gate.SetLive([]model.Weights{{}})
+	a.gate = gate.New(a.cfg.Gate, a.cfg.Clock, a.server, nil)
+	a.gate.Serve([]model.Weights{{}})
 	return nil
 }
 
@@ -86,9 +88,15 @@
 	})
 	server := newEngineServer(client, a.cfg, a.crashed)
 	a.server = server
-	a.versions = newVersions(a, client)
-	a.gate = gate.New(a.cfg.Gate, a.cfg.Clock, a.server, a.versions, nil)
-	a.follower.Watch(a.versions.configured)
+	a.gate = gate.New(a.cfg.Gate, a.cfg.Clock, a.server, nil)
+	a.weights = backend.NewRunner(backend.RunnerConfig{
+		Machine: a.cfg.Weights,
+		Clock:   a.cfg.Clock,
+		Random:  rand.New(rand.NewSource(a.cfg.Rand.Int63())),
+		Engine:  client,
+		Host:    host{a},
+	})
+	a.follower.Watch(host{a}.configured)
 	return nil
 }
 
@@ -96,9 +104,7 @@
 func (a *Agent) crashed(incarnation uint64) {
 	a.cfg.Log.Log(eventlog.BackendServerCrashed, "incarnation", incarnation)
 	a.gate.Crashed(incarnation)
-	a.gate.SetLive(nil)
-	a.sessions.beat()
-	a.versions.wake()
+	a.weights.Crashed()
 }
 
 // Start starts all tasks. It returns at once; Close ends them.
@@ -115,8 +121,8 @@
 	a.tasks.Go(func() { server.Run(serving) })
 	a.tasks.Go(func() { a.tick(serving) })
 	a.tasks.Go(func() { a.server.observe(serving) })
-	if a.versions != nil {
-		a.tasks.Go(func() { a.versions.run(serving) })
+	if a.weights != nil {
+		a.tasks.Go(func() { a.weights.Run(serving) })
 	}
 }
 
--- a/agent/config.go
+++ b/agent/config.go
@@ -4,8 +4,8 @@
 	"context"
 	"math/rand"
 	"net"
-	"time"
 
+	"github.com/auburnbend/auburnbend/agent/backend"
 	"github.com/auburnbend/auburnbend/agent/gate"
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/distribute"
@@ -17,8 +17,6 @@
 	"github.com/auburnbend/auburnbend/lib/settings"
 )
 
-const defaultReconcile = time.Second
-
 // Config sets up an Agent.
 type Config struct {
 	Identity model.Identity
@@ -52,15 +50,11 @@
 	Downloader  distribute.DownloaderConfig
 	Gate        gate.Config
 
-	// Reconcile is the time between two comparisons of what is live with what
-	// the configuration wants.
-	Reconcile time.Duration
+	// Weights holds the settings of the machine of the instance's weights.
+	Weights backend.Config
 }
 
 func (c Config) applyDefaults() Config {
-	if c.Reconcile == 0 {
-		c.Reconcile = defaultReconcile
-	}
 	if c.Gate.Capacity == 0 {
 		c.Gate.Capacity = c.Capacity
 	}
--- a/agent/gate/backend.go
+++ b/agent/gate/backend.go
@@ -5,7 +5,6 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
@@ -37,9 +36,3 @@
 type Sender interface {
 	Send(m wire.Message) error
 }
-
-// Loader puts other weights into the backend server and returns those that it
-// has loaded afterwards, also when it fails.
-type Loader interface {
-	Load(ctx context.Context, to model.Weights) (live []model.Weights, err error)
-}
--- a/agent/gate/shell.go
+++ b/agent/gate/shell.go
@@ -14,7 +14,6 @@
 type Shell struct {
 	clock   clock.Clock
 	backend Backend
-	loader  Loader
 	changed func()
 
 	mu      sync.Mutex
@@ -29,12 +28,11 @@
 }
 
 // New returns a shell that serves no weights yet.
-func New(config Config, clk clock.Clock, backend Backend, loader Loader, quarantine Quarantine) *Shell {
+func New(config Config, clk clock.Clock, backend Backend, quarantine Quarantine) *Shell {
 	return &Shell{
 		clock:   clk,
 		changed: config.applyDefaults().Changed,
 		backend: backend,
-		loader:  loader,
 		core:    NewCore(config, quarantine),
 		runners: make(map[model.AttemptID]*runner),
 		conns:   make(map[Sender]struct{}),
@@ -102,14 +100,6 @@
 	s.sweep()
 }
 
-// SetLive sets the weights that are served, for instance when the backend
-// server reports at the start what it has loaded.
-func (s *Shell) SetLive(live []model.Weights) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.core.SetLive(live)
-}
-
 // Live returns the weights that requests are admitted for now.
 func (s *Shell) Live() []model.Weights {
 	s.mu.Lock()
@@ -159,13 +149,12 @@
 	sent.Wait()
 }
 
-// Switch replaces the loaded weights: it refuses new requests, waits until none
-// runs, calls the loader and admits what the loader says is live. Requests of
-// the old weights never run while the loader does. When ctx ends before the
-// load has begun, the old weights are admitted again.
-func (s *Shell) Switch(ctx context.Context, to model.Weights) error {
+// Quiesce refuses new requests and returns nil when none runs, so that no
+// request runs on weights that are being replaced. Requests stay refused until
+// Serve, also when ctx ends first. One quiesce is under way at a time.
+func (s *Shell) Quiesce(ctx context.Context) error {
 	s.mu.Lock()
-	if s.core.Switching() {
+	if s.idle != nil {
 		s.mu.Unlock()
 		return ErrSwitching
 	}
@@ -175,28 +164,30 @@
 	s.notifyIdle()
 	s.mu.Unlock()
 	s.changed()
-	defer s.changed()
 
 	select {
 	case <-idle:
+		return nil
 	case <-ctx.Done():
-		s.resume(func() { s.idle = nil })
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.idle == idle {
+			s.idle = nil
+		}
 		return ctx.Err()
 	}
-	live, err := s.loader.Load(ctx, to)
-	s.resume(func() { s.core.SetLive(live) })
-	return err
 }
 
-// resume ends a switch.
-func (s *Shell) resume(with func()) {
+// Serve sets the weights that requests are admitted for and ends a quiesce.
+func (s *Shell) Serve(live []model.Weights) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	with()
+	s.core.SetLive(live)
 	s.core.ResumeAdmitting()
+	s.mu.Unlock()
+	s.changed()
 }
 
-// notifyIdle wakes the switch that waits for the last attempt; s.mu is held.
+// notifyIdle wakes the quiesce that waits for the last attempt; s.mu is held.
 func (s *Shell) notifyIdle() {
 	if s.idle != nil && s.core.Running() == 0 {
 		close(s.idle)
--- /dev/null
+++ b/agent/host.go
@@ -0,0 +1,125 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/auburnbend/auburnbend/agent/backend"
+	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/engine"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/weights"
+	"github.com/auburnbend/auburnbend/lib/wire"
+)
+
+// errNotDeclared means that no declared model has a wanted manifest.
+var errNotDeclared = merry.New("manifest is not declared")
+
+// host does for the machine of the weights what concerns transfers, permits and
+// requests.
+type host struct{ agent *Agent }
+
+var _ backend.Host = host{}
+
+// configured takes a configuration that has come in force.
+func (h host) configured(view *config.View) {
+	a := h.agent
+	p, ok := view.Config.PlacementFor(a.cfg.Pool, a.cfg.Identity.Location.FailureDomain)
+	if !ok {
+		return
+	}
+	if w, ok := view.Config.Weights(p.Model, p.Version); ok {
+		a.weights.Want(w)
+	}
+}
+
+// Fetch implements backend.Host.
+func (h host) Fetch(ctx context.Context, w model.Weights) (backend.Fetched, error) {
+	t := h.agent.transfer
+	fetched := backend.Fetched{Weights: w}
+	var err error
+	if fetched.Base, err = h.fetch(ctx, w.Base); err != nil || w.Adapter.IsZero() {
+		return fetched, err
+	}
+	t.Keep(w.Base)
+	fetched.Adapter, err = h.fetch(ctx, w.Adapter)
+	return fetched, err
+}
+
+// fetch brings one set of weights, verifies it and names its files in order.
+func (h host) fetch(ctx context.Context, manifest model.Digest) (engine.Place, error) {
+	t := h.agent.transfer
+	object, ok := h.manifestObject(manifest)
+	if !ok {
+		return engine.Place{}, merry.Wrap(errNotDeclared, merry.AppendMessage(manifest.Short()))
+	}
+	if err := t.Fetch(ctx, manifest, object); err != nil {
+		return engine.Place{}, err
+	}
+	if err := t.Verify(manifest); err != nil {
+		return engine.Place{}, err
+	}
+	place := engine.Place{Directory: h.agent.cfg.Staging}
+	for _, c := range t.Manifest(manifest).Chunks {
+		place.Files = append(place.Files, weights.ChunkFile(c.Digest))
+	}
+	return place, nil
+}
+
+func (h host) manifestObject(manifest model.Digest) (string, bool) {
+	view := h.agent.follower.Current()
+	if view == nil {
+		return "", false
+	}
+	for _, m := range view.Config.Models {
+		if m.Manifest == manifest {
+			return m.ManifestObject, true
+		}
+	}
+	return "", false
+}
+
+// Permit implements backend.Host.
+func (h host) Permit(ctx context.Context, w model.Weights) (bool, time.Duration, error) {
+	permit, err := h.agent.transfer.Permit(ctx, last(w))
+	return permit.Granted, time.Duration(permit.RetryMillis) * time.Millisecond, err
+}
+
+// Quiesce implements backend.Host.
+func (h host) Quiesce(ctx context.Context) error { return h.agent.gate.Quiesce(ctx) }
+
+// Serve implements backend.Host.
+func (h host) Serve(w model.Weights) {
+	if w.IsZero() {
+		h.agent.gate.Serve(nil)
+		return
+	}
+	h.agent.gate.Serve([]model.Weights{w})
+}
+
+// Report implements backend.Host.
+func (h host) Report(w model.Weights, phase wire.Phase, err error) {
+	log := h.agent.cfg.Log
+	switch {
+	case err != nil:
+		log.Log(eventlog.LoadFailed, "weights", w, "err", err)
+	case phase == wire.PhaseLive:
+		log.Log(eventlog.VersionLive, "weights", w)
+	}
+	h.agent.transfer.Report(last(w), phase)
+}
+
+// OrderDone implements backend.Host. The agent gives no orders but loads.
+func (h host) OrderDone(engine.Result) {}
+
+// last returns the manifest that is fetched last and stands for the weights in
+// reports.
+func last(w model.Weights) model.Digest {
+	if w.Adapter.IsZero() {
+		return w.Base
+	}
+	return w.Adapter
+}
