--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -15,7 +15,6 @@
 	"github.com/go-kit/log"
 
 	"github.com/auburnbend/auburnbend/internal/deployment"
-	"github.com/auburnbend/auburnbend/lib/config"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
 )
@@ -98,21 +97,12 @@
 // rollOut publishes and places a version and waits until all running instances
 // serve it.
 func (r *demo) rollOut(ctx context.Context, name string) error {
-	v, err := r.d.Publish(name)
-	if err != nil {
-		return err
-	}
-	head, err := r.d.Store.Head(ctx)
-	if err != nil {
-		return err
-	}
 	begun := time.Now()
-	if _, err := r.d.Store.Apply(ctx, config.Request{
-		Config: r.d.Declare(name), Expected: head.Number, Operation: "place-" + name, Author: "demo",
-	}); err != nil {
+	v, err := r.d.Place(ctx, name)
+	if err != nil {
 		return err
 	}
-	r.print("version %s accepted as revision %d", name, head.Number+1)
+	r.print("version %s accepted through the operators' interface", name)
 	last := -1
 	err = r.d.WaitLive(ctx, v, progressInterval, func(live, of int) {
 		if live != last {
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -18,6 +18,7 @@
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/weights"
+	"github.com/auburnbend/auburnbend/operator"
 	"github.com/auburnbend/auburnbend/standin/engine"
 	"github.com/auburnbend/auburnbend/standin/instances"
 	"github.com/auburnbend/auburnbend/standin/origin"
@@ -30,7 +31,6 @@
 	Table   *table.Service
 	Origin  *origin.Source
 	List    *instances.List
-	Store   *config.Store
 	Entries []*EntryProcess
 	Agents  []*AgentProcess
 	// Versions are the published versions of the model in order.
@@ -60,7 +60,6 @@
 		rand:    rand.New(rand.NewSource(o.Seed)),
 		log:     log,
 	}
-	d.Store = config.NewStore(d.Table, config.StoreConfig{Clock: clock.System{}})
 	for _, domain := range o.Domains {
 		if err := d.startDomain(domain); err != nil {
 			d.Close()
@@ -242,3 +241,34 @@
 	}
 	return runs
 }
+
+// Place publishes a version and places it in all failure domains through the
+// operators' interface.
+func (d *Deployment) Place(ctx context.Context, name string) (Version, error) {
+	v, err := d.Publish(name)
+	if err != nil {
+		return v, err
+	}
+	client, err := d.Operator()
+	if err != nil {
+		return v, err
+	}
+	defer func() { _ = client.Close() }()
+	newest, err := client.Get(ctx, 0, false)
+	if err != nil && !errors.Is(err, config.ErrRevisionNotFound) {
+		return v, err
+	}
+	_, err = client.Apply(ctx, config.Request{
+		Config: d.Declare(name), Expected: newest.Head.Number, Operation: "place-" + name, Author: "operator",
+	})
+	return v, err
+}
+
+// Operator returns a client of the operators' interface.
+func (d *Deployment) Operator() (*operator.Client, error) {
+	var addresses []string
+	for _, e := range d.Entries {
+		addresses = append(addresses, e.Operators)
+	}
+	return operator.New(operator.Config{Addresses: addresses, Plaintext: true})
+}
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -11,7 +11,6 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/auburnbend/auburnbend/internal/deployment"
-	"github.com/auburnbend/auburnbend/lib/config"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/standin/engine"
@@ -34,21 +33,10 @@
 		calls  int
 	)
 
-	apply := func(version string) {
-		head, err := d.Store.Head(ctx)
+	rollOut := func(name string) {
+		v, err := d.Place(ctx, name)
 		Expect(err).NotTo(HaveOccurred())
-		_, err = d.Store.Apply(ctx, config.Request{
-			Config: d.Declare(version), Expected: head.Number, Operation: "place-" + version, Author: "test",
-		})
-		Expect(err).NotTo(HaveOccurred())
-	}
-
-	rollOut := func(name string) deployment.Version {
-		v, err := d.Publish(name)
-		Expect(err).NotTo(HaveOccurred())
-		apply(name)
 		Expect(d.WaitLive(ctx, v, 50*time.Millisecond, nil)).To(Succeed())
-		return v
 	}
 
 	draft := func(entry int, body []byte) deployment.Answer {
@@ -210,11 +198,8 @@
 
 	// Guards against an entry whose death takes its failure domain with it.
 	It("goes on through the other entries when one dies", func() {
-		v2, err := d.Publish("v2")
-		Expect(err).NotTo(HaveOccurred())
 		d.Entries[0].Kill()
-		apply("v2")
-		Expect(d.WaitLive(ctx, v2, 50*time.Millisecond, nil)).To(Succeed())
+		rollOut("v2")
 		Expect(draft(1, deployment.DraftBody(rng, 5)).Outcome).To(Equal(completed))
 		a := order(1, "after-death")
 		Expect(a.Outcome).To(Equal(completed))
--- a/internal/deployment/entry_process.go
+++ b/internal/deployment/entry_process.go
@@ -17,9 +17,11 @@
 
 // EntryProcess is one running entry.
 type EntryProcess struct {
-	Entry   *entry.Entry
-	URL     string
-	Metrics *telemetry.Metrics
+	Entry *entry.Entry
+	URL   string
+	// Operators is the address of the operators' interface.
+	Operators string
+	Metrics   *telemetry.Metrics
 
 	identity   model.Identity
 	deployment *Deployment
@@ -60,6 +62,10 @@
 		return err
 	}
 	peers := &cutListener{Listener: tcp}
+	operators, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
 	metrics, err := telemetry.New(telemetry.Config{})
 	if err != nil {
 		return err
@@ -73,6 +79,7 @@
 		Metrics:      entry.TelemetryMetrics(metrics),
 		Callers:      callers,
 		Peers:        peers,
+		Operators:    operators,
 		Dial:         peers.dial,
 		Table:        d.Table,
 		List:         d.List,
@@ -83,7 +90,8 @@
 	e.Start()
 	p := &EntryProcess{
 		Entry: e, URL: "http://" + callers.Addr().String(), Metrics: metrics,
-		identity: identity, deployment: d, peers: peers,
+		Operators: operators.Addr().String(),
+		identity:  identity, deployment: d, peers: peers,
 	}
 	d.Entries = append(d.Entries, p)
 	d.List.Set(platform.Instance{ID: identity.Instance, Role: platform.RoleEntry, Location: identity.Location, Address: identity.Address})
