Give a repeated order the answer of the first call

In the demo every order is sent twice at once; 193 of 400 answers were unknown because the key was claimed and had no result yet. The entry now looks for the result for up to 4 s with doubling pauses, and claims again when the other request has released the key. The stand-ins' command can serve backend servers as well.

--- a/cmd/auburnbend-standins/main.go
+++ b/cmd/auburnbend-standins/main.go
@@ -30,17 +30,23 @@
 
 func newCommand() *cobra.Command {
 	var cfg platform.Config
+	var servers backends
 	listen := "127.0.0.1:7400"
 	cmd := &cobra.Command{
 		Use:   "auburnbend-standins",
 		Short: "Serve stand-ins of the platform for tests and first trials",
 		Long: `Serve stand-ins of the platform: table service, object store, origin, weight
-store and instance list. Each has its fault switches at <path>/faults.`,
+store and instance list. Each has its fault switches at <path>/faults. With
+--engine and --service the process also serves stand-ins of backend servers.`,
 		Example: `  auburnbend-standins --listen 127.0.0.1:7400
   curl -X PUT -d '{"down":true}' http://127.0.0.1:7400/table/faults`,
 		Args:         cobra.NoArgs,
 		SilenceUsage: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := servers.start(); err != nil {
+				return err
+			}
+			defer servers.close()
 			return serve(cmd, listen, cfg)
 		},
 	}
@@ -48,6 +54,8 @@
 	flags.StringVar(&listen, "listen", listen, "IP address and port; port 0 picks a free one")
 	flags.Int64Var(&cfg.OriginLink, "origin-link", 0, "bytes per second of the origin's link; 0 is unlimited")
 	flags.Int64Var(&cfg.WeightStoreRate, "weight-store-rate", 0, "bytes per second that the weight store admits; 0 is unlimited")
+	flags.StringSliceVar(&servers.engines, "engine", nil, "IP address and port of a model engine to serve as well; repeat it for several")
+	flags.StringSliceVar(&servers.services, "service", nil, "IP address and port of a plain service to serve as well; repeat it for several")
 	flags.DurationVar(&cfg.InstanceLag, "instance-lag", 0, "time after which the instance list shows a change")
 	return cmd
 }
--- a/entry/dispatch/claims.go
+++ b/entry/dispatch/claims.go
@@ -12,7 +12,11 @@
 )
 
 const (
-	sweepInterval = time.Second
+	// resultPatience bounds the wait for the result of a request with the same
+	// key, firstResultPause is the time to the first look.
+	resultPatience   = 4 * time.Second
+	firstResultPause = 100 * time.Millisecond
+	sweepInterval    = time.Second
 	// sweepLimit bounds the claim updates that are tried again at one time.
 	sweepLimit = 32
 )
@@ -24,18 +28,12 @@
 		return true
 	}
 	d := r.dispatcher
-	ctx, cancel := context.WithTimeout(ctx, d.cfg.ClaimTimeout)
-	defer cancel()
 	r.key = claim.Key{
 		Service:     r.request.Service.Name,
 		Tenant:      r.request.Tenant.Name,
 		Idempotency: r.request.IdempotencyKey,
 	}
-	answer := d.cfg.Ledger.Claim(ctx, d.cfg.Clock.Now(), r.key, claim.Intent{
-		Attempt:     r.claimID,
-		Fingerprint: r.finger,
-		Proofs:      claim.ParseProofs(r.request.ClaimProof),
-	})
+	answer := r.awaitResult(ctx, r.tryClaim(ctx))
 	switch answer.Status {
 	case claim.StatusHeld:
 		r.claimed = true
@@ -55,6 +53,42 @@
 	return false
 }
 
+func (r *run) tryClaim(ctx context.Context) claim.Answer {
+	d := r.dispatcher
+	ctx, cancel := context.WithTimeout(ctx, d.cfg.ClaimTimeout)
+	defer cancel()
+	return d.cfg.Ledger.Claim(ctx, d.cfg.Clock.Now(), r.key, claim.Intent{
+		Attempt:     r.claimID,
+		Fingerprint: r.finger,
+		Proofs:      claim.ParseProofs(r.request.ClaimProof),
+	})
+}
+
+// awaitResult waits a while for the result of another request with the same key
+// that may be running: a caller that sends again after a lost connection gets
+// the answer of its first call. The pauses double, so that a claim without a
+// result costs few reads of the store.
+func (r *run) awaitResult(ctx context.Context, answer claim.Answer) claim.Answer {
+	d := r.dispatcher
+	ctx, cancel := context.WithTimeout(ctx, min(resultPatience, r.request.Deadline.Sub(d.cfg.Clock.Now())))
+	defer cancel()
+	for pause := firstResultPause; answer.Status == claim.StatusNoResult; pause *= 2 {
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return answer
+		}
+		switch found := d.cfg.Ledger.Lookup(ctx, d.cfg.Clock.Now(), r.key); found.Status {
+		case claim.StatusEarlierResult:
+			return found
+		case claim.StatusNotRun:
+			// The other request was proved not run and has released the key.
+			answer = r.tryClaim(ctx)
+		}
+	}
+	return answer
+}
+
 // replay gives the stored answer of the run under the same key.
 func (r *run) replay(stored *claim.Result) {
 	result := caller.Result{
