Wait longer for a cached prefix

Cause: past capacity the hit share fell from 0.81 to 0.76, so the share that a tenant is due shrank below what it may send at capacity. Change: ChoiceShare 0.5 to 0.75, Patience 600 to 900 ms.

--- a/lib/route/config.go
+++ b/lib/route/config.go
@@ -37,7 +37,8 @@
 	// WaitGain is how much better the score of a full instance must be for a
 	// request to wait for it.
 	WaitGain float64
-	// Patience bounds that wait.
+	// Patience bounds that wait. It must leave time for the first token: the
+	// default is two thirds of a target of 1.4 s.
 	Patience time.Duration
 	// PrefixTTL is the age at which a prefix entry no longer counts.
 	PrefixTTL time.Duration
@@ -81,7 +82,7 @@
 		// The model of engines shows 79 ms at a quarter of the capacity and
 		// 138 ms at just over half (95th percentile).
 		{&c.LoadDelay, 200 * time.Millisecond},
-		{&c.Patience, 600 * time.Millisecond},
+		{&c.Patience, 900 * time.Millisecond},
 		{&c.PrefixTTL, 2 * time.Minute},
 		{&c.SlowStart, 10 * time.Second},
 		{&c.EjectFor, 5 * time.Second},
@@ -101,7 +102,7 @@
 		{&c.CacheBonus, 0.3},
 		{&c.AffinityBonus, 0.1},
 		{&c.BoundedLoad, 1.25},
-		{&c.ChoiceShare, 0.5},
+		{&c.ChoiceShare, 0.75},
 		{&c.WaitGain, 0.1},
 		{&c.SpillThreshold, 0.9},
 		{&c.SlowStartShare, 0.1},
