--- a/internal/measure/poison/figure.go
+++ b/internal/measure/poison/figure.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"io"
+
+	"github.com/ansel1/merry/v2"
 )
 
 // bound is the stated target of a figure.
@@ -19,15 +21,20 @@
 	Baseline *float64 `json:"baseline"`
 }
 
-// printFigures prints one JSON object per line.
+// printFigures prints one JSON object per line. It returns an error that names
+// a figure that is out of its bound.
 func printFigures(w io.Writer, figures []figure) error {
 	encoder := json.NewEncoder(w)
+	var missed error
 	for _, f := range figures {
 		if err := encoder.Encode(f); err != nil {
-			return err
+			return merry.Wrap(err)
+		}
+		if f.Bound != nil && f.Value > *f.Bound.Max {
+			missed = merry.Errorf("figure %s is out of its bound", f.Name)
 		}
 	}
-	return nil
+	return missed
 }
 
 func figures(ours, plain Total) []figure {
