Test that the engine stand-in shows mixed weights

Cause: tests of the whole system rest on the stand-in: if weights are partial or mixed, its answers must show it.

Change: specs for partial weights, overlapping loads, a load under a running answer, priorities, deadlines, crashes and the growth of the time between tokens.

--- /dev/null
+++ b/standin/engine/engine_test.go
@@ -0,0 +1,207 @@
+package engine_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	api "github.com/auburnbend/auburnbend/lib/engine"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/standin/engine"
+)
+
+func weightsOf(name string) model.Weights { return model.Weights{Base: model.Sum([]byte(name))} }
+
+// stage writes the files of a version and returns the order to load it.
+func stage(name string, sequence uint64, files int) (api.Order, model.Digest) {
+	dir := GinkgoT().TempDir()
+	digests := make([]model.Digest, files)
+	for i := range files {
+		data := fmt.Appendf(nil, "%s %d", name, i)
+		digests[i] = model.Sum(data)
+		Expect(os.WriteFile(filepath.Join(dir, fmt.Sprintf("%03d", i)), data, 0o600)).To(Succeed())
+	}
+	o := api.Order{Kind: api.OrderLoad, Weights: weightsOf(name), Base: api.Place{Directory: dir}, Fence: api.Fence{Start: 1, Sequence: sequence}}
+	return o, engine.ContentDigest(digests...)
+}
+
+func start(cfg engine.Config) (*engine.Server, *api.Client) {
+	s, err := engine.Start(cfg)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(s.Close)
+	c, err := api.New(api.Config{Address: s.URL()})
+	Expect(err).NotTo(HaveOccurred())
+	return s, c
+}
+
+func answer(c *api.Client, req api.Request) (string, error) {
+	s, err := c.Generate(context.Background(), req)
+	if err != nil {
+		return "", err
+	}
+	defer s.Close()
+	var b bytes.Buffer
+	for {
+		f, err := s.Next()
+		if errors.Is(err, io.EOF) {
+			return b.String(), nil
+		}
+		if err != nil {
+			return b.String(), err
+		}
+		b.Write(f.Data)
+	}
+}
+
+var _ = Describe("Server", func() {
+	ctx := context.Background()
+
+	// The tests of the whole system rest on this: if weights are partial or
+	// mixed, the answers must show it.
+	It("shows partial weights in its answers", func() {
+		_, c := start(engine.Config{Scale: 0.01})
+		o, whole := stage("v1", 1, 4)
+		Expect(os.Remove(filepath.Join(o.Base.Directory, "002"))).To(Succeed())
+		r, err := c.Order(ctx, o)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.Failure).To(BeEmpty())
+		got, err := answer(c, api.Request{ID: "r", Stream: "r", Weights: o.Weights, Body: []byte("x")})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).NotTo(Equal(string(engine.ExpectedAnswer(whole, []byte("x")))))
+		content, err := engine.AnswerContent([]byte(got))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(content).NotTo(Equal(whole))
+	})
+
+	It("mixes weights when two loads overlap, unless it checks fencing", func() {
+		s, c := start(engine.Config{Scale: 0.02, LoadTime: 20 * time.Second, IgnoreFencing: true})
+		first, one := stage("v1", 1, 10)
+		second, two := stage("v2", 2, 4)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_, _ = c.Order(ctx, first)
+		}()
+		Eventually(func() bool { return s.State().Busy }).Should(BeTrue())
+		_, err := c.Order(ctx, second)
+		Expect(err).NotTo(HaveOccurred())
+		<-done
+		atOnce, _ := s.OrderFaults()
+		Expect(atOnce).To(Equal(2))
+		Expect(s.Content()).NotTo(BeElementOf(one, two))
+
+		s, c = start(engine.Config{Scale: 0.02, LoadTime: 20 * time.Second})
+		done = make(chan struct{})
+		go func() {
+			defer close(done)
+			_, _ = c.Order(ctx, first)
+		}()
+		Eventually(func() bool { return s.State().Busy }).Should(BeTrue())
+		_, err = c.Order(ctx, second)
+		Expect(api.NotStarted(err)).To(BeTrue())
+		<-done
+		Expect(s.Content()).To(Equal(one))
+	})
+
+	It("mixes an answer that runs during a load", func() {
+		_, c := start(engine.Config{Scale: 0.01, IgnoreWeights: true})
+		first, _ := stage("v1", 1, 4)
+		_, err := c.Order(ctx, first)
+		Expect(err).NotTo(HaveOccurred())
+		body := []byte(`{"max_tokens":300}`)
+		got := make(chan string, 1)
+		go func() {
+			text, _ := answer(c, api.Request{ID: "r", Stream: "r", Weights: first.Weights, Body: body})
+			got <- text
+		}()
+		Eventually(func() int {
+			r, _ := c.Load(ctx)
+			return r.Running
+		}).Should(Equal(1))
+		second, _ := stage("v2", 2, 4)
+		_, err = c.Order(ctx, second)
+		Expect(err).NotTo(HaveOccurred())
+		text := <-got
+		content, err := engine.AnswerContent([]byte(text))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(text).NotTo(Equal(string(engine.ExpectedAnswer(content, body))))
+	})
+
+	It("starts waiting requests by priority", func() {
+		_, c := start(engine.Config{Scale: 0.01, Capacity: 1})
+		order := make(chan string, 4)
+		busy, err := c.Generate(ctx, api.Request{ID: "busy", Stream: "busy", Body: []byte(`{"max_tokens":500}`)})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = busy.Next()
+		Expect(err).NotTo(HaveOccurred())
+		for _, p := range []int{1, 3, 2} {
+			name := fmt.Sprint("p", p)
+			stream, err := c.Generate(ctx, api.Request{ID: model.RequestID(name), Stream: name, Priority: p, Body: []byte(name)})
+			Expect(err).NotTo(HaveOccurred())
+			go func() {
+				_, _ = stream.Next()
+				order <- name
+				for err := error(nil); err == nil; {
+					_, err = stream.Next()
+				}
+			}()
+		}
+		Expect(c.Cancel(ctx, "busy")).To(Succeed())
+		Expect([]string{<-order, <-order, <-order}).To(Equal([]string{"p3", "p2", "p1"}))
+	})
+
+	It("refuses a request that it cannot start before its deadline", func() {
+		_, c := start(engine.Config{Scale: 0.01, Capacity: 1})
+		busy, err := c.Generate(ctx, api.Request{ID: "busy", Stream: "busy", Body: []byte(`{"max_tokens":100000}`)})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = busy.Next()
+		Expect(err).NotTo(HaveOccurred())
+		_, err = answer(c, api.Request{ID: "late", Stream: "late", RemainingMillis: 20, Body: []byte("x")})
+		Expect(api.NotStarted(err)).To(BeTrue())
+	})
+
+	It("comes back after a crash without weights and with a new incarnation", func() {
+		s, c := start(engine.Config{Scale: 0.01})
+		o, _ := stage("v1", 1, 2)
+		_, err := c.Order(ctx, o)
+		Expect(err).NotTo(HaveOccurred())
+		before := s.State()
+		_, err = answer(c, api.Request{ID: "r", Stream: "r", Weights: o.Weights, Body: []byte("please " + engine.DefaultCrashMarker)})
+		Expect(api.NotStarted(err)).To(BeFalse())
+		Eventually(func() error { _, err := c.State(ctx); return err }, 5*time.Second).Should(Succeed())
+		after, err := c.State(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(after.Incarnation).NotTo(Equal(before.Incarnation))
+		Expect(after.Weights.IsZero()).To(BeTrue())
+		Expect(s.Runs("r")).To(Equal(1))
+	})
+
+	It("slows down with the number of running requests", func() {
+		s, c := start(engine.Config{Scale: 0.05, TokenTime: 20 * time.Millisecond, BatchTime: 20 * time.Millisecond, LoadLag: time.Millisecond})
+		between := func(running int) func() float64 {
+			return func() float64 {
+				r, err := c.Load(ctx)
+				if err != nil || r.Running != running {
+					return 0
+				}
+				return r.BetweenTokensMillis
+			}
+		}
+		for i := range 8 {
+			id := fmt.Sprint("r", i)
+			_, err := c.Generate(ctx, api.Request{ID: model.RequestID(id), Stream: id, Body: []byte(`{"max_tokens":100000}`)})
+			Expect(err).NotTo(HaveOccurred())
+			want := float64(i+1) * 1.0 // 20 ms scaled, for each running request
+			Eventually(between(i + 1)).Should(BeNumerically("~", want, 0.01))
+		}
+		Expect(s.Runs("r7")).To(Equal(1))
+	})
+})
