Take start numbers of agents from the table service

Cause: an engine can outlive its agent, and two agents of one instance must not use the same fencing numbers.

Change: backend.NextStart increments a counter row by a conditional write; a number whose reply was lost stays unused, and numbers stay above what the engine accepted while the store was down.

--- /dev/null
+++ b/agent/backend/start_counter.go
@@ -0,0 +1,58 @@
+package backend
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/platform"
+)
+
+const (
+	// fencingTable holds one row for each instance with its start counter.
+	fencingTable = "fencing"
+	// counterAttempts bounds the attempts to take a number. Two agents of one
+	// instance seldom start together; a lost reply costs one attempt.
+	counterAttempts = 8
+)
+
+// ErrCounter means that no start number could be taken. The agent then starts
+// with GuardConfig.Start = 0 and takes the number after the engine's.
+var ErrCounter = merry.New("no start number")
+
+// NextStart takes the next start number of an instance, for
+// engine.GuardConfig.Start. No two calls return the same number: a number whose
+// write has an unknown outcome is left unused. The number is above floor, the
+// start of the last order that the engine accepted: an agent that started while
+// the store was down may have used numbers that the counter does not know.
+func NextStart(ctx context.Context, table platform.TableService, instance model.InstanceID, floor uint64) (uint64, error) {
+	var last error
+	for range counterAttempts {
+		w := platform.Write{Table: fencingTable, Key: string(instance), Condition: platform.IfAbsent}
+		number := floor + 1
+		row, err := table.Get(ctx, fencingTable, string(instance))
+		switch {
+		case err == nil && len(row.Value) == 8:
+			number = max(binary.BigEndian.Uint64(row.Value), floor) + 1
+			w.Condition, w.Version = platform.IfVersion, row.Version
+		case err == nil:
+			return 0, merry.Wrap(ErrCounter, merry.AppendMessagef("row has %d bytes, want 8", len(row.Value)))
+		case !errors.Is(err, platform.ErrNotFound):
+			return 0, merry.Wrap(ErrCounter, merry.WithCause(err))
+		}
+		w.Value = binary.BigEndian.AppendUint64(nil, number)
+		err = table.Commit(ctx, platform.Transaction{Writes: []platform.Write{w}})
+		if err == nil {
+			return number, nil
+		}
+		last = err
+		var conflict *platform.ConflictError
+		if !errors.As(err, &conflict) && !errors.Is(err, platform.ErrUnknown) {
+			break
+		}
+	}
+	return 0, merry.Wrap(ErrCounter, merry.WithCause(last))
+}
