--- a/agent/agent.go
+++ b/agent/agent.go
@@ -89,6 +89,7 @@
 	server := newEngineServer(client, a.cfg, a.crashed)
 	a.server = server
 	a.gate = gate.New(a.cfg.Gate, a.cfg.Clock, a.server, nil)
+	a.cfg.Weights.Guard.Start = a.startNumber(client)
 	a.weights = backend.NewRunner(backend.RunnerConfig{
 		Machine: a.cfg.Weights,
 		Clock:   a.cfg.Clock,
@@ -100,6 +101,30 @@
 	return nil
 }
 
+// startTimeout bounds the wait for a start number; the agent starts without one
+// while the store is down.
+const startTimeout = 3 * time.Second
+
+// startNumber takes the number under which this process gives orders: an engine
+// can outlive its agent, and two agents must not use the same numbers.
+func (a *Agent) startNumber(client *engine.Client) uint64 {
+	if a.cfg.Table == nil {
+		return 0
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	var floor uint64
+	if state, err := client.State(ctx); err == nil {
+		floor = state.Accepted.Start
+	}
+	number, err := backend.NextStart(ctx, a.cfg.Table, a.cfg.Identity.Instance, floor)
+	if err != nil {
+		a.cfg.Log.Log(eventlog.StoreUnavailable, "err", err)
+		return 0
+	}
+	return number
+}
+
 // crashed is called when the engine died while it ran requests.
 func (a *Agent) crashed(incarnation uint64) {
 	a.cfg.Log.Log(eventlog.BackendServerCrashed, "incarnation", incarnation)
--- a/agent/config.go
+++ b/agent/config.go
@@ -38,6 +38,10 @@
 	// Capacity is the number of requests that run at once.
 	Capacity int
 
+	// Table keeps the start counter of the instance's orders; without it the
+	// agent counts on from what its engine reports.
+	Table platform.TableService
+
 	// Origin and WeightStore are the sources of weights; WeightStore is optional.
 	Origin, WeightStore platform.WeightSource
 	// Staging is the directory from which the engine loads.
--- a/agent/program.go
+++ b/agent/program.go
@@ -96,6 +96,7 @@
 		BackendURL:   s.Backend.Address,
 		Capacity:     s.Backend.Capacity,
 		Origin:       httpplatform.NewSource(httpplatform.Config{URL: s.Platform.Origin}),
+		Table:        httpplatform.NewTable(httpplatform.Config{URL: s.Platform.TableService}),
 		Staging:      s.Transfer.Staging,
 		StagingBytes: int64(s.Transfer.StagingBytes),
 		LinkRate:     float64(s.Transfer.LinkRate) / bitsPerByte,
