Measure the control cost of connections and save heartbeats on busy ones

At the planned size an entry has some 60 connections that are busy all the time; a heartbeat each second on each would cost more than its 8 KB/s. Frames and acks count as signs of life, so a connection that carries them sends heartbeats at the idle interval.

--- a/cmd/auburnbend-measure/main.go
+++ b/cmd/auburnbend-measure/main.go
@@ -7,7 +7,11 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/auburnbend/auburnbend/internal/measure/capacity"
 	"github.com/auburnbend/auburnbend/internal/measure/distribute"
+	"github.com/auburnbend/auburnbend/internal/measure/overload"
+	"github.com/auburnbend/auburnbend/internal/measure/poison"
+	"github.com/auburnbend/auburnbend/internal/measure/route"
 )
 
 func main() {
@@ -18,6 +22,10 @@
 	}
 	root.AddCommand(
 		distribute.New(),
+		route.New(),
+		overload.New(),
+		poison.New(),
+		capacity.New(),
 	)
 	if root.Execute() != nil {
 		os.Exit(1)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -105,6 +105,10 @@
 // Usable returns the number of agents that this entry may send work to.
 func (e *Entry) Usable() int { return e.fleet.Usable() }
 
+// Traffic returns the bytes that the connections to agents and other entries
+// have sent and received.
+func (e *Entry) Traffic() (sent, received int64) { return e.fleet.Traffic() }
+
 // Current returns the configuration in force, or nil before the first one.
 func (e *Entry) Current() *config.Config {
 	if v := e.follower.Current(); v != nil {
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -265,6 +265,19 @@
 	return nil
 }
 
+// Traffic returns the bytes that the connections which this entry opened have
+// sent and received.
+func (f *Fleet) Traffic() (sent, received int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.peers {
+		s, r := p.link.Bytes()
+		sent += s
+		received += r
+	}
+	return sent, received
+}
+
 // Usable returns the number of agents that this entry may send work to.
 func (f *Fleet) Usable() int {
 	f.mu.Lock()
--- a/lib/heartbeat/sender.go
+++ b/lib/heartbeat/sender.go
@@ -14,8 +14,7 @@
 	// Beat returns the heartbeat to send; Sequence is set by the sender.
 	Beat func() wire.Heartbeat
 	// InFlight returns the number of requests in flight on the connection. The
-	// interval is a second with requests and longer without: 60 idle connections
-	// would spend an entry's 8 KB/s for control.
+	// interval is a second with requests and longer without.
 	InFlight func() int
 	// Wake asks for a heartbeat out of turn; it may be nil.
 	Wake <-chan struct{}
@@ -28,7 +27,7 @@
 	var sequence uint64
 	var last time.Time
 	for {
-		if time.Since(last) >= member.SendInterval(s.InFlight()) {
+		if time.Since(last) >= s.interval() {
 			beat := s.Beat()
 			beat.Sequence = sequence
 			sequence++
@@ -46,3 +45,13 @@
 		}
 	}
 }
+
+// interval returns the time between two heartbeats now. Frames and acks are signs
+// of life too, so a connection that carries them needs none each second: at the
+// planned size 60 busy connections would spend more than an entry's 8 KB/s.
+func (s *Sender) interval() time.Duration {
+	if time.Since(s.Conn.LastActive()) < member.SendInterval(1) {
+		return member.SendInterval(0)
+	}
+	return member.SendInterval(s.InFlight())
+}
--- a/lib/wire/conn.go
+++ b/lib/wire/conn.go
@@ -31,6 +31,9 @@
 	once   sync.Once
 	sent   atomic.Int64
 	read   atomic.Int64
+	// active is the time of the last message other than a heartbeat, in
+	// nanoseconds since 1970.
+	active atomic.Int64
 }
 
 // outgoing is an encoded frame that waits for the writer. A non-nil written is
@@ -55,7 +58,7 @@
 // Send queues a message. It blocks while the queue is full, which passes
 // backpressure on to the sender, and returns ErrClosed after Close.
 func (c *Conn) Send(m Message) error {
-	frame, err := Append(nil, m)
+	frame, err := c.encode(m)
 	if err != nil {
 		return err
 	}
@@ -70,7 +73,7 @@
 // SendWritten queues a message and waits until it was handed to the operating
 // system, so that a sender of large frames keeps one of them in memory.
 func (c *Conn) SendWritten(m Message) error {
-	frame, err := Append(nil, m)
+	frame, err := c.encode(m)
 	if err != nil {
 		return err
 	}
@@ -91,7 +94,7 @@
 // TrySend queues a message, or returns ErrQueueFull at once. Heartbeats and
 // hints use it: a late one is worth less than a blocked sender.
 func (c *Conn) TrySend(m Message) error {
-	frame, err := Append(nil, m)
+	frame, err := c.encode(m)
 	if err != nil {
 		return err
 	}
@@ -108,6 +111,16 @@
 	}
 }
 
+func (c *Conn) encode(m Message) ([]byte, error) {
+	if m.Type() != TypeHeartbeat {
+		c.active.Store(time.Now().UnixNano())
+	}
+	return Append(nil, m)
+}
+
+// LastActive returns when a message other than a heartbeat was last queued.
+func (c *Conn) LastActive() time.Time { return time.Unix(0, c.active.Load()) }
+
 // Receive returns the next message.
 func (c *Conn) Receive() (Message, error) { return Read(c.reader) }
 
