Never let a replaced quiesce or fetch overlap the next step

Cause: a quiesce whose version was replaced could still call the gate after the gate had been told to serve again. The instance then refused everything while it counted as live; a second quiesce could also be refused by the gate and never be repeated.

Change: Runner waits until a cancelled quiesce has returned before it serves or quiesces again, repeats a refused quiesce, and starts a fetch only when the one before has returned.

--- a/agent/backend/host.go
+++ b/agent/backend/host.go
@@ -13,12 +13,14 @@
 // Quiesce may block until ctx ends; the others return at once. Methods may be
 // called from several goroutines.
 type Host interface {
-	// Fetch brings and verifies a version and says where it is staged.
+	// Fetch brings and verifies a version and says where it is staged. It
+	// returns soon after ctx ends; calls do not overlap.
 	Fetch(ctx context.Context, w model.Weights) (Fetched, error)
 	// Permit asks whether the instance may leave what it serves for w.
 	Permit(ctx context.Context, w model.Weights) (granted bool, retry time.Duration, err error)
 	// Quiesce refuses new requests and returns nil when none runs. Requests
-	// stay refused until Serve.
+	// stay refused until Serve. It returns soon after ctx ends; calls do not
+	// overlap with each other or with Serve.
 	Quiesce(ctx context.Context) error
 	// Serve admits requests for w, or for none when w is zero. It ends a
 	// quiesce.
--- a/agent/backend/runner.go
+++ b/agent/backend/runner.go
@@ -15,6 +15,9 @@
 // when it is full.
 const eventQueue = 16
 
+// quiesceRetry is the wait after a quiesce that the host refused.
+const quiesceRetry = 100 * time.Millisecond
+
 // RunnerConfig holds what a Runner works with.
 type RunnerConfig struct {
 	Machine Config
@@ -33,18 +36,24 @@
 	events  chan func(*Machine, time.Time)
 	done    chan struct{}
 	tasks   sync.WaitGroup
-	// cancelFetch and cancelQuiesce end what the machine no longer waits for.
-	cancelFetch   context.CancelFunc
-	cancelQuiesce context.CancelFunc
+	// cancelFetch and endQuiesce end what the machine no longer waits for.
+	cancelFetch context.CancelFunc
+	// fetchReturned is closed when the last Host.Fetch has returned.
+	fetchReturned chan struct{}
+	// endQuiesce returns once Host.Quiesce has returned: a call that is still
+	// under way would refuse requests after the next Host.Serve.
+	endQuiesce func()
 }
 
 // NewRunner returns a runner for one engine.
 func NewRunner(cfg RunnerConfig) *Runner {
 	none := func() {}
+	returned := make(chan struct{})
+	close(returned)
 	return &Runner{
 		cfg: cfg, machine: New(cfg.Machine, cfg.Random),
 		events: make(chan func(*Machine, time.Time), eventQueue), done: make(chan struct{}),
-		cancelFetch: none, cancelQuiesce: none,
+		cancelFetch: none, endQuiesce: none, fetchReturned: returned,
 	}
 }
 
@@ -112,7 +121,7 @@
 		case ActionQuiesce:
 			r.quiesce(ctx)
 		case ActionServe:
-			r.cancelQuiesce()
+			r.endQuiesce()
 			r.cfg.Host.Serve(a.Weights)
 		case ActionReadState:
 			r.tasks.Go(func() {
@@ -132,12 +141,17 @@
 	}
 }
 
+// fetch starts a fetch once the one before has returned.
 func (r *Runner) fetch(ctx context.Context, w model.Weights) {
 	ctx, r.cancelFetch = context.WithCancel(ctx)
 	cancel := r.cancelFetch
+	before, returned := r.fetchReturned, make(chan struct{})
+	r.fetchReturned = returned
 	r.tasks.Go(func() {
 		defer cancel()
+		<-before
 		f, err := r.cfg.Host.Fetch(ctx, w)
+		close(returned)
 		if ctx.Err() != nil {
 			return // replaced; a newer fetch of the same version may run
 		}
@@ -151,19 +165,43 @@
 	r.post(func(m *Machine, now time.Time) { m.Permitted(now, w, granted && err == nil, retry) })
 }
 
-// quiesce waits until no request runs. A quiesce that was replaced reports
-// nothing: the machine would take its end for that of the newer one.
+// quiesce waits until no request runs, after an earlier quiesce has returned. A
+// quiesce that was replaced reports nothing: the machine would take its end for
+// that of the newer one.
 func (r *Runner) quiesce(ctx context.Context) {
-	r.cancelQuiesce()
-	ctx, r.cancelQuiesce = context.WithCancel(ctx)
-	cancel := r.cancelQuiesce
+	r.endQuiesce()
+	ctx, cancel := context.WithCancel(ctx)
+	returned := make(chan struct{})
+	r.endQuiesce = func() {
+		cancel()
+		<-returned
+	}
 	r.tasks.Go(func() {
-		err := r.cfg.Host.Quiesce(ctx)
+		err := r.tryQuiesce(ctx)
+		close(returned)
+		if err != nil {
+			return
+		}
 		r.post(func(m *Machine, now time.Time) {
-			if err == nil && ctx.Err() == nil {
+			if ctx.Err() == nil {
 				m.Quiesced(now)
 			}
-			cancel()
 		})
 	})
 }
+
+// tryQuiesce repeats a quiesce that the host refused, for instance because it
+// is busy with another one, until ctx ends.
+func (r *Runner) tryQuiesce(ctx context.Context) error {
+	for {
+		err := r.cfg.Host.Quiesce(ctx)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		select {
+		case <-time.After(quiesceRetry):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- a/agent/backend/runner_test.go
+++ b/agent/backend/runner_test.go
@@ -29,6 +29,12 @@
 	served   model.Weights
 	content  map[model.Weights]model.Digest
 	failures int
+	// refusing is true from a quiesce to the next serve; calls counts the
+	// quiesces under way and hang makes them wait for their context.
+	refusing bool
+	calls    int
+	overlaps int
+	hang     bool
 }
 
 func (h *host) Fetch(_ context.Context, w model.Weights) (backend.Fetched, error) {
@@ -48,13 +54,31 @@
 }
 
 func (*host) Permit(context.Context, model.Weights) (bool, time.Duration, error) { return true, 0, nil }
-func (*host) Quiesce(context.Context) error                                      { return nil }
 func (*host) OrderDone(engine.Result)                                            {}
 
+// Quiesce refuses requests also when it is called with an ended context, as the
+// gate does.
+func (h *host) Quiesce(ctx context.Context) error {
+	h.mu.Lock()
+	h.refusing = true
+	h.calls++
+	h.overlaps += h.calls - 1
+	hang := h.hang
+	h.mu.Unlock()
+	if hang {
+		<-ctx.Done()
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.calls--
+	return ctx.Err()
+}
+
 func (h *host) Serve(w model.Weights) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.served = w
+	h.served, h.refusing = w, false
+	h.overlaps += h.calls
 }
 
 func (h *host) Report(_ model.Weights, phase wire.Phase, _ error) {
@@ -69,28 +93,59 @@
 	return func() bool {
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		return h.served == w && (w.IsZero() || server.Content() == h.content[w])
+		return !h.refusing && h.served == w && (w.IsZero() || server.Content() == h.content[w])
 	}
 }
 
+// running starts an engine that ignores fencing and a runner beside it.
+func running() (*backend.Runner, *host, *standin.Server) {
+	server, err := standin.Start(standin.Config{Scale: 0.01, IgnoreFencing: true})
+	Expect(err).NotTo(HaveOccurred())
+	client, err := engine.New(engine.Config{Address: server.URL()})
+	Expect(err).NotTo(HaveOccurred())
+	h := &host{dir: GinkgoT().TempDir(), content: make(map[model.Weights]model.Digest)}
+	r := backend.NewRunner(backend.RunnerConfig{
+		Machine: backend.Config{
+			Guard: engine.GuardConfig{Poll: time.Millisecond, Settle: 30 * time.Millisecond},
+			Watch: 5 * time.Millisecond, Retry: 10 * time.Millisecond,
+		},
+		Clock: clock.System{}, Random: rand.New(rand.NewSource(1)), Engine: client, Host: h,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); r.Run(ctx) }()
+	DeferCleanup(func() {
+		cancel()
+		<-ended
+		Expect(server.Close()).To(Succeed())
+	})
+	return r, h, server
+}
+
 var _ = Describe("Runner with an engine that ignores fencing", func() {
+	// A quiesce that outlived its reason would leave an instance that is live
+	// and refuses everything.
+	It("admits requests again whenever a version changes back", func() {
+		r, h, server := running()
+		r.Want(version("v1"))
+		Eventually(h.serves(version("v1"), server), 10*time.Second).Should(BeTrue())
+		h.mu.Lock()
+		h.hang = true
+		h.mu.Unlock()
+		for range 20 {
+			r.Want(version("v2"))
+			Eventually(func() bool { h.mu.Lock(); defer h.mu.Unlock(); return h.calls > 0 }, 10*time.Second, time.Millisecond).Should(BeTrue())
+			r.Want(version("v1"))
+			Eventually(h.serves(version("v1"), server), 10*time.Second, time.Millisecond).Should(BeTrue())
+			Consistently(h.serves(version("v1"), server), 5*time.Millisecond, time.Millisecond).Should(BeTrue())
+		}
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		Expect(h.overlaps).To(Equal(0))
+	})
+
 	DescribeTable("brings the wanted version live in the end", func(faults standin.Faults) {
-		server, err := standin.Start(standin.Config{Scale: 0.01, IgnoreFencing: true})
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(server.Close)
-		client, err := engine.New(engine.Config{Address: server.URL()})
-		Expect(err).NotTo(HaveOccurred())
-		h := &host{dir: GinkgoT().TempDir(), content: make(map[model.Weights]model.Digest)}
-		r := backend.NewRunner(backend.RunnerConfig{
-			Machine: backend.Config{
-				Guard: engine.GuardConfig{Poll: time.Millisecond, Settle: 30 * time.Millisecond},
-				Watch: 5 * time.Millisecond, Retry: 10 * time.Millisecond,
-			},
-			Clock: clock.System{}, Random: rand.New(rand.NewSource(1)), Engine: client, Host: h,
-		})
-		ctx, cancel := context.WithCancel(context.Background())
-		ended := make(chan struct{})
-		go func() { defer close(ended); r.Run(ctx) }()
+		r, h, server := running()
 		server.SetFaults(faults)
 		r.Want(version("v1"))
 		Eventually(h.serves(version("v1"), server), 10*time.Second).Should(BeTrue())
@@ -104,8 +159,6 @@
 		atOnce, outdated := server.OrderFaults()
 		Expect(atOnce).To(Equal(1))
 		Expect(outdated).To(Equal(0))
-		cancel()
-		<-ended
 	},
 		Entry("without faults", standin.Faults{}),
 		Entry("that loses replies", standin.Faults{DropReplies: 2}),
