Save passes and divisions in a pick

Change: the share of one request is calculated once per candidate, loads of local candidates are compared only when others exist.

--- a/lib/route/pick.go
+++ b/lib/route/pick.go
@@ -12,6 +12,7 @@
 type scored struct {
 	slot  *slot
 	busy  float64 // share of the warm capacity that the request would fill
+	one   float64 // part of busy that is the request itself
 	score float64
 	local bool
 	free  bool
@@ -57,9 +58,11 @@
 		if s.outlier.ejected(now) || (r.Allowed != nil && !r.Allowed(s.Key())) {
 			continue
 		}
+		requests, one := s.use(now, &p.cfg)
 		c := scored{
 			slot:  s,
-			busy:  s.busy(now, &p.cfg),
+			busy:  (requests + 1) * one,
+			one:   one,
 			local: s.Location.FailureDomain == p.cfg.Domain,
 			free:  r.Free == nil || r.Free(s.Key()),
 		}
@@ -104,19 +107,23 @@
 // keepLocal drops candidates of other failure domains unless all local ones
 // are full, or loaded past the threshold, or there is none.
 func (p *Picker) keepLocal(at instant) {
-	best, locals := math.Inf(1), 0
+	locals := 0
 	for i := range p.best {
-		c := &p.best[i]
-		if !c.local {
-			continue
+		if p.best[i].local {
+			locals++
 		}
-		locals++
-		if c.free {
+	}
+	if locals == 0 || locals == len(p.best) {
+		return
+	}
+	best := math.Inf(1)
+	for i := range p.best {
+		if c := &p.best[i]; c.local && c.free {
 			// A slow start is no lack of capacity.
 			best = min(best, c.busy*c.slot.warmth(at, &p.cfg))
 		}
 	}
-	if locals == 0 || locals == len(p.best) || best > p.cfg.SpillThreshold {
+	if best > p.cfg.SpillThreshold {
 		return
 	}
 	kept := p.best[:0]
@@ -171,7 +178,7 @@
 		c := &p.best[i]
 		// One request more is always within the bound: with few requests, any
 		// instance that has one is far over the mean.
-		if c.busy-1/float64(c.slot.load.capacity) > bound {
+		if c.busy-c.one > bound {
 			continue
 		}
 		if weight := rendezvous.Combine(key, c.slot.hash); choice == nil || weight > highest {
--- a/lib/route/slot.go
+++ b/lib/route/slot.go
@@ -47,7 +47,8 @@
 	return cfg.SlowStartShare + (1-cfg.SlowStartShare)*share
 }
 
-// busy returns the share of the capacity that one more request would fill.
-func (s *slot) busy(now instant, cfg *Config) float64 {
-	return (s.load.requests(now, cfg.ReportHalfLife) + 1) / (float64(s.load.capacity) * s.warmth(now, cfg))
+// use returns the requests that the instance is believed to have, and the share
+// of its capacity that one of them fills.
+func (s *slot) use(now instant, cfg *Config) (requests, one float64) {
+	return s.load.requests(now, cfg.ReportHalfLife), 1 / (float64(s.load.capacity) * s.warmth(now, cfg))
 }
