Announce changes to agents from one entry only and coalesce bursts

At 600 entries and 10,000 agents an entry spent 16.6 KB per change, and in a burst of 50 changes in 10 s 68 KB/s, mostly on announcements to agents that another entry had told. An entry now announces to an agent only if the agent fetched from it, fetches stay with one source, and announcements to one peer are at least 1 s apart.

--- a/internal/configsim/config.go
+++ b/internal/configsim/config.go
@@ -24,6 +24,9 @@
 	StoreLatency time.Duration
 	// StoreTimeout is the time after which an entry gives up a read.
 	StoreTimeout time.Duration
+	// Models is the number of declared models, each with a placement in every
+	// domain.
+	Models int
 	// FixedPace polls and retries at fixed intervals, as a baseline.
 	FixedPace bool
 	// WholeSnapshots sends the whole configuration in place of deltas, as a
@@ -48,6 +51,9 @@
 	if c.StoreLatency == 0 {
 		c.StoreLatency = 5 * time.Millisecond
 	}
+	if c.Models == 0 {
+		c.Models = typicalModels
+	}
 	if c.StoreTimeout == 0 {
 		c.StoreTimeout = 2 * time.Second
 	}
--- /dev/null
+++ b/internal/measure/config/reads.go
@@ -0,0 +1,96 @@
+package config
+
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/internal/configsim"
+	"github.com/auburnbend/auburnbend/internal/measure/figure"
+)
+
+// observed is the time over which rates are measured.
+const observed = 10 * time.Minute
+
+// reads measures the load of the store at 600 entries and 6,000 changes a day.
+// Agents take the configuration from entries and never read the store.
+func reads(printer *figure.Printer, seed int64) error {
+	jittered, writes, err := measureReads(seed, false)
+	if err != nil {
+		return err
+	}
+	fixed, _, err := measureReads(seed, true)
+	if err != nil {
+		return err
+	}
+	for _, f := range []figure.Figure{
+		{Name: "config_store_reads_600_entries", Value: jittered, Unit: "reads/s", Bound: figure.AtMost(readBound), Baseline: &fixed},
+		{Name: "config_store_rows_written", Value: writes, Unit: "rows/s"},
+	} {
+		if err := printer.Print(f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func measureReads(seed int64, fixed bool) (readRate, writeRate float64, err error) {
+	s := configsim.New(configsim.Config{Domains: 15, Entries: 40, FixedPace: fixed, Seed: seed})
+	o := s.NewOperator()
+	if err := o.Change(s); err != nil {
+		return 0, 0, err
+	}
+	s.Boot()
+	s.Run(startTime)
+	before := s.Table.Stats()
+	from := s.Second()
+	if err := makeChanges(s, o, load{pause: dailyPause, changes: int(observed / dailyPause)}); err != nil {
+		return 0, 0, err
+	}
+	total := 0
+	for second, n := range s.Reads() {
+		if second >= from {
+			total += n
+		}
+	}
+	elapsed := float64(s.Second() - from)
+	return float64(total) / elapsed, float64(s.Table.Stats().Writes-before.Writes) / elapsed, nil
+}
+
+// outage measures the peak of reads per second at 600 entries over an outage of
+// the store of 10 min, 2 min of slow answers and its return.
+func outage(printer *figure.Printer, seed int64) error {
+	peak, back, err := measureOutage(seed, false)
+	if err != nil {
+		return err
+	}
+	fixedPeak, fixedBack, err := measureOutage(seed, true)
+	if err != nil {
+		return err
+	}
+	for _, f := range []figure.Figure{
+		{Name: "config_peak_reads_outage", Value: peak, Unit: "reads/s", Bound: figure.AtMost(readBound), Baseline: &fixedPeak},
+		{Name: "config_peak_reads_at_return", Value: back, Unit: "reads/s", Bound: figure.AtMost(readBound), Baseline: &fixedBack},
+	} {
+		if err := printer.Print(f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func measureOutage(seed int64, fixed bool) (whole, atReturn float64, err error) {
+	s := configsim.New(configsim.Config{Domains: 15, Entries: 40, FixedPace: fixed, Seed: seed})
+	o := s.NewOperator()
+	if err := o.Change(s); err != nil {
+		return 0, 0, err
+	}
+	s.Boot()
+	s.Run(time.Minute)
+	s.Store = configsim.StoreDown
+	s.Run(10 * time.Minute)
+	s.Store = configsim.StoreSlow
+	s.Run(2 * time.Minute)
+	s.Store = configsim.StoreUp
+	back := s.Second()
+	s.Run(time.Minute)
+	return float64(s.PeakReads(0)), float64(s.PeakReads(back)), nil
+}
--- a/lib/config/peers.go
+++ b/lib/config/peers.go
@@ -21,6 +21,10 @@
 	announced Head
 	at        time.Time // of the last announcement
 	failed    time.Time // of the last fetch without an answer
+	// leaf is true for an agent seen from an entry: it passes nothing on.
+	leaf bool
+	// asked is true once the peer has fetched from this process.
+	asked bool
 }
 
 // Peers decides which peers are told about a new revision before their next
@@ -33,6 +37,7 @@
 	peers   map[PeerID]*peer
 	fetch   PeerID
 	fetched time.Time // when the outstanding fetch was sent; zero if none
+	source  PeerID    // that answered the last fetch
 }
 
 // NewPeers returns Peers without connections.
@@ -41,6 +46,15 @@
 	return &Peers{cfg: cfg, rng: rng, peers: make(map[PeerID]*peer)}
 }
 
+// Joined tells what kind of process a peer is. A leaf passes nothing on, as an
+// agent seen from an entry. It is connected to several entries, of which only
+// the one that it fetches from announces changes; the others' heartbeats serve
+// if that one fails. Without Joined, a peer counts as no leaf.
+func (p *Peers) Joined(id PeerID, leaf bool) { p.peer(id).leaf = leaf }
+
+// Asked notes that a peer fetches from this process.
+func (p *Peers) Asked(id PeerID) { p.peer(id).asked = true }
+
 // Heard takes the head in a heartbeat of a peer. A damaged or foreign history,
 // for which Replica.Observe returns ErrChain, is reported with Refused instead.
 func (p *Peers) Heard(id PeerID, head Head) { p.peer(id).head = head }
@@ -63,6 +77,7 @@
 func (p *Peers) Answered(id PeerID) {
 	if p.fetch == id {
 		p.fetch, p.fetched = PeerID{}, time.Time{}
+		p.source = id
 	}
 }
 
@@ -77,6 +92,9 @@
 func (p *Peers) ToAnnounce(head Head, now time.Time) []PeerID {
 	var ids []PeerID
 	for id, known := range p.peers {
+		if known.leaf && !known.asked {
+			continue
+		}
 		if known.head.Number < head.Number && known.announced != head && now.Sub(known.at) >= p.cfg.AnnounceEvery {
 			ids = append(ids, id)
 		}
@@ -103,9 +121,10 @@
 	return id, ok
 }
 
-// best picks the highest head, and among equals at random, so that not all
-// processes fetch from the one that announced first. Peers that just failed to
-// answer come last.
+// best picks the highest head, and among equals the source of the last fetch,
+// which therefore announces to this process, or else one at random, so that not
+// all processes fetch from the one that announced first. Peers that just failed
+// to answer come last.
 func (p *Peers) best(head Head, now time.Time) (PeerID, bool) {
 	var ids []PeerID
 	var highest uint64
@@ -127,6 +146,9 @@
 	if len(ids) == 0 {
 		return PeerID{}, false
 	}
+	if slices.Contains(ids, p.source) {
+		return p.source, true
+	}
 	slices.SortFunc(ids, comparePeers)
 	return ids[p.rng.Intn(len(ids))], true
 }
--- a/lib/config/peers_config.go
+++ b/lib/config/peers_config.go
@@ -6,8 +6,9 @@
 	// defaultFetchTimeout is the time after which another peer is asked.
 	defaultFetchTimeout = time.Second
 	// defaultAnnounceEvery is the shortest time between two announcements to
-	// one peer, so that a burst of changes costs few messages.
-	defaultAnnounceEvery = 250 * time.Millisecond
+	// one peer, so that a burst of changes costs few messages. The first change
+	// after a pause is announced at once.
+	defaultAnnounceEvery = time.Second
 )
 
 // PeersConfig holds the pace of Peers.
