--- a/lib/config/bytes.go
+++ b/lib/config/bytes.go
@@ -51,3 +51,6 @@
 	}
 	return 0, merry.Errorf("%s is not a size", text)
 }
+
+// ParseBytes reads a size as the declaration file has it, such as 4MiB.
+func ParseBytes(text string) (int64, error) { return parseBytes(text) }
--- a/operator/cli/cli_test.go
+++ b/operator/cli/cli_test.go
@@ -168,6 +168,17 @@
 		Expect(cli.Report(&out, cmd.Execute())).To(Equal(6))
 	})
 
+	It("creates a manifest that its declaration names", func() {
+		out := filepath.Join(filepath.Dir(file), "m")
+		Expect(os.WriteFile(file, make([]byte, 3000), 0o600)).To(Succeed())
+		shown := must("manifest", "create", file, "--object", "weights/crest", "--out", out, "--chunk-size", "1KiB")
+		data, err := os.ReadFile(out)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(shown).To(Equal("manifest = " + model.Sum(data).String() + "\nbytes = 3000\n"))
+		code, _ := run("manifest", "create", file, "--object", "o", "--out", out, "--chunk-size", "5MiB")
+		Expect(code).To(Equal(2))
+	})
+
 	It("follows a rollout until it is complete and lists instances", func() {
 		out := must("rollout", "status", "--until-complete", "--interval", "100ms", "-o", "json")
 		Expect(strings.Count(out, "\n")).To(Equal(3))
