Add a simulation of trackers and downloaders with faults

Cause: runs on loopback depend on the machine's load and cannot show that a transfer never gets stuck. Change: stateful fuzz test in simulated time; corrupt marks on peers end.

--- a/lib/distribute/downloader_solo.go
+++ b/lib/distribute/downloader_solo.go
@@ -15,6 +15,9 @@
 	askEvery = 500 * time.Millisecond
 	// asksAtOnce bounds the peers that are asked in one step.
 	asksAtOnce = 4
+	// badFor is how long another source is preferred for a chunk that arrived
+	// corrupt from a peer.
+	badFor = 5 * time.Second
 	// peerBackoff is the wait before a peer that failed is used again.
 	peerBackoff = time.Second
 )
@@ -24,7 +27,8 @@
 	have  weights.Bitmap
 	asked time.Time
 	until time.Time // not used before
-	bad   map[model.Digest]bool
+	// bad holds chunks that arrived corrupt, until they may be tried again.
+	bad map[model.Digest]time.Time
 }
 
 // soloState drives a transfer without a tracker.
@@ -50,7 +54,7 @@
 func (s *soloState) addPeers(addresses []string, self string) {
 	for _, a := range addresses {
 		if _, ok := s.peers[a]; !ok && a != self && len(s.peers) < maxKnownPeers {
-			s.peers[a] = &soloPeer{bad: make(map[model.Digest]bool)}
+			s.peers[a] = &soloPeer{bad: make(map[model.Digest]time.Time)}
 		}
 	}
 }
@@ -62,7 +66,7 @@
 	}
 	switch r {
 	case Corrupt:
-		p.bad[f.Want.Digest] = true
+		p.bad[f.Want.Digest] = now.Add(badFor)
 	case Busy:
 		p.until = now.Add(peerBackoff / 4)
 	default:
@@ -135,7 +139,7 @@
 	best := -1
 	for _, name := range sortedKeys(d.solo.peers) {
 		p := d.solo.peers[name]
-		if !p.have.Get(index) || p.bad[digest] {
+		if !p.have.Get(index) || now.Before(p.bad[digest]) {
 			continue
 		}
 		if now.Sub(p.until) < d.cfg.OriginStep {
--- /dev/null
+++ b/lib/distribute/sim_test.go
@@ -0,0 +1,393 @@
+package distribute_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand"
+	"slices"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/distribute"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/weights"
+	"github.com/auburnbend/auburnbend/lib/wire"
+)
+
+// simStep is the resolution of simulated time.
+const simStep = 10 * time.Millisecond
+
+// sim runs Trackers and Downloaders in simulated time with faults. It keeps the
+// truth about which instance holds which bytes, against which tests check.
+type sim struct {
+	now      time.Time
+	start    time.Time
+	rng      *rand.Rand
+	versions []*weights.Manifest
+	digests  []model.Digest
+	domains  []*simDomain
+	agents   []*simAgent
+	policy   distribute.Policy
+
+	corrupt float64            // share of transfers that arrive corrupt
+	stalled map[[2]string]bool // directed pairs that carry nothing
+	// throttleUntil makes the origin refuse reads until then.
+	throttleUntil time.Time
+
+	originStarts int // chunk reads from the origin
+	originWaste  int // of these: corrupt, cancelled, throttled or lost with a killed agent
+}
+
+type simDomain struct {
+	location model.Location
+	trackers []*simTracker
+}
+
+type simTracker struct {
+	address string
+	down    bool
+	byVer   map[model.Digest]*distribute.Tracker
+}
+
+type simAgent struct {
+	identity model.Identity
+	domain   *simDomain
+	d        *distribute.Downloader
+	store    map[model.Digest]bool
+	target   int
+	active   map[uint64]*simFetch
+	tracker  *simTracker
+	inbox    []*wire.Assign
+	last     uint64 // last announcement that the tracker saw
+	switched time.Time
+	dead     bool
+	done     bool
+}
+
+type simFetch struct {
+	distribute.Fetch
+	ends time.Time
+}
+
+func newSim(seed int64, domains, perDomain, trackers, chunks, shared int) *sim {
+	s := &sim{
+		now: time.Unix(1000, 0), rng: rand.New(rand.NewSource(seed)), stalled: make(map[[2]string]bool),
+	}
+	s.start = s.now
+	for v := range 2 {
+		m := &weights.Manifest{Object: fmt.Sprintf("v%d", v)}
+		for i := range chunks {
+			name := fmt.Sprintf("%d/%d", v, i)
+			if i < shared {
+				name = fmt.Sprintf("shared/%d", i)
+			}
+			m.Chunks = append(m.Chunks, weights.Chunk{Digest: model.Sum([]byte(name)), Size: 1000})
+		}
+		digest, _ := m.Digest()
+		s.versions, s.digests = append(s.versions, m), append(s.digests, digest)
+	}
+	for i := range domains {
+		d := &simDomain{location: model.Location{Region: model.Region(fmt.Sprint("r", i)), FailureDomain: model.FailureDomain(fmt.Sprint("d", i))}}
+		for t := range trackers {
+			d.trackers = append(d.trackers, &simTracker{address: fmt.Sprintf("t%d-%d", i, t), byVer: make(map[model.Digest]*distribute.Tracker)})
+		}
+		s.domains = append(s.domains, d)
+		s.policy.Domains = append(s.policy.Domains, d.location)
+		for a := range perDomain {
+			address := fmt.Sprintf("a%d-%d", i, a)
+			s.agents = append(s.agents, &simAgent{
+				identity: model.Identity{Instance: model.InstanceID(address), Generation: 1, Location: d.location, Address: address},
+				domain:   d, store: make(map[model.Digest]bool), active: make(map[uint64]*simFetch),
+				d: distribute.NewDownloader(distribute.DownloaderConfig{Self: address, Rand: rand.New(rand.NewSource(seed + int64(len(s.agents)))), SoloAgents: perDomain}),
+			})
+		}
+	}
+	s.policy.Copies = domains
+	for _, a := range s.agents {
+		for _, b := range s.agents {
+			if a.domain == b.domain {
+				a.d.SetPeers([]string{b.identity.Address})
+			}
+		}
+		s.want(a, 0)
+	}
+	return s
+}
+
+func (s *sim) want(a *simAgent, version int) {
+	m := s.versions[version]
+	have := weights.NewBitmap(len(m.Chunks))
+	for i, c := range m.Chunks {
+		if a.store[c.Digest] {
+			have.Set(i)
+		}
+	}
+	a.target, a.done = version, false
+	for _, id := range a.d.SetTarget(s.now, s.digests[version], m, have) {
+		s.cancel(a, id)
+	}
+	s.connect(a, nil)
+}
+
+func (s *sim) cancel(a *simAgent, id uint64) {
+	if f, ok := a.active[id]; ok && f.Source == distribute.Origin {
+		s.originWaste++
+	}
+	delete(a.active, id)
+}
+
+// connect moves an agent to a tracker, or to none.
+func (s *sim) connect(a *simAgent, t *simTracker) {
+	if a.tracker != nil && a.tracker != t {
+		for _, tr := range a.tracker.byVer {
+			tr.Lost(a.identity.Address)
+		}
+	}
+	a.tracker, a.inbox, a.last, a.switched = t, nil, 0, s.now
+	if t != nil {
+		a.d.Connected()
+	}
+}
+
+func (s *sim) tracker(t *simTracker, d *simDomain, version int) *distribute.Tracker {
+	tr, ok := t.byVer[s.digests[version]]
+	if !ok {
+		tr = distribute.NewTracker(s.now, distribute.TrackerConfig{
+			Digest: s.digests[version], Manifest: s.versions[version], Location: d.location,
+			Policy: s.policy, Rand: rand.New(rand.NewSource(s.rng.Int63())),
+		})
+		t.byVer[s.digests[version]] = tr
+	}
+	return tr
+}
+
+// kill ends an agent. Chunks that no other agent holds are lost with it, so
+// reading them again is no waste of the budget.
+func (s *sim) kill(a *simAgent) {
+	for id := range a.active {
+		s.cancel(a, id)
+	}
+	a.dead = true
+	s.connect(a, nil)
+	for digest := range a.store {
+		held := false
+		for _, b := range s.agents {
+			held = held || b != a && !b.dead && b.domain == a.domain && b.store[digest]
+		}
+		if !held {
+			s.originWaste++
+		}
+	}
+}
+
+func (s *sim) cut(from, to string) bool { return s.stalled[[2]string{from, to}] }
+
+// step advances time by simStep.
+func (s *sim) step() error {
+	s.now = s.now.Add(simStep)
+	if s.now.Sub(s.start)%(100*time.Millisecond) == 0 {
+		s.trackerTick()
+	}
+	for _, a := range s.agents {
+		if a.dead {
+			continue
+		}
+		s.reconnect(a)
+		inbox := a.inbox
+		a.inbox = nil
+		for _, m := range inbox {
+			a.d.Assigned(s.now, m)
+		}
+		s.finish(a)
+		if err := s.act(a); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// reconnect does what the transfer assembly does: it leaves a silent tracker for
+// the next one and reports when there is none.
+func (s *sim) reconnect(a *simAgent) {
+	if a.tracker != nil && !a.tracker.down && a.d.Silence(s.now) < 1500*time.Millisecond {
+		return
+	}
+	if a.tracker != nil {
+		s.connect(a, nil)
+	}
+	for _, t := range a.domain.trackers {
+		if !t.down && !s.cut(a.identity.Address, t.address) && !s.cut(t.address, a.identity.Address) {
+			s.connect(a, t)
+			return
+		}
+	}
+	a.d.TrackerLost(s.now)
+}
+
+func (s *sim) finish(a *simAgent) {
+	for _, id := range slices.Sorted(maps.Keys(a.active)) {
+		f := a.active[id]
+		if s.now.Before(f.ends) {
+			continue
+		}
+		source := f.Source
+		if source == distribute.Origin {
+			source = "origin"
+		}
+		if s.cut(source, a.identity.Address) {
+			continue // no byte ever arrives
+		}
+		delete(a.active, id)
+		r, retry := s.outcome(f.Source, f.Want.Digest)
+		if r == distribute.Delivered {
+			a.store[f.Want.Digest] = true
+		} else if f.Source == distribute.Origin {
+			s.originWaste++
+		}
+		a.d.Finished(s.now, id, f.Want.Digest, r, retry)
+	}
+}
+
+func (s *sim) outcome(source string, chunk model.Digest) (distribute.Result, time.Duration) {
+	if source == distribute.Origin {
+		if s.now.Before(s.throttleUntil) {
+			return distribute.Throttled, 200 * time.Millisecond
+		}
+	} else {
+		holder := s.byAddress(source)
+		if holder == nil || holder.dead {
+			return distribute.Broken, 0
+		}
+		if !holder.store[chunk] {
+			return distribute.Absent, 0
+		}
+	}
+	if s.rng.Float64() < s.corrupt {
+		return distribute.Corrupt, 0
+	}
+	return distribute.Delivered, 0
+}
+
+func (s *sim) byAddress(address string) *simAgent {
+	for _, a := range s.agents {
+		if a.identity.Address == address {
+			return a
+		}
+	}
+	return nil
+}
+
+// act does what the Downloader decides, and checks it against the truth.
+func (s *sim) act(a *simAgent) error {
+	next := a.d.Next(s.now)
+	for _, id := range next.Cancel {
+		s.cancel(a, id)
+	}
+	for _, f := range next.Start {
+		if f.Source == distribute.Origin {
+			s.originStarts++
+		}
+		a.active[f.ID] = &simFetch{Fetch: f, ends: s.now.Add(simStep * time.Duration(2+s.rng.Intn(6)))}
+	}
+	for _, address := range next.AskPeers {
+		p := s.byAddress(address)
+		if p != nil && !p.dead && !s.cut(address, a.identity.Address) && !s.cut(a.identity.Address, address) {
+			have := weights.NewBitmap(len(s.versions[a.target].Chunks))
+			for i, c := range s.versions[a.target].Chunks {
+				if p.store[c.Digest] {
+					have.Set(i)
+				}
+			}
+			a.d.PeerHas(address, s.digests[a.target], have)
+		}
+	}
+	if next.Announce != nil && a.tracker != nil && !a.tracker.down && !s.cut(a.identity.Address, a.tracker.address) {
+		tr := s.tracker(a.tracker, a.domain, a.target)
+		tr.Announce(s.now, a.identity, next.Announce)
+		a.last = next.Announce.Sequence
+		s.deliver(a, &wire.Assign{Manifest: s.digests[a.target], RetryMillis: 250, Peers: tr.PeersFor(a.identity.Address)})
+		s.schedule(a.domain, a.tracker, tr)
+	}
+	if next.Done {
+		for i, c := range s.versions[a.target].Chunks {
+			if !a.store[c.Digest] {
+				return fmt.Errorf("%s reports version %d complete without chunk %d", a.identity.Address, a.target, i)
+			}
+		}
+		a.done = true
+	}
+	return nil
+}
+
+func (s *sim) deliver(a *simAgent, m *wire.Assign) {
+	if a.dead || a.tracker == nil || s.cut(a.tracker.address, a.identity.Address) {
+		return
+	}
+	m.Sequence = a.last
+	a.inbox = append(a.inbox, m)
+}
+
+func (s *sim) schedule(d *simDomain, t *simTracker, tr *distribute.Tracker) {
+	for _, m := range tr.Schedule(s.now) {
+		if a := s.byAddress(m.Address); a.tracker == t {
+			s.deliver(a, m.Assign)
+		}
+	}
+}
+
+// trackerTick expires state and exchanges summaries between live trackers.
+func (s *sim) trackerTick() {
+	for _, d := range s.domains {
+		for _, t := range d.trackers {
+			if t.down {
+				t.byVer = make(map[model.Digest]*distribute.Tracker)
+				continue
+			}
+			for v, digest := range s.digests {
+				tr, ok := t.byVer[digest]
+				if !ok {
+					continue
+				}
+				tr.Tick(s.now)
+				s.schedule(d, t, tr)
+				summary := tr.Summarize()
+				for _, other := range s.domains {
+					for _, o := range other.trackers {
+						if o != t && !o.down && o.byVer[s.digests[v]] != nil {
+							o.byVer[digest].Remote(s.now, t.address, summary)
+						}
+					}
+				}
+			}
+		}
+	}
+}
+
+// run steps until all living agents are complete or the time is over.
+func (s *sim) run(limit time.Duration, each func()) error {
+	for end := s.now.Add(limit); s.now.Before(end); {
+		if each != nil {
+			each()
+		}
+		if err := s.step(); err != nil {
+			return err
+		}
+		if s.complete() {
+			return nil
+		}
+	}
+	for _, a := range s.agents {
+		if !a.dead && !a.done {
+			return fmt.Errorf("%s misses %d chunks of version %d after %s", a.identity.Address, a.d.Missing(), a.target, limit)
+		}
+	}
+	return nil
+}
+
+func (s *sim) complete() bool {
+	for _, a := range s.agents {
+		if !a.dead && !a.done {
+			return false
+		}
+	}
+	return true
+}
