Keep the detection time of busy connections when others are probed

Probes now go to idle connections only and can only shorten a deadline. The agent passes on whether its engine checks fencing numbers.

--- a/agent/program.go
+++ b/agent/program.go
@@ -102,6 +102,7 @@
 		LinkRate:     float64(s.Transfer.LinkRate) / bitsPerByte,
 		UploadSlots:  s.Transfer.UploadSlots,
 	}
+	cfg.Weights.Guard.Checked = s.Backend.Fencing == settings.FencingChecked
 	if s.Platform.WeightStore != "" {
 		cfg.WeightStore = httpplatform.NewSource(httpplatform.Config{URL: s.Platform.WeightStore})
 	}
--- a/internal/deployment/agent_process.go
+++ b/internal/deployment/agent_process.go
@@ -78,13 +78,15 @@
 		return nil
 	}
 	cfg.Kind = settings.BackendEngine
+	// Every third engine ignores fencing numbers, as some in use do.
+	ignores := p.Identity.Generation%3 == 0
+	cfg.Weights.Guard.Checked = !ignores
 	if cfg.Staging, err = p.deployment.stagingOf(string(p.Identity.Instance)); err != nil {
 		return err
 	}
 	p.Engine, err = engine.Start(engine.Config{
 		Scale: o.EngineScale, Capacity: engineCapacity, RestartDelay: o.EngineRestart,
-		// Every third engine ignores fencing numbers, as some in use do.
-		IgnoreFencing: p.Identity.Generation%3 == 0,
+		IgnoreFencing: ignores,
 	})
 	if err != nil {
 		return err
--- a/lib/member/connection.go
+++ b/lib/member/connection.go
@@ -19,37 +19,39 @@
 
 // interval returns the heartbeat interval that the peer keeps.
 func (c *connection) interval() time.Duration {
-	if c.busySince.IsZero() && c.probedAt.IsZero() {
+	if c.busySince.IsZero() {
 		return IdleInterval
 	}
 	return BusyInterval
 }
 
 // since returns the time from which missed heartbeats count. The peer learns of
-// the first request in flight, or of a probe, only when that arrives, so the
-// short interval counts from there.
+// the first request in flight only when that arrives, so the short interval
+// counts from there.
 func (c *connection) since() time.Time {
-	from := c.heard
-	for _, t := range []time.Time{c.busySince, c.probedAt} {
-		if t.After(from) {
-			from = t
-		}
+	if c.busySince.After(c.heard) {
+		return c.busySince
 	}
-	return from
+	return c.heard
 }
 
-// deadline returns when the connection counts as silent.
+// deadline returns when the connection counts as silent. A probe is answered at
+// once, so the short interval counts from it.
 func (c *connection) deadline() time.Time {
-	return c.since().Add(MissedLimit * c.interval())
+	deadline := c.since().Add(MissedLimit * c.interval())
+	if probed := c.probedAt.Add(MissedLimit * BusyInterval); !c.probedAt.IsZero() && probed.Before(deadline) {
+		return probed
+	}
+	return deadline
 }
 
 // overdue reports whether at least one heartbeat was missed.
 func (c *connection) overdue(now time.Time) bool {
-	return now.Sub(c.since()) > c.interval()
+	return now.Sub(c.since()) > c.interval() || c.failsProbe(now)
 }
 
 // failsProbe reports whether a probe has no answer for longer than any path
 // takes.
 func (c *connection) failsProbe(now time.Time) bool {
-	return !c.probedAt.IsZero() && c.overdue(now)
+	return !c.probedAt.IsZero() && now.Sub(c.probedAt) > BusyInterval
 }
--- a/lib/member/tick.go
+++ b/lib/member/tick.go
@@ -78,7 +78,7 @@
 	}
 	var events []Event
 	for id, c := range v.conns {
-		if !c.silent && c.probedAt.IsZero() && now.Sub(c.heard) > BusyInterval {
+		if !c.silent && c.busySince.IsZero() && c.probedAt.IsZero() && now.Sub(c.heard) > BusyInterval {
 			c.probedAt = now
 			events = append(events, Event{Kind: Probe, Instance: c.instance, Generation: c.generation, Conn: id})
 		}
