Send idle heartbeats exactly at their interval

The capacity measurement found 25 of 30 idle agents usable. The sender looked every 0.8 s, so idle heartbeats went out every 3.2 s instead of 2.8 s, and an agent counts as usable for 3 s after its last one: all idle agents were unusable for a moment every 3.2 s. The sender now wakes when the interval is due.

--- a/lib/heartbeat/sender.go
+++ b/lib/heartbeat/sender.go
@@ -22,8 +22,8 @@
 
 // Run sends the first heartbeat at once and returns when the connection closes.
 func (s *Sender) Run() {
-	ticker := time.NewTicker(member.SendInterval(1))
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	var sequence uint64
 	var last time.Time
 	for {
@@ -36,8 +36,9 @@
 			// the silence, so the heartbeat is dropped.
 			_ = s.Conn.TrySend(&beat)
 		}
+		timer.Reset(nextLook(time.Since(last)))
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 		case <-s.Wake:
 			last = time.Time{}
 		case <-s.Conn.Done():
@@ -46,6 +47,13 @@
 	}
 }
 
+// nextLook returns the time until the next look. The idle interval has to be met
+// exactly: a heartbeat that is 200 ms late makes a healthy agent unusable until
+// it arrives. A request that starts meanwhile is noticed after a busy interval.
+func nextLook(sinceLast time.Duration) time.Duration {
+	return min(member.SendInterval(1), max(0, member.SendInterval(0)-sinceLast))
+}
+
 // interval returns the time between two heartbeats now. Frames and acks are signs
 // of life too, so a connection that carries them needs none each second: at the
 // planned size 60 busy connections would spend more than an entry's 8 KB/s.
