--- a/cmd/auburnbend-measure/main.go
+++ b/cmd/auburnbend-measure/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/auburnbend/auburnbend/internal/measure/capacity"
 	"github.com/auburnbend/auburnbend/internal/measure/distribute"
+	"github.com/auburnbend/auburnbend/internal/measure/latency"
 	"github.com/auburnbend/auburnbend/internal/measure/overload"
 	"github.com/auburnbend/auburnbend/internal/measure/poison"
 	"github.com/auburnbend/auburnbend/internal/measure/route"
@@ -26,6 +27,7 @@
 		overload.New(),
 		poison.New(),
 		capacity.New(),
+		latency.New(),
 	)
 	if root.Execute() != nil {
 		os.Exit(1)
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -75,7 +75,7 @@
 	defer tick.Stop()
 	var listed time.Time
 	for ctx.Err() == nil {
-		if now := f.cfg.Clock.Now(); now.Sub(listed) >= f.cfg.ListInterval || listed.IsZero() {
+		if now := f.cfg.Clock.Now(); listed.IsZero() || now.Sub(listed) >= f.listInterval() {
 			listed = now
 			f.readList(ctx)
 			f.reconnect(ctx)
@@ -89,6 +89,17 @@
 	f.tasks.Wait()
 }
 
+// listInterval is shorter while nobody is known: the entry may have started
+// before the list showed the agents that started with it.
+func (f *Fleet) listInterval() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.agents) == 0 {
+		return min(f.cfg.ListInterval, startListInterval)
+	}
+	return f.cfg.ListInterval
+}
+
 func (f *Fleet) readList(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.ListInterval)
 	defer cancel()
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -10,6 +10,7 @@
 	"math/rand"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -272,3 +273,17 @@
 	}
 	return operator.New(operator.Config{Addresses: addresses, Plaintext: true})
 }
+
+// Configure applies a configuration without a model.
+func (d *Deployment) Configure(ctx context.Context) error {
+	client, err := d.Operator()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = client.Close() }()
+	c := d.Declare("")
+	c.Placements = nil
+	c.Services = slices.DeleteFunc(c.Services, func(s config.Service) bool { return s.Kind == config.KindModel })
+	_, err = client.Apply(ctx, config.Request{Config: c, Operation: "configure", Author: "operator"})
+	return err
+}
