Prefer another source after a corrupt chunk without giving up the only one

Change: the last corrupt source is second choice; avoided and failing sources lead to another tracker's agents or the origin.

--- a/lib/distribute/tracker_peer.go
+++ b/lib/distribute/tracker_peer.go
@@ -90,11 +90,14 @@
 
 func (p *peer) needs(chunk int) bool { return !p.have.Get(chunk) && len(p.active[chunk]) == 0 }
 
-// accepts reports whether the agent may take a chunk from a source.
-func (p *peer) accepts(now time.Time, address string, chunk int) bool {
-	if now.Before(p.blocked[address].until) {
-		return false
-	}
-	bad, ok := p.bad[chunk]
-	return !ok || bad != address
+// accepts reports whether a source has not failed for the agent lately.
+func (p *peer) accepts(now time.Time, address string) bool {
+	return !now.Before(p.blocked[address].until)
+}
+
+// failing reports whether a source failed for the agent lately in a way that
+// another source should be looked for. A busy one only needs a little time.
+func (p *peer) failing(now time.Time, address string) bool {
+	b := p.blocked[address]
+	return b.wait >= firstBlock && now.Before(b.until)
 }
--- a/lib/distribute/tracker_remote.go
+++ b/lib/distribute/tracker_remote.go
@@ -151,7 +151,7 @@
 	ties := 0
 	for _, d := range open {
 		for _, s := range d.holders {
-			if !s.have.Get(chunk) || s.uploads >= t.cfg.UploadSlots || !s.usable(now) || !to.accepts(now, s.address, chunk) {
+			if !s.have.Get(chunk) || s.uploads >= t.cfg.UploadSlots || !s.usable(now) || !to.accepts(now, s.address) || to.bad[chunk] == s.address {
 				continue
 			}
 			switch {
--- a/lib/distribute/tracker_schedule.go
+++ b/lib/distribute/tracker_schedule.go
@@ -83,12 +83,9 @@
 	return t.endgame(now, p)
 }
 
-// stranded grants a chunk whose local holders all failed for this agent, as
-// behind stalled links, from another tracker's agents or the origin.
+// stranded grants a chunk whose local holders are all avoided or failed for this
+// agent, as behind stalled links, from another tracker's agents or the origin.
 func (t *Tracker) stranded(now time.Time, p *peer) *grant {
-	if len(p.blocked) == 0 && len(p.bad) == 0 {
-		return nil
-	}
 	open := t.openRemote(now)
 	for _, chunk := range t.order {
 		if t.holders[chunk] == 0 || !p.needs(chunk) || t.reachable(now, p, chunk) {
@@ -97,7 +94,7 @@
 		if s, region := t.remoteSource(now, open, p, chunk); s != nil {
 			return t.issue(now, p, chunk, s, region)
 		}
-		if t.originActive < t.cfg.OriginStreams && p.accepts(now, Origin, -1) {
+		if t.originActive < t.cfg.OriginStreams && p.accepts(now, Origin) {
 			return t.issue(now, p, chunk, nil, nil)
 		}
 	}
@@ -108,7 +105,7 @@
 // or when a slot is free.
 func (t *Tracker) reachable(now time.Time, to *peer, chunk int) bool {
 	for _, p := range t.sortedPeers() {
-		if p != to && p.have.Get(chunk) && to.accepts(now, p.address, chunk) {
+		if p != to && p.have.Get(chunk) && p.usable(now) && !to.failing(now, p.address) {
 			return true
 		}
 	}
@@ -128,7 +125,7 @@
 			}
 		}
 	}
-	if t.originActive >= t.cfg.OriginStreams || !p.accepts(now, Origin, -1) {
+	if t.originActive >= t.cfg.OriginStreams || !p.accepts(now, Origin) {
 		return nil
 	}
 	for _, chunk := range t.fresh {
@@ -209,19 +206,20 @@
 }
 
 // uploader returns the least loaded agent that holds a chunk, at random among
-// equals. Avoided sources are used only if no other agent holds the chunk.
+// equals. The one that last sent a corrupt copy is used if there is no other;
+// one that is avoided is not used.
 func (t *Tracker) uploader(now time.Time, to *peer, chunk int) *source {
 	var best *source
-	ties, avoided := 0, false
+	ties, worse := 0, false
 	for _, p := range t.sortedPeers() {
-		if p == to || !p.have.Get(chunk) || p.uploads >= t.cfg.UploadSlots || !to.accepts(now, p.address, chunk) {
+		if p == to || !p.have.Get(chunk) || p.uploads >= t.cfg.UploadSlots || !p.usable(now) || !to.accepts(now, p.address) {
 			continue
 		}
-		bad := !p.usable(now)
+		bad := to.bad[chunk] == p.address
 		switch {
-		case best == nil, avoided && !bad, avoided == bad && p.uploads < best.uploads:
-			best, avoided, ties = &p.source, bad, 0
-		case avoided == bad && p.uploads == best.uploads:
+		case best == nil, worse && !bad, worse == bad && p.uploads < best.uploads:
+			best, worse, ties = &p.source, bad, 0
+		case worse == bad && p.uploads == best.uploads:
 			if ties++; t.cfg.Rand.Intn(ties+1) == 0 {
 				best = &p.source
 			}
