Add focused tests for each failure of a distribution

Cause: the design's failure table about weights needs a test for each row. Change: stalls, corruption, version changes, tracker deaths, throttling, paused holders, avoided peers, plan and rate share.

--- /dev/null
+++ b/lib/distribute/failure_test.go
@@ -0,0 +1,184 @@
+package distribute_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/lib/distribute"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/weights"
+	"github.com/auburnbend/auburnbend/lib/wire"
+)
+
+var _ = Describe("weights under single failures", func() {
+	const chunks = 40
+
+	It("finds a second source when links stall (guards against waiting for a silent source)", func() {
+		s := newSim(11, 1, 6, 1, chunks, 0)
+		for _, a := range s.agents[:3] {
+			s.stalled[[2]string{a.identity.Address, s.agents[5].identity.Address}] = true
+		}
+		s.stalled[[2]string{"origin", s.agents[5].identity.Address}] = true
+		Expect(s.run(time.Minute, nil)).To(Succeed())
+	})
+
+	It("completes although peers and origin send corrupt chunks (guards against storing or offering one)", func() {
+		s := newSim(12, 2, 5, 1, chunks, 0)
+		s.corrupt = 0.05
+		Expect(s.run(time.Minute, nil)).To(Succeed())
+		Expect(s.originStarts - s.originWaste).To(BeNumerically("<=", 2*chunks*12/10))
+	})
+
+	It("keeps shared chunks when the version changes and changes back (guards against mixed sets and refetching)", func() {
+		s := newSim(13, 1, 4, 1, chunks, chunks/2)
+		for range 40 {
+			Expect(s.step()).To(Succeed())
+		}
+		for _, version := range []int{1, 0} {
+			for _, a := range s.agents {
+				s.want(a, version)
+			}
+			Expect(s.run(time.Minute, nil)).To(Succeed())
+		}
+		Expect(s.originStarts - s.originWaste).To(BeNumerically("<=", chunks*3/2*12/10))
+	})
+
+	It("continues with the next tracker, and without any (guards against chunks lost with a tracker)", func() {
+		s := newSim(14, 1, 6, 2, chunks, 0)
+		for range 20 {
+			Expect(s.step()).To(Succeed())
+		}
+		s.domains[0].trackers[0].down = true
+		for range 20 {
+			Expect(s.step()).To(Succeed())
+		}
+		s.domains[0].trackers[1].down = true
+		Expect(s.run(5*time.Minute, nil)).To(Succeed())
+		Expect(s.originStarts - s.originWaste).To(BeNumerically("<=", chunks*24/10))
+	})
+
+	It("keeps the origin budget when no tracker was ever reachable (guards against all agents reading everything)", func() {
+		s := newSim(15, 1, 8, 1, chunks, 0)
+		s.domains[0].trackers[0].down = true
+		Expect(s.run(10*time.Minute, nil)).To(Succeed())
+		Expect(s.originStarts - s.originWaste).To(BeNumerically("<=", chunks*12/10+8))
+	})
+
+	It("backs off from a throttled origin (guards against retry storms)", func() {
+		s := newSim(16, 1, 4, 1, chunks, 0)
+		s.throttleUntil = s.now.Add(10 * time.Second)
+		Expect(s.run(time.Minute, nil)).To(Succeed())
+		Expect(s.originStarts).To(BeNumerically("<", chunks+10*10*4))
+	})
+})
+
+var _ = Describe("Tracker", func() {
+	manifest := &weights.Manifest{Object: "o"}
+	for i := range 16 {
+		manifest.Chunks = append(manifest.Chunks, weights.Chunk{Digest: model.Sum([]byte{byte(i)}), Size: 100})
+	}
+	agent := func(name string) model.Identity {
+		return model.Identity{Instance: model.InstanceID(name), Generation: 1, Address: name}
+	}
+
+	It("grants an expired origin chunk again with a new number and takes the late result (guards against a paused holder)", func() {
+		now := time.Unix(0, 0)
+		t := distribute.NewTracker(now, distribute.TrackerConfig{Manifest: manifest, OriginStreams: 1})
+		t.Announce(now, agent("a"), &wire.Announce{Have: weights.NewBitmap(16), Slots: 1})
+		first := t.Schedule(now)[0].Assign.Assignments[0]
+		t.Announce(now, agent("b"), &wire.Announce{Have: weights.NewBitmap(16), Slots: 1})
+		Expect(t.Schedule(now)).To(BeEmpty(), "one origin stream at a time")
+
+		now = now.Add(6 * time.Second)
+		again := t.Schedule(now)
+		Expect(again).NotTo(BeEmpty())
+		Expect(again[0].Assign.Assignments[0].Grant).NotTo(Equal(first.Grant))
+
+		have := weights.NewBitmap(16)
+		have.Set(first.Chunk)
+		n := t.Announce(now, agent("a"), &wire.Announce{Have: have, Failed: []wire.GrantFailure{{Grant: first.Grant}}})
+		Expect(n.Outdated).To(BeNumerically(">=", 1))
+		Expect(n.Stalled).To(BeEmpty(), "a report about an old grant changes nothing")
+	})
+
+	It("avoids a peer after several corrupt chunks (guards against one bad source delaying all)", func() {
+		now := time.Unix(0, 0)
+		t := distribute.NewTracker(now, distribute.TrackerConfig{Manifest: manifest, OriginStreams: 1})
+		full := weights.NewBitmap(16)
+		for i := range 16 {
+			full.Set(i)
+		}
+		t.Announce(now, agent("bad"), &wire.Announce{Have: full})
+		t.Announce(now, agent("good"), &wire.Announce{Have: full})
+		var failed []wire.GrantFailure
+		fromBad := 0
+		for range 60 {
+			t.Announce(now, agent("x"), &wire.Announce{Have: weights.NewBitmap(16), Slots: 2, Failed: failed})
+			failed, fromBad = nil, 0
+			for _, d := range t.Schedule(now) {
+				for _, a := range d.Assign.Assignments {
+					if a.Source == "bad" {
+						fromBad++
+					}
+					failed = append(failed, wire.GrantFailure{Grant: a.Grant, Corrupt: a.Source == "bad", Busy: a.Source != "bad"})
+				}
+			}
+			now = now.Add(300 * time.Millisecond)
+			if fromBad == 0 && len(failed) > 0 {
+				break
+			}
+		}
+		Expect(failed).NotTo(BeEmpty())
+		Expect(fromBad).To(BeZero())
+	})
+})
+
+var _ = Describe("MakePlan", func() {
+	input := func(weight float64) distribute.PlanInput {
+		in := distribute.PlanInput{Size: 8 << 20, ChunkSize: 32 << 10, Origin: 4 << 20, BetweenRegions: 400 << 10, TimeWeight: weight}
+		for _, name := range []string{"a", "b", "c"} {
+			in.Domains = append(in.Domains, distribute.DomainPlan{
+				Location:  model.Location{Region: model.Region(name), FailureDomain: model.FailureDomain(name)},
+				Instances: 20, Download: 2 << 20, Upload: 2 << 20,
+			})
+		}
+		return in
+	}
+
+	It("takes one copy when origin bytes are favoured and is never slower when time is", func() {
+		bytes, fast := distribute.MakePlan(input(0)), distribute.MakePlan(input(1))
+		Expect(bytes.Policy.Copies).To(Equal(1))
+		Expect(fast.Time).To(BeNumerically("<", bytes.Time))
+		Expect(fast.Time).To(BeNumerically(">=", fast.LowerBound))
+	})
+
+	It("says when the target cannot be met (guards against a promise that the links refute)", func() {
+		in := input(1)
+		in.Target = time.Second
+		Expect(distribute.MakePlan(in).MeetsTarget).To(BeFalse())
+	})
+
+	It("divides chunks between domains without messages", func() {
+		p := distribute.MakePlan(input(0)).Policy
+		for i := range 30 {
+			first := 0
+			for _, d := range p.Domains {
+				if p.Rank(model.Sum([]byte{byte(i)}), d.FailureDomain) == 0 {
+					first++
+				}
+			}
+			Expect(first).To(Equal(1))
+		}
+	})
+})
+
+var _ = Describe("RateShare", func() {
+	It("halves the share near the target and regains it slowly (guards against transfers that delay live requests)", func() {
+		r, now := distribute.NewRateShare(distribute.RateShareConfig{Target: time.Second}), time.Unix(0, 0)
+		Expect(r.Observe(now, 900*time.Millisecond)).To(BeNumerically("~", 0.4, 1e-9))
+		Expect(r.Observe(now.Add(time.Millisecond), time.Minute)).To(BeNumerically("~", 0.4, 1e-9))
+		Expect(r.Observe(now.Add(time.Second), 0)).To(BeNumerically("~", 0.45, 1e-9))
+	})
+})
