--- a/agent/transfer/service.go
+++ b/agent/transfer/service.go
@@ -163,3 +163,6 @@
 	defer s.mu.Unlock()
 	return d/2 + time.Duration(s.rand.Int63n(int64(d)/2+1))
 }
+
+// Address returns the peer address under which the instance serves chunks.
+func (s *Service) Address() string { return s.cfg.Identity.Address }
--- /dev/null
+++ b/agent/transfer/service_test.go
@@ -0,0 +1,177 @@
+package transfer_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand"
+	"net"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/agent/transfer"
+	"github.com/auburnbend/auburnbend/entry/tracker"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/weights"
+	"github.com/auburnbend/auburnbend/lib/wire"
+)
+
+// source serves objects from memory with switchable faults.
+type source struct {
+	mu       sync.Mutex
+	objects  map[string][]byte
+	bytes    int64
+	short    int // reads that end after 100 bytes
+	corrupt  int // reads that are damaged
+	throttle int // reads that are refused
+}
+
+func (s *source) ReadRange(_ context.Context, object string, offset, length int64) (io.ReadCloser, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.throttle > 0 {
+		s.throttle--
+		return nil, &platform.ThrottledError{RetryAfter: 20 * time.Millisecond}
+	}
+	all, ok := s.objects[object]
+	if !ok {
+		return nil, platform.ErrNotFound
+	}
+	data := bytes.Clone(all[min(offset, int64(len(all))):min(offset+length, int64(len(all)))])
+	if s.short > 0 && len(data) > 100 {
+		s.short--
+		data = data[:100]
+	}
+	if s.corrupt > 0 && len(data) > 0 {
+		s.corrupt--
+		data[0] ^= 1
+	}
+	s.bytes += int64(len(data))
+	return io.NopCloser(bytes.NewReader(data)), nil
+}
+
+var _ = Describe("Service", func() {
+	var (
+		origin  *source
+		data    = make([]byte, 40_000)
+		digests [2]model.Digest
+		closers []func()
+	)
+	listen := func(hello wire.Hello, serve func(*wire.Conn, wire.Hello) error) string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		closers = append(closers, func() { _ = l.Close() })
+		go func() {
+			for {
+				nc, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					if conn, peer, err := wire.Handshake(nc, hello); err == nil {
+						_ = serve(conn, peer)
+						_ = conn.Close()
+					}
+				}()
+			}
+		}()
+		return l.Addr().String()
+	}
+	start := func(name string) *transfer.Service {
+		var s *transfer.Service
+		ready := make(chan struct{})
+		address := listen(wire.Hello{Role: wire.RoleAgent}, func(c *wire.Conn, _ wire.Hello) error {
+			<-ready
+			return s.ServePeer(c)
+		})
+		s = transfer.New(transfer.Config{
+			Seed: 1, Origin: origin, Identity: model.Identity{Instance: model.InstanceID(name), Address: address},
+		})
+		close(ready)
+		closers = append(closers, s.Close)
+		return s
+	}
+	startEntry := func() string {
+		t := tracker.New(tracker.Config{Seed: 1})
+		return listen(wire.Hello{Role: wire.RoleEntry}, t.Serve)
+	}
+
+	BeforeEach(func() {
+		closers = nil
+		rand.New(rand.NewSource(1)).Read(data)
+		origin = &source{objects: make(map[string][]byte)}
+		for i, size := range []int{40_000, 30_000} {
+			object := []string{"v0", "v1"}[i]
+			m, err := weights.BuildBytes(data[:size], object, model.Digest{}, 1000)
+			Expect(err).NotTo(HaveOccurred())
+			encoded, err := m.Encode()
+			Expect(err).NotTo(HaveOccurred())
+			origin.objects[object], origin.objects[object+"/manifest"] = data[:size], encoded
+			digests[i] = model.Sum(encoded)
+		}
+	})
+	AfterEach(func() {
+		for _, c := range closers {
+			c()
+		}
+	})
+	fetch := func(ctx context.Context, agents ...*transfer.Service) {
+		var wg sync.WaitGroup
+		errs := make([]error, len(agents))
+		for i, a := range agents {
+			wg.Go(func() { errs[i] = a.Fetch(ctx, digests[0], "v0/manifest") })
+		}
+		wg.Wait()
+		for _, err := range errs {
+			Expect(err).NotTo(HaveOccurred())
+		}
+	}
+
+	It("reads one copy from the origin for all agents, and shares it with the next version", func(ctx SpecContext) {
+		entry := startEntry()
+		agents := []*transfer.Service{start("a"), start("b"), start("c")}
+		for _, a := range agents {
+			a.SetEntries([]string{entry})
+		}
+		fetch(ctx, agents...)
+		Expect(origin.bytes).To(BeNumerically("<", 60_000))
+		Expect(agents[0].Verify(digests[0])).To(Succeed())
+		before := origin.bytes
+		Expect(agents[0].Fetch(ctx, digests[1], "v1/manifest")).To(Succeed())
+		Expect(origin.bytes-before).To(BeNumerically("<", 5000), "only the manifest is new")
+	}, SpecTimeout(20*time.Second))
+
+	It("recovers from short, corrupt and throttled reads and a corrupt manifest", func(ctx SpecContext) {
+		entry := startEntry()
+		a := start("a")
+		a.SetEntries([]string{entry})
+		origin.short, origin.corrupt, origin.throttle = 20, 3, 2
+		fetch(ctx, a)
+	}, SpecTimeout(20*time.Second))
+
+	It("moves to another tracker when one dies and works without any (guards against waiting for a dead tracker)", func(ctx SpecContext) {
+		a, b := start("a"), start("b")
+		a.SetEntries([]string{"127.0.0.1:1", startEntry()})
+		fetch(ctx, a)
+		b.SetEntries([]string{"127.0.0.1:1"})
+		b.SetPeers([]string{a.Address()})
+		before := origin.bytes
+		fetch(ctx, b)
+		Expect(origin.bytes - before).To(BeNumerically("<", 20_000))
+	}, SpecTimeout(30*time.Second))
+
+	It("replaces a wanted version that cannot complete (guards against a fetch that blocks the next)", func(ctx SpecContext) {
+		a := start("a")
+		a.SetEntries([]string{startEntry()})
+		delete(origin.objects, "v0")
+		failed := make(chan error, 1)
+		go func() { failed <- a.Fetch(ctx, digests[0], "v0/manifest") }()
+		Eventually(func() int { return a.Progress().Chunks }, 5*time.Second).Should(Equal(40))
+		Expect(a.Fetch(ctx, digests[1], "v1/manifest")).To(Succeed())
+		Expect(<-failed).To(MatchError(transfer.ErrReplaced))
+	}, SpecTimeout(20*time.Second))
+})
