Write the depth of a cached prefix once per instance

Cause: a match wrote the depth of each instance at each of its blocks. Change: it is written when the instance drops out or at the end. The route measurement also searches the capacity of a fleet with slower engines.

--- a/internal/measure/fleet/engine_config.go
+++ b/internal/measure/fleet/engine_config.go
@@ -61,3 +61,12 @@
 func (c *EngineConfig) stepTime(decoding, prefilled int) time.Duration {
 	return c.StepBase + time.Duration(decoding)*c.StepPerSequence + time.Duration(prefilled)*c.StepPerToken
 }
+
+// slower returns the same engine on an accelerator that takes half as long
+// again for everything.
+func (c EngineConfig) slower() EngineConfig {
+	c.StepBase += c.StepBase / 2
+	c.StepPerSequence += c.StepPerSequence / 2
+	c.StepPerToken += c.StepPerToken / 2
+	return c
+}
--- a/internal/measure/fleet/run.go
+++ b/internal/measure/fleet/run.go
@@ -26,6 +26,8 @@
 	// Baseline replaces the system by round robin with unlimited queues and
 	// three retries.
 	Baseline bool
+	// Uneven makes every third engine slower by half.
+	Uneven bool
 	// NoAffinity makes the system ignore prefixes.
 	NoAffinity bool
 }
@@ -77,8 +79,12 @@
 	s.begin = start.Add(cfg.Warmup)
 	s.end = s.begin.Add(cfg.Measured)
 	s.result = Result{Tenants: make(map[model.Tenant]Counts), Measured: cfg.Measured}
-	for range cfg.Engines {
-		s.engines = append(s.engines, newEngine(cfg.Engine, &s.time))
+	for i := range cfg.Engines {
+		engine := cfg.Engine
+		if cfg.Uneven && i%3 == 0 {
+			engine = engine.slower()
+		}
+		s.engines = append(s.engines, newEngine(engine, &s.time))
 	}
 	for i := range cfg.Entries {
 		if cfg.Baseline {
--- a/internal/measure/route/command.go
+++ b/internal/measure/route/command.go
@@ -41,6 +41,8 @@
 	seeds := fleet.SearchSeeds(seed)
 	capacity := fleet.Capacity(fleet.Config{}, seeds, searchStep)
 	plain := fleet.Capacity(fleet.Config{Baseline: true}, seeds, searchStep)
+	uneven := fleet.Capacity(fleet.Config{Uneven: true}, seeds, searchStep)
+	plainUneven := fleet.Capacity(fleet.Config{Uneven: true, Baseline: true}, seeds, searchStep)
 	rates := fleet.EvenRates(capacity)
 	system := fleet.Run(fleet.Config{Seed: seed, Rates: rates})
 	baseline := fleet.Run(fleet.Config{Seed: seed, Rates: rates, Baseline: true})
@@ -57,6 +59,7 @@
 	between := float64(fleet.BetweenTokensTarget.Milliseconds())
 	return []fleet.Figure{
 		fleet.Figure{Name: "route.capacity", Value: capacity, Unit: "requests/s"}.Against(plain),
+		fleet.Figure{Name: "route.capacity_uneven_engines", Value: uneven, Unit: "requests/s"}.Against(plainUneven),
 		fleet.Figure{Name: "route.in_time_at_capacity", Value: system.Total().InTimeShare(), Unit: "share", Bound: fleet.AtLeast(fleet.InTimeTarget)}.Against(baseline.Total().InTimeShare()),
 		fleet.Figure{Name: "route.first_token_p95_at_capacity", Value: millis(system, false), Unit: "ms", Bound: fleet.AtMost(first)}.Against(millis(baseline, false)),
 		fleet.Figure{Name: "route.between_tokens_p95_at_capacity", Value: millis(system, true), Unit: "ms", Bound: fleet.AtMost(between)}.Against(millis(baseline, true)),
--- a/lib/route/prefix_index.go
+++ b/lib/route/prefix_index.go
@@ -97,22 +97,25 @@
 func (x *prefixIndex) match(now time.Time, blocks []uint64) {
 	x.rotate(now)
 	x.depths = [maxNumbered]int{}
-	var alive bitset
+	var alive bitset // instances that have all blocks so far
 	for i, b := range blocks {
 		set := x.current[b]
 		old := x.previous[b]
+		var ended bitset
 		for w := range set {
 			set[w] |= old[w]
 			if i > 0 {
 				set[w] &= alive[w]
+				ended[w] = alive[w] &^ set[w]
 			}
 		}
-		if set.empty() {
+		ended.each(func(n int) { x.depths[n] = i })
+		alive = set
+		if alive.empty() {
 			return
 		}
-		set.each(func(n int) { x.depths[n] = i + 1 })
-		alive = set
 	}
+	alive.each(func(n int) { x.depths[n] = len(blocks) })
 }
 
 func (x *prefixIndex) depth(number int) int {
