--- a/operator/cli/cli_test.go
+++ b/operator/cli/cli_test.go
@@ -89,7 +89,7 @@
 		entry := &fakeEntry{replica: config.NewReplica(config.ReplicaConfig{}, time.Now())}
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
-		server := grpc.NewServer()
+		server := grpc.NewServer(operatorrpc.Options()...)
 		operatorrpc.New(operatorrpc.Config{}, store, entry, entry).Register(server)
 		go func() { _ = server.Serve(listener) }()
 		DeferCleanup(server.Stop)
