Stop agents from announcing to entries that did not ask

An agent announced each change to the entries whose heartbeats were up to 3 s old, which cost each entry about 3 KB per change. Announcements between entries and agents now go only to an end that fetched.

--- a/internal/measure/config/command.go
+++ b/internal/measure/config/command.go
@@ -24,6 +24,8 @@
 		Short:   "Measure the spread of the configuration: time, bytes and store reads",
 		Example: "  auburnbend-measure config --seed 1",
 		Args:    cobra.NoArgs,
+		// A missed bound is no mistake on the command line.
+		SilenceUsage: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			printer := figure.NewPrinter(cmd.OutOrStdout())
 			for _, experiment := range []func(*figure.Printer, int64) error{spread, traffic, reads, outage} {
--- a/internal/measure/config/traffic.go
+++ b/internal/measure/config/traffic.go
@@ -28,10 +28,13 @@
 	if err != nil {
 		return err
 	}
+	daily := dailyPause.Seconds()
 	burstSeconds := (burstChanges * burstPause).Seconds()
 	for _, f := range []figure.Figure{
 		{Name: "config_bytes_per_change_entry", Value: deltas.entry / changes, Unit: "bytes", Baseline: ptr(snapshots.entry / changes)},
 		{Name: "config_bytes_per_change_agent", Value: deltas.agent / changes, Unit: "bytes", Baseline: ptr(snapshots.agent / changes)},
+		{Name: "config_daily_rate_entry", Value: deltas.entry / changes / daily, Unit: "bytes/s", Bound: figure.AtMost(controlBound), Baseline: ptr(snapshots.entry / changes / daily)},
+		{Name: "config_daily_rate_agent", Value: deltas.agent / changes / daily, Unit: "bytes/s", Bound: figure.AtMost(controlBound), Baseline: ptr(snapshots.agent / changes / daily)},
 		{Name: "config_burst_rate_entry", Value: burst.entry / burstSeconds, Unit: "bytes/s", Bound: figure.AtMost(controlBound)},
 		{Name: "config_burst_rate_agent", Value: burst.agent / burstSeconds, Unit: "bytes/s", Bound: figure.AtMost(controlBound)},
 	} {
--- a/lib/config/peers.go
+++ b/lib/config/peers.go
@@ -21,7 +21,7 @@
 	announced Head
 	at        time.Time // of the last announcement
 	failed    time.Time // of the last fetch without an answer
-	// leaf is true for an agent seen from an entry: it passes nothing on.
+	// leaf is true on connections between an entry and an agent.
 	leaf bool
 	// asked is true once the peer has fetched from this process.
 	asked bool
@@ -46,10 +46,11 @@
 	return &Peers{cfg: cfg, rng: rng, peers: make(map[PeerID]*peer)}
 }
 
-// Joined tells what kind of process a peer is. A leaf passes nothing on, as an
-// agent seen from an entry. It is connected to several entries, of which only
-// the one that it fetches from announces changes; the others' heartbeats serve
-// if that one fails. Without Joined, a peer counts as no leaf.
+// Joined tells what kind of connection leads to a peer. Leaf is true between an
+// entry and an agent, seen from either end: an agent passes nothing on and is
+// connected to several entries, of which only the one that it fetches from
+// announces changes. The heartbeats of the others serve if that one fails.
+// Without Joined, a connection counts as no leaf.
 func (p *Peers) Joined(id PeerID, leaf bool) { p.peer(id).leaf = leaf }
 
 // Asked notes that a peer fetches from this process.
