--- a/agent/agent.go
+++ b/agent/agent.go
@@ -193,7 +193,7 @@
 }
 
 // tickInterval is the time between two looks at deadlines and announcements.
-const tickInterval = 250 * time.Millisecond
+const tickInterval = 500 * time.Millisecond
 
 func (a *Agent) hello() wire.Hello {
 	return wire.Hello{Role: wire.RoleAgent, Identity: a.cfg.Identity, Pool: a.cfg.Pool}
--- a/cmd/auburnbend-measure/main.go
+++ b/cmd/auburnbend-measure/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/auburnbend/auburnbend/internal/measure/capacity"
 	"github.com/auburnbend/auburnbend/internal/measure/distribute"
+	"github.com/auburnbend/auburnbend/internal/measure/drain"
 	"github.com/auburnbend/auburnbend/internal/measure/latency"
 	"github.com/auburnbend/auburnbend/internal/measure/overload"
 	"github.com/auburnbend/auburnbend/internal/measure/poison"
@@ -27,6 +28,7 @@
 		overload.New(),
 		poison.New(),
 		capacity.New(),
+		drain.New(),
 		latency.New(),
 	)
 	if root.Execute() != nil {
--- a/entry/dispatch/admission.go
+++ b/entry/dispatch/admission.go
@@ -26,6 +26,8 @@
 	cfg    admit.Config
 	clock  clock.Clock
 	placer placer
+	// queued wakes run when a request starts to wait.
+	queued chan struct{}
 
 	mu      sync.Mutex
 	queues  map[string]*admit.Queue
@@ -39,26 +41,38 @@
 		cfg:     cfg,
 		clock:   c,
 		placer:  p,
+		queued:  make(chan struct{}, 1),
 		queues:  make(map[string]*admit.Queue),
 		waiters: make(map[model.RequestID]*waiter),
 		starts:  make(map[string]*admit.StartEstimator),
 	}
 }
 
-// run places waiting requests when instances become free, until ctx ends.
+// run places waiting requests when instances become free, until ctx ends. While
+// requests wait it also looks at every tick, for those that are too late or held
+// back; without any it sleeps, which keeps an idle entry cheap.
 func (a *admission) run(ctx context.Context, changed <-chan struct{}, tick time.Duration) {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
+	timer := time.NewTimer(tick)
+	defer timer.Stop()
 	for {
 		select {
 		case <-changed:
-		case <-ticker.C:
+		case <-a.queued:
+		case <-timer.C:
 		case <-ctx.Done():
 			return
 		}
 		a.mu.Lock()
-		a.pump()
+		waiting := len(a.waiters) > 0
+		if waiting {
+			a.pump()
+		}
 		a.mu.Unlock()
+		if waiting {
+			timer.Reset(tick)
+		} else {
+			timer.Stop()
+		}
 	}
 }
 
@@ -129,6 +143,10 @@
 	a.pumpPool(w.pool)
 	a.mu.Unlock()
 	select {
+	case a.queued <- struct{}{}:
+	default:
+	}
+	select {
 	case g := <-w.granted:
 		return g
 	case <-ctx.Done():
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/auburnbend/auburnbend/lib/config"
 	"github.com/auburnbend/auburnbend/lib/follow"
 	"github.com/auburnbend/auburnbend/lib/listen"
+	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/security"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
@@ -105,6 +106,9 @@
 // Usable returns the number of agents that this entry may send work to.
 func (e *Entry) Usable() int { return e.fleet.Usable() }
 
+// Sent returns the number of attempts that were placed on an agent.
+func (e *Entry) Sent(id model.InstanceID) int { return e.fleet.Sent(id) }
+
 // Traffic returns the bytes that the connections to agents and other entries
 // have sent and received.
 func (e *Entry) Traffic() (sent, received int64) { return e.fleet.Traffic() }
--- a/entry/fleet/config.go
+++ b/entry/fleet/config.go
@@ -20,7 +20,7 @@
 const (
 	defaultListInterval = 5 * time.Second
 	startListInterval   = time.Second
-	defaultTick         = 100 * time.Millisecond
+	defaultTick         = 200 * time.Millisecond
 	// entryPeers bounds the entries of its own failure domain that an entry
 	// connects to.
 	entryPeers = 4
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -37,6 +37,8 @@
 	peers    map[model.InstanceID]*peer
 	conns    map[member.ConnID]*connection
 	nextConn member.ConnID
+	// sent counts the attempts for each agent.
+	sent     map[model.InstanceID]int
 	required []model.InstanceID
 	// entries is the last list of entries that agents were sent.
 	entries []string
@@ -56,6 +58,7 @@
 		agents:   make(map[model.InstanceID]route.Instance),
 		peers:    make(map[model.InstanceID]*peer),
 		conns:    make(map[member.ConnID]*connection),
+		sent:     make(map[model.InstanceID]int),
 	}
 }
 
@@ -125,7 +128,6 @@
 	f.apply(f.view.Tick(now))
 	f.broadcast(f.monitor.Tick(now))
 	f.sendEntries()
-	f.wake()
 }
 
 // apply acts on changes of the view. The caller holds the mutex.
@@ -174,6 +176,7 @@
 	delete(f.limiters, key)
 	if f.agents[key.Instance].Generation == key.Generation {
 		delete(f.agents, key.Instance)
+		delete(f.sent, key.Instance)
 	}
 }
 
@@ -289,6 +292,13 @@
 	return sent, received
 }
 
+// Sent returns the number of attempts that were placed on an agent.
+func (f *Fleet) Sent(id model.InstanceID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sent[id]
+}
+
 // Usable returns the number of agents that this entry may send work to.
 func (f *Fleet) Usable() int {
 	f.mu.Lock()
--- a/entry/fleet/place.go
+++ b/entry/fleet/place.go
@@ -121,6 +121,7 @@
 
 func (f *Fleet) reserve(now time.Time, w *Wish, request *route.Request, key route.Key) *Place {
 	f.limiter(key).Acquire()
+	f.sent[key.Instance]++
 	f.picker.Started(now, key, request.Prefix)
 	f.broadcast(f.monitor.Started(now, w.Finger, key.Instance))
 	return &Place{Key: key, Link: f.linkOf(key.Instance), Weights: request.Weights, finger: w.Finger}
--- a/internal/deployment/cut_listener.go
+++ b/internal/deployment/cut_listener.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return l.keep(nc)
+	return l.keep(nc, true)
 }
 
 func (l *cutListener) dial(ctx context.Context, address string) (net.Conn, error) {
@@ -31,17 +31,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return l.keep(nc)
+	return l.keep(nc, false)
 }
 
-func (l *cutListener) keep(nc net.Conn) (net.Conn, error) {
+func (l *cutListener) keep(nc net.Conn, inbound bool) (net.Conn, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.dead {
 		_ = nc.Close()
 		return nil, net.ErrClosed
 	}
-	kept := newSilentConn(nc)
+	kept := newSilentConn(nc, inbound)
 	l.conns = append(l.conns, kept)
 	return kept, nil
 }
@@ -67,3 +67,15 @@
 	}
 	l.conns = nil
 }
+
+// silenceHalf makes every second open connection that peers opened go silent for
+// good.
+func (l *cutListener) silenceHalf() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, nc := range l.conns {
+		if nc.inbound && i%2 == 0 {
+			nc.silent.Store(true)
+		}
+	}
+}
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -287,3 +287,12 @@
 	_, err = client.Apply(ctx, config.Request{Config: c, Operation: "configure", Author: "operator"})
 	return err
 }
+
+// SentTo returns the attempts that all entries have placed on an agent.
+func (d *Deployment) SentTo(a *AgentProcess) int {
+	sent := 0
+	for _, e := range d.Entries {
+		sent += e.Entry.Sent(a.Identity.Instance)
+	}
+	return sent
+}
--- a/internal/deployment/silent_conn.go
+++ b/internal/deployment/silent_conn.go
@@ -10,13 +10,15 @@
 // never return, as when a middlebox has dropped the state of a connection.
 type silentConn struct {
 	net.Conn
-	silent atomic.Bool
-	closed chan struct{}
-	once   atomic.Bool
+	// inbound says that the peer opened the connection.
+	inbound bool
+	silent  atomic.Bool
+	closed  chan struct{}
+	once    atomic.Bool
 }
 
-func newSilentConn(nc net.Conn) *silentConn {
-	return &silentConn{Conn: nc, closed: make(chan struct{})}
+func newSilentConn(nc net.Conn, inbound bool) *silentConn {
+	return &silentConn{Conn: nc, inbound: inbound, closed: make(chan struct{})}
 }
 
 func (c *silentConn) Read(p []byte) (int, error) {
--- /dev/null
+++ b/internal/measure/drain/drain.go
@@ -0,0 +1,131 @@
+// Package drain measures what a leaving instance still gets and what its
+// graceful shutdown cuts off.
+package drain
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/spf13/cobra"
+
+	"github.com/auburnbend/auburnbend/internal/deployment"
+	"github.com/auburnbend/auburnbend/internal/measure/figure"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/model"
+)
+
+const (
+	// noWorkAfter is the time after its notice from which a leaving instance must
+	// get no new work.
+	noWorkAfter = 3 * time.Second
+	// watchFor is how long the entries are watched after that.
+	watchFor = 3 * time.Second
+)
+
+type options struct {
+	agents, callers, tokens int
+	seed                    int64
+}
+
+// New returns the command.
+func New() *cobra.Command {
+	var o options
+	c := &cobra.Command{
+		Use:   "drain",
+		Short: "Measure what a leaving instance still gets and what its shutdown cuts off",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			hlog.SetLevel(hlog.LevelFatal)
+			return run(c.Context(), o, figure.NewPrinter(c.OutOrStdout()))
+		},
+	}
+	flags := c.Flags()
+	flags.IntVar(&o.agents, "agents", 4, "model runners in each of 2 failure domains")
+	flags.IntVar(&o.callers, "callers", 16, "callers that send at the same time")
+	flags.IntVar(&o.tokens, "tokens", 60, "tokens of an answer")
+	flags.Int64Var(&o.seed, "seed", 1, "seed of all random choices")
+	return c
+}
+
+func run(ctx context.Context, o options, p *figure.Printer) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Minute)
+	defer cancel()
+	directory, err := os.MkdirTemp("", "auburnbend-drain-")
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	d, err := deployment.Start(deployment.Options{
+		Domains: []model.FailureDomain{"kigali", "huye"}, Entries: 2, Agents: o.agents,
+		ModelBytes: 1 << 20, ChunkBytes: 64 << 10, Window: time.Second,
+		EngineScale: 0.1, EngineRestart: time.Second, Directory: directory, Seed: o.seed,
+	}, eventlog.Discard())
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	v, err := d.Place(ctx, "v1")
+	if err != nil {
+		return err
+	}
+	if err := d.WaitLive(ctx, v, 50*time.Millisecond, nil); err != nil {
+		return err
+	}
+	return measure(ctx, d, o, p)
+}
+
+func measure(ctx context.Context, d *deployment.Deployment, o options, p *figure.Printer) error {
+	load := newLoad(d, o)
+	load.start(ctx)
+	if err := pause(ctx, 2*time.Second); err != nil {
+		return err
+	}
+	leaving := d.ModelAgents()[0]
+	leaving.SilenceHalf()
+	notice := time.Now()
+	drained := make(chan error, 1)
+	go func() { drained <- leaving.Stop(ctx) }()
+	if err := pause(ctx, noWorkAfter); err != nil {
+		return err
+	}
+	sent := d.SentTo(leaving)
+	if err := pause(ctx, watchFor); err != nil {
+		return err
+	}
+	sentLater := d.SentTo(leaving) - sent
+	graceful := d.ModelAgents()[1]
+	err := graceful.Stop(ctx)
+	took := time.Since(notice)
+	load.stop()
+	if again := <-drained; err == nil {
+		err = again
+	}
+	if err != nil {
+		return err
+	}
+	for _, f := range []figure.Figure{
+		{Name: "requests_sent_after_3s", Value: float64(sentLater), Unit: "requests", Bound: figure.AtMost(0)},
+		{Name: "requests_cut_off", Value: float64(load.count(cutOff)), Unit: "requests", Bound: figure.AtMost(0)},
+		{Name: "requests_completed", Value: float64(load.count(completed)), Unit: "requests", Bound: figure.AtLeast(1)},
+		{Name: "requests_not_run", Value: float64(load.count(notRun)), Unit: "requests"},
+		{Name: "answers_wrong", Value: float64(load.count(wrong)), Unit: "requests", Bound: figure.AtMost(0)},
+		{Name: "both_drains", Value: took.Seconds(), Unit: "s"},
+	} {
+		if err := p.Print(f); err != nil {
+			return err
+		}
+	}
+	return p.Err()
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
