Print the routing and overload figures through the shared package

Cause: internal/measure/figure now exists; figures out of bounds have to fail the command. Change: fleet.Print uses it; names use underscores like the other commands.

--- a/internal/measure/overload/command.go
+++ b/internal/measure/overload/command.go
@@ -9,6 +9,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/auburnbend/auburnbend/internal/measure/figure"
 	"github.com/auburnbend/auburnbend/internal/measure/fleet"
 )
 
@@ -41,11 +42,11 @@
 func run(w io.Writer, seed uint64) error {
 	capacity := fleet.Capacity(fleet.Config{}, fleet.SearchSeeds(seed), searchStep)
 	figures := append(goodput(seed, capacity), fairness(seed, capacity)...)
-	return fleet.Print(w, figures...)
+	return fleet.Print(w, figures)
 }
 
 // goodput compares the answers in time at and past capacity.
-func goodput(seed uint64, capacity float64) []fleet.Figure {
+func goodput(seed uint64, capacity float64) []figure.Figure {
 	at := func(rate float64, baseline bool) fleet.Result {
 		return fleet.Run(fleet.Config{Seed: seed, Rates: fleet.EvenRates(rate), Baseline: baseline})
 	}
@@ -53,13 +54,13 @@
 	plainFull, plainOver := at(capacity, true), at(capacity*overloadFactor, true)
 	refusal := float64(fleet.Quantile(over.RefusalDelay, 0.99).Microseconds()) / 1000
 	total := over.Total()
-	return []fleet.Figure{
-		fleet.Figure{Name: "overload.goodput_at_capacity", Value: full.Goodput(), Unit: "answers/s"}.Against(plainFull.Goodput()),
-		fleet.Figure{Name: "overload.goodput_at_1.5x", Value: over.Goodput(), Unit: "answers/s"}.Against(plainOver.Goodput()),
-		fleet.Figure{Name: "overload.goodput_ratio", Value: over.Goodput() / full.Goodput(), Unit: "share", Bound: fleet.AtLeast(goodputTarget)}.Against(plainOver.Goodput() / full.Goodput()),
-		{Name: "overload.late_share_at_1.5x", Value: float64(total.Late) / float64(total.Offered), Unit: "share"},
-		{Name: "overload.refusal_delay_p99", Value: refusal, Unit: "ms"},
-		{Name: "overload.prefix_hit_share_at_1.5x", Value: over.HitShare, Unit: "share"},
+	return []figure.Figure{
+		fleet.Against(figure.Figure{Name: "overload_goodput_at_capacity", Value: full.Goodput(), Unit: "answers/s"}, plainFull.Goodput()),
+		fleet.Against(figure.Figure{Name: "overload_goodput_at_1_5x", Value: over.Goodput(), Unit: "answers/s"}, plainOver.Goodput()),
+		fleet.Against(figure.Figure{Name: "overload_goodput_ratio", Value: over.Goodput() / full.Goodput(), Unit: "share", Bound: figure.AtLeast(goodputTarget)}, plainOver.Goodput()/full.Goodput()),
+		{Name: "overload_late_share_at_1_5x", Value: float64(total.Late) / float64(total.Offered), Unit: "share"},
+		{Name: "overload_refusal_delay_p99", Value: refusal, Unit: "ms"},
+		{Name: "overload_prefix_hit_share_at_1_5x", Value: over.HitShare, Unit: "share"},
 	}
 }
 
@@ -70,7 +71,7 @@
 // fairness has one tenant send a multiple of its share while all others send
 // theirs on average. Arrivals are random, so some of the others send more than
 // their share; these are not within it and count in the second figure only.
-func fairness(seed uint64, capacity float64) []fleet.Figure {
+func fairness(seed uint64, capacity float64) []figure.Figure {
 	rates := fleet.EvenRates(capacity)
 	rates[fleet.Tenant(0)] *= aggressorFactor
 	share := int(capacity / fleet.Tenants * fairnessTime.Seconds())
@@ -90,9 +91,9 @@
 	}
 	within, all, mean := lowest(false)
 	plainWithin, plainAll, plainMean := lowest(true)
-	return []fleet.Figure{
-		fleet.Figure{Name: "overload.within_share_in_time_min", Value: within, Unit: "share", Bound: fleet.AtLeast(withinShareLimit)}.Against(plainWithin),
-		fleet.Figure{Name: "overload.about_share_in_time_min", Value: all, Unit: "share"}.Against(plainAll),
-		fleet.Figure{Name: "overload.about_share_in_time_mean", Value: mean, Unit: "share"}.Against(plainMean),
+	return []figure.Figure{
+		fleet.Against(figure.Figure{Name: "overload_within_share_in_time_min", Value: within, Unit: "share", Bound: figure.AtLeast(withinShareLimit)}, plainWithin),
+		fleet.Against(figure.Figure{Name: "overload_about_share_in_time_min", Value: all, Unit: "share"}, plainAll),
+		fleet.Against(figure.Figure{Name: "overload_about_share_in_time_mean", Value: mean, Unit: "share"}, plainMean),
 	}
 }
--- a/internal/measure/route/command.go
+++ b/internal/measure/route/command.go
@@ -8,6 +8,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/auburnbend/auburnbend/internal/measure/figure"
 	"github.com/auburnbend/auburnbend/internal/measure/fleet"
 )
 
@@ -33,11 +34,11 @@
 	figures := atCapacity(seed)
 	figures = append(figures, pickTime(seed))
 	figures = append(figures, subsets(seed)...)
-	return fleet.Print(w, figures...)
+	return fleet.Print(w, figures)
 }
 
 // atCapacity runs the system and both baselines at the system's capacity.
-func atCapacity(seed uint64) []fleet.Figure {
+func atCapacity(seed uint64) []figure.Figure {
 	seeds := fleet.SearchSeeds(seed)
 	capacity := fleet.Capacity(fleet.Config{}, seeds, searchStep)
 	plain := fleet.Capacity(fleet.Config{Baseline: true}, seeds, searchStep)
@@ -57,15 +58,15 @@
 	}
 	first := float64(fleet.FirstTokenTarget.Milliseconds())
 	between := float64(fleet.BetweenTokensTarget.Milliseconds())
-	return []fleet.Figure{
-		fleet.Figure{Name: "route.capacity", Value: capacity, Unit: "requests/s"}.Against(plain),
-		fleet.Figure{Name: "route.capacity_uneven_engines", Value: uneven, Unit: "requests/s"}.Against(plainUneven),
-		fleet.Figure{Name: "route.in_time_at_capacity", Value: system.Total().InTimeShare(), Unit: "share", Bound: fleet.AtLeast(fleet.InTimeTarget)}.Against(baseline.Total().InTimeShare()),
-		fleet.Figure{Name: "route.first_token_p95_at_capacity", Value: millis(system, false), Unit: "ms", Bound: fleet.AtMost(first)}.Against(millis(baseline, false)),
-		fleet.Figure{Name: "route.between_tokens_p95_at_capacity", Value: millis(system, true), Unit: "ms", Bound: fleet.AtMost(between)}.Against(millis(baseline, true)),
-		fleet.Figure{Name: "route.prefix_hit_share", Value: system.HitShare, Unit: "share"}.Against(baseline.HitShare),
-		fleet.Figure{Name: "route.prefix_hit_share_without_affinity", Value: blind.HitShare, Unit: "share"}.Against(baseline.HitShare),
-		fleet.Figure{Name: "route.in_time_without_affinity", Value: blind.Total().InTimeShare(), Unit: "share"}.Against(baseline.Total().InTimeShare()),
-		fleet.Figure{Name: "route.imbalance", Value: system.Imbalance, Unit: "max/mean"}.Against(baseline.Imbalance),
+	return []figure.Figure{
+		fleet.Against(figure.Figure{Name: "route_capacity", Value: capacity, Unit: "requests/s"}, plain),
+		fleet.Against(figure.Figure{Name: "route_capacity_uneven_engines", Value: uneven, Unit: "requests/s"}, plainUneven),
+		fleet.Against(figure.Figure{Name: "route_in_time_at_capacity", Value: system.Total().InTimeShare(), Unit: "share", Bound: figure.AtLeast(fleet.InTimeTarget)}, baseline.Total().InTimeShare()),
+		fleet.Against(figure.Figure{Name: "route_first_token_p95_at_capacity", Value: millis(system, false), Unit: "ms", Bound: figure.AtMost(first)}, millis(baseline, false)),
+		fleet.Against(figure.Figure{Name: "route_between_tokens_p95_at_capacity", Value: millis(system, true), Unit: "ms", Bound: figure.AtMost(between)}, millis(baseline, true)),
+		fleet.Against(figure.Figure{Name: "route_prefix_hit_share", Value: system.HitShare, Unit: "share"}, baseline.HitShare),
+		fleet.Against(figure.Figure{Name: "route_prefix_hit_share_without_affinity", Value: blind.HitShare, Unit: "share"}, baseline.HitShare),
+		fleet.Against(figure.Figure{Name: "route_in_time_without_affinity", Value: blind.Total().InTimeShare(), Unit: "share"}, baseline.Total().InTimeShare()),
+		fleet.Against(figure.Figure{Name: "route_imbalance", Value: system.Imbalance, Unit: "max/mean"}, baseline.Imbalance),
 	}
 }
--- a/internal/measure/route/pick_time.go
+++ b/internal/measure/route/pick_time.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/auburnbend/auburnbend/internal/measure/figure"
 	"github.com/auburnbend/auburnbend/internal/measure/fleet"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/route"
@@ -21,7 +22,7 @@
 )
 
 // pickTime measures the time of one Pick, Started and Finished with 60 instances.
-func pickTime(seed uint64) fleet.Figure {
+func pickTime(seed uint64) figure.Figure {
 	p := route.New(route.Config{}, rand.New(rand.NewPCG(seed, seed)))
 	now := time.Unix(0, 0)
 	weights := model.Weights{Base: model.Sum([]byte("base"))}
@@ -53,5 +54,5 @@
 		batches[b] = time.Since(begin) / pickRounds
 	}
 	micros := float64(fleet.Quantile(batches, 0.5).Nanoseconds()) / 1000
-	return fleet.Figure{Name: "route.pick_time", Value: micros, Unit: "us", Bound: fleet.AtMost(pickBudget)}
+	return figure.Figure{Name: "route_pick_time", Value: micros, Unit: "us", Bound: figure.AtMost(pickBudget)}
 }
--- a/internal/measure/route/subsets.go
+++ b/internal/measure/route/subsets.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 
+	"github.com/auburnbend/auburnbend/internal/measure/figure"
 	"github.com/auburnbend/auburnbend/internal/measure/fleet"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/subset"
@@ -101,7 +102,7 @@
 }
 
 // subsets measures connections and their movement.
-func subsets(seed uint64) []fleet.Figure {
+func subsets(seed uint64) []figure.Figure {
 	d := newDomain(seed)
 	plan := subset.Assign(subset.Config{}, d.entries, d.agents)
 	dealt := d.rehash()
@@ -138,11 +139,11 @@
 		}
 	}
 	per := func(n int) float64 { return float64(n) / domainChanges }
-	return []fleet.Figure{
-		{Name: "subset.connections_per_entry_max", Value: float64(most), Unit: "connections", Bound: fleet.AtMost(subset.DefaultMaxPerEntry)},
-		{Name: "subset.entries_per_agent_min", Value: float64(fewest), Unit: "entries", Bound: fleet.AtLeast(subset.DefaultMinPerAgent)},
-		fleet.Figure{Name: "subset.moved_per_change", Value: per(moved), Unit: "connections", Bound: fleet.AtMost(maxMoved)}.Against(per(dealtMoved)),
+	return []figure.Figure{
+		{Name: "subset_connections_per_entry_max", Value: float64(most), Unit: "connections", Bound: figure.AtMost(subset.DefaultMaxPerEntry)},
+		{Name: "subset_entries_per_agent_min", Value: float64(fewest), Unit: "entries", Bound: figure.AtLeast(subset.DefaultMinPerAgent)},
+		fleet.Against(figure.Figure{Name: "subset_moved_per_change", Value: per(moved), Unit: "connections", Bound: figure.AtMost(maxMoved)}, per(dealtMoved)),
 		// Agents that lose an entry need another: this part cannot be avoided.
-		{Name: "subset.lost_per_change", Value: per(lost), Unit: "connections"},
+		{Name: "subset_lost_per_change", Value: per(lost), Unit: "connections"},
 	}
 }
