List the pool of agents

Cause: entries learnt an agent's pool only by connecting to it, so at sizes with subsets an entry could not choose agents of each pool, and entries calculated with different pools. Change: platform.Instance has an optional Pool, View.Seed takes it and the deployment sets it.

--- a/internal/deployment/agent_process.go
+++ b/internal/deployment/agent_process.go
@@ -63,7 +63,7 @@
 	}
 	p.Agent.Start()
 	d.Agents = append(d.Agents, p)
-	d.List.Set(platform.Instance{ID: p.Identity.Instance, Role: platform.RoleAgent, Location: p.Identity.Location, Address: p.Identity.Address})
+	d.List.Set(platform.Instance{ID: p.Identity.Instance, Role: platform.RoleAgent, Location: p.Identity.Location, Address: p.Identity.Address, Pool: p.Pool})
 	return nil
 }
 
--- a/lib/member/view.go
+++ b/lib/member/view.go
@@ -92,6 +92,9 @@
 		if ok {
 			if e.State == StateListed || e.State == StateGone {
 				e.Identity.Address = in.Address
+				if in.Pool != "" {
+					e.Pool = in.Pool
+				}
 				e.Draining = e.Draining || (in.Leaving && e.State == StateListed)
 			}
 			e.listed = true
@@ -105,6 +108,7 @@
 		}
 		e = &entry{listed: true}
 		e.Role = in.Role
+		e.Pool = in.Pool
 		e.Identity = model.Identity{Instance: in.ID, Location: in.Location, Address: in.Address}
 		v.members[in.ID] = e
 		events = append(events, Event{Kind: Listed, Instance: in.ID})
--- a/lib/platform/instances.go
+++ b/lib/platform/instances.go
@@ -24,6 +24,10 @@
 	// Address is the IP address and port of the process's peer listener.
 	Address string `json:"address"`
 	Leaving bool   `json:"leaving"`
+	// Pool names the agent's group of instances, as its settings do. It is
+	// empty for entries and where the platform does not know it. Entries need
+	// it before they connect, to choose agents of each pool.
+	Pool string `json:"pool,omitempty"`
 }
 
 // InstanceList is the platform's list of live and leaving instances. It lags:
