--- a/agent/transfer/manifest.go
+++ b/agent/transfer/manifest.go
@@ -23,6 +23,8 @@
 	// manifestWait bounds the wait for one peer or tracker. It is longer than
 	// the time that a tracker gives to the agent that reads the origin.
 	manifestWait = 3 * time.Second
+	// manifestRoundLimit bounds a round: a read from the origin may stall.
+	manifestRoundLimit = 10 * time.Second
 	// manifestHedge is the wait for one source before the next is asked as well.
 	manifestHedge = 500 * time.Millisecond
 )
@@ -53,7 +55,7 @@
 // A source that has not answered after manifestHedge is left running while the
 // next one is asked; a tracker's refusal sends this agent to the origin at once.
 func (s *Service) manifestRound(ctx context.Context, digest model.Digest, object string, attempt int) (*known, error) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithTimeout(ctx, manifestRoundLimit)
 	defer cancel()
 	type answer struct {
 		known *known
