lib/poison: let an earlier answer clear one crash

Cause: with two poison requests at the same moment, innocent content that is sent again and again was in flight on both crashing backend servers and was quarantined. Change: a bounded memory of answered fingerprints; each answer clears one later crash.

--- a/cmd/auburnbend-measure/main.go
+++ b/cmd/auburnbend-measure/main.go
@@ -8,6 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/auburnbend/auburnbend/internal/measure/distribute"
+	"github.com/auburnbend/auburnbend/internal/measure/poison"
 )
 
 func main() {
@@ -18,6 +19,7 @@
 	}
 	root.AddCommand(
 		distribute.New(),
+		poison.New(),
 	)
 	if root.Execute() != nil {
 		os.Exit(1)
--- a/internal/measure/poison/params.go
+++ b/internal/measure/poison/params.go
@@ -11,7 +11,10 @@
 	Callers int
 	Sends   int
 	Settle  time.Duration
-	Seed    uint64
+	// Start is when the callers begin. The later, the more of the innocent
+	// contents were answered before.
+	Start time.Duration
+	Seed  uint64
 	// Plain replaces the monitors by three plain retries per sending.
 	Plain bool
 	// SlowUpdates delays the updates between entries by up to half of Settle,
--- a/internal/measure/poison/poison.go
+++ b/internal/measure/poison/poison.go
@@ -45,6 +45,7 @@
 	flags.IntVar(&p.Sends, "sends", defaultSends, "times that the caller sends the request")
 	flags.IntVar(&p.Callers, "callers", 1, "callers that send the request at the same time")
 	flags.DurationVar(&p.Settle, "settle", 500*time.Millisecond, "poison.Config.Settle")
+	flags.DurationVar(&p.Start, "start", time.Second, "simulated time at which the callers begin")
 	flags.IntVar(&rounds, "rounds", rounds, "simulated runs")
 	flags.Uint64Var(&seed, "seed", seed, "seed of the first run")
 	return cmd
--- a/internal/measure/poison/simulate.go
+++ b/internal/measure/poison/simulate.go
@@ -65,7 +65,7 @@
 		s.agents = append(s.agents, a)
 	}
 	s.after(0, s.innocent)
-	s.after(time.Second, func() {
+	s.after(s.Start, func() {
 		for range max(p.Callers, 1) {
 			s.sendPoison(p.Sends)
 		}
--- a/internal/measure/poison/suite_test.go
+++ b/internal/measure/poison/suite_test.go
@@ -21,7 +21,7 @@
 
 var _ = Describe("one poison request, 4 entries, 30 agents", func() {
 	params := func(callers int, slow bool, seed uint64) Params {
-		return Params{Entries: 4, Agents: 30, Callers: callers, Sends: 10, Settle: testSettle, SlowUpdates: slow, Seed: seed}
+		return Params{Entries: 4, Agents: 30, Callers: callers, Sends: 10, Settle: testSettle, Start: time.Second, SlowUpdates: slow, Seed: seed}
 	}
 
 	// Guards against more than two lost backend servers when the caller sends
@@ -46,6 +46,16 @@
 		}
 	}, Entry("two", 2), Entry("four", 4))
 
+	// Guards innocent content that is sent again and again and is in flight on two
+	// backend servers that crash at the same time.
+	It("does not quarantine content that was answered before", func() {
+		for seed := range uint64(testSeeds) {
+			p := params(2, false, seed)
+			p.Start = 15 * time.Second
+			Expect(Simulate(p).Quarantined).To(BeZero(), "seed %d", seed)
+		}
+	})
+
 	// Guards against a simulation that would pass whatever the monitors do.
 	It("loses more without the monitors", func() {
 		p := params(1, false, 1)
--- a/lib/poison/config.go
+++ b/lib/poison/config.go
@@ -18,6 +18,9 @@
 	defaultLostHold = 5 * time.Second
 	// defaultMaxSuspects bounds the fingerprints that are remembered.
 	defaultMaxSuspects = 4096
+	// defaultMaxProven bounds the answered fingerprints that are remembered, about
+	// 100 bytes each.
+	defaultMaxProven = 16 << 10
 
 	// quarantineCrashes is the number of different backend servers after whose
 	// crashes a fingerprint is quarantined.
@@ -36,6 +39,7 @@
 	RunTTL      time.Duration
 	LostHold    time.Duration
 	MaxSuspects int
+	MaxProven   int
 }
 
 func (c Config) applyDefaults() Config {
@@ -52,5 +56,8 @@
 	if c.MaxSuspects <= 0 {
 		c.MaxSuspects = defaultMaxSuspects
 	}
+	if c.MaxProven <= 0 {
+		c.MaxProven = defaultMaxProven
+	}
 	return c
 }
--- a/lib/poison/monitor.go
+++ b/lib/poison/monitor.go
@@ -15,12 +15,15 @@
 	self     entryID
 	suspects map[model.Fingerprint]*suspect
 	flights  map[model.Fingerprint]*flight
+	proven   *proven
 }
 
 // New returns the monitor of one generation of an entry.
 func New(config Config, instance model.InstanceID, generation model.Generation) *Monitor {
+	config = config.applyDefaults()
 	return &Monitor{
-		config:   config.applyDefaults(),
+		config:   config,
+		proven:   newProven(config.MaxProven),
 		self:     entryID{instance, generation},
 		suspects: make(map[model.Fingerprint]*suspect),
 		flights:  make(map[model.Fingerprint]*flight),
@@ -53,6 +56,8 @@
 	case o == outcome.Completed || o == outcome.Failed:
 		if s != nil && s.clear() {
 			s.intendsSince = time.Time{}
+		} else {
+			m.proven.add(now, finger)
 		}
 	case o == outcome.Unknown && !m.crashKnown(now, s, instance):
 		f.lose(instance, now, now.Add(m.config.LostHold))
@@ -91,13 +96,23 @@
 		if f, ok := m.flights[finger]; ok {
 			delete(f.lost, agent)
 		}
-		if m.suspect(now, finger).add(now, id, now, false) {
+		if m.addCrash(now, finger, id, now, false) {
 			changed = append(changed, finger)
 		}
 	}
 	return m.updateOf(now, changed)
 }
 
+// addCrash records a crash and reports whether that was news. An earlier answer
+// to the same content clears it.
+func (m *Monitor) addCrash(now time.Time, finger model.Fingerprint, id incidentID, first time.Time, cleared bool) bool {
+	s := m.suspect(now, finger)
+	if _, known := s.incidents[id]; !known && !cleared {
+		cleared = m.proven.use(now, finger, m.config.TTL)
+	}
+	return s.add(now, id, first, cleared)
+}
+
 // Merge takes a peer's update. The result, when not nil, carries what was news
 // and this entry's own runs; it is sent to all peers.
 func (m *Monitor) Merge(now time.Time, update wire.SuspectUpdate) *wire.SuspectUpdate {
@@ -117,7 +132,7 @@
 			continue
 		}
 		id := incidentID{c.Instance, c.Generation, c.Incarnation}
-		changed = m.suspect(now, in.Finger).add(now, id, first, c.Cleared) || changed
+		changed = m.addCrash(now, in.Finger, id, first, c.Cleared) || changed
 	}
 	s, ok := m.suspects[in.Finger]
 	if !ok {
--- a/lib/poison/monitor_test.go
+++ b/lib/poison/monitor_test.go
@@ -155,6 +155,26 @@
 		Expect(m.Verdict(settled, finger(7), "b").Decision).To(Equal(Run))
 	})
 
+	// Guards popular content against two crashes that others caused, and the bound
+	// against content that crashes only at times.
+	It("lets an earlier answer clear one crash", func() {
+		m := New(Config{MaxProven: 2}, "e1", 1)
+		answer := func(f int) {
+			m.Started(now, finger(f), "x")
+			m.Finished(now, finger(f), "x", outcome.Completed)
+		}
+		answer(7)
+		m.Crashed(now, "a", 1, report(1, 7))
+		Expect(m.Verdict(now, finger(7), "z").Decision).To(Equal(Run))
+		m.Crashed(now, "b", 1, report(1, 7))
+		m.Crashed(now, "c", 1, report(1, 7))
+		Expect(m.Quarantined(settled, finger(7))).To(BeTrue())
+		for f := range 5 {
+			answer(100 + f)
+		}
+		Expect(m.proven.answers).To(HaveLen(2))
+	})
+
 	// Guards against memory that grows with crash reports.
 	It("bounds what it remembers and keeps the quarantined", func() {
 		m := New(Config{MaxSuspects: 10}, "e1", 1)
--- a/lib/poison/poison.go
+++ b/lib/poison/poison.go
@@ -4,7 +4,7 @@
 // A request is known by its fingerprint, whatever id its caller gives it. All
 // requests that were in flight when a backend server crashed are suspects. A
 // suspect runs again without another suspect on the same backend server. Its
-// own success clears it; a crash of a second backend server quarantines it until
+// own success clears it, also one shortly before the crash; a crash of a second backend server quarantines it until
 // the crashes are older than Config.TTL.
 //
 // Only crashes that an agent reports count. The loss of a whole instance is no
