--- a/cmd/auburnbend-measure/main.go
+++ b/cmd/auburnbend-measure/main.go
@@ -7,8 +7,13 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/auburnbend/auburnbend/internal/measure/capacity"
 	"github.com/auburnbend/auburnbend/internal/measure/distribute"
+	"github.com/auburnbend/auburnbend/internal/measure/drain"
+	"github.com/auburnbend/auburnbend/internal/measure/latency"
+	"github.com/auburnbend/auburnbend/internal/measure/overload"
 	"github.com/auburnbend/auburnbend/internal/measure/poison"
+	"github.com/auburnbend/auburnbend/internal/measure/route"
 )
 
 func main() {
@@ -19,7 +24,12 @@
 	}
 	root.AddCommand(
 		distribute.New(),
+		route.New(),
+		overload.New(),
 		poison.New(),
+		capacity.New(),
+		drain.New(),
+		latency.New(),
 	)
 	if root.Execute() != nil {
 		os.Exit(1)
