--- a/entry/fleet/config.go
+++ b/entry/fleet/config.go
@@ -19,7 +19,8 @@
 
 const (
 	defaultListInterval = 5 * time.Second
-	defaultTick         = 100 * time.Millisecond
+	startListInterval   = time.Second
+	defaultTick         = 200 * time.Millisecond
 	// entryPeers bounds the entries of its own failure domain that an entry
 	// connects to.
 	entryPeers = 4
--- a/internal/deployment/agent_process.go
+++ b/internal/deployment/agent_process.go
@@ -78,13 +78,15 @@
 		return nil
 	}
 	cfg.Kind = settings.BackendEngine
+	// Every third engine ignores fencing numbers, as some in use do.
+	ignores := p.Identity.Generation%3 == 0
+	cfg.Weights.Guard.Checked = !ignores
 	if cfg.Staging, err = p.deployment.stagingOf(string(p.Identity.Instance)); err != nil {
 		return err
 	}
 	p.Engine, err = engine.Start(engine.Config{
 		Scale: o.EngineScale, Capacity: engineCapacity, RestartDelay: o.EngineRestart,
-		// Every third engine ignores fencing numbers, as some in use do.
-		IgnoreFencing: p.Identity.Generation%3 == 0,
+		IgnoreFencing: ignores,
 	})
 	if err != nil {
 		return err
@@ -107,6 +109,10 @@
 	return err
 }
 
+// SilenceHalf makes half of the entries' connections to this agent go silent for
+// good, so that they miss what it announces next.
+func (p *AgentProcess) SilenceHalf() { p.listener.silenceHalf() }
+
 // Kill ends the instance at once, engine included: all its connections break.
 func (p *AgentProcess) Kill() {
 	p.stopped.Store(true)
