--- a/internal/measure/capacity/capacity.go
+++ b/internal/measure/capacity/capacity.go
@@ -6,23 +6,21 @@
 	"context"
 	"time"
 
-	"github.com/spf13/cobra"
-	"gonum.org/v1/gonum/stat"
-
 	"github.com/auburnbend/auburnbend/internal/measure/figure"
+	"github.com/spf13/cobra"
 )
 
 // The planned size and its budget for control, from the users' letter.
 const (
-	plannedEntries   = 600
-	plannedAgents    = 10_000
-	plannedDomains   = 15
-	plannedChanges   = 6_000.0 // a day
-	maxCoreShare     = 0.01
-	maxMemoryBytes   = 256e6
-	maxBytesSecond   = 8_000.0
-	secondsPerDay    = 86_400.0
-	entryConnections = 60 + 4 + plannedDomains - 1
+	plannedEntries = 600
+	plannedAgents  = 10_000
+	plannedDomains = 15
+	maxCoreShare   = 0.01
+	maxMemoryBytes = 256e6
+	maxBytesSecond = 8_000.0
+	// entryConnections are 60 agents, and 4 entries of the own failure domain and
+	// one of each other domain in both directions.
+	entryConnections = 60 + 2*(4+plannedDomains-1)
 	// agentConnections is the largest number of entries that reach one agent.
 	agentConnections = 4
 )
@@ -42,9 +40,8 @@
 		Use:   "capacity",
 		Short: "Measure the control cost of connections and work it out to the planned size",
 		Long: `Runs one entry with a growing number of agents on loopback, without requests,
-and measures processor time, bytes and memory. Processor time and memory are of
-the whole process, so the slopes include the agent's end of each connection: the
-figures for an entry and for an agent are upper bounds.`,
+and measures processor time, bytes and memory. The agents run in a process of
+their own.`,
 		Example: "  auburnbend-measure capacity\n  auburnbend-measure capacity --sizes 10,20,40,80 --window 10s",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
@@ -56,35 +53,27 @@
 	flags.DurationVar(&o.settle, "settle", 8*time.Second, "time for the instance list to be read and connections to be opened")
 	flags.DurationVar(&o.window, "window", 9*time.Second, "time that is measured at each size; three idle heartbeats")
 	flags.Int64Var(&o.seed, "seed", 1, "seed of all random choices")
+	c.AddCommand(newAgentsCommand())
 	return c
 }
 
 func run(ctx context.Context, o options, p *figure.Printer) error {
-	var agents, cpu, bytes, memory []float64
+	var x, entryCore, entryMemory, agentCore, agentMemory, bytes []float64
 	for _, n := range o.sizes {
 		s, err := measure(ctx, n, o)
 		if err != nil {
 			return err
 		}
-		agents = append(agents, float64(n))
-		cpu = append(cpu, s.coreShare)
-		bytes = append(bytes, s.bytesPerSecond)
-		memory = append(memory, s.heapBytes)
-	}
-	l := lines{
-		cpu:    fit(agents, cpu),
-		bytes:  fit(agents, bytes),
-		memory: fit(agents, memory),
+		x = append(x, float64(n))
+		entryCore, entryMemory = append(entryCore, s.entry.core), append(entryMemory, s.entry.memory)
+		agentCore, agentMemory = append(agentCore, s.agents.core), append(agentMemory, s.agents.memory)
+		bytes = append(bytes, s.bytes)
 	}
-	return l.print(p)
+	return lines{
+		entryCore:   fit(x, entryCore),
+		entryMemory: fit(x, entryMemory),
+		agentCore:   fit(x, agentCore),
+		agentMemory: fit(x, agentMemory),
+		bytes:       fit(x, bytes),
+	}.print(p)
 }
-
-// line is a fitted cost: fixed plus a slope per connection.
-type line struct{ fixed, slope float64 }
-
-func fit(x, y []float64) line {
-	fixed, slope := stat.LinearRegression(x, y, nil, false)
-	return line{fixed: max(fixed, 0), slope: max(slope, 0)}
-}
-
-func (l line) at(n float64) float64 { return l.fixed + l.slope*n }
--- a/internal/measure/capacity/sample.go
+++ b/internal/measure/capacity/sample.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"runtime"
-	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -14,51 +12,70 @@
 	"github.com/auburnbend/auburnbend/lib/model"
 )
 
-// sample is the cost of one entry and its agents.
+// cost is what a process uses in a window.
+type cost struct {
+	// core is the share of a core, memory in bytes.
+	core, memory float64
+}
+
+// sample is the cost of one entry, of all its agents together, and the bytes
+// per second between them.
 type sample struct {
-	coreShare      float64
-	bytesPerSecond float64
-	heapBytes      float64
+	entry, agents cost
+	bytes         float64
 }
 
-// measure runs one entry with a number of agents of plain services, which hold
-// no weights, and takes the cost of a window in which nothing happens.
+// measure runs one entry here and a number of agents in another process, and
+// takes the cost of a window in which nothing happens.
 func measure(ctx context.Context, agents int, o options) (sample, error) {
-	directory, err := os.MkdirTemp("", "auburnbend-capacity-")
-	if err != nil {
-		return sample{}, merry.Wrap(err)
-	}
-	defer func() { _ = os.RemoveAll(directory) }()
 	d, err := deployment.Start(deployment.Options{
-		Domains: []model.FailureDomain{"kigali"}, Entries: 1, Services: agents,
-		Window: time.Second, Directory: directory, Seed: o.seed,
+		Domains: []model.FailureDomain{location.FailureDomain}, Entries: 1,
+		Window: time.Second, Directory: os.TempDir(), Seed: o.seed,
 	}, eventlog.Discard())
 	if err != nil {
 		return sample{}, err
 	}
 	defer d.Close()
+	others, err := startChild(ctx, agents)
+	if err != nil {
+		return sample{}, err
+	}
+	defer others.stop()
+	for _, i := range others.instances {
+		d.List.Set(i)
+	}
 	if err := pause(ctx, o.settle); err != nil {
 		return sample{}, err
 	}
-	entry := d.Entries[0].Entry
-	if usable := entry.Usable(); usable != agents {
+	if usable := d.Entries[0].Entry.Usable(); usable != agents {
 		return sample{}, merry.Errorf("%d of %d agents are connected", usable, agents)
 	}
-	runtime.GC()
-	var heap runtime.MemStats
-	runtime.ReadMemStats(&heap)
-	cpu, begun := processorTime(), time.Now()
-	sent, received := entry.Traffic()
-	if err := pause(ctx, o.window); err != nil {
+	return window(ctx, d, others, o.window)
+}
+
+func window(ctx context.Context, d *deployment.Deployment, others *child, length time.Duration) (sample, error) {
+	agentsBefore, err := others.usage()
+	if err != nil {
+		return sample{}, err
+	}
+	entryBefore, begun := readUsage(), time.Now()
+	sent, received := d.Entries[0].Entry.Traffic()
+	if err := pause(ctx, length); err != nil {
 		return sample{}, err
 	}
-	took := time.Since(begun).Seconds()
-	sentAfter, receivedAfter := entry.Traffic()
+	sentAfter, receivedAfter := d.Entries[0].Entry.Traffic()
+	took := time.Since(begun)
+	entryAfter := readUsage()
+	agentsAfter, err := others.usage()
 	return sample{
-		coreShare:      (processorTime() - cpu).Seconds() / took,
-		bytesPerSecond: float64(sentAfter-sent+receivedAfter-received) / took,
-		heapBytes:      float64(heap.HeapAlloc) + float64(heap.StackInuse),
-	}, nil
+		entry:  costOf(entryBefore, entryAfter, took),
+		agents: costOf(agentsBefore, agentsAfter, took),
+		bytes:  float64(sentAfter-sent+receivedAfter-received) / took.Seconds(),
+	}, err
+}
+
+func costOf(before, after usage, took time.Duration) cost {
+	return cost{core: (after.Processor - before.Processor).Seconds() / took.Seconds(), memory: after.Memory}
 }
 
 func pause(ctx context.Context, d time.Duration) error {
@@ -69,11 +86,3 @@
 		return ctx.Err()
 	}
 }
-
-// processorTime returns the user and system time of this process.
-func processorTime() time.Duration {
-	var usage syscall.Rusage
-	// Getrusage of the own process does not fail.
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
