Forget the status of an agent that has left its tracker

Cause: a tracker kept the last phase of an agent after its connection had ended, so that a killed instance still counted as live in rollout status. It also logged event 3101, agent lost during a transfer, at each change of version and at each stop, although nothing was being transferred.

Change: the end of the connection drops the status, and 3101 is logged only for a version that the agent had not verified.

Result: the new test of both passes; it failed for the status before.

--- a/entry/tracker/service.go
+++ b/entry/tracker/service.go
@@ -66,7 +66,12 @@
 			v.tracker.Lost(c.identity.Address)
 			out = append(out, s.schedule(v)...)
 		}
-		s.cfg.Log.Log(eventlog.TransferPeerLost, "instance", c.identity.Instance)
+		// An agent also leaves the tracker of a version that it has, when it stops
+		// or when another version is wanted.
+		if v.status[c.identity.Instance].Status.Phase < wire.PhaseVerified {
+			s.cfg.Log.Log(eventlog.TransferPeerLost, "instance", c.identity.Instance, "manifest", v.digest.Short())
+		}
+		delete(v.status, c.identity.Instance)
 	}
 	s.mu.Unlock()
 	s.send(out)
