Report a configuration that is not confirmed any more

Cause: event 2003 stood in the catalogue and on the pages, and nothing logged it: a failure domain that was cut off gave no sign.

Change: a follower logs 2003 once when the age of the configuration in force passes 15 s, and again after it was confirmed in between.

--- a/lib/follow/follower.go
+++ b/lib/follow/follower.go
@@ -36,8 +36,15 @@
 	peers    *config.Peers
 	sends    map[config.PeerID]Send
 	watchers []func(*config.View)
+	// stale is set while the configuration is older than staleAfter.
+	stale bool
 }
 
+// staleAfter is the age from which on a configuration is reported as not
+// confirmed. A change has to be in force everywhere within 9 s; the rest lets
+// one lost poll and one lost heartbeat pass.
+const staleAfter = 15 * time.Second
+
 // New returns a follower without a configuration.
 func New(cfg Config) *Follower {
 	return &Follower{
@@ -157,6 +164,17 @@
 	f.spread(before, now)
 	f.announce(now)
 	f.fetch(now)
+	f.checkAge(now)
+}
+
+// checkAge reports once when the configuration in force gets too old.
+func (f *Follower) checkAge(now time.Time) {
+	age := f.replica.Age(now)
+	stale := f.replica.Current() != nil && age > staleAfter
+	if stale && !f.stale {
+		f.cfg.Log.Log(eventlog.ConfigStale, "revision", f.replica.Head().Number, "age", age)
+	}
+	f.stale = stale
 }
 
 // spread tells watchers and peers about a configuration that has just come in
--- /dev/null
+++ b/lib/follow/suite_test.go
@@ -0,0 +1,13 @@
+package follow_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestFollow(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "follow")
+}
