Feed the transfer instruments of the agent

Cause: the agent opened a metrics endpoint and never recorded anything, so that /metrics of every agent was empty.

Change: the host of an agent records the bytes of a fetch by source and, when all chunks are verified, its time, under the model's declared name.

--- a/agent/config.go
+++ b/agent/config.go
@@ -24,6 +24,8 @@
 	Clock    clock.Clock
 	Rand     *rand.Rand
 	Log      *eventlog.Logger
+	// Metrics may be nil.
+	Metrics Metrics
 	// Listener accepts connections of entries and of other agents.
 	Listener net.Listener
 	// Dial replaces the way in which connections to peers are opened; tests use
@@ -59,6 +61,9 @@
 }
 
 func (c Config) applyDefaults() Config {
+	if c.Metrics == nil {
+		c.Metrics = noMetrics{}
+	}
 	if c.Gate.Capacity == 0 {
 		c.Gate.Capacity = c.Capacity
 	}
--- a/agent/host.go
+++ b/agent/host.go
@@ -7,10 +7,12 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/auburnbend/auburnbend/agent/backend"
+	"github.com/auburnbend/auburnbend/agent/transfer"
 	"github.com/auburnbend/auburnbend/lib/config"
 	"github.com/auburnbend/auburnbend/lib/engine"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/telemetry"
 	"github.com/auburnbend/auburnbend/lib/weights"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
@@ -27,6 +29,7 @@
 // configured takes a configuration that has come in force.
 func (h host) configured(view *config.View) {
 	a := h.agent
+	a.cfg.Metrics.Declare(view.Config)
 	p, ok := view.Config.PlacementFor(a.cfg.Pool, a.cfg.Identity.Location.FailureDomain)
 	if !ok {
 		return
@@ -52,11 +55,14 @@
 // fetch brings one set of weights, verifies it and names its files in order.
 func (h host) fetch(ctx context.Context, manifest model.Digest) (engine.Place, error) {
 	t := h.agent.transfer
-	object, ok := h.manifestObject(manifest)
+	declared, ok := h.declared(manifest)
 	if !ok {
 		return engine.Place{}, merry.Wrap(errNotDeclared, merry.AppendMessage(manifest.Short()))
 	}
-	if err := t.Fetch(ctx, manifest, object); err != nil {
+	started, before := h.agent.cfg.Clock.Now(), t.Progress()
+	err := t.Fetch(ctx, manifest, declared.ManifestObject)
+	h.measure(declared.Name, started, before, err)
+	if err != nil {
 		return engine.Place{}, err
 	}
 	if err := t.Verify(manifest); err != nil {
@@ -69,17 +75,41 @@
 	return place, nil
 }
 
-func (h host) manifestObject(manifest model.Digest) (string, bool) {
+// measure records a fetch that began at a time and with a progress. One that
+// received nothing, because all chunks were held, has no transfer time.
+func (h host) measure(modelName string, started time.Time, before transfer.Progress, err error) {
+	metrics, now := h.agent.cfg.Metrics, h.agent.transfer.Progress()
+	received := int64(0)
+	for _, of := range []struct {
+		source telemetry.Source
+		bytes  int64
+	}{
+		{telemetry.SourceOrigin, now.OriginBytes - before.OriginBytes},
+		{telemetry.SourceWeightStore, now.StoreBytes - before.StoreBytes},
+		{telemetry.SourcePeer, now.PeerBytes - before.PeerBytes},
+	} {
+		if of.bytes > 0 {
+			metrics.TransferBytes(modelName, of.source, of.bytes)
+			received += of.bytes
+		}
+	}
+	if err == nil && received > 0 {
+		metrics.Transferred(modelName, h.agent.cfg.Clock.Now().Sub(started))
+	}
+}
+
+// declared returns the declared model with a manifest.
+func (h host) declared(manifest model.Digest) (config.Model, bool) {
 	view := h.agent.follower.Current()
 	if view == nil {
-		return "", false
+		return config.Model{}, false
 	}
 	for _, m := range view.Config.Models {
 		if m.Manifest == manifest {
-			return m.ManifestObject, true
+			return m, true
 		}
 	}
-	return "", false
+	return config.Model{}, false
 }
 
 // Permit implements backend.Host.
