Test the system as separate processes

Cause: the whole path was tested in one process only. Settings files, signals, exit codes, certificates, the HTTP clients of the platform and auburnctl took no part.

Change: internal/processes builds the daemons and auburnctl and starts them with os/exec on loopback. Over TLS, 2 failure domains roll a version out; an agent is offered five connections that may not give it orders and one that may. Each process that is told to stop logs 1001, 1002 and 1003 once.

--- /dev/null
+++ b/internal/processes/binaries_test.go
@@ -0,0 +1,23 @@
+package processes_test
+
+import (
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+)
+
+// binaries are the paths of the programs under test.
+type binaries struct {
+	entry, agent, standins, ctl string
+}
+
+func build() binaries {
+	path := func(name string) string {
+		binary, err := gexec.Build("github.com/auburnbend/auburnbend/cmd/" + name)
+		Expect(err).NotTo(HaveOccurred())
+		return binary
+	}
+	return binaries{
+		entry: path("auburnbend-entry"), agent: path("auburnbend-agent"),
+		standins: path("auburnbend-standins"), ctl: path("auburnctl"),
+	}
+}
--- /dev/null
+++ b/internal/processes/fleet_test.go
@@ -0,0 +1,158 @@
+package processes_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"regexp"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
+
+	"github.com/auburnbend/auburnbend/internal/deployment"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/standin/engine"
+	"github.com/auburnbend/auburnbend/standin/pki"
+)
+
+const (
+	draftPool = "crest"
+	orderPool = "orders"
+)
+
+// fleet is a deployment of separate processes on loopback.
+type fleet struct {
+	dir     string
+	domains []string
+	ports   *ports
+	// authority signs certificates; nil means plain text.
+	authority    *pki.Authority
+	certificates map[string]pki.Files
+	platform     platformClient
+	entries      []*daemon
+	agents       []*daemon
+	versions     []version
+	callers      *deployment.Client
+	sent         int
+}
+
+// newFleet starts the stand-ins and, in each failure domain, an entry, model
+// agents and an agent of a plain service, and registers them.
+func newFleet(authority *pki.Authority, runners int, domains ...string) *fleet {
+	f := &fleet{
+		dir: GinkgoT().TempDir(), domains: domains, ports: newPorts(),
+		authority: authority, certificates: make(map[string]pki.Files),
+		callers: deployment.NewClient(),
+	}
+	DeferCleanup(f.callers.Close)
+	backends := f.startStandins(len(domains)*runners, len(domains))
+	for i, domain := range domains {
+		f.startEntry(domain)
+		for n := range runners {
+			f.startAgent(domain, draftPool, n, backends[i*runners+n])
+		}
+		f.startAgent(domain, orderPool, 0, backends[len(domains)*runners+i])
+	}
+	for _, d := range f.all() {
+		d.awaitStart()
+		f.platform.register(d.instance)
+	}
+	return f
+}
+
+// startStandins returns the addresses of the engines, then of the services.
+func (f *fleet) startStandins(engines, services int) []string {
+	var backends []string
+	// The pace of the origin makes a rollout last long enough to kill an agent
+	// in the middle of it.
+	arguments := []string{"--listen", "127.0.0.1:0", "--origin-link", fmt.Sprint(2 * modelBytes)}
+	for i := range engines + services {
+		kind := "--engine"
+		if i >= engines {
+			kind = "--service"
+		}
+		backends = append(backends, f.ports.take())
+		arguments = append(arguments, kind, backends[i])
+	}
+	session := start(built.standins, arguments...)
+	Eventually(session.Out).WithTimeout(settleTime).Should(gbytes.Say(`listening on \S+\n`))
+	f.platform.url = string(regexp.MustCompile(`http://\S+`).Find(session.Out.Contents()))
+	return backends
+}
+
+func (f *fleet) daemon(role platform.InstanceRole, domain, name string) *daemon {
+	return &daemon{
+		instance: platform.Instance{
+			ID: model.InstanceID(domain + "-" + name), Role: role, Address: f.ports.take(),
+			Location: model.Location{Region: model.Region(domain), FailureDomain: model.FailureDomain(domain)},
+		},
+		metrics: f.ports.take(),
+	}
+}
+
+func (f *fleet) startEntry(domain string) {
+	d := f.daemon(platform.RoleEntry, domain, "entry")
+	d.callers, d.operators = f.ports.take(), f.ports.take()
+	d.session = start(built.entry, "--config", f.settingsFile(d, ""))
+	f.entries = append(f.entries, d)
+}
+
+func (f *fleet) startAgent(domain, pool string, n int, backend string) {
+	d := f.daemon(platform.RoleAgent, domain, fmt.Sprintf("%s-%d", pool, n))
+	d.pool = pool
+	d.session = start(built.agent, "--config", f.settingsFile(d, backend))
+	f.agents = append(f.agents, d)
+}
+
+func (f *fleet) all() []*daemon { return append(append([]*daemon(nil), f.entries...), f.agents...) }
+
+func (f *fleet) agent(id string) *daemon {
+	for _, a := range f.agents {
+		if string(a.instance.ID) == id {
+			return a
+		}
+	}
+	Fail("no agent " + id)
+	return nil
+}
+
+// draft sends a streamed request to an entry.
+func (f *fleet) draft(entry, tokens int) ([]byte, deployment.Answer) {
+	f.sent++
+	id := fmt.Sprintf("draft-%d", f.sent)
+	body := fmt.Appendf(nil, `{"max_tokens":%d,"prompt":"blazon %s"}`, tokens, id)
+	return body, f.callers.Send(context.Background(), "http://"+f.entries[entry].callers, deployment.Call{
+		Service: "drafts", Tenant: "engravers", Request: id, Body: body, Stream: true,
+	})
+}
+
+// order sends a request that must not be repeated to an entry.
+func (f *fleet) order(entry int, key string) ([]byte, deployment.Answer) {
+	f.sent++
+	body := []byte(`{"plate":"` + key + `"}`)
+	return body, f.callers.Send(context.Background(), "http://"+f.entries[entry].callers, deployment.Call{
+		Service: "orders", Tenant: "engravers", Request: fmt.Sprintf("order-%d", f.sent), Key: key, Body: body,
+	})
+}
+
+// expectDrafts sends a draft to each entry and checks that each answer is whole
+// and from one version.
+func (f *fleet) expectDrafts(v version) {
+	for i := range f.entries {
+		body, a := f.draft(i, 20)
+		ExpectWithOffset(1, a.Outcome).To(Equal("completed"), a.Reason)
+		ExpectWithOffset(1, string(a.Body)).To(Equal(string(engine.ExpectedAnswer(v.content, body))))
+	}
+}
+
+// metricsOf returns the text that a daemon serves to operators.
+func (f *fleet) metricsOf(d *daemon) string {
+	response, err := httpGet("http://" + d.metrics + "/metrics")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return string(text)
+}
