Call a rollout complete only when the entry can tell

Scripts went on as if the version were live.

Change: an answer is not complete while no configuration is in force, while a model or version that was asked for is not placed, or while no instance of the pool is known.

--- /dev/null
+++ b/entry/operatorrpc/rollout_test.go
@@ -0,0 +1,67 @@
+package operatorrpc_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/grpc"
+
+	"github.com/auburnbend/auburnbend/entry/operatorrpc"
+	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/wire"
+	pb "github.com/auburnbend/auburnbend/schema/operatorpb"
+)
+
+// fixedStatus shows the same at each call.
+type fixedStatus struct {
+	view     *config.View
+	rollouts []operatorrpc.Rollout
+}
+
+func (s fixedStatus) InForce() (*config.View, time.Duration) { return s.view, 0 }
+func (s fixedStatus) Accepted([]byte)                        {}
+func (s fixedStatus) Domains() []operatorrpc.DomainStatus    { return nil }
+func (s fixedStatus) Rollouts() []operatorrpc.Rollout        { return s.rollouts }
+func (s fixedStatus) Instances() []operatorrpc.Instance      { return nil }
+
+// oneAnswer is a stream that ends after the first answer.
+type oneAnswer struct {
+	grpc.ServerStream
+	ctx    context.Context
+	cancel context.CancelFunc
+	answer *pb.RolloutStatusResponse
+}
+
+func (s *oneAnswer) Context() context.Context { return s.ctx }
+
+func (s *oneAnswer) Send(m *pb.RolloutStatusResponse) error {
+	s.answer = m
+	s.cancel()
+	return nil
+}
+
+var _ = Describe("RolloutStatus", func() {
+	inForce := &config.View{Config: &config.Config{}}
+	rollout := func(wanted, live int) []operatorrpc.Rollout {
+		return []operatorrpc.Rollout{{Model: "crest", Version: "v1", Wanted: wanted, Phases: map[wire.Phase]int{wire.PhaseLive: live}}}
+	}
+
+	// Guards against scripts that go on right after an apply, because the entry
+	// had not put the change in force or had not met its agents yet.
+	DescribeTable("calls a rollout complete only when it can tell",
+		func(s fixedStatus, version string, complete bool) {
+			stream := &oneAnswer{}
+			stream.ctx, stream.cancel = context.WithCancel(context.Background())
+			_ = operatorrpc.New(operatorrpc.Config{}, nil, s, s).RolloutStatus(&pb.RolloutStatusRequest{Version: version}, stream)
+			Expect(stream.answer.GetComplete()).To(Equal(complete))
+		},
+		Entry("all wanted instances are live", fixedStatus{inForce, rollout(2, 2)}, "v1", true),
+		Entry("one is not", fixedStatus{inForce, rollout(2, 1)}, "v1", false),
+		Entry("no instance of the pool is known", fixedStatus{inForce, rollout(0, 0)}, "", false),
+		Entry("no configuration is in force", fixedStatus{}, "", false),
+		Entry("the version is not in force", fixedStatus{inForce, rollout(2, 2)}, "v2", false),
+		Entry("nothing is placed", fixedStatus{inForce, nil}, "", true),
+	)
+})
--- a/entry/operatorrpc/status.go
+++ b/entry/operatorrpc/status.go
@@ -101,5 +101,16 @@
 		response.Complete = response.Complete && r.Complete()
 		response.Rollouts = append(response.Rollouts, message)
 	}
+	if len(response.Rollouts) == 0 && !s.nothingPlaced(m) {
+		response.Complete = false
+	}
 	return response
 }
+
+// nothingPlaced reports whether an empty answer is final: the configuration in
+// force places no model at all. A model or version that was asked for may be in
+// a revision that is accepted and not in force here yet.
+func (s *Server) nothingPlaced(m *pb.RolloutStatusRequest) bool {
+	view, _ := s.replica.InForce()
+	return view != nil && m.GetModel() == "" && m.GetVersion() == ""
+}
