Tell an unreachable entry from an unavailable store

Cause: auburnctl reported a refused connection or certificate as configuration store unavailable, and repeated the message of the store twice.

Change: the error of a status that the connection made says that the entry is unavailable; one of the entry is passed on as it is. The exit code stays 6.

Result: the new table test passes.

--- a/schema/convert/errors.go
+++ b/schema/convert/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 
 	"github.com/ansel1/merry/v2"
 	"google.golang.org/grpc/codes"
@@ -75,7 +76,11 @@
 	case codes.NotFound:
 		return merry.Wrap(config.ErrRevisionNotFound, merry.AppendMessage(s.Message()))
 	case codes.Unavailable:
-		return merry.Wrap(config.ErrStoreUnavailable, merry.AppendMessage(s.Message()), merry.WithCause(err))
+		if strings.HasPrefix(s.Message(), config.ErrStoreUnavailable.Error()) {
+			return merry.Wrap(config.ErrStoreUnavailable, merry.WithMessage(s.Message()))
+		}
+		// The status comes from the connection and says nothing about the store.
+		return merry.Wrap(config.ErrStoreUnavailable, merry.WithMessagef("entry unavailable: %s", s.Message()))
 	default:
 		return err
 	}
