Pass cache events of engines on to entries

Entries knew only the prefixes of requests that they had sent themselves: a prefix that reached an engine through another entry was computed again elsewhere.

A block covers the weights and the first 256 bytes of the body. Cache messages do not count as activity that replaces heartbeats.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -31,6 +31,7 @@
 	// transfer and weights are nil for plain services.
 	transfer *transfer.Service
 	weights  *backend.Runner
+	cache    cacheReader
 	sessions *sessions
 	stop     context.CancelFunc
 	tasks    sync.WaitGroup
@@ -89,6 +90,7 @@
 	server := newEngineServer(client, a.cfg, a.crashed)
 	a.server = server
 	a.gate = gate.New(a.cfg.Gate, a.cfg.Clock, a.server, nil)
+	a.cache = client
 	a.cfg.Weights.Guard.Start = a.startNumber(client)
 	a.weights = backend.NewRunner(backend.RunnerConfig{
 		Machine: a.cfg.Weights,
@@ -148,6 +150,9 @@
 	a.tasks.Go(func() { a.server.observe(serving) })
 	if a.weights != nil {
 		a.tasks.Go(func() { a.weights.Run(serving) })
+		if a.cfg.CacheInterval > 0 {
+			a.tasks.Go(func() { a.followCache(serving) })
+		}
 	}
 }
 
--- /dev/null
+++ b/agent/cachefeed/feed_test.go
@@ -0,0 +1,158 @@
+package cachefeed_test
+
+import (
+	"math"
+	"math/rand"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/auburnbend/auburnbend/agent/cachefeed"
+	"github.com/auburnbend/auburnbend/lib/engine"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/wire"
+)
+
+var (
+	current = model.Weights{Base: model.Sum([]byte("current"))}
+	other   = model.Weights{Base: model.Sum([]byte("other"))}
+)
+
+func stored(sequence uint64, p engine.Prefix) engine.CacheEvent {
+	return engine.CacheEvent{Sequence: sequence, Change: engine.CacheStored, Prefix: p, Weights: current}
+}
+
+var _ = Describe("A feed of cache events", func() {
+	// Guards against hints of one version that draw requests of another.
+	It("names equal text under other weights differently", func() {
+		p := engine.PrefixOf([]byte("system prompt"))
+		Expect(p.Under(current)).NotTo(Equal(p.Under(other)))
+		adapted := model.Weights{Base: current.Base, Adapter: other.Base}
+		Expect(p.Under(current)).NotTo(Equal(p.Under(adapted)))
+	})
+
+	// Guards against blocks that stay known after an engine lost them.
+	It("removes what an engine lost in a restart", func() {
+		f := &cachefeed.Feed{}
+		Expect(f.Accept(engine.CacheBatch{Incarnation: 1})).To(BeTrue())
+		f.Reset(engine.CacheSnapshot{Incarnation: 1, Sequence: 7, Weights: current, Prefixes: []engine.Prefix{1, 2}})
+		Expect(f.Update().Stored).To(ConsistOf(engine.Prefix(1).Under(current), engine.Prefix(2).Under(current)))
+		Expect(f.Accept(engine.CacheBatch{Incarnation: 2})).To(BeTrue())
+		f.Reset(engine.CacheSnapshot{Incarnation: 2, Weights: current})
+		Expect(f.Update().Removed).To(HaveLen(2))
+		Expect(f.Update()).To(BeNil())
+	})
+
+	// Guards against a stale hint of the entry that sent the request itself.
+	It("removes a block that came and went between two updates", func() {
+		f := &cachefeed.Feed{}
+		f.Reset(engine.CacheSnapshot{Incarnation: 1})
+		f.Accept(engine.CacheBatch{Incarnation: 1, Events: []engine.CacheEvent{
+			stored(1, 9), {Sequence: 2, Change: engine.CacheEvicted, Prefix: 9, Weights: current},
+		}})
+		Expect(f.Update().Removed).To(ConsistOf(engine.Prefix(9).Under(current)))
+	})
+
+	// Guards against control traffic over what an entry of 60 connections may
+	// spend: 8 KB/s less 2.4 KB/s of idle heartbeats in both directions and one
+	// snapshot per second.
+	It("keeps updates small", func() {
+		f := &cachefeed.Feed{}
+		f.Reset(engine.CacheSnapshot{Incarnation: 1})
+		rng := rand.New(rand.NewSource(1))
+		largest := 0
+		for sequence := range uint64(5000) {
+			f.Accept(engine.CacheBatch{Incarnation: 1, Events: []engine.CacheEvent{stored(sequence+1, engine.Prefix(rng.Uint64()))}})
+			if sequence%50 != 0 {
+				continue
+			}
+			if u := f.Update(); u != nil {
+				u.Sequence = math.MaxUint64
+				frame, err := wire.Append(nil, u)
+				Expect(err).NotTo(HaveOccurred())
+				largest = max(largest, len(frame))
+			}
+		}
+		var all []engine.Prefix
+		for range 4 * wire.MaxCacheSnapshot {
+			all = append(all, engine.Prefix(rng.Uint64()))
+		}
+		f.Reset(engine.CacheSnapshot{Incarnation: 1, Weights: current, Prefixes: all})
+		for f.Update() != nil {
+		}
+		Expect(f.Snapshot().Stored).To(HaveLen(wire.MaxCacheSnapshot))
+		snapshot, err := wire.Append(nil, f.Snapshot())
+		Expect(err).NotTo(HaveOccurred())
+		AddReportEntry("bytes", struct{ Update, Snapshot int }{largest, len(snapshot)})
+		Expect(60*largest + len(snapshot)).To(BeNumerically("<=", 8000-2400))
+	})
+
+	// Guards against an entry that believes in blocks which the engine does not
+	// have once all updates have arrived, whatever was lost on the way.
+	It("leads entries to the engine's cache in spite of losses", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			f := &cachefeed.Feed{}
+			f.Reset(engine.CacheSnapshot{Incarnation: 1})
+			cached := map[engine.Prefix]bool{}
+			known := map[model.Block]bool{}
+			var seen, sequence uint64
+			gap := false
+			deliver := func(u *wire.CacheUpdate) {
+				switch {
+				case u.Snapshot:
+					known, seen, gap = map[model.Block]bool{}, u.Sequence, false
+				case u.Sequence != seen+1:
+					gap = true
+				}
+				if gap {
+					return
+				}
+				seen = u.Sequence
+				for _, b := range u.Removed {
+					delete(known, b)
+				}
+				for _, b := range u.Stored {
+					known[b] = true
+				}
+			}
+			for range rapid.IntRange(1, 60).Draw(t, "steps") {
+				p := engine.Prefix(rapid.Uint64Range(1, 30).Draw(t, "prefix"))
+				sequence++
+				e := stored(sequence, p)
+				if cached[p] {
+					e.Change = engine.CacheEvicted
+				}
+				cached[p] = !cached[p]
+				if rapid.IntRange(0, 9).Draw(t, "engine") > 0 {
+					if f.Accept(engine.CacheBatch{Incarnation: 1, Events: []engine.CacheEvent{e}}) {
+						f.Reset(engine.CacheSnapshot{Incarnation: 1, Sequence: sequence, Weights: current, Prefixes: have(cached)})
+					}
+				}
+				if u := f.Update(); u != nil && rapid.IntRange(0, 9).Draw(t, "network") > 0 {
+					deliver(u)
+				}
+			}
+			f.Reset(engine.CacheSnapshot{Incarnation: 1, Sequence: sequence, Weights: current, Prefixes: have(cached)})
+			for u := f.Update(); u != nil; u = f.Update() {
+				deliver(u)
+			}
+			deliver(f.Snapshot())
+			for p := range cached {
+				if known[p.Under(current)] != cached[p] {
+					t.Fatalf("prefix %s: known %v, cached %v", p, known[p.Under(current)], cached[p])
+				}
+			}
+		})
+	})
+})
+
+func have(cached map[engine.Prefix]bool) []engine.Prefix {
+	var prefixes []engine.Prefix
+	for p, ok := range cached {
+		if ok {
+			prefixes = append(prefixes, p)
+		}
+	}
+	return prefixes
+}
--- a/agent/config.go
+++ b/agent/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand"
 	"net"
+	"time"
 
 	"github.com/auburnbend/auburnbend/agent/backend"
 	"github.com/auburnbend/auburnbend/agent/gate"
@@ -17,6 +18,8 @@
 	"github.com/auburnbend/auburnbend/lib/settings"
 )
 
+const defaultCacheInterval = time.Second
+
 // Config sets up an Agent.
 type Config struct {
 	Identity model.Identity
@@ -54,6 +57,11 @@
 	Downloader  distribute.DownloaderConfig
 	Gate        gate.Config
 
+	// CacheInterval is the time between two reads of the engine's cache events,
+	// and the least time between two cache updates on a connection. It is negative
+	// for an agent that sends none.
+	CacheInterval time.Duration
+
 	// Weights holds the settings of the machine of the instance's weights.
 	Weights backend.Config
 }
@@ -62,6 +70,9 @@
 	if c.Gate.Capacity == 0 {
 		c.Gate.Capacity = c.Capacity
 	}
+	if c.CacheInterval == 0 {
+		c.CacheInterval = defaultCacheInterval
+	}
 	if c.Dial == nil {
 		c.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 			return listen.Dial(ctx, c.Policy, address)
--- a/agent/session.go
+++ b/agent/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/config"
@@ -21,6 +22,8 @@
 	conn  *wire.Conn
 	peer  wire.Hello
 	beats chan struct{}
+	// wantsCache is set while the entry waits for a snapshot of the cache.
+	wantsCache atomic.Bool
 }
 
 // serve handles one connection until it fails.
@@ -87,6 +90,8 @@
 		if a.transfer != nil && s.peer.Identity.Location == a.cfg.Identity.Location {
 			a.transfer.SetEntries(m.Addresses)
 		}
+	case *wire.CacheFetch:
+		s.wantsCache.Store(true)
 	default:
 		a.cfg.Log.Log(eventlog.FrameInvalid, "entry", s.peer.Identity.Instance, "type", m.Type())
 	}
--- a/agent/sessions.go
+++ b/agent/sessions.go
@@ -2,6 +2,8 @@
 
 import (
 	"sync"
+
+	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
 // sessions holds the connections of entries. It is safe for concurrent use.
@@ -24,6 +26,22 @@
 	delete(s.now, one)
 }
 
+// sendCache sends an update of the prefix cache on all connections, or a
+// snapshot where the entry has asked for one. A full queue drops it: the entry
+// sees the gap in the numbers.
+func (s *sessions) sendCache(update, snapshot *wire.CacheUpdate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for one := range s.now {
+		switch {
+		case one.wantsCache.Swap(false):
+			_ = one.conn.TrySend(snapshot)
+		case update != nil:
+			_ = one.conn.TrySend(update)
+		}
+	}
+}
+
 // beat sends a heartbeat out of turn on all connections: a change of what the
 // instance serves should not wait for the next one.
 func (s *sessions) beat() {
--- a/entry/dispatch/run.go
+++ b/entry/dispatch/run.go
@@ -149,7 +149,7 @@
 		wish.Weights = []model.Weights{step.Weights}
 	}
 	if r.request.Service.Kind == config.KindModel {
-		wish.Prefix = uint64(engine.PrefixOf(r.request.Body))
+		wish.Prefix = engine.PrefixOf(r.request.Body)
 	}
 	queued := r.now()
 	// Callers choose request ids, so the queue needs one of its own.
--- a/entry/fleet/config.go
+++ b/entry/fleet/config.go
@@ -20,6 +20,9 @@
 const (
 	defaultListInterval = 5 * time.Second
 	defaultTick         = 100 * time.Millisecond
+	// defaultCacheFetchInterval keeps snapshots of up to 1.3 KB, which a start of
+	// the entry needs from each agent, to a part of its 8 KB/s.
+	defaultCacheFetchInterval = time.Second
 	// entryPeers bounds the entries of its own failure domain that an entry
 	// connects to.
 	entryPeers = 4
@@ -44,6 +47,9 @@
 	Limiter  admit.LimiterConfig
 	// ListInterval is the time between two reads of the instance list.
 	ListInterval time.Duration
+	// CacheFetchInterval is the least time between two requests for snapshots of
+	// prefix caches.
+	CacheFetchInterval time.Duration
 	// Tick is the time between two checks of silent connections.
 	Tick time.Duration
 	// Other takes messages of entries that do not concern the fleet.
@@ -56,6 +62,9 @@
 	if c.ListInterval == 0 {
 		c.ListInterval = defaultListInterval
 	}
+	if c.CacheFetchInterval == 0 {
+		c.CacheFetchInterval = defaultCacheFetchInterval
+	}
 	if c.Tick == 0 {
 		c.Tick = defaultTick
 	}
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -38,6 +38,9 @@
 	conns    map[member.ConnID]*connection
 	nextConn member.ConnID
 	required []model.InstanceID
+	// unsynced lists agents whose cache is to be asked for, in order.
+	unsynced []route.Key
+	synced   time.Time
 	// entries is the last list of entries that agents were sent.
 	entries []string
 	tasks   sync.WaitGroup
@@ -114,6 +117,7 @@
 	f.apply(f.view.Tick(now))
 	f.broadcast(f.monitor.Tick(now))
 	f.sendEntries()
+	f.fetchCache(now)
 	f.wake()
 }
 
--- a/entry/fleet/handler.go
+++ b/entry/fleet/handler.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/auburnbend/auburnbend/entry/link"
@@ -83,6 +84,7 @@
 	}
 	f.agents[instance.ID] = instance
 	f.picker.Update(f.cfg.Clock.Now(), instance)
+	f.wantCache(instance.Key())
 	f.cfg.Log.Log(eventlog.AgentJoined, "instance", instance.ID, "pool", instance.Pool)
 }
 
@@ -107,6 +109,8 @@
 		f.cfg.Follower.Delta(peerID(peer), m)
 	case *wire.CrashReport:
 		f.crashed(peer, m)
+	case *wire.CacheUpdate:
+		f.cacheFrom(peer, m)
 	case *wire.SuspectUpdate:
 		f.mu.Lock()
 		f.broadcast(f.monitor.Merge(f.cfg.Clock.Now(), *m))
@@ -129,6 +133,10 @@
 	if !ok || instance.Generation != peer.Identity.Generation {
 		return
 	}
+	if !slices.Equal(instance.Live, beat.Live) {
+		// The picker forgets the cache of an instance that has loaded weights.
+		f.wantCache(instance.Key())
+	}
 	instance.Live = beat.Live
 	instance.Draining = beat.Draining
 	f.agents[instance.ID] = instance
--- a/entry/fleet/place.go
+++ b/entry/fleet/place.go
@@ -8,6 +8,7 @@
 
 	"github.com/auburnbend/auburnbend/entry/link"
 	"github.com/auburnbend/auburnbend/lib/admit"
+	"github.com/auburnbend/auburnbend/lib/engine"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/outcome"
 	"github.com/auburnbend/auburnbend/lib/poison"
@@ -35,7 +36,7 @@
 	Weights []model.Weights
 	Finger  model.Fingerprint
 	// Prefix is the hash of the prompt's beginning; zero means no affinity.
-	Prefix uint64
+	Prefix engine.Prefix
 	// Avoid lists instances of earlier attempts.
 	Avoid []model.InstanceID
 	// Offered is when the request was first offered for placing.
@@ -103,7 +104,7 @@
 func (f *Fleet) routeRequest(now time.Time, w *Wish, weights model.Weights) *route.Request {
 	request := &route.Request{Pool: w.Pool, Weights: weights, Offered: w.Offered}
 	if w.Prefix != 0 {
-		request.Prefix = []uint64{w.Prefix}
+		request.Prefix = []uint64{uint64(w.Prefix.Under(weights))}
 		request.AffinityBlocks = 1
 	}
 	request.Allowed = func(key route.Key) bool {
--- a/internal/deployment/agent_process.go
+++ b/internal/deployment/agent_process.go
@@ -55,6 +55,9 @@
 		Origin:   d.Origin,
 		LinkRate: d.Options.linkRate(),
 	}
+	if d.Options.NoCacheEvents {
+		cfg.CacheInterval = -1
+	}
 	if err := p.startBackend(&cfg); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/deployment/cache_test.go
@@ -0,0 +1,148 @@
+package deployment_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/internal/deployment"
+	"github.com/auburnbend/auburnbend/lib/engine"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/model"
+)
+
+const (
+	// probes are the prefixes that show when cache events have reached the
+	// entry, prefixes those that the share is measured with.
+	probes   = 40
+	prefixes = 40
+	// hitTarget is the share of requests that find their prefix when all
+	// instances are idle and one of them has it.
+	hitTarget = 0.9
+)
+
+var _ = Describe("Cache events", func() {
+	var (
+		ctx    context.Context
+		d      *deployment.Deployment
+		client *deployment.Client
+		calls  int
+	)
+
+	start := func(silent bool) {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(context.Background(), time.Minute)
+		DeferCleanup(cancel)
+		var err error
+		d, err = deployment.Start(deployment.Options{
+			Domains: []model.FailureDomain{"kigali"}, Entries: 1, Agents: 4,
+			ModelBytes: 1 << 20, ChunkBytes: 64 << 10, Window: time.Second,
+			EngineScale: 0.05, EngineRestart: 200 * time.Millisecond, NoCacheEvents: silent,
+			Directory: GinkgoT().TempDir(), Seed: 1,
+		}, eventlog.New(log.NewLogfmtLogger(log.NewSyncWriter(GinkgoWriter))))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(d.Close)
+		client = deployment.NewClient()
+		DeferCleanup(client.Close)
+		v, err := d.Place(ctx, "v1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.WaitLive(ctx, v, 50*time.Millisecond, nil)).To(Succeed())
+	}
+
+	body := func(kind string, prefix, question int) []byte {
+		return fmt.Appendf(nil, `{"max_tokens":2,"prompt":"%s %d %s %d"}`, kind, prefix, strings.Repeat("crest ", 60), question)
+	}
+
+	// warm makes an engine cache a prefix without the entry knowing.
+	warm := func(kind string, prefix int) {
+		agents := d.ModelAgents()
+		c, err := engine.New(engine.Config{Address: agents[prefix%len(agents)].Engine.URL()})
+		Expect(err).NotTo(HaveOccurred())
+		b := body(kind, prefix, 0)
+		s, err := c.Generate(ctx, engine.Request{
+			ID: model.RequestID(fmt.Sprint("warm-", kind, prefix)), Stream: fmt.Sprint("warm-", kind, prefix),
+			Weights: d.Versions[0].Weights, Prefix: engine.PrefixOf(b), Body: b,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		defer s.Close()
+		for err == nil {
+			_, err = s.Next()
+		}
+		Expect(errors.Is(err, io.EOF)).To(BeTrue())
+	}
+
+	hits := func() (sum int) {
+		for _, a := range d.ModelAgents() {
+			h, _ := a.Engine.CacheUses()
+			sum += h
+		}
+		return sum
+	}
+
+	// ask sends a request through the entry and reports whether the engine that
+	// ran it had its prefix.
+	ask := func(kind string, prefix int) bool {
+		before := hits()
+		calls++
+		a := client.Send(ctx, d.Entries[0].URL, deployment.Call{
+			Service: deployment.DraftService, Tenant: deployment.TenantSmall,
+			Request: fmt.Sprintf("ask-%d", calls), Body: body(kind, prefix, calls), Stream: true,
+		})
+		return a.Outcome == completed && hits() > before
+	}
+
+	share := func() float64 {
+		found := 0
+		for i := range prefixes {
+			if ask("measured", i) {
+				found++
+			}
+		}
+		return float64(found) / prefixes
+	}
+
+	warmAll := func() {
+		for i := range probes {
+			warm("probe", i)
+		}
+		for i := range prefixes {
+			warm("measured", i)
+		}
+	}
+
+	// Guards against events that do not reach the picker, or that name prefixes
+	// by other numbers than requests do.
+	It("bring requests to the instances that have their prefix", func() {
+		start(false)
+		warmAll()
+		// Agents pass the newest blocks on first, so the probes come last. Five
+		// in a row are not met by chance.
+		row, next := 0, 0
+		Eventually(func() int {
+			if row++; next >= probes || !ask("probe", next) {
+				row = 0
+			}
+			next++
+			return row
+		}).WithTimeout(settleTime).WithPolling(300 * time.Millisecond).Should(Equal(5))
+		found := share()
+		AddReportEntry("share of hits with cache events", found)
+		Expect(found).To(BeNumerically(">=", hitTarget))
+	})
+
+	// Guards against a comparison in which the prefix is found without events.
+	It("make the difference to routing without them", func() {
+		start(true)
+		warmAll()
+		found := share()
+		AddReportEntry("share of hits without cache events", found)
+		Expect(found).To(BeNumerically("<", hitTarget))
+	})
+})
--- a/internal/deployment/options.go
+++ b/internal/deployment/options.go
@@ -26,6 +26,8 @@
 	EngineScale float64
 	// EngineRestart is the time from a crash of an engine to its return.
 	EngineRestart time.Duration
+	// NoCacheEvents keeps agents from passing the cache events of engines on.
+	NoCacheEvents bool
 	// Directory holds the staging areas.
 	Directory string
 	Seed      int64
--- a/lib/engine/prefix.go
+++ b/lib/engine/prefix.go
@@ -1,9 +1,12 @@
 package engine
 
 import (
+	"encoding/binary"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/auburnbend/auburnbend/lib/model"
 )
 
 // PrefixBytes is the length of the beginning of a body that counts as its
@@ -11,8 +14,8 @@
 // are shorter.
 const PrefixBytes = 256
 
-// Prefix identifies a prompt prefix for affinity; a collision costs a cache
-// miss and nothing else.
+// Prefix identifies the text of a prompt prefix; a collision costs a cache miss
+// and nothing else.
 type Prefix uint64
 
 // PrefixOf returns the prefix of a request's body.
@@ -20,5 +23,14 @@
 	return Prefix(xxhash.Sum64(body[:min(len(body), PrefixBytes)]))
 }
 
+// Under returns the block of the prefix under weights. Equal text under other
+// weights gives another block: its cached state is of no use.
+func (p Prefix) Under(w model.Weights) model.Block {
+	b := make([]byte, 0, 2*model.DigestSize+8)
+	b = append(b, w.Base[:]...)
+	b = append(b, w.Adapter[:]...)
+	return model.Block(xxhash.Sum64(binary.BigEndian.AppendUint64(b, uint64(p))))
+}
+
 // String returns the prefix in hexadecimal.
 func (p Prefix) String() string { return strconv.FormatUint(uint64(p), 16) }
--- a/lib/wire/conn.go
+++ b/lib/wire/conn.go
@@ -31,8 +31,8 @@
 	once   sync.Once
 	sent   atomic.Int64
 	read   atomic.Int64
-	// active is the time of the last message other than a heartbeat, in
-	// nanoseconds since 1970.
+	// active is the time of the last message other than a heartbeat or a cache
+	// hint, in nanoseconds since 1970.
 	active atomic.Int64
 }
 
@@ -112,13 +112,20 @@
 }
 
 func (c *Conn) encode(m Message) ([]byte, error) {
-	if m.Type() != TypeHeartbeat {
+	if !hint(m.Type()) {
 		c.active.Store(time.Now().UnixNano())
 	}
 	return Append(nil, m)
 }
 
-// LastActive returns when a message other than a heartbeat was last queued.
+// hint reports whether a message of this type does not stand for a heartbeat:
+// the peer takes only messages about attempts as signs of life.
+func hint(t Type) bool {
+	return t == TypeHeartbeat || t == TypeCacheUpdate || t == TypeCacheFetch
+}
+
+// LastActive returns when a message other than a heartbeat or a cache hint was
+// last queued.
 func (c *Conn) LastActive() time.Time { return time.Unix(0, c.active.Load()) }
 
 // Receive returns the next message.
--- a/lib/wire/registry.go
+++ b/lib/wire/registry.go
@@ -61,6 +61,10 @@
 		return new(ConnectionReject)
 	case TypeHolderSummary:
 		return new(HolderSummary)
+	case TypeCacheUpdate:
+		return new(CacheUpdate)
+	case TypeCacheFetch:
+		return new(CacheFetch)
 	default:
 		return nil
 	}
--- a/lib/wire/type.go
+++ b/lib/wire/type.go
@@ -34,4 +34,6 @@
 	TypeRolloutReport    Type = 27
 	TypeConnectionReject Type = 28
 	TypeHolderSummary    Type = 29
+	TypeCacheUpdate      Type = 30
+	TypeCacheFetch       Type = 31
 )
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -20,6 +20,8 @@
 	random   *rand.Rand
 	prefixes []api.Prefix // least recently used first
 	sequence uint64
+	hits     int
+	misses   int
 	events   []cacheEvent
 }
 
@@ -33,8 +35,10 @@
 func (c *cache) use(p api.Prefix) bool {
 	i := slices.Index(c.prefixes, p)
 	if i < 0 {
+		c.misses++
 		return false
 	}
+	c.hits++
 	c.prefixes = append(slices.Delete(c.prefixes, i, i+1), p)
 	return true
 }
--- a/standin/engine/inspect.go
+++ b/standin/engine/inspect.go
@@ -68,3 +68,11 @@
 		Incarnation: s.incarnation, Sequence: s.cache.sequence, Weights: s.weights, Prefixes: slices.Clone(s.cache.prefixes),
 	}
 }
+
+// CacheUses returns how many requests found their prefix cached when they
+// started to run, and how many did not.
+func (s *Server) CacheUses() (hits, misses int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cache.hits, s.cache.misses
+}
