Open connections to attempts only after the handler's consent

An entry offered a new connection to attempts before the view of the members had accepted the peer, so an attempt could go to a generation that the view refuses, or to another instance at the same address.

A link now sends messages of its handler from the start and attempts only once the handler has accepted, and refuses a peer of another name.

--- a/entry/link/link.go
+++ b/entry/link/link.go
@@ -24,10 +24,12 @@
 	cfg     Config
 	handler Handler
 
-	mu      sync.Mutex
-	conn    *wire.Conn // nil while there is no connection
-	peer    wire.Hello
-	inboxes map[model.AttemptID]*Inbox
+	mu   sync.Mutex
+	conn *wire.Conn // nil while there is no connection
+	peer wire.Hello // of the last connection that the handler accepted
+	// accepted says that conn may carry attempts.
+	accepted bool
+	inboxes  map[model.AttemptID]*Inbox
 }
 
 // New returns a link that connects when Run is called.
@@ -66,13 +68,18 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	defer func() { _ = conn.Close() }()
+	if peer.Identity.Instance != l.cfg.Instance {
+		l.handler.ConnectFailed(l.cfg.Instance, merry.Errorf("%s answers at the address", peer.Identity.Instance))
+		return
+	}
 	id := l.cfg.NextConn()
 	// The handler sends its first messages through the link.
-	l.attach(conn, peer)
+	l.attach(conn)
 	defer l.detach(conn)
 	if l.handler.Connected(id, peer) != nil {
 		return
 	}
+	l.accept(peer)
 	defer l.handler.Disconnected(id, peer)
 	beats := heartbeat.Sender{Conn: conn, Beat: l.cfg.Heartbeat, InFlight: l.InFlight}
 	go beats.Run()
@@ -90,16 +97,24 @@
 	}
 }
 
-// attach makes the connection current and tells waiting attempts whether they
-// can be reattached.
-func (l *Link) attach(conn *wire.Conn, peer wire.Hello) {
+// attach makes the connection current for messages of the handler.
+func (l *Link) attach(conn *wire.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conn = conn
+}
+
+// accept opens the current connection to attempts and tells waiting ones whether
+// they can be reattached. It comes after the handler's consent: an attempt that
+// goes to a generation which the handler refuses would be lost.
+func (l *Link) accept(peer wire.Hello) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	kind := Reconnected
 	if l.peer.Identity.Generation != 0 && l.peer.Identity.Generation != peer.Identity.Generation {
 		kind = Replaced
 	}
-	l.conn, l.peer = conn, peer
+	l.peer, l.accepted = peer, true
 	for _, inbox := range l.inboxes {
 		inbox.put(Event{Kind: kind})
 	}
@@ -111,7 +126,11 @@
 	if l.conn != conn {
 		return
 	}
-	l.conn = nil
+	accepted := l.accepted
+	l.conn, l.accepted = nil, false
+	if !accepted {
+		return
+	}
 	for _, inbox := range l.inboxes {
 		inbox.put(Event{Kind: ConnectionLost})
 	}
@@ -131,7 +150,7 @@
 func (l *Link) Start(m *wire.RequestStart) (*Inbox, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.conn == nil {
+	if !l.accepted {
 		return nil, merry.Wrap(ErrNotSent, merry.AppendMessage("no connection"))
 	}
 	inbox := newInbox()
@@ -182,7 +201,7 @@
 func (l *Link) Peer() (hello wire.Hello, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.peer, l.conn != nil
+	return l.peer, l.accepted
 }
 
 // Bytes returns the bytes that the current connection sent and received.
--- /dev/null
+++ b/entry/link/link_test.go
@@ -0,0 +1,210 @@
+package link_test
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/entry/link"
+	"github.com/auburnbend/auburnbend/internal/agenttest"
+	"github.com/auburnbend/auburnbend/lib/member"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/wire"
+)
+
+// events records what a link reports.
+type events struct {
+	connected, failed atomic.Int32
+	// refuse, when set, is called during Connected, which then fails.
+	refuse atomic.Pointer[func()]
+}
+
+func (e *events) Connected(member.ConnID, wire.Hello) error {
+	e.connected.Add(1)
+	if check := e.refuse.Load(); check != nil {
+		(*check)()
+		return member.ErrRetired
+	}
+	return nil
+}
+func (e *events) Disconnected(member.ConnID, wire.Hello)                                    {}
+func (e *events) ConnectFailed(model.InstanceID, error)                                     { e.failed.Add(1) }
+func (e *events) Heard(member.ConnID)                                                       {}
+func (e *events) Message(member.ConnID, wire.Hello, wire.Message, func(wire.Message) error) {}
+
+var _ = Describe("A link", func() {
+	var (
+		agent *agenttest.Agent
+		seen  *events
+		l     *link.Link
+		dials chan time.Time
+	)
+
+	next := func(i *link.Inbox) link.Event {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		e, err := i.Next(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		return e
+	}
+
+	connected := func() bool { _, ok := l.Peer(); return ok }
+
+	BeforeEach(func() {
+		var err error
+		agent, err = agenttest.Start(model.Identity{Instance: "runner", Generation: 1}, "drafting")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(agent.Stop)
+		seen = &events{}
+		attempts := make(chan time.Time, 1024)
+		dials = attempts
+		var conns atomic.Uint64
+		l = link.New(link.Config{
+			Instance: "runner", Address: agent.Identity().Address,
+			Dial: func(_ context.Context, address string) (*wire.Conn, wire.Hello, error) {
+				attempts <- time.Now()
+				nc, err := net.Dial("tcp", address)
+				if err != nil {
+					return nil, wire.Hello{}, err
+				}
+				return wire.Handshake(nc, wire.Hello{Role: wire.RoleEntry})
+			},
+			Heartbeat:  func() wire.Heartbeat { return wire.Heartbeat{} },
+			NextConn:   func() member.ConnID { return member.ConnID(conns.Add(1)) },
+			MinBackoff: 20 * time.Millisecond, MaxBackoff: 80 * time.Millisecond,
+		}, seen)
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go l.Run(ctx)
+		Eventually(connected).Should(BeTrue())
+	})
+
+	// Guards against entries that hammer an agent which is down, and against one
+	// that they never find again.
+	It("connects again with backoff", func() {
+		address := agent.Identity().Address
+		agent.Stop()
+		Eventually(seen.failed.Load).WithTimeout(5 * time.Second).Should(BeNumerically(">=", 6))
+		Expect(agent.Listen(address)).To(Succeed())
+		Eventually(connected).WithTimeout(5 * time.Second).Should(BeTrue())
+		<-dials // the first connection
+		first := <-dials
+		for range 4 {
+			<-dials
+		}
+		// Randomized by half: 20, 30, 45 and 67.5 ms.
+		Expect((<-dials).Sub(first)).To(BeNumerically(">=", (20+30+45+67)/2*time.Millisecond))
+	})
+
+	// Guards against attempts that are reported as not run though the agent may
+	// get them, and against attempts that wait forever for an agent that never
+	// saw them.
+	It("reports an attempt as not sent exactly when it was not queued", func() {
+		inbox, err := l.Start(&wire.RequestStart{Attempt: "sent"})
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(agent.Starts).Should(Receive(WithTransform(agenttest.Received.Attempt, Equal(model.AttemptID("sent")))))
+		agent.Stop()
+		Expect(next(inbox).Kind).To(Equal(link.ConnectionLost))
+		Expect(l.InFlight()).To(Equal(1))
+		_, err = l.Start(&wire.RequestStart{Attempt: "late"})
+		Expect(err).To(MatchError(link.ErrNotSent))
+		Expect(l.InFlight()).To(Equal(1))
+		Consistently(agent.Starts).Should(BeEmpty())
+	})
+
+	// Guards against a full queue whose refusal is taken for a lost message.
+	It("reports an attempt as not sent when the queue is full", func() {
+		full := link.New(link.Config{
+			Instance: "silent",
+			Dial: func(context.Context, string) (*wire.Conn, wire.Hello, error) {
+				near, far := net.Pipe()
+				// The peer reads the Hello and nothing after it.
+				go func() {
+					_, _, _ = wire.Handshake(far, wire.Hello{Role: wire.RoleAgent, Identity: model.Identity{Instance: "silent"}})
+				}()
+				return wire.Handshake(near, wire.Hello{Role: wire.RoleEntry})
+			},
+			Heartbeat: func() wire.Heartbeat { return wire.Heartbeat{} },
+			NextConn:  func() member.ConnID { return 1 },
+		}, seen)
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go full.Run(ctx)
+		Eventually(func() bool { _, ok := full.Peer(); return ok }).Should(BeTrue())
+		var err error
+		queued := 0
+		for ; err == nil && queued < 2000; queued++ {
+			_, err = full.Start(&wire.RequestStart{Attempt: model.AttemptID(strconv.Itoa(queued))})
+		}
+		Expect(err).To(MatchError(link.ErrNotSent))
+		Expect(full.InFlight()).To(Equal(queued - 1))
+	})
+
+	// Guards against frames of the old connection that are taken for the rest
+	// of the answer, or that are lost.
+	It("delivers frames before the loss, then the new connection, in order", func() {
+		inbox, err := l.Start(&wire.RequestStart{Attempt: "a"})
+		Expect(err).NotTo(HaveOccurred())
+		var start agenttest.Received
+		Eventually(agent.Starts).Should(Receive(&start))
+		start.Frame(0, "one")
+		Expect(next(inbox).Kind).To(Equal(link.Received))
+		agent.Cut()
+		Expect(next(inbox).Kind).To(Equal(link.ConnectionLost))
+		Expect(next(inbox).Kind).To(Equal(link.Reconnected))
+		start.Frame(1, "of the lost connection")
+		Expect(l.Send(&wire.Reattach{Attempt: "a", Next: 1})).To(Succeed())
+		var again agenttest.Received
+		Eventually(agent.Others).Should(Receive(&again))
+		Expect(again.Conn.Send(&wire.ResponseFrame{Attempt: "a", Sequence: 1, Data: []byte("two")})).To(Succeed())
+		e := next(inbox)
+		Expect(e.Message).To(HaveField("Data", []byte("two")))
+	})
+
+	// Guards against a reattach to a process that never saw the attempt: its
+	// refusal would look like a proof that nothing ran.
+	It("tells attempts of the old generation that it was replaced", func() {
+		inbox, err := l.Start(&wire.RequestStart{Attempt: "a"})
+		Expect(err).NotTo(HaveOccurred())
+		agent.SetGeneration(2)
+		agent.Cut()
+		Expect(next(inbox).Kind).To(Equal(link.ConnectionLost))
+		Expect(next(inbox).Kind).To(Equal(link.Replaced))
+		fresh, err := l.Start(&wire.RequestStart{Attempt: "b"})
+		Expect(err).NotTo(HaveOccurred())
+		agent.Cut()
+		Expect(next(fresh).Kind).To(Equal(link.ConnectionLost))
+		Expect(next(fresh).Kind).To(Equal(link.Reconnected))
+	})
+
+	// Guards against attempts for one instance that reach another which got its
+	// address.
+	It("refuses another instance at the address", func() {
+		agent.SetInstance("other")
+		before := seen.connected.Load()
+		agent.Cut()
+		Eventually(seen.failed.Load).Should(BeNumerically(">", 1))
+		Expect(seen.connected.Load()).To(Equal(before))
+		_, err := l.Start(&wire.RequestStart{Attempt: "a"})
+		Expect(err).To(MatchError(link.ErrNotSent))
+	})
+
+	// Guards against work that is sent to a generation which the view of the
+	// members has refused.
+	It("sends no attempt over a refused connection", func() {
+		refused := make(chan error, 1024)
+		check := func() {
+			_, err := l.Start(&wire.RequestStart{Attempt: "refused"})
+			l.Finish("refused")
+			refused <- err
+		}
+		seen.refuse.Store(&check)
+		agent.Cut()
+		Eventually(refused).Should(Receive(MatchError(link.ErrNotSent)))
+	})
+})
