--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -40,6 +40,9 @@
 	// sent counts the attempts for each agent.
 	sent     map[model.InstanceID]int
 	required []model.InstanceID
+	// unsynced lists agents whose cache is to be asked for, in order.
+	unsynced []route.Key
+	synced   time.Time
 	// entries is the last list of entries that agents were sent.
 	entries []string
 	tasks   sync.WaitGroup
@@ -128,6 +131,7 @@
 	f.apply(f.view.Tick(now))
 	f.broadcast(f.monitor.Tick(now))
 	f.sendEntries()
+	f.fetchCache(now)
 }
 
 // apply acts on changes of the view. The caller holds the mutex.
