--- a/cmd/auburnbend-measure/main.go
+++ b/cmd/auburnbend-measure/main.go
@@ -8,6 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/auburnbend/auburnbend/internal/measure/capacity"
+	"github.com/auburnbend/auburnbend/internal/measure/config"
 	"github.com/auburnbend/auburnbend/internal/measure/distribute"
 	"github.com/auburnbend/auburnbend/internal/measure/drain"
 	"github.com/auburnbend/auburnbend/internal/measure/latency"
@@ -28,6 +29,7 @@
 		overload.New(),
 		poison.New(),
 		capacity.New(),
+		config.New(),
 		drain.New(),
 		latency.New(),
 	)
