Encode digests that are not set as empty and share the daemons' start

At the planned size an entry's idle connections took 8.7 KB/s of its 8 KB/s; half of a heartbeat was the zero digest of an adapter. The two daemons' programs opened metrics and drew seeds in the same way; lib/daemon does it now.

--- a/agent/program.go
+++ b/agent/program.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
-	mathrand "math/rand"
+	"math/rand"
 	"net"
 
 	"github.com/auburnbend/auburnbend/lib/clock"
@@ -14,7 +12,6 @@
 	"github.com/auburnbend/auburnbend/lib/platform/httpplatform"
 	"github.com/auburnbend/auburnbend/lib/security"
 	"github.com/auburnbend/auburnbend/lib/settings"
-	"github.com/auburnbend/auburnbend/lib/telemetry"
 )
 
 // bitsPerByte converts the link rate of the settings.
@@ -39,24 +36,19 @@
 	}
 }
 
-// process is an agent with its metrics endpoint.
+// process is an agent with its metrics.
 type process struct {
 	*Agent
-	metrics  *telemetry.Metrics
-	endpoint *telemetry.Endpoint
+	metrics *daemon.Metrics
 }
 
 // Failed never delivers: an agent goes on without its backend server.
 func (p *process) Failed() <-chan error { return nil }
 
-// Close ends the agent and its endpoint.
+// Close ends the agent and its metrics endpoint.
 func (p *process) Close() error {
 	err := p.Agent.Close()
-	ctx := context.Background()
-	if p.endpoint != nil {
-		_ = p.endpoint.Close(ctx)
-	}
-	_ = p.metrics.Close(ctx)
+	p.metrics.Close()
 	return err
 }
 
@@ -70,25 +62,19 @@
 		return nil, err
 	}
 	p := &process{}
-	if p.metrics, err = telemetry.New(telemetry.Config{}); err != nil {
+	if p.metrics, err = daemon.OpenMetrics(s.Listen.Metrics); err != nil {
 		return nil, err
 	}
-	if s.Listen.Metrics != "" {
-		if p.endpoint, err = p.metrics.Listen(s.Listen.Metrics); err != nil {
-			return nil, err
-		}
-	}
-	generation, seed := randomSeed()
 	cfg := Config{
 		Identity: model.Identity{
 			Instance:   s.Instance.ID,
-			Generation: model.Generation(generation),
+			Generation: model.Generation(daemon.RandomUint64()),
 			Location:   s.Instance.Location(),
 			Address:    s.Listen.Advertise,
 		},
 		Pool:         s.Backend.Pool,
 		Clock:        clock.System{},
-		Rand:         mathrand.New(mathrand.NewSource(seed)),
+		Rand:         rand.New(rand.NewSource(int64(daemon.RandomUint64()))),
 		Log:          log,
 		Metrics:      p.metrics,
 		Listener:     listener,
@@ -113,11 +99,3 @@
 	p.Start()
 	return p, nil
 }
-
-// randomSeed returns numbers that differ between processes that start at once.
-func randomSeed() (generation uint64, seed int64) {
-	var b [16]byte
-	// Read never fails: the runtime stops the process instead.
-	_, _ = rand.Read(b[:])
-	return binary.LittleEndian.Uint64(b[:8]), int64(binary.LittleEndian.Uint64(b[8:]))
-}
--- a/entry/program.go
+++ b/entry/program.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
-	mathrand "math/rand/v2"
+	"math/rand/v2"
 	"net"
 
 	"github.com/auburnbend/auburnbend/lib/clock"
@@ -15,7 +13,6 @@
 	"github.com/auburnbend/auburnbend/lib/platform/httpplatform"
 	"github.com/auburnbend/auburnbend/lib/security"
 	"github.com/auburnbend/auburnbend/lib/settings"
-	"github.com/auburnbend/auburnbend/lib/telemetry"
 )
 
 // Program returns the daemon of an entry instance.
@@ -37,21 +34,16 @@
 	}
 }
 
-// process is an entry with its metrics endpoint.
+// process is an entry with its metrics.
 type process struct {
 	*Entry
-	metrics  *telemetry.Metrics
-	endpoint *telemetry.Endpoint
+	metrics *daemon.Metrics
 }
 
-// Close ends the entry and its endpoint.
+// Close ends the entry and its metrics endpoint.
 func (p *process) Close() error {
 	err := p.Entry.Close()
-	ctx := context.Background()
-	if p.endpoint != nil {
-		_ = p.endpoint.Close(ctx)
-	}
-	_ = p.metrics.Close(ctx)
+	p.metrics.Close()
 	return err
 }
 
@@ -73,26 +65,20 @@
 		return nil, err
 	}
 	p := &process{}
-	if p.metrics, err = telemetry.New(telemetry.Config{}); err != nil {
+	if p.metrics, err = daemon.OpenMetrics(s.Listen.Metrics); err != nil {
 		return nil, err
 	}
-	if s.Listen.Metrics != "" {
-		if p.endpoint, err = p.metrics.Listen(s.Listen.Metrics); err != nil {
-			return nil, err
-		}
-	}
-	seed := randomSeed()
 	p.Entry = New(Config{
 		Identity: model.Identity{
 			Instance:   s.Instance.ID,
-			Generation: model.Generation(seed[0]),
+			Generation: model.Generation(daemon.RandomUint64()),
 			Location:   s.Instance.Location(),
 			Address:    s.Listen.Advertise,
 		},
 		Clock:     clock.System{},
-		Rand:      mathrand.New(mathrand.NewPCG(seed[1], seed[2])),
+		Rand:      rand.New(rand.NewPCG(daemon.RandomUint64(), daemon.RandomUint64())),
 		Log:       log,
-		Metrics:   TelemetryMetrics(p.metrics),
+		Metrics:   TelemetryMetrics(p.metrics.Metrics),
 		Callers:   callers,
 		Peers:     peers,
 		Operators: operators,
@@ -104,15 +90,3 @@
 	p.Start()
 	return p, nil
 }
-
-// randomSeed returns numbers that differ between processes that start at once.
-func randomSeed() [3]uint64 {
-	var b [24]byte
-	// Read never fails: the runtime stops the process instead.
-	_, _ = rand.Read(b[:])
-	return [3]uint64{
-		binary.LittleEndian.Uint64(b[:8]),
-		binary.LittleEndian.Uint64(b[8:16]),
-		binary.LittleEndian.Uint64(b[16:]),
-	}
-}
--- a/lib/model/digest.go
+++ b/lib/model/digest.go
@@ -53,15 +53,25 @@
 	return nil
 }
 
-// MarshalBinary returns the 32 bytes. The msgpack codec prefers it over
-// MarshalText, which would double the size of every digest in a frame.
-func (d Digest) MarshalBinary() ([]byte, error) { return d[:], nil }
+// MarshalBinary returns the 32 bytes, or none for a digest that was never set.
+// The msgpack codec prefers it over MarshalText, which would double the size of
+// every digest in a frame; most adapters in a heartbeat are not set.
+func (d Digest) MarshalBinary() ([]byte, error) {
+	if d.IsZero() {
+		return []byte{}, nil
+	}
+	return d[:], nil
+}
 
 // UnmarshalBinary reads the form that MarshalBinary returns.
 func (d *Digest) UnmarshalBinary(data []byte) error {
-	if len(data) != DigestSize {
-		return merry.Errorf("digest has %d bytes, want %d", len(data), DigestSize)
+	switch len(data) {
+	case 0:
+		*d = Digest{}
+	case DigestSize:
+		copy(d[:], data)
+	default:
+		return merry.Errorf("digest has %d bytes, want %d or none", len(data), DigestSize)
 	}
-	copy(d[:], data)
 	return nil
 }
