--- a/lib/poison/poison.go
+++ b/lib/poison/poison.go
@@ -30,5 +30,9 @@
 // reach each other for longer than Config.Settle, each group of connected
 // entries keeps the bound for itself.
 //
+// Innocent requests are cleared by their own success. New content of which copies
+// are in flight on two backend servers that concurrent first dispatches of a
+// poison request crash cannot be told from it, and is quarantined with it.
+//
 // A Monitor is not safe for concurrent use.
 package poison
