--- a/internal/requestsim/entry_test.go
+++ b/internal/requestsim/entry_test.go
@@ -1,7 +1,6 @@
 package requestsim
 
 import (
-	"context"
 	"fmt"
 	"time"
 
@@ -39,18 +38,6 @@
 	return e
 }
 
-func newLedger(w *world) *claim.Ledger {
-	return claim.New(claim.Config{Tries: 2, Pause: func(context.Context) {}}, w.table, nil)
-}
-
-func (a *ask) claimKey() claim.Key {
-	return claim.Key{Service: "orders", Tenant: "t", Idempotency: a.key}
-}
-
-func (a *ask) fingerprint() model.Fingerprint {
-	return model.FingerprintOf("t", model.Service(a.kind.name), []byte(a.body))
-}
-
 func (e *entry) accept(a *ask, timeout time.Duration) {
 	l := &live{ask: a, machine: attempt.New(attempt.Config{}, attempt.Request{
 		ID: model.RequestID(a.body), Tenant: "t", Deadline: e.w.now.Add(timeout),
@@ -102,27 +89,6 @@
 	}
 }
 
-// settle updates the claim once the fate of the request is known, and confirms
-// the answer to the agent.
-func (e *entry) settle(l *live, s attempt.Step) {
-	if l.agent != nil {
-		e.w.connection(e, l.agent).sendToAgent(&wire.ResponseAck{Attempt: l.machine.Attempt(), Next: l.machine.Next() + 1})
-	}
-	if l.claimID == "" {
-		return
-	}
-	switch s.Outcome {
-	case outcome.Completed, outcome.Failed:
-		_ = e.ledger.Complete(e.w.ctx, e.w.now, l.ask.claimKey(), l.claimID, claim.Result{Outcome: s.Outcome, Status: s.Status, Body: l.buffer})
-	case outcome.NotRun:
-		err := e.ledger.Release(e.w.ctx, e.w.now, l.ask.claimKey(), l.claimID)
-		e.w.t.Logf("entry %d releases %s of %s: %v", e.id, l.ask.key, l.claimID, err)
-		if err != nil {
-			l.ask.next = append(l.ask.next, l.claimID)
-		}
-	}
-}
-
 // step does the next thing that the entry has to do for a request. Whatever
 // happens between two steps is what a paused or dying entry meets.
 func (e *entry) step(l *live) {
@@ -165,28 +131,6 @@
 	})
 }
 
-func (e *entry) claim(l *live) {
-	var status claim.Status
-	id := e.w.newAttempt(l.ask)
-	defer func() {
-		e.w.t.Logf("entry %d claims %s as %s with proofs %v: %s", e.id, l.ask.key, id, l.ask.proofs, status)
-	}()
-	a := e.ledger.Claim(e.w.ctx, e.w.now, l.ask.claimKey(), claim.Intent{Attempt: id, Fingerprint: l.ask.fingerprint(), Proofs: l.ask.proofs})
-	status = a.Status
-	switch a.Status {
-	case claim.StatusHeld:
-		l.claimID, l.unused = id, id
-	case claim.StatusEarlierResult:
-		l.pending = nil
-		l.buffer = a.Result.Body
-		l.tell(e.w, a.Result.Outcome, a.Result.Reason)
-	default:
-		l.pending = nil
-		l.ask.next = a.Proofs
-		l.tell(e.w, a.Outcome, a.Reason)
-	}
-}
-
 // choose picks an instance. Now and then it ignores the pin of a continued
 // stream, as an entry with a stale view would.
 func (e *entry) choose(s attempt.Step) *agent {
