--- a/agent/gate/shell.go
+++ b/agent/gate/shell.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/model"
@@ -131,6 +132,12 @@
 	return s.core.Draining()
 }
 
+// reportWait bounds the wait until a crash report is queued on every
+// connection. The report then precedes the ends of the attempts, so an entry
+// does not retry them as if nothing was known. A silent connection must not hold
+// up the agent.
+const reportWait = 100 * time.Millisecond
+
 // Crashed tells all entries what was in flight when the backend server died.
 // Incarnation numbers its starts.
 func (s *Shell) Crashed(incarnation uint64) {
@@ -146,7 +153,12 @@
 		// A connection that blocks must not delay the report to the others.
 		sent.Go(func() { _ = c.Send(report) })
 	}
-	sent.Wait()
+	done := make(chan struct{})
+	go func() { sent.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(reportWait):
+	}
 }
 
 // Quiesce refuses new requests and returns nil when none runs, so that no
--- a/agent/gate/shell_test.go
+++ b/agent/gate/shell_test.go
@@ -166,8 +166,12 @@
 		Entry("other", context.DeadlineExceeded, outcome.Unknown, outcome.ReasonBackendError),
 	)
 
+	// Guards against a silent connection that holds up the agent after a crash.
 	It("tells all entries about a crash", func() {
-		b := newEntry()
+		b, silent := newEntry(), newEntry()
+		silent.messages = nil
+		defer close(silent.closed)
+		s.Connect(silent)
 		s.Connect(b)
 		s.Crashed(1)
 		Expect(next(a)).To(BeAssignableToTypeOf(&wire.CrashReport{}))
