--- a/entry/operatorrpc/providers.go
+++ b/entry/operatorrpc/providers.go
@@ -16,6 +16,7 @@
 	Get(ctx context.Context, number uint64) (config.View, error)
 	History(ctx context.Context, before uint64, limit int) ([]config.Entry, error)
 	Operation(ctx context.Context, id string, settle bool) (config.Operation, error)
+	Prune(ctx context.Context) (int, error)
 }
 
 // Replica shows what the entry has in force. Implementations are safe for
--- a/entry/operatorrpc/server.go
+++ b/entry/operatorrpc/server.go
@@ -48,7 +48,7 @@
 		Config: c, Expected: m.GetExpectedRevision(), Operation: m.GetOperation(),
 		Author: author(ctx, m.GetAuthor()), DryRun: m.GetDryRun(),
 	})
-	return s.accepted(result, err, m.GetOperation())
+	return s.accepted(ctx, result, err, m.GetOperation())
 }
 
 // Rollback implements the call of the same name.
@@ -59,10 +59,10 @@
 		Expected: m.GetExpectedRevision(), Operation: m.GetOperation(),
 		Author: author(ctx, m.GetAuthor()), DryRun: m.GetDryRun(),
 	})
-	return s.accepted(result, err, m.GetOperation())
+	return s.accepted(ctx, result, err, m.GetOperation())
 }
 
-func (s *Server) accepted(result config.Result, err error, operation string) (*pb.ApplyResponse, error) {
+func (s *Server) accepted(ctx context.Context, result config.Result, err error, operation string) (*pb.ApplyResponse, error) {
 	var conflict *config.RevisionConflictError
 	var unknown *config.UnknownOutcomeError
 	switch {
@@ -73,6 +73,7 @@
 	case err == nil && len(result.Encoded) > 0:
 		s.cfg.Log.Log(eventlog.ConfigAccepted, "operation", operation, "revision", result.Head.Number)
 		s.replica.Accepted(result.Encoded)
+		s.prune(ctx, result.Head.Number)
 	}
 	if err != nil {
 		return nil, convert.ErrorToStatus(err)
@@ -83,6 +84,15 @@
 	}, nil
 }
 
+// prune drops old operation ids once per snapshot. The entry that accepts the
+// change does it, so that no entry has to be in charge. A failure is left to the
+// next time.
+func (s *Server) prune(ctx context.Context, number uint64) {
+	if number%config.SnapshotEvery == 0 {
+		_, _ = s.store.Prune(ctx)
+	}
+}
+
 // Get implements the call of the same name.
 func (s *Server) Get(ctx context.Context, m *pb.GetRequest) (*pb.GetResponse, error) {
 	view, err := s.view(ctx, m)
