--- a/agent/agent.go
+++ b/agent/agent.go
@@ -5,9 +5,11 @@
 
 import (
 	"context"
+	"math/rand"
 	"sync"
 	"time"
 
+	"github.com/auburnbend/auburnbend/agent/backend"
 	"github.com/auburnbend/auburnbend/agent/gate"
 	"github.com/auburnbend/auburnbend/agent/transfer"
 	"github.com/auburnbend/auburnbend/lib/engine"
@@ -26,9 +28,10 @@
 	follower *follow.Follower
 	gate     *gate.Shell
 	server   backendServer
-	// transfer and versions are nil for plain services.
+	// transfer and weights are nil for plain services.
 	transfer *transfer.Service
-	versions *versions
+	weights  *backend.Runner
+	cache    cacheReader
 	sessions *sessions
 	stop     context.CancelFunc
 	tasks    sync.WaitGroup
@@ -54,8 +57,8 @@
 		return err
 	}
 	a.server = &plainServer{client: client, capacity: a.cfg.Capacity}
-	a.gate = gate.New(a.cfg.Gate, a.cfg.Clock, a.server, nil, nil)
-	a.gate.SetLive([]model.Weights{{}})
+	a.gate = gate.New(a.cfg.Gate, a.cfg.Clock, a.server, nil)
+	a.gate.Serve([]model.Weights{{}})
 	return nil
 }
 
@@ -86,19 +89,49 @@
 	})
 	server := newEngineServer(client, a.cfg, a.crashed)
 	a.server = server
-	a.versions = newVersions(a, client)
-	a.gate = gate.New(a.cfg.Gate, a.cfg.Clock, a.server, a.versions, nil)
-	a.follower.Watch(a.versions.configured)
+	a.gate = gate.New(a.cfg.Gate, a.cfg.Clock, a.server, nil)
+	a.cache = client
+	a.cfg.Weights.Guard.Start = a.startNumber(client)
+	a.weights = backend.NewRunner(backend.RunnerConfig{
+		Machine: a.cfg.Weights,
+		Clock:   a.cfg.Clock,
+		Random:  rand.New(rand.NewSource(a.cfg.Rand.Int63())),
+		Engine:  client,
+		Host:    host{a},
+	})
+	a.follower.Watch(host{a}.configured)
 	return nil
 }
 
+// startTimeout bounds the wait for a start number; the agent starts without one
+// while the store is down.
+const startTimeout = 3 * time.Second
+
+// startNumber takes the number under which this process gives orders: an engine
+// can outlive its agent, and two agents must not use the same numbers.
+func (a *Agent) startNumber(client *engine.Client) uint64 {
+	if a.cfg.Table == nil {
+		return 0
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	var floor uint64
+	if state, err := client.State(ctx); err == nil {
+		floor = state.Accepted.Start
+	}
+	number, err := backend.NextStart(ctx, a.cfg.Table, a.cfg.Identity.Instance, floor)
+	if err != nil {
+		a.cfg.Log.Log(eventlog.StoreUnavailable, "err", err)
+		return 0
+	}
+	return number
+}
+
 // crashed is called when the engine died while it ran requests.
 func (a *Agent) crashed(incarnation uint64) {
 	a.cfg.Log.Log(eventlog.BackendServerCrashed, "incarnation", incarnation)
 	a.gate.Crashed(incarnation)
-	a.gate.SetLive(nil)
-	a.sessions.beat()
-	a.versions.wake()
+	a.weights.Crashed()
 }
 
 // Start starts all tasks. It returns at once; Close ends them.
@@ -115,8 +148,11 @@
 	a.tasks.Go(func() { server.Run(serving) })
 	a.tasks.Go(func() { a.tick(serving) })
 	a.tasks.Go(func() { a.server.observe(serving) })
-	if a.versions != nil {
-		a.tasks.Go(func() { a.versions.run(serving) })
+	if a.weights != nil {
+		a.tasks.Go(func() { a.weights.Run(serving) })
+		if a.cfg.CacheInterval > 0 {
+			a.tasks.Go(func() { a.followCache(serving) })
+		}
 	}
 }
 
@@ -162,7 +198,7 @@
 }
 
 // tickInterval is the time between two looks at deadlines and announcements.
-const tickInterval = 250 * time.Millisecond
+const tickInterval = 500 * time.Millisecond
 
 func (a *Agent) hello() wire.Hello {
 	return wire.Hello{Role: wire.RoleAgent, Identity: a.cfg.Identity, Pool: a.cfg.Pool}
--- a/agent/config.go
+++ b/agent/config.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"github.com/auburnbend/auburnbend/agent/backend"
 	"github.com/auburnbend/auburnbend/agent/gate"
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/distribute"
@@ -17,7 +18,7 @@
 	"github.com/auburnbend/auburnbend/lib/settings"
 )
 
-const defaultReconcile = time.Second
+const defaultCacheInterval = time.Second
 
 // Config sets up an Agent.
 type Config struct {
@@ -26,6 +27,8 @@
 	Clock    clock.Clock
 	Rand     *rand.Rand
 	Log      *eventlog.Logger
+	// Metrics may be nil.
+	Metrics Metrics
 	// Listener accepts connections of entries and of other agents.
 	Listener net.Listener
 	// Dial replaces the way in which connections to peers are opened; tests use
@@ -40,6 +43,10 @@
 	// Capacity is the number of requests that run at once.
 	Capacity int
 
+	// Table keeps the start counter of the instance's orders; without it the
+	// agent counts on from what its engine reports.
+	Table platform.TableService
+
 	// Origin and WeightStore are the sources of weights; WeightStore is optional.
 	Origin, WeightStore platform.WeightSource
 	// Staging is the directory from which the engine loads.
@@ -52,18 +59,25 @@
 	Downloader  distribute.DownloaderConfig
 	Gate        gate.Config
 
-	// Reconcile is the time between two comparisons of what is live with what
-	// the configuration wants.
-	Reconcile time.Duration
+	// CacheInterval is the time between two reads of the engine's cache events,
+	// and the least time between two cache updates on a connection. It is negative
+	// for an agent that sends none.
+	CacheInterval time.Duration
+
+	// Weights holds the settings of the machine of the instance's weights.
+	Weights backend.Config
 }
 
 func (c Config) applyDefaults() Config {
-	if c.Reconcile == 0 {
-		c.Reconcile = defaultReconcile
+	if c.Metrics == nil {
+		c.Metrics = noMetrics{}
 	}
 	if c.Gate.Capacity == 0 {
 		c.Gate.Capacity = c.Capacity
 	}
+	if c.CacheInterval == 0 {
+		c.CacheInterval = defaultCacheInterval
+	}
 	if c.Dial == nil {
 		c.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 			return listen.Dial(ctx, c.Policy, address)
--- a/agent/program.go
+++ b/agent/program.go
@@ -90,17 +90,20 @@
 		Clock:        clock.System{},
 		Rand:         mathrand.New(mathrand.NewSource(seed)),
 		Log:          log,
+		Metrics:      p.metrics,
 		Listener:     listener,
 		Policy:       policy,
 		Kind:         s.Backend.Kind,
 		BackendURL:   s.Backend.Address,
 		Capacity:     s.Backend.Capacity,
 		Origin:       httpplatform.NewSource(httpplatform.Config{URL: s.Platform.Origin}),
+		Table:        httpplatform.NewTable(httpplatform.Config{URL: s.Platform.TableService}),
 		Staging:      s.Transfer.Staging,
 		StagingBytes: int64(s.Transfer.StagingBytes),
 		LinkRate:     float64(s.Transfer.LinkRate) / bitsPerByte,
 		UploadSlots:  s.Transfer.UploadSlots,
 	}
+	cfg.Weights.Guard.Checked = s.Backend.Fencing == settings.FencingChecked
 	if s.Platform.WeightStore != "" {
 		cfg.WeightStore = httpplatform.NewSource(httpplatform.Config{URL: s.Platform.WeightStore})
 	}
--- a/agent/transfer/service.go
+++ b/agent/transfer/service.go
@@ -24,9 +24,11 @@
 	limits   *limits
 	pool     *connPool
 	slots    chan struct{}
-	targets  chan *target
-	status   chan *wire.TransferStatus
-	permits  chan permitRequest
+	// sendTimes bounds how long a stalled receiver keeps a slot.
+	sendTimes sendTimes
+	targets   chan *target
+	status    chan *wire.TransferStatus
+	permits   chan permitRequest
 
 	mu        sync.Mutex
 	rand      *rand.Rand
@@ -163,3 +165,6 @@
 	defer s.mu.Unlock()
 	return d/2 + time.Duration(s.rand.Int63n(int64(d)/2+1))
 }
+
+// Address returns the peer address under which the instance serves chunks.
+func (s *Service) Address() string { return s.cfg.Identity.Address }
--- a/entry/dispatch/admission.go
+++ b/entry/dispatch/admission.go
@@ -26,6 +26,8 @@
 	cfg    admit.Config
 	clock  clock.Clock
 	placer placer
+	// queued wakes run when a request starts to wait.
+	queued chan struct{}
 
 	mu      sync.Mutex
 	queues  map[string]*admit.Queue
@@ -39,26 +41,38 @@
 		cfg:     cfg,
 		clock:   c,
 		placer:  p,
+		queued:  make(chan struct{}, 1),
 		queues:  make(map[string]*admit.Queue),
 		waiters: make(map[model.RequestID]*waiter),
 		starts:  make(map[string]*admit.StartEstimator),
 	}
 }
 
-// run places waiting requests when instances become free, until ctx ends.
+// run places waiting requests when instances become free, until ctx ends. While
+// requests wait it also looks at every tick, for those that are too late or held
+// back; without any it sleeps, which keeps an idle entry cheap.
 func (a *admission) run(ctx context.Context, changed <-chan struct{}, tick time.Duration) {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
+	timer := time.NewTimer(tick)
+	defer timer.Stop()
 	for {
 		select {
 		case <-changed:
-		case <-ticker.C:
+		case <-a.queued:
+		case <-timer.C:
 		case <-ctx.Done():
 			return
 		}
 		a.mu.Lock()
-		a.pump()
+		waiting := len(a.waiters) > 0
+		if waiting {
+			a.pump()
+		}
 		a.mu.Unlock()
+		if waiting {
+			timer.Reset(tick)
+		} else {
+			timer.Stop()
+		}
 	}
 }
 
@@ -73,9 +87,11 @@
 }
 
 func declare(q *admit.Queue, tenants []config.Tenant) {
+	limits := make(map[model.Tenant]admit.TenantLimits, len(tenants))
 	for _, t := range tenants {
-		q.SetTenant(t.Name, admit.TenantLimits{Share: t.Share, MaxQueued: t.MaxQueued})
+		limits[t.Name] = admit.TenantLimits{Share: t.Share, MaxQueued: t.MaxQueued}
 	}
+	q.SetTenants(limits)
 }
 
 // startBy returns when a request must be dispatched to be in time.
@@ -127,6 +143,10 @@
 	a.pumpPool(w.pool)
 	a.mu.Unlock()
 	select {
+	case a.queued <- struct{}{}:
+	default:
+	}
+	select {
 	case g := <-w.granted:
 		return g
 	case <-ctx.Done():
@@ -181,24 +201,25 @@
 	}
 }
 
-// place tries to start one request. It returns true when the request leaves the
-// queue.
-func (a *admission) place(r admit.Request) bool {
+// place tries to start one request.
+func (a *admission) place(r admit.Request) admit.Placement {
 	w := a.waiters[r.ID]
 	if w == nil {
-		return true
+		return admit.Placed
 	}
+	w.wish.Offered = r.Offered
 	place, err := a.placer.Reserve(&w.wish)
 	switch {
+	case err == nil:
+		a.grant(w, grant{place: place})
 	case errors.Is(err, fleet.ErrQuarantined):
 		a.grant(w, grant{reason: outcome.ReasonQuarantined})
-		return true
-	case place == nil:
-		return false
+	case errors.Is(err, fleet.ErrWaits):
+		return admit.Waits
 	default:
-		a.grant(w, grant{place: place})
-		return true
+		return admit.Blocked
 	}
+	return admit.Placed
 }
 
 func (a *admission) grant(w *waiter, g grant) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,14 +10,20 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+
 	"github.com/auburnbend/auburnbend/entry/caller"
 	"github.com/auburnbend/auburnbend/entry/dispatch"
 	"github.com/auburnbend/auburnbend/entry/fleet"
+	"github.com/auburnbend/auburnbend/entry/operatorrpc"
 	"github.com/auburnbend/auburnbend/entry/tracker"
 	"github.com/auburnbend/auburnbend/lib/claim"
 	"github.com/auburnbend/auburnbend/lib/config"
 	"github.com/auburnbend/auburnbend/lib/follow"
 	"github.com/auburnbend/auburnbend/lib/listen"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/security"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
@@ -33,6 +39,8 @@
 	dispatcher *dispatch.Dispatcher
 	trackers   *tracker.Service
 	callers    *caller.Server
+	operators  *grpc.Server
+	reports    *reports
 	draining   atomic.Bool
 	stop       context.CancelFunc
 	tasks      sync.WaitGroup
@@ -41,7 +49,7 @@
 
 // New returns an entry that Start starts.
 func New(cfg Config) *Entry {
-	e := &Entry{cfg: cfg.applyDefaults(), failed: make(chan error, 1)}
+	e := &Entry{cfg: cfg.applyDefaults(), failed: make(chan error, 2), reports: newReports(cfg.Clock)}
 	cfg = e.cfg
 	e.store = config.NewStore(cfg.Table, config.StoreConfig{Clock: cfg.Clock})
 	e.follower = follow.New(follow.Config{
@@ -71,6 +79,7 @@
 		DrainTimeout: cfg.DrainTimeout,
 	})
 	e.follower.Watch(func(v *config.View) { e.dispatcher.Configure(v.Config) })
+	e.setUpOperators()
 	return e
 }
 
@@ -78,6 +87,7 @@
 	c := e.cfg.Fleet
 	c.Identity, c.Clock, c.Rand, c.Log = e.cfg.Identity, e.cfg.Clock, e.cfg.Rand, e.cfg.Log
 	c.List, c.Follower, c.Dial, c.Draining = e.cfg.List, e.follower, e.dial, e.draining.Load
+	c.Other = e.peerMessage
 	return c
 }
 
@@ -96,6 +106,13 @@
 // Usable returns the number of agents that this entry may send work to.
 func (e *Entry) Usable() int { return e.fleet.Usable() }
 
+// Sent returns the number of attempts that were placed on an agent.
+func (e *Entry) Sent(id model.InstanceID) int { return e.fleet.Sent(id) }
+
+// Traffic returns the bytes that the connections to agents and other entries
+// have sent and received.
+func (e *Entry) Traffic() (sent, received int64) { return e.fleet.Traffic() }
+
 // Current returns the configuration in force, or nil before the first one.
 func (e *Entry) Current() *config.Config {
 	if v := e.follower.Current(); v != nil {
@@ -135,6 +152,13 @@
 	e.tasks.Go(func() { e.tick(serving) })
 	random := rand.New(rand.NewSource(e.cfg.Rand.Int64()))
 	e.tasks.Go(func() { e.follower.PollStore(serving, e.store, e.fleet.Size, random) })
+	if e.operators != nil {
+		e.tasks.Go(func() {
+			if err := e.operators.Serve(e.cfg.Operators); err != nil && serving.Err() == nil {
+				e.failed <- err
+			}
+		})
+	}
 	e.tasks.Go(func() {
 		if err := e.callers.Run(); err != nil && serving.Err() == nil {
 			e.failed <- err
@@ -142,6 +166,19 @@
 	})
 }
 
+// setUpOperators prepares the operators' interface where it has a listener.
+func (e *Entry) setUpOperators() {
+	if e.cfg.Operators == nil {
+		return
+	}
+	var options []grpc.ServerOption
+	if e.cfg.Policy != nil && !e.cfg.Policy.Plaintext() {
+		options = append(options, grpc.Creds(credentials.NewTLS(e.cfg.Policy.Server(security.RoleOperator))))
+	}
+	e.operators = grpc.NewServer(options...)
+	operatorrpc.New(operatorrpc.Config{Clock: e.cfg.Clock, Log: e.cfg.Log}, e.store, status{e}, status{e}).Register(e.operators)
+}
+
 // Failed delivers an error when the entry cannot go on serving callers.
 func (e *Entry) Failed() <-chan error { return e.failed }
 
@@ -165,6 +202,9 @@
 	cancel()
 	_ = e.callers.Shutdown(ended)
 	e.stop()
+	if e.operators != nil {
+		e.operators.Stop()
+	}
 	e.tasks.Wait()
 	return nil
 }
@@ -175,7 +215,7 @@
 		_ = e.trackers.Serve(conn, peer)
 		return
 	}
-	e.fleet.ServePeer(conn, peer, func(m wire.Message) { e.trackers.Handle(peer.Identity, m) })
+	e.fleet.ServePeer(conn, peer)
 }
 
 func (e *Entry) tick(ctx context.Context) {
@@ -186,7 +226,7 @@
 		case <-ticker.C:
 			e.follower.Tick()
 			e.trackers.Tick()
-			e.sendSummaries(ctx)
+			e.exchange(ctx)
 		case <-ctx.Done():
 			return
 		}
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,7 +37,12 @@
 	peers    map[model.InstanceID]*peer
 	conns    map[member.ConnID]*connection
 	nextConn member.ConnID
+	// sent counts the attempts for each agent.
+	sent     map[model.InstanceID]int
 	required []model.InstanceID
+	// unsynced lists agents whose cache is to be asked for, in order.
+	unsynced []route.Key
+	synced   time.Time
 	// entries is the last list of entries that agents were sent.
 	entries []string
 	tasks   sync.WaitGroup
@@ -55,6 +61,7 @@
 		agents:   make(map[model.InstanceID]route.Instance),
 		peers:    make(map[model.InstanceID]*peer),
 		conns:    make(map[member.ConnID]*connection),
+		sent:     make(map[model.InstanceID]int),
 	}
 }
 
@@ -74,7 +81,7 @@
 	defer tick.Stop()
 	var listed time.Time
 	for ctx.Err() == nil {
-		if now := f.cfg.Clock.Now(); now.Sub(listed) >= f.cfg.ListInterval || listed.IsZero() {
+		if now := f.cfg.Clock.Now(); listed.IsZero() || now.Sub(listed) >= f.listInterval() {
 			listed = now
 			f.readList(ctx)
 			f.reconnect(ctx)
@@ -88,6 +95,17 @@
 	f.tasks.Wait()
 }
 
+// listInterval is shorter while nobody is known: the entry may have started
+// before the list showed the agents that started with it.
+func (f *Fleet) listInterval() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.agents) == 0 {
+		return min(f.cfg.ListInterval, startListInterval)
+	}
+	return f.cfg.ListInterval
+}
+
 func (f *Fleet) readList(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, f.cfg.ListInterval)
 	defer cancel()
@@ -98,7 +116,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.apply(f.view.Seed(instances))
+	f.apply(f.view.Seed(f.cfg.Clock.Now(), instances))
 }
 
 func (f *Fleet) tick() {
@@ -113,7 +131,7 @@
 	f.apply(f.view.Tick(now))
 	f.broadcast(f.monitor.Tick(now))
 	f.sendEntries()
-	f.wake()
+	f.fetchCache(now)
 }
 
 // apply acts on changes of the view. The caller holds the mutex.
@@ -162,6 +180,7 @@
 	delete(f.limiters, key)
 	if f.agents[key.Instance].Generation == key.Generation {
 		delete(f.agents, key.Instance)
+		delete(f.sent, key.Instance)
 	}
 }
 
@@ -182,6 +201,16 @@
 	return size
 }
 
+// Members returns all other processes that this entry knows.
+func (f *Fleet) Members() []member.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	members := append(f.view.Members(platform.RoleEntry), f.view.Members(platform.RoleAgent)...)
+	return slices.DeleteFunc(members, func(m member.Member) bool {
+		return m.Identity.Instance == f.cfg.Identity.Instance
+	})
+}
+
 // Entries returns the other entries that are not gone.
 func (f *Fleet) Entries() []member.Member {
 	f.mu.Lock()
@@ -254,6 +283,26 @@
 	return nil
 }
 
+// Traffic returns the bytes that the connections which this entry opened have
+// sent and received.
+func (f *Fleet) Traffic() (sent, received int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.peers {
+		s, r := p.link.Bytes()
+		sent += s
+		received += r
+	}
+	return sent, received
+}
+
+// Sent returns the number of attempts that were placed on an agent.
+func (f *Fleet) Sent(id model.InstanceID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sent[id]
+}
+
 // Usable returns the number of agents that this entry may send work to.
 func (f *Fleet) Usable() int {
 	f.mu.Lock()
--- a/internal/deployment/agent_process.go
+++ b/internal/deployment/agent_process.go
@@ -55,6 +55,9 @@
 		Origin:   d.Origin,
 		LinkRate: d.Options.linkRate(),
 	}
+	if d.Options.NoCacheEvents {
+		cfg.CacheInterval = -1
+	}
 	if err := p.startBackend(&cfg); err != nil {
 		return err
 	}
@@ -63,7 +66,7 @@
 	}
 	p.Agent.Start()
 	d.Agents = append(d.Agents, p)
-	d.List.Set(platform.Instance{ID: p.Identity.Instance, Role: platform.RoleAgent, Location: p.Identity.Location, Address: p.Identity.Address})
+	d.List.Set(platform.Instance{ID: p.Identity.Instance, Role: platform.RoleAgent, Location: p.Identity.Location, Address: p.Identity.Address, Pool: p.Pool})
 	return nil
 }
 
@@ -78,13 +81,15 @@
 		return nil
 	}
 	cfg.Kind = settings.BackendEngine
+	// Every third engine ignores fencing numbers, as some in use do.
+	ignores := p.Identity.Generation%3 == 0
+	cfg.Weights.Guard.Checked = !ignores
 	if cfg.Staging, err = p.deployment.stagingOf(string(p.Identity.Instance)); err != nil {
 		return err
 	}
 	p.Engine, err = engine.Start(engine.Config{
 		Scale: o.EngineScale, Capacity: engineCapacity, RestartDelay: o.EngineRestart,
-		// Every third engine ignores fencing numbers, as some in use do.
-		IgnoreFencing: p.Identity.Generation%3 == 0,
+		IgnoreFencing: ignores,
 	})
 	if err != nil {
 		return err
@@ -107,6 +112,10 @@
 	return err
 }
 
+// SilenceHalf makes half of the entries' connections to this agent go silent for
+// good, so that they miss what it announces next.
+func (p *AgentProcess) SilenceHalf() { p.listener.silenceHalf() }
+
 // Kill ends the instance at once, engine included: all its connections break.
 func (p *AgentProcess) Kill() {
 	p.stopped.Store(true)
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -10,6 +10,7 @@
 	"math/rand"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +19,7 @@
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/weights"
+	"github.com/auburnbend/auburnbend/operator"
 	"github.com/auburnbend/auburnbend/standin/engine"
 	"github.com/auburnbend/auburnbend/standin/instances"
 	"github.com/auburnbend/auburnbend/standin/origin"
@@ -30,7 +32,6 @@
 	Table   *table.Service
 	Origin  *origin.Source
 	List    *instances.List
-	Store   *config.Store
 	Entries []*EntryProcess
 	Agents  []*AgentProcess
 	// Versions are the published versions of the model in order.
@@ -60,7 +61,6 @@
 		rand:    rand.New(rand.NewSource(o.Seed)),
 		log:     log,
 	}
-	d.Store = config.NewStore(d.Table, config.StoreConfig{Clock: clock.System{}})
 	for _, domain := range o.Domains {
 		if err := d.startDomain(domain); err != nil {
 			d.Close()
@@ -242,3 +242,57 @@
 	}
 	return runs
 }
+
+// Place publishes a version and places it in all failure domains through the
+// operators' interface.
+func (d *Deployment) Place(ctx context.Context, name string) (Version, error) {
+	v, err := d.Publish(name)
+	if err != nil {
+		return v, err
+	}
+	client, err := d.Operator()
+	if err != nil {
+		return v, err
+	}
+	defer func() { _ = client.Close() }()
+	newest, err := client.Get(ctx, 0, false)
+	if err != nil && !errors.Is(err, config.ErrRevisionNotFound) {
+		return v, err
+	}
+	_, err = client.Apply(ctx, config.Request{
+		Config: d.Declare(name), Expected: newest.Head.Number, Operation: "place-" + name, Author: "operator",
+	})
+	return v, err
+}
+
+// Operator returns a client of the operators' interface.
+func (d *Deployment) Operator() (*operator.Client, error) {
+	var addresses []string
+	for _, e := range d.Entries {
+		addresses = append(addresses, e.Operators)
+	}
+	return operator.New(operator.Config{Addresses: addresses, Plaintext: true})
+}
+
+// Configure applies a configuration without a model.
+func (d *Deployment) Configure(ctx context.Context) error {
+	client, err := d.Operator()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = client.Close() }()
+	c := d.Declare("")
+	c.Placements = nil
+	c.Services = slices.DeleteFunc(c.Services, func(s config.Service) bool { return s.Kind == config.KindModel })
+	_, err = client.Apply(ctx, config.Request{Config: c, Operation: "configure", Author: "operator"})
+	return err
+}
+
+// SentTo returns the attempts that all entries have placed on an agent.
+func (d *Deployment) SentTo(a *AgentProcess) int {
+	sent := 0
+	for _, e := range d.Entries {
+		sent += e.Entry.Sent(a.Identity.Instance)
+	}
+	return sent
+}
--- a/lib/admit/config.go
+++ b/lib/admit/config.go
@@ -12,10 +12,23 @@
 	MaxQueued int
 	// TenantMaxQueued bounds the requests of a tenant that declares no bound.
 	TenantMaxQueued int
-	// PriorityLead is how many tokens of service a request may go ahead of
-	// other tenants' requests per step of priority. It is a bounded advantage,
-	// so no class starves.
+	// PriorityLead is how many tokens of service a request of a tenant with a
+	// mean share may go ahead of other tenants' requests per step of priority.
+	// It is a bounded advantage, so no class starves.
 	PriorityLead float64
+	// Burst is how many tokens of its share a tenant with a mean share keeps
+	// while it sends nothing. Without it, a tenant that sends its share on
+	// average loses what its pauses leave to a tenant that always has requests
+	// waiting, and its bursts are refused.
+	Burst float64
+	// Overtake is how many tokens of a mean share may be served ahead of a
+	// request that waits for a better place. Without the bound, a tenant that
+	// always has requests waiting takes the turns of those that wait.
+	Overtake float64
+	// ExcessShare is the part of its share that a tenant gets while more of its
+	// tokens are refused than started. What it cedes goes to tenants about at
+	// their share, whose bursts a saturated pool could not take otherwise.
+	ExcessShare float64
 	// PriorityRatio is the ratio between the weights of two classes of one
 	// tenant that are one step of priority apart.
 	PriorityRatio float64
@@ -40,6 +53,15 @@
 	if c.PriorityLead <= 0 {
 		c.PriorityLead = 1000
 	}
+	if c.Burst <= 0 {
+		c.Burst = 40_000
+	}
+	if c.Overtake <= 0 {
+		c.Overtake = 12000
+	}
+	if c.ExcessShare <= 0 || c.ExcessShare > 1 {
+		c.ExcessShare = 0.75
+	}
 	if c.PriorityRatio <= 1 {
 		c.PriorityRatio = 4
 	}
@@ -81,7 +103,9 @@
 	// earlier of its deadline and its target for the first token, less the time
 	// that a backend server needs for it. Zero means that it waits for ever.
 	StartBy time.Time
-	// Offered is when Next first offered the request for placing. The Queue
-	// sets it.
+	// Offered is when Next first offered the request for placing or, for a
+	// tenant clearly under its share, when the request arrived: its requests
+	// wait for a better place one after the other, and the waits would add up.
+	// The Queue sets it.
 	Offered time.Time
 }
--- a/lib/admit/tenant_queue.go
+++ b/lib/admit/tenant_queue.go
@@ -13,7 +13,9 @@
 	classes   []*classQueue
 	names     []model.Class
 	queued    int
-	tokens    int // estimated tokens of the waiting requests
+	demand    demand
+	served    rate // while requests of the tenant wait
+	tokens    int  // estimated tokens of the waiting requests
 }
 
 // class returns the queue of a class. It takes over a changed priority.
@@ -48,7 +50,7 @@
 
 // before orders classes by start tag, then by priority.
 func (c *classQueue) before(other *classQueue, virtual float64) bool {
-	a, b := c.start(virtual), other.start(virtual)
+	a, b := c.start(virtual, 0), other.start(virtual, 0)
 	if a != b {
 		return a < b
 	}
--- a/lib/distribute/tracker_remote.go
+++ b/lib/distribute/tracker_remote.go
@@ -65,8 +65,9 @@
 				best, gain = i, g
 			}
 		}
-		if gain == 0 && len(s.Holders) >= 2 {
-			break
+		if gain == 0 {
+			// The rest are spares, for sources behind a stalled link.
+			best = t.cfg.Rand.Intn(len(left))
 		}
 		p := left[best]
 		left = append(left[:best], left[best+1:]...)
@@ -150,7 +151,7 @@
 	ties := 0
 	for _, d := range open {
 		for _, s := range d.holders {
-			if !s.have.Get(chunk) || s.uploads >= t.cfg.UploadSlots || !s.usable(now) || !to.accepts(now, s.address, chunk) {
+			if !s.have.Get(chunk) || s.uploads >= t.cfg.UploadSlots || !s.usable(now) || !to.accepts(now, s.address) || to.bad[chunk] == s.address {
 				continue
 			}
 			switch {
--- a/lib/distribute/tracker_schedule.go
+++ b/lib/distribute/tracker_schedule.go
@@ -53,19 +53,18 @@
 	return out
 }
 
-// Reply returns the acknowledgement of an announcement: it shows the agent that
-// the tracker lives and names peers for use without a tracker.
-func (t *Tracker) Reply(address string) *wire.Assign {
-	a := &wire.Assign{Manifest: t.cfg.Digest, RetryMillis: t.cfg.Retry.Milliseconds()}
+// PeersFor names agents that an agent may use without a tracker.
+func (t *Tracker) PeersFor(address string) []string {
 	peers := t.sortedPeers()
 	start := t.cfg.Rand.Intn(len(peers) + 1)
+	var out []string
 	for i := range peers {
 		p := peers[(start+i)%len(peers)]
-		if p.address != address && len(a.Peers) < maxPeersNamed {
-			a.Peers = append(a.Peers, p.address)
+		if p.address != address && len(out) < maxPeersNamed {
+			out = append(out, p.address)
 		}
 	}
-	return a
+	return out
 }
 
 // next grants one chunk to an agent: one that the failure domain lacks, if a
@@ -78,9 +77,41 @@
 	if g := t.rarest(now, p); g != nil {
 		return g
 	}
+	if g := t.stranded(now, p); g != nil {
+		return g
+	}
 	return t.endgame(now, p)
 }
 
+// stranded grants a chunk whose local holders are all avoided or failed for this
+// agent, as behind stalled links, from another tracker's agents or the origin.
+func (t *Tracker) stranded(now time.Time, p *peer) *grant {
+	open := t.openRemote(now)
+	for _, chunk := range t.order {
+		if t.holders[chunk] == 0 || !p.needs(chunk) || t.reachable(now, p, chunk) {
+			continue
+		}
+		if s, region := t.remoteSource(now, open, p, chunk); s != nil {
+			return t.issue(now, p, chunk, s, region)
+		}
+		if t.originActive < t.cfg.OriginStreams && p.accepts(now, Origin) {
+			return t.issue(now, p, chunk, nil, nil)
+		}
+	}
+	return nil
+}
+
+// reachable reports whether an agent accepts a chunk from any local holder, now
+// or when a slot is free.
+func (t *Tracker) reachable(now time.Time, to *peer, chunk int) bool {
+	for _, p := range t.sortedPeers() {
+		if p != to && p.have.Get(chunk) && p.usable(now) && !to.failing(now, p.address) {
+			return true
+		}
+	}
+	return false
+}
+
 // freshFor grants a chunk that no agent of the failure domain holds or is
 // fetching. Origin fetches go by rank, remote ones in the opposite direction,
 // so that they don't compete.
@@ -94,7 +125,7 @@
 			}
 		}
 	}
-	if t.originActive >= t.cfg.OriginStreams || !p.accepts(now, Origin, -1) {
+	if t.originActive >= t.cfg.OriginStreams || !p.accepts(now, Origin) {
 		return nil
 	}
 	for _, chunk := range t.fresh {
@@ -175,19 +206,20 @@
 }
 
 // uploader returns the least loaded agent that holds a chunk, at random among
-// equals. Avoided sources are used only if no other agent holds the chunk.
+// equals. The one that last sent a corrupt copy is used if there is no other;
+// one that is avoided is not used.
 func (t *Tracker) uploader(now time.Time, to *peer, chunk int) *source {
 	var best *source
-	ties, avoided := 0, false
+	ties, worse := 0, false
 	for _, p := range t.sortedPeers() {
-		if p == to || !p.have.Get(chunk) || p.uploads >= t.cfg.UploadSlots || !to.accepts(now, p.address, chunk) {
+		if p == to || !p.have.Get(chunk) || p.uploads >= t.cfg.UploadSlots || !p.usable(now) || !to.accepts(now, p.address) {
 			continue
 		}
-		bad := !p.usable(now)
+		bad := to.bad[chunk] == p.address
 		switch {
-		case best == nil, avoided && !bad, avoided == bad && p.uploads < best.uploads:
-			best, avoided, ties = &p.source, bad, 0
-		case avoided == bad && p.uploads == best.uploads:
+		case best == nil, worse && !bad, worse == bad && p.uploads < best.uploads:
+			best, worse, ties = &p.source, bad, 0
+		case worse == bad && p.uploads == best.uploads:
 			if ties++; t.cfg.Rand.Intn(ties+1) == 0 {
 				best = &p.source
 			}
--- a/lib/member/tick.go
+++ b/lib/member/tick.go
@@ -26,7 +26,7 @@
 	for _, id := range v.sortedMembers() {
 		e := v.members[id]
 		if e.State == StateProbing && now.Sub(e.probeSince) >= v.cfg.ProbeTimeout && v.reaches(now) {
-			events = append(events, v.leave(e)...)
+			events = append(events, v.leave(now, e)...)
 		}
 	}
 	v.retired.prune(now)
@@ -78,7 +78,7 @@
 	}
 	var events []Event
 	for id, c := range v.conns {
-		if !c.silent && c.probedAt.IsZero() && now.Sub(c.heard) > BusyInterval {
+		if !c.silent && c.busySince.IsZero() && c.probedAt.IsZero() && now.Sub(c.heard) > BusyInterval {
 			c.probedAt = now
 			events = append(events, Event{Kind: Probe, Instance: c.instance, Generation: c.generation, Conn: id})
 		}
--- a/lib/poison/poison.go
+++ b/lib/poison/poison.go
@@ -4,7 +4,7 @@
 // A request is known by its fingerprint, whatever id its caller gives it. All
 // requests that were in flight when a backend server crashed are suspects. A
 // suspect runs again without another suspect on the same backend server. Its
-// own success clears it; a crash of a second backend server quarantines it until
+// own success clears it, also one shortly before the crash; a crash of a second backend server quarantines it until
 // the crashes are older than Config.TTL.
 //
 // Only crashes that an agent reports count. The loss of a whole instance is no
@@ -17,8 +17,8 @@
 //
 // # Guarantee
 //
-// Let d be the number of dispatches of a fingerprint that start before the first
-// crash report reaches their entries. No coordination precedes the first crash,
+// Let d be the number of dispatches of a fingerprint that start before a crash
+// report or the loss of an attempt of their own reaches their entries. No coordination precedes the first crash,
 // so up to d backend servers may be lost to them. As long as updates between
 // live entries arrive within half of Config.Settle, at most max(2, d) backend
 // servers are lost in all. For a caller that waits for its answer before it
--- a/lib/subset/subset.go
+++ b/lib/subset/subset.go
@@ -13,23 +13,14 @@
 	"github.com/auburnbend/auburnbend/lib/rendezvous"
 )
 
-// spareCapacity is the room that entries have beyond the mean where the bound
-// has to give way. Without room, each change would displace a long chain of
-// connections.
-const spareCapacity = 1.2
-
-// smallPoolFactor tells small pools: those of which an entry gets fewer than
-// this many times Config.MinPerPool agents on average. In larger pools the
-// share of entries with too few is negligible.
-const smallPoolFactor = 6
-
 // Assign calculates the connections of one failure domain.
 //
 // Agents and entries are matched by deferred acceptance (Gale and Shapley,
 // 1962). Both sides prefer by the same rendezvous weights, so the matching is
 // unique and does not depend on the order of the input. A change displaces
 // further connections only where an entry is full. Each entry then adds its
-// preferred agents of any pool of which it has fewer than Config.MinPerPool.
+// preferred agents of any pool of which it has fewer than Config.MinPerPool,
+// as far as the bound allows; one of each pool it gets in any case.
 //
 // With few agents per entry an agent connects to more entries than the least
 // number, up to all of them, in proportion to the free room.
@@ -37,6 +28,7 @@
 	cfg.applyDefaults()
 	m := newMatching(cfg, entries, agents)
 	m.match()
+	m.makeRoom()
 	m.fillPools()
 	return m.plan()
 }
@@ -83,22 +75,16 @@
 	return min(whole, entries)
 }
 
-// capacity returns how many agents an entry accepts. It leaves room under the
-// bound for pools so small that entries may have to add agents of them.
-func capacity(cfg Config, entries int, poolSizes map[string]int) int {
+// capacity returns how many agents an entry accepts. An agent that is refused
+// by all entries has fewer than the least number of connections, so all but at
+// most least-1 entries are full. The bound gives way before that can happen.
+func capacity(cfg Config, entries, agents int) int {
 	if entries == 0 {
 		return 0
 	}
-	room, agents := 0, 0
 	least := min(cfg.MinPerAgent, entries)
-	for _, size := range poolSizes {
-		agents += size
-		if size*least < smallPoolFactor*cfg.MinPerPool*entries {
-			room += min(size, cfg.MinPerPool)
-		}
-	}
-	needed := int(math.Ceil(float64(least*agents) / float64(entries) * spareCapacity))
-	return max(cfg.MaxPerEntry-room, needed)
+	needed := int(math.Ceil(float64(least*agents) / float64(entries-least+1)))
+	return max(cfg.MaxPerEntry, min(needed, agents))
 }
 
 // byWeight orders candidates by falling weight, then by index.
--- a/lib/wire/messages.go
+++ b/lib/wire/messages.go
@@ -82,6 +82,9 @@
 	// server after a failure that may have run it.
 	Repeatable  bool   `msgpack:"e"`
 	ContentType string `msgpack:"y"`
+	// Suspect says that the request was in flight when a backend server crashed.
+	// The agent runs one suspect at a time.
+	Suspect bool `msgpack:"u"`
 	// IdempotencyKey is passed on to plain services that understand it.
 	IdempotencyKey string `msgpack:"k"`
 	Body           []byte `msgpack:"b"`
@@ -204,6 +207,8 @@
 	// Active is the number of assignments that the agent has not finished. The
 	// tracker subtracts from Slots those that crossed with this message.
 	Active int `msgpack:"a"`
+	// Sequence numbers the announcements on one connection from 1.
+	Sequence uint64 `msgpack:"q"`
 }
 
 // GrantFailure reports an assignment that did not deliver its chunk.
@@ -233,6 +238,9 @@
 	RetryMillis int64 `msgpack:"r"`
 	// Peers are addresses of agents that hold chunks, for use without a tracker.
 	Peers []string `msgpack:"p"`
+	// Sequence is that of the last Announce on the connection. Assignments are
+	// also pushed, so only this shows that announcements arrive.
+	Sequence uint64 `msgpack:"q"`
 }
 
 // ManifestFetch asks for an encoded manifest.
