Let one assignment wait ahead of the window

Cause: a place in the window was empty for the round trip to the tracker after each chunk. Change: Ahead (1), five streams, six upload slots.

--- a/agent/transfer/config.go
+++ b/agent/transfer/config.go
@@ -78,7 +78,7 @@
 		c.Chunks = weights.NewStore(weights.StoreConfig{})
 	}
 	if c.Downloader.Window <= 0 {
-		c.Downloader.Window = 4
+		c.Downloader.Window = 5
 	}
 	if c.WindowBytes <= 0 {
 		// Half is for downloads; uploads hold as much at most. Both stay well
@@ -86,7 +86,7 @@
 		c.WindowBytes = 32 << 20
 	}
 	if c.UploadSlots <= 0 {
-		c.UploadSlots = 8
+		c.UploadSlots = 12 // trackers of this and of other failure domains assign 6 each
 	}
 	setDefault(&c.SlotWait, 100*time.Millisecond)
 	setDefault(&c.Tick, 20*time.Millisecond)
--- a/internal/measure/distribute/options.go
+++ b/internal/measure/distribute/options.go
@@ -25,6 +25,7 @@
 	Only              string
 	Streams           int
 	UploadSlots       int
+	Ahead             int
 	OriginStreams     int
 	RemoteStreams     int
 }
@@ -48,8 +49,9 @@
 	f.Int64Var(&o.Seed, "seed", 1, "seed of all random choices")
 	f.StringVar(&o.Plot, "plot", "", "file for an SVG of complete instances over time")
 	f.StringVar(&o.Only, "only", "", "comma-separated runs: time, bytes, faults, origin, tree; all when empty")
-	f.IntVar(&o.Streams, "streams", 4, "chunks that an instance fetches at one time")
-	f.IntVar(&o.UploadSlots, "upload-slots", 4, "assignments that name one instance as source at one time")
+	f.IntVar(&o.Streams, "streams", 5, "chunks that an instance fetches at one time")
+	f.IntVar(&o.Ahead, "ahead", 1, "assignments of an instance that wait for a free place")
+	f.IntVar(&o.UploadSlots, "upload-slots", 6, "assignments that name one instance as source at one time")
 	f.IntVar(&o.OriginStreams, "origin-streams", 3, "origin fetches of a failure domain at one time")
 	f.IntVar(&o.RemoteStreams, "remote-streams", 4, "fetches of a failure domain from one other region at one time")
 }
--- a/lib/distribute/tracker_config.go
+++ b/lib/distribute/tracker_config.go
@@ -56,7 +56,7 @@
 }
 
 func (c *TrackerConfig) applyDefaults() {
-	defaultTo(&c.UploadSlots, 4)
+	defaultTo(&c.UploadSlots, 6)
 	defaultTo(&c.OriginStreams, 3)
 	defaultTo(&c.RemoteStreams, 4)
 	defaultTo(&c.GrantTimeout, 5*time.Second)
