--- /dev/null
+++ b/lib/distribute/notice.go
@@ -0,0 +1,26 @@
+package distribute
+
+import "github.com/auburnbend/auburnbend/lib/wire"
+
+// Notice is what an announcement showed that operators may want to know.
+type Notice struct {
+	// Corrupt lists the sources of chunks that did not match their digest.
+	Corrupt []string
+	// Stalled lists the sources of transfers that failed otherwise.
+	Stalled []string
+	// Outdated counts results of grants that had expired. They are used: the
+	// agent verified the chunk.
+	Outdated int
+}
+
+// Stats counts what a tracker did.
+type Stats struct {
+	OriginGrants int
+	Expired      int
+}
+
+// Directed is a message for one agent, named by its address.
+type Directed struct {
+	Address string
+	Assign  *wire.Assign
+}
--- a/lib/distribute/tracker.go
+++ b/lib/distribute/tracker.go
@@ -14,29 +14,6 @@
 // maxPeersNamed bounds the addresses in Assign.Peers.
 const maxPeersNamed = 16
 
-// Notice is what an announcement showed that operators may want to know.
-type Notice struct {
-	// Corrupt lists the sources of chunks that did not match their digest.
-	Corrupt []string
-	// Stalled lists the sources of transfers that failed otherwise.
-	Stalled []string
-	// Outdated counts results of grants that had expired. They are used: the
-	// agent verified the chunk.
-	Outdated int
-}
-
-// Stats counts what a tracker did.
-type Stats struct {
-	OriginGrants int
-	Expired      int
-}
-
-// Directed is a message for one agent, named by its address.
-type Directed struct {
-	Address string
-	Assign  *wire.Assign
-}
-
 // Tracker decides which agent of one failure domain takes which chunk of one
 // version from where. All its state is soft: it is rebuilt from announcements.
 type Tracker struct {
