--- a/lib/distribute/sim_act_test.go
+++ b/lib/distribute/sim_act_test.go
@@ -95,4 +95,3 @@
 		}
 	}
 }
-
--- a/lib/distribute/tracker.go
+++ b/lib/distribute/tracker.go
@@ -19,7 +19,7 @@
 type Tracker struct {
 	cfg   TrackerConfig
 	ranks []int // position of this domain in the policy, for each chunk
-	order []int // chunks in random order of rank, for origin fetches
+	order []int // distinct chunks by rank, at random among equals
 
 	peers     map[string]*peer
 	sorted    []*peer // by address; nil after a change
@@ -58,10 +58,18 @@
 		regions:    make(map[model.Region]*remoteRegion),
 		lastRemote: now,
 	}
+	// A chunk that occurs several times in the manifest is assigned once: the
+	// agent that receives it marks all its positions.
+	seen := make(map[model.Digest]bool, n)
 	for i, c := range cfg.Manifest.Chunks {
+		if seen[c.Digest] {
+			continue
+		}
+		seen[c.Digest] = true
 		t.ranks[i] = cfg.Policy.Rank(c.Digest, cfg.Location.FailureDomain)
+		t.order = append(t.order, i)
 	}
-	t.order = cfg.Rand.Perm(n)
+	cfg.Rand.Shuffle(len(t.order), func(i, j int) { t.order[i], t.order[j] = t.order[j], t.order[i] })
 	slices.SortStableFunc(t.order, func(a, b int) int { return cmp.Compare(t.ranks[a], t.ranks[b]) })
 	return t
 }
--- a/lib/distribute/tracker_schedule.go
+++ b/lib/distribute/tracker_schedule.go
@@ -170,10 +170,10 @@
 	if !t.freeUploads() {
 		return nil
 	}
-	n := len(t.holders)
+	n := len(t.order)
 	start := t.cfg.Rand.Intn(n)
 	for i := range n {
-		chunk := (start + i) % n
+		chunk := t.order[(start+i)%n]
 		if t.holders[chunk] == 0 || !p.needs(chunk) {
 			continue
 		}
