--- a/lib/distribute/tracker.go
+++ b/lib/distribute/tracker.go
@@ -14,35 +14,12 @@
 // maxPeersNamed bounds the addresses in Assign.Peers.
 const maxPeersNamed = 16
 
-// Notice is what an announcement showed that operators may want to know.
-type Notice struct {
-	// Corrupt lists the sources of chunks that did not match their digest.
-	Corrupt []string
-	// Stalled lists the sources of transfers that failed otherwise.
-	Stalled []string
-	// Outdated counts results of grants that had expired. They are used: the
-	// agent verified the chunk.
-	Outdated int
-}
-
-// Stats counts what a tracker did.
-type Stats struct {
-	OriginGrants int
-	Expired      int
-}
-
-// Directed is a message for one agent, named by its address.
-type Directed struct {
-	Address string
-	Assign  *wire.Assign
-}
-
 // Tracker decides which agent of one failure domain takes which chunk of one
 // version from where. All its state is soft: it is rebuilt from announcements.
 type Tracker struct {
 	cfg   TrackerConfig
 	ranks []int // position of this domain in the policy, for each chunk
-	order []int // chunks in random order of rank, for origin fetches
+	order []int // distinct chunks by rank, at random among equals
 
 	peers     map[string]*peer
 	sorted    []*peer // by address; nil after a change
@@ -81,10 +58,18 @@
 		regions:    make(map[model.Region]*remoteRegion),
 		lastRemote: now,
 	}
+	// A chunk that occurs several times in the manifest is assigned once: the
+	// agent that receives it marks all its positions.
+	seen := make(map[model.Digest]bool, n)
 	for i, c := range cfg.Manifest.Chunks {
+		if seen[c.Digest] {
+			continue
+		}
+		seen[c.Digest] = true
 		t.ranks[i] = cfg.Policy.Rank(c.Digest, cfg.Location.FailureDomain)
+		t.order = append(t.order, i)
 	}
-	t.order = cfg.Rand.Perm(n)
+	cfg.Rand.Shuffle(len(t.order), func(i, j int) { t.order[i], t.order[j] = t.order[j], t.order[i] })
 	slices.SortStableFunc(t.order, func(a, b int) int { return cmp.Compare(t.ranks[a], t.ranks[b]) })
 	return t
 }
