Keep a suspect off an instance only while another suspect runs there

A try to place a suspect added instances that run another suspect to the list of instances to avoid for good. With one other instance the request then waited until it was shed, although the other suspect had ended.

The list is now kept for one try.

--- a/entry/fleet/place.go
+++ b/entry/fleet/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -76,7 +77,9 @@
 }
 
 func (f *Fleet) reserveFor(now time.Time, w *Wish, weights model.Weights) (*Place, error) {
-	request := f.routeRequest(now, w, weights)
+	// An instance that runs another suspect now is avoided by this try only.
+	avoid := slices.Clone(w.Avoid)
+	request := f.routeRequest(now, w, &avoid, weights)
 	for range maxPlacements {
 		choice, err := f.picker.Pick(now, request)
 		if err != nil {
@@ -95,23 +98,21 @@
 		case poison.Hold:
 			return nil, merry.Wrap(ErrBlocked)
 		case poison.RunElsewhere:
-			w.Avoid = append(w.Avoid, choice.Key.Instance)
+			avoid = append(avoid, choice.Key.Instance)
 		}
 	}
 	return nil, merry.Wrap(ErrBlocked)
 }
 
-func (f *Fleet) routeRequest(now time.Time, w *Wish, weights model.Weights) *route.Request {
+func (f *Fleet) routeRequest(now time.Time, w *Wish, avoid *[]model.InstanceID, weights model.Weights) *route.Request {
 	request := &route.Request{Pool: w.Pool, Weights: weights, Offered: w.Offered}
 	if w.Prefix != 0 {
 		request.Prefix = []uint64{uint64(w.Prefix.Under(weights))}
 		request.AffinityBlocks = 1
 	}
 	request.Allowed = func(key route.Key) bool {
-		for _, avoided := range w.Avoid {
-			if avoided == key.Instance {
-				return false
-			}
+		if slices.Contains(*avoid, key.Instance) {
+			return false
 		}
 		m, ok := f.view.Member(key.Instance)
 		return ok && m.Usable(now) && f.linkOf(key.Instance) != nil
