Connect again to members that were gone

A member that was judged gone was dropped from the members that an entry connects to while the platform still listed it, so an agent that came back after a partition or a restart under its name got no requests from that entry any more. A member that came back at another address was dialled at the old one.

An entry now tries members that are gone and listed where it would connect to them, and opens a new link when the address changes.

--- a/entry/fleet/peer.go
+++ b/entry/fleet/peer.go
@@ -11,9 +11,10 @@
 
 // peer is one instance that this entry connects to.
 type peer struct {
-	role   platform.InstanceRole
-	link   *link.Link
-	cancel context.CancelFunc
+	role    platform.InstanceRole
+	address string
+	link    *link.Link
+	cancel  context.CancelFunc
 }
 
 // connection is one open connection, in either direction.
--- a/entry/fleet/reconnect.go
+++ b/entry/fleet/reconnect.go
@@ -20,7 +20,12 @@
 	defer f.mu.Unlock()
 	wanted := f.wanted()
 	for id, m := range wanted {
-		if f.peers[id] == nil {
+		p := f.peers[id]
+		if p != nil && p.address != m.Identity.Address && p.link.InFlight() == 0 {
+			p.cancel()
+			p = nil
+		}
+		if p == nil {
 			f.open(ctx, m)
 		}
 	}
@@ -32,13 +37,29 @@
 	}
 }
 
-// wanted returns the members that this entry connects to: its part of the
-// agents of the failure domain, a few agents elsewhere for spilling, and a few
-// entries, at least one in each other failure domain. The caller holds the mutex.
+// wanted returns the members that this entry connects to. Members that are gone
+// and still listed are tried again where this entry would connect to them, and
+// take no place of a live one. The caller holds the mutex.
 func (f *Fleet) wanted() map[model.InstanceID]member.Member {
+	entries, agents := f.present(platform.RoleEntry), f.present(platform.RoleAgent)
+	wanted := f.choose(entries, agents)
+	lostEntries, lostAgents := f.view.Lost(platform.RoleEntry), f.view.Lost(platform.RoleAgent)
+	if len(lostEntries)+len(lostAgents) == 0 {
+		return wanted
+	}
+	for id, m := range f.choose(append(entries, lostEntries...), append(agents, lostAgents...)) {
+		if m.State == member.StateGone {
+			wanted[id] = m
+		}
+	}
+	return wanted
+}
+
+// choose returns the entry's part of the agents of the failure domain, a few
+// agents elsewhere for spilling, and a few entries, at least one in each other
+// failure domain. The caller holds the mutex.
+func (f *Fleet) choose(entries, agents []member.Member) map[model.InstanceID]member.Member {
 	wanted := make(map[model.InstanceID]member.Member)
-	entries := f.present(platform.RoleEntry)
-	agents := f.present(platform.RoleAgent)
 	own := f.cfg.Identity.Instance
 	location := f.cfg.Identity.Location
 
@@ -139,7 +160,7 @@
 		Heartbeat: f.heartbeat,
 		NextConn:  f.newConnID,
 	}, linkHandler{fleet: f})
-	f.peers[m.Identity.Instance] = &peer{role: m.Role, link: l, cancel: cancel}
+	f.peers[m.Identity.Instance] = &peer{role: m.Role, address: m.Identity.Address, link: l, cancel: cancel}
 	f.tasks.Add(1)
 	go func() {
 		defer f.tasks.Done()
--- a/internal/agenttest/agent.go
+++ b/internal/agenttest/agent.go
@@ -95,6 +95,20 @@
 	a.hello.Identity.Instance = id
 }
 
+// SetLoad changes the load in heartbeats. A fleet that shows it has handled all
+// that was sent before.
+func (a *Agent) SetLoad(l wire.Load) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.beat.Load = l
+}
+
+func (a *Agent) heartbeat() wire.Heartbeat {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.beat
+}
+
 // Identity returns the identity with the address of the listener.
 func (a *Agent) Identity() model.Identity {
 	a.mu.Lock()
@@ -148,7 +162,7 @@
 	a.mu.Lock()
 	a.open[nc] = conn
 	a.mu.Unlock()
-	beats := heartbeat.Sender{Conn: conn, Beat: func() wire.Heartbeat { return a.beat }, InFlight: func() int { return 1 }}
+	beats := heartbeat.Sender{Conn: conn, Beat: a.heartbeat, InFlight: func() int { return 1 }}
 	go beats.Run()
 	a.Conns <- conn
 	for {
--- a/lib/member/view.go
+++ b/lib/member/view.go
@@ -62,6 +62,18 @@
 	return out
 }
 
+// Lost returns the members of a role that are gone and that the platform lists
+// all the same: they may have come back.
+func (v *View) Lost(role platform.InstanceRole) []Member {
+	var out []Member
+	for _, e := range v.members {
+		if e.Role == role && e.State == StateGone && e.listed {
+			out = append(out, e.Member)
+		}
+	}
+	return out
+}
+
 // Live returns the ids of the members of a role in a failure domain that have a
 // working connection and are not draining, in order: the input of rendezvous
 // hashing for roles.
