Tell agents of suspects, callers of proofs, and agents of changes once

Open items of the parts: RequestStart names a suspect, so that two entries cannot run two of them on one instance; a caller whose claim could not be released gets a proof with its not_run; agents hear of a change from one entry; a poll that has more to read does not confirm the replica; the operators' server takes whole configurations of more than 4 MiB.

--- a/agent/session.go
+++ b/agent/session.go
@@ -49,7 +49,7 @@
 	a := s.agent
 	id := config.PeerID{Instance: s.peer.Identity.Instance, Generation: s.peer.Identity.Generation}
 	a.gate.Connect(s.conn)
-	a.follower.Connected(id, s.conn.TrySend)
+	a.follower.Connected(id, true, s.conn.TrySend)
 	a.sessions.add(s)
 	defer func() {
 		a.sessions.remove(s)
@@ -82,7 +82,7 @@
 			s.wake()
 		}
 	case *wire.ConfigFetch:
-		a.follower.Answer(m, s.conn.TrySend)
+		a.follower.Answer(id, m, s.conn.TrySend)
 	case *wire.ConfigDelta:
 		a.follower.Delta(id, m)
 	case *wire.EntryList:
--- a/entry/dispatch/claims.go
+++ b/entry/dispatch/claims.go
@@ -8,6 +8,7 @@
 	"github.com/auburnbend/auburnbend/entry/caller"
 	"github.com/auburnbend/auburnbend/lib/claim"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/outcome"
 )
 
@@ -105,10 +106,11 @@
 	r.dispatcher.end(r.request, r.answer, result)
 }
 
-// recordClaim stores what became of a claimed request.
-func (r *run) recordClaim(o outcome.Outcome, reason outcome.Reason, status int, contentType string) {
+// recordClaim stores what became of a claimed request. It returns a proof for the
+// caller when the request was not run and its key may still look taken.
+func (r *run) recordClaim(o outcome.Outcome, reason outcome.Reason, status int, contentType string) (proof string) {
 	if !r.claimed || o == outcome.Unknown {
-		return
+		return ""
 	}
 	r.claimed = false
 	d := r.dispatcher
@@ -123,9 +125,13 @@
 			Outcome: o, Reason: reason, Status: status, ContentType: contentType, Body: r.body,
 		})
 	}
-	if err != nil && errors.Is(err, claim.ErrPending) {
+	if errors.Is(err, claim.ErrPending) {
 		d.cfg.Log.Log(eventlog.StoreReplyLost, "service", r.key.Service, "tenant", r.key.Tenant)
 	}
+	if err != nil && o == outcome.NotRun {
+		return claim.FormatProofs([]model.AttemptID{r.claimID})
+	}
+	return ""
 }
 
 // sweepClaims tries unconfirmed claim updates again until ctx ends.
--- a/entry/dispatch/run.go
+++ b/entry/dispatch/run.go
@@ -217,6 +217,7 @@
 		Service:        r.request.Service.Name,
 		Weights:        r.place.Weights,
 		Finger:         r.finger,
+		Suspect:        r.place.Suspect,
 		Remaining:      r.machine.Remaining(now).Milliseconds(),
 		Hop:            hop,
 		Priority:       r.request.Class.Priority,
--- a/entry/dispatch/run_end.go
+++ b/entry/dispatch/run_end.go
@@ -23,7 +23,7 @@
 	}
 	r.settling = step.Settling
 	if !step.Settling {
-		r.recordClaim(step.Outcome, step.Reason, step.Status, step.ContentType)
+		result.ClaimProof = r.recordClaim(step.Outcome, step.Reason, step.Status, step.ContentType)
 	}
 	r.logOutcome(result)
 	r.answered = true
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -171,7 +171,7 @@
 	if e.cfg.Operators == nil {
 		return
 	}
-	var options []grpc.ServerOption
+	options := operatorrpc.Options()
 	if e.cfg.Policy != nil && !e.cfg.Policy.Plaintext() {
 		options = append(options, grpc.Creds(credentials.NewTLS(e.cfg.Policy.Server(security.RoleOperator))))
 	}
--- a/entry/fleet/handler.go
+++ b/entry/fleet/handler.go
@@ -65,7 +65,7 @@
 		_ = c.send(news)
 	}
 	f.mu.Unlock()
-	f.cfg.Follower.Connected(peerID(c.hello), c.send)
+	f.cfg.Follower.Connected(peerID(c.hello), c.hello.Role == wire.RoleAgent, c.send)
 	return nil
 }
 
@@ -104,7 +104,7 @@
 	case *wire.Heartbeat:
 		f.heartbeatFrom(id, peer, m)
 	case *wire.ConfigFetch:
-		f.cfg.Follower.Answer(m, reply)
+		f.cfg.Follower.Answer(peerID(peer), m, reply)
 	case *wire.ConfigDelta:
 		f.cfg.Follower.Delta(peerID(peer), m)
 	case *wire.CrashReport:
--- a/entry/fleet/place.go
+++ b/entry/fleet/place.go
@@ -49,6 +49,8 @@
 	Key     route.Key
 	Link    *link.Link
 	Weights model.Weights
+	// Suspect says that the request was in flight when a backend server crashed.
+	Suspect bool
 	finger  model.Fingerprint
 }
 
@@ -92,7 +94,9 @@
 		f.broadcast(verdict.Update)
 		switch verdict.Decision {
 		case poison.Run, poison.RunAlone:
-			return f.reserve(now, w, request, choice.Key), nil
+			place := f.reserve(now, w, request, choice.Key)
+			place.Suspect = verdict.Decision == poison.RunAlone
+			return place, nil
 		case poison.Quarantined:
 			return nil, merry.Wrap(ErrQuarantined)
 		case poison.Hold:
--- a/lib/follow/follower.go
+++ b/lib/follow/follower.go
@@ -83,11 +83,13 @@
 	beat.ConfigAgeMillis = f.replica.Age(f.cfg.Clock.Now()).Milliseconds()
 }
 
-// Connected adds a peer.
-func (f *Follower) Connected(id config.PeerID, send Send) {
+// Connected adds a peer. Leaf marks a connection between an entry and an agent:
+// agents pass nothing on, so they hear of changes from one entry only.
+func (f *Follower) Connected(id config.PeerID, leaf bool, send Send) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sends[id] = send
+	f.peers.Joined(id, leaf)
 }
 
 // Lost removes a peer whose connection ended.
@@ -131,8 +133,9 @@
 }
 
 // Answer sends a peer the revisions that it lacks.
-func (f *Follower) Answer(m *wire.ConfigFetch, send Send) {
+func (f *Follower) Answer(id config.PeerID, m *wire.ConfigFetch, send Send) {
 	f.mu.Lock()
+	f.peers.Asked(id)
 	revisions, err := f.replica.After(m.After)
 	f.mu.Unlock()
 	if err == nil {
--- a/lib/follow/store_poll.go
+++ b/lib/follow/store_poll.go
@@ -52,7 +52,9 @@
 		f.cfg.Log.Log(eventlog.ConfigRejected, "source", "store", "err", err)
 		return false, merry.Wrap(err)
 	}
-	if poll.Head.Number > 0 {
+	// With more revisions to read, the replica is behind and must not count as
+	// confirmed.
+	if poll.Head.Number > 0 && !poll.More {
 		if _, err := f.replica.Observe(poll.Head, 0, now); err != nil {
 			f.cfg.Log.Log(eventlog.ConfigRejected, "source", "store", "err", err)
 		}
