--- a/entry/link/link.go
+++ b/entry/link/link.go
@@ -34,7 +34,7 @@
 
 // New returns a link that connects when Run is called.
 func New(cfg Config, handler Handler) *Link {
-	return &Link{cfg: cfg.applyDefaults(), handler: handler, inboxes: make(map[model.AttemptID]*Inbox)}
+	return &Link{cfg: cfg.applyDefaults(), handler: handler, started: make(chan struct{}, 1), inboxes: make(map[model.AttemptID]*Inbox)}
 }
 
 // Run keeps the connection up until ctx ends.
@@ -81,7 +81,7 @@
 	}
 	l.accept(peer)
 	defer l.handler.Disconnected(id, peer)
-	beats := heartbeat.Sender{Conn: conn, Beat: l.cfg.Heartbeat, InFlight: l.InFlight}
+	beats := heartbeat.Sender{Conn: conn, Beat: l.cfg.Heartbeat, InFlight: l.InFlight, Look: l.started}
 	go beats.Run()
 	for {
 		m, err := conn.Receive()
@@ -159,6 +159,12 @@
 		delete(l.inboxes, m.Attempt)
 		return nil, merry.Wrap(ErrNotSent, merry.WithCause(err))
 	}
+	if len(l.inboxes) == 1 {
+		select {
+		case l.started <- struct{}{}:
+		default:
+		}
+	}
 	return inbox, nil
 }
 
--- a/lib/heartbeat/sender.go
+++ b/lib/heartbeat/sender.go
@@ -18,6 +18,9 @@
 	InFlight func() int
 	// Wake asks for a heartbeat out of turn; it may be nil.
 	Wake <-chan struct{}
+	// Look tells that a first request has started. Where it is nil, the sender
+	// looks for requests by itself once in each busy interval.
+	Look <-chan struct{}
 }
 
 // Run sends the first heartbeat at once and returns when the connection closes.
@@ -36,9 +39,10 @@
 			// the silence, so the heartbeat is dropped.
 			_ = s.Conn.TrySend(&beat)
 		}
-		timer.Reset(nextLook(time.Since(last)))
+		timer.Reset(s.nextLook(time.Since(last)))
 		select {
 		case <-timer.C:
+		case <-s.Look:
 		case <-s.Wake:
 			last = time.Time{}
 		case <-s.Conn.Done():
@@ -49,9 +53,13 @@
 
 // nextLook returns the time until the next look. The idle interval has to be met
 // exactly: a heartbeat that is 200 ms late makes a healthy agent unusable until
-// it arrives. A request that starts meanwhile is noticed after a busy interval.
-func nextLook(sinceLast time.Duration) time.Duration {
-	return min(member.SendInterval(1), max(0, member.SendInterval(0)-sinceLast))
+// it arrives.
+func (s *Sender) nextLook(sinceLast time.Duration) time.Duration {
+	idle := max(0, member.SendInterval(0)-sinceLast)
+	if s.Look != nil && s.InFlight() == 0 {
+		return idle
+	}
+	return min(member.SendInterval(1), idle)
 }
 
 // interval returns the time between two heartbeats now. Frames and acks are signs
--- a/lib/heartbeat/sender_test.go
+++ b/lib/heartbeat/sender_test.go
@@ -13,10 +13,20 @@
 // interval after which an agent counts as unusable.
 func TestLooksMeetTheIdleInterval(t *testing.T) {
 	g := NewWithT(t)
-	var elapsed time.Duration
-	for elapsed < member.SendInterval(0) {
-		elapsed += nextLook(elapsed)
+	for _, look := range []chan struct{}{nil, make(chan struct{})} {
+		s := Sender{InFlight: func() int { return 0 }, Look: look}
+		var elapsed time.Duration
+		for elapsed < member.SendInterval(0) {
+			elapsed += s.nextLook(elapsed)
+		}
+		g.Expect(elapsed).To(Equal(member.SendInterval(0)))
+		g.Expect(elapsed).To(BeNumerically("<", member.IdleInterval))
 	}
-	g.Expect(elapsed).To(Equal(member.SendInterval(0)))
-	g.Expect(elapsed).To(BeNumerically("<", member.IdleInterval))
+}
+
+// Guards against a busy connection whose heartbeats wait for the idle interval.
+func TestBusyIntervalIsKept(t *testing.T) {
+	g := NewWithT(t)
+	s := Sender{InFlight: func() int { return 1 }, Look: make(chan struct{})}
+	g.Expect(s.nextLook(0)).To(Equal(member.SendInterval(1)))
 }
