--- a/entry/link/link.go
+++ b/entry/link/link.go
@@ -23,6 +23,8 @@
 type Link struct {
 	cfg     Config
 	handler Handler
+	// started wakes the heartbeats when a first request starts.
+	started chan struct{}
 
 	mu   sync.Mutex
 	conn *wire.Conn // nil while there is no connection
