Record the result of a call whose caller has gone

After the final answer to a caller that left, the entry followed a non-repeatable call only in part: the step that records the result was dropped when a frame came before it, and nothing was asked of the agent when the caller left while the connection was down. The claim then stayed without a result, and a caller that asked again got already_claimed for the whole retention.

Settling now acts on each step, reattaches on a new connection, and waits for one as long as for the result.

--- a/entry/dispatch/run.go
+++ b/entry/dispatch/run.go
@@ -103,8 +103,9 @@
 func (r *run) settle() {
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
+	step := attempt.Step{}
 	for r.settling && ctx.Err() == nil {
-		r.act(ctx, r.await(ctx))
+		step = r.act(ctx, step)
 	}
 	r.release()
 }
@@ -238,8 +239,14 @@
 // reattach waits for a new connection to the same agent and asks for the rest
 // of the answer.
 func (r *run) reattach(ctx context.Context, step attempt.Step) attempt.Step {
-	wait, cancel := context.WithTimeout(ctx, r.dispatcher.cfg.ReattachWait)
-	defer cancel()
+	wait := ctx
+	if !r.settling {
+		// With its final answer the caller waits for nothing, and a later result
+		// is as good for the claim.
+		var cancel context.CancelFunc
+		wait, cancel = context.WithTimeout(ctx, r.dispatcher.cfg.ReattachWait)
+		defer cancel()
+	}
 	for {
 		e, err := r.inbox.Next(wait)
 		switch {
--- a/entry/dispatch/run_events.go
+++ b/entry/dispatch/run_events.go
@@ -32,6 +32,12 @@
 		return r.machine.ConnectionLost(r.now(), r.attempt)
 	case link.Replaced:
 		return r.crashed()
+	case link.Reconnected:
+		// The caller went away while the connection was down.
+		if r.place.Link.Send(&wire.Reattach{Attempt: r.attempt, Next: r.machine.Next()}) != nil {
+			return attempt.Step{}
+		}
+		return r.machine.Reattached(r.now(), r.attempt)
 	case link.Received:
 		return r.receive(e.Message)
 	default:
--- /dev/null
+++ b/entry/dispatch/world_test.go
@@ -0,0 +1,159 @@
+package dispatch_test
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/entry/caller"
+	"github.com/auburnbend/auburnbend/entry/dispatch"
+	"github.com/auburnbend/auburnbend/entry/fleet"
+	"github.com/auburnbend/auburnbend/internal/agenttest"
+	"github.com/auburnbend/auburnbend/lib/claim"
+	"github.com/auburnbend/auburnbend/lib/clock"
+	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/outcome"
+	"github.com/auburnbend/auburnbend/lib/wire"
+	"github.com/auburnbend/auburnbend/standin/instances"
+	"github.com/auburnbend/auburnbend/standin/table"
+)
+
+const (
+	pool = "orders"
+	// patience bounds waits of the tests; it decides no bound of the product.
+	patience = 10 * time.Second
+)
+
+var location = model.Location{Region: "kigali", FailureDomain: "kigali"}
+
+// noMetrics drops all measurements.
+type noMetrics struct{}
+
+func (noMetrics) QueueTime(model.Tenant, model.Class, time.Duration)     {}
+func (noMetrics) FirstToken(model.Tenant, model.Class, time.Duration)    {}
+func (noMetrics) BetweenTokens(model.Tenant, model.Class, time.Duration) {}
+func (noMetrics) Total(model.Tenant, model.Class, time.Duration, outcome.Outcome, outcome.Reason) {
+}
+
+// call is one request and its answer.
+type call struct {
+	caller.Request
+	leave context.CancelFunc
+	ended chan caller.Result
+
+	mu   sync.Mutex
+	body string
+}
+
+func (c *call) Write(data []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.body += string(data)
+	return nil
+}
+func (c *call) Buffered() bool      { return true }
+func (c *call) Reset()              { c.body = "" }
+func (c *call) End(r caller.Result) { c.ended <- r }
+
+// result waits for the final answer.
+func (c *call) result() caller.Result {
+	var r caller.Result
+	EventuallyWithOffset(1, c.ended).WithTimeout(patience).Should(Receive(&r))
+	return r
+}
+
+// world is a dispatcher with a fleet of fake agents and the stand-in of the
+// table service.
+type world struct {
+	list       *instances.List
+	table      *table.Service
+	fleet      *fleet.Fleet
+	dispatcher *dispatch.Dispatcher
+	calls      atomic.Int32
+}
+
+func newWorld() *world {
+	w := &world{list: instances.New(instances.Config{}), table: table.New()}
+	w.fleet = fleet.New(agenttest.FleetConfig(location, w.list))
+	w.dispatcher = dispatch.New(dispatch.Config{
+		Clock: clock.System{}, Log: eventlog.Discard(), Fleet: w.fleet, Metrics: noMetrics{},
+		Ledger:  claim.New(claim.Config{}, w.table, nil),
+		Current: func() *config.Config { return &config.Config{} },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var ends sync.WaitGroup
+	ends.Go(func() { w.fleet.Run(ctx) })
+	ends.Go(func() { w.dispatcher.Run(ctx) })
+	DeferCleanup(func() {
+		cancel()
+		ends.Wait()
+	})
+	return w
+}
+
+func (w *world) agent(name model.InstanceID) *agenttest.Agent {
+	a, err := agenttest.Start(model.Identity{Instance: name, Generation: 1, Location: location}, pool)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(a.Stop)
+	before := w.fleet.Usable()
+	w.list.Set(a.Instance())
+	Eventually(w.fleet.Usable).WithTimeout(patience).Should(Equal(before + 1))
+	return a
+}
+
+// send starts a request; it may not be repeated when it has a key.
+func (w *world) send(key, body string, change ...func(*call)) *call {
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	now := time.Now()
+	c := &call{leave: cancel, ended: make(chan caller.Result, 1), Request: caller.Request{
+		ID:       model.RequestID("call-" + strconv.Itoa(int(w.calls.Add(1)))),
+		Tenant:   config.Tenant{Name: "desk", Share: 1},
+		Class:    config.Class{Name: "interactive"},
+		Service:  config.Service{Name: "order", Kind: config.KindPlain, Pool: pool, Repeatable: key == ""},
+		Received: now, Deadline: now.Add(patience),
+		IdempotencyKey: key, Body: []byte(body),
+	}}
+	for _, f := range change {
+		f(c)
+	}
+	go w.dispatcher.Handle(ctx, &c.Request, c)
+	return c
+}
+
+func within(d time.Duration) func(*call) {
+	return func(c *call) { c.Deadline = c.Received.Add(d) }
+}
+
+// started waits for an attempt at an agent.
+func started(a *agenttest.Agent) agenttest.Received {
+	var r agenttest.Received
+	EventuallyWithOffset(1, a.Starts).WithTimeout(patience).Should(Receive(&r))
+	return r
+}
+
+func answer(r agenttest.Received, body string) {
+	r.Frame(0, body)
+	r.End(1, body)
+}
+
+func refuse(r agenttest.Received, reason outcome.Reason) {
+	_ = r.Conn.Send(&wire.RequestRefused{Attempt: r.Attempt(), Reason: reason})
+}
+
+func expectResult(c *call, o outcome.Outcome, reason outcome.Reason) {
+	r := c.result()
+	ExpectWithOffset(1, []any{r.Outcome, r.Reason}).To(Equal([]any{o, reason}))
+}
+
+func expectBody(c *call, body string) {
+	expectResult(c, outcome.Completed, outcome.ReasonNone)
+	ExpectWithOffset(1, c.body).To(Equal(body))
+}
