--- a/entry/dispatch/claims.go
+++ b/entry/dispatch/claims.go
@@ -55,7 +55,8 @@
 
 func (r *run) tryClaim(ctx context.Context) claim.Answer {
 	d := r.dispatcher
-	ctx, cancel := context.WithTimeout(ctx, d.cfg.ClaimTimeout)
+	// After its deadline the caller has no use for the claim.
+	ctx, cancel := context.WithTimeout(ctx, min(d.cfg.ClaimTimeout, r.request.Deadline.Sub(d.cfg.Clock.Now())))
 	defer cancel()
 	return d.cfg.Ledger.Claim(ctx, d.cfg.Clock.Now(), r.key, claim.Intent{
 		Attempt:     r.claimID,
