Judge an instance by its own attempt only

An attempt that ended at the deadline before it was sent gave its place back with the result and the token times of the attempt before, which was on another instance. A place of a generation that had left made a limiter that was never dropped. Both were found by reading; the specs of entry pass as before.

--- a/entry/dispatch/run.go
+++ b/entry/dispatch/run.go
@@ -198,6 +198,9 @@
 		r.attempt = model.AttemptID(uuid.NewString())
 	}
 	now := r.now()
+	r.timing.start(now)
+	r.result, r.fate, r.end = route.ResultNeutral, outcome.Unknown, nil
+	r.unacked, r.unackedB = 0, 0
 	hop := r.machine.Hop()
 	step := r.machine.Dispatched(now, attempt.Dispatch{
 		Attempt:  r.attempt,
@@ -208,9 +211,6 @@
 		r.fate = outcome.NotRun
 		return step
 	}
-	r.timing.start(now)
-	r.result, r.fate, r.end = route.ResultNeutral, outcome.Unknown, nil
-	r.unacked, r.unackedB = 0, 0
 	inbox, err := r.place.Link.Start(&wire.RequestStart{
 		Request:        r.request.ID,
 		Attempt:        r.attempt,
--- a/entry/fleet/place.go
+++ b/entry/fleet/place.go
@@ -142,7 +142,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.cfg.Clock.Now()
-	f.limiter(p.Key).Release()
+	// The limiter of a generation that has left is gone and not made again.
+	if l := f.limiters[p.Key]; l != nil {
+		l.Release()
+	}
 	f.picker.Finished(now, p.Key, result)
 	f.broadcast(f.monitor.Finished(now, p.finger, p.Key.Instance, o))
 	f.wake()
@@ -152,21 +155,27 @@
 func (f *Fleet) ObserveFirstToken(p *Place, d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.limiter(p.Key).ObserveFirstToken(f.cfg.Clock.Now(), d)
+	if l := f.limiters[p.Key]; l != nil {
+		l.ObserveFirstToken(f.cfg.Clock.Now(), d)
+	}
 }
 
 // ObserveBetweenTokens takes the mean time between the frames of an answer.
 func (f *Fleet) ObserveBetweenTokens(p *Place, d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.limiter(p.Key).ObserveBetweenTokens(f.cfg.Clock.Now(), d)
+	if l := f.limiters[p.Key]; l != nil {
+		l.ObserveBetweenTokens(f.cfg.Clock.Now(), d)
+	}
 }
 
 // ObserveRefusal takes a refusal for lack of capacity.
 func (f *Fleet) ObserveRefusal(p *Place) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.limiter(p.Key).ObserveRefusal(f.cfg.Clock.Now())
+	if l := f.limiters[p.Key]; l != nil {
+		l.ObserveRefusal(f.cfg.Clock.Now())
+	}
 }
 
 // Withdraw says that a suspect that was held is no longer wanted.
