--- a/entry/link/link.go
+++ b/entry/link/link.go
@@ -19,6 +19,11 @@
 // ErrNotSent means that a message was certainly not handed to the connection.
 var ErrNotSent = merry.New("message not sent")
 
+// heardEvery is the time between two reports that frames arrive. Silence is
+// judged after a second at the earliest, and an entry at the planned size gets
+// 7,800 frames a second, each of which would take the fleet's mutex.
+const heardEvery = 200 * time.Millisecond
+
 // Link is safe for concurrent use.
 type Link struct {
 	cfg     Config
@@ -85,13 +90,17 @@
 	defer l.handler.Disconnected(id, peer)
 	beats := heartbeat.Sender{Conn: conn, Beat: l.cfg.Heartbeat, InFlight: l.InFlight, Look: l.started}
 	go beats.Run()
+	var heard time.Time
 	for {
 		m, err := conn.Receive()
 		if err != nil {
 			return
 		}
 		if attempt, ok := wire.AttemptOf(m); ok {
-			l.handler.Heard(id)
+			if now := time.Now(); now.Sub(heard) >= heardEvery {
+				heard = now
+				l.handler.Heard(id)
+			}
 			l.deliver(attempt, m)
 			continue
 		}
