--- a/agent/transfer/run.go
+++ b/agent/transfer/run.go
@@ -166,7 +166,7 @@
 			return
 		}
 		r.s.counters.tracked.Store(true)
-		r.d.Connected()
+		r.d.Connected(now)
 	case *wire.Assign:
 		r.d.Assigned(now, m)
 	case *wire.ManifestFetch:
--- a/lib/distribute/downloader.go
+++ b/lib/distribute/downloader.go
@@ -31,6 +31,7 @@
 	tracked   bool
 	sequence  uint64    // of the last announcement
 	answered  uint64    // last announcement that the tracker has answered
+	connected time.Time // when the connection to the tracker was new
 	waiting   time.Time // since when an announcement is unanswered; zero if none is
 	retry     time.Duration
 	dirty     bool
@@ -138,12 +139,13 @@
 	d.tracked = false
 }
 
-// Silence is the time for which the tracker has not answered an announcement.
+// Silence is the time for which the tracker of the current connection has not
+// answered an announcement.
 func (d *Downloader) Silence(now time.Time) time.Duration {
 	if d.waiting.IsZero() {
 		return 0
 	}
-	return now.Sub(d.waiting)
+	return min(now.Sub(d.waiting), now.Sub(d.connected))
 }
 
 // Progress says how many bytes of a fetch have arrived.
--- a/lib/distribute/downloader_next.go
+++ b/lib/distribute/downloader_next.go
@@ -18,8 +18,8 @@
 	d.cancelHeld(&a)
 	d.startAssigned(now, &a)
 	// Each announcement is answered. While the answers stay away, peers are used
-	// directly; the origin only once the tracker counts as lost.
-	if d.missing > 0 && (!d.tracked || d.Silence(now) > d.cfg.TrackerSilence) {
+	// directly, also while other trackers are tried; the origin only once the tracker counts as lost.
+	if d.missing > 0 && (!d.tracked || !d.waiting.IsZero() && now.Sub(d.waiting) > d.cfg.TrackerSilence) {
 		d.startSolo(now, &a)
 	}
 	d.announce(now, &a)
@@ -127,7 +127,7 @@
 
 // Connected says that the connection to a tracker is new. The next announcement
 // is immediate: it needs the whole state.
-func (d *Downloader) Connected() {
+func (d *Downloader) Connected(now time.Time) {
 	d.dirty, d.announced = true, time.Time{}
-	d.waiting, d.answered = time.Time{}, 0
+	d.connected, d.answered = now, 0
 }
