--- a/agent/config.go
+++ b/agent/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand"
 	"net"
+	"time"
 
 	"github.com/auburnbend/auburnbend/agent/backend"
 	"github.com/auburnbend/auburnbend/agent/gate"
@@ -17,6 +18,8 @@
 	"github.com/auburnbend/auburnbend/lib/settings"
 )
 
+const defaultCacheInterval = time.Second
+
 // Config sets up an Agent.
 type Config struct {
 	Identity model.Identity
@@ -24,6 +27,8 @@
 	Clock    clock.Clock
 	Rand     *rand.Rand
 	Log      *eventlog.Logger
+	// Metrics may be nil.
+	Metrics Metrics
 	// Listener accepts connections of entries and of other agents.
 	Listener net.Listener
 	// Dial replaces the way in which connections to peers are opened; tests use
@@ -54,14 +59,25 @@
 	Downloader  distribute.DownloaderConfig
 	Gate        gate.Config
 
+	// CacheInterval is the time between two reads of the engine's cache events,
+	// and the least time between two cache updates on a connection. It is negative
+	// for an agent that sends none.
+	CacheInterval time.Duration
+
 	// Weights holds the settings of the machine of the instance's weights.
 	Weights backend.Config
 }
 
 func (c Config) applyDefaults() Config {
+	if c.Metrics == nil {
+		c.Metrics = noMetrics{}
+	}
 	if c.Gate.Capacity == 0 {
 		c.Gate.Capacity = c.Capacity
 	}
+	if c.CacheInterval == 0 {
+		c.CacheInterval = defaultCacheInterval
+	}
 	if c.Dial == nil {
 		c.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 			return listen.Dial(ctx, c.Policy, address)
--- a/agent/session.go
+++ b/agent/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/config"
@@ -21,6 +22,8 @@
 	conn  *wire.Conn
 	peer  wire.Hello
 	beats chan struct{}
+	// wantsCache is set while the entry waits for a snapshot of the cache.
+	wantsCache atomic.Bool
 }
 
 // serve handles one connection until it fails.
@@ -46,7 +49,7 @@
 	a := s.agent
 	id := config.PeerID{Instance: s.peer.Identity.Instance, Generation: s.peer.Identity.Generation}
 	a.gate.Connect(s.conn)
-	a.follower.Connected(id, s.conn.TrySend)
+	a.follower.Connected(id, true, s.conn.TrySend)
 	a.sessions.add(s)
 	defer func() {
 		a.sessions.remove(s)
@@ -79,7 +82,7 @@
 			s.wake()
 		}
 	case *wire.ConfigFetch:
-		a.follower.Answer(m, s.conn.TrySend)
+		a.follower.Answer(id, m, s.conn.TrySend)
 	case *wire.ConfigDelta:
 		a.follower.Delta(id, m)
 	case *wire.EntryList:
@@ -87,6 +90,8 @@
 		if a.transfer != nil && s.peer.Identity.Location == a.cfg.Identity.Location {
 			a.transfer.SetEntries(m.Addresses)
 		}
+	case *wire.CacheFetch:
+		s.wantsCache.Store(true)
 	default:
 		a.cfg.Log.Log(eventlog.FrameInvalid, "entry", s.peer.Identity.Instance, "type", m.Type())
 	}
--- a/cmd/auburnbend-measure/main.go
+++ b/cmd/auburnbend-measure/main.go
@@ -8,7 +8,9 @@
 	"github.com/spf13/cobra"
 
 	"github.com/auburnbend/auburnbend/internal/measure/capacity"
+	"github.com/auburnbend/auburnbend/internal/measure/config"
 	"github.com/auburnbend/auburnbend/internal/measure/distribute"
+	"github.com/auburnbend/auburnbend/internal/measure/drain"
 	"github.com/auburnbend/auburnbend/internal/measure/latency"
 	"github.com/auburnbend/auburnbend/internal/measure/overload"
 	"github.com/auburnbend/auburnbend/internal/measure/poison"
@@ -27,6 +29,8 @@
 		overload.New(),
 		poison.New(),
 		capacity.New(),
+		config.New(),
+		drain.New(),
 		latency.New(),
 	)
 	if root.Execute() != nil {
--- a/entry/dispatch/run.go
+++ b/entry/dispatch/run.go
@@ -15,7 +15,6 @@
 	"github.com/auburnbend/auburnbend/lib/claim"
 	"github.com/auburnbend/auburnbend/lib/config"
 	"github.com/auburnbend/auburnbend/lib/engine"
-	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/outcome"
 	"github.com/auburnbend/auburnbend/lib/route"
@@ -103,8 +102,9 @@
 func (r *run) settle() {
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
+	step := attempt.Step{}
 	for r.settling && ctx.Err() == nil {
-		r.act(ctx, r.await(ctx))
+		step = r.act(ctx, step)
 	}
 	r.release()
 }
@@ -149,7 +149,7 @@
 		wish.Weights = []model.Weights{step.Weights}
 	}
 	if r.request.Service.Kind == config.KindModel {
-		wish.Prefix = uint64(engine.PrefixOf(r.request.Body))
+		wish.Prefix = engine.PrefixOf(r.request.Body)
 	}
 	queued := r.now()
 	// Callers choose request ids, so the queue needs one of its own.
@@ -197,6 +197,9 @@
 		r.attempt = model.AttemptID(uuid.NewString())
 	}
 	now := r.now()
+	r.timing.start(now)
+	r.result, r.fate, r.end = route.ResultNeutral, outcome.Unknown, nil
+	r.unacked, r.unackedB = 0, 0
 	hop := r.machine.Hop()
 	step := r.machine.Dispatched(now, attempt.Dispatch{
 		Attempt:  r.attempt,
@@ -207,9 +210,6 @@
 		r.fate = outcome.NotRun
 		return step
 	}
-	r.timing.start(now)
-	r.result, r.fate, r.end = route.ResultNeutral, outcome.Unknown, nil
-	r.unacked, r.unackedB = 0, 0
 	inbox, err := r.place.Link.Start(&wire.RequestStart{
 		Request:        r.request.ID,
 		Attempt:        r.attempt,
@@ -218,6 +218,7 @@
 		Service:        r.request.Service.Name,
 		Weights:        r.place.Weights,
 		Finger:         r.finger,
+		Suspect:        r.place.Suspect,
 		Remaining:      r.machine.Remaining(now).Milliseconds(),
 		Hop:            hop,
 		Priority:       r.request.Class.Priority,
@@ -238,8 +239,14 @@
 // reattach waits for a new connection to the same agent and asks for the rest
 // of the answer.
 func (r *run) reattach(ctx context.Context, step attempt.Step) attempt.Step {
-	wait, cancel := context.WithTimeout(ctx, r.dispatcher.cfg.ReattachWait)
-	defer cancel()
+	wait := ctx
+	if !r.settling {
+		// With its final answer the caller waits for nothing, and a later result
+		// is as good for the claim.
+		var cancel context.CancelFunc
+		wait, cancel = context.WithTimeout(ctx, r.dispatcher.cfg.ReattachWait)
+		defer cancel()
+	}
 	for {
 		e, err := r.inbox.Next(wait)
 		switch {
@@ -257,53 +264,3 @@
 		}
 	}
 }
-
-// finish gives the caller its final answer.
-func (r *run) finish(step attempt.Step) {
-	result := caller.Result{
-		Outcome:     step.Outcome,
-		Reason:      step.Reason,
-		Status:      step.Status,
-		ContentType: step.ContentType,
-		RetryAfter:  step.RetryAfter,
-		Frames:      r.machine.Next(),
-	}
-	if r.end != nil {
-		result.Digest = r.end.Digest
-	}
-	r.settling = step.Settling
-	if !step.Settling {
-		r.recordClaim(step.Outcome, step.Reason, step.Status, step.ContentType)
-	}
-	r.logOutcome(result)
-	r.answered = true
-	r.dispatcher.end(r.request, r.answer, result)
-}
-
-func (r *run) logOutcome(result caller.Result) {
-	event := eventlog.RequestNotRun
-	switch result.Outcome {
-	case outcome.NotRun:
-	case outcome.Unknown:
-		event = eventlog.RequestUnknown
-	default:
-		return
-	}
-	r.dispatcher.cfg.Log.Log(event, "request", r.request.ID, "service", r.request.Service.Name,
-		"tenant", r.request.Tenant.Name, "reason", result.Reason)
-}
-
-// release gives the place of the current attempt back.
-func (r *run) release() {
-	if r.place == nil {
-		return
-	}
-	d := r.dispatcher
-	if mean, ok := r.timing.betweenFrames(); ok && r.request.Service.Kind == config.KindModel {
-		d.cfg.Fleet.ObserveBetweenTokens(r.place, mean)
-	}
-	d.admission.settle(r.request.Service.Pool, r.request.Tenant.Name, r.tokens, len(r.request.Body)/bytesPerToken+r.timing.frames)
-	r.place.Link.Finish(r.attempt)
-	d.cfg.Fleet.Finish(r.place, r.fate, r.result)
-	r.place, r.inbox = nil, nil
-}
--- a/entry/fleet/handler.go
+++ b/entry/fleet/handler.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/auburnbend/auburnbend/entry/link"
@@ -64,7 +65,7 @@
 		_ = c.send(news)
 	}
 	f.mu.Unlock()
-	f.cfg.Follower.Connected(peerID(c.hello), c.send)
+	f.cfg.Follower.Connected(peerID(c.hello), c.hello.Role == wire.RoleAgent, c.send)
 	return nil
 }
 
@@ -83,6 +84,7 @@
 	}
 	f.agents[instance.ID] = instance
 	f.picker.Update(f.cfg.Clock.Now(), instance)
+	f.wantCache(instance.Key())
 	f.cfg.Log.Log(eventlog.AgentJoined, "instance", instance.ID, "pool", instance.Pool)
 }
 
@@ -102,11 +104,13 @@
 	case *wire.Heartbeat:
 		f.heartbeatFrom(id, peer, m)
 	case *wire.ConfigFetch:
-		f.cfg.Follower.Answer(m, reply)
+		f.cfg.Follower.Answer(peerID(peer), m, reply)
 	case *wire.ConfigDelta:
 		f.cfg.Follower.Delta(peerID(peer), m)
 	case *wire.CrashReport:
 		f.crashed(peer, m)
+	case *wire.CacheUpdate:
+		f.cacheFrom(peer, m)
 	case *wire.SuspectUpdate:
 		f.mu.Lock()
 		f.broadcast(f.monitor.Merge(f.cfg.Clock.Now(), *m))
@@ -129,6 +133,10 @@
 	if !ok || instance.Generation != peer.Identity.Generation {
 		return
 	}
+	if !slices.Equal(instance.Live, beat.Live) {
+		// The picker forgets the cache of an instance that has loaded weights.
+		f.wantCache(instance.Key())
+	}
 	instance.Live = beat.Live
 	instance.Draining = beat.Draining
 	f.agents[instance.ID] = instance
--- a/entry/fleet/place.go
+++ b/entry/fleet/place.go
@@ -2,12 +2,14 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"github.com/auburnbend/auburnbend/entry/link"
 	"github.com/auburnbend/auburnbend/lib/admit"
+	"github.com/auburnbend/auburnbend/lib/engine"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/outcome"
 	"github.com/auburnbend/auburnbend/lib/poison"
@@ -35,7 +37,7 @@
 	Weights []model.Weights
 	Finger  model.Fingerprint
 	// Prefix is the hash of the prompt's beginning; zero means no affinity.
-	Prefix uint64
+	Prefix engine.Prefix
 	// Avoid lists instances of earlier attempts.
 	Avoid []model.InstanceID
 	// Offered is when the request was first offered for placing.
@@ -47,6 +49,8 @@
 	Key     route.Key
 	Link    *link.Link
 	Weights model.Weights
+	// Suspect says that the request was in flight when a backend server crashed.
+	Suspect bool
 	finger  model.Fingerprint
 }
 
@@ -75,7 +79,9 @@
 }
 
 func (f *Fleet) reserveFor(now time.Time, w *Wish, weights model.Weights) (*Place, error) {
-	request := f.routeRequest(now, w, weights)
+	// An instance that runs another suspect now is avoided by this try only.
+	avoid := slices.Clone(w.Avoid)
+	request := f.routeRequest(now, w, &avoid, weights)
 	for range maxPlacements {
 		choice, err := f.picker.Pick(now, request)
 		if err != nil {
@@ -88,29 +94,29 @@
 		f.broadcast(verdict.Update)
 		switch verdict.Decision {
 		case poison.Run, poison.RunAlone:
-			return f.reserve(now, w, request, choice.Key), nil
+			place := f.reserve(now, w, request, choice.Key)
+			place.Suspect = verdict.Decision == poison.RunAlone
+			return place, nil
 		case poison.Quarantined:
 			return nil, merry.Wrap(ErrQuarantined)
 		case poison.Hold:
 			return nil, merry.Wrap(ErrBlocked)
 		case poison.RunElsewhere:
-			w.Avoid = append(w.Avoid, choice.Key.Instance)
+			avoid = append(avoid, choice.Key.Instance)
 		}
 	}
 	return nil, merry.Wrap(ErrBlocked)
 }
 
-func (f *Fleet) routeRequest(now time.Time, w *Wish, weights model.Weights) *route.Request {
+func (f *Fleet) routeRequest(now time.Time, w *Wish, avoid *[]model.InstanceID, weights model.Weights) *route.Request {
 	request := &route.Request{Pool: w.Pool, Weights: weights, Offered: w.Offered}
 	if w.Prefix != 0 {
-		request.Prefix = []uint64{w.Prefix}
+		request.Prefix = []uint64{uint64(w.Prefix.Under(weights))}
 		request.AffinityBlocks = 1
 	}
 	request.Allowed = func(key route.Key) bool {
-		for _, avoided := range w.Avoid {
-			if avoided == key.Instance {
-				return false
-			}
+		if slices.Contains(*avoid, key.Instance) {
+			return false
 		}
 		m, ok := f.view.Member(key.Instance)
 		return ok && m.Usable(now) && f.linkOf(key.Instance) != nil
@@ -121,6 +127,7 @@
 
 func (f *Fleet) reserve(now time.Time, w *Wish, request *route.Request, key route.Key) *Place {
 	f.limiter(key).Acquire()
+	f.sent[key.Instance]++
 	f.picker.Started(now, key, request.Prefix)
 	f.broadcast(f.monitor.Started(now, w.Finger, key.Instance))
 	return &Place{Key: key, Link: f.linkOf(key.Instance), Weights: request.Weights, finger: w.Finger}
@@ -140,7 +147,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.cfg.Clock.Now()
-	f.limiter(p.Key).Release()
+	// The limiter of a generation that has left is gone and not made again.
+	if l := f.limiters[p.Key]; l != nil {
+		l.Release()
+	}
 	f.picker.Finished(now, p.Key, result)
 	f.broadcast(f.monitor.Finished(now, p.finger, p.Key.Instance, o))
 	f.wake()
@@ -150,21 +160,27 @@
 func (f *Fleet) ObserveFirstToken(p *Place, d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.limiter(p.Key).ObserveFirstToken(f.cfg.Clock.Now(), d)
+	if l := f.limiters[p.Key]; l != nil {
+		l.ObserveFirstToken(f.cfg.Clock.Now(), d)
+	}
 }
 
 // ObserveBetweenTokens takes the mean time between the frames of an answer.
 func (f *Fleet) ObserveBetweenTokens(p *Place, d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.limiter(p.Key).ObserveBetweenTokens(f.cfg.Clock.Now(), d)
+	if l := f.limiters[p.Key]; l != nil {
+		l.ObserveBetweenTokens(f.cfg.Clock.Now(), d)
+	}
 }
 
 // ObserveRefusal takes a refusal for lack of capacity.
 func (f *Fleet) ObserveRefusal(p *Place) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.limiter(p.Key).ObserveRefusal(f.cfg.Clock.Now())
+	if l := f.limiters[p.Key]; l != nil {
+		l.ObserveRefusal(f.cfg.Clock.Now())
+	}
 }
 
 // Withdraw says that a suspect that was held is no longer wanted.
--- /dev/null
+++ b/entry/fleet/world_test.go
@@ -0,0 +1,77 @@
+package fleet_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/entry/fleet"
+	"github.com/auburnbend/auburnbend/internal/agenttest"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/wire"
+	"github.com/auburnbend/auburnbend/standin/instances"
+)
+
+const (
+	pool   = "drafting"
+	settle = 15 * time.Second
+)
+
+var (
+	location = model.Location{Region: "kigali", FailureDomain: "kigali"}
+	loaded   = model.Weights{Base: model.Sum([]byte("loaded"))}
+)
+
+// world is a fleet with fake agents.
+type world struct {
+	list  *instances.List
+	fleet *fleet.Fleet
+}
+
+func newWorld() *world {
+	w := &world{list: instances.New(instances.Config{})}
+	w.fleet = fleet.New(agenttest.FleetConfig(location, w.list))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		w.fleet.Run(ctx)
+	}()
+	DeferCleanup(func() {
+		cancel()
+		<-ended
+	})
+	return w
+}
+
+func (w *world) agent(name model.InstanceID, generation model.Generation) *agenttest.Agent {
+	a, err := agenttest.Start(model.Identity{Instance: name, Generation: generation, Location: location}, pool, loaded)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(a.Stop)
+	w.list.Set(a.Instance())
+	return a
+}
+
+func (w *world) usable(n int) {
+	Eventually(w.fleet.Usable).WithTimeout(settle).Should(Equal(n))
+}
+
+// crash reports the death of a backend server with requests in flight and waits
+// until the fleet knows of it.
+func (w *world) crash(a *agenttest.Agent, f ...model.Fingerprint) {
+	a.Broadcast(&wire.CrashReport{Incarnation: 1, InFlight: f})
+	marked := wire.Load{Capacity: 4, FirstTokenMillis: 77}
+	a.SetLoad(marked)
+	Eventually(w.fleet.Members).WithTimeout(settle).Should(ContainElement(SatisfyAll(
+		HaveField("Identity.Instance", a.Identity().Instance), HaveField("Heartbeat.Load", marked))))
+}
+
+func wish() *fleet.Wish {
+	return &fleet.Wish{Pool: pool, Weights: []model.Weights{loaded}, Finger: finger("harmless")}
+}
+
+func finger(body string) model.Fingerprint {
+	return model.FingerprintOf("tenant", "draft", []byte(body))
+}
--- a/entry/link/link.go
+++ b/entry/link/link.go
@@ -23,16 +23,20 @@
 type Link struct {
 	cfg     Config
 	handler Handler
-
-	mu      sync.Mutex
-	conn    *wire.Conn // nil while there is no connection
-	peer    wire.Hello
-	inboxes map[model.AttemptID]*Inbox
+	// started wakes the heartbeats when a first request starts.
+	started chan struct{}
+
+	mu   sync.Mutex
+	conn *wire.Conn // nil while there is no connection
+	peer wire.Hello // of the last connection that the handler accepted
+	// accepted says that conn may carry attempts.
+	accepted bool
+	inboxes  map[model.AttemptID]*Inbox
 }
 
 // New returns a link that connects when Run is called.
 func New(cfg Config, handler Handler) *Link {
-	return &Link{cfg: cfg.applyDefaults(), handler: handler, inboxes: make(map[model.AttemptID]*Inbox)}
+	return &Link{cfg: cfg.applyDefaults(), handler: handler, started: make(chan struct{}, 1), inboxes: make(map[model.AttemptID]*Inbox)}
 }
 
 // Run keeps the connection up until ctx ends.
@@ -66,15 +70,20 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	defer func() { _ = conn.Close() }()
+	if peer.Identity.Instance != l.cfg.Instance {
+		l.handler.ConnectFailed(l.cfg.Instance, merry.Errorf("%s answers at the address", peer.Identity.Instance))
+		return
+	}
 	id := l.cfg.NextConn()
 	// The handler sends its first messages through the link.
-	l.attach(conn, peer)
+	l.attach(conn)
 	defer l.detach(conn)
 	if l.handler.Connected(id, peer) != nil {
 		return
 	}
+	l.accept(peer)
 	defer l.handler.Disconnected(id, peer)
-	beats := heartbeat.Sender{Conn: conn, Beat: l.cfg.Heartbeat, InFlight: l.InFlight}
+	beats := heartbeat.Sender{Conn: conn, Beat: l.cfg.Heartbeat, InFlight: l.InFlight, Look: l.started}
 	go beats.Run()
 	for {
 		m, err := conn.Receive()
@@ -90,16 +99,24 @@
 	}
 }
 
-// attach makes the connection current and tells waiting attempts whether they
-// can be reattached.
-func (l *Link) attach(conn *wire.Conn, peer wire.Hello) {
+// attach makes the connection current for messages of the handler.
+func (l *Link) attach(conn *wire.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conn = conn
+}
+
+// accept opens the current connection to attempts and tells waiting ones whether
+// they can be reattached. It comes after the handler's consent: an attempt that
+// goes to a generation which the handler refuses would be lost.
+func (l *Link) accept(peer wire.Hello) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	kind := Reconnected
 	if l.peer.Identity.Generation != 0 && l.peer.Identity.Generation != peer.Identity.Generation {
 		kind = Replaced
 	}
-	l.conn, l.peer = conn, peer
+	l.peer, l.accepted = peer, true
 	for _, inbox := range l.inboxes {
 		inbox.put(Event{Kind: kind})
 	}
@@ -111,7 +128,11 @@
 	if l.conn != conn {
 		return
 	}
-	l.conn = nil
+	accepted := l.accepted
+	l.conn, l.accepted = nil, false
+	if !accepted {
+		return
+	}
 	for _, inbox := range l.inboxes {
 		inbox.put(Event{Kind: ConnectionLost})
 	}
@@ -131,7 +152,7 @@
 func (l *Link) Start(m *wire.RequestStart) (*Inbox, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.conn == nil {
+	if !l.accepted {
 		return nil, merry.Wrap(ErrNotSent, merry.AppendMessage("no connection"))
 	}
 	inbox := newInbox()
@@ -140,6 +161,12 @@
 		delete(l.inboxes, m.Attempt)
 		return nil, merry.Wrap(ErrNotSent, merry.WithCause(err))
 	}
+	if len(l.inboxes) == 1 {
+		select {
+		case l.started <- struct{}{}:
+		default:
+		}
+	}
 	return inbox, nil
 }
 
@@ -182,7 +209,7 @@
 func (l *Link) Peer() (hello wire.Hello, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.peer, l.conn != nil
+	return l.peer, l.accepted
 }
 
 // Bytes returns the bytes that the current connection sent and received.
--- a/entry/operatorrpc/providers.go
+++ b/entry/operatorrpc/providers.go
@@ -16,6 +16,7 @@
 	Get(ctx context.Context, number uint64) (config.View, error)
 	History(ctx context.Context, before uint64, limit int) ([]config.Entry, error)
 	Operation(ctx context.Context, id string, settle bool) (config.Operation, error)
+	Prune(ctx context.Context) (int, error)
 }
 
 // Replica shows what the entry has in force. Implementations are safe for
@@ -66,8 +67,11 @@
 	Remaining time.Duration
 }
 
-// Complete reports whether every wanted instance is live.
-func (r Rollout) Complete() bool { return r.Phases[wire.PhaseLive] >= r.Wanted }
+// Complete reports whether every wanted instance is live. An entry that knows no
+// instance of the pool yet cannot tell.
+func (r Rollout) Complete() bool {
+	return r.Wanted > 0 && r.Phases[wire.PhaseLive] >= r.Wanted
+}
 
 // Instance is one entry or agent that the entry knows.
 type Instance struct {
--- a/internal/measure/capacity/lines.go
+++ b/internal/measure/capacity/lines.go
@@ -1,23 +1,42 @@
 package capacity
 
-import "github.com/auburnbend/auburnbend/internal/measure/figure"
+import (
+	"gonum.org/v1/gonum/stat"
 
-// lines are the fitted costs of a process.
-type lines struct{ cpu, bytes, memory line }
+	"github.com/auburnbend/auburnbend/internal/measure/figure"
+)
+
+// line is a fitted cost: fixed plus a slope per connection or agent.
+type line struct{ fixed, slope float64 }
+
+func fit(x, y []float64) line {
+	fixed, slope := stat.LinearRegression(x, y, nil, false)
+	return line{fixed: max(fixed, 0), slope: max(slope, 0)}
+}
+
+func (l line) at(n float64) float64 { return l.fixed + l.slope*n }
+
+// lines are the fitted costs. The agents' lines are over the number of agents
+// with one connection each, so their slopes are one whole agent.
+type lines struct {
+	entryCore, entryMemory, agentCore, agentMemory, bytes line
+}
 
 func (l lines) print(p *figure.Printer) error {
-	mesh := float64(plannedAgents) / plannedDomains
+	const mesh = float64(plannedAgents) / plannedDomains
 	figures := []figure.Figure{
-		{Name: "connection_core_share", Value: l.cpu.slope, Unit: "core"},
-		{Name: "connection_bytes_per_second", Value: l.bytes.slope, Unit: "B/s"},
-		{Name: "connection_memory", Value: l.memory.slope, Unit: "B"},
-		bounded("entry_core_share", l.cpu, entryConnections, mesh, "core", maxCoreShare),
+		{Name: "entry_core_share_per_connection", Value: l.entryCore.slope, Unit: "core"},
+		{Name: "entry_memory_per_connection", Value: l.entryMemory.slope, Unit: "B"},
+		{Name: "bytes_per_second_per_connection", Value: l.bytes.slope, Unit: "B/s"},
+		{Name: "agent_core_share_with_one_connection", Value: l.agentCore.slope, Unit: "core"},
+		{Name: "agent_memory_with_one_connection", Value: l.agentMemory.slope, Unit: "B"},
+		bounded("entry_core_share", l.entryCore, entryConnections, mesh, "core", maxCoreShare),
 		bounded("entry_bytes_per_second", l.bytes, entryConnections, mesh, "B/s", maxBytesSecond),
-		bounded("entry_memory", l.memory, entryConnections, mesh, "B", maxMemoryBytes),
-		bounded("agent_core_share", line{slope: l.cpu.slope}, agentConnections, plannedEntries, "core", maxCoreShare),
+		bounded("entry_memory", l.entryMemory, entryConnections, mesh, "B", maxMemoryBytes),
+		// Each connection is counted as a whole agent: an upper bound.
+		bounded("agent_core_share", line{slope: l.agentCore.slope}, agentConnections, plannedEntries, "core", maxCoreShare),
 		bounded("agent_bytes_per_second", line{slope: l.bytes.slope}, agentConnections, plannedEntries, "B/s", maxBytesSecond),
-		bounded("agent_memory", l.memory, agentConnections, plannedEntries, "B", maxMemoryBytes),
-		{Name: "config_changes_per_second", Value: plannedChanges / secondsPerDay, Unit: "1/s"},
+		bounded("agent_memory", l.agentMemory, agentConnections, plannedEntries, "B", maxMemoryBytes),
 	}
 	for _, f := range figures {
 		if err := p.Print(f); err != nil {
--- a/internal/measure/distribute/options.go
+++ b/internal/measure/distribute/options.go
@@ -25,6 +25,7 @@
 	Only              string
 	Streams           int
 	UploadSlots       int
+	Ahead             int
 	OriginStreams     int
 	RemoteStreams     int
 }
@@ -36,7 +37,7 @@
 	f.IntVar(&o.Entries, "entries", 2, "entries in each failure domain")
 	f.IntVar(&o.Size, "size", 8<<20, "size of the weights in bytes")
 	f.IntVar(&o.ChunkSize, "chunk-size", 32<<10, "size of a chunk in bytes")
-	f.DurationVar(&o.Window, "window", 6*time.Second, "distribution window, from which link rates follow")
+	f.DurationVar(&o.Window, "window", 7*time.Second, "distribution window, from which link rates follow")
 	f.Float64Var(&o.OriginCopies, "origin-copies", 4, "copies that the origin's link carries in a window")
 	f.Float64Var(&o.InstanceCopies, "instance-copies", 2, "copies that an instance's link carries in a window, in each direction")
 	f.Float64Var(&o.InterRegionCopies, "inter-region-copies", 0.5, "copies that the link between two regions carries in a window, in each direction")
@@ -48,8 +49,9 @@
 	f.Int64Var(&o.Seed, "seed", 1, "seed of all random choices")
 	f.StringVar(&o.Plot, "plot", "", "file for an SVG of complete instances over time")
 	f.StringVar(&o.Only, "only", "", "comma-separated runs: time, bytes, faults, origin, tree; all when empty")
-	f.IntVar(&o.Streams, "streams", 4, "chunks that an instance fetches at one time")
-	f.IntVar(&o.UploadSlots, "upload-slots", 4, "assignments that name one instance as source at one time")
+	f.IntVar(&o.Streams, "streams", 5, "chunks that an instance fetches at one time")
+	f.IntVar(&o.Ahead, "ahead", 1, "assignments of an instance that wait for a free place")
+	f.IntVar(&o.UploadSlots, "upload-slots", 6, "assignments that name one instance as source at one time")
 	f.IntVar(&o.OriginStreams, "origin-streams", 3, "origin fetches of a failure domain at one time")
 	f.IntVar(&o.RemoteStreams, "remote-streams", 4, "fetches of a failure domain from one other region at one time")
 }
--- a/lib/follow/follower.go
+++ b/lib/follow/follower.go
@@ -36,8 +36,15 @@
 	peers    *config.Peers
 	sends    map[config.PeerID]Send
 	watchers []func(*config.View)
+	// stale is set while the configuration is older than staleAfter.
+	stale bool
 }
 
+// staleAfter is the age from which on a configuration is reported as not
+// confirmed. A change has to be in force everywhere within 9 s; the rest lets
+// one lost poll and one lost heartbeat pass.
+const staleAfter = 15 * time.Second
+
 // New returns a follower without a configuration.
 func New(cfg Config) *Follower {
 	return &Follower{
@@ -76,11 +83,13 @@
 	beat.ConfigAgeMillis = f.replica.Age(f.cfg.Clock.Now()).Milliseconds()
 }
 
-// Connected adds a peer.
-func (f *Follower) Connected(id config.PeerID, send Send) {
+// Connected adds a peer. Leaf marks a connection between an entry and an agent:
+// agents pass nothing on, so they hear of changes from one entry only.
+func (f *Follower) Connected(id config.PeerID, leaf bool, send Send) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sends[id] = send
+	f.peers.Joined(id, leaf)
 }
 
 // Lost removes a peer whose connection ended.
@@ -124,8 +133,9 @@
 }
 
 // Answer sends a peer the revisions that it lacks.
-func (f *Follower) Answer(m *wire.ConfigFetch, send Send) {
+func (f *Follower) Answer(id config.PeerID, m *wire.ConfigFetch, send Send) {
 	f.mu.Lock()
+	f.peers.Asked(id)
 	revisions, err := f.replica.After(m.After)
 	f.mu.Unlock()
 	if err == nil {
@@ -157,6 +167,17 @@
 	f.spread(before, now)
 	f.announce(now)
 	f.fetch(now)
+	f.checkAge(now)
+}
+
+// checkAge reports once when the configuration in force gets too old.
+func (f *Follower) checkAge(now time.Time) {
+	age := f.replica.Age(now)
+	stale := f.replica.Current() != nil && age > staleAfter
+	if stale && !f.stale {
+		f.cfg.Log.Log(eventlog.ConfigStale, "revision", f.replica.Head().Number, "age", age)
+	}
+	f.stale = stale
 }
 
 // spread tells watchers and peers about a configuration that has just come in
