Check that a peer's role may send a message

An entry took suspects and holder summaries from agents too, so one backend server instance could have quarantined requests of the whole deployment.

--- a/entry/fleet/handler.go
+++ b/entry/fleet/handler.go
@@ -99,7 +99,25 @@
 	}
 }
 
+// mayReport says whether a message is one that the peer's role sends. The role is
+// that of its certificate: an agent must not be able to quarantine requests, nor
+// an entry to report crashes of a backend server.
+func mayReport(role wire.Role, m wire.Message) bool {
+	switch m.(type) {
+	case *wire.CrashReport, *wire.CacheUpdate:
+		return role == wire.RoleAgent
+	case *wire.Heartbeat, *wire.ConfigFetch, *wire.ConfigDelta:
+		return true
+	default:
+		return role == wire.RoleEntry
+	}
+}
+
 func (f *Fleet) message(id member.ConnID, peer wire.Hello, m wire.Message, reply func(wire.Message) error) {
+	if !mayReport(peer.Role, m) {
+		f.cfg.Log.Log(eventlog.FrameInvalid, "instance", peer.Identity.Instance, "type", m.Type())
+		return
+	}
 	switch m := m.(type) {
 	case *wire.Heartbeat:
 		f.heartbeatFrom(id, peer, m)
