Wait for running requests when an entry is stopped

The HTTP library ends connections after a limit of its own, which the entry's program left at zero: a stopped entry cut its requests off. The server counts running requests, and the drain waits for them within its own context; idle connections no longer hold it up. A new spec stops an entry under long answers; with the library's limit alone it fails, with the change 8 of 8 complete.

--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -41,15 +41,26 @@
 	Current func() *config.Config
 	Handler Handler
 	Invalid InvalidCounter
-	// DrainTimeout bounds Shutdown.
-	DrainTimeout time.Duration
 }
 
+const (
+	// exitWait is far beyond any drain: the library would otherwise cut requests
+	// off at a limit of its own; the context of Drain decides.
+	exitWait = 24 * time.Hour
+	// closeWait bounds the end of idle connections once no request runs.
+	closeWait = time.Second
+	// drainPoll is the time between two looks at running requests.
+	drainPoll = 20 * time.Millisecond
+)
+
 // Server serves callers. It is safe for concurrent use.
 type Server struct {
 	cfg      Config
 	hertz    *server.Hertz
 	draining atomic.Bool
+	// closing says that connections are to be closed after their request.
+	closing atomic.Bool
+	running atomic.Int64
 }
 
 // NewServer returns a server that serves when Run is called.
@@ -61,7 +72,7 @@
 		server.WithSenseClientDisconnection(true),
 		// Bodies over the limit are read so far that the refusal can name it.
 		server.WithMaxRequestBodySize(maxBodyBytes + 1<<20),
-		server.WithExitWaitTime(cfg.DrainTimeout),
+		server.WithExitWaitTime(exitWait),
 		server.WithDisablePrintRoute(true),
 	}
 	s.hertz = server.New(options...)
@@ -70,16 +81,38 @@
 	return s
 }
 
-// Run serves until Shutdown.
+// Run serves until Drain or Close has ended.
 func (s *Server) Run() error { return s.hertz.Run() }
 
 // SetDraining makes the readiness check fail, so that the balancer stops
 // sending; requests that still arrive are served.
 func (s *Server) SetDraining() { s.draining.Store(true) }
 
-// Shutdown stops accepting connections and waits for running requests until
-// ctx ends.
-func (s *Server) Shutdown(ctx context.Context) error { return s.hertz.Shutdown(ctx) }
+// Drain waits until no request runs and then closes the connections. Requests
+// that still arrive are served, each as the last one of its connection. It
+// returns an error when ctx ends first.
+func (s *Server) Drain(ctx context.Context) error {
+	s.closing.Store(true)
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for s.running.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	s.Close(closeWait)
+	return nil
+}
+
+// Close ends the server; requests that run get at most the given time.
+func (s *Server) Close(wait time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	// Idle connections may outlast the wait; they end with the process.
+	_ = s.hertz.Shutdown(ctx)
+}
 
 func (s *Server) ready(_ context.Context, ctx *app.RequestContext) {
 	switch {
@@ -93,6 +126,11 @@
 }
 
 func (s *Server) serve(c context.Context, ctx *app.RequestContext) {
+	s.running.Add(1)
+	defer s.running.Add(-1)
+	if s.closing.Load() {
+		ctx.SetConnectionClose()
+	}
 	raw := readRaw(ctx)
 	answer := newAnswer(ctx, raw.requestID)
 	current := s.cfg.Current()
--- a/entry/caller/server_test.go
+++ b/entry/caller/server_test.go
@@ -65,7 +65,7 @@
 		}
 		server = NewServer(Config{
 			Listener: listener, Clock: clock.System{}, Current: func() *config.Config { return cfg },
-			Handler: handler, Invalid: invalid, DrainTimeout: time.Second,
+			Handler: handler, Invalid: invalid,
 		})
 		go func() { _ = server.Run() }()
 		base = "http://" + listener.Addr().String()
@@ -77,9 +77,7 @@
 			return err
 		}).Should(Succeed())
 		DeferCleanup(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			defer cancel()
-			_ = server.Shutdown(ctx)
+			Expect(server.Drain(context.Background())).To(Succeed())
 		})
 	})
 
--- a/entry/config.go
+++ b/entry/config.go
@@ -54,9 +54,9 @@
 	Dispatch dispatch.Config
 	Tracker  distribute.TrackerConfig
 	Waves    rollout.Config
-	// DrainTimeout bounds the drain. BalancerLag is the time between the failed
-	// readiness check and the end of accepting.
-	DrainTimeout, BalancerLag time.Duration
+	// BalancerLag is the time between the failed readiness check and the end of
+	// accepting.
+	BalancerLag time.Duration
 }
 
 func (c Config) applyDefaults() Config {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -71,12 +71,11 @@
 		Waves:    cfg.Waves,
 	})
 	e.callers = caller.NewServer(caller.Config{
-		Listener:     cfg.Callers,
-		Clock:        cfg.Clock,
-		Current:      e.Current,
-		Handler:      e.dispatcher,
-		Invalid:      cfg.Metrics,
-		DrainTimeout: cfg.DrainTimeout,
+		Listener: cfg.Callers,
+		Clock:    cfg.Clock,
+		Current:  e.Current,
+		Handler:  e.dispatcher,
+		Invalid:  cfg.Metrics,
 	})
 	e.follower.Watch(func(v *config.View) { e.dispatcher.Configure(v.Config) })
 	e.setUpOperators()
@@ -193,14 +192,12 @@
 	case <-lag.C:
 	case <-ctx.Done():
 	}
-	return e.callers.Shutdown(ctx)
+	return e.callers.Drain(ctx)
 }
 
 // Close ends all tasks at once.
 func (e *Entry) Close() error {
-	ended, cancel := context.WithCancel(context.Background())
-	cancel()
-	_ = e.callers.Shutdown(ended)
+	e.callers.Close(0)
 	e.stop()
 	if e.operators != nil {
 		e.operators.Stop()
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -99,22 +99,39 @@
 		}
 	})
 
-	// Guards against requests that are cut off by a graceful shutdown.
-	It("cuts off no request when an agent is stopped", func() {
-		outcomes := make(chan deployment.Answer, 24)
-		for i := range cap(outcomes) {
+	// long starts answers that take a while and returns their ends.
+	long := func(count int, url func(int) string) <-chan deployment.Answer {
+		answers := make(chan deployment.Answer, count)
+		for i := range count {
 			go func() {
-				outcomes <- client.Send(ctx, d.Entries[i%len(d.Entries)].URL, deployment.Call{
+				answers <- client.Send(ctx, url(i), deployment.Call{
 					Service: deployment.DraftService, Tenant: deployment.TenantSmall,
 					Request: fmt.Sprintf("long-%d", i), Body: deployment.DraftBody(rand.New(rand.NewSource(int64(i))), 200), Stream: true,
 				})
 			}()
 		}
-		Eventually(func() int { return d.DraftRuns("long-0") }).WithTimeout(settleTime).Should(Equal(1))
+		for i := range count {
+			Eventually(func() int { return d.DraftRuns(fmt.Sprintf("long-%d", i)) }).WithTimeout(settleTime).Should(Equal(1))
+		}
+		return answers
+	}
+
+	// Guards against requests that are cut off by a graceful shutdown.
+	It("cuts off no request when agents are stopped", func() {
+		answers := long(24, func(i int) string { return d.Entries[i%len(d.Entries)].URL })
 		Expect(d.ModelAgents()[0].Stop(ctx)).To(Succeed())
 		Expect(d.ModelAgents()[3].Stop(ctx)).To(Succeed())
-		for range cap(outcomes) {
-			Expect((<-outcomes).Outcome).To(Equal(completed))
+		for range cap(answers) {
+			Expect((<-answers).Outcome).To(Equal(completed))
+		}
+	})
+
+	// Guards against an HTTP library that ends connections at a limit of its own.
+	It("cuts off no request when an entry is stopped", func() {
+		answers := long(8, func(int) string { return d.Entries[0].URL })
+		Expect(d.Entries[0].Stop(ctx)).To(Succeed())
+		for range cap(answers) {
+			Expect((<-answers).Outcome).To(Equal(completed))
 		}
 	})
 
--- a/internal/deployment/options.go
+++ b/internal/deployment/options.go
@@ -49,7 +49,6 @@
 	instanceCopies = 2
 	engineCapacity = 16
 	balancerLag    = 300 * time.Millisecond
-	drainTimeout   = 20 * time.Second
 )
 
 func (o Options) originRate() int64 {
