Settle claims before an entry exits

An entry that was stopped while an attempt of a caller that had gone was still running exited without the attempt's result, and its claim answered unknown for the retention. The drain waits for such attempts and for claim updates that the store has not taken.

--- a/entry/dispatch/dispatch_test.go
+++ b/entry/dispatch/dispatch_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"context"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -96,6 +97,19 @@
 			Expect(a.Starts).To(BeEmpty())
 		})
 
+		// Guards against an entry that exits while a claim waits for its result.
+		It("drains only when attempts of callers that have gone are settled", func() {
+			first := w.send("k", "plate")
+			run := started(a)
+			first.leave()
+			expectResult(first, outcome.Unknown, outcome.ReasonCanceled)
+			drained := make(chan error, 1)
+			go func() { drained <- w.dispatcher.Drain(context.Background()) }()
+			Consistently(drained).WithTimeout(100 * time.Millisecond).ShouldNot(Receive())
+			answer(run, "engraved")
+			Eventually(drained).WithTimeout(patience).Should(Receive(BeNil()))
+		})
+
 		// Guards against a result that is lost when the caller goes while the
 		// connection to the agent is down.
 		It("completes the claim over a new connection after the caller has gone", func() {
--- a/entry/dispatch/dispatcher.go
+++ b/entry/dispatch/dispatcher.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/auburnbend/auburnbend/entry/caller"
@@ -18,6 +19,9 @@
 	cfg       Config
 	admission *admission
 	budget    *attempt.Budget
+	// settling holds requests whose callers have their answers while an attempt
+	// may still run.
+	settling sync.WaitGroup
 }
 
 var _ caller.Handler = (*Dispatcher)(nil)
@@ -38,6 +42,29 @@
 	d.admission.run(ctx, d.cfg.Fleet.Changed(), d.cfg.Tick)
 }
 
+// Drain waits until no attempt runs whose fate a claim needs, and until the store
+// has taken all claim updates. It returns an error when ctx ends first.
+func (d *Dispatcher) Drain(ctx context.Context) error {
+	settled := make(chan struct{})
+	go func() {
+		defer close(settled)
+		d.settling.Wait()
+	}()
+	select {
+	case <-settled:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	for d.cfg.Ledger.Pending() > 0 {
+		select {
+		case <-time.After(sweepInterval):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 // Configure takes a configuration that has come in force.
 func (d *Dispatcher) Configure(c *config.Config) {
 	d.admission.setTenants(c.Tenants)
--- a/entry/dispatch/run.go
+++ b/entry/dispatch/run.go
@@ -92,7 +92,7 @@
 		}
 	}
 	if r.settling {
-		go r.settle()
+		r.dispatcher.settling.Go(r.settle)
 		return
 	}
 	r.release()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -192,7 +192,10 @@
 	case <-lag.C:
 	case <-ctx.Done():
 	}
-	return e.callers.Drain(ctx)
+	if err := e.callers.Drain(ctx); err != nil {
+		return err
+	}
+	return e.dispatcher.Drain(ctx)
 }
 
 // Close ends all tasks at once.
