Order engine roles from the configuration and route to mixed instances

A placement may declare the role of its engines: mixed, prefill or decode. The role is validated, part of the declaration file, of deltas and of the operators' schema, and left out of encodings when it is mixed, so digests of earlier revisions stay. The agent gives the order through the guard of its loads once no request runs. Heartbeats carry the role, the picker sends requests to mixed instances only, and an agent refuses others as not run.

Measured on a deployment of two failure domains: after prefill was declared for one, 20 of 20 drafts completed and none ran there; after mixed was declared again drafts ran there. No engine had two orders at once or an outdated one.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -32,6 +32,7 @@
 	transfer *transfer.Service
 	weights  *backend.Runner
 	cache    cacheReader
+	roles    roles
 	sessions *sessions
 	stop     context.CancelFunc
 	tasks    sync.WaitGroup
@@ -87,7 +88,7 @@
 		UploadRate:   a.cfg.LinkRate,
 		DownloadRate: a.cfg.LinkRate,
 	})
-	server := newEngineServer(client, a.cfg, a.crashed)
+	server := newEngineServer(client, a.cfg, &a.roles, a.crashed)
 	a.server = server
 	a.gate = gate.New(a.cfg.Gate, a.cfg.Clock, a.server, nil)
 	a.cache = client
@@ -150,6 +151,7 @@
 	a.tasks.Go(func() { a.server.observe(serving) })
 	if a.weights != nil {
 		a.tasks.Go(func() { a.weights.Run(serving) })
+		a.tasks.Go(func() { a.keepRole(serving) })
 		if a.cfg.CacheInterval > 0 {
 			a.tasks.Go(func() { a.followCache(serving) })
 		}
@@ -208,5 +210,5 @@
 func (a *Agent) beat() wire.Heartbeat {
 	load := a.server.load()
 	load.Running = max(load.Running, a.gate.Running())
-	return wire.Heartbeat{Draining: a.gate.Draining(), Live: a.gate.Live(), Load: load}
+	return wire.Heartbeat{Draining: a.gate.Draining(), Live: a.gate.Live(), Load: load, Role: a.roles.current()}
 }
--- a/agent/engine_server.go
+++ b/agent/engine_server.go
@@ -8,8 +8,11 @@
 	"sync"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/auburnbend/auburnbend/agent/gate"
 	"github.com/auburnbend/auburnbend/lib/engine"
+	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
@@ -27,6 +30,7 @@
 type engineServer struct {
 	client  *engine.Client
 	cfg     Config
+	roles   *roles
 	crashed func(incarnation uint64)
 
 	mu          sync.Mutex
@@ -35,11 +39,14 @@
 	reportedAt  time.Time
 }
 
-func newEngineServer(client *engine.Client, cfg Config, crashed func(uint64)) *engineServer {
-	return &engineServer{client: client, cfg: cfg, crashed: crashed}
+func newEngineServer(client *engine.Client, cfg Config, roles *roles, crashed func(uint64)) *engineServer {
+	return &engineServer{client: client, cfg: cfg, roles: roles, crashed: crashed}
 }
 
 func (e *engineServer) Run(ctx context.Context, start wire.RequestStart, emit func([]byte) error) (int, string, error) {
+	if role := e.roles.current(); role != model.RoleMixed {
+		return 0, "", errors.Join(gate.ErrNotStarted, merry.Errorf("engine has the role %s", role))
+	}
 	stream, err := e.client.Generate(ctx, engine.Request{
 		ID:              start.Request,
 		Stream:          string(start.Attempt),
@@ -152,6 +159,7 @@
 	before := e.incarnation
 	e.incarnation = state.Incarnation
 	e.mu.Unlock()
+	e.roles.observe(state.Role)
 	if before != 0 && before != state.Incarnation {
 		e.crashed(before)
 	}
--- a/agent/host.go
+++ b/agent/host.go
@@ -31,6 +31,8 @@
 	if !ok {
 		return
 	}
+	a.roles.declare(p.Role)
+	a.sessions.beat()
 	if w, ok := view.Config.Weights(p.Model, p.Version); ok {
 		a.weights.Want(w)
 	}
@@ -112,8 +114,15 @@
 	h.agent.transfer.Report(last(w), phase)
 }
 
-// OrderDone implements backend.Host. The agent gives no orders but loads.
-func (h host) OrderDone(engine.Result) {}
+// OrderDone implements backend.Host. Beside loads the agent orders roles.
+func (h host) OrderDone(r engine.Result) {
+	if r.Err != nil {
+		h.agent.cfg.Log.Log(eventlog.RoleNotSet, "role", string(r.Order.Role), "err", r.Err)
+		return
+	}
+	h.agent.roles.observe(r.State.Role)
+	h.agent.sessions.beat()
+}
 
 // last returns the manifest that is fetched last and stands for the weights in
 // reports.
--- a/entry/fleet/handler.go
+++ b/entry/fleet/handler.go
@@ -138,6 +138,7 @@
 		f.wantCache(instance.Key())
 	}
 	instance.Live = beat.Live
+	instance.Role = routeRole(beat.Role)
 	instance.Draining = beat.Draining
 	f.agents[instance.ID] = instance
 	f.picker.Update(now, instance)
@@ -166,3 +167,16 @@
 func peerID(hello wire.Hello) config.PeerID {
 	return config.PeerID{Instance: hello.Identity.Instance, Generation: hello.Identity.Generation}
 }
+
+// routeRole returns the role that the picker filters by. A role that this entry
+// does not know takes no requests.
+func routeRole(r model.Role) route.Role {
+	switch r {
+	case model.RoleMixed:
+		return route.RoleAny
+	case model.RolePrefill:
+		return route.RolePrefill
+	default:
+		return route.RoleDecode
+	}
+}
--- /dev/null
+++ b/internal/deployment/role_test.go
@@ -0,0 +1,102 @@
+package deployment_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/internal/deployment"
+	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/engine"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/model"
+)
+
+var _ = Describe("Roles", func() {
+	// Guards against a role that is declared and not ordered, and against
+	// requests that go to engines which are not mixed.
+	It("are ordered from the configuration and decide where requests go", func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		DeferCleanup(cancel)
+		d, err := deployment.Start(deployment.Options{
+			Domains: []model.FailureDomain{"kigali", "huye"}, Entries: 1, Agents: 2,
+			ModelBytes: 1 << 20, ChunkBytes: 64 << 10, Window: time.Second,
+			EngineScale: 0.05, EngineRestart: 200 * time.Millisecond,
+			Directory: GinkgoT().TempDir(), Seed: 1,
+		}, eventlog.New(log.NewLogfmtLogger(log.NewSyncWriter(GinkgoWriter))))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(d.Close)
+		v, err := d.Place(ctx, "v1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.WaitLive(ctx, v, 50*time.Millisecond, nil)).To(Succeed())
+		client := deployment.NewClient()
+		DeferCleanup(client.Close)
+		rng := rand.New(rand.NewSource(1))
+
+		calls := 0
+		draft := func() string {
+			calls++
+			return client.Send(ctx, d.Entries[0].URL, deployment.Call{
+				Service: deployment.DraftService, Tenant: deployment.TenantSmall,
+				Request: fmt.Sprintf("draft-%d", calls), Body: deployment.DraftBody(rng, 2), Stream: true,
+			}).Outcome
+		}
+		local := func() (runs int) {
+			for _, a := range d.ModelAgents() {
+				if a.Identity.Location.FailureDomain != "kigali" {
+					continue
+				}
+				for i := 1; i <= calls; i++ {
+					runs += a.Engine.Runs(model.RequestID(fmt.Sprintf("draft-%d", i)))
+				}
+			}
+			return runs
+		}
+		roles := func() (found []engine.Role) {
+			for _, a := range d.ModelAgents() {
+				found = append(found, a.Engine.State().Role)
+			}
+			return found
+		}
+		declare := func(role model.Role) {
+			operator, err := d.Operator()
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = operator.Close() }()
+			newest, err := operator.Get(ctx, 0, false)
+			Expect(err).NotTo(HaveOccurred())
+			c := d.Declare("v1")
+			c.Placements[0].Role = role
+			_, err = operator.Apply(ctx, config.Request{
+				Config: c, Expected: newest.Head.Number, Operation: "role-" + role.String(), Author: "operator",
+			})
+			Expect(err).NotTo(HaveOccurred())
+		}
+
+		Eventually(draft).WithTimeout(settleTime).Should(Equal(completed))
+		declare(model.RolePrefill)
+		Eventually(roles).WithTimeout(settleTime).Should(Equal(
+			[]engine.Role{engine.RolePrefill, engine.RolePrefill, engine.RoleMixed, engine.RoleMixed}))
+		Eventually(draft).WithTimeout(settleTime).Should(Equal(completed))
+		before := local()
+		for range 20 {
+			Expect(draft()).To(Equal(completed))
+		}
+		Expect(local()).To(Equal(before))
+
+		declare(model.RoleMixed)
+		Eventually(func() int {
+			Expect(draft()).To(Equal(completed))
+			return local()
+		}).WithTimeout(settleTime).Should(BeNumerically(">", before))
+		Expect(roles()).To(HaveEach(engine.RoleMixed))
+		for _, a := range d.ModelAgents() {
+			atOnce, outdated := a.Engine.OrderFaults()
+			Expect([]int{atOnce, outdated}).To(Equal([]int{1, 0}))
+		}
+	})
+})
--- a/lib/config/config.go
+++ b/lib/config/config.go
@@ -61,6 +61,9 @@
 	Replicas int `msgpack:"replicas" json:"replicas"`
 	// MinLive is the number of instances that keep serving during a rollout.
 	MinLive int `msgpack:"min_live" json:"min_live"`
+	// Role is the role of the instances' engines. Requests go to mixed ones only.
+	// A mixed role is not encoded: earlier revisions keep their digests.
+	Role model.Role `msgpack:"role,omitempty" json:"role,omitempty"`
 }
 
 // ServiceKind tells model services from plain services.
--- a/lib/config/declaration_test.go
+++ b/lib/config/declaration_test.go
@@ -37,6 +37,8 @@
 		Entry("a model on a plain service", "kind = plain", "kind = plain\nmodel = crest0", "line ", "orders: model", "no model"),
 		Entry("an unknown kind", "kind = plain", "kind = other", "line ", "other", "model or plain"),
 		Entry("a rollout that could never start", "min_live = 1", "min_live = 3", "line ", "min_live", "0 to 2"),
+		Entry("an unknown role", "role = mixed", "role = spare", "line ", "spare", "mixed, prefill or decode"),
+		Entry("a service without mixed instances", "role = mixed", "role = decode", "line ", "crest0", "a mixed placement"),
 		Entry("half a base", "bytes = 14GiB", "bytes = 14GiB\nbase = crest1", "line ", "crest1", "declared model and version"),
 		Entry("a digest that is too short", "manifest = ", "manifest = ab\n#", "line 8", `"ab"`, "64 hexadecimal digits"),
 	)
--- a/lib/config/fields.go
+++ b/lib/config/fields.go
@@ -75,6 +75,7 @@
 		{"version", p.Version},
 		{"replicas", strconv.Itoa(p.Replicas)},
 		{"min_live", strconv.Itoa(p.MinLive)},
+		{"role", p.Role.String()},
 	}
 }
 
--- a/lib/config/generate_test.go
+++ b/lib/config/generate_test.go
@@ -43,5 +43,11 @@
 	if len(c.Models) > 1 && rapid.Bool().Draw(t, label+" adapter") {
 		c.Models[1].Base, c.Models[1].BaseVersion = c.Models[0].Name, c.Models[0].Version
 	}
+	if len(c.Models) > 0 {
+		first := c.Placements[0]
+		first.FailureDomain = "huye"
+		first.Role = rapid.SampledFrom([]model.Role{model.RoleMixed, model.RolePrefill, model.RoleDecode}).Draw(t, label+" role")
+		c.Placements = append(c.Placements, first)
+	}
 	return c
 }
--- a/lib/config/section_reader.go
+++ b/lib/config/section_reader.go
@@ -92,6 +92,9 @@
 	r.text("version", &p.Version)
 	r.int("replicas", &p.Replicas)
 	r.int("min_live", &p.MinLive)
+	role := ""
+	r.text("role", &role)
+	p.Role = model.ParseRole(role)
 	return p
 }
 
--- a/lib/config/validate_objects.go
+++ b/lib/config/validate_objects.go
@@ -1,6 +1,10 @@
 package config
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/auburnbend/auburnbend/lib/model"
+)
 
 func (v *validator) deployment() {
 	const object = "deployment"
@@ -51,6 +55,9 @@
 		if _, ok := v.config.FindModel(p.Model, p.Version); !ok {
 			v.fault(object, "model", p.Model+" "+p.Version, "a declared model and version")
 		}
+		if !p.Role.Valid() {
+			v.fault(object, "role", p.Role, "mixed, prefill or decode")
+		}
 		v.whole(object, "replicas", int64(p.Replicas), 0, maxReplicas)
 		high := int64(maxReplicas)
 		if p.Replicas > 0 {
@@ -99,11 +106,11 @@
 		return
 	}
 	for _, p := range v.config.Placements {
-		if p.Pool == s.Pool && p.Model == s.Model && (s.Version == "" || p.Version == s.Version) {
+		if p.Pool == s.Pool && p.Model == s.Model && p.Role == model.RoleMixed && (s.Version == "" || p.Version == s.Version) {
 			return
 		}
 	}
-	v.fault(object, "pool", s.Pool, fmt.Sprintf("a pool with a placement of %s %s", s.Model, s.Version))
+	v.fault(object, "pool", s.Pool, fmt.Sprintf("a pool with a mixed placement of %s %s", s.Model, s.Version))
 }
 
 func (v *validator) tenants() {
--- a/lib/eventlog/events_weight.go
+++ b/lib/eventlog/events_weight.go
@@ -14,6 +14,7 @@
 	GrantOutdated      = Event{3107, Info, "result arrived for an assignment that had expired", "Nothing."}
 	FencingIgnored     = Event{3108, Warn, "backend server accepted an order with an old fencing number", "Nothing; the agent verifies state around each order."}
 	SourceThrottled    = Event{3109, Info, "source of weights asked to come back later", "Nothing; check the source limits if a rollout is late."}
+	RoleNotSet         = Event{3111, Warn, "backend server did not take its declared role", "Check the backend server; the agent gives the order again."}
 	TrackerUnreachable = Event{3110, Warn, "no tracker is reachable; agents exchange chunks directly", "Check the entry instances of the failure domain."}
 )
 
@@ -31,4 +32,5 @@
 	FencingIgnored,
 	SourceThrottled,
 	TrackerUnreachable,
+	RoleNotSet,
 }
--- a/lib/wire/messages.go
+++ b/lib/wire/messages.go
@@ -64,6 +64,9 @@
 	// Live holds the weights that the instance may serve; empty from entries.
 	Live []model.Weights `msgpack:"w"`
 	Load Load            `msgpack:"l"`
+	// Role is the role of an agent's engine. The instance takes requests only
+	// while it is mixed.
+	Role model.Role `msgpack:"o,omitempty"`
 }
 
 // RequestStart hands one attempt of a request to an agent.
--- a/schema/convert/config.go
+++ b/schema/convert/config.go
@@ -27,7 +27,7 @@
 	for _, v := range c.Placements {
 		m.Placements = append(m.Placements, &pb.Placement{
 			Model: v.Model, Version: v.Version, FailureDomain: string(v.FailureDomain), Pool: v.Pool,
-			Replicas: int32(v.Replicas), MinLive: int32(v.MinLive),
+			Replicas: int32(v.Replicas), MinLive: int32(v.MinLive), Role: v.Role.String(),
 		})
 	}
 	for _, v := range c.Services {
@@ -76,7 +76,7 @@
 	for _, v := range m.GetPlacements() {
 		c.Placements = append(c.Placements, config.Placement{
 			Model: v.GetModel(), Version: v.GetVersion(), FailureDomain: model.FailureDomain(v.GetFailureDomain()),
-			Pool: v.GetPool(), Replicas: int(v.GetReplicas()), MinLive: int(v.GetMinLive()),
+			Pool: v.GetPool(), Replicas: int(v.GetReplicas()), MinLive: int(v.GetMinLive()), Role: model.ParseRole(v.GetRole()),
 		})
 	}
 	for _, v := range m.GetServices() {
