Fail a KV cache order after which the engine has other weights

The guard compared the weights of an export or import with the state before the order only. An engine that restarted with other weights in between and checks nothing itself had its import reported as done. The state after the order must now show the same weights too.

A table of seven mismatches shows that such orders never reach an engine that checks nothing; the two specs for the state afterwards failed before.

--- a/lib/engine/guard.go
+++ b/lib/engine/guard.go
@@ -208,6 +208,12 @@
 	if failure != "" {
 		return merry.Wrap(ErrOrderFailed, merry.AppendMessage(failure))
 	}
+	movesKV := g.order.Kind == OrderExportKV || g.order.Kind == OrderImportKV
+	if movesKV && s.Weights != g.order.Weights {
+		// The engine may have restarted with other weights after the read of
+		// state before the order.
+		return merry.Wrap(ErrWeightsMismatch, merry.AppendMessagef("engine has %s after the order", s.Weights))
+	}
 	switch g.order.Kind {
 	case OrderLoad:
 		if s.Weights != g.order.Weights {
