Let transfers yield to live requests

Nothing passed the time to first token on to the transfers, so they kept 0.8 of the link however slow live requests were. The agent now averages it over two seconds, counts requests that still wait for their first token, and hands it to the transfers at each tick. Progress shows the share.

With one request that gets no token the share falls from 0.8 to under half in four steps of two seconds, and comes back to 0.8 after it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -33,9 +33,11 @@
 	weights  *backend.Runner
 	cache    cacheReader
 	roles    roles
-	sessions *sessions
-	stop     context.CancelFunc
-	tasks    sync.WaitGroup
+	// firstTokens are the times to first token of live requests.
+	firstTokens firstTokens
+	sessions    *sessions
+	stop        context.CancelFunc
+	tasks       sync.WaitGroup
 }
 
 // New returns an agent that Start starts.
@@ -88,7 +90,7 @@
 		UploadRate:   a.cfg.LinkRate,
 		DownloadRate: a.cfg.LinkRate,
 	})
-	server := newEngineServer(client, a.cfg, &a.roles, a.crashed)
+	server := newEngineServer(client, a)
 	a.server = server
 	a.gate = gate.New(a.cfg.Gate, a.cfg.Clock, a.server, nil)
 	a.cache = client
@@ -193,12 +195,20 @@
 		case <-ticker.C:
 			a.gate.Tick()
 			a.follower.Tick()
+			a.yield()
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// yield lets transfers take less of the link while live requests are slow.
+func (a *Agent) yield() {
+	if a.transfer != nil {
+		a.transfer.ObserveFirstToken(a.firstTokens.mean(a.cfg.Clock.Now()))
+	}
+}
+
 // tickInterval is the time between two looks at deadlines and announcements.
 const tickInterval = 250 * time.Millisecond
 
--- a/agent/engine_server.go
+++ b/agent/engine_server.go
@@ -31,6 +31,7 @@
 	client  *engine.Client
 	cfg     Config
 	roles   *roles
+	first   *firstTokens
 	crashed func(incarnation uint64)
 
 	mu          sync.Mutex
@@ -39,14 +40,21 @@
 	reportedAt  time.Time
 }
 
-func newEngineServer(client *engine.Client, cfg Config, roles *roles, crashed func(uint64)) *engineServer {
-	return &engineServer{client: client, cfg: cfg, roles: roles, crashed: crashed}
+func newEngineServer(client *engine.Client, a *Agent) *engineServer {
+	return &engineServer{client: client, cfg: a.cfg, roles: &a.roles, first: &a.firstTokens, crashed: a.crashed}
 }
 
 func (e *engineServer) Run(ctx context.Context, start wire.RequestStart, emit func([]byte) error) (int, string, error) {
 	if role := e.roles.current(); role != model.RoleMixed {
 		return 0, "", errors.Join(gate.ErrNotStarted, merry.Errorf("engine has the role %s", role))
 	}
+	first := e.first.start(e.cfg.Clock.Now())
+	defer func() { first(e.cfg.Clock.Now(), false) }()
+	send := emit
+	emit = func(data []byte) error {
+		first(e.cfg.Clock.Now(), true)
+		return send(data)
+	}
 	stream, err := e.client.Generate(ctx, engine.Request{
 		ID:              start.Request,
 		Stream:          string(start.Attempt),
--- /dev/null
+++ b/agent/first_tokens_test.go
@@ -0,0 +1,57 @@
+package agent
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/agent/transfer"
+	"github.com/auburnbend/auburnbend/lib/clock"
+)
+
+var _ = Describe("Times to first token", func() {
+	start := time.Unix(1000, 0)
+
+	It("are averaged over the last seconds", func() {
+		var f firstTokens
+		Expect(f.mean(start)).To(BeZero())
+		f.start(start)(start.Add(100*time.Millisecond), true)
+		f.start(start)(start.Add(300*time.Millisecond), true)
+		f.start(start)(start.Add(time.Second), false)
+		Expect(f.mean(start.Add(time.Second))).To(Equal(200 * time.Millisecond))
+		Expect(f.mean(start.Add(time.Minute))).To(BeZero())
+	})
+
+	// Guards against transfers that keep the link because requests which get no
+	// token are not seen.
+	It("include requests that still wait", func() {
+		var f firstTokens
+		done := f.start(start)
+		Expect(f.mean(start.Add(5 * time.Second))).To(Equal(5 * time.Second))
+		done(start.Add(6*time.Second), true)
+		done(start.Add(60*time.Second), true)
+		Expect(f.mean(start.Add(6 * time.Second))).To(Equal(6 * time.Second))
+	})
+
+	// Guards against transfers that delay live requests.
+	It("make transfers yield to live requests and take the link back", func() {
+		c := clock.NewFake(start)
+		a := &Agent{cfg: Config{Clock: c}, transfer: transfer.New(transfer.Config{Clock: c, Seed: 1, DownloadRate: 1 << 20})}
+		DeferCleanup(a.transfer.Close)
+		full := a.transfer.Progress().Share
+		done := a.firstTokens.start(c.Now())
+		for range 4 {
+			c.Advance(2 * time.Second)
+			a.yield()
+		}
+		slow := a.transfer.Progress().Share
+		Expect(slow).To(BeNumerically("<", full/2))
+		done(c.Now(), true)
+		for range 60 {
+			c.Advance(2 * time.Second)
+			a.yield()
+		}
+		Expect(a.transfer.Progress().Share).To(BeNumerically("~", full, 1e-9))
+	})
+})
--- a/agent/transfer/service.go
+++ b/agent/transfer/service.go
@@ -104,7 +104,13 @@
 }
 
 // Progress reports the current transfer.
-func (s *Service) Progress() Progress { return s.counters.progress() }
+func (s *Service) Progress() Progress {
+	p := s.counters.progress()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.Share = s.share.Share()
+	return p
+}
 
 // ObserveFirstToken takes the recent time to first token of live requests, or 0
 // if there were none, and sets the share of the link that transfers use.
--- a/agent/transfer/status.go
+++ b/agent/transfer/status.go
@@ -10,6 +10,8 @@
 	StoreBytes   int64
 	PeerBytes    int64
 	UploadBytes  int64
+	// Share is the part of the instance's link that transfers use now.
+	Share float64
 	// Tracked is false while the agent works without a tracker.
 	Tracked bool
 }
