Record the time and bytes of transfers in agents

The instruments for transfers existed and nothing used them. An agent now records the time from its first fetch of a version to all chunks verified, over failed fetches too, and the bytes by source, corrupt and abandoned ones included.

Measured with three agents and a version of 1 MiB: one copy from the origin and two from peers, and one transfer in the histogram of each agent.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,6 +12,7 @@
 	"github.com/auburnbend/auburnbend/agent/backend"
 	"github.com/auburnbend/auburnbend/agent/gate"
 	"github.com/auburnbend/auburnbend/agent/transfer"
+	"github.com/auburnbend/auburnbend/lib/config"
 	"github.com/auburnbend/auburnbend/lib/engine"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/follow"
@@ -33,6 +34,7 @@
 	weights  *backend.Runner
 	cache    cacheReader
 	roles    roles
+	wishes   wishes
 	// firstTokens are the times to first token of live requests.
 	firstTokens firstTokens
 	sessions    *sessions
@@ -102,6 +104,7 @@
 		Engine:  client,
 		Host:    host{a},
 	})
+	a.follower.Watch(func(v *config.View) { a.cfg.Metrics.Declare(v.Config) })
 	a.follower.Watch(host{a}.configured)
 	return nil
 }
--- a/agent/config.go
+++ b/agent/config.go
@@ -27,6 +27,8 @@
 	Clock    clock.Clock
 	Rand     *rand.Rand
 	Log      *eventlog.Logger
+	// Metrics takes the measurements of transfers; it is optional.
+	Metrics Metrics
 	// Listener accepts connections of entries and of other agents.
 	Listener net.Listener
 	// Dial replaces the way in which connections to peers are opened; tests use
@@ -70,6 +72,9 @@
 	if c.Gate.Capacity == 0 {
 		c.Gate.Capacity = c.Capacity
 	}
+	if c.Metrics == nil {
+		c.Metrics = noMetrics{}
+	}
 	if c.CacheInterval == 0 {
 		c.CacheInterval = defaultCacheInterval
 	}
--- a/agent/host.go
+++ b/agent/host.go
@@ -54,16 +54,21 @@
 // fetch brings one set of weights, verifies it and names its files in order.
 func (h host) fetch(ctx context.Context, manifest model.Digest) (engine.Place, error) {
 	t := h.agent.transfer
-	object, ok := h.manifestObject(manifest)
+	declared, ok := h.declared(manifest)
 	if !ok {
 		return engine.Place{}, merry.Wrap(errNotDeclared, merry.AppendMessage(manifest.Short()))
 	}
-	if err := t.Fetch(ctx, manifest, object); err != nil {
+	metrics, before := h.agent.cfg.Metrics, t.Progress()
+	defer func() { countBytes(metrics, declared.Name, before, t.Progress()) }()
+	started := h.agent.wishes.since(manifest, h.agent.cfg.Clock.Now())
+	if err := t.Fetch(ctx, manifest, declared.ManifestObject); err != nil {
 		return engine.Place{}, err
 	}
 	if err := t.Verify(manifest); err != nil {
 		return engine.Place{}, err
 	}
+	h.agent.wishes.done()
+	metrics.Transferred(declared.Name, h.agent.cfg.Clock.Now().Sub(started))
 	place := engine.Place{Directory: h.agent.cfg.Staging}
 	for _, c := range t.Manifest(manifest).Chunks {
 		place.Files = append(place.Files, weights.ChunkFile(c.Digest))
@@ -71,17 +76,17 @@
 	return place, nil
 }
 
-func (h host) manifestObject(manifest model.Digest) (string, bool) {
+func (h host) declared(manifest model.Digest) (config.Model, bool) {
 	view := h.agent.follower.Current()
 	if view == nil {
-		return "", false
+		return config.Model{}, false
 	}
 	for _, m := range view.Config.Models {
 		if m.Manifest == manifest {
-			return m.ManifestObject, true
+			return m, true
 		}
 	}
-	return "", false
+	return config.Model{}, false
 }
 
 // Permit implements backend.Host.
--- a/agent/program.go
+++ b/agent/program.go
@@ -90,6 +90,7 @@
 		Clock:        clock.System{},
 		Rand:         mathrand.New(mathrand.NewSource(seed)),
 		Log:          log,
+		Metrics:      p.metrics,
 		Listener:     listener,
 		Policy:       policy,
 		Kind:         s.Backend.Kind,
--- a/internal/deployment/agent_process.go
+++ b/internal/deployment/agent_process.go
@@ -13,6 +13,7 @@
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/lib/settings"
+	"github.com/auburnbend/auburnbend/lib/telemetry"
 	"github.com/auburnbend/auburnbend/standin/engine"
 	"github.com/auburnbend/auburnbend/standin/service"
 )
@@ -25,6 +26,7 @@
 	// Engine is nil for plain services, Service for engines.
 	Engine  *engine.Server
 	Service *service.Server
+	Metrics *telemetry.Metrics
 
 	deployment *Deployment
 	stopped    atomic.Bool
@@ -55,6 +57,10 @@
 		Origin:   d.Origin,
 		LinkRate: d.Options.linkRate(),
 	}
+	if p.Metrics, err = telemetry.New(telemetry.Config{}); err != nil {
+		return err
+	}
+	cfg.Metrics = p.Metrics
 	if d.Options.NoCacheEvents {
 		cfg.CacheInterval = -1
 	}
