--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,6 +12,7 @@
 	"github.com/auburnbend/auburnbend/agent/backend"
 	"github.com/auburnbend/auburnbend/agent/gate"
 	"github.com/auburnbend/auburnbend/agent/transfer"
+	"github.com/auburnbend/auburnbend/lib/config"
 	"github.com/auburnbend/auburnbend/lib/engine"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/follow"
@@ -32,9 +33,13 @@
 	transfer *transfer.Service
 	weights  *backend.Runner
 	cache    cacheReader
-	sessions *sessions
-	stop     context.CancelFunc
-	tasks    sync.WaitGroup
+	roles    roles
+	wishes   wishes
+	// firstTokens are the times to first token of live requests.
+	firstTokens firstTokens
+	sessions    *sessions
+	stop        context.CancelFunc
+	tasks       sync.WaitGroup
 }
 
 // New returns an agent that Start starts.
@@ -87,7 +92,7 @@
 		UploadRate:   a.cfg.LinkRate,
 		DownloadRate: a.cfg.LinkRate,
 	})
-	server := newEngineServer(client, a.cfg, a.crashed)
+	server := newEngineServer(client, a)
 	a.server = server
 	a.gate = gate.New(a.cfg.Gate, a.cfg.Clock, a.server, nil)
 	a.cache = client
@@ -99,6 +104,7 @@
 		Engine:  client,
 		Host:    host{a},
 	})
+	a.follower.Watch(func(v *config.View) { a.cfg.Metrics.Declare(v.Config) })
 	a.follower.Watch(host{a}.configured)
 	return nil
 }
@@ -150,6 +156,7 @@
 	a.tasks.Go(func() { a.server.observe(serving) })
 	if a.weights != nil {
 		a.tasks.Go(func() { a.weights.Run(serving) })
+		a.tasks.Go(func() { a.keepRole(serving) })
 		if a.cfg.CacheInterval > 0 {
 			a.tasks.Go(func() { a.followCache(serving) })
 		}
@@ -191,12 +198,20 @@
 		case <-ticker.C:
 			a.gate.Tick()
 			a.follower.Tick()
+			a.yield()
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// yield lets transfers take less of the link while live requests are slow.
+func (a *Agent) yield() {
+	if a.transfer != nil {
+		a.transfer.ObserveFirstToken(a.firstTokens.mean(a.cfg.Clock.Now()))
+	}
+}
+
 // tickInterval is the time between two looks at deadlines and announcements.
 const tickInterval = 500 * time.Millisecond
 
@@ -208,5 +223,5 @@
 func (a *Agent) beat() wire.Heartbeat {
 	load := a.server.load()
 	load.Running = max(load.Running, a.gate.Running())
-	return wire.Heartbeat{Draining: a.gate.Draining(), Live: a.gate.Live(), Load: load}
+	return wire.Heartbeat{Draining: a.gate.Draining(), Live: a.gate.Live(), Load: load, Role: a.roles.current()}
 }
--- a/agent/config.go
+++ b/agent/config.go
@@ -27,7 +27,7 @@
 	Clock    clock.Clock
 	Rand     *rand.Rand
 	Log      *eventlog.Logger
-	// Metrics may be nil.
+	// Metrics takes the measurements of transfers; it is optional.
 	Metrics Metrics
 	// Listener accepts connections of entries and of other agents.
 	Listener net.Listener
@@ -75,6 +75,9 @@
 	if c.Gate.Capacity == 0 {
 		c.Gate.Capacity = c.Capacity
 	}
+	if c.Metrics == nil {
+		c.Metrics = noMetrics{}
+	}
 	if c.CacheInterval == 0 {
 		c.CacheInterval = defaultCacheInterval
 	}
--- a/agent/host.go
+++ b/agent/host.go
@@ -7,12 +7,10 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/auburnbend/auburnbend/agent/backend"
-	"github.com/auburnbend/auburnbend/agent/transfer"
 	"github.com/auburnbend/auburnbend/lib/config"
 	"github.com/auburnbend/auburnbend/lib/engine"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/telemetry"
 	"github.com/auburnbend/auburnbend/lib/weights"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
@@ -34,6 +32,8 @@
 	if !ok {
 		return
 	}
+	a.roles.declare(p.Role)
+	a.sessions.beat()
 	if w, ok := view.Config.Weights(p.Model, p.Version); ok {
 		a.weights.Want(w)
 	}
@@ -59,15 +59,17 @@
 	if !ok {
 		return engine.Place{}, merry.Wrap(errNotDeclared, merry.AppendMessage(manifest.Short()))
 	}
-	started, before := h.agent.cfg.Clock.Now(), t.Progress()
-	err := t.Fetch(ctx, manifest, declared.ManifestObject)
-	h.measure(declared.Name, started, before, err)
-	if err != nil {
+	metrics, before := h.agent.cfg.Metrics, t.Progress()
+	defer func() { countBytes(metrics, declared.Name, before, t.Progress()) }()
+	started := h.agent.wishes.since(manifest, h.agent.cfg.Clock.Now())
+	if err := t.Fetch(ctx, manifest, declared.ManifestObject); err != nil {
 		return engine.Place{}, err
 	}
 	if err := t.Verify(manifest); err != nil {
 		return engine.Place{}, err
 	}
+	h.agent.wishes.done()
+	metrics.Transferred(declared.Name, h.agent.cfg.Clock.Now().Sub(started))
 	place := engine.Place{Directory: h.agent.cfg.Staging}
 	for _, c := range t.Manifest(manifest).Chunks {
 		place.Files = append(place.Files, weights.ChunkFile(c.Digest))
@@ -75,30 +77,6 @@
 	return place, nil
 }
 
-// measure records a fetch that began at a time and with a progress. One that
-// received nothing, because all chunks were held, has no transfer time.
-func (h host) measure(modelName string, started time.Time, before transfer.Progress, err error) {
-	metrics, now := h.agent.cfg.Metrics, h.agent.transfer.Progress()
-	received := int64(0)
-	for _, of := range []struct {
-		source telemetry.Source
-		bytes  int64
-	}{
-		{telemetry.SourceOrigin, now.OriginBytes - before.OriginBytes},
-		{telemetry.SourceWeightStore, now.StoreBytes - before.StoreBytes},
-		{telemetry.SourcePeer, now.PeerBytes - before.PeerBytes},
-	} {
-		if of.bytes > 0 {
-			metrics.TransferBytes(modelName, of.source, of.bytes)
-			received += of.bytes
-		}
-	}
-	if err == nil && received > 0 {
-		metrics.Transferred(modelName, h.agent.cfg.Clock.Now().Sub(started))
-	}
-}
-
-// declared returns the declared model with a manifest.
 func (h host) declared(manifest model.Digest) (config.Model, bool) {
 	view := h.agent.follower.Current()
 	if view == nil {
@@ -142,8 +120,15 @@
 	h.agent.transfer.Report(last(w), phase)
 }
 
-// OrderDone implements backend.Host. The agent gives no orders but loads.
-func (h host) OrderDone(engine.Result) {}
+// OrderDone implements backend.Host. Beside loads the agent orders roles.
+func (h host) OrderDone(r engine.Result) {
+	if r.Err != nil {
+		h.agent.cfg.Log.Log(eventlog.RoleNotSet, "role", string(r.Order.Role), "err", r.Err)
+		return
+	}
+	h.agent.roles.observe(r.State.Role)
+	h.agent.sessions.beat()
+}
 
 // last returns the manifest that is fetched last and stands for the weights in
 // reports.
--- a/entry/dispatch/dispatcher.go
+++ b/entry/dispatch/dispatcher.go
@@ -5,7 +5,7 @@
 
 import (
 	"context"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/auburnbend/auburnbend/entry/caller"
@@ -21,7 +21,7 @@
 	budget    *attempt.Budget
 	// settling holds requests whose callers have their answers while an attempt
 	// may still run.
-	settling sync.WaitGroup
+	settling atomic.Int64
 }
 
 var _ caller.Handler = (*Dispatcher)(nil)
@@ -42,22 +42,15 @@
 	d.admission.run(ctx, d.cfg.Fleet.Changed(), d.cfg.Tick)
 }
 
+// drainPoll is the time between two looks at what a drain waits for.
+const drainPoll = 50 * time.Millisecond
+
 // Drain waits until no attempt runs whose fate a claim needs, and until the store
 // has taken all claim updates. It returns an error when ctx ends first.
 func (d *Dispatcher) Drain(ctx context.Context) error {
-	settled := make(chan struct{})
-	go func() {
-		defer close(settled)
-		d.settling.Wait()
-	}()
-	select {
-	case <-settled:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	for d.cfg.Ledger.Pending() > 0 {
+	for d.settling.Load() > 0 || d.cfg.Ledger.Pending() > 0 {
 		select {
-		case <-time.After(sweepInterval):
+		case <-time.After(drainPoll):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/entry/dispatch/run.go
+++ b/entry/dispatch/run.go
@@ -92,7 +92,11 @@
 		}
 	}
 	if r.settling {
-		r.dispatcher.settling.Go(r.settle)
+		r.dispatcher.settling.Add(1)
+		go func() {
+			defer r.dispatcher.settling.Add(-1)
+			r.settle()
+		}()
 		return
 	}
 	r.release()
