Place the declared number of replicas

A placement with a number of replicas was taken by every instance of its pool. Entries tell each agent its rank in the rendezvous order of its pool, and the first N ranks take the placement; when one leaves, the next moves up. A new spec places 2 of 3 in each domain and kills one: 4 live, then 4 again. Trackers send their summaries to the entry that would follow them as well, so that a failover does not read a second copy from the origin.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,12 +7,12 @@
 	"context"
 	"math/rand"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/auburnbend/auburnbend/agent/backend"
 	"github.com/auburnbend/auburnbend/agent/gate"
 	"github.com/auburnbend/auburnbend/agent/transfer"
-	"github.com/auburnbend/auburnbend/lib/config"
 	"github.com/auburnbend/auburnbend/lib/engine"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/follow"
@@ -35,6 +35,8 @@
 	cache    cacheReader
 	roles    roles
 	wishes   wishes
+	// rank is the position of the instance in its pool, or unknownRank.
+	rank atomic.Int64
 	// firstTokens are the times to first token of live requests.
 	firstTokens firstTokens
 	sessions    *sessions
@@ -42,10 +44,14 @@
 	tasks       sync.WaitGroup
 }
 
+// unknownRank is the rank until an entry of the failure domain has told it.
+const unknownRank = -1
+
 // New returns an agent that Start starts.
 func New(cfg Config) (*Agent, error) {
 	a := &Agent{cfg: cfg.applyDefaults(), sessions: newSessions()}
 	a.cfg.Gate.Changed = a.sessions.beat
+	a.rank.Store(unknownRank)
 	a.follower = follow.New(follow.Config{Clock: cfg.Clock, Rand: cfg.Rand, Log: cfg.Log, Beat: a.beat})
 	var err error
 	if cfg.Kind == settings.BackendPlain {
@@ -104,7 +110,6 @@
 		Engine:  client,
 		Host:    host{a},
 	})
-	a.follower.Watch(func(v *config.View) { a.cfg.Metrics.Declare(v.Config) })
 	a.follower.Watch(host{a}.configured)
 	return nil
 }
--- a/agent/host.go
+++ b/agent/host.go
@@ -28,15 +28,39 @@
 func (h host) configured(view *config.View) {
 	a := h.agent
 	a.cfg.Metrics.Declare(view.Config)
-	p, ok := view.Config.PlacementFor(a.cfg.Pool, a.cfg.Identity.Location.FailureDomain)
+	if p, ok := view.Config.PlacementFor(a.cfg.Pool, a.cfg.Identity.Location.FailureDomain); ok {
+		a.roles.declare(p.Role)
+		a.sessions.beat()
+		h.place(view.Config, p)
+	}
+}
+
+// ranked takes the position of the instance in its pool, which may have changed
+// because another instance came or left.
+func (h host) ranked(rank int) {
+	a := h.agent
+	if a.rank.Swap(int64(rank)) == int64(rank) {
+		return
+	}
+	if view := a.follower.Current(); view != nil {
+		if p, ok := view.Config.PlacementFor(a.cfg.Pool, a.cfg.Identity.Location.FailureDomain); ok {
+			h.place(view.Config, p)
+		}
+	}
+}
+
+// place wants the placed version if the placement is for this instance. Otherwise
+// what is live stays in place.
+func (h host) place(c *config.Config, p config.Placement) {
+	w, ok := c.Weights(p.Model, p.Version)
 	if !ok {
 		return
 	}
-	a.roles.declare(p.Role)
-	a.sessions.beat()
-	if w, ok := view.Config.Weights(p.Model, p.Version); ok {
-		a.weights.Want(w)
+	rank := h.agent.rank.Load()
+	if p.Replicas > 0 && (rank == unknownRank || rank >= int64(p.Replicas)) {
+		w = model.Weights{}
 	}
+	h.agent.weights.Want(w)
 }
 
 // Fetch implements backend.Host.
--- a/agent/session.go
+++ b/agent/session.go
@@ -89,6 +89,7 @@
 		// Trackers are per failure domain; an entry of another one names its own.
 		if a.transfer != nil && s.peer.Identity.Location == a.cfg.Identity.Location {
 			a.transfer.SetEntries(m.Addresses)
+			host{a}.ranked(m.Rank)
 		}
 	case *wire.CacheFetch:
 		s.wantsCache.Store(true)
--- a/entry/distribution.go
+++ b/entry/distribution.go
@@ -78,31 +78,28 @@
 	return g
 }
 
-// exchange talks to the trackers of other failure domains: it tells them which
-// chunks the agents of this one hold and, while an operator asks, fetches their
-// reports.
+// exchange talks to other trackers: it tells those of other failure domains, and
+// the one that would follow in this one, which chunks the agents here hold, and
+// fetches their reports while an operator asks.
 func (e *Entry) exchange(ctx context.Context) {
 	domains := make(map[model.Location][]member.Member)
 	for _, m := range e.fleet.Entries() {
 		domains[m.Identity.Location] = append(domains[m.Identity.Location], m)
 	}
 	var required []model.InstanceID
-	send := func(manifest model.Digest, elsewhere bool, message wire.Message) {
-		for location, entries := range domains {
-			if elsewhere && location == e.cfg.Identity.Location {
-				continue
-			}
+	send := func(manifest model.Digest, message wire.Message) {
+		for _, entries := range domains {
 			to := trackerOf(manifest, entries)
 			required = append(required, to)
 			e.fleet.Send(to, message)
 		}
 	}
 	for _, summary := range e.trackers.Summaries() {
-		send(summary.Manifest, true, summary)
+		send(summary.Manifest, summary)
 	}
 	if c := e.Current(); c != nil && e.reports.wanted() {
 		for _, manifest := range placedManifests(c) {
-			send(manifest, false, &wire.RolloutFetch{})
+			send(manifest, &wire.RolloutFetch{})
 		}
 	}
 	slices.Sort(required)
--- a/entry/fleet/config.go
+++ b/entry/fleet/config.go
@@ -20,7 +20,10 @@
 const (
 	defaultListInterval = 5 * time.Second
 	startListInterval   = time.Second
-	defaultTick         = 200 * time.Millisecond
+	// entryListInterval is the least time between two looks at what agents have
+	// to know about entries and their ranks.
+	entryListInterval = time.Second
+	defaultTick       = 200 * time.Millisecond
 	// defaultCacheFetchInterval keeps snapshots of up to 1.3 KB, which a start of
 	// the entry needs from each agent, to a part of its 8 KB/s.
 	defaultCacheFetchInterval = time.Second
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -40,9 +40,9 @@
 	// unsynced lists agents whose cache is to be asked for, in order.
 	unsynced []route.Key
 	synced   time.Time
-	// entries is the last list of entries that agents were sent.
-	entries []string
-	tasks   sync.WaitGroup
+	// listed is when changes of entries and ranks were last sent to agents.
+	listed time.Time
+	tasks  sync.WaitGroup
 }
 
 // New returns a fleet that connects when Run is called.
@@ -127,7 +127,10 @@
 	}
 	f.apply(f.view.Tick(now))
 	f.broadcast(f.monitor.Tick(now))
-	f.sendEntries()
+	if now.Sub(f.listed) >= entryListInterval {
+		f.listed = now
+		f.sendEntries()
+	}
 	f.fetchCache(now)
 }
 
--- a/entry/fleet/handler.go
+++ b/entry/fleet/handler.go
@@ -60,7 +60,7 @@
 	f.apply(events)
 	if c.hello.Role == wire.RoleAgent {
 		f.addAgent(c.hello)
-		_ = c.send(f.entryAddresses())
+		f.sendEntries()
 	} else if news := f.monitor.Snapshot(f.cfg.Clock.Now()); news != nil {
 		_ = c.send(news)
 	}
--- a/entry/fleet/peer.go
+++ b/entry/fleet/peer.go
@@ -26,4 +26,6 @@
 	// link is nil for connections that the peer opened.
 	link *link.Link
 	id   member.ConnID
+	// told is the last list of entries that the agent was sent.
+	told *wire.EntryList
 }
--- a/entry/fleet/reconnect.go
+++ b/entry/fleet/reconnect.go
@@ -10,7 +10,6 @@
 	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/lib/rendezvous"
 	"github.com/auburnbend/auburnbend/lib/subset"
-	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
 // reconnect opens links to the members that this entry is to connect to and
@@ -174,31 +173,3 @@
 	f.nextConn++
 	return f.nextConn
 }
-
-// entryAddresses returns the peer addresses of the live entries of the failure
-// domain, this one included, for the agents' choice of trackers. The caller
-// holds the mutex.
-func (f *Fleet) entryAddresses() *wire.EntryList {
-	list := &wire.EntryList{Addresses: []string{f.cfg.Identity.Address}}
-	for _, m := range in(f.present(platform.RoleEntry), f.cfg.Identity.Location) {
-		if m.State == member.StateLive && !m.Draining {
-			list.Addresses = append(list.Addresses, m.Identity.Address)
-		}
-	}
-	return list
-}
-
-// sendEntries tells the agents of the failure domain when its live entries have
-// changed: one of them may be a tracker. The caller holds the mutex.
-func (f *Fleet) sendEntries() {
-	list := f.entryAddresses()
-	if slices.Equal(list.Addresses, f.entries) {
-		return
-	}
-	f.entries = list.Addresses
-	for _, c := range f.conns {
-		if c.hello.Role == wire.RoleAgent && c.hello.Identity.Location == f.cfg.Identity.Location {
-			_ = c.send(list)
-		}
-	}
-}
--- a/internal/deployment/agent_process.go
+++ b/internal/deployment/agent_process.go
@@ -104,7 +104,8 @@
 	return nil
 }
 
-func (p *AgentProcess) serves(w model.Weights) bool { return slices.Contains(p.Agent.Live(), w) }
+// Serves reports whether the agent serves a version.
+func (p *AgentProcess) Serves(v Version) bool { return slices.Contains(p.Agent.Live(), v.Weights) }
 
 // Stopped reports whether the agent was told to stop or was killed.
 func (p *AgentProcess) Stopped() bool { return p.stopped.Load() }
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -34,6 +34,9 @@
 	List    *instances.List
 	Entries []*EntryProcess
 	Agents  []*AgentProcess
+	// Replicas is the number of instances of each failure domain that Place asks
+	// for; 0 means all.
+	Replicas int
 	// Versions are the published versions of the model in order.
 	Versions []Version
 
@@ -158,7 +161,7 @@
 	}
 	for _, domain := range d.Options.Domains {
 		c.Placements = append(c.Placements, config.Placement{
-			Model: ModelName, Version: placed, FailureDomain: domain, Pool: ModelPool, MinLive: d.Options.Agents / 2,
+			Model: ModelName, Version: placed, FailureDomain: domain, Pool: ModelPool, Replicas: d.Replicas, MinLive: d.Options.Agents / 2,
 		})
 	}
 	return c
@@ -168,7 +171,7 @@
 func (d *Deployment) Live(v Version) int {
 	live := 0
 	for _, a := range d.Agents {
-		if a.Pool == ModelPool && !a.Stopped() && a.serves(v.Weights) {
+		if a.Pool == ModelPool && !a.Stopped() && a.Serves(v) {
 			live++
 		}
 	}
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -213,6 +213,24 @@
 			WithTimeout(settleTime).Should(Equal(completed))
 	})
 
+	// Guards against placements that take more instances than declared, and
+	// against replicas that are not replaced.
+	It("brings a version to the declared number of instances and replaces one that dies", func() {
+		d.Replicas = 2
+		v2, err := d.Place(ctx, "v2")
+		Expect(err).NotTo(HaveOccurred())
+		live := func() int { return d.Live(v2) }
+		Eventually(live).WithTimeout(settleTime).Should(Equal(4))
+		Consistently(live).WithTimeout(2 * time.Second).Should(Equal(4))
+		for _, a := range d.ModelAgents() {
+			if a.Serves(v2) {
+				a.Kill()
+				break
+			}
+		}
+		Eventually(live).WithTimeout(settleTime).Should(Equal(4))
+	})
+
 	// Guards against an entry whose death takes its failure domain with it.
 	It("goes on through the other entries when one dies", func() {
 		d.Entries[0].Kill()
--- a/lib/wire/messages.go
+++ b/lib/wire/messages.go
@@ -194,6 +194,9 @@
 // domain, from which it picks trackers by rendezvous hashing.
 type EntryList struct {
 	Addresses []string `msgpack:"a"`
+	// Rank is the position of the agent among the instances of its pool and
+	// failure domain. A placement with N replicas is for ranks 0 to N-1.
+	Rank int `msgpack:"r"`
 }
 
 // Announce tells a tracker what an agent holds of a manifest.
