Spread agents without a tracker over the peers that hold a chunk

The disturbed distribution missed its bound because an agent without a tracker took all chunks from one or two of 20 known peers at a tenth of its link. Among equally busy peers the first by address was taken, so all such agents used the same ones; ties are random now.

--- a/lib/distribute/downloader_solo.go
+++ b/lib/distribute/downloader_solo.go
@@ -114,10 +114,15 @@
 	}
 }
 
-func (d *Downloader) askPeers(now time.Time, a *Actions) {
+// shuffledPeers returns the known peers in random order.
+func (d *Downloader) shuffledPeers() []string {
 	names := sortedKeys(d.solo.peers)
 	d.cfg.Rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	for _, name := range names {
+	return names
+}
+
+func (d *Downloader) askPeers(now time.Time, a *Actions) {
+	for _, name := range d.shuffledPeers() {
 		p := d.solo.peers[name]
 		if len(a.AskPeers) >= asksAtOnce {
 			return
@@ -129,7 +134,9 @@
 	}
 }
 
-// soloPeerFor returns a peer that holds a chunk and may be used now; held says
+// soloPeerFor returns a peer that holds a chunk and may be used now, the one with
+// the fewest transfers to this agent and a random one among equals: with a fixed
+// order all agents without a tracker would use the same few peers. Held says
 // that some peer has a good copy, so that the origin isn't needed.
 func (d *Downloader) soloPeerFor(now time.Time, index int, digest model.Digest) (address string, held bool) {
 	busy := make(map[string]int)
@@ -137,7 +144,7 @@
 		busy[f.Source]++
 	}
 	best := -1
-	for _, name := range sortedKeys(d.solo.peers) {
+	for _, name := range d.shuffledPeers() {
 		p := d.solo.peers[name]
 		if !p.have.Get(index) || now.Before(p.bad[digest]) {
 			continue
--- /dev/null
+++ b/lib/distribute/solo_test.go
@@ -0,0 +1,44 @@
+package distribute_test
+
+import (
+	"fmt"
+	"math/rand"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/lib/distribute"
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/weights"
+)
+
+var _ = Describe("Agents without a tracker", func() {
+	// Guards against a fixed order of peers, by which all agents without a tracker
+	// took their chunks from the same one or two of 20 and finished at a tenth of
+	// their links' rate.
+	It("spread over the peers that hold the chunks", func() {
+		now := time.Unix(0, 0)
+		m, err := weights.BuildBytes(make([]byte, 64), "o", model.Digest{}, 64)
+		Expect(err).NotTo(HaveOccurred())
+		digest, err := m.Digest()
+		Expect(err).NotTo(HaveOccurred())
+		have := weights.NewBitmap(1)
+		have.Set(0)
+		used := make(map[string]int)
+		for seed := range 20 {
+			d := distribute.NewDownloader(distribute.DownloaderConfig{Self: "self", Rand: rand.New(rand.NewSource(int64(seed)))})
+			d.SetTarget(now, digest, m, weights.NewBitmap(1))
+			d.TrackerLost(now)
+			for p := range 20 {
+				address := fmt.Sprintf("peer-%02d", p)
+				d.SetPeers([]string{address})
+				d.PeerHas(address, digest, have)
+			}
+			start := d.Next(now).Start
+			Expect(start).To(HaveLen(1))
+			used[start[0].Source]++
+		}
+		Expect(len(used)).To(BeNumerically(">", 5))
+	})
+})
