Dial an instance at its new address although attempts wait

A link to an instance that is away can hold attempts that are settled for minutes. It no longer keeps the entry from dialling the instance at its new address, and a connected link is not replaced when the advertised address differs from the list.

--- a/entry/fleet/peer.go
+++ b/entry/fleet/peer.go
@@ -17,6 +17,13 @@
 	cancel  context.CancelFunc
 }
 
+// moved reports whether the member is now at another address than the link
+// dials. Attempts that the link still has went to an earlier process.
+func (p *peer) moved(m member.Member) bool {
+	_, connected := p.link.Peer()
+	return !connected && p.address != m.Identity.Address
+}
+
 // connection is one open connection, in either direction.
 type connection struct {
 	hello wire.Hello
--- a/entry/fleet/reconnect.go
+++ b/entry/fleet/reconnect.go
@@ -21,7 +21,7 @@
 	wanted := f.wanted()
 	for id, m := range wanted {
 		p := f.peers[id]
-		if p != nil && p.address != m.Identity.Address && p.link.InFlight() == 0 {
+		if p != nil && p.moved(m) {
 			p.cancel()
 			p = nil
 		}
