Record the result of a call whose agent was away

When an agent did not come back within the reattach wait, the caller of a non-repeatable call was told that its fate is unknown and the entry forgot the attempt. The agent kept the result, and the claim stayed without one.

The attempt is now settled as after a caller that left: on a new connection to the same generation the entry asks for the answer and completes the claim. The new spec failed before; the specs of attempt, dispatch, fleet and the simulation of requests pass with the race detector.

--- a/entry/dispatch/dispatch_test.go
+++ b/entry/dispatch/dispatch_test.go
@@ -107,14 +107,29 @@
 			first.leave()
 			expectResult(first, outcome.Unknown, outcome.ReasonCanceled)
 			Expect(a.Listen(address)).To(Succeed())
-			var again agenttest.Received
-			Eventually(a.Others).WithTimeout(patience).Should(Receive(&again, HaveField("Message", &wire.Reattach{Attempt: run.Attempt()})))
+			again := reattached(a, run)
 			answer(agenttest.Received{Conn: again.Conn, Message: run.Message}, "engraved")
 			expectBody(w.send("k", "plate"), "engraved")
 			Expect(a.Starts).To(BeEmpty())
 		})
 	})
 
+	// Guards against a result that is lost because the agent was away for longer
+	// than a caller waits.
+	It("completes the claim after the caller was told that the connection is lost", func() {
+		a := w.agent("runner-a")
+		first := w.send("k", "plate")
+		run := started(a)
+		address := a.Identity().Address
+		a.Stop()
+		expectResult(first, outcome.Unknown, outcome.ReasonConnectionLost)
+		Expect(a.Listen(address)).To(Succeed())
+		again := reattached(a, run)
+		answer(agenttest.Received{Conn: again.Conn, Message: run.Message}, "engraved")
+		expectBody(w.send("k", "plate"), "engraved")
+		Expect(a.Starts).To(BeEmpty())
+	})
+
 	// Guards against a request that waits in the queue past its deadline, and
 	// against one that is called unknown though it never left.
 	It("answers not run at the deadline of a queued request", func() {
--- a/entry/dispatch/world_test.go
+++ b/entry/dispatch/world_test.go
@@ -139,6 +139,13 @@
 	return r
 }
 
+// reattached waits until an entry asks for the rest of an attempt.
+func reattached(a *agenttest.Agent, run agenttest.Received) agenttest.Received {
+	var r agenttest.Received
+	EventuallyWithOffset(1, a.Others).WithTimeout(patience).Should(Receive(&r, HaveField("Message", &wire.Reattach{Attempt: run.Attempt()})))
+	return r
+}
+
 func answer(r agenttest.Received, body string) {
 	r.Frame(0, body)
 	r.End(1, body)
--- a/lib/attempt/handlers.go
+++ b/lib/attempt/handlers.go
@@ -154,7 +154,15 @@
 	return stateDispatched
 }
 
+// onReattachFailed answers the caller. A non-repeatable attempt may have run to
+// its end, and its agent may come back: its result is still recorded.
 func (m *Machine) onReattachFailed() state {
+	if !m.req.Repeatable {
+		m.mayHaveRun = true
+		m.finish(outcome.ReasonConnectionLost, 0)
+		m.step.Settling = true
+		return stateSettling
+	}
 	return m.again(true, outcome.ReasonConnectionLost, 0)
 }
 
