--- a/entry/dispatch/run.go
+++ b/entry/dispatch/run.go
@@ -15,7 +15,6 @@
 	"github.com/auburnbend/auburnbend/lib/claim"
 	"github.com/auburnbend/auburnbend/lib/config"
 	"github.com/auburnbend/auburnbend/lib/engine"
-	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/outcome"
 	"github.com/auburnbend/auburnbend/lib/route"
@@ -235,82 +234,3 @@
 	r.inbox = inbox
 	return step
 }
-
-// reattach waits for a new connection to the same agent and asks for the rest
-// of the answer.
-func (r *run) reattach(ctx context.Context, step attempt.Step) attempt.Step {
-	wait := ctx
-	if !r.settling {
-		// With its final answer the caller waits for nothing, and a later result
-		// is as good for the claim.
-		var cancel context.CancelFunc
-		wait, cancel = context.WithTimeout(ctx, r.dispatcher.cfg.ReattachWait)
-		defer cancel()
-	}
-	for {
-		e, err := r.inbox.Next(wait)
-		switch {
-		case ctx.Err() != nil:
-			return r.interrupted(ctx)
-		case err != nil:
-			return r.machine.ReattachFailed(r.now(), step.Attempt)
-		case e.Kind == link.Replaced:
-			return r.crashed()
-		case e.Kind == link.Reconnected:
-			if r.place.Link.Send(&wire.Reattach{Attempt: step.Attempt, Next: step.Next}) != nil {
-				continue
-			}
-			return r.machine.Reattached(r.now(), step.Attempt)
-		}
-	}
-}
-
-// finish gives the caller its final answer.
-func (r *run) finish(step attempt.Step) {
-	result := caller.Result{
-		Outcome:     step.Outcome,
-		Reason:      step.Reason,
-		Status:      step.Status,
-		ContentType: step.ContentType,
-		RetryAfter:  step.RetryAfter,
-		Frames:      r.machine.Next(),
-	}
-	if r.end != nil {
-		result.Digest = r.end.Digest
-	}
-	r.settling = step.Settling
-	if !step.Settling {
-		r.recordClaim(step.Outcome, step.Reason, step.Status, step.ContentType)
-	}
-	r.logOutcome(result)
-	r.answered = true
-	r.dispatcher.end(r.request, r.answer, result)
-}
-
-func (r *run) logOutcome(result caller.Result) {
-	event := eventlog.RequestNotRun
-	switch result.Outcome {
-	case outcome.NotRun:
-	case outcome.Unknown:
-		event = eventlog.RequestUnknown
-	default:
-		return
-	}
-	r.dispatcher.cfg.Log.Log(event, "request", r.request.ID, "service", r.request.Service.Name,
-		"tenant", r.request.Tenant.Name, "reason", result.Reason)
-}
-
-// release gives the place of the current attempt back.
-func (r *run) release() {
-	if r.place == nil {
-		return
-	}
-	d := r.dispatcher
-	if mean, ok := r.timing.betweenFrames(); ok && r.request.Service.Kind == config.KindModel {
-		d.cfg.Fleet.ObserveBetweenTokens(r.place, mean)
-	}
-	d.admission.settle(r.request.Service.Pool, r.request.Tenant.Name, r.tokens, len(r.request.Body)/bytesPerToken+r.timing.frames)
-	r.place.Link.Finish(r.attempt)
-	d.cfg.Fleet.Finish(r.place, r.fate, r.result)
-	r.place, r.inbox = nil, nil
-}
--- /dev/null
+++ b/entry/dispatch/run_end.go
@@ -0,0 +1,59 @@
+package dispatch
+
+import (
+	"github.com/auburnbend/auburnbend/entry/caller"
+	"github.com/auburnbend/auburnbend/lib/attempt"
+	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/outcome"
+)
+
+// finish gives the caller its final answer.
+func (r *run) finish(step attempt.Step) {
+	result := caller.Result{
+		Outcome:     step.Outcome,
+		Reason:      step.Reason,
+		Status:      step.Status,
+		ContentType: step.ContentType,
+		RetryAfter:  step.RetryAfter,
+		Frames:      r.machine.Next(),
+	}
+	if r.end != nil {
+		result.Digest = r.end.Digest
+	}
+	r.settling = step.Settling
+	if !step.Settling {
+		r.recordClaim(step.Outcome, step.Reason, step.Status, step.ContentType)
+	}
+	r.logOutcome(result)
+	r.answered = true
+	r.dispatcher.end(r.request, r.answer, result)
+}
+
+func (r *run) logOutcome(result caller.Result) {
+	event := eventlog.RequestNotRun
+	switch result.Outcome {
+	case outcome.NotRun:
+	case outcome.Unknown:
+		event = eventlog.RequestUnknown
+	default:
+		return
+	}
+	r.dispatcher.cfg.Log.Log(event, "request", r.request.ID, "service", r.request.Service.Name,
+		"tenant", r.request.Tenant.Name, "reason", result.Reason)
+}
+
+// release gives the place of the current attempt back.
+func (r *run) release() {
+	if r.place == nil {
+		return
+	}
+	d := r.dispatcher
+	if mean, ok := r.timing.betweenFrames(); ok && r.request.Service.Kind == config.KindModel {
+		d.cfg.Fleet.ObserveBetweenTokens(r.place, mean)
+	}
+	d.admission.settle(r.request.Service.Pool, r.request.Tenant.Name, r.tokens, len(r.request.Body)/bytesPerToken+r.timing.frames)
+	r.place.Link.Finish(r.attempt)
+	d.cfg.Fleet.Finish(r.place, r.fate, r.result)
+	r.place, r.inbox = nil, nil
+}
--- a/entry/dispatch/run_events.go
+++ b/entry/dispatch/run_events.go
@@ -132,3 +132,32 @@
 		d.admission.observeStart(r.request.Service.Pool, gap)
 	}
 }
+
+// reattach waits for a new connection to the same agent and asks for the rest
+// of the answer.
+func (r *run) reattach(ctx context.Context, step attempt.Step) attempt.Step {
+	wait := ctx
+	if !r.settling {
+		// With its final answer the caller waits for nothing, and a later result
+		// is as good for the claim.
+		var cancel context.CancelFunc
+		wait, cancel = context.WithTimeout(ctx, r.dispatcher.cfg.ReattachWait)
+		defer cancel()
+	}
+	for {
+		e, err := r.inbox.Next(wait)
+		switch {
+		case ctx.Err() != nil:
+			return r.interrupted(ctx)
+		case err != nil:
+			return r.machine.ReattachFailed(r.now(), step.Attempt)
+		case e.Kind == link.Replaced:
+			return r.crashed()
+		case e.Kind == link.Reconnected:
+			if r.place.Link.Send(&wire.Reattach{Attempt: step.Attempt, Next: step.Next}) != nil {
+				continue
+			}
+			return r.machine.Reattached(r.now(), step.Attempt)
+		}
+	}
+}
--- /dev/null
+++ b/entry/fleet/reads.go
@@ -0,0 +1,91 @@
+package fleet
+
+import (
+	"slices"
+
+	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/member"
+	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/rollout"
+)
+
+// Size tells how many entries share the store's budget of reads.
+func (f *Fleet) Size() config.Fleet {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	size := config.Fleet{Entries: 1, DomainEntries: 1}
+	for _, m := range f.view.Members(platform.RoleEntry) {
+		if m.State == member.StateGone || m.Identity.Instance == f.cfg.Identity.Instance {
+			continue
+		}
+		size.Entries++
+		if m.Identity.Location == f.cfg.Identity.Location {
+			size.DomainEntries++
+		}
+	}
+	return size
+}
+
+// Members returns all other processes that this entry knows.
+func (f *Fleet) Members() []member.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	members := append(f.view.Members(platform.RoleEntry), f.view.Members(platform.RoleAgent)...)
+	return slices.DeleteFunc(members, func(m member.Member) bool {
+		return m.Identity.Instance == f.cfg.Identity.Instance
+	})
+}
+
+// Entries returns the other entries that are not gone.
+func (f *Fleet) Entries() []member.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.present(platform.RoleEntry)
+}
+
+// Group returns the state of a pool in the failure domain of this entry, as far
+// as it is connected to its instances.
+func (f *Fleet) Group(pool string) rollout.Group {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var g rollout.Group
+	for _, m := range f.view.Members(platform.RoleAgent) {
+		if m.Pool != pool || m.State != member.StateLive || m.Identity.Location != f.cfg.Identity.Location {
+			continue
+		}
+		load := m.Heartbeat.Load
+		g.Running += load.Running
+		g.Queued += load.Queued
+		if len(m.Heartbeat.Live) > 0 && !m.Draining {
+			g.Live++
+			g.Capacity += load.Capacity
+		}
+	}
+	return g
+}
+
+// Traffic returns the bytes that the connections which this entry opened have
+// sent and received.
+func (f *Fleet) Traffic() (sent, received int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.peers {
+		s, r := p.link.Bytes()
+		sent += s
+		received += r
+	}
+	return sent, received
+}
+
+// Usable returns the number of agents that this entry may send work to.
+func (f *Fleet) Usable() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	usable := 0
+	for _, m := range f.view.Members(platform.RoleAgent) {
+		if m.Usable(f.cfg.Clock.Now()) {
+			usable++
+		}
+	}
+	return usable
+}
