Send several revisions as one merged delta

Cause: in a burst of 50 changes within 10 s each agent received every delta, about 230 bytes of which 64 are digests, so that an entry spent 20 kB/s on 16.7 agents.

Change: Replica.After answers with one merged revision when several are missing. It carries the last change, the digest before it, the digest of the revision that it starts from, and the other changed values once, compressed. The replica verifies the chain digest of the last change, the state digest of the result and, where it has held that revision, the starting digest. Announcements and fetches between entries and agents keep 2 s apart in a burst; the first one after a pause is immediate.

--- /dev/null
+++ b/internal/configsim/altered_test.go
@@ -0,0 +1,54 @@
+package configsim_test
+
+import (
+	"bytes"
+	"compress/flate"
+
+	"pgregory.net/rapid"
+
+	"github.com/auburnbend/auburnbend/lib/config"
+)
+
+// alter changes one part of a merged revision and keeps it decodable, which
+// single damaged bits in compressed data rarely do. It returns nil for others.
+func alter(t *rapid.T, encoded [][]byte) [][]byte {
+	revision, err := config.DecodeRevision(encoded[0])
+	if err != nil || !revision.IsMerged() {
+		return nil
+	}
+	switch rapid.IntRange(0, 3).Draw(t, "part") {
+	case 0:
+		revision.Merged = deflate(t, config.Delta{Tenants: []config.Tenant{{Name: "team-9", Share: 7}}})
+	case 1:
+		revision.Merged = deflate(t, config.Delta{RemoveTenants: []string{"team-9"}})
+	case 2:
+		revision.Digest[0] ^= 1
+	default:
+		revision.Base = 0
+		revision.Previous[0] ^= 1
+	}
+	data, err := revision.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return [][]byte{data}
+}
+
+func deflate(t *rapid.T, delta config.Delta) []byte {
+	data, err := delta.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var buf bytes.Buffer
+	w, err := flate.NewWriter(&buf, flate.BestSpeed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := w.Write(data); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return buf.Bytes()
+}
--- a/internal/configsim/fuzz_test.go
+++ b/internal/configsim/fuzz_test.go
@@ -201,6 +201,19 @@
 				m.node(t).Offer(damage(t, rapid.SampledFrom(m.archive).Draw(t, "recorded")))
 			}
 		},
+		"altered merge": func(t *rapid.T) {
+			n := m.node(t)
+			after := uint64(rapid.IntRange(1, len(m.oracle.accepted)+1).Draw(t, "after"))
+			encoded, err := n.Replica.After(after)
+			if err != nil || len(encoded) == 0 {
+				return
+			}
+			if altered := alter(t, encoded); altered != nil {
+				for _, other := range m.sim.Nodes {
+					other.Offer(altered)
+				}
+			}
+		},
 		"run": func(t *rapid.T) { m.sim.Run(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond) },
 		"":    func(t *rapid.T) { m.oracle.observe(t) },
 	}
--- a/lib/config/peers.go
+++ b/lib/config/peers.go
@@ -38,6 +38,8 @@
 	fetch   PeerID
 	fetched time.Time // when the outstanding fetch was sent; zero if none
 	source  PeerID    // that answered the last fetch
+	// pausedFrom is when the last answered fetch was sent; zero after a failure.
+	pausedFrom time.Time
 }
 
 // NewPeers returns Peers without connections.
@@ -66,17 +68,20 @@
 		known.head = Head{}
 	}
 	p.Answered(id)
+	p.pausedFrom = time.Time{}
 }
 
 // Lost forgets a peer whose connection ended.
 func (p *Peers) Lost(id PeerID) {
 	delete(p.peers, id)
 	p.Answered(id)
+	p.pausedFrom = time.Time{}
 }
 
 // Answered ends the outstanding fetch from a peer.
 func (p *Peers) Answered(id PeerID) {
 	if p.fetch == id {
+		p.pausedFrom = p.fetched
 		p.fetch, p.fetched = PeerID{}, time.Time{}
 		p.source = id
 	}
@@ -96,7 +101,11 @@
 		if known.leaf && !known.asked {
 			continue
 		}
-		if known.head.Number < head.Number && known.announced != head && now.Sub(known.at) >= p.cfg.AnnounceEvery {
+		pause := p.cfg.AnnounceEvery
+		if known.leaf {
+			pause = p.cfg.LeafPause
+		}
+		if known.head.Number < head.Number && known.announced != head && now.Sub(known.at) >= pause {
 			ids = append(ids, id)
 		}
 	}
@@ -105,7 +114,8 @@
 }
 
 // ToFetch returns a peer to send a ConfigFetch to, if one holds a higher
-// revision and no fetch is outstanding.
+// revision and no fetch is outstanding. Fetches over leaf connections keep a
+// distance, so that one merged revision carries several changes of a burst.
 func (p *Peers) ToFetch(head Head, now time.Time) (PeerID, bool) {
 	if !p.fetched.IsZero() {
 		if now.Sub(p.fetched) < p.cfg.FetchTimeout {
@@ -116,6 +126,9 @@
 		}
 	}
 	id, ok := p.best(head, now)
+	if ok && p.peers[id].leaf && !p.pausedFrom.IsZero() && now.Sub(p.pausedFrom) < p.cfg.LeafPause {
+		return PeerID{}, false
+	}
 	if ok {
 		p.fetch, p.fetched = id, now
 	}
--- a/lib/config/peers_config.go
+++ b/lib/config/peers_config.go
@@ -9,12 +9,20 @@
 	// one peer, so that a burst of changes costs few messages. The first change
 	// after a pause is announced at once.
 	defaultAnnounceEvery = time.Second
+	// defaultLeafPause is the shortest time between two announcements to one
+	// agent and between two of its fetches. It adds to the time that a change
+	// takes among entries; both together have to stay within 9 s.
+	defaultLeafPause = 2 * time.Second
 )
 
 // PeersConfig holds the pace of Peers.
 type PeersConfig struct {
 	FetchTimeout  time.Duration
 	AnnounceEvery time.Duration
+	// LeafPause is the shortest time between two announcements and between two
+	// answered fetches over leaf connections; the first after a longer pause is
+	// sent at once.
+	LeafPause time.Duration
 }
 
 func (c *PeersConfig) applyDefaults() {
@@ -24,4 +32,7 @@
 	if c.AnnounceEvery == 0 {
 		c.AnnounceEvery = defaultAnnounceEvery
 	}
+	if c.LeafPause == 0 {
+		c.LeafPause = defaultLeafPause
+	}
 }
--- /dev/null
+++ b/lib/config/peers_test.go
@@ -0,0 +1,54 @@
+package config_test
+
+import (
+	"math/rand"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/lib/config"
+)
+
+var _ = Describe("the pace of leaf connections", func() {
+	start := time.Unix(1_800_000_000, 0)
+	first, second := config.PeerID{Instance: "entry-1"}, config.PeerID{Instance: "entry-2"}
+
+	newPeers := func() *config.Peers {
+		p := config.NewPeers(config.PeersConfig{}, rand.New(rand.NewSource(1)))
+		p.Joined(first, true)
+		p.Heard(first, config.Head{Number: 5})
+		return p
+	}
+
+	// Guards against a burst that costs one message per change and agent.
+	It("fetches at once after a pause and then waits", func() {
+		p := newPeers()
+		_, ok := p.ToFetch(config.Head{Number: 4}, start)
+		Expect(ok).To(BeTrue())
+		p.Answered(first)
+		p.Heard(first, config.Head{Number: 6})
+		_, ok = p.ToFetch(config.Head{Number: 5}, start.Add(1900*time.Millisecond))
+		Expect(ok).To(BeFalse())
+		_, ok = p.ToFetch(config.Head{Number: 5}, start.Add(2*time.Second))
+		Expect(ok).To(BeTrue())
+	})
+
+	// Guards against a wait after a failure, which would delay the change further.
+	It("asks another peer at once after a refused answer or a lost connection", func() {
+		for _, fail := range []func(*config.Peers){
+			func(p *config.Peers) { p.Refused(first) },
+			func(p *config.Peers) { p.Answered(first); p.Lost(first) },
+		} {
+			p := newPeers()
+			_, ok := p.ToFetch(config.Head{Number: 4}, start)
+			Expect(ok).To(BeTrue())
+			fail(p)
+			p.Joined(second, true)
+			p.Heard(second, config.Head{Number: 5})
+			id, ok := p.ToFetch(config.Head{Number: 4}, start.Add(10*time.Millisecond))
+			Expect(ok).To(BeTrue())
+			Expect(id).To(Equal(second))
+		}
+	})
+})
--- a/lib/config/replica.go
+++ b/lib/config/replica.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/auburnbend/auburnbend/lib/model"
 )
 
 // Replica is a process's copy of the accepted configuration. It takes what the
@@ -25,8 +27,11 @@
 	confirmed time.Time
 	// highest is the highest revision that any source reported.
 	highest  uint64
-	retained []retainedRevision
+	retained []retainedStep
 	bytes    int
+	// answers holds what was served since the last revision, by the index of the
+	// first retained step: in a burst many agents ask for the same.
+	answers map[int][]byte
 }
 
 // replicaState is a configuration with what is needed to send it as a snapshot.
@@ -38,8 +43,10 @@
 	accepted time.Time
 }
 
-// retainedRevision is one encoded delta kept for others.
-type retainedRevision struct {
+// retainedStep is one encoded revision kept for others. It leads from base to
+// number, over several revisions if it is merged.
+type retainedStep struct {
+	base   Head
 	number uint64
 	data   []byte
 }
@@ -141,6 +148,12 @@
 	switch {
 	case revision.Number == r.state.head.Number+1:
 		next.config, err = revision.Continue(r.state.head, r.state.config)
+	case revision.IsMerged():
+		next.previous = Head{Number: revision.Number - 1}
+		next.config, err = r.advance(revision)
+		if err == nil {
+			next.previous.Digest = *revision.Previous
+		}
 	case revision.IsSnapshot():
 		// A snapshot over a gap proves that its state belongs to its digest, not
 		// that the digest continues this replica's. It comes from the store or
@@ -162,14 +175,44 @@
 		return false, err
 	}
 	next.accepted = change.Time()
-	r.state = next
-	r.retain(revision)
+	base := next.previous
+	if revision.IsMerged() {
+		base = r.state.head
+	}
+	r.state, r.answers = next, nil
+	r.retain(base, revision)
 	if r.settled {
 		r.publish()
 	}
 	return true, nil
 }
 
+// advance applies a merged revision. Its base must lie in this replica's history
+// as far as that is retained. A base that this replica passed over within an
+// earlier merged revision leaves the checks of a snapshot over a gap.
+func (r *Replica) advance(revision Revision) (*Config, error) {
+	if revision.Base > r.state.head.Number {
+		return nil, merry.Wrap(ErrGap, merry.AppendMessagef("revisions after %d offered, %d held", revision.Base, r.state.head.Number))
+	}
+	if known, ok := r.digestOf(revision.Base); ok && known != *revision.BaseDigest {
+		return nil, merry.Wrap(ErrChain, merry.AppendMessagef("merged revision %d continues another revision %d", revision.Number, revision.Base))
+	}
+	return revision.Advance(r.state.config)
+}
+
+// digestOf returns the chain digest of a revision that the replica held.
+func (r *Replica) digestOf(number uint64) (model.Digest, bool) {
+	if number == r.state.head.Number {
+		return r.state.head.Digest, true
+	}
+	for _, step := range r.retained {
+		if step.base.Number == number {
+			return step.base.Digest, true
+		}
+	}
+	return model.Digest{}, false
+}
+
 func (r *Replica) publish() {
 	r.view.Store(&View{Config: r.state.config, Head: r.state.head, Accepted: r.state.accepted})
 }
--- a/lib/config/replica_serve.go
+++ b/lib/config/replica_serve.go
@@ -1,46 +1,74 @@
 package config
 
-// maxServed bounds the bytes of one answer, well below the size of a frame.
-const maxServed = 1 << 20
+// maxAnswers bounds the answers that are kept until the next revision; the
+// agents of one entry are at few different revisions.
+const maxAnswers = 16
 
 // After returns encoded revisions that lead a holder of the given revision
-// towards this replica's: deltas if all are retained, else one snapshot. It
-// returns nil if the holder is up to date.
+// towards this replica's: one delta, merged if it leads over several revisions,
+// or a snapshot if the steps are not retained. It returns nil if the holder is
+// up to date.
 func (r *Replica) After(number uint64) ([][]byte, error) {
-	head := r.state.head.Number
-	if number >= head {
+	if number >= r.state.head.Number {
 		return nil, nil
 	}
-	if len(r.retained) > 0 && number > 0 && number+1 >= r.retained[0].number {
-		var served [][]byte
-		size := 0
-		for _, kept := range r.retained[number+1-r.retained[0].number:] {
-			if size += len(kept.data); size > maxServed && len(served) > 0 {
-				break
-			}
-			served = append(served, kept.data)
+	first := -1
+	for i, step := range r.retained {
+		if number > 0 && step.base.Number <= number {
+			first = i
 		}
-		return served, nil
 	}
-	snapshot, err := r.state.revision.WithSnapshot(r.state.previous.Digest, r.state.config)
-	if err != nil {
-		return nil, err
+	data := r.answers[first]
+	if data == nil {
+		var err error
+		if data, err = r.answer(first); err != nil {
+			return nil, err
+		}
+		if r.answers == nil || len(r.answers) >= maxAnswers {
+			r.answers = make(map[int][]byte)
+		}
+		r.answers[first] = data
+	}
+	return [][]byte{data}, nil
+}
+
+// answer encodes one revision that leads from the base of a retained step to
+// the head, or a snapshot for -1.
+func (r *Replica) answer(first int) ([]byte, error) {
+	var revision Revision
+	var err error
+	switch {
+	case first < 0:
+		revision, err = r.state.revision.WithSnapshot(r.state.previous.Digest, r.state.config)
+	case first == len(r.retained)-1:
+		return r.retained[first].data, nil
+	default:
+		revision, err = mergeSteps(r.retained[first:], r.state.revision, r.state.previous)
 	}
-	data, err := snapshot.Encode()
 	if err != nil {
 		return nil, err
 	}
-	return [][]byte{data}, nil
+	return revision.Encode()
 }
 
-// retain keeps a revision for others and drops the oldest beyond the limits.
-func (r *Replica) retain(revision Revision) {
-	revision.Previous, revision.Snapshot = nil, nil
+// retain keeps a step for others and drops the oldest beyond the limits, which
+// also bound the size of a merged revision.
+func (r *Replica) retain(base Head, revision Revision) {
+	revision.Snapshot = nil
+	if base.Number+1 == revision.Number {
+		revision.Previous, revision.Merged, revision.Base, revision.BaseDigest = nil, nil, 0, nil
+	} else {
+		// The merged revision may lead from further back; the digest of the own
+		// revision is the one that others can check.
+		revision.Base, revision.BaseDigest = base.Number, &base.Digest
+	}
 	data, err := revision.Encode()
 	if err != nil {
+		// The steps before this one no longer lead to the head.
+		r.retained, r.bytes = nil, 0
 		return
 	}
-	r.retained = append(r.retained, retainedRevision{number: revision.Number, data: data})
+	r.retained = append(r.retained, retainedStep{base: base, number: revision.Number, data: data})
 	r.bytes += len(data)
 	for len(r.retained) > r.cfg.Retained || r.bytes > r.cfg.RetainedBytes && len(r.retained) > 1 {
 		r.bytes -= len(r.retained[0].data)
--- a/lib/config/revision.go
+++ b/lib/config/revision.go
@@ -33,17 +33,24 @@
 func (c *Change) Time() time.Time { return time.UnixMilli(c.UnixMillis).UTC() }
 
 // Revision is one accepted change as it is stored and sent: the encoded Change
-// and its chain digest, and for a snapshot the whole configuration and the
-// digest before it. Treat it as immutable.
+// and its chain digest. A snapshot adds the whole configuration and the digest
+// before it, a merged revision the changes of earlier revisions. Treat it as
+// immutable.
 type Revision struct {
 	Number uint64       `msgpack:"n"`
 	Digest model.Digest `msgpack:"d"`
 	// Change is an encoded Change.
 	Change []byte `msgpack:"c"`
-	// Previous and Snapshot are set on snapshots only. Snapshot is an encoded
-	// Config.
+	// Previous is the digest before the change; it is set on snapshots and
+	// merged revisions. Snapshot is an encoded Config, on snapshots only.
 	Previous *model.Digest `msgpack:"p"`
 	Snapshot []byte        `msgpack:"s"`
+	// Merged is set on merged revisions only, together with Previous: a compressed
+	// Delta without a state, of the values that the revisions after Base changed
+	// and the last change does not set.
+	Merged     []byte        `msgpack:"m"`
+	Base       uint64        `msgpack:"b"`
+	BaseDigest *model.Digest `msgpack:"bd"`
 }
 
 // NewRevision returns the revision that continues the chain after previous.
@@ -61,11 +68,12 @@
 func (r Revision) WithSnapshot(previous model.Digest, c *Config) (Revision, error) {
 	b, err := c.Encode()
 	r.Previous, r.Snapshot = &previous, b
+	r.Merged, r.Base, r.BaseDigest = nil, 0, nil
 	return r, err
 }
 
 // IsSnapshot reports whether the revision carries the whole configuration.
-func (r Revision) IsSnapshot() bool { return r.Previous != nil }
+func (r Revision) IsSnapshot() bool { return r.Previous != nil && !r.IsMerged() }
 
 // Head returns the revision's number and digest.
 func (r Revision) Head() Head { return Head{Number: r.Number, Digest: r.Digest} }
