Read the load of plain services

Cause: an agent reported only the configured capacity for a plain service, so that routing did not see the work that other callers gave it.

Change: PlainClient.Load reads GET /v1/load; a 404 is ErrNoLoad, and the agent then keeps to the configured capacity. The reading loop of engines and plain services is shared in loadReader. The service stand-in reports its running calls with a lag if it has a capacity.

Measured: go test -race ./agent/... ./lib/engine ./standin/... passes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	a.server = &plainServer{client: client, capacity: a.cfg.Capacity}
+	a.server = newPlainServer(client, a.cfg)
 	a.gate = gate.New(a.cfg.Gate, a.cfg.Clock, a.server, nil)
 	a.gate.Serve([]model.Weights{{}})
 	return nil
--- a/agent/engine_server.go
+++ b/agent/engine_server.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// observeInterval is the time between two reads of the engine's state and
-	// load report.
-	observeInterval = 500 * time.Millisecond
 	// cancelTimeout bounds the order to end a stream.
 	cancelTimeout = 2 * time.Second
 	// streamContentType is that of an engine's answer.
@@ -26,17 +23,19 @@
 // engineServer runs requests on a model engine.
 type engineServer struct {
 	client  *engine.Client
-	cfg     Config
+	reports loadReader
 	crashed func(incarnation uint64)
 
 	mu          sync.Mutex
 	incarnation uint64
-	report      engine.LoadReport
-	reportedAt  time.Time
 }
 
 func newEngineServer(client *engine.Client, cfg Config, crashed func(uint64)) *engineServer {
-	return &engineServer{client: client, cfg: cfg, crashed: crashed}
+	return &engineServer{
+		client:  client,
+		reports: loadReader{clock: cfg.Clock, capacity: cfg.Capacity, read: client.Load},
+		crashed: crashed,
+	}
 }
 
 func (e *engineServer) Run(ctx context.Context, start wire.RequestStart, emit func([]byte) error) (int, string, error) {
@@ -123,23 +122,7 @@
 }
 
 // observe reads the engine's state and load until ctx ends.
-func (e *engineServer) observe(ctx context.Context) {
-	ticker := time.NewTicker(observeInterval)
-	defer ticker.Stop()
-	for {
-		e.checkRestart(ctx)
-		if report, err := e.client.Load(ctx); err == nil {
-			e.mu.Lock()
-			e.report, e.reportedAt = report, e.cfg.Clock.Now()
-			e.mu.Unlock()
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
+func (e *engineServer) observe(ctx context.Context) { e.reports.observe(ctx, e.checkRestart) }
 
 // checkRestart notices a restart that no request ran into. An engine that does
 // not answer is left to the requests: it may only be slow.
@@ -157,22 +140,4 @@
 	}
 }
 
-func (e *engineServer) load() wire.Load {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	age := e.report.Age()
-	if !e.reportedAt.IsZero() {
-		age += e.cfg.Clock.Now().Sub(e.reportedAt)
-	}
-	capacity := e.report.Capacity
-	if capacity == 0 {
-		capacity = e.cfg.Capacity
-	}
-	return wire.Load{
-		Running:          e.report.Running,
-		Queued:           e.report.Queued,
-		Capacity:         capacity,
-		FirstTokenMillis: int(e.report.FirstTokenMillis),
-		AgeMillis:        int(age.Milliseconds()),
-	}
-}
+func (e *engineServer) load() wire.Load { return e.reports.load() }
--- a/agent/plain_server.go
+++ b/agent/plain_server.go
@@ -11,8 +11,15 @@
 
 // plainServer runs requests on a plain service.
 type plainServer struct {
-	client   *engine.PlainClient
-	capacity int
+	client  *engine.PlainClient
+	reports loadReader
+}
+
+func newPlainServer(client *engine.PlainClient, cfg Config) *plainServer {
+	return &plainServer{
+		client:  client,
+		reports: loadReader{clock: cfg.Clock, capacity: cfg.Capacity, read: client.Load},
+	}
 }
 
 func (p *plainServer) Run(ctx context.Context, start wire.RequestStart, emit func([]byte) error) (int, string, error) {
@@ -35,9 +42,11 @@
 	return answer.Status, answer.ContentType, nil
 }
 
-func (p *plainServer) observe(ctx context.Context) { <-ctx.Done() }
+// observe reads the load of the service until ctx ends. A service that reports
+// none keeps the configured capacity.
+func (p *plainServer) observe(ctx context.Context) { p.reports.observe(ctx, nil) }
 
-func (p *plainServer) load() wire.Load { return wire.Load{Capacity: p.capacity} }
+func (p *plainServer) load() wire.Load { return p.reports.load() }
 
 // backendError marks errors that prove that nothing ran.
 func backendError(err error) error {
--- a/lib/engine/json.go
+++ b/lib/engine/json.go
@@ -32,7 +32,7 @@
 		return because(ErrUnavailable, err)
 	}
 	if status := x.resp.StatusCode(); status != consts.StatusOK {
-		return merry.Wrap(ErrUnavailable, merry.AppendMessagef("status %d", status))
+		return merry.Wrap(ErrUnavailable, merry.AppendMessagef("status %d", status), merry.WithHTTPCode(status))
 	}
 	if err := json.Unmarshal(data, into); err != nil {
 		return because(ErrUnavailable, err)
--- a/lib/engine/plain_client.go
+++ b/lib/engine/plain_client.go
@@ -5,6 +5,7 @@
 	"net/url"
 	"strconv"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
 	"github.com/auburnbend/auburnbend/lib/model"
@@ -51,6 +52,17 @@
 	return &PlainClient{cfg: cfg, http: t}, nil
 }
 
+// Load reads the load report of the service. It returns ErrNoLoad if the service
+// answers 404, because reports are optional, and otherwise ErrUnavailable.
+func (c *PlainClient) Load(ctx context.Context) (LoadReport, error) {
+	var r LoadReport
+	err := c.http.read(ctx, c.cfg.Address+"/v1/load", c.cfg.ReadTimeout, &r)
+	if err != nil && merry.HTTPCode(err) == consts.StatusNotFound {
+		return LoadReport{}, merry.Wrap(ErrNoLoad, merry.WithCause(err))
+	}
+	return r, err
+}
+
 // Call posts a request and returns its answer, whatever the status. A status
 // of 429 or 503 with a Retry-After header is a refusal before the request ran;
 // without the header it is an answer, because a service may also use these
--- a/lib/engine/plain_client_test.go
+++ b/lib/engine/plain_client_test.go
@@ -73,4 +73,39 @@
 		_, err := client.Call(short, req)
 		Expect(errors.Is(err, engine.ErrMayHaveRun)).To(BeTrue())
 	})
+
+	It("tells a service without load reports from one that does not answer", func() {
+		_, err := client.Load(ctx)
+		Expect(errors.Is(err, engine.ErrNoLoad)).To(BeTrue())
+		Expect(server.Close()).To(Succeed())
+		_, err = client.Load(ctx)
+		Expect(errors.Is(err, engine.ErrUnavailable)).To(BeTrue())
+		Expect(errors.Is(err, engine.ErrNoLoad)).To(BeFalse())
+	})
+
+	It("reads the load as it was the lag ago", func() {
+		const lag = 300 * time.Millisecond
+		lagging, err := service.Start(service.Config{Capacity: 4, LoadLag: lag, Delay: time.Second})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(lagging.Close)
+		client, err := engine.NewPlain(engine.Config{Address: lagging.URL()})
+		Expect(err).NotTo(HaveOccurred())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_, _ = client.Call(ctx, req)
+		}()
+		Eventually(lagging.Running).Should(Equal(1))
+		begun := time.Now()
+		Eventually(func() int {
+			r, err := client.Load(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(r.Capacity).To(Equal(4))
+			Expect(r.Age()).To(Equal(lag))
+			return r.Running
+		}, 5*time.Second, 10*time.Millisecond).Should(Equal(1))
+		// The poll of Running notices the call up to 10 ms after it began.
+		Expect(time.Since(begun)).To(BeNumerically(">", lag/2))
+		Eventually(done, 5*time.Second).Should(BeClosed())
+	})
 })
--- a/standin/service/config.go
+++ b/standin/service/config.go
@@ -8,6 +8,11 @@
 	Address string
 	// Delay is the time that a call takes.
 	Delay time.Duration
+	// Capacity is reported with the load. A service without a capacity reports
+	// no load and answers 404.
+	Capacity int
+	// LoadLag is the least age of a load report.
+	LoadLag time.Duration
 }
 
 func (c *Config) applyDefaults() {
--- a/standin/service/server.go
+++ b/standin/service/server.go
@@ -29,6 +29,8 @@
 	faults  Faults
 	runs    map[string]int
 	running int
+	// changes are the past values of running, the oldest first.
+	changes []change
 }
 
 // Start listens and serves until Close.
@@ -40,6 +42,7 @@
 	}
 	s := &Server{cfg: cfg, ln: ln, closed: make(chan struct{}), runs: make(map[string]int)}
 	h := ln.Hertz()
+	h.GET("/v1/load", s.load)
 	h.POST("/*path", s.call)
 	s.wait.Go(func() { _ = h.Run() })
 	return s, nil
@@ -101,7 +104,7 @@
 		v.cut = true
 	}
 	s.runs[name]++
-	s.running++
+	s.setRunning(s.running + 1)
 	v.run = s.runs[name]
 	return v
 }
@@ -122,7 +125,7 @@
 	}
 	s.pause(v.delay)
 	s.mu.Lock()
-	s.running--
+	s.setRunning(s.running - 1)
 	s.mu.Unlock()
 	if v.drop {
 		_ = c.GetConn().Close()
