--- a/agent/roles_test.go
+++ b/agent/roles_test.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -11,11 +10,6 @@
 	"github.com/auburnbend/auburnbend/lib/model"
 )
 
-func TestAgent(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "Agent")
-}
-
 var _ = Describe("Roles", func() {
 	now := time.Unix(1000, 0)
 
