Let a failure domain without instances not hold a rollout up

Change: an answer is incomplete only while no instance of any pool is known.

Result: all seven rows of the table test pass.

--- a/entry/operatorrpc/providers.go
+++ b/entry/operatorrpc/providers.go
@@ -66,11 +66,8 @@
 	Remaining time.Duration
 }
 
-// Complete reports whether every wanted instance is live. An entry that knows no
-// instance of the pool yet cannot tell.
-func (r Rollout) Complete() bool {
-	return r.Wanted > 0 && r.Phases[wire.PhaseLive] >= r.Wanted
-}
+// Complete reports whether every wanted instance is live.
+func (r Rollout) Complete() bool { return r.Phases[wire.PhaseLive] >= r.Wanted }
 
 // Instance is one entry or agent that the entry knows.
 type Instance struct {
--- a/entry/operatorrpc/rollout_test.go
+++ b/entry/operatorrpc/rollout_test.go
@@ -59,6 +59,7 @@
 		},
 		Entry("all wanted instances are live", fixedStatus{inForce, rollout(2, 2)}, "v1", true),
 		Entry("one is not", fixedStatus{inForce, rollout(2, 1)}, "v1", false),
+		Entry("one failure domain has no instances", fixedStatus{inForce, append(rollout(0, 0), rollout(2, 2)...)}, "", true),
 		Entry("no instance of the pool is known", fixedStatus{inForce, rollout(0, 0)}, "", false),
 		Entry("no configuration is in force", fixedStatus{}, "", false),
 		Entry("the version is not in force", fixedStatus{inForce, rollout(2, 2)}, "v2", false),
--- a/entry/operatorrpc/status.go
+++ b/entry/operatorrpc/status.go
@@ -82,6 +82,7 @@
 func (s *Server) rollouts(m *pb.RolloutStatusRequest, progress *estimator) *pb.RolloutStatusResponse {
 	now := s.cfg.Clock.Now()
 	response := &pb.RolloutStatusResponse{Complete: true}
+	wanted := 0
 	for _, r := range s.status.Rollouts() {
 		if m.GetModel() != "" && m.GetModel() != r.Model || m.GetVersion() != "" && m.GetVersion() != r.Version {
 			continue
@@ -99,9 +100,12 @@
 			message.Remaining = durationpb.New(remaining)
 		}
 		response.Complete = response.Complete && r.Complete()
+		wanted += r.Wanted
 		response.Rollouts = append(response.Rollouts, message)
 	}
-	if len(response.Rollouts) == 0 && !s.nothingPlaced(m) {
+	// An entry that knows no instance at all has not met its agents yet. One
+	// failure domain without instances does not hold the others up.
+	if wanted == 0 && !(len(response.Rollouts) == 0 && s.nothingPlaced(m)) {
 		response.Complete = false
 	}
 	return response
