Test the weight store as the first source

The weight store had no test of its own: a throttling store serves the rest of a version after it lets reads through again, and a store without the object leaves the version to the origin.

--- a/agent/transfer/service_test.go
+++ b/agent/transfer/service_test.go
@@ -57,6 +57,7 @@
 var _ = Describe("Service", func() {
 	var (
 		origin  *source
+		store   platform.WeightSource // nil without a weight store
 		data    = make([]byte, 40_000)
 		digests [2]model.Digest
 		closers []func()
@@ -89,7 +90,7 @@
 			return s.ServePeer(c)
 		})
 		s = transfer.New(transfer.Config{
-			Seed: 1, Origin: origin, Identity: model.Identity{Instance: model.InstanceID(name), Address: address},
+			Seed: 1, Origin: origin, WeightStore: store, Identity: model.Identity{Instance: model.InstanceID(name), Address: address},
 		})
 		close(ready)
 		closers = append(closers, s.Close)
@@ -101,7 +102,7 @@
 	}
 
 	BeforeEach(func() {
-		closers = nil
+		closers, store = nil, nil
 		rand.New(rand.NewSource(1)).Read(data)
 		origin = &source{objects: make(map[string][]byte)}
 		for i, size := range []int{40_000, 30_000} {
@@ -131,6 +132,24 @@
 		}
 	}
 
+	// Guards against origin bytes that a closer source could have served, and
+	// against a transfer that stops when that source throttles or lacks an object.
+	It("reads the weight store before the origin, and the origin where the store refuses", func(ctx SpecContext) {
+		full := &source{objects: origin.objects, throttle: 3}
+		store = full
+		a := start("a")
+		a.SetEntries([]string{startEntry()})
+		fetch(ctx, a)
+		Expect(a.Progress().StoreBytes).To(BeNumerically(">=", int64(len(data)/2)))
+		Expect(a.Progress().OriginBytes + a.Progress().StoreBytes).To(BeNumerically("<=", int64(len(data)*12/10)))
+
+		store = &source{objects: map[string][]byte{}}
+		b := start("b")
+		b.SetEntries([]string{startEntry()})
+		fetch(ctx, b)
+		Expect(b.Progress().OriginBytes).To(BeNumerically(">=", int64(len(data))))
+	})
+
 	It("reads one copy from the origin for all agents, and shares it with the next version", func(ctx SpecContext) {
 		entry := startEntry()
 		agents := []*transfer.Service{start("a"), start("b"), start("c")}
