--- /dev/null
+++ b/internal/deployment/queries.go
@@ -0,0 +1,93 @@
+package deployment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/model"
+)
+
+// Live returns the number of running model agents that serve a version.
+func (d *Deployment) Live(v Version) int {
+	live := 0
+	for _, a := range d.Agents {
+		if a.Pool == ModelPool && !a.Stopped() && a.Serves(v) {
+			live++
+		}
+	}
+	return live
+}
+
+// Running returns the number of model agents that have not been stopped.
+func (d *Deployment) Running() int {
+	running := 0
+	for _, a := range d.Agents {
+		if a.Pool == ModelPool && !a.Stopped() {
+			running++
+		}
+	}
+	return running
+}
+
+// WaitLive waits until all running model agents serve a version. Progress is
+// called about every tick.
+func (d *Deployment) WaitLive(ctx context.Context, v Version, tick time.Duration, progress func(live, of int)) error {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		live, of := d.Live(v), d.Running()
+		if progress != nil {
+			progress(live, of)
+		}
+		if live == of {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.Join(ctx.Err(), fmt.Errorf("%d of %d instances serve %s", live, of, v.Name))
+		}
+	}
+}
+
+// ModelAgents returns the agents of model engines, stopped ones included.
+func (d *Deployment) ModelAgents() []*AgentProcess {
+	var found []*AgentProcess
+	for _, a := range d.Agents {
+		if a.Pool == ModelPool {
+			found = append(found, a)
+		}
+	}
+	return found
+}
+
+// DraftRuns returns how often a request started to run on any engine.
+func (d *Deployment) DraftRuns(request string) int {
+	runs := 0
+	for _, a := range d.ModelAgents() {
+		runs += a.Engine.Runs(model.RequestID(request))
+	}
+	return runs
+}
+
+// OrderRuns returns how often the order with a key ran on any plain service.
+func (d *Deployment) OrderRuns(key string) int {
+	runs := 0
+	for _, a := range d.Agents {
+		if a.Service != nil {
+			runs += a.Service.Runs(key)
+		}
+	}
+	return runs
+}
+
+// SentTo returns the attempts that all entries have placed on an agent.
+func (d *Deployment) SentTo(a *AgentProcess) int {
+	sent := 0
+	for _, e := range d.Entries {
+		sent += e.Entry.Sent(a.Identity.Instance)
+	}
+	return sent
+}
