Make the heap and the peer scan of simulations cheaper

Cause: the race detector is slow at copies of event structs, and each heartbeat looked through all peers although none was ahead.

Change: the event heap holds pointers; Peers looks for a source only when some peer reported a higher revision.

--- a/internal/configsim/events.go
+++ b/internal/configsim/events.go
@@ -8,15 +8,15 @@
 	run   func()
 }
 
-func (e event) before(other event) bool {
+func (e *event) before(other *event) bool {
 	return e.at < other.at || e.at == other.at && e.order < other.order
 }
 
-// events is a binary heap with the next event first. Unlike container/heap it
-// allocates nothing per event.
-type events []event
+// events is a binary heap with the next event first. It holds pointers because
+// the race detector is slow at copies of structs.
+type events []*event
 
-func (e *events) push(next event) {
+func (e *events) push(next *event) {
 	*e = append(*e, next)
 	h := *e
 	i := len(h) - 1
@@ -31,10 +31,10 @@
 	h[i] = next
 }
 
-func (e *events) pop() event {
+func (e *events) pop() *event {
 	h := *e
 	first, last := h[0], h[len(h)-1]
-	h[len(h)-1] = event{}
+	h[len(h)-1] = nil
 	h = h[:len(h)-1]
 	*e = h
 	if len(h) == 0 {
--- a/internal/configsim/scheduler.go
+++ b/internal/configsim/scheduler.go
@@ -22,7 +22,7 @@
 
 func (s *scheduler) after(d time.Duration, run func()) {
 	s.order++
-	s.queue.push(event{at: s.now.Add(max(0, d)).UnixNano(), order: s.order, run: run})
+	s.queue.push(&event{at: s.now.Add(max(0, d)).UnixNano(), order: s.order, run: run})
 }
 
 // runUntil runs all events up to a time and leaves the clock there.
--- a/lib/config/peers.go
+++ b/lib/config/peers.go
@@ -38,6 +38,8 @@
 	fetch   PeerID
 	fetched time.Time // when the outstanding fetch was sent; zero if none
 	source  PeerID    // that answered the last fetch
+	// highest is the highest revision that any peer reported so far.
+	highest uint64
 	// pausedFrom is when the last answered fetch was sent; zero after a failure.
 	pausedFrom time.Time
 }
@@ -60,7 +62,10 @@
 
 // Heard takes the head in a heartbeat of a peer. A damaged or foreign history,
 // for which Replica.Observe returns ErrChain, is reported with Refused instead.
-func (p *Peers) Heard(id PeerID, head Head) { p.peer(id).head = head }
+func (p *Peers) Heard(id PeerID, head Head) {
+	p.peer(id).head = head
+	p.highest = max(p.highest, head.Number)
+}
 
 // Refused makes Fetch pass over a peer until it reports another head.
 func (p *Peers) Refused(id PeerID) {
@@ -140,6 +145,9 @@
 // all processes fetch from the one that announced first. Peers that just failed
 // to answer come last.
 func (p *Peers) best(head Head, now time.Time) (PeerID, bool) {
+	if p.highest <= head.Number {
+		return PeerID{}, false
+	}
 	var ids []PeerID
 	var highest uint64
 	for _, failed := range []bool{false, true} {
