Offer foreign merged revisions in the configuration fuzz test

Cause: the fuzz test passed when the check of the starting digest was taken out, because none of its merged revisions came from another history.

Change: an action offers a merged revision whose chain and state digests are consistent and whose starting digest is foreign.

--- a/internal/configsim/altered_test.go
+++ b/internal/configsim/altered_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/model"
 )
 
 // alter changes one part of a merged revision and keeps it decodable, which
@@ -34,6 +35,31 @@
 	return [][]byte{data}
 }
 
+// foreign returns a merged revision of another history that leads from the
+// number in force to a state that was never accepted. Its digests are those of
+// its own history, so that only the digest at its base tells.
+func foreign(t *rapid.T, view *config.View) [][]byte {
+	next := view.Config.Canonical()
+	next.Tenants[0].MaxQueued = 9999
+	delta, err := config.NewDelta(view.Config, next)
+	if err != nil {
+		t.Fatal(err)
+	}
+	previous := config.Head{Number: view.Head.Number + 1, Digest: model.Sum([]byte("foreign"))}
+	revision, err := config.NewRevision(previous, config.Change{Author: "foreign", Operation: "foreign", Delta: delta})
+	if err != nil {
+		t.Fatal(err)
+	}
+	base := model.Sum([]byte("foreign base"))
+	revision.Previous, revision.Base, revision.BaseDigest = &previous.Digest, view.Head.Number, &base
+	revision.Merged = deflate(t, config.Delta{})
+	data, err := revision.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return [][]byte{data}
+}
+
 func deflate(t *rapid.T, delta config.Delta) []byte {
 	data, err := delta.Encode()
 	if err != nil {
--- a/internal/configsim/fuzz_test.go
+++ b/internal/configsim/fuzz_test.go
@@ -214,6 +214,12 @@
 				}
 			}
 		},
+		"foreign merge": func(t *rapid.T) {
+			n := m.node(t)
+			if view := n.Replica.Current(); n.Up && view != nil {
+				n.Offer(foreign(t, view))
+			}
+		},
 		"run": func(t *rapid.T) { m.sim.Run(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond) },
 		"":    func(t *rapid.T) { m.oracle.observe(t) },
 	}
