--- a/lib/wire/messages_cache.go
+++ b/lib/wire/cache_update.go
@@ -24,11 +24,5 @@
 	Removed  []model.Block `msgpack:"r,omitempty"`
 }
 
-// CacheFetch asks an agent for a snapshot, which comes with its next update.
-type CacheFetch struct{}
-
 // Type returns TypeCacheUpdate.
 func (*CacheUpdate) Type() Type { return TypeCacheUpdate }
-
-// Type returns TypeCacheFetch.
-func (*CacheFetch) Type() Type { return TypeCacheFetch }
--- /dev/null
+++ b/lib/wire/chunk_fetch.go
@@ -0,0 +1,14 @@
+package wire
+
+import (
+	"github.com/auburnbend/auburnbend/lib/model"
+)
+
+// ChunkFetch asks a peer for one chunk by digest.
+type ChunkFetch struct {
+	Request uint64       `msgpack:"q"`
+	Chunk   model.Digest `msgpack:"c"`
+}
+
+// Type returns TypeChunkFetch.
+func (*ChunkFetch) Type() Type { return TypeChunkFetch }
--- /dev/null
+++ b/lib/wire/config_delta.go
@@ -0,0 +1,9 @@
+package wire
+
+// ConfigDelta carries encoded revisions in order; lib/config reads them.
+type ConfigDelta struct {
+	Revisions [][]byte `msgpack:"r"`
+}
+
+// Type returns TypeConfigDelta.
+func (*ConfigDelta) Type() Type { return TypeConfigDelta }
--- /dev/null
+++ b/lib/wire/holder_summary.go
@@ -0,0 +1,23 @@
+package wire
+
+import (
+	"github.com/auburnbend/auburnbend/lib/model"
+)
+
+// HolderSummary tells the tracker of another failure domain which of its agents
+// hold which chunks, so that chunks can be forwarded between domains.
+type HolderSummary struct {
+	Manifest model.Digest   `msgpack:"m"`
+	Location model.Location `msgpack:"l"`
+	Holders  []Holder       `msgpack:"h"`
+}
+
+// Holder is one agent in a HolderSummary.
+type Holder struct {
+	Address string `msgpack:"a"`
+	// Have is a bitmap of verified chunks, least significant bit first.
+	Have []byte `msgpack:"h"`
+}
+
+// Type returns TypeHolderSummary.
+func (*HolderSummary) Type() Type { return TypeHolderSummary }
--- /dev/null
+++ b/lib/wire/manifest_fetch.go
@@ -0,0 +1,13 @@
+package wire
+
+import (
+	"github.com/auburnbend/auburnbend/lib/model"
+)
+
+// ManifestFetch asks for an encoded manifest.
+type ManifestFetch struct {
+	Manifest model.Digest `msgpack:"m"`
+}
+
+// Type returns TypeManifestFetch.
+func (*ManifestFetch) Type() Type { return TypeManifestFetch }
--- /dev/null
+++ b/lib/wire/message.go
@@ -0,0 +1,7 @@
+package wire
+
+// Message is the body of a frame.
+type Message interface {
+	// Type returns the frame type of the message.
+	Type() Type
+}
--- /dev/null
+++ b/lib/wire/request_refused.go
@@ -0,0 +1,16 @@
+package wire
+
+import (
+	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/outcome"
+)
+
+// RequestRefused proves that the backend server did not run the attempt.
+type RequestRefused struct {
+	Attempt          model.AttemptID `msgpack:"a"`
+	Reason           outcome.Reason  `msgpack:"r"`
+	RetryAfterMillis int64           `msgpack:"m"`
+}
+
+// Type returns TypeRequestRefused.
+func (*RequestRefused) Type() Type { return TypeRequestRefused }
--- /dev/null
+++ b/lib/wire/suspect_update.go
@@ -0,0 +1,25 @@
+package wire
+
+import (
+	"github.com/auburnbend/auburnbend/lib/model"
+)
+
+// Suspect counts the backend servers that died with a request in flight.
+type Suspect struct {
+	Finger  model.Fingerprint  `msgpack:"f"`
+	Crashes []model.InstanceID `msgpack:"c"`
+	// Incidents are the same crashes one by one, so that updates merge in any
+	// order and a success clears exactly the crashes before it.
+	Incidents []Incident `msgpack:"i"`
+	// Runs say which entries run the request or are about to.
+	Runs []SuspectRun `msgpack:"r"`
+}
+
+// SuspectUpdate passes crash attribution between entries.
+type SuspectUpdate struct {
+	Suspects []Suspect           `msgpack:"s"`
+	Cleared  []model.Fingerprint `msgpack:"c"`
+}
+
+// Type returns TypeSuspectUpdate.
+func (*SuspectUpdate) Type() Type { return TypeSuspectUpdate }
