Log what the catalogue names, count a version's own bytes, name every refusal

Six events stood in the catalogue and were never logged: invalid requests, gate refusals, ejected backend servers and engines that do not check fencing numbers are logged now; two that lib/daemon reports as text are gone. Rollout status counted bytes since the agent's start, 1.9 MiB of 1.2 MiB for a second version; it counts from the wish for the version. Refusals before the parse get a request id.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -18,6 +18,7 @@
 	"github.com/auburnbend/auburnbend/lib/follow"
 	"github.com/auburnbend/auburnbend/lib/listen"
 	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/outcome"
 	"github.com/auburnbend/auburnbend/lib/settings"
 	"github.com/auburnbend/auburnbend/lib/weights"
 	"github.com/auburnbend/auburnbend/lib/wire"
@@ -51,6 +52,7 @@
 func New(cfg Config) (*Agent, error) {
 	a := &Agent{cfg: cfg.applyDefaults(), sessions: newSessions()}
 	a.cfg.Gate.Changed = a.sessions.beat
+	a.cfg.Gate.Refused = a.refused
 	a.rank.Store(unknownRank)
 	a.follower = follow.New(follow.Config{Clock: cfg.Clock, Rand: cfg.Rand, Log: cfg.Log, Beat: a.beat})
 	var err error
@@ -102,6 +104,9 @@
 	a.server = server
 	a.gate = gate.New(a.cfg.Gate, a.cfg.Clock, a.server, nil)
 	a.cache = client
+	if !a.cfg.Weights.Guard.Checked {
+		a.cfg.Log.Log(eventlog.FencingIgnored)
+	}
 	a.cfg.Weights.Guard.Start = a.startNumber(client)
 	a.weights = backend.NewRunner(backend.RunnerConfig{
 		Machine: a.cfg.Weights,
@@ -138,6 +143,13 @@
 	return number
 }
 
+// refused is called for each request that the gate refuses.
+func (a *Agent) refused(reason outcome.Reason) {
+	if reason == outcome.ReasonWeightsMismatch {
+		a.cfg.Log.Log(eventlog.GateMismatch)
+	}
+}
+
 // crashed is called when the engine died while it ran requests.
 func (a *Agent) crashed(incarnation uint64) {
 	a.cfg.Log.Log(eventlog.BackendServerCrashed, "incarnation", incarnation)
--- a/agent/gate/config.go
+++ b/agent/gate/config.go
@@ -1,6 +1,10 @@
 package gate
 
-import "time"
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/outcome"
+)
 
 const (
 	// defaultCapacity is the number of requests that run at once.
@@ -39,6 +43,8 @@
 	// Changed is called without locks after what the gate admits has changed, so
 	// that entries can be told before their next heartbeat. It may be nil.
 	Changed func()
+	// Refused is called without locks for each refusal. It may be nil.
+	Refused func(outcome.Reason)
 }
 
 func (c Config) applyDefaults() Config {
@@ -52,6 +58,9 @@
 			*v = fallback
 		}
 	}
+	if c.Refused == nil {
+		c.Refused = func(outcome.Reason) {}
+	}
 	if c.Changed == nil {
 		c.Changed = func() {}
 	}
--- a/agent/gate/shell.go
+++ b/agent/gate/shell.go
@@ -7,6 +7,7 @@
 
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/outcome"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
@@ -16,6 +17,7 @@
 	clock   clock.Clock
 	backend Backend
 	changed func()
+	refused func(outcome.Reason)
 
 	mu      sync.Mutex
 	core    *Core
@@ -33,6 +35,7 @@
 	return &Shell{
 		clock:   clk,
 		changed: config.applyDefaults().Changed,
+		refused: config.applyDefaults().Refused,
 		backend: backend,
 		core:    NewCore(config, quarantine),
 		runners: make(map[model.AttemptID]*runner),
@@ -78,6 +81,9 @@
 	default:
 		return false
 	}
+	if refused, ok := reply.(*wire.RequestRefused); ok {
+		s.refused(refused.Reason)
+	}
 	if reply != nil {
 		// A lost refusal is asked for again by Reattach.
 		_ = c.Send(reply)
--- a/agent/transfer/run.go
+++ b/agent/transfer/run.go
@@ -28,6 +28,9 @@
 	complete bool
 	seeds    []*seed
 	permit   *permitRequest
+	// before is the progress when the wanted version was set: operators see the
+	// bytes of a version.
+	before   Progress
 	reported time.Time
 	phase    wire.Phase
 }
@@ -106,6 +109,7 @@
 		r.addSeed(r.target)
 	}
 	r.target, r.conn, r.complete, r.checking = t, nil, false, false
+	r.before = r.s.counters.progress()
 	r.s.cfg.Log.Log(eventlog.VersionWanted, "manifest", t.digest.Short(), "chunks", len(t.known.manifest.Chunks))
 	r.dropSeed(t.digest)
 	r.s.wanted(t.known.manifest)
--- a/agent/transfer/service_test.go
+++ b/agent/transfer/service_test.go
@@ -96,9 +96,10 @@
 		closers = append(closers, s.Close)
 		return s
 	}
+	var last *tracker.Service // of the entry that was started last
 	startEntry := func() string {
-		t := tracker.New(tracker.Config{Seed: 1})
-		return listen(wire.Hello{Role: wire.RoleEntry}, t.Serve)
+		last = tracker.New(tracker.Config{Seed: 1})
+		return listen(wire.Hello{Role: wire.RoleEntry}, last.Serve)
 	}
 
 	BeforeEach(func() {
@@ -162,6 +163,19 @@
 		before := origin.bytes
 		Expect(agents[0].Fetch(ctx, digests[1], "v1/manifest")).To(Succeed())
 		Expect(origin.bytes-before).To(BeNumerically("<", 5000), "only the manifest is new")
+
+		// Guards against a rollout status that counts the bytes of earlier versions.
+		bytesOf := func(manifest model.Digest) (sum int64) {
+			for _, i := range last.Report().Instances {
+				if i.Status.Manifest == manifest {
+					sum += i.Status.OriginBytes + i.Status.PeerBytes
+				}
+			}
+			return sum
+		}
+		Eventually(func() []wire.InstanceStatus { return last.Report().Instances }).
+			Should(ContainElement(HaveField("Status.Manifest", digests[1])))
+		Expect(bytesOf(digests[1])).To(BeZero())
 	}, SpecTimeout(20*time.Second))
 
 	It("recovers from short, corrupt and throttled reads and a corrupt manifest", func(ctx SpecContext) {
--- a/entry/caller/parse.go
+++ b/entry/caller/parse.go
@@ -5,8 +5,6 @@
 	"strconv"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/auburnbend/auburnbend/lib/config"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/outcome"
@@ -72,9 +70,6 @@
 	if limit := bodyLimit(service); int64(len(raw.body)) > limit {
 		return nil, refuse(outcome.ReasonTooLarge, "body has %d bytes, service %q allows %d", len(raw.body), service.Name, limit)
 	}
-	if raw.requestID == "" {
-		raw.requestID = uuid.NewString()
-	}
 	return &Request{
 		ID:             model.RequestID(raw.requestID),
 		Tenant:         tenant,
--- a/entry/caller/parse_test.go
+++ b/entry/caller/parse_test.go
@@ -43,7 +43,6 @@
 	It("fills in what the caller leaves out", func() {
 		r, bad := parse(rawRequest{service: "draft", tenant: "huye"}, cfg, now)
 		Expect(bad).To(BeNil())
-		Expect(r.ID).NotTo(BeEmpty())
 		Expect(r.Class.Name).To(BeEquivalentTo("interactive"))
 		Expect(r.Deadline).To(Equal(now.Add(5 * time.Second)))
 	})
--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -16,9 +16,11 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	hertzconfig "github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network/netpoll"
+	"github.com/google/uuid"
 
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/outcome"
 )
 
@@ -41,6 +43,7 @@
 	Current func() *config.Config
 	Handler Handler
 	Invalid InvalidCounter
+	Log     *eventlog.Logger
 }
 
 const (
@@ -132,6 +135,9 @@
 		ctx.SetConnectionClose()
 	}
 	raw := readRaw(ctx)
+	if raw.requestID == "" {
+		raw.requestID = uuid.NewString()
+	}
 	answer := newAnswer(ctx, raw.requestID)
 	current := s.cfg.Current()
 	if current == nil {
@@ -141,6 +147,7 @@
 	request, bad := parse(raw, current, s.cfg.Clock.Now())
 	if bad != nil {
 		s.cfg.Invalid.CountInvalid(bad.reason)
+		s.cfg.Log.Log(eventlog.RequestInvalid, "request", raw.requestID, "reason", bad.reason, "detail", bad.detail)
 		answer.End(Result{Outcome: outcome.NotRun, Reason: bad.reason, Detail: bad.detail})
 		return
 	}
--- a/entry/caller/server_test.go
+++ b/entry/caller/server_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/outcome"
 )
@@ -65,7 +66,7 @@
 		}
 		server = NewServer(Config{
 			Listener: listener, Clock: clock.System{}, Current: func() *config.Config { return cfg },
-			Handler: handler, Invalid: invalid,
+			Handler: handler, Invalid: invalid, Log: eventlog.Discard(),
 		})
 		go func() { _ = server.Run() }()
 		base = "http://" + listener.Addr().String()
@@ -151,5 +152,6 @@
 		response, _ := send("nothing", "*/*")
 		Expect(response.StatusCode).To(Equal(http.StatusNotFound))
 		Expect(invalid.reasons).To(Receive(Equal(outcome.ReasonUnknownService)))
+		Expect(response.Header.Get(HeaderRequestID)).NotTo(BeEmpty())
 	})
 })
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -76,6 +76,7 @@
 		Current:  e.Current,
 		Handler:  e.dispatcher,
 		Invalid:  cfg.Metrics,
+		Log:      cfg.Log,
 	})
 	e.follower.Watch(func(v *config.View) { e.dispatcher.Configure(v.Config) })
 	e.setUpOperators()
--- a/entry/fleet/place.go
+++ b/entry/fleet/place.go
@@ -10,6 +10,7 @@
 	"github.com/auburnbend/auburnbend/entry/link"
 	"github.com/auburnbend/auburnbend/lib/admit"
 	"github.com/auburnbend/auburnbend/lib/engine"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/outcome"
 	"github.com/auburnbend/auburnbend/lib/poison"
@@ -151,7 +152,9 @@
 	if l := f.limiters[p.Key]; l != nil {
 		l.Release()
 	}
-	f.picker.Finished(now, p.Key, result)
+	if f.picker.Finished(now, p.Key, result) {
+		f.cfg.Log.Log(eventlog.BackendServerEjected, "instance", p.Key.Instance)
+	}
 	f.broadcast(f.monitor.Finished(now, p.finger, p.Key.Instance, o))
 	f.wake()
 }
--- a/lib/eventlog/events_process.go
+++ b/lib/eventlog/events_process.go
@@ -5,8 +5,6 @@
 	ProcessStarted  = Event{1001, Info, "process started", "Nothing."}
 	ProcessStopping = Event{1002, Info, "process received a stop signal and drains", "Nothing."}
 	ProcessStopped  = Event{1003, Info, "process stopped", "Nothing."}
-	SettingsInvalid = Event{1004, Error, "settings are invalid", "Correct the named key and start again."}
-	ListenFailed    = Event{1005, Error, "cannot listen on the configured address", "Free the address or change the setting."}
 	ProcessFailed   = Event{1006, Error, "process cannot go on", "Read the error; the platform starts the process again."}
 	DrainUnfinished = Event{1007, Warn, "process ends with work unfinished", "Raise the drain timeout if answers take longer than it."}
 	StartFailed     = Event{1008, Error, "process cannot start", "Read the error, correct it and start again."}
@@ -16,8 +14,6 @@
 	ProcessStarted,
 	ProcessStopping,
 	ProcessStopped,
-	SettingsInvalid,
-	ListenFailed,
 	ProcessFailed,
 	DrainUnfinished,
 	StartFailed,
--- a/lib/eventlog/events_weight.go
+++ b/lib/eventlog/events_weight.go
@@ -12,7 +12,7 @@
 	ManifestCorrupt    = Event{3105, Warn, "manifest does not match its digest", "Check the manifest object at the origin."}
 	VersionReplaced    = Event{3106, Info, "wanted version changed while copies were in flight", "Nothing."}
 	GrantOutdated      = Event{3107, Info, "result arrived for an assignment that had expired", "Nothing."}
-	FencingIgnored     = Event{3108, Warn, "backend server accepted an order with an old fencing number", "Nothing; the agent verifies state around each order."}
+	FencingIgnored     = Event{3108, Info, "backend server does not check fencing numbers", "Nothing; the agent reads its state before and after each order."}
 	SourceThrottled    = Event{3109, Info, "source of weights asked to come back later", "Nothing; check the source limits if a rollout is late."}
 	RoleNotSet         = Event{3111, Warn, "backend server did not take its declared role", "Check the backend server; the agent gives the order again."}
 	TrackerUnreachable = Event{3110, Warn, "no tracker is reachable; agents exchange chunks directly", "Check the entry instances of the failure domain."}
