Keep the phase of an instance that has no tracker at the moment

A phase that was reached while the connection to the tracker was down was dropped, and later reports repeated the one before: an instance could stay 'verified' in the rollout status although it was live. The new check of a version's bytes showed it when a version needed no transfer.

--- a/agent/transfer/step.go
+++ b/agent/transfer/step.go
@@ -76,10 +76,14 @@
 }
 
 func (r *runner) report(m *wire.TransferStatus) {
-	if r.target == nil || m.Manifest != r.target.digest || r.conn == nil {
+	if r.target == nil || m.Manifest != r.target.digest {
 		return
 	}
+	// Without a tracker the phase is told with the next report.
 	r.phase = m.Phase
+	if r.conn == nil {
+		return
+	}
 	r.reported = r.s.cfg.Clock.Now()
 	p := r.s.counters.progress()
 	m.OriginBytes, m.PeerBytes, m.TotalBytes = p.OriginBytes-r.before.OriginBytes, p.PeerBytes-r.before.PeerBytes, r.target.known.manifest.Total()
