--- a/internal/processes/fleet_test.go
+++ b/internal/processes/fleet_test.go
@@ -67,7 +67,7 @@
 	var backends []string
 	// The pace of the origin makes a rollout last long enough to kill an agent
 	// in the middle of it.
-	arguments := []string{"--listen", "127.0.0.1:0", "--origin-link", fmt.Sprint(2 * modelBytes)}
+	arguments := []string{"--listen", "127.0.0.1:0", "--origin-link", fmt.Sprint(modelBytes / 2)}
 	for i := range engines + services {
 		kind := "--engine"
 		if i >= engines {
