Name requirements, slots and fetches by their usual terms

'Wish' and 'place' stood for what a request needs and for a reserved slot of an instance. They are Requirements and Slot now, and the start of a fetch is fetchStart. No change of behaviour.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -35,7 +35,8 @@
 	weights  *backend.Runner
 	cache    cacheReader
 	roles    roles
-	wishes   wishes
+	// fetching is since when the wanted version is being fetched.
+	fetching fetchStart
 	// rank is the position of the instance in its pool, or unknownRank.
 	rank atomic.Int64
 	// firstTokens are the times to first token of live requests.
--- a/agent/backend/doc.go
+++ b/agent/backend/doc.go
@@ -1,5 +1,5 @@
 // Package backend is the agent's side of its model engine: a state machine of
-// the weights of one instance, from the wish for a version to the engine that
+// the weights of one instance, from the request for a version to the engine that
 // serves it.
 //
 // Machine is pure: events and the time go in, typed actions come out. It uses
--- a/agent/host.go
+++ b/agent/host.go
@@ -31,7 +31,7 @@
 	if p, ok := view.Config.PlacementFor(a.cfg.Pool, a.cfg.Identity.Location.FailureDomain); ok {
 		a.roles.declare(p.Role)
 		a.sessions.beat()
-		h.place(view.Config, p)
+		h.applyPlacement(view.Config, p)
 	}
 }
 
@@ -44,14 +44,14 @@
 	}
 	if view := a.follower.Current(); view != nil {
 		if p, ok := view.Config.PlacementFor(a.cfg.Pool, a.cfg.Identity.Location.FailureDomain); ok {
-			h.place(view.Config, p)
+			h.applyPlacement(view.Config, p)
 		}
 	}
 }
 
-// place wants the placed version if the placement is for this instance. Otherwise
+// applyPlacement wants the placed version if the placement is for this instance. Otherwise
 // what is live stays in place.
-func (h host) place(c *config.Config, p config.Placement) {
+func (h host) applyPlacement(c *config.Config, p config.Placement) {
 	w, ok := c.Weights(p.Model, p.Version)
 	if !ok {
 		return
@@ -85,14 +85,14 @@
 	}
 	metrics, before := h.agent.cfg.Metrics, t.Progress()
 	defer func() { countBytes(metrics, declared.Name, before, t.Progress()) }()
-	started := h.agent.wishes.since(manifest, h.agent.cfg.Clock.Now())
+	started := h.agent.fetching.since(manifest, h.agent.cfg.Clock.Now())
 	if err := t.Fetch(ctx, manifest, declared.ManifestObject); err != nil {
 		return engine.Place{}, err
 	}
 	if err := t.Verify(manifest); err != nil {
 		return engine.Place{}, err
 	}
-	h.agent.wishes.done()
+	h.agent.fetching.done()
 	metrics.Transferred(declared.Name, h.agent.cfg.Clock.Now().Sub(started))
 	place := engine.Place{Directory: h.agent.cfg.Staging}
 	for _, c := range t.Manifest(manifest).Chunks {
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -13,7 +13,7 @@
 type Metrics interface {
 	// Declare takes the configuration in force, whose names get labels.
 	Declare(c *config.Config)
-	// Transferred takes the time from the wish for a version to all of its
+	// Transferred takes the time from the request for a version to all of its
 	// chunks verified.
 	Transferred(model string, d time.Duration)
 	TransferBytes(model string, source telemetry.Source, n int64)
--- a/entry/dispatch/admission.go
+++ b/entry/dispatch/admission.go
@@ -16,7 +16,7 @@
 
 // placer reserves instances; *fleet.Fleet is one.
 type placer interface {
-	Reserve(w *fleet.Wish) (*fleet.Place, error)
+	Reserve(w *fleet.Requirements) (*fleet.Slot, error)
 	Withdraw(finger model.Fingerprint)
 }
 
@@ -166,7 +166,7 @@
 	}
 	a.queue(w.pool).Cancel(a.clock.Now(), w.id)
 	delete(a.waiters, w.id)
-	a.placer.Withdraw(w.wish.Finger)
+	a.placer.Withdraw(w.requirements.Finger)
 	return grant{reason: outcome.ReasonCanceled}
 }
 
@@ -190,7 +190,7 @@
 	now := a.clock.Now()
 	for _, shed := range q.Expire(now) {
 		if w := a.waiters[shed.Request.ID]; w != nil {
-			a.placer.Withdraw(w.wish.Finger)
+			a.placer.Withdraw(w.requirements.Finger)
 			a.grant(w, grant{reason: shed.Reason, retryAfter: shed.RetryAfter})
 		}
 	}
@@ -207,11 +207,11 @@
 	if w == nil {
 		return admit.Placed
 	}
-	w.wish.Offered = r.Offered
-	place, err := a.placer.Reserve(&w.wish)
+	w.requirements.Offered = r.Offered
+	slot, err := a.placer.Reserve(&w.requirements)
 	switch {
 	case err == nil:
-		a.grant(w, grant{place: place})
+		a.grant(w, grant{slot: slot})
 	case errors.Is(err, fleet.ErrQuarantined):
 		a.grant(w, grant{reason: outcome.ReasonQuarantined})
 	case errors.Is(err, fleet.ErrWaits):
--- a/entry/dispatch/run.go
+++ b/entry/dispatch/run.go
@@ -44,7 +44,7 @@
 	// body collects the answer of a claimed request for callers that ask again.
 	body []byte
 
-	place   *fleet.Place
+	slot    *fleet.Slot
 	inbox   *link.Inbox
 	attempt model.AttemptID
 	// result and fate say how the current attempt ended.
@@ -119,8 +119,8 @@
 		r.answer.Reset()
 		r.body = nil
 	}
-	if step.Cancel != "" && r.place != nil {
-		_ = r.place.Link.Send(&wire.RequestCancel{Attempt: step.Cancel})
+	if step.Cancel != "" && r.slot != nil {
+		_ = r.slot.Link.Send(&wire.RequestCancel{Attempt: step.Cancel})
 	}
 	switch step.Action {
 	case attempt.ActionDispatch:
@@ -143,27 +143,27 @@
 func (r *run) dispatch(ctx context.Context, step attempt.Step) attempt.Step {
 	r.release()
 	d := r.dispatcher
-	wish := fleet.Wish{
+	requirements := fleet.Requirements{
 		Pool:    r.request.Service.Pool,
 		Weights: routesOf(d.cfg.Current(), r.request.Service),
 		Finger:  r.finger,
 		Avoid:   r.machine.Tried(),
 	}
 	if step.Pinned {
-		wish.Weights = []model.Weights{step.Weights}
+		requirements.Weights = []model.Weights{step.Weights}
 	}
 	if r.request.Service.Kind == config.KindModel {
-		wish.Prefix = engine.PrefixOf(r.request.Body)
+		requirements.Prefix = engine.PrefixOf(r.request.Body)
 	}
 	queued := r.now()
 	// Callers choose request ids, so the queue needs one of its own.
 	offer := r.admitRequest(model.RequestID(uuid.NewString()))
-	g := d.admission.wait(ctx, &waiter{id: offer.ID, pool: wish.Pool, wish: wish}, offer)
+	g := d.admission.wait(ctx, &waiter{id: offer.ID, pool: requirements.Pool, requirements: requirements}, offer)
 	d.cfg.Metrics.QueueTime(r.request.Tenant.Name, r.request.Class.Name, r.now().Sub(queued))
-	if g.place == nil {
+	if g.slot == nil {
 		return r.refused(ctx, g)
 	}
-	r.place = g.place
+	r.slot = g.slot
 	return r.send()
 }
 
@@ -207,22 +207,22 @@
 	hop := r.machine.Hop()
 	step := r.machine.Dispatched(now, attempt.Dispatch{
 		Attempt:  r.attempt,
-		Instance: r.place.Key.Instance,
-		Weights:  r.place.Weights,
+		Instance: r.slot.Key.Instance,
+		Weights:  r.slot.Weights,
 	})
 	if step.Action == attempt.ActionFinish {
 		r.fate = outcome.NotRun
 		return step
 	}
-	inbox, err := r.place.Link.Start(&wire.RequestStart{
+	inbox, err := r.slot.Link.Start(&wire.RequestStart{
 		Request:        r.request.ID,
 		Attempt:        r.attempt,
 		Tenant:         r.request.Tenant.Name,
 		Class:          r.request.Class.Name,
 		Service:        r.request.Service.Name,
-		Weights:        r.place.Weights,
+		Weights:        r.slot.Weights,
 		Finger:         r.finger,
-		Suspect:        r.place.Suspect,
+		Suspect:        r.slot.Suspect,
 		Remaining:      r.machine.Remaining(now).Milliseconds(),
 		Hop:            hop,
 		Priority:       r.request.Class.Priority,
--- a/entry/dispatch/run_end.go
+++ b/entry/dispatch/run_end.go
@@ -45,15 +45,15 @@
 
 // release gives the place of the current attempt back.
 func (r *run) release() {
-	if r.place == nil {
+	if r.slot == nil {
 		return
 	}
 	d := r.dispatcher
 	if mean, ok := r.timing.betweenFrames(); ok && r.request.Service.Kind == config.KindModel {
-		d.cfg.Fleet.ObserveBetweenTokens(r.place, mean)
+		d.cfg.Fleet.ObserveBetweenTokens(r.slot, mean)
 	}
 	d.admission.settle(r.request.Service.Pool, r.request.Tenant.Name, r.tokens, len(r.request.Body)/bytesPerToken+r.timing.frames)
-	r.place.Link.Finish(r.attempt)
-	d.cfg.Fleet.Finish(r.place, r.fate, r.result)
-	r.place, r.inbox = nil, nil
+	r.slot.Link.Finish(r.attempt)
+	d.cfg.Fleet.Finish(r.slot, r.fate, r.result)
+	r.slot, r.inbox = nil, nil
 }
--- a/entry/dispatch/run_events.go
+++ b/entry/dispatch/run_events.go
@@ -34,7 +34,7 @@
 		return r.crashed()
 	case link.Reconnected:
 		// The caller went away while the connection was down.
-		if r.place.Link.Send(&wire.Reattach{Attempt: r.attempt, Next: r.machine.Next()}) != nil {
+		if r.slot.Link.Send(&wire.Reattach{Attempt: r.attempt, Next: r.machine.Next()}) != nil {
 			return attempt.Step{}
 		}
 		return r.machine.Reattached(r.now(), r.attempt)
@@ -62,7 +62,7 @@
 	case *wire.RequestRefused:
 		r.fate = outcome.NotRun
 		if m.Reason == outcome.ReasonOverloaded {
-			r.dispatcher.cfg.Fleet.ObserveRefusal(r.place)
+			r.dispatcher.cfg.Fleet.ObserveRefusal(r.slot)
 		}
 		return r.machine.Refused(r.now(), r.attempt, m.Reason, time.Duration(m.RetryAfterMillis)*time.Millisecond)
 	case *wire.ResponseFrame:
@@ -72,7 +72,7 @@
 		r.judge(m)
 		step := r.machine.End(r.now(), m)
 		if step.Action == attempt.ActionFinish || step.Action == attempt.ActionRecord {
-			_ = r.place.Link.Send(&wire.ResponseAck{Attempt: r.attempt, Next: m.Frames + 1})
+			_ = r.slot.Link.Send(&wire.ResponseAck{Attempt: r.attempt, Next: m.Frames + 1})
 		}
 		return step
 	default:
@@ -113,7 +113,7 @@
 	r.unacked++
 	r.unackedB += size
 	if r.unacked >= ackEvery || r.unackedB >= ackBytes {
-		_ = r.place.Link.Send(&wire.ResponseAck{Attempt: r.attempt, Next: r.machine.Next()})
+		_ = r.slot.Link.Send(&wire.ResponseAck{Attempt: r.attempt, Next: r.machine.Next()})
 		r.unacked, r.unackedB = 0, 0
 	}
 }
@@ -128,7 +128,7 @@
 	}
 	d.cfg.Metrics.FirstToken(tenant, class, r.now().Sub(r.request.Received))
 	if r.request.Service.Kind == config.KindModel {
-		d.cfg.Fleet.ObserveFirstToken(r.place, gap)
+		d.cfg.Fleet.ObserveFirstToken(r.slot, gap)
 		d.admission.observeStart(r.request.Service.Pool, gap)
 	}
 }
@@ -154,7 +154,7 @@
 		case e.Kind == link.Replaced:
 			return r.crashed()
 		case e.Kind == link.Reconnected:
-			if r.place.Link.Send(&wire.Reattach{Attempt: step.Attempt, Next: step.Next}) != nil {
+			if r.slot.Link.Send(&wire.Reattach{Attempt: step.Attempt, Next: step.Next}) != nil {
 				continue
 			}
 			return r.machine.Reattached(r.now(), step.Attempt)
--- a/entry/dispatch/waiter.go
+++ b/entry/dispatch/waiter.go
@@ -10,16 +10,16 @@
 
 // grant is what a waiting request gets: a place, or why there is none.
 type grant struct {
-	place      *fleet.Place
+	slot       *fleet.Slot
 	reason     outcome.Reason
 	retryAfter time.Duration
 }
 
 // waiter is one request in a queue.
 type waiter struct {
-	id   model.RequestID
-	pool string
-	wish fleet.Wish
+	id           model.RequestID
+	pool         string
+	requirements fleet.Requirements
 	// granted has room for one grant, so that the queue never blocks on it.
 	granted chan grant
 }
--- a/entry/fleet/fleet_test.go
+++ b/entry/fleet/fleet_test.go
@@ -58,7 +58,7 @@
 		Eventually(b.Others).WithTimeout(settle).Should(Receive(HaveField("Message", BeAssignableToTypeOf(&wire.CacheFetch{}))))
 		b.Broadcast(&wire.CacheUpdate{Snapshot: true, Sequence: 6, Stored: []model.Block{block}})
 		taken := func() model.InstanceID {
-			request := wish()
+			request := requirements()
 			request.Prefix = prefix
 			p, err := w.fleet.Reserve(request)
 			Expect(err).NotTo(HaveOccurred())
@@ -75,12 +75,12 @@
 		w.crash(a, finger("poison"))
 		w.crash(b, finger("poison"))
 		Eventually(func() error {
-			request := wish()
+			request := requirements()
 			request.Finger = finger("poison")
 			_, err := w.fleet.Reserve(request)
 			return err
 		}).WithTimeout(settle).Should(MatchError(fleet.ErrQuarantined))
-		p, err := w.fleet.Reserve(wish())
+		p, err := w.fleet.Reserve(requirements())
 		Expect(err).NotTo(HaveOccurred())
 		w.fleet.Finish(p, outcome.Completed, route.ResultOK)
 	})
@@ -89,12 +89,12 @@
 	// another suspect ran there for a while.
 	It("lets a suspect run where another suspect has ended", func() {
 		w.crash(a, finger("first"), finger("second"))
-		reserve := func(body string) func() (*fleet.Place, error) {
-			request := wish()
+		reserve := func(body string) func() (*fleet.Slot, error) {
+			request := requirements()
 			request.Finger = finger(body)
-			return func() (*fleet.Place, error) { return w.fleet.Reserve(request) }
+			return func() (*fleet.Slot, error) { return w.fleet.Reserve(request) }
 		}
-		first := new(fleet.Place)
+		first := new(fleet.Slot)
 		Eventually(func() (err error) {
 			first, err = reserve("first")()
 			return err
--- a/entry/fleet/place.go
+++ b/entry/fleet/reserve.go
@@ -30,8 +30,8 @@
 	ErrBlocked = merry.New("no instance can take the request")
 )
 
-// Wish says what instance a request needs.
-type Wish struct {
+// Requirements says what instance a request needs.
+type Requirements struct {
 	Pool string
 	// Weights are the weights that may serve the request, in order of
 	// preference. It holds the zero value for plain services.
@@ -45,8 +45,8 @@
 	Offered time.Time
 }
 
-// Place is an instance that was reserved for a request. Finish gives it back.
-type Place struct {
+// Slot is an instance that was reserved for a request. Finish gives it back.
+type Slot struct {
 	Key     route.Key
 	Link    *link.Link
 	Weights model.Weights
@@ -55,21 +55,21 @@
 	finger  model.Fingerprint
 }
 
-// Reserve picks an instance and takes a place on it, or returns one of the
+// Reserve picks an instance and takes a slot on it, or returns one of the
 // errors of this package.
-func (f *Fleet) Reserve(w *Wish) (*Place, error) {
+func (f *Fleet) Reserve(need *Requirements) (*Slot, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.cfg.Clock.Now()
-	if f.monitor.Quarantined(now, w.Finger) {
+	if f.monitor.Quarantined(now, need.Finger) {
 		return nil, merry.Wrap(ErrQuarantined)
 	}
 	refusal := merry.Wrap(ErrBlocked)
-	for _, weights := range w.Weights {
-		place, err := f.reserveFor(now, w, weights)
+	for _, weights := range need.Weights {
+		slot, err := f.reserveFor(now, need, weights)
 		switch {
 		case err == nil:
-			return place, nil
+			return slot, nil
 		case errors.Is(err, ErrQuarantined):
 			return nil, err
 		case errors.Is(err, ErrWaits):
@@ -79,10 +79,10 @@
 	return nil, refusal
 }
 
-func (f *Fleet) reserveFor(now time.Time, w *Wish, weights model.Weights) (*Place, error) {
+func (f *Fleet) reserveFor(now time.Time, need *Requirements, weights model.Weights) (*Slot, error) {
 	// An instance that runs another suspect now is avoided by this try only.
-	avoid := slices.Clone(w.Avoid)
-	request := f.routeRequest(now, w, &avoid, weights)
+	avoid := slices.Clone(need.Avoid)
+	request := f.routeRequest(now, need, &avoid, weights)
 	for range maxPlacements {
 		choice, err := f.picker.Pick(now, request)
 		if err != nil {
@@ -91,13 +91,13 @@
 			}
 			return nil, merry.Wrap(ErrBlocked)
 		}
-		verdict := f.monitor.Verdict(now, w.Finger, choice.Key.Instance)
+		verdict := f.monitor.Verdict(now, need.Finger, choice.Key.Instance)
 		f.broadcast(verdict.Update)
 		switch verdict.Decision {
 		case poison.Run, poison.RunAlone:
-			place := f.reserve(now, w, request, choice.Key)
-			place.Suspect = verdict.Decision == poison.RunAlone
-			return place, nil
+			slot := f.reserve(now, need, request, choice.Key)
+			slot.Suspect = verdict.Decision == poison.RunAlone
+			return slot, nil
 		case poison.Quarantined:
 			return nil, merry.Wrap(ErrQuarantined)
 		case poison.Hold:
@@ -109,10 +109,10 @@
 	return nil, merry.Wrap(ErrBlocked)
 }
 
-func (f *Fleet) routeRequest(now time.Time, w *Wish, avoid *[]model.InstanceID, weights model.Weights) *route.Request {
-	request := &route.Request{Pool: w.Pool, Weights: weights, Offered: w.Offered}
-	if w.Prefix != 0 {
-		request.Prefix = []uint64{uint64(w.Prefix.Under(weights))}
+func (f *Fleet) routeRequest(now time.Time, need *Requirements, avoid *[]model.InstanceID, weights model.Weights) *route.Request {
+	request := &route.Request{Pool: need.Pool, Weights: weights, Offered: need.Offered}
+	if need.Prefix != 0 {
+		request.Prefix = []uint64{uint64(need.Prefix.Under(weights))}
 		request.AffinityBlocks = 1
 	}
 	request.Allowed = func(key route.Key) bool {
@@ -126,12 +126,12 @@
 	return request
 }
 
-func (f *Fleet) reserve(now time.Time, w *Wish, request *route.Request, key route.Key) *Place {
+func (f *Fleet) reserve(now time.Time, need *Requirements, request *route.Request, key route.Key) *Slot {
 	f.limiter(key).Acquire()
 	f.sent[key.Instance]++
 	f.picker.Started(now, key, request.Prefix)
-	f.broadcast(f.monitor.Started(now, w.Finger, key.Instance))
-	return &Place{Key: key, Link: f.linkOf(key.Instance), Weights: request.Weights, finger: w.Finger}
+	f.broadcast(f.monitor.Started(now, need.Finger, key.Instance))
+	return &Slot{Key: key, Link: f.linkOf(key.Instance), Weights: request.Weights, finger: need.Finger}
 }
 
 func (f *Fleet) limiter(key route.Key) *admit.Limiter {
@@ -143,45 +143,45 @@
 	return l
 }
 
-// Finish gives a place back and tells how its attempt ended.
-func (f *Fleet) Finish(p *Place, o outcome.Outcome, result route.Result) {
+// Finish gives a slot back and tells how its attempt ended.
+func (f *Fleet) Finish(slot *Slot, o outcome.Outcome, result route.Result) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.cfg.Clock.Now()
 	// The limiter of a generation that has left is gone and not made again.
-	if l := f.limiters[p.Key]; l != nil {
+	if l := f.limiters[slot.Key]; l != nil {
 		l.Release()
 	}
-	if f.picker.Finished(now, p.Key, result) {
-		f.cfg.Log.Log(eventlog.BackendServerEjected, "instance", p.Key.Instance)
+	if f.picker.Finished(now, slot.Key, result) {
+		f.cfg.Log.Log(eventlog.BackendServerEjected, "instance", slot.Key.Instance)
 	}
-	f.broadcast(f.monitor.Finished(now, p.finger, p.Key.Instance, o))
+	f.broadcast(f.monitor.Finished(now, slot.finger, slot.Key.Instance, o))
 	f.wake()
 }
 
 // ObserveFirstToken takes the time from dispatch to the first frame.
-func (f *Fleet) ObserveFirstToken(p *Place, d time.Duration) {
+func (f *Fleet) ObserveFirstToken(slot *Slot, d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if l := f.limiters[p.Key]; l != nil {
+	if l := f.limiters[slot.Key]; l != nil {
 		l.ObserveFirstToken(f.cfg.Clock.Now(), d)
 	}
 }
 
 // ObserveBetweenTokens takes the mean time between the frames of an answer.
-func (f *Fleet) ObserveBetweenTokens(p *Place, d time.Duration) {
+func (f *Fleet) ObserveBetweenTokens(slot *Slot, d time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if l := f.limiters[p.Key]; l != nil {
+	if l := f.limiters[slot.Key]; l != nil {
 		l.ObserveBetweenTokens(f.cfg.Clock.Now(), d)
 	}
 }
 
 // ObserveRefusal takes a refusal for lack of capacity.
-func (f *Fleet) ObserveRefusal(p *Place) {
+func (f *Fleet) ObserveRefusal(slot *Slot) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if l := f.limiters[p.Key]; l != nil {
+	if l := f.limiters[slot.Key]; l != nil {
 		l.ObserveRefusal(f.cfg.Clock.Now())
 	}
 }
--- a/entry/fleet/world_test.go
+++ b/entry/fleet/world_test.go
@@ -68,8 +68,8 @@
 		HaveField("Identity.Instance", a.Identity().Instance), HaveField("Heartbeat.Load", marked))))
 }
 
-func wish() *fleet.Wish {
-	return &fleet.Wish{Pool: pool, Weights: []model.Weights{loaded}, Finger: finger("harmless")}
+func requirements() *fleet.Requirements {
+	return &fleet.Requirements{Pool: pool, Weights: []model.Weights{loaded}, Finger: finger("harmless")}
 }
 
 func finger(body string) model.Fingerprint {
--- a/lib/telemetry/metrics.go
+++ b/lib/telemetry/metrics.go
@@ -82,7 +82,7 @@
 	m.firstToken, errs[1] = seconds("request.first_token", "Time from arrival to the first token.", requestBuckets)
 	m.betweenTokens, errs[2] = seconds("request.between_tokens", "Time between two tokens.", requestBuckets)
 	m.total, errs[3] = seconds("request.total_time", "Time from arrival to the end of the answer.", requestBuckets)
-	m.transfer, errs[4] = seconds("transfer.time", "Time from the wish for a version to all of its chunks verified.", transferBuckets)
+	m.transfer, errs[4] = seconds("transfer.time", "Time from the request for a version to all of its chunks verified.", transferBuckets)
 	m.transferBytes, errs[5] = meter.Int64Counter("transfer.bytes", metric.WithUnit("By"), metric.WithDescription("Bytes of weights received, by source."))
 	m.ended, errs[6] = meter.Int64Counter("request.outcomes", metric.WithDescription("Requests that ended, by outcome and reason."))
 	m.invalid, errs[7] = meter.Int64Counter("input.invalid", metric.WithDescription("Malformed input, by kind."))
