--- a/internal/measure/drain/drain.go
+++ b/internal/measure/drain/drain.go
@@ -22,7 +22,8 @@
 	// get no new work.
 	noWorkAfter = 3 * time.Second
 	// watchFor is how long the entries are watched after that.
-	watchFor = 3 * time.Second
+	watchFor  = 3 * time.Second
+	watchStep = 10 * time.Millisecond
 )
 
 type options struct {
@@ -91,13 +92,12 @@
 	if err := pause(ctx, noWorkAfter); err != nil {
 		return err
 	}
-	sent := d.SentTo(leaving)
-	if err := pause(ctx, watchFor); err != nil {
+	sentLater, err := watch(ctx, func() int { return d.SentTo(leaving) })
+	if err != nil {
 		return err
 	}
-	sentLater := d.SentTo(leaving) - sent
 	graceful := d.ModelAgents()[1]
-	err := graceful.Stop(ctx)
+	err = graceful.Stop(ctx)
 	took := time.Since(notice)
 	load.stop()
 	if again := <-drained; err == nil {
@@ -121,6 +121,21 @@
 	return p.Err()
 }
 
+// watch sums the increases of a counter, which starts again at zero when an entry
+// forgets the agent.
+func watch(ctx context.Context, count func() int) (increase int, err error) {
+	before := count()
+	for end := time.Now().Add(watchFor); time.Now().Before(end); {
+		if err := pause(ctx, watchStep); err != nil {
+			return increase, err
+		}
+		now := count()
+		increase += max(0, now-before)
+		before = now
+	}
+	return increase, nil
+}
+
 func pause(ctx context.Context, d time.Duration) error {
 	select {
 	case <-time.After(d):
