Leave stalled peers alone for longer and remember them under a silent tracker

An agent whose tracker was connected and did not answer forgot which peers had failed, and one whose path stalls for good was tried again after a second, so that such peers held a large part of its window. Failures count in both states and the wait doubles. The new spec fails without the first change.

--- a/lib/distribute/downloader.go
+++ b/lib/distribute/downloader.go
@@ -172,9 +172,9 @@
 	if f.Source == Origin && r == Throttled {
 		d.throttled(now, retryAfter)
 	}
-	if !d.tracked {
-		d.solo.failed(now, f, r)
-	}
+	// Also while a tracker is connected: one that does not answer leaves the
+	// choice of peers to this agent.
+	d.solo.failed(now, f, r)
 	d.giveUp(f.grant, r)
 }
 
@@ -187,6 +187,7 @@
 	d.dirty = true
 	if f != nil {
 		d.chunkTime.add(now.Sub(f.started))
+		d.solo.delivered(f.Source)
 		if f.Source == Origin {
 			d.backoff = 0
 		}
--- a/lib/distribute/downloader_solo.go
+++ b/lib/distribute/downloader_solo.go
@@ -18,8 +18,13 @@
 	// badFor is how long another source is preferred for a chunk that arrived
 	// corrupt from a peer.
 	badFor = 5 * time.Second
-	// peerBackoff is the wait before a peer that failed is used again.
-	peerBackoff = time.Second
+	// peerBackoff is the wait before a peer that failed is used again. It doubles
+	// with each failure in a row, up to maxPeerBackoff: a path that stalls for good
+	// would otherwise hold a place of the window half of the time.
+	peerBackoff    = time.Second
+	maxPeerBackoff = 32 * time.Second
+	// maxBackoffShift keeps the doubling from overflowing.
+	maxBackoffShift = 5
 )
 
 // soloPeer is what an agent without a tracker knows about a peer.
@@ -27,6 +32,8 @@
 	have  weights.Bitmap
 	asked time.Time
 	until time.Time // not used before
+	// failures counts the failed fetches since the last delivered one.
+	failures int
 	// bad holds chunks that arrived corrupt, until they may be tried again.
 	bad map[model.Digest]time.Time
 }
@@ -70,7 +77,14 @@
 	case Busy:
 		p.until = now.Add(peerBackoff / 4)
 	default:
-		p.until = now.Add(peerBackoff)
+		p.until = now.Add(min(peerBackoff<<min(p.failures, maxBackoffShift), maxPeerBackoff))
+		p.failures++
+	}
+}
+
+func (s *soloState) delivered(source string) {
+	if p, ok := s.peers[source]; ok {
+		p.failures = 0
 	}
 }
 
--- a/lib/distribute/solo_test.go
+++ b/lib/distribute/solo_test.go
@@ -41,4 +41,34 @@
 		}
 		Expect(len(used)).To(BeNumerically(">", 5))
 	})
+
+	// Guards against a peer behind a stalled path that is chosen again at once
+	// because a tracker is connected that does not answer.
+	It("leave a stalled peer alone for longer after each failure", func() {
+		now := time.Unix(0, 0)
+		m, err := weights.BuildBytes(make([]byte, 64), "o", model.Digest{}, 64)
+		Expect(err).NotTo(HaveOccurred())
+		digest, err := m.Digest()
+		Expect(err).NotTo(HaveOccurred())
+		have := weights.NewBitmap(1)
+		have.Set(0)
+		d := distribute.NewDownloader(distribute.DownloaderConfig{Self: "self", Rand: rand.New(rand.NewSource(1))})
+		d.SetTarget(now, digest, m, weights.NewBitmap(1))
+		d.Connected(now)
+		d.SetPeers([]string{"peer"})
+		d.PeerHas("peer", digest, have)
+		var starts []time.Duration
+		begun := now
+		for range 2000 {
+			now = now.Add(10 * time.Millisecond)
+			for _, f := range d.Next(now).Start {
+				starts = append(starts, now.Sub(begun))
+				d.Finished(now, f.ID, f.Want.Digest, distribute.Broken, 0)
+			}
+		}
+		Expect(len(starts)).To(BeNumerically(">=", 4))
+		for i := 2; i < len(starts); i++ {
+			Expect(starts[i] - starts[i-1]).To(BeNumerically(">", starts[i-1]-starts[i-2]))
+		}
+	})
 })
