--- a/lib/distribute/solo_test.go
+++ b/lib/distribute/solo_test.go
@@ -11,6 +11,7 @@
 	"github.com/auburnbend/auburnbend/lib/distribute"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/weights"
+	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
 var _ = Describe("Agents without a tracker", func() {
@@ -55,6 +56,8 @@
 		d := distribute.NewDownloader(distribute.DownloaderConfig{Self: "self", Rand: rand.New(rand.NewSource(1))})
 		d.SetTarget(now, digest, m, weights.NewBitmap(1))
 		d.Connected(now)
+		// One answer, then silence.
+		d.Assigned(now, &wire.Assign{Manifest: digest})
 		d.SetPeers([]string{"peer"})
 		d.PeerHas("peer", digest, have)
 		var starts []time.Duration
