Plan a rollout before it is applied

The plan was calculated in measurements only; an operator could not see beforehand whether the links can carry a version in time. auburnctl rollout plan reads a declaration file, counts instances by an entry and prints time, origin bytes and whether the target can be met.

--- a/agent/program.go
+++ b/agent/program.go
@@ -14,9 +14,6 @@
 	"github.com/auburnbend/auburnbend/lib/settings"
 )
 
-// bitsPerByte converts the link rate of the settings.
-const bitsPerByte = 8
-
 // Program returns the daemon of a backend server instance.
 func Program() daemon.Program[*settings.Agent] {
 	return daemon.Program[*settings.Agent]{
@@ -86,7 +83,7 @@
 		Table:        httpplatform.NewTable(httpplatform.Config{URL: s.Platform.TableService}),
 		Staging:      s.Transfer.Staging,
 		StagingBytes: int64(s.Transfer.StagingBytes),
-		LinkRate:     float64(s.Transfer.LinkRate) / bitsPerByte,
+		LinkRate:     s.Transfer.LinkRate.BytesPerSecond(),
 		UploadSlots:  s.Transfer.UploadSlots,
 	}
 	cfg.Weights.Guard.Checked = s.Backend.Fencing == settings.FencingChecked
--- a/operator/cli/cli_test.go
+++ b/operator/cli/cli_test.go
@@ -186,4 +186,20 @@
 		Expect(must("rollout", "status")).To(ContainSubstring("live:2"))
 		Expect(must("instances", "--pool", "orders")).To(And(ContainSubstring("a2"), Not(ContainSubstring("a1"))))
 	})
+
+	// Guards against a rollout that an operator starts without knowing that its
+	// links cannot carry it in time.
+	It("plans a version before it is applied", func() {
+		placed := "[model crest v1]\nmanifest = " + model.Sum([]byte("m")).String() + "\nmanifest_object = m\nbytes = 100MiB\n" +
+			"[placement crest kigali]\nmodel = crest\nversion = v1\n"
+		Expect(os.WriteFile(file, []byte(strings.ReplaceAll(declaration, "SHARE", "1")+placed), 0o600)).To(Succeed())
+		plan := func(target string) string {
+			return must("rollout", "plan", file, "--origin", "80Mbit/s", "--instance", "80Mbit/s", "--target", target)
+		}
+		Expect(plan("10m")).To(MatchRegexp(`crest +v1 +1 +1 +100\.0MiB .* true`))
+		Expect(plan("5s")).To(MatchRegexp(`crest +v1 +1 +1 +100\.0MiB .* false`))
+		code, out := run("rollout", "plan", file, "--origin", "fast", "--instance", "80Mbit/s")
+		Expect(code).NotTo(BeZero())
+		Expect(out).To(ContainSubstring("--origin"))
+	})
 })
--- /dev/null
+++ b/operator/cli/plan_instances.go
@@ -0,0 +1,49 @@
+package cli
+
+import (
+	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/distribute"
+	"github.com/auburnbend/auburnbend/lib/model"
+	pb "github.com/auburnbend/auburnbend/schema/operatorpb"
+)
+
+// instances are the instances that an entry knows.
+type instances []*pb.Instance
+
+// domainsOf returns the failure domains that get a version, with the number of
+// instances and the rates of their links.
+func (known instances) domainsOf(c *config.Config, m config.Model, links planLinks) []distribute.DomainPlan {
+	rate := links.instance * c.Deployment.TransferShare
+	var domains []distribute.DomainPlan
+	for _, p := range c.Placements {
+		if p.Model != m.Name || p.Version != m.Version {
+			continue
+		}
+		region, count := known.pool(p)
+		if p.Replicas > 0 {
+			count = p.Replicas
+		}
+		if count > 0 {
+			domains = append(domains, distribute.DomainPlan{
+				Location:  model.Location{Region: region, FailureDomain: p.FailureDomain},
+				Instances: count, Download: rate, Upload: rate,
+			})
+		}
+	}
+	return domains
+}
+
+// pool returns the region and the number of instances of a placement.
+func (known instances) pool(p config.Placement) (region model.Region, count int) {
+	region = model.Region(p.FailureDomain)
+	for _, i := range known {
+		if i.GetFailureDomain() != string(p.FailureDomain) {
+			continue
+		}
+		region = model.Region(i.GetRegion())
+		if i.GetRole() == "agent" && i.GetPool() == p.Pool && i.GetState() != "draining" && i.GetState() != "gone" {
+			count++
+		}
+	}
+	return region, count
+}
--- a/operator/cli/rollout_command.go
+++ b/operator/cli/rollout_command.go
@@ -14,7 +14,7 @@
 
 func newRolloutCommand(o *options) *cobra.Command {
 	cmd := &cobra.Command{Use: "rollout", Short: "Follow versions on their way to instances"}
-	cmd.AddCommand(newRolloutStatusCommand(o))
+	cmd.AddCommand(newRolloutStatusCommand(o), newRolloutPlanCommand(o))
 	return cmd
 }
 
