Follow the declared retention of claims and share of a link

Reading the change as a newcomer showed two declared settings that nothing used: claim_retention was always 24 h, and transfer_share never reached the transfers. Claims older than the retention were never deleted either. The ledger and the rate share take the declared values, and each entry looks at one page of claims every 10 minutes, one read a second over 600 entries. Both settings have a test.

--- a/agent/host.go
+++ b/agent/host.go
@@ -28,6 +28,9 @@
 func (h host) configured(view *config.View) {
 	a := h.agent
 	a.cfg.Metrics.Declare(view.Config)
+	if most := view.Config.Deployment.TransferShare; most > 0 {
+		a.transfer.SetMaxShare(most)
+	}
 	if p, ok := view.Config.PlacementFor(a.cfg.Pool, a.cfg.Identity.Location.FailureDomain); ok {
 		a.roles.declare(p.Role)
 		a.sessions.beat()
--- a/agent/transfer/service.go
+++ b/agent/transfer/service.go
@@ -120,6 +120,14 @@
 	s.limits.set(s.share.Observe(s.cfg.Clock.Now(), d))
 }
 
+// SetMaxShare sets the largest part of the link that transfers use.
+func (s *Service) SetMaxShare(most float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.share.SetMax(most)
+	s.limits.set(s.share.Share())
+}
+
 // Report sends the phase of a version to its tracker, if it is the version that
 // Fetch got last.
 func (s *Service) Report(manifest model.Digest, phase wire.Phase) {
--- a/entry/dispatch/claims.go
+++ b/entry/dispatch/claims.go
@@ -18,6 +18,8 @@
 	resultPatience   = 4 * time.Second
 	firstResultPause = 100 * time.Millisecond
 	sweepInterval    = time.Second
+	// pruneLimit is the number of rows that are looked at in one prune.
+	pruneLimit = 200
 	// sweepLimit bounds the claim updates that are tried again at one time.
 	sweepLimit = 32
 )
@@ -135,12 +137,21 @@
 	return ""
 }
 
-// sweepClaims tries unconfirmed claim updates again until ctx ends.
+// sweepClaims tries unconfirmed claim updates again, and deletes claims that are
+// older than the retention, until ctx ends.
 func (d *Dispatcher) sweepClaims(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
+	prune := time.NewTicker(d.cfg.PruneInterval)
+	defer prune.Stop()
+	var page string
 	for {
 		select {
+		case <-prune.C:
+			// A page that fails is read again next time.
+			if next, _, err := d.cfg.Ledger.Prune(ctx, d.cfg.Clock.Now(), page, pruneLimit); err == nil {
+				page = next
+			}
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
--- a/entry/dispatch/config.go
+++ b/entry/dispatch/config.go
@@ -21,6 +21,8 @@
 	defaultFirstToken = 1400 * time.Millisecond
 	// defaultClaimTimeout bounds one call of the table service for a claim.
 	defaultClaimTimeout = 2 * time.Second
+	// defaultPruneInterval spends one read a second over 600 entries.
+	defaultPruneInterval = 10 * time.Minute
 	// defaultTick is the time between two looks at queues without an event.
 	defaultTick = 20 * time.Millisecond
 )
@@ -40,7 +42,10 @@
 	// ReattachWait bounds the wait for a new connection to an agent.
 	ReattachWait time.Duration
 	ClaimTimeout time.Duration
-	Tick         time.Duration
+	// PruneInterval is the time between two pages of claims that are looked at
+	// for pruning.
+	PruneInterval time.Duration
+	Tick          time.Duration
 }
 
 func (c Config) applyDefaults() Config {
@@ -50,6 +55,9 @@
 	if c.ClaimTimeout == 0 {
 		c.ClaimTimeout = defaultClaimTimeout
 	}
+	if c.PruneInterval == 0 {
+		c.PruneInterval = defaultPruneInterval
+	}
 	if c.Tick == 0 {
 		c.Tick = defaultTick
 	}
--- a/entry/dispatch/dispatcher.go
+++ b/entry/dispatch/dispatcher.go
@@ -61,6 +61,9 @@
 // Configure takes a configuration that has come in force.
 func (d *Dispatcher) Configure(c *config.Config) {
 	d.admission.setTenants(c.Tenants)
+	if c.Deployment.ClaimRetention > 0 {
+		d.cfg.Ledger.SetRetention(c.Deployment.ClaimRetention)
+	}
 	for _, t := range c.Tenants {
 		d.budget.SetShare(t.Name, t.RetryShare)
 	}
--- a/lib/claim/claiming.go
+++ b/lib/claim/claiming.go
@@ -94,7 +94,7 @@
 // counts: it has expired, was released, or its attempt was never dispatched.
 func (t *claiming) mayReplace(r record) bool {
 	switch {
-	case r.olderThan(t.now, t.ledger.config.Retention), r.Phase == phaseReleased:
+	case r.olderThan(t.now, t.ledger.retained()), r.Phase == phaseReleased:
 		return true
 	case r.Phase == phaseClaimed:
 		return slices.Contains(t.in.Proofs, r.Attempt) || t.ledger.pending.releases(t.key, r.Attempt)
--- a/lib/claim/ledger.go
+++ b/lib/claim/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/platform"
@@ -20,6 +21,8 @@
 	table   platform.TableService
 	writer  Writer
 	pending *backlog
+	// retention is in nanoseconds.
+	retention atomic.Int64
 }
 
 // New returns a ledger over a table service. Writes go through writer; nil
@@ -29,14 +32,22 @@
 	if writer == nil {
 		writer = single{table}
 	}
-	return &Ledger{
+	l := &Ledger{
 		config:  config,
 		table:   table,
 		writer:  writer,
 		pending: newBacklog(config.MaxPending, config.MaxPendingBytes),
 	}
+	l.SetRetention(config.Retention)
+	return l
 }
 
+// SetRetention sets the declared retention, which may change while the ledger is
+// in use.
+func (l *Ledger) SetRetention(d time.Duration) { l.retention.Store(int64(d)) }
+
+func (l *Ledger) retained() time.Duration { return time.Duration(l.retention.Load()) }
+
 // single commits each write in a transaction of its own.
 type single struct{ table platform.TableService }
 
@@ -97,7 +108,7 @@
 	switch {
 	case err != nil:
 		return l.answer(StatusUnknown)
-	case r.olderThan(now, l.config.Retention) || r.Phase == phaseReleased:
+	case r.olderThan(now, l.retained()) || r.Phase == phaseReleased:
 		return l.answer(StatusNotRun)
 	case r.Phase == phaseCompleted:
 		return Answer{Status: StatusEarlierResult, Result: r.Result}
--- a/lib/claim/ledger_test.go
+++ b/lib/claim/ledger_test.go
@@ -162,6 +162,16 @@
 		Expect(table.Rows()).To(BeZero())
 	})
 
+	// Guards against a declared retention that has no effect.
+	It("follows a declared retention that changes", func() {
+		l := open()
+		l.Claim(ctx, now, key, intent("a1"))
+		later := now.Add(2 * time.Hour)
+		Expect(l.Claim(ctx, later, key, intent("a2")).Status).To(Equal(StatusNoResult))
+		l.SetRetention(time.Hour)
+		Expect(l.Claim(ctx, later, key, intent("a2")).Status).To(Equal(StatusHeld))
+	})
+
 	It("keeps the outcome and omits a body that is too large", func() {
 		l := New(Config{MaxResult: 4}, table, nil)
 		l.Claim(ctx, now, key, intent("a1"))
--- a/lib/claim/prune.go
+++ b/lib/claim/prune.go
@@ -18,7 +18,7 @@
 	var writes []platform.Write
 	for _, row := range rows {
 		r, err := decodeRecord(row.Value)
-		if err == nil && !r.olderThan(now, l.config.Retention+l.config.PruneMargin) {
+		if err == nil && !r.olderThan(now, l.retained()+l.config.PruneMargin) {
 			continue
 		}
 		if err != nil {
--- a/lib/distribute/failure_test.go
+++ b/lib/distribute/failure_test.go
@@ -181,4 +181,13 @@
 		Expect(r.Observe(now.Add(time.Millisecond), time.Minute)).To(BeNumerically("~", 0.4, 1e-9))
 		Expect(r.Observe(now.Add(time.Second), 0)).To(BeNumerically("~", 0.45, 1e-9))
 	})
+
+	It("keeps a declared maximum (guards against a setting that has no effect)", func() {
+		r, now := distribute.NewRateShare(distribute.RateShareConfig{Target: time.Second}), time.Unix(0, 0)
+		r.SetMax(0.3)
+		Expect(r.Share()).To(BeNumerically("~", 0.3, 1e-9))
+		for i := range 20 {
+			Expect(r.Observe(now.Add(time.Duration(i)*time.Second), 0)).To(BeNumerically("<=", 0.3))
+		}
+	})
 })
--- a/lib/distribute/rateshare.go
+++ b/lib/distribute/rateshare.go
@@ -59,5 +59,13 @@
 	return r.share
 }
 
+// SetMax sets the largest share, over 0 and up to 1, which an operator may change
+// while transfers run.
+func (r *RateShare) SetMax(most float64) {
+	r.cfg.Max = most
+	r.cfg.Min = min(r.cfg.Min, most)
+	r.share = min(r.share, most)
+}
+
 // Share returns the share in use.
 func (r *RateShare) Share() float64 { return r.share }
