Share the pause and the processor time of the experiments

Two experiments had a pause of their own and two read the processor time in the same way; internal/measure/run holds both. The drain prints the same bounds.

--- a/internal/measure/capacity/sample.go
+++ b/internal/measure/capacity/sample.go
@@ -8,6 +8,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/auburnbend/auburnbend/internal/deployment"
+	measurerun "github.com/auburnbend/auburnbend/internal/measure/run"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
 )
@@ -44,7 +45,7 @@
 	for _, i := range others.instances {
 		d.List.Set(i)
 	}
-	if err := pause(ctx, o.settle); err != nil {
+	if err := measurerun.Pause(ctx, o.settle); err != nil {
 		return sample{}, err
 	}
 	if usable := d.Entries[0].Entry.Usable(); usable != agents {
@@ -60,7 +61,7 @@
 	}
 	entryBefore, begun := readUsage(), time.Now()
 	sent, received := d.Entries[0].Entry.Traffic()
-	if err := pause(ctx, length); err != nil {
+	if err := measurerun.Pause(ctx, length); err != nil {
 		return sample{}, err
 	}
 	sentAfter, receivedAfter := d.Entries[0].Entry.Traffic()
@@ -77,12 +78,3 @@
 func costOf(before, after usage, took time.Duration) cost {
 	return cost{core: (after.Processor - before.Processor).Seconds() / took.Seconds(), memory: after.Memory}
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	select {
-	case <-time.After(d):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/measure/capacity/usage.go
+++ b/internal/measure/capacity/usage.go
@@ -2,8 +2,9 @@
 
 import (
 	"runtime"
-	"syscall"
 	"time"
+
+	measurerun "github.com/auburnbend/auburnbend/internal/measure/run"
 )
 
 // usage is what a process has used so far.
@@ -18,11 +19,8 @@
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	var r syscall.Rusage
-	// Getrusage of the own process does not fail.
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &r)
 	return usage{
-		Processor: time.Duration(r.Utime.Nano() + r.Stime.Nano()),
+		Processor: measurerun.ProcessorTime(),
 		Memory:    float64(m.HeapAlloc + m.StackInuse),
 	}
 }
--- a/internal/measure/drain/drain.go
+++ b/internal/measure/drain/drain.go
@@ -13,6 +13,7 @@
 
 	"github.com/auburnbend/auburnbend/internal/deployment"
 	"github.com/auburnbend/auburnbend/internal/measure/figure"
+	measurerun "github.com/auburnbend/auburnbend/internal/measure/run"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
 )
@@ -81,7 +82,7 @@
 func measure(ctx context.Context, d *deployment.Deployment, o options, p *figure.Printer) error {
 	load := newLoad(d, o)
 	load.start(ctx)
-	if err := pause(ctx, 2*time.Second); err != nil {
+	if err := measurerun.Pause(ctx, 2*time.Second); err != nil {
 		return err
 	}
 	leaving := d.ModelAgents()[0]
@@ -89,7 +90,7 @@
 	notice := time.Now()
 	drained := make(chan error, 1)
 	go func() { drained <- leaving.Stop(ctx) }()
-	if err := pause(ctx, noWorkAfter); err != nil {
+	if err := measurerun.Pause(ctx, noWorkAfter); err != nil {
 		return err
 	}
 	sentLater, err := watch(ctx, func() int { return d.SentTo(leaving) })
@@ -126,7 +127,7 @@
 func watch(ctx context.Context, count func() int) (increase int, err error) {
 	before := count()
 	for end := time.Now().Add(watchFor); time.Now().Before(end); {
-		if err := pause(ctx, watchStep); err != nil {
+		if err := measurerun.Pause(ctx, watchStep); err != nil {
 			return increase, err
 		}
 		now := count()
@@ -135,12 +136,3 @@
 	}
 	return increase, nil
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	select {
-	case <-time.After(d):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/measure/latency/latency.go
+++ b/internal/measure/latency/latency.go
@@ -11,7 +11,6 @@
 	"os"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -20,6 +19,7 @@
 
 	"github.com/auburnbend/auburnbend/internal/deployment"
 	"github.com/auburnbend/auburnbend/internal/measure/figure"
+	measurerun "github.com/auburnbend/auburnbend/internal/measure/run"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
 )
@@ -145,7 +145,7 @@
 func perCore(o options, send func(int) error) (float64, error) {
 	var callers sync.WaitGroup
 	errs := make(chan error, o.callers)
-	cpu := processorTime()
+	cpu := measurerun.ProcessorTime()
 	for c := range o.callers {
 		callers.Go(func() {
 			for i := range o.requests / o.callers {
@@ -161,14 +161,7 @@
 	if err := <-errs; err != nil {
 		return 0, err
 	}
-	return float64(o.requests) / (processorTime() - cpu).Seconds(), nil
-}
-
-func processorTime() time.Duration {
-	var usage syscall.Rusage
-	// Getrusage of the own process does not fail.
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+	return float64(o.requests) / (measurerun.ProcessorTime() - cpu).Seconds(), nil
 }
 
 func call(ctx context.Context, client *deployment.Client, d *deployment.Deployment, i int) error {
