--- a/agent/backend/start_counter.go
+++ b/agent/backend/start_counter.go
@@ -7,8 +7,8 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform"
 )
 
 const (
@@ -28,29 +28,29 @@
 // write has an unknown outcome is left unused. The number is above floor, the
 // start of the last order that the engine accepted: an agent that started while
 // the store was down may have used numbers that the counter does not know.
-func NextStart(ctx context.Context, table platform.TableService, instance model.InstanceID, floor uint64) (uint64, error) {
+func NextStart(ctx context.Context, table backing.TableService, instance model.InstanceID, floor uint64) (uint64, error) {
 	var last error
 	for range counterAttempts {
-		w := platform.Write{Table: fencingTable, Key: string(instance), Condition: platform.IfAbsent}
+		w := backing.Write{Table: fencingTable, Key: string(instance), Condition: backing.IfAbsent}
 		number := floor + 1
 		row, err := table.Get(ctx, fencingTable, string(instance))
 		switch {
 		case err == nil && len(row.Value) == 8:
 			number = max(binary.BigEndian.Uint64(row.Value), floor) + 1
-			w.Condition, w.Version = platform.IfVersion, row.Version
+			w.Condition, w.Version = backing.IfVersion, row.Version
 		case err == nil:
 			return 0, merry.Wrap(ErrCounter, merry.AppendMessagef("row has %d bytes, want 8", len(row.Value)))
-		case !errors.Is(err, platform.ErrNotFound):
+		case !errors.Is(err, backing.ErrNotFound):
 			return 0, merry.Wrap(ErrCounter, merry.WithCause(err))
 		}
 		w.Value = binary.BigEndian.AppendUint64(nil, number)
-		err = table.Commit(ctx, platform.Transaction{Writes: []platform.Write{w}})
+		err = table.Commit(ctx, backing.Transaction{Writes: []backing.Write{w}})
 		if err == nil {
 			return number, nil
 		}
 		last = err
-		var conflict *platform.ConflictError
-		if !errors.As(err, &conflict) && !errors.Is(err, platform.ErrUnknown) {
+		var conflict *backing.ConflictError
+		if !errors.As(err, &conflict) && !errors.Is(err, backing.ErrUnknown) {
 			break
 		}
 	}
--- a/agent/config.go
+++ b/agent/config.go
@@ -8,12 +8,12 @@
 
 	"github.com/auburnbend/auburnbend/agent/backend"
 	"github.com/auburnbend/auburnbend/agent/gate"
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/distribute"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/listen"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/lib/security"
 	"github.com/auburnbend/auburnbend/lib/settings"
 )
@@ -47,10 +47,10 @@
 
 	// Table keeps the start counter of the instance's orders; without it the
 	// agent counts on from what its engine reports.
-	Table platform.TableService
+	Table backing.TableService
 
 	// Origin and WeightStore are the sources of weights; WeightStore is optional.
-	Origin, WeightStore platform.WeightSource
+	Origin, WeightStore backing.WeightSource
 	// Staging is the directory from which the engine loads.
 	Staging      string
 	StagingBytes int64
--- a/agent/program.go
+++ b/agent/program.go
@@ -5,11 +5,11 @@
 	"math/rand"
 	"net"
 
+	"github.com/auburnbend/auburnbend/lib/backing/httpbacking"
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/daemon"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform/httpplatform"
 	"github.com/auburnbend/auburnbend/lib/security"
 	"github.com/auburnbend/auburnbend/lib/settings"
 )
@@ -79,8 +79,8 @@
 		Kind:         s.Backend.Kind,
 		BackendURL:   s.Backend.Address,
 		Capacity:     s.Backend.Capacity,
-		Origin:       httpplatform.NewSource(httpplatform.Config{URL: s.Platform.Origin}),
-		Table:        httpplatform.NewTable(httpplatform.Config{URL: s.Platform.TableService}),
+		Origin:       httpbacking.NewSource(httpbacking.Config{URL: s.Platform.Origin}),
+		Table:        httpbacking.NewTable(httpbacking.Config{URL: s.Platform.TableService}),
 		Staging:      s.Transfer.Staging,
 		StagingBytes: int64(s.Transfer.StagingBytes),
 		LinkRate:     s.Transfer.LinkRate.BytesPerSecond(),
@@ -88,7 +88,7 @@
 	}
 	cfg.Weights.Guard.Checked = s.Backend.Fencing == settings.FencingChecked
 	if s.Platform.WeightStore != "" {
-		cfg.WeightStore = httpplatform.NewSource(httpplatform.Config{URL: s.Platform.WeightStore})
+		cfg.WeightStore = httpbacking.NewSource(httpbacking.Config{URL: s.Platform.WeightStore})
 	}
 	if p.Agent, err = New(cfg); err != nil {
 		return nil, err
--- a/agent/transfer/config.go
+++ b/agent/transfer/config.go
@@ -8,11 +8,11 @@
 	"net"
 	"time"
 
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/distribute"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/lib/weights"
 )
 
@@ -29,7 +29,7 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Origin is the origin of weights. WeightStore is an optional second source,
 	// which is tried first: it is closer, and its bytes are no origin bytes.
-	Origin, WeightStore platform.WeightSource
+	Origin, WeightStore backing.WeightSource
 	// Chunks holds the verified chunks.
 	Chunks *weights.Store
 	// Downloader is the template for the decisions; Self and Rand are filled in.
--- a/agent/transfer/service_test.go
+++ b/agent/transfer/service_test.go
@@ -14,8 +14,8 @@
 
 	"github.com/auburnbend/auburnbend/agent/transfer"
 	"github.com/auburnbend/auburnbend/entry/tracker"
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/lib/weights"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
@@ -35,11 +35,11 @@
 	defer s.mu.Unlock()
 	if s.throttle > 0 {
 		s.throttle--
-		return nil, &platform.ThrottledError{RetryAfter: 20 * time.Millisecond}
+		return nil, &backing.ThrottledError{RetryAfter: 20 * time.Millisecond}
 	}
 	all, ok := s.objects[object]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, backing.ErrNotFound
 	}
 	data := bytes.Clone(all[min(offset, int64(len(all))):min(offset+length, int64(len(all)))])
 	if s.short > 0 && len(data) > 100 {
@@ -57,7 +57,7 @@
 var _ = Describe("Service", func() {
 	var (
 		origin  *source
-		store   platform.WeightSource // nil without a weight store
+		store   backing.WeightSource // nil without a weight store
 		data    = make([]byte, 40_000)
 		digests [2]model.Digest
 		closers []func()
--- a/agent/transfer/worker.go
+++ b/agent/transfer/worker.go
@@ -9,8 +9,8 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/distribute"
-	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/lib/weights"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
@@ -65,7 +65,7 @@
 		err = w.s.cfg.Chunks.Put(w.fetch.Want, data)
 	}
 	d := done{fetch: w.fetch, err: err, result: distribute.Broken}
-	var throttled *platform.ThrottledError
+	var throttled *backing.ThrottledError
 	switch {
 	case err == nil:
 		d.result = distribute.Delivered
@@ -159,7 +159,7 @@
 }
 
 func isThrottled(err error) bool {
-	var t *platform.ThrottledError
+	var t *backing.ThrottledError
 	return errors.As(err, &t)
 }
 
@@ -199,7 +199,7 @@
 const originSlice = 64 << 10
 
 // source alternates between the weight store and the origin.
-func (s *Service) source(attempt int) (platform.WeightSource, *atomic.Int64) {
+func (s *Service) source(attempt int) (backing.WeightSource, *atomic.Int64) {
 	switch {
 	case s.cfg.WeightStore != nil && (attempt%2 == 0 || s.cfg.Origin == nil):
 		return s.cfg.WeightStore, &s.counters.store
--- a/entry/config.go
+++ b/entry/config.go
@@ -8,13 +8,13 @@
 
 	"github.com/auburnbend/auburnbend/entry/dispatch"
 	"github.com/auburnbend/auburnbend/entry/fleet"
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/distribute"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/listen"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/outcome"
-	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/lib/rollout"
 	"github.com/auburnbend/auburnbend/lib/security"
 )
@@ -47,8 +47,8 @@
 	// Policy says who may connect in which role; nil means plain text.
 	Policy *security.Policy
 
-	Table platform.TableService
-	List  platform.InstanceList
+	Table backing.TableService
+	List  backing.InstanceList
 
 	Fleet    fleet.Config
 	Dispatch dispatch.Config
--- a/entry/fleet/config.go
+++ b/entry/fleet/config.go
@@ -6,12 +6,12 @@
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/admit"
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/follow"
 	"github.com/auburnbend/auburnbend/lib/member"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/lib/route"
 	"github.com/auburnbend/auburnbend/lib/subset"
 	"github.com/auburnbend/auburnbend/lib/wire"
@@ -43,7 +43,7 @@
 	Log      *eventlog.Logger
 	// Dial opens connections to agents and to other entries.
 	Dial     Dial
-	List     platform.InstanceList
+	List     backing.InstanceList
 	Follower *follow.Follower
 	Member   member.Config
 	Subset   subset.Config
--- a/entry/fleet/entry_list.go
+++ b/entry/fleet/entry_list.go
@@ -3,9 +3,9 @@
 import (
 	"slices"
 
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/member"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/lib/rendezvous"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
@@ -15,7 +15,7 @@
 // holds the mutex.
 func (f *Fleet) entryAddresses() []string {
 	addresses := []string{f.cfg.Identity.Address}
-	for _, m := range in(f.present(platform.RoleEntry), f.cfg.Identity.Location) {
+	for _, m := range in(f.present(backing.RoleEntry), f.cfg.Identity.Location) {
 		if m.State == member.StateLive && !m.Draining {
 			addresses = append(addresses, m.Identity.Address)
 		}
@@ -29,7 +29,7 @@
 // the mutex.
 func (f *Fleet) poolRanks() map[model.InstanceID]int {
 	pools := make(map[string][]model.InstanceID)
-	for _, m := range in(f.present(platform.RoleAgent), f.cfg.Identity.Location) {
+	for _, m := range in(f.present(backing.RoleAgent), f.cfg.Identity.Location) {
 		if !m.Draining {
 			pools[m.Pool] = append(pools[m.Pool], m.Identity.Instance)
 		}
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -10,10 +10,10 @@
 
 	"github.com/auburnbend/auburnbend/entry/link"
 	"github.com/auburnbend/auburnbend/lib/admit"
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/member"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/lib/poison"
 	"github.com/auburnbend/auburnbend/lib/route"
 	"github.com/auburnbend/auburnbend/lib/wire"
@@ -169,7 +169,7 @@
 
 func (f *Fleet) logLeft(e member.Event) {
 	event := eventlog.AgentLost
-	if p := f.peers[e.Instance]; p != nil && p.role == platform.RoleEntry {
+	if p := f.peers[e.Instance]; p != nil && p.role == backing.RoleEntry {
 		event = eventlog.EntryLost
 	}
 	f.cfg.Log.Log(event, "instance", e.Instance)
--- a/entry/fleet/peer.go
+++ b/entry/fleet/peer.go
@@ -4,14 +4,14 @@
 	"context"
 
 	"github.com/auburnbend/auburnbend/entry/link"
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/member"
-	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
 // peer is one instance that this entry connects to.
 type peer struct {
-	role    platform.InstanceRole
+	role    backing.InstanceRole
 	address string
 	link    *link.Link
 	cancel  context.CancelFunc
--- a/entry/fleet/queries.go
+++ b/entry/fleet/queries.go
@@ -3,11 +3,11 @@
 import (
 	"slices"
 
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/config"
 	"github.com/auburnbend/auburnbend/lib/engine"
 	"github.com/auburnbend/auburnbend/lib/member"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/lib/rollout"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
@@ -17,7 +17,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	size := config.Fleet{Entries: 1, DomainEntries: 1}
-	for _, m := range f.view.Members(platform.RoleEntry) {
+	for _, m := range f.view.Members(backing.RoleEntry) {
 		if m.State == member.StateGone || m.Identity.Instance == f.cfg.Identity.Instance {
 			continue
 		}
@@ -33,7 +33,7 @@
 func (f *Fleet) Members() []member.Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	members := append(f.view.Members(platform.RoleEntry), f.view.Members(platform.RoleAgent)...)
+	members := append(f.view.Members(backing.RoleEntry), f.view.Members(backing.RoleAgent)...)
 	return slices.DeleteFunc(members, func(m member.Member) bool {
 		return m.Identity.Instance == f.cfg.Identity.Instance
 	})
@@ -43,7 +43,7 @@
 func (f *Fleet) Entries() []member.Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.present(platform.RoleEntry)
+	return f.present(backing.RoleEntry)
 }
 
 // Send sends a message to an entry that this one is connected to. It reports
@@ -65,7 +65,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var g rollout.Group
-	for _, m := range f.view.Members(platform.RoleAgent) {
+	for _, m := range f.view.Members(backing.RoleAgent) {
 		if m.Pool != pool || m.State != member.StateLive || m.Identity.Location != f.cfg.Identity.Location {
 			continue
 		}
@@ -113,7 +113,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	usable := 0
-	for _, m := range f.view.Members(platform.RoleAgent) {
+	for _, m := range f.view.Members(backing.RoleAgent) {
 		if m.Usable(f.cfg.Clock.Now()) {
 			usable++
 		}
--- a/entry/fleet/reconnect.go
+++ b/entry/fleet/reconnect.go
@@ -5,9 +5,9 @@
 	"slices"
 
 	"github.com/auburnbend/auburnbend/entry/link"
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/member"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/lib/rendezvous"
 	"github.com/auburnbend/auburnbend/lib/subset"
 )
@@ -40,9 +40,9 @@
 // and still listed are tried again where this entry would connect to them, and
 // take no place of a live one. The caller holds the mutex.
 func (f *Fleet) wanted() map[model.InstanceID]member.Member {
-	entries, agents := f.present(platform.RoleEntry), f.present(platform.RoleAgent)
+	entries, agents := f.present(backing.RoleEntry), f.present(backing.RoleAgent)
 	wanted := f.choose(entries, agents)
-	lostEntries, lostAgents := f.view.Lost(platform.RoleEntry), f.view.Lost(platform.RoleAgent)
+	lostEntries, lostAgents := f.view.Lost(backing.RoleEntry), f.view.Lost(backing.RoleAgent)
 	if len(lostEntries)+len(lostAgents) == 0 {
 		return wanted
 	}
@@ -94,7 +94,7 @@
 }
 
 // present returns the members of a role that are not gone, without this entry.
-func (f *Fleet) present(role platform.InstanceRole) []member.Member {
+func (f *Fleet) present(role backing.InstanceRole) []member.Member {
 	var present []member.Member
 	for _, m := range f.view.Members(role) {
 		if m.State != member.StateGone && m.Identity.Instance != f.cfg.Identity.Instance {
--- a/entry/program.go
+++ b/entry/program.go
@@ -5,12 +5,12 @@
 	"math/rand/v2"
 	"net"
 
+	"github.com/auburnbend/auburnbend/lib/backing/httpbacking"
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/config"
 	"github.com/auburnbend/auburnbend/lib/daemon"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform/httpplatform"
 	"github.com/auburnbend/auburnbend/lib/security"
 	"github.com/auburnbend/auburnbend/lib/settings"
 )
@@ -83,8 +83,8 @@
 		Peers:     peers,
 		Operators: operators,
 		Policy:    policy,
-		Table:     httpplatform.NewTable(httpplatform.Config{URL: s.Platform.TableService}),
-		List:      httpplatform.NewInstances(httpplatform.Config{URL: s.Platform.InstanceList}),
+		Table:     httpbacking.NewTable(httpbacking.Config{URL: s.Platform.TableService}),
+		List:      httpbacking.NewInstances(httpbacking.Config{URL: s.Platform.InstanceList}),
 	})
 	p.Watch(func(v *config.View) { p.metrics.Declare(v.Config) })
 	p.Start()
--- a/entry/status.go
+++ b/entry/status.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"github.com/auburnbend/auburnbend/entry/operatorrpc"
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/config"
 	"github.com/auburnbend/auburnbend/lib/member"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
@@ -87,7 +87,7 @@
 			Running:  m.Heartbeat.Load.Running,
 			Queued:   m.Heartbeat.Load.Queued,
 		}
-		if m.Role == platform.RoleEntry {
+		if m.Role == backing.RoleEntry {
 			i.Role = wire.RoleEntry
 		}
 		if !m.HeartbeatAt.IsZero() {
@@ -154,7 +154,7 @@
 	}
 	wanted := 0
 	for _, m := range e.fleet.Members() {
-		if m.Role == platform.RoleAgent && m.Pool == p.Pool && !m.Draining &&
+		if m.Role == backing.RoleAgent && m.Pool == p.Pool && !m.Draining &&
 			m.Identity.Location.FailureDomain == p.FailureDomain && m.State != member.StateGone {
 			wanted++
 		}
--- a/internal/agenttest/agent.go
+++ b/internal/agenttest/agent.go
@@ -6,9 +6,9 @@
 	"net"
 	"sync"
 
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/heartbeat"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
@@ -117,9 +117,9 @@
 }
 
 // Instance returns the agent's line in the platform's list.
-func (a *Agent) Instance() platform.Instance {
+func (a *Agent) Instance() backing.Instance {
 	i := a.Identity()
-	return platform.Instance{ID: i.Instance, Role: platform.RoleAgent, Location: i.Location, Address: i.Address}
+	return backing.Instance{ID: i.Instance, Role: backing.RoleAgent, Location: i.Location, Address: i.Address}
 }
 
 // Broadcast sends a message on all open connections.
--- a/internal/agenttest/fleet.go
+++ b/internal/agenttest/fleet.go
@@ -8,17 +8,17 @@
 	"time"
 
 	"github.com/auburnbend/auburnbend/entry/fleet"
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/follow"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
 // FleetConfig returns the settings of the fleet of an entry at a location, with
 // short intervals.
-func FleetConfig(location model.Location, list platform.InstanceList) fleet.Config {
+func FleetConfig(location model.Location, list backing.InstanceList) fleet.Config {
 	identity := model.Identity{Instance: "entry", Generation: 1, Location: location, Address: "127.0.0.1:1"}
 	return fleet.Config{
 		Identity: identity,
--- a/internal/configsim/fuzz_test.go
+++ b/internal/configsim/fuzz_test.go
@@ -11,22 +11,22 @@
 	"pgregory.net/rapid"
 
 	"github.com/auburnbend/auburnbend/internal/configsim"
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/config"
-	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/standin/fault"
 )
 
 // delayedTable loses some commits on the way and delivers them later, and lets
 // another operator act between the read and the write of the first.
 type delayedTable struct {
-	platform.TableService
+	backing.TableService
 	delay   int
-	held    []platform.Transaction
+	held    []backing.Transaction
 	between func()
 }
 
-// Commit implements platform.TableService.
-func (d *delayedTable) Commit(ctx context.Context, tx platform.Transaction) error {
+// Commit implements backing.TableService.
+func (d *delayedTable) Commit(ctx context.Context, tx backing.Transaction) error {
 	if between := d.between; between != nil {
 		d.between = nil
 		between()
@@ -34,7 +34,7 @@
 	if d.delay > 0 {
 		d.delay--
 		d.held = append(d.held, tx)
-		return platform.ErrUnknown
+		return backing.ErrUnknown
 	}
 	return d.TableService.Commit(ctx, tx)
 }
--- a/internal/configsim/link.go
+++ b/internal/configsim/link.go
@@ -6,7 +6,7 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/backing"
 )
 
 // StoreState is the condition of the store.
@@ -26,22 +26,22 @@
 // link is the path of one node to the store. It counts reads that reach the
 // store, and adds up the time that they take.
 type link struct {
-	platform.TableService
+	backing.TableService
 	sim  *Sim
 	node *Node
 	took time.Duration
 }
 
-// Get implements platform.TableService.
-func (l *link) Get(ctx context.Context, table, key string) (platform.Row, error) {
+// Get implements backing.TableService.
+func (l *link) Get(ctx context.Context, table, key string) (backing.Row, error) {
 	if err := l.read(); err != nil {
-		return platform.Row{}, err
+		return backing.Row{}, err
 	}
 	return l.TableService.Get(ctx, table, key)
 }
 
-// Scan implements platform.TableService.
-func (l *link) Scan(ctx context.Context, table, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements backing.TableService.
+func (l *link) Scan(ctx context.Context, table, prefix, after string, limit int) ([]backing.Row, error) {
 	if err := l.read(); err != nil {
 		return nil, err
 	}
@@ -51,17 +51,17 @@
 func (l *link) read() error {
 	if l.sim.CutFromStore[l.node.domain] {
 		l.took += l.sim.cfg.StoreTimeout
-		return merry.Wrap(platform.ErrUnavailable)
+		return merry.Wrap(backing.ErrUnavailable)
 	}
 	l.sim.countRead()
 	switch l.sim.Store {
 	case StoreDown:
-		return merry.Wrap(platform.ErrUnavailable)
+		return merry.Wrap(backing.ErrUnavailable)
 	case StoreSlow:
 		d := 500*time.Millisecond + time.Duration(l.sim.rng.Int63n(int64(3500*time.Millisecond)))
 		l.took += min(d, l.sim.cfg.StoreTimeout)
 		if d > l.sim.cfg.StoreTimeout {
-			return merry.Wrap(platform.ErrUnavailable)
+			return merry.Wrap(backing.ErrUnavailable)
 		}
 	default:
 		l.took += l.sim.cfg.StoreLatency
--- a/internal/deployment/agent_process.go
+++ b/internal/deployment/agent_process.go
@@ -9,9 +9,9 @@
 	"sync/atomic"
 
 	"github.com/auburnbend/auburnbend/agent"
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/lib/settings"
 	"github.com/auburnbend/auburnbend/lib/telemetry"
 	"github.com/auburnbend/auburnbend/standin/engine"
@@ -72,7 +72,7 @@
 	}
 	p.Agent.Start()
 	d.Agents = append(d.Agents, p)
-	d.List.Set(platform.Instance{ID: p.Identity.Instance, Role: platform.RoleAgent, Location: p.Identity.Location, Address: p.Identity.Address, Pool: p.Pool})
+	d.List.Set(backing.Instance{ID: p.Identity.Instance, Role: backing.RoleAgent, Location: p.Identity.Location, Address: p.Identity.Address, Pool: p.Pool})
 	return nil
 }
 
--- a/internal/deployment/entry_process.go
+++ b/internal/deployment/entry_process.go
@@ -8,10 +8,10 @@
 	"sync"
 
 	"github.com/auburnbend/auburnbend/entry"
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/config"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/lib/telemetry"
 )
 
@@ -93,7 +93,7 @@
 		identity:  identity, deployment: d, peers: peers,
 	}
 	d.Entries = append(d.Entries, p)
-	d.List.Set(platform.Instance{ID: identity.Instance, Role: platform.RoleEntry, Location: identity.Location, Address: identity.Address})
+	d.List.Set(backing.Instance{ID: identity.Instance, Role: backing.RoleEntry, Location: identity.Location, Address: identity.Address})
 	return nil
 }
 
--- a/internal/measure/capacity/agents.go
+++ b/internal/measure/capacity/agents.go
@@ -12,10 +12,10 @@
 	"github.com/spf13/cobra"
 
 	"github.com/auburnbend/auburnbend/agent"
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/lib/settings"
 )
 
@@ -40,7 +40,7 @@
 }
 
 func serveAgents(count int, in io.Reader, out *json.Encoder) error {
-	var list []platform.Instance
+	var list []backing.Instance
 	for i := range count {
 		a, instance, err := startAgent(i)
 		if err != nil {
@@ -61,10 +61,10 @@
 }
 
 // startAgent starts an agent of a plain service that is never called.
-func startAgent(index int) (*agent.Agent, platform.Instance, error) {
+func startAgent(index int) (*agent.Agent, backing.Instance, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, platform.Instance{}, merry.Wrap(err)
+		return nil, backing.Instance{}, merry.Wrap(err)
 	}
 	identity := model.Identity{
 		Instance:   model.InstanceID(fmt.Sprintf("agent-%d", index)),
@@ -84,8 +84,8 @@
 		Capacity:   1,
 	})
 	if err != nil {
-		return nil, platform.Instance{}, err
+		return nil, backing.Instance{}, err
 	}
 	a.Start()
-	return a, platform.Instance{ID: identity.Instance, Role: platform.RoleAgent, Location: location, Address: identity.Address}, nil
+	return a, backing.Instance{ID: identity.Instance, Role: backing.RoleAgent, Location: location, Address: identity.Address}, nil
 }
--- a/internal/measure/capacity/child.go
+++ b/internal/measure/capacity/child.go
@@ -10,7 +10,7 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/backing"
 )
 
 // child is the process that runs the agents.
@@ -18,7 +18,7 @@
 	command   *exec.Cmd
 	in        io.WriteCloser
 	out       *json.Decoder
-	instances []platform.Instance
+	instances []backing.Instance
 }
 
 func startChild(ctx context.Context, agents int) (*child, error) {
--- a/internal/measure/distribute/origin.go
+++ b/internal/measure/distribute/origin.go
@@ -7,7 +7,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/backing"
 )
 
 // originName names the origin in directed links.
@@ -31,7 +31,7 @@
 func (o originFor) ReadRange(ctx context.Context, object string, offset, length int64) (io.ReadCloser, error) {
 	data, ok := o.objects[object]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, backing.ErrNotFound
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	offset = min(offset, int64(len(data)))
--- a/internal/processes/daemon_test.go
+++ b/internal/processes/daemon_test.go
@@ -10,8 +10,8 @@
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/gexec"
 
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
-	"github.com/auburnbend/auburnbend/lib/platform"
 )
 
 // settleTime bounds the wait for a state that the system reaches by itself; it
@@ -20,7 +20,7 @@
 
 // daemon is one process of the system.
 type daemon struct {
-	instance platform.Instance
+	instance backing.Instance
 	pool     string
 	// callers, operators and metrics are listen addresses; agents have only the
 	// last.
--- a/internal/processes/fleet_test.go
+++ b/internal/processes/fleet_test.go
@@ -11,8 +11,8 @@
 	"github.com/onsi/gomega/gbytes"
 
 	"github.com/auburnbend/auburnbend/internal/deployment"
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/standin/engine"
 	"github.com/auburnbend/auburnbend/standin/pki"
 )
@@ -82,9 +82,9 @@
 	return backends
 }
 
-func (f *fleet) daemon(role platform.InstanceRole, domain, name string) *daemon {
+func (f *fleet) daemon(role backing.InstanceRole, domain, name string) *daemon {
 	return &daemon{
-		instance: platform.Instance{
+		instance: backing.Instance{
 			ID: model.InstanceID(domain + "-" + name), Role: role, Address: f.ports.take(),
 			Location: model.Location{Region: model.Region(domain), FailureDomain: model.FailureDomain(domain)},
 		},
@@ -93,14 +93,14 @@
 }
 
 func (f *fleet) startEntry(domain string) {
-	d := f.daemon(platform.RoleEntry, domain, "entry")
+	d := f.daemon(backing.RoleEntry, domain, "entry")
 	d.callers, d.operators = f.ports.take(), f.ports.take()
 	d.session = start(built.entry, "--config", f.settingsFile(d, ""))
 	f.entries = append(f.entries, d)
 }
 
 func (f *fleet) startAgent(domain, pool string, n int, backend string) {
-	d := f.daemon(platform.RoleAgent, domain, fmt.Sprintf("%s-%d", pool, n))
+	d := f.daemon(backing.RoleAgent, domain, fmt.Sprintf("%s-%d", pool, n))
 	d.pool = pool
 	d.session = start(built.agent, "--config", f.settingsFile(d, backend))
 	f.agents = append(f.agents, d)
--- a/internal/processes/platform_test.go
+++ b/internal/processes/platform_test.go
@@ -7,7 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/standin/fault"
 	standin "github.com/auburnbend/auburnbend/standin/platform"
 )
@@ -30,7 +30,7 @@
 	p.put(path, body)
 }
 
-func (p platformClient) register(i platform.Instance) {
+func (p platformClient) register(i backing.Instance) {
 	p.putJSON(standin.InstancePath+"/instances", i)
 }
 
--- a/internal/processes/settings_test.go
+++ b/internal/processes/settings_test.go
@@ -8,7 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/standin/pki"
 )
 
@@ -47,7 +47,7 @@
 	return path
 }
 
-func (f *fleet) transport(role platform.InstanceRole) []string {
+func (f *fleet) transport(role backing.InstanceRole) []string {
 	if f.authority == nil {
 		return []string{"transport = plaintext"}
 	}
--- a/internal/tabletest/table.go
+++ b/internal/tabletest/table.go
@@ -1,4 +1,4 @@
-// Package tabletest is an in-memory platform.TableService for tests, with the
+// Package tabletest is an in-memory backing.TableService for tests, with the
 // faults that the platform's one has: outages, replies lost before or after the
 // write took effect, and writes that take effect late.
 package tabletest
@@ -9,7 +9,7 @@
 	"strings"
 	"sync"
 
-	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/backing"
 )
 
 // Fault is what happens to one call.
@@ -35,14 +35,14 @@
 	Fault func(write bool) Fault
 
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]backing.Row
 	version uint64
-	late    []platform.Transaction
+	late    []backing.Transaction
 	commits int
 }
 
 // New returns an empty table service.
-func New() *Table { return &Table{rows: make(map[string]platform.Row)} }
+func New() *Table { return &Table{rows: make(map[string]backing.Row)} }
 
 func id(table, key string) string { return table + "\x00" + key }
 
@@ -54,27 +54,27 @@
 }
 
 // Get returns a row.
-func (t *Table) Get(_ context.Context, table, key string) (platform.Row, error) {
+func (t *Table) Get(_ context.Context, table, key string) (backing.Row, error) {
 	if t.fault(false) != None {
-		return platform.Row{}, platform.ErrUnavailable
+		return backing.Row{}, backing.ErrUnavailable
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row, ok := t.rows[id(table, key)]
 	if !ok {
-		return platform.Row{}, platform.ErrNotFound
+		return backing.Row{}, backing.ErrNotFound
 	}
 	return row, nil
 }
 
 // Scan returns rows in key order.
-func (t *Table) Scan(_ context.Context, table, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *Table) Scan(_ context.Context, table, prefix, after string, limit int) ([]backing.Row, error) {
 	if t.fault(false) != None {
-		return nil, platform.ErrUnavailable
+		return nil, backing.ErrUnavailable
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var rows []platform.Row
+	var rows []backing.Row
 	for _, row := range t.rows {
 		if row.Table == table && strings.HasPrefix(row.Key, prefix) && row.Key > after {
 			rows = append(rows, row)
@@ -85,22 +85,22 @@
 }
 
 // Commit applies all writes or none.
-func (t *Table) Commit(_ context.Context, tx platform.Transaction) error {
+func (t *Table) Commit(_ context.Context, tx backing.Transaction) error {
 	f := t.fault(true)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.commits++
 	switch f {
 	case Down:
-		return platform.ErrNotApplied
+		return backing.ErrNotApplied
 	case LostBefore:
-		return platform.ErrUnknown
+		return backing.ErrUnknown
 	case LostAfter:
 		_ = t.apply(tx)
-		return platform.ErrUnknown
+		return backing.ErrUnknown
 	case Late:
 		t.late = append(t.late, tx)
-		return platform.ErrUnknown
+		return backing.ErrUnknown
 	default:
 		return t.apply(tx)
 	}
@@ -130,12 +130,12 @@
 	return len(t.rows)
 }
 
-func (t *Table) apply(tx platform.Transaction) error {
+func (t *Table) apply(tx backing.Transaction) error {
 	for i, w := range tx.Writes {
 		row, exists := t.rows[id(w.Table, w.Key)]
-		if w.Condition == platform.IfAbsent && exists ||
-			w.Condition == platform.IfVersion && (!exists || row.Version != w.Version) {
-			return &platform.ConflictError{Index: i}
+		if w.Condition == backing.IfAbsent && exists ||
+			w.Condition == backing.IfVersion && (!exists || row.Version != w.Version) {
+			return &backing.ConflictError{Index: i}
 		}
 	}
 	for _, w := range tx.Writes {
@@ -144,7 +144,7 @@
 			continue
 		}
 		t.version++
-		t.rows[id(w.Table, w.Key)] = platform.Row{Table: w.Table, Key: w.Key, Version: t.version, Value: w.Value}
+		t.rows[id(w.Table, w.Key)] = backing.Row{Table: w.Table, Key: w.Key, Version: t.version, Value: w.Value}
 	}
 	return nil
 }
--- a/lib/platform/httpplatform/caller.go
+++ b/lib/backing/httpbacking/caller.go
@@ -1,4 +1,4 @@
-package httpplatform
+package httpbacking
 
 import (
 	"bytes"
@@ -13,7 +13,7 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/backing"
 )
 
 // notAppliedHeader marks an answer that proves that a write had no effect.
@@ -45,13 +45,13 @@
 func (c caller) read(ctx context.Context, path string) (answer, error) {
 	a, _, err := c.send(ctx, http.MethodGet, path, nil)
 	if err != nil {
-		return answer{}, merry.Wrap(platform.ErrUnavailable, merry.WithCause(err))
+		return answer{}, merry.Wrap(backing.ErrUnavailable, merry.WithCause(err))
 	}
 	if a.status == http.StatusNotFound {
-		return a, merry.Wrap(platform.ErrNotFound)
+		return a, merry.Wrap(backing.ErrNotFound)
 	}
 	if a.status != http.StatusOK {
-		return a, statusError(platform.ErrUnavailable, a)
+		return a, statusError(backing.ErrUnavailable, a)
 	}
 	return a, nil
 }
@@ -62,15 +62,15 @@
 	a, connected, err := c.send(ctx, method, path, body)
 	switch {
 	case err != nil && !connected:
-		return answer{}, merry.Wrap(platform.ErrNotApplied, merry.WithCause(err))
+		return answer{}, merry.Wrap(backing.ErrNotApplied, merry.WithCause(err))
 	case err != nil:
-		return answer{}, merry.Wrap(platform.ErrUnknown, merry.WithCause(err))
+		return answer{}, merry.Wrap(backing.ErrUnknown, merry.WithCause(err))
 	case a.status/100 == 2, a.status == http.StatusConflict:
 		return a, nil
 	case a.status/100 == 4, a.header.Get(notAppliedHeader) != "":
-		return a, statusError(platform.ErrNotApplied, a)
+		return a, statusError(backing.ErrNotApplied, a)
 	default:
-		return a, statusError(platform.ErrUnknown, a)
+		return a, statusError(backing.ErrUnknown, a)
 	}
 }
 
@@ -105,18 +105,18 @@
 	return merry.Wrap(kind, merry.AppendMessagef("status %d", a.status))
 }
 
-func throttled(header http.Header) *platform.ThrottledError {
+func throttled(header http.Header) *backing.ThrottledError {
 	seconds, err := strconv.ParseInt(header.Get("Retry-After"), 10, 64)
 	if err != nil || seconds < 0 {
-		return &platform.ThrottledError{RetryAfter: defaultRetryAfter}
+		return &backing.ThrottledError{RetryAfter: defaultRetryAfter}
 	}
-	return &platform.ThrottledError{RetryAfter: time.Duration(seconds) * time.Second}
+	return &backing.ThrottledError{RetryAfter: time.Duration(seconds) * time.Second}
 }
 
 // decode reads the body of a read. A broken body is not an answer.
 func (a answer) decode(v any) error {
 	if err := json.Unmarshal(a.body, v); err != nil {
-		return merry.Wrap(platform.ErrUnavailable, merry.WithCause(err))
+		return merry.Wrap(backing.ErrUnavailable, merry.WithCause(err))
 	}
 	return nil
 }
--- a/lib/platform/httpplatform/clients_test.go
+++ b/lib/backing/httpbacking/clients_test.go
@@ -1,4 +1,4 @@
-package httpplatform_test
+package httpbacking_test
 
 import (
 	"context"
@@ -13,9 +13,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/auburnbend/auburnbend/lib/backing"
+	"github.com/auburnbend/auburnbend/lib/backing/httpbacking"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform"
-	"github.com/auburnbend/auburnbend/lib/platform/httpplatform"
 	"github.com/auburnbend/auburnbend/standin/fault"
 	standins "github.com/auburnbend/auburnbend/standin/platform"
 )
@@ -26,11 +26,11 @@
 		p      *standins.Platform
 		server *httptest.Server
 	)
-	client := func(path string) httpplatform.Config {
-		return httpplatform.Config{URL: server.URL + path, Timeout: 200 * time.Millisecond}
+	client := func(path string) httpbacking.Config {
+		return httpbacking.Config{URL: server.URL + path, Timeout: 200 * time.Millisecond}
 	}
-	put := func(key string, condition platform.Condition, version uint64) platform.Transaction {
-		return platform.Transaction{Writes: []platform.Write{{Table: "t", Key: key, Condition: condition, Version: version, Value: []byte("x")}}}
+	put := func(key string, condition backing.Condition, version uint64) backing.Transaction {
+		return backing.Transaction{Writes: []backing.Write{{Table: "t", Key: key, Condition: condition, Version: version, Value: []byte("x")}}}
 	}
 	BeforeEach(func() {
 		p = standins.New(standins.Config{WeightStoreRate: 100})
@@ -41,36 +41,36 @@
 	})
 
 	It("commits, reads, scans and reports conflicts by index", func() {
-		t := httpplatform.NewTable(client(standins.TablePath))
-		Expect(t.Commit(ctx, put("a", platform.IfAbsent, 0))).To(Succeed())
-		Expect(t.Commit(ctx, put("b&c", platform.Always, 0))).To(Succeed())
+		t := httpbacking.NewTable(client(standins.TablePath))
+		Expect(t.Commit(ctx, put("a", backing.IfAbsent, 0))).To(Succeed())
+		Expect(t.Commit(ctx, put("b&c", backing.Always, 0))).To(Succeed())
 		row, err := t.Get(ctx, "t", "b&c")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(row.Value).To(Equal([]byte("x")))
 		Expect(t.Scan(ctx, "t", "", "a", 10)).To(HaveLen(1))
-		tx := put("d", platform.IfAbsent, 0)
-		tx.Writes = append(tx.Writes, put("a", platform.IfVersion, 7).Writes...)
-		var conflict *platform.ConflictError
+		tx := put("d", backing.IfAbsent, 0)
+		tx.Writes = append(tx.Writes, put("a", backing.IfVersion, 7).Writes...)
+		var conflict *backing.ConflictError
 		Expect(errors.As(t.Commit(ctx, tx), &conflict)).To(BeTrue())
 		Expect(conflict.Index).To(Equal(1))
 		_, err = t.Get(ctx, "t", "d")
-		Expect(errors.Is(err, platform.ErrNotFound)).To(BeTrue())
+		Expect(errors.Is(err, backing.ErrNotFound)).To(BeTrue())
 	})
 
 	// Guards against a write that took effect being reported as not applied,
 	// which would make its caller repeat it.
 	DescribeTable("maps a failed write", func(f fault.Faults, want error, applied bool) {
-		t := httpplatform.NewTable(client(standins.TablePath))
+		t := httpbacking.NewTable(client(standins.TablePath))
 		p.Table.Faults.Set(f)
-		Expect(errors.Is(t.Commit(ctx, put("a", platform.IfAbsent, 0)), want)).To(BeTrue())
+		Expect(errors.Is(t.Commit(ctx, put("a", backing.IfAbsent, 0)), want)).To(BeTrue())
 		p.Table.Faults.Set(fault.Faults{})
 		_, err := t.Get(ctx, "t", "a")
 		Expect(err == nil).To(Equal(applied))
 	},
-		Entry("refused by the service", fault.Faults{Down: true}, platform.ErrNotApplied, false),
-		Entry("reply lost after the effect", fault.Faults{LoseAfter: 1}, platform.ErrUnknown, true),
-		Entry("lost before the effect", fault.Faults{LoseBefore: 1}, platform.ErrUnknown, false),
-		Entry("timed out", fault.Faults{Stall: true}, platform.ErrUnknown, false),
+		Entry("refused by the service", fault.Faults{Down: true}, backing.ErrNotApplied, false),
+		Entry("reply lost after the effect", fault.Faults{LoseAfter: 1}, backing.ErrUnknown, true),
+		Entry("lost before the effect", fault.Faults{LoseBefore: 1}, backing.ErrUnknown, false),
+		Entry("timed out", fault.Faults{Stall: true}, backing.ErrUnknown, false),
 	)
 
 	It("knows that nothing was sent when no connection was made", func() {
@@ -78,34 +78,34 @@
 		Expect(err).NotTo(HaveOccurred())
 		url := "http://" + listener.Addr().String()
 		Expect(listener.Close()).To(Succeed())
-		t := httpplatform.NewTable(httpplatform.Config{URL: url})
-		Expect(errors.Is(t.Commit(ctx, put("a", platform.Always, 0)), platform.ErrNotApplied)).To(BeTrue())
+		t := httpbacking.NewTable(httpbacking.Config{URL: url})
+		Expect(errors.Is(t.Commit(ctx, put("a", backing.Always, 0)), backing.ErrNotApplied)).To(BeTrue())
 		_, err = t.Get(ctx, "t", "a")
-		Expect(errors.Is(err, platform.ErrUnavailable)).To(BeTrue())
+		Expect(errors.Is(err, backing.ErrUnavailable)).To(BeTrue())
 	})
 
 	It("treats a broken or failed answer to a write as unknown", func() {
 		status := http.StatusInternalServerError
 		broken := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
 		DeferCleanup(broken.Close)
-		t := httpplatform.NewTable(httpplatform.Config{URL: broken.URL})
+		t := httpbacking.NewTable(httpbacking.Config{URL: broken.URL})
 		for _, status = range []int{http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusConflict} {
-			Expect(errors.Is(t.Commit(ctx, put("a", platform.Always, 0)), platform.ErrUnknown)).To(BeTrue())
+			Expect(errors.Is(t.Commit(ctx, put("a", backing.Always, 0)), backing.ErrUnknown)).To(BeTrue())
 		}
 		status = http.StatusTooManyRequests
-		Expect(errors.Is(t.Commit(ctx, put("a", platform.Always, 0)), platform.ErrNotApplied)).To(BeTrue())
+		Expect(errors.Is(t.Commit(ctx, put("a", backing.Always, 0)), backing.ErrNotApplied)).To(BeTrue())
 	})
 
 	It("never overwrites an object", func() {
-		o := httpplatform.NewObjects(client(standins.ObjectPath))
+		o := httpbacking.NewObjects(client(standins.ObjectPath))
 		Expect(o.PutIfAbsent(ctx, "m/a b", []byte("1"))).To(Succeed())
-		Expect(errors.Is(o.PutIfAbsent(ctx, "m/a b", []byte("2")), platform.ErrExists)).To(BeTrue())
+		Expect(errors.Is(o.PutIfAbsent(ctx, "m/a b", []byte("2")), backing.ErrExists)).To(BeTrue())
 		Expect(o.Get(ctx, "m/a b")).To(Equal([]byte("1")))
 	})
 
 	It("reads ranges and takes throttling and cut streams as such", func() {
 		p.Origin.Put("w", []byte("0123456789"))
-		s := httpplatform.NewSource(client(standins.OriginPath))
+		s := httpbacking.NewSource(client(standins.OriginPath))
 		r, err := s.ReadRange(ctx, "w", 3, 4)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(io.ReadAll(r)).To(Equal([]byte("3456")))
@@ -116,21 +116,21 @@
 		_, err = io.ReadAll(r)
 		Expect(err).To(HaveOccurred())
 		_, err = s.ReadRange(ctx, "absent", 0, 1)
-		Expect(errors.Is(err, platform.ErrNotFound)).To(BeTrue())
+		Expect(errors.Is(err, backing.ErrNotFound)).To(BeTrue())
 
 		p.WeightStore.Put("w", make([]byte, 500))
-		ws := httpplatform.NewSource(client(standins.WeightStorePath))
+		ws := httpbacking.NewSource(client(standins.WeightStorePath))
 		r, err = ws.ReadRange(ctx, "w", 0, 500)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(r.Close()).To(Succeed())
 		_, err = ws.ReadRange(ctx, "w", 0, 1)
-		var throttled *platform.ThrottledError
+		var throttled *backing.ThrottledError
 		Expect(errors.As(err, &throttled)).To(BeTrue())
 		Expect(throttled.RetryAfter).To(BeNumerically(">=", 3*time.Second))
 	})
 
 	It("lists instances", func() {
-		p.Instances.Set(platform.Instance{ID: "a", Role: platform.RoleAgent, Location: model.Location{Region: "r"}})
-		Expect(httpplatform.NewInstances(client(standins.InstancePath)).List(ctx)).To(HaveExactElements(HaveField("ID", model.InstanceID("a"))))
+		p.Instances.Set(backing.Instance{ID: "a", Role: backing.RoleAgent, Location: model.Location{Region: "r"}})
+		Expect(httpbacking.NewInstances(client(standins.InstancePath)).List(ctx)).To(HaveExactElements(HaveField("ID", model.InstanceID("a"))))
 	})
 })
--- a/lib/platform/httpplatform/config.go
+++ b/lib/backing/httpbacking/config.go
@@ -1,7 +1,7 @@
-// Package httpplatform holds the HTTP clients of the platform. Every failure is
+// Package httpbacking holds the HTTP clients of the platform. Every failure is
 // mapped to the typed errors of lib/platform: a write is reported as not
 // applied only when no connection was obtained or the service said so.
-package httpplatform
+package httpbacking
 
 import (
 	"net"
--- a/lib/platform/httpplatform/instances.go
+++ b/lib/backing/httpbacking/instances.go
@@ -1,9 +1,9 @@
-package httpplatform
+package httpbacking
 
 import (
 	"context"
 
-	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/backing"
 )
 
 // Instances is the client of the list of instances. It is safe for concurrent
@@ -13,12 +13,12 @@
 // NewInstances returns a client of the list of instances.
 func NewInstances(cfg Config) *Instances { return &Instances{caller: newCaller(cfg)} }
 
-// List implements platform.InstanceList.
-func (i *Instances) List(ctx context.Context) ([]platform.Instance, error) {
+// List implements backing.InstanceList.
+func (i *Instances) List(ctx context.Context) ([]backing.Instance, error) {
 	a, err := i.caller.read(ctx, "/instances")
 	if err != nil {
 		return nil, err
 	}
-	var listed []platform.Instance
+	var listed []backing.Instance
 	return listed, a.decode(&listed)
 }
--- a/lib/platform/httpplatform/object.go
+++ b/lib/backing/httpbacking/object.go
@@ -1,4 +1,4 @@
-package httpplatform
+package httpbacking
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/backing"
 )
 
 // Objects is the client of the object store. It is safe for concurrent use.
@@ -15,20 +15,20 @@
 // NewObjects returns a client of the object store.
 func NewObjects(cfg Config) *Objects { return &Objects{caller: newCaller(cfg)} }
 
-// Get implements platform.ObjectStore.
+// Get implements backing.ObjectStore.
 func (o *Objects) Get(ctx context.Context, name string) ([]byte, error) {
 	a, err := o.caller.read(ctx, objectPath(name))
 	return a.body, err
 }
 
-// PutIfAbsent implements platform.ObjectStore.
+// PutIfAbsent implements backing.ObjectStore.
 func (o *Objects) PutIfAbsent(ctx context.Context, name string, data []byte) error {
 	a, err := o.caller.write(ctx, http.MethodPut, objectPath(name), data)
 	if err != nil {
 		return err
 	}
 	if a.status == http.StatusConflict {
-		return merry.Wrap(platform.ErrExists)
+		return merry.Wrap(backing.ErrExists)
 	}
 	return nil
 }
--- a/lib/platform/httpplatform/source.go
+++ b/lib/backing/httpbacking/source.go
@@ -1,4 +1,4 @@
-package httpplatform
+package httpbacking
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/backing"
 )
 
 // Source is the client of a source of weights. It is safe for concurrent use.
@@ -20,7 +20,7 @@
 // NewSource returns a client of the origin or of the weight store.
 func NewSource(cfg Config) *Source { return &Source{caller: newCaller(cfg)} }
 
-// ReadRange implements platform.WeightSource. The timeout of the client bounds
+// ReadRange implements backing.WeightSource. The timeout of the client bounds
 // the time until the answer starts; ctx bounds the reading. A source that
 // ignores the range is refused, because its bytes would be those of another
 // range.
@@ -36,7 +36,7 @@
 		if err == nil {
 			_ = resp.Body.Close()
 		}
-		return nil, merry.Wrap(platform.ErrUnavailable, merry.WithCause(err))
+		return nil, merry.Wrap(backing.ErrUnavailable, merry.WithCause(err))
 	}
 	if err := rangeError(resp, offset); err != nil {
 		_ = resp.Body.Close()
@@ -62,15 +62,15 @@
 	case http.StatusPartialContent:
 		prefix := fmt.Sprintf("bytes %d-", offset)
 		if got := resp.Header.Get("Content-Range"); !strings.HasPrefix(got, prefix) {
-			return merry.Wrap(platform.ErrUnavailable, merry.AppendMessagef("range %q answered, want %q", got, prefix))
+			return merry.Wrap(backing.ErrUnavailable, merry.AppendMessagef("range %q answered, want %q", got, prefix))
 		}
 		return nil
 	case http.StatusNotFound:
-		return merry.Wrap(platform.ErrNotFound)
+		return merry.Wrap(backing.ErrNotFound)
 	case http.StatusTooManyRequests:
 		return merry.Wrap(throttled(resp.Header))
 	default:
-		return merry.Wrap(platform.ErrUnavailable, merry.AppendMessagef("status %d", resp.StatusCode))
+		return merry.Wrap(backing.ErrUnavailable, merry.AppendMessagef("status %d", resp.StatusCode))
 	}
 }
 
--- a/lib/platform/httpplatform/suite_test.go
+++ b/lib/backing/httpbacking/suite_test.go
@@ -1,4 +1,4 @@
-package httpplatform_test
+package httpbacking_test
 
 import (
 	"testing"
@@ -9,5 +9,5 @@
 
 func TestHTTPPlatform(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "httpplatform")
+	RunSpecs(t, "httpbacking")
 }
--- a/lib/platform/instances.go
+++ b/lib/backing/instances.go
@@ -1,4 +1,4 @@
-package platform
+package backing
 
 import (
 	"context"
--- a/lib/platform/table.go
+++ b/lib/backing/table.go
@@ -1,7 +1,7 @@
-// Package platform defines what the system needs from the platform: a
+// Package backing defines what the system needs from the platform: a
 // transactional table service, an object store, sources of weights and a list
 // of instances. All implementations are safe for concurrent use.
-package platform
+package backing
 
 import "context"
 
--- a/lib/platform/transaction.go
+++ b/lib/backing/transaction.go
@@ -1,4 +1,4 @@
-package platform
+package backing
 
 // Condition must hold for a write to be applied.
 type Condition uint8
--- a/lib/claim/batch.go
+++ b/lib/claim/batch.go
@@ -1,10 +1,10 @@
 package claim
 
-import "github.com/auburnbend/auburnbend/lib/platform"
+import "github.com/auburnbend/auburnbend/lib/backing"
 
 // batch is one group of writes of different rows.
 type batch struct {
-	writes []platform.Write
+	writes []backing.Write
 	errs   []error
 	closed chan struct{} // closed when no further write joins
 	done   chan struct{} // closed when errs is set
@@ -14,13 +14,13 @@
 	return &batch{closed: make(chan struct{}), done: make(chan struct{})}
 }
 
-func (g *batch) add(w platform.Write) int {
+func (g *batch) add(w backing.Write) int {
 	g.writes = append(g.writes, w)
 	return len(g.writes) - 1
 }
 
 // has reports whether the group writes the same row. Groups are small.
-func (g *batch) has(w platform.Write) bool {
+func (g *batch) has(w backing.Write) bool {
 	for _, other := range g.writes {
 		if other.Key == w.Key && other.Table == w.Table {
 			return true
--- a/lib/claim/batcher.go
+++ b/lib/claim/batcher.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/backing"
 )
 
 const (
@@ -47,20 +47,20 @@
 // group waits for others and commits for all; there is no background goroutine.
 type Batcher struct {
 	config BatcherConfig
-	table  platform.TableService
+	table  backing.TableService
 
 	mu   sync.Mutex
 	open *batch
 }
 
 // NewBatcher returns a batcher over a table service.
-func NewBatcher(config BatcherConfig, table platform.TableService) *Batcher {
+func NewBatcher(config BatcherConfig, table backing.TableService) *Batcher {
 	return &Batcher{config: config.applyDefaults(), table: table}
 }
 
 // Write applies w together with others and returns what became of w alone. When
-// ctx ends before the commit is confirmed, it returns platform.ErrUnknown.
-func (b *Batcher) Write(ctx context.Context, w platform.Write) error {
+// ctx ends before the commit is confirmed, it returns backing.ErrUnknown.
+func (b *Batcher) Write(ctx context.Context, w backing.Write) error {
 	g, index, leads := b.join(w)
 	if leads {
 		b.lead(ctx, g)
@@ -69,13 +69,13 @@
 	case <-g.done:
 		return g.errs[index]
 	case <-ctx.Done():
-		return errors.Join(platform.ErrUnknown, ctx.Err())
+		return errors.Join(backing.ErrUnknown, ctx.Err())
 	}
 }
 
 // join adds w to the open group. A second write of a row does not share a
 // transaction with the first: it opens the next group.
-func (b *Batcher) join(w platform.Write) (g *batch, index int, leads bool) {
+func (b *Batcher) join(w backing.Write) (g *batch, index int, leads bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.open != nil && b.open.has(w) {
--- a/lib/claim/batcher_test.go
+++ b/lib/claim/batcher_test.go
@@ -11,14 +11,14 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/auburnbend/auburnbend/internal/tabletest"
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform"
 )
 
 // never is a delay that does not end.
 func never(time.Duration) <-chan time.Time { return nil }
 
-func writeAll(b *Batcher, writes []platform.Write) []error {
+func writeAll(b *Batcher, writes []backing.Write) []error {
 	errs := make([]error, len(writes))
 	var wg sync.WaitGroup
 	for i, w := range writes {
@@ -28,9 +28,9 @@
 	return errs
 }
 
-func inserts(n int) (out []platform.Write) {
+func inserts(n int) (out []backing.Write) {
 	for i := range n {
-		out = append(out, platform.Write{Table: Table, Key: fmt.Sprint(i), Condition: platform.IfAbsent})
+		out = append(out, backing.Write{Table: Table, Key: fmt.Sprint(i), Condition: backing.IfAbsent})
 	}
 	return out
 }
@@ -40,7 +40,7 @@
 	It("fails a conflicting write alone", func() {
 		table := tabletest.New()
 		taken := inserts(8)[3]
-		Expect(table.Commit(context.Background(), platform.Transaction{Writes: []platform.Write{taken}})).To(Succeed())
+		Expect(table.Commit(context.Background(), backing.Transaction{Writes: []backing.Write{taken}})).To(Succeed())
 		errs := writeAll(NewBatcher(BatcherConfig{Size: 8, After: never}, table), inserts(8))
 		for i, err := range errs {
 			if i == 3 {
@@ -56,7 +56,7 @@
 		table := tabletest.New()
 		table.Fault = func(bool) tabletest.Fault { return tabletest.LostAfter }
 		for _, err := range writeAll(NewBatcher(BatcherConfig{Size: 4, After: never}, table), inserts(4)) {
-			Expect(err).To(MatchError(platform.ErrUnknown))
+			Expect(err).To(MatchError(backing.ErrUnknown))
 		}
 	})
 
--- a/lib/claim/claiming.go
+++ b/lib/claim/claiming.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/backing"
 )
 
 // maxProofs bounds the proofs that a caller carries for one key.
@@ -40,7 +40,7 @@
 		return t.giveUp(), true
 	}
 	if t.version != 0 {
-		w.Condition, w.Version = platform.IfVersion, t.version
+		w.Condition, w.Version = backing.IfVersion, t.version
 	}
 	err = t.ledger.writer.Write(ctx, w)
 	switch {
@@ -48,7 +48,7 @@
 		return t.held()
 	case isConflict(err):
 		t.foreign = !t.uncertain
-	case errors.Is(err, platform.ErrNotApplied):
+	case errors.Is(err, backing.ErrNotApplied):
 		return Answer{}, false
 	default:
 		t.uncertain = true
@@ -58,7 +58,7 @@
 
 func (t *claiming) readBack(ctx context.Context) (Answer, bool) {
 	row, err := t.ledger.table.Get(ctx, Table, t.key.row())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, backing.ErrNotFound) {
 		// The write did not land yet. It may land later, and then finds the row
 		// that the next try inserts.
 		t.version, t.foreign = 0, false
--- a/lib/claim/commit.go
+++ b/lib/claim/commit.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 
-	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/backing"
 )
 
 // commitAll applies independent writes in one transaction. A write whose
 // condition does not hold is taken out and the others are tried again, so each
 // write succeeds or fails by itself. It returns one error per write.
-func commitAll(ctx context.Context, table platform.TableService, writes []platform.Write) []error {
+func commitAll(ctx context.Context, table backing.TableService, writes []backing.Write) []error {
 	errs := make([]error, len(writes))
 	left := make([]int, len(writes))
 	for i := range left {
@@ -18,17 +18,17 @@
 	}
 	rest := writes
 	for len(left) > 0 {
-		err := classify(table.Commit(ctx, platform.Transaction{Writes: rest}))
-		var conflict *platform.ConflictError
+		err := classify(table.Commit(ctx, backing.Transaction{Writes: rest}))
+		var conflict *backing.ConflictError
 		if !errors.As(err, &conflict) || conflict.Index < 0 || conflict.Index >= len(left) {
 			for _, i := range left {
 				errs[i] = err
 			}
 			break
 		}
-		errs[left[conflict.Index]] = &platform.ConflictError{}
+		errs[left[conflict.Index]] = &backing.ConflictError{}
 		left = append(left[:conflict.Index], left[conflict.Index+1:]...)
-		rest = make([]platform.Write, len(left))
+		rest = make([]backing.Write, len(left))
 		for i, index := range left {
 			rest[i] = writes[index]
 		}
--- a/lib/claim/ledger.go
+++ b/lib/claim/ledger.go
@@ -6,19 +6,19 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/backing"
 )
 
 // Writer applies one conditional write. It returns what
-// platform.TableService.Commit returns. Batcher implements it.
+// backing.TableService.Commit returns. Batcher implements it.
 type Writer interface {
-	Write(ctx context.Context, w platform.Write) error
+	Write(ctx context.Context, w backing.Write) error
 }
 
 // Ledger claims, completes and releases keys.
 type Ledger struct {
 	config  Config
-	table   platform.TableService
+	table   backing.TableService
 	writer  Writer
 	pending *backlog
 	// retention is in nanoseconds.
@@ -27,7 +27,7 @@
 
 // New returns a ledger over a table service. Writes go through writer; nil
 // commits each on its own.
-func New(config Config, table platform.TableService, writer Writer) *Ledger {
+func New(config Config, table backing.TableService, writer Writer) *Ledger {
 	config = config.applyDefaults()
 	if writer == nil {
 		writer = single{table}
@@ -49,27 +49,27 @@
 func (l *Ledger) retained() time.Duration { return time.Duration(l.retention.Load()) }
 
 // single commits each write in a transaction of its own.
-type single struct{ table platform.TableService }
+type single struct{ table backing.TableService }
 
-func (s single) Write(ctx context.Context, w platform.Write) error {
-	return classify(s.table.Commit(ctx, platform.Transaction{Writes: []platform.Write{w}}))
+func (s single) Write(ctx context.Context, w backing.Write) error {
+	return classify(s.table.Commit(ctx, backing.Transaction{Writes: []backing.Write{w}}))
 }
 
 // classify keeps the errors that say what happened and takes any other for a
 // lost reply.
 func classify(err error) error {
-	var conflict *platform.ConflictError
-	if err == nil || errors.As(err, &conflict) || errors.Is(err, platform.ErrNotApplied) {
+	var conflict *backing.ConflictError
+	if err == nil || errors.As(err, &conflict) || errors.Is(err, backing.ErrNotApplied) {
 		return err
 	}
-	if errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, backing.ErrUnknown) {
 		return err
 	}
-	return errors.Join(platform.ErrUnknown, err)
+	return errors.Join(backing.ErrUnknown, err)
 }
 
 func isConflict(err error) bool {
-	var conflict *platform.ConflictError
+	var conflict *backing.ConflictError
 	return errors.As(err, &conflict)
 }
 
@@ -98,7 +98,7 @@
 // when the store does not answer.
 func (l *Ledger) Lookup(ctx context.Context, now time.Time, key Key) Answer {
 	row, err := l.table.Get(ctx, Table, key.row())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, backing.ErrNotFound) {
 		return l.answer(StatusNotRun)
 	}
 	if err != nil {
@@ -117,7 +117,7 @@
 	}
 }
 
-func writeOf(key Key, r record) (platform.Write, error) {
+func writeOf(key Key, r record) (backing.Write, error) {
 	value, err := r.encode()
-	return platform.Write{Table: Table, Key: key.row(), Condition: platform.IfAbsent, Value: value}, err
+	return backing.Write{Table: Table, Key: key.row(), Condition: backing.IfAbsent, Value: value}, err
 }
--- a/lib/claim/prune.go
+++ b/lib/claim/prune.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/backing"
 )
 
 // Prune deletes rows that are older than the retention and its margin. It scans
@@ -15,7 +15,7 @@
 	if err != nil {
 		return from, 0, err
 	}
-	var writes []platform.Write
+	var writes []backing.Write
 	for _, row := range rows {
 		r, err := decodeRecord(row.Value)
 		if err == nil && !r.olderThan(now, l.retained()+l.config.PruneMargin) {
@@ -24,8 +24,8 @@
 		if err != nil {
 			continue // Not a row of this version of the program.
 		}
-		writes = append(writes, platform.Write{
-			Table: Table, Key: row.Key, Condition: platform.IfVersion, Version: row.Version, Delete: true,
+		writes = append(writes, backing.Write{
+			Table: Table, Key: row.Key, Condition: backing.IfVersion, Version: row.Version, Delete: true,
 		})
 	}
 	for _, err := range commitAll(ctx, l.table, writes) {
--- a/lib/claim/settle.go
+++ b/lib/claim/settle.go
@@ -7,8 +7,8 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform"
 )
 
 // Complete stores the result of the attempt that holds the key. It returns
@@ -66,13 +66,13 @@
 // lost is resolved by the next apply, which finds the row as it left it.
 func (l *Ledger) apply(ctx context.Context, u update) (done bool, err error) {
 	row, err := l.table.Get(ctx, Table, u.key.row())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, backing.ErrNotFound) {
 		if u.result != nil {
 			// Only pruning removes a claimed row: the result came too late to count.
 			return true, merry.Wrap(ErrFenced)
 		}
 		// The claim's own write may still be on its way: a released row stops it.
-		return l.write(ctx, u, record{}, platform.IfAbsent, 0)
+		return l.write(ctx, u, record{}, backing.IfAbsent, 0)
 	}
 	if err != nil {
 		return false, err
@@ -89,12 +89,12 @@
 	case r.Phase != phaseClaimed:
 		return true, merry.Wrap(ErrFenced)
 	}
-	return l.write(ctx, u, r, platform.IfVersion, row.Version)
+	return l.write(ctx, u, r, backing.IfVersion, row.Version)
 }
 
-func (l *Ledger) write(ctx context.Context, u update, r record, c platform.Condition, version uint64) (bool, error) {
+func (l *Ledger) write(ctx context.Context, u update, r record, c backing.Condition, version uint64) (bool, error) {
 	r.Phase, r.Attempt, r.Result = u.phase(), u.attempt, u.result
-	if c == platform.IfAbsent {
+	if c == backing.IfAbsent {
 		r.ClaimedAt = u.now.UnixMilli()
 	}
 	w, err := writeOf(u.key, r)
--- a/lib/config/store.go
+++ b/lib/config/store.go
@@ -8,15 +8,15 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform"
 )
 
 // Store keeps the accepted configuration in the platform's table service. It is
 // safe for concurrent use, by any number of processes at once.
 type Store struct {
 	cfg    StoreConfig
-	table  platform.TableService
+	table  backing.TableService
 	cached atomic.Pointer[storeState]
 }
 
@@ -29,7 +29,7 @@
 }
 
 // NewStore returns a store over a table service.
-func NewStore(table platform.TableService, cfg StoreConfig) *Store {
+func NewStore(table backing.TableService, cfg StoreConfig) *Store {
 	cfg.applyDefaults()
 	return &Store{cfg: cfg, table: table}
 }
@@ -68,7 +68,7 @@
 
 func (s *Store) readHead(ctx context.Context) (Head, uint64, error) {
 	row, err := s.table.Get(ctx, Table, headKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, backing.ErrNotFound) {
 		return Head{}, 0, nil
 	}
 	if err != nil {
--- a/lib/config/store_apply.go
+++ b/lib/config/store_apply.go
@@ -6,7 +6,7 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/backing"
 )
 
 // operationWrite is the position of the operation id in the transaction.
@@ -46,7 +46,7 @@
 	if err == nil {
 		return false
 	}
-	for _, retryable := range []error{errStale, ErrStoreUnavailable, ErrRevisionNotFound, platform.ErrUnknown, platform.ErrNotApplied} {
+	for _, retryable := range []error{errStale, ErrStoreUnavailable, ErrRevisionNotFound, backing.ErrUnknown, backing.ErrNotApplied} {
 		if errors.Is(err, retryable) {
 			return true
 		}
@@ -95,7 +95,7 @@
 		return Result{}, err
 	}
 	err = s.table.Commit(ctx, tx)
-	var conflict *platform.ConflictError
+	var conflict *backing.ConflictError
 	if errors.As(err, &conflict) {
 		return Result{}, s.afterConflict(ctx, req, conflict.Index)
 	}
@@ -108,40 +108,40 @@
 
 // transaction inserts the revision, moves the head and inserts the operation
 // id, all or none, and adds a snapshot from time to time.
-func (s *Store) transaction(req Request, state *storeState, revision Revision) (platform.Transaction, []byte, error) {
+func (s *Store) transaction(req Request, state *storeState, revision Revision) (backing.Transaction, []byte, error) {
 	encoded, err := revision.Encode()
 	if err != nil {
-		return platform.Transaction{}, nil, err
+		return backing.Transaction{}, nil, err
 	}
 	head, err := encode(revision.Head())
 	if err != nil {
-		return platform.Transaction{}, nil, err
+		return backing.Transaction{}, nil, err
 	}
 	operation, err := encode(operationRow{Head: revision.Head(), UnixMillis: s.cfg.Clock.Now().UnixMilli()})
 	if err != nil {
-		return platform.Transaction{}, nil, err
+		return backing.Transaction{}, nil, err
 	}
-	headCondition := platform.IfVersion
+	headCondition := backing.IfVersion
 	if state.version == 0 {
-		headCondition = platform.IfAbsent
+		headCondition = backing.IfAbsent
 	}
-	tx := platform.Transaction{Writes: []platform.Write{
-		{Table: Table, Key: RevisionKey(revision.Number), Condition: platform.IfAbsent, Value: encoded},
+	tx := backing.Transaction{Writes: []backing.Write{
+		{Table: Table, Key: RevisionKey(revision.Number), Condition: backing.IfAbsent, Value: encoded},
 		{Table: Table, Key: headKey, Condition: headCondition, Version: state.version, Value: head},
-		{Table: OperationTable, Key: req.Operation, Condition: platform.IfAbsent, Value: operation},
+		{Table: OperationTable, Key: req.Operation, Condition: backing.IfAbsent, Value: operation},
 	}}
 	if revision.Number%SnapshotEvery != 0 {
 		return tx, encoded, nil
 	}
 	snapshot, err := revision.WithSnapshot(state.head.Digest, req.Config)
 	if err != nil {
-		return platform.Transaction{}, nil, err
+		return backing.Transaction{}, nil, err
 	}
 	data, err := snapshot.Encode()
 	if err != nil {
-		return platform.Transaction{}, nil, err
+		return backing.Transaction{}, nil, err
 	}
-	tx.Writes = append(tx.Writes, platform.Write{Table: Table, Key: snapshotKey(revision.Number), Condition: platform.IfAbsent, Value: data})
+	tx.Writes = append(tx.Writes, backing.Write{Table: Table, Key: snapshotKey(revision.Number), Condition: backing.IfAbsent, Value: data})
 	return tx, encoded, nil
 }
 
--- a/lib/config/store_poll.go
+++ b/lib/config/store_poll.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/backing"
 )
 
 // Poll is what the store holds beyond a replica's revision.
@@ -73,7 +73,7 @@
 	return revision.Number, nil
 }
 
-func (p *Poll) add(rows []platform.Row, at Head) error {
+func (p *Poll) add(rows []backing.Row, at Head) error {
 	for _, row := range rows {
 		revision, err := DecodeRevision(row.Value)
 		if err != nil {
--- a/lib/config/store_prune.go
+++ b/lib/config/store_prune.go
@@ -6,7 +6,7 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/backing"
 )
 
 // prunePage is the number of operation ids that Prune reads and deletes at once.
@@ -24,20 +24,20 @@
 		if err != nil {
 			return pruned, unavailable(err)
 		}
-		var tx platform.Transaction
+		var tx backing.Transaction
 		for _, row := range rows {
 			op, err := decodeOperation(row.Value)
 			if err != nil {
 				return pruned, err
 			}
 			if op.Time.Before(limit) {
-				tx.Writes = append(tx.Writes, platform.Write{Table: OperationTable, Key: row.Key, Condition: platform.IfVersion, Version: row.Version, Delete: true})
+				tx.Writes = append(tx.Writes, backing.Write{Table: OperationTable, Key: row.Key, Condition: backing.IfVersion, Version: row.Version, Delete: true})
 			}
 			after = row.Key
 		}
 		if len(tx.Writes) > 0 {
 			err := s.table.Commit(ctx, tx)
-			var conflict *platform.ConflictError
+			var conflict *backing.ConflictError
 			if err != nil && !errors.As(err, &conflict) {
 				return pruned, merry.Wrap(err)
 			}
--- a/lib/config/store_resolve.go
+++ b/lib/config/store_resolve.go
@@ -6,7 +6,7 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/backing"
 )
 
 // resolvePassed answers a request whose expected revision is not the newest any
@@ -90,7 +90,7 @@
 
 func (s *Store) readOperation(ctx context.Context, id string) (Operation, error) {
 	row, err := s.table.Get(ctx, OperationTable, id)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, backing.ErrNotFound) {
 		return Operation{}, nil
 	}
 	if err != nil {
@@ -107,13 +107,13 @@
 	if err != nil {
 		return Operation{}, err
 	}
-	err = s.table.Commit(ctx, platform.Transaction{Writes: []platform.Write{
-		{Table: OperationTable, Key: id, Condition: platform.IfAbsent, Value: value},
+	err = s.table.Commit(ctx, backing.Transaction{Writes: []backing.Write{
+		{Table: OperationTable, Key: id, Condition: backing.IfAbsent, Value: value},
 	}})
 	if err == nil {
 		return Operation{State: OperationAbandoned, Time: now}, nil
 	}
-	var conflict *platform.ConflictError
+	var conflict *backing.ConflictError
 	if !errors.As(err, &conflict) {
 		return Operation{}, merry.Wrap(err)
 	}
--- a/lib/member/fuzz_test.go
+++ b/lib/member/fuzz_test.go
@@ -7,9 +7,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	"pgregory.net/rapid"
 
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/member"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
@@ -133,7 +133,7 @@
 					o.view.Tick(o.now)
 				},
 				"seed": func(*rapid.T) {
-					o.view.Seed(o.now, []platform.Instance{{ID: instance(), Role: platform.RoleAgent, Leaving: rapid.Bool().Draw(t, "leaving")}})
+					o.view.Seed(o.now, []backing.Instance{{ID: instance(), Role: backing.RoleAgent, Leaving: rapid.Bool().Draw(t, "leaving")}})
 				},
 			})
 		})
--- a/lib/member/member.go
+++ b/lib/member/member.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
@@ -27,7 +27,7 @@
 // Member is one entry or agent. Values are copies.
 type Member struct {
 	Identity model.Identity
-	Role     platform.InstanceRole
+	Role     backing.InstanceRole
 	Pool     string
 	State    State
 	// Draining is true from the first sign that the generation is leaving. It
--- a/lib/member/replay_test.go
+++ b/lib/member/replay_test.go
@@ -11,9 +11,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/member"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
@@ -61,9 +61,9 @@
 func apply(v *member.View, now time.Time, s step) (events []member.Event, err error) {
 	switch s.Do {
 	case "seed":
-		var list []platform.Instance
+		var list []backing.Instance
 		for _, id := range s.Instances {
-			list = append(list, platform.Instance{ID: id, Role: platform.RoleAgent, Address: string(id)})
+			list = append(list, backing.Instance{ID: id, Role: backing.RoleAgent, Address: string(id)})
 		}
 		return v.Seed(now, list), nil
 	case "connect":
@@ -115,7 +115,7 @@
 				}
 				if s.Usable != nil {
 					usable := []string{}
-					for _, m := range v.Members(platform.RoleAgent) {
+					for _, m := range v.Members(backing.RoleAgent) {
 						if m.Usable(now) {
 							usable = append(usable, fmt.Sprintf("%s/%d", m.Identity.Instance, m.Identity.Generation))
 						}
--- a/lib/member/view.go
+++ b/lib/member/view.go
@@ -10,8 +10,8 @@
 	"slices"
 	"time"
 
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
@@ -46,7 +46,7 @@
 
 // Members returns all members of a role in order of their ids, including those
 // that are only listed. The subset of connections is calculated from them.
-func (v *View) Members(role platform.InstanceRole) []Member {
+func (v *View) Members(role backing.InstanceRole) []Member {
 	var out []Member
 	for _, e := range v.members {
 		if e.Role == role && e.State != StateGone {
@@ -64,7 +64,7 @@
 
 // Lost returns the members of a role that are gone and that the platform lists
 // all the same: they may have come back.
-func (v *View) Lost(role platform.InstanceRole) []Member {
+func (v *View) Lost(role backing.InstanceRole) []Member {
 	var out []Member
 	for _, e := range v.members {
 		if e.Role == role && e.State == StateGone && e.listed {
@@ -77,7 +77,7 @@
 // Live returns the ids of the members of a role in a failure domain that have a
 // working connection and are not draining, in order: the input of rendezvous
 // hashing for roles.
-func (v *View) Live(role platform.InstanceRole, domain model.FailureDomain) []model.InstanceID {
+func (v *View) Live(role backing.InstanceRole, domain model.FailureDomain) []model.InstanceID {
 	var out []model.InstanceID
 	for id, e := range v.members {
 		if e.Role == role && e.State == StateLive && !e.Draining && e.Identity.Location.FailureDomain == domain {
@@ -95,7 +95,7 @@
 // before is gone when the list does not show it. A member that is gone and still
 // listed is reported each time: the assembly may try a new connection. An
 // instance that the list shows as leaving is not added.
-func (v *View) Seed(now time.Time, instances []platform.Instance) []Event {
+func (v *View) Seed(now time.Time, instances []backing.Instance) []Event {
 	var events []Event
 	shown := make(map[model.InstanceID]bool, len(instances))
 	for _, in := range instances {
@@ -185,9 +185,9 @@
 	}
 	e.Identity = hello.Identity
 	e.Pool = hello.Pool
-	e.Role = platform.RoleAgent
+	e.Role = backing.RoleAgent
 	if hello.Role == wire.RoleEntry {
-		e.Role = platform.RoleEntry
+		e.Role = backing.RoleEntry
 	}
 	e.State = StateLive
 	e.conns++
--- a/standin/instances/handler.go
+++ b/standin/instances/handler.go
@@ -4,13 +4,13 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/standin/reply"
 )
 
 // Handler serves the list over HTTP: GET /instances, PUT /instances with one
-// platform.Instance, DELETE /instances/{id}, and GET and PUT of /faults.
+// backing.Instance, DELETE /instances/{id}, and GET and PUT of /faults.
 func (l *List) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /instances", func(w http.ResponseWriter, r *http.Request) {
@@ -22,7 +22,7 @@
 		reply.JSON(w, listed)
 	})
 	mux.HandleFunc("PUT /instances", func(w http.ResponseWriter, r *http.Request) {
-		var instance platform.Instance
+		var instance backing.Instance
 		if err := json.NewDecoder(r.Body).Decode(&instance); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
--- a/standin/instances/list.go
+++ b/standin/instances/list.go
@@ -8,9 +8,9 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/platform"
 	"github.com/auburnbend/auburnbend/standin/fault"
 )
 
@@ -31,11 +31,11 @@
 // change is one instance set or removed.
 type change struct {
 	at       time.Time
-	instance platform.Instance
+	instance backing.Instance
 	removed  bool
 }
 
-// List implements platform.InstanceList. It is safe for concurrent use.
+// List implements backing.InstanceList. It is safe for concurrent use.
 type List struct {
 	// Faults are the fault switches of the list.
 	Faults fault.Switch
@@ -44,33 +44,33 @@
 	mu      sync.Mutex
 	pending []change
 	order   []model.InstanceID
-	shown   map[model.InstanceID]platform.Instance
+	shown   map[model.InstanceID]backing.Instance
 }
 
 // New returns an empty list.
 func New(cfg Config) *List {
 	cfg.applyDefaults()
-	return &List{cfg: cfg, shown: make(map[model.InstanceID]platform.Instance)}
+	return &List{cfg: cfg, shown: make(map[model.InstanceID]backing.Instance)}
 }
 
 // Set adds or replaces an instance; List shows it after the lag.
-func (l *List) Set(instance platform.Instance) { l.add(change{instance: instance}) }
+func (l *List) Set(instance backing.Instance) { l.add(change{instance: instance}) }
 
 // Remove takes an instance off the list after the lag.
 func (l *List) Remove(id model.InstanceID) {
-	l.add(change{instance: platform.Instance{ID: id}, removed: true})
+	l.add(change{instance: backing.Instance{ID: id}, removed: true})
 }
 
-// List implements platform.InstanceList.
-func (l *List) List(ctx context.Context) ([]platform.Instance, error) {
+// List implements backing.InstanceList.
+func (l *List) List(ctx context.Context) ([]backing.Instance, error) {
 	down, err := l.Faults.Enter(ctx)
 	if down || err != nil {
-		return nil, merry.Wrap(platform.ErrUnavailable, merry.WithCause(err))
+		return nil, merry.Wrap(backing.ErrUnavailable, merry.WithCause(err))
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.show()
-	listed := make([]platform.Instance, 0, len(l.shown))
+	listed := make([]backing.Instance, 0, len(l.shown))
 	for _, id := range l.order {
 		if instance, ok := l.shown[id]; ok {
 			listed = append(listed, instance)
--- a/standin/object/service.go
+++ b/standin/object/service.go
@@ -7,11 +7,11 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/standin/fault"
 )
 
-// Service is an in-memory object store. It implements platform.ObjectStore and
+// Service is an in-memory object store. It implements backing.ObjectStore and
 // is safe for concurrent use.
 type Service struct {
 	// Faults are the fault switches of the service.
@@ -25,12 +25,12 @@
 // New returns an empty store.
 func New() *Service { return &Service{objects: make(map[string][]byte)} }
 
-// Get implements platform.ObjectStore. With StaleBy set, the objects that were
+// Get implements backing.ObjectStore. With StaleBy set, the objects that were
 // stored last are not seen yet.
 func (s *Service) Get(ctx context.Context, name string) ([]byte, error) {
 	down, err := s.Faults.Enter(ctx)
 	if down || err != nil {
-		return nil, merry.Wrap(platform.ErrUnavailable, merry.WithCause(err))
+		return nil, merry.Wrap(backing.ErrUnavailable, merry.WithCause(err))
 	}
 	stale := s.Faults.Get().StaleBy
 	s.mu.Lock()
@@ -40,7 +40,7 @@
 		ok = ok && hidden != name
 	}
 	if !ok {
-		return nil, merry.Wrap(platform.ErrNotFound)
+		return nil, merry.Wrap(backing.ErrNotFound)
 	}
 	data = append([]byte(nil), data...)
 	if len(data) > 0 && s.Faults.CorruptNext() {
@@ -49,22 +49,22 @@
 	return data, nil
 }
 
-// PutIfAbsent implements platform.ObjectStore.
+// PutIfAbsent implements backing.ObjectStore.
 func (s *Service) PutIfAbsent(ctx context.Context, name string, data []byte) error {
 	down, err := s.Faults.Enter(ctx)
 	if down {
-		return merry.Wrap(platform.ErrNotApplied)
+		return merry.Wrap(backing.ErrNotApplied)
 	}
 	if err != nil {
-		return merry.Wrap(platform.ErrUnknown, merry.WithCause(err))
+		return merry.Wrap(backing.ErrUnknown, merry.WithCause(err))
 	}
 	loss := s.Faults.NextWrite()
 	if loss == fault.LossBefore {
-		return merry.Wrap(platform.ErrUnknown)
+		return merry.Wrap(backing.ErrUnknown)
 	}
 	err = s.put(name, data)
 	if loss == fault.LossAfter {
-		return merry.Wrap(platform.ErrUnknown)
+		return merry.Wrap(backing.ErrUnknown)
 	}
 	return err
 }
@@ -73,7 +73,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, ok := s.objects[name]; ok {
-		return merry.Wrap(platform.ErrExists)
+		return merry.Wrap(backing.ErrExists)
 	}
 	s.objects[name] = append([]byte(nil), data...)
 	s.names = append(s.names, name)
--- a/standin/origin/source.go
+++ b/standin/origin/source.go
@@ -9,11 +9,11 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/standin/fault"
 )
 
-// Source serves objects from memory. It implements platform.WeightSource and is
+// Source serves objects from memory. It implements backing.WeightSource and is
 // safe for concurrent use.
 type Source struct {
 	// Faults are the fault switches of the source.
@@ -54,28 +54,28 @@
 	defer s.mu.Unlock()
 	data, ok := s.objects[object]
 	if !ok {
-		return 0, merry.Wrap(platform.ErrNotFound)
+		return 0, merry.Wrap(backing.ErrNotFound)
 	}
 	return int64(len(data)), nil
 }
 
-// ReadRange implements platform.WeightSource. A range beyond the end of the
+// ReadRange implements backing.WeightSource. A range beyond the end of the
 // object is cut at the end.
 func (s *Source) ReadRange(ctx context.Context, object string, offset, length int64) (io.ReadCloser, error) {
 	down, err := s.Faults.Enter(ctx)
 	if down || err != nil {
-		return nil, merry.Wrap(platform.ErrUnavailable, merry.WithCause(err))
+		return nil, merry.Wrap(backing.ErrUnavailable, merry.WithCause(err))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	data, ok := s.objects[object]
 	if !ok {
-		return nil, merry.Wrap(platform.ErrNotFound)
+		return nil, merry.Wrap(backing.ErrNotFound)
 	}
 	now := s.cfg.Clock.Now()
 	if wait := max(s.bytes.wait(now), s.requests.wait(now)); wait > 0 {
 		s.stats.Throttled++
-		return nil, merry.Wrap(&platform.ThrottledError{RetryAfter: wait})
+		return nil, merry.Wrap(&backing.ThrottledError{RetryAfter: wait})
 	}
 	offset = min(max(0, offset), int64(len(data)))
 	data = data[offset:min(offset+max(0, length), int64(len(data)))]
--- a/standin/reply/reply.go
+++ b/standin/reply/reply.go
@@ -10,7 +10,7 @@
 	"strconv"
 	"time"
 
-	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/backing"
 )
 
 // NotAppliedHeader marks an answer that proves that a write had no effect.
@@ -34,19 +34,19 @@
 // Error answers a failed call. An unknown outcome closes the connection without
 // an answer, as a lost reply does.
 func Error(w http.ResponseWriter, err error) {
-	var throttled *platform.ThrottledError
+	var throttled *backing.ThrottledError
 	switch {
 	case errors.As(err, &throttled):
 		seconds := int64(math.Ceil(float64(throttled.RetryAfter) / float64(time.Second)))
 		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
 		w.WriteHeader(http.StatusTooManyRequests)
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, backing.ErrUnknown):
 		panic(http.ErrAbortHandler)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, backing.ErrNotFound):
 		w.WriteHeader(http.StatusNotFound)
-	case errors.Is(err, platform.ErrExists):
+	case errors.Is(err, backing.ErrExists):
 		w.WriteHeader(http.StatusConflict)
-	case errors.Is(err, platform.ErrNotApplied):
+	case errors.Is(err, backing.ErrNotApplied):
 		w.Header().Set(NotAppliedHeader, "true")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
--- a/standin/table/handler.go
+++ b/standin/table/handler.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"strconv"
 
-	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/standin/reply"
 )
 
@@ -17,7 +17,7 @@
 //
 //	GET  /row?table=&key=                      one row
 //	GET  /rows?table=&prefix=&after=&limit=    a scan
-//	POST /commit                               a platform.Transaction
+//	POST /commit                               a backing.Transaction
 //	GET  /stats                                Stats
 //	GET, PUT /faults                           fault.Faults
 func (s *Service) Handler() http.Handler {
@@ -56,13 +56,13 @@
 }
 
 func (s *Service) serveCommit(w http.ResponseWriter, r *http.Request) {
-	var tx platform.Transaction
+	var tx backing.Transaction
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxTransaction)).Decode(&tx); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	err := s.Commit(r.Context(), tx)
-	var conflict *platform.ConflictError
+	var conflict *backing.ConflictError
 	switch {
 	case err == nil:
 		w.WriteHeader(http.StatusNoContent)
--- a/standin/table/service.go
+++ b/standin/table/service.go
@@ -7,11 +7,11 @@
 
 	"github.com/ansel1/merry/v2"
 
-	"github.com/auburnbend/auburnbend/lib/platform"
+	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/standin/fault"
 )
 
-// Service is an in-memory table service. It implements platform.TableService
+// Service is an in-memory table service. It implements backing.TableService
 // and is safe for concurrent use.
 type Service struct {
 	// Faults are the fault switches of the service.
@@ -27,11 +27,11 @@
 // New returns an empty service.
 func New() *Service { return &Service{tables: make(map[string]*rows)} }
 
-// Get implements platform.TableService.
-func (s *Service) Get(ctx context.Context, table, key string) (platform.Row, error) {
+// Get implements backing.TableService.
+func (s *Service) Get(ctx context.Context, table, key string) (backing.Row, error) {
 	at, err := s.enterRead(ctx)
 	if err != nil {
-		return platform.Row{}, err
+		return backing.Row{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -40,11 +40,11 @@
 			return row(table, key, c), nil
 		}
 	}
-	return platform.Row{}, merry.Wrap(platform.ErrNotFound)
+	return backing.Row{}, merry.Wrap(backing.ErrNotFound)
 }
 
-// Scan implements platform.TableService.
-func (s *Service) Scan(ctx context.Context, table, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements backing.TableService.
+func (s *Service) Scan(ctx context.Context, table, prefix, after string, limit int) ([]backing.Row, error) {
 	at, err := s.enterRead(ctx)
 	if err != nil {
 		return nil, err
@@ -55,7 +55,7 @@
 	if t == nil {
 		return nil, nil
 	}
-	var found []platform.Row
+	var found []backing.Row
 	for _, key := range t.keysFrom(prefix, after) {
 		if len(found) >= limit {
 			break
@@ -67,22 +67,22 @@
 	return found, nil
 }
 
-// Commit implements platform.TableService.
-func (s *Service) Commit(ctx context.Context, tx platform.Transaction) error {
+// Commit implements backing.TableService.
+func (s *Service) Commit(ctx context.Context, tx backing.Transaction) error {
 	down, err := s.Faults.Enter(ctx)
 	if down {
-		return merry.Wrap(platform.ErrNotApplied)
+		return merry.Wrap(backing.ErrNotApplied)
 	}
 	if err != nil {
-		return merry.Wrap(platform.ErrUnknown, merry.WithCause(err))
+		return merry.Wrap(backing.ErrUnknown, merry.WithCause(err))
 	}
 	loss := s.Faults.NextWrite()
 	if loss == fault.LossBefore {
-		return merry.Wrap(platform.ErrUnknown)
+		return merry.Wrap(backing.ErrUnknown)
 	}
 	err = s.apply(tx)
 	if loss == fault.LossAfter {
-		return merry.Wrap(platform.ErrUnknown)
+		return merry.Wrap(backing.ErrUnknown)
 	}
 	return err
 }
@@ -98,7 +98,7 @@
 func (s *Service) enterRead(ctx context.Context) (uint64, error) {
 	down, err := s.Faults.Enter(ctx)
 	if down || err != nil {
-		return 0, merry.Wrap(platform.ErrUnavailable, merry.WithCause(err))
+		return 0, merry.Wrap(backing.ErrUnavailable, merry.WithCause(err))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -107,13 +107,13 @@
 	return s.sequence - min(stale, s.sequence), nil
 }
 
-func (s *Service) apply(tx platform.Transaction) error {
+func (s *Service) apply(tx backing.Transaction) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stats.Commits++
 	for i, w := range tx.Writes {
 		if !s.holds(w) {
-			return merry.Wrap(&platform.ConflictError{Index: i})
+			return merry.Wrap(&backing.ConflictError{Index: i})
 		}
 	}
 	s.sequence++
@@ -129,34 +129,34 @@
 	return nil
 }
 
-func (s *Service) holds(w platform.Write) bool {
+func (s *Service) holds(w backing.Write) bool {
 	var current cell
 	exists := false
 	if t := s.tables[w.Table]; t != nil {
 		current, exists = t.at(w.Key, s.sequence)
 	}
 	switch w.Condition {
-	case platform.IfAbsent:
+	case backing.IfAbsent:
 		return !exists
-	case platform.IfVersion:
+	case backing.IfVersion:
 		return exists && current.version == w.Version
 	default:
 		return true
 	}
 }
 
-func row(table, key string, c cell) platform.Row {
-	return platform.Row{Table: table, Key: key, Version: c.version, Value: append([]byte(nil), c.value...)}
+func row(table, key string, c cell) backing.Row {
+	return backing.Row{Table: table, Key: key, Version: c.version, Value: append([]byte(nil), c.value...)}
 }
 
 // Peek returns the true state of a row whatever faults are set, for tests that
 // compare what clients were told with what happened.
-func (s *Service) Peek(table, key string) (platform.Row, bool) {
+func (s *Service) Peek(table, key string) (backing.Row, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.tables[table]
 	if t == nil {
-		return platform.Row{}, false
+		return backing.Row{}, false
 	}
 	c, ok := t.at(key, s.sequence)
 	return row(table, key, c), ok
