--- /dev/null
+++ b/gateway/call.go
@@ -0,0 +1,24 @@
+package gateway
+
+import "time"
+
+// Call is what a caller says about its request.
+type Call struct {
+	// ID names this try of the caller.
+	ID string
+	// Key is the caller's key; empty if it sent none.
+	Key string
+	// Deadline is how long the caller waits; zero if it did not say.
+	Deadline time.Duration
+	// Model is the wanted model; empty for plain services.
+	Model string
+	// PromptTokens and MaxTokens are the length of the prompt and the bound of
+	// the answer.
+	PromptTokens, MaxTokens int
+	// ExpectedTokens is the caller's own estimate of the answer; zero if it gave
+	// none.
+	ExpectedTokens int
+	// LastEvent is the last event that the caller has; negative if it resumes
+	// nothing.
+	LastEvent int64
+}
--- /dev/null
+++ b/gateway/dialect.go
@@ -0,0 +1,20 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+)
+
+// Dialect translates between headers and the types of this package. It is safe
+// for concurrent use.
+type Dialect interface {
+	// Call reads what the caller says; an error names the header.
+	Call(h http.Header) (Call, error)
+	// Prepare changes the caller's headers into those for a backend server.
+	Prepare(h http.Header, d Dispatch)
+	// Reply reads what a backend server says.
+	Reply(status int, h http.Header) Reply
+	// Refuse marks an answer of the gateway's own. after is when the caller may
+	// come back; zero gives no time.
+	Refuse(h http.Header, id string, after time.Duration)
+}
--- /dev/null
+++ b/gateway/dispatch.go
@@ -0,0 +1,23 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/directory"
+)
+
+// Dispatch is what a backend server is told about a request besides what its
+// caller sent.
+type Dispatch struct {
+	// Server is the only one that may run it.
+	Server *directory.Server
+	// Team holds the caller's key; empty on public routes without a key.
+	Team string
+	// Left is the time until nobody waits any more; zero sets no limit.
+	Left time.Duration
+	// LastEvent is the event after which the stream goes on; negative starts it.
+	LastEvent int64
+	// Version is the only version of the weights that may run it; zero accepts
+	// any.
+	Version int
+}
--- /dev/null
+++ b/gateway/exchange.go
@@ -0,0 +1,127 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/auburnbend/auburnbend/gateway/upstream"
+	"github.com/auburnbend/auburnbend/lib/placement"
+)
+
+// ending is how one attempt ended.
+type ending struct {
+	result placement.Result
+	// final tells that the caller has its answer, or has left.
+	final bool
+	// sent tells that the request left for the server.
+	sent bool
+	// mayHaveRun tells that the server may have run it.
+	mayHaveRun bool
+	reason     string
+}
+
+// exchange sends the request to one server and passes its answer on.
+func (r *request) exchange(lease *placement.Lease) ending {
+	server := lease.Server
+	r.tried = append(r.tried, server.Key())
+	x, err := upstream.Open(r.ctx, server.Address)
+	if err != nil {
+		return r.ended(placement.Unreachable, ending{reason: "unreachable"})
+	}
+	defer x.Close()
+	r.reached++
+	r.seen.Attempts++
+	resp, err := x.Do(r.upstreamRequest(r.dispatch(lease)))
+	if err != nil {
+		return r.unknown("no answer")
+	}
+	return r.answered(lease, x, resp)
+}
+
+func (r *request) dispatch(lease *placement.Lease) Dispatch {
+	now := r.gateway.now()
+	d := Dispatch{Server: lease.Server, Left: r.left(now), LastEvent: -1}
+	if r.team != nil {
+		d.Team = r.team.Name
+	}
+	if r.call.LastEvent >= 0 {
+		d.LastEvent = r.call.LastEvent
+	}
+	if r.stream.last >= 0 {
+		d.LastEvent = r.stream.last
+	}
+	if w, ok := lease.Server.Weights[r.call.Model]; ok && r.call.Model != "" {
+		// The server may have changed its weights since it told of them. An
+		// answer on others than those that were chosen must not begin.
+		d.Version = w.Version
+	}
+	return d
+}
+
+// answered handles the head of an answer.
+func (r *request) answered(lease *placement.Lease, x *upstream.Exchange, resp *http.Response) ending {
+	g := r.gateway
+	reply := g.config.Dialect.Reply(resp.StatusCode, resp.Header)
+	r.noteReply(lease, reply)
+	switch {
+	case reply.NotRun || reply.Elsewhere:
+		end := ending{result: placement.Rejected, sent: true, reason: "rejected by the server"}
+		if reply.Elsewhere {
+			end.reason = "another server has the address"
+		}
+		return end
+	case reply.ID != r.call.ID:
+		return r.unknown("answer of another request")
+	case !reply.Signed && resp.StatusCode < 300:
+		return r.unknown("answer without a signature")
+	case r.streaming() && resp.StatusCode == http.StatusOK:
+		return r.relay(lease, x, resp, reply)
+	case r.stream.begun:
+		return r.unknown("no continuation")
+	}
+	return r.whole(resp, reply)
+}
+
+func (r *request) noteReply(lease *placement.Lease, reply Reply) {
+	g := r.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	if reply.Load != nil {
+		g.picker.Report(lease.Server.Key(), placement.Load{Running: reply.Load.Running, Waiting: reply.Load.Waiting, Slots: reply.Load.Slots}, now)
+	}
+	g.picker.Answering(lease, now)
+}
+
+// whole passes on an answer that is not a stream. It is read to its end first,
+// so that a broken one can be replaced.
+func (r *request) whole(resp *http.Response, reply Reply) ending {
+	body, err := upstream.ReadAll(resp, answerLimit)
+	if err != nil {
+		return r.unknown("answer broken off")
+	}
+	a := &answer{status: resp.StatusCode, header: resp.Header, body: body}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		r.ran = true
+		if reply.Signed {
+			r.failure = a
+		}
+		return ending{result: placement.Failed, sent: true, mayHaveRun: true, reason: "failure of the server"}
+	}
+	r.deliver(a)
+	return ending{result: placement.Answered, final: true, sent: true}
+}
+
+// unknown ends an attempt after which the request may have run.
+func (r *request) unknown(reason string) ending {
+	r.ran = true
+	return r.ended(placement.Failed, ending{sent: true, mayHaveRun: true, reason: reason})
+}
+
+// ended tells an attempt that the caller ended from one that the server failed.
+func (r *request) ended(result placement.Result, end ending) ending {
+	end.result = result
+	if r.ctx.Err() != nil {
+		end.result = placement.Cancelled
+	}
+	return end
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/clock"
+	"github.com/auburnbend/auburnbend/lib/directory"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/placement"
+	"github.com/auburnbend/auburnbend/lib/retry"
+	"github.com/auburnbend/auburnbend/lib/serving"
+	"github.com/auburnbend/auburnbend/lib/versions"
+)
+
+// Config holds what a Gateway needs from its process.
+type Config struct {
+	Dialect Dialect
+	Clock   clock.Clock
+	Log     *eventlog.Logger
+	// Observe takes the end of each request; nil takes none.
+	Observe func(Observation)
+	Retry   retry.Config
+	// Entries is assumed to be the number of entries that share the retry
+	// budget until SetEntries tells more.
+	Entries int
+	// Placement configures the choice of backend servers.
+	Placement placement.Config
+	// VersionTime is the time in which new weights must serve everywhere.
+	VersionTime time.Duration
+}
+
+// Gateway serves callers. It is safe for concurrent use.
+type Gateway struct {
+	config Config
+	table  atomic.Pointer[serving.Table]
+
+	// mu guards what follows.
+	mu        sync.Mutex
+	directory *directory.Directory
+	picker    *placement.Picker
+	budget    *retry.Budget
+	versions  *versions.Wanted
+
+	draining atomic.Bool
+	open     atomic.Int64
+}
+
+var _ http.Handler = (*Gateway)(nil)
+
+// New returns a Gateway without a configuration.
+func New(config Config) *Gateway {
+	d := directory.New()
+	return &Gateway{
+		config:    config,
+		directory: d,
+		picker:    placement.New(config.Placement, d),
+		budget:    retry.New(config.Retry, config.Entries),
+		versions:  versions.NewWanted(config.VersionTime),
+	}
+}
+
+// SetConfig puts a configuration in force. Older ones are ignored.
+func (g *Gateway) SetConfig(c *serving.Config) bool {
+	for {
+		current := g.table.Load()
+		if current != nil && c.Version <= current.Config().Version {
+			return false
+		}
+		if g.table.CompareAndSwap(current, serving.NewTable(c)) {
+			return true
+		}
+	}
+}
+
+// Ready reports whether the gateway can serve callers.
+func (g *Gateway) Ready() bool { return !g.draining.Load() && g.table.Load() != nil }
+
+// Drain makes the gateway report that it is not ready. It goes on serving.
+func (g *Gateway) Drain() { g.draining.Store(true) }
+
+// Open returns the number of requests that are being served.
+func (g *Gateway) Open() int { return int(g.open.Load()) }
+
+// SetEntries sets the number of entries that share the retry budget.
+func (g *Gateway) SetEntries(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget.SetEntries(n)
+}
+
+// Report takes a backend server's load.
+func (g *Gateway) Report(key directory.Key, load placement.Load) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.picker.Report(key, load, g.now())
+}
+
+// UpdateServers changes the directory of backend servers.
+func (g *Gateway) UpdateServers(change func(*directory.Directory, time.Time)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	change(g.directory, g.now())
+	g.picker.Forget()
+}
+
+// Want takes the version of a model that must serve. fresh tells that it was
+// declared just now.
+func (g *Gateway) Want(model string, version int, fresh bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if fresh {
+		g.versions.Declare(model, version, g.now())
+		return
+	}
+	g.versions.Adopt(model, version, g.now())
+}
+
+func (g *Gateway) now() time.Time { return g.config.Clock.Now() }
--- /dev/null
+++ b/gateway/observation.go
@@ -0,0 +1,23 @@
+package gateway
+
+import "time"
+
+// Observation is the end of one request, for logs and metrics.
+type Observation struct {
+	ID, Route, Service, Team string
+	Outcome                  string
+	// Reason tells more about outcomes other than answered.
+	Reason string
+	Status int
+	// Server is the last backend server; empty if none had the request.
+	Server string
+	// Attempts counts the backend servers that had the request.
+	Attempts int
+	// ConfigVersion is the configuration that decided.
+	ConfigVersion int64
+	// First is the time to the first byte of the answer, Total the whole time.
+	First, Total time.Duration
+	// LongestGap is the longest pause between events of a stream.
+	LongestGap time.Duration
+	Events     int
+}
--- /dev/null
+++ b/gateway/reply.go
@@ -0,0 +1,23 @@
+package gateway
+
+// Reply is what a backend server says about its answer.
+type Reply struct {
+	// ID is the request that the answer belongs to.
+	ID string
+	// Signed tells that the backend server made the answer.
+	Signed bool
+	// NotRun tells that the request was not run there.
+	NotRun bool
+	// Elsewhere tells that the address belongs to another server by now.
+	Elsewhere bool
+	// Version is the version of the weights that made the answer; zero if it is
+	// not known.
+	Version int
+	// Load is the server's load; nil if it did not tell.
+	Load *Load
+}
+
+// Load is the load of a backend server at the time of an answer.
+type Load struct {
+	Running, Waiting, Slots int
+}
--- /dev/null
+++ b/gateway/request.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/auburnbend/auburnbend/gateway/upstream"
+	"github.com/auburnbend/auburnbend/lib/directory"
+	"github.com/auburnbend/auburnbend/lib/placement"
+	"github.com/auburnbend/auburnbend/lib/serving"
+)
+
+// request is one request of a caller while it is served. It belongs to the
+// goroutine that serves it.
+type request struct {
+	gateway *Gateway
+	writer  http.ResponseWriter
+	http    *http.Request
+	// ctx ends when the caller leaves or its time is over.
+	ctx   context.Context
+	call  Call
+	table *serving.Table
+	route *serving.Route
+	team  *serving.Team
+	body  []byte
+
+	service string
+	engine  *serving.Engine
+	arrived time.Time
+	// deadline is when nobody waits any more; zero if there is none.
+	deadline time.Time
+
+	// tried are the servers that may have run the request or that refused it.
+	tried []directory.Key
+	// reached counts the servers that the request was sent to.
+	reached int
+	// ran tells that some server may have run the request.
+	ran bool
+	// failure is a backend server's own failure, kept in case no other server
+	// answers better.
+	failure *answer
+	stream  streamState
+	seen    Observation
+}
+
+// answer is a backend server's whole answer.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// streamState is what the caller has of a stream.
+type streamState struct {
+	// begun tells that the head was sent.
+	begun bool
+	// last is the last event that was sent; negative before the first.
+	last int64
+	// version is the version of the weights that made the events.
+	version int
+	lastAt  time.Time
+}
+
+// left returns the time until nobody waits any more; zero sets no limit.
+func (r *request) left(now time.Time) time.Duration {
+	if r.deadline.IsZero() {
+		return 0
+	}
+	return max(r.deadline.Sub(now), time.Millisecond)
+}
+
+func (r *request) demand(now time.Time) placement.Demand {
+	d := placement.Demand{
+		Service: r.service, Engine: r.engine, Model: r.call.Model, Version: r.stream.version, MinVersion: r.gateway.versions.Least(r.call.Model, now),
+		PromptTokens: r.call.PromptTokens, AnswerTokens: r.call.ExpectedTokens,
+		Limit: r.left(now), Exclude: r.tried, Continued: r.stream.begun,
+	}
+	if r.route.TargetLatency > 0 {
+		d.Target = max(r.route.TargetLatency-now.Sub(r.arrived), time.Millisecond)
+	}
+	return d
+}
+
+func (r *request) upstreamRequest(d Dispatch) *upstream.Request {
+	header := forwardedHeader(r.http.Header)
+	r.gateway.config.Dialect.Prepare(header, d)
+	return &upstream.Request{
+		Method: r.http.Method, Target: r.http.RequestURI, Host: r.http.Host,
+		Header: header, Body: r.body,
+	}
+}
--- /dev/null
+++ b/gateway/serve.go
@@ -0,0 +1,198 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/placement"
+	"github.com/auburnbend/auburnbend/lib/serving"
+)
+
+const (
+	// notConfiguredAfter is when callers may come back to an entry that has no
+	// configuration yet; others of its domain may have one.
+	notConfiguredAfter = 500 * time.Millisecond
+	// defaultBodyLimit bounds a request's body in bytes where the configuration
+	// sets no limit.
+	defaultBodyLimit = 4 << 20
+	// answerLimit bounds a whole answer in bytes.
+	answerLimit = 16 << 20
+)
+
+// ServeHTTP serves one request of a caller.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+	g.open.Add(1)
+	defer g.open.Add(-1)
+	r := &request{gateway: g, writer: w, http: hr, ctx: hr.Context(), arrived: g.now()}
+	r.stream.last = -1
+	defer r.observe()
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if !r.accept() {
+		return
+	}
+	if !r.deadline.IsZero() {
+		ctx, cancel := context.WithTimeout(r.ctx, r.left(r.arrived))
+		defer cancel()
+		r.ctx = ctx
+	}
+	r.run()
+}
+
+// accept checks a request against the configuration and reads its body. It
+// answers requests that it does not accept.
+func (r *request) accept() bool {
+	g := r.gateway
+	call, err := g.config.Dialect.Call(r.http.Header)
+	r.call = call
+	r.seen.ID = call.ID
+	if err != nil {
+		r.refuse(http.StatusBadRequest, outcomeInvalid, "malformed header", 0)
+		return false
+	}
+	r.table = g.table.Load()
+	if r.table == nil {
+		r.refuse(http.StatusServiceUnavailable, outcomeRefused, "no configuration", notConfiguredAfter)
+		return false
+	}
+	r.seen.ConfigVersion = r.table.Config().Version
+	r.route = r.table.Route(r.http.Host, rawPath(r.http.RequestURI))
+	if r.route == nil {
+		r.refuse(http.StatusNotFound, outcomeInvalid, "no route", 0)
+		return false
+	}
+	r.seen.Route = r.route.Name
+	r.team = r.table.Team(call.Key)
+	if r.team == nil && !r.route.Public && len(r.table.Config().Teams) > 0 {
+		r.refuse(http.StatusUnauthorized, outcomeInvalid, "unknown key", 0)
+		return false
+	}
+	if r.team != nil {
+		r.seen.Team = r.team.Name
+	}
+	r.service = r.route.Pick(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	r.seen.Service = r.service
+	if s := r.table.Service(r.service); s != nil {
+		r.engine = s.Engine
+	}
+	r.setDeadline()
+	return r.readBody()
+}
+
+// setDeadline takes the earlier one of the caller's limit and the route's.
+func (r *request) setDeadline() {
+	limit := r.call.Deadline
+	if t := r.route.Timeout; t > 0 && (limit <= 0 || t < limit) {
+		limit = t
+	}
+	if limit > 0 {
+		r.deadline = r.arrived.Add(limit)
+	}
+}
+
+func (r *request) readBody() bool {
+	limit := int64(defaultBodyLimit)
+	if n := r.table.Config().Limits.BodyBytes; n > 0 {
+		limit = int64(n)
+	}
+	if r.http.ContentLength > limit {
+		r.refuse(http.StatusRequestEntityTooLarge, outcomeInvalid, "body too long", 0)
+		return false
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(r.writer, r.http.Body, limit))
+	var tooLong *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLong):
+		r.refuse(http.StatusRequestEntityTooLarge, outcomeInvalid, "body too long", 0)
+		return false
+	case err != nil:
+		r.refuse(http.StatusBadRequest, outcomeInvalid, "incomplete body", 0)
+		return false
+	}
+	r.body = body
+	return true
+}
+
+// run sends the request to backend servers until one answers or no further one
+// may have it.
+func (r *request) run() {
+	g := r.gateway
+	for {
+		now := g.now()
+		lease, refusal := r.pick(now)
+		if refusal != nil {
+			r.giveUp(refusal)
+			return
+		}
+		r.seen.Server = lease.Server.ID
+		end := r.exchange(lease)
+		g.done(lease, end.result)
+		switch {
+		case end.final:
+			return
+		case r.ctx.Err() != nil:
+			r.timeOver()
+			return
+		case !r.mayRepeat(end):
+			r.fail(end)
+			return
+		}
+	}
+}
+
+// pick places the request; the first placement counts as a request of the
+// service, later ones draw on the retry budget in mayRepeat.
+func (r *request) pick(now time.Time) (*placement.Lease, *placement.Refusal) {
+	g := r.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r.seen.Attempts == 0 && r.reached == 0 {
+		g.budget.Request(r.service, now)
+	}
+	return g.picker.Pick(r.demand(now), now)
+}
+
+func (g *Gateway) done(lease *placement.Lease, result placement.Result) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.picker.Done(lease, result, g.now())
+}
+
+// mayRepeat reports whether another server may have the request after an
+// attempt ended without an answer.
+func (r *request) mayRepeat(end ending) bool {
+	if end.sent && end.mayHaveRun && !r.route.Repeatable() {
+		return false
+	}
+	if !end.sent {
+		// The request never left, so that neither the hop limit nor the retry
+		// budget is concerned. The list of tried servers bounds the loop.
+		return len(r.tried) < maxUnsent
+	}
+	if limit := r.route.MaxBackendServers; limit > 0 && r.reached >= limit {
+		return false
+	}
+	g := r.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.budget.Take(r.service, g.now())
+}
+
+// maxUnsent bounds the servers that are tried in vain for one request.
+const maxUnsent = 4
+
+// kind returns the route's kind.
+func (r *request) streaming() bool { return r.route.Kind == serving.Streaming }
+
+// rawPath returns the path of a request target as the caller wrote it: what is
+// routed must be what the backend server sees.
+func rawPath(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
--- /dev/null
+++ b/gateway/upstream/exchange.go
@@ -0,0 +1,129 @@
+// Package upstream sends one request to one backend server and reads its
+// answer. Each exchange has a connection of its own: it costs a round trip
+// within the deployment, and in return no request can meet a connection that
+// the server is closing, and no answer can meet the wrong request.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// dialTimeout covers the round trip between regions many times; a server
+	// that does not accept connections by then is taken as unreachable, and
+	// another one may still answer in time.
+	dialTimeout = 400 * time.Millisecond
+	// readBuffer is the size in bytes of a connection's read buffer.
+	readBuffer = 2 << 10
+	// inlineBody is the size in bytes up to which a body is written before the
+	// answer is read. It fits into the buffers of the operating system.
+	inlineBody = 16 << 10
+	// maxInterim bounds the interim answers before the final one.
+	maxInterim = 4
+	// unacknowledgedLimit is the time in milliseconds after which a connection
+	// with unacknowledged bytes is given up.
+	unacknowledgedLimit = 2000
+)
+
+// keepAlive finds connections that went silent while new ones work.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
+// Request is what is sent to a backend server.
+type Request struct {
+	Method, Target, Host string
+	Header               http.Header
+	Body                 []byte
+}
+
+// Exchange is one request on its way and its answer. It belongs to one
+// goroutine, except for Abort.
+type Exchange struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	stop   func() bool
+}
+
+// UnreachableError means that no connection was opened: the request cannot have
+// been run.
+type UnreachableError struct{ Cause error }
+
+// Error implements error.
+func (e *UnreachableError) Error() string { return "backend server is unreachable: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Cause }
+
+// Open connects to a backend server. The connection is closed when ctx ends.
+func Open(ctx context.Context, address string) (*Exchange, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: limitUnacknowledged}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, &UnreachableError{Cause: err}
+	}
+	x := &Exchange{conn: conn, reader: bufio.NewReaderSize(conn, readBuffer)}
+	x.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	return x, nil
+}
+
+func limitUnacknowledged(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, unacknowledgedLimit)
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// Do sends the request and reads the head of its answer. After any error the
+// request may have been run.
+func (x *Exchange) Do(r *Request) (*http.Response, error) {
+	if len(r.Body) > inlineBody {
+		// The answer may come before the body is read.
+		go func() { _, _ = x.conn.Write(r.encode()) }()
+	} else if _, err := x.conn.Write(r.encode()); err != nil {
+		return nil, err
+	}
+	req := &http.Request{Method: r.Method}
+	for range maxInterim {
+		resp, err := http.ReadResponse(x.reader, req)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+	return nil, errInterim
+}
+
+// SetReadDeadline bounds the wait for the next bytes; zero sets no bound.
+func (x *Exchange) SetReadDeadline(t time.Time) { _ = x.conn.SetReadDeadline(t) }
+
+// Close ends the exchange. A server that is still at work learns of it.
+func (x *Exchange) Close() {
+	x.stop()
+	_ = x.conn.Close()
+}
+
+// ReadAll reads a body of at most limit bytes. A body that does not end as its
+// head announced is an error.
+func ReadAll(resp *http.Response, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > limit {
+		return nil, errBodyTooLong
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/node/gateway_sinks.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/gateway"
+	"github.com/auburnbend/auburnbend/lib/directory"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/serving"
+	"github.com/auburnbend/auburnbend/lib/watch"
+	"github.com/auburnbend/auburnbend/platform"
+)
+
+// gatewayOperator passes what the operator declares to a gateway.
+type gatewayOperator struct {
+	gateway *gateway.Gateway
+	log     *eventlog.Logger
+}
+
+var _ platform.OperatorSink = (*gatewayOperator)(nil)
+
+func (o *gatewayOperator) Config(c *serving.Config) {
+	if o.gateway.SetConfig(c) {
+		o.log.Log(eventlog.LiveConfigInForce, "config", c.Version, "revision", c.Revision, "routes", len(c.Routes), "teams", len(c.Teams))
+	}
+}
+
+func (o *gatewayOperator) Wanted(w platform.WantedVersion, fresh bool) {
+	o.gateway.Want(w.Model, w.Version, fresh)
+	o.log.Log(eventlog.VersionDeclared, "model", w.Model, "version", w.Version, "fresh", fresh)
+}
+
+func (o *gatewayOperator) Unreadable(row watch.Row, err error) { logUnreadable(o.log, row, err) }
+
+func (o *gatewayOperator) Lost(err error) { o.log.Log(eventlog.StoreLost, "err", err) }
+
+func (o *gatewayOperator) Regained() { o.log.Log(eventlog.StoreRegained) }
+
+// gatewayServers passes the registered backend servers to a gateway.
+type gatewayServers struct {
+	gateway *gateway.Gateway
+	log     *eventlog.Logger
+}
+
+var _ platform.ServerSink = (*gatewayServers)(nil)
+
+func (s *gatewayServers) Replace(servers []*directory.Server, recovered bool) {
+	s.gateway.UpdateServers(func(d *directory.Directory, now time.Time) { d.Replace(servers, recovered, now) })
+	s.log.Log(eventlog.ServersRead, "servers", len(servers), "after_outage", recovered)
+}
+
+func (s *gatewayServers) Put(server *directory.Server) {
+	s.gateway.UpdateServers(func(d *directory.Directory, _ time.Time) { d.Put(server) })
+	s.log.Log(eventlog.ServerRegistered, "server", server.ID, "service", server.Service, "address", server.Address,
+		"domain", server.Domain, "draining", server.Draining, "weights", weightsText(server.Weights))
+}
+
+func (s *gatewayServers) Remove(id string, recovered bool) {
+	s.gateway.UpdateServers(func(d *directory.Directory, now time.Time) { d.Remove(id, recovered, now) })
+	s.log.Log(eventlog.ServerGone, "server", id, "after_outage", recovered)
+}
+
+func (s *gatewayServers) Unreadable(row watch.Row, err error) { logUnreadable(s.log, row, err) }
+
+func logUnreadable(log *eventlog.Logger, row watch.Row, err error) {
+	log.Log(eventlog.RowUnreadable, "key", row.Key, "revision", row.Revision, "err", err)
+}
--- /dev/null
+++ b/internal/node/metrics.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"github.com/auburnbend/auburnbend/gateway"
+	"github.com/auburnbend/auburnbend/replica"
+)
+
+// seriesLimit bounds the series of one instrument.
+const seriesLimit = 500
+
+// latencyBuckets are in seconds. They resolve targets of 0.1 to 0.5 s.
+var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 2, 4, 8}
+
+// metrics are a daemon's instruments and their text endpoint.
+type metrics struct {
+	meter    metric.Meter
+	provider *sdk.MeterProvider
+	server   *http.Server
+
+	ended             metric.Int64Counter
+	first, total, gap metric.Float64Histogram
+}
+
+// openMetrics serves metrics at a port of the instance; port 0 serves none.
+func openMetrics(address string, port int) (*metrics, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo(), otelprom.WithNamespace("auburnbend"))
+	if err != nil {
+		return nil, merry.Prepend(err, "metrics")
+	}
+	m := &metrics{provider: sdk.NewMeterProvider(sdk.WithReader(exporter), sdk.WithCardinalityLimit(seriesLimit))}
+	m.meter = m.provider.Meter("github.com/auburnbend/auburnbend")
+	if err := m.instruments(); err != nil {
+		return nil, merry.Prepend(err, "metrics")
+	}
+	if port == 0 {
+		return m, nil
+	}
+	ln, err := net.Listen("tcp", net.JoinHostPort(address, strconv.Itoa(port)))
+	if err != nil {
+		return nil, merry.Prepend(err, "metrics")
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	m.server = &http.Server{Handler: mux, ReadHeaderTimeout: headTimeout, WriteTimeout: headTimeout}
+	go func() { _ = m.server.Serve(ln) }()
+	return m, nil
+}
+
+func (m *metrics) instruments() (err error) {
+	histogram := func(name, description string) metric.Float64Histogram {
+		h, failed := m.meter.Float64Histogram(name, metric.WithUnit("s"), metric.WithDescription(description), metric.WithExplicitBucketBoundaries(latencyBuckets...))
+		if failed != nil {
+			err = failed
+		}
+		return h
+	}
+	m.first = histogram("request_first_answer", "time to the first byte of the answer")
+	m.total = histogram("request_total", "time to the end of the answer")
+	m.gap = histogram("request_longest_gap", "longest pause between events of a stream")
+	var failed error
+	if m.ended, failed = m.meter.Int64Counter("requests_ended", metric.WithDescription("requests by outcome and reason")); failed != nil {
+		err = failed
+	}
+	return err
+}
+
+func (m *metrics) observe(o gateway.Observation) {
+	ctx := context.Background()
+	m.ended.Add(ctx, 1, metric.WithAttributes(
+		attribute.String("service", o.Service), attribute.String("team", o.Team),
+		attribute.String("outcome", o.Outcome), attribute.String("reason", o.Reason)))
+	if o.Outcome != gateway.OutcomeAnswered {
+		return
+	}
+	labels := metric.WithAttributes(attribute.String("team", o.Team), attribute.String("route", o.Route))
+	m.first.Record(ctx, o.First.Seconds(), labels)
+	m.total.Record(ctx, o.Total.Seconds(), labels)
+	if o.Events > 1 {
+		m.gap.Record(ctx, o.LongestGap.Seconds(), labels)
+	}
+}
+
+// observeReplica adds the instruments of a replica.
+func (m *metrics) observeReplica(r *replica.Replica) {
+	counter := func(name, description string, value func() int64) {
+		_, err := m.meter.Int64ObservableCounter(name, metric.WithDescription(description),
+			metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+				o.Observe(value())
+				return nil
+			}))
+		if err != nil {
+			panic(err)
+		}
+	}
+	counter("weights_origin_bytes", "bytes of pieces from the origin", r.Stats().OriginBytes.Load)
+	counter("weights_peer_bytes", "bytes of pieces from peers", r.Stats().PeerBytes.Load)
+	counter("weights_spoilt_pieces", "pieces that did not match the manifest", r.Stats().Spoilt.Load)
+}
+
+// Close stops the endpoint.
+func (m *metrics) Close() {
+	if m.server != nil {
+		_ = m.server.Close()
+	}
+}
--- /dev/null
+++ b/internal/node/text.go
@@ -0,0 +1,21 @@
+package node
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/auburnbend/auburnbend/lib/directory"
+)
+
+// weightsText lists loaded weights for a log line.
+func weightsText(weights map[string]directory.Weights) string {
+	parts := make([]string, 0, len(weights))
+	for model, w := range weights {
+		text := model + ":" + strconv.Itoa(w.Version)
+		if !w.Whole {
+			text += ":part"
+		}
+		parts = append(parts, text)
+	}
+	return strings.Join(parts, " ")
+}
--- /dev/null
+++ b/lib/directory/directory.go
@@ -0,0 +1,98 @@
+package directory
+
+import "time"
+
+// LapseGrace is how long a server whose row vanished while the store was away
+// stays in use after the store's return: rows of live servers are back within
+// about two seconds.
+const LapseGrace = 2 * time.Second
+
+// Directory is a view of the registered backend servers. It is not safe for
+// concurrent use.
+type Directory struct {
+	servers map[string]*Server
+	// lapsed holds servers without a row until the given time.
+	lapsed map[string]time.Time
+	// byService caches the servers of each service; nil after a change.
+	byService map[string][]*Server
+}
+
+// New returns an empty Directory.
+func New() *Directory {
+	return &Directory{servers: make(map[string]*Server), lapsed: make(map[string]time.Time)}
+}
+
+// Replace takes a full list. After an outage of the store, servers that are
+// missing stay for the grace period.
+func (d *Directory) Replace(servers []*Server, recovered bool, now time.Time) {
+	listed := make(map[string]bool, len(servers))
+	for _, s := range servers {
+		listed[s.ID] = true
+		d.Put(s)
+	}
+	for id := range d.servers {
+		if !listed[id] {
+			d.Remove(id, recovered, now)
+		}
+	}
+}
+
+// Put adds or updates a server.
+func (d *Directory) Put(s *Server) {
+	d.servers[s.ID] = s
+	delete(d.lapsed, s.ID)
+	d.byService = nil
+}
+
+// Remove takes note that a server's row is gone. recovered tells that the row
+// may have lapsed in an outage of the store.
+func (d *Directory) Remove(id string, recovered bool, now time.Time) {
+	s := d.servers[id]
+	if s == nil {
+		return
+	}
+	if recovered && !s.Draining {
+		if _, known := d.lapsed[id]; !known {
+			d.lapsed[id] = now.Add(LapseGrace)
+		}
+		return
+	}
+	d.drop(id)
+}
+
+func (d *Directory) drop(id string) {
+	delete(d.servers, id)
+	delete(d.lapsed, id)
+	d.byService = nil
+}
+
+// Expire drops the servers whose grace has ended.
+func (d *Directory) Expire(now time.Time) {
+	for id, until := range d.lapsed {
+		if !now.Before(until) {
+			d.drop(id)
+		}
+	}
+}
+
+// Service returns the servers of a service, draining ones too. The slice must
+// not be changed.
+func (d *Directory) Service(name string) []*Server {
+	if d.byService == nil {
+		d.byService = make(map[string][]*Server)
+		for _, s := range d.servers {
+			d.byService[s.Service] = append(d.byService[s.Service], s)
+		}
+	}
+	return d.byService[name]
+}
+
+// All calls f for each server.
+func (d *Directory) All(f func(*Server)) {
+	for _, s := range d.servers {
+		f(s)
+	}
+}
+
+// Len returns the number of servers.
+func (d *Directory) Len() int { return len(d.servers) }
--- a/lib/eventlog/catalogue.go
+++ b/lib/eventlog/catalogue.go
@@ -4,7 +4,7 @@
 
 // Catalogue returns all events by number.
 func Catalogue() []Event {
-	all := slices.Concat(processEvents, configEvents, weightEvents, requestEvents, memberEvents, platformEvents)
+	all := slices.Concat(processEvents, configEvents, weightEvents, requestEvents, memberEvents, platformEvents, servingEvents)
 	slices.SortFunc(all, func(a, b Event) int { return a.Number - b.Number })
 	return all
 }
--- /dev/null
+++ b/lib/eventlog/events_serving.go
@@ -0,0 +1,31 @@
+package eventlog
+
+// Events 7000 to 7999: daemons on the users' platform.
+var (
+	LiveConfigInForce = Event{7001, Info, "live configuration is in force", "Nothing."}
+	VersionDeclared   = Event{7002, Info, "operator declared a version of a model's weights", "Nothing."}
+	RowUnreadable     = Event{7003, Warn, "row of the store cannot be used", "Find out who wrote it; the others are used."}
+	StoreLost         = Event{7004, Warn, "store does not answer this instance", "Check the platform; the last known state stays in use."}
+	StoreRegained     = Event{7005, Info, "store answers again", "Nothing."}
+	ServersRead       = Event{7101, Info, "list of backend servers was read in full", "Nothing."}
+	ServerRegistered  = Event{7102, Info, "backend server registered or changed", "Nothing."}
+	ServerGone        = Event{7103, Info, "row of a backend server is gone", "Nothing unless many go at the same time."}
+	ServerEjected     = Event{7104, Warn, "backend server gets no requests for a while", "Check the server if it repeats."}
+	RequestEnded      = Event{7201, Info, "request ended", "Nothing; outcome and reason tell how."}
+	RequestRepeated   = Event{7202, Info, "request goes to another backend server", "Nothing unless frequent; then check the named server."}
+	LinesDropped      = Event{7203, Warn, "log lines were dropped to keep their volume bounded", "Nothing; the metrics count all requests."}
+	ReplicaPhase      = Event{7301, Info, "instance takes a step towards the declared version", "Nothing."}
+	ReplicaOrdered    = Event{7302, Info, "engine was ordered to load a version", "Nothing; err tells whether it refused."}
+	ReplicaFetched    = Event{7306, Info, "all pieces of a version are here", "Nothing."}
+	FetchFailed       = Event{7307, Warn, "version could not be fetched", "Nothing unless it repeats; then check the origin and the peers."}
+	PieceSpoilt       = Event{7303, Warn, "piece of weights does not match the manifest", "Check the named source if it repeats."}
+	PeersUnknown      = Event{7304, Warn, "list of peers cannot be read", "Check the platform; the origin serves instead."}
+	EngineCallFailed  = Event{7305, Warn, "call of the engine on this instance failed", "Check the engine if it lasts."}
+)
+
+var servingEvents = []Event{
+	LiveConfigInForce, VersionDeclared, RowUnreadable, StoreLost, StoreRegained,
+	ServersRead, ServerRegistered, ServerGone, ServerEjected,
+	RequestEnded, RequestRepeated, LinesDropped,
+	ReplicaPhase, ReplicaOrdered, ReplicaFetched, FetchFailed, PieceSpoilt, PeersUnknown, EngineCallFailed,
+}
--- /dev/null
+++ b/lib/placement/demand.go
@@ -0,0 +1,41 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/directory"
+	"github.com/auburnbend/auburnbend/lib/serving"
+)
+
+// Demand is a request that needs a backend server.
+type Demand struct {
+	Service string
+	// Engine describes the service's model engines; nil for plain services.
+	Engine *serving.Engine
+	// Model is the model that must be loaded; empty for plain services.
+	Model string
+	// Version is the only version of the model that may run the request; zero
+	// accepts any that is not older than MinVersion.
+	Version, MinVersion int
+	// PromptTokens and AnswerTokens are the expected work of an engine.
+	PromptTokens, AnswerTokens int
+	// Target is the time until the first answer that serves the caller well,
+	// counted from now; zero sets none.
+	Target time.Duration
+	// Limit is the time until nobody waits any more, counted from now.
+	Limit time.Duration
+	// Exclude are servers that have had this request.
+	Exclude []directory.Key
+	// Continued tells that the caller has a part of the answer already. Such a
+	// request is not refused for a missed target.
+	Continued bool
+}
+
+func (d *Demand) excludes(k directory.Key) bool {
+	for _, e := range d.Exclude {
+		if e == k {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/lib/placement/load.go
@@ -0,0 +1,17 @@
+package placement
+
+import "time"
+
+// Load is what a server reported of itself.
+type Load struct {
+	// Running and Waiting count requests, Slots those that run at the same time.
+	Running, Waiting, Slots int
+	// Pace is how much slower than declared it works; zero means unknown.
+	Pace float64
+	// Closed tells that the server takes no new requests now, as it loads
+	// weights or does not answer its agent.
+	Closed bool
+}
+
+// loadAge is the age at which a report no longer counts as current.
+const loadAge = 3 * time.Second
--- /dev/null
+++ b/lib/placement/refusal.go
@@ -0,0 +1,26 @@
+package placement
+
+import "time"
+
+// Reason tells why no server was chosen.
+type Reason string
+
+// Reasons of a refusal.
+const (
+	// NoServer means that no server of the service may run the request.
+	NoServer Reason = "no_server"
+	// NoWeights means that no server holds the wanted weights.
+	NoWeights Reason = "no_weights"
+	// Overloaded means that no server can answer in time.
+	Overloaded Reason = "overloaded"
+)
+
+// Refusal tells why a request was not placed.
+type Refusal struct {
+	Reason Reason
+	// After is when a place is expected.
+	After time.Duration
+	// Predicted is the time to the first answer on the best server; zero if
+	// there is no server.
+	Predicted time.Duration
+}
--- /dev/null
+++ b/lib/placement/result.go
@@ -0,0 +1,18 @@
+package placement
+
+// Result is how one dispatch ended.
+type Result uint8
+
+// Results.
+const (
+	// Answered means a complete answer, whatever its status.
+	Answered Result = iota
+	// Cancelled means that the caller left or its time was over.
+	Cancelled
+	// Rejected means that the server did not run the request.
+	Rejected
+	// Unreachable means that no connection could be opened.
+	Unreachable
+	// Failed means a broken, spoilt or missing answer, or a fault of the server.
+	Failed
+)
--- /dev/null
+++ b/lib/serving/config.go
@@ -0,0 +1,17 @@
+// Package serving holds the live configuration of a deployment in the terms of
+// the product: which route a request takes, which services may run it, and
+// which team a key belongs to. Values are immutable once they are in force and
+// may be shared between goroutines.
+package serving
+
+// Config is one accepted version of the live configuration.
+type Config struct {
+	// Version increases with each accepted configuration.
+	Version int64
+	// Revision is the position of the configuration in the store's history.
+	Revision int64
+	Routes   []Route
+	Services []Service
+	Teams    []Team
+	Limits   Limits
+}
--- /dev/null
+++ b/lib/serving/engine.go
@@ -0,0 +1,37 @@
+package serving
+
+import "time"
+
+// Engine holds the declared speed and size of the model engines of a service.
+type Engine struct {
+	// Slots is the number of requests that run at the same time.
+	Slots int
+	// KVTokens is the number of tokens of context that fit into memory.
+	KVTokens int
+	// StepTime is the duration of one token step of an empty batch.
+	StepTime time.Duration
+	// SequenceTime is added to a step for each request that generates tokens.
+	SequenceTime time.Duration
+	// ContextTime is added to a step for each 1,000 tokens of context of these
+	// requests.
+	ContextTime time.Duration
+	// PrefillRate is in prompt tokens per second.
+	PrefillRate float64
+	// PairTime is added to the prefill for each million pairs of a token and an
+	// earlier one.
+	PairTime time.Duration
+	// StepsPerPass is the number of token steps between two pieces of prefill.
+	StepsPerPass int
+	// ChunkTokens bounds the prompt tokens that one pass prefills.
+	ChunkTokens int
+	// UsualPrompt and UsualAnswer are mean token counts of a request.
+	UsualPrompt, UsualAnswer int
+	// Layers is the number of layers of the model.
+	Layers int
+	// ReportLag is the age of a load report that is read over the network.
+	ReportLag time.Duration
+	// Pieces and PieceBytes give the size of the weights.
+	Pieces, PieceBytes int
+	// Models are the names of the models that the engines may serve.
+	Models []string
+}
--- /dev/null
+++ b/lib/serving/kind.go
@@ -0,0 +1,27 @@
+package serving
+
+// Kind tells what the system may do with a request of a route.
+type Kind uint8
+
+// Kinds of requests.
+const (
+	// NonIdempotent requests run at most once.
+	NonIdempotent Kind = iota
+	// Idempotent requests may run more than once.
+	Idempotent
+	// Streaming requests are answered by a series of events. They run at most
+	// once unless their route is resumable.
+	Streaming
+)
+
+// String returns the name used in logs and metrics.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case Streaming:
+		return "streaming"
+	default:
+		return "non_idempotent"
+	}
+}
--- /dev/null
+++ b/lib/serving/table.go
@@ -0,0 +1,89 @@
+package serving
+
+import (
+	"math/rand/v2"
+	"strings"
+)
+
+// Table answers lookups in one configuration. It is immutable and safe for
+// concurrent use.
+type Table struct {
+	config   *Config
+	hosts    map[string]map[string]*Route
+	teams    map[string]*Team
+	services map[string]*Service
+}
+
+// NewTable indexes a configuration, which must not change afterwards.
+func NewTable(c *Config) *Table {
+	t := &Table{
+		config:   c,
+		hosts:    make(map[string]map[string]*Route),
+		teams:    make(map[string]*Team),
+		services: make(map[string]*Service, len(c.Services)),
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		prefixes := t.hosts[r.Host]
+		if prefixes == nil {
+			prefixes = make(map[string]*Route)
+			t.hosts[r.Host] = prefixes
+		}
+		prefixes[r.Prefix] = r
+	}
+	for i := range c.Teams {
+		for _, key := range c.Teams[i].Keys {
+			t.teams[key] = &c.Teams[i]
+		}
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	return t
+}
+
+// Config returns the configuration.
+func (t *Table) Config() *Config { return t.config }
+
+// Route returns the route with the longest prefix of path on host, or nil.
+// Prefixes end with a slash, so that only the path's own slashes are tried.
+func (t *Table) Route(host, path string) *Route {
+	prefixes := t.hosts[host]
+	if prefixes == nil {
+		return nil
+	}
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if r := prefixes[path[:end+1]]; r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+// Team returns the team that holds a key, or nil.
+func (t *Table) Team(key string) *Team { return t.teams[key] }
+
+// Service returns a service by name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Pick returns the name of the service that a request of the route goes to. It
+// follows the declared weights.
+func (r *Route) Pick(rng *rand.Rand) string {
+	total := 0
+	for _, target := range r.Targets {
+		total += target.Weight
+	}
+	if total <= 0 {
+		if len(r.Targets) == 0 {
+			return ""
+		}
+		return r.Targets[0].Service
+	}
+	n := rng.IntN(total)
+	for _, target := range r.Targets {
+		if n -= target.Weight; n < 0 {
+			return target.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
--- /dev/null
+++ b/lib/spread/scheduler.go
@@ -0,0 +1,239 @@
+package spread
+
+import "time"
+
+// Ask is a piece that is to be asked of a source.
+type Ask struct {
+	Source string
+	Piece  int
+}
+
+// Scheduler decides which piece to ask of which source. It keeps to the plan
+// while the plan works: the origin is asked by one member for each piece, and
+// another region by one member of each region. It is not safe for concurrent
+// use. Time is passed in.
+type Scheduler struct {
+	config  Config
+	plan    *Plan
+	started time.Time
+
+	missing map[int]*piece
+	// order lists the pieces in the order in which the origin sends them.
+	order   []int
+	sources map[string]*source
+	dead    map[string]bool
+}
+
+// piece is a missing piece.
+type piece struct {
+	// asks are the sources that were asked and have not answered.
+	asks map[string]time.Time
+	// refused are sources that sent it spoilt or did not have it.
+	refused map[string]bool
+}
+
+// source is a peer or the origin.
+type source struct {
+	has   map[int]bool
+	asked int
+}
+
+// NewScheduler returns a Scheduler for the missing pieces of a version that all
+// members began to fetch at about the time started.
+func NewScheduler(config Config, plan *Plan, pieces int, missing []int, started time.Time) *Scheduler {
+	s := &Scheduler{
+		config: config.applyDefaults(), plan: plan, started: started,
+		missing: make(map[int]*piece, len(missing)), sources: make(map[string]*source), dead: make(map[string]bool),
+	}
+	for _, p := range missing {
+		s.missing[p] = &piece{asks: make(map[string]time.Time), refused: make(map[string]bool)}
+	}
+	for i := range pieces {
+		s.order = append(s.order, i)
+	}
+	return s
+}
+
+// Left returns the number of missing pieces.
+func (s *Scheduler) Left() int { return len(s.missing) }
+
+// Have takes note that a peer has pieces.
+func (s *Scheduler) Have(peer string, pieces []int) {
+	delete(s.dead, peer)
+	src := s.source(peer)
+	for _, p := range pieces {
+		src.has[p] = true
+	}
+}
+
+// Lost takes note that a peer cannot be reached.
+func (s *Scheduler) Lost(peer string) {
+	s.dead[peer] = true
+	delete(s.sources, peer)
+	for _, p := range s.missing {
+		delete(p.asks, peer)
+	}
+}
+
+// Got takes note that a piece is staged.
+func (s *Scheduler) Got(number int) {
+	p := s.missing[number]
+	if p == nil {
+		return
+	}
+	for from := range p.asks {
+		s.answered(p, from)
+	}
+	delete(s.missing, number)
+}
+
+// Failed takes note that a source did not deliver a piece. A peer that sent a
+// spoilt piece is not asked for it again.
+func (s *Scheduler) Failed(number int, from string, spoilt bool) {
+	p := s.missing[number]
+	if p == nil {
+		return
+	}
+	s.answered(p, from)
+	if from == Origin {
+		return
+	}
+	if spoilt {
+		p.refused[from] = true
+	}
+	if src := s.sources[from]; src != nil {
+		delete(src.has, number)
+	}
+}
+
+func (s *Scheduler) answered(p *piece, from string) {
+	if _, asked := p.asks[from]; !asked {
+		return
+	}
+	delete(p.asks, from)
+	if src := s.sources[from]; src != nil {
+		src.asked--
+	}
+}
+
+// Next returns what is to be asked now.
+func (s *Scheduler) Next(now time.Time) []Ask {
+	var asks []Ask
+	peers := s.config.PeerAsks - s.peersAsked()
+	origin := s.config.OriginAsks - s.source(Origin).asked
+	for _, number := range s.order {
+		if peers <= 0 && origin <= 0 {
+			break
+		}
+		p := s.missing[number]
+		if p == nil || s.waiting(p, now) {
+			continue
+		}
+		from, ok := s.choose(number, p, now, peers > 0, origin > 0)
+		if !ok {
+			continue
+		}
+		if from == Origin {
+			origin--
+		} else {
+			peers--
+		}
+		p.asks[from] = now
+		s.source(from).asked++
+		asks = append(asks, Ask{Source: from, Piece: number})
+	}
+	return asks
+}
+
+// waiting reports whether a piece was asked for recently.
+func (s *Scheduler) waiting(p *piece, now time.Time) bool {
+	for _, at := range p.asks {
+		if now.Sub(at) < s.config.AskTimeout {
+			return true
+		}
+	}
+	return false
+}
+
+// choose returns the best source of a piece: a peer of the region, then a peer
+// of another one, then the origin.
+func (s *Scheduler) choose(number int, p *piece, now time.Time, peers, origin bool) (string, bool) {
+	best, bestNear, found := "", false, false
+	cross := s.mayCross(number, now)
+	known := false
+	for id, src := range s.sources {
+		if id == Origin || !src.has[number] || p.refused[id] {
+			continue
+		}
+		known = true
+		near := s.plan.near(id)
+		if _, asked := p.asks[id]; asked || !peers || !near && !cross {
+			continue
+		}
+		if !found || near && !bestNear || near == bestNear && s.lighter(id, best) {
+			best, bestNear, found = id, near, true
+		}
+	}
+	if found {
+		return best, true
+	}
+	if _, asked := p.asks[Origin]; !asked && origin && !known && s.mayAskOrigin(number, now) {
+		return Origin, true
+	}
+	return "", false
+}
+
+// lighter reports whether a has fewer open asks than b; the order of names
+// keeps the choice the same on every run.
+func (s *Scheduler) lighter(a, b string) bool {
+	if s.sources[a].asked != s.sources[b].asked {
+		return s.sources[a].asked < s.sources[b].asked
+	}
+	return a < b
+}
+
+// mayCross reports whether this instance brings a piece into its region.
+func (s *Scheduler) mayCross(number int, now time.Time) bool {
+	return s.myTurn(s.plan.regions[s.plan.self.Region], number, now)
+}
+
+// mayAskOrigin reports whether this instance brings a piece into the
+// deployment.
+func (s *Scheduler) mayAskOrigin(number int, now time.Time) bool {
+	if now.Sub(s.started) < time.Duration(number)*s.config.OriginTime {
+		return false
+	}
+	return s.myTurn(s.plan.members, number, now)
+}
+
+// myTurn reports whether the instance is the first living member of a group for
+// a piece, or whether those before it have had their time.
+func (s *Scheduler) myTurn(group []Member, number int, now time.Time) bool {
+	turn := s.plan.turnAlive(group, number, s.dead)
+	if turn == 0 {
+		return true
+	}
+	return now.Sub(s.started) >= s.config.Patience+time.Duration(turn)*s.config.Stagger
+}
+
+// Impatient reports whether pieces do not arrive as planned.
+func (s *Scheduler) Impatient(now time.Time) bool { return now.Sub(s.started) >= s.config.Patience }
+
+func (s *Scheduler) peersAsked() int {
+	n := 0
+	for id, src := range s.sources {
+		if id != Origin {
+			n += src.asked
+		}
+	}
+	return n
+}
+
+func (s *Scheduler) source(id string) *source {
+	src := s.sources[id]
+	if src == nil {
+		src = &source{has: make(map[int]bool)}
+		s.sources[id] = src
+	}
+	return src
+}
--- /dev/null
+++ b/lib/versions/wanted.go
@@ -0,0 +1,71 @@
+// Package versions keeps which versions of weights are declared, and since when
+// older ones must no longer serve.
+package versions
+
+import "time"
+
+const (
+	// requireMargin is how long before the bound older versions get no more
+	// requests, as a request may wait on a server before it begins.
+	requireMargin = 500 * time.Millisecond
+	// adoptedAge is assumed of a version that was declared before this process
+	// began to watch, as a share of the bound.
+	adoptedAge = 0.6
+)
+
+// Wanted holds the declared version of each model. It is not safe for
+// concurrent use.
+type Wanted struct {
+	bound  time.Duration
+	models map[string][]declaration
+}
+
+type declaration struct {
+	version int
+	at      time.Time
+}
+
+// NewWanted returns an empty Wanted. bound is the time after a declaration at
+// which older versions must no longer serve; zero never requires one.
+func NewWanted(bound time.Duration) *Wanted {
+	return &Wanted{bound: bound, models: make(map[string][]declaration)}
+}
+
+// Declare takes a version that was declared just now. Older ones are ignored.
+func (w *Wanted) Declare(model string, version int, now time.Time) { w.declare(model, version, now) }
+
+// Adopt takes a version of unknown age.
+func (w *Wanted) Adopt(model string, version int, now time.Time) {
+	w.declare(model, version, now.Add(-time.Duration(adoptedAge*float64(w.bound))))
+}
+
+func (w *Wanted) declare(model string, version int, at time.Time) {
+	list := w.models[model]
+	if n := len(list); n > 0 && list[n-1].version >= version {
+		return
+	}
+	w.models[model] = append(list, declaration{version: version, at: at})
+}
+
+// Newest returns the declared version, or zero if none is known.
+func (w *Wanted) Newest(model string) int {
+	list := w.models[model]
+	if len(list) == 0 {
+		return 0
+	}
+	return list[len(list)-1].version
+}
+
+// Least returns the oldest version that may serve, or zero if any may.
+func (w *Wanted) Least(model string, now time.Time) int {
+	if w.bound <= 0 {
+		return 0
+	}
+	least := 0
+	for _, d := range w.models[model] {
+		if now.Sub(d.at) >= w.bound-requireMargin {
+			least = d.version
+		}
+	}
+	return least
+}
--- /dev/null
+++ b/lib/watch/config.go
@@ -0,0 +1,40 @@
+package watch
+
+import "time"
+
+// Config holds the timing of a Follower. Zero fields take the defaults.
+type Config struct {
+	// Wait is how long one call waits for a change.
+	Wait time.Duration
+	// AnswerTimeout is added to Wait for the answer to arrive. A longer silence
+	// means a dead connection.
+	AnswerTimeout time.Duration
+	// MinBackoff and MaxBackoff bound the pause after a failed call. The store
+	// limits calls of all instances together, so that pauses are spread.
+	MinBackoff, MaxBackoff time.Duration
+}
+
+const (
+	// defaultWait trades store calls against the time in which a connection
+	// without keep-alive answers is noticed.
+	defaultWait = 10 * time.Second
+	// defaultAnswerTimeout allows for a store that answers slowly.
+	defaultAnswerTimeout = 1500 * time.Millisecond
+	defaultMinBackoff    = 100 * time.Millisecond
+	// defaultMaxBackoff keeps the recovery after an outage well within the time
+	// in which a configuration must be in force.
+	defaultMaxBackoff = 800 * time.Millisecond
+)
+
+func (c Config) applyDefaults() Config {
+	set := func(v *time.Duration, fallback time.Duration) {
+		if *v <= 0 {
+			*v = fallback
+		}
+	}
+	set(&c.Wait, defaultWait)
+	set(&c.AnswerTimeout, defaultAnswerTimeout)
+	set(&c.MinBackoff, defaultMinBackoff)
+	set(&c.MaxBackoff, defaultMaxBackoff)
+	return c
+}
--- /dev/null
+++ b/replica/config.go
@@ -0,0 +1,67 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/clock"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+)
+
+// Config holds what a Replica needs from its process.
+type Config struct {
+	// Self is the IP address and port of the engine on this instance.
+	Self string
+	// Region is the region of the instance.
+	Region string
+	Engine Engine
+	// Origin returns the origin that the live configuration names; nil if there
+	// is none yet.
+	Origin func() Origin
+	// OriginTime returns the time that the origin's link takes for one piece, zero
+	// if it is not known.
+	OriginTime func() time.Duration
+	// Peers returns the engines of the same service as they are registered now.
+	Peers func() ([]Peer, error)
+	// PeerPort is the port on which all agents serve pieces.
+	PeerPort int
+	// Listen is the IP address on which this one serves.
+	Listen string
+	// VersionTime is the time in which a declared version must serve everywhere.
+	VersionTime time.Duration
+	// LinkRate is the bandwidth of the instance's link in bytes per second, zero
+	// if it is not known.
+	LinkRate float64
+	Clock    clock.Clock
+	Log      *eventlog.Logger
+}
+
+// Peer is another engine of the service.
+type Peer struct {
+	// Address is the IP address and port of the engine.
+	Address string
+	Region  string
+}
+
+const (
+	// engineInterval is how often the engine's state is read. Calls on the same
+	// instance are free, and about one request starts in this time.
+	engineInterval = 100 * time.Millisecond
+	// engineTimeout bounds a call of the engine on the same instance.
+	engineTimeout = time.Second
+	// originTimeout bounds one call of the origin; a piece takes 30 ms on its
+	// idle link, and many agents share it.
+	originTimeout = 4 * time.Second
+	// retryPause is the pause after a failed step.
+	retryPause = 200 * time.Millisecond
+	// firstOrderShare and lastOrderShare are the parts of VersionTime between
+	// which engines change their weights one after another, so that the rest
+	// keeps serving.
+	firstOrderShare = 0.40
+	lastOrderShare  = 0.88
+	// finishShare is the part of a version that must be staged for it to be
+	// finished when a newer one is declared meanwhile.
+	finishShare = 0.5
+	// closeBefore is how long before the order the entries are told to send no
+	// more requests: a report takes a few milliseconds.
+	closeBefore = 50 * time.Millisecond
+)
--- /dev/null
+++ b/replica/engine.go
@@ -0,0 +1,48 @@
+package replica
+
+import (
+	"context"
+	"errors"
+
+	"github.com/auburnbend/auburnbend/lib/directory"
+)
+
+// ErrMissing reports a piece that is not there.
+var ErrMissing = errors.New("piece is not there")
+
+// ErrNotAccepted reports an order that the engine cannot follow now.
+var ErrNotAccepted = errors.New("order was not accepted")
+
+// Engine is the model engine on the same instance. It is safe for concurrent
+// use.
+type Engine interface {
+	// Report returns the engine's state.
+	Report(ctx context.Context) (Report, error)
+	// PutPiece stages a piece. What it holds is not checked by the engine.
+	PutPiece(ctx context.Context, model string, piece int, data []byte) error
+	// Piece returns a staged piece, or ErrMissing.
+	Piece(ctx context.Context, model string, piece int) ([]byte, error)
+	// Start orders the engine to load the staged pieces once its running
+	// requests have ended.
+	Start(ctx context.Context, model string, version int) error
+}
+
+// Report is the state of an engine.
+type Report struct {
+	// Born is its start in Unix milliseconds.
+	Born int64
+	// Running and Waiting count requests.
+	Running, Waiting int
+	// Pace is how much slower than declared it works; zero if it did not tell.
+	Pace float64
+	// Busy tells that an order is in progress.
+	Busy bool
+	// Weights are the loaded weights by model.
+	Weights map[string]directory.Weights
+}
+
+// serves reports whether the engine serves a version or a newer one.
+func (r *Report) serves(model string, version int) bool {
+	w, ok := r.Weights[model]
+	return ok && w.Whole && w.Version >= version
+}
--- /dev/null
+++ b/replica/fetch.go
@@ -0,0 +1,148 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/spread"
+	"github.com/auburnbend/auburnbend/peerlink"
+)
+
+const (
+	// askQueue bounds the pieces that wait to be asked of one source; the
+	// scheduler asks for fewer.
+	askQueue = 64
+	// fetchTick is how often a fetch looks for pieces whose turn at the origin has
+	// come, and for sources that are too slow.
+	fetchTick = 20 * time.Millisecond
+	// originPause is the pause after a failed call of the origin.
+	originPause = 100 * time.Millisecond
+	// maxSpoilt is the number of times that a piece may fail the check before
+	// the manifest itself is read again.
+	maxSpoilt = 3
+)
+
+// fetch brings the missing pieces of one version to the instance. One goroutine
+// owns the scheduler; each source has one of its own.
+type fetch struct {
+	replica  *Replica
+	holdings *holdings
+	plan     *spread.Plan
+	// addresses gives the address of each peer's agent.
+	addresses map[string]string
+	// started is when the version was declared, which is about the same time on
+	// all instances.
+	started time.Time
+	// originTime is the time that the origin's link takes for one piece.
+	originTime time.Duration
+
+	scheduler *spread.Scheduler
+	events    chan fetchEvent
+	asks      map[string]chan int
+	// spoilt counts failed checks by piece.
+	spoilt map[int]int
+}
+
+// run fetches until all pieces are here, ctx ends, or the manifest proves
+// wrong. It reports whether all pieces are here.
+func (f *fetch) run(ctx context.Context) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.events = make(chan fetchEvent)
+	f.asks = make(map[string]chan int)
+	f.spoilt = make(map[int]int)
+	pieces := len(f.holdings.manifest.Digests)
+	f.scheduler = spread.NewScheduler(spread.Config{OriginTime: f.originTime}, f.plan, pieces, f.holdings.missing(), f.started)
+	f.asks[spread.Origin] = make(chan int, askQueue)
+	go f.askOrigin(ctx, f.asks[spread.Origin])
+	for _, id := range f.plan.Peers(pieces) {
+		f.connect(ctx, id)
+	}
+	ticker := time.NewTicker(fetchTick)
+	defer ticker.Stop()
+	for f.scheduler.Left() > 0 {
+		f.ask(ctx)
+		select {
+		case <-ctx.Done():
+			return false
+		case e := <-f.events:
+			if !f.take(e) {
+				return false
+			}
+		case <-ticker.C:
+		}
+	}
+	return true
+}
+
+func (f *fetch) now() time.Time { return f.replica.config.Clock.Now() }
+
+func (f *fetch) connect(ctx context.Context, id string) {
+	if f.asks[id] != nil || f.addresses[id] == "" {
+		return
+	}
+	f.asks[id] = make(chan int, askQueue)
+	p := &peer{id: id, address: f.addresses[id], events: f.events, asks: f.asks[id]}
+	go p.run(ctx, f.holdings.manifest.Model, f.holdings.manifest.Version)
+}
+
+// ask passes the scheduler's choices on. Pieces that are late may come from any
+// member.
+func (f *fetch) ask(ctx context.Context) {
+	now := f.now()
+	if f.scheduler.Impatient(now) {
+		for _, id := range f.plan.Distant() {
+			f.connect(ctx, id)
+		}
+	}
+	for _, a := range f.scheduler.Next(now) {
+		select {
+		case f.asks[a.Source] <- a.Piece:
+		default:
+			f.scheduler.Failed(a.Piece, a.Source, false)
+		}
+	}
+}
+
+// take handles one event. It reports false if the manifest seems wrong.
+func (f *fetch) take(e fetchEvent) bool {
+	switch {
+	case e.lost:
+		f.scheduler.Lost(e.source)
+	case e.piece == peerlink.NoPiece:
+		f.scheduler.Have(e.source, e.have)
+	case e.err != nil || len(e.data) == 0:
+		f.scheduler.Failed(e.piece, e.source, false)
+	case !f.holdings.manifest.Matches(e.piece, e.data):
+		f.replica.spoilt(e.source, e.piece)
+		f.scheduler.Failed(e.piece, e.source, true)
+		f.spoilt[e.piece]++
+		return f.spoilt[e.piece] < maxSpoilt
+	default:
+		f.replica.received(e.source, len(e.data))
+		f.holdings.put(e.piece, e.data)
+		f.scheduler.Got(e.piece)
+	}
+	return true
+}
+
+func (f *fetch) askOrigin(ctx context.Context, pieces <-chan int) {
+	m := f.holdings.manifest
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case piece := <-pieces:
+			callCtx, cancel := context.WithTimeout(ctx, originTimeout)
+			data, err := f.replica.config.Origin().Piece(callCtx, m.Model, m.Version, piece)
+			cancel()
+			if err != nil {
+				wait(ctx, nil, originPause)
+			}
+			select {
+			case <-ctx.Done():
+			case f.events <- fetchEvent{source: spread.Origin, piece: piece, data: data, err: err}:
+			}
+		}
+	}
+}
--- /dev/null
+++ b/replica/fetchtarget.go
@@ -0,0 +1,211 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/spread"
+)
+
+var errNoOrigin = errors.New("the live configuration names no origin")
+
+// fetchTarget starts to fetch the target unless it is here or on its way. A
+// fetch of an older version goes on if it is nearly done: an engine that skips a
+// version keeps the one before until the newer one has arrived, and all engines
+// would then change at the same moment.
+func (r *Replica) fetchTarget(ctx context.Context, t target, report *Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.pending {
+		if p.version == t.version && p.model == t.model {
+			return
+		}
+	}
+	if r.staged.is(t.model, t.version) && len(r.staged.missing()) == 0 {
+		// The engine has taken the order and loads, or it has restarted since.
+		if !report.Busy {
+			r.pending = append(r.pending, &pendingVersion{target: t, holdings: r.staged})
+		}
+		return
+	}
+	if f := r.fetching; f != nil {
+		if f.version == t.version && f.model == t.model || f.holdings != nil && f.holdings.share() >= finishShare {
+			return
+		}
+		f.cancel()
+	}
+	fetchCtx, cancel := context.WithCancel(ctx)
+	f := &runningFetch{target: t, cancel: cancel}
+	r.fetching = f
+	go r.runFetch(fetchCtx, f, len(report.Weights) == 0)
+}
+
+// runFetch fetches one version. adopt tells that the engine may hold its pieces
+// from before.
+func (r *Replica) runFetch(ctx context.Context, f *runningFetch, adopt bool) {
+	defer f.cancel()
+	began := r.config.Clock.Now()
+	h, err := r.fetchVersion(ctx, f, adopt)
+	if err != nil {
+		wait(ctx, nil, retryPause)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.fetching == f {
+		r.fetching = nil
+	}
+	if err == nil {
+		r.pending = append(r.pending, &pendingVersion{target: f.target, holdings: h, turn: r.turn(f)})
+		r.config.Log.Log(eventlog.ReplicaFetched, "model", f.model, "version", f.version,
+			"total_ms", r.config.Clock.Now().Sub(began).Milliseconds(),
+			"origin_bytes", r.stats.OriginBytes.Load(), "peer_bytes", r.stats.PeerBytes.Load())
+	} else if ctx.Err() == nil {
+		r.config.Log.Log(eventlog.FetchFailed, "model", f.model, "version", f.version, "err", err)
+	}
+	r.wakeUp()
+}
+
+// fetchVersion returns the whole version.
+func (r *Replica) fetchVersion(ctx context.Context, f *runningFetch, adopt bool) (*holdings, error) {
+	m, err := r.manifest(ctx, f.target)
+	if err != nil {
+		return nil, err
+	}
+	h := newHoldings(m, r.config.Engine)
+	if adopt {
+		h.adopt(ctx)
+	}
+	r.mu.Lock()
+	f.holdings = h
+	r.setStaged(r.staged)
+	r.mu.Unlock()
+	for len(h.missing()) > 0 {
+		if !r.newFetch(h, f.target, r.peers()).run(ctx) {
+			return nil, errFetch
+		}
+	}
+	return h, nil
+}
+
+var errFetch = errors.New("fetch ended before all pieces were here")
+
+func (r *Replica) manifest(ctx context.Context, t target) (*Manifest, error) {
+	origin := r.config.Origin()
+	if origin == nil {
+		return nil, errNoOrigin
+	}
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	return origin.Manifest(ctx, t.model, t.version)
+}
+
+// peers returns the engines of the service. Without the list the origin still
+// has every piece.
+func (r *Replica) peers() []Peer {
+	peers, err := r.config.Peers()
+	if err != nil {
+		r.config.Log.Log(eventlog.PeersUnknown, "err", err)
+	}
+	return peers
+}
+
+func (r *Replica) newFetch(h *holdings, t target, peers []Peer) *fetch {
+	f := &fetch{
+		replica: r, holdings: h, plan: r.plan(peers), addresses: make(map[string]string),
+		started: t.since, originTime: r.config.OriginTime(),
+	}
+	for _, p := range peers {
+		host, _, err := net.SplitHostPort(p.Address)
+		if err == nil && p.Address != r.config.Self {
+			f.addresses[p.Address] = net.JoinHostPort(host, strconv.Itoa(r.config.PeerPort))
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastPlan = f.plan
+	return f
+}
+
+func (r *Replica) plan(peers []Peer) *spread.Plan {
+	members := make([]spread.Member, 0, len(peers))
+	for _, p := range peers {
+		members = append(members, spread.Member{ID: p.Address, Region: p.Region})
+	}
+	return spread.NewPlan(spread.Member{ID: r.config.Self, Region: r.config.Region}, members)
+}
+
+// turn is when this engine may take a version: the engines change one after
+// another, so that the others keep serving. The caller holds mu.
+func (r *Replica) turn(f *runningFetch) time.Time {
+	rank, count := 0, 1
+	if r.lastPlan != nil {
+		rank, count = r.lastPlan.Rank()
+	}
+	share := firstOrderShare + (lastOrderShare-firstOrderShare)*float64(rank)/float64(max(1, count-1))
+	return f.since.Add(time.Duration(share * float64(r.config.VersionTime)))
+}
+
+// holdingsOf returns the pieces of a version that this instance has or fetches,
+// and a channel that is closed when that changes.
+func (r *Replica) holdingsOf(model string, version int) (*holdings, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if f := r.fetching; f != nil && f.holdings.is(model, version) {
+		return f.holdings, r.stagedChanged
+	}
+	for _, p := range r.pending {
+		if p.holdings.is(model, version) {
+			return p.holdings, r.stagedChanged
+		}
+	}
+	if r.staged.is(model, version) {
+		return r.staged, r.stagedChanged
+	}
+	return nil, r.stagedChanged
+}
+
+// awaitHoldings returns the pieces of a version that a peer asks for, which
+// this instance may learn of a little later; nil when ctx ends first.
+func (r *Replica) awaitHoldings(ctx context.Context, model string, version int) *holdings {
+	r.openServing(ctx, model, version)
+	for {
+		h, changed := r.holdingsOf(model, version)
+		if h != nil {
+			return h
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+// openServing finds out which pieces the engine holds when a peer asks for a
+// version that serves here and that this process did not fetch.
+func (r *Replica) openServing(ctx context.Context, model string, version int) {
+	t := r.currentTarget()
+	if r.Phase() != PhaseServing || t.model != model || t.version != version {
+		return
+	}
+	r.opening.Lock()
+	defer r.opening.Unlock()
+	if h, _ := r.holdingsOf(model, version); h != nil {
+		return
+	}
+	m, err := r.manifest(ctx, t)
+	if err != nil {
+		r.config.Log.Log(eventlog.FetchFailed, "model", model, "version", version, "err", err)
+		return
+	}
+	h := newHoldings(m, r.config.Engine)
+	h.adopt(ctx)
+	h.release()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.setStaged(h)
+}
--- /dev/null
+++ b/replica/replica.go
@@ -0,0 +1,283 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/spread"
+)
+
+// Replica keeps one engine on the declared version. Its Run goroutine owns the
+// phases and decides on orders; fetches run beside it.
+type Replica struct {
+	config  Config
+	phases  *phases
+	uploads *uploads
+	stats   Stats
+	// wake makes Run look at once.
+	wake chan struct{}
+	// closed tells that the engine should get no more requests.
+	closed atomic.Bool
+	// report is the engine's last state; nil if it did not answer.
+	report atomic.Pointer[Report]
+
+	// mu guards what follows.
+	mu     sync.Mutex
+	target target
+	// pending are fetched versions that the engine has not taken, oldest first.
+	pending []*pendingVersion
+	// fetching is the version that is being fetched; nil if there is none.
+	fetching *runningFetch
+	// lastPlan is the plan of the last fetch; nil before the first one.
+	lastPlan *spread.Plan
+	// staged is the version at the engine, if this process knows it.
+	staged *holdings
+	// stagedChanged is closed when fetching or staged changes.
+	stagedChanged chan struct{}
+	// opening admits one goroutine at a time to openServing.
+	opening sync.Mutex
+}
+
+// target is a declared version.
+type target struct {
+	model   string
+	version int
+	// since is when it was declared, or when this process learned of it.
+	since time.Time
+}
+
+// pendingVersion is a fetched version that waits for its turn.
+type pendingVersion struct {
+	target
+	holdings *holdings
+	// turn is when the engine may take it.
+	turn time.Time
+}
+
+// runningFetch is a fetch on its way.
+type runningFetch struct {
+	target
+	cancel context.CancelFunc
+	// holdings is nil until the manifest has been read.
+	holdings *holdings
+}
+
+// Stats counts bytes of weights by source.
+type Stats struct {
+	OriginBytes, PeerBytes, Spoilt atomic.Int64
+}
+
+// New returns a Replica without a target.
+func New(config Config) *Replica {
+	r := &Replica{
+		config: config, uploads: newUploads(config.LinkRate),
+		wake: make(chan struct{}, 1), stagedChanged: make(chan struct{}),
+	}
+	r.phases = newPhases(func(from, to Phase) {
+		t := r.currentTarget()
+		config.Log.Log(eventlog.ReplicaPhase, "from", string(from), "to", string(to), "model", t.model, "version", t.version)
+	})
+	return r
+}
+
+// Declare sets the version that the engine must serve. Older ones are ignored.
+func (r *Replica) Declare(model string, version int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.target.model == model && r.target.version >= version {
+		return
+	}
+	r.target = target{model: model, version: version, since: r.config.Clock.Now()}
+	r.wakeUp()
+}
+
+// Phase returns where the instance stands.
+func (r *Replica) Phase() Phase { return r.phases.phase() }
+
+// Closed reports whether the engine should get no more requests.
+func (r *Replica) Closed() bool { return r.closed.Load() }
+
+// Stats returns the counters.
+func (r *Replica) Stats() *Stats { return &r.stats }
+
+func (r *Replica) wakeUp() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (r *Replica) currentTarget() target {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.target
+}
+
+// Run serves peers and follows the target until ctx ends.
+func (r *Replica) Run(ctx context.Context) error {
+	ln, err := net.Listen("tcp", net.JoinHostPort(r.config.Listen, strconv.Itoa(r.config.PeerPort)))
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	go r.servePeers(ctx, ln)
+	for ctx.Err() == nil {
+		r.observe(ctx)
+		r.step(ctx)
+		wait(ctx, r.wake, engineInterval)
+	}
+	return nil
+}
+
+// wait returns when ctx ends, changed is ready, or the time is over; zero time
+// waits without limit.
+func wait(ctx context.Context, changed <-chan struct{}, limit time.Duration) {
+	var timer <-chan time.Time
+	if limit > 0 {
+		timer = time.After(limit)
+	}
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-timer:
+	}
+}
+
+// observe reads the engine's state.
+func (r *Replica) observe(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	report, err := r.config.Engine.Report(ctx)
+	if err != nil {
+		r.report.Store(nil)
+		return
+	}
+	r.report.Store(&report)
+}
+
+// step does what the engine's state and the target ask for.
+func (r *Replica) step(ctx context.Context) {
+	t := r.currentTarget()
+	report := r.report.Load()
+	switch {
+	case t.version == 0 || report == nil:
+		r.phases.fire(triggerUnknown)
+		return
+	case report.serves(t.model, t.version):
+		r.phases.fire(triggerServing)
+		return
+	}
+	r.fetchTarget(ctx, t, report)
+	switch p, waiting := r.next(report); {
+	case report.Busy:
+		r.phases.fire(triggerBusy)
+	case p != nil:
+		r.phases.fire(triggerFetched)
+		r.order(ctx, p)
+	case waiting:
+		r.phases.fire(triggerFetched)
+	default:
+		r.phases.fire(triggerMissing)
+	}
+}
+
+// next returns the newest fetched version whose turn has come, and whether any
+// waits. An engine that serves nothing waits for no turn.
+func (r *Replica) next(report *Report) (due *pendingVersion, waiting bool) {
+	now := r.config.Clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := len(r.pending) - 1; i >= 0; i-- {
+		p := r.pending[i]
+		if len(report.Weights) == 0 || !now.Before(p.turn) {
+			return p, true
+		}
+	}
+	return nil, len(r.pending) > 0
+}
+
+// order hands a version to the engine.
+func (r *Replica) order(ctx context.Context, p *pendingVersion) {
+	r.closed.Store(true)
+	// From the order on the engine itself tells that it is busy.
+	defer r.closed.Store(false)
+	wait(ctx, nil, closeBefore)
+	whole, err := p.holdings.stage(ctx)
+	if err != nil {
+		r.engineFailed(err)
+		return
+	}
+	if !whole {
+		r.drop(p)
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	err = r.config.Engine.Start(callCtx, p.model, p.version)
+	r.config.Log.Log(eventlog.ReplicaOrdered, "model", p.model, "version", p.version, "err", err)
+	if err != nil && errors.Is(err, ErrNotAccepted) {
+		return
+	}
+	// After a lost answer the engine may have accepted the order. If it has not,
+	// its state asks for the order again.
+	r.taken(p)
+	r.observe(ctx)
+}
+
+// taken takes note that a version is at the engine.
+func (r *Replica) taken(p *pendingVersion) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for len(r.pending) > 0 && r.pending[0].version <= p.version {
+		r.pending = r.pending[1:]
+	}
+	r.setStaged(p.holdings)
+	p.holdings.release()
+}
+
+// drop forgets a version with pieces that have turned bad; what is missing is
+// fetched again.
+func (r *Replica) drop(p *pendingVersion) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, q := range r.pending {
+		if q == p {
+			r.pending = append(r.pending[:i:i], r.pending[i+1:]...)
+			return
+		}
+	}
+}
+
+// setStaged changes what is at the engine. The caller holds mu.
+func (r *Replica) setStaged(h *holdings) {
+	r.staged = h
+	close(r.stagedChanged)
+	r.stagedChanged = make(chan struct{})
+}
+
+func (r *Replica) received(source string, n int) {
+	if source == spread.Origin {
+		r.stats.OriginBytes.Add(int64(n))
+		return
+	}
+	r.stats.PeerBytes.Add(int64(n))
+}
+
+func (r *Replica) spoilt(source string, piece int) {
+	r.stats.Spoilt.Add(1)
+	if source == spread.Origin {
+		source = "origin"
+	}
+	r.config.Log.Log(eventlog.PieceSpoilt, "source", source, "piece", piece)
+}
+
+func (r *Replica) engineFailed(err error) {
+	r.config.Log.Log(eventlog.EngineCallFailed, "err", err)
+}
--- /dev/null
+++ b/replica/uploads.go
@@ -0,0 +1,45 @@
+package replica
+
+import (
+	"context"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	// uploadShare is the share of the instance's link that pieces may take. The
+	// events of streams leave on the same link and are late after 120 ms.
+	uploadShare = 0.8
+	// uploadBurst is the size in bytes that may leave at once: two usual pieces.
+	uploadBurst = 64 << 10
+)
+
+// uploads bounds how fast pieces leave the instance: one at a time, and below
+// the rate of its link. It is safe for concurrent use.
+type uploads struct {
+	limiter *rate.Limiter
+	slot    chan struct{}
+}
+
+func newUploads(linkRate float64) *uploads {
+	limit := rate.Inf
+	if linkRate > 0 {
+		limit = rate.Limit(uploadShare * linkRate)
+	}
+	return &uploads{limiter: rate.NewLimiter(limit, uploadBurst), slot: make(chan struct{}, 1)}
+}
+
+// acquire waits until a piece of a size in bytes may leave. The returned
+// function is called when it has left.
+func (u *uploads) acquire(ctx context.Context, size int) (func(), error) {
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case u.slot <- struct{}{}:
+	}
+	if err := u.limiter.WaitN(ctx, min(size, uploadBurst)); err != nil {
+		<-u.slot
+		return nil, err
+	}
+	return func() { <-u.slot }, nil
+}
