Share the load of engines between entries

Cause: all entries of a region chose the engine that had just loaded new weights, as reports are up to 100 ms old; 16 prompts arrived in 200 ms and were answered after up to 900 ms. Entries now tell the region's entries and the agent what they send; agents report the prompts that wait; distant engines are sampled. An order waits for the engine's queue, and answers' load headers no longer reopen an engine that loads.

Ruled out: the pace of engines (1.0 throughout).

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -84,12 +84,15 @@
 func (r *request) noteReply(lease *placement.Lease, reply Reply) {
 	g := r.gateway
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	now := g.now()
 	if reply.Load != nil {
-		g.picker.Report(lease.Server.Key(), placement.Load{Running: reply.Load.Running, Waiting: reply.Load.Waiting, Slots: reply.Load.Slots}, now)
+		g.picker.Hint(lease.Server.Key(), reply.Load.Running, reply.Load.Waiting, now)
+	}
+	usage := g.picker.Answering(lease, now)
+	g.mu.Unlock()
+	if r.engine != nil {
+		g.tellUsage(lease, usage)
 	}
-	g.picker.Answering(lease, now)
 }
 
 // whole passes on an answer that is not a stream. It is read to its end first,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"github.com/auburnbend/auburnbend/lib/retry"
 	"github.com/auburnbend/auburnbend/lib/serving"
 	"github.com/auburnbend/auburnbend/lib/versions"
+	"github.com/auburnbend/auburnbend/peerlink"
 )
 
 // Config holds what a Gateway needs from its process.
@@ -26,6 +28,8 @@
 	// Entries is assumed to be the number of entries that share the retry
 	// budget until SetEntries tells more.
 	Entries int
+	// Seed starts the random choices.
+	Seed uint64
 	// Placement configures the choice of backend servers.
 	Placement placement.Config
 	// VersionTime is the time in which new weights must serve everywhere.
@@ -44,6 +48,10 @@
 	budget    *retry.Budget
 	versions  *versions.Wanted
 
+	// usage tells the neighbours what this entry has at a server; nil tells
+	// nobody. It is set before the first request.
+	usage func(peerlink.Usage)
+
 	draining atomic.Bool
 	open     atomic.Int64
 }
@@ -56,7 +64,7 @@
 	return &Gateway{
 		config:    config,
 		directory: d,
-		picker:    placement.New(config.Placement, d),
+		picker:    placement.New(config.Placement, d, rand.New(rand.NewPCG(config.Seed, config.Seed))),
 		budget:    retry.New(config.Retry, config.Entries),
 		versions:  versions.NewWanted(config.VersionTime),
 	}
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -16,28 +17,48 @@
 const (
 	// subscribeInterval is how often the agents are asked for load reports.
 	subscribeInterval = time.Second
+	// neighbourTime is how long an entry that agents have named counts as a
+	// neighbour.
+	neighbourTime = 4 * time.Second
 	// maxDatagram bounds a datagram in bytes.
 	maxDatagram = 1200
+	// reorderWindow is the number of messages by which one may be overtaken; a
+	// larger step back means that the sender has restarted.
+	reorderWindow = 50
 )
 
-// Loads takes load reports from the agents of model engines.
+// Loads takes load reports from the agents of model engines and tells the other
+// entries of the region what this one has sent where.
 type Loads struct {
 	gateway *Gateway
 	name    string
-	port    int
+	region  string
+	self    netip.AddrPort
 	conn    *net.UDPConn
-	// sequences are the newest reports by engine; they belong to the receiving
+	// sequences are the newest messages by sender; they belong to the receiving
 	// goroutine.
 	sequences map[string]uint64
+
+	// mu guards what follows.
+	mu         sync.Mutex
+	neighbours map[netip.AddrPort]time.Time
+	sequence   uint64
 }
 
-// NewLoads listens on an IP address and port. Agents listen on the same port.
-func NewLoads(g *Gateway, name, address string, port int) (*Loads, error) {
+// NewLoads listens on an IP address and port. Agents and other entries listen on
+// the same port.
+func NewLoads(g *Gateway, name, region, address string, port int) (*Loads, error) {
 	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(address), Port: port})
 	if err != nil {
 		return nil, err
 	}
-	return &Loads{gateway: g, name: name, port: port, conn: conn, sequences: make(map[string]uint64)}, nil
+	l := &Loads{
+		gateway: g, name: name, region: region, conn: conn,
+		self:      conn.LocalAddr().(*net.UDPAddr).AddrPort(),
+		sequences: make(map[string]uint64), neighbours: make(map[netip.AddrPort]time.Time),
+	}
+	g.usage = l.tell
+	return l, nil
 }
 
 // Run asks for reports and takes them until ctx ends.
@@ -45,16 +66,12 @@
 	stop := context.AfterFunc(ctx, func() { _ = l.conn.Close() })
 	defer stop()
 	go l.receive(ctx)
-	ask, err := msgpack.Marshal(&peerlink.Subscription{Entry: l.name})
-	if err != nil {
-		panic(err)
-	}
+	ask := encode(&peerlink.Datagram{Subscription: &peerlink.Subscription{Entry: l.name, Region: l.region}})
 	ticker := time.NewTicker(subscribeInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		for _, agent := range l.gateway.engineHosts() {
-			// A lost datagram is replaced by the next one.
-			_, _ = l.conn.WriteToUDPAddrPort(ask, netip.AddrPortFrom(agent, uint16(l.port)))
+			l.send(ask, netip.AddrPortFrom(agent, l.self.Port()))
 		}
 		select {
 		case <-ctx.Done():
@@ -63,6 +80,41 @@
 	}
 }
 
+func encode(d *peerlink.Datagram) []byte {
+	data, err := msgpack.Marshal(d)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// send sends a datagram. A lost one is replaced by the next one.
+func (l *Loads) send(data []byte, to netip.AddrPort) { _, _ = l.conn.WriteToUDPAddrPort(data, to) }
+
+// tell tells the neighbours and the server's agent what this entry has there.
+func (l *Loads) tell(u peerlink.Usage) {
+	l.mu.Lock()
+	now := l.gateway.now()
+	l.sequence++
+	u.Entry, u.Sequence = l.name, l.sequence
+	to := make([]netip.AddrPort, 0, len(l.neighbours)+1)
+	if server, err := netip.ParseAddrPort(u.Server); err == nil {
+		to = append(to, netip.AddrPortFrom(server.Addr(), l.self.Port()))
+	}
+	for address, at := range l.neighbours {
+		if now.Sub(at) > neighbourTime {
+			delete(l.neighbours, address)
+			continue
+		}
+		to = append(to, address)
+	}
+	l.mu.Unlock()
+	data := encode(&peerlink.Datagram{Usage: &u})
+	for _, address := range to {
+		l.send(data, address)
+	}
+}
+
 func (l *Loads) receive(ctx context.Context) {
 	buf := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
@@ -74,21 +126,55 @@
 			}
 			continue
 		}
-		var s peerlink.Status
-		if msgpack.Unmarshal(buf[:n], &s) != nil {
-			continue
+		var d peerlink.Datagram
+		switch {
+		case msgpack.Unmarshal(buf[:n], &d) != nil:
+		case d.Status != nil && l.newest(d.Status.Address, d.Status.Sequence):
+			l.learnNeighbours(d.Status.Neighbours)
+			l.gateway.takeStatus(*d.Status)
+		case d.Usage != nil && l.newest(d.Usage.Entry+" "+d.Usage.Server, d.Usage.Sequence):
+			l.gateway.takeUsage(*d.Usage)
 		}
-		// Datagrams may overtake each other. A restarted agent begins anew.
-		if last := l.sequences[s.Address]; s.Sequence <= last && last-s.Sequence < reorderWindow {
-			continue
+	}
+}
+
+// newest reports whether a message is newer than those seen: datagrams may
+// overtake each other.
+func (l *Loads) newest(sender string, sequence uint64) bool {
+	if last := l.sequences[sender]; sequence <= last && last-sequence < reorderWindow {
+		return false
+	}
+	l.sequences[sender] = sequence
+	return true
+}
+
+func (l *Loads) learnNeighbours(addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.gateway.now()
+	if !l.own(addresses) {
+		// The agent belongs to another region.
+		return
+	}
+	for _, text := range addresses {
+		if address, err := netip.ParseAddrPort(text); err == nil && address != l.self {
+			l.neighbours[address] = now
 		}
-		l.sequences[s.Address] = s.Sequence
-		l.gateway.takeStatus(s)
 	}
 }
 
-// reorderWindow is the number of reports by which one may be overtaken.
-const reorderWindow = 50
+// own reports whether this entry is one of the addresses.
+func (l *Loads) own(addresses []string) bool {
+	for _, text := range addresses {
+		if text == l.self.String() {
+			return true
+		}
+	}
+	return false
+}
 
 // engineHosts returns the hosts of all engines.
 func (g *Gateway) engineHosts() []netip.Addr {
@@ -120,12 +206,7 @@
 	if status.Entries > 0 {
 		g.budget.SetEntries(status.Entries)
 	}
-	var server *directory.Server
-	g.directory.All(func(s *directory.Server) {
-		if s.Address == status.Address {
-			server = s
-		}
-	})
+	server := g.directory.At(status.Address)
 	if server == nil || status.Born != 0 && server.Born != 0 && status.Born != server.Born {
 		return
 	}
@@ -135,6 +216,23 @@
 		g.directory.Put(&updated)
 	}
 	g.picker.Report(server.Key(), placement.Load{
-		Running: status.Running, Waiting: status.Waiting, Pace: status.Pace, Closed: status.Closed,
+		Running: status.Running, Waiting: status.Waiting, ReadingTokens: status.ReadingTokens, Pace: status.Pace, Closed: status.Closed,
 	}, now)
 }
+
+// takeUsage takes what another entry has at a server.
+func (g *Gateway) takeUsage(u peerlink.Usage) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if server := g.directory.At(u.Server); server != nil {
+		g.picker.Neighbour(server.Key(), u.Entry, placement.Usage{Running: u.Running, Reading: u.Reading, ReadingTokens: u.ReadingTokens}, g.now())
+	}
+}
+
+// tellUsage tells the neighbours what this entry has at a server. The caller
+// does not hold mu.
+func (g *Gateway) tellUsage(lease *placement.Lease, u placement.Usage) {
+	if g.usage != nil {
+		g.usage(peerlink.Usage{Server: lease.Server.Address, Running: u.Running, Reading: u.Reading, ReadingTokens: u.ReadingTokens})
+	}
+}
--- a/gateway/observation.go
+++ b/gateway/observation.go
@@ -11,6 +11,9 @@
 	Status int
 	// Server is the last backend server; empty if none had the request.
 	Server string
+	// Predicted, Occupancy and LoadAge are what the last placement rested on.
+	Predicted, LoadAge time.Duration
+	Occupancy          int
 	// Attempts counts the backend servers that had the request.
 	Attempts int
 	// ConfigVersion is the configuration that decided.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -131,8 +131,9 @@
 			return
 		}
 		r.seen.Server = lease.Server.ID
+		r.seen.Predicted, r.seen.Occupancy, r.seen.LoadAge = lease.Predicted, lease.Occupancy, lease.LoadAge
 		end := r.exchange(lease)
-		g.done(lease, end.result)
+		r.done(lease, end.result)
 		switch {
 		case end.final:
 			return
@@ -149,6 +150,14 @@
 // pick places the request; the first placement counts as a request of the
 // service, later ones draw on the retry budget in mayRepeat.
 func (r *request) pick(now time.Time) (*placement.Lease, *placement.Refusal) {
+	lease, refusal := r.place(now)
+	if lease != nil && r.engine != nil {
+		r.gateway.tellUsage(lease, lease.Usage)
+	}
+	return lease, refusal
+}
+
+func (r *request) place(now time.Time) (*placement.Lease, *placement.Refusal) {
 	g := r.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -158,10 +167,15 @@
 	return g.picker.Pick(r.demand(now), now)
 }
 
-func (g *Gateway) done(lease *placement.Lease, result placement.Result) {
+// done ends an attempt.
+func (r *request) done(lease *placement.Lease, result placement.Result) {
+	g := r.gateway
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.picker.Done(lease, result, g.now())
+	usage := g.picker.Done(lease, result, g.now())
+	g.mu.Unlock()
+	if r.engine != nil {
+		g.tellUsage(lease, usage)
+	}
 }
 
 // mayRepeat reports whether another server may have the request after an
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -52,7 +53,7 @@
 	g := gateway.New(gateway.Config{
 		Dialect: platform.Dialect{}, Clock: clock.System{}, Log: p.Log, Observe: requests.observe,
 		Retry:   retry.Config{Ratio: s.Bounds.RetryRatio, Window: s.Bounds.RetryWindow, Slack: s.Bounds.RetrySlack},
-		Entries: assumedEntries, VersionTime: s.Bounds.VersionTime,
+		Entries: assumedEntries, Seed: rand.Uint64(), VersionTime: s.Bounds.VersionTime,
 		Placement: placement.Config{Domain: s.Domain, Regions: s.Regions},
 	})
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -60,7 +61,7 @@
 	store := platform.NewStore(s.StoreAddress)
 	go watch.New(watch.Config{}, store.Table(platform.TableOperator), &platform.OperatorWatch{Sink: &gatewayOperator{gateway: g, log: p.Log}}).Run(background)
 	go watch.New(watch.Config{}, store.Table(platform.TableServers), &platform.ServerWatch{Sink: &gatewayServers{gateway: g, log: p.Log}}).Run(background)
-	loads, err := gateway.NewLoads(g, s.Instance, s.Address, s.FirstPort)
+	loads, err := gateway.NewLoads(g, s.Instance, s.Region, s.Address, s.FirstPort)
 	if err != nil {
 		return err
 	}
--- a/lib/directory/directory.go
+++ b/lib/directory/directory.go
@@ -87,6 +87,18 @@
 	return d.byService[name]
 }
 
+// At returns the server at an address, or nil. Of several, it is the one that
+// started last.
+func (d *Directory) At(address string) *Server {
+	var found *Server
+	for _, s := range d.servers {
+		if s.Address == address && (found == nil || s.Born > found.Born) {
+			found = s
+		}
+	}
+	return found
+}
+
 // All calls f for each server.
 func (d *Directory) All(f func(*Server)) {
 	for _, s := range d.servers {
--- a/lib/placement/config.go
+++ b/lib/placement/config.go
@@ -36,6 +36,9 @@
 	defaultMinEject        = 500 * time.Millisecond
 	defaultMaxEject        = 4 * time.Second
 	defaultMaxEjectedShare = 0.5
+	// distantChoices is the number of servers of other regions that are compared
+	// for one request.
+	distantChoices = 2
 	// minRetryAfter and maxRetryAfter bound the time after which refused callers
 	// may come back.
 	minRetryAfter = 100 * time.Millisecond
--- a/lib/placement/lease.go
+++ b/lib/placement/lease.go
@@ -11,6 +11,13 @@
 	Server *directory.Server
 	// Predicted is the expected time to the first answer.
 	Predicted time.Duration
+	// Occupancy is the estimated number of requests there before this one, and
+	// LoadAge the age of the report that it rests on; negative if there is none.
+	Occupancy int
+	LoadAge   time.Duration
+
+	// Usage is what this entry has at the server with this request.
+	Usage Usage
 
 	state   *server
 	prompt  int
@@ -19,3 +26,10 @@
 	answering bool
 	done      bool
 }
+
+// Usage is what one entry has at one server.
+type Usage struct {
+	// Running counts its requests, Reading those without a first answer, and
+	// ReadingTokens their prompt tokens.
+	Running, Reading, ReadingTokens int
+}
--- a/lib/placement/load.go
+++ b/lib/placement/load.go
@@ -4,8 +4,10 @@
 
 // Load is what a server reported of itself.
 type Load struct {
-	// Running and Waiting count requests, Slots those that run at the same time.
-	Running, Waiting, Slots int
+	// Running and Waiting count requests.
+	Running, Waiting int
+	// ReadingTokens are the prompts without a first answer, of all entries.
+	ReadingTokens int
 	// Pace is how much slower than declared it works; zero means unknown.
 	Pace float64
 	// Closed tells that the server takes no new requests now, as it loads
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/directory"
@@ -11,11 +12,12 @@
 	config    Config
 	directory *directory.Directory
 	servers   map[directory.Key]*server
+	rng       *rand.Rand
 }
 
 // New returns a Picker over the servers of a directory, which it reads only.
-func New(config Config, d *directory.Directory) *Picker {
-	return &Picker{config: config.applyDefaults(), directory: d, servers: make(map[directory.Key]*server)}
+func New(config Config, d *directory.Directory, rng *rand.Rand) *Picker {
+	return &Picker{config: config.applyDefaults(), directory: d, servers: make(map[directory.Key]*server), rng: rng}
 }
 
 // Pick places a request. It returns a lease, or the reason of a refusal.
@@ -27,62 +29,97 @@
 	if refusal := p.tooLate(&d, best, estimate, now); refusal != nil {
 		return nil, refusal
 	}
-	best.own++
+	occupancy, age := best.occupancy(now), best.loadAge(now)
+	best.own.Running++
 	best.sinceReport++
-	best.reading++
-	best.readingTokens += d.PromptTokens
+	best.own.Reading++
+	best.own.ReadingTokens += d.PromptTokens
 	return &Lease{
 		Server: best.seen, Predicted: estimate.first + p.distance(best.seen.Domain),
+		Occupancy: occupancy, LoadAge: age, Usage: best.own,
 		state: best, prompt: d.PromptTokens, started: now,
 	}, nil
 }
 
+// candidate is a server that may take a request.
+type candidate struct {
+	*server
+	estimate
+	// score is the predicted time to the first answer, with the way there.
+	score time.Duration
+}
+
 // best returns the server with the earliest predicted first answer.
 func (p *Picker) best(d *Demand, now time.Time) (*server, estimate, *Refusal) {
 	p.directory.Expire(now)
-	listed := p.directory.Service(d.Service)
+	usable, reason := p.usable(d)
+	open := p.open(usable, now)
+	if len(open) == 0 {
+		return nil, estimate{}, &Refusal{Reason: reason, After: absentRetryAfter}
+	}
+	var best *candidate
+	for _, s := range p.sample(open) {
+		e := s.predict(d, now)
+		c := &candidate{server: s, estimate: e, score: e.first + p.distance(s.seen.Domain)}
+		if best == nil || c.score < best.score || c.score == best.score && s.own.Running < best.own.Running {
+			best = c
+		}
+	}
+	return best.server, best.estimate, nil
+}
+
+// usable returns the servers that may run the request at all, and the reason if
+// there are none.
+func (p *Picker) usable(d *Demand) ([]*server, Reason) {
 	reason := NoServer
-	var best *server
-	var bestEstimate estimate
-	var bestScore time.Duration
-	ejected, usable := 0, 0
-	for pass := 0; pass < 2 && best == nil; pass++ {
-		ejected, usable = 0, 0
-		for _, listing := range listed {
-			if listing.Draining || d.excludes(listing.Key()) {
-				continue
-			}
-			if !holds(listing, d) {
-				reason = NoWeights
-				continue
-			}
-			usable++
-			s := p.state(listing)
-			if s.ejected(now) {
-				ejected++
-				// Ejected servers are used only if no other is left, and then only
-				// where ejection may have gone too far.
-				if pass == 0 {
-					continue
-				}
-			}
-			if s.closed(now) {
-				continue
-			}
-			e := s.predict(d, now)
-			score := e.first + p.distance(listing.Domain)
-			if best == nil || score < bestScore || score == bestScore && s.own < best.own {
-				best, bestEstimate, bestScore = s, e, score
-			}
+	var usable []*server
+	for _, listing := range p.directory.Service(d.Service) {
+		switch {
+		case listing.Draining || d.excludes(listing.Key()):
+		case !holds(listing, d):
+			reason = NoWeights
+		default:
+			usable = append(usable, p.state(listing))
 		}
-		if float64(ejected) <= p.config.MaxEjectedShare*float64(usable) {
-			break
+	}
+	return usable, reason
+}
+
+// open leaves out the servers that take no requests now, and ejected ones
+// unless too many are ejected to be believed.
+func (p *Picker) open(usable []*server, now time.Time) []*server {
+	var open, ejected []*server
+	for _, s := range usable {
+		switch {
+		case s.closed(now):
+		case s.ejected(now):
+			ejected = append(ejected, s)
+		default:
+			open = append(open, s)
 		}
 	}
-	if best == nil {
-		return nil, estimate{}, &Refusal{Reason: reason, After: absentRetryAfter}
+	if len(open) == 0 && float64(len(ejected)) > p.config.MaxEjectedShare*float64(len(usable)) {
+		return ejected
+	}
+	return open
+}
+
+// sample returns all servers of the own region and some of the others. What is
+// known of distant servers is older, and all entries would choose the same one.
+func (p *Picker) sample(open []*server) []*server {
+	var near, far []*server
+	for _, s := range open {
+		if p.config.Regions[s.seen.Domain] == p.config.Regions[p.config.Domain] {
+			near = append(near, s)
+		} else {
+			far = append(far, s)
+		}
 	}
-	return best, bestEstimate, nil
+	if len(far) > distantChoices {
+		p.rng.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
+		far = far[:distantChoices]
+	}
+	return append(near, far...)
 }
 
 // holds reports whether a server has the weights that the request needs.
@@ -104,13 +141,13 @@
 	if d.Target <= 0 || d.Continued {
 		return nil
 	}
-	slots := s.slots()
-	if s.occupancy(now) < slots {
+	if 2*s.occupancy(now) < s.slots() {
+		// A wait at a server that is half empty cannot be long.
 		return nil
 	}
 	usual := e.first - e.wait
 	if d.Engine != nil {
-		usual = prefillTime(d.Engine, d.Engine.UsualPrompt, 1) + passTime(d.Engine, slots)
+		usual = prefillTime(d.Engine, d.Engine.UsualPrompt, 1) + passTime(d.Engine, s.slots())
 	}
 	limit := scale(d.Target, p.config.TargetShare)
 	predicted := e.wait + usual
@@ -135,34 +172,32 @@
 
 // state returns what is known of a listed server.
 func (p *Picker) state(listing *directory.Server) *server {
-	s := p.servers[listing.Key()]
-	if s == nil {
-		s = &server{}
-		p.servers[listing.Key()] = s
-	}
+	s := p.server(listing.Key())
 	s.seen = listing
 	return s
 }
 
-// Answering takes note that the first answer of a request has arrived.
-func (p *Picker) Answering(l *Lease, now time.Time) {
-	if l.answering || l.done {
-		return
+// Answering takes note that the first answer of a request has arrived. It
+// returns what this entry has at the server.
+func (p *Picker) Answering(l *Lease, _ time.Time) Usage {
+	s := l.state
+	if !l.answering && !l.done {
+		l.answering = true
+		s.own.Reading--
+		s.own.ReadingTokens -= l.prompt
 	}
-	l.answering = true
-	l.state.reading--
-	l.state.readingTokens -= l.prompt
+	return s.own
 }
 
-// Done ends a lease.
-func (p *Picker) Done(l *Lease, result Result, now time.Time) {
+// Done ends a lease. It returns what this entry has at the server.
+func (p *Picker) Done(l *Lease, result Result, now time.Time) Usage {
 	if l.done {
-		return
+		return l.state.own
 	}
 	p.Answering(l, now)
 	l.done = true
 	s := l.state
-	s.own--
+	s.own.Running--
 	s.sinceReport--
 	switch result {
 	case Answered:
@@ -177,6 +212,27 @@
 		}
 	case Cancelled, Rejected:
 	}
+	return s.own
+}
+
+// Neighbour takes what another entry has at a server.
+func (p *Picker) Neighbour(key directory.Key, entry string, u Usage, now time.Time) {
+	s := p.server(key)
+	if s.neighbours == nil {
+		s.neighbours = make(map[string]neighbour)
+	}
+	s.sinceReport += u.Running - s.neighbours[entry].Running
+	s.neighbours[entry] = neighbour{Usage: u, at: now}
+}
+
+// server returns the state of one start of a server.
+func (p *Picker) server(key directory.Key) *server {
+	s := p.servers[key]
+	if s == nil {
+		s = &server{}
+		p.servers[key] = s
+	}
+	return s
 }
 
 func (s *server) smoothAnswer(took time.Duration) {
@@ -197,17 +253,19 @@
 	s.ejectedUntil = now.Add(while)
 }
 
-// Report takes a server's own word on its load.
+// Report takes an agent's report on a server.
 func (p *Picker) Report(key directory.Key, load Load, now time.Time) {
-	s := p.servers[key]
-	if s == nil {
-		s = &server{}
-		p.servers[key] = s
-	}
-	if load.Pace == 0 {
-		load.Pace = s.load.Pace
-	}
+	s := p.server(key)
 	s.load, s.loadAt, s.sinceReport = load, now, 0
+	s.foreignTokens = max(0, load.ReadingTokens-s.known(now).ReadingTokens)
+}
+
+// Hint takes the counts that a server adds to its answers. They tell nothing of
+// its pace and of whether it takes requests.
+func (p *Picker) Hint(key directory.Key, running, waiting int, now time.Time) {
+	s := p.server(key)
+	s.load.Running, s.load.Waiting = running, waiting
+	s.loadAt, s.sinceReport = now, 0
 }
 
 // Forget drops the state of servers that are no longer listed and idle.
@@ -215,7 +273,7 @@
 	listed := make(map[directory.Key]bool, p.directory.Len())
 	p.directory.All(func(s *directory.Server) { listed[s.Key()] = true })
 	for key, s := range p.servers {
-		if !listed[key] && s.own == 0 {
+		if !listed[key] && s.own.Running == 0 {
 			delete(p.servers, key)
 		}
 	}
--- a/lib/placement/predict.go
+++ b/lib/placement/predict.go
@@ -54,9 +54,12 @@
 	}
 	busy := min(occupancy, slots)
 	pass := passTime(e, busy)
-	wait := pass / 2
-	if occupancy == 0 {
-		wait = 0
+	// Requests that end are replaced, and the prompts of their successors are
+	// read between the passes.
+	turnover := turnoverTime(e, busy)
+	wait := time.Duration(0)
+	if occupancy > 0 {
+		wait = (pass+turnover)/2 + turnover
 	}
 	if ahead := occupancy + 1 - slots; ahead > 0 {
 		wait += time.Duration(ahead) * serviceTime(e, slots)
@@ -72,14 +75,26 @@
 	return estimate{first: wait + scale(own+passTime(e, busy+1), pace), wait: wait}
 }
 
-// promptsAhead estimates the prompt tokens that are read before a new prompt:
-// those of this entry's own requests, and usual ones for the others that wait.
+// promptsAhead estimates the prompt tokens that are read before a new prompt
+// beyond the usual turnover.
 func (s *server) promptsAhead(e *serving.Engine, now time.Time) int {
-	tokens := s.readingTokens
-	if now.Sub(s.loadAt) <= loadAge {
-		tokens += max(0, s.load.Waiting-s.reading) * e.UsualPrompt
+	known := s.known(now)
+	age := now.Sub(s.loadAt)
+	if age > loadAge {
+		return known.ReadingTokens
+	}
+	read := int(age.Seconds() * e.PrefillRate)
+	return known.ReadingTokens + max(0, s.foreignTokens-read)
+}
+
+// turnoverTime is the time in which the prompts of new requests are read in one
+// pass of an engine with n requests.
+func turnoverTime(e *serving.Engine, n int) time.Duration {
+	if e.UsualAnswer <= 0 {
+		return 0
 	}
-	return tokens
+	perPass := float64(n*max(1, e.StepsPerPass)) / float64(e.UsualAnswer)
+	return scale(prefillTime(e, e.UsualPrompt, 1), perPass)
 }
 
 // passTime is the time of one pass with n requests that generate tokens.
--- a/lib/placement/server.go
+++ b/lib/placement/server.go
@@ -6,17 +6,30 @@
 	"github.com/auburnbend/auburnbend/lib/directory"
 )
 
+// neighbourAge is the age at which another entry's usage no longer counts. It is
+// longer than the time of a usual answer; a change is told at once.
+const neighbourAge = 3 * time.Second
+
+// neighbour is another entry's usage of a server.
+type neighbour struct {
+	Usage
+	at time.Time
+}
+
 // server is what a Picker knows of one start of a backend server.
 type server struct {
 	seen *directory.Server
-	// own counts this entry's requests in flight.
-	own int
-	// reading counts those without a first answer, readingTokens their prompts.
-	reading, readingTokens int
-	// load is the last report; sinceReport is the change of own since then.
+	// own is what this entry has there.
+	own Usage
+	// neighbours is what other entries of the region have there.
+	neighbours map[string]neighbour
+	// load is the last report; sinceReport is the change of the known usage since
+	// then.
 	load        Load
 	loadAt      time.Time
 	sinceReport int
+	// foreignTokens are prompt tokens of entries that do not tell this one.
+	foreignTokens int
 	// answerTime is the smoothed time of an answer of a plain service.
 	answerTime time.Duration
 	// failures counts those in a row; ejections how often it was ejected for
@@ -28,9 +41,22 @@
 // occupancy estimates the requests that run or wait there.
 func (s *server) occupancy(now time.Time) int {
 	if s.loadAt.IsZero() || now.Sub(s.loadAt) > loadAge {
-		return s.own
+		return s.known(now).Running
 	}
-	return max(s.own, s.load.Running+s.load.Waiting+s.sinceReport)
+	return max(s.own.Running, s.load.Running+s.load.Waiting+s.sinceReport)
+}
+
+// known is what this entry and its neighbours have there.
+func (s *server) known(now time.Time) Usage {
+	u := s.own
+	for _, n := range s.neighbours {
+		if now.Sub(n.at) <= neighbourAge {
+			u.Running += n.Running
+			u.Reading += n.Reading
+			u.ReadingTokens += n.ReadingTokens
+		}
+	}
+	return u
 }
 
 // pace is how much slower than declared the server works.
@@ -50,3 +76,11 @@
 
 // slots is the number of requests that run at the same time.
 func (s *server) slots() int { return max(1, s.seen.Slots) }
+
+// loadAge is the age of the last report; negative if there is none.
+func (s *server) loadAge(now time.Time) time.Duration {
+	if s.loadAt.IsZero() {
+		return -time.Millisecond
+	}
+	return now.Sub(s.loadAt)
+}
--- a/peerlink/message.go
+++ b/peerlink/message.go
@@ -26,10 +26,18 @@
 	Data []byte `msgpack:"d,omitempty"`
 }
 
+// Datagram is one message without a connection; one field is set.
+type Datagram struct {
+	Subscription *Subscription `msgpack:"b,omitempty"`
+	Status       *Status       `msgpack:"s,omitempty"`
+	Usage        *Usage        `msgpack:"u,omitempty"`
+}
+
 // Subscription asks an agent for load reports for a few seconds.
 type Subscription struct {
-	// Entry is the instance of the entry that asks.
-	Entry string `msgpack:"e"`
+	// Entry is the instance of the entry that asks, Region its region.
+	Entry  string `msgpack:"e"`
+	Region string `msgpack:"r"`
 }
 
 // Status is an agent's report on its backend server.
@@ -41,6 +49,9 @@
 	// Running and Waiting count requests.
 	Running int `msgpack:"r"`
 	Waiting int `msgpack:"w"`
+	// ReadingTokens are the prompts without a first answer, of all entries that
+	// tell the agent.
+	ReadingTokens int `msgpack:"t"`
 	// Pace is how much slower than declared the engine works.
 	Pace float64 `msgpack:"p"`
 	// Closed tells that no requests should be sent now.
@@ -50,6 +61,26 @@
 	Version int    `msgpack:"v"`
 	// Entries is the number of entries that subscribe.
 	Entries int `msgpack:"n"`
+	// Neighbours are the addresses of the entries in the agent's region.
+	Neighbours []string `msgpack:"g,omitempty"`
 	// Sequence orders the reports of one agent.
 	Sequence uint64 `msgpack:"s"`
 }
+
+// Usage is what an entry has at one backend server. Entries tell it at each
+// change to the server's agent and to the other entries of their region: reports
+// of agents are up to 100 ms old, in which all entries would choose the same
+// server.
+type Usage struct {
+	// Entry is the instance of the sender.
+	Entry string `msgpack:"e"`
+	// Server is the IP address and port of the backend server.
+	Server string `msgpack:"a"`
+	// Running counts the sender's requests there, Reading those without a first
+	// answer, and ReadingTokens their prompt tokens.
+	Running       int `msgpack:"r"`
+	Reading       int `msgpack:"f"`
+	ReadingTokens int `msgpack:"t"`
+	// Sequence orders the messages of one entry.
+	Sequence uint64 `msgpack:"s"`
+}
--- a/replica/beacon.go
+++ b/replica/beacon.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	// beaconRefresh is how often an unchanged load is sent.
+	// beaconRefresh is how often an unchanged load and the list of neighbours are
+	// sent.
 	beaconRefresh = time.Second
 	// subscriptionTime is how long an entry gets reports after it asked; entries
 	// ask once a second.
@@ -28,19 +29,34 @@
 	conn    *net.UDPConn
 
 	mu          sync.Mutex
-	subscribers map[netip.AddrPort]time.Time
+	subscribers map[netip.AddrPort]subscriber
+	// usages are what entries have at the engine, by entry.
+	usages map[string]usage
 
 	last   peerlink.Status
 	lastAt time.Time
 }
 
+// subscriber is an entry that asked for reports.
+type subscriber struct {
+	at     time.Time
+	region string
+}
+
+// usage is what an entry has at the engine.
+type usage struct {
+	at            time.Time
+	sequence      uint64
+	readingTokens int
+}
+
 // NewBeacon listens for entries on the replica's port.
 func NewBeacon(r *Replica) (*Beacon, error) {
 	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.ParseIP(r.config.Listen), Port: r.config.PeerPort})
 	if err != nil {
 		return nil, err
 	}
-	return &Beacon{replica: r, conn: conn, subscribers: make(map[netip.AddrPort]time.Time)}, nil
+	return &Beacon{replica: r, conn: conn, subscribers: make(map[netip.AddrPort]subscriber), usages: make(map[string]usage)}, nil
 }
 
 // Run serves entries until ctx ends.
@@ -50,8 +66,8 @@
 	go b.receive(ctx)
 	for ctx.Err() == nil {
 		wait(ctx, nil, engineInterval)
-		if to := b.current(); len(to) > 0 {
-			b.send(to)
+		if to, neighbours := b.current(); len(to) > 0 {
+			b.send(to, neighbours)
 		}
 	}
 }
@@ -64,43 +80,77 @@
 			wait(ctx, nil, retryPause)
 			continue
 		}
-		var s peerlink.Subscription
-		if msgpack.Unmarshal(buf[:n], &s) != nil {
+		var d peerlink.Datagram
+		if msgpack.Unmarshal(buf[:n], &d) == nil {
+			b.take(from, &d)
+		}
+	}
+}
+
+func (b *Beacon) take(from netip.AddrPort, d *peerlink.Datagram) {
+	now := b.replica.config.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if d.Subscription != nil {
+		b.subscribers[from] = subscriber{at: now, region: d.Subscription.Region}
+	}
+	if u := d.Usage; u != nil && u.Sequence > b.usages[u.Entry].sequence {
+		b.usages[u.Entry] = usage{at: now, sequence: u.Sequence, readingTokens: u.ReadingTokens}
+	}
+}
+
+// readingTokens sums up what the entries told. Entries that have fallen silent
+// do not count.
+func (b *Beacon) readingTokens() int {
+	now := b.replica.config.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	tokens := 0
+	for entry, u := range b.usages {
+		if now.Sub(u.at) > subscriptionTime {
+			delete(b.usages, entry)
 			continue
 		}
-		b.mu.Lock()
-		b.subscribers[from] = b.replica.config.Clock.Now()
-		b.mu.Unlock()
+		tokens += u.readingTokens
 	}
+	return tokens
 }
 
-// current returns the subscribers whose time is not over.
-func (b *Beacon) current() []netip.AddrPort {
+// current returns the subscribers whose time is not over, and which of them are
+// in this instance's region.
+func (b *Beacon) current() (list []netip.AddrPort, neighbours []string) {
 	now := b.replica.config.Clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	list := make([]netip.AddrPort, 0, len(b.subscribers))
-	for address, at := range b.subscribers {
-		if now.Sub(at) > subscriptionTime {
+	for address, s := range b.subscribers {
+		if now.Sub(s.at) > subscriptionTime {
 			delete(b.subscribers, address)
 			continue
 		}
 		list = append(list, address)
+		if s.region == b.replica.config.Region {
+			neighbours = append(neighbours, address.String())
+		}
 	}
-	return list
+	return list, neighbours
 }
 
-func (b *Beacon) send(to []netip.AddrPort) {
+func (b *Beacon) send(to []netip.AddrPort, neighbours []string) {
 	status := b.status()
 	status.Entries = len(to)
 	now := b.replica.config.Clock.Now()
 	status.Sequence = b.last.Sequence
-	if status == b.last && now.Sub(b.lastAt) < beaconRefresh {
+	refresh := now.Sub(b.lastAt) >= beaconRefresh
+	if !refresh && sameStatus(&status, &b.last) {
 		return
 	}
 	status.Sequence++
-	b.last, b.lastAt = status, now
-	data, err := msgpack.Marshal(&status)
+	b.last = status
+	if refresh {
+		b.lastAt = now
+		status.Neighbours = neighbours
+	}
+	data, err := msgpack.Marshal(&peerlink.Datagram{Status: &status})
 	if err != nil {
 		panic(err)
 	}
@@ -110,6 +160,11 @@
 	}
 }
 
+func sameStatus(a, b *peerlink.Status) bool {
+	return a.Running == b.Running && a.ReadingTokens == b.ReadingTokens && a.Waiting == b.Waiting && a.Pace == b.Pace && a.Closed == b.Closed &&
+		a.Born == b.Born && a.Model == b.Model && a.Version == b.Version && a.Entries == b.Entries
+}
+
 // status returns the engine's load. An engine that does not answer is closed.
 func (b *Beacon) status() peerlink.Status {
 	s := peerlink.Status{Address: b.replica.config.Self}
@@ -119,6 +174,7 @@
 		return s
 	}
 	s.Born, s.Running, s.Waiting, s.Pace = report.Born, report.Running, report.Waiting, report.Pace
+	s.ReadingTokens = b.readingTokens()
 	s.Closed = report.Busy || b.replica.Closed()
 	for model, w := range report.Weights {
 		if w.Whole {
--- a/replica/config.go
+++ b/replica/config.go
@@ -64,4 +64,7 @@
 	// closeBefore is how long before the order the entries are told to send no
 	// more requests: a report takes a few milliseconds.
 	closeBefore = 50 * time.Millisecond
+	// queueLimit bounds the wait for the requests in the engine's queue. They are
+	// worth little after the target latency of usual routes, 400 ms.
+	queueLimit = 400 * time.Millisecond
 )
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -208,7 +208,7 @@
 	r.closed.Store(true)
 	// From the order on the engine itself tells that it is busy.
 	defer r.closed.Store(false)
-	wait(ctx, nil, closeBefore)
+	r.awaitQueue(ctx)
 	whole, err := p.holdings.stage(ctx)
 	if err != nil {
 		r.engineFailed(err)
@@ -231,6 +231,19 @@
 	r.observe(ctx)
 }
 
+// awaitQueue waits until the requests that the engine has taken have begun: the
+// order rejects those that wait.
+func (r *Replica) awaitQueue(ctx context.Context) {
+	limit := r.config.Clock.Now().Add(queueLimit)
+	for ctx.Err() == nil && r.config.Clock.Now().Before(limit) {
+		wait(ctx, nil, closeBefore)
+		r.observe(ctx)
+		if report := r.report.Load(); report == nil || report.Waiting == 0 {
+			return
+		}
+	}
+}
+
 // taken takes note that a version is at the engine.
 func (r *Replica) taken(p *pendingVersion) {
 	r.mu.Lock()
