--- /dev/null
+++ b/lib/placement/picker_test.go
@@ -0,0 +1,217 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/lib/directory"
+	"github.com/auburnbend/auburnbend/lib/placement"
+	"github.com/auburnbend/auburnbend/lib/serving"
+)
+
+// engine is a model engine as deployments declare it.
+var engine = &serving.Engine{
+	Slots: 16, KVTokens: 1180000, StepTime: 8870 * time.Microsecond, SequenceTime: 39 * time.Microsecond,
+	ContextTime: 23 * time.Microsecond, PrefillRate: 19100, PairTime: 1470 * time.Microsecond,
+	StepsPerPass: 5, ChunkTokens: 2048, UsualPrompt: 977, UsualAnswer: 94,
+}
+
+var _ = Describe("Picker", func() {
+	var (
+		now time.Time
+		dir *directory.Directory
+		p   *placement.Picker
+	)
+	add := func(id, domain string, change func(*directory.Server)) directory.Key {
+		s := &directory.Server{
+			ID: id, Service: "drafts", Address: id + ":80", Domain: domain, Slots: 16,
+			Weights: map[string]directory.Weights{"m": {Version: 1, Whole: true}},
+		}
+		if change != nil {
+			change(s)
+		}
+		dir.Put(s)
+		return s.Key()
+	}
+	demand := func() placement.Demand {
+		return placement.Demand{
+			Service: "drafts", Engine: engine, Model: "m", PromptTokens: 1000, AnswerTokens: 100,
+			Target: 400 * time.Millisecond, Limit: 6 * time.Second,
+		}
+	}
+	pick := func(d placement.Demand) *placement.Lease {
+		lease, refusal := p.Pick(d, now)
+		Expect(refusal).To(BeNil())
+		return lease
+	}
+	BeforeEach(func() {
+		now = time.Unix(1000, 0)
+		dir = directory.New()
+		p = placement.New(placement.Config{Domain: "north", Regions: map[string]string{"north": "n", "south": "s"}}, dir, rand.New(rand.NewPCG(1, 1)))
+	})
+
+	It("spreads requests over servers of the own domain and spills over when they wait", func() {
+		add("a", "north", nil)
+		add("b", "north", nil)
+		add("far", "south", nil)
+		counts := make(map[string]int)
+		for range 3 {
+			counts[pick(demand()).Server.ID]++
+		}
+		Expect(counts["a"]).To(BeNumerically(">=", 1))
+		Expect(counts["b"]).To(BeNumerically(">=", 1))
+		for range 10 {
+			counts[pick(demand()).Server.ID]++
+		}
+		Expect(counts["far"]).To(BeNumerically(">", 1))
+	})
+
+	It("sends nothing to servers that drain, load, hold other weights or were tried", func() {
+		// Guards against requests to leaving servers and against answers from weights
+		// that must no longer serve.
+		add("draining", "north", func(s *directory.Server) { s.Draining = true })
+		add("part", "north", func(s *directory.Server) { s.Weights["m"] = directory.Weights{Version: 2} })
+		add("empty", "north", func(s *directory.Server) { s.Weights = nil })
+		loading := add("loading", "north", func(s *directory.Server) { s.Weights["m"] = directory.Weights{Version: 2, Whole: true} })
+		p.Report(loading, placement.Load{Closed: true}, now)
+		tried := add("tried", "north", func(s *directory.Server) { s.Weights["m"] = directory.Weights{Version: 2, Whole: true} })
+		add("old", "north", nil)
+		d := demand()
+		d.MinVersion, d.Exclude = 2, []directory.Key{tried}
+		_, refusal := p.Pick(d, now)
+		Expect(refusal).NotTo(BeNil())
+		Expect(refusal.After).To(BeNumerically(">", 0))
+		d.MinVersion = 0
+		Expect(pick(d).Server.ID).To(Equal("old"))
+	})
+
+	It("keeps a server closed when an answer tells its load", func() {
+		// Guards against requests to an engine that loads weights: its answers to
+		// earlier requests carry no word on that.
+		key := add("a", "north", nil)
+		p.Report(key, placement.Load{Closed: true}, now)
+		p.Hint(key, 1, 0, now)
+		_, refusal := p.Pick(demand(), now)
+		Expect(refusal).NotTo(BeNil())
+	})
+
+	It("refuses at once what would be answered after its target, and says when to come back", func() {
+		// Guards against a burst in which every answer is late: the load is 60
+		// requests at one moment for two engines.
+		add("a", "north", nil)
+		add("b", "north", nil)
+		placed, refused := 0, 0
+		for range 60 {
+			lease, refusal := p.Pick(demand(), now)
+			if refusal != nil {
+				refused++
+				Expect(refusal.Reason).To(Equal(placement.Overloaded))
+				Expect(refusal.After).To(And(BeNumerically(">=", 100*time.Millisecond), BeNumerically("<=", 2*time.Second)))
+				continue
+			}
+			placed++
+			// A server that is half empty is not refused; at a busier one the target
+			// is kept.
+			if lease.Occupancy >= engine.Slots/2 {
+				Expect(lease.Predicted).To(BeNumerically("<", demand().Target))
+			}
+		}
+		Expect(placed).To(BeNumerically(">", 8))
+		Expect(refused).To(BeNumerically(">", 10))
+	})
+
+	It("refuses long prompts no more often than short ones", func() {
+		// Guards against starving the largest requests of a class.
+		key := add("a", "north", nil)
+		p.Report(key, placement.Load{Running: 15}, now)
+		long := demand()
+		long.PromptTokens = 3800
+		_, refusedLong := p.Pick(long, now)
+		Expect(refusedLong).To(BeNil())
+	})
+
+	It("places a stream that has begun whatever its target", func() {
+		key := add("a", "north", nil)
+		p.Report(key, placement.Load{Running: 16, Waiting: 30}, now)
+		_, refusal := p.Pick(demand(), now)
+		Expect(refusal).NotTo(BeNil())
+		d := demand()
+		d.Continued = true
+		pick(d)
+	})
+
+	It("does not choose the server that neighbours have just chosen", func() {
+		// Guards against a herd on an engine that has just become free.
+		add("a", "north", nil)
+		b := add("b", "north", nil)
+		p.Neighbour(b, "entry-2", placement.Usage{Running: 4, Reading: 4, ReadingTokens: 4000}, now)
+		for range 3 {
+			Expect(pick(demand()).Server.ID).To(Equal("a"))
+		}
+	})
+
+	It("prefers a server at its declared pace to a slow one", func() {
+		a := add("a", "north", nil)
+		add("b", "north", nil)
+		p.Report(a, placement.Load{Pace: 3.5}, now)
+		for range 3 {
+			Expect(pick(demand()).Server.ID).To(Equal("b"))
+		}
+	})
+
+	It("ejects a server after failures in a row and tries it again later", func() {
+		// Guards against servers that fail requests while their health is good.
+		add("a", "north", nil)
+		add("b", "north", nil)
+		failed := ""
+		for range 2 {
+			lease := pick(demand())
+			for failed != "" && lease.Server.ID != failed {
+				p.Done(lease, placement.Cancelled, now)
+				hold := pick(demand())
+				lease = pick(demand())
+				defer p.Done(hold, placement.Cancelled, now)
+			}
+			failed = lease.Server.ID
+			p.Done(lease, placement.Failed, now)
+		}
+		for range 6 {
+			Expect(pick(demand()).Server.ID).NotTo(Equal(failed))
+		}
+		now = now.Add(5 * time.Second)
+		seen := make(map[string]bool)
+		for range 6 {
+			seen[pick(demand()).Server.ID] = true
+		}
+		Expect(seen).To(HaveKey(failed))
+	})
+
+	It("uses ejected servers when all are ejected", func() {
+		// Guards against a whole service that is refused because one cause made all
+		// servers fail.
+		for i := range 3 {
+			add(fmt.Sprint("s", i), "north", nil)
+		}
+		for range 3 {
+			p.Done(pick(demand()), placement.Unreachable, now)
+		}
+		pick(demand())
+	})
+
+	It("leaves no usage behind when requests end", func() {
+		// Guards against servers that seem busy for ever.
+		add("a", "north", nil)
+		for _, result := range []placement.Result{placement.Answered, placement.Cancelled, placement.Rejected, placement.Unreachable, placement.Failed} {
+			lease := pick(demand())
+			p.Answering(lease, now)
+			usage := p.Done(lease, result, now)
+			Expect(usage).To(Equal(placement.Usage{}))
+			Expect(p.Done(lease, result, now)).To(Equal(placement.Usage{}))
+			now = now.Add(10 * time.Second)
+		}
+	})
+})
--- /dev/null
+++ b/lib/serving/table_test.go
@@ -0,0 +1,70 @@
+package serving_test
+
+import (
+	"math/rand/v2"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/lib/serving"
+)
+
+var _ = Describe("Table", func() {
+	table := serving.NewTable(&serving.Config{
+		Routes: []serving.Route{
+			{Name: "root", Host: "a.example", Prefix: "/"},
+			{Name: "deep", Host: "a.example", Prefix: "/x/y/"},
+			{Name: "other", Host: "b.example", Prefix: "/x/"},
+		},
+		Teams: []serving.Team{{Name: "carvers", Keys: []string{"k1", "k2"}}},
+	})
+
+	DescribeTable("chooses the longest prefix of the path on the host",
+		// Guards against requests that run at a service which their route does not
+		// name.
+		func(host, path, want string) {
+			route := table.Route(host, path)
+			if want == "" {
+				Expect(route).To(BeNil())
+				return
+			}
+			Expect(route).NotTo(BeNil())
+			Expect(route.Name).To(Equal(want))
+		},
+		Entry("exact", "a.example", "/x/y/", "deep"),
+		Entry("below", "a.example", "/x/y/z", "deep"),
+		Entry("shorter prefix", "a.example", "/x/z", "root"),
+		Entry("prefix without its slash", "a.example", "/x/y", "root"),
+		Entry("no slash at all", "a.example", "x", ""),
+		Entry("no prefix on the host", "b.example", "/", ""),
+		Entry("unknown host", "c.example", "/x/", ""),
+	)
+
+	It("knows all keys of a team and no others", func() {
+		Expect(table.Team("k2").Name).To(Equal("carvers"))
+		Expect(table.Team("k3")).To(BeNil())
+		Expect(table.Team("")).To(BeNil())
+	})
+
+	It("follows the declared weights of a split", func() {
+		// Guards against a split that sends requests to a target of weight zero.
+		route := serving.Route{Targets: []serving.Target{{Service: "old", Weight: 90}, {Service: "new", Weight: 10}, {Service: "off"}}}
+		rng := rand.New(rand.NewPCG(1, 1))
+		counts := make(map[string]int)
+		for range 10000 {
+			counts[route.Pick(rng)]++
+		}
+		Expect(counts["off"]).To(BeZero())
+		Expect(counts["new"]).To(BeNumerically("~", 1000, 150))
+	})
+
+	DescribeTable("tells which requests may run more than once",
+		// Guards against doubled orders.
+		func(route serving.Route, want bool) { Expect(route.Repeatable()).To(Equal(want)) },
+		Entry("not idempotent", serving.Route{Kind: serving.NonIdempotent}, false),
+		Entry("not idempotent although resumable", serving.Route{Kind: serving.NonIdempotent, Resumable: true}, false),
+		Entry("idempotent", serving.Route{Kind: serving.Idempotent}, true),
+		Entry("stream", serving.Route{Kind: serving.Streaming}, false),
+		Entry("resumable stream", serving.Route{Kind: serving.Streaming, Resumable: true}, true),
+	)
+})
--- /dev/null
+++ b/lib/spread/swarm_test.go
@@ -0,0 +1,230 @@
+package spread_test
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/lib/spread"
+)
+
+// swarm plays a distribution in simulated time. Each transfer takes a fixed
+// time; links are not modelled.
+type swarm struct {
+	now       time.Time
+	pieces    int
+	members   []spread.Member
+	agents    map[string]*agent
+	transfers []transfer
+	// fromOrigin and crossed count transfers.
+	fromOrigin, crossed int
+	// spoils tells whether a source sends spoilt bytes.
+	spoils map[string]bool
+}
+
+type agent struct {
+	member    spread.Member
+	scheduler *spread.Scheduler
+	has       map[int]bool
+	dead      bool
+	doneAt    time.Time
+}
+
+type transfer struct {
+	at       time.Time
+	to, from string
+	piece    int
+}
+
+const (
+	pieceTime = 27 * time.Millisecond
+	step      = 10 * time.Millisecond
+)
+
+func newSwarm(regions, perRegion, pieces int) *swarm {
+	s := &swarm{now: time.Unix(1000, 0), pieces: pieces, agents: make(map[string]*agent), spoils: make(map[string]bool)}
+	for r := range regions {
+		for i := range perRegion {
+			s.members = append(s.members, spread.Member{ID: fmt.Sprintf("%d.%d", r, i), Region: fmt.Sprint(r)})
+		}
+	}
+	for _, m := range s.members {
+		s.agents[m.ID] = &agent{member: m, has: make(map[int]bool)}
+	}
+	return s
+}
+
+func (s *swarm) start() {
+	for _, a := range s.agents {
+		var missing []int
+		for p := range s.pieces {
+			if !a.has[p] {
+				missing = append(missing, p)
+			}
+		}
+		plan := spread.NewPlan(a.member, s.members)
+		a.scheduler = spread.NewScheduler(spread.Config{OriginTime: pieceTime}, plan, s.pieces, missing, s.now)
+	}
+}
+
+// play runs until all living agents have all pieces, or the limit.
+func (s *swarm) play(limit time.Duration) bool {
+	end := s.now.Add(limit)
+	for s.now.Before(end) {
+		open := 0
+		for _, id := range s.ids() {
+			a := s.agents[id]
+			if a.dead || a.scheduler.Left() == 0 {
+				continue
+			}
+			open++
+			s.announce(a)
+			for _, ask := range a.scheduler.Next(s.now) {
+				s.transfers = append(s.transfers, transfer{at: s.now.Add(pieceTime), to: id, from: ask.Source, piece: ask.Piece})
+			}
+		}
+		if open == 0 {
+			return true
+		}
+		s.now = s.now.Add(step)
+		s.deliver()
+	}
+	return false
+}
+
+func (s *swarm) ids() []string {
+	var ids []string
+	for id := range s.agents {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+func (s *swarm) announce(a *agent) {
+	for _, id := range s.ids() {
+		peer := s.agents[id]
+		if peer.dead {
+			a.scheduler.Lost(id)
+			continue
+		}
+		var have []int
+		for p := range peer.has {
+			have = append(have, p)
+		}
+		if id != a.member.ID && len(have) > 0 {
+			a.scheduler.Have(id, have)
+		}
+	}
+}
+
+func (s *swarm) deliver() {
+	var later []transfer
+	for _, t := range s.transfers {
+		if t.at.After(s.now) {
+			later = append(later, t)
+			continue
+		}
+		a := s.agents[t.to]
+		switch from := s.agents[t.from]; {
+		case a.dead:
+		case t.from == spread.Origin:
+			s.fromOrigin++
+			s.got(a, t)
+		case from.dead:
+			a.scheduler.Lost(t.from)
+		case s.spoils[t.from]:
+			a.scheduler.Failed(t.piece, t.from, true)
+		default:
+			if from.member.Region != a.member.Region {
+				s.crossed++
+			}
+			s.got(a, t)
+		}
+	}
+	s.transfers = later
+}
+
+func (s *swarm) got(a *agent, t transfer) {
+	a.has[t.piece] = true
+	a.scheduler.Got(t.piece)
+	a.doneAt = s.now
+}
+
+var _ = Describe("Scheduler", func() {
+	It("takes one copy from the origin and sends one to each other region", func() {
+		// Guards against agents that all read from the origin, whose link carries
+		// one copy in 2.6 s and whose bytes are paid for.
+		s := newSwarm(3, 5, 96)
+		s.start()
+		Expect(s.play(10 * time.Second)).To(BeTrue())
+		Expect(s.fromOrigin).To(Equal(96))
+		Expect(s.crossed).To(Equal(2 * 96))
+	})
+
+	It("brings new instances up from their own region alone", func() {
+		// Guards against bytes from the origin for instances that are added.
+		s := newSwarm(3, 4, 96)
+		for _, id := range []string{"0.0", "0.1", "1.2", "2.3"} {
+			for p := range 96 {
+				s.agents[id].has[p] = true
+			}
+		}
+		s.start()
+		Expect(s.play(10 * time.Second)).To(BeTrue())
+		Expect(s.fromOrigin).To(BeZero())
+		Expect(s.crossed).To(BeZero())
+	})
+
+	It("completes when members die before they bring their pieces in", func() {
+		// Guards against pieces that nobody asks for because their member is gone.
+		s := newSwarm(3, 4, 96)
+		s.agents["0.1"].dead = true
+		s.agents["1.0"].dead = true
+		s.start()
+		Expect(s.play(10 * time.Second)).To(BeTrue())
+		Expect(s.fromOrigin).To(Equal(96))
+	})
+
+	It("completes when a member is silent but not known to be dead", func() {
+		s := newSwarm(2, 3, 24)
+		delete(s.agents, "0.0")
+		s.start()
+		Expect(s.play(10 * time.Second)).To(BeTrue())
+	})
+
+	It("asks others when a peer sends spoilt pieces", func() {
+		// Guards against an agent that asks the same corrupt source for ever.
+		s := newSwarm(2, 3, 24)
+		s.spoils["0.0"] = true
+		s.start()
+		Expect(s.play(12 * time.Second)).To(BeTrue())
+	})
+
+	It("completes alone from the origin", func() {
+		s := newSwarm(1, 1, 24)
+		s.start()
+		Expect(s.play(10 * time.Second)).To(BeTrue())
+		Expect(s.fromOrigin).To(Equal(24))
+	})
+})
+
+var _ = Describe("Plan", func() {
+	It("gives every member another rank, neighbours in different regions", func() {
+		// Guards against engines of one region that change weights together.
+		s := newSwarm(3, 4, 1)
+		ranks := make(map[int]string)
+		for _, m := range s.members {
+			rank, count := spread.NewPlan(m, s.members).Rank()
+			Expect(count).To(Equal(12))
+			Expect(ranks).NotTo(HaveKey(rank))
+			ranks[rank] = m.Region
+		}
+		for rank := range 11 {
+			Expect(ranks[rank]).NotTo(Equal(ranks[rank+1]))
+		}
+	})
+})
