--- a/replica/uploads.go
+++ b/replica/uploads.go
@@ -14,7 +14,11 @@
 	uploadBurst = 64 << 10
 )
 
-// uploads bounds how fast pieces leave the instance: one at a time, and below
+// uploadSlots is the number of pieces that leave at the same time. One piece
+// alone does not fill the link: its peer acknowledges it in several round trips.
+const uploadSlots = 2
+
+// uploads bounds how fast pieces leave the instance: a few at a time, and below
 // the rate of its link. It is safe for concurrent use.
 type uploads struct {
 	limiter *rate.Limiter
@@ -26,7 +30,7 @@
 	if linkRate > 0 {
 		limit = rate.Limit(uploadShare * linkRate)
 	}
-	return &uploads{limiter: rate.NewLimiter(limit, uploadBurst), slot: make(chan struct{}, 1)}
+	return &uploads{limiter: rate.NewLimiter(limit, uploadBurst), slot: make(chan struct{}, uploadSlots)}
 }
 
 // acquire waits until a piece of a size in bytes may leave. The returned
