--- a/gateway/request.go
+++ b/gateway/request.go
@@ -76,6 +76,7 @@
 		PromptTokens: r.call.PromptTokens, AnswerTokens: r.call.ExpectedTokens,
 		Limit: r.left(now), Exclude: r.tried, Continued: r.stream.begun,
 	}
+	d.NextVersion, d.NextAt = r.gateway.versions.Next(r.call.Model, now)
 	if r.route.TargetLatency > 0 {
 		d.Target = max(r.route.TargetLatency-now.Sub(r.arrived), time.Millisecond)
 	}
--- a/lib/placement/config.go
+++ b/lib/placement/config.go
@@ -39,6 +39,17 @@
 	// distantChoices is the number of servers of other regions that are compared
 	// for one request.
 	distantChoices = 2
+	// expiryMargin is the time before a bound on weights that is left free besides
+	// twice the predicted wait. Requests waited 620 ms in a run in which they then
+	// began after the bound.
+	expiryMargin = 500 * time.Millisecond
+	// openingTime is the time after an engine has opened in which only entries of
+	// its region use it: the others learn of it at the same moment and know
+	// nothing of each other.
+	openingTime = 300 * time.Millisecond
+	// distantInterval is the least time between two requests of an entry to the
+	// same engine of another region. Reports of changes come at that interval.
+	distantInterval = 100 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the time after which refused callers
 	// may come back.
 	minRetryAfter = 100 * time.Millisecond
--- a/lib/placement/demand.go
+++ b/lib/placement/demand.go
@@ -17,6 +17,10 @@
 	// Version is the only version of the model that may run the request; zero
 	// accepts any that is not older than MinVersion.
 	Version, MinVersion int
+	// NextVersion is declared, and from NextAt on no request may begin on an older
+	// one; zero means that none is due.
+	NextVersion int
+	NextAt      time.Time
 	// PromptTokens and AnswerTokens are the expected work of an engine.
 	PromptTokens, AnswerTokens int
 	// Target is the time until the first answer that serves the caller well,
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -32,6 +32,7 @@
 	occupancy, age := best.occupancy(now), best.loadAge(now)
 	best.own.Running++
 	best.sinceReport++
+	best.lastStart = now
 	best.own.Reading++
 	best.own.ReadingTokens += d.PromptTokens
 	return &Lease{
@@ -57,17 +58,34 @@
 	if len(open) == 0 {
 		return nil, estimate{}, &Refusal{Reason: reason, After: absentRetryAfter}
 	}
+	reason = Overloaded
 	var best *candidate
-	for _, s := range p.sample(open) {
+	for _, s := range p.sample(open, now) {
 		e := s.predict(d, now)
+		if s.expires(d, e, now) {
+			reason = NoWeights
+			continue
+		}
 		c := &candidate{server: s, estimate: e, score: e.first + p.distance(s.seen.Domain)}
 		if best == nil || c.score < best.score || c.score == best.score && s.own.Running < best.own.Running {
 			best = c
 		}
 	}
+	if best == nil {
+		return nil, estimate{}, &Refusal{Reason: reason, After: absentRetryAfter}
+	}
 	return best.server, best.estimate, nil
 }
 
+// expires reports whether a request may still wait on the server when its
+// weights must no longer serve.
+func (s *server) expires(d *Demand, e estimate, now time.Time) bool {
+	if d.NextVersion == 0 || s.seen.Weights[d.Model].Version >= d.NextVersion {
+		return false
+	}
+	return now.Add(2*e.wait + expiryMargin).After(d.NextAt)
+}
+
 // usable returns the servers that may run the request at all, and the reason if
 // there are none.
 func (p *Picker) usable(d *Demand) ([]*server, Reason) {
@@ -106,12 +124,13 @@
 
 // sample returns all servers of the own region and some of the others. What is
 // known of distant servers is older, and all entries would choose the same one.
-func (p *Picker) sample(open []*server) []*server {
+func (p *Picker) sample(open []*server, now time.Time) []*server {
 	var near, far []*server
 	for _, s := range open {
-		if p.config.Regions[s.seen.Domain] == p.config.Regions[p.config.Domain] {
+		switch {
+		case p.config.Regions[s.seen.Domain] == p.config.Regions[p.config.Domain]:
 			near = append(near, s)
-		} else {
+		case !s.reserved(now):
 			far = append(far, s)
 		}
 	}
@@ -256,6 +275,9 @@
 // Report takes an agent's report on a server.
 func (p *Picker) Report(key directory.Key, load Load, now time.Time) {
 	s := p.server(key)
+	if !load.Closed && (s.load.Closed || s.openedAt.IsZero()) {
+		s.openedAt = now
+	}
 	s.load, s.loadAt, s.sinceReport = load, now, 0
 	s.foreignTokens = max(0, load.ReadingTokens-s.known(now).ReadingTokens)
 }
--- a/lib/placement/picker_test.go
+++ b/lib/placement/picker_test.go
@@ -89,6 +89,22 @@
 		Expect(pick(d).Server.ID).To(Equal("old"))
 	})
 
+	It("sends nothing to weights that may expire while the request waits", func() {
+		// Guards against a request that begins on older weights after their bound:
+		// it had waited 620 ms on its server.
+		key := add("a", "north", nil)
+		d := demand()
+		d.NextVersion, d.NextAt = 2, now.Add(750*time.Millisecond)
+		pick(d)
+		p.Report(key, placement.Load{Running: 15, ReadingTokens: 8000}, now)
+		d.Target = 2 * time.Second
+		_, refusal := p.Pick(d, now)
+		Expect(refusal).NotTo(BeNil())
+		Expect(refusal.Reason).To(Equal(placement.NoWeights))
+		d.NextVersion = 1
+		pick(d)
+	})
+
 	It("keeps a server closed when an answer tells its load", func() {
 		// Guards against requests to an engine that loads weights: its answers to
 		// earlier requests carry no word on that.
@@ -154,6 +170,23 @@
 		}
 	})
 
+	It("leaves an engine that has just opened to the entries of its region", func() {
+		// Guards against all entries of a fleet that choose the only open engine in
+		// the 100 ms between two reports: requests waited 1.4 s there.
+		far := add("far", "south", nil)
+		p.Report(far, placement.Load{Closed: true}, now)
+		p.Report(far, placement.Load{}, now)
+		_, refusal := p.Pick(demand(), now)
+		Expect(refusal).NotTo(BeNil())
+		now = now.Add(time.Second)
+		p.Report(far, placement.Load{}, now)
+		pick(demand())
+		_, refusal = p.Pick(demand(), now)
+		Expect(refusal).NotTo(BeNil())
+		now = now.Add(100 * time.Millisecond)
+		pick(demand())
+	})
+
 	It("prefers a server at its declared pace to a slow one", func() {
 		a := add("a", "north", nil)
 		add("b", "north", nil)
--- a/lib/placement/server.go
+++ b/lib/placement/server.go
@@ -28,6 +28,10 @@
 	load        Load
 	loadAt      time.Time
 	sinceReport int
+	// lastStart is when this entry sent its last request.
+	lastStart time.Time
+	// openedAt is when it began to take requests, as far as reports tell.
+	openedAt time.Time
 	// foreignTokens are prompt tokens of entries that do not tell this one.
 	foreignTokens int
 	// answerTime is the smoothed time of an answer of a plain service.
@@ -67,6 +71,15 @@
 	return max(1, s.load.Pace)
 }
 
+// reserved reports whether entries of other regions leave the server alone for
+// now.
+func (s *server) reserved(now time.Time) bool {
+	if s.loadAt.IsZero() || now.Sub(s.loadAt) > loadAge {
+		return false
+	}
+	return now.Sub(s.openedAt) < openingTime || now.Sub(s.lastStart) < distantInterval
+}
+
 // closed reports whether the server takes no requests now.
 func (s *server) closed(now time.Time) bool {
 	return s.load.Closed && now.Sub(s.loadAt) <= loadAge
--- a/lib/spread/config.go
+++ b/lib/spread/config.go
@@ -12,8 +12,8 @@
 	OriginAsks int
 	// AskTimeout is the time after which a piece is asked of another source too.
 	AskTimeout time.Duration
-	// Patience is the time in which a piece must arrive as planned. After it,
-	// members bring it in themselves, one after another.
+	// Patience is the time in which some piece must arrive somewhere. After it,
+	// members bring pieces in that are not theirs, one after another.
 	Patience time.Duration
 	// OriginTime is the time that the origin's link takes for one piece. Pieces
 	// are asked of the origin in turn, so that each of them arrives in that time
@@ -31,9 +31,9 @@
 	// defaultAskTimeout is several times the transfer of a piece over a link that
 	// is shared by all members of a region.
 	defaultAskTimeout = 1500 * time.Millisecond
-	// defaultPatience is the time of one copy over the origin's link, 2.6 s, with
-	// some reserve.
-	defaultPatience = 3200 * time.Millisecond
+	// defaultPatience is many times the transfer of a piece, and longer than the
+	// time in which the members learn of a version.
+	defaultPatience = 1500 * time.Millisecond
 	defaultStagger  = 400 * time.Millisecond
 )
 
--- a/lib/spread/scheduler.go
+++ b/lib/spread/scheduler.go
@@ -16,6 +16,8 @@
 	config  Config
 	plan    *Plan
 	started time.Time
+	// news is when the last piece arrived anywhere, as far as is known.
+	news time.Time
 
 	missing map[int]*piece
 	// order lists the pieces in the order in which the origin sends them.
@@ -42,7 +44,7 @@
 // members began to fetch at about the time started.
 func NewScheduler(config Config, plan *Plan, pieces int, missing []int, started time.Time) *Scheduler {
 	s := &Scheduler{
-		config: config.applyDefaults(), plan: plan, started: started,
+		config: config.applyDefaults(), plan: plan, started: started, news: started,
 		missing: make(map[int]*piece, len(missing)), sources: make(map[string]*source), dead: make(map[string]bool),
 	}
 	for _, p := range missing {
@@ -58,11 +60,14 @@
 func (s *Scheduler) Left() int { return len(s.missing) }
 
 // Have takes note that a peer has pieces.
-func (s *Scheduler) Have(peer string, pieces []int) {
+func (s *Scheduler) Have(peer string, pieces []int, now time.Time) {
 	delete(s.dead, peer)
 	src := s.source(peer)
 	for _, p := range pieces {
-		src.has[p] = true
+		if !src.has[p] {
+			src.has[p] = true
+			s.news = now
+		}
 	}
 }
 
@@ -76,11 +81,12 @@
 }
 
 // Got takes note that a piece is staged.
-func (s *Scheduler) Got(number int) {
+func (s *Scheduler) Got(number int, now time.Time) {
 	p := s.missing[number]
 	if p == nil {
 		return
 	}
+	s.news = now
 	for from := range p.asks {
 		s.answered(p, from)
 	}
@@ -207,17 +213,19 @@
 }
 
 // myTurn reports whether the instance is the first living member of a group for
-// a piece, or whether those before it have had their time.
+// a piece. When no piece arrives anywhere any more, those after it follow one by
+// one: the first may be too slow. While pieces arrive, more readers would only
+// share the origin's link.
 func (s *Scheduler) myTurn(group []Member, number int, now time.Time) bool {
 	turn := s.plan.turnAlive(group, number, s.dead)
 	if turn == 0 {
 		return true
 	}
-	return now.Sub(s.started) >= s.config.Patience+time.Duration(turn)*s.config.Stagger
+	return now.Sub(s.news) >= s.config.Patience+time.Duration(turn)*s.config.Stagger
 }
 
 // Impatient reports whether pieces do not arrive as planned.
-func (s *Scheduler) Impatient(now time.Time) bool { return now.Sub(s.started) >= s.config.Patience }
+func (s *Scheduler) Impatient(now time.Time) bool { return now.Sub(s.news) >= s.config.Patience }
 
 func (s *Scheduler) peersAsked() int {
 	n := 0
--- a/lib/versions/wanted.go
+++ b/lib/versions/wanted.go
@@ -5,10 +5,6 @@
 import "time"
 
 const (
-	// requireMargin is how long before the bound older versions get no more
-	// requests: a request may wait on a server before it begins, 620 ms in a run
-	// in which it then began on the older version after the bound.
-	requireMargin = time.Second
 	// adoptedAge is assumed of a version that was declared before this process
 	// began to watch, as a share of the bound.
 	adoptedAge = 0.6
@@ -64,9 +60,23 @@
 	}
 	least := 0
 	for _, d := range w.models[model] {
-		if now.Sub(d.at) >= w.bound-requireMargin {
+		if now.Sub(d.at) >= w.bound {
 			least = d.version
 		}
 	}
 	return least
 }
+
+// Next returns the first version that becomes the oldest one that may serve,
+// and when; zero if none is due.
+func (w *Wanted) Next(model string, now time.Time) (version int, at time.Time) {
+	if w.bound <= 0 {
+		return 0, time.Time{}
+	}
+	for _, d := range w.models[model] {
+		if due := d.at.Add(w.bound); due.After(now) {
+			return d.version, due
+		}
+	}
+	return 0, time.Time{}
+}
--- a/replica/config.go
+++ b/replica/config.go
@@ -58,6 +58,9 @@
 	// keeps serving.
 	firstOrderShare = 0.40
 	lastOrderShare  = 0.88
+	// sameStart is the time after a declaration in which all agents have begun to
+	// fetch, unless they were occupied.
+	sameStart = time.Second
 	// finishShare is the part of a version that must be staged for it to be
 	// finished when a newer one is declared meanwhile.
 	finishShare = 0.5
--- a/replica/fetch.go
+++ b/replica/fetch.go
@@ -30,8 +30,7 @@
 	plan     *spread.Plan
 	// addresses gives the address of each peer's agent.
 	addresses map[string]string
-	// started is when the version was declared, which is about the same time on
-	// all instances.
+	// started is about the same time on all instances.
 	started time.Time
 	// originTime is the time that the origin's link takes for one piece.
 	originTime time.Duration
@@ -110,7 +109,7 @@
 	case e.lost:
 		f.scheduler.Lost(e.source)
 	case e.piece == peerlink.NoPiece:
-		f.scheduler.Have(e.source, e.have)
+		f.scheduler.Have(e.source, e.have, f.now())
 	case e.err != nil || len(e.data) == 0:
 		f.scheduler.Failed(e.piece, e.source, false)
 	case !f.holdings.manifest.Matches(e.piece, e.data):
@@ -121,7 +120,7 @@
 	default:
 		f.replica.received(e.source, len(e.data))
 		f.holdings.put(e.piece, e.data)
-		f.scheduler.Got(e.piece)
+		f.scheduler.Got(e.piece, f.now())
 	}
 	return true
 }
--- a/replica/fetchtarget.go
+++ b/replica/fetchtarget.go
@@ -116,7 +116,7 @@
 func (r *Replica) newFetch(h *holdings, t target, peers []Peer) *fetch {
 	f := &fetch{
 		replica: r, holdings: h, plan: r.plan(peers), addresses: make(map[string]string),
-		started: t.since, originTime: r.config.OriginTime(),
+		started: r.fetchStart(t), originTime: r.config.OriginTime(),
 	}
 	for _, p := range peers {
 		host, _, err := net.SplitHostPort(p.Address)
@@ -130,6 +130,16 @@
 	return f
 }
 
+// fetchStart is when the members began to fetch a version: at its declaration,
+// or now if this one comes much later.
+func (r *Replica) fetchStart(t target) time.Time {
+	now := r.config.Clock.Now()
+	if now.Sub(t.since) < sameStart {
+		return t.since
+	}
+	return now
+}
+
 func (r *Replica) plan(peers []Peer) *spread.Plan {
 	members := make([]spread.Member, 0, len(peers))
 	for _, p := range peers {
