Take over overdue pieces when the origin is quiet

Pieces of members that had left were taken over only after silence, and slow or new members had news all the time; asks of slow peers also used up the asks. Now a piece is taken over when it is overdue and no new piece has come for a while, members that are not heard of are looked for, and late asks no longer count. A swarm with dead and slow members plays this; it failed before.

--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -109,7 +109,8 @@
 
 func (o *replicaOperator) Regained() { o.log.Log(eventlog.StoreRegained) }
 
-// peerList reads the engines of this instance's service from the store.
+// peerList reads the engines of this instance's service from the store, without
+// those that leave.
 type peerList struct {
 	source   watch.Source
 	settings *platform.Settings
@@ -125,7 +126,7 @@
 	}
 	var peers []replica.Peer
 	for _, s := range platform.DecodeServers(rows, func(row watch.Row, err error) { logUnreadable(l.log, row, err) }) {
-		if s.Service == l.settings.EngineService {
+		if s.Service == l.settings.EngineService && !s.Draining {
 			peers = append(peers, replica.Peer{Address: s.Address, Region: l.settings.Regions[s.Domain]})
 		}
 	}
--- a/lib/spread/config.go
+++ b/lib/spread/config.go
@@ -12,14 +12,17 @@
 	OriginAsks int
 	// AskTimeout is the time after which a piece is asked of another source too.
 	AskTimeout time.Duration
-	// Patience is the time in which some piece must arrive somewhere. After it,
-	// members bring pieces in that are not theirs, one after another.
-	Patience time.Duration
+	// Overdue is the time after its turn in which a piece must have been seen.
+	// After it, the member that should bring it in is looked for.
+	Overdue time.Duration
+	// Quiet is the time without a new piece after which the origin's link counts as
+	// free. Members then bring pieces in that are overdue, one after another.
+	Quiet time.Duration
 	// OriginTime is the time that the origin's link takes for one piece. Pieces
 	// are asked of the origin in turn, so that each of them arrives in that time
 	// and can spread while the next one is on its way. Zero asks at once.
 	OriginTime time.Duration
-	// Stagger is the time between these members.
+	// Stagger is the time between members that take over from each other.
 	Stagger time.Duration
 }
 
@@ -31,10 +34,13 @@
 	// defaultAskTimeout is several times the transfer of a piece over a link that
 	// is shared by all members of a region.
 	defaultAskTimeout = 1500 * time.Millisecond
-	// defaultPatience is many times the transfer of a piece, and longer than the
-	// time in which the members learn of a version.
-	defaultPatience = 1500 * time.Millisecond
-	defaultStagger  = 400 * time.Millisecond
+	// defaultOverdue is longer than the way of a piece through busy links.
+	defaultOverdue = 800 * time.Millisecond
+	// defaultQuiet and quietPieces bound the silence from below: news of a piece
+	// take up to 50 ms, and pieces arrive one by one.
+	defaultQuiet   = 200 * time.Millisecond
+	quietPieces    = 8
+	defaultStagger = 200 * time.Millisecond
 )
 
 func (c Config) applyDefaults() Config {
@@ -51,7 +57,8 @@
 	number(&c.PeerAsks, defaultPeerAsks)
 	number(&c.OriginAsks, defaultOriginAsks)
 	duration(&c.AskTimeout, defaultAskTimeout)
-	duration(&c.Patience, defaultPatience)
+	duration(&c.Overdue, defaultOverdue)
+	duration(&c.Quiet, defaultQuiet)
 	duration(&c.Stagger, defaultStagger)
 	return c
 }
--- a/lib/spread/plan.go
+++ b/lib/spread/plan.go
@@ -62,16 +62,14 @@
 	return sorted(needed)
 }
 
-// Distant returns the members of other regions, for pieces that do not arrive as
-// planned.
-func (p *Plan) Distant() []string {
-	distant := make(map[string]bool)
-	for _, m := range p.members {
-		if m.Region != p.self.Region {
-			distant[m.ID] = true
+// firstAlive returns the member that brings a piece into the deployment.
+func (p *Plan) firstAlive(piece int, dead map[string]bool) string {
+	for i := range p.members {
+		if m := p.members[(piece+i)%len(p.members)]; !dead[m.ID] {
+			return m.ID
 		}
 	}
-	return sorted(distant)
+	return p.self.ID
 }
 
 func sorted(set map[string]bool) []string {
--- a/lib/spread/scheduler.go
+++ b/lib/spread/scheduler.go
@@ -16,8 +16,10 @@
 	config  Config
 	plan    *Plan
 	started time.Time
-	// news is when the last piece arrived anywhere, as far as is known.
+	// news is when a piece was last seen that was known nowhere before.
 	news time.Time
+	// known tells which pieces some member has.
+	known []bool
 
 	missing map[int]*piece
 	// order lists the pieces in the order in which the origin sends them.
@@ -30,6 +32,8 @@
 type piece struct {
 	// asks are the sources that were asked and have not answered.
 	asks map[string]time.Time
+	// knownAt is when it came into the deployment; zero if it has not.
+	knownAt time.Time
 	// refused are sources that sent it spoilt or did not have it.
 	refused map[string]bool
 }
@@ -44,10 +48,14 @@
 // members began to fetch at about the time started.
 func NewScheduler(config Config, plan *Plan, pieces int, missing []int, started time.Time) *Scheduler {
 	s := &Scheduler{
-		config: config.applyDefaults(), plan: plan, started: started, news: started,
+		config: config.applyDefaults(), plan: plan, started: started, news: started, known: make([]bool, pieces),
 		missing: make(map[int]*piece, len(missing)), sources: make(map[string]*source), dead: make(map[string]bool),
 	}
+	for i := range s.known {
+		s.known[i] = true
+	}
 	for _, p := range missing {
+		s.known[p] = false
 		s.missing[p] = &piece{asks: make(map[string]time.Time), refused: make(map[string]bool)}
 	}
 	for i := range pieces {
@@ -63,11 +71,21 @@
 func (s *Scheduler) Have(peer string, pieces []int, now time.Time) {
 	delete(s.dead, peer)
 	src := s.source(peer)
-	for _, p := range pieces {
-		if !src.has[p] {
-			src.has[p] = true
-			s.news = now
-		}
+	for _, number := range pieces {
+		src.has[number] = true
+		s.learn(number, now)
+	}
+}
+
+// learn takes note that a piece has come into the deployment.
+func (s *Scheduler) learn(number int, now time.Time) {
+	if s.known[number] {
+		return
+	}
+	s.known[number] = true
+	s.news = now
+	if p := s.missing[number]; p != nil {
+		p.knownAt = now
 	}
 }
 
@@ -86,7 +104,7 @@
 	if p == nil {
 		return
 	}
-	s.news = now
+	s.learn(number, now)
 	for from := range p.asks {
 		s.answered(p, from)
 	}
@@ -125,7 +143,7 @@
 // Next returns what is to be asked now.
 func (s *Scheduler) Next(now time.Time) []Ask {
 	var asks []Ask
-	peers := s.config.PeerAsks - s.peersAsked()
+	peers := s.config.PeerAsks - s.peersAsked(now)
 	origin := s.config.OriginAsks - s.source(Origin).asked
 	for _, number := range s.order {
 		if peers <= 0 && origin <= 0 {
@@ -183,10 +201,20 @@
 	if found {
 		return best, true
 	}
-	if _, asked := p.asks[Origin]; !asked && origin && !known && s.mayAskOrigin(number, now) {
-		return Origin, true
+	if _, asked := p.asks[Origin]; asked || !origin || known && !s.late(p, now) {
+		return "", false
+	}
+	return Origin, s.mayAskOrigin(number, now)
+}
+
+// late reports whether a source that was asked for a piece takes too long.
+func (s *Scheduler) late(p *piece, now time.Time) bool {
+	for _, at := range p.asks {
+		if now.Sub(at) >= s.config.AskTimeout {
+			return true
+		}
 	}
-	return "", false
+	return false
 }
 
 // lighter reports whether a has fewer open asks than b; the order of names
@@ -198,40 +226,60 @@
 	return a < b
 }
 
-// mayCross reports whether this instance brings a piece into its region.
+// mayCross reports whether this instance brings a piece into its region: it is
+// the first living member for it, or those before it had their time since the
+// piece came into the deployment.
 func (s *Scheduler) mayCross(number int, now time.Time) bool {
-	return s.myTurn(s.plan.regions[s.plan.self.Region], number, now)
+	turn := s.plan.turnAlive(s.plan.regions[s.plan.self.Region], number, s.dead)
+	p := s.missing[number]
+	return turn == 0 || !p.knownAt.IsZero() && now.Sub(p.knownAt) >= s.config.Overdue+time.Duration(turn)*s.config.Stagger
 }
 
 // mayAskOrigin reports whether this instance brings a piece into the
-// deployment.
+// deployment: it is the first living member for it, or those before it had their
+// time and the origin is quiet. While it is busy, more readers would only share
+// its link.
 func (s *Scheduler) mayAskOrigin(number int, now time.Time) bool {
-	if now.Sub(s.started) < time.Duration(number)*s.config.OriginTime {
+	since := now.Sub(s.started) - time.Duration(number)*s.config.OriginTime
+	if since < 0 {
 		return false
 	}
-	return s.myTurn(s.plan.members, number, now)
-}
-
-// myTurn reports whether the instance is the first living member of a group for
-// a piece. When no piece arrives anywhere any more, those after it follow one by
-// one: the first may be too slow. While pieces arrive, more readers would only
-// share the origin's link.
-func (s *Scheduler) myTurn(group []Member, number int, now time.Time) bool {
-	turn := s.plan.turnAlive(group, number, s.dead)
+	turn := s.plan.turnAlive(s.plan.members, number, s.dead)
 	if turn == 0 {
 		return true
 	}
-	return now.Sub(s.news) >= s.config.Patience+time.Duration(turn)*s.config.Stagger
+	quiet := max(quietPieces*s.config.OriginTime, s.config.Quiet) + time.Duration(turn)*s.config.Stagger
+	return since >= s.config.Overdue && now.Sub(s.news) >= quiet
 }
 
-// Impatient reports whether pieces do not arrive as planned.
-func (s *Scheduler) Impatient(now time.Time) bool { return now.Sub(s.news) >= s.config.Patience }
+// Suspects returns the members that should have brought a piece in by now and
+// that are not heard of. Finding out which of them are dead lets the next ones
+// take over at once.
+func (s *Scheduler) Suspects(now time.Time) []string {
+	var suspects []string
+	for _, number := range s.order {
+		p := s.missing[number]
+		due := time.Duration(number)*s.config.OriginTime + s.config.Overdue
+		if p == nil || s.known[number] || now.Sub(s.started) < due {
+			continue
+		}
+		first := s.plan.firstAlive(number, s.dead)
+		if first != s.plan.self.ID && s.sources[first] == nil {
+			suspects = append(suspects, first)
+		}
+	}
+	return suspects
+}
 
-func (s *Scheduler) peersAsked() int {
+// peersAsked counts the pieces that were asked of peers and may still arrive in
+// time. Slow peers must not use up the asks.
+func (s *Scheduler) peersAsked(now time.Time) int {
 	n := 0
-	for id, src := range s.sources {
-		if id != Origin {
-			n += src.asked
+	for _, p := range s.missing {
+		for from, at := range p.asks {
+			if from != Origin && now.Sub(at) < s.config.AskTimeout {
+				n++
+			}
 		}
 	}
 	return n
--- a/lib/spread/swarm_test.go
+++ b/lib/spread/swarm_test.go
@@ -29,10 +29,13 @@
 
 type agent struct {
 	member    spread.Member
+	plan      *spread.Plan
 	scheduler *spread.Scheduler
 	has       map[int]bool
 	dead      bool
-	doneAt    time.Time
+	// slow members send and receive a piece in a second.
+	slow   bool
+	doneAt time.Time
 }
 
 type transfer struct {
@@ -67,8 +70,8 @@
 				missing = append(missing, p)
 			}
 		}
-		plan := spread.NewPlan(a.member, s.members)
-		a.scheduler = spread.NewScheduler(spread.Config{OriginTime: pieceTime}, plan, s.pieces, missing, s.now)
+		a.plan = spread.NewPlan(a.member, s.members)
+		a.scheduler = spread.NewScheduler(spread.Config{OriginTime: pieceTime}, a.plan, s.pieces, missing, s.now)
 	}
 }
 
@@ -82,10 +85,12 @@
 			if a.dead || a.scheduler.Left() == 0 {
 				continue
 			}
-			open++
+			if !a.slow {
+				open++
+			}
 			s.announce(a)
 			for _, ask := range a.scheduler.Next(s.now) {
-				s.transfers = append(s.transfers, transfer{at: s.now.Add(pieceTime), to: id, from: ask.Source, piece: ask.Piece})
+				s.transfers = append(s.transfers, transfer{at: s.now.Add(s.transferTime(id, ask.Source)), to: id, from: ask.Source, piece: ask.Piece})
 			}
 		}
 		if open == 0 {
@@ -97,6 +102,13 @@
 	return false
 }
 
+func (s *swarm) transferTime(to, from string) time.Duration {
+	if peer := s.agents[from]; s.agents[to].slow || peer != nil && peer.slow {
+		return time.Second
+	}
+	return pieceTime
+}
+
 func (s *swarm) ids() []string {
 	var ids []string
 	for id := range s.agents {
@@ -107,8 +119,18 @@
 }
 
 func (s *swarm) announce(a *agent) {
+	connected := make(map[string]bool)
+	for _, id := range append(a.plan.Peers(s.pieces), a.scheduler.Suspects(s.now)...) {
+		connected[id] = true
+		if s.agents[id] == nil {
+			a.scheduler.Lost(id)
+		}
+	}
 	for _, id := range s.ids() {
 		peer := s.agents[id]
+		if !connected[id] {
+			continue
+		}
 		if peer.dead {
 			a.scheduler.Lost(id)
 			continue
@@ -193,6 +215,21 @@
 		Expect(s.fromOrigin).To(Equal(96))
 	})
 
+	It("brings the pieces of dead members in while others are slow", func() {
+		// Guards against a fetch that never ends: slow members and new ones had
+		// something new to offer all the time, and nobody took over the pieces of
+		// the dead.
+		s := newSwarm(3, 6, 96)
+		s.start()
+		Expect(s.play(200 * time.Millisecond)).To(BeFalse())
+		for _, id := range []string{"0.1", "1.0", "2.4"} {
+			s.agents[id].dead = true
+		}
+		s.agents["0.5"].slow = true
+		s.agents["2.0"].slow = true
+		Expect(s.play(7 * time.Second)).To(BeTrue())
+	})
+
 	It("completes when a member is silent but not known to be dead", func() {
 		s := newSwarm(2, 3, 24)
 		delete(s.agents, "0.0")
--- a/replica/fetch.go
+++ b/replica/fetch.go
@@ -77,7 +77,11 @@
 func (f *fetch) now() time.Time { return f.replica.config.Clock.Now() }
 
 func (f *fetch) connect(ctx context.Context, id string) {
-	if f.asks[id] != nil || f.addresses[id] == "" {
+	if f.asks[id] != nil {
+		return
+	}
+	if f.addresses[id] == "" {
+		f.scheduler.Lost(id)
 		return
 	}
 	f.asks[id] = make(chan int, askQueue)
@@ -85,14 +89,11 @@
 	go p.run(ctx, f.holdings.manifest.Model, f.holdings.manifest.Version)
 }
 
-// ask passes the scheduler's choices on. Pieces that are late may come from any
-// member.
+// ask passes the scheduler's choices on.
 func (f *fetch) ask(ctx context.Context) {
 	now := f.now()
-	if f.scheduler.Impatient(now) {
-		for _, id := range f.plan.Distant() {
-			f.connect(ctx, id)
-		}
+	for _, id := range f.scheduler.Suspects(now) {
+		f.connect(ctx, id)
 	}
 	for _, a := range f.scheduler.Next(now) {
 		select {
