--- a/lib/watch/config.go
+++ b/lib/watch/config.go
@@ -9,6 +9,9 @@
 	// AnswerTimeout is added to Wait for the answer to arrive. A longer silence
 	// means a dead connection.
 	AnswerTimeout time.Duration
+	// Gather is the pause after a change, in which further ones gather: each call
+	// of the store is paid for. Zero asks again at once.
+	Gather time.Duration
 	// MinBackoff and MaxBackoff bound the pause after a failed call. The store
 	// limits calls of all instances together, so that pauses are spread.
 	MinBackoff, MaxBackoff time.Duration
--- a/lib/watch/follower.go
+++ b/lib/watch/follower.go
@@ -63,7 +63,10 @@
 		return f.pause()
 	}
 	f.deliver(rows)
-	return 0
+	if len(rows.Rows) == 0 {
+		return 0
+	}
+	return f.config.Gather
 }
 
 func (f *Follower) call(ctx context.Context) (Rows, error) {
