Explain failed requests from logs: repeats, ejections, auburnctl explain

Each repeat and each ejection has a line with its inputs; refusals carry the predicted time and the time to come back. auburnctl explain joins the lines of several processes. Entries ask a bounded number of engines for reports.

--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -12,7 +12,7 @@
 // refuse answers with a status of the gateway's own. A 429 or 503 promises that
 // the request has not run and never will.
 func (r *request) refuse(status int, o outcome, reason string, after time.Duration) {
-	r.seen.Outcome, r.seen.Reason, r.seen.Status = string(o), reason, status
+	r.seen.Outcome, r.seen.Reason, r.seen.Status, r.seen.RetryAfter = string(o), reason, status, after
 	if r.http.Context().Err() != nil {
 		return
 	}
@@ -24,6 +24,7 @@
 
 // giveUp ends a request for which there is no server.
 func (r *request) giveUp(refusal *placement.Refusal) {
+	r.seen.Predicted = refusal.Predicted
 	switch {
 	case r.stream.begun:
 		r.abort(string(refusal.Reason))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,9 @@
 // New returns a Gateway without a configuration.
 func New(config Config) *Gateway {
 	d := directory.New()
+	config.Placement.OnEject = func(s *directory.Server, while time.Duration) {
+		config.Log.Log(eventlog.ServerEjected, "server", s.ID, "service", s.Service, "address", s.Address, "while_ms", while.Milliseconds())
+	}
 	return &Gateway{
 		config:    config,
 		directory: d,
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -11,6 +11,8 @@
 
 	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/placement"
+	"github.com/auburnbend/auburnbend/lib/rendezvous"
+	"github.com/auburnbend/auburnbend/lib/serving"
 	"github.com/auburnbend/auburnbend/peerlink"
 )
 
@@ -20,6 +22,11 @@
 	// neighbourTime is how long an entry that agents have named counts as a
 	// neighbour.
 	neighbourTime = 4 * time.Second
+	// maxNearEngines and maxFarEngines bound the engines that report to one entry,
+	// ten times a second each, so that reports do not grow with the square of the
+	// fleet.
+	maxNearEngines = 64
+	maxFarEngines  = 24
 	// maxDatagram bounds a datagram in bytes.
 	maxDatagram = 1200
 	// reorderWindow is the number of messages by which one may be overtaken; a
@@ -70,7 +77,7 @@
 	ticker := time.NewTicker(subscribeInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
-		for _, agent := range l.gateway.engineHosts() {
+		for _, agent := range l.gateway.engineHosts(l.name) {
 			l.send(ask, netip.AddrPortFrom(agent, l.self.Port()))
 		}
 		select {
@@ -176,25 +183,42 @@
 	return false
 }
 
-// engineHosts returns the hosts of all engines.
-func (g *Gateway) engineHosts() []netip.Addr {
+// engineHosts returns the hosts of the engines that this entry asks for reports:
+// those of its region and some of the others, chosen by its name so that all
+// engines have about the same number of entries.
+func (g *Gateway) engineHosts(name string) []netip.Addr {
 	table := g.table.Load()
 	if table == nil {
 		return nil
 	}
+	near, far := g.engineAddresses(table)
+	hosts := make([]netip.Addr, 0, maxNearEngines+maxFarEngines)
+	for _, address := range append(rendezvous.Rank(name, near, maxNearEngines), rendezvous.Rank(name, far, maxFarEngines)...) {
+		if parsed, err := netip.ParseAddrPort(address); err == nil {
+			hosts = append(hosts, parsed.Addr())
+		}
+	}
+	return hosts
+}
+
+// engineAddresses returns the addresses of the engines of this entry's region
+// and of the others.
+func (g *Gateway) engineAddresses(table *serving.Table) (near, far []string) {
+	regions := g.config.Placement.Regions
+	own := regions[g.config.Placement.Domain]
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var hosts []netip.Addr
 	g.directory.All(func(s *directory.Server) {
 		service := table.Service(s.Service)
-		if service == nil || service.Engine == nil {
-			return
-		}
-		if address, err := netip.ParseAddrPort(s.Address); err == nil {
-			hosts = append(hosts, address.Addr())
+		switch {
+		case service == nil || service.Engine == nil:
+		case regions[s.Domain] == own:
+			near = append(near, s.Address)
+		default:
+			far = append(far, s.Address)
 		}
 	})
-	return hosts
+	return near, far
 }
 
 // takeStatus takes an agent's report on the engine at its address. It applies
--- a/gateway/observation.go
+++ b/gateway/observation.go
@@ -14,6 +14,8 @@
 	// Predicted, Occupancy and LoadAge are what the last placement rested on.
 	Predicted, LoadAge time.Duration
 	Occupancy          int
+	// RetryAfter is when a refused caller was told to come back.
+	RetryAfter time.Duration
 	// Attempts counts the backend servers that had the request.
 	Attempts int
 	// ConfigVersion is the configuration that decided.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/placement"
 	"github.com/auburnbend/auburnbend/lib/serving"
 )
@@ -144,6 +145,8 @@
 			r.fail(end)
 			return
 		}
+		g.config.Log.Log(eventlog.RequestRepeated, "request", r.call.ID, "server", lease.Server.ID, "reason", end.reason,
+			"sent", end.sent, "may_have_run", end.mayHaveRun, "last_event", r.stream.last, "config", r.seen.ConfigVersion)
 	}
 }
 
--- a/internal/processes/examples_test.go
+++ b/internal/processes/examples_test.go
@@ -51,13 +51,13 @@
 
 	// Guards against an operations page that names events that do not exist.
 	It("name events of the catalogue", func() {
-		text, err := os.ReadFile(filepath.Join(docs, "operations.md"))
+		text, err := os.ReadFile(filepath.Join(docs, "OPERATIONS.md"))
 		Expect(err).NotTo(HaveOccurred())
 		known := make(map[int]bool)
 		for _, e := range eventlog.Catalogue() {
 			known[e.Number] = true
 		}
-		for _, number := range regexp.MustCompile(`\b[1-6]\d{3}\b`).FindAllString(string(text), -1) {
+		for _, number := range regexp.MustCompile(`\b[1-7]\d{3}\b`).FindAllString(string(text), -1) {
 			n, err := strconv.Atoi(number)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(known).To(HaveKey(n))
--- a/lib/placement/config.go
+++ b/lib/placement/config.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/directory"
+)
 
 // Config holds the parameters of a Picker. Zero fields take the defaults.
 type Config struct {
@@ -19,6 +23,8 @@
 	EjectAfter int
 	// MinEject and MaxEject bound that while.
 	MinEject, MaxEject time.Duration
+	// OnEject is told of each ejection; nil is told of none.
+	OnEject func(server *directory.Server, while time.Duration)
 	// MaxEjectedShare bounds the share of a service's servers that are ejected.
 	MaxEjectedShare float64
 }
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -270,6 +270,9 @@
 	while := min(p.config.MinEject<<min(s.ejections, 10), p.config.MaxEject)
 	s.ejections++
 	s.ejectedUntil = now.Add(while)
+	if p.config.OnEject != nil {
+		p.config.OnEject(s.seen, while)
+	}
 }
 
 // Report takes an agent's report on a server.
--- a/operator/cli/root.go
+++ b/operator/cli/root.go
@@ -31,6 +31,6 @@
 	}
 	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{err} })
 	o.addFlags(cmd.PersistentFlags())
-	cmd.AddCommand(newConfigCommand(o), newOperationCommand(o), newRolloutCommand(o), newInstancesCommand(o), newManifestCommand())
+	cmd.AddCommand(newConfigCommand(o), newOperationCommand(o), newRolloutCommand(o), newInstancesCommand(o), newManifestCommand(), newExplainCommand())
 	return cmd
 }
--- /dev/null
+++ b/operator/explain/story_test.go
@@ -0,0 +1,48 @@
+package explain_test
+
+import (
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/operator/explain"
+)
+
+const logs = `half of a line total_ms=3
+ts=2026-12-04T05:00:00.000Z instance=edge-1 event=7001 level=info msg="live configuration is in force" config=7
+ts=2026-12-04T05:00:09.000Z instance=edge-1 event=7104 level=warn msg="backend server gets no requests for a while" server=i-1
+ts=2026-12-04T05:00:09.500Z instance=side-1 event=7302 level=info msg="engine was ordered to load a version" version=2
+ts=2026-12-04T05:00:10.100Z instance=edge-1 event=7201 level=info msg="request ended" request=b outcome=answered server=i-2
+ts=2026-12-04T05:00:10.000Z instance=edge-1 event=7202 level=info msg="request goes to another backend server" request=a server=i-1 reason="no answer"
+ts=2026-12-04T05:00:10.200Z instance=edge-1 event=7201 level=info msg="request ended" request=a outcome=unknown reason="time over" server=i-3 total_ms=400
+ts=2026-12-04T05:00:11.000Z instance=edge-2 event=7103 level=info msg="row of a backend server is gone" server=i-3
+ts=2026-12-04T05:00:30.000Z instance=edge-1 event=7004 level=warn msg="store does not answer this instance"
+`
+
+var _ = Describe("Find", func() {
+	lines, err := explain.Read(strings.NewReader(logs))
+
+	It("orders the lines of a request and adds what happened around it", func() {
+		// Guards against an explanation that lacks the event which is the cause.
+		Expect(err).NotTo(HaveOccurred())
+		s := explain.Find("a", lines)
+		Expect(s.Lines).To(HaveLen(2))
+		Expect(s.Lines[0].Event).To(Equal(7202))
+		Expect(s.Lines[1].Get("reason")).To(Equal("time over"))
+		var events []int
+		for _, l := range s.Context {
+			events = append(events, l.Event)
+		}
+		Expect(events).To(Equal([]int{7104, 7103}))
+	})
+
+	It("finds nothing for an unknown request", func() {
+		Expect(explain.Find("zz", lines).Lines).To(BeEmpty())
+	})
+
+	It("knows what reasons mean", func() {
+		Expect(explain.Meaning("overloaded")).NotTo(BeEmpty())
+		Expect(explain.Meaning("never heard of")).To(BeEmpty())
+	})
+})
