Ask peers for pieces in another order on each instance

Cause: all members asked for the same new piece, and of equal holders all chose the one with the least name.

--- a/lib/spread/scheduler.go
+++ b/lib/spread/scheduler.go
@@ -1,6 +1,11 @@
 package spread
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/rendezvous"
+)
 
 // Ask is a piece that is to be asked of a source.
 type Ask struct {
@@ -22,7 +27,9 @@
 	known []bool
 
 	missing map[int]*piece
-	// order lists the pieces in the order in which the origin sends them.
+	// order lists the pieces in the order in which they are asked of peers. It is
+	// another one for each member, so that members of a region get different
+	// pieces first and can offer them to each other.
 	order   []int
 	sources map[string]*source
 	dead    map[string]bool
@@ -58,9 +65,7 @@
 		s.known[p] = false
 		s.missing[p] = &piece{asks: make(map[string]time.Time), refused: make(map[string]bool)}
 	}
-	for i := range pieces {
-		s.order = append(s.order, i)
-	}
+	s.order = rand.New(rand.NewPCG(rendezvous.Hash(plan.self.ID), 0)).Perm(pieces)
 	return s
 }
 
@@ -142,33 +147,60 @@
 
 // Next returns what is to be asked now.
 func (s *Scheduler) Next(now time.Time) []Ask {
-	var asks []Ask
-	peers := s.config.PeerAsks - s.peersAsked(now)
-	origin := s.config.OriginAsks - s.source(Origin).asked
+	asks := s.nextOfOrigin(now)
+	free := s.config.PeerAsks - s.peersAsked(now)
 	for _, number := range s.order {
-		if peers <= 0 && origin <= 0 {
+		if free <= 0 {
 			break
 		}
 		p := s.missing[number]
 		if p == nil || s.waiting(p, now) {
 			continue
 		}
-		from, ok := s.choose(number, p, now, peers > 0, origin > 0)
-		if !ok {
+		if from, ok := s.choosePeer(number, p, now); ok {
+			asks = append(asks, s.ask(number, p, from, now))
+			free--
+		}
+	}
+	return asks
+}
+
+// nextOfOrigin asks the origin in the order of the pieces, which is that of
+// their turns.
+func (s *Scheduler) nextOfOrigin(now time.Time) []Ask {
+	var asks []Ask
+	free := s.config.OriginAsks - s.source(Origin).asked
+	for number := 0; number < len(s.known) && free > 0; number++ {
+		p := s.missing[number]
+		if p == nil || s.waiting(p, now) {
 			continue
 		}
-		if from == Origin {
-			origin--
-		} else {
-			peers--
+		_, asked := p.asks[Origin]
+		if asked || s.offered(number, p) && !s.late(p, now) || !s.mayAskOrigin(number, now) {
+			continue
 		}
-		p.asks[from] = now
-		s.source(from).asked++
-		asks = append(asks, Ask{Source: from, Piece: number})
+		asks = append(asks, s.ask(number, p, Origin, now))
+		free--
 	}
 	return asks
 }
 
+func (s *Scheduler) ask(number int, p *piece, from string, now time.Time) Ask {
+	p.asks[from] = now
+	s.source(from).asked++
+	return Ask{Source: from, Piece: number}
+}
+
+// offered reports whether a peer has a piece that it has not sent spoilt.
+func (s *Scheduler) offered(number int, p *piece) bool {
+	for id, src := range s.sources {
+		if id != Origin && src.has[number] && !p.refused[id] {
+			return true
+		}
+	}
+	return false
+}
+
 // waiting reports whether a piece was asked for recently.
 func (s *Scheduler) waiting(p *piece, now time.Time) bool {
 	for _, at := range p.asks {
@@ -179,32 +211,24 @@
 	return false
 }
 
-// choose returns the best source of a piece: a peer of the region, then a peer
-// of another one, then the origin.
-func (s *Scheduler) choose(number int, p *piece, now time.Time, peers, origin bool) (string, bool) {
+// choosePeer returns the peer to ask for a piece: one of the region, or one of
+// another region if this instance brings the piece in.
+func (s *Scheduler) choosePeer(number int, p *piece, now time.Time) (string, bool) {
 	best, bestNear, found := "", false, false
 	cross := s.mayCross(number, now)
-	known := false
 	for id, src := range s.sources {
 		if id == Origin || !src.has[number] || p.refused[id] {
 			continue
 		}
-		known = true
 		near := s.plan.near(id)
-		if _, asked := p.asks[id]; asked || !peers || !near && !cross {
+		if _, asked := p.asks[id]; asked || !near && !cross {
 			continue
 		}
-		if !found || near && !bestNear || near == bestNear && s.lighter(id, best) {
+		if !found || near && !bestNear || near == bestNear && s.lighter(id, best, number) {
 			best, bestNear, found = id, near, true
 		}
 	}
-	if found {
-		return best, true
-	}
-	if _, asked := p.asks[Origin]; asked || !origin || known && !s.late(p, now) {
-		return "", false
-	}
-	return Origin, s.mayAskOrigin(number, now)
+	return best, found
 }
 
 // late reports whether a source that was asked for a piece takes too long.
@@ -217,13 +241,15 @@
 	return false
 }
 
-// lighter reports whether a has fewer open asks than b; the order of names
-// keeps the choice the same on every run.
-func (s *Scheduler) lighter(a, b string) bool {
+// lighter reports whether a is to be preferred to b: it has fewer open asks of
+// this instance, or a higher weight. Weights differ between instances and
+// pieces, so that not all ask the same peer.
+func (s *Scheduler) lighter(a, b string, number int) bool {
 	if s.sources[a].asked != s.sources[b].asked {
 		return s.sources[a].asked < s.sources[b].asked
 	}
-	return a < b
+	key := rendezvous.Hash(s.plan.self.ID) + uint64(number)
+	return rendezvous.Combine(key, rendezvous.Hash(a)) > rendezvous.Combine(key, rendezvous.Hash(b))
 }
 
 // mayCross reports whether this instance brings a piece into its region: it is
