--- a/lib/watch/config.go
+++ b/lib/watch/config.go
@@ -4,7 +4,8 @@
 
 // Config holds the timing of a Follower. Zero fields take the defaults.
 type Config struct {
-	// Wait is how long one call waits for a change.
+	// Wait is how long one call waits for a change. It is shortened by up to a
+	// third at random, so that the calls of a fleet do not end together.
 	Wait time.Duration
 	// AnswerTimeout is added to Wait for the answer to arrive. A longer silence
 	// means a dead connection.
@@ -18,9 +19,9 @@
 }
 
 const (
-	// defaultWait trades store calls against the time in which a connection
-	// without keep-alive answers is noticed.
-	defaultWait = 10 * time.Second
+	// defaultWait trades store calls against the time in which a call that will
+	// never be answered is noticed: the store may have been away meanwhile.
+	defaultWait = 3 * time.Second
 	// defaultAnswerTimeout allows for a store that answers slowly.
 	defaultAnswerTimeout = 1500 * time.Millisecond
 	defaultMinBackoff    = 100 * time.Millisecond
--- a/lib/watch/follower.go
+++ b/lib/watch/follower.go
@@ -70,18 +70,25 @@
 }
 
 func (f *Follower) call(ctx context.Context) (Rows, error) {
-	limit := f.config.AnswerTimeout
-	if f.synced {
-		limit += f.config.Wait
-	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	wait := f.wait()
+	ctx, cancel := context.WithTimeout(ctx, f.config.AnswerTimeout+wait)
 	defer cancel()
 	if f.synced {
-		return f.source.Changes(ctx, f.revision, f.config.Wait)
+		return f.source.Changes(ctx, f.revision, wait)
 	}
 	return f.source.Snapshot(ctx)
 }
 
+// wait is how long the next call waits for a change. After a failure it asks
+// for an answer at once: a call that waits cannot be told from one that is lost,
+// and would delay what was missed.
+func (f *Follower) wait() time.Duration {
+	if !f.synced || f.lost {
+		return 0
+	}
+	return f.config.Wait - rand.N(f.config.Wait/3+1)
+}
+
 func (f *Follower) deliver(rows Rows) {
 	recovered := f.lost
 	f.lost = false
--- a/lib/watch/follower_test.go
+++ b/lib/watch/follower_test.go
@@ -13,6 +13,7 @@
 type script struct {
 	answers []answer
 	calls   []string
+	waits   []time.Duration
 }
 
 type answer struct {
@@ -29,7 +30,8 @@
 
 func (s *script) Snapshot(context.Context) (Rows, error) { return s.next("snapshot") }
 
-func (s *script) Changes(context.Context, int64, time.Duration) (Rows, error) {
+func (s *script) Changes(_ context.Context, _ int64, wait time.Duration) (Rows, error) {
+	s.waits = append(s.waits, wait)
 	return s.next("changes")
 }
 
@@ -103,6 +105,16 @@
 		Expect(pauses).To(Equal([]time.Duration{300 * time.Millisecond, 0, 300 * time.Millisecond}))
 	})
 
+	It("waits for no change in the first call after a failure", func() {
+		// Guards against a call that hangs in a silent store and delays the
+		// configuration that was accepted meanwhile: it came 3.4 s after the ack.
+		s, _, _ := play(at(5, "a"), at(5), down, at(6), at(6))
+		Expect(s.waits).To(HaveLen(4))
+		Expect(s.waits[0]).To(And(BeNumerically(">=", 2*time.Second), BeNumerically("<=", 3*time.Second)))
+		Expect(s.waits[2]).To(BeZero())
+		Expect(s.waits[3]).To(BeNumerically(">=", 2*time.Second))
+	})
+
 	It("pauses longer with each failure, up to a bound", func() {
 		// Guards against instances that use up the store's rate while it is down.
 		_, _, pauses := play(down, down, down, down, down, down, down)
--- a/replica/fetch.go
+++ b/replica/fetch.go
@@ -15,6 +15,9 @@
 	// fetchTick is how often a fetch looks for pieces whose turn at the origin has
 	// come, and for sources that are too slow.
 	fetchTick = 20 * time.Millisecond
+	// idlePeerAsks is the number of pieces that are asked of peers at the same time
+	// while the engine serves nothing.
+	idlePeerAsks = 10
 	// originPause is the pause after a failed call of the origin.
 	originPause = 100 * time.Millisecond
 	// maxSpoilt is the number of times that a piece may fail the check before
@@ -51,7 +54,7 @@
 	f.asks = make(map[string]chan int)
 	f.spoilt = make(map[int]int)
 	pieces := len(f.holdings.manifest.Digests)
-	f.scheduler = spread.NewScheduler(spread.Config{OriginTime: f.originTime}, f.plan, pieces, f.holdings.missing(), f.started)
+	f.scheduler = spread.NewScheduler(spread.Config{OriginTime: f.originTime, PeerAsks: f.peerAsks()}, f.plan, pieces, f.holdings.missing(), f.started)
 	f.asks[spread.Origin] = make(chan int, askQueue)
 	go f.askOrigin(ctx, f.asks[spread.Origin])
 	for _, id := range f.plan.Peers(pieces) {
@@ -74,6 +77,15 @@
 	return true
 }
 
+// peerAsks bounds the pieces on their way: more of them where no live requests
+// wait behind them.
+func (f *fetch) peerAsks() int {
+	if f.replica.serving() {
+		return 0
+	}
+	return idlePeerAsks
+}
+
 func (f *fetch) now() time.Time { return f.replica.config.Clock.Now() }
 
 func (f *fetch) connect(ctx context.Context, id string) {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -106,6 +106,12 @@
 // Stats returns the counters.
 func (r *Replica) Stats() *Stats { return &r.stats }
 
+// serving reports whether the engine holds weights, and so may have streams.
+func (r *Replica) serving() bool {
+	report := r.report.Load()
+	return report != nil && len(report.Weights) > 0
+}
+
 func (r *Replica) wakeUp() {
 	select {
 	case r.wake <- struct{}{}:
--- a/replica/serve.go
+++ b/replica/serve.go
@@ -130,7 +130,7 @@
 	if piece >= 0 && piece < len(s.holdings.manifest.Digests) {
 		a.Data = s.holdings.get(ctx, piece)
 	}
-	release, err := s.replica.uploads.acquire(ctx, len(a.Data))
+	release, err := s.replica.uploads.acquire(ctx, len(a.Data), s.replica.serving())
 	if err != nil {
 		return false
 	}
--- a/replica/uploads.go
+++ b/replica/uploads.go
@@ -34,8 +34,12 @@
 }
 
 // acquire waits until a piece of a size in bytes may leave. The returned
-// function is called when it has left.
-func (u *uploads) acquire(ctx context.Context, size int) (func(), error) {
+// function is called when it has left. An engine that serves nothing has no
+// streams to protect: its instance sends at full rate.
+func (u *uploads) acquire(ctx context.Context, size int, serving bool) (func(), error) {
+	if !serving {
+		return func() {}, nil
+	}
 	select {
 	case <-ctx.Done():
 		return nil, ctx.Err()
