--- a/gateway/request.go
+++ b/gateway/request.go
@@ -70,6 +70,10 @@
 	return max(r.deadline.Sub(now), time.Millisecond)
 }
 
+// maxTargetRatio bounds how much shorter than its own target a request may wait
+// because of another route with a very short one.
+const maxTargetRatio = 2
+
 func (r *request) demand(now time.Time) placement.Demand {
 	d := placement.Demand{
 		Service: r.service, Engine: r.engine, Model: r.call.Model, Version: r.stream.version, MinVersion: r.gateway.versions.Least(r.call.Model, now),
@@ -77,8 +81,12 @@
 		Limit: r.left(now), Exclude: r.tried, Continued: r.stream.begun,
 	}
 	d.NextVersion, d.NextAt = r.gateway.versions.Next(r.call.Model, now)
-	if r.route.TargetLatency > 0 {
-		d.Target = max(r.route.TargetLatency-now.Sub(r.arrived), time.Millisecond)
+	// All requests to a service may wait equally long. With their own targets,
+	// those with the longest one would take the places of the others when there
+	// are too few.
+	if own := r.route.TargetLatency; own > 0 {
+		target := max(r.table.LeastTarget(r.service), own/maxTargetRatio)
+		d.Target = max(target-now.Sub(r.arrived), time.Millisecond)
 	}
 	return d
 }
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -10,10 +10,9 @@
 	"io"
 	"net"
 	"net/http"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/auburnbend/auburnbend/lib/sockopt"
 )
 
 const (
@@ -28,14 +27,8 @@
 	inlineBody = 16 << 10
 	// maxInterim bounds the interim answers before the final one.
 	maxInterim = 4
-	// unacknowledgedLimit is the time in milliseconds after which a connection
-	// with unacknowledged bytes is given up.
-	unacknowledgedLimit = 2000
 )
 
-// keepAlive finds connections that went silent while new ones work.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
-
 // Request is what is sent to a backend server.
 type Request struct {
 	Method, Target, Host string
@@ -63,8 +56,7 @@
 
 // Open connects to a backend server. The connection is closed when ctx ends.
 func Open(ctx context.Context, address string) (*Exchange, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: limitUnacknowledged}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := sockopt.Dialer(dialTimeout).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, &UnreachableError{Cause: err}
 	}
@@ -73,17 +65,6 @@
 	return x, nil
 }
 
-func limitUnacknowledged(_, _ string, c syscall.RawConn) error {
-	var failed error
-	err := c.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, unacknowledgedLimit)
-	})
-	if err != nil {
-		return err
-	}
-	return failed
-}
-
 // Do sends the request and reads the head of its answer. After any error the
 // request may have been run.
 func (x *Exchange) Do(r *Request) (*http.Response, error) {
--- a/lib/serving/table.go
+++ b/lib/serving/table.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"strings"
+	"time"
 )
 
 // Table answers lookups in one configuration. It is immutable and safe for
@@ -12,6 +13,8 @@
 	hosts    map[string]map[string]*Route
 	teams    map[string]*Team
 	services map[string]*Service
+	// targets are the least target latencies of the routes to each service.
+	targets map[string]time.Duration
 }
 
 // NewTable indexes a configuration, which must not change afterwards.
@@ -21,6 +24,7 @@
 		hosts:    make(map[string]map[string]*Route),
 		teams:    make(map[string]*Team),
 		services: make(map[string]*Service, len(c.Services)),
+		targets:  make(map[string]time.Duration),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -30,6 +34,7 @@
 			t.hosts[r.Host] = prefixes
 		}
 		prefixes[r.Prefix] = r
+		t.addTarget(r)
 	}
 	for i := range c.Teams {
 		for _, key := range c.Teams[i].Keys {
@@ -42,6 +47,19 @@
 	return t
 }
 
+func (t *Table) addTarget(r *Route) {
+	for _, target := range r.Targets {
+		least, known := t.targets[target.Service]
+		if r.TargetLatency > 0 && (!known || r.TargetLatency < least) {
+			t.targets[target.Service] = r.TargetLatency
+		}
+	}
+}
+
+// LeastTarget returns the least target latency of the routes to a service; zero
+// if none is declared.
+func (t *Table) LeastTarget(service string) time.Duration { return t.targets[service] }
+
 // Config returns the configuration.
 func (t *Table) Config() *Config { return t.config }
 
--- a/lib/serving/table_test.go
+++ b/lib/serving/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -46,6 +47,20 @@
 		Expect(table.Team("")).To(BeNil())
 	})
 
+	It("knows the least target of the routes to a service", func() {
+		// Guards against a kind of request that takes all places of an overloaded
+		// service because its target is longer.
+		route := func(service string, target time.Duration) serving.Route {
+			return serving.Route{Host: "h", Prefix: "/", TargetLatency: target, Targets: []serving.Target{{Service: service}}}
+		}
+		table := serving.NewTable(&serving.Config{Routes: []serving.Route{
+			route("drafts", 500*time.Millisecond), route("drafts", 400*time.Millisecond), route("drafts", 0), route("desk", time.Second),
+		}})
+		Expect(table.LeastTarget("drafts")).To(Equal(400 * time.Millisecond))
+		Expect(table.LeastTarget("desk")).To(Equal(time.Second))
+		Expect(table.LeastTarget("other")).To(BeZero())
+	})
+
 	It("follows the declared weights of a split", func() {
 		// Guards against a split that sends requests to a target of weight zero.
 		route := serving.Route{Targets: []serving.Target{{Service: "old", Weight: 90}, {Service: "new", Weight: 10}, {Service: "off"}}}
