Give up a backend server that does not begin to answer

Cause: a server that takes requests and never answers showed no error; its requests waited until their callers left, and it kept getting more. A request that may be repeated goes to another server after three targets or four times the prediction, and two callers that leave unanswered eject a server. A request that has run is not refused for a missed target any more: 503 could not be true, and 502 helps nobody.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"errors"
 	"net/http"
+	"os"
+	"time"
 
 	"github.com/auburnbend/auburnbend/gateway/upstream"
 	"github.com/auburnbend/auburnbend/lib/placement"
@@ -30,13 +33,37 @@
 	defer x.Close()
 	r.reached++
 	r.seen.Attempts++
+	x.SetReadDeadline(r.firstAnswerLimit(lease))
 	resp, err := x.Do(r.upstreamRequest(r.dispatch(lease)))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return r.unknown("no answer in time")
+	}
 	if err != nil {
 		return r.unknown("no answer")
 	}
+	x.SetReadDeadline(time.Time{})
 	return r.answered(lease, x, resp)
 }
 
+const (
+	// firstAnswerTargets and firstAnswerPredictions bound the wait for the head of
+	// an answer, in targets of the route and in predicted times, where another
+	// server may still have the request. A server may take requests and never
+	// answer while its health is good.
+	firstAnswerTargets     = 3
+	firstAnswerPredictions = 4
+)
+
+// firstAnswerLimit is when another server gets the request if this one has not
+// begun to answer; zero if it must not be repeated.
+func (r *request) firstAnswerLimit(lease *placement.Lease) time.Time {
+	last := r.route.MaxBackendServers > 0 && r.reached >= r.route.MaxBackendServers
+	if !r.route.Repeatable() || last || r.route.TargetLatency <= 0 {
+		return time.Time{}
+	}
+	return r.gateway.now().Add(max(firstAnswerTargets*r.route.TargetLatency, firstAnswerPredictions*lease.Predicted))
+}
+
 func (r *request) dispatch(lease *placement.Lease) Dispatch {
 	now := r.gateway.now()
 	d := Dispatch{Server: lease.Server, Left: r.left(now), LastEvent: -1}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -78,7 +78,7 @@
 	d := placement.Demand{
 		Service: r.service, Engine: r.engine, Model: r.call.Model, Version: r.stream.version, MinVersion: r.gateway.versions.Least(r.call.Model, now),
 		PromptTokens: r.call.PromptTokens, AnswerTokens: r.call.ExpectedTokens,
-		Limit: r.left(now), Exclude: r.tried, Continued: r.stream.begun,
+		Limit: r.left(now), Exclude: r.tried, Continued: r.stream.begun || r.ran,
 	}
 	d.NextVersion, d.NextAt = r.gateway.versions.Next(r.call.Model, now)
 	// All requests to a service may wait equally long. With their own targets,
--- a/lib/placement/config.go
+++ b/lib/placement/config.go
@@ -45,6 +45,9 @@
 	// distantChoices is the number of servers of other regions that are compared
 	// for one request.
 	distantChoices = 2
+	// silentAfter is the time after which a server that has not begun to answer
+	// when its caller leaves counts as failed. It is twice a usual target.
+	silentAfter = time.Second
 	// expiryMargin is the time before a bound on weights that is left free besides
 	// twice the predicted wait. Requests waited 620 ms in a run in which they then
 	// began after the bound.
--- a/lib/placement/demand.go
+++ b/lib/placement/demand.go
@@ -30,8 +30,8 @@
 	Limit time.Duration
 	// Exclude are servers that have had this request.
 	Exclude []directory.Key
-	// Continued tells that the caller has a part of the answer already. Such a
-	// request is not refused for a missed target.
+	// Continued tells that the request has begun elsewhere, so that a refusal
+	// could not promise that it was not run. It is not refused for a missed target.
 	Continued bool
 }
 
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -213,6 +213,7 @@
 	if l.done {
 		return l.state.own
 	}
+	answered := l.answering
 	p.Answering(l, now)
 	l.done = true
 	s := l.state
@@ -225,11 +226,12 @@
 	case Unreachable:
 		p.eject(s, now)
 	case Failed:
-		s.failures++
-		if s.failures >= p.config.EjectAfter {
-			p.eject(s, now)
+		p.failed(s, now)
+	case Cancelled:
+		if !answered && now.Sub(l.started) >= silentAfter {
+			p.failed(s, now)
 		}
-	case Cancelled, Rejected:
+	case Rejected:
 	}
 	return s.own
 }
@@ -262,6 +264,14 @@
 	s.answerTime += (took - s.answerTime) / 8
 }
 
+// failed counts a failure and ejects the server after several in a row.
+func (p *Picker) failed(s *server, now time.Time) {
+	s.failures++
+	if s.failures >= p.config.EjectAfter {
+		p.eject(s, now)
+	}
+}
+
 // eject keeps requests away for a while that doubles with each time.
 func (p *Picker) eject(s *server, now time.Time) {
 	if s.ejected(now) {
--- a/lib/placement/picker_test.go
+++ b/lib/placement/picker_test.go
@@ -223,6 +223,22 @@
 		Expect(seen).To(HaveKey(failed))
 	})
 
+	It("ejects a server that does not answer until its callers leave", func() {
+		// Guards against a server that takes requests for ever and answers none: no
+		// error ever shows it.
+		silent := add("a", "north", nil)
+		other := add("b", "north", nil)
+		d := demand()
+		d.Exclude = []directory.Key{other}
+		for range 2 {
+			p.Done(pick(d), placement.Cancelled, now.Add(3*time.Second))
+		}
+		now = now.Add(3 * time.Second)
+		for range 6 {
+			Expect(pick(demand()).Server.ID).NotTo(Equal(silent.ID))
+		}
+	})
+
 	It("uses ejected servers when all are ejected", func() {
 		// Guards against a whole service that is refused because one cause made all
 		// servers fail.
--- a/operator/explain/reason.go
+++ b/operator/explain/reason.go
@@ -13,6 +13,7 @@
 	"incomplete body":                "its body ended early",
 	"unreachable":                    "the backend server accepted no connection",
 	"no answer":                      "the backend server closed the connection without an answer; it may have run the request",
+	"no answer in time":              "the backend server had not begun to answer after three targets",
 	"rejected by the server":         "the backend server said that it did not run it",
 	"another server has the address": "another backend server has the address by now",
 	"answer of another request":      "the backend server sent an answer to another request",
