--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -204,7 +204,7 @@
 // maxUnsent bounds the servers that are tried in vain for one request.
 const maxUnsent = 4
 
-// kind returns the route's kind.
+// streaming reports whether the answer is a series of events.
 func (r *request) streaming() bool { return r.route.Kind == serving.Streaming }
 
 // rawPath returns the path of a request target as the caller wrote it: what is
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -36,8 +36,7 @@
 	Body                 []byte
 }
 
-// Exchange is one request on its way and its answer. It belongs to one
-// goroutine, except for Abort.
+// Exchange is one request on its way and its answer. It belongs to one goroutine.
 type Exchange struct {
 	conn   net.Conn
 	reader *bufio.Reader
--- a/internal/node/command.go
+++ b/internal/node/command.go
@@ -32,6 +32,8 @@
 	MetricsPort int
 	Log         *eventlog.Logger
 	// Reload delivers a value each time that the settings file may have changed.
+	// The daemons read their settings at the start only; the signal is taken so
+	// that it does not end them.
 	Reload <-chan os.Signal
 }
 
