Leave 700 ms before the bound of a version also without a predicted wait

Change: the margin is 700 ms plus twice the predicted wait, which is at least as strict as the check that it replaced. The new spec fails with 500 ms.

--- a/lib/placement/config.go
+++ b/lib/placement/config.go
@@ -51,7 +51,7 @@
 	// expiryMargin is the time before a bound on weights that is left free besides
 	// twice the predicted wait. Requests waited 620 ms in a run in which they then
 	// began after the bound.
-	expiryMargin = 500 * time.Millisecond
+	expiryMargin = 700 * time.Millisecond
 	// openingTime is the time after an engine has opened in which only entries of
 	// its region use it: the others learn of it at the same moment and know
 	// nothing of each other.
--- a/lib/placement/picker_test.go
+++ b/lib/placement/picker_test.go
@@ -105,6 +105,19 @@
 		pick(d)
 	})
 
+	It("leaves the margin before a bound also where no wait is predicted", func() {
+		// Guards against a request that begins after the bound because the
+		// prediction was too low: 620 ms were seen where none were predicted.
+		add("a", "north", nil)
+		d := demand()
+		d.NextVersion, d.NextAt = 2, now.Add(690*time.Millisecond)
+		_, refusal := p.Pick(d, now)
+		Expect(refusal).NotTo(BeNil())
+		Expect(refusal.Reason).To(Equal(placement.NoWeights))
+		d.NextAt = now.Add(710 * time.Millisecond)
+		pick(d)
+	})
+
 	It("keeps a server closed when an answer tells its load", func() {
 		// Guards against requests to an engine that loads weights: its answers to
 		// earlier requests carry no word on that.
