Add a fault soak of the daemons as separate processes

auburnbend-soak starts three entries and four agents as processes, with stand-ins of store, origin and backend servers behind loopback proxies, and plays steps that follow from a seed: signals, links that delay, reset, lose one way or fall silent, a store that fails or forgets, servers that crash or leave, pieces that turn bad, configurations and versions. Callers keep their connections. Clocks: the daemons decide by the steady clock only, time of day is in log lines; pauses stand for clocks that stop. The stand-ins of engines and origin are in platform/platformtest, as they speak the platform's names.

--- /dev/null
+++ b/internal/soak/callers.go
@@ -0,0 +1,117 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/auburnbend/auburnbend/platform/platformtest"
+)
+
+const (
+	// callersPerEntry callers send one request after another to their entry; half
+	// of them keep their connection until it breaks.
+	callersPerEntry = 5
+	// thinkTime is the mean pause between two requests of a caller.
+	thinkTime = 120 * time.Millisecond
+	// awayPause is the pause after an entry did not accept a connection.
+	awayPause = 100 * time.Millisecond
+	// gaveUpAfter is how much longer than its limit a caller listens.
+	gaveUpAfter = 2 * time.Second
+)
+
+// call runs the callers until ctx ends.
+func (w *world) call(ctx context.Context, seed uint64) {
+	var callers sync.WaitGroup
+	for entry := range w.entries {
+		for number := range callersPerEntry {
+			callers.Add(1)
+			go func() {
+				defer callers.Done()
+				c := &caller{
+					world: w, entry: entry, name: fmt.Sprintf("%d-%d", entry, number),
+					rng:    rand.New(rand.NewPCG(seed, uint64(entry*callersPerEntry+number)+2)),
+					client: &http.Client{Transport: &http.Transport{DisableKeepAlives: number%2 == 0, DisableCompression: true, MaxConnsPerHost: 1}},
+				}
+				c.run(ctx)
+			}()
+		}
+	}
+	callers.Wait()
+}
+
+// caller sends requests to one entry.
+type caller struct {
+	world  *world
+	entry  int
+	name   string
+	rng    *rand.Rand
+	client *http.Client
+	count  int
+}
+
+func (c *caller) run(ctx context.Context) {
+	defer c.client.CloseIdleConnections()
+	for ctx.Err() == nil {
+		pause := c.one()
+		wait(ctx, pause+time.Duration(c.rng.Int64N(int64(2*thinkTime))))
+	}
+}
+
+// one sends a request and returns how long the caller was told to stay away.
+func (c *caller) one() time.Duration {
+	r := c.drawRoute()
+	c.count++
+	call := platformtest.Call{
+		Host: host, Attempt: fmt.Sprintf("a%s-%d", c.name, c.count), Key: key, Limit: time.Duration(r.LimitMS) * time.Millisecond,
+		Resume: -1, Body: fmt.Sprintf("body of %s-%d", c.name, c.count),
+	}
+	call.Path = r.Prefix + call.Attempt
+	if r.streams() {
+		call.Model, call.Prompt, call.Answer = model, 50+c.rng.IntN(200), 5*eventsPerStream
+	}
+	if !c.accepts() {
+		return awayPause
+	}
+	o := outcome{call: call, route: *r, entry: c.entry, sent: c.world.ledger.now()}
+	ctx, cancel := context.WithTimeout(context.Background(), call.Limit+gaveUpAfter)
+	defer cancel()
+	req, err := call.Request(ctx, address(c.world.slot, groupEntry, c.entry, callersPort))
+	if err != nil {
+		panic(err)
+	}
+	// The library may send a request again on a new connection; this one must not.
+	req.GetBody = nil
+	resp, err := c.client.Do(req)
+	if err == nil {
+		o.answer = platformtest.ReadAnswer(resp)
+	}
+	o.err, o.ended = err, c.world.ledger.now()
+	c.world.ledger.end(o)
+	return o.answer.RetryAfter
+}
+
+// accepts reports whether the entry takes connections: a process that is down is
+// not asked, as the balancer would not ask it.
+func (c *caller) accepts() bool {
+	conn, err := net.DialTimeout("tcp", address(c.world.slot, groupEntry, c.entry, readyPort), time.Second)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
+func (c *caller) drawRoute() *route {
+	draw := c.rng.Float64()
+	for i := range routes {
+		if draw -= routes[i].share; draw < 0 {
+			return &routes[i]
+		}
+	}
+	return &routes[len(routes)-1]
+}
--- /dev/null
+++ b/internal/soak/ledger.go
@@ -0,0 +1,85 @@
+package soak
+
+import (
+	"sync"
+	"time"
+
+	"github.com/auburnbend/auburnbend/platform/platformtest"
+)
+
+// outcome is one request of a caller and its end.
+type outcome struct {
+	call  platformtest.Call
+	route route
+	entry int
+	// sent and ended count from the start of traffic.
+	sent, ended time.Duration
+	// err tells that the connection ended without an answer.
+	err    error
+	answer platformtest.Answered
+}
+
+// load is an order that an engine took.
+type load struct {
+	server  string
+	version int
+	whole   bool
+	at      time.Duration
+}
+
+// declared is a version of the configuration or of the weights, and when the
+// store had it.
+type declared struct {
+	version int
+	at      time.Duration
+}
+
+// ledger collects what callers and backend servers saw. It is safe for
+// concurrent use.
+type ledger struct {
+	started time.Time
+
+	mu       sync.Mutex
+	outcomes []outcome
+	runs     map[string][]platformtest.Run
+	loads    []load
+	configs  []declared
+	weights  []declared
+	rotten   []time.Duration
+	// left is when servers told that they leave, by id.
+	left map[string]time.Duration
+}
+
+var _ platformtest.Recorder = (*ledger)(nil)
+
+func newLedger() *ledger {
+	return &ledger{started: time.Now(), runs: make(map[string][]platformtest.Run), left: make(map[string]time.Duration)}
+}
+
+func (l *ledger) now() time.Duration { return time.Since(l.started) }
+
+// Ran implements platformtest.Recorder.
+func (l *ledger) Ran(r platformtest.Run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[r.Attempt] = append(l.runs[r.Attempt], r)
+}
+
+// Loaded implements platformtest.Recorder.
+func (l *ledger) Loaded(server string, version int, whole bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.loads = append(l.loads, load{server: server, version: version, whole: whole, at: l.now()})
+}
+
+func (l *ledger) end(o outcome) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outcomes = append(l.outcomes, o)
+}
+
+func (l *ledger) note(change func(l *ledger, now time.Duration)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change(l, l.now())
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,103 @@
+package soak
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is what a step of a plan does.
+type Kind string
+
+// Kinds of steps.
+const (
+	KillEntry     Kind = "kill-entry"
+	KillAgent     Kind = "kill-agent"
+	KillAll       Kind = "kill-all"
+	PauseEntry    Kind = "pause-entry"
+	PauseAgent    Kind = "pause-agent"
+	StopEntry     Kind = "stop-entry"
+	Hangup        Kind = "hangup"
+	StoreLink     Kind = "store-link"
+	ServerLink    Kind = "server-link"
+	OriginLink    Kind = "origin-link"
+	StoreDown     Kind = "store-down"
+	StoreForgets  Kind = "store-forgets"
+	CrashServer   Kind = "crash-server"
+	DrainServer   Kind = "drain-server"
+	RotPiece      Kind = "rot-piece"
+	SpoilPieces   Kind = "spoil-pieces"
+	ChangeConfig  Kind = "change-config"
+	DeclareWeight Kind = "declare-weights"
+)
+
+// planned are the steps of planned work: they excuse nothing.
+var planned = map[Kind]bool{
+	StopEntry: true, Hangup: true, DrainServer: true, ChangeConfig: true, DeclareWeight: true, RotPiece: true, SpoilPieces: true,
+}
+
+// Step is one fault or one piece of planned work.
+type Step struct {
+	Kind Kind
+	// At counts from the start of traffic. For is how long a fault lasts.
+	At, For time.Duration
+	// Target numbers the process, link or server; Link is the fault of a link.
+	Target int
+	Link   LinkFault
+}
+
+func (s Step) String() string {
+	return fmt.Sprintf("%5.1fs %-15s target %d for %.1fs link %d", s.At.Seconds(), s.Kind, s.Target, s.For.Seconds(), s.Link)
+}
+
+const (
+	// firstStep leaves time for a calm start.
+	firstStep = 1500 * time.Millisecond
+	// longestFault is above the time-outs of connections, which are 2 s.
+	longestFault  = 3 * time.Second
+	shortestFault = 200 * time.Millisecond
+	// fewestSteps and mostSteps bound the steps of a run, so that some overlap.
+	fewestSteps, mostSteps = 5, 12
+)
+
+// kinds are the steps that are drawn, likelier ones more often.
+var kinds = []Kind{
+	KillEntry, KillEntry, KillAgent, KillAll, PauseEntry, PauseAgent, StopEntry, StopEntry, Hangup,
+	StoreLink, StoreLink, ServerLink, ServerLink, OriginLink, StoreDown, StoreForgets,
+	CrashServer, CrashServer, DrainServer, RotPiece, SpoilPieces,
+	ChangeConfig, ChangeConfig, DeclareWeight, DeclareWeight,
+}
+
+// NewPlan draws the steps of a seed. All of them end before busy is over.
+func NewPlan(seed uint64, busy time.Duration) []Step {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	steps := make([]Step, fewestSteps+rng.IntN(mostSteps-fewestSteps+1))
+	for i := range steps {
+		s := Step{
+			Kind: kinds[rng.IntN(len(kinds))], Target: rng.IntN(64),
+			Link: LinkDelayed + LinkFault(rng.IntN(int(LinkSilent-LinkDelayed)+1)),
+		}
+		s.For = shortestFault + time.Duration(rng.Int64N(int64(longestFault-shortestFault)))
+		s.At = firstStep + time.Duration(rng.Int64N(int64(busy-firstStep-s.For)))
+		if i > 0 && rng.IntN(3) == 0 {
+			// Some steps meet: they come while another one lasts.
+			s.At = min(steps[i-1].At+time.Duration(rng.Int64N(int64(steps[i-1].For))), busy-s.For)
+		}
+		steps[i] = s
+	}
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return steps
+}
+
+// calm reports whether no fault, planned work apart, was there between two
+// moments or in the time before that it takes to settle.
+func calm(steps []Step, from, to, settle time.Duration) bool {
+	for _, s := range steps {
+		if !planned[s.Kind] && s.At <= to && s.At+s.For+settle >= from {
+			return false
+		}
+	}
+	return true
+}
