Ask the store less often, as the bounds allow

Change: a feed waits as long as a lost connection may go unnoticed: StallTime plus the bound of the table, less the time of an answer and 0.5 s.

--- /dev/null
+++ b/internal/node/follow.go
@@ -0,0 +1,42 @@
+package node
+
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/watch"
+	"github.com/auburnbend/auburnbend/platform"
+)
+
+const (
+	// applyReserve is what is left of a bound for the answer of a full read and
+	// for acting on it.
+	applyReserve = 500 * time.Millisecond
+	// gatherShare is the part of the time to leave a draining server in which
+	// changes of servers gather before they are read: each call is paid for, and
+	// agents tell of their engines without the store.
+	gatherShare = 0.25
+	// versionShare is the part of the time for a version that may pass before an
+	// agent notices that it has missed its declaration.
+	versionShare = 0.4
+)
+
+// storeWait is how long a call of the store may wait for a change. A connection
+// that delivers nothing more is noticed at its end. From its loss on a process
+// has StallTime before bounds hold again, and then the bound itself.
+func storeWait(b *platform.Bounds, bound time.Duration) time.Duration {
+	return max(0, b.StallTime+bound-watch.AnswerTimeout-applyReserve)
+}
+
+func operatorFollowing(b *platform.Bounds) watch.Config {
+	return watch.Config{Wait: storeWait(b, b.ConfigTime)}
+}
+
+func serversFollowing(b *platform.Bounds) watch.Config {
+	return watch.Config{Wait: storeWait(b, b.DrainTime), Gather: time.Duration(gatherShare * float64(b.DrainTime))}
+}
+
+// versionsFollowing is the following of an agent, which needs the declared
+// versions only.
+func versionsFollowing(b *platform.Bounds) watch.Config {
+	return watch.Config{Wait: storeWait(b, time.Duration(versionShare*float64(b.VersionTime)))}
+}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -26,9 +26,6 @@
 	// stopReserve is the part of the time to stop that is left for the end of
 	// the process itself.
 	stopReserve = 700 * time.Millisecond
-	// serversGather is short against the time in which a leaving backend server
-	// must get no more requests, 2 s.
-	serversGather = 300 * time.Millisecond
 	// assumedEntries share the retry budget before agents tell how many entries
 	// there are. Too many only make the share smaller.
 	assumedEntries = 16
@@ -62,8 +59,8 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	store := platform.NewStore(s.StoreAddress)
-	go watch.New(watch.Config{}, store.Table(platform.TableOperator), &platform.OperatorWatch{Sink: &gatewayOperator{gateway: g, log: p.Log}}).Run(background)
-	go watch.New(watch.Config{Gather: serversGather}, store.Table(platform.TableServers), &platform.ServerWatch{Sink: &gatewayServers{gateway: g, log: p.Log}}).Run(background)
+	go watch.New(operatorFollowing(&s.Bounds), store.Table(platform.TableOperator), &platform.OperatorWatch{Sink: &gatewayOperator{gateway: g, log: p.Log}}).Run(background)
+	go watch.New(serversFollowing(&s.Bounds), store.Table(platform.TableServers), &platform.ServerWatch{Sink: &gatewayServers{gateway: g, log: p.Log}}).Run(background)
 	loads, err := gateway.NewLoads(g, s.Instance, s.Region, s.Address, s.FirstPort)
 	if err != nil {
 		return err
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -14,10 +14,6 @@
 	"github.com/auburnbend/auburnbend/replica"
 )
 
-// replicaWait is longer than that of entries: a version has 8 s and more to
-// serve, and there are as many agents as engines.
-const replicaWait = 6 * time.Second
-
 // peersTimeout bounds the read of the list of peers.
 const peersTimeout = 1500 * time.Millisecond
 
@@ -54,7 +50,7 @@
 		return err
 	}
 	go beacon.Run(ctx)
-	go watch.New(watch.Config{Wait: replicaWait}, store.Table(platform.TableOperator), &platform.OperatorWatch{Sink: o}).Run(ctx)
+	go watch.New(versionsFollowing(&s.Bounds), store.Table(platform.TableOperator), &platform.OperatorWatch{Sink: o}).Run(ctx)
 	return r.Run(ctx)
 }
 
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -18,8 +17,14 @@
 	callersPerEntry = 5
 	// thinkTime is the mean pause between two requests of a caller.
 	thinkTime = 120 * time.Millisecond
-	// awayPause is the pause after an entry did not accept a connection.
+	// awayPause is the pause before an entry is looked at again that takes no
+	// callers.
 	awayPause = 100 * time.Millisecond
+	// balancerNotice is how long callers still come to an entry that is not ready:
+	// the balancer asks once a second and acts on two misses.
+	balancerNotice = 2 * time.Second
+	// readyTimeout bounds the question whether an entry is ready.
+	readyTimeout = time.Second
 	// gaveUpAfter is how much longer than its limit a caller listens.
 	gaveUpAfter = 2 * time.Second
 )
@@ -36,6 +41,7 @@
 					world: w, entry: entry, name: fmt.Sprintf("%d-%d", entry, number),
 					rng:    rand.New(rand.NewPCG(seed, uint64(entry*callersPerEntry+number)+2)),
 					client: &http.Client{Transport: &http.Transport{DisableKeepAlives: number%2 == 0, DisableCompression: true, MaxConnsPerHost: 1}},
+					asker:  &http.Client{Timeout: readyTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 				}
 				c.run(ctx)
 			}()
@@ -51,7 +57,11 @@
 	name   string
 	rng    *rand.Rand
 	client *http.Client
-	count  int
+	// asker asks whether the entry is ready; unreadySince is when it was not, or
+	// zero.
+	asker        *http.Client
+	unreadySince time.Time
+	count        int
 }
 
 func (c *caller) run(ctx context.Context) {
@@ -74,10 +84,10 @@
 	if r.streams() {
 		call.Model, call.Prompt, call.Answer = model, 50+c.rng.IntN(200), 5*eventsPerStream
 	}
-	if !c.accepts() {
+	if !c.goes() {
 		return awayPause
 	}
-	o := outcome{call: call, route: *r, entry: c.entry, sent: c.world.ledger.now()}
+	o := outcome{call: call, route: *r, entry: c.entry, ready: c.unreadySince.IsZero(), sent: c.world.ledger.now()}
 	ctx, cancel := context.WithTimeout(context.Background(), call.Limit+gaveUpAfter)
 	defer cancel()
 	req, err := call.Request(ctx, address(c.world.slot, groupEntry, c.entry, callersPort))
@@ -95,15 +105,16 @@
 	return o.answer.RetryAfter
 }
 
-// accepts reports whether the entry takes connections: a process that is down is
-// not asked, as the balancer would not ask it.
-func (c *caller) accepts() bool {
-	conn, err := net.DialTimeout("tcp", address(c.world.slot, groupEntry, c.entry, readyPort), time.Second)
-	if err != nil {
-		return false
+// goes reports whether the balancer sends the caller to the entry.
+func (c *caller) goes() bool {
+	if platformtest.Ready(c.asker, address(c.world.slot, groupEntry, c.entry, readyPort)) {
+		c.unreadySince = time.Time{}
+		return true
+	}
+	if c.unreadySince.IsZero() {
+		c.unreadySince = time.Now()
 	}
-	_ = conn.Close()
-	return true
+	return time.Since(c.unreadySince) < balancerNotice
 }
 
 func (c *caller) drawRoute() *route {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -62,6 +62,10 @@
 func (c *check) answer(o *outcome) {
 	settled := calm(c.steps, o.sent, o.ended, stable)
 	switch {
+	case o.unconnected() && o.ready && settled:
+		c.broken("UNREACHABLE", o.ended, "%s at entry %d, which was ready: %v", o.call.Attempt, o.entry, o.err)
+	case o.unconnected():
+		// An entry that is not ready may refuse connections: nothing was sent.
 	case o.err != nil && settled:
 		c.broken("LOST", o.ended, "%s at entry %d: %v", o.call.Attempt, o.entry, o.err)
 	case o.ended-o.sent > o.call.Limit+answerSlack && settled:
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -96,6 +97,9 @@
 		Entry("complete too early", "ORDER", "/once/", func(f *fixture) { f.outcome.answer.Events = f.outcome.answer.Events[:3] }, 0),
 		Entry("broken off", "LOST", "/once/", func(f *fixture) { f.outcome.answer.Complete = false }, 0),
 		Entry("no answer", "LOST", "/order/", func(f *fixture) { f.outcome.err = errors.New("EOF") }, 0),
+		Entry("no connection", "UNREACHABLE", "/order/", func(f *fixture) {
+			f.outcome.err, f.outcome.ready = &net.OpError{Op: "dial", Err: errors.New("refused")}, true
+		}, 0),
 		Entry("late answer", "LATE", "/order/", func(f *fixture) { f.outcome.ended = f.outcome.sent + 3*time.Second }, 0),
 		Entry("unknown request", "UNASKED", "/order/", func(f *fixture) { f.run.Attempt = "a9" }, 0),
 		Entry("key passed on", "UNASKED", "/order/", func(f *fixture) { f.run.Key = true }, 0),
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"errors"
+	"net"
 	"sync"
 	"time"
 
@@ -12,6 +14,8 @@
 	call  platformtest.Call
 	route route
 	entry int
+	// ready tells that the entry said so right before.
+	ready bool
 	// sent and ended count from the start of traffic.
 	sent, ended time.Duration
 	// err tells that the connection ended without an answer.
@@ -56,6 +60,12 @@
 	return &ledger{started: time.Now(), runs: make(map[string][]platformtest.Run), left: make(map[string]time.Duration)}
 }
 
+// unconnected reports whether the request never reached the entry.
+func (o *outcome) unconnected() bool {
+	var dial *net.OpError
+	return errors.As(o.err, &dial) && dial.Op == "dial"
+}
+
 func (l *ledger) now() time.Duration { return time.Since(l.started) }
 
 // Ran implements platformtest.Recorder.
--- a/lib/watch/config.go
+++ b/lib/watch/config.go
@@ -2,14 +2,16 @@
 
 import "time"
 
+// AnswerTimeout is added to the time that a call waits, for its answer to
+// arrive: it allows for a store that answers slowly. A longer silence means a dead
+// connection.
+const AnswerTimeout = 1500 * time.Millisecond
+
 // Config holds the timing of a Follower. Zero fields take the defaults.
 type Config struct {
 	// Wait is how long one call waits for a change. It is shortened by up to a
 	// third at random, so that the calls of a fleet do not end together.
 	Wait time.Duration
-	// AnswerTimeout is added to Wait for the answer to arrive. A longer silence
-	// means a dead connection.
-	AnswerTimeout time.Duration
 	// Gather is the pause after a change, in which further ones gather: each call
 	// of the store is paid for. Zero asks again at once.
 	Gather time.Duration
@@ -21,10 +23,8 @@
 const (
 	// defaultWait trades store calls against the time in which a call that will
 	// never be answered is noticed: the store may have been away meanwhile.
-	defaultWait = 3 * time.Second
-	// defaultAnswerTimeout allows for a store that answers slowly.
-	defaultAnswerTimeout = 1500 * time.Millisecond
-	defaultMinBackoff    = 100 * time.Millisecond
+	defaultWait       = 3 * time.Second
+	defaultMinBackoff = 100 * time.Millisecond
 	// defaultMaxBackoff keeps the recovery after an outage well within the time
 	// in which a configuration must be in force.
 	defaultMaxBackoff = 800 * time.Millisecond
@@ -37,7 +37,6 @@
 		}
 	}
 	set(&c.Wait, defaultWait)
-	set(&c.AnswerTimeout, defaultAnswerTimeout)
 	set(&c.MinBackoff, defaultMinBackoff)
 	set(&c.MaxBackoff, defaultMaxBackoff)
 	return c
