Let agents learn their target from entries

Ruled out: decoding (40 ms), limits of the store. Change: entries tell agents the version, the origin and its speed with the subscription that they send once a second, and at once after a change. Agents read the operator's table only while no entry speaks.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,9 @@
 	// usage tells the neighbours what this entry has at a server; nil tells
 	// nobody. It is set before the first request.
 	usage func(peerlink.Usage)
+	// targetsChanged is called when engines must serve something else; nil is not.
+	// It is set before the first change.
+	targetsChanged func()
 
 	draining atomic.Bool
 	open     atomic.Int64
@@ -81,6 +84,7 @@
 			return false
 		}
 		if g.table.CompareAndSwap(current, serving.NewTable(c)) {
+			g.tellTargets()
 			return true
 		}
 	}
@@ -95,6 +99,15 @@
 // Open returns the number of requests that are being served.
 func (g *Gateway) Open() int { return int(g.open.Load()) }
 
+// SetBounds changes the bounds on repeats and the time in which new weights must
+// serve everywhere.
+func (g *Gateway) SetBounds(r retry.Config, versionTime time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget.SetConfig(r)
+	g.versions.SetBound(versionTime)
+}
+
 // SetEntries sets the number of entries that share the retry budget.
 func (g *Gateway) SetEntries(n int) {
 	g.mu.Lock()
@@ -117,9 +130,17 @@
 	g.picker.Forget()
 }
 
+// ReplaceServers takes a full list of backend servers. recovered tells that an
+// outage of the store has just ended.
+func (g *Gateway) ReplaceServers(servers []*directory.Server, recovered bool) {
+	g.UpdateServers(func(d *directory.Directory, now time.Time) { d.Replace(servers, recovered, now) })
+	g.tellTargets()
+}
+
 // Want takes the version of a model that must serve. fresh tells that it was
 // declared just now.
 func (g *Gateway) Want(model string, version int, fresh bool) {
+	defer g.tellTargets()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if fresh {
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -42,6 +42,8 @@
 	region  string
 	self    netip.AddrPort
 	conn    *net.UDPConn
+	// wake makes Run tell the agents at once.
+	wake chan struct{}
 	// sequences are the newest messages by sender; they belong to the receiving
 	// goroutine.
 	sequences map[string]uint64
@@ -63,8 +65,15 @@
 		gateway: g, name: name, region: region, conn: conn,
 		self:      conn.LocalAddr().(*net.UDPAddr).AddrPort(),
 		sequences: make(map[string]uint64), neighbours: make(map[netip.AddrPort]time.Time),
+		wake: make(chan struct{}, 1),
 	}
 	g.usage = l.tell
+	g.targetsChanged = func() {
+		select {
+		case l.wake <- struct{}{}:
+		default:
+		}
+	}
 	return l, nil
 }
 
@@ -73,20 +82,38 @@
 	stop := context.AfterFunc(ctx, func() { _ = l.conn.Close() })
 	defer stop()
 	go l.receive(ctx)
-	ask := encode(&peerlink.Datagram{Subscription: &peerlink.Subscription{Entry: l.name, Region: l.region}})
 	ticker := time.NewTicker(subscribeInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
-		for _, agent := range l.gateway.engineHosts(l.name) {
-			l.send(ask, netip.AddrPortFrom(agent, l.self.Port()))
-		}
+		l.subscribe()
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
+		case <-l.wake:
+			// Several changes often come together.
+			time.Sleep(tellPause)
 		}
 	}
 }
 
+// subscribe asks the agents for reports and tells them what to serve.
+func (l *Loads) subscribe() {
+	table := l.gateway.table.Load()
+	if table == nil {
+		return
+	}
+	targets := l.gateway.targets(table)
+	asks := make(map[string][]byte)
+	for _, engine := range l.gateway.engines(table, l.name) {
+		ask := asks[engine.service]
+		if ask == nil {
+			ask = encode(&peerlink.Datagram{Subscription: &peerlink.Subscription{Entry: l.name, Region: l.region, Target: targets[engine.service]}})
+			asks[engine.service] = ask
+		}
+		l.send(ask, netip.AddrPortFrom(engine.host, l.self.Port()))
+	}
+}
+
 func encode(d *peerlink.Datagram) []byte {
 	data, err := msgpack.Marshal(d)
 	if err != nil {
@@ -183,42 +210,48 @@
 	return false
 }
 
-// engineHosts returns the hosts of the engines that this entry asks for reports:
-// those of its region and some of the others, chosen by its name so that all
-// engines have about the same number of entries.
-func (g *Gateway) engineHosts(name string) []netip.Addr {
-	table := g.table.Load()
-	if table == nil {
-		return nil
-	}
-	near, far := g.engineAddresses(table)
-	hosts := make([]netip.Addr, 0, maxNearEngines+maxFarEngines)
-	for _, address := range append(rendezvous.Rank(name, near, maxNearEngines), rendezvous.Rank(name, far, maxFarEngines)...) {
+// engine is a model engine whose agent reports to this entry.
+type engine struct {
+	host    netip.Addr
+	service string
+}
+
+// engines returns the engines that this entry asks for reports: those of its
+// region and some of the others, chosen by its name so that all engines have
+// about the same number of entries.
+func (g *Gateway) engines(table *serving.Table, name string) []engine {
+	near, far, services := g.engineAddresses(table)
+	chosen := append(rendezvous.Rank(name, near, maxNearEngines), rendezvous.Rank(name, far, maxFarEngines)...)
+	engines := make([]engine, 0, len(chosen))
+	for _, address := range chosen {
 		if parsed, err := netip.ParseAddrPort(address); err == nil {
-			hosts = append(hosts, parsed.Addr())
+			engines = append(engines, engine{host: parsed.Addr(), service: services[address]})
 		}
 	}
-	return hosts
+	return engines
 }
 
 // engineAddresses returns the addresses of the engines of this entry's region
-// and of the others.
-func (g *Gateway) engineAddresses(table *serving.Table) (near, far []string) {
+// and of the others, and the service of each.
+func (g *Gateway) engineAddresses(table *serving.Table) (near, far []string, services map[string]string) {
 	regions := g.config.Placement.Regions
 	own := regions[g.config.Placement.Domain]
+	services = make(map[string]string)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.directory.All(func(s *directory.Server) {
 		service := table.Service(s.Service)
-		switch {
-		case service == nil || service.Engine == nil:
-		case regions[s.Domain] == own:
+		if service == nil || service.Engine == nil || services[s.Address] != "" {
+			return
+		}
+		services[s.Address] = s.Service
+		if regions[s.Domain] == own {
 			near = append(near, s.Address)
-		default:
-			far = append(far, s.Address)
+			return
 		}
+		far = append(far, s.Address)
 	})
-	return near, far
+	return near, far, services
 }
 
 // takeStatus takes an agent's report on the engine at its address. It applies
--- a/internal/node/command.go
+++ b/internal/node/command.go
@@ -31,10 +31,16 @@
 	// MetricsPort is where metrics are served; zero serves none.
 	MetricsPort int
 	Log         *eventlog.Logger
-	// Reload delivers a value each time that the settings file may have changed.
-	// The daemons read their settings at the start only; the signal is taken so
-	// that it does not end them.
-	Reload <-chan os.Signal
+	// FollowSettings calls apply with the settings whenever they have changed,
+	// until ctx ends. Addresses take effect at the next start only.
+	FollowSettings func(ctx context.Context, apply func(*platform.Settings))
+}
+
+// followSettings follows the settings in a goroutine of its own until ctx ends.
+func (p *Process) followSettings(ctx context.Context, apply func(*platform.Settings)) {
+	if p.FollowSettings != nil {
+		go p.FollowSettings(ctx, apply)
+	}
 }
 
 // Main runs the program with the process's arguments and signals and exits.
@@ -71,7 +77,7 @@
 				_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s: settings are valid\n", path)
 				return err
 			}
-			return run(cmd.Context(), p, settings, metricsPort, logs)
+			return run(cmd.Context(), p, path, settings, metricsPort, logs)
 		},
 	}
 	cmd.Flags().StringVarP(&path, "settings", "s", "", "settings file; the default is the path in "+platform.SettingsVariable)
@@ -87,7 +93,7 @@
 	return "unknown"
 }
 
-func run(ctx context.Context, p Program, settings *platform.Settings, metricsPort int, logs io.Writer) error {
+func run(ctx context.Context, p Program, path string, settings *platform.Settings, metricsPort int, logs io.Writer) error {
 	limitMemory(settings.MemoryLimit)
 	async := eventlog.NewAsync(logs)
 	defer async.Close()
@@ -96,7 +102,16 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	defer signal.Stop(reload)
-	err := p.Run(ctx, Process{Settings: settings, MetricsPort: metricsPort, Log: log, Reload: reload})
+	file := newSettingsFile(path, settings, log)
+	err := p.Run(ctx, Process{
+		Settings: settings, MetricsPort: metricsPort, Log: log,
+		FollowSettings: func(ctx context.Context, apply func(*platform.Settings)) {
+			file.follow(ctx, reload, func(s *platform.Settings) {
+				limitMemory(s.MemoryLimit)
+				apply(s)
+			})
+		},
+	})
 	log.Log(eventlog.ProcessStopped, "program", p.Name, "err", err)
 	return err
 }
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -15,9 +15,6 @@
 	// changes of servers gather before they are read: each call is paid for, and
 	// agents tell of their engines without the store.
 	gatherShare = 0.25
-	// versionShare is the part of the time for a version that may pass before an
-	// agent notices that it has missed its declaration.
-	versionShare = 0.4
 )
 
 // storeWait is how long a call of the store may wait for a change. A connection
@@ -34,9 +31,3 @@
 func serversFollowing(b *platform.Bounds) watch.Config {
 	return watch.Config{Wait: storeWait(b, b.DrainTime), Gather: time.Duration(gatherShare * float64(b.DrainTime))}
 }
-
-// versionsFollowing is the following of an agent, which needs the declared
-// versions only.
-func versionsFollowing(b *platform.Bounds) watch.Config {
-	return watch.Config{Wait: storeWait(b, time.Duration(versionShare*float64(b.VersionTime)))}
-}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/auburnbend/auburnbend/gateway"
@@ -52,7 +53,7 @@
 	requests := newRequestLog(p.Log, m, clock.System{})
 	g := gateway.New(gateway.Config{
 		Dialect: platform.Dialect{}, Clock: clock.System{}, Log: p.Log, Observe: requests.observe,
-		Retry:   retry.Config{Ratio: s.Bounds.RetryRatio, Window: s.Bounds.RetryWindow, Slack: s.Bounds.RetrySlack},
+		Retry:   retryBounds(&s.Bounds),
 		Entries: assumedEntries, Seed: rand.Uint64(), VersionTime: s.Bounds.VersionTime,
 		Placement: placement.Config{Domain: s.Domain, Regions: s.Regions},
 	})
@@ -66,12 +67,23 @@
 		return err
 	}
 	go loads.Run(background)
-	return serveCallers(ctx, g, p)
+	stopTime := &atomic.Int64{}
+	stopTime.Store(int64(s.Bounds.StopTime))
+	p.followSettings(background, func(s *platform.Settings) {
+		g.SetBounds(retryBounds(&s.Bounds), s.Bounds.VersionTime)
+		stopTime.Store(int64(s.Bounds.StopTime))
+	})
+	return serveCallers(ctx, g, p, stopTime)
+}
+
+func retryBounds(b *platform.Bounds) retry.Config {
+	return retry.Config{Ratio: b.RetryRatio, Window: b.RetryWindow, Slack: b.RetrySlack}
 }
 
 // serveCallers listens until ctx ends, then until the balancer has noticed, and
-// returns when all requests have ended or the time to stop is over.
-func serveCallers(ctx context.Context, g *gateway.Gateway, p Process) error {
+// returns when all requests have ended or the time to stop, in nanoseconds, is
+// over.
+func serveCallers(ctx context.Context, g *gateway.Gateway, p Process, stopTime *atomic.Int64) error {
 	s := p.Settings
 	quiet := log.New(discard{}, "", 0)
 	callers := &http.Server{
@@ -100,7 +112,7 @@
 	g.Drain()
 	p.Log.Log(eventlog.ProcessStopping, "open", g.Open())
 	time.Sleep(balancerNotice)
-	limit := max(s.Bounds.StopTime-stopReserve, balancerNotice)
+	limit := max(time.Duration(stopTime.Load())-stopReserve, balancerNotice)
 	drainCtx, cancel := context.WithDeadline(context.Background(), stopping.Add(limit))
 	defer cancel()
 	if err := callers.Shutdown(drainCtx); err != nil {
--- a/internal/node/gateway_sinks.go
+++ b/internal/node/gateway_sinks.go
@@ -45,7 +45,7 @@
 var _ platform.ServerSink = (*gatewayServers)(nil)
 
 func (s *gatewayServers) Replace(servers []*directory.Server, recovered bool) {
-	s.gateway.UpdateServers(func(d *directory.Directory, now time.Time) { d.Replace(servers, recovered, now) })
+	s.gateway.ReplaceServers(servers, recovered)
 	s.log.Log(eventlog.ServersRead, "servers", len(servers), "after_outage", recovered)
 }
 
--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -75,6 +75,9 @@
 	DeferCleanup(func() {
 		stop()
 		e.store.Close()
+		if CurrentSpecReport().Failed() {
+			GinkgoWriter.Println(e.logs.String())
+		}
 	})
 	return e
 }
--- /dev/null
+++ b/internal/node/targets.go
@@ -0,0 +1,179 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/serving"
+	"github.com/auburnbend/auburnbend/lib/watch"
+	"github.com/auburnbend/auburnbend/peerlink"
+	"github.com/auburnbend/auburnbend/platform"
+	"github.com/auburnbend/auburnbend/replica"
+)
+
+const (
+	// toldTime is how long the word of an entry counts. Entries speak once a second.
+	toldTime = 3 * time.Second
+	// firstToldTime is the time that entries get to speak after a start.
+	firstToldTime = time.Second
+	// readInterval is the mean pause between two reads of the store while no entry
+	// speaks. Reads may be large, and all agents of a region share its links.
+	readInterval = 2 * time.Second
+	// readTimeout bounds a whole read of the operator's table.
+	readTimeout = 10 * time.Second
+)
+
+// firstVersion is the version that a model has before another one is declared.
+const firstVersion = 1
+
+// replicaTargets learns what the engine of this instance must serve: from the
+// entries, or from the store while none of them speaks.
+type replicaTargets struct {
+	service string
+	replica *replica.Replica
+	source  watch.Source
+	log     *eventlog.Logger
+
+	mu sync.Mutex
+	// config is the version of the configuration that named the origin.
+	config int64
+	origin *platform.Origin
+	// pieceTime is the time that the origin's link takes for one piece.
+	pieceTime time.Duration
+	// model and version must serve.
+	model   string
+	version int
+	// freshUntil is when the word of the entries no longer counts.
+	freshUntil time.Time
+	// lost tells that the last read of the store failed.
+	lost bool
+}
+
+var _ platform.OperatorSink = (*replicaTargets)(nil)
+
+func (t *replicaTargets) currentOrigin() replica.Origin {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.origin == nil {
+		return nil
+	}
+	return t.origin
+}
+
+func (t *replicaTargets) originTime() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.pieceTime
+}
+
+// told takes the word of an entry.
+func (t *replicaTargets) told(target *peerlink.Target) {
+	t.mu.Lock()
+	t.freshUntil = time.Now().Add(toldTime)
+	t.mu.Unlock()
+	t.take(target, "entry")
+}
+
+// take follows a target. Older configurations and versions change nothing.
+func (t *replicaTargets) take(target *peerlink.Target, source string) {
+	t.mu.Lock()
+	if target.Config >= t.config {
+		t.config = target.Config
+		t.pieceTime = time.Duration(target.PieceMicros) * time.Microsecond
+		if t.origin == nil || t.origin.Address() != target.Origin {
+			t.origin = platform.NewOrigin(target.Origin)
+		}
+	}
+	if target.Model != t.model {
+		t.model, t.version = target.Model, 0
+	}
+	newer := target.Version > t.version
+	t.version = max(t.version, target.Version)
+	t.mu.Unlock()
+	if newer {
+		t.log.Log(eventlog.VersionDeclared, "model", target.Model, "version", target.Version, "source", source, "config", target.Config)
+	}
+	t.replica.Declare(target.Model, target.Version)
+}
+
+// run reads the store while no entry speaks, until ctx ends.
+func (t *replicaTargets) run(ctx context.Context) {
+	t.mu.Lock()
+	t.freshUntil = time.Now().Add(firstToldTime)
+	t.mu.Unlock()
+	for ctx.Err() == nil {
+		t.mu.Lock()
+		pause := time.Until(t.freshUntil)
+		t.mu.Unlock()
+		if pause <= 0 {
+			t.read(ctx)
+			pause = readInterval/2 + rand.N(readInterval)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (t *replicaTargets) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	rows, err := t.source.Snapshot(ctx)
+	if ctx.Err() != nil && err == nil {
+		return
+	}
+	handler := platform.OperatorWatch{Sink: t}
+	if err != nil {
+		if !t.lost {
+			handler.Lost(err)
+		}
+		t.lost = true
+		return
+	}
+	handler.Replace(rows, t.lost)
+	t.lost = false
+}
+
+// Config implements platform.OperatorSink.
+func (t *replicaTargets) Config(c *serving.Config) {
+	for _, target := range c.WeightsTargets() {
+		if target.Service == t.service {
+			t.take(&peerlink.Target{
+				Config: c.Version, Model: target.Model, Version: firstVersion,
+				Origin: target.Origin.Address, PieceMicros: target.PieceTime.Microseconds(),
+			}, "store")
+		}
+	}
+	t.log.Log(eventlog.LiveConfigInForce, "config", c.Version, "revision", c.Revision, "routes", len(c.Routes), "teams", len(c.Teams))
+}
+
+// Wanted implements platform.OperatorSink. Versions of models of other services
+// do not concern the engine.
+func (t *replicaTargets) Wanted(w platform.WantedVersion, _ bool) {
+	t.mu.Lock()
+	known, newer := t.model == w.Model, w.Version > t.version
+	if known {
+		t.version = max(t.version, w.Version)
+	}
+	t.mu.Unlock()
+	if !known {
+		return
+	}
+	if newer {
+		t.log.Log(eventlog.VersionDeclared, "model", w.Model, "version", w.Version, "source", "store")
+	}
+	t.replica.Declare(w.Model, w.Version)
+}
+
+// Unreadable implements platform.OperatorSink.
+func (t *replicaTargets) Unreadable(row watch.Row, err error) { logUnreadable(t.log, row, err) }
+
+// Lost implements platform.OperatorSink.
+func (t *replicaTargets) Lost(err error) { t.log.Log(eventlog.StoreLost, "err", err) }
+
+// Regained implements platform.OperatorSink.
+func (t *replicaTargets) Regained() { t.log.Log(eventlog.StoreRegained) }
--- a/lib/retry/budget.go
+++ b/lib/retry/budget.go
@@ -38,6 +38,14 @@
 // SetEntries sets the number of entries that share the slack.
 func (b *Budget) SetEntries(n int) { b.entries = max(1, n) }
 
+// SetConfig changes the bounds. A window of another length begins anew.
+func (b *Budget) SetConfig(config Config) {
+	if config.Window != b.config.Window {
+		b.services = make(map[string]*counts)
+	}
+	b.config = config
+}
+
 // Request counts the first dispatch of a request.
 func (b *Budget) Request(service string, now time.Time) { b.counts(service, now).requests[0]++ }
 
--- a/lib/serving/origin.go
+++ b/lib/serving/origin.go
@@ -1,5 +1,7 @@
 package serving
 
+import "time"
+
 // Origin is where the weights of a model come from.
 type Origin struct {
 	// Address is an IP address and port.
@@ -9,3 +11,12 @@
 	// MaxConnections bounds the connections to the origin from all instances.
 	MaxConnections int
 }
+
+// transferTime returns the time that the origin's link takes for some bytes, zero
+// if its rate is not known.
+func (o *Origin) transferTime(bytes int) time.Duration {
+	if o.Rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(bytes) / o.Rate * float64(time.Second))
+}
--- a/lib/versions/wanted.go
+++ b/lib/versions/wanted.go
@@ -28,6 +28,9 @@
 	return &Wanted{bound: bound, models: make(map[string][]declaration)}
 }
 
+// SetBound changes the bound, for what is declared already too.
+func (w *Wanted) SetBound(bound time.Duration) { w.bound = bound }
+
 // Declare takes a version that was declared just now. Older ones are ignored.
 func (w *Wanted) Declare(model string, version int, now time.Time) { w.declare(model, version, now) }
 
--- a/lib/watch/config.go
+++ b/lib/watch/config.go
@@ -2,10 +2,14 @@
 
 import "time"
 
-// AnswerTimeout is added to the time that a call waits, for its answer to
-// arrive: it allows for a store that answers slowly. A longer silence means a dead
-// connection.
-const AnswerTimeout = 1500 * time.Millisecond
+const (
+	// AnswerTimeout is the silence after which a source gives a call up, beyond the
+	// time that it waits for a change: it allows for a store that answers slowly.
+	AnswerTimeout = 1500 * time.Millisecond
+	// transferLimit bounds the time of an answer that goes on arriving. A large
+	// configuration takes seconds on links that a whole region shares.
+	transferLimit = 10 * time.Second
+)
 
 // Config holds the timing of a Follower. Zero fields take the defaults.
 type Config struct {
--- a/lib/watch/follower.go
+++ b/lib/watch/follower.go
@@ -71,7 +71,7 @@
 
 func (f *Follower) call(ctx context.Context) (Rows, error) {
 	wait := f.wait()
-	ctx, cancel := context.WithTimeout(ctx, AnswerTimeout+wait)
+	ctx, cancel := context.WithTimeout(ctx, wait+AnswerTimeout+transferLimit)
 	defer cancel()
 	if f.synced {
 		return f.source.Changes(ctx, f.revision, wait)
--- a/lib/watch/source.go
+++ b/lib/watch/source.go
@@ -11,7 +11,8 @@
 var ErrHistoryLost = errors.New("history is no longer available")
 
 // Source reads one table of a store. Errors other than ErrHistoryLost mean
-// that nothing was learned. It is used by one goroutine.
+// that nothing was learned. A call on which nothing arrives for AnswerTimeout,
+// after the time that it waits, ends with an error. It is used by one goroutine.
 type Source interface {
 	// Snapshot reads the whole table as of one moment.
 	Snapshot(ctx context.Context) (Rows, error)
--- a/peerlink/message.go
+++ b/peerlink/message.go
@@ -38,6 +38,23 @@
 	// Entry is the instance of the entry that asks, Region its region.
 	Entry  string `msgpack:"e"`
 	Region string `msgpack:"r"`
+	// Target is nil while the entry does not know it.
+	Target *Target `msgpack:"t,omitempty"`
+}
+
+// Target is the version that an engine must serve, and where its weights come
+// from. Entries tell it, so that agents need not read the configuration, which
+// may be large.
+type Target struct {
+	// Config is the version of the configuration that names the origin.
+	Config  int64  `msgpack:"c"`
+	Model   string `msgpack:"m"`
+	Version int    `msgpack:"v"`
+	// Origin is the IP address and port of the origin.
+	Origin string `msgpack:"o"`
+	// PieceMicros is the time in microseconds that the origin's link takes for one
+	// piece; zero if it is not known.
+	PieceMicros int64 `msgpack:"p"`
 }
 
 // Status is an agent's report on its backend server.
--- a/replica/fetchtarget.go
+++ b/replica/fetchtarget.go
@@ -174,7 +174,7 @@
 		rank, count = r.lastPlan.Rank()
 	}
 	share := firstOrderShare + (lastOrderShare-firstOrderShare)*float64(rank)/float64(max(1, count-1))
-	return f.since.Add(time.Duration(share * float64(r.config.VersionTime)))
+	return f.since.Add(time.Duration(share * float64(r.versionTime.Load())))
 }
 
 // holdingsOf returns the pieces of a version that this instance has or fetches,
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -22,6 +22,9 @@
 	phases  *phases
 	uploads *uploads
 	stats   Stats
+	// versionTime is the time in nanoseconds in which a declared version must serve
+	// everywhere.
+	versionTime atomic.Int64
 	// wake makes Run look at once.
 	wake chan struct{}
 	// closed tells that the engine should get no more requests.
@@ -83,6 +86,7 @@
 		config: config, uploads: newUploads(config.LinkRate),
 		wake: make(chan struct{}, 1), stagedChanged: make(chan struct{}), fetchPauses: newBackoff(),
 	}
+	r.versionTime.Store(int64(config.VersionTime))
 	r.phases = newPhases(func(from, to Phase) {
 		t := r.currentTarget()
 		config.Log.Log(eventlog.ReplicaPhase, "from", string(from), "to", string(to), "model", t.model, "version", t.version)
@@ -101,6 +105,14 @@
 	r.wakeUp()
 }
 
+// SetLimits changes the time in which a declared version must serve everywhere
+// and the bandwidth of the instance's link in bytes per second, zero if it is not
+// known.
+func (r *Replica) SetLimits(versionTime time.Duration, linkRate float64) {
+	r.versionTime.Store(int64(versionTime))
+	r.uploads.setLinkRate(linkRate)
+}
+
 // Phase returns where the instance stands.
 func (r *Replica) Phase() Phase { return r.phases.phase() }
 
--- a/replica/uploads.go
+++ b/replica/uploads.go
@@ -26,11 +26,19 @@
 }
 
 func newUploads(linkRate float64) *uploads {
+	u := &uploads{limiter: rate.NewLimiter(rate.Inf, uploadBurst), slot: make(chan struct{}, uploadSlots)}
+	u.setLinkRate(linkRate)
+	return u
+}
+
+// setLinkRate changes the bandwidth of the link in bytes per second; zero sets no
+// limit.
+func (u *uploads) setLinkRate(linkRate float64) {
 	limit := rate.Inf
 	if linkRate > 0 {
 		limit = rate.Limit(uploadShare * linkRate)
 	}
-	return &uploads{limiter: rate.NewLimiter(limit, uploadBurst), slot: make(chan struct{}, uploadSlots)}
+	u.limiter.SetLimit(limit)
 }
 
 // acquire waits until a piece of a size in bytes may leave. The returned
