Show in the metrics what an entry believes

Cause: metrics counted requests only; why an entry refused could be seen in single log lines. Change: gauges of the configuration's version and age, the store's reachability, servers by service and condition, engines by version, repeats left and open requests, computed when they are read. A spec reads them from a daemon.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,6 +47,8 @@
 	picker    *placement.Picker
 	budget    *retry.Budget
 	versions  *versions.Wanted
+	// configAt is when the configuration came into force.
+	configAt time.Time
 
 	// usage tells the neighbours what this entry has at a server; nil tells
 	// nobody. It is set before the first request.
@@ -84,6 +86,9 @@
 			return false
 		}
 		if g.table.CompareAndSwap(current, serving.NewTable(c)) {
+			g.mu.Lock()
+			g.configAt = g.now()
+			g.mu.Unlock()
 			g.tellTargets()
 			return true
 		}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -60,7 +60,11 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	store := platform.NewStore(s.StoreAddress)
-	go watch.New(operatorFollowing(&s.Bounds), store.Table(platform.TableOperator), &platform.OperatorWatch{Sink: &gatewayOperator{gateway: g, log: p.Log}}).Run(background)
+	operator := &gatewayOperator{gateway: g, log: p.Log}
+	if err := m.observeState(g, &operator.storeLost); err != nil {
+		return err
+	}
+	go watch.New(operatorFollowing(&s.Bounds), store.Table(platform.TableOperator), &platform.OperatorWatch{Sink: operator}).Run(background)
 	go watch.New(serversFollowing(&s.Bounds), store.Table(platform.TableServers), &platform.ServerWatch{Sink: &gatewayServers{gateway: g, log: p.Log}}).Run(background)
 	loads, err := gateway.NewLoads(g, s.Instance, s.Region, s.Address, s.FirstPort)
 	if err != nil {
--- a/internal/node/gateway_sinks.go
+++ b/internal/node/gateway_sinks.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/auburnbend/auburnbend/gateway"
@@ -15,6 +16,8 @@
 type gatewayOperator struct {
 	gateway *gateway.Gateway
 	log     *eventlog.Logger
+	// storeLost tells that the store does not answer.
+	storeLost atomic.Bool
 }
 
 var _ platform.OperatorSink = (*gatewayOperator)(nil)
@@ -32,9 +35,15 @@
 
 func (o *gatewayOperator) Unreadable(row watch.Row, err error) { logUnreadable(o.log, row, err) }
 
-func (o *gatewayOperator) Lost(err error) { o.log.Log(eventlog.StoreLost, "err", err) }
+func (o *gatewayOperator) Lost(err error) {
+	o.storeLost.Store(true)
+	o.log.Log(eventlog.StoreLost, "err", err)
+}
 
-func (o *gatewayOperator) Regained() { o.log.Log(eventlog.StoreRegained) }
+func (o *gatewayOperator) Regained() {
+	o.storeLost.Store(false)
+	o.log.Log(eventlog.StoreRegained)
+}
 
 // gatewayServers passes the registered backend servers to a gateway.
 type gatewayServers struct {
--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -46,6 +47,20 @@
 	logs     *lines
 	stop     context.CancelFunc
 	ended    chan error
+	// metrics is the port that serves them.
+	metrics int
+}
+
+// scrape returns the metrics as text.
+func (e *entry) scrape() string {
+	resp, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/metrics", e.metrics))
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return string(text)
 }
 
 func freeAddress() string {
@@ -69,8 +84,11 @@
 	Expect(err).NotTo(HaveOccurred())
 	ctx, stop := context.WithCancel(context.Background())
 	e.stop = stop
+	metricsAddress := freeAddress()
+	e.metrics, err = strconv.Atoi(metricsAddress[strings.LastIndexByte(metricsAddress, ':')+1:])
+	Expect(err).NotTo(HaveOccurred())
 	go func() {
-		e.ended <- RunGateway(ctx, Process{Settings: e.settings, Log: eventlog.OpenPlain(e.logs, clock.System{})})
+		e.ended <- RunGateway(ctx, Process{Settings: e.settings, MetricsPort: e.metrics, Log: eventlog.OpenPlain(e.logs, clock.System{})})
 	}()
 	DeferCleanup(func() {
 		stop()
@@ -212,6 +230,27 @@
 		Eventually(e.ended, 10*time.Second).Should(Receive(BeNil()))
 	})
 
+	It("shows in its metrics what it believes", func() {
+		// Guards against an on-call engineer who cannot tell from the metrics why
+		// requests are refused.
+		e := startEntry()
+		s := desk()
+		e.register(s, "ready")
+		e.configure(3, route("/a/"))
+		Eventually(func() int { return e.order("/a/") }, soon).Should(Equal(200))
+		Expect(e.scrape()).To(And(
+			ContainSubstring("auburnbend_config_version 3"),
+			ContainSubstring("auburnbend_store_reachable 1"),
+			MatchRegexp(`auburnbend_backend_servers\{condition="open",service="desk"\} 1`),
+			MatchRegexp(`auburnbend_repeats_left\{service="desk"\} [0-9.]+`),
+			MatchRegexp(`auburnbend_config_age_seconds [0-9.]+`),
+		))
+		e.register(s, "draining")
+		Eventually(e.scrape, soon).Should(MatchRegexp(`auburnbend_backend_servers\{condition="draining",service="desk"\} 1`))
+		e.store.Fail(503)
+		Eventually(e.scrape, soon).Should(ContainSubstring("auburnbend_store_reachable 0"))
+	})
+
 	It("logs how a request ended, with its id and the inputs of the decision", func() {
 		e := startEntry()
 		e.configure(1, route("/a/"))
--- /dev/null
+++ b/internal/node/state_metrics.go
@@ -0,0 +1,62 @@
+package node
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/auburnbend/auburnbend/gateway"
+)
+
+// observeState adds gauges of what an entry believes. storeLost tells that the
+// store does not answer.
+func (m *metrics) observeState(g *gateway.Gateway, storeLost *atomic.Bool) error {
+	var failed error
+	gauge := func(name, description, unit string) metric.Float64ObservableGauge {
+		instrument, err := m.meter.Float64ObservableGauge(name, metric.WithDescription(description), metric.WithUnit(unit))
+		if err != nil {
+			failed = err
+		}
+		return instrument
+	}
+	config := gauge("config_version", "version of the configuration in force", "")
+	age := gauge("config_age", "time since the configuration came into force here", "s")
+	servers := gauge("backend_servers", "backend servers by service and condition", "")
+	engines := gauge("engines", "engines by model and version of the weights", "")
+	repeats := gauge("repeats_left", "repeats that the retry budget leaves to this entry", "")
+	open := gauge("requests_open", "requests that are being served", "")
+	store := gauge("store_reachable", "1 if the store answers", "")
+	if failed != nil {
+		return failed
+	}
+	_, err := m.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		s := g.State()
+		o.ObserveFloat64(config, float64(s.ConfigVersion))
+		o.ObserveFloat64(age, s.ConfigAge.Seconds())
+		o.ObserveFloat64(open, float64(s.Open))
+		o.ObserveFloat64(store, boolValue(!storeLost.Load()))
+		for group, n := range s.Servers {
+			o.ObserveFloat64(servers, float64(n), metric.WithAttributes(
+				attribute.String("service", group.Service), attribute.String("condition", string(group.Condition))))
+		}
+		for version, n := range s.Engines {
+			o.ObserveFloat64(engines, float64(n), metric.WithAttributes(
+				attribute.String("model", version.Model), attribute.String("version", strconv.Itoa(version.Version))))
+		}
+		for service, left := range s.RepeatsLeft {
+			o.ObserveFloat64(repeats, left, metric.WithAttributes(attribute.String("service", service)))
+		}
+		return nil
+	}, config, age, servers, engines, repeats, open, store)
+	return err
+}
+
+func boolValue(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/lib/placement/condition.go
@@ -0,0 +1,33 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/directory"
+)
+
+// Condition tells whether a server gets requests.
+type Condition string
+
+// Conditions of a server.
+const (
+	Open     Condition = "open"
+	Closed   Condition = "closed"
+	Ejected  Condition = "ejected"
+	Draining Condition = "draining"
+)
+
+// Condition returns the condition of a listed server.
+func (p *Picker) Condition(listing *directory.Server, now time.Time) Condition {
+	s := p.state(listing)
+	switch {
+	case listing.Draining:
+		return Draining
+	case s.closed(now):
+		return Closed
+	case s.ejected(now):
+		return Ejected
+	default:
+		return Open
+	}
+}
