--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,8 +66,8 @@
 // New returns a Gateway without a configuration.
 func New(config Config) *Gateway {
 	d := directory.New()
-	config.Placement.OnEject = func(s *directory.Server, while time.Duration) {
-		config.Log.Log(eventlog.ServerEjected, "server", s.ID, "service", s.Service, "address", s.Address, "while_ms", while.Milliseconds())
+	config.Placement.OnEject = func(s *directory.Server, while time.Duration, because placement.Result) {
+		config.Log.Log(eventlog.ServerEjected, "server", s.ID, "service", s.Service, "address", s.Address, "while_ms", while.Milliseconds(), "reason", because)
 	}
 	return &Gateway{
 		config:    config,
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -83,10 +83,10 @@
 	d.NextVersion, d.NextAt = r.gateway.versions.Next(r.call.Model, now)
 	// All requests to a service may wait equally long. With their own targets,
 	// those with the longest one would take the places of the others when there
-	// are too few.
+	// are too few. Time that a request has lost at a dead server is no load of the
+	// others, so that it does not count.
 	if own := r.route.TargetLatency; own > 0 {
-		target := max(r.table.LeastTarget(r.service), own/maxTargetRatio)
-		d.Target = max(target-now.Sub(r.arrived), time.Millisecond)
+		d.Target = max(r.table.LeastTarget(r.service), own/maxTargetRatio)
 	}
 	return d
 }
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -16,10 +16,11 @@
 )
 
 const (
-	// dialTimeout covers the round trip between regions many times; a server
-	// that does not accept connections by then is taken as unreachable, and
-	// another one may still answer in time.
-	dialTimeout = 400 * time.Millisecond
+	// dialTimeout covers the round trip between regions, and the 135 ms for which
+	// pieces of weights may fill a narrow link. A server that does not accept
+	// connections by then is taken as unreachable, and another one may still answer
+	// in time.
+	dialTimeout = 250 * time.Millisecond
 	// readBuffer is the size in bytes of a connection's read buffer.
 	readBuffer = 2 << 10
 	// inlineBody is the size in bytes up to which a body is written before the
--- a/lib/placement/config.go
+++ b/lib/placement/config.go
@@ -24,7 +24,7 @@
 	// MinEject and MaxEject bound that while.
 	MinEject, MaxEject time.Duration
 	// OnEject is told of each ejection; nil is told of none.
-	OnEject func(server *directory.Server, while time.Duration)
+	OnEject func(server *directory.Server, while time.Duration, because Result)
 	// MaxEjectedShare bounds the share of a service's servers that are ejected.
 	MaxEjectedShare float64
 }
--- a/lib/placement/demand.go
+++ b/lib/placement/demand.go
@@ -23,8 +23,8 @@
 	NextAt      time.Time
 	// PromptTokens and AnswerTokens are the expected work of an engine.
 	PromptTokens, AnswerTokens int
-	// Target is the time until the first answer that serves the caller well,
-	// counted from now; zero sets none.
+	// Target is the time until the first answer beyond which a service counts as
+	// overloaded; zero sets none.
 	Target time.Duration
 	// Limit is the time until nobody waits any more, counted from now.
 	Limit time.Duration
--- a/lib/placement/picker_outcome.go
+++ b/lib/placement/picker_outcome.go
@@ -32,14 +32,14 @@
 	case Mismatched:
 		// News of the server are on their way, by its agent or its row.
 		s.mismatched = true
-		p.eject(s, now)
+		p.eject(s, Mismatched, now)
 	case Unreachable:
-		p.eject(s, now)
+		p.eject(s, Unreachable, now)
 	case Failed:
-		p.failed(s, now)
+		p.failed(s, Failed, now)
 	case Cancelled:
 		if !answered && now.Sub(l.started) >= silentAfter {
-			p.failed(s, now)
+			p.failed(s, Cancelled, now)
 		}
 	case Rejected:
 	}
@@ -55,15 +55,15 @@
 }
 
 // failed counts a failure and ejects the server after several in a row.
-func (p *Picker) failed(s *server, now time.Time) {
+func (p *Picker) failed(s *server, because Result, now time.Time) {
 	s.failures++
 	if s.failures >= p.config.EjectAfter {
-		p.eject(s, now)
+		p.eject(s, because, now)
 	}
 }
 
 // eject keeps requests away for a while that doubles with each time.
-func (p *Picker) eject(s *server, now time.Time) {
+func (p *Picker) eject(s *server, because Result, now time.Time) {
 	if s.ejected(now) {
 		return
 	}
@@ -71,6 +71,6 @@
 	s.ejections++
 	s.ejectedUntil = now.Add(while)
 	if p.config.OnEject != nil {
-		p.config.OnEject(s.seen, while)
+		p.config.OnEject(s.seen, while, because)
 	}
 }
--- a/lib/placement/result.go
+++ b/lib/placement/result.go
@@ -19,3 +19,23 @@
 	// Failed means a broken, spoilt or missing answer, or a fault of the server.
 	Failed
 )
+
+// String returns the result as it stands in log lines.
+func (r Result) String() string {
+	switch r {
+	case Answered:
+		return "answered"
+	case Cancelled:
+		return "silent until its caller left"
+	case Rejected:
+		return "rejected"
+	case Mismatched:
+		return "another server or other weights at the address"
+	case Unreachable:
+		return "unreachable"
+	case Failed:
+		return "failed"
+	default:
+		return "unknown"
+	}
+}
