Bound the entries that are told of each request

Cause: each entry told all others of its region of each change, and agents named all of them in one datagram, which holds about 50. Fleets of the users' sites have up to 10 entries a region, where nothing changes.

--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -19,9 +19,6 @@
 const (
 	// subscribeInterval is how often the agents are asked for load reports.
 	subscribeInterval = time.Second
-	// neighbourTime is how long an entry that agents have named counts as a
-	// neighbour.
-	neighbourTime = 4 * time.Second
 	// maxNearEngines and maxFarEngines bound the engines that report to one entry,
 	// ten times a second each, so that reports do not grow with the square of the
 	// fleet.
@@ -50,7 +47,7 @@
 
 	// mu guards what follows.
 	mu         sync.Mutex
-	neighbours map[netip.AddrPort]time.Time
+	neighbours neighbours
 	sequence   uint64
 }
 
@@ -64,7 +61,7 @@
 	l := &Loads{
 		gateway: g, name: name, region: region, conn: conn,
 		self:      conn.LocalAddr().(*net.UDPAddr).AddrPort(),
-		sequences: make(map[string]uint64), neighbours: make(map[netip.AddrPort]time.Time),
+		sequences: make(map[string]uint64), neighbours: neighbours{seen: make(map[netip.AddrPort]time.Time)},
 		wake: make(chan struct{}, 1),
 	}
 	g.usage = l.tell
@@ -131,18 +128,11 @@
 	now := l.gateway.now()
 	l.sequence++
 	u.Entry, u.Sequence = l.name, l.sequence
-	to := make([]netip.AddrPort, 0, len(l.neighbours)+1)
+	to := l.neighbours.current(l.name, now)
+	l.mu.Unlock()
 	if server, err := netip.ParseAddrPort(u.Server); err == nil {
-		to = append(to, netip.AddrPortFrom(server.Addr(), l.self.Port()))
-	}
-	for address, at := range l.neighbours {
-		if now.Sub(at) > neighbourTime {
-			delete(l.neighbours, address)
-			continue
-		}
-		to = append(to, address)
+		to = append(to[:len(to):len(to)], netip.AddrPortFrom(server.Addr(), l.self.Port()))
 	}
-	l.mu.Unlock()
 	data := encode(&peerlink.Datagram{Usage: &u})
 	for _, address := range to {
 		l.send(data, address)
@@ -164,7 +154,7 @@
 		switch {
 		case msgpack.Unmarshal(buf[:n], &d) != nil:
 		case d.Status != nil && l.newest(d.Status.Address, d.Status.Sequence):
-			l.learnNeighbours(d.Status.Neighbours)
+			l.learnNeighbours(d.Status)
 			l.gateway.takeStatus(*d.Status)
 		case d.Usage != nil && l.newest(d.Usage.Entry+" "+d.Usage.Server, d.Usage.Sequence):
 			l.gateway.takeUsage(*d.Usage)
@@ -182,32 +172,14 @@
 	return true
 }
 
-func (l *Loads) learnNeighbours(addresses []string) {
-	if len(addresses) == 0 {
+// learnNeighbours takes the entries of this region that an agent names.
+func (l *Loads) learnNeighbours(status *peerlink.Status) {
+	if status.Region != l.region || len(status.Neighbours) == 0 {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.gateway.now()
-	if !l.own(addresses) {
-		// The agent belongs to another region.
-		return
-	}
-	for _, text := range addresses {
-		if address, err := netip.ParseAddrPort(text); err == nil && address != l.self {
-			l.neighbours[address] = now
-		}
-	}
-}
-
-// own reports whether this entry is one of the addresses.
-func (l *Loads) own(addresses []string) bool {
-	for _, text := range addresses {
-		if text == l.self.String() {
-			return true
-		}
-	}
-	return false
+	l.neighbours.learn(status.Neighbours, l.self, l.gateway.now())
 }
 
 // engine is a model engine whose agent reports to this entry.
--- a/peerlink/message.go
+++ b/peerlink/message.go
@@ -78,7 +78,9 @@
 	Version int    `msgpack:"v"`
 	// Entries is the number of entries that subscribe.
 	Entries int `msgpack:"n"`
-	// Neighbours are the addresses of the entries in the agent's region.
+	// Region is the agent's region, Neighbours addresses of entries there: some of
+	// them at a time, so that a datagram holds them.
+	Region     string   `msgpack:"z,omitempty"`
 	Neighbours []string `msgpack:"g,omitempty"`
 	// Sequence orders the reports of one agent.
 	Sequence uint64 `msgpack:"s"`
--- a/replica/beacon.go
+++ b/replica/beacon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -21,6 +22,9 @@
 	subscriptionTime = 4 * time.Second
 	// maxDatagram bounds a datagram in bytes.
 	maxDatagram = 1200
+	// maxNamed bounds the neighbours that one report names: 22 bytes each fit into
+	// a datagram with the rest.
+	maxNamed = 40
 )
 
 // Beacon sends the engine's load to the entries that ask for it.
@@ -151,7 +155,9 @@
 	b.last = status
 	if refresh {
 		b.lastAt = now
-		status.Neighbours = neighbours
+		status.Region = b.replica.config.Region
+		rand.Shuffle(len(neighbours), func(i, j int) { neighbours[i], neighbours[j] = neighbours[j], neighbours[i] })
+		status.Neighbours = neighbours[:min(len(neighbours), maxNamed)]
 	}
 	data, err := msgpack.Marshal(&peerlink.Datagram{Status: &status})
 	if err != nil {
