Do not list a server again because its agent reports newer weights

The store had refused the entry for 8 s; on its return the missing row counts as lapsed for 2 s, and a report of the agent with newer weights than the row had put the server back for good. Ruled out: longer calls of the store (the entry had the changes 0.3 s after its return). Change: a report changes a listed server only, and leaves its lapse in place.

--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -249,7 +249,7 @@
 	if status.Model != "" && server.Weights[status.Model].Version < status.Version {
 		updated := *server
 		updated.Weights = map[string]directory.Weights{status.Model: {Version: status.Version, Whole: true}}
-		g.directory.Put(&updated)
+		g.directory.Amend(&updated)
 	}
 	g.picker.Report(server.Key(), placement.Load{
 		Running: status.Running, Waiting: status.Waiting, ReadingTokens: status.ReadingTokens, Pace: status.Pace, Closed: status.Closed,
--- a/gateway/observation.go
+++ b/gateway/observation.go
@@ -16,6 +16,9 @@
 	Occupancy          int
 	// RetryAfter is when a refused caller was told to come back.
 	RetryAfter time.Duration
+	// Limit is the earlier one of the caller's limit and the route's timeout; zero
+	// for none.
+	Limit time.Duration
 	// Attempts counts the backend servers that had the request.
 	Attempts int
 	// ConfigVersion is the configuration that decided.
--- a/lib/directory/directory.go
+++ b/lib/directory/directory.go
@@ -44,6 +44,16 @@
 	d.byService = nil
 }
 
+// Amend changes what is known of a listed server from another source than its row.
+// A server whose row is gone is not brought back.
+func (d *Directory) Amend(s *Server) {
+	if d.servers[s.ID] == nil {
+		return
+	}
+	d.servers[s.ID] = s
+	d.byService = nil
+}
+
 // Remove takes note that a server's row is gone. recovered tells that the row
 // may have lapsed in an outage of the store.
 func (d *Directory) Remove(id string, recovered bool, now time.Time) {
