Ask an origin that returns soon, and for each piece once

Ruled out: the order of the pieces; a whole copy before the outage (2.59 s of the origin's link). Change: pauses between calls for pieces are 50 to 200 ms, and a failed call of the origin counts as a reason for the silence.

--- a/lib/spread/scheduler.go
+++ b/lib/spread/scheduler.go
@@ -105,13 +105,17 @@
 
 // Failed takes note that a source did not deliver a piece. A peer that sent a
 // spoilt piece is not asked for it again.
-func (s *Scheduler) Failed(number int, from string, spoilt bool) {
+func (s *Scheduler) Failed(number int, from string, spoilt bool, now time.Time) {
 	p := s.missing[number]
 	if p == nil {
 		return
 	}
 	s.answered(p, from)
 	if from == Origin {
+		// The silence is the origin's: the members are not late, and each of them
+		// asks for its own pieces. All of them would ask for the same ones when it
+		// returns.
+		s.news = now
 		return
 	}
 	if spoilt {
--- a/lib/spread/swarm_test.go
+++ b/lib/spread/swarm_test.go
@@ -166,14 +166,14 @@
 		switch from := s.agents[t.from]; {
 		case a.dead:
 		case t.from == spread.Origin && s.down:
-			a.scheduler.Failed(t.piece, t.from, false)
+			a.scheduler.Failed(t.piece, t.from, false, s.now)
 		case t.from == spread.Origin:
 			s.fromOrigin++
 			s.got(a, t)
 		case from.dead:
 			a.scheduler.Lost(t.from)
 		case s.spoils[t.from]:
-			a.scheduler.Failed(t.piece, t.from, true)
+			a.scheduler.Failed(t.piece, t.from, true, s.now)
 		default:
 			if from.member.Region != a.member.Region {
 				s.crossed++
@@ -296,6 +296,20 @@
 		Expect(s.fromOrigin).To(BeNumerically("<=", 2*96))
 	})
 
+	It("asks an origin that returns for each missing piece about once", func() {
+		// Guards against members that all ask for the first missing piece when an
+		// origin returns: most of a copy had left it, and the last few pieces then took
+		// 1.4 s, in which no engine could serve.
+		s := newSwarm(3, 5, 96)
+		s.start()
+		Expect(s.play(2400 * time.Millisecond)).To(BeFalse())
+		s.down = true
+		Expect(s.play(6 * time.Second)).To(BeFalse())
+		s.down = false
+		Expect(s.play(2 * time.Second)).To(BeTrue())
+		Expect(s.fromOrigin).To(BeNumerically("<=", 96+5))
+	})
+
 	It("completes alone from the origin", func() {
 		s := newSwarm(1, 1, 24)
 		s.start()
--- a/replica/config.go
+++ b/replica/config.go
@@ -82,8 +82,6 @@
 
 // newBackoff returns the pauses between calls of a source that fails. They are
 // spread by half, so that instances that failed together do not try together.
-func newBackoff() *backoff.ExponentialBackOff {
-	return &backoff.ExponentialBackOff{
-		InitialInterval: retryPause, RandomizationFactor: 0.5, Multiplier: 2, MaxInterval: maxRetryPause,
-	}
+func newBackoff(first, longest time.Duration) *backoff.ExponentialBackOff {
+	return &backoff.ExponentialBackOff{InitialInterval: first, RandomizationFactor: 0.5, Multiplier: 2, MaxInterval: longest}
 }
--- a/replica/fetch.go
+++ b/replica/fetch.go
@@ -23,6 +23,11 @@
 	// long against the reads of a usual fetch, which cost something, and short
 	// against the 12 s in which a restarted fleet must serve again.
 	peersInterval = 1500 * time.Millisecond
+	// originPause and maxOriginPause bound the pauses between failed calls for
+	// pieces. An origin that returns is to be asked soon: what it still has to send
+	// may take less time than a pause, and all engines wait for it.
+	originPause    = 50 * time.Millisecond
+	maxOriginPause = 200 * time.Millisecond
 	// maxSpoilt is the number of times that a piece may fail the check before
 	// the manifest itself is read again.
 	maxSpoilt = 3
@@ -154,7 +159,7 @@
 		select {
 		case f.asks[a.Source] <- a.Piece:
 		default:
-			f.scheduler.Failed(a.Piece, a.Source, false)
+			f.scheduler.Failed(a.Piece, a.Source, false, now)
 		}
 	}
 }
@@ -167,10 +172,10 @@
 	case e.piece == peerlink.NoPiece:
 		f.scheduler.Have(e.source, e.have, f.now())
 	case e.err != nil || len(e.data) == 0:
-		f.scheduler.Failed(e.piece, e.source, false)
+		f.scheduler.Failed(e.piece, e.source, false, f.now())
 	case !f.holdings.manifest.Matches(e.piece, e.data):
 		f.replica.spoilt(e.source, e.piece)
-		f.scheduler.Failed(e.piece, e.source, true)
+		f.scheduler.Failed(e.piece, e.source, true, f.now())
 		f.spoilt[e.piece]++
 		return f.spoilt[e.piece] < maxSpoilt
 	default:
@@ -183,7 +188,7 @@
 
 func (f *fetch) askOrigin(ctx context.Context, pieces <-chan int) {
 	m := f.holdings.manifest
-	pauses := newBackoff()
+	pauses := newBackoff(originPause, maxOriginPause)
 	for {
 		select {
 		case <-ctx.Done():
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -54,7 +54,7 @@
 func New(config Config) *Replica {
 	r := &Replica{
 		config: config, uploads: newUploads(config.LinkRate),
-		wake: make(chan struct{}, 1), stagedChanged: make(chan struct{}), fetchPauses: newBackoff(),
+		wake: make(chan struct{}, 1), stagedChanged: make(chan struct{}), fetchPauses: newBackoff(retryPause, maxRetryPause),
 	}
 	r.versionTime.Store(int64(config.VersionTime))
 	r.phases = newPhases(func(from, to Phase) {
