--- a/lib/eventlog/events_serving.go
+++ b/lib/eventlog/events_serving.go
@@ -18,6 +18,8 @@
 	ReplicaOrdered    = Event{7302, Info, "engine was ordered to load a version", "Nothing; err tells whether it refused."}
 	ReplicaFetched    = Event{7306, Info, "all pieces of a version are here", "Nothing."}
 	FetchFailed       = Event{7307, Warn, "version could not be fetched", "Nothing unless it repeats; then check the origin and the peers."}
+	OriginLost        = Event{7308, Warn, "origin of weights does not answer this instance", "Check the origin; pieces that any instance has still spread."}
+	OriginRegained    = Event{7309, Info, "origin of weights answers again", "Nothing."}
 	PieceSpoilt       = Event{7303, Warn, "piece of weights does not match the manifest", "Check the named source if it repeats."}
 	PeersUnknown      = Event{7304, Warn, "list of peers cannot be read", "Check the platform; the origin serves instead."}
 	EngineCallFailed  = Event{7305, Warn, "call of the engine on this instance failed", "Check the engine if it lasts."}
@@ -27,5 +29,5 @@
 	LiveConfigInForce, VersionDeclared, RowUnreadable, StoreLost, StoreRegained,
 	ServersRead, ServerRegistered, ServerGone, ServerEjected,
 	RequestEnded, RequestRepeated, LinesDropped,
-	ReplicaPhase, ReplicaOrdered, ReplicaFetched, FetchFailed, PieceSpoilt, PeersUnknown, EngineCallFailed,
+	ReplicaPhase, ReplicaOrdered, ReplicaFetched, FetchFailed, OriginLost, OriginRegained, PieceSpoilt, PeersUnknown, EngineCallFailed,
 }
--- a/replica/fetch.go
+++ b/replica/fetch.go
@@ -197,6 +197,7 @@
 			callCtx, cancel := context.WithTimeout(ctx, originTimeout)
 			data, err := f.replica.config.Origin().Piece(callCtx, m.Model, m.Version, piece)
 			cancel()
+			f.replica.noteOrigin(ctx, err)
 			if err != nil {
 				wait(ctx, nil, pauses.NextBackOff())
 			} else {
--- a/replica/fetchtarget.go
+++ b/replica/fetchtarget.go
@@ -106,9 +106,23 @@
 	if origin == nil {
 		return nil, errNoOrigin
 	}
-	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
-	return origin.Manifest(ctx, t.model, t.version)
+	m, err := origin.Manifest(callCtx, t.model, t.version)
+	r.noteOrigin(ctx, err)
+	return m, err
+}
+
+// noteOrigin logs when the origin is lost and when it answers again. ctx is that
+// of the caller: a call that it ended tells nothing.
+func (r *Replica) noteOrigin(ctx context.Context, err error) {
+	switch {
+	case ctx.Err() != nil:
+	case err != nil && !r.originLost.Swap(true):
+		r.config.Log.Log(eventlog.OriginLost, "err", err)
+	case err == nil && r.originLost.Swap(false):
+		r.config.Log.Log(eventlog.OriginRegained)
+	}
 }
 
 // peers returns the engines of the service, and whether they are known. Without
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -26,6 +26,8 @@
 	versionTime atomic.Int64
 	// wake makes Run look at once.
 	wake chan struct{}
+	// originLost tells that the last call of the origin failed.
+	originLost atomic.Bool
 	// closed tells that the engine should get no more requests.
 	closed atomic.Bool
 	// report is the engine's last state; nil if it did not answer.
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -14,6 +14,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/directory"
@@ -136,6 +137,8 @@
 	peers    []replica.Peer
 	port     int
 	ctx      context.Context
+	// logs are the lines of all replicas.
+	logs *gbytes.Buffer
 	// unlisted tells that no engine is registered.
 	unlisted atomic.Bool
 }
@@ -157,7 +160,7 @@
 func newFleet(loaded ...int) *fleet {
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
-	f := &fleet{origin: &fakeOrigin{}, port: freePort(), ctx: ctx}
+	f := &fleet{origin: &fakeOrigin{}, port: freePort(), ctx: ctx, logs: gbytes.NewBuffer()}
 	for i, version := range loaded {
 		f.peers = append(f.peers, replica.Peer{Address: f.host(i) + ":9", Region: strconv.Itoa(i % 2)})
 		f.engines = append(f.engines, newFakeEngine(version))
@@ -177,7 +180,7 @@
 		OriginTime: func() time.Duration { return time.Millisecond },
 		Peers:      f.listed,
 		PeerPort:   f.port, Listen: f.host(i), VersionTime: time.Second,
-		Clock: clock.System{}, Log: eventlog.Discard(),
+		Clock: clock.System{}, Log: eventlog.OpenPlain(f.logs, clock.System{}),
 	})
 	go func() {
 		defer GinkgoRecover()
@@ -317,7 +320,9 @@
 		f.origin.down.Store(true)
 		f.declare(2)
 		Consistently(f.serving(2), 500*time.Millisecond).Should(BeFalse())
+		Eventually(f.logs).Should(gbytes.Say("event=7308 .*err=down"))
 		f.origin.down.Store(false)
 		Eventually(f.serving(2), soon).Should(BeTrue())
+		Eventually(f.logs).Should(gbytes.Say("event=7309"))
 	})
 })
