--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,7 +89,7 @@
 			g.mu.Lock()
 			g.configAt = g.now()
 			g.mu.Unlock()
-			g.tellTargets()
+			g.announceTargets()
 			return true
 		}
 	}
@@ -139,13 +139,13 @@
 // outage of the store has just ended.
 func (g *Gateway) ReplaceServers(servers []*directory.Server, recovered bool) {
 	g.UpdateServers(func(d *directory.Directory, now time.Time) { d.Replace(servers, recovered, now) })
-	g.tellTargets()
+	g.announceTargets()
 }
 
 // Want takes the version of a model that must serve. fresh tells that it was
 // declared just now.
 func (g *Gateway) Want(model string, version int, fresh bool) {
-	defer g.tellTargets()
+	defer g.announceTargets()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if fresh {
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -39,7 +39,7 @@
 	region  string
 	self    netip.AddrPort
 	conn    *net.UDPConn
-	// wake makes Run tell the agents at once.
+	// wake makes Run announce targets at once.
 	wake chan struct{}
 	// sequences are the newest messages by sender; they belong to the receiving
 	// goroutine.
@@ -88,12 +88,12 @@
 		case <-ticker.C:
 		case <-l.wake:
 			// Several changes often come together.
-			time.Sleep(tellPause)
+			time.Sleep(announcePause)
 		}
 	}
 }
 
-// subscribe asks the agents for reports and tells them what to serve.
+// subscribe asks the agents for reports and announces what they must serve.
 func (l *Loads) subscribe() {
 	table := l.gateway.table.Load()
 	if table == nil {
--- a/gateway/neighbours.go
+++ b/gateway/neighbours.go
@@ -11,9 +11,9 @@
 	// neighbourTime is how long an entry that agents have named counts as a
 	// neighbour.
 	neighbourTime = 4 * time.Second
-	// maxNeighbours bounds the neighbours that an entry tells of each request, three
-	// times: the datagrams of a region would grow with the square of its entries.
-	// The agents' reports cover the others within 100 ms.
+	// maxNeighbours bounds the neighbours to which an entry sends its usage, three
+	// times for each request: the datagrams of a region would grow with the square of
+	// its entries. The agents' reports inform the others within 100 ms.
 	maxNeighbours = 16
 	// neighbourRefresh is how often the neighbours are chosen anew.
 	neighbourRefresh = time.Second
@@ -24,7 +24,7 @@
 type neighbours struct {
 	// seen is when agents named an entry last.
 	seen map[netip.AddrPort]time.Time
-	// chosen are those that are told, since chosenAt.
+	// chosen are those that get the usage, since chosenAt.
 	chosen   []netip.AddrPort
 	chosenAt time.Time
 }
@@ -39,8 +39,8 @@
 	}
 }
 
-// current returns the entries that are told what the named entry does. The slice
-// must not be changed.
+// current returns the entries that get the usage of the named entry. The slice must
+// not be changed.
 func (n *neighbours) current(name string, now time.Time) []netip.AddrPort {
 	if now.Sub(n.chosenAt) < neighbourRefresh {
 		return n.chosen
--- a/gateway/neighbours_test.go
+++ b/gateway/neighbours_test.go
@@ -19,7 +19,7 @@
 		return list
 	}
 
-	It("are all told in a small region, and some in a large one", func() {
+	It("all get the usage in a small region, and some in a large one", func() {
 		// Guards against datagrams that grow with the square of a region's entries.
 		now := time.Unix(1000, 0)
 		n := neighbours{seen: make(map[netip.AddrPort]time.Time)}
--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -10,9 +10,8 @@
 const (
 	// firstVersion is the version that a model has before one is declared.
 	firstVersion = 1
-	// tellPause is the least time between two messages to an agent that are sent
-	// because its target changed.
-	tellPause = 20 * time.Millisecond
+	// announcePause is the least time between two announcements of changed targets.
+	announcePause = 20 * time.Millisecond
 )
 
 // targets returns what the engines of each service must serve.
@@ -30,8 +29,8 @@
 	return targets
 }
 
-// tellTargets makes the agents learn of a change at once.
-func (g *Gateway) tellTargets() {
+// announceTargets makes the agents learn of a change at once.
+func (g *Gateway) announceTargets() {
 	if g.targetsChanged != nil {
 		g.targetsChanged()
 	}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -13,7 +13,7 @@
 	applyReserve = 500 * time.Millisecond
 	// gatherShare is the part of the time to leave a draining server in which
 	// changes of servers gather before they are read: each call is paid for, and
-	// agents tell of their engines without the store.
+	// agents report on their engines without the store.
 	gatherShare = 0.25
 )
 
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -33,7 +33,7 @@
 	r := replica.New(replica.Config{
 		Self: s.EngineAddress, Region: s.Region,
 		Engine: platform.NewEngine(s.EngineAddress), Origin: targets.currentOrigin, OriginTime: targets.originTime,
-		Told:     targets.told,
+		OnTarget: targets.announced,
 		Peers:    peers.read,
 		PeerPort: s.FirstPort, Listen: s.Address, VersionTime: s.Bounds.VersionTime,
 		LinkRate: s.LinkRate,
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// entryTimeout is how long a message of an entry replaces a read of the store.
-	// Entries send one each second, and datagrams may be lost.
+	// entryTimeout is how long an announcement of an entry replaces a read of the
+	// store. Entries send one each second, and datagrams may be lost.
 	entryTimeout = 3 * time.Second
 	// firstEntryTimeout is the time that entries have for it after a start.
 	firstEntryTimeout = time.Second
@@ -38,7 +38,7 @@
 	replica *replica.Replica
 	source  watch.Source
 	log     *eventlog.Logger
-	// storeLost tells that the last read of the store failed; it belongs to run.
+	// storeLost is set while reads of the store fail; it belongs to run.
 	storeLost bool
 
 	// mu guards what follows.
@@ -72,8 +72,8 @@
 	return t.pieceTime
 }
 
-// told takes the message of an entry.
-func (t *replicaTargets) told(target *peerlink.Target) {
+// announced takes a target that an entry announces.
+func (t *replicaTargets) announced(target *peerlink.Target) {
 	t.mu.Lock()
 	t.readAt = time.Now().Add(entryTimeout)
 	t.mu.Unlock()
--- a/internal/node/targets_test.go
+++ b/internal/node/targets_test.go
@@ -65,7 +65,7 @@
 		// Guards against agents that read a configuration of half a megabyte each over
 		// a link that their region shares: entries then missed it for seconds.
 		Consistently(func() int64 {
-			targets.told(&peerlink.Target{Config: 2, Model: "m", Version: 2, Origin: "127.0.0.1:98", PieceMicros: 500})
+			targets.announced(&peerlink.Target{Config: 2, Model: "m", Version: 2, Origin: "127.0.0.1:98", PieceMicros: 500})
 			return table.reads.Load()
 		}, 2*firstEntryTimeout, 100*time.Millisecond).Should(BeZero())
 		Expect(version()).To(Equal(2))
@@ -74,15 +74,15 @@
 	})
 
 	It("comes from the store while no entry sends anything", func() {
-		// Guards against an engine that stays behind because it hears of no entry.
+		// Guards against an engine that stays behind because no entry announces anything.
 		Eventually(version).WithTimeout(3 * time.Second).Should(Equal(3))
 		Expect(targets.originTime()).To(Equal(time.Millisecond))
 	})
 
 	It("does not fall back to an older configuration or version", func() {
 		// Guards against entries that missed a change.
-		targets.told(&peerlink.Target{Config: 5, Model: "m", Version: 4, Origin: "127.0.0.1:98"})
-		targets.told(&peerlink.Target{Config: 4, Model: "m", Version: 3, Origin: "127.0.0.1:97"})
+		targets.announced(&peerlink.Target{Config: 5, Model: "m", Version: 4, Origin: "127.0.0.1:98"})
+		targets.announced(&peerlink.Target{Config: 4, Model: "m", Version: 3, Origin: "127.0.0.1:97"})
 		Expect(version()).To(Equal(4))
 		Expect(targets.origin.Address()).To(Equal("127.0.0.1:98"))
 	})
--- a/peerlink/message.go
+++ b/peerlink/message.go
@@ -43,8 +43,8 @@
 }
 
 // Target is the version that an engine must serve, and where its weights come
-// from. Entries tell it, so that agents need not read the configuration, which
-// may be large.
+// from. Entries announce it, so that agents need not read the configuration,
+// which may be large.
 type Target struct {
 	// Config is the version of the configuration that names the origin.
 	Config  int64  `msgpack:"c"`
--- a/replica/beacon.go
+++ b/replica/beacon.go
@@ -92,8 +92,8 @@
 }
 
 func (b *Beacon) take(from netip.AddrPort, d *peerlink.Datagram) {
-	if told := b.replica.config.Told; told != nil && d.Subscription != nil && d.Subscription.Target != nil {
-		told(d.Subscription.Target)
+	if onTarget := b.replica.config.OnTarget; onTarget != nil && d.Subscription != nil && d.Subscription.Target != nil {
+		onTarget(d.Subscription.Target)
 	}
 	now := b.replica.config.Clock.Now()
 	b.mu.Lock()
--- a/replica/config.go
+++ b/replica/config.go
@@ -25,8 +25,8 @@
 	OriginTime func() time.Duration
 	// Peers returns the engines of the same service as they are registered now.
 	Peers func() ([]Peer, error)
-	// Told takes what an entry says that the engine must serve; nil takes nothing.
-	Told func(*peerlink.Target)
+	// OnTarget is called with each target that an entry announces; nil ignores them.
+	OnTarget func(*peerlink.Target)
 	// PeerPort is the port on which all agents serve pieces.
 	PeerPort int
 	// Listen is the IP address on which this one serves.
