--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -129,13 +129,26 @@
 	return resp.StatusCode
 }
 
-func (e *entry) order(path string) int {
+// request returns an order of the team.
+func (e *entry) request(path string) *http.Request {
 	req, err := http.NewRequest("POST", "http://"+e.settings.CallerAddress+path, strings.NewReader("order"))
 	Expect(err).NotTo(HaveOccurred())
 	req.Host = "a.example"
 	req.Header.Set("X-Attempt-Id", "id-7")
 	req.Header.Set("Authorization", "Token key")
-	resp, err := http.DefaultClient.Do(req)
+	return req
+}
+
+// ask sends an order whose end is looked for in the logs.
+func (e *entry) ask(path string) {
+	if resp, err := http.DefaultClient.Do(e.request(path)); err == nil {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+	}
+}
+
+func (e *entry) order(path string) int {
+	resp, err := http.DefaultClient.Do(e.request(path))
 	if err != nil {
 		return 0
 	}
@@ -230,6 +243,33 @@
 		Eventually(e.ended, 10*time.Second).Should(Receive(BeNil()))
 	})
 
+	DescribeTable("logs lines that lead from a failed request's id to its cause",
+		// Guards against an on-call engineer who has an id and finds no cause: the
+		// server, what ended the attempt, and why nothing else could be done.
+		func(kind string, answer func(*platformtest.Server, net.Conn, *platformtest.Received), expected ...string) {
+			e := startEntry()
+			s := platformtest.NewServer("desk-1", answer)
+			DeferCleanup(s.Close)
+			e.register(s, "ready")
+			r := route("/a/")
+			r["route_type"] = kind
+			e.configure(1, r)
+			Eventually(func() string {
+				e.ask("/a/")
+				return e.logs.String()
+			}, soon).Should(ContainSubstring("server=desk-1"))
+			for _, pattern := range expected {
+				Expect(e.logs.String()).To(MatchRegexp(pattern))
+			}
+		},
+		Entry("outcome unknown", "non_idempotent", platformtest.Reset,
+			`event=7201 .*request=id-7 outcome=unknown reason="no answer" status=502 .*server=desk-1 attempts=1 .*limit_ms=3000`),
+		Entry("cut in mid-stream", "streaming", platformtest.Events(0, 3, false),
+			`event=7201 .*request=id-7 outcome=broken reason="stream broken off" status=200 .*server=desk-1 attempts=1 .*events=4`),
+		Entry("refused by the server", "non_idempotent", platformtest.NotRun,
+			`event=7202 .*request=id-7 server=desk-1 reason="rejected by the server"|outcome=refused reason="rejected by the server"`),
+	)
+
 	It("shows in its metrics what it believes", func() {
 		// Guards against an on-call engineer who cannot tell from the metrics why
 		// requests are refused.
