--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -11,9 +11,6 @@
 	// applyReserve is what is left of a bound for the answer of a full read and
 	// for acting on it.
 	applyReserve = 500 * time.Millisecond
-	// configGatherShare is the part of the time for a configuration in which changes
-	// that follow each other gather.
-	configGatherShare = 0.1
 	// gatherShare is the part of the time to leave a draining server in which
 	// changes of servers gather before they are read: each call is paid for, and
 	// agents report on their engines without the store.
@@ -28,11 +25,7 @@
 }
 
 func operatorFollowing(b *platform.Bounds) watch.Config {
-	return watch.Config{
-		Wait:         storeWait(b, b.ConfigTime),
-		Gather:       time.Duration(configGatherShare * float64(b.ConfigTime)),
-		SkipVersions: true,
-	}
+	return watch.Config{Wait: storeWait(b, b.ConfigTime)}
 }
 
 func serversFollowing(b *platform.Bounds) watch.Config {
--- a/lib/watch/config.go
+++ b/lib/watch/config.go
@@ -1,10 +1,6 @@
 package watch
 
-import (
-	"time"
-
-	"github.com/auburnbend/auburnbend/lib/clock"
-)
+import "time"
 
 const (
 	// AnswerTimeout is the silence after which a source gives a call up, beyond the
@@ -13,9 +9,6 @@
 	// transferLimit bounds the time of an answer that goes on arriving. A large
 	// configuration takes seconds on links that a whole region shares.
 	transferLimit = 10 * time.Second
-	// skipWithin is the time in multiples of Gather within which a change counts as
-	// one of a series.
-	skipWithin = 2
 )
 
 // Config holds the timing of a Follower. Zero fields take the defaults.
@@ -26,15 +19,9 @@
 	// Gather is the pause after a change, in which further ones gather: each call
 	// of the store is paid for. Zero asks again at once.
 	Gather time.Duration
-	// SkipVersions reads the table in full while changes follow each other within
-	// Gather: the changes hold each version of a row, of which only the last one
-	// matters, and a row may be large.
-	SkipVersions bool
 	// MinBackoff and MaxBackoff bound the pause after a failed call. The store
 	// limits calls of all instances together, so that pauses are spread.
 	MinBackoff, MaxBackoff time.Duration
-	// Clock is the system's by default.
-	Clock clock.Clock
 }
 
 const (
@@ -56,8 +43,5 @@
 	set(&c.Wait, defaultWait)
 	set(&c.MinBackoff, defaultMinBackoff)
 	set(&c.MaxBackoff, defaultMaxBackoff)
-	if c.Clock == nil {
-		c.Clock = clock.System{}
-	}
 	return c
 }
--- a/lib/watch/follower.go
+++ b/lib/watch/follower.go
@@ -21,12 +21,6 @@
 	revision int64
 	// synced tells that Changes may continue at revision.
 	synced bool
-	// newestRow is the revision of the newest row that was delivered.
-	newestRow int64
-	// changedAt is when the last change was delivered, skipping that changes follow
-	// each other.
-	changedAt time.Time
-	skipping  bool
 	// lost tells that the last call failed.
 	lost    bool
 	backoff time.Duration
@@ -69,39 +63,12 @@
 		return f.pause()
 	}
 	f.deliver(rows)
-	if !f.newRows(rows) {
-		f.skipping = false
+	if len(rows.Rows) == 0 {
 		return 0
 	}
-	if f.config.SkipVersions {
-		f.skipVersions()
-	}
 	return f.config.Gather
 }
 
-// newRows reports whether a row was written after all that were delivered before.
-// The revision of an answer also grows with other tables.
-func (f *Follower) newRows(rows Rows) bool {
-	newest := f.newestRow
-	for _, row := range rows.Rows {
-		newest = max(newest, row.Revision)
-	}
-	newer := newest > f.newestRow
-	f.newestRow = newest
-	return newer
-}
-
-// skipVersions makes the next call read the table in full if this change came
-// right after another one.
-func (f *Follower) skipVersions() {
-	now := f.config.Clock.Now()
-	f.skipping = f.skipping || now.Sub(f.changedAt) < skipWithin*f.config.Gather
-	f.changedAt = now
-	if f.skipping {
-		f.synced = false
-	}
-}
-
 func (f *Follower) call(ctx context.Context) (Rows, error) {
 	wait := f.wait()
 	ctx, cancel := context.WithTimeout(ctx, wait+AnswerTimeout+transferLimit)
--- a/lib/watch/follower_test.go
+++ b/lib/watch/follower_test.go
@@ -7,8 +7,6 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-
-	"github.com/auburnbend/auburnbend/lib/clock"
 )
 
 // script answers calls in order.
@@ -107,23 +105,6 @@
 		Expect(pauses).To(Equal([]time.Duration{300 * time.Millisecond, 0, 300 * time.Millisecond}))
 	})
 
-	It("reads the table in full while versions of a row follow each other", func() {
-		// Guards against a configuration that arrives late because each version before
-		// it is sent too: 25 of them came in 2 s, to 35 entries over links that a region
-		// shares, and requests were denied by an older one 3 s after its successor.
-		now := clock.NewFake(time.Unix(1000, 0))
-		later := at(9, "c")
-		later.rows.Revision = 12
-		s, r := &script{answers: []answer{at(5, "a"), at(6), at(7, "b"), at(8, "c"), at(9, "c"), later, at(12), at(14, "d")}}, &record{}
-		f := New(Config{Gather: 300 * time.Millisecond, SkipVersions: true, Clock: now}, s, r)
-		for _, pause := range []time.Duration{time.Minute, time.Minute, 300 * time.Millisecond, 300 * time.Millisecond, 300 * time.Millisecond, 0, 0, 0} {
-			_ = f.step(context.Background())
-			now.Advance(pause)
-		}
-		Expect(s.calls).To(Equal([]string{"snapshot", "changes", "changes", "changes", "snapshot", "snapshot", "changes", "changes"}))
-		Expect(r.events[len(r.events)-1]).To(Equal("apply d"))
-	})
-
 	It("waits for no change in the first call after a failure", func() {
 		// Guards against a call that hangs in a silent store and delays the
 		// configuration that was accepted meanwhile: it came 3.4 s after the ack.
