--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -7,12 +7,8 @@
 	"github.com/auburnbend/auburnbend/peerlink"
 )
 
-const (
-	// firstVersion is the version that a model has before one is declared.
-	firstVersion = 1
-	// announcePause is the least time between two announcements of changed targets.
-	announcePause = 20 * time.Millisecond
-)
+// announcePause is the least time between two announcements of changed targets.
+const announcePause = 20 * time.Millisecond
 
 // targets returns what the engines of each service must serve.
 func (g *Gateway) targets(table *serving.Table) map[string]*peerlink.Target {
@@ -22,7 +18,7 @@
 	defer g.mu.Unlock()
 	for _, t := range config.WeightsTargets() {
 		targets[t.Service] = &peerlink.Target{
-			Config: config.Version, Model: t.Model, Version: max(firstVersion, g.versions.Newest(t.Model)),
+			Config: config.Version, Model: t.Model, Version: max(serving.FirstVersion, g.versions.Newest(t.Model)),
 			Origin: t.Origin.Address, PieceMicros: t.PieceTime.Microseconds(),
 		}
 	}
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -28,9 +28,6 @@
 	readTimeout = 10 * time.Second
 )
 
-// firstVersion is the version that a model has before another one is declared.
-const firstVersion = 1
-
 // replicaTargets learns what the engine of this instance must serve: from the
 // entries, or from the store while none of them sends anything.
 type replicaTargets struct {
@@ -150,7 +147,7 @@
 	for _, target := range c.WeightsTargets() {
 		if target.Service == t.service {
 			t.take(&peerlink.Target{
-				Config: c.Version, Model: target.Model, Version: firstVersion,
+				Config: c.Version, Model: target.Model, Version: serving.FirstVersion,
 				Origin: target.Origin.Address, PieceMicros: target.PieceTime.Microseconds(),
 			}, "store")
 		}
--- a/internal/node/targets_test.go
+++ b/internal/node/targets_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -17,7 +18,10 @@
 )
 
 // operatorTable is the operator's table with one version of model m.
-type operatorTable struct{ reads atomic.Int64 }
+type operatorTable struct {
+	// reads counts full reads, followed calls that wait for changes.
+	reads, followed atomic.Int64
+}
 
 func (o *operatorTable) Snapshot(context.Context) (watch.Rows, error) {
 	o.reads.Add(1)
@@ -37,7 +41,8 @@
 }
 
 func (o *operatorTable) Changes(context.Context, int64, time.Duration) (watch.Rows, error) {
-	panic("agents do not follow the operator's table")
+	o.followed.Add(1)
+	return watch.Rows{}, errors.New("agents read this table in full only")
 }
 
 var _ = Describe("What an agent's engine must serve", func() {
@@ -55,6 +60,8 @@
 		go targets.run(ctx)
 	})
 
+	AfterEach(func() { Expect(table.followed.Load()).To(BeZero()) })
+
 	version := func() int {
 		targets.mu.Lock()
 		defer targets.mu.Unlock()
--- a/lib/serving/weights_target.go
+++ b/lib/serving/weights_target.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// FirstVersion is the version that a model has before one is declared.
+const FirstVersion = 1
+
 // WeightsTarget is the model that the engines of a service must hold, and where
 // its weights come from.
 type WeightsTarget struct {
