Let one entry of a region place the requests of all

Cause: usage of engines went from each entry to 16 neighbours and an agent three times for each request, and each engine reported ten times a second to about 70 entries. Entries also chose the same engine in the time between two reports.

Change: the first entry of the region, in an order on which all agree, places the requests of all, and the next one stands by. Entries ask it with one datagram, and tell it when the first answer arrives and when the request ends. If neither answers within 30 ms, an entry places its requests by itself. Only these two entries get each change of an engine's load, others a report a second. What entries know of a server goes before a granted place: a leaving server gets nothing. Failures that one other entry reports alone eject no server. The age of a report is taken into account, so that requests which are younger than it are not forgotten. The slack of the retry budget is divided by regions and then by their entries; before, entries of a large fleet counted about half of the others, so that their shares added up to more than the bound.

Ruled out: batching of the usage, which leaves the number of receivers as it is; subsets of engines for each entry, which lose the knowledge of the others.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -117,9 +117,7 @@
 	}
 	usage := g.picker.Answering(lease, now)
 	g.mu.Unlock()
-	if r.engine != nil {
-		g.tellUsage(lease, usage)
-	}
+	r.tellProgress(lease, usage, nil)
 }
 
 // whole passes on an answer that is not a stream. It is read to its end first,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,7 +14,6 @@
 	"github.com/auburnbend/auburnbend/lib/retry"
 	"github.com/auburnbend/auburnbend/lib/serving"
 	"github.com/auburnbend/auburnbend/lib/versions"
-	"github.com/auburnbend/auburnbend/peerlink"
 )
 
 // Config holds what a Gateway needs from its process.
@@ -45,17 +44,16 @@
 	mu        sync.Mutex
 	directory *directory.Directory
 	picker    *placement.Picker
+	// granted are the places that other entries have got here.
+	granted *placement.Granted
 	budget    *retry.Budget
 	versions  *versions.Wanted
 	// configAt is when the configuration came into force.
 	configAt time.Time
 
-	// usage tells the neighbours what this entry has at a server; nil tells
-	// nobody. It is set before the first request.
-	usage func(peerlink.Usage)
-	// targetsChanged is called when engines must serve something else; nil is not.
-	// It is set before the first change.
-	targetsChanged func()
+	// loads is the link to agents and other entries; nil if there is none. It is set
+	// before the first request.
+	loads *Loads
 
 	draining atomic.Bool
 	open     atomic.Int64
@@ -69,10 +67,12 @@
 	config.Placement.OnEject = func(s *directory.Server, while time.Duration, because placement.Result) {
 		config.Log.Log(eventlog.ServerEjected, "server", s.ID, "service", s.Service, "address", s.Address, "while_ms", while.Milliseconds(), "reason", because)
 	}
+	picker := placement.New(config.Placement, d, rand.New(rand.NewPCG(config.Seed, config.Seed)))
 	return &Gateway{
 		config:    config,
 		directory: d,
-		picker:    placement.New(config.Placement, d, rand.New(rand.NewPCG(config.Seed, config.Seed))),
+		picker:    picker,
+		granted:   placement.NewGranted(picker),
 		budget:    retry.New(config.Retry, config.Entries),
 		versions:  versions.NewWanted(config.VersionTime),
 	}
--- /dev/null
+++ b/gateway/members_test.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Members of a region", func() {
+	self := netip.MustParseAddrPort("10.0.0.1:7700")
+	addresses := func(n int) []string {
+		var list []string
+		for i := range n {
+			list = append(list, fmt.Sprintf("10.0.0.%d:7700", i+1))
+		}
+		return list
+	}
+	now := time.Unix(1000, 0)
+
+	It("are ranked alike by all of them", func() {
+		// Guards against entries that ask different ones for places.
+		var orders [][]netip.AddrPort
+		for _, text := range addresses(30) {
+			m := newMembers(netip.MustParseAddrPort(text), "place/n")
+			m.learn(append(addresses(30), "nonsense"), now)
+			orders = append(orders, m.rank(now))
+		}
+		Expect(orders[0]).To(HaveLen(30))
+		for _, order := range orders {
+			Expect(order).To(Equal(orders[0]))
+		}
+	})
+
+	It("are forgotten when agents no longer name them, later for the retry budget", func() {
+		// Guards against a share of the retry budget that grows while entries are cut
+		// off: they go on using theirs.
+		m := newMembers(self, "place/n")
+		m.learn(addresses(3), now)
+		Expect(m.rank(now)).To(HaveLen(3))
+		later := now.Add(memberTime + time.Second)
+		Expect(m.rank(later)).To(ConsistOf(self))
+		Expect(m.count()).To(Equal(3))
+		m.rank(now.Add(countedTime + time.Second))
+		Expect(m.count()).To(Equal(1))
+	})
+})
--- /dev/null
+++ b/gateway/placer.go
@@ -0,0 +1,106 @@
+package gateway
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/directory"
+	"github.com/auburnbend/auburnbend/lib/placement"
+	"github.com/auburnbend/auburnbend/peerlink"
+)
+
+// places reports whether this entry may place requests of other entries.
+func (l *Loads) places() bool {
+	if l.gateway.draining.Load() {
+		return false
+	}
+	ranked := l.rank()
+	return slices.Contains(ranked[:min(len(ranked), placers)], l.self)
+}
+
+// answer answers an entry that wants a request placed.
+func (l *Loads) answer(q *peerlink.PlaceQuery, from netip.AddrPort) {
+	a := &peerlink.PlaceAnswer{Declined: true}
+	if l.places() {
+		a = l.gateway.placeFor(q)
+	}
+	a.Start, a.Lease = q.Start, q.Lease
+	l.send(encode(&peerlink.Datagram{PlaceAnswer: a}), from)
+}
+
+// placeFor places a request of another entry. It declines what it does not know.
+func (g *Gateway) placeFor(q *peerlink.PlaceQuery) *peerlink.PlaceAnswer {
+	table := g.table.Load()
+	if table == nil {
+		return &peerlink.PlaceAnswer{Declined: true}
+	}
+	service := table.Service(q.Service)
+	if service == nil || service.Engine == nil {
+		return &peerlink.PlaceAnswer{Declined: true}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	if !g.picker.Informed(q.Service, now) {
+		return &peerlink.PlaceAnswer{Declined: true}
+	}
+	d := placement.Demand{
+		Service: q.Service, Engine: service.Engine, Domain: q.Domain, Model: q.Model, Version: q.Version,
+		MinVersion:   max(q.MinVersion, g.versions.Least(q.Model, now)),
+		PromptTokens: q.PromptTokens, AnswerTokens: q.AnswerTokens,
+		Target: milliseconds(q.TargetMillis), Limit: milliseconds(q.LimitMillis), Continued: q.Continued,
+	}
+	d.NextVersion, d.NextAt = g.versions.Next(q.Model, now)
+	if due := now.Add(milliseconds(q.NextMillis)); q.NextVersion != 0 && (d.NextVersion == 0 || due.Before(d.NextAt)) {
+		d.NextVersion, d.NextAt = q.NextVersion, due
+	}
+	for _, key := range q.Exclude {
+		d.Exclude = append(d.Exclude, directory.Key{ID: key.ID, Born: key.Born})
+	}
+	if q.OpenKnown {
+		g.granted.Keep(q.Entry, q.Start, q.Open, now)
+	}
+	lease, refusal := g.granted.Grant(leaseID(q.Entry, q.Start, q.Lease), d, now)
+	if refusal != nil {
+		return &peerlink.PlaceAnswer{
+			Reason: string(refusal.Reason), AfterMillis: refusal.After.Milliseconds(), PredictedMicros: refusal.Predicted.Microseconds(),
+		}
+	}
+	g.loads.tellUsage(lease.Server.Address, lease.Usage)
+	return &peerlink.PlaceAnswer{
+		Server: &peerlink.ServerKey{ID: lease.Server.ID, Born: lease.Server.Born}, Version: lease.Server.Weights[q.Model].Version,
+		PredictedMicros: lease.Predicted.Microseconds(), Occupancy: lease.Occupancy, LoadAgeMicros: lease.LoadAge.Microseconds(),
+	}
+}
+
+// takeNotice takes what another entry tells of a lease that it got here.
+func (l *Loads) takeNotice(n *peerlink.PlaceNotice) {
+	g := l.gateway
+	id := leaseID(n.Entry, n.Start, n.Lease)
+	g.mu.Lock()
+	now := g.now()
+	var lease *placement.Lease
+	if n.Ended {
+		lease = g.granted.Done(id, placement.Result(n.Result), now)
+	} else {
+		lease = g.granted.Answering(id, now)
+	}
+	g.mu.Unlock()
+	if lease != nil {
+		l.tellUsage(lease.Server.Address, lease.Usage)
+	}
+}
+
+// expireGranted ends the leases of entries that have told nothing of their ends.
+func (g *Gateway) expireGranted() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.granted.Expire(g.now())
+}
+
+func leaseID(entry string, start, number uint64) placement.LeaseID {
+	return placement.LeaseID{Entry: entry, Start: start, Number: number}
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -33,6 +33,9 @@
 
 	// tried are the servers that may have run the request or that refused it.
 	tried []directory.Key
+	// granted is the place that another entry has granted; nil if the request was
+	// placed here.
+	granted *grant
 	// reached counts the servers that the request was sent to.
 	reached int
 	// ran tells that some server may have run the request.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/eventlog"
-	"github.com/auburnbend/auburnbend/lib/placement"
 	"github.com/auburnbend/auburnbend/lib/serving"
 )
 
@@ -127,7 +126,7 @@
 	g := r.gateway
 	for {
 		now := g.now()
-		lease, refusal := r.pick(now)
+		lease, refusal := r.place(now)
 		if refusal != nil {
 			r.giveUp(refusal)
 			return
@@ -151,37 +150,6 @@
 	}
 }
 
-// pick places the request; the first placement counts as a request of the
-// service, later ones draw on the retry budget in mayRepeat.
-func (r *request) pick(now time.Time) (*placement.Lease, *placement.Refusal) {
-	lease, refusal := r.place(now)
-	if lease != nil && r.engine != nil {
-		r.gateway.tellUsage(lease, lease.Usage)
-	}
-	return lease, refusal
-}
-
-func (r *request) place(now time.Time) (*placement.Lease, *placement.Refusal) {
-	g := r.gateway
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if r.seen.Attempts == 0 && r.reached == 0 {
-		g.budget.Request(r.service, now)
-	}
-	return g.picker.Pick(r.demand(now), now)
-}
-
-// done ends an attempt.
-func (r *request) done(lease *placement.Lease, result placement.Result) {
-	g := r.gateway
-	g.mu.Lock()
-	usage := g.picker.Done(lease, result, g.now())
-	g.mu.Unlock()
-	if r.engine != nil {
-		g.tellUsage(lease, usage)
-	}
-}
-
 // mayRepeat reports whether another server may have the request after an
 // attempt ended without an answer.
 func (r *request) mayRepeat(end ending) bool {
--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -27,7 +27,7 @@
 
 // announceTargets makes the agents learn of a change at once.
 func (g *Gateway) announceTargets() {
-	if g.targetsChanged != nil {
-		g.targetsChanged()
+	if g.loads != nil {
+		g.loads.announceTargets()
 	}
 }
--- a/lib/directory/directory.go
+++ b/lib/directory/directory.go
@@ -13,8 +13,10 @@
 	servers map[string]*Server
 	// lapsed holds servers without a row until the given time.
 	lapsed map[string]time.Time
-	// byService caches the servers of each service; nil after a change.
+	// byService caches the servers of each service, byAddress the last start at
+	// each address; nil after a change.
 	byService map[string][]*Server
+	byAddress map[string]*Server
 }
 
 // New returns an empty Directory.
@@ -41,7 +43,7 @@
 func (d *Directory) Put(s *Server) {
 	d.servers[s.ID] = s
 	delete(d.lapsed, s.ID)
-	d.byService = nil
+	d.changed()
 }
 
 // Amend changes what is known of a listed server from another source than its row.
@@ -51,7 +53,7 @@
 		return
 	}
 	d.servers[s.ID] = s
-	d.byService = nil
+	d.changed()
 }
 
 // Remove takes note that a server's row is gone. recovered tells that the row
@@ -73,9 +75,12 @@
 func (d *Directory) drop(id string) {
 	delete(d.servers, id)
 	delete(d.lapsed, id)
-	d.byService = nil
+	d.changed()
 }
 
+// changed drops what is derived from the servers.
+func (d *Directory) changed() { d.byService, d.byAddress = nil, nil }
+
 // Expire drops the servers whose grace has ended.
 func (d *Directory) Expire(now time.Time) {
 	for id, until := range d.lapsed {
@@ -100,13 +105,23 @@
 // At returns the server at an address, or nil. Of several, it is the one that
 // started last.
 func (d *Directory) At(address string) *Server {
-	var found *Server
-	for _, s := range d.servers {
-		if s.Address == address && (found == nil || s.Born > found.Born) {
-			found = s
+	if d.byAddress == nil {
+		d.byAddress = make(map[string]*Server, len(d.servers))
+		for _, s := range d.servers {
+			if found := d.byAddress[s.Address]; found == nil || s.Born > found.Born {
+				d.byAddress[s.Address] = s
+			}
 		}
 	}
-	return found
+	return d.byAddress[address]
+}
+
+// Server returns the listed start with the key, or nil.
+func (d *Directory) Server(k Key) *Server {
+	if s := d.servers[k.ID]; s != nil && s.Born == k.Born {
+		return s
+	}
+	return nil
 }
 
 // All calls f for each server.
--- a/lib/placement/demand.go
+++ b/lib/placement/demand.go
@@ -10,6 +10,9 @@
 // Demand is a request that needs a backend server.
 type Demand struct {
 	Service string
+	// Domain is the failure domain of the entry that has the request, Holder its
+	// name; empty for the entry that places it.
+	Domain, Holder string
 	// Engine describes the service's model engines; nil for plain services.
 	Engine *serving.Engine
 	// Model is the model that must be loaded; empty for plain services.
--- /dev/null
+++ b/lib/placement/granted.go
@@ -0,0 +1,146 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/directory"
+)
+
+// LeaseID names a lease that an entry asked for. It is unique for one start of the
+// entry.
+type LeaseID struct {
+	Entry string
+	// Start differs between the starts of an entry.
+	Start uint64
+	// Number counts the entry's leases.
+	Number uint64
+}
+
+// endNoticeTime is how long the notice of a lease's end may be on its way: a lease
+// that its entry no longer names counts as ended after it.
+const endNoticeTime = 200 * time.Millisecond
+
+// Granted keeps the leases that other entries have asked for. Notices of their
+// ends may be lost, and entries may end without one.
+type Granted struct {
+	picker *Picker
+	leases map[string]map[LeaseID]*granted
+}
+
+type granted struct {
+	*Lease
+	// until is when the request is over in any case.
+	until time.Time
+}
+
+// NewGranted returns a Granted without leases.
+func NewGranted(p *Picker) *Granted {
+	return &Granted{picker: p, leases: make(map[string]map[LeaseID]*granted)}
+}
+
+// Grant places a request of another entry.
+func (g *Granted) Grant(id LeaseID, d Demand, now time.Time) (*Lease, *Refusal) {
+	d.Holder = id.Entry
+	lease, refusal := g.picker.Pick(d, now)
+	if refusal != nil {
+		return nil, refusal
+	}
+	if g.leases[id.Entry] == nil {
+		g.leases[id.Entry] = make(map[LeaseID]*granted)
+	}
+	g.leases[id.Entry][id] = &granted{Lease: lease, until: now.Add(leaseTime(d.Limit) + endNoticeTime)}
+	return lease, nil
+}
+
+// unlimitedLeaseTime bounds the leases of requests that set no limit.
+const unlimitedLeaseTime = 30 * time.Second
+
+func leaseTime(limit time.Duration) time.Duration {
+	if limit <= 0 {
+		return unlimitedLeaseTime
+	}
+	return limit
+}
+
+// Answering takes note that a lease's first answer has arrived. It returns the
+// lease, or nil if it is not known.
+func (g *Granted) Answering(id LeaseID, now time.Time) *Lease {
+	l := g.leases[id.Entry][id]
+	if l == nil {
+		return nil
+	}
+	l.Usage = g.picker.Answering(l.Lease, now)
+	return l.Lease
+}
+
+// Done ends a lease. It returns the lease, or nil if it is not known.
+func (g *Granted) Done(id LeaseID, result Result, now time.Time) *Lease {
+	l := g.leases[id.Entry][id]
+	if l == nil {
+		return nil
+	}
+	g.end(id, l, result, now)
+	return l.Lease
+}
+
+func (g *Granted) end(id LeaseID, l *granted, result Result, now time.Time) {
+	l.Usage = g.picker.Done(l.Lease, result, now)
+	delete(g.leases[id.Entry], id)
+	if len(g.leases[id.Entry]) == 0 {
+		delete(g.leases, id.Entry)
+	}
+}
+
+// Keep ends the leases of an entry that it no longer names, as the notices of
+// their ends were lost. open are the numbers of those that it has.
+func (g *Granted) Keep(entry string, start uint64, open []uint64, now time.Time) {
+	named := make(map[uint64]bool, len(open))
+	for _, n := range open {
+		named[n] = true
+	}
+	for id, l := range g.leases[entry] {
+		if (id.Start != start || !named[id.Number]) && now.Sub(l.started) > endNoticeTime {
+			g.end(id, l, Rejected, now)
+		}
+	}
+}
+
+// Expire ends the leases whose time is over.
+func (g *Granted) Expire(now time.Time) {
+	for _, leases := range g.leases {
+		for id, l := range leases {
+			if now.After(l.until) {
+				g.end(id, l, Rejected, now)
+			}
+		}
+	}
+}
+
+// Len returns the number of leases.
+func (g *Granted) Len() int {
+	n := 0
+	for _, leases := range g.leases {
+		n += len(leases)
+	}
+	return n
+}
+
+// Avoided returns the servers of a service from which this entry keeps away, so
+// that another one that places its requests does as well. Where they are too many
+// to be believed it returns none.
+func (p *Picker) Avoided(service string, now time.Time) []directory.Key {
+	var avoided []directory.Key
+	listed := p.directory.Service(service)
+	for _, listing := range listed {
+		if s := p.servers[listing.Key()]; s != nil && s.ejected(now) {
+			avoided = append(avoided, listing.Key())
+		}
+	}
+	if float64(len(avoided)) > p.config.MaxEjectedShare*float64(len(listed)) {
+		return nil
+	}
+	return avoided[:min(len(avoided), maxAvoided)]
+}
+
+// maxAvoided bounds the servers that an entry names to another one.
+const maxAvoided = 12
--- /dev/null
+++ b/lib/placement/granted_test.go
@@ -0,0 +1,98 @@
+package placement_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/lib/directory"
+	"github.com/auburnbend/auburnbend/lib/placement"
+)
+
+var _ = Describe("Leases of other entries", func() {
+	var (
+		now time.Time
+		p   *placement.Picker
+		g   *placement.Granted
+		dir *directory.Directory
+	)
+	id := func(entry string, start, number uint64) placement.LeaseID {
+		return placement.LeaseID{Entry: entry, Start: start, Number: number}
+	}
+	grant := func(l placement.LeaseID) *placement.Lease {
+		lease, refusal := g.Grant(l, placement.Demand{
+			Service: "drafts", Engine: engine, Model: "m", PromptTokens: 1000, AnswerTokens: 100, Limit: 6 * time.Second,
+		}, now)
+		Expect(refusal).To(BeNil())
+		return lease
+	}
+	BeforeEach(func() {
+		now = time.Unix(1000, 0)
+		dir = directory.New()
+		for _, id := range []string{"a", "b"} {
+			dir.Put(&directory.Server{
+				ID: id, Service: "drafts", Address: id + ":80", Domain: "north", Slots: 16,
+				Weights: map[string]directory.Weights{"m": {Version: 1, Whole: true}},
+			})
+		}
+		p = placement.New(placement.Config{Domain: "north", Regions: map[string]string{"north": "n"}}, dir, rand.New(rand.NewPCG(1, 1)))
+		g = placement.NewGranted(p)
+	})
+
+	It("count as load of their servers until they end", func() {
+		// Guards against entries that choose the same slot in the same moment.
+		first := grant(id("e1", 1, 1))
+		Expect(grant(id("e2", 1, 1)).Server.ID).NotTo(Equal(first.Server.ID))
+		Expect(grant(id("e2", 1, 2)).Occupancy).To(Equal(1))
+		g.Done(id("e1", 1, 1), placement.Answered, now)
+		Expect(grant(id("e3", 1, 1)).Server.ID).To(Equal(first.Server.ID))
+	})
+
+	It("end when the entry does not name them any more, or has restarted", func() {
+		// Guards against slots that stay taken because the notice of an end was lost.
+		grant(id("e1", 1, 1))
+		grant(id("e1", 1, 2))
+		grant(id("e2", 7, 1))
+		now = now.Add(time.Second)
+		grant(id("e1", 1, 3))
+		g.Keep("e1", 1, []uint64{2}, now)
+		Expect(g.Len()).To(Equal(3), "the one that was granted just now stays")
+		g.Keep("e2", 8, nil, now)
+		Expect(g.Len()).To(Equal(2))
+	})
+
+	It("end when the time of their requests is over", func() {
+		grant(id("e1", 1, 1))
+		now = now.Add(5 * time.Second)
+		g.Expire(now)
+		Expect(g.Len()).To(Equal(1))
+		now = now.Add(2 * time.Second)
+		g.Expire(now)
+		Expect(g.Len()).To(BeZero())
+	})
+
+	It("eject a server only when two entries fail there", func() {
+		// Guards against an entry with a broken link that takes sound servers from all
+		// others.
+		fail := func(entry string, n uint64) {
+			for {
+				l := grant(id(entry, 1, n))
+				if l.Server.ID == "a" {
+					g.Done(id(entry, 1, n), placement.Unreachable, now)
+					return
+				}
+				n += 100
+			}
+		}
+		key := directory.Key{ID: "a"}
+		for n := range 5 {
+			fail("e1", uint64(n))
+		}
+		Expect(p.Condition(dir.Server(key), now)).To(Equal(placement.Open))
+		fail("e2", 1)
+		Expect(p.Condition(dir.Server(key), now)).To(Equal(placement.Ejected))
+		Expect(p.Avoided("drafts", now)).To(ConsistOf(key))
+	})
+})
--- a/lib/placement/lease.go
+++ b/lib/placement/lease.go
@@ -19,7 +19,9 @@
 	// Usage is what this entry has at the server with this request.
 	Usage Usage
 
-	state   *server
+	state *server
+	// holder is the entry that has the request; empty for this one.
+	holder  string
 	prompt  int
 	started time.Time
 	// answering tells that the first answer has arrived.
--- a/lib/placement/load.go
+++ b/lib/placement/load.go
@@ -10,6 +10,8 @@
 	ReadingTokens int
 	// Pace is how much slower than declared it works; zero means unknown.
 	Pace float64
+	// Lag is the age of the counts when they were reported.
+	Lag time.Duration
 	// Closed tells that the server takes no new requests now, as it loads
 	// weights or does not answer its agent.
 	Closed bool
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -30,16 +30,22 @@
 		return nil, refusal
 	}
 	occupancy, age := best.occupancy(now), best.loadAge(now)
-	best.own.Running++
-	best.sinceReport++
-	best.lastStart = now
-	best.own.Reading++
-	best.own.ReadingTokens += d.PromptTokens
-	return &Lease{
-		Server: best.seen, Predicted: estimate.first + p.distance(best.seen.Domain),
-		Occupancy: occupancy, LoadAge: age, Usage: best.own,
-		state: best, prompt: d.PromptTokens, started: now,
-	}, nil
+	l := p.lease(best, &d, now)
+	l.Predicted = estimate.first + p.distance(d.Domain, best.seen.Domain)
+	l.Occupancy, l.LoadAge = occupancy, age
+	return l, nil
+}
+
+// Adopt returns the lease of a request that another entry has placed on a listed
+// server.
+func (p *Picker) Adopt(listing *directory.Server, d *Demand, now time.Time) *Lease {
+	return p.lease(p.state(listing), d, now)
+}
+
+func (p *Picker) lease(s *server, d *Demand, now time.Time) *Lease {
+	s.change(1, 1, d.PromptTokens, now)
+	s.lastStart = now
+	return &Lease{Server: s.seen, Usage: s.own, state: s, holder: d.Holder, prompt: d.PromptTokens, started: now}
 }
 
 // candidate is a server that may take a request.
@@ -66,7 +72,7 @@
 			reason = NoWeights
 			continue
 		}
-		c := &candidate{server: s, estimate: e, score: e.first + p.distance(s.seen.Domain)}
+		c := &candidate{server: s, estimate: e, score: e.first + p.distance(d.Domain, s.seen.Domain)}
 		if best == nil || c.score < best.score || c.score == best.score && s.own.Running < best.own.Running {
 			best = c
 		}
@@ -177,12 +183,16 @@
 	return &Refusal{Reason: Overloaded, After: after, Predicted: predicted}
 }
 
-// distance is the delay by which a server in another domain is less preferred.
-func (p *Picker) distance(domain string) time.Duration {
+// distance is the delay by which a server in another domain than the caller's is
+// less preferred.
+func (p *Picker) distance(from, to string) time.Duration {
+	if from == "" {
+		from = p.config.Domain
+	}
 	switch {
-	case domain == p.config.Domain:
+	case to == from:
 		return 0
-	case p.config.Regions[domain] == p.config.Regions[p.config.Domain]:
+	case p.config.Regions[to] == p.config.Regions[from]:
 		return p.config.DomainDelay
 	default:
 		return p.config.RegionDelay
--- a/lib/placement/picker_news.go
+++ b/lib/placement/picker_news.go
@@ -9,24 +9,15 @@
 // Superseded takes note that a later start of a server has its address.
 func (p *Picker) Superseded(key directory.Key) { p.server(key).superseded = true }
 
-// Neighbour takes what another entry has at a server.
-func (p *Picker) Neighbour(key directory.Key, entry string, u Usage, now time.Time) {
-	s := p.server(key)
-	if s.neighbours == nil {
-		s.neighbours = make(map[string]neighbour)
-	}
-	s.sinceReport += u.Running - s.neighbours[entry].Running
-	s.neighbours[entry] = neighbour{Usage: u, at: now}
-}
-
 // Report takes an agent's report on a server.
 func (p *Picker) Report(key directory.Key, load Load, now time.Time) {
 	s := p.server(key)
 	if !load.Closed && (s.load.Closed || s.openedAt.IsZero()) {
 		s.openedAt = now
 	}
-	s.load, s.loadAt, s.sinceReport = load, now, 0
-	s.foreignTokens = max(0, load.ReadingTokens-s.known(now).ReadingTokens)
+	s.load, s.loadAt = load, now
+	s.foreign = max(0, load.Running+load.Waiting-s.running.at(now.Add(-load.Lag)))
+	s.foreignTokens = max(0, load.ReadingTokens-s.own.ReadingTokens)
 }
 
 // Hint takes the counts that a server adds to its answers. They tell nothing of
@@ -34,7 +25,24 @@
 func (p *Picker) Hint(key directory.Key, running, waiting int, now time.Time) {
 	s := p.server(key)
 	s.load.Running, s.load.Waiting = running, waiting
-	s.loadAt, s.sinceReport = now, 0
+	s.loadAt = now
+	s.foreign = max(0, running+waiting-s.own.Running)
+}
+
+// Informed reports whether the load of at least half of a service's servers in
+// this region is known.
+func (p *Picker) Informed(service string, now time.Time) bool {
+	near, known := 0, 0
+	for _, listing := range p.directory.Service(service) {
+		if p.config.Regions[listing.Domain] != p.config.Regions[p.config.Domain] {
+			continue
+		}
+		near++
+		if s := p.servers[listing.Key()]; s != nil && !s.loadAt.IsZero() && now.Sub(s.loadAt) <= loadAge {
+			known++
+		}
+	}
+	return 2*known >= near
 }
 
 // Forget drops the state of servers that are no longer listed and idle.
--- a/lib/placement/picker_outcome.go
+++ b/lib/placement/picker_outcome.go
@@ -4,12 +4,11 @@
 
 // Answering takes note that the first answer of a request has arrived. It
 // returns what this entry has at the server.
-func (p *Picker) Answering(l *Lease, _ time.Time) Usage {
+func (p *Picker) Answering(l *Lease, now time.Time) Usage {
 	s := l.state
 	if !l.answering && !l.done {
 		l.answering = true
-		s.own.Reading--
-		s.own.ReadingTokens -= l.prompt
+		s.change(0, -1, -l.prompt, now)
 	}
 	return s.own
 }
@@ -23,8 +22,7 @@
 	p.Answering(l, now)
 	l.done = true
 	s := l.state
-	s.own.Running--
-	s.sinceReport--
+	s.change(-1, 0, 0, now)
 	switch result {
 	case Answered:
 		s.failures, s.ejections = 0, 0
@@ -34,12 +32,17 @@
 		s.mismatched = true
 		p.eject(s, Mismatched, now)
 	case Unreachable:
-		p.eject(s, Unreachable, now)
+		if l.holder == "" {
+			p.eject(s, Unreachable, now)
+			break
+		}
+		// The way from another entry may be at fault.
+		p.failed(s, l.holder, Unreachable, now)
 	case Failed:
-		p.failed(s, Failed, now)
+		p.failed(s, l.holder, Failed, now)
 	case Cancelled:
 		if !answered && now.Sub(l.started) >= silentAfter {
-			p.failed(s, Cancelled, now)
+			p.failed(s, l.holder, Cancelled, now)
 		}
 	case Rejected:
 	}
@@ -54,10 +57,14 @@
 	s.answerTime += (took - s.answerTime) / 8
 }
 
-// failed counts a failure and ejects the server after several in a row.
-func (p *Picker) failed(s *server, because Result, now time.Time) {
+// failed counts a failure and ejects the server after several in a row. Those of
+// one other entry alone eject nothing: its own links may be at fault, and it keeps
+// away from the server by itself.
+func (p *Picker) failed(s *server, holder string, because Result, now time.Time) {
 	s.failures++
-	if s.failures >= p.config.EjectAfter {
+	alone := holder != "" && (s.failures == 1 || s.failedFor == holder)
+	s.failedFor = holder
+	if s.failures >= p.config.EjectAfter && !alone {
 		p.eject(s, because, now)
 	}
 }
--- a/lib/placement/predict.go
+++ b/lib/placement/predict.go
@@ -78,13 +78,12 @@
 // promptsAhead estimates the prompt tokens that are read before a new prompt
 // beyond the usual turnover.
 func (s *server) promptsAhead(e *serving.Engine, now time.Time) int {
-	known := s.known(now)
 	age := now.Sub(s.loadAt)
 	if age > loadAge {
-		return known.ReadingTokens
+		return s.own.ReadingTokens
 	}
 	read := int(age.Seconds() * e.PrefillRate)
-	return known.ReadingTokens + max(0, s.foreignTokens-read)
+	return s.own.ReadingTokens + max(0, s.foreignTokens-read)
 }
 
 // turnoverTime is the time in which the prompts of new requests are read in one
--- a/lib/placement/server.go
+++ b/lib/placement/server.go
@@ -6,39 +6,31 @@
 	"github.com/auburnbend/auburnbend/lib/directory"
 )
 
-// neighbourAge is the age at which another entry's usage no longer counts. It is
-// longer than the time of a usual answer; a change is told at once.
-const neighbourAge = 3 * time.Second
-
-// neighbour is another entry's usage of a server.
-type neighbour struct {
-	Usage
-	at time.Time
-}
-
 // server is what a Picker knows of one start of a backend server.
 type server struct {
 	seen *directory.Server
-	// own is what this entry has there.
+	// own is what this entry has placed there, for itself and for others.
 	own Usage
-	// neighbours is what other entries of the region have there.
-	neighbours map[string]neighbour
-	// load is the last report; sinceReport is the change of the known usage since
-	// then.
-	load        Load
-	loadAt      time.Time
-	sinceReport int
+	// running is the course of own.Running.
+	running course
+	// load is the last report, and foreign the requests in it that others have
+	// placed.
+	load    Load
+	loadAt  time.Time
+	foreign int
 	// lastStart is when this entry sent its last request.
 	lastStart time.Time
 	// openedAt is when it began to take requests, as far as reports tell.
 	openedAt time.Time
-	// foreignTokens are prompt tokens of entries that do not tell this one.
+	// foreignTokens are prompt tokens that others have placed.
 	foreignTokens int
 	// answerTime is the smoothed time of an answer of a plain service.
 	answerTime time.Duration
 	// failures counts those in a row; ejections how often it was ejected for
 	// them.
 	failures, ejections int
+	// failedFor is the holder of the last lease that failed.
+	failedFor string
 	ejectedUntil        time.Time
 	// mismatched tells that it is ejected because it was not what it was believed to
 	// be.
@@ -50,22 +42,19 @@
 // occupancy estimates the requests that run or wait there.
 func (s *server) occupancy(now time.Time) int {
 	if s.loadAt.IsZero() || now.Sub(s.loadAt) > loadAge {
-		return s.known(now).Running
+		return s.own.Running
 	}
-	return max(s.own.Running, s.load.Running+s.load.Waiting+s.sinceReport)
+	return s.own.Running + s.foreign
 }
 
-// known is what this entry and its neighbours have there.
-func (s *server) known(now time.Time) Usage {
-	u := s.own
-	for _, n := range s.neighbours {
-		if now.Sub(n.at) <= neighbourAge {
-			u.Running += n.Running
-			u.Reading += n.Reading
-			u.ReadingTokens += n.ReadingTokens
-		}
+// change adds to the usage.
+func (s *server) change(running, reading, tokens int, now time.Time) {
+	s.own.Running += running
+	s.own.Reading += reading
+	s.own.ReadingTokens += tokens
+	if running != 0 {
+		s.running.set(s.own.Running, now)
 	}
-	return u
 }
 
 // pace is how much slower than declared the server works.
--- a/peerlink/message.go
+++ b/peerlink/message.go
@@ -31,6 +31,9 @@
 	Subscription *Subscription `msgpack:"b,omitempty"`
 	Status       *Status       `msgpack:"s,omitempty"`
 	Usage        *Usage        `msgpack:"u,omitempty"`
+	PlaceQuery   *PlaceQuery   `msgpack:"q,omitempty"`
+	PlaceAnswer  *PlaceAnswer  `msgpack:"a,omitempty"`
+	PlaceNotice  *PlaceNotice  `msgpack:"n,omitempty"`
 }
 
 // Subscription asks an agent for load reports for a few seconds.
@@ -38,6 +41,10 @@
 	// Entry is the instance of the entry that asks, Region its region.
 	Entry  string `msgpack:"e"`
 	Region string `msgpack:"r"`
+	// Loads asks for each change of the load; otherwise reports come once a second.
+	Loads bool `msgpack:"l,omitempty"`
+	// Leaving tells that the entry is about to stop.
+	Leaving bool `msgpack:"x,omitempty"`
 	// Target is nil while the entry does not know it.
 	Target *Target `msgpack:"t,omitempty"`
 }
@@ -66,6 +73,8 @@
 	// Running and Waiting count requests.
 	Running int `msgpack:"r"`
 	Waiting int `msgpack:"w"`
+	// AgeMicros is the age of these counts in microseconds.
+	AgeMicros int64 `msgpack:"k,omitempty"`
 	// ReadingTokens are the prompts without a first answer, of all entries that
 	// tell the agent.
 	ReadingTokens int `msgpack:"t"`
@@ -76,8 +85,6 @@
 	// Model and Version are the loaded weights; an empty model means none.
 	Model   string `msgpack:"m"`
 	Version int    `msgpack:"v"`
-	// Entries is the number of entries that subscribe.
-	Entries int `msgpack:"n"`
 	// Region is the agent's region, Neighbours addresses of entries there: some of
 	// them at a time, so that a datagram holds them.
 	Region     string   `msgpack:"z,omitempty"`
@@ -86,16 +93,14 @@
 	Sequence uint64 `msgpack:"s"`
 }
 
-// Usage is what an entry has at one backend server. Entries tell it at each
-// change to the server's agent and to the other entries of their region: reports
-// of agents are up to 100 ms old, in which all entries would choose the same
-// server.
+// Usage is what an entry has placed at one backend server. It tells the server's
+// agent at each change, as engines do not report the prompts that wait.
 type Usage struct {
 	// Entry is the instance of the sender.
 	Entry string `msgpack:"e"`
 	// Server is the IP address and port of the backend server.
 	Server string `msgpack:"a"`
-	// Running counts the sender's requests there, Reading those without a first
+	// Running counts the requests there, Reading those without a first
 	// answer, and ReadingTokens their prompt tokens.
 	Running       int `msgpack:"r"`
 	Reading       int `msgpack:"f"`
--- a/replica/beacon.go
+++ b/replica/beacon.go
@@ -45,6 +45,9 @@
 type subscriber struct {
 	at     time.Time
 	region string
+	// loads tells that it gets each change of the load, leaving that it is about to
+	// stop.
+	loads, leaving bool
 }
 
 // usage is what an entry has at the engine.
@@ -69,10 +72,8 @@
 	defer stop()
 	go b.receive(ctx)
 	for ctx.Err() == nil {
-		wait(ctx, nil, engineInterval)
-		if to, neighbours := b.current(); len(to) > 0 {
-			b.send(to, neighbours)
-		}
+		wait(ctx, b.replica.observed, 2*engineInterval)
+		b.send(b.current())
 	}
 }
 
@@ -99,7 +100,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if d.Subscription != nil {
-		b.subscribers[from] = subscriber{at: now, region: d.Subscription.Region}
+		b.subscribers[from] = subscriber{
+			at: now, region: d.Subscription.Region, loads: d.Subscription.Loads, leaving: d.Subscription.Leaving,
+		}
 	}
 	if u := d.Usage; u != nil && u.Sequence > b.usages[u.Entry].sequence {
 		b.usages[u.Entry] = usage{at: now, sequence: u.Sequence, readingTokens: u.ReadingTokens}
@@ -123,10 +126,18 @@
 	return tokens
 }
 
-// current returns the subscribers whose time is not over, and which of them are
-// in this instance's region.
-func (b *Beacon) current() (list []netip.AddrPort, neighbours []string) {
+// audience are the entries that get a report.
+type audience struct {
+	// all get one at each refresh, loads at each change.
+	all, loads []netip.AddrPort
+	// neighbours are those of this instance's region that go on serving.
+	neighbours []string
+}
+
+// current returns the entries whose subscription is not over.
+func (b *Beacon) current() audience {
 	now := b.replica.config.Clock.Now()
+	var a audience
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for address, s := range b.subscribers {
@@ -134,21 +145,28 @@
 			delete(b.subscribers, address)
 			continue
 		}
-		list = append(list, address)
-		if s.region == b.replica.config.Region {
-			neighbours = append(neighbours, address.String())
+		a.all = append(a.all, address)
+		if s.loads {
+			a.loads = append(a.loads, address)
+		}
+		if s.region == b.replica.config.Region && !s.leaving {
+			a.neighbours = append(a.neighbours, address.String())
 		}
 	}
-	return list, neighbours
+	return a
 }
 
-func (b *Beacon) send(to []netip.AddrPort, neighbours []string) {
+func (b *Beacon) send(a audience) {
+	to := a.loads
 	status := b.status()
-	status.Entries = len(to)
 	now := b.replica.config.Clock.Now()
 	status.Sequence = b.last.Sequence
 	refresh := now.Sub(b.lastAt) >= beaconRefresh
-	if !refresh && sameStatus(&status, &b.last) {
+	urgent := status.Closed != b.last.Closed || status.Version != b.last.Version || status.Born != b.last.Born
+	if refresh || urgent {
+		to = a.all
+	}
+	if len(to) == 0 || !refresh && sameStatus(&status, &b.last) {
 		return
 	}
 	status.Sequence++
@@ -156,8 +174,8 @@
 	if refresh {
 		b.lastAt = now
 		status.Region = b.replica.config.Region
-		rand.Shuffle(len(neighbours), func(i, j int) { neighbours[i], neighbours[j] = neighbours[j], neighbours[i] })
-		status.Neighbours = neighbours[:min(len(neighbours), maxNamed)]
+		rand.Shuffle(len(a.neighbours), func(i, j int) { a.neighbours[i], a.neighbours[j] = a.neighbours[j], a.neighbours[i] })
+		status.Neighbours = a.neighbours[:min(len(a.neighbours), maxNamed)]
 	}
 	data, err := msgpack.Marshal(&peerlink.Datagram{Status: &status})
 	if err != nil {
@@ -171,7 +189,7 @@
 
 func sameStatus(a, b *peerlink.Status) bool {
 	return a.Running == b.Running && a.ReadingTokens == b.ReadingTokens && a.Waiting == b.Waiting && a.Pace == b.Pace && a.Closed == b.Closed &&
-		a.Born == b.Born && a.Model == b.Model && a.Version == b.Version && a.Entries == b.Entries
+		a.Born == b.Born && a.Model == b.Model && a.Version == b.Version
 }
 
 // status returns the engine's load. An engine that does not answer is closed.
@@ -182,6 +200,7 @@
 		s.Closed = true
 		return s
 	}
+	s.AgeMicros = b.replica.config.Clock.Now().Sub(report.at).Microseconds()
 	s.Born, s.Running, s.Waiting, s.Pace = report.Born, report.Running, report.Waiting, report.Pace
 	s.ReadingTokens = b.readingTokens()
 	s.Closed = report.Busy || b.replica.Closed()
--- a/replica/order.go
+++ b/replica/order.go
@@ -25,6 +25,7 @@
 // order hands a version to the engine.
 func (r *Replica) order(ctx context.Context, p *pendingVersion) {
 	r.closed.Store(true)
+	r.notifyObserved()
 	// From the order on the engine itself tells that it is busy.
 	defer r.closed.Store(false)
 	r.awaitQueue(ctx)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -31,7 +31,9 @@
 	// closed tells that the engine should get no more requests.
 	closed atomic.Bool
 	// report is the engine's last state; nil if it did not answer.
-	report atomic.Pointer[Report]
+	report atomic.Pointer[timedReport]
+	// observed tells that report is new.
+	observed chan struct{}
 
 	// mu guards what follows.
 	mu     sync.Mutex
@@ -56,7 +58,7 @@
 func New(config Config) *Replica {
 	r := &Replica{
 		config: config, uploads: newUploads(config.LinkRate),
-		wake: make(chan struct{}, 1), stagedChanged: make(chan struct{}), fetchPauses: newBackoff(retryPause, maxRetryPause),
+		wake: make(chan struct{}, 1), observed: make(chan struct{}, 1), stagedChanged: make(chan struct{}), fetchPauses: newBackoff(retryPause, maxRetryPause),
 	}
 	r.versionTime.Store(int64(config.VersionTime))
 	r.phases = newPhases(func(from, to Phase) {
@@ -144,6 +146,12 @@
 	}
 }
 
+// timedReport is an engine's state and when it was read.
+type timedReport struct {
+	Report
+	at time.Time
+}
+
 // observe reads the engine's state.
 func (r *Replica) observe(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
@@ -151,9 +159,18 @@
 	report, err := r.config.Engine.Report(ctx)
 	if err != nil {
 		r.report.Store(nil)
-		return
+	} else {
+		r.report.Store(&timedReport{Report: report, at: r.config.Clock.Now()})
+	}
+	r.notifyObserved()
+}
+
+// notifyObserved makes the beacon look for changes.
+func (r *Replica) notifyObserved() {
+	select {
+	case r.observed <- struct{}{}:
+	default:
 	}
-	r.report.Store(&report)
 }
 
 // step does what the engine's state and the target ask for.
@@ -168,8 +185,8 @@
 		r.phases.fire(triggerServing)
 		return
 	}
-	r.fetchTarget(ctx, t, report)
-	switch p, waiting := r.next(report); {
+	r.fetchTarget(ctx, t, &report.Report)
+	switch p, waiting := r.next(&report.Report); {
 	case report.Busy:
 		r.phases.fire(triggerBusy)
 	case p != nil:
