Check what a message announces before it is decoded

Cause: the msgpack library allocates what an array or map announces before it looks whether that much is there (its limit on allocations is off, whatever the flags), and follows any nesting. Peers' connections had no bound on a message at all.

Change: lib/msgstream checks the lengths and the depth of a message that was read whole and then decodes it. Connections between agents use frames with a bounded length; the product's own protocol, configuration rows, claims and manifests decode through the same check.

--- a/lib/claim/record.go
+++ b/lib/claim/record.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/msgstream"
 )
 
 // phase is the state of a row.
@@ -36,7 +37,7 @@
 
 func decodeRecord(value []byte) (record, error) {
 	var r record
-	if err := msgpack.Unmarshal(value, &r); err != nil {
+	if err := msgstream.Unmarshal(value, &r); err != nil {
 		return record{}, merry.Prepend(err, "claim row")
 	}
 	return r, nil
--- a/lib/config/delta.go
+++ b/lib/config/delta.go
@@ -4,9 +4,9 @@
 	"slices"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/msgstream"
 )
 
 // Delta is what changes between two configurations. Objects are set whole;
@@ -84,7 +84,7 @@
 // DecodeDelta reads an encoded delta.
 func DecodeDelta(data []byte) (Delta, error) {
 	var d Delta
-	if err := msgpack.Unmarshal(data, &d); err != nil {
+	if err := msgstream.Unmarshal(data, &d); err != nil {
 		return Delta{}, merry.Wrap(ErrMalformed, merry.WithCause(err))
 	}
 	return d, nil
--- a/lib/config/encode.go
+++ b/lib/config/encode.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/msgstream"
 )
 
 // Canonical returns a copy whose lists are sorted by key, so that equal
@@ -41,7 +42,7 @@
 // Decode reads an encoded configuration.
 func Decode(data []byte) (*Config, error) {
 	var c Config
-	if err := msgpack.Unmarshal(data, &c); err != nil {
+	if err := msgstream.Unmarshal(data, &c); err != nil {
 		return nil, merry.Wrap(ErrMalformed, merry.WithCause(err))
 	}
 	return &c, nil
--- a/lib/config/operation.go
+++ b/lib/config/operation.go
@@ -4,7 +4,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/auburnbend/auburnbend/lib/msgstream"
 )
 
 // OperationState says what became of an operation id.
@@ -50,7 +51,7 @@
 
 func decodeOperation(data []byte) (Operation, error) {
 	var row operationRow
-	if err := msgpack.Unmarshal(data, &row); err != nil {
+	if err := msgstream.Unmarshal(data, &row); err != nil {
 		return Operation{}, merry.Wrap(ErrMalformed, merry.WithCause(err))
 	}
 	op := Operation{State: OperationApplied, Head: row.Head, Time: time.UnixMilli(row.UnixMillis).UTC()}
--- a/lib/config/revision.go
+++ b/lib/config/revision.go
@@ -4,9 +4,9 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/msgstream"
 )
 
 // Head names a revision by number and chain digest. The zero Head is the empty
@@ -81,7 +81,7 @@
 // Decode returns the change, or ErrMalformed.
 func (r Revision) Decode() (Change, error) {
 	var c Change
-	if err := msgpack.Unmarshal(r.Change, &c); err != nil {
+	if err := msgstream.Unmarshal(r.Change, &c); err != nil {
 		return Change{}, merry.Wrap(ErrMalformed, merry.WithCause(err))
 	}
 	if c.Number != r.Number {
@@ -125,7 +125,7 @@
 // DecodeRevision reads the form that Encode returns.
 func DecodeRevision(data []byte) (Revision, error) {
 	var r Revision
-	if err := msgpack.Unmarshal(data, &r); err != nil {
+	if err := msgstream.Unmarshal(data, &r); err != nil {
 		return Revision{}, merry.Wrap(ErrMalformed, merry.WithCause(err))
 	}
 	return r, nil
--- a/lib/config/store.go
+++ b/lib/config/store.go
@@ -6,10 +6,10 @@
 	"sync/atomic"
 
 	"github.com/ansel1/merry/v2"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/msgstream"
 )
 
 // Store keeps the accepted configuration in the platform's table service. It is
@@ -75,7 +75,7 @@
 		return Head{}, 0, unavailable(err)
 	}
 	var head Head
-	if err := msgpack.Unmarshal(row.Value, &head); err != nil {
+	if err := msgstream.Unmarshal(row.Value, &head); err != nil {
 		return Head{}, 0, merry.Wrap(ErrMalformed, merry.WithCause(err))
 	}
 	return head, row.Version, nil
--- a/lib/weights/manifest.go
+++ b/lib/weights/manifest.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/msgstream"
 )
 
 // MaxChunkSize bounds a chunk so that it fits into one frame between processes.
@@ -71,7 +72,7 @@
 		return nil, merry.Wrap(ErrManifestDigest, merry.AppendMessagef("got %s, want %s", got.Short(), want.Short()))
 	}
 	var m Manifest
-	if err := msgpack.Unmarshal(data, &m); err != nil {
+	if err := msgstream.Unmarshal(data, &m); err != nil {
 		return nil, merry.Wrap(ErrManifestInvalid, merry.WithCause(err))
 	}
 	return &m, m.validate()
--- a/lib/wire/codec.go
+++ b/lib/wire/codec.go
@@ -9,6 +9,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/auburnbend/auburnbend/lib/msgstream"
 )
 
 // MaxFrame bounds a frame in bytes: one chunk and its envelope.
@@ -50,7 +52,7 @@
 	if _, err := io.ReadFull(r, body); err != nil {
 		return nil, err
 	}
-	if err := msgpack.Unmarshal(body, m); err != nil {
+	if err := msgstream.Unmarshal(body, m); err != nil {
 		return nil, merry.Wrap(ErrMalformed, merry.AppendMessagef("type %d", header[4]), merry.WithCause(err))
 	}
 	return m, nil
--- a/replica/peers.go
+++ b/replica/peers.go
@@ -1,13 +1,11 @@
 package replica
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
+	"github.com/auburnbend/auburnbend/lib/msgstream"
 	"github.com/auburnbend/auburnbend/peerlink"
 )
 
@@ -22,6 +20,10 @@
 	peerIdleTimeout = 15 * time.Second
 	// peerBuffer is the size of a connection's read buffer in bytes.
 	peerBuffer = 4 << 10
+	// answerLimit bounds a peer's message with a piece in bytes, queryLimit one that
+	// asks for it.
+	answerLimit = 16 << 20
+	queryLimit  = 4 << 10
 )
 
 // peer is a connection to another agent while a version is fetched. run reads
@@ -74,7 +76,7 @@
 	defer stop()
 	defer conn.Close()
 	go p.write(ctx, conn, model, version)
-	decode := msgpack.NewDecoder(bufio.NewReaderSize(conn, peerBuffer))
+	decode := msgstream.NewDecoder(conn, peerBuffer, answerLimit)
 	for {
 		if conn.SetReadDeadline(time.Now().Add(peerIdleTimeout)) != nil {
 			return
@@ -89,10 +91,9 @@
 
 // write sends the queued asks. A failed write ends the connection.
 func (p *peer) write(ctx context.Context, conn net.Conn, model string, version int) {
-	encode := msgpack.NewEncoder(conn)
 	q := peerlink.Query{Model: model, Version: version, Piece: peerlink.NoPiece}
 	for {
-		if encode.Encode(&q) != nil {
+		if msgstream.Encode(conn, &q) != nil {
 			_ = conn.Close()
 			return
 		}
--- a/replica/serve.go
+++ b/replica/serve.go
@@ -1,14 +1,12 @@
 package replica
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
+	"github.com/auburnbend/auburnbend/lib/msgstream"
 	"github.com/auburnbend/auburnbend/peerlink"
 )
 
@@ -55,9 +53,8 @@
 	conn     net.Conn
 	holdings *holdings
 
-	// mu guards the encoder.
-	mu     sync.Mutex
-	encode *msgpack.Encoder
+	// mu keeps messages apart.
+	mu sync.Mutex
 }
 
 // servePeer answers one peer's queries in order, and tells it of new pieces.
@@ -67,8 +64,8 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	defer conn.Close()
-	s := &peerSession{replica: r, conn: conn, encode: msgpack.NewEncoder(conn)}
-	decode := msgpack.NewDecoder(bufio.NewReaderSize(conn, peerBuffer))
+	s := &peerSession{replica: r, conn: conn}
+	decode := msgstream.NewDecoder(conn, peerBuffer, queryLimit)
 	for {
 		if conn.SetReadDeadline(time.Now().Add(peerIdleTimeout)) != nil {
 			return
@@ -100,7 +97,7 @@
 func (s *peerSession) send(a *peerlink.Answer) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.conn.SetWriteDeadline(time.Now().Add(peerIdleTimeout)) == nil && s.encode.Encode(a) == nil
+	return s.conn.SetWriteDeadline(time.Now().Add(peerIdleTimeout)) == nil && msgstream.Encode(s.conn, a) == nil
 }
 
 // announce tells the peer of the pieces that are here until ctx ends.
