Bound what servers and callers in trouble can hold

Change: 64 KB for a head, 4 MB for a whole answer, and a bound on the memory of all whole answers of a process. A resumable stream goes on at another server after four times the longest pause of a good stream, half of the time after which callers leave, if the retry budget allows it; comments do not count as progress. Bodies are read within the request's limit and then answered with 408. Requests whose caller has left end by closing the connection.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -13,8 +13,8 @@
 // ending is how one attempt ended.
 type ending struct {
 	result placement.Result
-	// final tells that the caller has its answer, or has left.
-	final bool
+	// final tells that the caller has its answer, left that it takes none.
+	final, left bool
 	// sent tells that the request left for the server.
 	sent bool
 	// mayHaveRun tells that the server may have run it.
@@ -123,10 +123,11 @@
 // whole passes on an answer that is not a stream. It is read to its end first,
 // so that a broken one can be replaced.
 func (r *request) whole(resp *http.Response, reply Reply) ending {
-	body, err := upstream.ReadAll(resp, answerLimit)
+	body, release, err := r.gateway.bodies.ReadAll(resp, answerLimit)
 	if err != nil {
-		return r.unknown("answer broken off")
+		return r.unknown("answer broken off, without an end or too long")
 	}
+	r.releases = append(r.releases, release)
 	a := &answer{status: resp.StatusCode, header: resp.Header, body: body}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		r.ran = true
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -13,9 +13,6 @@
 // the request has not run and never will.
 func (r *request) refuse(status int, o outcome, reason string, after time.Duration) {
 	r.seen.Outcome, r.seen.Reason, r.seen.Status, r.seen.RetryAfter = string(o), reason, status, after
-	if r.http.Context().Err() != nil {
-		return
-	}
 	h := r.writer.Header()
 	h["Content-Type"] = nil
 	r.gateway.config.Dialect.Refuse(h, r.call.ID, after)
@@ -60,7 +57,7 @@
 	left := r.http.Context().Err() != nil
 	switch {
 	case left && !errors.Is(context.Cause(r.http.Context()), context.DeadlineExceeded):
-		r.seen.Outcome, r.seen.Reason = string(outcomeLeft), "caller left"
+		r.callerLeft()
 	case r.stream.begun:
 		r.abort("time over")
 	case r.failure != nil:
@@ -72,6 +69,14 @@
 	}
 }
 
+// callerLeft ends a request whose caller is not there any more. Without an abort
+// the library would answer with an empty success, which a caller that has closed
+// only its own direction would take for the answer.
+func (r *request) callerLeft() {
+	r.seen.Outcome, r.seen.Reason = string(outcomeLeft), "caller left"
+	panic(http.ErrAbortHandler)
+}
+
 // abort breaks a stream off, so that it does not look complete. The library
 // closes the connection when it sees this value.
 func (r *request) abort(reason string) {
@@ -91,7 +96,11 @@
 	}
 }
 
-func (r *request) observe() {
+// finish gives back what the request holds and reports its end.
+func (r *request) finish() {
+	for _, release := range r.releases {
+		release()
+	}
 	r.seen.Total = r.gateway.now().Sub(r.arrived)
 	if r.gateway.config.Observe != nil {
 		r.gateway.config.Observe(r.seen)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/auburnbend/auburnbend/gateway/upstream"
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
@@ -33,21 +34,28 @@
 	Placement placement.Config
 	// VersionTime is the time in which new weights must serve everywhere.
 	VersionTime time.Duration
+	// BodyMemory bounds the memory in bytes of the answers that are read whole; zero
+	// takes a default.
+	BodyMemory int64
 }
 
+// defaultBodyMemory is an eighth of the memory of a small instance.
+const defaultBodyMemory = 16 << 20
+
 // Gateway serves callers. It is safe for concurrent use.
 type Gateway struct {
 	config Config
 	table  atomic.Pointer[serving.Table]
+	bodies *upstream.BodyMemory
 
 	// mu guards what follows.
 	mu        sync.Mutex
 	directory *directory.Directory
 	picker    *placement.Picker
 	// granted are the places that other entries have got here.
-	granted *placement.Granted
-	budget    *retry.Budget
-	versions  *versions.Wanted
+	granted  *placement.Granted
+	budget   *retry.Budget
+	versions *versions.Wanted
 	// configAt is when the configuration came into force.
 	configAt time.Time
 
@@ -68,8 +76,12 @@
 		config.Log.Log(eventlog.ServerEjected, "server", s.ID, "service", s.Service, "address", s.Address, "while_ms", while.Milliseconds(), "reason", because)
 	}
 	picker := placement.New(config.Placement, d, rand.New(rand.NewPCG(config.Seed, config.Seed)))
+	if config.BodyMemory <= 0 {
+		config.BodyMemory = defaultBodyMemory
+	}
 	return &Gateway{
 		config:    config,
+		bodies:    upstream.NewBodyMemory(config.BodyMemory),
 		directory: d,
 		picker:    picker,
 		granted:   placement.NewGranted(picker),
@@ -101,6 +113,9 @@
 // Drain makes the gateway report that it is not ready. It goes on serving.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
+// Draining reports whether Drain was called. It is safe for concurrent use.
+func (g *Gateway) Draining() bool { return g.draining.Load() }
+
 // Open returns the number of requests that are being served.
 func (g *Gateway) Open() int { return int(g.open.Load()) }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
+	"time"
 
 	"github.com/auburnbend/auburnbend/gateway/upstream"
 	"github.com/auburnbend/auburnbend/lib/placement"
@@ -18,11 +20,21 @@
 	}
 	events := sse.NewReader(resp.Body)
 	control := http.NewResponseController(r.writer)
+	stall := r.stallLimit()
+	progress := func() {
+		if stall > 0 {
+			x.SetReadDeadline(r.gateway.now().Add(stall))
+		}
+	}
+	progress()
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			return r.streamEnd()
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return r.unknown("stream stalled")
+		}
 		if err != nil {
 			return r.unknown("stream broken off")
 		}
@@ -39,7 +51,33 @@
 			}
 		}
 		r.noteEvent(event)
+		// A comment is no sign that the stream goes on.
+		if event.HasID || event.HasData {
+			progress()
+		}
+	}
+}
+
+// stallGaps is the pause between two events, in the longest ones of a good stream,
+// after which another server may go on with it. Callers leave after twice as long.
+const stallGaps = 4
+
+// stallLimit is the longest pause between two events of this attempt; zero sets
+// none. A slow stream that nobody else can go on with is left alone.
+func (r *request) stallLimit() time.Duration {
+	g := r.gateway
+	last := r.route.MaxBackendServers > 0 && r.reached >= r.route.MaxBackendServers
+	if r.route.Repeatable() && !last && r.route.EventGap > 0 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.budget.Left(r.service, g.now()) >= 1 {
+			return stallGaps * r.route.EventGap
+		}
+	}
+	if r.deadline.IsZero() {
+		return defaultLimit
 	}
+	return 0
 }
 
 func (r *request) beginStream(resp *http.Response, reply Reply) {
@@ -74,7 +112,7 @@
 	return ending{result: placement.Answered, final: true, sent: true}
 }
 
+// callerGone ends an attempt whose caller takes nothing more.
 func (r *request) callerGone() ending {
-	r.seen.Outcome, r.seen.Reason = string(outcomeLeft), "caller left"
-	return ending{result: placement.Cancelled, final: true, sent: true}
+	return ending{result: placement.Cancelled, left: true, sent: true}
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -43,8 +43,10 @@
 	// failure is a backend server's own failure, kept in case no other server
 	// answers better.
 	failure *answer
-	stream  streamState
-	seen    Observation
+	// releases give back the memory of answers at the end of the request.
+	releases []func()
+	stream   streamState
+	seen     Observation
 }
 
 // answer is a backend server's whole answer.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -21,7 +22,10 @@
 	// sets no limit.
 	defaultBodyLimit = 4 << 20
 	// answerLimit bounds a whole answer in bytes.
-	answerLimit = 16 << 20
+	answerLimit = 4 << 20
+	// defaultLimit ends requests for which neither the caller nor the route sets a
+	// limit, while nothing goes on.
+	defaultLimit = 30 * time.Second
 )
 
 // ServeHTTP serves one request of a caller.
@@ -30,7 +34,7 @@
 	defer g.open.Add(-1)
 	r := &request{gateway: g, writer: w, http: hr, ctx: hr.Context(), arrived: g.now()}
 	r.stream.last = -1
-	defer r.observe()
+	defer r.finish()
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -106,9 +110,12 @@
 		r.refuse(http.StatusRequestEntityTooLarge, outcomeInvalid, "body too long", 0)
 		return false
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(r.writer, r.http.Body, limit))
+	body, err := r.receiveBody(limit)
 	var tooLong *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		r.refuse(http.StatusRequestTimeout, outcomeRefused, "body not received in time", 0)
+		return false
 	case errors.As(err, &tooLong):
 		r.refuse(http.StatusRequestEntityTooLarge, outcomeInvalid, "body too long", 0)
 		return false
@@ -120,6 +127,29 @@
 	return true
 }
 
+// receiveBody reads the body within the time that the request has.
+func (r *request) receiveBody(limit int64) ([]byte, error) {
+	if r.http.ContentLength == 0 {
+		return nil, nil
+	}
+	end := r.deadline
+	if end.IsZero() {
+		end = r.arrived.Add(defaultLimit)
+	}
+	control := http.NewResponseController(r.writer)
+	if err := control.SetReadDeadline(end); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return nil, err
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(r.writer, r.http.Body, limit))
+	if err != nil {
+		return nil, err
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return nil, err
+	}
+	return body, nil
+}
+
 // run sends the request to backend servers until one answers or no further one
 // may have it.
 func (r *request) run() {
@@ -138,6 +168,8 @@
 		switch {
 		case end.final:
 			return
+		case end.left:
+			r.callerLeft()
 		case r.ctx.Err() != nil:
 			r.timeOver()
 			return
--- a/gateway/upstream/encode.go
+++ b/gateway/upstream/encode.go
@@ -7,8 +7,10 @@
 )
 
 var (
-	errInterim     = errors.New("too many interim answers")
-	errBodyTooLong = errors.New("answer is too long")
+	errInterim      = errors.New("too many interim answers")
+	errHeadTooLong  = errors.New("head of the answer is too long")
+	errBodyTooLong  = errors.New("answer is too long")
+	errNoBodyMemory = errors.New("too many long answers at the same time")
 )
 
 // encode returns the request as it is sent, with the length of its body.
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -7,7 +7,6 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -26,6 +25,9 @@
 	// inlineBody is the size in bytes up to which a body is written before the
 	// answer is read. It fits into the buffers of the operating system.
 	inlineBody = 16 << 10
+	// headLimit bounds the head of an answer in bytes, interim answers included. A
+	// server in trouble may send bytes without an end.
+	headLimit = 64 << 10
 	// maxInterim bounds the interim answers before the final one.
 	maxInterim = 4
 )
@@ -40,6 +42,7 @@
 // Exchange is one request on its way and its answer. It belongs to one goroutine.
 type Exchange struct {
 	conn   net.Conn
+	bounds *boundedReader
 	reader *bufio.Reader
 	stop   func() bool
 }
@@ -60,7 +63,8 @@
 	if err != nil {
 		return nil, &UnreachableError{Cause: err}
 	}
-	x := &Exchange{conn: conn, reader: bufio.NewReaderSize(conn, readBuffer)}
+	bounds := &boundedReader{source: conn, left: headLimit}
+	x := &Exchange{conn: conn, bounds: bounds, reader: bufio.NewReaderSize(bounds, readBuffer)}
 	x.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	return x, nil
 }
@@ -81,6 +85,7 @@
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
+			x.bounds.unbounded = true
 			return resp, nil
 		}
 	}
@@ -95,16 +100,3 @@
 	x.stop()
 	_ = x.conn.Close()
 }
-
-// ReadAll reads a body of at most limit bytes. A body that does not end as its
-// head announced is an error.
-func ReadAll(resp *http.Response, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > limit {
-		return nil, errBodyTooLong
-	}
-	return body, nil
-}
--- a/lib/sse/event.go
+++ b/lib/sse/event.go
@@ -10,4 +10,6 @@
 	// ID is its number; HasID tells whether it has one.
 	ID    int64
 	HasID bool
+	// HasData tells that it is more than a comment.
+	HasData bool
 }
--- a/lib/sse/reader.go
+++ b/lib/sse/reader.go
@@ -106,6 +106,7 @@
 func parse(raw []byte) Event {
 	e := Event{Raw: raw}
 	for line := range bytes.SplitSeq(raw, []byte{'\n'}) {
+		e.HasData = e.HasData || bytes.HasPrefix(line, []byte("data"))
 		value, ok := bytes.CutPrefix(line, []byte("id:"))
 		if !ok {
 			continue
