Read the store through one entry of a region

Cause: each entry kept two long polls of its own. Agents read the whole list of servers every 1.5 s of a fetch.

Change: lib/relay. Where it saves calls, the first entry of a region follows the store and confirms four times within the bound that it still reaches it; the others ask it over a connection and read the store at once when its confirmation is too old, it falls silent or it leaves. Rows that changed after an outage keep that mark on the way. Large rows are compressed once. Agents read changes of the list of servers from an entry.

The pause in which changes gather moved from lib/watch to lib/relay with its spec, so that it applies to calls of the store only and not twice.

--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -9,6 +9,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/auburnbend/auburnbend/lib/msgstream"
 	"github.com/auburnbend/auburnbend/lib/placement"
 	"github.com/auburnbend/auburnbend/peerlink"
 )
@@ -55,17 +56,13 @@
 	self := conn.LocalAddr().(*net.UDPAddr).AddrPort()
 	l := &Loads{
 		gateway: g, name: name, region: region, conn: conn, self: self,
-		sequences: make(map[string]uint64), members: newMembers(self, placingKey(region)),
+		sequences: make(map[string]uint64), members: newMembers(self),
 		queries: newQueries(start), wake: make(chan struct{}, 1),
 	}
 	g.loads = l
 	return l, nil
 }
 
-// placingKey is the key under which the entries of a region are ranked for placing
-// requests.
-func placingKey(region string) string { return "place/" + region }
-
 // announceTargets makes Run announce targets at once.
 func (l *Loads) announceTargets() {
 	select {
@@ -153,7 +150,7 @@
 			continue
 		}
 		var d peerlink.Datagram
-		if msgpack.Unmarshal(buf[:n], &d) == nil {
+		if msgstream.Unmarshal(buf[:n], &d) == nil {
 			l.take(&d, from)
 		}
 	}
@@ -197,10 +194,14 @@
 	l.gateway.SetEntries(count * l.gateway.regions())
 }
 
-// rank returns the entries of the region in the order in which they place
-// requests.
-func (l *Loads) rank() []netip.AddrPort {
+// Rank returns the entries of the region that serve, this one among them, in an
+// order for a duty on which all of them agree. It is safe for concurrent use. The
+// slice must not be changed.
+func (l *Loads) Rank(duty string) []netip.AddrPort {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.members.rank(l.gateway.now())
+	return l.members.rank(duty, l.gateway.now())
 }
+
+// Self returns the address of this entry in a rank.
+func (l *Loads) Self() netip.AddrPort { return l.self }
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -23,15 +23,14 @@
 	self netip.AddrPort
 	// seen is when agents named an entry last; it does not hold this one.
 	seen map[netip.AddrPort]time.Time
-	// ranked are the members that serve, in the order of their weight for key,
+	// ranked are the members that serve, in the order of their weight for each key,
 	// since rankedAt.
-	key      string
-	ranked   []netip.AddrPort
+	ranked   map[string][]netip.AddrPort
 	rankedAt time.Time
 }
 
-func newMembers(self netip.AddrPort, key string) *members {
-	return &members{self: self, key: key, seen: make(map[netip.AddrPort]time.Time)}
+func newMembers(self netip.AddrPort) *members {
+	return &members{self: self, seen: make(map[netip.AddrPort]time.Time)}
 }
 
 // learn takes entries that an agent names. Addresses that cannot be read name
@@ -48,12 +47,19 @@
 // retry budget.
 func (m *members) count() int { return 1 + len(m.seen) }
 
-// rank returns the members, this one among them, in an order on which all members
-// with the same view agree. The slice must not be changed.
-func (m *members) rank(now time.Time) []netip.AddrPort {
-	if now.Sub(m.rankedAt) < memberRefresh {
-		return m.ranked
+// rank returns the members, this one among them, in an order for a key on which all
+// members with the same view agree. The slice must not be changed.
+func (m *members) rank(key string, now time.Time) []netip.AddrPort {
+	if now.Sub(m.rankedAt) >= memberRefresh {
+		m.ranked, m.rankedAt = make(map[string][]netip.AddrPort), now
 	}
+	if m.ranked[key] == nil {
+		m.ranked[key] = m.serving(key, now)
+	}
+	return m.ranked[key]
+}
+
+func (m *members) serving(key string, now time.Time) []netip.AddrPort {
 	texts := []string{m.self.String()}
 	known := map[string]netip.AddrPort{texts[0]: m.self}
 	for address, at := range m.seen {
@@ -66,9 +72,9 @@
 			texts = append(texts, text)
 		}
 	}
-	m.ranked, m.rankedAt = nil, now
-	for _, text := range rendezvous.Rank(m.key, texts, len(texts)) {
-		m.ranked = append(m.ranked, known[text])
+	var ranked []netip.AddrPort
+	for _, text := range rendezvous.Rank(key, texts, len(texts)) {
+		ranked = append(ranked, known[text])
 	}
-	return m.ranked
+	return ranked
 }
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -117,6 +117,9 @@
 	l.send(encode(&peerlink.Datagram{PlaceNotice: n}), granted.by)
 }
 
+// placing is the duty of placing requests.
+const placing = "place"
+
 // placers is the number of entries of a region that may place requests for the
 // others: one does, and the next one stands by.
 const placers = 2
@@ -124,7 +127,7 @@
 // ask asks the entries that place requests, in order, until one answers. It returns
 // neither a grant nor a refusal if this entry has to place the request.
 func (l *Loads) ask(ctx context.Context, d *placement.Demand) (*grant, *placement.Refusal) {
-	ranked := l.rank()
+	ranked := l.Rank(placing)
 	for _, to := range ranked[:min(len(ranked), placers)] {
 		if to == l.self {
 			return nil, nil
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -15,7 +15,7 @@
 	if l.gateway.draining.Load() {
 		return false
 	}
-	ranked := l.rank()
+	ranked := l.Rank(placing)
 	return slices.Contains(ranked[:min(len(ranked), placers)], l.self)
 }
 
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/auburnbend/auburnbend/lib/relay"
 	"github.com/auburnbend/auburnbend/lib/watch"
 	"github.com/auburnbend/auburnbend/platform"
 )
@@ -24,10 +25,10 @@
 	return max(0, b.StallTime+bound-watch.AnswerTimeout-applyReserve)
 }
 
-func operatorFollowing(b *platform.Bounds) watch.Config {
-	return watch.Config{Wait: storeWait(b, b.ConfigTime)}
+func operatorRelay(b *platform.Bounds) relay.Config {
+	return relay.Config{Bound: b.ConfigTime, Wait: storeWait(b, b.ConfigTime)}
 }
 
-func serversFollowing(b *platform.Bounds) watch.Config {
-	return watch.Config{Wait: storeWait(b, b.DrainTime), Gather: time.Duration(gatherShare * float64(b.DrainTime))}
+func serversRelay(b *platform.Bounds) relay.Config {
+	return relay.Config{Bound: b.DrainTime, Wait: storeWait(b, b.DrainTime), Gather: time.Duration(gatherShare * float64(b.DrainTime))}
 }
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -15,7 +15,6 @@
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/placement"
 	"github.com/auburnbend/auburnbend/lib/retry"
-	"github.com/auburnbend/auburnbend/lib/watch"
 	"github.com/auburnbend/auburnbend/platform"
 )
 
@@ -63,13 +62,17 @@
 	if err != nil {
 		return err
 	}
-	store := platform.NewStore(s.StoreAddress)
+	tables, err := newStoreTables(g, loads, s)
+	if err != nil {
+		return err
+	}
 	operator := &gatewayOperator{gateway: g, log: p.Log}
 	if err := m.observeState(g, &operator.storeLost); err != nil {
 		return err
 	}
-	go watch.New(operatorFollowing(&s.Bounds), store.Table(platform.TableOperator), &platform.OperatorWatch{Sink: operator}).Run(background)
-	go watch.New(serversFollowing(&s.Bounds), store.Table(platform.TableServers), &platform.ServerWatch{Sink: &gatewayServers{gateway: g, log: p.Log}}).Run(background)
+	go tables.run(background)
+	go tables.follow(background, platform.TableOperator, operatorRelay(&s.Bounds), &platform.OperatorWatch{Sink: operator})
+	go tables.follow(background, platform.TableServers, serversRelay(&s.Bounds), &platform.ServerWatch{Sink: &gatewayServers{gateway: g, log: p.Log}})
 	go loads.Run(background)
 	stopTime := &atomic.Int64{}
 	stopTime.Store(int64(s.Bounds.StopTime))
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -7,6 +7,7 @@
 
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/relay"
 	"github.com/auburnbend/auburnbend/lib/watch"
 	"github.com/auburnbend/auburnbend/platform"
 	"github.com/auburnbend/auburnbend/replica"
@@ -29,7 +30,7 @@
 	defer m.Close()
 	store := platform.NewStore(s.StoreAddress)
 	targets := &replicaTargets{service: s.EngineService, source: store.Table(platform.TableOperator), log: p.Log}
-	peers := &peerList{source: store.Table(platform.TableServers), settings: s, log: p.Log}
+	peers := &peerList{settings: s, log: p.Log}
 	r := replica.New(replica.Config{
 		Self: s.EngineAddress, Region: s.Region,
 		Engine: platform.NewEngine(s.EngineAddress), Origin: targets.currentOrigin, OriginTime: targets.originTime,
@@ -45,16 +46,17 @@
 	if err != nil {
 		return err
 	}
+	// Entries have the table already; the store is read where none answers.
+	peers.reader = relay.NewReader(platform.TableServers, store.Table(platform.TableServers), beacon.Entries)
 	go beacon.Run(ctx)
 	p.followSettings(ctx, func(s *platform.Settings) { r.SetLimits(s.Bounds.VersionTime, s.LinkRate) })
 	go targets.run(ctx)
 	return r.Run(ctx)
 }
 
-// peerList reads the engines of this instance's service from the store, without
-// those that leave.
+// peerList reads the engines of this instance's service, without those that leave.
 type peerList struct {
-	source   watch.Source
+	reader   *relay.Reader
 	settings *platform.Settings
 	log      *eventlog.Logger
 }
@@ -62,7 +64,7 @@
 func (l *peerList) read() ([]replica.Peer, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), peersTimeout)
 	defer cancel()
-	rows, err := l.source.Snapshot(ctx)
+	rows, err := l.reader.Read(ctx)
 	if err != nil {
 		return nil, err
 	}
--- a/lib/placement/server.go
+++ b/lib/placement/server.go
@@ -30,8 +30,8 @@
 	// them.
 	failures, ejections int
 	// failedFor is the holder of the last lease that failed.
-	failedFor string
-	ejectedUntil        time.Time
+	failedFor    string
+	ejectedUntil time.Time
 	// mismatched tells that it is ejected because it was not what it was believed to
 	// be.
 	mismatched bool
--- /dev/null
+++ b/lib/relay/source.go
@@ -0,0 +1,145 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/watch"
+)
+
+// Choice is whom an instance follows.
+type Choice struct {
+	// Follow is the instance to ask; not valid if this one reads the store.
+	Follow netip.AddrPort
+	// Followed tells that others ask this instance.
+	Followed bool
+}
+
+// Source reads one table of a store, through another instance of the region where
+// that can be followed. It belongs to one goroutine.
+type Source struct {
+	config Config
+	store  watch.Source
+	cache  *Cache
+	choose func() Choice
+	client client
+
+	// avoided is an instance that could not be followed, until avoidedUntil.
+	avoided      netip.AddrPort
+	avoidedUntil time.Time
+	avoidedFor   time.Duration
+	// gathering tells that the last answer of the store had changes.
+	gathering bool
+	// lost tells that the last call of the store failed.
+	lost bool
+}
+
+var _ watch.Source = (*Source)(nil)
+
+// NewSource returns a Source that keeps cache up to date with what it reads.
+func NewSource(table string, store watch.Source, cache *Cache, choose func() Choice) *Source {
+	return &Source{
+		config: cache.config, store: store, cache: cache, choose: choose,
+		client: client{table: table, silence: share(cache.config.Bound, silenceShare), direct: true},
+	}
+}
+
+// Snapshot implements watch.Source.
+func (s *Source) Snapshot(ctx context.Context) (watch.Rows, error) {
+	if to := s.following(); to.IsValid() {
+		rows, err := s.client.ask(ctx, to, -1, 0)
+		if err == nil {
+			s.followed()
+			s.cache.replace(rows, false, time.Now())
+			return rows, nil
+		}
+		s.unfollow(to)
+	}
+	rows, err := s.store.Snapshot(ctx)
+	if err != nil {
+		s.lost = true
+		return rows, err
+	}
+	s.recover(&rows)
+	s.cache.replace(rows, true, time.Now())
+	return rows, nil
+}
+
+// Changes implements watch.Source.
+func (s *Source) Changes(ctx context.Context, since int64, wait time.Duration) (watch.Rows, error) {
+	if to := s.following(); to.IsValid() {
+		rows, err := s.client.ask(ctx, to, since, wait)
+		switch {
+		case err == nil:
+			s.followed()
+			s.cache.apply(since, rows, false, time.Now())
+			return rows, nil
+		case errors.Is(err, watch.ErrHistoryLost):
+			return rows, err
+		case ctx.Err() != nil:
+			return rows, ctx.Err()
+		}
+		s.unfollow(to)
+		// What was missed meanwhile must not wait for the next change.
+		wait = 0
+	} else {
+		wait = s.gather(ctx, wait)
+	}
+	rows, err := s.store.Changes(ctx, since, wait)
+	if err != nil {
+		s.lost = s.lost || !errors.Is(err, watch.ErrHistoryLost)
+		return rows, err
+	}
+	s.recover(&rows)
+	s.gathering = len(rows.Rows) > 0
+	s.cache.apply(since, rows, true, time.Now())
+	return rows, nil
+}
+
+// gather pauses after changes and returns how long the next call of the store may
+// wait. While others follow this instance it confirms often that it reads the store.
+func (s *Source) gather(ctx context.Context, wait time.Duration) time.Duration {
+	confirm := share(s.config.Bound, confirmShare)
+	pause := time.Duration(0)
+	if s.gathering {
+		pause = s.config.Gather
+		timer := time.NewTimer(pause)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+	}
+	if s.choose().Followed {
+		return min(wait, max(0, confirm-pause))
+	}
+	return wait
+}
+
+// recover marks the first answer of the store after an outage.
+func (s *Source) recover(rows *watch.Rows) {
+	rows.AfterOutage = s.lost
+	s.lost = false
+}
+
+// following returns the instance to ask; not valid if there is none.
+func (s *Source) following() netip.AddrPort {
+	to := s.choose().Follow
+	if to == s.avoided && time.Now().Before(s.avoidedUntil) {
+		return netip.AddrPort{}
+	}
+	return to
+}
+
+func (s *Source) followed() { s.avoided, s.avoidedFor = netip.AddrPort{}, 0 }
+
+// unfollow leaves an instance alone for a while that doubles each time.
+func (s *Source) unfollow(from netip.AddrPort) {
+	if from != s.avoided {
+		s.avoidedFor = 0
+	}
+	s.avoidedFor = min(max(2*s.avoidedFor, minAvoid), maxAvoid)
+	s.avoided, s.avoidedUntil = from, time.Now().Add(s.avoidedFor)
+}
--- a/lib/watch/config.go
+++ b/lib/watch/config.go
@@ -16,9 +16,6 @@
 	// Wait is how long one call waits for a change. It is shortened by up to a
 	// third at random, so that the calls of a fleet do not end together.
 	Wait time.Duration
-	// Gather is the pause after a change, in which further ones gather: each call
-	// of the store is paid for. Zero asks again at once.
-	Gather time.Duration
 	// MinBackoff and MaxBackoff bound the pause after a failed call. The store
 	// limits calls of all instances together, so that pauses are spread.
 	MinBackoff, MaxBackoff time.Duration
--- a/lib/watch/follower.go
+++ b/lib/watch/follower.go
@@ -63,10 +63,7 @@
 		return f.pause()
 	}
 	f.deliver(rows)
-	if len(rows.Rows) == 0 {
-		return 0
-	}
-	return f.config.Gather
+	return 0
 }
 
 func (f *Follower) call(ctx context.Context) (Rows, error) {
@@ -90,7 +87,7 @@
 }
 
 func (f *Follower) deliver(rows Rows) {
-	recovered := f.lost
+	recovered := f.lost || rows.AfterOutage
 	f.lost = false
 	f.backoff = 0
 	f.revision = rows.Revision
--- a/lib/watch/row.go
+++ b/lib/watch/row.go
@@ -13,4 +13,6 @@
 type Rows struct {
 	Rows     []Row
 	Revision int64
+	// AfterOutage tells that these are the first ones after the store was away.
+	AfterOutage bool
 }
--- a/replica/beacon.go
+++ b/replica/beacon.go
@@ -10,6 +10,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/auburnbend/auburnbend/lib/msgstream"
 	"github.com/auburnbend/auburnbend/peerlink"
 )
 
@@ -86,7 +87,7 @@
 			continue
 		}
 		var d peerlink.Datagram
-		if msgpack.Unmarshal(buf[:n], &d) == nil {
+		if msgstream.Unmarshal(buf[:n], &d) == nil {
 			b.take(from, &d)
 		}
 	}
@@ -156,6 +157,21 @@
 	return a
 }
 
+// Entries returns entries of this instance's region that go on serving, in random
+// order. It is safe for concurrent use.
+func (b *Beacon) Entries() []netip.AddrPort {
+	var entries []netip.AddrPort
+	for _, text := range b.current().neighbours {
+		if address, err := netip.ParseAddrPort(text); err == nil {
+			entries = append(entries, address)
+		}
+	}
+	return entries[:min(len(entries), maxAsked)]
+}
+
+// maxAsked bounds the entries that are asked before the store.
+const maxAsked = 2
+
 func (b *Beacon) send(a audience) {
 	to := a.loads
 	status := b.status()
