Read manifests at two instances of a region, and prefer engines that report

Two causes, both on the large site.

Manifests: each of 150 agents read the manifest of a version from the origin. Now two instances of a region, in an order on which all agree, read it, and the others ask these; the origin serves the others one after another if both are gone. After a fetch whose pieces did not match, the origin is asked again.

Distant engines: two of all engines of other regions were compared, while 24 of 72 report to an entry, so that most picks knew no load (load_age_ms=-1, predicted 426 ms, first event after 670 ms). Those that report go first.

--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -9,6 +9,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/msgstream"
 	"github.com/auburnbend/auburnbend/lib/placement"
 	"github.com/auburnbend/auburnbend/peerlink"
@@ -39,6 +40,8 @@
 	// goroutine.
 	sequences map[string]uint64
 	queries   *queries
+	// placer is the first entry that places requests; it belongs to Run.
+	placer netip.AddrPort
 
 	// mu guards what follows.
 	mu       sync.Mutex
@@ -97,6 +100,7 @@
 		return
 	}
 	l.gateway.expireGranted()
+	l.notePlacer()
 	places := l.places()
 	targets := l.gateway.targets(table)
 	asks := make(map[string][]byte)
@@ -112,6 +116,16 @@
 	}
 }
 
+// notePlacer logs when another entry becomes the first one to place requests.
+func (l *Loads) notePlacer() {
+	ranked := l.Rank(placing)
+	if ranked[0] == l.placer {
+		return
+	}
+	l.placer = ranked[0]
+	l.gateway.config.Log.Log(eventlog.PlacerChanged, "entry", l.placer, "self", l.placer == l.self, "members", len(ranked))
+}
+
 func encode(d *peerlink.Datagram) []byte {
 	data, err := msgpack.Marshal(d)
 	if err != nil {
--- a/gateway/observation.go
+++ b/gateway/observation.go
@@ -14,6 +14,9 @@
 	// Predicted, Occupancy and LoadAge are what the last placement rested on.
 	Predicted, LoadAge time.Duration
 	Occupancy          int
+	// PlacedBy is the address of the entry that chose the server, or refused the
+	// request; empty for this one.
+	PlacedBy string
 	// RetryAfter is when a refused caller was told to come back.
 	RetryAfter time.Duration
 	// Limit is the earlier one of the caller's limit and the route's timeout; zero
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/directory"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/placement"
 	"github.com/auburnbend/auburnbend/peerlink"
 )
@@ -28,10 +29,13 @@
 // each entry places its own with what the agents report.
 func (r *request) place(now time.Time) (*placement.Lease, *placement.Refusal) {
 	g := r.gateway
-	r.granted = nil
+	r.granted, r.seen.PlacedBy = nil, ""
 	demand := r.begin(now)
 	if r.engine != nil && g.loads != nil {
-		granted, refusal := g.loads.ask(r.ctx, &demand)
+		granted, refusal, by := g.loads.ask(r.ctx, &demand)
+		if by.IsValid() {
+			r.seen.PlacedBy = by.String()
+		}
 		switch {
 		case refusal != nil:
 			return nil, refusal
@@ -41,6 +45,7 @@
 				return lease, nil
 			}
 			g.loads.end(granted, placement.Rejected)
+			r.seen.PlacedBy = ""
 		}
 	}
 	g.mu.Lock()
@@ -124,13 +129,14 @@
 // others: one does, and the next one stands by.
 const placers = 2
 
-// ask asks the entries that place requests, in order, until one answers. It returns
-// neither a grant nor a refusal if this entry has to place the request.
-func (l *Loads) ask(ctx context.Context, d *placement.Demand) (*grant, *placement.Refusal) {
+// ask asks the entries that place requests, in order, until one answers, which it
+// returns. There is neither a grant nor a refusal if this entry has to place the
+// request.
+func (l *Loads) ask(ctx context.Context, d *placement.Demand) (*grant, *placement.Refusal, netip.AddrPort) {
 	ranked := l.Rank(placing)
 	for _, to := range ranked[:min(len(ranked), placers)] {
 		if to == l.self {
-			return nil, nil
+			break
 		}
 		lease, answer, ok := l.queries.begin(to, l.gateway.now())
 		if !ok {
@@ -141,19 +147,21 @@
 		q.Lease, q.Open, q.OpenKnown = lease, open, all
 		l.send(encode(&peerlink.Datagram{PlaceQuery: q}), to)
 		if granted, refusal, ok := l.await(ctx, to, lease, answer); ok {
-			return granted, refusal
+			return granted, refusal, to
 		}
 	}
-	return nil, nil
+	return nil, nil, netip.AddrPort{}
 }
 
 // await waits for the answer of one entry. It reports false if there is none.
 func (l *Loads) await(ctx context.Context, to netip.AddrPort, lease uint64, answer <-chan *peerlink.PlaceAnswer) (*grant, *placement.Refusal, bool) {
 	timer := time.NewTimer(queryTimeout)
 	defer timer.Stop()
+	reason := "no answer in time"
 	select {
 	case a := <-answer:
 		if a.Declined {
+			reason = "declined"
 			break
 		}
 		l.queries.sound(to)
@@ -171,8 +179,12 @@
 		}, nil, true
 	case <-timer.C:
 	case <-ctx.Done():
+		// The caller has left, which tells nothing of the other entry.
+		l.queries.dropped(lease)
+		return nil, nil, false
 	}
-	l.queries.failed(lease, to, l.gateway.now())
+	while := l.queries.failed(lease, to, l.gateway.now())
+	l.gateway.config.Log.Log(eventlog.PlacerLost, "entry", to, "reason", reason, "while_ms", while.Milliseconds())
 	return nil, nil, false
 }
 
--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -85,7 +85,7 @@
 			if l == placer {
 				continue
 			}
-			granted, refusal := l.ask(context.Background(), &demand)
+			granted, refusal, _ := l.ask(context.Background(), &demand)
 			Expect(refusal).To(BeNil())
 			Expect(granted).NotTo(BeNil())
 			Expect(granted.by).To(Equal(placer.self))
@@ -100,7 +100,7 @@
 	It("give their places back", func() {
 		loads := region(3)
 		placer, other := byRank(loads, 0), byRank(loads, 2)
-		granted, _ := other.ask(context.Background(), &demand)
+		granted, _, _ := other.ask(context.Background(), &demand)
 		Expect(granted).NotTo(BeNil())
 		other.end(granted, placement.Answered)
 		Eventually(func() int {
@@ -115,11 +115,11 @@
 		loads := region(3)
 		first, second, other := byRank(loads, 0), byRank(loads, 1), byRank(loads, 2)
 		first.conn.Close()
-		granted, _ := other.ask(context.Background(), &demand)
+		granted, _, _ := other.ask(context.Background(), &demand)
 		Expect(granted).NotTo(BeNil())
 		Expect(granted.by).To(Equal(second.self))
 		second.conn.Close()
-		granted, refusal := other.ask(context.Background(), &demand)
+		granted, refusal, _ := other.ask(context.Background(), &demand)
 		Expect(granted).To(BeNil())
 		Expect(refusal).To(BeNil())
 		_, _, ok := other.queries.begin(first.self, time.Now())
@@ -130,7 +130,7 @@
 		loads := region(3)
 		first, second, other := byRank(loads, 0), byRank(loads, 1), byRank(loads, 2)
 		first.gateway.Drain()
-		granted, _ := other.ask(context.Background(), &demand)
+		granted, _, _ := other.ask(context.Background(), &demand)
 		Expect(granted).NotTo(BeNil())
 		Expect(granted.by).To(Equal(second.self))
 	})
@@ -140,7 +140,7 @@
 		// them has not learned of it yet.
 		loads := region(2)
 		other := byRank(loads, 1)
-		granted, _ := other.ask(context.Background(), &demand)
+		granted, _, _ := other.ask(context.Background(), &demand)
 		Expect(granted).NotTo(BeNil())
 		other.gateway.UpdateServers(func(d *directory.Directory, _ time.Time) {
 			left := *d.Server(granted.server)
--- a/gateway/queries.go
+++ b/gateway/queries.go
@@ -88,13 +88,22 @@
 	delete(q.avoided, entry)
 }
 
-// failed ends a question without an answer, or with one that declines.
-func (q *queries) failed(lease uint64, to netip.AddrPort, now time.Time) {
+// dropped ends a question whose answer nobody waits for.
+func (q *queries) dropped(lease uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.waiting, lease)
+}
+
+// failed ends a question without an answer, or with one that declines. It returns
+// the time for which the entry is not asked again.
+func (q *queries) failed(lease uint64, to netip.AddrPort, now time.Time) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	delete(q.waiting, lease)
 	while := min(max(2*q.avoided[to].while, minAvoid), maxAvoid)
 	q.avoided[to] = avoidance{until: now.Add(while), while: while}
+	return while
 }
 
 // ended takes note that a lease is over.
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -22,6 +22,9 @@
 	RepeatsLeft map[string]float64
 	// Open is the number of requests that are being served.
 	Open int
+	// Granted is the number of requests of other entries that were placed here and
+	// are being served.
+	Granted int
 }
 
 // ServerGroup is a service and a condition.
@@ -46,6 +49,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
+	s.Granted = g.granted.Len()
 	if table != nil {
 		config := table.Config()
 		s.ConfigVersion, s.ConfigAge = config.Version, now.Sub(g.configAt)
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return err
 	}
-	tables, err := newStoreTables(g, loads, s)
+	tables, err := newStoreTables(g, loads, s, p.Log)
 	if err != nil {
 		return err
 	}
--- a/internal/node/tables.go
+++ b/internal/node/tables.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"strconv"
 
 	"github.com/auburnbend/auburnbend/gateway"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/relay"
 	"github.com/auburnbend/auburnbend/lib/watch"
 	"github.com/auburnbend/auburnbend/platform"
@@ -19,15 +21,16 @@
 	store   *platform.Store
 	caches  map[string]*relay.Cache
 	ln      net.Listener
+	log     *eventlog.Logger
 }
 
-func newStoreTables(g *gateway.Gateway, loads *gateway.Loads, s *platform.Settings) (*storeTables, error) {
+func newStoreTables(g *gateway.Gateway, loads *gateway.Loads, s *platform.Settings, log *eventlog.Logger) (*storeTables, error) {
 	ln, err := net.Listen("tcp", net.JoinHostPort(s.Address, strconv.Itoa(s.FirstPort)))
 	if err != nil {
 		return nil, err
 	}
 	return &storeTables{
-		gateway: g, loads: loads, store: platform.NewStore(s.StoreAddress), ln: ln,
+		gateway: g, loads: loads, store: platform.NewStore(s.StoreAddress), ln: ln, log: log,
 		caches: map[string]*relay.Cache{
 			platform.TableOperator: relay.NewCache(operatorRelay(&s.Bounds)),
 			platform.TableServers:  relay.NewCache(serversRelay(&s.Bounds)),
@@ -43,7 +46,10 @@
 // follow passes a table to a handler until ctx ends.
 func (t *storeTables) follow(ctx context.Context, table string, config relay.Config, handler watch.Handler) {
 	choose := func() relay.Choice { return t.choose(table, config) }
-	source := relay.NewSource(table, t.store.Table(table), t.caches[table], choose)
+	onPath := func(through netip.AddrPort, reason error) {
+		t.log.Log(eventlog.StorePathChanged, "table", table, "direct", !through.IsValid(), "entry", through, "err", reason)
+	}
+	source := relay.NewSource(table, t.store.Table(table), t.caches[table], choose, onPath)
 	watch.New(watch.Config{Wait: config.Wait}, source, handler).Run(ctx)
 }
 
--- a/lib/eventlog/events_serving.go
+++ b/lib/eventlog/events_serving.go
@@ -11,6 +11,9 @@
 	ServerRegistered  = Event{7102, Info, "backend server registered or changed", "Nothing."}
 	ServerGone        = Event{7103, Info, "row of a backend server is gone", "Nothing unless many go at the same time."}
 	ServerEjected     = Event{7104, Warn, "backend server gets no requests for a while", "Check the server if it repeats."}
+	PlacerChanged     = Event{7105, Info, "another entry places the requests of the region", "Nothing."}
+	PlacerLost        = Event{7106, Warn, "entry that places requests does not answer this one", "Nothing unless it lasts; then check the named entry and the link to it."}
+	StorePathChanged  = Event{7107, Info, "table of the store is read through another entry, or directly", "Nothing unless it changes often; then check the named entry."}
 	RequestEnded      = Event{7201, Info, "request ended", "Nothing; outcome and reason tell how."}
 	RequestRepeated   = Event{7202, Info, "request goes to another backend server", "Nothing unless frequent; then check the named server."}
 	LinesDropped      = Event{7203, Warn, "log lines were dropped to keep their volume bounded", "Nothing; the metrics count all requests."}
@@ -27,7 +30,7 @@
 
 var servingEvents = []Event{
 	LiveConfigInForce, VersionDeclared, RowUnreadable, StoreLost, StoreRegained,
-	ServersRead, ServerRegistered, ServerGone, ServerEjected,
+	ServersRead, ServerRegistered, ServerGone, ServerEjected, PlacerChanged, PlacerLost, StorePathChanged,
 	RequestEnded, RequestRepeated, LinesDropped,
 	ReplicaPhase, ReplicaOrdered, ReplicaFetched, FetchFailed, OriginLost, OriginRegained, PieceSpoilt, PeersUnknown, EngineCallFailed,
 }
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -130,16 +130,25 @@
 
 // sample returns all servers of the own region and some of the others. What is
 // known of distant servers is older, and all entries would choose the same one.
+// Distant servers that report to this entry go first: of the others it knows only
+// what it has sent there.
 func (p *Picker) sample(open []*server, now time.Time) []*server {
-	var near, far []*server
+	var near, reported, silent []*server
 	for _, s := range open {
 		switch {
 		case p.config.Regions[s.seen.Domain] == p.config.Regions[p.config.Domain]:
 			near = append(near, s)
-		case !s.reserved(now):
-			far = append(far, s)
+		case s.reserved(now):
+		case s.reports(now):
+			reported = append(reported, s)
+		default:
+			silent = append(silent, s)
 		}
 	}
+	far := reported
+	if len(far) == 0 {
+		far = silent
+	}
 	if len(far) > distantChoices {
 		p.rng.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
 		far = far[:distantChoices]
--- a/lib/placement/picker_news.go
+++ b/lib/placement/picker_news.go
@@ -38,7 +38,7 @@
 			continue
 		}
 		near++
-		if s := p.servers[listing.Key()]; s != nil && !s.loadAt.IsZero() && now.Sub(s.loadAt) <= loadAge {
+		if s := p.servers[listing.Key()]; s != nil && s.reports(now) {
 			known++
 		}
 	}
--- a/lib/placement/picker_test.go
+++ b/lib/placement/picker_test.go
@@ -211,6 +211,22 @@
 		Expect(pick(demand()).Occupancy).To(Equal(3))
 	})
 
+	It("prefers distant engines whose load it knows", func() {
+		// Guards against requests that wait at a full engine of another region which
+		// does not report to this entry: it seemed idle.
+		for i := range 20 {
+			add(fmt.Sprint("unknown", i), "south", nil)
+		}
+		for i := range 3 {
+			p.Report(add(fmt.Sprint("known", i), "south", nil), placement.Load{Running: 1}, now)
+		}
+		now = now.Add(time.Second)
+		for range 10 {
+			now = now.Add(150 * time.Millisecond)
+			Expect(pick(demand()).Server.ID).To(HavePrefix("known"))
+		}
+	})
+
 	It("counts what other regions have sent", func() {
 		a := add("a", "north", nil)
 		pick(demand())
--- a/lib/placement/server.go
+++ b/lib/placement/server.go
@@ -41,12 +41,17 @@
 
 // occupancy estimates the requests that run or wait there.
 func (s *server) occupancy(now time.Time) int {
-	if s.loadAt.IsZero() || now.Sub(s.loadAt) > loadAge {
+	if !s.reports(now) {
 		return s.own.Running
 	}
 	return s.own.Running + s.foreign
 }
 
+// reports reports whether the last report counts as current.
+func (s *server) reports(now time.Time) bool {
+	return !s.loadAt.IsZero() && now.Sub(s.loadAt) <= loadAge
+}
+
 // change adds to the usage.
 func (s *server) change(running, reading, tokens int, now time.Time) {
 	s.own.Running += running
@@ -68,7 +73,7 @@
 // reserved reports whether entries of other regions leave the server alone for
 // now.
 func (s *server) reserved(now time.Time) bool {
-	if s.loadAt.IsZero() || now.Sub(s.loadAt) > loadAge {
+	if !s.reports(now) {
 		return false
 	}
 	return now.Sub(s.openedAt) < openingTime || now.Sub(s.lastStart) < distantInterval
--- a/lib/relay/relay_test.go
+++ b/lib/relay/relay_test.go
@@ -72,8 +72,11 @@
 	ln       net.Listener
 	stopping atomic.Bool
 	known    *known
+	paths    atomic.Int64
 }
 
+func (i *instance) onPath(netip.AddrPort, error) { i.paths.Add(1) }
+
 func (i *instance) address() netip.AddrPort {
 	return i.ln.Addr().(*net.TCPAddr).AddrPort()
 }
@@ -96,7 +99,7 @@
 			choose = func() Choice { return Choice{Follow: leader.address()} }
 		}
 		go NewServer(map[string]*Cache{"t": i.cache}, i.stopping.Load).Run(ctx, i.ln)
-		go watch.New(watch.Config{Wait: config.Wait}, NewSource("t", i.store, i.cache, choose), i.known).Run(ctx)
+		go watch.New(watch.Config{Wait: config.Wait}, NewSource("t", i.store, i.cache, choose, i.onPath), i.known).Run(ctx)
 		Eventually(func() int64 {
 			i.cache.mu.Lock()
 			defer i.cache.mu.Unlock()
@@ -137,6 +140,7 @@
 		content.put("config", []byte("2"), false)
 		Eventually(follower.known.get, bound).WithArguments("config").Should(Equal("2"))
 		Expect(follower.known.lost).To(BeZero())
+		Expect(follower.paths.Load()).To(Equal(int64(2)))
 		Expect(follower.known.afterOutage()).To(BeFalse(), "a relay that was lost is no outage of the store")
 	})
 
@@ -204,7 +208,7 @@
 		// Guards against a call of the store for each row that a rollout changes.
 		const gather = 150 * time.Millisecond
 		i := &store{content: content}
-		s := NewSource("t", i, NewCache(Config{Bound: bound, Wait: time.Second, Gather: gather}), func() Choice { return Choice{} })
+		s := NewSource("t", i, NewCache(Config{Bound: bound, Wait: time.Second, Gather: gather}), func() Choice { return Choice{} }, func(netip.AddrPort, error) {})
 		_, err := s.Changes(ctx, 0, 0)
 		Expect(err).NotTo(HaveOccurred())
 		_, err = s.Changes(ctx, 1, 0)
--- a/lib/relay/source.go
+++ b/lib/relay/source.go
@@ -30,6 +30,10 @@
 	avoided      netip.AddrPort
 	avoidedUntil time.Time
 	avoidedFor   time.Duration
+	// onPath is told when the table is read on another path: through an instance, or
+	// directly if that is not valid, for a reason.
+	onPath func(through netip.AddrPort, reason error)
+	path   netip.AddrPort
 	// gathering tells that the last answer of the store had changes.
 	gathering bool
 	// lost tells that the last call of the store failed.
@@ -39,9 +43,11 @@
 var _ watch.Source = (*Source)(nil)
 
 // NewSource returns a Source that keeps cache up to date with what it reads.
-func NewSource(table string, store watch.Source, cache *Cache, choose func() Choice) *Source {
+// onPath is called by the goroutine that reads, when it reads through another
+// instance than before, or directly.
+func NewSource(table string, store watch.Source, cache *Cache, choose func() Choice, onPath func(through netip.AddrPort, reason error)) *Source {
 	return &Source{
-		config: cache.config, store: store, cache: cache, choose: choose,
+		onPath: onPath, config: cache.config, store: store, cache: cache, choose: choose,
 		client: client{table: table, silence: share(cache.config.Bound, silenceShare), direct: true},
 	}
 }
@@ -51,11 +57,11 @@
 	if to := s.following(); to.IsValid() {
 		rows, err := s.client.ask(ctx, to, -1, 0)
 		if err == nil {
-			s.followed()
+			s.followed(to)
 			s.cache.replace(rows, false, time.Now())
 			return rows, nil
 		}
-		s.unfollow(to)
+		s.unfollow(to, err)
 	}
 	rows, err := s.store.Snapshot(ctx)
 	if err != nil {
@@ -73,7 +79,7 @@
 		rows, err := s.client.ask(ctx, to, since, wait)
 		switch {
 		case err == nil:
-			s.followed()
+			s.followed(to)
 			s.cache.apply(since, rows, false, time.Now())
 			return rows, nil
 		case errors.Is(err, watch.ErrHistoryLost):
@@ -81,7 +87,7 @@
 		case ctx.Err() != nil:
 			return rows, ctx.Err()
 		}
-		s.unfollow(to)
+		s.unfollow(to, err)
 		// What was missed meanwhile must not wait for the next change.
 		wait = 0
 	} else {
@@ -133,10 +139,21 @@
 	return to
 }
 
-func (s *Source) followed() { s.avoided, s.avoidedFor = netip.AddrPort{}, 0 }
+func (s *Source) followed(through netip.AddrPort) {
+	s.avoided, s.avoidedFor = netip.AddrPort{}, 0
+	s.setPath(through, nil)
+}
+
+func (s *Source) setPath(through netip.AddrPort, reason error) {
+	if through != s.path {
+		s.path = through
+		s.onPath(through, reason)
+	}
+}
 
 // unfollow leaves an instance alone for a while that doubles each time.
-func (s *Source) unfollow(from netip.AddrPort) {
+func (s *Source) unfollow(from netip.AddrPort, reason error) {
+	s.setPath(netip.AddrPort{}, reason)
 	if from != s.avoided {
 		s.avoidedFor = 0
 	}
--- a/peerlink/message.go
+++ b/peerlink/message.go
@@ -13,8 +13,13 @@
 	Piece int `msgpack:"p"`
 }
 
-// NoPiece is the number of no piece.
-const NoPiece = -1
+const (
+	// NoPiece is the number of no piece.
+	NoPiece = -1
+	// ManifestOnly asks for the manifest: the peer answers with the SHA-256 digests of
+	// the pieces, one after another, and ends the connection.
+	ManifestOnly = -2
+)
 
 // Answer is what a peer sends.
 type Answer struct {
--- a/replica/fetchtarget.go
+++ b/replica/fetchtarget.go
@@ -39,7 +39,7 @@
 		f.cancel()
 	}
 	fetchCtx, cancel := context.WithCancel(ctx)
-	f := &runningFetch{target: t, cancel: cancel}
+	f := &runningFetch{target: t, cancel: cancel, suspect: r.suspect == t.version}
 	r.fetching = f
 	go r.runFetch(fetchCtx, f, len(report.Weights) == 0)
 }
@@ -65,6 +65,9 @@
 			"total_ms", r.config.Clock.Now().Sub(began).Milliseconds(),
 			"origin_bytes", r.stats.OriginBytes.Load(), "peer_bytes", r.stats.PeerBytes.Load())
 	} else if ctx.Err() == nil {
+		if errors.Is(err, errFetch) {
+			r.suspect = f.version
+		}
 		r.config.Log.Log(eventlog.FetchFailed, "model", f.model, "version", f.version, "err", err)
 	}
 	r.wakeUp()
@@ -78,7 +81,8 @@
 
 // fetchVersion returns the whole version.
 func (r *Replica) fetchVersion(ctx context.Context, f *runningFetch, adopt bool) (*holdings, error) {
-	m, err := r.manifest(ctx, f.target)
+	peers, _ := r.peers()
+	m, err := r.manifest(ctx, f.target, peers, f.suspect)
 	if err != nil {
 		return nil, err
 	}
@@ -91,7 +95,6 @@
 	r.setStaged(r.staged)
 	r.mu.Unlock()
 	for len(h.missing()) > 0 {
-		peers, _ := r.peers()
 		if !r.newFetch(h, f.target, peers).run(ctx) {
 			return nil, errFetch
 		}
@@ -101,18 +104,6 @@
 
 var errFetch = errors.New("fetch ended before all pieces were here")
 
-func (r *Replica) manifest(ctx context.Context, t target) (*Manifest, error) {
-	origin := r.config.Origin()
-	if origin == nil {
-		return nil, errNoOrigin
-	}
-	callCtx, cancel := context.WithTimeout(ctx, originTimeout)
-	defer cancel()
-	m, err := origin.Manifest(callCtx, t.model, t.version)
-	r.noteOrigin(ctx, err)
-	return m, err
-}
-
 // noteOrigin logs when the origin is lost and when it answers again. ctx is that
 // of the caller: a call that it ended tells nothing.
 func (r *Replica) noteOrigin(ctx context.Context, err error) {
@@ -239,7 +230,8 @@
 	if h, _ := r.holdingsOf(model, version); h != nil {
 		return
 	}
-	m, err := r.manifest(ctx, t)
+	peers, _ := r.peers()
+	m, err := r.manifest(ctx, t, peers, false)
 	if err != nil {
 		r.config.Log.Log(eventlog.FetchFailed, "model", model, "version", version, "err", err)
 		return
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -44,6 +44,8 @@
 	fetching *runningFetch
 	// fetchPauses are the pauses after failed fetches.
 	fetchPauses *backoff.ExponentialBackOff
+	// suspect is the version whose manifest seemed wrong last; zero for none.
+	suspect int
 	// lastPlan is the plan of the last fetch; nil before the first one.
 	lastPlan *spread.Plan
 	// staged is the version at the engine, if this process knows it.
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -32,6 +32,8 @@
 // fakeOrigin is an origin in memory.
 type fakeOrigin struct {
 	served atomic.Int64
+	// manifests counts the manifests that were read.
+	manifests atomic.Int64
 	// spoil is the number of pieces that are sent spoilt first.
 	spoil atomic.Int64
 	down  atomic.Bool
@@ -45,6 +47,7 @@
 	if o.down.Load() {
 		return nil, errDown
 	}
+	o.manifests.Add(1)
 	m := &replica.Manifest{Model: model, Version: version}
 	for p := range testPieces {
 		m.Digests = append(m.Digests, sha256.Sum256(pieceOf(version, p)))
@@ -227,6 +230,26 @@
 		Expect(f.origin.served.Load()).To(BeNumerically("<=", 2*testPieces))
 	})
 
+	It("reads a manifest from the origin at two engines of a region only", func() {
+		// Guards against manifests that take the origin's link from the weights: with
+		// 150 engines they were more than a third of a copy, and connections over the
+		// origin's limit were reset.
+		f := newFleet(1, 1, 1, 1, 1, 1, 1, 1, 1, 1)
+		f.declare(2)
+		Eventually(f.serving(2), soon).Should(BeTrue())
+		Expect(f.origin.manifests.Load()).To(BeNumerically("<=", 4))
+	})
+
+	It("reads the manifest from the origin when those who should have it are gone", func() {
+		f := newFleet(1)
+		for i := range 12 {
+			// Nobody listens at these addresses.
+			f.peers = append(f.peers, replica.Peer{Address: fmt.Sprintf("127.0.2.%d:9", i+1), Region: "0"})
+		}
+		f.declare(2)
+		Eventually(f.serving(2), soon).Should(BeTrue())
+	})
+
 	It("skips nothing and mixes nothing when versions follow each other", func() {
 		// Guards against an engine that loads pieces of two versions.
 		f := newFleet(1, 1, 1, 1)
--- a/replica/serve.go
+++ b/replica/serve.go
@@ -74,6 +74,10 @@
 		if decode.Decode(&q) != nil {
 			return
 		}
+		if q.Piece == peerlink.ManifestOnly {
+			r.sendManifest(ctx, s, &q)
+			return
+		}
 		if s.holdings == nil {
 			if s.holdings = r.holdingsFor(ctx, q.Model, q.Version); s.holdings == nil {
 				return
--- a/replica/versions.go
+++ b/replica/versions.go
@@ -26,6 +26,8 @@
 type runningFetch struct {
 	target
 	cancel context.CancelFunc
+	// suspect tells that the last manifest of this version seemed wrong.
+	suspect bool
 	// holdings is nil until the manifest has been read.
 	holdings *holdings
 }
