Pace the fetch after an origin's return, and give up versions that come too late

On the large site 96 transfers shared its link, over its limit of connections, so that the last piece reached all members at once 4.5 s later and took another 3 s to spread. - The older version, 9 in 10 of it here, was finished first, 0.1 s before the newer one had to serve, and the newer one came 2 s later for it. - Agents that had no manifest asked for it every 0.8 s or less often.

Change: while the origin is lost, members look for it one after another, and after its return the missing pieces are due one after another again. An older version is given up when it could not serve for a while before the newer one must. The readers of a manifest ask often, and the others leave the origin alone while a reader is there.

Ruled out: a window of missing pieces, which dead members would fill.

--- a/lib/spread/scheduler.go
+++ b/lib/spread/scheduler.go
@@ -19,12 +19,13 @@
 // use. Time is passed in.
 type Scheduler struct {
 	config  Config
-	plan    *Plan
-	started time.Time
+	plan   *Plan
 	// news is when a piece was last seen that was known nowhere before.
 	news time.Time
 	// known tells which pieces some member has.
 	known []bool
+	// schedule tells when each piece is due at the origin.
+	schedule schedule
 
 	missing map[int]*piece
 	// order lists the pieces in the order in which they are asked of peers. It is
@@ -39,7 +40,7 @@
 // members began to fetch at about the time started.
 func NewScheduler(config Config, plan *Plan, pieces int, missing []int, started time.Time) *Scheduler {
 	s := &Scheduler{
-		config: config.applyDefaults(), plan: plan, started: started, news: started, known: make([]bool, pieces),
+		config: config.applyDefaults(), plan: plan, news: started, known: make([]bool, pieces),
 		missing: make(map[int]*piece, len(missing)), sources: make(map[string]*source), dead: make(map[string]bool),
 	}
 	for i := range s.known {
@@ -49,10 +50,22 @@
 		s.known[p] = false
 		s.missing[p] = &piece{asks: make(map[string]time.Time), refused: make(map[string]bool)}
 	}
+	s.schedule = newSchedule(s.config.OriginTime, s.unknown(), started)
 	s.order = rand.New(rand.NewPCG(rendezvous.Hash(plan.self.ID), 0)).Perm(pieces)
 	return s
 }
 
+// unknown returns the pieces that no member is known to have.
+func (s *Scheduler) unknown() []int {
+	var list []int
+	for number, known := range s.known {
+		if !known {
+			list = append(list, number)
+		}
+	}
+	return list
+}
+
 // Replan takes a plan with other members. What is known of sources stays.
 func (s *Scheduler) Replan(plan *Plan) { s.plan = plan }
 
@@ -76,6 +89,9 @@
 	}
 	s.known[number] = true
 	s.news = now
+	if s.schedule.lost() {
+		s.schedule.resume(s.unknown(), now)
+	}
 	if p := s.missing[number]; p != nil {
 		p.knownAt = now
 	}
@@ -116,6 +132,9 @@
 		// asks for its own pieces. All of them would ask for the same ones when it
 		// returns.
 		s.news = now
+		if !spoilt {
+			s.schedule.lose(s.unknown(), now)
+		}
 		return
 	}
 	if spoilt {
@@ -189,8 +208,7 @@
 	var suspects []string
 	for _, number := range s.order {
 		p := s.missing[number]
-		due := time.Duration(number)*s.config.OriginTime + s.config.Overdue
-		if p == nil || s.known[number] || now.Sub(s.started) < due {
+		if p == nil || s.known[number] || s.schedule.sinceDue(number, now) < s.config.Overdue {
 			continue
 		}
 		first := s.plan.firstAlive(number, s.dead)
--- a/lib/spread/scheduler_choice.go
+++ b/lib/spread/scheduler_choice.go
@@ -81,7 +81,7 @@
 // time and the origin is quiet. While it is busy, more readers would only share
 // its link.
 func (s *Scheduler) mayAskOrigin(number int, now time.Time) bool {
-	since := now.Sub(s.started) - time.Duration(number)*s.config.OriginTime
+	since := s.schedule.sinceDue(number, now)
 	if since < 0 {
 		return false
 	}
--- a/lib/spread/swarm_test.go
+++ b/lib/spread/swarm_test.go
@@ -19,8 +19,9 @@
 	members   []spread.Member
 	agents    map[string]*agent
 	transfers []transfer
-	// fromOrigin and crossed count transfers.
-	fromOrigin, crossed int
+	// fromOrigin and crossed count transfers, mostOpen the most that were open at the
+	// origin at the same time.
+	fromOrigin, crossed, mostOpen int
 	// down tells that the origin does not answer.
 	down bool
 	// spoils tells whether a source sends spoilt bytes.
@@ -106,12 +107,23 @@
 		if open == 0 {
 			return true
 		}
+		s.mostOpen = max(s.mostOpen, s.openAtOrigin())
 		s.now = s.now.Add(step)
 		s.deliver()
 	}
 	return false
 }
 
+func (s *swarm) openAtOrigin() int {
+	n := 0
+	for _, t := range s.transfers {
+		if t.from == spread.Origin {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *swarm) transferTime(to, from string) time.Duration {
 	if peer := s.agents[from]; s.agents[to].slow || peer != nil && peer.slow {
 		return time.Second
@@ -310,6 +322,21 @@
 		Expect(s.fromOrigin).To(BeNumerically("<=", 96+5))
 	})
 
+	It("asks an origin that returns for one piece after another", func() {
+		// Guards against members that all ask at the moment of its return: their pieces
+		// shared the origin's link, more connections than it takes were reset, and on
+		// the large site the last piece came 4.5 s after its return to all members at
+		// once, which then took another 3 s to spread.
+		s := newSwarm(3, 32, 96)
+		s.start()
+		s.down = true
+		Expect(s.play(6 * time.Second)).To(BeFalse())
+		s.down, s.mostOpen = false, 0
+		Expect(s.play(8 * time.Second)).To(BeTrue())
+		Expect(s.mostOpen).To(BeNumerically("<=", 8))
+		Expect(s.fromOrigin).To(BeNumerically("<=", 96+5))
+	})
+
 	It("completes alone from the origin", func() {
 		s := newSwarm(1, 1, 24)
 		s.start()
--- a/replica/config.go
+++ b/replica/config.go
@@ -57,10 +57,10 @@
 	// idle link, and many agents share it.
 	originTimeout = 4 * time.Second
 	// retryPause is the pause after a failed step; for failed fetches it doubles up
-	// to maxRetryPause. After a restart of the whole fleet all agents ask an origin
-	// that takes few connections, and a constant pause kept it overrun.
-	retryPause    = 200 * time.Millisecond
-	maxRetryPause = 800 * time.Millisecond
+	// to maxRetryPause. Few instances ask a lost origin, which takes few connections,
+	// and all wait for these when it returns.
+	retryPause    = 50 * time.Millisecond
+	maxRetryPause = 200 * time.Millisecond
 	// firstOrderShare and lastOrderShare are the parts of VersionTime between
 	// which engines change their weights one after another, so that the rest
 	// keeps serving.
@@ -72,6 +72,10 @@
 	// finishShare is the part of a version that must be staged for it to be
 	// finished when a newer one is declared meanwhile.
 	finishShare = 0.5
+	// finishTime is the part of VersionTime that the last pieces take to reach all
+	// instances, an engine to load them and its requests to begin. An older version
+	// that would be served after that, when a newer one must serve, only delays it.
+	finishTime = 0.3
 	// closeBefore is how long before the order the entries are told to send no
 	// more requests: a report takes a few milliseconds.
 	closeBefore = 50 * time.Millisecond
--- a/replica/fetchtarget.go
+++ b/replica/fetchtarget.go
@@ -33,7 +33,7 @@
 		return
 	}
 	if f := r.fetching; f != nil {
-		if f.version == t.version && f.model == t.model || f.holdings != nil && f.holdings.share() >= finishShare {
+		if f.version == t.version && f.model == t.model || f.holdings != nil && r.worthFinishing(f.holdings, t) {
 			return
 		}
 		f.cancel()
@@ -44,6 +44,17 @@
 	go r.runFetch(fetchCtx, f, len(report.Weights) == 0)
 }
 
+// worthFinishing reports whether an older version that is on its way may still
+// serve for a while before the target must.
+func (r *Replica) worthFinishing(h *holdings, t target) bool {
+	if h.share() < finishShare {
+		return false
+	}
+	bound := float64(r.versionTime.Load())
+	arrives := r.config.Clock.Now().Add(time.Duration(len(h.missing())) * r.config.OriginTime())
+	return arrives.Before(t.since.Add(time.Duration((1 - finishTime) * bound)))
+}
+
 // runFetch fetches one version. adopt tells that the engine may hold its pieces
 // from before.
 func (r *Replica) runFetch(ctx context.Context, f *runningFetch, adopt bool) {
--- a/replica/manifest.go
+++ b/replica/manifest.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
 	"github.com/auburnbend/auburnbend/lib/msgstream"
 	"github.com/auburnbend/auburnbend/lib/rendezvous"
 	"github.com/auburnbend/auburnbend/peerlink"
@@ -28,7 +30,10 @@
 	manifestStagger  = 50 * time.Millisecond
 )
 
-var errNoManifest = errors.New("no instance of the region has the manifest")
+var (
+	errNoManifest  = errors.New("no instance of the region has the manifest")
+	errUnreachable = errors.New("instance is unreachable")
+)
 
 // manifest returns the manifest of a version: from the origin if this instance is
 // one of those that read it there, and from them otherwise. suspect tells that the
@@ -39,13 +44,16 @@
 	if suspect || rank < manifestReaders {
 		return r.originManifest(ctx, t)
 	}
+	reached := false
 	for _, id := range ranked[:manifestReaders] {
 		m, err := r.peerManifest(ctx, t, id)
 		if err == nil {
 			return m, nil
 		}
+		reached = reached || !errors.Is(err, errUnreachable)
 	}
-	if r.config.Clock.Now().Sub(t.since) < manifestPatience+time.Duration(rank)*manifestStagger {
+	// While one of them is there, the origin is what is missing.
+	if reached || r.config.Clock.Now().Sub(t.since) < manifestPatience+time.Duration(rank)*manifestStagger {
 		return nil, errNoManifest
 	}
 	return r.originManifest(ctx, t)
@@ -85,7 +93,7 @@
 	defer cancel()
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", net.JoinHostPort(host, strconv.Itoa(r.config.PeerPort)))
 	if err != nil {
-		return nil, err
+		return nil, merry.Wrap(errUnreachable, merry.WithCause(err))
 	}
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -260,6 +260,26 @@
 		f.expectWhole()
 	})
 
+	It("gives up an older version that would come too late to serve", func() {
+		// Guards against a version that arrives when the next one must serve already, and
+		// delays it: on umurage-crest scale-1 the origin returned 2.5 s before the bound
+		// of the newer version, and 2 s of it went to the older one.
+		f := newFleet(1, 1)
+		f.origin.takes.Store(int64(20 * time.Millisecond))
+		f.declare(2)
+		Eventually(f.origin.served.Load, soon).Should(BeNumerically(">=", testPieces*3/4))
+		f.origin.down.Store(true)
+		f.declare(3)
+		time.Sleep(900 * time.Millisecond)
+		f.origin.down.Store(false)
+		Eventually(f.serving(3), soon).Should(BeTrue())
+		for _, e := range f.engines {
+			e.mu.Lock()
+			Expect(e.orders).To(Equal(1))
+			e.mu.Unlock()
+		}
+	})
+
 	It("never loads spoilt pieces", func() {
 		// Guards against weights that are not whole.
 		f := newFleet(1, 1)
