--- a/lib/spread/scheduler.go
+++ b/lib/spread/scheduler.go
@@ -18,7 +18,7 @@
 // another region by one member of each region. It is not safe for concurrent
 // use. Time is passed in.
 type Scheduler struct {
-	config  Config
+	config Config
 	plan   *Plan
 	// news is when a piece was last seen that was known nowhere before.
 	news time.Time
