Trim the usage message, and bound the memory of answers by the settings

What agents do not read any more is not sent. The memory of whole answers is an eighth of the process's limit in the settings. The relay bounds its connections.

--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -148,7 +148,7 @@
 	sequence := l.sequence
 	l.mu.Unlock()
 	l.send(encode(&peerlink.Datagram{Usage: &peerlink.Usage{
-		Entry: l.name, Server: server, Running: u.Running, Reading: u.Reading, ReadingTokens: u.ReadingTokens, Sequence: sequence,
+		Entry: l.name, ReadingTokens: u.ReadingTokens, Sequence: sequence,
 	}}), netip.AddrPortFrom(address.Addr(), l.self.Port()))
 }
 
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -29,6 +29,8 @@
 	// assumedEntries share the retry budget before agents tell how many entries
 	// there are. Too many only make the share smaller.
 	assumedEntries = 16
+	// bodyMemoryPart is the part of the process's memory that whole answers may take.
+	bodyMemoryPart = 8
 	// headTimeout bounds the time of a request's head, idleTimeout the time
 	// between requests of a connection. Callers keep connections idle for up to
 	// four fifths of the declared limit; both are above what is declared.
@@ -54,6 +56,7 @@
 		Dialect: platform.Dialect{}, Clock: clock.System{}, Log: p.Log, Observe: requests.observe,
 		Retry:   retryBounds(&s.Bounds),
 		Entries: assumedEntries, Seed: rand.Uint64(), VersionTime: s.Bounds.VersionTime,
+		BodyMemory: s.MemoryLimit / bodyMemoryPart,
 		Placement: placement.Config{Domain: s.Domain, Regions: s.Regions},
 	})
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/lib/relay/server.go
+++ b/lib/relay/server.go
@@ -16,6 +16,9 @@
 	writeTimeout = 5 * time.Second
 	// acceptPause is the pause after a connection that could not be accepted.
 	acceptPause = 100 * time.Millisecond
+	// maxConns bounds the connections of followers: a region of 200 entries has two
+	// for each of them.
+	maxConns = 512
 	// buffer is the size of a connection's buffers in bytes.
 	buffer = 1 << 10
 	// queryLimit bounds a query in bytes, answerLimit an answer: a whole table, with
@@ -41,6 +44,7 @@
 func (s *Server) Run(ctx context.Context, ln net.Listener) {
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
+	slots := make(chan struct{}, maxConns)
 	for ctx.Err() == nil {
 		conn, err := ln.Accept()
 		if err != nil {
@@ -50,7 +54,15 @@
 			}
 			continue
 		}
-		go s.serve(ctx, conn)
+		select {
+		case slots <- struct{}{}:
+			go func() {
+				defer func() { <-slots }()
+				s.serve(ctx, conn)
+			}()
+		default:
+			_ = conn.Close()
+		}
 	}
 }
 
--- a/peerlink/message.go
+++ b/peerlink/message.go
@@ -98,17 +98,12 @@
 	Sequence uint64 `msgpack:"s"`
 }
 
-// Usage is what an entry has placed at one backend server. It tells the server's
-// agent at each change, as engines do not report the prompts that wait.
+// Usage is what an entry has placed at an engine. It tells the engine's agent at
+// each change, as engines do not report the prompts that wait.
 type Usage struct {
 	// Entry is the instance of the sender.
 	Entry string `msgpack:"e"`
-	// Server is the IP address and port of the backend server.
-	Server string `msgpack:"a"`
-	// Running counts the requests there, Reading those without a first
-	// answer, and ReadingTokens their prompt tokens.
-	Running       int `msgpack:"r"`
-	Reading       int `msgpack:"f"`
+	// ReadingTokens are the prompt tokens of its requests without a first answer.
 	ReadingTokens int `msgpack:"t"`
 	// Sequence orders the messages of one entry.
 	Sequence uint64 `msgpack:"s"`
