Let an order take effect once, and serve connections that wait at a stop

Orders: two processes that decide on the same state of an engine, an agent that stops and its successor, could both order it, and the second order would load what is being staged. An order now carries the number of orders that the report showed; the engine refuses it if another one came between.

Planned stop: the operating system resets connections that wait to be accepted when a listener closes, with the requests that callers have sent on them; new ones come also in the last moment, while too few entries of a domain are ready. The listener of callers hands them out before it closes.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -5,7 +5,6 @@
 	"errors"
 	"log"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -57,7 +56,7 @@
 		Retry:   retryBounds(&s.Bounds),
 		Entries: assumedEntries, Seed: rand.Uint64(), VersionTime: s.Bounds.VersionTime,
 		BodyMemory: s.MemoryLimit / bodyMemoryPart,
-		Placement: placement.Config{Domain: s.Domain, Regions: s.Regions},
+		Placement:  placement.Config{Domain: s.Domain, Regions: s.Regions},
 	})
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -105,7 +104,7 @@
 		*http.Server
 		address string
 	}{{callers, s.CallerAddress}, {ready, s.ReadyAddress}} {
-		ln, err := net.Listen("tcp", server.address)
+		ln, err := listenCallers(server.address)
 		if err != nil {
 			return err
 		}
--- a/replica/engine.go
+++ b/replica/engine.go
@@ -23,8 +23,9 @@
 	// Piece returns a staged piece, or ErrMissing.
 	Piece(ctx context.Context, model string, piece int) ([]byte, error)
 	// Start orders the engine to load the staged pieces once its running
-	// requests have ended.
-	Start(ctx context.Context, model string, version int) error
+	// requests have ended, if it has accepted so many orders since its start. Of two
+	// orders that were decided on the same state, only one takes effect.
+	Start(ctx context.Context, model string, version int, orders int64) error
 }
 
 // Report is the state of an engine.
@@ -35,6 +36,8 @@
 	Running, Waiting int
 	// Pace is how much slower than declared it works; zero if it did not tell.
 	Pace float64
+	// Orders counts the orders that it has accepted since its start.
+	Orders int64
 	// Busy tells that an order is in progress.
 	Busy bool
 	// Weights are the loaded weights by model.
--- a/replica/order.go
+++ b/replica/order.go
@@ -38,9 +38,13 @@
 		r.drop(p)
 		return
 	}
+	report := r.report.Load()
+	if report == nil {
+		return
+	}
 	callCtx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
-	err = r.config.Engine.Start(callCtx, p.model, p.version)
+	err = r.config.Engine.Start(callCtx, p.model, p.version, report.Orders)
 	r.config.Log.Log(eventlog.ReplicaOrdered, "model", p.model, "version", p.version, "err", err)
 	if err != nil && errors.Is(err, ErrNotAccepted) {
 		return
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -88,7 +88,7 @@
 func (e *fakeEngine) Report(context.Context) (replica.Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	r := replica.Report{Born: e.born, Waiting: e.waiting}
+	r := replica.Report{Born: e.born, Waiting: e.waiting, Orders: int64(e.orders)}
 	if e.loaded > 0 {
 		r.Weights = map[string]directory.Weights{"m": {Version: e.loaded, Whole: true}}
 	}
@@ -112,9 +112,12 @@
 	return nil, replica.ErrMissing
 }
 
-func (e *fakeEngine) Start(_ context.Context, _ string, version int) error {
+func (e *fakeEngine) Start(_ context.Context, _ string, version int, orders int64) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if orders != int64(e.orders) {
+		return replica.ErrNotAccepted
+	}
 	e.orders++
 	e.rejected += e.waiting
 	for p := range testPieces {
