--- a/replica/beacon.go
+++ b/replica/beacon.go
@@ -35,6 +35,8 @@
 
 	mu          sync.Mutex
 	subscribers map[netip.AddrPort]subscriber
+	// added are subscribers that have had no report yet.
+	added []netip.AddrPort
 	// usages are what entries have at the engine, by entry.
 	usages map[string]usage
 
@@ -101,6 +103,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if d.Subscription != nil {
+		if _, known := b.subscribers[from]; !known {
+			b.added = append(b.added, from)
+			b.replica.notifyObserved()
+		}
 		b.subscribers[from] = subscriber{
 			at: now, region: d.Subscription.Region, loads: d.Subscription.Loads, leaving: d.Subscription.Leaving,
 		}
@@ -129,18 +135,20 @@
 
 // audience are the entries that get a report.
 type audience struct {
-	// all get one at each refresh, loads at each change.
-	all, loads []netip.AddrPort
+	// all get one at each refresh, loads at each change, and added at once.
+	all, loads, added []netip.AddrPort
 	// neighbours are those of this instance's region that go on serving.
 	neighbours []string
 }
 
-// current returns the entries whose subscription is not over.
+// current returns the entries whose subscription is not over. Those that are added
+// are returned once.
 func (b *Beacon) current() audience {
 	now := b.replica.config.Clock.Now()
-	var a audience
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	a := audience{added: b.added}
+	b.added = nil
 	for address, s := range b.subscribers {
 		if now.Sub(s.at) > subscriptionTime {
 			delete(b.subscribers, address)
@@ -161,8 +169,11 @@
 // order. It is safe for concurrent use.
 func (b *Beacon) Entries() []netip.AddrPort {
 	var entries []netip.AddrPort
-	for _, text := range b.current().neighbours {
-		if address, err := netip.ParseAddrPort(text); err == nil {
+	now := b.replica.config.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for address, s := range b.subscribers {
+		if now.Sub(s.at) <= subscriptionTime && s.region == b.replica.config.Region && !s.leaving {
 			entries = append(entries, address)
 		}
 	}
@@ -179,10 +190,15 @@
 	status.Sequence = b.last.Sequence
 	refresh := now.Sub(b.lastAt) >= beaconRefresh
 	urgent := status.Closed != b.last.Closed || status.Version != b.last.Version || status.Born != b.last.Born
-	if refresh || urgent {
+	switch {
+	case refresh || urgent:
 		to = a.all
+	case sameStatus(&status, &b.last):
+		to = a.added
+	default:
+		to = append(to, a.added...)
 	}
-	if len(to) == 0 || !refresh && sameStatus(&status, &b.last) {
+	if len(to) == 0 {
 		return
 	}
 	status.Sequence++
