Give a request to another server when its answer does not end in time

The caller's limit of 1.5 s passed before 4 MB in chunks of 4 bytes had been read.

Change: the limit on the head of an answer that may be repeated holds for the whole answer, three targets or four predictions. The last server that may have a request has no limit but the caller's. Streams keep their limit between events.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -41,15 +41,15 @@
 	if err != nil {
 		return r.unknown("no answer")
 	}
-	x.SetReadDeadline(time.Time{})
 	return r.answered(lease, x, resp)
 }
 
 const (
 	// firstAnswerTargets and firstAnswerPredictions bound the wait for the head of
-	// an answer, in targets of the route and in predicted times, where another
-	// server may still have the request. A server may take requests and never
-	// answer while its health is good.
+	// a stream and for the whole of another answer, in targets of the route and in
+	// predicted times, where another server may still have the request. A server may
+	// take requests and never answer, or never end its answer, while its health is
+	// good.
 	firstAnswerTargets     = 3
 	firstAnswerPredictions = 4
 )
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -22,9 +22,11 @@
 	control := http.NewResponseController(r.writer)
 	stall := r.stallLimit()
 	progress := func() {
+		limit := time.Time{}
 		if stall > 0 {
-			x.SetReadDeadline(r.gateway.now().Add(stall))
+			limit = r.gateway.now().Add(stall)
 		}
+		x.SetReadDeadline(limit)
 	}
 	progress()
 	for {
