--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -39,6 +39,7 @@
 		return r.unknown("no answer in time")
 	}
 	if err != nil {
+		r.noteCut(lease, err)
 		return r.unknown("no answer")
 	}
 	return r.answered(lease, x, resp)
@@ -105,7 +106,7 @@
 	case r.stream.begun:
 		return r.unknown("no continuation")
 	}
-	return r.whole(resp, reply)
+	return r.whole(lease, resp, reply)
 }
 
 func (r *request) noteReply(lease *placement.Lease, reply Reply) {
@@ -122,9 +123,10 @@
 
 // whole passes on an answer that is not a stream. It is read to its end first,
 // so that a broken one can be replaced.
-func (r *request) whole(resp *http.Response, reply Reply) ending {
+func (r *request) whole(lease *placement.Lease, resp *http.Response, reply Reply) ending {
 	body, release, err := r.gateway.bodies.ReadAll(resp, answerLimit)
 	if err != nil {
+		r.noteCut(lease, err)
 		return r.unknown("answer broken off, without an end or too long")
 	}
 	r.releases = append(r.releases, release)
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -101,6 +101,9 @@
 	for _, release := range r.releases {
 		release()
 	}
+	if r.hashed {
+		r.seen.Content = r.content.String()
+	}
 	r.seen.Total = r.gateway.now().Sub(r.arrived)
 	if r.gateway.config.Observe != nil {
 		r.gateway.config.Observe(r.seen)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -38,6 +38,7 @@
 			return r.unknown("stream stalled")
 		}
 		if err != nil {
+			r.noteCut(lease, err)
 			return r.unknown("stream broken off")
 		}
 		if event.HasID && event.ID <= r.stream.last {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -7,6 +7,7 @@
 
 	"github.com/auburnbend/auburnbend/gateway/upstream"
 	"github.com/auburnbend/auburnbend/lib/directory"
+	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/placement"
 	"github.com/auburnbend/auburnbend/lib/serving"
 )
@@ -24,6 +25,9 @@
 	route *serving.Route
 	team  *serving.Team
 	body  []byte
+	// content is the request's fingerprint once it is hashed.
+	content model.Fingerprint
+	hashed  bool
 
 	service string
 	engine  *serving.Engine
--- a/lib/eventlog/events_serving.go
+++ b/lib/eventlog/events_serving.go
@@ -17,6 +17,7 @@
 	RequestEnded      = Event{7201, Info, "request ended", "Nothing; outcome and reason tell how."}
 	RequestRepeated   = Event{7202, Info, "request goes to another backend server", "Nothing unless frequent; then check the named server."}
 	LinesDropped      = Event{7203, Warn, "log lines were dropped to keep their volume bounded", "Nothing; the metrics count all requests."}
+	AttemptCut        = Event{7204, Info, "connection to a backend server ended before its answer did", "Nothing unless the same content meets several servers; then find its caller."}
 	ReplicaPhase      = Event{7301, Info, "instance takes a step towards the declared version", "Nothing."}
 	ReplicaOrdered    = Event{7302, Info, "engine was ordered to load a version", "Nothing; err tells whether it refused."}
 	ReplicaFetched    = Event{7306, Info, "all pieces of a version are here", "Nothing."}
@@ -31,6 +32,6 @@
 var servingEvents = []Event{
 	LiveConfigInForce, VersionDeclared, RowUnreadable, StoreLost, StoreRegained,
 	ServersRead, ServerRegistered, ServerGone, ServerEjected, PlacerChanged, PlacerLost, StorePathChanged,
-	RequestEnded, RequestRepeated, LinesDropped,
+	RequestEnded, RequestRepeated, LinesDropped, AttemptCut,
 	ReplicaPhase, ReplicaOrdered, ReplicaFetched, FetchFailed, OriginLost, OriginRegained, PieceSpoilt, PeersUnknown, EngineCallFailed,
 }
