--- a/replica/beacon.go
+++ b/replica/beacon.go
@@ -48,6 +48,8 @@
 type subscriber struct {
 	at     time.Time
 	region string
+	// start is the start of the entry.
+	start uint64
 	// loads tells that it gets each change of the load, leaving that it is about to
 	// stop.
 	loads, leaving bool
@@ -103,12 +105,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if d.Subscription != nil {
-		if _, known := b.subscribers[from]; !known {
+		// An entry that has started anew knows nothing, even at the same address.
+		if known, ok := b.subscribers[from]; !ok || known.start != d.Subscription.Start {
 			b.added = append(b.added, from)
 			b.replica.notifyObserved()
 		}
 		b.subscribers[from] = subscriber{
-			at: now, region: d.Subscription.Region, loads: d.Subscription.Loads, leaving: d.Subscription.Leaving,
+			at: now, region: d.Subscription.Region, start: d.Subscription.Start, loads: d.Subscription.Loads, leaving: d.Subscription.Leaving,
 		}
 	}
 	if u := d.Usage; u != nil && u.Sequence > b.usages[u.Entry].sequence {
--- a/replica/beacon_test.go
+++ b/replica/beacon_test.go
@@ -14,14 +14,17 @@
 
 var _ = Describe("Beacon", func() {
 	// subscribe asks the first agent of a fleet for reports.
+	ask := func(conn *net.UDPConn, loads bool, start uint64) {
+		data, err := msgpack.Marshal(&peerlink.Datagram{Subscription: &peerlink.Subscription{Entry: "e", Region: "0", Start: start, Loads: loads}})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = conn.Write(data)
+		Expect(err).NotTo(HaveOccurred())
+	}
 	subscribe := func(f *fleet, loads bool) *net.UDPConn {
 		conn, err := net.DialUDP("udp", nil, &net.UDPAddr{IP: net.ParseIP(f.host(0)), Port: f.port})
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(conn.Close)
-		data, err := msgpack.Marshal(&peerlink.Datagram{Subscription: &peerlink.Subscription{Entry: "e", Region: "0", Loads: loads}})
-		Expect(err).NotTo(HaveOccurred())
-		_, err = conn.Write(data)
-		Expect(err).NotTo(HaveOccurred())
+		ask(conn, loads, 1)
 		return conn
 	}
 	// next returns the next report, or nil if none comes within the time.
@@ -53,4 +56,17 @@
 		Expect(status.Version).To(Equal(1))
 		Expect(b.Entries()).To(HaveLen(2))
 	})
+
+	It("reports at once to an entry that has started anew at its address", func() {
+		// Guards against an entry that knows nothing for a second after a quick restart.
+		f := newFleet(1)
+		b, err := replica.NewBeacon(f.replicas[0])
+		Expect(err).NotTo(HaveOccurred())
+		go b.Run(f.ctx)
+		conn := subscribe(f, false)
+		Expect(next(conn, time.Second)).NotTo(BeNil())
+		time.Sleep(300 * time.Millisecond)
+		ask(conn, false, 2)
+		Expect(next(conn, 300*time.Millisecond)).NotTo(BeNil())
+	})
 })
