--- a/gateway/cut.go
+++ b/gateway/cut.go
@@ -1,22 +1,31 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"syscall"
+	"time"
 
-	"github.com/auburnbend/auburnbend/lib/eventlog"
-	"github.com/auburnbend/auburnbend/lib/placement"
+	"github.com/auburnbend/auburnbend/gateway/upstream"
+	"github.com/auburnbend/auburnbend/lib/directory"
 )
 
-// noteCut logs that a backend server's connection ended before its answer did.
-// Answers that are late, malformed or too long are other faults.
-func (r *request) noteCut(lease *placement.Lease, err error) {
-	if r.ctx.Err() != nil || !endedByPeer(err) {
+// lookTimeout bounds the look whether a backend server has ended. It is above a
+// round trip between regions, and small against the target of a first answer.
+const lookTimeout = 100 * time.Millisecond
+
+// look opens a connection to a backend server whose connections end before their
+// answers: the address of a server that has ended refuses it.
+func (g *Gateway) look(server *directory.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
+	defer cancel()
+	x, err := upstream.Open(ctx, server.Address)
+	if err != nil {
+		g.noteUnreachable(server, err)
 		return
 	}
-	r.gateway.config.Log.Log(eventlog.AttemptCut, "request", r.call.ID, "content", r.fingerprint(),
-		"server", lease.Server.ID, "born", lease.Server.Born, "service", r.service, "err", err)
+	x.Close()
 }
 
 // endedByPeer reports whether an error of an exchange means that the other end has
--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -82,8 +82,12 @@
 // takeStatus takes an agent's report on the engine at its address. It applies
 // to the server that is registered there with the same start.
 func (g *Gateway) takeStatus(status peerlink.Status) {
+	spread := func() {}
 	g.mu.Lock()
-	defer g.mu.Unlock()
+	defer func() {
+		g.mu.Unlock()
+		spread()
+	}()
 	now := g.now()
 	server := g.directory.At(status.Address)
 	if server == nil {
@@ -93,9 +97,13 @@
 		if status.Born > server.Born {
 			// The row of the later start is on its way; the listed one has ended.
 			g.picker.Superseded(server.Key())
+			spread = g.ended(server.Key(), endedLaterStart)
 		}
 		return
 	}
+	if status.Born != 0 {
+		spread = g.alive(server.Key(), now.Add(-time.Duration(status.AgeMicros)*time.Microsecond))
+	}
 	if status.Model != "" && server.Weights[status.Model].Version < status.Version {
 		g.amendWeights(server, status.Model, status.Version)
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -28,9 +28,11 @@
 	r.tried = append(r.tried, server.Key())
 	x, err := upstream.Open(r.ctx, server.Address)
 	if err != nil {
+		r.gateway.noteUnreachable(server, err)
 		return r.ended(placement.Unreachable, ending{reason: "unreachable"})
 	}
 	defer x.Close()
+	opened := r.gateway.now()
 	r.reached++
 	r.seen.Attempts++
 	x.SetReadDeadline(r.firstAnswerLimit(lease))
@@ -42,7 +44,7 @@
 		r.noteCut(lease, err)
 		return r.unknown("no answer")
 	}
-	return r.answered(lease, x, resp)
+	return r.answered(lease, x, resp, opened)
 }
 
 const (
@@ -85,11 +87,12 @@
 	return d
 }
 
-// answered handles the head of an answer.
-func (r *request) answered(lease *placement.Lease, x *upstream.Exchange, resp *http.Response) ending {
+// answered handles the head of an answer on a connection that was opened at a
+// moment.
+func (r *request) answered(lease *placement.Lease, x *upstream.Exchange, resp *http.Response, opened time.Time) ending {
 	g := r.gateway
 	reply := g.config.Dialect.Reply(resp.StatusCode, resp.Header)
-	r.noteReply(lease, reply)
+	r.noteReply(lease, reply, opened)
 	switch {
 	case reply.NotRun || reply.Elsewhere:
 		end := ending{result: placement.Rejected, sent: true, reason: "rejected by the server"}
@@ -109,7 +112,7 @@
 	return r.whole(lease, resp, reply)
 }
 
-func (r *request) noteReply(lease *placement.Lease, reply Reply) {
+func (r *request) noteReply(lease *placement.Lease, reply Reply, opened time.Time) {
 	g := r.gateway
 	g.mu.Lock()
 	now := g.now()
@@ -117,7 +120,12 @@
 		g.picker.Hint(lease.Server.Key(), reply.Load.Running, reply.Load.Waiting, now)
 	}
 	usage := g.picker.Answering(lease, now)
+	spread := func() {}
+	if reply.ID == r.call.ID && !reply.Elsewhere {
+		spread = g.alive(lease.Server.Key(), opened)
+	}
 	g.mu.Unlock()
+	spread()
 	r.tellProgress(lease, usage, nil)
 }
 
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -104,6 +104,9 @@
 	if r.hashed {
 		r.seen.Content = r.content.String()
 	}
+	if r.seen.Outcome == OutcomeAnswered {
+		r.gateway.noteAnswered(r.fingerprint())
+	}
 	r.seen.Total = r.gateway.now().Sub(r.arrived)
 	if r.gateway.config.Observe != nil {
 		r.gateway.config.Observe(r.seen)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,6 +56,7 @@
 	granted  *placement.Granted
 	budget   *retry.Budget
 	versions *versions.Wanted
+	suspects *suspects
 	// configAt is when the configuration came into force.
 	configAt time.Time
 
@@ -87,6 +88,7 @@
 		granted:   placement.NewGranted(picker),
 		budget:    retry.New(config.Retry, config.Entries),
 		versions:  versions.NewWanted(config.VersionTime),
+		suspects:  newSuspects(),
 	}
 }
 
@@ -145,9 +147,11 @@
 // UpdateServers changes the directory of backend servers.
 func (g *Gateway) UpdateServers(change func(*directory.Directory, time.Time)) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	change(g.directory, g.now())
 	g.picker.Forget()
+	spread := g.endUnlisted()
+	g.mu.Unlock()
+	spread()
 }
 
 // ReplaceServers takes a full list of backend servers. recovered tells that an
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -40,6 +40,10 @@
 	// goroutine.
 	sequences map[string]uint64
 	queries   *queries
+	// learned is closed once agents have had the time to tell which contents end
+	// backend servers.
+	learned   chan struct{}
+	learnOnce sync.Once
 	// placer is the first entry that places requests; it belongs to Run.
 	placer netip.AddrPort
 
@@ -60,7 +64,7 @@
 	l := &Loads{
 		gateway: g, name: name, region: region, conn: conn, self: self,
 		sequences: make(map[string]uint64), members: newMembers(self),
-		queries: newQueries(start), wake: make(chan struct{}, 1),
+		queries: newQueries(start), wake: make(chan struct{}, 1), learned: make(chan struct{}),
 	}
 	g.loads = l
 	return l, nil
@@ -101,10 +105,13 @@
 	}
 	l.gateway.expireGranted()
 	l.notePlacer()
+	l.repeatSuspects(table)
 	places := l.places()
 	targets := l.gateway.targets(table)
 	asks := make(map[string][]byte)
-	for _, engine := range l.gateway.engines(table, l.name, places) {
+	engines := l.gateway.engines(table, l.name, places)
+	l.awaitAgents(len(engines))
+	for _, engine := range engines {
 		ask := asks[engine.service]
 		if ask == nil {
 			ask = encode(&peerlink.Datagram{Subscription: &peerlink.Subscription{
@@ -173,6 +180,7 @@
 func (l *Loads) take(d *peerlink.Datagram, from netip.AddrPort) {
 	switch {
 	case d.Status != nil && l.newest(d.Status.Address, d.Status.Sequence):
+		l.learn()
 		l.learnMembers(d.Status)
 		l.gateway.takeStatus(*d.Status)
 	case d.PlaceQuery != nil:
@@ -181,6 +189,8 @@
 		l.takeNotice(d.PlaceNotice)
 	case d.PlaceAnswer != nil:
 		l.queries.answered(d.PlaceAnswer)
+	case d.SuspectNews != nil:
+		l.takeSuspects(d.SuspectNews)
 	}
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -154,6 +154,11 @@
 // may have it.
 func (r *request) run() {
 	g := r.gateway
+	g.awaitSuspects(r.ctx)
+	if refusal := r.quarantined(); refusal != nil {
+		r.giveUp(refusal)
+		return
+	}
 	for {
 		now := g.now()
 		lease, refusal := r.place(now)
@@ -188,6 +193,9 @@
 	if end.sent && end.mayHaveRun && !r.route.Repeatable() {
 		return false
 	}
+	if r.quarantined() != nil {
+		return false
+	}
 	if !end.sent {
 		// The request never left, so that neither the hop limit nor the retry
 		// budget is concerned. The list of tried servers bounds the loop.
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -22,6 +22,9 @@
 	RepeatsLeft map[string]float64
 	// Open is the number of requests that are being served.
 	Open int
+	// Quarantined is the number of contents that are refused because backend servers
+	// ended while they ran them.
+	Quarantined int
 	// Granted is the number of requests of other entries that were placed here and
 	// are being served.
 	Granted int
@@ -50,6 +53,7 @@
 	defer g.mu.Unlock()
 	now := g.now()
 	s.Granted = g.granted.Len()
+	s.Quarantined = len(g.suspects.logged)
 	if table != nil {
 		config := table.Config()
 		s.ConfigVersion, s.ConfigAge = config.Version, now.Sub(g.configAt)
--- a/internal/node/state_metrics.go
+++ b/internal/node/state_metrics.go
@@ -29,6 +29,7 @@
 	repeats := gauge("repeats_left", "repeats that the retry budget leaves to this entry", "")
 	open := gauge("requests_open", "requests that are being served", "")
 	granted := gauge("places_granted", "requests of other entries that were placed here and are being served", "")
+	quarantined := gauge("contents_quarantined", "contents that are refused because backend servers ended while they ran them", "")
 	store := gauge("store_reachable", "1 if the store answers", "")
 	if failed != nil {
 		return failed
@@ -39,6 +40,7 @@
 		o.ObserveFloat64(age, s.ConfigAge.Seconds())
 		o.ObserveFloat64(open, float64(s.Open))
 		o.ObserveFloat64(granted, float64(s.Granted))
+		o.ObserveFloat64(quarantined, float64(s.Quarantined))
 		o.ObserveFloat64(store, boolValue(!storeLost.Load()))
 		for group, n := range s.Servers {
 			o.ObserveFloat64(servers, float64(n), metric.WithAttributes(
@@ -52,7 +54,7 @@
 			o.ObserveFloat64(repeats, left, metric.WithAttributes(attribute.String("service", service)))
 		}
 		return nil
-	}, config, age, servers, engines, repeats, open, granted, store)
+	}, config, age, servers, engines, repeats, open, granted, quarantined, store)
 	return err
 }
 
--- a/lib/poison/config.go
+++ b/lib/poison/config.go
@@ -22,9 +22,11 @@
 	// 100 bytes each.
 	defaultMaxProven = 16 << 10
 
-	// quarantineCrashes is the number of different backend servers after whose
-	// crashes a fingerprint is quarantined.
-	quarantineCrashes = 2
+	// defaultCredit lets an earlier answer clear one crash.
+	defaultCredit = 1
+	// defaultQuarantineCrashes is the number of different backend servers after
+	// whose crashes a fingerprint is quarantined.
+	defaultQuarantineCrashes = 2
 	// maxIncidents bounds the crashes per fingerprint that are remembered.
 	maxIncidents = 16
 	// maxRuns bounds the entries per fingerprint that are remembered.
@@ -40,6 +42,11 @@
 	LostHold    time.Duration
 	MaxSuspects int
 	MaxProven   int
+	// Credit bounds the crashes that earlier answers to a fingerprint clear.
+	Credit int
+	// QuarantineCrashes is the number of different backend servers after whose
+	// crashes a fingerprint is quarantined.
+	QuarantineCrashes int
 }
 
 func (c Config) applyDefaults() Config {
@@ -59,5 +66,11 @@
 	if c.MaxProven <= 0 {
 		c.MaxProven = defaultMaxProven
 	}
+	if c.Credit <= 0 {
+		c.Credit = defaultCredit
+	}
+	if c.QuarantineCrashes <= 0 {
+		c.QuarantineCrashes = defaultQuarantineCrashes
+	}
 	return c
 }
--- a/lib/poison/decide.go
+++ b/lib/poison/decide.go
@@ -18,10 +18,10 @@
 	switch {
 	case len(crashed) == 0:
 		return m.unsuspected(now, finger)
-	case len(crashed) >= quarantineCrashes && now.Before(settledCrash):
+	case len(crashed) >= m.config.QuarantineCrashes && now.Before(settledCrash):
 		// A peer may have cleared one of the crashes and its update be on its way.
 		return Verdict{Decision: Hold, Until: settledCrash}
-	case len(crashed) >= quarantineCrashes:
+	case len(crashed) >= m.config.QuarantineCrashes:
 		return Verdict{Decision: Quarantined, Until: last.Add(m.config.TTL)}
 	case contains(crashed, instance) || m.otherSuspectOn(now, finger, instance):
 		return Verdict{Decision: RunElsewhere}
@@ -60,7 +60,7 @@
 		return false
 	}
 	crashed, _ := s.crashed(now, m.config.TTL)
-	return len(crashed) >= quarantineCrashes && !now.Before(s.known.Add(m.config.Settle))
+	return len(crashed) >= m.config.QuarantineCrashes && !now.Before(s.known.Add(m.config.Settle))
 }
 
 // inFlight reports whether this or another entry runs the suspect.
--- a/lib/poison/monitor.go
+++ b/lib/poison/monitor.go
@@ -23,7 +23,7 @@
 	config = config.applyDefaults()
 	return &Monitor{
 		config:   config,
-		proven:   newProven(config.MaxProven),
+		proven:   newProven(config.MaxProven, config.Credit),
 		self:     entryID{instance, generation},
 		suspects: make(map[model.Fingerprint]*suspect),
 		flights:  make(map[model.Fingerprint]*flight),
@@ -67,6 +67,32 @@
 	return update
 }
 
+// Answered records the whole answer of a backend server to a request whose
+// dispatches are not recorded. It shows that the server survived and clears the
+// fingerprint.
+func (m *Monitor) Answered(now time.Time, finger model.Fingerprint) *wire.SuspectUpdate {
+	s := m.suspects[finger]
+	if s == nil {
+		m.proven.add(now, finger)
+		return nil
+	}
+	if !s.clear() {
+		return nil
+	}
+	return m.updateOf(now, []model.Fingerprint{finger})
+}
+
+// Survived takes back the crash of an instance that was seen alive after it.
+func (m *Monitor) Survived(now time.Time, instance model.InstanceID) *wire.SuspectUpdate {
+	var changed []model.Fingerprint
+	for finger, s := range m.suspects {
+		if s.clearInstance(instance) {
+			changed = append(changed, finger)
+		}
+	}
+	return m.updateOf(now, changed)
+}
+
 // Withdraw says that this entry will not run a suspect for which Verdict
 // answered Hold: its request has gone.
 func (m *Monitor) Withdraw(now time.Time, finger model.Fingerprint) *wire.SuspectUpdate {
@@ -187,6 +213,31 @@
 	return m.updateOf(now, all)
 }
 
+// Likely returns what is known of the fingerprints with at least so many crashes,
+// or nil if there are none. Of more than limit, it returns those that were heard of
+// last.
+func (m *Monitor) Likely(now time.Time, crashes, limit int) *wire.SuspectUpdate {
+	var likely []model.Fingerprint
+	for finger, s := range m.suspects {
+		if crashed, _ := s.crashed(now, m.config.TTL); len(crashed) >= crashes {
+			likely = append(likely, finger)
+		}
+	}
+	slices.SortFunc(likely, func(a, b model.Fingerprint) int { return m.suspects[b].known.Compare(m.suspects[a].known) })
+	return m.updateOf(now, likely[:min(len(likely), limit)])
+}
+
+// Crashes returns the number of different instances that crashed while they ran
+// the fingerprint, and when the last of these crashes is forgotten.
+func (m *Monitor) Crashes(now time.Time, finger model.Fingerprint) (int, time.Time) {
+	s := m.suspects[finger]
+	if s == nil {
+		return 0, time.Time{}
+	}
+	crashed, last := s.crashed(now, m.config.TTL)
+	return len(crashed), last.Add(m.config.TTL)
+}
+
 // Suspects returns the number of fingerprints that are remembered.
 func (m *Monitor) Suspects() int { return len(m.suspects) }
 
--- a/lib/poison/poison.go
+++ b/lib/poison/poison.go
@@ -7,7 +7,7 @@
 // own success clears it, also one shortly before the crash; a crash of a second backend server quarantines it until
 // the crashes are older than Config.TTL.
 //
-// Only crashes that an agent reports count. The loss of a whole instance is no
+// Where an agent is beside each backend server, only crashes that it reports count. The loss of a whole instance is no
 // evidence: racks and links take down instances together, and would quarantine
 // requests that were moved from one to the next.
 //
@@ -34,5 +34,9 @@
 // are in flight on two backend servers that concurrent first dispatches of a
 // poison request crash cannot be told from it, and is quarantined with it.
 //
+// Where nothing reports crashes, Cuts attributes them: a connection that ended before
+// its answer counts once its server has ended as well. A sign of life of the same
+// start takes the crash back.
+//
 // A Monitor is not safe for concurrent use.
 package poison
--- a/lib/poison/suspect.go
+++ b/lib/poison/suspect.go
@@ -73,6 +73,18 @@
 	return changed
 }
 
+// clearInstance marks the crashes of one instance as not caused by this
+// fingerprint.
+func (s *suspect) clearInstance(instance model.InstanceID) (changed bool) {
+	for id, in := range s.incidents {
+		if id.instance == instance {
+			changed = changed || !in.cleared
+			in.cleared = true
+		}
+	}
+	return changed
+}
+
 // expire drops what is too old and reports whether anything is left.
 func (s *suspect) expire(now time.Time, c Config) bool {
 	for id, in := range s.incidents {
--- a/replica/beacon.go
+++ b/replica/beacon.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/auburnbend/auburnbend/lib/msgstream"
+	"github.com/auburnbend/auburnbend/lib/poison"
 	"github.com/auburnbend/auburnbend/peerlink"
 )
 
@@ -40,6 +41,9 @@
 	// usages are what entries have at the engine, by entry.
 	usages map[string]usage
 
+	// suspects are the contents that entries told of, for those that start anew.
+	suspects *poison.Monitor
+
 	last   peerlink.Status
 	lastAt time.Time
 }
@@ -68,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Beacon{replica: r, conn: conn, subscribers: make(map[netip.AddrPort]subscriber), usages: make(map[string]usage)}, nil
+	return &Beacon{replica: r, conn: conn, subscribers: make(map[netip.AddrPort]subscriber), usages: make(map[string]usage), suspects: poison.New(poison.Config{MaxSuspects: maxSuspects}, "", 0)}, nil
 }
 
 // Run serves entries until ctx ends.
@@ -109,11 +113,15 @@
 		if known, ok := b.subscribers[from]; !ok || known.start != d.Subscription.Start {
 			b.added = append(b.added, from)
 			b.replica.notifyObserved()
+			b.tellSuspects(now, from)
 		}
 		b.subscribers[from] = subscriber{
 			at: now, region: d.Subscription.Region, start: d.Subscription.Start, loads: d.Subscription.Loads, leaving: d.Subscription.Leaving,
 		}
 	}
+	if d.SuspectNews != nil {
+		b.takeSuspects(now, d.SuspectNews)
+	}
 	if u := d.Usage; u != nil && u.Sequence > b.usages[u.Entry].sequence {
 		b.usages[u.Entry] = usage{at: now, sequence: u.Sequence, readingTokens: u.ReadingTokens}
 	}
