--- a/lib/poison/cuts_test.go
+++ b/lib/poison/cuts_test.go
@@ -123,6 +123,19 @@
 		Expect(a.Survived(now, "b/1")).To(BeNil())
 	})
 
+	It("counts answers of a content that was a suspect once", func() {
+		// Guards against popular content that is quarantined in the second wave of crashes.
+		m := New(Config{QuarantineCrashes: 3, Credit: 4}, "", 0)
+		m.Crashed(now, "first", 0, report(0, 7))
+		for range 5 {
+			m.Answered(now, finger(7))
+		}
+		for i := range 4 {
+			m.Crashed(now, model.InstanceID(fmt.Sprint(i)), 0, report(0, 7))
+		}
+		Expect(crashes(m, 7)).To(BeZero())
+	})
+
 	It("lets earlier answers clear as many crashes, up to the credit", func() {
 		m := New(Config{QuarantineCrashes: 3, Credit: 4}, "", 0)
 		for range 10 {
--- a/lib/poison/monitor.go
+++ b/lib/poison/monitor.go
@@ -71,14 +71,10 @@
 // dispatches are not recorded. It shows that the server survived and clears the
 // fingerprint.
 func (m *Monitor) Answered(now time.Time, finger model.Fingerprint) *wire.SuspectUpdate {
-	s := m.suspects[finger]
-	if s == nil {
+	if s := m.suspects[finger]; s == nil || !s.clear() {
 		m.proven.add(now, finger)
 		return nil
 	}
-	if !s.clear() {
-		return nil
-	}
 	return m.updateOf(now, []model.Fingerprint{finger})
 }
 
