--- a/internal/node/gateway_sinks.go
+++ b/internal/node/gateway_sinks.go
@@ -58,15 +58,16 @@
 	s.log.Log(eventlog.ServersRead, "servers", len(servers), "after_outage", recovered)
 }
 
-func (s *gatewayServers) Put(server *directory.Server) {
-	s.gateway.UpdateServers(func(d *directory.Directory, _ time.Time) { d.Put(server) })
-	s.log.Log(eventlog.ServerRegistered, "server", server.ID, "service", server.Service, "address", server.Address,
-		"domain", server.Domain, "draining", server.Draining, "weights", weightsText(server.Weights))
-}
-
-func (s *gatewayServers) Remove(id string, recovered bool) {
-	s.gateway.UpdateServers(func(d *directory.Directory, now time.Time) { d.Remove(id, recovered, now) })
-	s.log.Log(eventlog.ServerGone, "server", id, "after_outage", recovered)
+func (s *gatewayServers) Apply(changes []directory.Change, recovered bool) {
+	s.gateway.UpdateServers(func(d *directory.Directory, now time.Time) { d.Apply(changes, recovered, now) })
+	for _, c := range changes {
+		if c.Server == nil {
+			s.log.Log(eventlog.ServerGone, "server", c.ID, "after_outage", recovered)
+			continue
+		}
+		s.log.Log(eventlog.ServerRegistered, "server", c.ID, "service", c.Server.Service, "address", c.Server.Address,
+			"domain", c.Server.Domain, "draining", c.Server.Draining, "weights", weightsText(c.Server.Weights))
+	}
 }
 
 func (s *gatewayServers) Unreadable(row watch.Row, err error) { logUnreadable(s.log, row, err) }
--- a/lib/directory/directory.go
+++ b/lib/directory/directory.go
@@ -13,6 +13,8 @@
 	servers map[string]*Server
 	// lapsed holds servers without a row until the given time.
 	lapsed map[string]time.Time
+	// leaving are the starts that are believed to leave.
+	leaving map[Key]Evidence
 	// byService caches the servers of each service, byAddress the last start at
 	// each address; nil after a change.
 	byService map[string][]*Server
@@ -21,26 +23,65 @@
 
 // New returns an empty Directory.
 func New() *Directory {
-	return &Directory{servers: make(map[string]*Server), lapsed: make(map[string]time.Time)}
+	return &Directory{servers: make(map[string]*Server), lapsed: make(map[string]time.Time), leaving: make(map[Key]Evidence)}
 }
 
-// Replace takes a full list. After an outage of the store, servers that are
-// missing stay for the grace period.
+// Replace takes a full list. After an outage of the store, servers whose rows may
+// have lapsed stay for the grace period.
 func (d *Directory) Replace(servers []*Server, recovered bool, now time.Time) {
-	listed := make(map[string]bool, len(servers))
+	listed := make(map[string]*Server, len(servers))
+	for _, s := range servers {
+		listed[s.ID] = s
+	}
+	sweep := d.sweepOf(func(old *Server) bool {
+		s := listed[old.ID]
+		return s != nil && s.Revision == old.Revision
+	})
+	for id, s := range d.servers {
+		if listed[id] == nil {
+			d.remove(id, recovered && sweep.took(s.Domain), now)
+		}
+	}
 	for _, s := range servers {
-		listed[s.ID] = true
 		d.Put(s)
 	}
-	for id := range d.servers {
-		if !listed[id] {
-			d.Remove(id, recovered, now)
+}
+
+// Change is a change of one row.
+type Change struct {
+	ID string
+	// Server is what the row tells; nil if it is gone.
+	Server *Server
+	// Unreadable tells that the row is there and names no server to use.
+	Unreadable bool
+}
+
+// Apply takes changes in order, with the same care as Replace.
+func (d *Directory) Apply(changes []Change, recovered bool, now time.Time) {
+	gone := make(map[string]bool)
+	for _, c := range changes {
+		if c.Server == nil {
+			gone[c.ID] = true
+		}
+	}
+	sweep := d.sweepOf(func(old *Server) bool { return !gone[old.ID] })
+	for _, c := range changes {
+		switch s := d.servers[c.ID]; {
+		case c.Server != nil:
+			d.Put(c.Server)
+		case s != nil:
+			d.remove(c.ID, recovered && !c.Unreadable && sweep.took(s.Domain), now)
 		}
 	}
 }
 
-// Put adds or updates a server.
+// Put adds or updates a server. One that is believed to leave counts as draining.
 func (d *Directory) Put(s *Server) {
+	if _, leaves := d.leaving[s.Key()]; leaves && !s.Draining {
+		leaving := *s
+		leaving.Draining = true
+		s = &leaving
+	}
 	d.servers[s.ID] = s
 	delete(d.lapsed, s.ID)
 	d.changed()
@@ -56,20 +97,22 @@
 	d.changed()
 }
 
-// Remove takes note that a server's row is gone. recovered tells that the row
-// may have lapsed in an outage of the store.
+// Remove takes note that a server's row is gone. recovered tells that the store was
+// away before.
 func (d *Directory) Remove(id string, recovered bool, now time.Time) {
+	d.Apply([]Change{{ID: id}}, recovered, now)
+}
+
+// remove drops a server, or keeps it for a while if its row may have lapsed.
+func (d *Directory) remove(id string, lapsed bool, now time.Time) {
 	s := d.servers[id]
-	if s == nil {
+	if !lapsed || s.Draining {
+		d.drop(id)
 		return
 	}
-	if recovered && !s.Draining {
-		if _, known := d.lapsed[id]; !known {
-			d.lapsed[id] = now.Add(LapseGrace)
-		}
-		return
+	if _, known := d.lapsed[id]; !known {
+		d.lapsed[id] = now.Add(LapseGrace)
 	}
-	d.drop(id)
 }
 
 func (d *Directory) drop(id string) {
--- a/lib/directory/server.go
+++ b/lib/directory/server.go
@@ -17,6 +17,8 @@
 	Slots int
 	// Born is the Unix time of its start in milliseconds.
 	Born int64
+	// Revision is the store's version of its row.
+	Revision int64
 	// Weights are the loaded weights of an engine by model.
 	Weights map[string]Weights
 }
