--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -121,11 +121,16 @@
 	}
 	usage := g.picker.Answering(lease, now)
 	spread := func() {}
+	leaves := false
 	if reply.ID == r.call.ID && !reply.Elsewhere {
 		spread = g.alive(lease.Server.Key(), opened)
+		leaves = g.noteWishes(lease.Server, reply, now)
 	}
 	g.mu.Unlock()
 	spread()
+	if leaves {
+		g.tellLeaving(lease.Server.Key())
+	}
 	r.tellProgress(lease, usage, nil)
 }
 
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/placement"
@@ -21,7 +22,7 @@
 
 // giveUp ends a request for which there is no server.
 func (r *request) giveUp(refusal *placement.Refusal) {
-	r.seen.Predicted = refusal.Predicted
+	r.seen.Predicted, r.seen.LeftOut = refusal.Predicted, strings.Join(refusal.LeftOut, ", ")
 	switch {
 	case r.stream.begun:
 		r.abort(string(refusal.Reason))
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -105,7 +105,7 @@
 	}
 	l.gateway.expireGranted()
 	l.notePlacer()
-	l.repeatSuspects(table)
+	l.repeatNews(table)
 	places := l.places()
 	targets := l.gateway.targets(table)
 	asks := make(map[string][]byte)
@@ -189,8 +189,8 @@
 		l.takeNotice(d.PlaceNotice)
 	case d.PlaceAnswer != nil:
 		l.queries.answered(d.PlaceAnswer)
-	case d.SuspectNews != nil:
-		l.takeSuspects(d.SuspectNews)
+	case d.News != nil:
+		l.takeNews(d.News)
 	}
 }
 
--- a/gateway/suspects_spread.go
+++ b/gateway/news.go
@@ -12,10 +12,10 @@
 	"github.com/auburnbend/auburnbend/peerlink"
 )
 
-// suspectAgents is the number of agents of each region that are told of suspects:
-// they keep it for entries that start anew, and those of other regions pass it on.
-// The second one covers a lost datagram.
-const suspectAgents = 2
+// agentsTold is the number of agents of each region that are told of news: they keep
+// it for entries that start anew, and those of other regions pass it on. The second
+// one covers a lost datagram.
+const agentsTold = 2
 
 // learnTimeout bounds the wait of an entry that has just started for what agents
 // know. It is several round trips between regions.
@@ -58,26 +58,33 @@
 	}
 }
 
-// spread tells the other entries and some agents of each region what is news about
-// suspects. The caller does not hold mu.
+// spread tells others what is news about suspects. The caller does not hold mu.
 func (g *Gateway) spread(update *wire.SuspectUpdate) {
+	if update != nil {
+		g.tell(&peerlink.News{Suspects: *update})
+	}
+}
+
+// tellLeaving tells others that a server leaves. The caller does not hold mu.
+func (g *Gateway) tellLeaving(server directory.Key) {
+	g.tell(&peerlink.News{Leaving: []peerlink.ServerKey{{ID: server.ID, Born: server.Born}}})
+}
+
+// tell tells the other entries of the region and some agents of each region.
+func (g *Gateway) tell(n *peerlink.News) {
 	table := g.table.Load()
-	if update == nil || len(update.Suspects) == 0 || g.loads == nil || table == nil {
+	if n.Empty() || g.loads == nil || table == nil {
 		return
 	}
-	g.loads.tellRegion(update)
-	near, far := g.suspectAgents(table)
-	g.loads.tellSuspects(&peerlink.SuspectNews{Update: *update}, sample(near, suspectAgents))
+	g.loads.sendNews(n, g.loads.others())
+	near, far := g.agents(table)
+	g.loads.sendNews(n, sample(near, agentsTold))
+	spread := &peerlink.News{Suspects: n.Suspects, Leaving: n.Leaving, Spread: true}
 	for _, agents := range far {
-		g.loads.tellSuspects(&peerlink.SuspectNews{Update: *update, Spread: true}, sample(agents, suspectAgents))
+		g.loads.sendNews(spread, sample(agents, agentsTold))
 	}
 }
 
-// tellRegion tells the other entries of the region.
-func (l *Loads) tellRegion(update *wire.SuspectUpdate) {
-	l.tellSuspects(&peerlink.SuspectNews{Update: *update}, l.others())
-}
-
 // others returns the other entries of the region.
 func (l *Loads) others() []netip.AddrPort {
 	var others []netip.AddrPort
@@ -89,29 +96,34 @@
 	return others
 }
 
-// takeSuspects takes what another entry or an agent tells.
-func (l *Loads) takeSuspects(n *peerlink.SuspectNews) {
-	if news := l.gateway.mergeSuspects(&n.Update); news != nil && n.Spread {
-		l.tellRegion(news)
+// takeNews takes what another entry or an agent tells.
+func (l *Loads) takeNews(n *peerlink.News) {
+	news := &peerlink.News{Leaving: l.gateway.mergeLeaving(n.Leaving)}
+	if suspects := l.gateway.mergeSuspects(&n.Suspects); suspects != nil {
+		news.Suspects = *suspects
+	}
+	if n.Spread && !news.Empty() {
+		l.sendNews(news, l.others())
 	}
 }
 
-// repeatSuspects tells one entry of the region, one of its agents and one agent of
+// repeatNews tells one entry of the region, one of its agents and one agent of
 // another region what matters most: datagrams may have been lost, and entries may
 // have started anew.
-func (l *Loads) repeatSuspects(table *serving.Table) {
-	update := l.gateway.likelySuspects()
-	if update == nil {
+func (l *Loads) repeatNews(table *serving.Table) {
+	news := l.gateway.repeatedNews()
+	if news.Empty() {
 		return
 	}
-	near, far := l.gateway.suspectAgents(table)
-	l.tellSuspects(&peerlink.SuspectNews{Update: *update}, append(sample(l.others(), 1), sample(near, 1)...))
+	near, far := l.gateway.agents(table)
+	l.sendNews(news, append(sample(l.others(), 1), sample(near, 1)...))
 	if len(far) > 0 {
-		l.tellSuspects(&peerlink.SuspectNews{Update: *update, Spread: true}, sample(far[rand.IntN(len(far))], 1))
+		news.Spread = true
+		l.sendNews(news, sample(far[rand.IntN(len(far))], 1))
 	}
 }
 
-func (l *Loads) tellSuspects(n *peerlink.SuspectNews, to []netip.AddrPort) {
+func (l *Loads) sendNews(n *peerlink.News, to []netip.AddrPort) {
 	if len(to) == 0 {
 		return
 	}
@@ -122,9 +134,9 @@
 	}
 }
 
-// suspectAgents returns the agents of this entry's region, and those of each other
+// agents returns the agents of this entry's region, and those of each other
 // one.
-func (g *Gateway) suspectAgents(table *serving.Table) (near []netip.AddrPort, far [][]netip.AddrPort) {
+func (g *Gateway) agents(table *serving.Table) (near []netip.AddrPort, far [][]netip.AddrPort) {
 	regions := g.config.Placement.Regions
 	byRegion := make(map[string][]netip.AddrPort)
 	g.mu.Lock()
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -31,6 +31,9 @@
 	g := r.gateway
 	r.granted, r.seen.PlacedBy = nil, ""
 	demand := r.begin(now)
+	if refusal := g.allPaused(&demand, now); refusal != nil {
+		return nil, refusal
+	}
 	if r.engine != nil && g.loads != nil {
 		granted, refusal, by := g.loads.ask(r.ctx, &demand)
 		if by.IsValid() {
@@ -75,7 +78,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	listing := g.directory.Server(granted.server)
-	if listing == nil || listing.Draining || granted.version < d.MinVersion {
+	if listing == nil || listing.Draining || granted.version < d.MinVersion || g.picker.Held(granted.server, g.now()) {
 		return nil
 	}
 	if d.Model != "" && listing.Weights[d.Model].Version < granted.version {
--- a/gateway/reply.go
+++ b/gateway/reply.go
@@ -1,5 +1,7 @@
 package gateway
 
+import "time"
+
 // Reply is what a backend server says about its answer.
 type Reply struct {
 	// ID is the request that the answer belongs to.
@@ -13,6 +15,10 @@
 	// Version is the version of the weights that made the answer; zero if it is
 	// not known.
 	Version int
+	// Leaving tells that the server leaves and wants no further requests.
+	Leaving bool
+	// Pause is how long the server wants nothing from this entry; zero for none.
+	Pause time.Duration
 	// Load is the server's load; nil if it did not tell.
 	Load *Load
 }
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -12,6 +12,7 @@
 	"github.com/auburnbend/auburnbend/lib/placement"
 	"github.com/auburnbend/auburnbend/lib/poison"
 	"github.com/auburnbend/auburnbend/lib/wire"
+	"github.com/auburnbend/auburnbend/peerlink"
 )
 
 const (
@@ -233,9 +234,10 @@
 	return news
 }
 
-// likelySuspects returns what is worth to be told again and again: contents under
-// which two servers or more have ended.
-func (g *Gateway) likelySuspects() *wire.SuspectUpdate {
+// repeatedNews returns what is worth to be told again and again: contents under
+// which two servers or more have ended, and servers that have said not long ago that
+// they leave.
+func (g *Gateway) repeatedNews() *peerlink.News {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
@@ -245,11 +247,23 @@
 			delete(g.suspects.logged, content)
 		}
 	}
-	return g.suspects.monitor.Likely(now, quarantineCrashes-1, maxToldAgain)
+	news := &peerlink.News{}
+	if likely := g.suspects.monitor.Likely(now, quarantineCrashes-1, maxToldAgain); likely != nil {
+		news.Suspects = *likely
+	}
+	for _, server := range g.directory.LeavingSince(now.Add(-leavingToldFor), maxToldAgain) {
+		news.Leaving = append(news.Leaving, peerlink.ServerKey{ID: server.ID, Born: server.Born})
+	}
+	return news
 }
 
-// maxToldAgain bounds the contents that are told again and again.
-const maxToldAgain = 20
+const (
+	// maxToldAgain bounds the contents and the servers that are told again and again.
+	maxToldAgain = 20
+	// leavingToldFor is how long it is told again that a server leaves: a few lost
+	// datagrams.
+	leavingToldFor = 5 * time.Second
+)
 
 // logQuarantined logs contents that are quarantined from now on.
 func (g *Gateway) logQuarantined(now time.Time, contents []model.Fingerprint) {
--- a/internal/node/site_test.go
+++ b/internal/node/site_test.go
@@ -51,6 +51,8 @@
 
 	mu   sync.Mutex
 	runs []platformtest.Run
+	// words are those of all servers in order.
+	words []word
 }
 
 // siteEntry is an entry that may be stopped and started.
@@ -67,9 +69,52 @@
 	s.runs = append(s.runs, r)
 }
 
+// Arrived implements platformtest.Recorder.
+func (s *site) Arrived(server, attempt string) { s.note(server, attempt, wordArrived) }
+
+// ToldLeaving implements platformtest.Recorder.
+func (s *site) ToldLeaving(server, attempt string) { s.note(server, attempt, wordLeaving) }
+
+// ToldPause implements platformtest.Recorder.
+func (s *site) ToldPause(server, attempt string, _ time.Duration) {
+	s.note(server, attempt, wordPause)
+}
+
 // Loaded implements platformtest.Recorder.
 func (s *site) Loaded(string, int, bool) {}
 
+// word is a request at a server, or what the server told about further ones.
+type word struct {
+	server, attempt, kind string
+	at                    time.Time
+}
+
+// Kinds of words.
+const (
+	wordArrived = "arrived"
+	wordLeaving = "leaving"
+	wordPause   = "pause"
+)
+
+func (s *site) note(server, attempt, kind string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.words = append(s.words, word{server, attempt, kind, time.Now()})
+}
+
+// wordsOf returns the words of a kind at a server.
+func (s *site) wordsOf(server, kind string) []word {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []word
+	for _, w := range s.words {
+		if w.server == server && w.kind == kind {
+			found = append(found, w)
+		}
+	}
+	return found
+}
+
 func (s *site) ip(group, number int) string {
 	return fmt.Sprintf("127.%d.%d.%d", s.network, group, number+1)
 }
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -37,19 +37,61 @@
 			callers.Add(1)
 			go func() {
 				defer callers.Done()
-				c := &caller{
-					world: w, entry: entry, name: fmt.Sprintf("%d-%d", entry, number),
-					rng:    rand.New(rand.NewPCG(seed, uint64(entry*callersPerEntry+number)+2)),
-					client: &http.Client{Transport: &http.Transport{DisableKeepAlives: number%2 == 0, DisableCompression: true, MaxConnsPerHost: 1}},
-					asker:  &http.Client{Timeout: readyTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
-				}
-				c.run(ctx)
+				w.newCaller(entry, number, seed).run(ctx)
 			}()
 		}
 	}
 	callers.Wait()
 }
 
+// newCaller returns a caller of an entry. Every other one keeps its connection.
+func (w *world) newCaller(entry, number int, seed uint64) *caller {
+	return &caller{
+		world: w, entry: entry, name: fmt.Sprintf("%d-%d", entry, number),
+		rng:    rand.New(rand.NewPCG(seed, uint64(entry*callersPerEntry+number)+2)),
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: number%2 == 0, DisableCompression: true, MaxConnsPerHost: 1}},
+		asker:  &http.Client{Timeout: readyTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+}
+
+// poisonCaller is the number of the callers that ask for what ends servers; each
+// step has its own.
+const poisonCaller = 100
+
+// askPoison asks the entries in turn for what ends each server that runs it.
+func (w *world) askPoison(ctx context.Context, s Step) {
+	kinds := []string{"/status/", "/order/", "/resumed/"}
+	prefix := kinds[s.Target%len(kinds)]
+	var callers []*caller
+	for entry := range w.entries {
+		callers = append(callers, w.newCaller(entry, poisonCaller+int(s.At.Milliseconds()), uint64(s.Target)))
+	}
+	for end := time.Now().Add(s.For); time.Now().Before(end) && ctx.Err() == nil; wait(ctx, poisonInterval) {
+		c := callers[w.poisons.Add(1)%uint64(len(callers))]
+		if c.goes() {
+			c.poison(prefix)
+		}
+	}
+}
+
+func (c *caller) poison(prefix string) {
+	for i := range routes {
+		r := &routes[i]
+		if r.Prefix != prefix {
+			continue
+		}
+		c.count++
+		call := platformtest.Call{
+			Host: host, Attempt: fmt.Sprintf("a%s-%d", c.name, c.count), Key: key, Limit: time.Duration(r.LimitMS) * time.Millisecond,
+			Path: prefix + "poison", Resume: -1, Body: poisonBody,
+		}
+		if r.streams() {
+			call.Model, call.Prompt, call.Answer = model, 100, 5*eventsPerStream
+		}
+		c.send(call, r)
+	}
+}
+
 // caller sends requests to one entry.
 type caller struct {
 	world  *world
@@ -87,6 +129,12 @@
 	if !c.goes() {
 		return awayPause
 	}
+	return c.send(call, r)
+}
+
+// send sends a request and notes its end. It returns how long the caller was told to
+// stay away.
+func (c *caller) send(call platformtest.Call, r *route) time.Duration {
 	o := outcome{call: call, route: *r, entry: c.entry, ready: c.unreadySince.IsZero(), sent: c.world.ledger.now()}
 	ctx, cancel := context.WithTimeout(context.Background(), call.Limit+gaveUpAfter)
 	defer cancel()
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -54,6 +54,8 @@
 		}
 	}
 	c.loaded()
+	c.wishes()
+	c.poisoned()
 	c.recovered()
 	return c.violations
 }
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -15,7 +15,9 @@
 type fixture struct {
 	check   *check
 	outcome outcome
-	run     platformtest.Run
+	// others are further requests.
+	others []outcome
+	run    platformtest.Run
 }
 
 func routeOf(prefix string) route {
@@ -52,7 +54,7 @@
 
 // rules returns the rules that are broken, without the recovery of the whole.
 func (f *fixture) rules(runs ...platformtest.Run) []string {
-	f.check.ledger.outcomes = []outcome{f.outcome}
+	f.check.ledger.outcomes = append([]outcome{f.outcome}, f.others...)
 	for _, r := range runs {
 		f.check.ledger.Ran(r)
 	}
@@ -113,6 +115,26 @@
 			f.check.ledger.weights = []declared{{2, 5 * time.Second}}
 		}, 0),
 		Entry("server that left", "DRAIN", "/order/", func(f *fixture) { f.check.ledger.left["x-1"] = 15 * time.Second }, 0),
+		Entry("server that told so in an answer", "DRAIN", "/order/", func(f *fixture) {
+			f.check.ledger.words = []word{{kind: wordLeaving, server: "x-1", attempt: "a1", at: 15 * time.Second}, {kind: wordArrived, server: "x-1", attempt: "a2", at: 25 * time.Second}}
+			later := f.outcome
+			later.call.Attempt, later.sent = "a2", 25*time.Second
+			f.others = []outcome{later}
+		}, 0),
+		Entry("server that wants a pause", "BUDGET", "/order/", func(f *fixture) {
+			f.check.ledger.words = []word{{kind: wordPause, server: "x-1", attempt: "a1", at: 20 * time.Second, pause: 2 * time.Second}}
+			for range 3 {
+				f.check.ledger.words = append(f.check.ledger.words, word{kind: wordArrived, server: "x-1", attempt: "a1", at: 21 * time.Second})
+			}
+		}, 0),
+		Entry("request that ends servers", "BUDGET", "/status/", func(f *fixture) {
+			f.run.Body = poisonBody
+			for i := range 7 {
+				r := f.run
+				r.At = r.At.Add(time.Duration(i*i) * time.Second)
+				f.check.ledger.Ran(r)
+			}
+		}, 0),
 		Entry("wrong pieces", "WHOLE", "/once/", func(f *fixture) { f.check.ledger.Loaded("x-1", 2, false) }, 0),
 	)
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -29,6 +29,9 @@
 	CrashServer   Kind = "crash-server"
 	DrainServer   Kind = "drain-server"
 	TroubleServer Kind = "trouble-server"
+	LeaveServer   Kind = "leave-server"
+	PauseServer   Kind = "pause-server"
+	AskPoison     Kind = "ask-poison"
 	RotPiece      Kind = "rot-piece"
 	SpoilPieces   Kind = "spoil-pieces"
 	ChangeConfig  Kind = "change-config"
@@ -37,7 +40,7 @@
 
 // planned are the steps of planned work: they excuse nothing.
 var planned = map[Kind]bool{
-	StopEntry: true, Hangup: true, DrainServer: true, ChangeConfig: true, DeclareWeight: true, RotPiece: true, SpoilPieces: true,
+	StopEntry: true, Hangup: true, DrainServer: true, LeaveServer: true, PauseServer: true, ChangeConfig: true, DeclareWeight: true, RotPiece: true, SpoilPieces: true,
 }
 
 // Step is one fault or one piece of planned work.
@@ -69,6 +72,7 @@
 	KillEntry, KillEntry, KillAgent, KillAll, PauseEntry, PauseAgent, StopEntry, StopEntry, Hangup,
 	StoreLink, StoreLink, ServerLink, ServerLink, OriginLink, StoreDown, StoreForgets, StoreStale,
 	CrashServer, CrashServer, DrainServer, TroubleServer, TroubleServer, RotPiece, SpoilPieces,
+	LeaveServer, LeaveServer, PauseServer, PauseServer, AskPoison, AskPoison,
 	ChangeConfig, ChangeConfig, DeclareWeight, DeclareWeight,
 }
 
--- a/internal/soak/topology.go
+++ b/internal/soak/topology.go
@@ -32,6 +32,14 @@
 	plainTime       = 15 * time.Millisecond
 	originMbps      = 20
 
+	// poisonBody ends each server that begins to run it, which serves again after
+	// poisonPause. It is asked once in poisonInterval.
+	poisonBody     = "poison"
+	poisonPause    = time.Second
+	poisonInterval = 150 * time.Millisecond
+	// pauseSeconds is the pause that servers ask for.
+	pauseSeconds = 2
+
 	enginesService = "engines"
 	movingPrefix   = "/moving/"
 )
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,6 +29,8 @@
 	storeLinks, serverLinks []*proxy
 	originLink              *proxy
 	config, version         int
+	// poisons counts the requests that end servers.
+	poisons atomic.Uint64
 	// relayed makes the entries of a region read the store through one of them.
 	relayed bool
 	closers []func()
@@ -87,6 +90,7 @@
 			}
 		}
 		c.Listen, c.Address = address(w.slot, group, number, behindPort), address(w.slot, group, number, serverPort)
+		c.Poison, c.PoisonPause = poisonBody, poisonPause
 		c.Domain, c.Store, c.Recorder = domains[number/2%len(domains)], w.store, w.ledger
 		link, err := w.link(c.Address, c.Listen)
 		if err != nil {
@@ -202,6 +206,13 @@
 		server.SetTrouble(platformtest.TroubleNone)
 	case DrainServer:
 		w.drain(ctx, pick(w.backends, s.Target))
+	case LeaveServer:
+		w.leave(ctx, pick(w.backends, s.Target))
+	case PauseServer:
+		pick(w.backends, s.Target).Pause(s.For, pauseSeconds)
+		wait(ctx, s.For)
+	case AskPoison:
+		w.askPoison(ctx, s)
 	case RotPiece:
 		pick(w.backends[:engineCount], s.Target).Rot(s.Target % weights.Pieces)
 		w.ledger.note(func(l *ledger, now time.Duration) { l.rotten = append(l.rotten, now) })
@@ -254,6 +265,16 @@
 	w.restart(b)
 }
 
+// leave makes a server tell that it leaves, in its answers only, and another one
+// start in its place.
+func (w *world) leave(ctx context.Context, b *platformtest.Backend) {
+	b.Leave()
+	wait(ctx, bounds.drain()+stopsLater)
+	b.Crash(0)
+	wait(ctx, stopsLater)
+	w.restart(b)
+}
+
 // stopsLater is how much longer a leaving server runs than it must.
 const stopsLater = 500 * time.Millisecond
 
--- a/lib/eventlog/events_serving.go
+++ b/lib/eventlog/events_serving.go
@@ -21,6 +21,8 @@
 	ServerEnded        = Event{7205, Warn, "backend server ended while it ran requests", "Nothing unless it repeats; then look for 7206."}
 	ContentQuarantined = Event{7206, Warn, "content is quarantined: backend servers ended while they ran it", "Find its caller by the content in 7201 and tell it."}
 	ServerSurvived     = Event{7207, Info, "backend server that seemed to have ended is alive", "Nothing; what it ran is not held against any content."}
+	ServerLeaving      = Event{7208, Info, "backend server leaves and gets no further requests", "Nothing."}
+	ServerPaused       = Event{7209, Info, "backend server wants nothing from this entry for a while", "Nothing unless it repeats; then add servers of the service."}
 	ReplicaPhase       = Event{7301, Info, "instance takes a step towards the declared version", "Nothing."}
 	ReplicaOrdered     = Event{7302, Info, "engine was ordered to load a version", "Nothing; err tells whether it refused."}
 	ReplicaFetched     = Event{7306, Info, "all pieces of a version are here", "Nothing."}
@@ -35,6 +37,6 @@
 var servingEvents = []Event{
 	LiveConfigInForce, VersionDeclared, RowUnreadable, StoreLost, StoreRegained,
 	ServersRead, ServerRegistered, ServerGone, ServerEjected, PlacerChanged, PlacerLost, StorePathChanged,
-	RequestEnded, RequestRepeated, LinesDropped, AttemptCut, ServerEnded, ContentQuarantined, ServerSurvived,
+	RequestEnded, RequestRepeated, LinesDropped, AttemptCut, ServerEnded, ContentQuarantined, ServerSurvived, ServerLeaving, ServerPaused,
 	ReplicaPhase, ReplicaOrdered, ReplicaFetched, FetchFailed, OriginLost, OriginRegained, PieceSpoilt, PeersUnknown, EngineCallFailed,
 }
--- a/lib/placement/condition.go
+++ b/lib/placement/condition.go
@@ -15,6 +15,8 @@
 	Closed   Condition = "closed"
 	Ejected  Condition = "ejected"
 	Draining Condition = "draining"
+	// Pausing servers want nothing from this entry for a while.
+	Pausing Condition = "pausing"
 )
 
 // Condition returns the condition of a listed server.
@@ -23,6 +25,8 @@
 	switch {
 	case listing.Draining:
 		return Draining
+	case s.paused(now):
+		return Pausing
 	case s.closed(now):
 		return Closed
 	case s.ejected(now):
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -13,6 +13,8 @@
 	directory *directory.Directory
 	servers   map[directory.Key]*server
 	rng       *rand.Rand
+	// pausesUntil is when the last pause ends that a server has asked for.
+	pausesUntil time.Time
 }
 
 // New returns a Picker over the servers of a directory, which it reads only.
@@ -23,10 +25,11 @@
 // Pick places a request. It returns a lease, or the reason of a refusal.
 func (p *Picker) Pick(d Demand, now time.Time) (*Lease, *Refusal) {
 	best, estimate, refusal := p.best(&d, now)
-	if refusal != nil {
-		return nil, refusal
+	if refusal == nil {
+		refusal = p.tooLate(&d, best, estimate, now)
 	}
-	if refusal := p.tooLate(&d, best, estimate, now); refusal != nil {
+	if refusal != nil {
+		refusal.LeftOut = p.leftOut(d.Service, now)
 		return nil, refusal
 	}
 	occupancy, age := best.occupancy(now), best.loadAge(now)
@@ -60,8 +63,13 @@
 func (p *Picker) best(d *Demand, now time.Time) (*server, estimate, *Refusal) {
 	p.directory.Expire(now)
 	usable, reason := p.usable(d)
-	open := p.open(usable, now)
+	open := p.open(usable, d, now)
 	if len(open) == 0 {
+		if d.Holder == "" {
+			if refusal := p.pausing(d, now); refusal != nil {
+				return nil, estimate{}, refusal
+			}
+		}
 		return nil, estimate{}, absent(d, reason)
 	}
 	reason = Overloaded
@@ -110,18 +118,25 @@
 }
 
 // open leaves out the servers that take no requests now, and ejected ones
-// unless too many are ejected to be believed.
-func (p *Picker) open(usable []*server, now time.Time) []*server {
-	var open, ejected []*server
+// unless too many are ejected to be believed. A pause is between a server and one
+// entry: another entry names the servers that it must not use.
+func (p *Picker) open(usable []*server, d *Demand, now time.Time) []*server {
+	own := d.Holder == ""
+	var open, resuming, ejected []*server
 	for _, s := range usable {
 		switch {
-		case s.closed(now):
+		case s.closed(now) || own && s.paused(now):
 		case s.ejected(now):
 			ejected = append(ejected, s)
+		case own && s.resuming(now):
+			resuming = append(resuming, s)
 		default:
 			open = append(open, s)
 		}
 	}
+	if len(open) == 0 {
+		open = resuming
+	}
 	if len(open) == 0 && float64(len(ejected)) > p.config.MaxEjectedShare*float64(len(usable)) {
 		return ejected
 	}
--- a/lib/placement/refusal.go
+++ b/lib/placement/refusal.go
@@ -13,6 +13,9 @@
 	NoWeights Reason = "no_weights"
 	// Overloaded means that no server can answer in time.
 	Overloaded Reason = "overloaded"
+	// Paused means that all servers which could run the request have asked for a
+	// pause.
+	Paused Reason = "paused"
 )
 
 // Refusal tells why a request was not placed.
@@ -23,6 +26,9 @@
 	// Predicted is the time to the first answer on the best server; zero if
 	// there is no server.
 	Predicted time.Duration
+	// LeftOut names servers that leave or want a pause; some of them if they are
+	// many.
+	LeftOut []string
 }
 
 // longestWait is the part of the time that a caller has left up to which it waits
--- a/lib/placement/server.go
+++ b/lib/placement/server.go
@@ -35,6 +35,9 @@
 	// mismatched tells that it is ejected because it was not what it was believed to
 	// be.
 	mismatched bool
+	// pausedUntil is until when it wants nothing from this entry, pausedAt when that
+	// began.
+	pausedAt, pausedUntil time.Time
 	// superseded tells that a later start has its address.
 	superseded bool
 }
@@ -95,7 +98,12 @@
 }
 
 // slots is the number of requests that run at the same time.
-func (s *server) slots() int { return max(1, s.seen.Slots) }
+func (s *server) slots() int {
+	if s.seen == nil {
+		return 1
+	}
+	return max(1, s.seen.Slots)
+}
 
 // loadAge is the age of the last report; negative if there is none.
 func (s *server) loadAge(now time.Time) time.Duration {
--- a/peerlink/message.go
+++ b/peerlink/message.go
@@ -39,7 +39,7 @@
 	PlaceQuery   *PlaceQuery   `msgpack:"q,omitempty"`
 	PlaceAnswer  *PlaceAnswer  `msgpack:"a,omitempty"`
 	PlaceNotice  *PlaceNotice  `msgpack:"n,omitempty"`
-	SuspectNews  *SuspectNews  `msgpack:"c,omitempty"`
+	News         *News         `msgpack:"c,omitempty"`
 }
 
 // Subscription asks an agent for load reports for a few seconds.
--- /dev/null
+++ b/peerlink/news.go
@@ -0,0 +1,41 @@
+package peerlink
+
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/auburnbend/auburnbend/lib/wire"
+)
+
+// News tells what one entry has found out about backend servers and others should
+// know soon.
+type News struct {
+	// Suspects are contents that have ended backend servers.
+	Suspects wire.SuspectUpdate `msgpack:"u"`
+	// Leaving are starts of servers that have said that they leave.
+	Leaving []ServerKey `msgpack:"l,omitempty"`
+	// Spread asks an agent to pass it on to entries, and an entry to pass what is news
+	// to it on to the others of its region.
+	Spread bool `msgpack:"s,omitempty"`
+}
+
+// Empty reports whether there is nothing to tell.
+func (n *News) Empty() bool { return len(n.Suspects.Suspects) == 0 && len(n.Leaving) == 0 }
+
+// Datagrams encodes the news in datagrams of at most limit bytes.
+func (n *News) Datagrams(limit int) [][]byte {
+	data, err := msgpack.Marshal(&Datagram{News: n})
+	if err != nil {
+		panic(err)
+	}
+	suspects, leaving := n.Suspects.Suspects, n.Leaving
+	if len(data) <= limit || len(suspects)+len(leaving) < 2 {
+		return [][]byte{data}
+	}
+	part := func(s []wire.Suspect, l []ServerKey) [][]byte {
+		return (&News{Suspects: wire.SuspectUpdate{Suspects: s}, Leaving: l, Spread: n.Spread}).Datagrams(limit)
+	}
+	if len(suspects) > 0 && len(leaving) > 0 {
+		return append(part(suspects, nil), part(nil, leaving)...)
+	}
+	return append(part(suspects[:len(suspects)/2], leaving[:len(leaving)/2]), part(suspects[len(suspects)/2:], leaving[len(leaving)/2:])...)
+}
--- a/replica/beacon.go
+++ b/replica/beacon.go
@@ -44,6 +44,9 @@
 	// suspects are the contents that entries told of, for those that start anew.
 	suspects *poison.Monitor
 
+	// leaving are the servers that entries told of, and when.
+	leaving map[peerlink.ServerKey]time.Time
+
 	last   peerlink.Status
 	lastAt time.Time
 }
@@ -72,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Beacon{replica: r, conn: conn, subscribers: make(map[netip.AddrPort]subscriber), usages: make(map[string]usage), suspects: poison.New(poison.Config{MaxSuspects: maxSuspects}, "", 0)}, nil
+	return &Beacon{replica: r, conn: conn, subscribers: make(map[netip.AddrPort]subscriber), usages: make(map[string]usage), suspects: poison.New(poison.Config{MaxSuspects: maxSuspects}, "", 0), leaving: make(map[peerlink.ServerKey]time.Time)}, nil
 }
 
 // Run serves entries until ctx ends.
@@ -113,14 +116,14 @@
 		if known, ok := b.subscribers[from]; !ok || known.start != d.Subscription.Start {
 			b.added = append(b.added, from)
 			b.replica.notifyObserved()
-			b.tellSuspects(now, from)
+			b.tellNews(now, from)
 		}
 		b.subscribers[from] = subscriber{
 			at: now, region: d.Subscription.Region, start: d.Subscription.Start, loads: d.Subscription.Loads, leaving: d.Subscription.Leaving,
 		}
 	}
-	if d.SuspectNews != nil {
-		b.takeSuspects(now, d.SuspectNews)
+	if d.News != nil {
+		b.takeNews(now, d.News)
 	}
 	if u := d.Usage; u != nil && u.Sequence > b.usages[u.Entry].sequence {
 		b.usages[u.Entry] = usage{at: now, sequence: u.Sequence, readingTokens: u.ReadingTokens}
