--- a/operator/explain/reason.go
+++ b/operator/explain/reason.go
@@ -5,6 +5,7 @@
 	"no_server":              "no backend server of the service is known that may run it",
 	"no_weights":             "no backend server holds weights that may still serve",
 	"overloaded":             "no backend server could have answered within the target; predicted_ms is the best one",
+	"paused":                 "all backend servers that could run it had asked for a pause; left_out names them, 7209 their pauses",
 	"quarantined":            "three backend servers ended while they ran the same content; 7206 names it, 7205 the servers",
 	"no configuration":       "the entry had not read a configuration yet",
 	"no route":               "the configuration in force has no route for its host and path",
