--- a/gateway/cut.go
+++ b/gateway/cut.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"os"
 	"syscall"
 	"time"
 
@@ -34,3 +35,9 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
+
+// silent reports whether an exchange ended because nothing came from the other end:
+// the time of the request, of its first answer or of the connection was over.
+func silent(request, err error) bool {
+	return errors.Is(request, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.ETIMEDOUT)
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -38,6 +38,7 @@
 	x.SetReadDeadline(r.firstAnswerLimit(lease))
 	resp, err := x.Do(r.upstreamRequest(r.dispatch(lease)))
 	if errors.Is(err, os.ErrDeadlineExceeded) {
+		r.noteCut(lease, err)
 		return r.unknown("no answer in time")
 	}
 	if err != nil {
@@ -149,7 +150,12 @@
 		if reply.Signed {
 			r.failure = a
 		}
-		return ending{result: placement.Failed, sent: true, mayHaveRun: true, reason: "failure of the server"}
+		result := placement.Failed
+		if reply.Pause > 0 {
+			// The server protects itself.
+			result = placement.Rejected
+		}
+		return ending{result: result, sent: true, mayHaveRun: true, reason: "failure of the server"}
 	}
 	r.deliver(a)
 	return ending{result: placement.Answered, final: true, sent: true}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -152,6 +152,9 @@
 	spread := g.endUnlisted()
 	g.mu.Unlock()
 	spread()
+	if g.loads != nil && !g.loads.hasLearned() {
+		g.announceTargets()
+	}
 }
 
 // ReplaceServers takes a full list of backend servers. recovered tells that an
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -24,12 +24,8 @@
 // awaitAgents ends the wait for agents: at once if backend servers are known and no
 // engine is among them, else after a time.
 func (l *Loads) awaitAgents(engines int) {
-	select {
-	case <-l.learned:
-		return
-	default:
-	}
 	switch {
+	case l.hasLearned():
 	case l.gateway.knownServers() == 0:
 	case engines == 0:
 		l.learn()
@@ -44,6 +40,16 @@
 	return g.directory.Len()
 }
 
+// hasLearned reports whether that wait is over.
+func (l *Loads) hasLearned() bool {
+	select {
+	case <-l.learned:
+		return true
+	default:
+		return false
+	}
+}
+
 func (l *Loads) learn() { l.learnOnce.Do(func() { close(l.learned) }) }
 
 // awaitSuspects lets a request wait until an entry that has just started has heard
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -35,6 +35,7 @@
 			return r.streamEnd()
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
+			r.noteCut(lease, err)
 			return r.unknown("stream stalled")
 		}
 		if err != nil {
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"syscall"
@@ -126,31 +127,39 @@
 	g.spread(update)
 }
 
-// noteCut takes note of a connection to a backend server that ended before its
-// answer did, and looks whether the server has ended. Answers that are late,
-// malformed or too long are other faults.
+// noteCut takes note of an exchange that a backend server has not ended with an
+// answer: it has closed the connection or fallen silent. Answers that are malformed
+// or too long are other faults. Where the server has closed the connection, the
+// gateway looks whether it has ended.
 func (r *request) noteCut(lease *placement.Lease, err error) {
-	if r.ctx.Err() != nil || !endedByPeer(err) {
+	if errors.Is(r.ctx.Err(), context.Canceled) {
+		return
+	}
+	closed := r.ctx.Err() == nil && endedByPeer(err)
+	if !closed && !silent(r.ctx.Err(), err) {
 		return
 	}
 	g, server := r.gateway, lease.Server
 	content := r.fingerprint()
-	g.config.Log.Log(eventlog.AttemptCut, "request", r.call.ID, "content", content,
-		"server", server.ID, "born", server.Born, "service", r.service, "err", err)
+	if closed {
+		g.config.Log.Log(eventlog.AttemptCut, "request", r.call.ID, "content", content,
+			"server", server.ID, "born", server.Born, "service", r.service, "err", err)
+	}
 	g.mu.Lock()
 	now := g.now()
 	known, _ := g.suspects.monitor.Crashes(now, content)
 	start := startID(server.Key())
 	ended, first := g.suspects.cuts.Cut(now, start, content)
-	g.suspects.starts[start] = server.Key()
 	spread := func() {}
 	if ended {
 		spread = g.crashed(server.Key(), []model.Fingerprint{content})
+	} else {
+		g.suspects.starts[start] = server.Key()
 	}
 	g.mu.Unlock()
 	spread()
 	switch {
-	case ended:
+	case ended || !closed:
 	case known > 0:
 		// Whether it may be repeated depends on what is found.
 		g.look(server)
--- a/lib/poison/cuts.go
+++ b/lib/poison/cuts.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	// cutWindow is how long a connection that ended before its answer waits for a
+	// cutWindow is how long a connection without its answer waits for a
 	// sign that its server has ended: rows of crashed servers lapse after three of
-	// their heartbeats of 1.2 s.
-	cutWindow = 5 * time.Second
+	// their heartbeats, which come every one or two seconds, and are then read.
+	cutWindow = 8 * time.Second
 	// endMemory is how long the end of an instance is remembered.
 	endMemory = time.Minute
 	// expireInterval bounds the work for each of many connections.
@@ -26,7 +26,7 @@
 //
 // Cuts is not safe for concurrent use.
 type Cuts struct {
-	// pending are the cut connections whose instance has given no sign, count their
+	// pending are the connections without an answer whose instance has given no sign, count their
 	// number.
 	pending map[model.InstanceID][]cut
 	count   int
