--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -38,11 +38,11 @@
 	x.SetReadDeadline(r.firstAnswerLimit(lease))
 	resp, err := x.Do(r.upstreamRequest(r.dispatch(lease)))
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		r.noteCut(lease, err)
+		r.noteInterrupted(lease, err)
 		return r.unknown("no answer in time")
 	}
 	if err != nil {
-		r.noteCut(lease, err)
+		r.noteInterrupted(lease, err)
 		return r.unknown("no answer")
 	}
 	return r.answered(lease, x, resp, opened)
@@ -125,7 +125,7 @@
 	leaves := false
 	if reply.ID == r.call.ID && !reply.Elsewhere {
 		spread = g.alive(lease.Server.Key(), opened)
-		leaves = g.noteWishes(lease.Server, reply, now)
+		leaves = g.noteSignals(lease.Server, reply, now)
 	}
 	g.mu.Unlock()
 	spread()
@@ -140,7 +140,7 @@
 func (r *request) whole(lease *placement.Lease, resp *http.Response, reply Reply) ending {
 	body, release, err := r.gateway.bodies.ReadAll(resp, answerLimit)
 	if err != nil {
-		r.noteCut(lease, err)
+		r.noteInterrupted(lease, err)
 		return r.unknown("answer broken off, without an end or too long")
 	}
 	r.releases = append(r.releases, release)
--- a/gateway/cut.go
+++ b/gateway/interrupted.go
@@ -12,14 +12,14 @@
 	"github.com/auburnbend/auburnbend/lib/directory"
 )
 
-// lookTimeout bounds the look whether a backend server has ended. It is above a
+// aliveTimeout bounds the check whether a backend server has ended. It is above a
 // round trip between regions, and small against the target of a first answer.
-const lookTimeout = 100 * time.Millisecond
+const aliveTimeout = 100 * time.Millisecond
 
-// look opens a connection to a backend server whose connections end before their
+// checkAlive opens a connection to a backend server whose connections end before their
 // answers: the address of a server that has ended refuses it.
-func (g *Gateway) look(server *directory.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
+func (g *Gateway) checkAlive(server *directory.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), aliveTimeout)
 	defer cancel()
 	x, err := upstream.Open(ctx, server.Address)
 	if err != nil {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -35,11 +35,11 @@
 			return r.streamEnd()
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			r.noteCut(lease, err)
+			r.noteInterrupted(lease, err)
 			return r.unknown("stream stalled")
 		}
 		if err != nil {
-			r.noteCut(lease, err)
+			r.noteInterrupted(lease, err)
 			return r.unknown("stream broken off")
 		}
 		if event.HasID && event.ID <= r.stream.last {
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -45,8 +45,8 @@
 // their answers, and then signs that the server has ended. It belongs to the
 // Gateway's mutex.
 type suspects struct {
-	monitor *poison.Monitor
-	cuts    *poison.Cuts
+	monitor    *poison.Monitor
+	attributor *poison.Attributor
 	// starts are the keys of the servers whose connections wait for a sign.
 	starts map[model.InstanceID]directory.Key
 	// logged are the contents whose quarantine was logged.
@@ -55,8 +55,8 @@
 
 func newSuspects() *suspects {
 	return &suspects{
-		monitor: poison.New(poison.Config{MaxSuspects: maxSuspects, MaxProven: maxProven, Credit: answerCredit, QuarantineCrashes: quarantineCrashes}, "", 0),
-		cuts:    poison.NewCuts(), starts: make(map[model.InstanceID]directory.Key), logged: make(map[model.Fingerprint]bool),
+		monitor:    poison.New(poison.Config{MaxSuspects: maxSuspects, MaxProven: maxProven, Credit: answerCredit, QuarantineCrashes: quarantineCrashes}, "", 0),
+		attributor: poison.NewAttributor(), starts: make(map[model.InstanceID]directory.Key), logged: make(map[model.Fingerprint]bool),
 	}
 }
 
@@ -73,7 +73,7 @@
 	}
 	var keys []directory.Key
 	waiting := make(map[model.InstanceID]directory.Key)
-	for _, id := range s.cuts.Pending(now) {
+	for _, id := range s.attributor.Pending(now) {
 		waiting[id] = s.starts[id]
 		keys = append(keys, s.starts[id])
 	}
@@ -127,11 +127,11 @@
 	g.spread(update)
 }
 
-// noteCut takes note of an exchange that a backend server has not ended with an
+// noteInterrupted takes note of an exchange that a backend server has not ended with an
 // answer: it has closed the connection or fallen silent. Answers that are malformed
 // or too long are other faults. Where the server has closed the connection, the
 // gateway looks whether it has ended.
-func (r *request) noteCut(lease *placement.Lease, err error) {
+func (r *request) noteInterrupted(lease *placement.Lease, err error) {
 	if errors.Is(r.ctx.Err(), context.Canceled) {
 		return
 	}
@@ -149,7 +149,7 @@
 	now := g.now()
 	known, _ := g.suspects.monitor.Crashes(now, content)
 	start := startID(server.Key())
-	ended, first := g.suspects.cuts.Cut(now, start, content)
+	ended, first := g.suspects.attributor.Interrupted(now, start, content)
 	spread := func() {}
 	if ended {
 		spread = g.crashed(server.Key(), []model.Fingerprint{content})
@@ -162,16 +162,16 @@
 	case ended || !closed:
 	case known > 0:
 		// Whether it may be repeated depends on what is found.
-		g.look(server)
+		g.checkAlive(server)
 	case first:
-		go g.look(server)
+		go g.checkAlive(server)
 	}
 }
 
 // ended takes note that a backend server has ended. The caller holds mu, and calls
 // the result without it.
 func (g *Gateway) ended(server directory.Key, sign string) (spread func()) {
-	contents := g.suspects.cuts.Ended(g.now(), startID(server))
+	contents := g.suspects.attributor.Ended(g.now(), startID(server))
 	if len(contents) == 0 {
 		return func() {}
 	}
@@ -191,7 +191,7 @@
 // alive takes note that a backend server was alive at a moment. The caller holds
 // mu, and calls the result without it.
 func (g *Gateway) alive(server directory.Key, at time.Time) (spread func()) {
-	if g.suspects.cuts.Ends() == 0 || !g.suspects.cuts.Alive(startID(server), at) {
+	if g.suspects.attributor.Ends() == 0 || !g.suspects.attributor.Alive(startID(server), at) {
 		return func() {}
 	}
 	g.config.Log.Log(eventlog.ServerSurvived, "server", server.ID, "born", server.Born)
@@ -235,7 +235,7 @@
 		contents = append(contents, s.Finger)
 		for _, in := range s.Incidents {
 			if !in.Cleared {
-				g.suspects.cuts.Learn(now, in.Instance, now.Add(-milliseconds(in.AgeMillis)))
+				g.suspects.attributor.Learn(now, in.Instance, now.Add(-milliseconds(in.AgeMillis)))
 			}
 		}
 	}
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -28,7 +28,7 @@
 		return n
 	}
 	cut := func(s *directory.Server) {
-		g.suspects.cuts.Cut(now.Now(), startID(s.Key()), content)
+		g.suspects.attributor.Interrupted(now.Now(), startID(s.Key()), content)
 		g.suspects.starts[startID(s.Key())] = s.Key()
 	}
 	BeforeEach(func() {
--- a/internal/node/wishes_test.go
+++ b/internal/node/server_signals_test.go
@@ -25,12 +25,12 @@
 			id := s.backends[server].Leave()
 			Eventually(func() int {
 				askAll(s, prefix, 4)
-				return len(s.wordsOf(id, wordLeaving))
+				return len(s.eventsOf(id, eventLeaving))
 			}, 5*time.Second).Should(BeNumerically(">", 0))
 			time.Sleep(100 * time.Millisecond)
-			told := len(s.wordsOf(id, wordArrived))
+			told := len(s.eventsOf(id, eventArrived))
 			askAll(s, prefix, 20)
-			Expect(s.wordsOf(id, wordArrived)).To(HaveLen(told))
+			Expect(s.eventsOf(id, eventArrived)).To(HaveLen(told))
 		},
 		Entry("plain service", 51, "/order/", 4),
 		Entry("engine", 52, "/draft/", 0),
@@ -42,15 +42,15 @@
 		id := s.backends[0].Leave()
 		Eventually(func() int {
 			askAll(s, "/draft/", 4)
-			return len(s.wordsOf(id, wordLeaving))
+			return len(s.eventsOf(id, eventLeaving))
 		}, 5*time.Second).Should(BeNumerically(">", 0))
 		time.Sleep(100 * time.Millisecond)
-		told := len(s.wordsOf(id, wordArrived))
+		told := len(s.eventsOf(id, eventArrived))
 		for i := range s.entries {
 			s.restart(i)
 			askAll(s, "/draft/", 4)
 		}
-		Expect(s.wordsOf(id, wordArrived)).To(HaveLen(told))
+		Expect(s.eventsOf(id, eventArrived)).To(HaveLen(told))
 	})
 })
 
@@ -70,8 +70,8 @@
 			s.ask(i%len(s.entries), "/draft/", fmt.Sprint("draft ", i))
 		}
 		for _, id := range ids {
-			// Four entries may each be told once, and two more requests may cross each word.
-			Expect(len(s.wordsOf(id, wordArrived))).To(BeNumerically("<=", 3*len(s.entries)))
+			// Four entries may each be told once, and two more requests may cross each answer.
+			Expect(len(s.eventsOf(id, eventArrived))).To(BeNumerically("<=", 3*len(s.entries)))
 		}
 	})
 })
--- a/internal/node/site_test.go
+++ b/internal/node/site_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -51,8 +52,8 @@
 
 	mu   sync.Mutex
 	runs []platformtest.Run
-	// words are those of all servers in order.
-	words []word
+	// events are those of all servers in order.
+	events []serverEvent
 }
 
 // siteEntry is an entry that may be stopped and started.
@@ -70,44 +71,44 @@
 }
 
 // Arrived implements platformtest.Recorder.
-func (s *site) Arrived(server, attempt string) { s.note(server, attempt, wordArrived) }
+func (s *site) Arrived(server, attempt string) { s.note(server, attempt, eventArrived) }
 
 // ToldLeaving implements platformtest.Recorder.
-func (s *site) ToldLeaving(server, attempt string) { s.note(server, attempt, wordLeaving) }
+func (s *site) ToldLeaving(server, attempt string) { s.note(server, attempt, eventLeaving) }
 
 // ToldPause implements platformtest.Recorder.
 func (s *site) ToldPause(server, attempt string, _ time.Duration) {
-	s.note(server, attempt, wordPause)
+	s.note(server, attempt, eventPause)
 }
 
 // Loaded implements platformtest.Recorder.
 func (s *site) Loaded(string, int, bool) {}
 
-// word is a request at a server, or what the server told about further ones.
-type word struct {
+// serverEvent is a request at a server, or what the server told about further ones.
+type serverEvent struct {
 	server, attempt, kind string
 	at                    time.Time
 }
 
-// Kinds of words.
+// Kinds of events.
 const (
-	wordArrived = "arrived"
-	wordLeaving = "leaving"
-	wordPause   = "pause"
+	eventArrived = "arrived"
+	eventLeaving = "leaving"
+	eventPause   = "pause"
 )
 
 func (s *site) note(server, attempt, kind string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.words = append(s.words, word{server, attempt, kind, time.Now()})
+	s.events = append(s.events, serverEvent{server, attempt, kind, time.Now()})
 }
 
-// wordsOf returns the words of a kind at a server.
-func (s *site) wordsOf(server, kind string) []word {
+// eventsOf returns the events of a kind at a server.
+func (s *site) eventsOf(server, kind string) []serverEvent {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var found []word
-	for _, w := range s.words {
+	var found []serverEvent
+	for _, w := range s.events {
 		if w.server == server && w.kind == kind {
 			found = append(found, w)
 		}
@@ -211,10 +212,27 @@
 func (s *site) restart(i int) {
 	s.entries[i].stop()
 	Eventually(s.entries[i].ended, 8*time.Second).Should(BeClosed())
+	// Its goroutines close their ports right after; a process would have ended.
+	Eventually(func() error { return portsFree(s.entries[i].settings) }, time.Second, time.Millisecond).Should(Succeed())
 	s.entries[i] = s.startEntry(i)
 	Eventually(func() int { return s.ask(i, "/status/", fmt.Sprint("again-", i)).Status }, 5*time.Second).Should(Equal(http.StatusOK))
 }
 
+// portsFree reports whether a daemon can listen on its own port.
+func portsFree(settings *platform.Settings) error {
+	address := fmt.Sprintf("%s:%d", settings.Address, settings.FirstPort)
+	udp, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return err
+	}
+	defer udp.Close()
+	tcp, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	return tcp.Close()
+}
+
 // attempts numbers the requests of all callers.
 var attempts struct {
 	sync.Mutex
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -54,7 +54,7 @@
 		}
 	}
 	c.loaded()
-	c.wishes()
+	c.signals()
 	c.poisoned()
 	c.recovered()
 	return c.violations
--- a/internal/soak/check_wishes.go
+++ b/internal/soak/check_signals.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// pauseNotice is the time after a server's wish for a pause in which requests may
+	// pauseNotice is the time after a server's request for a pause in which requests may
 	// cross it, and allowedInPause the number of later ones that an entry may send.
 	pauseNotice    = 500 * time.Millisecond
 	allowedInPause = 2
@@ -20,33 +20,33 @@
 )
 
 // wishes checks that servers which leave, or want a pause, are left alone.
-func (c *check) wishes() {
+func (c *check) signals() {
 	outcomes := make(map[string]*outcome, len(c.ledger.outcomes))
 	for i := range c.ledger.outcomes {
 		o := &c.ledger.outcomes[i]
 		outcomes[o.call.Attempt] = o
 	}
-	arrivals := make(map[string][]word)
-	for _, w := range c.ledger.words {
-		if w.kind == wordArrived {
-			arrivals[w.server] = append(arrivals[w.server], w)
+	arrivals := make(map[string][]serverEvent)
+	for _, e := range c.ledger.events {
+		if e.kind == eventArrived {
+			arrivals[e.server] = append(arrivals[e.server], e)
 		}
 	}
-	for _, w := range c.ledger.words {
-		o := outcomes[w.attempt]
+	for _, e := range c.ledger.events {
+		o := outcomes[e.attempt]
 		switch {
 		case o == nil:
-		case w.kind == wordLeaving:
-			c.left(w, o, arrivals[w.server], outcomes)
-		case w.kind == wordPause:
-			c.paused(w, o, arrivals[w.server], outcomes)
+		case e.kind == eventLeaving:
+			c.left(e, o, arrivals[e.server], outcomes)
+		case e.kind == eventPause:
+			c.paused(e, o, arrivals[e.server], outcomes)
 		}
 	}
 }
 
 // left checks what an entry sends to a server after it has passed on an answer that
 // tells that the server leaves.
-func (c *check) left(w word, o *outcome, arrivals []word, outcomes map[string]*outcome) {
+func (c *check) left(e serverEvent, o *outcome, arrivals []serverEvent, outcomes map[string]*outcome) {
 	if o.err != nil || o.answer.Status != http.StatusOK || !o.answer.Complete {
 		return
 	}
@@ -55,24 +55,24 @@
 		if later == nil || later.entry != o.entry || later.sent <= o.ended+bounds.drain() || c.restarted(o.entry, o.ended, a.at) {
 			continue
 		}
-		c.broken("DRAIN", a.at, "%s reached %s, which had told entry %d %v before that it leaves", a.attempt, w.server, o.entry, a.at-o.ended)
+		c.broken("DRAIN", a.at, "%s reached %s, which had told entry %d %v before that it leaves", a.attempt, e.server, o.entry, a.at-o.ended)
 	}
 }
 
 // paused checks what an entry sends to a server that wants nothing from it.
-func (c *check) paused(w word, o *outcome, arrivals []word, outcomes map[string]*outcome) {
-	end := w.at + w.pause
-	if !calm(c.steps, w.at-pauseNotice, end, 0) || c.restarted(o.entry, w.at, end) {
+func (c *check) paused(e serverEvent, o *outcome, arrivals []serverEvent, outcomes map[string]*outcome) {
+	end := e.at + e.pause
+	if !calm(c.steps, e.at-pauseNotice, end, 0) || c.restarted(o.entry, e.at, end) {
 		return
 	}
 	sent := 0
 	for _, a := range arrivals {
-		if later := outcomes[a.attempt]; later != nil && later.entry == o.entry && a.at > w.at+pauseNotice && a.at < end {
+		if later := outcomes[a.attempt]; later != nil && later.entry == o.entry && a.at > e.at+pauseNotice && a.at < end {
 			sent++
 		}
 	}
 	if sent > allowedInPause {
-		c.broken("BUDGET", end, "%d requests reached %s in a pause that it had asked of entry %d", sent, w.server, o.entry)
+		c.broken("BUDGET", end, "%d requests reached %s in a pause that it had asked of entry %d", sent, e.server, o.entry)
 	}
 }
 
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -116,15 +116,15 @@
 		}, 0),
 		Entry("server that left", "DRAIN", "/order/", func(f *fixture) { f.check.ledger.left["x-1"] = 15 * time.Second }, 0),
 		Entry("server that told so in an answer", "DRAIN", "/order/", func(f *fixture) {
-			f.check.ledger.words = []word{{kind: wordLeaving, server: "x-1", attempt: "a1", at: 15 * time.Second}, {kind: wordArrived, server: "x-1", attempt: "a2", at: 25 * time.Second}}
+			f.check.ledger.events = []serverEvent{{kind: eventLeaving, server: "x-1", attempt: "a1", at: 15 * time.Second}, {kind: eventArrived, server: "x-1", attempt: "a2", at: 25 * time.Second}}
 			later := f.outcome
 			later.call.Attempt, later.sent = "a2", 25*time.Second
 			f.others = []outcome{later}
 		}, 0),
 		Entry("server that wants a pause", "BUDGET", "/order/", func(f *fixture) {
-			f.check.ledger.words = []word{{kind: wordPause, server: "x-1", attempt: "a1", at: 20 * time.Second, pause: 2 * time.Second}}
+			f.check.ledger.events = []serverEvent{{kind: eventPause, server: "x-1", attempt: "a1", at: 20 * time.Second, pause: 2 * time.Second}}
 			for range 3 {
-				f.check.ledger.words = append(f.check.ledger.words, word{kind: wordArrived, server: "x-1", attempt: "a1", at: 21 * time.Second})
+				f.check.ledger.events = append(f.check.ledger.events, serverEvent{kind: eventArrived, server: "x-1", attempt: "a1", at: 21 * time.Second})
 			}
 		}, 0),
 		Entry("request that ends servers", "BUDGET", "/status/", func(f *fixture) {
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -50,8 +50,8 @@
 	configs  []declared
 	weights  []declared
 	rotten   []time.Duration
-	// words are arrivals at servers, and what these told about further requests.
-	words []word
+	// events are arrivals at servers, and what these told about further requests.
+	events []serverEvent
 	// left is when servers told that they leave, by id.
 	left map[string]time.Duration
 }
@@ -77,43 +77,43 @@
 	l.runs[r.Attempt] = append(l.runs[r.Attempt], r)
 }
 
-// word is a request that arrived at a server, or what the server told its sender.
-type word struct {
-	kind            wordKind
+// serverEvent is a request that arrived at a server, or what the server told its sender.
+type serverEvent struct {
+	kind            eventKind
 	server, attempt string
 	at              time.Duration
 	// pause is how long the server wants nothing.
 	pause time.Duration
 }
 
-type wordKind int
+type eventKind int
 
 const (
-	wordArrived wordKind = iota
-	wordLeaving
-	wordPause
+	eventArrived eventKind = iota
+	eventLeaving
+	eventPause
 )
 
 // Arrived implements platformtest.Recorder.
 func (l *ledger) Arrived(server, attempt string) {
-	l.say(word{kind: wordArrived, server: server, attempt: attempt})
+	l.record(serverEvent{kind: eventArrived, server: server, attempt: attempt})
 }
 
 // ToldLeaving implements platformtest.Recorder.
 func (l *ledger) ToldLeaving(server, attempt string) {
-	l.say(word{kind: wordLeaving, server: server, attempt: attempt})
+	l.record(serverEvent{kind: eventLeaving, server: server, attempt: attempt})
 }
 
 // ToldPause implements platformtest.Recorder.
 func (l *ledger) ToldPause(server, attempt string, pause time.Duration) {
-	l.say(word{kind: wordPause, server: server, attempt: attempt, pause: pause})
+	l.record(serverEvent{kind: eventPause, server: server, attempt: attempt, pause: pause})
 }
 
-func (l *ledger) say(w word) {
+func (l *ledger) record(e serverEvent) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	w.at = l.now()
-	l.words = append(l.words, w)
+	e.at = l.now()
+	l.events = append(l.events, e)
 }
 
 // Loaded implements platformtest.Recorder.
--- a/lib/poison/cuts_test.go
+++ b/lib/poison/attributor_test.go
@@ -11,36 +11,36 @@
 	"github.com/auburnbend/auburnbend/lib/model"
 )
 
-var _ = Describe("Cuts", func() {
+var _ = Describe("Attributor", func() {
 	now := time.Unix(1_800_000_000, 0)
 
 	It("attributes a connection that was cut once its server has ended", func() {
 		// Guards against crashes that nothing on the instance reports.
-		c := NewCuts()
-		ended, first := c.Cut(now, "a", finger(1))
+		c := NewAttributor()
+		ended, first := c.Interrupted(now, "a", finger(1))
 		Expect(ended).To(BeFalse())
 		Expect(first).To(BeTrue())
-		_, first = c.Cut(now, "a", finger(2))
+		_, first = c.Interrupted(now, "a", finger(2))
 		Expect(first).To(BeFalse())
 		Expect(c.Ended(now.Add(time.Second), "a")).To(ConsistOf(finger(1), finger(2)))
 		Expect(c.Ended(now.Add(time.Second), "a")).To(BeEmpty())
-		ended, _ = c.Cut(now.Add(time.Second), "a", finger(3))
+		ended, _ = c.Interrupted(now.Add(time.Second), "a", finger(3))
 		Expect(ended).To(BeTrue(), "its connections end one after another")
 	})
 
 	It("attributes nothing to a server that goes on, or ends much later", func() {
 		// Guards against sound requests that are held responsible for links that reset.
-		c := NewCuts()
-		c.Cut(now, "a", finger(1))
+		c := NewAttributor()
+		c.Interrupted(now, "a", finger(1))
 		Expect(c.Ended(now, "b")).To(BeEmpty())
 		Expect(c.Pending(now)).To(ConsistOf(model.InstanceID("a")))
-		Expect(c.Ended(now.Add(cutWindow+1), "a")).To(BeEmpty())
-		Expect(c.Pending(now.Add(cutWindow + 1))).To(BeEmpty())
+		Expect(c.Ended(now.Add(pendingWindow+1), "a")).To(BeEmpty())
+		Expect(c.Pending(now.Add(pendingWindow + 1))).To(BeEmpty())
 	})
 
 	It("takes an end back when the server gives a later sign of life", func() {
-		c := NewCuts()
-		c.Cut(now, "a", finger(1))
+		c := NewAttributor()
+		c.Interrupted(now, "a", finger(1))
 		c.Ended(now, "a")
 		c.Learn(now, "b", now)
 		Expect(c.Alive("a", now)).To(BeFalse(), "as old as its end")
@@ -52,14 +52,14 @@
 	It("returns each connection once, never one of a living server, and stays bounded", func() {
 		// Guards against memory that grows with what hostile callers send.
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
-			c := NewCuts()
+			c := NewAttributor()
 			at := now
 			waiting := make(map[model.InstanceID]map[model.Fingerprint]time.Time)
 			for step := range rapid.IntRange(1, 200).Draw(t, "steps") {
 				at = at.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
 				server := model.InstanceID(fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "server")))
 				if rapid.IntRange(0, 3).Draw(t, "kind") > 0 {
-					if ended, _ := c.Cut(at, server, finger(step)); !ended {
+					if ended, _ := c.Interrupted(at, server, finger(step)); !ended {
 						if waiting[server] == nil {
 							waiting[server] = make(map[model.Fingerprint]time.Time)
 						}
@@ -69,19 +69,19 @@
 				}
 				for _, f := range c.Ended(at, server) {
 					cutAt, ok := waiting[server][f]
-					if !ok || at.Sub(cutAt) > cutWindow {
+					if !ok || at.Sub(cutAt) > pendingWindow {
 						t.Fatalf("%v at %s was not cut within the window", f, server)
 					}
 				}
 				delete(waiting, server)
 			}
 		})
-		c := NewCuts()
-		for i := range 3 * maxCuts {
-			c.Cut(now, model.InstanceID(fmt.Sprint(i)), finger(i))
+		c := NewAttributor()
+		for i := range 3 * maxPending {
+			c.Interrupted(now, model.InstanceID(fmt.Sprint(i)), finger(i))
 			c.Learn(now, model.InstanceID(fmt.Sprint(i)), now)
 		}
-		Expect(c.Pending(now)).To(HaveLen(maxCuts))
+		Expect(c.Pending(now)).To(HaveLen(maxPending))
 		Expect(c.Ends()).To(Equal(maxEnds))
 	})
 })
--- a/lib/poison/poison.go
+++ b/lib/poison/poison.go
@@ -34,7 +34,7 @@
 // are in flight on two backend servers that concurrent first dispatches of a
 // poison request crash cannot be told from it, and is quarantined with it.
 //
-// Where nothing reports crashes, Cuts attributes them: a connection that ended before
+// Where nothing reports crashes, Attributor attributes them: a connection that ended before
 // its answer counts once its server has ended as well. A sign of life of the same
 // start takes the crash back.
 //
