--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -81,7 +81,11 @@
 // Run asks for reports and takes them until ctx ends.
 func (l *Loads) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = l.conn.Close() })
-	defer stop()
+	// The function does not run if this goroutine is the first to see the end of ctx.
+	defer func() {
+		stop()
+		_ = l.conn.Close()
+	}()
 	go l.receive(ctx)
 	ticker := time.NewTicker(subscribeInterval)
 	defer ticker.Stop()
--- a/replica/beacon.go
+++ b/replica/beacon.go
@@ -81,7 +81,11 @@
 // Run serves entries until ctx ends.
 func (b *Beacon) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = b.conn.Close() })
-	defer stop()
+	// The function does not run if this goroutine is the first to see the end of ctx.
+	defer func() {
+		stop()
+		_ = b.conn.Close()
+	}()
 	go b.receive(ctx)
 	for ctx.Err() == nil {
 		wait(ctx, b.replica.observed, 2*engineInterval)
