--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -123,7 +123,8 @@
 	usage := g.picker.Answering(lease, now)
 	spread := func() {}
 	leaves := false
-	if reply.ID == r.call.ID && !reply.Elsewhere {
+	// A rejection need not name the request; the connection is its own.
+	if (reply.ID == r.call.ID || reply.ID == "" && reply.NotRun) && !reply.Elsewhere {
 		spread = g.alive(lease.Server.Key(), opened)
 		leaves = g.noteSignals(lease.Server, reply, now)
 	}
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -40,7 +40,7 @@
 	return g.directory.Len()
 }
 
-// hasLearned reports whether that wait is over.
+// hasLearned reports whether the wait for agents is over.
 func (l *Loads) hasLearned() bool {
 	select {
 	case <-l.learned:
@@ -55,12 +55,13 @@
 // awaitSuspects lets a request wait until an entry that has just started has heard
 // which contents end backend servers.
 func (g *Gateway) awaitSuspects(ctx context.Context) {
-	if g.loads == nil || g.knownServers() == 0 {
+	if g.loads == nil || g.loads.hasLearned() || g.knownServers() == 0 {
 		return
 	}
 	select {
 	case <-g.loads.learned:
 	case <-ctx.Done():
+	case <-time.After(subscribeInterval):
 	}
 }
 
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"syscall"
@@ -47,7 +46,7 @@
 type suspects struct {
 	monitor    *poison.Monitor
 	attributor *poison.Attributor
-	// starts are the keys of the servers whose connections wait for a sign.
+	// starts are the keys of the servers whose exchanges wait for a sign.
 	starts map[model.InstanceID]directory.Key
 	// logged are the contents whose quarantine was logged.
 	logged map[model.Fingerprint]bool
@@ -65,7 +64,7 @@
 	return model.InstanceID(fmt.Sprintf("%s/%d", k.ID, k.Born))
 }
 
-// pending returns the servers whose connections wait for a sign, and forgets the
+// pending returns the servers whose exchanges wait for a sign, and forgets the
 // others.
 func (s *suspects) pending(now time.Time) []directory.Key {
 	if len(s.starts) == 0 {
@@ -127,47 +126,6 @@
 	g.spread(update)
 }
 
-// noteInterrupted takes note of an exchange that a backend server has not ended with an
-// answer: it has closed the connection or fallen silent. Answers that are malformed
-// or too long are other faults. Where the server has closed the connection, the
-// gateway looks whether it has ended.
-func (r *request) noteInterrupted(lease *placement.Lease, err error) {
-	if errors.Is(r.ctx.Err(), context.Canceled) {
-		return
-	}
-	closed := r.ctx.Err() == nil && endedByPeer(err)
-	if !closed && !silent(r.ctx.Err(), err) {
-		return
-	}
-	g, server := r.gateway, lease.Server
-	content := r.fingerprint()
-	if closed {
-		g.config.Log.Log(eventlog.AttemptCut, "request", r.call.ID, "content", content,
-			"server", server.ID, "born", server.Born, "service", r.service, "err", err)
-	}
-	g.mu.Lock()
-	now := g.now()
-	known, _ := g.suspects.monitor.Crashes(now, content)
-	start := startID(server.Key())
-	ended, first := g.suspects.attributor.Interrupted(now, start, content)
-	spread := func() {}
-	if ended {
-		spread = g.crashed(server.Key(), []model.Fingerprint{content})
-	} else {
-		g.suspects.starts[start] = server.Key()
-	}
-	g.mu.Unlock()
-	spread()
-	switch {
-	case ended || !closed:
-	case known > 0:
-		// Whether it may be repeated depends on what is found.
-		g.checkAlive(server)
-	case first:
-		go g.checkAlive(server)
-	}
-}
-
 // ended takes note that a backend server has ended. The caller holds mu, and calls
 // the result without it.
 func (g *Gateway) ended(server directory.Key, sign string) (spread func()) {
@@ -199,7 +157,7 @@
 	return func() { g.spread(update) }
 }
 
-// endUnlisted takes note of backend servers with cut connections whose rows are
+// endUnlisted takes note of backend servers with interrupted exchanges whose rows are
 // gone, or whose address a later start has. The caller holds mu, and calls the
 // result without it.
 func (g *Gateway) endUnlisted() (spread func()) {
--- a/internal/node/server_signals_test.go
+++ b/internal/node/server_signals_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -17,6 +18,21 @@
 		}
 	}
 
+	// spread sends so many requests of a kind at the same time that all servers get
+	// some.
+	spread := func(s *site, prefix string) {
+		var callers sync.WaitGroup
+		for i := range 8 * len(s.entries) {
+			callers.Add(1)
+			go func() {
+				defer callers.Done()
+				defer GinkgoRecover()
+				s.ask(i%len(s.entries), prefix, fmt.Sprint("request at once ", i))
+			}()
+		}
+		callers.Wait()
+	}
+
 	DescribeTable("gets nothing more once one entry of a region knows, while the store is away",
 		// Guards against entries that go on sending to a server whose row they cannot read.
 		func(network int, prefix string, server int) {
@@ -24,11 +40,12 @@
 			s.store.Fail(http.StatusServiceUnavailable)
 			id := s.backends[server].Leave()
 			Eventually(func() int {
-				askAll(s, prefix, 4)
+				spread(s, prefix)
 				return len(s.eventsOf(id, eventLeaving))
 			}, 5*time.Second).Should(BeNumerically(">", 0))
 			time.Sleep(100 * time.Millisecond)
 			told := len(s.eventsOf(id, eventArrived))
+			spread(s, prefix)
 			askAll(s, prefix, 20)
 			Expect(s.eventsOf(id, eventArrived)).To(HaveLen(told))
 		},
@@ -41,7 +58,7 @@
 		s := newSite(53, 4, 4, 4)
 		id := s.backends[0].Leave()
 		Eventually(func() int {
-			askAll(s, "/draft/", 4)
+			spread(s, "/draft/")
 			return len(s.eventsOf(id, eventLeaving))
 		}, 5*time.Second).Should(BeNumerically(">", 0))
 		time.Sleep(100 * time.Millisecond)
