--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -58,9 +58,36 @@
 	firstAnswerPredictions = 4
 )
 
-// firstAnswerLimit is when another server gets the request if this one has not
-// begun to answer; zero if it must not be repeated.
+// firstAnswerLimit is when the request is taken from a server that has not begun to
+// answer; zero for never.
 func (r *request) firstAnswerLimit(lease *placement.Lease) time.Time {
+	limit, due := r.repeatLimit(lease), r.weightsLimit(lease)
+	if limit.IsZero() || !due.IsZero() && due.Before(limit) {
+		return due
+	}
+	return limit
+}
+
+// beginReserve is the time before a bound on weights at which requests that wait on
+// older ones are taken from their server: it covers the way there, also while pieces
+// of weights fill its link.
+const beginReserve = 200 * time.Millisecond
+
+// weightsLimit is when the server may no longer begin the request, as its weights are
+// too old by then; zero if they are not. The predicted wait is too short where most
+// engines change their weights at the same time and the others get the requests of
+// all.
+func (r *request) weightsLimit(lease *placement.Lease) time.Time {
+	w, known := lease.Server.Weights[r.call.Model]
+	if !known || r.nextVersion == 0 || w.Version >= r.nextVersion {
+		return time.Time{}
+	}
+	return r.nextAt.Add(-beginReserve)
+}
+
+// repeatLimit is when another server gets the request if this one has not begun to
+// answer; zero if it must not be repeated.
+func (r *request) repeatLimit(lease *placement.Lease) time.Time {
 	last := r.route.MaxBackendServers > 0 && r.reached >= r.route.MaxBackendServers
 	if !r.route.Repeatable() || last || r.route.TargetLatency <= 0 {
 		return time.Time{}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -37,6 +37,10 @@
 
 	// tried are the servers that may have run the request or that refused it.
 	tried []directory.Key
+	// nextVersion is declared, and from nextAt on no request may begin on an older one;
+	// zero if none was due when the request was placed.
+	nextVersion int
+	nextAt      time.Time
 	// granted is the place that another entry has granted; nil if the request was
 	// placed here.
 	granted *grant
@@ -90,6 +94,7 @@
 		Limit: r.left(now), Exclude: r.tried, Continued: r.stream.begun || r.ran,
 	}
 	d.NextVersion, d.NextAt = r.gateway.versions.Next(r.call.Model, now)
+	r.nextVersion, r.nextAt = d.NextVersion, d.NextAt
 	// All requests to a service may wait equally long. With their own targets,
 	// those with the longest one would take the places of the others when there
 	// are too few. Time that a request has lost at a dead server is no load of the
