Decode and log the rate limit that a backend server names

Cause: the incident's hypotheses could not be told apart, as no line showed the limit and the header was not decoded. Change: lib/ratelimit parses and keeps the newest statement of a server; event 7210 logs each change with its source. Nothing acts on it yet. Measured: specs of lib/ratelimit, platform and gateway pass.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -154,7 +154,7 @@
 	// A rejection need not name the request: the connection carries no other.
 	if (reply.RequestID == r.info.ID || reply.RequestID == "" && reply.NotExecuted) && !reply.Misdirected {
 		publish = g.recordAlive(lease.Server.Key(), opened)
-		draining = g.recordSignals(lease.Server, reply, now)
+		draining = g.recordSignals(lease.Server, reply, opened, now)
 	}
 	g.mu.Unlock()
 	publish()
--- a/gateway/response_info.go
+++ b/gateway/response_info.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/ratelimit"
+)
 
 // ResponseInfo is what a backend server states in the head of a response.
 type ResponseInfo struct {
@@ -19,6 +23,9 @@
 	Draining bool
 	// Pause is how long this entry must send the server no requests; zero for no pause.
 	Pause time.Duration
+	// RateLimit is what the server says about the requests that it takes from all
+	// entries together.
+	RateLimit ratelimit.Statement
 	// Load is the server's load; nil if it did not report it.
 	Load *Load
 }
--- a/lib/placement/server.go
+++ b/lib/placement/server.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/directory"
+	"github.com/auburnbend/auburnbend/lib/ratelimit"
 )
 
 // server is the state of one incarnation of a backend server.
@@ -36,6 +37,8 @@
 	mismatched bool
 	// pausedAt and pausedUntil are the start and end of the last pause.
 	pausedAt, pausedUntil time.Time
+	// limit is the request rate that the server accepts from all entries together.
+	limit ratelimit.Limit
 	// superseded is set if a later incarnation has the address.
 	superseded bool
 }
