--- a/internal/node/deployment_test.go
+++ b/internal/node/deployment_test.go
@@ -28,6 +28,7 @@
 	// stabilityTime is the time after a fault until the bounds hold again.
 	stabilityTime = time.Second
 	serverSlots   = 6
+	callerPort    = 8005
 )
 
 var (
@@ -85,6 +86,11 @@
 	s.recordEvent(server, attempt, eventRetryAfter)
 }
 
+// RateLimitSent implements platformtest.Recorder.
+func (s *deployment) RateLimitSent(server, attempt string, _ float64) {
+	s.recordEvent(server, attempt, eventRateLimit)
+}
+
 // LoadOrdered implements platformtest.Recorder.
 func (s *deployment) LoadOrdered(string, int, bool) {}
 
@@ -100,6 +106,7 @@
 	eventArrived    = "arrived"
 	eventDraining   = "draining"
 	eventRetryAfter = "retry-after"
+	eventRateLimit  = "rate-limit"
 )
 
 func (s *deployment) recordEvent(server, attempt, kind string) {
@@ -209,7 +216,7 @@
 }
 
 func (s *deployment) startEntry(i int) *entryDaemon {
-	settings := s.settings(platformtest.Instance{Name: fmt.Sprintf("entry-%d", i), IP: s.ip(4, i), CallerPort: 8005, ReadyPort: 8002}, i)
+	settings := s.settings(platformtest.Instance{Name: fmt.Sprintf("entry-%d", i), IP: s.ip(4, i), CallerPort: callerPort, ReadyPort: 8002}, i)
 	stop, done := s.startDaemon(RunGateway, settings)
 	return &entryDaemon{settings: settings, stop: stop, done: done}
 }
@@ -256,7 +263,7 @@
 	if prefix == "/draft/" {
 		call.Model, call.PromptTokens, call.MaxTokens = testWeights.Model, 100, 15
 	}
-	req, err := call.Request(context.Background(), s.entries[entry].settings.CallerAddress)
+	req, err := call.Request(context.Background(), s.address(4, entry, callerPort))
 	Expect(err).NotTo(HaveOccurred())
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 4 * time.Second}
 	resp, err := client.Do(req)
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -86,6 +86,8 @@
 	at              time.Duration
 	// retryAfter is the pause that the server asked for.
 	retryAfter time.Duration
+	// perSecond is the rate limit that the server named.
+	perSecond float64
 }
 
 type eventKind int
@@ -94,6 +96,7 @@
 	eventArrived eventKind = iota
 	eventDraining
 	eventRetryAfter
+	eventRateLimit
 )
 
 // RequestArrived implements platformtest.Recorder.
@@ -111,6 +114,11 @@
 	rec.addEvent(serverEvent{kind: eventRetryAfter, server: server, attempt: attempt, retryAfter: pause})
 }
 
+// RateLimitSent implements platformtest.Recorder.
+func (rec *recorder) RateLimitSent(server, attempt string, perSecond float64) {
+	rec.addEvent(serverEvent{kind: eventRateLimit, server: server, attempt: attempt, perSecond: perSecond})
+}
+
 func (rec *recorder) addEvent(e serverEvent) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
