Keep to the rate limits of backend servers over all entries together

What callers and servers saw: a server that had named 1.7 requests a second got 16 to 19 in 4 s from entries that it had told; allowed were 15. Cause: nothing read the limit. Class of fault: a signal of a server that only the sum over all entries can heed, in a design in which some requests (plain services, fallback of engines) are placed by each entry on its own. Change: the limit is state of the picker, tied to the incarnation. Regions have fixed parts of it from the settings (home 0.6), and within a region the two entries that place requests have 0.8 and 0.2; all others use a limited server only with a grant. Requests to a service with a limited server go through the placing entry, plain services too. Limits travel in gossip, in placement requests and through agents to entries that start. A limit that is learned between placement and sending takes the request elsewhere. What finds no server is refused at once with the time of the next free slot. Remote engines that were just used may be used again while local ones are at their limits. The specs now send a load for 1 s before the limits are named: entries refuse for the first 300 ms after engines open, with or without limits.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -8,6 +8,7 @@
 
 	"github.com/auburnbend/auburnbend/gateway/upstream"
 	"github.com/auburnbend/auburnbend/lib/placement"
+	"github.com/auburnbend/auburnbend/peerlink"
 )
 
 // attemptResult is the result of one attempt.
@@ -33,6 +34,9 @@
 		return r.resolve(placement.Unreachable, attemptResult{reason: "unreachable"})
 	}
 	defer conn.Close()
+	if r.gateway.limitLearnedSince(lease) {
+		return r.resolve(placement.Rejected, attemptResult{reason: "server has named a rate limit"})
+	}
 	opened := r.gateway.now()
 	r.dispatched++
 	r.summary.Attempts++
@@ -150,17 +154,15 @@
 	}
 	usage := g.picker.ResponseStarted(lease, now)
 	publish := func() {}
-	draining := false
+	var news *peerlink.Gossip
 	// A rejection need not name the request: the connection carries no other.
 	if (reply.RequestID == r.info.ID || reply.RequestID == "" && reply.NotExecuted) && !reply.Misdirected {
 		publish = g.recordAlive(lease.Server.Key(), opened)
-		draining = g.recordSignals(lease.Server, reply, opened, now)
+		news = g.recordSignals(lease.Server, reply, opened, now)
 	}
 	g.mu.Unlock()
 	publish()
-	if draining {
-		g.broadcastDraining(lease.Server.Key())
-	}
+	g.broadcast(news)
 	r.reportProgress(lease, usage, nil)
 }
 
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -73,22 +73,17 @@
 	}
 }
 
-// broadcastDraining reports that a server is draining. The caller must not hold mu.
-func (g *Gateway) broadcastDraining(server directory.Key) {
-	g.broadcast(&peerlink.Gossip{Draining: []peerlink.ServerKey{{ID: server.ID, StartUnixMilli: server.StartUnixMilli}}})
-}
-
 // broadcast sends gossip to the other entries of the region and to some agents of
-// each region. The caller must not hold mu.
+// each region; nil sends nothing. The caller must not hold mu.
 func (g *Gateway) broadcast(gossip *peerlink.Gossip) {
 	table := g.table.Load()
-	if gossip.Empty() || g.peerLink == nil || table == nil {
+	if gossip == nil || gossip.Empty() || g.peerLink == nil || table == nil {
 		return
 	}
 	g.peerLink.sendGossip(gossip, g.peerLink.otherEntries())
 	local, remote := g.agents(table)
 	g.peerLink.sendGossip(gossip, sample(local, gossipFanout))
-	forwarded := &peerlink.Gossip{Suspects: gossip.Suspects, Draining: gossip.Draining, Forward: true}
+	forwarded := &peerlink.Gossip{Suspects: gossip.Suspects, Draining: gossip.Draining, Limits: gossip.Limits, Forward: true}
 	for _, agents := range remote {
 		g.peerLink.sendGossip(forwarded, sample(agents, gossipFanout))
 	}
@@ -109,6 +104,11 @@
 // new if the sender asks for it.
 func (l *PeerLink) handleGossip(gossip *peerlink.Gossip) {
 	fresh := &peerlink.Gossip{Draining: l.gateway.mergeDraining(gossip.Draining)}
+	if len(gossip.Limits) > 0 {
+		l.gateway.mu.Lock()
+		fresh.Limits = l.gateway.mergeLimits(gossip.Limits)
+		l.gateway.mu.Unlock()
+	}
 	if suspects := l.gateway.mergeSuspects(&gossip.Suspects); suspects != nil {
 		fresh.Suspects = *suspects
 	}
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -24,6 +24,8 @@
 	self netip.AddrPort
 	// lastSeen is when agents last named each other entry.
 	lastSeen map[netip.AddrPort]time.Time
+	// known is set once an agent has named the entries of the region.
+	known bool
 	// ranked caches the serving members in rank order by key, computed since rankedAt.
 	ranked   map[string][]netip.AddrPort
 	rankedAt time.Time
@@ -36,6 +38,7 @@
 // observe records the entries that an agent names. Addresses that cannot be parsed
 // are ignored.
 func (m *members) observe(addresses []string, now time.Time) {
+	m.known = true
 	for _, s := range addresses {
 		if address, err := netip.ParseAddrPort(s); err == nil && address != m.self {
 			m.lastSeen[address] = now
--- a/gateway/peer_link.go
+++ b/gateway/peer_link.go
@@ -9,6 +9,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/msgstream"
 	"github.com/auburnbend/auburnbend/lib/placement"
@@ -169,6 +170,15 @@
 	}}), netip.AddrPortFrom(address.Addr(), l.self.Port()))
 }
 
+// sendEngineUsage reports the requests that this entry has placed on a server to its
+// agent. Plain services have none.
+func (g *Gateway) sendEngineUsage(server *directory.Server, u placement.Usage) {
+	service := g.table.Load().Service(server.Service)
+	if service != nil && service.Engine != nil {
+		g.peerLink.sendUsage(server.Address, u)
+	}
+}
+
 func (l *PeerLink) receive(ctx context.Context) {
 	buf := make([]byte, maxDatagramBytes)
 	for ctx.Err() == nil {
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -21,13 +21,16 @@
 	// predicted, loadAge and occupancy are the values that the choice was based on.
 	predicted, loadAge time.Duration
 	occupancy          int
+	// limitChecked is set if the other entry has considered the rate limit of the server
+	// that this entry knows.
+	limitChecked bool
 }
 
 // place finds a server for the request. The first placement counts as a request of
 // the service; retries are charged to the retry budget in mayRetry. Requests to
-// engines are placed by one entry of the region, which knows the placements of all.
-// While no placer responds, each entry places its own requests with the load that
-// agents report.
+// engines, and to services whose servers have rate limits, are placed by one entry of
+// the region, which knows the placements of all. While no placer responds, each entry
+// places its own requests with the load that agents report.
 func (r *request) place(now time.Time) (*placement.Lease, *placement.Refusal) {
 	g := r.gateway
 	r.granted, r.summary.PlacedBy = nil, ""
@@ -35,7 +38,7 @@
 	if refusal := g.refuseIfPaused(&req, now); refusal != nil {
 		return nil, refusal
 	}
-	if r.engine != nil && g.peerLink != nil {
+	if g.peerLink != nil && (r.engine != nil || g.hasRateLimits(r.service)) {
 		granted, refusal, placer := g.peerLink.requestPlacement(r.ctx, &req)
 		if placer.IsValid() {
 			r.summary.PlacedBy = placer.String()
@@ -53,7 +56,7 @@
 		}
 	}
 	g.mu.Lock()
-	lease, refusal := g.picker.Pick(req, g.now())
+	lease, refusal := g.pick(req, g.now())
 	g.mu.Unlock()
 	if lease != nil {
 		r.reportProgress(lease, lease.Usage, nil)
@@ -82,10 +85,14 @@
 	if listing == nil || listing.Draining || granted.version < req.MinVersion || g.picker.Throttled(granted.server, g.now()) {
 		return nil
 	}
+	if g.picker.RateLimited(granted.server) && !granted.limitChecked {
+		return nil
+	}
 	if req.Model != "" && listing.Weights[req.Model].Version < granted.version {
 		listing = g.updateWeights(listing, req.Model, granted.version)
 	}
 	lease := g.picker.Adopt(listing, req, g.now())
+	lease.LimitChecked = granted.limitChecked
 	lease.Predicted, lease.Occupancy, lease.LoadAge = granted.predicted, granted.occupancy, granted.loadAge
 	return lease
 }
@@ -105,9 +112,9 @@
 func (r *request) reportProgress(lease *placement.Lease, usage placement.Usage, result *placement.Result) {
 	g := r.gateway
 	switch {
-	case r.engine == nil || g.peerLink == nil:
+	case g.peerLink == nil:
 	case r.granted == nil:
-		g.peerLink.sendUsage(lease.Server.Address, usage)
+		g.sendEngineUsage(lease.Server, usage)
 	case result != nil:
 		g.peerLink.endLease(r.granted, *result)
 	default:
@@ -181,7 +188,7 @@
 		return &grant{
 			by: to, lease: lease, server: directory.Key{ID: resp.Server.ID, StartUnixMilli: resp.Server.StartUnixMilli}, version: resp.Version,
 			predicted: time.Duration(resp.PredictedMicros) * time.Microsecond, loadAge: time.Duration(resp.LoadAgeMicros) * time.Microsecond,
-			occupancy: resp.Occupancy,
+			occupancy: resp.Occupancy, limitChecked: resp.LimitChecked,
 		}, nil, true
 	case <-timer.C:
 	case <-ctx.Done():
@@ -195,7 +202,7 @@
 }
 
 // newPlacementRequest encodes a request for a placer. Servers that this entry avoids
-// are excluded as well.
+// are excluded as well, and the rate limits that it knows are listed.
 func (l *PeerLink) newPlacementRequest(req *placement.Request) *peerlink.PlacementRequest {
 	g := l.gateway
 	now := g.now()
@@ -210,6 +217,7 @@
 	}
 	g.mu.Lock()
 	avoided := g.picker.Avoided(req.Service, now)
+	query.Limits = g.queryLimits(req.Service, now)
 	g.mu.Unlock()
 	for _, keys := range [][]directory.Key{req.Exclude, avoided} {
 		for _, key := range keys {
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -30,20 +30,20 @@
 }
 
 // placeFor places a request of another entry. It declines if the service is unknown
-// here, is not served by engines, or has too few current load reports.
+// here, or if too few of its engines have current load reports.
 func (g *Gateway) placeFor(query *peerlink.PlacementRequest) *peerlink.PlacementResponse {
 	table := g.table.Load()
 	if table == nil {
 		return &peerlink.PlacementResponse{Declined: true}
 	}
 	service := table.Service(query.Service)
-	if service == nil || service.Engine == nil {
+	if service == nil {
 		return &peerlink.PlacementResponse{Declined: true}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	if !g.picker.HasLoadReports(query.Service, now) {
+	if service.Engine != nil && !g.picker.HasLoadReports(query.Service, now) {
 		return &peerlink.PlacementResponse{Declined: true}
 	}
 	req := placement.Request{
@@ -62,15 +62,19 @@
 	if query.OpenLeasesKnown {
 		g.leases.Reconcile(query.Entry, query.Incarnation, query.OpenLeases, now)
 	}
+	g.mergeLimits(query.Limits)
+	g.picker.SetLimitShare(g.limitShare())
 	lease, refusal := g.leases.Grant(leaseID(query.Entry, query.Incarnation, query.Lease), req, now)
 	if refusal != nil {
 		return &peerlink.PlacementResponse{
 			Reason: string(refusal.Reason), RetryAfterMillis: refusal.RetryAfter.Milliseconds(), PredictedMicros: refusal.Predicted.Microseconds(),
 		}
 	}
-	g.peerLink.sendUsage(lease.Server.Address, lease.Usage)
+	g.sendEngineUsage(lease.Server, lease.Usage)
+	server := peerlink.ServerKey{ID: lease.Server.ID, StartUnixMilli: lease.Server.StartUnixMilli}
+	listed := slices.ContainsFunc(query.Limits, func(l peerlink.RateLimit) bool { return l.Server == server })
 	return &peerlink.PlacementResponse{
-		Server: &peerlink.ServerKey{ID: lease.Server.ID, StartUnixMilli: lease.Server.StartUnixMilli}, Version: lease.Server.Weights[query.Model].Version,
+		Server: &server, LimitChecked: lease.LimitChecked || listed, Version: lease.Server.Weights[query.Model].Version,
 		PredictedMicros: lease.Predicted.Microseconds(), Occupancy: lease.Occupancy, LoadAgeMicros: lease.LoadAge.Microseconds(),
 	}
 }
@@ -90,7 +94,7 @@
 	}
 	g.mu.Unlock()
 	if lease != nil {
-		l.sendUsage(lease.Server.Address, lease.Usage)
+		g.sendEngineUsage(lease.Server, lease.Usage)
 	}
 }
 
--- /dev/null
+++ b/gateway/rate_limit.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/directory"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/placement"
+	"github.com/auburnbend/auburnbend/peerlink"
+)
+
+const (
+	// placerLimitShare and standbyLimitShare are the shares of the region's part of rate
+	// limits that the first two entries in rank order use. They add up to 1, so that the
+	// standby may take over before the others notice that the first one has gone.
+	placerLimitShare  = 0.8
+	standbyLimitShare = 1 - placerLimitShare
+	// maxQueryLimits bounds the rate limits that a placement request lists, so that it
+	// fits into a datagram.
+	maxQueryLimits = 8
+	// liftResendPeriod is how long the end of a rate limit is repeated, which covers a
+	// few lost datagrams.
+	liftResendPeriod = 5 * time.Second
+)
+
+// limitShare returns the share of its region's part of rate limits that this entry
+// may use. The first entries in rank order place the requests of all; the others use
+// no limited server on their own.
+func (g *Gateway) limitShare() float64 {
+	if g.peerLink == nil {
+		return 1 / float64(max(1, g.config.Entries))
+	}
+	return g.peerLink.limitShare(g.config.Entries)
+}
+
+// limitShare implements Gateway.limitShare. assumed is the number of entries of the
+// region until an agent has named them.
+func (l *PeerLink) limitShare(assumed int) float64 {
+	l.mu.Lock()
+	known, recent := l.members.known, l.members.count()
+	ranked := l.members.rank(placementDuty, l.gateway.now())
+	l.mu.Unlock()
+	switch {
+	case !known:
+		return 1 / float64(max(1, assumed))
+	case len(ranked) == 1:
+		// The others may have gone, or this entry is cut off from them.
+		return 1 / float64(recent)
+	case ranked[0] == l.self:
+		return placerLimitShare
+	case ranked[1] == l.self:
+		return standbyLimitShare
+	default:
+		return 0
+	}
+}
+
+// pick places a request of this entry, or with Request.Entry of another one. The
+// caller holds mu.
+func (g *Gateway) pick(req placement.Request, now time.Time) (*placement.Lease, *placement.Refusal) {
+	g.picker.SetLimitShare(g.limitShare())
+	return g.picker.Pick(req, now)
+}
+
+// hasRateLimits reports whether servers of a service have rate limits.
+func (g *Gateway) hasRateLimits(service string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.picker.Limits(service)) > 0
+}
+
+// limitLearnedSince reports whether the server of a lease has named a rate limit
+// since the request was placed.
+func (g *Gateway) limitLearnedSince(lease *placement.Lease) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !lease.LimitChecked && g.picker.RateLimited(lease.Server.Key())
+}
+
+// queryLimits returns the rate limits to list in a placement request. The caller
+// holds mu.
+func (g *Gateway) queryLimits(service string, now time.Time) []peerlink.RateLimit {
+	limits := g.picker.Limits(service)
+	return encodeLimits(limits[:min(len(limits), maxQueryLimits)], now)
+}
+
+// limitsToResend returns the rate limits to repeat in gossip. The caller holds mu.
+func (g *Gateway) limitsToResend(now time.Time) []peerlink.RateLimit {
+	limits := g.picker.LimitsSince(now.Add(-liftResendPeriod))
+	rand.Shuffle(len(limits), func(i, j int) { limits[i], limits[j] = limits[j], limits[i] })
+	return encodeLimits(limits[:min(len(limits), maxResent)], now)
+}
+
+func encodeLimits(limits []placement.ServerLimit, now time.Time) []peerlink.RateLimit {
+	var encoded []peerlink.RateLimit
+	for _, l := range limits {
+		encoded = append(encoded, peerlink.RateLimit{
+			Server:    peerlink.ServerKey{ID: l.Server.ID, StartUnixMilli: l.Server.StartUnixMilli},
+			PerSecond: l.PerSecond, AgeMillis: now.Sub(l.StatedAt).Milliseconds(),
+		})
+	}
+	return encoded
+}
+
+// mergeLimits records rate limits that another entry has observed, and returns those
+// that were news. The caller holds mu.
+func (g *Gateway) mergeLimits(limits []peerlink.RateLimit) []peerlink.RateLimit {
+	now := g.now()
+	var fresh []peerlink.RateLimit
+	for _, l := range limits {
+		limit := placement.ServerLimit{Server: directory.Key{ID: l.Server.ID, StartUnixMilli: l.Server.StartUnixMilli}}
+		limit.PerSecond, limit.StatedAt = l.PerSecond, l.StatedAt(now)
+		if g.picker.MergeLimit(limit, now) {
+			g.logRateLimit(limit.Server, l.PerSecond, directory.SourcePeer)
+			fresh = append(fresh, l)
+		}
+	}
+	return fresh
+}
+
+// logRateLimit logs a changed limit; zero means that the server lifted it.
+func (g *Gateway) logRateLimit(server directory.Key, perSecond float64, source string) {
+	g.config.Log.Log(eventlog.ServerRateLimited, "server", server.ID, "born", server.StartUnixMilli, "per_second", perSecond, "source", source)
+}
--- a/gateway/server_signals.go
+++ b/gateway/server_signals.go
@@ -10,20 +10,24 @@
 )
 
 // recordSignals records the pause, the rate limit and the drain that a server
-// announces in the response to a request that was sent at the given time. It reports
-// whether the drain is news. The caller holds mu.
-func (g *Gateway) recordSignals(server *directory.Server, info ResponseInfo, sent, now time.Time) (draining bool) {
-	if g.picker.ObserveLimit(server.Key(), info.RateLimit, sent, now) {
-		g.logRateLimit(server.Key(), info.RateLimit.PerSecond, directory.SourceResponse)
+// announces in the response to a request that was sent at the given time. It returns
+// what other entries should learn, or nil. The caller holds mu.
+func (g *Gateway) recordSignals(server *directory.Server, info ResponseInfo, sent, now time.Time) *peerlink.Gossip {
+	key := server.Key()
+	wireKey := peerlink.ServerKey{ID: key.ID, StartUnixMilli: key.StartUnixMilli}
+	news := &peerlink.Gossip{}
+	if g.picker.ObserveLimit(key, info.RateLimit, sent, now) {
+		g.logRateLimit(key, info.RateLimit.PerSecond, directory.SourceResponse)
+		news.Limits = []peerlink.RateLimit{{Server: wireKey, PerSecond: info.RateLimit.PerSecond}}
 	}
-	if info.Pause > 0 && g.picker.Pause(server.Key(), now.Add(info.Pause), now) {
+	if info.Pause > 0 && g.picker.Pause(key, now.Add(info.Pause), now) {
 		g.config.Log.Log(eventlog.ServerPaused, "server", server.ID, "born", server.StartUnixMilli, "service", server.Service, "for_ms", info.Pause.Milliseconds())
 	}
-	if !info.Draining || !g.directory.MarkDraining(server.Key(), directory.SourceResponse, now) {
-		return false
+	if info.Draining && g.directory.MarkDraining(key, directory.SourceResponse, now) {
+		g.logDraining(key, directory.SourceResponse)
+		news.Draining = []peerlink.ServerKey{wireKey}
 	}
-	g.logDraining(server.Key(), directory.SourceResponse)
-	return true
+	return news
 }
 
 // mergeDraining records servers that are draining according to others, and returns
@@ -49,11 +53,6 @@
 	g.config.Log.Log(eventlog.ServerDraining, "server", server.ID, "born", server.StartUnixMilli, "source", source)
 }
 
-// logRateLimit logs a changed limit; zero means that the server lifted it.
-func (g *Gateway) logRateLimit(server directory.Key, perSecond float64, source string) {
-	g.config.Log.Log(eventlog.ServerRateLimited, "server", server.ID, "born", server.StartUnixMilli, "per_second", perSecond, "source", source)
-}
-
 // refuseIfPaused refuses a request if all servers that could run it have asked this
 // entry for a pause. It returns nil otherwise.
 func (g *Gateway) refuseIfPaused(req *placement.Request, now time.Time) *placement.Refusal {
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -206,8 +206,8 @@
 }
 
 // gossipToResend returns what is repeated at intervals: contents with which at least
-// two servers have crashed, and servers that recently announced that they are
-// draining.
+// two servers have crashed, rate limits, and servers that recently announced that
+// they are draining.
 func (g *Gateway) gossipToResend() *peerlink.Gossip {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -222,6 +222,7 @@
 	if top := g.suspects.monitor.TopSuspects(now, quarantineCrashes-1, maxResent); top != nil {
 		gossip.Suspects = *top
 	}
+	gossip.Limits = g.limitsToResend(now)
 	for _, server := range g.directory.DrainingSince(now.Add(-drainResendPeriod), maxResent) {
 		gossip.Draining = append(gossip.Draining, peerlink.ServerKey{ID: server.ID, StartUnixMilli: server.StartUnixMilli})
 	}
--- a/internal/node/rate_limit_test.go
+++ b/internal/node/rate_limit_test.go
@@ -54,6 +54,13 @@
 	return responses
 }
 
+// warmUp sends a load until engines have been open for long enough to serve the
+// entries of all regions.
+func (s *deployment) warmUp(l limitLoad) {
+	l.duration = time.Second
+	l.run(s)
+}
+
 // limitRates makes servers name a limit and returns their IDs.
 func (s *deployment) limitRates(servers ...int) []string {
 	var ids []string
@@ -109,8 +116,10 @@
 		// Guards against entries that ignore the limit or keep to it one by one.
 		func(subnet int, prefix string, servers ...int) {
 			s := newDeployment(subnet, 4, 4, 4)
+			load := limitLoad{prefix, 6 * time.Second, 60 * time.Millisecond}
+			s.warmUp(load)
 			ids := s.limitRates(servers...)
-			responses := limitLoad{prefix, 6 * time.Second, 60 * time.Millisecond}.run(s)
+			responses := load.run(s)
 			s.expectRatesKept(ids)
 			Expect(countStatus(responses, http.StatusOK)).To(Equal(len(responses)))
 		},
@@ -123,8 +132,10 @@
 		// Guards against requests that wait for a limited server until their deadline.
 		func(subnet int, prefix string, engines, plain, server int) {
 			s := newDeployment(subnet, 4, engines, plain)
+			load := limitLoad{prefix, 6 * time.Second, 200 * time.Millisecond}
+			s.warmUp(load)
 			ids := s.limitRates(server)
-			responses := limitLoad{prefix, 6 * time.Second, 200 * time.Millisecond}.run(s)
+			responses := load.run(s)
 			s.expectRatesKept(ids)
 			// At least half of the limit is used.
 			Expect(countStatus(responses, http.StatusOK)).To(BeNumerically(">=", 3))
--- a/lib/placement/condition.go
+++ b/lib/placement/condition.go
@@ -17,6 +17,8 @@
 	Draining Condition = "draining"
 	// Pausing servers have asked this entry to send no requests for a while.
 	Pausing Condition = "pausing"
+	// RateLimited servers accept a limited number of requests per second.
+	RateLimited Condition = "limited"
 )
 
 // Condition returns the condition of a listed server.
@@ -31,6 +33,8 @@
 		return Closed
 	case s.ejected(now):
 		return Ejected
+	case s.rateLimited():
+		return RateLimited
 	default:
 		return Open
 	}
--- a/lib/placement/lease.go
+++ b/lib/placement/lease.go
@@ -17,6 +17,8 @@
 	Occupancy int
 	LoadAge   time.Duration
 
+	// LimitChecked is set if the placement respects the rate limit of the server.
+	LimitChecked bool
 	// Usage is the usage of the server by this entry, including this request.
 	Usage Usage
 
--- a/lib/placement/pause.go
+++ b/lib/placement/pause.go
@@ -103,17 +103,22 @@
 }
 
 // excludedServers lists servers of a service that get no requests because they are
-// draining or paused, for the caller of a refused request.
+// draining, paused or rate-limited, for the caller of a refused request.
 func (p *Picker) excludedServers(service string, now time.Time) []string {
 	var out []string
 	for _, listing := range p.directory.ByService(service) {
 		if len(out) == maxListedExcluded {
 			break
 		}
-		if listing.Draining {
+		s := p.servers[listing.Key()]
+		switch {
+		case listing.Draining:
 			out = append(out, listing.ID+": leaving")
-		} else if s := p.servers[listing.Key()]; s != nil && s.paused(now) {
+		case s == nil:
+		case s.paused(now):
 			out = append(out, fmt.Sprintf("%s: paused for %d ms", listing.ID, s.pausedUntil.Sub(now).Milliseconds()))
+		case s.rateLimited():
+			out = append(out, fmt.Sprintf("%s: limited to %.3g/s", listing.ID, s.limit.PerSecond))
 		}
 	}
 	return out
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/directory"
@@ -16,12 +17,18 @@
 	rng       *rand.Rand
 	// pausesUntil is the end of the last pause that any server has asked for.
 	pausesUntil time.Time
+	// limitShare is the share of rate limits set by SetLimitShare.
+	limitShare  float64
+	regionCount int
 }
 
 // New returns a Picker for the servers of a directory. The Picker drops expired
 // servers from the directory, and does not change it otherwise.
 func New(config Config, d *directory.Directory, rng *rand.Rand) *Picker {
-	return &Picker{config: config.applyDefaults(), directory: d, servers: make(map[directory.Key]*server), rng: rng}
+	return &Picker{
+		config: config.applyDefaults(), directory: d, servers: make(map[directory.Key]*server), rng: rng,
+		limitShare: 1, regionCount: countRegions(config.Regions),
+	}
 }
 
 // Pick places a request. It returns either a lease or a refusal.
@@ -36,6 +43,7 @@
 	}
 	occupancy, age := best.occupancy(now), best.reportAge(now)
 	l := p.newLease(best, &req, now)
+	l.LimitChecked = best.rateLimited()
 	l.Predicted = estimate.firstResponse + p.distancePenalty(req.Domain, best.listing.Domain)
 	l.Occupancy, l.LoadAge = occupancy, age
 	return l, nil
@@ -72,11 +80,14 @@
 				return nil, estimate{}, refusal
 			}
 		}
+		if refusal := p.limitRefusal(req, now); refusal != nil {
+			return nil, estimate{}, refusal
+		}
 		return nil, estimate{}, unavailable(req, reason)
 	}
 	reason = Overloaded
 	var best *candidate
-	for _, s := range p.candidates(available, now) {
+	for _, s := range p.candidates(eligible, available, now) {
 		e := s.predict(req, now)
 		if s.mayMissVersionDeadline(req, e, now) {
 			reason = NoWeights
@@ -119,7 +130,8 @@
 	return eligible, reason
 }
 
-// available drops the servers that accept no requests now, and the ejected ones. If
+// available drops the servers that accept no requests now, those whose rate limit is
+// reached, and the ejected ones. If
 // only ejected ones are left and they are more than MaxEjectedShare, it returns
 // those. A pause applies only between a server and one entry: for requests of other
 // entries, these list the servers to exclude.
@@ -128,7 +140,7 @@
 	var available, ramping, ejected []*server
 	for _, s := range eligible {
 		switch {
-		case s.closed(now) || own && s.paused(now):
+		case s.closed(now) || own && s.paused(now) || p.overLimit(s, now):
 		case s.ejected(now):
 			ejected = append(ejected, s)
 		case own && s.atRampLimit(now):
@@ -149,14 +161,18 @@
 // candidates returns all servers of the own region and a random choice of the
 // others. What is known of remote servers is older, and all entries would choose the
 // same one. Remote servers that report to this entry are preferred: of the others,
-// only its own requests are known.
-func (p *Picker) candidates(available []*server, now time.Time) []*server {
-	var local, reported, unreported []*server
+// only its own requests are known. The minimum time between two requests to the same
+// remote server does not apply if there is no other choice because local servers are
+// at their rate limits: these last longer than a moment of load.
+func (p *Picker) candidates(eligible, available []*server, now time.Time) []*server {
+	var local, reported, unreported, recent []*server
 	for _, s := range available {
 		switch {
-		case p.config.Regions[s.listing.Domain] == p.config.Regions[p.config.Domain]:
+		case p.isLocal(s):
 			local = append(local, s)
-		case s.localOnly(now):
+		case s.justOpened(now):
+		case s.placedRecently(now):
+			recent = append(recent, s)
 		case s.hasReport(now):
 			reported = append(reported, s)
 		default:
@@ -167,6 +183,10 @@
 	if len(remote) == 0 {
 		remote = unreported
 	}
+	atLimit := func(s *server) bool { return p.isLocal(s) && p.overLimit(s, now) }
+	if len(local)+len(remote) == 0 && slices.ContainsFunc(eligible, atLimit) {
+		remote = recent
+	}
 	if len(remote) > remoteChoices {
 		p.rng.Shuffle(len(remote), func(i, j int) { remote[i], remote[j] = remote[j], remote[i] })
 		remote = remote[:remoteChoices]
@@ -174,6 +194,11 @@
 	return append(local, remote...)
 }
 
+// isLocal reports whether a server is in the region of this entry.
+func (p *Picker) isLocal(s *server) bool {
+	return p.config.Regions[s.listing.Domain] == p.config.Regions[p.config.Domain]
+}
+
 // hasWeights reports whether a server has loaded the weights that the request needs.
 func hasWeights(s *directory.Server, req *Request) bool {
 	if req.Engine == nil || req.Model == "" {
--- a/lib/placement/rate_limit.go
+++ b/lib/placement/rate_limit.go
@@ -1,14 +1,156 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/ratelimit"
 )
 
+// homeRegionPart is the part of a server's rate limit that entries of its own region
+// may use. The other regions share the rest evenly. The parts depend on the settings
+// only, so that their sum holds without messages between regions.
+const homeRegionPart = 0.6
+
+// ServerLimit is the newest known rate limit of a server.
+type ServerLimit struct {
+	Server directory.Key
+	ratelimit.Limit
+}
+
+// SetLimitShare sets the share of its region's part of each rate limit that this
+// entry may use, from 0 to 1. The shares of the entries of a region add up to 1 at
+// most. Without a call it is 1.
+func (p *Picker) SetLimitShare(share float64) { p.limitShare = share }
+
 // ObserveLimit records what a response says about its server's rate limit, and
 // reports whether that has changed. sent is when the request was sent.
 func (p *Picker) ObserveLimit(key directory.Key, s ratelimit.Statement, sent, now time.Time) bool {
-	return p.server(key).limit.Observe(s, sent, now)
+	state := p.server(key)
+	return state.limitChanged(state.limit.Observe(s, sent, now), now)
+}
+
+// MergeLimit records a limit that another entry has observed, and reports whether
+// that is news.
+func (p *Picker) MergeLimit(l ServerLimit, now time.Time) bool {
+	state := p.server(l.Server)
+	return state.limitChanged(state.limit.Merge(l.PerSecond, l.StatedAt), now)
+}
+
+// limitChanged records the end of a limit and returns changed.
+func (s *server) limitChanged(changed bool, now time.Time) bool {
+	if changed && !s.rateLimited() {
+		s.limitLiftedAt = now
+	}
+	return changed
+}
+
+// RateLimited reports whether a server has a rate limit.
+func (p *Picker) RateLimited(key directory.Key) bool {
+	s := p.servers[key]
+	return s != nil && s.rateLimited()
+}
+
+// Limits returns the rate limits of a service's servers.
+func (p *Picker) Limits(service string) []ServerLimit {
+	var limits []ServerLimit
+	for _, listing := range p.directory.ByService(service) {
+		if key := listing.Key(); p.RateLimited(key) {
+			limits = append(limits, ServerLimit{key, p.servers[key].limit})
+		}
+	}
+	return limits
+}
+
+// LimitsSince returns the rate limits of all servers, and those that were lifted
+// after a certain time.
+func (p *Picker) LimitsSince(lifted time.Time) []ServerLimit {
+	var limits []ServerLimit
+	for key, s := range p.servers {
+		if s.rateLimited() || s.limitLiftedAt.After(lifted) {
+			limits = append(limits, ServerLimit{key, s.limit})
+		}
+	}
+	return limits
+}
+
+func (s *server) rateLimited() bool { return s.limit.PerSecond > 0 }
+
+// overLimit reports whether the server has had the requests that its rate limit
+// allows to this entry.
+func (p *Picker) overLimit(s *server, now time.Time) bool {
+	if !s.rateLimited() {
+		return false
+	}
+	interval, ok := s.limit.Interval(p.shareOf(s))
+	return !ok || now.Before(s.lastPlacedAt.Add(interval))
+}
+
+// shareOf returns the share of the server's rate limit that this entry may use.
+func (p *Picker) shareOf(s *server) float64 {
+	switch {
+	case p.regionCount < 2:
+		return p.limitShare
+	case p.isLocal(s):
+		return homeRegionPart * p.limitShare
+	default:
+		return (1 - homeRegionPart) / float64(p.regionCount-1) * p.limitShare
+	}
+}
+
+// limitRefusal refuses a request if servers that could run it have a rate limit, and
+// returns nil otherwise. It must be called only if no server is available. Each
+// refused caller is told the next time at which a server has no other caller to
+// expect, so that callers return one after another.
+func (p *Picker) limitRefusal(req *Request, now time.Time) *Refusal {
+	var next *server
+	var at time.Time
+	found := false
+	for _, listing := range p.directory.ByService(req.Service) {
+		s := p.state(listing)
+		if listing.Draining || req.excludes(listing.Key()) || !hasWeights(listing, req) || !s.rateLimited() {
+			continue
+		}
+		found = true
+		interval, ok := s.limit.Interval(p.shareOf(s))
+		if !ok {
+			continue
+		}
+		free := later(later(s.lastPlacedAt, s.bookedUntil).Add(interval), now)
+		if next == nil || free.Before(at) {
+			next, at = s, free
+		}
+	}
+	if !found {
+		return nil
+	}
+	if next == nil {
+		// The entry that places requests has the whole share.
+		return &Refusal{Reason: Limited, RetryAfter: unavailableRetryAfter}
+	}
+	after := max(at.Sub(now), minRetryAfter)
+	if req.Remaining <= 0 || after <= req.Remaining/retryAfterDivisor {
+		// Callers that cannot wait that long return sooner or not at all.
+		next.bookedUntil = at
+	}
+	return &Refusal{Reason: Limited, RetryAfter: after}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// countRegions returns the number of regions of a deployment.
+func countRegions(regions map[string]string) int {
+	var distinct []string
+	for _, region := range regions {
+		if !slices.Contains(distinct, region) {
+			distinct = append(distinct, region)
+		}
+	}
+	return len(distinct)
 }
--- a/lib/placement/refusal.go
+++ b/lib/placement/refusal.go
@@ -15,6 +15,9 @@
 	Overloaded Reason = "overloaded"
 	// Paused means that all servers that could run the request have asked for a pause.
 	Paused Reason = "paused"
+	// Limited means that the servers that could run the request have named a rate limit,
+	// which is reached.
+	Limited Reason = "rate_limited"
 )
 
 // Refusal describes why a request was not placed.
@@ -25,7 +28,7 @@
 	// Predicted is the predicted time to the first response on the best server; zero if
 	// there is none.
 	Predicted time.Duration
-	// ExcludedServers lists servers that are draining or paused, at most a few of them.
+	// ExcludedServers lists servers that are draining, paused or rate-limited, at most a few.
 	ExcludedServers []string
 }
 
--- a/lib/placement/server.go
+++ b/lib/placement/server.go
@@ -39,6 +39,10 @@
 	pausedAt, pausedUntil time.Time
 	// limit is the request rate that the server accepts from all entries together.
 	limit ratelimit.Limit
+	// limitLiftedAt is when this entry learned that the server has lifted its limit.
+	limitLiftedAt time.Time
+	// bookedUntil is the latest time at which a refused caller was told to return.
+	bookedUntil time.Time
 	// superseded is set if a later incarnation has the address.
 	superseded bool
 }
@@ -74,12 +78,15 @@
 	return max(1, s.load.Slowdown)
 }
 
-// localOnly reports whether entries of other regions must not use the server now.
-func (s *server) localOnly(now time.Time) bool {
-	if !s.hasReport(now) {
-		return false
-	}
-	return now.Sub(s.openedAt) < localOnlyTime || now.Sub(s.lastPlacedAt) < remoteInterval
+// justOpened reports whether entries of other regions must not use the server yet.
+func (s *server) justOpened(now time.Time) bool {
+	return s.hasReport(now) && now.Sub(s.openedAt) < localOnlyTime
+}
+
+// placedRecently reports whether entries of other regions should not send the server
+// another request yet.
+func (s *server) placedRecently(now time.Time) bool {
+	return s.hasReport(now) && now.Sub(s.lastPlacedAt) < remoteInterval
 }
 
 // closed reports whether the server accepts no requests now.
--- a/operator/explain/reason.go
+++ b/operator/explain/reason.go
@@ -5,6 +5,7 @@
 	"no_server":              "no backend server of the service that may run the request is known",
 	"no_weights":             "no backend server has loaded weights that may still serve",
 	"overloaded":             "no backend server was expected to respond within the target; predicted_ms is the lowest prediction",
+	"rate_limited":           "all backend servers that could run the request had named a rate limit, which was reached; left_out lists them, events 7210 show their limits",
 	"paused":                 "all backend servers that could run the request had asked for a pause; left_out lists them, events 7209 show their pauses",
 	"quarantined":            "three backend servers crashed while they ran the same content; event 7206 shows the content, events 7205 the servers",
 	"no configuration":       "the entry had not received a configuration yet",
--- a/peerlink/gossip.go
+++ b/peerlink/gossip.go
@@ -13,13 +13,17 @@
 	Suspects wire.SuspectUpdate `msgpack:"u"`
 	// Draining lists servers that have announced that they are draining.
 	Draining []ServerKey `msgpack:"l,omitempty"`
+	// Limits lists the rate limits of servers.
+	Limits []RateLimit `msgpack:"r,omitempty"`
 	// Forward asks an agent to forward the message to entries, and an entry to
 	// forward what it didn't know yet to the other entries of its region.
 	Forward bool `msgpack:"s,omitempty"`
 }
 
 // Empty reports whether there is nothing to send.
-func (g *Gossip) Empty() bool { return len(g.Suspects.Suspects) == 0 && len(g.Draining) == 0 }
+func (g *Gossip) Empty() bool {
+	return len(g.Suspects.Suspects) == 0 && len(g.Draining) == 0 && len(g.Limits) == 0
+}
 
 // Datagrams encodes the gossip in datagrams of at most limit bytes, splitting it
 // as necessary. A single suspect or server is never split.
@@ -28,15 +32,33 @@
 	if err != nil {
 		panic(err)
 	}
-	suspects, draining := g.Suspects.Suspects, g.Draining
-	if len(data) <= limit || len(suspects)+len(draining) < 2 {
+	if len(data) <= limit || g.size() < 2 {
 		return [][]byte{data}
 	}
-	encode := func(suspects []wire.Suspect, draining []ServerKey) [][]byte {
-		return (&Gossip{Suspects: wire.SuspectUpdate{Suspects: suspects}, Draining: draining, Forward: g.Forward}).Datagrams(limit)
+	first, second := &Gossip{Forward: g.Forward}, &Gossip{Forward: g.Forward}
+	first.Suspects.Suspects, second.Suspects.Suspects = halves(g.Suspects.Suspects)
+	first.Draining, second.Draining = halves(g.Draining)
+	first.Limits, second.Limits = halves(g.Limits)
+	if first.Empty() {
+		first, second = separateKinds(g)
 	}
-	if len(suspects) > 0 && len(draining) > 0 {
-		return append(encode(suspects, nil), encode(nil, draining)...)
+	return append(first.Datagrams(limit), second.Datagrams(limit)...)
+}
+
+// size returns the number of suspects, servers and limits.
+func (g *Gossip) size() int { return len(g.Suspects.Suspects) + len(g.Draining) + len(g.Limits) }
+
+// separateKinds splits a gossip that has at most one item of each kind.
+func separateKinds(g *Gossip) (first, second *Gossip) {
+	first, second = &Gossip{Forward: g.Forward}, &Gossip{Forward: g.Forward, Limits: g.Limits}
+	if len(g.Suspects.Suspects) > 0 {
+		first.Suspects, second.Draining = g.Suspects, g.Draining
+		return first, second
 	}
-	return append(encode(suspects[:len(suspects)/2], draining[:len(draining)/2]), encode(suspects[len(suspects)/2:], draining[len(draining)/2:])...)
+	first.Draining = g.Draining
+	return first, second
+}
+
+func halves[T any](list []T) (first, second []T) {
+	return list[:len(list)/2], list[len(list)/2:]
 }
--- a/peerlink/placement.go
+++ b/peerlink/placement.go
@@ -31,6 +31,8 @@
 	MayHaveRun bool `msgpack:"c,omitempty"`
 	// Exclude lists servers that must not run the request.
 	Exclude []ServerKey `msgpack:"g,omitempty"`
+	// Limits are the rate limits of the service's servers that the entry knows.
+	Limits []RateLimit `msgpack:"u,omitempty"`
 	// OpenLeases are the numbers of the leases that the entry holds from the
 	// receiver. They are valid if OpenLeasesKnown is set.
 	OpenLeases      []uint64 `msgpack:"o,omitempty"`
@@ -53,6 +55,9 @@
 	// nil if the request is refused for Reason.
 	Server  *ServerKey `msgpack:"s,omitempty"`
 	Version int        `msgpack:"v,omitempty"`
+	// LimitChecked means that the choice respects the newest rate limit of the server
+	// that the receiver and the entry know.
+	LimitChecked bool `msgpack:"c,omitempty"`
 	// PredictedMicros is the expected time to the first token, Occupancy the number
 	// of requests already on the server, and LoadAgeMicros the age of the load
 	// report used, or negative if there is none.
--- a/replica/gossip.go
+++ b/replica/gossip.go
@@ -19,6 +19,10 @@
 	// shows it or is deleted. maxDraining bounds these servers.
 	drainingTTL = time.Minute
 	maxDraining = 256
+	// limitTTL is how long a rate limit is remembered after the server last stated it.
+	// Entries repeat those in force. maxLimits bounds these servers.
+	limitTTL  = time.Minute
+	maxLimits = 256
 	// gossipFanout is the number of entries per region to which gossip is
 	// forwarded. The second one covers a lost datagram.
 	gossipFanout = 2
@@ -30,6 +34,7 @@
 	r.suspects.Tick(now)
 	r.suspects.Merge(now, g.Suspects)
 	r.recordDraining(now, g.Draining)
+	r.recordLimits(now, g.Limits)
 	if !g.Forward {
 		return
 	}
@@ -55,8 +60,24 @@
 	}
 }
 
-// sendInitialGossip sends the known suspects and draining servers to an entry
-// that has just subscribed. The caller holds mu.
+func (r *LoadReporter) recordLimits(now time.Time, limits []peerlink.RateLimit) {
+	for server, limit := range r.limits {
+		if now.Sub(limit.StatedAt) > limitTTL {
+			delete(r.limits, server)
+		}
+	}
+	for _, l := range limits {
+		limit := r.limits[l.Server]
+		if limit.StatedAt.IsZero() && len(r.limits) >= maxLimits {
+			continue
+		}
+		limit.Merge(l.PerSecond, l.StatedAt(now))
+		r.limits[l.Server] = limit
+	}
+}
+
+// sendInitialGossip sends the known suspects, draining servers and rate limits to an
+// entry that has just subscribed. The caller holds mu.
 func (r *LoadReporter) sendInitialGossip(now time.Time, to netip.AddrPort) {
 	gossip := &peerlink.Gossip{}
 	if top := r.suspects.TopSuspects(now, minCrashes, maxInitialSuspects); top != nil {
@@ -67,6 +88,11 @@
 			gossip.Draining = append(gossip.Draining, server)
 		}
 	}
+	for server, limit := range r.limits {
+		if age := now.Sub(limit.StatedAt); limit.PerSecond > 0 && age <= limitTTL {
+			gossip.Limits = append(gossip.Limits, peerlink.RateLimit{Server: server, PerSecond: limit.PerSecond, AgeMillis: age.Milliseconds()})
+		}
+	}
 	if !gossip.Empty() {
 		r.sendGossip(gossip, to)
 	}
--- a/replica/load_reporter.go
+++ b/replica/load_reporter.go
@@ -12,6 +12,7 @@
 
 	"github.com/auburnbend/auburnbend/lib/msgstream"
 	"github.com/auburnbend/auburnbend/lib/poison"
+	"github.com/auburnbend/auburnbend/lib/ratelimit"
 	"github.com/auburnbend/auburnbend/peerlink"
 )
 
@@ -49,6 +50,10 @@
 	// first report.
 	drainingServers map[peerlink.ServerKey]time.Time
 
+	// limits holds the rate limits of servers that entries reported, kept for entries
+	// that restart.
+	limits map[peerlink.ServerKey]ratelimit.Limit
+
 	lastStatus  peerlink.Status
 	lastRefresh time.Time
 }
@@ -78,7 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &LoadReporter{replica: r, conn: conn, subscribers: make(map[netip.AddrPort]subscriber), entryLoads: make(map[string]entryLoad), suspects: poison.New(poison.Config{MaxSuspects: maxSuspects}, "", 0), drainingServers: make(map[peerlink.ServerKey]time.Time)}, nil
+	return &LoadReporter{replica: r, conn: conn, subscribers: make(map[netip.AddrPort]subscriber), entryLoads: make(map[string]entryLoad), suspects: poison.New(poison.Config{MaxSuspects: maxSuspects}, "", 0), drainingServers: make(map[peerlink.ServerKey]time.Time), limits: make(map[peerlink.ServerKey]ratelimit.Limit)}, nil
 }
 
 // Run receives messages from entries and sends them reports until ctx ends, then
