Keep to the rate limits of backend servers in the product's own daemons

Change: engines and plain services may state X-Rate-Limit. Heartbeats tell each entry its interval, so that it picks other instances.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -20,6 +20,7 @@
 	"github.com/auburnbend/auburnbend/lib/listen"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/outcome"
+	"github.com/auburnbend/auburnbend/lib/ratelimit"
 	"github.com/auburnbend/auburnbend/lib/settings"
 	"github.com/auburnbend/auburnbend/lib/weights"
 	"github.com/auburnbend/auburnbend/lib/wire"
@@ -68,7 +69,7 @@
 }
 
 func (a *Agent) setUpPlain() error {
-	client, err := engine.NewPlainClient(engine.Config{Address: a.cfg.BackendURL})
+	client, err := engine.NewPlainClient(engine.Config{Address: a.cfg.BackendURL, OnRateLimit: a.observeRateLimit})
 	if err != nil {
 		return err
 	}
@@ -79,7 +80,7 @@
 }
 
 func (a *Agent) setUpEngine() error {
-	client, err := engine.NewClient(engine.Config{Address: a.cfg.BackendURL})
+	client, err := engine.NewClient(engine.Config{Address: a.cfg.BackendURL, OnRateLimit: a.observeRateLimit})
 	if err != nil {
 		return err
 	}
@@ -245,9 +246,20 @@
 	return wire.Hello{Role: wire.RoleAgent, Identity: a.cfg.Identity, Pool: a.cfg.Pool}
 }
 
+// observeRateLimit passes a statement of the backend server on to the gate, which
+// keeps to it, and to the entries.
+func (a *Agent) observeRateLimit(s ratelimit.Statement, sinceSent time.Duration) {
+	if !a.gate.ObserveRateLimit(s, sinceSent) {
+		return
+	}
+	a.cfg.Log.Log(eventlog.RateLimitChanged, "per_second", s.PerSecond)
+	a.sessions.sendHeartbeats()
+}
+
 // heartbeat returns a heartbeat in which the configuration fields are not set.
 func (a *Agent) heartbeat() wire.Heartbeat {
 	load := a.server.load()
 	load.Running = max(load.Running, a.gate.Running())
+	load.MinIntervalMillis = a.gate.MinInterval().Milliseconds()
 	return wire.Heartbeat{Draining: a.gate.Draining(), LiveWeights: a.gate.Live(), Load: load, Role: a.roles.current()}
 }
--- a/agent/gate/core.go
+++ b/agent/gate/core.go
@@ -8,6 +8,7 @@
 
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/outcome"
+	"github.com/auburnbend/auburnbend/lib/ratelimit"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
@@ -24,6 +25,10 @@
 	running int
 	window  *window
 	crashed []crashedRequest
+	// limit is the rate limit of the backend server, lastRequestAt the time of the last
+	// request to it.
+	limit         ratelimit.Limit
+	lastRequestAt time.Time
 }
 
 // crashedRequest is a request that was running when the backend server crashed.
@@ -98,6 +103,7 @@
 		running:     true,
 	}
 	c.running++
+	c.lastRequestAt = now
 	return Admission{Decision: Admit}
 }
 
@@ -117,6 +123,8 @@
 		return outcome.ReasonOverloaded, c.config.RetryAfter
 	case c.running >= c.config.Capacity || c.window.nearlyFull():
 		return outcome.ReasonOverloaded, c.config.RetryAfter
+	case c.rateLimitWait(now) > 0:
+		return outcome.ReasonOverloaded, c.rateLimitWait(now)
 	default:
 		return outcome.ReasonNone, 0
 	}
--- a/entry/fleet/handler.go
+++ b/entry/fleet/handler.go
@@ -172,6 +172,8 @@
 		Queued:   beat.Load.Queued,
 		Capacity: beat.Load.Capacity,
 		Age:      time.Duration(beat.Load.AgeMillis) * time.Millisecond,
+
+		MinInterval: time.Duration(beat.Load.MinIntervalMillis) * time.Millisecond,
 	})
 	f.signalCapacity()
 }
--- a/lib/engine/client.go
+++ b/lib/engine/client.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		return err
 	}
-	if err := c.transport.do(ctx, x, c.cfg.RequestTimeout); err != nil {
+	if err := c.transport.doRequest(ctx, x, &c.cfg); err != nil {
 		return err
 	}
 	if status := x.resp.StatusCode(); status != consts.StatusOK {
--- a/lib/engine/config.go
+++ b/lib/engine/config.go
@@ -1,6 +1,10 @@
 package engine
 
-import "time"
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/ratelimit"
+)
 
 const (
 	// defaultDialTimeout is long for a connection within one instance, where the
@@ -43,6 +47,10 @@
 	// MaxResponseBytes limits the body of a plain service response or an order
 	// reply.
 	MaxResponseBytes int64
+	// OnRateLimit is called with what the response to a request says about the rate
+	// limit of the server, and with the time since the request was sent. Reads of state,
+	// load and cache are no requests. It must be safe for concurrent use and may be nil.
+	OnRateLimit func(s ratelimit.Statement, sinceSent time.Duration)
 }
 
 func (c *Config) applyDefaults() {
@@ -51,6 +59,9 @@
 	setDefault(&c.OrderTimeout, defaultOrderTimeout)
 	setDefault(&c.RequestTimeout, defaultRequestTimeout)
 	setDefault(&c.StallTimeout, defaultStallTimeout)
+	if c.OnRateLimit == nil {
+		c.OnRateLimit = func(ratelimit.Statement, time.Duration) {}
+	}
 	if c.MaxResponseBytes <= 0 {
 		c.MaxResponseBytes = defaultMaxResponseBytes
 	}
--- a/lib/engine/exchange.go
+++ b/lib/engine/exchange.go
@@ -12,6 +12,8 @@
 	"github.com/cloudwego/hertz/pkg/common/config"
 	herrors "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"github.com/auburnbend/auburnbend/lib/ratelimit"
 )
 
 const headerRetryAfter = "Retry-After"
@@ -80,6 +82,16 @@
 	}
 }
 
+// doRequest is like do, and passes on what the response says about the rate limit.
+func (t *transport) doRequest(ctx context.Context, x *exchange, cfg *Config) error {
+	sent := time.Now()
+	if err := t.do(ctx, x, cfg.RequestTimeout); err != nil {
+		return err
+	}
+	cfg.OnRateLimit(ratelimit.Parse(x.resp.Header.GetAll(HeaderRateLimit)), time.Since(sent))
+	return nil
+}
+
 // discard waits for the end of a canceled call and closes its connection.
 func (x *exchange) discard(done <-chan error) {
 	if err := <-done; err == nil {
--- a/lib/engine/plain_client.go
+++ b/lib/engine/plain_client.go
@@ -11,6 +11,11 @@
 	"github.com/auburnbend/auburnbend/lib/model"
 )
 
+// HeaderRateLimit is a response header of engines and plain services: the requests
+// per second, a decimal number, that the server accepts from all callers together.
+// A response without it means that there is no limit.
+const HeaderRateLimit = "X-Rate-Limit"
+
 // Request headers of plain service calls.
 const (
 	HeaderIdempotencyKey = "Idempotency-Key"
@@ -84,7 +89,7 @@
 	if req.RemainingMillis > 0 {
 		x.req.Header.Set(HeaderRemaining, strconv.FormatInt(req.RemainingMillis, 10))
 	}
-	if err := c.transport.do(ctx, x, c.cfg.RequestTimeout); err != nil {
+	if err := c.transport.doRequest(ctx, x, &c.cfg); err != nil {
 		return PlainResponse{}, err
 	}
 	defer x.close()
--- a/lib/eventlog/events_request.go
+++ b/lib/eventlog/events_request.go
@@ -10,6 +10,7 @@
 	ClaimReleased        = Event{4302, Info, "claim released: request proved not run", "Nothing."}
 	RequestQuarantined   = Event{4401, Warn, "request quarantined: backend servers crashed while running it", "Find the content by its fingerprint and inform its caller."}
 	BackendServerCrashed = Event{4402, Warn, "backend server crashed with requests in flight", "Nothing unless it repeats."}
+	RateLimitChanged     = Event{4403, Info, "backend server of the agent stated or lifted a limit of its request rate", "Nothing unless it repeats; then add servers of the service."}
 )
 
 var requestEvents = []Event{
@@ -21,4 +22,5 @@
 	ClaimReleased,
 	RequestQuarantined,
 	BackendServerCrashed,
+	RateLimitChanged,
 }
--- a/lib/route/pick.go
+++ b/lib/route/pick.go
@@ -26,7 +26,7 @@
 	matching := p.collectCandidates(at, r)
 	if len(p.candidates) == 0 {
 		if matching {
-			return Choice{}, &Refusal{Reason: outcome.ReasonOverloaded, RetryAfter: p.cfg.RetryAfter}
+			return Choice{}, &Refusal{Reason: outcome.ReasonOverloaded, RetryAfter: max(p.cfg.RetryAfter, p.rateLimitWait)}
 		}
 		return Choice{}, &Refusal{Reason: outcome.ReasonNoBackendServer, RetryAfter: p.cfg.RetryAfter}
 	}
@@ -43,7 +43,7 @@
 // any instance serves the request at all, even if it is excluded now. Instances
 // without a fresh report are kept only if there are no others.
 func (p *Picker) collectCandidates(now instant, r *Request) (matching bool) {
-	p.candidates = p.candidates[:0]
+	p.candidates, p.rateLimitWait = p.candidates[:0], 0
 	fresh := 0
 	pool := p.poolIDs.id(r.Pool)
 	var weights uint32
@@ -58,6 +58,12 @@
 		if s.outlier.ejected(now) || (r.Allowed != nil && !r.Allowed(s.Key())) {
 			continue
 		}
+		if wait := s.rateLimitWait(now); wait > 0 {
+			if p.rateLimitWait == 0 || wait < p.rateLimitWait {
+				p.rateLimitWait = wait
+			}
+			continue
+		}
 		requests, share := s.usage(now, &p.cfg)
 		c := candidate{
 			slot:         s,
--- a/lib/route/picker.go
+++ b/lib/route/picker.go
@@ -26,6 +26,9 @@
 	poolIDs    idTable[string]
 	weightIDs  idTable[model.Weights]
 	candidates []candidate // buffer reused by Pick
+	// rateLimitWait is the shortest time after which the rate limit of an instance that
+	// the last Pick left out allows a request.
+	rateLimitWait time.Duration
 }
 
 // New returns a Picker without instances. rng must not be used concurrently by
@@ -117,12 +120,15 @@
 	Capacity int
 	// Age is the time since the instance took the report.
 	Age time.Duration
+	// MinInterval is the time between two requests of this entry that the rate limit of
+	// the backend server allows; zero without a limit.
+	MinInterval time.Duration
 }
 
 // RecordLoad records a load report.
 func (p *Picker) RecordLoad(now time.Time, key Key, r LoadReport) {
 	if s, ok := p.byKey[key]; ok {
-		s.reportedAt = p.instant(now)
+		s.reportedAt, s.minInterval = p.instant(now), r.MinInterval
 		s.load.applyReport(s.reportedAt, r.Running, r.Queued, r.Capacity, r.Age)
 	}
 }
@@ -171,7 +177,8 @@
 // assumed to cache the prefix of the request.
 func (p *Picker) Started(now time.Time, key Key, prefix []uint64) {
 	if s, ok := p.byKey[key]; ok {
-		s.load.addOutstanding(p.instant(now), 1)
+		s.lastStartedAt = p.instant(now)
+		s.load.addOutstanding(s.lastStartedAt, 1)
 		p.prefix.add(now, s.index, prefix)
 	}
 }
--- a/lib/route/slot.go
+++ b/lib/route/slot.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/auburnbend/auburnbend/lib/rendezvous"
 )
@@ -20,6 +21,10 @@
 	// loaded other weights. The end of an ejection starts it again.
 	slowStartSince instant
 	reportedAt     instant // arrival time of the last report
+	// minInterval is the time between two requests of this entry that the rate limit
+	// of the backend server allows; lastStartedAt is when the last one was sent.
+	minInterval   time.Duration
+	lastStartedAt instant
 }
 
 func newSlot(now instant, in Instance, capacity int) *slot {
@@ -37,6 +42,15 @@
 	return id == 0 || slices.Contains(s.weightIDs, id)
 }
 
+// rateLimitWait returns the time until the rate limit of the backend server allows
+// this entry another request.
+func (s *slot) rateLimitWait(now instant) time.Duration {
+	if s.minInterval <= 0 || s.lastStartedAt == 0 {
+		return 0
+	}
+	return max(0, s.minInterval-now.sub(s.lastStartedAt))
+}
+
 // slowStartFactor returns the share of its full load that the instance may get
 // now, from Config.SlowStartShare to 1.
 func (s *slot) slowStartFactor(now instant, cfg *Config) float64 {
--- a/lib/wire/load.go
+++ b/lib/wire/load.go
@@ -12,4 +12,7 @@
 	FirstTokenMillis int `msgpack:"f"`
 	// AgeMillis is the age of the report at the time of sending, in milliseconds.
 	AgeMillis int `msgpack:"a"`
+	// MinIntervalMillis is the time between two requests of one entry that the rate limit
+	// of the backend server allows, in milliseconds; 0 without a limit.
+	MinIntervalMillis int64 `msgpack:"i,omitempty"`
 }
--- a/standin/service/server.go
+++ b/standin/service/server.go
@@ -30,6 +30,9 @@
 	faults  Faults
 	runs    map[string]int
 	running int
+	// calls counts all calls; rateLimit is stated in replies if it is positive.
+	calls     int
+	rateLimit float64
 	// loadChanges are the latest values of running, the oldest first.
 	loadChanges []loadChange
 }
@@ -113,6 +116,7 @@
 }
 
 func (s *Server) handleCall(_ context.Context, c *app.RequestContext) {
+	s.recordCall(c)
 	body := append([]byte(nil), c.Request.Body()...)
 	key := string(c.GetHeader(engine.HeaderIdempotencyKey))
 	path := string(c.Path())
