Soak: servers that name a rate limit

Change: a step makes a server name 1 request a second; a check counts the arrivals of all entries that were told. A spec shows that the check fires.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -56,6 +56,7 @@
 	}
 	c.checkLoads()
 	c.checkSignals()
+	c.checkRateLimits()
 	c.checkPoison()
 	c.checkRecovery()
 	return c.violations
--- a/internal/soak/check_signals.go
+++ b/internal/soak/check_signals.go
@@ -20,6 +20,18 @@
 	// after that.
 	maxPoisonedServers = 3
 	maxLatePoisonRuns  = 3
+	// limitedRate is the rate limit that a server names, in requests per second. Within
+	// limitWindow it may get maxLimitRatio times that and limitSlack requests, from
+	// stabilityTime after it first named the limit on. limitNewsTime is the time from
+	// its answer until the entry keeps to it.
+	limitedRate   = 1.0
+	limitWindow   = 4 * time.Second
+	maxLimitRatio = 1.5
+	limitSlack    = 5
+	limitNewsTime = 500 * time.Millisecond
+	// minLimitDuration is added to the duration of a step that limits a server, so that
+	// it covers a window.
+	minLimitDuration = 4 * time.Second
 )
 
 // checkSignals checks that servers get no requests after they have signaled that they
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"time"
 
@@ -128,6 +129,18 @@
 				f.check.recorder.events = append(f.check.recorder.events, serverEvent{kind: eventArrived, server: "x-1", attempt: "a1", at: 21 * time.Second})
 			}
 		}, 0),
+		Entry("more requests than a rate limit allows, over two entries", "LIMIT", "/order/", func(f *fixture) {
+			for i := range 14 {
+				o := f.outcome
+				o.call.AttemptID, o.entry = fmt.Sprint("limited-", i), i%2
+				at := 20*time.Second + time.Duration(i)*300*time.Millisecond
+				o.sent, o.ended = at, at+50*time.Millisecond
+				f.otherOutcomes = append(f.otherOutcomes, o)
+				f.check.recorder.events = append(f.check.recorder.events,
+					serverEvent{kind: eventArrived, server: "x-1", attempt: o.call.AttemptID, at: at},
+					serverEvent{kind: eventRateLimit, server: "x-1", attempt: o.call.AttemptID, at: at, perSecond: limitedRate})
+			}
+		}, 0),
 		Entry("poison request", "BUDGET", "/status/", func(f *fixture) {
 			f.run.Body = poisonBody
 			for i := range 7 {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -31,6 +31,7 @@
 	ServerMisbehaves      StepKind = "trouble-server"
 	ServerSignalsDraining StepKind = "leave-server"
 	ServerSendsRetryAfter StepKind = "pause-server"
+	ServerLimitsRate      StepKind = "limit-server"
 	SendPoison            StepKind = "ask-poison"
 	CorruptStagedPiece    StepKind = "rot-piece"
 	CorruptOriginPieces   StepKind = "spoil-pieces"
@@ -41,7 +42,7 @@
 // plannedWork contains the steps that are planned work. They must not disturb any
 // request, so they do not suspend checks as faults do.
 var plannedWork = map[StepKind]bool{
-	StopEntry: true, ReloadEntry: true, DrainServer: true, ServerSignalsDraining: true, ServerSendsRetryAfter: true, ChangeConfig: true, DeclareVersion: true, CorruptStagedPiece: true, CorruptOriginPieces: true,
+	StopEntry: true, ReloadEntry: true, DrainServer: true, ServerSignalsDraining: true, ServerSendsRetryAfter: true, ServerLimitsRate: true, ChangeConfig: true, DeclareVersion: true, CorruptStagedPiece: true, CorruptOriginPieces: true,
 }
 
 // Step is one fault or one piece of planned work.
@@ -77,7 +78,7 @@
 	KillEntry, KillEntry, KillAgent, KillAll, PauseEntry, PauseAgent, StopEntry, StopEntry, ReloadEntry,
 	StoreLink, StoreLink, ServerLink, ServerLink, OriginLink, StoreDown, StoreDropsHistory, StoreStale,
 	CrashServer, CrashServer, DrainServer, ServerMisbehaves, ServerMisbehaves, CorruptStagedPiece, CorruptOriginPieces,
-	ServerSignalsDraining, ServerSignalsDraining, ServerSendsRetryAfter, ServerSendsRetryAfter, SendPoison, SendPoison,
+	ServerSignalsDraining, ServerSignalsDraining, ServerSendsRetryAfter, ServerSendsRetryAfter, ServerLimitsRate, ServerLimitsRate, SendPoison, SendPoison,
 	ChangeConfig, ChangeConfig, DeclareVersion, DeclareVersion,
 }
 
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -213,6 +213,11 @@
 	case ServerSendsRetryAfter:
 		pick(t.backends, s.Target).RejectRequests(s.Duration, retryAfterSeconds)
 		wait(ctx, s.Duration)
+	case ServerLimitsRate:
+		server := pick(t.backends, s.Target)
+		server.LimitRate(limitedRate)
+		wait(ctx, s.Duration+minLimitDuration)
+		server.LimitRate(0)
 	case SendPoison:
 		t.sendPoison(ctx, s)
 	case CorruptStagedPiece:
