Compute the share of rate limits in the membership of the region

Change: the share moves from the link to the members, where a spec without a network checks that the shares of a region add up to 1, before an agent has named the entries and when an entry is cut off. No change of behaviour.

Measured: specs of gateway pass with -race.

--- a/gateway/members_test.go
+++ b/gateway/members_test.go
@@ -34,6 +34,25 @@
 		}
 	})
 
+	It("share the region's part of a rate limit", func() {
+		// Guards against entries that together use more than the limit because each takes
+		// itself for the one that places requests.
+		for _, n := range []int{2, 5, 30} {
+			sum := 0.0
+			for _, text := range addresses(n) {
+				m := newMembers(netip.MustParseAddrPort(text))
+				Expect(m.limitShare(16, now)).To(Equal(1.0 / 16))
+				m.observe(addresses(n), now)
+				later := now.Add(rankRefreshInterval)
+				sum += m.limitShare(16, later)
+				// An entry that is cut off from all others.
+				cutOff := later.Add(memberTTL + time.Second)
+				Expect(m.limitShare(16, cutOff)).To(BeNumerically("~", 1/float64(n), 1e-9))
+			}
+			Expect(sum).To(BeNumerically("~", 1, 1e-9))
+		}
+	})
+
 	It("expire when agents no longer name them, later for the retry budget", func() {
 		// Guards against a retry share that grows while other entries are cut off: they
 		// continue to use theirs.
--- a/gateway/rate_limit.go
+++ b/gateway/rate_limit.go
@@ -28,28 +28,28 @@
 // may use. The first entries in rank order place the requests of all; the others use
 // no limited server on their own.
 func (g *Gateway) limitShare() float64 {
-	if g.peerLink == nil {
+	l := g.peerLink
+	if l == nil {
 		return 1 / float64(max(1, g.config.Entries))
 	}
-	return g.peerLink.limitShare(g.config.Entries)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.members.limitShare(g.config.Entries, g.now())
 }
 
-// limitShare implements Gateway.limitShare. assumed is the number of entries of the
-// region until an agent has named them.
-func (l *PeerLink) limitShare(assumed int) float64 {
-	l.mu.Lock()
-	known, recent := l.members.known, l.members.count()
-	ranked := l.members.rank(placementDuty, l.gateway.now())
-	l.mu.Unlock()
+// limitShare returns the share of this entry, as Gateway.limitShare. assumed is the
+// number of entries of the region until an agent has named them.
+func (m *members) limitShare(assumed int, now time.Time) float64 {
+	ranked := m.rank(placementDuty, now)
 	switch {
-	case !known:
+	case !m.known:
 		return 1 / float64(max(1, assumed))
 	case len(ranked) == 1:
 		// The others may have gone, or this entry is cut off from them.
-		return 1 / float64(recent)
-	case ranked[0] == l.self:
+		return 1 / float64(m.count())
+	case ranked[0] == m.self:
 		return placerLimitShare
-	case ranked[1] == l.self:
+	case ranked[1] == m.self:
 		return standbyLimitShare
 	default:
 		return 0
