Wait for the request's own log line in the spec of failed requests

Cause: the spec sent requests until any line had server=desk-1, which the line of the server's registration (7102) also has; the configuration is read by another poll, so that the only request could be refused with "no configuration". Change: it waits for a line of a request (7201, 7202) with that server. The patterns that it checks are the same.

--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -259,7 +259,7 @@
 			Eventually(func() string {
 				e.sendAndIgnore("/a/")
 				return e.logs.String()
-			}, soon).Should(ContainSubstring("server=desk-1"))
+			}, soon).Should(MatchRegexp(`event=720[12] .*server=desk-1`))
 			for _, pattern := range expected {
 				Expect(e.logs.String()).To(MatchRegexp(pattern))
 			}
