Specs of rate limits that reach the placing entry late or not at all

Guards: a lost datagram, a lease granted before the news, a request placed but not sent, and the forwarding of gossip.

--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -13,7 +13,9 @@
 	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/placement"
+	"github.com/auburnbend/auburnbend/lib/ratelimit"
 	"github.com/auburnbend/auburnbend/lib/serving"
+	"github.com/auburnbend/auburnbend/peerlink"
 )
 
 var _ = Describe("Placement by the entries of a region", func() {
@@ -150,6 +152,68 @@
 		Expect(other.gateway.adopt(granted, &req)).To(BeNil())
 	})
 
+	Describe("of servers with a rate limit", func() {
+		limit := func(l *PeerLink) {
+			l.gateway.mu.Lock()
+			defer l.gateway.mu.Unlock()
+			for s := range servers {
+				l.gateway.picker.ObserveLimit(directory.Key{ID: fmt.Sprintf("s%d", s)}, ratelimit.Statement{Known: true, PerSecond: 0.5}, time.Now(), time.Now())
+			}
+		}
+
+		It("keeps to limits that only the requesting entry knows", func() {
+			// Guards against the loss of the datagram that tells the placer of a limit.
+			links := startRegion(3)
+			other := byRank(links, 2)
+			limit(other)
+			granted := 0
+			for range 4 * servers {
+				g, refusal, placer := other.requestPlacement(context.Background(), &req)
+				Expect(placer.IsValid()).To(BeTrue())
+				if g != nil {
+					granted++
+					Expect(g.limitChecked).To(BeTrue())
+					Expect(other.gateway.adopt(g, &req)).NotTo(BeNil())
+					continue
+				}
+				Expect(refusal.Reason).To(Equal(placement.Limited))
+				Expect(refusal.RetryAfter).To(BeNumerically(">", 0))
+			}
+			Expect(granted).To(BeNumerically("<=", servers))
+		})
+
+		It("rejects a lease that was granted before the limit was known", func() {
+			links := startRegion(2)
+			other := byRank(links, 1)
+			granted, _, _ := other.requestPlacement(context.Background(), &req)
+			Expect(granted).NotTo(BeNil())
+			limit(other)
+			Expect(other.gateway.adopt(granted, &req)).To(BeNil())
+		})
+
+		It("takes back a request that has not been sent when the limit becomes known", func() {
+			l := startRegion(1)[0]
+			lease, refusal := l.gateway.pick(req, time.Now())
+			Expect(refusal).To(BeNil())
+			Expect(l.gateway.limitLearnedSince(lease)).To(BeFalse())
+			limit(l)
+			Expect(l.gateway.limitLearnedSince(lease)).To(BeTrue())
+		})
+
+		It("spreads to the other entries", func() {
+			links := startRegion(3)
+			other := byRank(links, 2)
+			other.handleGossip(&peerlink.Gossip{Forward: true, Limits: []peerlink.RateLimit{{Server: peerlink.ServerKey{ID: "s0"}, PerSecond: 2}}})
+			for _, l := range links {
+				Eventually(func() bool {
+					l.gateway.mu.Lock()
+					defer l.gateway.mu.Unlock()
+					return l.gateway.picker.RateLimited(directory.Key{ID: "s0"})
+				}).Should(BeTrue())
+			}
+		})
+	})
+
 	It("counts the entries of all regions for the retry budget", func() {
 		l := startRegion(2)[0]
 		l.gateway.config.Placement.Regions = map[string]string{"north": "n", "south": "s", "west": "w"}
