Explain shows older events that still had an effect on a request

Cause: events were shown within 3 s of a request. Change: earlier events of the request's content (7204 to 7206), and the last 7208 to 7210 of the servers that the entry left out.

--- a/operator/explain/timeline.go
+++ b/operator/explain/timeline.go
@@ -16,7 +16,8 @@
 	// Lines are the lines of the request in order of time.
 	Lines []Line
 	// Context are other events of the instances and backend servers involved, from
-	// shortly before to shortly after the request, in order of time.
+	// shortly before to shortly after the request, and earlier events that still had an
+	// effect, in order of time.
 	Context []Line
 }
 
@@ -37,6 +38,7 @@
 			t.Context = append(t.Context, l)
 		}
 	}
+	t.addOlderEvents(lines)
 	slices.SortStableFunc(t.Context, byTime)
 	return t
 }
--- a/operator/explain/timeline_test.go
+++ b/operator/explain/timeline_test.go
@@ -37,6 +37,27 @@
 		Expect(events).To(Equal([]int{7104, 7103}))
 	})
 
+	It("adds older events of the same content and the last states of servers that were left out", func() {
+		// Guards against a refusal whose cause was logged long before the request.
+		const older = `ts=2026-12-04T05:00:00.000Z instance=edge-2 event=7205 level=warn msg="backend server crashed while running requests" server=i-9 content=c0ffee
+ts=2026-12-04T05:00:01.000Z instance=edge-1 event=7206 level=warn msg="content quarantined: backend servers crashed while running it" content=c0ffee
+ts=2026-12-04T05:00:02.000Z instance=edge-1 event=7206 level=warn msg="content quarantined: backend servers crashed while running it" content=other
+ts=2026-12-04T05:00:03.000Z instance=edge-1 event=7210 level=info msg="backend server stated or lifted a limit of its request rate" server=i-1 per_second=2
+ts=2026-12-04T05:00:04.000Z instance=edge-1 event=7210 level=info msg="backend server stated or lifted a limit of its request rate" server=i-1 per_second=1
+ts=2026-12-04T05:00:05.000Z instance=edge-1 event=7209 level=info msg="backend server asked this entry to pause sending requests" server=i-2 for_ms=60000
+ts=2026-12-04T05:00:06.000Z instance=edge-1 event=7208 level=info msg="backend server is draining and gets no new requests" server=i-7
+ts=2026-12-04T05:00:40.000Z instance=edge-1 event=7201 level=info msg="request ended" request=a outcome=refused reason=rate_limited content=c0ffee server= left_out="i-1: limited to 1/s, i-2: paused for 9 ms"
+ts=2026-12-04T05:00:50.000Z instance=edge-1 event=7210 level=info msg="backend server stated or lifted a limit of its request rate" server=i-1 per_second=0
+`
+		lines, err := explain.ReadLines(strings.NewReader(older))
+		Expect(err).NotTo(HaveOccurred())
+		var found []string
+		for _, l := range explain.FindRequest("a", lines).Context {
+			found = append(found, l.Time.Format("05"))
+		}
+		Expect(found).To(Equal([]string{"00", "01", "04", "05"}))
+	})
+
 	It("skips lines that are not event lines", func() {
 		// Guards against logs that cannot be read because of a line of another program.
 		read, err := explain.ReadLines(strings.NewReader("worth 0.6 = all (weight 0.3), \"half\n" + logs + "fatal error: a=b=c=\n"))
