Use the origin while the only peers with a chunk are avoided for long

Cause: the sign of a comparison was wrong, so that each avoided peer counted as available soon, for up to 32 s, and the origin was not asked meanwhile. Change: only peers that are available within the origin's rank delay count.

--- a/lib/distribute/downloader_trackerless.go
+++ b/lib/distribute/downloader_trackerless.go
@@ -174,7 +174,7 @@
 		if !p.have.Get(index) || now.Before(p.corruptUntil[digest]) {
 			continue
 		}
-		if now.Sub(p.blockedUntil) < d.cfg.OriginRankDelay {
+		if p.blockedUntil.Sub(now) < d.cfg.OriginRankDelay {
 			available = true
 		}
 		if now.Before(p.blockedUntil) {
--- a/lib/distribute/trackerless_test.go
+++ b/lib/distribute/trackerless_test.go
@@ -43,6 +43,33 @@
 		Expect(len(used)).To(BeNumerically(">", 5))
 	})
 
+	// Guards against a chunk that is fetched from nowhere while the only peer that holds
+	// it is avoided for many seconds.
+	It("use the origin while the only peer with a chunk is avoided for long", func() {
+		now := time.Unix(0, 0)
+		m, err := weights.BuildBytes(make([]byte, 64), "o", model.Digest{}, 64)
+		Expect(err).NotTo(HaveOccurred())
+		digest, err := m.Digest()
+		Expect(err).NotTo(HaveOccurred())
+		have := weights.NewBitmap(1)
+		have.Set(0)
+		d := distribute.NewDownloader(distribute.DownloaderConfig{Self: "self", TrackerlessAgents: 1, TrackerlessCopies: 2, Rand: rand.New(rand.NewSource(1))})
+		d.SetTarget(now, digest, m, weights.NewBitmap(1))
+		d.TrackerLost(now)
+		d.AddPeers([]string{"peer"})
+		d.SetPeerBitmap("peer", digest, have)
+		var sources []string
+		for range 3000 {
+			now = now.Add(10 * time.Millisecond)
+			for _, f := range d.Next(now).Start {
+				sources = append(sources, f.Source)
+				d.FetchFinished(now, f.ID, f.Chunk.Digest, distribute.Failed, 0)
+			}
+		}
+		Expect(sources).To(ContainElement("peer"))
+		Expect(sources).To(ContainElement(distribute.Origin))
+	})
+
 	// Guards against choosing a peer behind a stalled path again at once while
 	// a tracker is connected that does not answer.
 	It("avoid a stalled peer for longer after each failure", func() {
