--- a/gateway/rate_limit.go
+++ b/gateway/rate_limit.go
@@ -85,7 +85,8 @@
 	return encodeLimits(limits[:min(len(limits), maxQueryLimits)], now)
 }
 
-// limitsToResend returns the rate limits to repeat in gossip. The caller holds mu.
+// limitsToResend returns the rate limits to repeat in gossip, a random choice if there
+// are many. The caller holds mu.
 func (g *Gateway) limitsToResend(now time.Time) []peerlink.RateLimit {
 	limits := g.picker.LimitsSince(now.Add(-liftResendPeriod))
 	rand.Shuffle(len(limits), func(i, j int) { limits[i], limits[j] = limits[j], limits[i] })
--- a/gateway/server_signals.go
+++ b/gateway/server_signals.go
@@ -11,7 +11,7 @@
 
 // recordSignals records the pause, the rate limit and the drain that a server
 // announces in the response to a request that was sent at the given time. It returns
-// what other entries should learn, or nil. The caller holds mu.
+// what other entries should learn. The caller holds mu.
 func (g *Gateway) recordSignals(server *directory.Server, info ResponseInfo, sent, now time.Time) *peerlink.Gossip {
 	key := server.Key()
 	wireKey := peerlink.ServerKey{ID: key.ID, StartUnixMilli: key.StartUnixMilli}
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -131,10 +131,9 @@
 }
 
 // available drops the servers that accept no requests now, those whose rate limit is
-// reached, and the ejected ones. If
-// only ejected ones are left and they are more than MaxEjectedShare, it returns
-// those. A pause applies only between a server and one entry: for requests of other
-// entries, these list the servers to exclude.
+// reached, and the ejected ones. If only ejected ones are left and they are more than
+// MaxEjectedShare, it returns those. A pause applies only between a server and one
+// entry: for requests of other entries, these list the servers to exclude.
 func (p *Picker) available(eligible []*server, req *Request, now time.Time) []*server {
 	own := req.Entry == ""
 	var available, ramping, ejected []*server
