Placement requests fit into one datagram

What callers would have seen: up to 30 ms more and a placement by their own entry, which does not know the requests of the others. Cause: integers took nine bytes each, so that 100 open leases alone took 900 of 1,200 bytes; with excluded servers and the rate limits that are listed now, the placer would have received a truncated request. The spec's request had 2,136. Change: integers are encoded compactly, and open leases are left out if the request is still too long; the placer then ends lost ones when they expire. Specs for the splitting of gossip with limits, and for agents that tell limits to entries that start. Measured: the spec fails before (2,136 bytes) and passes now.

--- a/gateway/peer_link.go
+++ b/gateway/peer_link.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/netip"
@@ -151,6 +152,17 @@
 	return data
 }
 
+// encodeCompact is like encode, but encodes integers in as few bytes as possible.
+func encodeCompact(d *peerlink.Datagram) []byte {
+	var buf bytes.Buffer
+	encoder := msgpack.NewEncoder(&buf)
+	encoder.UseCompactInts(true)
+	if err := encoder.Encode(d); err != nil {
+		panic(err)
+	}
+	return buf.Bytes()
+}
+
 // send sends a datagram. A lost one is not repeated: later ones replace it.
 func (l *PeerLink) send(data []byte, to netip.AddrPort) { _, _ = l.conn.WriteToUDPAddrPort(data, to) }
 
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -157,7 +157,7 @@
 		openLeases, all := l.placements.openLeases(to)
 		query := l.newPlacementRequest(req)
 		query.Lease, query.OpenLeases, query.OpenLeasesKnown = lease, openLeases, all
-		l.send(encode(&peerlink.Datagram{PlacementRequest: query}), to)
+		l.send(encodePlacementRequest(query), to)
 		if granted, refusal, ok := l.awaitPlacement(ctx, to, lease, response); ok {
 			return granted, refusal, to
 		}
@@ -165,6 +165,17 @@
 	return nil, nil, netip.AddrPort{}
 }
 
+// encodePlacementRequest encodes a request in one datagram. If it is too long, it does
+// not list the open leases: the placer then ends lost ones when they expire.
+func encodePlacementRequest(query *peerlink.PlacementRequest) []byte {
+	data := encodeCompact(&peerlink.Datagram{PlacementRequest: query})
+	if len(data) <= maxDatagramBytes {
+		return data
+	}
+	query.OpenLeases, query.OpenLeasesKnown = nil, false
+	return encodeCompact(&peerlink.Datagram{PlacementRequest: query})
+}
+
 // awaitPlacement waits for the response of one placer. It reports false if the
 // placer does not respond in time or declines.
 func (l *PeerLink) awaitPlacement(ctx context.Context, to netip.AddrPort, lease uint64, response <-chan *peerlink.PlacementResponse) (*grant, *placement.Refusal, bool) {
--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/directory"
@@ -200,6 +201,31 @@
 			Expect(l.gateway.limitLearnedSince(lease)).To(BeTrue())
 		})
 
+		It("is requested in one datagram, however much there is to list", func() {
+			// Guards against placement requests that the placer cannot read.
+			query := &peerlink.PlacementRequest{
+				Entry: "edge-nyagatare-a-149", Incarnation: 1 << 63, Lease: 1 << 32, Domain: "nyagatare-a", Service: "inkuru-model", Model: "daka510000",
+				Version: 300, MinVersion: 300, NextVersion: 301, NextMillis: 13_400, PromptTokens: 100_000, OutputTokens: 10_000,
+				LatencyTargetMillis: 6000, RemainingMillis: 60_000, MayHaveRun: true, OpenLeasesKnown: true,
+			}
+			key := peerlink.ServerKey{ID: "i-be1c0abb98", StartUnixMilli: 1796383521361}
+			for range 24 {
+				query.Exclude = append(query.Exclude, key)
+			}
+			for range maxQueryLimits {
+				query.Limits = append(query.Limits, peerlink.RateLimit{Server: key, PerSecond: 1.7, AgeMillis: 600_000})
+			}
+			for i := range maxListedLeases {
+				query.OpenLeases = append(query.OpenLeases, uint64(60_000+i))
+			}
+			data := encodePlacementRequest(query)
+			Expect(len(data)).To(BeNumerically("<=", maxDatagramBytes))
+			var d peerlink.Datagram
+			Expect(msgpack.Unmarshal(data, &d)).To(Succeed())
+			Expect(d.PlacementRequest.Limits).To(HaveLen(maxQueryLimits))
+			Expect(d.PlacementRequest.Exclude).To(HaveLen(24))
+		})
+
 		It("spreads to the other entries", func() {
 			links := startRegion(3)
 			other := byRank(links, 2)
--- a/peerlink/gossip_test.go
+++ b/peerlink/gossip_test.go
@@ -32,7 +32,10 @@
 		for i := range rapid.IntRange(0, 60).Draw(t, "draining") {
 			gossip.Draining = append(gossip.Draining, peerlink.ServerKey{ID: fmt.Sprintf("i-%010d", i), StartUnixMilli: 1796383521361})
 		}
-		suspects, draining := 0, 0
+		for i := range rapid.IntRange(0, 60).Draw(t, "limits") {
+			gossip.Limits = append(gossip.Limits, peerlink.RateLimit{Server: peerlink.ServerKey{ID: fmt.Sprintf("i-%010d", i), StartUnixMilli: 1796383521361}, PerSecond: 1.7, AgeMillis: 60_000})
+		}
+		suspects, draining, limits := 0, 0, 0
 		for _, data := range gossip.Datagrams(limit) {
 			if len(data) > limit {
 				t.Fatalf("datagram has %d bytes, limit is %d", len(data), limit)
@@ -46,9 +49,10 @@
 			}
 			suspects += len(d.Gossip.Suspects.Suspects)
 			draining += len(d.Gossip.Draining)
+			limits += len(d.Gossip.Limits)
 		}
-		if suspects != len(gossip.Suspects.Suspects) || draining != len(gossip.Draining) {
-			t.Fatalf("got %d of %d suspects and %d of %d servers", suspects, len(gossip.Suspects.Suspects), draining, len(gossip.Draining))
+		if suspects != len(gossip.Suspects.Suspects) || draining != len(gossip.Draining) || limits != len(gossip.Limits) {
+			t.Fatalf("got %d of %d suspects, %d of %d servers and %d of %d limits", suspects, len(gossip.Suspects.Suspects), draining, len(gossip.Draining), limits, len(gossip.Limits))
 		}
 	})
 }
--- a/replica/load_reporter_test.go
+++ b/replica/load_reporter_test.go
@@ -70,4 +70,39 @@
 		sendSubscription(conn, false, 2)
 		Expect(next(conn, 300*time.Millisecond)).NotTo(BeNil())
 	})
+
+	It("tells an entry that has just subscribed of the rate limits in force", func() {
+		// Guards against restarted entries that send a limited server more than it takes.
+		f := newFleet(1)
+		reporter, err := replica.NewLoadReporter(f.replicas[0])
+		Expect(err).NotTo(HaveOccurred())
+		go reporter.Run(f.ctx)
+		sender := subscribe(f, false)
+		limited, lifted := peerlink.ServerKey{ID: "limited"}, peerlink.ServerKey{ID: "lifted"}
+		send := func(limits ...peerlink.RateLimit) {
+			data, err := msgpack.Marshal(&peerlink.Datagram{Gossip: &peerlink.Gossip{Limits: limits}})
+			Expect(err).NotTo(HaveOccurred())
+			_, err = sender.Write(data)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		send(peerlink.RateLimit{Server: limited, PerSecond: 2, AgeMillis: 100}, peerlink.RateLimit{Server: lifted, PerSecond: 3, AgeMillis: 100})
+		// An older statement on the one, a newer one on the other.
+		send(peerlink.RateLimit{Server: limited, AgeMillis: 5000}, peerlink.RateLimit{Server: lifted})
+		buf := make([]byte, 2000)
+		Eventually(func() []peerlink.RateLimit {
+			conn := subscribe(f, false)
+			Expect(conn.SetReadDeadline(time.Now().Add(500 * time.Millisecond))).To(Succeed())
+			for {
+				n, err := conn.Read(buf)
+				if err != nil {
+					return nil
+				}
+				var d peerlink.Datagram
+				Expect(msgpack.Unmarshal(buf[:n], &d)).To(Succeed())
+				if d.Gossip != nil {
+					return d.Gossip.Limits
+				}
+			}
+		}, 3*time.Second).Should(ConsistOf(HaveField("Server", limited)))
+	})
 })
