Count requests from before a rate limit was named; use more of the limit

Cause: the 4 s in which a limit is judged reach back before it was named, and the placing entry gave the server its share on top of what it had just sent. On the other hand 0.8 of a limit were used at most, and 0.4 of it were reserved for regions that rarely need it. Change: placements of the last 4 s count; the home region has 0.7 instead of 0.6, the placing entry 0.9 of its region's part instead of 0.8.

--- a/gateway/rate_limit.go
+++ b/gateway/rate_limit.go
@@ -14,7 +14,7 @@
 	// placerLimitShare and standbyLimitShare are the shares of the region's part of rate
 	// limits that the first two entries in rank order use. They add up to 1, so that the
 	// standby may take over before the others notice that the first one has gone.
-	placerLimitShare  = 0.8
+	placerLimitShare  = 0.9
 	standbyLimitShare = 1 - placerLimitShare
 	// maxQueryLimits bounds the rate limits that a placement request lists, so that it
 	// fits into a datagram.
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -57,7 +57,7 @@
 
 func (p *Picker) newLease(s *server, req *Request, now time.Time) *Lease {
 	s.addUsage(1, 1, req.PromptTokens, now)
-	s.lastPlacedAt = now
+	s.recordPlacement(now)
 	return &Lease{Server: s.listing, Usage: s.usage, state: s, entry: req.Entry, promptTokens: req.PromptTokens, started: now}
 }
 
--- a/lib/placement/rate_limit.go
+++ b/lib/placement/rate_limit.go
@@ -11,7 +11,11 @@
 // homeRegionPart is the part of a server's rate limit that entries of its own region
 // may use. The other regions share the rest evenly. The parts depend on the settings
 // only, so that their sum holds without messages between regions.
-const homeRegionPart = 0.6
+const homeRegionPart = 0.7
+
+// limitWindow is the period within which requests that were placed before a server
+// named its limit count against it: they are still on the server.
+const limitWindow = 4 * time.Second
 
 // ServerLimit is the newest known rate limit of a server.
 type ServerLimit struct {
@@ -83,8 +87,40 @@
 	if !s.rateLimited() {
 		return false
 	}
+	at, ok := p.nextAllowed(s, now)
+	return !ok || now.Before(at)
+}
+
+// nextAllowed returns when the rate limit of a server allows this entry the next
+// request. ok is false if it allows none. Requests are an interval apart, and the
+// requests within limitWindow before are no more than the limit allows.
+func (p *Picker) nextAllowed(s *server, now time.Time) (at time.Time, ok bool) {
 	interval, ok := s.limit.Interval(p.shareOf(s))
-	return !ok || now.Before(s.lastPlacedAt.Add(interval))
+	if !ok {
+		return time.Time{}, false
+	}
+	at = s.lastPlacedAt.Add(interval)
+	s.dropOldPlacements(now)
+	if excess := len(s.recentlyPlaced) - max(1, int(limitWindow/interval)); excess > 0 {
+		at = later(at, s.recentlyPlaced[excess-1].Add(limitWindow))
+	}
+	return at, true
+}
+
+func (s *server) recordPlacement(now time.Time) {
+	s.dropOldPlacements(now)
+	s.lastPlacedAt = now
+	s.recentlyPlaced = append(s.recentlyPlaced, now)
+}
+
+func (s *server) dropOldPlacements(now time.Time) {
+	old := 0
+	for old < len(s.recentlyPlaced) && now.Sub(s.recentlyPlaced[old]) >= limitWindow {
+		old++
+	}
+	if old > 0 {
+		s.recentlyPlaced = append(s.recentlyPlaced[:0], s.recentlyPlaced[old:]...)
+	}
 }
 
 // shareOf returns the share of the server's rate limit that this entry may use.
@@ -113,11 +149,12 @@
 			continue
 		}
 		found = true
-		interval, ok := s.limit.Interval(p.shareOf(s))
+		allowed, ok := p.nextAllowed(s, now)
 		if !ok {
 			continue
 		}
-		free := later(later(s.lastPlacedAt, s.bookedUntil).Add(interval), now)
+		interval, _ := s.limit.Interval(p.shareOf(s))
+		free := later(later(allowed, s.bookedUntil.Add(interval)), now)
 		if next == nil || free.Before(at) {
 			next, at = s, free
 		}
--- a/lib/placement/server.go
+++ b/lib/placement/server.go
@@ -19,8 +19,10 @@
 	load          Load
 	reportedAt    time.Time
 	otherRequests int
-	// lastPlacedAt is when this entry last placed a request there.
-	lastPlacedAt time.Time
+	// lastPlacedAt is when this entry last placed a request there; recentlyPlaced are
+	// the times of all requests placed within limitWindow.
+	lastPlacedAt   time.Time
+	recentlyPlaced []time.Time
 	// openedAt is when the server began to accept requests, according to reports.
 	openedAt time.Time
 	// otherPrefillTokens are prompt tokens that others have placed and that are waiting
