--- a/lib/distribute/trackerless_test.go
+++ b/lib/distribute/trackerless_test.go
@@ -14,18 +14,25 @@
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
+// singleChunk returns a version of one chunk, its digest, and the bitmap of an agent
+// that holds it.
+func singleChunk() (m *weights.Manifest, digest model.Digest, have weights.Bitmap) {
+	m, err := weights.BuildBytes(make([]byte, 64), "o", model.Digest{}, 64)
+	Expect(err).NotTo(HaveOccurred())
+	digest, err = m.Digest()
+	Expect(err).NotTo(HaveOccurred())
+	have = weights.NewBitmap(1)
+	have.Set(0)
+	return m, digest, have
+}
+
 var _ = Describe("Agents without a tracker", func() {
 	// Guards against choosing peers in a fixed order, which makes all agents
 	// without a tracker fetch from the same one or two of 20 peers, at a tenth
 	// of the rate of their links.
 	It("distribute their fetches over the peers that hold the chunks", func() {
 		now := time.Unix(0, 0)
-		m, err := weights.BuildBytes(make([]byte, 64), "o", model.Digest{}, 64)
-		Expect(err).NotTo(HaveOccurred())
-		digest, err := m.Digest()
-		Expect(err).NotTo(HaveOccurred())
-		have := weights.NewBitmap(1)
-		have.Set(0)
+		m, digest, have := singleChunk()
 		used := make(map[string]int)
 		for seed := range 20 {
 			d := distribute.NewDownloader(distribute.DownloaderConfig{Self: "self", Rand: rand.New(rand.NewSource(int64(seed)))})
@@ -47,12 +54,7 @@
 	// it is avoided for many seconds.
 	It("use the origin while the only peer with a chunk is avoided for long", func() {
 		now := time.Unix(0, 0)
-		m, err := weights.BuildBytes(make([]byte, 64), "o", model.Digest{}, 64)
-		Expect(err).NotTo(HaveOccurred())
-		digest, err := m.Digest()
-		Expect(err).NotTo(HaveOccurred())
-		have := weights.NewBitmap(1)
-		have.Set(0)
+		m, digest, have := singleChunk()
 		d := distribute.NewDownloader(distribute.DownloaderConfig{Self: "self", TrackerlessAgents: 1, TrackerlessCopies: 2, Rand: rand.New(rand.NewSource(1))})
 		d.SetTarget(now, digest, m, weights.NewBitmap(1))
 		d.TrackerLost(now)
@@ -74,12 +76,7 @@
 	// a tracker is connected that does not answer.
 	It("avoid a stalled peer for longer after each failure", func() {
 		now := time.Unix(0, 0)
-		m, err := weights.BuildBytes(make([]byte, 64), "o", model.Digest{}, 64)
-		Expect(err).NotTo(HaveOccurred())
-		digest, err := m.Digest()
-		Expect(err).NotTo(HaveOccurred())
-		have := weights.NewBitmap(1)
-		have.Set(0)
+		m, digest, have := singleChunk()
 		d := distribute.NewDownloader(distribute.DownloaderConfig{Self: "self", Rand: rand.New(rand.NewSource(1))})
 		d.SetTarget(now, digest, m, weights.NewBitmap(1))
 		d.TrackerConnected(now)
