Stand-ins and soak: judge WHOLE by what an engine took; failing specs of WHOLE

The soak checks each request that ran on such layers and each load by its own engine's pieces, which is stricter than before.

--- a/internal/node/deployment_test.go
+++ b/internal/node/deployment_test.go
@@ -92,7 +92,7 @@
 }
 
 // LoadOrdered implements platformtest.Recorder.
-func (s *deployment) LoadOrdered(string, int, bool) {}
+func (s *deployment) LoadOrdered(platformtest.Load) {}
 
 // serverEvent is a request that arrived at a server or a signal that the server sent
 // with the response.
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -134,6 +134,9 @@
 
 func (c *checker) checkRun(o *outcome, r *platformtest.Run) {
 	at := r.StartedAt.Sub(c.recorder.started)
+	if r.CorruptFor >= corruptionGrace {
+		c.addViolation("WHOLE", at, "%s ran at %s on layers with pieces that had been corrupt for %v when they were taken", r.AttemptID, r.Server, r.CorruptFor)
+	}
 	if r.HasKey || r.Team != team || r.Target != o.call.Path || r.Body != o.call.Body {
 		c.addViolation("UNASKED", at, "%s does not match its request: ran as %s for team %q, API key passed on: %t", r.AttemptID, r.Target, r.Team, r.HasKey)
 	}
@@ -165,17 +168,12 @@
 	return version
 }
 
+// checkLoads checks the pieces that engines took. A load is judged by its own engine's
+// pieces only.
 func (c *checker) checkLoads() {
 	for _, l := range c.recorder.loads {
-		if l.intact {
-			continue
-		}
-		excused := false
-		for _, at := range c.recorder.corruptions {
-			excused = excused || at <= l.at && l.at-at < corruptionGrace
-		}
-		if !excused {
-			c.addViolation("WHOLE", l.at, "%s was ordered to load version %d with corrupt or missing pieces", l.server, l.version)
+		if l.Incomplete || l.CorruptFor >= corruptionGrace {
+			c.addViolation("WHOLE", l.at, "%s took layers %d to %d of version %d, incomplete: %t, corrupt for %v", l.Server, l.From, l.To, l.Version, l.Incomplete, l.CorruptFor)
 		}
 	}
 }
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -149,7 +149,13 @@
 				f.check.recorder.RunStarted(r)
 			}
 		}, 0),
-		Entry("corrupt pieces", "WHOLE", "/once/", func(f *fixture) { f.check.recorder.LoadOrdered("x-1", 2, false) }, 0),
+		Entry("missing pieces", "WHOLE", "/once/", func(f *fixture) {
+			f.check.recorder.LoadOrdered(platformtest.Load{Server: "x-1", Version: 2, Incomplete: true})
+		}, 0),
+		Entry("request on layers with corrupt pieces", "WHOLE", "/once/", func(f *fixture) { f.run.CorruptFor = corruptionGrace }, 0),
+		Entry("pieces that had been corrupt for long", "WHOLE", "/once/", func(f *fixture) {
+			f.check.recorder.LoadOrdered(platformtest.Load{Server: "x-1", Version: 2, CorruptFor: corruptionGrace})
+		}, 0),
 	)
 
 	It("reports no violation that a fault may have caused", func() {
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -25,11 +25,8 @@
 
 // load is an order to load weights that an engine accepted.
 type load struct {
-	server  string
-	version int
-	// intact is false if staged pieces were corrupt or missing.
-	intact bool
-	at     time.Duration
+	platformtest.Load
+	at time.Duration
 }
 
 // declaredVersion is a version of the configuration or of the weights, and the time at
@@ -44,13 +41,12 @@
 type recorder struct {
 	started time.Time
 
-	mu          sync.Mutex
-	outcomes    []outcome
-	runs        map[string][]platformtest.Run
-	loads       []load
-	configs     []declaredVersion
-	weights     []declaredVersion
-	corruptions []time.Duration
+	mu       sync.Mutex
+	outcomes []outcome
+	runs     map[string][]platformtest.Run
+	loads    []load
+	configs  []declaredVersion
+	weights  []declaredVersion
 	// events are the arrivals at servers and the signals that these sent.
 	events []serverEvent
 	// drainingSince is when the rows of servers changed to draining, by id.
@@ -127,10 +123,10 @@
 }
 
 // LoadOrdered implements platformtest.Recorder.
-func (rec *recorder) LoadOrdered(server string, version int, intact bool) {
+func (rec *recorder) LoadOrdered(l platformtest.Load) {
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
-	rec.loads = append(rec.loads, load{server: server, version: version, intact: intact, at: rec.now()})
+	rec.loads = append(rec.loads, load{l, rec.now()})
 }
 
 func (rec *recorder) addOutcome(o outcome) {
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -222,7 +222,6 @@
 		t.sendPoison(ctx, s)
 	case CorruptStagedPiece:
 		pick(t.backends[:engineCount], s.Target).CorruptStagedPiece(s.Target % weights.Pieces)
-		t.recorder.update(func(rec *recorder, now time.Duration) { rec.corruptions = append(rec.corruptions, now) })
 	case CorruptOriginPieces:
 		t.origin.SetCorruptShare(0.2)
 		wait(ctx, s.Duration)
