--- a/replica/load.go
+++ b/replica/load.go
@@ -30,6 +30,7 @@
 	// Once it has accepted the order, the engine itself reports that it is busy.
 	defer r.draining.Store(false)
 	r.awaitEmptyQueue(ctx)
+	stagingStarted := r.config.Clock.Now()
 	complete, err := p.pieces.stage(ctx)
 	if err != nil {
 		r.logEngineError(err)
@@ -45,8 +46,10 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, engineCallTimeout)
 	defer cancel()
+	sent := r.config.Clock.Now()
 	err = r.config.Engine.StartLoad(callCtx, p.model, p.version, state.OrdersAccepted)
-	r.config.Log.Log(eventlog.LoadOrdered, "model", p.model, "version", p.version, "err", err)
+	r.config.Log.Log(eventlog.LoadOrdered, "model", p.model, "version", p.version, "orders", state.OrdersAccepted,
+		"staging_ms", sent.Sub(stagingStarted).Milliseconds(), "response_ms", r.config.Clock.Now().Sub(sent).Milliseconds(), "err", err)
 	if err != nil && errors.Is(err, ErrOrderRejected) {
 		return
 	}
