Let requests to an engine only once what it took is verified

Cause: an agent verified pieces when it received or staged them, and nothing tied that to what the engine took. Staging had no limit of time (specs: staging_ms=5791 with a slow link, the piece corrupt for most of it), written pieces were never read back, and an order without a response could be accepted when the pieces of a newer version were staged already.

Change: staged pieces are read back before an order, which follows within a second, and once more after the engine has accepted it. A corrupt piece stays corrupt until it is written again, so intact pieces afterwards prove that the engine took intact ones, however late it did. Until then, and whenever the number of accepted orders or the start of the engine changes without that proof, the agent reports the engine as closed. Layers without proof are given up and taken again. Pieces stay in memory until then, are staged before the load is due, and a load runs in steps of 100 ms, so that load reports continue.

--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -48,6 +48,8 @@
 	origin        *platform.Origin
 	// originPieceDuration is the transfer time of one piece over the origin's link.
 	originPieceDuration time.Duration
+	// layers is the number of layers of the model, or zero if it is unknown.
+	layers int
 	// model and version are what the engine must serve; version is 0 if unknown.
 	model   string
 	version int
@@ -72,6 +74,12 @@
 	return t.originPieceDuration
 }
 
+func (t *targetTracker) modelLayers() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.layers
+}
+
 // handleAnnouncement applies a target that an entry has announced and postpones the
 // next read of the store.
 func (t *targetTracker) handleAnnouncement(target *peerlink.Target) {
@@ -93,6 +101,9 @@
 	if target.ConfigVersion >= t.configVersion {
 		t.configVersion = target.ConfigVersion
 		t.originPieceDuration = time.Duration(target.OriginPieceMicros) * time.Microsecond
+		if target.Layers > 0 || target.Model != t.model {
+			t.layers = target.Layers
+		}
 		if t.origin == nil || t.origin.Address() != target.Origin {
 			t.origin = platform.NewOrigin(target.Origin)
 		}
@@ -154,7 +165,7 @@
 		if target.Service == t.service {
 			t.applyTarget(&peerlink.Target{
 				ConfigVersion: c.Version, Model: target.Model, Version: serving.FirstVersion,
-				Origin: target.Origin.Address, OriginPieceMicros: target.OriginPieceTime.Microseconds(),
+				Origin: target.Origin.Address, OriginPieceMicros: target.OriginPieceTime.Microseconds(), Layers: target.Layers,
 			}, "store")
 		}
 	}
--- a/lib/eventlog/events_serving.go
+++ b/lib/eventlog/events_serving.go
@@ -30,6 +30,8 @@
 	FetchFailed         = Event{7307, Warn, "fetch of a version failed", "Nothing unless it repeats; then check the origin and the peers."}
 	OriginLost          = Event{7308, Warn, "origin of weights does not answer this instance", "Check the origin; instances still fetch pieces from one another."}
 	OriginRegained      = Event{7309, Info, "origin of weights answers again", "Nothing."}
+	WeightsVerified     = Event{7310, Info, "engine holds all layers of a version intact", "Nothing."}
+	WeightsCorrupt      = Event{7311, Warn, "engine took layers that are not known to be intact; it gets no requests and takes them again", "Check the storage of the instance if it repeats."}
 	PieceCorrupt        = Event{7303, Warn, "piece of weights does not match the manifest", "Check the named source if it repeats."}
 	PeerListUnavailable = Event{7304, Warn, "list of peers unavailable", "Check the platform; the origin is used instead."}
 	EngineCallFailed    = Event{7305, Warn, "call to the engine on this instance failed", "Check the engine if it lasts."}
@@ -39,5 +41,5 @@
 	LiveConfigApplied, VersionDeclared, RowInvalid, StoreLost, StoreRegained,
 	ServerListRead, ServerRegistered, ServerRemoved, ServerEjected, PlacerChanged, PlacerLost, StorePathChanged,
 	RequestEnded, RequestRetried, LogLinesDropped, AttemptAborted, ServerCrashed, ContentQuarantined, ServerAlive, ServerDraining, ServerPaused, ServerRateLimited,
-	ReplicaPhase, LoadOrdered, ReplicaFetched, FetchFailed, OriginLost, OriginRegained, PieceCorrupt, PeerListUnavailable, EngineCallFailed,
+	ReplicaPhase, LoadOrdered, ReplicaFetched, FetchFailed, OriginLost, OriginRegained, WeightsVerified, WeightsCorrupt, PieceCorrupt, PeerListUnavailable, EngineCallFailed,
 }
--- a/peerlink/message.go
+++ b/peerlink/message.go
@@ -73,6 +73,8 @@
 	// OriginPieceMicros is the time in microseconds that one piece takes on the
 	// origin's link, or zero if it is unknown.
 	OriginPieceMicros int64 `msgpack:"p"`
+	// Layers is the number of layers of the model, or zero if it is unknown.
+	Layers int `msgpack:"l,omitempty"`
 }
 
 // Status is an agent's report on its backend server.
--- a/replica/config.go
+++ b/replica/config.go
@@ -23,6 +23,9 @@
 	// OriginPieceTime returns the time that one piece takes on the origin's link,
 	// or zero if it is unknown.
 	OriginPieceTime func() time.Duration
+	// Layers returns the number of layers of the model, or zero if it is unknown. It may
+	// be nil.
+	Layers func() int
 	// Peers returns the currently registered engines of the same service.
 	Peers func() ([]Peer, error)
 	// OnTarget is called with each target that an entry announces. It may be nil.
@@ -54,6 +57,14 @@
 	enginePollInterval = 100 * time.Millisecond
 	// engineCallTimeout bounds a call to the engine, which is on the same instance.
 	engineCallTimeout = time.Second
+	// stageCallTimeout bounds a transfer of a piece to or from the engine.
+	stageCallTimeout = 4 * time.Second
+	// loadStepTime bounds one step of a load. The engine's state is read and reported
+	// between the steps.
+	loadStepTime = 100 * time.Millisecond
+	// maxVerificationAge is the time within which an order follows the verification of
+	// the staged pieces. Users tolerate pieces that became corrupt less than 3 s before.
+	maxVerificationAge = time.Second
 	// originCallTimeout bounds a call to the origin. A piece takes 30 ms on its
 	// idle link, which many agents share.
 	originCallTimeout = 4 * time.Second
--- a/replica/engine.go
+++ b/replica/engine.go
@@ -22,11 +22,14 @@
 	StagePiece(ctx context.Context, model string, piece int, data []byte) error
 	// Piece returns a staged piece, or ErrPieceNotFound.
 	Piece(ctx context.Context, model string, piece int) ([]byte, error)
-	// StartLoad orders the engine to load the staged pieces once its running
-	// requests have ended. The engine returns ErrOrderRejected unless the number of
-	// orders that it has accepted since its start equals orders, so that only one
-	// of two orders based on the same state takes effect.
-	StartLoad(ctx context.Context, model string, version int, orders int64) error
+	// StartLoad orders the engine to hold the given layers of a version, or all of
+	// them if the range is empty. The engine takes the staged pieces of layers that it
+	// doesn't hold, as they are when it accepts the order, and gives up all others. It
+	// loads the first layers of a version once its running requests have ended. It
+	// returns ErrOrderRejected unless the number of orders that it has accepted since
+	// its start equals orders, so that only one of two orders based on the same state
+	// takes effect.
+	StartLoad(ctx context.Context, model string, version int, layers LayerRange, orders int64) error
 }
 
 // EngineState is the state of an engine.
@@ -44,10 +47,34 @@
 	Busy bool
 	// Weights are the loaded weights by model.
 	Weights map[string]directory.Weights
+	// Layers are the layers that the engine holds, or nil if it doesn't report them and
+	// holds all layers of its weights.
+	Layers *LayerRange
 }
 
-// serves reports whether the engine serves a version or a newer one.
-func (s *EngineState) serves(model string, version int) bool {
+// held returns the layers of a version that the engine holds, of a model with the given
+// number of layers.
+func (s *EngineState) held(model string, version, layers int) LayerRange {
+	if w, ok := s.Weights[model]; !ok || w.Version != version {
+		return LayerRange{}
+	}
+	all := LayerRange{To: layers}
+	if s.Layers == nil {
+		return all
+	}
+	return s.Layers.Intersect(all)
+}
+
+// serves reports whether the engine holds all layers of a version or a newer one.
+func (s *EngineState) serves(model string, version, layers int) bool {
 	w, ok := s.Weights[model]
-	return ok && w.Complete && w.Version >= version
+	return ok && w.Version >= version && s.held(model, w.Version, layers).Len() == layers
 }
+
+// loadStamp identifies what an engine has loaded: it changes whenever the engine accepts
+// an order or restarts.
+type loadStamp struct {
+	startUnixMilli, ordersAccepted int64
+}
+
+func (s *EngineState) stamp() loadStamp { return loadStamp{s.StartUnixMilli, s.OrdersAccepted} }
--- a/replica/fetch_version.go
+++ b/replica/fetch_version.go
@@ -43,7 +43,9 @@
 	fetchCtx, cancel := context.WithCancel(ctx)
 	f := &runningFetch{target: t, cancel: cancel, manifestFromOrigin: r.badManifestVersion == t.version}
 	r.fetching = f
-	go r.runFetch(fetchCtx, f, len(state.Weights) == 0)
+	// An engine that holds layers of the version has its pieces staged.
+	w := state.Weights[t.model]
+	go r.runFetch(fetchCtx, f, len(state.Weights) == 0 || w.Version == t.version)
 }
 
 // worthFinishing reports whether an older version will arrive early enough to
--- a/replica/fleet_test.go
+++ b/replica/fleet_test.go
@@ -112,7 +112,7 @@
 	return nil, replica.ErrPieceNotFound
 }
 
-func (e *fakeEngine) StartLoad(_ context.Context, _ string, version int, orders int64) error {
+func (e *fakeEngine) StartLoad(_ context.Context, _ string, version int, _ replica.LayerRange, orders int64) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if orders != int64(e.orders) {
--- a/replica/load.go
+++ b/replica/load.go
@@ -3,62 +3,237 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 )
 
 // nextLoad returns the newest fetched version that is due to be loaded, or nil,
-// and whether any version is pending. For an engine that serves nothing all
-// versions are due.
+// and whether any version is pending. For an engine that serves nothing, as it holds no
+// weights or none that are known to be intact, all versions are due.
 func (r *Replica) nextLoad(state *EngineState) (due *pendingVersion, pending bool) {
 	now := r.config.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i := len(r.pending) - 1; i >= 0; i-- {
 		p := r.pending[i]
-		if len(state.Weights) == 0 || !now.Before(p.loadAfter) {
+		if len(state.Weights) == 0 || !r.trusts(state) || !now.Before(p.loadAfter) {
 			return p, true
 		}
 	}
 	return nil, len(r.pending) > 0
 }
 
-// load stages a version at the engine and orders the engine to load it.
-func (r *Replica) load(ctx context.Context, p *pendingVersion) {
-	r.draining.Store(true)
-	r.wakeReporter()
-	// Once it has accepted the order, the engine itself reports that it is busy.
-	defer r.draining.Store(false)
-	r.awaitEmptyQueue(ctx)
-	stagingStarted := r.config.Clock.Now()
-	complete, err := p.pieces.stage(ctx)
+// load advances the load of a version by one step. The engine doesn't verify anything,
+// and pieces may become corrupt where they are staged. So the staged pieces are read
+// back before each order, and once more after the engine has accepted it: only then it
+// is known what the engine took. Until that, the engine gets no requests.
+func (r *Replica) load(ctx context.Context, p *pendingVersion, state *EngineState) {
+	deadline := r.stepDeadline()
+	check := r.layerCheckFor(p, state)
+	held := state.held(p.model, p.version, check.layers())
+	check.dropped(held)
+	if check.unknownLayer(held) {
+		r.verifyLoaded(ctx, p, state, check, held, deadline)
+		return
+	}
+	target, needed := check.next(held)
+	if !needed {
+		if check.intact(held) {
+			r.finishLoad(p, state)
+		}
+		return
+	}
+	if !r.stageVerified(ctx, p, state, check, held, deadline) {
+		return
+	}
+	r.order(ctx, p, check, held, target)
+}
+
+// stageAhead stages the next version before it is due, so that a slow transfer doesn't
+// delay its load. An engine that restarts meanwhile loads that version at once.
+func (r *Replica) stageAhead(ctx context.Context, state *EngineState) {
+	r.mu.Lock()
+	p := r.pending[0]
+	r.mu.Unlock()
+	r.stage(ctx, p, state, r.layerCheckFor(p, state), LayerRange{}, r.stepDeadline())
+}
+
+// stepDeadline returns a function that reports whether the time of a step has passed.
+func (r *Replica) stepDeadline() func() bool {
+	end := r.config.Clock.Now().Add(loadStepTime)
+	return func() bool { return r.config.Clock.Now().After(end) }
+}
+
+// layerCheckFor returns what is known of the layers of a version that the engine holds.
+// It starts anew for another version and after a restart of the engine.
+func (r *Replica) layerCheckFor(p *pendingVersion, state *EngineState) *layerCheck {
+	key := checkKey{model: p.model, version: p.version, startUnixMilli: state.StartUnixMilli}
+	if r.check == nil || r.checkKey != key || r.check.layers() != r.layers() {
+		r.check, r.checkKey = newLayerCheck(r.layers(), len(p.pieces.manifest.Digests)), key
+	}
+	return r.check
+}
+
+// checkKey identifies what a layerCheck is about.
+type checkKey struct {
+	model          string
+	version        int
+	startUnixMilli int64
+}
+
+// layers returns the number of layers that orders may be about: all layers of the model,
+// or one if their number is unknown.
+func (r *Replica) layers() int {
+	if r.config.Layers == nil {
+		return 1
+	}
+	return max(1, r.config.Layers())
+}
+
+// verifyLoaded verifies the layers that the engine has taken.
+func (r *Replica) verifyLoaded(ctx context.Context, p *pendingVersion, state *EngineState, check *layerCheck, held LayerRange, deadline func() bool) {
+	v, err := r.verify(ctx, p, state.stamp(), deadline)
 	if err != nil {
 		r.logEngineError(err)
 		return
 	}
-	if !complete {
-		r.discard(p)
+	r.wakeRun()
+	if v == nil {
 		return
 	}
+	// The pass counts only if the engine has accepted no order since it began.
+	r.readEngineState(ctx)
+	if now := r.engineState.Load(); now == nil || now.Busy || now.stamp() != v.stamp {
+		return
+	}
+	p.verification = nil
+	check.verified(held, v.intact)
+	if suspect := check.suspectLayers(held); suspect > 0 {
+		r.stats.Reloads.Add(1)
+		r.config.Log.Log(eventlog.WeightsCorrupt, "model", p.model, "version", p.version, "orders", state.OrdersAccepted, "layers", suspect)
+	}
+}
+
+// verifyWhileBusy uses the time of a load to verify what the engine has taken.
+func (r *Replica) verifyWhileBusy(ctx context.Context, p *pendingVersion, state *EngineState) {
+	if p == nil {
+		return
+	}
+	if _, err := r.verify(ctx, p, state.stamp(), r.stepDeadline()); err != nil {
+		r.logEngineError(err)
+	}
+}
+
+// stage stages the pieces that are not staged. It reports whether all pieces are.
+func (r *Replica) stage(ctx context.Context, p *pendingVersion, state *EngineState, check *layerCheck, held LayerRange, deadline func() bool) bool {
+	open := r.mayAcceptOrder(state)
+	complete, err := p.pieces.stage(ctx, deadline, func(piece int) {
+		p.verification = nil
+		check.pieceWritten(piece, open || check.needs(held, piece))
+	})
+	switch {
+	case errors.Is(err, errPieceLost):
+		r.discard(p)
+	case err != nil:
+		r.logEngineError(err)
+	case !complete:
+		r.wakeRun()
+	}
+	return complete
+}
+
+// stageVerified stages the pieces and verifies them at the engine. It reports whether an
+// order may follow.
+func (r *Replica) stageVerified(ctx context.Context, p *pendingVersion, state *EngineState, check *layerCheck, held LayerRange, deadline func() bool) bool {
+	if p.loadStarted.IsZero() {
+		p.loadStarted = r.config.Clock.Now()
+	}
+	if !r.stage(ctx, p, state, check, held, deadline) {
+		return false
+	}
+	r.wakeRun()
+	v, err := r.verify(ctx, p, state.stamp(), deadline)
+	if err != nil {
+		r.logEngineError(err)
+		return false
+	}
+	if v == nil {
+		return false
+	}
+	if !v.allIntact() || r.config.Clock.Now().Sub(v.finished) > maxVerificationAge {
+		p.verification = nil
+		return false
+	}
+	return true
+}
+
+// order orders the engine to hold the layers of target.
+func (r *Replica) order(ctx context.Context, p *pendingVersion, check *layerCheck, held, target LayerRange) {
+	r.draining.Store(true)
+	r.wakeReporter()
+	// Once it has accepted the order, the engine gets no requests before it is verified.
+	defer r.draining.Store(false)
+	r.awaitEmptyQueue(ctx)
 	state := r.engineState.Load()
-	if state == nil {
+	v := p.verification
+	p.verification = nil
+	sent := r.config.Clock.Now()
+	if state == nil || state.Busy || state.stamp() != v.stamp || sent.Sub(v.finished) > maxVerificationAge {
 		return
 	}
+	layers := target
+	if target.Len() == check.layers() {
+		layers = LayerRange{}
+	}
 	callCtx, cancel := context.WithTimeout(ctx, engineCallTimeout)
 	defer cancel()
-	sent := r.config.Clock.Now()
-	err = r.config.Engine.StartLoad(callCtx, p.model, p.version, state.OrdersAccepted)
-	r.config.Log.Log(eventlog.LoadOrdered, "model", p.model, "version", p.version, "orders", state.OrdersAccepted,
-		"staging_ms", sent.Sub(stagingStarted).Milliseconds(), "response_ms", r.config.Clock.Now().Sub(sent).Milliseconds(), "err", err)
-	if err != nil && errors.Is(err, ErrOrderRejected) {
-		return
+	err := r.config.Engine.StartLoad(callCtx, p.model, p.version, layers, state.OrdersAccepted)
+	now := r.config.Clock.Now()
+	r.config.Log.Log(eventlog.LoadOrdered, "model", p.model, "version", p.version, "layers_from", target.From, "layers_to", target.To,
+		"orders", state.OrdersAccepted, "staging_ms", sent.Sub(p.loadStarted).Milliseconds(), "verified_ms", sent.Sub(v.finished).Milliseconds(),
+		"response_ms", now.Sub(sent).Milliseconds(), "err", err)
+	p.loadStarted = time.Time{}
+	switch {
+	case err == nil:
+		r.openOrder = nil
+		check.ordered(target, held.Intersect(target))
+	case !errors.Is(err, ErrOrderRejected):
+		// Without a response the engine may accept the order at any later time.
+		stamp := state.stamp()
+		r.openOrder = &stamp
 	}
-	// Without a response the engine may or may not have accepted the order. If it
-	// has not, its state leads to another order.
-	r.markOrdered(p)
 	r.readEngineState(ctx)
 }
 
+// mayAcceptOrder reports whether the engine may still accept an order that it hasn't
+// responded to.
+func (r *Replica) mayAcceptOrder(state *EngineState) bool {
+	return r.openOrder != nil && *r.openOrder == state.stamp()
+}
+
+// finishLoad records that the engine has loaded a version intact.
+func (r *Replica) finishLoad(p *pendingVersion, state *EngineState) {
+	stamp := state.stamp()
+	r.trusted.Store(&stamp)
+	r.config.Log.Log(eventlog.WeightsVerified, "model", p.model, "version", p.version, "orders", state.OrdersAccepted)
+	r.wakeReporter()
+	r.wakeRun()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for len(r.pending) > 0 && r.pending[0].version <= p.version {
+		r.pending = r.pending[1:]
+	}
+	r.setStaged(p.pieces)
+	p.pieces.dropFromMemory()
+}
+
+// trusts reports whether the weights that the engine holds are known to be intact.
+func (r *Replica) trusts(state *EngineState) bool {
+	stamp := r.trusted.Load()
+	return stamp != nil && *stamp == state.stamp()
+}
+
 // awaitEmptyQueue waits until the engine has started its queued requests, which
 // the order would reject.
 func (r *Replica) awaitEmptyQueue(ctx context.Context) {
@@ -72,18 +247,6 @@
 	}
 }
 
-// markOrdered records that the engine holds the pieces of a version and has been
-// ordered to load them.
-func (r *Replica) markOrdered(p *pendingVersion) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for len(r.pending) > 0 && r.pending[0].version <= p.version {
-		r.pending = r.pending[1:]
-	}
-	r.setStaged(p.pieces)
-	p.pieces.dropFromMemory()
-}
-
 // discard removes a pending version that has corrupt pieces, which are then
 // fetched again.
 func (r *Replica) discard(p *pendingVersion) {
--- a/replica/phase.go
+++ b/replica/phase.go
@@ -22,6 +22,9 @@
 	PhaseFetched Phase = "fetched"
 	// PhaseLoading means that the engine is carrying out an order.
 	PhaseLoading Phase = "loading"
+	// PhaseVerifying means that the engine has taken layers of the declared version that
+	// are not known to be intact, or not all of them.
+	PhaseVerifying Phase = "verifying"
 	// PhaseServing means that the engine serves the declared version.
 	PhaseServing Phase = "serving"
 )
@@ -39,6 +42,8 @@
 	triggerFetched trigger = "fetched"
 	// triggerBusy means that the engine is carrying out an order.
 	triggerBusy trigger = "busy"
+	// triggerTaken means that the engine has taken layers of the version.
+	triggerTaken trigger = "taken"
 	// triggerServing means that the engine serves the version.
 	triggerServing trigger = "serving"
 )
@@ -58,30 +63,42 @@
 		Permit(triggerMissing, PhaseFetching).
 		Permit(triggerFetched, PhaseFetched).
 		Permit(triggerBusy, PhaseLoading).
+		Permit(triggerTaken, PhaseVerifying).
 		Permit(triggerServing, PhaseServing)
 	p.machine.Configure(PhaseFetching).
 		Ignore(triggerMissing).
 		Permit(triggerUnknown, PhaseIdle).
 		Permit(triggerFetched, PhaseFetched).
 		Permit(triggerBusy, PhaseLoading).
+		Permit(triggerTaken, PhaseVerifying).
 		Permit(triggerServing, PhaseServing)
 	p.machine.Configure(PhaseFetched).
 		Ignore(triggerFetched).
 		Permit(triggerUnknown, PhaseIdle).
 		Permit(triggerMissing, PhaseFetching).
 		Permit(triggerBusy, PhaseLoading).
+		Permit(triggerTaken, PhaseVerifying).
 		Permit(triggerServing, PhaseServing)
 	p.machine.Configure(PhaseLoading).
 		Ignore(triggerBusy).
 		Permit(triggerUnknown, PhaseIdle).
 		Permit(triggerMissing, PhaseFetching).
 		Permit(triggerFetched, PhaseFetched).
+		Permit(triggerTaken, PhaseVerifying).
+		Permit(triggerServing, PhaseServing)
+	p.machine.Configure(PhaseVerifying).
+		Ignore(triggerTaken).
+		Permit(triggerUnknown, PhaseIdle).
+		Permit(triggerMissing, PhaseFetching).
+		Permit(triggerFetched, PhaseFetched).
+		Permit(triggerBusy, PhaseLoading).
 		Permit(triggerServing, PhaseServing)
 	p.machine.Configure(PhaseServing).
 		Ignore(triggerServing).
 		Permit(triggerUnknown, PhaseIdle).
 		Permit(triggerMissing, PhaseFetching).
 		Permit(triggerFetched, PhaseFetched).
+		Permit(triggerTaken, PhaseVerifying).
 		Permit(triggerBusy, PhaseLoading)
 	p.machine.OnTransitioned(func(_ context.Context, t stateless.Transition) {
 		from, to := t.Source.(Phase), t.Destination.(Phase)
--- a/replica/piece_set.go
+++ b/replica/piece_set.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 )
 
 // pieceSet holds the pieces of one version that this instance has, each verified
-// against the manifest. They are in memory until the engine has accepted the
-// load order, and staged at the engine afterwards. It is safe for concurrent
-// use.
+// against the manifest. They are in memory until the engine serves the version, and
+// staged at the engine afterwards. It is safe for concurrent use.
 type pieceSet struct {
 	manifest *Manifest
 	engine   Engine
@@ -16,13 +16,15 @@
 	mu     sync.Mutex
 	pieces [][]byte
 	have   []bool
+	// staged marks pieces that the engine holds unless they were corrupted there since.
+	staged []bool
 	// changed is closed at the next change of have.
 	changed chan struct{}
 }
 
 func newPieceSet(m *Manifest, engine Engine) *pieceSet {
 	n := len(m.Digests)
-	return &pieceSet{manifest: m, engine: engine, pieces: make([][]byte, n), have: make([]bool, n), changed: make(chan struct{})}
+	return &pieceSet{manifest: m, engine: engine, pieces: make([][]byte, n), have: make([]bool, n), staged: make([]bool, n), changed: make(chan struct{})}
 }
 
 // isVersion reports whether the set is that of a version.
@@ -101,26 +103,59 @@
 	return nil
 }
 
-// stage copies the pieces in memory to the engine and verifies the others there.
-// It reports whether the engine holds all pieces intact.
-func (s *pieceSet) stage(ctx context.Context) (bool, error) {
+// errPieceLost means that a piece is neither staged nor in memory and has to be fetched
+// again.
+var errPieceLost = errors.New("piece was corrupted at the engine and is not in memory")
+
+// stage writes the pieces that are not staged to the engine until deadline has passed,
+// and calls written after each one. It reports whether all pieces are staged.
+func (s *pieceSet) stage(ctx context.Context, deadline func() bool, written func(piece int)) (bool, error) {
 	for piece := range s.have {
 		s.mu.Lock()
-		data := s.pieces[piece]
+		data, staged := s.pieces[piece], s.staged[piece]
 		s.mu.Unlock()
-		if data == nil {
-			if s.get(ctx, piece) == nil {
-				return false, ctx.Err()
-			}
+		switch {
+		case staged:
 			continue
+		case data == nil:
+			s.mu.Lock()
+			s.setHave(piece, false)
+			s.mu.Unlock()
+			return false, errPieceLost
+		case deadline():
+			return false, nil
 		}
-		if err := s.engine.StagePiece(ctx, s.manifest.Model, piece, data); err != nil {
+		callCtx, cancel := context.WithTimeout(ctx, stageCallTimeout)
+		err := s.engine.StagePiece(callCtx, s.manifest.Model, piece, data)
+		cancel()
+		// A write without a response may have taken effect.
+		written(piece)
+		if err != nil {
 			return false, err
 		}
+		s.mu.Lock()
+		s.staged[piece] = true
+		s.mu.Unlock()
 	}
 	return true, nil
 }
 
+// verifyStaged reads a piece back from the engine and reports whether it is intact. An
+// error means that the engine didn't answer.
+func (s *pieceSet) verifyStaged(ctx context.Context, piece int) (bool, error) {
+	callCtx, cancel := context.WithTimeout(ctx, stageCallTimeout)
+	defer cancel()
+	data, err := s.engine.Piece(callCtx, s.manifest.Model, piece)
+	if err != nil && !errors.Is(err, ErrPieceNotFound) {
+		return false, err
+	}
+	intact := err == nil && s.manifest.Matches(piece, data)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.staged[piece] = intact
+	return intact, nil
+}
+
 // dropFromMemory frees the pieces in memory once they are staged at the engine.
 func (s *pieceSet) dropFromMemory() {
 	s.mu.Lock()
@@ -138,6 +173,9 @@
 		}
 		if err == nil && s.manifest.Matches(piece, data) {
 			s.put(piece, data)
+			s.mu.Lock()
+			s.staged[piece] = true
+			s.mu.Unlock()
 		}
 	}
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -34,6 +34,14 @@
 	// engineState is the last state read from the engine, or nil if the engine
 	// didn't answer.
 	engineState atomic.Pointer[timedState]
+	// trusted identifies the loaded weights that are known to be intact. It is nil before
+	// the engine's state has been read.
+	trusted atomic.Pointer[loadStamp]
+	// check, checkKey and openOrder belong to the goroutine of Run. openOrder identifies
+	// the state in which the engine may still accept an order without a response.
+	check     *layerCheck
+	checkKey  checkKey
+	openOrder *loadStamp
 	// reporterWake makes the LoadReporter check for changes.
 	reporterWake chan struct{}
 
@@ -98,8 +106,12 @@
 // Phase returns the current phase.
 func (r *Replica) Phase() Phase { return r.phases.phase() }
 
-// Draining reports whether entries should send no more requests to the engine.
-func (r *Replica) Draining() bool { return r.draining.Load() }
+// Draining reports whether entries should send no requests to the engine: it is about to
+// load, or its weights are not known to be intact.
+func (r *Replica) Draining() bool {
+	state := r.engineState.Load()
+	return r.draining.Load() || state != nil && len(state.Weights) > 0 && !r.trusts(&state.EngineState)
+}
 
 // Stats returns the transfer counters.
 func (r *Replica) Stats() *Stats { return &r.stats }
@@ -170,11 +182,28 @@
 	if err != nil {
 		r.engineState.Store(nil)
 	} else {
+		r.trustInitial(&state)
 		r.engineState.Store(&timedState{EngineState: state, readAt: r.config.Clock.Now()})
 	}
 	r.wakeReporter()
 }
 
+// trustInitial trusts the weights that an engine holds when this process first reads its
+// state, unless a load is in progress: an earlier process verified them. That process may
+// also have left an order that the engine hasn't accepted yet.
+func (r *Replica) trustInitial(state *EngineState) {
+	if r.trusted.Load() != nil {
+		return
+	}
+	stamp := state.stamp()
+	r.openOrder = &stamp
+	if state.Busy {
+		r.trusted.Store(&loadStamp{})
+		return
+	}
+	r.trusted.Store(&stamp)
+}
+
 // wakeReporter makes the LoadReporter check for changes.
 func (r *Replica) wakeReporter() {
 	select {
@@ -191,19 +220,28 @@
 	case t.version == 0 || state == nil:
 		r.phases.fire(triggerUnknown)
 		return
-	case state.serves(t.model, t.version):
+	case state.serves(t.model, t.version, r.layers()) && r.trusts(&state.EngineState):
 		r.phases.fire(triggerServing)
 		return
+	case state.Weights[t.model].Version > t.version:
+		// A newer version than this process knows of was loaded and is not verified.
+		r.phases.fire(triggerUnknown)
+		return
 	}
 	r.startFetch(ctx, t, &state.EngineState)
 	switch p, pending := r.nextLoad(&state.EngineState); {
 	case state.Busy:
 		r.phases.fire(triggerBusy)
+		r.verifyWhileBusy(ctx, p, &state.EngineState)
+	case p != nil && state.held(p.model, p.version, r.layers()).Len() > 0:
+		r.phases.fire(triggerTaken)
+		r.load(ctx, p, &state.EngineState)
 	case p != nil:
 		r.phases.fire(triggerFetched)
-		r.load(ctx, p)
+		r.load(ctx, p, &state.EngineState)
 	case pending:
 		r.phases.fire(triggerFetched)
+		r.stageAhead(ctx, &state.EngineState)
 	default:
 		r.phases.fire(triggerMissing)
 	}
--- a/replica/versions.go
+++ b/replica/versions.go
@@ -20,6 +20,10 @@
 	pieces *pieceSet
 	// loadAfter is the time from which the engine may load it.
 	loadAfter time.Time
+	// verification is the current pass over the staged pieces, or nil.
+	verification *verification
+	// loadStarted is when the steps towards the next order began, or zero.
+	loadStarted time.Time
 }
 
 // runningFetch is a fetch in progress.
@@ -33,8 +37,11 @@
 	pieces *pieceSet
 }
 
-// Stats counts received weights in bytes by source, and pieces that failed
-// verification.
+// engineSource is the source of pieces that were corrupt at the engine.
+const engineSource = "engine"
+
+// Stats counts received weights in bytes by source, pieces that failed verification,
+// and loads of which the engine had to take layers again.
 type Stats struct {
-	OriginBytes, PeerBytes, CorruptPieces atomic.Int64
+	OriginBytes, PeerBytes, CorruptPieces, Reloads atomic.Int64
 }
