Soak: steps that disturb loads; runs reserve their loopback addresses

The new steps come with a declared version and are drawn separately, so that the other steps of a seed stay the same.

Runs of several processes on one machine used the same addresses: specs of internal/soak and runs by hand, and specs of internal/node in two checkouts (listen tcp 127.61.2.2:7700: address already in use, 02:28). A run now reserves its slot, or takes the next free one.

--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -35,6 +35,10 @@
 	SendPoison            StepKind = "ask-poison"
 	CorruptStagedPiece    StepKind = "rot-piece"
 	CorruptOriginPieces   StepKind = "spoil-pieces"
+	SlowStaging           StepKind = "slow-staging"
+	DelayOrders           StepKind = "delay-orders"
+	DamageStagedPieces    StepKind = "damage-staged"
+	CorruptPiecesOften    StepKind = "rot-often"
 	ChangeConfig          StepKind = "change-config"
 	DeclareVersion        StepKind = "declare-weights"
 )
@@ -43,6 +47,7 @@
 // request, so they do not suspend checks as faults do.
 var plannedWork = map[StepKind]bool{
 	StopEntry: true, ReloadEntry: true, DrainServer: true, ServerSignalsDraining: true, ServerSendsRetryAfter: true, ServerLimitsRate: true, ChangeConfig: true, DeclareVersion: true, CorruptStagedPiece: true, CorruptOriginPieces: true,
+	SlowStaging: true, DelayOrders: true, DamageStagedPieces: true, CorruptPiecesOften: true,
 }
 
 // Step is one fault or one piece of planned work.
@@ -82,6 +87,28 @@
 	ChangeConfig, ChangeConfig, DeclareVersion, DeclareVersion,
 }
 
+// weightsStepKinds are drawn separately, so that the other steps of a seed stay the same.
+var weightsStepKinds = []StepKind{SlowStaging, DelayOrders, DamageStagedPieces, CorruptPiecesOften}
+
+// weightsStepDuration is the time from the declaration of a version until its last engine
+// has been ordered to load it.
+const weightsStepDuration = 8 * time.Second
+
+// newWeightsSteps returns steps that affect how engines load weights, each kind with equal
+// probability, and the declaration of a version at their start.
+func newWeightsSteps(seed uint64, window time.Duration) []Step {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	duration := min(weightsStepDuration, window-2*firstStepStart)
+	start := firstStepStart + time.Duration(rng.Int64N(int64(window-firstStepStart-duration)))
+	steps := []Step{{Kind: DeclareVersion, Start: start}}
+	for _, kind := range weightsStepKinds {
+		if rng.IntN(2) == 0 {
+			steps = append(steps, Step{Kind: kind, Target: rng.IntN(64), Start: start, Duration: duration})
+		}
+	}
+	return steps
+}
+
 // NewPlan returns random steps for a seed, ordered by start. All of them end within
 // window.
 func NewPlan(seed uint64, window time.Duration) []Step {
@@ -100,6 +127,7 @@
 		}
 		steps[i] = s
 	}
+	steps = append(steps, newWeightsSteps(seed, window)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.Start, b.Start) })
 	return steps
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -11,8 +11,8 @@
 // Options configures a run.
 type Options struct {
 	Seed uint64
-	// Slot determines the loopback addresses of the run. Concurrent runs need different
-	// slots.
+	// Slot determines the loopback addresses of the run. If another run uses them, those
+	// of the next free slot are used.
 	Slot int
 	// Dir is the directory for settings files and logs.
 	Dir      string
@@ -49,7 +49,12 @@
 // outcome. It returns an error if the daemons could not be started or ctx has ended;
 // violations are part of the Result.
 func Run(ctx context.Context, o Options) (*Result, error) {
-	t, err := newTestbed(o.Slot, o.Seed, o.Dir, o.Binaries)
+	slot, lock, err := reserveSlot(o.Slot)
+	if err != nil {
+		return nil, err
+	}
+	defer lock.Close()
+	t, err := newTestbed(slot, o.Seed, o.Dir, o.Binaries)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -35,6 +35,13 @@
 			Expect(result.Answered).To(BeNumerically(">", result.Requests/4))
 		},
 		Entry("random steps", uint64(1), 8*time.Second, nil),
+		// Engines took pieces that had been corrupt for 3.5 s: their agents verified pieces
+		// long before the orders.
+		Entry("slow staging while staged pieces turn corrupt", uint64(32009), 10*time.Second, []Step{
+			{Kind: DeclareVersion, Start: 2 * time.Second},
+			{Kind: SlowStaging, Start: 2 * time.Second, Duration: 7 * time.Second},
+			{Kind: CorruptPiecesOften, Start: 2 * time.Second, Duration: 7 * time.Second, Target: 63},
+		}),
 		// The callers of the test kept using an entry longer than the load balancer does.
 		Entry("an entry that stops", uint64(116), 3*time.Second, []Step{{Kind: StopEntry, Start: firstStepStart, Duration: time.Second, Target: 2}}),
 	)
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -222,6 +222,8 @@
 		t.sendPoison(ctx, s)
 	case CorruptStagedPiece:
 		pick(t.backends[:engineCount], s.Target).CorruptStagedPiece(s.Target % weights.Pieces)
+	case SlowStaging, DelayOrders, DamageStagedPieces, CorruptPiecesOften:
+		t.disturbLoads(ctx, s)
 	case CorruptOriginPieces:
 		t.origin.SetCorruptShare(0.2)
 		wait(ctx, s.Duration)
--- a/internal/soak/topology.go
+++ b/internal/soak/topology.go
@@ -139,4 +139,5 @@
 	groupEngine
 	groupPlain
 	groupOrigin
+	groupLock
 )
