Close listeners also when Run is the first to see the end of its context

stop of a context.AfterFunc keeps the function from running, so a Run that saw the end first left its listener open. Deployments of specs reserve their addresses with platformtest.ReserveSubnet, as the soak does.

--- a/internal/node/deployment_test.go
+++ b/internal/node/deployment_test.go
@@ -45,6 +45,9 @@
 // deployment runs entries, agents, engines and plain servers of two regions in the
 // test process. It is safe for concurrent use, except for starting and restarting.
 type deployment struct {
+	// daemons are the daemons that have not returned.
+	daemons sync.WaitGroup
+
 	subnet   int
 	store    *platformtest.Store
 	backends []*platformtest.Backend
@@ -137,10 +140,15 @@
 }
 
 // newDeployment starts a deployment on loopback addresses that begin with 127 and
-// subnet, which no other spec may use.
+// subnet, which no other spec may use, or with the next free one.
 func newDeployment(subnet, entries, engines, plain int) *deployment {
+	subnet, reservation, err := platformtest.ReserveSubnet(subnet)
+	Expect(err).NotTo(HaveOccurred())
 	s := &deployment{subnet: subnet, store: platformtest.NewStore(), logs: &logBuffer{}}
 	DeferCleanup(func() {
+		// Daemons that have not returned still use their addresses.
+		s.daemons.Wait()
+		Expect(reservation.Close()).To(Succeed())
 		s.store.Close()
 		if CurrentSpecReport().Failed() {
 			GinkgoWriter.Println(s.logs.String())
@@ -200,7 +208,9 @@
 	ctx, stop := context.WithCancel(context.Background())
 	done = make(chan struct{})
 	DeferCleanup(stop)
+	s.daemons.Add(1)
 	go func() {
+		defer s.daemons.Done()
 		defer close(done)
 		defer GinkgoRecover()
 		log := eventlog.OpenPlain(s.logs, clock.System{}).With("instance", settings.Instance)
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/clock"
@@ -48,7 +49,13 @@
 	}
 	// Entries already hold the table. The store is read only if none of them answers.
 	peers.reader = relay.NewReader(platform.TableServers, store.Table(platform.TableServers), reporter.Entries)
-	go reporter.Run(ctx)
+	ctx, cancel := context.WithCancel(ctx)
+	var running sync.WaitGroup
+	defer func() {
+		cancel()
+		running.Wait()
+	}()
+	running.Go(func() { reporter.Run(ctx) })
 	env.watchSettings(ctx, func(s *platform.Settings) { r.SetLimits(s.Bounds.VersionTime, s.LinkRate) })
 	go targets.run(ctx)
 	return r.Run(ctx)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -6,6 +6,8 @@
 	"io"
 	"sync"
 	"time"
+
+	"github.com/auburnbend/auburnbend/platform/platformtest"
 )
 
 // Options configures a run.
@@ -49,12 +51,12 @@
 // outcome. It returns an error if the daemons could not be started or ctx has ended;
 // violations are part of the Result.
 func Run(ctx context.Context, o Options) (*Result, error) {
-	slot, lock, err := reserveSlot(o.Slot)
+	subnet, reservation, err := platformtest.ReserveSubnet(firstSubnet + o.Slot)
 	if err != nil {
 		return nil, err
 	}
-	defer lock.Close()
-	t, err := newTestbed(slot, o.Seed, o.Dir, o.Binaries)
+	defer reservation.Close()
+	t, err := newTestbed(subnet-firstSubnet, o.Seed, o.Dir, o.Binaries)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/topology.go
+++ b/internal/soak/topology.go
@@ -130,7 +130,12 @@
 	return fmt.Sprintf("%s:%d", ip(slot, group, number), port)
 }
 
-func ip(slot, group, number int) string { return fmt.Sprintf("127.%d.%d.%d", 20+slot, group, number+1) }
+func ip(slot, group, number int) string {
+	return fmt.Sprintf("127.%d.%d.%d", firstSubnet+slot, group, number+1)
+}
+
+// firstSubnet is the subnet of slot 0.
+const firstSubnet = 20
 
 // Groups of loopback addresses in a slot.
 const (
@@ -139,5 +144,4 @@
 	groupEngine
 	groupPlain
 	groupOrigin
-	groupLock
 )
--- a/lib/listen/server.go
+++ b/lib/listen/server.go
@@ -46,7 +46,11 @@
 // connections and waits for their goroutines.
 func (s *Server) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = s.cfg.Listener.Close() })
-	defer stop()
+	// The AfterFunc does not run if this goroutine is the first to see the end of ctx.
+	defer func() {
+		stop()
+		_ = s.cfg.Listener.Close()
+	}()
 	for ctx.Err() == nil {
 		nc, err := s.cfg.Listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -144,7 +144,11 @@
 		return err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
-	defer stop()
+	// The AfterFunc doesn't run if this goroutine is the first to see the end of ctx.
+	defer func() {
+		stop()
+		_ = ln.Close()
+	}()
 	go r.servePeers(ctx, ln)
 	for ctx.Err() == nil {
 		r.readEngineState(ctx)
