--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -112,6 +112,7 @@
 	counter("weights_origin_bytes", "bytes of pieces from the origin", r.Stats().OriginBytes.Load)
 	counter("weights_peer_bytes", "bytes of pieces from peers", r.Stats().PeerBytes.Load)
 	counter("weights_spoilt_pieces", "pieces that did not match the manifest", r.Stats().CorruptPieces.Load)
+	counter("weights_taken_again", "loads of which the engine had to take layers again", r.Stats().Reloads.Load)
 }
 
 // Close stops the server of the metrics.
