lib/placement: use equally good servers in turn

The spec 'Rate limits leave a limited server at once for another one and return when the limit is lifted' failed in some runs: 'Expected 0 to be > 50', no request reached the server whose limit was lifted. Of servers with equal scores the first in the order of the directory got all requests. That order comes from a map and stays until a listing changes, so an idle service sent all requests to one server, also if that server rejected each of them.

With two servers the map begins with the second one in one of eight cases.

Among equally good servers, the one whose last placement is longest ago now gets the request. The new spec with five idle servers fails without the change in each run ({"s2": 100} instead of 20 each). It keeps its bounds; it no longer advances the start time that other specs of the file use.

--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -69,6 +70,18 @@
 	score time.Duration
 }
 
+// compare returns a negative number if c is the better choice. Of equally good
+// servers, the one whose last placement is longest ago is better. The order of the
+// directory must not decide: it comes from a map and stays until a listing changes, so
+// that one server would get all requests of an idle service.
+func (c *candidate) compare(other *candidate) int {
+	return cmp.Or(
+		cmp.Compare(c.score, other.score),
+		cmp.Compare(c.usage.Running, other.usage.Running),
+		c.lastPlacedAt.Compare(other.lastPlacedAt),
+	)
+}
+
 // best returns the server with the lowest score, or a refusal.
 func (p *Picker) best(req *Request, now time.Time) (*server, estimate, *Refusal) {
 	p.directory.Expire(now)
@@ -94,7 +107,7 @@
 			continue
 		}
 		c := &candidate{server: s, estimate: e, score: e.firstResponse + p.distancePenalty(req.Domain, s.listing.Domain)}
-		if best == nil || c.score < best.score || c.score == best.score && s.usage.Running < best.usage.Running {
+		if best == nil || c.compare(best) < 0 {
 			best = c
 		}
 	}
--- a/lib/placement/picker_test.go
+++ b/lib/placement/picker_test.go
@@ -70,6 +70,22 @@
 		Expect(counts["far"]).To(BeNumerically(">", 1))
 	})
 
+	It("sends requests to equally good servers in turn", func() {
+		// Guards against an idle service whose requests all go to one server, the first in
+		// the order of a map: the others get none, also if that server rejects them all.
+		for i := range 5 {
+			add(fmt.Sprint("s", i), "north", nil)
+		}
+		counts := make(map[string]int)
+		for range 100 {
+			lease := pick(request())
+			counts[lease.Server.ID]++
+			p.Done(lease, placement.Rejected, now)
+			now = now.Add(100 * time.Millisecond)
+		}
+		Expect(counts).To(Equal(map[string]int{"s0": 20, "s1": 20, "s2": 20, "s3": 20, "s4": 20}))
+	})
+
 	It("does not use servers that drain, load, have other weights or were tried", func() {
 		// Guards against requests to draining servers, and against responses from weights
 		// that must no longer serve.
--- a/lib/placement/rate_limit_test.go
+++ b/lib/placement/rate_limit_test.go
@@ -76,17 +76,18 @@
 		p, d := newPicker(0, regionNames(1), 2, 1)
 		d.Put(&directory.Server{ID: "free", Service: "desk", Address: "127.0.0.1:2", Domain: "domain-0", Slots: 1000})
 		counts := make(map[string]int)
+		now := start
 		pickFor := func(duration time.Duration) {
-			for end := start.Add(duration); start.Before(end); start = start.Add(10 * time.Millisecond) {
-				lease, refusal := p.Pick(placement.Request{Service: "desk"}, start)
+			for end := now.Add(duration); now.Before(end); now = now.Add(10 * time.Millisecond) {
+				lease, refusal := p.Pick(placement.Request{Service: "desk"}, now)
 				Expect(refusal).To(BeNil())
 				counts[lease.Server.ID]++
-				p.Done(lease, placement.Rejected, start)
+				p.Done(lease, placement.Rejected, now)
 			}
 		}
 		pickFor(4 * time.Second)
 		Expect(counts["limited"]).To(BeNumerically("<=", 9))
-		Expect(p.ObserveLimit(key, ratelimit.Statement{Known: true}, start, start)).To(BeTrue())
+		Expect(p.ObserveLimit(key, ratelimit.Statement{Known: true}, now, now)).To(BeTrue())
 		clear(counts)
 		pickFor(4 * time.Second)
 		Expect(counts["limited"]).To(BeNumerically(">", 50))
