gateway: take a refusal as proof only if it names the request

A refusal (X-Not-Executed, or 421) counted as proof that the request had not run, also with the id of another request, with none, or with two ids. A faulty server that sends an earlier refusal once more on a new connection and runs the request made the gateway run it on a second server. If that one was not free either, the caller was told 503, to try again, for a request that had run. The pause, the drain and the rate limit of a refusal without an id were taken as well.

One connection for each exchange keeps answers of earlier exchanges away, but not those that a server sends on the wrong connection. A refusal counts now only if it names the request, once. Otherwise the request may have run: it is sent again only if it is idempotent, and ends as 502.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -127,14 +127,16 @@
 	reply := g.config.Dialect.ParseResponse(resp.StatusCode, resp.Header)
 	r.recordResponse(lease, reply, opened)
 	switch {
-	case reply.NotExecuted || reply.Misdirected:
+	case reply.RequestID != r.info.ID:
+		// This includes refusals: the server may have sent that of an earlier request once
+		// more, and run this one.
+		return r.mayHaveRunResult("answer of another request")
+	case r.info.ID != "" && (reply.NotExecuted || reply.Misdirected):
 		rejected := attemptResult{result: placement.Rejected, sent: true, reason: "rejected by the server"}
 		if reply.Misdirected {
 			rejected.result, rejected.reason = placement.Mismatched, "another server or other weights at the address"
 		}
 		return rejected
-	case reply.RequestID != r.info.ID:
-		return r.mayHaveRunResult("answer of another request")
 	case !reply.Signed && resp.StatusCode < 300:
 		return r.mayHaveRunResult("answer without a signature")
 	case r.isStreaming() && resp.StatusCode == http.StatusOK:
@@ -149,14 +151,13 @@
 	g := r.gateway
 	g.mu.Lock()
 	now := g.now()
-	if reply.Load != nil {
+	if reply.Load != nil && reply.RequestID == r.info.ID {
 		g.picker.UpdateCounts(lease.Server.Key(), reply.Load.Running, reply.Load.Queued, now)
 	}
 	usage := g.picker.ResponseStarted(lease, now)
 	publish := func() {}
 	var news *peerlink.Gossip
-	// A rejection need not name the request: the connection carries no other.
-	if (reply.RequestID == r.info.ID || reply.RequestID == "" && reply.NotExecuted) && !reply.Misdirected {
+	if reply.RequestID == r.info.ID && !reply.Misdirected {
 		publish = g.recordAlive(lease.Server.Key(), opened)
 		news = g.recordSignals(lease.Server, reply, opened, now)
 	}
--- a/gateway/response_info.go
+++ b/gateway/response_info.go
@@ -8,11 +8,12 @@
 
 // ResponseInfo is what a backend server states in the head of a response.
 type ResponseInfo struct {
-	// RequestID is the request that the response belongs to.
+	// RequestID is the request that the response belongs to; empty if the response names
+	// none or several.
 	RequestID string
 	// Signed is set if the response carries the signature of a backend server.
 	Signed bool
-	// NotExecuted is set if the server did not run the request.
+	// NotExecuted is set if the server did not run the request named by RequestID.
 	NotExecuted bool
 	// Misdirected is set if the address belongs to another server by now.
 	Misdirected bool
