lib/engine: open a connection for each call, also for reads

Requests and orders were meant to have a connection of their own: they asked the server to close it afterwards. The HTTP client still took an idle connection for them on which the load or the state had been read before. If the server sent the refusal of that read once more, a request that it ran counted as not started: the agent told the entry so, and the entry sent it to a second backend server or told the caller to try again. The response to a read was also taken for that of a call.

The client keeps no connections now. Reads are at most a few per second.

--- a/lib/engine/exchange.go
+++ b/lib/engine/exchange.go
@@ -28,6 +28,10 @@
 		client.WithDialer(newDialer()),
 		client.WithDialTimeout(cfg.DialTimeout),
 		client.WithMaxConnsPerHost(maxConnections),
+		// Each exchange has a connection of its own. A faulty server may send an earlier
+		// response once more on a kept connection, where it would be taken for the next
+		// one: a refusal of a read would seem to prove that a request was not started.
+		client.WithKeepAlive(false),
 		client.WithResponseBodyStream(true),
 		client.WithName("auburnbend"),
 	)
@@ -135,7 +139,7 @@
 	data, err := io.ReadAll(io.LimitReader(x.resp.BodyStream(), limit+1))
 	if stop() && err == nil && int64(len(data)) <= limit {
 		// No other goroutine can close the body any more, so it can be returned
-		// to its pool and the connection can be reused for the next read.
+		// to its pool.
 		_ = x.resp.CloseBodyStream()
 	}
 	if err != nil {
--- a/lib/engine/json.go
+++ b/lib/engine/json.go
@@ -41,7 +41,7 @@
 	return nil
 }
 
-// post prepares a POST request with a JSON body on a connection of its own.
+// post prepares a POST request with a JSON body.
 func post(uri string, body any) (*exchange, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
@@ -50,7 +50,6 @@
 	x := newExchange(consts.MethodPost, uri)
 	x.req.SetBodyRaw(data)
 	x.req.Header.SetContentTypeBytes([]byte(consts.MIMEApplicationJSON))
-	x.req.SetConnectionClose()
 	return x, nil
 }
 
--- a/lib/engine/plain_client.go
+++ b/lib/engine/plain_client.go
@@ -80,7 +80,6 @@
 func (c *PlainClient) Call(ctx context.Context, req PlainRequest) (PlainResponse, error) {
 	x := newExchange(consts.MethodPost, c.cfg.Address+"/"+url.PathEscape(string(req.Service)))
 	x.req.SetBodyRaw(req.Body)
-	x.req.SetConnectionClose()
 	x.req.Header.SetContentTypeBytes([]byte(req.ContentType))
 	x.req.Header.Set(HeaderRequestID, string(req.ID))
 	if req.IdempotencyKey != "" {
