lib/backing/httpbacking: open a connection for each call of the table service

Calls of the table service used kept connections. A service that sends an earlier response once more made a refused commit seem accepted: two entries could then both hold the claim of one request, and it would run twice. After a read that found nothing, a commit that took effect counted as not applied.

Each call of the table service has a connection of its own now, as those of the platform's store. Origin, weight store and objects keep theirs: their contents are checked against digests.

--- a/lib/backing/httpbacking/client.go
+++ b/lib/backing/httpbacking/client.go
@@ -26,6 +26,8 @@
 type httpClient struct {
 	cfg    Config
 	client *http.Client
+	// closes closes the connection after each call.
+	closes bool
 }
 
 func newHTTPClient(cfg Config) httpClient {
@@ -87,6 +89,7 @@
 	if err != nil {
 		return response{}, false, err
 	}
+	req.Close = c.closes
 	resp, err := c.client.Do(req)
 	if err != nil {
 		return response{}, got.Load(), err
