--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -7,6 +7,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/gexec"
+
+	"github.com/auburnbend/auburnbend/platform/platformtest"
 )
 
 var _ = Describe("The daemons", Ordered, func() {
@@ -35,7 +37,24 @@
 			Expect(result.Answered).To(BeNumerically(">", result.Requests/4))
 		},
 		Entry("random steps", uint64(1), 8*time.Second, nil),
+		// Requests that had run were sent to another server, or refused as not run.
+		Entry("servers that send earlier refusals before their responses", uint64(117), 6*time.Second, earlierRefusals()),
 		// The callers of the test kept using an entry longer than the load balancer does.
 		Entry("an entry that stops", uint64(116), 3*time.Second, []Step{{Kind: StopEntry, Start: firstStepStart, Duration: time.Second, Target: 2}}),
 	)
 })
+
+// earlierRefusals returns steps in which each server, one after another, sends refusals
+// of earlier requests, and then refusals that name no request.
+func earlierRefusals() []Step {
+	var steps []Step
+	for _, fault := range []platformtest.Fault{platformtest.FaultRepeatedRefusal, platformtest.FaultAnonymousRefusal} {
+		for server := range engineCount + plainCount {
+			steps = append(steps, Step{
+				Kind: ServerMisbehaves, Start: firstStepStart + time.Duration(len(steps))*250*time.Millisecond, Duration: 500 * time.Millisecond,
+				Target: server + (engineCount+plainCount)*int(fault-platformtest.FaultDuplicate),
+			})
+		}
+	}
+	return steps
+}
