gateway: accept a 421 of another server that names no request

With the strict check of refusals, a 421 without an id ended a request as one that may have run. On the platform a server of another service, at an address that has been reused, answers just like this: 421 with X-Instance-Id and nothing else.

Such a response proves that the request has not run if it names another instance than the expected one: that server never runs it, and the expected one would name itself, also in a response that it sends once more. With any id of a request, or without the name of an instance, the former check applies.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -127,6 +127,10 @@
 	reply := g.config.Dialect.ParseResponse(resp.StatusCode, resp.Header)
 	r.recordResponse(lease, reply, opened)
 	switch {
+	case reply.Instance != "" && reply.Instance != lease.Server.ID:
+		// A server with another ID does not run the request. The response cannot be an
+		// earlier one of the expected server either, which would name that.
+		return attemptResult{result: placement.Mismatched, sent: true, reason: "another server at the address"}
 	case reply.RequestID != r.info.ID:
 		// This includes refusals: the server may have sent that of an earlier request once
 		// more, and run this one.
--- a/gateway/response_info.go
+++ b/gateway/response_info.go
@@ -17,6 +17,9 @@
 	NotExecuted bool
 	// Misdirected is set if the address belongs to another server by now.
 	Misdirected bool
+	// Instance is the ID of the server that responds; empty unless the response is
+	// misdirected and names no request.
+	Instance string
 	// Version is the version of the weights that the response was made with; zero if
 	// unknown.
 	Version int
