Fetch chunks again that were lost after their version was complete

Cause: when a complete version was requested again, transfer.Service only verified it. Store.Verify drops a corrupt chunk, so the first request failed with 'chunk digest mismatch', and each later one with 'weights incomplete', because the downloader still counted the chunk as held. An agent whose staged file became corrupt, was truncated or was deleted between the transfer and the load never loaded that version. The verification also ran on the goroutine that answers the tracker.

Change: a repeated request of a complete version starts the same verification as the end of a transfer, which fetches lost chunks again.

--- a/agent/transfer/runner.go
+++ b/agent/transfer/runner.go
@@ -134,15 +134,17 @@
 }
 
 // joinTarget makes another Fetch of the same version wait for the result as
-// well.
+// well. A complete version is verified again: chunks may have been corrupted or
+// dropped since, and those are then fetched again.
 func (r *runner) joinTarget(t *target) {
-	if !r.complete {
-		earlier := r.target.result
-		r.target.result = make(chan error, 1)
-		go broadcast(r.target.result, earlier, t.result)
+	if r.complete {
+		r.complete = false
+		r.target.result = t.result
 		return
 	}
-	t.result <- r.service.cfg.Chunks.Verify(t.parsed.manifest)
+	earlier := r.target.result
+	r.target.result = make(chan error, 1)
+	go broadcast(r.target.result, earlier, t.result)
 }
 
 // broadcast sends the next value of from to all of the given channels.
--- a/agent/transfer/service_test.go
+++ b/agent/transfer/service_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"math/rand"
 	"net"
+	"os"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -58,6 +60,7 @@
 	var (
 		origin  *memorySource
 		store   backing.WeightSource // nil means no weight store
+		chunks  *weights.Store       // nil means the default
 		data    = make([]byte, 40_000)
 		digests [2]model.Digest
 		closers []func()
@@ -90,7 +93,7 @@
 			return s.ServePeer(c)
 		})
 		s = transfer.New(transfer.Config{
-			Seed: 1, Origin: origin, WeightStore: store, Identity: model.Identity{Instance: model.InstanceID(name), Address: address},
+			Seed: 1, Origin: origin, WeightStore: store, Chunks: chunks, Identity: model.Identity{Instance: model.InstanceID(name), Address: address},
 		})
 		close(ready)
 		closers = append(closers, s.Close)
@@ -103,7 +106,7 @@
 	}
 
 	BeforeEach(func() {
-		closers, store = nil, nil
+		closers, store, chunks = nil, nil, nil
 		rand.New(rand.NewSource(1)).Read(data)
 		origin = &memorySource{objects: make(map[string][]byte)}
 		for i, size := range []int{40_000, 30_000} {
@@ -200,6 +203,49 @@
 		Expect(origin.bytes - before).To(BeNumerically("<", 20_000))
 	}, SpecTimeout(30*time.Second))
 
+	// stagedChunks makes the next service keep its chunks in a directory. The returned
+	// function gives the file of a chunk of the first version.
+	stagedChunks := func() (file func(index int) string) {
+		dir := GinkgoT().TempDir()
+		storage, err := weights.NewDirectoryStorage(dir)
+		Expect(err).NotTo(HaveOccurred())
+		chunks = weights.NewStore(weights.StoreConfig{Storage: storage})
+		return func(index int) string {
+			return filepath.Join(dir, weights.ChunkFile(model.Sum(data[index*1000:(index+1)*1000])))
+		}
+	}
+
+	// Guards against an instance that never gets a version whose staged file became
+	// corrupt after the version was complete.
+	DescribeTable("fetches a chunk again that was lost after the version was complete", func(ctx SpecContext, spoil func(file string) error) {
+		file := stagedChunks()
+		a := start("a")
+		a.SetEntries([]string{startEntry()})
+		fetch(ctx, a)
+		Expect(spoil(file(7))).To(Succeed())
+		Expect(a.Verify(digests[0])).NotTo(Succeed())
+		before := origin.bytes
+		fetch(ctx, a)
+		Expect(a.Verify(digests[0])).To(Succeed())
+		Expect(origin.bytes-before).To(BeEquivalentTo(1000), "only the lost chunk is read again")
+	},
+		Entry("because its file is corrupt", SpecTimeout(20*time.Second), func(file string) error { return os.WriteFile(file, bytes.Repeat([]byte{1}, 1000), 0o600) }),
+		Entry("because its file was truncated", SpecTimeout(20*time.Second), func(file string) error { return os.Truncate(file, 500) }),
+		Entry("because its file was deleted", SpecTimeout(20*time.Second), os.Remove),
+	)
+
+	// Guards against a corrupt staged file that is found only when the version is
+	// requested again.
+	It("verifies a complete version again when it is requested again", func(ctx SpecContext) {
+		file := stagedChunks()
+		a := start("a")
+		a.SetEntries([]string{startEntry()})
+		fetch(ctx, a)
+		Expect(os.Truncate(file(3), 10)).To(Succeed())
+		fetch(ctx, a)
+		Expect(a.Verify(digests[0])).To(Succeed())
+	}, SpecTimeout(20*time.Second))
+
 	// Guards against a fetch that blocks the next one.
 	It("replaces a target version that cannot complete", func(ctx SpecContext) {
 		a := start("a")
