Serve weights of an earlier agent only if it recorded their load as intact

Cause: after a restart, an agent served what its engine reported once that had not changed for 3 s. An engine reports what it was ordered to load, even if it read a corrupt file, so an agent that ended between an order and its check left weights that the next agent served.

Change: an agent stores a record of the load (incarnation, fence, weights) in the staging directory once the weights are live, and deletes it before a load order. Its successor serves weights without a load of its own only if the engine still reports exactly the recorded state, after 3 s as before. Otherwise it loads them again. A change of role renews the record.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -37,7 +37,9 @@
 	transfer *transfer.Service
 	weights  *backend.Runner
 	cache    cacheReader
-	roles    roles
+	// loadRecord stores which load of the engine is known to be intact.
+	loadRecord loadRecordFile
+	roles      roles
 	// fetchTimer records when the fetch of the current manifest began.
 	fetchTimer fetchTimer
 	// rank is the position of the instance in its pool, or unknownRank.
@@ -112,6 +114,8 @@
 		a.cfg.Log.Log(eventlog.FencingIgnored)
 	}
 	a.cfg.Backend.Guard.Epoch = a.nextEpoch(client)
+	a.loadRecord = newLoadRecordFile(a.cfg.StagingDir)
+	a.cfg.Backend.Recorded = a.loadRecord.read()
 	a.weights = backend.NewRunner(backend.RunnerConfig{
 		Machine: a.cfg.Backend,
 		Clock:   a.cfg.Clock,
--- a/agent/backend/action.go
+++ b/agent/backend/action.go
@@ -31,11 +31,13 @@
 	ActionOrderDone
 	// ActionReport reports the Phase of Weights.
 	ActionReport
+	// ActionRecord replaces the stored LoadRecord by Record.
+	ActionRecord
 )
 
 // String returns the name that is shown in traces.
 func (k ActionKind) String() string {
-	return [...]string{"fetch", "cancel_fetch", "permit", "quiesce", "serve", "read_state", "order", "order_done", "report"}[k]
+	return [...]string{"fetch", "cancel_fetch", "permit", "quiesce", "serve", "read_state", "order", "order_done", "report", "record"}[k]
 }
 
 // Action is an operation that the owner of a Machine must carry out. Only the fields
@@ -46,6 +48,7 @@
 	Order   engine.Order
 	Phase   wire.Phase
 	Result  engine.Result
+	Record  LoadRecord
 	// Err is the reason for ActionReport with PhaseFailed.
 	Err error
 }
--- a/agent/backend/advance.go
+++ b/agent/backend/advance.go
@@ -88,8 +88,10 @@
 	unsent := r.State == (engine.State{})
 	switch {
 	case m.live.weights.IsZero() || unsent:
-	case !r.State.Busy && current.incarnation == m.live.incarnation && current.weights == m.live.weights && r.Err == nil:
-		m.live = current
+	case !r.State.Busy && current.incarnation == m.live.incarnation && current.weights == m.live.weights &&
+		(r.Err == nil || current.accepted == r.Order.Fence):
+		m.live, m.previous = current, current
+		m.record(current.record())
 	default:
 		m.clearLive()
 	}
@@ -99,6 +101,7 @@
 // setLive marks the weights of a confirmed state as live and serves them.
 func (m *Machine) setLive(c confirmedState) {
 	m.live, m.previous, m.candidate, m.failedReads = c, c, candidate{}, 0
+	m.record(c.record())
 	m.serve()
 }
 
--- a/agent/backend/check_state.go
+++ b/agent/backend/check_state.go
@@ -32,10 +32,15 @@
 		m.candidate = candidate{}
 		return
 	}
-	if m.candidate.confirmedState != c {
+	switch {
+	case c == m.previous:
+		m.adopt(c)
+	case c != m.cfg.Recorded.state():
+		// What the engine has read is not known to be intact.
+		m.candidate = candidate{}
+	case m.candidate.confirmedState != c:
 		m.candidate = candidate{confirmedState: c, since: m.now}
-	}
-	if c == m.previous || m.now.Sub(m.candidate.since) >= m.cfg.AdoptAfter {
+	case m.now.Sub(m.candidate.since) >= m.cfg.AdoptAfter:
 		m.adopt(c)
 	}
 }
@@ -50,8 +55,8 @@
 }
 
 // adopt marks weights as live that were not just loaded by this agent: those that an
-// engine kept while its agent restarted, or that a failed order left in place. During
-// a quiesce only the wanted weights are adopted.
+// engine kept while its agent restarted, or that an order left in place. Their load must
+// be known to have been intact. During a quiesce only the wanted weights are adopted.
 func (m *Machine) adopt(c confirmedState) {
 	phase := m.Phase()
 	if phase == wire.PhaseQuiescing && c.weights != m.wanted {
--- a/agent/backend/config.go
+++ b/agent/backend/config.go
@@ -21,6 +21,9 @@
 // Config configures a Machine. Zero values are replaced by defaults.
 type Config struct {
 	Guard engine.GuardConfig
+	// Recorded is the last record that an earlier agent of the instance passed to
+	// Host.Record.
+	Recorded LoadRecord
 	// StatePollInterval is the interval at which the engine's state is read.
 	StatePollInterval time.Duration
 	// MinBackoff is the wait after the first failed fetch or load. It doubles with each
@@ -30,9 +33,9 @@
 	// PermitRetryInterval is the wait before a denied permit is requested again if the
 	// tracker gave no time.
 	PermitRetryInterval time.Duration
-	// AdoptAfter is the time for which the engine must report the same weights before
-	// an agent that did not load them considers them live. Within that time, the engine
-	// may still receive an order of a previous agent.
+	// AdoptAfter is the time for which the engine must report the recorded state before
+	// an agent that did not load the weights considers them live. Within that time, the
+	// engine may still receive an order of a previous agent.
 	AdoptAfter time.Duration
 	// MaxFailedReads is the number of consecutive failed state reads after which the
 	// weights are no longer considered live.
--- a/agent/backend/confirmed.go
+++ b/agent/backend/confirmed.go
@@ -19,7 +19,11 @@
 	return confirmedState{incarnation: s.Incarnation, accepted: s.Accepted, weights: s.Weights}
 }
 
-// candidate is a state that is adopted once the engine has reported it for
+func (c confirmedState) record() LoadRecord {
+	return LoadRecord{Incarnation: c.incarnation, Accepted: c.accepted, Weights: c.weights}
+}
+
+// candidate is a recorded state that is adopted once the engine has reported it for
 // Config.AdoptAfter.
 type candidate struct {
 	confirmedState
--- a/agent/backend/doc.go
+++ b/agent/backend/doc.go
@@ -4,6 +4,7 @@
 // Machine is deterministic and performs no I/O: it takes events with their time and
 // returns actions. It uses engine.Guard, so that at most one order is outstanding. It
 // considers weights live only while the engine reports exactly these weights, with the
-// incarnation and the fence under which they were confirmed. Runner carries out the
+// incarnation and the fence under which they were confirmed. Weights that an earlier
+// agent loaded become live only if it recorded them as intact. Runner carries out the
 // actions.
 package backend
--- a/agent/backend/enter.go
+++ b/agent/backend/enter.go
@@ -47,6 +47,7 @@
 // them after the load.
 func (m *Machine) enterLoading() {
 	m.live, m.candidate = confirmedState{}, candidate{}
+	m.record(LoadRecord{})
 	m.serve()
 	m.reportPhase(wire.PhaseLoading, nil)
 	err := m.guard.Submit(engine.Order{
--- a/agent/backend/harness_test.go
+++ b/agent/backend/harness_test.go
@@ -30,6 +30,12 @@
 	now time.Time
 
 	state engine.State
+	// corrupt is true if the engine has read other bytes than those of the weights that
+	// it reports. foreign is an order of a previous agent, which loads corrupt files.
+	corrupt bool
+	foreign *engine.Order
+	// recorded is the record that the machine has stored.
+	recorded backend.LoadRecord
 	// inFlight is an order on its way to the engine, running one that it executes.
 	inFlight, running *engine.Order
 	// awaitingReply is true while the machine waits for the reply to its order.
@@ -50,10 +56,16 @@
 }
 
 func newHarness(t interface{ Fatalf(string, ...any) }) *harness {
-	return &harness{
-		t: t, now: time.Unix(1_700_000_000, 0), lastOrderLoads: true, state: engine.State{Incarnation: 1},
-		m: backend.NewMachine(backend.Config{Guard: engine.GuardConfig{SettleTime: settleTime}}, rand.New(rand.NewSource(1))),
-	}
+	h := &harness{t: t, now: time.Unix(1_700_000_000, 0), lastOrderLoads: true, state: engine.State{Incarnation: 1}}
+	h.startMachine(backend.LoadRecord{})
+	return h
+}
+
+// startMachine replaces the machine by one that starts with the record of its
+// predecessor.
+func (h *harness) startMachine(recorded backend.LoadRecord) {
+	h.m = backend.NewMachine(backend.Config{Guard: engine.GuardConfig{SettleTime: settleTime}, Recorded: recorded}, rand.New(rand.NewSource(1)))
+	h.recorded = recorded
 }
 
 // executeActions carries out the machine's actions and checks the invariants of each.
@@ -78,6 +90,8 @@
 			h.reading = true
 		case backend.ActionServe:
 			h.serve(a.Weights)
+		case backend.ActionRecord:
+			h.recorded = a.Record
 		case backend.ActionOrder:
 			h.order(a.Order)
 		}
@@ -89,6 +103,9 @@
 	if !weights.IsZero() && (h.lastRead.Busy && h.lastOrderLoads || h.lastRead.Weights != weights) {
 		h.t.Fatalf("%s served, but the engine reported %+v", weights, h.lastRead)
 	}
+	if !weights.IsZero() && h.corrupt {
+		h.t.Fatalf("%s served, but the engine has loaded corrupt files", weights)
+	}
 	if !weights.IsZero() && h.awaitingReply && h.lastOrderLoads {
 		h.t.Fatalf("%s served while a load is outstanding", weights)
 	}
@@ -106,6 +123,9 @@
 	if o.Kind == engine.OrderLoad && o.Base.Directory != o.Weights.String() {
 		h.t.Fatalf("order for %s lists the files of %s", o.Weights, o.Base.Directory)
 	}
+	if o.Kind == engine.OrderLoad && h.recorded != (backend.LoadRecord{}) {
+		h.t.Fatalf("load %s sent while a load is recorded", o.Fence)
+	}
 	h.inFlight, h.awaitingReply, h.finished, h.lastOrderLoads = &o, true, false, o.Kind == engine.OrderLoad
 }
 
@@ -130,7 +150,7 @@
 		return
 	}
 	if ok && h.running.Kind == engine.OrderLoad {
-		h.state.Weights = h.running.Weights
+		h.state.Weights, h.corrupt = h.running.Weights, h.running == h.foreign
 	}
 	if ok && h.running.Kind == engine.OrderRole {
 		h.state.Role = h.running.Role
--- a/agent/backend/host.go
+++ b/agent/backend/host.go
@@ -27,6 +27,9 @@
 	Serve(w model.Weights)
 	// ReportPhase reports the phase of a version. err is the reason of PhaseFailed.
 	ReportPhase(w model.Weights, phase wire.Phase, err error)
+	// Record stores the record of the live weights' load, for the Config of the next
+	// agent of the instance. It must replace the previous record before it returns.
+	Record(r LoadRecord)
 	// OrderDone reports the result of an order submitted with SubmitOrder.
 	OrderDone(r engine.Result)
 }
--- a/agent/backend/machine.go
+++ b/agent/backend/machine.go
@@ -32,6 +32,8 @@
 	// nothing has changed since.
 	previous  confirmedState
 	candidate candidate
+	// recorded is the stored record.
+	recorded LoadRecord
 
 	readPending bool
 	failedReads int
@@ -53,7 +55,7 @@
 // about the engine. random is used for the jitter of the backoff.
 func NewMachine(cfg Config, random *rand.Rand) *Machine {
 	cfg.applyDefaults()
-	m := &Machine{cfg: cfg, random: random, guard: engine.NewGuard(cfg.Guard)}
+	m := &Machine{cfg: cfg, random: random, guard: engine.NewGuard(cfg.Guard), recorded: cfg.Recorded}
 	m.phases = m.newPhases()
 	return m
 }
@@ -114,6 +116,14 @@
 
 func (m *Machine) serve() { m.emit(Action{Kind: ActionServe, Weights: m.live.weights}) }
 
+// record replaces the stored record.
+func (m *Machine) record(r LoadRecord) {
+	if r != m.recorded {
+		m.recorded = r
+		m.emit(Action{Kind: ActionRecord, Record: r})
+	}
+}
+
 func (m *Machine) fail(err error) {
 	m.failure = err
 	m.fire(triggerFailed)
--- a/agent/backend/machine_test.go
+++ b/agent/backend/machine_test.go
@@ -15,21 +15,26 @@
 )
 
 // TestMachine checks, with an engine that ignores fencing, crashes at any time and
-// loses replies, that only weights that the engine reported are served, that orders do
-// not overlap, that the instance is quiesced during loads, and that the wanted version
+// loses replies, that only weights that the engine reported and has read intact are
+// served, that orders do not overlap, that the instance is quiesced during loads, and that the wanted version
 // becomes live once the faults end.
 func TestMachine(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		h := newHarness(t)
 		previousOrder := &engine.Order{Kind: engine.OrderLoad, Fence: engine.Fence{Epoch: 4, Sequence: 3}, Weights: version("new")}
-		switch rapid.IntRange(0, 3).Draw(t, "start") {
-		case 1: // the engine outlived a previous agent
-			h.state.Weights, h.state.Accepted = version("old"), engine.Fence{Epoch: 4, Sequence: 2}
+		h.foreign = previousOrder
+		switch rapid.IntRange(0, 4).Draw(t, "start") {
+		case 1: // the engine outlived a previous agent, which did not record its load
+			h.state.Weights, h.state.Accepted, h.corrupt = version("old"), engine.Fence{Epoch: 4, Sequence: 2}, true
 		case 2: // an order of the previous agent is running
 			h.inFlight = previousOrder
 			h.deliver()
 		case 3: // the engine has not yet received an order of the previous agent
 			h.state.Weights, h.inFlight, h.replyLostAt = version("old"), previousOrder, h.now
+			h.startMachine(backend.LoadRecord{Incarnation: 1, Weights: version("old")})
+		case 4: // the engine outlived a previous agent, which recorded its load
+			h.state.Weights, h.state.Accepted = version("old"), engine.Fence{Epoch: 4, Sequence: 2}
+			h.startMachine(backend.LoadRecord{Incarnation: 1, Accepted: h.state.Accepted, Weights: version("old")})
 		}
 		rare := func(t *rapid.T, f func()) {
 			if rapid.IntRange(0, 7).Draw(t, "rare") == 0 {
--- a/agent/backend/runner.go
+++ b/agent/backend/runner.go
@@ -138,6 +138,8 @@
 			})
 		case ActionOrderDone:
 			r.cfg.Host.OrderDone(a.Result)
+		case ActionRecord:
+			r.cfg.Host.Record(a.Record)
 		case ActionReport:
 			r.cfg.Host.ReportPhase(a.Weights, a.Phase, a.Err)
 		}
--- a/agent/backend/runner_test.go
+++ b/agent/backend/runner_test.go
@@ -29,6 +29,9 @@
 	served   model.Weights
 	content  map[model.Weights]model.Digest
 	failures int
+	// fetchFails makes Fetch fail; otherwise it takes fetchTime.
+	fetchFails bool
+	fetchTime  time.Duration
 	// refusing is true from a call of Quiesce to the next call of Serve.
 	refusing bool
 	// quiesceCalls is the number of running Quiesce calls.
@@ -37,9 +40,25 @@
 	overlaps int
 	// blockQuiesce makes Quiesce wait until its context ends.
 	blockQuiesce bool
+	// record is the last load record.
+	record backend.LoadRecord
+	// engine is the engine of the instance. servedWrong counts calls of Serve while the
+	// engine had loaded other bytes than those of the weights.
+	engine      *standin.Server
+	servedWrong int
+}
+
+func (h *fakeHost) Record(r backend.LoadRecord) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.record = r
 }
 
 func (h *fakeHost) Fetch(_ context.Context, w model.Weights) (backend.StagedWeights, error) {
+	if h.fetchFails {
+		return backend.StagedWeights{}, engine.ErrIncomplete
+	}
+	time.Sleep(h.fetchTime)
 	dir := filepath.Join(h.dir, w.String())
 	digests := make([]model.Digest, 5)
 	for i := range digests {
@@ -82,6 +101,9 @@
 	defer h.mu.Unlock()
 	h.served, h.refusing = w, false
 	h.overlaps += h.quiesceCalls
+	if !w.IsZero() && h.engine.LoadedDigest() != h.content[w] {
+		h.servedWrong++
+	}
 }
 
 func (h *fakeHost) ReportPhase(_ model.Weights, phase wire.Phase, _ error) {
@@ -102,14 +124,34 @@
 
 // startRunner starts an engine that ignores fencing and a runner for it.
 func startRunner() (*backend.Runner, *fakeHost, *standin.Server) {
+	server, _ := startEngine()
+	h := newFakeHost(server)
+	r, _ := runOn(server, h, engine.GuardConfig{})
+	return r, h, server
+}
+
+func startEngine() (*standin.Server, *engine.Client) {
 	server, err := standin.Start(standin.Config{TimeScale: 0.01, IgnoreFencing: true})
 	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(server.Close)
+	client, err := engine.NewClient(engine.Config{Address: server.URL()})
+	Expect(err).NotTo(HaveOccurred())
+	return server, client
+}
+
+func newFakeHost(server *standin.Server) *fakeHost {
+	return &fakeHost{dir: GinkgoT().TempDir(), content: make(map[model.Weights]model.Digest), engine: server}
+}
+
+// runOn starts a runner for an engine. It uses the load record that the host holds, and
+// stops with the spec or with stop.
+func runOn(server *standin.Server, h *fakeHost, guard engine.GuardConfig) (r *backend.Runner, stop func()) {
 	client, err := engine.NewClient(engine.Config{Address: server.URL()})
 	Expect(err).NotTo(HaveOccurred())
-	h := &fakeHost{dir: GinkgoT().TempDir(), content: make(map[model.Weights]model.Digest)}
-	r := backend.NewRunner(backend.RunnerConfig{
+	guard.PollInterval, guard.SettleTime = time.Millisecond, 30*time.Millisecond
+	r = backend.NewRunner(backend.RunnerConfig{
 		Machine: backend.Config{
-			Guard:             engine.GuardConfig{PollInterval: time.Millisecond, SettleTime: 30 * time.Millisecond},
+			Guard: guard, Recorded: h.record,
 			StatePollInterval: 5 * time.Millisecond, MinBackoff: 10 * time.Millisecond,
 		},
 		Clock: clock.System{}, Random: rand.New(rand.NewSource(1)), Engine: client, Host: h,
@@ -117,12 +159,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { defer close(ended); r.Run(ctx) }()
-	DeferCleanup(func() {
+	stop = func() {
 		cancel()
 		<-ended
-		Expect(server.Close()).To(Succeed())
-	})
-	return r, h, server
+	}
+	DeferCleanup(stop)
+	return r, stop
 }
 
 var _ = Describe("Runner with an engine that ignores fencing", func() {
@@ -147,6 +189,46 @@
 		Expect(h.overlaps).To(Equal(0))
 	})
 
+	// Guards against weights that an agent serves after its restart although no agent
+	// knows what the engine has loaded.
+	It("loads again what an engine holds without a record of the load", func() {
+		server, client := startEngine()
+		h := newFakeHost(server)
+		staged, err := h.Fetch(context.Background(), version("v1"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(os.WriteFile(filepath.Join(staged.Base.Directory, "1"), []byte("corrupt"), 0o600)).To(Succeed())
+		// The previous agent ended between this order and its check of the load.
+		_, err = client.Order(context.Background(), engine.Order{Kind: engine.OrderLoad, Weights: version("v1"), Base: staged.Base, Fence: engine.Fence{Epoch: 1, Sequence: 1}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(server.State().Weights).To(Equal(version("v1")))
+		h.fetchTime = 200 * time.Millisecond // longer than the time after which a record counts
+		r, _ := runOn(server, h, engine.GuardConfig{Epoch: 2})
+		r.SetWanted(version("v1"))
+		Eventually(h.serves(version("v1"), server), 10*time.Second).Should(BeTrue())
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		Expect(h.servedWrong).To(BeZero())
+	})
+
+	// Guards against a fleet whose engines all load again when its agents are replaced.
+	It("keeps the weights that a previous agent recorded, also after a change of role", func() {
+		server, _ := startEngine()
+		h := newFakeHost(server)
+		r, stop := runOn(server, h, engine.GuardConfig{Epoch: 1})
+		r.SetWanted(version("v1"))
+		Eventually(h.serves(version("v1"), server), 10*time.Second).Should(BeTrue())
+		Eventually(func() error { return r.SubmitOrder(engine.Order{Kind: engine.OrderRole, Role: engine.RoleDecode}) }, 10*time.Second).Should(Succeed())
+		Eventually(func() engine.Role { return server.State().Role }, 10*time.Second).Should(Equal(engine.RoleDecode))
+		Eventually(h.serves(version("v1"), server), 10*time.Second).Should(BeTrue())
+		stop()
+		h.Serve(model.Weights{})
+		h.fetchFails = true
+		r, _ = runOn(server, h, engine.GuardConfig{Epoch: 2})
+		r.SetWanted(version("v1"))
+		Eventually(h.serves(version("v1"), server), 10*time.Second).Should(BeTrue())
+		Expect(server.AcceptedOrders()).To(HaveLen(2))
+	})
+
 	DescribeTable("eventually makes the wanted version live", func(faults standin.Faults) {
 		r, h, server := startRunner()
 		server.SetFaults(faults)
--- a/agent/host.go
+++ b/agent/host.go
@@ -149,6 +149,14 @@
 	h.agent.transfer.ReportPhase(lastManifest(w), phase)
 }
 
+// Record implements backend.Host. Without a record, the next agent of the instance makes
+// the engine load its weights again.
+func (h host) Record(r backend.LoadRecord) {
+	if err := h.agent.loadRecord.write(r); err != nil {
+		h.agent.cfg.Log.Log(eventlog.LoadNotRecorded, "weights", r.Weights, "err", err)
+	}
+}
+
 // OrderDone implements backend.Host. Changes of role are the only orders that the
 // agent submits directly.
 func (h host) OrderDone(r engine.Result) {
--- /dev/null
+++ b/agent/load_record.go
@@ -0,0 +1,52 @@
+package agent
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+
+	"github.com/auburnbend/auburnbend/agent/backend"
+)
+
+// loadRecordName is the name of the record's file in the staging directory, which
+// outlives the agent but not the instance.
+const loadRecordName = "loaded.json"
+
+// loadRecordFile stores the load record of an instance.
+type loadRecordFile struct{ path string }
+
+func newLoadRecordFile(stagingDir string) loadRecordFile {
+	return loadRecordFile{path: filepath.Join(stagingDir, loadRecordName)}
+}
+
+// read returns the record, or the zero value if there is none or it is unreadable. The
+// engine then loads its weights again.
+func (f loadRecordFile) read() backend.LoadRecord {
+	var r backend.LoadRecord
+	data, err := os.ReadFile(f.path)
+	if err != nil || json.Unmarshal(data, &r) != nil {
+		return backend.LoadRecord{}
+	}
+	return r
+}
+
+// write replaces the record. A process that stops meanwhile leaves the previous record
+// or none. After an error there is no record.
+func (f loadRecordFile) write(r backend.LoadRecord) error {
+	if err := os.Remove(f.path); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	if r == (backend.LoadRecord{}) {
+		return nil
+	}
+	data, err := json.Marshal(r)
+	if err != nil {
+		return err
+	}
+	incoming := f.path + ".incoming"
+	if err := os.WriteFile(incoming, data, 0o600); err != nil {
+		return errors.Join(err, os.Remove(incoming))
+	}
+	return os.Rename(incoming, f.path)
+}
--- a/lib/eventlog/events_weight.go
+++ b/lib/eventlog/events_weight.go
@@ -15,6 +15,7 @@
 	FencingIgnored      = Event{3108, Info, "backend server does not check fencing numbers", "Nothing; the agent reads its state before and after each order."}
 	SourceThrottled     = Event{3109, Info, "source of weights asked to retry later", "Nothing; if a rollout is late, check the limits of the source."}
 	RoleNotSet          = Event{3111, Warn, "backend server did not switch to its declared role", "Check the backend server; the agent repeats the order."}
+	LoadNotRecorded     = Event{3112, Warn, "agent could not record which weights its backend server has loaded", "Check the staging directory; after a restart of the agent, the backend server loads its weights again."}
 	TrackerUnreachable  = Event{3110, Warn, "no tracker reachable; agents exchange chunks directly", "Check the entry instances of the failure domain."}
 )
 
@@ -33,4 +34,5 @@
 	SourceThrottled,
 	TrackerUnreachable,
 	RoleNotSet,
+	LoadNotRecorded,
 }
