Serve loaded weights only after the files that the engine read were verified

Cause: the staged files were verified at the end of their transfer, before the permit, the quiesce, the reads of the state and the load itself, each of which can take seconds to minutes, or as long as an engine or agent is frozen. An engine does not check what it reads and reports the weights that it was ordered to load, so a file that was corrupted, truncated or replaced after the verification was loaded and served.

Change: lib/weights makes a seal when it verifies a version: its chunks are intact, and inode, size and time of change of their files. After a load, the agent verifies the files again and compares the stamps; only then, and after a new read of the engine's state, is the gate opened. A difference means that the engine may have read anything: event 3113, nothing is served, and the version is fetched and loaded again. The order itself is not sent if the last verification is older than 3 s. Verify drops all corrupt chunks, not only the first one.

--- a/agent/backend/action.go
+++ b/agent/backend/action.go
@@ -25,6 +25,12 @@
 	ActionServe
 	// ActionReadState reads the engine's state. The result goes to HandleState.
 	ActionReadState
+	// ActionVerifyStaged verifies the Staged files before they are loaded. The result
+	// and Number go to HandleVerified.
+	ActionVerifyStaged
+	// ActionVerifyLoaded verifies that the Staged files are intact and that nobody has
+	// changed them since they were verified. The result and Number go to HandleVerified.
+	ActionVerifyLoaded
 	// ActionOrder sends Order to the engine. The result goes to HandleReply.
 	ActionOrder
 	// ActionOrderDone reports the Result of an order submitted with SubmitOrder.
@@ -37,7 +43,7 @@
 
 // String returns the name that is shown in traces.
 func (k ActionKind) String() string {
-	return [...]string{"fetch", "cancel_fetch", "permit", "quiesce", "serve", "read_state", "order", "order_done", "report", "record"}[k]
+	return [...]string{"fetch", "cancel_fetch", "permit", "quiesce", "serve", "read_state", "verify_staged", "verify_loaded", "order", "order_done", "report", "record"}[k]
 }
 
 // Action is an operation that the owner of a Machine must carry out. Only the fields
@@ -49,6 +55,8 @@
 	Phase   wire.Phase
 	Result  engine.Result
 	Record  LoadRecord
+	Staged  StagedWeights
+	Number  uint64
 	// Err is the reason for ActionReport with PhaseFailed.
 	Err error
 }
--- a/agent/backend/advance.go
+++ b/agent/backend/advance.go
@@ -36,8 +36,14 @@
 	}
 }
 
-// advanceOrder performs the next step of the outstanding order.
+// advanceOrder performs the next step of the outstanding order. A load that is ready to be
+// sent is withdrawn if its files must be verified again, because the engine was busy or
+// did not respond for long.
 func (m *Machine) advanceOrder() {
+	if m.Phase() == wire.PhaseLoading && m.guard.Ready() && m.stagedFilesStale() && m.guard.Withdraw() {
+		m.submitLoad()
+		return
+	}
 	m.guardWakeAt = m.now.Add(m.cfg.StatePollInterval)
 	switch step := m.guard.Next(m.now); step.Kind {
 	case engine.StepReadState:
@@ -64,20 +70,17 @@
 	m.emit(Action{Kind: ActionReadState})
 }
 
-// handleLoadResult processes the result of a load. If another version is wanted by
-// now, the loaded version is served until it is replaced.
+// handleLoadResult processes the result of a load. The engine has not compared what it
+// has read with the manifest, so the files are verified once more before anything is
+// served: if they are still those that were verified before the order, the engine has
+// read intact files.
 func (m *Machine) handleLoadResult(r engine.Result) {
-	if r.Err == nil {
-		m.setLive(confirmedStateOf(r.State))
-	}
-	switch {
-	case m.wanted != r.Order.Weights:
-		m.fire(triggerLoadSuperseded)
-	case r.Err != nil:
-		m.fail(r.Err)
-	default:
-		m.fire(triggerConfirmed)
+	if r.Err != nil {
+		m.endLoad(r.Err)
+		return
 	}
+	m.failedReads = 0
+	m.startVerification(verifyLoaded, ActionVerifyLoaded, confirmedStateOf(r.State))
 }
 
 // handleOrderResult processes the result of an order other than a load. The weights
--- a/agent/backend/config.go
+++ b/agent/backend/config.go
@@ -16,6 +16,9 @@
 	// defaultMaxFailedReads is greater than 1 because a single slow response does not
 	// prove that the engine is down.
 	defaultMaxFailedReads = 3
+	// defaultMaxVerificationAge is longer than one slow read of the state, which
+	// precedes each order.
+	defaultMaxVerificationAge = 3 * time.Second
 )
 
 // Config configures a Machine. Zero values are replaced by defaults.
@@ -37,6 +40,9 @@
 	// an agent that did not load the weights considers them live. Within that time, the
 	// engine may still receive an order of a previous agent.
 	AdoptAfter time.Duration
+	// MaxVerificationAge is the maximum age of the last verification of the staged files
+	// when the engine is ordered to load them.
+	MaxVerificationAge time.Duration
 	// MaxFailedReads is the number of consecutive failed state reads after which the
 	// weights are no longer considered live.
 	MaxFailedReads int
@@ -48,6 +54,7 @@
 	setDefault(&c.MaxBackoff, defaultMaxBackoff)
 	setDefault(&c.PermitRetryInterval, defaultPermitRetryInterval)
 	setDefault(&c.Guard.SettleTime, 3*time.Second)
+	setDefault(&c.MaxVerificationAge, defaultMaxVerificationAge)
 	setDefault(&c.AdoptAfter, c.Guard.SettleTime)
 	if c.MaxFailedReads <= 0 {
 		c.MaxFailedReads = defaultMaxFailedReads
--- a/agent/backend/enter.go
+++ b/agent/backend/enter.go
@@ -6,7 +6,6 @@
 
 	"github.com/qmuntal/stateless"
 
-	"github.com/auburnbend/auburnbend/lib/engine"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
@@ -43,19 +42,14 @@
 	}
 }
 
-// enterLoading submits the load order. No weights are live until the engine reports
-// them after the load.
+// enterLoading starts the load. No weights are live until the engine reports them after
+// the load and its files have been verified again.
 func (m *Machine) enterLoading() {
 	m.live, m.candidate = confirmedState{}, candidate{}
 	m.record(LoadRecord{})
 	m.serve()
 	m.reportPhase(wire.PhaseLoading, nil)
-	err := m.guard.Submit(engine.Order{
-		Kind: engine.OrderLoad, Weights: m.staged.Weights, Base: m.staged.Base, Adapter: m.staged.Adapter,
-	})
-	if err != nil {
-		panic(err) // advance enters this phase only if no order is outstanding
-	}
+	m.submitLoad()
 }
 
 func (m *Machine) enterLive() {
--- a/agent/backend/events.go
+++ b/agent/backend/events.go
@@ -22,7 +22,7 @@
 		return
 	}
 	m.wanted, m.failures = w, 0
-	if m.Phase() == wire.PhaseLoading && m.guard.Withdraw() {
+	if m.withdrawLoad() {
 		// The load was not sent. The next state read confirms the previous weights.
 		m.nextReadAt = now
 		m.fire(triggerLoadSuperseded)
@@ -92,14 +92,41 @@
 	m.nextReadAt = now.Add(m.cfg.StatePollInterval)
 	outstanding := m.guard.Outstanding()
 	m.guard.OnState(now, s, err)
-	if outstanding {
+	switch {
+	case outstanding:
 		m.checkStateDuringOrder(s, err)
-	} else {
+	case m.verification.step == verifyStaged: // nothing is served before the load
+	case m.verification.step != verifyNothing:
+		m.confirmLoad(s, err)
+	default:
 		m.checkState(s, err)
 	}
 	m.advance()
 }
 
+// HandleVerified handles the result of the verification with the given number. For
+// ActionVerifyStaged, f has new seals. Results of earlier verifications are ignored.
+func (m *Machine) HandleVerified(now time.Time, number uint64, f StagedWeights, err error) {
+	m.now = now
+	if number != m.verification.number {
+		return
+	}
+	switch step := m.verification.step; {
+	case step == verifyStaged && err != nil:
+		m.endLoad(err)
+	case step == verifyStaged:
+		m.endVerification()
+		m.staged = f
+		m.submitLoad()
+	case step == verifyLoaded && err != nil:
+		m.endLoad(merry.Wrap(ErrLoadUnverified, merry.AppendMessage(err.Error()), merry.WithCause(err)))
+	case step == verifyLoaded:
+		m.verification.step, m.verification.staleRead = verifyState, m.readPending
+		m.nextReadAt = now
+	}
+	m.advance()
+}
+
 // HandleReply handles the engine's reply to an order.
 func (m *Machine) HandleReply(now time.Time, r engine.Reply, err error) {
 	m.now = now
--- a/agent/backend/harness_test.go
+++ b/agent/backend/harness_test.go
@@ -12,7 +12,10 @@
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
-const settleTime = 3 * time.Second
+const (
+	settleTime         = 3 * time.Second
+	maxVerificationAge = 2 * time.Second
+)
 
 func version(name string) model.Weights {
 	if name == "" {
@@ -34,6 +37,11 @@
 	// it reports. foreign is an order of a previous agent, which loads corrupt files.
 	corrupt bool
 	foreign *engine.Order
+	// spoilt is true if the staged files are corrupt now. verifying is a verification in
+	// progress, lastVerified the end of the last one that succeeded.
+	spoilt       bool
+	verifying    *backend.Action
+	lastVerified time.Time
 	// recorded is the record that the machine has stored.
 	recorded backend.LoadRecord
 	// inFlight is an order on its way to the engine, running one that it executes.
@@ -64,7 +72,9 @@
 // startMachine replaces the machine by one that starts with the record of its
 // predecessor.
 func (h *harness) startMachine(recorded backend.LoadRecord) {
-	h.m = backend.NewMachine(backend.Config{Guard: engine.GuardConfig{SettleTime: settleTime}, Recorded: recorded}, rand.New(rand.NewSource(1)))
+	h.m = backend.NewMachine(backend.Config{
+		Guard: engine.GuardConfig{SettleTime: settleTime}, Recorded: recorded, MaxVerificationAge: maxVerificationAge,
+	}, rand.New(rand.NewSource(1)))
 	h.recorded = recorded
 }
 
@@ -90,6 +100,8 @@
 			h.reading = true
 		case backend.ActionServe:
 			h.serve(a.Weights)
+		case backend.ActionVerifyStaged, backend.ActionVerifyLoaded:
+			h.verifying = &a
 		case backend.ActionRecord:
 			h.recorded = a.Record
 		case backend.ActionOrder:
@@ -123,6 +135,9 @@
 	if o.Kind == engine.OrderLoad && o.Base.Directory != o.Weights.String() {
 		h.t.Fatalf("order for %s lists the files of %s", o.Weights, o.Base.Directory)
 	}
+	if o.Kind == engine.OrderLoad && h.now.Sub(h.lastVerified) > maxVerificationAge {
+		h.t.Fatalf("load %s sent %s after its files were verified", o.Fence, h.now.Sub(h.lastVerified))
+	}
 	if o.Kind == engine.OrderLoad && h.recorded != (backend.LoadRecord{}) {
 		h.t.Fatalf("load %s sent while a load is recorded", o.Fence)
 	}
@@ -150,7 +165,7 @@
 		return
 	}
 	if ok && h.running.Kind == engine.OrderLoad {
-		h.state.Weights, h.corrupt = h.running.Weights, h.running == h.foreign
+		h.state.Weights, h.corrupt = h.running.Weights, h.running == h.foreign || h.spoilt
 	}
 	if ok && h.running.Kind == engine.OrderRole {
 		h.state.Role = h.running.Role
@@ -207,12 +222,34 @@
 	if h.fetching.IsZero() {
 		return
 	}
-	staged := backend.StagedWeights{Weights: h.fetching, Base: engine.StagedFiles{Directory: h.fetching.String()}}
+	staged := backend.StagedWeights{Weights: h.fetching, Base: engine.StagedFiles{Directory: h.fetching.String()}, VerifiedAt: h.now}
+	if err == nil {
+		h.spoilt, h.lastVerified = false, h.now
+	}
 	h.fetching = model.Weights{}
 	h.m.HandleFetched(h.now, staged, err)
 	h.executeActions()
 }
 
+// verified ends a verification. Files that are corrupt stay so, so that a load of them
+// is never verified.
+func (h *harness) verified() {
+	a := h.verifying
+	if a == nil {
+		return
+	}
+	h.verifying = nil
+	staged, err := a.Staged, error(nil)
+	staged.VerifiedAt = h.now
+	if h.spoilt {
+		err = engine.ErrIncomplete
+	} else {
+		h.lastVerified = h.now
+	}
+	h.m.HandleVerified(h.now, a.Number, staged, err)
+	h.executeActions()
+}
+
 func (h *harness) permitted(granted bool) {
 	if h.permitting {
 		h.permitting = false
@@ -254,6 +291,7 @@
 	h.deliver()
 	h.finish(true)
 	h.reply(nil)
+	h.verified()
 	h.readState(nil)
 	h.fetched(nil)
 	h.permitted(true)
--- a/agent/backend/host.go
+++ b/agent/backend/host.go
@@ -9,13 +9,19 @@
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
-// Host provides a Runner with the other functions of the agent. Fetch, RequestPermit
-// and Quiesce may block until ctx ends; the other methods must return immediately.
+// Host provides a Runner with the other functions of the agent. Fetch, RequestPermit,
+// Quiesce and the verifications may block until ctx ends; the other methods must return immediately.
 // Methods are called concurrently.
 type Host interface {
 	// Fetch transfers and verifies a version and returns its files. It must return soon
 	// after ctx ends. Calls do not overlap.
 	Fetch(ctx context.Context, w model.Weights) (StagedWeights, error)
+	// VerifyStaged verifies the files of a version again and returns it with new seals.
+	VerifyStaged(ctx context.Context, f StagedWeights) (StagedWeights, error)
+	// VerifyLoaded verifies that the files of a version are intact and that nobody has
+	// written to them since their seals were made. Otherwise an engine that has read
+	// them may have read anything.
+	VerifyLoaded(ctx context.Context, f StagedWeights) error
 	// RequestPermit requests a permit to replace the live weights with w. If the permit
 	// is denied, retry is the time after which to request it again.
 	RequestPermit(ctx context.Context, w model.Weights) (granted bool, retry time.Duration, err error)
--- a/agent/backend/machine.go
+++ b/agent/backend/machine.go
@@ -35,6 +35,8 @@
 	// recorded is the stored record.
 	recorded LoadRecord
 
+	verification verification
+
 	readPending bool
 	failedReads int
 	nextReadAt  time.Time
--- a/agent/backend/machine_test.go
+++ b/agent/backend/machine_test.go
@@ -77,6 +77,8 @@
 					h.executeActions()
 				})
 			},
+			"spoil":     func(t *rapid.T) { rare(t, func() { h.spoilt = true }) },
+			"verified":  func(*rapid.T) { h.verified() },
 			"permitted": func(t *rapid.T) { h.permitted(rapid.Bool().Draw(t, "granted")) },
 			"quiesced":  func(*rapid.T) { h.quiesced() },
 			"read":      read,
--- a/agent/backend/runner.go
+++ b/agent/backend/runner.go
@@ -131,6 +131,17 @@
 				s, err := r.cfg.Engine.State(ctx)
 				r.post(func(m *Machine, now time.Time) { m.HandleState(now, s, err) })
 			})
+		case ActionVerifyStaged:
+			r.tasks.Go(func() {
+				staged, err := r.cfg.Host.VerifyStaged(ctx, a.Staged)
+				staged.VerifiedAt = r.cfg.Clock.Now()
+				r.post(func(m *Machine, now time.Time) { m.HandleVerified(now, a.Number, staged, err) })
+			})
+		case ActionVerifyLoaded:
+			r.tasks.Go(func() {
+				err := r.cfg.Host.VerifyLoaded(ctx, a.Staged)
+				r.post(func(m *Machine, now time.Time) { m.HandleVerified(now, a.Number, a.Staged, err) })
+			})
 		case ActionOrder:
 			r.tasks.Go(func() {
 				reply, err := r.cfg.Engine.Order(ctx, a.Order)
@@ -156,6 +167,7 @@
 		defer cancel()
 		<-previousReturned
 		staged, err := r.cfg.Host.Fetch(ctx, w)
+		staged.VerifiedAt = r.cfg.Clock.Now()
 		close(returned)
 		if ctx.Err() != nil {
 			return // canceled; a newer fetch of the same version may be running
--- a/agent/backend/runner_test.go
+++ b/agent/backend/runner_test.go
@@ -17,6 +17,7 @@
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/engine"
 	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/weights"
 	"github.com/auburnbend/auburnbend/lib/wire"
 	standin "github.com/auburnbend/auburnbend/standin/engine"
 )
@@ -40,6 +41,13 @@
 	overlaps int
 	// blockQuiesce makes Quiesce wait until its context ends.
 	blockQuiesce bool
+	// spoil is called once, at the end of the next quiesce, with the files of the
+	// version that was fetched last.
+	spoil  func(files []string)
+	staged []string
+	// restored is not nil if a file is changed after it was verified, and closed when the
+	// file is intact again.
+	restored chan struct{}
 	// record is the last load record.
 	record backend.LoadRecord
 	// engine is the engine of the instance. servedWrong counts calls of Serve while the
@@ -60,18 +68,53 @@
 	}
 	time.Sleep(h.fetchTime)
 	dir := filepath.Join(h.dir, w.String())
-	digests := make([]model.Digest, 5)
+	digests, files := make([]model.Digest, 5), make([]string, 5)
 	for i := range digests {
+		files[i] = filepath.Join(dir, fmt.Sprint(i))
 		data := fmt.Appendf(nil, "%s part %d", w, i)
 		digests[i] = model.Sum(data)
-		if err := errors.Join(os.MkdirAll(dir, 0o700), os.WriteFile(filepath.Join(dir, fmt.Sprint(i)), data, 0o600)); err != nil {
+		if err := errors.Join(os.MkdirAll(dir, 0o700), os.WriteFile(files[i], data, 0o600)); err != nil {
 			return backend.StagedWeights{}, err
 		}
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.content[w] = standin.ContentDigest(digests...)
-	return backend.StagedWeights{Base: engine.StagedFiles{Directory: dir}}, nil
+	h.staged = files
+	return backend.StagedWeights{Weights: w, Base: engine.StagedFiles{Directory: dir}}, nil
+}
+
+// VerifyStaged checks the files against the content that Fetch wrote.
+func (h *fakeHost) VerifyStaged(_ context.Context, f backend.StagedWeights) (backend.StagedWeights, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return f, h.verify(f.Weights)
+}
+
+func (h *fakeHost) verify(w model.Weights) error {
+	var digests []model.Digest
+	for _, file := range h.staged {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		digests = append(digests, model.Sum(data))
+	}
+	if standin.ContentDigest(digests...) != h.content[w] {
+		return weights.ErrChunkCorrupt
+	}
+	return nil
+}
+
+func (h *fakeHost) VerifyLoaded(_ context.Context, f backend.StagedWeights) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.restored != nil {
+		<-h.restored
+		h.restored = nil
+		return weights.ErrChunkChanged
+	}
+	return h.verify(f.Weights)
 }
 
 func (*fakeHost) RequestPermit(context.Context, model.Weights) (bool, time.Duration, error) {
@@ -93,6 +136,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.quiesceCalls--
+	if h.spoil != nil && ctx.Err() == nil {
+		h.spoil(h.staged)
+		h.spoil = nil
+	}
 	return ctx.Err()
 }
 
@@ -130,8 +177,11 @@
 	return r, h, server
 }
 
+// loadTime makes loads take 100 ms, in which tests change files.
+const loadTime = 10 * time.Second
+
 func startEngine() (*standin.Server, *engine.Client) {
-	server, err := standin.Start(standin.Config{TimeScale: 0.01, IgnoreFencing: true})
+	server, err := standin.Start(standin.Config{TimeScale: 0.01, LoadTime: loadTime, IgnoreFencing: true})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(server.Close)
 	client, err := engine.NewClient(engine.Config{Address: server.URL()})
@@ -229,6 +279,55 @@
 		Expect(server.AcceptedOrders()).To(HaveLen(2))
 	})
 
+	// Guards against weights that are served because the staged files were intact once,
+	// although the engine has loaded other bytes.
+	DescribeTable("serves nothing until intact weights are loaded", func(spoil func(h *fakeHost, server *standin.Server, files []string)) {
+		r, h, server := startRunner()
+		r.SetWanted(version("v1"))
+		Eventually(h.serves(version("v1"), server), 10*time.Second).Should(BeTrue())
+		h.mu.Lock()
+		h.spoil = func(files []string) { spoil(h, server, files) }
+		h.mu.Unlock()
+		r.SetWanted(version("v2"))
+		Eventually(h.serves(version("v2"), server), 10*time.Second).Should(BeTrue())
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		Expect(h.servedWrong).To(BeZero())
+		Expect(h.failures).To(BeNumerically(">", 0))
+	},
+		Entry("after a file was corrupted before the order", func(_ *fakeHost, _ *standin.Server, files []string) {
+			Expect(os.WriteFile(files[2], []byte("corrupt"), 0o600)).To(Succeed())
+		}),
+		Entry("after a file was truncated before the order", func(_ *fakeHost, _ *standin.Server, files []string) {
+			Expect(os.Truncate(files[0], 3)).To(Succeed())
+		}),
+		Entry("after a file was replaced by one of another version", func(_ *fakeHost, _ *standin.Server, files []string) {
+			Expect(os.WriteFile(files[1]+".other", []byte("other"), 0o600)).To(Succeed())
+			Expect(os.Rename(files[1]+".other", files[1])).To(Succeed())
+		}),
+		Entry("after a file was corrupted during the load", func(_ *fakeHost, server *standin.Server, files []string) {
+			go func() {
+				defer GinkgoRecover()
+				Eventually(func() bool { return server.State().Busy }, 10*time.Second, 100*time.Microsecond).Should(BeTrue())
+				Expect(os.WriteFile(files[4], []byte("corrupt"), 0o600)).To(Succeed())
+			}()
+		}),
+		Entry("after a file was corrupt only while the engine read it", func(h *fakeHost, server *standin.Server, files []string) {
+			intact, err := os.ReadFile(files[2])
+			Expect(err).NotTo(HaveOccurred())
+			restored := make(chan struct{})
+			h.restored = restored
+			go func() {
+				defer GinkgoRecover()
+				defer close(restored)
+				Eventually(func() bool { return server.State().Busy }, 10*time.Second, 100*time.Microsecond).Should(BeTrue())
+				Expect(os.WriteFile(files[2], []byte("corrupt"), 0o600)).To(Succeed())
+				Eventually(func() bool { return len(server.LoadedFiles()) > 2 }, 10*time.Second, 100*time.Microsecond).Should(BeTrue())
+				Expect(os.WriteFile(files[2], intact, 0o600)).To(Succeed())
+			}()
+		}),
+	)
+
 	DescribeTable("eventually makes the wanted version live", func(faults standin.Faults) {
 		r, h, server := startRunner()
 		server.SetFaults(faults)
--- a/agent/host.go
+++ b/agent/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -71,30 +72,50 @@
 	t := h.agent.transfer
 	staged := backend.StagedWeights{Weights: w}
 	var err error
-	if staged.Base, err = h.fetch(ctx, w.Base); err != nil || w.Adapter.IsZero() {
+	if staged.Base, staged.BaseSeal, err = h.fetch(ctx, w.Base); err != nil || w.Adapter.IsZero() {
 		return staged, err
 	}
 	t.Retain(w.Base)
-	staged.Adapter, err = h.fetch(ctx, w.Adapter)
+	staged.Adapter, staged.AdapterSeal, err = h.fetch(ctx, w.Adapter)
 	return staged, err
 }
 
+// VerifyStaged implements backend.Host.
+func (h host) VerifyStaged(_ context.Context, f backend.StagedWeights) (backend.StagedWeights, error) {
+	var err error
+	if f.BaseSeal, err = h.agent.transfer.Seal(f.Weights.Base); err != nil || f.Weights.Adapter.IsZero() {
+		return f, err
+	}
+	f.AdapterSeal, err = h.agent.transfer.Seal(f.Weights.Adapter)
+	return f, err
+}
+
+// VerifyLoaded implements backend.Host.
+func (h host) VerifyLoaded(_ context.Context, f backend.StagedWeights) error {
+	t := h.agent.transfer
+	if err := t.CheckSeal(f.Weights.Base, f.BaseSeal); err != nil || f.Weights.Adapter.IsZero() {
+		return err
+	}
+	return t.CheckSeal(f.Weights.Adapter, f.AdapterSeal)
+}
+
 // fetch transfers the chunks of one manifest, verifies them, and returns their files
-// in the order of the manifest.
-func (h host) fetch(ctx context.Context, manifest model.Digest) (engine.StagedFiles, error) {
+// in the order of the manifest and their seal.
+func (h host) fetch(ctx context.Context, manifest model.Digest) (engine.StagedFiles, weights.Seal, error) {
 	t := h.agent.transfer
 	declared, ok := h.findModel(manifest)
 	if !ok {
-		return engine.StagedFiles{}, merry.Wrap(errNotDeclared, merry.AppendMessage(manifest.Short()))
+		return engine.StagedFiles{}, weights.Seal{}, merry.Wrap(errNotDeclared, merry.AppendMessage(manifest.Short()))
 	}
 	metrics, before := h.agent.cfg.Metrics, t.Progress()
 	defer func() { recordBytes(metrics, declared.Name, before, t.Progress()) }()
 	started := h.agent.fetchTimer.start(manifest, h.agent.cfg.Clock.Now())
 	if err := t.Fetch(ctx, manifest, declared.ManifestObject); err != nil {
-		return engine.StagedFiles{}, err
+		return engine.StagedFiles{}, weights.Seal{}, err
 	}
-	if err := t.Verify(manifest); err != nil {
-		return engine.StagedFiles{}, err
+	seal, err := t.Seal(manifest)
+	if err != nil {
+		return engine.StagedFiles{}, weights.Seal{}, err
 	}
 	h.agent.fetchTimer.reset()
 	metrics.RecordTransfer(declared.Name, h.agent.cfg.Clock.Now().Sub(started))
@@ -102,7 +123,7 @@
 	for _, c := range t.Manifest(manifest).Chunks {
 		files.Files = append(files.Files, weights.ChunkFile(c.Digest))
 	}
-	return files, nil
+	return files, seal, nil
 }
 
 // findModel returns the model of the current configuration that has the manifest.
@@ -141,6 +162,8 @@
 func (h host) ReportPhase(w model.Weights, phase wire.Phase, err error) {
 	log := h.agent.cfg.Log
 	switch {
+	case errors.Is(err, backend.ErrLoadUnverified):
+		log.Log(eventlog.LoadUnverified, "weights", w, "err", err)
 	case err != nil:
 		log.Log(eventlog.LoadFailed, "weights", w, "err", err)
 	case phase == wire.PhaseLive:
--- a/agent/transfer/service.go
+++ b/agent/transfer/service.go
@@ -140,9 +140,8 @@
 	}
 }
 
-// Verify verifies all chunks of a version against its manifest. It should be
-// called right before the weights are loaded. It returns weights.ErrIncomplete
-// if the manifest is unknown.
+// Verify verifies all chunks of a version against its manifest. It returns
+// weights.ErrIncomplete if the manifest is unknown.
 func (s *Service) Verify(manifest model.Digest) error {
 	parsed := s.lookupManifest(manifest)
 	if parsed == nil {
@@ -151,6 +150,25 @@
 	return s.cfg.Chunks.Verify(parsed.manifest)
 }
 
+// Seal verifies all chunks of a version like Verify, and returns their seal.
+func (s *Service) Seal(manifest model.Digest) (weights.Seal, error) {
+	parsed := s.lookupManifest(manifest)
+	if parsed == nil {
+		return weights.Seal{}, weights.ErrIncomplete
+	}
+	return s.cfg.Chunks.Seal(parsed.manifest)
+}
+
+// CheckSeal verifies all chunks of a version like Verify, and that nobody has
+// written to them since the seal was made.
+func (s *Service) CheckSeal(manifest model.Digest, seal weights.Seal) error {
+	parsed := s.lookupManifest(manifest)
+	if parsed == nil {
+		return weights.ErrIncomplete
+	}
+	return s.cfg.Chunks.CheckSeal(parsed.manifest, seal)
+}
+
 // Manifest returns a manifest, or nil if it has not been fetched.
 func (s *Service) Manifest(manifest model.Digest) *weights.Manifest {
 	if parsed := s.lookupManifest(manifest); parsed != nil {
--- a/internal/deployment/agent_process.go
+++ b/internal/deployment/agent_process.go
@@ -33,6 +33,7 @@
 	stopped    atomic.Bool
 	closeOnce  sync.Once
 	listener   *trackedListener
+	stagingDir string
 }
 
 // StartAgent starts a backend server and its agent, and adds the agent to the
@@ -96,6 +97,7 @@
 	if cfg.StagingDir, err = p.deployment.createStagingDir(string(p.Identity.Instance)); err != nil {
 		return err
 	}
+	p.stagingDir = cfg.StagingDir
 	p.Engine, err = engine.Start(engine.Config{
 		TimeScale: o.EngineTimeScale, Capacity: engineCapacity, RestartDelay: o.EngineRestartDelay,
 		IgnoreFencing: ignoreFencing,
@@ -112,6 +114,9 @@
 	return slices.Contains(p.Agent.LiveWeights(), v.Weights)
 }
 
+// StagingDir returns the directory from which the engine loads weights.
+func (p *AgentProcess) StagingDir() string { return p.stagingDir }
+
 // Stopped reports whether Stop or Kill was called.
 func (p *AgentProcess) Stopped() bool { return p.stopped.Load() }
 
--- a/internal/deployment/queries.go
+++ b/internal/deployment/queries.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/model"
@@ -65,6 +66,20 @@
 	return found
 }
 
+// WrongContentRuns returns the number of requests that started to run on an engine
+// whose loaded bytes are not those of a published version.
+func (d *Deployment) WrongContentRuns() int {
+	wrong := 0
+	for _, a := range d.ModelAgents() {
+		for content, runs := range a.Engine.ContentRuns() {
+			if !slices.ContainsFunc(d.Versions, func(v Version) bool { return v.ContentDigest == content }) {
+				wrong += runs
+			}
+		}
+	}
+	return wrong
+}
+
 // DraftRuns returns how often a request started to run, summed over all engines.
 func (d *Deployment) DraftRuns(request string) int {
 	runs := 0
--- a/lib/engine/guard.go
+++ b/lib/engine/guard.go
@@ -60,6 +60,9 @@
 // delivered yet.
 func (g *Guard) Outstanding() bool { return g.phase != phaseIdle }
 
+// Ready reports whether Next will return StepSend.
+func (g *Guard) Ready() bool { return g.phase == phaseReady }
+
 // Fence returns the fence of the last order that was sent. Unless the configuration
 // sets it, its epoch is 0 until the state was first read.
 func (g *Guard) Fence() Fence { return g.fence }
--- a/lib/eventlog/events_weight.go
+++ b/lib/eventlog/events_weight.go
@@ -16,6 +16,7 @@
 	SourceThrottled     = Event{3109, Info, "source of weights asked to retry later", "Nothing; if a rollout is late, check the limits of the source."}
 	RoleNotSet          = Event{3111, Warn, "backend server did not switch to its declared role", "Check the backend server; the agent repeats the order."}
 	LoadNotRecorded     = Event{3112, Warn, "agent could not record which weights its backend server has loaded", "Check the staging directory; after a restart of the agent, the backend server loads its weights again."}
+	LoadUnverified      = Event{3113, Warn, "staged files changed before or while the backend server loaded them; the instance serves nothing until it has loaded intact ones", "Check what writes to the staging directory, and the memory of the instance if it repeats."}
 	TrackerUnreachable  = Event{3110, Warn, "no tracker reachable; agents exchange chunks directly", "Check the entry instances of the failure domain."}
 )
 
@@ -35,4 +36,5 @@
 	TrackerUnreachable,
 	RoleNotSet,
 	LoadNotRecorded,
+	LoadUnverified,
 }
--- a/lib/weights/errors.go
+++ b/lib/weights/errors.go
@@ -10,6 +10,9 @@
 	ErrManifestInvalid = merry.New("invalid manifest")
 	// ErrChunkCorrupt means that data doesn't match the size and digest of its chunk.
 	ErrChunkCorrupt = merry.New("chunk digest mismatch")
+	// ErrChunkChanged means that the stored data of a chunk was written or replaced,
+	// even if it matches its digest again.
+	ErrChunkChanged = merry.New("stored chunk was changed")
 	// ErrIncomplete means that chunks are missing.
 	ErrIncomplete = merry.New("weights incomplete")
 	// ErrStoreFull means that the size limit of the staging area is reached.
--- a/lib/weights/storage.go
+++ b/lib/weights/storage.go
@@ -10,6 +10,9 @@
 	// Get returns the data of a chunk, which the caller must not modify, or an
 	// error if the chunk is absent.
 	Get(digest model.Digest) ([]byte, error)
+	// Stamp returns a value that changes whenever the stored data of a chunk is written
+	// or replaced, or an error if the chunk is absent.
+	Stamp(digest model.Digest) (Stamp, error)
 	// Remove deletes a chunk. Removing an absent chunk is not an error.
 	Remove(digest model.Digest) error
 }
--- a/lib/weights/storage_directory.go
+++ b/lib/weights/storage_directory.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 
 	"github.com/ansel1/merry/v2"
+	"golang.org/x/sys/unix"
 
 	"github.com/auburnbend/auburnbend/lib/model"
 )
@@ -57,6 +58,15 @@
 	return data, nil
 }
 
+// Stamp returns the stamp of a chunk's file. It returns ErrIncomplete if there is none.
+func (s *DirectoryStorage) Stamp(digest model.Digest) (Stamp, error) {
+	var stat unix.Stat_t
+	if err := unix.Stat(s.file(digest), &stat); err != nil {
+		return Stamp{}, merry.Wrap(ErrIncomplete, merry.WithCause(err))
+	}
+	return Stamp{Inode: stat.Ino, Size: stat.Size, ChangedAt: stat.Ctim.Nano()}, nil
+}
+
 // Remove deletes a chunk.
 func (s *DirectoryStorage) Remove(digest model.Digest) error {
 	err := os.Remove(s.file(digest))
--- a/lib/weights/storage_memory.go
+++ b/lib/weights/storage_memory.go
@@ -38,6 +38,12 @@
 	return data, nil
 }
 
+// Stamp returns the zero value: a chunk cannot be changed from outside the process.
+func (s *MemoryStorage) Stamp(digest model.Digest) (Stamp, error) {
+	_, err := s.Get(digest)
+	return Stamp{}, err
+}
+
 // Remove deletes a chunk.
 func (s *MemoryStorage) Remove(digest model.Digest) error {
 	s.mu.Lock()
--- a/lib/weights/store.go
+++ b/lib/weights/store.go
@@ -176,41 +176,48 @@
 	return have
 }
 
-// Verify reads all chunks of a manifest and checks their digests. It is called
-// right before a load to detect data corrupted after the transfer. It drops the
-// first corrupt chunk, so that the transfer fetches it again, and returns
-// ErrChunkCorrupt. It returns ErrIncomplete if a chunk is missing.
+// Verify reads all chunks of a manifest and checks their digests. It drops those that
+// are corrupt or cannot be read, so that the transfer fetches them again, and returns
+// ErrChunkCorrupt or ErrIncomplete for the first of them.
 func (s *Store) Verify(m *Manifest) error {
-	return s.forEachChunk(m, func([]byte) error { return nil })
+	var first error
+	for i, c := range m.Chunks {
+		if _, err := s.read(c); err != nil && first == nil {
+			first = merry.Prependf(err, "chunk %d of %d", i, len(m.Chunks))
+		}
+	}
+	return first
 }
 
 // Assemble writes the concatenated chunks in the order of the manifest and
 // verifies each one. After an error the output is invalid.
 func (s *Store) Assemble(m *Manifest, w io.Writer) error {
-	return s.forEachChunk(m, func(data []byte) error {
-		_, err := w.Write(data)
-		return merry.Wrap(err)
-	})
-}
-
-func (s *Store) forEachChunk(m *Manifest, visit func([]byte) error) error {
 	for i, c := range m.Chunks {
-		data, err := s.Get(c.Digest)
+		data, err := s.read(c)
 		if err != nil {
-			s.drop(c.Digest) // its file may have been deleted from the staging directory
 			return merry.Prependf(err, "chunk %d of %d", i, len(m.Chunks))
 		}
-		if len(data) != int(c.Size) || model.Sum(data) != c.Digest {
-			s.drop(c.Digest)
-			return merry.Wrap(ErrChunkCorrupt, merry.AppendMessagef("chunk %d of %d", i, len(m.Chunks)))
-		}
-		if err := visit(data); err != nil {
-			return err
+		if _, err := w.Write(data); err != nil {
+			return merry.Wrap(err)
 		}
 	}
 	return nil
 }
 
+// read returns the data of a chunk after checking its digest. It drops a chunk that is
+// corrupt, or whose file was deleted from the staging directory.
+func (s *Store) read(c Chunk) ([]byte, error) {
+	data, err := s.Get(c.Digest)
+	if err == nil && (len(data) != int(c.Size) || model.Sum(data) != c.Digest) {
+		err = merry.Wrap(ErrChunkCorrupt, merry.AppendMessagef("chunk %s, got %d of %d bytes", c.Digest.Short(), len(data), c.Size))
+	}
+	if err != nil {
+		s.drop(c.Digest)
+		return nil, err
+	}
+	return data, nil
+}
+
 func (s *Store) drop(digest model.Digest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/lib/weights/store_test.go
+++ b/lib/weights/store_test.go
@@ -5,6 +5,7 @@
 	"math/rand"
 	"os"
 	"path/filepath"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -53,6 +54,60 @@
 		Expect(s.Verify(m)).To(Succeed())
 	})
 
+	// Guards against a check after a load that misses what the engine has read.
+	DescribeTable("detects each change of the staged files since they were verified", func(change func(file string), want error) {
+		dir := GinkgoT().TempDir()
+		storage, err := weights.NewDirectoryStorage(dir)
+		Expect(err).NotTo(HaveOccurred())
+		m, s := build(data), weights.NewStore(weights.StoreConfig{Storage: storage})
+		fill(s, m, data)
+		seal, err := s.Seal(m)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.CheckSeal(m, seal)).To(Succeed())
+		Expect(s.CheckSeal(m, weights.Seal{})).To(MatchError(weights.ErrChunkChanged))
+		time.Sleep(20 * time.Millisecond) // the times of files advance in steps
+		change(filepath.Join(dir, weights.ChunkFile(m.Chunks[5].Digest)))
+		Expect(s.CheckSeal(m, seal)).To(MatchError(want))
+		fill(s, m, data)
+		_, err = s.Seal(m)
+		Expect(err).NotTo(HaveOccurred(), "the version can be used again")
+	},
+		Entry("corrupt", func(file string) { Expect(os.WriteFile(file, bytes.Repeat([]byte{1}, 1000), 0o600)).To(Succeed()) }, weights.ErrChunkCorrupt),
+		Entry("truncated", func(file string) { Expect(os.Truncate(file, 999)).To(Succeed()) }, weights.ErrChunkCorrupt),
+		Entry("deleted", func(file string) { Expect(os.Remove(file)).To(Succeed()) }, weights.ErrIncomplete),
+		Entry("replaced by another chunk", func(file string) {
+			Expect(os.WriteFile(file+".new", data[:1000], 0o600)).To(Succeed())
+			Expect(os.Rename(file+".new", file)).To(Succeed())
+		}, weights.ErrChunkCorrupt),
+		Entry("corrupt and restored, with its time of modification", func(file string) {
+			info, err := os.Stat(file)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(os.WriteFile(file, []byte("corrupt"), 0o600)).To(Succeed())
+			Expect(os.WriteFile(file, data[5000:6000], 0o600)).To(Succeed())
+			Expect(os.Chtimes(file, info.ModTime(), info.ModTime())).To(Succeed())
+		}, weights.ErrChunkChanged),
+		Entry("replaced and restored", func(file string) {
+			Expect(os.Rename(file, file+".old")).To(Succeed())
+			Expect(os.WriteFile(file, []byte("corrupt"), 0o600)).To(Succeed())
+			Expect(os.Rename(file+".old", file)).To(Succeed())
+		}, weights.ErrChunkChanged),
+	)
+
+	// Guards against a staging directory with many corrupt files, each of which would
+	// cost a verification of the whole version.
+	It("drops all corrupt chunks at once", func() {
+		dir := GinkgoT().TempDir()
+		storage, err := weights.NewDirectoryStorage(dir)
+		Expect(err).NotTo(HaveOccurred())
+		m, s := build(data), weights.NewStore(weights.StoreConfig{Storage: storage})
+		fill(s, m, data)
+		for _, c := range m.Chunks[:4] {
+			Expect(os.Truncate(filepath.Join(dir, weights.ChunkFile(c.Digest)), 10)).To(Succeed())
+		}
+		Expect(s.Verify(m)).To(MatchError(weights.ErrChunkCorrupt))
+		Expect(s.Have(m).Count()).To(Equal(len(m.Chunks) - 4))
+	})
+
 	It("shares chunks between versions and drops only those that no retained version uses (guards against a staging area that fills up)", func() {
 		other := append(append([]byte(nil), data[:5000]...), make([]byte, 4000)...)
 		m, n := build(data), build(other)
--- a/standin/engine/inspect.go
+++ b/standin/engine/inspect.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"maps"
 	"slices"
 
 	api "github.com/auburnbend/auburnbend/lib/engine"
@@ -38,6 +39,14 @@
 	return s.loadedDigest()
 }
 
+// LoadedFiles returns the digests of the files that were loaded since the last load
+// began, in load order.
+func (s *Server) LoadedFiles() []model.Digest {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.loaded)
+}
+
 func (s *Server) loadedDigest() model.Digest { return ContentDigest(s.loaded...) }
 
 // RunCount returns how often a request started to run, over all incarnations.
@@ -47,6 +56,14 @@
 	return s.runs[id]
 }
 
+// ContentRuns returns how many requests started to run on each loaded content, which is
+// identified by the digest that responses contain, over all incarnations.
+func (s *Server) ContentRuns() map[model.Digest]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.contentRuns)
+}
+
 // AcceptedOrders returns all accepted orders, over all incarnations.
 func (s *Server) AcceptedOrders() []api.Order {
 	s.mu.Lock()
--- a/standin/engine/scheduler.go
+++ b/standin/engine/scheduler.go
@@ -81,6 +81,7 @@
 
 func (s *Server) startRequest(st *stream, now time.Time) {
 	s.runs[st.req.ID]++
+	s.contentRuns[s.loadedDigest()]++
 	st.running = true
 	st.prefillEnd = now
 	if !s.cache.lookup(st.req.Prefix) {
--- a/standin/engine/server.go
+++ b/standin/engine/server.go
@@ -48,6 +48,7 @@
 	waiting          []*stream
 	running          []*stream
 	runs             map[model.RequestID]int
+	contentRuns      map[model.Digest]int
 	cache            cache
 	samples          []sample
 	firstTokenMillis float64
@@ -58,7 +59,7 @@
 	cfg.applyDefaults()
 	s := &Server{
 		cfg: cfg, closed: make(chan struct{}), incarnation: 1, role: api.RoleMixed,
-		streams: make(map[string]*stream), runs: make(map[model.RequestID]int),
+		streams: make(map[string]*stream), runs: make(map[model.RequestID]int), contentRuns: make(map[model.Digest]int),
 		cache: cache{
 			limit: cfg.CacheCapacity, delay: cfg.scaled(cfg.CacheEventDelay), loss: cfg.CacheEventLoss,
 			random: rand.New(rand.NewPCG(cfg.Seed, 0)),
