Count the settle time of an order only while the engine responds

Cause: Guard considered an order whose reply was lost as never accepted once 3 s had passed, also if the engine had been stopped or cut off for all of them. When such an engine resumed, the first state that it reported ended the wait, before it had read the order from its socket. The agent then served the old weights, or sent the next order, while the engine began the late load. The wait for orders of an earlier agent had the same fault: it ran from the first read of the state, whatever happened after.

Change: both times start anew when a read of the state fails or when half of the settle time passes without a successful read. A refused connection does not count: the engine is down and its sockets are gone. The guard polls while it waits.

Measured: two new specs failed before (order considered lost 0 s and 0.25 s after the engine responded again, want 3 s) and pass now. TestGuard with an engine that is stopped for 2 to 5 s failed on the old code after 694 tests ('order 1.1 sent while another one is running or in flight') and passes 50,000 tests now. lib/engine and agent/backend pass with -race.

--- a/lib/engine/guard.go
+++ b/lib/engine/guard.go
@@ -37,8 +37,14 @@
 type Guard struct {
 	cfg   GuardConfig
 	fence Fence
-	// firstReadAt is the time of the first successful read of the state.
-	firstReadAt time.Time
+	// respondingSince is the time since which all reads of the state succeeded, without
+	// a gap. It is zero if the last one failed.
+	respondingSince time.Time
+	// lastReadAt is the time of the last successful read.
+	lastReadAt time.Time
+	// settled is true once the engine has responded for the settle time without a break.
+	// No order of an earlier agent is unread then.
+	settled bool
 
 	phase phase
 	order Order
@@ -112,13 +118,11 @@
 // OnState may also be called without an outstanding order; the first successful
 // read starts the settle time for orders of an earlier agent.
 func (g *Guard) OnState(now time.Time, s State, err error) {
+	g.observeRead(now, err)
 	if err != nil {
 		g.nextReadAt = now.Add(g.cfg.PollInterval)
 		return
 	}
-	if g.firstReadAt.IsZero() {
-		g.firstReadAt = now
-	}
 	switch g.phase {
 	case phasePrecheck:
 		g.precheck(now, s)
@@ -129,6 +133,24 @@
 	}
 }
 
+// observeRead updates since when the engine responds. The settle time counts only while
+// it does: an engine that is stopped or cut off reads the orders in its sockets when it
+// resumes, however long that takes.
+func (g *Guard) observeRead(now time.Time, err error) {
+	gap := now.Sub(g.lastReadAt) > g.cfg.SettleTime/maxReadGapShare
+	switch {
+	case NotStarted(err): // the engine is down, and its sockets are gone
+		g.lastReadAt = now
+	case err != nil:
+		g.respondingSince = time.Time{}
+	case gap || g.respondingSince.IsZero():
+		g.respondingSince, g.lastReadAt = now, now
+	default:
+		g.lastReadAt = now
+		g.settled = g.settled || !now.Before(g.respondingSince.Add(g.cfg.SettleTime))
+	}
+}
+
 func (g *Guard) precheck(now time.Time, s State) {
 	if g.cfg.Epoch == 0 && g.fence.Sequence == 0 {
 		// Updated at each read until the first order is sent, because an order
@@ -141,8 +163,8 @@
 	case s.Busy:
 		// An order of an earlier agent generation is still running.
 		g.nextReadAt = now.Add(g.cfg.PollInterval)
-	case !g.cfg.EnforcesFencing && now.Before(g.firstReadAt.Add(g.cfg.SettleTime)):
-		g.nextReadAt = g.firstReadAt.Add(g.cfg.SettleTime)
+	case !g.cfg.EnforcesFencing && !g.settled:
+		g.nextReadAt = now.Add(g.cfg.PollInterval)
 	case !g.order.matchesLoaded(s):
 		g.finish(s, merry.Wrap(ErrWeightsMismatch, merry.AppendMessagef("engine has loaded %s", s.Weights)))
 	default:
@@ -208,7 +230,11 @@
 // evaluateLostReply waits until the engine has accepted the order or the order can no
 // longer arrive.
 func (g *Guard) evaluateLostReply(now time.Time, s State) {
-	if s.Accepted != g.fence && now.Before(g.replyLostAt.Add(g.cfg.SettleTime)) {
+	settlingSince := g.replyLostAt
+	if g.respondingSince.After(settlingSince) {
+		settlingSince = g.respondingSince
+	}
+	if s.Accepted != g.fence && now.Before(settlingSince.Add(g.cfg.SettleTime)) {
 		g.nextReadAt = now.Add(g.cfg.PollInterval)
 		return
 	}
--- a/lib/engine/guard_config.go
+++ b/lib/engine/guard_config.go
@@ -9,6 +9,10 @@
 	// defaultSettleTime is how long an order may remain unread in the engine's
 	// socket after its connection was lost.
 	defaultSettleTime = 3 * time.Second
+	// maxReadGapShare sets the longest time between two successful reads of the state of
+	// an engine that counts as running in between: the settle time divided by this
+	// number. With the default times it is six poll intervals.
+	maxReadGapShare = 2
 )
 
 // GuardConfig configures a Guard.
@@ -25,7 +29,8 @@
 	// running or its outcome is unknown.
 	PollInterval time.Duration
 	// SettleTime is the time after which an order whose reply was lost is
-	// considered never accepted, unless the engine's state shows it.
+	// considered never accepted, unless the engine's state shows it. Only time in which
+	// the engine responds counts.
 	SettleTime time.Duration
 }
 
--- a/lib/engine/guard_test.go
+++ b/lib/engine/guard_test.go
@@ -85,9 +85,80 @@
 	})
 })
 
+// newLostOrder returns a guard whose order was sent at the given time and whose reply was
+// lost, and the state that the engine reported before.
+func newLostOrder(now time.Time) (*engine.Guard, engine.State) {
+	g := engine.NewGuard(engine.GuardConfig{Epoch: 2, EnforcesFencing: true, SettleTime: 3 * time.Second})
+	prior := engine.State{Incarnation: 1, Accepted: engine.Fence{Epoch: 1, Sequence: 1}, Weights: weightsOf("v1")}
+	Expect(g.Submit(engine.Order{Kind: engine.OrderLoad, Weights: weightsOf("v2")})).To(Succeed())
+	Expect(g.Next(now).Kind).To(Equal(engine.StepReadState))
+	g.OnState(now, prior, nil)
+	Expect(g.Next(now).Kind).To(Equal(engine.StepSend))
+	g.OnReply(now, engine.Reply{}, engine.ErrMayHaveRun)
+	return g, prior
+}
+
+var _ = Describe("Guard", func() {
+	start := time.Unix(1_700_000_000, 0)
+
+	// Guards against an order that a frozen engine still has in its socket when it
+	// resumes, after the order was considered lost.
+	DescribeTable("counts the settle time of a lost order only while the engine responds", func(readTime time.Duration, errs ...error) {
+		g, prior := newLostOrder(start)
+		now := start.Add(time.Second)
+		for _, err := range errs {
+			Expect(g.Next(now).Kind).To(Equal(engine.StepReadState))
+			now = now.Add(readTime)
+			g.OnState(now, prior, err)
+			if err == nil {
+				break
+			}
+			now = now.Add(time.Second)
+		}
+		resumed := now
+		for {
+			step := g.Next(now)
+			if step.Kind == engine.StepDone {
+				Expect(step.Result.Err).To(MatchError(engine.ErrOrderLost))
+				break
+			}
+			if step.Kind == engine.StepWait {
+				now = step.Until
+				continue
+			}
+			g.OnState(now, prior, nil)
+		}
+		Expect(now.Sub(resumed)).To(And(BeNumerically(">=", 3*time.Second), BeNumerically("<", 4*time.Second)))
+	},
+		Entry("after reads that failed", 2*time.Second, engine.ErrUnavailable, engine.ErrUnavailable, engine.ErrUnavailable, nil),
+		Entry("after one read that took long", 1900*time.Millisecond, nil),
+	)
+
+	It("needs no further settle time while the engine responds", func() {
+		g, prior := newLostOrder(start)
+		now := start
+		for now.Before(start.Add(3500 * time.Millisecond)) {
+			switch step := g.Next(now); step.Kind {
+			case engine.StepReadState:
+				now = now.Add(50 * time.Millisecond)
+				g.OnState(now, prior, nil)
+			case engine.StepWait:
+				now = step.Until
+			case engine.StepDone:
+				Expect(now.Sub(start)).To(BeNumerically(">=", 3*time.Second))
+				return
+			}
+		}
+		Fail("order is not considered lost after its settle time")
+	})
+})
+
 // engineModel is an engine that ignores fencing, behind a network that loses replies
 // and delivers orders late.
 type engineModel struct {
+	// frozen is true while the engine is stopped: it answers nothing, and an order in its
+	// socket stays there.
+	frozen    bool
 	state     engine.State
 	running   *engine.Order
 	inFlight  *engine.Order
@@ -96,7 +167,7 @@
 }
 
 func (m *engineModel) deliver() {
-	if m.inFlight != nil {
+	if m.inFlight != nil && !m.frozen {
 		m.running, m.inFlight = m.inFlight, nil
 		m.state.Accepted, m.state.Busy, m.state.Weights = m.running.Fence, true, model.Weights{}
 	}
@@ -105,7 +176,7 @@
 // finish ends the running order. An order that fails leaves nothing loaded and, as
 // with some engines, reports no failure.
 func (m *engineModel) finish(fails bool) {
-	if m.running == nil {
+	if m.running == nil || m.frozen {
 		return
 	}
 	m.state.Busy = false
@@ -116,8 +187,8 @@
 	m.ran++
 }
 
-// TestGuard checks that no order is sent while an earlier one is running or in
-// flight, and that a successful order is confirmed by the engine's state.
+// TestGuard checks, with an engine that may be frozen at any time, that no order is sent
+// while an earlier one is running or in flight, and that a successful order is confirmed by the engine's state.
 func TestGuard(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const settle = 3 * time.Second
@@ -135,7 +206,7 @@
 		step := func(t *rapid.T) {
 			switch step := g.Next(now); step.Kind {
 			case engine.StepReadState:
-				if rapid.Bool().Draw(t, "state lost") {
+				if m.frozen || rapid.Bool().Draw(t, "state lost") {
 					g.OnState(now, engine.State{}, engine.ErrUnavailable)
 					return
 				}
@@ -147,7 +218,11 @@
 				}
 				m.sent++
 				o := step.Order
-				switch rapid.IntRange(0, 3).Draw(t, "send") {
+				send := rapid.IntRange(0, 3).Draw(t, "send")
+				if m.frozen {
+					send = 1
+				}
+				switch send {
 				case 0:
 					g.OnReply(now, engine.Reply{}, engine.ErrNotStarted)
 				case 1: // reply lost, order may arrive late
@@ -178,6 +253,15 @@
 			"withdraw": func(*rapid.T) { g.Withdraw() },
 			"deliver":  func(*rapid.T) { m.deliver() },
 			"finish":   func(t *rapid.T) { m.finish(rapid.IntRange(0, 4).Draw(t, "fails") == 0) },
+			// A shorter stop may pass unnoticed and leaves half of the settle time.
+			"freeze": func(t *rapid.T) {
+				m.frozen = true
+				for range rapid.IntRange(2, 5).Draw(t, "seconds") {
+					step(t)
+					now, lostAt = now.Add(time.Second), lostAt.Add(time.Second)
+				}
+				m.frozen = false
+			},
 			"crash": func(t *rapid.T) {
 				if rapid.IntRange(0, 9).Draw(t, "rare") > 0 {
 					return
