Verify chunks when they are sent to a peer

Cause: a chunk was verified when it was received, but not when it was read from the staging directory for a peer. An agent with a corrupt, truncated or deleted file offered that chunk for as long as it lived; each receiver fetched it in vain, found it corrupt and counted it against the agent as a source. No receiver stored it, as Put verifies.

Change: Store.Get checks size and digest, and drops a chunk that is corrupt or whose file was deleted. A read that fails for another reason drops nothing.

--- a/agent/transfer/serve.go
+++ b/agent/transfer/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
@@ -66,6 +67,7 @@
 	defer func() { <-s.uploadSlots }()
 	data, err := s.cfg.Chunks.Get(m.Chunk)
 	if err != nil {
+		s.cfg.Log.Log(eventlog.ChunkCorrupt, "chunk", m.Chunk.Short(), "source", "staging directory", "err", err)
 		return conn.Send(&wire.ChunkRefused{RequestID: m.RequestID})
 	}
 	if err := s.limits.waitUpload(s.ctx, len(data)); err != nil {
--- a/agent/transfer/service_test.go
+++ b/agent/transfer/service_test.go
@@ -234,6 +234,37 @@
 		Entry("because its file was deleted", SpecTimeout(20*time.Second), os.Remove),
 	)
 
+	// Guards against an instance that offers and sends a corrupt chunk for as long as it
+	// lives, so that each receiver has to find out and fetch it again.
+	DescribeTable("refuses a chunk whose file is not intact, and no longer offers it", func(ctx SpecContext, spoil func(file string) error) {
+		file := stagedChunks()
+		a := start("a")
+		a.SetEntries([]string{startEntry()})
+		fetch(ctx, a)
+		nc, err := net.Dial("tcp", a.Address())
+		Expect(err).NotTo(HaveOccurred())
+		conn, _, err := wire.Handshake(nc, wire.Hello{Role: wire.RoleAgent})
+		Expect(err).NotTo(HaveOccurred())
+		closers = append(closers, func() { _ = conn.Close() })
+		ask := func(m wire.Message) wire.Message {
+			Expect(conn.Send(m)).To(Succeed())
+			reply, err := conn.Receive()
+			Expect(err).NotTo(HaveOccurred())
+			return reply
+		}
+		chunk := &wire.ChunkFetch{RequestID: 1, Chunk: model.Sum(data[9000:10_000])}
+		Expect(ask(chunk)).To(HaveField("Data", data[9000:10_000]))
+		Expect(spoil(file(9))).To(Succeed())
+		Expect(ask(chunk)).To(BeAssignableToTypeOf(&wire.ChunkRefused{}))
+		offered, ok := ask(&wire.Announce{Manifest: digests[0]}).(*wire.Announce)
+		Expect(ok).To(BeTrue())
+		Expect(weights.Bitmap(offered.ChunkBitmap).Count()).To(Equal(39))
+	},
+		Entry("because it is corrupt", SpecTimeout(20*time.Second), func(file string) error { return os.WriteFile(file, bytes.Repeat([]byte{1}, 1000), 0o600) }),
+		Entry("because it was truncated", SpecTimeout(20*time.Second), func(file string) error { return os.Truncate(file, 500) }),
+		Entry("because it was deleted", SpecTimeout(20*time.Second), os.Remove),
+	)
+
 	// Guards against a corrupt staged file that is found only when the version is
 	// requested again.
 	It("verifies a complete version again when it is requested again", func(ctx SpecContext) {
--- a/lib/weights/store.go
+++ b/lib/weights/store.go
@@ -1,7 +1,9 @@
 package weights
 
 import (
+	"errors"
 	"io"
+	"io/fs"
 	"sync"
 
 	"github.com/ansel1/merry/v2"
@@ -154,13 +156,27 @@
 	return s.bytes
 }
 
-// Get returns the data of a held chunk. It returns ErrIncomplete if the chunk is
-// absent.
+// Get returns the data of a held chunk after checking its digest. It returns
+// ErrIncomplete if the chunk cannot be read and ErrChunkCorrupt if its data is not
+// intact. A chunk that is corrupt, or whose file was deleted, is dropped.
 func (s *Store) Get(digest model.Digest) ([]byte, error) {
-	if !s.Has(digest) {
+	s.mu.Lock()
+	size, ok := s.sizes[digest]
+	s.mu.Unlock()
+	if !ok {
 		return nil, merry.Wrap(ErrIncomplete, merry.AppendMessagef("chunk %s not found", digest.Short()))
 	}
-	return s.cfg.Storage.Get(digest)
+	data, err := s.cfg.Storage.Get(digest)
+	if err == nil && (len(data) != int(size) || model.Sum(data) != digest) {
+		err = merry.Wrap(ErrChunkCorrupt, merry.AppendMessagef("chunk %s, got %d of %d bytes", digest.Short(), len(data), size))
+	}
+	if err == nil {
+		return data, nil
+	}
+	if errors.Is(err, ErrChunkCorrupt) || errors.Is(err, fs.ErrNotExist) {
+		s.drop(digest)
+	}
+	return nil, err
 }
 
 // Have returns a bitmap of the held chunks of a manifest.
@@ -204,12 +220,11 @@
 	return nil
 }
 
-// read returns the data of a chunk after checking its digest. It drops a chunk that is
-// corrupt, or whose file was deleted from the staging directory.
+// read returns the data of a chunk of a manifest. It drops a chunk that Get cannot return.
 func (s *Store) read(c Chunk) ([]byte, error) {
 	data, err := s.Get(c.Digest)
-	if err == nil && (len(data) != int(c.Size) || model.Sum(data) != c.Digest) {
-		err = merry.Wrap(ErrChunkCorrupt, merry.AppendMessagef("chunk %s, got %d of %d bytes", c.Digest.Short(), len(data), c.Size))
+	if err == nil && len(data) != int(c.Size) {
+		err = merry.Wrap(ErrChunkCorrupt, merry.AppendMessagef("chunk %s has %d bytes, want %d", c.Digest.Short(), len(data), c.Size))
 	}
 	if err != nil {
 		s.drop(c.Digest)
