Let no response end as a success if its engine may have loaded meanwhile

Cause: when the state that the agent reads twice a second showed an order that it had not sent, it closed the gate, but requests that were running went on. An engine that ignores fencing numbers accepts a load of an earlier agent that was stopped and resumes; if it names the same weights, the end of the response does not show it, and the caller got a complete answer that was computed partly from other bytes. A load between two reads of the state was not noticed at all by requests that ended before the second one.

Change: on such a state, the gate cancels running attempts, and none of them ends as a success (event 3114). If the engine restarted, they are not cancelled, so that a crash is still attributed to them. For engines that ignore fencing numbers, the agent also compares the engine's state at the end of each response with the one in which its weights were confirmed.

The time that the read at the end adds to a request was not measured.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -39,7 +39,9 @@
 	cache    cacheReader
 	// loadRecord stores which load of the engine is known to be intact.
 	loadRecord loadRecordFile
-	roles      roles
+	// live is the record of the weights that are served. It is nil for plain services.
+	live  atomic.Pointer[backend.LoadRecord]
+	roles roles
 	// fetchTimer records when the fetch of the current manifest began.
 	fetchTimer fetchTimer
 	// rank is the position of the instance in its pool, or unknownRank.
@@ -115,7 +117,9 @@
 	}
 	a.cfg.Backend.Guard.Epoch = a.nextEpoch(client)
 	a.loadRecord = newLoadRecordFile(a.cfg.StagingDir)
-	a.cfg.Backend.Recorded = a.loadRecord.read()
+	recorded := a.loadRecord.read()
+	a.cfg.Backend.Recorded = recorded
+	a.live.Store(&recorded)
 	a.weights = backend.NewRunner(backend.RunnerConfig{
 		Machine: a.cfg.Backend,
 		Clock:   a.cfg.Clock,
--- a/agent/backend/action.go
+++ b/agent/backend/action.go
@@ -23,6 +23,9 @@
 	// ActionServe admits requests for Weights, or for none if Weights is zero. It also
 	// ends a quiesce.
 	ActionServe
+	// ActionAbort lets no running request end as a success, because the engine may have
+	// changed its weights during them. Restarted tells whether the engine restarted.
+	ActionAbort
 	// ActionReadState reads the engine's state. The result goes to HandleState.
 	ActionReadState
 	// ActionVerifyStaged verifies the Staged files before they are loaded. The result
@@ -43,7 +46,7 @@
 
 // String returns the name that is shown in traces.
 func (k ActionKind) String() string {
-	return [...]string{"fetch", "cancel_fetch", "permit", "quiesce", "serve", "read_state", "verify_staged", "verify_loaded", "order", "order_done", "report", "record"}[k]
+	return [...]string{"fetch", "cancel_fetch", "permit", "quiesce", "serve", "abort", "read_state", "verify_staged", "verify_loaded", "order", "order_done", "report", "record"}[k]
 }
 
 // Action is an operation that the owner of a Machine must carry out. Only the fields
@@ -57,6 +60,8 @@
 	Record  LoadRecord
 	Staged  StagedWeights
 	Number  uint64
+	// Restarted is true for ActionAbort if the engine's incarnation changed.
+	Restarted bool
 	// Err is the reason for ActionReport with PhaseFailed.
 	Err error
 }
--- a/agent/backend/advance.go
+++ b/agent/backend/advance.go
@@ -96,7 +96,7 @@
 		m.live, m.previous = current, current
 		m.record(current.record())
 	default:
-		m.clearLive()
+		m.abort(r.State)
 	}
 	m.emit(Action{Kind: ActionOrderDone, Order: r.Order, Result: r})
 }
@@ -108,6 +108,15 @@
 	m.serve()
 }
 
+// abort marks no weights as live and lets no running request end as a success: the engine
+// has accepted another order or has restarted since its weights were confirmed.
+func (m *Machine) abort(s engine.State) {
+	if !m.live.weights.IsZero() {
+		m.emit(Action{Kind: ActionAbort, Restarted: s.Incarnation != m.live.incarnation})
+	}
+	m.clearLive()
+}
+
 // clearLive marks no weights as live. During a quiesce it requests the quiesce again,
 // because serving nothing ends it.
 func (m *Machine) clearLive() {
--- a/agent/backend/check_state.go
+++ b/agent/backend/check_state.go
@@ -26,7 +26,7 @@
 		if !s.Busy && c == m.live {
 			return
 		}
-		m.clearLive()
+		m.abort(s)
 	}
 	if s.Busy || s.Weights.IsZero() || m.superseded(s) {
 		m.candidate = candidate{}
@@ -45,12 +45,12 @@
 	}
 }
 
-// checkStateDuringOrder clears the live weights if they or the incarnation changed
+// checkStateDuringOrder aborts the running requests and clears the live weights if they or the incarnation changed
 // during an order. An order other than a load changes the accepted fence but neither
 // the weights nor the incarnation.
 func (m *Machine) checkStateDuringOrder(s engine.State, err error) {
 	if err == nil && (s.Incarnation != m.live.incarnation || s.Weights != m.live.weights) {
-		m.clearLive()
+		m.abort(s)
 	}
 }
 
--- a/agent/backend/host.go
+++ b/agent/backend/host.go
@@ -31,6 +31,10 @@
 	Quiesce(ctx context.Context) error
 	// Serve admits requests for w, or for none if w is zero. It ends a quiesce.
 	Serve(w model.Weights)
+	// Abort lets no running request end as a success, because the engine may have changed
+	// its weights during them. If the engine has restarted, they end by themselves and
+	// must not be canceled, so that a crash of the engine is still attributed to them.
+	Abort(restarted bool)
 	// ReportPhase reports the phase of a version. err is the reason of PhaseFailed.
 	ReportPhase(w model.Weights, phase wire.Phase, err error)
 	// Record stores the record of the live weights' load, for the Config of the next
--- a/agent/backend/runner.go
+++ b/agent/backend/runner.go
@@ -126,6 +126,8 @@
 		case ActionServe:
 			r.stopQuiesce()
 			r.cfg.Host.Serve(a.Weights)
+		case ActionAbort:
+			r.cfg.Host.Abort(a.Restarted)
 		case ActionReadState:
 			r.tasks.Go(func() {
 				s, err := r.cfg.Engine.State(ctx)
--- a/agent/backend/runner_test.go
+++ b/agent/backend/runner_test.go
@@ -122,6 +122,8 @@
 }
 func (*fakeHost) OrderDone(engine.Result) {}
 
+func (*fakeHost) Abort(bool) {}
+
 // Quiesce refuses requests even if its context has already ended, as the gate does.
 func (h *fakeHost) Quiesce(ctx context.Context) error {
 	h.mu.Lock()
--- a/agent/engine_server.go
+++ b/agent/engine_server.go
@@ -10,6 +10,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/auburnbend/auburnbend/agent/backend"
 	"github.com/auburnbend/auburnbend/agent/gate"
 	"github.com/auburnbend/auburnbend/lib/engine"
 	"github.com/auburnbend/auburnbend/lib/model"
@@ -31,6 +32,8 @@
 	firstTokens *firstTokens
 	reports     loadReader
 	onCrash     func(incarnation uint64)
+	// live returns the record of the weights that are served.
+	live func() *backend.LoadRecord
 
 	mu          sync.Mutex
 	incarnation uint64
@@ -44,6 +47,7 @@
 		firstTokens: &a.firstTokens,
 		reports:     loadReader{clock: a.cfg.Clock, capacity: a.cfg.Capacity, read: client.Load},
 		onCrash:     a.handleCrash,
+		live:        a.live.Load,
 	}
 }
 
@@ -51,6 +55,7 @@
 	if role := e.roles.current(); role != model.RoleMixed {
 		return 0, "", errors.Join(gate.ErrNotStarted, merry.Errorf("engine role is %s, want mixed", role))
 	}
+	served := e.live()
 	finish := e.firstTokens.start(e.cfg.Clock.Now())
 	defer func() { finish(e.cfg.Clock.Now(), false) }()
 	send := emit
@@ -75,9 +80,29 @@
 		e.cancel(string(start.Attempt))
 		return 0, "", e.classifyError(ctx, err)
 	}
+	if err := e.checkWeightsKept(ctx, served); err != nil {
+		return 0, "", e.classifyError(ctx, err)
+	}
 	return http.StatusOK, streamContentType, nil
 }
 
+// checkWeightsKept checks at the end of a response that the engine is still in the state
+// in which its weights were confirmed. An engine that ignores fencing numbers may have
+// run a load in the meantime that ended before the periodic read of its state.
+func (e *engineServer) checkWeightsKept(ctx context.Context, served *backend.LoadRecord) error {
+	if e.cfg.Backend.Guard.EnforcesFencing {
+		return nil
+	}
+	state, err := e.client.State(ctx)
+	if err != nil {
+		return merry.Wrap(gate.ErrWeightsChanged, merry.WithCause(err))
+	}
+	if served == nil || state.Busy || state.Incarnation != served.Incarnation || state.Accepted != served.Accepted || state.Weights != served.Weights {
+		return merry.Wrap(gate.ErrWeightsChanged)
+	}
+	return nil
+}
+
 // copyStream passes the frames of a response to emit. If the connection breaks during
 // the response, copyStream resumes the stream once at the same offset.
 func (e *engineServer) copyStream(ctx context.Context, stream *engine.Stream, emit func([]byte) error) error {
--- a/agent/gate/active_attempt.go
+++ b/agent/gate/active_attempt.go
@@ -11,7 +11,9 @@
 type activeAttempt struct {
 	id     model.AttemptID
 	cancel context.CancelFunc
-	sender Sender // nil while detached
+	// aborted is true if the attempt must not end as a success.
+	aborted bool
+	sender  Sender // nil while detached
 	// cursor is the sequence number of the next message to send. If it is greater than
 	// the number of frames, the end was sent.
 	cursor uint64
--- a/agent/gate/backend.go
+++ b/agent/gate/backend.go
@@ -15,6 +15,9 @@
 	ErrNotStarted = merry.New("backend server did not start the request")
 	// ErrBackendCrashed means that the backend server crashed during the request.
 	ErrBackendCrashed = merry.New("backend server crashed")
+	// ErrWeightsChanged means that the backend server may have changed its weights during
+	// the request.
+	ErrWeightsChanged = merry.New("backend server may have changed its weights during the request")
 	// ErrQuiescing means that another quiesce is already running.
 	ErrQuiescing = merry.New("another quiesce is running")
 )
--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -107,6 +107,19 @@
 	g.removeFinished()
 }
 
+// Abort lets no running attempt end as a success: its outcome is Unknown even if its
+// response is complete. If cancel is true, the attempts are also canceled.
+func (g *Gate) Abort(cancel bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, a := range g.attempts {
+		a.aborted = true
+		if cancel {
+			a.cancel()
+		}
+	}
+}
+
 // Live returns the weights for which requests are currently admitted.
 func (g *Gate) Live() []model.Weights {
 	g.mu.Lock()
--- a/agent/gate/gate_test.go
+++ b/agent/gate/gate_test.go
@@ -100,6 +100,45 @@
 		Expect(next(a)).To(HaveField("Reason", outcome.ReasonDraining))
 	})
 
+	// Guards against a response that ends as a success although the weights may have
+	// changed while it was computed.
+	DescribeTable("ends no aborted attempt as a success, and keeps crashes and what did not run apart", func(cancel bool) {
+		type result struct {
+			outcome outcome.Outcome
+			reason  outcome.Reason
+		}
+		release := make(chan struct{})
+		backend.run = func(_ context.Context, start wire.RequestStart, emit func([]byte) error) (int, string, error) {
+			<-release // the backend server does not react to the cancellation
+			switch start.Attempt {
+			case "refused":
+				return 0, "", ErrNotStarted
+			case "crashed":
+				return 0, "", ErrBackendCrashed
+			}
+			return 200, "text/plain", emit([]byte("response"))
+		}
+		g.Handle(a, requestStart("complete"))
+		g.Handle(a, requestStart("refused"))
+		g.Handle(a, requestStart("crashed"))
+		g.Abort(cancel)
+		close(release)
+		ends := make(map[model.AttemptID]result)
+		for len(ends) < 3 {
+			if end, ok := next(a).(*wire.ResponseEnd); ok {
+				ends[end.Attempt] = result{end.Outcome, end.Reason}
+			}
+		}
+		Expect(ends).To(Equal(map[model.AttemptID]result{
+			"complete": {outcome.Unknown, outcome.ReasonIncomplete},
+			"refused":  {outcome.NotRun, outcome.ReasonNoBackendServer},
+			"crashed":  {outcome.Unknown, outcome.ReasonBackendCrashed},
+		}))
+	},
+		Entry("with a cancellation", true),
+		Entry("without one, after a restart", false),
+	)
+
 	// Guards against the loss of a non-repeatable call if its connection is lost.
 	It("continues an attempt without its entry and replays the response on the next connection", func() {
 		release := make(chan struct{})
--- a/agent/gate/run.go
+++ b/agent/gate/run.go
@@ -40,7 +40,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	o, reason := classifyResult(status, err)
-	if o == outcome.NotRun && g.core.HasFrames(a.id) {
+	switch {
+	case o == outcome.NotRun && g.core.HasFrames(a.id):
+		o, reason = outcome.Unknown, outcome.ReasonIncomplete
+	case a.aborted && (o == outcome.Completed || o == outcome.Failed || reason == outcome.ReasonCanceled):
+		// Crashes, and requests that provably did not run, keep their result.
 		o, reason = outcome.Unknown, outcome.ReasonIncomplete
 	}
 	g.core.End(g.clock.Now(), a.id, o, reason, status, contentType)
@@ -60,6 +64,8 @@
 		return outcome.NotRun, outcome.ReasonNoBackendServer
 	case errors.Is(err, ErrBackendCrashed):
 		return outcome.Unknown, outcome.ReasonBackendCrashed
+	case errors.Is(err, ErrWeightsChanged):
+		return outcome.Unknown, outcome.ReasonIncomplete
 	case errors.Is(err, context.Canceled):
 		return outcome.Unknown, outcome.ReasonCanceled
 	default:
--- a/agent/host.go
+++ b/agent/host.go
@@ -158,6 +158,14 @@
 	h.agent.gate.Serve([]model.Weights{w})
 }
 
+// Abort implements backend.Host.
+func (h host) Abort(restarted bool) {
+	if !restarted {
+		h.agent.cfg.Log.Log(eventlog.WeightsChanged)
+	}
+	h.agent.gate.Abort(!restarted)
+}
+
 // ReportPhase implements backend.Host.
 func (h host) ReportPhase(w model.Weights, phase wire.Phase, err error) {
 	log := h.agent.cfg.Log
@@ -175,6 +183,7 @@
 // Record implements backend.Host. Without a record, the next agent of the instance makes
 // the engine load its weights again.
 func (h host) Record(r backend.LoadRecord) {
+	h.agent.live.Store(&r)
 	if err := h.agent.loadRecord.write(r); err != nil {
 		h.agent.cfg.Log.Log(eventlog.LoadNotRecorded, "weights", r.Weights, "err", err)
 	}
--- a/internal/deployment/agent_process.go
+++ b/internal/deployment/agent_process.go
@@ -34,6 +34,7 @@
 	closeOnce  sync.Once
 	listener   *trackedListener
 	stagingDir string
+	cfg        agent.Config
 }
 
 // StartAgent starts a backend server and its agent, and adds the agent to the
@@ -74,6 +75,7 @@
 	if p.Agent, err = agent.New(cfg); err != nil {
 		return err
 	}
+	p.cfg = cfg
 	p.Agent.Start()
 	d.Agents = append(d.Agents, p)
 	d.InstanceList.Set(backing.Instance{ID: p.Identity.Instance, Role: backing.RoleAgent, Location: p.Identity.Location, Address: p.Identity.Address, Pool: p.Pool})
@@ -91,8 +93,7 @@
 		return nil
 	}
 	cfg.BackendKind = settings.BackendEngine
-	// About one engine in three ignores fencing numbers, as some real engines do.
-	ignoreFencing := p.Identity.Generation%3 == 0
+	ignoreFencing := p.IgnoresFencing()
 	cfg.Backend.Guard.EnforcesFencing = !ignoreFencing
 	if cfg.StagingDir, err = p.deployment.createStagingDir(string(p.Identity.Instance)); err != nil {
 		return err
@@ -117,6 +118,30 @@
 // StagingDir returns the directory from which the engine loads weights.
 func (p *AgentProcess) StagingDir() string { return p.stagingDir }
 
+// IgnoresFencing reports whether the engine ignores fencing numbers. About one engine in
+// three does, as some real engines do.
+func (p *AgentProcess) IgnoresFencing() bool { return p.Identity.Generation%3 == 0 }
+
+// RestartAgent ends the agent at once and starts another one at the same address, while
+// its backend server continues. Identity keeps the first generation.
+func (p *AgentProcess) RestartAgent() error {
+	p.listener.closeAll()
+	_ = p.Agent.Close()
+	tcp, err := net.Listen("tcp", p.Identity.Address)
+	if err != nil {
+		return err
+	}
+	p.listener = &trackedListener{Listener: tcp}
+	p.cfg.Listener, p.cfg.Dial = p.listener, p.listener.dial
+	p.cfg.Rand = rand.New(rand.NewSource(p.deployment.rand.Int63()))
+	p.cfg.Identity.Generation++
+	if p.Agent, err = agent.New(p.cfg); err != nil {
+		return err
+	}
+	p.Agent.Start()
+	return nil
+}
+
 // Stopped reports whether Stop or Kill was called.
 func (p *AgentProcess) Stopped() bool { return p.stopped.Load() }
 
--- a/lib/eventlog/events_weight.go
+++ b/lib/eventlog/events_weight.go
@@ -17,6 +17,7 @@
 	RoleNotSet          = Event{3111, Warn, "backend server did not switch to its declared role", "Check the backend server; the agent repeats the order."}
 	LoadNotRecorded     = Event{3112, Warn, "agent could not record which weights its backend server has loaded", "Check the staging directory; after a restart of the agent, the backend server loads its weights again."}
 	LoadUnverified      = Event{3113, Warn, "staged files changed before or while the backend server loaded them; the instance serves nothing until it has loaded intact ones", "Check what writes to the staging directory, and the memory of the instance if it repeats."}
+	WeightsChanged      = Event{3114, Warn, "backend server accepted an order that its agent did not send; running requests were ended", "Check whether two agents run for the instance; the agent makes the backend server load its weights again."}
 	TrackerUnreachable  = Event{3110, Warn, "no tracker reachable; agents exchange chunks directly", "Check the entry instances of the failure domain."}
 )
 
@@ -37,4 +38,5 @@
 	RoleNotSet,
 	LoadNotRecorded,
 	LoadUnverified,
+	WeightsChanged,
 }
