Empty the staging directory when an agent starts

Cause: a store starts without chunks, but the files of the agent's predecessor stayed in the staging directory, among them unfinished ones of a process that stopped while writing. Nobody counted them against the limit of the directory or deleted them, unless the same chunk was fetched again. They were never loaded: an order names its files.

Change: NewDirectoryStorage deletes chunks and unfinished files of earlier processes. A load of the predecessor that is still running then fails, and nothing is served.

--- a/lib/weights/storage_directory.go
+++ b/lib/weights/storage_directory.go
@@ -5,6 +5,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"strings"
 
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/sys/unix"
@@ -21,19 +22,38 @@
 	path string
 }
 
-// NewDirectoryStorage returns a storage in a directory, which it creates if
-// necessary.
+const (
+	// incomingPrefix begins the names of files that are being written.
+	incomingPrefix = "incoming-"
+	chunkSuffix    = ".chunk"
+)
+
+// NewDirectoryStorage returns an empty storage in a directory, which it creates if
+// necessary. It deletes the chunks of an earlier process: no Store counts them, so they
+// would exceed its size limit.
 func NewDirectoryStorage(path string) (*DirectoryStorage, error) {
 	if err := os.MkdirAll(path, 0o750); err != nil {
 		return nil, merry.Prepend(err, "create staging directory")
 	}
+	entries, err := os.ReadDir(path)
+	if err != nil {
+		return nil, merry.Prepend(err, "list staging directory")
+	}
+	for _, e := range entries {
+		if !strings.HasPrefix(e.Name(), incomingPrefix) && !strings.HasSuffix(e.Name(), chunkSuffix) {
+			continue
+		}
+		if err := os.Remove(filepath.Join(path, e.Name())); err != nil && !errors.Is(err, fs.ErrNotExist) {
+			return nil, merry.Prepend(err, "empty staging directory")
+		}
+	}
 	return &DirectoryStorage{path: path}, nil
 }
 
 // Put writes the chunk to a temporary file and renames it, so that a process
 // that stops while writing leaves no partial file under a valid name.
 func (s *DirectoryStorage) Put(digest model.Digest, data []byte) error {
-	f, err := os.CreateTemp(s.path, "incoming-*")
+	f, err := os.CreateTemp(s.path, incomingPrefix+"*")
 	if err != nil {
 		return merry.Prepend(err, "write staging file")
 	}
@@ -81,4 +101,4 @@
 }
 
 // ChunkFile returns the name of a chunk's file in a staging directory.
-func ChunkFile(digest model.Digest) string { return digest.String() + ".chunk" }
+func ChunkFile(digest model.Digest) string { return digest.String() + chunkSuffix }
--- a/lib/weights/store_test.go
+++ b/lib/weights/store_test.go
@@ -93,6 +93,43 @@
 		}, weights.ErrChunkChanged),
 	)
 
+	// Guards against a staging directory that fills up beyond its limit with files that
+	// no process counts: chunks of earlier processes and files that they did not finish.
+	It("starts with an empty staging directory after a process that stopped while writing", func() {
+		dir := GinkgoT().TempDir()
+		storage, err := weights.NewDirectoryStorage(dir)
+		Expect(err).NotTo(HaveOccurred())
+		m := build(data)
+		fill(weights.NewStore(weights.StoreConfig{Storage: storage}), m, data)
+		partial := filepath.Join(dir, "incoming-123")
+		other := filepath.Join(dir, "loaded.json")
+		Expect(os.WriteFile(partial, data[:100], 0o600)).To(Succeed())
+		Expect(os.WriteFile(other, []byte("{}"), 0o600)).To(Succeed())
+
+		storage, err = weights.NewDirectoryStorage(dir)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(filepath.Glob(filepath.Join(dir, "*"))).To(Equal([]string{other}))
+		s := weights.NewStore(weights.StoreConfig{Storage: storage})
+		Expect(s.Have(m).Count()).To(BeZero())
+		fill(s, m, data)
+		Expect(s.Verify(m)).To(Succeed())
+	})
+
+	// Guards against a chunk that counts as held although its file could not be written.
+	It("holds no chunk that could not be written, and takes it once there is room", func() {
+		dir := filepath.Join(GinkgoT().TempDir(), "staging")
+		storage, err := weights.NewDirectoryStorage(dir)
+		Expect(err).NotTo(HaveOccurred())
+		m, s := build(data), weights.NewStore(weights.StoreConfig{Storage: storage})
+		Expect(os.Remove(dir)).To(Succeed()) // each write fails, as on a full disk
+		Expect(s.Put(m.Chunks[0], data[:1000])).NotTo(Succeed())
+		Expect(s.Have(m).Count()).To(BeZero())
+		Expect(s.Bytes()).To(BeZero())
+		Expect(os.Mkdir(dir, 0o700)).To(Succeed())
+		fill(s, m, data)
+		Expect(s.Verify(m)).To(Succeed())
+	})
+
 	// Guards against a staging directory with many corrupt files, each of which would
 	// cost a verification of the whole version.
 	It("drops all corrupt chunks at once", func() {
