Verify four chunks of a version at a time

An instance serves nothing while its loaded files are verified, so the verification uses up to four cores and holds up to four chunks (16 MiB).

--- a/lib/weights/store.go
+++ b/lib/weights/store.go
@@ -4,7 +4,9 @@
 	"errors"
 	"io"
 	"io/fs"
+	"runtime"
 	"sync"
+	"sync/atomic"
 
 	"github.com/ansel1/merry/v2"
 
@@ -14,6 +16,9 @@
 // DefaultMaxBytes is the size limit of a store if the settings give none.
 const DefaultMaxBytes = 64 << 30
 
+// maxVerifiers bounds the number of chunks that a verification holds in memory.
+const maxVerifiers = 4
+
 // StoreConfig holds the parameters of a Store.
 type StoreConfig struct {
 	// Storage stores the data. The default is a MemoryStorage.
@@ -194,14 +199,30 @@
 
 // Verify reads all chunks of a manifest and checks their digests. It drops those that
 // are corrupt or cannot be read, so that the transfer fetches them again, and returns
-// ErrChunkCorrupt or ErrIncomplete for the first of them.
+// ErrChunkCorrupt or ErrIncomplete for the first of them. It reads several chunks at a
+// time, because an instance serves nothing while its loaded files are verified.
 func (s *Store) Verify(m *Manifest) error {
-	var first error
-	for i, c := range m.Chunks {
-		if _, err := s.read(c); err != nil && first == nil {
-			first = merry.Prependf(err, "chunk %d of %d", i, len(m.Chunks))
-		}
+	var (
+		workers sync.WaitGroup
+		next    atomic.Int64
+		mu      sync.Mutex
+		failed  = len(m.Chunks)
+		first   error
+	)
+	for range min(maxVerifiers, runtime.GOMAXPROCS(0), len(m.Chunks)) {
+		workers.Go(func() {
+			for i := int(next.Add(1)) - 1; i < len(m.Chunks); i = int(next.Add(1)) - 1 {
+				if _, err := s.read(m.Chunks[i]); err != nil {
+					mu.Lock()
+					if i < failed {
+						failed, first = i, merry.Prependf(err, "chunk %d of %d", i, len(m.Chunks))
+					}
+					mu.Unlock()
+				}
+			}
+		})
 	}
+	workers.Wait()
 	return first
 }
 
