End a verification of staged files with the agent

Runner.Run waits for the verifications before and after a load, which ignored the end of their context: an agent would have stopped only after reading a whole version.

--- a/agent/host.go
+++ b/agent/host.go
@@ -81,22 +81,22 @@
 }
 
 // VerifyStaged implements backend.Host.
-func (h host) VerifyStaged(_ context.Context, f backend.StagedWeights) (backend.StagedWeights, error) {
+func (h host) VerifyStaged(ctx context.Context, f backend.StagedWeights) (backend.StagedWeights, error) {
 	var err error
-	if f.BaseSeal, err = h.agent.transfer.Seal(f.Weights.Base); err != nil || f.Weights.Adapter.IsZero() {
+	if f.BaseSeal, err = h.agent.transfer.Seal(ctx, f.Weights.Base); err != nil || f.Weights.Adapter.IsZero() {
 		return f, err
 	}
-	f.AdapterSeal, err = h.agent.transfer.Seal(f.Weights.Adapter)
+	f.AdapterSeal, err = h.agent.transfer.Seal(ctx, f.Weights.Adapter)
 	return f, err
 }
 
 // VerifyLoaded implements backend.Host.
-func (h host) VerifyLoaded(_ context.Context, f backend.StagedWeights) error {
+func (h host) VerifyLoaded(ctx context.Context, f backend.StagedWeights) error {
 	t := h.agent.transfer
-	if err := t.CheckSeal(f.Weights.Base, f.BaseSeal); err != nil || f.Weights.Adapter.IsZero() {
+	if err := t.CheckSeal(ctx, f.Weights.Base, f.BaseSeal); err != nil || f.Weights.Adapter.IsZero() {
 		return err
 	}
-	return t.CheckSeal(f.Weights.Adapter, f.AdapterSeal)
+	return t.CheckSeal(ctx, f.Weights.Adapter, f.AdapterSeal)
 }
 
 // fetch transfers the chunks of one manifest, verifies them, and returns their files
@@ -113,7 +113,7 @@
 	if err := t.Fetch(ctx, manifest, declared.ManifestObject); err != nil {
 		return engine.StagedFiles{}, weights.Seal{}, err
 	}
-	seal, err := t.Seal(manifest)
+	seal, err := t.Seal(ctx, manifest)
 	if err != nil {
 		return engine.StagedFiles{}, weights.Seal{}, err
 	}
--- a/agent/transfer/service.go
+++ b/agent/transfer/service.go
@@ -151,22 +151,22 @@
 }
 
 // Seal verifies all chunks of a version like Verify, and returns their seal.
-func (s *Service) Seal(manifest model.Digest) (weights.Seal, error) {
+func (s *Service) Seal(ctx context.Context, manifest model.Digest) (weights.Seal, error) {
 	parsed := s.lookupManifest(manifest)
 	if parsed == nil {
 		return weights.Seal{}, weights.ErrIncomplete
 	}
-	return s.cfg.Chunks.Seal(parsed.manifest)
+	return s.cfg.Chunks.Seal(ctx, parsed.manifest)
 }
 
 // CheckSeal verifies all chunks of a version like Verify, and that nobody has
 // written to them since the seal was made.
-func (s *Service) CheckSeal(manifest model.Digest, seal weights.Seal) error {
+func (s *Service) CheckSeal(ctx context.Context, manifest model.Digest, seal weights.Seal) error {
 	parsed := s.lookupManifest(manifest)
 	if parsed == nil {
 		return weights.ErrIncomplete
 	}
-	return s.cfg.Chunks.CheckSeal(parsed.manifest, seal)
+	return s.cfg.Chunks.CheckSeal(ctx, parsed.manifest, seal)
 }
 
 // Manifest returns a manifest, or nil if it has not been fetched.
--- a/lib/weights/seal.go
+++ b/lib/weights/seal.go
@@ -1,6 +1,8 @@
 package weights
 
 import (
+	"context"
+
 	"github.com/ansel1/merry/v2"
 
 	"github.com/auburnbend/auburnbend/lib/model"
@@ -14,8 +16,8 @@
 }
 
 // Seal verifies all chunks of a manifest like Verify and returns their seal. It returns
-// ErrChunkChanged if a chunk is written meanwhile.
-func (s *Store) Seal(m *Manifest) (Seal, error) {
+// ErrChunkChanged if a chunk is written meanwhile, and the error of ctx if that ends first.
+func (s *Store) Seal(ctx context.Context, m *Manifest) (Seal, error) {
 	seal := Seal{stamps: make(map[model.Digest]Stamp, len(m.Chunks))}
 	for _, c := range m.Chunks {
 		stamp, err := s.cfg.Storage.Stamp(c.Digest)
@@ -25,7 +27,7 @@
 		}
 		seal.stamps[c.Digest] = stamp
 	}
-	if err := s.CheckSeal(m, seal); err != nil {
+	if err := s.CheckSeal(ctx, m, seal); err != nil {
 		return Seal{}, err
 	}
 	return seal, nil
@@ -33,9 +35,10 @@
 
 // CheckSeal verifies all chunks of a manifest like Verify, and that nobody has written to
 // them since the seal was made, in which case it returns ErrChunkChanged. After it has
-// returned nil, everyone who has read the chunks in between has read intact data.
-func (s *Store) CheckSeal(m *Manifest, seal Seal) error {
-	if err := s.Verify(m); err != nil {
+// returned nil, everyone who has read the chunks in between has read intact data. If ctx
+// ends first, it returns the error of ctx.
+func (s *Store) CheckSeal(ctx context.Context, m *Manifest, seal Seal) error {
+	if err := s.verify(ctx, m); err != nil {
 		return err
 	}
 	for i, c := range m.Chunks {
--- a/lib/weights/store.go
+++ b/lib/weights/store.go
@@ -1,6 +1,7 @@
 package weights
 
 import (
+	"context"
 	"errors"
 	"io"
 	"io/fs"
@@ -201,7 +202,10 @@
 // are corrupt or cannot be read, so that the transfer fetches them again, and returns
 // ErrChunkCorrupt or ErrIncomplete for the first of them. It reads several chunks at a
 // time, because an instance serves nothing while its loaded files are verified.
-func (s *Store) Verify(m *Manifest) error {
+func (s *Store) Verify(m *Manifest) error { return s.verify(context.Background(), m) }
+
+// verify is like Verify. If ctx ends first, it returns the error of ctx.
+func (s *Store) verify(ctx context.Context, m *Manifest) error {
 	var (
 		workers sync.WaitGroup
 		next    atomic.Int64
@@ -211,7 +215,7 @@
 	)
 	for range min(maxVerifiers, runtime.GOMAXPROCS(0), len(m.Chunks)) {
 		workers.Go(func() {
-			for i := int(next.Add(1)) - 1; i < len(m.Chunks); i = int(next.Add(1)) - 1 {
+			for i := int(next.Add(1)) - 1; i < len(m.Chunks) && ctx.Err() == nil; i = int(next.Add(1)) - 1 {
 				if _, err := s.read(m.Chunks[i]); err != nil {
 					mu.Lock()
 					if i < failed {
@@ -223,6 +227,9 @@
 		})
 	}
 	workers.Wait()
+	if first == nil {
+		return ctx.Err()
+	}
 	return first
 }
 
--- a/lib/weights/store_test.go
+++ b/lib/weights/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"math/rand"
 	"os"
 	"path/filepath"
@@ -15,6 +16,7 @@
 )
 
 var _ = Describe("Store", func() {
+	ctx := context.Background()
 	data := make([]byte, 10_500)
 	rand.New(rand.NewSource(1)).Read(data)
 	build := func(data []byte) *weights.Manifest {
@@ -61,15 +63,15 @@
 		Expect(err).NotTo(HaveOccurred())
 		m, s := build(data), weights.NewStore(weights.StoreConfig{Storage: storage})
 		fill(s, m, data)
-		seal, err := s.Seal(m)
+		seal, err := s.Seal(ctx, m)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(s.CheckSeal(m, seal)).To(Succeed())
-		Expect(s.CheckSeal(m, weights.Seal{})).To(MatchError(weights.ErrChunkChanged))
+		Expect(s.CheckSeal(ctx, m, seal)).To(Succeed())
+		Expect(s.CheckSeal(ctx, m, weights.Seal{})).To(MatchError(weights.ErrChunkChanged))
 		time.Sleep(20 * time.Millisecond) // the times of files advance in steps
 		change(filepath.Join(dir, weights.ChunkFile(m.Chunks[5].Digest)))
-		Expect(s.CheckSeal(m, seal)).To(MatchError(want))
+		Expect(s.CheckSeal(ctx, m, seal)).To(MatchError(want))
 		fill(s, m, data)
-		_, err = s.Seal(m)
+		_, err = s.Seal(ctx, m)
 		Expect(err).NotTo(HaveOccurred(), "the version can be used again")
 	},
 		Entry("corrupt", func(file string) { Expect(os.WriteFile(file, bytes.Repeat([]byte{1}, 1000), 0o600)).To(Succeed()) }, weights.ErrChunkCorrupt),
@@ -130,6 +132,21 @@
 		Expect(s.Verify(m)).To(Succeed())
 	})
 
+	// Guards against a process that cannot stop while it verifies a large version, and
+	// against a verification that counts although it did not read everything.
+	It("ends a verification with its context and drops nothing", func() {
+		m, s := build(data), weights.NewStore(weights.StoreConfig{})
+		fill(s, m, data)
+		seal, err := s.Seal(ctx, m)
+		Expect(err).NotTo(HaveOccurred())
+		canceled, cancel := context.WithCancel(ctx)
+		cancel()
+		_, err = s.Seal(canceled, m)
+		Expect(err).To(MatchError(context.Canceled))
+		Expect(s.CheckSeal(canceled, m, seal)).To(MatchError(context.Canceled))
+		Expect(s.CheckSeal(ctx, m, seal)).To(Succeed())
+	})
+
 	// Guards against a staging directory with many corrupt files, each of which would
 	// cost a verification of the whole version.
 	It("drops all corrupt chunks at once", func() {
