--- a/agent/backend/advance.go
+++ b/agent/backend/advance.go
@@ -36,8 +36,14 @@
 	}
 }
 
-// advanceOrder performs the next step of the outstanding order.
+// advanceOrder performs the next step of the outstanding order. A load that is ready to be
+// sent is withdrawn if its files must be verified again, because the engine was busy or
+// did not respond for long.
 func (m *Machine) advanceOrder() {
+	if m.Phase() == wire.PhaseLoading && m.guard.Ready() && m.stagedFilesStale() && m.guard.Withdraw() {
+		m.submitLoad()
+		return
+	}
 	m.guardWakeAt = m.now.Add(m.cfg.StatePollInterval)
 	switch step := m.guard.Next(m.now); step.Kind {
 	case engine.StepReadState:
@@ -64,20 +70,17 @@
 	m.emit(Action{Kind: ActionReadState})
 }
 
-// handleLoadResult processes the result of a load. If another version is wanted by
-// now, the loaded version is served until it is replaced.
+// handleLoadResult processes the result of a load. The engine has not compared what it
+// has read with the manifest, so the files are verified once more before anything is
+// served: if they are still those that were verified before the order, the engine has
+// read intact files.
 func (m *Machine) handleLoadResult(r engine.Result) {
-	if r.Err == nil {
-		m.setLive(confirmedStateOf(r.State))
-	}
-	switch {
-	case m.wanted != r.Order.Weights:
-		m.fire(triggerLoadSuperseded)
-	case r.Err != nil:
-		m.fail(r.Err)
-	default:
-		m.fire(triggerConfirmed)
+	if r.Err != nil {
+		m.endLoad(r.Err)
+		return
 	}
+	m.failedReads = 0
+	m.startVerification(verifyLoaded, ActionVerifyLoaded, confirmedStateOf(r.State))
 }
 
 // handleOrderResult processes the result of an order other than a load. The weights
@@ -88,10 +91,12 @@
 	unsent := r.State == (engine.State{})
 	switch {
 	case m.live.weights.IsZero() || unsent:
-	case !r.State.Busy && current.incarnation == m.live.incarnation && current.weights == m.live.weights && r.Err == nil:
-		m.live = current
+	case !r.State.Busy && current.incarnation == m.live.incarnation && current.weights == m.live.weights &&
+		(r.Err == nil || current.accepted == r.Order.Fence):
+		m.live, m.previous = current, current
+		m.record(current.record())
 	default:
-		m.clearLive()
+		m.abort(r.State)
 	}
 	m.emit(Action{Kind: ActionOrderDone, Order: r.Order, Result: r})
 }
@@ -99,9 +104,19 @@
 // setLive marks the weights of a confirmed state as live and serves them.
 func (m *Machine) setLive(c confirmedState) {
 	m.live, m.previous, m.candidate, m.failedReads = c, c, candidate{}, 0
+	m.record(c.record())
 	m.serve()
 }
 
+// abort marks no weights as live and lets no running request end as a success: the engine
+// has accepted another order or has restarted since its weights were confirmed.
+func (m *Machine) abort(s engine.State) {
+	if !m.live.weights.IsZero() {
+		m.emit(Action{Kind: ActionAbort, Restarted: s.Incarnation != m.live.incarnation})
+	}
+	m.clearLive()
+}
+
 // clearLive marks no weights as live. During a quiesce it requests the quiesce again,
 // because serving nothing ends it.
 func (m *Machine) clearLive() {
--- a/agent/backend/runner.go
+++ b/agent/backend/runner.go
@@ -126,11 +126,24 @@
 		case ActionServe:
 			r.stopQuiesce()
 			r.cfg.Host.Serve(a.Weights)
+		case ActionAbort:
+			r.cfg.Host.Abort(a.Restarted)
 		case ActionReadState:
 			r.tasks.Go(func() {
 				s, err := r.cfg.Engine.State(ctx)
 				r.post(func(m *Machine, now time.Time) { m.HandleState(now, s, err) })
 			})
+		case ActionVerifyStaged:
+			r.tasks.Go(func() {
+				staged, err := r.cfg.Host.VerifyStaged(ctx, a.Staged)
+				staged.VerifiedAt = r.cfg.Clock.Now()
+				r.post(func(m *Machine, now time.Time) { m.HandleVerified(now, a.Number, staged, err) })
+			})
+		case ActionVerifyLoaded:
+			r.tasks.Go(func() {
+				err := r.cfg.Host.VerifyLoaded(ctx, a.Staged)
+				r.post(func(m *Machine, now time.Time) { m.HandleVerified(now, a.Number, a.Staged, err) })
+			})
 		case ActionOrder:
 			r.tasks.Go(func() {
 				reply, err := r.cfg.Engine.Order(ctx, a.Order)
@@ -138,6 +151,8 @@
 			})
 		case ActionOrderDone:
 			r.cfg.Host.OrderDone(a.Result)
+		case ActionRecord:
+			r.cfg.Host.Record(a.Record)
 		case ActionReport:
 			r.cfg.Host.ReportPhase(a.Weights, a.Phase, a.Err)
 		}
@@ -154,6 +169,7 @@
 		defer cancel()
 		<-previousReturned
 		staged, err := r.cfg.Host.Fetch(ctx, w)
+		staged.VerifiedAt = r.cfg.Clock.Now()
 		close(returned)
 		if ctx.Err() != nil {
 			return // canceled; a newer fetch of the same version may be running
--- a/agent/backend/runner_test.go
+++ b/agent/backend/runner_test.go
@@ -17,6 +17,7 @@
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/engine"
 	"github.com/auburnbend/auburnbend/lib/model"
+	"github.com/auburnbend/auburnbend/lib/weights"
 	"github.com/auburnbend/auburnbend/lib/wire"
 	standin "github.com/auburnbend/auburnbend/standin/engine"
 )
@@ -29,6 +30,9 @@
 	served   model.Weights
 	content  map[model.Weights]model.Digest
 	failures int
+	// fetchFails makes Fetch fail; otherwise it takes fetchTime.
+	fetchFails bool
+	fetchTime  time.Duration
 	// refusing is true from a call of Quiesce to the next call of Serve.
 	refusing bool
 	// quiesceCalls is the number of running Quiesce calls.
@@ -37,22 +41,80 @@
 	overlaps int
 	// blockQuiesce makes Quiesce wait until its context ends.
 	blockQuiesce bool
+	// spoil is called once, at the end of the next quiesce, with the files of the
+	// version that was fetched last.
+	spoil  func(files []string)
+	staged []string
+	// restored is not nil if a file is changed after it was verified, and closed when the
+	// file is intact again.
+	restored chan struct{}
+	// record is the last load record.
+	record backend.LoadRecord
+	// engine is the engine of the instance. servedWrong counts calls of Serve while the
+	// engine had loaded other bytes than those of the weights.
+	engine      *standin.Server
+	servedWrong int
+}
+
+func (h *fakeHost) Record(r backend.LoadRecord) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.record = r
 }
 
 func (h *fakeHost) Fetch(_ context.Context, w model.Weights) (backend.StagedWeights, error) {
+	if h.fetchFails {
+		return backend.StagedWeights{}, engine.ErrIncomplete
+	}
+	time.Sleep(h.fetchTime)
 	dir := filepath.Join(h.dir, w.String())
-	digests := make([]model.Digest, 5)
+	digests, files := make([]model.Digest, 5), make([]string, 5)
 	for i := range digests {
+		files[i] = filepath.Join(dir, fmt.Sprint(i))
 		data := fmt.Appendf(nil, "%s part %d", w, i)
 		digests[i] = model.Sum(data)
-		if err := errors.Join(os.MkdirAll(dir, 0o700), os.WriteFile(filepath.Join(dir, fmt.Sprint(i)), data, 0o600)); err != nil {
+		if err := errors.Join(os.MkdirAll(dir, 0o700), os.WriteFile(files[i], data, 0o600)); err != nil {
 			return backend.StagedWeights{}, err
 		}
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.content[w] = standin.ContentDigest(digests...)
-	return backend.StagedWeights{Base: engine.StagedFiles{Directory: dir}}, nil
+	h.staged = files
+	return backend.StagedWeights{Weights: w, Base: engine.StagedFiles{Directory: dir}}, nil
+}
+
+// VerifyStaged checks the files against the content that Fetch wrote.
+func (h *fakeHost) VerifyStaged(_ context.Context, f backend.StagedWeights) (backend.StagedWeights, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return f, h.verify(f.Weights)
+}
+
+func (h *fakeHost) verify(w model.Weights) error {
+	var digests []model.Digest
+	for _, file := range h.staged {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		digests = append(digests, model.Sum(data))
+	}
+	if standin.ContentDigest(digests...) != h.content[w] {
+		return weights.ErrChunkCorrupt
+	}
+	return nil
+}
+
+func (h *fakeHost) VerifyLoaded(_ context.Context, f backend.StagedWeights) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.restored != nil {
+		<-h.restored
+		h.restored = nil
+		return weights.ErrChunkChanged
+	}
+	return h.verify(f.Weights)
 }
 
 func (*fakeHost) RequestPermit(context.Context, model.Weights) (bool, time.Duration, error) {
@@ -60,6 +122,8 @@
 }
 func (*fakeHost) OrderDone(engine.Result) {}
 
+func (*fakeHost) Abort(bool) {}
+
 // Quiesce refuses requests even if its context has already ended, as the gate does.
 func (h *fakeHost) Quiesce(ctx context.Context) error {
 	h.mu.Lock()
@@ -74,6 +138,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.quiesceCalls--
+	if h.spoil != nil && ctx.Err() == nil {
+		h.spoil(h.staged)
+		h.spoil = nil
+	}
 	return ctx.Err()
 }
 
@@ -82,6 +150,9 @@
 	defer h.mu.Unlock()
 	h.served, h.refusing = w, false
 	h.overlaps += h.quiesceCalls
+	if !w.IsZero() && h.engine.LoadedDigest() != h.content[w] {
+		h.servedWrong++
+	}
 }
 
 func (h *fakeHost) ReportPhase(_ model.Weights, phase wire.Phase, _ error) {
@@ -102,14 +173,37 @@
 
 // startRunner starts an engine that ignores fencing and a runner for it.
 func startRunner() (*backend.Runner, *fakeHost, *standin.Server) {
-	server, err := standin.Start(standin.Config{TimeScale: 0.01, IgnoreFencing: true})
+	server, _ := startEngine()
+	h := newFakeHost(server)
+	r, _ := runOn(server, h, engine.GuardConfig{})
+	return r, h, server
+}
+
+// loadTime makes loads take 100 ms, in which tests change files.
+const loadTime = 10 * time.Second
+
+func startEngine() (*standin.Server, *engine.Client) {
+	server, err := standin.Start(standin.Config{TimeScale: 0.01, LoadTime: loadTime, IgnoreFencing: true})
 	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(server.Close)
 	client, err := engine.NewClient(engine.Config{Address: server.URL()})
 	Expect(err).NotTo(HaveOccurred())
-	h := &fakeHost{dir: GinkgoT().TempDir(), content: make(map[model.Weights]model.Digest)}
-	r := backend.NewRunner(backend.RunnerConfig{
+	return server, client
+}
+
+func newFakeHost(server *standin.Server) *fakeHost {
+	return &fakeHost{dir: GinkgoT().TempDir(), content: make(map[model.Weights]model.Digest), engine: server}
+}
+
+// runOn starts a runner for an engine. It uses the load record that the host holds, and
+// stops with the spec or with stop.
+func runOn(server *standin.Server, h *fakeHost, guard engine.GuardConfig) (r *backend.Runner, stop func()) {
+	client, err := engine.NewClient(engine.Config{Address: server.URL()})
+	Expect(err).NotTo(HaveOccurred())
+	guard.PollInterval, guard.SettleTime = time.Millisecond, 30*time.Millisecond
+	r = backend.NewRunner(backend.RunnerConfig{
 		Machine: backend.Config{
-			Guard:             engine.GuardConfig{PollInterval: time.Millisecond, SettleTime: 30 * time.Millisecond},
+			Guard: guard, Recorded: h.record,
 			StatePollInterval: 5 * time.Millisecond, MinBackoff: 10 * time.Millisecond,
 		},
 		Clock: clock.System{}, Random: rand.New(rand.NewSource(1)), Engine: client, Host: h,
@@ -117,12 +211,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { defer close(ended); r.Run(ctx) }()
-	DeferCleanup(func() {
+	stop = func() {
 		cancel()
 		<-ended
-		Expect(server.Close()).To(Succeed())
-	})
-	return r, h, server
+	}
+	DeferCleanup(stop)
+	return r, stop
 }
 
 var _ = Describe("Runner with an engine that ignores fencing", func() {
@@ -147,6 +241,95 @@
 		Expect(h.overlaps).To(Equal(0))
 	})
 
+	// Guards against weights that an agent serves after its restart although no agent
+	// knows what the engine has loaded.
+	It("loads again what an engine holds without a record of the load", func() {
+		server, client := startEngine()
+		h := newFakeHost(server)
+		staged, err := h.Fetch(context.Background(), version("v1"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(os.WriteFile(filepath.Join(staged.Base.Directory, "1"), []byte("corrupt"), 0o600)).To(Succeed())
+		// The previous agent ended between this order and its check of the load.
+		_, err = client.Order(context.Background(), engine.Order{Kind: engine.OrderLoad, Weights: version("v1"), Base: staged.Base, Fence: engine.Fence{Epoch: 1, Sequence: 1}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(server.State().Weights).To(Equal(version("v1")))
+		h.fetchTime = 200 * time.Millisecond // longer than the time after which a record counts
+		r, _ := runOn(server, h, engine.GuardConfig{Epoch: 2})
+		r.SetWanted(version("v1"))
+		Eventually(h.serves(version("v1"), server), 10*time.Second).Should(BeTrue())
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		Expect(h.servedWrong).To(BeZero())
+	})
+
+	// Guards against a fleet whose engines all load again when its agents are replaced.
+	It("keeps the weights that a previous agent recorded, also after a change of role", func() {
+		server, _ := startEngine()
+		h := newFakeHost(server)
+		r, stop := runOn(server, h, engine.GuardConfig{Epoch: 1})
+		r.SetWanted(version("v1"))
+		Eventually(h.serves(version("v1"), server), 10*time.Second).Should(BeTrue())
+		Eventually(func() error { return r.SubmitOrder(engine.Order{Kind: engine.OrderRole, Role: engine.RoleDecode}) }, 10*time.Second).Should(Succeed())
+		Eventually(func() engine.Role { return server.State().Role }, 10*time.Second).Should(Equal(engine.RoleDecode))
+		Eventually(h.serves(version("v1"), server), 10*time.Second).Should(BeTrue())
+		stop()
+		h.Serve(model.Weights{})
+		h.fetchFails = true
+		r, _ = runOn(server, h, engine.GuardConfig{Epoch: 2})
+		r.SetWanted(version("v1"))
+		Eventually(h.serves(version("v1"), server), 10*time.Second).Should(BeTrue())
+		Expect(server.AcceptedOrders()).To(HaveLen(2))
+	})
+
+	// Guards against weights that are served because the staged files were intact once,
+	// although the engine has loaded other bytes.
+	DescribeTable("serves nothing until intact weights are loaded", func(spoil func(h *fakeHost, server *standin.Server, files []string)) {
+		r, h, server := startRunner()
+		r.SetWanted(version("v1"))
+		Eventually(h.serves(version("v1"), server), 10*time.Second).Should(BeTrue())
+		h.mu.Lock()
+		h.spoil = func(files []string) { spoil(h, server, files) }
+		h.mu.Unlock()
+		r.SetWanted(version("v2"))
+		Eventually(h.serves(version("v2"), server), 10*time.Second).Should(BeTrue())
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		Expect(h.servedWrong).To(BeZero())
+		Expect(h.failures).To(BeNumerically(">", 0))
+	},
+		Entry("after a file was corrupted before the order", func(_ *fakeHost, _ *standin.Server, files []string) {
+			Expect(os.WriteFile(files[2], []byte("corrupt"), 0o600)).To(Succeed())
+		}),
+		Entry("after a file was truncated before the order", func(_ *fakeHost, _ *standin.Server, files []string) {
+			Expect(os.Truncate(files[0], 3)).To(Succeed())
+		}),
+		Entry("after a file was replaced by one of another version", func(_ *fakeHost, _ *standin.Server, files []string) {
+			Expect(os.WriteFile(files[1]+".other", []byte("other"), 0o600)).To(Succeed())
+			Expect(os.Rename(files[1]+".other", files[1])).To(Succeed())
+		}),
+		Entry("after a file was corrupted during the load", func(_ *fakeHost, server *standin.Server, files []string) {
+			go func() {
+				defer GinkgoRecover()
+				Eventually(func() bool { return server.State().Busy }, 10*time.Second, 100*time.Microsecond).Should(BeTrue())
+				Expect(os.WriteFile(files[4], []byte("corrupt"), 0o600)).To(Succeed())
+			}()
+		}),
+		Entry("after a file was corrupt only while the engine read it", func(h *fakeHost, server *standin.Server, files []string) {
+			intact, err := os.ReadFile(files[2])
+			Expect(err).NotTo(HaveOccurred())
+			restored := make(chan struct{})
+			h.restored = restored
+			go func() {
+				defer GinkgoRecover()
+				defer close(restored)
+				Eventually(func() bool { return server.State().Busy }, 10*time.Second, 100*time.Microsecond).Should(BeTrue())
+				Expect(os.WriteFile(files[2], []byte("corrupt"), 0o600)).To(Succeed())
+				Eventually(func() bool { return len(server.LoadedFiles()) > 2 }, 10*time.Second, 100*time.Microsecond).Should(BeTrue())
+				Expect(os.WriteFile(files[2], intact, 0o600)).To(Succeed())
+			}()
+		}),
+	)
+
 	DescribeTable("eventually makes the wanted version live", func(faults standin.Faults) {
 		r, h, server := startRunner()
 		server.SetFaults(faults)
