--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -117,7 +117,9 @@
 }
 
 func (e *entryUnderTest) putServer(s *platformtest.Server, state string) {
-	e.store.Put(platform.TableServers, s.ID, jsonObject{"service": "desk", "address": s.Address(), "zone": "north", "capacity": 6, "state": state})
+	e.store.Put(platform.TableServers, s.ID, jsonObject{
+		"service": "desk", "address": s.Address(), "zone": "north", "version": "v1", "capacity": 6, "state": state, "cold_remaining_ms": 0, "sequence": 1,
+	})
 }
 
 func (e *entryUnderTest) readyStatus() int {
