Invalid rows are logged once for each change

Cause: each full read of a table reported all of its invalid rows. Agents read the list of their peers every 1.5 s of a fetch, and the operator's table every 2 s while no entry announces targets; entries read a table in full after its history was lost. An odd row that stays in the store made their logs grow without an end.

Change: the decoders of both tables remember the hash of the data that was reported for each row, until the row is valid or gone. Agents keep their decoders.

--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/clock"
@@ -59,6 +60,10 @@
 	reader   *relay.Reader
 	settings *platform.Settings
 	log      *eventlog.Logger
+
+	// mu guards decoder.
+	mu      sync.Mutex
+	decoder platform.ServerDecoder
 }
 
 func (l *peerList) read() ([]replica.Peer, error) {
@@ -68,8 +73,11 @@
 	if err != nil {
 		return nil, err
 	}
+	l.mu.Lock()
+	servers := l.decoder.Decode(rows, func(row watch.Row, err error) { logInvalidRow(l.log, row, err) })
+	l.mu.Unlock()
 	var peers []replica.Peer
-	for _, s := range platform.DecodeServers(rows, func(row watch.Row, err error) { logInvalidRow(l.log, row, err) }) {
+	for _, s := range servers {
 		if s.Service == l.settings.EngineService && !s.Draining {
 			peers = append(peers, replica.Peer{Address: s.Address, Region: l.settings.Regions[s.Domain]})
 		}
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -38,8 +38,10 @@
 	replica *replica.Replica
 	source  watch.Source
 	log     *eventlog.Logger
-	// storeUnavailable is true while reads of the store fail. Only run uses it.
+	// storeUnavailable is true while reads of the store fail, watch decodes the reads.
+	// Only run uses them.
 	storeUnavailable bool
+	watch            platform.OperatorWatch
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -136,15 +138,15 @@
 	if ctx.Err() != nil {
 		return
 	}
-	handler := platform.OperatorWatch{Sink: t}
+	t.watch.Sink = t
 	if err != nil {
 		if !t.storeUnavailable {
-			handler.Lost(err)
+			t.watch.Lost(err)
 		}
 		t.storeUnavailable = true
 		return
 	}
-	handler.Replace(rows, t.storeUnavailable)
+	t.watch.Replace(rows, t.storeUnavailable)
 	t.storeUnavailable = false
 }
 
