A server whose row has become odd is not kept over an outage of the store

Cause: servers whose rows are missing in the first full read after an outage of the store stay in use for 2 s, as rows of live servers expire in an outage. A row that had become invalid was left out of that read and so counted as expired.

The line "server removed" is not logged for them, as "row ... is invalid" is.

--- a/internal/node/gateway_sinks.go
+++ b/internal/node/gateway_sinks.go
@@ -61,6 +61,10 @@
 func (s *serverSink) Apply(changes []directory.Change, recovered bool) {
 	s.gateway.UpdateServers(func(d *directory.Directory, now time.Time) { d.Apply(changes, recovered, now) })
 	for _, c := range changes {
+		if c.Invalid {
+			// InvalidRow has logged it.
+			continue
+		}
 		if c.Server == nil {
 			s.log.Log(eventlog.ServerRemoved, "server", c.ID, "after_outage", recovered)
 			continue
