Rows of services that are not declared take no address of a server

Cause: of several rows with one address, the one that started last was taken for the server there, also if its service is in no configuration. With such a row at the address of an engine and a later start, all load reports of the engine were ignored, and an interrupted exchange with it counted as its crash ("a later start has its address"), which leads to refusing the content.

Change: the directory knows the declared services. ByAddress ignores others, which stay listed, as a configuration may declare their service later.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,6 +107,7 @@
 		if g.table.CompareAndSwap(current, serving.NewTable(c)) {
 			g.mu.Lock()
 			g.configAt = g.now()
+			g.directory.SetServices(g.table.Load().Config().ServiceNames())
 			g.mu.Unlock()
 			g.announceTargets()
 			return true
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -168,10 +168,11 @@
 	var publishers []func()
 	for _, server := range g.suspects.pending(g.now()) {
 		listing := g.directory.Get(server)
-		switch {
-		case listing == nil:
+		if listing == nil {
 			publishers = append(publishers, g.recordServerEnd(server, signRowDeleted))
-		case g.directory.ByAddress(listing.Address) != listing:
+			continue
+		}
+		if latest := g.directory.ByAddress(listing.Address); latest != nil && latest != listing {
 			publishers = append(publishers, g.recordServerEnd(server, signAddressReused))
 		}
 	}
--- a/lib/directory/directory.go
+++ b/lib/directory/directory.go
@@ -15,6 +15,8 @@
 	expiring map[string]time.Time
 	// draining holds the incarnations that are known to be draining.
 	draining map[Key]Evidence
+	// services are the declared services; nil if they are not known.
+	services map[string]bool
 	// byService caches the servers of each service, byAddress the latest incarnation at
 	// each address. Both are nil after a change.
 	byService map[string][]*Server
@@ -26,6 +28,20 @@
 	return &Directory{servers: make(map[string]*Server), expiring: make(map[string]time.Time), draining: make(map[Key]Evidence)}
 }
 
+// SetServices sets the names of the declared services. Rows of other services may come
+// from other writers. Their servers stay listed, as a service may be declared later, and
+// say nothing about other servers. Until the first call, all services count as declared.
+func (d *Directory) SetServices(names []string) {
+	d.services = make(map[string]bool, len(names))
+	for _, name := range names {
+		d.services[name] = true
+	}
+	d.invalidate()
+}
+
+// declared reports whether the service of a server is declared.
+func (d *Directory) declared(s *Server) bool { return d.services == nil || d.services[s.Service] }
+
 // Replace replaces the listed servers by a full list. recovered is set if an outage
 // of the store has just ended: servers whose rows may have expired during it stay
 // for ExpiryGrace.
@@ -149,12 +165,15 @@
 	return d.byService[name]
 }
 
-// ByAddress returns the server at an address, or nil. Of several, it is the one that
-// started last.
+// ByAddress returns the server of a declared service at an address, or nil. Of several,
+// it is the one that started last.
 func (d *Directory) ByAddress(address string) *Server {
 	if d.byAddress == nil {
 		d.byAddress = make(map[string]*Server, len(d.servers))
 		for _, s := range d.servers {
+			if !d.declared(s) {
+				continue
+			}
 			if found := d.byAddress[s.Address]; found == nil || s.StartUnixMilli > found.StartUnixMilli {
 				d.byAddress[s.Address] = s
 			}
--- a/lib/serving/config.go
+++ b/lib/serving/config.go
@@ -14,3 +14,12 @@
 	Teams    []Team
 	Limits   Limits
 }
+
+// ServiceNames returns the names of the declared services.
+func (c *Config) ServiceNames() []string {
+	names := make([]string, 0, len(c.Services))
+	for i := range c.Services {
+		names = append(names, c.Services[i].Name)
+	}
+	return names
+}
