Rows of services that are not declared do not end the grace period after an outage

Cause: if one row of a failure domain is unchanged after an outage of the store, the store is taken to have been unavailable for this instance only, and missing rows to be deleted. A row of another writer is refreshed by nobody and so is unchanged: all servers of its domain whose rows had expired were dropped at once, although rows of live servers are back within two seconds.

Change: the rows of declared services count only. A row of a declared service that another writer has left cannot be told from that of a server here.

--- a/lib/directory/outage_scan.go
+++ b/lib/directory/outage_scan.go
@@ -11,12 +11,12 @@
 	totalUnchanged   int
 }
 
-// scanOutage counts the rows of the listed servers, except those that are expiring
-// already.
+// scanOutage counts the rows of the listed servers of declared services, except those
+// that are expiring already.
 func (d *Directory) scanOutage(isUnchanged func(*Server) bool) outageScan {
 	scan := outageScan{unchanged: make(map[string]int), total: make(map[string]int)}
 	for id, s := range d.servers {
-		if _, expiring := d.expiring[id]; expiring {
+		if _, expiring := d.expiring[id]; expiring || !d.declared(s) {
 			continue
 		}
 		scan.total[s.Domain]++
--- a/lib/directory/services_test.go
+++ b/lib/directory/services_test.go
@@ -32,4 +32,15 @@
 		d.SetServices(nil)
 		Expect(d.ByAddress("10.0.0.1:80")).To(BeNil())
 	})
+
+	It("is no sign that the rows of servers did not expire in an outage", func() {
+		// Guards against dropping all servers at the end of an outage: a row that nobody
+		// refreshes is unchanged, as if the store had been available.
+		d.Replace([]*directory.Server{server("odd", "other", "10.0.0.1:80", 9, 3)}, true, now)
+		Expect(d.ByService("orders")).To(HaveLen(2))
+		d.Apply([]directory.Change{{ID: "a"}, {ID: "b"}}, true, now)
+		Expect(d.ByService("orders")).To(HaveLen(2))
+		d.Expire(now.Add(directory.ExpiryGrace))
+		Expect(d.ByService("orders")).To(BeEmpty())
+	})
 })
