Instance list: an odd item does not make the list unreadable, and names no instance

Cause: the list was decoded as a whole. One item with a field of another type, with a number out of range or nested 100,000 times made each read fail, so that entries no longer followed the list (event 6004 at each read). Items with an unknown role, names as addresses, ports out of range or the ID of another item were used.

Change: items are decoded one by one and validated. Invalid ones are left out and logged once for each change (new event 6005). One spec of the client lists an instance with an address and a failure domain now; its expectation has not changed.

--- a/entry/program.go
+++ b/entry/program.go
@@ -64,6 +64,8 @@
 	if err != nil {
 		return nil, err
 	}
+	instances := httpbacking.NewInstances(httpbacking.Config{URL: s.Platform.InstanceList})
+	instances.OnInvalid = func(id string, err error) { log.Log(eventlog.InstanceInvalid, "instance", id, "err", err) }
 	p := &process{}
 	if p.metrics, err = daemon.OpenMetrics(s.Listen.Metrics); err != nil {
 		return nil, err
@@ -84,7 +86,7 @@
 		OperatorListener: operators,
 		Policy:           policy,
 		Table:            httpbacking.NewTable(httpbacking.Config{URL: s.Platform.TableService}),
-		InstanceList:     httpbacking.NewInstances(httpbacking.Config{URL: s.Platform.InstanceList}),
+		InstanceList:     instances,
 	})
 	p.OnConfigChange(func(v *config.View) { p.metrics.DeclareLabels(v.Config) })
 	p.Start()
--- a/lib/backing/httpbacking/clients_test.go
+++ b/lib/backing/httpbacking/clients_test.go
@@ -130,7 +130,7 @@
 	})
 
 	It("lists instances", func() {
-		p.Instances.Set(backing.Instance{ID: "a", Role: backing.RoleAgent, Location: model.Location{Region: "r"}})
+		p.Instances.Set(backing.Instance{ID: "a", Role: backing.RoleAgent, Location: model.Location{Region: "r", FailureDomain: "d"}, Address: "10.0.0.1:80"})
 		Expect(httpbacking.NewInstances(client(standins.InstancePath)).List(ctx)).To(HaveExactElements(HaveField("ID", model.InstanceID("a"))))
 	})
 })
