Product's configuration store: rows of other writers do not hold up the revisions

A row with another key, or with a number far above the others, that cannot be decoded failed each of them: entries no longer followed the configuration, and new ones did not get it from the store.

Change: rows without the key of a revision are skipped, and so are those that cannot be decoded, unless they stand in the place of the next revision.

On the former code 9 of 11 new specs fail ("malformed configuration data: malformed message"); the key before all revisions is not read, and the error in place of the next revision is as before. All pass with the change, with the other specs of lib/config, lib/follow and internal/configsim (-race).

--- a/lib/config/store.go
+++ b/lib/config/store.go
@@ -124,17 +124,25 @@
 		if err != nil {
 			return nil, storeUnavailable(err)
 		}
-		if len(rows) == 0 {
-			return nil, merry.Wrap(ErrRevisionNotFound, merry.AppendMessagef("revision %d", number))
-		}
+		before := state.head.Number
 		for _, row := range rows {
 			if state.head.Number == number {
 				break
 			}
+			_, ok, err := decodeRevisionRow(row, state.head.Number+1)
+			if err != nil {
+				return nil, err
+			}
+			if !ok {
+				continue
+			}
 			if err := state.applyRevision(row.Value); err != nil {
 				return nil, err
 			}
 		}
+		if state.head.Number == before {
+			return nil, merry.Wrap(ErrRevisionNotFound, merry.AppendMessagef("revision %d", number))
+		}
 	}
 	return &state, nil
 }
@@ -142,14 +150,7 @@
 // readSnapshot replaces state by the newest snapshot whose revision is not higher
 // than number, unless state is at least as new.
 func (s *Store) readSnapshot(ctx context.Context, number uint64, state *storeState) error {
-	rows, err := s.table.Scan(ctx, Table, snapshotPrefix, snapshotKey(number+1), 1)
-	if err != nil {
-		return storeUnavailable(err)
-	}
-	if len(rows) == 0 {
-		return nil
-	}
-	revision, err := DecodeRevision(rows[0].Value)
+	_, revision, _, err := s.scanSnapshot(ctx, snapshotKey(number+1))
 	if err != nil {
 		return err
 	}
--- a/lib/config/store_history.go
+++ b/lib/config/store_history.go
@@ -33,13 +33,17 @@
 	if before > uint64(limit) {
 		first = before - uint64(limit)
 	}
-	rows, err := s.table.Scan(ctx, Table, revisionPrefix, RevisionKey(first-1), int(before-first))
+	rows, err := s.table.Scan(ctx, Table, revisionPrefix, RevisionKey(first-1), int(before-first)+maxForeignRows)
 	if err != nil {
 		return nil, storeUnavailable(err)
 	}
 	entries := make([]HistoryEntry, 0, len(rows))
 	for i := len(rows) - 1; i >= 0; i-- {
-		revision, err := DecodeRevision(rows[i].Value)
+		number, ok := revisionNumber(rows[i].Key)
+		if !ok || number >= before {
+			continue
+		}
+		revision, err := decodeNumbered(rows[i], number)
 		if err != nil {
 			return nil, err
 		}
--- a/lib/config/store_poll.go
+++ b/lib/config/store_poll.go
@@ -53,37 +53,35 @@
 		}
 		p.Revisions = nil
 	}
-	return p, p.add(rows, at)
+	return p, p.add(rows, from, at)
 }
 
 // newestSnapshot adds the newest snapshot to p, if there is one, and returns its
 // revision number or 0.
 func (s *Store) newestSnapshot(ctx context.Context, p *PollResult) (uint64, error) {
-	p.Reads++
-	rows, err := s.table.Scan(ctx, Table, snapshotPrefix, "", 1)
-	if err != nil {
-		return 0, storeUnavailable(err)
-	}
-	if len(rows) == 0 {
-		return 0, nil
-	}
-	revision, err := DecodeRevision(rows[0].Value)
-	if err != nil {
+	row, revision, reads, err := s.scanSnapshot(ctx, "")
+	p.Reads += reads
+	if err != nil || revision.Number == 0 {
 		return 0, err
 	}
 	p.Head = revision.Head()
-	p.Revisions = append(p.Revisions, rows[0].Value)
+	p.Revisions = append(p.Revisions, row.Value)
 	return revision.Number, nil
 }
 
-// add sets the head to the revision of the last row and appends the revisions that
-// are higher than at.
-func (p *PollResult) add(rows []backing.Row, at Head) error {
+// add sets the head to the last revision of the rows after from, and appends the
+// revisions that are higher than at.
+func (p *PollResult) add(rows []backing.Row, from uint64, at Head) error {
+	next := from + 1
 	for _, row := range rows {
-		revision, err := DecodeRevision(row.Value)
+		revision, ok, err := decodeRevisionRow(row, next)
 		if err != nil {
 			return err
 		}
+		if !ok {
+			continue
+		}
+		next = revision.Number + 1
 		p.Head = revision.Head()
 		if revision.Number > at.Number {
 			p.Revisions = append(p.Revisions, row.Value)
