--- a/internal/node/gateway_sinks.go
+++ b/internal/node/gateway_sinks.go
@@ -76,6 +76,11 @@
 
 func (s *serverSink) InvalidRow(row watch.Row, err error) { logInvalidRow(s.log, row, err) }
 
+// maxLoggedError bounds the error that is logged for a row in bytes: encoding/json
+// repeats numbers that it cannot decode.
+const maxLoggedError = 300
+
 func logInvalidRow(log *eventlog.Logger, row watch.Row, err error) {
-	log.Log(eventlog.RowInvalid, "key", row.Key, "revision", row.Revision, "err", err)
+	text := err.Error()
+	log.Log(eventlog.RowInvalid, "key", row.Key, "revision", row.Revision, "err", text[:min(len(text), maxLoggedError)])
 }
--- a/internal/node/odd_rows_test.go
+++ b/internal/node/odd_rows_test.go
@@ -81,6 +81,10 @@
 			t.readStore(context.Background())
 		}
 		Expect(invalid()).To(Equal(1))
+		store.Put(platform.TableOperator, "config", []byte(`{"routes":[{"priority":`+strings.Repeat("9", 50_000)+`}]}`))
+		t.readStore(context.Background())
+		Expect(invalid()).To(Equal(2))
+		Expect(len(logs.String())).To(BeNumerically("<", 2000))
 	})
 })
 
