Product's table service: one odd row does not make a scan unreadable

Cause: the response to a scan was decoded as a whole. A value that is no base64, a version out of range or a row nested 100,000 times made each poll of the configuration and each pruning fail.

Change: rows are decoded one by one. One that cannot be decoded has no value, and is left out if it has no key.

--- a/lib/backing/httpbacking/table.go
+++ b/lib/backing/httpbacking/table.go
@@ -1,6 +1,7 @@
 package httpbacking
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -10,6 +11,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"github.com/auburnbend/auburnbend/lib/backing"
+	"github.com/auburnbend/auburnbend/lib/jsonparts"
 )
 
 // Table is the client of the table service. It is safe for concurrent use.
@@ -35,8 +37,35 @@
 	if err != nil {
 		return nil, err
 	}
-	var rows []backing.Row
-	return rows, r.decode(&rows)
+	return decodeRows(r.body)
+}
+
+// decodeRows decodes rows one by one, so that one that cannot be decoded does not make
+// the others unreadable. It has no value, and is left out if it has no key.
+func decodeRows(body []byte) ([]backing.Row, error) {
+	if bytes.Equal(bytes.TrimSpace(body), []byte("null")) {
+		return nil, nil
+	}
+	items, err := jsonparts.Array(body)
+	if err != nil {
+		return nil, merry.Wrap(backing.ErrUnavailable, merry.WithCause(err))
+	}
+	rows := make([]backing.Row, 0, len(items))
+	for _, item := range items {
+		var row backing.Row
+		if json.Unmarshal(item, &row) != nil {
+			var key struct {
+				Key string `json:"key"`
+			}
+			// Without a key, the row is left out.
+			_ = json.Unmarshal(item, &key)
+			row = backing.Row{Key: key.Key}
+		}
+		if row.Key != "" {
+			rows = append(rows, row)
+		}
+	}
+	return rows, nil
 }
 
 // Commit implements backing.TableService.
