Product's configuration store: a row of another writer does not stop pruning

Cause: Prune ended with an error at the first operation row that it could not decode, so that the operation IDs after it were never deleted.

Change: it skips such rows.

On the former code the new spec fails ("malformed configuration data: malformed message"). Passes with the change, with the other specs of lib/config (-race).

--- a/lib/config/store_prune.go
+++ b/lib/config/store_prune.go
@@ -27,14 +27,15 @@
 		}
 		var tx backing.Transaction
 		for _, row := range rows {
+			after = row.Key
 			op, err := decodeOperation(row.Value)
 			if err != nil {
-				return pruned, err
+				// The row may be of another writer.
+				continue
 			}
 			if op.Time.Before(cutoff) {
 				tx.Writes = append(tx.Writes, backing.Write{Table: OperationTable, Key: row.Key, Condition: backing.IfVersion, Version: row.Version, Delete: true})
 			}
-			after = row.Key
 		}
 		if len(tx.Writes) > 0 {
 			err := s.table.Commit(ctx, tx)
