Soak: a step that leaves odd rows among those of servers and operator

The step odd-row writes rows of another writer every 100 ms: nested ones of the maximum size, numbers out of range, ports out of range, names, duplicated fields, and a complete row of a service that is not declared at the address of an engine. They must not disturb anything. The checks report a connection to the address that only odd rows name, and a daemon that ends by a panic.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -59,6 +59,8 @@
 	c.checkRateLimits()
 	c.checkPoison()
 	c.checkRecovery()
+	c.checkOddRows()
+	c.checkPanics()
 	return c.violations
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -43,6 +43,7 @@
 // request, so they do not suspend checks as faults do.
 var plannedWork = map[StepKind]bool{
 	StopEntry: true, ReloadEntry: true, DrainServer: true, ServerSignalsDraining: true, ServerSendsRetryAfter: true, ServerLimitsRate: true, ChangeConfig: true, DeclareVersion: true, CorruptStagedPiece: true, CorruptOriginPieces: true,
+	OddRow: true,
 }
 
 // Step is one fault or one piece of planned work.
@@ -79,7 +80,7 @@
 	StoreLink, StoreLink, ServerLink, ServerLink, OriginLink, StoreDown, StoreDropsHistory, StoreStale,
 	CrashServer, CrashServer, DrainServer, ServerMisbehaves, ServerMisbehaves, CorruptStagedPiece, CorruptOriginPieces,
 	ServerSignalsDraining, ServerSignalsDraining, ServerSendsRetryAfter, ServerSendsRetryAfter, ServerLimitsRate, ServerLimitsRate, SendPoison, SendPoison,
-	ChangeConfig, ChangeConfig, DeclareVersion, DeclareVersion,
+	ChangeConfig, ChangeConfig, DeclareVersion, DeclareVersion, OddRow, OddRow,
 }
 
 // NewPlan returns random steps for a seed, ordered by start. All of them end within
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -19,6 +20,9 @@
 	name, binary, settings string
 	logFile                *os.File
 
+	// panics counts the ends of the daemon by a panic.
+	panics atomic.Int64
+
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	closed bool
@@ -67,6 +71,9 @@
 		p.mu.Unlock()
 		// The log shows why it exited. The checks examine what callers observe.
 		_ = cmd.Wait()
+		if cmd.ProcessState.ExitCode() == goPanicExitCode {
+			p.panics.Add(1)
+		}
 		p.mu.Lock()
 		closed := p.closed
 		p.mu.Unlock()
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -55,6 +55,10 @@
 	events []serverEvent
 	// drainingSince is when the rows of servers changed to draining, by id.
 	drainingSince map[string]time.Duration
+	// trapped are the times of connections to the address of odd rows, panicked the names
+	// of daemons that ended by themselves.
+	trapped  []time.Duration
+	panicked []string
 }
 
 var _ platformtest.Recorder = (*recorder)(nil)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -105,6 +105,11 @@
 			r.Refused++
 		}
 	}
+	for _, p := range append(append([]*process{}, t.entries...), t.agents...) {
+		if p.panics.Load() > 0 {
+			rec.panicked = append(rec.panicked, p.name)
+		}
+	}
 	c := &checker{recorder: rec, steps: steps, stepsEnd: o.StepWindow, trafficEnd: end}
 	r.Violations = c.run()
 	return r
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -45,6 +45,7 @@
 	for _, start := range []func() error{
 		func() error { return t.startOrigin(seed) },
 		t.startServers,
+		t.startTrap,
 		func() error { return t.startDaemons(dir, b) },
 	} {
 		if err := start(); err != nil {
@@ -197,6 +198,8 @@
 		t.store.ServeStale(true)
 		wait(ctx, s.Duration)
 		t.store.ServeStale(false)
+	case OddRow:
+		t.writeOddRows(ctx, s)
 	case StoreDropsHistory:
 		t.store.DropHistory()
 	case CrashServer:
