Placement: bound the counts that servers and agents report

Cause: counts of requests and tokens in reports and in headers of responses were used as they were. For 2^63-1 and some others the predicted time overflowed and became negative, so that the server got all requests of its service.

Change: counts, the slowdown and scaled times are limited to values far above those of a server.

--- a/lib/placement/load.go
+++ b/lib/placement/load.go
@@ -21,3 +21,25 @@
 
 // maxReportAge is the age up to which a report counts as current.
 const maxReportAge = 3 * time.Second
+
+const (
+	// maxReportedRequests and maxReportedTokens are far above what a server has. The
+	// predicted time would overflow for larger counts.
+	maxReportedRequests = 1 << 20
+	maxReportedTokens   = 1 << 30
+	// maxSlowdown bounds the ratio of the current to the declared processing time.
+	maxSlowdown = 1000
+)
+
+// limit bounds the counts and the slowdown. A slowdown that is no number becomes zero,
+// which means unknown.
+func (l *Load) limit() {
+	l.Running, l.Queued = limitCount(l.Running, maxReportedRequests), limitCount(l.Queued, maxReportedRequests)
+	l.PrefillTokens = limitCount(l.PrefillTokens, maxReportedTokens)
+	if !(l.Slowdown > 0) {
+		l.Slowdown = 0
+	}
+	l.Slowdown = min(l.Slowdown, maxSlowdown)
+}
+
+func limitCount(n, most int) int { return min(max(n, 0), most) }
--- a/lib/placement/picker_reports.go
+++ b/lib/placement/picker_reports.go
@@ -12,6 +12,7 @@
 
 // Report records an agent's load report on a server.
 func (p *Picker) Report(key directory.Key, load Load, now time.Time) {
+	load.limit()
 	s := p.server(key)
 	if !load.Closed && (s.load.Closed || s.openedAt.IsZero()) {
 		s.openedAt = now
@@ -24,6 +25,7 @@
 // UpdateCounts records the counts of requests that a server adds to its responses.
 // They include neither its slowdown nor whether it accepts requests.
 func (p *Picker) UpdateCounts(key directory.Key, running, queued int, now time.Time) {
+	running, queued = limitCount(running, maxReportedRequests), limitCount(queued, maxReportedRequests)
 	s := p.server(key)
 	s.load.Running, s.load.Queued = running, queued
 	s.reportedAt = now
--- a/lib/placement/predict.go
+++ b/lib/placement/predict.go
@@ -121,4 +121,9 @@
 	return linear + time.Duration(millionPairs*float64(e.PrefillTimePerMillionPairs))
 }
 
-func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
+// maxPredicted bounds scaled times. It is longer than any request may take.
+const maxPredicted = 24 * time.Hour
+
+func scale(d time.Duration, by float64) time.Duration {
+	return time.Duration(min(float64(d)*by, float64(maxPredicted)))
+}
