--- a/internal/soak/odd_rows.go
+++ b/internal/soak/odd_rows.go
@@ -4,8 +4,9 @@
 	"context"
 	"fmt"
 	"net"
-	"strings"
 	"time"
+
+	"github.com/auburnbend/auburnbend/platform/platformtest"
 )
 
 // OddRow is a step in which another writer changes rows among those of the servers and
@@ -17,32 +18,11 @@
 	goPanicExitCode = 2
 	// oddRowInterval is the time between two odd rows.
 	oddRowInterval = 100 * time.Millisecond
-	// oddRowNesting makes rows of the maximum size of a row.
-	oddRowNesting = 32 << 10
-	// lateStart is a start time after that of all servers.
-	lateStart = 4000000000000
 )
 
-// oddRows returns rows that name no server to use. trap is an address at which no
-// server listens, and engine the address of an engine.
-func oddRows(trap, engine string) []string {
-	row := func(changes ...string) string {
-		sound := fmt.Sprintf(`{"service":%q,"address":%q,"zone":"north","version":"v1","capacity":64,"state":"ready","cold_remaining_ms":0,"sequence":1,"born":1}`, plainServices[0], trap)
-		return strings.NewReplacer(changes...).Replace(sound)
-	}
-	nested := strings.Repeat("[", oddRowNesting) + strings.Repeat("]", oddRowNesting)
-	host, _, _ := net.SplitHostPort(trap)
-	return []string{
-		nested, "", "null", "\xff\x00",
-		row(`:64`, `:4611686018427387904`), row(`:64`, `:1e400`), row(`:64`, `:0.5`), row(`:64`, `:`+nested[:200]+nested[len(nested)-200:]),
-		row(`"born":1`, `"born":9223372036854775808`), row(`"sequence":1`, `"sequence":-1`), row(`"cold_remaining_ms":0`, `"cold_remaining_ms":"x"`),
-		row(`:9000"`, `:99999"`), row(`:9000"`, `:0"`), row(trap, "localhost:9000"), row(trap, host),
-		row(`"state":"ready"`, `"state":"odd"`), row(`"state":"ready"`, `"state":"draining","state":"ready"`), row(`"service":`, `"other":`),
-		// A complete row of a service that is not declared, at the address of an engine.
-		row(plainServices[0], "odd-service", trap, engine, `"born":1`, fmt.Sprintf(`"born":%d`, int64(lateStart))),
-		// Odd weights of an engine.
-		row(plainServices[0], engineService, `"born":1`, fmt.Sprintf(`"model_list":[{"name":%q,"version":1e30}]`, model)),
-	}
+// oddRows returns the odd rows of a step whose complete row has the address of an engine.
+func oddRows(trap, engine string) [][]byte {
+	return platformtest.OddRows{PlainService: plainServices[0], EngineService: engineService, Model: model, Trap: trap, Engine: engine}.Rows()
 }
 
 // startTrap listens at the address that odd rows name, as a server and as an agent.
@@ -65,14 +45,11 @@
 	rows := oddRows(trap, address(t.slot, groupEngine, s.Target%engineCount, serverPort))
 	end := t.recorder.now() + s.Duration
 	for i := s.Target; t.recorder.now() < end && ctx.Err() == nil; i++ {
-		t.store.Put("servers", fmt.Sprintf("odd-%d", i%3), []byte(rows[i%len(rows)]))
-		if i%4 == 0 {
-			t.store.Put("op", "version/"+model+"-odd", []byte(rows[i%len(rows)]))
-		}
+		t.store.PutOddRow(fmt.Sprintf("odd-%d", i%3), rows[i%len(rows)], i%4 == 0)
 		wait(ctx, oddRowInterval)
 	}
 	for i := range 3 * (s.Target % 2) {
-		t.store.Delete("servers", fmt.Sprintf("odd-%d", i))
+		t.store.DeleteOddRow(fmt.Sprintf("odd-%d", i))
 	}
 }
 
--- a/internal/soak/odd_rows_test.go
+++ b/internal/soak/odd_rows_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/auburnbend/auburnbend/lib/watch"
 	"github.com/auburnbend/auburnbend/platform"
+	"github.com/auburnbend/auburnbend/platform/platformtest"
 )
 
 var _ = Describe("Odd rows", func() {
@@ -27,10 +28,10 @@
 	It("name no server, except for one of a service that is not declared", func() {
 		usable := 0
 		for _, data := range oddRows("127.0.0.1:9000", "127.0.0.2:9000") {
-			server, err := platform.DecodeServer(watch.Row{Key: "odd", Data: []byte(data)})
+			server, err := platform.DecodeServer(watch.Row{Key: "odd", Data: data})
 			if err == nil {
 				usable++
-				Expect(server.Service).To(Equal("odd-service"), data)
+				Expect(server.Service).To(Equal(platformtest.UndeclaredService), string(data))
 			}
 		}
 		Expect(usable).To(Equal(1))
