--- a/internal/node/gateway_sinks.go
+++ b/internal/node/gateway_sinks.go
@@ -61,6 +61,10 @@
 func (s *serverSink) Apply(changes []directory.Change, recovered bool) {
 	s.gateway.UpdateServers(func(d *directory.Directory, now time.Time) { d.Apply(changes, recovered, now) })
 	for _, c := range changes {
+		if c.Invalid {
+			// InvalidRow has logged it.
+			continue
+		}
 		if c.Server == nil {
 			s.log.Log(eventlog.ServerRemoved, "server", c.ID, "after_outage", recovered)
 			continue
@@ -72,6 +76,11 @@
 
 func (s *serverSink) InvalidRow(row watch.Row, err error) { logInvalidRow(s.log, row, err) }
 
+// maxLoggedError bounds the error that is logged for a row in bytes: encoding/json
+// repeats numbers that it cannot decode.
+const maxLoggedError = 300
+
 func logInvalidRow(log *eventlog.Logger, row watch.Row, err error) {
-	log.Log(eventlog.RowInvalid, "key", row.Key, "revision", row.Revision, "err", err)
+	text := err.Error()
+	log.Log(eventlog.RowInvalid, "key", row.Key, "revision", row.Revision, "err", text[:min(len(text), maxLoggedError)])
 }
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -66,6 +66,10 @@
 	reader   *relay.Reader
 	settings *platform.Settings
 	log      *eventlog.Logger
+
+	// mu guards decoder.
+	mu      sync.Mutex
+	decoder platform.ServerDecoder
 }
 
 func (l *peerList) read() ([]replica.Peer, error) {
@@ -75,8 +79,11 @@
 	if err != nil {
 		return nil, err
 	}
+	l.mu.Lock()
+	servers := l.decoder.Decode(rows, func(row watch.Row, err error) { logInvalidRow(l.log, row, err) })
+	l.mu.Unlock()
 	var peers []replica.Peer
-	for _, s := range platform.DecodeServers(rows, func(row watch.Row, err error) { logInvalidRow(l.log, row, err) }) {
+	for _, s := range servers {
 		if s.Service == l.settings.EngineService && !s.Draining {
 			peers = append(peers, replica.Peer{Address: s.Address, Region: l.settings.Regions[s.Domain]})
 		}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -48,6 +48,7 @@
 var plannedWork = map[StepKind]bool{
 	StopEntry: true, ReloadEntry: true, DrainServer: true, ServerSignalsDraining: true, ServerSendsRetryAfter: true, ServerLimitsRate: true, ChangeConfig: true, DeclareVersion: true, CorruptStagedPiece: true, CorruptOriginPieces: true,
 	SlowStaging: true, DelayOrders: true, DamageStagedPieces: true, CorruptPiecesOften: true,
+	OddRow: true,
 }
 
 // Step is one fault or one piece of planned work.
@@ -84,7 +85,7 @@
 	StoreLink, StoreLink, ServerLink, ServerLink, OriginLink, StoreDown, StoreDropsHistory, StoreStale,
 	CrashServer, CrashServer, DrainServer, ServerMisbehaves, ServerMisbehaves, CorruptStagedPiece, CorruptOriginPieces,
 	ServerSignalsDraining, ServerSignalsDraining, ServerSendsRetryAfter, ServerSendsRetryAfter, ServerLimitsRate, ServerLimitsRate, SendPoison, SendPoison,
-	ChangeConfig, ChangeConfig, DeclareVersion, DeclareVersion,
+	ChangeConfig, ChangeConfig, DeclareVersion, DeclareVersion, OddRow, OddRow,
 }
 
 // weightsStepKinds are drawn separately, so that the other steps of a seed stay the same.
