Verify weights that an earlier agent process ordered

An agent that started while the engine was idle trusted whatever was loaded: an earlier process could have ended between its order and the verification, or after it had found a corrupt piece. Only weights that the engine started with are trusted now; the others are read back first, without a new order if they are intact.

--- a/replica/engine.go
+++ b/replica/engine.go
@@ -77,4 +77,7 @@
 	startUnixMilli, ordersAccepted int64
 }
 
+// neverAccepted is a number of accepted orders that no engine reports.
+const neverAccepted = -1
+
 func (s *EngineState) stamp() loadStamp { return loadStamp{s.StartUnixMilli, s.OrdersAccepted} }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -107,10 +107,10 @@
 func (r *Replica) Phase() Phase { return r.phases.phase() }
 
 // Draining reports whether entries should send no requests to the engine: it is about to
-// load, or its weights are not known to be intact.
+// load, or its state is unknown or its weights are not known to be intact.
 func (r *Replica) Draining() bool {
 	state := r.engineState.Load()
-	return r.draining.Load() || state != nil && len(state.Weights) > 0 && !r.trusts(&state.EngineState)
+	return state == nil || r.draining.Load() || len(state.Weights) > 0 && !r.trusts(&state.EngineState)
 }
 
 // Stats returns the transfer counters.
@@ -188,18 +188,19 @@
 	r.wakeReporter()
 }
 
-// trustInitial trusts the weights that an engine holds when this process first reads its
-// state, unless a load is in progress: an earlier process verified them. That process may
-// also have left an order that the engine hasn't accepted yet.
+// trustInitial decides, when this process first reads the engine's state, whether the
+// weights that the engine holds are known to be intact. They are if the engine started
+// with them. An earlier process that ordered a load may have ended before it verified what
+// the engine took, or after it found a corrupt piece. It may also have left an order that
+// the engine hasn't accepted yet.
 func (r *Replica) trustInitial(state *EngineState) {
 	if r.trusted.Load() != nil {
 		return
 	}
 	stamp := state.stamp()
 	r.openOrder = &stamp
-	if state.Busy {
-		r.trusted.Store(&loadStamp{})
-		return
+	if state.Busy || state.OrdersAccepted > 0 {
+		stamp = loadStamp{ordersAccepted: neverAccepted}
 	}
 	r.trusted.Store(&stamp)
 }
