Close an engine while an order without a response may be accepted

A slow transfer of a piece delays the next read of the engine's state by seconds. The engine could accept the order meanwhile and serve what it took, while the last report still called it open.

--- a/replica/load.go
+++ b/replica/load.go
@@ -196,12 +196,11 @@
 	p.loadStarted = time.Time{}
 	switch {
 	case err == nil:
-		r.openOrder = nil
+		r.openOrder.Store(nil)
 		check.ordered(target, held.Intersect(target))
 	case !errors.Is(err, ErrOrderRejected):
 		// Without a response the engine may accept the order at any later time.
-		stamp := state.stamp()
-		r.openOrder = &stamp
+		r.openOrder.Store(&openOrder{stamp: state.stamp(), sent: true})
 	}
 	r.readEngineState(ctx)
 }
@@ -209,7 +208,16 @@
 // mayAcceptOrder reports whether the engine may still accept an order that it hasn't
 // responded to.
 func (r *Replica) mayAcceptOrder(state *EngineState) bool {
-	return r.openOrder != nil && *r.openOrder == state.stamp()
+	o := r.openOrder.Load()
+	return o != nil && o.stamp == state.stamp()
+}
+
+// sentOpenOrder reports whether the engine may still accept an order of this process that
+// it hasn't responded to. The last state that was read can then be too old: the engine may
+// have accepted the order since, and serve what it took.
+func (r *Replica) sentOpenOrder(state *EngineState) bool {
+	o := r.openOrder.Load()
+	return o != nil && o.sent && o.stamp == state.stamp()
 }
 
 // finishLoad records that the engine has loaded a version intact.
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -37,11 +37,12 @@
 	// trusted identifies the loaded weights that are known to be intact. It is nil before
 	// the engine's state has been read.
 	trusted atomic.Pointer[loadStamp]
-	// check, checkKey and openOrder belong to the goroutine of Run. openOrder identifies
-	// the state in which the engine may still accept an order without a response.
-	check     *layerCheck
-	checkKey  checkKey
-	openOrder *loadStamp
+	// openOrder is the last order without a response, or nil. It is written by the
+	// goroutine of Run only.
+	openOrder atomic.Pointer[openOrder]
+	// check and checkKey belong to the goroutine of Run.
+	check    *layerCheck
+	checkKey checkKey
 	// reporterWake makes the LoadReporter check for changes.
 	reporterWake chan struct{}
 
@@ -107,10 +108,11 @@
 func (r *Replica) Phase() Phase { return r.phases.phase() }
 
 // Draining reports whether entries should send no requests to the engine: it is about to
-// load, or its state is unknown or its weights are not known to be intact.
+// load or may accept an order at any time, its state is unknown, or its weights are not
+// known to be intact.
 func (r *Replica) Draining() bool {
 	state := r.engineState.Load()
-	return state == nil || r.draining.Load() || len(state.Weights) > 0 && !r.trusts(&state.EngineState)
+	return state == nil || r.draining.Load() || len(state.Weights) > 0 && (!r.trusts(&state.EngineState) || r.sentOpenOrder(&state.EngineState))
 }
 
 // Stats returns the transfer counters.
@@ -198,7 +200,7 @@
 		return
 	}
 	stamp := state.stamp()
-	r.openOrder = &stamp
+	r.openOrder.Store(&openOrder{stamp: stamp})
 	if state.Busy || state.OrdersAccepted > 0 {
 		stamp = loadStamp{ordersAccepted: neverAccepted}
 	}
