Keep a closed engine closed when its agent stops reporting

An agent that ended or was paused after its order left an engine to which requests went on the strength of its row, which names the new version, though nobody had verified what the engine took.

--- a/lib/placement/condition.go
+++ b/lib/placement/condition.go
@@ -29,7 +29,7 @@
 		return Draining
 	case s.paused(now):
 		return Pausing
-	case s.closed(now):
+	case s.closed():
 		return Closed
 	case s.ejected(now):
 		return Ejected
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -139,7 +139,7 @@
 	var available, ramping, ejected []*server
 	for _, s := range eligible {
 		switch {
-		case s.closed(now) || own && s.paused(now) || p.overLimit(s, now):
+		case s.closed() || own && s.paused(now) || p.overLimit(s, now):
 		case s.ejected(now):
 			ejected = append(ejected, s)
 		case own && s.atRampLimit(now):
--- a/lib/placement/picker_test.go
+++ b/lib/placement/picker_test.go
@@ -166,6 +166,18 @@
 		Expect(refusal).NotTo(BeNil())
 	})
 
+	It("keeps a server closed whose agent stops reporting", func() {
+		// Guards against requests to an engine that took weights which nobody has verified:
+		// its agent ended or was paused after the order, and its row names the new version.
+		key := add("a", "north", nil)
+		p.Report(key, placement.Load{Closed: true}, now)
+		now = now.Add(time.Minute)
+		_, refusal := p.Pick(request(), now)
+		Expect(refusal).NotTo(BeNil())
+		p.Report(key, placement.Load{}, now)
+		pick(request())
+	})
+
 	It("refuses requests that would miss their latency target, with a retry delay", func() {
 		// Guards against a burst during which every response is late: 60 requests arrive
 		// at the same moment for two engines.
--- a/lib/placement/server.go
+++ b/lib/placement/server.go
@@ -91,10 +91,9 @@
 	return s.hasReport(now) && now.Sub(s.lastPlacedAt) < remoteInterval
 }
 
-// closed reports whether the server accepts no requests now.
-func (s *server) closed(now time.Time) bool {
-	return s.superseded || s.load.Closed && now.Sub(s.reportedAt) <= maxReportAge
-}
+// closed reports whether the server accepts no requests. A closed server stays closed if
+// its agent stops reporting: only the agent knows when what an engine took is verified.
+func (s *server) closed() bool { return s.superseded || s.load.Closed }
 
 func (s *server) ejected(now time.Time) bool { return now.Before(s.ejectedUntil) }
 
