Keep the marks of written pieces when the number of layers changes

A configuration with another number of layers made a new layerCheck, which had forgotten the pieces that were written since the engine took them and the layers that were found corrupt.

--- a/replica/layer_check.go
+++ b/replica/layer_check.go
@@ -28,6 +28,20 @@
 	return &layerCheck{states: make([]layerState, layers), rewritten: make([]bool, pieces)}
 }
 
+// withLayers returns what is known of the pieces for another number of layers. Pieces of
+// suspect layers count as written since they were taken.
+func (c *layerCheck) withLayers(layers int) *layerCheck {
+	next := newLayerCheck(layers, len(c.rewritten))
+	copy(next.rewritten, c.rewritten)
+	for layer, state := range c.states {
+		from, to := c.piecesOf(layer)
+		for piece := from; piece < to && state == layerSuspect; piece++ {
+			next.rewritten[piece] = true
+		}
+	}
+	return next
+}
+
 func (c *layerCheck) layers() int { return len(c.states) }
 
 // piecesOf returns the range of pieces that a layer needs.
--- a/replica/load.go
+++ b/replica/load.go
@@ -66,11 +66,16 @@
 }
 
 // layerCheckFor returns what is known of the layers of a version that the engine holds.
-// It starts anew for another version and after a restart of the engine.
+// It starts anew for another version and after a restart of the engine. A configuration
+// may change the number of layers.
 func (r *Replica) layerCheckFor(p *pendingVersion, state *EngineState) *layerCheck {
 	key := checkKey{model: p.model, version: p.version, startUnixMilli: state.StartUnixMilli}
-	if r.check == nil || r.checkKey != key || r.check.layers() != r.layers() {
-		r.check, r.checkKey = newLayerCheck(r.layers(), len(p.pieces.manifest.Digests)), key
+	layers := r.layers()
+	switch {
+	case r.check == nil || r.checkKey != key:
+		r.check, r.checkKey = newLayerCheck(layers, len(p.pieces.manifest.Digests)), key
+	case r.check.layers() != layers:
+		r.check = r.check.withLayers(layers)
 	}
 	return r.check
 }
