--- a/replica/fleet_test.go
+++ b/replica/fleet_test.go
@@ -79,6 +79,10 @@
 	// queued is the number of queued requests; rejected counts those that an order
 	// rejected.
 	queued, rejected int
+	// unstorable makes the engine return other bytes than were staged as piece 0. reads
+	// counts how often that piece was read.
+	unstorable bool
+	reads      int
 }
 
 func newFakeEngine(version int) *fakeEngine {
@@ -106,6 +110,12 @@
 func (e *fakeEngine) Piece(_ context.Context, _ string, piece int) ([]byte, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if piece == 0 {
+		e.reads++
+		if e.unstorable {
+			return []byte("corrupt"), nil
+		}
+	}
 	if data, ok := e.staged[piece]; ok {
 		return data, nil
 	}
--- a/replica/load.go
+++ b/replica/load.go
@@ -157,16 +157,21 @@
 	if !r.stage(ctx, p, state, check, held, deadline) {
 		return false
 	}
-	r.wakeRun()
 	v, err := r.verify(ctx, p, state.stamp(), deadline)
 	if err != nil {
 		r.logEngineError(err)
 		return false
 	}
+	if v != nil && !v.allIntact() {
+		// The next attempt waits for a poll interval: the engine may store no piece intact.
+		p.verification = nil
+		return false
+	}
+	r.wakeRun()
 	if v == nil {
 		return false
 	}
-	if !v.allIntact() || r.config.Clock.Now().Sub(v.finished) > maxVerificationAge {
+	if r.config.Clock.Now().Sub(v.finished) > maxVerificationAge {
 		p.verification = nil
 		return false
 	}
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -154,6 +154,29 @@
 		Expect(f.engines[0].rejected).To(BeZero())
 	})
 
+	It("waits between attempts to stage a piece that the engine doesn't store", func() {
+		// Guards against an agent that uses a whole processor, and logs hundreds of lines
+		// per second, while the staging area of its engine is defective.
+		f := newFleet(1)
+		f.engines[0].mu.Lock()
+		f.engines[0].unstorable = true
+		f.engines[0].mu.Unlock()
+		f.setTarget(2)
+		reads := func() int {
+			f.engines[0].mu.Lock()
+			defer f.engines[0].mu.Unlock()
+			return f.engines[0].reads
+		}
+		Eventually(reads, timeout).Should(BeNumerically(">", 0))
+		before := reads()
+		time.Sleep(time.Second)
+		Expect(reads() - before).To(BeNumerically("<=", 11))
+		f.engines[0].mu.Lock()
+		f.engines[0].unstorable = false
+		f.engines[0].mu.Unlock()
+		Eventually(f.serving(2), timeout).Should(BeTrue())
+	})
+
 	It("continues once the origin is back", func() {
 		f := newFleet(1)
 		f.origin.down.Store(true)
