--- a/replica/fetch.go
+++ b/replica/fetch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/spread"
@@ -170,11 +171,14 @@
 // handleEvent applies one event to the scheduler. It returns false if the
 // manifest appears to be wrong.
 func (f *fetch) handleEvent(e fetchEvent) bool {
+	known := func(piece int) bool { return piece >= 0 && piece < len(f.pieces.manifest.Digests) }
 	switch {
-	case e.lost:
+	case e.lost || e.piece != peerlink.NoPiece && !known(e.piece):
 		f.scheduler.PeerLost(e.source)
 	case e.piece == peerlink.NoPiece:
-		f.scheduler.Have(e.source, e.have, f.now())
+		// A peer may have another manifest.
+		have := slices.DeleteFunc(e.have, func(piece int) bool { return !known(piece) })
+		f.scheduler.Have(e.source, have, f.now())
 	case e.err != nil || len(e.data) == 0:
 		f.scheduler.Failed(e.piece, e.source, false, f.now())
 	case !f.pieces.manifest.Matches(e.piece, e.data):
