Reject manifests that don't name the declared number of pieces

With a shorter manifest, an engine loaded the remaining pieces as the previous version had left them, and neither check before or after the order read those.

--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -21,7 +21,7 @@
 	for _, t := range config.WeightsTargets() {
 		targets[t.Service] = &peerlink.Target{
 			ConfigVersion: config.Version, Model: t.Model, Version: max(serving.FirstVersion, g.versions.Newest(t.Model)),
-			Origin: t.Origin.Address, OriginPieceMicros: t.OriginPieceTime.Microseconds(), Layers: t.Layers,
+			Origin: t.Origin.Address, OriginPieceMicros: t.OriginPieceTime.Microseconds(), Layers: t.Layers, Pieces: t.Pieces,
 		}
 	}
 	return targets
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -33,7 +33,7 @@
 	peers := &peerList{settings: s, log: env.Log}
 	r := replica.New(replica.Config{
 		EngineAddress: s.EngineAddress, Region: s.Region,
-		Engine: platform.NewEngine(s.EngineAddress), Origin: targets.currentOrigin, OriginPieceTime: targets.originPieceTime, Layers: targets.modelLayers,
+		Engine: platform.NewEngine(s.EngineAddress), Origin: targets.currentOrigin, OriginPieceTime: targets.originPieceTime, Layers: targets.modelLayers, Pieces: targets.modelPieces,
 		OnTarget: targets.handleAnnouncement,
 		Peers:    peers.read,
 		PeerPort: s.FirstPort, Listen: s.Address, MaxRolloutTime: s.Bounds.VersionTime,
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -48,8 +48,9 @@
 	origin        *platform.Origin
 	// originPieceDuration is the transfer time of one piece over the origin's link.
 	originPieceDuration time.Duration
-	// layers is the number of layers of the model, or zero if it is unknown.
-	layers int
+	// layers and pieces are the numbers of layers and pieces of the model, or zero if they
+	// are unknown.
+	layers, pieces int
 	// model and version are what the engine must serve; version is 0 if unknown.
 	model   string
 	version int
@@ -74,6 +75,12 @@
 	return t.originPieceDuration
 }
 
+func (t *targetTracker) modelPieces() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.pieces
+}
+
 func (t *targetTracker) modelLayers() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -104,6 +111,9 @@
 		if target.Layers > 0 || target.Model != t.model {
 			t.layers = target.Layers
 		}
+		if target.Pieces > 0 || target.Model != t.model {
+			t.pieces = target.Pieces
+		}
 		if t.origin == nil || t.origin.Address() != target.Origin {
 			t.origin = platform.NewOrigin(target.Origin)
 		}
@@ -165,7 +175,7 @@
 		if target.Service == t.service {
 			t.applyTarget(&peerlink.Target{
 				ConfigVersion: c.Version, Model: target.Model, Version: serving.FirstVersion,
-				Origin: target.Origin.Address, OriginPieceMicros: target.OriginPieceTime.Microseconds(), Layers: target.Layers,
+				Origin: target.Origin.Address, OriginPieceMicros: target.OriginPieceTime.Microseconds(), Layers: target.Layers, Pieces: target.Pieces,
 			}, "store")
 		}
 	}
--- a/lib/serving/weights_target.go
+++ b/lib/serving/weights_target.go
@@ -13,8 +13,8 @@
 	// OriginPieceTime is the time to transfer one piece over the origin's link, or zero
 	// if its bandwidth is unknown.
 	OriginPieceTime time.Duration
-	// Layers is the number of layers of the model.
-	Layers int
+	// Layers and Pieces are the numbers of layers and pieces of the model.
+	Layers, Pieces int
 }
 
 // WeightsTargets returns a target for each service with engines: its first model. It
@@ -36,7 +36,7 @@
 			continue
 		}
 		targets = append(targets, WeightsTarget{
-			Service: s.Name, Model: s.Engine.Models[0], Origin: origin, OriginPieceTime: origin.transferTime(s.Engine.PieceBytes), Layers: s.Engine.Layers,
+			Service: s.Name, Model: s.Engine.Models[0], Origin: origin, OriginPieceTime: origin.transferTime(s.Engine.PieceBytes), Layers: s.Engine.Layers, Pieces: s.Engine.PieceCount,
 		})
 	}
 	return targets
--- a/peerlink/message.go
+++ b/peerlink/message.go
@@ -75,6 +75,8 @@
 	OriginPieceMicros int64 `msgpack:"p"`
 	// Layers is the number of layers of the model, or zero if it is unknown.
 	Layers int `msgpack:"l,omitempty"`
+	// Pieces is the number of pieces of the model, or zero if it is unknown.
+	Pieces int `msgpack:"n,omitempty"`
 }
 
 // Status is an agent's report on its backend server.
--- a/replica/config.go
+++ b/replica/config.go
@@ -26,6 +26,9 @@
 	// Layers returns the number of layers of the model, or zero if it is unknown. It may
 	// be nil.
 	Layers func() int
+	// Pieces returns the number of pieces of the model, or zero if it is unknown. It may
+	// be nil.
+	Pieces func() int
 	// Peers returns the currently registered engines of the same service.
 	Peers func() ([]Peer, error)
 	// OnTarget is called with each target that an entry announces. It may be nil.
--- a/replica/fleet_test.go
+++ b/replica/fleet_test.go
@@ -36,7 +36,9 @@
 	manifests atomic.Int64
 	// corruptCount is the number of corrupt pieces to send before correct ones.
 	corruptCount atomic.Int64
-	down         atomic.Bool
+	// shortManifests is the number of manifests to send that lack the last pieces.
+	shortManifests atomic.Int64
+	down           atomic.Bool
 	// pieceTime is the time to send one piece, in nanoseconds.
 	pieceTime atomic.Int64
 }
@@ -52,6 +54,9 @@
 	for p := range testPieces {
 		m.Digests = append(m.Digests, sha256.Sum256(pieceData(version, p)))
 	}
+	if o.shortManifests.Add(-1) >= 0 {
+		m.Digests = m.Digests[:testPieces/2]
+	}
 	return m, nil
 }
 
@@ -194,6 +199,7 @@
 		EngineAddress: f.peers[i].Address, Region: f.peers[i].Region, Engine: f.engines[i],
 		Origin:          func() replica.Origin { return f.origin },
 		OriginPieceTime: func() time.Duration { return time.Millisecond },
+		Pieces:          func() int { return testPieces },
 		Peers:           f.listPeers,
 		PeerPort:        f.port, Listen: f.host(i), MaxRolloutTime: time.Second,
 		Clock: clock.System{}, Log: eventlog.OpenPlain(f.logs, clock.System{}),
--- a/replica/manifest.go
+++ b/replica/manifest.go
@@ -34,6 +34,7 @@
 var (
 	errNoManifest  = errors.New("no instance of the region has the manifest")
 	errUnreachable = errors.New("instance is unreachable")
+	errPieceCount  = errors.New("manifest has another number of pieces than the configuration declares")
 )
 
 // manifest returns the manifest of a version. The first manifestReaders
@@ -81,7 +82,10 @@
 	defer cancel()
 	m, err := origin.Manifest(callCtx, t.model, t.version)
 	r.recordOriginResult(ctx, err)
-	return m, err
+	if err != nil {
+		return nil, err
+	}
+	return m, r.checkPieceCount(m)
 }
 
 // peerManifest requests a manifest from another instance, which may not have it
@@ -108,7 +112,23 @@
 	if err := msgstream.NewDecoder(conn, peerBufferBytes, maxResponseBytes).Decode(&resp); err != nil {
 		return nil, err
 	}
-	return decodeManifest(t.model, t.version, resp.Data)
+	m, err := decodeManifest(t.model, t.version, resp.Data)
+	if err != nil {
+		return nil, err
+	}
+	return m, r.checkPieceCount(m)
+}
+
+// checkPieceCount returns an error unless a manifest names all pieces of the model. Engines
+// would load other ones as they were left by an earlier version.
+func (r *Replica) checkPieceCount(m *Manifest) error {
+	if r.config.Pieces == nil {
+		return nil
+	}
+	if declared := r.config.Pieces(); declared > 0 && declared != len(m.Digests) {
+		return merry.Wrap(errPieceCount, merry.AppendMessagef("%d instead of %d", len(m.Digests), declared))
+	}
+	return nil
 }
 
 // decodeManifest reads the concatenated digests of the pieces.
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -85,6 +85,16 @@
 		Expect(f.replicas[0].Stats().CorruptPieces.Load() + f.replicas[1].Stats().CorruptPieces.Load()).To(Equal(int64(7)))
 	})
 
+	It("rejects a manifest with another number of pieces than the configuration declares", func() {
+		// Guards against an engine that keeps pieces of the previous version which the
+		// manifest doesn't name.
+		f := newFleet(1, 1, 1)
+		f.origin.shortManifests.Store(2)
+		f.setTarget(2)
+		Eventually(f.serving(2), timeout).Should(BeTrue())
+		f.expectUnmixed()
+	})
+
 	It("supplies an added engine from peers", func() {
 		f := newFleet(0, 0)
 		f.setTarget(1)
