--- a/replica/load.go
+++ b/replica/load.go
@@ -210,7 +210,7 @@
 		check.ordered(target, held.Intersect(target))
 	case !errors.Is(err, ErrOrderRejected):
 		// Without a response the engine may accept the order at any later time.
-		r.openOrder.Store(&openOrder{stamp: state.stamp(), sent: true})
+		r.openOrder.Store(&openOrder{ordersAccepted: state.OrdersAccepted, sent: true})
 	}
 	r.readEngineState(ctx)
 }
@@ -219,7 +219,7 @@
 // responded to.
 func (r *Replica) mayAcceptOrder(state *EngineState) bool {
 	o := r.openOrder.Load()
-	return o != nil && o.stamp == state.stamp()
+	return o != nil && o.ordersAccepted == state.OrdersAccepted
 }
 
 // sentOpenOrder reports whether the engine may still accept an order of this process that
@@ -227,7 +227,7 @@
 // have accepted the order since, and serve what it took.
 func (r *Replica) sentOpenOrder(state *EngineState) bool {
 	o := r.openOrder.Load()
-	return o != nil && o.sent && o.stamp == state.stamp()
+	return o != nil && o.sent && o.ordersAccepted == state.OrdersAccepted
 }
 
 // finishLoad records that the engine has loaded a version intact.
--- a/replica/order_test.go
+++ b/replica/order_test.go
@@ -179,3 +179,17 @@
 		t.Errorf("the engine is closed after it was verified, layers %v", r.check.states)
 	}
 }
+
+// Guards against an order that the engine accepts after a restart: it counts its orders
+// anew.
+func TestOpenOrderOutlivesARestart(t *testing.T) {
+	e := &scriptedEngine{orderErr: errors.New("no response")}
+	r, _, p := newScripted(e)
+	r.loadNow(p)
+	e.state.StartUnixMilli++
+	e.state.Weights = nil
+	r.readEngineState(context.Background())
+	if state := &r.engineState.Load().EngineState; !r.mayAcceptOrder(state) || !r.Draining() {
+		t.Error("the restarted engine may accept the order")
+	}
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -112,7 +112,7 @@
 // known to be intact.
 func (r *Replica) Draining() bool {
 	state := r.engineState.Load()
-	return state == nil || r.draining.Load() || len(state.Weights) > 0 && (!r.trusts(&state.EngineState) || r.sentOpenOrder(&state.EngineState))
+	return state == nil || r.draining.Load() || r.sentOpenOrder(&state.EngineState) || len(state.Weights) > 0 && !r.trusts(&state.EngineState)
 }
 
 // Stats returns the transfer counters.
@@ -200,7 +200,7 @@
 		return
 	}
 	stamp := state.stamp()
-	r.openOrder.Store(&openOrder{stamp: stamp})
+	r.openOrder.Store(&openOrder{ordersAccepted: state.OrdersAccepted})
 	if state.Busy || state.OrdersAccepted > 0 {
 		stamp = loadStamp{ordersAccepted: neverAccepted}
 	}
