Give up suspect layers before their pieces are written again

The agent wrote the corrupt pieces again while the engine still held the layers. If the agent ended then, the next one found all pieces intact and trusted the layers.

--- a/replica/layer_check.go
+++ b/replica/layer_check.go
@@ -157,11 +157,11 @@
 	case len(c.states) == 1:
 		// The only layer can't be given up; the engine keeps it until its next version.
 		return LayerRange{}, false
-	case held.To < all.To:
-		// The first layer is suspect. The engine gives up all that it holds.
+	case held.Len() == 1:
+		// The first layer is suspect. The engine gives it up for the others.
 		return LayerRange{From: held.To, To: all.To}, true
 	default:
-		// The first layer is suspect. The engine keeps only the last one.
+		// The first layer is suspect. The engine keeps only its last one.
 		return LayerRange{From: held.To - 1, To: held.To}, true
 	}
 }
--- a/replica/layer_range.go
+++ b/replica/layer_range.go
@@ -9,6 +9,9 @@
 // Contains reports whether a layer is in the range.
 func (r LayerRange) Contains(layer int) bool { return r.From <= layer && layer < r.To }
 
+// includes reports whether all layers of o are in the range.
+func (r LayerRange) includes(o LayerRange) bool { return r.Intersect(o) == o }
+
 // Intersect returns the layers that are in both ranges.
 func (r LayerRange) Intersect(o LayerRange) LayerRange {
 	common := LayerRange{From: max(r.From, o.From), To: min(r.To, o.To)}
--- a/replica/load.go
+++ b/replica/load.go
@@ -44,10 +44,15 @@
 		}
 		return
 	}
-	if !r.stageVerified(ctx, p, state, check, held, deadline) {
+	if p.loadStarted.IsZero() {
+		p.loadStarted = r.config.Clock.Now()
+	}
+	// Layers are given up before their pieces are written again: the corrupt ones show an
+	// agent that starts meanwhile that the engine doesn't hold intact layers.
+	if !held.includes(target) && !r.stageVerified(ctx, p, state, check, held, deadline) {
 		return
 	}
-	r.order(ctx, p, check, held, target)
+	r.order(ctx, p, check, state.stamp(), held, target)
 }
 
 // stageAhead stages the next version before it is due, so that a slow transfer doesn't
@@ -151,9 +156,6 @@
 // stageVerified stages the pieces and verifies them at the engine. It reports whether an
 // order may follow.
 func (r *Replica) stageVerified(ctx context.Context, p *pendingVersion, state *EngineState, check *layerCheck, held LayerRange, deadline func() bool) bool {
-	if p.loadStarted.IsZero() {
-		p.loadStarted = r.config.Clock.Now()
-	}
 	if !r.stage(ctx, p, state, check, held, deadline) {
 		return false
 	}
@@ -178,8 +180,10 @@
 	return true
 }
 
-// order orders the engine to hold the layers of target.
-func (r *Replica) order(ctx context.Context, p *pendingVersion, check *layerCheck, held, target LayerRange) {
+// order orders the engine to hold the layers of target if its state is still the one that
+// stamp identifies. The pieces of layers that it doesn't hold yet have been verified in
+// that state.
+func (r *Replica) order(ctx context.Context, p *pendingVersion, check *layerCheck, stamp loadStamp, held, target LayerRange) {
 	r.draining.Store(true)
 	r.wakeReporter()
 	// Once it has accepted the order, the engine gets no requests before it is verified.
@@ -189,7 +193,7 @@
 	v := p.verification
 	p.verification = nil
 	sent := r.config.Clock.Now()
-	if state == nil || state.Busy || state.stamp() != v.stamp || sent.Sub(v.finished) > maxVerificationAge {
+	if state == nil || state.Busy || state.stamp() != stamp || !held.includes(target) && v.age(sent) > maxVerificationAge {
 		return
 	}
 	layers := target
@@ -201,7 +205,7 @@
 	err := r.config.Engine.StartLoad(callCtx, p.model, p.version, layers, state.OrdersAccepted)
 	now := r.config.Clock.Now()
 	r.config.Log.Log(eventlog.LoadOrdered, "model", p.model, "version", p.version, "layers_from", target.From, "layers_to", target.To,
-		"orders", state.OrdersAccepted, "staging_ms", sent.Sub(p.loadStarted).Milliseconds(), "verified_ms", sent.Sub(v.finished).Milliseconds(),
+		"orders", state.OrdersAccepted, "staging_ms", sent.Sub(p.loadStarted).Milliseconds(), "verified_ms", v.age(sent).Milliseconds(),
 		"response_ms", now.Sub(sent).Milliseconds(), "err", err)
 	p.loadStarted = time.Time{}
 	switch {
--- a/replica/verification.go
+++ b/replica/verification.go
@@ -43,6 +43,14 @@
 	return v, nil
 }
 
+// age returns the time since the pass finished, or zero if there was none.
+func (v *verification) age(now time.Time) time.Duration {
+	if v == nil || v.finished.IsZero() {
+		return 0
+	}
+	return now.Sub(v.finished)
+}
+
 // allIntact reports whether every piece was intact.
 func (v *verification) allIntact() bool {
 	for _, intact := range v.intact {
