--- a/internal/node/targets_test.go
+++ b/internal/node/targets_test.go
@@ -73,11 +73,13 @@
 		// Guards against agents that each read a configuration of half a megabyte over
 		// the shared link of their region. That delayed entries' reads by seconds.
 		Consistently(func() int64 {
-			targets.handleAnnouncement(&peerlink.Target{ConfigVersion: 2, Model: "m", Version: 2, Origin: "127.0.0.1:98", OriginPieceMicros: 500})
+			targets.handleAnnouncement(&peerlink.Target{ConfigVersion: 2, Model: "m", Version: 2, Origin: "127.0.0.1:98", OriginPieceMicros: 500, Layers: 16, Pieces: 96})
 			return table.snapshots.Load()
 		}, 2*firstAnnouncementTimeout, 100*time.Millisecond).Should(BeZero())
 		Expect(version()).To(Equal(2))
 		Expect(targets.originPieceTime()).To(Equal(500 * time.Microsecond))
+		Expect(targets.modelLayers()).To(Equal(16))
+		Expect(targets.modelPieces()).To(Equal(96))
 		Expect(targets.currentOrigin()).NotTo(BeNil())
 	})
 
@@ -89,9 +91,12 @@
 
 	It("ignores an older configuration or version", func() {
 		// Guards against announcements of entries that have missed a change.
-		targets.handleAnnouncement(&peerlink.Target{ConfigVersion: 5, Model: "m", Version: 4, Origin: "127.0.0.1:98"})
+		targets.handleAnnouncement(&peerlink.Target{ConfigVersion: 5, Model: "m", Version: 4, Origin: "127.0.0.1:98", Layers: 16, Pieces: 96})
 		targets.handleAnnouncement(&peerlink.Target{ConfigVersion: 4, Model: "m", Version: 3, Origin: "127.0.0.1:97"})
 		Expect(version()).To(Equal(4))
 		Expect(targets.origin.Address()).To(Equal("127.0.0.1:98"))
+		targets.handleAnnouncement(&peerlink.Target{ConfigVersion: 6, Model: "m", Version: 4, Origin: "127.0.0.1:98"})
+		Expect(targets.modelLayers()).To(Equal(16), "an entry that doesn't know the layers must not hide them")
+		Expect(targets.modelPieces()).To(Equal(96))
 	})
 })
