--- a/replica/fleet_test.go
+++ b/replica/fleet_test.go
@@ -36,7 +36,9 @@
 	manifests atomic.Int64
 	// corruptCount is the number of corrupt pieces to send before correct ones.
 	corruptCount atomic.Int64
-	down         atomic.Bool
+	// shortManifests is the number of manifests to send that lack the last pieces.
+	shortManifests atomic.Int64
+	down           atomic.Bool
 	// pieceTime is the time to send one piece, in nanoseconds.
 	pieceTime atomic.Int64
 }
@@ -52,6 +54,9 @@
 	for p := range testPieces {
 		m.Digests = append(m.Digests, sha256.Sum256(pieceData(version, p)))
 	}
+	if o.shortManifests.Add(-1) >= 0 {
+		m.Digests = m.Digests[:testPieces/2]
+	}
 	return m, nil
 }
 
@@ -79,6 +84,10 @@
 	// queued is the number of queued requests; rejected counts those that an order
 	// rejected.
 	queued, rejected int
+	// unstorable makes the engine return other bytes than were staged as piece 0. reads
+	// counts how often that piece was read.
+	unstorable bool
+	reads      int
 }
 
 func newFakeEngine(version int) *fakeEngine {
@@ -106,6 +115,12 @@
 func (e *fakeEngine) Piece(_ context.Context, _ string, piece int) ([]byte, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if piece == 0 {
+		e.reads++
+		if e.unstorable {
+			return []byte("corrupt"), nil
+		}
+	}
 	if data, ok := e.staged[piece]; ok {
 		return data, nil
 	}
@@ -184,6 +199,7 @@
 		EngineAddress: f.peers[i].Address, Region: f.peers[i].Region, Engine: f.engines[i],
 		Origin:          func() replica.Origin { return f.origin },
 		OriginPieceTime: func() time.Duration { return time.Millisecond },
+		Pieces:          func() int { return testPieces },
 		Peers:           f.listPeers,
 		PeerPort:        f.port, Listen: f.host(i), MaxRolloutTime: time.Second,
 		Clock: clock.System{}, Log: eventlog.OpenPlain(f.logs, clock.System{}),
--- a/replica/layer_check.go
+++ b/replica/layer_check.go
@@ -28,6 +28,20 @@
 	return &layerCheck{states: make([]layerState, layers), rewritten: make([]bool, pieces)}
 }
 
+// withLayers returns what is known of the pieces for another number of layers. Pieces of
+// suspect layers count as written since they were taken.
+func (c *layerCheck) withLayers(layers int) *layerCheck {
+	next := newLayerCheck(layers, len(c.rewritten))
+	copy(next.rewritten, c.rewritten)
+	for layer, state := range c.states {
+		from, to := c.piecesOf(layer)
+		for piece := from; piece < to && state == layerSuspect; piece++ {
+			next.rewritten[piece] = true
+		}
+	}
+	return next
+}
+
 func (c *layerCheck) layers() int { return len(c.states) }
 
 // piecesOf returns the range of pieces that a layer needs.
@@ -143,11 +157,11 @@
 	case len(c.states) == 1:
 		// The only layer can't be given up; the engine keeps it until its next version.
 		return LayerRange{}, false
-	case held.To < all.To:
-		// The first layer is suspect. The engine gives up all that it holds.
+	case held.Len() == 1:
+		// The first layer is suspect. The engine gives it up for the others.
 		return LayerRange{From: held.To, To: all.To}, true
 	default:
-		// The first layer is suspect. The engine keeps only the last one.
+		// The first layer is suspect. The engine keeps only its last one.
 		return LayerRange{From: held.To - 1, To: held.To}, true
 	}
 }
--- a/replica/load.go
+++ b/replica/load.go
@@ -44,10 +44,15 @@
 		}
 		return
 	}
-	if !r.stageVerified(ctx, p, state, check, held, deadline) {
+	if p.loadStarted.IsZero() {
+		p.loadStarted = r.config.Clock.Now()
+	}
+	// Layers are given up before their pieces are written again: the corrupt ones show an
+	// agent that starts meanwhile that the engine doesn't hold intact layers.
+	if !held.includes(target) && !r.stageVerified(ctx, p, state, check, held, deadline) {
 		return
 	}
-	r.order(ctx, p, check, held, target)
+	r.order(ctx, p, check, state.stamp(), held, target)
 }
 
 // stageAhead stages the next version before it is due, so that a slow transfer doesn't
@@ -66,11 +71,16 @@
 }
 
 // layerCheckFor returns what is known of the layers of a version that the engine holds.
-// It starts anew for another version and after a restart of the engine.
+// It starts anew for another version and after a restart of the engine. A configuration
+// may change the number of layers.
 func (r *Replica) layerCheckFor(p *pendingVersion, state *EngineState) *layerCheck {
 	key := checkKey{model: p.model, version: p.version, startUnixMilli: state.StartUnixMilli}
-	if r.check == nil || r.checkKey != key || r.check.layers() != r.layers() {
-		r.check, r.checkKey = newLayerCheck(r.layers(), len(p.pieces.manifest.Digests)), key
+	layers := r.layers()
+	switch {
+	case r.check == nil || r.checkKey != key:
+		r.check, r.checkKey = newLayerCheck(layers, len(p.pieces.manifest.Digests)), key
+	case r.check.layers() != layers:
+		r.check = r.check.withLayers(layers)
 	}
 	return r.check
 }
@@ -146,30 +156,34 @@
 // stageVerified stages the pieces and verifies them at the engine. It reports whether an
 // order may follow.
 func (r *Replica) stageVerified(ctx context.Context, p *pendingVersion, state *EngineState, check *layerCheck, held LayerRange, deadline func() bool) bool {
-	if p.loadStarted.IsZero() {
-		p.loadStarted = r.config.Clock.Now()
-	}
 	if !r.stage(ctx, p, state, check, held, deadline) {
 		return false
 	}
-	r.wakeRun()
 	v, err := r.verify(ctx, p, state.stamp(), deadline)
 	if err != nil {
 		r.logEngineError(err)
 		return false
 	}
+	if v != nil && !v.allIntact() {
+		// The next attempt waits for a poll interval: the engine may store no piece intact.
+		p.verification = nil
+		return false
+	}
+	r.wakeRun()
 	if v == nil {
 		return false
 	}
-	if !v.allIntact() || r.config.Clock.Now().Sub(v.finished) > maxVerificationAge {
+	if r.config.Clock.Now().Sub(v.finished) > maxVerificationAge {
 		p.verification = nil
 		return false
 	}
 	return true
 }
 
-// order orders the engine to hold the layers of target.
-func (r *Replica) order(ctx context.Context, p *pendingVersion, check *layerCheck, held, target LayerRange) {
+// order orders the engine to hold the layers of target if its state is still the one that
+// stamp identifies. The pieces of layers that it doesn't hold yet have been verified in
+// that state.
+func (r *Replica) order(ctx context.Context, p *pendingVersion, check *layerCheck, stamp loadStamp, held, target LayerRange) {
 	r.draining.Store(true)
 	r.wakeReporter()
 	// Once it has accepted the order, the engine gets no requests before it is verified.
@@ -179,7 +193,7 @@
 	v := p.verification
 	p.verification = nil
 	sent := r.config.Clock.Now()
-	if state == nil || state.Busy || state.stamp() != v.stamp || sent.Sub(v.finished) > maxVerificationAge {
+	if state == nil || state.Busy || state.stamp() != stamp || !held.includes(target) && v.age(sent) > maxVerificationAge {
 		return
 	}
 	layers := target
@@ -191,17 +205,16 @@
 	err := r.config.Engine.StartLoad(callCtx, p.model, p.version, layers, state.OrdersAccepted)
 	now := r.config.Clock.Now()
 	r.config.Log.Log(eventlog.LoadOrdered, "model", p.model, "version", p.version, "layers_from", target.From, "layers_to", target.To,
-		"orders", state.OrdersAccepted, "staging_ms", sent.Sub(p.loadStarted).Milliseconds(), "verified_ms", sent.Sub(v.finished).Milliseconds(),
+		"orders", state.OrdersAccepted, "staging_ms", sent.Sub(p.loadStarted).Milliseconds(), "verified_ms", v.age(sent).Milliseconds(),
 		"response_ms", now.Sub(sent).Milliseconds(), "err", err)
 	p.loadStarted = time.Time{}
 	switch {
 	case err == nil:
-		r.openOrder = nil
+		r.openOrder.Store(nil)
 		check.ordered(target, held.Intersect(target))
 	case !errors.Is(err, ErrOrderRejected):
 		// Without a response the engine may accept the order at any later time.
-		stamp := state.stamp()
-		r.openOrder = &stamp
+		r.openOrder.Store(&openOrder{ordersAccepted: state.OrdersAccepted, sent: true})
 	}
 	r.readEngineState(ctx)
 }
@@ -209,7 +222,16 @@
 // mayAcceptOrder reports whether the engine may still accept an order that it hasn't
 // responded to.
 func (r *Replica) mayAcceptOrder(state *EngineState) bool {
-	return r.openOrder != nil && *r.openOrder == state.stamp()
+	o := r.openOrder.Load()
+	return o != nil && o.ordersAccepted == state.OrdersAccepted
+}
+
+// sentOpenOrder reports whether the engine may still accept an order of this process that
+// it hasn't responded to. The last state that was read can then be too old: the engine may
+// have accepted the order since, and serve what it took.
+func (r *Replica) sentOpenOrder(state *EngineState) bool {
+	o := r.openOrder.Load()
+	return o != nil && o.sent && o.ordersAccepted == state.OrdersAccepted
 }
 
 // finishLoad records that the engine has loaded a version intact.
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -85,6 +85,16 @@
 		Expect(f.replicas[0].Stats().CorruptPieces.Load() + f.replicas[1].Stats().CorruptPieces.Load()).To(Equal(int64(7)))
 	})
 
+	It("rejects a manifest with another number of pieces than the configuration declares", func() {
+		// Guards against an engine that keeps pieces of the previous version which the
+		// manifest doesn't name.
+		f := newFleet(1, 1, 1)
+		f.origin.shortManifests.Store(2)
+		f.setTarget(2)
+		Eventually(f.serving(2), timeout).Should(BeTrue())
+		f.expectUnmixed()
+	})
+
 	It("supplies an added engine from peers", func() {
 		f := newFleet(0, 0)
 		f.setTarget(1)
@@ -154,6 +164,29 @@
 		Expect(f.engines[0].rejected).To(BeZero())
 	})
 
+	It("waits between attempts to stage a piece that the engine doesn't store", func() {
+		// Guards against an agent that uses a whole processor, and logs hundreds of lines
+		// per second, while the staging area of its engine is defective.
+		f := newFleet(1)
+		f.engines[0].mu.Lock()
+		f.engines[0].unstorable = true
+		f.engines[0].mu.Unlock()
+		f.setTarget(2)
+		reads := func() int {
+			f.engines[0].mu.Lock()
+			defer f.engines[0].mu.Unlock()
+			return f.engines[0].reads
+		}
+		Eventually(reads, timeout).Should(BeNumerically(">", 0))
+		before := reads()
+		time.Sleep(time.Second)
+		Expect(reads() - before).To(BeNumerically("<=", 11))
+		f.engines[0].mu.Lock()
+		f.engines[0].unstorable = false
+		f.engines[0].mu.Unlock()
+		Eventually(f.serving(2), timeout).Should(BeTrue())
+	})
+
 	It("continues once the origin is back", func() {
 		f := newFleet(1)
 		f.origin.down.Store(true)
