lib/sse: accept carriage returns as line ends, and blank lines between events

Seen by callers: a whole stream with carriage returns, or with one more blank line at its end, was cut, and continued at another server or ended with 502. Cause: the reader looked for line feeds only, and took the blank line for the first bytes of an event. Change: a scanner that knows the three line ends. After lines that end with a bare carriage return it does not wait for a line feed, which could take as long as the next event. Failed before: 'splits events with any line end' (carriage returns, blank line at the end and at the beginning), and the spec of the event that is passed on at once timed out. Now go test -race ./lib/sse passes.

--- a/lib/sse/reader.go
+++ b/lib/sse/reader.go
@@ -37,14 +37,13 @@
 // the stream ends within an event and ErrTooLong for an event over 1 MiB. Other errors
 // are those of src.
 func (r *Reader) Next() (Event, error) {
-	scanned := 0
+	var scan scanner
 	for {
-		if n := eventLength(r.buf[r.start:r.end], scanned); n > 0 {
+		if n := scan.eventLength(r.buf[r.start:r.end], errors.Is(r.err, io.EOF)); n > 0 {
 			raw := r.buf[r.start : r.start+n]
 			r.start += n
 			return parseEvent(raw), nil
 		}
-		scanned = r.end - r.start
 		if r.err != nil {
 			return Event{}, r.endError()
 		}
@@ -55,7 +54,9 @@
 }
 
 // HasBufferedEvent reports whether Next returns an event without reading from src.
-func (r *Reader) HasBufferedEvent() bool { return eventLength(r.buf[r.start:r.end], 0) > 0 }
+func (r *Reader) HasBufferedEvent() bool {
+	return (&scanner{}).eventLength(r.buf[r.start:r.end], false) > 0
+}
 
 func (r *Reader) endError() error {
 	if errors.Is(r.err, io.EOF) && r.end > r.start {
@@ -82,30 +83,10 @@
 	return nil
 }
 
-// eventLength returns the length of the first event in b, or 0 if it is incomplete. The
-// first from bytes were searched before; only a blank line that begins in their last
-// three bytes may be completed by the bytes that follow.
-func eventLength(b []byte, from int) int {
-	i := max(0, from-3)
-	for {
-		n := bytes.IndexByte(b[i:], '\n')
-		if n < 0 {
-			return 0
-		}
-		i += n + 1
-		rest := b[i:]
-		switch {
-		case len(rest) > 0 && rest[0] == '\n':
-			return i + 1
-		case len(rest) > 1 && rest[0] == '\r' && rest[1] == '\n':
-			return i + 2
-		}
-	}
-}
-
 func parseEvent(raw []byte) Event {
 	e := Event{Raw: raw}
-	for line := range bytes.SplitSeq(raw, []byte{'\n'}) {
+	isLineEnd := func(r rune) bool { return r == '\n' || r == '\r' }
+	for line := range bytes.FieldsFuncSeq(raw, isLineEnd) {
 		e.HasData = e.HasData || bytes.HasPrefix(line, []byte("data"))
 		value, ok := bytes.CutPrefix(line, []byte("id:"))
 		if !ok {
