gateway: continue a stream only with a stream of events

Seen by callers: a server that was asked to continue a stream and answered 200 with a JSON error, an HTML page, a body with Content-Encoding or chunks in HTTP/1.0 had its text in the caller's stream, after the events of the first server; up to the end of the stream without any sign of an error (ORDER, MIXED). Cause: only the status, the request's id and the signature were looked at. Change: a continuation has status 200, the type text/event-stream and HTTP/1.1. A 2xx with Content-Encoding is not the server's body and counts as no answer, also outside of streams. A 200 of another type on a streaming route that nothing was sent of is delivered whole instead of being cut into events. Failed before: 8 specs of 'Broken streams' (200 of another type, with a JSON error, with an HTML page, with Content-Encoding, in chunks of HTTP/1.0; third server; other answers unchanged; the property). Example: got 'id: 2 data: s0/2 {"error":"upstream failed"}' and a complete body. Now all pass.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -137,10 +137,12 @@
 		return r.mayHaveRunResult("answer of another request")
 	case !reply.Signed && resp.StatusCode < 300:
 		return r.mayHaveRunResult("answer without a signature")
-	case r.isStreaming() && resp.StatusCode == http.StatusOK:
-		return r.relay(lease, conn, resp, reply)
-	case r.stream.started:
+	case isEncoded(resp) && resp.StatusCode < 300:
+		return r.mayHaveRunResult("answer with an encoded body")
+	case r.stream.started && !isContinuation(resp):
 		return r.mayHaveRunResult("no continuation")
+	case r.isStreaming() && resp.StatusCode == http.StatusOK && isEventStream(resp):
+		return r.relay(lease, conn, resp, reply)
 	}
 	return r.relayBuffered(lease, resp, reply)
 }
