gateway: send the events before one that is out of order

Seen by callers: events of a stream were missing at its cut end, or came late, although their server had sent them whole: without a pause between them and an event out of order, they stayed in the buffer of net/http, which is dropped when the stream is cut. Change: they are sent before another server is asked. Failed before: 'one event, then the same again' of 'Broken streams': got events 1 and 2, wanted 1, 2 and 3.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -43,6 +43,10 @@
 			return r.mayHaveRunResult("stream broken off")
 		}
 		if event.HasID && event.ID <= r.stream.lastEventID {
+			// The events before it came with it and are not sent yet.
+			if r.stream.started && control.Flush() != nil {
+				return r.callerWriteFailed()
+			}
 			return r.mayHaveRunResult("event out of order")
 		}
 		r.beginStream(resp, reply)
