gateway: continue a stream only with numbered events that follow the last one

Seen by callers: a continuation of the right type whose body was an error text, an HTML page, a head, events without numbers or an error event was passed on, text and all, and mostly ended as complete. Cause: an event was refused only if its number was too low; what has no number passed. Change: each event of another server than the first is numbered, comes directly after the last one and is no error event; comments and blank lines pass. Where a server's own numbers have gaps, only their order can be checked. Numbers are those of the last id field, not negative, also behind carriage returns. Example: got 'id: 2 data: s0/2 HTTP/1.1 500 Internal Server Error Content-Type: text/event-stream id: 3 ...' and complete.

--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -1,9 +1,19 @@
 package gateway
 
 import (
+	"errors"
 	"mime"
 	"net/http"
 	"strings"
+
+	"github.com/auburnbend/auburnbend/lib/sse"
+)
+
+var (
+	errEventOrder      = errors.New("event out of order")
+	errEventMissing    = errors.New("continuation after a missing event")
+	errEventUnnumbered = errors.New("continuation with an event without a number")
+	errErrorEvent      = errors.New("continuation with an error event")
 )
 
 // eventStreamType is the media type of a stream of events.
@@ -33,3 +43,27 @@
 func isContinuation(resp *http.Response) bool {
 	return resp.StatusCode == http.StatusOK && isEventStream(resp) && resp.ProtoAtLeast(1, 1)
 }
+
+// errorEventType is the type of events with which servers report an error.
+const errorEventType = "error"
+
+// checkEvent returns an error if an event must not be passed on. continues is set if
+// the event comes from another server than the head of the stream: its events must then
+// be numbered and follow each other, so that neither an error of that server nor a wrong
+// part of the stream gets into the caller's.
+func (r *request) checkEvent(e sse.Event, continues bool) error {
+	last := r.stream.lastEventID
+	switch {
+	case e.HasID && e.ID <= last:
+		return errEventOrder
+	case !continues || e.IsIgnorable:
+		return nil
+	case !e.HasID:
+		return errEventUnnumbered
+	case e.Type == errorEventType:
+		return errErrorEvent
+	case last >= 0 && e.ID != last+1 && !r.stream.irregular:
+		return errEventMissing
+	}
+	return nil
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -18,6 +18,7 @@
 	if r.stream.started && r.stream.version > 0 && reply.Version != r.stream.version {
 		return r.mayHaveRunResult("continuation on other weights")
 	}
+	continues := r.stream.started
 	events := sse.NewReader(resp.Body)
 	control := http.NewResponseController(r.writer)
 	timeout := r.stallTimeout()
@@ -42,12 +43,12 @@
 			r.recordInterrupted(lease, err)
 			return r.mayHaveRunResult("stream broken off")
 		}
-		if event.HasID && event.ID <= r.stream.lastEventID {
+		if err := r.checkEvent(event, continues); err != nil {
 			// The events before it came with it and are not sent yet.
 			if r.stream.started && control.Flush() != nil {
 				return r.callerWriteFailed()
 			}
-			return r.mayHaveRunResult("event out of order")
+			return r.mayHaveRunResult(err.Error())
 		}
 		r.beginStream(resp, reply)
 		if _, err := r.writer.Write(event.Raw); err != nil {
@@ -109,6 +110,9 @@
 	r.stream.lastEventAt = now
 	r.summary.Events++
 	if event.HasID {
+		if last := r.stream.lastEventID; last >= 0 && event.ID != last+1 {
+			r.stream.irregular = true
+		}
 		r.stream.lastEventID = event.ID
 	}
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -71,6 +71,9 @@
 	started bool
 	// lastEventID is the last event that was sent; negative before the first.
 	lastEventID int64
+	// irregular is set if the IDs of a server's own events have gaps, so that a missing
+	// event at the beginning of a continuation cannot be recognized.
+	irregular bool
 	// version is the version of the weights that the events were made with.
 	version     int
 	lastEventAt time.Time
--- a/lib/sse/reader.go
+++ b/lib/sse/reader.go
@@ -84,18 +84,23 @@
 }
 
 func parseEvent(raw []byte) Event {
-	e := Event{Raw: raw}
+	e := Event{Raw: raw, IsIgnorable: true}
 	isLineEnd := func(r rune) bool { return r == '\n' || r == '\r' }
 	for line := range bytes.FieldsFuncSeq(raw, isLineEnd) {
-		e.HasData = e.HasData || bytes.HasPrefix(line, []byte("data"))
-		value, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
+		name, value, _ := bytes.Cut(line, []byte{':'})
+		switch string(name) {
+		case "", "retry":
 			continue
+		case "data":
+			e.HasData = true
+		case "event":
+			e.Type = string(bytes.TrimSpace(value))
+		case "id":
+			// The last ID of an event counts.
+			id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+			e.ID, e.HasID = id, err == nil && id >= 0
 		}
-		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-		if err == nil {
-			e.ID, e.HasID = id, true
-		}
+		e.IsIgnorable = false
 	}
 	return e
 }
