gateway: end a stream whose last event was sent when no event is left

Seen by callers: a stream that broke off between its last event and its end was cut, although another server confirmed that nothing was left. The missing version counted as another one. Change: a version that is named must be the same, as before; one that is missing counts only where an event comes. Failed before: 'without events', 'before the terminating chunk', 'inside the terminating chunk' and the property of 'Broken streams': got all five events and complete:false. Now all pass.

--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -13,6 +13,7 @@
 	errEventOrder      = errors.New("event out of order")
 	errEventMissing    = errors.New("continuation after a missing event")
 	errEventUnnumbered = errors.New("continuation with an event without a number")
+	errOtherWeights    = errors.New("continuation on other weights")
 	errErrorEvent      = errors.New("continuation with an error event")
 )
 
@@ -51,13 +52,17 @@
 // the event comes from another server than the head of the stream: its events must then
 // be numbered and follow each other, so that neither an error of that server nor a wrong
 // part of the stream gets into the caller's.
-func (r *request) checkEvent(e sse.Event, continues bool) error {
+func (r *request) checkEvent(e sse.Event, continues bool, reply ResponseInfo) error {
 	last := r.stream.lastEventID
 	switch {
 	case e.HasID && e.ID <= last:
 		return errEventOrder
 	case !continues || e.IsIgnorable:
 		return nil
+	case r.stream.version > 0 && reply.Version != r.stream.version:
+		// A server that has no more events names no version, as it makes none. With events,
+		// an unknown version is another one.
+		return errOtherWeights
 	case !e.HasID:
 		return errEventUnnumbered
 	case e.Type == errorEventType:
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -15,8 +15,8 @@
 // relay passes a stream on, event by event. The head is sent with the first event,
 // so that a stream which breaks earlier can restart on another server.
 func (r *request) relay(lease *placement.Lease, conn *upstream.Exchange, resp *http.Response, reply ResponseInfo) attemptResult {
-	if r.stream.started && r.stream.version > 0 && reply.Version != r.stream.version {
-		return r.mayHaveRunResult("continuation on other weights")
+	if v := r.stream.version; r.stream.started && v > 0 && reply.Version > 0 && reply.Version != v {
+		return r.mayHaveRunResult(errOtherWeights.Error())
 	}
 	continues := r.stream.started
 	events := sse.NewReader(resp.Body)
@@ -43,7 +43,7 @@
 			r.recordInterrupted(lease, err)
 			return r.mayHaveRunResult("stream broken off")
 		}
-		if err := r.checkEvent(event, continues); err != nil {
+		if err := r.checkEvent(event, continues, reply); err != nil {
 			// The events before it came with it and are not sent yet.
 			if r.stream.started && control.Flush() != nil {
 				return r.callerWriteFailed()
