gateway: do not end a stream because a continuation has no events

Change: a continuation shows what it is with its first event; comments before it are dropped. Without any event it ends the stream only if its body is empty and its end is marked by a length or by a terminating chunk, as servers answer after the last event. What stays open: an empty body with such an end cannot be told from the answer after the last event, so a server that sends it too early ends the stream too early. Failed before: '200 with only comments', '200 without a body and a length', 'with comments', the third server and the property of 'Broken streams': got events 1 and 2, ': upstream failed' and complete:true. Now all pass.

--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -45,6 +45,13 @@
 	return resp.StatusCode == http.StatusOK && isEventStream(resp) && resp.ProtoAtLeast(1, 1)
 }
 
+// hasMarkedEnd reports whether the end of a response differs from that of a connection
+// that is lost. A server that stops right after its head could otherwise pass for one
+// that has no more events.
+func hasMarkedEnd(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 // errorEventType is the type of events with which servers report an error.
 const errorEventType = "error"
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -19,6 +19,7 @@
 		return r.mayHaveRunResult(errOtherWeights.Error())
 	}
 	continues := r.stream.started
+	passedOn, skipped := 0, 0
 	events := sse.NewReader(resp.Body)
 	control := http.NewResponseController(r.writer)
 	timeout := r.stallTimeout()
@@ -33,6 +34,9 @@
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			if continues && passedOn == 0 && (skipped > 0 || !hasMarkedEnd(resp)) {
+				return r.mayHaveRunResult("continuation without events")
+			}
 			return r.streamEnd()
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -50,7 +54,13 @@
 			}
 			return r.mayHaveRunResult(err.Error())
 		}
+		if continues && passedOn == 0 && event.IsIgnorable {
+			// Only an event shows that this continues the stream.
+			skipped++
+			continue
+		}
 		r.beginStream(resp, reply)
+		passedOn++
 		if _, err := r.writer.Write(event.Raw); err != nil {
 			return r.callerWriteFailed()
 		}
