gateway: check where a stream begins that a caller resumes itself

Seen by callers: a caller that resumed a stream with Last-Event-Id got events that it had, or missed some, where the server began at another event (ORDER). Cause: the number of the first event was compared with the events of this response only. Change: on routes that may be resumed, the caller's Last-Event-Id counts as the last event; an answer that begins elsewhere goes to another server, and ends with 502 if there is none. Failed before: 'that a caller resumes itself begin after the event that it has: 200 from an earlier event', 'from the beginning', 'from a later event': 200 with these events.

--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -55,26 +55,26 @@
 // errorEventType is the type of events with which servers report an error.
 const errorEventType = "error"
 
-// checkEvent returns an error if an event must not be passed on. continues is set if
-// the event comes from another server than the head of the stream: its events must then
-// be numbered and follow each other, so that neither an error of that server nor a wrong
-// part of the stream gets into the caller's.
-func (r *request) checkEvent(e sse.Event, continues bool, reply ResponseInfo) error {
+// checkEvent returns an error if an event must not be passed on. first is set for the
+// first event of an attempt. continues is set if the event comes from another server
+// than the head of the stream: it must then be a numbered event made with the same
+// weights, so that no error of that server gets into the caller's stream.
+func (r *request) checkEvent(e sse.Event, first, continues bool, reply ResponseInfo) error {
 	last := r.stream.lastEventID
 	switch {
 	case e.HasID && e.ID <= last:
 		return errEventOrder
-	case !continues || e.IsIgnorable:
+	case e.IsIgnorable:
 		return nil
-	case r.stream.version > 0 && reply.Version != r.stream.version:
+	case continues && r.stream.version > 0 && reply.Version != r.stream.version:
 		// A server that has no more events names no version, as it makes none. With events,
 		// an unknown version is another one.
 		return errOtherWeights
-	case !e.HasID:
+	case continues && !e.HasID:
 		return errEventUnnumbered
-	case e.Type == errorEventType:
+	case continues && e.Type == errorEventType:
 		return errErrorEvent
-	case last >= 0 && e.ID != last+1 && !r.stream.irregular:
+	case first && last >= 0 && e.HasID && e.ID != last+1 && !r.stream.irregular:
 		return errEventMissing
 	}
 	return nil
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -47,7 +47,7 @@
 			r.recordInterrupted(lease, err)
 			return r.mayHaveRunResult("stream broken off")
 		}
-		if err := r.checkEvent(event, continues, reply); err != nil {
+		if err := r.checkEvent(event, passedOn == 0, continues, reply); err != nil {
 			// The events before it came with it and are not sent yet.
 			if r.stream.started && control.Flush() != nil {
 				return r.callerWriteFailed()
@@ -60,7 +60,9 @@
 			continue
 		}
 		r.beginStream(resp, reply)
-		passedOn++
+		if !event.IsIgnorable {
+			passedOn++
+		}
 		if _, err := r.writer.Write(event.Raw); err != nil {
 			return r.callerWriteFailed()
 		}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -69,7 +69,8 @@
 type streamState struct {
 	// started is set once the head has been sent.
 	started bool
-	// lastEventID is the last event that was sent; negative before the first.
+	// lastEventID is the last event that the caller has: the last one that was sent, or
+	// the one after which it resumes the stream itself; negative if it has none.
 	lastEventID int64
 	// irregular is set if the IDs of a server's own events have gaps, so that a missing
 	// event at the beginning of a continuation cannot be recognized.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -85,6 +85,9 @@
 	if s := r.table.Service(r.service); s != nil {
 		r.engine = s.Engine
 	}
+	if r.isStreaming() && r.route.Repeatable() {
+		r.stream.lastEventID = r.info.LastEventID
+	}
 	r.setDeadline()
 	return r.readBody()
 }
