gateway: give a caller the end of a stream of which it has all events

Seen by callers: a caller that lost its connection between the last event and the end of a stream, and resumed it as the protocol allows, got 502, after the request had run on every server that it was allowed. Cause: an empty stream counted as a failure of its server. Change: it is delivered where the request names a last event and the end of the response is marked by a length or a terminating chunk. Failed before: 'that a caller resumes itself begin after the event that it has: without events': got 502, wanted 200.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -34,8 +34,12 @@
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			if continues && passedOn == 0 && (skipped > 0 || !hasMarkedEnd(resp)) {
-				return r.mayHaveRunResult("continuation without events")
+			if passedOn == 0 && r.stream.lastEventID >= 0 {
+				if skipped > 0 || !hasMarkedEnd(resp) {
+					return r.mayHaveRunResult("continuation without events")
+				}
+				// The caller has all events and misses only the end.
+				r.beginStream(resp, reply)
 			}
 			return r.streamEnd()
 		}
