gateway: do not continue a stream after an event without a number

Cause: only a numbered event says where another server must begin; the request was sent on without Last-Event-Id, or with that of an earlier event. Change: such a stream is cut where it breaks off, until a numbered event follows. Failed before: three specs 'are not continued after an event that another server would send again': the second server's events followed, and the stream was complete.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -131,6 +131,9 @@
 		}
 		r.stream.lastEventID = event.ID
 	}
+	if !event.IsIgnorable {
+		r.stream.unnumbered = !event.HasID
+	}
 }
 
 func (r *request) streamEnd() attemptResult {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -75,6 +75,8 @@
 	// irregular is set if the IDs of a server's own events have gaps, so that a missing
 	// event at the beginning of a continuation cannot be recognized.
 	irregular bool
+	// unnumbered is set if the last event had no ID. Another server would send it again.
+	unnumbered bool
 	// version is the version of the weights that the events were made with.
 	version     int
 	lastEventAt time.Time
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -199,7 +199,7 @@
 	if result.sent && result.mayHaveRun && !r.route.Repeatable() {
 		return false
 	}
-	if r.quarantineRefusal() != nil {
+	if r.stream.unnumbered || r.quarantineRefusal() != nil {
 		return false
 	}
 	if !result.sent {
