gateway: begin a stream with its first event, not with a comment

Seen by callers: after a comment of a server that then broke off, the events of another one came under the first one's head and signature; if that one failed, the caller got a cut stream instead of its answer. Cause: the head was sent with the first block, also if it was a comment. Change: comments before the first event are held back, up to 64 KiB, and sent with it. A stream that ends with nothing but comments counts as one without events. Failed before: 'begin anew while the caller has only comments': signature sig.s0 over the events of s1.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -12,14 +12,22 @@
 	"github.com/auburnbend/auburnbend/lib/sse"
 )
 
+// maxHeldBytes bounds the comments that are held back before the first event of an
+// attempt.
+const maxHeldBytes = 64 << 10
+
 // relay passes a stream on, event by event. The head is sent with the first event,
-// so that a stream which breaks earlier can restart on another server.
+// so that a stream which breaks earlier can restart on another server. Comments before
+// it are held back, because they do not show that the response is a stream; those of a
+// continuation are dropped.
 func (r *request) relay(lease *placement.Lease, conn *upstream.Exchange, resp *http.Response, reply ResponseInfo) attemptResult {
 	if v := r.stream.version; r.stream.started && v > 0 && reply.Version > 0 && reply.Version != v {
 		return r.mayHaveRunResult(errOtherWeights.Error())
 	}
 	continues := r.stream.started
-	passedOn, skipped := 0, 0
+	passedOn := 0
+	// held are the comments before the first event of the attempt.
+	var held []byte
 	events := sse.NewReader(resp.Body)
 	control := http.NewResponseController(r.writer)
 	timeout := r.stallTimeout()
@@ -34,12 +42,8 @@
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			if passedOn == 0 && r.stream.lastEventID >= 0 {
-				if skipped > 0 || !hasMarkedEnd(resp) {
-					return r.mayHaveRunResult("continuation without events")
-				}
-				// The caller has all events and misses only the end.
-				r.beginStream(resp, reply)
+			if passedOn == 0 {
+				return r.endWithoutEvents(resp, reply, held)
 			}
 			return r.streamEnd()
 		}
@@ -58,12 +62,18 @@
 			}
 			return r.mayHaveRunResult(err.Error())
 		}
-		if continues && passedOn == 0 && event.IsIgnorable {
-			// Only an event shows that this continues the stream.
-			skipped++
+		if passedOn == 0 && event.IsIgnorable {
+			if held = append(held, event.Raw...); len(held) > maxHeldBytes {
+				return r.mayHaveRunResult("too many comments before the first event")
+			}
 			continue
 		}
-		r.beginStream(resp, reply)
+		if !continues && passedOn == 0 {
+			r.beginStream(resp, reply)
+			if _, err := r.writer.Write(held); err != nil {
+				return r.callerWriteFailed()
+			}
+		}
 		if !event.IsIgnorable {
 			passedOn++
 		}
@@ -107,9 +117,6 @@
 }
 
 func (r *request) beginStream(resp *http.Response, reply ResponseInfo) {
-	if r.stream.started {
-		return
-	}
 	r.stream.started = true
 	r.stream.version = reply.Version
 	r.summary.TimeToFirstByte = r.gateway.now().Sub(r.arrived)
@@ -136,10 +143,25 @@
 	}
 }
 
-func (r *request) streamEnd() attemptResult {
-	if !r.stream.started {
+// endWithoutEvents ends an attempt whose stream has ended before its first event.
+func (r *request) endWithoutEvents(resp *http.Response, reply ResponseInfo, held []byte) attemptResult {
+	switch {
+	case r.stream.lastEventID < 0:
 		return r.mayHaveRunResult("stream without events")
+	case r.stream.started && len(held) > 0, !hasMarkedEnd(resp):
+		return r.mayHaveRunResult("continuation without events")
 	}
+	// The caller has all events and misses only the end.
+	if !r.stream.started {
+		r.beginStream(resp, reply)
+		if _, err := r.writer.Write(held); err != nil {
+			return r.callerWriteFailed()
+		}
+	}
+	return r.streamEnd()
+}
+
+func (r *request) streamEnd() attemptResult {
 	r.summary.Outcome = string(outcomeAnswered)
 	return attemptResult{result: placement.Answered, delivered: true, sent: true}
 }
