gateway: continue a stream on the weights of its last event

Seen by callers: a stream whose server had changed its weights in the middle, and said so in an event, was continued on the weights of its head, so on older ones, without a word. Cause: the version of the head was kept for the whole stream. Change: the dialect reads the version that an event names; a continuation is placed on, and compared with, that one. Failed before: 'are continued only on the weights that their last event was made with': got five events of s0 and s1, wanted two.

--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -15,6 +15,9 @@
 	PrepareAttempt(h http.Header, info AttemptInfo)
 	// ParseResponse decodes a backend server's status and headers.
 	ParseResponse(status int, h http.Header) ResponseInfo
+	// EventVersion returns the version of the weights that an event of a stream names,
+	// because it is the first one made with them; zero if it names none.
+	EventVersion(event []byte) int
 	// PrepareRefusal sets the headers of a response that the gateway itself makes to
 	// the request with the given ID. retryAfter is the time after which the caller may
 	// retry; zero sets none.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -141,6 +141,9 @@
 	if !event.IsIgnorable {
 		r.stream.unnumbered = !event.HasID
 	}
+	if v := r.gateway.config.Dialect.EventVersion(event.Raw); v > 0 {
+		r.stream.version = v
+	}
 }
 
 // endWithoutEvents ends an attempt whose stream has ended before its first event.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -77,7 +77,7 @@
 	irregular bool
 	// unnumbered is set if the last event had no ID. Another server would send it again.
 	unnumbered bool
-	// version is the version of the weights that the events were made with.
+	// version is the version of the weights that the last event was made with.
 	version     int
 	lastEventAt time.Time
 }
