lib/engine: an engine's stream that ends without its end event is not complete

Seen by callers: when an engine ended a stream cleanly before its end event (a terminating chunk or the end of a body without length, between two frames), the entry reported outcome completed, with the digest of the part that had come. The stream was not resumed. Cause: Next wraps the cause of an incomplete response, here io.EOF, and returns io.EOF itself after the end event; the agent tests the error with errors.Is, which matches both. Change: the cause is io.ErrUnexpectedEOF. Failed before: 'that ends cleanly before its end event is not complete' (agent): Run returned no error; 11 of 20 specs of 'Broken streams of an engine' on scripted sockets, for example 'are whole after a sound continuation: with a terminating chunk': f0f1 instead of f0f1f2f3f4. Now all pass: 10 places of the break with 25 answers to the resumed request.

--- a/lib/engine/stream.go
+++ b/lib/engine/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"time"
 
@@ -93,8 +94,13 @@
 	e := sse.NewEvent()
 	defer e.Release()
 	if err := s.reader.Read(e); err != nil {
-		if ctxErr := s.ctx.Err(); ctxErr != nil {
+		switch ctxErr := s.ctx.Err(); {
+		case ctxErr != nil:
 			err = ctxErr
+		case errors.Is(err, io.EOF):
+			// Only the end event ends a response. The error must not match io.EOF, which Next
+			// returns for that.
+			err = io.ErrUnexpectedEOF
 		}
 		return "", nil, mayHaveRun(wrapCause(ErrIncomplete, err))
 	}
