entry/caller: hold the response of a plain service until its status is known

Seen by callers: with Accept: text/event-stream, a plain service's 500 came as status 200 with the text of the error as an ordinary chunk; and after the first bytes of a response that broke off, no other instance could answer, although the call may be repeated. Cause: a plain service's status comes with the end of its response; the state machine of a request requires such responses to be buffered, and the server streamed them. Change: they are held, and streamed once they are complete; a failure has its status and body, as without streaming. Memory is bounded as for other buffered responses. Failed before: 'sends a failure of a plain service with its status, not as a part of a stream' (got 200), 'streams the response of a plain service without the parts of earlier attempts' (got the chunk 'half of an') and 'streams nothing of a plain service that never completes' (got 200). Now pass; ./entry/dispatch and ./internal/deployment pass. A stream of a model that breaks off ends with its final event, outcome unknown and no digest; a spec has that now.

--- /dev/null
+++ b/entry/caller/held_response.go
@@ -0,0 +1,31 @@
+package caller
+
+import (
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/auburnbend/auburnbend/lib/outcome"
+)
+
+// heldStreamResponse streams the response of a plain service once it is complete. Its
+// status comes with its end, so no byte can be sent before: the text of an error, or a
+// part of a response that another attempt replaces, would be in the stream.
+type heldStreamResponse struct {
+	*bufferedResponse
+	stream *streamResponse
+}
+
+func newHeldStreamResponse(ctx *app.RequestContext, request string) *heldStreamResponse {
+	return &heldStreamResponse{bufferedResponse: newBufferedResponse(ctx, request), stream: newStreamResponse(ctx, request)}
+}
+
+// End sends a failure with its status, as to callers that want no stream.
+func (w *heldStreamResponse) End(r Result) {
+	if r.Outcome != outcome.Completed {
+		w.bufferedResponse.End(r)
+		return
+	}
+	if len(w.data) > 0 && w.stream.Write(w.data) != nil {
+		return
+	}
+	w.stream.End(r)
+}
--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -153,7 +153,10 @@
 		response.End(Result{Outcome: outcome.NotRun, Reason: refused.reason, Detail: refused.detail})
 		return
 	}
-	s.cfg.Handler.Handle(c, request, newResponseWriter(ctx, string(request.ID)))
+	if request.Service.Kind == config.KindPlain && acceptsStream(ctx) {
+		response = newHeldStreamResponse(ctx, string(request.ID))
+	}
+	s.cfg.Handler.Handle(c, request, response)
 }
 
 // readRaw copies all values: hertz reuses its buffers after the handler
@@ -175,8 +178,12 @@
 }
 
 func newResponseWriter(ctx *app.RequestContext, request string) ResponseWriter {
-	if strings.Contains(string(ctx.GetHeader("Accept")), "text/event-stream") {
+	if acceptsStream(ctx) {
 		return newStreamResponse(ctx, request)
 	}
 	return newBufferedResponse(ctx, request)
 }
+
+func acceptsStream(ctx *app.RequestContext) bool {
+	return strings.Contains(string(ctx.GetHeader("Accept")), "text/event-stream")
+}
--- a/entry/caller/server_test.go
+++ b/entry/caller/server_test.go
@@ -22,8 +22,10 @@
 
 // script is the response of a fakeHandler.
 type script struct {
-	parts  []string
-	result Result
+	// discarded are parts of attempts that are given up.
+	discarded []string
+	parts     []string
+	result    Result
 }
 
 // fakeHandler sends a scripted response. The script is atomic because the
@@ -32,6 +34,12 @@
 
 func (f *fakeHandler) Handle(_ context.Context, _ *Request, w ResponseWriter) {
 	s := f.script.Load()
+	for _, p := range s.discarded {
+		if w.Write([]byte(p)) != nil || !w.Buffered() {
+			return
+		}
+		w.Reset()
+	}
 	for _, p := range s.parts {
 		if w.Write([]byte(p)) != nil {
 			return
@@ -61,7 +69,7 @@
 		client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 		invalid = &fakeInvalid{reasons: make(chan outcome.Reason, 4)}
 		cfg := &config.Config{
-			Services: []config.Service{{Name: "draft"}},
+			Services: []config.Service{{Name: "draft"}, {Name: "order", Kind: config.KindPlain}},
 			Tenants:  []config.Tenant{{Name: "huye"}},
 		}
 		server = NewServer(Config{
@@ -136,6 +144,53 @@
 		Expect(body).NotTo(ContainSubstring("partial"))
 	})
 
+	It("sends a failure of a plain service with its status, not as a part of a stream", func() {
+		// Guards against the text of an error in the stream of a caller that has already
+		// got status 200 for it.
+		handler.script.Store(&script{
+			parts:  []string{"upstream failed"},
+			result: Result{Outcome: outcome.Failed, Reason: outcome.ReasonBackendError, Status: 502, Frames: 1},
+		})
+		response, body := send("order", "text/event-stream")
+		Expect(response.StatusCode).To(Equal(502))
+		Expect(response.Header.Get(HeaderOutcome)).To(Equal("failed"))
+		Expect(body).To(Equal("upstream failed"))
+	})
+
+	It("streams the response of a plain service without the parts of earlier attempts", func() {
+		// Guards against a plain service whose broken response cannot be replaced.
+		handler.script.Store(&script{
+			discarded: []string{"half of an"}, parts: []string{"whole answer"},
+			result: Result{Outcome: outcome.Completed, Status: 200, Frames: 1},
+		})
+		_, body := send("order", "text/event-stream")
+		Expect(body).To(ContainSubstring("event: chunk\ndata: \"whole answer\""))
+		Expect(body).To(ContainSubstring("event: end"))
+		Expect(body).NotTo(ContainSubstring("half"))
+	})
+
+	It("streams nothing of a plain service that never completes", func() {
+		handler.script.Store(&script{
+			parts:  []string{"partial"},
+			result: Result{Outcome: outcome.Unknown, Reason: outcome.ReasonConnectionLost},
+		})
+		response, body := send("order", "text/event-stream")
+		Expect(response.StatusCode).To(Equal(http.StatusGatewayTimeout))
+		Expect(body).NotTo(ContainSubstring("partial"))
+	})
+
+	It("ends a stream that breaks off with its outcome and without a digest", func() {
+		// Guards against a part of a stream that passes for the whole: callers look at the
+		// final event.
+		handler.script.Store(&script{
+			parts:  []string{"partial"},
+			result: Result{Outcome: outcome.Unknown, Reason: outcome.ReasonIncomplete, Frames: 1},
+		})
+		_, body := send("draft", "text/event-stream")
+		Expect(body).To(ContainSubstring(`"outcome":"unknown","reason":"incomplete_answer"`))
+		Expect(body).NotTo(ContainSubstring("digest"))
+	})
+
 	It("sets status, outcome and Retry-After for a request that was not run", func() {
 		handler.script.Store(&script{
 			result: Result{Outcome: outcome.NotRun, Reason: outcome.ReasonOverloaded, RetryAfter: 1500 * time.Millisecond},
