Soak: engines that break streams off and spoil continued ones

The stand-in breaks streams off at random events and places, and answers continued requests with errors, documents, error events, wrong events and ends that are none; the step break-streams sets this on all engines at once.

--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -29,6 +29,7 @@
 	CrashServer           StepKind = "crash-server"
 	DrainServer           StepKind = "drain-server"
 	ServerMisbehaves      StepKind = "trouble-server"
+	EnginesBreakStreams   StepKind = "break-streams"
 	ServerSignalsDraining StepKind = "leave-server"
 	ServerSendsRetryAfter StepKind = "pause-server"
 	ServerLimitsRate      StepKind = "limit-server"
@@ -78,6 +79,7 @@
 	KillEntry, KillEntry, KillAgent, KillAll, PauseEntry, PauseAgent, StopEntry, StopEntry, ReloadEntry,
 	StoreLink, StoreLink, ServerLink, ServerLink, OriginLink, StoreDown, StoreDropsHistory, StoreStale,
 	CrashServer, CrashServer, DrainServer, ServerMisbehaves, ServerMisbehaves, CorruptStagedPiece, CorruptOriginPieces,
+	EnginesBreakStreams,
 	ServerSignalsDraining, ServerSignalsDraining, ServerSendsRetryAfter, ServerSendsRetryAfter, ServerLimitsRate, ServerLimitsRate, SendPoison, SendPoison,
 	ChangeConfig, ChangeConfig, DeclareVersion, DeclareVersion,
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -35,6 +35,9 @@
 			Expect(result.Answered).To(BeNumerically(">", result.Requests/4))
 		},
 		Entry("random steps", uint64(1), 8*time.Second, nil),
+		// Before it was checked what continues a stream, callers got the text of errors, events
+		// twice and ends that were none.
+		Entry("streams that break off", uint64(117), 4*time.Second, []Step{{Kind: EnginesBreakStreams, Start: firstStepStart, Duration: 2500 * time.Millisecond}}),
 		// The callers of the test kept using an entry longer than the load balancer does.
 		Entry("an entry that stops", uint64(116), 3*time.Second, []Step{{Kind: StopEntry, Start: firstStepStart, Duration: time.Second, Target: 2}}),
 	)
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -206,6 +206,8 @@
 		server.SetFault(platformtest.FaultDuplicate + platformtest.Fault(s.Target/len(t.backends))%(platformtest.FaultCount-1))
 		wait(ctx, s.Duration)
 		server.SetFault(platformtest.FaultNone)
+	case EnginesBreakStreams:
+		t.breakStreams(ctx, s.Duration)
 	case DrainServer:
 		t.drainServer(ctx, pick(t.backends, s.Target))
 	case ServerSignalsDraining:
