gateway: compare the version of a continuation with its first event only

A fault of this branch, found by reading it again: a sound continuation whose server changed its weights later was refused at the event after the change, as its head names the version before; the stream went to yet another server or was cut. Failed before: 'may change their weights after they were continued': ended after event 4 and incomplete.

--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -66,7 +66,7 @@
 		return errEventOrder
 	case e.IsIgnorable:
 		return nil
-	case continues && r.stream.version > 0 && reply.Version != r.stream.version:
+	case first && continues && r.stream.version > 0 && reply.Version != r.stream.version:
 		// A server that has no more events names no version, as it makes none. With events,
 		// an unknown version is another one.
 		return errOtherWeights
