--- a/agent/agent.go
+++ b/agent/agent.go
@@ -37,7 +37,11 @@
 	transfer *transfer.Service
 	weights  *backend.Runner
 	cache    cacheReader
-	roles    roles
+	// loadRecord stores which load of the engine is known to be intact.
+	loadRecord loadRecordFile
+	// live is the record of the weights that are served. It is nil for plain services.
+	live  atomic.Pointer[backend.LoadRecord]
+	roles roles
 	// fetchTimer records when the fetch of the current manifest began.
 	fetchTimer fetchTimer
 	// rank is the position of the instance in its pool, or unknownRank.
@@ -112,6 +116,10 @@
 		a.cfg.Log.Log(eventlog.FencingIgnored)
 	}
 	a.cfg.Backend.Guard.Epoch = a.nextEpoch(client)
+	a.loadRecord = newLoadRecordFile(a.cfg.StagingDir)
+	recorded := a.loadRecord.read()
+	a.cfg.Backend.Recorded = recorded
+	a.live.Store(&recorded)
 	a.weights = backend.NewRunner(backend.RunnerConfig{
 		Machine: a.cfg.Backend,
 		Clock:   a.cfg.Clock,
--- a/agent/backend/action.go
+++ b/agent/backend/action.go
@@ -23,19 +23,30 @@
 	// ActionServe admits requests for Weights, or for none if Weights is zero. It also
 	// ends a quiesce.
 	ActionServe
+	// ActionAbort lets no running request end as a success, because the engine may have
+	// changed its weights during them. Restarted tells whether the engine restarted.
+	ActionAbort
 	// ActionReadState reads the engine's state. The result goes to HandleState.
 	ActionReadState
+	// ActionVerifyStaged verifies the Staged files before they are loaded. The result
+	// and Number go to HandleVerified.
+	ActionVerifyStaged
+	// ActionVerifyLoaded verifies that the Staged files are intact and that nobody has
+	// changed them since they were verified. The result and Number go to HandleVerified.
+	ActionVerifyLoaded
 	// ActionOrder sends Order to the engine. The result goes to HandleReply.
 	ActionOrder
 	// ActionOrderDone reports the Result of an order submitted with SubmitOrder.
 	ActionOrderDone
 	// ActionReport reports the Phase of Weights.
 	ActionReport
+	// ActionRecord replaces the stored LoadRecord by Record.
+	ActionRecord
 )
 
 // String returns the name that is shown in traces.
 func (k ActionKind) String() string {
-	return [...]string{"fetch", "cancel_fetch", "permit", "quiesce", "serve", "read_state", "order", "order_done", "report"}[k]
+	return [...]string{"fetch", "cancel_fetch", "permit", "quiesce", "serve", "abort", "read_state", "verify_staged", "verify_loaded", "order", "order_done", "report", "record"}[k]
 }
 
 // Action is an operation that the owner of a Machine must carry out. Only the fields
@@ -46,6 +57,11 @@
 	Order   engine.Order
 	Phase   wire.Phase
 	Result  engine.Result
+	Record  LoadRecord
+	Staged  StagedWeights
+	Number  uint64
+	// Restarted is true for ActionAbort if the engine's incarnation changed.
+	Restarted bool
 	// Err is the reason for ActionReport with PhaseFailed.
 	Err error
 }
--- a/agent/engine_stream_test.go
+++ b/agent/engine_stream_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/auburnbend/auburnbend/agent/backend"
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/engine"
 	"github.com/auburnbend/auburnbend/lib/model"
@@ -45,6 +46,7 @@
 		e := &engineServer{
 			client: client, cfg: Config{Clock: clock.System{}}, onCrash: func(uint64) {},
 			roles: &roles{declared: model.RoleMixed}, firstTokens: &firstTokens{},
+			live: func() *backend.LoadRecord { return nil },
 		}
 		received := ""
 		_, _, err = e.Run(context.Background(), wire.RequestStart{Request: "r1", Attempt: "s1", Weights: weights}, func(data []byte) error {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -6,13 +6,15 @@
 	"io"
 	"sync"
 	"time"
+
+	"github.com/auburnbend/auburnbend/platform/platformtest"
 )
 
 // Options configures a run.
 type Options struct {
 	Seed uint64
-	// Slot determines the loopback addresses of the run. Concurrent runs need different
-	// slots.
+	// Slot determines the loopback addresses of the run. If another run uses them, those
+	// of the next free slot are used.
 	Slot int
 	// Dir is the directory for settings files and logs.
 	Dir      string
@@ -49,7 +51,12 @@
 // outcome. It returns an error if the daemons could not be started or ctx has ended;
 // violations are part of the Result.
 func Run(ctx context.Context, o Options) (*Result, error) {
-	t, err := newTestbed(o.Slot, o.Seed, o.Dir, o.Binaries)
+	subnet, reservation, err := platformtest.ReserveSubnet(firstSubnet + o.Slot)
+	if err != nil {
+		return nil, err
+	}
+	defer reservation.Close()
+	t, err := newTestbed(subnet-firstSubnet, o.Seed, o.Dir, o.Binaries)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -7,6 +7,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/gexec"
+
+	"github.com/auburnbend/auburnbend/platform/platformtest"
 )
 
 var _ = Describe("The daemons", Ordered, func() {
@@ -38,7 +40,31 @@
 		// Before it was checked what continues a stream, callers got the text of errors, events
 		// twice and ends that were none.
 		Entry("streams that break off", uint64(117), 4*time.Second, []Step{{Kind: EnginesBreakStreams, Start: firstStepStart, Duration: 2500 * time.Millisecond}}),
+		// Engines took pieces that had been corrupt for 3.5 s: their agents verified pieces
+		// long before the orders.
+		Entry("slow staging while staged pieces turn corrupt", uint64(32009), 10*time.Second, []Step{
+			{Kind: DeclareVersion, Start: 2 * time.Second},
+			{Kind: SlowStaging, Start: 2 * time.Second, Duration: 7 * time.Second},
+			{Kind: CorruptPiecesOften, Start: 2 * time.Second, Duration: 7 * time.Second, Target: 63},
+		}),
+		// Requests that had run were sent to another server, or refused as not run.
+		Entry("servers that send earlier refusals before their responses", uint64(117), 6*time.Second, earlierRefusals()),
 		// The callers of the test kept using an entry longer than the load balancer does.
 		Entry("an entry that stops", uint64(116), 3*time.Second, []Step{{Kind: StopEntry, Start: firstStepStart, Duration: time.Second, Target: 2}}),
 	)
 })
+
+// earlierRefusals returns steps in which each server, one after another, sends refusals
+// of earlier requests, and then refusals that name no request.
+func earlierRefusals() []Step {
+	var steps []Step
+	for _, fault := range []platformtest.Fault{platformtest.FaultRepeatedRefusal, platformtest.FaultAnonymousRefusal} {
+		for server := range engineCount + plainCount {
+			steps = append(steps, Step{
+				Kind: ServerMisbehaves, Start: firstStepStart + time.Duration(len(steps))*250*time.Millisecond, Duration: 500 * time.Millisecond,
+				Target: server + (engineCount+plainCount)*int(fault-platformtest.FaultDuplicate),
+			})
+		}
+	}
+	return steps
+}
--- a/lib/weights/store.go
+++ b/lib/weights/store.go
@@ -1,8 +1,13 @@
 package weights
 
 import (
+	"context"
+	"errors"
 	"io"
+	"io/fs"
+	"runtime"
 	"sync"
+	"sync/atomic"
 
 	"github.com/ansel1/merry/v2"
 
@@ -12,6 +17,9 @@
 // DefaultMaxBytes is the size limit of a store if the settings give none.
 const DefaultMaxBytes = 64 << 30
 
+// maxVerifiers bounds the number of chunks that a verification holds in memory.
+const maxVerifiers = 4
+
 // StoreConfig holds the parameters of a Store.
 type StoreConfig struct {
 	// Storage stores the data. The default is a MemoryStorage.
@@ -154,13 +162,27 @@
 	return s.bytes
 }
 
-// Get returns the data of a held chunk. It returns ErrIncomplete if the chunk is
-// absent.
+// Get returns the data of a held chunk after checking its digest. It returns
+// ErrIncomplete if the chunk cannot be read and ErrChunkCorrupt if its data is not
+// intact. A chunk that is corrupt, or whose file was deleted, is dropped.
 func (s *Store) Get(digest model.Digest) ([]byte, error) {
-	if !s.Has(digest) {
+	s.mu.Lock()
+	size, ok := s.sizes[digest]
+	s.mu.Unlock()
+	if !ok {
 		return nil, merry.Wrap(ErrIncomplete, merry.AppendMessagef("chunk %s not found", digest.Short()))
 	}
-	return s.cfg.Storage.Get(digest)
+	data, err := s.cfg.Storage.Get(digest)
+	if err == nil && (len(data) != int(size) || model.Sum(data) != digest) {
+		err = merry.Wrap(ErrChunkCorrupt, merry.AppendMessagef("chunk %s, got %d of %d bytes", digest.Short(), len(data), size))
+	}
+	if err == nil {
+		return data, nil
+	}
+	if errors.Is(err, ErrChunkCorrupt) || errors.Is(err, fs.ErrNotExist) {
+		s.drop(digest)
+	}
+	return nil, err
 }
 
 // Have returns a bitmap of the held chunks of a manifest.
@@ -176,41 +198,69 @@
 	return have
 }
 
-// Verify reads all chunks of a manifest and checks their digests. It is called
-// right before a load to detect data corrupted after the transfer. It drops the
-// first corrupt chunk, so that the transfer fetches it again, and returns
-// ErrChunkCorrupt. It returns ErrIncomplete if a chunk is missing.
-func (s *Store) Verify(m *Manifest) error {
-	return s.forEachChunk(m, func([]byte) error { return nil })
+// Verify reads all chunks of a manifest and checks their digests. It drops those that
+// are corrupt or cannot be read, so that the transfer fetches them again, and returns
+// ErrChunkCorrupt or ErrIncomplete for the first of them. It reads several chunks at a
+// time, because an instance serves nothing while its loaded files are verified.
+func (s *Store) Verify(m *Manifest) error { return s.verify(context.Background(), m) }
+
+// verify is like Verify. If ctx ends first, it returns the error of ctx.
+func (s *Store) verify(ctx context.Context, m *Manifest) error {
+	var (
+		workers sync.WaitGroup
+		next    atomic.Int64
+		mu      sync.Mutex
+		failed  = len(m.Chunks)
+		first   error
+	)
+	for range min(maxVerifiers, runtime.GOMAXPROCS(0), len(m.Chunks)) {
+		workers.Go(func() {
+			for i := int(next.Add(1)) - 1; i < len(m.Chunks) && ctx.Err() == nil; i = int(next.Add(1)) - 1 {
+				if _, err := s.read(m.Chunks[i]); err != nil {
+					mu.Lock()
+					if i < failed {
+						failed, first = i, merry.Prependf(err, "chunk %d of %d", i, len(m.Chunks))
+					}
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	workers.Wait()
+	if first == nil {
+		return ctx.Err()
+	}
+	return first
 }
 
 // Assemble writes the concatenated chunks in the order of the manifest and
 // verifies each one. After an error the output is invalid.
 func (s *Store) Assemble(m *Manifest, w io.Writer) error {
-	return s.forEachChunk(m, func(data []byte) error {
-		_, err := w.Write(data)
-		return merry.Wrap(err)
-	})
-}
-
-func (s *Store) forEachChunk(m *Manifest, visit func([]byte) error) error {
 	for i, c := range m.Chunks {
-		data, err := s.Get(c.Digest)
+		data, err := s.read(c)
 		if err != nil {
-			s.drop(c.Digest) // its file may have been deleted from the staging directory
 			return merry.Prependf(err, "chunk %d of %d", i, len(m.Chunks))
 		}
-		if len(data) != int(c.Size) || model.Sum(data) != c.Digest {
-			s.drop(c.Digest)
-			return merry.Wrap(ErrChunkCorrupt, merry.AppendMessagef("chunk %d of %d", i, len(m.Chunks)))
-		}
-		if err := visit(data); err != nil {
-			return err
+		if _, err := w.Write(data); err != nil {
+			return merry.Wrap(err)
 		}
 	}
 	return nil
 }
 
+// read returns the data of a chunk of a manifest. It drops a chunk that Get cannot return.
+func (s *Store) read(c Chunk) ([]byte, error) {
+	data, err := s.Get(c.Digest)
+	if err == nil && len(data) != int(c.Size) {
+		err = merry.Wrap(ErrChunkCorrupt, merry.AppendMessagef("chunk %s has %d bytes, want %d", c.Digest.Short(), len(data), c.Size))
+	}
+	if err != nil {
+		s.drop(c.Digest)
+		return nil, err
+	}
+	return data, nil
+}
+
 func (s *Store) drop(digest model.Digest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
