--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -12,12 +12,22 @@
 	"github.com/auburnbend/auburnbend/lib/sse"
 )
 
+// maxHeldBytes bounds the comments that are held back before the first event of an
+// attempt.
+const maxHeldBytes = 64 << 10
+
 // relay passes a stream on, event by event. The head is sent with the first event,
-// so that a stream which breaks earlier can restart on another server.
+// so that a stream which breaks earlier can restart on another server. Comments before
+// it are held back, because they do not show that the response is a stream; those of a
+// continuation are dropped.
 func (r *request) relay(lease *placement.Lease, conn *upstream.Exchange, resp *http.Response, reply ResponseInfo) attemptResult {
-	if r.stream.started && r.stream.version > 0 && reply.Version != r.stream.version {
-		return r.mayHaveRunResult("continuation on other weights")
+	if v := r.stream.version; r.stream.started && v > 0 && reply.Version > 0 && reply.Version != v {
+		return r.mayHaveRunResult(errOtherWeights.Error())
 	}
+	continues := r.stream.started
+	passedOn := 0
+	// held are the comments before the first event of the attempt.
+	var held []byte
 	events := sse.NewReader(resp.Body)
 	control := http.NewResponseController(r.writer)
 	timeout := r.stallTimeout()
@@ -32,6 +42,9 @@
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			if passedOn == 0 {
+				return r.endWithoutEvents(resp, reply, held)
+			}
 			return r.streamEnd()
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -42,10 +55,28 @@
 			r.recordInterrupted(lease, err)
 			return r.mayHaveRunResult("stream broken off")
 		}
-		if event.HasID && event.ID <= r.stream.lastEventID {
-			return r.mayHaveRunResult("event out of order")
+		if err := r.checkEvent(event, passedOn == 0, continues, reply); err != nil {
+			// The events before it came with it and are not sent yet.
+			if r.stream.started && control.Flush() != nil {
+				return r.callerWriteFailed()
+			}
+			return r.mayHaveRunResult(err.Error())
+		}
+		if passedOn == 0 && event.IsIgnorable {
+			if held = append(held, event.Raw...); len(held) > maxHeldBytes {
+				return r.mayHaveRunResult("too many comments before the first event")
+			}
+			continue
+		}
+		if !continues && passedOn == 0 {
+			r.beginStream(resp, reply)
+			if _, err := r.writer.Write(held); err != nil {
+				return r.callerWriteFailed()
+			}
+		}
+		if !event.IsIgnorable {
+			passedOn++
 		}
-		r.beginStream(resp, reply)
 		if _, err := r.writer.Write(event.Raw); err != nil {
 			return r.callerWriteFailed()
 		}
@@ -86,9 +117,6 @@
 }
 
 func (r *request) beginStream(resp *http.Response, reply ResponseInfo) {
-	if r.stream.started {
-		return
-	}
 	r.stream.started = true
 	r.stream.version = reply.Version
 	r.summary.TimeToFirstByte = r.gateway.now().Sub(r.arrived)
@@ -105,14 +133,38 @@
 	r.stream.lastEventAt = now
 	r.summary.Events++
 	if event.HasID {
+		if last := r.stream.lastEventID; last >= 0 && event.ID != last+1 {
+			r.stream.irregular = true
+		}
 		r.stream.lastEventID = event.ID
 	}
+	if !event.IsIgnorable {
+		r.stream.unnumbered = !event.HasID
+	}
+	if v := r.gateway.config.Dialect.EventVersion(event.Raw); v > 0 {
+		r.stream.version = v
+	}
 }
 
-func (r *request) streamEnd() attemptResult {
-	if !r.stream.started {
+// endWithoutEvents ends an attempt whose stream has ended before its first event.
+func (r *request) endWithoutEvents(resp *http.Response, reply ResponseInfo, held []byte) attemptResult {
+	switch {
+	case r.stream.lastEventID < 0:
 		return r.mayHaveRunResult("stream without events")
+	case r.stream.started && len(held) > 0, !hasMarkedEnd(resp):
+		return r.mayHaveRunResult("continuation without events")
+	}
+	// The caller has all events and misses only the end.
+	if !r.stream.started {
+		r.beginStream(resp, reply)
+		if _, err := r.writer.Write(held); err != nil {
+			return r.callerWriteFailed()
+		}
 	}
+	return r.streamEnd()
+}
+
+func (r *request) streamEnd() attemptResult {
 	r.summary.Outcome = string(outcomeAnswered)
 	return attemptResult{result: placement.Answered, delivered: true, sent: true}
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -69,9 +69,15 @@
 type streamState struct {
 	// started is set once the head has been sent.
 	started bool
-	// lastEventID is the last event that was sent; negative before the first.
+	// lastEventID is the last event that the caller has: the last one that was sent, or
+	// the one after which it resumes the stream itself; negative if it has none.
 	lastEventID int64
-	// version is the version of the weights that the events were made with.
+	// irregular is set if the IDs of a server's own events have gaps, so that a missing
+	// event at the beginning of a continuation cannot be recognized.
+	irregular bool
+	// unnumbered is set if the last event had no ID. Another server would send it again.
+	unnumbered bool
+	// version is the version of the weights that the last event was made with.
 	version     int
 	lastEventAt time.Time
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -85,6 +85,9 @@
 	if s := r.table.Service(r.service); s != nil {
 		r.engine = s.Engine
 	}
+	if r.isStreaming() && r.route.Repeatable() {
+		r.stream.lastEventID = r.info.LastEventID
+	}
 	r.setDeadline()
 	return r.readBody()
 }
@@ -196,7 +199,7 @@
 	if result.sent && result.mayHaveRun && !r.route.Repeatable() {
 		return false
 	}
-	if r.quarantineRefusal() != nil {
+	if r.stream.unnumbered || r.quarantineRefusal() != nil {
 		return false
 	}
 	if !result.sent {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -37,6 +37,9 @@
 			Expect(result.Answered).To(BeNumerically(">", result.Requests/4))
 		},
 		Entry("random steps", uint64(1), 8*time.Second, nil),
+		// Before it was checked what continues a stream, callers got the text of errors, events
+		// twice and ends that were none.
+		Entry("streams that break off", uint64(117), 4*time.Second, []Step{{Kind: EnginesBreakStreams, Start: firstStepStart, Duration: 2500 * time.Millisecond}}),
 		// Engines took pieces that had been corrupt for 3.5 s: their agents verified pieces
 		// long before the orders.
 		Entry("slow staging while staged pieces turn corrupt", uint64(32009), 10*time.Second, []Step{
