Requests with homes are served in their regions only

Cause: a route or a team may name the regions that may serve it; the gateway did not read them, and placed such requests anywhere.

The regions that both allow are part of each placement request. lib/placement leaves out all other servers before it looks at load, ejections, pauses and rate limits; the caller's entry checks a granted lease again. If only the homes exclude the servers, the request is refused at once with reason no_home.

--- a/gateway/place.go
+++ b/gateway/place.go
@@ -82,7 +82,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	listing := g.directory.Get(granted.server)
-	if listing == nil || listing.Draining || granted.version < req.MinVersion || g.picker.Throttled(granted.server, g.now()) {
+	if listing == nil || listing.Draining || !g.picker.IsHome(listing, req) || granted.version < req.MinVersion || g.picker.Throttled(granted.server, g.now()) {
 		return nil
 	}
 	if g.picker.RateLimited(granted.server) && !granted.limitChecked {
@@ -222,6 +222,7 @@
 		Version: req.Version, MinVersion: req.MinVersion, NextVersion: req.NextVersion,
 		PromptTokens: req.PromptTokens, OutputTokens: req.OutputTokens,
 		LatencyTargetMillis: req.LatencyTarget.Milliseconds(), RemainingMillis: req.Remaining.Milliseconds(), MayHaveRun: req.MayHaveRun,
+		Homes: req.Homes.Regions, HomesOnly: req.Homes.Restricted,
 	}
 	if req.NextVersion != 0 {
 		query.NextMillis = req.NextVersionAt.Sub(now).Milliseconds()
--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -100,6 +100,23 @@
 		}
 	})
 
+	It("keeps to the regions that may serve a request", func() {
+		// Guards against a placing entry that does not know them, and against an entry that
+		// uses a lease outside of them.
+		links := startRegion(3)
+		other := byRank(links, 2)
+		elsewhere := req
+		elsewhere.Homes = serving.Homes{Restricted: true, Regions: []string{"s"}}
+		granted, refusal, by := other.requestPlacement(context.Background(), &elsewhere)
+		Expect(granted).To(BeNil())
+		Expect(by).To(Equal(byRank(links, 0).self))
+		Expect(refusal.Reason).To(Equal(placement.NoHome))
+		granted, _, _ = other.requestPlacement(context.Background(), &req)
+		Expect(granted).NotTo(BeNil())
+		Expect(other.gateway.adopt(granted, &elsewhere)).To(BeNil())
+		Expect(other.gateway.adopt(granted, &req)).NotTo(BeNil())
+	})
+
 	It("releases leases when requests end", func() {
 		links := startRegion(3)
 		placer, other := byRank(links, 0), byRank(links, 2)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -96,6 +96,7 @@
 		Service: r.service, Engine: r.engine, Model: r.info.Model, Version: r.stream.version, MinVersion: r.gateway.versions.MinVersion(r.info.Model, now),
 		PromptTokens: r.info.PromptTokens, OutputTokens: r.info.ExpectedTokens,
 		Remaining: r.remaining(now), Exclude: r.triedServers, MayHaveRun: r.stream.started || r.mayHaveRun,
+		Homes: r.homes(),
 	}
 	req.NextVersion, req.NextVersionAt = r.gateway.versions.NextMinVersion(r.info.Model, now)
 	r.nextVersion, r.nextAt = req.NextVersion, req.NextVersionAt
@@ -109,6 +110,14 @@
 	return req
 }
 
+// homes returns the regions that both the route and the team of the request allow.
+func (r *request) homes() serving.Homes {
+	if r.team == nil {
+		return serving.CommonHomes(r.route.AllowedRegions)
+	}
+	return serving.CommonHomes(r.route.AllowedRegions, r.team.AllowedRegions)
+}
+
 func (r *request) upstreamRequest(attempt AttemptInfo) *upstream.Request {
 	header := forwardedHeader(r.http.Header)
 	r.gateway.config.Dialect.PrepareAttempt(header, attempt)
--- a/internal/node/deployment_test.go
+++ b/internal/node/deployment_test.go
@@ -149,10 +149,7 @@
 	origin, err := platformtest.NewOrigin(s.address(1, 0, 9000), testWeights, 1)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(origin.Close)
-	s.store.PutLiveConfig(platformtest.LiveConfig{
-		Version: 1, Routes: testRoutes, EngineService: "engines", Slots: serverSlots, Weights: testWeights,
-		Origin: s.address(1, 0, 9000), OriginMbps: 100, PlainServices: []string{"desk"}, Team: "carvers", APIKey: testAPIKey,
-	})
+	s.store.PutLiveConfig(s.liveConfig(1))
 	for i := range engines {
 		s.startBackend(platformtest.BackendConfig{
 			ID: fmt.Sprintf("engine-%d", i), Service: "engines", Address: s.address(2, i, 9000), Weights: &testWeights, Version: 1, Events: 3,
@@ -171,6 +168,15 @@
 	return s
 }
 
+// liveConfig returns a version of the live configuration with testRoutes and a team that
+// all regions may serve.
+func (s *deployment) liveConfig(version int) platformtest.LiveConfig {
+	return platformtest.LiveConfig{
+		Version: version, Routes: testRoutes, EngineService: "engines", Slots: serverSlots, Weights: testWeights,
+		Origin: s.address(1, 0, 9000), OriginMbps: 100, PlainServices: []string{"desk"}, Team: "carvers", APIKey: testAPIKey,
+	}
+}
+
 func (s *deployment) startBackend(c platformtest.BackendConfig, number int) {
 	c.Listen, c.Domain, c.Slots, c.WorkTime = c.Address, testDomains[number%len(testDomains)], serverSlots, 5*time.Millisecond
 	c.PoisonBody, c.RestartDelay, c.Store, c.Recorder = poisonBody, restartDelay, s.store, s
--- a/lib/placement/pause.go
+++ b/lib/placement/pause.go
@@ -81,7 +81,7 @@
 	}
 	var earliest time.Time
 	for _, listing := range p.directory.ByService(req.Service) {
-		if listing.Draining || !hasWeights(listing, req) {
+		if listing.Draining || !p.IsHome(listing, req) || !hasWeights(listing, req) {
 			continue
 		}
 		s := p.state(listing)
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -87,7 +87,7 @@
 	}
 	reason = Overloaded
 	var best *candidate
-	for _, s := range p.candidates(eligible, available, now) {
+	for _, s := range p.candidates(req, eligible, available, now) {
 		e := s.predict(req, now)
 		if s.mayMissVersionDeadline(req, e, now) {
 			reason = NoWeights
@@ -121,6 +121,10 @@
 	for _, listing := range p.directory.ByService(req.Service) {
 		switch {
 		case listing.Draining || req.excludes(listing.Key()):
+		case !p.IsHome(listing, req):
+			if reason == NoServer {
+				reason = NoHome
+			}
 		case !hasWeights(listing, req):
 			reason = NoWeights
 		default:
@@ -162,14 +166,16 @@
 // same one. Remote servers that report to this entry are preferred: of the others,
 // only its own requests are known. The minimum time between two requests to the same
 // remote server does not apply if there is no other choice because local servers are
-// at their rate limits: these last longer than a moment of load.
-func (p *Picker) candidates(eligible, available []*server, now time.Time) []*server {
-	var local, reported, unreported, recent []*server
+// at their rate limits or must not serve the request: that lasts longer than a moment
+// of load. In the latter case, remote servers that have just opened are used as well.
+func (p *Picker) candidates(req *Request, eligible, available []*server, now time.Time) []*server {
+	var local, reported, unreported, recent, opened []*server
 	for _, s := range available {
 		switch {
 		case p.isLocal(s):
 			local = append(local, s)
 		case s.justOpened(now):
+			opened = append(opened, s)
 		case s.placedRecently(now):
 			recent = append(recent, s)
 		case s.hasReport(now):
@@ -186,6 +192,9 @@
 	if len(local)+len(remote) == 0 && slices.ContainsFunc(eligible, atLimit) {
 		remote = recent
 	}
+	if len(local)+len(remote) == 0 && !p.isLocalHome(req) {
+		remote = append(recent, opened...)
+	}
 	if len(remote) > remoteChoices {
 		p.rng.Shuffle(len(remote), func(i, j int) { remote[i], remote[j] = remote[j], remote[i] })
 		remote = remote[:remoteChoices]
--- a/lib/placement/refusal.go
+++ b/lib/placement/refusal.go
@@ -9,6 +9,9 @@
 const (
 	// NoServer means that no server of the service may run the request.
 	NoServer Reason = "no_server"
+	// NoHome means that no server of the service is in a region that may serve the
+	// request.
+	NoHome Reason = "no_home"
 	// NoWeights means that no server has loaded the required weights.
 	NoWeights Reason = "no_weights"
 	// Overloaded means that no server can respond in time.
--- a/lib/placement/request.go
+++ b/lib/placement/request.go
@@ -35,6 +35,8 @@
 	Remaining time.Duration
 	// Exclude lists servers that must not get the request.
 	Exclude []directory.Key
+	// Homes are the regions whose servers may run the request.
+	Homes serving.Homes
 	// MayHaveRun is set if the request may have begun on another server, so that a
 	// refusal could not guarantee that it has not run. It is then not refused for a
 	// missed latency target.
--- a/lib/serving/route.go
+++ b/lib/serving/route.go
@@ -25,6 +25,9 @@
 	// Resumable streams may continue on another backend server after the last event
 	// that was delivered.
 	Resumable bool
+	// AllowedRegions are the regions whose backend servers may serve the route; empty for
+	// all.
+	AllowedRegions []string
 }
 
 // Repeatable reports whether a request of this route may run more than once.
--- a/lib/serving/team.go
+++ b/lib/serving/team.go
@@ -8,4 +8,7 @@
 	Priority int
 	// HasPriority is true if a priority was declared.
 	HasPriority bool
+	// AllowedRegions are the regions whose backend servers may serve the team; empty for
+	// all.
+	AllowedRegions []string
 }
--- a/operator/explain/reason.go
+++ b/operator/explain/reason.go
@@ -3,6 +3,7 @@
 // reasonDescriptions explains, for operators, the values of the log field "reason".
 var reasonDescriptions = map[string]string{
 	"no_server":                     "no backend server of the service that may run the request is known",
+	"no_home":                       "no backend server of the service is in a region that both the route and the team of the request allow",
 	"no_weights":                    "no backend server has loaded weights that may still serve",
 	"overloaded":                    "no backend server was expected to respond within the target; predicted_ms is the lowest prediction",
 	"rate_limited":                  "all backend servers that could run the request had named a rate limit, which was reached; left_out lists them, events 7210 show their limits",
--- a/peerlink/placement.go
+++ b/peerlink/placement.go
@@ -31,6 +31,9 @@
 	MayHaveRun bool `msgpack:"c,omitempty"`
 	// Exclude lists servers that must not run the request.
 	Exclude []ServerKey `msgpack:"g,omitempty"`
+	// Homes are the only regions whose servers may run the request if HomesOnly is set.
+	Homes     []string `msgpack:"h,omitempty"`
+	HomesOnly bool     `msgpack:"j,omitempty"`
 	// Limits are the rate limits of the service's servers that the entry knows.
 	Limits []RateLimit `msgpack:"u,omitempty"`
 	// OpenLeases are the numbers of the leases that the entry holds from the
