Evacuated failure domains get no new requests

Cause: the operator's rows that ask to send nothing more to a failure domain were not read.

Events 7211 and 7212, reason evacuated, condition evacuated, gauge failure_domains_evacuated, explanations in auburnctl explain.

Gateway.limitLearnedSince is revokedSince now and covers both causes; its spec compares the reason instead of a flag.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -34,8 +34,8 @@
 		return r.resolve(placement.Unreachable, attemptResult{reason: "unreachable"})
 	}
 	defer conn.Close()
-	if r.gateway.limitLearnedSince(lease) {
-		return r.resolve(placement.Rejected, attemptResult{reason: "server has named a rate limit"})
+	if reason := r.gateway.revokedSince(lease); reason != "" {
+		return r.resolve(placement.Rejected, attemptResult{reason: reason})
 	}
 	opened := r.gateway.now()
 	r.dispatched++
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -171,6 +171,14 @@
 	g.announceTargets()
 }
 
+// SetEvacuated sets the failure domains whose servers get no requests. It returns those
+// that are new, and those that were taken back.
+func (g *Gateway) SetEvacuated(domains []string) (evacuated, restored []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.picker.SetEvacuated(domains, g.now())
+}
+
 // SetTargetVersion sets the declared version of a model. fresh is set if it was
 // declared just now; otherwise its age is unknown.
 func (g *Gateway) SetTargetVersion(model string, version int, fresh bool) {
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -82,7 +82,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	listing := g.directory.Get(granted.server)
-	if listing == nil || listing.Draining || !g.picker.IsHome(listing, req) || granted.version < req.MinVersion || g.picker.Throttled(granted.server, g.now()) {
+	if listing == nil || granted.version < req.MinVersion || g.picker.Throttled(granted.server, g.now()) {
+		return nil
+	}
+	if listing.Draining || !g.picker.IsHome(listing, req) || g.picker.Evacuated(listing.Domain) {
 		return nil
 	}
 	if g.picker.RateLimited(granted.server) && !granted.limitChecked {
--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -117,6 +117,24 @@
 		Expect(other.gateway.adopt(granted, &req)).NotTo(BeNil())
 	})
 
+	It("keeps out of evacuated failure domains", func() {
+		// Guards against a lease from a placing entry that does not know the evacuation yet,
+		// and against a request that is sent although the evacuation has become known since.
+		links := startRegion(3)
+		placer, other := byRank(links, 0), byRank(links, 2)
+		granted, _, _ := other.requestPlacement(context.Background(), &req)
+		Expect(granted).NotTo(BeNil())
+		lease, _ := other.gateway.pick(req, time.Now())
+		Expect(other.gateway.revokedSince(lease)).To(BeEmpty())
+		other.gateway.SetEvacuated([]string{"north"})
+		Expect(other.gateway.adopt(granted, &req)).To(BeNil())
+		Expect(other.gateway.revokedSince(lease)).To(Equal("failure domain is evacuated"))
+		placer.gateway.SetEvacuated([]string{"north"})
+		_, refusal, by := other.requestPlacement(context.Background(), &req)
+		Expect(by).To(Equal(placer.self))
+		Expect(refusal.Reason).To(Equal(placement.DomainEvacuated))
+	})
+
 	It("releases leases when requests end", func() {
 		links := startRegion(3)
 		placer, other := byRank(links, 0), byRank(links, 2)
@@ -213,9 +231,9 @@
 			l := startRegion(1)[0]
 			lease, refusal := l.gateway.pick(req, time.Now())
 			Expect(refusal).To(BeNil())
-			Expect(l.gateway.limitLearnedSince(lease)).To(BeFalse())
+			Expect(l.gateway.revokedSince(lease)).To(BeEmpty())
 			limit(l)
-			Expect(l.gateway.limitLearnedSince(lease)).To(BeTrue())
+			Expect(l.gateway.revokedSince(lease)).To(Equal("server has named a rate limit"))
 		})
 
 		It("is requested in one datagram, however much there is to list", func() {
--- a/gateway/rate_limit.go
+++ b/gateway/rate_limit.go
@@ -70,14 +70,6 @@
 	return len(g.picker.Limits(service)) > 0
 }
 
-// limitLearnedSince reports whether the server of a lease has named a rate limit
-// since the request was placed.
-func (g *Gateway) limitLearnedSince(lease *placement.Lease) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return !lease.LimitChecked && g.picker.RateLimited(lease.Server.Key())
-}
-
 // queryLimits returns the rate limits to list in a placement request. The caller
 // holds mu.
 func (g *Gateway) queryLimits(service string, now time.Time) []peerlink.RateLimit {
--- /dev/null
+++ b/gateway/revoked.go
@@ -0,0 +1,19 @@
+package gateway
+
+import "github.com/auburnbend/auburnbend/lib/placement"
+
+// revokedSince returns why a request must not be sent to the server of its lease
+// although it was placed there: what this entry has learned since. It returns an empty
+// string if nothing forbids it.
+func (g *Gateway) revokedSince(lease *placement.Lease) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case !lease.LimitChecked && g.picker.RateLimited(lease.Server.Key()):
+		return "server has named a rate limit"
+	case g.picker.Evacuated(lease.Server.Domain):
+		return "failure domain is evacuated"
+	default:
+		return ""
+	}
+}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -24,6 +24,8 @@
 	// Quarantined is the number of contents that are refused because backend servers
 	// crashed while they ran them.
 	Quarantined int
+	// EvacuatedDomains is the number of failure domains whose servers get no requests.
+	EvacuatedDomains int
 	// GrantedLeases is the number of open leases that this entry has granted to other
 	// entries.
 	GrantedLeases int
@@ -52,6 +54,7 @@
 	defer g.mu.Unlock()
 	now := g.now()
 	s.GrantedLeases = g.leases.Len()
+	s.EvacuatedDomains = g.picker.EvacuatedCount()
 	s.Quarantined = len(g.suspects.quarantined)
 	if table != nil {
 		config := table.Config()
--- a/internal/node/deployment_test.go
+++ b/internal/node/deployment_test.go
@@ -190,7 +190,7 @@
 	i.Domain = testDomains[number%len(testDomains)]
 	i.Region, i.Regions, i.FirstPort, i.StoreAddress = testRegions[i.Domain], testRegions, 7700, s.store.Address()
 	i.Bounds = platformtest.Bounds{
-		DrainMS: 1000, StopMS: 4000, ConfigMS: 2000, StabilityMS: int(stabilityTime.Milliseconds()), VersionMS: 4000,
+		DrainMS: 1000, StopMS: 4000, ConfigMS: 2000, StabilityMS: int(stabilityTime.Milliseconds()), VersionMS: 4000, EvacuateMS: int(evacuateTime.Milliseconds()),
 		RetryRatio: 0.2, RetrySlack: 100, RetryWindowS: 10,
 	}
 	path := filepath.Join(GinkgoT().TempDir(), "node.yaml")
--- a/internal/node/gateway_sinks.go
+++ b/internal/node/gateway_sinks.go
@@ -33,6 +33,16 @@
 	o.log.Log(eventlog.VersionDeclared, "model", v.Model, "version", v.Version, "fresh", fresh)
 }
 
+func (o *operatorSink) Evacuated(domains []string) {
+	evacuated, restored := o.gateway.SetEvacuated(domains)
+	for _, domain := range evacuated {
+		o.log.Log(eventlog.DomainEvacuated, "domain", domain)
+	}
+	for _, domain := range restored {
+		o.log.Log(eventlog.DomainRestored, "domain", domain)
+	}
+}
+
 func (o *operatorSink) InvalidRow(row watch.Row, err error) { logInvalidRow(o.log, row, err) }
 
 func (o *operatorSink) StoreLost(err error) {
--- a/internal/node/relay_config.go
+++ b/internal/node/relay_config.go
@@ -26,8 +26,13 @@
 	return max(0, b.StallTime+bound-watch.ResponseTimeout-applyReserve)
 }
 
+// operatorRelayConfig uses the shortest bound that applies to rows of the operator.
 func operatorRelayConfig(b *platform.Bounds) relay.Config {
-	return relay.Config{MaxPropagation: b.ConfigTime, LongPollTimeout: maxStoreWait(b, b.ConfigTime)}
+	bound := b.ConfigTime
+	if b.EvacuateTime > 0 && b.EvacuateTime < bound {
+		bound = b.EvacuateTime
+	}
+	return relay.Config{MaxPropagation: bound, LongPollTimeout: maxStoreWait(b, bound)}
 }
 
 func serversRelayConfig(b *platform.Bounds) relay.Config {
--- a/internal/node/relay_config_test.go
+++ b/internal/node/relay_config_test.go
@@ -28,6 +28,18 @@
 		Entry("large deployment", 4*time.Second, 3*time.Second),
 	)
 
+	It("keeps to the bound of evacuations if that is the shorter one", func() {
+		// Guards against an evacuation that comes into force late behind a table that is
+		// followed for longer bounds.
+		b := platform.Bounds{StallTime: 4 * time.Second, ConfigTime: 3 * time.Second, EvacuateTime: 2 * time.Second}
+		Expect(operatorRelayConfig(&b).MaxPropagation).To(Equal(2 * time.Second))
+		Expect(operatorRelayConfig(&b).LongPollTimeout + watch.ResponseTimeout).To(BeNumerically("<", 6*time.Second))
+		b.EvacuateTime = 5 * time.Second
+		Expect(operatorRelayConfig(&b).MaxPropagation).To(Equal(3 * time.Second))
+		b.EvacuateTime = 0
+		Expect(operatorRelayConfig(&b).MaxPropagation).To(Equal(3 * time.Second))
+	})
+
 	It("uses the defaults if there are no bounds", func() {
 		Expect(operatorRelayConfig(&platform.Bounds{}).LongPollTimeout).To(BeZero())
 	})
--- a/internal/node/state_metrics.go
+++ b/internal/node/state_metrics.go
@@ -30,6 +30,7 @@
 	open := gauge("requests_open", "requests that are being served", "")
 	granted := gauge("places_granted", "requests of other entries that were placed here and are being served", "")
 	quarantined := gauge("contents_quarantined", "contents that are refused because backend servers ended while they ran them", "")
+	evacuated := gauge("failure_domains_evacuated", "failure domains whose backend servers get no requests because the operator evacuates them", "")
 	store := gauge("store_reachable", "1 if the store answers", "")
 	if gaugeErr != nil {
 		return gaugeErr
@@ -41,6 +42,7 @@
 		o.ObserveFloat64(open, float64(s.OpenRequests))
 		o.ObserveFloat64(granted, float64(s.GrantedLeases))
 		o.ObserveFloat64(quarantined, float64(s.Quarantined))
+		o.ObserveFloat64(evacuated, float64(s.EvacuatedDomains))
 		o.ObserveFloat64(store, boolToFloat(!storeUnavailable.Load()))
 		for group, n := range s.Servers {
 			o.ObserveFloat64(servers, float64(n), metric.WithAttributes(
@@ -54,7 +56,7 @@
 			o.ObserveFloat64(retriesLeft, left, metric.WithAttributes(attribute.String("service", service)))
 		}
 		return nil
-	}, config, age, servers, engines, retriesLeft, open, granted, quarantined, store)
+	}, config, age, servers, engines, retriesLeft, open, granted, quarantined, evacuated, store)
 	return err
 }
 
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -179,6 +179,10 @@
 	t.replica.SetTarget(v.Model, v.Version)
 }
 
+// Evacuated implements platform.OperatorSink. Engines of an evacuated failure domain get
+// no requests, but still load the versions that they must serve afterwards.
+func (t *targetTracker) Evacuated([]string) {}
+
 // InvalidRow implements platform.OperatorSink.
 func (t *targetTracker) InvalidRow(row watch.Row, err error) { logInvalidRow(t.log, row, err) }
 
--- a/lib/eventlog/events_serving.go
+++ b/lib/eventlog/events_serving.go
@@ -24,6 +24,8 @@
 	ServerDraining      = Event{7208, Info, "backend server is draining and gets no new requests", "Nothing."}
 	ServerPaused        = Event{7209, Info, "backend server asked this entry to pause sending requests", "Nothing unless it repeats; then add servers of the service."}
 	ServerRateLimited   = Event{7210, Info, "backend server stated or lifted a limit of its request rate", "Nothing unless it repeats; then add servers of the service."}
+	DomainEvacuated     = Event{7211, Info, "operator evacuates a failure domain: its backend servers get no more requests", "Nothing; take the domain back by removing the row."}
+	DomainRestored      = Event{7212, Info, "evacuated failure domain was taken back: its backend servers get requests again, gradually", "Nothing."}
 	ReplicaPhase        = Event{7301, Info, "phase of the replica changed", "Nothing."}
 	LoadOrdered         = Event{7302, Info, "engine ordered to load a version", "Nothing; err is set if the order failed."}
 	ReplicaFetched      = Event{7306, Info, "all pieces of a version fetched", "Nothing."}
@@ -38,6 +40,6 @@
 var servingEvents = []Event{
 	LiveConfigApplied, VersionDeclared, RowInvalid, StoreLost, StoreRegained,
 	ServerListRead, ServerRegistered, ServerRemoved, ServerEjected, PlacerChanged, PlacerLost, StorePathChanged,
-	RequestEnded, RequestRetried, LogLinesDropped, AttemptAborted, ServerCrashed, ContentQuarantined, ServerAlive, ServerDraining, ServerPaused, ServerRateLimited,
+	RequestEnded, RequestRetried, LogLinesDropped, AttemptAborted, ServerCrashed, ContentQuarantined, ServerAlive, ServerDraining, ServerPaused, ServerRateLimited, DomainEvacuated, DomainRestored,
 	ReplicaPhase, LoadOrdered, ReplicaFetched, FetchFailed, OriginLost, OriginRegained, PieceCorrupt, PeerListUnavailable, EngineCallFailed,
 }
--- a/lib/placement/condition.go
+++ b/lib/placement/condition.go
@@ -15,6 +15,8 @@
 	Closed   Condition = "closed"
 	Ejected  Condition = "ejected"
 	Draining Condition = "draining"
+	// Evacuated servers are in a failure domain that the operator evacuates.
+	Evacuated Condition = "evacuated"
 	// Pausing servers have asked this entry to send no requests for a while.
 	Pausing Condition = "pausing"
 	// RateLimited servers accept a limited number of requests per second.
@@ -27,6 +29,8 @@
 	switch {
 	case listing.Draining:
 		return Draining
+	case p.Evacuated(listing.Domain):
+		return Evacuated
 	case s.paused(now):
 		return Pausing
 	case s.closed(now):
--- a/lib/placement/homes.go
+++ b/lib/placement/homes.go
@@ -1,8 +1,6 @@
 package placement
 
-import (
-	"github.com/auburnbend/auburnbend/lib/directory"
-)
+import "github.com/auburnbend/auburnbend/lib/directory"
 
 // IsHome reports whether a server is in a region that may serve the request. The region
 // of a server in an unknown failure domain is not known, so that it serves only requests
@@ -14,8 +12,3 @@
 	region, known := p.config.Regions[listing.Domain]
 	return known && req.Homes.Allow(region)
 }
-
-// isLocalHome reports whether servers of the region of this entry may serve the request.
-func (p *Picker) isLocalHome(req *Request) bool {
-	return req.Homes.Allow(p.config.Regions[p.config.Domain])
-}
--- a/lib/placement/pause.go
+++ b/lib/placement/pause.go
@@ -81,7 +81,7 @@
 	}
 	var earliest time.Time
 	for _, listing := range p.directory.ByService(req.Service) {
-		if listing.Draining || !p.IsHome(listing, req) || !hasWeights(listing, req) {
+		if excluded, _ := p.exclusion(listing, req); excluded {
 			continue
 		}
 		s := p.state(listing)
@@ -103,7 +103,7 @@
 }
 
 // excludedServers lists servers of a service that get no requests because they are
-// draining, paused or rate-limited, for the caller of a refused request.
+// draining, evacuated, paused or rate-limited, for the caller of a refused request.
 func (p *Picker) excludedServers(service string, now time.Time) []string {
 	var out []string
 	for _, listing := range p.directory.ByService(service) {
@@ -114,6 +114,8 @@
 		switch {
 		case listing.Draining:
 			out = append(out, listing.ID+": leaving")
+		case p.Evacuated(listing.Domain):
+			out = append(out, listing.ID+": evacuated")
 		case s == nil:
 		case s.paused(now):
 			out = append(out, fmt.Sprintf("%s: paused for %d ms", listing.ID, s.pausedUntil.Sub(now).Milliseconds()))
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -18,7 +18,9 @@
 	// pausesUntil is the end of the last pause that any server has asked for.
 	pausesUntil time.Time
 	// limitShare is the share of rate limits set by SetLimitShare.
-	limitShare  float64
+	limitShare float64
+	// evacuations holds failure domains by name.
+	evacuations map[string]evacuation
 	regionCount int
 }
 
@@ -27,7 +29,7 @@
 func New(config Config, d *directory.Directory, rng *rand.Rand) *Picker {
 	return &Picker{
 		config: config.applyDefaults(), directory: d, servers: make(map[directory.Key]*server), rng: rng,
-		limitShare: 1, regionCount: countRegions(config.Regions),
+		limitShare: 1, evacuations: make(map[string]evacuation), regionCount: countRegions(config.Regions),
 	}
 }
 
@@ -73,7 +75,8 @@
 func (p *Picker) best(req *Request, now time.Time) (*server, estimate, *Refusal) {
 	p.directory.Expire(now)
 	eligible, reason := p.eligible(req)
-	available := p.available(eligible, req, now)
+	held := p.heldBack(now)
+	available := p.available(eligible, req, held, now)
 	if len(available) == 0 {
 		if req.Entry == "" {
 			if refusal := p.pauseRefusal(req, now); refusal != nil {
@@ -87,7 +90,7 @@
 	}
 	reason = Overloaded
 	var best *candidate
-	for _, s := range p.candidates(req, eligible, available, now) {
+	for _, s := range p.candidates(eligible, available, p.isLocalBarred(req, held), now) {
 		e := s.predict(req, now)
 		if s.mayMissVersionDeadline(req, e, now) {
 			reason = NoWeights
@@ -119,26 +122,42 @@
 	reason := NoServer
 	var eligible []*server
 	for _, listing := range p.directory.ByService(req.Service) {
+		excluded, cause := p.exclusion(listing, req)
 		switch {
-		case listing.Draining || req.excludes(listing.Key()):
-		case !p.IsHome(listing, req):
-			if reason == NoServer {
-				reason = NoHome
-			}
-		case !hasWeights(listing, req):
-			reason = NoWeights
-		default:
+		case req.excludes(listing.Key()):
+		case !excluded:
 			eligible = append(eligible, p.state(listing))
+		case reasonRank[cause] > reasonRank[reason]:
+			reason = cause
 		}
 	}
 	return eligible, reason
 }
 
+// exclusion reports whether a server must not run the request, whatever its load, and
+// why.
+func (p *Picker) exclusion(listing *directory.Server, req *Request) (bool, Reason) {
+	switch {
+	case listing.Draining:
+		return true, NoServer
+	case !p.IsHome(listing, req):
+		return true, NoHome
+	case p.Evacuated(listing.Domain):
+		return true, DomainEvacuated
+	case !hasWeights(listing, req):
+		return true, NoWeights
+	default:
+		return false, ""
+	}
+}
+
 // available drops the servers that accept no requests now, those whose rate limit is
 // reached, and the ejected ones. If only ejected ones are left and they are more than
 // MaxEjectedShare, it returns those. A pause applies only between a server and one
-// entry: for requests of other entries, these list the servers to exclude.
-func (p *Picker) available(eligible []*server, req *Request, now time.Time) []*server {
+// entry: for requests of other entries, these list the servers to exclude. Servers whose
+// load is being ramped up, and those in held-back failure domains, are used if there is
+// no other choice.
+func (p *Picker) available(eligible []*server, req *Request, held []string, now time.Time) []*server {
 	own := req.Entry == ""
 	var available, ramping, ejected []*server
 	for _, s := range eligible {
@@ -146,7 +165,7 @@
 		case s.closed(now) || own && s.paused(now) || p.overLimit(s, now):
 		case s.ejected(now):
 			ejected = append(ejected, s)
-		case own && s.atRampLimit(now):
+		case own && s.atRampLimit(now) || slices.Contains(held, s.listing.Domain):
 			ramping = append(ramping, s)
 		default:
 			available = append(available, s)
@@ -166,9 +185,10 @@
 // same one. Remote servers that report to this entry are preferred: of the others,
 // only its own requests are known. The minimum time between two requests to the same
 // remote server does not apply if there is no other choice because local servers are
-// at their rate limits or must not serve the request: that lasts longer than a moment
-// of load. In the latter case, remote servers that have just opened are used as well.
-func (p *Picker) candidates(req *Request, eligible, available []*server, now time.Time) []*server {
+// at their rate limits or must not serve the request (localBarred): that lasts longer
+// than a moment of load. In the latter case, remote servers that have just opened are
+// used as well.
+func (p *Picker) candidates(eligible, available []*server, localBarred bool, now time.Time) []*server {
 	var local, reported, unreported, recent, opened []*server
 	for _, s := range available {
 		switch {
@@ -192,7 +212,7 @@
 	if len(local)+len(remote) == 0 && slices.ContainsFunc(eligible, atLimit) {
 		remote = recent
 	}
-	if len(local)+len(remote) == 0 && !p.isLocalHome(req) {
+	if len(local)+len(remote) == 0 && localBarred {
 		remote = append(recent, opened...)
 	}
 	if len(remote) > remoteChoices {
--- a/lib/placement/picker_reports.go
+++ b/lib/placement/picker_reports.go
@@ -31,11 +31,11 @@
 }
 
 // HasLoadReports reports whether there are current load reports of at least half of
-// a service's servers in this region.
+// a service's servers in this region, without those in evacuated failure domains.
 func (p *Picker) HasLoadReports(service string, now time.Time) bool {
 	local, known := 0, 0
 	for _, listing := range p.directory.ByService(service) {
-		if p.config.Regions[listing.Domain] != p.config.Regions[p.config.Domain] {
+		if p.config.Regions[listing.Domain] != p.config.Regions[p.config.Domain] || p.Evacuated(listing.Domain) {
 			continue
 		}
 		local++
--- a/lib/placement/rate_limit.go
+++ b/lib/placement/rate_limit.go
@@ -145,7 +145,8 @@
 	found := false
 	for _, listing := range p.directory.ByService(req.Service) {
 		s := p.state(listing)
-		if listing.Draining || req.excludes(listing.Key()) || !p.IsHome(listing, req) || !hasWeights(listing, req) || !s.rateLimited() {
+		excluded, _ := p.exclusion(listing, req)
+		if excluded || req.excludes(listing.Key()) || !s.rateLimited() {
 			continue
 		}
 		found = true
--- a/lib/placement/refusal.go
+++ b/lib/placement/refusal.go
@@ -12,6 +12,9 @@
 	// NoHome means that no server of the service is in a region that may serve the
 	// request.
 	NoHome Reason = "no_home"
+	// DomainEvacuated means that all servers that could run the request are in failure
+	// domains which the operator evacuates.
+	DomainEvacuated Reason = "evacuated"
 	// NoWeights means that no server has loaded the required weights.
 	NoWeights Reason = "no_weights"
 	// Overloaded means that no server can respond in time.
@@ -23,6 +26,10 @@
 	Limited Reason = "rate_limited"
 )
 
+// reasonRank orders the reasons for which servers may not run a request: the highest one
+// among the servers is the reason of the refusal.
+var reasonRank = map[Reason]int{NoServer: 0, NoHome: 1, DomainEvacuated: 2, NoWeights: 3}
+
 // Refusal describes why a request was not placed.
 type Refusal struct {
 	Reason Reason
@@ -31,7 +38,8 @@
 	// Predicted is the predicted time to the first response on the best server; zero if
 	// there is none.
 	Predicted time.Duration
-	// ExcludedServers lists servers that are draining, paused or rate-limited, at most a few.
+	// ExcludedServers lists servers that are draining, evacuated, paused or rate-limited, at most
+	// a few.
 	ExcludedServers []string
 }
 
--- a/operator/explain/reason.go
+++ b/operator/explain/reason.go
@@ -4,6 +4,8 @@
 var reasonDescriptions = map[string]string{
 	"no_server":                     "no backend server of the service that may run the request is known",
 	"no_home":                       "no backend server of the service is in a region that both the route and the team of the request allow",
+	"evacuated":                     "all backend servers that could run the request are in failure domains that the operator evacuates; events 7211 and 7212 show which and until when",
+	"failure domain is evacuated":   "the operator evacuated the failure domain of the backend server after the request was placed and before it was sent",
 	"no_weights":                    "no backend server has loaded weights that may still serve",
 	"overloaded":                    "no backend server was expected to respond within the target; predicted_ms is the lowest prediction",
 	"rate_limited":                  "all backend servers that could run the request had named a rate limit, which was reached; left_out lists them, events 7210 show their limits",
