Placement requests list evacuated domains and fit into one datagram

Cause: a placing entry that is cut off from the store does not know an evacuation; its leases were rejected by the caller's entry, which then placed by itself with less knowledge. And the regions that a placement request lists since the homes made the longest one 1,211 bytes, over the 1,200 that receivers read.

Change: placement requests list the evacuated domains that their entry knows, 8 at most. If a request is too long without its open leases, it lists neither these domains nor the last of the ejected servers.

--- a/gateway/place.go
+++ b/gateway/place.go
@@ -169,14 +169,26 @@
 }
 
 // encodePlacementRequest encodes a request in one datagram. If it is too long, it does
-// not list the open leases: the placer then ends lost ones when they expire.
+// not list the open leases: the placer then ends lost ones when they expire. If that
+// does not suffice, it lists neither the evacuated failure domains nor the last of the
+// servers to exclude, which are those that this entry has ejected: the entry checks the
+// granted lease for the former, and may have to retry for the latter.
 func encodePlacementRequest(query *peerlink.PlacementRequest) []byte {
-	data := encodeCompact(&peerlink.Datagram{PlacementRequest: query})
-	if len(data) <= maxDatagramBytes {
-		return data
+	for {
+		data := encodeCompact(&peerlink.Datagram{PlacementRequest: query})
+		switch {
+		case len(data) <= maxDatagramBytes:
+			return data
+		case query.OpenLeasesKnown:
+			query.OpenLeases, query.OpenLeasesKnown = nil, false
+		case len(query.Evacuated) > 0:
+			query.Evacuated = nil
+		case len(query.Exclude) > 0:
+			query.Exclude = query.Exclude[:len(query.Exclude)-1]
+		default:
+			return data
+		}
 	}
-	query.OpenLeases, query.OpenLeasesKnown = nil, false
-	return encodeCompact(&peerlink.Datagram{PlacementRequest: query})
 }
 
 // awaitPlacement waits for the response of one placer. It reports false if the
@@ -215,8 +227,13 @@
 	return nil, nil, false
 }
 
+// maxQueryDomains bounds the evacuated failure domains that a placement request lists,
+// so that it fits into a datagram. A lease in another one is rejected when it arrives.
+const maxQueryDomains = 8
+
 // newPlacementRequest encodes a request for a placer. Servers that this entry avoids
-// are excluded as well, and the rate limits that it knows are listed.
+// are excluded as well, and the evacuated failure domains and the rate limits that it
+// knows are listed.
 func (l *PeerLink) newPlacementRequest(req *placement.Request) *peerlink.PlacementRequest {
 	g := l.gateway
 	now := g.now()
@@ -233,6 +250,8 @@
 	g.mu.Lock()
 	avoided := g.picker.Avoided(req.Service, now)
 	query.Limits = g.queryLimits(req.Service, now)
+	evacuated := g.picker.EvacuatedDomains()
+	query.Evacuated = evacuated[:min(len(evacuated), maxQueryDomains)]
 	g.mu.Unlock()
 	for _, keys := range [][]directory.Key{req.Exclude, avoided} {
 		for _, key := range keys {
--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -129,10 +129,16 @@
 		other.gateway.SetEvacuated([]string{"north"})
 		Expect(other.gateway.adopt(granted, &req)).To(BeNil())
 		Expect(other.gateway.revokedSince(lease)).To(Equal("failure domain is evacuated"))
-		placer.gateway.SetEvacuated([]string{"north"})
+		// The placing entry, which does not know the evacuation, considers it for this entry.
 		_, refusal, by := other.requestPlacement(context.Background(), &req)
 		Expect(by).To(Equal(placer.self))
 		Expect(refusal.Reason).To(Equal(placement.DomainEvacuated))
+		// It considers its own knowledge for an entry that does not know the evacuation.
+		other.gateway.SetEvacuated(nil)
+		placer.gateway.SetEvacuated([]string{"north"})
+		_, refusal, by = other.requestPlacement(context.Background(), &req)
+		Expect(by).To(Equal(placer.self))
+		Expect(refusal.Reason).To(Equal(placement.DomainEvacuated))
 	})
 
 	It("releases leases when requests end", func() {
@@ -259,6 +265,26 @@
 			Expect(msgpack.Unmarshal(data, &d)).To(Succeed())
 			Expect(d.PlacementRequest.Limits).To(HaveLen(maxQueryLimits))
 			Expect(d.PlacementRequest.Exclude).To(HaveLen(24))
+			// With homes and evacuated failure domains as well, the last ejected servers may be
+			// missing, but neither the homes nor a rate limit.
+			for range maxQueryDomains {
+				query.Evacuated = append(query.Evacuated, "nyagatare-a")
+			}
+			query.HomesOnly, query.Homes = true, []string{"nyagatare", "rwamagana", "kigali"}
+			data = encodePlacementRequest(query)
+			Expect(len(data)).To(BeNumerically("<=", maxDatagramBytes))
+			d = peerlink.Datagram{}
+			Expect(msgpack.Unmarshal(data, &d)).To(Succeed())
+			Expect(d.PlacementRequest.Limits).To(HaveLen(maxQueryLimits))
+			Expect(d.PlacementRequest.Homes).To(HaveLen(3))
+			Expect(len(d.PlacementRequest.Exclude)).To(BeNumerically(">=", 20))
+			query.Exclude, query.Limits = query.Exclude[:4], nil
+			for range maxQueryDomains {
+				query.Evacuated = append(query.Evacuated, "nyagatare-a")
+			}
+			d = peerlink.Datagram{}
+			Expect(msgpack.Unmarshal(encodePlacementRequest(query), &d)).To(Succeed())
+			Expect(d.PlacementRequest.Evacuated).To(HaveLen(maxQueryDomains))
 		})
 
 		It("spreads to the other entries", func() {
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -52,7 +52,8 @@
 		MinVersion:   max(query.MinVersion, g.versions.MinVersion(query.Model, now)),
 		PromptTokens: query.PromptTokens, OutputTokens: query.OutputTokens,
 		LatencyTarget: milliseconds(query.LatencyTargetMillis), Remaining: milliseconds(query.RemainingMillis), MayHaveRun: query.MayHaveRun,
-		Homes: serving.Homes{Restricted: query.HomesOnly, Regions: query.Homes},
+		Evacuated: query.Evacuated,
+		Homes:     serving.Homes{Restricted: query.HomesOnly, Regions: query.Homes},
 	}
 	req.NextVersion, req.NextVersionAt = g.versions.NextMinVersion(query.Model, now)
 	if due := now.Add(milliseconds(query.NextMillis)); query.NextVersion != 0 && (req.NextVersion == 0 || due.Before(req.NextVersionAt)) {
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -54,7 +54,7 @@
 	defer g.mu.Unlock()
 	now := g.now()
 	s.GrantedLeases = g.leases.Len()
-	s.EvacuatedDomains = g.picker.EvacuatedCount()
+	s.EvacuatedDomains = len(g.picker.EvacuatedDomains())
 	s.Quarantined = len(g.suspects.quarantined)
 	if table != nil {
 		config := table.Config()
--- a/lib/placement/evacuation.go
+++ b/lib/placement/evacuation.go
@@ -47,15 +47,16 @@
 	return known && e.restoredAt.IsZero()
 }
 
-// EvacuatedCount returns the number of evacuated failure domains.
-func (p *Picker) EvacuatedCount() int {
-	n := 0
+// EvacuatedDomains returns the evacuated failure domains, sorted.
+func (p *Picker) EvacuatedDomains() []string {
+	var evacuated []string
 	for domain := range p.evacuations {
 		if p.Evacuated(domain) {
-			n++
+			evacuated = append(evacuated, domain)
 		}
 	}
-	return n
+	slices.Sort(evacuated)
+	return evacuated
 }
 
 // heldBack returns the failure domains that were taken back a moment ago and that one
@@ -83,11 +84,11 @@
 	if !req.Homes.Allow(own) {
 		return true
 	}
-	if len(p.evacuations) == 0 {
+	if len(p.evacuations)+len(req.Evacuated) == 0 {
 		return false
 	}
 	for domain, region := range p.config.Regions {
-		if region == own && !p.Evacuated(domain) && !slices.Contains(held, domain) {
+		if region == own && !p.Evacuated(domain) && !slices.Contains(req.Evacuated, domain) && !slices.Contains(held, domain) {
 			return false
 		}
 	}
--- a/lib/placement/evacuation_test.go
+++ b/lib/placement/evacuation_test.go
@@ -77,12 +77,12 @@
 		Expect(refusal.Reason).To(Equal(placement.DomainEvacuated))
 		Expect(refusal.RetryAfter).To(BeNumerically(">", 0))
 		Expect(refusal.ExcludedServers).To(ConsistOf("s0: evacuated", "s1: evacuated"))
-		Expect(p.EvacuatedCount()).To(Equal(2))
+		Expect(p.EvacuatedDomains()).To(Equal([]string{"north-a", "south-a"}))
 		Expect(p.Condition(d.Get(directory.Key{ID: "s0"}), start)).To(Equal(placement.Evacuated))
 		evacuated, restored = p.SetEvacuated([]string{"south-a"}, start)
 		Expect(evacuated).To(BeEmpty())
 		Expect(restored).To(Equal([]string{"north-a"}))
-		Expect(p.EvacuatedCount()).To(Equal(1))
+		Expect(p.EvacuatedDomains()).To(Equal([]string{"south-a"}))
 		// The only server that is left is used at once.
 		Expect(domainOf(p, start)).To(Equal("north-a"))
 		far := req
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -142,7 +142,7 @@
 		return true, NoServer
 	case !p.IsHome(listing, req):
 		return true, NoHome
-	case p.Evacuated(listing.Domain):
+	case p.Evacuated(listing.Domain) || slices.Contains(req.Evacuated, listing.Domain):
 		return true, DomainEvacuated
 	case !hasWeights(listing, req):
 		return true, NoWeights
--- a/lib/placement/request.go
+++ b/lib/placement/request.go
@@ -37,6 +37,9 @@
 	Exclude []directory.Key
 	// Homes are the regions whose servers may run the request.
 	Homes serving.Homes
+	// Evacuated lists failure domains whose servers must not get the request because the
+	// entry that serves it knows that they are evacuated.
+	Evacuated []string
 	// MayHaveRun is set if the request may have begun on another server, so that a
 	// refusal could not guarantee that it has not run. It is then not refused for a
 	// missed latency target.
--- a/peerlink/placement.go
+++ b/peerlink/placement.go
@@ -34,6 +34,9 @@
 	// Homes are the only regions whose servers may run the request if HomesOnly is set.
 	Homes     []string `msgpack:"h,omitempty"`
 	HomesOnly bool     `msgpack:"j,omitempty"`
+	// Evacuated lists failure domains whose servers must not run the request, as far as the
+	// entry knows.
+	Evacuated []string `msgpack:"q,omitempty"`
 	// Limits are the rate limits of the service's servers that the entry knows.
 	Limits []RateLimit `msgpack:"u,omitempty"`
 	// OpenLeases are the numbers of the leases that the entry holds from the
