Cold servers get what they tolerate, over all entries

Cause: a service declares how many requests a second its cold servers tolerate, and rows state how much longer a server is cold; neither was read.

Change: while a server is cold, the placement applies the lower one of that number and the rate limit that the server names, with the shares that exist for rate limits. Placements in the second before the server became cold count. Plain services go through the placing entry while one of their servers is cold.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -155,6 +155,7 @@
 func (g *Gateway) UpdateServers(change func(*directory.Directory, time.Time)) {
 	g.mu.Lock()
 	change(g.directory, g.now())
+	g.picker.ObserveCold(g.now())
 	g.picker.Prune()
 	publish := g.recordUnlistedEnds()
 	g.mu.Unlock()
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -28,7 +28,7 @@
 
 // place finds a server for the request. The first placement counts as a request of
 // the service; retries are charged to the retry budget in mayRetry. Requests to
-// engines, and to services whose servers have rate limits, are placed by one entry of
+// engines, and to services whose servers have rate limits or are cold, are placed by one entry of
 // the region, which knows the placements of all. While no placer responds, each entry
 // places its own requests with the load that agents report.
 func (r *request) place(now time.Time) (*placement.Lease, *placement.Refusal) {
@@ -38,7 +38,7 @@
 	if refusal := g.refuseIfPaused(&req, now); refusal != nil {
 		return nil, refusal
 	}
-	if g.peerLink != nil && (r.engine != nil || g.hasRateLimits(r.service)) {
+	if g.peerLink != nil && (r.engine != nil || g.hasRateLimits(&req, now)) {
 		granted, refusal, placer := g.peerLink.requestPlacement(r.ctx, &req)
 		if placer.IsValid() {
 			r.summary.PlacedBy = placer.String()
@@ -88,7 +88,7 @@
 	if listing.Draining || !g.picker.IsHome(listing, req) || g.picker.Evacuated(listing.Domain) {
 		return nil
 	}
-	if g.picker.RateLimited(granted.server) && !granted.limitChecked {
+	if g.picker.Limited(granted.server, req, g.now()) && !granted.limitChecked {
 		return nil
 	}
 	if req.Model != "" && listing.Weights[req.Model].Version < granted.version {
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -48,7 +48,7 @@
 		return &peerlink.PlacementResponse{Declined: true}
 	}
 	req := placement.Request{
-		Service: query.Service, Engine: service.Engine, Domain: query.Domain, Model: query.Model, Version: query.Version,
+		Service: query.Service, Engine: service.Engine, ColdPerSecond: service.ColdRequestsPerSecond, Domain: query.Domain, Model: query.Model, Version: query.Version,
 		MinVersion:   max(query.MinVersion, g.versions.MinVersion(query.Model, now)),
 		PromptTokens: query.PromptTokens, OutputTokens: query.OutputTokens,
 		LatencyTarget: milliseconds(query.LatencyTargetMillis), Remaining: milliseconds(query.RemainingMillis), MayHaveRun: query.MayHaveRun,
--- a/gateway/rate_limit.go
+++ b/gateway/rate_limit.go
@@ -63,11 +63,12 @@
 	return g.picker.Pick(req, now)
 }
 
-// hasRateLimits reports whether servers of a service have rate limits.
-func (g *Gateway) hasRateLimits(service string) bool {
+// hasRateLimits reports whether servers of the service of a request have rate limits, or
+// are cold and so tolerate a limited number of requests per second.
+func (g *Gateway) hasRateLimits(req *placement.Request, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.picker.Limits(service)) > 0
+	return len(g.picker.Limits(req.Service)) > 0 || req.ColdPerSecond > 0 && g.picker.HasCold(req.Service, now)
 }
 
 // queryLimits returns the rate limits to list in a placement request. The caller
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -98,6 +98,9 @@
 		Remaining: r.remaining(now), Exclude: r.triedServers, MayHaveRun: r.stream.started || r.mayHaveRun,
 		Homes: r.homes(),
 	}
+	if s := r.table.Service(r.service); s != nil {
+		req.ColdPerSecond = s.ColdRequestsPerSecond
+	}
 	req.NextVersion, req.NextVersionAt = r.gateway.versions.NextMinVersion(r.info.Model, now)
 	r.nextVersion, r.nextAt = req.NextVersion, req.NextVersionAt
 	// All requests to a service get about the same latency target. With their own
--- a/internal/node/gateway_sinks.go
+++ b/internal/node/gateway_sinks.go
@@ -76,7 +76,7 @@
 			continue
 		}
 		s.log.Log(eventlog.ServerRegistered, "server", c.ID, "service", c.Server.Service, "address", c.Server.Address,
-			"domain", c.Server.Domain, "draining", c.Server.Draining, "weights", formatWeights(c.Server.Weights))
+			"domain", c.Server.Domain, "draining", c.Server.Draining, "cold_ms", c.Server.ColdTime.Milliseconds(), "weights", formatWeights(c.Server.Weights))
 	}
 }
 
--- a/lib/directory/server.go
+++ b/lib/directory/server.go
@@ -2,6 +2,8 @@
 // deployment, from the rows that they register in the store and from other sources.
 package directory
 
+import "time"
+
 // Server is one incarnation of a backend server: a process from its start to its
 // end.
 type Server struct {
@@ -19,6 +21,8 @@
 	Slots int
 	// StartUnixMilli is when the process started, as Unix time in milliseconds.
 	StartUnixMilli int64
+	// ColdTime is how long the server was to stay cold when its row was written.
+	ColdTime time.Duration
 	// Revision is the revision of the row in the store.
 	Revision int64
 	// Weights are the loaded weights of an engine, by model.
--- a/lib/placement/condition.go
+++ b/lib/placement/condition.go
@@ -19,6 +19,8 @@
 	Evacuated Condition = "evacuated"
 	// Pausing servers have asked this entry to send no requests for a while.
 	Pausing Condition = "pausing"
+	// Cold servers tolerate only a limited number of requests per second for a while.
+	Cold Condition = "cold"
 	// RateLimited servers accept a limited number of requests per second.
 	RateLimited Condition = "limited"
 )
@@ -37,6 +39,8 @@
 		return Closed
 	case s.ejected(now):
 		return Ejected
+	case s.cold(now):
+		return Cold
 	case s.rateLimited():
 		return RateLimited
 	default:
--- a/lib/placement/pause.go
+++ b/lib/placement/pause.go
@@ -103,7 +103,7 @@
 }
 
 // excludedServers lists servers of a service that get no requests because they are
-// draining, evacuated, paused or rate-limited, for the caller of a refused request.
+// draining, evacuated, paused, cold or rate-limited, for the caller of a refused request.
 func (p *Picker) excludedServers(service string, now time.Time) []string {
 	var out []string
 	for _, listing := range p.directory.ByService(service) {
@@ -119,6 +119,8 @@
 		case s == nil:
 		case s.paused(now):
 			out = append(out, fmt.Sprintf("%s: paused for %d ms", listing.ID, s.pausedUntil.Sub(now).Milliseconds()))
+		case s.cold(now):
+			out = append(out, fmt.Sprintf("%s: cold for %d ms", listing.ID, s.coldUntil.Sub(now).Milliseconds()))
 		case s.rateLimited():
 			out = append(out, fmt.Sprintf("%s: limited to %.3g/s", listing.ID, s.limit.PerSecond))
 		}
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -45,7 +45,7 @@
 	}
 	occupancy, age := best.occupancy(now), best.reportAge(now)
 	l := p.newLease(best, &req, now)
-	l.LimitChecked = best.rateLimited()
+	l.LimitChecked = best.effectiveLimit(&req, now).PerSecond > 0
 	l.Predicted = estimate.firstResponse + p.distancePenalty(req.Domain, best.listing.Domain)
 	l.Occupancy, l.LoadAge = occupancy, age
 	return l, nil
@@ -90,7 +90,7 @@
 	}
 	reason = Overloaded
 	var best *candidate
-	for _, s := range p.candidates(eligible, available, p.isLocalBarred(req, held), now) {
+	for _, s := range p.candidates(req, eligible, available, p.isLocalBarred(req, held), now) {
 		e := s.predict(req, now)
 		if s.mayMissVersionDeadline(req, e, now) {
 			reason = NoWeights
@@ -162,7 +162,7 @@
 	var available, ramping, ejected []*server
 	for _, s := range eligible {
 		switch {
-		case s.closed(now) || own && s.paused(now) || p.overLimit(s, now):
+		case s.closed(now) || own && s.paused(now) || p.overLimit(s, req, now):
 		case s.ejected(now):
 			ejected = append(ejected, s)
 		case own && s.atRampLimit(now) || slices.Contains(held, s.listing.Domain):
@@ -185,10 +185,10 @@
 // same one. Remote servers that report to this entry are preferred: of the others,
 // only its own requests are known. The minimum time between two requests to the same
 // remote server does not apply if there is no other choice because local servers are
-// at their rate limits or must not serve the request (localBarred): that lasts longer
+// at their rate limits, also those of cold servers, or must not serve the request (localBarred): that lasts longer
 // than a moment of load. In the latter case, remote servers that have just opened are
 // used as well.
-func (p *Picker) candidates(eligible, available []*server, localBarred bool, now time.Time) []*server {
+func (p *Picker) candidates(req *Request, eligible, available []*server, localBarred bool, now time.Time) []*server {
 	var local, reported, unreported, recent, opened []*server
 	for _, s := range available {
 		switch {
@@ -208,7 +208,7 @@
 	if len(remote) == 0 {
 		remote = unreported
 	}
-	atLimit := func(s *server) bool { return p.isLocal(s) && p.overLimit(s, now) }
+	atLimit := func(s *server) bool { return p.isLocal(s) && p.overLimit(s, req, now) }
 	if len(local)+len(remote) == 0 && slices.ContainsFunc(eligible, atLimit) {
 		remote = recent
 	}
--- a/lib/placement/rate_limit.go
+++ b/lib/placement/rate_limit.go
@@ -83,30 +83,48 @@
 
 // overLimit reports whether the server has had the requests that its rate limit
 // allows to this entry.
-func (p *Picker) overLimit(s *server, now time.Time) bool {
-	if !s.rateLimited() {
+func (p *Picker) overLimit(s *server, req *Request, now time.Time) bool {
+	if s.effectiveLimit(req, now).PerSecond <= 0 {
 		return false
 	}
-	at, ok := p.nextAllowed(s, now)
+	at, ok := p.nextAllowed(s, req, now)
 	return !ok || now.Before(at)
 }
 
-// nextAllowed returns when the rate limit of a server allows this entry the next
-// request. ok is false if it allows none. Requests are an interval apart, and the
-// requests within limitWindow before are no more than the limit allows.
-func (p *Picker) nextAllowed(s *server, now time.Time) (at time.Time, ok bool) {
-	interval, ok := s.limit.Interval(p.shareOf(s))
-	if !ok {
-		return time.Time{}, false
-	}
-	at = s.lastPlacedAt.Add(interval)
+// nextAllowed returns when the rate limit of a server, or the limit of a cold one, allows
+// this entry the next request. ok is false if it allows none. Requests are an interval
+// apart, and the requests within a window before are no more than the limit allows.
+func (p *Picker) nextAllowed(s *server, req *Request, now time.Time) (at time.Time, ok bool) {
 	s.dropOldPlacements(now)
-	if excess := len(s.recentlyPlaced) - max(1, int(limitWindow/interval)); excess > 0 {
-		at = later(at, s.recentlyPlaced[excess-1].Add(limitWindow))
+	for _, l := range []struct {
+		ratelimit.Limit
+		window time.Duration
+	}{{s.limit, limitWindow}, {s.coldLimit(req, now), coldWindow}} {
+		if l.PerSecond <= 0 {
+			continue
+		}
+		interval, ok := l.Interval(p.shareOf(s))
+		if !ok {
+			return time.Time{}, false
+		}
+		at = later(at, s.lastPlacedAt.Add(interval))
+		recent := s.placedSince(now.Add(-l.window))
+		if excess := len(recent) - max(1, int(l.window/interval)); excess > 0 {
+			at = later(at, recent[excess-1].Add(l.window))
+		}
 	}
 	return at, true
 }
 
+// placedSince returns the times of the requests placed after a time within limitWindow.
+func (s *server) placedSince(after time.Time) []time.Time {
+	first := len(s.recentlyPlaced)
+	for first > 0 && s.recentlyPlaced[first-1].After(after) {
+		first--
+	}
+	return s.recentlyPlaced[first:]
+}
+
 func (s *server) recordPlacement(now time.Time) {
 	s.dropOldPlacements(now)
 	s.lastPlacedAt = now
@@ -135,7 +153,8 @@
 	}
 }
 
-// limitRefusal refuses a request if servers that could run it have a rate limit, and
+// limitRefusal refuses a request if servers that could run it have a rate limit or are
+// cold, and
 // returns nil otherwise. It must be called only if no server is available. Each
 // refused caller is told the next time at which a server has no other caller to
 // expect, so that callers return one after another.
@@ -146,15 +165,16 @@
 	for _, listing := range p.directory.ByService(req.Service) {
 		s := p.state(listing)
 		excluded, _ := p.exclusion(listing, req)
-		if excluded || req.excludes(listing.Key()) || !s.rateLimited() {
+		limit := s.effectiveLimit(req, now)
+		if excluded || req.excludes(listing.Key()) || limit.PerSecond <= 0 {
 			continue
 		}
 		found = true
-		allowed, ok := p.nextAllowed(s, now)
+		allowed, ok := p.nextAllowed(s, req, now)
 		if !ok {
 			continue
 		}
-		interval, _ := s.limit.Interval(p.shareOf(s))
+		interval, _ := limit.Interval(p.shareOf(s))
 		free := later(later(allowed, s.bookedUntil.Add(interval)), now)
 		if next == nil || free.Before(at) {
 			next, at = s, free
--- a/lib/placement/refusal.go
+++ b/lib/placement/refusal.go
@@ -22,7 +22,7 @@
 	// Paused means that all servers that could run the request have asked for a pause.
 	Paused Reason = "paused"
 	// Limited means that the servers that could run the request have named a rate limit,
-	// which is reached.
+	// or are cold and tolerate only some requests per second, which are reached.
 	Limited Reason = "rate_limited"
 )
 
@@ -38,8 +38,8 @@
 	// Predicted is the predicted time to the first response on the best server; zero if
 	// there is none.
 	Predicted time.Duration
-	// ExcludedServers lists servers that are draining, evacuated, paused or rate-limited, at most
-	// a few.
+	// ExcludedServers lists servers that are draining, evacuated, paused, cold or rate-limited, at
+	// most a few.
 	ExcludedServers []string
 }
 
--- a/lib/placement/request.go
+++ b/lib/placement/request.go
@@ -35,6 +35,9 @@
 	Remaining time.Duration
 	// Exclude lists servers that must not get the request.
 	Exclude []directory.Key
+	// ColdPerSecond is what a cold server of the service tolerates from all entries
+	// together, in requests per second; zero means that there is no limit.
+	ColdPerSecond float64
 	// Homes are the regions whose servers may run the request.
 	Homes serving.Homes
 	// Evacuated lists failure domains whose servers must not get the request because the
--- a/lib/placement/server.go
+++ b/lib/placement/server.go
@@ -45,6 +45,10 @@
 	limitLiftedAt time.Time
 	// bookedUntil is the latest time at which a refused caller was told to return.
 	bookedUntil time.Time
+	// coldUntil is the time until which the server is cold, according to the row with
+	// coldRevision.
+	coldUntil    time.Time
+	coldRevision int64
 	// superseded is set if a later incarnation has the address.
 	superseded bool
 }
--- a/lib/serving/service.go
+++ b/lib/serving/service.go
@@ -9,6 +9,9 @@
 	// MaxConnections limits the connections to one backend server from all callers
 	// together; zero means unknown.
 	MaxConnections int
+	// ColdRequestsPerSecond is what a cold backend server tolerates from all entries
+	// together; zero means that there is no limit.
+	ColdRequestsPerSecond float64
 	// Engine describes the model engines; nil for plain services.
 	Engine *Engine
 	// Origin describes the origin of weights; nil for services that run requests.
