--- a/gateway/place.go
+++ b/gateway/place.go
@@ -28,9 +28,9 @@
 
 // place finds a server for the request. The first placement counts as a request of
 // the service; retries are charged to the retry budget in mayRetry. Requests to
-// engines, and to services whose servers have rate limits or are cold, are placed by one entry of
-// the region, which knows the placements of all. While no placer responds, each entry
-// places its own requests with the load that agents report.
+// engines, and to services whose servers have rate limits or are cold, are placed by one
+// entry of the region, which knows the placements of all. While no placer responds, each
+// entry places its own requests with the load that agents report.
 func (r *request) place(now time.Time) (*placement.Lease, *placement.Refusal) {
 	g := r.gateway
 	r.granted, r.summary.PlacedBy = nil, ""
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -185,9 +185,9 @@
 // same one. Remote servers that report to this entry are preferred: of the others,
 // only its own requests are known. The minimum time between two requests to the same
 // remote server does not apply if there is no other choice because local servers are
-// at their rate limits, also those of cold servers, or must not serve the request (localBarred): that lasts longer
-// than a moment of load. In the latter case, remote servers that have just opened are
-// used as well.
+// at their rate limits, also those of cold servers, or must not serve the request
+// (localBarred): that lasts longer than a moment of load. In the latter case, remote
+// servers that have just opened are used as well.
 func (p *Picker) candidates(req *Request, eligible, available []*server, localBarred bool, now time.Time) []*server {
 	var local, reported, unreported, recent, opened []*server
 	for _, s := range available {
