--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -156,6 +156,7 @@
 func (g *Gateway) UpdateServers(change func(*directory.Directory, time.Time)) {
 	g.mu.Lock()
 	change(g.directory, g.now())
+	g.picker.ObserveCold(g.now())
 	g.picker.Prune()
 	publish := g.recordUnlistedEnds()
 	g.mu.Unlock()
@@ -172,6 +173,14 @@
 	g.announceTargets()
 }
 
+// SetEvacuated sets the failure domains whose servers get no requests. It returns those
+// that are new, and those that were taken back.
+func (g *Gateway) SetEvacuated(domains []string) (evacuated, restored []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.picker.SetEvacuated(domains, g.now())
+}
+
 // SetTargetVersion sets the declared version of a model. fresh is set if it was
 // declared just now; otherwise its age is unknown.
 func (g *Gateway) SetTargetVersion(model string, version int, fresh bool) {
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -28,9 +28,9 @@
 
 // place finds a server for the request. The first placement counts as a request of
 // the service; retries are charged to the retry budget in mayRetry. Requests to
-// engines, and to services whose servers have rate limits, are placed by one entry of
-// the region, which knows the placements of all. While no placer responds, each entry
-// places its own requests with the load that agents report.
+// engines, and to services whose servers have rate limits or are cold, are placed by one
+// entry of the region, which knows the placements of all. While no placer responds, each
+// entry places its own requests with the load that agents report.
 func (r *request) place(now time.Time) (*placement.Lease, *placement.Refusal) {
 	g := r.gateway
 	r.granted, r.summary.PlacedBy = nil, ""
@@ -38,7 +38,7 @@
 	if refusal := g.refuseIfPaused(&req, now); refusal != nil {
 		return nil, refusal
 	}
-	if g.peerLink != nil && (r.engine != nil || g.hasRateLimits(r.service)) {
+	if g.peerLink != nil && (r.engine != nil || g.hasRateLimits(&req, now)) {
 		granted, refusal, placer := g.peerLink.requestPlacement(r.ctx, &req)
 		if placer.IsValid() {
 			r.summary.PlacedBy = placer.String()
@@ -82,10 +82,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	listing := g.directory.Get(granted.server)
-	if listing == nil || listing.Draining || granted.version < req.MinVersion || g.picker.Throttled(granted.server, g.now()) {
+	if listing == nil || granted.version < req.MinVersion || g.picker.Throttled(granted.server, g.now()) {
 		return nil
 	}
-	if g.picker.RateLimited(granted.server) && !granted.limitChecked {
+	if listing.Draining || !g.picker.IsHome(listing, req) || g.picker.Evacuated(listing.Domain) {
+		return nil
+	}
+	if g.picker.Limited(granted.server, req, g.now()) && !granted.limitChecked {
 		return nil
 	}
 	if req.Model != "" && listing.Weights[req.Model].Version < granted.version {
@@ -166,14 +169,26 @@
 }
 
 // encodePlacementRequest encodes a request in one datagram. If it is too long, it does
-// not list the open leases: the placer then ends lost ones when they expire.
+// not list the open leases: the placer then ends lost ones when they expire. If that
+// does not suffice, it lists neither the evacuated failure domains nor the last of the
+// servers to exclude, which are those that this entry has ejected: the entry checks the
+// granted lease for the former, and may have to retry for the latter.
 func encodePlacementRequest(query *peerlink.PlacementRequest) []byte {
-	data := encodeCompact(&peerlink.Datagram{PlacementRequest: query})
-	if len(data) <= maxDatagramBytes {
-		return data
+	for {
+		data := encodeCompact(&peerlink.Datagram{PlacementRequest: query})
+		switch {
+		case len(data) <= maxDatagramBytes:
+			return data
+		case query.OpenLeasesKnown:
+			query.OpenLeases, query.OpenLeasesKnown = nil, false
+		case len(query.Evacuated) > 0:
+			query.Evacuated = nil
+		case len(query.Exclude) > 0:
+			query.Exclude = query.Exclude[:len(query.Exclude)-1]
+		default:
+			return data
+		}
 	}
-	query.OpenLeases, query.OpenLeasesKnown = nil, false
-	return encodeCompact(&peerlink.Datagram{PlacementRequest: query})
 }
 
 // awaitPlacement waits for the response of one placer. It reports false if the
@@ -212,8 +227,13 @@
 	return nil, nil, false
 }
 
+// maxQueryDomains bounds the evacuated failure domains that a placement request lists,
+// so that it fits into a datagram. A lease in another one is rejected when it arrives.
+const maxQueryDomains = 8
+
 // newPlacementRequest encodes a request for a placer. Servers that this entry avoids
-// are excluded as well, and the rate limits that it knows are listed.
+// are excluded as well, and the evacuated failure domains and the rate limits that it
+// knows are listed.
 func (l *PeerLink) newPlacementRequest(req *placement.Request) *peerlink.PlacementRequest {
 	g := l.gateway
 	now := g.now()
@@ -222,6 +242,7 @@
 		Version: req.Version, MinVersion: req.MinVersion, NextVersion: req.NextVersion,
 		PromptTokens: req.PromptTokens, OutputTokens: req.OutputTokens,
 		LatencyTargetMillis: req.LatencyTarget.Milliseconds(), RemainingMillis: req.Remaining.Milliseconds(), MayHaveRun: req.MayHaveRun,
+		Homes: req.Homes.Regions, HomesOnly: req.Homes.Restricted,
 	}
 	if req.NextVersion != 0 {
 		query.NextMillis = req.NextVersionAt.Sub(now).Milliseconds()
@@ -229,6 +250,8 @@
 	g.mu.Lock()
 	avoided := g.picker.Avoided(req.Service, now)
 	query.Limits = g.queryLimits(req.Service, now)
+	evacuated := g.picker.EvacuatedDomains()
+	query.Evacuated = evacuated[:min(len(evacuated), maxQueryDomains)]
 	g.mu.Unlock()
 	for _, keys := range [][]directory.Key{req.Exclude, avoided} {
 		for _, key := range keys {
--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -100,6 +100,47 @@
 		}
 	})
 
+	It("keeps to the regions that may serve a request", func() {
+		// Guards against a placing entry that does not know them, and against an entry that
+		// uses a lease outside of them.
+		links := startRegion(3)
+		other := byRank(links, 2)
+		elsewhere := req
+		elsewhere.Homes = serving.Homes{Restricted: true, Regions: []string{"s"}}
+		granted, refusal, by := other.requestPlacement(context.Background(), &elsewhere)
+		Expect(granted).To(BeNil())
+		Expect(by).To(Equal(byRank(links, 0).self))
+		Expect(refusal.Reason).To(Equal(placement.NoHome))
+		granted, _, _ = other.requestPlacement(context.Background(), &req)
+		Expect(granted).NotTo(BeNil())
+		Expect(other.gateway.adopt(granted, &elsewhere)).To(BeNil())
+		Expect(other.gateway.adopt(granted, &req)).NotTo(BeNil())
+	})
+
+	It("keeps out of evacuated failure domains", func() {
+		// Guards against a lease from a placing entry that does not know the evacuation yet,
+		// and against a request that is sent although the evacuation has become known since.
+		links := startRegion(3)
+		placer, other := byRank(links, 0), byRank(links, 2)
+		granted, _, _ := other.requestPlacement(context.Background(), &req)
+		Expect(granted).NotTo(BeNil())
+		lease, _ := other.gateway.pick(req, time.Now())
+		Expect(other.gateway.revokedSince(lease)).To(BeEmpty())
+		other.gateway.SetEvacuated([]string{"north"})
+		Expect(other.gateway.adopt(granted, &req)).To(BeNil())
+		Expect(other.gateway.revokedSince(lease)).To(Equal("failure domain is evacuated"))
+		// The placing entry, which does not know the evacuation, considers it for this entry.
+		_, refusal, by := other.requestPlacement(context.Background(), &req)
+		Expect(by).To(Equal(placer.self))
+		Expect(refusal.Reason).To(Equal(placement.DomainEvacuated))
+		// It considers its own knowledge for an entry that does not know the evacuation.
+		other.gateway.SetEvacuated(nil)
+		placer.gateway.SetEvacuated([]string{"north"})
+		_, refusal, by = other.requestPlacement(context.Background(), &req)
+		Expect(by).To(Equal(placer.self))
+		Expect(refusal.Reason).To(Equal(placement.DomainEvacuated))
+	})
+
 	It("releases leases when requests end", func() {
 		links := startRegion(3)
 		placer, other := byRank(links, 0), byRank(links, 2)
@@ -196,9 +237,9 @@
 			l := startRegion(1)[0]
 			lease, refusal := l.gateway.pick(req, time.Now())
 			Expect(refusal).To(BeNil())
-			Expect(l.gateway.limitLearnedSince(lease)).To(BeFalse())
+			Expect(l.gateway.revokedSince(lease)).To(BeEmpty())
 			limit(l)
-			Expect(l.gateway.limitLearnedSince(lease)).To(BeTrue())
+			Expect(l.gateway.revokedSince(lease)).To(Equal("server has named a rate limit"))
 		})
 
 		It("is requested in one datagram, however much there is to list", func() {
@@ -224,6 +265,26 @@
 			Expect(msgpack.Unmarshal(data, &d)).To(Succeed())
 			Expect(d.PlacementRequest.Limits).To(HaveLen(maxQueryLimits))
 			Expect(d.PlacementRequest.Exclude).To(HaveLen(24))
+			// With homes and evacuated failure domains as well, the last ejected servers may be
+			// missing, but neither the homes nor a rate limit.
+			for range maxQueryDomains {
+				query.Evacuated = append(query.Evacuated, "nyagatare-a")
+			}
+			query.HomesOnly, query.Homes = true, []string{"nyagatare", "rwamagana", "kigali"}
+			data = encodePlacementRequest(query)
+			Expect(len(data)).To(BeNumerically("<=", maxDatagramBytes))
+			d = peerlink.Datagram{}
+			Expect(msgpack.Unmarshal(data, &d)).To(Succeed())
+			Expect(d.PlacementRequest.Limits).To(HaveLen(maxQueryLimits))
+			Expect(d.PlacementRequest.Homes).To(HaveLen(3))
+			Expect(len(d.PlacementRequest.Exclude)).To(BeNumerically(">=", 20))
+			query.Exclude, query.Limits = query.Exclude[:4], nil
+			for range maxQueryDomains {
+				query.Evacuated = append(query.Evacuated, "nyagatare-a")
+			}
+			d = peerlink.Datagram{}
+			Expect(msgpack.Unmarshal(encodePlacementRequest(query), &d)).To(Succeed())
+			Expect(d.PlacementRequest.Evacuated).To(HaveLen(maxQueryDomains))
 		})
 
 		It("spreads to the other entries", func() {
--- a/gateway/rate_limit.go
+++ b/gateway/rate_limit.go
@@ -63,19 +63,12 @@
 	return g.picker.Pick(req, now)
 }
 
-// hasRateLimits reports whether servers of a service have rate limits.
-func (g *Gateway) hasRateLimits(service string) bool {
+// hasRateLimits reports whether servers of the service of a request have rate limits, or
+// are cold and so tolerate a limited number of requests per second.
+func (g *Gateway) hasRateLimits(req *placement.Request, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.picker.Limits(service)) > 0
-}
-
-// limitLearnedSince reports whether the server of a lease has named a rate limit
-// since the request was placed.
-func (g *Gateway) limitLearnedSince(lease *placement.Lease) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return !lease.LimitChecked && g.picker.RateLimited(lease.Server.Key())
+	return len(g.picker.Limits(req.Service)) > 0 || req.ColdPerSecond > 0 && g.picker.HasCold(req.Service, now)
 }
 
 // queryLimits returns the rate limits to list in a placement request. The caller
--- a/internal/node/gateway_sinks.go
+++ b/internal/node/gateway_sinks.go
@@ -33,6 +33,16 @@
 	o.log.Log(eventlog.VersionDeclared, "model", v.Model, "version", v.Version, "fresh", fresh)
 }
 
+func (o *operatorSink) Evacuated(domains []string) {
+	evacuated, restored := o.gateway.SetEvacuated(domains)
+	for _, domain := range evacuated {
+		o.log.Log(eventlog.DomainEvacuated, "domain", domain)
+	}
+	for _, domain := range restored {
+		o.log.Log(eventlog.DomainRestored, "domain", domain)
+	}
+}
+
 func (o *operatorSink) InvalidRow(row watch.Row, err error) { logInvalidRow(o.log, row, err) }
 
 func (o *operatorSink) StoreLost(err error) {
@@ -70,7 +80,7 @@
 			continue
 		}
 		s.log.Log(eventlog.ServerRegistered, "server", c.ID, "service", c.Server.Service, "address", c.Server.Address,
-			"domain", c.Server.Domain, "draining", c.Server.Draining, "weights", formatWeights(c.Server.Weights))
+			"domain", c.Server.Domain, "draining", c.Server.Draining, "cold_ms", c.Server.ColdTime.Milliseconds(), "weights", formatWeights(c.Server.Weights))
 	}
 }
 
--- a/lib/placement/condition.go
+++ b/lib/placement/condition.go
@@ -15,8 +15,12 @@
 	Closed   Condition = "closed"
 	Ejected  Condition = "ejected"
 	Draining Condition = "draining"
+	// Evacuated servers are in a failure domain that the operator evacuates.
+	Evacuated Condition = "evacuated"
 	// Pausing servers have asked this entry to send no requests for a while.
 	Pausing Condition = "pausing"
+	// Cold servers tolerate only a limited number of requests per second for a while.
+	Cold Condition = "cold"
 	// RateLimited servers accept a limited number of requests per second.
 	RateLimited Condition = "limited"
 )
@@ -27,12 +31,16 @@
 	switch {
 	case listing.Draining:
 		return Draining
+	case p.Evacuated(listing.Domain):
+		return Evacuated
 	case s.paused(now):
 		return Pausing
 	case s.closed():
 		return Closed
 	case s.ejected(now):
 		return Ejected
+	case s.cold(now):
+		return Cold
 	case s.rateLimited():
 		return RateLimited
 	default:
--- a/lib/placement/refusal.go
+++ b/lib/placement/refusal.go
@@ -9,6 +9,12 @@
 const (
 	// NoServer means that no server of the service may run the request.
 	NoServer Reason = "no_server"
+	// NoHome means that no server of the service is in a region that may serve the
+	// request.
+	NoHome Reason = "no_home"
+	// DomainEvacuated means that all servers that could run the request are in failure
+	// domains which the operator evacuates.
+	DomainEvacuated Reason = "evacuated"
 	// NoWeights means that no server has loaded the required weights.
 	NoWeights Reason = "no_weights"
 	// Overloaded means that no server can respond in time.
@@ -16,10 +22,14 @@
 	// Paused means that all servers that could run the request have asked for a pause.
 	Paused Reason = "paused"
 	// Limited means that the servers that could run the request have named a rate limit,
-	// which is reached.
+	// or are cold and tolerate only some requests per second, which are reached.
 	Limited Reason = "rate_limited"
 )
 
+// reasonRank orders the reasons for which servers may not run a request: the highest one
+// among the servers is the reason of the refusal.
+var reasonRank = map[Reason]int{NoServer: 0, NoHome: 1, DomainEvacuated: 2, NoWeights: 3}
+
 // Refusal describes why a request was not placed.
 type Refusal struct {
 	Reason Reason
@@ -28,7 +38,8 @@
 	// Predicted is the predicted time to the first response on the best server; zero if
 	// there is none.
 	Predicted time.Duration
-	// ExcludedServers lists servers that are draining, paused or rate-limited, at most a few.
+	// ExcludedServers lists servers that are draining, evacuated, paused, cold or rate-limited, at
+	// most a few.
 	ExcludedServers []string
 }
 
--- a/lib/placement/request.go
+++ b/lib/placement/request.go
@@ -35,6 +35,14 @@
 	Remaining time.Duration
 	// Exclude lists servers that must not get the request.
 	Exclude []directory.Key
+	// ColdPerSecond is what a cold server of the service tolerates from all entries
+	// together, in requests per second; zero means that there is no limit.
+	ColdPerSecond float64
+	// Homes are the regions whose servers may run the request.
+	Homes serving.Homes
+	// Evacuated lists failure domains whose servers must not get the request because the
+	// entry that serves it knows that they are evacuated.
+	Evacuated []string
 	// MayHaveRun is set if the request may have begun on another server, so that a
 	// refusal could not guarantee that it has not run. It is then not refused for a
 	// missed latency target.
