Verify only the pieces of layers that an order takes

Every order cost a pass over all pieces before it and one after it.

A pass now reads the pieces of the layers that the order takes, and afterwards those of the layers that are not verified yet.

--- a/replica/layer_check.go
+++ b/replica/layer_check.go
@@ -22,6 +22,8 @@
 	// rewritten marks the pieces that were written while the engine may already have
 	// taken them.
 	rewritten []bool
+	// taking are the layers of the last accepted order.
+	taking LayerRange
 }
 
 func newLayerCheck(layers, pieces int) *layerCheck {
@@ -59,6 +61,32 @@
 	return false
 }
 
+// unknownPieces marks the pieces of the layers of a range that are still to be verified.
+func (c *layerCheck) unknownPieces(layers LayerRange) []bool {
+	return c.pieces(layers, func(layer int) bool { return c.states[layer] == layerUnknown })
+}
+
+// piecesToTake marks the pieces of the layers that an engine takes with an order for
+// target.
+func (c *layerCheck) piecesToTake(held, target LayerRange) []bool {
+	kept := held.Intersect(target)
+	return c.pieces(target, func(layer int) bool { return !kept.Contains(layer) })
+}
+
+// pieces marks the pieces that the included layers of a range need.
+func (c *layerCheck) pieces(layers LayerRange, include func(layer int) bool) []bool {
+	marked := make([]bool, len(c.rewritten))
+	for layer := layers.From; layer < layers.To; layer++ {
+		if include(layer) {
+			from, to := c.piecesOf(layer)
+			for piece := from; piece < to; piece++ {
+				marked[piece] = true
+			}
+		}
+	}
+	return marked
+}
+
 // pieceWritten records that a piece was written. taken is set if the engine holds, or may
 // be taking, the layers that need it.
 func (c *layerCheck) pieceWritten(piece int, taken bool) {
@@ -79,6 +107,7 @@
 // ordered records an accepted order for the layers of target, of which the engine held
 // kept.
 func (c *layerCheck) ordered(target, kept LayerRange) {
+	c.taking = target
 	for layer := target.From; layer < target.To; layer++ {
 		if !kept.Contains(layer) {
 			c.states[layer] = layerUnknown
--- a/replica/load.go
+++ b/replica/load.go
@@ -49,7 +49,7 @@
 	}
 	// Layers are given up before their pieces are written again: the corrupt ones show an
 	// agent that starts meanwhile that the engine doesn't hold intact layers.
-	if !held.includes(target) && !r.stageVerified(ctx, p, state, check, held, deadline) {
+	if !held.includes(target) && !r.stageVerified(ctx, p, state, check, held, target, deadline) {
 		return
 	}
 	r.order(ctx, p, check, state.stamp(), held, target)
@@ -103,7 +103,7 @@
 
 // verifyLoaded verifies the layers that the engine has taken.
 func (r *Replica) verifyLoaded(ctx context.Context, p *pendingVersion, state *EngineState, check *layerCheck, held LayerRange, deadline func() bool) {
-	v, err := r.verify(ctx, p, state.stamp(), deadline)
+	v, err := r.verify(ctx, p, state.stamp(), check.unknownPieces(held), deadline)
 	if err != nil {
 		r.logEngineError(err)
 		return
@@ -130,7 +130,8 @@
 	if p == nil {
 		return
 	}
-	if _, err := r.verify(ctx, p, state.stamp(), r.stepDeadline()); err != nil {
+	check := r.layerCheckFor(p, state)
+	if _, err := r.verify(ctx, p, state.stamp(), check.unknownPieces(check.taking), r.stepDeadline()); err != nil {
 		r.logEngineError(err)
 	}
 }
@@ -153,13 +154,13 @@
 	return complete
 }
 
-// stageVerified stages the pieces and verifies them at the engine. It reports whether an
-// order may follow.
-func (r *Replica) stageVerified(ctx context.Context, p *pendingVersion, state *EngineState, check *layerCheck, held LayerRange, deadline func() bool) bool {
+// stageVerified stages the pieces and verifies those that the engine takes with an order
+// for target. It reports whether the order may follow.
+func (r *Replica) stageVerified(ctx context.Context, p *pendingVersion, state *EngineState, check *layerCheck, held, target LayerRange, deadline func() bool) bool {
 	if !r.stage(ctx, p, state, check, held, deadline) {
 		return false
 	}
-	v, err := r.verify(ctx, p, state.stamp(), deadline)
+	v, err := r.verify(ctx, p, state.stamp(), check.piecesToTake(held, target), deadline)
 	if err != nil {
 		r.logEngineError(err)
 		return false
--- a/replica/order_test.go
+++ b/replica/order_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"errors"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -94,7 +95,8 @@
 		t.Errorf("%d orders after a pause before the order, verification %+v", e.orders, p.verification)
 	}
 	e.onPiece = nil
-	if _, err := r.verify(context.Background(), p, r.engineState.Load().stamp(), func() bool { return false }); err != nil {
+	allPieces := slices.Repeat([]bool{true}, len(p.pieces.manifest.Digests))
+	if _, err := r.verify(context.Background(), p, r.engineState.Load().stamp(), allPieces, func() bool { return false }); err != nil {
 		t.Fatal(err)
 	}
 	c.Advance(maxVerificationAge + time.Millisecond)
--- a/replica/verification.go
+++ b/replica/verification.go
@@ -2,28 +2,35 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
-// verification is one pass over the pieces of a version as they are staged at the engine.
+// verification is one pass over pieces of a version as they are staged at the engine.
 type verification struct {
 	// stamp is what the engine had loaded when the pass started.
-	stamp    loadStamp
+	stamp loadStamp
+	// needed marks the pieces that the pass reads. The others count as intact.
+	needed   []bool
 	intact   []bool
 	next     int
 	finished time.Time
 }
 
-// verify continues the pass of a pending version until all pieces have been read back or
-// deadline has passed. It starts a new pass if the engine has accepted an order since.
-// It returns nil while the pass is incomplete.
-func (r *Replica) verify(ctx context.Context, p *pendingVersion, stamp loadStamp, deadline func() bool) (*verification, error) {
+// verify continues the pass of a pending version until all needed pieces have been read
+// back or deadline has passed. It starts a new pass for other pieces, or if the engine has
+// accepted an order since. It returns nil while the pass is incomplete.
+func (r *Replica) verify(ctx context.Context, p *pendingVersion, stamp loadStamp, needed []bool, deadline func() bool) (*verification, error) {
 	v := p.verification
-	if v == nil || v.stamp != stamp {
-		v = &verification{stamp: stamp, intact: make([]bool, len(p.pieces.manifest.Digests))}
+	if v == nil || v.stamp != stamp || !slices.Equal(v.needed, needed) {
+		v = &verification{stamp: stamp, needed: needed, intact: make([]bool, len(needed))}
 		p.verification = v
 	}
 	for ; v.next < len(v.intact); v.next++ {
+		if !needed[v.next] {
+			v.intact[v.next] = true
+			continue
+		}
 		if deadline() {
 			return nil, nil
 		}
