Serve weights that can't be verified after a restart of the agent

An agent that starts keeps an engine closed until it has verified what an earlier process ordered. Without a manifest, as while the origin is cut off and all agents of a region have restarted, or while a newer version is fetched, the engine stayed closed for that long, and a failure domain served nothing.

--- a/replica/load.go
+++ b/replica/load.go
@@ -120,6 +120,7 @@
 	p.verification = nil
 	check.verified(held, v.intact)
 	if suspect := check.suspectLayers(held); suspect > 0 {
+		r.initial = nil
 		r.stats.Reloads.Add(1)
 		r.config.Log.Log(eventlog.WeightsCorrupt, "model", p.model, "version", p.version, "orders", state.OrdersAccepted, "layers", suspect)
 	}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -43,6 +43,10 @@
 	// check and checkKey belong to the goroutine of Run.
 	check    *layerCheck
 	checkKey checkKey
+	// initial is what the engine had loaded when its state was first read, at initialReadAt,
+	// or nil if it was loading then. It belongs to the goroutine of Run.
+	initial       *loadStamp
+	initialReadAt time.Time
 	// reporterWake makes the LoadReporter check for changes.
 	reporterWake chan struct{}
 
@@ -205,10 +209,34 @@
 	}
 	stamp := state.stamp()
 	r.openOrder.Store(&openOrder{ordersAccepted: state.OrdersAccepted})
+	if !state.Busy {
+		r.initial, r.initialReadAt = &stamp, r.config.Clock.Now()
+	}
+	trusted := stamp
 	if state.Busy || state.OrdersAccepted > 0 {
-		stamp = loadStamp{ordersAccepted: neverAccepted}
+		trusted = loadStamp{ordersAccepted: neverAccepted}
+	}
+	r.trusted.Store(&trusted)
+}
+
+// trustUnverifiable trusts what an earlier process had loaded if it can't be verified
+// within maxUnverifiedTime: no manifest can be had, or a newer version is declared whose
+// pieces are still missing. An engine that was loading at the start of this process, or
+// has accepted an order since, isn't trusted.
+func (r *Replica) trustUnverifiable(state *EngineState) {
+	if r.initial == nil || *r.initial != state.stamp() || r.trusts(state) || state.Busy ||
+		r.config.Clock.Now().Sub(r.initialReadAt) < maxUnverifiedTime {
+		return
 	}
-	r.trusted.Store(&stamp)
+	r.mu.Lock()
+	verifiable := len(r.pending) > 0 || r.fetching != nil && r.fetching.pieces != nil && state.Weights[r.fetching.model].Version == r.fetching.version
+	r.mu.Unlock()
+	if verifiable {
+		return
+	}
+	r.trusted.Store(r.initial)
+	r.config.Log.Log(eventlog.WeightsUnverifiable, "weights", len(state.Weights), "orders", state.OrdersAccepted)
+	r.wakeReporter()
 }
 
 // wakeReporter makes the LoadReporter check for changes.
@@ -223,6 +251,9 @@
 func (r *Replica) reconcile(ctx context.Context) {
 	t := r.currentTarget()
 	state := r.engineState.Load()
+	if state != nil {
+		r.trustUnverifiable(&state.EngineState)
+	}
 	switch {
 	case t.version == 0 || state == nil:
 		r.phases.fire(triggerUnknown)
