Specs: fixed ports get loopback addresses of their own

Listeners on port 0 of any process may take such a port until it is used, or while a server restarts.

NewIP returns addresses of a subnet that the process reserves.

--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -40,20 +39,22 @@
 	return l.text.String()
 }
 
+// testMetricsPort is the port at which gateways of specs serve their metrics.
+const testMetricsPort = 9002
+
 // entryUnderTest is a gateway daemon with simulated services of the platform.
 type entryUnderTest struct {
-	store       *platformtest.Store
-	settings    *platform.Settings
-	logs        *logBuffer
-	stop        context.CancelFunc
-	done        chan error
-	metricsPort int
+	store    *platformtest.Store
+	settings *platform.Settings
+	logs     *logBuffer
+	stop     context.CancelFunc
+	done     chan error
 }
 
 // scrapeMetrics returns the metrics as text, or an empty string if they cannot be
 // fetched.
 func (e *entryUnderTest) scrapeMetrics() string {
-	resp, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/metrics", e.metricsPort))
+	resp, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", e.settings.Address, testMetricsPort))
 	if err != nil {
 		return ""
 	}
@@ -63,32 +64,22 @@
 	return string(text)
 }
 
-func freeAddress() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer ln.Close()
-	return ln.Addr().String()
-}
-
 func startEntry() *entryUnderTest {
 	e := &entryUnderTest{store: platformtest.NewStore(), logs: &logBuffer{}, done: make(chan error, 1)}
-	port := freeAddress()
-	text := fmt.Sprintf(`{node_name: edge-1, ip: 127.0.0.1, zone: north, region: n, zones: {north: n},
-listen: {frontend: "%s", ready: "%s"}, port_range: [%s, 65535], platform: {address: "%s"},
+	ip, err := platformtest.NewIP()
+	Expect(err).NotTo(HaveOccurred())
+	text := fmt.Sprintf(`{node_name: edge-1, ip: %s, zone: north, region: n, zones: {north: n},
+listen: {frontend: "%[1]s:9000", ready: "%[1]s:9001"}, port_range: [9100, 9199], platform: {address: "%[2]s"},
 bounds: {grace_s: 8, retry_ratio: 0.2, retry_window_s: 10, retry_slack: 100}}`,
-		freeAddress(), freeAddress(), port[strings.LastIndexByte(port, ':')+1:], e.store.Address())
+		ip, e.store.Address())
 	path := filepath.Join(GinkgoT().TempDir(), "node.yaml")
 	Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
-	var err error
 	e.settings, err = platform.LoadSettings(path)
 	Expect(err).NotTo(HaveOccurred())
 	ctx, stop := context.WithCancel(context.Background())
 	e.stop = stop
-	metricsAddress := freeAddress()
-	e.metricsPort, err = strconv.Atoi(metricsAddress[strings.LastIndexByte(metricsAddress, ':')+1:])
-	Expect(err).NotTo(HaveOccurred())
 	go func() {
-		e.done <- RunGateway(ctx, Environment{Settings: e.settings, MetricsPort: e.metricsPort, Log: eventlog.OpenPlain(e.logs, clock.System{})})
+		e.done <- RunGateway(ctx, Environment{Settings: e.settings, MetricsPort: testMetricsPort, Log: eventlog.OpenPlain(e.logs, clock.System{})})
 	}()
 	DeferCleanup(func() {
 		stop()
