--- a/internal/agenttest/agent.go
+++ b/internal/agenttest/agent.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 
+	"github.com/auburnbend/auburnbend/internal/loopback"
 	"github.com/auburnbend/auburnbend/lib/backing"
 	"github.com/auburnbend/auburnbend/lib/heartbeat"
 	"github.com/auburnbend/auburnbend/lib/model"
@@ -39,8 +40,8 @@
 	Message wire.Message
 }
 
-// Start starts an agent of a pool that serves the given weights, on a free loopback
-// port.
+// Start starts an agent of a pool that serves the given weights, on a loopback
+// address of its own, as it may stop and listen again.
 func Start(identity model.Identity, pool string, live ...model.Weights) (*Agent, error) {
 	a := &Agent{
 		RequestStarts:     make(chan Received, queueLength),
@@ -50,7 +51,11 @@
 		heartbeatTemplate: wire.Heartbeat{LiveWeights: live, Load: wire.Load{Capacity: 4}},
 		conns:             make(map[net.Conn]*wire.Conn),
 	}
-	return a, a.Listen("127.0.0.1:0")
+	ip, err := loopback.NewIP()
+	if err != nil {
+		return nil, err
+	}
+	return a, a.Listen(net.JoinHostPort(ip, "0"))
 }
 
 // Listen starts to accept connections at an address. It is also called after Stop to
--- a/platform/platformtest/subnet.go
+++ b/internal/loopback/subnet.go
@@ -1,4 +1,6 @@
-package platformtest
+// Package loopback hands out loopback addresses to tests whose servers listen on fixed
+// ports or listen again after a restart.
+package loopback
 
 import (
 	"errors"
--- a/internal/node/deployment_test.go
+++ b/internal/node/deployment_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/auburnbend/auburnbend/internal/loopback"
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/platform"
@@ -142,7 +143,7 @@
 // newDeployment starts a deployment on loopback addresses that begin with 127 and
 // subnet, which no other spec may use, or with the next free one.
 func newDeployment(subnet, entries, engines, plain int) *deployment {
-	subnet, reservation, err := platformtest.ReserveSubnet(subnet)
+	subnet, reservation, err := loopback.ReserveSubnet(subnet)
 	Expect(err).NotTo(HaveOccurred())
 	s := &deployment{subnet: subnet, store: platformtest.NewStore(), logs: &logBuffer{}}
 	DeferCleanup(func() {
--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/auburnbend/auburnbend/internal/loopback"
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/platform"
@@ -66,7 +67,7 @@
 
 func startEntry() *entryUnderTest {
 	e := &entryUnderTest{store: platformtest.NewStore(), logs: &logBuffer{}, done: make(chan error, 1)}
-	ip, err := platformtest.NewIP()
+	ip, err := loopback.NewIP()
 	Expect(err).NotTo(HaveOccurred())
 	text := fmt.Sprintf(`{node_name: edge-1, ip: %s, zone: north, region: n, zones: {north: n},
 listen: {frontend: "%[1]s:9000", ready: "%[1]s:9001"}, port_range: [9100, 9199], platform: {address: "%[2]s"},
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/auburnbend/auburnbend/platform/platformtest"
+	"github.com/auburnbend/auburnbend/internal/loopback"
 )
 
 // Options configures a run.
@@ -51,7 +51,7 @@
 // outcome. It returns an error if the daemons could not be started or ctx has ended;
 // violations are part of the Result.
 func Run(ctx context.Context, o Options) (*Result, error) {
-	subnet, reservation, err := platformtest.ReserveSubnet(firstSubnet + o.Slot)
+	subnet, reservation, err := loopback.ReserveSubnet(firstSubnet + o.Slot)
 	if err != nil {
 		return nil, err
 	}
