Read staged pieces back over one connection

A pass now keeps its connection. An engine may send an earlier response once more in place of the next one, so that a piece which doesn't match its digest is read again from a new connection, and no content is read twice from one connection.

--- a/replica/engine.go
+++ b/replica/engine.go
@@ -22,6 +22,8 @@
 	StagePiece(ctx context.Context, model string, piece int, data []byte) error
 	// Piece returns a staged piece, or ErrPieceNotFound.
 	Piece(ctx context.Context, model string, piece int) ([]byte, error)
+	// PieceReader returns a reader of the staged pieces of a model.
+	PieceReader(model string) PieceReader
 	// StartLoad orders the engine to hold the given layers of a version, or all of
 	// them if the range is empty. The engine takes the staged pieces of layers that it
 	// doesn't hold, as they are when it accepts the order, and gives up all others. It
@@ -32,6 +34,16 @@
 	StartLoad(ctx context.Context, model string, version int, layers LayerRange, orders int64) error
 }
 
+// PieceReader reads staged pieces over a connection that it keeps. It is not safe for
+// concurrent use.
+type PieceReader interface {
+	// Read returns a staged piece, or ErrPieceNotFound. What it returns may also be a
+	// duplicate of an earlier response since the last Reset.
+	Read(ctx context.Context, piece int) ([]byte, error)
+	// Reset closes the connection. The next Read opens another one.
+	Reset()
+}
+
 // EngineState is the state of an engine.
 type EngineState struct {
 	// StartUnixMilli is the engine's start in Unix milliseconds.
--- a/replica/fleet_test.go
+++ b/replica/fleet_test.go
@@ -127,6 +127,20 @@
 	return nil, replica.ErrPieceNotFound
 }
 
+func (e *fakeEngine) PieceReader(model string) replica.PieceReader { return directReader{e, model} }
+
+// directReader reads pieces without a connection.
+type directReader struct {
+	engine replica.Engine
+	model  string
+}
+
+func (r directReader) Read(ctx context.Context, piece int) ([]byte, error) {
+	return r.engine.Piece(ctx, r.model, piece)
+}
+
+func (r directReader) Reset() {}
+
 func (e *fakeEngine) StartLoad(_ context.Context, _ string, version int, _ replica.LayerRange, orders int64) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/replica/load_property_test.go
+++ b/replica/load_property_test.go
@@ -135,6 +135,8 @@
 	return data, nil
 }
 
+func (e *faultyEngine) PieceReader(model string) PieceReader { return directReader{e, model} }
+
 func (e *faultyEngine) StartLoad(_ context.Context, _ string, _ int, target LayerRange, orders int64) error {
 	if target.Len() == 0 {
 		target = LayerRange{To: e.layers}
--- a/replica/order_test.go
+++ b/replica/order_test.go
@@ -35,6 +35,8 @@
 	return []byte{byte(piece)}, nil
 }
 
+func (e *scriptedEngine) PieceReader(model string) PieceReader { return directReader{e, model} }
+
 func (e *scriptedEngine) StartLoad(context.Context, string, int, LayerRange, int64) error {
 	e.orders++
 	return e.orderErr
--- a/replica/piece_set.go
+++ b/replica/piece_set.go
@@ -142,20 +142,23 @@
 
 // verifyStaged reads a piece back from the engine and reports whether it is intact. An
 // error means that the engine didn't answer.
-func (s *pieceSet) verifyStaged(ctx context.Context, piece int) (bool, error) {
+func (s *pieceSet) verifyStaged(ctx context.Context, reader *stagedReader, piece int) (bool, error) {
 	callCtx, cancel := context.WithTimeout(ctx, stageCallTimeout)
 	defer cancel()
-	data, err := s.engine.Piece(callCtx, s.manifest.Model, piece)
-	if err != nil && !errors.Is(err, ErrPieceNotFound) {
+	data, err := reader.read(callCtx, piece)
+	if err != nil {
 		return false, err
 	}
-	intact := err == nil && s.manifest.Matches(piece, data)
+	intact := data != nil
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.staged[piece] = intact
 	return intact, nil
 }
 
+// newReader returns a reader of the staged pieces. It must be reset after its use.
+func (s *pieceSet) newReader() *stagedReader { return newStagedReader(s.manifest, s.engine) }
+
 // dropFromMemory frees the pieces in memory once they are staged at the engine.
 func (s *pieceSet) dropFromMemory() {
 	s.mu.Lock()
@@ -166,12 +169,14 @@
 // readStaged adds the pieces that are already staged at the engine and match the
 // manifest.
 func (s *pieceSet) readStaged(ctx context.Context) {
+	reader := s.newReader()
+	defer reader.reset()
 	for piece := range s.have {
-		data, err := s.engine.Piece(ctx, s.manifest.Model, piece)
+		data, err := reader.read(ctx, piece)
 		if ctx.Err() != nil {
 			return
 		}
-		if err == nil && s.manifest.Matches(piece, data) {
+		if err == nil && data != nil {
 			s.put(piece, data)
 			s.mu.Lock()
 			s.staged[piece] = true
--- a/replica/verification.go
+++ b/replica/verification.go
@@ -26,6 +26,8 @@
 		v = &verification{stamp: stamp, needed: needed, intact: make([]bool, len(needed))}
 		p.verification = v
 	}
+	reader := p.pieces.newReader()
+	defer reader.reset()
 	for ; v.next < len(v.intact); v.next++ {
 		if !needed[v.next] {
 			v.intact[v.next] = true
@@ -34,7 +36,7 @@
 		if deadline() {
 			return nil, nil
 		}
-		intact, err := p.pieces.verifyStaged(ctx, v.next)
+		intact, err := p.pieces.verifyStaged(ctx, reader, v.next)
 		if err != nil {
 			p.verification = nil
 			return nil, err
