Read only the pieces that an engine lists, and serve peers over one connection

An engine that was added holds no pieces. Its agent asked for each of them, one connection each, and an agent that served a piece from its engine opened another.

The agent now reads the engine's list first, and reads all pieces if there is none. A peer's session keeps its connection to the engine, with the same checks as the other reads of staged pieces.

--- a/replica/engine.go
+++ b/replica/engine.go
@@ -22,6 +22,8 @@
 	StagePiece(ctx context.Context, model string, piece int, data []byte) error
 	// Piece returns a staged piece, or ErrPieceNotFound.
 	Piece(ctx context.Context, model string, piece int) ([]byte, error)
+	// StagedPieces returns the indexes of the staged pieces of a model, of any version.
+	StagedPieces(ctx context.Context, model string) ([]int, error)
 	// PieceReader returns a reader of the staged pieces of a model.
 	PieceReader(model string) PieceReader
 	// StartLoad orders the engine to hold the given layers of a version, or all of
--- a/replica/fleet_test.go
+++ b/replica/fleet_test.go
@@ -6,7 +6,9 @@
 	"crypto/sha256"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -127,6 +129,12 @@
 	return nil, replica.ErrPieceNotFound
 }
 
+func (e *fakeEngine) StagedPieces(context.Context, string) ([]int, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Collect(maps.Keys(e.staged)), nil
+}
+
 func (e *fakeEngine) PieceReader(model string) replica.PieceReader { return directReader{e, model} }
 
 // directReader reads pieces without a connection.
--- a/replica/load_property_test.go
+++ b/replica/load_property_test.go
@@ -135,6 +135,10 @@
 	return data, nil
 }
 
+func (e *faultyEngine) StagedPieces(context.Context, string) ([]int, error) {
+	return nil, errNoResponse
+}
+
 func (e *faultyEngine) PieceReader(model string) PieceReader { return directReader{e, model} }
 
 func (e *faultyEngine) StartLoad(_ context.Context, _ string, _ int, target LayerRange, orders int64) error {
--- a/replica/order_test.go
+++ b/replica/order_test.go
@@ -35,6 +35,10 @@
 	return []byte{byte(piece)}, nil
 }
 
+func (e *scriptedEngine) StagedPieces(context.Context, string) ([]int, error) {
+	return nil, errNoResponse
+}
+
 func (e *scriptedEngine) PieceReader(model string) PieceReader { return directReader{e, model} }
 
 func (e *scriptedEngine) StartLoad(context.Context, string, int, LayerRange, int64) error {
--- a/replica/piece_set.go
+++ b/replica/piece_set.go
@@ -82,17 +82,17 @@
 	return indexes, s.changed
 }
 
-// get returns a piece, or nil if it is missing. It verifies a piece that is
-// staged at the engine, because it may have been corrupted there.
-func (s *pieceSet) get(ctx context.Context, piece int) []byte {
+// get returns a piece, or nil if it is missing. A piece that is staged at the engine is
+// read with reader and verified, because it may have been corrupted there.
+func (s *pieceSet) get(ctx context.Context, reader *stagedReader, piece int) []byte {
 	s.mu.Lock()
 	data, have := s.pieces[piece], s.have[piece]
 	s.mu.Unlock()
 	if !have || data != nil {
 		return data
 	}
-	data, err := s.engine.Piece(ctx, s.manifest.Model, piece)
-	if err == nil && s.manifest.Matches(piece, data) {
+	data, err := reader.read(ctx, piece)
+	if err == nil && data != nil {
 		return data
 	}
 	if ctx.Err() == nil {
@@ -169,9 +169,13 @@
 // readStaged adds the pieces that are already staged at the engine and match the
 // manifest.
 func (s *pieceSet) readStaged(ctx context.Context) {
+	listed := s.listStaged(ctx)
 	reader := s.newReader()
 	defer reader.reset()
 	for piece := range s.have {
+		if !listed[piece] {
+			continue
+		}
 		data, err := reader.read(ctx, piece)
 		if ctx.Err() != nil {
 			return
@@ -184,3 +188,22 @@
 		}
 	}
 }
+
+// listStaged marks the pieces that may be staged at the engine: all of them if it doesn't
+// list them.
+func (s *pieceSet) listStaged(ctx context.Context) []bool {
+	marked := make([]bool, len(s.have))
+	staged, err := s.engine.StagedPieces(ctx, s.manifest.Model)
+	if err != nil {
+		for piece := range marked {
+			marked[piece] = true
+		}
+		return marked
+	}
+	for _, piece := range staged {
+		if piece >= 0 && piece < len(marked) {
+			marked[piece] = true
+		}
+	}
+	return marked
+}
--- a/replica/serve.go
+++ b/replica/serve.go
@@ -52,6 +52,8 @@
 	replica *Replica
 	conn    net.Conn
 	pieces  *pieceSet
+	// reader reads the pieces that are staged at the engine.
+	reader *stagedReader
 
 	// mu serializes writes to conn.
 	mu sync.Mutex
@@ -82,6 +84,8 @@
 			if s.pieces = r.awaitPiecesWithTimeout(ctx, req.Model, req.Version); s.pieces == nil {
 				return
 			}
+			s.reader = s.pieces.newReader()
+			defer s.reader.reset()
 			go s.announce(ctx)
 		}
 		if req.Piece != peerlink.NoPiece && !s.sendPiece(ctx, req.Piece) {
@@ -129,7 +133,7 @@
 func (s *peerSession) sendPiece(ctx context.Context, piece int) bool {
 	resp := &peerlink.PieceResponse{Piece: piece}
 	if piece >= 0 && piece < len(s.pieces.manifest.Digests) {
-		resp.Data = s.pieces.get(ctx, piece)
+		resp.Data = s.pieces.get(ctx, s.reader, piece)
 	}
 	release, err := s.replica.uploadLimiter.acquire(ctx, len(resp.Data), s.replica.hasWeights())
 	if err != nil {
--- a/replica/staged_reader.go
+++ b/replica/staged_reader.go
@@ -10,9 +10,10 @@
 // it keeps. The engine may send earlier responses once more, at the point where a later
 // one is expected. A piece that matches its digest is never such a duplicate, because no
 // content is read twice from one connection; one that doesn't match, or is missing, is
-// read again from a new connection. It is not safe for concurrent use.
+// read again from a connection of its own. It is not safe for concurrent use.
 type stagedReader struct {
 	manifest *Manifest
+	engine   Engine
 	pieces   PieceReader
 	// used is set if the connection has carried a response.
 	used bool
@@ -21,7 +22,7 @@
 }
 
 func newStagedReader(m *Manifest, e Engine) *stagedReader {
-	return &stagedReader{manifest: m, pieces: e.PieceReader(m.Model), contents: make(map[[sha256.Size]byte]bool)}
+	return &stagedReader{manifest: m, engine: e, pieces: e.PieceReader(m.Model), contents: make(map[[sha256.Size]byte]bool)}
 }
 
 // reset makes the next read use a new connection.
@@ -37,22 +38,24 @@
 	if r.contents[r.manifest.Digests[piece]] {
 		r.reset()
 	}
-	for {
-		first := !r.used
-		r.used = true
-		data, err := r.pieces.Read(ctx, piece)
-		missing := errors.Is(err, ErrPieceNotFound)
-		switch {
-		case err == nil && r.manifest.Matches(piece, data):
-			r.contents[r.manifest.Digests[piece]] = true
-			return data, nil
-		case err != nil && !missing:
-			r.reset()
-			return nil, err
-		}
-		r.reset()
-		if first {
-			return nil, nil
-		}
+	first := !r.used
+	r.used = true
+	data, err := r.pieces.Read(ctx, piece)
+	if err == nil && r.manifest.Matches(piece, data) {
+		r.contents[r.manifest.Digests[piece]] = true
+		return data, nil
+	}
+	r.reset()
+	if !first && (err == nil || errors.Is(err, ErrPieceNotFound)) {
+		data, err = r.engine.Piece(ctx, r.manifest.Model, piece)
+	}
+	switch {
+	case errors.Is(err, ErrPieceNotFound):
+		return nil, nil
+	case err != nil:
+		return nil, err
+	case !r.manifest.Matches(piece, data):
+		return nil, nil
 	}
+	return data, nil
 }
--- a/replica/staged_reader_test.go
+++ b/replica/staged_reader_test.go
@@ -42,6 +42,14 @@
 	err  error
 }
 
+// Piece reads from a connection of its own.
+func (e *repeatingEngine) Piece(_ context.Context, _ string, piece int) ([]byte, error) {
+	if content := e.staged[piece]; content != "" {
+		return []byte(content), nil
+	}
+	return nil, ErrPieceNotFound
+}
+
 func (e *repeatingEngine) PieceReader(string) PieceReader { return e }
 
 func (e *repeatingEngine) Reset() {
@@ -149,3 +157,51 @@
 func (e *failingEngine) PieceReader(string) PieceReader            { return e }
 func (e *failingEngine) Reset()                                    {}
 func (e *failingEngine) Read(context.Context, int) ([]byte, error) { return nil, e.err }
+
+// listingEngine is an engine that lists its staged pieces, or fails to with err. It
+// counts the reads.
+type listingEngine struct {
+	*steadyEngine
+	listed []int
+	err    error
+	reads  int
+}
+
+func (e *listingEngine) StagedPieces(context.Context, string) ([]int, error) { return e.listed, e.err }
+
+func (e *listingEngine) PieceReader(string) PieceReader { return e }
+
+func (e *listingEngine) Read(ctx context.Context, piece int) ([]byte, error) {
+	e.reads++
+	return e.steadyEngine.Read(ctx, piece)
+}
+
+// TestReadStagedReadsListedPieces guards against a read of each piece from an engine that
+// has none, and against staged pieces that are fetched again because the engine does not
+// list them.
+func TestReadStagedReadsListedPieces(t *testing.T) {
+	for name, c := range map[string]struct {
+		listed      []int
+		err         error
+		reads, have int
+	}{
+		"nothing staged":        {},
+		"some, others unknown":  {listed: []int{-1, 1, 3, 4, 1 << 40}, reads: 2, have: 2},
+		"another version's too": {listed: []int{0, 1, 2, 3}, reads: 4, have: 3},
+		"no list":               {err: errNoResponse, reads: 4, have: 3},
+	} {
+		m := &Manifest{Model: "m", Version: 1}
+		e := &listingEngine{steadyEngine: &steadyEngine{&repeatingEngine{}}, listed: c.listed, err: c.err}
+		for piece := range 4 {
+			content := fmt.Sprint("piece ", piece)
+			m.Digests = append(m.Digests, sha256.Sum256([]byte(content)))
+			e.staged = append(e.staged, content)
+		}
+		e.staged[2] = "piece of another version"
+		pieces := newPieceSet(m, e)
+		pieces.readStaged(context.Background())
+		if have, _ := pieces.held(); e.reads != c.reads || len(have) != c.have {
+			t.Errorf("%s: %d reads, %d pieces, want %d and %d", name, e.reads, len(have), c.reads, c.have)
+		}
+	}
+}
