Entries without a duty renew their subscriptions less often in large regions

Each entry of a region subscribed to each of its engines once a second and got a report of each in return: 6,400 of these datagrams a second with 150 entries and 90 engines, which is their product divided by the regions.

An entry that neither places requests for others nor reads the store for them now does so every second only after its start, while it is stopping, and while it places its own requests because no placer answers; agents then report at once. Otherwise the interval is up to 3 s, a second for each 10 entries of the region. Regions with few entries or engines keep the interval of a second.

--- a/gateway/members.go
+++ b/gateway/members.go
@@ -14,6 +14,9 @@
 	// budget. It is longer because an entry that is cut off for a while continues to
 	// retry requests.
 	budgetMemberTTL = 30 * time.Second
+	// dutyMemory is how long an entry counts as having a duty after it was last the first
+	// one in an order. Orders for reading the store are looked at every few seconds.
+	dutyMemory = 30 * time.Second
 	// rankRefreshInterval is how long a ranking is cached.
 	rankRefreshInterval = 250 * time.Millisecond
 )
@@ -29,6 +32,8 @@
 	// ranked caches the serving members in rank order by key, computed since rankedAt.
 	ranked   map[string][]netip.AddrPort
 	rankedAt time.Time
+	// dutyAt is when this entry was last the first one of several in an order.
+	dutyAt time.Time
 }
 
 func newMembers(self netip.AddrPort) *members {
@@ -59,9 +64,17 @@
 	if m.ranked[key] == nil {
 		m.ranked[key] = m.rankServing(key, now)
 	}
+	if ranked := m.ranked[key]; len(ranked) > 1 && ranked[0] == m.self {
+		m.dutyAt = now
+	}
 	return m.ranked[key]
 }
 
+// hasDuty reports whether this entry has lately been the first one of several in an order.
+func (m *members) hasDuty(now time.Time) bool {
+	return !m.dutyAt.IsZero() && now.Sub(m.dutyAt) <= dutyMemory
+}
+
 // rankServing computes the order of rank, and drops members that have expired.
 func (m *members) rankServing(key string, now time.Time) []netip.AddrPort {
 	addresses := []string{m.self.String()}
--- a/gateway/peer_link.go
+++ b/gateway/peer_link.go
@@ -18,7 +18,8 @@
 )
 
 const (
-	// subscribeInterval is how often subscriptions to load reports are renewed.
+	// subscribeInterval is how often subscriptions to load reports are renewed, unless
+	// subscriptionPace allows a longer interval.
 	subscribeInterval = time.Second
 	// maxDatagramBytes is the maximum size of a datagram in bytes.
 	maxDatagramBytes = 1200
@@ -51,6 +52,10 @@
 	// placer is the first placer in rank order. Only Run uses it.
 	placer netip.AddrPort
 
+	// subscribedAt is when all subscriptions were last renewed. Only Run uses it.
+	subscribedAt time.Time
+	pace         *subscriptionPace
+
 	// mu guards members and sequence.
 	mu       sync.Mutex
 	members  *members
@@ -70,6 +75,7 @@
 		gateway: g, name: name, region: region, conn: conn, self: self,
 		sequences: make(map[string]uint64), members: newMembers(self),
 		placements: newPendingPlacements(incarnation), wake: make(chan struct{}, 1), warm: make(chan struct{}),
+		pace: newSubscriptionPace(g.now()),
 	}
 	g.peerLink = l
 	return l, nil
@@ -95,21 +101,24 @@
 	go l.receive(ctx)
 	ticker := time.NewTicker(subscribeInterval)
 	defer ticker.Stop()
+	atOnce := true
 	for ctx.Err() == nil {
-		l.subscribe()
+		l.subscribe(atOnce)
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
+			atOnce = false
 		case <-l.wake:
 			// Batch changes that come together.
 			time.Sleep(announceDelay)
+			atOnce = true
 		}
 	}
 }
 
 // subscribe renews the subscriptions to load reports and announces the targets of
-// the engines.
-func (l *PeerLink) subscribe() {
+// the engines, if that is due or atOnce is set.
+func (l *PeerLink) subscribe(atOnce bool) {
 	table := l.gateway.table.Load()
 	if table == nil {
 		return
@@ -122,11 +131,17 @@
 	subscriptions := make(map[string][]byte)
 	engines := l.gateway.subscribedEngines(table, l.name, placer)
 	l.scheduleWarmup(len(engines))
+	interval := l.subscriptionInterval(placer, len(engines))
+	now := l.gateway.now()
+	if !atOnce && now.Sub(l.subscribedAt) < interval-subscribeInterval/2 {
+		return
+	}
+	l.subscribedAt = now
 	for _, engine := range engines {
 		subscription := subscriptions[engine.service]
 		if subscription == nil {
 			subscription = encode(&peerlink.Datagram{Subscription: &peerlink.Subscription{
-				Entry: l.name, Region: l.region, Incarnation: l.placements.incarnation, EveryChange: placer, Draining: l.gateway.draining.Load(), Target: targets[engine.service],
+				Entry: l.name, Region: l.region, Incarnation: l.placements.incarnation, EveryChange: placer, IntervalMillis: interval.Milliseconds(), Draining: l.gateway.draining.Load(), Target: targets[engine.service],
 			}})
 			subscriptions[engine.service] = subscription
 		}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -151,7 +151,7 @@
 	ranked := l.Rank(placementDuty)
 	for _, to := range ranked[:min(len(ranked), maxPlacers)] {
 		if to == l.self {
-			break
+			return nil, nil, netip.AddrPort{}
 		}
 		lease, response, ok := l.placements.begin(to, l.gateway.now())
 		if !ok {
@@ -165,6 +165,9 @@
 			return granted, refusal, to
 		}
 	}
+	if ctx.Err() == nil {
+		l.needReports()
+	}
 	return nil, nil, netip.AddrPort{}
 }
 
--- /dev/null
+++ b/gateway/subscription_pace.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// maxSubscribeInterval is the longest interval of subscriptions. Reports that are
+	// older do not count as current.
+	maxSubscribeInterval = 3 * time.Second
+	// membersPerInterval is the number of entries of a region for which an entry without a
+	// duty adds subscribeInterval to its interval, so that an agent gets about as many
+	// subscriptions a second however large its region is.
+	membersPerInterval = 10
+	// enginesPerInterval is the number of engines for which it may do so, so that agents
+	// name the entries of the region several times within memberTTL.
+	enginesPerInterval = 3
+	// hurryTime is how long an entry that has started, or has placed a request by itself,
+	// renews its subscriptions at subscribeInterval.
+	hurryTime = 5 * time.Second
+)
+
+// subscriptionPace decides how often an entry renews its subscriptions. Entries that
+// place requests for others, or that others follow, do so at subscribeInterval, and so
+// does each entry that currently places its own requests: they need current reports. The
+// others need only the list of entries. It is safe for concurrent use.
+type subscriptionPace struct {
+	mu sync.Mutex
+	// hurryUntil is the end of hurryTime.
+	hurryUntil time.Time
+}
+
+func newSubscriptionPace(now time.Time) *subscriptionPace {
+	return &subscriptionPace{hurryUntil: now.Add(hurryTime)}
+}
+
+// hurry records that current reports are needed, and reports whether they were not
+// before.
+func (p *subscriptionPace) hurry(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	fresh := !now.Before(p.hurryUntil)
+	p.hurryUntil = now.Add(hurryTime)
+	return fresh
+}
+
+// interval returns the interval of an entry of a region with some members that subscribes
+// to a number of engines. duty is set if it serves other entries or is stopping.
+func (p *subscriptionPace) interval(duty bool, members, engines int, now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if duty || now.Before(p.hurryUntil) {
+		return subscribeInterval
+	}
+	intervals := min(members/membersPerInterval, engines/enginesPerInterval)
+	return min(max(1, time.Duration(intervals))*subscribeInterval, maxSubscribeInterval)
+}
+
+// subscriptionInterval returns the current interval of this entry's subscriptions.
+func (l *PeerLink) subscriptionInterval(placer bool, engines int) time.Duration {
+	now := l.gateway.now()
+	l.mu.Lock()
+	members, duty := len(l.members.rank(placementDuty, now)), l.members.hasDuty(now)
+	l.mu.Unlock()
+	return l.pace.interval(placer || duty || l.gateway.draining.Load(), members, engines, now)
+}
+
+// needReports renews the subscriptions at once if they are renewed at a longer interval:
+// this entry places a request by itself.
+func (l *PeerLink) needReports() {
+	if l.pace.hurry(l.gateway.now()) {
+		l.announceTargets()
+	}
+}
--- a/peerlink/message.go
+++ b/peerlink/message.go
@@ -52,8 +52,11 @@
 	// Incarnation differs between the process starts of the entry.
 	Incarnation uint64 `msgpack:"k,omitempty"`
 	// EveryChange requests a report at each change of the load; otherwise reports
-	// are sent once a second.
+	// are sent once per interval.
 	EveryChange bool `msgpack:"l,omitempty"`
+	// IntervalMillis is the time in milliseconds after which the entry renews the
+	// subscription, and after which it expects an unchanged report. Zero means a second.
+	IntervalMillis int64 `msgpack:"i,omitempty"`
 	// Draining means that the entry is about to stop.
 	Draining bool `msgpack:"x,omitempty"`
 	// Target is nil while the entry doesn't know it.
--- a/replica/gossip.go
+++ b/replica/gossip.go
@@ -40,7 +40,7 @@
 	}
 	forwarded := make(map[string]int)
 	for address, s := range r.subscribers {
-		if now.Sub(s.seenAt) <= subscriptionTTL && !s.draining && forwarded[s.region] < gossipFanout {
+		if s.current(now) && !s.draining && forwarded[s.region] < gossipFanout {
 			forwarded[s.region]++
 			r.sendGossip(g, address)
 		}
--- a/replica/load_reporter.go
+++ b/replica/load_reporter.go
@@ -18,11 +18,12 @@
 
 const (
 	// refreshInterval is how often an unchanged status and the list of neighbours
-	// are sent.
-	refreshInterval = time.Second
-	// subscriptionTTL is how long an entry receives reports after a subscription;
-	// entries renew theirs once a second.
-	subscriptionTTL = 4 * time.Second
+	// are sent, to each subscriber at its own interval. It is the shortest of these;
+	// maxSubscriptionInterval is the longest.
+	refreshInterval         = time.Second
+	maxSubscriptionInterval = 5 * time.Second
+	// entryLoadTTL is how long the load that an entry reports counts.
+	entryLoadTTL = 4 * time.Second
 	// maxDatagramBytes bounds the size of a datagram.
 	maxDatagramBytes = 1200
 	// maxNeighbours bounds the neighbour addresses in one report: at 22 bytes each
@@ -61,7 +62,11 @@
 // subscriber is an entry that subscribed to reports.
 type subscriber struct {
 	seenAt time.Time
-	region string
+	// reportedAt is when the last unchanged report was sent, interval the time between
+	// two of them and between two renewals of the subscription.
+	reportedAt time.Time
+	interval   time.Duration
+	region     string
 	// incarnation distinguishes the process starts of an entry.
 	incarnation uint64
 	// everyChange requests a report at each load change; draining marks an entry
@@ -69,6 +74,24 @@
 	everyChange, draining bool
 }
 
+// current reports whether the subscription has not expired. One lost renewal does not end
+// it.
+func (s *subscriber) current(now time.Time) bool {
+	return now.Sub(s.seenAt) <= 2*(s.interval+refreshInterval)
+}
+
+// due reports whether an unchanged report is due. Reports are sent in steps of
+// refreshInterval.
+func (s *subscriber) due(now time.Time) bool {
+	return now.Sub(s.reportedAt) >= s.interval-refreshInterval/2
+}
+
+// subscriptionInterval returns the interval of a subscription.
+func subscriptionInterval(s *peerlink.Subscription) time.Duration {
+	millis := min(max(s.IntervalMillis, refreshInterval.Milliseconds()), maxSubscriptionInterval.Milliseconds())
+	return time.Duration(millis) * time.Millisecond
+}
+
 // entryLoad is the work that an entry has placed on the engine.
 type entryLoad struct {
 	receivedAt    time.Time
@@ -126,16 +149,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if d.Subscription != nil {
-		// A restarted entry process has lost the reports, suspects and draining servers
-		// that it had received, even if its address is the same.
-		if previous, ok := r.subscribers[from]; !ok || previous.incarnation != d.Subscription.Incarnation {
-			r.newSubscribers = append(r.newSubscribers, from)
-			r.replica.wakeReporter()
-			r.sendInitialGossip(now, from)
-		}
-		r.subscribers[from] = subscriber{
-			seenAt: now, region: d.Subscription.Region, incarnation: d.Subscription.Incarnation, everyChange: d.Subscription.EveryChange, draining: d.Subscription.Draining,
-		}
+		r.handleSubscription(now, from, d.Subscription)
 	}
 	if d.Gossip != nil {
 		r.handleGossip(now, d.Gossip)
@@ -145,15 +159,37 @@
 	}
 }
 
+// handleSubscription records or renews a subscription. An entry that is new, or asks for
+// reports more often than before, gets one at once. The caller holds mu.
+func (r *LoadReporter) handleSubscription(now time.Time, from netip.AddrPort, s *peerlink.Subscription) {
+	previous, ok := r.subscribers[from]
+	next := subscriber{
+		seenAt: now, reportedAt: previous.reportedAt, interval: subscriptionInterval(s),
+		region: s.Region, incarnation: s.Incarnation, everyChange: s.EveryChange, draining: s.Draining,
+	}
+	// A restarted entry process has lost the reports, suspects and draining servers
+	// that it had received, even if its address is the same.
+	restarted := !ok || previous.incarnation != s.Incarnation
+	if restarted || next.interval < previous.interval {
+		next.reportedAt = time.Time{}
+		r.newSubscribers = append(r.newSubscribers, from)
+		r.replica.wakeReporter()
+	}
+	if restarted {
+		r.sendInitialGossip(now, from)
+	}
+	r.subscribers[from] = next
+}
+
 // prefillTokens sums the prefill tokens that entries reported. Entries without a
-// message within subscriptionTTL don't count.
+// message within entryLoadTTL don't count.
 func (r *LoadReporter) prefillTokens() int {
 	now := r.replica.config.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	tokens := 0
 	for entry, load := range r.entryLoads {
-		if now.Sub(load.receivedAt) > subscriptionTTL {
+		if now.Sub(load.receivedAt) > entryLoadTTL {
 			delete(r.entryLoads, entry)
 			continue
 		}
@@ -164,9 +200,9 @@
 
 // recipients are the entries to send a report to.
 type recipients struct {
-	// all receive one at each refresh, everyChange at each change, and added
-	// immediately.
-	all, everyChange, added []netip.AddrPort
+	// all receive urgent reports, due one at a refresh, everyChange one at each change, and
+	// added one immediately.
+	all, due, everyChange, added []netip.AddrPort
 	// neighbours are the entries of this instance's region that aren't draining.
 	neighbours []string
 }
@@ -180,11 +216,14 @@
 	result := recipients{added: r.newSubscribers}
 	r.newSubscribers = nil
 	for address, s := range r.subscribers {
-		if now.Sub(s.seenAt) > subscriptionTTL {
+		if !s.current(now) {
 			delete(r.subscribers, address)
 			continue
 		}
 		result.all = append(result.all, address)
+		if s.everyChange || s.due(now) {
+			result.due = append(result.due, address)
+		}
 		if s.everyChange {
 			result.everyChange = append(result.everyChange, address)
 		}
@@ -203,7 +242,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for address, s := range r.subscribers {
-		if now.Sub(s.seenAt) <= subscriptionTTL && s.region == r.replica.config.Region && !s.draining {
+		if s.current(now) && s.region == r.replica.config.Region && !s.draining {
 			entries = append(entries, address)
 		}
 	}
@@ -222,8 +261,10 @@
 	refresh := now.Sub(r.lastRefresh) >= refreshInterval
 	urgent := status.Closed != r.lastStatus.Closed || status.Version != r.lastStatus.Version || status.StartUnixMilli != r.lastStatus.StartUnixMilli
 	switch {
-	case refresh || urgent:
+	case urgent:
 		to = list.all
+	case refresh:
+		to = list.due
 	case sameStatus(&status, &r.lastStatus):
 		to = list.added
 	default:
@@ -248,6 +289,21 @@
 		// The next report replaces a lost datagram.
 		_, _ = r.conn.WriteToUDPAddrPort(data, address)
 	}
+	if refresh {
+		r.markReported(now, to)
+	}
+}
+
+// markReported records that subscribers have been sent an unchanged report.
+func (r *LoadReporter) markReported(now time.Time, to []netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, address := range to {
+		if s, ok := r.subscribers[address]; ok {
+			s.reportedAt = now
+			r.subscribers[address] = s
+		}
+	}
 }
 
 func sameStatus(a, b *peerlink.Status) bool {
--- a/replica/load_reporter_test.go
+++ b/replica/load_reporter_test.go
@@ -71,6 +71,46 @@
 		Expect(next(conn, 300*time.Millisecond)).NotTo(BeNil())
 	})
 
+	It("reports to each entry at its interval, and at once if it is shortened", func() {
+		// Guards against agents of large regions that send each report to each entry, and
+		// against entries that need current reports and wait for the end of an interval.
+		f := newFleet(1)
+		reporter, err := replica.NewLoadReporter(f.replicas[0])
+		Expect(err).NotTo(HaveOccurred())
+		go reporter.Run(f.ctx)
+		conn, err := net.DialUDP("udp", nil, &net.UDPAddr{IP: net.ParseIP(f.host(0)), Port: f.port})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		sendInterval := func(interval time.Duration) {
+			data, err := msgpack.Marshal(&peerlink.Datagram{Subscription: &peerlink.Subscription{Entry: "e", Region: "0", Incarnation: 1, IntervalMillis: interval.Milliseconds()}})
+			Expect(err).NotTo(HaveOccurred())
+			_, err = conn.Write(data)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		sendInterval(3 * time.Second)
+		Expect(next(conn, time.Second)).NotTo(BeNil())
+		// The replica may be reading the state of its engine for the first time.
+		for next(conn, 300*time.Millisecond) != nil {
+		}
+		sendInterval(3 * time.Second)
+		Expect(next(conn, 1500*time.Millisecond)).To(BeNil())
+		sendInterval(time.Second)
+		Expect(next(conn, 500*time.Millisecond)).NotTo(BeNil())
+	})
+
+	It("keeps a subscription for two of its intervals", func() {
+		// Guards against an entry that an agent no longer names because one datagram was
+		// lost, and against one that it names for long after it has ended.
+		f := newFleet(1)
+		reporter, err := replica.NewLoadReporter(f.replicas[0])
+		Expect(err).NotTo(HaveOccurred())
+		go reporter.Run(f.ctx)
+		subscribe(f, false)
+		Eventually(reporter.Entries).Should(HaveLen(1))
+		Consistently(reporter.Entries, 3*time.Second, 100*time.Millisecond).Should(HaveLen(1))
+		Eventually(reporter.Entries, 2*time.Second).Should(BeEmpty())
+	})
+
 	It("tells an entry that has just subscribed of the rate limits in force", func() {
 		// Guards against restarted entries that send a limited server more than it takes.
 		f := newFleet(1)
