The standby placer follows each change of the load only while it places requests

Agents sent each change of an engine's load, up to ten a second, to both placers of a region and to those of other regions that use the engine, though the second placer of a region places requests only when the first one doesn't answer: 4,200 datagrams a second with 150 entries and 90 engines, half of them to standbys.

A standby now gets a report each second, and urgent ones at once as before. When it is asked for a placement, or places its own requests because the first placer is silent, it asks for each change for the next seconds, and agents report at once.

--- a/gateway/peer_link.go
+++ b/gateway/peer_link.go
@@ -31,7 +31,7 @@
 // PeerLink exchanges datagrams with the agents of model engines and with the other
 // entries of the region. Agents report the load of their engines and name the
 // entries of the region. The first two entries in rank order are placers: they place
-// the requests of all entries of the region.
+// the requests of all entries of the region, the second one if the first one doesn't.
 type PeerLink struct {
 	gateway *Gateway
 	name    string
@@ -128,6 +128,7 @@
 	l.resendGossip(table)
 	placer := l.isPlacer()
 	targets := l.gateway.weightTargets(table)
+	everyChange := l.followsEveryChange()
 	subscriptions := make(map[string][]byte)
 	engines := l.gateway.subscribedEngines(table, l.name, placer)
 	l.scheduleWarmup(len(engines))
@@ -141,7 +142,7 @@
 		subscription := subscriptions[engine.service]
 		if subscription == nil {
 			subscription = encode(&peerlink.Datagram{Subscription: &peerlink.Subscription{
-				Entry: l.name, Region: l.region, Incarnation: l.placements.incarnation, EveryChange: placer, IntervalMillis: interval.Milliseconds(), Draining: l.gateway.draining.Load(), Target: targets[engine.service],
+				Entry: l.name, Region: l.region, Incarnation: l.placements.incarnation, EveryChange: everyChange, IntervalMillis: interval.Milliseconds(), Draining: l.gateway.draining.Load(), Target: targets[engine.service],
 			}})
 			subscriptions[engine.service] = subscription
 		}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -149,8 +149,11 @@
 // the request itself.
 func (l *PeerLink) requestPlacement(ctx context.Context, req *placement.Request) (*grant, *placement.Refusal, netip.AddrPort) {
 	ranked := l.Rank(placementDuty)
-	for _, to := range ranked[:min(len(ranked), maxPlacers)] {
+	for i, to := range ranked[:min(len(ranked), maxPlacers)] {
 		if to == l.self {
+			if i > 0 && ctx.Err() == nil {
+				l.noteAsked()
+			}
 			return nil, nil, netip.AddrPort{}
 		}
 		lease, response, ok := l.placements.begin(to, l.gateway.now())
--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -170,6 +170,34 @@
 		Expect(ok).To(BeFalse(), "an entry that did not respond is not asked again for a while")
 	})
 
+	It("makes the standby follow each change of the load only while it places requests", func() {
+		// Guards against agents that send each report twice, and against a standby that
+		// places requests with reports that are a second old for longer than it takes to get
+		// others.
+		links := startRegion(4)
+		first, second, other := byRank(links, 0), byRank(links, 1), byRank(links, 2)
+		granted, _, _ := other.requestPlacement(context.Background(), &req)
+		Expect(granted.by).To(Equal(first.self))
+		Expect(first.followsEveryChange()).To(BeTrue())
+		Expect(second.followsEveryChange()).To(BeFalse())
+		Expect(other.followsEveryChange()).To(BeFalse())
+		first.conn.Close()
+		granted, _, _ = other.requestPlacement(context.Background(), &req)
+		Expect(granted.by).To(Equal(second.self))
+		Expect(second.followsEveryChange()).To(BeTrue())
+		Expect(second.wake).To(Receive())
+		Expect(second.pace.wasAsked(time.Now().Add(hurryTime))).To(BeFalse())
+	})
+
+	It("makes the standby follow each change of the load if its own requests are not placed", func() {
+		links := startRegion(3)
+		first, second := byRank(links, 0), byRank(links, 1)
+		first.conn.Close()
+		granted, _, _ := second.requestPlacement(context.Background(), &req)
+		Expect(granted).To(BeNil())
+		Expect(second.followsEveryChange()).To(BeTrue())
+	})
+
 	It("is not done by a draining placer", func() {
 		links := startRegion(3)
 		first, second, other := byRank(links, 0), byRank(links, 1), byRank(links, 2)
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -24,6 +24,7 @@
 func (l *PeerLink) handlePlacementRequest(query *peerlink.PlacementRequest, from netip.AddrPort) {
 	response := &peerlink.PlacementResponse{Declined: true}
 	if l.isPlacer() {
+		l.noteAsked()
 		response = l.gateway.placeFor(query)
 	}
 	response.Incarnation, response.Lease = query.Incarnation, query.Lease
--- a/gateway/subscription_pace.go
+++ b/gateway/subscription_pace.go
@@ -29,6 +29,8 @@
 	mu sync.Mutex
 	// hurryUntil is the end of hurryTime.
 	hurryUntil time.Time
+	// askedAt is when this entry was last asked for a placement.
+	askedAt time.Time
 }
 
 func newSubscriptionPace(now time.Time) *subscriptionPace {
@@ -45,6 +47,23 @@
 	return fresh
 }
 
+// asked records a request that this entry places because another placer does not, and
+// reports whether there was none within hurryTime.
+func (p *subscriptionPace) asked(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	fresh := p.askedAt.IsZero() || now.Sub(p.askedAt) > hurryTime
+	p.askedAt = now
+	return fresh
+}
+
+// wasAsked reports whether this entry was asked for a placement within hurryTime.
+func (p *subscriptionPace) wasAsked(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.askedAt.IsZero() && now.Sub(p.askedAt) <= hurryTime
+}
+
 // interval returns the interval of an entry of a region with some members that subscribes
 // to a number of engines. duty is set if it serves other entries or is stopping.
 func (p *subscriptionPace) interval(duty bool, members, engines int, now time.Time) time.Duration {
@@ -73,3 +92,21 @@
 		l.announceTargets()
 	}
 }
+
+// followsEveryChange reports whether this entry needs a report at each change of an
+// engine's load: it is the first placer, or places requests because the first one does
+// not.
+func (l *PeerLink) followsEveryChange() bool {
+	if !l.isPlacer() {
+		return false
+	}
+	return l.Rank(placementDuty)[0] == l.self || l.pace.wasAsked(l.gateway.now())
+}
+
+// noteAsked renews the subscriptions at once if this entry is asked for a placement for the
+// first time in a while.
+func (l *PeerLink) noteAsked() {
+	if l.pace.asked(l.gateway.now()) {
+		l.announceTargets()
+	}
+}
--- a/replica/load_reporter_test.go
+++ b/replica/load_reporter_test.go
@@ -20,6 +20,14 @@
 		_, err = conn.Write(data)
 		Expect(err).NotTo(HaveOccurred())
 	}
+	sendPaced := func(conn *net.UDPConn, interval time.Duration, everyChange bool) {
+		data, err := msgpack.Marshal(&peerlink.Datagram{Subscription: &peerlink.Subscription{
+			Entry: "e", Region: "0", Incarnation: 1, IntervalMillis: interval.Milliseconds(), EveryChange: everyChange,
+		}})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = conn.Write(data)
+		Expect(err).NotTo(HaveOccurred())
+	}
 	subscribe := func(f *fleet, everyChange bool) *net.UDPConn {
 		conn, err := net.DialUDP("udp", nil, &net.UDPAddr{IP: net.ParseIP(f.host(0)), Port: f.port})
 		Expect(err).NotTo(HaveOccurred())
@@ -81,12 +89,7 @@
 		conn, err := net.DialUDP("udp", nil, &net.UDPAddr{IP: net.ParseIP(f.host(0)), Port: f.port})
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(conn.Close)
-		sendInterval := func(interval time.Duration) {
-			data, err := msgpack.Marshal(&peerlink.Datagram{Subscription: &peerlink.Subscription{Entry: "e", Region: "0", Incarnation: 1, IntervalMillis: interval.Milliseconds()}})
-			Expect(err).NotTo(HaveOccurred())
-			_, err = conn.Write(data)
-			Expect(err).NotTo(HaveOccurred())
-		}
+		sendInterval := func(interval time.Duration) { sendPaced(conn, interval, false) }
 		sendInterval(3 * time.Second)
 		Expect(next(conn, time.Second)).NotTo(BeNil())
 		// The replica may be reading the state of its engine for the first time.
@@ -98,6 +101,21 @@
 		Expect(next(conn, 500*time.Millisecond)).NotTo(BeNil())
 	})
 
+	It("reports at once to an entry that asks for each change from now on", func() {
+		// Guards against a standby placer that takes over with reports that are a second old.
+		f := newFleet(1)
+		reporter, err := replica.NewLoadReporter(f.replicas[0])
+		Expect(err).NotTo(HaveOccurred())
+		go reporter.Run(f.ctx)
+		conn := subscribe(f, false)
+		sendPaced(conn, 3*time.Second, false)
+		Expect(next(conn, time.Second)).NotTo(BeNil())
+		for next(conn, 300*time.Millisecond) != nil {
+		}
+		sendPaced(conn, 3*time.Second, true)
+		Expect(next(conn, 300*time.Millisecond)).NotTo(BeNil())
+	})
+
 	It("keeps a subscription for two of its intervals", func() {
 		// Guards against an entry that an agent no longer names because one datagram was
 		// lost, and against one that it names for long after it has ended.
