Send the load of an entry to an agent only if it has changed

An entry that places requests sent the prompt tokens that are still to be processed on an engine to its agent when a request was placed, when its response started and when it ended. The same load is now sent again after a second at the earliest.

--- a/gateway/peer_link.go
+++ b/gateway/peer_link.go
@@ -56,9 +56,10 @@
 	subscribedAt time.Time
 	pace         *subscriptionPace
 
-	// mu guards members and sequence.
+	// mu guards members, loads and sequence.
 	mu       sync.Mutex
 	members  *members
+	loads    *entryLoads
 	sequence uint64
 }
 
@@ -75,7 +76,7 @@
 		gateway: g, name: name, region: region, conn: conn, self: self,
 		sequences: make(map[string]uint64), members: newMembers(self),
 		placements: newPendingPlacements(incarnation), wake: make(chan struct{}, 1), warm: make(chan struct{}),
-		pace: newSubscriptionPace(g.now()),
+		pace: newSubscriptionPace(g.now()), loads: newEntryLoads(),
 	}
 	g.peerLink = l
 	return l, nil
@@ -183,13 +184,17 @@
 func (l *PeerLink) send(data []byte, to netip.AddrPort) { _, _ = l.conn.WriteToUDPAddrPort(data, to) }
 
 // sendUsage reports the requests that this entry has placed on an engine to the
-// engine's agent.
+// engine's agent, if that has changed.
 func (l *PeerLink) sendUsage(server string, u placement.Usage) {
 	address, err := netip.ParseAddrPort(server)
 	if err != nil {
 		return
 	}
 	l.mu.Lock()
+	if !l.loads.changed(server, u.PrefillTokens, l.gateway.now()) {
+		l.mu.Unlock()
+		return
+	}
 	l.sequence++
 	sequence := l.sequence
 	l.mu.Unlock()
