Compute the order of members for a piece where it is needed

The plan of a fetch held a copy of all members for each piece, and an agent makes a new plan every 1.5 s while it fetches.

--- a/lib/spread/plan.go
+++ b/lib/spread/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"sort"
 )
@@ -13,14 +14,12 @@
 // fetches it into each region. It is immutable.
 type Plan struct {
 	self Member
+	// pieces is the number of pieces.
+	pieces int
 	// members are all members sorted by ID, including self, without duplicates.
 	members []Member
 	// regions holds the members of each region in the same order.
 	regions map[string][]Member
-	// ranked lists all members for each piece, starting with the one responsible
-	// for fetching it from the origin; rankedInRegion does the same for the members
-	// of self's region.
-	ranked, rankedInRegion [][]Member
 	// regionIDs are the members of self's region.
 	regionIDs map[string]bool
 }
@@ -29,7 +28,7 @@
 // may include the instance and may contain duplicates, because a restarted
 // instance is registered under both its old and its new start for a while.
 func NewPlan(self Member, members []Member, pieces int) *Plan {
-	p := &Plan{self: self, regions: make(map[string][]Member), regionIDs: make(map[string]bool)}
+	p := &Plan{self: self, pieces: pieces, regions: make(map[string][]Member), regionIDs: make(map[string]bool)}
 	seen := map[string]bool{self.ID: true}
 	p.members = append(p.members, self)
 	for _, m := range members {
@@ -42,25 +41,36 @@
 	for _, m := range p.members {
 		p.regions[m.Region] = append(p.regions[m.Region], m)
 	}
-	inRegion := p.regions[self.Region]
-	for _, m := range inRegion {
+	for _, m := range p.regions[self.Region] {
 		p.regionIDs[m.ID] = true
 	}
-	p.ranked, p.rankedInRegion = rank(p.members, pieces), rank(inRegion, pieces)
 	return p
 }
 
-// rank orders the members for each piece by rotation, so that each member is
-// first for the same number of pieces. With random weights fewer pieces would move
-// when a member is added or removed, but some members got half as many pieces
-// again as others, and a fetch took 4.5 s instead of 3.7 s.
-func rank(members []Member, pieces int) [][]Member {
-	ranked := make([][]Member, pieces)
-	for piece := range ranked {
-		first := piece % len(members)
-		ranked[piece] = slices.Concat(members[first:], members[:first])
+// ranked returns all members in their order for a piece, starting with the one
+// responsible for fetching it from the origin.
+func (p *Plan) ranked(piece int) iter.Seq[Member] { return rotated(p.members, piece) }
+
+// rankedInRegion returns the members of the instance's region in their order for a piece.
+func (p *Plan) rankedInRegion(piece int) iter.Seq[Member] {
+	return rotated(p.regions[p.self.Region], piece)
+}
+
+// first returns the first one of members in their order for a piece.
+func first(members []Member, piece int) Member { return members[piece%len(members)] }
+
+// rotated orders the members for a piece by rotation, so that each member is first for
+// the same number of pieces. With random weights fewer pieces would move when a member
+// is added or removed, but some members got half as many pieces again as others, and a
+// fetch took 4.5 s instead of 3.7 s.
+func rotated(members []Member, piece int) iter.Seq[Member] {
+	return func(yield func(Member) bool) {
+		for i := range members {
+			if !yield(members[(piece+i)%len(members)]) {
+				return
+			}
+		}
 	}
-	return ranked
 }
 
 // Self returns the instance that the plan is for.
@@ -77,9 +87,9 @@
 	for _, m := range p.regions[p.self.Region] {
 		needed[m.ID] = true
 	}
-	for piece := range p.ranked {
-		if p.rankedInRegion[piece][0].ID == p.self.ID {
-			needed[p.ranked[piece][0].ID] = true
+	for piece := range p.pieces {
+		if first(p.regions[p.self.Region], piece).ID == p.self.ID {
+			needed[first(p.members, piece).ID] = true
 		}
 	}
 	delete(needed, p.self.ID)
@@ -88,7 +98,7 @@
 
 // responsible returns the reachable member that fetches a piece from the origin.
 func (p *Plan) responsible(piece int, unreachable map[string]bool) string {
-	for _, m := range p.ranked[piece] {
+	for m := range p.ranked(piece) {
 		if !unreachable[m.ID] {
 			return m.ID
 		}
@@ -107,9 +117,9 @@
 
 // reachableMembersBefore returns the number of reachable members that precede the
 // instance in a ranking.
-func (p *Plan) reachableMembersBefore(ranking []Member, unreachable map[string]bool) int {
+func (p *Plan) reachableMembersBefore(ranking iter.Seq[Member], unreachable map[string]bool) int {
 	count := 0
-	for _, m := range ranking {
+	for m := range ranking {
 		if m.ID == p.self.ID {
 			return count
 		}
