Place a request without a look at every server of the fleet

A placement looked up the state of each server of the service, those of other regions included, of which two are compared, and the entries scanned them again for ejections, pauses, limits and current reports.

The states are now kept in the order of the directory until it changes. Servers of other regions that have never reported are left out as long as one that has reported is available, which chooses the same candidates: TestNearCandidatesAreThoseOfAllServers. Ejections, pauses and limits are looked for only while there are any.

--- a/lib/directory/directory.go
+++ b/lib/directory/directory.go
@@ -21,6 +21,8 @@
 	// each address. Both are nil after a change.
 	byService map[string][]*Server
 	byAddress map[string]*Server
+	// generation counts the changes of the listed servers.
+	generation uint64
 }
 
 // New returns an empty Directory.
@@ -141,8 +143,14 @@
 	d.invalidate()
 }
 
-// invalidate drops the caches.
-func (d *Directory) invalidate() { d.byService, d.byAddress = nil, nil }
+// invalidate drops the caches after a change.
+func (d *Directory) invalidate() {
+	d.byService, d.byAddress = nil, nil
+	d.generation++
+}
+
+// Generation returns a number that differs after each change of the listed servers.
+func (d *Directory) Generation() uint64 { return d.generation }
 
 // Expire drops the servers whose grace period has ended.
 func (d *Directory) Expire(now time.Time) {
--- a/lib/placement/avoided.go
+++ b/lib/placement/avoided.go
@@ -19,6 +19,9 @@
 // the servers are ejected, the ejected ones are left out, as the fault is then
 // probably not theirs.
 func (p *Picker) Avoided(service string, now time.Time) []directory.Key {
+	if !now.Before(p.pausesUntil) && !now.Before(p.ejectionsUntil) {
+		return nil
+	}
 	var avoided, paused []directory.Key
 	listed := p.directory.ByService(service)
 	for _, listing := range listed {
--- /dev/null
+++ b/lib/placement/bench_test.go
@@ -0,0 +1,60 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/directory"
+	"github.com/auburnbend/auburnbend/lib/serving"
+)
+
+// BenchmarkPick measures a placement by an entry of a fleet with a number of engines in
+// five regions, of which those of its own region and 24 others report their load.
+func BenchmarkPick(b *testing.B) {
+	const (
+		regions         = 5
+		reportedRemotes = 24
+	)
+	for _, engines := range []int{160, 10_000} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			config := Config{Domain: "d0", Regions: make(map[string]string)}
+			for i := range regions {
+				config.Regions[fmt.Sprint("d", i)] = fmt.Sprint("r", i)
+			}
+			d := directory.New()
+			p := New(config, d, rand.New(rand.NewPCG(1, 1)))
+			engine := &serving.Engine{
+				Slots: 8, StepTime: 13 * time.Millisecond, PrefillTokensPerSecond: 12700, StepsPerPrefillChunk: 5, PrefillChunkTokens: 2048, MeanPromptTokens: 900, MeanOutputTokens: 75,
+			}
+			remotes := 0
+			for i := range engines {
+				s := &directory.Server{
+					ID: fmt.Sprint("i-", i), Service: "drafts", Address: fmt.Sprintf("10.0.%d.%d:9000", i/250, i%250), Domain: fmt.Sprint("d", i%regions), Slots: 8,
+					Weights: map[string]directory.Weights{"m": {Version: 3, Complete: true}},
+				}
+				d.Put(s)
+				if i%regions != 0 {
+					if remotes++; remotes > reportedRemotes {
+						continue
+					}
+				}
+				p.Report(s.Key(), Load{Running: i % 4, Slowdown: 1}, now.Add(-localOnlyTime))
+			}
+			req := Request{
+				Service: "drafts", Engine: engine, Model: "m", MinVersion: 3, PromptTokens: 900, OutputTokens: 75, LatencyTarget: 800 * time.Millisecond, Remaining: 6 * time.Second, Entry: "e",
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Microsecond)
+				lease, refusal := p.Pick(req, now)
+				if refusal != nil {
+					b.Fatal(refusal.Reason)
+				}
+				p.Done(lease, Answered, now)
+			}
+		})
+	}
+}
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -23,6 +23,16 @@
 	// evacuations holds failure domains by name.
 	evacuations map[string]evacuation
 	regionCount int
+	// indexes holds the servers of services for the generation of the directory and the
+	// number of first reports given.
+	indexes                            map[string]*serviceIndex
+	indexGeneration, indexFirstReports uint64
+	// firstReports counts the first reports of servers.
+	firstReports uint64
+	// ejectionsUntil is the end of the last ejection of any server.
+	ejectionsUntil time.Time
+	// rateLimited holds the servers that have a rate limit.
+	rateLimited map[directory.Key]bool
 }
 
 // New returns a Picker for the servers of a directory. The Picker drops expired
@@ -31,6 +41,7 @@
 	return &Picker{
 		config: config.applyDefaults(), directory: d, servers: make(map[directory.Key]*server), rng: rng,
 		limitShare: 1, evacuations: make(map[string]evacuation), regionCount: countRegions(config.Regions),
+		indexes: make(map[string]*serviceIndex), rateLimited: make(map[directory.Key]bool),
 	}
 }
 
@@ -87,39 +98,52 @@
 // best returns the server with the lowest score, or a refusal.
 func (p *Picker) best(req *Request, now time.Time) (*server, estimate, *Refusal) {
 	p.directory.Expire(now)
-	eligible, reason := p.eligible(req)
 	held := p.heldBack(now)
-	available := p.available(eligible, req, held, now)
-	if len(available) == 0 {
-		if req.Entry == "" {
-			if refusal := p.pauseRefusal(req, now); refusal != nil {
-				return nil, estimate{}, refusal
-			}
-		}
-		if refusal := p.limitRefusal(req, now); refusal != nil {
+	candidates, ok := p.nearCandidates(req, held, now)
+	if !ok {
+		var refusal *Refusal
+		if candidates, refusal = p.allCandidates(req, held, now); refusal != nil {
 			return nil, estimate{}, refusal
 		}
-		return nil, estimate{}, unavailable(req, reason)
 	}
-	reason = Overloaded
-	var best *candidate
-	for _, s := range p.candidates(req, eligible, available, p.isLocalBarred(req, held), now) {
+	reason := Overloaded
+	var best candidate
+	for _, s := range candidates {
 		e := s.predict(req, now)
 		if s.mayMissVersionDeadline(req, e, now) {
 			reason = NoWeights
 			continue
 		}
-		c := &candidate{server: s, estimate: e, score: e.firstResponse + p.distancePenalty(req.Domain, s.listing.Domain)}
-		if best == nil || c.compare(best) < 0 {
+		c := candidate{server: s, estimate: e, score: e.firstResponse + p.distancePenalty(req.Domain, s.listing.Domain)}
+		if best.server == nil || c.compare(&best) < 0 {
 			best = c
 		}
 	}
-	if best == nil {
+	if best.server == nil {
 		return nil, estimate{}, unavailable(req, reason)
 	}
 	return best.server, best.estimate, nil
 }
 
+// allCandidates returns the candidates among all servers of the service, or a refusal if
+// none is available.
+func (p *Picker) allCandidates(req *Request, held []string, now time.Time) ([]*server, *Refusal) {
+	eligible, reason := p.eligible(req)
+	available := p.available(eligible, req, held, now)
+	if len(available) > 0 {
+		return p.candidates(req, eligible, available, p.isLocalBarred(req, held), now), nil
+	}
+	if req.Entry == "" {
+		if refusal := p.pauseRefusal(req, now); refusal != nil {
+			return nil, refusal
+		}
+	}
+	if refusal := p.limitRefusal(req, now); refusal != nil {
+		return nil, refusal
+	}
+	return nil, unavailable(req, reason)
+}
+
 // mayMissVersionDeadline reports whether the request might still wait on the server
 // when the server's weights must no longer serve.
 func (s *server) mayMissVersionDeadline(req *Request, e estimate, now time.Time) bool {
@@ -134,12 +158,12 @@
 func (p *Picker) eligible(req *Request) ([]*server, Reason) {
 	reason := NoServer
 	var eligible []*server
-	for _, listing := range p.directory.ByService(req.Service) {
-		excluded, cause := p.exclusion(listing, req)
+	for _, s := range p.index(req.Service).all {
+		excluded, cause := p.exclusion(s.listing, req)
 		switch {
-		case req.excludes(listing.Key()):
+		case req.excludes(s.listing.Key()):
 		case !excluded:
-			eligible = append(eligible, p.state(listing))
+			eligible = append(eligible, s)
 		case reasonRank[cause] > reasonRank[reason]:
 			reason = cause
 		}
@@ -171,17 +195,16 @@
 // load is being ramped up, and those in held-back failure domains, are used if there is
 // no other choice.
 func (p *Picker) available(eligible []*server, req *Request, held []string, now time.Time) []*server {
-	own := req.Entry == ""
 	var available, ramping, ejected []*server
 	for _, s := range eligible {
-		switch {
-		case s.closed() || own && s.paused(now) || p.overLimit(s, req, now):
-		case s.ejected(now):
-			ejected = append(ejected, s)
-		case own && s.atRampLimit(now) || slices.Contains(held, s.listing.Domain):
-			ramping = append(ramping, s)
-		default:
+		switch p.usability(s, req, held, now) {
+		case usable:
 			available = append(available, s)
+		case usableIfNoOther:
+			ramping = append(ramping, s)
+		case unusableEjected:
+			ejected = append(ejected, s)
+		case unusable:
 		}
 	}
 	if len(available) == 0 {
@@ -193,6 +216,32 @@
 	return available
 }
 
+// usability tells whether an eligible server accepts a request now.
+type usability int
+
+const (
+	unusable usability = iota
+	unusableEjected
+	// usableIfNoOther servers have their load ramped up, or are in a held-back failure
+	// domain.
+	usableIfNoOther
+	usable
+)
+
+func (p *Picker) usability(s *server, req *Request, held []string, now time.Time) usability {
+	own := req.Entry == ""
+	switch {
+	case s.closed() || own && s.paused(now) || p.overLimit(s, req, now):
+		return unusable
+	case s.ejected(now):
+		return unusableEjected
+	case own && s.atRampLimit(now) || slices.Contains(held, s.listing.Domain):
+		return usableIfNoOther
+	default:
+		return usable
+	}
+}
+
 // candidates returns all servers of the own region and a random choice of the
 // others. What is known of remote servers is older, and all entries would choose the
 // same one. Remote servers that report to this entry are preferred: of the others,
--- a/lib/placement/picker_outcome.go
+++ b/lib/placement/picker_outcome.go
@@ -78,6 +78,7 @@
 	duration := min(p.config.MinEject<<min(s.ejections, 10), p.config.MaxEject)
 	s.ejections++
 	s.ejectedUntil = now.Add(duration)
+	p.ejectionsUntil = later(p.ejectionsUntil, s.ejectedUntil)
 	if p.config.OnEject != nil {
 		p.config.OnEject(s.listing, duration, cause)
 	}
--- a/lib/placement/picker_reports.go
+++ b/lib/placement/picker_reports.go
@@ -17,7 +17,8 @@
 	if !load.Closed && (s.load.Closed || s.openedAt.IsZero()) {
 		s.openedAt = now
 	}
-	s.load, s.reportedAt = load, now
+	p.markReported(s, now)
+	s.load = load
 	s.otherRequests = max(0, load.Running+load.Queued-s.runningHistory.valueAt(now.Add(-load.Age)))
 	s.otherPrefillTokens = max(0, load.PrefillTokens-s.usage.PrefillTokens)
 }
@@ -28,7 +29,7 @@
 	running, queued = limitCount(running, maxReportedRequests), limitCount(queued, maxReportedRequests)
 	s := p.server(key)
 	s.load.Running, s.load.Queued = running, queued
-	s.reportedAt = now
+	p.markReported(s, now)
 	s.otherRequests = max(0, running+queued-s.usage.Running)
 }
 
@@ -36,12 +37,12 @@
 // a service's servers in this region, without those in evacuated failure domains.
 func (p *Picker) HasLoadReports(service string, now time.Time) bool {
 	local, known := 0, 0
-	for _, listing := range p.directory.ByService(service) {
-		if p.config.Regions[listing.Domain] != p.config.Regions[p.config.Domain] || p.Evacuated(listing.Domain) {
+	for _, s := range p.index(service).local {
+		if p.Evacuated(s.listing.Domain) {
 			continue
 		}
 		local++
-		if s := p.servers[listing.Key()]; s != nil && s.hasReport(now) {
+		if s.hasReport(now) {
 			known++
 		}
 	}
@@ -56,6 +57,15 @@
 	for key, s := range p.servers {
 		if !listed[key] && s.usage.Running == 0 {
 			delete(p.servers, key)
+			delete(p.rateLimited, key)
 		}
 	}
 }
+
+// markReported records the time of a report.
+func (p *Picker) markReported(s *server, now time.Time) {
+	if s.reportedAt.IsZero() {
+		p.firstReports++
+	}
+	s.reportedAt = now
+}
--- a/lib/placement/rate_limit.go
+++ b/lib/placement/rate_limit.go
@@ -32,19 +32,24 @@
 // reports whether that has changed. sent is when the request was sent.
 func (p *Picker) ObserveLimit(key directory.Key, s ratelimit.Statement, sent, now time.Time) bool {
 	state := p.server(key)
-	return state.limitChanged(state.limit.Observe(s, sent, now), now)
+	return p.limitChanged(key, state, state.limit.Observe(s, sent, now), now)
 }
 
 // MergeLimit records a limit that another entry has observed, and reports whether
 // that is news.
 func (p *Picker) MergeLimit(l ServerLimit, now time.Time) bool {
 	state := p.server(l.Server)
-	return state.limitChanged(state.limit.Merge(l.PerSecond, l.StatedAt), now)
+	return p.limitChanged(l.Server, state, state.limit.Merge(l.PerSecond, l.StatedAt), now)
 }
 
-// limitChanged records the end of a limit and returns changed.
-func (s *server) limitChanged(changed bool, now time.Time) bool {
-	if changed && !s.rateLimited() {
+// limitChanged records the start or the end of a limit and returns changed.
+func (p *Picker) limitChanged(key directory.Key, s *server, changed bool, now time.Time) bool {
+	if s.rateLimited() {
+		p.rateLimited[key] = true
+		return changed
+	}
+	delete(p.rateLimited, key)
+	if changed {
 		s.limitLiftedAt = now
 	}
 	return changed
@@ -58,6 +63,9 @@
 
 // Limits returns the rate limits of a service's servers.
 func (p *Picker) Limits(service string) []ServerLimit {
+	if len(p.rateLimited) == 0 {
+		return nil
+	}
 	var limits []ServerLimit
 	for _, listing := range p.directory.ByService(service) {
 		if key := listing.Key(); p.RateLimited(key) {
