Announce new pieces less often to many peers

While a version spreads, each agent of a region tells each other one of its new pieces up to twenty times a second: with 18 agents in a region 340 messages a second from each, 30,000 in five regions. The interval now grows by 50 ms for each 8 connected peers, up to 250 ms. With up to 15 peers it is 50 ms as before.

--- a/replica/replica.go
+++ b/replica/replica.go
@@ -49,6 +49,8 @@
 	initialReadAt time.Time
 	// reporterWake makes the LoadReporter check for changes.
 	reporterWake chan struct{}
+	// peerSessions is the number of connected peers.
+	peerSessions atomic.Int64
 
 	// mu guards the following fields, except discoveryMu.
 	mu     sync.Mutex
--- a/replica/serve.go
+++ b/replica/serve.go
@@ -16,8 +16,13 @@
 	// acceptRetryDelay keeps a failing listener from causing a busy loop.
 	acceptRetryDelay = 50 * time.Millisecond
 	// announceInterval is the minimum time between two announcements of new pieces
-	// to a peer, which bounds the number of messages.
-	announceInterval = 50 * time.Millisecond
+	// to a peer, for each peersPerAnnounceInterval connected peers. It bounds the number of
+	// messages that an instance sends, and those of a region, whose instances are all
+	// connected, to a multiple of their number.
+	announceInterval         = 50 * time.Millisecond
+	peersPerAnnounceInterval = 8
+	// maxAnnounceInterval bounds the time by which announcements delay a piece.
+	maxAnnounceInterval = 250 * time.Millisecond
 	// versionWaitTimeout is how long a peer's request waits for this instance to
 	// learn of the requested version.
 	versionWaitTimeout = 5 * time.Second
@@ -66,6 +71,8 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	defer conn.Close()
+	r.peerSessions.Add(1)
+	defer r.peerSessions.Add(-1)
 	s := &peerSession{replica: r, conn: conn}
 	decoder := msgstream.NewDecoder(conn, peerBufferBytes, maxRequestBytes)
 	for {
@@ -107,6 +114,13 @@
 	return s.conn.SetWriteDeadline(time.Now().Add(peerIdleTimeout)) == nil && msgstream.Encode(s.conn, resp) == nil
 }
 
+// announcementInterval returns the time between two announcements to each of a number of
+// peers.
+func announcementInterval(peers int) time.Duration {
+	intervals := max(1, peers/peersPerAnnounceInterval)
+	return min(time.Duration(intervals)*announceInterval, maxAnnounceInterval)
+}
+
 // announce tells the peer which pieces are present, until ctx ends.
 func (s *peerSession) announce(ctx context.Context) {
 	announced := make(map[int]bool)
@@ -124,7 +138,7 @@
 			return
 		}
 		wait(ctx, changed, 0)
-		wait(ctx, nil, announceInterval)
+		wait(ctx, nil, announcementInterval(int(s.replica.peerSessions.Load())))
 	}
 }
 
