Keep what is derived from the directory of servers until it changes

An entry ranked all engines each second to choose those that it subscribes to, and each report of new weights made it build the tables of all servers again: both grow with the fleet, the latter with the square of it in a rollout.

--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -32,8 +32,34 @@
 // subscribedEngines returns the engines whose reports this entry subscribes to:
 // those of its own region and some of the others. They are ranked by the entry's
 // name, so that all engines report to about the same number of entries. A placer
-// needs more engines of other regions.
+// needs more engines of other regions. The slice must not be modified.
 func (g *Gateway) subscribedEngines(table *serving.Table, name string, placer bool) []engine {
+	g.mu.Lock()
+	key := subscribedKey{table: table, name: name, placer: placer, generation: g.directory.Generation()}
+	if g.subscribedKey == key {
+		defer g.mu.Unlock()
+		return g.subscribed
+	}
+	g.mu.Unlock()
+	engines := g.chooseEngines(table, name, placer)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if key.generation == g.directory.Generation() {
+		g.subscribedKey, g.subscribed = key, engines
+	}
+	return engines
+}
+
+// subscribedKey identifies what the choice of engines depends on.
+type subscribedKey struct {
+	table      *serving.Table
+	name       string
+	placer     bool
+	generation uint64
+}
+
+// chooseEngines returns the engines for subscribedEngines.
+func (g *Gateway) chooseEngines(table *serving.Table, name string, placer bool) []engine {
 	local, remote, services := g.enginesByRegion(table)
 	maxRemote := maxRemoteEnginesNonPlacer
 	if placer {
--- /dev/null
+++ b/gateway/engines_test.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	"pgregory.net/rapid"
+
+	"github.com/auburnbend/auburnbend/lib/clock"
+	"github.com/auburnbend/auburnbend/lib/directory"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/placement"
+	"github.com/auburnbend/auburnbend/lib/serving"
+)
+
+var _ = Describe("The engines that an entry subscribes to", func() {
+	It("follow the servers, the configuration and the duty", func() {
+		// Guards against an entry that keeps to engines that have gone, or gets no reports of
+		// those that were added.
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			g := New(Config{Clock: clock.System{}, Log: eventlog.Discard(), Placement: placement.Config{Domain: "a", Regions: map[string]string{"a": "n", "b": "s"}}})
+			version := int64(0)
+			for range rapid.IntRange(1, 30).Draw(t, "steps") {
+				id := fmt.Sprint(rapid.IntRange(0, 6).Draw(t, "server"))
+				switch rapid.IntRange(0, 3).Draw(t, "change") {
+				case 0:
+					version++
+					services := []serving.Service{{Name: "drafts", Engine: &serving.Engine{Slots: 8}}, {Name: "plain"}}
+					if rapid.Bool().Draw(t, "engines of both") {
+						services[1].Engine = services[0].Engine
+					}
+					g.SetConfig(&serving.Config{Version: version, Services: services})
+				case 1:
+					g.UpdateServers(func(d *directory.Directory, now time.Time) { d.Remove(id, false, now) })
+				default:
+					s := &directory.Server{
+						ID: id, Service: rapid.SampledFrom([]string{"drafts", "plain"}).Draw(t, "service"), Address: "10.0.0." + id + ":1", Domain: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "domain"),
+					}
+					g.UpdateServers(func(d *directory.Directory, _ time.Time) { d.Put(s) })
+				}
+				table := g.table.Load()
+				if table == nil {
+					continue
+				}
+				placer := rapid.Bool().Draw(t, "placer")
+				for range 2 {
+					got := g.subscribedEngines(table, "e", placer)
+					if want := g.chooseEngines(table, "e", placer); fmt.Sprint(got) != fmt.Sprint(want) {
+						t.Fatalf("subscribed to %v, want %v", got, want)
+					}
+				}
+			}
+		})
+	})
+})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,6 +60,9 @@
 	budget   *retry.Budget
 	versions *versions.Registry
 	suspects *suspects
+	// subscribed are the engines chosen for subscribedKey.
+	subscribed    []engine
+	subscribedKey subscribedKey
 	// configAt is when the configuration came into force.
 	configAt time.Time
 
--- a/lib/directory/directory.go
+++ b/lib/directory/directory.go
@@ -1,6 +1,9 @@
 package directory
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // ExpiryGrace is how long a server whose row vanished while the store was
 // unavailable stays in use after the store has recovered. The rows of live servers
@@ -109,13 +112,24 @@
 }
 
 // Update replaces a listed server with one that also reflects other sources than its
-// row. It does not add a server, so that one whose row is gone stays unlisted.
+// row. In a rollout each engine causes one, so the caches are kept. It does not add a server, so that one whose row is gone stays unlisted.
 func (d *Directory) Update(s *Server) {
-	if d.servers[s.ID] == nil {
+	old := d.servers[s.ID]
+	if old == nil {
 		return
 	}
 	d.servers[s.ID] = s
-	d.invalidate()
+	if old.Service != s.Service || old.Address != s.Address || old.StartUnixMilli != s.StartUnixMilli {
+		d.invalidate()
+		return
+	}
+	d.generation++
+	if d.byAddress[s.Address] == old {
+		d.byAddress[s.Address] = s
+	}
+	if i := slices.Index(d.byService[s.Service], old); i >= 0 {
+		d.byService[s.Service][i] = s
+	}
 }
 
 // Remove records that the row of a server is deleted. recovered has the same meaning
