Look for an instance to follow before the store is read again after a start

An entry that has just started read both tables, and at once polled the store for changes of each, because it learns of the other entries only from the servers that it has just read. The poll returned with the first change, and so on for a second after each. With 150 entries these were some 2,400 calls within 20 s of a start.

The first call for changes now waits for the role of the instance, at most the quarter of the bound after which an instance that others follow confirms what it knows; and after a pause to collect changes, the role is looked at again.

--- a/lib/relay/config.go
+++ b/lib/relay/config.go
@@ -36,6 +36,9 @@
 	// be followed is not queried again.
 	minAvoid = time.Second
 	maxAvoid = 4 * time.Second
+	// roleCheckInterval is how often an instance that has just started checks whether
+	// another one can be followed.
+	roleCheckInterval = 50 * time.Millisecond
 	// dialTimeout is the time limit for connecting within a region.
 	dialTimeout = 200 * time.Millisecond
 )
--- a/lib/relay/relay_test.go
+++ b/lib/relay/relay_test.go
@@ -205,6 +205,61 @@
 		Expect(lost.HistoryLost).To(BeTrue())
 	})
 
+	// Guards against a long poll of the store by each instance of a region that starts:
+	// they learn of each other from the table that they have just read.
+	It("does not read the store twice if another instance becomes known after the start", func() {
+		leader := start(nil)
+		st := &store{content: content}
+		var known atomic.Bool
+		role := func() Role {
+			if known.Load() {
+				return Role{Upstream: leader.address()}
+			}
+			return Role{}
+		}
+		received := &recorder{}
+		s := NewSource("t", st, NewCache(Config{MaxPropagation: 4 * bound, LongPollTimeout: time.Second, BatchDelay: bound}), role, func(netip.AddrPort, error) {})
+		time.AfterFunc(bound/4, func() { known.Store(true) })
+		go watch.New(watch.Config{LongPollTimeout: time.Second}, s, received).Run(ctx)
+		Eventually(known.Load).Should(BeTrue())
+		content.put("b", []byte("2"), false)
+		Eventually(received.get, 2*bound).WithArguments("b").Should(Equal("2"))
+		Expect(st.callCount()).To(Equal(1))
+	})
+
+	It("follows another instance that becomes known while changes are collected", func() {
+		leader := start(nil)
+		st := &store{content: content}
+		known := false
+		role := func() Role {
+			if known {
+				return Role{Upstream: leader.address()}
+			}
+			return Role{}
+		}
+		s := NewSource("t", st, NewCache(Config{MaxPropagation: bound, LongPollTimeout: time.Second, BatchDelay: bound / 4}), role, func(netip.AddrPort, error) {})
+		rows, err := s.Changes(ctx, 0, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rows.Rows).To(HaveLen(1))
+		known = true
+		content.put("b", []byte("2"), false)
+		rows, err = s.Changes(ctx, 1, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rows.Rows).To(HaveLen(1))
+		Expect(st.callCount()).To(Equal(1))
+	})
+
+	// Guards against an instance without others that learns of changes late.
+	It("reads the store soon after its start if no other instance becomes known", func() {
+		st := &store{content: content}
+		s := NewSource("t", st, NewCache(config), func() Role { return Role{} }, func(netip.AddrPort, error) {})
+		started := time.Now()
+		_, err := s.Changes(ctx, 0, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(time.Since(started)).To(BeNumerically("<", bound/2))
+		Expect(st.callCount()).To(Equal(1))
+	})
+
 	// Guards against a call to the store for each row that a rollout changes.
 	It("delays the next call to the store after changes, but not if there were none", func() {
 		const batchDelay = 150 * time.Millisecond
--- a/lib/relay/source.go
+++ b/lib/relay/source.go
@@ -38,6 +38,8 @@
 	// is the error that caused the change, if any.
 	onPathChange func(through netip.AddrPort, reason error)
 	path         netip.AddrPort
+	// started is set once changes have been asked for.
+	started bool
 	// hadChanges is true if the last answer of the store contained changes.
 	hadChanges bool
 	// storeFailed is true if the last call to the store failed.
@@ -79,7 +81,14 @@
 
 // Changes implements watch.Source.
 func (s *Source) Changes(ctx context.Context, since int64, wait time.Duration) (watch.Rows, error) {
-	if to := s.upstream(); to.IsValid() {
+	to := s.upstream()
+	if !to.IsValid() {
+		// Another instance may become known meanwhile, which saves the call to the store.
+		s.awaitRole(ctx, wait)
+		wait = s.waitBatch(ctx, wait)
+		to = s.upstream()
+	}
+	if to.IsValid() {
 		rows, err := s.client.fetch(ctx, to, since, wait)
 		switch {
 		case err == nil:
@@ -94,8 +103,6 @@
 		s.avoidUpstream(to, err)
 		// Do not wait: changes may have been missed.
 		wait = 0
-	} else {
-		wait = s.waitBatch(ctx, wait)
 	}
 	rows, err := s.store.Changes(ctx, since, wait)
 	if err != nil {
@@ -108,6 +115,26 @@
 	return rows, nil
 }
 
+// awaitRole delays the first call for changes until the role of this instance is known:
+// an instance that has just started learns of the others from the table itself. After
+// confirmFraction of the bound it reads the store anyway.
+func (s *Source) awaitRole(ctx context.Context, wait time.Duration) {
+	if s.started || wait <= 0 {
+		return
+	}
+	s.started = true
+	deadline := time.Now().Add(fraction(s.config.MaxPropagation, confirmFraction))
+	ticker := time.NewTicker(roleCheckInterval)
+	defer ticker.Stop()
+	for s.role() == (Role{}) && time.Now().Before(deadline) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // waitBatch pauses after changes and returns how long the next call to the
 // store may wait. While other instances follow this one, that is short enough
 // to confirm regularly that it reads the store.
