Settle who reads the store soon after a start

Entries of a region that start together know some of the others first. Each waited for a change on the store for seconds, and then found the one to follow behind, which was still waiting itself, and read the store once more.

For twice the bound after its start, an instance ends its wait for the store when its role becomes known, and asks the one that it follows again at least each quarter of the bound. Agents name the entries of their region in the first report to an entry.

--- a/lib/relay/config.go
+++ b/lib/relay/config.go
@@ -36,6 +36,9 @@
 	// be followed is not queried again.
 	minAvoid = time.Second
 	maxAvoid = 4 * time.Second
+	// settleBounds is the multiple of MaxPropagation after its start for which an instance
+	// checks its role often.
+	settleBounds = 2
 	// roleCheckInterval is how often an instance that has just started checks whether
 	// another one can be followed.
 	roleCheckInterval = 50 * time.Millisecond
--- a/lib/relay/relay_test.go
+++ b/lib/relay/relay_test.go
@@ -230,9 +230,9 @@
 	It("follows another instance that becomes known while changes are collected", func() {
 		leader := start(nil)
 		st := &store{content: content}
-		known := false
+		var known atomic.Bool
 		role := func() Role {
-			if known {
+			if known.Load() {
 				return Role{Upstream: leader.address()}
 			}
 			return Role{}
@@ -241,7 +241,7 @@
 		rows, err := s.Changes(ctx, 0, time.Second)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(rows.Rows).To(HaveLen(1))
-		known = true
+		known.Store(true)
 		content.put("b", []byte("2"), false)
 		rows, err = s.Changes(ctx, 1, time.Second)
 		Expect(err).NotTo(HaveOccurred())
@@ -249,6 +249,40 @@
 		Expect(st.callCount()).To(Equal(1))
 	})
 
+	// Guards against instances that start together, long-poll the store until nothing has
+	// changed for seconds, and then all find the one to follow behind.
+	It("stops waiting for the store when the role becomes known", func() {
+		st := &store{content: content}
+		leader := start(nil)
+		var role atomic.Pointer[Role]
+		role.Store(&Role{})
+		s := NewSource("t", st, NewCache(config), func() Role { return *role.Load() }, func(netip.AddrPort, error) {})
+		time.AfterFunc(bound/2, func() { role.Store(&Role{Upstream: leader.address()}) })
+		time.AfterFunc(bound, func() { content.put("b", []byte("2"), false) })
+		started := time.Now()
+		rows, err := s.Changes(ctx, 1, 10*bound)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(rows.Rows).To(BeEmpty())
+		Expect(time.Since(started)).To(BeNumerically("<", bound))
+		Expect(st.callCount()).To(Equal(1))
+		rows, err = s.Changes(ctx, 1, 10*bound)
+		Expect(err).NotTo(HaveOccurred())
+		for len(rows.Rows) == 0 {
+			rows, err = s.Changes(ctx, 1, 10*bound)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(st.callCount()).To(Equal(1))
+
+		first := &store{content: content}
+		role.Store(&Role{})
+		cache := NewCache(config)
+		s = NewSource("t", first, cache, func() Role { return *role.Load() }, func(netip.AddrPort, error) {})
+		time.AfterFunc(bound/2, func() { role.Store(&Role{HasFollowers: true}) })
+		_, err = s.Changes(ctx, 2, 10*bound)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(first.callCount()).To(Equal(2))
+	})
+
 	// Guards against an instance without others that learns of changes late.
 	It("reads the store soon after its start if no other instance becomes known", func() {
 		st := &store{content: content}
--- a/lib/relay/source.go
+++ b/lib/relay/source.go
@@ -38,8 +38,8 @@
 	// is the error that caused the change, if any.
 	onPathChange func(through netip.AddrPort, reason error)
 	path         netip.AddrPort
-	// started is set once changes have been asked for.
-	started bool
+	// startedAt is when changes were first asked for.
+	startedAt time.Time
 	// hadChanges is true if the last answer of the store contained changes.
 	hadChanges bool
 	// storeFailed is true if the last call to the store failed.
@@ -49,7 +49,7 @@
 var _ watch.Source = (*Source)(nil)
 
 // NewSource returns a Source that updates cache with what it reads. role is
-// called before each read. onPathChange is called by the reading goroutine when
+// called before each read, and by other goroutines during the first ones. onPathChange is called by the reading goroutine when
 // it reads through another instance than before, or directly.
 func NewSource(table string, store watch.Source, cache *Cache, role func() Role, onPathChange func(through netip.AddrPort, reason error)) *Source {
 	return &Source{
@@ -81,15 +81,15 @@
 
 // Changes implements watch.Source.
 func (s *Source) Changes(ctx context.Context, since int64, wait time.Duration) (watch.Rows, error) {
+	s.awaitRole(ctx, wait)
 	to := s.upstream()
 	if !to.IsValid() {
-		// Another instance may become known meanwhile, which saves the call to the store.
-		s.awaitRole(ctx, wait)
 		wait = s.waitBatch(ctx, wait)
+		// Another instance may have become known, which saves the call to the store.
 		to = s.upstream()
 	}
 	if to.IsValid() {
-		rows, err := s.client.fetch(ctx, to, since, wait)
+		rows, err := s.client.fetch(ctx, to, since, s.upstreamWait(wait))
 		switch {
 		case err == nil:
 			s.upstreamAnswered(to)
@@ -104,7 +104,11 @@
 		// Do not wait: changes may have been missed.
 		wait = 0
 	}
-	rows, err := s.store.Changes(ctx, since, wait)
+	rows, err := s.storeChanges(ctx, since, wait)
+	if errors.Is(err, errRoleChanged) {
+		// The first call after it confirms at once what followers are told.
+		return s.Changes(ctx, since, 0)
+	}
 	if err != nil {
 		s.storeFailed = s.storeFailed || !errors.Is(err, watch.ErrHistoryLost)
 		return rows, err
@@ -119,10 +123,10 @@
 // an instance that has just started learns of the others from the table itself. After
 // confirmFraction of the bound it reads the store anyway.
 func (s *Source) awaitRole(ctx context.Context, wait time.Duration) {
-	if s.started || wait <= 0 {
+	if !s.startedAt.IsZero() || wait <= 0 {
 		return
 	}
-	s.started = true
+	s.startedAt = time.Now()
 	deadline := time.Now().Add(fraction(s.config.MaxPropagation, confirmFraction))
 	ticker := time.NewTicker(roleCheckInterval)
 	defer ticker.Stop()
@@ -135,6 +139,52 @@
 	}
 }
 
+// errRoleChanged means that a call to the store was ended because the role has become
+// known.
+var errRoleChanged = errors.New("role of the instance has become known")
+
+// storeChanges reads changes from the store. It returns errRoleChanged instead of waiting on
+// once the role of an instance that has started lately becomes known.
+func (s *Source) storeChanges(ctx context.Context, since int64, wait time.Duration) (watch.Rows, error) {
+	if wait <= 0 || !s.settling() || s.role() != (Role{}) {
+		return s.store.Changes(ctx, since, wait)
+	}
+	callCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		ticker := time.NewTicker(roleCheckInterval)
+		defer ticker.Stop()
+		for s.role() == (Role{}) {
+			select {
+			case <-callCtx.Done():
+				return
+			case <-ticker.C:
+			}
+		}
+		cancel(errRoleChanged)
+	}()
+	rows, err := s.store.Changes(callCtx, since, wait)
+	if err != nil && ctx.Err() == nil && errors.Is(context.Cause(callCtx), errRoleChanged) {
+		return watch.Rows{}, errRoleChanged
+	}
+	return rows, err
+}
+
+// settling reports whether this instance has started a short time ago: the instances of a
+// region that start together do not know all others yet.
+func (s *Source) settling() bool {
+	return time.Since(s.startedAt) < settleBounds*s.config.MaxPropagation
+}
+
+// upstreamWait returns how long a query to another instance may wait. At first it is short:
+// the one that all will follow must notice that soon.
+func (s *Source) upstreamWait(wait time.Duration) time.Duration {
+	if s.settling() {
+		return min(wait, fraction(s.config.MaxPropagation, confirmFraction))
+	}
+	return wait
+}
+
 // waitBatch pauses after changes and returns how long the next call to the
 // store may wait. While other instances follow this one, that is short enough
 // to confirm regularly that it reads the store.
--- a/lib/relay/store_test.go
+++ b/lib/relay/store_test.go
@@ -95,6 +95,8 @@
 			return rows, nil
 		}
 		select {
+		case <-ctx.Done():
+			return watch.Rows{}, ctx.Err()
 		case <-changed:
 		case <-timeout:
 			wait = 0
--- a/replica/load_reporter.go
+++ b/replica/load_reporter.go
@@ -277,6 +277,8 @@
 	r.lastStatus = status
 	if refresh {
 		r.lastRefresh = now
+	}
+	if refresh || len(list.added) > 0 {
 		status.Region = r.replica.config.Region
 		rand.Shuffle(len(list.neighbours), func(i, j int) { list.neighbours[i], list.neighbours[j] = list.neighbours[j], list.neighbours[i] })
 		status.Neighbours = list.neighbours[:min(len(list.neighbours), maxNeighbours)]
