--- a/replica/piece_set.go
+++ b/replica/piece_set.go
@@ -82,17 +82,17 @@
 	return indexes, s.changed
 }
 
-// get returns a piece, or nil if it is missing. It verifies a piece that is
-// staged at the engine, because it may have been corrupted there.
-func (s *pieceSet) get(ctx context.Context, piece int) []byte {
+// get returns a piece, or nil if it is missing. A piece that is staged at the engine is
+// read with reader and verified, because it may have been corrupted there.
+func (s *pieceSet) get(ctx context.Context, reader *stagedReader, piece int) []byte {
 	s.mu.Lock()
 	data, have := s.pieces[piece], s.have[piece]
 	s.mu.Unlock()
 	if !have || data != nil {
 		return data
 	}
-	data, err := s.engine.Piece(ctx, s.manifest.Model, piece)
-	if err == nil && s.manifest.Matches(piece, data) {
+	data, err := reader.read(ctx, piece)
+	if err == nil && data != nil {
 		return data
 	}
 	if ctx.Err() == nil {
@@ -142,20 +142,23 @@
 
 // verifyStaged reads a piece back from the engine and reports whether it is intact. An
 // error means that the engine didn't answer.
-func (s *pieceSet) verifyStaged(ctx context.Context, piece int) (bool, error) {
+func (s *pieceSet) verifyStaged(ctx context.Context, reader *stagedReader, piece int) (bool, error) {
 	callCtx, cancel := context.WithTimeout(ctx, stageCallTimeout)
 	defer cancel()
-	data, err := s.engine.Piece(callCtx, s.manifest.Model, piece)
-	if err != nil && !errors.Is(err, ErrPieceNotFound) {
+	data, err := reader.read(callCtx, piece)
+	if err != nil {
 		return false, err
 	}
-	intact := err == nil && s.manifest.Matches(piece, data)
+	intact := data != nil
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.staged[piece] = intact
 	return intact, nil
 }
 
+// newReader returns a reader of the staged pieces. It must be reset after its use.
+func (s *pieceSet) newReader() *stagedReader { return newStagedReader(s.manifest, s.engine) }
+
 // dropFromMemory frees the pieces in memory once they are staged at the engine.
 func (s *pieceSet) dropFromMemory() {
 	s.mu.Lock()
@@ -166,12 +169,18 @@
 // readStaged adds the pieces that are already staged at the engine and match the
 // manifest.
 func (s *pieceSet) readStaged(ctx context.Context) {
+	listed := s.listStaged(ctx)
+	reader := s.newReader()
+	defer reader.reset()
 	for piece := range s.have {
-		data, err := s.engine.Piece(ctx, s.manifest.Model, piece)
+		if !listed[piece] {
+			continue
+		}
+		data, err := reader.read(ctx, piece)
 		if ctx.Err() != nil {
 			return
 		}
-		if err == nil && s.manifest.Matches(piece, data) {
+		if err == nil && data != nil {
 			s.put(piece, data)
 			s.mu.Lock()
 			s.staged[piece] = true
@@ -179,3 +188,22 @@
 		}
 	}
 }
+
+// listStaged marks the pieces that may be staged at the engine: all of them if it doesn't
+// list them.
+func (s *pieceSet) listStaged(ctx context.Context) []bool {
+	marked := make([]bool, len(s.have))
+	staged, err := s.engine.StagedPieces(ctx, s.manifest.Model)
+	if err != nil {
+		for piece := range marked {
+			marked[piece] = true
+		}
+		return marked
+	}
+	for _, piece := range staged {
+		if piece >= 0 && piece < len(marked) {
+			marked[piece] = true
+		}
+	}
+	return marked
+}
