Load the next version in turn also while the last one is being verified

An engine that has taken a version gets no requests until its agent has verified what it took. Meanwhile the agent treated it as an engine that serves nothing, for which all fetched versions are due, and ordered the next version at once instead of in the engine's turn.

A version that was ordered and whose layers are not known to be corrupt is now verified first; a newer one replaces it when it is due, or if layers would have to be taken again. TestTakenVersionServesBeforeTheNextOneIsDue failed before ("while the engine loads version 2, the next version is ... version:3", 4 orders).

--- a/replica/load.go
+++ b/replica/load.go
@@ -10,20 +10,42 @@
 
 // nextLoad returns the newest fetched version that is due to be loaded, or nil,
 // and whether any version is pending. For an engine that serves nothing, as it holds no
-// weights or none that are known to be intact, all versions are due.
+// weights or none that are known to be intact, all versions are due, unless it is to
+// serve a version that it is taking: engines load newer versions in turn.
 func (r *Replica) nextLoad(state *EngineState) (due *pendingVersion, pending bool) {
 	now := r.config.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	taken := r.takenVersion(state)
+	allDue := taken == nil && (len(state.Weights) == 0 || !r.trusts(state))
 	for i := len(r.pending) - 1; i >= 0; i-- {
 		p := r.pending[i]
-		if len(state.Weights) == 0 || !r.trusts(state) || !now.Before(p.loadAfter) {
+		if allDue || p == taken || !now.Before(p.loadAfter) {
 			return p, true
 		}
 	}
 	return nil, len(r.pending) > 0
 }
 
+// takenVersion returns the pending version that the engine was ordered to load and that is
+// still to be verified, or nil. It returns nil if the engine has to take layers of it
+// again. The caller holds mu.
+func (r *Replica) takenVersion(state *EngineState) *pendingVersion {
+	if r.check == nil || r.trusts(state) {
+		return nil
+	}
+	for _, p := range r.pending {
+		if r.checkKey != p.checkKey(state) {
+			continue
+		}
+		held := state.held(p.model, p.version, r.check.layers())
+		if state.Busy && r.check.taking.Len() > 0 || held.Len() > 0 && r.check.suspectLayers(held) == 0 {
+			return p
+		}
+	}
+	return nil
+}
+
 // load advances the load of a version by one step. The engine doesn't verify anything,
 // and pieces may become corrupt where they are staged. So the staged pieces are read
 // back before each order, and once more after the engine has accepted it: only then it
@@ -74,7 +96,7 @@
 // It starts anew for another version and after a restart of the engine. A configuration
 // may change the number of layers.
 func (r *Replica) layerCheckFor(p *pendingVersion, state *EngineState) *layerCheck {
-	key := checkKey{model: p.model, version: p.version, startUnixMilli: state.StartUnixMilli}
+	key := p.checkKey(state)
 	layers := r.layers()
 	switch {
 	case r.check == nil || r.checkKey != key:
@@ -92,6 +114,10 @@
 	startUnixMilli int64
 }
 
+func (p *pendingVersion) checkKey(state *EngineState) checkKey {
+	return checkKey{model: p.model, version: p.version, startUnixMilli: state.StartUnixMilli}
+}
+
 // layers returns the number of layers that orders may be about: all layers of the model,
 // or one if their number is unknown.
 func (r *Replica) layers() int {
