--- a/replica/piece_set.go
+++ b/replica/piece_set.go
@@ -18,6 +18,8 @@
 	have   []bool
 	// staged marks pieces that the engine holds unless they were corrupted there since.
 	staged []bool
+	// lacking is set if the engine didn't hold a piece when it was read.
+	lacking bool
 	// changed is closed at the next change of have.
 	changed chan struct{}
 }
@@ -146,19 +148,34 @@
 	callCtx, cancel := context.WithTimeout(ctx, stageCallTimeout)
 	defer cancel()
 	data, err := reader.read(callCtx, piece)
-	if err != nil {
+	missing := errors.Is(err, ErrPieceNotFound)
+	if err != nil && !missing {
 		return false, err
 	}
 	intact := data != nil
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.staged[piece] = intact
+	s.lacking = s.lacking || missing
 	return intact, nil
 }
 
 // newReader returns a reader of the staged pieces. It must be reset after its use.
 func (s *pieceSet) newReader() *stagedReader { return newStagedReader(s.manifest, s.engine) }
 
+// lacksPiece reports whether the engine didn't hold a piece when it was read.
+func (s *pieceSet) lacksPiece() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lacking
+}
+
+func (s *pieceSet) setLacking() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lacking = true
+}
+
 // dropFromMemory frees the pieces in memory once they are staged at the engine.
 func (s *pieceSet) dropFromMemory() {
 	s.mu.Lock()
@@ -174,6 +191,7 @@
 	defer reader.reset()
 	for piece := range s.have {
 		if !listed[piece] {
+			s.setLacking()
 			continue
 		}
 		data, err := reader.read(ctx, piece)
@@ -186,6 +204,9 @@
 			s.staged[piece] = true
 			s.mu.Unlock()
 		}
+		if errors.Is(err, ErrPieceNotFound) {
+			s.setLacking()
+		}
 	}
 }
 
--- a/replica/staged_reader.go
+++ b/replica/staged_reader.go
@@ -32,8 +32,8 @@
 	clear(r.contents)
 }
 
-// read returns a staged piece if it is intact, and nil if it is corrupt or missing. An
-// error means that the engine didn't answer.
+// read returns a staged piece if it is intact, nil if it is corrupt, and ErrPieceNotFound
+// if the engine doesn't hold it. Any other error means that the engine didn't answer.
 func (r *stagedReader) read(ctx context.Context, piece int) ([]byte, error) {
 	if r.contents[r.manifest.Digests[piece]] {
 		r.reset()
@@ -49,13 +49,8 @@
 	if !first && (err == nil || errors.Is(err, ErrPieceNotFound)) {
 		data, err = r.engine.Piece(ctx, r.manifest.Model, piece)
 	}
-	switch {
-	case errors.Is(err, ErrPieceNotFound):
-		return nil, nil
-	case err != nil:
+	if err != nil || !r.manifest.Matches(piece, data) {
 		return nil, err
-	case !r.manifest.Matches(piece, data):
-		return nil, nil
 	}
 	return data, nil
 }
--- a/replica/staged_reader_test.go
+++ b/replica/staged_reader_test.go
@@ -97,8 +97,8 @@
 			}
 			want := sha256.Sum256([]byte(e.staged[piece])) == m.Digests[piece]
 			data, err := reader.read(context.Background(), piece)
-			if err != nil {
-				t.Fatal(err)
+			if missing := e.staged[piece] == ""; errors.Is(err, ErrPieceNotFound) != missing || !missing && err != nil {
+				t.Fatalf("piece %d: staged %q, error %v", piece, e.staged[piece], err)
 			}
 			if got := data != nil; got != want {
 				t.Fatalf("piece %d: intact %v, staged %q", piece, got, e.staged[piece])
