A request is not sent to a server that began to drain while its connection was opened

What an entry learned between the choice of a server and the end of the dial was checked for rate limits and evacuations only: the request still went to a server that had announced its drain, asked for a pause, restarted or lost its row meanwhile. revokedSince considers these as well, and auburnctl explain describes the new reasons.

The four entries of the new table in gateway/place_test.go failed before and pass now.

--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -194,6 +194,37 @@
 		Expect(other.gateway.adopt(granted, &req)).To(BeNil())
 	})
 
+	DescribeTable("takes back a request that has not been sent when its server may no longer get it",
+		// Guards against requests whose connection was being opened while the server
+		// announced its drain, asked for a pause or left.
+		func(expected string, learn func(g *Gateway, key directory.Key)) {
+			g := startRegion(1)[0].gateway
+			lease, refusal := g.pick(req, time.Now())
+			Expect(refusal).To(BeNil())
+			Expect(g.revokedSince(lease)).To(BeEmpty())
+			learn(g, lease.Server.Key())
+			Expect(g.revokedSince(lease)).To(Equal(expected))
+		},
+		Entry("it drains, as another entry says", "server is draining or gone", func(g *Gateway, key directory.Key) {
+			g.mergeDraining([]peerlink.ServerKey{{ID: key.ID, StartUnixMilli: key.StartUnixMilli}})
+		}),
+		Entry("its row is gone", "server is draining or gone", func(g *Gateway, key directory.Key) {
+			g.UpdateServers(func(d *directory.Directory, now time.Time) { d.Remove(key.ID, false, now) })
+		}),
+		Entry("it has restarted", "server is draining or gone", func(g *Gateway, key directory.Key) {
+			g.UpdateServers(func(d *directory.Directory, _ time.Time) {
+				again := *d.Get(key)
+				again.StartUnixMilli++
+				d.Put(&again)
+			})
+		}),
+		Entry("it has asked for a pause", "server has asked for a pause", func(g *Gateway, key directory.Key) {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.picker.Pause(key, time.Now().Add(time.Minute), time.Now())
+		}),
+	)
+
 	Describe("of servers with a rate limit", func() {
 		limit := func(l *PeerLink) {
 			l.gateway.mu.Lock()
--- a/gateway/revoked.go
+++ b/gateway/revoked.go
@@ -8,8 +8,13 @@
 func (g *Gateway) revokedSince(lease *placement.Lease) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	switch {
-	case !lease.LimitChecked && g.picker.RateLimited(lease.Server.Key()):
+	key := lease.Server.Key()
+	switch listing := g.directory.Get(key); {
+	case listing == nil || listing.Draining:
+		return "server is draining or gone"
+	case g.picker.Paused(key, g.now()):
+		return "server has asked for a pause"
+	case !lease.LimitChecked && g.picker.RateLimited(key):
 		return "server has named a rate limit"
 	case g.picker.Evacuated(lease.Server.Domain):
 		return "failure domain is evacuated"
--- a/lib/placement/pause.go
+++ b/lib/placement/pause.go
@@ -56,6 +56,12 @@
 	return s != nil && (s.paused(now) || s.atRampLimit(now))
 }
 
+// Paused reports whether a server has asked this entry to send no requests now.
+func (p *Picker) Paused(key directory.Key, now time.Time) bool {
+	s := p.servers[key]
+	return s != nil && s.paused(now)
+}
+
 func (s *server) paused(now time.Time) bool { return now.Before(s.pausedUntil) }
 
 // atRampLimit reports whether the server has as many requests of this entry as the
--- a/operator/explain/reason.go
+++ b/operator/explain/reason.go
@@ -22,6 +22,8 @@
 	"no answer in time":             "the backend server had not begun to respond after three times the target",
 	"rejected by the server":        "the backend server reported that it did not run the request",
 	"server has named a rate limit": "the backend server named a rate limit after the request was placed and before it was sent",
+	"server is draining or gone":    "the backend server announced that it drains, or its row was removed, after the request was placed and before it was sent",
+	"server has asked for a pause":  "the backend server asked this entry for a pause after the request was placed and before it was sent",
 	"another server or other weights at the address": "the address now belongs to another backend server, or the server has loaded other weights",
 	"answer of another request":                      "the backend server sent the response to another request",
 	"answer without a signature":                     "the response did not come from a backend server",
