--- a/gateway/peer_link.go
+++ b/gateway/peer_link.go
@@ -44,6 +44,8 @@
 	// goroutine uses it.
 	sequences  map[string]uint64
 	placements *pendingPlacements
+	// isCutOff reports peers that are sent no datagrams; nil if there are none.
+	isCutOff func(netip.AddrPort) bool
 	// warm is closed once agents have had time to report which contents crash backend
 	// servers.
 	warm     chan struct{}
@@ -75,6 +77,10 @@
 	return l, nil
 }
 
+// CutOff makes the link send no datagrams to the peers for which isCutOff returns true.
+// Tests use it to cut entries off from each other. It must be called before Run.
+func (l *PeerLink) CutOff(isCutOff func(peer netip.AddrPort) bool) { l.isCutOff = isCutOff }
+
 // announceTargets makes Run announce the targets at once.
 func (l *PeerLink) announceTargets() {
 	select {
@@ -164,7 +170,12 @@
 }
 
 // send sends a datagram. A lost one is not repeated: later ones replace it.
-func (l *PeerLink) send(data []byte, to netip.AddrPort) { _, _ = l.conn.WriteToUDPAddrPort(data, to) }
+func (l *PeerLink) send(data []byte, to netip.AddrPort) {
+	if l.isCutOff != nil && l.isCutOff(to) {
+		return
+	}
+	_, _ = l.conn.WriteToUDPAddrPort(data, to)
+}
 
 // sendUsage reports the requests that this entry has placed on an engine to the
 // engine's agent.
--- a/internal/node/command.go
+++ b/internal/node/command.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -34,6 +35,8 @@
 	// WatchSettings calls apply after each change of the settings until ctx ends.
 	// Changed addresses take effect only at the next start. nil disables it.
 	WatchSettings func(ctx context.Context, apply func(*platform.Settings))
+	// isCutOff reports peers to which an entry sends no datagrams. nil is no peer.
+	isCutOff func(peer netip.AddrPort) bool
 }
 
 // watchSettings calls apply, on another goroutine, after each change of the
--- a/internal/node/deployment_test.go
+++ b/internal/node/deployment_test.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -54,8 +56,14 @@
 	entries  []*entryDaemon
 	logs     *logBuffer
 
+	// cut decides which of two entries or agents get no datagrams from each other; nil
+	// cuts none off.
+	cut atomic.Pointer[func(a, b netip.Addr) bool]
+
 	mu   sync.Mutex
 	runs []platformtest.Run
+	// sentTo holds the entry to which each request was sent, by attempt.
+	sentTo map[string]int
 	// events are the events of all servers in order of time.
 	events []serverEvent
 }
@@ -144,7 +152,7 @@
 func newDeployment(subnet, entries, engines, plain int) *deployment {
 	subnet, reservation, err := platformtest.ReserveSubnet(subnet)
 	Expect(err).NotTo(HaveOccurred())
-	s := &deployment{subnet: subnet, store: platformtest.NewStore(), logs: &logBuffer{}}
+	s := &deployment{subnet: subnet, store: platformtest.NewStore(), logs: &logBuffer{}, sentTo: make(map[string]int)}
 	DeferCleanup(func() {
 		// Daemons that have not returned still use their addresses.
 		s.daemons.Wait()
@@ -220,7 +228,12 @@
 		defer close(done)
 		defer GinkgoRecover()
 		log := eventlog.OpenPlain(s.logs, clock.System{}).With("instance", settings.Instance)
-		Expect(daemon(ctx, Environment{Settings: settings, Log: log})).To(Succeed())
+		self := netip.MustParseAddr(settings.Address)
+		isCutOff := func(peer netip.AddrPort) bool {
+			cut := s.cut.Load()
+			return cut != nil && ((*cut)(self, peer.Addr()) || (*cut)(peer.Addr(), self))
+		}
+		Expect(daemon(ctx, Environment{Settings: settings, Log: log, isCutOff: isCutOff})).To(Succeed())
 	}()
 	return stop, done
 }
@@ -268,20 +281,27 @@
 	last int
 }
 
-// send sends a request with a new id to an entry. It returns a zero Response if the
-// connection fails.
+// send sends a request with a new id to an entry, on a connection of its own. It returns a
+// zero Response if the connection fails.
 func (s *deployment) send(entry int, prefix, content string) platformtest.Response {
+	return s.sendWith(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 4 * time.Second}, entry, prefix, content)
+}
+
+// sendWith is like send, but uses the connections of a client.
+func (s *deployment) sendWith(client *http.Client, entry int, prefix, content string) platformtest.Response {
 	attemptCounter.Lock()
 	attemptCounter.last++
 	id := fmt.Sprintf("attempt-%d", attemptCounter.last)
 	attemptCounter.Unlock()
+	s.mu.Lock()
+	s.sentTo[id] = entry
+	s.mu.Unlock()
 	call := platformtest.Call{Host: testHost, Path: prefix + "x", AttemptID: id, APIKey: testAPIKey, Timeout: 2 * time.Second, LastEventID: -1, Body: content}
 	if prefix == "/draft/" {
 		call.Model, call.PromptTokens, call.MaxTokens = testWeights.Model, 100, 15
 	}
 	req, err := call.Request(context.Background(), s.address(4, entry, callerPort))
 	Expect(err).NotTo(HaveOccurred())
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 4 * time.Second}
 	resp, err := client.Do(req)
 	if err != nil {
 		return platformtest.Response{}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -68,6 +68,7 @@
 	if err != nil {
 		return err
 	}
+	peerLink.CutOff(env.isCutOff)
 	tables, err := newStoreTables(g, peerLink, s, env.Log)
 	if err != nil {
 		return err
