auburnbend-measure signals: servers that drain and ask for a pause under load

No load tool let servers give these signals. The new subcommand runs entries and agents of two regions against the stand-ins of the platform, with callers that keep their connections, in rounds: servers drain, others ask for a pause, every second round without the store, and in the last one all plain servers pause. It measures what each server still gets from each entry that it told.

--- a/cmd/auburnbend-measure/main.go
+++ b/cmd/auburnbend-measure/main.go
@@ -15,6 +15,7 @@
 	"github.com/auburnbend/auburnbend/internal/measure/overload"
 	"github.com/auburnbend/auburnbend/internal/measure/poison"
 	"github.com/auburnbend/auburnbend/internal/measure/route"
+	"github.com/auburnbend/auburnbend/internal/measure/signals"
 )
 
 func main() {
@@ -32,6 +33,7 @@
 		config.NewCommand(),
 		drain.NewCommand(),
 		latency.NewCommand(),
+		signals.NewCommand(),
 	)
 	if root.Execute() != nil {
 		os.Exit(1)
