An origin that sends a response twice no longer makes each piece the one before

Kept connections to the origin carried the copy of an earlier piece where the next one was due. All later pieces were one behind and failed verification, and three failures of one piece had the manifest read again.

--- a/replica/fetch.go
+++ b/replica/fetch.go
@@ -203,8 +203,12 @@
 			return
 		case piece := <-pieces:
 			callCtx, cancel := context.WithTimeout(ctx, originCallTimeout)
-			data, err := f.replica.config.Origin().Piece(callCtx, m.Model, m.Version, piece)
+			origin := f.replica.config.Origin()
+			data, err := origin.Piece(callCtx, m.Model, m.Version, piece)
 			cancel()
+			if err == nil && !m.Matches(piece, data) {
+				origin.StopKeepAlive()
+			}
 			f.replica.recordOriginResult(ctx, err)
 			if err != nil {
 				wait(ctx, nil, delays.NextBackOff())
--- a/replica/fleet_test.go
+++ b/replica/fleet_test.go
@@ -72,6 +72,8 @@
 	return pieceData(version, piece), nil
 }
 
+func (o *fakeOrigin) StopKeepAlive() {}
+
 // fakeEngine is an in-memory engine that records its orders.
 type fakeEngine struct {
 	mu             sync.Mutex
@@ -158,6 +160,8 @@
 	peers    []replica.Peer
 	port     int
 	ctx      context.Context
+	// remoteOrigin replaces origin if it is not nil. It must be set before the first target.
+	remoteOrigin replica.Origin
 	// logs holds the log lines of all replicas.
 	logs *gbytes.Buffer
 	// unlisted hides all engines from the peer list.
@@ -192,12 +196,19 @@
 	return f
 }
 
+func (f *fleet) currentOrigin() replica.Origin {
+	if f.remoteOrigin != nil {
+		return f.remoteOrigin
+	}
+	return f.origin
+}
+
 func (f *fleet) host(i int) string { return fmt.Sprintf("127.0.1.%d", i+1) }
 
 func (f *fleet) start(i int) *replica.Replica {
 	r := replica.New(replica.Config{
 		EngineAddress: f.peers[i].Address, Region: f.peers[i].Region, Engine: f.engines[i],
-		Origin:          func() replica.Origin { return f.origin },
+		Origin:          f.currentOrigin,
 		OriginPieceTime: func() time.Duration { return time.Millisecond },
 		Pieces:          func() int { return testPieces },
 		Peers:           f.listPeers,
