Rows of a relayed table are bounded together when they are decompressed

Each row of an answer was bounded, to 8 MB, but not their sum: an answer within the size limit may hold a thousand rows of 8 KB that decompress to 8 MB each. A faulty peer could make a process allocate gigabytes. The sum is now bounded to 64 MB.

--- a/lib/relay/client.go
+++ b/lib/relay/client.go
@@ -103,11 +103,15 @@
 
 func (a *answer) rows() (watch.Rows, error) {
 	rows := watch.Rows{Revision: a.Revision, AfterOutage: a.AfterOutage}
+	size := 0
 	for _, r := range a.Rows {
 		decoded, err := decodeRow(r)
 		if err != nil {
 			return watch.Rows{}, err
 		}
+		if size += len(decoded.Data); size > maxTableSize {
+			return watch.Rows{}, errTableTooLarge
+		}
 		rows.Rows = append(rows.Rows, decoded)
 	}
 	return rows, nil
--- a/lib/relay/row_codec.go
+++ b/lib/relay/row_codec.go
@@ -18,9 +18,15 @@
 	compressThreshold = 1 << 10
 	// maxRowSize is the maximum size of uncompressed row data in bytes.
 	maxRowSize = 8 << 20
+	// maxTableSize is the maximum size in bytes of the uncompressed data of all rows of an
+	// answer: compressed rows may be a thousand times as large.
+	maxTableSize = 64 << 20
 )
 
-var errRowTooLarge = errors.New("relayed row exceeds the maximum size")
+var (
+	errRowTooLarge   = errors.New("relayed row exceeds the maximum size")
+	errTableTooLarge = errors.New("relayed rows exceed the maximum size together")
+)
 
 // encodeRow converts a row for sending and compresses its data if it is large.
 func encodeRow(r watch.Row) row {
