A rate limit that no server can name is not taken from a peer

A datagram with a rate limit of 1e300 requests a second ended an entry with a division by zero: the interval between two requests became zero. Limit.Merge takes the values that Parse may return only, and an invalid age counts as an hour.

--- a/lib/ratelimit/limit.go
+++ b/lib/ratelimit/limit.go
@@ -25,10 +25,11 @@
 	}
 }
 
-// Merge records a limit that was stated at a certain time, unless a newer one is
-// known. It reports whether the limit has changed.
+// Merge records a limit that was stated at a certain time, unless a newer one is known or
+// Parse would never return it. It reports whether the limit has changed.
 func (l *Limit) Merge(perSecond float64, statedAt time.Time) bool {
-	if !statedAt.After(l.StatedAt) {
+	valid := perSecond == 0 || perSecond >= minPerSecond && perSecond <= maxPerSecond
+	if !valid || !statedAt.After(l.StatedAt) {
 		return false
 	}
 	changed := perSecond != l.PerSecond
--- a/peerlink/rate_limit.go
+++ b/peerlink/rate_limit.go
@@ -13,7 +13,14 @@
 	AgeMillis int64 `msgpack:"a"`
 }
 
-// StatedAt returns when the server stated the limit.
+// maxLimitAge is the age that replaces an invalid or larger one. Entries repeat limits for
+// less time.
+const maxLimitAge = time.Hour
+
+// StatedAt returns when the server stated the limit. It is not in the future.
 func (l *RateLimit) StatedAt(now time.Time) time.Time {
+	if l.AgeMillis < 0 || l.AgeMillis > maxLimitAge.Milliseconds() {
+		return now.Add(-maxLimitAge)
+	}
 	return now.Add(-time.Duration(l.AgeMillis) * time.Millisecond)
 }
