--- a/lib/relay/answer_fuzz_test.go
+++ b/lib/relay/answer_fuzz_test.go
@@ -19,7 +19,10 @@
 // within bounds, and the call must end when the bytes do.
 func FuzzAnswer(f *testing.F) {
 	for _, a := range []answer{
-		{Alive: true}, {Stale: true}, {HistoryLost: true}, {Revision: -1 << 62},
+		{Alive: true},
+		{Stale: true},
+		{HistoryLost: true},
+		{Revision: -1 << 62},
 		{Revision: 3, AfterOutage: true, Rows: []row{{Key: "k", Data: []byte("x"), Revision: 3}, {Key: "d", Deleted: true}}},
 		{Rows: []row{{Key: "k", Data: []byte("no DEFLATE"), Compressed: true}, encodeRow(watch.Row{Key: "z", Data: bytes.Repeat([]byte{0}, 10*compressThreshold)})}},
 	} {
