Relay: an answer that comes twice does not answer the next query

Answers of a relaying entry did not name their query. A copy of one with a few changes was taken for the whole table that the follower asked for next, so that all other servers seemed to be gone. Queries have a number on their connection, which answers repeat; others are ignored. Instances of earlier releases answer without a number and are believed.

lib/relay/odd_answers_test.go failed before (one row instead of three). lib/relay passed with -race.

--- a/lib/relay/client.go
+++ b/lib/relay/client.go
@@ -27,6 +27,8 @@
 	remote  netip.AddrPort
 	conn    net.Conn
 	decoder *msgstream.Decoder
+	// number is the number of the last query on conn.
+	number uint64
 }
 
 // fetch returns the rows that changed after a revision, or all rows if it is
@@ -57,7 +59,7 @@
 	if err != nil {
 		return err
 	}
-	c.remote, c.conn, c.decoder = to, conn, msgstream.NewDecoder(conn, bufferSize, maxAnswerSize)
+	c.remote, c.conn, c.number, c.decoder = to, conn, 0, msgstream.NewDecoder(conn, bufferSize, maxAnswerSize)
 	return nil
 }
 
@@ -71,14 +73,17 @@
 	if err := conn.SetWriteDeadline(time.Now().Add(c.answerTimeout)); err != nil {
 		return watch.Rows{}, err
 	}
-	q := &query{Table: c.table, Since: since, WaitMillis: wait.Milliseconds(), Direct: c.direct}
+	c.number++
+	q := &query{Table: c.table, Since: since, WaitMillis: wait.Milliseconds(), Direct: c.direct, Number: c.number}
 	if err := msgstream.Encode(conn, q); err != nil {
 		return watch.Rows{}, err
 	}
 	return c.read(conn)
 }
 
-// read reads the answer. Each keep-alive message and each part of a long answer
+// read reads the answer to the last query, and ignores answers to earlier ones, which an
+// instance may send once more. Instances of earlier releases answer without a number. Each
+// keep-alive message and each part of a long answer
 // extends the deadline.
 func (c *client) read(conn net.Conn) (watch.Rows, error) {
 	for {
@@ -90,7 +95,7 @@
 			return watch.Rows{}, err
 		}
 		switch {
-		case a.Alive:
+		case a.Alive, a.Number != 0 && a.Number != c.number:
 		case a.Stale:
 			return watch.Rows{}, errStale
 		case a.HistoryLost:
--- a/lib/relay/message.go
+++ b/lib/relay/message.go
@@ -10,11 +10,15 @@
 	WaitMillis int64 `msgpack:"w,omitempty"`
 	// Direct restricts the query to an instance that reads the store itself.
 	Direct bool `msgpack:"d,omitempty"`
+	// Number is the number of the query on its connection, from one.
+	Number uint64 `msgpack:"n,omitempty"`
 }
 
 // answer is the answer to a query, or a keep-alive message while the query
 // waits.
 type answer struct {
+	// Number is the number of the query, or zero if it had none.
+	Number uint64 `msgpack:"n,omitempty"`
 	// Alive marks a keep-alive message. The answer follows.
 	Alive bool `msgpack:"a,omitempty"`
 	// Stale means that the instance must not be followed.
--- a/lib/relay/answer_size_test.go
+++ b/lib/relay/odd_answers_test.go
@@ -42,6 +42,47 @@
 		return &instance{ln: ln}
 	}
 
+	It("a query twice is not taken to answer the next one", func() {
+		// Guards against an answer with a few changes that is taken for the whole table, so
+		// that all other servers or the configuration seem to be gone.
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(ln.Close)
+		go func() {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			decoder := msgstream.NewDecoder(conn, bufferSize, maxQuerySize)
+			for {
+				var q query
+				if decoder.Decode(&q) != nil {
+					return
+				}
+				a := &answer{Number: q.Number, Revision: 3, Rows: []row{{Key: "c", Revision: 3}}}
+				if q.Since < 0 {
+					a.Rows = append(a.Rows, row{Key: "a", Revision: 1}, row{Key: "b", Revision: 2})
+				}
+				for range 2 {
+					if msgstream.Encode(conn, a) != nil {
+						return
+					}
+				}
+			}
+		}()
+		c := client{table: "t", answerTimeout: time.Second}
+		defer c.close()
+		for range 3 {
+			changes, err := c.fetch(context.Background(), (&instance{ln: ln}).address(), 2, 0)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(changes.Rows).To(HaveLen(1))
+			all, err := c.fetch(context.Background(), (&instance{ln: ln}).address(), -1, 0)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(all.Rows).To(HaveLen(3))
+		}
+	})
+
 	It("with rows that are much larger than their compressed data does not exhaust the memory of its followers", func() {
 		// Guards against an answer within the size limit whose rows take gigabytes.
 		zeros := encodeRow(watch.Row{Key: "k", Data: bytes.Repeat([]byte{0}, maxRowSize), Revision: 1})
--- a/lib/relay/server.go
+++ b/lib/relay/server.go
@@ -103,7 +103,7 @@
 func (s *Server) answer(ctx context.Context, conn net.Conn, q *query) error {
 	cache := s.tables[q.Table]
 	if cache == nil {
-		return s.send(conn, &answer{Stale: true})
+		return s.send(conn, &answer{Number: q.Number, Stale: true})
 	}
 	deadline := time.Now().Add(time.Duration(q.WaitMillis) * time.Millisecond)
 	check := time.NewTicker(fraction(cache.config.MaxPropagation, checkFraction))
@@ -113,9 +113,10 @@
 		a, changed := cache.changesSince(q.Since)
 		now := time.Now()
 		if s.stopping() || !cache.fresh(q.Direct, now) {
-			return s.send(conn, &answer{Stale: true})
+			return s.send(conn, &answer{Number: q.Number, Stale: true})
 		}
 		if a.Stale || a.HistoryLost || len(a.Rows) > 0 || q.Since < 0 || !now.Before(deadline) {
+			a.Number = q.Number
 			return s.send(conn, &a)
 		}
 		select {
