Product's own daemons: a connection for each call of the instance list and of objects

A service that sends an earlier response once more made the instance list one read old, so that an instance that had left was listed again, and returned one object for another. The table service had a connection for each call already. Ranges of weights keep theirs: they are checked by range and digest.

--- a/lib/backing/httpbacking/client.go
+++ b/lib/backing/httpbacking/client.go
@@ -30,6 +30,15 @@
 	closes bool
 }
 
+// newClosingClient returns a client that opens a connection for each call: a service may
+// send an earlier response once more, and on a kept connection it would be taken for the
+// next one.
+func newClosingClient(cfg Config) httpClient {
+	c := newHTTPClient(cfg)
+	c.closes = true
+	return c
+}
+
 func newHTTPClient(cfg Config) httpClient {
 	cfg.applyDefaults()
 	return httpClient{cfg: cfg, client: &http.Client{Transport: cfg.Transport}}
--- a/lib/backing/httpbacking/duplicates_test.go
+++ b/lib/backing/httpbacking/duplicates_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -99,3 +100,72 @@
 		}
 	})
 })
+
+// newRepeatingServer starts a server that sends each response once more on its connection,
+// before the next one. It returns its URL.
+func newRepeatingServer(respond func(number int, r *http.Request) (status int, body string)) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(ln.Close)
+	var requests atomic.Int64
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				earlier := ""
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					status, body := respond(int(requests.Add(1)), r)
+					response := fmt.Sprintf("HTTP/1.1 %d Status\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+					fmt.Fprint(conn, earlier, response)
+					earlier = response
+				}
+			}()
+		}
+	}()
+	return "http://" + ln.Addr().String()
+}
+
+var _ = Describe("A service that sends responses once more on a kept connection", func() {
+	ctx := context.Background()
+
+	It("does not make the instance list one read old", func() {
+		// Guards against an instance that has left and is used again.
+		instances := httpbacking.NewInstances(httpbacking.Config{URL: newRepeatingServer(func(number int, _ *http.Request) (int, string) {
+			return 200, fmt.Sprintf(`[{"id":"i-%d","role":"agent","location":{"region":"r","failure_domain":"d"},"address":"10.0.0.1:80"}]`, number)
+		})})
+		for number := 1; number <= 4; number++ {
+			list, err := instances.List(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(list).To(HaveLen(1))
+			Expect(string(list[0].ID)).To(Equal(fmt.Sprintf("i-%d", number)))
+		}
+	})
+
+	It("does not make an object another one, or a refused object stored", func() {
+		objects := httpbacking.NewObjects(httpbacking.Config{URL: newRepeatingServer(func(number int, r *http.Request) (int, string) {
+			if r.Method == http.MethodPut && number%2 == 0 {
+				return 409, ""
+			}
+			return 200, r.URL.Path
+		})})
+		for number := 1; number <= 6; number += 3 {
+			Expect(objects.PutIfAbsent(ctx, "a", []byte("x"))).To(Or(Succeed(), MatchError(backing.ErrExists)))
+			data, err := objects.Get(ctx, "b")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(data)).To(HaveSuffix("/b"))
+			data, err = objects.Get(ctx, "c")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(data)).To(HaveSuffix("/c"))
+		}
+	})
+})
--- a/lib/backing/httpbacking/instances.go
+++ b/lib/backing/httpbacking/instances.go
@@ -37,7 +37,7 @@
 var errInvalidItem = errors.New("item has fields of another type or is no JSON object")
 
 // NewInstances returns a client of the instance list.
-func NewInstances(cfg Config) *Instances { return &Instances{http: newHTTPClient(cfg)} }
+func NewInstances(cfg Config) *Instances { return &Instances{http: newClosingClient(cfg)} }
 
 // List implements backing.InstanceList. Items are decoded one by one: an item that does
 // not describe an instance is left out.
--- a/lib/backing/httpbacking/object.go
+++ b/lib/backing/httpbacking/object.go
@@ -13,7 +13,7 @@
 type Objects struct{ http httpClient }
 
 // NewObjects returns a client of the object store.
-func NewObjects(cfg Config) *Objects { return &Objects{http: newHTTPClient(cfg)} }
+func NewObjects(cfg Config) *Objects { return &Objects{http: newClosingClient(cfg)} }
 
 // Get implements backing.ObjectStore.
 func (o *Objects) Get(ctx context.Context, name string) ([]byte, error) {
--- a/lib/backing/httpbacking/table.go
+++ b/lib/backing/httpbacking/table.go
@@ -17,14 +17,9 @@
 // Table is the client of the table service. It is safe for concurrent use.
 type Table struct{ http httpClient }
 
-// NewTable returns a client of the table service. It opens a connection for each call:
-// a service may send an earlier response once more, and on a kept connection it would
-// be taken for the next one. Two entries could then both hold a claim.
-func NewTable(cfg Config) *Table {
-	client := newHTTPClient(cfg)
-	client.closes = true
-	return &Table{http: client}
-}
+// NewTable returns a client of the table service. With kept connections, two entries could
+// both hold a claim.
+func NewTable(cfg Config) *Table { return &Table{http: newClosingClient(cfg)} }
 
 // Get implements backing.TableService.
 func (t *Table) Get(ctx context.Context, table, key string) (backing.Row, error) {
