Agents request fewer pieces at once while their link is narrow

On an instance whose link had been narrowed to 0.9 Mbit/s, five pieces were always on their way and requested again after 1.5 s. Requests to its engine waited 1.1 s and more behind them, and some reached it when its weights were too old to begin them (VERSION on weights-under-way). The window is now what the link delivers in 200 ms, at least one piece, measured by the time for which pieces occupy the link.

--- a/lib/spread/config.go
+++ b/lib/spread/config.go
@@ -6,7 +6,7 @@
 type Config struct {
 	// PeerRequests bounds the concurrent piece requests to peers. All of the pieces
 	// may arrive at once, and live requests queue behind them on the instance's
-	// link.
+	// link. Fewer are open while the link delivers them slowly.
 	PeerRequests int
 	// OriginRequests bounds the concurrent piece requests to the origin.
 	OriginRequests int
--- a/lib/spread/scheduler.go
+++ b/lib/spread/scheduler.go
@@ -26,6 +26,8 @@
 	available []bool
 	// schedule determines when each piece is due at the origin.
 	schedule schedule
+	// window bounds the concurrent requests to peers.
+	window window
 
 	missing map[int]*missingPiece
 	// order is the order in which pieces are requested from peers. It differs
@@ -50,6 +52,7 @@
 		s.available[p] = false
 		s.missing[p] = &missingPiece{requests: make(map[string]time.Time), excluded: make(map[string]bool)}
 	}
+	s.window = window{limit: s.config.PeerRequests}
 	s.schedule = newSchedule(s.config.OriginPieceTime, s.unavailable(), started)
 	s.order = rand.New(rand.NewPCG(rendezvous.Hash(plan.self.ID), 0)).Perm(pieces)
 	return s
@@ -120,6 +123,13 @@
 	delete(s.missing, number)
 }
 
+// ReceivedFromPeer is Received for a piece from a peer whose bytes arrived within the
+// given time.
+func (s *Scheduler) ReceivedFromPeer(number int, transfer time.Duration, now time.Time) {
+	s.window.received(transfer, now)
+	s.Received(number, now)
+}
+
 // Failed records that a source didn't deliver a piece. A peer that sent a
 // corrupt piece is not asked for it again.
 func (s *Scheduler) Failed(number int, from string, corrupt bool, now time.Time) {
@@ -159,7 +169,7 @@
 // Next returns the requests to send now.
 func (s *Scheduler) Next(now time.Time) []PieceRequest {
 	requests := s.nextFromOrigin(now)
-	free := s.config.PeerRequests - s.openPeerRequests(now)
+	free := s.window.size() - s.openPeerRequests(now)
 	for _, number := range s.order {
 		if free <= 0 {
 			break
--- /dev/null
+++ b/lib/spread/window.go
@@ -0,0 +1,42 @@
+package spread
+
+import "time"
+
+const (
+	// maxQueueTime is the time for which pieces from peers may occupy the instance's
+	// link. Live requests wait behind them, and entries give up connections that do not
+	// open within 250 ms.
+	maxQueueTime = 200 * time.Millisecond
+	// linkTimeWeight is the weight of one piece in the smoothed link time.
+	linkTimeWeight = 0.25
+)
+
+// window bounds the concurrent requests to peers by the rate at which the instance's
+// link delivers pieces. A link may become much narrower than it is declared.
+type window struct {
+	limit int
+	// linkTime is the smoothed time for which a piece occupies the link; zero before
+	// the first piece.
+	linkTime       time.Duration
+	lastReceivedAt time.Time
+}
+
+// received records a piece whose bytes arrived within the given time. Pieces that
+// arrive at the same time share the link, so that a piece counts only from the end of
+// the previous one. The time that it waits at its sender does not count.
+func (w *window) received(transfer time.Duration, now time.Time) {
+	own := transfer
+	if !w.lastReceivedAt.IsZero() {
+		own = min(own, now.Sub(w.lastReceivedAt))
+	}
+	w.lastReceivedAt = now
+	w.linkTime += time.Duration(linkTimeWeight * float64(own-w.linkTime))
+}
+
+// size returns the number of requests that may be open at the same time.
+func (w *window) size() int {
+	if time.Duration(w.limit)*w.linkTime <= maxQueueTime {
+		return w.limit
+	}
+	return max(1, int(maxQueueTime/w.linkTime))
+}
--- a/replica/fetch.go
+++ b/replica/fetch.go
@@ -189,7 +189,11 @@
 	default:
 		f.replica.countReceived(e.source, len(e.data))
 		f.pieces.put(e.piece, e.data)
-		f.scheduler.Received(e.piece, f.now())
+		if e.source == spread.Origin {
+			f.scheduler.Received(e.piece, f.now())
+		} else {
+			f.scheduler.ReceivedFromPeer(e.piece, e.transfer, f.now())
+		}
 	}
 	return true
 }
--- a/replica/fleet_test.go
+++ b/replica/fleet_test.go
@@ -162,6 +162,15 @@
 	logs *gbytes.Buffer
 	// unlisted hides all engines from the peer list.
 	unlisted atomic.Bool
+	// peersOfFirst is the peer list of the first replica, if it differs.
+	peersOfFirst atomic.Pointer[[]replica.Peer]
+}
+
+func (f *fleet) listPeersOfFirst() ([]replica.Peer, error) {
+	if peers := f.peersOfFirst.Load(); peers != nil {
+		return *peers, nil
+	}
+	return f.listPeers()
 }
 
 func (f *fleet) listPeers() ([]replica.Peer, error) {
@@ -195,12 +204,16 @@
 func (f *fleet) host(i int) string { return fmt.Sprintf("127.0.1.%d", i+1) }
 
 func (f *fleet) start(i int) *replica.Replica {
+	listPeers := f.listPeers
+	if i == 0 {
+		listPeers = f.listPeersOfFirst
+	}
 	r := replica.New(replica.Config{
 		EngineAddress: f.peers[i].Address, Region: f.peers[i].Region, Engine: f.engines[i],
 		Origin:          func() replica.Origin { return f.origin },
 		OriginPieceTime: func() time.Duration { return time.Millisecond },
 		Pieces:          func() int { return testPieces },
-		Peers:           f.listPeers,
+		Peers:           listPeers,
 		PeerPort:        f.port, Listen: f.host(i), MaxRolloutTime: time.Second,
 		Clock: clock.System{}, Log: eventlog.OpenPlain(f.logs, clock.System{}),
 	})
@@ -211,8 +224,10 @@
 	return r
 }
 
-func (f *fleet) setTarget(version int) {
-	for _, r := range f.replicas {
+func (f *fleet) setTarget(version int) { f.setTargetOf(version, f.replicas...) }
+
+func (f *fleet) setTargetOf(version int, replicas ...*replica.Replica) {
+	for _, r := range replicas {
 		r.SetTarget("m", version)
 	}
 }
--- a/replica/peer_conn.go
+++ b/replica/peer_conn.go
@@ -43,7 +43,9 @@
 	// piece is the requested piece, or peerlink.NoPiece.
 	piece int
 	data  []byte
-	err   error
+	// transfer is the time between the first and the last byte of a peer's response.
+	transfer time.Duration
+	err      error
 }
 
 // run keeps a connection to the peer until ctx ends.
@@ -76,7 +78,8 @@
 	defer stop()
 	defer conn.Close()
 	go p.writeRequests(ctx, conn, model, version)
-	decoder := msgstream.NewDecoder(conn, peerBufferBytes, maxResponseBytes)
+	reader := &arrivalReader{source: conn}
+	decoder := msgstream.NewDecoder(reader, peerBufferBytes, maxResponseBytes)
 	for {
 		if conn.SetReadDeadline(time.Now().Add(peerIdleTimeout)) != nil {
 			return
@@ -85,7 +88,7 @@
 		if decoder.Decode(&resp) != nil {
 			return
 		}
-		p.send(ctx, fetchEvent{source: p.id, have: resp.Have, piece: resp.Piece, data: resp.Data})
+		p.send(ctx, fetchEvent{source: p.id, have: resp.Have, piece: resp.Piece, data: resp.Data, transfer: reader.sinceArrival()})
 	}
 }
 
