--- a/lib/spread/narrow_link_test.go
+++ b/lib/spread/narrow_link_test.go
@@ -133,4 +133,16 @@
 		// The pieces that the silent peer was asked for are requested elsewhere after 1.5 s.
 		Expect(f.now.Sub(f.start)).To(BeNumerically("<", 6*time.Second))
 	})
+
+	It("leaves pieces of the origin to members with wider links", func() {
+		// Guards against pieces that one instance with a narrow link fetches, each of which
+		// takes it a second, and sends to all others.
+		s := newSwarm(3, 5, 96)
+		s.agents["0.1"].slow = true
+		s.agents["1.2"].slow = true
+		s.start()
+		Expect(s.run(20 * time.Second)).To(BeTrue())
+		fetched := s.now.Sub(time.Unix(1000, 0))
+		Expect(fetched).To(BeNumerically("<", 5600*time.Millisecond), "the part of 8 s in which pieces must come")
+	})
 })
--- a/lib/spread/plan.go
+++ b/lib/spread/plan.go
@@ -86,14 +86,20 @@
 	return sortedIDs(needed)
 }
 
-// responsible returns the reachable member that fetches a piece from the origin.
-func (p *Plan) responsible(piece int, unreachable map[string]bool) string {
+// responsible returns the reachable member that fetches a piece from the origin. Members
+// with a narrow link do so only if there are no others.
+func (p *Plan) responsible(piece int, unreachable, narrow map[string]bool) string {
+	fallback := p.self.ID
 	for _, m := range p.ranked[piece] {
-		if !unreachable[m.ID] {
+		switch {
+		case unreachable[m.ID]:
+		case !narrow[m.ID]:
 			return m.ID
+		case fallback == p.self.ID:
+			fallback = m.ID
 		}
 	}
-	return p.self.ID
+	return fallback
 }
 
 func sortedIDs(set map[string]bool) []string {
@@ -106,14 +112,15 @@
 }
 
 // reachableMembersBefore returns the number of reachable members that precede the
-// instance in a ranking.
-func (p *Plan) reachableMembersBefore(ranking []Member, unreachable map[string]bool) int {
-	count := 0
+// instance in a ranking. Members with a narrow link come after all others.
+func (p *Plan) reachableMembersBefore(ranking []Member, unreachable, narrow map[string]bool) int {
+	count, passedSelf := 0, false
 	for _, m := range ranking {
-		if m.ID == p.self.ID {
-			return count
-		}
-		if !unreachable[m.ID] {
+		switch {
+		case m.ID == p.self.ID:
+			passedSelf = true
+		case unreachable[m.ID]:
+		case narrow[m.ID] == narrow[p.self.ID] && !passedSelf, narrow[p.self.ID] && !narrow[m.ID]:
 			count++
 		}
 	}
--- a/lib/spread/scheduler.go
+++ b/lib/spread/scheduler.go
@@ -36,6 +36,8 @@
 	order       []int
 	sources     map[string]*source
 	unreachable map[string]bool
+	// narrow are the members whose links are narrow, including this one.
+	narrow map[string]bool
 }
 
 // NewScheduler returns a Scheduler for the missing pieces of a version that all
@@ -43,7 +45,7 @@
 func NewScheduler(config Config, plan *Plan, pieces int, missing []int, started time.Time) *Scheduler {
 	s := &Scheduler{
 		config: config.applyDefaults(), plan: plan, lastNewPiece: started, available: make([]bool, pieces),
-		missing: make(map[int]*missingPiece, len(missing)), sources: make(map[string]*source), unreachable: make(map[string]bool),
+		missing: make(map[int]*missingPiece, len(missing)), sources: make(map[string]*source), unreachable: make(map[string]bool), narrow: make(map[string]bool),
 	}
 	for i := range s.available {
 		s.available[i] = true
@@ -127,9 +129,19 @@
 // given time.
 func (s *Scheduler) ReceivedFromPeer(number int, transfer time.Duration, now time.Time) {
 	s.window.received(transfer, now)
+	s.narrow[s.plan.self.ID] = s.window.narrow()
 	s.Received(number, now)
 }
 
+// LinkNarrow reports whether the instance's link is too narrow for half of the requests
+// that may be open at the same time. Its peers should know it.
+func (s *Scheduler) LinkNarrow() bool { return s.window.narrow() }
+
+// SetNarrow records whether the link of a peer is narrow. Other members fetch the pieces
+// that it would fetch from the origin or into its region: each of them would occupy its
+// link once for each member that has none.
+func (s *Scheduler) SetNarrow(peer string, narrow bool) { s.narrow[peer] = narrow }
+
 // Failed records that a source didn't deliver a piece. A peer that sent a
 // corrupt piece is not asked for it again.
 func (s *Scheduler) Failed(number int, from string, corrupt bool, now time.Time) {
@@ -221,7 +233,7 @@
 		if p == nil || s.available[number] || s.schedule.sinceDue(number, now) < s.config.OverdueAfter {
 			continue
 		}
-		member := s.plan.responsible(number, s.unreachable)
+		member := s.plan.responsible(number, s.unreachable, s.narrow)
 		if member != s.plan.self.ID && s.sources[member] == nil {
 			overdue = append(overdue, member)
 		}
--- a/lib/spread/scheduler_choice.go
+++ b/lib/spread/scheduler_choice.go
@@ -74,7 +74,7 @@
 // members before it have not fetched the piece in their time since it became
 // available.
 func (s *Scheduler) mayCrossRegions(number int, now time.Time) bool {
-	before := s.plan.reachableMembersBefore(s.plan.rankedInRegion[number], s.unreachable)
+	before := s.plan.reachableMembersBefore(s.plan.rankedInRegion[number], s.unreachable, s.narrow)
 	p := s.missing[number]
 	return before == 0 || !p.availableAt.IsZero() && now.Sub(p.availableAt) >= s.config.OverdueAfter+time.Duration(before)*s.config.TakeoverStagger
 }
@@ -88,7 +88,7 @@
 	if since < 0 {
 		return false
 	}
-	before := s.plan.reachableMembersBefore(s.plan.ranked[number], s.unreachable)
+	before := s.plan.reachableMembersBefore(s.plan.ranked[number], s.unreachable, s.narrow)
 	if before == 0 {
 		return true
 	}
--- a/lib/spread/swarm_test.go
+++ b/lib/spread/swarm_test.go
@@ -34,9 +34,10 @@
 	scheduler *spread.Scheduler
 	has       map[int]bool
 	dead      bool
-	// slow members take a second to send or receive a piece.
-	slow   bool
-	doneAt time.Time
+	// slow members take a second to send or receive a piece. narrow ones know it and tell
+	// their peers.
+	slow, narrow bool
+	doneAt       time.Time
 }
 
 type transfer struct {
@@ -99,6 +100,7 @@
 				unfinished++
 			}
 			s.announce(a)
+			a.narrow = a.scheduler.LinkNarrow()
 			for _, req := range a.scheduler.Next(s.now) {
 				s.transfers = append(s.transfers, transfer{arrivesAt: s.now.Add(s.transferTime(id, req.Source)), to: id, from: req.Source, piece: req.Piece})
 			}
@@ -160,6 +162,9 @@
 		for p := range peer.has {
 			have = append(have, p)
 		}
+		if id != a.member.ID {
+			a.scheduler.SetNarrow(id, peer.narrow)
+		}
 		if id != a.member.ID && len(have) > 0 {
 			a.scheduler.Have(id, have, s.now)
 		}
@@ -197,6 +202,10 @@
 
 func (s *swarm) receive(a *agent, t transfer) {
 	a.has[t.piece] = true
-	a.scheduler.Received(t.piece, s.now)
+	if t.from == spread.Origin {
+		a.scheduler.Received(t.piece, s.now)
+	} else {
+		a.scheduler.ReceivedFromPeer(t.piece, s.transferTime(t.to, t.from), s.now)
+	}
 	a.doneAt = s.now
 }
--- a/lib/spread/window.go
+++ b/lib/spread/window.go
@@ -4,8 +4,9 @@
 
 const (
 	// maxQueueTime is the time for which pieces from peers may occupy the instance's
-	// link. Live requests wait behind them, and entries give up connections that do not
-	// open within 250 ms.
+	// link, with the default number of requests. Live requests wait behind them, and
+	// entries give up connections that do not open within 250 ms. An engine that serves
+	// nothing has more requests open, and they may take longer in the same proportion.
 	maxQueueTime = 200 * time.Millisecond
 	// linkTimeWeight is the weight of one piece in the smoothed link time.
 	linkTimeWeight = 0.25
@@ -35,8 +36,13 @@
 
 // size returns the number of requests that may be open at the same time.
 func (w *window) size() int {
-	if time.Duration(w.limit)*w.linkTime <= maxQueueTime {
+	queueTime := maxQueueTime * time.Duration(w.limit) / defaultPeerRequests
+	if time.Duration(w.limit)*w.linkTime <= queueTime {
 		return w.limit
 	}
-	return max(1, int(maxQueueTime/w.linkTime))
+	return max(1, int(queueTime/w.linkTime))
 }
+
+// narrow reports whether the link is too narrow for half of the requests that may be
+// open.
+func (w *window) narrow() bool { return 2*w.size() < w.limit }
--- a/peerlink/message.go
+++ b/peerlink/message.go
@@ -30,6 +30,9 @@
 	Piece int `msgpack:"p"`
 	// Data is the content of the piece, and empty if the peer doesn't have it.
 	Data []byte `msgpack:"d,omitempty"`
+	// Narrow is set while pieces arrive slowly on the peer's link, so that it leaves
+	// those of the origin and of other regions to others.
+	Narrow bool `msgpack:"n,omitempty"`
 }
 
 // Datagram is one message of the connectionless protocol. Exactly one field is
--- a/replica/fetch.go
+++ b/replica/fetch.go
@@ -67,6 +67,7 @@
 	f.corrupt = make(map[int]int)
 	pieces := len(f.pieces.manifest.Digests)
 	f.scheduler = spread.NewScheduler(spread.Config{OriginPieceTime: f.originPieceTime, PeerRequests: f.maxPeerRequests()}, f.plan, pieces, f.pieces.missing(), f.started)
+	f.replica.linkNarrow.Store(false)
 	f.requests[spread.Origin] = make(chan int, requestQueueSize)
 	go f.fetchFromOrigin(ctx, f.requests[spread.Origin])
 	f.connectPlanned(ctx)
@@ -176,6 +177,7 @@
 	case e.lost || e.piece != peerlink.NoPiece && !known(e.piece):
 		f.scheduler.PeerLost(e.source)
 	case e.piece == peerlink.NoPiece:
+		f.scheduler.SetNarrow(e.source, e.narrow)
 		// A peer may have another manifest.
 		have := slices.DeleteFunc(e.have, func(piece int) bool { return !known(piece) })
 		f.scheduler.Have(e.source, have, f.now())
@@ -192,7 +194,9 @@
 		if e.source == spread.Origin {
 			f.scheduler.Received(e.piece, f.now())
 		} else {
+			f.scheduler.SetNarrow(e.source, e.narrow)
 			f.scheduler.ReceivedFromPeer(e.piece, e.transfer, f.now())
+			f.replica.linkNarrow.Store(f.scheduler.LinkNarrow())
 		}
 	}
 	return true
--- a/replica/peer_conn.go
+++ b/replica/peer_conn.go
@@ -43,6 +43,8 @@
 	// piece is the requested piece, or peerlink.NoPiece.
 	piece int
 	data  []byte
+	// narrow is set if a peer reports that its link is narrow.
+	narrow bool
 	// transfer is the time between the first and the last byte of a peer's response.
 	transfer time.Duration
 	err      error
@@ -88,7 +90,7 @@
 		if decoder.Decode(&resp) != nil {
 			return
 		}
-		p.send(ctx, fetchEvent{source: p.id, have: resp.Have, piece: resp.Piece, data: resp.Data, transfer: reader.sinceArrival()})
+		p.send(ctx, fetchEvent{source: p.id, have: resp.Have, piece: resp.Piece, data: resp.Data, narrow: resp.Narrow, transfer: reader.sinceArrival()})
 	}
 }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -18,8 +18,10 @@
 // goroutine of Run owns the phases and decides on orders; fetches run
 // concurrently. All methods but Run are safe for concurrent use.
 type Replica struct {
-	config        Config
-	phases        *phaseMachine
+	config Config
+	phases *phaseMachine
+	// linkNarrow is set while pieces arrive slowly on the instance's link.
+	linkNarrow    atomic.Bool
 	uploadLimiter *uploadLimiter
 	stats         Stats
 	// maxRolloutTime is the time within which a declared version must serve on all
