Pieces that later ones overtake are taken over without waiting for an idle origin

Pieces of suspended members, whose connections stay open, were fetched by others one by one and only when no piece had come for a while, that is after all other pieces. A piece that is overdue while eight later ones have come goes to the next member in rank.

--- a/lib/spread/config.go
+++ b/lib/spread/config.go
@@ -44,6 +44,9 @@
 	// pieces arrive one by one.
 	defaultOriginIdleAfter = 200 * time.Millisecond
 	originIdlePieces       = 8
+	// overtakingPieces is the number of later pieces after which a piece counts as
+	// overtaken. They come from several members, so that one slow member is no reason.
+	overtakingPieces       = 8
 	defaultTakeoverStagger = 200 * time.Millisecond
 )
 
--- a/lib/spread/scheduler.go
+++ b/lib/spread/scheduler.go
@@ -203,13 +203,14 @@
 func (s *Scheduler) nextFromOrigin(now time.Time) []PieceRequest {
 	var requests []PieceRequest
 	free := s.config.OriginRequests - s.source(Origin).openRequests
+	overtaken := s.overtakenBefore()
 	for number := 0; number < len(s.available) && free > 0; number++ {
 		p := s.missing[number]
 		if p == nil || s.recentlyRequested(p, now) {
 			continue
 		}
 		_, open := p.requests[Origin]
-		if open || s.offeredByPeer(number, p) && !s.anyTimedOut(p, now) || !s.mayUseOrigin(number, now) {
+		if open || s.offeredByPeer(number, p) && !s.anyTimedOut(p, now) || !s.mayUseOrigin(number, overtaken, now) {
 			continue
 		}
 		requests = append(requests, s.request(number, p, Origin, now))
--- a/lib/spread/scheduler_choice.go
+++ b/lib/spread/scheduler_choice.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"slices"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/rendezvous"
@@ -81,9 +82,10 @@
 
 // mayUseOrigin reports whether this instance may fetch a piece from the origin:
 // it is the first reachable member for the piece, or the members before it have not
-// fetched it in their time and the origin's link is idle. On a busy link
-// additional readers would only share it.
-func (s *Scheduler) mayUseOrigin(number int, now time.Time) bool {
+// fetched it in their time, although later pieces have come or the origin's link is idle.
+// On a busy link additional readers would only share it. overtaken is the result of
+// overtakenBefore.
+func (s *Scheduler) mayUseOrigin(number, overtaken int, now time.Time) bool {
 	since := s.schedule.sinceDue(number, now)
 	if since < 0 {
 		return false
@@ -92,6 +94,26 @@
 	if before == 0 {
 		return true
 	}
+	if before <= int(since/s.config.OverdueAfter) && s.schedule.positions[number] < overtaken {
+		return true
+	}
 	idle := max(originIdlePieces*s.config.OriginPieceTime, s.config.OriginIdleAfter) + time.Duration(before)*s.config.TakeoverStagger
 	return since >= s.config.OverdueAfter && now.Sub(s.lastNewPiece) >= idle
 }
+
+// overtakenBefore returns the position in the schedule before which missing pieces are
+// overtaken: so many later ones are available that it is not the origin which delays
+// them.
+func (s *Scheduler) overtakenBefore() int {
+	var latest []int
+	for number, position := range s.schedule.positions {
+		if s.available[number] {
+			latest = append(latest, position)
+		}
+	}
+	if len(latest) < overtakingPieces {
+		return 0
+	}
+	slices.Sort(latest)
+	return latest[len(latest)-overtakingPieces]
+}
--- a/lib/spread/scheduler_test.go
+++ b/lib/spread/scheduler_test.go
@@ -60,6 +60,20 @@
 		Expect(s.run(7 * time.Second)).To(BeTrue())
 	})
 
+	It("fetches the pieces of silent members while the others fetch theirs", func() {
+		// Guards against engines that get their weights too late because two instances were
+		// suspended: the others fetched the pieces of these one by one, and only once all
+		// other pieces had come.
+		s := newSwarm(3, 5, 96)
+		s.start()
+		Expect(s.run(200 * time.Millisecond)).To(BeFalse())
+		for _, id := range []string{"0.1", "1.2"} {
+			s.agents[id].silent = true
+		}
+		Expect(s.run(5600*time.Millisecond)).To(BeTrue(), "all pieces within the part of 8 s in which they must come")
+		Expect(s.originTransfers).To(Equal(96))
+	})
+
 	It("completes when a listed member does not exist", func() {
 		s := newSwarm(2, 3, 24)
 		delete(s.agents, "0.0")
--- a/lib/spread/swarm_test.go
+++ b/lib/spread/swarm_test.go
@@ -34,6 +34,8 @@
 	scheduler *spread.Scheduler
 	has       map[int]bool
 	dead      bool
+	// silent members neither send nor receive anything, but their connections stay open.
+	silent bool
 	// slow members take a second to send or receive a piece. narrow ones know it and tell
 	// their peers.
 	slow, narrow bool
@@ -93,7 +95,7 @@
 		unfinished := 0
 		for _, id := range s.ids() {
 			a := s.agents[id]
-			if a.dead || a.scheduler.Remaining() == 0 {
+			if a.dead || a.silent || a.scheduler.Remaining() == 0 {
 				continue
 			}
 			if !a.slow {
@@ -158,6 +160,9 @@
 			a.scheduler.PeerLost(id)
 			continue
 		}
+		if peer.silent {
+			continue
+		}
 		var have []int
 		for p := range peer.has {
 			have = append(have, p)
@@ -180,7 +185,7 @@
 		}
 		a := s.agents[t.to]
 		switch from := s.agents[t.from]; {
-		case a.dead:
+		case a.dead, a.silent, from != nil && from.silent:
 		case t.from == spread.Origin && s.originDown:
 			a.scheduler.Failed(t.piece, t.from, false, s.now)
 		case t.from == spread.Origin:
