Requests on older weights are taken back earlier over a link that opens slowly

The end of a connection waits on the server's link as its opening did. A request that waits on weights which are about to be too old is taken back earlier by that time, and is not sent at all if it would be taken back at once.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -28,6 +28,7 @@
 func (r *request) exchange(lease *placement.Lease) attemptResult {
 	server := lease.Server
 	r.triedServers = append(r.triedServers, server.Key())
+	started := r.gateway.now()
 	conn, err := upstream.Dial(r.ctx, server.Address)
 	if err != nil {
 		r.gateway.recordUnreachable(server, err)
@@ -38,9 +39,13 @@
 		return r.resolve(placement.Rejected, attemptResult{reason: reason})
 	}
 	opened := r.gateway.now()
+	deadline := r.firstByteDeadline(lease, opened.Sub(started))
+	if !deadline.IsZero() && !opened.Before(deadline) {
+		return r.resolve(placement.Rejected, attemptResult{reason: "weights are about to be too old"})
+	}
 	r.dispatched++
 	r.summary.Attempts++
-	conn.SetReadDeadline(r.firstByteDeadline(lease))
+	conn.SetReadDeadline(deadline)
 	resp, err := conn.Do(r.upstreamRequest(r.attemptInfo(lease)))
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		r.recordInterrupted(lease, err)
@@ -64,9 +69,9 @@
 )
 
 // firstByteDeadline is when the request is taken from a server that has not begun to
-// respond; zero for never.
-func (r *request) firstByteDeadline(lease *placement.Lease) time.Time {
-	retry, weights := r.retryDeadline(lease), r.weightsDeadline(lease)
+// respond; zero for never. opening is the time that its connection took to open.
+func (r *request) firstByteDeadline(lease *placement.Lease, opening time.Duration) time.Time {
+	retry, weights := r.retryDeadline(lease), r.weightsDeadline(lease, opening)
 	if retry.IsZero() || !weights.IsZero() && weights.Before(retry) {
 		return weights
 	}
@@ -74,20 +79,20 @@
 }
 
 // startMargin is how long before a version deadline requests that wait on older
-// weights are taken from their server. It covers the delay to the server, also while
-// transfers of weights fill its link.
+// weights are taken from their server. It covers the delay to the server on a link that
+// is not narrowed.
 const startMargin = 200 * time.Millisecond
 
 // weightsDeadline is when the server may no longer begin the request because its
 // weights will be too old; zero if they will not be. The predicted wait is too short
 // when most engines change their weights at the same time and the remaining ones get
-// all requests.
-func (r *request) weightsDeadline(lease *placement.Lease) time.Time {
+// all requests. The end of the connection waits on the server's link as its opening did.
+func (r *request) weightsDeadline(lease *placement.Lease, opening time.Duration) time.Time {
 	w, known := lease.Server.Weights[r.info.Model]
 	if !known || r.nextVersion == 0 || w.Version >= r.nextVersion {
 		return time.Time{}
 	}
-	return r.nextAt.Add(-startMargin)
+	return r.nextAt.Add(-startMargin - opening)
 }
 
 // retryDeadline is when another server gets the request if this one has not begun to
