--- a/internal/measure/signals/fleet.go
+++ b/internal/measure/signals/fleet.go
@@ -10,6 +10,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"github.com/auburnbend/auburnbend/internal/loopback"
 	"github.com/auburnbend/auburnbend/internal/node"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/platform"
@@ -62,7 +63,7 @@
 
 // startFleet starts a fleet whose settings files are in a directory.
 func startFleet(ctx context.Context, o options, directory string) (*fleet, error) {
-	subnet, reservation, err := platformtest.ReserveSubnet(firstSubnet)
+	subnet, reservation, err := loopback.ReserveSubnet(firstSubnet)
 	if err != nil {
 		return nil, merry.Wrap(err)
 	}
--- a/lib/spread/config.go
+++ b/lib/spread/config.go
@@ -6,7 +6,7 @@
 type Config struct {
 	// PeerRequests bounds the concurrent piece requests to peers. All of the pieces
 	// may arrive at once, and live requests queue behind them on the instance's
-	// link.
+	// link. Fewer are open while the link delivers them slowly.
 	PeerRequests int
 	// OriginRequests bounds the concurrent piece requests to the origin.
 	OriginRequests int
@@ -44,6 +44,9 @@
 	// pieces arrive one by one.
 	defaultOriginIdleAfter = 200 * time.Millisecond
 	originIdlePieces       = 8
+	// overtakingPieces is the number of later pieces after which a piece counts as
+	// overtaken. They come from several members, so that one slow member is no reason.
+	overtakingPieces       = 8
 	defaultTakeoverStagger = 200 * time.Millisecond
 )
 
--- a/lib/spread/scheduler.go
+++ b/lib/spread/scheduler.go
@@ -26,6 +26,8 @@
 	available []bool
 	// schedule determines when each piece is due at the origin.
 	schedule schedule
+	// window bounds the concurrent requests to peers.
+	window window
 
 	missing map[int]*missingPiece
 	// order is the order in which pieces are requested from peers. It differs
@@ -34,6 +36,8 @@
 	order       []int
 	sources     map[string]*source
 	unreachable map[string]bool
+	// narrow are the members whose links are narrow, including this one.
+	narrow map[string]bool
 }
 
 // NewScheduler returns a Scheduler for the missing pieces of a version that all
@@ -41,7 +45,7 @@
 func NewScheduler(config Config, plan *Plan, pieces int, missing []int, started time.Time) *Scheduler {
 	s := &Scheduler{
 		config: config.applyDefaults(), plan: plan, lastNewPiece: started, available: make([]bool, pieces),
-		missing: make(map[int]*missingPiece, len(missing)), sources: make(map[string]*source), unreachable: make(map[string]bool),
+		missing: make(map[int]*missingPiece, len(missing)), sources: make(map[string]*source), unreachable: make(map[string]bool), narrow: make(map[string]bool),
 	}
 	for i := range s.available {
 		s.available[i] = true
@@ -50,6 +54,7 @@
 		s.available[p] = false
 		s.missing[p] = &missingPiece{requests: make(map[string]time.Time), excluded: make(map[string]bool)}
 	}
+	s.window = window{limit: s.config.PeerRequests}
 	s.schedule = newSchedule(s.config.OriginPieceTime, s.unavailable(), started)
 	s.order = rand.New(rand.NewPCG(rendezvous.Hash(plan.self.ID), 0)).Perm(pieces)
 	return s
@@ -120,6 +125,23 @@
 	delete(s.missing, number)
 }
 
+// ReceivedFromPeer is Received for a piece from a peer whose bytes arrived within the
+// given time.
+func (s *Scheduler) ReceivedFromPeer(number int, transfer time.Duration, now time.Time) {
+	s.window.received(transfer, now)
+	s.narrow[s.plan.self.ID] = s.window.narrow()
+	s.Received(number, now)
+}
+
+// LinkNarrow reports whether the instance's link is too narrow for half of the requests
+// that may be open at the same time. Its peers should know it.
+func (s *Scheduler) LinkNarrow() bool { return s.window.narrow() }
+
+// SetNarrow records whether the link of a peer is narrow. Other members fetch the pieces
+// that it would fetch from the origin or into its region: each of them would occupy its
+// link once for each member that has none.
+func (s *Scheduler) SetNarrow(peer string, narrow bool) { s.narrow[peer] = narrow }
+
 // Failed records that a source didn't deliver a piece. A peer that sent a
 // corrupt piece is not asked for it again.
 func (s *Scheduler) Failed(number int, from string, corrupt bool, now time.Time) {
@@ -159,7 +181,7 @@
 // Next returns the requests to send now.
 func (s *Scheduler) Next(now time.Time) []PieceRequest {
 	requests := s.nextFromOrigin(now)
-	free := s.config.PeerRequests - s.openPeerRequests(now)
+	free := s.window.size() - s.openPeerRequests(now)
 	for _, number := range s.order {
 		if free <= 0 {
 			break
@@ -181,13 +203,14 @@
 func (s *Scheduler) nextFromOrigin(now time.Time) []PieceRequest {
 	var requests []PieceRequest
 	free := s.config.OriginRequests - s.source(Origin).openRequests
+	overtaken := s.overtakenBefore()
 	for number := 0; number < len(s.available) && free > 0; number++ {
 		p := s.missing[number]
 		if p == nil || s.recentlyRequested(p, now) {
 			continue
 		}
 		_, open := p.requests[Origin]
-		if open || s.offeredByPeer(number, p) && !s.anyTimedOut(p, now) || !s.mayUseOrigin(number, now) {
+		if open || s.offeredByPeer(number, p) && !s.anyTimedOut(p, now) || !s.mayUseOrigin(number, overtaken, now) {
 			continue
 		}
 		requests = append(requests, s.request(number, p, Origin, now))
@@ -211,7 +234,7 @@
 		if p == nil || s.available[number] || s.schedule.sinceDue(number, now) < s.config.OverdueAfter {
 			continue
 		}
-		member := s.plan.responsible(number, s.unreachable)
+		member := s.plan.responsible(number, s.unreachable, s.narrow)
 		if member != s.plan.self.ID && s.sources[member] == nil {
 			overdue = append(overdue, member)
 		}
--- a/lib/spread/swarm_test.go
+++ b/lib/spread/swarm_test.go
@@ -34,9 +34,12 @@
 	scheduler *spread.Scheduler
 	has       map[int]bool
 	dead      bool
-	// slow members take a second to send or receive a piece.
-	slow   bool
-	doneAt time.Time
+	// silent members neither send nor receive anything, but their connections stay open.
+	silent bool
+	// slow members take a second to send or receive a piece. narrow ones know it and tell
+	// their peers.
+	slow, narrow bool
+	doneAt       time.Time
 }
 
 type transfer struct {
@@ -92,13 +95,14 @@
 		unfinished := 0
 		for _, id := range s.ids() {
 			a := s.agents[id]
-			if a.dead || a.scheduler.Remaining() == 0 {
+			if a.dead || a.silent || a.scheduler.Remaining() == 0 {
 				continue
 			}
 			if !a.slow {
 				unfinished++
 			}
 			s.announce(a)
+			a.narrow = a.scheduler.LinkNarrow()
 			for _, req := range a.scheduler.Next(s.now) {
 				s.transfers = append(s.transfers, transfer{arrivesAt: s.now.Add(s.transferTime(id, req.Source)), to: id, from: req.Source, piece: req.Piece})
 			}
@@ -156,10 +160,16 @@
 			a.scheduler.PeerLost(id)
 			continue
 		}
+		if peer.silent {
+			continue
+		}
 		var have []int
 		for p := range peer.has {
 			have = append(have, p)
 		}
+		if id != a.member.ID {
+			a.scheduler.SetNarrow(id, peer.narrow)
+		}
 		if id != a.member.ID && len(have) > 0 {
 			a.scheduler.Have(id, have, s.now)
 		}
@@ -175,7 +185,7 @@
 		}
 		a := s.agents[t.to]
 		switch from := s.agents[t.from]; {
-		case a.dead:
+		case a.dead, a.silent, from != nil && from.silent:
 		case t.from == spread.Origin && s.originDown:
 			a.scheduler.Failed(t.piece, t.from, false, s.now)
 		case t.from == spread.Origin:
@@ -197,6 +207,10 @@
 
 func (s *swarm) receive(a *agent, t transfer) {
 	a.has[t.piece] = true
-	a.scheduler.Received(t.piece, s.now)
+	if t.from == spread.Origin {
+		a.scheduler.Received(t.piece, s.now)
+	} else {
+		a.scheduler.ReceivedFromPeer(t.piece, s.transferTime(t.to, t.from), s.now)
+	}
 	a.doneAt = s.now
 }
