An agent no longer reports its engine as open by a state from before the order

Draining read the engine's state first and the flag of a running order second. If the order ended in between, the state from before it, whose weights are trusted, was combined with the end of the order: entries were told that the engine is open although it had just taken layers that nobody had verified. Found by reading.

--- a/replica/replica.go
+++ b/replica/replica.go
@@ -119,8 +119,12 @@
 // load or may accept an order at any time, its state is unknown, or its weights are not
 // known to be intact.
 func (r *Replica) Draining() bool {
+	// An order updates the state before it resets draining, so the state is read last.
+	if r.draining.Load() {
+		return true
+	}
 	state := r.engineState.Load()
-	if state == nil || r.draining.Load() || r.sentOpenOrder(&state.EngineState) {
+	if state == nil || r.sentOpenOrder(&state.EngineState) {
 		return true
 	}
 	return !r.trusts(&state.EngineState) && (len(state.Weights) > 0 || r.mayAcceptOrder(&state.EngineState))
