Stage the pieces of an overdue version as they arrive

Pieces of a version that the engine should load already are now staged while others are being fetched. Earlier pieces are not: peers may still fetch the previous version from the engine. Nothing is staged while an order is open or what the engine holds is not verified. The pass before the order reads all pieces back as before. TestOverduePiecesAreStagedAsTheyArrive failed before (0 pieces staged, want 2).

--- a/replica/load.go
+++ b/replica/load.go
@@ -86,6 +86,34 @@
 	r.stage(ctx, p, state, r.layerCheckFor(p, state), LayerRange{}, r.stepDeadline())
 }
 
+// stageWhileFetching stages the pieces that have arrived of a version that the engine
+// should load already, so that its load doesn't wait for all of them to be transferred to
+// the engine after the last one. Earlier, peers may still fetch the previous version from
+// there. The engine must not be about to take or verify other pieces.
+func (r *Replica) stageWhileFetching(ctx context.Context, state *EngineState) {
+	p := r.overdueFetch(state)
+	if p == nil || r.sentOpenOrder(state) || len(state.Weights) > 0 && !r.trusts(state) || state.held(p.model, p.version, r.layers()).Len() > 0 {
+		return
+	}
+	check, open := r.layerCheckFor(p, state), r.mayAcceptOrder(state)
+	err := p.pieces.stagePresent(ctx, r.stepDeadline(), func(piece int) { check.pieceWritten(piece, open) })
+	if err != nil {
+		r.logEngineError(err)
+	}
+}
+
+// overdueFetch returns the version that is being fetched if the engine is to load it as
+// soon as it has arrived, or nil.
+func (r *Replica) overdueFetch(state *EngineState) *pendingVersion {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f := r.fetching
+	if f == nil || f.pieces == nil || len(state.Weights) > 0 && r.config.Clock.Now().Before(r.loadTime(f)) {
+		return nil
+	}
+	return &pendingVersion{target: f.target, pieces: f.pieces}
+}
+
 // stepDeadline returns a function that reports whether the time of a step has passed.
 func (r *Replica) stepDeadline() func() bool {
 	end := r.config.Clock.Now().Add(loadStepTime)
--- a/replica/piece_set.go
+++ b/replica/piece_set.go
@@ -125,19 +125,45 @@
 		case deadline():
 			return false, nil
 		}
-		callCtx, cancel := context.WithTimeout(ctx, stageCallTimeout)
-		err := s.engine.StagePiece(callCtx, s.manifest.Model, piece, data)
-		cancel()
-		// A write without a response may have taken effect.
-		written(piece)
-		if err != nil {
+		if err := s.stagePiece(ctx, piece, data, written); err != nil {
 			return false, err
 		}
+	}
+	return true, nil
+}
+
+// stagePresent is like stage, but skips missing pieces, which are being fetched.
+func (s *pieceSet) stagePresent(ctx context.Context, deadline func() bool, written func(piece int)) error {
+	for piece := range s.have {
 		s.mu.Lock()
-		s.staged[piece] = true
+		data, staged := s.pieces[piece], s.staged[piece]
 		s.mu.Unlock()
+		if staged || data == nil {
+			continue
+		}
+		if deadline() {
+			return nil
+		}
+		if err := s.stagePiece(ctx, piece, data, written); err != nil {
+			return err
+		}
 	}
-	return true, nil
+	return nil
+}
+
+func (s *pieceSet) stagePiece(ctx context.Context, piece int, data []byte, written func(piece int)) error {
+	ctx, cancel := context.WithTimeout(ctx, stageCallTimeout)
+	defer cancel()
+	err := s.engine.StagePiece(ctx, s.manifest.Model, piece, data)
+	// A write without a response may have taken effect.
+	written(piece)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.staged[piece] = true
+	return nil
 }
 
 // verifyStaged reads a piece back from the engine and reports whether it is intact. An
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -282,6 +282,7 @@
 		r.stageAhead(ctx, &state.EngineState)
 	default:
 		r.phases.fire(triggerMissing)
+		r.stageWhileFetching(ctx, &state.EngineState)
 	}
 }
 
