Order loads at once from engines without weights

Before an order, an agent waits at least 50 ms for requests that entries may still send to its engine and for the engine's queue to empty. Entries send none to an engine without weights, and all engines are such ones after a loss of power.

The agent now orders at once if the engine holds no weights and its queue is empty. TestOnlyEnginesThatMayHaveRequestsWaitBeforeAnOrder failed before ("without weights": 1 read of the state before the order, so a wait of 50 ms).

--- a/replica/load.go
+++ b/replica/load.go
@@ -313,8 +313,11 @@
 }
 
 // awaitEmptyQueue waits until the engine has started its queued requests, which
-// the order would reject.
+// the order would reject. Entries send no requests to an engine without weights.
 func (r *Replica) awaitEmptyQueue(ctx context.Context) {
+	if state := r.engineState.Load(); state != nil && len(state.Weights) == 0 && state.Queued == 0 {
+		return
+	}
 	deadline := r.config.Clock.Now().Add(maxQueueWait)
 	for ctx.Err() == nil && r.config.Clock.Now().Before(deadline) {
 		wait(ctx, nil, queuePollInterval)
--- a/replica/order_test.go
+++ b/replica/order_test.go
@@ -204,3 +204,47 @@
 		t.Error("the engine may accept an order of an earlier process, and serves meanwhile")
 	}
 }
+
+// readingEngine counts the reads of its state until its first order.
+type readingEngine struct {
+	*scriptedEngine
+	reads, readsAtOrder int
+}
+
+func (e *readingEngine) State(ctx context.Context) (EngineState, error) {
+	e.reads++
+	state, err := e.scriptedEngine.State(ctx)
+	// The queue empties by the next read.
+	e.state.Queued = 0
+	return state, err
+}
+
+func (e *readingEngine) StartLoad(ctx context.Context, model string, version int, layers LayerRange, orders int64) error {
+	e.readsAtOrder = e.reads
+	return e.scriptedEngine.StartLoad(ctx, model, version, layers, orders)
+}
+
+// Guards against engines that start without weights and wait for requests to end that
+// nobody sends them, all of them after a loss of power, and against orders that reject
+// queued requests.
+func TestOnlyEnginesThatMayHaveRequestsWaitBeforeAnOrder(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*EngineState)
+		waits  bool
+	}{
+		"serving":                     {func(*EngineState) {}, true},
+		"without weights":             {func(s *EngineState) { s.Weights = nil }, false},
+		"without weights, but queued": {func(s *EngineState) { s.Weights, s.Queued = nil, 1 }, true},
+	} {
+		e := &readingEngine{scriptedEngine: &scriptedEngine{}}
+		r, _, p := newScripted(e.scriptedEngine)
+		r.config.Engine = e
+		c.change(&e.state)
+		r.readEngineState(context.Background())
+		before := e.reads
+		r.loadNow(p)
+		if e.orders != 1 || (e.readsAtOrder > before) != c.waits {
+			t.Errorf("%s: %d orders, %d reads of the state before the order", name, e.orders, e.readsAtOrder-before)
+		}
+	}
+}
