Give up a suspect first layer before its pieces are written again

An engine that holds only its first layer, and took that corrupt, is ordered to take the others in its place. Before that order all pieces were staged, also those of the layer that it still held. If the agent ended in between, the next one found the pieces of the layer intact, took it for intact, and let requests to the engine.

Pieces of a suspect layer are now written only after the engine has given it up. The others that it takes instead are verified as before; a piece that both need may be corrupt then, so that these layers are taken again as well.

--- a/replica/load.go
+++ b/replica/load.go
@@ -191,10 +191,11 @@
 	}
 }
 
-// stage stages the pieces that are not staged. It reports whether all pieces are.
+// stage stages the pieces that are not staged, but those that must be kept as they are. It
+// reports whether all others are staged.
 func (r *Replica) stage(ctx context.Context, p *pendingVersion, state *EngineState, check *layerCheck, held LayerRange, deadline func() bool) bool {
 	open := r.mayAcceptOrder(state)
-	complete, err := p.pieces.stage(ctx, deadline, func(piece int) {
+	complete, err := p.pieces.stage(ctx, check.piecesToKeep(held), deadline, func(piece int) {
 		p.verification = nil
 		check.pieceWritten(piece, open || check.needs(held, piece))
 	})
