--- a/replica/piece_set.go
+++ b/replica/piece_set.go
@@ -110,9 +110,13 @@
 var errPieceLost = errors.New("piece was corrupted at the engine and is not in memory")
 
 // stage writes the pieces that are not staged to the engine until deadline has passed,
-// and calls written after each one. It reports whether all pieces are staged.
-func (s *pieceSet) stage(ctx context.Context, deadline func() bool, written func(piece int)) (bool, error) {
+// and calls written after each one. It leaves out the pieces marked in skip, which may be
+// nil, and reports whether all others are staged.
+func (s *pieceSet) stage(ctx context.Context, skip []bool, deadline func() bool, written func(piece int)) (bool, error) {
 	for piece := range s.have {
+		if skip != nil && skip[piece] {
+			continue
+		}
 		s.mu.Lock()
 		data, staged := s.pieces[piece], s.staged[piece]
 		s.mu.Unlock()
@@ -127,19 +131,45 @@
 		case deadline():
 			return false, nil
 		}
-		callCtx, cancel := context.WithTimeout(ctx, stageCallTimeout)
-		err := s.engine.StagePiece(callCtx, s.manifest.Model, piece, data)
-		cancel()
-		// A write without a response may have taken effect.
-		written(piece)
-		if err != nil {
+		if err := s.stagePiece(ctx, piece, data, written); err != nil {
 			return false, err
 		}
+	}
+	return true, nil
+}
+
+// stagePresent is like stage, but skips missing pieces, which are being fetched.
+func (s *pieceSet) stagePresent(ctx context.Context, deadline func() bool, written func(piece int)) error {
+	for piece := range s.have {
 		s.mu.Lock()
-		s.staged[piece] = true
+		data, staged := s.pieces[piece], s.staged[piece]
 		s.mu.Unlock()
+		if staged || data == nil {
+			continue
+		}
+		if deadline() {
+			return nil
+		}
+		if err := s.stagePiece(ctx, piece, data, written); err != nil {
+			return err
+		}
 	}
-	return true, nil
+	return nil
+}
+
+func (s *pieceSet) stagePiece(ctx context.Context, piece int, data []byte, written func(piece int)) error {
+	ctx, cancel := context.WithTimeout(ctx, stageCallTimeout)
+	defer cancel()
+	err := s.engine.StagePiece(ctx, s.manifest.Model, piece, data)
+	// A write without a response may have taken effect.
+	written(piece)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.staged[piece] = true
+	return nil
 }
 
 // verifyStaged reads a piece back from the engine and reports whether it is intact. An
