--- a/replica/layer_check.go
+++ b/replica/layer_check.go
@@ -71,22 +71,10 @@
 }
 
 // piecesToTake marks the pieces of the layers that an engine takes with an order for
-// target, but those of piecesToKeep.
+// target.
 func (c *layerCheck) piecesToTake(held, target LayerRange) []bool {
 	kept := held.Intersect(target)
-	marked := c.pieces(target, func(layer int) bool { return !kept.Contains(layer) })
-	for piece, keep := range c.piecesToKeep(held) {
-		marked[piece] = marked[piece] && !keep
-	}
-	return marked
-}
-
-// piecesToKeep marks the pieces that must not be written before the next order. If the
-// first layers of an engine are suspect, their corrupt pieces show that to an agent that
-// starts before the engine has given them up. An engine that doesn't hold the first layer
-// gives up all that it holds in any case.
-func (c *layerCheck) piecesToKeep(held LayerRange) []bool {
-	return c.pieces(held, func(layer int) bool { return held.From == 0 && c.states[layer] == layerSuspect })
+	return c.pieces(target, func(layer int) bool { return !kept.Contains(layer) })
 }
 
 // pieces marks the pieces that the included layers of a range need.
--- a/replica/load.go
+++ b/replica/load.go
@@ -108,11 +108,15 @@
 // there. The engine must not be about to take or verify other pieces.
 func (r *Replica) stageWhileFetching(ctx context.Context, state *EngineState) {
 	p := r.overdueFetch(state)
-	if p == nil || r.sentOpenOrder(state) || len(state.Weights) > 0 && !r.trusts(state) || state.held(p.model, p.version, r.layers()).Len() > 0 {
+	if p != nil && p.pieces.lacksPiece() {
+		// All pieces are staged before the first order.
+		r.dismissEarlierOrder()
+	}
+	if p == nil || r.mayAcceptOrder(state) || len(state.Weights) > 0 && !r.trusts(state) || state.held(p.model, p.version, r.layers()).Len() > 0 {
 		return
 	}
-	check, open := r.layerCheckFor(p, state), r.mayAcceptOrder(state)
-	err := p.pieces.stagePresent(ctx, r.stepDeadline(), func(piece int) { check.pieceWritten(piece, open) })
+	check := r.layerCheckFor(p, state)
+	err := p.pieces.stagePresent(ctx, r.stepDeadline(), func(piece int) { check.pieceWritten(piece, false) })
 	if err != nil {
 		r.logEngineError(err)
 	}
@@ -212,11 +216,10 @@
 	}
 }
 
-// stage stages the pieces that are not staged, but those that must be kept as they are. It
-// reports whether all others are staged.
+// stage stages the pieces that are not staged. It reports whether all pieces are.
 func (r *Replica) stage(ctx context.Context, p *pendingVersion, state *EngineState, check *layerCheck, held LayerRange, deadline func() bool) bool {
 	open := r.mayAcceptOrder(state)
-	complete, err := p.pieces.stage(ctx, check.piecesToKeep(held), deadline, func(piece int) {
+	complete, err := p.pieces.stage(ctx, deadline, func(piece int) {
 		p.verification = nil
 		check.pieceWritten(piece, open || check.needs(held, piece))
 	})
--- a/replica/piece_set.go
+++ b/replica/piece_set.go
@@ -110,13 +110,9 @@
 var errPieceLost = errors.New("piece was corrupted at the engine and is not in memory")
 
 // stage writes the pieces that are not staged to the engine until deadline has passed,
-// and calls written after each one. It leaves out the pieces marked in skip, which may be
-// nil, and reports whether all others are staged.
-func (s *pieceSet) stage(ctx context.Context, skip []bool, deadline func() bool, written func(piece int)) (bool, error) {
+// and calls written after each one. It reports whether all pieces are staged.
+func (s *pieceSet) stage(ctx context.Context, deadline func() bool, written func(piece int)) (bool, error) {
 	for piece := range s.have {
-		if skip != nil && skip[piece] {
-			continue
-		}
 		s.mu.Lock()
 		data, staged := s.pieces[piece], s.staged[piece]
 		s.mu.Unlock()
--- a/replica/stage_while_fetching_test.go
+++ b/replica/stage_while_fetching_test.go
@@ -42,10 +42,14 @@
 // Guards against a load that waits for the transfer of all pieces to the engine after the
 // last one has arrived late.
 func TestOverduePiecesAreStagedAsTheyArrive(t *testing.T) {
-	if got := stagedWhileFetching(t, 8*time.Second, nil); got != scriptedPieces/2 {
+	noEarlierOrder := func(r *Replica, _ *scriptedEngine) { r.dismissEarlierOrder() }
+	if got := stagedWhileFetching(t, 8*time.Second, noEarlierOrder); got != scriptedPieces/2 {
 		t.Errorf("%d pieces of an overdue version staged, want %d", got, scriptedPieces/2)
 	}
-	empty := func(_ *Replica, e *scriptedEngine) { e.state.Weights = nil }
+	empty := func(r *Replica, e *scriptedEngine) {
+		e.state.Weights = nil
+		r.fetching.pieces.setLacking()
+	}
 	if got := stagedWhileFetching(t, time.Second, empty); got != scriptedPieces/2 {
 		t.Errorf("%d pieces staged at an engine without weights, want %d", got, scriptedPieces/2)
 	}
@@ -55,11 +59,14 @@
 // the engine may take or was not verified to have taken.
 func TestPiecesAreNotStagedWhileOthersAreNeeded(t *testing.T) {
 	for name, prepare := range map[string]func(*Replica, *scriptedEngine){
-		"open order": func(r *Replica, _ *scriptedEngine) { r.openOrder.Store(&openOrder{sent: true}) },
-		"unverified weights": func(_ *Replica, e *scriptedEngine) {
+		"order of an earlier process": func(*Replica, *scriptedEngine) {},
+		"open order":                  func(r *Replica, _ *scriptedEngine) { r.openOrder.Store(&openOrder{sent: true}) },
+		"unverified weights": func(r *Replica, e *scriptedEngine) {
+			r.dismissEarlierOrder()
 			e.state.OrdersAccepted = 1
 		},
-		"layers of the version held": func(_ *Replica, e *scriptedEngine) {
+		"layers of the version held": func(r *Replica, e *scriptedEngine) {
+			r.dismissEarlierOrder()
 			e.state.Weights = map[string]directory.Weights{"m": {Version: 2}}
 			e.state.Layers = &LayerRange{To: 1}
 		},
@@ -68,7 +75,8 @@
 			t.Errorf("%s: %d pieces staged, want none", name, got)
 		}
 	}
-	if got := stagedWhileFetching(t, time.Second, nil); got != 0 {
+	noEarlierOrder := func(r *Replica, _ *scriptedEngine) { r.dismissEarlierOrder() }
+	if got := stagedWhileFetching(t, time.Second, noEarlierOrder); got != 0 {
 		t.Errorf("%d pieces staged long before the load, want none", got)
 	}
 }
--- a/replica/suspect_first_layer_test.go
+++ b/replica/suspect_first_layer_test.go
@@ -31,6 +31,8 @@
 	return e.scriptedEngine.Piece(ctx, model, piece)
 }
 
+func (e *writingEngine) PieceReader(model string) PieceReader { return directReader{e, model} }
+
 func (e *writingEngine) StartLoad(_ context.Context, _ string, _ int, target LayerRange, _ int64) error {
 	e.targets = append(e.targets, target)
 	e.state.OrdersAccepted++
@@ -75,20 +77,16 @@
 }
 
 // Guards against a load that never ends because the suspect layer and the next one need
-// the same corrupt piece.
+// the same corrupt piece, which must not be written before the first one is given up.
 func TestSuspectLayersThatShareAPieceAreTakenAgain(t *testing.T) {
 	c := newLayerCheck(2, 3)
 	c.states[0] = layerSuspect
-	held, others := LayerRange{To: 1}, LayerRange{From: 1, To: 2}
-	if got := c.piecesToKeep(held); !got[0] || !got[1] || got[2] {
-		t.Errorf("pieces to keep are %v, want those of the first layer", got)
-	}
-	if got := c.piecesToTake(held, others); got[0] || got[1] || !got[2] {
-		t.Errorf("pieces to take are %v, want the one that the suspect layer doesn't need", got)
+	first, last := LayerRange{To: 1}, LayerRange{From: 1, To: 2}
+	if target, needed := c.next(first); target != last || !needed || !c.givesUpAll(target) {
+		t.Errorf("next order is for %v (%v), want the last layer, whose pieces needn't be intact", target, needed)
 	}
-	c.ordered(others, LayerRange{})
-	c.verified(others, []bool{true, false, true})
-	if got := c.piecesToKeep(others); got[0] || got[1] || got[2] {
-		t.Errorf("pieces to keep are %v, want none: the engine gives up its layers", got)
+	c.ordered(last, LayerRange{})
+	if target, needed := c.next(last); target != first || !needed || c.givesUpAll(target) {
+		t.Errorf("next order is for %v (%v), want the first layer with intact pieces", target, needed)
 	}
 }
