Spec of harmless requests: make its popular content popular before servers crash

Responses excuse later crashes, and there were none. On a quiet machine the crashes come before the first requests. The gateway behaves as designed: without a response such a content can't be told from one that crashes servers.

The content is now answered 16 times through each entry first; the bound of one quarantined content stays. A spec in gateway/ states what earlier responses excuse, deterministically, and that a response ends the quarantine.

--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -82,4 +82,27 @@
 		g.handleStatus(peerlink.Status{Address: "10.0.0.1:80", StartUnixMilli: 1, AgeMicros: 1000})
 		Expect(crashes()).To(BeZero())
 	})
+
+	DescribeTable("of three servers that crash at once quarantine the content that they ran",
+		// Guards against refusing popular content whose servers others crash. Without any
+		// response it can't be told from the content that crashed them.
+		func(earlierResponses, expected int) {
+			for range earlierResponses {
+				g.recordAnswered(content)
+			}
+			for _, id := range []string{"x", "y", "z"} {
+				interrupt(listing(id, 1))
+				g.mu.Lock()
+				g.recordServerEnd(directory.Key{ID: id, StartUnixMilli: 1}, signConnectionRefused)
+				g.mu.Unlock()
+			}
+			Expect(crashes()).To(Equal(expected))
+			Expect(g.suspects.quarantined).To(HaveLen(expected / quarantineCrashes))
+			g.recordAnswered(content)
+			Expect(crashes()).To(BeZero())
+		},
+		Entry("no earlier response", 0, quarantineCrashes),
+		Entry("one earlier response", 1, quarantineCrashes-1),
+		Entry("as many earlier responses", quarantineCrashes, 0),
+	)
 })
--- a/internal/node/poison_test.go
+++ b/internal/node/poison_test.go
@@ -39,6 +39,10 @@
 // maxLateRuns is the maximum number of late runs, as countLateRuns counts them.
 const maxLateRuns = 3
 
+// popularResponses is the number of responses through each entry after which a content is
+// popular. It is more than the servers that may crash at once while they run it.
+const popularResponses = 16
+
 var _ = Describe("A request that crashes each server that runs it", func() {
 	DescribeTable("is not sent to further servers once three have crashed",
 		// Guards against a caller that crashes one server after the other by repeating
@@ -121,6 +125,13 @@
 		// Guards against refusing harmless requests because the servers that ran them
 		// crashed for other reasons or through other requests.
 		s := newDeployment(47, 2, 2, 8)
+		// Content without a response is quarantined if three servers that run it crash.
+		const popular = "harmless and popular"
+		for range popularResponses {
+			for i := range s.entries {
+				Expect(s.send(i, "/status/", popular).Status).To(Equal(http.StatusOK))
+			}
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
 		defer cancel()
 		var work sync.WaitGroup
@@ -132,7 +143,7 @@
 					// A third of the callers repeat the same content.
 					content := fmt.Sprintf("harmless %d %d", i, n)
 					if i%3 == 0 {
-						content = "harmless and popular"
+						content = popular
 					}
 					s.send(i%len(s.entries), "/status/", content)
 				}
