RunGateway: an address in use ends all listeners

A gateway whose readiness address was in use returned an error and went on to accept callers, whom it answered 503, as it had stopped reading the store. Its socket for other instances stayed open too when their TCP port was in use. In a process of its own both end with the process; in specs they outlive it.

The listeners are opened before any serves, and sockets are closed on an error.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -68,18 +68,18 @@
 	if err != nil {
 		return err
 	}
+	go peerLink.Run(background)
 	tables, err := newStoreTables(g, peerLink, s, env.Log)
 	if err != nil {
 		return err
 	}
+	go tables.run(background)
 	operator := &operatorSink{gateway: g, log: env.Log}
 	if err := m.registerStateMetrics(g, &operator.storeUnavailable); err != nil {
 		return err
 	}
-	go tables.run(background)
 	go tables.follow(background, platform.TableOperator, operatorRelayConfig(&s.Bounds), &platform.OperatorWatch{Sink: operator})
 	go tables.follow(background, platform.TableServers, serversRelayConfig(&s.Bounds), &platform.ServerWatch{Sink: &serverSink{gateway: g, log: env.Log}})
-	go peerLink.Run(background)
 	stopTime := &atomic.Int64{}
 	stopTime.Store(int64(s.Bounds.StopTime))
 	env.watchSettings(background, func(s *platform.Settings) {
@@ -103,17 +103,18 @@
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: noLog,
 	}
 	readyServer := &http.Server{Handler: platform.ReadyHandler(g.Ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: noLog}
-	serveErrors := make(chan error, 2)
-	for _, server := range []struct {
-		*http.Server
-		address string
-	}{{callerServer, s.CallerAddress}, {readyServer, s.ReadyAddress}} {
-		ln, err := listenCallers(server.address)
-		if err != nil {
-			return err
-		}
-		go func() { serveErrors <- server.Serve(ln) }()
+	callerListener, err := listenCallers(s.CallerAddress)
+	if err != nil {
+		return err
 	}
+	readyListener, err := listenCallers(s.ReadyAddress)
+	if err != nil {
+		// Close would first wait for pending connections to be accepted.
+		return errors.Join(err, callerListener.TCPListener.Close())
+	}
+	serveErrors := make(chan error, 2)
+	go func() { serveErrors <- callerServer.Serve(callerListener) }()
+	go func() { serveErrors <- readyServer.Serve(readyListener) }()
 	defer readyServer.Close()
 	defer callerServer.Close()
 	select {
