Close an engine whose row names a newer version than its agent

An engine may accept an order of an agent that has ended and name the new version in its row before the next agent has read its state, up to 100 ms later. Entries then sent requests that expect the new version, which nobody has verified.

A server is closed while the current report of its agent names an older version than its row. Without a current report the row counts, as before.

--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -175,7 +175,7 @@
 	var available, ramping, ejected []*server
 	for _, s := range eligible {
 		switch {
-		case s.closed() || own && s.paused(now) || p.overLimit(s, req, now):
+		case s.closed(now) || own && s.paused(now) || p.overLimit(s, req, now):
 		case s.ejected(now):
 			ejected = append(ejected, s)
 		case own && s.atRampLimit(now) || slices.Contains(held, s.listing.Domain):
--- a/lib/placement/picker_test.go
+++ b/lib/placement/picker_test.go
@@ -194,6 +194,26 @@
 		pick(request())
 	})
 
+	It("closes a server whose row names a newer version than its agent", func() {
+		// Guards against requests to an engine that has accepted an order of an agent that
+		// has ended, until the next agent has read the engine's state.
+		key := add("a", "north", nil)
+		p.Report(key, placement.Load{Model: "m", Version: 1}, now)
+		pick(request())
+		add("a", "north", func(s *directory.Server) { s.Weights["m"] = directory.Weights{Version: 2, Complete: true} })
+		_, refusal := p.Pick(request(), now)
+		Expect(refusal).NotTo(BeNil())
+		By("no longer if the agent doesn't report")
+		now = now.Add(time.Minute)
+		pick(request())
+		By("no longer if the agent reports that version")
+		p.Report(key, placement.Load{Model: "m", Version: 1}, now)
+		_, refusal = p.Pick(request(), now)
+		Expect(refusal).NotTo(BeNil())
+		p.Report(key, placement.Load{Model: "m", Version: 2}, now)
+		pick(request())
+	})
+
 	It("refuses requests that would miss their latency target, with a retry delay", func() {
 		// Guards against a burst during which every response is late: 60 requests arrive
 		// at the same moment for two engines.
--- a/lib/placement/server.go
+++ b/lib/placement/server.go
@@ -97,7 +97,15 @@
 
 // closed reports whether the server accepts no requests. A closed server stays closed if
 // its agent stops reporting: only the agent knows when what an engine took is verified.
-func (s *server) closed() bool { return s.superseded || s.load.Closed }
+// A server is closed as well while its agent reports an older version than its row names: the
+// agent hasn't read what the engine took.
+func (s *server) closed(now time.Time) bool {
+	return s.superseded || s.load.Closed || s.hasReport(now) && s.reportsOlderVersion()
+}
+
+func (s *server) reportsOlderVersion() bool {
+	return s.load.Model != "" && s.listing != nil && s.listing.Weights[s.load.Model].Version > s.load.Version
+}
 
 func (s *server) ejected(now time.Time) bool { return now.Before(s.ejectedUntil) }
 
