An entry answers the requests on connections that it accepts while it stops

http.Server.Shutdown drops requests that are read after it has begun, also those on connections that the listener handed out at its close: callers saw an accepted connection end without a response. The entry now closes its listener first, answers what is in progress or expected on all accepted connections, and then shuts the server down.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -100,25 +100,30 @@
 func serveCallers(ctx context.Context, g *gateway.Gateway, env Environment, stopTime *atomic.Int64) error {
 	s := env.Settings
 	noLog := log.New(discard{}, "", 0)
+	conns := &callerConns{}
 	callerServer := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: noLog,
+		ConnState: conns.observe,
 	}
 	readyServer := &http.Server{Handler: platform.ReadyHandler(g.Ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: noLog}
-	serveErrors := make(chan error, 2)
-	for _, server := range []struct {
-		*http.Server
-		address string
-	}{{callerServer, s.CallerAddress}, {readyServer, s.ReadyAddress}} {
-		ln, err := listenCallers(server.address)
-		if err != nil {
-			return err
-		}
-		go func() { serveErrors <- server.Serve(ln) }()
+	callerListener, err := listenCallers(s.CallerAddress)
+	if err != nil {
+		return err
+	}
+	readyListener, err := listenCallers(s.ReadyAddress)
+	if err != nil {
+		_ = callerListener.Close()
+		return err
 	}
+	callersDone, readyDone := make(chan error, 1), make(chan error, 1)
+	go func() { callersDone <- callerServer.Serve(callerListener) }()
+	go func() { readyDone <- readyServer.Serve(readyListener) }()
 	defer readyServer.Close()
 	defer callerServer.Close()
 	select {
-	case err := <-serveErrors:
+	case err := <-callersDone:
+		return err
+	case err := <-readyDone:
 		return err
 	case <-ctx.Done():
 	}
@@ -129,6 +134,14 @@
 	drainTime := max(time.Duration(stopTime.Load())-exitReserve, balancerReactionTime)
 	drainCtx, cancel := context.WithDeadline(context.Background(), stoppedAt.Add(drainTime))
 	defer cancel()
+	// Shutdown drops requests that are read after its start. Before it, the listener closes,
+	// and the requests on all accepted connections are answered.
+	_ = callerListener.Close()
+	select {
+	case <-callersDone:
+		conns.awaitRequests(drainCtx)
+	case <-drainCtx.Done():
+	}
 	if err := callerServer.Shutdown(drainCtx); err != nil {
 		env.Log.Log(eventlog.DrainUnfinished, "open", g.OpenRequests(), "err", err)
 	}
