Metrics: drains and pauses of servers by kind and source

Only gauges of the current conditions existed: a server that drained or paused between two scrapes left no trace. server_signals counts what an entry has learned since its start.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,6 +60,7 @@
 	budget   *retry.Budget
 	versions *versions.Registry
 	suspects *suspects
+	signals  map[Signal]int64
 	// configAt is when the configuration came into force.
 	configAt time.Time
 
@@ -93,6 +94,7 @@
 		budget:     retry.New(config.Retry, config.Entries),
 		versions:   versions.NewRegistry(config.MaxRolloutTime),
 		suspects:   newSuspects(),
+		signals:    make(map[Signal]int64),
 	}
 }
 
--- a/gateway/server_signals.go
+++ b/gateway/server_signals.go
@@ -21,10 +21,11 @@
 		news.Limits = []peerlink.RateLimit{{Server: wireKey, PerSecond: info.RateLimit.PerSecond}}
 	}
 	if info.Pause > 0 && g.picker.Pause(key, now.Add(info.Pause), now) {
+		g.signals[Signal{SignalPause, directory.SourceResponse}]++
 		g.config.Log.Log(eventlog.ServerPaused, "server", server.ID, "born", server.StartUnixMilli, "service", server.Service, "for_ms", info.Pause.Milliseconds())
 	}
 	if info.Draining && g.directory.MarkDraining(key, directory.SourceResponse, now) {
-		g.logDraining(key, directory.SourceResponse)
+		g.recordDraining(key, directory.SourceResponse)
 		news.Draining = []peerlink.ServerKey{wireKey}
 	}
 	return news
@@ -42,14 +43,17 @@
 	for _, server := range servers {
 		key := directory.Key{ID: server.ID, StartUnixMilli: server.StartUnixMilli}
 		if g.directory.MarkDraining(key, directory.SourcePeer, g.now()) {
-			g.logDraining(key, directory.SourcePeer)
+			g.recordDraining(key, directory.SourcePeer)
 			fresh = append(fresh, server)
 		}
 	}
 	return fresh
 }
 
-func (g *Gateway) logDraining(server directory.Key, source string) {
+// recordDraining counts and logs a server that has become known to be draining. The caller
+// holds mu.
+func (g *Gateway) recordDraining(server directory.Key, source string) {
+	g.signals[Signal{SignalDraining, source}]++
 	g.config.Log.Log(eventlog.ServerDraining, "server", server.ID, "born", server.StartUnixMilli, "source", source)
 }
 
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/directory"
@@ -29,8 +30,26 @@
 	// GrantedLeases is the number of open leases that this entry has granted to other
 	// entries.
 	GrantedLeases int
+	// Signals counts the drains and pauses that this entry has learned of since its start.
+	Signals map[Signal]int64
 }
 
+// Signal is a kind of signal of backend servers, and the source from which it was learned,
+// as directory.Evidence names it.
+type Signal struct {
+	Kind   SignalKind
+	Source string
+}
+
+// SignalKind is the kind of a Signal, as metrics name it.
+type SignalKind string
+
+// Kinds of signals.
+const (
+	SignalDraining SignalKind = "draining"
+	SignalPause    SignalKind = "pause"
+)
+
 // ServerGroup is the group of servers of one service in one condition.
 type ServerGroup struct {
 	Service   string
@@ -47,12 +66,13 @@
 func (g *Gateway) State() State {
 	s := State{
 		Servers: make(map[ServerGroup]int), Engines: make(map[ModelVersion]int), RetriesLeft: make(map[string]float64),
-		OpenRequests: g.OpenRequests(),
+		OpenRequests: g.OpenRequests(), Signals: make(map[Signal]int64),
 	}
 	table := g.table.Load()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
+	maps.Copy(s.Signals, g.signals)
 	s.GrantedLeases = g.leases.Len()
 	s.EvacuatedDomains = len(g.picker.EvacuatedDomains())
 	s.Quarantined = len(g.suspects.quarantined)
--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -294,6 +294,16 @@
 		Eventually(e.scrapeMetrics, soon).Should(ContainSubstring("auburnbend_store_reachable 0"))
 	})
 
+	It("counts the signals of servers in its metrics", func() {
+		e := startEntry()
+		s := platformtest.NewServer("desk-1", platformtest.RespondRaw(200, "Server-Leaving: 1\r\nContent-Length: 4\r\n", "done"))
+		DeferCleanup(s.Close)
+		e.putServer(s, "ready")
+		e.putConfig(3, newRoute("/a/"))
+		Eventually(func() int { return e.sendOrder("/a/") }, soon).Should(Equal(200))
+		Expect(e.scrapeMetrics()).To(ContainSubstring(`auburnbend_server_signals_total{kind="draining",source="answer"} 1`))
+	})
+
 	It("logs the end of a request with its id and the inputs of the decision", func() {
 		e := startEntry()
 		e.putConfig(1, newRoute("/a/"))
--- a/internal/node/state_metrics.go
+++ b/internal/node/state_metrics.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"strconv"
 	"sync/atomic"
@@ -32,10 +33,11 @@
 	quarantined := gauge("contents_quarantined", "contents that are refused because backend servers ended while they ran them", "")
 	evacuated := gauge("failure_domains_evacuated", "failure domains whose backend servers get no requests because the operator evacuates them", "")
 	store := gauge("store_reachable", "1 if the store answers", "")
-	if gaugeErr != nil {
-		return gaugeErr
+	signals, err := m.meter.Int64ObservableCounter("server_signals", metric.WithDescription("drains and pauses of backend servers by kind and source, since the start"))
+	if err := cmp.Or(gaugeErr, err); err != nil {
+		return err
 	}
-	_, err := m.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+	_, err = m.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		s := g.State()
 		o.ObserveFloat64(config, float64(s.ConfigVersion))
 		o.ObserveFloat64(age, s.ConfigAge.Seconds())
@@ -48,6 +50,9 @@
 			o.ObserveFloat64(servers, float64(n), metric.WithAttributes(
 				attribute.String("service", group.Service), attribute.String("condition", string(group.Condition))))
 		}
+		for signal, n := range s.Signals {
+			o.ObserveInt64(signals, n, metric.WithAttributes(attribute.String("kind", string(signal.Kind)), attribute.String("source", signal.Source)))
+		}
 		for version, n := range s.Engines {
 			o.ObserveFloat64(engines, float64(n), metric.WithAttributes(
 				attribute.String("model", version.Model), attribute.String("version", strconv.Itoa(version.Version))))
@@ -56,7 +61,7 @@
 			o.ObserveFloat64(retriesLeft, left, metric.WithAttributes(attribute.String("service", service)))
 		}
 		return nil
-	}, config, age, servers, engines, retriesLeft, open, granted, quarantined, evacuated, store)
+	}, config, age, servers, engines, retriesLeft, open, granted, quarantined, evacuated, store, signals)
 	return err
 }
 
