The product's entry retires kept connections as soon as its readiness check fails

Responses said that they are the last on their connection only once Drain had begun, which closes idle connections at the same moment: callers could be sending on them. They say so from SetDraining on, while the load balancer reacts.

entry/caller/stop_test.go: the spec of the header failed before. The other one, a body that arrives while the server stops, passed before as well. Passed with -race three times.

--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -90,8 +90,12 @@
 func (s *Server) Run() error { return s.hertz.Run() }
 
 // SetDraining makes the readiness check fail, so that the load balancer stops
-// sending requests. Requests that still arrive are served.
-func (s *Server) SetDraining() { s.draining.Store(true) }
+// sending requests. Requests that still arrive are served, each as the last one on its
+// connection.
+func (s *Server) SetDraining() {
+	s.draining.Store(true)
+	s.closeConnections.Store(true)
+}
 
 // Drain waits until no request is running and then closes the connections.
 // Requests that still arrive are served, each as the last one on its
