--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -60,6 +60,7 @@
 	budget   *retry.Budget
 	versions *versions.Registry
 	suspects *suspects
+	signals  map[Signal]int64
 	// subscribed are the engines chosen for subscribedKey.
 	subscribed    []engine
 	subscribedKey subscribedKey
@@ -96,6 +97,7 @@
 		budget:     retry.New(config.Retry, config.Entries),
 		versions:   versions.NewRegistry(config.MaxRolloutTime),
 		suspects:   newSuspects(),
+		signals:    make(map[Signal]int64),
 	}
 }
 
