Do not wait for the role of an instance whose table is empty

internal/node "finishes what runs there" failed once in a run of the whole package with -race: the entry started before the server had registered, waited half a second for its role before it asked for changes, had its configuration meanwhile and refused the first request. An instance that has read no rows now asks at once, as it did before.

--- a/lib/relay/cache.go
+++ b/lib/relay/cache.go
@@ -111,6 +111,13 @@
 	c.deletedCount, c.historyStart = 0, c.revision
 }
 
+// empty reports whether there is no row.
+func (c *Cache) empty() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.rows) == c.deletedCount
+}
+
 // fresh reports whether the rows were confirmed recently enough for other
 // instances to follow this one. If direct is true, they must have been
 // confirmed by the store itself.
--- a/lib/relay/relay_test.go
+++ b/lib/relay/relay_test.go
@@ -249,6 +249,19 @@
 		Expect(st.callCount()).To(Equal(1))
 	})
 
+	// Guards against an entry that is ready and refuses requests because it has not read the
+	// servers that register as it starts.
+	It("reads what is written soon after a start into an empty table at once", func() {
+		empty := newContent()
+		st := &store{content: empty}
+		received := &recorder{}
+		s := NewSource("t", st, NewCache(Config{MaxPropagation: 10 * bound, LongPollTimeout: time.Second}), func() Role { return Role{} }, func(netip.AddrPort, error) {})
+		go watch.New(watch.Config{LongPollTimeout: time.Second}, s, received).Run(ctx)
+		Eventually(st.callCount).Should(Equal(2))
+		empty.put("a", []byte("1"), false)
+		Eventually(received.get, bound).WithArguments("a").Should(Equal("1"))
+	})
+
 	// Guards against instances that start together, long-poll the store until nothing has
 	// changed for seconds, and then all find the one to follow behind.
 	It("stops waiting for the store when the role becomes known", func() {
--- a/lib/relay/source.go
+++ b/lib/relay/source.go
@@ -121,12 +121,16 @@
 
 // awaitRole delays the first call for changes until the role of this instance is known:
 // an instance that has just started learns of the others from the table itself. After
-// confirmFraction of the bound it reads the store anyway.
+// confirmFraction of the bound it reads the store anyway, and at once if the table was empty:
+// what it needs may be about to be written.
 func (s *Source) awaitRole(ctx context.Context, wait time.Duration) {
 	if !s.startedAt.IsZero() || wait <= 0 {
 		return
 	}
 	s.startedAt = time.Now()
+	if s.cache.empty() {
+		return
+	}
 	deadline := time.Now().Add(fraction(s.config.MaxPropagation, confirmFraction))
 	ticker := time.NewTicker(roleCheckInterval)
 	defer ticker.Stop()
