--- a/replica/narrow_link_test.go
+++ b/replica/narrow_link_test.go
@@ -2,21 +2,25 @@
 
 import (
 	"fmt"
+	"net"
 	"strconv"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/auburnbend/auburnbend/lib/msgstream"
+	"github.com/auburnbend/auburnbend/peerlink"
 	"github.com/auburnbend/auburnbend/platform/platformtest"
 	"github.com/auburnbend/auburnbend/replica"
 )
 
 var _ = Describe("Replica behind a narrow link", func() {
-	It("leaves room on the link for requests to its engine", func() {
-		// Guards against requests that wait behind five pieces, for over a second, and
-		// reach the engine when its weights are too old to begin them.
-		const pieceTime = 250 * time.Millisecond
+	const pieceTime = 250 * time.Millisecond
+
+	// startFetch starts five replicas that serve version 2, and one that fetches it from
+	// them over a narrow link, which is the first.
+	startFetch := func() (*fleet, *platformtest.NarrowLink) {
 		rate := float64(len(pieceData(2, 10))) / pieceTime.Seconds()
 		link := platformtest.NewNarrowLink(rate, 100)
 		DeferCleanup(link.Close)
@@ -33,6 +37,13 @@
 		}
 		f.peersOfFirst.Store(&peers)
 		f.setTargetOf(2, f.replicas[0])
+		return f, link
+	}
+
+	It("leaves room on the link for requests to its engine", func() {
+		// Guards against requests that wait behind five pieces, for over a second, and
+		// reach the engine when its weights are too old to begin them.
+		f, link := startFetch()
 		// At first the replica cannot know that the link is narrow.
 		Eventually(link.WaitTime, 5*time.Second, time.Millisecond).Should(BeNumerically(">", 0))
 		time.Sleep(1500 * time.Millisecond)
@@ -44,6 +55,23 @@
 		// A piece, and the lists of pieces that peers announce.
 		Expect(longest).To(BeNumerically("<=", 2*pieceTime))
 	})
+
+	It("tells its peers, so that they take its place at the origin", func() {
+		// Guards against an instance that is the only source of its share of the pieces and
+		// sends each of them to all others over its narrow link.
+		f, _ := startFetch()
+		conn, err := net.Dial("tcp", net.JoinHostPort(f.host(0), strconv.Itoa(f.port)))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		Expect(msgstream.Encode(conn, &peerlink.PieceRequest{Model: "m", Version: 2, Piece: peerlink.NoPiece})).To(Succeed())
+		Expect(conn.SetReadDeadline(time.Now().Add(20 * time.Second))).To(Succeed())
+		decoder := msgstream.NewDecoder(conn, 4<<10, 1<<20)
+		for narrow := false; !narrow; {
+			var resp peerlink.PieceResponse
+			Expect(decoder.Decode(&resp)).To(Succeed())
+			narrow = resp.Narrow
+		}
+	})
 })
 
 func allServe(engines []*fakeEngine, version int) bool {
