Agents tell entries how long requests may wait on a narrow link

Only the agent knows that pieces fill the link of its instance. Its reports now say for how long, and the placement adds this to the wait of a request on weights that are about to be too old.

--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -114,6 +114,7 @@
 	g.picker.Report(server.Key(), placement.Load{
 		Running: status.Running, Queued: status.Queued, PrefillTokens: status.PrefillTokens,
 		Age: time.Duration(status.AgeMicros) * time.Microsecond, Slowdown: status.Slowdown, Closed: status.Closed,
+		LinkDelay: time.Duration(status.LinkDelayMicros) * time.Microsecond,
 	}, now)
 }
 
--- a/lib/placement/load.go
+++ b/lib/placement/load.go
@@ -14,6 +14,9 @@
 	Slowdown float64
 	// Age is the age of the counts when the report arrived.
 	Age time.Duration
+	// LinkDelay is how long data may wait on the link of the server's instance, while
+	// transfers of weights make it long; zero otherwise.
+	LinkDelay time.Duration
 	// Closed is set if the server accepts no new requests because it is loading weights
 	// or does not respond to its agent.
 	Closed bool
@@ -29,13 +32,16 @@
 	maxReportedTokens   = 1 << 30
 	// maxSlowdown bounds the ratio of the current to the declared processing time.
 	maxSlowdown = 1000
+	// maxLinkDelay is longer than any request waits on a link.
+	maxLinkDelay = time.Minute
 )
 
-// limit bounds the counts and the slowdown. A slowdown that is no number becomes zero,
+// limit bounds the counts, the delay and the slowdown. A slowdown that is no number becomes zero,
 // which means unknown.
 func (l *Load) limit() {
 	l.Running, l.Queued = limitCount(l.Running, maxReportedRequests), limitCount(l.Queued, maxReportedRequests)
 	l.PrefillTokens = limitCount(l.PrefillTokens, maxReportedTokens)
+	l.LinkDelay = min(max(l.LinkDelay, 0), maxLinkDelay)
 	if !(l.Slowdown > 0) {
 		l.Slowdown = 0
 	}
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -126,7 +126,11 @@
 	if req.NextVersion == 0 || s.listing.Weights[req.Model].Version >= req.NextVersion {
 		return false
 	}
-	return now.Add(2*e.wait + versionMargin).After(req.NextVersionAt)
+	wait := e.wait
+	if s.hasReport(now) {
+		wait += s.load.LinkDelay
+	}
+	return now.Add(2*wait + versionMargin).After(req.NextVersionAt)
 }
 
 // eligible returns the servers that may run the request, or the reason why there are
--- a/lib/spread/scheduler.go
+++ b/lib/spread/scheduler.go
@@ -133,9 +133,15 @@
 	s.Received(number, now)
 }
 
-// LinkNarrow reports whether the instance's link is too narrow for half of the requests
-// that may be open at the same time. Its peers should know it.
-func (s *Scheduler) LinkNarrow() bool { return s.window.narrow() }
+// LinkDelay returns how long other data may wait on the instance's link if it is too
+// narrow for half of the requests that may be open at the same time, and zero otherwise.
+// Peers should know whether it is.
+func (s *Scheduler) LinkDelay() time.Duration {
+	if !s.window.narrow() {
+		return 0
+	}
+	return s.window.queueTime()
+}
 
 // SetNarrow records whether the link of a peer is narrow. Other members fetch the pieces
 // that it would fetch from the origin or into its region: each of them would occupy its
--- a/lib/spread/swarm_test.go
+++ b/lib/spread/swarm_test.go
@@ -102,7 +102,7 @@
 				unfinished++
 			}
 			s.announce(a)
-			a.narrow = a.scheduler.LinkNarrow()
+			a.narrow = a.scheduler.LinkDelay() > 0
 			for _, req := range a.scheduler.Next(s.now) {
 				s.transfers = append(s.transfers, transfer{arrivesAt: s.now.Add(s.transferTime(id, req.Source)), to: id, from: req.Source, piece: req.Piece})
 			}
--- a/lib/spread/window.go
+++ b/lib/spread/window.go
@@ -43,6 +43,9 @@
 	return max(1, int(queueTime/w.linkTime))
 }
 
+// queueTime is how long the pieces on their way may occupy the link.
+func (w *window) queueTime() time.Duration { return time.Duration(w.size()) * w.linkTime }
+
 // narrow reports whether the link is too narrow for half of the requests that may be
 // open.
 func (w *window) narrow() bool { return 2*w.size() < w.limit }
--- a/peerlink/message.go
+++ b/peerlink/message.go
@@ -98,6 +98,9 @@
 	PrefillTokens int `msgpack:"t"`
 	// Slowdown is the factor by which the engine is slower than declared.
 	Slowdown float64 `msgpack:"p"`
+	// LinkDelayMicros is how long data may wait on the instance's link, in microseconds,
+	// while pieces arrive slowly; zero otherwise.
+	LinkDelayMicros int64 `msgpack:"l,omitempty"`
 	// Closed means that no requests should be sent now.
 	Closed bool `msgpack:"c"`
 	// Model and Version identify the loaded weights; an empty model means none.
--- a/replica/fetch.go
+++ b/replica/fetch.go
@@ -67,7 +67,8 @@
 	f.corrupt = make(map[int]int)
 	pieces := len(f.pieces.manifest.Digests)
 	f.scheduler = spread.NewScheduler(spread.Config{OriginPieceTime: f.originPieceTime, PeerRequests: f.maxPeerRequests()}, f.plan, pieces, f.pieces.missing(), f.started)
-	f.replica.linkNarrow.Store(false)
+	f.replica.linkDelay.Store(0)
+	defer f.replica.linkDelay.Store(0)
 	f.requests[spread.Origin] = make(chan int, requestQueueSize)
 	go f.fetchFromOrigin(ctx, f.requests[spread.Origin])
 	f.connectPlanned(ctx)
@@ -196,7 +197,7 @@
 		} else {
 			f.scheduler.SetNarrow(e.source, e.narrow)
 			f.scheduler.ReceivedFromPeer(e.piece, e.transfer, f.now())
-			f.replica.linkNarrow.Store(f.scheduler.LinkNarrow())
+			f.replica.linkDelay.Store(int64(f.scheduler.LinkDelay()))
 		}
 	}
 	return true
--- a/replica/load_reporter.go
+++ b/replica/load_reporter.go
@@ -251,7 +251,7 @@
 }
 
 func sameStatus(a, b *peerlink.Status) bool {
-	return a.Running == b.Running && a.PrefillTokens == b.PrefillTokens && a.Queued == b.Queued && a.Slowdown == b.Slowdown && a.Closed == b.Closed &&
+	return a.Running == b.Running && a.PrefillTokens == b.PrefillTokens && a.Queued == b.Queued && a.Slowdown == b.Slowdown && a.Closed == b.Closed && a.LinkDelayMicros == b.LinkDelayMicros &&
 		a.StartUnixMilli == b.StartUnixMilli && a.Model == b.Model && a.Version == b.Version
 }
 
@@ -267,6 +267,7 @@
 	s.AgeMicros = r.replica.config.Clock.Now().Sub(state.readAt).Microseconds()
 	s.StartUnixMilli, s.Running, s.Queued, s.Slowdown = state.StartUnixMilli, state.Running, state.Queued, state.Slowdown
 	s.PrefillTokens = r.prefillTokens()
+	s.LinkDelayMicros = time.Duration(r.replica.linkDelay.Load()).Microseconds()
 	s.Closed = state.Busy || r.replica.Draining()
 	for model, w := range state.Weights {
 		if w.Complete {
--- a/replica/narrow_link_test.go
+++ b/replica/narrow_link_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/auburnbend/auburnbend/lib/msgstream"
 	"github.com/auburnbend/auburnbend/peerlink"
@@ -72,6 +73,35 @@
 			narrow = resp.Narrow
 		}
 	})
+
+	It("tells entries how long requests may wait on the link", func() {
+		// Guards against requests on older weights that reach the engine after the deadline
+		// of these weights: only the agent knows that pieces fill the link.
+		f, link := startFetch()
+		reporter, err := replica.NewLoadReporter(f.replicas[0])
+		Expect(err).NotTo(HaveOccurred())
+		go reporter.Run(f.ctx)
+		conn, err := net.DialUDP("udp", nil, &net.UDPAddr{IP: net.ParseIP(f.host(0)), Port: f.port})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		subscription, err := msgpack.Marshal(&peerlink.Datagram{Subscription: &peerlink.Subscription{Entry: "e", Region: "0", Incarnation: 1, EveryChange: true}})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = conn.Write(subscription)
+		Expect(err).NotTo(HaveOccurred())
+		reportedDelay := func() time.Duration {
+			Expect(conn.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+			buf := make([]byte, 2000)
+			n, err := conn.Read(buf)
+			Expect(err).NotTo(HaveOccurred())
+			var d peerlink.Datagram
+			Expect(msgpack.Unmarshal(buf[:n], &d)).To(Succeed())
+			return time.Duration(d.Status.LinkDelayMicros) * time.Microsecond
+		}
+		Eventually(reportedDelay, 10*time.Second).Should(BeNumerically(">=", pieceTime/2))
+		// The rest comes over a wide link.
+		link.SetRate(1e6)
+		Eventually(reportedDelay, 10*time.Second).Should(BeZero())
+	})
 })
 
 func allServe(engines []*fakeEngine, version int) bool {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -20,8 +20,9 @@
 type Replica struct {
 	config Config
 	phases *phaseMachine
-	// linkNarrow is set while pieces arrive slowly on the instance's link.
-	linkNarrow    atomic.Bool
+	// linkDelay is how long other data may wait on the instance's link, in nanoseconds,
+	// while pieces arrive slowly; zero otherwise.
+	linkDelay     atomic.Int64
 	uploadLimiter *uploadLimiter
 	stats         Stats
 	// maxRolloutTime is the time within which a declared version must serve on all
--- a/replica/serve.go
+++ b/replica/serve.go
@@ -98,7 +98,7 @@
 }
 
 func (s *peerSession) send(resp *peerlink.PieceResponse) bool {
-	resp.Narrow = s.replica.linkNarrow.Load()
+	resp.Narrow = s.replica.linkDelay.Load() > 0
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.conn.SetWriteDeadline(time.Now().Add(peerIdleTimeout)) == nil && msgstream.Encode(s.conn, resp) == nil
