--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -141,6 +141,7 @@
 		Running: status.Running, Queued: status.Queued, PrefillTokens: status.PrefillTokens,
 		Age: time.Duration(status.AgeMicros) * time.Microsecond, Slowdown: status.Slowdown, Closed: status.Closed,
 		Model: status.Model, Version: status.Version,
+		LinkDelay: time.Duration(status.LinkDelayMicros) * time.Microsecond,
 	}, now)
 }
 
