Read an engine's state more often while it loads

An engine gets no requests until its agent has seen the end of its load, which took up to a poll interval of 100 ms. The state is now read every 20 ms while the engine loads; such reads stay within the instance.

--- a/replica/config.go
+++ b/replica/config.go
@@ -58,6 +58,9 @@
 	// enginePollInterval is how often the engine's state is read. Calls within the
 	// instance are free, and about one request starts in this time.
 	enginePollInterval = 100 * time.Millisecond
+	// loadPollInterval is the same while the engine loads. It gets no requests until the
+	// end of the load has been seen.
+	loadPollInterval = 20 * time.Millisecond
 	// engineCallTimeout bounds a call to the engine, which is on the same instance.
 	engineCallTimeout = time.Second
 	// stageCallTimeout bounds a transfer of a piece to or from the engine.
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -159,11 +159,19 @@
 	for ctx.Err() == nil {
 		r.readEngineState(ctx)
 		r.reconcile(ctx)
-		wait(ctx, r.wake, enginePollInterval)
+		wait(ctx, r.wake, r.pollInterval())
 	}
 	return nil
 }
 
+// pollInterval returns the time until the engine's state is read again.
+func (r *Replica) pollInterval() time.Duration {
+	if state := r.engineState.Load(); state != nil && state.Busy {
+		return loadPollInterval
+	}
+	return enginePollInterval
+}
+
 // wait returns when ctx ends, changed is ready, or limit has passed. A limit of
 // zero means none.
 func wait(ctx context.Context, changed <-chan struct{}, limit time.Duration) {
