Test addresses of a process stay reserved after a garbage collection

NewIP dropped the listener that reserves the subnet of the process, and the garbage collector closed it: two test processes could get the same addresses. The new test failed before ('subnet 150 is reserved twice').

--- a/internal/loopback/subnet.go
+++ b/internal/loopback/subnet.go
@@ -32,9 +32,12 @@
 	return 0, nil, errNoSubnet
 }
 
-// processSubnet returns a subnet that is reserved until the process ends.
-var processSubnet = sync.OnceValues(func() (int, error) {
-	subnet, _, err := ReserveSubnet(firstProcessSubnet)
+// processReservation keeps the subnet of the process reserved until the process ends. A
+// listener that is no longer referenced is closed by the garbage collector.
+var processReservation io.Closer
+
+var processSubnet = sync.OnceValues(func() (subnet int, err error) {
+	subnet, processReservation, err = ReserveSubnet(firstProcessSubnet)
 	return subnet, err
 })
 
