An agent that has returned has closed its ports

Replica.Run and LoadReporter.Run returned while another goroutine still accepted or read on their socket or was closing it; the port is free only after these calls. An agent that started at once on the same address ended with 'address already in use'.

Both functions and the server of lib/listen now wait.

--- a/lib/listen/server.go
+++ b/lib/listen/server.go
@@ -45,10 +45,16 @@
 // Run accepts connections until ctx ends. It then closes the listener and all
 // connections and waits for their goroutines.
 func (s *Server) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { _ = s.cfg.Listener.Close() })
-	// The AfterFunc does not run if this goroutine is the first to see the end of ctx.
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		_ = s.cfg.Listener.Close()
+	})
 	defer func() {
-		stop()
+		if !stop() {
+			// The port is free only after the other call of Close has returned.
+			<-closed
+		}
 		_ = s.cfg.Listener.Close()
 	}()
 	for ctx.Err() == nil {
--- a/replica/load_reporter.go
+++ b/replica/load_reporter.go
@@ -109,17 +109,16 @@
 	return &LoadReporter{replica: r, conn: conn, subscribers: make(map[netip.AddrPort]subscriber), entryLoads: make(map[string]entryLoad), suspects: poison.New(poison.Config{MaxSuspects: maxSuspects}, "", 0), drainingServers: make(map[peerlink.ServerKey]time.Time), limits: make(map[peerlink.ServerKey]ratelimit.Limit)}, nil
 }
 
-// Run receives messages from entries and sends them reports until ctx ends, then
-// closes the socket.
+// Run receives messages from entries and sends them reports until ctx ends. When it
+// returns, the socket is closed.
 func (r *LoadReporter) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { _ = r.conn.Close() })
-	// stop cancels the AfterFunc if Run sees the end of ctx first, so close here
-	// too.
-	defer func() {
-		stop()
+	var running sync.WaitGroup
+	defer running.Wait()
+	running.Go(func() {
+		<-ctx.Done()
 		_ = r.conn.Close()
-	}()
-	go r.receive(ctx)
+	})
+	running.Go(func() { r.receive(ctx) })
 	for ctx.Err() == nil {
 		wait(ctx, r.replica.reporterWake, 2*enginePollInterval)
 		r.send(r.recipients())
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -154,20 +154,21 @@
 	return r.target
 }
 
-// Run serves peers and follows the target until ctx ends. It returns an error if
-// it cannot listen on the peer port.
+// Run serves peers and follows the target until ctx ends. When it returns, the peer port
+// is closed. It returns an error if it cannot listen on the peer port.
 func (r *Replica) Run(ctx context.Context) error {
 	ln, err := net.Listen("tcp", net.JoinHostPort(r.config.Listen, strconv.Itoa(r.config.PeerPort)))
 	if err != nil {
 		return err
 	}
-	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
-	// The AfterFunc doesn't run if this goroutine is the first to see the end of ctx.
-	defer func() {
-		stop()
+	// A port is free only after the calls that use it have returned.
+	var running sync.WaitGroup
+	defer running.Wait()
+	running.Go(func() {
+		<-ctx.Done()
 		_ = ln.Close()
-	}()
-	go r.servePeers(ctx, ln)
+	})
+	running.Go(func() { r.servePeers(ctx, ln) })
 	for ctx.Err() == nil {
 		r.readEngineState(ctx)
 		r.reconcile(ctx)
