RunGateway returns after its ports are closed

RunGateway left the goroutines that use its port for other instances behind. They are waited for now, and the specs no longer wait for free ports between two entries, so that they fail if any port stays open.

--- a/gateway/peer_link.go
+++ b/gateway/peer_link.go
@@ -99,13 +99,13 @@
 // Run subscribes to load reports and handles datagrams until ctx ends. It closes the
 // socket.
 func (l *PeerLink) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { _ = l.conn.Close() })
-	// The AfterFunc does not run if this goroutine is the first to see the end of ctx.
-	defer func() {
-		stop()
+	var running sync.WaitGroup
+	defer running.Wait()
+	running.Go(func() {
+		<-ctx.Done()
 		_ = l.conn.Close()
-	}()
-	go l.receive(ctx)
+	})
+	running.Go(func() { l.receive(ctx) })
 	ticker := time.NewTicker(subscribeInterval)
 	defer ticker.Stop()
 	atOnce := true
--- a/internal/node/deployment_test.go
+++ b/internal/node/deployment_test.go
@@ -255,8 +255,7 @@
 func (s *deployment) restart(i int) {
 	s.entries[i].stop()
 	Eventually(s.entries[i].done, 8*time.Second).Should(BeClosed())
-	// Goroutines of the daemon may close their ports shortly after it has returned.
-	Eventually(func() error { return checkPortsFree(s.entries[i].settings) }, time.Second, time.Millisecond).Should(Succeed())
+	Expect(checkPortsFree(s.entries[i].settings)).To(Succeed())
 	s.entries[i] = s.startEntry(i)
 	Eventually(func() int { return s.send(i, "/status/", fmt.Sprint("restart-", i)).Status }, 5*time.Second).Should(Equal(http.StatusOK))
 }
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -6,6 +6,7 @@
 	"log"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -63,18 +64,23 @@
 		Placement:        placement.Config{Domain: s.Domain, Regions: s.Regions},
 	})
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
+	// The goroutines in running have closed their ports when they return.
+	var running sync.WaitGroup
+	defer func() {
+		stop()
+		running.Wait()
+	}()
 	peerLink, err := gateway.NewPeerLink(g, s.Instance, s.Region, s.Address, s.FirstPort, rand.Uint64())
 	if err != nil {
 		return err
 	}
 	peerLink.CutOff(env.isCutOff)
-	go peerLink.Run(background)
+	running.Go(func() { peerLink.Run(background) })
 	tables, err := newStoreTables(g, peerLink, s, env.Log)
 	if err != nil {
 		return err
 	}
-	go tables.run(background)
+	running.Go(func() { tables.run(background) })
 	operator := &operatorSink{gateway: g, log: env.Log}
 	if err := m.registerStateMetrics(g, &operator.storeUnavailable); err != nil {
 		return err
--- a/lib/relay/server.go
+++ b/lib/relay/server.go
@@ -44,12 +44,13 @@
 
 // Run accepts and serves connections until ctx ends. It closes the listener.
 func (s *Server) Run(ctx context.Context, ln net.Listener) {
-	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
-	// The AfterFunc does not run if this goroutine is the first to see the end of ctx.
-	defer func() {
-		stop()
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		<-ctx.Done()
 		_ = ln.Close()
 	}()
+	defer func() { <-closed }()
 	slots := make(chan struct{}, maxConnections)
 	for ctx.Err() == nil {
 		conn, err := ln.Accept()
