Gateway specs that depend on a port or on 30 ms of a busy machine

Two specs failed when the suite ran six times at once under the race detector, 5 of 60 runs. 'The pace of subscriptions' moved itself out of the first place of the order of placers only, though the second one is a placer too; which it is depends on its random port (4 of 60). 'Placement is done by the placer' got no answer within the 30 ms after which an entry places by itself (1 of 60).

--- a/gateway/pending_placements.go
+++ b/gateway/pending_placements.go
@@ -24,6 +24,8 @@
 // they have granted. It is safe for concurrent use.
 type pendingPlacements struct {
 	incarnation uint64
+	// timeout is placementTimeout. Specs use a longer one.
+	timeout time.Duration
 
 	mu        sync.Mutex
 	lastLease uint64
@@ -44,7 +46,7 @@
 
 func newPendingPlacements(incarnation uint64) *pendingPlacements {
 	return &pendingPlacements{
-		incarnation: incarnation, waiting: make(map[uint64]chan *peerlink.PlacementResponse),
+		incarnation: incarnation, timeout: placementTimeout, waiting: make(map[uint64]chan *peerlink.PlacementResponse),
 		granted: make(map[uint64]netip.AddrPort), backoffs: make(map[netip.AddrPort]backoff),
 	}
 }
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -200,7 +200,7 @@
 // awaitPlacement waits for the response of one placer. It reports false if the
 // placer does not respond in time or declines.
 func (l *PeerLink) awaitPlacement(ctx context.Context, to netip.AddrPort, lease uint64, response <-chan *peerlink.PlacementResponse) (*grant, *placement.Refusal, bool) {
-	timer := time.NewTimer(placementTimeout)
+	timer := time.NewTimer(l.placements.timeout)
 	defer timer.Stop()
 	reason := "no answer in time"
 	select {
--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -43,6 +43,8 @@
 			address := fmt.Sprintf("127.0.0.%d", 10+i)
 			l, err := NewPeerLink(g, address, "n", address, port, uint64(i+1))
 			Expect(err).NotTo(HaveOccurred())
+			// Entries respond, unless a spec closes one, also while the machine is busy.
+			l.placements.timeout = time.Second
 			addresses = append(addresses, l.self.String())
 			links = append(links, l)
 			g.UpdateServers(func(d *directory.Directory, _ time.Time) {
@@ -162,12 +164,12 @@
 		granted, _, _ := other.requestPlacement(context.Background(), &req)
 		Expect(granted).NotTo(BeNil())
 		Expect(granted.by).To(Equal(second.self))
+		_, _, ok := other.placements.begin(first.self, time.Now())
+		Expect(ok).To(BeFalse(), "an entry that did not respond is not asked again for a while")
 		second.conn.Close()
 		granted, refusal, _ := other.requestPlacement(context.Background(), &req)
 		Expect(granted).To(BeNil())
 		Expect(refusal).To(BeNil())
-		_, _, ok := other.placements.begin(first.self, time.Now())
-		Expect(ok).To(BeFalse(), "an entry that did not respond is not asked again for a while")
 	})
 
 	It("makes the standby follow each change of the load only while it places requests", func() {
--- a/gateway/subscription_pace_test.go
+++ b/gateway/subscription_pace_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -114,8 +115,8 @@
 		observed := time.Now()
 		l.mu.Lock()
 		l.members.observe(silent, observed)
-		if l.members.rankServing(placementDuty, observed)[0] == l.self {
-			// It must not be a placer itself.
+		if slices.Contains(l.members.rankServing(placementDuty, observed)[:maxPlacers], l.self) {
+			// It must not be a placer itself, whose rank depends on its port.
 			l.members.self = netip.MustParseAddrPort(silent[0])
 		}
 		l.mu.Unlock()
