Order intact layers while an earlier order may be accepted

No request ran on it, but a load must not contain pieces that are known to be corrupt.

The engine is now ordered to take the layers before the first corrupt piece. Without any, the pieces of its last layer alone are written and verified; the first layer keeps its corrupt piece, which shows the next agent that all layers must be given up. The same goes for a single suspect layer that is given up for the last one.

--- a/replica/earlier_order_test.go
+++ b/replica/earlier_order_test.go
@@ -77,15 +77,20 @@
 	}
 }
 
-// Guards against a piece that is intact again after an order of an earlier process took it
-// corrupt: the next process would trust it.
-func TestNoPieceIsWrittenWhileAnEarlierOrderMayBeAccepted(t *testing.T) {
+// Guards against pieces that are all intact again after an order of an earlier process took
+// them corrupt: the next process would trust them.
+func TestFirstLayerIsNotWrittenWhileAnEarlierOrderMayBeAccepted(t *testing.T) {
 	e := &stagingEngine{}
 	r, p := newStaging(e, []byte("version 1"))
-	r.loadNow(p)
+	for range 2 {
+		r.loadNow(p)
+	}
 	last := LayerRange{From: scriptedLayers - 1, To: scriptedLayers}
-	if e.writes != 0 || !slices.Equal(e.ordered, []LayerRange{last}) {
-		t.Fatalf("%d writes and orders %v, want none and one for the last layer", e.writes, e.ordered)
+	if from, _ := piecesOf(last.From, scriptedLayers, scriptedPieces); e.writes != scriptedPieces-from || !slices.Equal(e.ordered, []LayerRange{last}) {
+		t.Fatalf("%d writes and orders %v, want the pieces of the last layer and an order for it", e.writes, e.ordered)
+	}
+	if string(e.staged[0]) != "version 1" {
+		t.Error("a piece of the first layer was written")
 	}
 	e.accept(last)
 	r.readEngineState(context.Background())
@@ -133,6 +138,22 @@
 	}
 }
 
+// Guards against an order for pieces that are known to be corrupt.
+func TestIntactLayersAreOrderedWhileAnEarlierOrderMayBeAccepted(t *testing.T) {
+	e := &stagingEngine{}
+	r, p := newStaging(e, nil)
+	for piece := range scriptedPieces {
+		e.staged[piece] = []byte{byte(piece)}
+	}
+	e.staged[scriptedPieces-1] = []byte("corrupt")
+	for range 2 {
+		r.loadNow(p)
+	}
+	if want := (LayerRange{To: scriptedLayers - 1}); e.writes != 0 || !slices.Equal(e.ordered, []LayerRange{want}) {
+		t.Errorf("%d writes and orders %v, want none and one for the intact layers", e.writes, e.ordered)
+	}
+}
+
 // Guards against a piece that is written while an order of this process may be accepted.
 func TestNoPieceIsWrittenWhileAnOrderIsOpen(t *testing.T) {
 	e := &stagingEngine{scriptedEngine: scriptedEngine{orderErr: errors.New("no response")}}
--- a/replica/layer_check.go
+++ b/replica/layer_check.go
@@ -211,17 +211,47 @@
 // that their pieces needn't be intact. next keeps no layers without the first one.
 func (c *layerCheck) givesUpAll(target LayerRange) bool { return target.From > 0 }
 
-// nextUnverified returns the layers that the engine must be ordered to hold next if pieces
-// that it would take for target are not intact and must not be written. It takes few
-// layers, and never all that it holds already, as it would not count such an order.
-func (c *layerCheck) nextUnverified(held, target LayerRange) LayerRange {
+// reduce returns fewer layers to order if a piece that all layers need is corrupt and must
+// not be written: those whose pieces come before it, or else fewer than the engine holds,
+// or one that is given up again. An engine doesn't count an order for what it holds.
+func (c *layerCheck) reduce(held LayerRange, corrupt int) LayerRange {
+	start := 0
+	if held.From == 0 {
+		start = held.To
+	}
+	end := start
+	for end < len(c.states) {
+		if _, to := c.piecesOf(end); to > corrupt {
+			break
+		}
+		end++
+	}
+	last := len(c.states) - 1
 	switch {
-	case held.Len() == 0:
-		return LayerRange{From: len(c.states) - 1, To: len(c.states)}
-	case held.From > 0:
-		return LayerRange{To: 1}
+	case end > start:
+		return LayerRange{To: end}
+	case held.From == 0 && held.Len() > 1:
+		return LayerRange{To: held.To - 1}
+	case held.Contains(last):
+		last--
+	}
+	return LayerRange{From: last, To: last + 1}
+}
+
+// overlapsEvidence reports whether the layers of target share a piece with the first layer
+// that isn't known to be intact.
+func (c *layerCheck) overlapsEvidence(held, target LayerRange) bool {
+	layer := 0
+	if held.From == 0 && held.Len() > 0 && c.states[0] == layerIntact {
+		layer = held.To
+	}
+	from, to := c.piecesOf(layer)
+	for piece := from; piece < to; piece++ {
+		if c.needs(target, piece) {
+			return true
+		}
 	}
-	return target
+	return false
 }
 
 // intact reports whether the engine holds all layers and all of them are intact.
--- a/replica/layer_check_test.go
+++ b/replica/layer_check_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -87,24 +88,31 @@
 		return a.check.intact(held)
 	}
 	open := a.unanswered != nil && a.unansweredAt == orders
-	switch {
-	case held.includes(target) || a.check.givesUpAll(target):
-	case open:
-		for piece, needed := range a.check.piecesToTake(held, target) {
-			if needed && !e.staged[piece] {
-				target = a.check.nextUnverified(held, target)
-				break
-			}
-		}
-	default:
+	write := func(needed []bool) {
 		for piece := range e.staged {
-			if !e.staged[piece] {
-				a.check.pieceWritten(piece, a.check.needs(held, piece))
+			if needed[piece] && !e.staged[piece] {
+				a.check.pieceWritten(piece, open || a.check.needs(held, piece))
 				e.staged[piece] = true
 				fault()
 			}
 		}
 	}
+	guarded := open || a.check.givesUpAll(target)
+	if open && !held.includes(target) && !a.check.givesUpAll(target) {
+		for piece, needed := range a.check.piecesToTake(held, target) {
+			if needed && !e.staged[piece] {
+				target = a.check.reduce(held, piece)
+				break
+			}
+		}
+	}
+	switch {
+	case held.includes(target):
+	case !guarded:
+		write(slices.Repeat([]bool{true}, e.pieces))
+	case a.check.givesUpAll(target) && !a.check.overlapsEvidence(held, target):
+		write(a.check.piecesToTake(held, target))
+	}
 	switch {
 	case e.orders != orders:
 		// The engine rejects the order.
--- a/replica/load.go
+++ b/replica/load.go
@@ -51,18 +51,15 @@
 	// Layers are given up before their pieces are written again: the corrupt ones show an
 	// agent that starts meanwhile that the engine doesn't hold intact layers. For the same
 	// reason no piece is written while an order may be accepted late.
+	ready := held.includes(target)
 	switch {
-	case held.includes(target) || check.givesUpAll(target):
-	case check.layers() > 1 && r.mayAcceptOrder(state):
-		intact, complete := r.verifyUnwritten(ctx, p, state, check.piecesToTake(held, target), deadline)
-		switch {
-		case !complete:
-			return
-		case !intact:
-			target = check.nextUnverified(held, target)
-			p.verification = nil
-		}
-	case !r.stageVerified(ctx, p, state, check, held, target, deadline):
+	case ready:
+	case check.givesUpAll(target) || check.layers() > 1 && r.mayAcceptOrder(state):
+		target, ready = r.prepareGuarded(ctx, p, state, check, held, target, deadline)
+	default:
+		ready = r.stageVerified(ctx, p, state, check, held, target, nil, deadline)
+	}
+	if !ready {
 		return
 	}
 	r.order(ctx, p, check, state.stamp(), held, target)
@@ -77,7 +74,7 @@
 	if r.layers() > 1 && r.mayAcceptOrder(state) {
 		return
 	}
-	r.stage(ctx, p, state, r.layerCheckFor(p, state), LayerRange{}, r.stepDeadline())
+	r.stage(ctx, p, state, r.layerCheckFor(p, state), LayerRange{}, nil, r.stepDeadline())
 }
 
 // stepDeadline returns a function that reports whether the time of a step has passed.
@@ -158,10 +155,11 @@
 	}
 }
 
-// stage stages the pieces that are not staged. It reports whether all pieces are.
-func (r *Replica) stage(ctx context.Context, p *pendingVersion, state *EngineState, check *layerCheck, held LayerRange, deadline func() bool) bool {
+// stage stages those of the needed pieces that are not staged, or of all pieces if needed is
+// nil. It reports whether all of them are.
+func (r *Replica) stage(ctx context.Context, p *pendingVersion, state *EngineState, check *layerCheck, held LayerRange, needed []bool, deadline func() bool) bool {
 	open := r.mayAcceptOrder(state)
-	complete, err := p.pieces.stage(ctx, deadline, func(piece int) {
+	complete, err := p.pieces.stage(ctx, needed, deadline, func(piece int) {
 		p.verification = nil
 		check.pieceWritten(piece, open || check.needs(held, piece))
 	})
@@ -176,10 +174,10 @@
 	return complete
 }
 
-// stageVerified stages the pieces and verifies those that the engine takes with an order
-// for target. It reports whether the order may follow.
-func (r *Replica) stageVerified(ctx context.Context, p *pendingVersion, state *EngineState, check *layerCheck, held, target LayerRange, deadline func() bool) bool {
-	if !r.stage(ctx, p, state, check, held, deadline) {
+// stageVerified stages the needed pieces, or all if needed is nil, and verifies those that
+// the engine takes with an order for target. It reports whether the order may follow.
+func (r *Replica) stageVerified(ctx context.Context, p *pendingVersion, state *EngineState, check *layerCheck, held, target LayerRange, needed []bool, deadline func() bool) bool {
+	if !r.stage(ctx, p, state, check, held, needed, deadline) {
 		return false
 	}
 	v, err := r.verify(ctx, p, state.stamp(), check.piecesToTake(held, target), deadline)
@@ -193,6 +191,12 @@
 		return false
 	}
 	r.wakeRun()
+	return r.isFresh(p, v)
+}
+
+// isFresh reports whether a pass is complete and recent enough for an order. One that is too
+// old is dropped.
+func (r *Replica) isFresh(p *pendingVersion, v *verification) bool {
 	if v == nil {
 		return false
 	}
--- a/replica/open_order.go
+++ b/replica/open_order.go
@@ -50,14 +50,32 @@
 	}
 }
 
-// verifyUnwritten verifies the needed pieces, of which none may be written because the
-// engine may accept an order at any time. It is complete once all of them, or one that is
-// not intact, have been read.
-func (r *Replica) verifyUnwritten(ctx context.Context, p *pendingVersion, state *EngineState, needed []bool, deadline func() bool) (intact, complete bool) {
-	v, err := r.verify(ctx, p, state.stamp(), needed, func() bool { return p.verification.foundCorrupt() || deadline() })
+// reducedTarget are the layers to order in a state of the engine instead of those that it
+// must hold next, as some pieces of these are not intact and must not be written.
+type reducedTarget struct {
+	stamp  loadStamp
+	layers LayerRange
+}
+
+// prepareGuarded prepares an order while the engine may accept another one, or while it
+// holds suspect layers. It writes no piece that would make all layers look intact, and
+// returns the layers to order, and whether the order may follow.
+func (r *Replica) prepareGuarded(ctx context.Context, p *pendingVersion, state *EngineState, check *layerCheck, held, target LayerRange, deadline func() bool) (LayerRange, bool) {
+	if p.reduced.stamp == state.stamp() {
+		target = p.reduced.layers
+	}
+	switch {
+	case held.includes(target):
+		return target, true
+	case check.givesUpAll(target):
+		needed := check.piecesToTake(held, target)
+		// Without a layer that keeps its corrupt piece, nothing is written.
+		return target, check.overlapsEvidence(held, target) || r.stageVerified(ctx, p, state, check, held, target, needed, deadline)
+	}
+	v, err := r.verify(ctx, p, state.stamp(), check.piecesToTake(held, target), func() bool { return p.verification.firstCorrupt() >= 0 || deadline() })
 	if err != nil {
 		r.logEngineError(err)
-		return false, false
+		return target, false
 	}
 	r.wakeRun()
 	if p.pieces.lacksPiece() {
@@ -65,9 +83,14 @@
 		r.dismissEarlierOrder()
 		if !r.mayAcceptOrder(state) {
 			p.verification = nil
-			return false, false
+			return target, false
 		}
 	}
-	intact = !p.verification.foundCorrupt()
-	return intact, v != nil || !intact
+	if corrupt := p.verification.firstCorrupt(); corrupt >= 0 {
+		p.verification = nil
+		p.reduced = reducedTarget{state.stamp(), check.reduce(held, corrupt)}
+		// The same layers again can't be reduced further.
+		return target, p.reduced.layers == target
+	}
+	return target, r.isFresh(p, v)
 }
--- a/replica/piece_set.go
+++ b/replica/piece_set.go
@@ -109,10 +109,14 @@
 // again.
 var errPieceLost = errors.New("piece was corrupted at the engine and is not in memory")
 
-// stage writes the pieces that are not staged to the engine until deadline has passed,
-// and calls written after each one. It reports whether all pieces are staged.
-func (s *pieceSet) stage(ctx context.Context, deadline func() bool, written func(piece int)) (bool, error) {
+// stage writes those of the needed pieces, or of all if needed is nil, that are not staged
+// to the engine until deadline has passed, and calls written after each one. It reports
+// whether all of them are staged.
+func (s *pieceSet) stage(ctx context.Context, needed []bool, deadline func() bool, written func(piece int)) (bool, error) {
 	for piece := range s.have {
+		if needed != nil && !needed[piece] {
+			continue
+		}
 		s.mu.Lock()
 		data, staged := s.pieces[piece], s.staged[piece]
 		s.mu.Unlock()
--- a/replica/verification.go
+++ b/replica/verification.go
@@ -58,10 +58,9 @@
 	return now.Sub(v.finished)
 }
 
-// foundCorrupt reports whether a piece that has been read was not intact.
-func (v *verification) foundCorrupt() bool {
-	return slices.Contains(v.intact[:v.next], false)
-}
+// firstCorrupt returns the first piece that was not intact, of those that have been read,
+// or -1.
+func (v *verification) firstCorrupt() int { return slices.Index(v.intact[:v.next], false) }
 
 // allIntact reports whether every piece was intact.
 func (v *verification) allIntact() bool {
--- a/replica/versions.go
+++ b/replica/versions.go
@@ -22,6 +22,8 @@
 	loadAfter time.Time
 	// verification is the current pass over the staged pieces, or nil.
 	verification *verification
+	// reduced are the layers to order instead in one state of the engine.
+	reduced reducedTarget
 	// loadStarted is when the steps towards the next order began, or zero.
 	loadStarted time.Time
 }
