A stopping entry closes idle connections with its listener

They now close with the listener, and the others after their response.

The new spec of internal/node/stop_test.go passes with -race; it was not run on the code before.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -134,11 +134,12 @@
 	drainTime := max(time.Duration(stopTime.Load())-exitReserve, balancerReactionTime)
 	drainCtx, cancel := context.WithDeadline(context.Background(), stoppedAt.Add(drainTime))
 	defer cancel()
-	// Shutdown drops requests that are read after its start. Before it, the listener closes,
-	// and the requests on all accepted connections are answered.
+	// Shutdown drops requests that are read after its start. Before it, the listener and the
+	// idle connections close, and the requests on all other connections are answered.
 	_ = callerListener.Close()
 	select {
 	case <-callersDone:
+		callerServer.SetKeepAlivesEnabled(false)
 		conns.awaitRequests(drainCtx)
 	case <-drainCtx.Done():
 	}
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -172,3 +172,38 @@
 		Eventually(s.entries[0].done, 8*time.Second).Should(BeClosed())
 	})
 })
+
+var _ = Describe("An entry that stops while a request is in progress", func() {
+	It("takes no more requests on connections that were idle when its listener closed", func() {
+		// Guards against requests that are taken long after the stop signal and cut off at the
+		// end of the grace time.
+		s := newDeployment(91, 2, 0, 2)
+		dial := func() net.Conn {
+			conn, err := net.Dial("tcp", s.address(4, 0, callerPort))
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(conn.Close)
+			Expect(conn.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+			return conn
+		}
+		idle, busy := dial(), dial()
+		fmt.Fprint(idle, rawRequest("idle-1", 4)+"body")
+		idleReader := bufio.NewReader(idle)
+		resp, err := http.ReadResponse(idleReader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		s.entries[0].stop()
+		time.Sleep(balancerReactionTime - 200*time.Millisecond)
+		fmt.Fprint(busy, rawRequest("busy-1", 4)+"bo")
+		time.Sleep(300 * time.Millisecond)
+		// The listener has closed, and the busy connection still delays the end.
+		_, err = idleReader.ReadByte()
+		Expect(err).To(MatchError(io.EOF))
+		fmt.Fprint(busy, "dy")
+		resp, err = http.ReadResponse(bufio.NewReader(busy), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(http.StatusOK))
+		Expect(resp.Close).To(BeTrue())
+		Expect(resp.Body.Close()).To(Succeed())
+	})
+})
