--- a/replica/serve.go
+++ b/replica/serve.go
@@ -21,8 +21,8 @@
 	// connected, to a multiple of their number.
 	announceInterval         = 50 * time.Millisecond
 	peersPerAnnounceInterval = 8
-	// maxAnnounceInterval bounds the time by which announcements delay a piece on each hop.
-	maxAnnounceInterval = 100 * time.Millisecond
+	// maxAnnounceInterval bounds the time by which announcements delay a piece.
+	maxAnnounceInterval = 250 * time.Millisecond
 	// versionWaitTimeout is how long a peer's request waits for this instance to
 	// learn of the requested version.
 	versionWaitTimeout = 5 * time.Second
@@ -121,8 +121,7 @@
 	return min(time.Duration(intervals)*announceInterval, maxAnnounceInterval)
 }
 
-// announce tells the peer which pieces are present, until ctx ends. The first new piece
-// after a pause is announced at once.
+// announce tells the peer which pieces are present, until ctx ends.
 func (s *peerSession) announce(ctx context.Context) {
 	announced := make(map[int]bool)
 	for ctx.Err() == nil {
@@ -138,12 +137,8 @@
 			_ = s.conn.Close()
 			return
 		}
-		sent := time.Now()
 		wait(ctx, changed, 0)
-		next := sent.Add(announcementInterval(int(s.replica.peerSessions.Load())))
-		if delay := time.Until(next); delay > 0 {
-			wait(ctx, nil, delay)
-		}
+		wait(ctx, nil, announcementInterval(int(s.replica.peerSessions.Load())))
 	}
 }
 
