--- a/internal/loopback/subnet.go
+++ b/internal/loopback/subnet.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 )
@@ -32,13 +33,17 @@
 	return 0, nil, errNoSubnet
 }
 
-// processReservation keeps the subnet of the process reserved until the process ends. A
-// listener that is no longer referenced is closed by the garbage collector.
-var processReservation io.Closer
+// reservation is a subnet that is reserved while its listener is referenced: the garbage
+// collector closes listeners.
+type reservation struct {
+	subnet   int
+	listener io.Closer
+}
 
-var processSubnet = sync.OnceValues(func() (subnet int, err error) {
-	subnet, processReservation, err = ReserveSubnet(firstProcessSubnet)
-	return subnet, err
+// processSubnet returns a subnet that is reserved until the process ends.
+var processSubnet = sync.OnceValues(func() (*reservation, error) {
+	subnet, listener, err := ReserveSubnet(firstProcessSubnet)
+	return &reservation{subnet: subnet, listener: listener}, err
 })
 
 var lastIP atomic.Int64
@@ -48,10 +53,11 @@
 // port of 127.0.0.1 that was free a moment ago may be the local port of an outgoing
 // connection by then, of any process.
 func NewIP() (string, error) {
-	subnet, err := processSubnet()
+	reserved, err := processSubnet()
 	if err != nil {
 		return "", err
 	}
+	runtime.KeepAlive(reserved.listener)
 	n := lastIP.Add(1)
-	return fmt.Sprintf("127.%d.%d.%d", subnet, n/250, n%250+1), nil
+	return fmt.Sprintf("127.%d.%d.%d", reserved.subnet, n/250, n%250+1), nil
 }
