--- a/lib/directory/directory.go
+++ b/lib/directory/directory.go
@@ -112,7 +112,8 @@
 }
 
 // Update replaces a listed server with one that also reflects other sources than its
-// row. In a rollout each engine causes one, so the caches are kept. It does not add a server, so that one whose row is gone stays unlisted.
+// row. It does not add a server, so that one whose row is gone stays unlisted. It keeps
+// the caches, as each engine causes an update in a rollout.
 func (d *Directory) Update(s *Server) {
 	old := d.servers[s.ID]
 	if old == nil {
--- a/lib/relay/client.go
+++ b/lib/relay/client.go
@@ -83,8 +83,7 @@
 
 // read reads the answer to the last query, and ignores answers to earlier ones, which an
 // instance may send once more. Instances of earlier releases answer without a number. Each
-// keep-alive message and each part of a long answer
-// extends the deadline.
+// keep-alive message and each part of a long answer extends the deadline.
 func (c *client) read(conn net.Conn) (watch.Rows, error) {
 	for {
 		if err := conn.SetReadDeadline(time.Now().Add(c.answerTimeout)); err != nil {
--- a/lib/relay/source.go
+++ b/lib/relay/source.go
@@ -49,8 +49,9 @@
 var _ watch.Source = (*Source)(nil)
 
 // NewSource returns a Source that updates cache with what it reads. role is
-// called before each read, and by other goroutines during the first ones. onPathChange is called by the reading goroutine when
-// it reads through another instance than before, or directly.
+// called before each read, and by other goroutines during the first ones. onPathChange is
+// called by the reading goroutine when it reads through another instance than before, or
+// directly.
 func NewSource(table string, store watch.Source, cache *Cache, role func() Role, onPathChange func(through netip.AddrPort, reason error)) *Source {
 	return &Source{
 		onPathChange: onPathChange, config: cache.config, store: store, cache: cache, role: role,
