--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -188,7 +188,7 @@
 		Expect(granted.by).To(Equal(second.self))
 		Expect(second.followsEveryChange()).To(BeTrue())
 		Expect(second.wake).To(Receive())
-		Expect(second.pace.wasAsked(time.Now().Add(hurryTime))).To(BeFalse())
+		Expect(second.pace.wasAsked(time.Now().Add(fastRenewalTime))).To(BeFalse())
 	})
 
 	It("makes the standby follow each change of the load if its own requests are not placed", func() {
--- a/gateway/subscription_pace.go
+++ b/gateway/subscription_pace.go
@@ -16,9 +16,9 @@
 	// enginesPerInterval is the number of engines for which it may do so, so that agents
 	// name the entries of the region several times within memberTTL.
 	enginesPerInterval = 3
-	// hurryTime is how long an entry that has started, or has placed a request by itself,
+	// fastRenewalTime is how long an entry that has started, or has placed a request by itself,
 	// renews its subscriptions at subscribeInterval.
-	hurryTime = 5 * time.Second
+	fastRenewalTime = 5 * time.Second
 )
 
 // subscriptionPace decides how often an entry renews its subscriptions. Entries that
@@ -27,41 +27,41 @@
 // others need only the list of entries. It is safe for concurrent use.
 type subscriptionPace struct {
 	mu sync.Mutex
-	// hurryUntil is the end of hurryTime.
-	hurryUntil time.Time
+	// fastUntil is the end of fastRenewalTime.
+	fastUntil time.Time
 	// askedAt is when this entry was last asked for a placement.
 	askedAt time.Time
 }
 
 func newSubscriptionPace(now time.Time) *subscriptionPace {
-	return &subscriptionPace{hurryUntil: now.Add(hurryTime)}
+	return &subscriptionPace{fastUntil: now.Add(fastRenewalTime)}
 }
 
-// hurry records that current reports are needed, and reports whether they were not
+// renewFast records that current reports are needed, and reports whether they were not
 // before.
-func (p *subscriptionPace) hurry(now time.Time) bool {
+func (p *subscriptionPace) renewFast(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	fresh := !now.Before(p.hurryUntil)
-	p.hurryUntil = now.Add(hurryTime)
+	fresh := !now.Before(p.fastUntil)
+	p.fastUntil = now.Add(fastRenewalTime)
 	return fresh
 }
 
 // asked records a request that this entry places because another placer does not, and
-// reports whether there was none within hurryTime.
+// reports whether there was none within fastRenewalTime.
 func (p *subscriptionPace) asked(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	fresh := p.askedAt.IsZero() || now.Sub(p.askedAt) > hurryTime
+	fresh := p.askedAt.IsZero() || now.Sub(p.askedAt) > fastRenewalTime
 	p.askedAt = now
 	return fresh
 }
 
-// wasAsked reports whether this entry was asked for a placement within hurryTime.
+// wasAsked reports whether this entry was asked for a placement within fastRenewalTime.
 func (p *subscriptionPace) wasAsked(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.askedAt.IsZero() && now.Sub(p.askedAt) <= hurryTime
+	return !p.askedAt.IsZero() && now.Sub(p.askedAt) <= fastRenewalTime
 }
 
 // interval returns the interval of an entry of a region with some members that subscribes
@@ -69,7 +69,7 @@
 func (p *subscriptionPace) interval(duty bool, members, engines int, now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if duty || now.Before(p.hurryUntil) {
+	if duty || now.Before(p.fastUntil) {
 		return subscribeInterval
 	}
 	intervals := min(members/membersPerInterval, engines/enginesPerInterval)
@@ -88,7 +88,7 @@
 // needReports renews the subscriptions at once if they are renewed at a longer interval:
 // this entry places a request by itself.
 func (l *PeerLink) needReports() {
-	if l.pace.hurry(l.gateway.now()) {
+	if l.pace.renewFast(l.gateway.now()) {
 		l.announceTargets()
 	}
 }
--- a/gateway/subscription_pace_test.go
+++ b/gateway/subscription_pace_test.go
@@ -22,7 +22,7 @@
 
 var _ = Describe("The pace of subscriptions", func() {
 	start := time.Unix(1000, 0)
-	later := start.Add(hurryTime)
+	later := start.Add(fastRenewalTime)
 
 	It("keeps the subscriptions that an agent gets a second from growing with its region", func() {
 		// Guards against agents and entries of large regions that exchange datagrams with the
@@ -56,10 +56,10 @@
 		Expect(p.interval(true, 30, 18, later)).To(Equal(subscribeInterval))
 		Expect(p.interval(false, 30, 18, later.Add(-1))).To(Equal(subscribeInterval))
 		Expect(p.interval(false, 30, 18, later)).To(Equal(3 * subscribeInterval))
-		Expect(p.hurry(later)).To(BeTrue())
-		Expect(p.hurry(later)).To(BeFalse())
+		Expect(p.renewFast(later)).To(BeTrue())
+		Expect(p.renewFast(later)).To(BeFalse())
 		Expect(p.interval(false, 30, 18, later)).To(Equal(subscribeInterval))
-		Expect(p.interval(false, 30, 18, later.Add(hurryTime))).To(Equal(3 * subscribeInterval))
+		Expect(p.interval(false, 30, 18, later.Add(fastRenewalTime))).To(Equal(3 * subscribeInterval))
 	})
 
 	It("follows the duties of an entry", func() {
@@ -106,7 +106,7 @@
 				d.Put(&directory.Server{ID: fmt.Sprint(i), Service: "drafts", Address: fmt.Sprintf("127.0.2.1:%d", 9000+i), Domain: "north", Slots: 8})
 			}
 		})
-		l.pace = newSubscriptionPace(time.Now().Add(-hurryTime))
+		l.pace = newSubscriptionPace(time.Now().Add(-fastRenewalTime))
 		l.markWarm()
 		silent := []string{}
 		for i := range 30 {
