--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -217,21 +218,28 @@
 	It("is not ready as soon as it is stopped, and finishes the requests in progress", func() {
 		// Guards against responses that are cut by a planned stop.
 		e := startEntry()
+		var hold atomic.Bool
 		release := make(chan struct{})
 		s := platformtest.NewServer("desk-1", func(s *platformtest.Server, conn net.Conn, r *platformtest.Request) {
-			<-release
+			if hold.Load() {
+				<-release
+			}
 			platformtest.RespondWith(200, "done")(s, conn, r)
 		})
 		DeferCleanup(s.Close)
 		e.putServer(s, "ready")
 		e.putConfig(1, newRoute("/a/"))
 		Eventually(e.readyStatus, soon).Should(Equal(200))
+		// The entry may be ready before it has read the list of servers.
+		Eventually(func() int { return e.sendOrder("/a/") }, soon).Should(Equal(200))
+		hold.Store(true)
+		answered := len(s.Requests())
 		statuses := make(chan int, 1)
 		go func() {
 			defer GinkgoRecover()
 			statuses <- e.sendOrder("/a/")
 		}()
-		Eventually(s.Requests, soon).Should(HaveLen(1))
+		Eventually(s.Requests, soon).Should(HaveLen(answered + 1))
 		e.stop()
 		Eventually(e.readyStatus, soon).Should(Equal(503))
 		close(release)
