Split files: one type each

Types and the functions that go with them move to files of their own in lib/placement, platform, replica, lib/relay and agent/backend; the lines before and after are the same (compared as multisets, imports aside). The region of gateway/place_test.go becomes region_test.go; its entries now have addresses of their own instead of a port that was closed and opened again. go vet, staticcheck and the tests of lib/placement, lib/relay, replica and agent/backend pass under the race detector.

--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -3,16 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/directory"
-	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/placement"
 	"github.com/auburnbend/auburnbend/lib/ratelimit"
 	"github.com/auburnbend/auburnbend/lib/serving"
@@ -20,64 +17,8 @@
 )
 
 var _ = Describe("Placement by the entries of a region", func() {
-	engine := &serving.Engine{
-		Slots: 8, StepTime: 13 * time.Millisecond, PrefillTokensPerSecond: 12700, StepsPerPrefillChunk: 5, PrefillChunkTokens: 2048, MeanPromptTokens: 900, MeanOutputTokens: 75,
-	}
-	req := placement.Request{
-		Service: "drafts", Engine: engine, Model: "m", PromptTokens: 900, OutputTokens: 75,
-		LatencyTarget: 800 * time.Millisecond, Remaining: 6 * time.Second,
-	}
-	const servers = 6
-
-	// startRegion starts n entries that know each other and the engines.
-	startRegion := func(n int) []*PeerLink {
-		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		port := conn.LocalAddr().(*net.UDPAddr).Port
-		conn.Close()
-		var links []*PeerLink
-		var addresses []string
-		for i := range n {
-			g := New(Config{Clock: clock.System{}, Log: eventlog.Discard(), Placement: placement.Config{Domain: "north", Regions: map[string]string{"north": "n"}}})
-			g.SetConfig(&serving.Config{Version: 1, Services: []serving.Service{{Name: "drafts", Engine: engine}}})
-			address := fmt.Sprintf("127.0.0.%d", 10+i)
-			l, err := NewPeerLink(g, address, "n", address, port, uint64(i+1))
-			Expect(err).NotTo(HaveOccurred())
-			// Entries respond, unless a spec closes one, also while the machine is busy.
-			l.placements.timeout = time.Second
-			addresses = append(addresses, l.self.String())
-			links = append(links, l)
-			g.UpdateServers(func(d *directory.Directory, _ time.Time) {
-				for s := range servers {
-					d.Put(&directory.Server{
-						ID: fmt.Sprintf("s%d", s), Service: "drafts", Address: fmt.Sprintf("127.0.1.%d:%d", s+1, port), Domain: "north", Slots: 8,
-						Weights: map[string]directory.Weights{"m": {Version: 1, Complete: true}},
-					})
-				}
-			})
-			for s := range servers {
-				g.Report(directory.Key{ID: fmt.Sprintf("s%d", s)}, placement.Load{})
-			}
-		}
-		ctx, stop := context.WithCancel(context.Background())
-		DeferCleanup(stop)
-		for _, l := range links {
-			l.members.observe(addresses, time.Now())
-			go l.receive(ctx)
-			DeferCleanup(func() { _ = l.conn.Close() })
-		}
-		return links
-	}
-	// byRank returns the entry at a position in the placement order of the region.
-	byRank := func(links []*PeerLink, rank int) *PeerLink {
-		address := links[0].Rank(placementDuty)[rank]
-		for _, l := range links {
-			if l.self == address {
-				return l
-			}
-		}
-		return nil
-	}
+	req := regionRequest
+	const servers = regionServers
 
 	It("is done by the placer, which knows all placements", func() {
 		// Guards against entries that choose the same engine at the same moment because
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -75,26 +74,6 @@
 	return &Lease{Server: s.listing, Usage: s.usage, state: s, entry: req.Entry, promptTokens: req.PromptTokens, started: now}
 }
 
-// candidate is a server that may get a request.
-type candidate struct {
-	*server
-	estimate
-	// score is the predicted time to the first response plus the distance penalty.
-	score time.Duration
-}
-
-// compare returns a negative number if c is the better choice. Of equally good
-// servers, the one whose last placement is longest ago is better. The order of the
-// directory must not decide: it comes from a map and stays until a listing changes, so
-// that one server would get all requests of an idle service.
-func (c *candidate) compare(other *candidate) int {
-	return cmp.Or(
-		cmp.Compare(c.score, other.score),
-		cmp.Compare(c.usage.Running, other.usage.Running),
-		c.lastPlacedAt.Compare(other.lastPlacedAt),
-	)
-}
-
 // best returns the server with the lowest score, or a refusal.
 func (p *Picker) best(req *Request, now time.Time) (*server, estimate, *Refusal) {
 	p.directory.Expire(now)
@@ -192,60 +171,6 @@
 	}
 }
 
-// available drops the servers that accept no requests now, those whose rate limit is
-// reached, and the ejected ones. If only ejected ones are left and they are more than
-// MaxEjectedShare, it returns those. A pause applies only between a server and one
-// entry: for requests of other entries, these list the servers to exclude. Servers whose
-// load is being ramped up, and those in held-back failure domains, are used if there is
-// no other choice.
-func (p *Picker) available(eligible []*server, req *Request, held []string, now time.Time) []*server {
-	var available, ramping, ejected []*server
-	for _, s := range eligible {
-		switch p.usability(s, req, held, now) {
-		case usable:
-			available = append(available, s)
-		case usableIfNoOther:
-			ramping = append(ramping, s)
-		case unusableEjected:
-			ejected = append(ejected, s)
-		case unusable:
-		}
-	}
-	if len(available) == 0 {
-		available = ramping
-	}
-	if len(available) == 0 && float64(len(ejected)) > p.config.MaxEjectedShare*float64(len(eligible)) {
-		return ejected
-	}
-	return available
-}
-
-// usability tells whether an eligible server accepts a request now.
-type usability int
-
-const (
-	unusable usability = iota
-	unusableEjected
-	// usableIfNoOther servers have their load ramped up, or are in a held-back failure
-	// domain.
-	usableIfNoOther
-	usable
-)
-
-func (p *Picker) usability(s *server, req *Request, held []string, now time.Time) usability {
-	own := req.Entry == ""
-	switch {
-	case s.closed(now) || own && s.paused(now) || p.overLimit(s, req, now):
-		return unusable
-	case s.ejected(now):
-		return unusableEjected
-	case own && s.atRampLimit(now) || slices.Contains(held, s.listing.Domain):
-		return usableIfNoOther
-	default:
-		return usable
-	}
-}
-
 // candidates returns all servers of the own region and a random choice of the
 // others. What is known of remote servers is older, and all entries would choose the
 // same one. Remote servers that report to this entry are preferred: of the others,
