--- a/internal/deployment/agent_restart_test.go
+++ b/internal/deployment/agent_restart_test.go
@@ -8,12 +8,10 @@
 	"path/filepath"
 	"time"
 
-	"github.com/go-kit/log"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/auburnbend/auburnbend/internal/deployment"
-	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
 )
 
@@ -23,18 +21,13 @@
 	It("serve what their engines hold if its load is recorded, and load it again otherwise", func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 		DeferCleanup(cancel)
-		d, err := deployment.Start(deployment.Options{
+		d, v := startLive(ctx, deployment.Options{
 			Domains: []model.FailureDomain{"kigali"}, EntriesPerDomain: 1, AgentsPerDomain: 3,
 			ModelBytes: 1 << 20, ChunkBytes: 64 << 10,
 			TransferWindow:  12 * time.Second, // transfers take longer than the 3 s after which a record counts
 			EngineTimeScale: 0.05, EngineRestartDelay: 200 * time.Millisecond,
-			StagingDir: GinkgoT().TempDir(), Seed: 2,
-		}, eventlog.New(log.NewLogfmtLogger(log.NewSyncWriter(GinkgoWriter))))
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(d.Close)
-		v, err := d.PublishAndPlace(ctx, "v1")
-		Expect(err).NotTo(HaveOccurred())
-		Expect(d.WaitLive(ctx, v, 50*time.Millisecond, nil)).To(Succeed())
+			Seed: 2,
+		})
 		client := deployment.NewClient()
 		DeferCleanup(client.Close)
 		rng, calls := rand.New(rand.NewSource(1)), 0
--- a/internal/deployment/foreign_load_test.go
+++ b/internal/deployment/foreign_load_test.go
@@ -8,13 +8,11 @@
 	"path/filepath"
 	"time"
 
-	"github.com/go-kit/log"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/auburnbend/auburnbend/internal/deployment"
 	api "github.com/auburnbend/auburnbend/lib/engine"
-	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/standin/engine"
 )
@@ -26,17 +24,12 @@
 	It("lets no response complete that was computed with mixed weights", func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 		DeferCleanup(cancel)
-		d, err := deployment.Start(deployment.Options{
+		d, v := startLive(ctx, deployment.Options{
 			Domains: []model.FailureDomain{"kigali"}, EntriesPerDomain: 1, AgentsPerDomain: 3,
 			ModelBytes: 1 << 20, ChunkBytes: 64 << 10, TransferWindow: time.Second,
 			EngineTimeScale: 0.4, EngineRestartDelay: 200 * time.Millisecond,
-			StagingDir: GinkgoT().TempDir(), Seed: 2,
-		}, eventlog.New(log.NewLogfmtLogger(log.NewSyncWriter(GinkgoWriter))))
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(d.Close)
-		v, err := d.PublishAndPlace(ctx, "v1")
-		Expect(err).NotTo(HaveOccurred())
-		Expect(d.WaitLive(ctx, v, 50*time.Millisecond, nil)).To(Succeed())
+			Seed: 2,
+		})
 		var agent *deployment.AgentProcess
 		for _, a := range d.ModelAgents() {
 			if a.IgnoresFencing() && agent == nil {
--- a/internal/deployment/role_test.go
+++ b/internal/deployment/role_test.go
@@ -6,14 +6,12 @@
 	"math/rand"
 	"time"
 
-	"github.com/go-kit/log"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/auburnbend/auburnbend/internal/deployment"
 	"github.com/auburnbend/auburnbend/lib/config"
 	"github.com/auburnbend/auburnbend/lib/engine"
-	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
 )
 
@@ -23,17 +21,12 @@
 	It("are applied from the configuration and determine where requests run", func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 		DeferCleanup(cancel)
-		d, err := deployment.Start(deployment.Options{
+		d, _ := startLive(ctx, deployment.Options{
 			Domains: []model.FailureDomain{"kigali", "huye"}, EntriesPerDomain: 1, AgentsPerDomain: 2,
 			ModelBytes: 1 << 20, ChunkBytes: 64 << 10, TransferWindow: time.Second,
 			EngineTimeScale: 0.05, EngineRestartDelay: 200 * time.Millisecond,
-			StagingDir: GinkgoT().TempDir(), Seed: 1,
-		}, eventlog.New(log.NewLogfmtLogger(log.NewSyncWriter(GinkgoWriter))))
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(d.Close)
-		v, err := d.PublishAndPlace(ctx, "v1")
-		Expect(err).NotTo(HaveOccurred())
-		Expect(d.WaitLive(ctx, v, 50*time.Millisecond, nil)).To(Succeed())
+			Seed: 1,
+		})
 		client := deployment.NewClient()
 		DeferCleanup(client.Close)
 		rng := rand.New(rand.NewSource(1))
--- a/internal/deployment/staged_files_test.go
+++ b/internal/deployment/staged_files_test.go
@@ -9,12 +9,10 @@
 	"sync"
 	"time"
 
-	"github.com/go-kit/log"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/auburnbend/auburnbend/internal/deployment"
-	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
 )
 
@@ -59,17 +57,12 @@
 	It("that are spoilt at any moment never lead to an answer from other bytes than those of a version", func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 		DeferCleanup(cancel)
-		d, err := deployment.Start(deployment.Options{
+		d, v := startLive(ctx, deployment.Options{
 			Domains: []model.FailureDomain{"kigali", "huye"}, EntriesPerDomain: 1, AgentsPerDomain: 3,
 			ModelBytes: 1 << 20, ChunkBytes: 64 << 10, TransferWindow: time.Second,
 			EngineTimeScale: 0.1, EngineRestartDelay: 200 * time.Millisecond,
-			StagingDir: GinkgoT().TempDir(), Seed: 3,
-		}, eventlog.New(log.NewLogfmtLogger(log.NewSyncWriter(GinkgoWriter))))
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(d.Close)
-		v, err := d.PublishAndPlace(ctx, "v1")
-		Expect(err).NotTo(HaveOccurred())
-		Expect(d.WaitLive(ctx, v, 50*time.Millisecond, nil)).To(Succeed())
+			Seed: 3,
+		})
 		versions := []deployment.Version{v}
 
 		// call sends drafts until ctx ends. Published versions are compared afterwards.
@@ -103,7 +96,7 @@
 		}
 
 		for _, name := range []string{"v2", "v3"} {
-			v, err = d.PublishAndPlace(ctx, name)
+			v, err := d.PublishAndPlace(ctx, name)
 			Expect(err).NotTo(HaveOccurred())
 			versions = append(versions, v)
 			spoiling, stop := context.WithTimeout(ctx, 4*time.Second)
