Keep a silent server until another one has begun to respond

What callers saw: a stream that had begun was cut, or a request got 502, although its server was sound and went on a second later.

Cause: limits on silence (retryDeadline until the head, stallTimeout between events) closed the connection to the server before another one was found. If no other server could take the request over (no place, silent as well, a failure, other weights, an empty retry budget), nothing was left to end it. The last server that a route allows was given up in the same way before its head. A timeout was taken for proof that the server had failed.

Change: after the same limits a standby asks other servers while the entry goes on reading from the silent one. Whichever responds first (whole response, or first event that follows the last one sent) has the request; the other connection is closed. A request that must not run twice has no standby. The budget is charged only when a place was found.

Evidence: "A sound server that falls silent and goes on" (platform) fails in 11 of 12 specs on, e.g. "silent for 399ms before event 2: status 200, complete false, events 1" and "silent for 688ms before event 0: status 502". With the change all 12 pass under the race detector.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"os"
@@ -11,51 +12,107 @@
 	"github.com/auburnbend/auburnbend/peerlink"
 )
 
-// attemptResult is the result of one attempt.
-type attemptResult struct {
-	result placement.Result
-	// delivered is set if the caller has the whole response, callerGone if it no longer
-	// accepts one.
-	delivered, callerGone bool
-	// sent is set if the request was sent to the server.
-	sent bool
-	// mayHaveRun is set if the server may have run the request.
-	mayHaveRun bool
-	reason     string
-}
-
-// exchange sends the request to one server and passes its response on.
-func (r *request) exchange(lease *placement.Lease) attemptResult {
-	server := lease.Server
+// exchange sends the request to the server of an attempt and passes its response on, or
+// ends the attempt in favour of another server which begins to respond while this one is
+// silent.
+func (r *request) exchange(a *attempt) attemptResult {
+	defer a.close()
+	if failure := r.open(r.ctx, a, withStandby); failure != nil {
+		return *failure
+	}
+	return r.passOn(a)
+}
+
+// passOn passes on the response of an attempt that was opened.
+func (r *request) passOn(a *attempt) attemptResult {
+	if a.events != nil {
+		return r.relay(a)
+	}
+	r.releases = append(r.releases, a.release)
+	r.deliver(a.buffered)
+	return attemptResult{result: placement.Answered, delivered: true, sent: true}
+}
+
+// silencePolicy is what happens when the server of an attempt is silent for too long.
+type silencePolicy bool
+
+const (
+	// withStandby asks other servers as well.
+	withStandby silencePolicy = true
+	// withTimeout ends the attempt if another server may run the request.
+	withTimeout silencePolicy = false
+)
+
+// open sends the request to the server of an attempt and reads its response until it can be
+// passed on: to its end, or to the first event of a stream. It returns nil if that has
+// succeeded.
+func (r *request) open(ctx context.Context, a *attempt, policy silencePolicy) *attemptResult {
+	g, server := r.gateway, a.lease.Server
 	r.triedServers = append(r.triedServers, server.Key())
-	started := r.gateway.now()
-	conn, err := upstream.Dial(r.ctx, server.Address)
+	started := g.now()
+	conn, err := upstream.Dial(ctx, server.Address)
 	if err != nil {
-		r.gateway.recordUnreachable(server, err)
-		return r.resolve(placement.Unreachable, attemptResult{reason: "unreachable"})
+		g.recordUnreachable(server, err)
+		return resolve(ctx, placement.Unreachable, attemptResult{reason: "unreachable"})
 	}
-	defer conn.Close()
-	if reason := r.gateway.revokedSince(lease); reason != "" {
-		return r.resolve(placement.Rejected, attemptResult{reason: reason})
+	a.conn = conn
+	if reason := g.revokedSince(a.lease); reason != "" {
+		return resolve(ctx, placement.Rejected, attemptResult{reason: reason})
 	}
-	opened := r.gateway.now()
-	deadline := r.firstByteDeadline(lease, opened.Sub(started))
-	if !deadline.IsZero() && !opened.Before(deadline) {
-		return r.resolve(placement.Rejected, attemptResult{reason: "weights are about to be too old"})
+	a.openedAt = g.now()
+	deadline := r.weightsDeadline(a.lease, a.openedAt.Sub(started))
+	if !deadline.IsZero() && !a.openedAt.Before(deadline) {
+		return resolve(ctx, placement.Rejected, attemptResult{reason: "weights are about to be too old"})
 	}
 	r.dispatched++
 	r.summary.Attempts++
+	limit := r.silenceLimit(a.lease)
+	if policy == withTimeout && limit > 0 {
+		deadline = earlier(deadline, a.openedAt.Add(limit))
+		limit = 0
+	}
 	conn.SetReadDeadline(deadline)
-	resp, err := conn.Do(r.upstreamRequest(r.attemptInfo(lease)))
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		r.recordInterrupted(lease, err)
-		return r.mayHaveRunResult("no answer in time")
+	upstreamRequest := r.upstreamRequest(r.attemptInfo(a.lease))
+	standby := r.newStandby(a, limit)
+	resp, err := conn.Do(upstreamRequest)
+	if winner := standby.settle(err); winner != nil {
+		return succeededBy(winner)
 	}
 	if err != nil {
-		r.recordInterrupted(lease, err)
-		return r.mayHaveRunResult("no answer")
+		return r.interrupted(ctx, a, err, "no answer")
+	}
+	a.resp = resp
+	a.reply = g.config.Dialect.ParseResponse(resp.StatusCode, resp.Header)
+	if failure := r.checkHead(ctx, a); failure != nil {
+		return failure
+	}
+	if r.isStreaming() && resp.StatusCode == http.StatusOK && isEventStream(resp) {
+		return r.openStream(ctx, a, policy)
+	}
+	return r.bufferResponse(ctx, a, limit)
+}
+
+// interrupted ends an attempt whose connection ended or timed out before the response was
+// complete.
+func (r *request) interrupted(ctx context.Context, a *attempt, err error, reason string) *attemptResult {
+	r.recordInterrupted(ctx, a.lease, err)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		reason += " in time"
+	}
+	return r.mayHaveRunResult(ctx, reason)
+}
+
+// earlier returns the earlier one of two times, where zero is later than all.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
 	}
-	return r.handleResponse(lease, conn, resp, opened)
+	return a
+}
+
+// succeededBy ends an attempt whose server was silent until another one began to respond.
+func succeededBy(winner *attempt) *attemptResult {
+	return &attemptResult{result: placement.Failed, sent: true, mayHaveRun: true, reason: "server is silent", successor: winner}
 }
 
 const (
@@ -68,16 +125,6 @@
 	maxWaitPredictions = 4
 )
 
-// firstByteDeadline is when the request is taken from a server that has not begun to
-// respond; zero for never. opening is the time that its connection took to open.
-func (r *request) firstByteDeadline(lease *placement.Lease, opening time.Duration) time.Time {
-	retry, weights := r.retryDeadline(lease), r.weightsDeadline(lease, opening)
-	if retry.IsZero() || !weights.IsZero() && weights.Before(retry) {
-		return weights
-	}
-	return retry
-}
-
 // startMargin is how long before a version deadline requests that wait on older
 // weights are taken from their server. It covers the delay to the server on a link that
 // is not narrowed.
@@ -95,14 +142,18 @@
 	return r.nextAt.Add(-startMargin - opening)
 }
 
-// retryDeadline is when another server gets the request if this one has not begun to
-// respond; zero if the request must not be retried.
-func (r *request) retryDeadline(lease *placement.Lease) time.Time {
-	last := r.route.MaxBackendServers > 0 && r.dispatched >= r.route.MaxBackendServers
-	if !r.route.Repeatable() || last || r.route.TargetLatency <= 0 {
-		return time.Time{}
+// silenceLimit is how long a server may take to begin its response until other servers are
+// asked as well; zero if the request must not be retried.
+func (r *request) silenceLimit(lease *placement.Lease) time.Duration {
+	if !r.route.Repeatable() || r.isLastServer() || r.route.TargetLatency <= 0 {
+		return 0
 	}
-	return r.gateway.now().Add(max(maxWaitTargets*r.route.TargetLatency, maxWaitPredictions*lease.Predicted))
+	return max(maxWaitTargets*r.route.TargetLatency, maxWaitPredictions*lease.Predicted)
+}
+
+// isLastServer reports whether no other server may get the request.
+func (r *request) isLastServer() bool {
+	return r.route.MaxBackendServers > 0 && r.dispatched >= r.route.MaxBackendServers
 }
 
 func (r *request) attemptInfo(lease *placement.Lease) AttemptInfo {
@@ -125,80 +176,85 @@
 	return info
 }
 
-// handleResponse handles the head of a response on a connection that was opened at
-// the given time.
-func (r *request) handleResponse(lease *placement.Lease, conn *upstream.Exchange, resp *http.Response, opened time.Time) attemptResult {
-	g := r.gateway
-	reply := g.config.Dialect.ParseResponse(resp.StatusCode, resp.Header)
-	r.recordResponse(lease, reply, opened)
+// checkHead returns the result of an attempt whose response must not be passed on, judged
+// by its head; nil if it may be.
+func (r *request) checkHead(ctx context.Context, a *attempt) *attemptResult {
+	r.recordResponse(a)
+	reply, status := a.reply, a.resp.StatusCode
 	switch {
-	case reply.Instance != "" && reply.Instance != lease.Server.ID:
+	case reply.Instance != "" && reply.Instance != a.lease.Server.ID:
 		// A server with another ID does not run the request. The response cannot be an
 		// earlier one of the expected server either, which would name that.
-		return attemptResult{result: placement.Mismatched, sent: true, reason: "another server at the address"}
+		return &attemptResult{result: placement.Mismatched, sent: true, reason: "another server at the address"}
 	case reply.RequestID != r.info.ID:
 		// This includes refusals: the server may have sent that of an earlier request once
 		// more, and run this one.
-		return r.mayHaveRunResult("answer of another request")
+		return r.mayHaveRunResult(ctx, "answer of another request")
 	case r.info.ID != "" && (reply.NotExecuted || reply.Misdirected):
-		rejected := attemptResult{result: placement.Rejected, sent: true, reason: "rejected by the server"}
+		rejected := &attemptResult{result: placement.Rejected, sent: true, reason: "rejected by the server"}
 		if reply.Misdirected {
 			rejected.result, rejected.reason = placement.Mismatched, "another server or other weights at the address"
 		}
 		return rejected
-	case promisesNotRun(resp.StatusCode):
-		return r.unprovenRefusal(reply)
-	case !reply.Signed && resp.StatusCode < 300:
-		return r.mayHaveRunResult("answer without a signature")
-	case isEncoded(resp) && resp.StatusCode < 300:
-		return r.mayHaveRunResult("answer with an encoded body")
-	case r.stream.started && !isContinuation(resp):
-		return r.mayHaveRunResult("no continuation")
-	case r.isStreaming() && resp.StatusCode == http.StatusOK && isEventStream(resp):
-		return r.relay(lease, conn, resp, reply)
-	}
-	return r.relayBuffered(lease, resp, reply)
-}
-
-func (r *request) recordResponse(lease *placement.Lease, reply ResponseInfo, opened time.Time) {
-	g := r.gateway
+	case promisesNotRun(status):
+		return r.unprovenRefusal(ctx, reply)
+	case !reply.Signed && status < 300:
+		return r.mayHaveRunResult(ctx, "answer without a signature")
+	case isEncoded(a.resp) && status < 300:
+		return r.mayHaveRunResult(ctx, "answer with an encoded body")
+	case r.stream.started && !isContinuation(a.resp):
+		return r.mayHaveRunResult(ctx, "no continuation")
+	}
+	return nil
+}
+
+func (r *request) recordResponse(a *attempt) {
+	g, lease := r.gateway, a.lease
 	g.mu.Lock()
 	now := g.now()
-	if reply.Load != nil && reply.RequestID == r.info.ID {
-		g.picker.UpdateCounts(lease.Server.Key(), reply.Load.Running, reply.Load.Queued, now)
+	if a.reply.Load != nil && a.reply.RequestID == r.info.ID {
+		g.picker.UpdateCounts(lease.Server.Key(), a.reply.Load.Running, a.reply.Load.Queued, now)
 	}
 	usage := g.picker.ResponseStarted(lease, now)
 	publish := func() {}
 	var news *peerlink.Gossip
-	if reply.RequestID == r.info.ID && !reply.Misdirected {
-		publish = g.recordAlive(lease.Server.Key(), opened)
-		news = g.recordSignals(lease.Server, reply, opened, now)
+	if a.reply.RequestID == r.info.ID && !a.reply.Misdirected {
+		publish = g.recordAlive(lease.Server.Key(), a.openedAt)
+		news = g.recordSignals(lease.Server, a.reply, a.openedAt, now)
 	}
 	g.mu.Unlock()
 	publish()
 	g.broadcast(news)
-	r.reportProgress(lease, usage, nil)
+	r.reportProgress(a, usage, nil)
 }
 
-// relayBuffered passes on a response that is not a stream. It reads the response to
-// its end first, so that a truncated one can be replaced by another server's.
-func (r *request) relayBuffered(lease *placement.Lease, head *http.Response, reply ResponseInfo) attemptResult {
-	body, release, err := r.gateway.bodyBudget.ReadAll(head, maxResponseBytes)
+// bufferResponse reads a response that is not a stream to its end, so that a truncated one can
+// be replaced by another server's. standbyDelay is how long that may take until other
+// servers are asked as well; zero asks none.
+func (r *request) bufferResponse(ctx context.Context, a *attempt, standbyDelay time.Duration) *attemptResult {
+	standby := r.newStandby(a, standbyDelay)
+	body, release, err := r.gateway.bodyBudget.ReadAll(a.resp, maxResponseBytes)
+	if winner := standby.settle(err); winner != nil {
+		if err == nil {
+			release()
+		}
+		return succeededBy(winner)
+	}
 	if err != nil {
-		r.recordInterrupted(lease, err)
-		return r.mayHaveRunResult("answer broken off, without an end or too long")
+		r.recordInterrupted(ctx, a.lease, err)
+		return r.mayHaveRunResult(ctx, "answer broken off, without an end or too long")
 	}
+	a.release = release
+	a.buffered = &bufferedResponse{status: a.resp.StatusCode, header: a.resp.Header, body: body}
+	if a.buffered.status < http.StatusInternalServerError {
+		return nil
+	}
+	r.mayHaveRun = true
 	r.releases = append(r.releases, release)
-	response := &bufferedResponse{status: head.StatusCode, header: head.Header, body: body}
-	if head.StatusCode >= http.StatusInternalServerError {
-		r.mayHaveRun = true
-		if reply.Signed {
-			r.serverError = response
-		}
-		return attemptResult{result: placement.Failed, sent: true, mayHaveRun: true, reason: "failure of the server"}
+	if a.reply.Signed {
+		r.serverError = a.buffered
 	}
-	r.deliver(response)
-	return attemptResult{result: placement.Answered, delivered: true, sent: true}
+	return &attemptResult{result: placement.Failed, sent: true, mayHaveRun: true, reason: "failure of the server"}
 }
 
 // promisesNotRun reports whether a status promises the caller that the request has not
@@ -214,8 +270,8 @@
 
 // unprovenRefusal ends an attempt whose response has such a status, but does not state
 // that the server did not run the request.
-func (r *request) unprovenRefusal(reply ResponseInfo) attemptResult {
-	attempt := r.mayHaveRunResult("refusal that does not rule out a run")
+func (r *request) unprovenRefusal(ctx context.Context, reply ResponseInfo) *attemptResult {
+	attempt := r.mayHaveRunResult(ctx, "refusal that does not rule out a run")
 	if reply.Pause > 0 && attempt.result == placement.Failed {
 		// The server is shedding load, which is not a fault.
 		attempt.result = placement.Rejected
@@ -224,17 +280,17 @@
 }
 
 // mayHaveRunResult ends an attempt after which the request may have run.
-func (r *request) mayHaveRunResult(reason string) attemptResult {
+func (r *request) mayHaveRunResult(ctx context.Context, reason string) *attemptResult {
 	r.mayHaveRun = true
-	return r.resolve(placement.Failed, attemptResult{sent: true, mayHaveRun: true, reason: reason})
+	return resolve(ctx, placement.Failed, attemptResult{sent: true, mayHaveRun: true, reason: reason})
 }
 
-// resolve sets the result of a failed attempt: Cancelled if the request's context
-// has ended, otherwise the given one.
-func (r *request) resolve(result placement.Result, attempt attemptResult) attemptResult {
+// resolve sets the result of a failed attempt: Cancelled if its context has ended,
+// otherwise the given one.
+func resolve(ctx context.Context, result placement.Result, attempt attemptResult) *attemptResult {
 	attempt.result = result
-	if r.ctx.Err() != nil {
+	if ctx.Err() != nil {
 		attempt.result = placement.Cancelled
 	}
-	return attempt
+	return &attempt
 }
--- a/gateway/interrupted.go
+++ b/gateway/interrupted.go
@@ -24,12 +24,12 @@
 // response, because the connection was closed or timed out. Malformed and oversized
 // responses are not counted: they do not show that the server has ended. If the
 // connection was closed, the gateway checks whether the server has ended.
-func (r *request) recordInterrupted(lease *placement.Lease, err error) {
-	if errors.Is(r.ctx.Err(), context.Canceled) {
+func (r *request) recordInterrupted(ctx context.Context, lease *placement.Lease, err error) {
+	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
-	closed := r.ctx.Err() == nil && closedByPeer(err)
-	if !closed && !timedOut(r.ctx.Err(), err) {
+	closed := ctx.Err() == nil && closedByPeer(err)
+	if !closed && !timedOut(ctx.Err(), err) {
 		return
 	}
 	g, server := r.gateway, lease.Server
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -31,15 +31,15 @@
 // engines, and to services whose servers have rate limits or are cold, are placed by one
 // entry of the region, which knows the placements of all. While no placer responds, each
 // entry places its own requests with the load that agents report.
-func (r *request) place(now time.Time) (*placement.Lease, *placement.Refusal) {
+func (r *request) place(ctx context.Context, now time.Time) (*attempt, *placement.Refusal) {
 	g := r.gateway
-	r.granted, r.summary.PlacedBy = nil, ""
+	r.summary.PlacedBy = ""
 	req := r.preparePlacement(now)
 	if refusal := g.refuseIfPaused(&req, now); refusal != nil {
 		return nil, refusal
 	}
 	if g.peerLink != nil && (r.engine != nil || g.hasRateLimits(&req, now)) {
-		granted, refusal, placer := g.peerLink.requestPlacement(r.ctx, &req)
+		granted, refusal, placer := g.peerLink.requestPlacement(ctx, &req)
 		if placer.IsValid() {
 			r.summary.PlacedBy = placer.String()
 		}
@@ -48,8 +48,7 @@
 			return nil, refusal
 		case granted != nil:
 			if lease := g.adopt(granted, &req); lease != nil {
-				r.granted = granted
-				return lease, nil
+				return &attempt{lease: lease, granted: granted, placedBy: r.summary.PlacedBy}, nil
 			}
 			g.peerLink.endLease(granted, placement.Rejected)
 			r.summary.PlacedBy = ""
@@ -58,10 +57,12 @@
 	g.mu.Lock()
 	lease, refusal := g.pick(req, g.now())
 	g.mu.Unlock()
-	if lease != nil {
-		r.reportProgress(lease, lease.Usage, nil)
+	if refusal != nil {
+		return nil, refusal
 	}
-	return lease, refusal
+	a := &attempt{lease: lease}
+	r.reportProgress(a, lease.Usage, nil)
+	return a, nil
 }
 
 // preparePlacement counts the request if this is its first placement, and returns
@@ -100,28 +101,29 @@
 	return lease
 }
 
-// endAttempt ends the lease of an attempt.
-func (r *request) endAttempt(lease *placement.Lease, result placement.Result) {
+// endAttempt closes the connection of an attempt and ends its lease.
+func (r *request) endAttempt(a *attempt, result placement.Result) {
+	a.close()
 	g := r.gateway
 	g.mu.Lock()
-	usage := g.picker.Done(lease, result, g.now())
+	usage := g.picker.Done(a.lease, result, g.now())
 	g.mu.Unlock()
-	r.reportProgress(lease, usage, &result)
+	r.reportProgress(a, usage, &result)
 }
 
 // reportProgress tells the placer of the request that the response has started or,
 // with a result, that the attempt has ended. For requests that this entry placed
 // itself, it reports its usage to the engine's agent.
-func (r *request) reportProgress(lease *placement.Lease, usage placement.Usage, result *placement.Result) {
+func (r *request) reportProgress(a *attempt, usage placement.Usage, result *placement.Result) {
 	g := r.gateway
 	switch {
 	case g.peerLink == nil:
-	case r.granted == nil:
-		g.sendEngineUsage(lease.Server, usage)
+	case a.granted == nil:
+		g.sendEngineUsage(a.lease.Server, usage)
 	case result != nil:
-		g.peerLink.endLease(r.granted, *result)
+		g.peerLink.endLease(a.granted, *result)
 	default:
-		g.peerLink.notifyPlacer(r.granted, &peerlink.PlacementNotice{})
+		g.peerLink.notifyPlacer(a.granted, &peerlink.PlacementNotice{})
 	}
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,13 +1,13 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
 	"os"
 	"time"
 
-	"github.com/auburnbend/auburnbend/gateway/upstream"
 	"github.com/auburnbend/auburnbend/lib/placement"
 	"github.com/auburnbend/auburnbend/lib/sse"
 )
@@ -16,79 +16,95 @@
 // attempt.
 const maxHeldBytes = 64 << 10
 
-// relay passes a stream on, event by event. The head is sent with the first event,
-// so that a stream which breaks earlier can restart on another server. Comments before
-// it are held back, because they do not show that the response is a stream; those of a
-// continuation are dropped.
-func (r *request) relay(lease *placement.Lease, conn *upstream.Exchange, resp *http.Response, reply ResponseInfo) attemptResult {
-	if v := r.stream.version; r.stream.started && v > 0 && reply.Version > 0 && reply.Version != v {
-		return r.mayHaveRunResult(errOtherWeights.Error())
+// openStream reads the first event of a stream. Comments before it are held back, because
+// they do not show that the response is a stream. The head is sent with the first event, so
+// that a stream which breaks earlier can restart on another server.
+func (r *request) openStream(ctx context.Context, a *attempt, policy silencePolicy) *attemptResult {
+	if v := r.stream.version; r.stream.started && v > 0 && a.reply.Version > 0 && a.reply.Version != v {
+		return r.mayHaveRunResult(ctx, errOtherWeights.Error())
 	}
+	delay, deadline := r.stallLimit(), time.Time{}
+	if policy == withTimeout || delay == 0 {
+		deadline = r.stallDeadline(delay)
+		delay = 0
+	}
+	a.conn.SetReadDeadline(deadline)
+	a.events = sse.NewReader(a.resp.Body)
+	standby := r.newStandby(a, delay)
+	event, err := a.readFirstEvent()
+	if winner := standby.settle(err); winner != nil {
+		return succeededBy(winner)
+	}
+	switch {
+	case errors.Is(err, io.EOF):
+		return r.endWithoutEvents(ctx, a)
+	case errors.Is(err, errTooManyComments):
+		return r.mayHaveRunResult(ctx, err.Error())
+	case err != nil:
+		return r.streamInterrupted(ctx, a, err)
+	}
+	if err := r.checkEvent(event, true, r.stream.started, a.reply); err != nil {
+		return r.mayHaveRunResult(ctx, err.Error())
+	}
+	a.next = &event
+	return nil
+}
+
+// streamInterrupted ends an attempt whose stream ended or stalled before it was complete.
+func (r *request) streamInterrupted(ctx context.Context, a *attempt, err error) *attemptResult {
+	r.recordInterrupted(ctx, a.lease, err)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return r.mayHaveRunResult(ctx, "stream stalled")
+	}
+	return r.mayHaveRunResult(ctx, "stream broken off")
+}
+
+// relay passes a stream on, event by event. Comments of a continuation before its first
+// event are dropped.
+func (r *request) relay(a *attempt) attemptResult {
 	continues := r.stream.started
-	passedOn := 0
-	// held are the comments before the first event of the attempt.
-	var held []byte
-	events := sse.NewReader(resp.Body)
+	if !continues {
+		r.beginStream(a)
+		if _, err := r.writer.Write(a.held); err != nil {
+			return r.callerWriteFailed()
+		}
+	}
+	if a.next == nil {
+		return r.streamEnd()
+	}
 	control := http.NewResponseController(r.writer)
-	timeout := r.stallTimeout()
-	extendDeadline := func() {
-		deadline := time.Time{}
-		if timeout > 0 {
-			deadline = r.gateway.now().Add(timeout)
+	write := func(raw []byte) error {
+		if _, err := r.writer.Write(raw); err != nil || a.events.HasBufferedEvent() {
+			return err
 		}
-		conn.SetReadDeadline(deadline)
+		return control.Flush()
 	}
-	extendDeadline()
+	watch := r.newStallWatch(a)
+	defer watch.stop()
+	event := *a.next
 	for {
-		event, err := events.Next()
-		if errors.Is(err, io.EOF) {
-			if passedOn == 0 {
-				return r.endWithoutEvents(resp, reply, held)
-			}
-			return r.streamEnd()
-		}
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			r.recordInterrupted(lease, err)
-			return r.mayHaveRunResult("stream stalled")
-		}
-		if err != nil {
-			r.recordInterrupted(lease, err)
-			return r.mayHaveRunResult("stream broken off")
-		}
-		if err := r.checkEvent(event, passedOn == 0, continues, reply); err != nil {
-			// The events before it came with it and are not sent yet.
-			if r.stream.started && control.Flush() != nil {
-				return r.callerWriteFailed()
-			}
-			return r.mayHaveRunResult(err.Error())
-		}
-		if passedOn == 0 && event.IsIgnorable {
-			if held = append(held, event.Raw...); len(held) > maxHeldBytes {
-				return r.mayHaveRunResult("too many comments before the first event")
-			}
-			continue
-		}
-		if !continues && passedOn == 0 {
-			r.beginStream(resp, reply)
-			if _, err := r.writer.Write(held); err != nil {
-				return r.callerWriteFailed()
-			}
+		if write(event.Raw) != nil {
+			return r.callerWriteFailed()
 		}
-		if !event.IsIgnorable {
-			passedOn++
+		r.recordEvent(event)
+		var err error
+		if event, err = watch.nextEvent(write); watch.winner != nil {
+			return *succeededBy(watch.winner)
 		}
-		if _, err := r.writer.Write(event.Raw); err != nil {
+		switch {
+		case errors.Is(err, io.EOF):
+			return r.streamEnd()
+		case errors.Is(err, errCallerWrite):
 			return r.callerWriteFailed()
+		case err != nil:
+			return *r.streamInterrupted(r.ctx, a, err)
 		}
-		if !events.HasBufferedEvent() {
-			if err := control.Flush(); err != nil {
+		if err := r.checkEvent(event, false, continues, a.reply); err != nil {
+			// The events before it came with it and are not sent yet.
+			if control.Flush() != nil {
 				return r.callerWriteFailed()
 			}
-		}
-		r.recordEvent(event)
-		// A comment does not show that the stream makes progress.
-		if event.HasID || event.HasData {
-			extendDeadline()
+			return *r.mayHaveRunResult(r.ctx, err.Error())
 		}
 	}
 }
@@ -98,27 +114,32 @@
 // (Route.MaxEventGap). Callers disconnect after twice the product.
 const maxStallGaps = 4
 
-// stallTimeout returns the maximum time between two events of this attempt; zero
-// sets no limit. A slow stream that no other server can continue is not cut.
-func (r *request) stallTimeout() time.Duration {
-	g := r.gateway
-	last := r.route.MaxBackendServers > 0 && r.dispatched >= r.route.MaxBackendServers
-	if r.route.Repeatable() && !last && r.route.MaxEventGap > 0 {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		if g.budget.Remaining(r.service, g.now()) >= 1 {
-			return maxStallGaps * r.route.MaxEventGap
-		}
+// stallLimit is how long the server of a stream may send no event until other servers are
+// asked as well; zero if none can continue the stream.
+func (r *request) stallLimit() time.Duration {
+	if !r.route.Repeatable() || r.isLastServer() {
+		return 0
+	}
+	return maxStallGaps * r.route.MaxEventGap
+}
+
+// stallDeadline is when an attempt without a standby ends if no event has come, for a given
+// stallLimit; zero if it need not end. A slow stream that no other server can continue is
+// not cut.
+func (r *request) stallDeadline(limit time.Duration) time.Time {
+	if limit == 0 && r.deadline.IsZero() {
+		limit = defaultTimeout
 	}
-	if r.deadline.IsZero() {
-		return defaultTimeout
+	if limit == 0 {
+		return time.Time{}
 	}
-	return 0
+	return r.gateway.now().Add(limit)
 }
 
-func (r *request) beginStream(resp *http.Response, reply ResponseInfo) {
+func (r *request) beginStream(a *attempt) {
+	resp := a.resp
 	r.stream.started = true
-	r.stream.version = reply.Version
+	r.stream.version = a.reply.Version
 	r.summary.TimeToFirstByte = r.gateway.now().Sub(r.arrived)
 	r.summary.Status = resp.StatusCode
 	copyResponseHeader(r.writer.Header(), resp.Header)
@@ -138,30 +159,22 @@
 		}
 		r.stream.lastEventID = event.ID
 	}
-	if !event.IsIgnorable {
-		r.stream.unnumbered = !event.HasID
-	}
+	r.stream.unnumbered = !event.HasID
 	if v := r.gateway.config.Dialect.EventVersion(event.Raw); v > 0 {
 		r.stream.version = v
 	}
 }
 
-// endWithoutEvents ends an attempt whose stream has ended before its first event.
-func (r *request) endWithoutEvents(resp *http.Response, reply ResponseInfo, held []byte) attemptResult {
+// endWithoutEvents ends an attempt whose stream has ended before its first event. It
+// returns nil if the caller has all events and misses only the end.
+func (r *request) endWithoutEvents(ctx context.Context, a *attempt) *attemptResult {
 	switch {
 	case r.stream.lastEventID < 0:
-		return r.mayHaveRunResult("stream without events")
-	case r.stream.started && len(held) > 0, !hasMarkedEnd(resp):
-		return r.mayHaveRunResult("continuation without events")
-	}
-	// The caller has all events and misses only the end.
-	if !r.stream.started {
-		r.beginStream(resp, reply)
-		if _, err := r.writer.Write(held); err != nil {
-			return r.callerWriteFailed()
-		}
+		return r.mayHaveRunResult(ctx, "stream without events")
+	case r.stream.started && len(a.held) > 0, !hasMarkedEnd(a.resp):
+		return r.mayHaveRunResult(ctx, "continuation without events")
 	}
-	return r.streamEnd()
+	return nil
 }
 
 func (r *request) streamEnd() attemptResult {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -42,13 +42,13 @@
 	// was placed.
 	nextVersion int
 	nextAt      time.Time
-	// granted is the lease that another entry has granted; nil if the request was
-	// placed by this entry.
-	granted *grant
 	// dispatched counts the servers that the request was sent to.
 	dispatched int
 	// mayHaveRun is set if some server may have run the request.
 	mayHaveRun bool
+	// serverSilent is set while a standby asks other servers, as the silent one may have
+	// begun to run the request.
+	serverSilent bool
 	// serverError is a 5xx response of a backend server, delivered if no other server
 	// responds better.
 	serverError *bufferedResponse
@@ -101,7 +101,7 @@
 	req := placement.Request{
 		Service: r.service, Engine: r.engine, Model: r.info.Model, Version: r.stream.version, MinVersion: r.gateway.versions.MinVersion(r.info.Model, now),
 		PromptTokens: r.info.PromptTokens, OutputTokens: r.info.ExpectedTokens,
-		Remaining: r.remaining(now), Exclude: r.triedServers, MayHaveRun: r.stream.started || r.mayHaveRun,
+		Remaining: r.remaining(now), Exclude: r.triedServers, MayHaveRun: r.stream.started || r.mayHaveRun || r.serverSilent,
 		Homes: r.homes(),
 	}
 	if s := r.table.Service(r.service); s != nil {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -157,7 +157,8 @@
 }
 
 // run sends the request to backend servers, one after another, until one responds or
-// the request must not be retried.
+// the request must not be retried. A server that is silent keeps the request while others
+// are asked.
 func (r *request) run() {
 	g := r.gateway
 	g.awaitWarmup(r.ctx)
@@ -166,16 +167,21 @@
 		return
 	}
 	for {
-		now := g.now()
-		lease, refusal := r.place(now)
+		a, refusal := r.place(r.ctx, g.now())
 		if refusal != nil {
 			r.endUnplaced(refusal)
 			return
 		}
-		r.summary.Server = lease.Server.ID
-		r.summary.Predicted, r.summary.Occupancy, r.summary.LoadAge = lease.Predicted, lease.Occupancy, lease.LoadAge
-		result := r.exchange(lease)
-		r.endAttempt(lease, result.result)
+		r.describe(a)
+		result := r.exchange(a)
+		for result.successor != nil {
+			r.mayHaveRun = true
+			r.endAttempt(a, result.result)
+			a = result.successor
+			r.describe(a)
+			result = r.passOn(a)
+		}
+		r.endAttempt(a, result.result)
 		switch {
 		case result.delivered:
 			return
@@ -188,14 +194,31 @@
 			r.fail(result)
 			return
 		}
-		g.config.Log.Log(eventlog.RequestRetried, "request", r.info.ID, "content", r.fingerprint(), "server", lease.Server.ID, "reason", result.reason,
-			"sent", result.sent, "may_have_run", result.mayHaveRun, "last_event", r.stream.lastEventID, "config", r.summary.ConfigVersion)
+		r.logRetry(a, result)
 	}
 }
 
+// describe records the attempt that the log line of the request names.
+func (r *request) describe(a *attempt) {
+	r.summary.Server, r.summary.PlacedBy = a.lease.Server.ID, a.placedBy
+	r.summary.Predicted, r.summary.Occupancy, r.summary.LoadAge = a.lease.Predicted, a.lease.Occupancy, a.lease.LoadAge
+}
+
+// logRetry logs that another server than that of an attempt is asked.
+func (r *request) logRetry(a *attempt, result attemptResult) {
+	r.gateway.config.Log.Log(eventlog.RequestRetried, "request", r.info.ID, "content", r.fingerprint(), "server", a.lease.Server.ID, "reason", result.reason,
+		"sent", result.sent, "may_have_run", result.mayHaveRun, "last_event", r.stream.lastEventID, "config", r.summary.ConfigVersion)
+}
+
 // mayRetry reports whether another server may get the request after an attempt
 // without a response. It charges the retry budget.
 func (r *request) mayRetry(result attemptResult) bool {
+	return r.isRetryAllowed(result) && (!result.sent || r.chargeRetry())
+}
+
+// isRetryAllowed reports whether another server may get the request if the retry budget
+// permits.
+func (r *request) isRetryAllowed(result attemptResult) bool {
 	if result.sent && result.mayHaveRun && !r.route.Repeatable() {
 		return false
 	}
@@ -208,9 +231,11 @@
 		// maxUnsentAttempts bounds their number and so the loop.
 		return len(r.triedServers) < maxUnsentAttempts
 	}
-	if limit := r.route.MaxBackendServers; limit > 0 && r.dispatched >= limit {
-		return false
-	}
+	return !r.isLastServer()
+}
+
+// chargeRetry takes a retry from the budget. It returns false if none is left.
+func (r *request) chargeRetry() bool {
 	g := r.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- /dev/null
+++ b/gateway/stall_watch.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"errors"
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/sse"
+)
+
+var (
+	errTooManyComments = errors.New("too many comments before the first event")
+	errCallerWrite     = errors.New("caller does not accept the response")
+)
+
+// stallWatch reads the events of a stream and starts a standby whenever none comes for
+// longer than delay; zero starts none.
+type stallWatch struct {
+	request *request
+	attempt *attempt
+	delay   time.Duration
+	// progressAt is when the last event with data or an ID came.
+	progressAt time.Time
+	standby    *standby
+	// winner is the attempt that has taken the stream over; nil if there is none.
+	winner *attempt
+}
+
+func (r *request) newStallWatch(a *attempt) *stallWatch {
+	return &stallWatch{request: r, attempt: a, delay: r.stallLimit(), progressAt: r.gateway.now()}
+}
+
+// nextEvent returns the next event, and passes what comes before it and can be ignored on
+// with write. A comment does not show that the stream makes progress.
+func (w *stallWatch) nextEvent(write func([]byte) error) (sse.Event, error) {
+	r := w.request
+	if w.delay > 0 {
+		w.attempt.conn.SetReadDeadline(time.Time{})
+		w.arm(w.delay - r.gateway.now().Sub(w.progressAt))
+	} else {
+		w.attempt.conn.SetReadDeadline(r.stallDeadline(0))
+	}
+	event, err := w.attempt.events.Next()
+	for err == nil && event.IsIgnorable {
+		if write(event.Raw) != nil {
+			w.settle(errCallerWrite)
+			return event, errCallerWrite
+		}
+		event, err = w.attempt.events.Next()
+	}
+	if !w.standby.halt() {
+		w.settle(err)
+	}
+	if err == nil && (event.HasID || event.HasData) {
+		w.progressAt = r.gateway.now()
+	}
+	return event, err
+}
+
+// arm lets a standby start after delay.
+func (w *stallWatch) arm(delay time.Duration) {
+	delay = max(delay, time.Nanosecond)
+	if w.standby == nil {
+		w.standby = w.request.newStandby(w.attempt, delay)
+		return
+	}
+	w.standby.resume(delay)
+}
+
+func (w *stallWatch) settle(err error) {
+	w.winner = w.standby.settle(err)
+	w.standby = nil
+}
+
+// stop ends the watch. It is called when no read is in progress.
+func (w *stallWatch) stop() { w.standby.release() }
--- a/gateway/weights_deadline_test.go
+++ b/gateway/weights_deadline_test.go
@@ -57,7 +57,7 @@
 			received <- n
 		}()
 		r := newRequest(startMargin / 2)
-		result := r.exchange(newLease(ln.Addr().String(), 1))
+		result := r.exchange(&attempt{lease: newLease(ln.Addr().String(), 1)})
 		Expect(result.sent).To(BeFalse())
 		Expect(result.mayHaveRun).To(BeFalse())
 		Expect(result.result).To(Equal(placement.Rejected))
