Entry answers every request before a stop ends

Cause: a stop of the platform's entry waited for the requests in progress until 0.7 s before the end of the stop time and then cut their connections. Requests were taken until then whatever their own limits were, so a request with a limit of 6 s that came 2.5 s or 3.6 s after the signal was passed on and cut at 7.3 s without an answer, also if it must not be repeated. A connection that was silent for more than a second kept the process waiting, and a request that was then sent on it, or whose head came in parts, was read and dropped. The stop time was read once, 3 s after the signal.

Evidence: internal/node, "Late requests in a stop", on the code before (stop time 8 s, one server on loopback, id and time of the answer since the signal):

late-draft, order-half-body, order-hang, draft-hang, late-half-body, late-order: unexpected EOF at 7.302 s head-in-parts: unexpected EOF at 4.60 s; silent: unexpected EOF at 6.00 s order-hang with a stop time that became 5 s at 3.5 s: answered at 7.00 s [FAILED] order-hang: {status:0 ... at:} unexpected EOF Ran 3 of 75 Specs: 0 Passed, 3 Failed

Once the listener has closed, a request is refused at once with 503 and Retry-After, unless it must not be repeated and its deadline is before the end of the drain. At the end of the drain the context of every request ends, so that it is answered with 503 if it was not sent and with 504 if it may have run; reads of bodies are interrupted. Streams that have begun go on until connections are cut, 0.4 s before the end of the stop time. The times follow the settings during the stop. Connections on which no request has been read are closed when the server shuts down, and a head that has begun to arrive is waited for.

Result: the same specs pass; late requests are refused within 1 ms, those that still run are answered at 7.302 s (4.302 s when the stop time becomes 5 s). internal/node, gateway and platform pass as a whole.

--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -53,21 +53,25 @@
 // rejected.
 const rejectedRetryAfter = 200 * time.Millisecond
 
-// endContextDone ends a request whose context has ended: its caller is gone or its
-// deadline has passed.
+// endContextDone ends a request whose context has ended: its caller is gone, its deadline
+// has passed or the process stops.
 func (r *request) endContextDone() {
 	disconnected := r.http.Context().Err() != nil
+	reason, retryAfter := "time over", rejectedRetryAfter
+	if r.endedByDrain() {
+		reason, retryAfter = reasonStopping, stoppingRetryAfter
+	}
 	switch {
 	case disconnected && !errors.Is(context.Cause(r.http.Context()), context.DeadlineExceeded):
 		r.endCallerGone()
 	case r.stream.started:
-		r.abort("time over")
+		r.abort(reason)
 	case r.serverError != nil:
 		r.deliver(r.serverError)
 	case r.mayHaveRun:
-		r.refuse(http.StatusGatewayTimeout, outcomeUnknown, "time over", 0)
+		r.refuse(http.StatusGatewayTimeout, outcomeUnknown, reason, 0)
 	default:
-		r.refuse(http.StatusServiceUnavailable, outcomeRefused, "time over", rejectedRetryAfter)
+		r.refuse(http.StatusServiceUnavailable, outcomeRefused, reason, retryAfter)
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,7 +71,7 @@
 	// before the first request.
 	peerLink *PeerLink
 
-	draining     atomic.Bool
+	drain        *drain
 	openRequests atomic.Int64
 }
 
@@ -90,6 +90,7 @@
 	}
 	return &Gateway{
 		config:     config,
+		drain:      newDrain(),
 		bodyBudget: upstream.NewBodyBudget(config.MaxBufferedBytes),
 		directory:  d,
 		picker:     picker,
@@ -122,13 +123,7 @@
 
 // Ready reports whether the gateway accepts callers: it has a configuration and is
 // not draining.
-func (g *Gateway) Ready() bool { return !g.draining.Load() && g.table.Load() != nil }
-
-// Drain makes Ready report false. The gateway continues to serve requests.
-func (g *Gateway) Drain() { g.draining.Store(true) }
-
-// Draining reports whether Drain was called.
-func (g *Gateway) Draining() bool { return g.draining.Load() }
+func (g *Gateway) Ready() bool { return !g.Draining() && g.table.Load() != nil }
 
 // OpenRequests returns the number of requests in progress.
 func (g *Gateway) OpenRequests() int { return int(g.openRequests.Load()) }
--- a/gateway/peer_link.go
+++ b/gateway/peer_link.go
@@ -149,7 +149,7 @@
 		subscription := subscriptions[engine.service]
 		if subscription == nil {
 			subscription = encode(&peerlink.Datagram{Subscription: &peerlink.Subscription{
-				Entry: l.name, Region: l.region, Incarnation: l.placements.incarnation, EveryChange: everyChange, IntervalMillis: interval.Milliseconds(), Draining: l.gateway.draining.Load(), Target: targets[engine.service],
+				Entry: l.name, Region: l.region, Incarnation: l.placements.incarnation, EveryChange: everyChange, IntervalMillis: interval.Milliseconds(), Draining: l.gateway.Draining(), Target: targets[engine.service],
 			}})
 			subscriptions[engine.service] = subscription
 		}
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -13,7 +13,7 @@
 
 // isPlacer reports whether this entry may place requests for other entries.
 func (l *PeerLink) isPlacer() bool {
-	if l.gateway.draining.Load() {
+	if l.gateway.Draining() {
 		return false
 	}
 	ranked := l.Rank(placementDuty)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -118,6 +118,7 @@
 
 func (r *request) beginStream(resp *http.Response, reply ResponseInfo) {
 	r.stream.started = true
+	r.ignoreDrain()
 	r.stream.version = reply.Version
 	r.summary.TimeToFirstByte = r.gateway.now().Sub(r.arrived)
 	r.summary.Status = resp.StatusCode
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -18,7 +18,7 @@
 	gateway *Gateway
 	writer  http.ResponseWriter
 	http    *http.Request
-	// ctx ends when the caller disconnects or the deadline passes.
+	// ctx ends when the caller disconnects, the deadline passes or the drain ends.
 	ctx   context.Context
 	info  RequestInfo
 	table *serving.Table
@@ -54,8 +54,11 @@
 	serverError *bufferedResponse
 	// releases return the memory of buffered responses at the end of the request.
 	releases []func()
-	stream   streamState
-	summary  Observation
+	// ignoreDrain makes the request continue after the end of the drain, if that has not
+	// come yet.
+	ignoreDrain func() bool
+	stream      streamState
+	summary     Observation
 }
 
 // bufferedResponse is a whole response of a backend server.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -35,7 +35,7 @@
 	r := &request{gateway: g, writer: w, http: hr, ctx: hr.Context(), arrived: g.now()}
 	r.stream.lastEventID = -1
 	defer r.finish()
-	if g.draining.Load() {
+	if g.Draining() {
 		w.Header().Set("Connection", "close")
 	}
 	if !r.accept() {
@@ -46,6 +46,7 @@
 		defer cancel()
 		r.ctx = ctx
 	}
+	defer r.followDrain()()
 	r.run()
 }
 
@@ -89,7 +90,7 @@
 		r.stream.lastEventID = r.info.LastEventID
 	}
 	r.setDeadline()
-	return r.readBody()
+	return !r.refuseLate() && r.readBody()
 }
 
 // setDeadline sets the deadline from the shorter one of the caller's and the route's
@@ -118,6 +119,9 @@
 	body, err := r.receiveBody(limit)
 	var tooLong *http.MaxBytesError
 	switch {
+	case errors.Is(err, errDrainEnded):
+		r.refuseStopping()
+		return false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		r.refuse(http.StatusRequestTimeout, outcomeRefused, "body not received in time", 0)
 		return false
@@ -146,7 +150,11 @@
 	if err := control.SetReadDeadline(deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return nil, err
 	}
+	interrupted := r.interruptBody(control)
 	body, err := io.ReadAll(http.MaxBytesReader(r.writer, r.http.Body, limit))
+	if interrupted() {
+		return nil, errDrainEnded
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/subscription_pace.go
+++ b/gateway/subscription_pace.go
@@ -82,7 +82,7 @@
 	l.mu.Lock()
 	members, duty := len(l.members.rank(placementDuty, now)), l.members.hasDuty(now)
 	l.mu.Unlock()
-	return l.pace.interval(placer || duty || l.gateway.draining.Load(), members, engines, now)
+	return l.pace.interval(placer || duty || l.gateway.Draining(), members, engines, now)
 }
 
 // needReports renews the subscriptions at once if they are renewed at a longer interval:
--- a/internal/node/caller_conns.go
+++ b/internal/node/caller_conns.go
@@ -20,9 +20,10 @@
 // expected. Its zero value is ready to use. It is safe for concurrent use.
 type callerConns struct {
 	mu sync.Mutex
-	// silent are the connections that have sent nothing yet, with the time at which they
-	// were accepted. active are those with a request in progress.
-	silent map[net.Conn]time.Time
+	// unused are the connections on which no whole head of a request has been read yet,
+	// with the time at which they were accepted. active are those with a request in
+	// progress.
+	unused map[net.Conn]time.Time
 	active map[net.Conn]bool
 }
 
@@ -30,14 +31,14 @@
 func (c *callerConns) observe(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.silent == nil {
-		c.silent, c.active = make(map[net.Conn]time.Time), make(map[net.Conn]bool)
+	if c.unused == nil {
+		c.unused, c.active = make(map[net.Conn]time.Time), make(map[net.Conn]bool)
 	}
-	delete(c.silent, conn)
+	delete(c.unused, conn)
 	delete(c.active, conn)
 	switch state {
 	case http.StateNew:
-		c.silent[conn] = time.Now()
+		c.unused[conn] = time.Now()
 	case http.StateActive:
 		c.active[conn] = true
 	}
@@ -56,10 +57,20 @@
 func (c *callerConns) busy(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, accepted := range c.silent {
-		if now.Sub(accepted) < silentConnTime {
+	for conn, accepted := range c.unused {
+		if caller, ok := conn.(*callerConn); ok && caller.begun.Load() || now.Sub(accepted) < silentConnTime {
 			return true
 		}
 	}
 	return len(c.active) > 0
 }
+
+// closeUnused closes the connections on which no whole head of a request has been read.
+// The server must not serve requests any more.
+func (c *callerConns) closeUnused() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.unused {
+		_ = conn.Close()
+	}
+}
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -19,13 +19,6 @@
 )
 
 const (
-	// balancerReactionTime is the time after which the load balancer sends no more
-	// new connections to an entry that is not ready. It checks readiness once a
-	// second and reacts to two failed checks.
-	balancerReactionTime = 3 * time.Second
-	// exitReserve is the part of StopTime that is reserved for the exit of the
-	// process.
-	exitReserve = 700 * time.Millisecond
 	// assumedEntries is the number of entries that share the retry budget until
 	// agents report the actual number. If it is too high, the entry's share of the
 	// budget is only smaller than necessary.
@@ -102,7 +95,8 @@
 
 // serveCallers accepts callers until ctx ends and then for balancerReactionTime. It
 // returns when all requests have ended, at the latest shortly before stopTime, in
-// nanoseconds, has passed since ctx ended.
+// nanoseconds, has passed since ctx ended. Before that, requests that are still in
+// progress get an answer.
 func serveCallers(ctx context.Context, g *gateway.Gateway, env Environment, stopTime *atomic.Int64) error {
 	s := env.Settings
 	noLog := log.New(discard{}, "", 0)
@@ -112,6 +106,7 @@
 		ConnState: conns.observe,
 	}
 	readyServer := &http.Server{Handler: platform.ReadyHandler(g.Ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: noLog}
+	callerServer.RegisterOnShutdown(conns.closeUnused)
 	callerListener, err := listenCallers(s.CallerAddress)
 	if err != nil {
 		return err
@@ -133,15 +128,16 @@
 		return err
 	case <-ctx.Done():
 	}
-	stoppedAt := time.Now()
+	schedule := &stopSchedule{signalledAt: time.Now(), stopTime: stopTime}
 	g.Drain()
 	env.Log.Log(eventlog.ProcessStopping, "open", g.OpenRequests())
-	time.Sleep(balancerReactionTime)
-	drainTime := max(time.Duration(stopTime.Load())-exitReserve, balancerReactionTime)
-	drainCtx, cancel := context.WithDeadline(context.Background(), stoppedAt.Add(drainTime))
+	drainCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	go schedule.run(drainCtx, g, cancel)
+	time.Sleep(balancerReactionTime)
 	// Shutdown drops requests that are read after its start. Before it, the listener and the
-	// idle connections close, and the requests on all other connections are answered.
+	// idle connections close, and the requests on all other connections are answered. It
+	// would wait for connections on which no request has been read, so it closes them first.
 	_ = callerListener.Close()
 	select {
 	case <-callersDone:
--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -66,14 +66,18 @@
 	return string(text)
 }
 
-func startEntry() *entryUnderTest {
+func startEntry() *entryUnderTest { return startEntryWith(8*time.Second, nil) }
+
+// startEntryWith starts an entry with the given stop time, and with
+// Environment.WatchSettings.
+func startEntryWith(stopTime time.Duration, watch func(context.Context, func(*platform.Settings))) *entryUnderTest {
 	e := &entryUnderTest{store: platformtest.NewStore(), logs: &logBuffer{}, done: make(chan error, 1)}
 	ip, err := loopback.NewIP()
 	Expect(err).NotTo(HaveOccurred())
 	text := fmt.Sprintf(`{node_name: edge-1, ip: %s, zone: north, region: n, zones: {north: n},
 listen: {frontend: "%[1]s:9000", ready: "%[1]s:9001"}, port_range: [9100, 9199], platform: {address: "%[2]s"},
-bounds: {grace_s: 8, retry_ratio: 0.2, retry_window_s: 10, retry_slack: 100}}`,
-		ip, e.store.Address())
+bounds: {grace_s: %[3]g, retry_ratio: 0.2, retry_window_s: 10, retry_slack: 100}}`,
+		ip, e.store.Address(), stopTime.Seconds())
 	path := filepath.Join(GinkgoT().TempDir(), "node.yaml")
 	Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
 	e.settings, err = platform.LoadSettings(path)
@@ -81,7 +85,9 @@
 	ctx, stop := context.WithCancel(context.Background())
 	e.stop = stop
 	go func() {
-		e.done <- RunGateway(ctx, Environment{Settings: e.settings, MetricsPort: testMetricsPort, Log: eventlog.OpenPlain(e.logs, clock.System{})})
+		e.done <- RunGateway(ctx, Environment{
+			Settings: e.settings, MetricsPort: testMetricsPort, Log: eventlog.OpenPlain(e.logs, clock.System{}), WatchSettings: watch,
+		})
 	}()
 	DeferCleanup(func() {
 		stop()
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -37,7 +37,7 @@
 
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
-	conn, err := l.TCPListener.Accept()
+	conn, err := l.accept()
 	closesAt := l.closesAt.Load()
 	if err == nil || closesAt == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 		return conn, err
@@ -48,7 +48,7 @@
 		if err := l.SetDeadline(now.Add(pendingAcceptTimeout)); err != nil {
 			return nil, err
 		}
-		if conn, err := l.TCPListener.Accept(); err == nil {
+		if conn, err := l.accept(); err == nil {
 			return conn, l.SetDeadline(time.Now())
 		}
 	}
@@ -56,6 +56,14 @@
 	return nil, net.ErrClosed
 }
 
+func (l *callerListener) accept() (net.Conn, error) {
+	conn, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return &callerConn{TCPConn: conn}, nil
+}
+
 // Close implements net.Listener. Accept returns the pending connections and then
 // net.ErrClosed, after maxCloseTime at the latest.
 func (l *callerListener) Close() error {
