Product's own entry answers every request before its drain ends

Cause: the entry waited for running requests until the drain timeout, which says nothing about their own limits, and the process then exited and cut their connections. It took every request that still arrived. A second signal cut them at once.

After the balancer's time, requests are refused as not run unless they must not be repeated and their deadline is before the time at which final responses are due. Then the contexts of running requests end with ErrDrainEnded, which the dispatcher reports to the attempt as the stop of the entry: not run if no agent had the request, otherwise unknown. Requests that arrive while connections close are refused. An aborted drain does the same, and lib/daemon gives it half a second. Responses during a drain close their connections also if the request began before it.

--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -62,6 +62,7 @@
 	cfg      Config
 	hertz    *server.Hertz
 	draining atomic.Bool
+	drain    *drain
 	// closeConnections makes each connection close after its current request.
 	closeConnections atomic.Bool
 	running          atomic.Int64
@@ -69,7 +70,7 @@
 
 // NewServer returns a Server. Run starts it.
 func NewServer(cfg Config) *Server {
-	s := &Server{cfg: cfg}
+	s := &Server{cfg: cfg, drain: newDrain()}
 	options := []hertzconfig.Option{
 		server.WithListener(cfg.Listener),
 		server.WithTransport(netpoll.NewTransporter),
@@ -97,24 +98,45 @@
 	s.closeConnections.Store(true)
 }
 
-// Drain waits until no request is running and then closes the connections.
-// Requests that still arrive are served, each as the last one on its
-// connection. It returns the error of ctx if ctx ends first.
+// Drain waits until no request is running and then closes the connections. Of the
+// requests that still arrive, it accepts those that must not be repeated and are sure to
+// end in time, each as the last one on its connection. Requests that are running shortly
+// before the deadline of ctx get a final response. If ctx ends first, they get it then,
+// and Drain returns the error of ctx.
 func (s *Server) Drain(ctx context.Context) error {
 	s.closeConnections.Store(true)
+	responsesDue := s.drain.begin(ctx, s.cfg.Clock.Now())
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
-	for s.running.Load() > 0 {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
+	for {
+		for s.running.Load() > 0 {
+			select {
+			case <-ticker.C:
+			case <-responsesDue:
+				s.drain.end(ErrDrainEnded)
+			case <-ctx.Done():
+				s.abort()
+				return ctx.Err()
+			}
+		}
+		// A request may have arrived since. None is accepted in the second round.
+		if s.drain.closing.Swap(true) {
+			break
 		}
 	}
 	s.Close(closeTimeout)
 	return nil
 }
 
+// abort makes running requests get their final responses, and waits a moment for them.
+func (s *Server) abort() {
+	s.drain.closing.Store(true)
+	s.drain.end(ErrDrainEnded)
+	for end := time.Now().Add(abortTime); s.running.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(drainPollInterval)
+	}
+}
+
 // Close stops the server. Running requests have at most timeout to complete.
 func (s *Server) Close(timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
@@ -134,12 +156,18 @@
 	}
 }
 
-func (s *Server) serve(c context.Context, ctx *app.RequestContext) {
-	s.running.Add(1)
-	defer s.running.Add(-1)
+func (s *Server) closeIfDraining(ctx *app.RequestContext) {
 	if s.closeConnections.Load() {
 		ctx.SetConnectionClose()
 	}
+}
+
+func (s *Server) serve(c context.Context, ctx *app.RequestContext) {
+	s.running.Add(1)
+	defer s.running.Add(-1)
+	s.closeIfDraining(ctx)
+	// The drain may begin while the request is running.
+	defer s.closeIfDraining(ctx)
 	raw := readRaw(ctx)
 	if raw.requestID == "" {
 		raw.requestID = uuid.NewString()
@@ -157,9 +185,16 @@
 		response.End(Result{Outcome: outcome.NotRun, Reason: refused.reason, Detail: refused.detail})
 		return
 	}
+	if s.drain.refuses(request) {
+		s.cfg.Log.Log(eventlog.RequestNotRun, "request", raw.requestID, "service", request.Service.Name, "tenant", request.Tenant.Name, "reason", outcome.ReasonDraining)
+		response.End(Result{Outcome: outcome.NotRun, Reason: outcome.ReasonDraining, RetryAfter: drainingRetryAfter, Detail: "this entry is stopping"})
+		return
+	}
 	if request.Service.Kind == config.KindPlain && acceptsStream(ctx) {
 		response = newHeldStreamResponse(ctx, string(request.ID))
 	}
+	c, release := s.drain.follow(c)
+	defer release()
 	s.cfg.Handler.Handle(c, request, response)
 }
 
--- a/entry/dispatch/dispatch_test.go
+++ b/entry/dispatch/dispatch_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/auburnbend/auburnbend/entry/caller"
 	"github.com/auburnbend/auburnbend/internal/agenttest"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/outcome"
@@ -111,6 +112,26 @@
 			Eventually(drained).WithTimeout(testTimeout).Should(Receive(BeNil()))
 		})
 
+		// Guards against requests that are cut with no answer when the entry stops, and
+		// against a "not run" for a request that may have run.
+		It("responds when the entry stops before the deadline", func() {
+			stopping, stop := context.WithCancelCause(context.Background())
+			handle := func(key string, change ...func(*call)) *call {
+				c := h.newCall(key, "plate", change...)
+				go h.dispatcher.Handle(stopping, &c.Request, c)
+				return c
+			}
+			order, draft := handle("k"), handle("")
+			started(a)
+			started(a)
+			queued := handle("other", func(c *call) { c.Service.Pool = "no such pool" })
+			Consistently(queued.ended).WithTimeout(100 * time.Millisecond).ShouldNot(Receive())
+			stop(caller.ErrDrainEnded)
+			expectResult(order, outcome.Unknown, outcome.ReasonDraining)
+			expectResult(draft, outcome.Unknown, outcome.ReasonDraining)
+			expectResult(queued, outcome.NotRun, outcome.ReasonDraining)
+		})
+
 		// Guards against losing a result if the caller disconnects while the
 		// connection to the agent is down.
 		It("completes the claim over a new connection after the caller has disconnected", func() {
--- a/entry/dispatch/harness_test.go
+++ b/entry/dispatch/harness_test.go
@@ -112,8 +112,16 @@
 func (h *harness) send(key, body string, change ...func(*call)) *call {
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
+	c := h.newCall(key, body, change...)
+	c.disconnect = cancel
+	go h.dispatcher.Handle(ctx, &c.Request, c)
+	return c
+}
+
+// newCall returns a request that has not been started.
+func (h *harness) newCall(key, body string, change ...func(*call)) *call {
 	now := time.Now()
-	c := &call{disconnect: cancel, ended: make(chan caller.Result, 1), Request: caller.Request{
+	c := &call{ended: make(chan caller.Result, 1), Request: caller.Request{
 		ID:       model.RequestID("call-" + strconv.Itoa(int(h.calls.Add(1)))),
 		Tenant:   config.Tenant{Name: "desk", Share: 1},
 		Class:    config.Class{Name: "interactive"},
@@ -124,7 +132,6 @@
 	for _, f := range change {
 		f(c)
 	}
-	go h.dispatcher.Handle(ctx, &c.Request, c)
 	return c
 }
 
--- a/entry/dispatch/run.go
+++ b/entry/dispatch/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/google/uuid"
@@ -173,10 +172,8 @@
 	switch {
 	case res.reason != outcome.ReasonCanceled:
 		return r.machine.NotAdmitted(r.now(), res.reason, res.retryAfter)
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return r.machine.DeadlinePassed(r.now())
 	default:
-		return r.machine.Canceled(r.now())
+		return r.interrupted(ctx)
 	}
 }
 
--- a/entry/dispatch/run_events.go
+++ b/entry/dispatch/run_events.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/auburnbend/auburnbend/entry/caller"
 	"github.com/auburnbend/auburnbend/entry/link"
 	"github.com/auburnbend/auburnbend/lib/attempt"
 	"github.com/auburnbend/auburnbend/lib/config"
@@ -50,11 +51,16 @@
 	return r.machine.ServerCrashed(r.now(), r.attempt)
 }
 
+// interrupted ends the request because its context has ended.
 func (r *run) interrupted(ctx context.Context) attempt.Step {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case errors.Is(context.Cause(ctx), caller.ErrDrainEnded):
+		return r.machine.EntryStopping(r.now())
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return r.machine.DeadlinePassed(r.now())
+	default:
+		return r.machine.Canceled(r.now())
 	}
-	return r.machine.Canceled(r.now())
 }
 
 func (r *run) receive(m wire.Message) attempt.Step {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -195,13 +195,21 @@
 // or operators.
 func (e *Entry) Failed() <-chan error { return e.serveErrors }
 
+// balancerLag returns BalancerLag, or half of the time until ctx ends if that is shorter.
+func (e *Entry) balancerLag(ctx context.Context) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok {
+		return min(e.cfg.BalancerLag, time.Until(deadline)/2)
+	}
+	return e.cfg.BalancerLag
+}
+
 // Drain makes the readiness check fail, accepts requests for BalancerLag more, and then
-// finishes the requests in progress. It returns an error if ctx ends before all of them
-// have ended.
+// finishes the requests in progress. Those that still run shortly before the deadline of
+// ctx get a final response. It returns an error if ctx ends before all of them have ended.
 func (e *Entry) Drain(ctx context.Context) error {
 	e.draining.Store(true)
 	e.callerServer.SetDraining()
-	lag := time.NewTimer(e.cfg.BalancerLag)
+	lag := time.NewTimer(e.balancerLag(ctx))
 	defer lag.Stop()
 	select {
 	case <-lag.C:
--- a/lib/attempt/event.go
+++ b/lib/attempt/event.go
@@ -92,6 +92,11 @@
 	return m.fire(triggerDeadline, event{now: now})
 }
 
+// EntryStopping reports that the entry stops before the deadline of the request.
+func (m *Machine) EntryStopping(now time.Time) Step {
+	return m.fire(triggerDeadline, event{now: now, reason: outcome.ReasonDraining})
+}
+
 // Canceled reports that the caller disconnected or canceled the request.
 func (m *Machine) Canceled(now time.Time) Step {
 	return m.fire(triggerCanceled, event{now: now})
--- a/lib/attempt/pending.go
+++ b/lib/attempt/pending.go
@@ -2,7 +2,9 @@
 
 import "github.com/auburnbend/auburnbend/lib/outcome"
 
-func (m *Machine) onDeadline() state { return m.finishEarly(outcome.ReasonDeadline) }
+func (m *Machine) onDeadline() state {
+	return m.finishEarly(reasonOr(m.event.reason, outcome.ReasonDeadline))
+}
 
 func (m *Machine) onCanceled() state { return m.finishEarly(outcome.ReasonCanceled) }
 
--- a/lib/daemon/command.go
+++ b/lib/daemon/command.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/spf13/cobra"
@@ -100,6 +101,10 @@
 	return code
 }
 
+// abortTimeout is how long a drain that is aborted may take to return. Requests in
+// progress get their final responses meanwhile.
+const abortTimeout = 500 * time.Millisecond
+
 // waitAndDrain waits for a failure or a signal. After a signal it drains the process
 // until that is done, the drain timeout expires or a second signal arrives.
 func waitAndDrain(process Process, common CommonSettings, log *eventlog.Logger, signals <-chan os.Signal) int {
@@ -123,9 +128,13 @@
 		return ExitOK
 	case s := <-signals:
 		log.Log(eventlog.DrainUnfinished, "signal", s)
-		return ExitDrainIncomplete
+		cancel()
 	case <-ctx.Done():
 		log.Log(eventlog.DrainUnfinished, "error", ctx.Err())
-		return ExitDrainIncomplete
 	}
+	select {
+	case <-drained:
+	case <-time.After(abortTimeout):
+	}
+	return ExitDrainIncomplete
 }
--- a/lib/daemon/daemon_test.go
+++ b/lib/daemon/daemon_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,6 +22,11 @@
 	drained chan error
 	failed  chan error
 	closed  bool
+	// abortTime is how long Drain takes to return after the end of its context.
+	abortTime time.Duration
+	// aborted is set once Drain has returned because of the end of its context.
+	// abortedAtClose is its value at the time of Close.
+	aborted, abortedAtClose atomic.Bool
 }
 
 func (p *fakeProcess) Drain(ctx context.Context) error {
@@ -28,10 +34,17 @@
 	case err := <-p.drained:
 		return err
 	case <-ctx.Done():
+		time.Sleep(p.abortTime)
+		p.aborted.Store(true)
 		return ctx.Err()
 	}
 }
-func (p *fakeProcess) Close() error         { p.closed = true; return nil }
+
+func (p *fakeProcess) Close() error {
+	p.closed = true
+	p.abortedAtClose.Store(p.aborted.Load())
+	return nil
+}
 func (p *fakeProcess) Failed() <-chan error { return p.failed }
 
 var _ = Describe("Execute", func() {
@@ -83,6 +96,25 @@
 		Expect(p.closed).To(BeTrue())
 	})
 
+	It("lets an aborted drain send final responses", func() {
+		// Guards against requests in progress that are cut with no answer at a second signal.
+		p.abortTime = 100 * time.Millisecond
+		signals <- syscall.SIGTERM
+		signals <- syscall.SIGINT
+		Expect(execute("--config", "x.ini")).To(Equal(daemon.ExitDrainIncomplete))
+		Expect(p.abortedAtClose.Load()).To(BeTrue())
+	})
+
+	It("exits in bounded time if an aborted drain does not return", func() {
+		p.abortTime = time.Minute
+		signals <- syscall.SIGTERM
+		signals <- syscall.SIGINT
+		start := time.Now()
+		Expect(execute("--config", "x.ini")).To(Equal(daemon.ExitDrainIncomplete))
+		Expect(time.Since(start)).To(BeNumerically("<", 5*time.Second))
+		Expect(p.closed).To(BeTrue())
+	})
+
 	It("exits at the drain timeout", func() {
 		timeout = time.Millisecond
 		signals <- syscall.SIGTERM
