--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -139,6 +139,7 @@
 func (r *request) beginStream(a *attempt) {
 	resp := a.resp
 	r.stream.started = true
+	r.ignoreDrain()
 	r.stream.version = a.reply.Version
 	r.summary.TimeToFirstByte = r.gateway.now().Sub(r.arrived)
 	r.summary.Status = resp.StatusCode
