Standbys keep their server until the silent one has responded in full

Cause: a standby was settled by the head of the silent server's response, by a refusal, a failure or an event that cannot be passed on just as by a whole response, and the server that it had asked was told to stop. With the usual two servers of a route nothing was left then. The end of a stream was taken for a failure instead: it waited for the server that had been asked to continue.

Change: checkHead and the checks of the first event change nothing, so that they can be made while the standby owns the request. Only what can be passed on ends a standby; anything else waits for the server that is asked. The delay of a standby covers a whole plain response, as the comment on the limits says. A stream without any time limit ends after defaultTimeout of silence again, also where a standby watches it.

--- a/gateway/continuation.go
+++ b/gateway/continuation.go
@@ -10,6 +10,9 @@
 )
 
 var (
+	errNoEvents          = errors.New("stream without events")
+	errEmptyContinuation = errors.New("continuation without events")
+
 	errEventOrder      = errors.New("event out of order")
 	errEventMissing    = errors.New("continuation after a missing event")
 	errEventUnnumbered = errors.New("continuation with an event without a number")
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -75,21 +75,37 @@
 	upstreamRequest := r.upstreamRequest(r.attemptInfo(a.lease))
 	standby := r.newStandby(a, limit)
 	resp, err := conn.Do(upstreamRequest)
-	if winner := standby.settle(err); winner != nil {
-		return succeededBy(winner)
-	}
 	if err != nil {
+		if winner := standby.settle(err); winner != nil {
+			return succeededBy(winner)
+		}
 		return r.interrupted(ctx, a, err, "no answer")
 	}
 	a.resp = resp
 	a.reply = g.config.Dialect.ParseResponse(resp.StatusCode, resp.Header)
-	if failure := r.checkHead(ctx, a); failure != nil {
-		return failure
+	r.recordResponse(a)
+	if failure := r.checkHead(a); failure != nil {
+		if winner := standby.settle(errUnusable); winner != nil {
+			return succeededBy(winner)
+		}
+		return r.unusable(ctx, *failure)
 	}
 	if r.isStreaming() && resp.StatusCode == http.StatusOK && isEventStream(resp) {
-		return r.openStream(ctx, a, policy)
+		return r.openStream(ctx, a, policy, standby)
 	}
-	return r.bufferResponse(ctx, a, limit)
+	return r.bufferResponse(ctx, a, standby)
+}
+
+// errUnusable settles a standby whose server has sent a response that must not be passed on.
+var errUnusable = errors.New("response cannot be passed on")
+
+// unusable ends an attempt with a failure that checkHead has found.
+func (r *request) unusable(ctx context.Context, failure attemptResult) *attemptResult {
+	if !failure.mayHaveRun {
+		return &failure
+	}
+	r.mayHaveRun = true
+	return resolve(ctx, failure.result, failure)
 }
 
 // interrupted ends an attempt whose connection ended or timed out before the response was
@@ -177,9 +193,8 @@
 }
 
 // checkHead returns the result of an attempt whose response must not be passed on, judged
-// by its head; nil if it may be.
-func (r *request) checkHead(ctx context.Context, a *attempt) *attemptResult {
-	r.recordResponse(a)
+// by its head; nil if it may be. It changes nothing, as a standby may own the request.
+func (r *request) checkHead(a *attempt) *attemptResult {
 	reply, status := a.reply, a.resp.StatusCode
 	switch {
 	case reply.Instance != "" && reply.Instance != a.lease.Server.ID:
@@ -189,7 +204,7 @@
 	case reply.RequestID != r.info.ID:
 		// This includes refusals: the server may have sent that of an earlier request once
 		// more, and run this one.
-		return r.mayHaveRunResult(ctx, "answer of another request")
+		return mayHaveRunFailure("answer of another request")
 	case r.info.ID != "" && (reply.NotExecuted || reply.Misdirected):
 		rejected := &attemptResult{result: placement.Rejected, sent: true, reason: "rejected by the server"}
 		if reply.Misdirected {
@@ -197,13 +212,15 @@
 		}
 		return rejected
 	case promisesNotRun(status):
-		return r.unprovenRefusal(ctx, reply)
+		return unprovenRefusal(reply)
 	case !reply.Signed && status < 300:
-		return r.mayHaveRunResult(ctx, "answer without a signature")
+		return mayHaveRunFailure("answer without a signature")
 	case isEncoded(a.resp) && status < 300:
-		return r.mayHaveRunResult(ctx, "answer with an encoded body")
+		return mayHaveRunFailure("answer with an encoded body")
 	case r.stream.started && !isContinuation(a.resp):
-		return r.mayHaveRunResult(ctx, "no continuation")
+		return mayHaveRunFailure("no continuation")
+	case r.stream.started && r.stream.version > 0 && reply.Version > 0 && reply.Version != r.stream.version:
+		return mayHaveRunFailure(errOtherWeights.Error())
 	}
 	return nil
 }
@@ -229,12 +246,14 @@
 }
 
 // bufferResponse reads a response that is not a stream to its end, so that a truncated one can
-// be replaced by another server's. standbyDelay is how long that may take until other
-// servers are asked as well; zero asks none.
-func (r *request) bufferResponse(ctx context.Context, a *attempt, standbyDelay time.Duration) *attemptResult {
-	standby := r.newStandby(a, standbyDelay)
+// be replaced by another server's. The delay of the standby covers the whole response.
+func (r *request) bufferResponse(ctx context.Context, a *attempt, standby *standby) *attemptResult {
 	body, release, err := r.gateway.bodyBudget.ReadAll(a.resp, maxResponseBytes)
-	if winner := standby.settle(err); winner != nil {
+	failure := err
+	if err == nil && a.resp.StatusCode >= http.StatusInternalServerError {
+		failure = errUnusable
+	}
+	if winner := standby.settle(failure); winner != nil {
 		if err == nil {
 			release()
 		}
@@ -270,9 +289,9 @@
 
 // unprovenRefusal ends an attempt whose response has such a status, but does not state
 // that the server did not run the request.
-func (r *request) unprovenRefusal(ctx context.Context, reply ResponseInfo) *attemptResult {
-	attempt := r.mayHaveRunResult(ctx, "refusal that does not rule out a run")
-	if reply.Pause > 0 && attempt.result == placement.Failed {
+func unprovenRefusal(reply ResponseInfo) *attemptResult {
+	attempt := mayHaveRunFailure("refusal that does not rule out a run")
+	if reply.Pause > 0 {
 		// The server is shedding load, which is not a fault.
 		attempt.result = placement.Rejected
 	}
@@ -281,8 +300,12 @@
 
 // mayHaveRunResult ends an attempt after which the request may have run.
 func (r *request) mayHaveRunResult(ctx context.Context, reason string) *attemptResult {
-	r.mayHaveRun = true
-	return resolve(ctx, placement.Failed, attemptResult{sent: true, mayHaveRun: true, reason: reason})
+	return r.unusable(ctx, *mayHaveRunFailure(reason))
+}
+
+// mayHaveRunFailure is the result of an attempt that has failed and may have run.
+func mayHaveRunFailure(reason string) *attemptResult {
+	return &attemptResult{result: placement.Failed, sent: true, mayHaveRun: true, reason: reason}
 }
 
 // resolve sets the result of a failed attempt: Cancelled if its context has ended,
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -18,36 +18,48 @@
 
 // openStream reads the first event of a stream. Comments before it are held back, because
 // they do not show that the response is a stream. The head is sent with the first event, so
-// that a stream which breaks earlier can restart on another server.
-func (r *request) openStream(ctx context.Context, a *attempt, policy silencePolicy) *attemptResult {
-	if v := r.stream.version; r.stream.started && v > 0 && a.reply.Version > 0 && a.reply.Version != v {
-		return r.mayHaveRunResult(ctx, errOtherWeights.Error())
-	}
-	delay, deadline := r.stallLimit(), time.Time{}
-	if policy == withTimeout || delay == 0 {
-		deadline = r.stallDeadline(delay)
-		delay = 0
+// that a stream which breaks earlier can restart on another server. A standby that began
+// before the head goes on until the first event.
+func (r *request) openStream(ctx context.Context, a *attempt, policy silencePolicy, standby *standby) *attemptResult {
+	deadline := r.stallDeadline(0)
+	if standby.halt() {
+		standby.release()
+		delay := r.stallLimit()
+		if policy == withTimeout {
+			deadline = r.stallDeadline(delay)
+			delay = 0
+		}
+		standby = r.newStandby(a, delay)
 	}
 	a.conn.SetReadDeadline(deadline)
 	a.events = sse.NewReader(a.resp.Body)
-	standby := r.newStandby(a, delay)
 	event, err := a.readFirstEvent()
-	if winner := standby.settle(err); winner != nil {
+	failure := r.checkFirstEvent(a, event, err)
+	if winner := standby.settle(failure); winner != nil {
 		return succeededBy(winner)
 	}
+	switch {
+	case failure == nil && err == nil:
+		a.next = &event
+		return nil
+	case failure == nil:
+		return nil
+	case err == nil, errors.Is(err, io.EOF), errors.Is(err, errTooManyComments):
+		return r.mayHaveRunResult(ctx, failure.Error())
+	}
+	return r.streamInterrupted(ctx, a, err)
+}
+
+// checkFirstEvent returns an error if a stream cannot be passed on from its first event, or
+// from the error that came in place of one.
+func (r *request) checkFirstEvent(a *attempt, event sse.Event, err error) error {
 	switch {
 	case errors.Is(err, io.EOF):
-		return r.endWithoutEvents(ctx, a)
-	case errors.Is(err, errTooManyComments):
-		return r.mayHaveRunResult(ctx, err.Error())
+		return r.checkWithoutEvents(a)
 	case err != nil:
-		return r.streamInterrupted(ctx, a, err)
-	}
-	if err := r.checkEvent(event, true, r.stream.started, a.reply); err != nil {
-		return r.mayHaveRunResult(ctx, err.Error())
+		return err
 	}
-	a.next = &event
-	return nil
+	return r.checkEvent(event, true, r.stream.started, a.reply)
 }
 
 // streamInterrupted ends an attempt whose stream ended or stalled before it was complete.
@@ -79,7 +91,7 @@
 		}
 		return control.Flush()
 	}
-	watch := r.newStallWatch(a)
+	watch := r.newStallWatch(a, continues)
 	defer watch.stop()
 	event := *a.next
 	for {
@@ -165,14 +177,14 @@
 	}
 }
 
-// endWithoutEvents ends an attempt whose stream has ended before its first event. It
-// returns nil if the caller has all events and misses only the end.
-func (r *request) endWithoutEvents(ctx context.Context, a *attempt) *attemptResult {
+// checkWithoutEvents returns an error if a stream that has ended before its first event
+// cannot be passed on; nil if the caller has all events and misses only the end.
+func (r *request) checkWithoutEvents(a *attempt) error {
 	switch {
 	case r.stream.lastEventID < 0:
-		return r.mayHaveRunResult(ctx, "stream without events")
+		return errNoEvents
 	case r.stream.started && len(a.held) > 0, !hasMarkedEnd(a.resp):
-		return r.mayHaveRunResult(ctx, "continuation without events")
+		return errEmptyContinuation
 	}
 	return nil
 }
--- a/gateway/stall_watch.go
+++ b/gateway/stall_watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/sse"
@@ -17,7 +18,9 @@
 type stallWatch struct {
 	request *request
 	attempt *attempt
-	delay   time.Duration
+	// continues is set if the caller has the head of another server's stream.
+	continues bool
+	delay     time.Duration
 	// progressAt is when the last event with data or an ID came.
 	progressAt time.Time
 	standby    *standby
@@ -25,19 +28,17 @@
 	winner *attempt
 }
 
-func (r *request) newStallWatch(a *attempt) *stallWatch {
-	return &stallWatch{request: r, attempt: a, delay: r.stallLimit(), progressAt: r.gateway.now()}
+func (r *request) newStallWatch(a *attempt, continues bool) *stallWatch {
+	return &stallWatch{request: r, attempt: a, continues: continues, delay: r.stallLimit(), progressAt: r.gateway.now()}
 }
 
 // nextEvent returns the next event, and passes what comes before it and can be ignored on
 // with write. A comment does not show that the stream makes progress.
 func (w *stallWatch) nextEvent(write func([]byte) error) (sse.Event, error) {
 	r := w.request
+	w.attempt.conn.SetReadDeadline(r.stallDeadline(0))
 	if w.delay > 0 {
-		w.attempt.conn.SetReadDeadline(time.Time{})
 		w.arm(w.delay - r.gateway.now().Sub(w.progressAt))
-	} else {
-		w.attempt.conn.SetReadDeadline(r.stallDeadline(0))
 	}
 	event, err := w.attempt.events.Next()
 	for err == nil && event.IsIgnorable {
@@ -48,7 +49,7 @@
 		event, err = w.attempt.events.Next()
 	}
 	if !w.standby.halt() {
-		w.settle(err)
+		w.settle(w.failure(event, err))
 	}
 	if err == nil && (event.HasID || event.HasData) {
 		w.progressAt = r.gateway.now()
@@ -56,6 +57,18 @@
 	return event, err
 }
 
+// failure is the error for which a stream cannot go on; nil if it can, or has ended as a
+// whole.
+func (w *stallWatch) failure(event sse.Event, err error) error {
+	switch {
+	case errors.Is(err, io.EOF):
+		return nil
+	case err != nil:
+		return err
+	}
+	return w.request.checkEvent(event, false, w.continues, w.attempt.reply)
+}
+
 // arm lets a standby start after delay.
 func (w *stallWatch) arm(delay time.Duration) {
 	delay = max(delay, time.Nanosecond)
