Return the memory of a response that a standby got too late

Cause: where the silent server and the one that was asked in its place respond in the same moment, the later response is dropped. The memory that it holds in the budget of all buffered responses was not returned, and mayHaveRun was not set although the server had run the request. Each such response took 16 KiB or more of 16 MiB for good; without it, no plain response can be passed on.

Evidence: "returns the memory of a response that comes too late" fails without the change: "memory for buffered responses is used up".

Change: a dropped response returns its memory and sets mayHaveRun.

--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -70,7 +70,7 @@
 				s.current.conn.Close()
 				return
 			}
-			r.endAttempt(a, placement.Cancelled)
+			s.discard(a)
 			return
 		}
 		select {
@@ -82,6 +82,16 @@
 	}
 }
 
+// discard ends an attempt that has begun to respond too late.
+func (s *standby) discard(a *attempt) {
+	r := s.request
+	r.mayHaveRun = true
+	if a.release != nil {
+		a.release()
+	}
+	r.endAttempt(a, placement.Cancelled)
+}
+
 // try asks one other server, and returns the attempt if that has begun to respond.
 func (s *standby) try() *attempt {
 	r := s.request
--- /dev/null
+++ b/gateway/standby_test.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/lib/clock"
+	"github.com/auburnbend/auburnbend/lib/directory"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/placement"
+	"github.com/auburnbend/auburnbend/lib/retry"
+	"github.com/auburnbend/auburnbend/lib/serving"
+)
+
+// signedDialect takes each response for a signed one to the request "id".
+type signedDialect struct{ Dialect }
+
+func (signedDialect) ParseRequest(http.Header) (RequestInfo, error) {
+	return RequestInfo{ID: "id", LastEventID: -1}, nil
+}
+func (signedDialect) PrepareAttempt(http.Header, AttemptInfo) {}
+func (signedDialect) ParseResponse(int, http.Header) ResponseInfo {
+	return ResponseInfo{RequestID: "id", Signed: true}
+}
+func (signedDialect) EventVersion([]byte) int                           { return 0 }
+func (signedDialect) PrepareRefusal(http.Header, string, time.Duration) {}
+
+var _ = Describe("The standby of an attempt", func() {
+	const target = 20 * time.Millisecond
+	manyRetries := retry.Config{Ratio: 1, Window: 10 * time.Second, Slack: 100}
+
+	newGateway := func(budget retry.Config, maxBuffered int64, addresses ...string) *Gateway {
+		g := New(Config{
+			Dialect: signedDialect{}, Clock: clock.System{}, Log: eventlog.Discard(), Placement: placement.Config{Domain: "north"},
+			Retry: budget, Entries: 1, MaxBufferedBytes: maxBuffered,
+		})
+		route := serving.Route{Name: "r", Host: "example.com", Prefix: "/", Kind: serving.Idempotent, TargetLatency: target, Timeout: 2 * time.Second, Targets: []serving.Target{{Service: "s", Weight: 1}}}
+		g.SetConfig(&serving.Config{Version: 1, Routes: []serving.Route{route}, Services: []serving.Service{{Name: "s"}}})
+		var list []*directory.Server
+		for i, address := range addresses {
+			// The first server is preferred because only it is in the gateway's domain.
+			list = append(list, &directory.Server{ID: fmt.Sprint("s", i), Service: "s", Address: address, Domain: []string{"north", "south"}[min(i, 1)], Slots: 6})
+		}
+		g.ReplaceServers(list, false)
+		return g
+	}
+	newRequest := func(g *Gateway) *request {
+		r := &request{gateway: g, ctx: context.Background(), http: httptest.NewRequest(http.MethodPost, "/x", nil), arrived: g.now(), info: RequestInfo{ID: "id", LastEventID: -1}, service: "s"}
+		r.stream.lastEventID = -1
+		r.table = g.table.Load()
+		r.route = &r.table.Config().Routes[0]
+		return r
+	}
+	// listen returns the address of a server that responds to each connection with text after
+	// a while, and then waits for its end.
+	listen := func(wait time.Duration, text string) string {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(ln.Close)
+		go func() {
+			for {
+				conn, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer conn.Close()
+					time.Sleep(wait)
+					_, _ = io.WriteString(conn, text)
+					_, _ = io.Copy(io.Discard, conn)
+				}()
+			}
+		}()
+		return ln.Addr().String()
+	}
+	const response = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine"
+
+	It("returns the memory of a response that comes too late", func() {
+		// Guards against memory for responses that is used up after some requests whose two
+		// servers have responded in the same moment.
+		const maxBuffered = 16 << 10
+		g := newGateway(manyRetries, maxBuffered, listen(time.Hour, ""), listen(0, response))
+		r := newRequest(g)
+		current, refusal := r.place(r.ctx, g.now())
+		Expect(refusal).To(BeNil())
+		r.triedServers = append(r.triedServers, current.lease.Server.Key())
+		s := r.newStandby(current, time.Hour)
+		s.timer.Stop()
+		s.state.Store(standbySettled)
+		s.run()
+		Expect(s.winner).To(BeNil())
+		Expect(r.dispatched).To(Equal(1))
+		r.endAttempt(current, placement.Cancelled)
+		r.finish()
+		_, _, err := g.bodyBudget.ReadAll(&http.Response{Body: io.NopCloser(strings.NewReader("x"))}, maxBuffered)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.mayHaveRun).To(BeTrue(), "the server has responded")
+	})
+})
