Standbys pay for a retry only if it is sent

Cause: a standby took a retry from the budget for each server that it chose, also for those that refused the connection or were revoked before the request was sent. Servers that have ended used up the budget, and a sound one did not get the request.

Evidence: "pays for a server only if that gets the request" fails without the change (504; a silent server, three that refuse connections, a sound one, a budget of one retry).

Change: a retry that was not sent is kept for the next server of the request.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -49,6 +49,8 @@
 	// serverSilent is set while a standby asks other servers, as the silent one may have
 	// begun to run the request.
 	serverSilent bool
+	// unusedRetry is set if a retry was taken from the budget and the request was not sent.
+	unusedRetry bool
 	// serverError is a 5xx response of a backend server, delivered if no other server
 	// responds better.
 	serverError *bufferedResponse
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -234,8 +234,13 @@
 	return !r.isLastServer()
 }
 
-// chargeRetry takes a retry from the budget. It returns false if none is left.
+// chargeRetry takes a retry from the budget, unless one that was taken has not been used. It
+// returns false if none is left.
 func (r *request) chargeRetry() bool {
+	if r.unusedRetry {
+		r.unusedRetry = false
+		return true
+	}
 	g := r.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -109,6 +109,7 @@
 	}
 	r.logRetry(s.current, silent)
 	if failure := r.open(s.ctx, a, withTimeout); failure != nil {
+		r.unusedRetry = !failure.sent
 		r.endAttempt(a, failure.result)
 		return nil
 	}
--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -105,4 +105,24 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(r.mayHaveRun).To(BeTrue(), "the server has responded")
 	})
+
+	It("pays for a server only if that gets the request", func() {
+		// Guards against a retry budget that is used up by servers that refuse connections, so
+		// that a sound one does not get the request.
+		oneRetry := retry.Config{Window: 10 * time.Second, Slack: 1.25}
+		for range 5 {
+			ended := func() string {
+				ln, err := net.Listen("tcp", "127.0.0.1:0")
+				Expect(err).NotTo(HaveOccurred())
+				defer ln.Close()
+				return ln.Addr().String()
+			}
+			g := newGateway(oneRetry, 0, listen(time.Hour, ""), ended(), ended(), ended(), listen(0, response))
+			recorder := httptest.NewRecorder()
+			g.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "/x", nil))
+			Expect(recorder.Code).To(Equal(http.StatusOK))
+			Expect(recorder.Body.String()).To(Equal("fine"))
+			Expect(g.budget.Take("s", g.now())).To(BeFalse(), "the server that responded was a retry")
+		}
+	})
 })
