The time that a caller takes to accept an event is no silence of its server

Cause: the silence of a server was measured from when its last event came, which includes the time in which the caller accepts that event. For a caller that reads slowly a standby began with each event, although the next one was already there. It could place the request and take a retry before it was settled, and recorded the server as one that was interrupted.

Evidence: "counts only the time in which the server is waited for as silence" (gateway) fails without the change: the server is listed as interrupted.

Change: silence begins when the server is waited for.

Measured: the specs of gateway pass under the race detector.

--- a/gateway/stall_watch.go
+++ b/gateway/stall_watch.go
@@ -21,15 +21,17 @@
 	// continues is set if the caller has the head of another server's stream.
 	continues bool
 	delay     time.Duration
-	// progressAt is when the last event with data or an ID came.
-	progressAt time.Time
-	standby    *standby
+	// silentSince is since when the server is waited for without an event with data or an
+	// ID; zero after such an event. The time that the caller takes to accept an event is no
+	// silence of the server.
+	silentSince time.Time
+	standby     *standby
 	// winner is the attempt that has taken the stream over; nil if there is none.
 	winner *attempt
 }
 
 func (r *request) newStallWatch(a *attempt, continues bool) *stallWatch {
-	return &stallWatch{request: r, attempt: a, continues: continues, delay: r.stallLimit(), progressAt: r.gateway.now()}
+	return &stallWatch{request: r, attempt: a, continues: continues, delay: r.stallLimit()}
 }
 
 // nextEvent returns the next event, and passes what comes before it and can be ignored on
@@ -38,7 +40,11 @@
 	r := w.request
 	w.attempt.conn.SetReadDeadline(r.stallDeadline(0))
 	if w.delay > 0 {
-		w.arm(w.delay - r.gateway.now().Sub(w.progressAt))
+		now := r.gateway.now()
+		if w.silentSince.IsZero() {
+			w.silentSince = now
+		}
+		w.arm(w.delay - now.Sub(w.silentSince))
 	}
 	event, err := w.attempt.events.Next()
 	for err == nil && event.IsIgnorable {
@@ -52,7 +58,7 @@
 		w.settle(w.failure(event, err))
 	}
 	if err == nil && (event.HasID || event.HasData) {
-		w.progressAt = r.gateway.now()
+		w.silentSince = time.Time{}
 	}
 	return event, err
 }
--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -13,12 +13,14 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/auburnbend/auburnbend/gateway/upstream"
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/placement"
 	"github.com/auburnbend/auburnbend/lib/retry"
 	"github.com/auburnbend/auburnbend/lib/serving"
+	"github.com/auburnbend/auburnbend/lib/sse"
 )
 
 // signedDialect takes each response for a signed one to the request "id".
@@ -125,4 +127,32 @@
 			Expect(g.budget.Take("s", g.now())).To(BeFalse(), "the server that responded was a retry")
 		}
 	})
+
+	It("counts only the time in which the server is waited for as silence", func() {
+		// Guards against retries because the caller takes long to accept an event.
+		g := newGateway(manyRetries, 0, listen(time.Hour, ""))
+		r := newRequest(g)
+		r.route = &serving.Route{Kind: serving.Streaming, Resumable: true, MaxEventGap: 25 * time.Millisecond}
+		current, refusal := r.place(r.ctx, g.now())
+		Expect(refusal).To(BeNil())
+		conn, err := upstream.Dial(r.ctx, current.lease.Server.Address)
+		Expect(err).NotTo(HaveOccurred())
+		current.conn = conn
+		DeferCleanup(conn.Close)
+		source, server := io.Pipe()
+		current.events = sse.NewReader(source)
+		w := r.newStallWatch(current, false)
+		defer w.stop()
+		for id := range 4 {
+			go func() {
+				time.Sleep(r.stallLimit() / 4)
+				fmt.Fprintf(server, "id: %d\ndata: x\n\n", id)
+			}()
+			event, err := w.nextEvent(func([]byte) error { return nil })
+			Expect(err).NotTo(HaveOccurred())
+			Expect(event.ID).To(Equal(int64(id)))
+			time.Sleep(r.stallLimit() + 10*time.Millisecond)
+		}
+		Expect(g.suspects.pendingServers).To(BeEmpty())
+	})
 })
