Keep a plain response whose server has begun in time for its weights

Cause: the deadline by which a server must have begun a request on weights that will be too old also ended the rest of a plain response whose head had come.

Evidence: "stay at a server that has begun to respond" (gateway) fails without the change: "answer broken off, without an end or too long".

Change: the head lifts that deadline. The spec of requests that are not sent checks the reason and lists its server: it passed because the server was not listed.

Measured: the specs of gateway pass under the race detector.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -67,11 +67,12 @@
 	r.dispatched++
 	r.summary.Attempts++
 	limit := r.silenceLimit(a.lease)
+	timeout := time.Time{}
 	if policy == withTimeout && limit > 0 {
-		deadline = earlier(deadline, a.openedAt.Add(limit))
+		timeout = a.openedAt.Add(limit)
 		limit = 0
 	}
-	conn.SetReadDeadline(deadline)
+	conn.SetReadDeadline(earlier(deadline, timeout))
 	upstreamRequest := r.upstreamRequest(r.attemptInfo(a.lease))
 	standby := r.newStandby(a, limit)
 	resp, err := conn.Do(upstreamRequest)
@@ -93,6 +94,8 @@
 	if r.isStreaming() && resp.StatusCode == http.StatusOK && isEventStream(resp) {
 		return r.openStream(ctx, a, policy, standby)
 	}
+	// The server has begun the request, in time for its weights.
+	conn.SetReadDeadline(timeout)
 	return r.bufferResponse(ctx, a, standby)
 }
 
@@ -120,7 +123,7 @@
 
 // earlier returns the earlier one of two times, where zero is later than all.
 func earlier(a, b time.Time) time.Time {
-	if a.IsZero() || b.Before(a) {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
 		return b
 	}
 	return a
--- a/gateway/weights_deadline_test.go
+++ b/gateway/weights_deadline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http/httptest"
 	"time"
@@ -57,10 +58,42 @@
 			received <- n
 		}()
 		r := newRequest(startMargin / 2)
-		result := r.exchange(&attempt{lease: newLease(ln.Addr().String(), 1)})
+		lease := newLease(ln.Addr().String(), 1)
+		r.gateway.ReplaceServers([]*directory.Server{lease.Server}, false)
+		result := r.exchange(&attempt{lease: lease})
 		Expect(result.sent).To(BeFalse())
 		Expect(result.mayHaveRun).To(BeFalse())
 		Expect(result.result).To(Equal(placement.Rejected))
+		Expect(result.reason).To(Equal("weights are about to be too old"))
 		Eventually(received).Should(Receive(BeZero()))
 	})
+
+	It("stay at a server that has begun to respond", func() {
+		// Guards against a response that is given up when its request has begun in time.
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(ln.Close)
+		const wait = 300 * time.Millisecond
+		go func() {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n")
+			time.Sleep(wait)
+			_, _ = io.WriteString(conn, "fine")
+		}()
+		r := newRequest(startMargin + wait/2)
+		r.gateway.config.Dialect = signedDialect{}
+		recorder := httptest.NewRecorder()
+		r.writer = recorder
+		server := newLease(ln.Addr().String(), 1).Server
+		r.gateway.ReplaceServers([]*directory.Server{server}, false)
+		lease := r.gateway.picker.Adopt(server, &placement.Request{Model: "m"}, r.gateway.now())
+		result := r.exchange(&attempt{lease: lease})
+		Expect(result.reason).To(BeEmpty())
+		Expect(result.delivered).To(BeTrue())
+		Expect(recorder.Body.String()).To(Equal("fine"))
+	})
 })
