An engine that does not respond in time has not crashed

Cause: where a stream of an engine failed, its agent read the engine's state, and took any failure of that read for a crash, also a timeout. A sound engine that was silent for two seconds counted as crashed: all requests in progress were reported as suspects of the crash, and no weights were served until the next read of the state. The periodic reads of the state make the difference already.

Change: a timeout is no crash. A refused or closed connection still is one, as is another incarnation.

--- a/agent/engine_server.go
+++ b/agent/engine_server.go
@@ -151,7 +151,7 @@
 }
 
 // detectCrash reports whether the engine is down or has restarted since its state was
-// last read.
+// last read. An engine that does not respond in time may only be busy.
 func (e *engineServer) detectCrash(ctx context.Context) bool {
 	state, err := e.client.State(ctx)
 	e.mu.Lock()
@@ -160,7 +160,7 @@
 		e.incarnation = state.Incarnation
 	}
 	e.mu.Unlock()
-	crashed := err != nil || previous != 0 && state.Incarnation != previous
+	crashed := err != nil && !engine.TimedOut(err) || err == nil && previous != 0 && state.Incarnation != previous
 	if crashed && previous != 0 {
 		e.onCrash(previous)
 	}
--- a/lib/engine/errors.go
+++ b/lib/engine/errors.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	herrors "github.com/cloudwego/hertz/pkg/common/errors"
 )
 
 var (
@@ -68,6 +69,13 @@
 	return errors.Is(err, ErrNotStarted) && !errors.Is(err, ErrMayHaveRun)
 }
 
+// TimedOut reports whether err means that the backend server did not respond in time. It
+// may only be slow.
+func TimedOut(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.Is(err, herrors.ErrTimeout) || errors.As(err, &timeout) && timeout.Timeout()
+}
+
 func notStarted(cause error) error { return wrapCause(ErrNotStarted, cause) }
 
 func mayHaveRun(cause error) error { return wrapCause(ErrMayHaveRun, cause) }
