Soak: requests with a part of prompts that crashes servers

Cause: the soak sent one content that crashes servers again and again. It had no requests that have only a part of their prompt in common.

Change: all requests list parts from a small set. The step ask-poison-part sends requests with a part that crashes servers at random entries, no two alike. Two checks: at most three such requests reach servers later than the stability time after the fifth crash (BUDGET); from twice that time on, at least half of the sound requests on each route are answered beside them (UNANSWERED). Planned work and faults go on in a soak, so half is the bound here. A request is left out only if another fault was under way or less than the recovery time ago, or if the part crashed a server that was running it. A loss of power of all daemons starts the count of crashes anew.

Evidence: specs show that each check finds its violation and none of what is allowed.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -121,19 +121,28 @@
 // asked to make.
 func (c *caller) sendNext() time.Duration {
 	r := c.pickRoute()
+	call := c.newCall(r)
+	if !c.routed() {
+		return notReadyPause
+	}
+	return c.send(call, r)
+}
+
+// newCall returns the next request of the caller.
+func (c *caller) newCall(r *route) platformtest.Call {
 	c.requestCount++
 	call := platformtest.Call{
 		Host: host, AttemptID: fmt.Sprintf("a%s-%d", c.name, c.requestCount), APIKey: key, Timeout: time.Duration(r.TimeoutMS) * time.Millisecond,
 		LastEventID: -1, Body: fmt.Sprintf("body of %s-%d", c.name, c.requestCount),
 	}
 	call.Path = r.Prefix + call.AttemptID
-	if r.streams() {
-		call.Model, call.PromptTokens, call.MaxTokens = model, 50+c.rng.IntN(200), 5*eventsPerStream
+	if !r.streams() {
+		call.Parts = promptOf(call.AttemptID, c.requestCount, ownTokens)
+		return call
 	}
-	if !c.routed() {
-		return notReadyPause
-	}
-	return c.send(call, r)
+	call.Parts = promptOf(call.AttemptID, c.requestCount, 10+c.rng.IntN(200))
+	call.Model, call.PromptTokens, call.MaxTokens = model, platformtest.TokenCount(call.Parts), 5*eventsPerStream
+	return call
 }
 
 // send sends a request and records its outcome. It returns the Retry-After of the
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -58,6 +58,8 @@
 	c.checkSignals()
 	c.checkRateLimits()
 	c.checkPoison()
+	c.checkPoisonPart()
+	c.checkSoundParts()
 	c.checkRecovery()
 	c.checkOddRows()
 	c.checkPanics()
--- a/internal/soak/check_signals.go
+++ b/internal/soak/check_signals.go
@@ -142,7 +142,7 @@
 	slices.Sort(times)
 	late := 0
 	for i, at := range times {
-		if i >= maxPoisonedServers && at > times[maxPoisonedServers-1]+stabilityTime && undisturbed(c.stepsExceptPoison(), at-stabilityTime, at, 0) {
+		if i >= maxPoisonedServers && at > times[maxPoisonedServers-1]+stabilityTime && undisturbed(c.stepsExcept(SendPoison, SendPoisonPart), at-stabilityTime, at, 0) {
 			late++
 		}
 	}
@@ -151,11 +151,11 @@
 	}
 }
 
-// stepsExceptPoison returns the steps other than those that send poison requests.
-func (c *checker) stepsExceptPoison() []Step {
+// stepsExcept returns the steps other than those of some kinds.
+func (c *checker) stepsExcept(kinds ...StepKind) []Step {
 	var others []Step
 	for _, s := range c.steps {
-		if s.Kind != SendPoison {
+		if !slices.Contains(kinds, s.Kind) {
 			others = append(others, s)
 		}
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -149,6 +149,13 @@
 				f.check.recorder.RunStarted(r)
 			}
 		}, 0),
+		Entry("requests with a poison part", "BUDGET", "/status/", func(f *fixture) {
+			f.addPoisonPart(poisonPartTimes(partCrashes + maxLateParts + 1)...)
+		}, 0),
+		Entry("requests refused beside those with a poison part", "UNANSWERED", "/status/", func(f *fixture) {
+			f.addPoisonPart(poisonPartTimes(partCrashes)...)
+			f.addRefused(30 * time.Second)
+		}, 0),
 		Entry("missing pieces", "WHOLE", "/once/", func(f *fixture) {
 			f.check.recorder.LoadOrdered(platformtest.Load{Server: "x-1", Version: 2, Incomplete: true})
 		}, 0),
@@ -165,6 +172,41 @@
 		Expect(f.violatedRules(f.run)).To(BeEmpty())
 	})
 
+	It("reports no violation of a poison part that is recognized in time", func() {
+		// Guards against checks that count requests which may reach servers or be refused.
+		f := newFixture("/status/")
+		f.addPoisonPart(poisonPartTimes(partCrashes + maxLateParts)...)
+		f.addRefused(poisonPartTimes(partCrashes)[partCrashes-1] + stabilityTime)
+		Expect(f.violatedRules(f.run)).To(BeEmpty())
+	})
+
+	It("reports no violation of a poison part that crashes as many servers after a loss of power", func() {
+		// Guards against a check that expects daemons to know what all of them have lost.
+		f := newFixture("/status/")
+		f.check.steps = []Step{{Kind: KillAll, Start: 22 * time.Second}}
+		times := poisonPartTimes(partCrashes)
+		for _, at := range poisonPartTimes(partCrashes) {
+			times = append(times, at+6*time.Second)
+		}
+		f.addPoisonPart(times...)
+		Expect(f.violatedRules(f.run)).To(BeEmpty())
+	})
+
+	It("reports no violation if a poison part crashes the servers that run other requests", func() {
+		// Guards against checks that count requests which no entry can answer.
+		f := newFixture("/status/")
+		f.addPoisonPart(poisonPartTimes(partCrashes)...)
+		f.addRefused(30 * time.Second)
+		for i := range f.otherOutcomes {
+			if o := &f.otherOutcomes[i]; !o.hasPoisonPart() {
+				r := f.run
+				r.AttemptID, r.Target, r.Server = o.call.AttemptID, o.call.Path, "crashed-0"
+				f.check.recorder.RunStarted(r)
+			}
+		}
+		Expect(f.violatedRules(f.run)).To(BeEmpty())
+	})
+
 	It("reports violations during planned work", func() {
 		f := newFixture("/once/")
 		f.check.steps = []Step{{Kind: StopEntry, Start: 19 * time.Second, Duration: time.Second}}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -131,6 +131,7 @@
 		steps[i] = s
 	}
 	steps = append(steps, newWeightsSteps(seed, window)...)
+	steps = append(steps, newPoisonPartSteps(seed, window)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.Start, b.Start) })
 	return steps
 }
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -93,7 +93,7 @@
 			}
 		}
 		c.Listen, c.Address = address(t.slot, group, number, upstreamPort), address(t.slot, group, number, serverPort)
-		c.PoisonBody, c.RestartDelay = poisonBody, poisonRestartDelay
+		c.PoisonBody, c.PoisonPart, c.RestartDelay = poisonBody, poisonPart, poisonRestartDelay
 		c.Domain, c.Store, c.Recorder = domains[number/2%len(domains)], t.store, t.recorder
 		link, err := t.newLink(c.Address, c.Listen)
 		if err != nil {
@@ -225,6 +225,8 @@
 		server.LimitRate(0)
 	case SendPoison:
 		t.sendPoison(ctx, s)
+	case SendPoisonPart:
+		t.sendPoisonPart(ctx, s)
 	case CorruptStagedPiece:
 		pick(t.backends[:engineCount], s.Target).CorruptStagedPiece(s.Target % weights.Pieces)
 	case SlowStaging, DelayOrders, DamageStagedPieces, CorruptPiecesOften:
