Failing specs: a part of prompts that crashes servers

Servers crash as long as such requests come, and sound requests are refused as none is left.

Change: specs with three entries in two regions, six engines and eight plain servers. At most three requests with the part, with repeats, may reach servers later than the stability time after the fifth crash. Sound requests with the same caller and other parts must all be answered from twice that time on, apart from those that a crashing server was running, which are at most one server's slots for each crash. Two runs of the soak with the step alone. Two specs of a wave of ordinary crashes pass and guard against a fix that blames the parts of sound requests for it.

--- a/internal/node/deployment_test.go
+++ b/internal/node/deployment_test.go
@@ -196,7 +196,7 @@
 
 func (s *deployment) startBackend(c platformtest.BackendConfig, number int) {
 	c.Listen, c.Domain, c.Slots, c.WorkTime = c.Address, testDomains[number%len(testDomains)], serverSlots, 5*time.Millisecond
-	c.PoisonBody, c.RestartDelay, c.Store, c.Recorder = poisonBody, restartDelay, s.store, s
+	c.PoisonBody, c.PoisonPart, c.RestartDelay, c.Store, c.Recorder = poisonBody, poisonPart, restartDelay, s.store, s
 	b, err := platformtest.NewBackend(c)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(b.Close)
@@ -289,6 +289,11 @@
 
 // sendWith is like send, but uses the connections of a client.
 func (s *deployment) sendWith(client *http.Client, entry int, prefix, content string) platformtest.Response {
+	return s.sendCall(client, entry, s.newCall(entry, prefix, content))
+}
+
+// newCall returns a request with a new id for an entry.
+func (s *deployment) newCall(entry int, prefix, content string) platformtest.Call {
 	attemptCounter.Lock()
 	attemptCounter.last++
 	id := fmt.Sprintf("attempt-%d", attemptCounter.last)
@@ -300,6 +305,12 @@
 	if prefix == "/draft/" {
 		call.Model, call.PromptTokens, call.MaxTokens = testWeights.Model, 100, 15
 	}
+	return call
+}
+
+// sendCall sends a request to an entry, on the connections of a client. It returns a zero
+// Response if the connection fails.
+func (s *deployment) sendCall(client *http.Client, entry int, call platformtest.Call) platformtest.Response {
 	req, err := call.Request(context.Background(), s.address(4, entry, callerPort))
 	Expect(err).NotTo(HaveOccurred())
 	resp, err := client.Do(req)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -49,6 +49,13 @@
 		}),
 		// Requests that had run were sent to another server, or refused as not run.
 		Entry("servers that send earlier refusals before their responses", uint64(117), 6*time.Second, earlierRefusals()),
+		// Nothing recognized the part.
+		Entry("requests with a part of prompts that crashes servers", uint64(2), poisonPartWindow, []Step{
+			{Kind: SendPoisonPart, Start: firstStepStart, Duration: poisonPartDuration},
+		}),
+		Entry("streams with a part of prompts that crashes engines", uint64(3), poisonPartWindow, []Step{
+			{Kind: SendPoisonPart, Start: firstStepStart, Duration: poisonPartDuration, Target: 2},
+		}),
 		// The callers of the test kept using an entry longer than the load balancer does.
 		Entry("an entry that stops", uint64(116), 3*time.Second, []Step{{Kind: StopEntry, Start: firstStepStart, Duration: time.Second, Target: 2}}),
 	)
