--- a/gateway/interrupted.go
+++ b/gateway/interrupted.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"os"
+	"strings"
 	"syscall"
 	"time"
 
@@ -36,7 +37,7 @@
 	content := r.fingerprint()
 	if closed {
 		g.config.Log.Log(eventlog.AttemptAborted, "request", r.info.ID, "content", content,
-			"server", server.ID, "born", server.StartUnixMilli, "service", r.service, "err", err)
+			"server", server.ID, "born", server.StartUnixMilli, "service", r.service, "parts", strings.Join(r.info.PromptParts, " "), "err", err)
 	}
 	g.mu.Lock()
 	now := g.now()
--- a/gateway/request_info.go
+++ b/gateway/request_info.go
@@ -15,6 +15,8 @@
 	// PromptTokens is the length of the prompt, MaxTokens the limit on the length of
 	// the output.
 	PromptTokens, MaxTokens int
+	// PromptParts identify the parts of the prompt that other prompts may have as well.
+	PromptParts []string
 	// ExpectedTokens is the caller's own estimate of the output length; zero if it gave
 	// none.
 	ExpectedTokens int
