Attribute crashes of servers to the shared parts of prompts

Cause: crashes were attributed to whole contents only. The part that crashes the servers is smaller than that, so that each request with it started anew.

Change: interrupted requests count against the shared parts of their prompts as well, in a second monitor that entries and agents share in the same messages. A response clears the parts of its prompt, and crashes in the minute after it do not count against them, so that a crash of all servers at once blames nothing.

--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -114,7 +114,7 @@
 		r.summary.ContentFingerprint = r.content.String()
 	}
 	if r.summary.Outcome == OutcomeAnswered {
-		r.gateway.recordAnswered(r.fingerprint())
+		r.gateway.recordAnswered(r.subjects())
 	}
 	r.summary.TotalTime = r.gateway.now().Sub(r.arrived)
 	if r.gateway.config.Observe != nil {
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -8,7 +8,6 @@
 
 	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/serving"
-	"github.com/auburnbend/auburnbend/lib/wire"
 	"github.com/auburnbend/auburnbend/peerlink"
 )
 
@@ -65,14 +64,6 @@
 	}
 }
 
-// broadcastSuspects sends an update on suspects; nil sends none. The caller must not
-// hold mu.
-func (g *Gateway) broadcastSuspects(update *wire.SuspectUpdate) {
-	if update != nil {
-		g.broadcast(&peerlink.Gossip{Suspects: *update})
-	}
-}
-
 // broadcast sends gossip to the other entries of the region and to some agents of
 // each region; nil sends nothing. The caller must not hold mu.
 func (g *Gateway) broadcast(gossip *peerlink.Gossip) {
@@ -83,7 +74,7 @@
 	g.peerLink.sendGossip(gossip, g.peerLink.otherEntries())
 	local, remote := g.agents(table)
 	g.peerLink.sendGossip(gossip, sample(local, gossipFanout))
-	forwarded := &peerlink.Gossip{Suspects: gossip.Suspects, Draining: gossip.Draining, Limits: gossip.Limits, Forward: true}
+	forwarded := &peerlink.Gossip{Suspects: gossip.Suspects, Parts: gossip.Parts, Draining: gossip.Draining, Limits: gossip.Limits, Forward: true}
 	for _, agents := range remote {
 		g.peerLink.sendGossip(forwarded, sample(agents, gossipFanout))
 	}
@@ -109,9 +100,7 @@
 		fresh.Limits = l.gateway.mergeLimits(gossip.Limits)
 		l.gateway.mu.Unlock()
 	}
-	if suspects := l.gateway.mergeSuspects(&gossip.Suspects); suspects != nil {
-		fresh.Suspects = *suspects
-	}
+	l.gateway.mergeSuspects(gossip, fresh)
 	if gossip.Forward && !fresh.Empty() {
 		l.sendGossip(fresh, l.otherEntries())
 	}
--- a/gateway/interrupted.go
+++ b/gateway/interrupted.go
@@ -34,28 +34,25 @@
 		return
 	}
 	g, server := r.gateway, lease.Server
-	content := r.fingerprint()
+	x := r.subjects()
 	if closed {
-		g.config.Log.Log(eventlog.AttemptAborted, "request", r.info.ID, "content", content,
+		g.config.Log.Log(eventlog.AttemptAborted, "request", r.info.ID, "content", x.content,
 			"server", server.ID, "born", server.StartUnixMilli, "service", r.service, "parts", strings.Join(r.info.PromptParts, " "), "err", err)
 	}
 	g.mu.Lock()
 	now := g.now()
-	crashes, _ := g.suspects.monitor.Crashes(now, content)
-	id := incarnationID(server.Key())
-	ended, firstInterrupted := g.suspects.attributor.Interrupted(now, id, content)
+	suspected := g.suspects.suspected(now, x)
+	ended, firstInterrupted := g.suspects.record(now, server.Key(), x)
 	publish := func() {}
 	if ended {
-		publish = g.recordCrash(server.Key(), []model.Fingerprint{content})
-	} else {
-		g.suspects.pendingServers[id] = server.Key()
+		publish = g.recordCrash(server.Key(), []model.Fingerprint{x.content}, x.parts)
 	}
 	g.mu.Unlock()
 	publish()
 	switch {
 	case ended || !closed:
-	case crashes > 0:
-		// The content has already crashed servers, so a retry depends on the result of the
+	case suspected:
+		// The content or a part has already crashed servers, so a retry depends on the result of the
 		// probe.
 		g.probe(server)
 	case firstInterrupted:
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -28,6 +28,8 @@
 	// content is the fingerprint of the request; valid if contentHashed is set.
 	content       model.Fingerprint
 	contentHashed bool
+	// parts are the fingerprints of RequestInfo.PromptParts; empty until they are used.
+	parts []model.Fingerprint
 
 	service string
 	engine  *serving.Engine
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -3,13 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"syscall"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
-	"github.com/auburnbend/auburnbend/lib/placement"
 	"github.com/auburnbend/auburnbend/lib/poison"
 	"github.com/auburnbend/auburnbend/lib/wire"
 	"github.com/auburnbend/auburnbend/peerlink"
@@ -24,14 +24,18 @@
 	// hundred bytes each.
 	maxSuspects  = 1024
 	maxKnownGood = 1024
+	// maxSuspectParts and maxSoundParts bound the parts of prompts that are remembered.
+	maxSuspectParts = 1024
+	maxSoundParts   = 4096
+	// partSoundFor is the time after a response in which crashes do not count against the
+	// parts of its prompt. A part may be in flight on all servers, which may crash together
+	// and more than once; one that begins to crash servers is found this much later.
+	partSoundFor = time.Minute
 	// maxCrashCredit is the number of crashes that earlier responses excuse: popular
 	// content may be in flight on many servers that are crashed by other requests.
 	maxCrashCredit = 16
 )
 
-// quarantinedReason is the reason for refusing a quarantined request.
-const quarantinedReason placement.Reason = "quarantined"
-
 // Signs that a backend server has ended, as logged.
 const (
 	signConnectionRefused = "its address refuses connections"
@@ -39,25 +43,55 @@
 	signRowDeleted        = "its row is gone"
 )
 
-// suspects tracks the contents during which backend servers have crashed. Plain
-// services have no agent that would report a crash: an entry sees connections that
-// end before the response, and later signs that the server has ended. It is guarded
-// by the Gateway's mutex.
+// suspects tracks the contents during which backend servers have crashed, and the parts of
+// prompts. Plain services have no agent that would report a crash: an entry sees
+// connections that end before the response, and later signs that the server has ended. It
+// is guarded by the Gateway's mutex.
 type suspects struct {
-	monitor    *poison.Monitor
-	attributor *poison.Attributor
+	// crashTracker tracks whole contents.
+	crashTracker
+	// parts tracks the parts of prompts that several requests have.
+	parts crashTracker
 	// pendingServers are the servers with interrupted exchanges for which no sign has
 	// been seen yet.
 	pendingServers map[model.InstanceID]directory.Key
-	// quarantined are the contents whose quarantine was logged.
+	// quarantined are the contents and parts whose quarantine was logged.
 	quarantined map[model.Fingerprint]bool
 }
 
 func newSuspects() *suspects {
+	contents := poison.Config{MaxSuspects: maxSuspects, MaxKnownGood: maxKnownGood, MaxCredit: maxCrashCredit, QuarantineCrashes: quarantineCrashes}
+	parts := poison.Config{MaxSuspects: maxSuspectParts, MaxKnownGood: maxSoundParts, SoundFor: partSoundFor, QuarantineCrashes: quarantineCrashes}
 	return &suspects{
-		monitor:    poison.New(poison.Config{MaxSuspects: maxSuspects, MaxKnownGood: maxKnownGood, MaxCredit: maxCrashCredit, QuarantineCrashes: quarantineCrashes}, "", 0),
-		attributor: poison.NewAttributor(), pendingServers: make(map[model.InstanceID]directory.Key), quarantined: make(map[model.Fingerprint]bool),
+		crashTracker:   crashTracker{poison.New(contents, "", 0), poison.NewAttributor()},
+		parts:          crashTracker{poison.New(parts, "", 0), poison.NewAttributor()},
+		pendingServers: make(map[model.InstanceID]directory.Key), quarantined: make(map[model.Fingerprint]bool),
+	}
+}
+
+// record records an interrupted exchange of a server. ended reports whether the server is
+// known to have ended, so that the caller must record a crash at once. first reports
+// whether it is the first pending exchange of the server.
+func (s *suspects) record(now time.Time, server directory.Key, x subjects) (ended, first bool) {
+	id := incarnationID(server)
+	for _, part := range x.parts {
+		s.parts.attributor.Interrupted(now, id, part)
+	}
+	if ended, first = s.attributor.Interrupted(now, id, x.content); !ended {
+		s.pendingServers[id] = server
 	}
+	return ended, first
+}
+
+// suspected reports whether servers have crashed with the content or a part of an exchange.
+func (s *suspects) suspected(now time.Time, x subjects) bool {
+	if crashes, _ := s.monitor.Crashes(now, x.content); crashes > 0 {
+		return true
+	}
+	return slices.ContainsFunc(x.parts, func(part model.Fingerprint) bool {
+		crashes, _ := s.parts.monitor.Crashes(now, part)
+		return crashes > 0
+	})
 }
 
 // incarnationID identifies one incarnation of a backend server, as its ID may be
@@ -82,32 +116,6 @@
 	return keys
 }
 
-// quarantineRefusal returns the refusal of a request whose content is quarantined,
-// or nil.
-func (r *request) quarantineRefusal() *placement.Refusal {
-	crashes, until := r.crashes()
-	if crashes < quarantineCrashes {
-		return nil
-	}
-	return &placement.Refusal{Reason: quarantinedReason, RetryAfter: until.Sub(r.gateway.now())}
-}
-
-// crashes returns the number of backend servers that have crashed with the request's
-// content, and when the last of these crashes expires.
-func (r *request) crashes() (int, time.Time) {
-	g := r.gateway
-	g.mu.Lock()
-	none := g.suspects.monitor.SuspectCount() == 0
-	g.mu.Unlock()
-	if none {
-		return 0, time.Time{}
-	}
-	content := r.fingerprint()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.suspects.monitor.Crashes(g.now(), content)
-}
-
 // recordUnreachable records a failed connection to a backend server. A refused one
 // is a sign that the server has ended.
 func (g *Gateway) recordUnreachable(server *directory.Server, err error) {
@@ -120,45 +128,63 @@
 	publish()
 }
 
-// recordAnswered records a whole response to a content, which clears it.
-func (g *Gateway) recordAnswered(content model.Fingerprint) {
+// recordAnswered records a whole response to a request, which clears its content and the
+// parts of its prompt.
+func (g *Gateway) recordAnswered(x subjects) {
+	gossip := &peerlink.Gossip{}
 	g.mu.Lock()
-	update := g.suspects.monitor.Answered(g.now(), content)
+	now := g.now()
+	gossip.AddSuspects(g.suspects.monitor.Answered(now, x.content))
+	for _, part := range x.parts {
+		gossip.AddParts(g.suspects.parts.monitor.Answered(now, part))
+	}
 	g.mu.Unlock()
-	g.broadcastSuspects(update)
+	g.broadcast(gossip)
 }
 
 // recordServerEnd records that a backend server has ended, and attributes the end to
 // its interrupted exchanges. The caller holds mu, and calls publish after releasing
 // it.
 func (g *Gateway) recordServerEnd(server directory.Key, sign string) (publish func()) {
-	contents := g.suspects.attributor.Ended(g.now(), incarnationID(server))
+	now, id := g.now(), incarnationID(server)
+	contents := g.suspects.attributor.Ended(now, id)
+	parts := g.suspects.parts.attributor.Ended(now, id)
 	if len(contents) == 0 {
 		return func() {}
 	}
 	g.config.Log.Log(eventlog.ServerCrashed, "server", server.ID, "born", server.StartUnixMilli, "sign", sign, "requests", len(contents))
-	return g.recordCrash(server, contents)
+	return g.recordCrash(server, contents, parts)
 }
 
-// recordCrash attributes the crash of a backend server to contents. The caller holds
-// mu, and calls publish after releasing it.
-func (g *Gateway) recordCrash(server directory.Key, contents []model.Fingerprint) (publish func()) {
-	now := g.now()
-	update := g.suspects.monitor.Crashed(now, incarnationID(server), 0, wire.CrashReport{InFlight: contents})
+// recordCrash attributes the crash of a backend server to contents and parts of prompts.
+// The caller holds mu, and calls publish after releasing it.
+func (g *Gateway) recordCrash(server directory.Key, contents, parts []model.Fingerprint) (publish func()) {
+	now, id := g.now(), incarnationID(server)
+	gossip := &peerlink.Gossip{}
+	gossip.AddSuspects(g.suspects.monitor.Crashed(now, id, 0, wire.CrashReport{InFlight: contents}))
+	gossip.AddParts(g.suspects.parts.monitor.Crashed(now, id, 0, wire.CrashReport{InFlight: parts}))
 	g.logQuarantined(now, contents)
-	return func() { g.broadcastSuspects(update) }
+	return func() { g.broadcast(gossip) }
 }
 
 // recordAlive records that a backend server was alive at a given time, which takes
 // back an earlier report of its end. The caller holds mu, and calls publish after
 // releasing it.
 func (g *Gateway) recordAlive(server directory.Key, at time.Time) (publish func()) {
-	if g.suspects.attributor.EndCount() == 0 || !g.suspects.attributor.MarkAlive(incarnationID(server), at) {
+	s := g.suspects
+	if s.attributor.EndCount()+s.parts.attributor.EndCount() == 0 {
+		return func() {}
+	}
+	id := incarnationID(server)
+	contents, parts := s.attributor.MarkAlive(id, at), s.parts.attributor.MarkAlive(id, at)
+	if !contents && !parts {
 		return func() {}
 	}
 	g.config.Log.Log(eventlog.ServerAlive, "server", server.ID, "born", server.StartUnixMilli)
-	update := g.suspects.monitor.Survived(g.now(), incarnationID(server))
-	return func() { g.broadcastSuspects(update) }
+	gossip := &peerlink.Gossip{}
+	gossip.AddSuspects(s.monitor.Survived(g.now(), id))
+	gossip.AddParts(s.parts.monitor.Survived(g.now(), id))
+	return func() { g.broadcast(gossip) }
 }
 
 // recordUnlistedEnds records the end of backend servers with interrupted exchanges
@@ -183,46 +209,46 @@
 	}
 }
 
-// mergeSuspects merges an update of another entry or an agent, and returns the part
-// that was new.
-func (g *Gateway) mergeSuspects(update *wire.SuspectUpdate) *wire.SuspectUpdate {
+// mergeSuspects merges what another entry or an agent knows about contents and parts of
+// prompts, and adds the part that was new to fresh.
+func (g *Gateway) mergeSuspects(gossip, fresh *peerlink.Gossip) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	fresh := g.suspects.monitor.Merge(now, *update)
-	if fresh == nil {
-		return nil
+	contents := g.suspects.merge(now, &gossip.Suspects)
+	fresh.AddSuspects(contents)
+	fresh.AddParts(g.suspects.parts.merge(now, &gossip.Parts))
+	if contents == nil {
+		return
 	}
-	var contents []model.Fingerprint
-	for _, s := range fresh.Suspects {
-		contents = append(contents, s.Fingerprint)
-		for _, in := range s.Incidents {
-			if !in.Cleared {
-				g.suspects.attributor.RecordEnd(now, in.Instance, now.Add(-milliseconds(in.AgeMillis)))
-			}
-		}
+	var fingerprints []model.Fingerprint
+	for _, s := range contents.Suspects {
+		fingerprints = append(fingerprints, s.Fingerprint)
 	}
-	g.logQuarantined(now, contents)
-	return fresh
+	g.logQuarantined(now, fingerprints)
 }
 
-// gossipToResend returns what is repeated at intervals: contents with which at least
-// two servers have crashed, rate limits, and servers that are draining and still listed
+// gossipToResend returns what is repeated at intervals: contents and parts of prompts with
+// which at least two servers have crashed, parts against which crashes do not count, rate limits, and servers that are draining and still listed
 // or became known to be recently.
 func (g *Gateway) gossipToResend() *peerlink.Gossip {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	g.suspects.monitor.Tick(now)
-	for content := range g.suspects.quarantined {
-		if crashes, _ := g.suspects.monitor.Crashes(now, content); crashes < quarantineCrashes {
-			delete(g.suspects.quarantined, content)
+	s := g.suspects
+	s.monitor.Tick(now)
+	s.parts.monitor.Tick(now)
+	for fingerprint := range s.quarantined {
+		contents, _ := s.monitor.Crashes(now, fingerprint)
+		parts, _ := s.parts.monitor.Crashes(now, fingerprint)
+		if max(contents, parts) < quarantineCrashes {
+			delete(s.quarantined, fingerprint)
 		}
 	}
 	gossip := &peerlink.Gossip{}
-	if top := g.suspects.monitor.TopSuspects(now, quarantineCrashes-1, maxResent); top != nil {
-		gossip.Suspects = *top
-	}
+	gossip.AddSuspects(s.monitor.TopSuspects(now, quarantineCrashes-1, maxResent))
+	gossip.AddParts(s.parts.monitor.TopSuspects(now, quarantineCrashes-1, maxResent))
+	gossip.AddParts(s.parts.monitor.ClearedSince(now, now.Add(-clearedResendPeriod), maxClearedResent))
 	gossip.Limits = g.limitsToResend(now)
 	for _, server := range g.directory.DrainingToShare(now.Add(-drainResendPeriod), maxResent) {
 		gossip.Draining = append(gossip.Draining, peerlink.ServerKey{ID: server.ID, StartUnixMilli: server.StartUnixMilli})
@@ -236,20 +262,9 @@
 	// drainResendPeriod is how long the drain of a server is repeated whose row is gone,
 	// which covers a few lost datagrams.
 	drainResendPeriod = 5 * time.Second
+	// clearedResendPeriod is how long it is repeated that a crash does not count against a
+	// part of prompts, for entries that have started since and have no responses of their
+	// own yet. maxClearedResent bounds these parts.
+	clearedResendPeriod = 30 * time.Second
+	maxClearedResent    = 8
 )
-
-// logQuarantined logs contents that are newly quarantined.
-func (g *Gateway) logQuarantined(now time.Time, contents []model.Fingerprint) {
-	for _, content := range contents {
-		crashes, until := g.suspects.monitor.Crashes(now, content)
-		if crashes < quarantineCrashes {
-			delete(g.suspects.quarantined, content)
-			continue
-		}
-		if g.suspects.quarantined[content] {
-			continue
-		}
-		g.suspects.quarantined[content] = true
-		g.config.Log.Log(eventlog.ContentQuarantined, "content", content, "servers", crashes, "until", until)
-	}
-}
--- a/gateway/suspects_test.go
+++ b/gateway/suspects_test.go
@@ -88,7 +88,7 @@
 		// response it can't be told from the content that crashed them.
 		func(earlierResponses, expected int) {
 			for range earlierResponses {
-				g.recordAnswered(content)
+				g.recordAnswered(subjects{content: content})
 			}
 			for _, id := range []string{"x", "y", "z"} {
 				interrupt(listing(id, 1))
@@ -98,7 +98,7 @@
 			}
 			Expect(crashes()).To(Equal(expected))
 			Expect(g.suspects.quarantined).To(HaveLen(expected / quarantineCrashes))
-			g.recordAnswered(content)
+			g.recordAnswered(subjects{content: content})
 			Expect(crashes()).To(BeZero())
 		},
 		Entry("no earlier response", 0, quarantineCrashes),
--- a/lib/poison/config.go
+++ b/lib/poison/config.go
@@ -52,6 +52,10 @@
 	MaxKnownGood int
 	// MaxCredit bounds the crashes that earlier responses to a fingerprint clear.
 	MaxCredit int
+	// SoundFor is the time after a response in which crashes do not count against its
+	// fingerprint, however many there are; zero for none. It suits fingerprints that many
+	// requests have, and that may be in flight on all backend servers.
+	SoundFor time.Duration
 	// QuarantineCrashes is the number of different backend servers that must crash
 	// before a fingerprint is quarantined.
 	QuarantineCrashes int
--- a/lib/poison/known_good.go
+++ b/lib/poison/known_good.go
@@ -45,6 +45,13 @@
 	k.credits[fingerprint] = credit{count: min(old.count+1, k.maxCredit), last: now}
 }
 
+// answeredWithin reports whether a backend server has responded to the fingerprint within
+// a period.
+func (k *knownGood) answeredWithin(now time.Time, fingerprint model.Fingerprint, period time.Duration) bool {
+	c, ok := k.credits[fingerprint]
+	return ok && period > 0 && now.Sub(c.last) <= period
+}
+
 // spend reports whether a response within ttl clears a crash, and uses it up. The
 // fingerprint keeps its place in the ring.
 func (k *knownGood) spend(now time.Time, fingerprint model.Fingerprint, ttl time.Duration) bool {
--- a/lib/poison/monitor.go
+++ b/lib/poison/monitor.go
@@ -72,8 +72,12 @@
 // Answered records a whole response to a request whose dispatches are not recorded.
 // It shows that the backend server survived and clears the fingerprint.
 func (m *Monitor) Answered(now time.Time, fingerprint model.Fingerprint) *wire.SuspectUpdate {
-	if s := m.suspects[fingerprint]; s == nil || !s.clear() {
+	s := m.suspects[fingerprint]
+	cleared := s != nil && s.clear()
+	if !cleared || m.config.SoundFor > 0 {
 		m.knownGood.add(now, fingerprint)
+	}
+	if !cleared {
 		return nil
 	}
 	return m.updateFor(now, []model.Fingerprint{fingerprint})
@@ -131,7 +135,7 @@
 func (m *Monitor) addCrash(now time.Time, fingerprint model.Fingerprint, id incidentID, first time.Time, cleared bool) bool {
 	s := m.suspect(now, fingerprint)
 	if _, known := s.incidents[id]; !known && !cleared {
-		cleared = m.knownGood.spend(now, fingerprint, m.config.TTL)
+		cleared = m.knownGood.answeredWithin(now, fingerprint, m.config.SoundFor) || m.knownGood.spend(now, fingerprint, m.config.TTL)
 	}
 	return s.addIncident(now, id, first, cleared)
 }
@@ -220,21 +224,35 @@
 			top = append(top, fingerprint)
 		}
 	}
-	slices.SortFunc(top, func(a, b model.Fingerprint) int {
+	m.sortByNewCrash(top)
+	return m.updateFor(now, top[:min(len(top), limit)])
+}
+
+// ClearedSince returns what is known of the fingerprints with crashes that became known
+// since a time and do not count because of a response, or nil if there are none. If there
+// are more than limit, it returns those with the most recent new crash.
+func (m *Monitor) ClearedSince(now, since time.Time, limit int) *wire.SuspectUpdate {
+	var cleared []model.Fingerprint
+	for fingerprint, s := range m.suspects {
+		if !s.lastNewCrash.Before(since) && s.hasCleared() {
+			cleared = append(cleared, fingerprint)
+		}
+	}
+	m.sortByNewCrash(cleared)
+	return m.updateFor(now, cleared[:min(len(cleared), limit)])
+}
+
+func (m *Monitor) sortByNewCrash(fingerprints []model.Fingerprint) {
+	slices.SortFunc(fingerprints, func(a, b model.Fingerprint) int {
 		return m.suspects[b].lastNewCrash.Compare(m.suspects[a].lastNewCrash)
 	})
-	return m.updateFor(now, top[:min(len(top), limit)])
 }
 
 // Crashes returns the number of different instances that crashed while they ran the
 // fingerprint, and when the last of these crashes expires.
 func (m *Monitor) Crashes(now time.Time, fingerprint model.Fingerprint) (int, time.Time) {
-	s := m.suspects[fingerprint]
-	if s == nil {
-		return 0, time.Time{}
-	}
-	crashed, last := s.crashedInstances(now, m.config.TTL)
-	return len(crashed), last.Add(m.config.TTL)
+	crashed, until := m.crashesOf(now, fingerprint)
+	return len(crashed), until
 }
 
 // SuspectCount returns the number of fingerprints that are remembered as suspects.
--- a/lib/poison/suspect.go
+++ b/lib/poison/suspect.go
@@ -49,7 +49,7 @@
 func (s *suspect) addIncident(now time.Time, id incidentID, first time.Time, cleared bool) bool {
 	in, ok := s.incidents[id]
 	if !ok {
-		if len(s.incidents) >= maxIncidents {
+		if len(s.incidents) >= maxIncidents && !s.dropCleared() {
 			return false
 		}
 		s.incidents[id] = &incident{first: first, cleared: cleared}
@@ -64,6 +64,19 @@
 	return changed
 }
 
+// dropCleared drops the oldest crash that does not count. It returns false if there is none.
+func (s *suspect) dropCleared() bool {
+	var oldest incidentID
+	found := false
+	for id, in := range s.incidents {
+		if in.cleared && (!found || in.first.Before(s.incidents[oldest].first)) {
+			oldest, found = id, true
+		}
+	}
+	delete(s.incidents, oldest)
+	return found
+}
+
 // clear marks all known crashes as not caused by this fingerprint.
 func (s *suspect) clear() (changed bool) {
 	for _, in := range s.incidents {
@@ -73,6 +86,16 @@
 	return changed
 }
 
+// hasCleared reports whether some crash does not count.
+func (s *suspect) hasCleared() bool {
+	for _, in := range s.incidents {
+		if in.cleared {
+			return true
+		}
+	}
+	return false
+}
+
 // clearInstance marks the crashes of one instance as not caused by this fingerprint.
 func (s *suspect) clearInstance(instance model.InstanceID) (changed bool) {
 	for id, in := range s.incidents {
--- a/peerlink/gossip.go
+++ b/peerlink/gossip.go
@@ -11,6 +11,8 @@
 type Gossip struct {
 	// Suspects lists requests that were in flight when backend servers crashed.
 	Suspects wire.SuspectUpdate `msgpack:"u"`
+	// Parts lists parts of prompts that were in flight when backend servers crashed.
+	Parts wire.SuspectUpdate `msgpack:"p"`
 	// Draining lists servers that have announced that they are draining.
 	Draining []ServerKey `msgpack:"l,omitempty"`
 	// Limits lists the rate limits of servers.
@@ -22,7 +24,20 @@
 
 // Empty reports whether there is nothing to send.
 func (g *Gossip) Empty() bool {
-	return len(g.Suspects.Suspects) == 0 && len(g.Draining) == 0 && len(g.Limits) == 0
+	return g.size() == 0
+}
+
+// AddSuspects adds an update on contents of requests; nil adds none.
+func (g *Gossip) AddSuspects(update *wire.SuspectUpdate) { addUpdate(&g.Suspects, update) }
+
+// AddParts adds an update on parts of prompts; nil adds none.
+func (g *Gossip) AddParts(update *wire.SuspectUpdate) { addUpdate(&g.Parts, update) }
+
+func addUpdate(to, update *wire.SuspectUpdate) {
+	if update != nil {
+		to.Suspects = append(to.Suspects, update.Suspects...)
+		to.Cleared = append(to.Cleared, update.Cleared...)
+	}
 }
 
 // Datagrams encodes the gossip in datagrams of at most limit bytes, splitting it
@@ -37,6 +52,7 @@
 	}
 	first, second := &Gossip{Forward: g.Forward}, &Gossip{Forward: g.Forward}
 	first.Suspects.Suspects, second.Suspects.Suspects = halves(g.Suspects.Suspects)
+	first.Parts.Suspects, second.Parts.Suspects = halves(g.Parts.Suspects)
 	first.Draining, second.Draining = halves(g.Draining)
 	first.Limits, second.Limits = halves(g.Limits)
 	if first.Empty() {
@@ -46,16 +62,21 @@
 }
 
 // size returns the number of suspects, servers and limits.
-func (g *Gossip) size() int { return len(g.Suspects.Suspects) + len(g.Draining) + len(g.Limits) }
+func (g *Gossip) size() int {
+	return len(g.Suspects.Suspects) + len(g.Parts.Suspects) + len(g.Draining) + len(g.Limits)
+}
 
 // separateKinds splits a gossip that has at most one item of each kind.
 func separateKinds(g *Gossip) (first, second *Gossip) {
-	first, second = &Gossip{Forward: g.Forward}, &Gossip{Forward: g.Forward, Limits: g.Limits}
-	if len(g.Suspects.Suspects) > 0 {
-		first.Suspects, second.Draining = g.Suspects, g.Draining
-		return first, second
+	first, second = &Gossip{Forward: g.Forward}, &Gossip{Forward: g.Forward, Parts: g.Parts, Draining: g.Draining, Limits: g.Limits}
+	switch {
+	case len(g.Suspects.Suspects) > 0:
+		first.Suspects = g.Suspects
+	case len(g.Parts.Suspects) > 0:
+		first.Parts, second.Parts = g.Parts, wire.SuspectUpdate{}
+	default:
+		first.Draining, second.Draining = g.Draining, nil
 	}
-	first.Draining = g.Draining
 	return first, second
 }
 
--- a/replica/gossip.go
+++ b/replica/gossip.go
@@ -9,7 +9,7 @@
 
 const (
 	// maxSuspects bounds the suspected contents that an agent remembers for
-	// entries.
+	// entries, and the parts of prompts.
 	maxSuspects = 256
 	// minCrashes is the number of crashed servers from which a content is sent to
 	// an entry that has just started; maxInitialSuspects bounds these contents.
@@ -34,6 +34,8 @@
 func (r *LoadReporter) handleGossip(now time.Time, g *peerlink.Gossip) {
 	r.suspects.Tick(now)
 	r.suspects.Merge(now, g.Suspects)
+	r.suspectParts.Tick(now)
+	r.suspectParts.Merge(now, g.Parts)
 	r.recordDraining(now, g.Draining)
 	r.recordLimits(now, g.Limits)
 	if !g.Forward {
@@ -81,9 +83,8 @@
 // entry that has just subscribed. The caller holds mu.
 func (r *LoadReporter) sendInitialGossip(now time.Time, to netip.AddrPort) {
 	gossip := &peerlink.Gossip{}
-	if top := r.suspects.TopSuspects(now, minCrashes, maxInitialSuspects); top != nil {
-		gossip.Suspects = *top
-	}
+	gossip.AddSuspects(r.suspects.TopSuspects(now, minCrashes, maxInitialSuspects))
+	gossip.AddParts(r.suspectParts.TopSuspects(now, minCrashes, maxInitialSuspects))
 	for server, at := range r.drainingServers {
 		if now.Sub(at) <= drainingTTL {
 			gossip.Draining = append(gossip.Draining, server)
--- a/replica/load_reporter.go
+++ b/replica/load_reporter.go
@@ -46,6 +46,8 @@
 	// suspects are the suspected contents that entries reported, kept for entries
 	// that restart.
 	suspects *poison.Monitor
+	// suspectParts are the suspected parts of prompts, kept likewise.
+	suspectParts *poison.Monitor
 
 	// drainingServers maps servers that entries reported as draining to the time of the
 	// last report.
@@ -106,7 +108,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &LoadReporter{replica: r, conn: conn, subscribers: make(map[netip.AddrPort]subscriber), entryLoads: make(map[string]entryLoad), suspects: poison.New(poison.Config{MaxSuspects: maxSuspects}, "", 0), drainingServers: make(map[peerlink.ServerKey]time.Time), limits: make(map[peerlink.ServerKey]ratelimit.Limit)}, nil
+	return &LoadReporter{replica: r, conn: conn, subscribers: make(map[netip.AddrPort]subscriber), entryLoads: make(map[string]entryLoad), suspects: poison.New(poison.Config{MaxSuspects: maxSuspects}, "", 0), suspectParts: poison.New(poison.Config{MaxSuspects: maxSuspects}, "", 0), drainingServers: make(map[peerlink.ServerKey]time.Time), limits: make(map[peerlink.ServerKey]ratelimit.Limit)}, nil
 }
 
 // Run receives messages from entries and sends them reports until ctx ends. When it
