The server of a standby keeps the request while it is silent as well

Cause: a server that a standby had asked was given up at the limit on silence. Where the first server failed meanwhile, that one was the only one that had the request, and no other one needed to exist that could take it.

Evidence: "keeps its server, silent as well, if the first one fails" (platform) fails without the change: 502 after 0.3 s, with a first server that resets its connection after 250 ms, a second one that responds after 500 ms, and a third one that refuses. Routes of two servers did not show it: the second one is the last and had no limit.

Change: attempts of standbys have standbys of their own instead of a time limit. The retry budget and the number of servers that a route allows bound them as before. Up to that number of servers may now work at a request at the same time.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -17,7 +17,7 @@
 // silent.
 func (r *request) exchange(a *attempt) attemptResult {
 	defer a.close()
-	if failure := r.open(r.ctx, a, withStandby); failure != nil {
+	if failure := r.open(r.ctx, a); failure != nil {
 		return *failure
 	}
 	return r.passOn(a)
@@ -33,20 +33,10 @@
 	return attemptResult{result: placement.Answered, delivered: true, sent: true}
 }
 
-// silencePolicy is what happens when the server of an attempt is silent for too long.
-type silencePolicy bool
-
-const (
-	// withStandby asks other servers as well.
-	withStandby silencePolicy = true
-	// withTimeout ends the attempt if another server may run the request.
-	withTimeout silencePolicy = false
-)
-
 // open sends the request to the server of an attempt and reads its response until it can be
 // passed on: to its end, or to the first event of a stream. It returns nil if that has
-// succeeded.
-func (r *request) open(ctx context.Context, a *attempt, policy silencePolicy) *attemptResult {
+// succeeded. While the server is silent, others are asked as well.
+func (r *request) open(ctx context.Context, a *attempt) *attemptResult {
 	g, server := r.gateway, a.lease.Server
 	r.triedServers = append(r.triedServers, server.Key())
 	started := g.now()
@@ -66,15 +56,9 @@
 	}
 	r.dispatched++
 	r.summary.Attempts++
-	limit := r.silenceLimit(a.lease)
-	timeout := time.Time{}
-	if policy == withTimeout && limit > 0 {
-		timeout = a.openedAt.Add(limit)
-		limit = 0
-	}
-	conn.SetReadDeadline(earlier(deadline, timeout))
+	conn.SetReadDeadline(deadline)
 	upstreamRequest := r.upstreamRequest(r.attemptInfo(a.lease))
-	standby := r.newStandby(a, limit)
+	standby := r.newStandby(ctx, a, r.silenceLimit(a.lease))
 	resp, err := conn.Do(upstreamRequest)
 	if err != nil {
 		if winner := standby.settle(err); winner != nil {
@@ -92,10 +76,10 @@
 		return r.unusable(ctx, *failure)
 	}
 	if r.isStreaming() && resp.StatusCode == http.StatusOK && isEventStream(resp) {
-		return r.openStream(ctx, a, policy, standby)
+		return r.openStream(ctx, a, standby)
 	}
 	// The server has begun the request, in time for its weights.
-	conn.SetReadDeadline(timeout)
+	conn.SetReadDeadline(time.Time{})
 	return r.bufferResponse(ctx, a, standby)
 }
 
@@ -121,14 +105,6 @@
 	return r.mayHaveRunResult(ctx, reason)
 }
 
-// earlier returns the earlier one of two times, where zero is later than all.
-func earlier(a, b time.Time) time.Time {
-	if a.IsZero() || !b.IsZero() && b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // succeededBy ends an attempt whose server was silent until another one began to respond.
 func succeededBy(winner *attempt) *attemptResult {
 	return &attemptResult{result: placement.Failed, sent: true, mayHaveRun: true, reason: "server is silent", successor: winner}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -20,18 +20,12 @@
 // they do not show that the response is a stream. The head is sent with the first event, so
 // that a stream which breaks earlier can restart on another server. A standby that began
 // before the head goes on until the first event.
-func (r *request) openStream(ctx context.Context, a *attempt, policy silencePolicy, standby *standby) *attemptResult {
-	deadline := r.stallDeadline(0)
+func (r *request) openStream(ctx context.Context, a *attempt, standby *standby) *attemptResult {
 	if standby.halt() {
 		standby.release()
-		delay := r.stallLimit()
-		if policy == withTimeout {
-			deadline = r.stallDeadline(delay)
-			delay = 0
-		}
-		standby = r.newStandby(a, delay)
+		standby = r.newStandby(ctx, a, r.stallLimit())
 	}
-	a.conn.SetReadDeadline(deadline)
+	a.conn.SetReadDeadline(r.stallDeadline())
 	a.events = sse.NewReader(a.resp.Body)
 	event, err := a.readFirstEvent()
 	failure := r.checkFirstEvent(a, event, err)
@@ -135,17 +129,13 @@
 	return maxStallGaps * r.route.MaxEventGap
 }
 
-// stallDeadline is when an attempt without a standby ends if no event has come, for a given
-// stallLimit; zero if it need not end. A slow stream that no other server can continue is
-// not cut.
-func (r *request) stallDeadline(limit time.Duration) time.Time {
-	if limit == 0 && r.deadline.IsZero() {
-		limit = defaultTimeout
-	}
-	if limit == 0 {
+// stallDeadline is when an attempt ends if no event has come; zero if the request has a
+// deadline of its own. A slow stream is not cut earlier.
+func (r *request) stallDeadline() time.Time {
+	if !r.deadline.IsZero() {
 		return time.Time{}
 	}
-	return r.gateway.now().Add(limit)
+	return r.gateway.now().Add(defaultTimeout)
 }
 
 func (r *request) beginStream(a *attempt) {
--- a/gateway/stall_watch.go
+++ b/gateway/stall_watch.go
@@ -38,7 +38,7 @@
 // with write. A comment does not show that the stream makes progress.
 func (w *stallWatch) nextEvent(write func([]byte) error) (sse.Event, error) {
 	r := w.request
-	w.attempt.conn.SetReadDeadline(r.stallDeadline(0))
+	w.attempt.conn.SetReadDeadline(r.stallDeadline())
 	if w.delay > 0 {
 		now := r.gateway.now()
 		if w.silentSince.IsZero() {
@@ -79,7 +79,7 @@
 func (w *stallWatch) arm(delay time.Duration) {
 	delay = max(delay, time.Nanosecond)
 	if w.standby == nil {
-		w.standby = w.request.newStandby(w.attempt, delay)
+		w.standby = w.request.newStandby(w.request.ctx, w.attempt, delay)
 		return
 	}
 	w.standby.resume(delay)
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -13,8 +13,10 @@
 // silent server keeps the request until another one has begun to respond: it may be sound
 // and go on, and there may be no other one that can take the request over.
 //
-// While a standby runs, the request belongs to it, and the goroutine that serves the
-// request only reads from the silent server. settle gives the request back.
+// While a standby runs, the request belongs to it, and the goroutine that created it only
+// reads from the silent server. settle gives the request back. A server that a standby asks
+// may be silent as well, and then has a standby of its own: the first one may fail, so that
+// it is the only one that has the request.
 type standby struct {
 	request *request
 	current *attempt
@@ -30,6 +32,8 @@
 	// begun to respond.
 	done   chan struct{}
 	winner *attempt
+	// wasSilent is the value of request.serverSilent before the standby began.
+	wasSilent bool
 }
 
 // standbyRetryDelay is the time between two unsuccessful tries of a standby.
@@ -44,14 +48,14 @@
 	standbySettled
 )
 
-// newStandby creates the standby of an attempt, which starts after delay. It returns nil if
-// delay is zero; the methods of a nil standby do nothing.
-func (r *request) newStandby(current *attempt, delay time.Duration) *standby {
+// newStandby creates the standby of an attempt, which starts after delay and ends with ctx.
+// It returns nil if delay is zero; the methods of a nil standby do nothing.
+func (r *request) newStandby(ctx context.Context, current *attempt, delay time.Duration) *standby {
 	if delay <= 0 {
 		return nil
 	}
 	s := &standby{request: r, current: current, currentFailed: make(chan struct{}), done: make(chan struct{})}
-	s.ctx, s.cancel = context.WithCancel(r.ctx)
+	s.ctx, s.cancel = context.WithCancel(ctx)
 	s.timer = time.AfterFunc(delay, s.run)
 	return s
 }
@@ -60,7 +64,7 @@
 func (s *standby) run() {
 	defer close(s.done)
 	r := s.request
-	r.serverSilent = true
+	s.wasSilent, r.serverSilent = r.serverSilent, true
 	r.recordInterrupted(s.ctx, s.current.lease, os.ErrDeadlineExceeded)
 	for s.ctx.Err() == nil {
 		if a := s.try(); a != nil {
@@ -108,12 +112,14 @@
 		return nil
 	}
 	r.logRetry(s.current, silent)
-	if failure := r.open(s.ctx, a, withTimeout); failure != nil {
-		r.unusedRetry = !failure.sent
-		r.endAttempt(a, failure.result)
-		return nil
+	failure := r.open(s.ctx, a)
+	if failure == nil {
+		return a
 	}
-	return a
+	r.mayHaveRun = r.mayHaveRun || failure.successor != nil
+	r.unusedRetry = r.unusedRetry || !failure.sent
+	r.endAttempt(a, failure.result)
+	return failure.successor
 }
 
 // halt stops the delay. It returns false if the standby has started; it must then be
@@ -146,7 +152,7 @@
 	}
 	close(s.currentFailed)
 	<-s.done
-	s.request.serverSilent = false
+	s.request.serverSilent = s.wasSilent
 	if s.winner == nil {
 		s.cancel()
 		s.request.describe(s.current)
--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -95,7 +95,7 @@
 		current, refusal := r.place(r.ctx, g.now())
 		Expect(refusal).To(BeNil())
 		r.triedServers = append(r.triedServers, current.lease.Server.Key())
-		s := r.newStandby(current, time.Hour)
+		s := r.newStandby(r.ctx, current, time.Hour)
 		s.timer.Stop()
 		s.state.Store(standbySettled)
 		s.run()
