Standbys take no place that the retry budget does not pay for

Cause: a standby looked for a place first and charged the retry budget then. With an empty budget it took and gave back a place every 200 ms. A place counts against the rate limit of its server although the request is not sent, so that requests which could be sent were refused as rate_limited.

Evidence: "takes no place that it cannot pay for" (gateway) fails without the change: the next request is refused as rate_limited.

Change: a standby looks for a place only while the budget has a retry.

Measured: the specs of gateway pass under the race detector.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -234,6 +234,15 @@
 	return !r.isLastServer()
 }
 
+// hasRetry reports whether chargeRetry would return true now. A place costs its server's rate
+// limit a request, so none is taken without a retry.
+func (r *request) hasRetry() bool {
+	g := r.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return r.unusedRetry || g.budget.Remaining(r.service, g.now()) >= 1
+}
+
 // chargeRetry takes a retry from the budget, unless one that was taken has not been used. It
 // returns false if none is left.
 func (r *request) chargeRetry() bool {
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -100,7 +100,7 @@
 func (s *standby) try() *attempt {
 	r := s.request
 	silent := attemptResult{sent: true, mayHaveRun: true, reason: "server is silent"}
-	if !r.isRetryAllowed(silent) {
+	if !r.isRetryAllowed(silent) || !r.hasRetry() {
 		return nil
 	}
 	a, refusal := r.place(s.ctx, r.gateway.now())
--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -18,6 +18,7 @@
 	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/placement"
+	"github.com/auburnbend/auburnbend/lib/ratelimit"
 	"github.com/auburnbend/auburnbend/lib/retry"
 	"github.com/auburnbend/auburnbend/lib/serving"
 	"github.com/auburnbend/auburnbend/lib/sse"
@@ -128,6 +129,25 @@
 		}
 	})
 
+	It("takes no place that it cannot pay for", func() {
+		// Guards against servers with a rate limit whose places are taken by requests that must
+		// not be sent, as the retry budget is used up.
+		g := newGateway(retry.Config{Window: 10 * time.Second}, 0, listen(time.Hour, ""), listen(0, response))
+		r := newRequest(g)
+		current, refusal := r.place(r.ctx, g.now())
+		Expect(refusal).To(BeNil())
+		r.triedServers = append(r.triedServers, current.lease.Server.Key())
+		limited := directory.Key{ID: "s1"}
+		Expect(g.picker.ObserveLimit(limited, ratelimit.Statement{PerSecond: 1, Known: true}, g.now(), g.now())).To(BeTrue())
+		s := r.newStandby(r.ctx, current, time.Hour)
+		defer s.cancel()
+		Expect(s.try()).To(BeNil())
+		other := newRequest(g)
+		other.triedServers = r.triedServers
+		_, refusal = other.place(other.ctx, g.now())
+		Expect(refusal).To(BeNil())
+	})
+
 	It("counts only the time in which the server is waited for as silence", func() {
 		// Guards against retries because the caller takes long to accept an event.
 		g := newGateway(manyRetries, 0, listen(time.Hour, ""))
