A panic of a standby ends its request only

Cause: the HTTP library recovers a panic on the goroutine of a request. A standby asks servers on a goroutine of its own, where a panic ended the process.

Evidence: "fails with its request only" (gateway): without the change the process of the specs ends.

Change: settle raises the panic again on the goroutine that waits for the standby.

Measured: the specs of gateway pass under the race detector.

--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -34,6 +34,9 @@
 	winner *attempt
 	// wasSilent is the value of request.serverSilent before the standby began.
 	wasSilent bool
+	// panicked is the value of a panic, which settle raises again where the HTTP library
+	// recovers it.
+	panicked any
 }
 
 // standbyRetryDelay is the time between two unsuccessful tries of a standby.
@@ -62,7 +65,10 @@
 
 // run tries other servers until one begins to respond or the standby is settled.
 func (s *standby) run() {
-	defer close(s.done)
+	defer func() {
+		s.panicked = recover()
+		close(s.done)
+	}()
 	r := s.request
 	s.wasSilent, r.serverSilent = r.serverSilent, true
 	r.recordInterrupted(s.ctx, s.current.lease, os.ErrDeadlineExceeded)
@@ -152,6 +158,9 @@
 	}
 	close(s.currentFailed)
 	<-s.done
+	if s.panicked != nil {
+		panic(s.panicked)
+	}
 	s.request.serverSilent = s.wasSilent
 	if s.winner == nil {
 		s.cancel()
--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -37,6 +37,11 @@
 func (signedDialect) EventVersion([]byte) int                           { return 0 }
 func (signedDialect) PrepareRefusal(http.Header, string, time.Duration) {}
 
+// panickingDialect fails to parse responses.
+type panickingDialect struct{ signedDialect }
+
+func (panickingDialect) ParseResponse(int, http.Header) ResponseInfo { panic("malformed") }
+
 var _ = Describe("The standby of an attempt", func() {
 	const target = 20 * time.Millisecond
 	manyRetries := retry.Config{Ratio: 1, Window: 10 * time.Second, Slack: 100}
@@ -148,6 +153,21 @@
 		Expect(refusal).To(BeNil())
 	})
 
+	It("fails with its request only", func() {
+		// Guards against a panic that ends the process because it passes by the goroutine of
+		// the request, where the HTTP library recovers it.
+		g := newGateway(manyRetries, 0, listen(time.Hour, ""), listen(0, response))
+		g.config.Dialect = panickingDialect{}
+		recovered := make(chan any, 1)
+		go func() {
+			defer func() { recovered <- recover() }()
+			ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+			defer cancel()
+			g.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(ctx, http.MethodPost, "/x", nil))
+		}()
+		Eventually(recovered).WithTimeout(2 * time.Second).Should(Receive(Equal("malformed")))
+	})
+
 	It("counts only the time in which the server is waited for as silence", func() {
 		// Guards against retries because the caller takes long to accept an event.
 		g := newGateway(manyRetries, 0, listen(time.Hour, ""))
