--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -18,6 +18,7 @@
 	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/placement"
+	"github.com/auburnbend/auburnbend/lib/ratelimit"
 	"github.com/auburnbend/auburnbend/lib/retry"
 	"github.com/auburnbend/auburnbend/lib/serving"
 	"github.com/auburnbend/auburnbend/lib/sse"
@@ -36,6 +37,11 @@
 func (signedDialect) EventVersion([]byte) int                           { return 0 }
 func (signedDialect) PrepareRefusal(http.Header, string, time.Duration) {}
 
+// panickingDialect fails to parse responses.
+type panickingDialect struct{ signedDialect }
+
+func (panickingDialect) ParseResponse(int, http.Header) ResponseInfo { panic("malformed") }
+
 var _ = Describe("The standby of an attempt", func() {
 	const target = 20 * time.Millisecond
 	manyRetries := retry.Config{Ratio: 1, Window: 10 * time.Second, Slack: 100}
@@ -95,7 +101,7 @@
 		current, refusal := r.place(r.ctx, g.now())
 		Expect(refusal).To(BeNil())
 		r.triedServers = append(r.triedServers, current.lease.Server.Key())
-		s := r.newStandby(current, time.Hour)
+		s := r.newStandby(r.ctx, current, time.Hour)
 		s.timer.Stop()
 		s.state.Store(standbySettled)
 		s.run()
@@ -128,6 +134,40 @@
 		}
 	})
 
+	It("takes no place that it cannot pay for", func() {
+		// Guards against servers with a rate limit whose places are taken by requests that must
+		// not be sent, as the retry budget is used up.
+		g := newGateway(retry.Config{Window: 10 * time.Second}, 0, listen(time.Hour, ""), listen(0, response))
+		r := newRequest(g)
+		current, refusal := r.place(r.ctx, g.now())
+		Expect(refusal).To(BeNil())
+		r.triedServers = append(r.triedServers, current.lease.Server.Key())
+		limited := directory.Key{ID: "s1"}
+		Expect(g.picker.ObserveLimit(limited, ratelimit.Statement{PerSecond: 1, Known: true}, g.now(), g.now())).To(BeTrue())
+		s := r.newStandby(r.ctx, current, time.Hour)
+		defer s.cancel()
+		Expect(s.try()).To(BeNil())
+		other := newRequest(g)
+		other.triedServers = r.triedServers
+		_, refusal = other.place(other.ctx, g.now())
+		Expect(refusal).To(BeNil())
+	})
+
+	It("fails with its request only", func() {
+		// Guards against a panic that ends the process because it passes by the goroutine of
+		// the request, where the HTTP library recovers it.
+		g := newGateway(manyRetries, 0, listen(time.Hour, ""), listen(0, response))
+		g.config.Dialect = panickingDialect{}
+		recovered := make(chan any, 1)
+		go func() {
+			defer func() { recovered <- recover() }()
+			ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+			defer cancel()
+			g.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(ctx, http.MethodPost, "/x", nil))
+		}()
+		Eventually(recovered).WithTimeout(2 * time.Second).Should(Receive(Equal("malformed")))
+	})
+
 	It("counts only the time in which the server is waited for as silence", func() {
 		// Guards against retries because the caller takes long to accept an event.
 		g := newGateway(manyRetries, 0, listen(time.Hour, ""))
