Entry keeps to a stop time that is shorter than the balancer's reaction

Cause: a stop waited 3 s for the load balancer whatever the stop time of the settings was, so a process with a stop time of 2 s was killed with its requests in progress.

Change: the drain ends 0.7 s before the end of the stop time, or a quarter of it, and the listener closes then at the latest. The schedule closes it, so that a stop time that becomes shorter in the first 3 s is followed too.

Times with a stop time of 4 s and more are unchanged.

--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -93,7 +93,7 @@
 	return retry.Config{Ratio: b.RetryRatio, Window: b.RetryWindow, Slack: b.RetrySlack}
 }
 
-// serveCallers accepts callers until ctx ends and then for balancerReactionTime. It
+// serveCallers accepts callers until ctx ends and then for balancerReactionTime at most. It
 // returns when all requests have ended, at the latest shortly before stopTime, in
 // nanoseconds, has passed since ctx ended. Before that, requests that are still in
 // progress get an answer.
@@ -133,12 +133,11 @@
 	env.Log.Log(eventlog.ProcessStopping, "open", g.OpenRequests())
 	drainCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go schedule.run(drainCtx, g, cancel)
-	time.Sleep(balancerReactionTime)
+	// Closing the listener again would interrupt the accepting of pending connections.
+	go schedule.run(drainCtx, g, sync.OnceFunc(func() { _ = callerListener.Close() }), cancel)
 	// Shutdown drops requests that are read after its start. Before it, the listener and the
 	// idle connections close, and the requests on all other connections are answered. It
 	// would wait for connections on which no request has been read, so it closes them first.
-	_ = callerListener.Close()
 	select {
 	case <-callersDone:
 		callerServer.SetKeepAlivesEnabled(false)
--- a/internal/node/late_requests_test.go
+++ b/internal/node/late_requests_test.go
@@ -212,6 +212,22 @@
 		Expect(e.logs.String()).NotTo(ContainSubstring("event=1007"))
 	})
 
+	It("are answered before a stop time that is shorter than the balancer's reaction", func() {
+		// Guards against requests that are cut off because the process is killed while it
+		// still waits for the balancer.
+		const short = 2 * time.Second
+		e, _ := startLateEntry(short, nil)
+		answers := stopAndSend(e, []lateRequest{
+			{id: "order-hang", path: "/order/hang", opensAt: -50 * time.Millisecond, sendsAt: -50 * time.Millisecond, limit: 6 * second},
+			{id: "order-quick", path: "/order/x", opensAt: second, sendsAt: second, limit: 6 * second},
+		})
+		Expect(answers["order-hang"].err).NotTo(HaveOccurred())
+		Expect(answers["order-hang"].status).To(Equal(http.StatusGatewayTimeout))
+		Expect(answers["order-hang"].at).To(BeNumerically("<", short))
+		Expect(answers["order-quick"].status).To(Equal(http.StatusOK))
+		Eventually(e.done, short-answers["order-hang"].at).Should(Receive(BeNil()))
+	})
+
 	It("follow a stop time that the settings change meanwhile", func() {
 		// Guards against requests that are cut off because the stop time became shorter.
 		changed := make(chan func(*platform.Settings), 1)
--- a/internal/node/stop_schedule.go
+++ b/internal/node/stop_schedule.go
@@ -14,11 +14,16 @@
 	// second and reacts to two failed checks.
 	balancerReactionTime = 3 * time.Second
 	// answerReserve is the part of StopTime that is reserved for the delivery of answers
-	// to the requests that are still in progress, and for the exit of the process.
-	answerReserve = 700 * time.Millisecond
+	// to the requests that are still in progress, and for the exit of the process. It is at
+	// most a quarter of StopTime.
+	answerReserve        = 700 * time.Millisecond
+	answerReserveDivisor = 4
 	// exitReserve is the part of StopTime that is reserved for the exit of the process.
-	// Streams that have not ended by then are cut.
-	exitReserve = 400 * time.Millisecond
+	// Streams that have not ended by then are cut. It is at most an eighth of StopTime.
+	exitReserve        = 400 * time.Millisecond
+	exitReserveDivisor = 8
+	// defaultStopTime applies if the settings name no stop time.
+	defaultStopTime = balancerReactionTime + answerReserve
 	// schedulePollInterval is how often a stop checks its schedule.
 	schedulePollInterval = 5 * time.Millisecond
 )
@@ -31,30 +36,37 @@
 	stopTime *atomic.Int64
 }
 
-// before returns the time that is reserve before the end of the stop time, if that leaves
-// the load balancer its time. A process whose stop time is shorter, or not known, stops
-// as if it had that time.
-func (s *stopSchedule) before(reserve time.Duration) time.Time {
-	return s.signalledAt.Add(max(time.Duration(s.stopTime.Load()), balancerReactionTime+answerReserve) - reserve)
-}
-
-// drainTimes returns the times that decide which requests are served.
-func (s *stopSchedule) drainTimes() gateway.DrainTimes {
-	return gateway.DrainTimes{ListenerCloses: s.signalledAt.Add(balancerReactionTime), Ends: s.before(answerReserve)}
+// times returns the times that decide which requests are served, and when connections
+// are cut. The listener closes early if the stop time is shorter than the balancer's
+// reaction.
+func (s *stopSchedule) times() (drain gateway.DrainTimes, cutAt time.Time) {
+	stop := time.Duration(s.stopTime.Load())
+	if stop <= 0 {
+		stop = defaultStopTime
+	}
+	ends := stop - min(answerReserve, stop/answerReserveDivisor)
+	drain.ListenerCloses = s.signalledAt.Add(min(balancerReactionTime, ends))
+	drain.Ends = s.signalledAt.Add(ends)
+	return drain, s.signalledAt.Add(stop - min(exitReserve, stop/exitReserveDivisor))
 }
 
-// run keeps the drain times of g up to date and ends the drain when it is due. It calls
-// cut when connections must be cut, and returns then or when ctx ends.
-func (s *stopSchedule) run(ctx context.Context, g *gateway.Gateway, cut func()) {
+// run keeps the drain times of g up to date. From when the listener must close it calls
+// closeListener, any number of times. It ends the drain when that is due, and calls cut
+// when connections must be cut. It returns then or when ctx ends.
+func (s *stopSchedule) run(ctx context.Context, g *gateway.Gateway, closeListener, cut func()) {
 	ticker := time.NewTicker(schedulePollInterval)
 	defer ticker.Stop()
 	for {
-		times, now := s.drainTimes(), time.Now()
+		times, cutAt := s.times()
+		now := time.Now()
 		g.SetDrainTimes(times)
+		if !now.Before(times.ListenerCloses) {
+			closeListener()
+		}
 		if !now.Before(times.Ends) {
 			g.EndDrain()
 		}
-		if !now.Before(s.before(exitReserve)) {
+		if !now.Before(cutAt) {
 			cut()
 			return
 		}
