A stream that ends between the two bytes of a line end is broken off

A stream without a length or chunks whose connection ended there was relayed as whole, without its last byte.

Evidence: the spec "returns no event of a stream that ends within it" fails on the code before: "id: 1\r\ndata: a\r\n\r" ends with EOF in place of ErrTruncated.

Change: after lines that end with both, the scanner takes no carriage return alone for a blank line at the end of a stream. Streams whose lines end with carriage returns only, or with line feeds before it, are read as before.

--- a/lib/sse/reader_lineends_test.go
+++ b/lib/sse/reader_lineends_test.go
@@ -40,6 +40,27 @@
 		Entry("a blank line at the beginning", "\r\nid: 1\n\n", "\r\n", "id: 1\n\n"),
 	)
 
+	It("returns no event of a stream that ends within it", func() {
+		// Guards against a stream that is broken off between the two bytes of its last line
+		// end, or anywhere else in an event, and counts as complete.
+		for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
+			event := strings.ReplaceAll("id: 1\ndata: a\n\n", "\n", lineEnd)
+			for length := 1; length < len(event); length++ {
+				for _, before := range []string{"", event} {
+					for _, bytewise := range []bool{false, true} {
+						var src io.Reader = strings.NewReader(before + event[:length])
+						if bytewise {
+							src = iotest.OneByteReader(src)
+						}
+						got, err := readAll(src)
+						Expect(err).To(MatchError(sse.ErrTruncated), "%q", event[:length])
+						Expect(strings.Join(got, "")).To(Equal(before))
+					}
+				}
+			}
+		}
+	})
+
 	It("passes an event with carriage returns on before the next byte arrives", func() {
 		// Guards against events that are held back until the next one.
 		pr, pw := io.Pipe()
--- a/lib/sse/scanner.go
+++ b/lib/sse/scanner.go
@@ -10,8 +10,9 @@
 	next int
 	// lineStart is the position of the line that next is in.
 	lineStart int
-	// bareReturn is set if the previous line ended with a carriage return only.
-	bareReturn bool
+	// bareReturn is set if the previous line ended with a carriage return only, returnFeed if
+	// it ended with a carriage return and a line feed.
+	bareReturn, returnFeed bool
 }
 
 // eventLength returns the length of the first event in b, or 0 if it is incomplete. A
@@ -32,16 +33,17 @@
 				if b[end] == '\n' {
 					end++
 				}
-			case !blank, !final && s.next > 0 && !s.bareReturn:
+			case !blank, s.next > 0 && !s.bareReturn && (!final || s.returnFeed):
 				// A line feed may follow. After lines that end with a carriage return only, none
-				// is awaited: it could take as long as the next event.
+				// is awaited: it could take as long as the next event. After lines that end with
+				// both, a stream without it has been broken off.
 				return 0
 			}
 		}
 		if blank {
 			return end
 		}
-		s.bareReturn = b[end-1] == '\r'
+		s.bareReturn, s.returnFeed = b[end-1] == '\r', end-s.next == 2
 		s.next, s.lineStart = end, end
 	}
 }
