--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -184,11 +184,14 @@
 // its end first, so that a truncated one can be replaced by another server's.
 func (r *request) relayBuffered(lease *placement.Lease, head *http.Response, reply ResponseInfo) attemptResult {
 	body, release, err := r.gateway.bodyBudget.ReadAll(head, maxResponseBytes)
+	if err == nil {
+		r.releases = append(r.releases, release)
+		err = checkEnd(head, body)
+	}
 	if err != nil {
 		r.recordInterrupted(lease, err)
 		return r.mayHaveRunResult("answer broken off, without an end or too long")
 	}
-	r.releases = append(r.releases, release)
 	response := &bufferedResponse{status: head.StatusCode, header: head.Header, body: body}
 	if head.StatusCode >= http.StatusInternalServerError {
 		r.mayHaveRun = true
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -93,6 +94,11 @@
 	r.summary.Outcome, r.summary.Status = string(outcomeAnswered), response.status
 	r.summary.TimeToFirstByte = r.gateway.now().Sub(r.arrived)
 	copyResponseHeader(r.writer.Header(), response.header)
+	if len(response.body) > 0 {
+		// With a length, a response whose connection ends too early does not look complete to
+		// a caller with HTTP/1.0 either, which gets no chunks.
+		r.writer.Header().Set("Content-Length", strconv.Itoa(len(response.body)))
+	}
 	r.writer.WriteHeader(response.status)
 	if len(response.body) > 0 {
 		// A write fails only if the caller has gone.
