lib/engine takes no interim response for the final one

Cause: the HTTP client skips a single 100 response only.

Change: a status below 200 is an error after which the request may have run. A response that follows it on the connection is not read.

--- a/lib/engine/broken_stream_test.go
+++ b/lib/engine/broken_stream_test.go
@@ -33,9 +33,9 @@
 	unframedHead    part = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 )
 
-// scriptedEngine sends one text for each request, in order. The connection ends with
-// each.
-func scriptedEngine(responses ...[]part) *engine.Client {
+// scriptedServer sends one text for each request, in order. The connection ends with
+// each. It returns the URL of the server.
+func scriptedServer(responses ...[]part) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(listener.Close)
@@ -48,7 +48,12 @@
 			serveScript(conn, parts)
 		}
 	}()
-	client, err := engine.NewClient(engine.Config{Address: "http://" + listener.Addr().String(), StallTimeout: time.Second, RequestTimeout: 2 * time.Second})
+	return "http://" + listener.Addr().String()
+}
+
+// scriptedEngine is a client of a scripted server.
+func scriptedEngine(responses ...[]part) *engine.Client {
+	client, err := engine.NewClient(engine.Config{Address: scriptedServer(responses...), StallTimeout: time.Second, RequestTimeout: 2 * time.Second})
 	Expect(err).NotTo(HaveOccurred())
 	return client
 }
--- a/lib/engine/exchange.go
+++ b/lib/engine/exchange.go
@@ -12,12 +12,17 @@
 	"github.com/cloudwego/hertz/pkg/common/config"
 	herrors "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
 	"github.com/auburnbend/auburnbend/lib/ratelimit"
 )
 
 const headerRetryAfter = "Retry-After"
 
+// errInterim means that the HTTP client has returned an interim response. It skips a
+// single 100 only.
+var errInterim = merry.Wrap(ErrIncomplete, merry.AppendMessage("interim response in place of the final one"))
+
 // transport sends HTTP requests to one backend server.
 type transport struct {
 	client *client.Client
@@ -79,6 +84,10 @@
 	go func() { done <- t.client.Do(context.Background(), x.req, x.resp) }()
 	select {
 	case err := <-done:
+		if err == nil && x.resp.StatusCode() < consts.StatusOK {
+			x.close()
+			err = errInterim
+		}
 		return classifyError(err)
 	case <-ctx.Done():
 		go x.discard(done)
