A caller of the product with HTTP/1.0 gets no chunks

Cause: the HTTP library sends a stream in chunks whatever the version of the request. A caller with HTTP/1.0 found the sizes of the chunks between its events, and had no framing that shows where the response ends.

Evidence: the spec "sends no chunks to a caller with HTTP/1.0" gets "HTTP/1.1 200 OK ... Transfer-Encoding: chunked" on the code before.

Change: such a caller gets the response as callers that accept no stream do: whole, with a length, and with the outcome in a header.

--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -188,6 +188,8 @@
 	return newBufferedResponse(ctx, request)
 }
 
+// acceptsStream reports whether the caller gets events as they are made. A caller with
+// HTTP/1.0 does not, because a stream is sent in chunks.
 func acceptsStream(ctx *app.RequestContext) bool {
-	return strings.Contains(string(ctx.GetHeader("Accept")), "text/event-stream")
+	return ctx.Request.Header.IsHTTP11() && strings.Contains(string(ctx.GetHeader("Accept")), "text/event-stream")
 }
--- a/entry/caller/server_test.go
+++ b/entry/caller/server_test.go
@@ -191,6 +191,36 @@
 		Expect(body).NotTo(ContainSubstring("digest"))
 	})
 
+	It("sends no chunks to a caller with HTTP/1.0", func() {
+		// Guards against chunk sizes between the events of a stream, and against a part of a
+		// response that passes for the whole: such a caller knows no chunks, and takes the end
+		// of the connection for that of a response without a length.
+		whole := Result{Outcome: outcome.Completed, Frames: 2, Digest: model.Sum([]byte("ab"))}
+		broken := Result{Outcome: outcome.Unknown, Reason: outcome.ReasonIncomplete, Frames: 2}
+		for _, c := range []struct {
+			service string
+			result  Result
+			start   string
+			end     string
+		}{
+			{"draft", whole, "HTTP/1.1 200 ", "\r\n\r\nab"},
+			{"order", whole, "HTTP/1.1 200 ", "\r\n\r\nab"},
+			{"draft", broken, "HTTP/1.1 504 ", "}"},
+		} {
+			handler.script.Store(&script{parts: []string{"a", "b"}, result: c.result})
+			conn, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+			Expect(err).NotTo(HaveOccurred())
+			defer conn.Close()
+			_, err = io.WriteString(conn, "POST /v1/services/"+c.service+" HTTP/1.0\r\nHost: a.example\r\n"+HeaderTenant+
+				": huye\r\nAccept: text/event-stream\r\nContent-Length: 5\r\n\r\nhello")
+			Expect(err).NotTo(HaveOccurred())
+			response, err := io.ReadAll(conn)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(response)).To(And(HavePrefix(c.start), HaveSuffix(c.end), ContainSubstring("Content-Length: ")))
+			Expect(string(response)).NotTo(ContainSubstring("chunked"))
+		}
+	})
+
 	It("sets status, outcome and Retry-After for a request that was not run", func() {
 		handler.script.Store(&script{
 			result: Result{Outcome: outcome.NotRun, Reason: outcome.ReasonOverloaded, RetryAfter: 1500 * time.Millisecond},
