--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -228,6 +228,11 @@
 // be replaced by another server's. The delay of the standby covers the whole response.
 func (r *request) bufferResponse(ctx context.Context, a *attempt, standby *standby) *attemptResult {
 	body, release, err := r.gateway.bodyBudget.ReadAll(a.resp, maxResponseBytes)
+	if err == nil {
+		if err = checkEnd(a.resp, body); err != nil {
+			release()
+		}
+	}
 	failure := err
 	if err == nil && a.resp.StatusCode >= http.StatusInternalServerError {
 		failure = errUnusable
