Layers are taken again also where the agent doesn't know their number

Cause: an agent whose configuration names no number of layers, or one, took the whole model for one layer. A layer can be taken again only after the engine has given it up for another one, so that after event 7311 the agent had no order left: the engine stayed closed until it restarted or a newer version was declared, although it reports its layers.

Change: without a declared number, the number up to which the engine reports layers of the version is used. It may be too low if an earlier agent ordered a part of them. Then the first layers still stand for at least the pieces that the engine's first layers need, and only first layers are kept. Before such an agent trusts the engine, it orders all layers once, which an engine that holds them answers without a load; otherwise one that starts amid a repair would open an engine with its first layers only. The manifest's number was not used: no digest covers it, and one that is too high would keep corrupt layers.

A model's only layer still can't be taken again, nor can layers of an engine that reports none: its pieces are not written, since the next agent would find them intact and trust them.

The model engine of the property tests no longer counts orders for what it holds, as real engines don't.

--- a/replica/engine.go
+++ b/replica/engine.go
@@ -79,6 +79,15 @@
 	return s.Layers.Intersect(all)
 }
 
+// reportedLayers returns the number of layers that a version has at least, as the engine
+// reports layers up to it, or zero if it reports none.
+func (s *EngineState) reportedLayers(model string, version int) int {
+	if w, ok := s.Weights[model]; !ok || w.Version != version || s.Layers == nil || s.Layers.To > maxReportedLayers {
+		return 0
+	}
+	return s.Layers.To
+}
+
 // serves reports whether the engine holds all layers of a version or a newer one.
 func (s *EngineState) serves(model string, version, layers int) bool {
 	w, ok := s.Weights[model]
--- a/replica/layer_check.go
+++ b/replica/layer_check.go
@@ -22,6 +22,13 @@
 	// rewritten marks the pieces that were written while the engine may already have
 	// taken them.
 	rewritten []bool
+	// countKnown is set if the model has no more layers than these: the configuration says
+	// so, or the engine has answered an order for all layers. The engine may have reported
+	// only a part of them otherwise.
+	countKnown bool
+	// unrepairable is set once it has been logged that the engine can't take its only layer
+	// again.
+	unrepairable bool
 	// taking are the layers of the last accepted order.
 	taking LayerRange
 	// maxOrders is the highest number of accepted orders that the orders of this process
@@ -37,7 +44,10 @@
 // suspect layers count as written since they were taken.
 func (c *layerCheck) withLayers(layers int) *layerCheck {
 	next := newLayerCheck(layers, len(c.rewritten))
-	next.maxOrders = c.maxOrders
+	next.maxOrders, next.countKnown = c.maxOrders, c.countKnown
+	if c.taking.Len() > 0 {
+		next.taking = LayerRange{To: layers}
+	}
 	copy(next.rewritten, c.rewritten)
 	for layer, state := range c.states {
 		from, to := c.piecesOf(layer)
@@ -196,7 +206,9 @@
 		// The engine gives up all that it holds.
 		return LayerRange{To: held.From}, true
 	case len(c.states) == 1:
-		// The only layer can't be given up; the engine keeps it until its next version.
+		// The only layer can't be given up; the engine keeps it until its next version or
+		// restart, or until more layers are known. Its pieces are not written again: an agent
+		// that starts meanwhile would take them for those that the engine took.
 		return LayerRange{}, false
 	case held.Len() == 1:
 		// The first layer is suspect. The engine gives it up for the last one.
--- a/replica/layer_count_test.go
+++ b/replica/layer_count_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"context"
 	"crypto/sha256"
 	"testing"
 )
@@ -37,3 +38,20 @@
 		}
 	}
 }
+
+// Guards against a newer version that is loaded at once instead of in its turn, because the
+// number of layers became known while the engine takes the version before it.
+func TestTakenVersionIsVerifiedFirstWhenTheNumberOfLayersChanges(t *testing.T) {
+	e := &scriptedEngine{}
+	r, taken, _ := newTaken(t, e)
+	e.state.Busy = true
+	layers := 2 * scriptedLayers
+	r.config.Layers = func() int { return layers }
+	if p := r.nextNow(); p != taken {
+		t.Fatalf("the next version is %+v, want version 2", p)
+	}
+	r.verifyWhileBusy(context.Background(), taken, &r.engineState.Load().EngineState)
+	if p := r.nextNow(); p != taken || r.check.layers() != layers {
+		t.Errorf("with %d layers, the next version is %+v, want version 2", r.check.layers(), p)
+	}
+}
--- a/replica/load.go
+++ b/replica/load.go
@@ -61,10 +61,16 @@
 		return
 	}
 	target, needed := check.next(held)
-	if !needed {
-		if check.intact(held) {
-			r.finishLoad(p, state)
-		}
+	switch countKnown := check.countKnown || state.Layers == nil; {
+	case needed:
+	case !countKnown:
+		// An engine that holds all layers of the model takes nothing by this order.
+		target = LayerRange{To: check.layers()}
+	case check.intact(held):
+		r.finishLoad(p, state)
+		return
+	default:
+		r.logUnrepairable(p, state, check)
 		return
 	}
 	if p.loadStarted.IsZero() {
@@ -87,6 +93,15 @@
 	r.order(ctx, p, check, state.stamp(), held, target)
 }
 
+// logUnrepairable logs once that the engine can't take its only layer again. Orders follow
+// once it has restarted, a newer version is fetched or more layers are known.
+func (r *Replica) logUnrepairable(p *pendingVersion, state *EngineState, check *layerCheck) {
+	if !check.unrepairable {
+		check.unrepairable = true
+		r.config.Log.Log(eventlog.WeightsUnrepairable, "model", p.model, "version", p.version, "orders", state.OrdersAccepted)
+	}
+}
+
 // stepDeadline returns a function that reports whether the time of a step has passed.
 func (r *Replica) stepDeadline() func() bool {
 	end := r.config.Clock.Now().Add(loadStepTime)
@@ -98,7 +113,7 @@
 // may change the number of layers.
 func (r *Replica) layerCheckFor(p *pendingVersion, state *EngineState) *layerCheck {
 	key := p.checkKey(state)
-	layers := r.layers()
+	layers := r.layers(state, key)
 	switch {
 	case r.check == nil || r.checkKey != key:
 		r.check, r.checkKey = newLayerCheck(layers, len(p.pieces.manifest.Digests)), key
@@ -106,6 +121,9 @@
 	case r.check.layers() != layers:
 		r.check = r.check.withLayers(layers)
 	}
+	if r.declaredLayers() > 1 {
+		r.check.countKnown = true
+	}
 	if r.check.maxOrders < state.OrdersAccepted {
 		r.check.suspectAll()
 		r.check.maxOrders = state.OrdersAccepted
@@ -124,15 +142,6 @@
 	return checkKey{model: p.model, version: p.version, startUnixMilli: state.StartUnixMilli}
 }
 
-// layers returns the number of layers that orders may be about: all layers of the model,
-// or one if their number is unknown.
-func (r *Replica) layers() int {
-	if r.config.Layers == nil {
-		return 1
-	}
-	return max(1, r.config.Layers())
-}
-
 // verifyLoaded verifies the layers that the engine has taken.
 func (r *Replica) verifyLoaded(ctx context.Context, p *pendingVersion, state *EngineState, check *layerCheck, held LayerRange, deadline func() bool) {
 	v, err := r.verify(ctx, p, state.stamp(), check.unknownPieces(held), deadline)
@@ -200,6 +209,7 @@
 	p.loadStarted = time.Time{}
 	switch {
 	case err == nil:
+		check.countKnown = check.countKnown || target.Len() == check.layers()
 		r.openOrder.Store(nil)
 		check.ordered(target, held.Intersect(target))
 	case !errors.Is(err, ErrOrderRejected):
--- a/replica/load_property_test.go
+++ b/replica/load_property_test.go
@@ -75,7 +75,11 @@
 	e.check()
 }
 
+// take applies an accepted order. One for what the engine holds begins nothing.
 func (e *faultyEngine) take(target LayerRange) {
+	if e.version == 2 && e.held == target {
+		return
+	}
 	kept := LayerRange{}
 	if e.version == 2 {
 		kept = e.held.Intersect(target)
@@ -163,18 +167,25 @@
 // Guards against requests to an engine that took a corrupt piece, whatever order its
 // agent's steps and the faults come in, and against loads that never end.
 func TestLoadOpensOnlyEnginesThatTookIntactLayers(t *testing.T) {
-	rapid.Check(t, checkLoad(false))
+	rapid.Check(t, checkLoad(false, true))
+}
+
+// Guards against the same where the agent doesn't know the number of layers, or learns it
+// later.
+func TestLoadOfAnUnknownNumberOfLayers(t *testing.T) {
+	rapid.Check(t, checkLoad(false, false))
 }
 
 // Guards against the same where an order of an agent that has ended is accepted late, or
 // one that was accepted late is not verified before the agent ends.
 func TestLoadAfterLateOrdersOfEndedAgents(t *testing.T) {
-	rapid.Check(t, checkLoad(true))
+	rapid.Check(t, checkLoad(true, true))
 }
 
 // checkLoad returns a property of an agent and an engine with faults. ordersOutliveAgents
 // allows agents to end while an order of theirs may be accepted or has been accepted late.
-func checkLoad(ordersOutliveAgents bool) func(*rapid.T) {
+// Without declared, the configuration names the number of layers at some step, or never.
+func checkLoad(ordersOutliveAgents, declared bool) func(*rapid.T) {
 	return func(t *rapid.T) {
 		layers := rapid.IntRange(2, 5).Draw(t, "layers")
 		pieces := rapid.IntRange(layers/2+1, 2*layers).Draw(t, "pieces")
@@ -185,6 +196,10 @@
 		for piece := range pieces {
 			m.Digests = append(m.Digests, sha256.Sum256(pieceOfVersion2(piece)))
 		}
+		declaredLayers := layers
+		if !declared {
+			declaredLayers = rapid.IntRange(0, 1).Draw(t, "declared layers")
+		}
 		var r *Replica
 		var p *pendingVersion
 		fetch := func() {
@@ -195,7 +210,7 @@
 			p = &pendingVersion{target: target{model: "m", version: 2}, pieces: set}
 		}
 		startAgent := func() {
-			r = New(Config{Engine: e, Clock: c, Layers: func() int { return layers }, Log: eventlog.OpenPlain(io.Discard, c)})
+			r = New(Config{Engine: e, Clock: c, Layers: func() int { return declaredLayers }, Log: eventlog.OpenPlain(io.Discard, c)})
 			fetch()
 		}
 		startAgent()
@@ -214,6 +229,9 @@
 			r.readEngineState(ctx)
 			state := &r.engineState.Load().EngineState
 			e.check()
+			if declaredLayers != layers && e.chance("number of layers is declared", 10) {
+				declaredLayers = layers
+			}
 			switch {
 			case state.serves("m", 2, layers) && r.trusts(state):
 				return true
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -279,7 +279,7 @@
 	case t.version == 0 || state == nil:
 		r.phases.fire(triggerUnknown)
 		return
-	case state.serves(t.model, t.version, r.layers()) && r.trusts(&state.EngineState):
+	case r.serves(&state.EngineState, t) && r.trusts(&state.EngineState):
 		// Earlier processes knew of no newer version to order.
 		r.dismissEarlierOrder()
 		r.phases.fire(triggerServing)
@@ -294,7 +294,7 @@
 	case state.Busy:
 		r.phases.fire(triggerBusy)
 		r.verifyWhileBusy(ctx, p, &state.EngineState)
-	case p != nil && state.held(p.model, p.version, r.layers()).Len() > 0:
+	case p != nil && r.held(&state.EngineState, p).Len() > 0:
 		r.phases.fire(triggerTaken)
 		r.load(ctx, p, &state.EngineState)
 	case p != nil:
--- a/replica/stage.go
+++ b/replica/stage.go
@@ -11,7 +11,7 @@
 	r.mu.Lock()
 	p := r.pending[0]
 	r.mu.Unlock()
-	if r.layers() > 1 && r.mayAcceptOrder(state) {
+	if r.layers(state, p.checkKey(state)) > 1 && r.mayAcceptOrder(state) {
 		return
 	}
 	r.stage(ctx, p, state, r.layerCheckFor(p, state), LayerRange{}, nil, r.stepDeadline())
@@ -27,7 +27,7 @@
 		// All pieces are staged before the first order.
 		r.dismissEarlierOrder()
 	}
-	if p == nil || r.mayAcceptOrder(state) || len(state.Weights) > 0 && !r.trusts(state) || state.held(p.model, p.version, r.layers()).Len() > 0 {
+	if p == nil || r.mayAcceptOrder(state) || len(state.Weights) > 0 && !r.trusts(state) || r.held(state, p).Len() > 0 {
 		return
 	}
 	check := r.layerCheckFor(p, state)
