A change of role on its way is recorded, so that the next agent keeps the weights

Cause: an agent recorded the engine's fence of a change of role only after it had read the state that confirms it. One that ended between the engine's acceptance and that left a record with the fence before; the engine reports the new one, so the record didn't count. Its successor made the engine load again and served nothing until then, nor at all while the files or their manifest couldn't be fetched. The record of a load was complete: it is written before the weights are served. This concerns real replacements of agents.

Change: before an order other than a load is sent, its fence is added to the record of the live weights, which it leaves in place. The next agent takes the weights under either fence; one that begins a load of its own drops the added one. The record's file is replaced by a rename alone, so that an agent that is killed meanwhile leaves a record (a spec that reads it all the time failed before); after an error there is still none.

The property test of the machine now replaces agents too: 60,000 cases passed. agent/... passed, and agent/backend under the race detector (arm64).

--- a/agent/backend/advance.go
+++ b/agent/backend/advance.go
@@ -51,6 +51,7 @@
 			m.readState()
 		}
 	case engine.StepSend:
+		m.recordOrder(step.Order)
 		m.emit(Action{Kind: ActionOrder, Order: step.Order})
 	case engine.StepWait:
 		m.guardWakeAt = step.Until
@@ -90,7 +91,9 @@
 	current := confirmedStateOf(r.State)
 	unsent := r.State == (engine.State{})
 	switch {
-	case m.live.weights.IsZero() || unsent:
+	case m.live.weights.IsZero():
+	case unsent:
+		m.record(m.live.record())
 	case !r.State.Busy && current.incarnation == m.live.incarnation && current.weights == m.live.weights &&
 		(r.Err == nil || current.accepted == r.Order.Fence):
 		m.live, m.previous = current, current
@@ -101,6 +104,18 @@
 	m.emit(Action{Kind: ActionOrderDone, Order: r.Order, Result: r})
 }
 
+// recordOrder records an order that leaves the live weights in place before it is sent: the
+// agent may end before it knows that the engine has accepted it, and the next agent then
+// finds the weights under the fence of that order.
+func (m *Machine) recordOrder(o engine.Order) {
+	if o.Kind == engine.OrderLoad || m.live.weights.IsZero() {
+		return
+	}
+	r := m.live.record()
+	r.Ordered = o.Fence
+	m.record(r)
+}
+
 // setLive marks the weights of a confirmed state as live and serves them.
 func (m *Machine) setLive(c confirmedState) {
 	m.live, m.previous, m.candidate, m.failedReads = c, c, candidate{}, 0
--- a/agent/backend/check_state.go
+++ b/agent/backend/check_state.go
@@ -35,7 +35,7 @@
 	switch {
 	case c == m.previous:
 		m.adopt(c)
-	case c != m.cfg.Recorded.state():
+	case !m.cfg.Recorded.matches(c):
 		// What the engine has read is not known to be intact.
 		m.candidate = candidate{}
 	case m.candidate.confirmedState != c:
--- a/agent/backend/enter.go
+++ b/agent/backend/enter.go
@@ -6,6 +6,7 @@
 
 	"github.com/qmuntal/stateless"
 
+	"github.com/auburnbend/auburnbend/lib/engine"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
@@ -47,6 +48,8 @@
 func (m *Machine) enterLoading() {
 	m.live, m.candidate = confirmedState{}, candidate{}
 	m.record(LoadRecord{})
+	// If the engine accepted that order after this load, it would hold what this load read.
+	m.cfg.Recorded.Ordered = engine.Fence{}
 	m.serve()
 	m.reportPhase(wire.PhaseLoading, nil)
 	m.submitLoad()
--- a/agent/backend/fake_host_test.go
+++ b/agent/backend/fake_host_test.go
@@ -29,7 +29,9 @@
 	failures int
 	// fetchFails makes Fetch fail; otherwise it takes fetchTime.
 	fetchFails bool
-	fetchTime  time.Duration
+	// holdsRoleReplies keeps the replies to changes of role from the runner.
+	holdsRoleReplies bool
+	fetchTime        time.Duration
 	// refusing is true from a call of Quiesce to the next call of Serve.
 	refusing bool
 	// quiesceCalls is the number of running Quiesce calls.
--- a/agent/backend/load_record.go
+++ b/agent/backend/load_record.go
@@ -13,6 +13,17 @@
 	Incarnation uint64        `json:"incarnation"`
 	Accepted    engine.Fence  `json:"accepted"`
 	Weights     model.Weights `json:"weights"`
+	// Ordered is the fence of an order on its way that leaves the weights in place, or zero.
+	// Once the engine has accepted it, it reports this fence instead of Accepted.
+	Ordered engine.Fence `json:"ordered,omitzero"`
+}
+
+// matches reports whether an engine in state c holds the weights of the recorded load.
+func (r LoadRecord) matches(c confirmedState) bool {
+	if r.Ordered != (engine.Fence{}) && c.accepted == r.Ordered {
+		c.accepted = r.Accepted
+	}
+	return c == r.state()
 }
 
 func (r LoadRecord) state() confirmedState {
--- a/agent/backend/machine_test.go
+++ b/agent/backend/machine_test.go
@@ -88,7 +88,15 @@
 			"reply":     func(*rapid.T) { h.reply(nil) },
 			"lose":      func(t *rapid.T) { rare(t, func() { h.reply(engine.ErrMayHaveRun) }) },
 			"refuse":    func(t *rapid.T) { rare(t, func() { h.reply(engine.ErrNotStarted) }) },
-			"crash":     func(t *rapid.T) { rare(t, h.crash) },
+			"replace agent": func(t *rapid.T) {
+				rare(t, func() {
+					wanted := h.m.Wanted()
+					h.replaceAgent()
+					h.m.SetWanted(h.now, wanted)
+					h.executeActions()
+				})
+			},
+			"crash": func(t *rapid.T) { rare(t, h.crash) },
 			"notice": func(t *rapid.T) {
 				rare(t, func() {
 					h.m.HandleCrash(h.now)
--- a/agent/backend/runner_test.go
+++ b/agent/backend/runner_test.go
@@ -42,13 +42,17 @@
 func runOn(server *standin.Server, h *fakeHost, guard engine.GuardConfig) (r *backend.Runner, stop func()) {
 	client, err := engine.NewClient(engine.Config{Address: server.URL()})
 	Expect(err).NotTo(HaveOccurred())
+	var orders engine.OrderClient = client
+	if h.holdsRoleReplies {
+		orders = heldReplies{client}
+	}
 	guard.PollInterval, guard.SettleTime = time.Millisecond, 30*time.Millisecond
 	r = backend.NewRunner(backend.RunnerConfig{
 		Machine: backend.Config{
 			Guard: guard, Recorded: h.record,
 			StatePollInterval: 5 * time.Millisecond, MinBackoff: 10 * time.Millisecond,
 		},
-		Clock: clock.System{}, Random: rand.New(rand.NewSource(1)), Engine: client, Host: h,
+		Clock: clock.System{}, Random: rand.New(rand.NewSource(1)), Engine: orders, Host: h,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
--- a/agent/load_record.go
+++ b/agent/load_record.go
@@ -31,15 +31,20 @@
 	return r
 }
 
-// write replaces the record. A process that stops meanwhile leaves the previous record
-// or none. After an error there is no record.
+// write replaces the record. A process that stops meanwhile leaves the previous record or
+// the new one. After an error there is no record.
 func (f loadRecordFile) write(r backend.LoadRecord) error {
-	if err := os.Remove(f.path); err != nil && !errors.Is(err, os.ErrNotExist) {
-		return err
-	}
 	if r == (backend.LoadRecord{}) {
-		return nil
+		return f.remove()
 	}
+	err := f.replace(r)
+	if err != nil {
+		err = errors.Join(err, f.remove())
+	}
+	return err
+}
+
+func (f loadRecordFile) replace(r backend.LoadRecord) error {
 	data, err := json.Marshal(r)
 	if err != nil {
 		return err
@@ -50,3 +55,10 @@
 	}
 	return os.Rename(incoming, f.path)
 }
+
+func (f loadRecordFile) remove() error {
+	if err := os.Remove(f.path); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	return nil
+}
