An agent changes the role only after recorded weights were confirmed

Cause: a new agent takes over recorded weights once its engine has reported the recorded state for the settle time. A change of role that it ordered before (its configuration names another role than the engine has) gave the engine a new fence, so that the record no longer matched: the engine had to load again, and served nothing while the files couldn't be fetched.

Change: the machine refuses other orders while recorded weights may still be taken over; the agent tries again at its next poll. It waits for at most the settle time, for which the first order to an engine that ignores fencing waits anyway.

--- a/agent/backend/check_state.go
+++ b/agent/backend/check_state.go
@@ -21,6 +21,7 @@
 		return
 	}
 	m.failedReads = 0
+	m.recordChecked = m.recordChecked || !s.Busy
 	c := confirmedStateOf(s)
 	if !m.live.weights.IsZero() {
 		if !s.Busy && c == m.live {
@@ -68,6 +69,14 @@
 	}
 }
 
+// mayAdopt reports whether the recorded weights may still be adopted.
+func (m *Machine) mayAdopt() bool {
+	if !m.live.weights.IsZero() || m.cfg.Recorded == (LoadRecord{}) {
+		return false
+	}
+	return !m.recordChecked || !m.candidate.weights.IsZero()
+}
+
 // superseded reports whether the engine has accepted an order with a higher
 // epoch than this agent's.
 func (m *Machine) superseded(s engine.State) bool {
--- a/agent/backend/events.go
+++ b/agent/backend/events.go
@@ -11,8 +11,8 @@
 )
 
 // ErrOrderRefused means that SubmitOrder did not accept an order because a load is
-// imminent or another order is outstanding.
-var ErrOrderRefused = merry.New("order refused: a load is imminent or another order is outstanding")
+// imminent, another order is outstanding, or the recorded weights may still be adopted.
+var ErrOrderRefused = merry.New("order refused: a load is imminent, another order is outstanding, or recorded weights are not confirmed yet")
 
 // SetWanted sets the version that should become live. If it is zero, the live weights
 // stay as they are.
@@ -136,11 +136,12 @@
 
 // SubmitOrder submits an order other than a load, such as a change of role or a
 // transfer of KV cache. The result is reported by ActionOrderDone. SubmitOrder returns
-// ErrOrderRefused if another order is outstanding or a load is imminent.
+// ErrOrderRefused if another order is outstanding or a load is imminent, or while the
+// recorded weights may be adopted: the record would not match the fence of the order.
 func (m *Machine) SubmitOrder(now time.Time, o engine.Order) error {
 	m.now = now
 	phase := m.Phase()
-	if o.Kind == engine.OrderLoad || m.guard.Outstanding() || phase == wire.PhaseQuiescing || phase == wire.PhaseLoading {
+	if o.Kind == engine.OrderLoad || m.guard.Outstanding() || phase == wire.PhaseQuiescing || phase == wire.PhaseLoading || m.mayAdopt() {
 		return merry.Wrap(ErrOrderRefused)
 	}
 	if err := m.guard.Submit(o); err != nil {
--- a/agent/backend/machine.go
+++ b/agent/backend/machine.go
@@ -32,6 +32,8 @@
 	// nothing has changed since.
 	previous  confirmedState
 	candidate candidate
+	// recordChecked is true once an idle engine's state was compared with Config.Recorded.
+	recordChecked bool
 	// recorded is the stored record.
 	recorded LoadRecord
 
--- a/agent/backend/replacement_test.go
+++ b/agent/backend/replacement_test.go
@@ -48,6 +48,31 @@
 		Entry("that the agent has verified", read, (*harness).deliver, finish, reply, read),
 	)
 
+	// Guards against an engine that has to load its weights again because its new agent changes
+	// its role before the record of the previous one counts.
+	It("keeps the weights if it is to change the role at once", func() {
+		h := newHarness(GinkgoT())
+		h.m.SetWanted(h.now, version("v1"))
+		h.executeActions()
+		h.runToCompletion()
+		h.replaceAgent()
+		h.m.SetWanted(h.now, version("v1"))
+		h.executeActions()
+		ordered := false
+		for range 40 {
+			ordered = ordered || h.m.SubmitOrder(h.now, role) == nil
+			h.executeActions()
+			h.fetched(engine.ErrIncomplete)
+			h.readState(nil)
+			h.deliver()
+			finish(h)
+			reply(h)
+			h.advanceTime(500 * time.Millisecond)
+		}
+		Expect(h.served).To(Equal(version("v1")), "engine %+v, record %+v", h.state, h.recorded)
+		Expect(h.state.Role).To(Equal(engine.RoleDecode))
+	})
+
 	// Guards against a load that counts as intact because the engine has accepted the order of
 	// the previous agent after it, later than the settle time.
 	It("doesn't take its own load for that of its predecessor", func() {
--- a/agent/roles.go
+++ b/agent/roles.go
@@ -80,7 +80,8 @@
 		if !ok || a.gate.Running() > 0 {
 			continue
 		}
-		// The order is refused if another order is outstanding or a load is imminent.
+		// The order is refused if another order is outstanding, a load is imminent or recorded
+		// weights are not confirmed yet.
 		if a.weights.SubmitOrder(engine.Order{Kind: engine.OrderRole, Role: role}) == nil {
 			a.roles.markOrdered(now)
 		}
