Keep reports on engines whose row has not been read yet

Cause: the engine restarts, and its agent reports the new start as closed, as the engine may accept an order without a response. Entries that have not read the row of the new start drop the report: the directory lists an earlier start at the address, or none. When the row comes, the server has no report, and entries go by the row, which names the weights that the engine took with that order. The agent repeats its unchanged report only after a while.

Three of the new specs fail before the change.

Change: the last report on a start that is not listed is kept for each address, for as many addresses as the entry follows engines, and applied with the time of its arrival when the start is listed. Reports on other starts are dropped.

--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -107,8 +107,8 @@
 	return max(1, len(distinct))
 }
 
-// handleStatus applies an agent's report to the engine at its address, provided that
-// the same incarnation is registered there.
+// handleStatus applies an agent's report to the engine at its address. If the reporting
+// incarnation is not registered there yet, the report is kept until it is.
 func (g *Gateway) handleStatus(status peerlink.Status) {
 	publish := func() {}
 	g.mu.Lock()
@@ -119,6 +119,7 @@
 	now := g.now()
 	server := g.directory.ByAddress(status.Address)
 	if server == nil {
+		g.earlyStatuses.add(status, now)
 		return
 	}
 	if status.StartUnixMilli != 0 && server.StartUnixMilli != 0 && status.StartUnixMilli != server.StartUnixMilli {
@@ -128,12 +129,19 @@
 			// has ended, since a later one reports from its address.
 			g.picker.MarkSuperseded(server.Key())
 			publish = g.recordServerEnd(server.Key(), signAddressReused)
+			g.earlyStatuses.add(status, now)
 		}
 		return
 	}
 	if status.StartUnixMilli != 0 {
 		publish = g.recordAlive(server.Key(), now.Add(-time.Duration(status.AgeMicros)*time.Microsecond))
 	}
+	g.applyStatus(server, &status, now)
+}
+
+// applyStatus applies a report to the listed incarnation that it is about. The caller
+// holds mu.
+func (g *Gateway) applyStatus(server *directory.Server, status *peerlink.Status, receivedAt time.Time) {
 	if status.Model != "" && server.Weights[status.Model].Version < status.Version {
 		g.updateWeights(server, status.Model, status.Version)
 	}
@@ -142,7 +150,7 @@
 		Age: time.Duration(status.AgeMicros) * time.Microsecond, Slowdown: status.Slowdown, Closed: status.Closed,
 		Model: status.Model, Version: status.Version,
 		LinkDelay: time.Duration(status.LinkDelayMicros) * time.Microsecond,
-	}, now)
+	}, receivedAt)
 }
 
 // updateWeights records that a listed engine serves a newer version than its row
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,8 @@
 	versions *versions.Registry
 	suspects *suspects
 	signals  map[Signal]int64
+	// earlyStatuses are the reports on incarnations that are not listed yet.
+	earlyStatuses *earlyStatuses
 	// subscribed are the engines chosen for subscribedKey.
 	subscribed    []engine
 	subscribedKey subscribedKey
@@ -99,6 +101,8 @@
 		versions:   versions.NewRegistry(config.MaxRolloutTime),
 		suspects:   newSuspects(),
 		signals:    make(map[Signal]int64),
+
+		earlyStatuses: newEarlyStatuses(),
 	}
 }
 
@@ -114,6 +118,7 @@
 			g.mu.Lock()
 			g.configAt = g.now()
 			g.directory.SetServices(g.table.Load().Config().ServiceNames())
+			g.applyEarlyStatuses()
 			g.mu.Unlock()
 			g.announceTargets()
 			return true
@@ -156,6 +161,7 @@
 func (g *Gateway) UpdateServers(change func(*directory.Directory, time.Time)) {
 	g.mu.Lock()
 	change(g.directory, g.now())
+	g.applyEarlyStatuses()
 	g.picker.ObserveCold(g.now())
 	g.picker.Prune()
 	publish := g.recordUnlistedEnds()
--- a/gateway/status_test.go
+++ b/gateway/status_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -10,6 +11,7 @@
 	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/placement"
+	"github.com/auburnbend/auburnbend/lib/serving"
 	"github.com/auburnbend/auburnbend/peerlink"
 )
 
@@ -59,4 +61,83 @@
 		report(9, 1)
 		Expect(g.State().Servers).To(HaveKeyWithValue(ServerGroup{"s", placement.Closed}, 1))
 	})
+
+	Describe("on an incarnation whose row has not been read", func() {
+		list := func(start int64) {
+			g.UpdateServers(func(d *directory.Directory, at time.Time) {
+				d.Replace([]*directory.Server{{ID: "b", Service: "s", Address: address, StartUnixMilli: start, Weights: map[string]directory.Weights{"m": {Version: 2, Complete: true}}}}, false, at)
+			})
+		}
+		reportClosed := func(start int64) {
+			g.handleStatus(peerlink.Status{Address: address, StartUnixMilli: start, Closed: true})
+		}
+		remove := func() { g.UpdateServers(func(d *directory.Directory, at time.Time) { d.Remove("a", false, at) }) }
+		expect := func(condition placement.Condition) {
+			GinkgoHelper()
+			Expect(g.State().Servers).To(Equal(map[ServerGroup]int{{"s", condition}: 1}))
+		}
+
+		It("close it from its first row on, while the row of an earlier one is listed", func() {
+			// Guards against requests to a restarted engine that took weights which its agent hasn't verified.
+			reportClosed(9)
+			list(9)
+			expect(placement.Closed)
+		})
+
+		It("close it from its first row on, while none is listed", func() {
+			// Guards against a report that is dropped between the removal of the earlier row and the new one.
+			remove()
+			reportClosed(9)
+			list(9)
+			expect(placement.Closed)
+		})
+
+		It("close it as soon as its service is declared", func() {
+			// Guards against a report that is dropped because the configuration is read after the rows.
+			remove()
+			g.SetConfig(&serving.Config{Version: 1})
+			list(9)
+			reportClosed(9)
+			g.SetConfig(&serving.Config{Version: 2, Services: []serving.Service{{Name: "s"}}})
+			expect(placement.Closed)
+		})
+
+		It("count with the time of their arrival", func() {
+			// Guards against a report that counts as current although it is old.
+			g.handleStatus(peerlink.Status{Address: address, StartUnixMilli: 9, Model: "m", Version: 1})
+			now.Advance(time.Minute)
+			list(9)
+			expect(placement.Open)
+		})
+
+		It("do not concern other incarnations", func() {
+			// Guards against a sound engine that stays closed for a report on an earlier one.
+			reportClosed(9)
+			list(10)
+			expect(placement.Open)
+		})
+
+		It("are replaced by later ones only", func() {
+			// Guards against an outdated report, and against one that arrives late.
+			reportClosed(9)
+			report(11, 2)
+			reportClosed(10)
+			list(11)
+			expect(placement.Open)
+		})
+
+		It("are kept for a limited number of addresses, the latest ones", func() {
+			// Guards against memory that grows with the addresses of agents, and against a full one that keeps no further report.
+			for i := range 2 * maxEarlyStatuses {
+				now.Advance(time.Millisecond)
+				g.handleStatus(peerlink.Status{Address: fmt.Sprint("10.1.0.1:", i), StartUnixMilli: 9})
+			}
+			now.Advance(time.Millisecond)
+			reportClosed(9)
+			Expect(g.earlyStatuses.byAddress).To(HaveLen(maxEarlyStatuses))
+			list(9)
+			expect(placement.Closed)
+			Expect(g.earlyStatuses.byAddress).To(HaveLen(maxEarlyStatuses - 1))
+		})
+	})
 })
