gateway: requests that tell parts apart avoid servers that have ended

Cause: a request with a part whose crashes another part explains runs to tell the two apart. It was placed like any other request. The row of a crashed server outlives it by several heartbeats, so that the request went to servers that the entry itself knew to have ended, where a later start answers 421. That tells nothing, the request is sent on, and the next one comes.

Evidence: in one of two failed runs of "callers at all entries at once idempotent" the three requests without a4e (44:58.595, 44:59.209 and 44:59.828) met desk-4-1, desk-2-1, desk-0-1, desk-4-1 and desk-0-1 before the third of them ran. The ends of all of these are in the log of the entries (7205, until 44:57.988). Four arrivals were later than a second after the fifth crash, allowed are three.

Change: such a request is not placed on a server whose end is recorded, by this entry or another one, or whose address a later start has. A query to a placer lists only as many servers as fit into a datagram; an entry therefore rejects a lease on an excluded one and places the request itself. Other requests are placed as before.

--- a/gateway/place.go
+++ b/gateway/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/directory"
@@ -86,6 +87,10 @@
 	if listing == nil || granted.version < req.MinVersion || g.picker.Throttled(granted.server, g.now()) {
 		return nil
 	}
+	if slices.Contains(req.Exclude, granted.server) {
+		// A query lists only as many excluded servers as fit into a datagram.
+		return nil
+	}
 	if listing.Draining || !g.picker.IsHome(listing, req) || g.picker.Evacuated(listing.Domain) {
 		return nil
 	}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -14,10 +14,11 @@
 const quarantinedReason placement.Reason = "quarantined"
 
 // quarantineRefusal returns the refusal of a request whose content or a part of whose
-// prompt is quarantined, or nil.
+// prompt is quarantined, or nil. It updates ties.
 func (r *request) quarantineRefusal() *placement.Refusal {
 	g := r.gateway
 	g.mu.Lock()
+	r.ties = nil
 	none := g.suspects.monitor.SuspectCount()+g.suspects.parts.monitor.SuspectCount() == 0
 	g.mu.Unlock()
 	if none {
@@ -27,8 +28,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	blame := poison.FindBlame(now, poison.Evidence{Monitor: g.suspects.monitor, Own: []model.Fingerprint{x.content}}, poison.Evidence{Monitor: g.suspects.parts.monitor, Own: x.parts})
+	blame, ties := poison.Judge(now, poison.Evidence{Monitor: g.suspects.monitor, Own: []model.Fingerprint{x.content}}, poison.Evidence{Monitor: g.suspects.parts.monitor, Own: x.parts})
 	if blame == nil {
+		r.ties = ties
 		return nil
 	}
 	if i := slices.Index(x.parts, blame.Fingerprint); i >= 0 && !g.suspects.quarantined[blame.Fingerprint] {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/auburnbend/auburnbend/gateway/upstream"
 	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/placement"
+	"github.com/auburnbend/auburnbend/lib/poison"
 	"github.com/auburnbend/auburnbend/lib/serving"
 )
 
@@ -30,6 +32,9 @@
 	contentHashed bool
 	// parts are the fingerprints of RequestInfo.PromptParts; empty until they are used.
 	parts []model.Fingerprint
+	// ties are the fingerprints whose crashes are merely explained by others. If there are
+	// any, the request is a trial: its outcome tells them apart.
+	ties []poison.Tie
 
 	service string
 	engine  *serving.Engine
@@ -114,6 +119,9 @@
 	if s := r.table.Service(r.service); s != nil {
 		req.ColdPerSecond = s.ColdRequestsPerSecond
 	}
+	if len(r.ties) > 0 {
+		req.Exclude = append(slices.Clip(req.Exclude), r.gateway.endedServers(r.service)...)
+	}
 	req.NextVersion, req.NextVersionAt = r.gateway.versions.NextMinVersion(r.info.Model, now)
 	r.nextVersion, r.nextAt = req.NextVersion, req.NextVersionAt
 	// All requests to a service get about the same latency target. With their own
--- a/lib/poison/attributor.go
+++ b/lib/poison/attributor.go
@@ -115,6 +115,12 @@
 	}
 }
 
+// HasEnded reports whether an instance is known to have ended.
+func (a *Attributor) HasEnded(instance model.InstanceID) bool {
+	_, known := a.ends[instance]
+	return known
+}
+
 // EndCount returns the number of instances that are known to have ended.
 func (a *Attributor) EndCount() int { return len(a.ends) }
 
--- a/lib/poison/blame.go
+++ b/lib/poison/blame.go
@@ -33,15 +33,27 @@
 // always seen together, each explains the other: a request with only one of them runs, and
 // its outcome tells them apart.
 func FindBlame(now time.Time, evidence ...Evidence) *Blame {
+	blame, _ := Judge(now, evidence...)
+	return blame
+}
+
+// Judge returns what FindBlame returns, or else the fingerprints of the request that have as
+// many crashes and are merely explained by others.
+func Judge(now time.Time, evidence ...Evidence) (*Blame, []Tie) {
+	var ties []Tie
 	for _, e := range evidence {
 		for _, fingerprint := range e.Own {
 			crashed, until := e.Monitor.crashesOf(now, fingerprint)
-			if len(crashed) >= e.Monitor.config.QuarantineCrashes && !explained(now, crashed, evidence) {
-				return &Blame{fingerprint, len(crashed), until}
+			if len(crashed) < e.Monitor.config.QuarantineCrashes {
+				continue
+			}
+			if !explained(now, crashed, evidence) {
+				return &Blame{fingerprint, len(crashed), until}, nil
 			}
+			ties = append(ties, Tie{fingerprint, len(crashed)})
 		}
 	}
-	return nil
+	return nil, ties
 }
 
 // explained reports whether fingerprints that the request does not have explain the crashes
