Agents take a place only when all their entries agree

Cause: an entry ranks the instances that it knows, and an agent took the rank that was sent last. An entry reads the instance list every 5 s. One that read it while a failure domain started knows fewer instances until the next reading and sends those behind the missing one a rank that is too low. If a version with a number of replicas is placed in that time, one instance too many loads it and keeps it. It may be the last one that serves the old version there. The same happens when one entry alone loses its connection to an instance.

Change: an agent keeps the rank of each connected entry. The highest counts until the entries have disagreed for 15 s (three readings of the list), then the lowest, so that an instance that hangs and stays listed is replaced. The decision and its application are under one lock, because two connections could otherwise apply theirs in the opposite order.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -44,8 +44,8 @@
 	roles roles
 	// fetchTimer records when the fetch of the current manifest began.
 	fetchTimer fetchTimer
-	// rank is the position of the instance in its pool, or unknownRank.
-	rank atomic.Int64
+	// placement is nil for plain services.
+	placement *placement
 	// firstTokens measures the time to first token of live requests.
 	firstTokens firstTokens
 	sessions    *sessions
@@ -53,15 +53,11 @@
 	tasks       sync.WaitGroup
 }
 
-// unknownRank is the rank until an entry of the failure domain has sent one.
-const unknownRank = -1
-
 // New returns an agent that does nothing until Start is called.
 func New(cfg Config) (*Agent, error) {
 	a := &Agent{cfg: cfg.applyDefaults(), sessions: newSessions()}
 	a.cfg.Gate.OnChange = a.sessions.sendHeartbeats
 	a.cfg.Gate.OnRefusal = a.logRefusal
-	a.rank.Store(unknownRank)
 	a.follower = follow.New(follow.Config{Clock: cfg.Clock, Rand: cfg.Rand, Log: cfg.Log, Heartbeat: a.heartbeat})
 	var err error
 	if cfg.BackendKind == settings.BackendPlain {
@@ -127,6 +123,7 @@
 		Engine:  client,
 		Host:    host{a},
 	})
+	a.placement = &placement{declared: host{a}.declaredPlacement, setWanted: a.weights.SetWanted, ranks: newRanks()}
 	a.follower.Watch(host{a}.applyConfig)
 	return nil
 }
@@ -232,6 +229,7 @@
 			a.gate.Tick()
 			a.follower.Tick()
 			a.adjustLinkShare()
+			a.applyPlacement()
 		case <-ctx.Done():
 			return
 		}
@@ -246,8 +244,15 @@
 	}
 }
 
+// applyPlacement decides again whether the placement includes this instance.
+func (a *Agent) applyPlacement() {
+	if a.placement != nil {
+		a.placement.apply(a.cfg.Clock.Now())
+	}
+}
+
 // tickInterval is the interval at which attempts and the age of the configuration are
-// checked, and at which the link share of transfers is adjusted.
+// checked, and at which the link share of transfers and the placement are adjusted.
 const tickInterval = 500 * time.Millisecond
 
 func (a *Agent) hello() wire.Hello {
--- a/agent/host.go
+++ b/agent/host.go
@@ -35,36 +35,23 @@
 	if p, ok := view.Config.FindPlacement(a.cfg.Pool, a.cfg.Identity.Location.FailureDomain); ok {
 		a.roles.setDeclared(p.Role)
 		a.sessions.sendHeartbeats()
-		h.applyPlacement(view.Config, p)
 	}
+	a.placement.apply(a.cfg.Clock.Now())
 }
 
-// setRank updates the position of the instance in its pool, which changes when other
-// instances join or leave, and applies the placement again if it changed.
-func (h host) setRank(rank int) {
-	a := h.agent
-	if a.rank.Swap(int64(rank)) == int64(rank) {
-		return
-	}
-	if view := a.follower.Current(); view != nil {
-		if p, ok := view.Config.FindPlacement(a.cfg.Pool, a.cfg.Identity.Location.FailureDomain); ok {
-			h.applyPlacement(view.Config, p)
-		}
+// declaredPlacement returns the weights that the configuration in force places in the
+// pool and on how many instances.
+func (h host) declaredPlacement() (w model.Weights, replicas int, ok bool) {
+	view := h.agent.follower.Current()
+	if view == nil {
+		return model.Weights{}, 0, false
 	}
-}
-
-// applyPlacement sets the wanted weights to the placed version, or to none if the
-// placement does not include this instance. In that case the live weights stay live.
-func (h host) applyPlacement(c *config.Config, p config.Placement) {
-	w, ok := c.Weights(p.Model, p.Version)
+	p, ok := view.Config.FindPlacement(h.agent.cfg.Pool, h.agent.cfg.Identity.Location.FailureDomain)
 	if !ok {
-		return
-	}
-	rank := h.agent.rank.Load()
-	if p.Replicas > 0 && (rank == unknownRank || rank >= int64(p.Replicas)) {
-		w = model.Weights{}
+		return model.Weights{}, 0, false
 	}
-	h.agent.weights.SetWanted(w)
+	w, ok = view.Config.Weights(p.Model, p.Version)
+	return w, p.Replicas, ok
 }
 
 // Fetch implements backend.Host.
--- a/agent/session.go
+++ b/agent/session.go
@@ -55,6 +55,7 @@
 	a.sessions.add(s)
 	defer func() {
 		a.sessions.remove(s)
+		s.dropRank()
 		a.follower.PeerLost(id)
 		a.gate.Disconnect(s.conn)
 	}()
@@ -92,7 +93,8 @@
 		// entries of its own domain.
 		if a.transfer != nil && s.peer.Identity.Location == a.cfg.Identity.Location {
 			a.transfer.SetEntries(m.Addresses)
-			host{a}.setRank(m.Rank)
+			now := a.cfg.Clock.Now()
+			a.placement.update(now, func(r *ranks) { r.set(now, s, m.Rank) })
 		}
 	case *wire.CacheFetch:
 		s.snapshotRequested.Store(true)
@@ -101,6 +103,14 @@
 	}
 }
 
+// dropRank removes the rank that the entry has sent.
+func (s *session) dropRank() {
+	if p := s.agent.placement; p != nil {
+		now := s.agent.cfg.Clock.Now()
+		p.update(now, func(r *ranks) { r.remove(now, s) })
+	}
+}
+
 // heartbeat returns a heartbeat with all fields but the sequence number.
 func (s *session) heartbeat() wire.Heartbeat {
 	h := s.agent.heartbeat()
