Rank draining agents behind all others of their pool

Cause: sendEntryLists looked up the rank of each connected agent in a map that has no draining agents, and sent the zero value. The first rank is included in every placement, so a draining instance outside a placement wanted its version and began to fetch it. An agent that another one had replaced at its address was sent it as well, until its connection ended.

Change: a draining agent comes behind all others, and an agent that is gone is sent nothing.

--- a/entry/fleet/entry_list.go
+++ b/entry/fleet/entry_list.go
@@ -25,11 +25,12 @@
 
 // poolRanks returns the position of each agent of the failure domain in the
 // rendezvous order of its pool. The order is the same at all entries that know the
-// same agents. When an instance leaves, others move up by at most one position. The
-// caller must hold f.mu.
+// same agents. When an instance leaves, others move up by at most one position.
+// Draining agents come behind all others. The caller must hold f.mu.
 func (f *Fleet) poolRanks() map[model.InstanceID]int {
+	agents := inLocation(f.presentMembers(backing.RoleAgent), f.cfg.Identity.Location)
 	pools := make(map[string][]model.InstanceID)
-	for _, m := range inLocation(f.presentMembers(backing.RoleAgent), f.cfg.Identity.Location) {
+	for _, m := range agents {
 		if !m.Draining {
 			pools[m.Pool] = append(pools[m.Pool], m.Identity.Instance)
 		}
@@ -40,6 +41,11 @@
 			ranks[id] = rank
 		}
 	}
+	for _, m := range agents {
+		if m.Draining {
+			ranks[m.Identity.Instance] = len(pools[m.Pool])
+		}
+	}
 	return ranks
 }
 
@@ -52,7 +58,11 @@
 		if c.hello.Role != wire.RoleAgent || c.hello.Identity.Location != f.cfg.Identity.Location {
 			continue
 		}
-		rank := ranks[c.hello.Identity.Instance]
+		rank, present := ranks[c.hello.Identity.Instance]
+		if !present {
+			// The agent is gone, and its connection is about to end.
+			continue
+		}
 		if c.sentEntryList != nil && c.sentEntryList.Rank == rank && slices.Equal(c.sentEntryList.Addresses, addresses) {
 			continue
 		}
