The drain that a row shows is evidence like that of a response

Cause: the directory remembered a drain by start only if a response or another entry had named it. What a row showed was lost with the next row: a later row of the same start, or a list read after the row was removed, made the server ready again, and an entry that could not reach the store did not learn of the drain from entries that had read the row.

Evidence: the new specs in lib/directory and gateway fail without the change.

Change: rows read in full lists and changes are remembered with the source "row" and their time, unless they name no start. They are counted, logged as 7208 and repeated in gossip, after the drains that no row shows.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -156,6 +156,9 @@
 func (g *Gateway) UpdateServers(change func(*directory.Directory, time.Time)) {
 	g.mu.Lock()
 	change(g.directory, g.now())
+	for _, key := range g.directory.TakeDrainedByRow() {
+		g.recordDraining(key, directory.SourceRow)
+	}
 	g.picker.ObserveCold(g.now())
 	g.picker.Prune()
 	publish := g.recordUnlistedEnds()
--- a/gateway/signals_simulation_test.go
+++ b/gateway/signals_simulation_test.go
@@ -21,7 +21,7 @@
 type signalRegion struct {
 	clock   *clock.Fake
 	entries []*signalEntry
-	// rows are the rows of the servers; they never show a drain.
+	// rows are the rows of the servers; they show a drain in readDrains only.
 	rows     map[string]*directory.Server
 	draining map[directory.Key]bool
 	inFlight []signalMessage
@@ -74,6 +74,18 @@
 	e.ReplaceServers(rows, false)
 }
 
+// readDrains lets an entry read rows that show which servers drain.
+func (r *signalRegion) readDrains(e *signalEntry) {
+	var rows []*directory.Server
+	for _, row := range r.rows {
+		shown := *row
+		shown.Draining = r.draining[row.Key()]
+		e.told[row.Key()] = e.told[row.Key()] || shown.Draining
+		rows = append(rows, &shown)
+	}
+	e.ReplaceServers(rows, false)
+}
+
 // send puts gossip for all entries but one in flight.
 func (r *signalRegion) send(from int, gossip *peerlink.Gossip) {
 	for to := range r.entries {
@@ -190,7 +202,7 @@
 				r.clock.Advance(time.Duration(rapid.SampledFrom([]int{0, 1, 50, 700, 6000, 70_000}).Draw(t, "ms")) * time.Millisecond)
 				entry := rapid.IntRange(0, len(r.entries)-1).Draw(t, "entry")
 				id := fmt.Sprint("s", rapid.IntRange(0, len(simulatedDomains)-1).Draw(t, "server"))
-				switch rapid.IntRange(0, 11).Draw(t, "kind") {
+				switch rapid.IntRange(0, 12).Draw(t, "kind") {
 				case 0:
 					r.draining[r.rows[id].Key()] = true
 				case 1:
@@ -203,6 +215,8 @@
 					if len(r.inFlight) > 0 {
 						r.deliver(rapid.IntRange(0, len(r.inFlight)-1).Draw(t, "message"), rapid.Bool().Draw(t, "lost"))
 					}
+				case 12:
+					r.readDrains(r.entries[entry])
 				case 6:
 					r.send(entry, r.entries[entry].gossipToResend())
 				default:
@@ -214,8 +228,8 @@
 			}
 			known := make(map[directory.Key]bool)
 			for _, e := range r.entries {
-				for key := range e.told {
-					known[key] = key.StartUnixMilli == r.rows[key.ID].StartUnixMilli
+				for key, told := range e.told {
+					known[key] = known[key] || told && key.StartUnixMilli == r.rows[key.ID].StartUnixMilli
 				}
 			}
 			r.settle(3 * subscribeInterval)
@@ -231,6 +245,18 @@
 		})
 	})
 
+	It("reach an entry that cannot read the row which shows the drain", func() {
+		// Guards against entries that keep what the row of a draining server says to themselves.
+		r := newSignalRegion(2)
+		row := *r.rows["s0"]
+		row.Draining = true
+		r.entries[0].ReplaceServers([]*directory.Server{&row, r.rows["s1"]}, false)
+		r.settle(subscribeInterval)
+		Expect(r.entries[1].told).To(HaveKey(row.Key()))
+		Expect(r.serve(1, "north", 0)).To(Succeed())
+		Expect(r.entries[0].State().Signals).To(Equal(map[Signal]int64{{SignalDraining, directory.SourceRow}: 1}))
+	})
+
 	It("reach an entry that restarts long after a server has announced its drain", func() {
 		// Guards against requests to a draining server from an entry that has started again
 		// and read the server's old row from another entry: drains were repeated for five
--- a/lib/directory/directory.go
+++ b/lib/directory/directory.go
@@ -18,6 +18,8 @@
 	expiring map[string]time.Time
 	// draining holds the incarnations that are known to be draining.
 	draining map[Key]Evidence
+	// drainedByRow holds the incarnations that TakeDrainedByRow returns next.
+	drainedByRow []Key
 	// services are the declared services; nil if they are not known.
 	services map[string]bool
 	// byService caches the servers of each service, byAddress the latest incarnation at
@@ -65,7 +67,7 @@
 		}
 	}
 	for _, s := range servers {
-		d.Put(s)
+		d.list(s, now)
 	}
 }
 
@@ -91,7 +93,7 @@
 	for _, c := range changes {
 		switch s := d.servers[c.ID]; {
 		case c.Server != nil:
-			d.Put(c.Server)
+			d.list(c.Server, now)
 		case s != nil:
 			d.remove(c.ID, recovered && !c.Invalid && scan.mayHaveExpired(s.Domain), now)
 		}
--- a/lib/directory/directory_test.go
+++ b/lib/directory/directory_test.go
@@ -153,6 +153,28 @@
 			Expect(e).To(Equal(directory.Evidence{Source: directory.SourceResponse, At: start}))
 		})
 
+		It("lists it as draining once its row has shown that, whatever later rows say", func() {
+			// Guards against a draining server that is used again because of a later row of the same start.
+			row := func(draining bool, startUnixMilli int64) []*directory.Server {
+				s := server("a")
+				s.Draining, s.StartUnixMilli = draining, startUnixMilli
+				return []*directory.Server{s}
+			}
+			d.Replace(row(true, 7), false, start)
+			Expect(d.TakeDrainedByRow()).To(ConsistOf(directory.Key{ID: "a", StartUnixMilli: 7}))
+			d.Apply([]directory.Change{{ID: "a", Server: row(false, 7)[0]}}, true, start)
+			Expect(draining()).To(BeTrue())
+			d.Remove("a", false, start)
+			d.Replace(row(false, 7), false, start)
+			Expect(draining()).To(BeTrue())
+			Expect(d.TakeDrainedByRow()).To(BeEmpty())
+			d.Replace(row(false, 8), false, start)
+			Expect(draining()).To(BeFalse())
+			d.Replace(row(true, 0), false, start)
+			d.Replace(row(false, 0), false, start)
+			Expect(draining()).To(BeFalse(), "rows without a start")
+		})
+
 		It("drops it at once if its row has expired", func() {
 			d.Replace(nil, true, start)
 			d.MarkDraining(directory.Key{ID: "a"}, directory.SourceResponse, start)
--- a/lib/directory/draining.go
+++ b/lib/directory/draining.go
@@ -30,10 +30,7 @@
 	if _, known := d.draining[k]; known {
 		return false
 	}
-	if len(d.draining) >= maxDraining {
-		d.evictDraining(now)
-	}
-	d.draining[k] = Evidence{Source: source, At: now}
+	d.remember(k, source, now)
 	s := d.Get(k)
 	if s == nil || s.Draining {
 		return true
@@ -46,6 +43,34 @@
 	return true
 }
 
+// remember records the evidence that an incarnation is draining.
+func (d *Directory) remember(k Key, source string, now time.Time) {
+	if len(d.draining) >= maxDraining {
+		d.evictDraining(now)
+	}
+	d.draining[k] = Evidence{Source: source, At: now}
+}
+
+// list adds or updates a server as its row states. The drain of an incarnation is
+// remembered, so that no later row revokes it. Without a start, a later row may be that of
+// another incarnation.
+func (d *Directory) list(s *Server, now time.Time) {
+	k := s.Key()
+	if _, known := d.draining[k]; s.Draining && !known && s.StartUnixMilli != 0 {
+		d.remember(k, SourceRow, now)
+		d.drainedByRow = append(d.drainedByRow, k)
+	}
+	d.Put(s)
+}
+
+// TakeDrainedByRow returns the incarnations whose rows have shown since the last call that
+// they are draining, unless that was known before.
+func (d *Directory) TakeDrainedByRow() []Key {
+	keys := d.drainedByRow
+	d.drainedByRow = nil
+	return keys
+}
+
 // DrainEvidence returns how an incarnation became known to be draining. It returns
 // false if it is not known to be.
 func (d *Directory) DrainEvidence(k Key) (Evidence, bool) {
@@ -56,15 +81,20 @@
 // DrainingToShare returns at most limit incarnations that others should learn are
 // draining: those that became known to be at the given time or later, and those that
 // are still listed, as an instance that has just started may read their rows from
-// before. If there are more, the choice is random.
+// before. If there are more, those that rows do not show are preferred, and the choice is
+// random otherwise.
 func (d *Directory) DrainingToShare(since time.Time, limit int) []Key {
-	var keys []Key
+	var keys, shown []Key
 	for k, e := range d.draining {
-		if len(keys) < limit && (!e.At.Before(since) || d.Get(k) != nil) {
+		switch listed := d.Get(k) != nil; {
+		case e.At.Before(since) && !listed:
+		case e.Source == SourceRow:
+			shown = append(shown, k)
+		case len(keys) < limit:
 			keys = append(keys, k)
 		}
 	}
-	return keys
+	return append(keys, shown[:min(len(shown), limit-len(keys))]...)
 }
 
 // evictDraining drops the incarnations that have been remembered for
