Agents report that their engine has said that it drains

Cause: an engine may say that it drains in the response to a status check or an order before any request of an entry reaches it. The agent did not read that header, so entries went on sending requests until one of them had a response with it, and could not learn it from the row while the store was away.

The agent's load report names it at once to all subscribed entries, and again in each report. Entries apply it to the registered start only, with the source "agent".

Not run on this change: the other specs of internal/node.

--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -143,6 +143,9 @@
 		Model: status.Model, Version: status.Version,
 		LinkDelay: time.Duration(status.LinkDelayMicros) * time.Microsecond,
 	}, now)
+	if key := server.Key(); status.Draining && status.StartUnixMilli == key.StartUnixMilli && g.directory.MarkDraining(key, directory.SourceAgent, now) {
+		g.recordDraining(key, directory.SourceAgent)
+	}
 }
 
 // updateWeights records that a listed engine serves a newer version than its row
--- a/gateway/engines_test.go
+++ b/gateway/engines_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
 	"github.com/auburnbend/auburnbend/lib/clock"
@@ -12,8 +13,40 @@
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/placement"
 	"github.com/auburnbend/auburnbend/lib/serving"
+	"github.com/auburnbend/auburnbend/peerlink"
 )
 
+var _ = Describe("The report of an agent whose engine drains", func() {
+	It("applies to the reported start only", func() {
+		// Guards against a late report of an earlier start that takes the next one out of use.
+		g := New(Config{Clock: clock.System{}, Log: eventlog.Discard()})
+		register := func(startUnixMilli int64) {
+			g.UpdateServers(func(d *directory.Directory, _ time.Time) {
+				d.Put(&directory.Server{ID: "e", StartUnixMilli: startUnixMilli, Service: "drafts", Address: "10.0.0.1:1"})
+			})
+		}
+		draining := func() (drains bool) {
+			g.UpdateServers(func(d *directory.Directory, _ time.Time) { drains = d.ByAddress("10.0.0.1:1").Draining })
+			return drains
+		}
+		report := peerlink.Status{Address: "10.0.0.1:1", StartUnixMilli: 5, Draining: true, Model: "m", Version: 2}
+		register(4)
+		g.handleStatus(report)
+		Expect(draining()).To(BeFalse(), "a start that is not registered yet")
+		register(5)
+		g.handleStatus(report)
+		Expect(draining()).To(BeTrue())
+		report.Draining, report.Version = false, 3
+		g.handleStatus(report)
+		Expect(draining()).To(BeTrue(), "a report that lacks the signal")
+		register(6)
+		report.Draining = true
+		g.handleStatus(report)
+		Expect(draining()).To(BeFalse(), "a late report")
+		Expect(g.State().Signals).To(Equal(map[Signal]int64{{SignalDraining, directory.SourceAgent}: 1}))
+	})
+})
+
 var _ = Describe("The engines that an entry subscribes to", func() {
 	It("follow the servers, the configuration and the duty", func() {
 		// Guards against an entry that keeps to engines that have gone, or gets no reports of
--- a/internal/node/server_signals_test.go
+++ b/internal/node/server_signals_test.go
@@ -53,6 +53,20 @@
 		Entry("engine", 52, "/draft/", 0),
 	)
 
+	It("gets no more requests once it has told its agent, without the store", func() {
+		// Guards against a drain that an engine states in status checks and that no entry learns.
+		s := newDeployment(70, 4, 4, 4)
+		s.store.FailWith(http.StatusServiceUnavailable)
+		sendToAll(s, "/draft/", 2)
+		id := s.backends[0].SignalDrainingToAgent()
+		time.Sleep(time.Second)
+		arrived := len(s.eventsAt(id, eventArrived))
+		sendBurst(s, "/draft/")
+		sendToAll(s, "/draft/", 10)
+		Expect(s.eventsAt(id, eventArrived)).To(HaveLen(arrived))
+		Expect(s.logs.String()).To(ContainSubstring("source=agent"))
+	})
+
 	It("gets no requests from a restarted entry, nor after the placing entry has changed", func() {
 		// Guards against drain signals that are lost when the entry that received them
 		// restarts.
--- a/lib/directory/draining.go
+++ b/lib/directory/draining.go
@@ -21,6 +21,7 @@
 	SourceRow      = "row"
 	SourceResponse = "answer"
 	SourcePeer     = "peer"
+	SourceAgent    = "agent"
 )
 
 // MarkDraining records that an incarnation of a server is draining. It gets no
--- a/peerlink/message.go
+++ b/peerlink/message.go
@@ -106,6 +106,8 @@
 	LinkDelayMicros int64 `msgpack:"l,omitempty"`
 	// Closed means that no requests should be sent now.
 	Closed bool `msgpack:"c"`
+	// Draining means that the backend server has told the agent that it drains.
+	Draining bool `msgpack:"d,omitempty"`
 	// Model and Version identify the loaded weights; an empty model means none.
 	Model   string `msgpack:"m"`
 	Version int    `msgpack:"v"`
--- a/replica/engine.go
+++ b/replica/engine.go
@@ -59,6 +59,9 @@
 	OrdersAccepted int64
 	// Busy means that an order is in progress.
 	Busy bool
+	// Draining is set if the engine has stated since its start, in a response to any call,
+	// that it drains.
+	Draining bool
 	// Weights are the loaded weights by model.
 	Weights map[string]directory.Weights
 	// Layers are the layers that the engine holds, or nil if it doesn't report them and
--- a/replica/load_reporter.go
+++ b/replica/load_reporter.go
@@ -260,7 +260,7 @@
 	now := r.replica.config.Clock.Now()
 	status.Sequence = r.lastStatus.Sequence
 	refresh := now.Sub(r.lastRefresh) >= refreshInterval
-	urgent := status.Closed != r.lastStatus.Closed || status.Version != r.lastStatus.Version || status.StartUnixMilli != r.lastStatus.StartUnixMilli
+	urgent := status.Closed != r.lastStatus.Closed || status.Draining != r.lastStatus.Draining || status.Version != r.lastStatus.Version || status.StartUnixMilli != r.lastStatus.StartUnixMilli
 	switch {
 	case urgent:
 		to = list.all
@@ -310,7 +310,7 @@
 }
 
 func sameStatus(a, b *peerlink.Status) bool {
-	return a.Running == b.Running && a.PrefillTokens == b.PrefillTokens && a.Queued == b.Queued && a.Slowdown == b.Slowdown && a.Closed == b.Closed && a.LinkDelayMicros == b.LinkDelayMicros &&
+	return a.Running == b.Running && a.PrefillTokens == b.PrefillTokens && a.Queued == b.Queued && a.Slowdown == b.Slowdown && a.Closed == b.Closed && a.Draining == b.Draining && a.LinkDelayMicros == b.LinkDelayMicros &&
 		a.StartUnixMilli == b.StartUnixMilli && a.Model == b.Model && a.Version == b.Version
 }
 
@@ -327,6 +327,7 @@
 	s.StartUnixMilli, s.Running, s.Queued, s.Slowdown = state.StartUnixMilli, state.Running, state.Queued, state.Slowdown
 	s.PrefillTokens = r.prefillTokens()
 	s.LinkDelayMicros = time.Duration(r.replica.linkDelay.Load()).Microseconds()
+	s.Draining = state.Draining
 	s.Closed = state.Busy || r.replica.Draining()
 	for model, w := range state.Weights {
 		if w.Complete {
