Merge signals: drains that rows show and that engines tell their agents

The merge applies the agent's drain also to reports that were kept, and never to a server without a known start. Measured: specs of gateway, lib/directory, lib/poison, agent and entry/fleet pass with -race.

--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -151,6 +151,9 @@
 		Model: status.Model, Version: status.Version,
 		LinkDelay: time.Duration(status.LinkDelayMicros) * time.Microsecond,
 	}, receivedAt)
+	if key := server.Key(); status.Draining && key.StartUnixMilli != 0 && status.StartUnixMilli == key.StartUnixMilli && g.directory.MarkDraining(key, directory.SourceAgent, receivedAt) {
+		g.recordDraining(key, directory.SourceAgent)
+	}
 }
 
 // updateWeights records that a listed engine serves a newer version than its row
