Probe connections to silent servers every 500 ms

Cause: Linux takes the interval of keep-alive probes in whole seconds, so that the 500 ms of lib/sockopt became 1 s, and compares TCP_USER_TIMEOUT (2 s) only when a probe is due. One lost probe thus closed the connection of a sound server that had nothing to say yet, and with it a request that must not run twice.

Evidence: the options read back from a connection are an idle time of 1 s and an interval of 1 s.

Change: a Prober sets the idle time again every 500 ms from the first second of an exchange on, which makes Linux send a probe at once if nothing was acknowledged. The limit stays 2 s, so that a dead link is found after 2 to 2.5 s, within the stability time (3 s). A limit that survives each cut shorter than the stability time would find it after 5 to 7 s; the decision is in docs/decisions/platform-gateway.md.

--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -43,6 +43,7 @@
 // concurrent use.
 type Exchange struct {
 	conn       net.Conn
+	prober     *sockopt.Prober
 	limiter    *boundedReader
 	reader     *bufio.Reader
 	stopCancel func() bool
@@ -66,7 +67,7 @@
 		return nil, &UnreachableError{Cause: err}
 	}
 	limiter := &boundedReader{source: conn, remaining: maxHeadBytes}
-	x := &Exchange{conn: conn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
+	x := &Exchange{conn: conn, prober: sockopt.NewProber(conn), limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	return x, nil
 }
@@ -102,5 +103,6 @@
 // request to stop.
 func (x *Exchange) Close() {
 	x.stopCancel()
+	x.prober.Stop()
 	_ = x.conn.Close()
 }
--- a/gateway/upstream/exchange_fuzz_test.go
+++ b/gateway/upstream/exchange_fuzz_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/auburnbend/auburnbend/lib/sockopt"
 )
 
 const fuzzBodyLimit = 64 << 10
@@ -27,7 +29,7 @@
 		here, there := net.Pipe()
 		_ = here.SetDeadline(time.Now().Add(10 * time.Second))
 		limiter := &boundedReader{source: here, remaining: maxHeadBytes}
-		x := &Exchange{conn: here, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), stopCancel: func() bool { return true }}
+		x := &Exchange{conn: here, prober: sockopt.NewProber(here), limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), stopCancel: func() bool { return true }}
 		defer x.Close()
 		go func() {
 			defer there.Close()
--- a/lib/sockopt/sockopt.go
+++ b/lib/sockopt/sockopt.go
@@ -11,13 +11,19 @@
 	"golang.org/x/sys/unix"
 )
 
-// userTimeoutMillis is the TCP_USER_TIMEOUT: the time after which a connection with
-// unacknowledged data is closed.
-const userTimeoutMillis = 2000
+const (
+	// probeIdle is the time without an acknowledgement after which a connection is probed.
+	probeIdle = time.Second
+	// userTimeout is the TCP_USER_TIMEOUT: the time without an acknowledgement of data or of
+	// a probe after which a connection is closed. Linux compares with it whenever a probe is
+	// due and then ignores the count of probes.
+	userTimeout = 2 * time.Second
+)
 
-// KeepAlive probes a connection after 1 s of idle time and closes it about 1 s later if
-// the peer does not respond.
-var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2}
+// KeepAlive probes a connection after 1 s of idle time and then every second, the shortest
+// interval that Linux accepts. With userTimeout, the loss of a single probe closes the
+// connection; a Prober sends further ones where that would cost a request.
+var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: time.Second, Count: 2}
 
 // Dialer returns a dialer whose connections fail within about 2 s if the peer or the
 // network path stops responding. The timeout limits the opening of a connection.
@@ -28,7 +34,7 @@
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
 	var failed error
 	err := c.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, userTimeoutMillis)
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
 	})
 	if err != nil {
 		return err
