Agents keep to the pause that their engine asks them for

Cause: an engine that answered a status check or an order with 503 and Retry-After was asked again 100 ms later, and reported as closed to all entries, although it had asked none of them for a pause.

The agent keeps and reports the last state meanwhile, except if an order may have changed it. The stand-in can reject its agent's calls.

--- a/internal/node/server_signals_test.go
+++ b/internal/node/server_signals_test.go
@@ -87,6 +87,29 @@
 })
 
 var _ = Describe("Engines that respond with Retry-After", func() {
+	It("get at most two more calls from their agents until it has passed, and requests of entries meanwhile", func() {
+		// Guards against status checks in a pause, and against engines that are closed because of one.
+		s := newDeployment(67, 2, 4, 2)
+		time.Sleep(2 * stabilityTime)
+		for _, b := range s.backends[:4] {
+			b.RejectAgent(pauseTime, int(pauseTime.Seconds()))
+		}
+		asked := time.Now()
+		for i := 0; time.Since(asked) < pauseTime; i++ {
+			Expect(s.send(i%len(s.entries), "/draft/", fmt.Sprint("draft ", i)).Status).To(Equal(http.StatusOK))
+		}
+		for _, b := range s.backends[:4] {
+			late := 0
+			for _, at := range b.AgentCalls() {
+				if at.After(asked.Add(pauseSlack)) && at.Before(asked.Add(pauseTime)) {
+					late++
+				}
+			}
+			Expect(late).To(BeNumerically("<=", maxDuringPause))
+			Eventually(func() bool { return b.AgentCalls()[len(b.AgentCalls())-1].After(asked.Add(pauseTime)) }, 2*time.Second).Should(BeTrue())
+		}
+	})
+
 	It("get at most two more requests from each entry until it has passed", func() {
 		// Guards against a placing entry that sends the requests of another entry to an
 		// engine which has asked that entry for a pause.
--- a/replica/engine.go
+++ b/replica/engine.go
@@ -13,6 +13,10 @@
 // ErrOrderRejected means that the engine cannot carry out an order now.
 var ErrOrderRejected = errors.New("engine rejected the load order")
 
+// ErrEnginePaused means that nothing was sent, or that the engine has just rejected a call,
+// as it has asked for no calls until a later time.
+var ErrEnginePaused = errors.New("engine has asked for a pause")
+
 // Engine is the model engine on the same instance. It is safe for concurrent
 // use.
 type Engine interface {
--- a/replica/load.go
+++ b/replica/load.go
@@ -201,6 +201,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, engineCallTimeout)
 	defer cancel()
 	check.maxOrders = state.OrdersAccepted + 1
+	r.orderSent = true
 	err := r.config.Engine.StartLoad(callCtx, p.model, p.version, layers, state.OrdersAccepted)
 	now := r.config.Clock.Now()
 	r.config.Log.Log(eventlog.LoadOrdered, "model", p.model, "version", p.version, "layers_from", target.From, "layers_to", target.To,
--- a/replica/order_test.go
+++ b/replica/order_test.go
@@ -20,6 +20,8 @@
 	// onPiece is called before a piece is read; it may be nil.
 	onPiece func(piece int)
 	orders  int
+	// onOrder is called with each order; it may be nil.
+	onOrder func()
 	// orderErr is returned for each order.
 	orderErr error
 }
@@ -42,7 +44,9 @@
 func (e *scriptedEngine) PieceReader(model string) PieceReader { return directReader{e, model} }
 
 func (e *scriptedEngine) StartLoad(context.Context, string, int, LayerRange, int64) error {
-	e.orders++
+	if e.orders++; e.onOrder != nil {
+		e.onOrder()
+	}
 	return e.orderErr
 }
 
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"strconv"
 	"sync"
@@ -50,6 +51,9 @@
 	// or nil if it was loading then. It belongs to the goroutine of Run.
 	initial       *loadStamp
 	initialReadAt time.Time
+	// enginePaused is set while the engine has asked for a pause, orderSent from an order until
+	// the state is read. They belong to the goroutine of Run.
+	enginePaused, orderSent bool
 	// reporterWake makes the LoadReporter check for changes.
 	reporterWake chan struct{}
 	// peerSessions is the number of connected peers.
@@ -170,8 +174,9 @@
 	})
 	running.Go(func() { r.servePeers(ctx, ln) })
 	for ctx.Err() == nil {
-		r.readEngineState(ctx)
-		r.reconcile(ctx)
+		if r.readEngineState(ctx); !r.enginePaused {
+			r.reconcile(ctx)
+		}
 		wait(ctx, r.wake, r.pollInterval())
 	}
 	return nil
@@ -199,20 +204,24 @@
 	}
 }
 
-// timedState is an engine's state with the time at which it was read.
-type timedState struct {
-	EngineState
-	readAt time.Time
-}
-
-// readEngineState updates engineState and wakes the LoadReporter.
+// readEngineState updates engineState and wakes the LoadReporter. While the engine has asked
+// this agent for a pause, the last state stays: the engine has asked no entry for one, and
+// changes its weights only by an order.
 func (r *Replica) readEngineState(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, engineCallTimeout)
 	defer cancel()
 	state, err := r.config.Engine.State(ctx)
-	if err != nil {
+	paused := errors.Is(err, ErrEnginePaused)
+	if paused && !r.enginePaused {
+		r.config.Log.Log(eventlog.EnginePaused, "err", err)
+	}
+	r.enginePaused = paused
+	switch {
+	case paused && !r.orderSent && r.openOrder.Load() == nil:
+	case err != nil:
 		r.engineState.Store(nil)
-	} else {
+	default:
+		r.orderSent = false
 		r.trustInitial(&state)
 		r.engineState.Store(&timedState{EngineState: state, readAt: r.config.Clock.Now()})
 	}
