Deletions read through another entry are not all taken for expired rows

Cause: an entry that returned from a cut took each deleted row that it read through another entry for one that may have expired in an outage, although that entry had read the store all the time, or the row was deleted after the end of the outage. Where no other row of the failure domain was left, servers that had left stayed in use for 2 s more.

Change: answers of entries name the revision at which their outage ended. Deletions after it, and all deletions if there was no outage, are applied as those of a store that answers.

--- a/lib/relay/cache.go
+++ b/lib/relay/cache.go
@@ -89,6 +89,9 @@
 	c.revision = rows.Revision
 	if rows.AfterOutage {
 		c.outageEndRevision = rows.Revision
+		if rows.Relayed {
+			c.outageEndRevision = rows.OutageEnd
+		}
 	}
 	c.confirmedAt, c.confirmedDirectly = now, direct
 	if c.deletedCount > maxDeletedRows {
@@ -139,7 +142,10 @@
 	case revision >= 0 && revision < c.historyStart:
 		return answer{HistoryLost: true}, c.changed
 	}
-	a = answer{Revision: c.revision, AfterOutage: revision >= 0 && c.outageEndRevision > revision}
+	a = answer{Revision: c.revision}
+	if revision >= 0 && c.outageEndRevision > revision {
+		a.AfterOutage, a.OutageEnd = true, c.outageEndRevision
+	}
 	for _, r := range c.rows {
 		if revision < 0 && !r.Deleted || revision >= 0 && r.Revision > revision {
 			a.Rows = append(a.Rows, r)
--- a/lib/relay/client.go
+++ b/lib/relay/client.go
@@ -106,7 +106,10 @@
 }
 
 func (a *answer) rows() (watch.Rows, error) {
-	rows := watch.Rows{Revision: a.Revision, AfterOutage: a.AfterOutage}
+	rows := watch.Rows{Revision: a.Revision, AfterOutage: a.AfterOutage, Relayed: true, OutageEnd: min(a.OutageEnd, a.Revision)}
+	if a.AfterOutage && a.OutageEnd == 0 {
+		rows.OutageEnd = a.Revision
+	}
 	size := 0
 	for _, r := range a.Rows {
 		decoded, err := decodeRow(r)
--- a/lib/relay/cut_sweep_test.go
+++ b/lib/relay/cut_sweep_test.go
@@ -49,6 +49,13 @@
 
 func (l *serverList) Lost(error) {}
 
+// markDraining records that a server has said that it drains.
+func (l *serverList) markDraining(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.directory.MarkDraining(directory.Key{ID: id}, directory.SourceResponse, time.Now())
+}
+
 func serverOf(row watch.Row) *directory.Server {
 	return &directory.Server{ID: row.Key, Service: "orders", Domain: "north", Revision: row.Revision}
 }
@@ -79,9 +86,21 @@
 		return &instance{ln: ln}
 	}
 
+	// cutTrial is what happens beside the deletion of a row.
+	type cutTrial struct {
+		// leaderCut is set if the other instance cannot reach the store either.
+		leaderCut bool
+		// fullRead is set if the history of the table is lost before the return.
+		fullRead bool
+		// allLeave is set if the rows of all servers are deleted.
+		allLeave bool
+		// announced is set if the server that leaves has said so in a response.
+		announced bool
+	}
+
 	// play deletes the row of a server at a time relative to the return, and returns whether
 	// the server was still listed after bound.
-	play := func(ctx context.Context, offset time.Duration, leaderCut bool) (listedLate, otherLost bool) {
+	play := func(ctx context.Context, offset time.Duration, trial cutTrial) (listedLate, otherLost bool) {
 		c := newContent()
 		c.put("leaves", nil, false)
 		c.put("stays", nil, false)
@@ -106,7 +125,10 @@
 
 		cut.Store(true)
 		follower.setFaults(false, true)
-		if leaderCut {
+		if trial.announced {
+			list.markDraining("leaves")
+		}
+		if trial.leaderCut {
 			leader.setFaults(false, true)
 		}
 		returns := time.Now().Add(cutTime)
@@ -114,6 +136,9 @@
 		var steps sync.WaitGroup
 		steps.Go(func() {
 			time.Sleep(time.Until(returns))
+			if trial.fullRead {
+				c.loseHistory()
+			}
 			leader.setFaults(false, false)
 			follower.setFaults(false, false)
 			cut.Store(false)
@@ -121,31 +146,41 @@
 		steps.Go(func() {
 			time.Sleep(time.Until(deleted))
 			c.put("leaves", nil, true)
+			if trial.allLeave {
+				c.put("stays", nil, true)
+			}
 		})
 		steps.Wait()
 		time.Sleep(bound)
-		return list.lists("leaves"), !list.lists("stays")
+		if trial.announced {
+			return list.lists("leaves"), false
+		}
+		return list.lists("leaves"), list.lists("stays") == trial.allLeave
 	}
 
 	DescribeTable("drops a server whose row is deleted around that moment",
 		// Guards against requests to a server that has stopped: a row that is deleted in the
 		// moment in which an instance returns was taken for one that expired in an outage, and
 		// the server stayed in use for another two seconds.
-		func(leaderCut bool) {
+		func(trial cutTrial) {
 			ctx, stop := context.WithCancel(context.Background())
 			DeferCleanup(stop)
 			var plays sync.WaitGroup
-			for offset := -300 * time.Millisecond; offset <= 300*time.Millisecond; offset += 20 * time.Millisecond {
+			for offset := -300 * time.Millisecond; offset <= 300*time.Millisecond; offset += 10 * time.Millisecond {
 				plays.Go(func() {
 					defer GinkgoRecover()
-					listedLate, otherLost := play(ctx, offset, leaderCut)
+					listedLate, otherLost := play(ctx, offset, trial)
 					Expect(listedLate).To(BeFalse(), "row deleted %v after the return", offset)
 					Expect(otherLost).To(BeFalse(), "row deleted %v after the return", offset)
 				})
 			}
 			plays.Wait()
 		},
-		Entry("only this instance was cut off", false),
-		Entry("the other one could not reach the store either", true),
+		Entry("only this instance was cut off", cutTrial{}),
+		Entry("the other one could not reach the store either", cutTrial{leaderCut: true}),
+		Entry("only this instance was cut off, and all servers leave", cutTrial{allLeave: true}),
+		Entry("the table is read in full", cutTrial{leaderCut: true, fullRead: true}),
+		Entry("the table is read in full without any row of before, and the server had said that it drains", cutTrial{leaderCut: true, fullRead: true, allLeave: true, announced: true}),
+		Entry("no row of before is left, and the server had said that it drains", cutTrial{leaderCut: true, allLeave: true, announced: true}),
 	)
 })
--- a/lib/relay/message.go
+++ b/lib/relay/message.go
@@ -31,6 +31,9 @@
 	// AfterOutage means that there was an outage of the store before these
 	// changes.
 	AfterOutage bool `msgpack:"o,omitempty"`
+	// OutageEnd is the revision of the first answer of the store after that outage. Instances
+	// of earlier releases leave it out.
+	OutageEnd int64 `msgpack:"e,omitempty"`
 }
 
 // row is one row of a table.
--- a/lib/relay/relay_test.go
+++ b/lib/relay/relay_test.go
@@ -125,6 +125,30 @@
 		Expect(a.AfterOutage).To(BeTrue())
 	})
 
+	// Guards against a server that left after an outage and stays in use where its row is read
+	// through another instance.
+	It("tells rows that were deleted during an outage from those deleted later", func() {
+		now := time.Unix(1000, 0)
+		leader, next := NewCache(config), NewCache(config)
+		relayed := func(from *Cache, since int64) watch.Rows {
+			a, _ := from.changesSince(since)
+			rows, err := a.rows()
+			Expect(err).NotTo(HaveOccurred())
+			return rows
+		}
+		leader.replace(watch.Rows{Revision: 2, Rows: []watch.Row{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}}}, true, now)
+		next.replace(relayed(leader, -1), false, now)
+		leader.apply(2, watch.Rows{Revision: 3, AfterOutage: true, Rows: []watch.Row{{Key: "a", Deleted: true, Revision: 3}}}, true, now)
+		leader.apply(3, watch.Rows{Revision: 4, Rows: []watch.Row{{Key: "b", Deleted: true, Revision: 4}}}, true, now)
+		next.apply(2, relayed(leader, 2), false, now)
+		for _, c := range []*Cache{leader, next} {
+			rows := relayed(c, 2)
+			Expect(rows.AfterOutage && rows.Relayed).To(BeTrue())
+			Expect(rows.OutageEnd).To(Equal(int64(3)))
+			Expect(relayed(c, 3).AfterOutage).To(BeFalse())
+		}
+	})
+
 	// Guards against deleted keys that reappear with a stale read.
 	It("never returns to an older revision", func() {
 		c := NewCache(config)
--- a/lib/relay/store_test.go
+++ b/lib/relay/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,7 +24,9 @@
 	mu       sync.Mutex
 	rows     []watch.Row
 	revision int64
-	changed  chan struct{}
+	// historyStart is the oldest revision since which changes can be read.
+	historyStart int64
+	changed      chan struct{}
 }
 
 func newContent() *content { return &content{changed: make(chan struct{})} }
@@ -49,6 +52,34 @@
 	return rows, c.changed
 }
 
+// snapshot returns the current rows, without those that were deleted.
+func (c *content) snapshot() watch.Rows {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rows := watch.Rows{Revision: c.revision}
+	for i, r := range c.rows {
+		newer := slices.ContainsFunc(c.rows[i+1:], func(n watch.Row) bool { return n.Key == r.Key })
+		if !newer && !r.Deleted {
+			rows.Rows = append(rows.Rows, r)
+		}
+	}
+	return rows
+}
+
+// loseHistory makes the changes so far unreadable.
+func (c *content) loseHistory() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.historyStart = c.revision
+}
+
+// historyLost reports whether the changes since a revision cannot be read.
+func (c *content) historyLost(revision int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return revision < c.historyStart
+}
+
 func (s *store) setFaults(hang, fail bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -80,14 +111,16 @@
 	if err := s.call(ctx); err != nil {
 		return watch.Rows{}, err
 	}
-	rows, _ := s.since(-1)
-	return rows, nil
+	return s.snapshot(), nil
 }
 
 func (s *store) Changes(ctx context.Context, since int64, wait time.Duration) (watch.Rows, error) {
 	if err := s.call(ctx); err != nil {
 		return watch.Rows{}, err
 	}
+	if s.historyLost(since) {
+		return watch.Rows{}, watch.ErrHistoryLost
+	}
 	timeout := time.After(wait)
 	for {
 		rows, changed := s.since(since)
--- a/lib/watch/watcher.go
+++ b/lib/watch/watcher.go
@@ -96,6 +96,13 @@
 		w.handler.Replace(rows, recovered)
 		return
 	}
+	if recovered {
+		// First those that do not count as rows of the outage.
+		var unexpired Rows
+		if unexpired, rows = rows.splitUnexpired(); len(unexpired.Rows) > 0 {
+			w.handler.Apply(unexpired, false)
+		}
+	}
 	if len(rows.Rows) > 0 || recovered {
 		w.handler.Apply(rows, recovered)
 	}
--- a/lib/watch/watcher_test.go
+++ b/lib/watch/watcher_test.go
@@ -99,6 +99,24 @@
 		Expect(r.events).To(Equal([]string{"replace a", "lost", "apply recovered", "lost", "replace recovered b"}))
 	})
 
+	It("tells relayed deletions of the outage from others", func() {
+		// Guards against servers that stay in use because only this instance was cut off when they left.
+		deleted := func(r response, relayed Rows) response {
+			r.rows.Relayed, r.rows.AfterOutage, r.rows.OutageEnd = true, relayed.AfterOutage, relayed.OutageEnd
+			for i := range r.rows.Rows {
+				r.rows.Rows[i].Deleted = true
+			}
+			return r
+		}
+		during, after := deleted(rowsAt(6, "a"), Rows{AfterOutage: true, OutageEnd: 6}), deleted(rowsAt(7, "b"), Rows{AfterOutage: true, OutageEnd: 6})
+		both := after
+		both.rows.Rows = append(during.rows.Rows, after.rows.Rows...)
+		_, r, _ := run(rowsAt(5, "a", "b"), down, both)
+		Expect(r.events).To(Equal([]string{"replace a b", "lost", "apply b", "apply recovered a"}))
+		_, r, _ = run(rowsAt(5, "a", "b"), down, deleted(rowsAt(7, "a", "b"), Rows{}))
+		Expect(r.events).To(Equal([]string{"replace a b", "lost", "apply a b", "apply recovered"}))
+	})
+
 	It("does not wait for changes in the first call after a failure", func() {
 		// Guards against a call that hangs in an unresponsive store and delays a
 		// configuration that was accepted in the meantime: it arrived 3.4 s after it
