auburnctl explain names the servers that were left out, and until when

Cause: left_out in 7201 said "leaving" without the source and the age of that knowledge, and a pause as a duration before the time of the line. explain printed the field as it was.

Evidence: the new specs in lib/placement and operator/explain; the text and the function did not exist.

Change: left_out states source and age of a drain. explain prints one line for each server, with the time since which it is known to leave or until which it is paused. 7208 names the service.

Measured: the specs of lib/placement, operator and gateway pass.

--- a/gateway/server_signals.go
+++ b/gateway/server_signals.go
@@ -54,7 +54,11 @@
 // holds mu.
 func (g *Gateway) recordDraining(server directory.Key, source string) {
 	g.signals[Signal{SignalDraining, source}]++
-	g.config.Log.Log(eventlog.ServerDraining, "server", server.ID, "born", server.StartUnixMilli, "source", source)
+	service := ""
+	if listing := g.directory.Get(server); listing != nil {
+		service = listing.Service
+	}
+	g.config.Log.Log(eventlog.ServerDraining, "server", server.ID, "born", server.StartUnixMilli, "service", service, "source", source)
 }
 
 // refuseIfPaused refuses a request if all servers that could run it have asked this
--- a/lib/placement/pause.go
+++ b/lib/placement/pause.go
@@ -108,6 +108,16 @@
 	return &Refusal{Reason: Paused, RetryAfter: wait + time.Duration(p.rng.Int64N(int64(jitter)))}
 }
 
+// drainEvidence describes since when and from what source a server is known to be draining. It
+// is empty if only its current row shows that.
+func (p *Picker) drainEvidence(key directory.Key, now time.Time) string {
+	e, known := p.directory.DrainEvidence(key)
+	if !known {
+		return ""
+	}
+	return fmt.Sprintf(" for %d ms (%s)", now.Sub(e.At).Milliseconds(), e.Source)
+}
+
 // excludedServers lists servers of a service that get no requests because they are
 // draining, evacuated, paused, cold or rate-limited, for the caller of a refused request.
 func (p *Picker) excludedServers(service string, now time.Time) []string {
@@ -119,7 +129,7 @@
 		s := p.servers[listing.Key()]
 		switch {
 		case listing.Draining:
-			out = append(out, listing.ID+": leaving")
+			out = append(out, listing.ID+": leaving"+p.drainEvidence(listing.Key(), now))
 		case p.Evacuated(listing.Domain):
 			out = append(out, listing.ID+": evacuated")
 		case s == nil:
--- a/lib/placement/pause_test.go
+++ b/lib/placement/pause_test.go
@@ -63,6 +63,15 @@
 		Expect(len(waits)).To(BeNumerically(">", 10))
 	})
 
+	It("are named with their rest, and drains with their age and source, for refused requests", func() {
+		// Guards against refusals of which nobody can tell what kept the servers out.
+		setUp("a", "b")
+		d.MarkDraining(key("a"), directory.SourceAgent, now)
+		p.Pause(key("b"), now.Add(2*time.Second), now)
+		_, refusal := p.Pick(req, now.Add(700*time.Millisecond))
+		Expect(refusal.ExcludedServers).To(ConsistOf("a: leaving for 700 ms (agent)", "b: paused for 1300 ms"))
+	})
+
 	It("do not apply to requests of other entries", func() {
 		setUp("a")
 		p.Pause(key("a"), now.Add(3*time.Second), now)
--- a/operator/cli/explain_command.go
+++ b/operator/cli/explain_command.go
@@ -51,6 +51,9 @@
 	for i := range timeline.Lines {
 		p.line(&timeline.Lines[i])
 	}
+	for _, server := range explain.LeftOut(&timeline.Lines[len(timeline.Lines)-1]) {
+		p.printf("left out: %s\n", server)
+	}
 	if description := explain.DescribeReason(timeline.Lines[len(timeline.Lines)-1].Get("reason")); description != "" {
 		p.printf("reason: %s\n", description)
 	}
--- a/operator/explain/reason.go
+++ b/operator/explain/reason.go
@@ -9,7 +9,7 @@
 	"no_weights":                    "no backend server has loaded weights that may still serve",
 	"overloaded":                    "no backend server was expected to respond within the target; predicted_ms is the lowest prediction",
 	"rate_limited":                  "all backend servers that could run the request had named a rate limit, or were cold and tolerate few requests a second, and that was reached; left_out lists them, events 7210 show their limits, events 7102 with cold_ms when they became cold",
-	"paused":                        "all backend servers that could run the request had asked for a pause; left_out lists them, events 7209 show their pauses",
+	"paused":                        "all backend servers that could run the request had asked for a pause; left_out lists them with the rest of their pauses, events 7209 show these",
 	"quarantined":                   "three backend servers crashed while they ran the same content; event 7206 shows the content, events 7205 the servers",
 	"no configuration":              "the entry had not received a configuration yet",
 	"no route":                      "the configuration in force has no route for the host and path of the request",
--- a/operator/explain/state.go
+++ b/operator/explain/state.go
@@ -1,8 +1,10 @@
 package explain
 
 import (
+	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 )
@@ -48,8 +50,32 @@
 	})
 }
 
-// excludedServers returns the IDs in a field such as "i-1: leaving, i-2: paused for
-// 300 ms".
+// LeftOut describes the servers that got no chance to run the request of a line, with points
+// in time instead of the durations before it.
+func LeftOut(l *Line) []string {
+	var out []string
+	for _, entry := range strings.Split(l.Get("left_out"), ", ") {
+		id, state, ok := strings.Cut(entry, ": ")
+		if !ok {
+			continue
+		}
+		var ms int64
+		var source string
+		if n, _ := fmt.Sscanf(state, "paused for %d ms", &ms); n == 1 {
+			state = "paused until " + l.Time.Add(time.Duration(ms)*time.Millisecond).Format(timeFormat)
+		} else if n, _ := fmt.Sscanf(state, "leaving for %d ms (%s", &ms, &source); n == 2 {
+			state = fmt.Sprintf("leaving since %s (%s", l.Time.Add(-time.Duration(ms)*time.Millisecond).Format(timeFormat), source)
+		}
+		out = append(out, id+": "+state)
+	}
+	return out
+}
+
+// timeFormat is the form in which points in time are described.
+const timeFormat = "15:04:05.000"
+
+// excludedServers returns the IDs in a field such as "i-1: leaving for 7 ms (row), i-2: paused
+// for 300 ms".
 func excludedServers(l *Line) []string {
 	var ids []string
 	for _, entry := range strings.Split(l.Get("left_out"), ", ") {
--- a/operator/explain/timeline_test.go
+++ b/operator/explain/timeline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -58,6 +59,18 @@
 		Expect(found).To(Equal([]string{"00", "01", "04", "05"}))
 	})
 
+	DescribeTable("describes a server that was left out",
+		// Guards against durations that the reader must add to the time of the line.
+		func(leftOut, want string) {
+			l := explain.Line{Time: time.Date(2026, 12, 4, 5, 0, 40, 0, time.UTC), Fields: []explain.Field{{Key: "left_out", Value: leftOut}}}
+			Expect(strings.Join(explain.LeftOut(&l), ", ")).To(Equal(want))
+		},
+		Entry("leaving, with its evidence", "i-1: leaving for 1500 ms (answer)", "i-1: leaving since 05:00:38.500 (answer)"),
+		Entry("paused and leaving", "i-2: paused for 300 ms, i-1: leaving", "i-2: paused until 05:00:40.300, i-1: leaving"),
+		Entry("another state", "i-3: limited to 1/s", "i-3: limited to 1/s"),
+		Entry("nothing", "", ""),
+	)
+
 	It("skips lines that are not event lines", func() {
 		// Guards against logs that cannot be read because of a line of another program.
 		read, err := explain.ReadLines(strings.NewReader("worth 0.6 = all (weight 0.3), \"half\n" + logs + "fatal error: a=b=c=\n"))
