gateway: servers whose address a later start has get no requests

What was seen: "is distinguished from a part that sound requests have only after the crashes", idempotent, failed in one of three whole runs of internal/node: one of 594 sound requests got 503, "another server or other weights at the address", after two attempts.

Cause: the row of a server that has crashed outlives it by several heartbeats. After the ejection of a second or two it was tried again, although the row of a later start at the same address had been read: that start answers 421. Two such servers use up the attempts that a route allows, and the request is refused.

Change: a listed server is excluded once a later start with a newer row is listed at its address. A start that is later by its clock only does not count, as clocks may be set.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -164,6 +164,7 @@
 	for _, key := range g.directory.TakeDrainedByRow() {
 		g.recordDraining(key, directory.SourceRow)
 	}
+	g.markSuperseded()
 	g.applyEarlyStatuses()
 	g.picker.ObserveCold(g.now())
 	g.picker.Prune()
