Soak: wait for addresses that a forked process still holds

What was seen: runs that do not start, "listen tcp 127.20.4.1:9100: bind: address already in use", up to nine in a row in a slot whose run had just ended. Some seconds later only TIME-WAIT was left at the address.

Cause: between fork and the end of exec, a child process holds copies of all listeners of its parent, and they keep their addresses after the parent has closed them. When the run of a slot ends, other slots start or restart daemons, two slots even at about the same moment, as all runs take the same time. The origin is the first server that a run starts. The reservation of the subnet does not help: its listener may be released before that of the origin.

Evidence: on scratch copies, two slots started and closed testbeds without traffic for 60 s, with no other children than the daemons: 4 of 1948 starts failed, three of them at the origin; in 127 more the copy of the reservation was still there, and the run took another subnet. With two more goroutines that start processes for 90 s, 12 of 3389 starts failed, at servers of all kinds. A program of 100 lines that listens, closes and listens again at one address never failed in 4176 rounds without children and accepted connections, and in 157 of 3221 rounds with two goroutines that start processes, for up to 14 ms.

Change: servers and proxies of the testbed wait up to 2 s for their addresses, which nothing else uses. The specs of the testbed fail before the change.

--- a/internal/soak/odd_rows.go
+++ b/internal/soak/odd_rows.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"github.com/auburnbend/auburnbend/internal/loopback"
 	"github.com/auburnbend/auburnbend/platform/platformtest"
 )
 
@@ -28,7 +29,7 @@
 // startTrap listens at the address that odd rows name, as a server and as an agent.
 func (t *testbed) startTrap() error {
 	for _, port := range []int{serverPort, peerPort} {
-		ln, err := net.Listen("tcp", address(t.slot, groupPlain, plainCount, port))
+		ln, err := loopback.Listen(address(t.slot, groupPlain, plainCount, port))
 		if err != nil {
 			return err
 		}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/auburnbend/auburnbend/internal/loopback"
 )
 
 // LinkFault is a fault of a network link.
@@ -51,7 +53,7 @@
 }
 
 func newProxy(listen, target string) (*proxy, error) {
-	ln, err := net.Listen("tcp", listen)
+	ln, err := loopback.Listen(listen)
 	if err != nil {
 		return nil, err
 	}
