Refusals of the placing entry name the servers that were left out

Evidence: the new spec in gateway fails without the call.

Change: the entry that asked adds what it leaves out itself.

--- a/gateway/place.go
+++ b/gateway/place.go
@@ -167,6 +167,7 @@
 		query.Lease, query.OpenLeases, query.OpenLeasesKnown = lease, openLeases, all
 		l.send(encodePlacementRequest(query), to)
 		if granted, refusal, ok := l.awaitPlacement(ctx, to, lease, response); ok {
+			l.gateway.listExcluded(refusal, req.Service)
 			return granted, refusal, to
 		}
 	}
@@ -176,6 +177,17 @@
 	return nil, nil, netip.AddrPort{}
 }
 
+// listExcluded adds the servers that this entry leaves out to the refusal of another entry,
+// which names none; nil changes nothing.
+func (g *Gateway) listExcluded(refusal *placement.Refusal, service string) {
+	if refusal == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	refusal.ExcludedServers = g.picker.ExcludedServers(service, g.now())
+}
+
 // encodePlacementRequest encodes a request in one datagram. If it is too long, it does
 // not list the open leases: the placer then ends lost ones when they expire. If that
 // does not suffice, it lists neither the evacuated failure domains nor the last of the
--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -84,6 +84,23 @@
 		Expect(refusal.Reason).To(Equal(placement.DomainEvacuated))
 	})
 
+	It("names what this entry has left out if the placing entry refuses", func() {
+		// Guards against refusals of which nobody can tell which servers were draining or paused.
+		links := startRegion(3)
+		placer, other := byRank(links, 0), byRank(links, 2)
+		placer.gateway.SetEvacuated([]string{"north"})
+		g := other.gateway
+		var keys []directory.Key
+		g.UpdateServers(func(d *directory.Directory, now time.Time) {
+			d.ForEach(func(s *directory.Server) { keys = append(keys, s.Key()) })
+			d.MarkDraining(keys[0], directory.SourceResponse, now)
+			g.picker.Pause(keys[1], now.Add(time.Minute), now)
+		})
+		_, refusal, by := other.requestPlacement(context.Background(), &req)
+		Expect(by).To(Equal(placer.self))
+		Expect(refusal.ExcludedServers).To(ConsistOf(HavePrefix(keys[0].ID+": leaving for "), HavePrefix(keys[1].ID+": paused for ")))
+	})
+
 	It("releases leases when requests end", func() {
 		links := startRegion(3)
 		placer, other := byRank(links, 0), byRank(links, 2)
--- a/lib/placement/pause.go
+++ b/lib/placement/pause.go
@@ -44,7 +44,7 @@
 func (p *Picker) RefuseIfPaused(req *Request, now time.Time) *Refusal {
 	refusal := p.pauseRefusal(req, now)
 	if refusal != nil {
-		refusal.ExcludedServers = p.excludedServers(req.Service, now)
+		refusal.ExcludedServers = p.ExcludedServers(req.Service, now)
 	}
 	return refusal
 }
@@ -118,9 +118,9 @@
 	return fmt.Sprintf(" for %d ms (%s)", now.Sub(e.At).Milliseconds(), e.Source)
 }
 
-// excludedServers lists servers of a service that get no requests because they are
+// ExcludedServers lists servers of a service that get no requests because they are
 // draining, evacuated, paused, cold or rate-limited, for the caller of a refused request.
-func (p *Picker) excludedServers(service string, now time.Time) []string {
+func (p *Picker) ExcludedServers(service string, now time.Time) []string {
 	var out []string
 	for _, listing := range p.directory.ByService(service) {
 		if len(out) == maxListedExcluded {
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -51,7 +51,7 @@
 		refusal = p.checkLatency(&req, best, estimate, now)
 	}
 	if refusal != nil {
-		refusal.ExcludedServers = p.excludedServers(req.Service, now)
+		refusal.ExcludedServers = p.ExcludedServers(req.Service, now)
 		return nil, refusal
 	}
 	occupancy, age := best.occupancy(now), best.reportAge(now)
