Properties of signals: pauses of agents and late reports of drains

Cause: the region simulation knew responses and gossip as sources of drains only, and the property of loads no pause of the agent.

Change: the simulation delivers reports of agents about current and ended starts, in any order with restarts. Reads of the engine's state may meet a pause.

On a scratch copy that kept the state in a pause after an order, two of these properties fail ("requests reach layers that were taken corrupt").

--- a/gateway/signals_simulation_test.go
+++ b/gateway/signals_simulation_test.go
@@ -143,6 +143,19 @@
 	return nil
 }
 
+// report delivers a report of the agent of a server, about a start that may have ended. An
+// entry that lists an earlier start gets none.
+func (r *signalRegion) report(e *signalEntry, id string, start int64) {
+	key := directory.Key{ID: id, StartUnixMilli: start}
+	var listed *directory.Server
+	e.UpdateServers(func(d *directory.Directory, _ time.Time) { listed = d.ByAddress(r.rows[id].Address) })
+	if listed.StartUnixMilli < start {
+		return
+	}
+	e.handleStatus(peerlink.Status{Address: listed.Address, StartUnixMilli: start, Draining: r.draining[key]})
+	e.told[key] = e.told[key] || r.draining[key] && listed.Key() == key
+}
+
 // checkRefusal checks that a refused request could go nowhere, and that its caller may
 // return when the first pause has ended.
 func (r *signalRegion) checkRefusal(e *signalEntry, refusal *placement.Refusal, now time.Time) error {
@@ -202,7 +215,7 @@
 				r.clock.Advance(time.Duration(rapid.SampledFrom([]int{0, 1, 50, 700, 6000, 70_000}).Draw(t, "ms")) * time.Millisecond)
 				entry := rapid.IntRange(0, len(r.entries)-1).Draw(t, "entry")
 				id := fmt.Sprint("s", rapid.IntRange(0, len(simulatedDomains)-1).Draw(t, "server"))
-				switch rapid.IntRange(0, 12).Draw(t, "kind") {
+				switch rapid.IntRange(0, 13).Draw(t, "kind") {
 				case 0:
 					r.draining[r.rows[id].Key()] = true
 				case 1:
@@ -217,6 +230,8 @@
 					}
 				case 12:
 					r.readDrains(r.entries[entry])
+				case 13:
+					r.report(r.entries[entry], id, rapid.Int64Range(1, r.rows[id].StartUnixMilli).Draw(t, "start"))
 				case 6:
 					r.send(entry, r.entries[entry].gossipToResend())
 				default:
--- a/replica/load_property_test.go
+++ b/replica/load_property_test.go
@@ -114,6 +114,9 @@
 
 func (e *faultyEngine) State(context.Context) (EngineState, error) {
 	e.fault()
+	if e.chance("pause", 12) {
+		return EngineState{}, ErrEnginePaused
+	}
 	s := EngineState{StartUnixMilli: e.start, OrdersAccepted: e.orders, Busy: e.busyReads > 0}
 	if e.version > 0 {
 		held := e.held
@@ -226,7 +229,10 @@
 			if len(p.pieces.missing()) > 0 {
 				fetch()
 			}
-			r.readEngineState(ctx)
+			if r.readEngineState(ctx); r.enginePaused {
+				e.check()
+				return false
+			}
 			state := &r.engineState.Load().EngineState
 			e.check()
 			if declaredLayers != layers && e.chance("number of layers is declared", 10) {
