--- a/internal/measure/signals/fleet.go
+++ b/internal/measure/signals/fleet.go
@@ -59,6 +59,22 @@
 	stop     context.CancelFunc
 	daemons  sync.WaitGroup
 	closers  []func()
+	// agentCallsInPause is the largest number of calls of an agent in a pause.
+	agentCallsInPause int
+}
+
+// countAgentCalls counts the calls that engines which have asked their agents for a pause got
+// between two points in time.
+func (f *fleet) countAgentCalls(pausing []*platformtest.Backend, from, to time.Time) {
+	for _, b := range pausing {
+		calls := 0
+		for _, at := range b.AgentCalls() {
+			if at.After(from) && at.Before(to) {
+				calls++
+			}
+		}
+		f.agentCallsInPause = max(f.agentCallsInPause, calls)
+	}
 }
 
 // startFleet starts a fleet whose settings files are in a directory.
--- a/internal/measure/signals/signals.go
+++ b/internal/measure/signals/signals.go
@@ -13,6 +13,7 @@
 
 	"github.com/auburnbend/auburnbend/internal/measure/figure"
 	"github.com/auburnbend/auburnbend/internal/measure/run"
+	"github.com/auburnbend/auburnbend/platform/platformtest"
 )
 
 const (
@@ -80,7 +81,8 @@
 	if err != nil {
 		return err
 	}
-	for _, figure := range f.recorder.figures(drainBound) {
+	agentCalls := figure.Figure{Name: "agent_calls_in_pause_max", Value: float64(f.agentCallsInPause), Unit: "calls of one agent", Bound: figure.AtMost(maxDuringPause)}
+	for _, figure := range append(f.recorder.figures(drainBound), agentCalls) {
 		if err := p.Print(figure); err != nil {
 			return err
 		}
@@ -100,15 +102,19 @@
 		for _, i := range draining {
 			f.backends[i].SignalDraining()
 		}
+		asked, pausing := time.Now(), []*platformtest.Backend(nil)
 		for i, b := range f.backends {
 			inLastRound := round == o.rounds-1 && i >= o.engines
 			if inLastRound || i != draining[0] && i != draining[1] && i%2 == round%2 {
 				b.RejectRequests(pauseTime, int(pauseTime.Seconds()))
+				b.RejectAgent(pauseTime, int(pauseTime.Seconds()))
+				pausing = append(pausing, b)
 			}
 		}
 		if err := run.Sleep(ctx, drainTime); err != nil {
 			return err
 		}
+		f.countAgentCalls(pausing, asked.Add(pauseSlack), asked.Add(pauseTime))
 		f.store.FailWith(0)
 		for _, i := range draining {
 			f.backends[i].Crash(0)
