Spec of crashes of all servers: servers crash while they run a request

Cause: the precondition of "The parts of requests that run as all servers crash at once" expects that entries notice at least five crashes. The checks that follow did not fail.

All checks stay as they are; the servers now crash with more requests in progress than before.

--- a/internal/node/poison_part_test.go
+++ b/internal/node/poison_part_test.go
@@ -138,8 +138,10 @@
 			}
 			time.Sleep(time.Second)
 			for _, b := range s.backends {
-				b.Crash(crashedRowExpiry)
-				time.AfterFunc(restartDelay, func() { _ = b.Start() })
+				go func() {
+					b.CrashBusy(crashedRowExpiry, restartDelay/2)
+					time.AfterFunc(restartDelay, func() { _ = b.Start() })
+				}()
 			}
 			time.Sleep(2 * stabilityTime)
 			for _, stop := range stops {
