--- a/review/standin/bodies/bed.go
+++ b/review/standin/bodies/bed.go
@@ -1,10 +1,11 @@
 package main
 
 import (
-	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -20,7 +21,6 @@
 
 const (
 	host      = "bookings.example"
-	service   = "bookings"
 	apiKey    = "key-of-the-depot"
 	bodyBytes = 4 << 20
 
@@ -38,6 +38,7 @@
 
 // bed is a deployment of two entries with a store and three servers.
 type bed struct {
+	wire    *wire
 	entries []*entry
 	store   *platformtest.Store
 	servers []net.Listener
@@ -52,22 +53,14 @@
 	statuses map[string]int
 }
 
-func newBed(dir, program string, trouble bool) (*bed, error) {
+func newBed(dir, program string, w *wire, trouble bool) (*bed, error) {
 	b := &bed{
+		wire:  w,
 		store: platformtest.NewStore(), subnet: 100 + rand.IntN(100), began: time.Now(), statuses: make(map[string]int),
 		client: &http.Client{Timeout: timeout, Transport: &http.Transport{MaxIdleConnsPerHost: 2 * usualCallers}},
 	}
 	b.note("trouble: %t", trouble)
-	b.store.Put("op", "config", map[string]any{
-		"version": 1,
-		"routes": []map[string]any{{
-			"name": "book", "hostname": host, "prefix": "/book/", "route_type": "non_idempotent", "service": service,
-			"timeout_ms": timeout.Milliseconds(), "target_latency_ms": 2000, "max_attempts": 1, "priority": 2, "public": false,
-		}},
-		"services": []map[string]any{{"name": service, "health_path": "/healthz", "max_connections": 49}},
-		"tenants":  []map[string]any{{"name": "depot", "api_keys": []string{apiKey}}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": bodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
+	b.store.Put("op", "config", w.Config)
 	for i := range serverCount {
 		if err := b.startServer(i); err != nil {
 			b.close()
@@ -106,15 +99,15 @@
 			defer func() { <-running }()
 			b.runs.Add(1)
 			time.Sleep(workTime)
-			w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
-			w.Header().Set("X-Server-Signature", id+"."+r.Header.Get("X-Attempt-Id"))
+			attempt := r.Header.Get(b.wire.AttemptHeader)
+			w.Header().Set(b.wire.AttemptHeader, attempt)
+			w.Header().Set(b.wire.SignatureHeader, id+"."+attempt)
 			_, _ = io.WriteString(w, "booked")
 		}))
 	}()
-	b.store.Put("servers", id, map[string]any{
-		"service": service, "address": address, "zone": "leinster-a", "version": "1", "capacity": slots, "state": "ready",
-		"cold_remaining_ms": 0, "sequence": 1, "born": time.Now().UnixMilli(),
-	})
+	row := maps.Clone(b.wire.Server)
+	row["address"], row["born"] = address, time.Now().UnixMilli()
+	b.store.Put("servers", id, row)
 	return nil
 }
 
@@ -174,19 +167,18 @@
 	running.Wait()
 }
 
-// zeros is the body of all requests.
-var zeros = make([]byte, bodyBytes)
+// body is the body of all requests.
+var body = strings.Repeat("x", bodyBytes)
 
 // call sends one request and returns the status of the answer, or how the channel ended.
 func (b *bed) call(e *entry) string {
-	r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d/book/clean", e.ip, callersPort), bytes.NewReader(zeros))
+	call := platformtest.Call{
+		Host: host, Path: "/book/clean", AttemptID: fmt.Sprintf("%016x", b.sent.Add(1)), APIKey: apiKey, Timeout: timeout, LastEventID: -1, Body: body,
+	}
+	r, err := call.Request(context.Background(), fmt.Sprintf("%s:%d", e.ip, callersPort))
 	if err != nil {
 		return err.Error()
 	}
-	r.Host = host
-	r.Header.Set("X-Attempt-Id", fmt.Sprintf("%016x", b.sent.Add(1)))
-	r.Header.Set("X-Deadline-Ms", fmt.Sprint(timeout.Milliseconds()))
-	r.Header.Set("Authorization", "Token "+apiKey)
 	status := "none: no channel, or it ended"
 	if resp, err := b.client.Do(r); err == nil {
 		if _, err := io.Copy(io.Discard, resp.Body); err == nil {
--- a/review/standin/bodies/main.go
+++ b/review/standin/bodies/main.go
@@ -34,9 +34,10 @@
 
 func main() {
 	program := flag.String("gateway", "target/auburnbend-gateway", "program of the entries")
+	wirePath := flag.String("wire", "wire.json", "file with what is spoken on the platform")
 	record := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	flag.Parse()
-	broken, err := run(*program, *record, os.Getenv("TROUBLE") != "0")
+	broken, err := run(*program, *wirePath, *record, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
 		log.Print(err)
@@ -46,18 +47,22 @@
 	}
 }
 
-func run(program, record string, trouble bool) (broken bool, err error) {
+func run(program, wirePath, record string, trouble bool) (broken bool, err error) {
 	file, err := os.Create(record)
 	if err != nil {
 		return false, err
 	}
 	defer file.Close()
+	w, err := readWire(wirePath)
+	if err != nil {
+		return false, err
+	}
 	dir, err := os.MkdirTemp("", "review-bodies")
 	if err != nil {
 		return false, err
 	}
 	defer os.RemoveAll(dir)
-	b, err := newBed(dir, program, trouble)
+	b, err := newBed(dir, program, w, trouble)
 	if err != nil {
 		return false, err
 	}
