--- a/review/standin/bodies/main.go
+++ b/review/standin/bodies/main.go
@@ -97,6 +97,7 @@
 			return err
 		}
 	}
+	fmt.Fprintf(w, "requests sent: %d\n", b.sent.Load())
 	for status, count := range b.statuses {
 		fmt.Fprintf(w, "answers %s: %d\n", status, count)
 	}
