gateway: requests keep the deadline of each declared version, not of the next one

A request began on version N after the time limit of a newer version (VERSION).

Cause: entries and the entry that places requests knew only the first version deadline that was due. A request for an engine with version 2 had no deadline while version 2 itself was about to become the oldest one allowed, even if version 3 was due shortly after: it was placed on version 2, and waited in the engine's queue past the deadline of version 3. Versions that are declared within the wait of a request, or whose ages are bounded by the same disturbance, meet this.

Change: versions.Deadlines holds one deadline for each declared version that no earlier one covers. Placement, the placement request (LaterVersions, ignored by earlier releases) and the deadline of an attempt use the one that applies to the engine's version. The deadline of an attempt is read when its connection is open and not when it was placed.

That this is what the users saw is not shown.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -132,10 +132,17 @@
 // all requests. The end of the connection waits on the server's link as its opening did.
 func (r *request) weightsDeadline(lease *placement.Lease, opening time.Duration) time.Time {
 	w, known := lease.Server.Weights[r.info.Model]
-	if !known || r.nextVersion == 0 || w.Version >= r.nextVersion {
+	if !known {
 		return time.Time{}
 	}
-	return r.nextAt.Add(-startMargin - opening)
+	g := r.gateway
+	g.mu.Lock()
+	deadline := g.versions.Deadline(r.info.Model, w.Version)
+	g.mu.Unlock()
+	if deadline.IsZero() {
+		return deadline
+	}
+	return deadline.Add(-startMargin - opening)
 }
 
 // silenceLimit is how long a server may take to begin its response until other servers are
--- a/gateway/odd_datagrams_test.go
+++ b/gateway/odd_datagrams_test.go
@@ -116,6 +116,10 @@
 	return peerlink.RateLimit{Server: drawKey(t), PerSecond: oddFloats.Draw(t, "per second"), AgeMillis: int64(oddInts.Draw(t, "age"))}
 }
 
+func drawVersionDeadline(t *rapid.T) peerlink.VersionDeadline {
+	return peerlink.VersionDeadline{int64(oddInts.Draw(t, "later version")), int64(oddInts.Draw(t, "later in"))}
+}
+
 func drawSuspect(t *rapid.T) wire.Suspect {
 	return wire.Suspect{Fingerprint: model.FingerprintOf("t", "s", []byte(oddTexts.Draw(t, "content"))), Incidents: drawList(t, func(t *rapid.T) wire.Incident {
 		return wire.Incident{Instance: model.InstanceID(oddTexts.Draw(t, "instance")), AgeMillis: int64(oddInts.Draw(t, "age")), Cleared: rapid.Bool().Draw(t, "cleared")}
@@ -147,7 +151,7 @@
 	default:
 		return &peerlink.Datagram{PlacementRequest: &peerlink.PlacementRequest{
 			Entry: "other", Incarnation: 1, Lease: uint64(rapid.IntRange(0, 3).Draw(t, "lease")), Domain: drawText(t), Service: rapid.SampledFrom([]string{"drafts", "desk", "x"}).Draw(t, "service"), Model: drawText(t),
-			Version: number("version"), MinVersion: number("min"), NextVersion: number("next"), NextMillis: int64(number("next in")), PromptTokens: number("prompt"), OutputTokens: number("output"),
+			Version: number("version"), MinVersion: number("min"), NextVersion: number("next"), NextMillis: int64(number("next in")), LaterVersions: drawList(t, drawVersionDeadline), PromptTokens: number("prompt"), OutputTokens: number("output"),
 			LatencyTargetMillis: int64(number("target")), RemainingMillis: int64(number("remaining")), Exclude: drawList(t, drawKey), Homes: drawList(t, drawText), HomesOnly: rapid.Bool().Draw(t, "homes"),
 			Evacuated: drawList(t, drawText), Limits: drawList(t, drawLimit), OpenLeases: []uint64{1, 2}, OpenLeasesKnown: rapid.Bool().Draw(t, "open"),
 		}}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -273,14 +273,12 @@
 	now := g.now()
 	query := &peerlink.PlacementRequest{
 		Entry: l.name, Incarnation: l.placements.incarnation, Domain: g.config.Placement.Domain, Service: req.Service, Model: req.Model,
-		Version: req.Version, MinVersion: req.MinVersion, NextVersion: req.NextVersion,
+		Version: req.Version, MinVersion: req.MinVersion,
 		PromptTokens: req.PromptTokens, OutputTokens: req.OutputTokens,
 		LatencyTargetMillis: req.LatencyTarget.Milliseconds(), RemainingMillis: req.Remaining.Milliseconds(), MayHaveRun: req.MayHaveRun,
 		Homes: req.Homes.Regions, HomesOnly: req.Homes.Restricted,
 	}
-	if req.NextVersion != 0 {
-		query.NextMillis = req.NextVersionAt.Sub(now).Milliseconds()
-	}
+	setQueryDeadlines(query, req.VersionDeadlines, now)
 	g.mu.Lock()
 	avoided := g.picker.Avoided(req.Service, now)
 	query.Limits = g.queryLimits(req.Service, now)
--- a/gateway/place_test.go
+++ b/gateway/place_test.go
@@ -289,6 +289,9 @@
 			for range maxQueryLimits {
 				query.Limits = append(query.Limits, peerlink.RateLimit{Server: key, PerSecond: 1.7, AgeMillis: 600_000})
 			}
+			for i := range maxQueryDeadlines - 1 {
+				query.LaterVersions = append(query.LaterVersions, peerlink.VersionDeadline{int64(302 + i), 13_400})
+			}
 			for i := range maxListedLeases {
 				query.OpenLeases = append(query.OpenLeases, uint64(60_000+i))
 			}
@@ -298,6 +301,7 @@
 			Expect(msgpack.Unmarshal(data, &d)).To(Succeed())
 			Expect(d.PlacementRequest.Limits).To(HaveLen(maxQueryLimits))
 			Expect(d.PlacementRequest.Exclude).To(HaveLen(24))
+			Expect(d.PlacementRequest.LaterVersions).To(Equal(query.LaterVersions))
 			// With homes and evacuated failure domains as well, the last ejected servers may be
 			// missing, but neither the homes nor a rate limit.
 			for range maxQueryDomains {
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -56,10 +56,7 @@
 		Evacuated: query.Evacuated,
 		Homes:     serving.Homes{Restricted: query.HomesOnly, Regions: query.Homes},
 	}
-	req.NextVersion, req.NextVersionAt = g.versions.NextMinVersion(query.Model, now)
-	if due := now.Add(milliseconds(query.NextMillis)); query.NextVersion != 0 && (req.NextVersion == 0 || due.Before(req.NextVersionAt)) {
-		req.NextVersion, req.NextVersionAt = query.NextVersion, due
-	}
+	req.VersionDeadlines = g.versions.Deadlines(query.Model, now).Merge(queryDeadlines(query, now))
 	for _, key := range query.Exclude {
 		req.Exclude = append(req.Exclude, directory.Key{ID: key.ID, StartUnixMilli: key.StartUnixMilli})
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -45,11 +45,6 @@
 
 	// triedServers are the servers that may have run the request, or that rejected it.
 	triedServers []directory.Key
-	// nextVersion is a declared version of the weights. From nextAt on, the request
-	// must not begin on an older one. Zero if no such change was due when the request
-	// was placed.
-	nextVersion int
-	nextAt      time.Time
 	// dispatched counts the servers that the request was sent to.
 	dispatched int
 	// mayHaveRun is set if some server may have run the request.
@@ -124,8 +119,7 @@
 	if len(r.ties) > 0 {
 		req.Exclude = append(slices.Clip(req.Exclude), r.gateway.endedServers(r.service)...)
 	}
-	req.NextVersion, req.NextVersionAt = r.gateway.versions.NextMinVersion(r.info.Model, now)
-	r.nextVersion, r.nextAt = req.NextVersion, req.NextVersionAt
+	req.VersionDeadlines = r.gateway.versions.Deadlines(r.info.Model, now)
 	// All requests to a service get about the same latency target. With their own
 	// targets, those with the longest one would take the capacity of the others under
 	// overload. Time that the request has lost at a failed server does not count
--- a/gateway/target_age_test.go
+++ b/gateway/target_age_test.go
@@ -27,9 +27,10 @@
 
 	// barredAfter returns the time after which older versions must no longer serve.
 	barredAfter := func() time.Duration {
-		version, at := g.versions.NextMinVersion("m", now.Now())
-		Expect(version).To(Equal(2))
-		return at.Sub(now.Now())
+		deadlines := g.versions.Deadlines("m", now.Now())
+		Expect(deadlines).To(HaveLen(1))
+		Expect(deadlines[0].Version).To(Equal(2))
+		return deadlines[0].At.Sub(now.Now())
 	}
 
 	It("counts from the declaration and not from when the entry learns of it", func() {
--- a/lib/placement/link_delay_test.go
+++ b/lib/placement/link_delay_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/placement"
+	"github.com/auburnbend/auburnbend/lib/versions"
 )
 
 var _ = Describe("Servers behind a narrow link", func() {
@@ -21,7 +22,7 @@
 		key := directory.Key{ID: "a"}
 		d.Put(&directory.Server{ID: "a", Service: "s", Address: "a", Slots: 16, Weights: map[string]directory.Weights{"m": {Version: 1, Complete: true}}})
 		p.RecordVerified(key, placement.VerifiedWeights{Model: "m", Version: 1, Until: now.Add(time.Hour)})
-		req := placement.Request{Service: "s", Engine: engine, Model: "m", PromptTokens: 1000, NextVersion: 2, NextVersionAt: now.Add(time.Second)}
+		req := placement.Request{Service: "s", Engine: engine, Model: "m", PromptTokens: 1000, VersionDeadlines: versions.Deadlines{{Version: 2, At: now.Add(time.Second)}}}
 		p.Report(key, placement.Load{}, now)
 		lease, refusal := p.Pick(req, now)
 		Expect(refusal).To(BeNil())
@@ -32,7 +33,7 @@
 		Expect(refusal).NotTo(BeNil())
 		Expect(refusal.Reason).To(Equal(placement.NoWeights))
 
-		req.NextVersion = 1
+		req.VersionDeadlines[0].Version = 1
 		_, refusal = p.Pick(req, now)
 		Expect(refusal).To(BeNil(), "weights that stay new enough")
 	})
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -126,14 +126,15 @@
 // mayMissVersionDeadline reports whether the request might still wait on the server
 // when the server's weights must no longer serve.
 func (s *server) mayMissVersionDeadline(req *Request, e estimate, now time.Time) bool {
-	if req.NextVersion == 0 || s.listing.Weights[req.Model].Version >= req.NextVersion {
+	deadline := req.VersionDeadlines.Of(s.listing.Weights[req.Model].Version)
+	if deadline.IsZero() {
 		return false
 	}
 	wait := e.wait
 	if s.hasReport(now) {
 		wait += s.load.LinkDelay
 	}
-	return now.Add(2*wait + versionMargin).After(req.NextVersionAt)
+	return now.Add(2*wait + versionMargin).After(deadline)
 }
 
 // eligible returns the servers that may run the request, or the reason why there are
--- a/lib/placement/picker_test.go
+++ b/lib/placement/picker_test.go
@@ -11,6 +11,7 @@
 	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/placement"
 	"github.com/auburnbend/auburnbend/lib/serving"
+	"github.com/auburnbend/auburnbend/lib/versions"
 )
 
 // engine is a model engine with realistic parameters.
@@ -113,17 +114,34 @@
 		// had waited 620 ms on its server.
 		key := add("a", "north", nil)
 		req := request()
-		req.NextVersion, req.NextVersionAt = 2, now.Add(750*time.Millisecond)
+		req.VersionDeadlines = versions.Deadlines{{Version: 2, At: now.Add(750 * time.Millisecond)}}
 		pick(req)
 		p.Report(key, placement.Load{Running: 15, PrefillTokens: 8000}, now)
 		req.LatencyTarget = 2 * time.Second
 		_, refusal := p.Pick(req, now)
 		Expect(refusal).NotTo(BeNil())
 		Expect(refusal.Reason).To(Equal(placement.NoWeights))
-		req.NextVersion = 1
+		req.VersionDeadlines[0].Version = 1
 		pick(req)
 	})
 
+	It("does not use weights that expire second, but before the request may begin", func() {
+		// Guards against a request that is placed on the version which becomes the oldest one
+		// allowed, and waits there until a version declared shortly after expires it as well.
+		add("old", "north", nil)
+		add("next", "north", func(s *directory.Server) { s.Weights["m"] = directory.Weights{Version: 2, Complete: true} })
+		newest := add("newest", "north", func(s *directory.Server) { s.Weights["m"] = directory.Weights{Version: 3, Complete: true} })
+		req := request()
+		req.VersionDeadlines = versions.Deadlines{{Version: 2, At: now.Add(200 * time.Millisecond)}, {Version: 3, At: now.Add(600 * time.Millisecond)}}
+		for range 5 {
+			Expect(pick(req).Server.ID).To(Equal("newest"))
+		}
+		req.Exclude = []directory.Key{newest}
+		_, refusal := p.Pick(req, now)
+		Expect(refusal).NotTo(BeNil())
+		Expect(refusal.Reason).To(Equal(placement.NoWeights))
+	})
+
 	It("does not use a mismatched server until its listing changes", func() {
 		// Guards against requests that all go to incarnations which ended in a power
 		// failure: their rows and weights were still listed, so that they seemed idle. 445
@@ -167,11 +185,11 @@
 		// was too low: waits of 620 ms were seen where none were predicted.
 		add("a", "north", nil)
 		req := request()
-		req.NextVersion, req.NextVersionAt = 2, now.Add(690*time.Millisecond)
+		req.VersionDeadlines = versions.Deadlines{{Version: 2, At: now.Add(690 * time.Millisecond)}}
 		_, refusal := p.Pick(req, now)
 		Expect(refusal).NotTo(BeNil())
 		Expect(refusal.Reason).To(Equal(placement.NoWeights))
-		req.NextVersionAt = now.Add(710 * time.Millisecond)
+		req.VersionDeadlines[0].At = now.Add(710 * time.Millisecond)
 		pick(req)
 	})
 
--- a/lib/placement/request.go
+++ b/lib/placement/request.go
@@ -5,6 +5,7 @@
 
 	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/serving"
+	"github.com/auburnbend/auburnbend/lib/versions"
 )
 
 // Request describes a request that needs a backend server.
@@ -20,10 +21,9 @@
 	// Version is the only version of the model that may run the request. Zero accepts
 	// any that is not older than MinVersion.
 	Version, MinVersion int
-	// NextVersion is a declared version. From NextVersionAt on, the request must not
-	// begin on an older one. Zero means that no such change is due.
-	NextVersion   int
-	NextVersionAt time.Time
+	// VersionDeadlines are the deadlines from which the request must not begin on older
+	// weights.
+	VersionDeadlines versions.Deadlines
 	// PromptTokens is the length of the prompt, OutputTokens the expected length of the
 	// output.
 	PromptTokens, OutputTokens int
--- a/lib/versions/registry.go
+++ b/lib/versions/registry.go
@@ -88,18 +88,33 @@
 	return minVersion
 }
 
-// NextMinVersion returns the next value of MinVersion and the time from which
-// it applies, or zero values if no change is due.
-func (r *Registry) NextMinVersion(model string, now time.Time) (version int, at time.Time) {
+// Deadlines returns the deadlines after now at which MinVersion changes, in order. There is
+// one for each declared version unless a newer one is due at the same time or earlier.
+func (r *Registry) Deadlines(model string, now time.Time) Deadlines {
 	if r.timeLimit <= 0 {
-		return 0, time.Time{}
+		return nil
 	}
 	minVersion := r.MinVersion(model, now)
+	var due Deadlines
 	for _, d := range r.declarations[model] {
-		due := d.declaredAt.Add(r.timeLimit)
-		if d.version > minVersion && due.After(now) && (version == 0 || due.Before(at)) {
-			version, at = d.version, due
+		if d.version > minVersion {
+			due = append(due, Deadline{Version: d.version, At: d.declaredAt.Add(r.timeLimit)})
 		}
 	}
-	return version, at
+	return due.simplify()
+}
+
+// Deadline returns the time from which weights of a version must no longer serve, which may
+// have passed, or zero if they may.
+func (r *Registry) Deadline(model string, version int) time.Time {
+	if r.timeLimit <= 0 {
+		return time.Time{}
+	}
+	var earliest time.Time
+	for _, d := range r.declarations[model] {
+		if due := d.declaredAt.Add(r.timeLimit); d.version > version && (earliest.IsZero() || due.Before(earliest)) {
+			earliest = due
+		}
+	}
+	return earliest
 }
--- a/lib/versions/registry_test.go
+++ b/lib/versions/registry_test.go
@@ -18,12 +18,9 @@
 		r := versions.NewRegistry(timeLimit)
 		r.Declare("m", 2, start)
 		Expect(r.MinVersion("m", start.Add(7999*time.Millisecond))).To(Equal(0))
-		version, at := r.NextMinVersion("m", start.Add(time.Second))
-		Expect(version).To(Equal(2))
-		Expect(at).To(Equal(start.Add(timeLimit)))
+		Expect(r.Deadlines("m", start.Add(time.Second))).To(Equal(versions.Deadlines{{Version: 2, At: start.Add(timeLimit)}}))
 		Expect(r.MinVersion("m", start.Add(timeLimit))).To(Equal(2))
-		version, _ = r.NextMinVersion("m", start.Add(timeLimit))
-		Expect(version).To(BeZero())
+		Expect(r.Deadlines("m", start.Add(timeLimit))).To(BeEmpty())
 		Expect(r.MinVersion("other", start.Add(time.Hour))).To(Equal(0))
 	})
 
@@ -52,9 +49,7 @@
 			from := start.Add(2500 * time.Millisecond)
 			r.DeclareBefore("m", 2, from)
 			Expect(r.MinVersion("m", from.Add(-time.Millisecond))).To(Equal(0))
-			version, at := r.NextMinVersion("m", start)
-			Expect(version).To(Equal(2))
-			Expect(at).To(Equal(from))
+			Expect(r.Deadlines("m", start)).To(Equal(versions.Deadlines{{Version: 2, At: from}}))
 			Expect(r.MinVersion("m", from)).To(Equal(2))
 		}
 	})
@@ -64,12 +59,25 @@
 		r := versions.NewRegistry(timeLimit)
 		r.Declare("m", 2, start.Add(2*time.Second))
 		r.Declare("m", 3, start)
-		version, at := r.NextMinVersion("m", start.Add(2*time.Second))
-		Expect(version).To(Equal(3))
-		Expect(at).To(Equal(start.Add(timeLimit)))
+		Expect(r.Deadlines("m", start.Add(2*time.Second))).To(Equal(versions.Deadlines{{Version: 3, At: start.Add(timeLimit)}}))
 		Expect(r.MinVersion("m", start.Add(timeLimit))).To(Equal(3))
-		version, _ = r.NextMinVersion("m", start.Add(timeLimit))
-		Expect(version).To(BeZero())
+		Expect(r.Deadlines("m", start.Add(timeLimit))).To(BeEmpty())
+	})
+
+	It("reports a deadline for each version, and one for versions of the same age", func() {
+		// Guards against requests that wait on the version of the first deadline until the
+		// second one has passed. After a disturbance of the store both may be the same.
+		r := versions.NewRegistry(timeLimit)
+		r.Declare("m", 2, start)
+		r.Declare("m", 3, start.Add(500*time.Millisecond))
+		r.Declare("m", 4, start.Add(500*time.Millisecond))
+		due := r.Deadlines("m", start.Add(time.Second))
+		Expect(due).To(Equal(versions.Deadlines{{Version: 2, At: start.Add(timeLimit)}, {Version: 4, At: start.Add(timeLimit + 500*time.Millisecond)}}))
+		for version := 1; version <= 4; version++ {
+			Expect(due.Of(version)).To(Equal(r.Deadline("m", version)), "version %d", version)
+		}
+		Expect(due.Of(4)).To(BeZero())
+		Expect(r.Deadline("m", 1)).To(Equal(start.Add(timeLimit)))
 	})
 
 	It("counts the time of a suspension", func() {
--- a/peerlink/placement.go
+++ b/peerlink/placement.go
@@ -14,11 +14,13 @@
 	Model   string `msgpack:"m"`
 	// Version is the only version that may run the request, or zero for any that
 	// isn't older than MinVersion. NextVersion is the value that MinVersion will
-	// have after NextMillis milliseconds, or zero if no change is due.
-	Version     int   `msgpack:"v,omitempty"`
-	MinVersion  int   `msgpack:"n,omitempty"`
-	NextVersion int   `msgpack:"x,omitempty"`
-	NextMillis  int64 `msgpack:"y,omitempty"`
+	// have after NextMillis milliseconds, or zero if no change is due. LaterVersions
+	// are the changes after that; receivers of earlier releases ignore them.
+	Version       int               `msgpack:"v,omitempty"`
+	MinVersion    int               `msgpack:"n,omitempty"`
+	NextVersion   int               `msgpack:"x,omitempty"`
+	NextMillis    int64             `msgpack:"y,omitempty"`
+	LaterVersions []VersionDeadline `msgpack:"z,omitempty"`
 	// PromptTokens and OutputTokens are the expected work.
 	PromptTokens int `msgpack:"p"`
 	OutputTokens int `msgpack:"a"`
@@ -45,6 +47,10 @@
 	OpenLeasesKnown bool     `msgpack:"w,omitempty"`
 }
 
+// VersionDeadline holds a version and the milliseconds after which older weights must no
+// longer serve. It is an array because that takes less of a datagram than a map.
+type VersionDeadline [2]int64
+
 // ServerKey identifies one start of a backend server.
 type ServerKey struct {
 	ID             string `msgpack:"i"`
