gateway: the head of a stream does not end the deadline of its weights

A request begins with its first token, but an entry took the head of a stream as proof: a server that sends the head first could begin the request on weights that had expired meanwhile.

Change: the deadline of the weights stays until the first event.

Evidence: "leave a server that has sent only the head of a stream when its weights expire" fails on (left after 5.0 s, at the end of the test's context, in place of 0.7 s) and passes now.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -22,8 +22,11 @@
 	// conn is the connection to the server; nil until it is open.
 	conn     *upstream.Exchange
 	openedAt time.Time
-	resp     *http.Response
-	reply    ResponseInfo
+	// weightsDeadline is when the request is taken back unless it has begun; zero if its
+	// weights do not expire.
+	weightsDeadline time.Time
+	resp            *http.Response
+	reply           ResponseInfo
 	// events are the events of a stream; nil for other responses. next is the first of
 	// them that was not passed on, if it was read already.
 	events *sse.Reader
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -51,13 +51,13 @@
 		return resolve(ctx, placement.Rejected, attemptResult{reason: reason})
 	}
 	a.openedAt = g.now()
-	deadline := r.weightsDeadline(a.lease, a.openedAt.Sub(started))
-	if !deadline.IsZero() && !a.openedAt.Before(deadline) {
+	a.weightsDeadline = r.weightsDeadline(a.lease, a.openedAt.Sub(started))
+	if !a.weightsDeadline.IsZero() && !a.openedAt.Before(a.weightsDeadline) {
 		return resolve(ctx, placement.Rejected, attemptResult{reason: "weights are about to be too old"})
 	}
 	r.dispatched++
 	r.summary.Attempts++
-	conn.SetReadDeadline(deadline)
+	conn.SetReadDeadline(a.weightsDeadline)
 	upstreamRequest := r.upstreamRequest(r.attemptInfo(a.lease))
 	standby := r.newStandby(ctx, a, r.silenceLimit(a.lease))
 	resp, err := conn.Do(upstreamRequest)
--- a/gateway/weights_deadline_test.go
+++ b/gateway/weights_deadline_test.go
@@ -92,6 +92,41 @@
 		Expect(at).To(BeTemporally("<", deadline))
 	})
 
+	It("leave a server that has sent only the head of a stream when its weights expire", func() {
+		// Guards against a request that begins on older weights after their deadline, at a server
+		// that sends the head before the first token.
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(ln.Close)
+		ended := make(chan time.Time, 1)
+		go func() {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+			_, _ = io.Copy(io.Discard, conn)
+			ended <- time.Now()
+		}()
+		r := newRequest(700 * time.Millisecond)
+		deadline := time.Now().Add(700 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		DeferCleanup(cancel)
+		r.ctx, r.route = ctx, &serving.Route{Kind: serving.Streaming}
+		r.writer = httptest.NewRecorder()
+		g := r.gateway
+		g.config.Dialect = signedDialect{}
+		server := newLease(ln.Addr().String(), 1).Server
+		g.ReplaceServers([]*directory.Server{server}, false)
+		req := r.placementRequest(g.now())
+		lease := g.picker.Adopt(server, &req, g.now())
+		Expect(r.exchange(&attempt{lease: lease}).mayHaveRun).To(BeTrue())
+		var at time.Time
+		Eventually(ended, 10*time.Second).Should(Receive(&at))
+		Expect(at).To(BeTemporally("<", deadline))
+	})
+
 	It("tell the entry that places them of each version that is due", func() {
 		// Guards against a placer that knows less of the versions than the entry, and places a
 		// request on weights that expire while it waits.
