gateway: the limits of versions apply to requests that name no model

A request to an engine that names no model was placed whatever version the engine had, and had no deadline: both were looked up by the name in the request.

Change: such a request uses the only model of its service's engines. Services whose engines may serve several models still have no limit for unnamed ones.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -131,13 +131,14 @@
 // when most engines change their weights at the same time and the remaining ones get
 // all requests. The end of the connection waits on the server's link as its opening did.
 func (r *request) weightsDeadline(lease *placement.Lease, opening time.Duration) time.Time {
-	w, known := lease.Server.Weights[r.info.Model]
+	modelName := r.weightsModel()
+	w, known := lease.Server.Weights[modelName]
 	if !known {
 		return time.Time{}
 	}
 	g := r.gateway
 	g.mu.Lock()
-	deadline := g.versions.Deadline(r.info.Model, w.Version)
+	deadline := g.versions.Deadline(modelName, w.Version)
 	g.mu.Unlock()
 	if deadline.IsZero() {
 		return deadline
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -107,8 +107,9 @@
 // placementRequest returns the request as the placement sees it. The caller holds the
 // Gateway's mutex.
 func (r *request) placementRequest(now time.Time) placement.Request {
+	modelName := r.weightsModel()
 	req := placement.Request{
-		Service: r.service, Engine: r.engine, Model: r.info.Model, Version: r.stream.version, MinVersion: r.gateway.versions.MinVersion(r.info.Model, now),
+		Service: r.service, Engine: r.engine, Model: modelName, Version: r.stream.version, MinVersion: r.gateway.versions.MinVersion(modelName, now),
 		PromptTokens: r.info.PromptTokens, OutputTokens: r.info.ExpectedTokens,
 		Remaining: r.remaining(now), Exclude: r.triedServers, MayHaveRun: r.stream.started || r.mayHaveRun || r.serverSilent,
 		Homes: r.homes(),
@@ -119,7 +120,7 @@
 	if len(r.ties) > 0 {
 		req.Exclude = append(slices.Clip(req.Exclude), r.gateway.endedServers(r.service)...)
 	}
-	req.VersionDeadlines = r.gateway.versions.Deadlines(r.info.Model, now)
+	req.VersionDeadlines = r.gateway.versions.Deadlines(modelName, now)
 	// All requests to a service get about the same latency target. With their own
 	// targets, those with the longest one would take the capacity of the others under
 	// overload. Time that the request has lost at a failed server does not count
@@ -130,6 +131,15 @@
 	return req
 }
 
+// weightsModel returns the model whose weights run the request: the one that it names, or
+// the only one that the engines of its service may serve. It is empty for plain services.
+func (r *request) weightsModel() string {
+	if r.info.Model == "" && r.engine != nil && len(r.engine.Models) == 1 {
+		return r.engine.Models[0]
+	}
+	return r.info.Model
+}
+
 // homes returns the regions that both the route and the team of the request allow.
 func (r *request) homes() serving.Homes {
 	if r.team == nil {
