gateway: a failed server loses its request before the wait for a standby

Cause: at the deadline of its weights an attempt ends, but if a standby is asking another server at that moment, settle waits for the result first. The connection to the first server stayed open until then, and that server could still begin the request. Servers that change their weights at the same time, which make requests wait for longer than the limit after which a standby starts, bring both together.

Change: settle closes the connection of a failed attempt before it waits. This also ends runs whose response cannot be passed on earlier.

--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -143,6 +143,8 @@
 // settle ends the standby once the server of the attempt has responded, or has failed with
 // err. It returns the attempt that has won, or nil if the attempt goes on or has failed. A
 // try that is under way when the attempt fails may still succeed, and settle waits for it.
+// The failed server loses the request before that wait: its weights may expire meanwhile,
+// and it must not begin the request then.
 func (s *standby) settle(err error) *attempt {
 	if s == nil {
 		return nil
@@ -151,7 +153,9 @@
 		s.cancel()
 		return nil
 	}
-	if err == nil && s.state.CompareAndSwap(standbyWaiting, standbySettled) {
+	if err != nil {
+		s.current.conn.Close()
+	} else if s.state.CompareAndSwap(standbyWaiting, standbySettled) {
 		s.cancel()
 	}
 	close(s.currentFailed)
--- a/gateway/weights_deadline_test.go
+++ b/gateway/weights_deadline_test.go
@@ -14,6 +14,7 @@
 	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/placement"
+	"github.com/auburnbend/auburnbend/lib/retry"
 	"github.com/auburnbend/auburnbend/lib/serving"
 	"github.com/auburnbend/auburnbend/lib/versions"
 	"github.com/auburnbend/auburnbend/peerlink"
@@ -127,6 +128,67 @@
 		Expect(at).To(BeTemporally("<", deadline))
 	})
 
+	// expectEnd expects that a server which sends only a text loses the connection of a request
+	// before its weights expire, although a standby waits for another silent server by then.
+	expectEnd := func(text string) {
+		listen := func(text string) (string, <-chan time.Time) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(ln.Close)
+			ended := make(chan time.Time, 1)
+			go func() {
+				conn, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				_, _ = io.WriteString(conn, text)
+				_, _ = io.Copy(io.Discard, conn)
+				ended <- time.Now()
+			}()
+			return ln.Addr().String(), ended
+		}
+		expiring, ended := listen(text)
+		other, otherEnded := listen("")
+		const remaining = 700 * time.Millisecond
+		r := newRequest(remaining)
+		deadline := time.Now().Add(remaining)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		DeferCleanup(cancel)
+		route := serving.Route{Name: "r", Host: "example.com", Prefix: "/", Kind: serving.Streaming, Resumable: true, TargetLatency: 20 * time.Millisecond, MaxEventGap: 20 * time.Millisecond, Targets: []serving.Target{{Service: "x", Weight: 1}}}
+		g := r.gateway
+		g.SetConfig(&serving.Config{Version: 1, Routes: []serving.Route{route}, Services: []serving.Service{{Name: "x"}}})
+		r.table = g.table.Load()
+		r.ctx, r.route, r.service, r.writer = ctx, &r.table.Config().Routes[0], "x", httptest.NewRecorder()
+		g.config.Dialect = signedDialect{}
+		g.SetBounds(retry.Config{Ratio: 1, Window: 10 * time.Second, Slack: 100}, timeLimit)
+		var servers []*directory.Server
+		for i, address := range []string{expiring, other} {
+			servers = append(servers, &directory.Server{ID: address, Service: "x", Address: address, Domain: "north", Slots: 6, Weights: map[string]directory.Weights{"m": {Version: 1 + i, Complete: true}}})
+		}
+		g.ReplaceServers(servers, false)
+		g.RecordVerified(servers[1].Key(), placement.VerifiedWeights{Model: "m", Version: 2})
+		req := r.placementRequest(g.now())
+		r.exchange(&attempt{lease: g.picker.Adopt(servers[0], &req, g.now())})
+		Expect(r.dispatched).To(Equal(2), "a standby has asked the other server")
+		var at, otherAt time.Time
+		Eventually(otherEnded, 10*time.Second).Should(Receive(&otherAt))
+		Expect(otherAt).To(BeTemporally(">", deadline), "the standby went on")
+		Eventually(ended, 10*time.Second).Should(Receive(&at))
+		Expect(at).To(BeTemporally("<", deadline))
+	}
+
+	It("leave a silent server in time while a standby waits for another one", func() {
+		// Guards against a request that begins after the deadline because its connection stays
+		// open until the other server has responded.
+		expectEnd("")
+	})
+
+	It("leave a server that has sent only the head in time while a standby waits for another one", func() {
+		// Guards against the same after the head of a stream.
+		expectEnd("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	})
+
 	It("tell the entry that places them of each version that is due", func() {
 		// Guards against a placer that knows less of the versions than the entry, and places a
 		// request on weights that expire while it waits.
