versions: a new time limit does not allow weights that an unknown age bars

After a start, an entry bars weights older than a version of unknown age from a given time on, as the time limit of that version may have passed. If the settings then named a longer time limit, the entry allowed these weights again, or for longer, by the difference.

Cause: the given time was kept as a declaration one time limit earlier.

Change: it is kept as it is. Declarations of a known age follow the new time limit as before.

Evidence: "requires a version of unknown age from a given time on, also if the time limit changes" fails before and passes now.

--- a/lib/versions/registry.go
+++ b/lib/versions/registry.go
@@ -15,6 +15,17 @@
 	version int
 	// declaredAt is the earliest time at which the version may have been declared.
 	declaredAt time.Time
+	// barsFrom is since when older versions must no longer serve whatever the time limit is;
+	// zero if that follows from declaredAt.
+	barsFrom time.Time
+}
+
+// due returns the time from which older versions must no longer serve.
+func (d *declaration) due(timeLimit time.Duration) time.Time {
+	if !d.barsFrom.IsZero() {
+		return d.barsFrom
+	}
+	return d.declaredAt.Add(timeLimit)
 }
 
 // NewRegistry returns an empty Registry. timeLimit is the time after a
@@ -25,24 +36,28 @@
 }
 
 // SetTimeLimit changes the time limit, for versions that are already declared
-// as well.
+// as well. It does not change since when versions of DeclareBefore apply.
 func (r *Registry) SetTimeLimit(timeLimit time.Duration) { r.timeLimit = timeLimit }
 
 // Declare records a version that was declared at the given time at the earliest. Versions
 // that are not newer than the newest one are ignored.
 func (r *Registry) Declare(model string, version int, earliest time.Time) {
-	list := r.declarations[model]
-	if n := len(list); n > 0 && list[n-1].version >= version {
-		return
-	}
-	r.declarations[model] = append(list, declaration{version: version, declaredAt: earliest})
+	r.declare(model, declaration{version: version, declaredAt: earliest})
 }
 
 // DeclareBefore records a version of which only is known that it was declared before
 // this process started. Older versions must no longer serve from the given time on, as the
 // time limit may already have passed.
 func (r *Registry) DeclareBefore(model string, version int, from time.Time) {
-	r.Declare(model, version, from.Add(-r.timeLimit))
+	r.declare(model, declaration{version: version, declaredAt: from.Add(-r.timeLimit), barsFrom: from})
+}
+
+func (r *Registry) declare(model string, d declaration) {
+	list := r.declarations[model]
+	if n := len(list); n > 0 && list[n-1].version >= d.version {
+		return
+	}
+	r.declarations[model] = append(list, d)
 }
 
 // Elapse makes all versions older by a time that the caller's clock has not counted.
@@ -50,6 +65,9 @@
 	for _, list := range r.declarations {
 		for i := range list {
 			list[i].declaredAt = list[i].declaredAt.Add(-d)
+			if from := &list[i].barsFrom; !from.IsZero() {
+				*from = from.Add(-d)
+			}
 		}
 	}
 }
@@ -81,7 +99,7 @@
 	}
 	minVersion := 0
 	for _, d := range r.declarations[model] {
-		if now.Sub(d.declaredAt) >= r.timeLimit {
+		if !now.Before(d.due(r.timeLimit)) {
 			minVersion = d.version
 		}
 	}
@@ -98,7 +116,7 @@
 	var due Deadlines
 	for _, d := range r.declarations[model] {
 		if d.version > minVersion {
-			due = append(due, Deadline{Version: d.version, At: d.declaredAt.Add(r.timeLimit)})
+			due = append(due, Deadline{Version: d.version, At: d.due(r.timeLimit)})
 		}
 	}
 	return due.simplify()
@@ -112,7 +130,7 @@
 	}
 	var earliest time.Time
 	for _, d := range r.declarations[model] {
-		if due := d.declaredAt.Add(r.timeLimit); d.version > version && (earliest.IsZero() || due.Before(earliest)) {
+		if due := d.due(r.timeLimit); d.version > version && (earliest.IsZero() || due.Before(earliest)) {
 			earliest = due
 		}
 	}
--- a/lib/versions/registry_test.go
+++ b/lib/versions/registry_test.go
@@ -54,6 +54,20 @@
 		}
 	})
 
+	It("requires a version of unknown age from a given time on, also if the time limit changes", func() {
+		// Guards against older weights that serve again, or for longer, after a restart because the
+		// settings name another time limit. The new one may have passed as well.
+		for _, limits := range [][2]time.Duration{{timeLimit, time.Hour}, {time.Hour, timeLimit}, {0, timeLimit}} {
+			r := versions.NewRegistry(limits[0])
+			from := start.Add(2500 * time.Millisecond)
+			r.DeclareBefore("m", 2, from)
+			r.SetTimeLimit(limits[1])
+			Expect(r.MinVersion("m", from.Add(-time.Millisecond))).To(Equal(0))
+			Expect(r.Deadline("m", 1)).To(Equal(from))
+			Expect(r.MinVersion("m", from)).To(Equal(2))
+		}
+	})
+
 	It("reports the next change if less is known of the age of a newer version", func() {
 		// Guards against requests that are sent to older weights right before the earlier change.
 		r := versions.NewRegistry(timeLimit)
