gateway: a request that names no model has the deadline of its server's weights

A request without a model may run on each engine of its service, and names the version that it was placed for, but its deadline was looked up under the empty name. It could begin on weights that have expired.

Change: the deadline is that of the server's only model, as the expected version is. Engines with expired weights reject such a request before it is sent; the placement itself still does not leave them out.

Evidence: "have a deadline also if the caller names no model" fails before and passes now.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -131,13 +131,14 @@
 // when most engines change their weights at the same time and the remaining ones get
 // all requests. The end of the connection waits on the server's link as its opening did.
 func (r *request) weightsDeadline(lease *placement.Lease, opening time.Duration) time.Time {
-	w, known := lease.Server.Weights[r.info.Model]
+	model := requestedModel(lease.Server, r.info.Model)
+	w, known := lease.Server.Weights[model]
 	if !known {
 		return time.Time{}
 	}
 	g := r.gateway
 	g.mu.Lock()
-	deadline := g.versions.Deadline(r.info.Model, w.Version)
+	deadline := g.versions.Deadline(model, w.Version)
 	g.mu.Unlock()
 	if deadline.IsZero() {
 		return deadline
@@ -180,12 +181,18 @@
 // expectedVersion returns the version of a model that a server was chosen for, or of its only
 // model if the request names none; zero for a plain server.
 func expectedVersion(server *directory.Server, model string) int {
+	return server.Weights[requestedModel(server, model)].Version
+}
+
+// requestedModel returns the model that a server runs a request with: the one that the
+// request names, or the server's only one if it names none.
+func requestedModel(server *directory.Server, model string) string {
 	if model == "" && len(server.Weights) == 1 {
-		for _, w := range server.Weights {
-			return w.Version
+		for only := range server.Weights {
+			return only
 		}
 	}
-	return server.Weights[model].Version
+	return model
 }
 
 // checkHead returns the result of an attempt whose response must not be passed on, judged
--- a/gateway/weights_deadline_test.go
+++ b/gateway/weights_deadline_test.go
@@ -224,6 +224,18 @@
 		Expect(r.attemptInfo(&placement.Lease{Server: &directory.Server{}}).Version).To(BeZero())
 	})
 
+	It("have a deadline also if the caller names no model", func() {
+		// Guards against a request that runs on weights which have expired, as its version was
+		// looked up under an empty name.
+		r := newRequest(time.Second)
+		named := r.weightsDeadline(newLease("", 1), 0)
+		Expect(named).NotTo(BeZero())
+		r.info.Model = ""
+		Expect(r.weightsDeadline(newLease("", 1), 0)).To(Equal(named))
+		Expect(r.weightsDeadline(newLease("", 2), 0)).To(BeZero())
+		Expect(r.weightsDeadline(&placement.Lease{Server: &directory.Server{}}, 0)).To(BeZero(), "plain servers")
+	})
+
 	It("are not sent when they would have to be taken back at once", func() {
 		// Guards against requests that are sent and given up in the same moment. Their bytes
 		// reach the server before the end of the connection.
