gateway: the deadline of a waiting request follows what the entry learns

A request that waits on a server kept the deadline that was known when its connection was open. Later news did not reach it: a version that the entry learns of late, a time limit that the settings shorten, the time of a suspension, in which the timer of the connection stands still. With the bounds of the known sites an entry in touch learns too early for a request to meet it (requests last 6 s, version_ms is 8 s or more, a silent relay is left after half of config_apply_ms, 1 to 2 s); a suspension, or an installation whose requests may wait for longer, is not excluded.

Change: the Gateway holds the attempts whose servers may not have begun the request, and sets their read deadlines anew when versions, their ages or the time limit change.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -22,11 +22,16 @@
 	// conn is the connection to the server; nil until it is open.
 	conn     *upstream.Exchange
 	openedAt time.Time
-	// weightsDeadline is when the request is taken back unless it has begun; zero if its
-	// weights do not expire.
-	weightsDeadline time.Time
-	resp            *http.Response
-	reply           ResponseInfo
+	// opening is how long the connection took to open.
+	opening time.Duration
+	// model is the model that the server runs the request with. weightsDeadline is when the
+	// request is taken back unless it has begun; zero if its weights do not expire.
+	// readDeadline is when it is taken back in any case; zero for never. The Gateway's mutex
+	// guards them while the attempt is in Gateway.waiting.
+	model                         string
+	weightsDeadline, readDeadline time.Time
+	resp                          *http.Response
+	reply                         ResponseInfo
 	// events are the events of a stream; nil for other responses. next is the first of
 	// them that was not passed on, if it was read already.
 	events *sse.Reader
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -51,13 +51,13 @@
 		return resolve(ctx, placement.Rejected, attemptResult{reason: reason})
 	}
 	a.openedAt = g.now()
-	a.weightsDeadline = r.weightsDeadline(a.lease, a.openedAt.Sub(started))
-	if !a.weightsDeadline.IsZero() && !a.openedAt.Before(a.weightsDeadline) {
+	a.opening = a.openedAt.Sub(started)
+	defer g.endWait(a)
+	if deadline := r.beginWait(a); !deadline.IsZero() && !a.openedAt.Before(deadline) {
 		return resolve(ctx, placement.Rejected, attemptResult{reason: "weights are about to be too old"})
 	}
 	r.dispatched++
 	r.summary.Attempts++
-	conn.SetReadDeadline(a.weightsDeadline)
 	upstreamRequest := r.upstreamRequest(r.attemptInfo(a.lease))
 	standby := r.newStandby(ctx, a, r.silenceLimit(a.lease))
 	resp, err := conn.Do(upstreamRequest)
@@ -80,6 +80,7 @@
 		return r.openStream(ctx, a, standby)
 	}
 	// The server has begun the request, in time for its weights.
+	g.endWait(a)
 	conn.SetReadDeadline(time.Time{})
 	return r.bufferResponse(ctx, a, standby)
 }
@@ -121,31 +122,6 @@
 	maxWaitPredictions = 4
 )
 
-// startMargin is how long before a version deadline requests that wait on older
-// weights are taken from their server. It covers the delay to the server on a link that
-// is not narrowed.
-const startMargin = 200 * time.Millisecond
-
-// weightsDeadline is when the server may no longer begin the request because its
-// weights will be too old; zero if they will not be. The predicted wait is too short
-// when most engines change their weights at the same time and the remaining ones get
-// all requests. The end of the connection waits on the server's link as its opening did.
-func (r *request) weightsDeadline(lease *placement.Lease, opening time.Duration) time.Time {
-	model := requestedModel(lease.Server, r.info.Model)
-	w, known := lease.Server.Weights[model]
-	if !known {
-		return time.Time{}
-	}
-	g := r.gateway
-	g.mu.Lock()
-	deadline := g.versions.Deadline(model, w.Version)
-	g.mu.Unlock()
-	if deadline.IsZero() {
-		return deadline
-	}
-	return deadline.Add(-startMargin - opening)
-}
-
 // silenceLimit is how long a server may take to begin its response until other servers are
 // asked as well; zero if the request must not be retried.
 func (r *request) silenceLimit(lease *placement.Lease) time.Duration {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,6 +81,8 @@
 	leases   *placement.LeaseTable
 	budget   *retry.Budget
 	versions *versions.Registry
+	// waiting are the attempts whose requests the servers may not have begun.
+	waiting map[*attempt]struct{}
 	// startedAt is when the Gateway was created.
 	startedAt time.Time
 	suspects  *suspects
@@ -127,6 +129,7 @@
 		leases:         placement.NewLeaseTable(picker),
 		budget:         retry.New(config.Retry, config.Entries),
 		versions:       versions.NewRegistry(config.MaxRolloutTime),
+		waiting:        make(map[*attempt]struct{}),
 		startedAt:      config.Clock.Now(),
 		suspects:       newSuspects(),
 		signals:        make(map[Signal]int64),
@@ -168,6 +171,7 @@
 	defer g.mu.Unlock()
 	g.budget.SetConfig(budget)
 	g.versions.SetTimeLimit(maxRolloutTime)
+	g.updateWaits()
 }
 
 // SetEntries sets the number of entries that share the retry budget.
@@ -234,6 +238,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.versions.Declare(model, version, g.now().Add(-maxAge))
+	g.updateWaits()
 }
 
 // SetEarlierVersion sets the declared version of a model, of which only is known that it
@@ -243,6 +248,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.versions.DeclareBefore(model, version, g.startedAt.Add(g.config.StartGrace))
+	g.updateWaits()
 }
 
 // Suspended tells that the machine was suspended for a time that the Gateway's clock has
@@ -251,6 +257,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.versions.Elapse(d)
+	g.updateWaits()
 	g.picker.Elapse(d)
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -26,7 +26,7 @@
 		standby = r.newStandby(ctx, a, r.stallLimit())
 	}
 	// The head does not show that the request has begun: its first token does.
-	a.conn.SetReadDeadline(earlier(a.weightsDeadline, r.stallDeadline()))
+	r.gateway.limitWait(a, r.stallDeadline())
 	a.events = sse.NewReaderInRoom(a.resp.Body, &eventRoom{ctx: ctx, budget: r.gateway.responseBudget, server: a.lease.Server.Address})
 	event, err := a.readFirstEvent()
 	failure := r.checkFirstEvent(a, event, err)
@@ -139,14 +139,6 @@
 	return r.gateway.now().Add(defaultTimeout)
 }
 
-// earlier returns the earlier one of two deadlines. Zero stands for none.
-func earlier(a, b time.Time) time.Time {
-	if a.IsZero() || !b.IsZero() && b.Before(a) {
-		return b
-	}
-	return a
-}
-
 func (r *request) beginStream(a *attempt) {
 	resp := a.resp
 	r.stream.started = true
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -43,7 +43,7 @@
 }
 
 // Exchange is one request and its response on one connection. It is not safe for
-// concurrent use, except for Close.
+// concurrent use, except for Close and SetReadDeadline.
 type Exchange struct {
 	conn       net.Conn
 	prober     *sockopt.Prober
--- a/gateway/weights_deadline_test.go
+++ b/gateway/weights_deadline_test.go
@@ -20,8 +20,19 @@
 	"github.com/auburnbend/auburnbend/peerlink"
 )
 
+// weightsDeadline returns the deadline of the request on a server whose connection took a time
+// to open.
+func (r *request) weightsDeadline(lease *placement.Lease, opening time.Duration) time.Time {
+	g := r.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.weightsDeadline(lease.Server, requestedModel(lease.Server, r.info.Model), opening)
+}
+
 var _ = Describe("Requests on weights that will be too old", func() {
 	const timeLimit = 8 * time.Second
+	// head is that of a stream.
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 	// newRequest returns a request for which older weights than version 2 expire after a time.
 	newRequest := func(remaining time.Duration) *request {
 		g := New(Config{Clock: clock.System{}, Log: eventlog.Discard(), Placement: placement.Config{Domain: "north"}, MaxRolloutTime: timeLimit})
@@ -186,7 +197,68 @@
 
 	It("leave a server that has sent only the head in time while a standby waits for another one", func() {
 		// Guards against the same after the head of a stream.
-		expectEnd("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		expectEnd(head)
+	})
+
+	// expectTakenBack expects that a server which sends only a text loses the connection of a
+	// request soon after the entry has learned something, and long before what it knew first.
+	expectTakenBack := func(text string, learn func(g *Gateway)) {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(ln.Close)
+		received, ended := make(chan struct{}), make(chan time.Time, 1)
+		go func() {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			_, _ = conn.Read(make([]byte, 4096))
+			_, _ = io.WriteString(conn, text)
+			close(received)
+			_, _ = io.Copy(io.Discard, conn)
+			ended <- time.Now()
+		}()
+		r := newRequest(5 * time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		DeferCleanup(cancel)
+		r.ctx, r.route, r.writer = ctx, &serving.Route{Kind: serving.Streaming}, httptest.NewRecorder()
+		g := r.gateway
+		g.config.Dialect = signedDialect{}
+		server := newLease(ln.Addr().String(), 1).Server
+		g.ReplaceServers([]*directory.Server{server}, false)
+		req := r.placementRequest(g.now())
+		lease := g.picker.Adopt(server, &req, g.now())
+		done := make(chan struct{})
+		go func() {
+			defer GinkgoRecover()
+			defer close(done)
+			Expect(r.exchange(&attempt{lease: lease}).mayHaveRun).To(BeTrue())
+		}()
+		Eventually(received, 2*time.Second).Should(BeClosed())
+		time.Sleep(100 * time.Millisecond)
+		learn(g)
+		deadline := time.Now().Add(500 * time.Millisecond)
+		var at time.Time
+		Eventually(ended, 10*time.Second).Should(Receive(&at))
+		Expect(at).To(BeTemporally("<", deadline))
+		Eventually(done, 2*time.Second).Should(BeClosed())
+		Expect(g.waiting).To(BeEmpty())
+	}
+	It("are taken back for what the entry learns while they wait", func() {
+		// Guards against requests that begin after a deadline which was not known when they were
+		// sent: the entry learns late of a version, or the time limit changes.
+		for _, text := range []string{"", head} {
+			expectTakenBack(text, func(g *Gateway) { g.SetTargetVersion("m", 3, timeLimit-500*time.Millisecond) })
+			expectTakenBack(text, func(g *Gateway) { g.SetEarlierVersion("m", 3) })
+			expectTakenBack(text, func(g *Gateway) { g.SetBounds(retry.Config{}, timeLimit-4500*time.Millisecond) })
+		}
+	})
+
+	It("are taken back earlier by the time of a suspension", func() {
+		// Guards against requests that begin after a deadline because the timer of their
+		// connection has stood still.
+		expectTakenBack(head, func(g *Gateway) { g.Suspended(4500 * time.Millisecond) })
 	})
 
 	It("tell the entry that places them of each version that is due", func() {
