placement: weights about to expire take no place in the choice of remote servers

Shortly before a version deadline, requests were refused (no_weights, up to 2 s until the next try) although servers of other regions had newer weights.

Cause: two remote servers are chosen at random, and only these were checked against the deadlines.

Change: servers whose weights expire within versionMargin are left out before the choice, as those with weights that are too old. The check with the predicted wait stays.

--- a/lib/placement/pause.go
+++ b/lib/placement/pause.go
@@ -87,7 +87,7 @@
 	}
 	var earliest time.Time
 	for _, listing := range p.directory.ByService(req.Service) {
-		if excluded, _ := p.exclusion(listing, req); excluded {
+		if excluded, _ := p.exclusion(listing, req, now); excluded {
 			continue
 		}
 		s := p.state(listing)
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -107,7 +107,7 @@
 // allCandidates returns the candidates among all servers of the service, or a refusal if
 // none is available.
 func (p *Picker) allCandidates(req *Request, held []string, now time.Time) ([]*server, *Refusal) {
-	eligible, reason := p.eligible(req)
+	eligible, reason := p.eligible(req, now)
 	available := p.available(eligible, req, held, now)
 	if len(available) > 0 {
 		return p.candidates(req, eligible, available, p.isLocalBarred(req, held), now), nil
@@ -139,11 +139,11 @@
 
 // eligible returns the servers that may run the request, or the reason why there are
 // none.
-func (p *Picker) eligible(req *Request) ([]*server, Reason) {
+func (p *Picker) eligible(req *Request, now time.Time) ([]*server, Reason) {
 	reason := NoServer
 	var eligible []*server
 	for _, s := range p.index(req.Service).all {
-		excluded, cause := p.exclusion(s.listing, req)
+		excluded, cause := p.exclusion(s.listing, req, now)
 		switch {
 		case req.excludes(s.listing.Key()):
 		case !excluded:
@@ -157,7 +157,7 @@
 
 // exclusion reports whether a server must not run the request, whatever its load, and
 // why.
-func (p *Picker) exclusion(listing *directory.Server, req *Request) (bool, Reason) {
+func (p *Picker) exclusion(listing *directory.Server, req *Request, now time.Time) (bool, Reason) {
 	switch {
 	case listing.Draining:
 		return true, NoServer
@@ -165,7 +165,7 @@
 		return true, NoHome
 	case p.Evacuated(listing.Domain) || slices.Contains(req.Evacuated, listing.Domain):
 		return true, DomainEvacuated
-	case !hasWeights(listing, req):
+	case !hasWeights(listing, req) || expiresSoon(listing, req, now):
 		return true, NoWeights
 	default:
 		return false, ""
@@ -231,6 +231,14 @@
 	return req.Version == 0 || w.Version == req.Version
 }
 
+// expiresSoon reports whether a request would miss the deadline of a server's weights
+// however short its wait is. Such a server must not take the place of another one in the
+// random choice of remote servers.
+func expiresSoon(s *directory.Server, req *Request, now time.Time) bool {
+	deadline := req.VersionDeadlines.Of(s.Weights[req.Model].Version)
+	return !deadline.IsZero() && now.Add(versionMargin).After(deadline)
+}
+
 // checkLatency refuses a request whose first response is predicted to miss its
 // latency target. The prediction uses a prompt of mean length instead of the
 // request's own, so that long prompts are refused no more often than short ones.
--- a/lib/placement/picker_test.go
+++ b/lib/placement/picker_test.go
@@ -125,6 +125,35 @@
 		pick(req)
 	})
 
+	It("finds the remote servers whose weights do not expire", func() {
+		// Guards against refusals shortly before a deadline while some remote servers have the
+		// newest weights: only two remote servers, chosen at random, were compared.
+		add("old", "north", nil)
+		var remote []directory.Key
+		report := func() {
+			for _, key := range remote {
+				p.Report(key, placement.Load{}, now)
+			}
+		}
+		for i := range 8 {
+			remote = append(remote, add(fmt.Sprint("far", i), "south", func(s *directory.Server) {
+				if i < 2 {
+					s.Weights["m"] = directory.Weights{Version: 2, Complete: true}
+				}
+			}))
+		}
+		report()
+		for range 100 {
+			now = now.Add(400 * time.Millisecond)
+			report()
+			req := request()
+			req.VersionDeadlines = versions.Deadlines{{Version: 2, At: now.Add(500 * time.Millisecond)}}
+			lease := pick(req)
+			Expect(lease.Server.Weights["m"].Version).To(Equal(2))
+			p.Done(lease, placement.Answered, now)
+		}
+	})
+
 	It("does not use weights that expire second, but before the request may begin", func() {
 		// Guards against a request that is placed on the version which becomes the oldest one
 		// allowed, and waits there until a version declared shortly after expires it as well.
--- a/lib/placement/rate_limit.go
+++ b/lib/placement/rate_limit.go
@@ -172,7 +172,7 @@
 	found := false
 	for _, listing := range p.directory.ByService(req.Service) {
 		s := p.state(listing)
-		excluded, _ := p.exclusion(listing, req)
+		excluded, _ := p.exclusion(listing, req, now)
 		limit := s.effectiveLimit(req, now)
 		if excluded || req.excludes(listing.Key()) || limit.PerSecond <= 0 {
 			continue
--- a/lib/placement/service_index.go
+++ b/lib/placement/service_index.go
@@ -46,7 +46,7 @@
 	var available []*server
 	remote := false
 	for _, s := range p.index(req.Service).near {
-		if excluded, _ := p.exclusion(s.listing, req); excluded || req.excludes(s.listing.Key()) {
+		if excluded, _ := p.exclusion(s.listing, req, now); excluded || req.excludes(s.listing.Key()) {
 			continue
 		}
 		if p.usability(s, req, held, now) != usable {
