--- a/gateway/weights_deadline_test.go
+++ b/gateway/weights_deadline_test.go
@@ -14,13 +14,25 @@
 	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/placement"
+	"github.com/auburnbend/auburnbend/lib/retry"
 	"github.com/auburnbend/auburnbend/lib/serving"
 	"github.com/auburnbend/auburnbend/lib/versions"
 	"github.com/auburnbend/auburnbend/peerlink"
 )
 
+// weightsDeadline returns the deadline of the request on a server whose connection took a time
+// to open.
+func (r *request) weightsDeadline(lease *placement.Lease, opening time.Duration) time.Time {
+	g := r.gateway
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.weightsDeadline(lease.Server, requestedModel(lease.Server, r.info.Model), opening)
+}
+
 var _ = Describe("Requests on weights that will be too old", func() {
 	const timeLimit = 8 * time.Second
+	// head is that of a stream.
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 	// newRequest returns a request for which older weights than version 2 expire after a time.
 	newRequest := func(remaining time.Duration) *request {
 		g := New(Config{Clock: clock.System{}, Log: eventlog.Discard(), Placement: placement.Config{Domain: "north"}, MaxRolloutTime: timeLimit})
@@ -127,6 +139,128 @@
 		Expect(at).To(BeTemporally("<", deadline))
 	})
 
+	// expectEnd expects that a server which sends only a text loses the connection of a request
+	// before its weights expire, although a standby waits for another silent server by then.
+	expectEnd := func(text string) {
+		listen := func(text string) (string, <-chan time.Time) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(ln.Close)
+			ended := make(chan time.Time, 1)
+			go func() {
+				conn, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				_, _ = io.WriteString(conn, text)
+				_, _ = io.Copy(io.Discard, conn)
+				ended <- time.Now()
+			}()
+			return ln.Addr().String(), ended
+		}
+		expiring, ended := listen(text)
+		other, otherEnded := listen("")
+		const remaining = 700 * time.Millisecond
+		r := newRequest(remaining)
+		deadline := time.Now().Add(remaining)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		DeferCleanup(cancel)
+		route := serving.Route{Name: "r", Host: "example.com", Prefix: "/", Kind: serving.Streaming, Resumable: true, TargetLatency: 20 * time.Millisecond, MaxEventGap: 20 * time.Millisecond, Targets: []serving.Target{{Service: "x", Weight: 1}}}
+		g := r.gateway
+		g.SetConfig(&serving.Config{Version: 1, Routes: []serving.Route{route}, Services: []serving.Service{{Name: "x"}}})
+		r.table = g.table.Load()
+		r.ctx, r.route, r.service, r.writer = ctx, &r.table.Config().Routes[0], "x", httptest.NewRecorder()
+		g.config.Dialect = signedDialect{}
+		g.SetBounds(retry.Config{Ratio: 1, Window: 10 * time.Second, Slack: 100}, timeLimit)
+		var servers []*directory.Server
+		for i, address := range []string{expiring, other} {
+			servers = append(servers, &directory.Server{ID: address, Service: "x", Address: address, Domain: "north", Slots: 6, Weights: map[string]directory.Weights{"m": {Version: 1 + i, Complete: true}}})
+		}
+		g.ReplaceServers(servers, false)
+		g.RecordVerified(servers[1].Key(), placement.VerifiedWeights{Model: "m", Version: 2})
+		req := r.placementRequest(g.now())
+		r.exchange(&attempt{lease: g.picker.Adopt(servers[0], &req, g.now())})
+		Expect(r.dispatched).To(Equal(2), "a standby has asked the other server")
+		var at, otherAt time.Time
+		Eventually(otherEnded, 10*time.Second).Should(Receive(&otherAt))
+		Expect(otherAt).To(BeTemporally(">", deadline), "the standby went on")
+		Eventually(ended, 10*time.Second).Should(Receive(&at))
+		Expect(at).To(BeTemporally("<", deadline))
+	}
+
+	It("leave a silent server in time while a standby waits for another one", func() {
+		// Guards against a request that begins after the deadline because its connection stays
+		// open until the other server has responded.
+		expectEnd("")
+	})
+
+	It("leave a server that has sent only the head in time while a standby waits for another one", func() {
+		// Guards against the same after the head of a stream.
+		expectEnd(head)
+	})
+
+	// expectTakenBack expects that a server which sends only a text loses the connection of a
+	// request soon after the entry has learned something, and long before what it knew first.
+	expectTakenBack := func(text string, learn func(g *Gateway)) {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(ln.Close)
+		received, ended := make(chan struct{}), make(chan time.Time, 1)
+		go func() {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			_, _ = conn.Read(make([]byte, 4096))
+			_, _ = io.WriteString(conn, text)
+			close(received)
+			_, _ = io.Copy(io.Discard, conn)
+			ended <- time.Now()
+		}()
+		r := newRequest(5 * time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		DeferCleanup(cancel)
+		r.ctx, r.route, r.writer = ctx, &serving.Route{Kind: serving.Streaming}, httptest.NewRecorder()
+		g := r.gateway
+		g.config.Dialect = signedDialect{}
+		server := newLease(ln.Addr().String(), 1).Server
+		g.ReplaceServers([]*directory.Server{server}, false)
+		req := r.placementRequest(g.now())
+		lease := g.picker.Adopt(server, &req, g.now())
+		done := make(chan struct{})
+		go func() {
+			defer GinkgoRecover()
+			defer close(done)
+			Expect(r.exchange(&attempt{lease: lease}).mayHaveRun).To(BeTrue())
+		}()
+		Eventually(received, 2*time.Second).Should(BeClosed())
+		time.Sleep(100 * time.Millisecond)
+		learn(g)
+		deadline := time.Now().Add(500 * time.Millisecond)
+		var at time.Time
+		Eventually(ended, 10*time.Second).Should(Receive(&at))
+		Expect(at).To(BeTemporally("<", deadline))
+		Eventually(done, 2*time.Second).Should(BeClosed())
+		Expect(g.waiting).To(BeEmpty())
+	}
+	It("are taken back for what the entry learns while they wait", func() {
+		// Guards against requests that begin after a deadline which was not known when they were
+		// sent: the entry learns late of a version, or the time limit changes.
+		for _, text := range []string{"", head} {
+			expectTakenBack(text, func(g *Gateway) { g.SetTargetVersion("m", 3, timeLimit-500*time.Millisecond) })
+			expectTakenBack(text, func(g *Gateway) { g.SetEarlierVersion("m", 3) })
+			expectTakenBack(text, func(g *Gateway) { g.SetBounds(retry.Config{}, timeLimit-4500*time.Millisecond) })
+		}
+	})
+
+	It("are taken back earlier by the time of a suspension", func() {
+		// Guards against requests that begin after a deadline because the timer of their
+		// connection has stood still.
+		expectTakenBack(head, func(g *Gateway) { g.Suspended(4500 * time.Millisecond) })
+	})
+
 	It("tell the entry that places them of each version that is due", func() {
 		// Guards against a placer that knows less of the versions than the entry, and places a
 		// request on weights that expire while it waits.
@@ -162,6 +296,18 @@
 		Expect(r.attemptInfo(&placement.Lease{Server: &directory.Server{}}).Version).To(BeZero())
 	})
 
+	It("have a deadline also if the caller names no model", func() {
+		// Guards against a request that runs on weights which have expired, as its version was
+		// looked up under an empty name.
+		r := newRequest(time.Second)
+		named := r.weightsDeadline(newLease("", 1), 0)
+		Expect(named).NotTo(BeZero())
+		r.info.Model = ""
+		Expect(r.weightsDeadline(newLease("", 1), 0)).To(Equal(named))
+		Expect(r.weightsDeadline(newLease("", 2), 0)).To(BeZero())
+		Expect(r.weightsDeadline(&placement.Lease{Server: &directory.Server{}}, 0)).To(BeZero(), "plain servers")
+	})
+
 	It("are not sent when they would have to be taken back at once", func() {
 		// Guards against requests that are sent and given up in the same moment. Their bytes
 		// reach the server before the end of the connection.
