--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -135,11 +135,12 @@
 }
 
 // SetConfig puts a configuration in force and reports whether it did: a version that
-// is not newer than the current one is ignored.
+// is not newer than the current one is ignored, unless it differs and was read in a later
+// era of the store: the number was given out again.
 func (g *Gateway) SetConfig(c *serving.Config) bool {
 	for {
 		current := g.table.Load()
-		if current != nil && c.Version <= current.Config().Version {
+		if current != nil && !c.Replaces(current.Config()) {
 			return false
 		}
 		if g.table.CompareAndSwap(current, serving.NewTable(c)) {
@@ -219,6 +220,14 @@
 	g.announceTargets()
 }
 
+// RestoreServers replaces the list of backend servers by that of a store that was just
+// restored from an earlier state. removalTime is the longest time in which the store removes
+// the row of a silent server.
+func (g *Gateway) RestoreServers(servers []*directory.Server, removalTime time.Duration) {
+	g.UpdateServers(func(d *directory.Directory, now time.Time) { d.Restore(servers, removalTime, now) })
+	g.announceTargets()
+}
+
 // SetEvacuated sets the failure domains whose servers get no requests. It returns those
 // that are new, and those that were taken back.
 func (g *Gateway) SetEvacuated(domains []string) (evacuated, restored []string) {
--- a/gateway/superseded_test.go
+++ b/gateway/superseded_test.go
@@ -40,6 +40,7 @@
 		},
 		Entry("a later start with a newer row", directory.Server{StartUnixMilli: 3, Revision: 6}, "far"),
 		Entry("a later start with an older row", directory.Server{StartUnixMilli: 3, Revision: 4}, "earlier"),
+		Entry("a later start with a row of another era, which can't be compared", directory.Server{StartUnixMilli: 3, Era: 2, Revision: 6}, "earlier"),
 		Entry("an earlier start with a newer row", directory.Server{StartUnixMilli: 1, Revision: 6}, "earlier"),
 	)
 })
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -89,7 +89,7 @@
 	}
 	go tables.follow(background, platform.TableOperator, operatorRelayConfig(&s.Bounds), rowage.NewTracker(pauses), OperatorWatchConfig(&s.Bounds), &platform.OperatorWatch{Sink: operator})
 	serversRelay := serversRelayConfig(&s.Bounds)
-	go tables.follow(background, platform.TableServers, serversRelay, nil, watch.Config{LongPollTimeout: serversRelay.LongPollTimeout}, &platform.ServerWatch{Sink: &serverSink{gateway: g, log: env.Log}})
+	go tables.follow(background, platform.TableServers, serversRelay, nil, watch.Config{LongPollTimeout: serversRelay.LongPollTimeout}, &platform.ServerWatch{Sink: &serverSink{gateway: g, log: env.Log, rowRemovalTime: s.RowRemovalTime()}})
 	stopTime := &atomic.Int64{}
 	stopTime.Store(int64(s.Bounds.StopTime))
 	env.watchSettings(background, func(s *platform.Settings) {
--- a/internal/node/gateway_sinks.go
+++ b/internal/node/gateway_sinks.go
@@ -27,7 +27,7 @@
 
 func (o *operatorSink) Config(c *serving.Config) {
 	if o.gateway.SetConfig(c) {
-		o.log.Log(eventlog.LiveConfigApplied, "config", c.Version, "revision", c.Revision, "routes", len(c.Routes), "teams", len(c.Teams))
+		o.log.Log(eventlog.LiveConfigApplied, "config", c.Version, "era", c.Era, "revision", c.Revision, "routes", len(c.Routes), "teams", len(c.Teams))
 	}
 }
 
@@ -68,13 +68,20 @@
 type serverSink struct {
 	gateway *gateway.Gateway
 	log     *eventlog.Logger
+	// rowRemovalTime is the longest time in which the store removes the row of a silent
+	// server.
+	rowRemovalTime time.Duration
 }
 
 var _ platform.ServerSink = (*serverSink)(nil)
 
-func (s *serverSink) Replace(servers []*directory.Server, recovered bool) {
-	s.gateway.ReplaceServers(servers, recovered)
-	s.log.Log(eventlog.ServerListRead, "servers", len(servers), "after_outage", recovered)
+func (s *serverSink) Replace(servers []*directory.Server, recovered, restored bool) {
+	if restored {
+		s.gateway.RestoreServers(servers, s.rowRemovalTime)
+	} else {
+		s.gateway.ReplaceServers(servers, recovered)
+	}
+	s.log.Log(eventlog.ServerListRead, "servers", len(servers), "after_outage", recovered, "restored", restored)
 }
 
 func (s *serverSink) Apply(changes []directory.Change, recovered bool) {
--- a/internal/node/relay_config.go
+++ b/internal/node/relay_config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/relay"
 	"github.com/auburnbend/auburnbend/lib/watch"
 	"github.com/auburnbend/auburnbend/platform"
@@ -37,10 +38,11 @@
 
 // OperatorWatchConfig is how entries follow the operator's table. The changes of an outage
 // that is longer than the bound of a configuration are not read one by one: the last one
-// must be in force soon after it.
+// must be in force soon after it. What a restored store has lost is written again in the
+// time in which other bounds need not hold either.
 func OperatorWatchConfig(b *platform.Bounds) watch.Config {
 	c := operatorRelayConfig(b)
-	return watch.Config{LongPollTimeout: c.LongPollTimeout, MaxReplay: c.MaxPropagation}
+	return watch.Config{LongPollTimeout: c.LongPollTimeout, MaxReplay: c.MaxPropagation, RestoreSettle: max(b.StallTime, directory.ExpiryGrace)}
 }
 
 func serversRelayConfig(b *platform.Bounds) relay.Config {
--- a/internal/node/tables.go
+++ b/internal/node/tables.go
@@ -55,9 +55,20 @@
 	if ages != nil {
 		source.TrackAges(ages)
 	}
+	watchConfig.OnRestored = func(delivered, answered watch.Position) {
+		logPositions(t.log, eventlog.StoreRestored, table, delivered, answered)
+	}
+	watchConfig.OnStale = func(delivered, answered watch.Position) {
+		logPositions(t.log, eventlog.StoreBehind, table, delivered, answered)
+	}
 	watch.New(watchConfig, source, handler).Run(ctx)
 }
 
+// logPositions logs an event of a store that has gone back from what was known of it.
+func logPositions(log *eventlog.Logger, event eventlog.Event, table string, known, answered watch.Position) {
+	log.Log(event, "table", table, "era", answered.Era, "revision", answered.Revision, "known_era", known.Era, "known_revision", known.Revision)
+}
+
 // role returns the role of this entry in relaying a table: it follows the first entry
 // in the region's order for the table, or has followers if it is the first one. It
 // reads the store without followers if it is draining or if relaying would not save
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -43,9 +43,10 @@
 	// ages bounds the age of the rows of source, and pauses that of announcements.
 	ages   *rowage.Tracker
 	pauses *pause.Monitor
-	// storeUnavailable is true while reads of the store fail, watch decodes the reads.
-	// Only run uses them.
+	// storeUnavailable is true while reads of the store fail, watch decodes the reads, and
+	// position is the state of the newest one. Only run uses them.
 	storeUnavailable bool
+	position         watch.Position
 	watch            platform.OperatorWatch
 
 	// mu guards the fields below.
@@ -175,6 +176,15 @@
 		t.storeUnavailable = true
 		return
 	}
+	known := t.position
+	if rows.Position().Compare(known) < 0 {
+		// A lagging store tells nothing new.
+		return
+	}
+	if rows.Era > known.Era && known.Revision > 0 {
+		logPositions(t.log, eventlog.StoreRestored, platform.TableOperator, known, rows.Position())
+	}
+	t.position = rows.Position()
 	t.ages.Read(&rows, call)
 	t.watch.Replace(rows, t.storeUnavailable)
 	t.storeUnavailable = false
@@ -190,7 +200,7 @@
 			}, t.replica.MaxRolloutTime(), "store")
 		}
 	}
-	t.log.Log(eventlog.LiveConfigApplied, "config", c.Version, "revision", c.Revision, "routes", len(c.Routes), "teams", len(c.Teams))
+	t.log.Log(eventlog.LiveConfigApplied, "config", c.Version, "era", c.Era, "revision", c.Revision, "routes", len(c.Routes), "teams", len(c.Teams))
 }
 
 // TargetVersion implements platform.OperatorSink. Versions of models that the engine
--- a/internal/node/targets_test.go
+++ b/internal/node/targets_test.go
@@ -43,7 +43,7 @@
 	}}, nil
 }
 
-func (o *operatorTable) Changes(context.Context, int64, time.Duration) (watch.Rows, error) {
+func (o *operatorTable) Changes(context.Context, watch.Position, time.Duration) (watch.Rows, error) {
 	o.changesCalls.Add(1)
 	return watch.Rows{}, errors.New("unexpected call of Changes: agents only read the whole table")
 }
--- a/lib/directory/directory.go
+++ b/lib/directory/directory.go
@@ -18,6 +18,10 @@
 	expiring map[string]time.Time
 	// draining holds the incarnations that are known to be draining.
 	draining map[Key]Evidence
+	// ended holds the incarnations whose rows are gone, withheld the servers by ID that are
+	// not listed although a restored store has their rows.
+	ended    map[Key]endedRow
+	withheld map[string]withheld
 	// drainedByRow holds the incarnations that TakeDrainedByRow returns next.
 	drainedByRow []Key
 	// services are the declared services; nil if they are not known.
@@ -32,7 +36,10 @@
 
 // New returns an empty Directory.
 func New() *Directory {
-	return &Directory{servers: make(map[string]*Server), expiring: make(map[string]time.Time), draining: make(map[Key]Evidence)}
+	return &Directory{
+		servers: make(map[string]*Server), expiring: make(map[string]time.Time), draining: make(map[Key]Evidence),
+		ended: make(map[Key]endedRow), withheld: make(map[string]withheld),
+	}
 }
 
 // SetServices sets the names of the declared services. Rows of other services may come
@@ -53,13 +60,14 @@
 // of the store has just ended: servers whose rows may have expired during it stay
 // for ExpiryGrace.
 func (d *Directory) Replace(servers []*Server, recovered bool, now time.Time) {
+	servers = d.dropWithheld(servers)
 	listed := make(map[string]*Server, len(servers))
 	for _, s := range servers {
 		listed[s.ID] = s
 	}
 	scan := d.scanOutage(func(old *Server) bool {
 		s := listed[old.ID]
-		return s != nil && s.Revision == old.Revision
+		return s != nil && s.sameRow(old)
 	})
 	for id, s := range d.servers {
 		if listed[id] == nil {
@@ -91,6 +99,7 @@
 	}
 	scan := d.scanOutage(func(old *Server) bool { return !deleted[old.ID] })
 	for _, c := range changes {
+		delete(d.withheld, c.ID)
 		switch s := d.servers[c.ID]; {
 		case c.Server != nil:
 			d.list(c.Server, now)
@@ -146,7 +155,7 @@
 func (d *Directory) remove(id string, mayHaveExpired bool, now time.Time) {
 	s := d.servers[id]
 	if !mayHaveExpired || s.Draining {
-		d.drop(id)
+		d.drop(id, now)
 		return
 	}
 	if _, known := d.expiring[id]; !known {
@@ -154,7 +163,10 @@
 	}
 }
 
-func (d *Directory) drop(id string) {
+func (d *Directory) drop(id string, now time.Time) {
+	if s := d.servers[id]; s != nil {
+		d.rememberEnded(s, now)
+	}
 	delete(d.servers, id)
 	delete(d.expiring, id)
 	d.invalidate()
@@ -169,13 +181,15 @@
 // Generation returns a number that differs after each change of the listed servers.
 func (d *Directory) Generation() uint64 { return d.generation }
 
-// Expire drops the servers whose grace period has ended.
+// Expire drops the servers whose grace period has ended, and lists those that were withheld
+// long enough.
 func (d *Directory) Expire(now time.Time) {
 	for id, until := range d.expiring {
 		if !now.Before(until) {
-			d.drop(id)
+			d.drop(id, now)
 		}
 	}
+	d.listWithheld(now)
 }
 
 // ByService returns the servers of a service, including draining ones. The slice
--- a/lib/directory/draining.go
+++ b/lib/directory/draining.go
@@ -37,7 +37,7 @@
 		return true
 	}
 	if _, expiring := d.expiring[k.ID]; expiring {
-		d.drop(k.ID)
+		d.drop(k.ID, now)
 		return true
 	}
 	d.Put(s)
@@ -54,9 +54,17 @@
 
 // list adds or updates a server as its row states. The drain of an incarnation is
 // remembered, so that no later row revokes it. Without a start, a later row may be that of
-// another incarnation.
+// another incarnation, unless it is the same row.
 func (d *Directory) list(s *Server, now time.Time) {
 	k := s.Key()
+	if old := d.servers[s.ID]; old != nil && old.Key() != k {
+		d.rememberEnded(old, now)
+	} else if old != nil && old.Draining && old.sameRow(s) && s.Revision > 0 {
+		draining := *s
+		draining.Draining = true
+		s = &draining
+	}
+	delete(d.ended, k)
 	if _, known := d.draining[k]; s.Draining && !known && s.StartUnixMilli != 0 {
 		d.remember(k, SourceRow, now)
 		d.drainedByRow = append(d.drainedByRow, k)
--- /dev/null
+++ b/lib/directory/restored.go
@@ -0,0 +1,80 @@
+package directory
+
+import "time"
+
+// withheld is a server that is not listed although the table of a restored store has its
+// row, and when it is listed unless the row has changed.
+type withheld struct {
+	server *Server
+	until  time.Time
+}
+
+// Restore replaces the listed servers by the full list of a store that was restored from an
+// earlier state. Servers whose rows are missing stay for ExpiryGrace: they may have been
+// written after that state, and are written again. A row may be back that had been deleted
+// or replaced. Its server is listed once the row has been written anew, or after
+// removalTime, the longest time in which the store removes the row of a silent server.
+func (d *Directory) Restore(servers []*Server, removalTime time.Duration, now time.Time) {
+	clear(d.withheld)
+	listed := make(map[string]*Server, len(servers))
+	for _, s := range servers {
+		if d.hasEnded(s) {
+			d.withheld[s.ID] = withheld{server: s, until: now.Add(removalTime)}
+			continue
+		}
+		listed[s.ID] = s
+	}
+	for id := range d.servers {
+		if listed[id] == nil {
+			d.remove(id, true, now)
+		}
+	}
+	for _, s := range listed {
+		if old := d.servers[s.ID]; old != nil && old.Key() == s.Key() && old.Draining && !s.Draining {
+			// A drain is not revoked by a row from before it.
+			draining := *s
+			draining.Draining = true
+			s = &draining
+		}
+		d.list(s, now)
+	}
+}
+
+// hasEnded reports whether a row of a restored store is one that had been deleted or
+// replaced. What was written since the restore may have a lower revision than rows had
+// before, so that such a row may be taken for an old one.
+func (d *Directory) hasEnded(s *Server) bool {
+	if e, known := d.ended[s.Key()]; known && s.Revision <= e.revision {
+		return true
+	}
+	old := d.servers[s.ID]
+	return old != nil && old.StartUnixMilli > s.StartUnixMilli
+}
+
+// dropWithheld returns the servers of a full list without those that are still withheld.
+func (d *Directory) dropWithheld(servers []*Server) []*Server {
+	if len(d.withheld) == 0 {
+		return servers
+	}
+	before := d.withheld
+	d.withheld = make(map[string]withheld)
+	var rest []*Server
+	for _, s := range servers {
+		if w, known := before[s.ID]; known && w.server.sameRow(s) {
+			d.withheld[s.ID] = w
+			continue
+		}
+		rest = append(rest, s)
+	}
+	return rest
+}
+
+// listWithheld lists the servers whose time has passed.
+func (d *Directory) listWithheld(now time.Time) {
+	for id, w := range d.withheld {
+		if !now.Before(w.until) {
+			delete(d.withheld, id)
+			d.list(w.server, now)
+		}
+	}
+}
--- a/lib/directory/server.go
+++ b/lib/directory/server.go
@@ -23,8 +23,9 @@
 	StartUnixMilli int64
 	// ColdTime is how long the server was to stay cold when its row was written.
 	ColdTime time.Duration
-	// Revision is the revision of the row in the store.
-	Revision int64
+	// Era and Revision are those of the row in the store. Revisions of different eras can't
+	// be compared.
+	Era, Revision int64
 	// Weights are the loaded weights of an engine, by model.
 	Weights map[string]Weights
 }
@@ -39,6 +40,11 @@
 // Key returns the key of the incarnation.
 func (s *Server) Key() Key { return Key{ID: s.ID, StartUnixMilli: s.StartUnixMilli} }
 
+// sameRow reports whether two states of a server are from the same write of its row.
+func (s *Server) sameRow(other *Server) bool {
+	return s.Era == other.Era && s.Revision == other.Revision
+}
+
 // Key identifies one incarnation of a server.
 type Key struct {
 	ID             string
--- a/lib/eventlog/events_serving.go
+++ b/lib/eventlog/events_serving.go
@@ -7,6 +7,8 @@
 	RowInvalid          = Event{7003, Warn, "row of the store is invalid and was ignored", "Find out who wrote it; the other rows are used."}
 	StoreLost           = Event{7004, Warn, "store does not answer this instance", "Check the platform; the last known state stays in use."}
 	StoreRegained       = Event{7005, Info, "store answers again", "Nothing."}
+	StoreRestored       = Event{7006, Warn, "store was restored from an earlier state; its table was read in full", "Check that what the operator wrote lately is in force; see OPERATIONS.md."}
+	StoreBehind         = Event{7007, Warn, "store answers with an older state than before; the answers are ignored until it has caught up", "Nothing unless it lasts; then check the store and what it is reached through."}
 	ServerListRead      = Event{7101, Info, "list of backend servers read in full", "Nothing."}
 	ServerRegistered    = Event{7102, Info, "backend server registered or changed", "Nothing."}
 	ServerRemoved       = Event{7103, Info, "row of a backend server was removed", "Nothing unless many are removed at the same time."}
@@ -47,7 +49,7 @@
 )
 
 var servingEvents = []Event{
-	LiveConfigApplied, VersionDeclared, RowInvalid, StoreLost, StoreRegained,
+	LiveConfigApplied, VersionDeclared, RowInvalid, StoreLost, StoreRegained, StoreRestored, StoreBehind,
 	ServerListRead, ServerRegistered, ServerRemoved, ServerEjected, PlacerChanged, PlacerLost, StorePathChanged,
 	RequestEnded, RequestRetried, LogLinesDropped, AttemptAborted, ServerCrashed, ContentQuarantined, ServerAlive, ServerDraining, ServerPaused, ServerRateLimited, DomainEvacuated, DomainRestored, PartQuarantined, RequestPanicked, RequestBeyondMemory,
 	ReplicaPhase, LoadOrdered, ReplicaFetched, FetchFailed, OriginLost, OriginRegained, WeightsVerified, WeightsCorrupt, WeightsUnverified, WeightsConfirmed, WeightsUnrepairable, EnginePaused, PieceCorrupt, PeerListUnavailable, EngineCallFailed,
--- a/lib/placement/cold.go
+++ b/lib/placement/cold.go
@@ -26,10 +26,10 @@
 		switch {
 		case listing.ColdTime <= 0:
 			s.coldUntil = time.Time{}
-		case s.coldRevision != listing.Revision:
+		case s.coldRevision != listing.Revision || s.coldTime != listing.ColdTime:
 			s.coldUntil = now.Add(listing.ColdTime)
 		}
-		s.coldRevision = listing.Revision
+		s.coldRevision, s.coldTime = listing.Revision, listing.ColdTime
 	})
 }
 
--- a/lib/placement/cold_test.go
+++ b/lib/placement/cold_test.go
@@ -125,4 +125,19 @@
 		p.ObserveCold(start)
 		Expect(count(p)).To(And(BeNumerically(">", 20), BeNumerically("<=", 30)))
 	})
+
+	It("stay cold if a restored store gives out the revision of their row again", func() {
+		// Guards against a server that gets more than it tolerates because its row has a revision
+		// that a lost row had.
+		p, d := newPicker(0, 1)
+		observe := func(revision int64, coldTime time.Duration) bool {
+			d.Put(listing(revision, coldTime))
+			p.ObserveCold(start)
+			return p.HasCold("desk", start)
+		}
+		Expect(observe(7, 0)).To(BeFalse())
+		Expect(observe(9, time.Nanosecond)).To(BeTrue())
+		Expect(observe(9, coldTime)).To(BeTrue())
+		Expect(p.HasCold("desk", start.Add(coldTime-1))).To(BeTrue())
+	})
 })
--- a/lib/placement/server.go
+++ b/lib/placement/server.go
@@ -48,9 +48,10 @@
 	// bookedUntil is the latest time at which a refused caller was told to return.
 	bookedUntil time.Time
 	// coldUntil is the time until which the server is cold, according to the row with
-	// coldRevision.
+	// coldRevision, which states coldTime. A restored store may give out the revision again.
 	coldUntil    time.Time
 	coldRevision int64
+	coldTime     time.Duration
 	// superseded is set if a later incarnation has the address.
 	superseded bool
 }
--- a/lib/relay/ages_test.go
+++ b/lib/relay/ages_test.go
@@ -49,12 +49,12 @@
 		Expect(rows.Rows).To(HaveLen(1))
 		Expect(rows.Rows[0].WrittenAfter).To(BeZero())
 		// next returns the next changed row.
-		revision := rows.Revision
+		position := rows.Position()
 		next := func() watch.Row {
 			for {
-				rows, err := follower.Changes(ctx, revision, config.LongPollTimeout)
+				rows, err := follower.Changes(ctx, position, config.LongPollTimeout)
 				Expect(err).NotTo(HaveOccurred())
-				revision = rows.Revision
+				position = rows.Position()
 				if len(rows.Rows) > 0 {
 					return rows.Rows[len(rows.Rows)-1]
 				}
--- a/lib/relay/answer_fuzz_test.go
+++ b/lib/relay/answer_fuzz_test.go
@@ -45,7 +45,7 @@
 		}()
 		to := netip.MustParseAddrPort("127.0.0.1:1")
 		c := client{table: "t", answerTimeout: 10 * time.Second, remote: to, conn: here, decoder: msgstream.NewDecoder(here, bufferSize, maxAnswerSize)}
-		rows, err := c.fetch(context.Background(), to, -1, 0)
+		rows, err := c.fetch(context.Background(), to, at(-1), 0)
 		if err != nil {
 			return
 		}
@@ -58,7 +58,7 @@
 		}
 		cache := NewCache(Config{})
 		cache.replace(rows, false, time.Unix(1000, 0))
-		cache.changesSince(-1)
+		cache.changesSince(at(-1))
 	})
 }
 
--- a/lib/relay/cache.go
+++ b/lib/relay/cache.go
@@ -21,10 +21,10 @@
 	// mu protects the following fields.
 	mu   sync.Mutex
 	rows map[string]row
-	// revision is the revision of the last answer; negative before the first
+	// position is the state of the last answer; its revision is negative before the first
 	// one.
-	revision int64
-	// historyStart is the oldest revision since which all changes are known.
+	position watch.Position
+	// historyStart is the oldest revision of the era since which all changes are known.
 	historyStart int64
 	// deletedCount is the number of deleted rows in rows.
 	deletedCount int
@@ -38,7 +38,7 @@
 	confirmedDirectly bool
 	// ages bounds the age of the rows; nil if it is not known.
 	ages *rowage.Tracker
-	// knownAt is the earliest time at which revision was current, on the clock of ages.
+	// knownAt is the earliest time at which position was current, on the clock of ages.
 	knownAt time.Time
 	// changed is closed and replaced when the rows change.
 	changed chan struct{}
@@ -50,7 +50,7 @@
 	if config.MaxPropagation <= 0 {
 		config.MaxPropagation = defaultMaxPropagation
 	}
-	return &Cache{config: config, rows: make(map[string]row), revision: -1, changed: make(chan struct{})}
+	return &Cache{config: config, rows: make(map[string]row), position: watch.Position{Revision: -1}, changed: make(chan struct{})}
 }
 
 // trackAges makes the cache tell followers the age of rows.
@@ -61,17 +61,21 @@
 }
 
 // replace replaces all rows by the result of a full read. A result that is
-// older than the known revision is ignored. Rows that are missing in it were
+// older than the known state is ignored. Rows that are missing in it were
 // deleted at its revision at the latest, so that the history goes on: followers
-// read the changes and not all rows.
+// read the changes and not all rows. The history of a restored store starts anew.
 func (c *Cache) replace(rows watch.Rows, direct bool, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if rows.Revision < c.revision {
+	if rows.Position().Compare(c.position) < 0 {
 		return
 	}
+	if rows.Era != c.position.Era {
+		clear(c.rows)
+		c.deletedCount, c.outageEndRevision = 0, 0
+	}
 	before := maps.Clone(c.rows)
-	if c.revision < 0 {
+	if c.position.Revision < 0 || rows.Era != c.position.Era {
 		c.historyStart = rows.Revision
 	}
 	present := make(map[string]bool, len(rows.Rows))
@@ -93,19 +97,19 @@
 	}
 }
 
-// apply adds the changes since a revision. They are ignored unless that is the
-// known revision.
-func (c *Cache) apply(since int64, rows watch.Rows, direct bool, now time.Time) {
+// apply adds the changes since a state. They are ignored unless that is the known one and
+// they are of the same era.
+func (c *Cache) apply(since watch.Position, rows watch.Rows, direct bool, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if since != c.revision || rows.Revision < c.revision {
+	if since != c.position || rows.Era != since.Era || rows.Revision < since.Revision {
 		return
 	}
 	c.merge(rows, direct, now)
 }
 
-// merge stores the rows of an answer and wakes up waiting queries if the revision
-// has changed. The caller holds c.mu.
+// merge stores the rows of an answer and wakes up waiting queries if the state has
+// changed. The caller holds c.mu.
 func (c *Cache) merge(rows watch.Rows, direct bool, now time.Time) {
 	for _, r := range rows.Rows {
 		if c.rows[r.Key].Deleted {
@@ -116,8 +120,8 @@
 		}
 		c.rows[r.Key] = encodeRow(r)
 	}
-	changed := rows.Revision > c.revision
-	c.revision = rows.Revision
+	changed := rows.Position() != c.position
+	c.position = rows.Position()
 	if rows.AfterOutage {
 		c.outageEndRevision = rows.Revision
 		if rows.Relayed {
@@ -145,14 +149,14 @@
 			delete(c.rows, key)
 		}
 	}
-	c.deletedCount, c.historyStart = 0, c.revision
+	c.deletedCount, c.historyStart = 0, c.position.Revision
 }
 
-// knownRevision returns the revision of the last answer; negative before the first one.
-func (c *Cache) knownRevision() int64 {
+// known returns the state of the last answer. Its revision is negative before the first one.
+func (c *Cache) known() watch.Position {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.revision
+	return c.position
 }
 
 // empty reports whether there is no row.
@@ -168,26 +172,27 @@
 func (c *Cache) fresh(direct bool, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.revision >= 0 && now.Sub(c.confirmedAt) <= fraction(c.config.MaxPropagation, staleFraction) && (c.confirmedDirectly || !direct)
+	return c.position.Revision >= 0 && now.Sub(c.confirmedAt) <= fraction(c.config.MaxPropagation, staleFraction) && (c.confirmedDirectly || !direct)
 }
 
-// changesSince returns the changes after a revision, or all rows if it is
+// changesSince returns the changes after a state, or all rows if its revision is
 // negative. The returned channel is closed at the next change.
-func (c *Cache) changesSince(revision int64) (a answer, changed <-chan struct{}) {
+func (c *Cache) changesSince(since watch.Position) (a answer, changed <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	revision := since.Revision
 	switch {
-	case c.revision < 0 || revision > c.revision:
+	case c.position.Revision < 0 || since.Compare(c.position) > 0:
 		// The follower is ahead of this instance.
 		return answer{Stale: true}, c.changed
-	case revision >= 0 && revision < c.historyStart:
+	case revision >= 0 && (since.Era < c.position.Era || revision < c.historyStart):
 		return answer{HistoryLost: true}, c.changed
 	}
 	var now time.Time
 	if c.ages != nil {
 		now = c.ages.Now()
 	}
-	a = answer{Revision: c.revision, Age: ageAt(now, c.knownAt)}
+	a = answer{Revision: c.position.Revision, Era: c.position.Era, Age: ageAt(now, c.knownAt)}
 	if revision >= 0 && c.outageEndRevision > revision {
 		a.AfterOutage, a.OutageEnd = true, c.outageEndRevision
 	}
--- a/lib/relay/client.go
+++ b/lib/relay/client.go
@@ -37,10 +37,10 @@
 	knownAt time.Time
 }
 
-// fetch returns the rows that changed after a revision, or all rows if it is
+// fetch returns the rows that changed after a state, or all rows if its revision is
 // negative. It waits up to wait for a change. It returns watch.ErrHistoryLost
 // if all rows must be read. After any other error the connection is closed.
-func (c *client) fetch(ctx context.Context, to netip.AddrPort, since int64, wait time.Duration) (watch.Rows, error) {
+func (c *client) fetch(ctx context.Context, to netip.AddrPort, since watch.Position, wait time.Duration) (watch.Rows, error) {
 	rows, err := c.exchange(ctx, to, since, wait)
 	if err != nil && !errors.Is(err, watch.ErrHistoryLost) {
 		c.close()
@@ -69,7 +69,7 @@
 	return nil
 }
 
-func (c *client) exchange(ctx context.Context, to netip.AddrPort, since int64, wait time.Duration) (watch.Rows, error) {
+func (c *client) exchange(ctx context.Context, to netip.AddrPort, since watch.Position, wait time.Duration) (watch.Rows, error) {
 	if err := c.connect(ctx, to); err != nil {
 		return watch.Rows{}, err
 	}
@@ -80,17 +80,18 @@
 		return watch.Rows{}, err
 	}
 	c.number++
-	q := &query{Table: c.table, Since: since, WaitMillis: wait.Milliseconds(), Direct: c.direct, Number: c.number}
+	q := &query{Table: c.table, Since: since.Revision, NextEra: since.Era + 1, WaitMillis: wait.Milliseconds(), Direct: c.direct, Number: c.number}
 	if err := msgstream.Encode(conn, q); err != nil {
 		return watch.Rows{}, err
 	}
-	return c.read(conn)
+	return c.read(conn, since)
 }
 
 // read reads the answer to the last query, and ignores answers to earlier ones, which an
 // instance may send once more. Instances of earlier releases answer without a number. Each
-// keep-alive message and each part of a long answer extends the deadline.
-func (c *client) read(conn net.Conn) (watch.Rows, error) {
+// keep-alive message and each part of a long answer extends the deadline. Instances of earlier
+// releases compare revisions only, so that their answers may be of another era.
+func (c *client) read(conn net.Conn, since watch.Position) (watch.Rows, error) {
 	for {
 		if err := conn.SetReadDeadline(time.Now().Add(c.answerTimeout)); err != nil {
 			return watch.Rows{}, err
@@ -101,9 +102,9 @@
 		}
 		switch {
 		case a.Alive, a.Number != 0 && a.Number != c.number:
-		case a.Stale:
+		case a.Stale, !a.HistoryLost && a.Era < since.Era:
 			return watch.Rows{}, errStale
-		case a.HistoryLost:
+		case a.HistoryLost, since.Revision >= 0 && a.Era > since.Era:
 			return watch.Rows{}, watch.ErrHistoryLost
 		default:
 			rows, err := a.rows()
@@ -127,7 +128,7 @@
 }
 
 func (a *answer) rows() (watch.Rows, error) {
-	rows := watch.Rows{Revision: a.Revision, AfterOutage: a.AfterOutage, Relayed: true, OutageEnd: min(a.OutageEnd, a.Revision)}
+	rows := watch.Rows{Era: a.Era, Revision: a.Revision, AfterOutage: a.AfterOutage, Relayed: true, OutageEnd: min(a.OutageEnd, a.Revision)}
 	if a.AfterOutage && a.OutageEnd == 0 {
 		rows.OutageEnd = a.Revision
 	}
--- a/lib/relay/message.go
+++ b/lib/relay/message.go
@@ -1,6 +1,10 @@
 package relay
 
-import "time"
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/watch"
+)
 
 // query requests the rows of a table, or those that changed.
 type query struct {
@@ -14,6 +18,18 @@
 	Direct bool `msgpack:"d,omitempty"`
 	// Number is the number of the query on its connection, from one.
 	Number uint64 `msgpack:"n,omitempty"`
+	// NextEra is one more than the era that the sender knows. Instances of earlier releases,
+	// which know no eras, leave it out.
+	NextEra int64 `msgpack:"i,omitempty"`
+}
+
+// since returns the state that the sender knows. An instance that knows no eras is answered
+// by revision alone.
+func (q *query) since(known watch.Position) watch.Position {
+	if q.NextEra <= 0 {
+		return watch.Position{Era: known.Era, Revision: q.Since}
+	}
+	return watch.Position{Era: q.NextEra - 1, Revision: q.Since}
 }
 
 // answer is the answer to a query, or a keep-alive message while the query
@@ -30,6 +46,8 @@
 	HistoryLost bool  `msgpack:"h,omitempty"`
 	Rows        []row `msgpack:"r,omitempty"`
 	Revision    int64 `msgpack:"v,omitempty"`
+	// Era is that of Revision. Instances of earlier releases leave it out.
+	Era int64 `msgpack:"i,omitempty"`
 	// AfterOutage means that there was an outage of the store before these
 	// changes.
 	AfterOutage bool `msgpack:"o,omitempty"`
--- a/lib/relay/odd_answers_test.go
+++ b/lib/relay/odd_answers_test.go
@@ -74,10 +74,10 @@
 		c := client{table: "t", answerTimeout: time.Second}
 		defer c.close()
 		for range 3 {
-			changes, err := c.fetch(context.Background(), (&instance{ln: ln}).address(), 2, 0)
+			changes, err := c.fetch(context.Background(), (&instance{ln: ln}).address(), at(2), 0)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(changes.Rows).To(HaveLen(1))
-			all, err := c.fetch(context.Background(), (&instance{ln: ln}).address(), -1, 0)
+			all, err := c.fetch(context.Background(), (&instance{ln: ln}).address(), at(-1), 0)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(all.Rows).To(HaveLen(3))
 		}
@@ -94,7 +94,7 @@
 		c := client{table: "t", answerTimeout: 10 * time.Second}
 		var before, after runtime.MemStats
 		runtime.ReadMemStats(&before)
-		_, err := c.fetch(context.Background(), answering(bomb).address(), -1, 0)
+		_, err := c.fetch(context.Background(), answering(bomb).address(), at(-1), 0)
 		runtime.ReadMemStats(&after)
 		Expect(err).To(MatchError(errTableTooLarge))
 		// Decompression allocates a few times what it returns.
--- a/lib/relay/reader.go
+++ b/lib/relay/reader.go
@@ -28,19 +28,21 @@
 	mu       sync.Mutex
 	client   client
 	rows     map[string]watch.Row
-	revision int64
+	position watch.Position
+	// synced is set if the changes since position may be read.
+	synced bool
 }
 
 // NewReader returns a Reader without any rows.
 func NewReader(table string, store watch.Source, sources func() []netip.AddrPort) *Reader {
 	return &Reader{
 		store: store, sources: sources, client: client{table: table, answerTimeout: readTimeout},
-		rows: make(map[string]watch.Row), revision: -1,
+		rows: make(map[string]watch.Row), position: watch.Position{Revision: -1},
 	}
 }
 
 // Read returns all rows of the table, sorted by key. An answer of the store
-// that is older than the known revision is ignored. It returns an error only if
+// that is older than the known state is ignored. It returns an error only if
 // the store cannot be read either.
 func (r *Reader) Read(ctx context.Context) (watch.Rows, error) {
 	r.mu.Lock()
@@ -50,12 +52,9 @@
 		if err != nil {
 			return watch.Rows{}, err
 		}
-		if rows.Revision >= r.revision {
-			clear(r.rows)
-			r.merge(rows)
-		}
+		r.replace(rows)
 	}
-	rows := watch.Rows{Revision: r.revision}
+	rows := watch.Rows{Era: r.position.Era, Revision: r.position.Revision}
 	for _, key := range slices.Sorted(maps.Keys(r.rows)) {
 		rows.Rows = append(rows.Rows, r.rows[key])
 	}
@@ -66,24 +65,55 @@
 // reports whether one did.
 func (r *Reader) fetchChanges(ctx context.Context) bool {
 	for _, source := range r.sources() {
-		queryCtx, cancel := context.WithTimeout(ctx, readTimeout)
-		rows, err := r.client.fetch(queryCtx, source, r.revision, 0)
-		cancel()
-		if err == nil {
-			r.merge(rows)
-			return true
-		}
+		err := r.fetchFrom(ctx, source)
 		if errors.Is(err, watch.ErrHistoryLost) {
-			clear(r.rows)
-			r.revision = -1
+			// The same source has all rows: the readers of a region must not all read the
+			// store when it was restored.
+			r.synced = false
+			err = r.fetchFrom(ctx, source)
 		}
-		if ctx.Err() != nil {
+		switch {
+		case err == nil:
+			return true
+		case ctx.Err() != nil:
 			return false
 		}
 	}
 	return false
 }
 
+// fetchFrom fetches the changes from one source, or all rows if the history is lost.
+func (r *Reader) fetchFrom(ctx context.Context, source netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	since := r.position
+	if !r.synced {
+		since.Revision = -1
+	}
+	rows, err := r.client.fetch(ctx, source, since, 0)
+	switch {
+	case err != nil:
+		return err
+	case r.synced:
+		r.merge(rows)
+	case !r.replace(rows):
+		return errStale
+	}
+	return nil
+}
+
+// replace replaces all rows by the result of a full read and reports whether it did: one
+// that is older than the known state is ignored. The caller holds r.mu.
+func (r *Reader) replace(rows watch.Rows) bool {
+	if rows.Position().Compare(r.position) < 0 {
+		return false
+	}
+	clear(r.rows)
+	r.merge(rows)
+	r.synced = true
+	return true
+}
+
 // merge applies changes to the rows. The caller holds r.mu.
 func (r *Reader) merge(rows watch.Rows) {
 	for _, row := range rows.Rows {
@@ -93,5 +123,5 @@
 		}
 		r.rows[row.Key] = row
 	}
-	r.revision = rows.Revision
+	r.position = rows.Position()
 }
--- a/lib/relay/relay_test.go
+++ b/lib/relay/relay_test.go
@@ -54,7 +54,7 @@
 		Eventually(func() int64 {
 			i.cache.mu.Lock()
 			defer i.cache.mu.Unlock()
-			return i.cache.revision
+			return i.cache.position.Revision
 		}).Should(BeNumerically(">=", 0))
 		return i
 	}
@@ -122,7 +122,7 @@
 		content.put("a", nil, true)
 		leader.store.setFaults(false, false)
 		Eventually(follower.received.get, 2*time.Second).WithArguments("a").Should(BeEmpty())
-		a, _ := leader.cache.changesSince(1)
+		a, _ := leader.cache.changesSince(at(1))
 		Expect(a.AfterOutage).To(BeTrue())
 	})
 
@@ -132,16 +132,16 @@
 		now := time.Unix(1000, 0)
 		leader, next := NewCache(config), NewCache(config)
 		relayed := func(from *Cache, since int64) watch.Rows {
-			a, _ := from.changesSince(since)
+			a, _ := from.changesSince(at(since))
 			rows, err := a.rows()
 			Expect(err).NotTo(HaveOccurred())
 			return rows
 		}
 		leader.replace(watch.Rows{Revision: 2, Rows: []watch.Row{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}}}, true, now)
 		next.replace(relayed(leader, -1), false, now)
-		leader.apply(2, watch.Rows{Revision: 3, AfterOutage: true, Rows: []watch.Row{{Key: "a", Deleted: true, Revision: 3}}}, true, now)
-		leader.apply(3, watch.Rows{Revision: 4, Rows: []watch.Row{{Key: "b", Deleted: true, Revision: 4}}}, true, now)
-		next.apply(2, relayed(leader, 2), false, now)
+		leader.apply(at(2), watch.Rows{Revision: 3, AfterOutage: true, Rows: []watch.Row{{Key: "a", Deleted: true, Revision: 3}}}, true, now)
+		leader.apply(at(3), watch.Rows{Revision: 4, Rows: []watch.Row{{Key: "b", Deleted: true, Revision: 4}}}, true, now)
+		next.apply(at(2), relayed(leader, 2), false, now)
 		for _, c := range []*Cache{leader, next} {
 			rows := relayed(c, 2)
 			Expect(rows.AfterOutage && rows.Relayed).To(BeTrue())
@@ -157,17 +157,17 @@
 		now := time.Unix(1000, 0)
 		c.replace(watch.Rows{Revision: 3, Rows: []watch.Row{{Key: "a", Revision: 1}, {Key: "b", Revision: 2}, {Key: "c", Revision: 3}}}, true, now)
 		c.replace(watch.Rows{Revision: 9, AfterOutage: true, Rows: []watch.Row{{Key: "a", Revision: 1}, {Key: "c", Revision: 7}}}, true, now)
-		a, _ := c.changesSince(3)
+		a, _ := c.changesSince(at(3))
 		Expect(a.HistoryLost).To(BeFalse())
 		Expect(a.Rows).To(ConsistOf(row{Key: "c", Revision: 7}, row{Key: "b", Deleted: true, Revision: 9}))
 		Expect(a.AfterOutage).To(BeTrue())
 		Expect(a.OutageEnd).To(Equal(int64(9)), "b may have expired")
-		all, _ := c.changesSince(-1)
+		all, _ := c.changesSince(at(-1))
 		Expect(all.Rows).To(ConsistOf(row{Key: "a", Revision: 1}, row{Key: "c", Revision: 7}))
-		before, _ := c.changesSince(2)
+		before, _ := c.changesSince(at(2))
 		Expect(before.HistoryLost).To(BeTrue(), "unknown before the first read")
-		c.apply(9, watch.Rows{Revision: 10, Rows: []watch.Row{{Key: "b", Revision: 10}}}, true, now)
-		again, _ := c.changesSince(3)
+		c.apply(at(9), watch.Rows{Revision: 10, Rows: []watch.Row{{Key: "b", Revision: 10}}}, true, now)
+		again, _ := c.changesSince(at(3))
 		Expect(again.Rows).To(ConsistOf(row{Key: "c", Revision: 7}, row{Key: "b", Revision: 10}))
 		Expect(c.deletedCount).To(BeZero())
 	})
@@ -196,14 +196,14 @@
 		now := time.Unix(1000, 0)
 		c.replace(watch.Rows{Revision: 7, Rows: []watch.Row{{Key: "new", Revision: 7}}}, true, now)
 		c.replace(watch.Rows{Revision: 5, Rows: []watch.Row{{Key: "old", Revision: 5}}}, true, now)
-		c.apply(5, watch.Rows{Revision: 9, Rows: []watch.Row{{Key: "old", Revision: 9}}}, true, now)
-		a, _ := c.changesSince(-1)
+		c.apply(at(5), watch.Rows{Revision: 9, Rows: []watch.Row{{Key: "old", Revision: 9}}}, true, now)
+		a, _ := c.changesSince(at(-1))
 		Expect(a.Revision).To(Equal(int64(7)))
 		Expect(a.Rows).To(HaveLen(1))
 		Expect(a.Rows[0].Key).To(Equal("new"))
-		behind, _ := c.changesSince(8)
+		behind, _ := c.changesSince(at(8))
 		Expect(behind.Stale).To(BeTrue(), "the follower is ahead")
-		lost, _ := c.changesSince(3)
+		lost, _ := c.changesSince(at(3))
 		Expect(lost.HistoryLost).To(BeTrue())
 	})
 
@@ -212,10 +212,10 @@
 		now := time.Unix(1000, 0)
 		c.replace(watch.Rows{Revision: 1}, true, now)
 		for i := int64(2); i < maxDeletedRows+10; i++ {
-			c.apply(i-1, watch.Rows{Revision: i, Rows: []watch.Row{{Key: string(rune(i)), Deleted: true, Revision: i}}}, true, now)
+			c.apply(at(i-1), watch.Rows{Revision: i, Rows: []watch.Row{{Key: string(rune(i)), Deleted: true, Revision: i}}}, true, now)
 		}
 		Expect(len(c.rows)).To(BeNumerically("<=", maxDeletedRows))
-		lost, _ := c.changesSince(2)
+		lost, _ := c.changesSince(at(2))
 		Expect(lost.HistoryLost).To(BeTrue())
 	})
 
@@ -252,12 +252,12 @@
 			return Role{}
 		}
 		s := NewSource("t", st, NewCache(Config{MaxPropagation: bound, LongPollTimeout: time.Second, BatchDelay: bound / 4}), role, func(netip.AddrPort, error) {})
-		rows, err := s.Changes(ctx, 0, time.Second)
+		rows, err := s.Changes(ctx, at(0), time.Second)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(rows.Rows).To(HaveLen(1))
 		known.Store(true)
 		content.put("b", []byte("2"), false)
-		rows, err = s.Changes(ctx, 1, time.Second)
+		rows, err = s.Changes(ctx, at(1), time.Second)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(rows.Rows).To(HaveLen(1))
 		Expect(st.callCount()).To(Equal(1))
@@ -287,15 +287,15 @@
 		time.AfterFunc(bound/2, func() { role.Store(&Role{Upstream: leader.address()}) })
 		time.AfterFunc(bound, func() { content.put("b", []byte("2"), false) })
 		started := time.Now()
-		rows, err := s.Changes(ctx, 1, 10*bound)
+		rows, err := s.Changes(ctx, at(1), 10*bound)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(rows.Rows).To(BeEmpty())
 		Expect(time.Since(started)).To(BeNumerically("<", bound))
 		Expect(st.callCount()).To(Equal(1))
-		rows, err = s.Changes(ctx, 1, 10*bound)
+		rows, err = s.Changes(ctx, at(1), 10*bound)
 		Expect(err).NotTo(HaveOccurred())
 		for len(rows.Rows) == 0 {
-			rows, err = s.Changes(ctx, 1, 10*bound)
+			rows, err = s.Changes(ctx, at(1), 10*bound)
 			Expect(err).NotTo(HaveOccurred())
 		}
 		Expect(st.callCount()).To(Equal(1))
@@ -305,7 +305,7 @@
 		cache := NewCache(config)
 		s = NewSource("t", first, cache, func() Role { return *role.Load() }, func(netip.AddrPort, error) {})
 		time.AfterFunc(bound/2, func() { role.Store(&Role{HasFollowers: true}) })
-		_, err = s.Changes(ctx, 2, 10*bound)
+		_, err = s.Changes(ctx, at(2), 10*bound)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(first.callCount()).To(Equal(2))
 	})
@@ -315,7 +315,7 @@
 		st := &store{content: content}
 		s := NewSource("t", st, NewCache(config), func() Role { return Role{} }, func(netip.AddrPort, error) {})
 		started := time.Now()
-		_, err := s.Changes(ctx, 0, time.Second)
+		_, err := s.Changes(ctx, at(0), time.Second)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(time.Since(started)).To(BeNumerically("<", bound/2))
 		Expect(st.callCount()).To(Equal(1))
@@ -326,11 +326,11 @@
 		const batchDelay = 150 * time.Millisecond
 		st := &store{content: content}
 		s := NewSource("t", st, NewCache(Config{MaxPropagation: bound, LongPollTimeout: time.Second, BatchDelay: batchDelay}), func() Role { return Role{} }, func(netip.AddrPort, error) {})
-		_, err := s.Changes(ctx, 0, 0)
+		_, err := s.Changes(ctx, at(0), 0)
 		Expect(err).NotTo(HaveOccurred())
-		_, err = s.Changes(ctx, 1, 0)
+		_, err = s.Changes(ctx, at(1), 0)
 		Expect(err).NotTo(HaveOccurred())
-		_, err = s.Changes(ctx, 1, 0)
+		_, err = s.Changes(ctx, at(1), 0)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(st.calls[1].Sub(st.calls[0])).To(BeNumerically(">=", batchDelay))
 		Expect(st.calls[2].Sub(st.calls[1])).To(BeNumerically("<", batchDelay))
@@ -346,13 +346,13 @@
 		st := &store{content: content, limit: limit}
 		s := NewSource("t", st, NewCache(Config{MaxPropagation: bound, LongPollTimeout: time.Second, BatchDelay: batchDelay}), func() Role { return Role{} }, func(netip.AddrPort, error) {})
 		for since := int64(1); since < changes+1; {
-			rows, err := s.Changes(ctx, since, 0)
+			rows, err := s.Changes(ctx, at(since), 0)
 			Expect(err).NotTo(HaveOccurred())
 			since = rows.Revision
 		}
 		Expect(st.calls).To(HaveLen(changes/limit + 1))
 		Expect(st.calls[changes/limit].Sub(st.calls[0])).To(BeNumerically("<", batchDelay))
-		_, err := s.Changes(ctx, changes+1, 0)
+		_, err := s.Changes(ctx, at(changes+1), 0)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(st.calls[changes/limit+1].Sub(st.calls[changes/limit])).To(BeNumerically(">=", batchDelay))
 	})
--- a/lib/relay/server.go
+++ b/lib/relay/server.go
@@ -111,7 +111,7 @@
 	defer check.Stop()
 	skipAlive := false
 	for {
-		a, changed := cache.changesSince(q.Since)
+		a, changed := cache.changesSince(q.since(cache.known()))
 		now := time.Now()
 		if s.stopping() || !cache.fresh(q.Direct, now) {
 			return s.send(conn, &answer{Number: q.Number, Stale: true})
--- a/lib/relay/source.go
+++ b/lib/relay/source.go
@@ -74,8 +74,9 @@
 func (s *Source) Snapshot(ctx context.Context) (watch.Rows, error) {
 	if to := s.upstream(); to.IsValid() {
 		_, call := s.beginCall(ctx)
-		rows, err := s.client.fetch(ctx, to, -1, 0)
-		if err == nil && rows.Revision < s.cache.knownRevision() {
+		known := s.cache.known()
+		rows, err := s.client.fetch(ctx, to, watch.Position{Era: known.Era, Revision: -1}, 0)
+		if err == nil && rows.Position().Compare(known) < 0 {
 			err = errStale
 		}
 		if err == nil {
@@ -102,7 +103,7 @@
 }
 
 // Changes implements watch.Source.
-func (s *Source) Changes(ctx context.Context, since int64, wait time.Duration) (watch.Rows, error) {
+func (s *Source) Changes(ctx context.Context, since watch.Position, wait time.Duration) (watch.Rows, error) {
 	s.awaitRole(ctx, wait)
 	to := s.upstream()
 	if !to.IsValid() {
@@ -139,6 +140,11 @@
 		s.trackFailure(ctx, call, err)
 		return rows, err
 	}
+	if rows.Era != since.Era {
+		// These are no changes since then. The table is read in full next, which ends the
+		// outage.
+		return watch.Rows{Era: rows.Era, Revision: rows.Revision}, nil
+	}
 	s.markRecovered(&rows)
 	switch {
 	case call == nil:
@@ -204,7 +210,7 @@
 
 // storeChanges reads changes from the store. It returns errRoleChanged instead of waiting on
 // once the role of an instance that has started lately becomes known.
-func (s *Source) storeChanges(ctx context.Context, since int64, wait time.Duration) (watch.Rows, error) {
+func (s *Source) storeChanges(ctx context.Context, since watch.Position, wait time.Duration) (watch.Rows, error) {
 	if wait <= 0 || !s.settling() || s.role() != (Role{}) {
 		return s.store.Changes(ctx, since, wait)
 	}
--- a/lib/relay/store_test.go
+++ b/lib/relay/store_test.go
@@ -26,11 +26,16 @@
 	mu       sync.Mutex
 	rows     []watch.Row
 	revision int64
+	// era is the number of restores.
+	era int64
 	// historyStart is the oldest revision since which changes can be read.
 	historyStart int64
 	changed      chan struct{}
 }
 
+// at returns a position of the first era.
+func at(revision int64) watch.Position { return watch.Position{Revision: revision} }
+
 func newContent() *content { return &content{changed: make(chan struct{})} }
 
 func (c *content) put(key string, data []byte, deleted bool) {
@@ -45,7 +50,7 @@
 func (c *content) since(revision int64) (watch.Rows, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	rows := watch.Rows{Revision: c.revision}
+	rows := watch.Rows{Era: c.era, Revision: c.revision}
 	for _, r := range c.rows {
 		if r.Revision > revision {
 			rows.Rows = append(rows.Rows, r)
@@ -58,7 +63,7 @@
 func (c *content) snapshot() watch.Rows {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	rows := watch.Rows{Revision: c.revision}
+	rows := watch.Rows{Era: c.era, Revision: c.revision}
 	for i, r := range c.rows {
 		newer := slices.ContainsFunc(c.rows[i+1:], func(n watch.Row) bool { return n.Key == r.Key })
 		if !newer && !r.Deleted {
@@ -68,6 +73,17 @@
 	return rows
 }
 
+// restore goes back to an earlier revision, and drops the later history.
+func (c *content) restore(revision int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rows = slices.DeleteFunc(c.rows, func(r watch.Row) bool { return r.Revision > revision })
+	c.revision = revision
+	c.era++
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
 // loseHistory makes the changes so far unreadable.
 func (c *content) loseHistory() {
 	c.mu.Lock()
@@ -79,7 +95,7 @@
 func (c *content) historyLost(revision int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return revision < c.historyStart
+	return revision < c.historyStart || revision > c.revision
 }
 
 func (s *store) setFaults(hang, fail bool) {
@@ -116,16 +132,16 @@
 	return s.snapshot(), nil
 }
 
-func (s *store) Changes(ctx context.Context, since int64, wait time.Duration) (watch.Rows, error) {
+func (s *store) Changes(ctx context.Context, since watch.Position, wait time.Duration) (watch.Rows, error) {
 	if err := s.call(ctx); err != nil {
 		return watch.Rows{}, err
 	}
-	if s.historyLost(since) {
-		return watch.Rows{}, watch.ErrHistoryLost
-	}
 	timeout := time.After(wait)
 	for {
-		rows, changed := s.since(since)
+		if s.historyLost(since.Revision) {
+			return watch.Rows{}, watch.ErrHistoryLost
+		}
+		rows, changed := s.since(since.Revision)
 		if s.limit > 0 && len(rows.Rows) >= s.limit {
 			rows.Rows, rows.More = rows.Rows[:s.limit], true
 			rows.Revision = rows.Rows[s.limit-1].Revision
--- a/lib/rowage/tracker.go
+++ b/lib/rowage/tracker.go
@@ -19,9 +19,9 @@
 // Tracker bounds the age of the rows of one table. It is used by one goroutine.
 type Tracker struct {
 	pauses *pause.Monitor
-	// revision is that of the newest answer, knownAt the earliest time at which it was
+	// position is that of the newest answer, knownAt the earliest time at which it was
 	// current, on the clock of pauses; zero before the first answer.
-	revision int64
+	position watch.Position
 	knownAt  time.Time
 	// failed is set if the last call has failed. disruptedAt is a time at which the store or
 	// the path to it was disturbed later; zero if there is none.
@@ -76,19 +76,25 @@
 }
 
 func (t *Tracker) set(rows *watch.Rows, writtenAfter, knownAt time.Time) {
-	if rows.Revision < t.revision {
+	if rows.Position().Compare(t.position) < 0 {
 		return
 	}
 	for i := range rows.Rows {
-		if r := &rows.Rows[i]; r.Revision > t.revision {
+		if r := &rows.Rows[i]; t.isNew(rows, r) {
 			r.WrittenAfter = writtenAfter
 		}
 	}
 	t.answered(rows, knownAt)
 }
 
+// isNew reports whether a row may have been written after the newest answer. In a table that
+// was restored its revision does not tell: it may stand for another transaction than before.
+func (t *Tracker) isNew(rows *watch.Rows, r *watch.Row) bool {
+	return rows.Era != t.position.Era || r.Revision > t.position.Revision
+}
+
 func (t *Tracker) answered(rows *watch.Rows, knownAt time.Time) {
-	t.revision, t.knownAt, t.failed = rows.Revision, later(t.knownAt, knownAt), false
+	t.position, t.knownAt, t.failed = rows.Position(), later(t.knownAt, knownAt), false
 }
 
 // Relayed sets WrittenAfter of rows that another instance has returned to a call that waits
@@ -97,12 +103,12 @@
 // been missed. knownAt is the earliest time at which the rows were current there, or zero
 // if that is unknown.
 func (t *Tracker) Relayed(rows *watch.Rows, knownAt time.Time, c *Call) {
-	if rows.Revision < t.revision {
+	if rows.Position().Compare(t.position) < 0 {
 		return
 	}
 	for i := range rows.Rows {
 		switch r := &rows.Rows[i]; {
-		case r.Revision <= t.revision:
+		case !t.isNew(rows, r):
 		case t.knownAt.IsZero() || !c.waited():
 			r.WrittenAfter = t.unknownFrom()
 		default:
--- a/lib/serving/config.go
+++ b/lib/serving/config.go
@@ -3,16 +3,30 @@
 // Values are immutable once they are in force and may be shared between goroutines.
 package serving
 
+import "reflect"
+
 // Config is one accepted version of the live configuration.
 type Config struct {
 	// Version increases with each accepted configuration.
 	Version int64
-	// Revision is the position of the configuration in the store's history.
-	Revision int64
-	Routes   []Route
-	Services []Service
-	Teams    []Team
-	Limits   Limits
+	// Era and Revision are the position of the configuration in the store's history.
+	Era, Revision int64
+	Routes        []Route
+	Services      []Service
+	Teams         []Team
+	Limits        Limits
+}
+
+// Replaces reports whether c replaces the configuration that is in force: it has a higher
+// version, or the same one with other contents from a later era of the store, which has
+// lost the one in force.
+func (c *Config) Replaces(current *Config) bool {
+	if c.Version != current.Version || c.Era <= current.Era {
+		return c.Version > current.Version
+	}
+	same := *c
+	same.Era, same.Revision = current.Era, current.Revision
+	return !reflect.DeepEqual(&same, current)
 }
 
 // ServiceNames returns the names of the declared services.
--- a/lib/watch/config.go
+++ b/lib/watch/config.go
@@ -30,6 +30,15 @@
 	// an answer, only the newest row of each key is delivered. Zero means that all changes
 	// are read and delivered: those of rows whose deletion tells more than their absence.
 	MaxReplay time.Duration
+	// RestoreSettle is the time after a restore of the store within which its users write
+	// again what it has lost. Full reads until then are marked as Restored. Then the table
+	// is read once more, which shows what was not written again. Zero means that only the
+	// first full read is marked.
+	RestoreSettle time.Duration
+	// OnRestored, if set, is called when the table of a restored store is delivered. OnStale,
+	// if set, is called at the first of successive answers that are older than what was
+	// delivered.
+	OnRestored, OnStale func(delivered, answered Position)
 	// Clock is the system clock by default.
 	Clock clock.Clock
 }
--- a/lib/watch/row.go
+++ b/lib/watch/row.go
@@ -15,10 +15,11 @@
 	WrittenAfter time.Time
 }
 
-// Rows are rows of one table as of one revision of the store.
+// Rows are rows of one table as of one state of the store.
 type Rows struct {
-	Rows     []Row
-	Revision int64
+	Rows []Row
+	// Era and Revision are the Position of that state.
+	Era, Revision int64
 	// More means that the answer holds as much as the store returns at once, so that further
 	// rows may wait.
 	More bool
@@ -30,8 +31,14 @@
 	// OutageEnd is the revision of the first read of that instance after its last outage of
 	// the store, if AfterOutage is set. Rows that were deleted later have not expired during it.
 	OutageEnd int64
+	// Restored marks a full read soon after the store was restored from an earlier copy: rows
+	// may be missing that will be written again, and rows may be back that had been deleted.
+	Restored bool
 }
 
+// Position returns the state of the store that the rows were read from.
+func (r Rows) Position() Position { return Position{Era: r.Era, Revision: r.Revision} }
+
 // splitUnexpired separates relayed rows whose deletion is not due to an outage from the
 // others.
 func (r *Rows) splitUnexpired() (unexpired, others Rows) {
--- a/lib/watch/source.go
+++ b/lib/watch/source.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// ErrHistoryLost means that the changes since the requested revision are no
+// ErrHistoryLost means that the changes since the requested state are no
 // longer available, so that the whole table must be read.
 var ErrHistoryLost = errors.New("change history no longer available")
 
@@ -17,7 +17,8 @@
 type Source interface {
 	// Snapshot reads the whole table as of one revision.
 	Snapshot(ctx context.Context) (Rows, error)
-	// Changes returns the rows that changed after a revision, in order. It waits up
-	// to the given time for the first one, and returns no rows if there is none.
-	Changes(ctx context.Context, since int64, wait time.Duration) (Rows, error)
+	// Changes returns the rows that changed after a state, in order. It waits up to the
+	// given time for the first one, and returns no rows if there is none. The rows of an
+	// answer of another era belong to another history: they are not the changes since.
+	Changes(ctx context.Context, since Position, wait time.Duration) (Rows, error)
 }
--- a/lib/watch/watcher.go
+++ b/lib/watch/watcher.go
@@ -1,7 +1,7 @@
 // Package watch follows one table of a store. It reads the whole table first,
 // then its changes, and the whole table again whenever the history is lost or too
 // much of it was missed. It never delivers a state older than one that it has already
-// delivered.
+// delivered. The state of a restored store is a newer one, whatever its revision.
 package watch
 
 import (
@@ -17,11 +17,16 @@
 	source  Source
 	handler Handler
 
-	// revision is the newest one delivered to the handler; negative before the
-	// first read.
-	revision int64
-	// synced is set if the next call may read the changes since revision.
+	// position is the newest one delivered to the handler; its revision is negative before
+	// the first read.
+	position Position
+	// synced is set if the next call may read the changes since position.
 	synced bool
+	// settling is set after a restore until the table has been read after settledAt.
+	settling  bool
+	settledAt time.Time
+	// stale is set if the last answer was older than what was delivered.
+	stale bool
 	// failing is set if the last call failed.
 	failing bool
 	// answeredAt is when the last call that succeeded ended.
@@ -33,7 +38,7 @@
 
 // New returns a Watcher.
 func New(config Config, source Source, handler Handler) *Watcher {
-	return &Watcher{config: config.applyDefaults(), source: source, handler: handler, revision: -1}
+	return &Watcher{config: config.applyDefaults(), source: source, handler: handler, position: Position{Revision: -1}}
 }
 
 // Run follows the table until ctx ends.
@@ -50,7 +55,7 @@
 
 // step makes one call and returns the delay before the next one.
 func (w *Watcher) step(ctx context.Context) time.Duration {
-	rows, err := w.call(ctx)
+	rows, err := w.read(ctx)
 	switch {
 	case ctx.Err() != nil:
 		return 0
@@ -63,23 +68,31 @@
 			w.handler.Lost(err)
 		}
 		return w.nextBackoff()
-	case rows.Revision < w.revision:
+	case rows.Position().Compare(w.position) < 0:
 		// A read from a lagging store must not undo what has been delivered.
+		if !w.stale {
+			w.stale = true
+			call(w.config.OnStale, w.position, rows.Position())
+		}
 		return w.nextBackoff()
+	case w.synced && rows.Era != w.position.Era:
+		w.synced = false
+		return 0
 	}
+	w.stale = false
 	w.deliver(rows)
 	return 0
 }
 
-func (w *Watcher) call(ctx context.Context) (Rows, error) {
-	if w.missedTooMuch() {
+func (w *Watcher) read(ctx context.Context) (Rows, error) {
+	if w.missedTooMuch() || w.settling && w.settlingTime() <= 0 {
 		w.synced = false
 	}
 	wait := w.longPollTimeout()
 	ctx, cancel := context.WithTimeout(ctx, wait+ResponseTimeout+transferTimeout)
 	defer cancel()
 	if w.synced {
-		return w.source.Changes(ctx, w.revision, wait)
+		return w.source.Changes(ctx, w.position, wait)
 	}
 	return w.source.Snapshot(ctx)
 }
@@ -97,15 +110,44 @@
 	if !w.synced || w.failing {
 		return 0
 	}
-	return w.config.LongPollTimeout - rand.N(w.config.LongPollTimeout/3+1)
+	wait := w.config.LongPollTimeout - rand.N(w.config.LongPollTimeout/3+1)
+	if w.settling {
+		wait = min(wait, w.settlingTime())
+	}
+	return wait
+}
+
+// settlingTime returns how long rows that a restored store has lost may still be written
+// again.
+func (w *Watcher) settlingTime() time.Duration { return w.settledAt.Sub(w.config.Clock.Now()) }
+
+// noteRestore marks the rows of a full read if the store was restored a short time ago. It
+// reports whether these are the first ones since then.
+func (w *Watcher) noteRestore(rows *Rows) (first bool) {
+	if w.position.Revision >= 0 && rows.Era > w.position.Era {
+		first, w.settling, w.settledAt = true, true, w.config.Clock.Now().Add(w.config.RestoreSettle)
+		call(w.config.OnRestored, w.position, rows.Position())
+	}
+	w.settling = w.settling && w.settlingTime() > 0
+	rows.Restored = first || w.settling
+	return first
+}
+
+func call(f func(delivered, answered Position), delivered, answered Position) {
+	if f != nil {
+		f(delivered, answered)
+	}
 }
 
 func (w *Watcher) deliver(rows Rows) {
 	recovered := w.failing || rows.AfterOutage
+	if !w.synced {
+		recovered = w.noteRestore(&rows) || recovered
+	}
 	w.failing = false
 	w.answeredAt = w.config.Clock.Now()
 	w.backoff = 0
-	w.revision = rows.Revision
+	w.position = rows.Position()
 	if !w.synced {
 		w.synced = true
 		w.replay = replay{}
--- a/lib/watch/watcher_test.go
+++ b/lib/watch/watcher_test.go
@@ -33,8 +33,8 @@
 
 func (s *scriptedSource) Snapshot(context.Context) (Rows, error) { return s.next("snapshot") }
 
-func (s *scriptedSource) Changes(_ context.Context, since int64, wait time.Duration) (Rows, error) {
-	s.sinces = append(s.sinces, since)
+func (s *scriptedSource) Changes(_ context.Context, since Position, wait time.Duration) (Rows, error) {
+	s.sinces = append(s.sinces, since.Revision)
 	s.waits = append(s.waits, wait)
 	return s.next("changes")
 }
@@ -46,6 +46,9 @@
 	if recovered {
 		kind += " recovered"
 	}
+	if rows.Restored {
+		kind += " restored"
+	}
 	for _, row := range rows.Rows {
 		kind += " " + row.Key
 	}
