soak: a step that restores the store from a copy some seconds old

What the operator and the servers wrote since the copy is written again a second after its return. The steps are drawn separately, so that the others of a seed stay the same.

--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -141,6 +141,7 @@
 	steps = append(steps, newWeightsSteps(seed, window)...)
 	steps = append(steps, newPoisonPartSteps(seed, window)...)
 	steps = append(steps, newConfigsBehindCutSteps(seed, window)...)
+	steps = append(steps, newStoreRestoredSteps(seed, window)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.Start, b.Start) })
 	return steps
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -74,6 +74,7 @@
 			{Kind: ConfigsBehindCut, Start: firstStepStart, Duration: behindCutDuration, LinkFault: LinkBlackhole},
 		}),
 		// The callers of the test kept using an entry longer than the load balancer does.
+		Entry("a store that is restored between configurations", uint64(5), 8*time.Second, restoredConfigs()),
 		Entry("an entry that stops", uint64(116), 3*time.Second, []Step{{Kind: StopEntry, Start: firstStepStart, Duration: time.Second, Target: 2}}),
 	)
 })
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -31,6 +31,8 @@
 	originLink              *proxy
 	// configMu serializes the changes of the configuration.
 	configMu sync.Mutex
+	// restoreMu serializes the restores of the store.
+	restoreMu sync.Mutex
 	// reportLinks carry the datagrams between the entries and each agent, and are empty
 	// unless the agents have addresses of their own.
 	reportLinks []*platformtest.ReportLink
@@ -270,6 +272,8 @@
 		t.origin.SetCorruptShare(0)
 	case ChangeConfig:
 		t.changeConfig()
+	case StoreRestored:
+		t.restoreStore(ctx, s)
 	case ConfigsBehindCut:
 		t.cutWhileConfigsChange(ctx, s)
 	case DeclareVersion:
