--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -51,13 +51,13 @@
 		return resolve(ctx, placement.Rejected, attemptResult{reason: reason})
 	}
 	a.openedAt = g.now()
-	deadline := r.weightsDeadline(a.lease, a.openedAt.Sub(started))
-	if !deadline.IsZero() && !a.openedAt.Before(deadline) {
+	a.weightsDeadline = r.weightsDeadline(a.lease, a.openedAt.Sub(started))
+	if !a.weightsDeadline.IsZero() && !a.openedAt.Before(a.weightsDeadline) {
 		return resolve(ctx, placement.Rejected, attemptResult{reason: "weights are about to be too old"})
 	}
 	r.dispatched++
 	r.summary.Attempts++
-	conn.SetReadDeadline(deadline)
+	conn.SetReadDeadline(a.weightsDeadline)
 	upstreamRequest := r.upstreamRequest(r.attemptInfo(a.lease))
 	standby := r.newStandby(ctx, a, r.silenceLimit(a.lease))
 	resp, err := conn.Do(upstreamRequest)
@@ -131,11 +131,19 @@
 // when most engines change their weights at the same time and the remaining ones get
 // all requests. The end of the connection waits on the server's link as its opening did.
 func (r *request) weightsDeadline(lease *placement.Lease, opening time.Duration) time.Time {
-	w, known := lease.Server.Weights[r.info.Model]
-	if !known || r.nextVersion == 0 || w.Version >= r.nextVersion {
+	modelName := r.weightsModel()
+	w, known := lease.Server.Weights[modelName]
+	if !known {
 		return time.Time{}
 	}
-	return r.nextAt.Add(-startMargin - opening)
+	g := r.gateway
+	g.mu.Lock()
+	deadline := g.versions.Deadline(modelName, w.Version)
+	g.mu.Unlock()
+	if deadline.IsZero() {
+		return deadline
+	}
+	return deadline.Add(-startMargin - opening)
 }
 
 // silenceLimit is how long a server may take to begin its response until other servers are
--- a/gateway/unnamed_model_test.go
+++ b/gateway/unnamed_model_test.go
@@ -16,9 +16,11 @@
 
 var _ = Describe("The minimum version of weights", func() {
 	const timeLimit = 8 * time.Second
+	engine := *regionEngine
+	engine.Models = []string{"m"}
 	place := func(model string, age time.Duration) (*attempt, *placement.Refusal) {
 		g := New(Config{Clock: clock.System{}, Log: eventlog.Discard(), MaxRolloutTime: timeLimit, Placement: placement.Config{Domain: "north", Regions: map[string]string{"north": "n"}}})
-		g.SetConfig(&serving.Config{Version: 1, Services: []serving.Service{{Name: "drafts", Engine: regionEngine}}})
+		g.SetConfig(&serving.Config{Version: 1, Services: []serving.Service{{Name: "drafts", Engine: &engine}}})
 		g.UpdateServers(func(d *directory.Directory, _ time.Time) {
 			d.Put(&directory.Server{
 				ID: "s", Service: "drafts", Address: "127.0.1.1:7700", Domain: "north", Slots: 8,
@@ -30,7 +32,7 @@
 		g.RecordVerified(key, placement.VerifiedWeights{Model: "m", Version: 1})
 		g.SetTargetVersion("m", 2, age)
 		r := &request{
-			gateway: g, table: g.table.Load(), route: &serving.Route{}, service: "drafts", engine: regionEngine,
+			gateway: g, table: g.table.Load(), route: &serving.Route{}, service: "drafts", engine: &engine,
 			info: RequestInfo{ID: "id", Model: model, PromptTokens: 900, ExpectedTokens: 75},
 		}
 		return r.place(context.Background(), g.now())
