--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -81,6 +81,8 @@
 	leases   *placement.LeaseTable
 	budget   *retry.Budget
 	versions *versions.Registry
+	// waiting are the attempts whose requests the servers may not have begun.
+	waiting map[*attempt]struct{}
 	// startedAt is when the Gateway was created.
 	startedAt time.Time
 	suspects  *suspects
@@ -127,6 +129,7 @@
 		leases:         placement.NewLeaseTable(picker),
 		budget:         retry.New(config.Retry, config.Entries),
 		versions:       versions.NewRegistry(config.MaxRolloutTime),
+		waiting:        make(map[*attempt]struct{}),
 		startedAt:      config.Clock.Now(),
 		suspects:       newSuspects(),
 		signals:        make(map[Signal]int64),
@@ -135,11 +138,12 @@
 }
 
 // SetConfig puts a configuration in force and reports whether it did: a version that
-// is not newer than the current one is ignored.
+// is not newer than the current one is ignored, unless it differs and was read in a later
+// era of the store: the number was given out again.
 func (g *Gateway) SetConfig(c *serving.Config) bool {
 	for {
 		current := g.table.Load()
-		if current != nil && c.Version <= current.Config().Version {
+		if current != nil && !c.Replaces(current.Config()) {
 			return false
 		}
 		if g.table.CompareAndSwap(current, serving.NewTable(c)) {
@@ -168,6 +172,7 @@
 	defer g.mu.Unlock()
 	g.budget.SetConfig(budget)
 	g.versions.SetTimeLimit(maxRolloutTime)
+	g.updateWaits()
 }
 
 // SetEntries sets the number of entries that share the retry budget.
@@ -219,6 +224,14 @@
 	g.announceTargets()
 }
 
+// RestoreServers replaces the list of backend servers by that of a store that was just
+// restored from an earlier state. removalTime is the longest time in which the store removes
+// the row of a silent server.
+func (g *Gateway) RestoreServers(servers []*directory.Server, removalTime time.Duration) {
+	g.UpdateServers(func(d *directory.Directory, now time.Time) { d.Restore(servers, removalTime, now) })
+	g.announceTargets()
+}
+
 // SetEvacuated sets the failure domains whose servers get no requests. It returns those
 // that are new, and those that were taken back.
 func (g *Gateway) SetEvacuated(domains []string) (evacuated, restored []string) {
@@ -234,6 +247,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.versions.Declare(model, version, g.now().Add(-maxAge))
+	g.updateWaits()
 }
 
 // SetEarlierVersion sets the declared version of a model, of which only is known that it
@@ -243,6 +257,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.versions.DeclareBefore(model, version, g.startedAt.Add(g.config.StartGrace))
+	g.updateWaits()
 }
 
 // Suspended tells that the machine was suspended for a time that the Gateway's clock has
@@ -251,6 +266,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.versions.Elapse(d)
+	g.updateWaits()
 	g.picker.Elapse(d)
 }
 
