Let an engine take a version again only when no entry uses it

Cause: requests name the engine's ID and a version. Neither tells the layers of two starts apart. An entry that gets no rows, reports and rejections sends such requests by its last report for 8 s; the agent ordered the version as soon as it saw the new start. It waited for the expiry of reports only after its own restart.

Change: the agent keeps which entry it has told of which weights in the last 8 s. The engine takes layers of a version only when no such report counts: the entry has acknowledged a later report that does not open the engine, the report has expired, or an entry knows that the engine's present start is the first one under its ID. Acknowledgements are asked for while the engine does not answer and while a load waits. A wait is logged as 7317. An entry that acknowledges also drops an open report on a start whose row it has not read: the report of an engine that does not answer names no start and did not replace it.

Without acknowledgements every crash would close its engine for up to 8 s.

--- a/gateway/early_statuses.go
+++ b/gateway/early_statuses.go
@@ -39,6 +39,14 @@
 	e.byAddress[status.Address] = earlyStatus{status: status, receivedAt: now, sentAfter: sentAfter}
 }
 
+// withdraw drops the report on another incarnation than that of a later report on the same
+// address.
+func (e *earlyStatuses) withdraw(later *peerlink.Status) {
+	if e.byAddress[later.Address].status.StartUnixMilli != later.StartUnixMilli {
+		delete(e.byAddress, later.Address)
+	}
+}
+
 func (e *earlyStatuses) dropOldest() {
 	oldest := ""
 	for address, s := range e.byAddress {
--- a/gateway/engines.go
+++ b/gateway/engines.go
@@ -156,7 +156,7 @@
 		Age: time.Duration(status.AgeMicros) * time.Microsecond, Slowdown: status.Slowdown, Closed: status.Closed,
 		LinkDelay: time.Duration(status.LinkDelayMicros) * time.Microsecond,
 	}, receivedAt)
-	if status.Model != "" && !status.Closed {
+	if status.OpensEngine() {
 		g.picker.RecordVerified(server.Key(), placement.VerifiedWeights{Model: status.Model, Version: status.Version, OrdersAccepted: status.OrdersAccepted, Until: sentAfter.Add(peerlink.VerifiedTTL)})
 	}
 	if key := server.Key(); status.Draining && key.StartUnixMilli != 0 && status.StartUnixMilli == key.StartUnixMilli && g.directory.MarkDraining(key, directory.SourceAgent, receivedAt) {
@@ -189,6 +189,21 @@
 	return verified.Model != "" && verified.OrdersAccepted == status.OrdersAccepted
 }
 
+// withdrawReports makes this entry use the engine at the address of a report by no report
+// before it, also if its row is read only later. It returns the start that the report is
+// about if that is known to be the first one under its ID, or zero.
+func (g *Gateway) withdrawReports(status *peerlink.Status) (firstStart int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.earlyStatuses.withdraw(status)
+	g.picker.WithdrawVerifiedAt(status.Address)
+	server := g.directory.ByAddress(status.Address)
+	if server == nil || server.StartUnixMilli != status.StartUnixMilli || !g.directory.FirstStart(server.Key(), peerlink.VerifiedTTL, g.now()) {
+		return 0
+	}
+	return status.StartUnixMilli
+}
+
 // updateWeights records that a listed engine serves a newer version than its row
 // states, and returns the new listing. The caller holds mu.
 func (g *Gateway) updateWeights(server *directory.Server, model string, version int) *directory.Server {
--- a/gateway/peer_link.go
+++ b/gateway/peer_link.go
@@ -259,6 +259,7 @@
 		l.recordMembers(d.Status)
 		l.gateway.handleStatus(*d.Status, l.arrivals.sentAfter(l.gateway.now()))
 		l.confirmVerified(d.Status, from)
+		l.acknowledgeReport(d.Status, from)
 	case d.PlacementRequest != nil:
 		l.handlePlacementRequest(d.PlacementRequest, from)
 	case d.PlacementNotice != nil:
@@ -277,6 +278,16 @@
 	}
 }
 
+// acknowledgeReport tells an agent, if it asks for that, that this entry uses its engine by
+// no earlier report.
+func (l *PeerLink) acknowledgeReport(status *peerlink.Status, agent netip.AddrPort) {
+	if status.Acknowledge && !status.OpensEngine() {
+		l.send(encode(&peerlink.Datagram{ReportAck: &peerlink.ReportAck{
+			Incarnation: status.Incarnation, Sequence: status.Sequence, FirstStart: l.gateway.withdrawReports(status),
+		}}), agent)
+	}
+}
+
 // isNewer reports whether a report is newer than those received before: datagrams may
 // overtake each other.
 func (l *PeerLink) isNewer(status *peerlink.Status) bool {
--- a/lib/directory/directory.go
+++ b/lib/directory/directory.go
@@ -24,15 +24,16 @@
 	services map[string]bool
 	// byService caches the servers of each service, byAddress the latest incarnation at
 	// each address. Both are nil after a change.
-	byService map[string][]*Server
-	byAddress map[string]*Server
+	byService   map[string][]*Server
+	byAddress   map[string]*Server
+	firstStarts firstStarts
 	// generation counts the changes of the listed servers.
 	generation uint64
 }
 
 // New returns an empty Directory.
 func New() *Directory {
-	return &Directory{servers: make(map[string]*Server), expiring: make(map[string]time.Time), draining: make(map[Key]Evidence)}
+	return &Directory{servers: make(map[string]*Server), expiring: make(map[string]time.Time), draining: make(map[Key]Evidence), firstStarts: firstStarts{byID: make(map[string]int64)}}
 }
 
 // SetServices sets the names of the declared services. Rows of other services may come
@@ -53,6 +54,7 @@
 // of the store has just ended: servers whose rows may have expired during it stay
 // for ExpiryGrace.
 func (d *Directory) Replace(servers []*Server, recovered bool, now time.Time) {
+	d.firstStarts.follow(recovered, now)
 	listed := make(map[string]*Server, len(servers))
 	for _, s := range servers {
 		listed[s.ID] = s
@@ -83,6 +85,7 @@
 
 // Apply applies changes in order. recovered has the same meaning as in Replace.
 func (d *Directory) Apply(changes []Change, recovered bool, now time.Time) {
+	d.firstStarts.follow(recovered, now)
 	deleted := make(map[string]bool)
 	for _, c := range changes {
 		if c.Server == nil {
--- a/lib/directory/draining.go
+++ b/lib/directory/draining.go
@@ -61,6 +61,7 @@
 		d.remember(k, SourceRow, now)
 		d.drainedByRow = append(d.drainedByRow, k)
 	}
+	d.firstStarts.add(s, now)
 	d.Put(s)
 }
 
--- a/lib/eventlog/events_serving.go
+++ b/lib/eventlog/events_serving.go
@@ -39,6 +39,7 @@
 	WeightsCorrupt      = Event{7311, Warn, "engine took layers that are not known to be intact; it gets no requests and takes them again", "Check the storage of the instance if it repeats."}
 	WeightsUnverified   = Event{7315, Warn, "weights that an earlier agent process had loaded are not verified yet; the engine gets no requests", "Check the origin: the agent needs the manifest of the version, from it or a peer."}
 	WeightsConfirmed    = Event{7316, Info, "an entry confirmed that an earlier agent process verified the weights that the engine holds", "Nothing."}
+	LoadDelayed         = Event{7317, Info, "load of a version waited until no entry used the engine by an earlier report", "Nothing unless delays of seconds repeat; then check the network between the entries and the instance."}
 	WeightsUnrepairable = Event{7313, Warn, "engine can't take its only layer again, which is not known to be intact; it gets no requests until it restarts or a newer version is declared", "Restart the engine or declare a newer version; check that the configuration names the number of layers."}
 	EnginePaused        = Event{7314, Info, "engine asked its agent to pause calls: no status checks, orders and pieces meanwhile", "Nothing unless it repeats; then check the engine."}
 	PieceCorrupt        = Event{7303, Warn, "piece of weights does not match the manifest", "Check the named source if it repeats."}
@@ -50,5 +51,5 @@
 	LiveConfigApplied, VersionDeclared, RowInvalid, StoreLost, StoreRegained,
 	ServerListRead, ServerRegistered, ServerRemoved, ServerEjected, PlacerChanged, PlacerLost, StorePathChanged,
 	RequestEnded, RequestRetried, LogLinesDropped, AttemptAborted, ServerCrashed, ContentQuarantined, ServerAlive, ServerDraining, ServerPaused, ServerRateLimited, DomainEvacuated, DomainRestored, PartQuarantined, RequestPanicked, RequestBeyondMemory,
-	ReplicaPhase, LoadOrdered, ReplicaFetched, FetchFailed, OriginLost, OriginRegained, WeightsVerified, WeightsCorrupt, WeightsUnverified, WeightsConfirmed, WeightsUnrepairable, EnginePaused, PieceCorrupt, PeerListUnavailable, EngineCallFailed,
+	ReplicaPhase, LoadOrdered, ReplicaFetched, FetchFailed, OriginLost, OriginRegained, WeightsVerified, WeightsCorrupt, WeightsUnverified, WeightsConfirmed, LoadDelayed, WeightsUnrepairable, EnginePaused, PieceCorrupt, PeerListUnavailable, EngineCallFailed,
 }
--- a/lib/placement/picker_reports.go
+++ b/lib/placement/picker_reports.go
@@ -38,6 +38,16 @@
 	}
 }
 
+// WithdrawVerifiedAt is like WithdrawVerified for all incarnations that were listed at an
+// address.
+func (p *Picker) WithdrawVerifiedAt(address string) {
+	for _, s := range p.servers {
+		if s.listing != nil && s.listing.Address == address {
+			s.verifiedWeights.Until = time.Time{}
+		}
+	}
+}
+
 // Elapse tells that time has passed that the clock of the Picker's callers has not counted:
 // reports that weights are intact expire that much earlier.
 func (p *Picker) Elapse(d time.Duration) {
--- a/peerlink/message.go
+++ b/peerlink/message.go
@@ -48,6 +48,7 @@
 	PlacementNotice   *PlacementNotice   `msgpack:"n,omitempty"`
 	Gossip            *Gossip            `msgpack:"c,omitempty"`
 	Verified          *Verified          `msgpack:"v,omitempty"`
+	ReportAck         *ReportAck         `msgpack:"k,omitempty"`
 }
 
 // Subscription subscribes an entry to an agent's load reports for a few seconds.
@@ -125,6 +126,8 @@
 	// Unverified means that the engine is closed because the agent doesn't know whether its
 	// weights are intact. An entry that knows responds with Verified.
 	Unverified bool `msgpack:"u,omitempty"`
+	// Acknowledge requests a ReportAck, in a report that does not open the engine.
+	Acknowledge bool `msgpack:"e,omitempty"`
 	// Region is the agent's region. Neighbours are addresses of entries there, a
 	// subset that fits into a datagram.
 	Region     string   `msgpack:"z,omitempty"`
@@ -135,6 +138,9 @@
 	Sequence    uint64 `msgpack:"s"`
 }
 
+// OpensEngine reports whether entries may send the engine requests by a report.
+func (s *Status) OpensEngine() bool { return s.Model != "" && !s.Closed }
+
 // Verified tells an agent that it, or an earlier process of it, reported the weights of
 // its engine as intact: those that the engine held after a number of orders since a start.
 type Verified struct {
@@ -142,10 +148,22 @@
 	OrdersAccepted int64 `msgpack:"o,omitempty"`
 }
 
+// ReportAck tells an agent that an entry has applied a report which does not open the
+// engine: the entry uses the engine by no earlier one.
+type ReportAck struct {
+	// Incarnation and Sequence are those of the report.
+	Incarnation uint64 `msgpack:"i"`
+	Sequence    uint64 `msgpack:"s"`
+	// FirstStart is the start of the engine that the report is about if the entry knows that
+	// it is the first one under its ID, so that no report on an earlier start is on that ID.
+	// It is zero otherwise.
+	FirstStart int64 `msgpack:"f,omitempty"`
+}
+
 // VerifiedTTL is how long a report that an engine's weights are intact counts. It is longer
-// than two intervals of subscriptions, so that one lost report closes no engine. An agent
-// that does not know what was reported before its start waits as long until the engine takes
-// layers of the same version again.
+// than two intervals of subscriptions, so that one lost report closes no engine. The engine
+// takes layers of the same version again only when no entry may have such a report: entries
+// acknowledge that, or as much time has passed, or the engine has started under a new ID.
 const VerifiedTTL = 8 * time.Second
 
 // EntryLoad is the work that an entry has placed on an engine. The entry sends
--- a/replica/load.go
+++ b/replica/load.go
@@ -74,7 +74,7 @@
 		return
 	}
 	now := r.config.Clock.Now()
-	if !held.includes(target) && r.reported.mayBeUsed(p.model, p.version, now) {
+	if !held.includes(target) && r.delaysLoad(p, state) {
 		return
 	}
 	if p.loadStarted.IsZero() {
@@ -195,7 +195,7 @@
 	v := p.verification
 	p.verification = nil
 	sent := r.config.Clock.Now()
-	if state == nil || state.Busy || state.stamp() != stamp || !held.includes(target) && v.age(sent) > maxVerificationAge {
+	if state == nil || state.Busy || state.stamp() != stamp || !held.includes(target) && (v.age(sent) > maxVerificationAge || r.mayBeUsed(p, &state.EngineState)) {
 		return
 	}
 	layers := target
--- a/replica/load_reporter.go
+++ b/replica/load_reporter.go
@@ -26,6 +26,9 @@
 	entryLoadTTL = 4 * time.Second
 	// maxDatagramBytes bounds the size of a datagram.
 	maxDatagramBytes = 1200
+	// ackRetryInterval is the time after which entries are asked again to acknowledge a
+	// report while a load waits for that. It is many round trips between regions.
+	ackRetryInterval = 100 * time.Millisecond
 	// maxNeighbours bounds the neighbour addresses in one report: at 22 bytes each
 	// they fit into a datagram with the other fields.
 	maxNeighbours = 40
@@ -61,6 +64,8 @@
 	incarnation uint64
 	lastStatus  peerlink.Status
 	lastRefresh time.Time
+	// askedAt is when entries were last asked to acknowledge a report.
+	askedAt time.Time
 }
 
 // subscriber is an entry that subscribed to reports.
@@ -160,6 +165,9 @@
 	if d.Verified != nil {
 		r.replica.confirm(d.Verified)
 	}
+	if d.ReportAck != nil && d.ReportAck.Incarnation == r.incarnation {
+		r.replica.acknowledge(from, d.ReportAck)
+	}
 	if load := d.EntryLoad; load != nil {
 		known := r.entryLoads[load.Entry]
 		if known.sequence.Advance(load.Incarnation, load.Sequence) {
@@ -269,8 +277,9 @@
 	status.Incarnation, status.Sequence = r.incarnation, r.lastStatus.Sequence
 	refresh := now.Sub(r.lastRefresh) >= refreshInterval
 	urgent := status.Closed != r.lastStatus.Closed || status.Draining != r.lastStatus.Draining || status.Version != r.lastStatus.Version || status.StartUnixMilli != r.lastStatus.StartUnixMilli
+	ask := status.Acknowledge && (!r.lastStatus.Acknowledge || r.replica.loadDelayed.Load() && now.Sub(r.askedAt) >= ackRetryInterval)
 	switch {
-	case urgent:
+	case urgent, ask:
 		to = list.all
 	case refresh:
 		to = list.due
@@ -284,6 +293,9 @@
 	}
 	status.Sequence++
 	r.lastStatus = status
+	if status.Acknowledge {
+		r.askedAt = now
+	}
 	if refresh {
 		r.lastRefresh = now
 	}
@@ -296,10 +308,22 @@
 	if err != nil {
 		panic(err)
 	}
+	if status.OpensEngine() {
+		r.replica.openReports.sent(to, &status, now)
+		// An order that was prepared meanwhile did not take this report into account.
+		if latest := r.status(); !latest.OpensEngine() || latest.StartUnixMilli != status.StartUnixMilli || latest.Version != status.Version {
+			r.replica.wakeReporter()
+			return
+		}
+	}
 	for _, address := range to {
 		// The next report replaces a lost datagram.
 		_, _ = r.conn.WriteToUDPAddrPort(data, address)
 	}
+	if status.OpensEngine() {
+		// This process may have been stopped before it sent them.
+		r.replica.openReports.sent(to, &status, r.replica.config.Clock.Now())
+	}
 	if refresh {
 		r.markReported(now, to)
 	}
@@ -327,8 +351,9 @@
 func (r *LoadReporter) status() peerlink.Status {
 	s := peerlink.Status{Address: r.replica.config.EngineAddress}
 	state := r.replica.engineState.Load()
+	anyOpen := r.replica.openReports.any(r.replica.config.Clock.Now())
 	if state == nil {
-		s.Closed = true
+		s.Closed, s.Acknowledge = true, anyOpen
 		return s
 	}
 	s.AgeMicros = r.replica.config.Clock.Now().Sub(state.readAt).Microseconds()
@@ -344,5 +369,6 @@
 			s.Model, s.Version = model, w.Version
 		}
 	}
+	s.Acknowledge = !s.OpensEngine() && anyOpen && r.replica.loadDelayed.Load()
 	return s
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -13,7 +13,6 @@
 
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/spread"
-	"github.com/auburnbend/auburnbend/peerlink"
 )
 
 // Replica brings one engine to the declared version and keeps it there. The
@@ -55,9 +54,13 @@
 	// unverifiedLogged is set once it has been logged that initial is not verified. It
 	// belongs to the goroutine of Run.
 	unverifiedLogged bool
-	// reported are weights that an earlier process may have reported as intact. They belong to
-	// the goroutine of Run.
-	reported reportedWeights
+	// openReports are the reports by which entries may use the engine.
+	openReports *openReports
+	// loadDelayed is set while a load waits until no entry may use the engine by an earlier
+	// report.
+	loadDelayed atomic.Bool
+	// loadDelayedAt is when that began. It belongs to the goroutine of Run.
+	loadDelayedAt time.Time
 	// confirmed is what an entry last reported as verified by an earlier process.
 	confirmed atomic.Pointer[loadStamp]
 	// enginePaused is set while the engine has asked for a pause, orderSent from an order until
@@ -95,7 +98,7 @@
 // New returns a Replica without a target.
 func New(config Config) *Replica {
 	r := &Replica{
-		config: config, uploadLimiter: newUploadLimiter(config.LinkRate),
+		config: config, openReports: newOpenReports(), uploadLimiter: newUploadLimiter(config.LinkRate),
 		wake: make(chan struct{}, 1), reporterWake: make(chan struct{}, 1), stagedChanged: make(chan struct{}), fetchBackoff: newBackoff(retryDelay, maxRetryDelay),
 	}
 	r.maxRolloutTime.Store(int64(config.MaxRolloutTime))
@@ -239,10 +242,10 @@
 	if !state.Busy {
 		r.initial, r.initialReadAt = &stamp, r.config.Clock.Now()
 	}
+	r.openReports.sentEarlier(state, r.config.Clock.Now())
 	trusted := stamp
 	if state.Busy || state.OrdersAccepted > 0 {
 		trusted = loadStamp{ordersAccepted: neverAccepted}
-		r.reported = reportedWeights{weights: state.Weights, until: r.config.Clock.Now().Add(peerlink.VerifiedTTL)}
 	}
 	r.trusted.Store(&trusted)
 }
