Count unknown reports of an engine that an agent finds empty

Cause: an agent that starts waited for the expiry of reports on the weights that it found. Of an engine that it found empty, an earlier process may have reported any version on the earlier start.

Change: for 8 s from its first look at an empty engine, the agent takes any version for reported, unless an entry knows that the engine's start is the first one under its ID. Entries know that of added machines, and after a loss of power by the earlier rows at the address, so that these don't wait: see docs/measurements.md.

--- a/replica/open_reports.go
+++ b/replica/open_reports.go
@@ -12,9 +12,11 @@
 
 // openReport is a report by which an entry may send requests to the engine.
 type openReport struct {
+	// model is empty if it may have been any version of any model.
 	model   string
 	version int
-	// start is the engine's start that the report is about, in Unix milliseconds.
+	// start is the engine's start that the report is about, in Unix milliseconds, or zero for
+	// any earlier one.
 	start int64
 	// sequence is the number of the report.
 	sequence uint64
@@ -53,8 +55,12 @@
 }
 
 // sentEarlier records what an earlier process may have reported before this one first read
-// the engine's state, to entries that this one doesn't know.
+// the engine's state, to entries that this one doesn't know. Of an engine without weights
+// that may have been any version, on an earlier start.
 func (o *openReports) sentEarlier(state *EngineState, now time.Time) {
+	if len(state.Weights) == 0 {
+		o.sent([]netip.AddrPort{{}}, &peerlink.Status{Sequence: math.MaxUint64}, now)
+	}
 	for model, w := range state.Weights {
 		o.sent([]netip.AddrPort{{}}, &peerlink.Status{Model: model, Version: w.Version, StartUnixMilli: state.StartUnixMilli, Sequence: math.MaxUint64}, now)
 	}
@@ -80,7 +86,7 @@
 	o.expire(now)
 	for _, reports := range o.byEntry {
 		for _, r := range reports {
-			named := r.model == model && r.version == version
+			named := r.model == "" || r.model == model && r.version == version
 			if named && (r.start == start || o.firstStart != start) {
 				return true
 			}
--- a/replica/open_reports_test.go
+++ b/replica/open_reports_test.go
@@ -74,3 +74,23 @@
 		}
 	}
 }
+
+// Guards against an engine that takes a version after a restart together with its agent,
+// which does not know what was reported before.
+func TestAnyVersionMayHaveBeenReportedOfAnEngineThatIsFoundEmpty(t *testing.T) {
+	now := time.Unix(1000, 0)
+	o := newOpenReports()
+	o.sentEarlier(&EngineState{StartUnixMilli: 2}, now)
+	o.acknowledged(netip.MustParseAddrPort("10.0.0.1:9"), &peerlink.ReportAck{Sequence: 9}, now)
+	if !o.mayBeUsed("m", 2, 2, now.Add(peerlink.VerifiedTTL-time.Millisecond)) {
+		t.Error("a report of an earlier process does not count")
+	}
+	if o.mayBeUsed("m", 2, 2, now.Add(peerlink.VerifiedTTL)) {
+		t.Error("a report of an earlier process counts for too long")
+	}
+	o.sentEarlier(&EngineState{StartUnixMilli: 2}, now)
+	o.acknowledged(netip.MustParseAddrPort("10.0.0.1:9"), &peerlink.ReportAck{Sequence: 9, FirstStart: 2}, now)
+	if o.mayBeUsed("m", 2, 2, now) {
+		t.Error("a report on another ID counts")
+	}
+}
