--- a/lib/directory/restored.go
+++ b/lib/directory/restored.go
@@ -16,6 +16,8 @@
 // removalTime, the longest time in which the store removes the row of a silent server.
 func (d *Directory) Restore(servers []*Server, removalTime time.Duration, now time.Time) {
 	clear(d.withheld)
+	// Starts whose rows the store has lost may have been missed.
+	d.firstStarts.follow(true, now)
 	listed := make(map[string]*Server, len(servers))
 	for _, s := range servers {
 		if d.hasEnded(s) {
