--- a/lib/relay/restored_test.go
+++ b/lib/relay/restored_test.go
@@ -110,7 +110,8 @@
 			Expect(err).NotTo(HaveOccurred())
 			role := func() Role { return Role{HasFollowers: true} }
 			if i > 0 {
-				role = func() Role { return Role{Upstream: instances[0].address()} }
+				upstream := instances[0].address()
+				role = func() Role { return Role{Upstream: upstream} }
 			}
 			instances = append(instances, n)
 			go NewServer(map[string]*Cache{"t": n.cache}, n.stopping.Load).Run(ctx, n.ln)
