Move the guard of slow bodies to lib/memory

The product's entry needs the same guard as the platform's. ProgressGuard and ReadFull are unchanged but for their names. A reservation can have several users: a request and the queue of the connection that its body is sent on.

--- a/gateway/receive_body.go
+++ b/gateway/receive_body.go
@@ -8,8 +8,11 @@
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/memory"
 )
 
+var errBodyTooSlow = errors.New("body too slow while others wait for memory")
+
 const (
 	// freeBodyBytes is what a body may take without a reservation. Callers that announce a
 	// long body and send none get no room.
@@ -33,7 +36,7 @@
 	}
 	// One byte more than announced shows the end of the body.
 	first := make([]byte, min(freeBodyBytes, size+1))
-	n, err := readFull(source, first, nil)
+	n, err := memory.ReadFull(source, first, nil)
 	if errors.Is(err, io.EOF) {
 		return first[:n], nil
 	}
@@ -45,9 +48,10 @@
 	}
 	body := make([]byte, size+1)
 	copy(body, first)
-	guard := r.guardSlowBody(http.NewResponseController(r.writer))
-	more, err := readFull(source, body[n:], &guard.received)
-	if guard.stop() {
+	control := http.NewResponseController(r.writer)
+	guard := r.gateway.requestBudget.GuardProgress(func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	more, err := memory.ReadFull(source, body[n:], guard)
+	if guard.Stop() {
 		return nil, errBodyTooSlow
 	}
 	if errors.Is(err, io.EOF) {
--- a/lib/memory/budget_test.go
+++ b/lib/memory/budget_test.go
@@ -73,6 +73,21 @@
 		Expect(b.Held()).To(BeZero())
 	})
 
+	It("keeps the room of a shared reservation until its last user has ended", func() {
+		// Guards against room that is granted again while a queue still holds the bytes.
+		b := memory.NewBudget(100, 100)
+		r, err := b.Acquire(ctx, "a", 60)
+		Expect(err).NotTo(HaveOccurred())
+		request := r.Share()
+		queue := request.Hold()
+		request.Release()
+		Expect(b.Held()).To(BeEquivalentTo(60))
+		queue.Release()
+		Expect(b.Held()).To(BeZero())
+		var none *memory.Reservation
+		none.Share().Hold().Release()
+	})
+
 	It("holds no more than its limits and loses no room", func() {
 		// Guards against room that is granted twice, or not returned by a call that has given up.
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
