Settings of entries and agents name their memory

[memory] limit, from 128MiB to 1TiB. The default is 256MiB, the memory that a node spends on control at most, and 128KiB for each concurrent request of an agent where that is more. A limit below that conflicts with the capacity.

--- a/lib/settings/agent.go
+++ b/lib/settings/agent.go
@@ -10,6 +10,7 @@
 	Transport Transport
 	Log       Log
 	Drain     Drain
+	Memory    Memory
 }
 
 // ParseAgent parses the text of a settings file. The name of the file is used in
@@ -29,5 +30,6 @@
 		Drain:     r.drain(),
 	}
 	a.Transfer = r.transfer(a.Backend.Kind)
+	a.Memory = r.memory(a.Backend.Capacity)
 	return a, r.finish()
 }
--- a/lib/settings/entry.go
+++ b/lib/settings/entry.go
@@ -8,6 +8,7 @@
 	Transport Transport
 	Log       Log
 	Drain     Drain
+	Memory    Memory
 }
 
 // ParseEntry parses the text of a settings file. The name of the file is used in
@@ -24,6 +25,7 @@
 		Transport: r.transport(),
 		Log:       r.log(),
 		Drain:     r.drain(),
+		Memory:    r.memory(0),
 	}
 	return e, r.finish()
 }
--- a/lib/settings/settings_test.go
+++ b/lib/settings/settings_test.go
@@ -48,6 +48,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(e.Transport.OperatorNames).To(Equal([]string{"ops.umurage", "ci.umurage"}))
 		Expect(e.Drain.Timeout).To(Equal(2 * time.Minute))
+		Expect(e.Memory.Limit).To(Equal(1 * settings.GiB))
 		a, err := settings.LoadAgent(filepath.Join(examples, "agent-engine.ini"))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(a.Transfer.StagingBytes).To(Equal(48 * settings.GiB))
@@ -59,6 +60,19 @@
 		Expect(p.Log.Level).To(Equal("info"))
 	})
 
+	DescribeTable("derives the memory limit that is not set",
+		// Guards against an agent whose requests alone take more than its default.
+		func(capacity string, want settings.Bytes) {
+			a, err := settings.ParseAgent("x.ini", strings.Replace(example("agent-plain.ini"), "capacity = 32", capacity, 1))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(a.Memory.Limit).To(Equal(want))
+			Expect(a.Memory.BodyBytes()).To(BeEquivalentTo(want / 3))
+			Expect(a.Memory.ResponseBytes()).To(BeEquivalentTo(want / 8))
+		},
+		Entry("with the default capacity", "", 256*settings.MiB),
+		Entry("with the largest capacity", "capacity = 4096", 512*settings.MiB),
+	)
+
 	// Guards against violations that are reported one at a time, which would cost the
 	// operator one restart of the daemon each.
 	It("reports all violations together with line, key, value and allowed values", func() {
@@ -91,6 +105,12 @@
 		Entry("fencing of a plain service", "agent-plain.ini", "capacity = 32", "fencing = checked", "conflicts with kind = plain"),
 		Entry("staging of a plain service", "agent-plain.ini", "[transport]", "[transfer]\nstaging = /x\n[transport]", "plain services have no weights"),
 		Entry("address that is not HTTP", "entry.ini", "http://10.20.0.5:8500", "10.20.0.5:8500", "not an HTTP address"),
+		Entry("memory without a unit", "entry.ini", "limit = 1GiB", "limit = 1073741824", "[memory] limit = \"1073741824\": value is not a size with a unit; allowed: a size with a unit, such as 64MiB, from 128MiB to 1TiB"),
+		Entry("memory in an unknown unit", "entry.ini", "limit = 1GiB", "limit = 1GB", "[memory] limit = \"1GB\": value is not a size with a unit"),
+		Entry("too little memory", "entry.ini", "limit = 1GiB", "limit = 127MiB", "[memory] limit = \"127MiB\": value is out of range"),
+		Entry("memory beyond any machine", "entry.ini", "limit = 1GiB", "limit = 2TiB", "[memory] limit = \"2TiB\": value is out of range"),
+		Entry("unknown key of the memory", "entry.ini", "limit = 1GiB", "limits = 1GiB", "[memory] limits = \"1GiB\": key is unknown; allowed: limit"),
+		Entry("memory that is too little for the capacity", "agent-engine.ini", "capacity = 16", "capacity = 4096\n[memory]\nlimit = 256MiB", "x.ini:26: [memory] limit = \"256MiB\": value conflicts with capacity = 4096 of [backend]; allowed: at least 512MiB for this capacity, or a capacity of at most 2048"),
 		Entry("broken line", "entry.ini", "level  = info", "level info", "key-value delimiter not found"),
 	)
 })
