Bound the memory of callers' bodies in entries

Callers saw: an entry that ran out of memory in a burst of long bodies ended, and with it requests that had run.

Cause: the HTTP library read each body before it called the handler, the handler copied it, and nothing bounded the sum. The netpoll transport also read whatever callers sent ahead, forms were read and written to files by the library, and white space and trailers of chunked bodies had no limit.

Change: bodies are read by the handler, as in the gateway. Beyond 16 KiB one waits in its connection until the budget, a third of the memory of the settings, has room for its announced or largest length; then the request is refused as not run, with a time to come back, event 4004 and counters. The standard transport replaces netpoll; the handler detects disconnections after the body, as the library does so only for requests without one.

--- a/entry/caller/parse.go
+++ b/entry/caller/parse.go
@@ -35,7 +35,8 @@
 	idempotencyKey string
 	claimProof     string
 	contentType    string
-	body           []byte
+	// bodyLength is the announced length of the body, or unknownLength.
+	bodyLength int64
 }
 
 // refusal describes why a request is invalid.
@@ -69,8 +70,8 @@
 	if refused := checkLengths(raw); refused != nil {
 		return nil, refused
 	}
-	if limit := bodyLimit(service); int64(len(raw.body)) > limit {
-		return nil, refuse(outcome.ReasonTooLarge, "body has %d bytes, service %q allows %d", len(raw.body), service.Name, limit)
+	if raw.bodyLength > bodyLimit(service) {
+		return nil, tooLarge(service, strconv.FormatInt(raw.bodyLength, 10))
 	}
 	return &Request{
 		ID:             model.RequestID(raw.requestID),
@@ -82,10 +83,14 @@
 		IdempotencyKey: raw.idempotencyKey,
 		ClaimProof:     raw.claimProof,
 		ContentType:    raw.contentType,
-		Body:           raw.body,
 	}, nil
 }
 
+// tooLarge refuses a body of a number of bytes, which is "more" if it is not known.
+func tooLarge(service config.Service, bytes string) *refusal {
+	return refuse(outcome.ReasonTooLarge, "body has %s bytes, service %q allows %d", bytes, service.Name, bodyLimit(service))
+}
+
 func checkLengths(raw rawRequest) *refusal {
 	for _, header := range []struct{ name, value string }{
 		{HeaderRequestID, raw.requestID},
--- a/entry/caller/parse_test.go
+++ b/entry/caller/parse_test.go
@@ -37,7 +37,7 @@
 		Entry("deadline of zero", func(r *rawRequest) { r.deadlineMillis = "0" }, outcome.ReasonInvalid, HeaderDeadlineMillis),
 		Entry("idempotency key that is too long", func(r *rawRequest) { r.idempotencyKey = strings.Repeat("k", 129) }, outcome.ReasonInvalid, HeaderIdempotencyKey),
 		Entry("request ID that is too long", func(r *rawRequest) { r.requestID = strings.Repeat("k", 129) }, outcome.ReasonInvalid, HeaderRequestID),
-		Entry("body that is too large", func(r *rawRequest) { r.body = make([]byte, 11) }, outcome.ReasonTooLarge, "11 bytes"),
+		Entry("body that is too large", func(r *rawRequest) { r.bodyLength = 11 }, outcome.ReasonTooLarge, "11 bytes"),
 	)
 
 	It("uses defaults for omitted headers", func() {
--- a/entry/caller/request.go
+++ b/entry/caller/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/memory"
 	"github.com/auburnbend/auburnbend/lib/model"
 )
 
@@ -22,4 +23,7 @@
 	ClaimProof  string
 	ContentType string
 	Body        []byte
+	// Room is the room of a long body, and nil for a short one. The server releases it when
+	// Handler returns. Whoever keeps the body for longer holds it.
+	Room *memory.Shared
 }
--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -15,12 +15,13 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	hertzconfig "github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/network/netpoll"
+	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/google/uuid"
 
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/config"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/memory"
 	"github.com/auburnbend/auburnbend/lib/outcome"
 )
 
@@ -45,9 +46,22 @@
 	Handler Handler
 	Invalid InvalidCounter
 	Log     *eventlog.Logger
+	// MaxBodyBytes limits the memory of the long bodies of all requests together, in bytes.
+	// Zero means 64 MiB.
+	MaxBodyBytes int64
+	// MaxResponseBytes limits the memory of the long responses that are not streamed, in
+	// bytes. Zero means 32 MiB.
+	MaxResponseBytes int64
 }
 
 const (
+	// defaultMaxHeldBodies is the default of Config.MaxBodyBytes.
+	defaultMaxHeldBodies = 64 << 20
+	// otherTenantsShare is the part of MaxBodyBytes that the bodies of one tenant leave to
+	// others: an eighth.
+	otherTenantsShare = 8
+	// maxHeadBytes limits the head of a request.
+	maxHeadBytes = 64 << 10
 	// hertzExitTimeout is longer than any drain. The library would otherwise
 	// abort requests after its own limit; the context of Drain decides instead.
 	hertzExitTimeout = 24 * time.Hour
@@ -66,18 +80,28 @@
 	// closeConnections makes each connection close after its current request.
 	closeConnections atomic.Bool
 	running          atomic.Int64
+	// bodies bounds the memory of long bodies; its holders are tenants.
+	bodies *memory.Budget
 }
 
 // NewServer returns a Server. Run starts it.
 func NewServer(cfg Config) *Server {
-	s := &Server{cfg: cfg, drain: newDrain()}
+	if cfg.MaxBodyBytes <= 0 {
+		cfg.MaxBodyBytes = defaultMaxHeldBodies
+	}
+	s := &Server{cfg: cfg, drain: newDrain(), bodies: memory.NewBudget(cfg.MaxBodyBytes, cfg.MaxBodyBytes-cfg.MaxBodyBytes/otherTenantsShare)}
 	options := []hertzconfig.Option{
-		server.WithListener(cfg.Listener),
-		server.WithTransport(netpoll.NewTransporter),
+		server.WithListener(listener{cfg.Listener}),
+		// The netpoll transport reads whatever callers send into memory before anybody asks
+		// for it.
+		server.WithTransport(standard.NewTransporter),
+		server.WithOnAccept(contextOf),
 		server.WithSenseClientDisconnection(true),
-		// Bodies slightly over the limit are still read, so that the refusal can
-		// state the limit.
-		server.WithMaxRequestBodySize(maxBodyBytes + 1<<20),
+		// The handler reads bodies once there is room for them. The library would otherwise
+		// read each before it calls the handler, and forms even then.
+		server.WithStreamBody(true),
+		server.WithDisablePreParseMultipartForm(true),
+		server.WithMaxHeaderBytes(maxHeadBytes),
 		server.WithExitWaitTime(hertzExitTimeout),
 		server.WithDisablePrintRoute(true),
 	}
@@ -168,7 +192,10 @@
 	s.closeIfDraining(ctx)
 	// The drain may begin while the request is running.
 	defer s.closeIfDraining(ctx)
+	body := newBody(c, ctx)
+	defer body.discard()
 	raw := readRaw(ctx)
+	raw.bodyLength = body.length
 	if raw.requestID == "" {
 		raw.requestID = uuid.NewString()
 	}
@@ -195,6 +222,15 @@
 	}
 	c, release := s.drain.follow(c)
 	defer release()
+	err := s.receive(c, request, body)
+	defer request.Room.Release()
+	if err != nil {
+		result := s.notReceived(request, body, err)
+		s.cfg.Log.Log(eventlog.RequestNotRun, "request", raw.requestID, "service", request.Service.Name, "tenant", request.Tenant.Name, "reason", result.Reason)
+		response.End(result)
+		return
+	}
+	defer body.detectDisconnect()()
 	s.handle(c, request, response)
 }
 
@@ -202,7 +238,6 @@
 // returns, while an attempt may still be in transit to an agent.
 func readRaw(ctx *app.RequestContext) rawRequest {
 	header := func(name string) string { return strings.Clone(string(ctx.GetHeader(name))) }
-	body := ctx.Request.Body()
 	return rawRequest{
 		service:        strings.Clone(ctx.Param("service")),
 		requestID:      header(HeaderRequestID),
@@ -212,7 +247,6 @@
 		idempotencyKey: header(HeaderIdempotencyKey),
 		claimProof:     header(HeaderClaimProof),
 		contentType:    header("Content-Type"),
-		body:           append([]byte(nil), body...),
 	}
 }
 
--- a/entry/caller/status.go
+++ b/entry/caller/status.go
@@ -41,6 +41,8 @@
 		return http.StatusNotFound
 	case outcome.ReasonTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case outcome.ReasonBodyNotReceived:
+		return http.StatusRequestTimeout
 	case outcome.ReasonOverloaded, outcome.ReasonQueueFull, outcome.ReasonRetryBudget:
 		return http.StatusTooManyRequests
 	case outcome.ReasonQuarantined:
--- a/entry/config.go
+++ b/entry/config.go
@@ -60,6 +60,11 @@
 	// BalancerLag is the time from the start of draining, when the readiness check
 	// begins to fail, until the entry stops accepting requests. Zero means 3 s.
 	BalancerLag time.Duration
+
+	// MaxBodyBytes and MaxResponseBytes limit the memory of long bodies of requests, and of
+	// long responses that are not streamed, each for all requests together, in bytes. Zero
+	// takes the defaults of package caller.
+	MaxBodyBytes, MaxResponseBytes int64
 }
 
 func (c Config) applyDefaults() Config {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/auburnbend/auburnbend/lib/config"
 	"github.com/auburnbend/auburnbend/lib/follow"
 	"github.com/auburnbend/auburnbend/lib/listen"
+	"github.com/auburnbend/auburnbend/lib/memory"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/security"
 	"github.com/auburnbend/auburnbend/lib/wire"
@@ -80,6 +81,9 @@
 		Handler:  e.dispatcher,
 		Invalid:  cfg.Metrics,
 		Log:      cfg.Log,
+
+		MaxBodyBytes:     cfg.MaxBodyBytes,
+		MaxResponseBytes: cfg.MaxResponseBytes,
 	})
 	e.follower.Watch(func(v *config.View) { e.dispatcher.ApplyConfig(v.Config) })
 	e.setUpOperatorServer()
@@ -119,6 +123,9 @@
 // agent.
 func (e *Entry) AttemptsSent(id model.InstanceID) int { return e.fleet.AttemptsSent(id) }
 
+// Budgets returns the budgets of what the entry holds for others, by kind.
+func (e *Entry) Budgets() map[string]*memory.Budget { return e.callerServer.Budgets() }
+
 // Traffic returns the number of bytes sent and received on the open connections that
 // this entry has opened to agents and other entries.
 func (e *Entry) Traffic() (sent, received int64) { return e.fleet.Traffic() }
--- a/entry/program.go
+++ b/entry/program.go
@@ -64,6 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
+	daemon.LimitMemory(int64(s.Memory.Limit))
 	instances := httpbacking.NewInstances(httpbacking.Config{URL: s.Platform.InstanceList})
 	instances.OnInvalid = func(id string, err error) { log.Log(eventlog.InstanceInvalid, "instance", id, "err", err) }
 	p := &process{}
@@ -87,7 +88,12 @@
 		Policy:           policy,
 		Table:            httpbacking.NewTable(httpbacking.Config{URL: s.Platform.TableService}),
 		InstanceList:     instances,
+		MaxBodyBytes:     s.Memory.BodyBytes(),
+		MaxResponseBytes: s.Memory.ResponseBytes(),
 	})
+	if err := p.metrics.ObserveMemory(p.Budgets()); err != nil {
+		return nil, err
+	}
 	p.OnConfigChange(func(v *config.View) { p.metrics.DeclareLabels(v.Config) })
 	p.Start()
 	return p, nil
--- a/lib/attempt/reason.go
+++ b/lib/attempt/reason.go
@@ -9,6 +9,7 @@
 	case outcome.ReasonDraining,
 		outcome.ReasonWeightsMismatch,
 		outcome.ReasonOverloaded,
+		outcome.ReasonMemoryExhausted,
 		outcome.ReasonQueueFull,
 		outcome.ReasonNoBackendServer,
 		outcome.ReasonConnectionLost,
--- a/lib/eventlog/events_request.go
+++ b/lib/eventlog/events_request.go
@@ -5,6 +5,7 @@
 	RequestNotRun        = Event{4001, Info, "request was not run", "Nothing unless frequent; the reason names the limit."}
 	RequestUnknown       = Event{4002, Warn, "request may have run but has no complete response", "Nothing; the caller was told."}
 	RequestInvalid       = Event{4003, Info, "request is malformed", "Nothing; the caller was told what is wrong and where."}
+	CallerBeyondMemory   = Event{4004, Warn, "request refused because the memory for bodies is used up", "Nothing unless it lasts; then add entries or memory, or find the tenant that sends long bodies."}
 	GateMismatch         = Event{4101, Info, "agent refused a request for weights that are not loaded", "Nothing unless it lasts beyond a rollout."}
 	ClaimWithoutResult   = Event{4301, Warn, "idempotency key is claimed but has no result", "Ask the service whether the request ran."}
 	ClaimReleased        = Event{4302, Info, "claim released: request proved not run", "Nothing."}
@@ -17,6 +18,7 @@
 	RequestNotRun,
 	RequestUnknown,
 	RequestInvalid,
+	CallerBeyondMemory,
 	GateMismatch,
 	ClaimWithoutResult,
 	ClaimReleased,
--- a/lib/outcome/reason.go
+++ b/lib/outcome/reason.go
@@ -29,6 +29,10 @@
 	ReasonUnknownTenant    Reason = "unknown_tenant"
 	ReasonTooLarge         Reason = "body_too_large"
 	ReasonInternalFault    Reason = "internal_fault"
+	// ReasonMemoryExhausted means that there was no memory for a long body.
+	ReasonMemoryExhausted Reason = "memory_exhausted"
+	// ReasonBodyNotReceived means that the body did not arrive, or too slowly.
+	ReasonBodyNotReceived Reason = "body_not_received"
 )
 
 // Reasons returns all reasons other than ReasonNone.
@@ -38,6 +42,6 @@
 		ReasonNoBackendServer, ReasonDuplicate, ReasonAlreadyClaimed, ReasonStoreUnavailable,
 		ReasonQuarantined, ReasonConnectionLost, ReasonBackendCrashed, ReasonBackendError,
 		ReasonIncomplete, ReasonCanceled, ReasonRetryBudget, ReasonHopLimit, ReasonInvalid,
-		ReasonUnknownService, ReasonUnknownTenant, ReasonTooLarge,
+		ReasonUnknownService, ReasonUnknownTenant, ReasonTooLarge, ReasonMemoryExhausted, ReasonBodyNotReceived,
 	}
 }
--- a/lib/telemetry/metrics_test.go
+++ b/lib/telemetry/metrics_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/memory"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/outcome"
 	"github.com/auburnbend/auburnbend/lib/telemetry"
@@ -68,6 +69,29 @@
 		}
 	})
 
+	It("exposes what is held for others", func() {
+		// Guards against refusals for lack of memory that operators do not see.
+		m, err := telemetry.New(telemetry.Config{})
+		Expect(err).NotTo(HaveOccurred())
+		b := memory.NewBudget(10, 5)
+		Expect(m.ObserveMemory(map[string]*memory.Budget{"request": b})).To(Succeed())
+		_, err = b.Acquire(context.Background(), "a", 5)
+		Expect(err).NotTo(HaveOccurred())
+		ended, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err = b.Acquire(ended, "a", 1)
+		Expect(err).To(HaveOccurred())
+		rec := &responseRecorder{}
+		m.Handler().ServeHTTP(rec, &http.Request{Method: http.MethodGet})
+		for _, line := range []string{
+			`auburnbend_memory_held_bytes{kind="request"} 5`,
+			`auburnbend_memory_delays_total{kind="request"} 1`,
+			`auburnbend_memory_refusals_total{kind="request"} 1`,
+		} {
+			Expect(rec.String()).To(ContainSubstring(line))
+		}
+	})
+
 	// Guards against callers growing the memory of an entry by sending arbitrary
 	// tenant names.
 	It("counts undeclared names under other", func() {
