Hold the body of a request once between entry and agent

A request to an agent was encoded into a frame, which copied its body twice, and up to 256 frames wait in the queue of a connection: 1 GiB of bodies for each agent that does not read. Frames now refer to the data of requests and responses, ten bodies of 4 MiB are sent with less than 1 MiB of allocations, and the room of a body is held until it has been passed to the operating system or dropped. An entry forgets the body once its caller has the response.

--- a/entry/dispatch/run.go
+++ b/entry/dispatch/run.go
@@ -55,19 +55,23 @@
 	timing         timing
 	unackedFrames  int
 	unackedBytes   int
+	// tokens estimates those of the request, promptTokens those of its prompt.
 	tokens         int
+	promptTokens   int
 	responded      bool
 	outcomePending bool
 }
 
 func newRun(d *Dispatcher, r *caller.Request, w caller.ResponseWriter) *run {
+	promptTokens := len(r.Body) / bytesPerToken
 	return &run{
-		dispatcher:  d,
-		request:     r,
-		response:    w,
-		fingerprint: model.FingerprintOf(r.Tenant.Name, r.Service.Name, r.Body),
-		claimID:     model.AttemptID(uuid.NewString()),
-		tokens:      len(r.Body)/bytesPerToken + defaultResponseTokens,
+		dispatcher:   d,
+		request:      r,
+		response:     w,
+		fingerprint:  model.FingerprintOf(r.Tenant.Name, r.Service.Name, r.Body),
+		claimID:      model.AttemptID(uuid.NewString()),
+		tokens:       promptTokens + defaultResponseTokens,
+		promptTokens: promptTokens,
 		machine: attempt.New(d.cfg.Attempt, attempt.Request{
 			ID:         r.ID,
 			Tenant:     r.Tenant.Name,
@@ -91,6 +95,8 @@
 			break
 		}
 	}
+	// The server returns the room of the body, and an attempt that is followed needs none.
+	r.request.Body = nil
 	if r.outcomePending {
 		r.dispatcher.outcomePending.Add(1)
 		go func() {
@@ -213,7 +219,7 @@
 		r.attemptOutcome = outcome.NotRun
 		return step
 	}
-	inbox, err := r.slot.Link.Start(&wire.RequestStart{
+	inbox, err := r.slot.Link.StartHeld(&wire.RequestStart{
 		Request:         r.request.ID,
 		Attempt:         r.attempt,
 		Tenant:          r.request.Tenant.Name,
@@ -229,7 +235,7 @@
 		ContentType:     r.request.ContentType,
 		IdempotencyKey:  r.request.IdempotencyKey,
 		Body:            r.request.Body,
-	})
+	}, r.request.Room.Hold().Release)
 	if err != nil {
 		// Start returns an error only if nothing was sent.
 		r.attemptOutcome = outcome.NotRun
--- a/entry/dispatch/run_end.go
+++ b/entry/dispatch/run_end.go
@@ -53,7 +53,7 @@
 	if mean, ok := r.timing.betweenFrames(); ok && r.request.Service.Kind == config.KindModel {
 		d.cfg.Fleet.ObserveBetweenTokens(r.slot, mean)
 	}
-	d.admission.correctCharge(r.request.Service.Pool, r.request.Tenant.Name, r.tokens, len(r.request.Body)/bytesPerToken+r.timing.frames)
+	d.admission.correctCharge(r.request.Service.Pool, r.request.Tenant.Name, r.tokens, r.promptTokens+r.timing.frames)
 	r.slot.Link.Finish(r.attempt)
 	d.cfg.Fleet.Finish(r.slot, r.attemptOutcome, r.routeResult)
 	r.slot, r.inbox = nil, nil
--- a/entry/link/link.go
+++ b/entry/link/link.go
@@ -168,15 +168,22 @@
 
 // Start sends the first message of an attempt and returns the inbox of the attempt.
 // ErrNotSent means that the agent definitely did not receive the attempt.
-func (l *Link) Start(m *wire.RequestStart) (*Inbox, error) {
+func (l *Link) Start(m *wire.RequestStart) (*Inbox, error) { return l.StartHeld(m, nil) }
+
+// StartHeld is Start for a message whose body takes room that somebody counts. release, which
+// may be nil, is called once the link no longer holds the body, also on an error.
+func (l *Link) StartHeld(m *wire.RequestStart, release func()) (*Inbox, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.accepted {
+		if release != nil {
+			release()
+		}
 		return nil, merry.Wrap(ErrNotSent, merry.AppendMessage("no connection"))
 	}
 	inbox := newInbox()
 	l.inboxes[m.Attempt] = inbox
-	if err := l.conn.TrySend(m); err != nil {
+	if err := l.conn.TrySendHeld(m, release); err != nil {
 		delete(l.inboxes, m.Attempt)
 		return nil, merry.Wrap(ErrNotSent, merry.WithCause(err))
 	}
--- a/lib/wire/conn.go
+++ b/lib/wire/conn.go
@@ -35,11 +35,20 @@
 	lastData atomic.Int64
 }
 
-// queuedFrame is an encoded frame that waits to be written. If written is not nil, it
-// is closed once the frame has been passed to the operating system.
+// queuedFrame is an encoded frame that waits to be written, in two parts. If written is not
+// nil, it is closed once the frame has been passed to the operating system. If release is
+// not nil, it is called once the frame has been passed to it or dropped.
 type queuedFrame struct {
-	frame   []byte
-	written chan struct{}
+	frame, tail []byte
+	written     chan struct{}
+	release     func()
+}
+
+// end is called once the frame is no longer held.
+func (q *queuedFrame) end() {
+	if q.release != nil {
+		q.release()
+	}
 }
 
 // NewConn returns a connection that owns nc, and starts its writer goroutine.
@@ -57,12 +66,12 @@
 // Send queues a message. It blocks while the queue is full, as backpressure to the
 // sender. It returns ErrClosed after Close.
 func (c *Conn) Send(m Message) error {
-	frame, err := c.encode(m)
+	queued, err := c.encode(m)
 	if err != nil {
 		return err
 	}
 	select {
-	case c.queue <- queuedFrame{frame: frame}:
+	case c.queue <- queued:
 		return nil
 	case <-c.done:
 		return merry.Wrap(ErrClosed)
@@ -73,11 +82,11 @@
 // system, so that a sender of large frames holds only one of them in memory. It returns
 // ErrClosed after Close.
 func (c *Conn) SendAndFlush(m Message) error {
-	frame, err := c.encode(m)
+	queued, err := c.encode(m)
 	if err != nil {
 		return err
 	}
-	queued := queuedFrame{frame: frame, written: make(chan struct{})}
+	queued.written = make(chan struct{})
 	select {
 	case c.queue <- queued:
 	case <-c.done:
@@ -94,29 +103,59 @@
 // TrySend queues a message without blocking. It returns ErrQueueFull if the queue is
 // full, and ErrClosed after Close. It is used for heartbeats and hints, which are
 // better lost than blocking the sender.
-func (c *Conn) TrySend(m Message) error {
-	frame, err := c.encode(m)
+func (c *Conn) TrySend(m Message) error { return c.TrySendHeld(m, nil) }
+
+// TrySendHeld is TrySend for a message whose data takes room that somebody counts. It calls
+// release, which may be nil, once the message has been passed to the operating system or
+// dropped, also if it returns an error.
+func (c *Conn) TrySendHeld(m Message, release func()) error {
+	queued, err := c.encode(m)
+	queued.release = release
 	if err != nil {
+		queued.end()
 		return err
 	}
 	select {
 	case <-c.done:
+		queued.end()
 		return merry.Wrap(ErrClosed)
 	default:
 	}
 	select {
-	case c.queue <- queuedFrame{frame: frame}:
-		return nil
+	case c.queue <- queued:
 	default:
+		queued.end()
 		return merry.Wrap(ErrQueueFull)
 	}
+	select {
+	case <-c.done:
+		// The writer may have emptied the queue before.
+		c.dropQueue()
+	default:
+	}
+	return nil
 }
 
-func (c *Conn) encode(m Message) ([]byte, error) {
+// encode encodes a message. It keeps the data of a request or a response, which must not be
+// modified afterwards.
+func (c *Conn) encode(m Message) (queuedFrame, error) {
 	if !isHeartbeatOrHint(m.Type()) {
 		c.lastData.Store(time.Now().UnixNano())
 	}
-	return Append(nil, m)
+	frame, tail, err := encodeShared(m)
+	return queuedFrame{frame: frame, tail: tail}, err
+}
+
+// dropQueue drops the queued messages of a closed connection.
+func (c *Conn) dropQueue() {
+	for {
+		select {
+		case queued := <-c.queue:
+			queued.end()
+		default:
+			return
+		}
+	}
 }
 
 // isHeartbeatOrHint reports whether t is a heartbeat or a cache hint. Messages of all
@@ -158,6 +197,7 @@
 func (c *Conn) RemoteAddr() net.Addr { return c.nc.RemoteAddr() }
 
 func (c *Conn) writeLoop() {
+	defer c.dropQueue()
 	w := bufio.NewWriterSize(c.nc, bufferSize)
 	for {
 		select {
@@ -180,10 +220,11 @@
 	}
 	var flushed []chan struct{}
 	for {
-		if _, err := w.Write(next.frame); err != nil {
+		err := c.write(w, next)
+		next.end()
+		if err != nil {
 			return false
 		}
-		c.sent.Add(int64(len(next.frame)))
 		if next.written != nil {
 			flushed = append(flushed, next.written)
 		}
@@ -201,3 +242,16 @@
 		return true
 	}
 }
+
+// write writes one frame. Its tail has been passed to the operating system afterwards, but
+// for what the buffer of w holds.
+func (c *Conn) write(w *bufio.Writer, q queuedFrame) error {
+	if _, err := w.Write(q.frame); err != nil {
+		return err
+	}
+	if _, err := w.Write(q.tail); err != nil {
+		return err
+	}
+	c.sent.Add(int64(len(q.frame) + len(q.tail)))
+	return nil
+}
--- a/lib/wire/conn_test.go
+++ b/lib/wire/conn_test.go
@@ -1,7 +1,13 @@
 package wire_test
 
 import (
+	"bytes"
+	"io"
 	"net"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -54,6 +60,111 @@
 		Expect(err).To(MatchError(wire.ErrHandshake))
 	})
 
+	It("delivers requests and responses of any length unchanged", func() {
+		// Guards against data that is damaged where it is sent without a copy.
+		a, b := net.Pipe()
+		sender, receiver := wire.NewConn(a), wire.NewConn(b)
+		DeferCleanup(func() { _, _ = sender.Close(), receiver.Close() })
+		var total int64
+		for _, length := range []int{0, 1, 255, 256, 4<<10 - 1, 4 << 10, 1<<16 - 1, 1 << 16, 1<<16 + 1, 4 << 20} {
+			data := bytes.Repeat([]byte{byte(length), 0xc0}, length/2+1)[:length]
+			start := &wire.RequestStart{Request: "r", Attempt: "a", Suspect: true, IdempotencyKey: "key", Body: data}
+			frame := &wire.ResponseFrame{Attempt: "a", Sequence: 7, Data: data}
+			for _, m := range []wire.Message{start, frame} {
+				Expect(sender.TrySend(m)).To(Succeed())
+				got, err := receiver.Receive()
+				Expect(err).NotTo(HaveOccurred())
+				want, err := wire.Append(nil, m)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(wire.Append(nil, got)).To(Equal(want))
+				total += int64(len(want))
+				Eventually(func() int64 { sent, _ := sender.ByteCounts(); return sent }).Should(Equal(total))
+			}
+			Expect(start.Body).To(Equal(data))
+		}
+		Expect(sender.TrySend(&wire.RequestStart{Body: make([]byte, wire.MaxFrameBytes)})).To(MatchError(wire.ErrFrameTooLarge))
+	})
+
+	It("sends long bodies without a copy of them", func() {
+		// Guards against a queue that holds each body again, and more than once.
+		a, b := net.Pipe()
+		sender := wire.NewConn(a)
+		DeferCleanup(func() { _ = sender.Close() })
+		var received atomic.Int64
+		go func() {
+			for buf := make([]byte, 64<<10); ; {
+				n, err := b.Read(buf)
+				received.Add(int64(n))
+				if err != nil {
+					return
+				}
+			}
+		}()
+		body := make([]byte, 4<<20)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		const count = 10
+		for range count {
+			Expect(sender.TrySend(&wire.RequestStart{Body: body})).To(Succeed())
+		}
+		runtime.ReadMemStats(&after)
+		Expect(after.TotalAlloc-before.TotalAlloc).To(BeNumerically("<", 1<<20), "bytes allocated")
+		Eventually(received.Load, 10*time.Second).Should(BeNumerically(">=", count*len(body)))
+	})
+
+	It("releases the room of each message once it is sent or dropped", func() {
+		// Guards against bodies that are held without room in the queue of a connection that
+		// does not move, and against room that is never returned.
+		for _, closing := range []bool{false, true} {
+			a, b := net.Pipe()
+			sender := wire.NewConn(a)
+			const count = 300
+			var held atomic.Int64
+			refused := 0
+			for range count {
+				held.Add(1)
+				err := sender.TrySendHeld(&wire.RequestStart{Body: make([]byte, 128<<10)}, func() { held.Add(-1) })
+				if err != nil {
+					refused++
+				}
+			}
+			Expect(refused).To(BeNumerically(">", 0))
+			Consistently(held.Load, 100*time.Millisecond).Should(BeEquivalentTo(count - refused))
+			if closing {
+				Expect(sender.Close()).To(Succeed())
+			} else {
+				go func() { _, _ = io.Copy(io.Discard, b) }()
+			}
+			Eventually(held.Load, 5*time.Second).Should(BeZero())
+			_ = sender.Close()
+			held.Add(1)
+			Expect(sender.TrySendHeld(&wire.RequestStart{}, func() { held.Add(-1) })).To(MatchError(wire.ErrClosed))
+			Expect(held.Load()).To(BeZero())
+		}
+	})
+
+	It("returns all room if it is closed while messages are sent", func() {
+		// Guards against a message that is queued after the queue of a closed connection has
+		// been emptied.
+		for range 200 {
+			a, _ := net.Pipe()
+			sender := wire.NewConn(a)
+			var held atomic.Int64
+			var sending sync.WaitGroup
+			for range 4 {
+				sending.Go(func() {
+					for range 8 {
+						held.Add(1)
+						_ = sender.TrySendHeld(&wire.RequestStart{}, func() { held.Add(-1) })
+					}
+				})
+			}
+			Expect(sender.Close()).To(Succeed())
+			sending.Wait()
+			Eventually(held.Load, time.Second, time.Millisecond).Should(BeZero())
+		}
+	})
+
 	It("does not block senders after Close", func() {
 		a, _ := net.Pipe()
 		conn := wire.NewConn(a)
