Bound the memory of responses that entries do not stream

An entry held responses of up to 64 MiB each, claimed ones twice, and copied them again to send them; their sum had no limit.

Responses beyond 64 KiB now reserve 1 MiB, and beyond that the largest size in a second part of the budget (an eighth of the memory), so that responses which are held in part never wait for each other. They wait until the deadline of the request (event 4005), and are sent from the frames that arrived. The body that is kept for a claim ends where the store would omit it. A caller that does not read has 30 s beyond its deadline. The content type is limited to 1 KiB, as agents limit what precedes a body.

--- a/entry/caller/body_bed_test.go
+++ b/entry/caller/body_bed_test.go
@@ -70,19 +70,23 @@
 	w.End(Result{Outcome: outcome.Completed, ContentType: fmt.Sprintf("text/length-%d", len(r.Body))})
 }
 
-func newBodyBed() *bodyBed {
+func newBodyBed() *bodyBed { return newBodyBedWith(func(*Config) {}) }
+
+func newBodyBedWith(change func(*Config)) *bodyBed {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	cfg := &config.Config{
-		Services: []config.Service{{Name: "draft", Timeout: time.Minute, MaxBodyBytes: maxBodyBytes}},
+		Services: []config.Service{{Name: "draft", Timeout: time.Minute, MaxBodyBytes: maxBodyBytes}, {Name: "other"}},
 		Tenants:  []config.Tenant{{Name: "a"}, {Name: "b"}},
 		Classes:  []config.Class{{Name: "usual", FirstToken: 2 * time.Second}},
 	}
 	b := &bodyBed{address: listener.Addr().String(), release: make(chan struct{})}
-	b.server = NewServer(Config{
+	serverConfig := Config{
 		Listener: listener, Clock: clock.System{}, Current: func() *config.Config { return cfg },
 		Handler: b, Invalid: &fakeInvalid{reasons: make(chan outcome.Reason, 1000)}, Log: eventlog.Discard(), MaxBodyBytes: heldBodies,
-	})
+	}
+	change(&serverConfig)
+	b.server = NewServer(serverConfig)
 	go func() { _ = b.server.Run() }()
 	Eventually(func() error {
 		conn, err := net.Dial("tcp", b.address)
--- a/entry/caller/held_response.go
+++ b/entry/caller/held_response.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"slices"
+
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"github.com/auburnbend/auburnbend/lib/outcome"
@@ -14,8 +16,8 @@
 	stream *streamResponse
 }
 
-func newHeldStreamResponse(ctx *app.RequestContext, request string) *heldStreamResponse {
-	return &heldStreamResponse{bufferedResponse: newBufferedResponse(ctx, request), stream: newStreamResponse(ctx, request)}
+func newHeldStreamResponse(ctx *app.RequestContext, request string, room *responseRoom) *heldStreamResponse {
+	return &heldStreamResponse{bufferedResponse: newBufferedResponse(ctx, request, room), stream: newStreamResponse(ctx, request)}
 }
 
 // End sends a failure with its status, as to callers that want no stream.
@@ -24,8 +26,14 @@
 		w.bufferedResponse.End(r)
 		return
 	}
-	if len(w.data) > 0 && w.stream.Write(w.data) != nil {
-		return
+	defer w.Reset()
+	for _, part := range w.parts {
+		// An event is built in memory.
+		for piece := range slices.Chunk(part, freeResponseBytes) {
+			if w.stream.Write(piece) != nil {
+				return
+			}
+		}
 	}
 	w.stream.End(r)
 }
--- a/entry/caller/parse.go
+++ b/entry/caller/parse.go
@@ -18,6 +18,9 @@
 	maxIDLength = 128
 	// maxProofLength is the maximum length of the claim proof header in bytes.
 	maxProofLength = 1024
+	// maxContentTypeLength is the maximum length of the content type in bytes. Agents
+	// limit the fields of a request that precede its body.
+	maxContentTypeLength = 1024
 	// maxBodyBytes is the maximum size of a body, so that it fits into one frame
 	// to an agent.
 	maxBodyBytes = 4 << 20
@@ -100,6 +103,9 @@
 			return refuse(outcome.ReasonInvalid, "header %s has %d bytes, allowed are %d", header.name, len(header.value), maxIDLength)
 		}
 	}
+	if len(raw.contentType) > maxContentTypeLength {
+		return refuse(outcome.ReasonInvalid, "header Content-Type has %d bytes, allowed are %d", len(raw.contentType), maxContentTypeLength)
+	}
 	if len(raw.claimProof) > maxProofLength {
 		return refuse(outcome.ReasonInvalid, "header %s has %d bytes, allowed are %d", HeaderClaimProof, len(raw.claimProof), maxProofLength)
 	}
--- a/entry/caller/parse_test.go
+++ b/entry/caller/parse_test.go
@@ -37,6 +37,7 @@
 		Entry("deadline of zero", func(r *rawRequest) { r.deadlineMillis = "0" }, outcome.ReasonInvalid, HeaderDeadlineMillis),
 		Entry("idempotency key that is too long", func(r *rawRequest) { r.idempotencyKey = strings.Repeat("k", 129) }, outcome.ReasonInvalid, HeaderIdempotencyKey),
 		Entry("request ID that is too long", func(r *rawRequest) { r.requestID = strings.Repeat("k", 129) }, outcome.ReasonInvalid, HeaderRequestID),
+		Entry("content type that is too long", func(r *rawRequest) { r.contentType = strings.Repeat("k", 1025) }, outcome.ReasonInvalid, "Content-Type"),
 		Entry("body that is too large", func(r *rawRequest) { r.bodyLength = 11 }, outcome.ReasonTooLarge, "11 bytes"),
 	)
 
--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -57,6 +57,8 @@
 const (
 	// defaultMaxHeldBodies is the default of Config.MaxBodyBytes.
 	defaultMaxHeldBodies = 64 << 20
+	// defaultMaxHeldResponses is the default of Config.MaxResponseBytes.
+	defaultMaxHeldResponses = 32 << 20
 	// otherTenantsShare is the part of MaxBodyBytes that the bodies of one tenant leave to
 	// others: an eighth.
 	otherTenantsShare = 8
@@ -67,6 +69,9 @@
 	hertzExitTimeout = 24 * time.Hour
 	// closeTimeout limits the closing of idle connections after the last request.
 	closeTimeout = time.Second
+	// responseWriteTime limits the time for which a caller may leave a response unread, and
+	// with it the memory of the response, beyond the deadline of its request.
+	responseWriteTime = 30 * time.Second
 	// drainPollInterval is the time between two checks for running requests.
 	drainPollInterval = 20 * time.Millisecond
 )
@@ -82,6 +87,8 @@
 	running          atomic.Int64
 	// bodies bounds the memory of long bodies; its holders are tenants.
 	bodies *memory.Budget
+	// responses bounds the memory of long responses.
+	responses *responseBudget
 }
 
 // NewServer returns a Server. Run starts it.
@@ -89,7 +96,13 @@
 	if cfg.MaxBodyBytes <= 0 {
 		cfg.MaxBodyBytes = defaultMaxHeldBodies
 	}
-	s := &Server{cfg: cfg, drain: newDrain(), bodies: memory.NewBudget(cfg.MaxBodyBytes, cfg.MaxBodyBytes-cfg.MaxBodyBytes/otherTenantsShare)}
+	if cfg.MaxResponseBytes <= 0 {
+		cfg.MaxResponseBytes = defaultMaxHeldResponses
+	}
+	s := &Server{
+		cfg: cfg, drain: newDrain(), responses: newResponseBudget(cfg.MaxResponseBytes),
+		bodies: memory.NewBudget(cfg.MaxBodyBytes, cfg.MaxBodyBytes-cfg.MaxBodyBytes/otherTenantsShare),
+	}
 	options := []hertzconfig.Option{
 		server.WithListener(listener{cfg.Listener}),
 		// The netpoll transport reads whatever callers send into memory before anybody asks
@@ -106,6 +119,7 @@
 		server.WithDisablePrintRoute(true),
 	}
 	s.hertz = server.New(options...)
+	s.hertz.Use(func(_ context.Context, ctx *app.RequestContext) { limitWrites(ctx, responseWriteTime) })
 	s.hertz.POST("/v1/services/:service", s.serve)
 	s.hertz.GET("/ready", s.ready)
 	return s
@@ -169,6 +183,11 @@
 	_ = s.hertz.Shutdown(ctx)
 }
 
+// limitWrites limits the time in which the response must have been sent.
+func limitWrites(ctx *app.RequestContext, d time.Duration) {
+	_ = ctx.GetConn().SetWriteDeadline(time.Now().Add(d))
+}
+
 func (s *Server) ready(_ context.Context, ctx *app.RequestContext) {
 	switch {
 	case s.draining.Load():
@@ -199,7 +218,10 @@
 	if raw.requestID == "" {
 		raw.requestID = uuid.NewString()
 	}
-	response := newResponseWriter(ctx, raw.requestID)
+	c, release := s.drain.follow(c)
+	defer release()
+	room := &responseRoom{ctx: c, budget: s.responses, service: raw.service}
+	response := newResponseWriter(ctx, raw.requestID, room)
 	current := s.cfg.Current()
 	if current == nil {
 		response.End(Result{Outcome: outcome.NotRun, Reason: outcome.ReasonNoBackendServer, RetryAfter: time.Second, Detail: "no configuration is in force yet"})
@@ -218,10 +240,13 @@
 		return
 	}
 	if request.Service.Kind == config.KindPlain && acceptsStream(ctx) {
-		response = newHeldStreamResponse(ctx, string(request.ID))
+		response = newHeldStreamResponse(ctx, string(request.ID), room)
 	}
-	c, release := s.drain.follow(c)
-	defer release()
+	left := request.Deadline.Sub(s.cfg.Clock.Now())
+	limitWrites(ctx, left+responseWriteTime)
+	var cancel context.CancelFunc
+	room.ctx, cancel = context.WithTimeout(c, left)
+	defer cancel()
 	err := s.receive(c, request, body)
 	defer request.Room.Release()
 	if err != nil {
@@ -250,11 +275,11 @@
 	}
 }
 
-func newResponseWriter(ctx *app.RequestContext, request string) ResponseWriter {
+func newResponseWriter(ctx *app.RequestContext, request string, room *responseRoom) ResponseWriter {
 	if acceptsStream(ctx) {
 		return newStreamResponse(ctx, request)
 	}
-	return newBufferedResponse(ctx, request)
+	return newBufferedResponse(ctx, request, room)
 }
 
 // acceptsStream reports whether the caller gets events as they are made. A caller with
--- a/entry/dispatch/run.go
+++ b/entry/dispatch/run.go
@@ -52,9 +52,9 @@
 	attemptOutcome outcome.Outcome
 	responseEnd    *wire.ResponseEnd
 
-	timing         timing
-	unackedFrames  int
-	unackedBytes   int
+	timing        timing
+	unackedFrames int
+	unackedBytes  int
 	// tokens estimates those of the request, promptTokens those of its prompt.
 	tokens         int
 	promptTokens   int
--- a/entry/dispatch/run_events.go
+++ b/entry/dispatch/run_events.go
@@ -10,6 +10,8 @@
 	"github.com/auburnbend/auburnbend/entry/link"
 	"github.com/auburnbend/auburnbend/lib/attempt"
 	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/memory"
 	"github.com/auburnbend/auburnbend/lib/outcome"
 	"github.com/auburnbend/auburnbend/lib/route"
 	"github.com/auburnbend/auburnbend/lib/wire"
@@ -40,7 +42,7 @@
 		}
 		return r.machine.Reattached(r.now(), r.attempt)
 	case link.MessageReceived:
-		return r.receive(e.Message)
+		return r.receive(ctx, e.Message)
 	default:
 		return attempt.Step{}
 	}
@@ -63,7 +65,7 @@
 	}
 }
 
-func (r *run) receive(m wire.Message) attempt.Step {
+func (r *run) receive(ctx context.Context, m wire.Message) attempt.Step {
 	switch m := m.(type) {
 	case *wire.RequestRefused:
 		r.attemptOutcome = outcome.NotRun
@@ -72,7 +74,7 @@
 		}
 		return r.machine.Refused(r.now(), r.attempt, m.Reason, time.Duration(m.RetryAfterMillis)*time.Millisecond)
 	case *wire.ResponseFrame:
-		return r.forwardFrame(m)
+		return r.forwardFrame(ctx, m)
 	case *wire.ResponseEnd:
 		r.responseEnd = m
 		r.recordServerResult(m)
@@ -99,7 +101,7 @@
 }
 
 // forwardFrame passes a frame of the response on to the caller.
-func (r *run) forwardFrame(m *wire.ResponseFrame) attempt.Step {
+func (r *run) forwardFrame(ctx context.Context, m *wire.ResponseFrame) attempt.Step {
 	step := r.machine.Frame(r.now(), m.Attempt, m.Sequence, m.Data)
 	if !step.Forward {
 		return step
@@ -107,10 +109,21 @@
 	r.observeFrame()
 	r.acknowledge(len(m.Data))
 	data := m.Data[step.SkipBytes:]
-	if r.claimed {
+	if r.claimed && len(r.body) <= r.dispatcher.cfg.Ledger.MaxResultBytes() {
+		// A body that is longer than this is not stored.
 		r.body = append(r.body, data...)
 	}
-	if !r.responded && r.response.Write(data) != nil {
+	if r.responded {
+		return step
+	}
+	switch err := r.response.Write(data); {
+	case errors.Is(err, memory.ErrExhausted):
+		r.dispatcher.cfg.Log.Log(eventlog.ResponseBeyondMemory, "request", r.request.ID, "service", r.request.Service.Name, "tenant", r.request.Tenant.Name)
+		if ctx.Err() == nil {
+			return r.machine.DeadlinePassed(r.now())
+		}
+		return r.interrupted(ctx)
+	case err != nil:
 		return r.machine.Canceled(r.now())
 	}
 	return step
--- a/lib/claim/ledger.go
+++ b/lib/claim/ledger.go
@@ -42,6 +42,9 @@
 	return l
 }
 
+// MaxResultBytes returns the maximum size of a body that is stored.
+func (l *Ledger) MaxResultBytes() int { return l.config.MaxResultBytes }
+
 // SetRetention sets the time for which keys are kept. It may be called while
 // the ledger is in use.
 func (l *Ledger) SetRetention(d time.Duration) { l.retention.Store(int64(d)) }
--- a/lib/eventlog/events_request.go
+++ b/lib/eventlog/events_request.go
@@ -6,7 +6,9 @@
 	RequestUnknown       = Event{4002, Warn, "request may have run but has no complete response", "Nothing; the caller was told."}
 	RequestInvalid       = Event{4003, Info, "request is malformed", "Nothing; the caller was told what is wrong and where."}
 	CallerBeyondMemory   = Event{4004, Warn, "request refused because the memory for bodies is used up", "Nothing unless it lasts; then add entries or memory, or find the tenant that sends long bodies."}
+	ResponseBeyondMemory = Event{4005, Warn, "response given up because the memory for responses was used up until the deadline", "Add entries or memory, or have callers of long responses ask for streams."}
 	GateMismatch         = Event{4101, Info, "agent refused a request for weights that are not loaded", "Nothing unless it lasts beyond a rollout."}
+	AgentBeyondMemory    = Event{4102, Warn, "agent refused a request because its memory for bodies is used up", "Nothing unless it lasts; then raise the memory limit of the agent."}
 	ClaimWithoutResult   = Event{4301, Warn, "idempotency key is claimed but has no result", "Ask the service whether the request ran."}
 	ClaimReleased        = Event{4302, Info, "claim released: request proved not run", "Nothing."}
 	RequestQuarantined   = Event{4401, Warn, "request quarantined: backend servers crashed while running it", "Find the content by its fingerprint and inform its caller."}
@@ -19,7 +21,9 @@
 	RequestUnknown,
 	RequestInvalid,
 	CallerBeyondMemory,
+	ResponseBeyondMemory,
 	GateMismatch,
+	AgentBeyondMemory,
 	ClaimWithoutResult,
 	ClaimReleased,
 	RequestQuarantined,
