Bound the memory of bodies and unconfirmed responses in agents

Each connection of an entry brought whole bodies into an agent, twice while they were decoded, before the agent could refuse them; unconfirmed responses took up to 1 MiB for each attempt, also for 30 s after its end.

A long body now needs room, by tenant, before it is read from the connection; without it, it is dropped as it arrives and the request is refused as not run (4102, memory_exhausted, with a time to come back). It is decoded in place. Unconfirmed frames beyond 16 KiB of an attempt count against an eighth of the memory for all attempts; beyond it the backend server's connection waits.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -19,6 +19,7 @@
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/follow"
 	"github.com/auburnbend/auburnbend/lib/listen"
+	"github.com/auburnbend/auburnbend/lib/memory"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/outcome"
 	"github.com/auburnbend/auburnbend/lib/ratelimit"
@@ -155,13 +156,21 @@
 }
 
 // logRefusal is called for each request that the gate refuses. It logs only those
-// for weights that the instance does not serve.
+// for weights that the instance does not serve, and those without memory.
 func (a *Agent) logRefusal(reason outcome.Reason) {
-	if reason == outcome.ReasonWeightsMismatch {
+	switch reason {
+	case outcome.ReasonWeightsMismatch:
 		a.cfg.Log.Log(eventlog.GateMismatch)
+	case outcome.ReasonMemoryExhausted:
+		a.cfg.Log.Log(eventlog.AgentBeyondMemory, "held", a.gate.Bodies().Held())
 	}
 }
 
+// Budgets returns the budgets of what the agent holds for others, by kind.
+func (a *Agent) Budgets() map[string]*memory.Budget {
+	return map[string]*memory.Budget{"request": a.gate.Bodies()}
+}
+
 // handleCrash is called when the engine has crashed or restarted. incarnation
 // identifies the run of the engine that ended.
 func (a *Agent) handleCrash(incarnation uint64) {
--- a/agent/gate/attach.go
+++ b/agent/gate/attach.go
@@ -51,7 +51,7 @@
 		return false
 	}
 	if !r.running {
-		delete(c.records, attempt)
+		c.remove(r)
 		return false
 	}
 	return true
@@ -66,7 +66,7 @@
 		switch {
 		case !r.running:
 			if now.Sub(r.endedAt) > c.config.ResponseRetention {
-				delete(c.records, id)
+				c.remove(r)
 			}
 		case !r.repeatable:
 		case !now.Before(r.deadline), r.detached && now.Sub(r.detachedAt) >= c.config.ReattachTimeout:
--- a/agent/gate/config.go
+++ b/agent/gate/config.go
@@ -9,6 +9,14 @@
 const (
 	defaultCapacity    = 32
 	defaultReplayBytes = 1 << 20
+	// defaultMaxBodyBytes and defaultMaxResponseBytes are for agents without settings.
+	defaultMaxBodyBytes     = 64 << 20
+	defaultMaxResponseBytes = 32 << 20
+	// otherTenantsShare is the part of MaxBodyBytes that the bodies of one tenant leave to
+	// others: an eighth.
+	otherTenantsShare = 8
+	// freeReplayBytes is what the unconfirmed frames of one attempt take in any case.
+	freeReplayBytes = 16 << 10
 	// defaultDuplicateWindow is twice the time for which entries rely on the statement
 	// that an attempt was never seen.
 	defaultDuplicateWindow = 10 * time.Minute
@@ -30,6 +38,9 @@
 	Capacity int
 	// ReplayBytes is the maximum size of the unconfirmed frames of one attempt in bytes.
 	ReplayBytes int
+	// MaxBodyBytes and MaxResponseBytes limit the memory of the long bodies of requests, and
+	// of the unconfirmed frames of responses, each for all attempts together, in bytes.
+	MaxBodyBytes, MaxResponseBytes int64
 	// DuplicateWindow is the time for which attempt IDs are remembered, in order to
 	// recognize duplicates.
 	DuplicateWindow time.Duration
@@ -56,6 +67,11 @@
 			*v = value
 		}
 	}
+	setBytes := func(v *int64, value int64) {
+		if *v <= 0 {
+			*v = value
+		}
+	}
 	setDuration := func(v *time.Duration, value time.Duration) {
 		if *v <= 0 {
 			*v = value
@@ -69,6 +85,8 @@
 	}
 	setInt(&c.Capacity, defaultCapacity)
 	setInt(&c.ReplayBytes, defaultReplayBytes)
+	setBytes(&c.MaxBodyBytes, defaultMaxBodyBytes)
+	setBytes(&c.MaxResponseBytes, defaultMaxResponseBytes)
 	setInt(&c.MaxWindowIDs, defaultMaxWindowIDs)
 	setDuration(&c.DuplicateWindow, defaultDuplicateWindow)
 	setDuration(&c.ReattachTimeout, defaultReattachTimeout)
--- a/agent/gate/core.go
+++ b/agent/gate/core.go
@@ -29,6 +29,10 @@
 	// request to it.
 	limit         ratelimit.Limit
 	lastRequestAt time.Time
+	// heldResponses are the bytes of unconfirmed frames that count against the limit.
+	// responsesFull is true if an attempt has found no room for more since ResponsesFull.
+	heldResponses int64
+	responsesFull bool
 }
 
 // crashedRequest is a request that was running when the backend server crashed.
@@ -118,6 +122,8 @@
 		return outcome.ReasonWeightsMismatch, 0
 	case c.quarantine != nil && c.quarantine.Quarantined(now, start.Fingerprint):
 		return outcome.ReasonQuarantined, 0
+	case start.BodyDropped:
+		return outcome.ReasonMemoryExhausted, c.config.RetryAfter
 	case start.Suspect && c.runsSuspect():
 		// Two entries may pick this instance for a suspect at the same time.
 		return outcome.ReasonOverloaded, c.config.RetryAfter
@@ -153,7 +159,7 @@
 	if !ok || !r.running || r.truncated {
 		return true
 	}
-	if r.replay.bytes > 0 && r.replay.bytes+len(data) > c.config.ReplayBytes {
+	if r.replay.bytes > 0 && r.replay.bytes+len(data) > c.config.ReplayBytes || !c.responseFits(r, len(data)) {
 		if !r.detached || now.Sub(r.detachedAt) < c.config.ReattachTimeout {
 			return false
 		}
@@ -161,11 +167,42 @@
 		r.truncated = true
 		return true
 	}
+	c.heldResponses -= r.replay.countedBytes()
 	r.replay.add(data)
+	c.heldResponses += r.replay.countedBytes()
 	_, _ = r.hash.Write(data)
 	return true
 }
 
+// responseFits reports whether there is room for more bytes of a response. One that is larger
+// than all room fits if nothing else is held.
+func (c *Core) responseFits(r *record, bytes int) bool {
+	more := max(0, int64(r.replay.bytes+bytes)-freeReplayBytes) - r.replay.countedBytes()
+	if more == 0 || c.heldResponses == 0 || c.heldResponses+more <= c.config.MaxResponseBytes {
+		return true
+	}
+	c.responsesFull = true
+	return false
+}
+
+// ResponsesFull reports whether an attempt has found no room for its response since the last
+// call.
+func (c *Core) ResponsesFull() bool {
+	full := c.responsesFull
+	c.responsesFull = false
+	return full
+}
+
+// HeldResponses returns the number of bytes of responses that count against
+// MaxResponseBytes.
+func (c *Core) HeldResponses() int64 { return c.heldResponses }
+
+// remove removes the record of an attempt.
+func (c *Core) remove(r *record) {
+	c.heldResponses -= r.replay.countedBytes()
+	delete(c.records, r.attempt)
+}
+
 // End records that an attempt on the backend server has ended, and its result.
 func (c *Core) End(now time.Time, attempt model.AttemptID, o outcome.Outcome, reason outcome.Reason, status int, contentType string) {
 	r, ok := c.records[attempt]
@@ -206,9 +243,11 @@
 	if !ok {
 		return
 	}
+	c.heldResponses -= r.replay.countedBytes()
 	r.replay.ack(next)
+	c.heldResponses += r.replay.countedBytes()
 	if r.end != nil && next > r.end.Frames {
-		delete(c.records, attempt)
+		c.remove(r)
 	}
 }
 
--- a/agent/gate/gate.go
+++ b/agent/gate/gate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/clock"
+	"github.com/auburnbend/auburnbend/lib/memory"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/outcome"
 	"github.com/auburnbend/auburnbend/lib/wire"
@@ -18,6 +19,8 @@
 	backend   Backend
 	onChange  func()
 	onRefusal func(outcome.Reason)
+	// bodies bounds the memory of long bodies; its holders are tenants.
+	bodies *memory.Budget
 
 	mu       sync.Mutex
 	core     *Core
@@ -33,10 +36,12 @@
 // New returns a gate that admits no weights yet. If quarantine is nil, no request is
 // quarantined.
 func New(config Config, clk clock.Clock, backend Backend, quarantine Quarantine) *Gate {
+	config = config.applyDefaults()
 	return &Gate{
 		clock:     clk,
-		onChange:  config.applyDefaults().OnChange,
-		onRefusal: config.applyDefaults().OnRefusal,
+		onChange:  config.OnChange,
+		onRefusal: config.OnRefusal,
+		bodies:    memory.NewBudget(config.MaxBodyBytes, config.MaxBodyBytes-config.MaxBodyBytes/otherTenantsShare),
 		backend:   backend,
 		core:      NewCore(config, quarantine),
 		attempts:  make(map[model.AttemptID]*activeAttempt),
@@ -45,6 +50,15 @@
 	}
 }
 
+// ReserveBody implements wire.BodyRoom. Connections of entries must use it.
+func (g *Gate) ReserveBody(tenant model.Tenant, bytes int64) (*memory.Shared, bool) {
+	room, ok := g.bodies.TryAcquire(string(tenant), bytes)
+	return room.Share(), ok
+}
+
+// Bodies returns the budget of long bodies.
+func (g *Gate) Bodies() *memory.Budget { return g.bodies }
+
 // Connect adds a connection of an entry. It must be called before the connection's
 // first message is handled. Crash reports are sent on all connections.
 func (g *Gate) Connect(c Sender) {
--- a/agent/gate/replay_buffer.go
+++ b/agent/gate/replay_buffer.go
@@ -10,6 +10,9 @@
 // nextSequence returns the sequence number of the next frame to be added.
 func (r *replayBuffer) nextSequence() uint64 { return r.firstSequence + uint64(len(r.frames)) }
 
+// countedBytes is the part of the bytes that counts against the limit of all attempts.
+func (r *replayBuffer) countedBytes() int64 { return max(0, int64(r.bytes)-freeReplayBytes) }
+
 func (r *replayBuffer) add(data []byte) {
 	r.frames = append(r.frames, data)
 	r.bytes += len(data)
--- a/agent/gate/run.go
+++ b/agent/gate/run.go
@@ -17,8 +17,10 @@
 	admission := g.core.Admit(g.clock.Now(), m)
 	switch admission.Decision {
 	case Refuse:
+		m.Room.Release()
 		return admission.Refusal
 	case Ignore:
+		m.Room.Release()
 		return nil
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -36,6 +38,7 @@
 // until Backend.Run returns, even if it was canceled long before.
 func (g *Gate) runAttempt(ctx context.Context, a *activeAttempt, start wire.RequestStart) {
 	defer a.cancel()
+	defer start.Room.Release()
 	status, contentType, err := g.backend.Run(ctx, start, func(data []byte) error { return g.emit(ctx, a, data) })
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -172,10 +175,16 @@
 func (g *Gate) ack(m *wire.ResponseAck) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	wasFull := g.core.ResponsesFull()
 	g.core.Ack(m.Attempt, m.NextSequence)
 	if a, ok := g.attempts[m.Attempt]; ok {
 		notify(a.bufferSpace)
 	}
+	if wasFull {
+		for _, a := range g.attempts {
+			notify(a.bufferSpace)
+		}
+	}
 	g.removeFinished()
 }
 
--- a/agent/program.go
+++ b/agent/program.go
@@ -86,6 +86,8 @@
 		LinkRate:     s.Transfer.LinkRate.BytesPerSecond(),
 		UploadSlots:  s.Transfer.UploadSlots,
 	}
+	daemon.LimitMemory(int64(s.Memory.Limit))
+	cfg.Gate.MaxBodyBytes, cfg.Gate.MaxResponseBytes = s.Memory.BodyBytes(), s.Memory.ResponseBytes()
 	cfg.Backend.Guard.EnforcesFencing = s.Backend.Fencing == settings.FencingChecked
 	if s.Platform.WeightStore != "" {
 		cfg.WeightStore = httpbacking.NewSource(httpbacking.Config{URL: s.Platform.WeightStore})
@@ -93,6 +95,9 @@
 	if p.Agent, err = New(cfg); err != nil {
 		return nil, err
 	}
+	if err := p.metrics.ObserveMemory(p.Budgets()); err != nil {
+		return nil, err
+	}
 	p.Start()
 	return p, nil
 }
--- a/agent/session.go
+++ b/agent/session.go
@@ -50,6 +50,7 @@
 func (s *session) run() {
 	a := s.agent
 	id := config.PeerID{Instance: s.peer.Identity.Instance, Generation: s.peer.Identity.Generation}
+	s.conn.LimitBodies(a.gate.ReserveBody)
 	a.gate.Connect(s.conn)
 	a.follower.PeerConnected(id, true, s.conn.TrySend)
 	a.sessions.add(s)
--- a/lib/memory/budget.go
+++ b/lib/memory/budget.go
@@ -62,6 +62,18 @@
 	return nil, errors.Join(ErrExhausted, context.Cause(ctx))
 }
 
+// TryAcquire reserves bytes for a holder if there is room now.
+func (b *Budget) TryAcquire(holder string, bytes int64) (*Reservation, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.fits(holder, bytes) {
+		b.delayed++
+		b.refused++
+		return nil, false
+	}
+	return b.reserve(holder, bytes), true
+}
+
 // Held returns the bytes that are reserved.
 func (b *Budget) Held() int64 {
 	b.mu.Lock()
@@ -69,14 +81,14 @@
 	return b.held
 }
 
-// Delayed returns the number of calls of Acquire that have found no room at first.
+// Delayed returns the number of calls that have found no room at first.
 func (b *Budget) Delayed() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.delayed
 }
 
-// Refused returns the number of calls of Acquire that have found no room.
+// Refused returns the number of calls that have found no room.
 func (b *Budget) Refused() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/lib/wire/conn.go
+++ b/lib/wire/conn.go
@@ -33,6 +33,8 @@
 	// lastData is the time at which the last message other than a heartbeat or a cache
 	// hint was queued, in nanoseconds since the Unix epoch.
 	lastData atomic.Int64
+	// bodyRoom is nil if bodies are not limited.
+	bodyRoom BodyRoom
 }
 
 // queuedFrame is an encoded frame that waits to be written, in two parts. If written is not
@@ -170,7 +172,12 @@
 
 // Receive returns the next message. It blocks until one arrives or the connection
 // fails.
-func (c *Conn) Receive() (Message, error) { return Read(c.reader) }
+func (c *Conn) Receive() (Message, error) {
+	if c.bodyRoom != nil {
+		return readHeld(c.reader, c.bodyRoom)
+	}
+	return Read(c.reader)
+}
 
 // SetReadDeadline sets the deadline of Receive. The zero time removes it.
 func (c *Conn) SetReadDeadline(t time.Time) error { return c.nc.SetReadDeadline(t) }
@@ -216,6 +223,7 @@
 // a burst of frames needs only one system call. It returns false if a write failed.
 func (c *Conn) writeBatch(w *bufio.Writer, next queuedFrame) bool {
 	if c.nc.SetWriteDeadline(time.Now().Add(writeTimeout)) != nil {
+		next.end()
 		return false
 	}
 	var flushed []chan struct{}
--- a/lib/wire/conn_test.go
+++ b/lib/wire/conn_test.go
@@ -5,17 +5,27 @@
 	"io"
 	"net"
 	"runtime"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
+	"github.com/auburnbend/auburnbend/lib/memory"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/wire"
 )
 
+// must returns a value that cannot fail.
+func must[T any](value T, err error) T {
+	Expect(err).NotTo(HaveOccurred())
+	return value
+}
+
 var _ = Describe("Conn", func() {
 	It("exchanges Hello and delivers messages in order", func() {
 		a, b := net.Pipe()
@@ -165,6 +175,121 @@
 		}
 	})
 
+	Describe("with limited bodies", func() {
+		var sender, receiver *wire.Conn
+		var budget *memory.Budget
+		BeforeEach(func() {
+			a, b := net.Pipe()
+			sender, receiver = wire.NewConn(a), wire.NewConn(b)
+			DeferCleanup(func() { _, _ = sender.Close(), receiver.Close() })
+			budget = memory.NewBudget(8<<20, 7<<20)
+			receiver.LimitBodies(func(tenant model.Tenant, bytes int64) (*memory.Shared, bool) {
+				room, ok := budget.TryAcquire(string(tenant), bytes)
+				return room.Share(), ok
+			})
+		})
+
+		It("delivers bodies of any length unchanged, and counts the long ones", func() {
+			// Guards against a message that differs from what was sent, and a reader that loses
+			// the beginning of the next one.
+			for _, length := range []int{0, 1, 4 << 10, 15 << 10, 16 << 10, 17 << 10, 1<<16 - 1, 1 << 16, 4 << 20} {
+				body := bytes.Repeat([]byte{byte(length), 'b', 0xc5}, length/3+1)[:length]
+				start := &wire.RequestStart{
+					Request: "r", Attempt: "a", Tenant: "huye", Class: "c", Service: "s", Weights: model.Weights{Base: model.Sum([]byte("v"))},
+					RemainingMillis: -5, Hop: 2, Priority: -1000, Repeatable: true, ContentType: strings.Repeat("t", 1024), IdempotencyKey: "b", Body: body,
+				}
+				Expect(sender.TrySend(start)).To(Succeed())
+				Expect(sender.TrySend(&wire.Heartbeat{Sequence: uint64(length)})).To(Succeed())
+				m, err := receiver.Receive()
+				Expect(err).NotTo(HaveOccurred())
+				got := m.(*wire.RequestStart)
+				Expect(wire.Append(nil, got)).To(Equal(must(wire.Append(nil, start))))
+				Expect(got.BodyDropped).To(BeFalse())
+				if length > 16<<10 {
+					Expect(budget.Held()).To(BeEquivalentTo(length))
+				}
+				got.Room.Release()
+				Expect(budget.Held()).To(BeZero())
+				m, err = receiver.Receive()
+				Expect(err).NotTo(HaveOccurred())
+				Expect(m.(*wire.Heartbeat).Sequence).To(BeEquivalentTo(length))
+			}
+		})
+
+		It("drops a body that has no room, and delivers what follows", func() {
+			// Guards against bodies that are held beyond the limit, and against a connection that
+			// waits for room and delays heartbeats.
+			var starts []*wire.RequestStart
+			for i := range 4 {
+				body := make([]byte, 4<<20)
+				Expect(sender.TrySend(&wire.RequestStart{Attempt: model.AttemptID(strconv.Itoa(i)), Tenant: "huye", Body: body})).To(Succeed())
+				m, err := receiver.Receive()
+				Expect(err).NotTo(HaveOccurred())
+				starts = append(starts, m.(*wire.RequestStart))
+			}
+			for i, s := range starts {
+				Expect(s.Attempt).To(BeEquivalentTo(strconv.Itoa(i)))
+				Expect(s.BodyDropped).To(Equal(i > 0))
+				Expect(s.Body == nil).To(Equal(i > 0))
+			}
+			Expect(budget.Held()).To(BeEquivalentTo(4 << 20))
+			Expect(budget.Refused()).To(BeEquivalentTo(3))
+		})
+
+		It("returns the room of a body that does not arrive", func() {
+			// Guards against room that is lost with a connection.
+			a, b := net.Pipe()
+			conn := wire.NewConn(b)
+			conn.LimitBodies(func(tenant model.Tenant, bytes int64) (*memory.Shared, bool) {
+				room, ok := budget.TryAcquire(string(tenant), bytes)
+				return room.Share(), ok
+			})
+			encoded := must(wire.Append(nil, &wire.RequestStart{Attempt: "a", Tenant: "huye", Body: make([]byte, 1<<20)}))
+			go func() {
+				_, _ = a.Write(encoded[:100<<10])
+				_ = a.Close()
+			}()
+			_, err := conn.Receive()
+			Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+			Expect(budget.Held()).To(BeZero())
+		})
+
+		It("rejects what is not a request, whatever its content", func() {
+			// Guards against a reader that panics on, or takes room for, invalid data.
+			rapid.Check(GinkgoT(), func(t *rapid.T) {
+				valid := must(wire.Append(nil, &wire.RequestStart{Attempt: "a", Tenant: "huye", Weights: model.Weights{Base: model.Sum([]byte("v"))}, Body: make([]byte, 40<<10)}))
+				for range rapid.IntRange(1, 5).Draw(t, "changes") {
+					// The type stays, and so does the upper half of the length.
+					i := rapid.SampledFrom([]int{2, 3, rapid.IntRange(5, 300).Draw(t, "index")}).Draw(t, "place")
+					valid[i] = rapid.Byte().Draw(t, "byte")
+				}
+				a, b := net.Pipe()
+				conn := wire.NewConn(b)
+				defer conn.Close()
+				budget := memory.NewBudget(1<<20, 1<<20)
+				conn.LimitBodies(func(tenant model.Tenant, bytes int64) (*memory.Shared, bool) {
+					if bytes > int64(len(valid)) && bytes > 1<<16 {
+						t.Fatalf("%d bytes reserved", bytes)
+					}
+					room, ok := budget.TryAcquire(string(tenant), bytes)
+					return room.Share(), ok
+				})
+				go func() {
+					_, _ = a.Write(valid)
+					_ = a.Close()
+				}()
+				if m, err := conn.Receive(); err == nil {
+					if start, ok := m.(*wire.RequestStart); ok {
+						start.Room.Release()
+					}
+				}
+				if budget.Held() != 0 {
+					t.Fatalf("%d bytes stay held", budget.Held())
+				}
+			})
+		})
+	})
+
 	It("does not block senders after Close", func() {
 		a, _ := net.Pipe()
 		conn := wire.NewConn(a)
--- a/lib/wire/request_start.go
+++ b/lib/wire/request_start.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"github.com/auburnbend/auburnbend/lib/memory"
 	"github.com/auburnbend/auburnbend/lib/model"
 )
 
@@ -26,6 +27,12 @@
 	// IdempotencyKey is passed to plain services, which may support it.
 	IdempotencyKey string `msgpack:"k"`
 	Body           []byte `msgpack:"b"`
+
+	// Room is the room of the body at the receiver, which releases it when it no longer
+	// holds the body. It is nil for a short body, and where Conn.LimitBodies was not called.
+	Room *memory.Shared `msgpack:"-"`
+	// BodyDropped means that the receiver had no room for the body.
+	BodyDropped bool `msgpack:"-"`
 }
 
 // Type returns TypeRequestStart.
--- a/lib/wire/shared_frame.go
+++ b/lib/wire/shared_frame.go
@@ -12,6 +12,9 @@
 // minSharedTail is the size in bytes from which data is not copied into its frame.
 const minSharedTail = 4 << 10
 
+// nilCode is the encoding of data that is nil.
+const nilCode = 0xc0
+
 // tailed is a message that ends with data that may be long.
 type tailed interface {
 	Message
@@ -49,7 +52,7 @@
 	if err != nil {
 		return nil, nil, merry.Wrap(err)
 	}
-	// The head ends with a nil in place of the data.
+	// The head ends with nilCode in place of the data.
 	encoded = appendBinaryHeader(encoded[:len(encoded)-1], len(tail))
 	size := len(encoded) + len(tail)
 	if size > MaxFrameBytes {
