Pass on responses of plain services as they arrive at the agent

An agent held each response of a plain service whole, up to 64 MiB, before it sent its first frame. Its frames are bounded by the replay buffer, and callers get such responses only once they are complete, so nothing is gained by that.

--- a/agent/plain_server.go
+++ b/agent/plain_server.go
@@ -23,22 +23,17 @@
 }
 
 func (p *plainServer) Run(ctx context.Context, start wire.RequestStart, emit func([]byte) error) (int, string, error) {
-	response, err := p.client.Call(ctx, engine.PlainRequest{
+	response, err := p.client.Stream(ctx, engine.PlainRequest{
 		ID:              start.Request,
 		Service:         start.Service,
 		IdempotencyKey:  start.IdempotencyKey,
 		ContentType:     start.ContentType,
 		RemainingMillis: start.RemainingMillis,
 		Body:            start.Body,
-	})
+	}, emit)
 	if err != nil {
 		return 0, "", markNotStarted(err)
 	}
-	if len(response.Body) > 0 {
-		if err := emit(response.Body); err != nil {
-			return 0, "", err
-		}
-	}
 	return response.Status, response.ContentType, nil
 }
 
--- a/agent/plain_server_test.go
+++ b/agent/plain_server_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strconv"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -65,3 +69,44 @@
 		Consistently(p.load, 2*pollInterval).Should(Equal(wire.Load{Capacity: 9}))
 	})
 })
+
+var _ = Describe("The response of a plain service", func() {
+	It("waits in the service's connection and not in memory", func() {
+		// Guards against agents that hold whole responses of 64 MiB, each of them once more
+		// than its frames.
+		const size, part = 60 << 20, 1 << 20
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", strconv.Itoa(size))
+			for range size / part {
+				if _, err := w.Write(make([]byte, part)); err != nil {
+					return
+				}
+			}
+		}))
+		DeferCleanup(server.Close)
+		client, err := engine.NewPlainClient(engine.Config{Address: server.URL})
+		Expect(err).NotTo(HaveOccurred())
+		p := newPlainServer(client, Config{Clock: clock.System{}, Capacity: 9})
+		var received int
+		var paused, held int64
+		live := func() int64 {
+			runtime.GC()
+			var stats runtime.MemStats
+			runtime.ReadMemStats(&stats)
+			return int64(stats.HeapAlloc)
+		}
+		before := live()
+		status, _, err := p.Run(context.Background(), wire.RequestStart{Request: "r", Service: "s"}, func(data []byte) error {
+			if received += len(data); received > size/2 && paused == 0 {
+				paused = 1
+				time.Sleep(100 * time.Millisecond)
+				held = live() - before
+			}
+			return nil
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(received).To(Equal(size))
+		Expect(held).To(BeNumerically("<", 8<<20), "bytes held, both ends")
+	})
+})
--- a/lib/engine/exchange.go
+++ b/lib/engine/exchange.go
@@ -135,29 +135,64 @@
 	}
 }
 
-// body reads a response body of at most limit bytes. It rejects a body that is
-// delimited by the end of the connection, because truncation would go unnoticed.
+// body reads a response body of at most limit bytes.
 func (x *exchange) body(ctx context.Context, limit int64) ([]byte, error) {
+	if !x.resp.IsBodyStream() && x.resp.Header.ContentLength() >= -1 {
+		return x.resp.Body(), nil
+	}
+	var data []byte
+	err := x.copyBody(ctx, limit, func(part []byte) error {
+		data = append(data, part...)
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return data, nil
+}
+
+// copyBody passes a response body of at most limit bytes in parts to emit, which must not keep
+// them. It rejects a body that is delimited by the end of the connection, because truncation
+// would go unnoticed. It returns the errors of emit unchanged.
+func (x *exchange) copyBody(ctx context.Context, limit int64, emit func([]byte) error) error {
 	if x.resp.Header.ContentLength() < -1 {
-		return nil, merry.Wrap(ErrIncomplete, merry.AppendMessage("response has neither Content-Length nor chunked encoding"))
+		return merry.Wrap(ErrIncomplete, merry.AppendMessage("response has neither Content-Length nor chunked encoding"))
 	}
 	if !x.resp.IsBodyStream() {
-		return x.resp.Body(), nil
+		if body := x.resp.Body(); len(body) > 0 {
+			return emit(body)
+		}
+		return nil
 	}
 	stop := context.AfterFunc(ctx, x.close)
-	data, err := io.ReadAll(io.LimitReader(&boundedBody{source: x.resp.BodyStream(), remaining: limit + 1}, limit+1))
-	if stop() && err == nil && int64(len(data)) <= limit {
+	source := &boundedBody{source: x.resp.BodyStream(), remaining: limit + 1}
+	buf := make([]byte, maxReadBytes)
+	for length := int64(0); ; {
+		n, err := source.Read(buf)
+		if length += int64(n); length > limit {
+			stop()
+			return merry.Wrap(ErrTooLarge, merry.AppendMessagef("limit is %d bytes", limit))
+		}
+		if n > 0 {
+			if err := emit(buf[:n]); err != nil {
+				stop()
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			stop()
+			return wrapCause(ErrIncomplete, err)
+		}
+	}
+	if stop() {
 		// No other goroutine can close the body any more, so it can be returned
 		// to its pool.
 		_ = x.resp.CloseBodyStream()
 	}
-	if err != nil {
-		return nil, wrapCause(ErrIncomplete, err)
-	}
-	if int64(len(data)) > limit {
-		return nil, merry.Wrap(ErrTooLarge, merry.AppendMessagef("limit is %d bytes", limit))
-	}
-	return data, nil
+	return nil
 }
 
 // retryAfter returns the Retry-After header, or zero if it is missing or invalid.
--- a/lib/engine/plain_client.go
+++ b/lib/engine/plain_client.go
@@ -72,12 +72,28 @@
 	return r, err
 }
 
-// Call posts a request and returns the response, whatever its status. The one
+// Call is Stream that returns the body with the response.
+func (c *PlainClient) Call(ctx context.Context, req PlainRequest) (PlainResponse, error) {
+	var body []byte
+	response, err := c.Stream(ctx, req, func(part []byte) error {
+		body = append(body, part...)
+		return nil
+	})
+	response.Body = body
+	if err != nil {
+		return PlainResponse{}, err
+	}
+	return response, nil
+}
+
+// Stream posts a request, passes the body of the response in parts to emit, which must not
+// keep them, and returns the response without it, whatever its status. If it returns an
+// error, emit may have got a part of the body. Errors of emit are returned unchanged. The one
 // exception is status 429 or 503 with a Retry-After header, which means that the
 // service rejected the request without running it. Without the header it is
 // returned as a response, because a service may also use these statuses after it
 // has run the request.
-func (c *PlainClient) Call(ctx context.Context, req PlainRequest) (PlainResponse, error) {
+func (c *PlainClient) Stream(ctx context.Context, req PlainRequest, emit func([]byte) error) (PlainResponse, error) {
 	x := newExchange(consts.MethodPost, c.cfg.Address+"/"+url.PathEscape(string(req.Service)))
 	x.req.SetBodyRaw(req.Body)
 	x.req.Header.SetContentTypeBytes([]byte(req.ContentType))
@@ -98,9 +114,16 @@
 			return PlainResponse{}, notStarted(x.refusal(ctx))
 		}
 	}
-	body, err := x.body(ctx, c.cfg.MaxResponseBytes)
-	if err != nil {
+	var emitErr error
+	err := x.copyBody(ctx, c.cfg.MaxResponseBytes, func(part []byte) error {
+		emitErr = emit(part)
+		return emitErr
+	})
+	switch {
+	case emitErr != nil:
+		return PlainResponse{}, emitErr
+	case err != nil:
 		return PlainResponse{}, mayHaveRun(err)
 	}
-	return PlainResponse{Status: status, ContentType: string(x.resp.Header.ContentType()), Body: body}, nil
+	return PlainResponse{Status: status, ContentType: string(x.resp.Header.ContentType())}, nil
 }
