--- a/entry/caller/body.go
+++ b/entry/caller/body.go
@@ -15,9 +15,8 @@
 	// maxReadBytes limits one read of a chunked body: the HTTP library buffers that part of a
 	// chunk before it returns it.
 	maxReadBytes = 16 << 10
-	// discardTimeout limits the time for which the rest of a refused body is read and dropped,
-	// so that a caller that reads its answer last gets it. It is shorter for a body of unknown
-	// length, which is dropped before the answer, and for one beyond maxBodyBytes.
+	// discardTimeout limits the time for which the rest of a refused body is read and dropped.
+	// It is shorter for a body beyond maxBodyBytes, which may not end.
 	discardTimeout     = 10 * time.Second
 	longDiscardTimeout = time.Second
 	// unknownLength is the length of a body that is sent in chunks.
@@ -33,6 +32,8 @@
 	conn *conn
 	// length is the announced length, or unknownLength.
 	length int64
+	// received is the number of bytes that have been read.
+	received int64
 	// complete is true once the body has been read to its end.
 	complete bool
 }
@@ -66,6 +67,7 @@
 		more, err = memory.ReadFull(b.ctx.RequestBodyStream(), part, guard)
 		n += more
 	}
+	b.received += int64(n)
 	switch {
 	case errors.Is(err, io.EOF) && b.length == unknownLength:
 		err = nil
@@ -75,27 +77,37 @@
 	return buf[:n], err
 }
 
-// discard drops a body that is not needed. Of one with a length, the HTTP library reads the
-// rest after the answer, and closes the connection if that fails.
-func (b *body) discard() {
-	switch {
-	case b.complete || b.conn == nil:
-	case b.length != unknownLength:
-		timeout := discardTimeout
-		if b.length > maxBodyBytes {
-			timeout = longDiscardTimeout
-		}
-		_ = b.conn.SetReadDeadline(time.Now().Add(timeout))
-	default:
-		_ = b.conn.SetReadDeadline(time.Now().Add(longDiscardTimeout))
-		err := errBodyContinues
-		for buf, left := make([]byte, maxReadBytes), maxBodyBytes; err == errBodyContinues && left > 0; left -= len(buf) {
-			_, err = b.read(buf, nil)
-		}
-		if err != nil {
-			b.ctx.SetConnectionClose()
-			b.interrupt()
+// discard drops a body that is not needed, so that a caller that reads its answer last gets
+// it. Of one with a length, the HTTP library reads the rest after the answer, and closes the
+// connection if that fails; of others, and if early is true, it is dropped before the answer,
+// until ctx ends.
+func (b *body) discard(ctx context.Context, early bool) {
+	if b.complete || b.conn == nil {
+		return
+	}
+	timeout := discardTimeout
+	if b.length > maxBodyBytes {
+		timeout = longDiscardTimeout
+	}
+	_ = b.conn.SetReadDeadline(time.Now().Add(timeout))
+	if b.length != unknownLength && !early {
+		return
+	}
+	stop := context.AfterFunc(ctx, b.interrupt)
+	defer stop()
+	err := errBodyContinues
+	for buf, left := make([]byte, maxReadBytes), maxBodyBytes+1<<20; err == errBodyContinues && left > 0; left -= len(buf) {
+		if b.length != unknownLength {
+			if b.received == b.length {
+				return
+			}
+			buf = buf[:min(int64(len(buf)), b.length-b.received)]
 		}
+		_, err = b.read(buf, nil)
+	}
+	if err != nil {
+		b.ctx.SetConnectionClose()
+		b.interrupt()
 	}
 }
 
--- a/entry/caller/body_bed_test.go
+++ b/entry/caller/body_bed_test.go
@@ -76,7 +76,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	cfg := &config.Config{
-		Services: []config.Service{{Name: "draft", Timeout: time.Minute, MaxBodyBytes: maxBodyBytes}, {Name: "other"}},
+		Services: []config.Service{{Name: "draft", Timeout: time.Minute, MaxBodyBytes: maxBodyBytes}, {Name: "other"}, {Name: "small", MaxBodyBytes: 1000}},
 		Tenants:  []config.Tenant{{Name: "a"}, {Name: "b"}},
 		Classes:  []config.Class{{Name: "usual", FirstToken: 2 * time.Second}},
 	}
--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -212,7 +212,8 @@
 	// The drain may begin while the request is running.
 	defer s.closeIfDraining(ctx)
 	body := newBody(c, ctx)
-	defer body.discard()
+	// A process that stops may end as soon as it has answered.
+	defer func() { body.discard(s.drain.ended, s.closeConnections.Load()) }()
 	raw := readRaw(ctx)
 	raw.bodyLength = body.length
 	if raw.requestID == "" {
--- a/internal/deployment/agent_process.go
+++ b/internal/deployment/agent_process.go
@@ -66,6 +66,7 @@
 		return err
 	}
 	cfg.Metrics = p.Metrics
+	cfg.Gate.MaxBodyBytes = d.Options.AgentBodyBytes
 	if d.Options.DisableCacheEvents {
 		cfg.CacheInterval = -1
 	}
--- a/internal/deployment/entry_process.go
+++ b/internal/deployment/entry_process.go
@@ -86,6 +86,7 @@
 		Table:            d.Table,
 		InstanceList:     d.InstanceList,
 		BalancerLag:      balancerLag,
+		MaxBodyBytes:     d.Options.EntryBodyBytes,
 	})
 	e.OnConfigChange(func(v *config.View) { metrics.DeclareLabels(v.Config) })
 	e.Start()
--- a/internal/deployment/options.go
+++ b/internal/deployment/options.go
@@ -31,6 +31,9 @@
 	EngineRestartDelay time.Duration
 	// DisableCacheEvents keeps agents from forwarding the cache events of engines.
 	DisableCacheEvents bool
+	// EntryBodyBytes and AgentBodyBytes limit the memory of long bodies in each entry and
+	// agent; 0 means their defaults.
+	EntryBodyBytes, AgentBodyBytes int64
 	// StagingDir holds a staging directory for each agent of a model engine.
 	StagingDir string
 	// Seed seeds all random choices of the deployment.
