--- a/entry/caller/body.go
+++ b/entry/caller/body.go
@@ -15,6 +15,9 @@
 	// maxReadBytes limits one read of a chunked body: the HTTP library buffers that part of a
 	// chunk before it returns it.
 	maxReadBytes = 16 << 10
+	// prefetchedBytes is the part of a body that the HTTP library reads before it calls the
+	// handler.
+	prefetchedBytes = 8 << 10
 	// discardTimeout limits the time for which the rest of a refused body is read and dropped.
 	// It is shorter for a body beyond maxBodyBytes, which may not end.
 	discardTimeout     = 10 * time.Second
--- a/entry/caller/receive.go
+++ b/entry/caller/receive.go
@@ -38,6 +38,10 @@
 	if b.complete {
 		return nil
 	}
+	if b.length != unknownLength && b.length <= prefetchedBytes {
+		b.complete = true
+		return s.readInRoom(ctx, r, b)
+	}
 	if err := b.conn.SetReadDeadline(time.Now().Add(r.Deadline.Sub(s.cfg.Clock.Now()))); err != nil {
 		return err
 	}
--- a/entry/caller/response_budget.go
+++ b/entry/caller/response_budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/auburnbend/auburnbend/lib/memory"
 )
@@ -44,7 +45,9 @@
 
 // responseRoom is the room of one response. It is used by one goroutine at a time.
 type responseRoom struct {
+	// ctx is that of the request, which waits for room until its deadline.
 	ctx          context.Context
+	until        time.Time
 	budget       *responseBudget
 	service      string
 	first, large *memory.Reservation
@@ -53,16 +56,22 @@
 // grow waits until there is room for a response of a size in bytes.
 func (r *responseRoom) grow(bytes int) (err error) {
 	if bytes > freeResponseBytes && r.first == nil {
-		if r.first, err = r.budget.first.Acquire(r.ctx, r.service, firstResponseBytes); err != nil {
+		if r.first, err = r.acquire(r.budget.first, firstResponseBytes); err != nil {
 			return err
 		}
 	}
 	if bytes > firstResponseBytes && r.large == nil {
-		r.large, err = r.budget.large.Acquire(r.ctx, r.service, int64(r.budget.max))
+		r.large, err = r.acquire(r.budget.large, int64(r.budget.max))
 	}
 	return err
 }
 
+func (r *responseRoom) acquire(b *memory.Budget, bytes int64) (*memory.Reservation, error) {
+	ctx, cancel := context.WithDeadline(r.ctx, r.until)
+	defer cancel()
+	return b.Acquire(ctx, r.service, bytes)
+}
+
 // release returns all room. Further calls do nothing.
 func (r *responseRoom) release() {
 	r.first.Release()
--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -119,7 +119,7 @@
 		server.WithDisablePrintRoute(true),
 	}
 	s.hertz = server.New(options...)
-	s.hertz.Use(func(_ context.Context, ctx *app.RequestContext) { limitWrites(ctx, responseWriteTime) })
+	s.hertz.NoRoute(func(_ context.Context, ctx *app.RequestContext) { limitWrites(ctx, responseWriteTime) })
 	s.hertz.POST("/v1/services/:service", s.serve)
 	s.hertz.GET("/ready", s.ready)
 	return s
@@ -189,6 +189,7 @@
 }
 
 func (s *Server) ready(_ context.Context, ctx *app.RequestContext) {
+	limitWrites(ctx, responseWriteTime)
 	switch {
 	case s.draining.Load():
 		ctx.String(http.StatusServiceUnavailable, "draining\n")
@@ -223,21 +224,25 @@
 	defer release()
 	room := &responseRoom{ctx: c, budget: s.responses, service: raw.service}
 	response := newResponseWriter(ctx, raw.requestID, room)
+	refuse := func(result Result) {
+		limitWrites(ctx, responseWriteTime)
+		response.End(result)
+	}
 	current := s.cfg.Current()
 	if current == nil {
-		response.End(Result{Outcome: outcome.NotRun, Reason: outcome.ReasonNoBackendServer, RetryAfter: time.Second, Detail: "no configuration is in force yet"})
+		refuse(Result{Outcome: outcome.NotRun, Reason: outcome.ReasonNoBackendServer, RetryAfter: time.Second, Detail: "no configuration is in force yet"})
 		return
 	}
 	request, refused := parse(raw, current, s.cfg.Clock.Now())
 	if refused != nil {
 		s.cfg.Invalid.CountInvalid(refused.reason)
 		s.cfg.Log.Log(eventlog.RequestInvalid, "request", raw.requestID, "reason", refused.reason, "detail", refused.detail)
-		response.End(Result{Outcome: outcome.NotRun, Reason: refused.reason, Detail: refused.detail})
+		refuse(Result{Outcome: outcome.NotRun, Reason: refused.reason, Detail: refused.detail})
 		return
 	}
 	if s.drain.refuses(request) {
 		s.cfg.Log.Log(eventlog.RequestNotRun, "request", raw.requestID, "service", request.Service.Name, "tenant", request.Tenant.Name, "reason", outcome.ReasonDraining)
-		response.End(Result{Outcome: outcome.NotRun, Reason: outcome.ReasonDraining, RetryAfter: drainingRetryAfter, Detail: "this entry is stopping"})
+		refuse(Result{Outcome: outcome.NotRun, Reason: outcome.ReasonDraining, RetryAfter: drainingRetryAfter, Detail: "this entry is stopping"})
 		return
 	}
 	if request.Service.Kind == config.KindPlain && acceptsStream(ctx) {
@@ -245,9 +250,7 @@
 	}
 	left := request.Deadline.Sub(s.cfg.Clock.Now())
 	limitWrites(ctx, left+responseWriteTime)
-	var cancel context.CancelFunc
-	room.ctx, cancel = context.WithTimeout(c, left)
-	defer cancel()
+	room.until = time.Now().Add(left)
 	err := s.receive(c, request, body)
 	defer request.Room.Release()
 	if err != nil {
