--- a/internal/processes/settings_test.go
+++ b/internal/processes/settings_test.go
@@ -9,9 +9,13 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/auburnbend/auburnbend/lib/backing"
+	"github.com/auburnbend/auburnbend/lib/settings"
 	"github.com/auburnbend/auburnbend/standin/pki"
 )
 
+// memoryLimit is the memory limit of each daemon: the smallest that is allowed.
+const memoryLimit = 128 * settings.MiB
+
 // settingsFile writes the settings file of a daemon and returns its path. The backend
 // address is empty for entries.
 func (f *fleet) settingsFile(d *daemon, backend string) string {
@@ -42,6 +46,7 @@
 	}
 	section("transport", f.transport(d.instance.Role)...)
 	section("drain", "timeout = 20s")
+	section("memory", "limit = "+memoryLimit.String())
 	path := filepath.Join(f.dir, string(d.instance.ID)+".ini")
 	Expect(os.WriteFile(path, []byte(b.String()), 0o600)).To(Succeed())
 	return path
@@ -83,7 +88,7 @@
 		fmt.Fprintf(&b, "[placement %s %s]\nmodel = crest\nversion = %s\n", draftPool, domain, placed)
 	}
 	fmt.Fprintf(&b, "[service drafts]\nkind = model\nmodel = crest\npool = %s\nrepeatable = true\n", draftPool)
-	fmt.Fprintf(&b, "[service orders]\nkind = plain\npool = %s\n", orderPool)
+	fmt.Fprintf(&b, "[service orders]\nkind = plain\npool = %s\nmax_body = 4MiB\n", orderPool)
 	fmt.Fprintf(&b, "[tenant engravers]\nshare = %d\n[class interactive]\npriority = 2\n", share)
 	path := filepath.Join(f.dir, fmt.Sprintf("deployment-%s-%d.ini", placed, share))
 	Expect(os.WriteFile(path, []byte(b.String()), 0o600)).To(Succeed())
