Bound the memory of long events of all streams of an engine

An event of a stream may have 4 MiB, and an agent held one for each request that runs. A stream now reserves that beyond 64 KiB, from a sixteenth of the memory, and waits in its connection until there is room, at most as long as it may pause. Unconfirmed frames have the other sixteenth. With 40 streams of almost 4 MiB each the agent's client holds no more than its budget allows.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -50,14 +50,17 @@
 	placement *placement
 	// firstTokens measures the time to first token of live requests.
 	firstTokens firstTokens
-	sessions    *sessions
-	stop        context.CancelFunc
-	tasks       sync.WaitGroup
+	// events bounds the memory of long events of a model engine.
+	events   *memory.Budget
+	sessions *sessions
+	stop     context.CancelFunc
+	tasks    sync.WaitGroup
 }
 
 // New returns an agent that does nothing until Start is called.
 func New(cfg Config) (*Agent, error) {
 	a := &Agent{cfg: cfg.applyDefaults(), sessions: newSessions()}
+	a.events = memory.NewBudget(a.cfg.MaxEventBytes, a.cfg.MaxEventBytes)
 	a.cfg.Gate.OnChange = a.sessions.sendHeartbeats
 	a.cfg.Gate.OnRefusal = a.logRefusal
 	a.follower = follow.New(follow.Config{Clock: cfg.Clock, Rand: cfg.Rand, Log: cfg.Log, Heartbeat: a.heartbeat})
@@ -82,7 +85,7 @@
 }
 
 func (a *Agent) setUpEngine() error {
-	client, err := engine.NewClient(engine.Config{Address: a.cfg.BackendURL, OnRateLimit: a.observeRateLimit})
+	client, err := engine.NewClient(engine.Config{Address: a.cfg.BackendURL, OnRateLimit: a.observeRateLimit, Events: a.events})
 	if err != nil {
 		return err
 	}
@@ -168,7 +171,7 @@
 
 // Budgets returns the budgets of what the agent holds for others, by kind.
 func (a *Agent) Budgets() map[string]*memory.Budget {
-	return map[string]*memory.Budget{"request": a.gate.Bodies()}
+	return map[string]*memory.Budget{"request": a.gate.Bodies(), "event": a.events}
 }
 
 // handleCrash is called when the engine has crashed or restarted. incarnation
--- a/agent/config.go
+++ b/agent/config.go
@@ -22,6 +22,9 @@
 // The entry's limit for control traffic is 8 KB/s, of which heartbeats use 4.6 KB/s.
 const defaultCacheInterval = 3 * time.Second
 
+// defaultMaxEventBytes is for four events of the largest size.
+const defaultMaxEventBytes = 16 << 20
+
 // Config configures an Agent.
 type Config struct {
 	Identity model.Identity
@@ -61,6 +64,9 @@
 	UploadSlots int
 	Downloader  distribute.DownloaderConfig
 	Gate        gate.Config
+	// MaxEventBytes limits the memory of long events of all streams of a model engine, in
+	// bytes; 0 means 16 MiB.
+	MaxEventBytes int64
 
 	// CacheInterval is the interval at which the engine's cache events are read, and
 	// the minimum time between two cache updates on a connection. 0 means the default;
@@ -81,6 +87,9 @@
 	if c.Metrics == nil {
 		c.Metrics = noMetrics{}
 	}
+	if c.MaxEventBytes <= 0 {
+		c.MaxEventBytes = defaultMaxEventBytes
+	}
 	if c.CacheInterval == 0 {
 		c.CacheInterval = defaultCacheInterval
 	}
--- a/agent/program.go
+++ b/agent/program.go
@@ -87,7 +87,9 @@
 		UploadSlots:  s.Transfer.UploadSlots,
 	}
 	daemon.LimitMemory(int64(s.Memory.Limit))
-	cfg.Gate.MaxBodyBytes, cfg.Gate.MaxResponseBytes = s.Memory.BodyBytes(), s.Memory.ResponseBytes()
+	cfg.Gate.MaxBodyBytes = s.Memory.BodyBytes()
+	cfg.MaxEventBytes = s.Memory.ResponseBytes() / 2
+	cfg.Gate.MaxResponseBytes = s.Memory.ResponseBytes() - cfg.MaxEventBytes
 	cfg.Backend.Guard.EnforcesFencing = s.Backend.Fencing == settings.FencingChecked
 	if s.Platform.WeightStore != "" {
 		cfg.WeightStore = httpbacking.NewSource(httpbacking.Config{URL: s.Platform.WeightStore})
--- a/lib/engine/client.go
+++ b/lib/engine/client.go
@@ -30,7 +30,7 @@
 // the request did not run.
 func (c *Client) Generate(ctx context.Context, req Request) (*Stream, error) {
 	req.Resume, req.Offset = false, 0
-	s := newStream(req, c.cfg.StallTimeout)
+	s := newStream(req, c.cfg.StallTimeout, c.cfg.Events)
 	return s, c.open(ctx, s, req)
 }
 
--- a/lib/engine/config.go
+++ b/lib/engine/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/auburnbend/auburnbend/lib/memory"
 	"github.com/auburnbend/auburnbend/lib/ratelimit"
 )
 
@@ -25,6 +26,8 @@
 	// maxEventBytes limits one line of a server-sent event, and what is read to complete an
 	// event.
 	maxEventBytes = 4 << 20
+	// freeEventBytes is what may be read to complete an event without room in Config.Events.
+	freeEventBytes = 64 << 10
 	// maxConnections is higher than the capacity of any engine. The effective
 	// limit on concurrent requests is the agent's gate.
 	maxConnections = 16384
@@ -48,6 +51,10 @@
 	// MaxResponseBytes limits the body of a plain service response or an order
 	// reply.
 	MaxResponseBytes int64
+	// Events bounds the memory of long events of all streams. A stream with one waits for
+	// room in its connection, and has the room until it is closed. If nil, the streams are
+	// not bounded together.
+	Events *memory.Budget
 	// OnRateLimit is called with what the response to a request says about the rate
 	// limit of the server, and with the time since the request was sent. Reads of state,
 	// load and cache are no requests. It must be safe for concurrent use and may be nil.
--- a/lib/engine/stream.go
+++ b/lib/engine/stream.go
@@ -13,6 +13,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/sse"
 	"github.com/zeebo/blake3"
 
+	"github.com/auburnbend/auburnbend/lib/memory"
 	"github.com/auburnbend/auburnbend/lib/model"
 )
 
@@ -21,6 +22,9 @@
 type Stream struct {
 	request      Request
 	stallTimeout time.Duration
+	// events may be nil. room is that of a long event, which the reader keeps a buffer for.
+	events *memory.Budget
+	room   *memory.Reservation
 
 	exchange         *exchange
 	ctx              context.Context
@@ -32,8 +36,8 @@
 	end              *StreamEnd
 }
 
-func newStream(req Request, stallTimeout time.Duration) *Stream {
-	return &Stream{request: req, stallTimeout: stallTimeout, hash: blake3.New()}
+func newStream(req Request, stallTimeout time.Duration, events *memory.Budget) *Stream {
+	return &Stream{request: req, stallTimeout: stallTimeout, events: events, hash: blake3.New()}
 }
 
 // Offset returns the offset of the next frame to receive.
@@ -65,7 +69,11 @@
 	reader.SetMaxBufferSize(maxEventBytes)
 	s.exchange, s.ctx, s.reader, s.body = x, ctx, reader, body
 	s.stopContextWatch = context.AfterFunc(ctx, x.close)
-	return s.readStart()
+	err = s.readStart()
+	if err != nil {
+		s.releaseRoom()
+	}
+	return err
 }
 
 func (s *Stream) readStart() error {
@@ -103,6 +111,9 @@
 	defer timer.Stop()
 	// The reader limits each line only.
 	s.body.remaining = maxEventBytes
+	if s.events != nil && s.room == nil {
+		s.body.free, s.body.grow = freeEventBytes, s.acquireRoom
+	}
 	e := sse.NewEvent()
 	defer e.Release()
 	if err := s.reader.Read(e); err != nil {
@@ -119,6 +130,20 @@
 	return e.Type, append([]byte(nil), e.Data...), nil
 }
 
+// acquireRoom waits for room for the longest event, at most as long as a stream may pause.
+func (s *Stream) acquireRoom() (err error) {
+	ctx, cancel := context.WithTimeout(s.ctx, s.stallTimeout)
+	defer cancel()
+	s.room, err = s.events.Acquire(ctx, s.request.Stream, maxEventBytes)
+	return err
+}
+
+// releaseRoom returns the room. Further calls do nothing.
+func (s *Stream) releaseRoom() {
+	s.room.Release()
+	s.room = nil
+}
+
 // Next returns the next frame. It returns io.EOF after a complete response whose
 // frame count, digest and weights match. Any other error means that the response is
 // incomplete and must not be reported as a success.
@@ -189,6 +214,7 @@
 // Close closes the connection. The engine continues until Cancel or the end of the
 // response, so that the stream can be resumed.
 func (s *Stream) Close() {
+	s.releaseRoom()
 	if s.exchange == nil {
 		return
 	}
