--- a/entry/caller/parse.go
+++ b/entry/caller/parse.go
@@ -18,6 +18,9 @@
 	maxIDLength = 128
 	// maxProofLength is the maximum length of the claim proof header in bytes.
 	maxProofLength = 1024
+	// maxContentTypeLength is the maximum length of the content type in bytes. Agents
+	// limit the fields of a request that precede its body.
+	maxContentTypeLength = 1024
 	// maxBodyBytes is the maximum size of a body, so that it fits into one frame
 	// to an agent.
 	maxBodyBytes = 4 << 20
@@ -35,7 +38,8 @@
 	idempotencyKey string
 	claimProof     string
 	contentType    string
-	body           []byte
+	// bodyLength is the announced length of the body, or unknownLength.
+	bodyLength int64
 }
 
 // refusal describes why a request is invalid.
@@ -69,8 +73,8 @@
 	if refused := checkLengths(raw); refused != nil {
 		return nil, refused
 	}
-	if limit := bodyLimit(service); int64(len(raw.body)) > limit {
-		return nil, refuse(outcome.ReasonTooLarge, "body has %d bytes, service %q allows %d", len(raw.body), service.Name, limit)
+	if raw.bodyLength > bodyLimit(service) {
+		return nil, tooLarge(service, strconv.FormatInt(raw.bodyLength, 10))
 	}
 	return &Request{
 		ID:             model.RequestID(raw.requestID),
@@ -82,10 +86,14 @@
 		IdempotencyKey: raw.idempotencyKey,
 		ClaimProof:     raw.claimProof,
 		ContentType:    raw.contentType,
-		Body:           raw.body,
 	}, nil
 }
 
+// tooLarge refuses a body of a number of bytes, which is "more" if it is not known.
+func tooLarge(service config.Service, bytes string) *refusal {
+	return refuse(outcome.ReasonTooLarge, "body has %s bytes, service %q allows %d", bytes, service.Name, bodyLimit(service))
+}
+
 func checkLengths(raw rawRequest) *refusal {
 	for _, header := range []struct{ name, value string }{
 		{HeaderRequestID, raw.requestID},
@@ -95,6 +103,9 @@
 			return refuse(outcome.ReasonInvalid, "header %s has %d bytes, allowed are %d", header.name, len(header.value), maxIDLength)
 		}
 	}
+	if len(raw.contentType) > maxContentTypeLength {
+		return refuse(outcome.ReasonInvalid, "header Content-Type has %d bytes, allowed are %d", len(raw.contentType), maxContentTypeLength)
+	}
 	if len(raw.claimProof) > maxProofLength {
 		return refuse(outcome.ReasonInvalid, "header %s has %d bytes, allowed are %d", HeaderClaimProof, len(raw.claimProof), maxProofLength)
 	}
--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -15,12 +15,13 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	hertzconfig "github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/network/netpoll"
+	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/google/uuid"
 
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/config"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/memory"
 	"github.com/auburnbend/auburnbend/lib/outcome"
 )
 
@@ -45,14 +46,32 @@
 	Handler Handler
 	Invalid InvalidCounter
 	Log     *eventlog.Logger
+	// MaxBodyBytes limits the memory of the long bodies of all requests together, in bytes.
+	// Zero means 64 MiB.
+	MaxBodyBytes int64
+	// MaxResponseBytes limits the memory of the long responses that are not streamed, in
+	// bytes. Zero means 32 MiB.
+	MaxResponseBytes int64
 }
 
 const (
+	// defaultMaxHeldBodies is the default of Config.MaxBodyBytes.
+	defaultMaxHeldBodies = 64 << 20
+	// defaultMaxHeldResponses is the default of Config.MaxResponseBytes.
+	defaultMaxHeldResponses = 32 << 20
+	// otherTenantsShare is the part of MaxBodyBytes that the bodies of one tenant leave to
+	// others: an eighth.
+	otherTenantsShare = 8
+	// maxHeadBytes limits the head of a request.
+	maxHeadBytes = 64 << 10
 	// hertzExitTimeout is longer than any drain. The library would otherwise
 	// abort requests after its own limit; the context of Drain decides instead.
 	hertzExitTimeout = 24 * time.Hour
 	// closeTimeout limits the closing of idle connections after the last request.
 	closeTimeout = time.Second
+	// responseWriteTime limits the time for which a caller may leave a response unread, and
+	// with it the memory of the response, beyond the deadline of its request.
+	responseWriteTime = 30 * time.Second
 	// drainPollInterval is the time between two checks for running requests.
 	drainPollInterval = 20 * time.Millisecond
 )
@@ -66,22 +85,41 @@
 	// closeConnections makes each connection close after its current request.
 	closeConnections atomic.Bool
 	running          atomic.Int64
+	// bodies bounds the memory of long bodies; its holders are tenants.
+	bodies *memory.Budget
+	// responses bounds the memory of long responses.
+	responses *responseBudget
 }
 
 // NewServer returns a Server. Run starts it.
 func NewServer(cfg Config) *Server {
-	s := &Server{cfg: cfg, drain: newDrain()}
+	if cfg.MaxBodyBytes <= 0 {
+		cfg.MaxBodyBytes = defaultMaxHeldBodies
+	}
+	if cfg.MaxResponseBytes <= 0 {
+		cfg.MaxResponseBytes = defaultMaxHeldResponses
+	}
+	s := &Server{
+		cfg: cfg, drain: newDrain(), responses: newResponseBudget(cfg.MaxResponseBytes),
+		bodies: memory.NewBudget(cfg.MaxBodyBytes, cfg.MaxBodyBytes-cfg.MaxBodyBytes/otherTenantsShare),
+	}
 	options := []hertzconfig.Option{
-		server.WithListener(cfg.Listener),
-		server.WithTransport(netpoll.NewTransporter),
+		server.WithListener(listener{cfg.Listener}),
+		// The netpoll transport reads whatever callers send into memory before anybody asks
+		// for it.
+		server.WithTransport(standard.NewTransporter),
+		server.WithOnAccept(contextOf),
 		server.WithSenseClientDisconnection(true),
-		// Bodies slightly over the limit are still read, so that the refusal can
-		// state the limit.
-		server.WithMaxRequestBodySize(maxBodyBytes + 1<<20),
+		// The handler reads bodies once there is room for them. The library would otherwise
+		// read each before it calls the handler, and forms even then.
+		server.WithStreamBody(true),
+		server.WithDisablePreParseMultipartForm(true),
+		server.WithMaxHeaderBytes(maxHeadBytes),
 		server.WithExitWaitTime(hertzExitTimeout),
 		server.WithDisablePrintRoute(true),
 	}
 	s.hertz = server.New(options...)
+	s.hertz.NoRoute(func(_ context.Context, ctx *app.RequestContext) { limitWrites(ctx, responseWriteTime) })
 	s.hertz.POST("/v1/services/:service", s.serve)
 	s.hertz.GET("/ready", s.ready)
 	return s
@@ -145,7 +183,13 @@
 	_ = s.hertz.Shutdown(ctx)
 }
 
+// limitWrites limits the time in which the response must have been sent.
+func limitWrites(ctx *app.RequestContext, d time.Duration) {
+	_ = ctx.GetConn().SetWriteDeadline(time.Now().Add(d))
+}
+
 func (s *Server) ready(_ context.Context, ctx *app.RequestContext) {
+	limitWrites(ctx, responseWriteTime)
 	switch {
 	case s.draining.Load():
 		ctx.String(http.StatusServiceUnavailable, "draining\n")
@@ -168,33 +212,54 @@
 	s.closeIfDraining(ctx)
 	// The drain may begin while the request is running.
 	defer s.closeIfDraining(ctx)
+	body := newBody(c, ctx)
+	// A process that stops may end as soon as it has answered.
+	defer func() { body.discard(s.drain.ended, s.closeConnections.Load()) }()
 	raw := readRaw(ctx)
+	raw.bodyLength = body.length
 	if raw.requestID == "" {
 		raw.requestID = uuid.NewString()
 	}
-	response := newResponseWriter(ctx, raw.requestID)
+	c, release := s.drain.follow(c)
+	defer release()
+	room := &responseRoom{ctx: c, budget: s.responses, service: raw.service}
+	response := newResponseWriter(ctx, raw.requestID, room)
+	refuse := func(result Result) {
+		limitWrites(ctx, responseWriteTime)
+		response.End(result)
+	}
 	current := s.cfg.Current()
 	if current == nil {
-		response.End(Result{Outcome: outcome.NotRun, Reason: outcome.ReasonNoBackendServer, RetryAfter: time.Second, Detail: "no configuration is in force yet"})
+		refuse(Result{Outcome: outcome.NotRun, Reason: outcome.ReasonNoBackendServer, RetryAfter: time.Second, Detail: "no configuration is in force yet"})
 		return
 	}
 	request, refused := parse(raw, current, s.cfg.Clock.Now())
 	if refused != nil {
 		s.cfg.Invalid.CountInvalid(refused.reason)
 		s.cfg.Log.Log(eventlog.RequestInvalid, "request", raw.requestID, "reason", refused.reason, "detail", refused.detail)
-		response.End(Result{Outcome: outcome.NotRun, Reason: refused.reason, Detail: refused.detail})
+		refuse(Result{Outcome: outcome.NotRun, Reason: refused.reason, Detail: refused.detail})
 		return
 	}
 	if s.drain.refuses(request) {
 		s.cfg.Log.Log(eventlog.RequestNotRun, "request", raw.requestID, "service", request.Service.Name, "tenant", request.Tenant.Name, "reason", outcome.ReasonDraining)
-		response.End(Result{Outcome: outcome.NotRun, Reason: outcome.ReasonDraining, RetryAfter: drainingRetryAfter, Detail: "this entry is stopping"})
+		refuse(Result{Outcome: outcome.NotRun, Reason: outcome.ReasonDraining, RetryAfter: drainingRetryAfter, Detail: "this entry is stopping"})
 		return
 	}
 	if request.Service.Kind == config.KindPlain && acceptsStream(ctx) {
-		response = newHeldStreamResponse(ctx, string(request.ID))
+		response = newHeldStreamResponse(ctx, string(request.ID), room)
 	}
-	c, release := s.drain.follow(c)
-	defer release()
+	left := request.Deadline.Sub(s.cfg.Clock.Now())
+	limitWrites(ctx, left+responseWriteTime)
+	room.until = time.Now().Add(left)
+	err := s.receive(c, request, body)
+	defer request.Room.Release()
+	if err != nil {
+		result := s.notReceived(request, body, err)
+		s.cfg.Log.Log(eventlog.RequestNotRun, "request", raw.requestID, "service", request.Service.Name, "tenant", request.Tenant.Name, "reason", result.Reason)
+		response.End(result)
+		return
+	}
+	defer body.detectDisconnect()()
 	s.handle(c, request, response)
 }
 
@@ -202,7 +267,6 @@
 // returns, while an attempt may still be in transit to an agent.
 func readRaw(ctx *app.RequestContext) rawRequest {
 	header := func(name string) string { return strings.Clone(string(ctx.GetHeader(name))) }
-	body := ctx.Request.Body()
 	return rawRequest{
 		service:        strings.Clone(ctx.Param("service")),
 		requestID:      header(HeaderRequestID),
@@ -212,15 +276,14 @@
 		idempotencyKey: header(HeaderIdempotencyKey),
 		claimProof:     header(HeaderClaimProof),
 		contentType:    header("Content-Type"),
-		body:           append([]byte(nil), body...),
 	}
 }
 
-func newResponseWriter(ctx *app.RequestContext, request string) ResponseWriter {
+func newResponseWriter(ctx *app.RequestContext, request string, room *responseRoom) ResponseWriter {
 	if acceptsStream(ctx) {
 		return newStreamResponse(ctx, request)
 	}
-	return newBufferedResponse(ctx, request)
+	return newBufferedResponse(ctx, request, room)
 }
 
 // acceptsStream reports whether the caller gets events as they are made. A caller with
