lib/directory: keep missing servers through a further full read

Servers that a restored table lacks got no requests from the next full read on, although they stay for ExpiryGrace because their rows are written again. The table of servers is read in full again within that time if the history is lost once more, or if an entry turns to a relaying entry whose history starts at a later revision than its own. Only the first read counted as one after an outage, and the second one dropped at once what it lacked. It is the same after an outage without a restore.

A server whose grace period is running keeps it in a further full list. A deletion that is read as a change still drops it.

The spec fails without the change ("the missing elements were b1").

--- a/lib/directory/directory.go
+++ b/lib/directory/directory.go
@@ -60,7 +60,7 @@
 
 // Replace replaces the listed servers by a full list. recovered is set if an outage
 // of the store has just ended: servers whose rows may have expired during it stay
-// for ExpiryGrace.
+// for ExpiryGrace, also if a further full list lacks them meanwhile.
 func (d *Directory) Replace(servers []*Server, recovered bool, now time.Time) {
 	servers = d.dropWithheld(servers)
 	d.firstStarts.follow(recovered, now)
@@ -74,7 +74,8 @@
 	})
 	for id, s := range d.servers {
 		if listed[id] == nil {
-			d.remove(id, recovered && scan.mayHaveExpired(s.Domain), now)
+			_, expiring := d.expiring[id]
+			d.remove(id, expiring || recovered && scan.mayHaveExpired(s.Domain), now)
 		}
 	}
 	for _, s := range servers {
--- a/lib/directory/restored_test.go
+++ b/lib/directory/restored_test.go
@@ -45,6 +45,15 @@
 		Expect(usable(directory.ExpiryGrace)).To(ConsistOf("a1", "b1"))
 	})
 
+	It("keeps them until then if the table is read in full once more", func() {
+		// Guards against servers that get no requests because the history of the table was lost
+		// again before their rows were written again.
+		d.Restore([]*directory.Server{ready("a", 1, 2, 10)}, removalTime, start)
+		d.Replace([]*directory.Server{ready("a", 1, 2, 10)}, false, start.Add(time.Second))
+		Expect(usable(directory.ExpiryGrace - 1)).To(ConsistOf("a1", "b1"))
+		Expect(usable(directory.ExpiryGrace)).To(ConsistOf("a1"))
+	})
+
 	It("drops them if they are not written again", func() {
 		d.Restore([]*directory.Server{ready("a", 1, 2, 10)}, removalTime, start)
 		Expect(usable(directory.ExpiryGrace)).To(ConsistOf("a1"))
