lib/watch: deliver nothing of an era that is known to be lost

Once an answer has told of a later era, the table is read in full, and that read may be answered by an instance which has not read of the restore: by a relaying entry that is followed again just then. Its table has the earlier era and no lower revision than what was delivered, so that rows of the lost history were delivered as the newest ones, and the next call was made without a pause.

The watcher keeps the newest position that was answered beside the one that it has delivered, and compares answers with the former.

--- a/lib/watch/config.go
+++ b/lib/watch/config.go
@@ -36,9 +36,8 @@
 	// first full read is marked.
 	RestoreSettle time.Duration
 	// OnRestored, if set, is called when the table of a restored store is delivered. OnStale,
-	// if set, is called at the first of successive answers that are older than what was
-	// delivered.
-	OnRestored, OnStale func(delivered, answered Position)
+	// if set, is called at the first of successive answers that are older than an earlier one.
+	OnRestored, OnStale func(known, answered Position)
 	// Clock is the system clock by default.
 	Clock clock.Clock
 }
--- a/lib/watch/restored_test.go
+++ b/lib/watch/restored_test.go
@@ -70,6 +70,19 @@
 		Expect(stale).To(Equal([][2]Position{{{Era: 2, Revision: 28}, {Era: 1, Revision: 99}}}))
 	})
 
+	It("does not deliver the table of the earlier era once it has met the later one", func() {
+		// Guards against rows of the lost history that an instance which has not read of the
+		// restore still has, and against calls without a pause while two instances disagree.
+		s, r, w := follow(Config{}, inEra(1, rowsAt(51, "a")), inEra(2, rowsAt(28)), inEra(1, rowsAt(52, "lost")), inEra(2, rowsAt(28, "a")), inEra(2, rowsAt(29, "b")))
+		for i := range 5 {
+			delay := w.step(ctx)
+			Expect(delay > 0).To(Equal(i == 2), "step %d", i)
+		}
+		Expect(s.calls).To(Equal([]string{"snapshot", "changes", "snapshot", "snapshot", "changes"}))
+		Expect(r.events).To(Equal([]string{"replace a", "replace recovered restored a", "apply b"}))
+		Expect(stale).To(Equal([][2]Position{{{Era: 2, Revision: 28}, {Era: 1, Revision: 52}}}))
+	})
+
 	It("does not take the first read of a process for a restore", func() {
 		_, r, w := follow(Config{RestoreSettle: time.Second}, inEra(5, rowsAt(28, "a")), inEra(5, rowsAt(29, "b")))
 		w.step(ctx)
--- a/lib/watch/watcher.go
+++ b/lib/watch/watcher.go
@@ -20,12 +20,15 @@
 	// position is the newest one delivered to the handler; its revision is negative before
 	// the first read.
 	position Position
+	// newest is the newest one answered: position, or one of a later era while its table has
+	// not been delivered.
+	newest Position
 	// synced is set if the next call may read the changes since position.
 	synced bool
 	// settling is set after a restore until the table has been read after settledAt.
 	settling  bool
 	settledAt time.Time
-	// stale is set if the last answer was older than what was delivered.
+	// stale is set if the last answer was older than newest.
 	stale bool
 	// failing is set if the last call failed.
 	failing bool
@@ -38,7 +41,7 @@
 
 // New returns a Watcher.
 func New(config Config, source Source, handler Handler) *Watcher {
-	return &Watcher{config: config.applyDefaults(), source: source, handler: handler, position: Position{Revision: -1}}
+	return &Watcher{config: config.applyDefaults(), source: source, handler: handler, position: Position{Revision: -1}, newest: Position{Revision: -1}}
 }
 
 // Run follows the table until ctx ends.
@@ -68,15 +71,16 @@
 			w.handler.Lost(err)
 		}
 		return w.nextBackoff()
-	case rows.Position().Compare(w.position) < 0:
-		// A read from a lagging store must not undo what has been delivered.
+	case rows.Position().Compare(w.newest) < 0:
+		// A read from a lagging store must not undo what has been delivered, nor deliver a
+		// history that the store is known to have lost.
 		if !w.stale {
 			w.stale = true
-			call(w.config.OnStale, w.position, rows.Position())
+			call(w.config.OnStale, w.newest, rows.Position())
 		}
 		return w.nextBackoff()
 	case w.synced && rows.Era != w.position.Era:
-		w.synced = false
+		w.synced, w.newest = false, rows.Position()
 		return 0
 	}
 	w.stale = false
@@ -147,7 +151,7 @@
 	w.failing = false
 	w.answeredAt = w.config.Clock.Now()
 	w.backoff = 0
-	w.position = rows.Position()
+	w.position, w.newest = rows.Position(), rows.Position()
 	if !w.synced {
 		w.synced = true
 		w.replay = replay{}
