lib/directory: removal of a withheld row says nothing about a later start

A server that had started again under its ID, and whose row the store had lost, got no requests from the removal of the row of its earlier start until it wrote its own again. The restored table has the earlier row, which is withheld, and the store removes it as nobody refreshes it. The deletion was taken for that of the row of the listed incarnation and ended the time for which this one stays.

The deletion of a row that is withheld drops only that. The later incarnation goes when its grace period ends.

The first of the two specs fails without the change (a2 is missing); the second one, of a row that is written anew and removed, passes with and without it.

--- a/lib/directory/directory.go
+++ b/lib/directory/directory.go
@@ -104,10 +104,13 @@
 	}
 	scan := d.scanOutage(func(old *Server) bool { return !deleted[old.ID] })
 	for _, c := range changes {
+		_, withheld := d.withheld[c.ID]
 		delete(d.withheld, c.ID)
 		switch s := d.servers[c.ID]; {
 		case c.Server != nil:
 			d.list(c.Server, now)
+		case withheld && !c.Invalid:
+			// The deleted row is not that of the listed incarnation, whose grace period goes on.
 		case s != nil:
 			d.remove(c.ID, recovered && !c.Invalid && scan.mayHaveExpired(s.Domain), now)
 		}
--- a/lib/directory/restored_test.go
+++ b/lib/directory/restored_test.go
@@ -98,6 +98,23 @@
 		Expect(usable(removalTime)).To(ConsistOf("a2", "b1"))
 	})
 
+	It("keeps the later incarnation when the row of the one that it had replaced is removed", func() {
+		// Guards against a live server that gets no requests from the removal of the row of its
+		// earlier start until it writes its own again.
+		d.Apply([]directory.Change{{ID: "a", Server: ready("a", 2, 1, 50)}}, false, start)
+		d.Restore([]*directory.Server{ready("a", 1, 2, 10), ready("b", 1, 2, 40)}, removalTime, start)
+		d.Remove("a", false, start.Add(time.Second))
+		Expect(usable(directory.ExpiryGrace - 1)).To(ConsistOf("a2", "b1"))
+		Expect(usable(removalTime)).To(ConsistOf("b1"))
+	})
+
+	It("drops it at once when the row is written anew and removed", func() {
+		d.Apply([]directory.Change{{ID: "a", Server: ready("a", 2, 1, 50)}}, false, start)
+		d.Restore([]*directory.Server{ready("a", 1, 2, 10), ready("b", 1, 2, 40)}, removalTime, start)
+		d.Apply([]directory.Change{{ID: "a", Server: ready("a", 2, 2, 41)}, {ID: "a"}}, false, start.Add(time.Second))
+		Expect(usable(time.Second)).To(ConsistOf("b1"))
+	})
+
 	It("lists a row that was written after the removal that it knows", func() {
 		// Guards against servers that are withheld although they registered again unnoticed.
 		d.Remove("b", false, start)
