--- a/lib/directory/directory.go
+++ b/lib/directory/directory.go
@@ -60,7 +60,7 @@
 
 // Replace replaces the listed servers by a full list. recovered is set if an outage
 // of the store has just ended: servers whose rows may have expired during it stay
-// for ExpiryGrace.
+// for ExpiryGrace, also if a further full list lacks them meanwhile.
 func (d *Directory) Replace(servers []*Server, recovered bool, now time.Time) {
 	servers = d.dropWithheld(servers)
 	d.firstStarts.follow(recovered, now)
@@ -74,7 +74,8 @@
 	})
 	for id, s := range d.servers {
 		if listed[id] == nil {
-			d.remove(id, recovered && scan.mayHaveExpired(s.Domain), now)
+			_, expiring := d.expiring[id]
+			d.remove(id, expiring || recovered && scan.mayHaveExpired(s.Domain), now)
 		}
 	}
 	for _, s := range servers {
@@ -103,10 +104,13 @@
 	}
 	scan := d.scanOutage(func(old *Server) bool { return !deleted[old.ID] })
 	for _, c := range changes {
+		_, withheld := d.withheld[c.ID]
 		delete(d.withheld, c.ID)
 		switch s := d.servers[c.ID]; {
 		case c.Server != nil:
 			d.list(c.Server, now)
+		case withheld && !c.Invalid:
+			// The deleted row is not that of the listed incarnation, whose grace period goes on.
 		case s != nil:
 			d.remove(c.ID, recovered && !c.Invalid && scan.mayHaveExpired(s.Domain), now)
 		}
--- a/lib/directory/restored_test.go
+++ b/lib/directory/restored_test.go
@@ -45,6 +45,15 @@
 		Expect(usable(directory.ExpiryGrace)).To(ConsistOf("a1", "b1"))
 	})
 
+	It("keeps them until then if the table is read in full once more", func() {
+		// Guards against servers that get no requests because the history of the table was lost
+		// again before their rows were written again.
+		d.Restore([]*directory.Server{ready("a", 1, 2, 10)}, removalTime, start)
+		d.Replace([]*directory.Server{ready("a", 1, 2, 10)}, false, start.Add(time.Second))
+		Expect(usable(directory.ExpiryGrace - 1)).To(ConsistOf("a1", "b1"))
+		Expect(usable(directory.ExpiryGrace)).To(ConsistOf("a1"))
+	})
+
 	It("drops them if they are not written again", func() {
 		d.Restore([]*directory.Server{ready("a", 1, 2, 10)}, removalTime, start)
 		Expect(usable(directory.ExpiryGrace)).To(ConsistOf("a1"))
@@ -89,6 +98,23 @@
 		Expect(usable(removalTime)).To(ConsistOf("a2", "b1"))
 	})
 
+	It("keeps the later incarnation when the row of the one that it had replaced is removed", func() {
+		// Guards against a live server that gets no requests from the removal of the row of its
+		// earlier start until it writes its own again.
+		d.Apply([]directory.Change{{ID: "a", Server: ready("a", 2, 1, 50)}}, false, start)
+		d.Restore([]*directory.Server{ready("a", 1, 2, 10), ready("b", 1, 2, 40)}, removalTime, start)
+		d.Remove("a", false, start.Add(time.Second))
+		Expect(usable(directory.ExpiryGrace - 1)).To(ConsistOf("a2", "b1"))
+		Expect(usable(removalTime)).To(ConsistOf("b1"))
+	})
+
+	It("drops it at once when the row is written anew and removed", func() {
+		d.Apply([]directory.Change{{ID: "a", Server: ready("a", 2, 1, 50)}}, false, start)
+		d.Restore([]*directory.Server{ready("a", 1, 2, 10), ready("b", 1, 2, 40)}, removalTime, start)
+		d.Apply([]directory.Change{{ID: "a", Server: ready("a", 2, 2, 41)}, {ID: "a"}}, false, start.Add(time.Second))
+		Expect(usable(time.Second)).To(ConsistOf("b1"))
+	})
+
 	It("lists a row that was written after the removal that it knows", func() {
 		// Guards against servers that are withheld although they registered again unnoticed.
 		d.Remove("b", false, start)
