--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -53,12 +53,15 @@
 	a.openedAt = g.now()
 	a.opening = a.openedAt.Sub(started)
 	defer g.endWait(a)
-	if deadline := r.beginWait(a); !deadline.IsZero() && !a.openedAt.Before(deadline) {
+	deadline := r.beginWait(a)
+	if !deadline.IsZero() && !a.openedAt.Before(deadline) {
 		return resolve(ctx, placement.Rejected, attemptResult{reason: "weights are about to be too old"})
 	}
 	r.dispatched++
 	r.summary.Attempts++
-	upstreamRequest := r.upstreamRequest(r.attemptInfo(a.lease))
+	info := r.attemptInfo(a.lease)
+	r.summary.describeWeights(info.Version, deadline, a.openedAt)
+	upstreamRequest := r.upstreamRequest(info)
 	standby := r.newStandby(ctx, a, r.silenceLimit(a.lease))
 	resp, err := conn.Do(upstreamRequest)
 	if err != nil {
--- a/gateway/observation.go
+++ b/gateway/observation.go
@@ -17,6 +17,11 @@
 	// Predicted, LoadAge and Occupancy are those of the last lease.
 	Predicted, LoadAge time.Duration
 	Occupancy          int
+	// WeightsVersion is the version that the last engine was asked to run the request with;
+	// zero for none. WeightsLeft is the time from the dispatch until that version was to
+	// expire; negative if it was not to.
+	WeightsVersion int
+	WeightsLeft    time.Duration
 	// PlacedBy is the address of the entry that chose the server or refused the
 	// request; empty for this one.
 	PlacedBy string
@@ -40,3 +45,12 @@
 	LongestGap time.Duration
 	Events     int
 }
+
+// describeWeights records the weights of a request that is dispatched now, and their
+// deadline, which may be zero.
+func (o *Observation) describeWeights(version int, deadline, now time.Time) {
+	o.WeightsVersion, o.WeightsLeft = version, -time.Millisecond
+	if !deadline.IsZero() {
+		o.WeightsLeft = deadline.Sub(now)
+	}
+}
