lib/directory: keep the weights that engines have taken since a restored state

Right after a restore, entries took engines for ones with the weights that their older rows name: an engine that had taken the newest version got no requests for it until its agent's next report or its next row, and one whose restored row names no weights counted as one that needs no report that they are intact.

A full list of a restored store keeps the newer version that is known of the same incarnation, as engines take only newer ones. The same version is taken as the row states it, complete or not. Servers that name no start are listed as their rows are.

The spec fails without the change (version 1 instead of 2).

--- a/lib/directory/restored.go
+++ b/lib/directory/restored.go
@@ -1,6 +1,9 @@
 package directory
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // withheld is a server that is not listed although the table of a restored store has its
 // row, and when it is listed unless the row has changed.
@@ -32,16 +35,32 @@
 		}
 	}
 	for _, s := range listed {
-		if old := d.servers[s.ID]; old != nil && old.Key() == s.Key() && old.Draining && !s.Draining {
-			// A drain is not revoked by a row from before it.
-			draining := *s
-			draining.Draining = true
-			s = &draining
+		if old := d.servers[s.ID]; old != nil && old.Key() == s.Key() {
+			s = s.keepLater(old)
 		}
 		d.list(s, now)
 	}
 }
 
+// keepLater returns the server with what old, an earlier listing of it, shows to have happened
+// after the state that its row describes: a drain is not revoked, and engines take only newer
+// versions of weights. Without a start, it may be another incarnation with other weights.
+func (s *Server) keepLater(old *Server) *Server {
+	merged := *s
+	merged.Draining = s.Draining || old.Draining
+	if s.StartUnixMilli == 0 {
+		return &merged
+	}
+	merged.Weights = make(map[string]Weights, len(s.Weights))
+	maps.Copy(merged.Weights, s.Weights)
+	for model, known := range old.Weights {
+		if known.Version > merged.Weights[model].Version {
+			merged.Weights[model] = known
+		}
+	}
+	return &merged
+}
+
 // hasEnded reports whether a row of a restored store is one that had been deleted or
 // replaced. What was written since the restore may have a lower revision than rows had
 // before, so that such a row may be taken for an old one.
--- a/lib/directory/restored_test.go
+++ b/lib/directory/restored_test.go
@@ -115,6 +115,34 @@
 		Expect(usable(time.Second)).To(ConsistOf("b1"))
 	})
 
+	It("keeps the weights that an engine has taken since the restored state", func() {
+		// Guards against engines that get no requests because their restored rows name weights
+		// that had been replaced.
+		weights := func(started, era, revision int64, w directory.Weights) *directory.Server {
+			s := ready("a", started, era, revision)
+			s.Weights = map[string]directory.Weights{"m": w}
+			return s
+		}
+		listed := func() directory.Weights { return d.ByService("orders")[0].Weights["m"] }
+		for _, started := range []int64{0, 7} {
+			d = directory.New()
+			d.Replace([]*directory.Server{weights(started, 1, 10, directory.Weights{Version: 1, Complete: true})}, false, start)
+			d.Update(weights(started, 1, 10, directory.Weights{Version: 2, Complete: true}))
+			restored := weights(started, 2, 10, directory.Weights{Version: 1, Complete: true})
+			d.Restore([]*directory.Server{restored}, removalTime, start)
+			if started == 0 {
+				Expect(listed().Version).To(Equal(1), "it may have started again")
+				continue
+			}
+			Expect(listed()).To(Equal(directory.Weights{Version: 2, Complete: true}))
+			Expect(restored.Weights["m"].Version).To(Equal(1), "not changed")
+			d.Restore([]*directory.Server{ready("a", started, 2, 10)}, removalTime, start)
+			Expect(listed().Version).To(Equal(2), "from before it had any")
+			d.Restore([]*directory.Server{weights(started, 3, 12, directory.Weights{Version: 2})}, removalTime, start)
+			Expect(listed()).To(Equal(directory.Weights{Version: 2}), "no longer complete")
+		}
+	})
+
 	It("lists a row that was written after the removal that it knows", func() {
 		// Guards against servers that are withheld although they registered again unnoticed.
 		d.Remove("b", false, start)
