--- a/internal/deployment/held_bodies_test.go
+++ b/internal/deployment/held_bodies_test.go
@@ -63,7 +63,7 @@
 				case "not_run":
 					Expect(runs).To(BeZero(), "%s: %s", a.RequestID, a.Reason)
 				default:
-					Fail(fmt.Sprintf("%s: %s %s", a.RequestID, a.Outcome, a.Reason))
+					Fail(fmt.Sprintf("%s: %s %s after %d runs", a.RequestID, a.Outcome, a.Reason, runs))
 				}
 				outcomes[a.Outcome+" "+a.Reason]++
 			}
