--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -38,6 +38,8 @@
 	reportLinks []*platformtest.ReportLink
 	// configVersion and weightsVersion are the newest declared versions.
 	configVersion, weightsVersion int
+	// weightsMu guards weightsVersion once steps run.
+	weightsMu sync.Mutex
 	// poisonCount determines the entry that gets the next poison request.
 	poisonCount atomic.Uint64
 	// relayStore makes the entries of a region read the store through one of them.
@@ -277,14 +279,21 @@
 	case ConfigsBehindCut:
 		t.cutWhileConfigsChange(ctx, s)
 	case DeclareVersion:
-		t.weightsVersion++
-		t.store.PutTargetVersion(model, t.weightsVersion)
-		t.recorder.update(func(rec *recorder, now time.Duration) {
-			rec.weights = append(rec.weights, declaredVersion{t.weightsVersion, now})
-		})
+		t.declareVersion()
 	}
 }
 
+// declareVersion declares the next version of the weights. Steps overlap.
+func (t *testbed) declareVersion() {
+	t.weightsMu.Lock()
+	defer t.weightsMu.Unlock()
+	t.weightsVersion++
+	t.store.PutTargetVersion(model, t.weightsVersion)
+	t.recorder.update(func(rec *recorder, now time.Duration) {
+		rec.weights = append(rec.weights, declaredVersion{t.weightsVersion, now})
+	})
+}
+
 func wait(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
