replica: an engine with its first weights does not delay loads after the agent's start

Cause: took the weights that an agent finds at its start for reported by an earlier process, also those of an engine that has accepted no order.

--- a/replica/replica.go
+++ b/replica/replica.go
@@ -242,11 +242,13 @@
 	if !state.Busy {
 		r.initial, r.initialReadAt = &stamp, r.config.Clock.Now()
 	}
-	r.openReports.sentEarlier(state, r.config.Clock.Now())
 	trusted := stamp
 	if state.Busy || state.OrdersAccepted > 0 {
 		trusted = loadStamp{ordersAccepted: neverAccepted}
 	}
+	if state.Busy || state.OrdersAccepted > 0 || len(state.Weights) == 0 {
+		r.openReports.sentEarlier(state, r.config.Clock.Now())
+	}
 	r.trusted.Store(&trusted)
 }
 
