spread: a busy origin does not count as one that is down

Cause: new weights reached two deployments of 34 and 45 engines 2.5 to 3 s later than the origin's link allows. Agents gave up a connection to the origin after 300 ms, which is less than its first packet waits behind pieces on the link, took the origin for one that is down, and asked again only once in a retry round. A failed request says nothing about the origin while pieces still arrive from it. New spec of lib/spread fails before.

--- a/lib/spread/scheduler.go
+++ b/lib/spread/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/rendezvous"
@@ -157,6 +158,10 @@
 	}
 	s.closeRequest(p, from)
 	if from == Origin {
+		if !corrupt && s.originBusy(now) {
+			// The piece stays due, so it is requested again after the caller's delay.
+			return
+		}
 		// The delay is the origin's and not that of the responsible members, so don't
 		// let others take over: all of them would request the same pieces when it
 		// returns.
@@ -174,6 +179,22 @@
 	}
 }
 
+// originBusy reports whether pieces still arrive from the origin, so that a failed request
+// means that its link or its queue of connections is full. Members that took it for down
+// asked again only once in each retry round, and their pieces came seconds late.
+func (s *Scheduler) originBusy(now time.Time) bool {
+	return !s.schedule.originDown() && s.anyAvailable() && now.Sub(s.lastNewPiece) < s.originIdleTime()
+}
+
+// anyAvailable reports whether any piece is available at some member.
+func (s *Scheduler) anyAvailable() bool { return slices.Contains(s.available, true) }
+
+// originIdleTime is the time without a new piece after which the origin's link counts as
+// idle.
+func (s *Scheduler) originIdleTime() time.Duration {
+	return max(originIdlePieces*s.config.OriginPieceTime, s.config.OriginIdleAfter)
+}
+
 func (s *Scheduler) closeRequest(p *missingPiece, from string) {
 	if _, open := p.requests[from]; !open {
 		return
--- a/lib/spread/scheduler_choice.go
+++ b/lib/spread/scheduler_choice.go
@@ -97,7 +97,7 @@
 	if before <= int(since/s.config.OverdueAfter) && s.schedule.positions[number] < overtaken {
 		return true
 	}
-	idle := max(originIdlePieces*s.config.OriginPieceTime, s.config.OriginIdleAfter) + time.Duration(before)*s.config.TakeoverStagger
+	idle := s.originIdleTime() + time.Duration(before)*s.config.TakeoverStagger
 	return since >= s.config.OverdueAfter && now.Sub(s.lastNewPiece) >= idle
 }
 
--- a/lib/spread/scheduler_test.go
+++ b/lib/spread/scheduler_test.go
@@ -160,6 +160,29 @@
 		Expect(s.originTransfers).To(BeNumerically("<=", 96+5))
 	})
 
+	It("asks an origin again at once that fails a request while pieces arrive from it", func() {
+		// Guards against pieces that come seconds late: a connection to an origin with a full
+		// link failed, and its member asked again only in the next round of an origin that is
+		// down, 2.6 s later.
+		self := spread.Member{ID: "0.0", Region: "0"}
+		plan := spread.NewPlan(self, []spread.Member{{ID: "0.1", Region: "0"}}, 96)
+		missing := make([]int, 96)
+		for i := range missing {
+			missing[i] = i
+		}
+		start := time.Unix(1000, 0)
+		s := spread.NewScheduler(spread.Config{OriginPieceTime: pieceTime}, plan, 96, missing, start)
+		fromOrigin := []spread.PieceRequest{{Source: spread.Origin, Piece: 0}}
+		Expect(s.Next(start)).To(Equal(fromOrigin))
+		s.Have("0.1", []int{1}, start.Add(pieceTime))
+		s.Failed(0, spread.Origin, false, start.Add(2*pieceTime))
+		Expect(s.Next(start.Add(6 * pieceTime))).To(ContainElement(fromOrigin[0]))
+
+		By("asking for each piece once in a round when no more pieces arrive")
+		s.Failed(0, spread.Origin, false, start.Add(20*pieceTime))
+		Expect(s.Next(start.Add(26 * pieceTime))).NotTo(ContainElement(fromOrigin[0]))
+	})
+
 	It("completes from the origin with a single instance", func() {
 		s := newSwarm(1, 1, 24)
 		s.start()
