spread: ask an origin that is down for the last pieces every 300 ms

Cause: each missing piece was asked for once a second at most while the origin was down, so that the last few pieces of a version came up to a second after it had returned. Change: the shortest round is 300 ms. Rounds of many pieces stay as long as the origin's link takes for them, so an origin that is down gets no more requests a second than one that answers. go test ./lib/spread passes.

--- a/lib/spread/schedule.go
+++ b/lib/spread/schedule.go
@@ -21,7 +21,7 @@
 const (
 	// minRetryRound is the minimum interval between a member's requests to an
 	// origin that is down.
-	minRetryRound = time.Second
+	minRetryRound = 300 * time.Millisecond
 	// minRetrySlot is the minimum time in each round in which a member may send a
 	// request.
 	minRetrySlot = 60 * time.Millisecond
