lib/relay: followers stay with an instance that receives, and stand-ins read for the others

Cause: while the relaying instance of a region received a large answer over a slow link, it counted as behind after half of the bound, and when it had lost the store all of its followers read the store at once. Their copies queued on the one link of the region.

Change: an answer that is arriving counts as a sign of life for at most the bound. Followers query the next two instances in the order before they read the store; these read it for them when they are asked. A query may be held until the instance is up to date. An instance whose role is pending waits for it before its first read, and the first one of the order takes its first table from the others.

--- a/lib/relay/cache.go
+++ b/lib/relay/cache.go
@@ -40,7 +40,11 @@
 	ages *rowage.Tracker
 	// knownAt is the earliest time at which position was current, on the clock of ages.
 	knownAt time.Time
-	// changed is closed and replaced when the rows change.
+	// transfer is the answer of the store that is arriving.
+	transfer transfer
+	standIn  standIn
+	// changed is closed and replaced when the rows change, and when the store itself
+	// confirms rows that came through another instance.
 	changed chan struct{}
 }
 
@@ -120,7 +124,7 @@
 		}
 		c.rows[r.Key] = encodeRow(r)
 	}
-	changed := rows.Position() != c.position
+	changed := rows.Position() != c.position || direct && !c.confirmedDirectly
 	c.position = rows.Position()
 	if rows.AfterOutage {
 		c.outageEndRevision = rows.Revision
@@ -166,13 +170,22 @@
 	return len(c.rows) == c.deletedCount
 }
 
+// direct reports whether the last answer came from the store itself.
+func (c *Cache) direct() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.confirmedDirectly
+}
+
 // fresh reports whether the rows were confirmed recently enough for other
-// instances to follow this one. If direct is true, they must have been
+// instances to follow this one, or a newer answer of the store is arriving: followers that
+// read the store as well would only delay it. If direct is true, the rows must have been
 // confirmed by the store itself.
 func (c *Cache) fresh(direct bool, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.position.Revision >= 0 && now.Sub(c.confirmedAt) <= fraction(c.config.MaxPropagation, staleFraction) && (c.confirmedDirectly || !direct)
+	recent := now.Sub(c.confirmedAt) <= fraction(c.config.MaxPropagation, staleFraction)
+	return c.position.Revision >= 0 && (recent || c.transfer.active(now, c.config.MaxPropagation)) && (c.confirmedDirectly || !direct)
 }
 
 // changesSince returns the changes after a state, or all rows if its revision is
--- a/lib/relay/client.go
+++ b/lib/relay/client.go
@@ -23,7 +23,12 @@
 	answerTimeout time.Duration
 	// direct restricts queries to instances that read the store themselves.
 	direct bool
+	// standIn and hold are those of queries.
+	standIn bool
+	hold    time.Duration
 
+	// dial connects to an instance; dialTCP if it is nil.
+	dial    func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
 	remote  netip.AddrPort
 	conn    net.Conn
 	decoder *msgstream.Decoder
@@ -55,13 +60,21 @@
 	}
 }
 
+func dialTCP(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return dialer.DialContext(ctx, "tcp", to.String())
+}
+
 func (c *client) connect(ctx context.Context, to netip.AddrPort) error {
 	if c.conn != nil && c.remote == to {
 		return nil
 	}
 	c.close()
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", to.String())
+	dial := c.dial
+	if dial == nil {
+		dial = dialTCP
+	}
+	conn, err := dial(ctx, to)
 	if err != nil {
 		return err
 	}
@@ -80,7 +93,7 @@
 		return watch.Rows{}, err
 	}
 	c.number++
-	q := &query{Table: c.table, Since: since.Revision, NextEra: since.Era + 1, WaitMillis: wait.Milliseconds(), Direct: c.direct, Number: c.number}
+	q := &query{Table: c.table, Since: since.Revision, NextEra: since.Era + 1, WaitMillis: wait.Milliseconds(), Direct: c.direct, StandIn: c.standIn, HoldMillis: c.hold.Milliseconds(), Number: c.number}
 	if err := msgstream.Encode(conn, q); err != nil {
 		return watch.Rows{}, err
 	}
--- a/lib/relay/config.go
+++ b/lib/relay/config.go
@@ -32,6 +32,16 @@
 	// the part without any message after which they stop following it.
 	checkFraction         = 0.125
 	answerTimeoutFraction = 0.5
+	// progressFraction is the part of MaxPropagation without any data after which an
+	// answer of the store no longer counts as arriving.
+	progressFraction = 0.25
+	// holdFraction is the part of MaxPropagation for which an instance that is asked to stand
+	// in, or for its first table, may take until an answer of the store arrives. Two such
+	// instances leave a follower a quarter of it after staleFraction.
+	holdFraction = 0.125
+	// standInFraction is the part of MaxPropagation for which an instance stands in after it
+	// was last asked. Followers ask several times in it while they wait for changes.
+	standInFraction = 0.5
 	// minAvoid and maxAvoid limit the time for which an instance that could not
 	// be followed is not queried again.
 	minAvoid = time.Second
--- a/lib/relay/message.go
+++ b/lib/relay/message.go
@@ -16,6 +16,13 @@
 	WaitMillis int64 `msgpack:"w,omitempty"`
 	// Direct restricts the query to an instance that reads the store itself.
 	Direct bool `msgpack:"d,omitempty"`
+	// StandIn asks an instance that follows another one to read the store: the sender
+	// cannot follow those before it. Instances of earlier releases answer that they
+	// must not be followed.
+	StandIn bool `msgpack:"b,omitempty"`
+	// HoldMillis is how long the instance may take to become up to date before it answers
+	// that it must not be followed, in milliseconds.
+	HoldMillis int64 `msgpack:"u,omitempty"`
 	// Number is the number of the query on its connection, from one.
 	Number uint64 `msgpack:"n,omitempty"`
 	// NextEra is one more than the era that the sender knows. Instances of earlier releases,
--- a/lib/relay/server.go
+++ b/lib/relay/server.go
@@ -99,24 +99,35 @@
 	return msgstream.Encode(conn, a)
 }
 
-// answer answers one query. It waits for a change if there is none, and sends
-// keep-alive messages meanwhile.
+// answer answers one query. It waits for a change if there is none, or as long as the query
+// allows it for this instance to become up to date, and sends keep-alive messages meanwhile.
 func (s *Server) answer(ctx context.Context, conn net.Conn, q *query) error {
 	cache := s.tables[q.Table]
 	if cache == nil {
 		return s.send(conn, &answer{Number: q.Number, Stale: true})
 	}
-	deadline := time.Now().Add(time.Duration(q.WaitMillis) * time.Millisecond)
-	check := time.NewTicker(fraction(cache.config.MaxPropagation, checkFraction))
+	bound := cache.config.MaxPropagation
+	began := time.Now()
+	deadline := began.Add(time.Duration(q.WaitMillis) * time.Millisecond)
+	heldUntil := began.Add(min(time.Duration(q.HoldMillis)*time.Millisecond, fraction(bound, holdFraction)))
+	check := time.NewTicker(fraction(bound, checkFraction))
 	defer check.Stop()
+	held := time.NewTimer(time.Until(heldUntil))
+	defer held.Stop()
 	skipAlive := false
 	for {
-		a, changed := cache.changesSince(q.since(cache.known()))
 		now := time.Now()
-		if s.stopping() || !cache.fresh(q.Direct, now) {
-			return s.send(conn, &answer{Number: q.Number, Stale: true})
+		if q.StandIn {
+			cache.askToStandIn(now)
 		}
-		if a.Stale || a.HistoryLost || len(a.Rows) > 0 || q.Since < 0 || !now.Before(deadline) {
+		a, changed := cache.changesSince(q.since(cache.known()))
+		switch fresh := cache.fresh(q.Direct, now); {
+		case s.stopping():
+			return s.send(conn, &answer{Number: q.Number, Stale: true})
+		case (!fresh || a.Stale) && q.HoldMillis > 0 && (now.Before(heldUntil) || cache.receiving(now)):
+		case !fresh:
+			return s.send(conn, &answer{Number: q.Number, Stale: true})
+		case a.Stale || a.HistoryLost || len(a.Rows) > 0 || q.Since < 0 || !now.Before(deadline):
 			a.Number = q.Number
 			return s.send(conn, &a)
 		}
@@ -124,6 +135,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
+		case <-held.C:
 		case <-check.C:
 			if skipAlive = !skipAlive; skipAlive {
 				continue
--- a/lib/relay/source.go
+++ b/lib/relay/source.go
@@ -10,16 +10,6 @@
 	"github.com/auburnbend/auburnbend/lib/watch"
 )
 
-// Role determines where an instance reads a table from and whether others
-// follow it.
-type Role struct {
-	// Upstream is the instance to query. If it is not valid, this instance
-	// reads the store directly.
-	Upstream netip.AddrPort
-	// HasFollowers is true if other instances query this one.
-	HasFollowers bool
-}
-
 // Source reads one table, through another instance of the region if possible
 // and directly from the store otherwise. It is not safe for concurrent use.
 type Source struct {
@@ -29,18 +19,20 @@
 	role   func() Role
 	client client
 
-	// avoided is an instance that could not be followed. It is not queried
-	// until avoidedUntil, which was set avoidedFor in advance.
-	avoided      netip.AddrPort
-	avoidedUntil time.Time
-	avoidedFor   time.Duration
+	// avoided holds the instances that could not be followed.
+	avoided map[netip.AddrPort]avoidance
 	// onPathChange is called when the table is read on another path than
 	// before: through an instance, or directly if through is not valid. reason
 	// is the error that caused the change, if any.
 	onPathChange func(through netip.AddrPort, reason error)
 	path         netip.AddrPort
+	// leaveReason is why the last instance that was queried could not be followed; nil if it
+	// answered.
+	leaveReason error
 	// startedAt is when changes were first asked for.
 	startedAt time.Time
+	// awaitedRegion is set once the first read has waited for other instances to be known.
+	awaitedRegion bool
 	// hadChanges is true if the last answer of the store contained changes and all that there
 	// were.
 	hadChanges bool
@@ -58,8 +50,8 @@
 // directly.
 func NewSource(table string, store watch.Source, cache *Cache, role func() Role, onPathChange func(through netip.AddrPort, reason error)) *Source {
 	return &Source{
-		onPathChange: onPathChange, config: cache.config, store: store, cache: cache, role: role,
-		client: client{table: table, answerTimeout: fraction(cache.config.MaxPropagation, answerTimeoutFraction), direct: true},
+		onPathChange: onPathChange, avoided: make(map[netip.AddrPort]avoidance), config: cache.config, store: store, cache: cache, role: role,
+		client: client{table: table, answerTimeout: fraction(cache.config.MaxPropagation, answerTimeoutFraction)},
 	}
 }
 
@@ -72,31 +64,40 @@
 
 // Snapshot implements watch.Source.
 func (s *Source) Snapshot(ctx context.Context) (watch.Rows, error) {
-	if to := s.upstream(); to.IsValid() {
-		_, call := s.beginCall(ctx)
-		known := s.cache.known()
-		rows, err := s.client.fetch(ctx, to, watch.Position{Era: known.Era, Revision: -1}, 0)
+	s.awaitRegion(ctx)
+	known := s.cache.known()
+	for _, c := range s.snapshotCandidates() {
+		rows, err := s.query(ctx, c, watch.Position{Era: known.Era, Revision: -1}, 0)
 		if err == nil && rows.Position().Compare(known) < 0 {
 			err = errStale
 		}
 		if err == nil {
-			s.trackRelayed(&rows, call)
-			s.upstreamAnswered(to)
+			s.answered(c.address)
 			s.cache.replace(rows, false, time.Now())
 			return rows, nil
 		}
-		s.avoidUpstream(to, err)
+		if ctx.Err() != nil {
+			return rows, ctx.Err()
+		}
+		if errors.Is(err, errStandIn) {
+			break
+		}
+		s.avoid(c.address, err)
 	}
 	callCtx, call := s.beginCall(ctx)
+	callCtx, ended := s.cache.trackTransfer(callCtx)
 	rows, err := s.store.Snapshot(callCtx)
+	ended()
 	if err != nil {
 		s.storeFailed = true
+		s.retryBehind()
 		s.trackFailure(ctx, call, err)
 		return rows, err
 	}
 	if call != nil {
 		s.ages.Read(&rows, call)
 	}
+	s.answered(netip.AddrPort{})
 	s.markRecovered(&rows)
 	s.cache.replace(rows, true, time.Now())
 	return rows, nil
@@ -105,19 +106,15 @@
 // Changes implements watch.Source.
 func (s *Source) Changes(ctx context.Context, since watch.Position, wait time.Duration) (watch.Rows, error) {
 	s.awaitRole(ctx, wait)
-	to := s.upstream()
-	if !to.IsValid() {
+	if len(s.candidates()) == 0 {
 		wait = s.waitBatch(ctx, wait)
-		// Another instance may have become known, which saves the call to the store.
-		to = s.upstream()
 	}
-	if to.IsValid() {
-		_, call := s.beginCall(ctx)
-		rows, err := s.client.fetch(ctx, to, since, s.upstreamWait(wait))
+	// Another instance may have become known meanwhile, which saves the call to the store.
+	for _, c := range s.candidates() {
+		rows, err := s.query(ctx, c, since, s.upstreamWait(wait))
 		switch {
 		case err == nil:
-			s.trackRelayed(&rows, call)
-			s.upstreamAnswered(to)
+			s.answered(c.address)
 			s.cache.apply(since, rows, false, time.Now())
 			return rows, nil
 		case errors.Is(err, watch.ErrHistoryLost):
@@ -125,10 +122,18 @@
 		case ctx.Err() != nil:
 			return rows, ctx.Err()
 		}
-		s.avoidUpstream(to, err)
 		// Do not wait: changes may have been missed.
 		wait = 0
+		if errors.Is(err, errStandIn) {
+			break
+		}
+		s.avoid(c.address, err)
 	}
+	return s.readChanges(ctx, since, wait)
+}
+
+// readChanges reads changes from the store.
+func (s *Source) readChanges(ctx context.Context, since watch.Position, wait time.Duration) (watch.Rows, error) {
 	callCtx, call := s.beginCall(ctx)
 	rows, err := s.storeChanges(callCtx, since, wait)
 	if errors.Is(err, errRoleChanged) {
@@ -136,10 +141,14 @@
 		return s.Changes(ctx, since, 0)
 	}
 	if err != nil {
-		s.storeFailed = s.storeFailed || !errors.Is(err, watch.ErrHistoryLost)
+		if !errors.Is(err, watch.ErrHistoryLost) {
+			s.storeFailed = true
+			s.retryBehind()
+		}
 		s.trackFailure(ctx, call, err)
 		return rows, err
 	}
+	s.answered(netip.AddrPort{})
 	if rows.Era != since.Era {
 		// These are no changes since then. The table is read in full next, which ends the
 		// outage.
@@ -158,6 +167,40 @@
 	return rows, nil
 }
 
+// errStandIn means that a query to another instance was ended because this one is asked to
+// stand in.
+var errStandIn = errors.New("instance is asked to read the store for others")
+
+// query queries one instance for the rows that changed after a state, or for all rows if its
+// revision is negative.
+func (s *Source) query(ctx context.Context, c candidate, since watch.Position, wait time.Duration) (watch.Rows, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if !s.role().HasFollowers {
+		asked := s.cache.standInAsked(time.Now())
+		go func() {
+			select {
+			case <-asked:
+				cancel(errStandIn)
+			case <-ctx.Done():
+			}
+		}()
+	}
+	_, call := s.beginCall(ctx)
+	s.client.direct, s.client.standIn, s.client.hold = c.direct, c.standIn, c.hold
+	rows, err := s.client.fetch(ctx, c.address, since, wait)
+	if err != nil {
+		if errors.Is(context.Cause(ctx), errStandIn) && !errors.Is(err, watch.ErrHistoryLost) {
+			err = errStandIn
+		}
+		return rows, err
+	}
+	if call != nil {
+		s.ages.Relayed(&rows, s.client.knownAt, call)
+	}
+	return rows, nil
+}
+
 // beginCall returns the context of a call to the store and, if ages are tracked, the call.
 func (s *Source) beginCall(ctx context.Context) (context.Context, *rowage.Call) {
 	if s.ages == nil {
@@ -173,61 +216,22 @@
 	}
 }
 
-// trackRelayed bounds the age of rows that another instance has just returned.
-func (s *Source) trackRelayed(rows *watch.Rows, call *rowage.Call) {
-	if call != nil {
-		s.ages.Relayed(rows, s.client.knownAt, call)
-	}
-}
-
-// awaitRole delays the first call for changes until the role of this instance is known:
-// an instance that has just started learns of the others from the table itself. After
-// confirmFraction of the bound it reads the store anyway, and at once if the table was empty:
-// what it needs may be about to be written.
-func (s *Source) awaitRole(ctx context.Context, wait time.Duration) {
-	if !s.startedAt.IsZero() || wait <= 0 {
-		return
-	}
-	s.startedAt = time.Now()
-	if s.cache.empty() {
-		return
-	}
-	deadline := time.Now().Add(fraction(s.config.MaxPropagation, confirmFraction))
-	ticker := time.NewTicker(roleCheckInterval)
-	defer ticker.Stop()
-	for s.role() == (Role{}) && time.Now().Before(deadline) {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
 // errRoleChanged means that a call to the store was ended because the role has become
-// known.
-var errRoleChanged = errors.New("role of the instance has become known")
+// known, or because this instance is asked to stand in.
+var errRoleChanged = errors.New("role of the instance has changed")
 
 // storeChanges reads changes from the store. It returns errRoleChanged instead of waiting on
-// once the role of an instance that has started lately becomes known.
+// once the role of an instance that has started lately becomes known, or once others ask this
+// one to stand in, unless the answer is already arriving.
 func (s *Source) storeChanges(ctx context.Context, since watch.Position, wait time.Duration) (watch.Rows, error) {
-	if wait <= 0 || !s.settling() || s.role() != (Role{}) {
-		return s.store.Changes(ctx, since, wait)
+	callCtx, ended := s.cache.trackTransfer(ctx)
+	defer ended()
+	if wait <= fraction(s.config.MaxPropagation, confirmFraction) {
+		return s.store.Changes(callCtx, since, wait)
 	}
-	callCtx, cancel := context.WithCancelCause(ctx)
+	callCtx, cancel := context.WithCancelCause(callCtx)
 	defer cancel(nil)
-	go func() {
-		ticker := time.NewTicker(roleCheckInterval)
-		defer ticker.Stop()
-		for s.role() == (Role{}) {
-			select {
-			case <-callCtx.Done():
-				return
-			case <-ticker.C:
-			}
-		}
-		cancel(errRoleChanged)
-	}()
+	go s.watchRole(callCtx, func() { cancel(errRoleChanged) })
 	rows, err := s.store.Changes(callCtx, since, wait)
 	if err != nil && ctx.Err() == nil && errors.Is(context.Cause(callCtx), errRoleChanged) {
 		return watch.Rows{}, errRoleChanged
@@ -235,12 +239,6 @@
 	return rows, err
 }
 
-// settling reports whether this instance has started a short time ago: the instances of a
-// region that start together do not know all others yet.
-func (s *Source) settling() bool {
-	return time.Since(s.startedAt) < settleBounds*s.config.MaxPropagation
-}
-
 // upstreamWait returns how long a query to another instance may wait. At first it is short:
 // the one that all will follow must notice that soon.
 func (s *Source) upstreamWait(wait time.Duration) time.Duration {
@@ -265,7 +263,11 @@
 		case <-timer.C:
 		}
 	}
-	if s.role().HasFollowers {
+	if s.role().HasFollowers || s.cache.standsIn(time.Now()) {
+		if !s.cache.direct() {
+			// Others may follow this instance only once the store has confirmed its rows.
+			return 0
+		}
 		return min(wait, max(0, confirmInterval-pause))
 	}
 	return wait
@@ -276,38 +278,3 @@
 	rows.AfterOutage = s.storeFailed
 	s.storeFailed = false
 }
-
-// upstream returns the instance to query; the result is not valid if there is
-// none or if it is avoided.
-func (s *Source) upstream() netip.AddrPort {
-	to := s.role().Upstream
-	if to == s.avoided && time.Now().Before(s.avoidedUntil) {
-		return netip.AddrPort{}
-	}
-	return to
-}
-
-// upstreamAnswered clears the avoided instance and records the path.
-func (s *Source) upstreamAnswered(through netip.AddrPort) {
-	s.avoided, s.avoidedFor = netip.AddrPort{}, 0
-	s.setPath(through, nil)
-}
-
-// setPath records the path of a read and reports it if it has changed.
-func (s *Source) setPath(through netip.AddrPort, reason error) {
-	if through != s.path {
-		s.path = through
-		s.onPathChange(through, reason)
-	}
-}
-
-// avoidUpstream stops following an instance for a time that doubles with each
-// consecutive failure.
-func (s *Source) avoidUpstream(from netip.AddrPort, reason error) {
-	s.setPath(netip.AddrPort{}, reason)
-	if from != s.avoided {
-		s.avoidedFor = 0
-	}
-	s.avoidedFor = min(max(2*s.avoidedFor, minAvoid), maxAvoid)
-	s.avoided, s.avoidedUntil = from, time.Now().Add(s.avoidedFor)
-}
--- a/lib/relay/suite_test.go
+++ b/lib/relay/suite_test.go
@@ -8,6 +8,7 @@
 )
 
 func TestSuite(t *testing.T) {
+	suiteT = t
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "relay")
 }
