--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -101,6 +101,8 @@
 
 	drain        *drain
 	openRequests atomic.Int64
+	// serversRead is set once the list of backend servers has been read.
+	serversRead atomic.Bool
 }
 
 var _ http.Handler = (*Gateway)(nil)
@@ -221,6 +223,7 @@
 // of the store has just ended.
 func (g *Gateway) ReplaceServers(servers []*directory.Server, recovered bool) {
 	g.UpdateServers(func(d *directory.Directory, now time.Time) { d.Replace(servers, recovered, now) })
+	g.serversRead.Store(true)
 	g.announceTargets()
 }
 
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -29,6 +29,8 @@
 	lastSeen map[netip.AddrPort]time.Time
 	// known is set once an agent has named the entries of the region.
 	known bool
+	// heard is set once an agent of the region has reported which entries it knows, if any.
+	heard bool
 	// ranked caches the serving members in rank order by key, computed since rankedAt.
 	ranked   map[string][]netip.AddrPort
 	rankedAt time.Time
--- a/gateway/peer_link.go
+++ b/gateway/peer_link.go
@@ -127,6 +127,7 @@
 func (l *PeerLink) subscribe(atOnce bool) {
 	table := l.gateway.table.Load()
 	if table == nil {
+		l.discover()
 		return
 	}
 	l.gateway.expireLeases()
@@ -304,10 +305,15 @@
 // between regions, and within a region between its entries, so that the shares add
 // up to it.
 func (l *PeerLink) recordMembers(status *peerlink.Status) {
-	if status.Region != l.region || len(status.Neighbours) == 0 {
+	if status.Region != l.region {
 		return
 	}
 	l.mu.Lock()
+	l.members.heard = true
+	if len(status.Neighbours) == 0 {
+		l.mu.Unlock()
+		return
+	}
 	l.members.observe(status.Neighbours, l.gateway.now())
 	count := l.members.count()
 	l.mu.Unlock()
--- a/internal/node/tables.go
+++ b/internal/node/tables.go
@@ -72,15 +72,16 @@
 // role returns the role of this entry in relaying a table: it follows the first entry
 // in the region's order for the table, or has followers if it is the first one. It
 // reads the store without followers if it is draining or if relaying would not save
-// calls of the store.
+// calls of the store. The entries of the region become known from the table of servers, so
+// that only that of the operator waits for them.
 func (t *storeTables) role(table string, config relay.Config) relay.Role {
 	ranked := t.peerLink.Rank("read/" + table)
 	switch {
-	case t.gateway.Draining() || !config.SavesStoreCalls(len(ranked)):
+	case t.gateway.Draining():
 		return relay.Role{}
-	case ranked[0] == t.peerLink.Self():
-		return relay.Role{HasFollowers: true}
+	case !config.SavesStoreCalls(len(ranked)):
+		return relay.Role{Pending: table == platform.TableOperator && t.peerLink.AwaitsMembers()}
 	default:
-		return relay.Role{Upstream: ranked[0]}
+		return relay.RoleIn(ranked, t.peerLink.Self())
 	}
 }
