--- a/gateway/discovery_test.go
+++ b/gateway/discovery_test.go
@@ -53,6 +53,7 @@
 		Expect(d.Subscription.Draining && d.Subscription.Refresh).To(BeTrue())
 		Expect(d.Subscription.Target).To(BeNil())
 
+		Expect(l.Rank("read/op")).To(HaveLen(1))
 		l.recordMembers(&peerlink.Status{Region: "s", Neighbours: []string{"127.0.0.11:7700"}})
 		Expect(l.AwaitsMembers()).To(BeTrue())
 		l.recordMembers(&peerlink.Status{Region: "n", Neighbours: []string{"127.0.0.12:7700"}})
--- a/gateway/members.go
+++ b/gateway/members.go
@@ -47,9 +47,15 @@
 func (m *members) observe(addresses []string, now time.Time) {
 	m.known = true
 	for _, s := range addresses {
-		if address, err := netip.ParseAddrPort(s); err == nil && address != m.self {
-			m.lastSeen[address] = now
+		address, err := netip.ParseAddrPort(s)
+		if err != nil || address == m.self {
+			continue
 		}
+		if _, ok := m.lastSeen[address]; !ok {
+			// An entry that starts must not act as if it were alone.
+			m.ranked = nil
+		}
+		m.lastSeen[address] = now
 	}
 }
 
@@ -60,7 +66,7 @@
 // rank returns the serving members, including this one, in an order for a key on
 // which all members with the same view agree. The slice must not be modified.
 func (m *members) rank(key string, now time.Time) []netip.AddrPort {
-	if now.Sub(m.rankedAt) >= rankRefreshInterval {
+	if m.ranked == nil || now.Sub(m.rankedAt) >= rankRefreshInterval {
 		m.ranked, m.rankedAt = make(map[string][]netip.AddrPort), now
 	}
 	if m.ranked[key] == nil {
