lib/relay: followers leave a silent stand-in after a quarter of the bound

A relaying instance and its stand-in may fall silent together, as instances of one failure domain do. Queries that are held end after a quarter of the bound without a message; the server sends keep-alive messages twice as often while it holds one. The new spec has one copy and nobody late. Documentation of the stand-ins.

--- a/lib/relay/client.go
+++ b/lib/relay/client.go
@@ -19,8 +19,9 @@
 type client struct {
 	table string
 	// answerTimeout is the time limit for sending a query and for each read of
-	// an answer.
-	answerTimeout time.Duration
+	// an answer. heldTimeout replaces it for queries with hold that do not wait
+	// for changes, to which keep-alive messages come more often.
+	answerTimeout, heldTimeout time.Duration
 	// direct restricts queries to instances that read the store themselves.
 	direct bool
 	// standIn and hold are those of queries.
@@ -89,7 +90,11 @@
 	conn := c.conn
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	if err := conn.SetWriteDeadline(time.Now().Add(c.answerTimeout)); err != nil {
+	timeout := c.answerTimeout
+	if c.hold > 0 && wait <= 0 {
+		timeout = c.heldTimeout
+	}
+	if err := conn.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
 		return watch.Rows{}, err
 	}
 	c.number++
@@ -97,16 +102,16 @@
 	if err := msgstream.Encode(conn, q); err != nil {
 		return watch.Rows{}, err
 	}
-	return c.read(conn, since)
+	return c.read(conn, since, timeout)
 }
 
 // read reads the answer to the last query, and ignores answers to earlier ones, which an
 // instance may send once more. Instances of earlier releases answer without a number. Each
 // keep-alive message and each part of a long answer extends the deadline. Instances of earlier
 // releases compare revisions only, so that their answers may be of another era.
-func (c *client) read(conn net.Conn, since watch.Position) (watch.Rows, error) {
+func (c *client) read(conn net.Conn, since watch.Position, timeout time.Duration) (watch.Rows, error) {
 	for {
-		if err := conn.SetReadDeadline(time.Now().Add(c.answerTimeout)); err != nil {
+		if err := conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 			return watch.Rows{}, err
 		}
 		var a answer
--- a/lib/relay/config.go
+++ b/lib/relay/config.go
@@ -39,6 +39,9 @@
 	// in, or for its first table, may take until an answer of the store arrives. Two such
 	// instances leave a follower a quarter of it after staleFraction.
 	holdFraction = 0.125
+	// heldTimeoutFraction is the part without any message after which a query that is held
+	// ends. It is short, as all instances of a failure domain may fall silent together.
+	heldTimeoutFraction = 0.25
 	// standInFraction is the part of MaxPropagation for which an instance stands in after it
 	// was last asked. Followers ask several times in it while they wait for changes.
 	standInFraction = 0.5
--- a/lib/relay/doc.go
+++ b/lib/relay/doc.go
@@ -5,7 +5,8 @@
 // All instances agree on an order of the entries of the region. The first entry
 // reads the store directly and confirms several times within MaxPropagation
 // that it still can. The other entries query it. An entry whose last
-// confirmation is too old reports that it is stale, and its followers then read
-// the store directly at once. No consensus is needed: if two entries both read
-// the store, this only costs additional calls.
+// confirmation is too old reports that it is stale, unless an answer of the store
+// is arriving. Its followers then ask the next two entries in the order to read
+// the store for them, and read it directly if neither can. No consensus is
+// needed: if two entries both read the store, this only costs additional calls.
 package relay
--- a/lib/relay/region_test.go
+++ b/lib/relay/region_test.go
@@ -230,6 +230,16 @@
 	cache    *Cache
 	received *recorder
 	stop     context.CancelFunc
+	// frozen is set while the instance answers no queries and does not reach the store.
+	frozen atomic.Bool
+}
+
+// stopping implements the function of NewServer.
+func (m *regionMember) stopping(ctx context.Context) bool {
+	if m.frozen.Load() {
+		<-ctx.Done()
+	}
+	return ctx.Err() != nil
 }
 
 // region is a number of instances in rank order whose stores are behind one link.
@@ -274,7 +284,7 @@
 		cache: NewCache(r.config), received: &recorder{}, stop: stop,
 	}
 	r.members[i] = m
-	go NewServer(map[string]*Cache{"t": m.cache}, func() bool { return ctx.Err() != nil }).Run(ctx, r.pipes.listen(m.address))
+	go NewServer(map[string]*Cache{"t": m.cache}, func() bool { return m.stopping(ctx) }).Run(ctx, r.pipes.listen(m.address))
 	known := time.Now().Add(discoveryTime)
 	role := func() Role {
 		if time.Now().Before(known) {
--- a/lib/relay/server.go
+++ b/lib/relay/server.go
@@ -116,7 +116,7 @@
 	defer held.Stop()
 	skipAlive := false
 	for {
-		now := time.Now()
+		now, holding := time.Now(), false
 		if q.StandIn {
 			cache.askToStandIn(now)
 		}
@@ -125,6 +125,7 @@
 		case s.stopping():
 			return s.send(conn, &answer{Number: q.Number, Stale: true})
 		case (!fresh || a.Stale) && q.HoldMillis > 0 && (now.Before(heldUntil) || cache.receiving(now)):
+			holding = true
 		case !fresh:
 			return s.send(conn, &answer{Number: q.Number, Stale: true})
 		case a.Stale || a.HistoryLost || len(a.Rows) > 0 || q.Since < 0 || !now.Before(deadline):
@@ -137,7 +138,7 @@
 		case <-changed:
 		case <-held.C:
 		case <-check.C:
-			if skipAlive = !skipAlive; skipAlive {
+			if skipAlive = !skipAlive; skipAlive && !holding {
 				continue
 			}
 			if err := s.send(conn, &answer{Alive: true}); err != nil {
--- a/lib/relay/slow_link_test.go
+++ b/lib/relay/slow_link_test.go
@@ -47,6 +47,21 @@
 		Expect(cutTrial(2, size)).To(Equal(outcome{Copies: 1}))
 	})
 
+	It("reads a new version once if the relaying instance and the next one fall silent", func() {
+		// Guards against followers that wait for each silent instance as long as for the first:
+		// all instances of a failure domain may be cut off together.
+		Expect(inBubble(func(ctx context.Context) outcome {
+			r := newRegion(ctx, instances, idleLink)
+			for _, m := range r.members[:2] {
+				m.frozen.Store(true)
+				m.store.cut.Store(true)
+			}
+			r.declare("1", size)
+			time.Sleep(bound)
+			return outcome{Behind: r.behind(2, "1"), Copies: r.link.copyCount()}
+		})).To(Equal(outcome{Copies: 1}))
+	})
+
 	It("reads a new version once while its transfer takes longer than the time after which an instance without an answer is behind", func() {
 		// Guards against followers that leave an instance that is receiving the answer of the
 		// store, and whose copies then delay each other.
--- a/lib/relay/source.go
+++ b/lib/relay/source.go
@@ -51,7 +51,10 @@
 func NewSource(table string, store watch.Source, cache *Cache, role func() Role, onPathChange func(through netip.AddrPort, reason error)) *Source {
 	return &Source{
 		onPathChange: onPathChange, avoided: make(map[netip.AddrPort]avoidance), config: cache.config, store: store, cache: cache, role: role,
-		client: client{table: table, answerTimeout: fraction(cache.config.MaxPropagation, answerTimeoutFraction)},
+		client: client{
+			table: table, answerTimeout: fraction(cache.config.MaxPropagation, answerTimeoutFraction),
+			heldTimeout: fraction(cache.config.MaxPropagation, heldTimeoutFraction),
+		},
 	}
 }
 
