entry/dispatch: do not dispatch a request that cannot begin before its deadline

Cause: requests of plain services were dispatched until the very deadline. One that was dispatched as its limit ended ran 62 ms after it, and its caller got the outcome unknown.

Change: the latest dispatch time of a request is its deadline less the usual time until the first frame, a quarter of its time limit at most. It is checked again before sending, as time passes between the reservation and the dispatch.

Result: the new spec of entry/dispatch fails before (unknown) and passes (not_run).

--- a/entry/dispatch/admission.go
+++ b/entry/dispatch/admission.go
@@ -107,6 +107,13 @@
 	return by
 }
 
+// beginBy returns the latest dispatch time of a request that must begin before its deadline.
+func (a *admission) beginBy(pool string, arrival, deadline time.Time) time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.estimator(pool).BeginBy(arrival, deadline)
+}
+
 // observeFirstFrame records the time from a dispatch to its first frame.
 func (a *admission) observeFirstFrame(pool string, d time.Duration) {
 	a.mu.Lock()
--- a/entry/dispatch/dispatch_test.go
+++ b/entry/dispatch/dispatch_test.go
@@ -175,6 +175,25 @@
 		Expect(time.Since(sent)).To(BeNumerically("<", time.Second))
 	})
 
+	// Guards against a request that is dispatched as its time limit ends, runs after it, and
+	// whose caller does not learn whether it ran.
+	It("responds with not_run before the deadline once a request cannot begin in time", func() {
+		const firstFrame, limit = 500 * time.Millisecond, 2 * time.Second
+		a := h.agent("runner-a")
+		first := h.send("", "plate")
+		run := started(a)
+		time.Sleep(firstFrame)
+		respond(run, "engraved")
+		expectBody(first, "engraved")
+		a.Stop()
+		Eventually(h.fleet.UsableAgents).WithTimeout(testTimeout).Should(BeZero())
+		c := h.send("", "cup", within(limit))
+		time.Sleep(limit - firstFrame/2)
+		late := h.agent("runner-b")
+		expectResult(c, outcome.NotRun, outcome.ReasonDeadline)
+		Consistently(late.RequestStarts, limit/4).ShouldNot(Receive())
+	})
+
 	// Guards against a retry on the instance where the first attempt failed.
 	It("sends a retry to another instance", func() {
 		agents := map[model.InstanceID]*agenttest.Agent{"runner-a": h.agent("runner-a"), "runner-b": h.agent("runner-b")}
--- a/entry/dispatch/run.go
+++ b/entry/dispatch/run.go
@@ -52,6 +52,9 @@
 	attemptOutcome outcome.Outcome
 	responseEnd    *wire.ResponseEnd
 
+	// beginBy is the latest time at which the request is dispatched.
+	beginBy time.Time
+
 	timing        timing
 	unackedFrames int
 	unackedBytes  int
@@ -185,9 +188,10 @@
 
 func (r *run) admitRequest(id model.RequestID) admit.Request {
 	d := r.dispatcher
-	by := r.request.Deadline
+	r.beginBy = d.admission.beginBy(r.request.Service.Pool, r.request.Received, r.request.Deadline)
+	by := r.beginBy
 	if r.request.Service.Kind == config.KindModel {
-		by = d.admission.startBy(r.request.Service.Pool, r.request.Received, firstTokenTarget(r.request.Class), r.request.Deadline)
+		by = d.admission.startBy(r.request.Service.Pool, r.request.Received, firstTokenTarget(r.request.Class), by)
 	}
 	return admit.Request{
 		ID:       id,
@@ -209,6 +213,11 @@
 	r.timing.start(now)
 	r.routeResult, r.attemptOutcome, r.responseEnd = route.ResultNeutral, outcome.Unknown, nil
 	r.unackedFrames, r.unackedBytes = 0, 0
+	if now.After(r.beginBy) {
+		// It could begin after its caller has been told that it failed.
+		r.attemptOutcome = outcome.NotRun
+		return r.machine.NotAdmitted(now, outcome.ReasonDeadline, 0)
+	}
 	hop := r.machine.Hop()
 	step := r.machine.Dispatched(now, attempt.Dispatch{
 		Attempt:  r.attempt,
--- a/entry/dispatch/run_events.go
+++ b/entry/dispatch/run_events.go
@@ -147,9 +147,9 @@
 		return
 	}
 	d.cfg.Metrics.ObserveFirstToken(tenant, class, r.now().Sub(r.request.Received))
+	d.admission.observeFirstFrame(r.request.Service.Pool, elapsed)
 	if r.request.Service.Kind == config.KindModel {
 		d.cfg.Fleet.ObserveFirstToken(r.slot, elapsed)
-		d.admission.observeFirstFrame(r.request.Service.Pool, elapsed)
 	}
 }
 
--- a/lib/admit/start_estimator.go
+++ b/lib/admit/start_estimator.go
@@ -28,3 +28,13 @@
 func (e *StartEstimator) StartBy(arrival time.Time, target time.Duration) time.Time {
 	return arrival.Add(max(target-e.mean-2*e.deviation, target/10))
 }
+
+// maxBeginShare is the part of the time limit of a request that BeginBy leaves for it to begin
+// at most, so that a wrong estimate cannot refuse all requests.
+const maxBeginShare = 4
+
+// BeginBy returns the latest dispatch time for a request that arrived at arrival to begin, and
+// for that to be known, before its deadline.
+func (e *StartEstimator) BeginBy(arrival, deadline time.Time) time.Time {
+	return deadline.Add(-min(e.mean+2*e.deviation, deadline.Sub(arrival)/maxBeginShare))
+}
