placement: servers that have just started or recovered get a window of requests

A server that starts under load, or returns from an ejection, a pause or a cold period, is slow for some seconds and idle, so that it seemed to be the best one. Only pauses had a ramp, by time alone.

lib/pace holds a window for each such server. It doubles with each response time in which the responses are in time, is halved by late ones and failures, and grows with time while nothing waits. The ramp after pauses is replaced by it; its spec passes unchanged. Expected is the prediction at placement, twice, corrected by its usual error for the other servers of the service.

The notice that a response has started is sent at the first event of a stream instead of its head, which does not show that the request has begun, and not for refusals and failures.

lib/placement: without the window, four of its specs fail. With it, four engines that are added to six are no longer limited 1.2 s after a burst of 16 requests.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -83,6 +83,9 @@
 		return r.openStream(ctx, a, standby)
 	}
 	// The server has begun the request, in time for its weights.
+	if resp.StatusCode < http.StatusBadRequest {
+		r.recordResponseStart(a)
+	}
 	g.endWait(a)
 	conn.SetReadDeadline(time.Time{})
 	return r.bufferResponse(ctx, a, standby)
@@ -207,6 +210,7 @@
 	return nil
 }
 
+// recordResponse records what the head of a response tells about its server.
 func (r *request) recordResponse(a *attempt) {
 	g, lease := r.gateway, a.lease
 	g.mu.Lock()
@@ -214,7 +218,6 @@
 	if a.reply.Load != nil && a.reply.RequestID == r.info.ID {
 		g.picker.UpdateCounts(lease.Server.Key(), a.reply.Load.Running, a.reply.Load.Queued, now)
 	}
-	usage := g.picker.ResponseStarted(lease, now)
 	publish := func() {}
 	var news *peerlink.Gossip
 	if a.reply.RequestID == r.info.ID && !a.reply.Misdirected {
@@ -224,6 +227,17 @@
 	g.mu.Unlock()
 	publish()
 	g.broadcast(news)
+}
+
+// recordResponseStart records that the response to the request has started, and tells the
+// placer. For a stream it must be called at the first event: the head does not show that the
+// request has begun. Refusals and failures may be fast on a server that is overloaded, and
+// are recorded only as the end of the attempt.
+func (r *request) recordResponseStart(a *attempt) {
+	g := r.gateway
+	g.mu.Lock()
+	usage := g.picker.ResponseStarted(a.lease, g.now())
+	g.mu.Unlock()
 	r.reportProgress(a, usage, nil)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/memory"
+	"github.com/auburnbend/auburnbend/lib/pace"
 	"github.com/auburnbend/auburnbend/lib/placement"
 	"github.com/auburnbend/auburnbend/lib/retry"
 	"github.com/auburnbend/auburnbend/lib/serving"
@@ -112,6 +113,13 @@
 	config.Placement.OnEject = func(s *directory.Server, duration time.Duration, cause placement.Result) {
 		config.Log.Log(eventlog.ServerEjected, "server", s.ID, "service", s.Service, "address", s.Address, "while_ms", duration.Milliseconds(), "reason", cause)
 	}
+	config.Placement.OnPace = func(s *directory.Server, cause pace.Cause, limited bool, duration time.Duration) {
+		if limited {
+			config.Log.Log(eventlog.ServerPaceLimited, "server", s.ID, "born", s.StartUnixMilli, "service", s.Service, "reason", cause)
+			return
+		}
+		config.Log.Log(eventlog.ServerPaceLifted, "server", s.ID, "born", s.StartUnixMilli, "service", s.Service, "reason", cause, "after_ms", duration.Milliseconds())
+	}
 	picker := placement.New(config.Placement, d, rand.New(rand.NewPCG(config.Seed, config.Seed)))
 	if config.MaxBodyBytes <= 0 {
 		config.MaxBodyBytes = defaultMaxHeldBodies
@@ -207,6 +215,7 @@
 	}
 	g.markSuperseded()
 	g.applyEarlyStatuses()
+	g.picker.ObserveStarts(g.now())
 	g.picker.ObserveCold(g.now())
 	g.picker.Prune()
 	publish := g.recordUnlistedEnds()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -33,6 +33,9 @@
 	if winner := standby.settle(failure); winner != nil {
 		return succeededBy(winner)
 	}
+	if failure == nil {
+		r.recordResponseStart(a)
+	}
 	switch {
 	case failure == nil && err == nil:
 		a.next = &event
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -17,6 +17,9 @@
 	ConfigAge     time.Duration
 	// Servers counts the backend servers by service and condition.
 	Servers map[ServerGroup]int
+	// ConcurrencyLimited counts, by service, the backend servers whose concurrency is
+	// limited because they have just started or recovered.
+	ConcurrencyLimited map[string]int
 	// Engines counts the engines by model and loaded version.
 	Engines map[ModelVersion]int
 	// RetriesLeft is the unused part of this entry's retry budget, by service.
@@ -92,6 +95,7 @@
 	now := g.now()
 	maps.Copy(s.Signals, g.signals)
 	s.GrantedLeases = g.leases.Len()
+	s.ConcurrencyLimited = g.picker.ConcurrencyLimited(now)
 	s.EvacuatedDomains = len(g.picker.EvacuatedDomains())
 	s.Quarantined = len(g.suspects.quarantined)
 	if table != nil {
--- a/internal/node/state_metrics.go
+++ b/internal/node/state_metrics.go
@@ -26,6 +26,7 @@
 	config := gauge("config_version", "version of the configuration in force", "")
 	age := gauge("config_age", "time since the configuration came into force here", "s")
 	servers := gauge("backend_servers", "backend servers by service and condition", "")
+	paced := gauge("backend_servers_paced", "backend servers by service whose concurrency is limited because they have just started or recovered", "")
 	engines := gauge("engines", "engines by model and version of the weights", "")
 	retriesLeft := gauge("repeats_left", "repeats that the retry budget leaves to this entry", "")
 	open := gauge("requests_open", "requests that are being served", "")
@@ -66,6 +67,9 @@
 			o.ObserveFloat64(servers, float64(n), metric.WithAttributes(
 				attribute.String("service", group.Service), attribute.String("condition", string(group.Condition))))
 		}
+		for service, n := range s.ConcurrencyLimited {
+			o.ObserveFloat64(paced, float64(n), metric.WithAttributes(attribute.String("service", service)))
+		}
 		for signal, n := range s.Signals {
 			o.ObserveInt64(signals, n, metric.WithAttributes(attribute.String("kind", string(signal.Kind)), attribute.String("source", signal.Source)))
 		}
@@ -77,7 +81,7 @@
 			o.ObserveFloat64(retriesLeft, left, metric.WithAttributes(attribute.String("service", service)))
 		}
 		return nil
-	}, config, age, servers, engines, retriesLeft, open, granted, quarantined, evacuated, store, held, delayed, refused, signals)
+	}, config, age, servers, paced, engines, retriesLeft, open, granted, quarantined, evacuated, store, held, delayed, refused, signals)
 	return err
 }
 
--- a/lib/placement/cold.go
+++ b/lib/placement/cold.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/directory"
+	"github.com/auburnbend/auburnbend/lib/pace"
 	"github.com/auburnbend/auburnbend/lib/ratelimit"
 )
 
@@ -25,14 +26,27 @@
 		}
 		switch {
 		case listing.ColdTime <= 0:
+			if s.cold(now) && s.pace != nil && s.pace.Cause() == pace.Cold {
+				p.limitPace(s, pace.Cold, now, pace.MaxRamp, now)
+			}
 			s.coldUntil = time.Time{}
 		case s.coldRevision != listing.Revision || s.coldTime != listing.ColdTime:
 			s.coldUntil = now.Add(listing.ColdTime)
+			p.limitAfterCold(s, listing.Service, now)
 		}
 		s.coldRevision, s.coldTime = listing.Revision, listing.ColdTime
 	})
 }
 
+// limitAfterCold limits the concurrency of a server from the end of its cold period on. That
+// takes the place of the limit after a start: while it is cold, its rate is limited.
+func (p *Picker) limitAfterCold(s *server, service string, now time.Time) {
+	if h := p.histories[service]; h != nil && h.activity.Settled(now) {
+		s.startedAt = time.Time{}
+		p.limitPace(s, pace.Cold, s.coldUntil, pace.MaxRamp, now)
+	}
+}
+
 // HasCold reports whether a server of a service is cold.
 func (p *Picker) HasCold(service string, now time.Time) bool {
 	for _, listing := range p.directory.ByService(service) {
--- a/lib/placement/config.go
+++ b/lib/placement/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/directory"
+	"github.com/auburnbend/auburnbend/lib/pace"
 )
 
 // Config configures a Picker. Zero fields take defaults.
@@ -26,6 +27,10 @@
 	MinEject, MaxEject time.Duration
 	// OnEject is called at each ejection; nil is not called.
 	OnEject func(server *directory.Server, duration time.Duration, cause Result)
+	// OnPace is called when the concurrency of a server begins to be limited because it has
+	// just started or recovered, and after the given duration when it no longer is; nil is
+	// not called.
+	OnPace func(server *directory.Server, cause pace.Cause, limited bool, duration time.Duration)
 	// MaxEjectedShare is the share of a service's servers above which ejections are
 	// taken for a common fault: the ejected servers are then used if no others are
 	// available.
--- a/lib/placement/lease.go
+++ b/lib/placement/lease.go
@@ -28,6 +28,14 @@
 	entry        string
 	promptTokens int
 	started      time.Time
+	// distance is the part of Predicted that is due to the distance of the server.
+	distance time.Duration
+	// slots is the number of requests that the server runs concurrently. engine is set if
+	// it is an engine, which responds with a stream.
+	slots  int
+	engine bool
+	// history is that of the service.
+	history *serviceHistory
 	// responding is set once the response has started.
 	responding bool
 	done       bool
--- /dev/null
+++ b/lib/placement/pace.go
@@ -0,0 +1,217 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/directory"
+	"github.com/auburnbend/auburnbend/lib/pace"
+)
+
+const (
+	// startValidity is the time after a server has started, or has begun to accept
+	// requests, within which its first request begins the limit of its concurrency. Later,
+	// others have used it, or it is known to be idle for longer than it is slow.
+	startValidity = 10 * time.Second
+	// paceInterval is the minimum time between two searches for limits that have begun or
+	// ended by time.
+	paceInterval = 100 * time.Millisecond
+	// maxSeenUnlisted bounds the incarnations that are remembered after they have left.
+	maxSeenUnlisted = 4096
+)
+
+// serviceHistory is what is known of the requests of one service.
+type serviceHistory struct {
+	activity pace.Activity
+	usual    pace.Usual
+}
+
+func (p *Picker) history(service string) *serviceHistory {
+	h := p.histories[service]
+	if h == nil {
+		h = &serviceHistory{}
+		p.histories[service] = h
+	}
+	return h
+}
+
+// ObserveStarts notices servers that have started under load. It must be called after each
+// change of the directory. Servers that are listed before their service has been under load
+// for a while are not new: the deployment, or this entry, is starting.
+func (p *Picker) ObserveStarts(now time.Time) {
+	p.directory.ForEach(func(listing *directory.Server) {
+		key := listing.Key()
+		if p.seen[key] {
+			return
+		}
+		p.seen[key] = true
+		if h := p.histories[listing.Service]; h != nil && h.activity.Settled(now) {
+			p.state(listing).startedAt = now
+		}
+	})
+	if len(p.seen) > p.directory.Len()+maxSeenUnlisted {
+		clear(p.seen)
+		p.directory.ForEach(func(listing *directory.Server) { p.seen[listing.Key()] = true })
+	}
+}
+
+// beginStart begins the limit of a server that has started under load, with its first
+// request.
+func (p *Picker) beginStart(s *server, now time.Time) {
+	if s.startedAt.IsZero() {
+		return
+	}
+	if since := later(s.startedAt, s.openedAt); now.Sub(since) < startValidity {
+		p.limitPace(s, pace.Started, now, pace.StartRamp, now)
+	}
+	s.startedAt = time.Time{}
+}
+
+// limitPace limits the concurrency of a server from a time on. A pause is between the server
+// and this entry, so that its limit does not replace one that applies to all requests.
+func (p *Picker) limitPace(s *server, cause pace.Cause, from time.Time, ramp time.Duration, now time.Time) {
+	if s.pace != nil && cause == pace.Pause && s.pace.Cause() != pace.Pause {
+		return
+	}
+	p.liftPace(s, now)
+	s.pace = pace.New(cause, from, ramp)
+	p.paced[s] = true
+}
+
+// liftPace ends the limit of a server's concurrency.
+func (p *Picker) liftPace(s *server, now time.Time) {
+	if s.pace == nil {
+		return
+	}
+	p.reportPace(s, false, now.Sub(s.pace.From()))
+	s.pace, s.paceReported = nil, false
+	delete(p.paced, s)
+}
+
+// reportPace calls OnPace when a limit begins, and when one that was reported ends.
+func (p *Picker) reportPace(s *server, limited bool, duration time.Duration) {
+	if s.paceReported == limited {
+		return
+	}
+	s.paceReported = limited
+	if p.config.OnPace != nil && s.listing != nil {
+		p.config.OnPace(s.listing, s.pace.Cause(), limited, max(duration, 0))
+	}
+}
+
+// refreshPace notices limits that have begun or ended by time.
+func (p *Picker) refreshPace(now time.Time) {
+	if len(p.paced) == 0 || now.Sub(p.paceRefreshedAt) < paceInterval {
+		return
+	}
+	p.paceRefreshedAt = now
+	for s := range p.paced {
+		switch {
+		case s.pace.Ended(now):
+			p.liftPace(s, now)
+		case s.pace.Active(now):
+			p.reportPace(s, true, 0)
+		}
+	}
+}
+
+// ConcurrencyLimited returns the number of servers of each service whose concurrency is
+// limited because they have just started or recovered.
+func (p *Picker) ConcurrencyLimited(now time.Time) map[string]int {
+	limited := make(map[string]int)
+	for s := range p.paced {
+		if s.listing != nil && s.pace.Active(now) {
+			limited[s.listing.Service]++
+		}
+	}
+	return limited
+}
+
+// windowFull reports whether a server that has just started or recovered has as many
+// requests as it may have. own is set for requests of this entry: the limit after a pause
+// applies only to those.
+func (s *server) windowFull(own bool, slots int, now time.Time) bool {
+	if s.pace == nil || !own && s.pace.Cause() == pace.Pause {
+		return false
+	}
+	return s.pace.Full(s.usage.Running, s.occupancy(now), slots, now)
+}
+
+// slotsFor is the number of requests that the server runs concurrently, as the service
+// declares it if it does.
+func (s *server) slotsFor(req *Request) int {
+	if req.Engine != nil && req.Engine.Slots > 0 {
+		return req.Engine.Slots
+	}
+	return s.slots()
+}
+
+// judge records what the start of a response tells about the server.
+func (p *Picker) judge(l *Lease, now time.Time) {
+	took, predicted := now.Sub(l.started), l.Predicted-l.distance
+	if l.state.pace == nil {
+		l.history.usual.Observe(took, predicted)
+		return
+	}
+	p.observePace(l, pace.Judge(took, predicted, &l.history.usual), now)
+}
+
+// judgeWait records that a request has ended without a response.
+func (p *Picker) judgeWait(l *Lease, now time.Time) {
+	if v := pace.Judge(now.Sub(l.started), l.Predicted-l.distance, &l.history.usual); v == pace.Late {
+		p.observePace(l, v, now)
+	}
+}
+
+func (p *Picker) observePace(l *Lease, v pace.Verdict, now time.Time) {
+	s := l.state
+	if s.pace == nil {
+		return
+	}
+	s.pace.Observe(v, l.started, l.Occupancy+1, l.slots, now)
+	if s.pace.Ended(now) {
+		p.liftPace(s, now)
+	}
+}
+
+// pickBehindWindow returns the server of this region whose window is full and that responds
+// within the latency target nevertheless, after a wait for a place in the window; nil if
+// there is none. It is for requests that would be refused because all servers with room
+// are too slow.
+func (p *Picker) pickBehindWindow(req *Request, now time.Time) (*server, estimate) {
+	var best candidate
+	limit := scale(req.LatencyTarget, p.config.TargetShare)
+	for s := range p.paced {
+		if s.listing == nil || s.listing.Service != req.Service || !p.isLocal(s) || !s.windowFull(req.Entry == "", s.slotsFor(req), now) {
+			continue
+		}
+		if excluded, _ := p.exclusion(s.listing, req, now); excluded || req.excludes(s.listing.Key()) {
+			continue
+		}
+		if p.usability(s, req, nil, now) != usableIfNoOther {
+			continue
+		}
+		e := s.predictInWindow(req, now)
+		if e.firstResponse > limit || s.mayMissVersionDeadline(req, e, now) {
+			continue
+		}
+		c := candidate{server: s, estimate: e, score: e.firstResponse + p.distancePenalty(req.Domain, s.listing.Domain)}
+		if best.server == nil || c.compare(&best) < 0 {
+			best = c
+		}
+	}
+	return best.server, best.estimate
+}
+
+// predictInWindow is predict for a server that runs only as many requests at a time as its
+// window allows.
+func (s *server) predictInWindow(req *Request, now time.Time) estimate {
+	e := s.predict(req, now)
+	window := s.pace.Window(s.slotsFor(req), now)
+	ahead := max(0, s.occupancy(now)+1-window)
+	perPlace := (e.firstResponse - e.wait) / time.Duration(window)
+	if req.Engine != nil {
+		perPlace = scale(serviceTime(req.Engine, window), s.slowdown(now))
+	}
+	wait := time.Duration(ahead) * perPlace
+	return estimate{firstResponse: e.firstResponse + wait, wait: e.wait + wait}
+}
--- a/lib/placement/pause.go
+++ b/lib/placement/pause.go
@@ -5,12 +5,10 @@
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/directory"
+	"github.com/auburnbend/auburnbend/lib/pace"
 )
 
 const (
-	// maxRamp bounds the time after a pause over which the load of a server is ramped
-	// up. The ramp is as long as the pause if that is shorter.
-	maxRamp = 2 * time.Second
 	// pauseJitter is the random part that is added to the retry delay of callers, as a
 	// share of the wait for the end of a pause, so that they do not all return at once.
 	// minPauseJitter is its minimum.
@@ -35,6 +33,7 @@
 	if until.After(p.pausesUntil) {
 		p.pausesUntil = until
 	}
+	p.limitPace(s, pace.Pause, until, min(until.Sub(s.pausedAt), pace.MaxRamp), now)
 	return true
 }
 
@@ -50,10 +49,11 @@
 }
 
 // Throttled reports whether a server gets nothing from this entry now: it is paused,
-// or it has as many requests as the ramp after a pause allows.
+// or its window after a pause is full. Other limits of its concurrency are left to the
+// entry that has placed the request, which knows more requests.
 func (p *Picker) Throttled(key directory.Key, now time.Time) bool {
 	s := p.servers[key]
-	return s != nil && (s.paused(now) || s.atRampLimit(now))
+	return s != nil && (s.paused(now) || s.pace != nil && s.pace.Cause() == pace.Pause && s.windowFull(true, s.slots(), now))
 }
 
 // Paused reports whether a server has asked this entry to send no requests now.
@@ -64,21 +64,6 @@
 
 func (s *server) paused(now time.Time) bool { return now.Before(s.pausedUntil) }
 
-// atRampLimit reports whether the server has as many requests of this entry as the
-// ramp after a pause allows. The limit rises from one request to the number of
-// slots.
-func (s *server) atRampLimit(now time.Time) bool {
-	if s.pausedUntil.IsZero() {
-		return false
-	}
-	ramp := min(s.pausedUntil.Sub(s.pausedAt), maxRamp)
-	elapsed := now.Sub(s.pausedUntil)
-	if elapsed >= ramp {
-		return false
-	}
-	return s.usage.Running >= max(1, int(float64(s.slots())*float64(elapsed)/float64(ramp)))
-}
-
 // pauseRefusal refuses a request if all servers that could run it, including those
 // that the request excludes, are paused. It returns nil otherwise.
 func (p *Picker) pauseRefusal(req *Request, now time.Time) *Refusal {
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -32,6 +32,14 @@
 	ejectionsUntil time.Time
 	// rateLimited holds the servers that have a rate limit.
 	rateLimited map[directory.Key]bool
+	// histories holds what is known of the requests of services.
+	histories map[string]*serviceHistory
+	// seen holds the incarnations that were listed before.
+	seen map[directory.Key]bool
+	// paced holds the servers whose concurrency is limited, or will be after a pause, an
+	// ejection or a cold period. It was last searched at paceRefreshedAt.
+	paced           map[*server]bool
+	paceRefreshedAt time.Time
 }
 
 // New returns a Picker for the servers of a directory. The Picker drops expired
@@ -41,6 +49,7 @@
 		config: config.applyDefaults(), directory: d, servers: make(map[directory.Key]*server), rng: rng,
 		limitShare: 1, evacuations: make(map[string]evacuation), regionCount: countRegions(config.Regions),
 		indexes: make(map[string]*serviceIndex), rateLimited: make(map[directory.Key]bool),
+		histories: make(map[string]*serviceHistory), seen: make(map[directory.Key]bool), paced: make(map[*server]bool),
 	}
 }
 
@@ -49,6 +58,11 @@
 	best, estimate, refusal := p.best(&req, now)
 	if refusal == nil {
 		refusal = p.checkLatency(&req, best, estimate, now)
+		if refusal != nil && len(p.paced) > 0 {
+			if s, e := p.pickBehindWindow(&req, now); s != nil {
+				best, estimate, refusal = s, e, nil
+			}
+		}
 	}
 	if refusal != nil {
 		refusal.ExcludedServers = p.ExcludedServers(req.Service, now)
@@ -57,7 +71,7 @@
 	occupancy, age := best.occupancy(now), best.reportAge(now)
 	l := p.newLease(best, &req, now)
 	l.LimitChecked = best.effectiveLimit(&req, now).PerSecond > 0
-	l.Predicted = estimate.firstResponse + p.distancePenalty(req.Domain, best.listing.Domain)
+	l.Predicted = estimate.firstResponse + l.distance
 	l.Occupancy, l.LoadAge = occupancy, age
 	return l, nil
 }
@@ -69,14 +83,21 @@
 }
 
 func (p *Picker) newLease(s *server, req *Request, now time.Time) *Lease {
+	history := p.history(req.Service)
+	history.activity.Placed(now)
+	p.beginStart(s, now)
 	s.addUsage(1, 1, req.PromptTokens, now)
 	s.recordPlacement(now)
-	return &Lease{Server: s.listing, Usage: s.usage, state: s, entry: req.Entry, promptTokens: req.PromptTokens, started: now}
+	return &Lease{
+		Server: s.listing, Usage: s.usage, state: s, entry: req.Entry, promptTokens: req.PromptTokens, started: now,
+		history: history, distance: p.distancePenalty(req.Domain, s.listing.Domain), slots: s.slotsFor(req), engine: req.Engine != nil,
+	}
 }
 
 // best returns the server with the lowest score, or a refusal.
 func (p *Picker) best(req *Request, now time.Time) (*server, estimate, *Refusal) {
 	p.directory.Expire(now)
+	p.refreshPace(now)
 	held := p.heldBack(now)
 	candidates, ok := p.nearCandidates(req, held, now)
 	if !ok {
--- a/lib/placement/picker_outcome.go
+++ b/lib/placement/picker_outcome.go
@@ -1,16 +1,24 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/pace"
+)
 
 // ResponseStarted records that the response to a request has started. It returns
 // this entry's usage of the server.
 func (p *Picker) ResponseStarted(l *Lease, now time.Time) Usage {
-	s := l.state
 	if !l.responding && !l.done {
-		l.responding = true
-		s.addUsage(0, -1, -l.promptTokens, now)
+		p.endPrefill(l, now)
+		p.judge(l, now)
 	}
-	return s.usage
+	return l.state.usage
+}
+
+func (p *Picker) endPrefill(l *Lease, now time.Time) {
+	l.responding = true
+	l.state.addUsage(0, -1, -l.promptTokens, now)
 }
 
 // Done ends a lease and records its result. It returns this entry's usage of the
@@ -20,13 +28,20 @@
 		return l.state.usage
 	}
 	answered := l.responding
-	p.ResponseStarted(l, now)
+	if !answered {
+		p.endPrefill(l, now)
+	}
 	l.done = true
 	s := l.state
 	s.addUsage(-1, 0, 0, now)
 	switch result {
 	case Answered:
 		s.failures, s.ejections = 0, 0
+		if !answered && !l.engine {
+			// The notice that the response of an engine has started may be lost. The end of
+			// its stream tells nothing about the start.
+			p.judge(l, now)
+		}
 		s.smoothResponseTime(now.Sub(l.started))
 	case Mismatched:
 		// An update from the server's agent or its row will clear this.
@@ -37,14 +52,19 @@
 		p.eject(s, Mismatched, now)
 	case Unreachable:
 		if l.entry == "" {
+			p.observePace(l, pace.Late, now)
 			p.eject(s, Unreachable, now)
 			break
 		}
 		// The fault may be in the network of the other entry.
 		p.recordFailure(s, l.entry, Unreachable, now)
 	case Failed:
+		p.observePace(l, pace.Late, now)
 		p.recordFailure(s, l.entry, Failed, now)
 	case Cancelled:
+		if !answered {
+			p.judgeWait(l, now)
+		}
 		if !answered && now.Sub(l.started) >= noResponseThreshold {
 			p.recordFailure(s, l.entry, Cancelled, now)
 		}
@@ -82,6 +102,9 @@
 	s.ejections++
 	s.ejectedUntil = now.Add(duration)
 	p.ejectionsUntil = later(p.ejectionsUntil, s.ejectedUntil)
+	if cause != Mismatched {
+		p.limitPace(s, pace.Ejection, s.ejectedUntil, min(duration, pace.MaxRamp), now)
+	}
 	if p.config.OnEject != nil {
 		p.config.OnEject(s.listing, duration, cause)
 	}
--- a/lib/placement/picker_reports.go
+++ b/lib/placement/picker_reports.go
@@ -106,6 +106,7 @@
 		if !listed[key] && s.usage.Running == 0 {
 			delete(p.servers, key)
 			delete(p.rateLimited, key)
+			delete(p.paced, s)
 		}
 	}
 }
--- a/lib/placement/server.go
+++ b/lib/placement/server.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/directory"
+	"github.com/auburnbend/auburnbend/lib/pace"
 	"github.com/auburnbend/auburnbend/lib/ratelimit"
 )
 
@@ -52,6 +53,13 @@
 	coldUntil    time.Time
 	coldRevision int64
 	coldTime     time.Duration
+	// pace limits the concurrency of a server that has just started or recovered; nil if it
+	// is not limited. paceReported is set once Config.OnPace has been told.
+	pace         *pace.Controller
+	paceReported bool
+	// startedAt is when this entry has noticed that the server had started under load; zero
+	// after its first request, and if it had not.
+	startedAt time.Time
 	// superseded is set if a later incarnation has the address.
 	superseded bool
 }
@@ -74,6 +82,9 @@
 	s.usage.Running += running
 	s.usage.Prefilling += prefilling
 	s.usage.PrefillTokens += prefillTokens
+	if s.pace != nil {
+		s.pace.SetWaiting(s.usage.Prefilling > 0, now)
+	}
 	if running != 0 {
 		s.runningHistory.set(s.usage.Running, now)
 	}
--- a/lib/placement/usability.go
+++ b/lib/placement/usability.go
@@ -9,7 +9,7 @@
 // reached, and the ejected ones. If only ejected ones are left and they are more than
 // MaxEjectedShare, it returns those. A pause applies only between a server and one
 // entry: for requests of other entries, these list the servers to exclude. Servers whose
-// load is being ramped up, and those in held-back failure domains, are used if there is
+// window is full, and those in held-back failure domains, are used if there is
 // no other choice.
 func (p *Picker) available(eligible []*server, req *Request, held []string, now time.Time) []*server {
 	var available, ramping, ejected []*server
@@ -39,7 +39,7 @@
 const (
 	unusable usability = iota
 	unusableEjected
-	// usableIfNoOther servers have their load ramped up, or are in a held-back failure
+	// usableIfNoOther servers have a full window, or are in a held-back failure
 	// domain.
 	usableIfNoOther
 	usable
@@ -52,7 +52,7 @@
 		return unusable
 	case s.ejected(now):
 		return unusableEjected
-	case own && s.atRampLimit(now) || slices.Contains(held, s.listing.Domain):
+	case s.windowFull(own, s.slotsFor(req), now) || slices.Contains(held, s.listing.Domain):
 		return usableIfNoOther
 	default:
 		return usable
