entry/fleet: servers that start under load or were ejected get a window of requests

lib/pace also limits the concurrency of the servers that an entry of the product's stack uses. A server with a full window is no candidate, so that no request waits for it, unless no other server may run the request.

Without it, the new spec of the fleet fails: the server whose ejection has just ended gets what the full ones cannot take.

--- a/entry/dispatch/run_events.go
+++ b/entry/dispatch/run_events.go
@@ -147,6 +147,7 @@
 		return
 	}
 	d.cfg.Metrics.ObserveFirstToken(tenant, class, r.now().Sub(r.request.Received))
+	d.cfg.Fleet.ObserveFirstFrame(r.slot)
 	if r.request.Service.Kind == config.KindModel {
 		d.cfg.Fleet.ObserveFirstToken(r.slot, elapsed)
 		d.admission.observeFirstFrame(r.request.Service.Pool, elapsed)
--- a/entry/fleet/fixture_test.go
+++ b/entry/fleet/fixture_test.go
@@ -32,7 +32,9 @@
 
 func newTestFleet() *testFleet {
 	t := &testFleet{list: instances.New(instances.Config{})}
-	t.fleet = fleet.New(agenttest.FleetConfig(location, t.list))
+	config := agenttest.FleetConfig(location, t.list)
+	config.Route.EjectDuration = 100 * time.Millisecond
+	t.fleet = fleet.New(config)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -33,6 +33,7 @@
 	picker   *route.Picker
 	monitor  *poison.Monitor
 	limiters map[route.Key]*admit.Limiter
+	pacer    *pacer
 	agents   map[model.InstanceID]route.Instance
 	peers    map[model.InstanceID]*peer
 	conns    map[member.ConnID]*connection
@@ -53,7 +54,7 @@
 // New returns a Fleet, which opens connections once Run is called.
 func New(cfg Config) *Fleet {
 	cfg = cfg.applyDefaults()
-	return &Fleet{
+	f := &Fleet{
 		cfg:             cfg,
 		capacityChanged: make(chan struct{}, 1),
 		view:            member.New(cfg.Member),
@@ -65,6 +66,8 @@
 		conns:           make(map[member.ConnID]*connection),
 		attemptsSent:    make(map[model.InstanceID]int),
 	}
+	f.pacer = newPacer(f.reportPace)
+	return f
 }
 
 // CapacityChanged returns a channel that receives a value when an instance may
@@ -143,6 +146,10 @@
 		f.sendEntryLists()
 	}
 	f.sendCacheFetch(now)
+	if f.pacer.refresh(now) {
+		// The windows may have grown.
+		f.signalCapacity()
+	}
 }
 
 // applyEvents processes changes of the view. The caller must hold f.mu.
@@ -192,6 +199,7 @@
 func (f *Fleet) removeGeneration(now time.Time, key route.Key) {
 	f.picker.Remove(now, key)
 	delete(f.limiters, key)
+	f.pacer.removed(key)
 	if f.agents[key.Instance].Generation == key.Generation {
 		delete(f.agents, key.Instance)
 		delete(f.attemptsSent, key.Instance)
--- a/entry/fleet/fleet_test.go
+++ b/entry/fleet/fleet_test.go
@@ -105,4 +105,38 @@
 		t.fleet.Finish(first, outcome.Completed, route.ResultOK)
 		Eventually(second).WithTimeout(settle).Should(HaveField("Key.Instance", model.InstanceID("runner-b")))
 	})
+
+	// Guards against a wave of requests on a server whose ejection has ended while the others
+	// are full, and against requests that find no server if it is the only one left.
+	It("gives an instance whose ejection has ended one request at a time, unless it is the only one", func() {
+		t.agent("runner-c", 3)
+		t.waitForUsable(3)
+		reserve := func(avoid ...model.InstanceID) *fleet.Slot {
+			request := requirements()
+			request.Avoid, request.OfferedAt = avoid, time.Now()
+			slot, err := t.fleet.Reserve(request)
+			Expect(err).NotTo(HaveOccurred())
+			return slot
+		}
+		for range 5 {
+			t.fleet.Finish(reserve("runner-b", "runner-c"), outcome.Completed, route.ResultError)
+		}
+		_, err := t.fleet.Reserve(&fleet.Requirements{Pool: pool, Weights: []model.Weights{loaded}, Avoid: []model.InstanceID{"runner-b", "runner-c"}})
+		Expect(err).To(MatchError(fleet.ErrNoInstance))
+		time.Sleep(150 * time.Millisecond)
+		Expect(t.fleet.ConcurrencyLimited()).To(BeZero())
+		reserve("runner-b", "runner-c")
+		Expect(t.fleet.ConcurrencyLimited()).To(Equal(1))
+		full := func() error {
+			request := requirements()
+			request.Avoid = []model.InstanceID{"runner-a"}
+			_, err := t.fleet.Reserve(request)
+			return err
+		}
+		for full() == nil {
+		}
+		_, err = t.fleet.Reserve(requirements())
+		Expect(err).To(MatchError(fleet.ErrNoInstance))
+		Expect(reserve("runner-b", "runner-c").Key.Instance).To(Equal(model.InstanceID("runner-a")))
+	})
 })
--- a/entry/fleet/handler.go
+++ b/entry/fleet/handler.go
@@ -86,6 +86,7 @@
 	}
 	f.agents[instance.ID] = instance
 	f.picker.Update(f.cfg.Clock.Now(), instance)
+	f.pacer.joined(instance.Key(), instance.Pool, f.cfg.Clock.Now())
 	f.queueCacheFetch(instance.Key())
 	f.cfg.Log.Log(eventlog.AgentJoined, "instance", instance.ID, "pool", instance.Pool)
 }
@@ -162,6 +163,9 @@
 		// change.
 		f.queueCacheFetch(instance.Key())
 	}
+	if len(instance.Live) == 0 && len(beat.LiveWeights) > 0 {
+		f.pacer.opened(instance.Key(), now)
+	}
 	instance.Live = beat.LiveWeights
 	instance.Role = routeRole(beat.Role)
 	instance.Draining = beat.Draining
--- /dev/null
+++ b/entry/fleet/pacer.go
@@ -0,0 +1,204 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/pace"
+	"github.com/auburnbend/auburnbend/lib/route"
+)
+
+const (
+	// maxSeen bounds the remembered generations of agents.
+	maxSeen = 4096
+	// typicalWeight is the weight of one response in the typical time of a pool.
+	typicalWeight = 16
+)
+
+// pacer limits the concurrency of backend servers that have started under load or were
+// ejected. It expects responses to begin within the typical time of the other servers of
+// the pool. It is not safe for concurrent use.
+type pacer struct {
+	servers map[route.Key]*pacedServer
+	pools   map[string]*poolHistory
+	// seen holds the generations that have joined before.
+	seen map[route.Key]bool
+	// report is called when a limit begins, and after a duration when it ends.
+	report func(key route.Key, cause pace.Cause, limited bool, duration time.Duration)
+}
+
+// pacedServer is a server whose concurrency is limited, or will be from its next request on.
+type pacedServer struct {
+	cause pace.Cause
+	// since is when a server that has started joined, or had weights that it may serve.
+	since time.Time
+	// controller is nil before the first request.
+	controller *pace.Controller
+	// waiting counts the requests since then whose response has not begun.
+	waiting int
+}
+
+type poolHistory struct {
+	activity pace.Activity
+	// typical is the smoothed time to the first frame; zero if there was none yet.
+	typical time.Duration
+}
+
+// paceSample is one request from the pacer's view.
+type paceSample struct {
+	key             route.Key
+	pool            *poolHistory
+	server          *pacedServer
+	placed          time.Time
+	inFlight, slots int
+	answered        bool
+}
+
+func newPacer(report func(route.Key, pace.Cause, bool, time.Duration)) *pacer {
+	return &pacer{servers: make(map[route.Key]*pacedServer), pools: make(map[string]*poolHistory), seen: make(map[route.Key]bool), report: report}
+}
+
+// joined records a generation of an agent that has connected. It is new unless its pool
+// has had no load for some seconds: then the deployment or this entry is starting.
+func (p *pacer) joined(key route.Key, pool string, now time.Time) {
+	if p.seen[key] {
+		return
+	}
+	if len(p.seen) >= maxSeen {
+		clear(p.seen)
+	}
+	p.seen[key] = true
+	if h := p.pools[pool]; h != nil && h.activity.Settled(now) {
+		p.servers[key] = &pacedServer{cause: pace.Started, since: now}
+	}
+}
+
+// opened records that a server has its first weights.
+func (p *pacer) opened(key route.Key, now time.Time) {
+	if s := p.servers[key]; s != nil && s.controller == nil {
+		s.since = now
+	}
+}
+
+// ejected limits a server from its first request after the ejection on.
+func (p *pacer) ejected(key route.Key, now time.Time) {
+	p.lift(key, now)
+	p.servers[key] = &pacedServer{cause: pace.Ejection}
+}
+
+func (p *pacer) removed(key route.Key) { delete(p.servers, key) }
+
+// full reports whether a server must get no further request unless it is the only one. own
+// counts the requests of this entry, total those that are known of all entries.
+func (p *pacer) full(key route.Key, own, total, slots int, now time.Time) bool {
+	s := p.servers[key]
+	return s != nil && s.controller != nil && s.controller.Full(own, total, slots, now)
+}
+
+// placed records a request on a server.
+func (p *pacer) placed(key route.Key, pool string, inFlight, slots int, now time.Time) *paceSample {
+	h := p.pools[pool]
+	if h == nil {
+		h = &poolHistory{}
+		p.pools[pool] = h
+	}
+	h.activity.Placed(now)
+	sample := &paceSample{key: key, pool: h, placed: now, inFlight: inFlight, slots: slots}
+	s := p.servers[key]
+	if s == nil {
+		return sample
+	}
+	if s.controller == nil {
+		if s.cause == pace.Started && now.Sub(s.since) >= pace.StartValidity {
+			delete(p.servers, key)
+			return sample
+		}
+		ramp := pace.StartRamp
+		if s.cause != pace.Started {
+			ramp = pace.MaxRamp
+		}
+		s.controller = pace.New(s.cause, now, ramp)
+		p.report(key, s.cause, true, 0)
+	}
+	sample.server = s
+	s.waiting++
+	s.controller.SetWaiting(true, now)
+	return sample
+}
+
+// answered records the first frame of a response.
+func (p *pacer) answered(r *paceSample, now time.Time) {
+	if r.answered {
+		return
+	}
+	p.endWait(r, now)
+	took := now.Sub(r.placed)
+	if r.server != nil {
+		p.observe(r, pace.Judge(took, r.pool.typical, &pace.Usual{}), now)
+		return
+	}
+	if r.pool.typical == 0 {
+		r.pool.typical = took
+	}
+	r.pool.typical += (took - r.pool.typical) / typicalWeight
+}
+
+// finished records the end of a request.
+func (p *pacer) finished(r *paceSample, failed bool, now time.Time) {
+	verdict := pace.Unclear
+	// A request that ends early without a response tells nothing.
+	if failed || !r.answered && pace.Judge(now.Sub(r.placed), r.pool.typical, &pace.Usual{}) == pace.Late {
+		verdict = pace.Late
+	}
+	p.endWait(r, now)
+	p.observe(r, verdict, now)
+}
+
+func (p *pacer) endWait(r *paceSample, now time.Time) {
+	if r.answered {
+		return
+	}
+	r.answered = true
+	if r.server != nil {
+		r.server.waiting--
+		r.server.controller.SetWaiting(r.server.waiting > 0, now)
+	}
+}
+
+func (p *pacer) observe(r *paceSample, v pace.Verdict, now time.Time) {
+	if r.server == nil || p.servers[r.key] != r.server {
+		return
+	}
+	r.server.controller.Observe(v, r.placed, r.inFlight, r.slots, now)
+	if r.server.controller.Ended(now) {
+		p.lift(r.key, now)
+	}
+}
+
+// refresh ends the limits that have ended by time, and reports whether there are others.
+func (p *pacer) refresh(now time.Time) bool {
+	for key, s := range p.servers {
+		if s.controller != nil && s.controller.Ended(now) {
+			p.lift(key, now)
+		}
+	}
+	return len(p.servers) > 0
+}
+
+// limited returns the number of servers whose concurrency is limited.
+func (p *pacer) limited(now time.Time) int {
+	n := 0
+	for _, s := range p.servers {
+		if s.controller != nil && s.controller.Active(now) {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *pacer) lift(key route.Key, now time.Time) {
+	s := p.servers[key]
+	delete(p.servers, key)
+	if s != nil && s.controller != nil {
+		p.report(key, s.cause, false, now.Sub(s.controller.From()))
+	}
+}
--- a/entry/fleet/reserve.go
+++ b/entry/fleet/reserve.go
@@ -56,6 +56,7 @@
 	// Suspect is true if the request was in flight when a backend server crashed.
 	Suspect     bool
 	fingerprint model.Fingerprint
+	sample      *paceSample
 }
 
 // Reserve picks an instance and reserves a slot on it. It returns ErrQuarantined,
@@ -89,7 +90,7 @@
 	avoid := slices.Clone(need.Avoid)
 	request := f.routeRequest(now, need, &avoid, weights)
 	for range maxPlacementTries {
-		choice, err := f.picker.Pick(now, request)
+		choice, err := f.pickPaced(now, request)
 		if err != nil {
 			if refusal := new(route.Refusal); errors.As(err, &refusal) && refusal.Deferred {
 				return nil, merry.Wrap(ErrShouldWait)
@@ -135,11 +136,13 @@
 
 // reserve takes a slot on the given instance. The caller must hold f.mu.
 func (f *Fleet) reserve(now time.Time, need *Requirements, request *route.Request, key route.Key) *Slot {
-	f.limiter(key).Acquire()
+	l := f.limiter(key)
+	l.Acquire()
 	f.attemptsSent[key.Instance]++
 	f.picker.Started(now, key, request.Prefix)
 	f.broadcast(f.monitor.Started(now, need.Fingerprint, key.Instance))
-	return &Slot{Key: key, Link: f.linkOf(key.Instance), Weights: request.Weights, fingerprint: need.Fingerprint}
+	sample := f.pacer.placed(key, request.Pool, l.InFlight(), f.slots(key), now)
+	return &Slot{Key: key, Link: f.linkOf(key.Instance), Weights: request.Weights, fingerprint: need.Fingerprint, sample: sample}
 }
 
 // limiter returns the limiter of a generation and creates it if necessary. The caller
@@ -163,13 +166,25 @@
 	if l := f.limiters[slot.Key]; l != nil {
 		l.Release()
 	}
+	f.pacer.finished(slot.sample, result == route.ResultError, now)
 	if f.picker.Finished(now, slot.Key, result) {
+		f.pacer.ejected(slot.Key, now)
 		f.cfg.Log.Log(eventlog.BackendServerEjected, "instance", slot.Key.Instance)
 	}
 	f.broadcast(f.monitor.Finished(now, slot.fingerprint, slot.Key.Instance, o))
 	f.signalCapacity()
 }
 
+// ObserveFirstFrame records that the first frame of a response has arrived.
+func (f *Fleet) ObserveFirstFrame(slot *Slot) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pacer.answered(slot.sample, f.cfg.Clock.Now())
+	if slot.sample.server != nil {
+		f.signalCapacity()
+	}
+}
+
 // ObserveFirstToken records the time from dispatch to the first frame.
 func (f *Fleet) ObserveFirstToken(slot *Slot, d time.Duration) {
 	f.mu.Lock()
--- a/entry/program.go
+++ b/entry/program.go
@@ -94,6 +94,9 @@
 	if err := p.metrics.ObserveMemory(p.Budgets()); err != nil {
 		return nil, err
 	}
+	if err := p.metrics.ObservePaced(p.fleet.ConcurrencyLimited); err != nil {
+		return nil, err
+	}
 	p.OnConfigChange(func(v *config.View) { p.metrics.DeclareLabels(v.Config) })
 	p.Start()
 	return p, nil
--- a/lib/eventlog/events_member.go
+++ b/lib/eventlog/events_member.go
@@ -11,6 +11,8 @@
 	PeerRefused          = Event{5007, Warn, "connection rejected: unknown version or unauthorized name", "Check the certificates and the versions of both ends."}
 	FrameInvalid         = Event{5008, Warn, "connection closed after an invalid frame", "If it repeats, check the version of the peer."}
 	BackendServerEjected = Event{5009, Warn, "backend server ejected as an outlier", "Check the backend server."}
+	BackendServerPaced   = Event{5010, Info, "concurrency of a backend server that has just started or was ejected is limited", "Nothing."}
+	BackendServerUnpaced = Event{5011, Info, "concurrency of a backend server is no longer limited", "Nothing unless after_ms is often near 20000; then check why new servers respond late."}
 )
 
 var memberEvents = []Event{
@@ -23,4 +25,6 @@
 	PeerRefused,
 	FrameInvalid,
 	BackendServerEjected,
+	BackendServerPaced,
+	BackendServerUnpaced,
 }
--- a/lib/pace/activity.go
+++ b/lib/pace/activity.go
@@ -3,6 +3,10 @@
 import "time"
 
 const (
+	// StartValidity is the time after a server has started, or has begun to accept
+	// requests, within which its first request begins the limit of its concurrency. Later,
+	// others have used it, or it has been idle for longer than it is slow.
+	StartValidity = 10 * time.Second
 	// settleTime is the time after the first request of a service in which servers that
 	// appear are taken for ones that were there before: the deployment, or this entry, is
 	// starting.
--- a/lib/placement/pace.go
+++ b/lib/placement/pace.go
@@ -8,10 +8,6 @@
 )
 
 const (
-	// startValidity is the time after a server has started, or has begun to accept
-	// requests, within which its first request begins the limit of its concurrency. Later,
-	// others have used it, or it is known to be idle for longer than it is slow.
-	startValidity = 10 * time.Second
 	// paceInterval is the minimum time between two searches for limits that have begun or
 	// ended by time.
 	paceInterval = 100 * time.Millisecond
@@ -60,7 +56,7 @@
 	if s.startedAt.IsZero() {
 		return
 	}
-	if since := later(s.startedAt, s.openedAt); now.Sub(since) < startValidity {
+	if since := later(s.startedAt, s.openedAt); now.Sub(since) < pace.StartValidity {
 		p.limitPace(s, pace.Started, now, pace.StartRamp, now)
 	}
 	s.startedAt = time.Time{}
