--- a/entry/dispatch/run_events.go
+++ b/entry/dispatch/run_events.go
@@ -148,6 +148,7 @@
 	}
 	d.cfg.Metrics.ObserveFirstToken(tenant, class, r.now().Sub(r.request.Received))
 	d.admission.observeFirstFrame(r.request.Service.Pool, elapsed)
+	d.cfg.Fleet.ObserveFirstFrame(r.slot)
 	if r.request.Service.Kind == config.KindModel {
 		d.cfg.Fleet.ObserveFirstToken(r.slot, elapsed)
 	}
--- /dev/null
+++ b/lib/pace/activity.go
@@ -0,0 +1,37 @@
+package pace
+
+import "time"
+
+const (
+	// StartValidity is the time after a server has started, or has begun to accept
+	// requests, within which its first request begins the limit of its concurrency. Later,
+	// others have used it, or it has been idle for longer than it is slow.
+	StartValidity = 10 * time.Second
+	// settleTime is the time after the first request of a service in which servers that
+	// appear are taken for ones that were there before: the deployment, or this entry, is
+	// starting.
+	settleTime = 3 * time.Second
+	// idleTime is the time after the last request after which a service has no load.
+	idleTime = 10 * time.Second
+)
+
+// Activity is when a service has had requests.
+type Activity struct{ first, last time.Time }
+
+// Placed records a request.
+func (a *Activity) Placed(now time.Time) {
+	if !a.underLoad(now) {
+		a.first = now
+	}
+	a.last = now
+}
+
+// Settled reports whether the service has been under load for a while, so that a server
+// which appears now has started under load.
+func (a *Activity) Settled(now time.Time) bool {
+	return a.underLoad(now) && now.Sub(a.first) >= settleTime
+}
+
+func (a *Activity) underLoad(now time.Time) bool {
+	return !a.last.IsZero() && now.Sub(a.last) < idleTime
+}
--- /dev/null
+++ b/lib/placement/pace.go
@@ -0,0 +1,216 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/directory"
+	"github.com/auburnbend/auburnbend/lib/pace"
+)
+
+const (
+	// paceInterval is the minimum time between two searches for limits that have begun or
+	// ended by time.
+	paceInterval = 100 * time.Millisecond
+	// maxBeyondWindow is the ratio to its window up to which a server gets requests that
+	// would be refused otherwise. Without such requests, servers that are added while the
+	// others are full would leave refused what they can run; without a bound, they would be
+	// flooded.
+	maxBeyondWindow = 2
+	// maxSeenUnlisted bounds the incarnations that are remembered after they have left.
+	maxSeenUnlisted = 4096
+)
+
+// serviceHistory is what is known of the requests of one service.
+type serviceHistory struct {
+	activity pace.Activity
+	usual    pace.Usual
+}
+
+func (p *Picker) history(service string) *serviceHistory {
+	h := p.histories[service]
+	if h == nil {
+		h = &serviceHistory{}
+		p.histories[service] = h
+	}
+	return h
+}
+
+// ObserveStarts notices servers that have started under load. It must be called after each
+// change of the directory. Servers that are listed before their service has been under load
+// for a while are not new: the deployment, or this entry, is starting.
+func (p *Picker) ObserveStarts(now time.Time) {
+	p.directory.ForEach(func(listing *directory.Server) {
+		key := listing.Key()
+		if p.seen[key] {
+			return
+		}
+		p.seen[key] = true
+		if h := p.histories[listing.Service]; h != nil && h.activity.Settled(now) {
+			p.state(listing).startedAt = now
+		}
+	})
+	if len(p.seen) > p.directory.Len()+maxSeenUnlisted {
+		clear(p.seen)
+		p.directory.ForEach(func(listing *directory.Server) { p.seen[listing.Key()] = true })
+	}
+}
+
+// beginStart begins the limit of a server that has started under load, with its first
+// request.
+func (p *Picker) beginStart(s *server, now time.Time) {
+	if s.startedAt.IsZero() {
+		return
+	}
+	if since := later(s.startedAt, s.openedAt); now.Sub(since) < pace.StartValidity {
+		p.limitPace(s, pace.Started, now, pace.StartRamp, now)
+	}
+	s.startedAt = time.Time{}
+}
+
+// limitPace limits the concurrency of a server from a time on. A pause is between the server
+// and this entry, so that its limit does not replace one that applies to all requests.
+func (p *Picker) limitPace(s *server, cause pace.Cause, from time.Time, ramp time.Duration, now time.Time) {
+	if s.pace != nil && cause == pace.Pause && s.pace.Cause() != pace.Pause {
+		return
+	}
+	p.liftPace(s, now)
+	s.pace = pace.New(cause, from, ramp)
+	p.paced[s] = true
+}
+
+// liftPace ends the limit of a server's concurrency.
+func (p *Picker) liftPace(s *server, now time.Time) {
+	if s.pace == nil {
+		return
+	}
+	p.reportPace(s, false, now.Sub(s.pace.From()))
+	s.pace, s.paceReported, s.slowness = nil, false, pace.Slowness{}
+	delete(p.paced, s)
+}
+
+// reportPace calls OnPace when a limit begins, and when one that was reported ends.
+func (p *Picker) reportPace(s *server, limited bool, duration time.Duration) {
+	if s.paceReported == limited {
+		return
+	}
+	s.paceReported = limited
+	if p.config.OnPace != nil && s.listing != nil {
+		p.config.OnPace(s.listing, s.pace.Cause(), limited, max(duration, 0))
+	}
+}
+
+// refreshPace notices limits that have begun or ended by time.
+func (p *Picker) refreshPace(now time.Time) {
+	if len(p.paced) == 0 || now.Sub(p.paceRefreshedAt) < paceInterval {
+		return
+	}
+	p.paceRefreshedAt = now
+	for s := range p.paced {
+		switch {
+		case s.pace.Ended(now):
+			p.liftPace(s, now)
+		case s.pace.Active(now):
+			p.reportPace(s, true, 0)
+		}
+	}
+}
+
+// ConcurrencyLimited returns the number of servers of each service whose concurrency is
+// limited because they have just started or recovered.
+func (p *Picker) ConcurrencyLimited(now time.Time) map[string]int {
+	limited := make(map[string]int)
+	for s := range p.paced {
+		if s.listing != nil && s.pace.Active(now) {
+			limited[s.listing.Service]++
+		}
+	}
+	return limited
+}
+
+// windowFull reports whether a server that has just started or recovered has as many
+// requests as it may have. own is set for requests of this entry: the limit after a pause
+// applies only to those.
+func (s *server) windowFull(own bool, slots int, now time.Time) bool {
+	if s.pace == nil || !own && s.pace.Cause() == pace.Pause {
+		return false
+	}
+	return s.pace.Full(s.usage.Running, s.occupancy(now), slots, now)
+}
+
+// slotsFor is the number of requests that the server runs concurrently, as the service
+// declares it if it does.
+func (s *server) slotsFor(req *Request) int {
+	if req.Engine != nil && req.Engine.Slots > 0 {
+		return req.Engine.Slots
+	}
+	return s.slots()
+}
+
+// judge records what the start of a response tells about the server.
+func (p *Picker) judge(l *Lease, now time.Time) {
+	took, predicted := now.Sub(l.started), l.Predicted-l.distance
+	if l.state.pace == nil {
+		l.history.usual.Observe(took, predicted)
+		return
+	}
+	l.state.slowness.Observe(took, predicted)
+	p.observePace(l, pace.Judge(took, predicted, &l.history.usual), now)
+}
+
+// judgeWait records that a request has ended without a response.
+func (p *Picker) judgeWait(l *Lease, now time.Time) {
+	if v := pace.Judge(now.Sub(l.started), l.Predicted-l.distance, &l.history.usual); v == pace.Late {
+		p.observePace(l, v, now)
+	}
+}
+
+func (p *Picker) observePace(l *Lease, v pace.Verdict, now time.Time) {
+	s := l.state
+	if s.pace == nil {
+		return
+	}
+	s.pace.Observe(v, l.started, l.Occupancy+1, l.slots, now)
+	if s.pace.Ended(now) {
+		p.liftPace(s, now)
+	}
+}
+
+// pickBeyondWindow returns the server of this region that responds within the latency target
+// although its window is full; nil if there is none. It is for requests that would be refused
+// because all servers with room are too slow. Responses must have shown that it is fast
+// enough, even if slower than predicted; before, it may have a few requests more.
+func (p *Picker) pickBeyondWindow(req *Request, now time.Time) (*server, estimate) {
+	var best candidate
+	for s := range p.paced {
+		if s.listing == nil || s.listing.Service != req.Service || !p.isLocal(s) {
+			continue
+		}
+		if !s.windowFull(req.Entry == "", s.slotsFor(req), now) {
+			continue
+		}
+		if excluded, _ := p.exclusion(s.listing, req, now); excluded || req.excludes(s.listing.Key()) {
+			continue
+		}
+		if p.usability(s, req, nil, now) != usableIfNoOther {
+			continue
+		}
+		e := s.predict(req, now)
+		if s.mayMissVersionDeadline(req, e, now) || !p.fastEnough(s, req, e, now) {
+			continue
+		}
+		c := candidate{server: s, estimate: e, score: e.firstResponse + p.distancePenalty(req.Domain, s.listing.Domain)}
+		if best.server == nil || c.compare(&best) < 0 {
+			best = c
+		}
+	}
+	return best.server, best.estimate
+}
+
+// fastEnough reports whether a server with a full window is expected to respond to a request
+// within its latency target.
+func (p *Picker) fastEnough(s *server, req *Request, e estimate, now time.Time) bool {
+	if ratio, known := s.slowness.Ratio(); known && scale(e.firstResponse, ratio) <= scale(req.LatencyTarget, p.config.TargetShare) {
+		return true
+	}
+	return s.occupancy(now) < maxBeyondWindow*s.pace.Window(s.slotsFor(req), now) && p.checkLatency(req, s, e, now) == nil
+}
