platform, lib/placement: read the fourth figure of X-Instance-Load

A header with four figures was dropped as a whole, so that the load of such a server was unknown. All four are read.

lib/placement predicts the responses of plain servers from their observed response times and from the change of the smoothed figure since. Observed times age as well: a server that was slow once was never used again unless the others were slow too. Requests that end without a response count as late, and a server without responses counts as the others of its service and no longer as one of 20 ms.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -213,6 +213,7 @@
 	now := g.now()
 	if a.reply.Load != nil && a.reply.RequestID == r.info.ID {
 		g.picker.UpdateCounts(lease.Server.Key(), a.reply.Load.Running, a.reply.Load.Queued, now)
+		g.picker.UpdateWork(lease.Server.Key(), a.reply.Load.Work, now)
 	}
 	usage := g.picker.ResponseStarted(lease, now)
 	publish := func() {}
--- a/gateway/response_info.go
+++ b/gateway/response_info.go
@@ -34,8 +34,11 @@
 	Load *Load
 }
 
-// Load is the load of a backend server at the time of a response, as counts of
-// requests.
+// Load is the load of a backend server at the time of a response.
 type Load struct {
+	// Running, Queued and Slots are counts of requests.
 	Running, Queued, Slots int
+	// Work is the ratio of the time that work takes on the server to the usual time; zero
+	// means unknown.
+	Work float64
 }
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -32,6 +32,8 @@
 	ejectionsUntil time.Time
 	// rateLimited holds the servers that have a rate limit.
 	rateLimited map[directory.Key]bool
+	// serviceTimes holds the smoothed response times of services.
+	serviceTimes map[string]time.Duration
 }
 
 // New returns a Picker for the servers of a directory. The Picker drops expired
@@ -41,6 +43,7 @@
 		config: config.applyDefaults(), directory: d, servers: make(map[directory.Key]*server), rng: rng,
 		limitShare: 1, evacuations: make(map[string]evacuation), regionCount: countRegions(config.Regions),
 		indexes: make(map[string]*serviceIndex), rateLimited: make(map[directory.Key]bool),
+		serviceTimes: make(map[string]time.Duration),
 	}
 }
 
@@ -86,9 +89,10 @@
 		}
 	}
 	reason := Overloaded
+	usual := p.usualResponse(req.Service)
 	var best candidate
 	for _, s := range candidates {
-		e := s.predict(req, now)
+		e := s.predict(req, usual, now)
 		if s.mayMissVersionDeadline(req, e, now) {
 			reason = NoWeights
 			continue
--- a/lib/placement/picker_outcome.go
+++ b/lib/placement/picker_outcome.go
@@ -24,10 +24,13 @@
 	l.done = true
 	s := l.state
 	s.addUsage(-1, 0, 0, now)
+	if result == Failed || result == Cancelled {
+		p.observeResponse(s, now.Sub(l.started), false, now)
+	}
 	switch result {
 	case Answered:
 		s.failures, s.ejections = 0, 0
-		s.smoothResponseTime(now.Sub(l.started))
+		p.observeResponse(s, now.Sub(l.started), true, now)
 	case Mismatched:
 		// An update from the server's agent or its row will clear this.
 		s.mismatched = true
@@ -53,14 +56,6 @@
 	return s.usage
 }
 
-func (s *server) smoothResponseTime(took time.Duration) {
-	if s.responseTime == 0 {
-		s.responseTime = took
-		return
-	}
-	s.responseTime += (took - s.responseTime) / 8
-}
-
 // recordFailure counts a failure and ejects the server after EjectAfter consecutive
 // ones. Failures of one other entry alone do not eject it for all: that entry's own
 // network may be at fault, and it avoids the server by itself.
--- a/lib/placement/picker_reports.go
+++ b/lib/placement/picker_reports.go
@@ -102,6 +102,11 @@
 func (p *Picker) Prune() {
 	listed := make(map[directory.Key]bool, p.directory.Len())
 	p.directory.ForEach(func(s *directory.Server) { listed[s.Key()] = true })
+	for service := range p.serviceTimes {
+		if len(p.directory.ByService(service)) == 0 {
+			delete(p.serviceTimes, service)
+		}
+	}
 	for key, s := range p.servers {
 		if !listed[key] && s.usage.Running == 0 {
 			delete(p.servers, key)
--- a/lib/placement/predict.go
+++ b/lib/placement/predict.go
@@ -6,9 +6,6 @@
 	"github.com/auburnbend/auburnbend/lib/serving"
 )
 
-// defaultResponseTime is assumed for a plain service that has not responded yet.
-const defaultResponseTime = 20 * time.Millisecond
-
 // estimate is the predicted course of a request on one server, in time from now.
 type estimate struct {
 	// firstResponse is the time to the first response, without the distance to the
@@ -18,20 +15,18 @@
 	wait time.Duration
 }
 
-// predict estimates the course of a request on the server.
-func (s *server) predict(req *Request, now time.Time) estimate {
+// predict estimates the course of a request on the server. usual is the response time of a
+// plain service.
+func (s *server) predict(req *Request, usual time.Duration, now time.Time) estimate {
 	if req.Engine != nil {
 		return s.predictEngine(req, now)
 	}
-	return s.predictPlain(now)
+	return s.predictPlain(usual, now)
 }
 
 // predictPlain models the server as a queue in front of its slots.
-func (s *server) predictPlain(now time.Time) estimate {
-	response := s.responseTime
-	if response <= 0 {
-		response = defaultResponseTime
-	}
+func (s *server) predictPlain(usual time.Duration, now time.Time) estimate {
+	response := s.expectedResponse(usual, now)
 	occupancy := s.occupancy(now)
 	wait := time.Duration(0)
 	if ahead := occupancy + 1 - s.slots(); ahead > 0 {
--- /dev/null
+++ b/lib/placement/response_time.go
@@ -0,0 +1,85 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/auburnbend/auburnbend/lib/directory"
+)
+
+const (
+	// defaultResponseTime is assumed for a plain service that has not responded yet.
+	defaultResponseTime = 20 * time.Millisecond
+	// responseSmoothing and serviceSmoothing are the numbers of responses over which the
+	// response times of a server and of a service are smoothed.
+	responseSmoothing = 8
+	serviceSmoothing  = 64
+	// An observed response time counts in full for responseHold, and then less until it no
+	// longer counts after maxResponseAge. Otherwise, a server that was slow once would get no
+	// requests that show its recovery.
+	responseHold   = 3 * time.Second
+	maxResponseAge = 12 * time.Second
+)
+
+// observeResponse records the time that a response has taken. Without a response, took is the
+// time after which the request has failed or its caller has left, which counts only if it is
+// longer than expected: the response would have taken longer still.
+func (p *Picker) observeResponse(s *server, took time.Duration, responded bool, now time.Time) {
+	usual := p.usualResponse(s.listing.Service)
+	if !responded && took <= s.observedResponse(usual, now) {
+		return
+	}
+	if s.responseTime > 0 {
+		// An old value counts less from the start.
+		s.responseTime = s.observedResponse(usual, now)
+	}
+	s.responseTime = smooth(s.responseTime, took, responseSmoothing)
+	s.respondedAt = now
+	s.work.observeResponse(now)
+	if responded {
+		service := s.listing.Service
+		p.serviceTimes[service] = smooth(p.serviceTimes[service], took, serviceSmoothing)
+	}
+}
+
+// usualResponse returns the mean response time of a plain service.
+func (p *Picker) usualResponse(service string) time.Duration {
+	if t := p.serviceTimes[service]; t > 0 {
+		return t
+	}
+	return defaultResponseTime
+}
+
+func smooth(mean, value time.Duration, over int64) time.Duration {
+	if mean == 0 {
+		return value
+	}
+	return mean + (value-mean)/time.Duration(over)
+}
+
+// expectedResponse predicts the response time of a plain server without a wait, from its
+// observed responses and from the change of its work figure since. usual is the response time
+// of the service.
+func (s *server) expectedResponse(usual time.Duration, now time.Time) time.Duration {
+	observed := s.observedResponse(usual, now)
+	expected := scale(observed, s.work.change(now))
+	// A low figure alone does not make a server better than the others.
+	return max(expected, min(observed, usual), minResponseTime)
+}
+
+// observedResponse returns the observed response time of the server, which approaches that of
+// its service as it becomes old.
+func (s *server) observedResponse(usual time.Duration, now time.Time) time.Duration {
+	if s.responseTime == 0 {
+		return usual
+	}
+	return usual + scale(s.responseTime-usual, freshness(now.Sub(s.respondedAt), responseHold, maxResponseAge))
+}
+
+// minResponseTime keeps predictions of waits meaningful if responses take no measurable time.
+const minResponseTime = 100 * time.Microsecond
+
+// UpdateWork records the work figure of a plain server's response: the ratio of the time that
+// work takes to the usual time. Figures that are not positive are ignored.
+func (p *Picker) UpdateWork(key directory.Key, figure float64, now time.Time) {
+	p.server(key).work.update(figure, now)
+}
--- a/lib/placement/server.go
+++ b/lib/placement/server.go
@@ -30,8 +30,11 @@
 	// otherPrefillTokens are prompt tokens that others have placed and that are waiting
 	// or being processed.
 	otherPrefillTokens int
-	// responseTime is the smoothed response time of a plain service.
+	// responseTime is the smoothed response time, respondedAt when it was last observed, and
+	// work what the server reports about it. They predict the responses of plain services.
 	responseTime time.Duration
+	respondedAt  time.Time
+	work         work
 	// failures counts consecutive failures, ejections consecutive ejections.
 	failures, ejections int
 	// lastFailedEntry is the entry of the last lease that failed.
