--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -104,8 +104,11 @@
 // complete.
 func (r *request) interrupted(ctx context.Context, a *attempt, err error, reason string) *attemptResult {
 	r.recordInterrupted(ctx, a.lease, err)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		reason += " in time"
+	case errors.Is(err, upstream.ErrInvalidStatus):
+		reason = "answer without a valid status"
 	}
 	return r.mayHaveRunResult(ctx, reason)
 }
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -92,11 +92,19 @@
 	}
 	req := &http.Request{Method: r.Method}
 	for range maxInterimResponses {
+		line, err := x.reader.Peek(statusLineBytes)
+		interim := false
+		if err == nil {
+			if interim, err = checkStatus(line); err != nil {
+				return nil, err
+			}
+		}
+		// After a shorter line, this returns the error of the connection.
 		resp, err := http.ReadResponse(x.reader, req)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK {
+		if !interim {
 			x.limiter.unbounded = true
 			return resp, nil
 		}
--- a/standin/service/faults.go
+++ b/standin/service/faults.go
@@ -16,6 +16,9 @@
 	// TruncateReply is the number of calls that run and then close the connection halfway
 	// through the body of the reply.
 	TruncateReply int
+	// RawReply is sent as it is by each call that runs, before the connection is closed; empty
+	// disables this.
+	RawReply string
 	// Delay is added to the duration of each call that runs.
 	Delay time.Duration
 }
--- a/standin/service/server.go
+++ b/standin/service/server.go
@@ -86,6 +86,7 @@
 // callPlan is the planned handling of one call.
 type callPlan struct {
 	refuse, fail, drop, truncate bool
+	rawReply                     string
 	delay                        time.Duration
 	// runNumber is the number of runs of the call's key or body, including this one.
 	runNumber int
@@ -96,7 +97,7 @@
 func (s *Server) planCall(runKey string) callPlan {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	plan := callPlan{delay: s.cfg.Delay + s.faults.Delay}
+	plan := callPlan{delay: s.cfg.Delay + s.faults.Delay, rawReply: s.faults.RawReply}
 	if consumeFault(&s.faults.Refuse) {
 		plan.refuse = true
 		return plan
@@ -138,6 +139,11 @@
 		_ = c.GetConn().Close()
 		return
 	}
+	if plan.rawReply != "" {
+		_, _ = c.GetConn().Write([]byte(plan.rawReply))
+		_ = c.GetConn().Close()
+		return
+	}
 	if plan.fail {
 		c.Data(consts.StatusInternalServerError, consts.MIMEApplicationJSON, []byte(`{"error":"failed"}`))
 		return
