lib/placement: look at all reporting remote servers before refusing as overloaded

Of the remote servers, two drawn at random are compared with the local ones.

Before a refusal, the picker now takes the first remote server that reports its load and is within the limit, in random order. If no server of the own region may get the request, it also takes those that got a request less than 100 ms ago or have just opened. Plain servers need no report. A slow server is not taken because it is idle.

--- a/lib/placement/bench_test.go
+++ b/lib/placement/bench_test.go
@@ -12,7 +12,13 @@
 
 // BenchmarkPick measures a placement by an entry of a fleet with a number of engines in
 // five regions, of which those of its own region and 24 others report their load.
-func BenchmarkPick(b *testing.B) {
+func BenchmarkPick(b *testing.B) { benchmarkPick(b, false) }
+
+// BenchmarkPickOverloaded measures a refusal by the same entry while all engines that report
+// are full: it looks at each of them.
+func BenchmarkPickOverloaded(b *testing.B) { benchmarkPick(b, true) }
+
+func benchmarkPick(b *testing.B, overloaded bool) {
 	const (
 		regions         = 5
 		reportedRemotes = 24
@@ -42,7 +48,11 @@
 						continue
 					}
 				}
-				p.Report(s.Key(), Load{Running: i % 4, Slowdown: 1}, now.Add(-localOnlyTime))
+				running := i % 4
+				if overloaded {
+					running = 100
+				}
+				p.Report(s.Key(), Load{Running: running, Slowdown: 1}, now.Add(-localOnlyTime))
 			}
 			req := Request{
 				Service: "drafts", Engine: engine, Model: "m", MinVersion: 3, PromptTokens: 900, OutputTokens: 75, LatencyTarget: 800 * time.Millisecond, Remaining: 6 * time.Second, Entry: "e",
@@ -51,10 +61,12 @@
 			for b.Loop() {
 				now = now.Add(time.Microsecond)
 				lease, refusal := p.Pick(req, now)
-				if refusal != nil {
-					b.Fatal(refusal.Reason)
+				if overloaded != (refusal != nil) {
+					b.Fatal(refusal)
+				}
+				if lease != nil {
+					p.Done(lease, Answered, now)
 				}
-				p.Done(lease, Answered, now)
 			}
 		})
 	}
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -49,20 +49,33 @@
 
 // Pick places a request. It returns either a lease or a refusal.
 func (p *Picker) Pick(req Request, now time.Time) (*Lease, *Refusal) {
-	best, estimate, refusal := p.best(&req, now)
+	set, refusal := p.candidateSet(&req, now)
 	if refusal == nil {
-		refusal = p.checkLatency(&req, best, estimate, now)
-	}
-	if refusal != nil {
-		refusal.ExcludedServers = p.ExcludedServers(req.Service, now)
-		return nil, refusal
+		var best candidate
+		if best, refusal = p.best(&req, set, now); refusal == nil {
+			refusal = p.checkLatency(&req, best.server, best.estimate, now)
+		}
+		if refusal != nil {
+			if spare, found := p.spare(&req, set, refusal, now); found {
+				best, refusal = spare, nil
+			}
+		}
+		if refusal == nil {
+			return p.grant(&best, &req, now), nil
+		}
 	}
+	refusal.ExcludedServers = p.ExcludedServers(req.Service, now)
+	return nil, refusal
+}
+
+// grant places a request on the chosen server.
+func (p *Picker) grant(best *candidate, req *Request, now time.Time) *Lease {
 	occupancy, age := best.occupancy(now), best.reportAge(now)
-	l := p.newLease(best, &req, now)
-	l.LimitChecked = best.effectiveLimit(&req, now).PerSecond > 0
-	l.Predicted = estimate.firstResponse + p.distancePenalty(req.Domain, best.listing.Domain)
+	l := p.newLease(best.server, req, now)
+	l.LimitChecked = best.effectiveLimit(req, now).PerSecond > 0
+	l.Predicted = best.score
 	l.Occupancy, l.LoadAge = occupancy, age
-	return l, nil
+	return l
 }
 
 // Adopt returns a lease for a request that another entry has placed on a listed
@@ -77,40 +90,51 @@
 	return &Lease{Server: s.listing, Usage: s.usage, state: s, entry: req.Entry, promptTokens: req.PromptTokens, started: now}
 }
 
-// best returns the server with the lowest score, or a refusal.
-func (p *Picker) best(req *Request, now time.Time) (*server, estimate, *Refusal) {
-	p.directory.Expire(now)
-	held := p.heldBack(now)
-	candidates, ok := p.nearCandidates(req, held, now)
-	if !ok {
-		var refusal *Refusal
-		if candidates, refusal = p.allCandidates(req, held, now); refusal != nil {
-			return nil, estimate{}, refusal
-		}
-	}
+// best returns the candidate with the lowest score among those that are compared, or a
+// refusal.
+func (p *Picker) best(req *Request, set *candidateSet, now time.Time) (candidate, *Refusal) {
 	reason := Overloaded
 	usual := p.usualResponse(req.Service)
 	var best candidate
-	for _, s := range candidates {
-		e := s.predict(req, usual, now)
-		if s.mayMissVersionDeadline(req, e, now) {
+	for _, s := range set.compared {
+		c := p.newCandidate(req, s, usual, now)
+		if s.mayMissVersionDeadline(req, c.estimate, now) {
 			reason = NoWeights
 			continue
 		}
-		c := candidate{server: s, estimate: e, score: e.firstResponse + p.distancePenalty(req.Domain, s.listing.Domain)}
 		if best.server == nil || c.compare(&best) < 0 {
 			best = c
 		}
 	}
 	if best.server == nil {
-		return nil, estimate{}, unavailable(req, reason)
+		return candidate{}, unavailable(req, reason)
 	}
-	return best.server, best.estimate, nil
+	return best, nil
+}
+
+func (p *Picker) newCandidate(req *Request, s *server, usual time.Duration, now time.Time) candidate {
+	e := s.predict(req, usual, now)
+	return candidate{server: s, estimate: e, score: e.firstResponse + p.distancePenalty(req.Domain, s.listing.Domain)}
+}
+
+// candidateSet returns the candidates for a request, or a refusal if no server is available.
+func (p *Picker) candidateSet(req *Request, now time.Time) (*candidateSet, *Refusal) {
+	p.directory.Expire(now)
+	held := p.heldBack(now)
+	set, ok := p.nearCandidates(req, held, now)
+	if !ok {
+		var refusal *Refusal
+		if set, refusal = p.allCandidates(req, held, now); refusal != nil {
+			return nil, refusal
+		}
+	}
+	set.held = held
+	return set, nil
 }
 
 // allCandidates returns the candidates among all servers of the service, or a refusal if
 // none is available.
-func (p *Picker) allCandidates(req *Request, held []string, now time.Time) ([]*server, *Refusal) {
+func (p *Picker) allCandidates(req *Request, held []string, now time.Time) (*candidateSet, *Refusal) {
 	eligible, reason := p.eligible(req, now)
 	available := p.available(eligible, req, held, now)
 	if len(available) > 0 {
@@ -176,48 +200,6 @@
 	}
 }
 
-// candidates returns all servers of the own region and a random choice of the
-// others. What is known of remote servers is older, and all entries would choose the
-// same one. Remote servers that report to this entry are preferred: of the others,
-// only its own requests are known. The minimum time between two requests to the same
-// remote server does not apply if there is no other choice because local servers are
-// at their rate limits, also those of cold servers, or must not serve the request
-// (localBarred): that lasts longer than a moment of load. In the latter case, remote
-// servers that have just opened are used as well.
-func (p *Picker) candidates(req *Request, eligible, available []*server, localBarred bool, now time.Time) []*server {
-	var local, reported, unreported, recent, opened []*server
-	for _, s := range available {
-		switch {
-		case p.isLocal(s):
-			local = append(local, s)
-		case s.justOpened(now):
-			opened = append(opened, s)
-		case s.placedRecently(now):
-			recent = append(recent, s)
-		case s.hasReport(now):
-			reported = append(reported, s)
-		default:
-			unreported = append(unreported, s)
-		}
-	}
-	remote := reported
-	if len(remote) == 0 {
-		remote = unreported
-	}
-	atLimit := func(s *server) bool { return p.isLocal(s) && p.overLimit(s, req, now) }
-	if len(local)+len(remote) == 0 && slices.ContainsFunc(eligible, atLimit) {
-		remote = recent
-	}
-	if len(local)+len(remote) == 0 && localBarred {
-		remote = append(recent, opened...)
-	}
-	if len(remote) > remoteChoices {
-		p.rng.Shuffle(len(remote), func(i, j int) { remote[i], remote[j] = remote[j], remote[i] })
-		remote = remote[:remoteChoices]
-	}
-	return append(local, remote...)
-}
-
 // isLocal reports whether a server is in the region of this entry.
 func (p *Picker) isLocal(s *server) bool {
 	return p.config.Regions[s.listing.Domain] == p.config.Regions[p.config.Domain]
@@ -243,30 +225,6 @@
 	return !deadline.IsZero() && now.Add(versionMargin).After(deadline)
 }
 
-// checkLatency refuses a request whose first response is predicted to miss its
-// latency target. The prediction uses a prompt of mean length instead of the
-// request's own, so that long prompts are refused no more often than short ones.
-func (p *Picker) checkLatency(req *Request, s *server, e estimate, now time.Time) *Refusal {
-	if req.LatencyTarget <= 0 || req.MayHaveRun {
-		return nil
-	}
-	if 2*s.occupancy(now) < s.slots() {
-		// On a server that is less than half full, the wait cannot be long.
-		return nil
-	}
-	own := e.firstResponse - e.wait
-	if req.Engine != nil {
-		own = prefillTime(req.Engine, req.Engine.MeanPromptTokens, 1) + passTime(req.Engine, s.slots())
-	}
-	limit := scale(req.LatencyTarget, p.config.TargetShare)
-	predicted := e.wait + own
-	if predicted <= limit {
-		return nil
-	}
-	after := min(max(predicted-limit, minRetryAfter), maxRetryAfter)
-	return &Refusal{Reason: Overloaded, RetryAfter: after, Predicted: predicted}
-}
-
 // distancePenalty is added to the predicted time of a server in another failure
 // domain than the entry's.
 func (p *Picker) distancePenalty(from, to string) time.Duration {
--- a/lib/placement/service_index.go
+++ b/lib/placement/service_index.go
@@ -42,7 +42,7 @@
 // at the near ones only, which are few also in a large fleet, and reports false if they do
 // not suffice: no near server of another region is available, so that one which has not
 // reported may be used.
-func (p *Picker) nearCandidates(req *Request, held []string, now time.Time) ([]*server, bool) {
+func (p *Picker) nearCandidates(req *Request, held []string, now time.Time) (*candidateSet, bool) {
 	var available []*server
 	remote := false
 	for _, s := range p.index(req.Service).near {
@@ -58,7 +58,9 @@
 	if !remote {
 		return nil, false
 	}
-	return p.candidates(req, nil, available, false, now), true
+	set := p.candidates(req, nil, available, false, now)
+	set.near = true
+	return set, true
 }
 
 // isReportedRemote reports whether a server of another region is preferred to those that
--- a/lib/placement/service_index_test.go
+++ b/lib/placement/service_index_test.go
@@ -118,8 +118,8 @@
 			compared++
 			m.seed()
 			all, refusal := m.p.allCandidates(&req, held, m.now)
-			if refusal != nil || !slices.Equal(near, all) {
-				t.Fatalf("%d near candidates, %d of all, refusal %v", len(near), len(all), refusal)
+			if refusal != nil || !slices.Equal(near.compared, all.compared) || !slices.Equal(near.remote, all.remote) {
+				t.Fatalf("near candidates %v, of all %v, refusal %v", near, all, refusal)
 			}
 		}
 	})
