lib/placement: unanswered requests count in the prediction of plain servers

A server that slows down or stands still after it was chosen showed that only with its late responses. A request that has waited for longer than expected now counts as a response that comes at that moment; of each server, the four oldest ones are looked at.

A server with two requests that wait for 200 ms in place of 20 ms still got requests while another one was idle before, none after.

--- a/lib/placement/lease.go
+++ b/lib/placement/lease.go
@@ -28,6 +28,8 @@
 	entry        string
 	promptTokens int
 	started      time.Time
+	// plain is set for a request to a plain service.
+	plain bool
 	// responding is set once the response has started.
 	responding bool
 	done       bool
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -87,7 +87,11 @@
 func (p *Picker) newLease(s *server, req *Request, now time.Time) *Lease {
 	s.addUsage(1, 1, req.PromptTokens, now)
 	s.recordPlacement(now)
-	return &Lease{Server: s.listing, Usage: s.usage, state: s, entry: req.Entry, promptTokens: req.PromptTokens, started: now}
+	plain := req.Engine == nil
+	if plain {
+		s.unanswered = append(s.unanswered, now)
+	}
+	return &Lease{Server: s.listing, Usage: s.usage, state: s, entry: req.Entry, promptTokens: req.PromptTokens, started: now, plain: plain}
 }
 
 // best returns the candidate with the lowest score among those that are compared, or a
--- a/lib/placement/picker_outcome.go
+++ b/lib/placement/picker_outcome.go
@@ -9,6 +9,9 @@
 	if !l.responding && !l.done {
 		l.responding = true
 		s.addUsage(0, -1, -l.promptTokens, now)
+		if l.plain {
+			s.removeUnanswered(l.started)
+		}
 	}
 	return s.usage
 }
--- a/lib/placement/response_time.go
+++ b/lib/placement/response_time.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/directory"
@@ -18,6 +19,9 @@
 	// requests that show its recovery.
 	responseHold   = 3 * time.Second
 	maxResponseAge = 12 * time.Second
+	// maxOverdue bounds the unanswered requests of a server that are looked at for one
+	// prediction. The oldest ones say most.
+	maxOverdue = 4
 )
 
 // observeResponse records the time that a response has taken. Without a response, took is the
@@ -63,7 +67,21 @@
 	observed := s.observedResponse(usual, now)
 	expected := scale(observed, s.work.change(now))
 	// A low figure alone does not make a server better than the others.
-	return max(expected, min(observed, usual), minResponseTime)
+	expected = max(expected, min(observed, usual), minResponseTime)
+	// A request that waits for longer than expected counts as a response that comes now.
+	for _, started := range s.unanswered[:min(len(s.unanswered), maxOverdue)] {
+		if waited := now.Sub(started); waited > expected {
+			expected = smooth(expected, waited, responseSmoothing)
+		}
+	}
+	return expected
+}
+
+// removeUnanswered removes a request from the unanswered ones.
+func (s *server) removeUnanswered(started time.Time) {
+	if i := slices.Index(s.unanswered, started); i >= 0 {
+		s.unanswered = slices.Delete(s.unanswered, i, i+1)
+	}
 }
 
 // observedResponse returns the observed response time of the server, which approaches that of
--- a/lib/placement/server.go
+++ b/lib/placement/server.go
@@ -35,6 +35,9 @@
 	responseTime time.Duration
 	respondedAt  time.Time
 	work         work
+	// unanswered are the starts of the requests to a plain service whose responses have not
+	// begun, the oldest first.
+	unanswered []time.Time
 	// failures counts consecutive failures, ejections consecutive ejections.
 	failures, ejections int
 	// lastFailedEntry is the entry of the last lease that failed.
--- a/lib/placement/work_test.go
+++ b/lib/placement/work_test.go
@@ -161,6 +161,26 @@
 		Expect(run(100, all(20*time.Millisecond), nil)["a"]).To(BeNumerically("<", 20))
 	})
 
+	It("lose requests while those that they have wait for too long", func() {
+		// Guards against requests to a server that has slowed down or stands still after it
+		// was chosen: nothing else shows it before their deadlines.
+		run(100, all(20*time.Millisecond), usual)
+		a := dir.Get(directory.Key{ID: "a"})
+		waiting := []*placement.Lease{p.Adopt(a, &req, now), p.Adopt(a, &req, now)}
+		now = now.Add(200 * time.Millisecond)
+		for range 6 {
+			lease, refusal := p.Pick(req, now)
+			Expect(refusal).To(BeNil())
+			Expect(lease.Server.ID).To(Equal("b"))
+			defer p.Done(lease, placement.Rejected, now)
+		}
+		for _, lease := range waiting {
+			p.Done(lease, placement.Rejected, now)
+		}
+		lease, _ := p.Pick(req, now)
+		Expect(lease.Server.ID).To(Equal("a"))
+	})
+
 	It("that are new count as the others of their service", func() {
 		// Guards against a burst to a new server of a service whose responses take long.
 		run(200, all(100*time.Millisecond), nil)
