--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -107,8 +107,11 @@
 // complete.
 func (r *request) interrupted(ctx context.Context, a *attempt, err error, reason string) *attemptResult {
 	r.recordInterrupted(ctx, a.lease, err)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		reason += " in time"
+	case errors.Is(err, upstream.ErrInvalidStatus):
+		reason = "answer without a valid status"
 	}
 	return r.mayHaveRunResult(ctx, reason)
 }
@@ -217,6 +220,7 @@
 	now := g.now()
 	if a.reply.Load != nil && a.reply.RequestID == r.info.ID {
 		g.picker.UpdateCounts(lease.Server.Key(), a.reply.Load.Running, a.reply.Load.Queued, now)
+		g.picker.UpdateWork(lease.Server.Key(), a.reply.Load.Work, now)
 	}
 	publish := func() {}
 	var news *peerlink.Gossip
--- a/lib/placement/pace.go
+++ b/lib/placement/pace.go
@@ -176,11 +176,12 @@
 }
 
 // pickBeyondWindow returns the server of this region that responds within the latency target
-// although its window is full; nil if there is none. It is for requests that would be refused
+// although its window is full; one without a server if there is none. It is for requests that would be refused
 // because all servers with room are too slow. Responses must have shown that it is fast
 // enough, even if slower than predicted; before, it may have a few requests more.
-func (p *Picker) pickBeyondWindow(req *Request, now time.Time) (*server, estimate) {
+func (p *Picker) pickBeyondWindow(req *Request, now time.Time) candidate {
 	var best candidate
+	usual := p.usualResponse(req.Service)
 	for s := range p.paced {
 		if s.listing == nil || s.listing.Service != req.Service || !p.isLocal(s) {
 			continue
@@ -194,16 +195,15 @@
 		if p.usability(s, req, nil, now) != usableIfNoOther {
 			continue
 		}
-		e := s.predict(req, now)
-		if s.mayMissVersionDeadline(req, e, now) || !p.fastEnough(s, req, e, now) {
+		c := p.newCandidate(req, s, usual, now)
+		if s.mayMissVersionDeadline(req, c.estimate, now) || !p.fastEnough(s, req, c.estimate, now) {
 			continue
 		}
-		c := candidate{server: s, estimate: e, score: e.firstResponse + p.distancePenalty(req.Domain, s.listing.Domain)}
 		if best.server == nil || c.compare(&best) < 0 {
 			best = c
 		}
 	}
-	return best.server, best.estimate
+	return best
 }
 
 // fastEnough reports whether a server with a full window is expected to respond to a request
--- a/lib/placement/server.go
+++ b/lib/placement/server.go
@@ -31,8 +31,14 @@
 	// otherPrefillTokens are prompt tokens that others have placed and that are waiting
 	// or being processed.
 	otherPrefillTokens int
-	// responseTime is the smoothed response time of a plain service.
+	// responseTime is the smoothed response time, respondedAt when it was last observed, and
+	// work what the server reports about it. They predict the responses of plain services.
 	responseTime time.Duration
+	respondedAt  time.Time
+	work         work
+	// unanswered are the starts of the requests to a plain service whose responses have not
+	// begun, the oldest first.
+	unanswered []time.Time
 	// failures counts consecutive failures, ejections consecutive ejections.
 	failures, ejections int
 	// lastFailedEntry is the entry of the last lease that failed.
