admission: requests are admitted by rank and team under overload

Change: lib/admit.Gate. Each refusal reduces the share of the limit up to which less urgent ranks, late requests, and teams of the same rank above their fair share are admitted; the share increases again while none is refused. A rank of which less than half as much is admitted as of all requests has the full limit. The placer of a region holds one gate for each service, and so does an entry that places by itself. Rank and team are in placement requests (new optional fields).

On: the gate, where the configuration declares ranks that differ; Retry-After of its refusals with jitter. Off: waiting (MaxWait is 0, so the gate refuses in place of Wait).

Below overload the decisions are the same.

--- a/gateway/attempt_info.go
+++ b/gateway/attempt_info.go
@@ -22,4 +22,8 @@
 	// Version is the only version of the weights that may run the request; zero accepts
 	// any.
 	Version int
+	// HasRank is set if the configuration declares ranks that differ, and the server is an
+	// engine. Rank is then that of the request; 0 is the highest.
+	HasRank bool
+	Rank    int
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/auburnbend/auburnbend/gateway/upstream"
 	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/placement"
+	"github.com/auburnbend/auburnbend/lib/serving"
 	"github.com/auburnbend/auburnbend/peerlink"
 )
 
@@ -151,6 +152,9 @@
 	if r.stream.lastEventID >= 0 {
 		info.LastEventID = r.stream.lastEventID
 	}
+	if r.engine != nil && r.table.Ranked() {
+		info.HasRank, info.Rank = true, serving.Rank(r.route, r.team)
+	}
 	// The server may have changed its weights since it reported them. It must not begin a
 	// response on other weights than those it was chosen for.
 	info.Version = expectedVersion(lease.Server, r.info.Model)
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -204,9 +204,9 @@
 
 // encodePlacementRequest encodes a request in one datagram. If it is too long, it does
 // not list the open leases: the placer then ends lost ones when they expire. If that
-// does not suffice, it lists neither the evacuated failure domains nor the last of the
-// servers to exclude, which are those that this entry has ejected: the entry checks the
-// granted lease for the former, and may have to retry for the latter.
+// does not suffice, it lists neither the evacuated failure domains, nor the team, nor the
+// last of the servers to exclude, which are those that this entry has ejected: the entry
+// checks the granted lease for the first, and may have to retry for the last.
 func encodePlacementRequest(query *peerlink.PlacementRequest) []byte {
 	for {
 		data := encodeCompact(&peerlink.Datagram{PlacementRequest: query})
@@ -217,6 +217,8 @@
 			query.OpenLeases, query.OpenLeasesKnown = nil, false
 		case len(query.Evacuated) > 0:
 			query.Evacuated = nil
+		case query.Team != "":
+			query.Team = ""
 		case len(query.Exclude) > 0:
 			query.Exclude = query.Exclude[:len(query.Exclude)-1]
 		default:
@@ -278,6 +280,9 @@
 		LatencyTargetMillis: req.LatencyTarget.Milliseconds(), RemainingMillis: req.Remaining.Milliseconds(), MayHaveRun: req.MayHaveRun,
 		Homes: req.Homes.Regions, HomesOnly: req.Homes.Restricted,
 	}
+	if req.Ranked {
+		query.Rank, query.Team = req.Rank, req.Team
+	}
 	setQueryDeadlines(query, req.VersionDeadlines, now)
 	g.mu.Lock()
 	avoided := g.picker.Avoided(req.Service, now)
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -54,7 +54,8 @@
 		PromptTokens: query.PromptTokens, OutputTokens: query.OutputTokens,
 		LatencyTarget: milliseconds(query.LatencyTargetMillis), Remaining: milliseconds(query.RemainingMillis), MayHaveRun: query.MayHaveRun,
 		Evacuated: query.Evacuated,
-		Homes:     serving.Homes{Restricted: query.HomesOnly, Regions: query.Homes},
+		Ranked:    table.Ranked(), Rank: query.Rank, Team: query.Team,
+		Homes: serving.Homes{Restricted: query.HomesOnly, Regions: query.Homes},
 	}
 	req.VersionDeadlines = g.versions.Deadlines(query.Model, now).Merge(queryDeadlines(query, now))
 	for _, key := range query.Exclude {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -121,6 +121,9 @@
 		req.Exclude = append(slices.Clip(req.Exclude), r.gateway.endedServers(r.service)...)
 	}
 	req.VersionDeadlines = r.gateway.versions.Deadlines(modelName, now)
+	if r.table.Ranked() {
+		req.Ranked, req.Rank, req.Team = true, serving.Rank(r.route, r.team), r.summary.Team
+	}
 	// All requests to a service get about the same latency target. With their own
 	// targets, those with the longest one would take the capacity of the others under
 	// overload. Time that the request has lost at a failed server does not count
--- /dev/null
+++ b/lib/admit/gate.go
@@ -0,0 +1,129 @@
+package admit
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Gate decides which requests of one service are admitted while its servers cannot answer all
+// of them within their latency target. Without overload it admits all. It is not safe for
+// concurrent use.
+//
+// Requests of a more urgent rank go before those of a less urgent one, and requests that can
+// meet their latency target before those that cannot: each refusal reduces the share of the
+// limit up to which later ones are admitted. Within a rank, the same holds for teams below
+// their fair share and teams above it.
+type Gate struct {
+	rng    *rand.Rand
+	ranks  [MaxRank + 1]gateRank
+	totals gateTotals
+}
+
+// NewGate returns a Gate without history.
+func NewGate(rng *rand.Rand) *Gate { return &Gate{rng: rng} }
+
+// Decide decides on one placement of a request.
+func (g *Gate) Decide(now time.Time, o Offer) Verdict {
+	o.Rank = min(max(o.Rank, 0), MaxRank)
+	r := &g.ranks[o.Rank]
+	r.used = true
+	if !o.Waiting {
+		r.offered.add(now)
+		g.totals.offered.add(now)
+	}
+	aboveFair := r.teams.aboveFairShare(o.Team, now)
+	limit := time.Duration(float64(o.Limit) * g.share(r, &o, aboveFair, now))
+	if o.Predicted <= limit {
+		g.recordAdmitted(r, &o, now)
+		return Verdict{Decision: Admit}
+	}
+	g.reduceOthers(r, &o, aboveFair, now)
+	if o.MaxWait > 0 {
+		if !o.Waiting {
+			r.stats.Waited++
+		}
+		return Verdict{Decision: Wait, RetryAfter: max(o.Predicted-limit, minRetryAfter)}
+	}
+	g.totals.refused.add(now)
+	r.stats.Refused++
+	return Verdict{Decision: Refuse, RetryAfter: g.retryAfter(&o, limit, now)}
+}
+
+// Stats returns the counts of all ranks that have had requests, from the most urgent one.
+func (g *Gate) Stats(now time.Time) []RankStats {
+	var all []RankStats
+	for i := range g.ranks {
+		if r := &g.ranks[i]; r.used {
+			s := r.stats
+			s.Rank, s.Share = i, g.share(r, &Offer{}, false, now)
+			all = append(all, s)
+		}
+	}
+	return all
+}
+
+// Teams returns the number of teams with state, counted for each of their ranks.
+func (g *Gate) Teams() int {
+	n := 0
+	for i := range g.ranks {
+		n += len(g.ranks[i].teams.byName)
+	}
+	return n
+}
+
+// share returns the share of the limit that applies to a request.
+func (g *Gate) share(r *gateRank, o *Offer, aboveFair bool, now time.Time) float64 {
+	share := 1.0
+	switch {
+	case o.Late:
+		share = r.late.at(now)
+	case !r.starved(&g.totals, now):
+		share = r.inTime.at(now)
+	}
+	if aboveFair {
+		share *= r.aboveFair.at(now)
+	}
+	return share
+}
+
+func (g *Gate) recordAdmitted(r *gateRank, o *Offer, now time.Time) {
+	r.admitted.add(now)
+	g.totals.admitted.add(now)
+	r.teams.record(o.Team, now)
+	r.stats.Admitted++
+}
+
+// reduceOthers reduces the shares of the requests that go after one that was not admitted.
+func (g *Gate) reduceOthers(r *gateRank, o *Offer, aboveFair bool, now time.Time) {
+	part := min(maxDecrease, refusalGain/max(1, r.offered.perSecond(now)))
+	if o.Waiting {
+		part *= repeatWeight
+	}
+	for i := range g.ranks {
+		other := &g.ranks[i]
+		switch {
+		case i > o.Rank && !o.Late:
+			other.inTime.decrease(part, now)
+			other.late.decrease(part, now)
+		case i > o.Rank || !o.Late:
+			other.late.decrease(part, now)
+		}
+	}
+	if !aboveFair && !o.Late {
+		r.aboveFair.decrease(part, now)
+	}
+}
+
+// retryAfter returns the time after which a refused caller may return: when the best server is
+// expected to answer within the limit, and later by a random part of an interval over which
+// the callers that were refused lately are spread.
+func (g *Gate) retryAfter(o *Offer, limit time.Duration, now time.Time) time.Duration {
+	longest := maxGateRetryAfter
+	if o.Remaining > 0 {
+		longest = min(longest, o.Remaining/retryAfterDivisor)
+	}
+	after := min(max(o.Predicted-limit, minRetryAfter), longest/2)
+	perSecond := max(minAdmitted, g.totals.admitted.perSecond(now)) * returnShare
+	spread := min(g.totals.refused.perSecond(now)/perSecond, (longest - after).Seconds())
+	return after + time.Duration(g.rng.Float64()*spread*float64(time.Second))
+}
--- /dev/null
+++ b/lib/admit/gate_config.go
@@ -0,0 +1,51 @@
+package admit
+
+import "time"
+
+// MaxRank is the least urgent rank of a request; 0 is the most urgent one.
+const MaxRank = 9
+
+const (
+	// gateWindow is the time constant of the counts that a Gate compares. It is longer than
+	// a burst of one team and short against a rise of the load.
+	gateWindow = 3 * time.Second
+	// minShare is the smallest share of the limit that ranks are reduced to. Engines near it
+	// are not full, and a smaller one only prolongs the recovery.
+	minShare = 0.4
+	// maxDecrease is the largest relative decrease of a share for one refusal. With this and
+	// the next three constants, a simulation of 11 engines at 0.95 to 1.6 times their load
+	// refused 1 to 5 % of the most urgent of three ranks; 0.2 kept more places free for it than
+	// it used.
+	maxDecrease = 0.05
+	// refusalGain relates the decrease for one refusal to the requests per second of the
+	// refused rank, so that the shares settle at the same part of refused requests in a large
+	// fleet as in a small one.
+	refusalGain = 4
+	// repeatWeight is the part of a decrease that applies when a waiting request is refused
+	// again. Waiting requests are offered many times a second.
+	repeatWeight = 0.2
+	// recoveryAcceleration, in 1/s^2, and maxRecovery, in 1/s, determine how a share increases
+	// after the last refusal that has reduced it. Refusals in short succession keep it low, and
+	// it is complete again three seconds after them.
+	recoveryAcceleration = 0.2
+	maxRecovery          = 0.25
+	// starvedRatio is the share of a rank's requests that are admitted, relative to that of
+	// all requests, below which the full limit applies to the rank.
+	starvedRatio = 0.5
+	// maxTeams bounds the teams of one rank with state. When it is reached, the state of the
+	// team that has been idle for longest is dropped.
+	maxTeams = 256
+	// minRetryAfter is the shortest retry delay of a refusal, and maxGateRetryAfter the
+	// longest one for requests without a time limit.
+	minRetryAfter     = 100 * time.Millisecond
+	maxGateRetryAfter = 2 * time.Second
+	// retryAfterDivisor limits the retry delay to a part of the time that the request has
+	// left: callers do not wait longer than that.
+	retryAfterDivisor = 3
+	// returnShare is the share of the admitted requests that refused callers may add when
+	// they return. It determines the interval over which they are spread.
+	returnShare = 0.25
+	// minAdmitted is the smallest rate of admitted requests, per second, that the interval is
+	// derived from: a rare refusal needs no spread.
+	minAdmitted = 10
+)
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/auburnbend/auburnbend/lib/admit"
 	"github.com/auburnbend/auburnbend/lib/directory"
 )
 
@@ -32,6 +33,8 @@
 	ejectionsUntil time.Time
 	// rateLimited holds the servers that have a rate limit.
 	rateLimited map[directory.Key]bool
+	// gates holds the gates of services with ranked requests.
+	gates map[string]*admit.Gate
 }
 
 // New returns a Picker for the servers of a directory. The Picker drops expired
@@ -41,6 +44,7 @@
 		config: config.applyDefaults(), directory: d, servers: make(map[directory.Key]*server), rng: rng,
 		limitShare: 1, evacuations: make(map[string]evacuation), regionCount: countRegions(config.Regions),
 		indexes: make(map[string]*serviceIndex), rateLimited: make(map[directory.Key]bool),
+		gates: make(map[string]*admit.Gate),
 	}
 }
 
@@ -239,30 +243,6 @@
 	return !deadline.IsZero() && now.Add(versionMargin).After(deadline)
 }
 
-// checkLatency refuses a request whose first response is predicted to miss its
-// latency target. The prediction uses a prompt of mean length instead of the
-// request's own, so that long prompts are refused no more often than short ones.
-func (p *Picker) checkLatency(req *Request, s *server, e estimate, now time.Time) *Refusal {
-	if req.LatencyTarget <= 0 || req.MayHaveRun {
-		return nil
-	}
-	if 2*s.occupancy(now) < s.slots() {
-		// On a server that is less than half full, the wait cannot be long.
-		return nil
-	}
-	own := e.firstResponse - e.wait
-	if req.Engine != nil {
-		own = prefillTime(req.Engine, req.Engine.MeanPromptTokens, 1) + passTime(req.Engine, s.slots())
-	}
-	limit := scale(req.LatencyTarget, p.config.TargetShare)
-	predicted := e.wait + own
-	if predicted <= limit {
-		return nil
-	}
-	after := min(max(predicted-limit, minRetryAfter), maxRetryAfter)
-	return &Refusal{Reason: Overloaded, RetryAfter: after, Predicted: predicted}
-}
-
 // distancePenalty is added to the predicted time of a server in another failure
 // domain than the entry's.
 func (p *Picker) distancePenalty(from, to string) time.Duration {
--- a/lib/placement/refusal.go
+++ b/lib/placement/refusal.go
@@ -38,6 +38,9 @@
 	// Predicted is the predicted time to the first response on the best server; zero if
 	// there is none.
 	Predicted time.Duration
+	// MayWait is set if the request may wait for a placement and be tried again, after
+	// RetryAfter at the earliest, instead of being refused.
+	MayWait bool
 	// ExcludedServers lists servers that are draining, evacuated, paused, cold or rate-limited, at
 	// most a few.
 	ExcludedServers []string
--- a/lib/placement/request.go
+++ b/lib/placement/request.go
@@ -47,6 +47,16 @@
 	// refusal could not guarantee that it has not run. It is then not refused for a
 	// missed latency target.
 	MayHaveRun bool
+	// Ranked is set if the configuration declares ranks that differ. The gate of the service
+	// then decides which requests are admitted under overload.
+	Ranked bool
+	// Rank is the urgency of the request, 0 is the highest. Team is its team; empty if it has
+	// none.
+	Rank int
+	Team string
+	// Waited is the time for which the request has waited for a placement since it was tried
+	// first, MaxWait the time for which it may still wait; zero if it must not.
+	Waited, MaxWait time.Duration
 }
 
 func (r *Request) excludes(k directory.Key) bool {
--- a/lib/serving/route.go
+++ b/lib/serving/route.go
@@ -15,7 +15,8 @@
 	TargetLatency time.Duration
 	// MaxEventGap is the target for the longest pause between events of a stream.
 	MaxEventGap time.Duration
-	// Priority orders routes; 0 is the highest.
+	// Priority is the rank of requests of teams that declare none, from 0 to MaxRank; 0 is the
+	// highest.
 	Priority int
 	Targets  []Target
 	// MaxBackendServers limits the backend servers that one request is sent to.
--- a/lib/serving/table.go
+++ b/lib/serving/table.go
@@ -14,6 +14,8 @@
 	services     map[string]*Service
 	// minTargets contains the lowest target latency of the routes to each service.
 	minTargets map[string]time.Duration
+	// ranked is set if the ranks of requests differ.
+	ranked bool
 }
 
 // NewTable indexes a configuration, which must not be modified afterwards.
@@ -24,6 +26,7 @@
 		teamsByKey:   make(map[string]*Team),
 		services:     make(map[string]*Service, len(c.Services)),
 		minTargets:   make(map[string]time.Duration),
+		ranked:       c.ranksDiffer(),
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -59,6 +62,9 @@
 // zero if none is declared.
 func (t *Table) MinTargetLatency(service string) time.Duration { return t.minTargets[service] }
 
+// Ranked reports whether the configuration declares ranks that differ.
+func (t *Table) Ranked() bool { return t.ranked }
+
 // Config returns the indexed configuration.
 func (t *Table) Config() *Config { return t.config }
 
--- a/lib/serving/team.go
+++ b/lib/serving/team.go
@@ -4,7 +4,8 @@
 type Team struct {
 	Name    string
 	APIKeys []string
-	// Priority takes precedence over the priority of the route; 0 is the highest.
+	// Priority is a rank from 0 to MaxRank that takes precedence over that of the route; 0 is
+	// the highest.
 	Priority int
 	// HasPriority is true if a priority was declared.
 	HasPriority bool
--- a/peerlink/placement.go
+++ b/peerlink/placement.go
@@ -45,6 +45,10 @@
 	// receiver. They are valid if OpenLeasesKnown is set.
 	OpenLeases      []uint64 `msgpack:"o,omitempty"`
 	OpenLeasesKnown bool     `msgpack:"w,omitempty"`
+	// Rank is the urgency of the request, 0 is the highest, and Team its team. Entries of
+	// earlier releases send neither.
+	Rank int    `msgpack:"r,omitempty"`
+	Team string `msgpack:"b,omitempty"`
 }
 
 // VersionDeadline holds a version and the milliseconds after which older weights must no
