gateway: requests wait for a placement under overload

Cause: a request was refused although a server had room a moment later. Refused callers come back once at most, and 200 to 500 a second are refused over 41 entries while engines have no weights for 1 to 2 s.

Change: where ranks differ, a request that the gate lets wait, or for whose declared model no engine has weights yet, waits in its entry: for a third of its remaining time at most, streams until 2 s after their arrival less their target and 0.2 s. One request of a service and model at a time asks for a placement, every 50 to 200 ms, when a request of the entry has ended, and at once after a placement: by rank, then by turns of the teams (admit.WaitLine; admit.Queue has classes inside tenants and takes time in proportion to the tenants). Requests join only if the last placements suggest that they are placed in time, at most 256 of an entry, with 48 KiB each of the memory budget for bodies. Placement requests say how long a request has waited and may wait; requests that can no longer meet their target are admitted after all others.

On: as above, with ranks that differ. The gate refuses at once where a rank is reduced below 0.6 of the limit.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -10,7 +10,6 @@
 	"github.com/auburnbend/auburnbend/gateway/upstream"
 	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/placement"
-	"github.com/auburnbend/auburnbend/lib/serving"
 	"github.com/auburnbend/auburnbend/peerlink"
 )
 
@@ -153,7 +152,7 @@
 		info.LastEventID = r.stream.lastEventID
 	}
 	if r.engine != nil && r.table.Ranked() {
-		info.HasRank, info.Rank = true, serving.Rank(r.route, r.team)
+		info.HasRank, info.Rank = true, r.rank()
 	}
 	// The server may have changed its weights since it reported them. It must not begin a
 	// response on other weights than those it was chosen for.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,6 +95,9 @@
 	// configAt is when the configuration came into force.
 	configAt time.Time
 
+	// waitLines holds the requests that wait for a placement.
+	waitLines *waitLines
+
 	// peerLink connects to agents and other entries; nil if there is none. It is set
 	// before the first request.
 	peerLink *PeerLink
@@ -134,6 +137,7 @@
 		suspects:       newSuspects(),
 		signals:        make(map[Signal]int64),
 		earlyStatuses:  newEarlyStatuses(),
+		waitLines:      newWaitLines(config.Clock.Now),
 	}
 }
 
--- a/gateway/observation.go
+++ b/gateway/observation.go
@@ -25,6 +25,8 @@
 	// PlacedBy is the address of the entry that chose the server or refused the
 	// request; empty for this one.
 	PlacedBy string
+	// Waited is the time for which the request has waited for a placement.
+	Waited time.Duration
 	// ExcludedServers lists servers that were not considered for a refused request
 	// because they are draining or have asked for a pause.
 	ExcludedServers string
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -72,7 +72,7 @@
 	g := r.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if r.summary.Attempts == 0 && r.dispatched == 0 {
+	if r.summary.Attempts == 0 && r.dispatched == 0 && r.waitingSince.IsZero() {
 		g.budget.CountRequest(r.service, now)
 	}
 	return r.placementRequest(now)
@@ -123,6 +123,9 @@
 	usage := g.picker.Done(a.lease, result, g.now())
 	g.mu.Unlock()
 	r.reportProgress(a, usage, &result)
+	if r.table.Ranked() {
+		g.waitLines.serverFreed(r.lineKey())
+	}
 }
 
 // reportProgress tells the placer of the request that the response has started or,
@@ -243,7 +246,7 @@
 		if resp.Server == nil {
 			return nil, &placement.Refusal{
 				Reason: placement.Reason(resp.Reason), RetryAfter: time.Duration(resp.RetryAfterMillis) * time.Millisecond,
-				Predicted: time.Duration(resp.PredictedMicros) * time.Microsecond,
+				Predicted: time.Duration(resp.PredictedMicros) * time.Microsecond, MayWait: resp.MayWait,
 			}, true
 		}
 		l.placements.recordGrant(lease, to)
@@ -282,6 +285,7 @@
 	}
 	if req.Ranked {
 		query.Rank, query.Team = req.Rank, req.Team
+		query.WaitedMillis, query.MaxWaitMillis = req.Waited.Milliseconds(), req.MaxWait.Milliseconds()
 	}
 	setQueryDeadlines(query, req.VersionDeadlines, now)
 	g.mu.Lock()
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -64,7 +64,10 @@
 	// come yet.
 	ignoreDrain func() bool
 	stream      streamState
-	summary     Observation
+	// waitingSince is when the request began to wait for its placement, waitEnds when it may
+	// wait no longer; zero while it does not wait.
+	waitingSince, waitEnds time.Time
+	summary                Observation
 }
 
 // bufferedResponse is a whole response of a backend server.
@@ -122,7 +125,8 @@
 	}
 	req.VersionDeadlines = r.gateway.versions.Deadlines(modelName, now)
 	if r.table.Ranked() {
-		req.Ranked, req.Rank, req.Team = true, serving.Rank(r.route, r.team), r.summary.Team
+		req.Ranked, req.Rank, req.Team = true, r.rank(), r.summary.Team
+		req.Waited, req.MaxWait = r.waitTimes(now)
 	}
 	// All requests to a service get about the same latency target. With their own
 	// targets, those with the longest one would take the capacity of the others under
@@ -134,6 +138,9 @@
 	return req
 }
 
+// rank returns the urgency of the request; 0 is the highest.
+func (r *request) rank() int { return serving.Rank(r.route, r.team) }
+
 // weightsModel returns the model whose weights run the request: the one that it names, or
 // the only one that the engines of its service may serve. It is empty for plain services.
 func (r *request) weightsModel() string {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -112,10 +112,14 @@
 		return
 	}
 	for {
-		a, refusal := r.place(r.ctx, g.now())
-		if refusal != nil {
+		a, refusal := r.placeOrWait()
+		switch {
+		case refusal != nil:
 			r.endUnplaced(refusal)
 			return
+		case a == nil:
+			r.endContextDone()
+			return
 		}
 		r.describe(a)
 		result := r.exchange(a)
--- a/lib/admit/gate.go
+++ b/lib/admit/gate.go
@@ -24,7 +24,7 @@
 
 // Decide decides on one placement of a request.
 func (g *Gate) Decide(now time.Time, o Offer) Verdict {
-	o.Rank = min(max(o.Rank, 0), MaxRank)
+	o.Rank = clampRank(o.Rank)
 	r := &g.ranks[o.Rank]
 	r.used = true
 	if !o.Waiting {
@@ -37,12 +37,15 @@
 		g.recordAdmitted(r, &o, now)
 		return Verdict{Decision: Admit}
 	}
-	g.reduceOthers(r, &o, aboveFair, now)
-	if o.MaxWait > 0 {
+	if !o.Waiting {
+		// Waiting requests are offered many times a second.
+		g.reduceOthers(r, &o, aboveFair, now)
+	}
+	if o.MaxWait > 0 && (o.Waiting || float64(limit) >= minWaitShare*float64(o.Limit)) {
 		if !o.Waiting {
 			r.stats.Waited++
 		}
-		return Verdict{Decision: Wait, RetryAfter: max(o.Predicted-limit, minRetryAfter)}
+		return Verdict{Decision: Wait, RetryAfter: g.retryAfter(&o, limit, now)}
 	}
 	g.totals.refused.add(now)
 	r.stats.Refused++
@@ -96,9 +99,6 @@
 // reduceOthers reduces the shares of the requests that go after one that was not admitted.
 func (g *Gate) reduceOthers(r *gateRank, o *Offer, aboveFair bool, now time.Time) {
 	part := min(maxDecrease, refusalGain/max(1, r.offered.perSecond(now)))
-	if o.Waiting {
-		part *= repeatWeight
-	}
 	for i := range g.ranks {
 		other := &g.ranks[i]
 		switch {
--- a/lib/admit/gate_config.go
+++ b/lib/admit/gate_config.go
@@ -21,9 +21,9 @@
 	// refused rank, so that the shares settle at the same part of refused requests in a large
 	// fleet as in a small one.
 	refusalGain = 4
-	// repeatWeight is the part of a decrease that applies when a waiting request is refused
-	// again. Waiting requests are offered many times a second.
-	repeatWeight = 0.2
+	// minWaitShare is the share of the limit below which requests are refused at once instead of
+	// waiting. More urgent ones are refused then, and these would be served late or not at all.
+	minWaitShare = 0.6
 	// recoveryAcceleration, in 1/s^2, and maxRecovery, in 1/s, determine how a share increases
 	// after the last refusal that has reduced it. Refusals in short succession keep it low, and
 	// it is complete again three seconds after them.
--- a/lib/placement/refusal.go
+++ b/lib/placement/refusal.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Reason states why no server was chosen.
 type Reason string
@@ -58,5 +61,7 @@
 	if reason == NoWeights && req.Remaining > 0 {
 		retryAfter = min(maxRetryAfter, req.Remaining/retryAfterDivisor)
 	}
-	return &Refusal{Reason: reason, RetryAfter: retryAfter}
+	// A model that is not declared gets no weights.
+	mayWait := reason == NoWeights && req.Ranked && req.MaxWait > 0 && req.Engine != nil && slices.Contains(req.Engine.Models, req.Model)
+	return &Refusal{Reason: reason, RetryAfter: retryAfter, MayWait: mayWait}
 }
--- a/lib/serving/table.go
+++ b/lib/serving/table.go
@@ -62,8 +62,8 @@
 // zero if none is declared.
 func (t *Table) MinTargetLatency(service string) time.Duration { return t.minTargets[service] }
 
-// Ranked reports whether the configuration declares ranks that differ.
-func (t *Table) Ranked() bool { return t.ranked }
+// Ranked reports whether the configuration declares ranks that differ; nil declares none.
+func (t *Table) Ranked() bool { return t != nil && t.ranked }
 
 // Config returns the indexed configuration.
 func (t *Table) Config() *Config { return t.config }
--- a/peerlink/placement.go
+++ b/peerlink/placement.go
@@ -49,6 +49,10 @@
 	// earlier releases send neither.
 	Rank int    `msgpack:"r,omitempty"`
 	Team string `msgpack:"b,omitempty"`
+	// WaitedMillis is the time for which the request has waited for a placement, and
+	// MaxWaitMillis the time for which it may still wait.
+	WaitedMillis  int64 `msgpack:"f,omitempty"`
+	MaxWaitMillis int64 `msgpack:"M,omitempty"`
 }
 
 // VersionDeadline holds a version and the milliseconds after which older weights must no
@@ -84,6 +88,8 @@
 	// capacity is expected.
 	Reason           string `msgpack:"r,omitempty"`
 	RetryAfterMillis int64  `msgpack:"f,omitempty"`
+	// MayWait means that the request may wait and be asked for again.
+	MayWait bool `msgpack:"m,omitempty"`
 }
 
 // PlacementNotice informs the entry that placed a request of its progress.
