admission: gate in entry/dispatch; metrics and events of overload

Cause: the entry of the product refused requests by the expected wait alone, and neither stack showed which ranks it refuses.

Change: each pool of entry/dispatch has an admit.Gate in front of its queue, in use while the configured classes have priorities that differ. The highest priority has rank 0. The limit is the latest start of the request; fairness among tenants stays with the queue, which knows their shares. Requests that expire in the queue count as refused. The gateway stack has metrics of the decisions by service and rank, of the share in force and of the number of waiting requests; event 7201 names the wait.

Equal classes: unchanged.

--- a/entry/dispatch/admission.go
+++ b/entry/dispatch/admission.go
@@ -10,6 +10,7 @@
 	"github.com/auburnbend/auburnbend/lib/admit"
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
 	"github.com/auburnbend/auburnbend/lib/outcome"
 )
@@ -25,6 +26,7 @@
 type admission struct {
 	cfg      admit.Config
 	clock    clock.Clock
+	log      *eventlog.Logger
 	reserver reserver
 	// wake tells run that a request was queued.
 	wake chan struct{}
@@ -34,17 +36,23 @@
 	waiters    map[model.RequestID]*waiter
 	tenants    []config.Tenant
 	estimators map[string]*admit.StartEstimator
+	// gates holds the gate of each pool; they are used while ranks has at least two.
+	gates map[string]*admit.Gate
+	// ranks maps the priorities of the configured classes to ranks.
+	ranks map[int]int
 }
 
-func newAdmission(cfg admit.Config, c clock.Clock, r reserver) *admission {
+func newAdmission(cfg admit.Config, c clock.Clock, log *eventlog.Logger, r reserver) *admission {
 	return &admission{
 		cfg:        cfg,
 		clock:      c,
+		log:        log,
 		reserver:   r,
 		wake:       make(chan struct{}, 1),
 		queues:     make(map[string]*admit.Queue),
 		waiters:    make(map[model.RequestID]*waiter),
 		estimators: make(map[string]*admit.StartEstimator),
+		gates:      make(map[string]*admit.Gate),
 	}
 }
 
@@ -138,7 +146,7 @@
 func (a *admission) wait(ctx context.Context, w *waiter, r admit.Request) admissionResult {
 	w.result = make(chan admissionResult, 1)
 	a.mu.Lock()
-	if refusal, ok := a.queue(w.pool).Enqueue(a.clock.Now(), r); !ok {
+	if refusal, ok := a.enqueue(w, r); !ok {
 		a.mu.Unlock()
 		return admissionResult{reason: refusal.Reason, retryAfter: refusal.RetryAfter}
 	}
@@ -194,6 +202,7 @@
 	now := a.clock.Now()
 	for _, refusal := range q.Expire(now) {
 		if w := a.waiters[refusal.Request.ID]; w != nil {
+			a.recordRefused(w, refusal.Request, now)
 			a.reserver.WithdrawSuspect(w.requirements.Fingerprint)
 			a.resolve(w, admissionResult{reason: refusal.Reason, retryAfter: refusal.RetryAfter})
 		}
--- a/entry/dispatch/dispatcher.go
+++ b/entry/dispatch/dispatcher.go
@@ -31,7 +31,7 @@
 	cfg = cfg.applyDefaults()
 	return &Dispatcher{
 		cfg:       cfg,
-		admission: newAdmission(cfg.Queue, cfg.Clock, cfg.Fleet),
+		admission: newAdmission(cfg.Queue, cfg.Clock, cfg.Log, cfg.Fleet),
 		budget:    attempt.NewBudget(cfg.Budget),
 	}
 }
@@ -63,6 +63,7 @@
 // ApplyConfig applies a configuration that has come into force.
 func (d *Dispatcher) ApplyConfig(c *config.Config) {
 	d.admission.setTenants(c.Tenants)
+	d.admission.setClasses(c.Classes)
 	if c.Deployment.ClaimRetention > 0 {
 		d.cfg.Ledger.SetRetention(c.Deployment.ClaimRetention)
 	}
--- a/entry/dispatch/run.go
+++ b/entry/dispatch/run.go
@@ -165,7 +165,7 @@
 	// Request IDs are chosen by callers and may repeat; the queue needs unique
 	// ones.
 	offer := r.admitRequest(model.RequestID(uuid.NewString()))
-	res := d.admission.wait(ctx, &waiter{id: offer.ID, pool: requirements.Pool, requirements: requirements}, offer)
+	res := d.admission.wait(ctx, &waiter{id: offer.ID, pool: requirements.Pool, requirements: requirements, deadline: r.request.Deadline}, offer)
 	d.cfg.Metrics.ObserveQueueTime(r.request.Tenant.Name, r.request.Class.Name, r.now().Sub(queued))
 	if res.slot == nil {
 		return r.notAdmitted(ctx, res)
--- a/entry/dispatch/waiter.go
+++ b/entry/dispatch/waiter.go
@@ -21,6 +21,7 @@
 	id           model.RequestID
 	pool         string
 	requirements fleet.Requirements
+	deadline     time.Time
 	// result has a buffer of one, so that sending to it never blocks.
 	result chan admissionResult
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/auburnbend/auburnbend/lib/admit"
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
@@ -115,6 +116,13 @@
 	config.Placement.OnEject = func(s *directory.Server, duration time.Duration, cause placement.Result) {
 		config.Log.Log(eventlog.ServerEjected, "server", s.ID, "service", s.Service, "address", s.Address, "while_ms", duration.Milliseconds(), "reason", cause)
 	}
+	config.Placement.OnOverload = func(service string, o admit.Overload) {
+		if o.Change == admit.OverloadBegan {
+			config.Log.Log(eventlog.OverloadBegan, "service", service)
+			return
+		}
+		config.Log.Log(eventlog.OverloadEnded, "service", service, "lasted_ms", o.Duration.Milliseconds(), "not_admitted", o.NotAdmitted)
+	}
 	picker := placement.New(config.Placement, d, rand.New(rand.NewPCG(config.Seed, config.Seed)))
 	if config.MaxBodyBytes <= 0 {
 		config.MaxBodyBytes = defaultMaxHeldBodies
--- a/gateway/rank_test.go
+++ b/gateway/rank_test.go
@@ -36,7 +36,7 @@
 		Expect(placer.gateway.placeFor(earlier).Server).NotTo(BeNil())
 		placer.gateway.mu.Lock()
 		defer placer.gateway.mu.Unlock()
-		Expect(placer.gateway.picker.GateStats("drafts", time.Now())).To(Equal([]admit.RankStats{
+		Expect(placer.gateway.picker.GateStats(time.Now())["drafts"]).To(Equal([]admit.RankStats{
 			{Rank: 0, Admitted: 1, Share: 1}, {Rank: 2, Admitted: 2, Share: 1},
 		}))
 	})
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"github.com/auburnbend/auburnbend/lib/admit"
 	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/memory"
 	"github.com/auburnbend/auburnbend/lib/placement"
@@ -36,6 +37,11 @@
 	// HeldBodies and HeldResponses are the memory that long bodies of requests, and long
 	// responses and events, have taken.
 	HeldBodies, HeldResponses HeldMemory
+	// Admission holds the decisions on ranked requests that this entry has placed, for itself
+	// and for others, by service and rank.
+	Admission map[string][]admit.RankStats
+	// Waiting is the number of requests that wait for a placement.
+	Waiting int
 }
 
 // HeldMemory is the state of a memory budget.
@@ -84,7 +90,7 @@
 	s := State{
 		Servers: make(map[ServerGroup]int), Engines: make(map[ModelVersion]int), RetriesLeft: make(map[string]float64),
 		OpenRequests: g.OpenRequests(), Signals: make(map[Signal]int64),
-		HeldBodies: heldMemory(g.requestBudget), HeldResponses: heldMemory(g.responseBudget),
+		HeldBodies: heldMemory(g.requestBudget), HeldResponses: heldMemory(g.responseBudget), Waiting: g.waitLines.count(),
 	}
 	table := g.table.Load()
 	g.mu.Lock()
@@ -92,6 +98,7 @@
 	now := g.now()
 	maps.Copy(s.Signals, g.signals)
 	s.GrantedLeases = g.leases.Len()
+	s.Admission = g.picker.GateStats(now)
 	s.EvacuatedDomains = len(g.picker.EvacuatedDomains())
 	s.Quarantined = len(g.suspects.quarantined)
 	if table != nil {
--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -49,7 +49,7 @@
 	l.log.Log(eventlog.RequestEnded,
 		"request", o.ID, "outcome", o.Outcome, "reason", o.Reason, "status", o.Status,
 		"route", o.Route, "service", o.Service, "team", o.Team, "content", o.ContentFingerprint, "server", o.Server, "attempts", o.Attempts,
-		"predicted_ms", o.Predicted.Milliseconds(), "occupancy", o.Occupancy, "retry_after_ms", o.RetryAfter.Milliseconds(), "load_age_ms", o.LoadAge.Milliseconds(), "weights", o.WeightsVersion, "weights_left_ms", o.WeightsLeft.Milliseconds(), "placed_by", o.PlacedBy, "left_out", o.ExcludedServers,
+		"predicted_ms", o.Predicted.Milliseconds(), "occupancy", o.Occupancy, "retry_after_ms", o.RetryAfter.Milliseconds(), "load_age_ms", o.LoadAge.Milliseconds(), "weights", o.WeightsVersion, "weights_left_ms", o.WeightsLeft.Milliseconds(), "waited_ms", o.Waited.Milliseconds(), "placed_by", o.PlacedBy, "left_out", o.ExcludedServers,
 		"config", o.ConfigVersion, "events", o.Events, "limit_ms", o.Timeout.Milliseconds(),
 		"first_ms", o.TimeToFirstByte.Milliseconds(), "total_ms", o.TotalTime.Milliseconds(), "gap_ms", o.LongestGap.Milliseconds())
 }
--- a/internal/node/state_metrics.go
+++ b/internal/node/state_metrics.go
@@ -43,6 +43,9 @@
 	}
 	delayed := counter("memory_delays", "bodies that waited for memory, by kind, since the start")
 	refused := counter("memory_refusals", "bodies for which there was no memory, by kind, since the start")
+	decisions := counter("admission_decisions", "ranked requests placed by this entry, by service, rank and decision, since the start")
+	share := gauge("admission_share", "share of the latency limit up to which requests are admitted, by service and rank", "")
+	waiting := gauge("requests_waiting", "requests that wait for a placement", "")
 	signals, err := m.meter.Int64ObservableCounter("server_signals", metric.WithDescription("drains and pauses of backend servers by kind and source, since the start"))
 	if err := cmp.Or(gaugeErr, err); err != nil {
 		return err
@@ -55,6 +58,16 @@
 		o.ObserveFloat64(granted, float64(s.GrantedLeases))
 		o.ObserveFloat64(quarantined, float64(s.Quarantined))
 		o.ObserveFloat64(evacuated, float64(s.EvacuatedDomains))
+		o.ObserveFloat64(waiting, float64(s.Waiting))
+		for service, ranks := range s.Admission {
+			for _, r := range ranks {
+				rank := []attribute.KeyValue{attribute.String("service", service), attribute.Int("rank", r.Rank)}
+				o.ObserveFloat64(share, r.Share, metric.WithAttributes(rank...))
+				for decision, n := range map[string]int64{"admitted": r.Admitted, "waited": r.Waited, "refused": r.Refused} {
+					o.ObserveInt64(decisions, n, metric.WithAttributes(append(rank[:2:2], attribute.String("decision", decision))...))
+				}
+			}
+		}
 		o.ObserveFloat64(store, boolToFloat(!storeUnavailable.Load()))
 		for kind, memory := range map[string]gateway.HeldMemory{"request": s.HeldBodies, "response": s.HeldResponses} {
 			attributes := metric.WithAttributes(attribute.String("kind", kind))
@@ -77,7 +90,7 @@
 			o.ObserveFloat64(retriesLeft, left, metric.WithAttributes(attribute.String("service", service)))
 		}
 		return nil
-	}, config, age, servers, engines, retriesLeft, open, granted, quarantined, evacuated, store, held, delayed, refused, signals)
+	}, config, age, servers, engines, retriesLeft, open, granted, quarantined, evacuated, store, held, delayed, refused, signals, decisions, share, waiting)
 	return err
 }
 
--- a/lib/admit/gate.go
+++ b/lib/admit/gate.go
@@ -17,6 +17,7 @@
 	rng    *rand.Rand
 	ranks  [MaxRank + 1]gateRank
 	totals gateTotals
+	period overloadPeriod
 }
 
 // NewGate returns a Gate without history.
@@ -24,6 +25,22 @@
 
 // Decide decides on one placement of a request.
 func (g *Gate) Decide(now time.Time, o Offer) Verdict {
+	v := g.decide(now, o)
+	v.Overload = g.period.record(v.Decision == Admit, now)
+	return v
+}
+
+// Refused records that a request which Decide has admitted is refused later.
+func (g *Gate) Refused(now time.Time, o Offer) Overload {
+	o.Rank = clampRank(o.Rank)
+	r := &g.ranks[o.Rank]
+	g.reduceOthers(r, &o, r.teams.aboveFairShare(o.Team, now), now)
+	g.totals.refused.add(now)
+	r.stats.Refused++
+	return g.period.record(false, now)
+}
+
+func (g *Gate) decide(now time.Time, o Offer) Verdict {
 	o.Rank = clampRank(o.Rank)
 	r := &g.ranks[o.Rank]
 	r.used = true
--- a/lib/admit/verdict.go
+++ b/lib/admit/verdict.go
@@ -20,4 +20,6 @@
 	// RetryAfter is the time after which capacity is expected; zero if the request is
 	// admitted.
 	RetryAfter time.Duration
+	// Overload tells whether an overload has begun or ended with this decision.
+	Overload Overload
 }
--- a/lib/eventlog/events_serving.go
+++ b/lib/eventlog/events_serving.go
@@ -31,6 +31,8 @@
 	PartQuarantined     = Event{7213, Warn, "part of prompts quarantined: backend servers crashed while running requests with it", "Find the callers that send it by the parts in event 7204 and inform them."}
 	RequestPanicked     = Event{7214, Error, "request ended by a fault of this program", "Report the stack to the developers."}
 	RequestBeyondMemory = Event{7215, Warn, "request refused because the memory for bodies is used up", "Nothing unless it lasts; then add entries, or find the team that sends long bodies."}
+	OverloadBegan       = Event{7216, Warn, "service is overloaded: requests are admitted by rank and team", "Nothing unless it lasts; then add servers of the service, or look for the teams that send most of the requests."}
+	OverloadEnded       = Event{7217, Info, "service is no longer overloaded", "Nothing."}
 	ReplicaPhase        = Event{7301, Info, "phase of the replica changed", "Nothing."}
 	LoadOrdered         = Event{7302, Info, "engine ordered to load a version", "Nothing; err is set if the order failed."}
 	ReplicaFetched      = Event{7306, Info, "all pieces of a version fetched", "Nothing."}
@@ -52,6 +54,6 @@
 var servingEvents = []Event{
 	LiveConfigApplied, VersionDeclared, RowInvalid, StoreLost, StoreRegained, StoreRestored, StoreBehind,
 	ServerListRead, ServerRegistered, ServerRemoved, ServerEjected, PlacerChanged, PlacerLost, StorePathChanged,
-	RequestEnded, RequestRetried, LogLinesDropped, AttemptAborted, ServerCrashed, ContentQuarantined, ServerAlive, ServerDraining, ServerPaused, ServerRateLimited, DomainEvacuated, DomainRestored, PartQuarantined, RequestPanicked, RequestBeyondMemory,
+	RequestEnded, RequestRetried, LogLinesDropped, AttemptAborted, ServerCrashed, ContentQuarantined, ServerAlive, ServerDraining, ServerPaused, ServerRateLimited, DomainEvacuated, DomainRestored, PartQuarantined, RequestPanicked, RequestBeyondMemory, OverloadBegan, OverloadEnded,
 	ReplicaPhase, LoadOrdered, ReplicaFetched, FetchFailed, OriginLost, OriginRegained, WeightsVerified, WeightsCorrupt, WeightsUnverified, WeightsConfirmed, LoadDelayed, WeightsUnrepairable, EnginePaused, PieceCorrupt, PeerListUnavailable, EngineCallFailed,
 }
--- a/lib/placement/config.go
+++ b/lib/placement/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/auburnbend/auburnbend/lib/admit"
 	"github.com/auburnbend/auburnbend/lib/directory"
 )
 
@@ -26,6 +27,9 @@
 	MinEject, MaxEject time.Duration
 	// OnEject is called at each ejection; nil is not called.
 	OnEject func(server *directory.Server, duration time.Duration, cause Result)
+	// OnOverload is called when the gate of a service begins and ends to refuse requests; nil
+	// is not called.
+	OnOverload func(service string, o admit.Overload)
 	// MaxEjectedShare is the share of a service's servers above which ejections are
 	// taken for a common fault: the ejected servers are then used if no others are
 	// available.
--- a/lib/placement/latency_check.go
+++ b/lib/placement/latency_check.go
@@ -47,6 +47,9 @@
 		}
 	}
 	verdict := p.gate(req.Service).Decide(now, offer)
+	if p.config.OnOverload != nil && verdict.Overload.Change != admit.OverloadUnchanged {
+		p.config.OnOverload(req.Service, verdict.Overload)
+	}
 	if verdict.Decision == admit.Admit {
 		return nil
 	}
@@ -67,11 +70,11 @@
 // gateSeed seeds the random delays of refused callers.
 const gateSeed = 0x67617465
 
-// GateStats returns the decisions on the ranked requests of a service by rank.
-func (p *Picker) GateStats(service string, now time.Time) []admit.RankStats {
-	g := p.gates[service]
-	if g == nil {
-		return nil
+// GateStats returns the decisions on ranked requests by service and rank.
+func (p *Picker) GateStats(now time.Time) map[string][]admit.RankStats {
+	stats := make(map[string][]admit.RankStats, len(p.gates))
+	for service, g := range p.gates {
+		stats[service] = g.Stats(now)
 	}
-	return g.Stats(now)
+	return stats
 }
--- a/lib/placement/picker_reports.go
+++ b/lib/placement/picker_reports.go
@@ -108,6 +108,11 @@
 			delete(p.rateLimited, key)
 		}
 	}
+	for service := range p.gates {
+		if len(p.directory.ByService(service)) == 0 {
+			delete(p.gates, service)
+		}
+	}
 }
 
 // markReported records the time of a report.
