admission: retry delays of refused ranked requests leave time for the way back

Cause: the delay of a request without weights was exactly a third of its remaining time when the refusal was sent. Callers come back only if it is at most a third of what remains when the refusal arrives. All of one moment returned together.

Change: where ranks differ, delays are at most 0.3 of the remaining time. Those for lack of weights lie in the last quarter of that, at random; those of the gate are spread over an interval that grows with the refusals. Without ranks that differ, delays are as before.

Measured: go test -race passes for lib/admit, lib/placement, lib/serving, lib/eventlog, peerlink, entry/dispatch and gateway. The effect on callers is not measured.

--- a/lib/admit/gate.go
+++ b/lib/admit/gate.go
@@ -135,12 +135,24 @@
 // expected to answer within the limit, and later by a random part of an interval over which
 // the callers that were refused lately are spread.
 func (g *Gate) retryAfter(o *Offer, limit time.Duration, now time.Time) time.Duration {
-	longest := maxGateRetryAfter
-	if o.Remaining > 0 {
-		longest = min(longest, o.Remaining/retryAfterDivisor)
-	}
+	longest := longestRetryAfter(o.Remaining)
 	after := min(max(o.Predicted-limit, minRetryAfter), longest/2)
 	perSecond := max(minAdmitted, g.totals.admitted.perSecond(now)) * returnShare
 	spread := min(g.totals.refused.perSecond(now)/perSecond, (longest - after).Seconds())
 	return after + time.Duration(g.rng.Float64()*spread*float64(time.Second))
 }
+
+// RetryAfterUnavailable returns the time after which the caller of a request with the given
+// remaining time may return that is refused because no server is available for a while: near
+// the longest time that it accepts, and spread over a quarter of it.
+func (g *Gate) RetryAfterUnavailable(remaining time.Duration) time.Duration {
+	longest := longestRetryAfter(remaining)
+	return longest - time.Duration(g.rng.Float64()*float64(longest)/4)
+}
+
+func longestRetryAfter(remaining time.Duration) time.Duration {
+	if remaining <= 0 {
+		return maxGateRetryAfter
+	}
+	return min(maxGateRetryAfter, time.Duration(float64(remaining)*retryAfterShare))
+}
--- a/lib/admit/gate_config.go
+++ b/lib/admit/gate_config.go
@@ -39,9 +39,10 @@
 	// longest one for requests without a time limit.
 	minRetryAfter     = 100 * time.Millisecond
 	maxGateRetryAfter = 2 * time.Second
-	// retryAfterDivisor limits the retry delay to a part of the time that the request has
-	// left: callers do not wait longer than that.
-	retryAfterDivisor = 3
+	// retryAfterShare limits the retry delay to a part of the time that the request has left.
+	// Callers do not wait longer than a third of it, and have less of it left when the refusal
+	// arrives.
+	retryAfterShare = 0.3
 	// returnShare is the share of the admitted requests that refused callers may add when
 	// they return. It determines the interval over which they are spread.
 	returnShare = 0.25
--- a/lib/placement/bench_test.go
+++ b/lib/placement/bench_test.go
@@ -11,14 +11,19 @@
 )
 
 // BenchmarkPick measures a placement by an entry of a fleet with a number of engines in
-// five regions, of which those of its own region and 24 others report their load.
+// five regions, of which those of its own region and 24 others report their load. Ranked
+// requests pass the gate.
 func BenchmarkPick(b *testing.B) {
 	const (
 		regions         = 5
 		reportedRemotes = 24
 	)
-	for _, engines := range []int{160, 10_000} {
-		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+	for _, c := range []struct {
+		engines int
+		ranked  bool
+	}{{160, false}, {160, true}, {10_000, false}, {10_000, true}} {
+		engines := c.engines
+		b.Run(fmt.Sprintf("%d ranked=%t", engines, c.ranked), func(b *testing.B) {
 			now := time.Unix(1000, 0)
 			config := Config{Domain: "d0", Regions: make(map[string]string)}
 			for i := range regions {
@@ -46,6 +51,7 @@
 			}
 			req := Request{
 				Service: "drafts", Engine: engine, Model: "m", MinVersion: 3, PromptTokens: 900, OutputTokens: 75, LatencyTarget: 800 * time.Millisecond, Remaining: 6 * time.Second, Entry: "e",
+				Ranked: c.ranked, Rank: 1, Team: "t",
 			}
 			b.ReportAllocs()
 			for b.Loop() {
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -103,7 +103,7 @@
 		}
 	}
 	if best.server == nil {
-		return nil, estimate{}, unavailable(req, reason)
+		return nil, estimate{}, p.unavailable(req, reason)
 	}
 	return best.server, best.estimate, nil
 }
@@ -124,7 +124,7 @@
 	if refusal := p.limitRefusal(req, now); refusal != nil {
 		return nil, refusal
 	}
-	return nil, unavailable(req, reason)
+	return nil, p.unavailable(req, reason)
 }
 
 // mayMissVersionDeadline reports whether the request might still wait on the server
--- a/lib/placement/refusal.go
+++ b/lib/placement/refusal.go
@@ -41,8 +41,8 @@
 	// Predicted is the predicted time to the first response on the best server; zero if
 	// there is none.
 	Predicted time.Duration
-	// MayWait is set if the request may wait for a placement and be tried again, after
-	// RetryAfter at the earliest, instead of being refused.
+	// MayWait is set if the request may wait in its entry and be placed later, instead of being
+	// refused.
 	MayWait bool
 	// ExcludedServers lists servers that are draining, evacuated, paused, cold or rate-limited, at
 	// most a few.
@@ -56,12 +56,16 @@
 // unavailable refuses a request that no server may run now. New weights arrive
 // within seconds, so that the retry delay is then the longest that callers accept:
 // those that retried earlier were mostly refused again.
-func unavailable(req *Request, reason Reason) *Refusal {
-	retryAfter := unavailableRetryAfter
-	if reason == NoWeights && req.Remaining > 0 {
-		retryAfter = min(maxRetryAfter, req.Remaining/retryAfterDivisor)
+func (p *Picker) unavailable(req *Request, reason Reason) *Refusal {
+	refusal := &Refusal{Reason: reason, RetryAfter: unavailableRetryAfter}
+	switch {
+	case reason != NoWeights:
+	case req.Ranked:
+		refusal.RetryAfter = p.gate(req.Service).RetryAfterUnavailable(req.Remaining)
+		// A model that is not declared gets no weights.
+		refusal.MayWait = req.MaxWait > 0 && req.Engine != nil && slices.Contains(req.Engine.Models, req.Model)
+	case req.Remaining > 0:
+		refusal.RetryAfter = min(maxRetryAfter, req.Remaining/retryAfterDivisor)
 	}
-	// A model that is not declared gets no weights.
-	mayWait := reason == NoWeights && req.Ranked && req.MaxWait > 0 && req.Engine != nil && slices.Contains(req.Engine.Models, req.Model)
-	return &Refusal{Reason: reason, RetryAfter: retryAfter, MayWait: mayWait}
+	return refusal
 }
