--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -157,6 +157,9 @@
 	if r.stream.lastEventID >= 0 {
 		info.LastEventID = r.stream.lastEventID
 	}
+	if r.engine != nil && r.table.Ranked() {
+		info.HasRank, info.Rank = true, r.rank()
+	}
 	// The server may have changed its weights since it reported them. It must not begin a
 	// response on other weights than those it was chosen for.
 	info.Version = expectedVersion(lease.Server, r.info.Model)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/auburnbend/auburnbend/lib/admit"
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
@@ -96,6 +97,9 @@
 	// configAt is when the configuration came into force.
 	configAt time.Time
 
+	// waitLines holds the requests that wait for a placement.
+	waitLines *waitLines
+
 	// peerLink connects to agents and other entries; nil if there is none. It is set
 	// before the first request.
 	peerLink *PeerLink
@@ -122,6 +126,13 @@
 		}
 		config.Log.Log(eventlog.ServerPaceLifted, "server", s.ID, "born", s.StartUnixMilli, "service", s.Service, "reason", cause, "after_ms", duration.Milliseconds())
 	}
+	config.Placement.OnOverload = func(service string, o admit.Overload) {
+		if o.Change == admit.OverloadBegan {
+			config.Log.Log(eventlog.OverloadBegan, "service", service)
+			return
+		}
+		config.Log.Log(eventlog.OverloadEnded, "service", service, "lasted_ms", o.Duration.Milliseconds(), "not_admitted", o.NotAdmitted)
+	}
 	picker := placement.New(config.Placement, d, rand.New(rand.NewPCG(config.Seed, config.Seed)))
 	if config.MaxBodyBytes <= 0 {
 		config.MaxBodyBytes = defaultMaxHeldBodies
@@ -144,6 +155,7 @@
 		suspects:       newSuspects(),
 		signals:        make(map[Signal]int64),
 		earlyStatuses:  newEarlyStatuses(),
+		waitLines:      newWaitLines(config.Clock.Now),
 	}
 }
 
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -72,7 +72,7 @@
 	g := r.gateway
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if r.summary.Attempts == 0 && r.dispatched == 0 {
+	if r.summary.Attempts == 0 && r.dispatched == 0 && r.waitingSince.IsZero() {
 		g.budget.CountRequest(r.service, now)
 	}
 	return r.placementRequest(now)
@@ -123,6 +123,9 @@
 	usage := g.picker.Done(a.lease, result, g.now())
 	g.mu.Unlock()
 	r.reportProgress(a, usage, &result)
+	if r.table.Ranked() {
+		g.waitLines.serverFreed(r.lineKey())
+	}
 }
 
 // reportProgress tells the placer of the request that the response has started or,
@@ -204,9 +207,9 @@
 
 // encodePlacementRequest encodes a request in one datagram. If it is too long, it does
 // not list the open leases: the placer then ends lost ones when they expire. If that
-// does not suffice, it lists neither the evacuated failure domains nor the last of the
-// servers to exclude, which are those that this entry has ejected: the entry checks the
-// granted lease for the former, and may have to retry for the latter.
+// does not suffice, it lists neither the evacuated failure domains, nor the team, nor the
+// last of the servers to exclude, which are those that this entry has ejected: the entry
+// checks the granted lease for the first, and may have to retry for the last.
 func encodePlacementRequest(query *peerlink.PlacementRequest) []byte {
 	for {
 		data := encodeCompact(&peerlink.Datagram{PlacementRequest: query})
@@ -217,6 +220,8 @@
 			query.OpenLeases, query.OpenLeasesKnown = nil, false
 		case len(query.Evacuated) > 0:
 			query.Evacuated = nil
+		case query.Team != "":
+			query.Team = ""
 		case len(query.Exclude) > 0:
 			query.Exclude = query.Exclude[:len(query.Exclude)-1]
 		default:
@@ -241,7 +246,7 @@
 		if resp.Server == nil {
 			return nil, &placement.Refusal{
 				Reason: placement.Reason(resp.Reason), RetryAfter: time.Duration(resp.RetryAfterMillis) * time.Millisecond,
-				Predicted: time.Duration(resp.PredictedMicros) * time.Microsecond,
+				Predicted: time.Duration(resp.PredictedMicros) * time.Microsecond, MayWait: resp.MayWait,
 			}, true
 		}
 		l.placements.recordGrant(lease, to)
@@ -278,6 +283,10 @@
 		LatencyTargetMillis: req.LatencyTarget.Milliseconds(), RemainingMillis: req.Remaining.Milliseconds(), MayHaveRun: req.MayHaveRun,
 		Homes: req.Homes.Regions, HomesOnly: req.Homes.Restricted,
 	}
+	if req.Ranked {
+		query.Rank, query.Team = req.Rank, req.Team
+		query.WaitedMillis, query.MaxWaitMillis = req.Waited.Milliseconds(), req.MaxWait.Milliseconds()
+	}
 	setQueryDeadlines(query, req.VersionDeadlines, now)
 	g.mu.Lock()
 	avoided := g.picker.Avoided(req.Service, now)
--- a/lib/eventlog/events_serving.go
+++ b/lib/eventlog/events_serving.go
@@ -33,6 +33,8 @@
 	RequestBeyondMemory = Event{7215, Warn, "request refused because the memory for bodies is used up", "Nothing unless it lasts; then add entries, or find the team that sends long bodies."}
 	ServerPaceLimited   = Event{7216, Info, "concurrency of a backend server that has just started or recovered is limited", "Nothing."}
 	ServerPaceLifted    = Event{7217, Info, "concurrency of a backend server is no longer limited", "Nothing unless after_ms is often near 20000; then check why new servers respond late."}
+	OverloadBegan       = Event{7218, Warn, "service is overloaded: requests are admitted by rank and team", "Nothing unless it lasts; then add servers of the service, or look for the teams that send most of the requests."}
+	OverloadEnded       = Event{7219, Info, "service is no longer overloaded", "Nothing."}
 	ReplicaPhase        = Event{7301, Info, "phase of the replica changed", "Nothing."}
 	LoadOrdered         = Event{7302, Info, "engine ordered to load a version", "Nothing; err is set if the order failed."}
 	ReplicaFetched      = Event{7306, Info, "all pieces of a version fetched", "Nothing."}
@@ -54,6 +56,6 @@
 var servingEvents = []Event{
 	LiveConfigApplied, VersionDeclared, RowInvalid, StoreLost, StoreRegained, StoreRestored, StoreBehind,
 	ServerListRead, ServerRegistered, ServerRemoved, ServerEjected, PlacerChanged, PlacerLost, StorePathChanged,
-	RequestEnded, RequestRetried, LogLinesDropped, AttemptAborted, ServerCrashed, ContentQuarantined, ServerAlive, ServerDraining, ServerPaused, ServerRateLimited, DomainEvacuated, DomainRestored, PartQuarantined, RequestPanicked, RequestBeyondMemory, ServerPaceLimited, ServerPaceLifted,
+	RequestEnded, RequestRetried, LogLinesDropped, AttemptAborted, ServerCrashed, ContentQuarantined, ServerAlive, ServerDraining, ServerPaused, ServerRateLimited, DomainEvacuated, DomainRestored, PartQuarantined, RequestPanicked, RequestBeyondMemory, ServerPaceLimited, ServerPaceLifted, OverloadBegan, OverloadEnded,
 	ReplicaPhase, LoadOrdered, ReplicaFetched, FetchFailed, OriginLost, OriginRegained, WeightsVerified, WeightsCorrupt, WeightsUnverified, WeightsConfirmed, LoadDelayed, WeightsUnrepairable, EnginePaused, PieceCorrupt, PeerListUnavailable, EngineCallFailed,
 }
--- a/lib/placement/bench_test.go
+++ b/lib/placement/bench_test.go
@@ -23,8 +23,12 @@
 		regions         = 5
 		reportedRemotes = 24
 	)
-	for _, engines := range []int{160, 10_000} {
-		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+	for _, c := range []struct {
+		engines int
+		ranked  bool
+	}{{160, false}, {160, true}, {10_000, false}, {10_000, true}} {
+		engines := c.engines
+		b.Run(fmt.Sprintf("%d ranked=%t", engines, c.ranked), func(b *testing.B) {
 			now := time.Unix(1000, 0)
 			config := Config{Domain: "d0", Regions: make(map[string]string)}
 			for i := range regions {
@@ -56,6 +60,7 @@
 			}
 			req := Request{
 				Service: "drafts", Engine: engine, Model: "m", MinVersion: 3, PromptTokens: 900, OutputTokens: 75, LatencyTarget: 800 * time.Millisecond, Remaining: 6 * time.Second, Entry: "e",
+				Ranked: c.ranked, Rank: 1, Team: "t",
 			}
 			b.ReportAllocs()
 			for b.Loop() {
--- a/lib/placement/config.go
+++ b/lib/placement/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/auburnbend/auburnbend/lib/admit"
 	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/pace"
 )
@@ -31,6 +32,9 @@
 	// just started or recovered, and after the given duration when it no longer is; nil is
 	// not called.
 	OnPace func(server *directory.Server, cause pace.Cause, limited bool, duration time.Duration)
+	// OnOverload is called when the gate of a service begins and ends to refuse requests; nil
+	// is not called.
+	OnOverload func(service string, o admit.Overload)
 	// MaxEjectedShare is the share of a service's servers above which ejections are
 	// taken for a common fault: the ejected servers are then used if no others are
 	// available.
--- a/lib/placement/pace.go
+++ b/lib/placement/pace.go
@@ -179,11 +179,11 @@
 // although its window is full; one without a server if there is none. It is for requests that would be refused
 // because all servers with room are too slow. Responses must have shown that it is fast
 // enough, even if slower than predicted; before, it may have a few requests more.
-func (p *Picker) pickBeyondWindow(req *Request, now time.Time) candidate {
+func (p *Picker) pickBeyondWindow(req *Request, held []string, now time.Time) candidate {
 	var best candidate
 	usual := p.usualResponse(req.Service)
 	for s := range p.paced {
-		if s.listing == nil || s.listing.Service != req.Service || !p.isLocal(s) {
+		if s.listing == nil || s.listing.Service != req.Service || !p.isLocal(s) || p.directory.Get(s.listing.Key()) != s.listing {
 			continue
 		}
 		if !s.windowFull(req.Entry == "", s.slotsFor(req), now) {
@@ -192,7 +192,7 @@
 		if excluded, _ := p.exclusion(s.listing, req, now); excluded || req.excludes(s.listing.Key()) {
 			continue
 		}
-		if p.usability(s, req, nil, now) != usableIfNoOther {
+		if p.usability(s, req, held, now) != usableIfNoOther {
 			continue
 		}
 		c := p.newCandidate(req, s, usual, now)
@@ -209,8 +209,11 @@
 // fastEnough reports whether a server with a full window is expected to respond to a request
 // within its latency target.
 func (p *Picker) fastEnough(s *server, req *Request, e estimate, now time.Time) bool {
-	if ratio, known := s.slowness.Ratio(); known && scale(e.firstResponse, ratio) <= scale(req.LatencyTarget, p.config.TargetShare) {
+	if p.checkLatency(req, s, e, now) != nil {
+		return false
+	}
+	if ratio, known := s.slowness.Ratio(); known && scale(e.firstResponse, ratio) <= p.latencyLimit(req) {
 		return true
 	}
-	return s.occupancy(now) < maxBeyondWindow*s.pace.Window(s.slotsFor(req), now) && p.checkLatency(req, s, e, now) == nil
+	return s.occupancy(now) < maxBeyondWindow*s.pace.Window(s.slotsFor(req), now)
 }
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/auburnbend/auburnbend/lib/admit"
 	"github.com/auburnbend/auburnbend/lib/directory"
 )
 
@@ -42,6 +43,8 @@
 	paceRefreshedAt time.Time
 	// serviceTimes holds the smoothed response times of services.
 	serviceTimes map[string]time.Duration
+	// gates holds the gates of services with ranked requests.
+	gates map[string]*admit.Gate
 }
 
 // New returns a Picker for the servers of a directory. The Picker drops expired
@@ -52,7 +55,7 @@
 		limitShare: 1, evacuations: make(map[string]evacuation), regionCount: countRegions(config.Regions),
 		indexes: make(map[string]*serviceIndex), rateLimited: make(map[directory.Key]bool),
 		histories: make(map[string]*serviceHistory), seen: make(map[directory.Key]bool), paced: make(map[*server]bool),
-		serviceTimes: make(map[string]time.Duration),
+		serviceTimes: make(map[string]time.Duration), gates: make(map[string]*admit.Gate),
 	}
 }
 
@@ -60,28 +63,37 @@
 func (p *Picker) Pick(req Request, now time.Time) (*Lease, *Refusal) {
 	set, refusal := p.candidateSet(&req, now)
 	if refusal == nil {
-		var best candidate
-		if best, refusal = p.best(&req, set, now); refusal == nil {
-			refusal = p.checkLatency(&req, best.server, best.estimate, now)
-		}
-		if refusal != nil {
-			if spare, found := p.spare(&req, set, refusal, now); found {
-				best, refusal = spare, nil
-			}
-		}
-		if refusal != nil && len(p.paced) > 0 {
-			if beyond := p.pickBeyondWindow(&req, now); beyond.server != nil {
-				best, refusal = beyond, nil
-			}
+		var chosen candidate
+		if chosen, refusal = p.choose(&req, set, now); chosen.server != nil {
+			refusal = p.admit(&req, &chosen, refusal, now)
 		}
 		if refusal == nil {
-			return p.grant(&best, &req, now), nil
+			return p.grant(&chosen, &req, now), nil
 		}
 	}
 	refusal.ExcludedServers = p.ExcludedServers(req.Service, now)
 	return nil, refusal
 }
 
+// choose returns the server that the request would be placed on, and a refusal if that is not
+// expected to respond in time or there is none.
+func (p *Picker) choose(req *Request, set *candidateSet, now time.Time) (candidate, *Refusal) {
+	best, refusal := p.best(req, set, now)
+	if refusal == nil {
+		refusal = p.checkLatency(req, best.server, best.estimate, now)
+	}
+	if refusal == nil {
+		return best, nil
+	}
+	if spare, found := p.spare(req, set, refusal, now); found {
+		return spare, nil
+	}
+	if beyond := p.pickBeyondWindow(req, set.held, now); beyond.server != nil {
+		return beyond, nil
+	}
+	return best, refusal
+}
+
 // grant places a request on the chosen server.
 func (p *Picker) grant(best *candidate, req *Request, now time.Time) *Lease {
 	occupancy, age := best.occupancy(now), best.reportAge(now)
@@ -130,7 +142,7 @@
 		}
 	}
 	if best.server == nil {
-		return candidate{}, unavailable(req, reason)
+		return candidate{}, p.unavailable(req, reason)
 	}
 	return best, nil
 }
@@ -172,7 +184,7 @@
 	if refusal := p.limitRefusal(req, now); refusal != nil {
 		return nil, refusal
 	}
-	return nil, unavailable(req, reason)
+	return nil, p.unavailable(req, reason)
 }
 
 // mayMissVersionDeadline reports whether the request might still wait on the server
--- a/lib/placement/picker_reports.go
+++ b/lib/placement/picker_reports.go
@@ -114,6 +114,11 @@
 			delete(p.paced, s)
 		}
 	}
+	for service := range p.gates {
+		if len(p.directory.ByService(service)) == 0 {
+			delete(p.gates, service)
+		}
+	}
 }
 
 // markReported records the time of a report.
