admission: an outage that has ended does not keep requests from waiting

Cause: the time for which a line has placed nothing was kept while the line was empty, so that a later overload found it stalled and let only one request wait.

Change: it is dropped five seconds after the line became empty. Rounding of decayed counts does not depend on fused multiply-add.

--- a/lib/admit/decaying_count.go
+++ b/lib/admit/decaying_count.go
@@ -20,7 +20,7 @@
 	if c.count == 0 {
 		return 0
 	}
-	return c.count * math.Exp(-now.Sub(c.updatedAt).Seconds()/gateWindow.Seconds())
+	return float64(c.count * math.Exp(-now.Sub(c.updatedAt).Seconds()/gateWindow.Seconds()))
 }
 
 // perSecond returns the rate of events.
--- a/lib/admit/wait_line.go
+++ b/lib/admit/wait_line.go
@@ -11,8 +11,9 @@
 type WaitLine struct {
 	ranks  [MaxRank + 1]waitRank
 	length int
-	// unservedSince is when the first request joined after the last one that was placed.
-	unservedSince time.Time
+	// unservedSince is when the first request joined after the last one that was placed,
+	// emptySince when the last request left.
+	unservedSince, emptySince time.Time
 }
 
 // waitRank holds the waiting requests of one rank.
@@ -40,7 +41,8 @@
 	element *list.Element
 }
 
-// rateMemory is the time after which the rate of a rank without waiting requests is dropped.
+// rateMemory is the time after which the rate of a rank without waiting requests, and the
+// time without a placement of an empty line, are dropped.
 const rateMemory = 5 * time.Second
 
 // Len returns the number of waiting requests.
@@ -87,7 +89,7 @@
 		e = r.teams.PushBack(&waitTeam{name: team})
 		r.byTeam[team] = e
 	}
-	if l.unservedSince.IsZero() {
+	if l.unservedSince.IsZero() || l.length == 0 && now.Sub(l.emptySince) > rateMemory {
 		l.unservedSince = now
 	}
 	l.length++
@@ -123,6 +125,9 @@
 			l.unservedSince = now
 		}
 	}
+	if l.length == 0 {
+		l.emptySince = now
+	}
 	if r.length == 0 {
 		r.rate.stopBusy()
 		r.idleSince = now
--- a/lib/admit/wait_line_test.go
+++ b/lib/admit/wait_line_test.go
@@ -56,6 +56,19 @@
 		Expect(l.ExpectedWait(0, now)).To(BeZero())
 	})
 
+	It("forgets a wait without a placement once it has been empty", func() {
+		// Guards against refusals for an outage that has long ended.
+		var l admit.WaitLine
+		w := l.Join(0, "t", "", start)
+		l.Leave(w, false, start.Add(time.Second))
+		l.Join(0, "t", "", start.Add(2*time.Second))
+		Expect(l.Unserved(start.Add(3 * time.Second))).To(Equal(3 * time.Second))
+		var other admit.WaitLine
+		other.Leave(other.Join(0, "t", "", start), false, start.Add(time.Second))
+		other.Join(0, "t", "", start.Add(time.Minute))
+		Expect(other.Unserved(start.Add(time.Minute))).To(BeZero())
+	})
+
 	It("loses no request", func() {
 		// Guards against a request that never has its turn, and against state that stays.
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
