admission: a waiting request of a low rank does not keep urgent ones from waiting

Cause: the time without a placement belonged to the whole line. A request of rank 2 that waited in vain kept requests of rank 0 from joining, of which none had been tried.

Change: it is kept for each rank; a rank is judged by its own and by more urgent ones. A placement without a wait counts as well.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -114,7 +114,7 @@
 	req := placement.Request{
 		Service: r.service, Engine: r.engine, Model: modelName, Version: r.stream.version, MinVersion: r.gateway.versions.MinVersion(modelName, now),
 		PromptTokens: r.info.PromptTokens, OutputTokens: r.info.ExpectedTokens,
-		Remaining: r.remaining(now), Exclude: r.triedServers, MayHaveRun: r.stream.started || r.mayHaveRun || r.serverSilent,
+		Remaining: r.remaining(now), Exclude: r.triedServers, MayHaveRun: r.mayBeRunning(),
 		Homes: r.homes(),
 	}
 	if s := r.table.Service(r.service); s != nil {
--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -26,6 +26,9 @@
 // returns neither an attempt nor a refusal if the context of the request has ended.
 func (r *request) placeOrWait() (*attempt, *placement.Refusal) {
 	a, refusal := r.place(r.ctx, r.gateway.now())
+	if a != nil && r.table.Ranked() && !r.mayBeRunning() {
+		r.gateway.waitLines.placed(r.lineKey(), r.rank())
+	}
 	if refusal == nil || !refusal.MayWait {
 		return a, refusal
 	}
@@ -87,7 +90,7 @@
 func (r *request) waitTimes(now time.Time) (waited, longest time.Duration) {
 	waited = r.summary.Waited
 	switch {
-	case r.stream.started || r.mayHaveRun || r.serverSilent:
+	case r.mayBeRunning():
 		return waited, 0
 	case !r.waitingSince.IsZero():
 		// At least 1 ms, because zero means that the request has not waited.
@@ -112,4 +115,8 @@
 	return max(0, longest)
 }
 
+// mayBeRunning reports whether a server may run the request already. It is then placed whatever
+// the load.
+func (r *request) mayBeRunning() bool { return r.stream.started || r.mayHaveRun || r.serverSilent }
+
 func (r *request) lineKey() lineKey { return lineKey{r.service, r.weightsModel()} }
--- a/gateway/wait_lines.go
+++ b/gateway/wait_lines.go
@@ -61,7 +61,7 @@
 		return true
 	}
 	now := l.now()
-	return line.order.Unserved(now) < maxUnserved && (transient || line.order.ExpectedWait(rank, now) <= longest)
+	return line.order.Unserved(rank, now) < maxUnserved && (transient || line.order.ExpectedWait(rank, now) <= longest)
 }
 
 // join adds a request to a line. The caller must call leave.
@@ -86,6 +86,15 @@
 	return w
 }
 
+// placed tells that a request of a rank was placed without having waited.
+func (l *waitLines) placed(key lineKey, rank int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if line := l.lines[key]; line != nil {
+		line.order.Placed(rank, l.now())
+	}
+}
+
 // serverFreed tells that a request of a service has ended, so that a waiting one may have its
 // place.
 func (l *waitLines) serverFreed(key lineKey) {
--- a/lib/admit/wait_line.go
+++ b/lib/admit/wait_line.go
@@ -11,9 +11,6 @@
 type WaitLine struct {
 	ranks  [MaxRank + 1]waitRank
 	length int
-	// unservedSince is when the first request joined after the last one that was placed,
-	// emptySince when the last request left.
-	unservedSince, emptySince time.Time
 }
 
 // waitRank holds the waiting requests of one rank.
@@ -26,6 +23,9 @@
 	// is the end of the last time with a waiting request.
 	rate      rate
 	idleSince time.Time
+	// unservedSince is when the first request joined after the last one of this or a less
+	// urgent rank that was placed.
+	unservedSince time.Time
 }
 
 // waitTeam holds the waiting requests of one team of a rank, in order of arrival.
@@ -41,19 +41,32 @@
 	element *list.Element
 }
 
-// rateMemory is the time after which the rate of a rank without waiting requests, and the
-// time without a placement of an empty line, are dropped.
+// rateMemory is the time after which the rate of a rank without waiting requests, and its time
+// without a placement, are dropped.
 const rateMemory = 5 * time.Second
 
 // Len returns the number of waiting requests.
 func (l *WaitLine) Len() int { return l.length }
 
-// Unserved returns the time for which requests have waited and none was placed.
-func (l *WaitLine) Unserved(now time.Time) time.Duration {
-	if l.unservedSince.IsZero() {
-		return 0
+// Unserved returns the time for which requests of a rank or a more urgent one have waited and
+// none was placed. Less urgent ones tell nothing: they are not tried while others wait, and
+// are admitted up to a smaller share of the limit.
+func (l *WaitLine) Unserved(rank int, now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for i := range clampRank(rank) + 1 {
+		if r := &l.ranks[i]; r.length > 0 {
+			longest = max(longest, now.Sub(r.unservedSince))
+		}
+	}
+	return longest
+}
+
+// Placed tells that a request of a rank was placed, whether it has waited or not: there is room
+// for that rank and for more urgent ones.
+func (l *WaitLine) Placed(rank int, now time.Time) {
+	for i := range clampRank(rank) + 1 {
+		l.ranks[i].unservedSince = now
 	}
-	return now.Sub(l.unservedSince)
 }
 
 // ExpectedWait returns the time until a new request of a rank is placed, judging by the rate at
@@ -78,6 +91,7 @@
 	if r.length == 0 {
 		if now.Sub(r.idleSince) > rateMemory {
 			r.rate = rate{}
+			r.unservedSince = now
 		}
 		r.rate.startBusy(now)
 	}
@@ -89,9 +103,6 @@
 		e = r.teams.PushBack(&waitTeam{name: team})
 		r.byTeam[team] = e
 	}
-	if l.unservedSince.IsZero() || l.length == 0 && now.Sub(l.emptySince) > rateMemory {
-		l.unservedSince = now
-	}
 	l.length++
 	r.length++
 	return &Waiter{rank: rank, team: e, element: e.Value.(*waitTeam).waiters.PushBack(value)}
@@ -120,13 +131,7 @@
 	team.waiters.Remove(w.element)
 	if placed {
 		r.rate.addTokens(1)
-		l.unservedSince = time.Time{}
-		if l.length > 0 {
-			l.unservedSince = now
-		}
-	}
-	if l.length == 0 {
-		l.emptySince = now
+		l.Placed(w.rank, now)
 	}
 	if r.length == 0 {
 		r.rate.stopBusy()
