admission: admitted requests that are refused later do not count as admitted

Cause: a rank whose requests were admitted to the queue of the product's entry and then expired there had, for the gate, a large admitted part, was never taken for starved and kept its reduced share.

Change: Refused takes the request back from the counts of the rank, of all ranks and of the team.

--- a/lib/admit/decaying_count.go
+++ b/lib/admit/decaying_count.go
@@ -16,6 +16,12 @@
 	c.updatedAt = now
 }
 
+// subtract takes back an event, without counting as an update. The count does not fall below
+// zero.
+func (c *decayingCount) subtract(now time.Time) {
+	c.count = max(0, c.count-math.Exp(now.Sub(c.updatedAt).Seconds()/gateWindow.Seconds()))
+}
+
 func (c *decayingCount) at(now time.Time) float64 {
 	if c.count == 0 {
 		return 0
--- a/lib/admit/gate.go
+++ b/lib/admit/gate.go
@@ -41,6 +41,7 @@
 func (g *Gate) Refused(now time.Time, o Offer) Overload {
 	o.Rank = clampRank(o.Rank)
 	r := &g.ranks[o.Rank]
+	g.withdrawAdmitted(r, &o, now)
 	g.reduceOthers(r, &o, r.teams.aboveFairShare(o.Team, now), now)
 	g.totals.refused.add(now)
 	r.stats.Refused++
@@ -131,6 +132,14 @@
 	r.stats.Admitted++
 }
 
+// withdrawAdmitted takes back recordAdmitted, except for the count of the statistics, which only
+// increases: a rank whose admitted requests are refused later is starved as well.
+func (g *Gate) withdrawAdmitted(r *gateRank, o *Offer, now time.Time) {
+	r.admitted.subtract(now)
+	g.totals.admitted.subtract(now)
+	r.teams.withdraw(o.Team, now)
+}
+
 // reduceOthers reduces the shares of the requests that go after one that was not admitted.
 func (g *Gate) reduceOthers(r *gateRank, o *Offer, aboveFair bool, now time.Time) {
 	part := min(maxDecrease, refusalGain/max(1, r.offered.perSecond(now)))
--- a/lib/admit/gate_test.go
+++ b/lib/admit/gate_test.go
@@ -80,6 +80,20 @@
 		Expect(admitted).To(BeNumerically("<", 200))
 	})
 
+	It("does not count admitted requests that are refused later as admitted", func() {
+		// Guards against a rank whose requests all expire in a queue and that is not taken for
+		// starved.
+		for range 300 {
+			decide(offer(0, "", 0))
+			decide(offer(0, "", limit+1))
+			o := offer(2, "t", 0)
+			if decide(o).Decision == admit.Admit {
+				g.Refused(now, o)
+			}
+		}
+		Expect(decide(offer(2, "t", limit)).Decision).To(Equal(admit.Admit))
+	})
+
 	It("admits teams below their fair share before others of the same rank", func() {
 		// Guards against a large team that takes the places of small ones.
 		for range 40 {
--- a/lib/admit/team_uses.go
+++ b/lib/admit/team_uses.go
@@ -46,6 +46,14 @@
 	u.total.add(now)
 }
 
+// withdraw takes back an admitted request of a team.
+func (u *teamUses) withdraw(team string, now time.Time) {
+	if e := u.byName[team]; e != nil {
+		e.Value.(*teamUse).admitted.subtract(now)
+		u.total.subtract(now)
+	}
+}
+
 // aboveFairShare reports whether a team has used more than the mean of the active teams, by
 // more than the spread of random arrivals: without that margin, half of equal teams were reduced
 // at any time.
