admission: requests that wait for weights count as offered, and waiting ones in the spread

Cause: a request that first waited for weights reached the gate with Waiting set, so that it counted as admitted and never as offered, and other ranks seemed starved. A Wait verdict that the entry did not use, because its queue was full, did not count as a refusal, so that the interval over which refused callers return was too small just then.

Change: the refusal for missing weights records the request once. Both first Wait verdicts and these count for the interval until the request is admitted.

--- a/lib/admit/gate.go
+++ b/lib/admit/gate.go
@@ -43,7 +43,7 @@
 	r := &g.ranks[o.Rank]
 	g.withdrawAdmitted(r, &o, now)
 	g.reduceOthers(r, &o, r.teams.aboveFairShare(o.Team, now), now)
-	g.totals.refused.add(now)
+	g.totals.returning.add(now)
 	r.stats.Refused++
 	return g.period.record(false, now)
 }
@@ -53,13 +53,15 @@
 	r := &g.ranks[o.Rank]
 	r.used = true
 	if !o.Waiting {
-		r.offered.add(now)
-		g.totals.offered.add(now)
+		g.recordOffered(r, now)
 	}
 	aboveFair := r.teams.aboveFairShare(o.Team, now)
 	limit := g.limit(r, &o, aboveFair, now)
 	if o.Predicted <= limit {
 		g.recordAdmitted(r, &o, now)
+		if o.Waiting {
+			g.totals.returning.subtract(now)
+		}
 		return Verdict{Decision: Admit}
 	}
 	if !o.Waiting {
@@ -69,10 +71,13 @@
 	if o.MaxWait > 0 && (o.Waiting || float64(limit) >= minWaitShare*float64(o.Limit)) {
 		if !o.Waiting {
 			r.stats.Waited++
+			g.totals.returning.add(now)
 		}
 		return Verdict{Decision: Wait, RetryAfter: g.retryAfter(&o, limit, now)}
 	}
-	g.totals.refused.add(now)
+	if !o.Waiting {
+		g.totals.returning.add(now)
+	}
 	r.stats.Refused++
 	return Verdict{Decision: Refuse, RetryAfter: g.retryAfter(&o, limit, now)}
 }
@@ -125,6 +130,21 @@
 	return share
 }
 
+// RecordUnavailable records a request that may wait until a server is available. Later offers of
+// it have Waiting set.
+func (g *Gate) RecordUnavailable(now time.Time, rank int) {
+	r := &g.ranks[clampRank(rank)]
+	r.used = true
+	r.stats.Waited++
+	g.recordOffered(r, now)
+	g.totals.returning.add(now)
+}
+
+func (g *Gate) recordOffered(r *gateRank, now time.Time) {
+	r.offered.add(now)
+	g.totals.offered.add(now)
+}
+
 func (g *Gate) recordAdmitted(r *gateRank, o *Offer, now time.Time) {
 	r.admitted.add(now)
 	g.totals.admitted.add(now)
@@ -165,7 +185,7 @@
 	longest := longestRetryAfter(o.Remaining)
 	after := min(max(o.Predicted-limit, minRetryAfter), longest/2)
 	perSecond := max(minAdmitted, g.totals.admitted.perSecond(now)) * returnShare
-	spread := min(g.totals.refused.perSecond(now)/perSecond, (longest - after).Seconds())
+	spread := min(g.totals.returning.perSecond(now)/perSecond, (longest - after).Seconds())
 	return after + time.Duration(g.rng.Float64()*spread*float64(time.Second))
 }
 
--- a/lib/admit/gate_rank.go
+++ b/lib/admit/gate_rank.go
@@ -26,7 +26,10 @@
 
 // gateTotals counts the requests of all ranks.
 type gateTotals struct {
-	offered, admitted, refused decayingCount
+	offered, admitted decayingCount
+	// returning counts the requests that were not admitted, whose callers may return: a request
+	// that may wait is refused if its entry has no room for it.
+	returning decayingCount
 }
 
 // RankStats counts the decisions of a Gate for one rank.
--- a/lib/admit/gate_test.go
+++ b/lib/admit/gate_test.go
@@ -149,6 +149,43 @@
 		Expect(decide(short).RetryAfter).To(BeNumerically("<=", 200*time.Millisecond))
 	})
 
+	It("spreads callers that may wait as well", func() {
+		// Guards against callers that return at the same moment when the queue of their entry is
+		// full: Wait is then a refusal.
+		longest := func(waitPlaced bool) (longest time.Duration) {
+			g = admit.NewGate(rand.New(rand.NewPCG(1, 1)))
+			for range 300 {
+				decide(offer(0, "", 0))
+				o := offer(0, "", limit+1)
+				o.MaxWait = time.Second
+				longest = max(longest, decide(o).RetryAfter)
+				if waitPlaced {
+					o.Predicted, o.Waiting = 0, true
+					decide(o)
+				}
+			}
+			return longest
+		}
+		Expect(longest(false)).To(BeNumerically(">", time.Second))
+		Expect(longest(true)).To(BeNumerically("<", 300*time.Millisecond))
+	})
+
+	It("counts requests that wait for a server as offered", func() {
+		// Guards against a rank that seems to have more requests admitted than offered, so that
+		// others seem starved.
+		for range 300 {
+			decide(offer(1, "", 0))
+			decide(offer(0, "", limit+1))
+			for range 5 {
+				g.RecordUnavailable(now, 2)
+				o := offer(2, "", 0)
+				o.Waiting = true
+				Expect(decide(o).Decision).To(Equal(admit.Admit))
+			}
+		}
+		Expect(decide(offer(1, "", limit*3/4)).Decision).To(Equal(admit.Refuse))
+	})
+
 	It("lets requests wait that may", func() {
 		may := offer(2, "", limit+1)
 		may.MaxWait = time.Second
--- a/lib/admit/offer.go
+++ b/lib/admit/offer.go
@@ -18,7 +18,8 @@
 	// Late is set if the latency target can no longer be met. Late requests are admitted
 	// after all others.
 	Late bool
-	// Waiting is set if the request has been offered before and has waited since.
+	// Waiting is set if the request has been offered before, or recorded by RecordUnavailable,
+	// and has waited since.
 	Waiting bool
 	// MaxWait is how long the request can still wait for its placement; zero if it cannot.
 	MaxWait time.Duration
--- a/lib/admit/wait_line_test.go
+++ b/lib/admit/wait_line_test.go
@@ -62,7 +62,7 @@
 		w := l.Join(0, "t", "", start)
 		l.Leave(w, false, start.Add(time.Second))
 		l.Join(0, "t", "", start.Add(2*time.Second))
-		Expect(l.Unserved(0, start.Add(3 * time.Second))).To(Equal(3 * time.Second))
+		Expect(l.Unserved(0, start.Add(3*time.Second))).To(Equal(3 * time.Second))
 		var other admit.WaitLine
 		other.Leave(other.Join(0, "t", "", start), false, start.Add(time.Second))
 		other.Join(0, "t", "", start.Add(time.Minute))
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -142,7 +142,7 @@
 		}
 	}
 	if best.server == nil {
-		return candidate{}, p.unavailable(req, reason)
+		return candidate{}, p.unavailable(req, reason, now)
 	}
 	return best, nil
 }
@@ -184,7 +184,7 @@
 	if refusal := p.limitRefusal(req, now); refusal != nil {
 		return nil, refusal
 	}
-	return nil, p.unavailable(req, reason)
+	return nil, p.unavailable(req, reason, now)
 }
 
 // mayMissVersionDeadline reports whether the request might still wait on the server
--- a/lib/placement/picker_test.go
+++ b/lib/placement/picker_test.go
@@ -421,4 +421,20 @@
 			now = now.Add(10 * time.Second)
 		}
 	})
+
+	It("tells the gate of requests that wait for weights, once", func() {
+		// Guards against requests that are counted when they are admitted, but not when they came.
+		add("s", "north", func(s *directory.Server) { s.Weights = nil })
+		withModel, req := *engine, request()
+		withModel.Models = []string{"m"}
+		req.Engine, req.Ranked, req.Rank, req.MaxWait = &withModel, true, 2, time.Second
+		for _, req.Waited = range []time.Duration{0, 50 * time.Millisecond} {
+			_, refusal := p.Pick(req, now)
+			Expect(refusal.MayWait).To(BeTrue())
+		}
+		stats := p.GateStats(now)["drafts"]
+		Expect(stats).To(HaveLen(1))
+		Expect(stats[0].Rank).To(Equal(2))
+		Expect(stats[0].Waited).To(BeEquivalentTo(1))
+	})
 })
--- a/lib/placement/refusal.go
+++ b/lib/placement/refusal.go
@@ -56,14 +56,18 @@
 // unavailable refuses a request that no server may run now. New weights arrive
 // within seconds, so that the retry delay is then the longest that callers accept:
 // those that retried earlier were mostly refused again.
-func (p *Picker) unavailable(req *Request, reason Reason) *Refusal {
+func (p *Picker) unavailable(req *Request, reason Reason, now time.Time) *Refusal {
 	refusal := &Refusal{Reason: reason, RetryAfter: unavailableRetryAfter}
 	switch {
 	case reason != NoWeights:
 	case req.Ranked:
-		refusal.RetryAfter = p.gate(req.Service).RetryAfterUnavailable(req.Remaining)
+		gate := p.gate(req.Service)
+		refusal.RetryAfter = gate.RetryAfterUnavailable(req.Remaining)
 		// A model that is not declared gets no weights.
 		refusal.MayWait = req.MaxWait > 0 && req.Engine != nil && slices.Contains(req.Engine.Models, req.Model)
+		if refusal.MayWait && req.Waited == 0 {
+			gate.RecordUnavailable(now, req.Rank)
+		}
 	case req.Remaining > 0:
 		refusal.RetryAfter = min(maxRetryAfter, req.Remaining/retryAfterDivisor)
 	}
