placement: the head of a response counts for failures and predictions again

The notice that a response has started had moved from the head of a stream to its first event. So requests counted as prefill until then, which changed predictions in every deployment, and two callers that abandoned streams after a second ejected an engine that had sent its heads at once.

A lease now has two marks. The head ends the prefill and is what the failure rule looks at, as before the limits of concurrency. The first event is used by lib/pace only. A placer asks other entries for a notice of it (PlacementResponse.FirstEventWanted) while the server, or another one of its service, is limited: those that are not give the usual error of the prediction.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -84,7 +84,7 @@
 	}
 	// The server has begun the request, in time for its weights.
 	if resp.StatusCode < http.StatusBadRequest {
-		r.recordResponseStart(a)
+		r.recordFirstEvent(a)
 	}
 	g.endWait(a)
 	conn.SetReadDeadline(time.Time{})
@@ -225,6 +225,7 @@
 		g.picker.UpdateCounts(lease.Server.Key(), a.reply.Load.Running, a.reply.Load.Queued, now)
 		g.picker.UpdateWork(lease.Server.Key(), a.reply.Load.Work, now)
 	}
+	usage := g.picker.ResponseStarted(lease, now)
 	publish := func() {}
 	var news *peerlink.Gossip
 	if a.reply.RequestID == r.info.ID && !a.reply.Misdirected {
@@ -234,18 +235,21 @@
 	g.mu.Unlock()
 	publish()
 	g.broadcast(news)
+	r.reportProgress(a, usage, nil)
 }
 
-// recordResponseStart records that the response to the request has started, and tells the
-// placer. For a stream it must be called at the first event: the head does not show that the
-// request has begun. Refusals and failures may be fast on a server that is overloaded, and
-// are recorded only as the end of the attempt.
-func (r *request) recordResponseStart(a *attempt) {
+// recordFirstEvent records that the first event of a stream has arrived, or the head of
+// another response, and tells the placer if it needs that. The head of a stream does not
+// show that the request has begun. Refusals and failures may be fast on a server that is
+// overloaded, and are recorded only as the end of the attempt.
+func (r *request) recordFirstEvent(a *attempt) {
 	g := r.gateway
 	g.mu.Lock()
-	usage := g.picker.ResponseStarted(a.lease, g.now())
+	g.picker.FirstEvent(a.lease, g.now())
 	g.mu.Unlock()
-	r.reportProgress(a, usage, nil)
+	if g.peerLink != nil && a.granted != nil && a.granted.firstEventWanted {
+		g.peerLink.notifyPlacer(a.granted, &peerlink.PlacementNotice{FirstEvent: true})
+	}
 }
 
 // bufferResponse reads a response that is not a stream to its end, so that a truncated one can
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -25,6 +25,8 @@
 	// limitChecked is set if the other entry has considered the rate limit of the server
 	// that this entry knows.
 	limitChecked bool
+	// firstEventWanted is set if the other entry needs a notice of the first event.
+	firstEventWanted bool
 }
 
 // place finds a server for the request. The first placement counts as a request of
@@ -253,7 +255,7 @@
 		return &grant{
 			by: to, lease: lease, server: directory.Key{ID: resp.Server.ID, StartUnixMilli: resp.Server.StartUnixMilli}, version: resp.Version,
 			predicted: time.Duration(resp.PredictedMicros) * time.Microsecond, loadAge: time.Duration(resp.LoadAgeMicros) * time.Microsecond,
-			occupancy: resp.Occupancy, limitChecked: resp.LimitChecked,
+			occupancy: resp.Occupancy, limitChecked: resp.LimitChecked, firstEventWanted: resp.FirstEventWanted,
 		}, nil, true
 	case <-timer.C:
 	case <-ctx.Done():
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -79,6 +79,7 @@
 	return &peerlink.PlacementResponse{
 		Server: &server, LimitChecked: lease.LimitChecked || listed, Version: lease.Server.Weights[query.Model].Version,
 		PredictedMicros: lease.Predicted.Microseconds(), Occupancy: lease.Occupancy, LoadAgeMicros: lease.LoadAge.Microseconds(),
+		FirstEventWanted: lease.FirstEventWanted,
 	}
 }
 
@@ -90,9 +91,12 @@
 	g.mu.Lock()
 	now := g.now()
 	var lease *placement.Lease
-	if n.Ended {
+	switch {
+	case n.Ended:
 		lease = g.leases.Done(id, placement.Result(n.Result), now)
-	} else {
+	case n.FirstEvent:
+		lease = g.leases.FirstEvent(id, now)
+	default:
 		lease = g.leases.ResponseStarted(id, now)
 	}
 	g.mu.Unlock()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -34,7 +34,7 @@
 		return succeededBy(winner)
 	}
 	if failure == nil {
-		r.recordResponseStart(a)
+		r.recordFirstEvent(a)
 	}
 	switch {
 	case failure == nil && err == nil:
--- a/lib/placement/lease.go
+++ b/lib/placement/lease.go
@@ -36,9 +36,13 @@
 	engine bool
 	// history is that of the service.
 	history *serviceHistory
-	// responding is set once the response has started.
-	responding bool
-	done       bool
+	// FirstEventWanted is set if the entry that serves the request must report the first
+	// event of the response: the server, or another one of its service, is limited.
+	FirstEventWanted bool
+	// responding is set once the head of the response has arrived, firstEvent once its
+	// first event has. An engine may send the head before it begins the request.
+	responding, firstEvent bool
+	done                   bool
 }
 
 // Usage is what one entry has placed on one server.
--- a/lib/placement/lease_table.go
+++ b/lib/placement/lease_table.go
@@ -58,14 +58,23 @@
 	return limit
 }
 
-// ResponseStarted records that the response to a leased request has started. It
-// returns the lease with its current usage, or nil if it is unknown.
+// ResponseStarted records that the head of the response to a leased request has arrived.
+// It returns the lease with its current usage, or nil if it is unknown.
 func (t *LeaseTable) ResponseStarted(id LeaseID, now time.Time) *Lease {
+	return t.progress(id, t.picker.ResponseStarted, now)
+}
+
+// FirstEvent is like ResponseStarted for the first event.
+func (t *LeaseTable) FirstEvent(id LeaseID, now time.Time) *Lease {
+	return t.progress(id, t.picker.FirstEvent, now)
+}
+
+func (t *LeaseTable) progress(id LeaseID, record func(*Lease, time.Time) Usage, now time.Time) *Lease {
 	l := t.leases[id.Entry][id]
 	if l == nil {
 		return nil
 	}
-	l.Usage = t.picker.ResponseStarted(l.Lease, now)
+	l.Usage = record(l.Lease, now)
 	return l.Lease
 }
 
--- a/lib/placement/pace.go
+++ b/lib/placement/pace.go
@@ -101,11 +101,15 @@
 
 // refreshPace notices limits that have begun or ended by time.
 func (p *Picker) refreshPace(now time.Time) {
-	if len(p.paced) == 0 || now.Sub(p.paceRefreshedAt) < paceInterval {
+	if len(p.paced) == 0 && len(p.pacedServices) == 0 || now.Sub(p.paceRefreshedAt) < paceInterval {
 		return
 	}
 	p.paceRefreshedAt = now
+	clear(p.pacedServices)
 	for s := range p.paced {
+		if s.listing != nil {
+			p.pacedServices[s.listing.Service] = true
+		}
 		switch {
 		case s.pace.Ended(now):
 			p.liftPace(s, now)
@@ -115,6 +119,14 @@
 	}
 }
 
+// firstEventWanted reports whether the first event of a request must be known. Other entries
+// send a notice of it, which is needed only while the server is limited, or another one of
+// its service, which is compared with those that are not. The requests of this entry take no
+// notice.
+func (p *Picker) firstEventWanted(s *server, req *Request) bool {
+	return req.Entry == "" || s.pace != nil || p.pacedServices[req.Service]
+}
+
 // ConcurrencyLimited returns the number of servers of each service whose concurrency is
 // limited because they have just started or recovered.
 func (p *Picker) ConcurrencyLimited(now time.Time) map[string]int {
@@ -146,7 +158,7 @@
 	return s.slots()
 }
 
-// judge records what the start of a response tells about the server.
+// judge records what the first event of a response tells about the server.
 func (p *Picker) judge(l *Lease, now time.Time) {
 	took, predicted := now.Sub(l.started), l.Predicted-l.distance
 	if l.state.pace == nil {
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -41,6 +41,8 @@
 	// ejection or a cold period. It was last searched at paceRefreshedAt.
 	paced           map[*server]bool
 	paceRefreshedAt time.Time
+	// pacedServices holds the services of these servers at the last search.
+	pacedServices map[string]bool
 	// serviceTimes holds the smoothed response times of services.
 	serviceTimes map[string]time.Duration
 	// gates holds the gates of services with ranked requests.
@@ -54,7 +56,7 @@
 		config: config.applyDefaults(), directory: d, servers: make(map[directory.Key]*server), rng: rng,
 		limitShare: 1, evacuations: make(map[string]evacuation), regionCount: countRegions(config.Regions),
 		indexes: make(map[string]*serviceIndex), rateLimited: make(map[directory.Key]bool),
-		histories: make(map[string]*serviceHistory), seen: make(map[directory.Key]bool), paced: make(map[*server]bool),
+		histories: make(map[string]*serviceHistory), seen: make(map[directory.Key]bool), paced: make(map[*server]bool), pacedServices: make(map[string]bool),
 		serviceTimes: make(map[string]time.Duration), gates: make(map[string]*admit.Gate),
 	}
 }
@@ -115,6 +117,10 @@
 	history.activity.Placed(now)
 	p.beginStart(s, now)
 	s.addUsage(1, 1, req.PromptTokens, now)
+	wanted := p.firstEventWanted(s, req)
+	if wanted {
+		s.addAwaiting(1, now)
+	}
 	s.recordPlacement(now)
 	if req.Engine == nil {
 		s.unanswered = append(s.unanswered, now)
@@ -122,6 +128,7 @@
 	return &Lease{
 		Server: s.listing, Usage: s.usage, state: s, entry: req.Entry, promptTokens: req.PromptTokens, started: now,
 		history: history, distance: p.distancePenalty(req.Domain, s.listing.Domain), slots: s.slotsFor(req), engine: req.Engine != nil,
+		FirstEventWanted: wanted,
 	}
 }
 
--- a/lib/placement/picker_outcome.go
+++ b/lib/placement/picker_outcome.go
@@ -6,16 +6,35 @@
 	"github.com/auburnbend/auburnbend/lib/pace"
 )
 
-// ResponseStarted records that the response to a request has started. It returns
-// this entry's usage of the server.
+// ResponseStarted records that the head of the response to a request has arrived. It
+// returns this entry's usage of the server.
 func (p *Picker) ResponseStarted(l *Lease, now time.Time) Usage {
 	if !l.responding && !l.done {
 		p.endPrefill(l, now)
-		p.judge(l, now)
 	}
 	return l.state.usage
 }
 
+// FirstEvent records that the first event of the response to a request has arrived, or the
+// head of a response that is not a stream. It tells how fast a server is whose concurrency
+// is limited, and changes nothing else. It returns this entry's usage of the server.
+func (p *Picker) FirstEvent(l *Lease, now time.Time) Usage {
+	usage := p.ResponseStarted(l, now)
+	if !l.firstEvent && !l.done {
+		p.endWait(l, now)
+		p.judge(l, now)
+	}
+	return usage
+}
+
+// endWait records that a request no longer waits for its first event.
+func (p *Picker) endWait(l *Lease, now time.Time) {
+	l.firstEvent = true
+	if l.FirstEventWanted {
+		l.state.addAwaiting(-1, now)
+	}
+}
+
 func (p *Picker) endPrefill(l *Lease, now time.Time) {
 	l.responding = true
 	l.state.addUsage(0, -1, -l.promptTokens, now)
@@ -30,10 +49,13 @@
 	if l.done {
 		return l.state.usage
 	}
-	answered := l.responding
+	answered, firstEvent := l.responding, l.firstEvent
 	if !answered {
 		p.endPrefill(l, now)
 	}
+	if !firstEvent {
+		p.endWait(l, now)
+	}
 	l.done = true
 	s := l.state
 	s.addUsage(-1, 0, 0, now)
@@ -43,9 +65,9 @@
 	switch result {
 	case Answered:
 		s.failures, s.ejections = 0, 0
-		if !answered && !l.engine {
-			// The notice that the response of an engine has started may be lost. The end of
-			// its stream tells nothing about the start.
+		if !firstEvent && !l.engine {
+			// The notice of the first event of an engine may be lost. The end of its stream
+			// tells nothing about the start.
 			p.judge(l, now)
 		}
 		p.observeResponse(s, now.Sub(l.started), true, now)
@@ -68,7 +90,7 @@
 		p.observePace(l, pace.Late, now)
 		p.recordFailure(s, l.entry, Failed, now)
 	case Cancelled:
-		if !answered {
+		if !firstEvent && (l.FirstEventWanted || !answered) {
 			p.judgeWait(l, now)
 		}
 		if !answered && now.Sub(l.started) >= noResponseThreshold {
--- a/lib/placement/server.go
+++ b/lib/placement/server.go
@@ -63,6 +63,8 @@
 	// is not limited. paceReported is set once Config.OnPace has been told.
 	pace         *pace.Controller
 	paceReported bool
+	// awaiting counts the requests whose first event is wanted and has not come.
+	awaiting int
 	// slowness is that of the responses since the limit began.
 	slowness pace.Slowness
 	// startedAt is when this entry has noticed that the server had started under load; zero
@@ -90,14 +92,19 @@
 	s.usage.Running += running
 	s.usage.Prefilling += prefilling
 	s.usage.PrefillTokens += prefillTokens
-	if s.pace != nil {
-		s.pace.SetWaiting(s.usage.Prefilling > 0, now)
-	}
 	if running != 0 {
 		s.runningHistory.set(s.usage.Running, now)
 	}
 }
 
+// addAwaiting adds to the number of requests that wait for their first event.
+func (s *server) addAwaiting(n int, now time.Time) {
+	s.awaiting += n
+	if s.pace != nil {
+		s.pace.SetWaiting(s.awaiting > 0, now)
+	}
+}
+
 // slowdown is the ratio of the current to the declared processing time, at least 1.
 func (s *server) slowdown(now time.Time) float64 {
 	if s.load.Slowdown <= 0 || now.Sub(s.reportedAt) > maxReportAge {
--- a/peerlink/placement.go
+++ b/peerlink/placement.go
@@ -90,6 +90,8 @@
 	RetryAfterMillis int64  `msgpack:"f,omitempty"`
 	// MayWait means that the request may wait and be asked for again.
 	MayWait bool `msgpack:"m,omitempty"`
+	// FirstEventWanted means that the entry must send a notice of the first event.
+	FirstEventWanted bool `msgpack:"e,omitempty"`
 }
 
 // PlacementNotice informs the entry that placed a request of its progress.
@@ -97,8 +99,10 @@
 	Entry       string `msgpack:"e"`
 	Incarnation uint64 `msgpack:"k"`
 	Lease       uint64 `msgpack:"l"`
-	// Ended means that the lease has ended with Result; otherwise the first token
-	// has arrived.
+	// Ended means that the lease has ended with Result. FirstEvent means that the first
+	// event of the response has arrived. Otherwise its head has.
 	Ended  bool  `msgpack:"d,omitempty"`
 	Result uint8 `msgpack:"r,omitempty"`
+
+	FirstEvent bool `msgpack:"f,omitempty"`
 }
