placement, entry/fleet: servers that have run for long are not new

A server counted as started under load if the entry had not seen it before. After the loss of all entries, a row that became readable late, or an agent that connected late, was limited although it had been in full use.

Its start time must now be at most 15 s ago as well: the 10 s within which a start counts and 5 s for differences between clocks. lib/placement takes the time from the row; agents send theirs in the hello (new optional field). A server that names none counts as running. entry/fleet forgets only generations that have left when it has 4,096 of them; it forgot all, so that connected agents could count as new after a cut.

The specs' servers have start times now.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -31,10 +31,11 @@
 // Agent manages one backend server. After Start, its methods are safe for concurrent
 // use.
 type Agent struct {
-	cfg      Config
-	follower *follow.Follower
-	gate     *gate.Gate
-	server   backendServer
+	cfg       Config
+	startedAt time.Time
+	follower  *follow.Follower
+	gate      *gate.Gate
+	server    backendServer
 	// transfer and weights are nil for plain services.
 	transfer *transfer.Service
 	weights  *backend.Runner
@@ -60,6 +61,7 @@
 // New returns an agent that does nothing until Start is called.
 func New(cfg Config) (*Agent, error) {
 	a := &Agent{cfg: cfg.applyDefaults(), sessions: newSessions()}
+	a.startedAt = a.cfg.Clock.Now()
 	a.events = memory.NewBudget(a.cfg.MaxEventBytes, a.cfg.MaxEventBytes)
 	a.cfg.Gate.OnChange = a.sessions.sendHeartbeats
 	a.cfg.Gate.OnRefusal = a.logRefusal
@@ -269,7 +271,7 @@
 const tickInterval = 500 * time.Millisecond
 
 func (a *Agent) hello() wire.Hello {
-	return wire.Hello{Role: wire.RoleAgent, Identity: a.cfg.Identity, Pool: a.cfg.Pool}
+	return wire.Hello{Role: wire.RoleAgent, Identity: a.cfg.Identity, Pool: a.cfg.Pool, StartUnixMilli: a.startedAt.UnixMilli()}
 }
 
 // observeRateLimit passes a statement of the backend server on to the gate, which
--- a/entry/fleet/handler.go
+++ b/entry/fleet/handler.go
@@ -86,7 +86,11 @@
 	}
 	f.agents[instance.ID] = instance
 	f.picker.Update(f.cfg.Clock.Now(), instance)
-	f.pacer.joined(instance.Key(), instance.Pool, f.cfg.Clock.Now())
+	started := time.Time{}
+	if hello.StartUnixMilli > 0 {
+		started = time.UnixMilli(hello.StartUnixMilli)
+	}
+	f.pacer.joined(instance.Key(), instance.Pool, started, f.cfg.Clock.Now())
 	f.queueCacheFetch(instance.Key())
 	f.cfg.Log.Log(eventlog.AgentJoined, "instance", instance.ID, "pool", instance.Pool)
 }
--- a/entry/fleet/pacer.go
+++ b/entry/fleet/pacer.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/pace"
@@ -8,8 +9,8 @@
 )
 
 const (
-	// maxSeen bounds the remembered generations of agents.
-	maxSeen = 4096
+	// maxSeenGone bounds the remembered generations of agents that are not connected.
+	maxSeenGone = 4096
 	// typicalWeight is the weight of one response in the typical time of a pool.
 	typicalWeight = 16
 )
@@ -20,8 +21,10 @@
 type pacer struct {
 	servers map[route.Key]*pacedServer
 	pools   map[string]*poolHistory
-	// seen holds the generations that have joined before.
+	// seen holds the generations that have joined before, and whether they have left since.
+	// gone counts those.
 	seen map[route.Key]bool
+	gone int
 	// report is called when a limit begins, and after a duration when it ends.
 	report func(key route.Key, cause pace.Cause, limited bool, duration time.Duration)
 }
@@ -57,17 +60,19 @@
 	return &pacer{servers: make(map[route.Key]*pacedServer), pools: make(map[string]*poolHistory), seen: make(map[route.Key]bool), report: report}
 }
 
-// joined records a generation of an agent that has connected. It is new unless its pool
-// has had no load for some seconds: then the deployment or this entry is starting.
-func (p *pacer) joined(key route.Key, pool string, now time.Time) {
-	if p.seen[key] {
+// joined records a generation of an agent that has connected, and when it has started; zero
+// if that is unknown. It is new if it has started recently, unless its pool has had no load
+// for some seconds: then the deployment or this entry is starting.
+func (p *pacer) joined(key route.Key, pool string, started, now time.Time) {
+	gone, seen := p.seen[key]
+	p.seen[key] = false
+	if seen {
+		if gone {
+			p.gone--
+		}
 		return
 	}
-	if len(p.seen) >= maxSeen {
-		clear(p.seen)
-	}
-	p.seen[key] = true
-	if h := p.pools[pool]; h != nil && h.activity.Settled(now) {
+	if h := p.pools[pool]; h != nil && h.activity.Settled(now) && pace.StartedRecently(started, now) {
 		p.servers[key] = &pacedServer{cause: pace.Started, since: now}
 	}
 }
@@ -85,7 +90,18 @@
 	p.servers[key] = &pacedServer{cause: pace.Ejection}
 }
 
-func (p *pacer) removed(key route.Key) { delete(p.servers, key) }
+// removed records that a generation has left.
+func (p *pacer) removed(key route.Key) {
+	delete(p.servers, key)
+	if gone, seen := p.seen[key]; !seen || gone {
+		return
+	}
+	p.seen[key] = true
+	if p.gone++; p.gone > maxSeenGone {
+		maps.DeleteFunc(p.seen, func(_ route.Key, gone bool) bool { return gone })
+		p.gone = 0
+	}
+}
 
 // full reports whether a server must get no further request unless it is the only one. own
 // counts the requests of this entry, total those that are known of all entries.
--- a/entry/fleet/pacer_test.go
+++ b/entry/fleet/pacer_test.go
@@ -54,17 +54,17 @@
 	It("limits servers that join under load, and no others", func() {
 		// Guards against an entry that limits all agents as it starts, or those that connect
 		// again after a cut.
-		p.joined(old, pool, now)
+		p.joined(old, pool, now, now)
 		load(4 * time.Second)
 		Expect(p.limited(now)).To(BeZero())
 		p.removed(old)
-		p.joined(old, pool, now)
-		p.joined(key("other", 1), "idle pool", now)
+		p.joined(old, pool, now, now)
+		p.joined(key("other", 1), "idle pool", now, now)
 		load(time.Second)
 		Expect(changes).To(BeEmpty())
 
 		fresh := key("old", 2)
-		p.joined(fresh, pool, now)
+		p.joined(fresh, pool, now, now)
 		Expect(full(fresh, 0)).To(BeFalse())
 		for rounds := 0; p.servers[fresh] != nil; rounds++ {
 			Expect(rounds).To(BeNumerically("<", 5))
@@ -73,11 +73,38 @@
 		Expect(changes).To(Equal([]string{"old2 start true", "old2 start false"}))
 	})
 
+	It("does not limit generations that have run for long when they join", func() {
+		// Guards against an entry that starts under load and takes each agent for new whose
+		// connection succeeds only after some seconds.
+		load(4 * time.Second)
+		for i, started := range []time.Time{{}, now.Add(-time.Hour), now.Add(-16 * time.Second)} {
+			k := key("late", uint64(i))
+			p.joined(k, pool, started, now)
+			respond(k, 1, 100*time.Millisecond)
+		}
+		Expect(changes).To(BeEmpty())
+	})
+
+	It("remembers connected generations however many others leave", func() {
+		// Guards against agents that are taken for new after a cut, because the memory of
+		// generations was full.
+		load(4 * time.Second)
+		p.joined(old, pool, now.Add(-time.Hour), now)
+		for i := range 3 * maxSeenGone {
+			k := key("other", uint64(i))
+			p.joined(k, pool, now, now)
+			p.removed(k)
+		}
+		Expect(len(p.seen)).To(BeNumerically("<=", maxSeenGone+1))
+		p.joined(old, pool, now, now)
+		Expect(p.servers).To(BeEmpty())
+	})
+
 	It("keeps the window of a server small while it responds later than the others", func() {
 		// Guards against a slow new server that is flooded because it is idle.
 		load(4 * time.Second)
 		fresh := key("new", 1)
-		p.joined(fresh, pool, now)
+		p.joined(fresh, pool, now, now)
 		for range 5 {
 			respond(fresh, 2, 500*time.Millisecond)
 			Expect(full(fresh, 2)).To(BeTrue())
@@ -93,8 +120,8 @@
 		// of servers that others have used for long.
 		load(4 * time.Second)
 		loading, spare := key("loading", 1), key("spare", 1)
-		p.joined(loading, pool, now)
-		p.joined(spare, pool, now)
+		p.joined(loading, pool, now, now)
+		p.joined(spare, pool, now, now)
 		now = now.Add(2 * pace.StartValidity)
 		p.opened(loading, now)
 		respond(loading, 1, 10*time.Millisecond)
--- a/lib/pace/activity.go
+++ b/lib/pace/activity.go
@@ -11,10 +11,22 @@
 	// appear are taken for ones that were there before: the deployment, or this entry, is
 	// starting.
 	settleTime = 3 * time.Second
+	// maxClockDifference is the difference between the clocks of two machines that is
+	// allowed for.
+	maxClockDifference = 5 * time.Second
 	// idleTime is the time after the last request after which a service has no load.
 	idleTime = 10 * time.Second
 )
 
+// StartedRecently reports whether a server that names the time of its start has started so
+// recently that it may be slow. One that an entry sees for the first time may have run for
+// long: its row or its connection may have been lost for a while, or the entry is new. A
+// server without a start time, or with one that is in the future, counts as running.
+func StartedRecently(started, now time.Time) bool {
+	age := now.Sub(started)
+	return !started.IsZero() && age >= -maxClockDifference && age <= StartValidity+maxClockDifference
+}
+
 // Activity is when a service has had requests.
 type Activity struct{ first, last time.Time }
 
--- a/lib/placement/pace.go
+++ b/lib/placement/pace.go
@@ -37,7 +37,8 @@
 
 // ObserveStarts notices servers that have started under load. It must be called after each
 // change of the directory. Servers that are listed before their service has been under load
-// for a while are not new: the deployment, or this entry, is starting.
+// for a while are not new: the deployment, or this entry, is starting. Neither are those
+// that have run for longer, whose rows are read late.
 func (p *Picker) ObserveStarts(now time.Time) {
 	p.directory.ForEach(func(listing *directory.Server) {
 		key := listing.Key()
@@ -45,7 +46,8 @@
 			return
 		}
 		p.seen[key] = true
-		if h := p.histories[listing.Service]; h != nil && h.activity.Settled(now) {
+		h := p.histories[listing.Service]
+		if h != nil && h.activity.Settled(now) && pace.StartedRecently(startTime(listing), now) {
 			p.state(listing).startedAt = now
 		}
 	})
@@ -55,6 +57,14 @@
 	}
 }
 
+// startTime returns when a server has started; zero if it does not say.
+func startTime(s *directory.Server) time.Time {
+	if s.StartUnixMilli == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(s.StartUnixMilli)
+}
+
 // beginStart begins the limit of a server that has started under load, with its first
 // request.
 func (p *Picker) beginStart(s *server, now time.Time) {
--- a/lib/placement/pace_test.go
+++ b/lib/placement/pace_test.go
@@ -27,6 +27,8 @@
 	placed   map[string]int
 	refused  int
 	changes  []string
+	// starts holds when engines have started, in milliseconds.
+	starts map[string]int64
 }
 
 type openRequest struct {
@@ -39,7 +41,7 @@
 
 func newPacedLoad(engines int) *pacedLoad {
 	l := &pacedLoad{
-		directory: directory.New(), now: time.Unix(1000, 0), slowdown: make(map[string]float64), running: make(map[string]int), placed: make(map[string]int),
+		directory: directory.New(), now: time.Unix(1000, 0), slowdown: make(map[string]float64), starts: make(map[string]int64), running: make(map[string]int), placed: make(map[string]int),
 	}
 	l.picker = placement.New(placement.Config{
 		Domain: "north", Regions: map[string]string{"north": "n"},
@@ -54,7 +56,10 @@
 }
 
 func (l *pacedLoad) add(id string) directory.Key {
-	listing := &directory.Server{ID: id, Service: "s", Address: id, Domain: "north", Slots: engine.Slots, Weights: map[string]directory.Weights{"m": {Version: 1, Complete: true}}}
+	if l.starts[id] == 0 {
+		l.starts[id] = l.now.UnixMilli()
+	}
+	listing := &directory.Server{ID: id, StartUnixMilli: l.starts[id], Service: "s", Address: id, Domain: "north", Slots: engine.Slots, Weights: map[string]directory.Weights{"m": {Version: 1, Complete: true}}}
 	l.directory.Put(listing)
 	l.picker.ObserveStarts(l.now)
 	l.picker.ObserveCold(l.now)
@@ -64,12 +69,7 @@
 
 // key returns the key of an engine.
 func (l *pacedLoad) key(id string) directory.Key {
-	for _, s := range l.directory.ByService("s") {
-		if s.ID == id {
-			return s.Key()
-		}
-	}
-	return directory.Key{}
+	return directory.Key{ID: id, StartUnixMilli: l.starts[id]}
 }
 
 // run lets a time pass with requests at an interval.
@@ -181,7 +181,7 @@
 		// that are in full use, and against rows that return after an outage.
 		l := newPacedLoad(3)
 		l.run(5*time.Second, interval(3))
-		key := directory.Key{ID: "old0"}
+		key := l.key("old0")
 		l.directory.Remove("old0", false, l.now)
 		l.picker.Prune()
 		l.run(3*time.Second, interval(2))
@@ -190,13 +190,26 @@
 		Expect(l.changes).To(BeEmpty())
 	})
 
+	It("are not limited if they have run for long before they are listed", func() {
+		// Guards against an entry that starts while the store loses rows, and limits servers
+		// whose rows it reads only after some seconds of load. Clocks differ by seconds.
+		for age, limited := range map[time.Duration]bool{time.Hour: false, 16 * time.Second: false, 8 * time.Second: true, -3 * time.Second: true, -time.Hour: false} {
+			l := newPacedLoad(3)
+			l.run(5*time.Second, interval(3))
+			l.starts["late"] = l.now.Add(-age).UnixMilli()
+			l.add("late")
+			l.run(500*time.Millisecond, interval(3))
+			Expect(len(l.changes) > 0).To(Equal(limited), age.String())
+		}
+	})
+
 	It("are used if no others are left", func() {
 		// Guards against refusals while a server has free slots.
 		l := newPacedLoad(1)
 		l.run(4*time.Second, interval(1))
 		l.add("new")
 		l.picker.SetEvacuated(nil, l.now)
-		l.directory.MarkDraining(directory.Key{ID: "old0"}, directory.SourceAgent, l.now)
+		l.directory.MarkDraining(l.key("old0"), directory.SourceAgent, l.now)
 		for range 5 {
 			l.place()
 		}
@@ -218,7 +231,7 @@
 		Expect(l.changes).To(BeEmpty())
 		l.run(300*time.Millisecond, 40*time.Millisecond)
 		Expect(l.changes).To(ContainElement("old0 ejection true"))
-		cold := *l.directory.Get(directory.Key{ID: "old1"})
+		cold := *l.directory.Get(l.key("old1"))
 		cold.ColdTime, cold.Revision = time.Second, 7
 		l.directory.Put(&cold)
 		l.picker.ObserveCold(l.now)
@@ -307,7 +320,7 @@
 				l.now = l.now.Add(time.Duration(slowdown * float64(lease.Predicted)))
 				l.picker.FirstEvent(lease, l.now)
 			}
-			l.picker.Report(directory.Key{ID: "old0"}, placement.Load{Running: engine.Slots, Queued: 30}, l.now)
+			l.picker.Report(l.key("old0"), placement.Load{Running: engine.Slots, Queued: 30}, l.now)
 			l.place()
 			Expect(l.picker.ConcurrencyLimited(l.now)).To(HaveKey("s"))
 			Expect(l.running["new"] == 1).To(Equal(used), "slowdown %v", slowdown)
--- a/lib/wire/hello.go
+++ b/lib/wire/hello.go
@@ -24,6 +24,9 @@
 	Identity model.Identity `msgpack:"i"`
 	// Pool is the name of the agent's group of instances. Entries leave it empty.
 	Pool string `msgpack:"p"`
+	// StartUnixMilli is when the process of an agent has started. Entries leave it empty, and
+	// so do agents of earlier releases.
+	StartUnixMilli int64 `msgpack:"s,omitempty"`
 }
 
 // Type returns TypeHello.
