entry/fleet: a full window does not leave out the only usable instance

Instances were counted as alternatives before the picker drops those that keep to their rate limits. So a request found no server while the only one that would accept it had a full window. The picker now tells whether there was a candidate at all, and if not, it is asked again without windows. While others are only full, requests still wait for them.

The spec of instances whose ejection has ended demanded an answer within an ejection of 100 ms, which all specs of the package had. It now has a fleet of its own with an ejection of 3 s, and looks for its end by requests.

--- a/entry/fleet/fixture_test.go
+++ b/entry/fleet/fixture_test.go
@@ -30,10 +30,12 @@
 	fleet *fleet.Fleet
 }
 
-func newTestFleet() *testFleet {
+func newTestFleet(change ...func(*fleet.Config)) *testFleet {
 	t := &testFleet{list: instances.New(instances.Config{})}
 	config := agenttest.FleetConfig(location, t.list)
-	config.Route.EjectDuration = 100 * time.Millisecond
+	for _, f := range change {
+		f(&config)
+	}
 	t.fleet = fleet.New(config)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
--- a/entry/fleet/fleet_test.go
+++ b/entry/fleet/fleet_test.go
@@ -105,38 +105,65 @@
 		t.fleet.Finish(first, outcome.Completed, route.ResultOK)
 		Eventually(second).WithTimeout(settle).Should(HaveField("Key.Instance", model.InstanceID("runner-b")))
 	})
+})
 
-	// Guards against a wave of requests on a server whose ejection has ended while the others
-	// are full, and against requests that find no server if it is the only one left.
-	It("gives an instance whose ejection has ended one request at a time, unless it is the only one", func() {
-		t.agent("runner-c", 3)
+var _ = Describe("Instances whose ejection has ended", func() {
+	// ejection is long enough for a busy machine to look at the fleet before it ends.
+	const ejection = 3 * time.Second
+	var (
+		t    *testFleet
+		b, c *agenttest.Agent
+	)
+	reserve := func(avoid ...model.InstanceID) (*fleet.Slot, error) {
+		request := requirements()
+		request.Avoid, request.OfferedAt = avoid, time.Now()
+		return t.fleet.Reserve(request)
+	}
+	mustReserve := func(avoid ...model.InstanceID) *fleet.Slot {
+		slot, err := reserve(avoid...)
+		Expect(err).NotTo(HaveOccurred())
+		return slot
+	}
+	BeforeEach(func() {
+		t = newTestFleet(func(c *fleet.Config) { c.Route.EjectDuration = ejection })
+		t.agent("runner-a", 1)
+		b, c = t.agent("runner-b", 2), t.agent("runner-c", 3)
 		t.waitForUsable(3)
-		reserve := func(avoid ...model.InstanceID) *fleet.Slot {
-			request := requirements()
-			request.Avoid, request.OfferedAt = avoid, time.Now()
-			slot, err := t.fleet.Reserve(request)
-			Expect(err).NotTo(HaveOccurred())
-			return slot
-		}
 		for range 5 {
-			t.fleet.Finish(reserve("runner-b", "runner-c"), outcome.Completed, route.ResultError)
+			t.fleet.Finish(mustReserve("runner-b", "runner-c"), outcome.Completed, route.ResultError)
 		}
-		_, err := t.fleet.Reserve(&fleet.Requirements{Pool: pool, Weights: []model.Weights{loaded}, Avoid: []model.InstanceID{"runner-b", "runner-c"}})
+		_, err := reserve("runner-b", "runner-c")
 		Expect(err).To(MatchError(fleet.ErrNoInstance))
-		time.Sleep(150 * time.Millisecond)
 		Expect(t.fleet.ConcurrencyLimited()).To(BeZero())
-		reserve("runner-b", "runner-c")
+		Eventually(func() error { _, err := reserve("runner-b", "runner-c"); return err }).WithTimeout(settle).Should(Succeed())
 		Expect(t.fleet.ConcurrencyLimited()).To(Equal(1))
-		full := func() error {
-			request := requirements()
-			request.Avoid = []model.InstanceID{"runner-a"}
-			_, err := t.fleet.Reserve(request)
-			return err
-		}
-		for full() == nil {
+	})
+
+	// Guards against a wave of requests on a server whose ejection has ended while the others
+	// are full, and against requests that find no server if it is the only one left.
+	It("get one request at a time, unless they are the only ones", func() {
+		for {
+			if _, err := reserve("runner-a"); err != nil {
+				break
+			}
 		}
-		_, err = t.fleet.Reserve(requirements())
+		_, err := reserve()
 		Expect(err).To(MatchError(fleet.ErrNoInstance))
-		Expect(reserve("runner-b", "runner-c").Key.Instance).To(Equal(model.InstanceID("runner-a")))
+		Expect(mustReserve("runner-b", "runner-c").Key.Instance).To(Equal(model.InstanceID("runner-a")))
+	})
+
+	// Guards against requests that find no server although one has only a full window, as the
+	// others accept nothing for a while.
+	It("are used with a full window if the others keep to their rate limits", func() {
+		limited := wire.Load{Capacity: 4, MinIntervalMillis: 60_000}
+		for _, agent := range []*agenttest.Agent{b, c} {
+			agent.SetLoad(limited)
+			Eventually(t.fleet.Members).WithTimeout(settle).Should(ContainElement(SatisfyAll(
+				HaveField("Identity.Instance", agent.Identity().Instance), HaveField("Heartbeat.Load", limited))))
+		}
+		for range 2 {
+			_, _ = reserve("runner-a")
+		}
+		Expect(mustReserve().Key.Instance).To(Equal(model.InstanceID("runner-a")))
 	})
 })
--- a/entry/fleet/pace.go
+++ b/entry/fleet/pace.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"errors"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/eventlog"
@@ -12,26 +13,24 @@
 // runs concurrently.
 const defaultSlots = 16
 
-// pickPaced picks an instance whose window is not full, or any one if all that may run the
-// request are of that kind. A request does not wait for a place in a window: such an instance
-// is idle and would seem to be the best one. The caller must hold f.mu.
+// pickPaced picks an instance whose window is not full. If no other one may take the request,
+// also with more capacity, it picks any. A request does not wait for a place in a window: such
+// an instance is idle and would seem to be the best one. The caller must hold f.mu.
 func (f *Fleet) pickPaced(now time.Time, request *route.Request) (route.Choice, error) {
-	allowed := request.Allowed
-	full, others := 0, 0
+	allowed, full := request.Allowed, false
 	paced := *request
 	paced.Allowed = func(key route.Key) bool {
 		if !allowed(key) {
 			return false
 		}
 		if f.windowFull(now, key) {
-			full++
+			full = true
 			return false
 		}
-		others++
 		return true
 	}
 	choice, err := f.picker.Pick(now, &paced)
-	if err != nil && full > 0 && others == 0 {
+	if refusal := new(route.Refusal); full && errors.As(err, &refusal) && refusal.NoCandidate {
 		return f.picker.Pick(now, request)
 	}
 	return choice, err
--- a/lib/route/pick.go
+++ b/lib/route/pick.go
@@ -26,9 +26,9 @@
 	matching := p.collectCandidates(at, r)
 	if len(p.candidates) == 0 {
 		if matching {
-			return Choice{}, &Refusal{Reason: outcome.ReasonOverloaded, RetryAfter: max(p.cfg.RetryAfter, p.rateLimitWait)}
+			return Choice{}, &Refusal{Reason: outcome.ReasonOverloaded, RetryAfter: max(p.cfg.RetryAfter, p.rateLimitWait), NoCandidate: true}
 		}
-		return Choice{}, &Refusal{Reason: outcome.ReasonNoBackendServer, RetryAfter: p.cfg.RetryAfter}
+		return Choice{}, &Refusal{Reason: outcome.ReasonNoBackendServer, RetryAfter: p.cfg.RetryAfter, NoCandidate: true}
 	}
 	p.filterByDomain(at)
 	p.score(now, r)
--- a/lib/route/refusal.go
+++ b/lib/route/refusal.go
@@ -14,6 +14,9 @@
 	// Deferred indicates that an instance is available but the request should
 	// wait for a better one.
 	Deferred bool
+	// NoCandidate indicates that no instance may take the request now even if it has
+	// capacity: all are excluded, ejected or keep to their rate limits.
+	NoCandidate bool
 }
 
 // Error implements error.
