placement, entry/fleet: limits of servers that leave are logged as ended

The state of a server that leaves was dropped with its limit, so that the log had a line for its begin and none for its end. Prune and removed end the limit now. The duration that is logged is the time for which the limit applied, not the time until the next request noticed its end. Two new specs fail without the change.

--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -199,7 +199,7 @@
 func (f *Fleet) removeGeneration(now time.Time, key route.Key) {
 	f.picker.Remove(now, key)
 	delete(f.limiters, key)
-	f.pacer.removed(key)
+	f.pacer.removed(key, now)
 	if f.agents[key.Instance].Generation == key.Generation {
 		delete(f.agents, key.Instance)
 		delete(f.attemptsSent, key.Instance)
--- a/entry/fleet/pacer.go
+++ b/entry/fleet/pacer.go
@@ -91,8 +91,8 @@
 }
 
 // removed records that a generation has left.
-func (p *pacer) removed(key route.Key) {
-	delete(p.servers, key)
+func (p *pacer) removed(key route.Key, now time.Time) {
+	p.lift(key, now)
 	if gone, seen := p.seen[key]; !seen || gone {
 		return
 	}
@@ -215,6 +215,6 @@
 	s := p.servers[key]
 	delete(p.servers, key)
 	if s != nil && s.controller != nil {
-		p.report(key, s.cause, false, now.Sub(s.controller.From()))
+		p.report(key, s.cause, false, s.controller.Duration(now))
 	}
 }
--- a/entry/fleet/pacer_test.go
+++ b/entry/fleet/pacer_test.go
@@ -57,7 +57,7 @@
 		p.joined(old, pool, now, now)
 		load(4 * time.Second)
 		Expect(p.limited(now)).To(BeZero())
-		p.removed(old)
+		p.removed(old, now)
 		p.joined(old, pool, now, now)
 		p.joined(key("other", 1), "idle pool", now, now)
 		load(time.Second)
@@ -93,13 +93,22 @@
 		for i := range 3 * maxSeenGone {
 			k := key("other", uint64(i))
 			p.joined(k, pool, now, now)
-			p.removed(k)
+			p.removed(k, now)
 		}
 		Expect(len(p.seen)).To(BeNumerically("<=", maxSeenGone+1))
 		p.joined(old, pool, now, now)
 		Expect(p.servers).To(BeEmpty())
 	})
 
+	It("reports the end of the limit of a server that leaves", func() {
+		// Guards against log lines of a limit that never ends.
+		load(4 * time.Second)
+		p.joined(key("new", 1), pool, now, now)
+		respond(key("new", 1), 1, 100*time.Millisecond)
+		p.removed(key("new", 1), now)
+		Expect(changes).To(Equal([]string{"new1 start true", "new1 start false"}))
+	})
+
 	It("keeps the window of a server small while it responds later than the others", func() {
 		// Guards against a slow new server that is flooded because it is idle.
 		load(4 * time.Second)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -231,7 +231,7 @@
 	g.applyEarlyStatuses()
 	g.picker.ObserveStarts(g.now())
 	g.picker.ObserveCold(g.now())
-	g.picker.Prune()
+	g.picker.Prune(g.now())
 	publish := g.recordUnlistedEnds()
 	g.mu.Unlock()
 	publish()
--- a/lib/pace/controller.go
+++ b/lib/pace/controller.go
@@ -87,6 +87,14 @@
 	return c.ended || c.elapsed(now) >= c.ramp || now.Sub(c.from) >= maxDuration
 }
 
+// Duration returns how long the limit has applied, to its end if it has ended by time.
+func (c *Controller) Duration(now time.Time) time.Duration {
+	if over := c.elapsed(now) - c.ramp; !c.ended && over > 0 {
+		now = now.Add(-over)
+	}
+	return min(max(0, now.Sub(c.from)), maxDuration)
+}
+
 // Observe records what the response to one request tells. placed is when the request was
 // placed, inFlight the number of requests on the server then, including it.
 func (c *Controller) Observe(v Verdict, placed time.Time, inFlight, slots int, now time.Time) {
--- a/lib/pace/controller_test.go
+++ b/lib/pace/controller_test.go
@@ -119,6 +119,19 @@
 		Expect(now.Sub(start)).To(BeNumerically(">", 10*time.Second))
 	})
 
+	It("tells how long it has applied, not when that was noticed", func() {
+		// Guards against log lines of limits that seem to have lasted until the next request.
+		c := pace.New(pace.Started, start, pace.StartRamp)
+		Expect(c.Duration(start.Add(-time.Second))).To(BeZero())
+		Expect(c.Duration(start.Add(time.Second))).To(Equal(time.Second))
+		Expect(c.Duration(start.Add(time.Hour))).To(Equal(pace.StartRamp))
+		c.SetWaiting(true, start.Add(time.Second))
+		Expect(c.Duration(start.Add(2 * time.Second))).To(Equal(2 * time.Second))
+		Expect(c.Duration(start.Add(time.Hour))).To(Equal(20 * time.Second))
+		c.SetWaiting(false, start.Add(4*time.Second))
+		Expect(c.Duration(start.Add(time.Hour))).To(Equal(3*time.Second + pace.StartRamp))
+	})
+
 	It("keeps to its bounds whatever responses tell", func() {
 		// Guards against windows of no request, so that a server is never tried again, and
 		// against windows above the slots.
--- a/lib/placement/pace.go
+++ b/lib/placement/pace.go
@@ -90,7 +90,7 @@
 	if l.controller == nil {
 		return
 	}
-	p.reportPace(s, l, false, now.Sub(l.controller.From()))
+	p.reportPace(s, l, false, l.controller.Duration(now))
 	*l = concurrencyLimit{}
 	if !s.limits.exist() {
 		s.limits.slowness = pace.Slowness{}
@@ -105,7 +105,7 @@
 	}
 	l.reported = limited
 	if p.config.OnPace != nil && s.listing != nil {
-		p.config.OnPace(s.listing, l.controller.Cause(), limited, max(duration, 0))
+		p.config.OnPace(s.listing, l.controller.Cause(), limited, duration)
 	}
 }
 
--- a/lib/placement/pace_test.go
+++ b/lib/placement/pace_test.go
@@ -183,7 +183,7 @@
 		l.run(5*time.Second, interval(3))
 		key := l.key("old0")
 		l.directory.Remove("old0", false, l.now)
-		l.picker.Prune()
+		l.picker.Prune(l.now)
 		l.run(3*time.Second, interval(2))
 		Expect(l.add("old0")).To(Equal(key))
 		l.run(500*time.Millisecond, interval(3))
@@ -203,6 +203,23 @@
 		}
 	})
 
+	It("are logged as no longer limited if they leave", func() {
+		// Guards against log lines of a limit that never ends.
+		l := newPacedLoad(3)
+		l.run(5*time.Second, interval(3))
+		l.add("new")
+		l.run(200*time.Millisecond, interval(3))
+		Expect(l.changes).To(Equal([]string{"new start true"}))
+		for _, r := range l.open {
+			l.picker.Done(r.lease, placement.Rejected, l.now)
+		}
+		l.open = nil
+		l.directory.Remove("new", false, l.now)
+		l.picker.Prune(l.now)
+		Expect(l.changes).To(Equal([]string{"new start true", "new start false"}))
+		Expect(l.picker.ConcurrencyLimited(l.now)).To(BeEmpty())
+	})
+
 	It("are used if no others are left", func() {
 		// Guards against refusals while a server has free slots.
 		l := newPacedLoad(1)
--- a/lib/placement/picker_reports.go
+++ b/lib/placement/picker_reports.go
@@ -99,7 +99,7 @@
 
 // Prune drops the state of servers that are no longer listed and have no open
 // requests of this entry.
-func (p *Picker) Prune() {
+func (p *Picker) Prune(now time.Time) {
 	listed := make(map[directory.Key]bool, p.directory.Len())
 	p.directory.ForEach(func(s *directory.Server) { listed[s.Key()] = true })
 	for service := range p.serviceTimes {
@@ -111,7 +111,7 @@
 		if !listed[key] && s.usage.Running == 0 {
 			delete(p.servers, key)
 			delete(p.rateLimited, key)
-			delete(p.paced, s)
+			s.limits.each(func(l *concurrencyLimit) { p.liftLimit(s, l, now) })
 		}
 	}
 	for service := range p.gates {
--- a/lib/placement/service_index_test.go
+++ b/lib/placement/service_index_test.go
@@ -62,7 +62,7 @@
 		}
 	case kind == 1:
 		m.directory.Remove(id, false, m.now)
-		m.p.Prune()
+		m.p.Prune(m.now)
 	case kind == 2:
 		m.p.Pause(key, m.now.Add(time.Second), m.now)
 	case kind == 3:
