placement, entry/fleet: forget services and pools that are gone

The histories of services and of pools were kept for ever. They are dropped 10 minutes after the last request, in lib/placement only if the service has no servers.

--- a/entry/fleet/pacer.go
+++ b/entry/fleet/pacer.go
@@ -190,8 +190,10 @@
 	}
 }
 
-// refresh ends the limits that have ended by time, and reports whether there are others.
+// refresh ends the limits that have ended by time, and reports whether there are others. It
+// drops the history of pools that nobody uses any more.
 func (p *pacer) refresh(now time.Time) bool {
+	maps.DeleteFunc(p.pools, func(_ string, h *poolHistory) bool { return h.activity.Expired(now) })
 	for key, s := range p.servers {
 		if s.controller != nil && s.controller.Ended(now) {
 			p.lift(key, now)
--- a/entry/fleet/pacer_test.go
+++ b/entry/fleet/pacer_test.go
@@ -109,6 +109,15 @@
 		Expect(changes).To(Equal([]string{"new1 start true", "new1 start false"}))
 	})
 
+	It("forgets pools that nobody uses any more", func() {
+		// Guards against memory that grows with each pool that has existed.
+		load(time.Second)
+		p.refresh(now.Add(time.Minute))
+		Expect(p.pools).To(HaveLen(1))
+		p.refresh(now.Add(time.Hour))
+		Expect(p.pools).To(BeEmpty())
+	})
+
 	It("keeps the window of a server small while it responds later than the others", func() {
 		// Guards against a slow new server that is flooded because it is idle.
 		load(4 * time.Second)
--- a/lib/pace/activity.go
+++ b/lib/pace/activity.go
@@ -14,6 +14,9 @@
 	// maxClockDifference is the difference between the clocks of two machines that is
 	// allowed for.
 	maxClockDifference = 5 * time.Second
+	// activityLifetime is the time after the last request after which what is known of a
+	// service may be dropped if it has no servers.
+	activityLifetime = 10 * time.Minute
 	// idleTime is the time after the last request after which a service has no load.
 	idleTime = 10 * time.Second
 )
@@ -44,6 +47,10 @@
 	return a.underLoad(now) && now.Sub(a.first) >= settleTime
 }
 
+// Expired reports whether the service has had no request for so long that nothing has to be
+// kept for it.
+func (a *Activity) Expired(now time.Time) bool { return now.Sub(a.last) >= activityLifetime }
+
 func (a *Activity) underLoad(now time.Time) bool {
 	return !a.last.IsZero() && now.Sub(a.last) < idleTime
 }
--- a/lib/placement/picker_reports.go
+++ b/lib/placement/picker_reports.go
@@ -98,7 +98,7 @@
 }
 
 // Prune drops the state of servers that are no longer listed and have no open
-// requests of this entry.
+// requests of this entry, and that of services without servers.
 func (p *Picker) Prune(now time.Time) {
 	listed := make(map[directory.Key]bool, p.directory.Len())
 	p.directory.ForEach(func(s *directory.Server) { listed[s.Key()] = true })
@@ -114,6 +114,11 @@
 			s.limits.each(func(l *concurrencyLimit) { p.liftLimit(s, l, now) })
 		}
 	}
+	for service, h := range p.histories {
+		if len(p.directory.ByService(service)) == 0 && h.activity.Expired(now) {
+			delete(p.histories, service)
+		}
+	}
 	for service := range p.gates {
 		if len(p.directory.ByService(service)) == 0 {
 			delete(p.gates, service)
