--- a/lib/placement/pace.go
+++ b/lib/placement/pace.go
@@ -37,7 +37,8 @@
 
 // ObserveStarts notices servers that have started under load. It must be called after each
 // change of the directory. Servers that are listed before their service has been under load
-// for a while are not new: the deployment, or this entry, is starting.
+// for a while are not new: the deployment, or this entry, is starting. Neither are those
+// that have run for longer, whose rows are read late.
 func (p *Picker) ObserveStarts(now time.Time) {
 	p.directory.ForEach(func(listing *directory.Server) {
 		key := listing.Key()
@@ -45,7 +46,8 @@
 			return
 		}
 		p.seen[key] = true
-		if h := p.histories[listing.Service]; h != nil && h.activity.Settled(now) {
+		h := p.histories[listing.Service]
+		if h != nil && h.activity.Settled(now) && pace.StartedRecently(startTime(listing), now) {
 			p.state(listing).startedAt = now
 		}
 	})
@@ -55,6 +57,14 @@
 	}
 }
 
+// startTime returns when a server has started; zero if it does not say.
+func startTime(s *directory.Server) time.Time {
+	if s.StartUnixMilli == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(s.StartUnixMilli)
+}
+
 // beginStart begins the limit of a server that has started under load, with its first
 // request.
 func (p *Picker) beginStart(s *server, now time.Time) {
@@ -67,60 +77,74 @@
 	s.startedAt = time.Time{}
 }
 
-// limitPace limits the concurrency of a server from a time on. A pause is between the server
-// and this entry, so that its limit does not replace one that applies to all requests.
+// limitPace limits the concurrency of a server from a time on.
 func (p *Picker) limitPace(s *server, cause pace.Cause, from time.Time, ramp time.Duration, now time.Time) {
-	if s.pace != nil && cause == pace.Pause && s.pace.Cause() != pace.Pause {
-		return
-	}
-	p.liftPace(s, now)
-	s.pace = pace.New(cause, from, ramp)
+	l := s.limits.of(cause)
+	p.liftLimit(s, l, now)
+	l.controller = pace.New(cause, from, ramp)
 	p.paced[s] = true
 }
 
-// liftPace ends the limit of a server's concurrency.
-func (p *Picker) liftPace(s *server, now time.Time) {
-	if s.pace == nil {
+// liftLimit ends one limit of a server's concurrency.
+func (p *Picker) liftLimit(s *server, l *concurrencyLimit, now time.Time) {
+	if l.controller == nil {
 		return
 	}
-	p.reportPace(s, false, now.Sub(s.pace.From()))
-	s.pace, s.paceReported, s.slowness = nil, false, pace.Slowness{}
-	delete(p.paced, s)
+	p.reportPace(s, l, false, l.controller.Duration(now))
+	*l = concurrencyLimit{}
+	if !s.limits.exist() {
+		s.limits.slowness = pace.Slowness{}
+		delete(p.paced, s)
+	}
 }
 
 // reportPace calls OnPace when a limit begins, and when one that was reported ends.
-func (p *Picker) reportPace(s *server, limited bool, duration time.Duration) {
-	if s.paceReported == limited {
+func (p *Picker) reportPace(s *server, l *concurrencyLimit, limited bool, duration time.Duration) {
+	if l.reported == limited {
 		return
 	}
-	s.paceReported = limited
+	l.reported = limited
 	if p.config.OnPace != nil && s.listing != nil {
-		p.config.OnPace(s.listing, s.pace.Cause(), limited, max(duration, 0))
+		p.config.OnPace(s.listing, l.controller.Cause(), limited, duration)
 	}
 }
 
 // refreshPace notices limits that have begun or ended by time.
 func (p *Picker) refreshPace(now time.Time) {
-	if len(p.paced) == 0 || now.Sub(p.paceRefreshedAt) < paceInterval {
+	if len(p.paced) == 0 && len(p.pacedServices) == 0 || now.Sub(p.paceRefreshedAt) < paceInterval {
 		return
 	}
 	p.paceRefreshedAt = now
+	clear(p.pacedServices)
 	for s := range p.paced {
-		switch {
-		case s.pace.Ended(now):
-			p.liftPace(s, now)
-		case s.pace.Active(now):
-			p.reportPace(s, true, 0)
+		if s.listing != nil {
+			p.pacedServices[s.listing.Service] = true
 		}
+		s.limits.each(func(l *concurrencyLimit) {
+			switch {
+			case l.controller.Ended(now):
+				p.liftLimit(s, l, now)
+			case l.controller.Active(now):
+				p.reportPace(s, l, true, 0)
+			}
+		})
 	}
 }
 
+// firstEventWanted reports whether the first event of a request must be known. Other entries
+// send a notice of it, which is needed only while the server is limited, or another one of
+// its service, which is compared with those that are not. The requests of this entry take no
+// notice.
+func (p *Picker) firstEventWanted(s *server, req *Request) bool {
+	return req.Entry == "" || s.limits.exist() || p.pacedServices[req.Service]
+}
+
 // ConcurrencyLimited returns the number of servers of each service whose concurrency is
 // limited because they have just started or recovered.
 func (p *Picker) ConcurrencyLimited(now time.Time) map[string]int {
 	limited := make(map[string]int)
 	for s := range p.paced {
-		if s.listing != nil && s.pace.Active(now) {
+		if s.listing != nil && s.limits.active(now) {
 			limited[s.listing.Service]++
 		}
 	}
@@ -131,10 +155,7 @@
 // requests as it may have. own is set for requests of this entry: the limit after a pause
 // applies only to those.
 func (s *server) windowFull(own bool, slots int, now time.Time) bool {
-	if s.pace == nil || !own && s.pace.Cause() == pace.Pause {
-		return false
-	}
-	return s.pace.Full(s.usage.Running, s.occupancy(now), slots, now)
+	return s.limits.exist() && s.limits.full(own, s.usage.Running, s.occupancy(now), slots, now)
 }
 
 // slotsFor is the number of requests that the server runs concurrently, as the service
@@ -146,14 +167,14 @@
 	return s.slots()
 }
 
-// judge records what the start of a response tells about the server.
+// judge records what the first event of a response tells about the server.
 func (p *Picker) judge(l *Lease, now time.Time) {
 	took, predicted := now.Sub(l.started), l.Predicted-l.distance
-	if l.state.pace == nil {
+	if !l.state.limits.exist() {
 		l.history.usual.Observe(took, predicted)
 		return
 	}
-	l.state.slowness.Observe(took, predicted)
+	l.state.limits.slowness.Observe(took, predicted)
 	p.observePace(l, pace.Judge(took, predicted, &l.history.usual), now)
 }
 
@@ -166,13 +187,12 @@
 
 func (p *Picker) observePace(l *Lease, v pace.Verdict, now time.Time) {
 	s := l.state
-	if s.pace == nil {
-		return
-	}
-	s.pace.Observe(v, l.started, l.Occupancy+1, l.slots, now)
-	if s.pace.Ended(now) {
-		p.liftPace(s, now)
-	}
+	s.limits.each(func(limit *concurrencyLimit) {
+		limit.controller.Observe(v, l.started, l.Occupancy+1, l.slots, now)
+		if limit.controller.Ended(now) {
+			p.liftLimit(s, limit, now)
+		}
+	})
 }
 
 // pickBeyondWindow returns the server of this region that responds within the latency target
@@ -212,8 +232,8 @@
 	if p.checkLatency(req, s, e, now) != nil {
 		return false
 	}
-	if ratio, known := s.slowness.Ratio(); known && scale(e.firstResponse, ratio) <= p.latencyLimit(req) {
+	if ratio, known := s.limits.slowness.Ratio(); known && scale(e.firstResponse, ratio) <= p.latencyLimit(req) {
 		return true
 	}
-	return s.occupancy(now) < maxBeyondWindow*s.pace.Window(s.slotsFor(req), now)
+	return s.occupancy(now) < maxBeyondWindow*s.limits.window(req.Entry == "", s.slotsFor(req), now)
 }
