lib/relay: one deadline for the store read, stand-ins that fail end, old rows are not answered

Change: followers read the store 0.7 of the bound after the last sign that the followed instance was up to date (0.85 after the last confirmation by the store at the latest). A transfer lets queries wait until then if the rows were recent when it began; rows are answered only while recent. A stand-in whose call fails or is late follows the others again and refuses for a bound. Also: the transfer ends with the update of the cache, the time limit grows while an answer arrives, connections that may have been closed are not reused and are closed while the store is read, and a stand-in does not pause first.

--- a/lib/relay/answer_fuzz_test.go
+++ b/lib/relay/answer_fuzz_test.go
@@ -44,7 +44,8 @@
 			}
 		}()
 		to := netip.MustParseAddrPort("127.0.0.1:1")
-		c := client{table: "t", answerTimeout: 10 * time.Second, remote: to, conn: here, decoder: msgstream.NewDecoder(here, bufferSize, maxAnswerSize)}
+		c := client{table: "t", answerTimeout: 10 * time.Second}
+		c.use(to, here)
 		rows, err := c.fetch(context.Background(), to, at(-1), 0)
 		if err != nil {
 			return
--- a/lib/relay/cache.go
+++ b/lib/relay/cache.go
@@ -71,6 +71,9 @@
 func (c *Cache) replace(rows watch.Rows, direct bool, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if direct {
+		c.transfer = transfer{}
+	}
 	if rows.Position().Compare(c.position) < 0 {
 		return
 	}
@@ -106,6 +109,9 @@
 func (c *Cache) apply(since watch.Position, rows watch.Rows, direct bool, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if direct {
+		c.transfer = transfer{}
+	}
 	if since != c.position || rows.Era != since.Era || rows.Revision < since.Revision {
 		return
 	}
@@ -177,15 +183,41 @@
 	return c.confirmedDirectly
 }
 
-// fresh reports whether the rows were confirmed recently enough for other
-// instances to follow this one, or a newer answer of the store is arriving: followers that
-// read the store as well would only delay it. If direct is true, the rows must have been
-// confirmed by the store itself.
-func (c *Cache) fresh(direct bool, now time.Time) bool {
+// freshness is whether other instances may follow this one.
+type freshness struct {
+	// recent is set if the rows were confirmed recently enough to be answered.
+	recent bool
+	// waiting is set if queries may wait for the answer of the store that is arriving:
+	// followers that read the store as well would only delay it. The rows themselves may be
+	// older than those that the followers have.
+	waiting bool
+	// ends is when this changes unless the store confirms the rows before.
+	ends time.Time
+	// age is the time since the rows were confirmed.
+	age time.Duration
+}
+
+// freshness returns whether other instances may follow this one. If direct is true, the rows
+// must have been confirmed by the store itself.
+func (c *Cache) freshness(direct bool, now time.Time) freshness {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	recent := now.Sub(c.confirmedAt) <= fraction(c.config.MaxPropagation, staleFraction)
-	return c.position.Revision >= 0 && (recent || c.transfer.active(now, c.config.MaxPropagation)) && (c.confirmedDirectly || !direct)
+	f := freshness{age: now.Sub(c.confirmedAt)}
+	if c.position.Revision < 0 || direct && !c.confirmedDirectly {
+		return f
+	}
+	f.ends = c.confirmedAt.Add(fraction(c.config.MaxPropagation, staleFraction))
+	if f.recent = !now.After(f.ends); !f.recent {
+		f.ends = c.transfer.extendsUntil(c.confirmedAt, c.config.MaxPropagation)
+		f.waiting = !now.After(f.ends) && c.transfer.active(now, c.config.MaxPropagation)
+	}
+	return f
+}
+
+// fresh reports whether other instances may follow this one.
+func (c *Cache) fresh(direct bool, now time.Time) bool {
+	f := c.freshness(direct, now)
+	return f.recent || f.waiting
 }
 
 // changesSince returns the changes after a state, or all rows if its revision is
--- a/lib/relay/client.go
+++ b/lib/relay/client.go
@@ -27,12 +27,20 @@
 	// standIn and hold are those of queries.
 	standIn bool
 	hold    time.Duration
+	// limit is when the wait for an answer ends; zero if only timeouts end it. confirmed is
+	// called at each keep-alive message with the age of the rows of the instance, or while it
+	// holds the query; behind with their age if it must not be followed. Both may be nil.
+	limit     time.Time
+	confirmed func(age rowAge, held bool) (limit time.Time)
+	behind    func(age rowAge)
 
 	// dial connects to an instance; dialTCP if it is nil.
 	dial    func(ctx context.Context, to netip.AddrPort) (net.Conn, error)
 	remote  netip.AddrPort
 	conn    net.Conn
 	decoder *msgstream.Decoder
+	// progress extends the deadline of conn while a long answer arrives.
+	progress *progressReader
 	// number is the number of the last query on conn.
 	number uint64
 	// arrival returns the earliest time at which data may have arrived that is read now;
@@ -79,22 +87,34 @@
 	if err != nil {
 		return err
 	}
-	c.remote, c.conn, c.number, c.decoder = to, conn, 0, msgstream.NewDecoder(conn, bufferSize, maxAnswerSize)
+	c.use(to, conn)
 	return nil
 }
 
+// use makes a new connection to an instance the current one.
+func (c *client) use(to netip.AddrPort, conn net.Conn) {
+	c.remote, c.conn, c.number = to, conn, 0
+	c.progress = &progressReader{conn: conn, total: c.answerTimeout}
+	c.decoder = msgstream.NewDecoder(c.progress, bufferSize, maxAnswerSize)
+}
+
 func (c *client) exchange(ctx context.Context, to netip.AddrPort, since watch.Position, wait time.Duration) (watch.Rows, error) {
 	if err := c.connect(ctx, to); err != nil {
 		return watch.Rows{}, err
 	}
 	conn := c.conn
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
+	defer func() {
+		if !stop() {
+			// The connection is closed, or will be at any moment.
+			c.conn = nil
+		}
+	}()
 	timeout := c.answerTimeout
 	if c.hold > 0 && wait <= 0 {
 		timeout = c.heldTimeout
 	}
-	if err := conn.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
+	if err := conn.SetWriteDeadline(c.deadline(timeout)); err != nil {
 		return watch.Rows{}, err
 	}
 	c.number++
@@ -111,7 +131,7 @@
 // releases compare revisions only, so that their answers may be of another era.
 func (c *client) read(conn net.Conn, since watch.Position, timeout time.Duration) (watch.Rows, error) {
 	for {
-		if err := conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		if err := c.progress.begin(c.deadline(timeout)); err != nil {
 			return watch.Rows{}, err
 		}
 		var a answer
@@ -119,8 +139,14 @@
 			return watch.Rows{}, err
 		}
 		switch {
+		case a.Alive && c.confirmed != nil:
+			// Instances of earlier releases hold no queries and do not tell the age.
+			c.limit = c.confirmed(a.Confirmed, a.Confirmed == 0 && c.hold > 0)
 		case a.Alive, a.Number != 0 && a.Number != c.number:
 		case a.Stale, !a.HistoryLost && a.Era < since.Era:
+			if c.behind != nil {
+				c.behind(a.Confirmed)
+			}
 			return watch.Rows{}, errStale
 		case a.HistoryLost, since.Revision >= 0 && a.Era > since.Era:
 			return watch.Rows{}, watch.ErrHistoryLost
@@ -132,6 +158,15 @@
 	}
 }
 
+// deadline returns when a read ends that may take a time.
+func (c *client) deadline(timeout time.Duration) time.Time {
+	at := time.Now().Add(timeout)
+	if !c.limit.IsZero() && c.limit.Before(at) {
+		return c.limit
+	}
+	return at
+}
+
 // setAges sets the bounds on the age of the rows of an answer.
 func (c *client) setAges(rows *watch.Rows, a *answer) {
 	c.knownAt = time.Time{}
--- a/lib/relay/config.go
+++ b/lib/relay/config.go
@@ -39,6 +39,17 @@
 	// in, or for its first table, may take until an answer of the store arrives. Two such
 	// instances leave a follower a quarter of it after staleFraction.
 	holdFraction = 0.125
+	// readFraction is the part of MaxPropagation after the last sign that the followed
+	// instance was up to date at which a follower reads the store itself, whatever the
+	// instances are doing that it may still ask. latestReadFraction is the part after the last
+	// confirmation by the store that an instance told of; it leaves time for small rows.
+	readFraction       = 0.7
+	latestReadFraction = 0.85
+	// refuseFraction is the part for which an instance that could not read the store is not
+	// asked again to stand in, and maxRetryFraction the part for which the others are asked
+	// after the own call to the store has failed.
+	refuseFraction   = 1.0
+	maxRetryFraction = 0.4
 	// heldTimeoutFraction is the part without any message after which a query that is held
 	// ends. It is short, as all instances of a failure domain may fall silent together.
 	heldTimeoutFraction = 0.25
--- a/lib/relay/message.go
+++ b/lib/relay/message.go
@@ -63,6 +63,9 @@
 	OutageEnd int64 `msgpack:"e,omitempty"`
 	// Age bounds the time since the revision was current.
 	Age rowAge `msgpack:"g,omitempty"`
+	// Confirmed is the time since the store has confirmed the rows, in keep-alive messages of an
+	// instance that may be followed and in answers with Stale.
+	Confirmed rowAge `msgpack:"c,omitempty"`
 }
 
 // row is one row of a table.
@@ -91,6 +94,17 @@
 	return rowAge(max(0, now.Sub(since).Milliseconds()+1) + 1)
 }
 
+// ageOf returns the age of what is as old as d.
+func ageOf(d time.Duration) rowAge { return rowAge(max(0, d.Milliseconds()) + 1) }
+
+// duration returns the age, or fallback if it is unknown.
+func (a rowAge) duration(fallback time.Duration) time.Duration {
+	if a <= 0 {
+		return fallback
+	}
+	return time.Duration(a-1) * time.Millisecond
+}
+
 // since returns the time that lies the age before arrival, or zero if it is unknown.
 func (a rowAge) since(arrival time.Time) time.Time {
 	if a <= 0 || arrival.IsZero() {
--- a/lib/relay/path.go
+++ b/lib/relay/path.go
@@ -28,8 +28,17 @@
 // candidates returns the instances to query for changes, in order; none if this one reads
 // the store.
 func (s *Source) candidates() []candidate {
+	if s.cache.standsIn(time.Now()) {
+		return nil
+	}
+	return s.followable()
+}
+
+// followable returns the instances that this one could query for changes, also while it stands
+// in for them.
+func (s *Source) followable() []candidate {
 	role, now := s.role(), time.Now()
-	if !role.Upstream.IsValid() || s.cache.standsIn(now) {
+	if !role.Upstream.IsValid() {
 		return nil
 	}
 	var result []candidate
@@ -87,6 +96,7 @@
 
 // answered records that an instance, or the store itself if it is not valid, has answered.
 func (s *Source) answered(through netip.AddrPort) {
+	s.deadline.confirmed()
 	delete(s.avoided, through)
 	if through != s.path {
 		s.path = through
--- a/lib/relay/region_test.go
+++ b/lib/relay/region_test.go
@@ -79,6 +79,8 @@
 	// cut is set while the instance cannot reach the store.
 	cut   atomic.Bool
 	calls atomic.Int64
+	// trickle is the pause between two bytes of each answer with rows; none if it is zero.
+	trickle atomic.Int64
 }
 
 const (
@@ -108,6 +110,14 @@
 			s.link.mu.Unlock()
 		}
 	}
+	for size > 0 && s.trickle.Load() > 0 {
+		watch.NoteProgress(ctx)
+		select {
+		case <-ctx.Done():
+			return watch.Rows{}, ctx.Err()
+		case <-time.After(time.Duration(s.trickle.Load())):
+		}
+	}
 	if err := s.link.transfer(ctx, size+1); err != nil {
 		return watch.Rows{}, err
 	}
@@ -172,6 +182,35 @@
 type pipes struct {
 	mu        sync.Mutex
 	listeners map[netip.AddrPort]*pipeListener
+	// cuts holds the pairs of which the first cannot connect to the second.
+	cuts map[[2]netip.AddrPort]bool
+}
+
+// cut ends the path from an instance to another one, whose connections stay silent.
+func (p *pipes) cut(from, to netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cuts[[2]netip.AddrPort{from, to}] = true
+}
+
+func (p *pipes) isCut(from, to netip.AddrPort) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cuts[[2]netip.AddrPort{from, to}]
+}
+
+// cutConn is a connection that breaks with the next data after the path has been cut.
+type cutConn struct {
+	net.Conn
+	broken func() bool
+}
+
+func (c cutConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.broken() {
+		return 0, errCut
+	}
+	return n, err
 }
 
 type pipeListener struct {
@@ -205,6 +244,17 @@
 	return l
 }
 
+func (p *pipes) dialFrom(ctx context.Context, from, to netip.AddrPort) (net.Conn, error) {
+	if p.isCut(from, to) {
+		return nil, errCut
+	}
+	conn, err := p.dial(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	return cutConn{Conn: conn, broken: func() bool { return p.isCut(from, to) }}, nil
+}
+
 func (p *pipes) dial(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
 	p.mu.Lock()
 	l := p.listeners[to]
@@ -256,7 +306,7 @@
 func newRegion(ctx context.Context, n, rate int) *region {
 	r := &region{
 		config:  Config{MaxPropagation: 3 * time.Second, LongPollTimeout: 5 * time.Second},
-		content: newContent(), link: &slowLink{rate: 1 << 30}, pipes: &pipes{listeners: make(map[netip.AddrPort]*pipeListener)},
+		content: newContent(), link: &slowLink{rate: 1 << 30}, pipes: &pipes{listeners: make(map[netip.AddrPort]*pipeListener), cuts: make(map[[2]netip.AddrPort]bool)},
 		members: make([]*regionMember, n),
 	}
 	r.content.put("other", []byte("1"), false)
@@ -293,7 +343,9 @@
 		return RoleIn(r.ranked, m.address)
 	}
 	source := NewSource("t", m.store, m.cache, role, func(netip.AddrPort, error) {})
-	source.client.dial = r.pipes.dial
+	source.client.dial = func(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+		return r.pipes.dialFrom(ctx, m.address, to)
+	}
 	go watch.New(watch.Config{LongPollTimeout: r.config.LongPollTimeout, MaxReplay: r.config.MaxPropagation}, source, m.received).Run(ctx)
 }
 
@@ -312,3 +364,6 @@
 	}
 	return count
 }
+
+// lacks returns one if an instance does not have a version in force, or a later one.
+func (r *region) lacks(i int, version string) int { return r.behind(i, version) - r.behind(i+1, version) }
--- a/lib/relay/server.go
+++ b/lib/relay/server.go
@@ -100,7 +100,9 @@
 }
 
 // answer answers one query. It waits for a change if there is none, or as long as the query
-// allows it for this instance to become up to date, and sends keep-alive messages meanwhile.
+// allows it for this instance to become up to date, and sends keep-alive messages meanwhile. Rows
+// are answered only if they were confirmed recently: while an answer of the store arrives that
+// takes longer, followers that have newer ones must not get them.
 func (s *Server) answer(ctx context.Context, conn net.Conn, q *query) error {
 	cache := s.tables[q.Table]
 	if cache == nil {
@@ -115,33 +117,56 @@
 	held := time.NewTimer(time.Until(heldUntil))
 	defer held.Stop()
 	skipAlive := false
+	// announce makes a query that is held get a keep-alive message at once: its sender leaves
+	// silent instances soon.
+	announce := true
 	for {
 		now, holding := time.Now(), false
 		if q.StandIn {
 			cache.askToStandIn(now)
 		}
 		a, changed := cache.changesSince(q.since(cache.known()))
-		switch fresh := cache.fresh(q.Direct, now); {
+		f := cache.freshness(q.Direct, now)
+		stale := &answer{Number: q.Number, Stale: true, Confirmed: ageOf(f.age)}
+		var expires <-chan time.Time
+		switch {
 		case s.stopping():
-			return s.send(conn, &answer{Number: q.Number, Stale: true})
-		case (!fresh || a.Stale) && q.HoldMillis > 0 && (now.Before(heldUntil) || cache.receiving(now)):
-			holding = true
-		case !fresh:
-			return s.send(conn, &answer{Number: q.Number, Stale: true})
-		case a.Stale || a.HistoryLost || len(a.Rows) > 0 || q.Since < 0 || !now.Before(deadline):
+			return s.send(conn, stale)
+		case f.recent && (a.HistoryLost || len(a.Rows) > 0 || !a.Stale && (q.Since < 0 || !now.Before(deadline))):
 			a.Number = q.Number
 			return s.send(conn, &a)
+		case !a.Stale && (f.recent || f.waiting && q.Direct):
+			expires = time.After(f.ends.Sub(now) + time.Millisecond)
+		case q.HoldMillis > 0 && !(q.StandIn && cache.refusesStandIn(now) && cache.fresh(false, now)) && (now.Before(heldUntil) || cache.receiving(now)):
+			if cache.refusesStandIn(now) {
+				// It may turn out to follow no other instance, and then reads the store.
+				expires = time.After(roleCheckInterval)
+			}
+			if holding = true; announce {
+				announce = false
+				if err := s.send(conn, &answer{Alive: true}); err != nil {
+					return err
+				}
+			}
+		default:
+			return s.send(conn, stale)
 		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
 		case <-held.C:
+			announce = true
+		case <-expires:
 		case <-check.C:
 			if skipAlive = !skipAlive; skipAlive && !holding {
 				continue
 			}
-			if err := s.send(conn, &answer{Alive: true}); err != nil {
+			alive := &answer{Alive: true}
+			if !holding {
+				alive.Confirmed = ageOf(cache.freshness(q.Direct, time.Now()).age)
+			}
+			if err := s.send(conn, alive); err != nil {
 				return err
 			}
 		}
--- a/lib/relay/source.go
+++ b/lib/relay/source.go
@@ -18,6 +18,8 @@
 	cache  *Cache
 	role   func() Role
 	client client
+	// deadline is when the store is read whichever instances could still be asked.
+	deadline readDeadline
 
 	// avoided holds the instances that could not be followed.
 	avoided map[netip.AddrPort]avoidance
@@ -38,6 +40,8 @@
 	hadChanges bool
 	// storeFailed is true if the last call to the store failed.
 	storeFailed bool
+	// stoodIn is set if the last call to the store was made for others.
+	stoodIn bool
 	// ages bounds the age of rows; nil if that is not needed.
 	ages *rowage.Tracker
 }
@@ -50,7 +54,7 @@
 // directly.
 func NewSource(table string, store watch.Source, cache *Cache, role func() Role, onPathChange func(through netip.AddrPort, reason error)) *Source {
 	return &Source{
-		onPathChange: onPathChange, avoided: make(map[netip.AddrPort]avoidance), config: cache.config, store: store, cache: cache, role: role,
+		deadline: readDeadline{bound: cache.config.MaxPropagation}, onPathChange: onPathChange, avoided: make(map[netip.AddrPort]avoidance), config: cache.config, store: store, cache: cache, role: role,
 		client: client{
 			table: table, answerTimeout: fraction(cache.config.MaxPropagation, answerTimeoutFraction),
 			heldTimeout: fraction(cache.config.MaxPropagation, heldTimeoutFraction),
@@ -69,8 +73,13 @@
 func (s *Source) Snapshot(ctx context.Context) (watch.Rows, error) {
 	s.awaitRegion(ctx)
 	known := s.cache.known()
-	for _, c := range s.snapshotCandidates() {
-		rows, err := s.query(ctx, c, watch.Position{Era: known.Era, Revision: -1}, 0)
+	s.beginDeadline(0)
+	candidates := s.snapshotCandidates()
+	for i, c := range candidates {
+		if s.deadline.passed() {
+			break
+		}
+		rows, err := s.query(ctx, c, watch.Position{Era: known.Era, Revision: -1}, 0, len(candidates)-i)
 		if err == nil && rows.Position().Compare(known) < 0 {
 			err = errStale
 		}
@@ -87,11 +96,20 @@
 		}
 		s.avoid(c.address, err)
 	}
+	if len(candidates) > 0 {
+		s.cache.allowStandIn()
+	}
+	s.client.close()
 	callCtx, call := s.beginCall(ctx)
 	callCtx, ended := s.cache.trackTransfer(callCtx)
+	callCtx, stop := s.limitStandIn(callCtx, 0)
 	rows, err := s.store.Snapshot(callCtx)
-	ended()
+	stop()
 	if err != nil {
+		ended()
+		if s.leaveStandIn(ctx) {
+			return s.Snapshot(ctx)
+		}
 		s.storeFailed = true
 		s.retryBehind()
 		s.trackFailure(ctx, call, err)
@@ -113,14 +131,21 @@
 		wait = s.waitBatch(ctx, wait)
 	}
 	// Another instance may have become known meanwhile, which saves the call to the store.
-	for _, c := range s.candidates() {
-		rows, err := s.query(ctx, c, since, s.upstreamWait(wait))
+	s.beginDeadline(wait)
+	candidates := s.candidates()
+	for i, c := range candidates {
+		if wait <= 0 && s.deadline.passed() {
+			break
+		}
+		rows, err := s.query(ctx, c, since, s.upstreamWait(wait), len(candidates)-i)
 		switch {
 		case err == nil:
+			s.hadChanges = false
 			s.answered(c.address)
 			s.cache.apply(since, rows, false, time.Now())
 			return rows, nil
 		case errors.Is(err, watch.ErrHistoryLost):
+			s.deadline.confirmed()
 			return rows, err
 		case ctx.Err() != nil:
 			return rows, ctx.Err()
@@ -132,19 +157,29 @@
 		}
 		s.avoid(c.address, err)
 	}
+	if len(candidates) > 0 {
+		s.cache.allowStandIn()
+	}
 	return s.readChanges(ctx, since, wait)
 }
 
 // readChanges reads changes from the store.
 func (s *Source) readChanges(ctx context.Context, since watch.Position, wait time.Duration) (watch.Rows, error) {
+	s.client.close()
 	callCtx, call := s.beginCall(ctx)
 	rows, err := s.storeChanges(callCtx, since, wait)
 	if errors.Is(err, errRoleChanged) {
 		// The first call after it confirms at once what followers are told.
+		// The pause after changes came before it.
+		s.hadChanges = false
+		s.deadline.failed()
 		return s.Changes(ctx, since, 0)
 	}
 	if err != nil {
 		if !errors.Is(err, watch.ErrHistoryLost) {
+			if s.leaveStandIn(ctx) {
+				return s.Changes(ctx, since, 0)
+			}
 			s.storeFailed = true
 			s.retryBehind()
 		}
@@ -155,6 +190,7 @@
 	if rows.Era != since.Era {
 		// These are no changes since then. The table is read in full next, which ends the
 		// outage.
+		s.cache.endTransfer()
 		return watch.Rows{Era: rows.Era, Revision: rows.Revision}, nil
 	}
 	s.markRecovered(&rows)
@@ -175,8 +211,9 @@
 var errStandIn = errors.New("instance is asked to read the store for others")
 
 // query queries one instance for the rows that changed after a state, or for all rows if its
-// revision is negative.
-func (s *Source) query(ctx context.Context, c candidate, since watch.Position, wait time.Duration) (watch.Rows, error) {
+// revision is negative. remaining is the number of instances, with this one, that may be
+// queried until the store is read.
+func (s *Source) query(ctx context.Context, c candidate, since watch.Position, wait time.Duration, remaining int) (watch.Rows, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if !s.role().HasFollowers {
@@ -191,6 +228,7 @@
 	}
 	_, call := s.beginCall(ctx)
 	s.client.direct, s.client.standIn, s.client.hold = c.direct, c.standIn, c.hold
+	s.limitQuery(wait, remaining)
 	rows, err := s.client.fetch(ctx, c.address, since, wait)
 	if err != nil {
 		if errors.Is(context.Cause(ctx), errStandIn) && !errors.Is(err, watch.ErrHistoryLost) {
@@ -226,16 +264,22 @@
 // storeChanges reads changes from the store. It returns errRoleChanged instead of waiting on
 // once the role of an instance that has started lately becomes known, or once others ask this
 // one to stand in, unless the answer is already arriving.
-func (s *Source) storeChanges(ctx context.Context, since watch.Position, wait time.Duration) (watch.Rows, error) {
+func (s *Source) storeChanges(ctx context.Context, since watch.Position, wait time.Duration) (rows watch.Rows, err error) {
 	callCtx, ended := s.cache.trackTransfer(ctx)
-	defer ended()
+	defer func() {
+		if err != nil {
+			ended()
+		}
+	}()
+	callCtx, stop := s.limitStandIn(callCtx, wait)
+	defer stop()
 	if wait <= fraction(s.config.MaxPropagation, confirmFraction) {
 		return s.store.Changes(callCtx, since, wait)
 	}
 	callCtx, cancel := context.WithCancelCause(callCtx)
 	defer cancel(nil)
 	go s.watchRole(callCtx, func() { cancel(errRoleChanged) })
-	rows, err := s.store.Changes(callCtx, since, wait)
+	rows, err = s.store.Changes(callCtx, since, wait)
 	if err != nil && ctx.Err() == nil && errors.Is(context.Cause(callCtx), errRoleChanged) {
 		return watch.Rows{}, errRoleChanged
 	}
@@ -257,7 +301,7 @@
 func (s *Source) waitBatch(ctx context.Context, wait time.Duration) time.Duration {
 	confirmInterval := fraction(s.config.MaxPropagation, confirmFraction)
 	pause := time.Duration(0)
-	if s.hadChanges {
+	if s.hadChanges && (s.cache.direct() || !s.cache.standsIn(time.Now())) {
 		pause = s.config.BatchDelay
 		timer := time.NewTimer(pause)
 		defer timer.Stop()
