--- a/operator/explain/reason.go
+++ b/operator/explain/reason.go
@@ -26,6 +26,7 @@
 	"server has asked for a pause":  "the backend server asked this entry for a pause after the request was placed and before it was sent",
 	"another server or other weights at the address": "the address now belongs to another backend server, or the server has loaded other weights",
 	"answer of another request":                      "the backend server sent the response to another request",
+	"answer without a valid status":                  "the backend server sent a status outside 200 to 599; it may have run the request",
 	"answer without a signature":                     "the response did not come from a backend server",
 	"answer broken off, without an end or too long":  "the response ended early, or exceeded the maximum length of a response",
 	"body not received in time":                      "the caller did not send the whole body within its time limit",
