lib/placement: a remote server needs a free place to take what would be refused

In a trial with three regions of which one is evacuated, requests that would be refused were late instead, since the entries of all regions add to the short queues of the same engines.

--- a/lib/placement/spare.go
+++ b/lib/placement/spare.go
@@ -4,9 +4,10 @@
 
 // spare looks for a server of another region that can take a request which would be refused:
 // those that are compared are few, and all may be busy although others have room. It takes the
-// first one in random order that is within the limit and not the best one, as the entries of
-// all regions would otherwise choose the same one. If no server of the own region may get the
-// request, it also takes servers that got a request a moment ago or have just opened.
+// first one in random order that has a free place and is within the limit, and not the best
+// one, as the entries of all regions would otherwise choose the same one. If no server of the
+// own region may get the request, it also takes servers that got a request a moment ago or have
+// just opened.
 func (p *Picker) spare(req *Request, set *candidateSet, refusal *Refusal, now time.Time) (candidate, bool) {
 	if c, found := p.firstWithinLimit(req, set.remote, refusal, now); found {
 		return c, true
@@ -42,10 +43,12 @@
 }
 
 // isImprovement reports whether a server can take a request that was refused for the
-// prediction on another one. A server that is less than half full may do so beyond the limit,
-// but only if it is better than the other one: it may be very slow.
+// prediction on another one. It must have a free place: the entries of other regions may choose
+// it at the same time, and a short queue grows beyond the limit then. A server that is less than
+// half full may be beyond the limit, but only if it is better than the other one: it may be very
+// slow.
 func (p *Picker) isImprovement(req *Request, c *candidate, refusal *Refusal, now time.Time) bool {
-	if p.checkLatency(req, c.server, c.estimate, now) != nil {
+	if c.occupancy(now) >= c.slots() || p.checkLatency(req, c.server, c.estimate, now) != nil {
 		return false
 	}
 	if refusal.Predicted == 0 {
