lib/placement: what is overdue counts for the choice and refuses nothing

The spec of late requests of internal/node failed: three requests that hung for 7 s made the only server seem beyond the limit, and one that it would have answered was refused. A request that ends without a response counts for at most four times the response time of its server.

--- a/lib/placement/candidate.go
+++ b/lib/placement/candidate.go
@@ -9,7 +9,8 @@
 type candidate struct {
 	*server
 	estimate
-	// score is the predicted time to the first response plus the distance penalty.
+	// score is the predicted time to the first response, with what is overdue, plus the
+	// distance penalty.
 	score time.Duration
 }
 
--- a/lib/placement/picker.go
+++ b/lib/placement/picker.go
@@ -73,7 +73,7 @@
 	occupancy, age := best.occupancy(now), best.reportAge(now)
 	l := p.newLease(best.server, req, now)
 	l.LimitChecked = best.effectiveLimit(req, now).PerSecond > 0
-	l.Predicted = best.score
+	l.Predicted = best.score - best.estimate.overdue
 	l.Occupancy, l.LoadAge = occupancy, age
 	return l
 }
@@ -118,7 +118,7 @@
 
 func (p *Picker) newCandidate(req *Request, s *server, usual time.Duration, now time.Time) candidate {
 	e := s.predict(req, usual, now)
-	return candidate{server: s, estimate: e, score: e.firstResponse + p.distancePenalty(req.Domain, s.listing.Domain)}
+	return candidate{server: s, estimate: e, score: e.firstResponse + e.overdue + p.distancePenalty(req.Domain, s.listing.Domain)}
 }
 
 // candidateSet returns the candidates for a request, or a refusal if no server is available.
--- a/lib/placement/predict.go
+++ b/lib/placement/predict.go
@@ -13,6 +13,9 @@
 	firstResponse time.Duration
 	// wait is the part of firstResponse that is caused by other requests.
 	wait time.Duration
+	// overdue is what unanswered requests of a plain service add. It counts for the choice of
+	// a server and leads to no refusal: some requests may hang while others are answered.
+	overdue time.Duration
 }
 
 // predict estimates the course of a request on the server. usual is the response time of a
@@ -35,7 +38,7 @@
 	// Servers slow down as they fill up. The added time also makes the less busy one of
 	// two servers with free slots preferred.
 	contention := response * time.Duration(occupancy) / time.Duration(4*s.slots())
-	return estimate{firstResponse: response + wait + contention, wait: wait + contention}
+	return estimate{firstResponse: response + wait + contention, wait: wait + contention, overdue: s.overdue(response, now)}
 }
 
 // predictEngine models the passes of an engine: a request waits for a slot, for the
--- a/lib/placement/response_time.go
+++ b/lib/placement/response_time.go
@@ -19,6 +19,9 @@
 	// requests that show its recovery.
 	responseHold   = 3 * time.Second
 	maxResponseAge = 12 * time.Second
+	// maxOverrun bounds the time that a request without a response counts for, as a multiple
+	// of the response time of its server. It may be the fault of the request.
+	maxOverrun = 4
 	// maxOverdue bounds the unanswered requests of a server that are looked at for one
 	// prediction. The oldest ones say most.
 	maxOverdue = 4
@@ -29,8 +32,12 @@
 // longer than expected: the response would have taken longer still.
 func (p *Picker) observeResponse(s *server, took time.Duration, responded bool, now time.Time) {
 	usual := p.usualResponse(s.listing.Service)
-	if !responded && took <= s.observedResponse(usual, now) {
-		return
+	if !responded {
+		observed := s.observedResponse(usual, now)
+		if took <= observed {
+			return
+		}
+		took = min(took, maxOverrun*observed)
 	}
 	if s.responseTime > 0 {
 		// An old value counts less from the start.
@@ -67,14 +74,19 @@
 	observed := s.observedResponse(usual, now)
 	expected := scale(observed, s.work.change(now))
 	// A low figure alone does not make a server better than the others.
-	expected = max(expected, min(observed, usual), minResponseTime)
-	// A request that waits for longer than expected counts as a response that comes now.
+	return max(expected, min(observed, usual), minResponseTime)
+}
+
+// overdue returns by how much the requests without a response lengthen the expected response:
+// one that waits for longer than expected counts as a response that comes now.
+func (s *server) overdue(expected time.Duration, now time.Time) time.Duration {
+	longer := expected
 	for _, started := range s.unanswered[:min(len(s.unanswered), maxOverdue)] {
-		if waited := now.Sub(started); waited > expected {
-			expected = smooth(expected, waited, responseSmoothing)
+		if waited := now.Sub(started); waited > longer {
+			longer = smooth(longer, waited, responseSmoothing)
 		}
 	}
-	return expected
+	return longer - expected
 }
 
 // removeUnanswered removes a request from the unanswered ones.
--- a/lib/placement/spare.go
+++ b/lib/placement/spare.go
@@ -54,7 +54,7 @@
 	if refusal.Predicted == 0 {
 		return true
 	}
-	predicted := c.usualFirstResponse(req, c.estimate, c.slowdown(now))
+	predicted := c.usualFirstResponse(req, c.estimate, c.slowdown(now)) + c.estimate.overdue
 	return predicted <= p.latencyLimit(req) || predicted < refusal.Predicted
 }
 
--- a/lib/placement/work_test.go
+++ b/lib/placement/work_test.go
@@ -181,6 +181,24 @@
 		Expect(lease.Server.ID).To(Equal("a"))
 	})
 
+	It("refuse nothing for requests that hang", func() {
+		// Guards against refusals of all requests to the only server because a few hang while
+		// others are answered.
+		dir.Remove("b", false, now)
+		run(100, all(20*time.Millisecond), nil)
+		a := dir.Get(directory.Key{ID: "a"})
+		for range 3 {
+			p.Adopt(a, &req, now)
+		}
+		now = now.Add(7 * time.Second)
+		lease, refusal := p.Pick(req, now)
+		Expect(refusal).To(BeNil())
+		Expect(lease.Predicted).To(BeNumerically("<", req.LatencyTarget))
+		p.Done(lease, placement.Cancelled, now.Add(7*time.Second))
+		_, refusal = p.Pick(req, now)
+		Expect(refusal).To(BeNil())
+	})
+
 	It("that are new count as the others of their service", func() {
 		// Guards against a burst to a new server of a service whose responses take long.
 		run(200, all(100*time.Millisecond), nil)
