--- a/internal/processes/binaries_test.go
+++ b/internal/processes/binaries_test.go
@@ -7,7 +7,7 @@
 
 // binaries holds the paths of the built programs.
 type binaries struct {
-	entry, agent, standins, ctl string
+	entry, agent, standins, ctl, gateway, replica string
 }
 
 func build() binaries {
@@ -19,5 +19,6 @@
 	return binaries{
 		entry: path("auburnbend-entry"), agent: path("auburnbend-agent"),
 		standins: path("auburnbend-standins"), ctl: path("auburnctl"),
+		gateway: path("auburnbend-gateway"), replica: path("auburnbend-replica"),
 	}
 }
--- a/internal/processes/daemon_test.go
+++ b/internal/processes/daemon_test.go
@@ -1,6 +1,7 @@
 package processes_test
 
 import (
+	"fmt"
 	"os/exec"
 	"regexp"
 	"strconv"
@@ -36,6 +37,12 @@
 	return session
 }
 
+// startLimited is start for a process with descriptorLimit.
+func startLimited(binary string, arguments ...string) *gexec.Session {
+	script := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, descriptorLimit)
+	return start("/bin/sh", append([]string{"-c", script, binary}, arguments...)...)
+}
+
 // events returns the number of log lines of an event.
 func (d *daemon) events(e eventlog.Event) int {
 	line := regexp.MustCompile(`\bevent=` + strconv.Itoa(e.Number) + `\b`)
--- a/internal/processes/fleet_test.go
+++ b/internal/processes/fleet_test.go
@@ -96,14 +96,14 @@
 func (f *fleet) startEntry(domain string) {
 	d := f.daemon(backing.RoleEntry, domain, "entry")
 	d.callers, d.operators = f.ports.take(), f.ports.take()
-	d.session = start(programs.entry, "--config", f.settingsFile(d, ""))
+	d.session = startLimited(programs.entry, "--config", f.settingsFile(d, ""))
 	f.entries = append(f.entries, d)
 }
 
 func (f *fleet) startAgent(domain, pool string, n int, backend string) {
 	d := f.daemon(backing.RoleAgent, domain, fmt.Sprintf("%s-%d", pool, n))
 	d.pool = pool
-	d.session = start(programs.agent, "--config", f.settingsFile(d, backend))
+	d.session = startLimited(programs.agent, "--config", f.settingsFile(d, backend))
 	f.agents = append(f.agents, d)
 }
 
--- a/internal/processes/settings_test.go
+++ b/internal/processes/settings_test.go
@@ -16,6 +16,9 @@
 // memoryLimit is the memory limit of each daemon: the smallest that is allowed.
 const memoryLimit = 128 * settings.MiB
 
+// descriptorLimit is the limit of open descriptors of each daemon.
+const descriptorLimit = 600
+
 // settingsFile writes the settings file of a daemon and returns its path. The backend
 // address is empty for entries.
 func (f *fleet) settingsFile(d *daemon, backend string) string {
