gateway, replica: bounded connections, heads, and answers that are not read

Cause: heads, connections and answers that are not read take memory and descriptors without a bound.

Change: a limit of connections for each listener, from memory_mb and limits.max_fds; the connection with the oldest progress is closed for a new one, never one whose request has been received (lib/connlimit). Heads take at most 512 fields (431) and, beyond 16 KiB, room in a sixteenth of the memory (503, not run). A caller that accepts nothing for 10 s is disconnected. Readiness and metrics answer one request for each connection, with heads of 4 KiB and 5 s.

--- a/internal/node/caller_conns.go
+++ b/internal/node/caller_conns.go
@@ -29,6 +29,7 @@
 
 // watchedConn is a callerConn, or a connection that embeds one.
 type watchedConn interface {
+	setState(state http.ConnState)
 	setBegun(begun bool)
 	hasBegun() bool
 	stopReading()
@@ -46,6 +47,9 @@
 	delete(c.active, conn)
 	delete(c.idle, conn)
 	watched, isWatched := conn.(watchedConn)
+	if isWatched {
+		watched.setState(state)
+	}
 	switch state {
 	case http.StateNew:
 		c.unused[conn] = time.Now()
--- a/internal/node/caller_server.go
+++ b/internal/node/caller_server.go
@@ -21,8 +21,8 @@
 	s := &callerServer{
 		conns: conns, done: make(chan error, 1),
 		http: &http.Server{
-			Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: log.New(discard{}, "", 0),
-			ConnState: conns.observe,
+			Handler: keepReceived(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: log.New(discard{}, "", 0),
+			ConnState: conns.observe, ConnContext: withSlot,
 		},
 	}
 	s.http.RegisterOnShutdown(conns.closeUnused)
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -3,15 +3,15 @@
 import (
 	"context"
 	"errors"
-	"log"
 	"math/rand/v2"
-	"net/http"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/auburnbend/auburnbend/gateway"
 	"github.com/auburnbend/auburnbend/lib/clock"
+	"github.com/auburnbend/auburnbend/lib/connlimit"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/pause"
 	"github.com/auburnbend/auburnbend/lib/placement"
@@ -49,7 +49,7 @@
 	if s.CallerAddress == "" || s.ReadyAddress == "" {
 		return errors.New("settings: listen.frontend and listen.ready are required")
 	}
-	m, err := openMetrics(s.Address, env.MetricsPort)
+	m, err := openMetrics(s, env.MetricsPort)
 	if err != nil {
 		return err
 	}
@@ -109,20 +109,20 @@
 // progress get an answer.
 func serveCallers(ctx context.Context, g *gateway.Gateway, env Environment, stopTime *atomic.Int64) error {
 	s := env.Settings
-	noLog := log.New(discard{}, "", 0)
-	readyServer := &http.Server{Handler: platform.ReadyHandler(g.Ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: noLog}
-	callerListener, err := listenCallers(s.CallerAddress)
+	limits := newConnLimits(s)
+	callerListener, err := listenCallers(s.CallerAddress, limits.callers, limits.headBytes)
 	if err != nil {
 		return err
 	}
-	readyListener, err := listenCallers(s.ReadyAddress)
+	readyListener, err := net.Listen("tcp", s.ReadyAddress)
 	if err != nil {
 		// Close would first wait for pending connections to be accepted.
 		return errors.Join(err, callerListener.TCPListener.Close())
 	}
 	readyDone := make(chan error, 1)
 	callers := startCallerServer(g, callerListener)
-	go func() { readyDone <- readyServer.Serve(readyListener) }()
+	readyServer := newCheckServer(platform.ReadyHandler(g.Ready))
+	go func() { readyDone <- readyServer.Serve(connlimit.Listen(readyListener, limits.ready)) }()
 	defer readyServer.Close()
 	defer callers.http.Close()
 	select {
--- a/internal/node/kept_connections_test.go
+++ b/internal/node/kept_connections_test.go
@@ -74,7 +74,7 @@
 
 	BeforeEach(func() {
 		var err error
-		listener, err = listenCallers("127.0.0.1:0")
+		listener, err = listenCallers("127.0.0.1:0", 100, 1<<20)
 		Expect(err).NotTo(HaveOccurred())
 		handled.Store(0)
 		server = startCallerServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -192,7 +192,7 @@
 	It("lets a connection be read again once its next request has been read", func() {
 		// Guards against a pipelined request whose caller seems to have left, because reads were
 		// stopped while the connection was idle.
-		ln, err := listenCallers("127.0.0.1:0")
+		ln, err := listenCallers("127.0.0.1:0", 100, 1<<20)
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(ln.TCPListener.Close)
 		caller, err := net.Dial("tcp", ln.Addr().String())
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -6,6 +6,9 @@
 	"os"
 	"sync/atomic"
 	"time"
+
+	"github.com/auburnbend/auburnbend/lib/connlimit"
+	"github.com/auburnbend/auburnbend/lib/memory"
 )
 
 // pendingAcceptTimeout limits the wait for each connection that is still pending in
@@ -16,9 +19,9 @@
 // may open new ones faster than pendingAcceptTimeout.
 const maxCloseTime = 100 * time.Millisecond
 
-// callerReadBuffer is the size in bytes of the operating system's receive buffer of a
-// caller's connection.
-const callerReadBuffer = 128 << 10
+// callerBuffer is the size in bytes of each of the operating system's buffers of a caller's
+// connection, for receiving and for sending.
+const callerBuffer = 128 << 10
 
 // callerListener is a TCP listener that, when it is closed, first accepts the
 // connections that callers have already opened. Otherwise the operating system would
@@ -28,15 +31,21 @@
 	// closesAt is when a closing listener accepts no more connections in any case; nil
 	// until it is closed.
 	closesAt atomic.Pointer[time.Time]
+	limiter  *connlimit.Limiter
+	// heads bounds the memory of long heads of requests.
+	heads *memory.Budget
 }
 
-// listenCallers listens on an address of the form host:port.
-func listenCallers(address string) (*callerListener, error) {
+// listenCallers listens on an address of the form host:port. limit bounds the connections and
+// headBytes the memory of long heads of requests.
+func listenCallers(address string, limit int, headBytes int64) (*callerListener, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return &callerListener{TCPListener: ln.(*net.TCPListener)}, nil
+	return &callerListener{
+		TCPListener: ln.(*net.TCPListener), limiter: connlimit.New(limit), heads: memory.NewBudget(headBytes, headBytes),
+	}, nil
 }
 
 // Accept implements net.Listener.
@@ -61,14 +70,17 @@
 }
 
 func (l *callerListener) accept() (net.Conn, error) {
-	conn, err := l.AcceptTCP()
+	accepted, slot, err := l.limiter.Accept(l.TCPListener.Accept)
 	if err != nil {
 		return nil, err
 	}
-	// Without a limit, the operating system may keep megabytes of a body that waits. If it
-	// refuses this one, its own limit holds, and the connection serves requests all the same.
-	_ = conn.SetReadBuffer(callerReadBuffer)
-	return &callerConn{TCPConn: conn}, nil
+	conn := accepted.(*net.TCPConn)
+	// Without limits, the operating system may keep megabytes of a body that waits, and of
+	// responses that are not read. If it refuses these, its own limits hold, and the
+	// connection serves requests all the same.
+	_ = conn.SetReadBuffer(callerBuffer)
+	_ = conn.SetWriteBuffer(callerBuffer)
+	return &callerConn{TCPConn: conn, slot: slot, heads: l.heads}, nil
 }
 
 // Close implements net.Listener. Accept returns the pending connections and then
--- a/internal/node/listener_test.go
+++ b/internal/node/listener_test.go
@@ -16,7 +16,7 @@
 	It("accepts the connections that are pending when it closes", func() {
 		// Guards against requests that are sent just before a planned stop and reset
 		// without a response.
-		ln, err := listenCallers("127.0.0.1:0")
+		ln, err := listenCallers("127.0.0.1:0", 100, 1<<20)
 		Expect(err).NotTo(HaveOccurred())
 		var conns []net.Conn
 		for range 20 {
@@ -44,7 +44,7 @@
 	It("closes in bounded time while callers open connections all the time", func() {
 		// Guards against an entry that accepts connections until its process must end, and
 		// then cuts off their requests.
-		ln, err := listenCallers("127.0.0.1:0")
+		ln, err := listenCallers("127.0.0.1:0", 100, 1<<20)
 		Expect(err).NotTo(HaveOccurred())
 		var callers sync.WaitGroup
 		for range 20 {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -15,12 +15,18 @@
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 
 	"github.com/auburnbend/auburnbend/gateway"
+	"github.com/auburnbend/auburnbend/lib/connlimit"
+	"github.com/auburnbend/auburnbend/platform"
 	"github.com/auburnbend/auburnbend/replica"
 )
 
 // maxSeries is the maximum number of time series of one instrument.
 const maxSeries = 500
 
+// maxScrapes bounds the pages of metrics that are made at a time, each of which takes a
+// multiple of its size in memory.
+const maxScrapes = 4
+
 // latencyBuckets are histogram boundaries in seconds. They are narrow around the usual
 // targets of 0.1 to 0.5 s.
 var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.75, 1, 2, 4, 8}
@@ -35,9 +41,9 @@
 	firstByteTime, totalTime, longestGap metric.Float64Histogram
 }
 
-// openMetrics creates the instruments and serves them at a port of address; port 0
-// disables the server.
-func openMetrics(address string, port int) (*metrics, error) {
+// openMetrics creates the instruments and serves them at a port of the instance's address;
+// port 0 disables the server.
+func openMetrics(s *platform.Settings, port int) (*metrics, error) {
 	registry := prometheus.NewRegistry()
 	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo(), otelprom.WithNamespace("auburnbend"))
 	if err != nil {
@@ -51,14 +57,14 @@
 	if port == 0 {
 		return m, nil
 	}
-	ln, err := net.Listen("tcp", net.JoinHostPort(address, strconv.Itoa(port)))
+	ln, err := net.Listen("tcp", net.JoinHostPort(s.Address, strconv.Itoa(port)))
 	if err != nil {
 		return nil, merry.Prepend(err, "metrics")
 	}
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
-	m.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, WriteTimeout: headerTimeout}
-	go func() { _ = m.server.Serve(ln) }()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes}))
+	m.server = newCheckServer(mux)
+	go func() { _ = m.server.Serve(connlimit.Listen(ln, newConnLimits(s).metrics)) }()
 	return m, nil
 }
 
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -26,7 +26,7 @@
 	if s.EngineAddress == "" {
 		return errors.New("settings: no engine on this instance is configured")
 	}
-	m, err := openMetrics(s.Address, env.MetricsPort)
+	m, err := openMetrics(s, env.MetricsPort)
 	if err != nil {
 		return err
 	}
@@ -40,8 +40,8 @@
 		OnTarget: targets.handleAnnouncement,
 		Peers:    peers.read,
 		PeerPort: s.FirstPort, Listen: s.Address, MaxRolloutTime: s.Bounds.VersionTime,
-		LinkRate: s.LinkRate,
-		Clock:    clock.System{}, Log: env.Log,
+		LinkRate: s.LinkRate, MaxPeerConns: newConnLimits(s).peers,
+		Clock: clock.System{}, Log: env.Log,
 	})
 	targets.replica = r
 	targets.pauses = pause.NewMonitor(clock.System{}, clock.Boot{}, r.Suspended)
--- a/internal/node/tables.go
+++ b/internal/node/tables.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"github.com/auburnbend/auburnbend/gateway"
+	"github.com/auburnbend/auburnbend/lib/connlimit"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/relay"
 	"github.com/auburnbend/auburnbend/lib/rowage"
@@ -31,7 +32,7 @@
 		return nil, err
 	}
 	return &storeTables{
-		gateway: g, peerLink: peerLink, store: platform.NewStore(s.StoreAddress), ln: ln, log: log,
+		gateway: g, peerLink: peerLink, store: platform.NewStore(s.StoreAddress), ln: connlimit.Listen(ln, newConnLimits(s).tables), log: log,
 		caches: map[string]*relay.Cache{
 			platform.TableOperator: relay.NewCache(operatorRelayConfig(&s.Bounds)),
 			platform.TableServers:  relay.NewCache(serversRelayConfig(&s.Bounds)),
--- a/lib/relay/server.go
+++ b/lib/relay/server.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"github.com/auburnbend/auburnbend/lib/connlimit"
 	"github.com/auburnbend/auburnbend/lib/msgstream"
 )
 
@@ -86,7 +87,7 @@
 			return
 		}
 		var q query
-		if decoder.Decode(&q) != nil || s.answer(ctx, conn, &q) != nil {
+		if decoder.Decode(&q) != nil || !connlimit.Keep(conn) || s.answer(ctx, conn, &q) != nil {
 			return
 		}
 	}
--- a/replica/config.go
+++ b/replica/config.go
@@ -43,8 +43,11 @@
 	// LinkRate is the bandwidth of the instance's link in bytes per second, or zero
 	// if it is unknown.
 	LinkRate float64
-	Clock    clock.Clock
-	Log      *eventlog.Logger
+	// MaxPeerConns bounds the connections from peers, each of which uses a buffer. Zero means
+	// 256.
+	MaxPeerConns int
+	Clock        clock.Clock
+	Log          *eventlog.Logger
 }
 
 // Peer is another engine of the service.
--- a/replica/serve.go
+++ b/replica/serve.go
@@ -1,18 +1,20 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/auburnbend/auburnbend/lib/connlimit"
 	"github.com/auburnbend/auburnbend/lib/msgstream"
 	"github.com/auburnbend/auburnbend/peerlink"
 )
 
 const (
-	// maxPeerConns bounds the connections from peers, each of which uses a buffer.
-	maxPeerConns = 256
+	// defaultMaxPeerConns is the default of Config.MaxPeerConns.
+	defaultMaxPeerConns = 256
 	// acceptRetryDelay keeps a failing listener from causing a busy loop.
 	acceptRetryDelay = 50 * time.Millisecond
 	// announceInterval is the minimum time between two announcements of new pieces
@@ -30,9 +32,9 @@
 
 // servePeers serves connections from peers until ctx ends.
 func (r *Replica) servePeers(ctx context.Context, ln net.Listener) {
-	slots := make(chan struct{}, maxPeerConns)
+	limited := connlimit.Listen(ln, cmp.Or(r.config.MaxPeerConns, defaultMaxPeerConns))
 	for {
-		conn, err := ln.Accept()
+		conn, err := limited.Accept()
 		if err != nil {
 			if ctx.Err() != nil {
 				return
@@ -40,15 +42,7 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		select {
-		case slots <- struct{}{}:
-			go func() {
-				defer func() { <-slots }()
-				r.servePeer(ctx, conn)
-			}()
-		default:
-			_ = conn.Close()
-		}
+		go r.servePeer(ctx, conn)
 	}
 }
 
@@ -80,7 +74,7 @@
 			return
 		}
 		var req peerlink.PieceRequest
-		if decoder.Decode(&req) != nil {
+		if decoder.Decode(&req) != nil || !connlimit.Keep(conn) {
 			return
 		}
 		if req.Piece == peerlink.ManifestOnly {
