--- a/internal/node/caller_conn.go
+++ b/internal/node/caller_conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -10,20 +9,10 @@
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/connlimit"
-	"github.com/auburnbend/auburnbend/lib/memory"
+	"github.com/auburnbend/auburnbend/lib/headlimit"
 )
 
 const (
-	// maxHeadLines bounds the fields of a request and its request line.
-	maxHeadLines = 513
-	// freeHeadBytes is the memory that a head takes without a reservation.
-	freeHeadBytes = 16 << 10
-	// headMemoryFactor is the memory of a head relative to its size: it is parsed, and copied
-	// for the backend server. lineMemory is the additional memory of a field.
-	headMemoryFactor = 2
-	lineMemory       = 128
-	// headMemoryStep is the size of a reservation for a head.
-	headMemoryStep = 32 << 10
 	// writeStep is the number of bytes of which some must be accepted by the caller's side
 	// within writeTimeout: a pause of the link shorter than that does not end the response.
 	writeStep    = 64 << 10
@@ -31,13 +20,8 @@
 	// stallTime is the time without any accepted byte after which a connection may be closed in
 	// favour of new ones.
 	stallTime = 500 * time.Millisecond
-	// refusalTime limits the time in which the rest of a refused head is read, so that the
-	// caller gets the refusal instead of a reset connection.
-	refusalTime = 300 * time.Millisecond
 )
 
-var errHeadRefused = errors.New("head refused")
-
 // callerConn is a connection of a caller. It records whether the caller has begun its next
 // request, which net/http reports only after the whole head of the request. It bounds the
 // fields and the memory of heads, and the time that a caller may leave a response unread.
@@ -45,11 +29,7 @@
 	*net.TCPConn
 	// slot is the place of the connection among those of the listener.
 	slot *connlimit.Slot
-	// heads bounds the memory of long heads.
-	heads *memory.Budget
-	// head and rooms belong to the goroutine that serves the connection.
-	head  headScanner
-	rooms []*memory.Reservation
+	head headlimit.Guard
 
 	mu sync.Mutex
 	// begun is set once something has been read since the connection was accepted or became
@@ -62,54 +42,13 @@
 	n, err := c.TCPConn.Read(p)
 	if n > 0 {
 		c.setBegun(true)
-		if refusal := c.checkHead(p[:n]); refusal != "" {
-			c.refuseHead(refusal, p)
-			// net/http answers other errors with 400.
-			return 0, &net.OpError{Op: "read", Net: "tcp", Err: errHeadRefused}
+		if refused := c.head.Read(c.TCPConn, p[:n]); refused != nil {
+			return 0, refused
 		}
 	}
 	return n, err
 }
 
-// checkHead records data that was read, and returns the status line and fields of a refusal if
-// the head has too many fields or finds no memory.
-func (c *callerConn) checkHead(data []byte) (refusal string) {
-	if !c.head.inHead {
-		c.head.scan(data)
-		return ""
-	}
-	c.head.scan(data)
-	if c.head.lines > maxHeadLines {
-		return "431 Request Header Fields Too Large\r\n"
-	}
-	needed := headMemoryFactor*c.head.bytes + lineMemory*c.head.lines - freeHeadBytes
-	for needed > len(c.rooms)*headMemoryStep {
-		room, ok := c.heads.TryAcquire("", headMemoryStep)
-		if !ok {
-			return "503 Service Unavailable\r\nRetry-After: 1\r\n"
-		}
-		c.rooms = append(c.rooms, room)
-	}
-	return ""
-}
-
-// refuseHead answers a request of which the head has not been read to its end. buf is used to
-// read the rest.
-func (c *callerConn) refuseHead(refusal string, buf []byte) {
-	end := time.Now().Add(refusalTime)
-	if c.SetDeadline(end) != nil {
-		return
-	}
-	if _, err := io.WriteString(c.TCPConn, "HTTP/1.1 "+refusal+"Content-Length: 0\r\nConnection: close\r\n\r\n"); err != nil || c.CloseWrite() != nil {
-		return
-	}
-	for {
-		if _, err := c.TCPConn.Read(buf); err != nil {
-			return
-		}
-	}
-}
-
 // Write implements net.Conn. It fails if the caller accepts nothing for writeTimeout.
 func (c *callerConn) Write(p []byte) (written int, err error) {
 	for written < len(p) && err == nil {
@@ -156,27 +95,19 @@
 func (c *callerConn) setState(state http.ConnState) {
 	switch state {
 	case http.StateNew:
-		c.head.begin()
+		c.head.Begin()
 	case http.StateActive:
-		c.head.inHead = false
+		c.head.End()
 		c.slot.Progress(time.Now())
 	case http.StateIdle:
-		c.returnRooms()
-		c.head.begin()
+		c.head.Begin()
 		c.slot.Progress(time.Now())
 	default:
-		c.returnRooms()
+		c.head.Release()
 		c.slot.Release()
 	}
 }
 
-func (c *callerConn) returnRooms() {
-	for _, room := range c.rooms {
-		room.Release()
-	}
-	c.rooms = nil
-}
-
 // connSlot returns the place of the connection among those of the listener.
 func (c *callerConn) connSlot() *connlimit.Slot { return c.slot }
 
--- a/internal/node/conn_limits.go
+++ b/internal/node/conn_limits.go
@@ -9,7 +9,7 @@
 	// reservedDescriptors are for files, as the platform requires.
 	reservedDescriptors = 200
 	// connMemoryBytes is what a connection of a caller takes besides the budgets: its buffers
-	// and goroutines and those to the backend server, a head within freeHeadBytes, and a body
+	// and goroutines and those to the backend server, a head that needs no reservation, and a body
 	// that needs no reservation.
 	connMemoryBytes = 48 << 10
 	// connMemoryDivisor determines the part of the memory for the connections of callers: a
--- a/internal/node/listener.go
+++ b/internal/node/listener.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/connlimit"
+	"github.com/auburnbend/auburnbend/lib/headlimit"
 	"github.com/auburnbend/auburnbend/lib/memory"
 )
 
@@ -80,7 +81,7 @@
 	// connection serves requests all the same.
 	_ = conn.SetReadBuffer(callerBuffer)
 	_ = conn.SetWriteBuffer(callerBuffer)
-	return &callerConn{TCPConn: conn, slot: slot, heads: l.heads}, nil
+	return &callerConn{TCPConn: conn, slot: slot, head: headlimit.Guard{Budget: l.heads}}, nil
 }
 
 // Close implements net.Listener. Accept returns the pending connections and then
--- a/lib/connlimit/listener.go
+++ b/lib/connlimit/listener.go
@@ -72,6 +72,30 @@
 	return err
 }
 
+// SetReadBuffer sets the size of the operating system's receive buffer, if there is one.
+func (c *Conn) SetReadBuffer(bytes int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetReadBuffer(bytes)
+	}
+	return nil
+}
+
+// SetWriteBuffer sets the size of the operating system's send buffer, if there is one.
+func (c *Conn) SetWriteBuffer(bytes int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetWriteBuffer(bytes)
+	}
+	return nil
+}
+
+// CloseWrite ends the sending direction, if that is possible.
+func (c *Conn) CloseWrite() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
 // Keep calls Slot.Keep if a connection is one of a Listener. Otherwise it returns true.
 func Keep(conn net.Conn) bool {
 	c, ok := conn.(*Conn)
--- a/internal/node/head_scanner.go
+++ b/lib/headlimit/scanner.go
@@ -1,10 +1,10 @@
-package node
+package headlimit
 
 import "bytes"
 
-// headScanner counts the bytes and lines of the head of a request as they arrive. net/http
-// limits only the bytes of a head, and a head of short fields takes twenty times its size.
-type headScanner struct {
+// scanner counts the bytes and lines of the head of a request as they arrive. HTTP
+// libraries limit only the bytes of a head, and one of short fields takes twenty times its size.
+type scanner struct {
 	// inHead is set while the head of a request is being read.
 	inHead       bool
 	bytes, lines int
@@ -12,12 +12,12 @@
 	lineBytes int
 }
 
-// begin expects the head of the next request. A part of it may have been read already: net/http
-// reads up to 4 KiB ahead.
-func (s *headScanner) begin() { s.inHead, s.bytes, s.lines = true, 0, 0 }
+// begin expects the head of the next request. A part of it may have been read already: the
+// library reads ahead.
+func (s *scanner) begin() { s.inHead, s.bytes, s.lines = true, 0, 0 }
 
 // scan records data that was read.
-func (s *headScanner) scan(data []byte) {
+func (s *scanner) scan(data []byte) {
 	for s.inHead && len(data) > 0 {
 		end := bytes.IndexByte(data, '\n')
 		if end < 0 {
