entry, agent: bounded connections, heads and first frames

Cause: an entry exits when no descriptor is left for a caller, and takes memory outside its budgets for heads, the page of metrics, calls of operators and first frames of peers, of up to 4 MiB each.

--- a/agent/program.go
+++ b/agent/program.go
@@ -7,6 +7,7 @@
 
 	"github.com/auburnbend/auburnbend/lib/backing/httpbacking"
 	"github.com/auburnbend/auburnbend/lib/clock"
+	"github.com/auburnbend/auburnbend/lib/connlimit"
 	"github.com/auburnbend/auburnbend/lib/daemon"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
@@ -74,7 +75,7 @@
 		Rand:         rand.New(rand.NewSource(int64(daemon.RandomUint64()))),
 		Log:          log,
 		Metrics:      p.metrics,
-		Listener:     listener,
+		Listener:     connlimit.Listen(listener, daemon.NewConnLimits(int64(s.Memory.Limit)).Peers),
 		Policy:       policy,
 		BackendKind:  s.Backend.Kind,
 		BackendURL:   s.Backend.Address,
--- a/entry/caller/server.go
+++ b/entry/caller/server.go
@@ -62,6 +62,10 @@
 	// otherTenantsShare is the part of MaxBodyBytes that the bodies of one tenant leave to
 	// others: an eighth.
 	otherTenantsShare = 8
+	// headTimeout limits receiving the head of a request.
+	headTimeout = 30 * time.Second
+	// headsShare determines the memory of long heads of requests: a fifth of that of bodies.
+	headsShare = 5
 	// maxHeadBytes limits the head of a request.
 	maxHeadBytes = 64 << 10
 	// hertzExitTimeout is longer than any drain. The library would otherwise
@@ -89,6 +93,8 @@
 	bodies *memory.Budget
 	// responses bounds the memory of long responses.
 	responses *responseBudget
+	// heads bounds the memory of long heads of requests.
+	heads *memory.Budget
 }
 
 // NewServer returns a Server. Run starts it.
@@ -102,9 +108,11 @@
 	s := &Server{
 		cfg: cfg, drain: newDrain(), responses: newResponseBudget(cfg.MaxResponseBytes),
 		bodies: memory.NewBudget(cfg.MaxBodyBytes, cfg.MaxBodyBytes-cfg.MaxBodyBytes/otherTenantsShare),
+		heads:  memory.NewBudget(cfg.MaxBodyBytes/headsShare, cfg.MaxBodyBytes/headsShare),
 	}
 	options := []hertzconfig.Option{
-		server.WithListener(listener{cfg.Listener}),
+		server.WithListener(listener{cfg.Listener, s.heads}),
+		server.WithReadTimeout(headTimeout),
 		// The netpoll transport reads whatever callers send into memory before anybody asks
 		// for it.
 		server.WithTransport(standard.NewTransporter),
@@ -119,6 +127,7 @@
 		server.WithDisablePrintRoute(true),
 	}
 	s.hertz = server.New(options...)
+	s.hertz.Use(observeRequest)
 	s.hertz.NoRoute(func(_ context.Context, ctx *app.RequestContext) { limitWrites(ctx, responseWriteTime) })
 	s.hertz.POST("/v1/services/:service", s.serve)
 	s.hertz.GET("/ready", s.ready)
@@ -183,6 +192,16 @@
 	_ = s.hertz.Shutdown(ctx)
 }
 
+// observeRequest tells the connection that the head of a request has been parsed, and when the
+// handler has ended.
+func observeRequest(c context.Context, ctx *app.RequestContext) {
+	if conn, ok := c.Value(connKey{}).(*conn); ok {
+		conn.beginHandler()
+		defer conn.endHandler()
+	}
+	ctx.Next(c)
+}
+
 // limitWrites limits the time in which the response must have been sent.
 func limitWrites(ctx *app.RequestContext, d time.Duration) {
 	_ = ctx.GetConn().SetWriteDeadline(time.Now().Add(d))
@@ -259,6 +278,10 @@
 		response.End(result)
 		return
 	}
+	if body.conn != nil && !body.conn.slot.Keep() {
+		// The connection was closed in favour of another one. The request must not run.
+		return
+	}
 	defer body.detectDisconnect()()
 	s.handle(c, request, response)
 }
--- a/entry/program.go
+++ b/entry/program.go
@@ -8,6 +8,7 @@
 	"github.com/auburnbend/auburnbend/lib/backing/httpbacking"
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/connlimit"
 	"github.com/auburnbend/auburnbend/lib/daemon"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
@@ -65,6 +66,7 @@
 		return nil, err
 	}
 	daemon.LimitMemory(int64(s.Memory.Limit))
+	limits := daemon.NewConnLimits(int64(s.Memory.Limit))
 	instances := httpbacking.NewInstances(httpbacking.Config{URL: s.Platform.InstanceList})
 	instances.OnInvalid = func(id string, err error) { log.Log(eventlog.InstanceInvalid, "instance", id, "err", err) }
 	p := &process{}
@@ -82,9 +84,9 @@
 		Rand:             rand.New(rand.NewPCG(daemon.RandomUint64(), daemon.RandomUint64())),
 		Log:              log,
 		Metrics:          NewTelemetryMetrics(p.metrics.Metrics),
-		CallerListener:   callers,
-		PeerListener:     peers,
-		OperatorListener: operators,
+		CallerListener:   connlimit.Listen(callers, limits.Callers),
+		PeerListener:     connlimit.Listen(peers, limits.Peers),
+		OperatorListener: connlimit.Listen(operators, limits.Operators),
 		Policy:           policy,
 		Table:            httpbacking.NewTable(httpbacking.Config{URL: s.Platform.TableService}),
 		InstanceList:     instances,
--- a/lib/listen/server.go
+++ b/lib/listen/server.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/auburnbend/auburnbend/lib/connlimit"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/security"
 	"github.com/auburnbend/auburnbend/lib/wire"
@@ -22,6 +23,7 @@
 
 // Config configures a Server.
 type Config struct {
+	// Listener may be a connlimit.Listener: connections are kept once the peer is known.
 	Listener net.Listener
 	// Hello returns the first message that this process sends.
 	Hello func() wire.Hello
@@ -72,7 +74,7 @@
 }
 
 func (s *Server) handle(ctx context.Context, nc net.Conn) {
-	remote := nc.RemoteAddr()
+	remote, accepted := nc.RemoteAddr(), nc
 	nc, roles, err := s.handshake(nc)
 	if err != nil {
 		s.cfg.Log.Log(eventlog.PeerRefused, "remote", remote, "err", err)
@@ -89,6 +91,9 @@
 		_ = conn.Send(&wire.ConnectionReject{Reason: "certificate does not allow the role"})
 		return
 	}
+	if !connlimit.Keep(accepted) {
+		return
+	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	s.cfg.Serve(ctx, conn, peer)
--- a/lib/telemetry/endpoint.go
+++ b/lib/telemetry/endpoint.go
@@ -2,15 +2,29 @@
 
 import (
 	"context"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/auburnbend/auburnbend/lib/connlimit"
 )
 
-// endpointTimeout limits reading a request and writing its response.
-const endpointTimeout = 10 * time.Second
+const (
+	// endpointTimeout limits reading a request and writing its response.
+	endpointTimeout = 5 * time.Second
+	// maxEndpointConns bounds the open connections. The one with the oldest beginning is closed
+	// for a new one.
+	maxEndpointConns = 16
+	// maxEndpointHeaderBytes limits the head of a request. The library adds 4 KiB.
+	maxEndpointHeaderBytes = 4 << 10
+	// maxScrapes bounds the pages that are made at a time, each of which takes a multiple of
+	// its size in memory.
+	maxScrapes = 4
+)
 
 // Endpoint is an HTTP server for GET /metrics in the Prometheus text format.
 type Endpoint struct {
@@ -28,13 +42,18 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", m.Handler())
 	e := &Endpoint{
-		server: &http.Server{Handler: mux, ReadTimeout: endpointTimeout, WriteTimeout: endpointTimeout},
-		ln:     ln,
-		done:   make(chan struct{}),
+		server: &http.Server{
+			Handler: mux, ReadTimeout: endpointTimeout, WriteTimeout: endpointTimeout, MaxHeaderBytes: maxEndpointHeaderBytes,
+			ErrorLog: log.New(io.Discard, "", 0),
+		},
+		ln:   connlimit.Listen(ln, maxEndpointConns),
+		done: make(chan struct{}),
 	}
+	// Connections that answer one request each end soon.
+	e.server.SetKeepAlivesEnabled(false)
 	go func() {
 		defer close(e.done)
-		_ = e.server.Serve(ln)
+		_ = e.server.Serve(e.ln)
 	}()
 	return e, nil
 }
--- a/lib/telemetry/metrics.go
+++ b/lib/telemetry/metrics.go
@@ -145,7 +145,7 @@
 
 // Handler returns a handler that serves the Prometheus text format.
 func (m *Metrics) Handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes})
 }
 
 // Close flushes the metrics and shuts the provider down.
--- a/lib/wire/codec.go
+++ b/lib/wire/codec.go
@@ -40,14 +40,17 @@
 // Read decodes the next frame. For an invalid frame it returns ErrFrameTooLarge,
 // ErrUnknownType or ErrMalformed. The length is checked before memory is allocated, so
 // that a corrupt length cannot exhaust memory.
-func Read(r *bufio.Reader) (Message, error) {
+func Read(r *bufio.Reader) (Message, error) { return readWithin(r, MaxFrameBytes) }
+
+// readWithin is Read for a frame whose body has limit bytes at most.
+func readWithin(r *bufio.Reader, limit uint32) (Message, error) {
 	var header [headerSize]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return nil, err
 	}
 	size := binary.BigEndian.Uint32(header[:4])
-	if size > MaxFrameBytes {
-		return nil, merry.Wrap(ErrFrameTooLarge, merry.AppendMessagef("frame of type %d has length %d, limit is %d", header[4], size, MaxFrameBytes))
+	if size > limit {
+		return nil, merry.Wrap(ErrFrameTooLarge, merry.AppendMessagef("frame of type %d has length %d, limit is %d", header[4], size, limit))
 	}
 	m := newMessage(Type(header[4]))
 	if m == nil {
--- a/lib/wire/handshake.go
+++ b/lib/wire/handshake.go
@@ -7,8 +7,13 @@
 	"github.com/ansel1/merry/v2"
 )
 
-// handshakeTimeout bounds the wait for the peer's Hello.
-const handshakeTimeout = 3 * time.Second
+const (
+	// handshakeTimeout bounds the wait for the peer's Hello.
+	handshakeTimeout = 3 * time.Second
+	// maxHelloBytes bounds the first frame of a connection, whose sender is not known. A Hello
+	// has some hundred bytes.
+	maxHelloBytes = 64 << 10
+)
 
 // ErrHandshake means that the exchange of Hello messages failed: the peer did not send
 // a Hello, uses another protocol version, or rejected the connection.
@@ -35,7 +40,7 @@
 	if err := conn.Send(&hello); err != nil {
 		return Hello{}, err
 	}
-	m, err := conn.Receive()
+	m, err := readWithin(conn.reader, maxHelloBytes)
 	if err != nil {
 		return Hello{}, merry.Wrap(ErrHandshake, merry.WithCause(err))
 	}
