--- a/agent/program.go
+++ b/agent/program.go
@@ -59,6 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
+	limited := connlimit.Listen(listener, daemon.NewConnLimits(int64(s.Memory.Limit)).Peers)
 	p := &process{}
 	if p.metrics, err = daemon.OpenMetrics(s.Listen.Metrics); err != nil {
 		return nil, err
@@ -75,7 +76,7 @@
 		Rand:         rand.New(rand.NewSource(int64(daemon.RandomUint64()))),
 		Log:          log,
 		Metrics:      p.metrics,
-		Listener:     connlimit.Listen(listener, daemon.NewConnLimits(int64(s.Memory.Limit)).Peers),
+		Listener:     limited,
 		Policy:       policy,
 		BackendKind:  s.Backend.Kind,
 		BackendURL:   s.Backend.Address,
@@ -101,6 +102,9 @@
 	if err := p.metrics.ObserveMemory(p.Budgets()); err != nil {
 		return nil, err
 	}
+	if err := connlimit.Observe(p.metrics.Meter(), map[string]*connlimit.Limiter{"peers": limited.Limiter}); err != nil {
+		return nil, err
+	}
 	p.Start()
 	return p, nil
 }
--- a/entry/program.go
+++ b/entry/program.go
@@ -67,6 +67,7 @@
 	}
 	daemon.LimitMemory(int64(s.Memory.Limit))
 	limits := daemon.NewConnLimits(int64(s.Memory.Limit))
+	limitedCallers, limitedPeers, limitedOperators := connlimit.Listen(callers, limits.Callers), connlimit.Listen(peers, limits.Peers), connlimit.Listen(operators, limits.Operators)
 	instances := httpbacking.NewInstances(httpbacking.Config{URL: s.Platform.InstanceList})
 	instances.OnInvalid = func(id string, err error) { log.Log(eventlog.InstanceInvalid, "instance", id, "err", err) }
 	p := &process{}
@@ -84,9 +85,9 @@
 		Rand:             rand.New(rand.NewPCG(daemon.RandomUint64(), daemon.RandomUint64())),
 		Log:              log,
 		Metrics:          NewTelemetryMetrics(p.metrics.Metrics),
-		CallerListener:   connlimit.Listen(callers, limits.Callers),
-		PeerListener:     connlimit.Listen(peers, limits.Peers),
-		OperatorListener: connlimit.Listen(operators, limits.Operators),
+		CallerListener:   limitedCallers,
+		PeerListener:     limitedPeers,
+		OperatorListener: limitedOperators,
 		Policy:           policy,
 		Table:            httpbacking.NewTable(httpbacking.Config{URL: s.Platform.TableService}),
 		InstanceList:     instances,
@@ -96,6 +97,11 @@
 	if err := p.metrics.ObserveMemory(p.Budgets()); err != nil {
 		return nil, err
 	}
+	if err := connlimit.Observe(p.metrics.Meter(), map[string]*connlimit.Limiter{
+		"callers": limitedCallers.Limiter, "peers": limitedPeers.Limiter, "operators": limitedOperators.Limiter,
+	}); err != nil {
+		return nil, err
+	}
 	p.OnConfigChange(func(v *config.View) { p.metrics.DeclareLabels(v.Config) })
 	p.Start()
 	return p, nil
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -96,7 +96,7 @@
 		g.SetBounds(retryConfig(&s.Bounds), s.Bounds.VersionTime)
 		stopTime.Store(int64(s.Bounds.StopTime))
 	})
-	return serveCallers(ctx, g, env, stopTime)
+	return serveCallers(ctx, g, env, m, stopTime)
 }
 
 func retryConfig(b *platform.Bounds) retry.Config {
@@ -107,7 +107,7 @@
 // returns when all requests have ended, at the latest shortly before stopTime, in
 // nanoseconds, has passed since ctx ended. Before that, requests that are still in
 // progress get an answer.
-func serveCallers(ctx context.Context, g *gateway.Gateway, env Environment, stopTime *atomic.Int64) error {
+func serveCallers(ctx context.Context, g *gateway.Gateway, env Environment, m *metrics, stopTime *atomic.Int64) error {
 	s := env.Settings
 	limits := newConnLimits(s)
 	callerListener, err := listenCallers(s.CallerAddress, limits.callers, limits.headBytes)
@@ -119,10 +119,14 @@
 		// Close would first wait for pending connections to be accepted.
 		return errors.Join(err, callerListener.TCPListener.Close())
 	}
+	ready := connlimit.Listen(readyListener, limits.ready)
+	if err := connlimit.Observe(m.meter, map[string]*connlimit.Limiter{"callers": callerListener.limiter, "ready": ready.Limiter}); err != nil {
+		return errors.Join(err, callerListener.TCPListener.Close(), ready.Close())
+	}
 	readyDone := make(chan error, 1)
 	callers := startCallerServer(g, callerListener)
 	readyServer := newCheckServer(platform.ReadyHandler(g.Ready))
-	go func() { readyDone <- readyServer.Serve(connlimit.Listen(readyListener, limits.ready)) }()
+	go func() { readyDone <- readyServer.Serve(ready) }()
 	defer readyServer.Close()
 	defer callers.http.Close()
 	select {
--- a/lib/wire/conn_test.go
+++ b/lib/wire/conn_test.go
@@ -27,6 +27,15 @@
 }
 
 var _ = Describe("Conn", func() {
+	It("takes no long frame from a peer that is not known yet", func() {
+		// Guards against connections that each make this process hold a frame of 4 MiB.
+		a, b := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, b) }()
+		go func() { _, _ = b.Write([]byte{0, 2, 0, 0, byte(wire.TypeHello)}) }()
+		_, _, err := wire.Handshake(a, wire.Hello{Role: wire.RoleEntry})
+		Expect(err).To(MatchError(wire.ErrFrameTooLarge))
+	})
+
 	It("exchanges Hello and delivers messages in order", func() {
 		a, b := net.Pipe()
 		type result struct {
