docs: misbehaving clients, limits of connections and heads

A caller that accepts less than 64 KiB of its response in 0.5 s counts as stalled also if it accepts some of it: its connection may be closed for a new one.

--- a/internal/node/caller_conn.go
+++ b/internal/node/caller_conn.go
@@ -13,18 +13,18 @@
 )
 
 const (
-	// writeStep is the number of bytes of which some must be accepted by the caller's side
-	// within writeTimeout: a pause of the link shorter than that does not end the response.
+	// writeStep is the number of bytes that the caller's side must accept within writeTimeout: a
+	// pause of the link shorter than that does not end the response.
 	writeStep    = 64 << 10
 	writeTimeout = 10 * time.Second
-	// stallTime is the time without any accepted byte after which a connection may be closed in
+	// stallTime is the time within which it must accept them, or its connection may be closed in
 	// favour of new ones.
 	stallTime = 500 * time.Millisecond
 )
 
 // callerConn is a connection of a caller. It records whether the caller has begun its next
 // request, which net/http reports only after the whole head of the request. It bounds the
-// fields and the memory of heads, and the time that a caller may leave a response unread.
+// fields and the memory of heads, and the time for which a caller may leave a response unread.
 type callerConn struct {
 	*net.TCPConn
 	// slot is the place of the connection among those of the listener.
@@ -49,7 +49,8 @@
 	return n, err
 }
 
-// Write implements net.Conn. It fails if the caller accepts nothing for writeTimeout.
+// Write implements net.Conn. It fails if the caller does not accept writeStep bytes within
+// writeTimeout.
 func (c *callerConn) Write(p []byte) (written int, err error) {
 	for written < len(p) && err == nil {
 		var n int
@@ -60,7 +61,7 @@
 }
 
 // writeStep writes a part of a response. The connection may be closed in favour of new ones
-// while the caller accepts nothing.
+// while the caller is slow to accept it.
 func (c *callerConn) writeStep(p []byte) (written int, err error) {
 	stalled := false
 	for end := time.Now().Add(writeTimeout); ; {
@@ -77,7 +78,7 @@
 			return written, nil
 		case !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(end):
 			return written, err
-		case n == 0 && !stalled:
+		case !stalled:
 			stalled = true
 			c.slot.Progress(time.Now())
 		}
