--- a/entry/program.go
+++ b/entry/program.go
@@ -8,6 +8,7 @@
 	"github.com/auburnbend/auburnbend/lib/backing/httpbacking"
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/config"
+	"github.com/auburnbend/auburnbend/lib/connlimit"
 	"github.com/auburnbend/auburnbend/lib/daemon"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
 	"github.com/auburnbend/auburnbend/lib/model"
@@ -65,6 +66,8 @@
 		return nil, err
 	}
 	daemon.LimitMemory(int64(s.Memory.Limit))
+	limits := daemon.NewConnLimits(int64(s.Memory.Limit))
+	limitedCallers, limitedPeers, limitedOperators := connlimit.Listen(callers, limits.Callers), connlimit.Listen(peers, limits.Peers), connlimit.Listen(operators, limits.Operators)
 	instances := httpbacking.NewInstances(httpbacking.Config{URL: s.Platform.InstanceList})
 	instances.OnInvalid = func(id string, err error) { log.Log(eventlog.InstanceInvalid, "instance", id, "err", err) }
 	p := &process{}
@@ -82,9 +85,9 @@
 		Rand:             rand.New(rand.NewPCG(daemon.RandomUint64(), daemon.RandomUint64())),
 		Log:              log,
 		Metrics:          NewTelemetryMetrics(p.metrics.Metrics),
-		CallerListener:   callers,
-		PeerListener:     peers,
-		OperatorListener: operators,
+		CallerListener:   limitedCallers,
+		PeerListener:     limitedPeers,
+		OperatorListener: limitedOperators,
 		Policy:           policy,
 		Table:            httpbacking.NewTable(httpbacking.Config{URL: s.Platform.TableService}),
 		InstanceList:     instances,
@@ -97,6 +100,11 @@
 	if err := p.metrics.ObservePaced(p.fleet.ConcurrencyLimited); err != nil {
 		return nil, err
 	}
+	if err := connlimit.Observe(p.metrics.Meter(), map[string]*connlimit.Limiter{
+		"callers": limitedCallers.Limiter, "peers": limitedPeers.Limiter, "operators": limitedOperators.Limiter,
+	}); err != nil {
+		return nil, err
+	}
 	p.OnConfigChange(func(v *config.View) { p.metrics.DeclareLabels(v.Config) })
 	p.Start()
 	return p, nil
