serving: ranks are in use for services whose requests have different ones

Cause: deployments whose routes to one service are all of one rank, and those to another service of another, were admitted by rank and team, although no two of their requests compete. Change: ranks count as different for each service.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -157,7 +157,7 @@
 	if r.stream.lastEventID >= 0 {
 		info.LastEventID = r.stream.lastEventID
 	}
-	if r.engine != nil && r.table.Ranked() {
+	if r.engine != nil && r.table.Ranked(r.service) {
 		info.HasRank, info.Rank = true, r.rank()
 	}
 	// The server may have changed its weights since it reported them. It must not begin a
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -125,7 +125,7 @@
 	usage := g.picker.Done(a.lease, result, g.now())
 	g.mu.Unlock()
 	r.reportProgress(a, usage, &result)
-	if r.table.Ranked() {
+	if r.table.Ranked(r.service) {
 		g.waitLines.serverFreed(r.lineKey())
 	}
 }
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -54,7 +54,7 @@
 		PromptTokens: query.PromptTokens, OutputTokens: query.OutputTokens,
 		LatencyTarget: milliseconds(query.LatencyTargetMillis), Remaining: milliseconds(query.RemainingMillis), MayHaveRun: query.MayHaveRun,
 		Evacuated: query.Evacuated,
-		Ranked:    table.Ranked(), Rank: query.Rank, Team: query.Team, Waited: milliseconds(query.WaitedMillis), MaxWait: milliseconds(query.MaxWaitMillis),
+		Ranked:    table.Ranked(query.Service), Rank: query.Rank, Team: query.Team, Waited: milliseconds(query.WaitedMillis), MaxWait: milliseconds(query.MaxWaitMillis),
 		Homes: serving.Homes{Restricted: query.HomesOnly, Regions: query.Homes},
 	}
 	req.VersionDeadlines = g.versions.Deadlines(query.Model, now).Merge(queryDeadlines(query, now))
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -124,7 +124,7 @@
 		req.Exclude = append(slices.Clip(req.Exclude), r.gateway.endedServers(r.service)...)
 	}
 	req.VersionDeadlines = r.gateway.versions.Deadlines(modelName, now)
-	if r.table.Ranked() {
+	if r.table.Ranked(r.service) {
 		req.Ranked, req.Rank, req.Team = true, r.rank(), r.summary.Team
 		req.Waited, req.MaxWait = r.waitTimes(now)
 	}
--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -26,7 +26,7 @@
 // returns neither an attempt nor a refusal if the context of the request has ended.
 func (r *request) placeOrWait() (*attempt, *placement.Refusal) {
 	a, refusal := r.place(r.ctx, r.gateway.now())
-	if a != nil && r.table.Ranked() && !r.mayBeRunning() {
+	if a != nil && r.table.Ranked(r.service) && !r.mayBeRunning() {
 		r.gateway.waitLines.placed(r.lineKey(), r.rank())
 	}
 	if refusal == nil || !refusal.MayWait {
--- a/lib/serving/rank.go
+++ b/lib/serving/rank.go
@@ -1,5 +1,7 @@
 package serving
 
+import "maps"
+
 // MaxRank is the highest number of a rank. Ranks order requests by urgency; 0 is the most
 // urgent one.
 const MaxRank = 9
@@ -13,21 +15,34 @@
 	return route.Priority
 }
 
-// ranksDiffer reports whether two requests may have different ranks.
-func (c *Config) ranksDiffer() bool {
-	seen := make(map[int]bool)
+// rankedServices returns the services to which two requests may have different ranks, and
+// whether the ranks of teams alone differ, which holds for all services.
+func (c *Config) rankedServices() (services map[string]bool, byTeams bool) {
+	ofTeams := make(map[int]bool)
 	byRoute := len(c.Teams) == 0
 	for i := range c.Teams {
 		if c.Teams[i].HasPriority {
-			seen[c.Teams[i].Priority] = true
+			ofTeams[c.Teams[i].Priority] = true
 		} else {
 			byRoute = true
 		}
 	}
+	ranks := make(map[string]map[int]bool)
 	for i := range c.Routes {
-		if byRoute || c.Routes[i].Public {
-			seen[c.Routes[i].Priority] = true
+		r := &c.Routes[i]
+		if !byRoute && !r.Public {
+			continue
+		}
+		for _, target := range r.Targets {
+			if ranks[target.Service] == nil {
+				ranks[target.Service] = maps.Clone(ofTeams)
+			}
+			ranks[target.Service][r.Priority] = true
 		}
 	}
-	return len(seen) > 1
+	services = make(map[string]bool)
+	for service, seen := range ranks {
+		services[service] = len(seen) > 1
+	}
+	return services, len(ofTeams) > 1
 }
--- a/lib/serving/rank_test.go
+++ b/lib/serving/rank_test.go
@@ -18,11 +18,19 @@
 	DescribeTable("are in use only if they differ",
 		// Guards against other decisions in deployments whose requests are all equally urgent.
 		func(ranked bool, c serving.Config) {
-			Expect(serving.NewTable(&c).Ranked()).To(Equal(ranked))
+			for i := range c.Routes {
+				if c.Routes[i].Targets == nil {
+					c.Routes[i].Targets = []serving.Target{{Service: "desk"}}
+				}
+			}
+			Expect(serving.NewTable(&c).Ranked("desk")).To(Equal(ranked))
 		},
 		Entry("nothing", false, serving.Config{}),
 		Entry("equal routes", false, serving.Config{Routes: []serving.Route{{Priority: 3}, {Priority: 3}}}),
 		Entry("routes", true, serving.Config{Routes: []serving.Route{{Priority: 3}, {}}}),
+		Entry("routes to different services", false, serving.Config{Routes: []serving.Route{
+			{Priority: 3}, {Targets: []serving.Target{{Service: "drafts"}}},
+		}}),
 		Entry("routes that teams override", false, serving.Config{
 			Routes: []serving.Route{{Priority: 3}, {}}, Teams: []serving.Team{{HasPriority: true, Priority: 1}},
 		}),
--- a/lib/serving/table.go
+++ b/lib/serving/table.go
@@ -14,8 +14,10 @@
 	services     map[string]*Service
 	// minTargets contains the lowest target latency of the routes to each service.
 	minTargets map[string]time.Duration
-	// ranked is set if the ranks of requests differ.
-	ranked bool
+	// rankedServices are the services to which the ranks of requests differ. rankedByTeams is
+	// set if those of teams do.
+	rankedServices map[string]bool
+	rankedByTeams  bool
 }
 
 // NewTable indexes a configuration, which must not be modified afterwards.
@@ -26,8 +28,8 @@
 		teamsByKey:   make(map[string]*Team),
 		services:     make(map[string]*Service, len(c.Services)),
 		minTargets:   make(map[string]time.Duration),
-		ranked:       c.ranksDiffer(),
 	}
+	t.rankedServices, t.rankedByTeams = c.rankedServices()
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		prefixes := t.routesByHost[r.Host]
@@ -62,8 +64,11 @@
 // zero if none is declared.
 func (t *Table) MinTargetLatency(service string) time.Duration { return t.minTargets[service] }
 
-// Ranked reports whether the configuration declares ranks that differ; nil declares none.
-func (t *Table) Ranked() bool { return t != nil && t.ranked }
+// Ranked reports whether the configuration declares ranks that differ between requests to a
+// service; nil declares none.
+func (t *Table) Ranked(service string) bool {
+	return t != nil && (t.rankedByTeams || t.rankedServices[service])
+}
 
 // Config returns the indexed configuration.
 func (t *Table) Config() *Config { return t.config }
