admission: the event of an overload counts requests, and ends with its gate

Cause: not_admitted counted each try of a waiting request, and a gate that was dropped with the last server of its service during an overload left an overload without an end in the log.

Change: a waiting request counts once; Prune ends the overload. Specs of lib/admit and lib/placement.

--- a/lib/admit/gate.go
+++ b/lib/admit/gate.go
@@ -33,10 +33,17 @@
 // Decide decides on one placement of a request.
 func (g *Gate) Decide(now time.Time, o Offer) Verdict {
 	v := g.decide(now, o)
-	v.Overload = g.period.record(v.Decision == Admit, now)
+	if o.Waiting {
+		v.Overload = g.period.recordWaited(v.Decision, now)
+	} else {
+		v.Overload = g.period.record(v.Decision == Admit, now)
+	}
 	return v
 }
 
+// Close ends the current overload, because the Gate is dropped.
+func (g *Gate) Close() Overload { return g.period.end() }
+
 // Refused records that a request which Decide has admitted is refused later.
 func (g *Gate) Refused(now time.Time, o Offer) Overload {
 	o.Rank = clampRank(o.Rank)
--- a/lib/admit/gate_test.go
+++ b/lib/admit/gate_test.go
@@ -218,6 +218,26 @@
 		Expect(v.RetryAfter).To(BeNumerically(">", 0))
 	})
 
+	It("counts each request of an overload once", func() {
+		// Guards against a count of tries, of which a waiting request makes many.
+		o := offer(0, "", limit+1)
+		o.MaxWait = time.Second
+		Expect(decide(o).Overload.Change).To(Equal(admit.OverloadBegan))
+		o.Waiting = true
+		for range 10 {
+			decide(o)
+		}
+		o.MaxWait = 0
+		decide(o)
+		decide(offer(0, "", limit+1))
+		now = now.Add(6 * time.Second)
+		ended := decide(offer(0, "", 0)).Overload
+		Expect(ended.Change).To(Equal(admit.OverloadEnded))
+		Expect(ended.NotAdmitted).To(Equal(2))
+		Expect(ended.Duration).To(Equal(120 * time.Millisecond))
+		Expect(g.Close().Change).To(Equal(admit.OverloadUnchanged))
+	})
+
 	It("takes ranks out of range for the nearest one", func() {
 		// Guards against a datagram of another entry that ends the process.
 		for _, rank := range []int{-1 << 62, -1, 10, 1 << 62} {
--- a/lib/admit/overload.go
+++ b/lib/admit/overload.go
@@ -23,7 +23,7 @@
 	// Change tells whether the decision was the first one of a period or after it.
 	Change OverloadChange
 	// Duration is the time from the first to the last request that was not admitted, and
-	// NotAdmitted their number.
+	// NotAdmitted their number. A request that waited counts once, also if it was admitted later.
 	Duration    time.Duration
 	NotAdmitted int
 }
@@ -34,24 +34,55 @@
 	notAdmitted     int
 }
 
-// record records a decision. It returns the current or last period, and what has changed.
+// record records the first decision on a request. It returns the current or last period, and
+// what has changed.
 func (p *overloadPeriod) record(admitted bool, now time.Time) Overload {
+	if admitted {
+		return p.endIfOver(now)
+	}
+	if p.notAdmitted == 0 {
+		return p.begin(now)
+	}
+	p.lastAt = now
+	p.notAdmitted++
+	return p.overload(OverloadUnchanged)
+}
+
+// recordWaited records a decision on a request that has waited. Only its end counts, as it is
+// offered many times, and it was counted when it began to wait.
+func (p *overloadPeriod) recordWaited(d Decision, now time.Time) Overload {
 	switch {
-	case !admitted:
-		change := OverloadUnchanged
-		if p.notAdmitted == 0 {
-			p.beganAt, change = now, OverloadBegan
-		}
-		p.lastAt = now
-		p.notAdmitted++
-		return p.overload(change)
-	case p.notAdmitted > 0 && now.Sub(p.lastAt) >= overloadEnd:
-		ended := p.overload(OverloadEnded)
-		*p = overloadPeriod{}
-		return ended
-	default:
+	case d == Admit:
+		return p.endIfOver(now)
+	case d == Wait:
+		return Overload{}
+	case p.notAdmitted == 0:
+		return p.begin(now)
+	}
+	p.lastAt = now
+	return p.overload(OverloadUnchanged)
+}
+
+func (p *overloadPeriod) begin(now time.Time) Overload {
+	p.beganAt, p.lastAt, p.notAdmitted = now, now, 1
+	return p.overload(OverloadBegan)
+}
+
+func (p *overloadPeriod) endIfOver(now time.Time) Overload {
+	if now.Sub(p.lastAt) < overloadEnd {
+		return Overload{}
+	}
+	return p.end()
+}
+
+// end ends the current period, if there is one.
+func (p *overloadPeriod) end() Overload {
+	if p.notAdmitted == 0 {
 		return Overload{}
 	}
+	ended := p.overload(OverloadEnded)
+	*p = overloadPeriod{}
+	return ended
 }
 
 func (p *overloadPeriod) overload(change OverloadChange) Overload {
--- a/lib/placement/admission.go
+++ b/lib/placement/admission.go
@@ -18,15 +18,20 @@
 	}
 	offer := p.offer(req, chosen.server, chosen.estimate, now)
 	verdict := p.gate(req.Service).Decide(now, offer)
-	if p.config.OnOverload != nil && verdict.Overload.Change != admit.OverloadUnchanged {
-		p.config.OnOverload(req.Service, verdict.Overload)
-	}
+	p.reportOverload(req.Service, verdict.Overload)
 	if verdict.Decision == admit.Admit {
 		return nil
 	}
 	return &Refusal{Reason: Overloaded, RetryAfter: verdict.RetryAfter, Predicted: offer.Predicted, MayWait: verdict.Decision == admit.Wait}
 }
 
+// reportOverload reports the begin or the end of an overload.
+func (p *Picker) reportOverload(service string, o admit.Overload) {
+	if p.config.OnOverload != nil && o.Change != admit.OverloadUnchanged {
+		p.config.OnOverload(service, o)
+	}
+}
+
 // gate returns the gate of a service. Its random source is its own: drawing from that of the
 // Picker would change the choice of servers.
 func (p *Picker) gate(service string) *admit.Gate {
--- a/lib/placement/picker_reports.go
+++ b/lib/placement/picker_reports.go
@@ -114,8 +114,9 @@
 			delete(p.paced, s)
 		}
 	}
-	for service := range p.gates {
+	for service, g := range p.gates {
 		if len(p.directory.ByService(service)) == 0 {
+			p.reportOverload(service, g.Close())
 			delete(p.gates, service)
 		}
 	}
--- a/lib/placement/picker_test.go
+++ b/lib/placement/picker_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/auburnbend/auburnbend/lib/admit"
 	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/placement"
 	"github.com/auburnbend/auburnbend/lib/serving"
@@ -437,4 +438,22 @@
 		Expect(stats[0].Rank).To(Equal(2))
 		Expect(stats[0].Waited).To(BeEquivalentTo(1))
 	})
+
+	It("ends the overload of a service whose servers are gone", func() {
+		// Guards against a log in which an overload begins and never ends.
+		var changes []admit.OverloadChange
+		p = placement.New(placement.Config{Domain: "north", OnOverload: func(_ string, o admit.Overload) {
+			changes = append(changes, o.Change)
+		}}, dir, rand.New(rand.NewPCG(1, 1)))
+		add("s", "north", nil)
+		req := request()
+		req.Ranked = true
+		Eventually(func() []admit.OverloadChange {
+			p.Pick(req, now)
+			return changes
+		}).Should(Equal([]admit.OverloadChange{admit.OverloadBegan}))
+		dir.Remove("s", false, now)
+		p.Prune()
+		Expect(changes).To(Equal([]admit.OverloadChange{admit.OverloadBegan, admit.OverloadEnded}))
+	})
 })
