--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -32,24 +32,24 @@
 	if refusal == nil || !refusal.MayWait {
 		return a, refusal
 	}
-	longest := r.longestWait(r.gateway.now())
-	if !r.gateway.waitLines.accepts(r.lineKey(), r.rank(), longest, refusal.Reason == placement.NoWeights) {
-		return nil, refusal
-	}
 	room, ok := r.gateway.requestBudget.TryAcquire(r.summary.Team, waitingBytes)
 	if !ok {
 		return nil, refusal
 	}
 	defer room.Release()
-	return r.wait(longest)
+	longest := r.longestWait(r.gateway.now())
+	w := r.gateway.waitLines.join(r.lineKey(), r.rank(), r.summary.Team, longest, refusal.Reason == placement.NoWeights)
+	if w == nil {
+		return nil, refusal
+	}
+	return r.wait(w, longest)
 }
 
-// wait waits until the request is placed, or until it may wait no longer.
-func (r *request) wait(longest time.Duration) (*attempt, *placement.Refusal) {
+// wait waits until the request is placed, or until it may wait no longer. It ends the wait of w.
+func (r *request) wait(w *waitingRequest, longest time.Duration) (*attempt, *placement.Refusal) {
 	g := r.gateway
 	r.waitingSince = g.now()
 	r.waitEnds = r.waitingSince.Add(longest)
-	w := g.waitLines.join(r.lineKey(), r.rank(), r.summary.Team)
 	placed := false
 	defer func() {
 		w.leave(placed)
--- a/gateway/wait_lines.go
+++ b/gateway/wait_lines.go
@@ -53,6 +53,11 @@
 func (l *waitLines) accepts(key lineKey, rank int, longest time.Duration, transient bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.hasRoom(key, rank, longest, transient)
+}
+
+// hasRoom implements accepts. The caller holds mu.
+func (l *waitLines) hasRoom(key lineKey, rank int, longest time.Duration, transient bool) bool {
 	if l.length >= maxWaiting {
 		return false
 	}
@@ -64,10 +69,14 @@
 	return line.order.Unserved(rank, now) < maxUnserved && (transient || line.order.ExpectedWait(rank, now) <= longest)
 }
 
-// join adds a request to a line. The caller must call leave.
-func (l *waitLines) join(key lineKey, rank int, team string) *waitingRequest {
+// join adds a request to a line, or returns nil if accepts would return false. The caller must
+// call leave.
+func (l *waitLines) join(key lineKey, rank int, team string, longest time.Duration, transient bool) *waitingRequest {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.hasRoom(key, rank, longest, transient) {
+		return nil
+	}
 	line := l.lines[key]
 	if line == nil {
 		l.dropEmpty()
--- a/gateway/wait_test.go
+++ b/gateway/wait_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http/httptest"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -147,6 +149,22 @@
 		Expect(end.refusal).To(BeNil())
 	})
 
+	It("are never more than the queue holds", func() {
+		// Guards against a bound that requests which join at the same moment exceed.
+		var joined atomic.Int64
+		var wg sync.WaitGroup
+		for range 4 * maxWaiting {
+			wg.Go(func() {
+				if g.waitLines.join(lineKey{"drafts", "m"}, 0, "", time.Second, true) != nil {
+					joined.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		Expect(joined.Load()).To(BeEquivalentTo(maxWaiting))
+		Expect(g.waitLines.count()).To(Equal(maxWaiting))
+	})
+
 	It("do not wait where ranks are equal, memory is used up or the queue is full", func() {
 		// Guards against other decisions in deployments without ranks, and against a queue
 		// without a bound.
@@ -156,7 +174,7 @@
 		Expect(refusal.Reason).To(Equal(placement.Overloaded))
 		room.Release()
 		for range maxWaiting {
-			DeferCleanup(g.waitLines.join(lineKey{"other", ""}, 0, "").leave, false)
+			DeferCleanup(g.waitLines.join(lineKey{"other", ""}, 0, "", time.Second, true).leave, false)
 		}
 		_, refusal = newRequest("urgent").placeOrWait()
 		Expect(refusal.MayWait).To(BeFalse())
