entry/dispatch: one estimate of the wait for each request

Cause: each request was estimated twice on arrival, and each expired one a second time, only to tell the gate its rank; the estimate is a pass over all tenants under the mutex of all queues.

Change: Refused takes the rank and the team, and the estimate for the gate goes on to the queue. Decisions are unchanged; the existing specs pass.

--- a/entry/dispatch/admission.go
+++ b/entry/dispatch/admission.go
@@ -209,7 +209,7 @@
 	now := a.clock.Now()
 	for _, refusal := range q.Expire(now) {
 		if w := a.waiters[refusal.Request.ID]; w != nil {
-			a.recordRefused(w, refusal.Request, now)
+			a.recordRefused(pool, refusal.Request, now)
 			a.reserver.WithdrawSuspect(w.requirements.Fingerprint)
 			a.resolve(w, admissionResult{reason: refusal.Reason, retryAfter: refusal.RetryAfter})
 		}
--- a/entry/dispatch/gate.go
+++ b/entry/dispatch/gate.go
@@ -37,23 +37,24 @@
 	if !a.ranked(r) {
 		return q.Enqueue(now, r)
 	}
-	v := a.gate(w.pool).Decide(now, a.offer(w, r, now))
+	wait := q.ExpectedWait(now, r.Tenant)
+	v := a.gate(w.pool).Decide(now, admit.Offer{Rank: a.rank(r), Predicted: wait, Limit: r.StartBy.Sub(now), Remaining: w.deadline.Sub(now)})
 	a.logOverload(w.pool, v.Overload)
 	if v.Decision != admit.Admit {
 		q.CountRefused(now, r)
 		return admit.Refusal{Request: r, Reason: outcome.ReasonOverloaded, RetryAfter: v.RetryAfter}, false
 	}
-	refusal, ok := q.Enqueue(now, r)
+	refusal, ok := q.EnqueueExpecting(now, r, wait)
 	if !ok {
-		a.recordRefused(w, r, now)
+		a.recordRefused(w.pool, r, now)
 	}
 	return refusal, ok
 }
 
 // recordRefused tells the gate that the queue has refused a request. The caller must hold a.mu.
-func (a *admission) recordRefused(w *waiter, r admit.Request, now time.Time) {
+func (a *admission) recordRefused(pool string, r admit.Request, now time.Time) {
 	if a.ranked(r) {
-		a.logOverload(w.pool, a.gate(w.pool).Refused(now, a.offer(w, r, now)))
+		a.logOverload(pool, a.gate(pool).Refused(now, a.rank(r), ""))
 	}
 }
 
@@ -61,13 +62,12 @@
 // start are not refused for the expected wait.
 func (a *admission) ranked(r admit.Request) bool { return len(a.ranks) > 1 && !r.StartBy.IsZero() }
 
-func (a *admission) offer(w *waiter, r admit.Request, now time.Time) admit.Offer {
-	rank, ok := a.ranks[r.Priority]
-	if !ok {
-		// The class was removed from the configuration while its request was on its way.
-		rank = admit.MaxRank
+func (a *admission) rank(r admit.Request) int {
+	if rank, ok := a.ranks[r.Priority]; ok {
+		return rank
 	}
-	return admit.Offer{Rank: rank, Predicted: a.queue(w.pool).ExpectedWait(now, r.Tenant), Limit: r.StartBy.Sub(now), Remaining: w.deadline.Sub(now)}
+	// The class was removed from the configuration while its request was on its way.
+	return admit.MaxRank
 }
 
 func (a *admission) gate(pool string) *admit.Gate {
--- a/lib/admit/gate.go
+++ b/lib/admit/gate.go
@@ -44,12 +44,12 @@
 // Close ends the current overload, because the Gate is dropped.
 func (g *Gate) Close() Overload { return g.period.end() }
 
-// Refused records that a request which Decide has admitted is refused later.
-func (g *Gate) Refused(now time.Time, o Offer) Overload {
-	o.Rank = clampRank(o.Rank)
+// Refused records that a request of a rank and team which Decide has admitted is refused later.
+func (g *Gate) Refused(now time.Time, rank int, team string) Overload {
+	o := Offer{Rank: clampRank(rank), Team: team}
 	r := &g.ranks[o.Rank]
 	g.withdrawAdmitted(r, &o, now)
-	g.reduceOthers(r, &o, r.teams.aboveFairShare(o.Team, now), now)
+	g.reduceOthers(r, &o, r.teams.aboveFairShare(team, now), now)
 	g.totals.returning.add(now)
 	r.stats.Refused++
 	return g.period.record(false, now)
--- a/lib/admit/gate_test.go
+++ b/lib/admit/gate_test.go
@@ -86,9 +86,8 @@
 		for range 300 {
 			decide(offer(0, "", 0))
 			decide(offer(0, "", limit+1))
-			o := offer(2, "t", 0)
-			if decide(o).Decision == admit.Admit {
-				g.Refused(now, o)
+			if decide(offer(2, "t", 0)).Decision == admit.Admit {
+				g.Refused(now, 2, "t")
 			}
 		}
 		Expect(decide(offer(2, "t", limit)).Decision).To(Equal(admit.Admit))
--- a/lib/admit/queue.go
+++ b/lib/admit/queue.go
@@ -112,13 +112,18 @@
 // queue limit is reached, the request would start too late, or its ID is
 // already queued.
 func (q *Queue) Enqueue(now time.Time, r Request) (Refusal, bool) {
+	return q.EnqueueExpecting(now, r, q.ExpectedWait(now, r.Tenant))
+}
+
+// EnqueueExpecting is Enqueue with the result of ExpectedWait for the tenant at the same time,
+// which takes time in proportion to the number of tenants.
+func (q *Queue) EnqueueExpecting(now time.Time, r Request, wait time.Duration) (Refusal, bool) {
 	r.Tokens = max(1, r.Tokens)
 	if _, ok := q.byID[r.ID]; ok {
 		return Refusal{Request: r, Reason: outcome.ReasonDuplicate}, false
 	}
 	t := q.tenant(r.Tenant)
 	q.advance(now, t)
-	wait := q.expectedWait(t)
 	if len(q.byID) >= q.cfg.MaxQueued || t.queued >= t.maxQueued {
 		t.demand.addRefused(now, r.Tokens)
 		return Refusal{Request: r, Reason: outcome.ReasonQueueFull, RetryAfter: q.retryAfter(wait)}, false
