gateway: specs of waiting requests without bounds on real time

The spec on the end of a wait required 500 +- 200 ms of real time; it now checks the length of the wait by itself and only that the wait ends. The spec on the order failed if a goroutine started late, because the less urgent request could have a turn from before the other one joined, and did not check that it still waits when the urgent one is placed; it does now.

--- a/gateway/wait_test.go
+++ b/gateway/wait_test.go
@@ -68,6 +68,7 @@
 		attempt *attempt
 		refusal *placement.Refusal
 	}
+	const hang = 10 * time.Second
 	wait := func(r *request) <-chan result {
 		done := make(chan result, 1)
 		before := g.waitLines.count()
@@ -75,7 +76,7 @@
 			a, refusal := r.placeOrWait()
 			done <- result{r, a, refusal}
 		}()
-		Eventually(g.waitLines.count).Should(Equal(before + 1))
+		Eventually(g.waitLines.count, hang).Should(Equal(before + 1))
 		return done
 	}
 
@@ -83,19 +84,26 @@
 		// Guards against callers that are refused although a place becomes free a moment later.
 		attempts, filler := fill()
 		least, urgent := wait(newRequest("least")), wait(newRequest("urgent"))
+		// The less urgent one may have a turn from before the other joined.
+		Eventually(func() bool {
+			g.waitLines.mu.Lock()
+			defer g.waitLines.mu.Unlock()
+			return g.waitLines.lines[lineKey{"drafts", "m"}].holder == nil
+		}, hang, time.Millisecond).Should(BeTrue())
 		Consistently(least, 50*time.Millisecond).ShouldNot(Receive())
 		// One free place; the engine then has as many requests as the limit allows.
 		for _, a := range attempts[:2*slots+1] {
 			filler.endAttempt(a, placement.Answered)
 		}
 		var first result
-		Eventually(urgent, 2*time.Second).Should(Receive(&first))
+		Eventually(urgent, hang).Should(Receive(&first))
 		Expect(first.refusal).To(BeNil())
 		Expect(first.request.summary.Waited).To(BeNumerically(">", 0))
+		Consistently(least, 100*time.Millisecond).ShouldNot(Receive())
 		for _, a := range attempts[2*slots+1:] {
 			filler.endAttempt(a, placement.Answered)
 		}
-		Eventually(least, 2*time.Second).Should(Receive(&first))
+		Eventually(least, hang).Should(Receive(&first))
 		Expect(first.refusal).To(BeNil())
 		Expect(g.waitLines.count()).To(BeZero())
 		Expect(g.requestBudget.Held()).To(BeZero())
@@ -105,13 +113,21 @@
 		// Guards against streams that wait longer than their callers do.
 		fill()
 		r := newRequest("urgent")
+		// Callers abandon a stream after 2 s, less the target and the reserve.
+		r.arrived = time.Unix(1000, 0)
+		r.deadline = r.arrived.Add(6 * time.Second)
+		Expect(r.longestWait(r.arrived.Add(900 * time.Millisecond))).To(Equal(500 * time.Millisecond))
+		Expect(r.longestWait(r.arrived.Add(2 * time.Second))).To(BeZero())
+		r.deadline = r.arrived.Add(1200 * time.Millisecond)
+		Expect(r.longestWait(r.arrived.Add(900 * time.Millisecond))).To(Equal(100 * time.Millisecond))
+		r = newRequest("urgent")
 		r.arrived = r.arrived.Add(-900 * time.Millisecond)
 		var end result
-		Eventually(wait(r), 2*time.Second).Should(Receive(&end))
+		Eventually(wait(r), hang).Should(Receive(&end))
 		Expect(end.refusal.Reason).To(Equal(placement.Overloaded))
 		Expect(end.refusal.RetryAfter).To(BeNumerically(">", 0))
 		Expect(end.refusal.RetryAfter).To(BeNumerically("<=", 2*time.Second))
-		Expect(r.summary.Waited).To(BeNumerically("~", 500*time.Millisecond, 200*time.Millisecond))
+		Expect(r.summary.Waited).To(BeNumerically(">", 0))
 	})
 
 	It("leave at once when their callers do", func() {
@@ -123,7 +139,7 @@
 		done := wait(r)
 		cancel()
 		var end result
-		Eventually(done).Should(Receive(&end))
+		Eventually(done, hang).Should(Receive(&end))
 		Expect(end.attempt).To(BeNil())
 		Expect(end.refusal).To(BeNil())
 		Expect(g.waitLines.count()).To(BeZero())
@@ -145,7 +161,7 @@
 		g.UpdateServers(func(d *directory.Directory, _ time.Time) { d.Put(listing(2)) })
 		g.RecordVerified(directory.Key{ID: "s"}, placement.VerifiedWeights{Model: "m", Version: 2})
 		var end result
-		Eventually(loading, time.Second).Should(Receive(&end))
+		Eventually(loading, hang).Should(Receive(&end))
 		Expect(end.refusal).To(BeNil())
 	})
 
