lib/relay: a region that returns from a cut is read by few instances again

Cause: short calls of stand-ins, and time limits that were too short while a stand-in received, made all instances read the table when their region reached the store again. Change: the limit for a stand-in applies only where the others were not behind as well, and instances whose own call failed ask the others for 0.7 of the bound.

--- a/lib/relay/config.go
+++ b/lib/relay/config.go
@@ -49,7 +49,7 @@
 	// asked again to stand in, and maxRetryFraction the part for which the others are asked
 	// after the own call to the store has failed.
 	refuseFraction   = 1.0
-	maxRetryFraction = 0.4
+	maxRetryFraction = 0.7
 	// heldTimeoutFraction is the part without any message after which a query that is held
 	// ends. It is short, as all instances of a failure domain may fall silent together.
 	heldTimeoutFraction = 0.25
--- a/lib/relay/region_test.go
+++ b/lib/relay/region_test.go
@@ -366,4 +366,6 @@
 }
 
 // lacks returns one if an instance does not have a version in force, or a later one.
-func (r *region) lacks(i int, version string) int { return r.behind(i, version) - r.behind(i+1, version) }
+func (r *region) lacks(i int, version string) int {
+	return r.behind(i, version) - r.behind(i+1, version)
+}
--- a/lib/relay/stand_in.go
+++ b/lib/relay/stand_in.go
@@ -94,10 +94,12 @@
 
 // limitStandIn returns the context of a call to the store that waits for changes, and a function
 // to be called when it has ended. While this instance stands in although it could follow others,
-// the call ends if no answer arrives in time, so that it does not fall behind those.
+// the call ends if no answer arrives in time, so that it does not fall behind those. After a
+// failed call that followed no other instance the usual time limit applies: those are behind
+// as well, and many short calls would find the store later.
 func (s *Source) limitStandIn(ctx context.Context, wait time.Duration) (callCtx context.Context, stop func()) {
 	s.stoodIn = s.cache.standsIn(time.Now()) && len(s.followable()) > 0
-	if !s.stoodIn {
+	if !s.stoodIn || s.storeFailed {
 		return ctx, func() {}
 	}
 	callCtx, cancel := context.WithCancelCause(ctx)
@@ -130,5 +132,5 @@
 	s.stoodIn = false
 	s.cache.endStandIn(time.Now())
 	s.deadline.failed()
-	return len(s.followable()) > 0
+	return !s.storeFailed && len(s.followable()) > 0
 }
