--- a/lib/placement/picker_test.go
+++ b/lib/placement/picker_test.go
@@ -453,7 +453,7 @@
 			return changes
 		}).Should(Equal([]admit.OverloadChange{admit.OverloadBegan}))
 		dir.Remove("s", false, now)
-		p.Prune()
+		p.Prune(now)
 		Expect(changes).To(Equal([]admit.OverloadChange{admit.OverloadBegan, admit.OverloadEnded}))
 	})
 })
--- a/lib/placement/spare.go
+++ b/lib/placement/spare.go
@@ -43,12 +43,12 @@
 }
 
 // isImprovement reports whether a server can take a request that was refused for the
-// prediction on another one. It must have a free place: the entries of other regions may choose
-// it at the same time, and a short queue grows beyond the limit then. A server that is less than
-// half full may be beyond the limit, but only if it is better than the other one: it may be very
-// slow.
+// prediction on another one. It must be less than half full: the entries of other regions may
+// choose it at the same time, and what is known of it is older than a queue takes to grow. With a
+// single free place, callers of all regions were answered late. Such a server may be beyond the
+// limit, but only if it is better than the other one: it may be very slow.
 func (p *Picker) isImprovement(req *Request, c *candidate, refusal *Refusal, now time.Time) bool {
-	if c.occupancy(now) >= c.slots() || p.checkLatency(req, c.server, c.estimate, now) != nil {
+	if !c.isHalfEmpty(now) || p.checkLatency(req, c.server, c.estimate, now) != nil {
 		return false
 	}
 	if refusal.Predicted == 0 {
