caller: the body of a request that was sent ahead is not counted as its head

Cause: if the head of the next request was read ahead, the first read after the last handler is one of its body. It was counted as a long head and refused with 503.

Change: the beginning of the handler ends the wait for the next head.

--- a/entry/caller/conn.go
+++ b/entry/caller/conn.go
@@ -86,6 +86,8 @@
 
 // beginHandler records that the head of a request has been parsed.
 func (c *conn) beginHandler() {
+	// The head may have been read ahead, before the last handler ended.
+	c.answered.Store(false)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head.End()
