--- a/entry/fleet/pacer.go
+++ b/entry/fleet/pacer.go
@@ -174,14 +174,18 @@
 	}
 }
 
-// refresh ends the limits that have ended by time, and reports whether there are others.
-func (p *pacer) refresh(now time.Time) bool {
+// refresh ends the limits that have ended by time, and reports whether others apply.
+func (p *pacer) refresh(now time.Time) (limited bool) {
 	for key, s := range p.servers {
-		if s.controller != nil && s.controller.Ended(now) {
+		switch {
+		case s.controller == nil:
+		case s.controller.Ended(now):
 			p.lift(key, now)
+		default:
+			limited = true
 		}
 	}
-	return len(p.servers) > 0
+	return limited
 }
 
 // limited returns the number of servers whose concurrency is limited.
