--- a/entry/fleet/pacer.go
+++ b/entry/fleet/pacer.go
@@ -190,16 +190,20 @@
 	}
 }
 
-// refresh ends the limits that have ended by time, and reports whether there are others. It
-// drops the history of pools that nobody uses any more.
-func (p *pacer) refresh(now time.Time) bool {
+// refresh ends the limits that have ended by time, and reports whether others apply. It drops
+// the history of pools that nobody uses any more.
+func (p *pacer) refresh(now time.Time) (limited bool) {
 	maps.DeleteFunc(p.pools, func(_ string, h *poolHistory) bool { return h.activity.Expired(now) })
 	for key, s := range p.servers {
-		if s.controller != nil && s.controller.Ended(now) {
+		switch {
+		case s.controller == nil:
+		case s.controller.Ended(now):
 			p.lift(key, now)
+		default:
+			limited = true
 		}
 	}
-	return len(p.servers) > 0
+	return limited
 }
 
 // limited returns the number of servers whose concurrency is limited.
--- a/internal/node/command.go
+++ b/internal/node/command.go
@@ -37,7 +37,7 @@
 	// WaitUnderOverload makes an entry keep requests that it would refuse as overloaded, until
 	// they are placed or have waited for a part of their time.
 	WaitUnderOverload bool
-	Log         *eventlog.Logger
+	Log               *eventlog.Logger
 	// WatchSettings calls apply after each change of the settings until ctx ends.
 	// Changed addresses take effect only at the next start. nil disables it.
 	WatchSettings func(ctx context.Context, apply func(*platform.Settings))
