--- a/gateway/wait_test.go
+++ b/gateway/wait_test.go
@@ -29,7 +29,7 @@
 		return &directory.Server{ID: "s", Service: "drafts", Address: "127.0.0.1:1", Domain: "north", Slots: slots, Weights: map[string]directory.Weights{"m": {Version: version, Complete: true}}}
 	}
 	BeforeEach(func() {
-		g = New(Config{Clock: clock.System{}, Log: eventlog.Discard(), Placement: placement.Config{Domain: "north", WaitUnderOverload: true}})
+		g = New(Config{Clock: clock.System{}, Log: eventlog.Discard(), Placement: placement.Config{Domain: "north", WaitForPlacement: true}})
 		config = &serving.Config{
 			Version: 1, Services: []serving.Service{{Name: "drafts", Engine: engine}}, Teams: teams,
 			Routes: []serving.Route{{Host: "h", Prefix: "/", Kind: serving.Streaming, TargetLatency: 400 * time.Millisecond, Targets: []serving.Target{{Service: "drafts", Weight: 1}}}},
--- a/internal/node/command.go
+++ b/internal/node/command.go
@@ -34,9 +34,9 @@
 	Settings *platform.Settings
 	// MetricsPort is the port that serves metrics; zero disables them.
 	MetricsPort int
-	// WaitUnderOverload makes an entry keep requests that it would refuse as overloaded, until
-	// they are placed or have waited for a part of their time.
-	WaitUnderOverload bool
+	// WaitForPlacement makes an entry keep requests that no server can take now until they are
+	// placed or have waited for a part of their time.
+	WaitForPlacement bool
 	Log               *eventlog.Logger
 	// WatchSettings calls apply after each change of the settings until ctx ends.
 	// Changed addresses take effect only at the next start. nil disables it.
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -46,7 +46,7 @@
 
 // GatewayFlags adds the flags of an entry.
 func GatewayFlags(flags *pflag.FlagSet, env *Environment) {
-	flags.BoolVar(&env.WaitUnderOverload, "wait-under-overload", false, "keep requests that would be refused as overloaded until a server has room for them, for a part of their time; they are mostly answered late")
+	flags.BoolVar(&env.WaitForPlacement, "wait-for-placement", false, "keep requests that no server can take now, for overload or missing weights, for a part of their time; they are mostly answered late")
 }
 
 // RunGateway serves callers until ctx ends. It then finishes the requests in progress
@@ -68,7 +68,7 @@
 		Entries: assumedEntries, Seed: rand.Uint64(), MaxRolloutTime: s.Bounds.VersionTime, StartGrace: max(0, s.Bounds.StallTime-applyReserve),
 		MaxBufferedBytes: s.MemoryLimit / bufferMemoryDivisor,
 		MaxBodyBytes:     s.MemoryLimit / bodyMemoryDivisor,
-		Placement:        placement.Config{Domain: s.Domain, Regions: s.Regions, WaitUnderOverload: env.WaitUnderOverload},
+		Placement:        placement.Config{Domain: s.Domain, Regions: s.Regions, WaitForPlacement: env.WaitForPlacement},
 	})
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	// The goroutines in running have closed their ports when they return.
--- a/lib/placement/config.go
+++ b/lib/placement/config.go
@@ -32,10 +32,10 @@
 	// just started or recovered, and after the given duration when it no longer is; nil is
 	// not called.
 	OnPace func(server *directory.Server, cause pace.Cause, limited bool, duration time.Duration)
-	// WaitUnderOverload lets ranked requests wait in their entry if the service is overloaded.
-	// They are mostly answered late then, in places of others that would be in time. Requests
-	// wait for servers that have no weights yet in any case.
-	WaitUnderOverload bool
+	// WaitForPlacement lets ranked requests wait in their entry if the service is overloaded or
+	// its engines have no weights for them yet. They are mostly answered late then, in places of
+	// others that would be in time.
+	WaitForPlacement bool
 	// OnOverload is called when the gate of a service begins and ends to refuse requests; nil
 	// is not called.
 	OnOverload func(service string, o admit.Overload)
--- a/lib/placement/latency.go
+++ b/lib/placement/latency.go
@@ -65,7 +65,7 @@
 	o := admit.Offer{
 		Rank: req.Rank, Team: req.Team, Limit: p.latencyLimit(req), Waiting: req.Waited > 0, MaxWait: req.MaxWait, Remaining: req.Remaining,
 	}
-	if !p.config.WaitUnderOverload && req.Waited == 0 {
+	if !p.config.WaitForPlacement {
 		o.MaxWait = 0
 	}
 	if predicted := s.usualFirstResponse(req, e, 1); !s.hasRoom(req, predicted, now) {
--- a/lib/placement/picker_test.go
+++ b/lib/placement/picker_test.go
@@ -425,6 +425,7 @@
 
 	It("tells the gate of requests that wait for weights, once", func() {
 		// Guards against requests that are counted when they are admitted, but not when they came.
+		p = placement.New(placement.Config{Domain: "north", WaitForPlacement: true}, dir, rand.New(rand.NewPCG(1, 1)))
 		add("s", "north", func(s *directory.Server) { s.Weights = nil })
 		withModel, req := *engine, request()
 		withModel.Models = []string{"m"}
--- a/lib/placement/refusal.go
+++ b/lib/placement/refusal.go
@@ -64,7 +64,7 @@
 		gate := p.gate(req.Service)
 		refusal.RetryAfter = gate.RetryAfterUnavailable(req.Remaining)
 		// A model that is not declared gets no weights.
-		refusal.MayWait = req.MaxWait > 0 && req.Engine != nil && slices.Contains(req.Engine.Models, req.Model)
+		refusal.MayWait = p.config.WaitForPlacement && req.MaxWait > 0 && req.Engine != nil && slices.Contains(req.Engine.Models, req.Model)
 		if refusal.MayWait && req.Waited == 0 {
 			gate.RecordUnavailable(now, req.Rank)
 		}
