--- a/internal/node/command.go
+++ b/internal/node/command.go
@@ -37,7 +37,7 @@
 	// WaitForPlacement makes an entry keep requests that no server can take now until they are
 	// placed or have waited for a part of their time.
 	WaitForPlacement bool
-	Log               *eventlog.Logger
+	Log              *eventlog.Logger
 	// WatchSettings calls apply after each change of the settings until ctx ends.
 	// Changed addresses take effect only at the next start. nil disables it.
 	WatchSettings func(ctx context.Context, apply func(*platform.Settings))
