--- a/lib/admit/gate.go
+++ b/lib/admit/gate.go
@@ -200,10 +200,10 @@
 
 // RetryAfterUnavailable returns the time after which the caller of a request with the given
 // remaining time may return that is refused because no server is available for a while: near
-// the longest time that it accepts, and spread over a quarter of it.
+// the longest time that it accepts, and spread over a small part of it.
 func (g *Gate) RetryAfterUnavailable(remaining time.Duration) time.Duration {
 	longest := longestRetryAfter(remaining)
-	return longest - time.Duration(g.rng.Float64()*float64(longest)/4)
+	return longest - time.Duration(g.rng.Float64()*float64(longest)*unavailableSpread)
 }
 
 func longestRetryAfter(remaining time.Duration) time.Duration {
--- a/lib/admit/gate_config.go
+++ b/lib/admit/gate_config.go
@@ -47,7 +47,11 @@
 	// retryAfterShare limits the retry delay to a part of the time that the request has left.
 	// Callers do not wait longer than a third of it, and have less of it left when the refusal
 	// arrives.
-	retryAfterShare = 0.3
+	retryAfterShare = 0.33
+	// unavailableSpread is the part of the longest retry delay over which callers are spread that
+	// no server can take for a while. They came one after another and return so; with a quarter,
+	// they returned half a second before engines had weights and were refused again.
+	unavailableSpread = 0.05
 	// returnShare is the share of the admitted requests that refused callers may add when
 	// they return. It determines the interval over which they are spread.
 	returnShare = 0.25
