--- a/review/bed2/bed.go
+++ b/review/bed2/bed.go
@@ -149,15 +149,24 @@
 	return err
 }
 
-// putConfig writes the operator's configuration.
+// putConfig writes the operator's configuration with one tenant.
 func (b *bed) putConfig(version int, routes []map[string]any, services ...string) {
+	b.putTenants(version, []map[string]any{tenant("depot", apiKey)}, routes, services...)
+}
+
+func tenant(name string, keys ...string) map[string]any {
+	return map[string]any{"name": name, "api_keys": keys, "priority": 1}
+}
+
+// putTenants writes the operator's configuration.
+func (b *bed) putTenants(version int, tenants, routes []map[string]any, services ...string) {
 	list := make([]map[string]any, 0, len(services))
 	for _, name := range services {
 		list = append(list, map[string]any{"name": name, "health_path": "/healthz", "max_connections": 49, "protocol": "h1", "tls": false})
 	}
 	b.store.Put("op", "config", map[string]any{
 		"version": version, "routes": routes, "services": list,
-		"tenants": []map[string]any{{"name": "depot", "api_keys": []string{apiKey}, "priority": 1}},
+		"tenants": tenants,
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": maxBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 }
@@ -186,8 +195,12 @@
 
 // requestText returns the bytes of a request of HTTP/1.1.
 func requestText(method, path, id string, timeoutMS int, body []byte) []byte {
+	return requestTextWithKey(apiKey, method, path, id, timeoutMS, body)
+}
+
+func requestTextWithKey(key, method, path, id string, timeoutMS int, body []byte) []byte {
 	var t bytes.Buffer
-	fmt.Fprintf(&t, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token %s\r\n", method, path, hostName, id, timeoutMS, apiKey)
+	fmt.Fprintf(&t, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token %s\r\n", method, path, hostName, id, timeoutMS, key)
 	if method != http.MethodGet {
 		fmt.Fprintf(&t, "Content-Length: %d\r\n", len(body))
 	}
@@ -205,7 +218,7 @@
 		fmt.Fprintln(os.Stderr, "usage: bed2 CASE RECORD")
 		os.Exit(2)
 	}
-	play, known := map[string]func(*bed, bool) (bool, error){"body": playBody, "answer": playAnswer}[os.Args[1]]
+	play, known := map[string]func(*bed, bool) (bool, error){"body": playBody, "answer": playAnswer, "tenants": playTenants, "rank": playRank}[os.Args[1]]
 	if !known {
 		fmt.Fprintln(os.Stderr, "bed2: no case", os.Args[1])
 		os.Exit(2)
