review: show uploads that are cut after the runner's early answer

Cause: the connection of an attempt is closed once its answer is read, while a long body is still being written.

--- a/review/bed2/bed.go
+++ b/review/bed2/bed.go
@@ -218,7 +218,7 @@
 		fmt.Fprintln(os.Stderr, "usage: bed2 CASE RECORD")
 		os.Exit(2)
 	}
-	play, known := map[string]func(*bed, bool) (bool, error){"body": playBody, "answer": playAnswer, "tenants": playTenants, "rank": playRank}[os.Args[1]]
+	play, known := map[string]func(*bed, bool) (bool, error){"body": playBody, "answer": playAnswer, "tenants": playTenants, "rank": playRank, "upload": playUpload}[os.Args[1]]
 	if !known {
 		fmt.Fprintln(os.Stderr, "bed2: no case", os.Args[1])
 		os.Exit(2)
