--- a/review/bed2/answer.go
+++ b/review/bed2/answer.go
@@ -55,15 +55,15 @@
 	if err != nil {
 		return
 	}
-	attempt := req.Header.Get("X-Attempt-Id")
-	if expected := req.Header.Get("X-Expected-Instance"); expected != id {
-		fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", attempt, id)
+	attempt := req.Header.Get(wire.Attempt)
+	if expected := req.Header.Get(wire.Expected); expected != id {
+		fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", wire.Attempt, attempt, wire.Instance, id)
 		return
 	}
 	if _, err := io.CopyN(io.Discard, req.Body, answerReadBytes); err != nil {
 		return
 	}
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Signature: sig.%s.%s\r\nConnection: close\r\nContent-Type: text/plain\r\n\r\n", attempt, id, attempt)
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: sig.%s.%s\r\nConnection: close\r\nContent-Type: text/plain\r\n\r\n", wire.Attempt, attempt, wire.Signature, id, attempt)
 	for line := range answerLines {
 		time.Sleep(answerTime / answerLines)
 		if _, err := io.WriteString(conn, answerLine(attempt, line)); err != nil {
@@ -78,7 +78,7 @@
 // its process while it answers.
 func playAnswer(b *bed, trouble bool) (held bool, err error) {
 	b.putConfig(1, []map[string]any{
-		{"name": "check", "hostname": hostName, "prefix": "/check/", "route_type": "non_idempotent", "service": "checks", "timeout_ms": 6000, "target_latency_ms": 500, "max_attempts": 2, "priority": 1},
+		{"name": "check", "hostname": hostName, "prefix": "/check/", wire.Kind: "non_idempotent", "service": "checks", "timeout_ms": 6000, "target_latency_ms": 500, "max_attempts": 2, "priority": 1},
 	}, "checks")
 	cmd := exec.Command(os.Args[0], "runner", "check-1", "127.62.1.1")
 	out, err := cmd.StdoutPipe()
@@ -98,7 +98,7 @@
 	}
 	b.store.Put("servers", "check-1", map[string]any{
 		"service": "checks", "address": strings.TrimSpace(address), "zone": "leinster-a", "version": "v1", "capacity": 24, "state": "ready",
-		"born": time.Now().UnixMilli(), "sequence": 1, "cold_remaining_ms": 0,
+		"born": time.Now().UnixMilli(), "sequence": 1, wire.Cold: 0,
 	})
 	g, err := b.startGateway("edge-1", "127.62.2.1")
 	if err != nil {
@@ -146,6 +146,6 @@
 	}
 	body, err := io.ReadAll(resp.Body)
 	lines := strings.Count(string(body), "\n")
-	b.note("requester %s gets %d, signature %q, length %d, %d of %d lines, %v", id, resp.StatusCode, resp.Header.Get("X-Server-Signature"), resp.ContentLength, lines, answerLines, err)
+	b.note("requester %s gets %d, signature %q, length %d, %d of %d lines, %v", id, resp.StatusCode, resp.Header.Get(wire.Signature), resp.ContentLength, lines, answerLines, err)
 	return resp.StatusCode/100 != 2 || err != nil || lines == answerLines
 }
--- a/review/bed2/bed.go
+++ b/review/bed2/bed.go
@@ -155,7 +155,7 @@
 }
 
 func tenant(name string, keys ...string) map[string]any {
-	return map[string]any{"name": name, "api_keys": keys, "priority": 1}
+	return map[string]any{"name": name, wire.Keys: keys, "priority": 1}
 }
 
 // putTenants writes the operator's configuration.
@@ -200,7 +200,7 @@
 
 func requestTextWithKey(key, method, path, id string, timeoutMS int, body []byte) []byte {
 	var t bytes.Buffer
-	fmt.Fprintf(&t, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token %s\r\n", method, path, hostName, id, timeoutMS, key)
+	fmt.Fprintf(&t, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: Token %s\r\n", method, path, hostName, wire.Attempt, id, wire.Deadline, timeoutMS, key)
 	if method != http.MethodGet {
 		fmt.Fprintf(&t, "Content-Length: %d\r\n", len(body))
 	}
--- a/review/bed2/body.go
+++ b/review/bed2/body.go
@@ -33,8 +33,8 @@
 // gets; it is sent whole, and then the next request on the same channel.
 func playBody(b *bed, trouble bool) (held bool, err error) {
 	b.putConfig(1, []map[string]any{
-		{"name": "scans", "hostname": hostName, "prefix": "/scans/", "route_type": "idempotent", "service": "scans", "timeout_ms": 6000, "target_latency_ms": 150, "max_attempts": 2, "priority": 1},
-		{"name": "book", "hostname": hostName, "prefix": "/book/", "route_type": "non_idempotent", "service": "bookings", "timeout_ms": 1500, "target_latency_ms": 150, "max_attempts": 2, "priority": 1},
+		{"name": "scans", "hostname": hostName, "prefix": "/scans/", wire.Kind: "idempotent", "service": "scans", "timeout_ms": 6000, "target_latency_ms": 150, "max_attempts": 2, "priority": 1},
+		{"name": "book", "hostname": hostName, "prefix": "/book/", wire.Kind: "non_idempotent", "service": "bookings", "timeout_ms": 1500, "target_latency_ms": 150, "max_attempts": 2, "priority": 1},
 	}, "scans", "bookings")
 	if err := b.startRunner("scan-1", "127.62.1.1", "scans", 40, uploadWork); err != nil {
 		return false, err
@@ -88,8 +88,8 @@
 	}
 	body, err := io.ReadAll(resp.Body)
 	b.note("requester of %s gets %d for attempt %q, signature %q, connection %q, retry-after %q, body %q %v", waiting, resp.StatusCode,
-		resp.Header.Get("X-Attempt-Id"), resp.Header.Get("X-Server-Signature"), resp.Header.Get("Connection"), resp.Header.Get("Retry-After"), body, err)
-	return resp.Header.Get("X-Attempt-Id"), !resp.Close && err == nil
+		resp.Header.Get(wire.Attempt), resp.Header.Get(wire.Signature), resp.Header.Get("Connection"), resp.Header.Get("Retry-After"), body, err)
+	return resp.Header.Get(wire.Attempt), !resp.Close && err == nil
 }
 
 // sendSlowly sends a request with a body of records over a slow uplink and then reads its
@@ -140,13 +140,13 @@
 
 // chunkedText returns a request whose body is sent in one chunk.
 func chunkedText(path, id string, timeoutMS int, body []byte) []byte {
-	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n",
-		path, hostName, id, timeoutMS, apiKey, len(body))
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: Token %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n",
+		path, hostName, wire.Attempt, id, wire.Deadline, timeoutMS, apiKey, len(body))
 	return []byte(head + string(body) + "\r\n0\r\n\r\n")
 }
 
 // logRecord is one record of a log of requests, with its key blacked out, padded to its size.
 func logRecord(i int) []byte {
-	head := fmt.Sprintf("GET /book/old HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: old%05d\r\nX-Deadline-Ms: 1500\r\nAuthorization: Token xxxxxxxx\r\nX-Note: ", hostName, i)
+	head := fmt.Sprintf("GET /book/old HTTP/1.1\r\nHost: %s\r\n%s: old%05d\r\n%s: 1500\r\nAuthorization: Token xxxxxxxx\r\nX-Note: ", hostName, wire.Attempt, i, wire.Deadline)
 	return []byte(head + strings.Repeat("n", recordBytes-len(head)-4) + "\r\n\r\n")
 }
--- a/review/bed2/config.go
+++ b/review/bed2/config.go
@@ -23,7 +23,7 @@
 
 func bookRoute(prefix string, priority int) map[string]any {
 	return map[string]any{
-		"name": "r" + prefix, "hostname": hostName, "prefix": prefix, "route_type": "non_idempotent", "service": "bookings", "timeout_ms": 1500,
+		"name": "r" + prefix, "hostname": hostName, "prefix": prefix, wire.Kind: "non_idempotent", "service": "bookings", "timeout_ms": 1500,
 		"target_latency_ms": 150, "max_attempts": 2, "priority": priority,
 	}
 }
@@ -47,7 +47,7 @@
 		b.note("requester %s, key %s, %s: channel ends: %v", id, key, path, err)
 		return 0
 	}
-	b.note("requester %s, key %s, %s: %d, signature %q", id, key, path, resp.StatusCode, resp.Header.Get("X-Server-Signature"))
+	b.note("requester %s, key %s, %s: %d, signature %q", id, key, path, resp.StatusCode, resp.Header.Get(wire.Signature))
 	return resp.StatusCode
 }
 
--- a/review/bed2/upload.go
+++ b/review/bed2/upload.go
@@ -43,14 +43,14 @@
 		if err != nil {
 			return
 		}
-		attempt := req.Header.Get("X-Attempt-Id")
-		if req.Header.Get("X-Expected-Instance") != s.id {
+		attempt := req.Header.Get(wire.Attempt)
+		if req.Header.Get(wire.Expected) != s.id {
 			_, _ = io.Copy(io.Discard, req.Body)
-			fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", attempt, s.id)
+			fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", wire.Attempt, attempt, wire.Instance, s.id)
 			continue
 		}
 		s.bed.note("runner %s runs %s, whose body has %d bytes", s.id, attempt, req.ContentLength)
-		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Signature: sig.%s.%s\r\nContent-Length: 5\r\n\r\nkept\n", attempt, s.id, attempt)
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: sig.%s.%s\r\nContent-Length: 5\r\n\r\nkept\n", wire.Attempt, attempt, wire.Signature, s.id, attempt)
 		read, err := io.CopyN(io.Discard, req.Body, answerReadBytes)
 		if s.early && err == nil {
 			_, _ = io.WriteString(conn, answer)
@@ -78,7 +78,7 @@
 // read them.
 func playUpload(b *bed, trouble bool) (held bool, err error) {
 	b.putConfig(1, []map[string]any{
-		{"name": "keep", "hostname": hostName, "prefix": "/keep/", "route_type": "non_idempotent", "service": "archive", "timeout_ms": 6000, "target_latency_ms": 500, "max_attempts": 2, "priority": 1},
+		{"name": "keep", "hostname": hostName, "prefix": "/keep/", wire.Kind: "non_idempotent", "service": "archive", "timeout_ms": 6000, "target_latency_ms": 500, "max_attempts": 2, "priority": 1},
 	}, "archive")
 	ln, err := net.Listen("tcp", "127.62.1.1:0")
 	if err != nil {
@@ -99,7 +99,7 @@
 	b.closers = append(b.closers, func() { _ = ln.Close() })
 	b.store.Put("servers", s.id, map[string]any{
 		"service": "archive", "address": ln.Addr().String(), "zone": "leinster-a", "version": "v1", "capacity": 24, "state": "ready",
-		"born": time.Now().UnixMilli(), "sequence": 1, "cold_remaining_ms": 0,
+		"born": time.Now().UnixMilli(), "sequence": 1, wire.Cold: 0,
 	})
 	g, err := b.startGateway("edge-1", "127.62.2.1")
 	if err != nil {
@@ -144,7 +144,7 @@
 		return 0
 	}
 	body, err := io.ReadAll(resp.Body)
-	b.note("requester %s gets %d, signature %q, body %q, %v", id, resp.StatusCode, resp.Header.Get("X-Server-Signature"), strings.TrimSpace(string(body)), err)
+	b.note("requester %s gets %d, signature %q, body %q, %v", id, resp.StatusCode, resp.Header.Get(wire.Signature), strings.TrimSpace(string(body)), err)
 	if err != nil {
 		return 0
 	}
