--- a/review/bed2/answer.go
+++ b/review/bed2/answer.go
@@ -23,8 +23,8 @@
 	// answerLines is the number of lines of an answer, which come in answerTime, and crashAfter
 	// the time after which the runner crashes.
 	answerLines = 100
-	answerTime  = 2 * time.Second
-	crashAfter  = time.Second
+	answerTime  = 1200 * time.Millisecond
+	crashAfter  = 600 * time.Millisecond
 )
 
 // answerLine is a line of the answer to an attempt.
@@ -63,6 +63,7 @@
 	if _, err := io.CopyN(io.Discard, req.Body, answerReadBytes); err != nil {
 		return
 	}
+	fmt.Printf("runner %s runs %s, whose body has %d bytes, and has read %d of them\n", id, attempt, req.ContentLength, answerReadBytes)
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: sig.%s.%s\r\nConnection: close\r\nContent-Type: text/plain\r\n\r\n", wire.Attempt, attempt, wire.Signature, id, attempt)
 	for line := range answerLines {
 		time.Sleep(answerTime / answerLines)
@@ -71,7 +72,8 @@
 		}
 	}
 	// A channel that is closed with unread bytes is reset.
-	_, _ = io.Copy(io.Discard, req.Body)
+	read, err := io.Copy(io.Discard, req.Body)
+	fmt.Printf("runner %s has sent its whole answer to %s, and read %d bytes more, %v\n", id, attempt, read, err)
 }
 
 // playAnswer sends long requests to a runner that answers before it has read them, and kills
@@ -92,10 +94,21 @@
 		_ = cmd.Process.Kill()
 		_ = cmd.Wait()
 	}()
-	address, err := bufio.NewReader(out).ReadString('\n')
+	lines := bufio.NewReader(out)
+	address, err := lines.ReadString('\n')
 	if err != nil {
 		return false, err
 	}
+	var reading sync.WaitGroup
+	reading.Go(func() {
+		for {
+			line, err := lines.ReadString('\n')
+			if err != nil {
+				return
+			}
+			b.note("%s", strings.TrimSpace(line))
+		}
+	})
 	b.store.Put("servers", "check-1", map[string]any{
 		"service": "checks", "address": strings.TrimSpace(address), "zone": "leinster-a", "version": "v1", "capacity": 24, "state": "ready",
 		"born": time.Now().UnixMilli(), "sequence": 1, wire.Cold: 0,
@@ -123,6 +136,8 @@
 		_ = cmd.Process.Kill()
 	}
 	sending.Wait()
+	_ = cmd.Process.Kill()
+	reading.Wait()
 	b.note("%d of %d requesters got a success without the runner's whole body", broken, answerRequests)
 	return broken == 0, nil
 }
@@ -136,6 +151,7 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+	b.note("requester %s sends its request, %d bytes", id, answerBodyBytes)
 	go func() {
 		_, _ = conn.Write(requestText("POST", "/check/a", id, 6000, bytes.Repeat([]byte("c"), answerBodyBytes)))
 	}()
