--- a/review/bed2/answer.go
+++ b/review/bed2/answer.go
@@ -16,7 +16,7 @@
 
 const (
 	// answerRequests is the number of requests that the runner works on at a time.
-	answerRequests = 16
+	answerRequests = 8
 	// answerBodyBytes is the size of their bodies, of which the runner reads answerReadBytes
 	// before it answers.
 	answerBodyBytes, answerReadBytes = maxBodyBytes, 64 << 10
@@ -110,7 +110,7 @@
 		}
 	})
 	b.store.Put("servers", "check-1", map[string]any{
-		"service": "checks", "address": strings.TrimSpace(address), "zone": "leinster-a", "version": "v1", "capacity": 24, "state": "ready",
+		"service": "checks", "address": strings.TrimSpace(address), "zone": "leinster-a", "version": "v1", "capacity": answerRequests, "state": "ready",
 		"born": time.Now().UnixMilli(), "sequence": 1, wire.Cold: 0,
 	})
 	g, err := b.startGateway("edge-1", "127.62.2.1")
