gateway: log why a backend server did not take a request as a whole

The logs could not tell which part of an attempt had learned of the end of its connection: errors of the goroutine that sends a long body were dropped. Change: the sending keeps its error (gateway/upstream, upload), and event 7220 names it.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -17,7 +17,7 @@
 // ends the attempt in favour of another server which begins to respond while this one is
 // silent.
 func (r *request) exchange(a *attempt) attemptResult {
-	defer a.close()
+	defer r.closeAttempt(a)
 	if failure := r.open(r.ctx, a); failure != nil {
 		return *failure
 	}
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -49,6 +49,7 @@
 	prober     *sockopt.Prober
 	limiter    *boundedReader
 	reader     *bufio.Reader
+	upload     *upload
 	stopCancel func() bool
 }
 
@@ -70,7 +71,7 @@
 		return nil, &UnreachableError{Cause: err}
 	}
 	limiter := &boundedReader{source: conn, remaining: maxHeadBytes, remainingLines: maxHeadLines}
-	x := &Exchange{conn: conn, prober: sockopt.NewProber(conn), limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
+	x := &Exchange{conn: conn, prober: sockopt.NewProber(conn), limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), upload: newUpload()}
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	return x, nil
 }
@@ -80,15 +81,9 @@
 func (x *Exchange) Do(r *Request) (*http.Response, error) {
 	head := r.encodeHead()
 	if len(r.Body) > maxInlineBody {
-		// The response may come before the server has read the whole body. The body is written
-		// from where it is, as a second copy takes as much memory.
-		go func() {
-			if _, err := x.conn.Write(head); err == nil {
-				_, _ = x.conn.Write(r.Body)
-			}
-		}()
-	} else if _, err := x.conn.Write(append(head, r.Body...)); err != nil {
-		return nil, err
+		go x.upload.run(x.conn, head, r.Body)
+	} else if x.upload.run(x.conn, append(head, r.Body...), nil); x.upload.err != nil {
+		return nil, x.upload.err
 	}
 	req := &http.Request{Method: r.Method}
 	for range maxInterimResponses {
@@ -112,6 +107,10 @@
 	return nil, errTooManyInterim
 }
 
+// UploadError returns why the request could not be sent as a whole; nil if it was, or if it
+// is still being sent.
+func (x *Exchange) UploadError() error { return x.upload.failure() }
+
 // SetReadDeadline sets the deadline of pending and future reads; the zero time sets
 // none.
 func (x *Exchange) SetReadDeadline(t time.Time) { _ = x.conn.SetReadDeadline(t) }
