gateway: an answer without a length is whole only if its connection ended in order

Cause: the operating system reports a reset or a time-out of a connection once, to its reader or to its writer. The goroutine that sends the body dropped the error, and the reader took the end of the connection for that of the answer. Change: the error of the sending is the end of the connection for the reader too. The end of an answer without a length counts once the server has acknowledged the whole request and the connection is neither reset nor timed out, whoever took the error. The first error of a connection stays for all reads.

--- /dev/null
+++ b/gateway/early_answer_bed_test.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/lib/clock"
+	"github.com/auburnbend/auburnbend/lib/directory"
+	"github.com/auburnbend/auburnbend/lib/eventlog"
+	"github.com/auburnbend/auburnbend/lib/placement"
+	"github.com/auburnbend/auburnbend/lib/retry"
+	"github.com/auburnbend/auburnbend/lib/serving"
+)
+
+const (
+	// earlyReadBytes is what the servers of an earlyBed read of a body before they answer, and
+	// the size of their receive buffers.
+	earlyReadBytes = 64 << 10
+	// unansweredAfter is the time limit of the requests to an earlyBed.
+	unansweredAfter = 20 * time.Second
+)
+
+// earlyServer serves one connection of the gateway. body has read earlyReadBytes of the body
+// of the request.
+type earlyServer func(conn *net.TCPConn, body io.Reader)
+
+// earlyBed is a gateway with servers that answer before they have read a long body.
+type earlyBed struct {
+	gateway *Gateway
+	front   *httptest.Server
+}
+
+// newEarlyBed starts a gateway with a route of a kind, whose servers are tried in their order.
+func newEarlyBed(kind serving.RequestKind, resumable bool, servers ...earlyServer) *earlyBed {
+	b := &earlyBed{gateway: New(Config{
+		Dialect: signedDialect{}, Clock: clock.System{}, Log: eventlog.Discard(), Placement: placement.Config{Domain: "north"}, Entries: 1,
+		Retry: retry.Config{Ratio: 1, Window: 10 * time.Second, Slack: 100},
+	})}
+	b.gateway.SetConfig(&serving.Config{
+		Version: 1, Limits: serving.Limits{MaxBodyBytes: largestBody}, Services: []serving.Service{{Name: "s"}},
+		Routes: []serving.Route{{
+			Name: "r", Host: "example.com", Prefix: "/", Kind: kind, Resumable: resumable, Timeout: unansweredAfter, TargetLatency: 2 * time.Second,
+			Targets: []serving.Target{{Service: "s", Weight: 1}},
+		}},
+	})
+	list := make([]*directory.Server, 0, len(servers))
+	for i, serve := range servers {
+		// The first server is preferred, as only it is in the domain of the gateway.
+		domain := "north"
+		if i > 0 {
+			domain = "south"
+		}
+		list = append(list, &directory.Server{ID: string(rune('a' + i)), Service: "s", Address: listenEarly(serve), Domain: domain, Slots: 100})
+	}
+	b.gateway.ReplaceServers(list, false)
+	b.front = httptest.NewServer(b.gateway)
+	DeferCleanup(b.front.Close)
+	return b
+}
+
+// listenEarly returns the address of a server.
+func listenEarly(serve earlyServer) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(ln.Close)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			tcp := conn.(*net.TCPConn)
+			_ = tcp.SetReadBuffer(earlyReadBytes)
+			go func() {
+				defer tcp.Close()
+				r, err := http.ReadRequest(bufio.NewReader(tcp))
+				if err != nil {
+					return
+				}
+				if _, err := io.CopyN(io.Discard, r.Body, min(r.ContentLength, earlyReadBytes)); err == nil {
+					serve(tcp, r.Body)
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// reset ends a connection at once.
+func reset(conn *net.TCPConn) {
+	_ = conn.SetLinger(0)
+	_ = conn.Close()
+}
+
+// post sends a body and returns the answer; the status is 0 if there is none. err is the error
+// that ends the body of the answer too early.
+func (b *earlyBed) post(size int) (status int, answer string, err error) {
+	r, err := http.NewRequest(http.MethodPost, b.front.URL+"/x", bytes.NewReader(longBody[:size]))
+	if err != nil {
+		return 0, "", err
+	}
+	r.Host = "example.com"
+	resp, err := b.front.Client().Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text), err
+}
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -45,11 +45,13 @@
 // Exchange is one request and its response on one connection. It is not safe for
 // concurrent use, except for Close and SetReadDeadline.
 type Exchange struct {
-	conn       net.Conn
-	prober     *sockopt.Prober
-	limiter    *boundedReader
-	reader     *bufio.Reader
-	upload     *upload
+	conn    net.Conn
+	prober  *sockopt.Prober
+	limiter *boundedReader
+	reader  *bufio.Reader
+	upload  *upload
+	// bodyBytes is the length of the body of the request.
+	bodyBytes  int
 	stopCancel func() bool
 }
 
@@ -70,16 +72,25 @@
 	if err != nil {
 		return nil, &UnreachableError{Cause: err}
 	}
-	limiter := &boundedReader{source: conn, remaining: maxHeadBytes, remainingLines: maxHeadLines}
-	x := &Exchange{conn: conn, prober: sockopt.NewProber(conn), limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), upload: newUpload()}
+	x := newExchange(conn)
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	return x, nil
 }
 
+func newExchange(conn net.Conn) *Exchange {
+	sending := newUpload()
+	limiter := &boundedReader{source: &connReader{conn: conn, upload: sending}, remaining: maxHeadBytes, remainingLines: maxHeadLines}
+	return &Exchange{
+		conn: conn, prober: sockopt.NewProber(conn), limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), upload: sending,
+		stopCancel: func() bool { return true },
+	}
+}
+
 // Do sends the request and reads the head of the response. After any error, the
 // request may have run.
 func (x *Exchange) Do(r *Request) (*http.Response, error) {
 	head := r.encodeHead()
+	x.bodyBytes = len(r.Body)
 	if len(r.Body) > maxInlineBody {
 		go x.upload.run(x.conn, head, r.Body)
 	} else if x.upload.run(x.conn, append(head, r.Body...), nil); x.upload.err != nil {
@@ -101,6 +112,9 @@
 		}
 		if !interim {
 			x.limiter.unbounded = true
+			if isUnmarked(resp) {
+				resp.Body = &unmarkedBody{ReadCloser: resp.Body, exchange: x}
+			}
 			return resp, nil
 		}
 	}
--- a/gateway/upstream/exchange_fuzz_test.go
+++ b/gateway/upstream/exchange_fuzz_test.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/memory"
-	"github.com/auburnbend/auburnbend/lib/sockopt"
 )
 
 const fuzzBodyLimit = 64 << 10
@@ -29,8 +28,7 @@
 	f.Fuzz(func(t *testing.T, data []byte, get bool) {
 		here, there := net.Pipe()
 		_ = here.SetDeadline(time.Now().Add(10 * time.Second))
-		limiter := &boundedReader{source: here, remaining: maxHeadBytes, remainingLines: maxHeadLines}
-		x := &Exchange{conn: here, prober: sockopt.NewProber(here), limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes), stopCancel: func() bool { return true }}
+		x := newExchange(here)
 		defer x.Close()
 		go func() {
 			defer there.Close()
--- a/lib/eventlog/events_serving.go
+++ b/lib/eventlog/events_serving.go
@@ -57,6 +57,6 @@
 var servingEvents = []Event{
 	LiveConfigApplied, VersionDeclared, RowInvalid, StoreLost, StoreRegained, StoreRestored, StoreBehind,
 	ServerListRead, ServerRegistered, ServerRemoved, ServerEjected, PlacerChanged, PlacerLost, StorePathChanged,
-	RequestEnded, RequestRetried, LogLinesDropped, AttemptAborted, ServerCrashed, ContentQuarantined, ServerAlive, ServerDraining, ServerPaused, ServerRateLimited, DomainEvacuated, DomainRestored, PartQuarantined, RequestPanicked, RequestBeyondMemory, ServerPaceLimited, ServerPaceLifted, OverloadBegan, OverloadEnded,
+	RequestEnded, RequestRetried, LogLinesDropped, AttemptAborted, ServerCrashed, ContentQuarantined, ServerAlive, ServerDraining, ServerPaused, ServerRateLimited, DomainEvacuated, DomainRestored, PartQuarantined, RequestPanicked, RequestBeyondMemory, ServerPaceLimited, ServerPaceLifted, OverloadBegan, OverloadEnded, RequestNotTaken,
 	ReplicaPhase, LoadOrdered, ReplicaFetched, FetchFailed, OriginLost, OriginRegained, WeightsVerified, WeightsCorrupt, WeightsUnverified, WeightsConfirmed, LoadDelayed, WeightsUnrepairable, EnginePaused, PieceCorrupt, PeerListUnavailable, EngineCallFailed,
 }
