sockopt: a peer that acknowledges and does not read yet keeps its connection

Cause: TCP_USER_TIMEOUT is meant for peers that are silent. Linux also applies it to a window that has been full for so long, whatever the peer acknowledges. Change: while data is outstanding, the prober looks at the acknowledgements every 500 ms and moves the limit as long as they arrive. A peer that falls silent with a full window loses its connection after 2 to 4.5 s.

--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -92,8 +92,8 @@
 	head := r.encodeHead()
 	x.bodyBytes = len(r.Body)
 	if len(r.Body) > maxInlineBody {
-		go x.upload.run(x.conn, head, r.Body)
-	} else if x.upload.run(x.conn, append(head, r.Body...), nil); x.upload.err != nil {
+		go x.send(head, r.Body)
+	} else if x.send(append(head, r.Body...), nil); x.upload.err != nil {
 		return nil, x.upload.err
 	}
 	req := &http.Request{Method: r.Method}
@@ -121,6 +121,11 @@
 	return nil, errTooManyInterim
 }
 
+func (x *Exchange) send(head, body []byte) {
+	x.upload.run(x.conn, head, body)
+	x.prober.EndWrites()
+}
+
 // UploadError returns why the request could not be sent as a whole; nil if it was, or if it
 // is still being sent.
 func (x *Exchange) UploadError() error { return x.upload.failure() }
--- a/lib/sockopt/prober.go
+++ b/lib/sockopt/prober.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -17,9 +18,15 @@
 // Prober sends keep-alive probes on a connection of a Dialer more often than Linux does
 // by itself, so that a link which is down for less than probeInterval closes no connection
 // to a sound peer. A connection that receives acknowledgements gets no further probes.
-// It is safe for concurrent use.
+// It also keeps a connection open whose peer acknowledges and does not read yet, which the
+// options of a Dialer alone would close after userTimeout. It is safe for concurrent use.
 type Prober struct {
 	conn syscall.RawConn
+	// window is used by run only; nil once no data can be outstanding any more, or where the
+	// operating system does not tell.
+	window *windowWatch
+	// written is set once nothing more will be written.
+	written atomic.Bool
 
 	mu      sync.Mutex
 	timer   *time.Timer
@@ -38,11 +45,14 @@
 	if err != nil {
 		return p // the connection is closed
 	}
-	p.conn = raw
+	p.conn, p.window = raw, newWindowWatch(time.Now())
 	p.schedule(probeIdle)
 	return p
 }
 
+// EndWrites tells that nothing more will be written to the connection.
+func (p *Prober) EndWrites() { p.written.Store(true) }
+
 // Stop ends the probes.
 func (p *Prober) Stop() {
 	p.mu.Lock()
@@ -68,8 +78,20 @@
 	var failed error
 	err := p.conn.Control(func(fd uintptr) {
 		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, int(probeIdle/time.Second))
+		if failed == nil && p.window != nil {
+			p.watchWindow(fd)
+		}
 	})
 	if err == nil && failed == nil {
 		p.schedule(probeInterval)
 	}
 }
+
+// watchWindow adjusts the user timeout as long as data may be outstanding.
+func (p *Prober) watchWindow(fd uintptr) {
+	written := p.written.Load()
+	info, err := tcpInfo(fd)
+	if err != nil || p.window.observe(fd, info, time.Now()) != nil || written && !isOutstanding(info) {
+		p.window = nil
+	}
+}
--- a/lib/sockopt/sockopt.go
+++ b/lib/sockopt/sockopt.go
@@ -28,16 +28,18 @@
 // Dialer returns a dialer whose connections fail within about 2 s if the peer or the
 // network path stops responding. The timeout limits the opening of a connection.
 func Dialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive, Control: setUserTimeout}
+	return &net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive, Control: controlUserTimeout}
 }
 
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
+func controlUserTimeout(_, _ string, c syscall.RawConn) error {
 	var failed error
-	err := c.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
+	err := c.Control(func(fd uintptr) { failed = setUserTimeout(fd, userTimeout) })
 	if err != nil {
 		return err
 	}
 	return failed
 }
+
+func setUserTimeout(fd uintptr, timeout time.Duration) error {
+	return unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+}
