gateway: a server that answers early gets the rest of its request

A server may answer before it has read a long body and read on later. Cause: an attempt closed its connection once its answer was read. The sending of the body failed with that, and what the operating system held was lost where bytes were unread or the window stayed full for 2 s. Change: once an answer is read to its end, its connection is no longer closed with the request but finished in the background, until the server's operating system has acknowledged all. Bounded by 30 s and a second for each 64 KiB, by a sixteenth of the descriptors, of which one server has half at most, by the room that the body has reserved, and by the end of a stop, which waits for it. Event 7220, connections_lingering and requests_not_taken_total show what servers do not take.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -43,8 +43,8 @@
 	room     *memory.Reservation
 	// cancel ends the context of a standby's attempt; nil for others.
 	cancel context.CancelFunc
-	// closed is set once the connection was closed.
-	closed bool
+	// ended is set once endExchange was called.
+	ended bool
 }
 
 // readFirstEvent reads the first event of a stream that is no comment.
@@ -60,13 +60,8 @@
 	}
 }
 
-// close closes the connection, which tells a server that is still running the request to
-// stop.
-func (a *attempt) close() {
-	a.closed = true
-	if a.conn != nil {
-		a.conn.Close()
-	}
+// release frees what the attempt holds, except for its connection.
+func (a *attempt) release() {
 	if a.cancel != nil {
 		a.cancel()
 	}
--- a/gateway/early_answer_bed_test.go
+++ b/gateway/early_answer_bed_test.go
@@ -3,10 +3,14 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
+	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -21,15 +25,15 @@
 )
 
 const (
-	// earlyReadBytes is what the servers of an earlyBed read of a body before they answer, and
-	// the size of their receive buffers.
+	// earlyReadBytes is the receive buffer of the servers of an earlyBed, and what they read of a
+	// body before they answer.
 	earlyReadBytes = 64 << 10
 	// unansweredAfter is the time limit of the requests to an earlyBed.
 	unansweredAfter = 20 * time.Second
 )
 
-// earlyServer serves one connection of the gateway. body has read earlyReadBytes of the body
-// of the request.
+// earlyServer serves one connection of the gateway. body is what is left of the body of the
+// request, of which as much as fits into the receive buffer has been read.
 type earlyServer func(conn *net.TCPConn, body io.Reader)
 
 // earlyBed is a gateway with servers that answer before they have read a long body.
@@ -38,16 +42,33 @@
 	front   *httptest.Server
 }
 
+// earlyOptions configures an earlyBed. Zero values are replaced by defaults.
+type earlyOptions struct {
+	kind      serving.RequestKind
+	resumable bool
+	// timeout is the time limit of requests, unansweredAfter by default.
+	timeout time.Duration
+	// readBuffer is the receive buffer of servers, earlyReadBytes by default.
+	readBuffer int
+	// maxLingering is Config.MaxLingering.
+	maxLingering int
+}
+
 // newEarlyBed starts a gateway with a route of a kind, whose servers are tried in their order.
 func newEarlyBed(kind serving.RequestKind, resumable bool, servers ...earlyServer) *earlyBed {
+	return newEarlyBedWith(earlyOptions{kind: kind, resumable: resumable}, servers...)
+}
+
+func newEarlyBedWith(options earlyOptions, servers ...earlyServer) *earlyBed {
 	b := &earlyBed{gateway: New(Config{
 		Dialect: signedDialect{}, Clock: clock.System{}, Log: eventlog.Discard(), Placement: placement.Config{Domain: "north"}, Entries: 1,
-		Retry: retry.Config{Ratio: 1, Window: 10 * time.Second, Slack: 100},
+		Retry: retry.Config{Ratio: 1, Window: 10 * time.Second, Slack: 100}, MaxBodyBytes: heldBodies, MaxLingering: options.maxLingering,
 	})}
 	b.gateway.SetConfig(&serving.Config{
 		Version: 1, Limits: serving.Limits{MaxBodyBytes: largestBody}, Services: []serving.Service{{Name: "s"}},
 		Routes: []serving.Route{{
-			Name: "r", Host: "example.com", Prefix: "/", Kind: kind, Resumable: resumable, Timeout: unansweredAfter, TargetLatency: 2 * time.Second,
+			Name: "r", Host: "example.com", Prefix: "/", Kind: options.kind, Resumable: options.resumable,
+			Timeout: cmp.Or(options.timeout, unansweredAfter), TargetLatency: 2 * time.Second,
 			Targets: []serving.Target{{Service: "s", Weight: 1}},
 		}},
 	})
@@ -58,7 +79,7 @@
 		if i > 0 {
 			domain = "south"
 		}
-		list = append(list, &directory.Server{ID: string(rune('a' + i)), Service: "s", Address: listenEarly(serve), Domain: domain, Slots: 100})
+		list = append(list, &directory.Server{ID: string(rune('a' + i)), Service: "s", Address: listenEarly(cmp.Or(options.readBuffer, earlyReadBytes), serve), Domain: domain, Slots: 100})
 	}
 	b.gateway.ReplaceServers(list, false)
 	b.front = httptest.NewServer(b.gateway)
@@ -66,9 +87,16 @@
 	return b
 }
 
-// listenEarly returns the address of a server.
-func listenEarly(serve earlyServer) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+// listenEarly returns the address of a server with a receive buffer of a number of bytes.
+func listenEarly(readBuffer int, serve earlyServer) string {
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		err := c.Control(func(fd uintptr) {
+			failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, readBuffer)
+		})
+		return errors.Join(err, failed)
+	}}
+	ln, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(ln.Close)
 	go func() {
@@ -78,14 +106,13 @@
 				return
 			}
 			tcp := conn.(*net.TCPConn)
-			_ = tcp.SetReadBuffer(earlyReadBytes)
 			go func() {
 				defer tcp.Close()
 				r, err := http.ReadRequest(bufio.NewReader(tcp))
 				if err != nil {
 					return
 				}
-				if _, err := io.CopyN(io.Discard, r.Body, min(r.ContentLength, earlyReadBytes)); err == nil {
+				if _, err := io.CopyN(io.Discard, r.Body, min(r.ContentLength, int64(readBuffer))); err == nil {
 					serve(tcp, r.Body)
 				}
 			}()
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -17,7 +17,7 @@
 // ends the attempt in favour of another server which begins to respond while this one is
 // silent.
 func (r *request) exchange(a *attempt) attemptResult {
-	defer r.closeAttempt(a)
+	defer r.endExchange(a)
 	if failure := r.open(r.ctx, a); failure != nil {
 		return *failure
 	}
@@ -74,6 +74,11 @@
 	a.reply = g.config.Dialect.ParseResponse(resp.StatusCode, resp.Header)
 	r.recordResponse(a)
 	if failure := r.checkHead(a); failure != nil {
+		if failure.mayHaveRun && a.reply.RequestID == r.info.ID {
+			// The server has responded, so that the rest of the request is due to it. An error
+			// means that the exchange has been cancelled.
+			_ = conn.Complete()
+		}
 		if winner := standby.settle(errUnusable); winner != nil {
 			return succeededBy(winner)
 		}
@@ -257,9 +262,13 @@
 func (r *request) bufferResponse(ctx context.Context, a *attempt, standby *standby) *attemptResult {
 	body, room, err := upstream.ReadBody(ctx, r.gateway.responseBudget, a.lease.Server.Address, a.resp, maxResponseBytes)
 	if err == nil {
-		if err = checkEnd(a.resp, body); err != nil {
-			room.Release()
-		}
+		err = checkEnd(a.resp, body)
+	}
+	if err == nil {
+		err = a.conn.Complete()
+	}
+	if err != nil {
+		room.Release()
 	}
 	failure := err
 	if err == nil && a.resp.StatusCode >= http.StatusInternalServerError {
@@ -272,7 +281,9 @@
 		return succeededBy(winner)
 	}
 	if err != nil {
-		r.recordInterrupted(ctx, a.lease, err)
+		if !errors.Is(err, upstream.ErrCancelled) {
+			r.recordInterrupted(ctx, a.lease, err)
+		}
 		return r.mayHaveRunResult(ctx, "answer broken off, without an end or too long")
 	}
 	a.room = room
--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -116,6 +116,7 @@
 	for _, room := range r.rooms {
 		room.Release()
 	}
+	r.bodyRoom.Release()
 	if r.contentHashed {
 		r.summary.ContentFingerprint = r.content.String()
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,6 +48,9 @@
 	// MaxBodyBytes bounds the memory of all long request bodies together; zero takes a
 	// default of 44 MiB.
 	MaxBodyBytes int64
+	// MaxLingering bounds the connections to servers that have responded and not taken the
+	// whole request yet; zero takes a default of 64.
+	MaxLingering int
 }
 
 // defaultMaxBufferedBytes is an eighth of the memory of a small instance.
@@ -100,6 +103,10 @@
 	// waitLines holds the requests that wait for a placement.
 	waitLines *waitLines
 
+	// lingering holds the exchanges whose servers have responded and not taken the whole request
+	// yet.
+	lingering *lingeringExchanges
+
 	// peerLink connects to agents and other entries; nil if there is none. It is set
 	// before the first request.
 	peerLink *PeerLink
@@ -156,6 +163,7 @@
 		signals:        make(map[Signal]int64),
 		earlyStatuses:  newEarlyStatuses(),
 		waitLines:      newWaitLines(config.Clock.Now),
+		lingering:      newLingeringExchanges(config.MaxLingering, config.Log),
 	}
 }
 
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/netip"
 	"slices"
 	"time"
@@ -119,9 +117,9 @@
 	return lease
 }
 
-// endAttempt closes the connection of an attempt and ends its lease.
+// endAttempt ends the exchange of an attempt and its lease.
 func (r *request) endAttempt(a *attempt, result placement.Result) {
-	r.closeAttempt(a)
+	r.endExchange(a)
 	g := r.gateway
 	g.mu.Lock()
 	usage := g.picker.Done(a.lease, result, g.now())
@@ -132,16 +130,6 @@
 	}
 }
 
-// closeAttempt closes the connection of an attempt.
-func (r *request) closeAttempt(a *attempt) {
-	if a.conn != nil && !a.closed {
-		if err := a.conn.UploadError(); err != nil && !errors.Is(err, net.ErrClosed) {
-			r.gateway.config.Log.Log(eventlog.RequestNotTaken, "request", r.info.ID, "server", a.lease.Server.ID, "bytes", len(r.body), "err", err)
-		}
-	}
-	a.close()
-}
-
 // reportProgress tells the placer of the request that the response has started or,
 // with a result, that the attempt has ended. For requests that this entry placed
 // itself, it reports its usage to the engine's agent.
--- a/gateway/receive_body.go
+++ b/gateway/receive_body.go
@@ -64,7 +64,8 @@
 	return nil, err
 }
 
-// reserveBody waits for room for a body, which is held until the end of the request.
+// reserveBody waits for room for a body, which is held until the end of the request and of
+// the last attempt that sends it.
 func (r *request) reserveBody(bytes int64) error {
 	wait := r.route.TargetLatency / bodyWaitShare
 	if wait <= 0 {
@@ -79,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	r.rooms = append(r.rooms, room)
+	r.bodyRoom = room.Share()
 	return nil
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -80,7 +80,7 @@
 		}
 	}
 	if a.next == nil {
-		return r.streamEnd()
+		return r.streamEnd(a)
 	}
 	control := http.NewResponseController(r.writer)
 	write := func(raw []byte) error {
@@ -103,7 +103,7 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return r.streamEnd()
+			return r.streamEnd(a)
 		case errors.Is(err, errCallerWrite):
 			return r.callerWriteFailed()
 		case err != nil:
@@ -184,7 +184,11 @@
 	return nil
 }
 
-func (r *request) streamEnd() attemptResult {
+// streamEnd ends an attempt whose stream has been passed on to its end.
+func (r *request) streamEnd(a *attempt) attemptResult {
+	if a.conn.Complete() != nil {
+		return *r.mayHaveRunResult(r.ctx, "stream broken off")
+	}
 	r.summary.Outcome = string(outcomeAnswered)
 	return attemptResult{result: placement.Answered, delivered: true, sent: true}
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -57,8 +57,11 @@
 	// serverError is a 5xx response of a backend server, delivered if no other server
 	// responds better.
 	serverError *bufferedResponse
-	// rooms are the memory of the body and of buffered responses, which is held until the end
-	// of the request: what has been sent to a server can still be answered.
+	// bodyRoom is the memory of the body, which attempts may still send after the end of the
+	// request; nil for a short body.
+	bodyRoom *memory.Shared
+	// rooms are the memory of buffered responses, which is held until the end of the request:
+	// what has been sent to a server can still be answered.
 	rooms []*memory.Reservation
 	// ignoreDrain makes the request continue after the end of the drain, if that has not
 	// come yet.
@@ -163,6 +166,6 @@
 	r.gateway.config.Dialect.PrepareAttempt(header, attempt)
 	return &upstream.Request{
 		Method: r.http.Method, Target: r.http.RequestURI, Host: r.http.Host,
-		Header: header, Body: r.body,
+		Header: header, Body: r.body, BodySent: r.bodyRoom.Hold().Release,
 	}
 }
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -77,7 +77,7 @@
 			if s.state.CompareAndSwap(standbyWaiting, standbyWon) {
 				a.cancel = s.cancel
 				s.winner = a
-				s.current.conn.Close()
+				s.current.conn.Cancel()
 				return
 			}
 			s.discard(a)
@@ -154,7 +154,7 @@
 		return nil
 	}
 	if err != nil {
-		s.current.conn.Close()
+		s.current.conn.Cancel()
 	} else if s.state.CompareAndSwap(standbyWaiting, standbySettled) {
 		s.cancel()
 	}
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -45,6 +45,10 @@
 	Admission map[string][]admit.RankStats
 	// Waiting is the number of requests that wait for a placement.
 	Waiting int
+	// Lingering is the number of connections to servers that have responded and not taken the
+	// whole request yet, LingeringCut that of those that ended before, since the start.
+	Lingering    int
+	LingeringCut int64
 }
 
 // HeldMemory is the state of a memory budget.
@@ -95,6 +99,7 @@
 		OpenRequests: g.OpenRequests(), Signals: make(map[Signal]int64),
 		HeldBodies: heldMemory(g.requestBudget), HeldResponses: heldMemory(g.responseBudget), Waiting: g.waitLines.count(),
 	}
+	s.Lingering, s.LingeringCut = g.lingering.counts()
 	table := g.table.Load()
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -9,6 +9,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/sockopt"
@@ -40,19 +41,28 @@
 	Method, Target, Host string
 	Header               http.Header
 	Body                 []byte
+	// BodySent is called once Body is no longer read, which may be after the response; nil if
+	// that makes no difference.
+	BodySent func()
 }
 
 // Exchange is one request and its response on one connection. It is not safe for
-// concurrent use, except for Close and SetReadDeadline.
+// concurrent use, except for Cancel, Close and SetReadDeadline.
 type Exchange struct {
 	conn    net.Conn
 	prober  *sockopt.Prober
 	limiter *boundedReader
 	reader  *bufio.Reader
 	upload  *upload
-	// bodyBytes is the length of the body of the request.
-	bodyBytes  int
+	// stopCancel ends the effect of the context. It returns false if the context has ended.
 	stopCancel func() bool
+
+	mu sync.Mutex
+	// bodyBytes is the length of the body of the request. Only Do changes it.
+	bodyBytes int
+	// completed is set by Complete, cancelled by a Cancel before it, and cut as well if the server
+	// did not have the whole request then.
+	completed, cancelled, cut bool
 }
 
 // UnreachableError means that no connection was opened, so the request cannot have
@@ -65,15 +75,15 @@
 // Unwrap returns the cause.
 func (e *UnreachableError) Unwrap() error { return e.Cause }
 
-// Dial connects to a backend server at an IP address and port. The connection is
-// closed when ctx ends. Errors are of type *UnreachableError.
+// Dial connects to a backend server at an IP address and port. The exchange is cancelled
+// when ctx ends. Errors are of type *UnreachableError.
 func Dial(ctx context.Context, address string) (*Exchange, error) {
 	conn, err := sockopt.Dialer(dialTimeout).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, &UnreachableError{Cause: err}
 	}
 	x := newExchange(conn)
-	x.stopCancel = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	x.stopCancel = context.AfterFunc(ctx, x.Cancel)
 	return x, nil
 }
 
@@ -90,10 +100,10 @@
 // request may have run.
 func (x *Exchange) Do(r *Request) (*http.Response, error) {
 	head := r.encodeHead()
-	x.bodyBytes = len(r.Body)
+	x.setBodyBytes(len(r.Body))
 	if len(r.Body) > maxInlineBody {
-		go x.send(head, r.Body)
-	} else if x.send(append(head, r.Body...), nil); x.upload.err != nil {
+		go x.send(head, r.Body, r.BodySent)
+	} else if x.send(append(head, r.Body...), nil, r.BodySent); x.upload.err != nil {
 		return nil, x.upload.err
 	}
 	req := &http.Request{Method: r.Method}
@@ -121,23 +131,20 @@
 	return nil, errTooManyInterim
 }
 
-func (x *Exchange) send(head, body []byte) {
-	x.upload.run(x.conn, head, body)
-	x.prober.EndWrites()
-}
-
-// UploadError returns why the request could not be sent as a whole; nil if it was, or if it
-// is still being sent.
-func (x *Exchange) UploadError() error { return x.upload.failure() }
-
 // SetReadDeadline sets the deadline of pending and future reads; the zero time sets
 // none.
 func (x *Exchange) SetReadDeadline(t time.Time) { _ = x.conn.SetReadDeadline(t) }
 
-// Close closes the connection, which tells a server that is still running the
-// request to stop.
-func (x *Exchange) Close() {
-	x.stopCancel()
-	x.prober.Stop()
-	_ = x.conn.Close()
+func (x *Exchange) setBodyBytes(n int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.bodyBytes = n
+}
+
+func (x *Exchange) send(head, body []byte, sent func()) {
+	x.upload.run(x.conn, head, body)
+	x.prober.EndWrites()
+	if sent != nil {
+		sent()
+	}
 }
--- a/gateway/upstream/taken.go
+++ b/gateway/upstream/taken.go
@@ -1,8 +1,11 @@
 package upstream
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/auburnbend/auburnbend/lib/sockopt"
@@ -20,7 +23,9 @@
 )
 
 var (
-	errReset    = errors.New("connection was reset or timed out")
+	// errReset is the error of a connection whose own error has been reported before. Whether it
+	// was reset or has timed out is no longer known.
+	errReset    = fmt.Errorf("connection has ended: %w", syscall.ECONNRESET)
 	errNotTaken = errors.New("server has not taken the whole request in time")
 )
 
@@ -31,14 +36,15 @@
 }
 
 // awaitTaken waits until the operating system of the server has acknowledged the whole
-// request. It returns an error if the connection ends before that, or if it takes too long.
-func (x *Exchange) awaitTaken() error {
-	timer := time.NewTimer(takeLimit(x.bodyBytes))
-	defer timer.Stop()
+// request. It returns an error if the connection ends before that or if it takes too long, and
+// the cause of the end of ctx.
+func (x *Exchange) awaitTaken(ctx context.Context) error {
+	ctx, cancel := context.WithTimeoutCause(ctx, takeLimit(x.bodyBytes), errNotTaken)
+	defer cancel()
 	select {
 	case <-x.upload.done:
-	case <-timer.C:
-		return errNotTaken
+	case <-ctx.Done():
+		return context.Cause(ctx)
 	}
 	if x.upload.err != nil {
 		return x.upload.err
@@ -49,8 +55,8 @@
 		}
 		select {
 		case <-time.After(takePollInterval):
-		case <-timer.C:
-			return errNotTaken
+		case <-ctx.Done():
+			return context.Cause(ctx)
 		}
 	}
 }
--- a/gateway/upstream/unmarked_body.go
+++ b/gateway/upstream/unmarked_body.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -32,7 +33,7 @@
 		return n, err
 	}
 	b.err = io.EOF
-	if failure := b.exchange.awaitTaken(); failure != nil {
+	if failure := b.exchange.awaitTaken(context.Background()); failure != nil {
 		b.err = fmt.Errorf("response without a length: %w", failure)
 	}
 	return n, b.err
--- a/internal/node/conn_limits.go
+++ b/internal/node/conn_limits.go
@@ -26,6 +26,9 @@
 	// tables bounds the connections of instances that follow a table of the store through an
 	// entry, and peers those of replicas that fetch weights from another one.
 	tables, peers int
+	// lingering bounds the connections to backend servers that have answered and not taken the
+	// whole request yet.
+	lingering int
 	// headBytes bounds the memory of long heads of callers' requests.
 	headBytes int64
 }
@@ -41,9 +44,10 @@
 	usable := max(0, descriptors-reservedDescriptors)
 	l := connLimits{
 		ready: within(usable/16, 8, 64), metrics: within(usable/32, 4, 16), tables: within(usable/8, 16, 512), peers: within(usable/4, 16, 256),
+		lingering: within(usable/16, 8, 256),
 		headBytes: memoryBytes / headMemoryDivisor,
 	}
-	byDescriptors := (usable - l.ready - l.metrics - l.tables) / descriptorsPerCaller
+	byDescriptors := (usable - l.ready - l.metrics - l.tables - l.lingering) / descriptorsPerCaller
 	l.callers = max(1, min(byDescriptors, int(memoryBytes/connMemoryDivisor/connMemoryBytes)))
 	return l
 }
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -68,6 +68,7 @@
 		Entries: assumedEntries, Seed: rand.Uint64(), MaxRolloutTime: s.Bounds.VersionTime, StartGrace: max(0, s.Bounds.StallTime-applyReserve),
 		MaxBufferedBytes: s.MemoryLimit / bufferMemoryDivisor,
 		MaxBodyBytes:     s.MemoryLimit / bodyMemoryDivisor,
+		MaxLingering:     newConnLimits(s).lingering,
 		Placement:        placement.Config{Domain: s.Domain, Regions: s.Regions, WaitForPlacement: env.WaitForPlacement},
 	})
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -111,9 +112,9 @@
 }
 
 // serveCallers accepts callers until ctx ends and then for balancerReactionTime at most. It
-// returns when all requests have ended, at the latest shortly before stopTime, in
-// nanoseconds, has passed since ctx ended. Before that, requests that are still in
-// progress get an answer.
+// returns when all requests have ended and backend servers that have answered have taken the
+// whole of them, at the latest shortly before stopTime, in nanoseconds, has passed since ctx
+// ended. Before that, requests that are still in progress get an answer.
 func serveCallers(ctx context.Context, g *gateway.Gateway, env Environment, m *metrics, stopTime *atomic.Int64) error {
 	s := env.Settings
 	limits := newConnLimits(s)
@@ -153,6 +154,7 @@
 	if err := callers.drain(drainCtx); err != nil {
 		env.Log.Log(eventlog.DrainUnfinished, "open", g.OpenRequests(), "err", err)
 	}
+	g.DrainExchanges(drainCtx)
 	return nil
 }
 
--- a/internal/node/state_metrics.go
+++ b/internal/node/state_metrics.go
@@ -47,6 +47,8 @@
 	decisions := counter("admission_decisions", "ranked requests placed by this entry, by service, rank and decision, since the start")
 	share := gauge("admission_share", "share of the latency limit up to which requests are admitted, by service and rank", "")
 	waiting := gauge("requests_waiting", "requests that wait for a placement", "")
+	lingering := gauge("connections_lingering", "connections to backend servers that have answered and not taken the whole request yet", "")
+	lingeringCut := counter("requests_not_taken", "requests that backend servers have answered and did not take as a whole, since the start")
 	signals, err := m.meter.Int64ObservableCounter("server_signals", metric.WithDescription("drains and pauses of backend servers by kind and source, since the start"))
 	if err := cmp.Or(gaugeErr, err); err != nil {
 		return err
@@ -60,6 +62,8 @@
 		o.ObserveFloat64(quarantined, float64(s.Quarantined))
 		o.ObserveFloat64(evacuated, float64(s.EvacuatedDomains))
 		o.ObserveFloat64(waiting, float64(s.Waiting))
+		o.ObserveFloat64(lingering, float64(s.Lingering))
+		o.ObserveInt64(lingeringCut, s.LingeringCut)
 		for service, ranks := range s.Admission {
 			for _, r := range ranks {
 				rank := []attribute.KeyValue{attribute.String("service", service), attribute.Int("rank", r.Rank)}
@@ -94,7 +98,7 @@
 			o.ObserveFloat64(retriesLeft, left, metric.WithAttributes(attribute.String("service", service)))
 		}
 		return nil
-	}, config, age, servers, paced, engines, retriesLeft, open, granted, quarantined, evacuated, store, held, delayed, refused, signals, decisions, share, waiting)
+	}, config, age, servers, paced, engines, retriesLeft, open, granted, quarantined, evacuated, store, held, delayed, refused, signals, decisions, share, waiting, lingering, lingeringCut)
 	return err
 }
 
--- a/lib/eventlog/events_serving.go
+++ b/lib/eventlog/events_serving.go
@@ -35,7 +35,7 @@
 	ServerPaceLifted    = Event{7217, Info, "concurrency of a backend server is no longer limited", "Nothing unless after_ms is often near 20000; then check why new servers respond late."}
 	OverloadBegan       = Event{7218, Warn, "service is overloaded: requests are admitted by rank and team", "Nothing unless it lasts; then add servers of the service, or look for the teams that send most of the requests."}
 	OverloadEnded       = Event{7219, Info, "service is no longer overloaded", "Nothing."}
-	RequestNotTaken     = Event{7220, Warn, "backend server did not take a request as a whole", "Nothing unless it repeats; then check why the named server ends connections or does not read."}
+	RequestNotTaken     = Event{7220, Info, "backend server has answered a request and did not take the rest of it", "Nothing unless it repeats; then check why the named server ends connections or does not read."}
 	ReplicaPhase        = Event{7301, Info, "phase of the replica changed", "Nothing."}
 	LoadOrdered         = Event{7302, Info, "engine ordered to load a version", "Nothing; err is set if the order failed."}
 	ReplicaFetched      = Event{7306, Info, "all pieces of a version fetched", "Nothing."}
