--- a/gateway/lingering_exchanges.go
+++ b/gateway/lingering_exchanges.go
@@ -20,7 +20,7 @@
 	lingeringPollInterval = 5 * time.Millisecond
 )
 
-var errTooManyLingering = errors.New("too many servers have not taken their requests")
+var errTooManyLingering = errors.New("too many exchanges linger")
 
 // lingeringExchanges finishes exchanges whose responses have been read: a server may respond
 // before it has read a long request, and read on later. The caller has its answer, so that
--- a/gateway/upstream/end.go
+++ b/gateway/upstream/end.go
@@ -55,7 +55,7 @@
 	if !x.upload.ended() || x.upload.err != nil {
 		return false
 	}
-	taken, err := x.isTaken()
+	taken, err := x.isAcknowledged()
 	return taken && err == nil
 }
 
--- a/gateway/upstream/taken.go
+++ b/gateway/upstream/taken.go
@@ -50,7 +50,7 @@
 		return x.upload.err
 	}
 	for {
-		if taken, err := x.isTaken(); taken || err != nil {
+		if taken, err := x.isAcknowledged(); taken || err != nil {
 			return err
 		}
 		select {
@@ -61,10 +61,10 @@
 	}
 }
 
-// isTaken reports whether the operating system of the server has acknowledged the whole
+// isAcknowledged reports whether the operating system of the server has acknowledged the whole
 // request, after the upload. It returns an error if the connection has ended. Where the state
 // of a connection is not known, all that was written counts as acknowledged.
-func (x *Exchange) isTaken() (bool, error) {
+func (x *Exchange) isAcknowledged() (bool, error) {
 	state, err := sockopt.ReadSendState(x.conn)
 	switch {
 	case errors.Is(err, net.ErrClosed):
