gateway: test hedged attempts whose server answers early

The attempt that answers in place of a silent server gets the whole request, and the connection of the silent one ends.

--- a/gateway/early_answer_bed_test.go
+++ b/gateway/early_answer_bed_test.go
@@ -48,6 +48,8 @@
 	resumable bool
 	// timeout is the time limit of requests, unansweredAfter by default.
 	timeout time.Duration
+	// target is the latency target of requests, 2 s by default.
+	target time.Duration
 	// readBuffer is the receive buffer of servers, earlyReadBytes by default.
 	readBuffer int
 	// maxLingering is Config.MaxLingering.
@@ -68,7 +70,7 @@
 		Version: 1, Limits: serving.Limits{MaxBodyBytes: largestBody}, Services: []serving.Service{{Name: "s"}},
 		Routes: []serving.Route{{
 			Name: "r", Host: "example.com", Prefix: "/", Kind: options.kind, Resumable: options.resumable,
-			Timeout: cmp.Or(options.timeout, unansweredAfter), TargetLatency: 2 * time.Second,
+			Timeout: cmp.Or(options.timeout, unansweredAfter), TargetLatency: cmp.Or(options.target, 2*time.Second),
 			Targets: []serving.Target{{Service: "s", Weight: 1}},
 		}},
 	})
--- a/gateway/late_uploads_test.go
+++ b/gateway/late_uploads_test.go
@@ -107,6 +107,34 @@
 		Eventually(func() int64 { return bed.gateway.State().HeldBodies.Bytes }, wait).Should(BeZero())
 	})
 
+	It("get all of it if they answer in place of a silent server, which is told to stop", func() {
+		// Guards against a hedged attempt that is cut after its answer, and against one that goes
+		// on though the caller has the answer of another server.
+		stopped := make(chan error, 1)
+		silent := func(conn *net.TCPConn, body io.Reader) {
+			defer GinkgoRecover()
+			Expect(conn.SetReadDeadline(time.Now().Add(wait))).To(Succeed())
+			buf := make([]byte, 4<<10)
+			for {
+				if _, err := body.Read(buf); err != nil {
+					stopped <- err
+					return
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}
+		sound := newLateReader(markedAnswer(200))
+		bed := newEarlyBedWith(earlyOptions{kind: serving.Idempotent, target: 20 * time.Millisecond}, silent, sound.serve)
+		status, answer, err := bed.post(largestBody)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(answer).To(Equal(wholeText))
+		Eventually(stopped, wait).Should(Receive(MatchError(io.ErrUnexpectedEOF)))
+		close(sound.readOn)
+		Eventually(sound.taken, wait).Should(Receive(BeEquivalentTo(largestBody - earlyReadBytes)))
+		Eventually(func() int64 { return bed.gateway.State().HeldBodies.Bytes }, wait).Should(BeZero())
+	})
+
 	It("do not delay the next requests of the caller", func() {
 		// Guards against a connection of a caller that waits for a slow server.
 		server := newLateReader(markedAnswer(200))
