gateway: bodies of the tests of held memory do not fit into the buffers of the system

A body that the system has taken needs no memory of the gateway, so that the code was right and the test assumed too little. The bodies of both specs that look at that memory have 12 MiB now; the expectations are the same.

--- a/gateway/early_answer_bed_test.go
+++ b/gateway/early_answer_bed_test.go
@@ -28,6 +28,10 @@
 	// earlyReadBytes is the receive buffer of the servers of an earlyBed, and what they read of a
 	// body before they answer.
 	earlyReadBytes = 64 << 10
+	// beyondBuffers is the size of a body that the operating system does not take while its server
+	// does not read. earlyHeldBodies is Config.MaxBodyBytes, which has room for many.
+	beyondBuffers   = 12 << 20
+	earlyHeldBodies = 256 << 20
 	// unansweredAfter is the time limit of the requests to an earlyBed.
 	unansweredAfter = 20 * time.Second
 )
@@ -64,10 +68,10 @@
 func newEarlyBedWith(options earlyOptions, servers ...earlyServer) *earlyBed {
 	b := &earlyBed{gateway: New(Config{
 		Dialect: signedDialect{}, Clock: clock.System{}, Log: eventlog.Discard(), Placement: placement.Config{Domain: "north"}, Entries: 1,
-		Retry: retry.Config{Ratio: 1, Window: 10 * time.Second, Slack: 100}, MaxBodyBytes: heldBodies, MaxLingering: options.maxLingering,
+		Retry: retry.Config{Ratio: 1, Window: 10 * time.Second, Slack: 100}, MaxBodyBytes: earlyHeldBodies, MaxLingering: options.maxLingering,
 	})}
 	b.gateway.SetConfig(&serving.Config{
-		Version: 1, Limits: serving.Limits{MaxBodyBytes: largestBody}, Services: []serving.Service{{Name: "s"}},
+		Version: 1, Limits: serving.Limits{MaxBodyBytes: beyondBuffers}, Services: []serving.Service{{Name: "s"}},
 		Routes: []serving.Route{{
 			Name: "r", Host: "example.com", Prefix: "/", Kind: options.kind, Resumable: options.resumable,
 			Timeout: cmp.Or(options.timeout, unansweredAfter), TargetLatency: cmp.Or(options.target, 2*time.Second),
@@ -132,7 +136,7 @@
 // post sends a body and returns the answer; the status is 0 if there is none. err is the error
 // that ends the body of the answer too early.
 func (b *earlyBed) post(size int) (status int, answer string, err error) {
-	r, err := http.NewRequest(http.MethodPost, b.front.URL+"/x", bytes.NewReader(longBody[:size]))
+	r, err := http.NewRequest(http.MethodPost, b.front.URL+"/x", bytes.NewReader(make([]byte, size)))
 	if err != nil {
 		return 0, "", err
 	}
--- a/gateway/late_uploads_test.go
+++ b/gateway/late_uploads_test.go
@@ -96,13 +96,13 @@
 		// Guards against an attempt that is cut because its request is retried.
 		failing, sound := newLateReader(markedAnswer(500)), newLateReader(markedAnswer(200))
 		bed := newEarlyBed(serving.Idempotent, false, failing.serve, sound.serve)
-		status, _, err := bed.post(largestBody)
+		status, _, err := bed.post(beyondBuffers)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(status).To(Equal(http.StatusOK))
-		Expect(bed.gateway.State().HeldBodies.Bytes).To(BeEquivalentTo(largestBody))
+		Expect(bed.gateway.State().HeldBodies.Bytes).To(BeEquivalentTo(beyondBuffers))
 		for _, server := range []*lateReader{failing, sound} {
 			close(server.readOn)
-			Eventually(server.taken, wait).Should(Receive(BeEquivalentTo(largestBody - earlyReadBytes)))
+			Eventually(server.taken, wait).Should(Receive(BeEquivalentTo(beyondBuffers - earlyReadBytes)))
 		}
 		Eventually(func() int64 { return bed.gateway.State().HeldBodies.Bytes }, wait).Should(BeZero())
 	})
@@ -181,19 +181,19 @@
 		server := newLateReader(markedAnswer(200))
 		bed := newEarlyBedWith(earlyOptions{kind: serving.NonIdempotent, maxLingering: limit}, server.serve)
 		for range uploads {
-			status, _, err := bed.post(largestBody)
+			status, _, err := bed.post(beyondBuffers)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(status).To(Equal(http.StatusOK))
 		}
 		Eventually(func() int { return bed.gateway.State().Lingering }, wait).Should(Equal(perServer))
-		Eventually(func() int64 { return bed.gateway.State().HeldBodies.Bytes }, wait).Should(BeEquivalentTo(perServer * largestBody))
+		Eventually(func() int64 { return bed.gateway.State().HeldBodies.Bytes }, wait).Should(BeEquivalentTo(perServer * beyondBuffers))
 		Eventually(func() int64 { return bed.gateway.State().LingeringCut }, wait).Should(BeEquivalentTo(uploads - perServer))
 		close(server.readOn)
 		whole := 0
 		for range uploads {
 			var n int64
 			Eventually(server.taken, wait).Should(Receive(&n))
-			if n == largestBody-earlyReadBytes {
+			if n == beyondBuffers-earlyReadBytes {
 				whole++
 			}
 		}
