--- a/lib/serving/rank.go
+++ b/lib/serving/rank.go
@@ -1,11 +1,40 @@
 package serving
 
-import "maps"
+import (
+	"maps"
+	"slices"
+)
 
 // MaxRank is the highest number of a rank. Ranks order requests by urgency; 0 is the most
 // urgent one.
 const MaxRank = 9
 
+// RankLevels maps declared ranks of any size to the range 0 to MaxRank, in their order. Ranks
+// in the range keep their numbers unless a less urgent one needs them. Of more than MaxRank+1
+// different ranks, the least urgent ones share MaxRank; negative ranks share 0.
+func RankLevels(declared []int) map[int]int {
+	ranks := make([]int, 0, len(declared))
+	for _, rank := range declared {
+		ranks = append(ranks, max(rank, 0))
+	}
+	slices.Sort(ranks)
+	ranks = slices.Compact(ranks)
+	levels := make(map[int]int, len(ranks))
+	level := MaxRank + 1
+	for i, rank := range slices.Backward(ranks) {
+		if i < MaxRank {
+			level = min(rank, level-1)
+		} else {
+			level = MaxRank
+		}
+		levels[rank] = level
+	}
+	for _, rank := range declared {
+		levels[rank] = levels[max(rank, 0)]
+	}
+	return levels
+}
+
 // Rank returns the rank of a request: that of its team if the team declares one, otherwise
 // that of the route. team may be nil.
 func Rank(route *Route, team *Team) int {
--- a/lib/serving/rank_test.go
+++ b/lib/serving/rank_test.go
@@ -42,4 +42,22 @@
 			Routes: []serving.Route{{Priority: 2}}, Teams: []serving.Team{{}, {HasPriority: true, Priority: 1}},
 		}),
 	)
+
+	DescribeTable("of any size are mapped to the range in their order",
+		func(declared, levels []int) {
+			byRank := serving.RankLevels(declared)
+			mapped := make([]int, len(declared))
+			for i, rank := range declared {
+				mapped[i] = byRank[rank]
+			}
+			Expect(mapped).To(Equal(levels))
+		},
+		Entry("none", []int{}, []int{}),
+		Entry("within the range", []int{9, 0, 5, 5}, []int{9, 0, 5, 5}),
+		Entry("one above it", []int{10}, []int{9}),
+		Entry("some above it", []int{1, 9, 10, 500, 1}, []int{1, 7, 8, 9, 1}),
+		Entry("below it", []int{-3, -1, 0, 1}, []int{0, 0, 0, 1}),
+		Entry("all ten", []int{10, 20, 30, 40, 50, 60, 70, 80, 90, 100}, []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9}),
+		Entry("more than ten", []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12}, []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 9, 9, 9}),
+	)
 })
