gateway: an empty list of tenants leaves no valid key

Cause: the gateway asked whether the configuration has teams; DecodeConfig returned the same for an empty list as for none.

Evidence: 7001 config=3 teams=0, 3 s later 7201 status=200 team= config=3. 7001 could not tell an empty list from none; it has keys_required now.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -69,7 +69,7 @@
 	}
 	r.summary.Route = r.route.Name
 	r.team = r.table.TeamByKey(info.APIKey)
-	if r.team == nil && !r.route.Public && len(r.table.Config().Teams) > 0 {
+	if r.team == nil && !r.route.Public && r.table.Config().RequiresKeys() {
 		r.refuseUnread(http.StatusUnauthorized, outcomeInvalid, "unknown key", 0)
 		return false
 	}
--- a/internal/node/gateway_sinks.go
+++ b/internal/node/gateway_sinks.go
@@ -27,7 +27,7 @@
 
 func (o *operatorSink) Config(c *serving.Config) {
 	if o.gateway.SetConfig(c) {
-		o.log.Log(eventlog.LiveConfigApplied, "config", c.Version, "era", c.Era, "revision", c.Revision, "routes", len(c.Routes), "teams", len(c.Teams))
+		logLiveConfig(o.log, c)
 	}
 }
 
@@ -106,6 +106,10 @@
 // repeats numbers that it cannot decode.
 const maxLoggedError = 300
 
+func logLiveConfig(log *eventlog.Logger, c *serving.Config) {
+	log.Log(eventlog.LiveConfigApplied, "config", c.Version, "era", c.Era, "revision", c.Revision, "routes", len(c.Routes), "teams", len(c.Teams), "keys_required", c.RequiresKeys())
+}
+
 func logInvalidRow(log *eventlog.Logger, row watch.Row, err error) {
 	text := err.Error()
 	log.Log(eventlog.RowInvalid, "key", row.Key, "revision", row.Revision, "err", text[:min(len(text), maxLoggedError)])
--- a/internal/node/targets.go
+++ b/internal/node/targets.go
@@ -200,7 +200,7 @@
 			}, t.replica.MaxRolloutTime(), "store")
 		}
 	}
-	t.log.Log(eventlog.LiveConfigApplied, "config", c.Version, "era", c.Era, "revision", c.Revision, "routes", len(c.Routes), "teams", len(c.Teams))
+	logLiveConfig(t.log, c)
 }
 
 // TargetVersion implements platform.OperatorSink. Versions of models that the engine
--- a/lib/serving/config.go
+++ b/lib/serving/config.go
@@ -13,10 +13,15 @@
 	Era, Revision int64
 	Routes        []Route
 	Services      []Service
-	Teams         []Team
-	Limits        Limits
+	// Teams is nil if the configuration has no list of teams. A list without teams, or without
+	// keys, makes every key invalid.
+	Teams  []Team
+	Limits Limits
 }
 
+// RequiresKeys reports whether requests of routes that are not public need the key of a team.
+func (c *Config) RequiresKeys() bool { return c.Teams != nil }
+
 // Replaces reports whether c replaces the configuration that is in force: it has a higher
 // version, or the same one with other contents from a later era of the store, which has
 // lost the one in force.
--- a/lib/serving/rank.go
+++ b/lib/serving/rank.go
@@ -48,7 +48,7 @@
 // whether the ranks of teams alone differ, which holds for all services.
 func (c *Config) rankedServices() (services map[string]bool, byTeams bool) {
 	ofTeams := make(map[int]bool)
-	byRoute := len(c.Teams) == 0
+	byRoute := !c.RequiresKeys()
 	for i := range c.Teams {
 		if c.Teams[i].HasPriority {
 			ofTeams[c.Teams[i].Priority] = true
--- a/lib/serving/rank_test.go
+++ b/lib/serving/rank_test.go
@@ -34,6 +34,7 @@
 		Entry("routes that teams override", false, serving.Config{
 			Routes: []serving.Route{{Priority: 3}, {}}, Teams: []serving.Team{{HasPriority: true, Priority: 1}},
 		}),
+		Entry("routes that no key opens", false, serving.Config{Routes: []serving.Route{{Priority: 3}, {}}, Teams: []serving.Team{}}),
 		Entry("a public route", true, serving.Config{
 			Routes: []serving.Route{{Public: true}}, Teams: []serving.Team{{HasPriority: true, Priority: 1}},
 		}),
