serving: an empty key is no key of a team

What callers would see: if a team declares an empty key, as an unset variable in the operator's tools may leave it, requests without a key run for that team on every route.

Cause: a request without a key has an empty one, and the table of keys held what the configuration declares.

Change: the table leaves empty keys out, so that such requests get 401.

--- a/lib/serving/table.go
+++ b/lib/serving/table.go
@@ -42,7 +42,10 @@
 	}
 	for i := range c.Teams {
 		for _, key := range c.Teams[i].APIKeys {
-			t.teamsByKey[key] = &c.Teams[i]
+			// A request without a key has an empty one.
+			if key != "" {
+				t.teamsByKey[key] = &c.Teams[i]
+			}
 		}
 	}
 	for i := range c.Services {
