--- a/gateway/early_answer_bed_test.go
+++ b/gateway/early_answer_bed_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/auburnbend/auburnbend/internal/loopback"
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
@@ -105,25 +106,15 @@
 	ln, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(ln.Close)
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			tcp := conn.(*net.TCPConn)
-			go func() {
-				defer tcp.Close()
-				r, err := http.ReadRequest(bufio.NewReader(tcp))
-				if err != nil {
-					return
-				}
-				if _, err := io.CopyN(io.Discard, r.Body, min(r.ContentLength, int64(readBuffer))); err == nil {
-					serve(tcp, r.Body)
-				}
-			}()
+	go loopback.Serve(ln, func(conn *net.TCPConn) {
+		r, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
 		}
-	}()
+		if _, err := io.CopyN(io.Discard, r.Body, min(r.ContentLength, int64(readBuffer))); err == nil {
+			serve(conn, r.Body)
+		}
+	})
 	return ln.Addr().String()
 }
 
--- a/gateway/endless_responses_test.go
+++ b/gateway/endless_responses_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/auburnbend/auburnbend/internal/loopback"
 	"github.com/auburnbend/auburnbend/lib/clock"
 	"github.com/auburnbend/auburnbend/lib/directory"
 	"github.com/auburnbend/auburnbend/lib/eventlog"
@@ -51,19 +52,10 @@
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(ln.Close)
-		go func() {
-			for {
-				conn, err := ln.Accept()
-				if err != nil {
-					return
-				}
-				go func() {
-					defer conn.Close()
-					serve(conn)
-					_, _ = io.Copy(io.Discard, conn)
-				}()
-			}
-		}()
+		go loopback.Serve(ln, func(conn *net.TCPConn) {
+			serve(conn)
+			_, _ = io.Copy(io.Discard, conn)
+		})
 		return ln.Addr().String()
 	}
 	// All connections share the bytes, as the test counts those of the process.
--- a/internal/node/config_rows_test.go
+++ b/internal/node/config_rows_test.go
@@ -7,7 +7,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/auburnbend/auburnbend/platform"
 	"github.com/auburnbend/auburnbend/platform/platformtest"
 )
 
@@ -25,34 +24,28 @@
 		e = startEntry()
 		e.putServer(desk, "ready")
 	})
-	put := func(version int, tenants []jsonObject, routes ...jsonObject) {
-		e.store.Put(platform.TableOperator, "config", jsonObject{
-			"version": version, "routes": routes, "services": []jsonObject{{"name": "desk"}}, "tenants": tenants,
-		})
-	}
 	order := func(path string) func() int { return func() int { return e.sendOrder(path) } }
-	keyed := []jsonObject{{"name": "carvers", "api_keys": []string{"key"}}}
 
 	It("makes an entry ready that has no earlier one, whatever its ranks", func() {
 		// Guards against entries that answer 503 after a restart because of one rank.
-		put(1, keyed, batch())
+		e.putConfig(1, batch())
 		Eventually(e.readyStatus, soon).Should(Equal(http.StatusOK))
 		Eventually(order("/batch/x"), soon).Should(Equal(http.StatusOK))
 	})
 
 	It("takes keys away beside a route of any rank", func() {
 		// Guards against removed keys that stay in use because of another part of the configuration.
-		put(1, keyed, newRoute("/order/"))
+		e.putConfig(1, newRoute("/order/"))
 		Eventually(order("/order/x"), soon).Should(Equal(http.StatusOK))
-		put(2, []jsonObject{{"name": "others", "api_keys": []string{"other"}}}, newRoute("/order/"), batch())
+		e.putTenants(2, []jsonObject{{"name": "others", "api_keys": []string{"other"}}}, newRoute("/order/"), batch())
 		Eventually(order("/order/x"), soon).Should(Equal(http.StatusUnauthorized))
 	})
 
 	It("takes all keys away with an empty list of tenants, and says so in the log", func() {
 		// Guards against routes that are open to everyone after the last tenant was removed.
-		put(1, keyed, newRoute("/order/"))
+		e.putConfig(1, newRoute("/order/"))
 		Eventually(order("/order/x"), soon).Should(Equal(http.StatusOK))
-		put(2, []jsonObject{}, newRoute("/order/"))
+		e.putTenants(2, []jsonObject{}, newRoute("/order/"))
 		Eventually(order("/order/x"), soon).Should(Equal(http.StatusUnauthorized))
 		Consistently(order("/order/x"), time.Second).Should(Equal(http.StatusUnauthorized))
 		Expect(e.logs.String()).To(MatchRegexp(`event=7001 .*config=2 .*teams=0 keys_required=true`))
--- a/internal/node/gateway_test.go
+++ b/internal/node/gateway_test.go
@@ -102,9 +102,12 @@
 type jsonObject = map[string]any
 
 func (e *entryUnderTest) putConfig(version int, routes ...jsonObject) {
+	e.putTenants(version, []jsonObject{{"name": "carvers", "api_keys": []string{"key"}}}, routes...)
+}
+
+func (e *entryUnderTest) putTenants(version int, tenants []jsonObject, routes ...jsonObject) {
 	e.store.Put(platform.TableOperator, "config", jsonObject{
-		"version": version, "routes": routes, "services": []jsonObject{{"name": "desk"}},
-		"tenants": []jsonObject{{"name": "carvers", "api_keys": []string{"key"}}},
+		"version": version, "routes": routes, "services": []jsonObject{{"name": "desk"}}, "tenants": tenants,
 	})
 }
 
@@ -116,8 +119,12 @@
 }
 
 func (e *entryUnderTest) putServer(s *platformtest.Server, state string) {
-	e.store.Put(platform.TableServers, s.ID, jsonObject{
-		"service": "desk", "address": s.Address(), "zone": "north", "version": "v1", "capacity": 6, "state": state, "cold_remaining_ms": 0, "sequence": 1,
+	e.putServerAt(s.ID, s.Address(), state)
+}
+
+func (e *entryUnderTest) putServerAt(id, address, state string) {
+	e.store.Put(platform.TableServers, id, jsonObject{
+		"service": "desk", "address": address, "zone": "north", "version": "v1", "capacity": 6, "state": state, "cold_remaining_ms": 0, "sequence": 1,
 	})
 }
 
--- a/internal/node/late_upload_test.go
+++ b/internal/node/late_upload_test.go
@@ -12,7 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/auburnbend/auburnbend/platform"
+	"github.com/auburnbend/auburnbend/internal/loopback"
 )
 
 // startLateReader starts a backend server that answers a request when it has read its head, and
@@ -21,30 +21,19 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(ln.Close)
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			_ = conn.(*net.TCPConn).SetReadBuffer(64 << 10)
-			go func() {
-				defer conn.Close()
-				r, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				id := r.Header.Get("X-Attempt-Id")
-				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Signature: s\r\nContent-Length: 4\r\n\r\ndone", id)
-				<-readOn
-				n, _ := io.Copy(io.Discard, r.Body)
-				taken <- n
-			}()
+	go loopback.Serve(ln, func(conn *net.TCPConn) {
+		_ = conn.SetReadBuffer(64 << 10)
+		r, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
 		}
-	}()
-	e.store.Put(platform.TableServers, "desk-1", jsonObject{
-		"service": "desk", "address": ln.Addr().String(), "zone": "north", "version": "v1", "capacity": 6, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
+		id := r.Header.Get("X-Attempt-Id")
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Signature: s\r\nContent-Length: 4\r\n\r\ndone", id)
+		<-readOn
+		n, _ := io.Copy(io.Discard, r.Body)
+		taken <- n
 	})
+	e.putServerAt("desk-1", ln.Addr().String(), "ready")
 }
 
 var _ = Describe("An entry that stops while a server has not read a request that it has answered", func() {
--- a/lib/engine/late_reader_test.go
+++ b/lib/engine/late_reader_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/auburnbend/auburnbend/internal/loopback"
 	"github.com/auburnbend/auburnbend/lib/engine"
 )
 
@@ -22,13 +23,8 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(ln.Close)
-	go func() {
-		conn, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
-		_ = conn.(*net.TCPConn).SetReadBuffer(readFirst)
+	go loopback.Serve(ln, func(conn *net.TCPConn) {
+		_ = conn.SetReadBuffer(readFirst)
 		r, err := http.ReadRequest(bufio.NewReader(conn))
 		if err != nil {
 			return
@@ -38,7 +34,7 @@
 		time.Sleep(lateness)
 		rest, _ := io.Copy(io.Discard, r.Body)
 		taken <- first + rest
-	}()
+	})
 	return "http://" + ln.Addr().String()
 }
 
