--- a/replica/load_reporter.go
+++ b/replica/load_reporter.go
@@ -68,46 +68,6 @@
 	askedAt time.Time
 }
 
-// subscriber is an entry that subscribed to reports.
-type subscriber struct {
-	seenAt time.Time
-	// reportedAt is when the last unchanged report was sent, interval the time between
-	// two of them and between two renewals of the subscription.
-	reportedAt time.Time
-	interval   time.Duration
-	region     string
-	// incarnation distinguishes the process starts of an entry.
-	incarnation uint64
-	// everyChange requests a report at each load change; draining marks an entry
-	// that is about to stop.
-	everyChange, draining bool
-}
-
-// current reports whether the subscription has not expired. One lost renewal does not end
-// it.
-func (s *subscriber) current(now time.Time) bool {
-	return now.Sub(s.seenAt) <= 2*(s.interval+refreshInterval)
-}
-
-// due reports whether an unchanged report is due. Reports are sent in steps of
-// refreshInterval.
-func (s *subscriber) due(now time.Time) bool {
-	return now.Sub(s.reportedAt) >= s.interval-refreshInterval/2
-}
-
-// subscriptionInterval returns the interval of a subscription.
-func subscriptionInterval(s *peerlink.Subscription) time.Duration {
-	millis := min(max(s.IntervalMillis, refreshInterval.Milliseconds()), maxSubscriptionInterval.Milliseconds())
-	return time.Duration(millis) * time.Millisecond
-}
-
-// entryLoad is the work that an entry has placed on the engine.
-type entryLoad struct {
-	receivedAt    time.Time
-	sequence      peerlink.SenderSequence
-	prefillTokens int
-}
-
 // NewLoadReporter opens a UDP socket on the replica's peer port. It returns an
 // error if the port cannot be bound.
 func NewLoadReporter(r *Replica) (*LoadReporter, error) {
@@ -215,15 +175,6 @@
 	return tokens
 }
 
-// recipients are the entries to send a report to.
-type recipients struct {
-	// all receive urgent reports, due one at a refresh, everyChange one at each change, and
-	// added one immediately.
-	all, due, everyChange, added []netip.AddrPort
-	// neighbours are the entries of this instance's region that aren't draining.
-	neighbours []string
-}
-
 // recipients returns the entries with a current subscription. It returns each
 // new subscriber in added once.
 func (r *LoadReporter) recipients() recipients {
