gateway: a connection on which a body is refused early is not used again

Cause: the refusal is sent while the body is still arriving, with full duplex of net/http turned on. In that mode net/http does not check whether the body was read to its end before it serves the next request, and the refusal did not say that the connection closes.

Change: refuseEarly always announces the end of the connection, so that net/http closes it whatever is left of the body.

--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -91,7 +91,9 @@
 
 // refuseEarly refuses a request at once and then reads its body. The caller needs time to go
 // to another entry, and one that reads its answer only after it has sent the whole request
-// must not find a connection that was reset meanwhile.
+// must not find a connection that was reset meanwhile. The refusal announces that the
+// connection closes: what is left of a body that is not read to its end would be taken for
+// requests. In full duplex, net/http does not check that.
 func (r *request) refuseEarly(refuse func()) {
 	control := http.NewResponseController(r.writer)
 	// Otherwise net/http reads what it can of the body before it sends the head.
@@ -99,6 +101,7 @@
 		refuse()
 		return
 	}
+	r.writer.Header().Set("Connection", "close")
 	// Without a length, the answer would end only with the body.
 	r.writer.Header().Set("Content-Length", "0")
 	refuse()
