--- a/review/bed3/bed.go
+++ b/review/bed3/bed.go
@@ -71,7 +71,6 @@
 	IP, Callers, Ready string
 
 	bed      *Bed
-	binary   string
 	settings string
 	cmd      *exec.Cmd
 	done     chan struct{}
