--- a/review/bed3/bed.go
+++ b/review/bed3/bed.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -80,6 +81,8 @@
 type Settings struct {
 	Name, IP, Zone, Store string
 	MemoryMB              int
+	// StabilityMS and ConfigApplyMS are bounds; zero takes those of umurage-crest.
+	StabilityMS, ConfigApplyMS int
 }
 
 // Text returns the settings file, with the bounds of the sites.
@@ -96,9 +99,9 @@
 port_range: [7700, 7715]
 limits: {cpu_quota: 0.4, cpu_cores: 1, memory_mb: %[4]d, max_fds: 4100, bandwidth_mbps: 1000.0}
 heartbeat_ms: 1200
-bounds: {seed_lag_s: 3, reuse_after_s: 2, stability_ms: 3000, ack_timeout_ms: 4000, catch_up_s: 4, drain_timeout_ms: 2000, grace_s: 8, loss_slack_ms: 200, config_apply_ms: 2000, rollback_slack_ms: 250, max_skew_ms: 5000, retry_ratio: 0.2, retry_window_s: 10, retry_slack: 104, recover_s: 12, iteration_ms: 120, version_ms: 8000}
+bounds: {seed_lag_s: 3, reuse_after_s: 2, stability_ms: %[6]d, ack_timeout_ms: 4000, catch_up_s: 4, drain_timeout_ms: 2000, grace_s: 8, loss_slack_ms: 200, config_apply_ms: %[7]d, rollback_slack_ms: 250, max_skew_ms: 5000, retry_ratio: 0.2, retry_window_s: 10, retry_slack: 104, recover_s: 12, iteration_ms: 120, version_ms: 8000}
 platform: {address: %[5]q, form: "table"}
-`, s.Name, s.IP, s.Zone, s.MemoryMB, s.Store)
+`, s.Name, s.IP, s.Zone, s.MemoryMB, s.Store, cmp.Or(s.StabilityMS, 3000), cmp.Or(s.ConfigApplyMS, 2000))
 }
 
 // StartEntry starts a gateway with the command of the deploy file and waits until it is ready.
--- a/review/bed3/link.go
+++ b/review/bed3/link.go
@@ -1,7 +1,6 @@
 package bed3
 
 import (
-	"io"
 	"net"
 	"sync"
 )
@@ -11,8 +10,9 @@
 	// Address is the one that it listens on.
 	Address string
 
-	ln     net.Listener
-	mu     sync.Mutex
+	ln net.Listener
+	mu sync.Mutex
+	// conns are the open connections, and whether they have gone silent.
 	conns  map[net.Conn]bool
 	closed bool
 }
@@ -52,10 +52,41 @@
 func (l *Link) keep(conn net.Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.conns[conn] = true
+	l.conns[conn] = false
 	return !l.closed
 }
 
+// Silence makes the open connections go silent for good, in both directions and without a reset.
+// Later ones work.
+func (l *Link) Silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for conn := range l.conns {
+		l.conns[conn] = true
+	}
+}
+
+// silent reports whether a connection has gone silent.
+func (l *Link) silent(conn net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conns[conn]
+}
+
+// copy forwards what comes from a connection unless that has gone silent.
+func (l *Link) copy(to, from net.Conn) {
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		if l.silent(from) {
+			n = 0
+		}
+		if _, writeErr := to.Write(buffer[:n]); err != nil || writeErr != nil {
+			return
+		}
+	}
+}
+
 func (l *Link) forward(from net.Conn, target string) {
 	defer from.Close()
 	to, err := net.Dial("tcp", target)
@@ -69,11 +100,15 @@
 	done := make(chan struct{}, 2)
 	for _, pair := range [][2]net.Conn{{to, from}, {from, to}} {
 		go func() {
-			_, _ = io.Copy(pair[0], pair[1])
+			l.copy(pair[0], pair[1])
 			done <- struct{}{}
 		}()
 	}
 	<-done
+	if l.silent(from) {
+		// The end of one side does not reach the other one.
+		<-done
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.conns, from)
