--- a/review/bed3/bed.go
+++ b/review/bed3/bed.go
@@ -162,7 +162,7 @@
 
 func (e *Entry) awaitReady() error {
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		if resp, err := http.Get("http://" + e.Ready + "/api/readyz"); err == nil {
+		if resp, err := http.Get("http://" + e.Ready + Name("ready")); err == nil {
 			_ = resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
 				return nil
@@ -189,7 +189,7 @@
 		"version": version, "routes": routes,
 		"services": []map[string]any{{"name": "desk", "health_path": "/healthz", "max_connections": 110, "protocol": "h1", "tls": false}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  []map[string]any{{"name": "bakers", "api_keys": []string{Key}, "priority": 1}},
+		"tenants":  []map[string]any{{"name": "bakers", Name("keys"): []string{Key}, "priority": 1}},
 	})
 	b.Note("configuration %d is acknowledged", version)
 }
@@ -197,7 +197,7 @@
 // NewRoute returns a route to the plain service.
 func NewRoute(prefix, kind string) Route {
 	return Route{
-		"name": "r" + prefix, "hostname": "bed.example", "prefix": prefix, "route_type": kind, "timeout_ms": 6000, "target_latency_ms": 400,
+		"name": "r" + prefix, "hostname": "bed.example", "prefix": prefix, Name("kind"): kind, "timeout_ms": 6000, "target_latency_ms": 400,
 		"priority": 1, "service": "desk", "max_attempts": 2, "public": false, "session_affinity": false, "stream_resume": false, "gap_target_ms": 0,
 	}
 }
@@ -237,9 +237,9 @@
 				if err != nil {
 					return
 				}
-				x := &Exchange{Conn: conn.(*net.TCPConn), Reader: reader, Request: req, ID: req.Header.Get("X-Attempt-Id")}
-				if expected := req.Header.Get("X-Expected-Instance"); expected != "" && expected != id {
-					_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+				x := &Exchange{Conn: conn.(*net.TCPConn), Reader: reader, Request: req, ID: req.Header.Get(Name("attempt"))}
+				if expected := req.Header.Get(Name("expected")); expected != "" && expected != id {
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", Name("instance"), id)
 					return
 				}
 				b.Note("request %s reaches server %s", x.ID, id)
@@ -249,7 +249,7 @@
 	}()
 	row, _ := json.Marshal(map[string]any{
 		"service": "desk", "address": address, "zone": "kigali-a", "version": "v1", "capacity": 6, "state": "ready",
-		"cold_remaining_ms": 0, "sequence": 1, "born": time.Now().UnixMilli(),
+		Name("cold"): 0, "sequence": 1, "born": time.Now().UnixMilli(),
 	})
 	b.Store.Put("servers", id, row)
 	return nil
--- a/review/bed3/caller.go
+++ b/review/bed3/caller.go
@@ -44,9 +44,9 @@
 		return Answer{Err: err}
 	}
 	req.Host = "bed.example"
-	req.Header.Set("X-Attempt-Id", id)
-	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(limit.Milliseconds(), 10))
-	req.Header.Set("Authorization", "Token "+Key)
+	req.Header.Set(Name("attempt"), id)
+	req.Header.Set(Name("deadline"), strconv.FormatInt(limit.Milliseconds(), 10))
+	req.Header.Set(Name("key"), Name("scheme")+Key)
 	client := *c.client
 	client.Timeout = limit
 	resp, err := client.Do(req)
@@ -56,7 +56,7 @@
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
-	a := Answer{Status: resp.StatusCode, Signature: resp.Header.Get("X-Server-Signature"), Body: string(data), Err: err}
+	a := Answer{Status: resp.StatusCode, Signature: resp.Header.Get(Name("signature")), Body: string(data), Err: err}
 	c.bed.Note("request %s %s is answered %d, signature %q, body %q, err %v", id, path, a.Status, a.Signature, short(a.Body), err)
 	return a
 }
--- a/review/bed3/cmd/asterisk/main.go
+++ b/review/bed3/cmd/asterisk/main.go
@@ -36,7 +36,7 @@
 	b.PutConfig(1, bed3.NewRoute("/status/", "idempotent"))
 	err = b.StartServer(20, "i-7f3a91c2", func(x *bed3.Exchange) {
 		x.Body()
-		_, _ = fmt.Fprintf(x.Conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Signature: sig.%s\r\nContent-Length: 4\r\n\r\ndone", x.ID, x.ID)
+		x.Done()
 	})
 	if err != nil {
 		return 2, err
@@ -53,14 +53,14 @@
 	for i := range asked {
 		key := ""
 		if i%2 == 0 {
-			key = "Authorization: Token " + bed3.Key + "\r\n"
+			key = bed3.Name("key") + ": " + bed3.Name("scheme") + bed3.Key + "\r\n"
 		}
-		resp, err := send(entry.Callers, fmt.Sprintf("OPTIONS %s HTTP/1.1\r\nHost: bed.example\r\nX-Attempt-Id: a%d\r\nX-Deadline-Ms: 1000\r\n%s\r\n", target, i, key))
+		resp, err := send(entry.Callers, fmt.Sprintf("OPTIONS %s HTTP/1.1\r\nHost: bed.example\r\n%s: a%d\r\n%s: 1000\r\n%s\r\n", target, bed3.Name("attempt"), i, bed3.Name("deadline"), key))
 		if err != nil {
 			return 2, err
 		}
-		b.Note("OPTIONS %s, key %t: %d, signature %q", target, key != "", resp.StatusCode, resp.Header.Get("X-Server-Signature"))
-		if resp.StatusCode/100 == 2 && resp.Header.Get("X-Server-Signature") == "" {
+		b.Note("OPTIONS %s, key %t: %d, signature %q", target, key != "", resp.StatusCode, resp.Header.Get(bed3.Name("signature")))
+		if resp.StatusCode/100 == 2 && resp.Header.Get(bed3.Name("signature")) == "" {
 			unsigned++
 			if key != "" {
 				withKey++
--- a/review/bed3/cmd/spoilt/main.go
+++ b/review/bed3/cmd/spoilt/main.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,8 @@
 
 const (
 	requests = 2000
+	// callers send at the same time, so that both runners get requests.
+	callers = 4
 	// spoiltEvery is 1/x of garble: x is 0.02.
 	spoiltEvery = 50
 )
@@ -33,21 +36,30 @@
 		return 2
 	}
 	caller := b.NewCaller()
+	var mu sync.Mutex
+	var calling sync.WaitGroup
 	broken, served := 0, 0
-	for i := range requests {
-		id, path := fmt.Sprintf("a%04d", i), "/status/book"
-		if i%2 == 1 {
-			path = "/order/book"
-		}
-		a := caller.Send(entry, "POST", path, id, "for "+id, 1500*time.Millisecond)
-		if a.Status/100 != 2 || a.Err != nil {
-			continue
-		}
-		if served++; a.Body != bodyOf(id) {
-			broken++
-			b.Note("MIXED: request %s has success %d with body %q; the runner's is %q", id, a.Status, a.Body, bodyOf(id))
-		}
+	for n := range callers {
+		calling.Go(func() {
+			for i := n; i < requests; i += callers {
+				id, path := fmt.Sprintf("a%04d", i), "/status/book"
+				if i/callers%2 == 1 {
+					path = "/order/book"
+				}
+				a := caller.Send(entry, "POST", path, id, "for "+id, 1500*time.Millisecond)
+				if a.Status/100 != 2 || a.Err != nil {
+					continue
+				}
+				mu.Lock()
+				if served++; a.Body != bodyOf(id) {
+					broken++
+					b.Note("MIXED: request %s has success %d with body %q; the runner's is %q", id, a.Status, a.Body, bodyOf(id))
+				}
+				mu.Unlock()
+			}
+		})
 	}
+	calling.Wait()
 	fmt.Printf("%d of %d requests have success, %d of them with another body than the runner's\n", served, requests, broken)
 	switch {
 	case served < requests/2:
@@ -75,7 +87,7 @@
 				b.Note("server %s spoils one byte of its answer to %s", name, x.ID)
 			}
 			body := bodyOf(x.ID)
-			_, _ = fmt.Fprintf(x.Conn, "%s 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Signature: sig.%s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", version, x.ID, x.ID, len(body), body)
+			_, _ = fmt.Fprintf(x.Conn, "%s 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", version, bed3.AnswerHead(x.ID), len(body), body)
 		})
 		if err != nil {
 			return nil, err
--- a/review/bed3/cmd/tightened/main.go
+++ b/review/bed3/cmd/tightened/main.go
@@ -52,7 +52,7 @@
 	b.PutConfig(1, routes...)
 	err = b.StartServer(20, "i-7f3a91c2", func(x *bed3.Exchange) {
 		x.Body()
-		_, _ = fmt.Fprintf(x.Conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Signature: sig.%s\r\nContent-Length: 4\r\n\r\ndone", x.ID, x.ID)
+		x.Done()
 	})
 	if err != nil {
 		return 2, err
