--- a/review/bed3/bed.go
+++ b/review/bed3/bed.go
@@ -45,7 +45,11 @@
 		return nil, err
 	}
 	b := &Bed{Store: platformtest.NewStore(), Dir: dir, record: file, began: time.Now(), subnet: fmt.Sprintf("127.%d.%d", 100+os.Getpid()%100, os.Getpid()/100%250)}
-	b.closers = append(b.closers, func() { _ = os.RemoveAll(dir) }, b.Store.Close)
+	b.closers = append(b.closers, func() {
+		if os.Getenv("BED3_KEEP") == "" {
+			_ = os.RemoveAll(dir)
+		}
+	}, b.Store.Close)
 	return b, nil
 }
 
@@ -118,7 +122,7 @@
 		return nil, err
 	}
 	e.cmd = exec.Command(Binary("auburnbend-gateway"), "--metrics-port", "7715")
-	e.cmd.Env = append(os.Environ(), "AUBURNBEND_SETTINGS="+e.settings)
+	e.cmd.Env = append(os.Environ(), Name("settings")+"="+e.settings)
 	e.cmd.Stdout, e.cmd.Stderr = logs, logs
 	if err := e.cmd.Start(); err != nil {
 		return nil, err
--- a/review/bed3/caller.go
+++ b/review/bed3/caller.go
@@ -39,6 +39,11 @@
 
 // Send sends one request and notes its answer.
 func (c *Caller) Send(e *Entry, method, path, id, body string, limit time.Duration) Answer {
+	return c.SendWith(e, method, path, id, body, limit, nil)
+}
+
+// SendWith is like Send, with further headers.
+func (c *Caller) SendWith(e *Entry, method, path, id, body string, limit time.Duration, headers map[string]string) Answer {
 	req, err := http.NewRequest(method, "http://"+e.Callers+path, strings.NewReader(body))
 	if err != nil {
 		return Answer{Err: err}
@@ -47,6 +52,9 @@
 	req.Header.Set(Name("attempt"), id)
 	req.Header.Set(Name("deadline"), strconv.FormatInt(limit.Milliseconds(), 10))
 	req.Header.Set(Name("key"), Name("scheme")+Key)
+	for name, value := range headers {
+		req.Header.Set(name, value)
+	}
 	client := *c.client
 	client.Timeout = limit
 	resp, err := client.Do(req)
