gateway: one request at a time tries whether a quarantine still holds

Callers got 503, reason "quarantined", for up to ten minutes and at all entries for parts of sound prompts, because model runners had crashed together before their first answers.

Cause: a content or part is refused from three crashes on, until a response clears it. Once it is refused, it gets no response. Crashes with a cause outside of the requests are the same evidence as those of a request that crashes its servers.

Evidence: 7213 at all entries, and afterwards no attempt with such a part (7201, attempts=0) although all servers were back. Four specs of internal/node, with the parts and the whole contents of sound requests and with entries that hear nothing of each other, failed before (503 for 66 to 414 of the sound requests).

Change: one request at a time is a trial of all that it is refused for. Its response clears that everywhere; a crash makes the next trial ten times later.

--- a/gateway/finish.go
+++ b/gateway/finish.go
@@ -123,6 +123,7 @@
 	if r.summary.Outcome == OutcomeAnswered {
 		r.gateway.recordAnswered(r.subjects())
 	}
+	r.endTrial(false)
 	r.summary.TotalTime = r.gateway.now().Sub(r.arrived)
 	if r.gateway.config.Observe != nil {
 		r.gateway.config.Observe(r.summary)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,8 @@
 
 // Config configures a Gateway.
 type Config struct {
+	// Name is the name of this entry, which differs between entries.
+	Name    string
 	Dialect Dialect
 	Clock   clock.Clock
 	Log     *eventlog.Logger
@@ -159,7 +161,7 @@
 		versions:       versions.NewRegistry(config.MaxRolloutTime),
 		waiting:        make(map[*attempt]struct{}),
 		startedAt:      config.Clock.Now(),
-		suspects:       newSuspects(),
+		suspects:       newSuspects(config.Name, config.Clock.Now()),
 		signals:        make(map[Signal]int64),
 		earlyStatuses:  newEarlyStatuses(),
 		waitLines:      newWaitLines(config.Clock.Now),
--- a/gateway/interrupted.go
+++ b/gateway/interrupted.go
@@ -34,6 +34,7 @@
 		return
 	}
 	g, server := r.gateway, lease.Server
+	defer r.endTrial(true)
 	x := r.subjects()
 	if closed {
 		g.config.Log.Log(eventlog.AttemptAborted, "request", r.info.ID, "content", x.content,
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -14,11 +14,14 @@
 const quarantinedReason placement.Reason = "quarantined"
 
 // quarantineRefusal returns the refusal of a request whose content or a part of whose
-// prompt is quarantined, or nil. It updates ties.
+// prompt is quarantined, or nil. It updates blames and ties.
 func (r *request) quarantineRefusal() *placement.Refusal {
 	g := r.gateway
+	r.blames, r.ties = nil, nil
+	if r.trial != nil {
+		return nil
+	}
 	g.mu.Lock()
-	r.ties = nil
 	none := g.suspects.monitor.SuspectCount()+g.suspects.parts.monitor.SuspectCount() == 0
 	g.mu.Unlock()
 	if none {
@@ -28,16 +31,17 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	blame, ties := poison.Judge(now, poison.Evidence{Monitor: g.suspects.monitor, Own: []model.Fingerprint{x.content}}, poison.Evidence{Monitor: g.suspects.parts.monitor, Own: x.parts})
-	if blame == nil {
-		r.ties = ties
+	r.blames, r.ties = poison.Judge(now, poison.Evidence{Monitor: g.suspects.monitor, Own: []model.Fingerprint{x.content}}, poison.Evidence{Monitor: g.suspects.parts.monitor, Own: x.parts})
+	if len(r.blames) == 0 {
 		return nil
 	}
-	if i := slices.Index(x.parts, blame.Fingerprint); i >= 0 && !g.suspects.quarantined[blame.Fingerprint] {
-		g.suspects.quarantined[blame.Fingerprint] = true
-		g.config.Log.Log(eventlog.PartQuarantined, "part", r.info.PromptParts[i], "servers", blame.Crashes, "until", blame.Until)
+	for _, blame := range r.blames {
+		if i := slices.Index(x.parts, blame.Fingerprint); i >= 0 && !g.suspects.quarantined[blame.Fingerprint] {
+			g.suspects.quarantined[blame.Fingerprint] = true
+			g.config.Log.Log(eventlog.PartQuarantined, "part", r.info.PromptParts[i], "servers", blame.Crashes, "until", blame.Until)
+		}
 	}
-	return &placement.Refusal{Reason: quarantinedReason, RetryAfter: blame.Until.Sub(now)}
+	return &placement.Refusal{Reason: quarantinedReason, RetryAfter: trialRetryAfter(now, r.blames)}
 }
 
 // logQuarantined logs contents that are newly quarantined.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -36,6 +36,9 @@
 	// ties are the fingerprints whose crashes are merely explained by others. If there are
 	// any, the request is a trial: its outcome tells them apart.
 	ties []poison.Tie
+	// blames are the fingerprints that the request is refused for, and trial those that it
+	// tries; nil if it is no trial of a quarantine.
+	blames, trial []poison.Blame
 
 	service string
 	engine  *serving.Engine
@@ -123,7 +126,7 @@
 	if s := r.table.Service(r.service); s != nil {
 		req.ColdPerSecond = s.ColdRequestsPerSecond
 	}
-	if len(r.ties) > 0 {
+	if len(r.ties) > 0 || r.trial != nil {
 		req.Exclude = append(slices.Clip(req.Exclude), r.gateway.endedServers(r.service)...)
 	}
 	req.VersionDeadlines = r.gateway.versions.Deadlines(modelName, now)
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -107,7 +107,7 @@
 func (r *request) run() {
 	g := r.gateway
 	g.awaitWarmup(r.ctx)
-	if refusal := r.quarantineRefusal(); refusal != nil {
+	if refusal := r.admit(); refusal != nil {
 		r.endUnplaced(refusal)
 		return
 	}
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -59,12 +59,14 @@
 	quarantined map[model.Fingerprint]bool
 }
 
-func newSuspects() *suspects {
-	contents := poison.Config{MaxSuspects: maxSuspects, MaxKnownGood: maxKnownGood, MaxCredit: maxCrashCredit, QuarantineCrashes: quarantineCrashes}
-	parts := poison.Config{MaxSuspects: maxSuspectParts, MaxKnownGood: maxSoundParts, SoundFor: partSoundFor, QuarantineCrashes: quarantineCrashes}
+// newSuspects returns the suspects of an entry, given its name and the time of its start.
+func newSuspects(entry string, start time.Time) *suspects {
+	contents := poison.Config{MaxSuspects: maxSuspects, MaxKnownGood: maxKnownGood, MaxCredit: maxCrashCredit, QuarantineCrashes: quarantineCrashes, Settle: trialSettle}
+	parts := poison.Config{MaxSuspects: maxSuspectParts, MaxKnownGood: maxSoundParts, SoundFor: partSoundFor, QuarantineCrashes: quarantineCrashes, Settle: trialSettle}
+	self, generation := model.InstanceID(entry), model.Generation(start.UnixMilli())
 	return &suspects{
-		crashTracker:   crashTracker{poison.New(contents, "", 0), poison.NewAttributor()},
-		parts:          crashTracker{poison.New(parts, "", 0), poison.NewAttributor()},
+		crashTracker:   crashTracker{poison.New(contents, self, generation), poison.NewAttributor()},
+		parts:          crashTracker{poison.New(parts, self, generation), poison.NewAttributor()},
 		pendingServers: make(map[model.InstanceID]directory.Key), quarantined: make(map[model.Fingerprint]bool),
 	}
 }
@@ -83,6 +85,15 @@
 	return ended, first
 }
 
+// addTo adds an update of one of the monitors to gossip; nil adds none.
+func (s *suspects) addTo(gossip *peerlink.Gossip, monitor *poison.Monitor, update *wire.SuspectUpdate) {
+	if monitor == s.monitor {
+		gossip.AddSuspects(update)
+		return
+	}
+	gossip.AddParts(update)
+}
+
 // suspected reports whether servers have crashed with the content or a part of an exchange.
 func (s *suspects) suspected(now time.Time, x subjects) bool {
 	if crashes, _ := s.monitor.Crashes(now, x.content); crashes > 0 {
--- a/internal/node/deployment_test.go
+++ b/internal/node/deployment_test.go
@@ -31,7 +31,9 @@
 	// stabilityTime is the time after a fault until the bounds hold again.
 	stabilityTime = time.Second
 	serverSlots   = 6
-	callerPort    = 8005
+	// workTime is the time that a response takes, or the time between two events of a stream.
+	workTime   = 5 * time.Millisecond
+	callerPort = 8005
 )
 
 var (
@@ -195,7 +197,7 @@
 }
 
 func (s *deployment) startBackend(c platformtest.BackendConfig, number int) {
-	c.Listen, c.Domain, c.Slots, c.WorkTime = c.Address, testDomains[number%len(testDomains)], serverSlots, 5*time.Millisecond
+	c.Listen, c.Domain, c.Slots, c.WorkTime = c.Address, testDomains[number%len(testDomains)], serverSlots, workTime
 	c.PoisonBody, c.PoisonPart, c.RestartDelay, c.Store, c.Recorder = poisonBody, poisonPart, restartDelay, s.store, s
 	b, err := platformtest.NewBackend(c)
 	Expect(err).NotTo(HaveOccurred())
--- a/internal/node/gateway.go
+++ b/internal/node/gateway.go
@@ -63,7 +63,7 @@
 	defer m.Close()
 	requests := newRequestLog(env.Log, m, clock.System{})
 	g := gateway.New(gateway.Config{
-		Dialect: platform.Dialect{}, Clock: clock.System{}, Log: env.Log, Observe: requests.observe,
+		Name: s.Instance, Dialect: platform.Dialect{}, Clock: clock.System{}, Log: env.Log, Observe: requests.observe,
 		Retry:   retryConfig(&s.Bounds),
 		Entries: assumedEntries, Seed: rand.Uint64(), MaxRolloutTime: s.Bounds.VersionTime, StartGrace: max(0, s.Bounds.StallTime-applyReserve),
 		MaxBufferedBytes: s.MemoryLimit / bufferMemoryDivisor,
--- a/internal/node/poison_part_test.go
+++ b/internal/node/poison_part_test.go
@@ -126,7 +126,57 @@
 	})
 })
 
+var _ = Describe("A trial of a part that crashes each server that answers it", func() {
+	DescribeTable("comes seldom, with callers at all entries at once",
+		// Guards against servers that are lost to the trials of each entry.
+		func(subnet int, prefix string, cutOff bool) {
+			l := &promptLoad{deployment: newDeployment(subnet, 3, 6, 8), prefix: prefix}
+			stop := l.start(poisonParts, poisonInterval)
+			time.Sleep(2 * time.Second)
+			if cutOff {
+				l.deployment.cutOffEntries(true)
+			}
+			Eventually(func() int { return strings.Count(l.deployment.logs.String(), "event=7221") }, 13*time.Second).ShouldNot(BeZero())
+			time.Sleep(2 * time.Second)
+			stop()
+			l.expectFewLateArrivals()
+		},
+		Entry("idempotent", 108, "/status/", false),
+		Entry("stream, at entries that hear nothing of each other", 109, "/draft/", true),
+	)
+})
+
 var _ = Describe("The parts of requests that run as all servers crash at once", func() {
+	DescribeTable("are not refused for long if none was answered before",
+		// Guards against a part that stays refused because all requests with it are refused.
+		func(subnet int, prefix string, cutOff bool) {
+			l := &promptLoad{deployment: newDeployment(subnet, 3, 6, 8), prefix: prefix}
+			s := l.deployment
+			slowDown(s.backends)
+			var stops []func()
+			for range 8 {
+				stops = append(stops, l.start(soundParts, soundInterval))
+			}
+			time.Sleep(crashAfter)
+			crashAll(s.backends)
+			Eventually(s.logs.String, restartDelay).Should(ContainSubstring("event=7213"))
+			if cutOff {
+				s.cutOffEntries(false)
+			}
+			time.Sleep(restartDelay + 2*stabilityTime)
+			for _, stop := range stops {
+				stop()
+			}
+			afterwards := time.Now()
+			stop := l.start(soundParts, soundInterval)
+			time.Sleep(3 * time.Second)
+			stop()
+			l.expectAnswered(l.matching(func(r *promptRequest) bool { return r.sentAt.After(afterwards) }))
+		},
+		Entry("stream", 110, "/draft/", false),
+		Entry("idempotent, at entries that hear nothing of each other", 111, "/status/", true),
+	)
+
 	DescribeTable("are not refused afterwards",
 		// Guards against parts that are blamed for crashes with another cause.
 		func(subnet int, prefix string) {
--- a/internal/node/poison_test.go
+++ b/internal/node/poison_test.go
@@ -10,6 +10,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/auburnbend/auburnbend/platform/platformtest"
 )
 
 // countLateRuns counts the runs of the poison request that began more than
@@ -36,6 +38,30 @@
 // crashedRowExpiry is the time after a crash until the row of the server is removed.
 const crashedRowExpiry = time.Second
 
+// slowTime is the time that a response takes, or the time between two events of a stream,
+// on servers that are to crash before their first responses, and crashAfter the time after
+// which they do.
+const (
+	slowTime   = time.Second
+	crashAfter = 200 * time.Millisecond
+)
+
+// slowDown makes servers respond slowly.
+func slowDown(servers []*platformtest.Backend) {
+	for _, b := range servers {
+		b.SetWorkTime(slowTime)
+	}
+}
+
+// crashAll crashes servers at once. They serve again after restartDelay, at the usual pace.
+func crashAll(servers []*platformtest.Backend) {
+	for _, b := range servers {
+		b.Crash(crashedRowExpiry)
+		b.SetWorkTime(workTime)
+		time.AfterFunc(restartDelay, func() { _ = b.Start() })
+	}
+}
+
 // maxLateRuns is the maximum number of late runs, as countLateRuns counts them.
 const maxLateRuns = 3
 
@@ -121,6 +147,35 @@
 		Expect(s.send(0, "/order/", "another order").Status).To(Equal(http.StatusOK))
 	})
 
+	DescribeTable("is distinguished from one that all servers were running as they crashed",
+		// Guards against refusing a harmless request for minutes because it had no response before.
+		func(subnet int, prefix string) {
+			s := newDeployment(subnet, 3, 6, 8)
+			slowDown(s.backends)
+			const repeated = "harmless and repeated"
+			var work sync.WaitGroup
+			end := time.Now().Add(crashAfter + restartDelay + 2*stabilityTime)
+			for i := range 24 {
+				work.Go(func() {
+					defer GinkgoRecover()
+					for time.Now().Before(end) {
+						s.send(i%len(s.entries), prefix, repeated)
+						time.Sleep(50 * time.Millisecond)
+					}
+				})
+			}
+			time.Sleep(crashAfter)
+			crashAll(s.backends)
+			Eventually(s.logs.String, restartDelay).Should(ContainSubstring("event=7206"))
+			work.Wait()
+			for i := range s.entries {
+				Expect(s.send(i, prefix, repeated).Status).To(Equal(http.StatusOK))
+			}
+		},
+		Entry("not repeatable", 112, "/order/"),
+		Entry("stream", 113, "/draft/"),
+	)
+
 	It("is distinguished from harmless requests that run on the same servers", func() {
 		// Guards against refusing harmless requests because the servers that ran them
 		// crashed for other reasons or through other requests.
--- a/lib/eventlog/events_serving.go
+++ b/lib/eventlog/events_serving.go
@@ -36,6 +36,7 @@
 	OverloadBegan       = Event{7218, Warn, "service is overloaded: requests are admitted by rank and team", "Nothing unless it lasts; then add servers of the service, or look for the teams that send most of the requests."}
 	OverloadEnded       = Event{7219, Info, "service is no longer overloaded", "Nothing."}
 	RequestNotTaken     = Event{7220, Info, "backend server has answered a request and did not take the rest of it", "Nothing unless it repeats; then check why the named server ends connections or does not read."}
+	QuarantineTrial     = Event{7221, Info, "request tries whether what is quarantined still crashes backend servers", "Nothing; events 7205 and 7206 tell if it does."}
 	ReplicaPhase        = Event{7301, Info, "phase of the replica changed", "Nothing."}
 	LoadOrdered         = Event{7302, Info, "engine ordered to load a version", "Nothing; err is set if the order failed."}
 	ReplicaFetched      = Event{7306, Info, "all pieces of a version fetched", "Nothing."}
@@ -57,6 +58,6 @@
 var servingEvents = []Event{
 	LiveConfigApplied, VersionDeclared, RowInvalid, StoreLost, StoreRegained, StoreRestored, StoreBehind,
 	ServerListRead, ServerRegistered, ServerRemoved, ServerEjected, PlacerChanged, PlacerLost, StorePathChanged,
-	RequestEnded, RequestRetried, LogLinesDropped, AttemptAborted, ServerCrashed, ContentQuarantined, ServerAlive, ServerDraining, ServerPaused, ServerRateLimited, DomainEvacuated, DomainRestored, PartQuarantined, RequestPanicked, RequestBeyondMemory, ServerPaceLimited, ServerPaceLifted, OverloadBegan, OverloadEnded, RequestNotTaken,
+	RequestEnded, RequestRetried, LogLinesDropped, AttemptAborted, ServerCrashed, ContentQuarantined, ServerAlive, ServerDraining, ServerPaused, ServerRateLimited, DomainEvacuated, DomainRestored, PartQuarantined, RequestPanicked, RequestBeyondMemory, ServerPaceLimited, ServerPaceLifted, OverloadBegan, OverloadEnded, RequestNotTaken, QuarantineTrial,
 	ReplicaPhase, LoadOrdered, ReplicaFetched, FetchFailed, OriginLost, OriginRegained, WeightsVerified, WeightsCorrupt, WeightsUnverified, WeightsConfirmed, LoadDelayed, WeightsUnrepairable, EnginePaused, PieceCorrupt, PeerListUnavailable, EngineCallFailed,
 }
--- a/lib/poison/blame.go
+++ b/lib/poison/blame.go
@@ -16,6 +16,8 @@
 
 // Blame is a fingerprint of a request that crashes backend servers.
 type Blame struct {
+	// Monitor is the one that tracks the fingerprint.
+	Monitor     *Monitor
 	Fingerprint model.Fingerprint
 	// Crashes is the number of different backend servers that crashed.
 	Crashes int
@@ -24,7 +26,18 @@
 }
 
 // FindBlame returns the first fingerprint of a request with which as many backend servers
-// have crashed as its Monitor quarantines for, or nil.
+// have crashed as its Monitor quarantines for, or nil. See Judge.
+func FindBlame(now time.Time, evidence ...Evidence) *Blame {
+	blames, _ := Judge(now, evidence...)
+	if len(blames) == 0 {
+		return nil
+	}
+	return &blames[0]
+}
+
+// Judge returns the fingerprints of a request with which as many backend servers have crashed
+// as their Monitor quarantines for. If there are none, it returns those that have as many
+// crashes and are merely explained by others.
 //
 // A crash ends all requests on its server, and requests that share a part have the parts
 // beside it in common as well. A fingerprint is therefore not to blame if each of its
@@ -32,14 +45,8 @@
 // quarantined too and that has at least as many crashes. Of two fingerprints that were
 // always seen together, each explains the other: a request with only one of them runs, and
 // its outcome tells them apart.
-func FindBlame(now time.Time, evidence ...Evidence) *Blame {
-	blame, _ := Judge(now, evidence...)
-	return blame
-}
-
-// Judge returns what FindBlame returns, or else the fingerprints of the request that have as
-// many crashes and are merely explained by others.
-func Judge(now time.Time, evidence ...Evidence) (*Blame, []Tie) {
+func Judge(now time.Time, evidence ...Evidence) ([]Blame, []Tie) {
+	var blames []Blame
 	var ties []Tie
 	for _, e := range evidence {
 		for _, fingerprint := range e.Own {
@@ -48,11 +55,15 @@
 				continue
 			}
 			if !explained(now, crashed, evidence) {
-				return &Blame{fingerprint, len(crashed), until}, nil
+				blames = append(blames, Blame{e.Monitor, fingerprint, len(crashed), until})
+				continue
 			}
 			ties = append(ties, Tie{fingerprint, len(crashed)})
 		}
 	}
+	if len(blames) > 0 {
+		return blames, nil
+	}
 	return nil, ties
 }
 
--- a/lib/poison/suspect.go
+++ b/lib/poison/suspect.go
@@ -18,6 +18,9 @@
 	plannedSince time.Time
 	// ownRun is this entry's last announcement.
 	ownRun run
+	// nextTrial is the next trial, computed when lastNewCrash was nextTrialFor.
+	nextTrial    Trial
+	nextTrialFor time.Time
 }
 
 func newSuspect(now time.Time) *suspect {
@@ -49,7 +52,7 @@
 func (s *suspect) addIncident(now time.Time, id incidentID, first time.Time, cleared bool) bool {
 	in, ok := s.incidents[id]
 	if !ok {
-		if len(s.incidents) >= maxIncidents && !s.dropCleared() {
+		if len(s.incidents) >= maxIncidents && !s.dropCleared() && !s.dropOlder(first) {
 			return false
 		}
 		s.incidents[id] = &incident{first: first, cleared: cleared}
@@ -77,6 +80,20 @@
 	return found
 }
 
+// dropOlder drops the oldest crash, so that the end of a trial is never without a record. It
+// returns false if all are newer than a time.
+func (s *suspect) dropOlder(than time.Time) bool {
+	var oldest incidentID
+	for id, in := range s.incidents {
+		if in.first.Before(than) {
+			oldest, than = id, in.first
+		}
+	}
+	_, found := s.incidents[oldest]
+	delete(s.incidents, oldest)
+	return found
+}
+
 // clear marks all known crashes as not caused by this fingerprint.
 func (s *suspect) clear() (changed bool) {
 	for _, in := range s.incidents {
