--- a/gateway/ended_servers_test.go
+++ b/gateway/ended_servers_test.go
@@ -24,8 +24,9 @@
 var _ = Describe("A request that tells parts apart whose crashes explain each other", func() {
 	DescribeTable("is not placed on a server that is known to have ended",
 		// Guards against requests that crash servers and come again because they told nothing.
-		func(end func(g *Gateway, near *directory.Server)) {
-			g := New(Config{Clock: clock.NewFake(time.Unix(1000, 0)), Log: eventlog.Discard(), Retry: retry.Config{Window: time.Second}, Placement: placement.Config{Domain: "north"}})
+		func(endsForGood bool, end func(g *Gateway, near *directory.Server)) {
+			now := clock.NewFake(time.Unix(1000, 0))
+			g := New(Config{Clock: now, Log: eventlog.Discard(), Retry: retry.Config{Window: time.Second}, Placement: placement.Config{Domain: "north"}})
 			g.SetConfig(&serving.Config{
 				Version: 1, Routes: []serving.Route{{Name: "r", Prefix: "/", Kind: serving.Idempotent, Targets: []serving.Target{{Service: "desk", Weight: 1}}}},
 				Services: []serving.Service{{Name: "desk"}},
@@ -50,19 +51,26 @@
 				g.suspects.parts.monitor.Crashed(g.now(), model.InstanceID(fmt.Sprint("crashed-", i)), 0, wire.CrashReport{InFlight: parts})
 			}
 			Expect(placed()).To(Equal(far.Key()))
+			if endsForGood {
+				return
+			}
+			// Guards against a server that only responses to such requests could show to be
+			// alive. The rows of servers that have ended are gone by then.
+			now.Advance(time.Minute)
+			Expect(placed()).To(Equal(near.Key()))
 		},
-		Entry("its address refused a connection", func(g *Gateway, near *directory.Server) {
+		Entry("its address refused a connection", false, func(g *Gateway, near *directory.Server) {
 			g.suspects.attributor.Interrupted(g.now(), incarnationID(near.Key()), model.FingerprintOf("team", "other", nil))
 			g.mu.Lock()
 			defer g.mu.Unlock()
 			g.recordServerEnd(near.Key(), signConnectionRefused)
 		}),
-		Entry("another entry has found its end", func(g *Gateway, near *directory.Server) {
+		Entry("another entry has found its end", false, func(g *Gateway, near *directory.Server) {
 			gossip := &peerlink.Gossip{}
 			gossip.Parts.Suspects = []wire.Suspect{{Fingerprint: model.FingerprintOf("", partService, []byte("c")), Incidents: []wire.Incident{{Instance: incarnationID(near.Key())}}}}
 			g.mergeSuspects(gossip, &peerlink.Gossip{})
 		}),
-		Entry("a later start has its address", func(g *Gateway, near *directory.Server) {
+		Entry("a later start has its address", true, func(g *Gateway, near *directory.Server) {
 			g.UpdateServers(func(d *directory.Directory, _ time.Time) {
 				d.Put(&directory.Server{ID: "later", Service: "desk", Domain: "north", Address: near.Address, StartUnixMilli: 2, Draining: true})
 			})
--- a/lib/poison/attributor.go
+++ b/lib/poison/attributor.go
@@ -54,7 +54,7 @@
 // crash at once. first reports whether it is the first pending exchange of the
 // instance.
 func (a *Attributor) Interrupted(now time.Time, instance model.InstanceID, fingerprint model.Fingerprint) (ended, first bool) {
-	if at, known := a.ends[instance]; known && now.Sub(at) <= pendingWindow {
+	if a.EndedLately(now, instance) {
 		return true, false
 	}
 	if now.Sub(a.lastExpiry) >= expireInterval {
@@ -115,10 +115,11 @@
 	}
 }
 
-// HasEnded reports whether an instance is known to have ended.
-func (a *Attributor) HasEnded(instance model.InstanceID) bool {
-	_, known := a.ends[instance]
-	return known
+// EndedLately reports whether an instance is known to have ended within the time for which
+// its row may outlive it. Later than that, an instance that is still listed is probably alive.
+func (a *Attributor) EndedLately(now time.Time, instance model.InstanceID) bool {
+	at, known := a.ends[instance]
+	return known && now.Sub(at) <= pendingWindow
 }
 
 // EndCount returns the number of instances that are known to have ended.
