gateway/upstream: refuse responses of HTTP/1.0 with a transfer coding

Cause: net/http ignores Transfer-Encoding in a response of HTTP/1.0 and takes all bytes up to the end of the connection for the body. Only continuations of streams refused that version.

The head of such a response is now read as one of HTTP/1.1, so that the coding is seen, and the exchange fails: 502, or the response of another server where the request may be repeated. Others of HTTP/1.0 pass as before.

--- a/gateway/upstream/exchange.go
+++ b/gateway/upstream/exchange.go
@@ -116,7 +116,7 @@
 			}
 		}
 		// After a shorter line, this returns the error of the connection.
-		resp, err := http.ReadResponse(x.reader, req)
+		resp, err := x.readResponse(line, req)
 		if err != nil {
 			return nil, err
 		}
