poison: judge which servers ended together once all ends are known

Callers whose request came within some ms of a crash of all servers waited 10 s in place of a second until what they share was tried: the next trial was computed at the first refusal, when the ends of other servers were not known yet, and kept until the next crash of the same content or part.

The new spec of lib/poison, "is due soon if other ends become known after the quarantine", failed before. The result is now kept only from 0.2 s after the last crash on, which is less than the delay of the first trial.

--- a/lib/poison/trial.go
+++ b/lib/poison/trial.go
@@ -24,6 +24,8 @@
 	// minJoint the number of such instances.
 	jointGap = 50 * time.Millisecond
 	minJoint = 3
+	// endsKnownAfter is when all instances that ended together with another one are known.
+	endsKnownAfter = 200 * time.Millisecond
 	// trialInstance stands for the instance of a trial in the announced runs: it is announced
 	// before an instance is chosen.
 	trialInstance model.InstanceID = "trial"
@@ -46,13 +48,17 @@
 	if !ok {
 		return Trial{}
 	}
-	if !s.nextTrialFor.Equal(s.lastNewCrash) {
-		s.nextTrial, s.nextTrialFor = m.findNextTrial(now, fingerprint, s), s.lastNewCrash
+	if s.nextTrialFor.Equal(s.lastNewCrash) {
+		return s.nextTrial
 	}
-	return s.nextTrial
+	trial := m.findNextTrial(now, s)
+	if now.Sub(s.lastNewCrash) >= endsKnownAfter {
+		s.nextTrial, s.nextTrialFor = trial, s.lastNewCrash
+	}
+	return trial
 }
 
-func (m *Monitor) findNextTrial(now time.Time, fingerprint model.Fingerprint, s *suspect) Trial {
+func (m *Monitor) findNextTrial(now time.Time, s *suspect) Trial {
 	crashes := s.crashTimes(now, m.config.TTL)
 	if len(crashes) < m.config.QuarantineCrashes {
 		return Trial{}
--- a/lib/poison/trial_test.go
+++ b/lib/poison/trial_test.go
@@ -53,6 +53,20 @@
 		Expect(m.NextTrial(now, fp(subject))).To(Equal(Trial{Due: now.Add(jointTrialDelay), Joint: true}))
 	})
 
+	It("is due soon if other ends become known after the quarantine", func() {
+		// Guards against servers that count as ended alone because a request came in between.
+		m := newEntry("a")
+		crashes(m, 2, apart)
+		crash(m, apart)
+		Expect(due(m)).To(Equal(trialDelay))
+		for i := range 6 {
+			now = now.Add(10 * time.Millisecond)
+			m.Crashed(now, model.InstanceID(fmt.Sprint("other-", i)), 0, report(1, subject+1))
+		}
+		now = now.Add(settle)
+		Expect(m.NextTrial(now, fp(subject)).Joint).To(BeTrue())
+	})
+
 	It("lifts the quarantine with its response", func() {
 		m := newEntry("a")
 		crashes(m, 9, 0)
